Lay out the packages, the core types and the stand-ins

Cause: nothing existed. The house shape has to stand before the decisions do. Change: npm workspace by concern; core types (branded ids, monotonic deadlines, results, scopes, streams), wire framing of the PostgreSQL protocol, the inner protocol over framed CBOR, inventory schema, the store client over the published etcd v3 subset, and stand-ins for an instance and for the platform.

--- /dev/null
+++ b/packages/core/src/gate.ts
@@ -0,0 +1,28 @@
+/** A gate on which tasks wait until another task opens it once. */
+
+/** Wakes the tasks that wait at this moment. */
+export type Gate = Readonly<{
+	/** Waits for the next `open`. */
+	wait: () => Promise<void>;
+	/** Wakes every waiting task. */
+	open: () => void;
+}>;
+
+/** Creates a gate. */
+export const createGate = (): Gate => {
+	let waiting: Array<() => void> = [];
+	return {
+		async wait() {
+			await new Promise<void>(resolve => {
+				waiting.push(resolve);
+			});
+		},
+		open() {
+			const woken = waiting;
+			waiting = [];
+			for (const wake of woken) {
+				wake();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,13 @@
+export type * from './brand.js';
+export * from './ids.js';
+export * from './time.js';
+export * from './result.js';
+export * from './errors.js';
+export * from './world.js';
+export * from './scope.js';
+export * from './gate.js';
+export * from './queue.js';
+export * from './notifier.js';
+export * from './stream.js';
+export * from './rendezvous.js';
+export * from './shared-flight.js';
--- /dev/null
+++ b/packages/core/src/notifier.ts
@@ -0,0 +1,67 @@
+/** Wakes tasks that wait for a condition on shared state. */
+
+import {Err, Ok, type Result} from './result.js';
+import type {WaitFailure} from './errors.js';
+import {getRemainingMs, isPast, type Deadline} from './time.js';
+import type {World} from './world.js';
+
+/** Wakes every waiting task when state has changed. */
+export type Notifier = Readonly<{
+	/** Wakes all waiting tasks. */
+	notify: () => void;
+	/** Waits for the next `notify`, at most until a deadline. */
+	waitForChange: (deadline: Deadline, signal?: AbortSignal) => Promise<void>;
+	/** Waits until a condition holds, tested at each `notify`. */
+	waitUntil: (condition: () => boolean, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, WaitFailure>>;
+}>;
+
+const LONGEST_SLEEP_MS = 3_600_000;
+
+/** Creates a notifier. */
+export const createNotifier = (world: Pick<World, 'now' | 'sleep'>): Notifier => {
+	const waiting = new Set<() => void>();
+
+	const waitForChange = async (deadline: Deadline, signal?: AbortSignal) => {
+		const timer = new AbortController();
+		let wake: () => void;
+		const changed = new Promise<void>(resolve => {
+			wake = resolve;
+		});
+		const stop = () => {
+			wake();
+		};
+
+		waiting.add(stop);
+		signal?.addEventListener('abort', stop, {once: true});
+		const remaining = Math.min(getRemainingMs(deadline, world.now()), LONGEST_SLEEP_MS);
+		const sleeping = world.sleep(remaining, timer.signal).catch(() => undefined);
+		await Promise.race([changed, sleeping]);
+		timer.abort();
+		waiting.delete(stop);
+		signal?.removeEventListener('abort', stop);
+	};
+
+	return {
+		notify() {
+			for (const wake of waiting) {
+				wake();
+			}
+		},
+		waitForChange,
+		async waitUntil(condition, deadline, signal) {
+			while (!condition()) {
+				if (signal?.aborted) {
+					return Err({code: 'aborted', message: 'The wait was aborted'});
+				}
+
+				if (isPast(deadline, world.now())) {
+					return Err({code: 'timeout', message: 'The deadline passed while waiting'});
+				}
+
+				await waitForChange(deadline, signal);
+			}
+
+			return Ok(undefined);
+		},
+	};
+};
--- /dev/null
+++ b/packages/peer-protocol/src/connection.ts
@@ -0,0 +1,274 @@
+/** One connection between two processes: hello, calls and streams, served by one task. */
+
+import {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
+import {
+	createDeadline, createNotifier, createScope, Err, getMessage, Ok, type Failure, type Result, type Stream, type World,
+} from '@guavapitch/core';
+import {
+	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
+} from './frames.js';
+import {createWireStream, type WireStream} from './streams.js';
+
+/** Failure of a call to a peer. */
+export type PeerFailure = Failure<'peerUnreachable' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
+
+/** Who a process is to its peers. */
+export type PeerIdentity = Readonly<{vm: string; incarnation: string}>;
+
+/** What a process serves to its peers. */
+export type PeerHandlers = Readonly<{
+	/** Answers calls, by method. */
+	calls: Readonly<Record<string, (body: unknown, from: PeerIdentity) => Promise<unknown>>>;
+	/** Serves streams, by method. */
+	streams: Readonly<Record<string, (header: unknown, stream: Stream<unknown, unknown>, from: PeerIdentity) => Promise<void>>>;
+}>;
+
+/** What a connection needs from its process. */
+export type PeerContext = Readonly<{
+	world: World;
+	identity: PeerIdentity;
+	handlers: PeerHandlers;
+	/** Reads the causal clock, for the frames sent. */
+	readTime: () => FrameTime;
+	/** Hears of causal times received. */
+	witnessTime: (time: FrameTime) => void;
+	/** Hears of frames that were refused. */
+	onMalformed: (failure: FrameFailure) => void;
+	/** Hears of bytes sent and received. */
+	onBytes?: (direction: 'sent' | 'received', bytes: number) => void;
+}>;
+
+/** An open connection to a peer. */
+export type PeerConnection = AsyncDisposable & Readonly<{
+	/** Waits for the peer's hello. */
+	waitForHello: () => Promise<Result<PeerIdentity, PeerFailure>>;
+	/** Calls a method of the peer. */
+	call: (method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, PeerFailure>>;
+	/** Opens a stream to the peer. */
+	openStream: (method: string, header: unknown) => Stream<unknown, unknown>;
+	/** Waits until the connection has ended. */
+	waitForEnd: () => Promise<void>;
+	/** Tells whether the connection has ended. */
+	isEnded: () => boolean;
+}>;
+
+type Pending = (result: Result<unknown, PeerFailure>) => void;
+
+const HELLO_TIMEOUT_MS = 3000;
+const GONE: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
+const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
+
+/** Opens the protocol on a connected socket, whichever end connected. */
+export const openPeerConnection = (socket: Socket, context: PeerContext): PeerConnection => {
+	const {world, handlers} = context;
+	const changed = createNotifier(world);
+	const pending = new Map<number, Pending>();
+	const streams = new Map<string, WireStream>();
+	const scope = createScope(() => undefined);
+	let peer: PeerIdentity | undefined;
+	let ended = false;
+	let lastId = 0;
+
+	const send = async (frame: Frame): Promise<void> => {
+		if (ended) {
+			return;
+		}
+
+		const bytes = encodeFrame(frame);
+		context.onBytes?.('sent', bytes.length);
+		if (!socket.write(bytes)) {
+			await changed.waitUntil(() => ended || !socket.writableNeedDrain, createDeadline(world.now(), Number.POSITIVE_INFINITY));
+		}
+	};
+
+	const createEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
+		const key = `${side}${id}`;
+		const wireStream = createWireStream(id, side, {
+			send,
+			readTime: context.readTime,
+			forget() {
+				streams.delete(key);
+			},
+		});
+		streams.set(key, wireStream);
+		return wireStream.stream;
+	};
+
+	const answerCall = async (id: number, method: string, body: unknown, from: PeerIdentity) => {
+		const handler = Object.hasOwn(handlers.calls, method) ? handlers.calls[method] : undefined;
+		if (!handler) {
+			await send(['refuse', context.readTime(), id, 'unknownMethod', `There is no method ${method}`]);
+			return;
+		}
+
+		try {
+			const reply = await handler(body, from);
+			await send(['reply', context.readTime(), id, reply]);
+		} catch (error) {
+			await send(['refuse', context.readTime(), id, 'handlerFailed', getMessage(error)]);
+		}
+	};
+
+	const serveStream = async (id: number, method: string, header: unknown, from: PeerIdentity) => {
+		await using stream = createEnd(id, 'acceptor');
+		const handler = Object.hasOwn(handlers.streams, method) ? handlers.streams[method] : undefined;
+		await handler?.(header, stream, from);
+		stream.finish();
+	};
+
+	const settle = (id: number, result: Result<unknown, PeerFailure>) => {
+		pending.get(id)?.(result);
+		pending.delete(id);
+	};
+
+	const acceptHello = (version: number, identity: PeerIdentity) => {
+		if (version !== PROTOCOL_VERSION) {
+			context.onMalformed({code: 'frameMalformed', message: `The peer speaks version ${version}; this process speaks ${PROTOCOL_VERSION}`});
+			socket.destroy();
+			return;
+		}
+
+		peer = identity;
+		changed.notify();
+	};
+
+	const accept = (frame: Frame) => {
+		context.witnessTime(frame[1]);
+		if (!peer && frame[0] !== 'hello') {
+			context.onMalformed({code: 'frameMalformed', message: 'The first frame is not a hello'});
+			socket.destroy();
+			return;
+		}
+
+		const from = peer ?? {vm: '', incarnation: ''};
+		const [kind] = frame;
+		switch (kind) {
+			case 'hello': {
+				acceptHello(frame[2], {vm: frame[3], incarnation: frame[4]});
+
+				break;
+			}
+
+			case 'call': {
+				scope.run(async () => answerCall(frame[2], frame[3], frame[4], from));
+
+				break;
+			}
+
+			case 'reply': {
+				settle(frame[2], Ok(frame[3]));
+
+				break;
+			}
+
+			case 'refuse': {
+				settle(frame[2], Err({code: 'peerRefused', message: `${frame[3]}: ${frame[4]}`}));
+
+				break;
+			}
+
+			case 'open': {
+				scope.run(async () => serveStream(frame[2], frame[3], frame[4], from));
+
+				break;
+			}
+
+			default: {
+				streams.get(`${OTHER_SIDE[frame[3]]}${frame[2]}`)?.accept(frame);
+			}
+		}
+	};
+
+	const end = () => {
+		if (ended) {
+			return;
+		}
+
+		ended = true;
+		for (const id of pending.keys()) {
+			settle(id, Err(GONE));
+		}
+
+		for (const stream of streams.values()) {
+			stream.breakOff();
+		}
+
+		changed.notify();
+	};
+
+	let rest: Buffer = Buffer.alloc(0);
+	const acceptBytes = (chunk: Buffer) => {
+		context.onBytes?.('received', chunk.length);
+		const split = splitFrames(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]));
+		if (split.err) {
+			context.onMalformed(split.val);
+			socket.destroy();
+			return;
+		}
+
+		rest = split.val.rest;
+		for (const frame of split.val.frames) {
+			accept(frame);
+		}
+	};
+
+	socket.setNoDelay(true);
+	socket.on('data', acceptBytes);
+	socket.on('drain', changed.notify);
+	socket.on('close', end);
+	socket.on('error', end);
+	void send(['hello', context.readTime(), PROTOCOL_VERSION, context.identity.vm, context.identity.incarnation]);
+
+	return {
+		async waitForHello() {
+			const said = await changed.waitUntil(() => ended || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
+			if (said.err) {
+				return Err({code: 'peerTimeout', message: 'The peer sent no hello'});
+			}
+
+			return peer ? Ok(peer) : Err(GONE);
+		},
+		async call(method, body, timeoutMs) {
+			if (ended) {
+				return Err(GONE);
+			}
+
+			const id = ++lastId;
+			const timer = new AbortController();
+			const answered = new Promise<Result<unknown, PeerFailure>>(resolve => {
+				pending.set(id, resolve);
+			});
+			const expired = world.sleep(timeoutMs, timer.signal).then(
+				() => {
+					settle(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
+				},
+				() => undefined,
+			);
+			await send(['call', context.readTime(), id, method, body]);
+			const result = await answered;
+			timer.abort();
+			await expired;
+			return result;
+		},
+		openStream(method, header) {
+			const id = ++lastId;
+			const stream = createEnd(id, 'opener');
+			void send(['open', context.readTime(), id, method, header]);
+			if (ended) {
+				streams.get(`opener${id}`)?.breakOff();
+			}
+
+			return stream;
+		},
+		async waitForEnd() {
+			await changed.waitUntil(() => ended, createDeadline(world.now(), Number.POSITIVE_INFINITY));
+		},
+		isEnded: () => ended,
+		async [Symbol.asyncDispose]() {
+			socket.destroy();
+			end();
+			await scope[Symbol.asyncDispose]();
+		},
+	};
+};
--- /dev/null
+++ b/packages/peer-protocol/src/index.ts
@@ -0,0 +1,4 @@
+export * from './frames.js';
+export * from './connection.js';
+export * from './listener.js';
+export * from './peers.js';
--- /dev/null
+++ b/packages/platform/src/etcd-store.ts
@@ -0,0 +1,192 @@
+/** The store over the etcd v3 protocol. */
+
+import {Buffer} from 'node:buffer';
+import {
+	credentials, status, type Client, type ClientDuplexStream, type ServiceError,
+} from '@grpc/grpc-js';
+import {
+	createDeadline, Err, Ok, type Result, type World,
+} from '@guavapitch/core';
+import {loadServices} from './proto.js';
+import type {
+	Entry, Lease, Store, StoreFailure, SwapOutcome,
+} from './store.js';
+
+type KeyValue = Readonly<{key: Uint8Array; value: Uint8Array; mod_revision: number}>;
+type RangeResponse = Readonly<{kvs: readonly KeyValue[]}>;
+type TxnResponse = Readonly<{succeeded: boolean; header: Readonly<{revision: number}>; responses: ReadonlyArray<Readonly<{response_range?: RangeResponse}>>}>;
+type WatchResponse = Readonly<{created: boolean; canceled: boolean; events: ReadonlyArray<Readonly<{kv: KeyValue}>>}>;
+type KeepAliveResponse = Readonly<{ID: string | number; TTL: number}>;
+type Unary = (request: unknown, options: Readonly<{deadline: number}>, done: (error: ServiceError | null, response: unknown) => void) => unknown;
+type Duplex = () => ClientDuplexStream<unknown, unknown>;
+type EtcdClient = Client & Readonly<Record<string, Unary & Duplex>>;
+
+/** A store that holds a channel. */
+export type EtcdStore = AsyncDisposable & Store;
+
+/** Settings of the client. */
+export type EtcdSettings = Readonly<{
+	/** Address as `host:port`. */
+	address: string;
+	/** Time after which a call counts as failed, in milliseconds. */
+	callTimeoutMs: number;
+	/** Counts calls, by method. */
+	onCall?: (method: string) => void;
+}>;
+
+const RECONNECT_MS = 200;
+const MILLISECONDS = 1000;
+
+const createPrefixEnd = (prefix: string): Buffer => {
+	const end = Buffer.from(prefix);
+	end[end.length - 1] = (end.at(-1) ?? 0) + 1;
+	return end;
+};
+
+const createEntry = (pair: KeyValue): Entry => ({
+	key: Buffer.from(pair.key).toString(), value: Buffer.from(pair.value).toString(), revision: pair.mod_revision,
+});
+
+const describeError = (error: ServiceError): StoreFailure => error.code === status.UNAVAILABLE && error.details.includes('not carried out')
+	? {code: 'storeUnreachable', message: error.details}
+	: {code: 'storeUnknown', message: `${error.details} (${error.code})`};
+
+/** Opens a store. */
+export const openEtcdStore = (settings: EtcdSettings, world: World): EtcdStore => {
+	const services = loadServices();
+	const options = {'grpc.initial_reconnect_backoff_ms': RECONNECT_MS, 'grpc.max_reconnect_backoff_ms': RECONNECT_MS, 'grpc.min_reconnect_backoff_ms': RECONNECT_MS};
+	const open = (name: keyof typeof services) => new services[name](settings.address, credentials.createInsecure(), options) as unknown as EtcdClient;
+	const kv = open('KV');
+	const leases = open('Lease');
+	const watches = open('Watch');
+
+	const call = async (client: EtcdClient, method: string, request: unknown): Promise<Result<unknown, StoreFailure>> => {
+		settings.onCall?.(method);
+		return new Promise(resolve => {
+			client[method]?.(request, {deadline: Date.now() + settings.callTimeoutMs}, (error, response) => {
+				resolve(error ? Err(describeError(error)) : Ok(response));
+			});
+		});
+	};
+
+	const keepAlive = async (id: string): Promise<Result<KeepAliveResponse, StoreFailure>> => {
+		settings.onCall?.('LeaseKeepAlive');
+		const timer = new AbortController();
+		const stream = leases.LeaseKeepAlive?.();
+		if (!stream) {
+			return Err({code: 'storeUnreachable', message: 'The service has no LeaseKeepAlive'});
+		}
+
+		const answered = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
+			stream.on('data', response => {
+				resolve(Ok(response as KeepAliveResponse));
+			});
+			stream.on('error', error => {
+				resolve(Err({code: 'storeUnknown', message: error.message}));
+			});
+			stream.write({ID: id});
+		});
+		const expired = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The renewal was not answered in time'} as const), () => undefined);
+		const result = await Promise.race([answered, expired]);
+		timer.abort();
+		stream.cancel();
+		return result ?? Err({code: 'storeUnknown', message: 'The renewal was aborted'});
+	};
+
+	return {
+		async read(key) {
+			const response = await call(kv, 'Range', {key: Buffer.from(key)});
+			return response.map(found => {
+				const [pair] = (found as RangeResponse).kvs;
+				return pair ? createEntry(pair) : undefined;
+			});
+		},
+		async readAll(prefix) {
+			const response = await call(kv, 'Range', {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)});
+			return response.map(found => (found as RangeResponse).kvs.map(pair => createEntry(pair)));
+		},
+		async swap(key, expectedRevision, value, leaseId) {
+			const bytes = Buffer.from(key);
+			const response = await call(kv, 'Txn', {
+				compare: [{
+					result: 'EQUAL', target: 'MOD', key: bytes, mod_revision: expectedRevision,
+				}],
+				success: [{request_put: {key: bytes, value: Buffer.from(value), lease: leaseId ?? 0}}],
+				failure: [{request_range: {key: bytes}}],
+			});
+			return response.map((answer): SwapOutcome => {
+				const {succeeded, header, responses} = answer as TxnResponse;
+				if (succeeded) {
+					return {swapped: true, current: {key, value, revision: header.revision}};
+				}
+
+				const pair = responses[0]?.response_range?.kvs[0];
+				return {swapped: false, current: pair ? createEntry(pair) : undefined};
+			});
+		},
+		async remove(key, expectedRevision) {
+			const bytes = Buffer.from(key);
+			const response = await call(kv, 'Txn', {
+				compare: [{
+					result: 'EQUAL', target: 'MOD', key: bytes, mod_revision: expectedRevision,
+				}],
+				success: [{request_delete_range: {key: bytes}}],
+				failure: [],
+			});
+			return response.map(answer => (answer as TxnResponse).succeeded);
+		},
+		async grantLease(seconds) {
+			const asked = world.now();
+			const response = await call(leases, 'LeaseGrant', {TTL: seconds, ID: 0});
+			return response.map((answer): Lease => ({
+				id: String((answer as KeepAliveResponse).ID), deadline: createDeadline(asked, seconds * MILLISECONDS),
+			}));
+		},
+		async renewLease(id) {
+			const asked = world.now();
+			const response = await keepAlive(id);
+			if (response.err) {
+				return response;
+			}
+
+			return response.val.TTL > 0
+				? Ok({id, deadline: createDeadline(asked, response.val.TTL * MILLISECONDS)})
+				: Err({code: 'leaseLost', message: 'The lease has lapsed'});
+		},
+		async revokeLease(id) {
+			const response = await call(leases, 'LeaseRevoke', {ID: id});
+			return response.map(() => undefined);
+		},
+		async watch(prefix, onChange, signal) {
+			settings.onCall?.('Watch');
+			const stream = watches.Watch?.();
+			if (!stream || signal.aborted) {
+				return Ok(undefined);
+			}
+
+			return new Promise(resolve => {
+				stream.on('data', response => {
+					const {created, events} = response as WatchResponse;
+					if (created || events.length > 0) {
+						onChange(events.map(event => Buffer.from(event.kv.key).toString()));
+					}
+				});
+				stream.on('error', error => {
+					resolve(signal.aborted ? Ok(undefined) : Err({code: 'storeUnreachable', message: error.message}));
+				});
+				stream.on('end', () => {
+					resolve(Ok(undefined));
+				});
+				signal.addEventListener('abort', () => {
+					stream.cancel();
+				}, {once: true});
+				stream.write({create_request: {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)}});
+			});
+		},
+		async [Symbol.asyncDispose]() {
+			kv.close();
+			leases.close();
+			watches.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/sessions/src/index.ts
@@ -0,0 +1,3 @@
+export * from './classes.js';
+export type * from './requests.js';
+export * from './prepared.js';
--- /dev/null
+++ b/packages/standin/src/database.ts
@@ -0,0 +1,133 @@
+/** Server of one instance of the database stand-in. */
+
+import {randomInt} from 'node:crypto';
+import {createServer, type Socket} from 'node:net';
+import {createScope, type World} from '@guavapitch/core';
+import {
+	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, openWire, parseStartup, SQLSTATE, type Wire,
+} from '@guavapitch/postgres-wire';
+import type {Instance} from './instance.js';
+import {followUpstream, serveReplica} from './replication.js';
+import {serveSession} from './session.js';
+
+/** A running instance. */
+export type DatabaseServer = AsyncDisposable & Readonly<{port: number}>;
+
+type Cancels = Map<number, Readonly<{secret: number; cancel: () => void}>>;
+
+const AUTHENTICATION_OK = createMessage('R', encodeInt32(0));
+const LARGEST_SECRET = 2_147_483_647;
+const CONTROL_DATABASE = 'control';
+const PARAMETERS: Readonly<Record<string, string>> = {
+	server_version: '15.0 (guavapitch stand-in)', server_encoding: 'UTF8', client_encoding: 'UTF8', DateStyle: 'ISO, MDY', standard_conforming_strings: 'on',
+};
+
+const greet = async (wire: Wire, processId: number, secret: number) => {
+	const parameters = Object.entries(PARAMETERS).map(([name, value]) => createParameter(name, value).bytes);
+	const key = createMessage('K', encodeInt32(processId), encodeInt32(secret));
+	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReady('idle').bytes);
+};
+
+type ServerContext = Readonly<{instance: Instance; world: World; cancels: Cancels}>;
+
+const serveCaller = async ({instance, world, cancels}: ServerContext, wire: Wire, parameters: ReadonlyMap<string, string>) => {
+	const isControl = parameters.get('database') === CONTROL_DATABASE;
+	const peer = isControl ? CONTROL_DATABASE : parameters.get('application_name') ?? '';
+	const allowed = isControl || instance.enterConnection();
+	const processId = randomInt(LARGEST_SECRET);
+	const secret = randomInt(LARGEST_SECRET);
+	try {
+		await instance.waitWhileCut(isControl ? '' : peer);
+		if (!allowed) {
+			await wire.write(createErrorResponse({severity: 'FATAL', code: SQLSTATE.tooManyConnections, message: 'sorry, too many clients already'}).bytes);
+			return;
+		}
+
+		await world.sleep(isControl ? 0 : instance.settings.connectMs);
+		await greet(wire, processId, secret);
+		await serveSession({
+			instance, world, wire, peer,
+			onCancel(cancel) {
+				cancels.set(processId, {secret, cancel});
+			},
+		});
+	} finally {
+		cancels.delete(processId);
+		if (!isControl) {
+			instance.leaveConnection();
+		}
+	}
+};
+
+const serveSocket = async (context: ServerContext, socket: Socket) => {
+	const {instance, cancels} = context;
+	socket.setNoDelay(true);
+	await using wire = openWire(socket);
+	while (true) {
+		const packet = await wire.readStartup();
+		if (packet.err) {
+			return;
+		}
+
+		instance.onBytes(packet.val);
+		const startup = parseStartup(packet.val);
+		if (startup.err) {
+			return;
+		}
+
+		switch (startup.val.kind) {
+			case 'cancel': {
+				const target = cancels.get(startup.val.processId);
+				if (target?.secret === startup.val.secret) {
+					target.cancel();
+				}
+
+				return;
+			}
+
+			case 'startup': {
+				const {parameters} = startup.val;
+				await (parameters.get('replication') === 'true'
+					? serveReplica(instance, wire, parameters.get('application_name') ?? '')
+					: serveCaller(context, wire, parameters));
+				return;
+			}
+
+			default: {
+				await wire.write(createMessage('N').bytes.subarray(0, 1));
+			}
+		}
+	}
+};
+
+/** Starts serving an instance on loopback. */
+export const startDatabase = async (instance: Instance, world: World, port: number): Promise<DatabaseServer> => {
+	const scope = createScope(() => undefined);
+	const cancels: Cancels = new Map();
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+		scope.run(async () => serveSocket({instance, world, cancels}, socket));
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	scope.run(async signal => followUpstream(instance, world, signal));
+	const address = server.address();
+	return {
+		port: typeof address === 'object' && address ? address.port : port,
+		async [Symbol.asyncDispose]() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			instance.engine.notify();
+			await scope[Symbol.asyncDispose]();
+		},
+	};
+};
--- /dev/null
+++ b/packages/standin/src/platform.ts
@@ -0,0 +1,236 @@
+/** Stand-in of the platform's key-value service, over the etcd v3 protocol, with faults on command. */
+
+import {Buffer} from 'node:buffer';
+import {
+	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall, type ServiceError, type UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {createScope, type World} from '@guavapitch/core';
+import {
+	createMemoryStore, loadServices, type Entry, type MemoryStore,
+} from '@guavapitch/platform';
+
+/** Faults of the service, changed by writing the key `/standin/faults` as JSON. */
+export type PlatformFaults = Readonly<{
+	/** Answers nothing. */
+	down?: boolean;
+	/** Delay of each answer, in milliseconds. */
+	slowMs?: number;
+	/** Carries out this many further changes without answering. */
+	loseAnswers?: number;
+	/** Client addresses or names that are cut off. */
+	cut?: readonly string[];
+}>;
+
+/** A running service. */
+export type PlatformServer = AsyncDisposable & Readonly<{
+	port: number;
+	store: MemoryStore;
+	/** Sets the faults. */
+	setFaults: (faults: PlatformFaults) => void;
+	/** Gets the number of calls so far, by method; a waiting watch counts as one. */
+	getCalls: () => Readonly<Record<string, number>>;
+}>;
+
+type Request = Readonly<Record<string, unknown>>;
+type Answer = Readonly<Record<string, unknown>>;
+type Compare = Readonly<{key: Uint8Array; mod_revision: number}>;
+type Operation = Readonly<{request?: string; request_put?: PutRequest; request_range?: RangeRequest}>;
+type PutRequest = Readonly<{key: Uint8Array; value: Uint8Array; lease: number}>;
+type RangeRequest = Readonly<{key: Uint8Array; range_end: Uint8Array}>;
+
+const FAULTS_KEY = '/standin/faults';
+const EXPIRY_MS = 50;
+const HANG_MS = 3_600_000;
+
+const createPair = (entry: Entry) => ({key: Buffer.from(entry.key), value: Buffer.from(entry.value), mod_revision: entry.revision});
+const formatKey = (key: Uint8Array): string => Buffer.from(key).toString();
+const createHeader = (revision: number) => ({revision});
+const formatLease = (lease: number): string | undefined => lease === 0 ? undefined : String(lease);
+
+/** Starts the service on loopback. */
+export const startPlatform = async (world: World, port: number): Promise<PlatformServer> => {
+	const store = createMemoryStore(world);
+	const services = loadServices();
+	const scope = createScope(() => undefined);
+	const calls = new Map<string, number>();
+	let faults: PlatformFaults = {};
+	let lostAnswers = 0;
+
+	const setFaults = (next: PlatformFaults) => {
+		faults = next;
+		lostAnswers = next.loseAnswers ?? 0;
+	};
+
+	const range = async (request: RangeRequest) => {
+		const key = formatKey(request.key);
+		if (request.range_end.length > 0) {
+			const found = (await store.readAll(key)).unwrap();
+			return {header: createHeader(0), kvs: found.map(entry => createPair(entry)), count: found.length};
+		}
+
+		const entry = (await store.read(key)).unwrap();
+		return {header: createHeader(0), kvs: entry ? [createPair(entry)] : [], count: entry ? 1 : 0};
+	};
+
+	const applyFaults = (key: string, value: string) => {
+		if (key === FAULTS_KEY) {
+			setFaults(JSON.parse(value) as PlatformFaults);
+		}
+	};
+
+	const swap = async (compare: Compare, put: PutRequest) => {
+		const key = formatKey(compare.key);
+		const value = Buffer.from(put.value).toString();
+		const outcome = await store.swap(key, compare.mod_revision, value, formatLease(put.lease));
+		if (outcome.err) {
+			throw Object.assign(new Error(outcome.val.message), {code: status.NOT_FOUND, details: outcome.val.message});
+		}
+
+		const {swapped, current} = outcome.val;
+		if (swapped) {
+			return {header: createHeader(current?.revision ?? 0), succeeded: true, responses: []};
+		}
+
+		return {header: createHeader(0), succeeded: false, responses: [{response_range: {kvs: current ? [createPair(current)] : []}}]};
+	};
+
+	const transact = async (request: Request): Promise<Answer> => {
+		const [compare] = request.compare as readonly Compare[];
+		const [operation] = request.success as readonly Operation[];
+		if (!compare || !operation) {
+			throw Object.assign(new Error('one comparison and one operation expected'), {code: status.INVALID_ARGUMENT, details: 'one comparison and one operation expected'});
+		}
+
+		if (operation.request_put) {
+			return swap(compare, operation.request_put);
+		}
+
+		const removed = (await store.remove(formatKey(compare.key), compare.mod_revision)).unwrap();
+		return {header: createHeader(0), succeeded: removed, responses: []};
+	};
+
+	const put = async (request: Request): Promise<Answer> => {
+		const {key, value, lease} = request as unknown as PutRequest;
+		const entry = store.put(formatKey(key), Buffer.from(value).toString(), formatLease(lease));
+		applyFaults(entry.key, entry.value);
+		return {header: createHeader(entry.revision)};
+	};
+
+	const passFaults = async (isControl: boolean) => {
+		if (faults.down && !isControl) {
+			await world.sleep(HANG_MS, scope.signal).catch(() => undefined);
+		}
+
+		if (faults.slowMs) {
+			await world.sleep(faults.slowMs);
+		}
+	};
+
+	const serveUnary = (name: string, changes: boolean, handle: (request: Request) => Promise<Answer>) => (call: ServerUnaryCall<Request, Answer>, done: sendUnaryData<Answer>) => {
+		calls.set(name, (calls.get(name) ?? 0) + 1);
+		scope.run(async () => {
+			const isControl = call.request.key !== undefined && formatKey(call.request.key as Uint8Array).startsWith('/standin/');
+			await passFaults(isControl);
+			try {
+				const answer = await handle(call.request);
+				if (changes && lostAnswers > 0) {
+					lostAnswers--;
+					return;
+				}
+
+				done(null, answer);
+			} catch (error) {
+				done(error as ServiceError);
+			}
+		});
+	};
+
+	const keepAlive = (stream: ServerDuplexStream<Request, Answer>) => {
+		stream.on('data', (request: Request) => {
+			calls.set('LeaseKeepAlive', (calls.get('LeaseKeepAlive') ?? 0) + 1);
+			scope.run(async () => {
+				await passFaults(false);
+				const renewed = await store.renewLease(String(request.ID));
+				const seconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
+				stream.write({header: createHeader(0), ID: request.ID, TTL: seconds});
+			});
+		});
+		stream.on('end', () => {
+			stream.end();
+		});
+		stream.on('error', () => undefined);
+	};
+
+	const watch = (stream: ServerDuplexStream<Request, Answer>) => {
+		const gone = new AbortController();
+		stream.on('data', (request: Request) => {
+			calls.set('Watch', (calls.get('Watch') ?? 0) + 1);
+			const create = request.create_request as RangeRequest;
+			scope.run(async () => {
+				await passFaults(false);
+				await store.watch(formatKey(create.key), keys => {
+					if (!faults.down) {
+						stream.write({
+							header: createHeader(0), created: keys.length === 0, events: keys.map(key => ({type: 'PUT', kv: {key: Buffer.from(key)}})),
+						});
+					}
+				}, AbortSignal.any([gone.signal, scope.signal]));
+			});
+		});
+		const leave = () => {
+			gone.abort();
+		};
+
+		stream.on('cancelled', leave);
+		stream.on('end', leave);
+		stream.on('error', leave);
+	};
+
+	const server = new Server();
+	const implement = (name: keyof typeof services, implementation: UntypedServiceImplementation) => {
+		server.addService(services[name].service, implementation);
+	};
+
+	implement('KV', {
+		Range: serveUnary('Range', false, async request => range(request as unknown as RangeRequest)),
+		Put: serveUnary('Put', false, put),
+		Txn: serveUnary('Txn', true, transact),
+	});
+	implement('Lease', {
+		LeaseGrant: serveUnary('LeaseGrant', true, async request => {
+			const lease = (await store.grantLease(Number(request.TTL))).unwrap();
+			return {header: createHeader(0), ID: lease.id, TTL: request.TTL};
+		}),
+		LeaseRevoke: serveUnary('LeaseRevoke', true, async request => {
+			await store.revokeLease(String(request.ID));
+			return {header: createHeader(0)};
+		}),
+		LeaseKeepAlive: keepAlive,
+	});
+	implement('Watch', {Watch: watch});
+	const bound = await new Promise<number>((resolve, reject) => {
+		server.bindAsync(`127.0.0.1:${port}`, ServerCredentials.createInsecure(), (error, actual) => {
+			if (error) {
+				reject(error);
+			} else {
+				resolve(actual);
+			}
+		});
+	});
+	scope.run(async signal => {
+		while (!signal.aborted) {
+			store.expireLeases();
+			await world.sleep(EXPIRY_MS, signal);
+		}
+	});
+	return {
+		port: bound,
+		store,
+		setFaults,
+		getCalls: () => Object.fromEntries(calls),
+		async [Symbol.asyncDispose]() {
+			server.forceShutdown();
+			await scope[Symbol.asyncDispose]();
+		},
+	};
+};
--- /dev/null
+++ b/packages/standin/src/session.ts
@@ -0,0 +1,426 @@
+/** One caller of the database stand-in: the task that serves its connection. */
+
+import {Buffer} from 'node:buffer';
+import {getMessage, type World} from '@guavapitch/core';
+import {
+	createComplete, createErrorResponse, createMessage, createReady, encodeInt16, encodeInt32, getBody, readText, SQLSTATE,
+	type Message, type TransactionStatus, type Wire,
+} from '@guavapitch/postgres-wire';
+import type {Row, Transaction} from './engine.js';
+import {
+	describeStatement, executeData, type ExecutionContext, type ResultColumn, type ResultSet,
+} from './executor.js';
+import type {Instance} from './instance.js';
+import type {Statement, Value} from './sql-ast.js';
+import {SqlError} from './sql-errors.js';
+import {parseSql} from './sql-parser.js';
+
+type Portal = Readonly<{statement: Statement | undefined; parameters: readonly Value[]}>;
+
+type SessionState = {
+	transaction: Transaction | undefined;
+	status: TransactionStatus;
+	readonly statements: Map<string, Statement | undefined>;
+	readonly portals: Map<string, Portal>;
+	readonly settings: Map<string, string>;
+	skipping: boolean;
+	cancel: AbortController;
+};
+
+/** What a session is served with. */
+export type SessionContext = Readonly<{
+	instance: Instance;
+	world: World;
+	wire: Wire;
+	/** Name the caller gave itself. */
+	peer: string;
+	/** Hears the function that cancels the running statement. */
+	onCancel: (cancel: () => void) => void;
+}>;
+
+const TYPE_OIDS: Readonly<Record<string, number>> = {
+	int: 23, integer: 23, int4: 23, serial: 23, bigint: 20, int8: 20, bool: 16, boolean: 16, text: 25,
+};
+const TEXT_OID = 25;
+const FLUSH_BYTES = 65_536;
+const NO_DATA = createMessage('n');
+
+const createRowDescription = (columns: readonly ResultColumn[]): Message => createMessage('T', encodeInt16(columns.length), ...columns.flatMap(column => [
+	column.name, encodeInt32(0), encodeInt16(0), encodeInt32(TYPE_OIDS[column.type] ?? TEXT_OID), encodeInt16(-1), encodeInt32(-1), encodeInt16(0),
+]));
+
+const encodeValue = (value: Value): readonly Buffer[] => {
+	if (value === null) {
+		return [encodeInt32(-1)];
+	}
+
+	const text = typeof value === 'boolean' ? (value ? 't' : 'f') : String(value);
+	const bytes = Buffer.from(text);
+	return [encodeInt32(bytes.length), bytes];
+};
+
+const createDataRow = (row: Row): Message => createMessage('D', encodeInt16(row.length), ...row.flatMap(value => encodeValue(value)));
+
+const readParameters = (body: Buffer, start: number): readonly Value[] => {
+	let offset = start;
+	const formats = body.readInt16BE(offset);
+	offset += 2 + (formats * 2);
+	const count = body.readInt16BE(offset);
+	offset += 2;
+	const values: Value[] = [];
+	for (let index = 0; index < count; index++) {
+		const length = body.readInt32BE(offset);
+		offset += 4;
+		if (length === -1) {
+			values.push(null);
+		} else {
+			values.push(body.toString('utf8', offset, offset + length));
+			offset += length;
+		}
+	}
+
+	return values;
+};
+
+/** Serves a caller after its startup until it leaves. */
+export const serveSession = async (context: SessionContext): Promise<void> => {
+	const {instance, wire, world} = context;
+	const {engine} = instance;
+	const state: SessionState = {
+		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), skipping: false, cancel: new AbortController(),
+	};
+	let output: Buffer[] = [];
+	let outputBytes = 0;
+
+	const flush = async () => {
+		const parts = output;
+		output = [];
+		outputBytes = 0;
+		await instance.waitWhileCut(context.peer);
+		if (parts.length > 0) {
+			await wire.write(...parts);
+		}
+	};
+
+	const send = async (message: Message) => {
+		output.push(message.bytes);
+		outputBytes += message.bytes.length;
+		if (outputBytes > FLUSH_BYTES) {
+			await flush();
+		}
+	};
+
+	const createContext = (transaction: Transaction, parameters: readonly Value[]): ExecutionContext => ({
+		engine, transaction, parameters, callFunction: instance.callFunction, getVirtualTable: instance.getVirtualTable,
+	});
+
+	const requireTransaction = (): Transaction => {
+		state.transaction ??= engine.begin(false);
+		return state.transaction;
+	};
+
+	const endTransaction = (commit: boolean) => {
+		const {transaction} = state;
+		state.transaction = undefined;
+		state.status = 'idle';
+		if (!transaction) {
+			return;
+		}
+
+		if (commit) {
+			engine.commit(transaction);
+		} else {
+			engine.rollback(transaction);
+		}
+	};
+
+	const runTransaction = (statement: Extract<Statement, {kind: 'transaction'}>): ResultSet => {
+		if (statement.action === 'begin') {
+			state.transaction ??= engine.begin(statement.readOnly);
+			state.status = 'open';
+			return {tag: 'BEGIN', columns: [], rows: []};
+		}
+
+		const commit = statement.action === 'commit' && state.status !== 'failed';
+		endTransaction(commit);
+		return {tag: commit ? 'COMMIT' : 'ROLLBACK', columns: [], rows: []};
+	};
+
+	const sleepIfAsked = async (statement: Statement, parameters: readonly Value[]) => {
+		const output_ = statement.kind === 'select' ? statement.outputs[0] : undefined;
+		if (output_ === undefined || output_ === '*' || output_.expression.kind !== 'call' || output_.expression.name !== 'pg_sleep') {
+			return;
+		}
+
+		const [argument] = output_.expression.args;
+		const seconds = argument?.kind === 'literal' ? Number(argument.value) : Number(parameters[0] ?? 0);
+		try {
+			await world.sleep(seconds * 1000, state.cancel.signal);
+		} catch {
+			throw new SqlError('57014', 'canceling statement due to user request');
+		}
+	};
+
+	const runStatement = async (statement: Statement, parameters: readonly Value[]): Promise<ResultSet> => {
+		if (state.status === 'failed' && statement.kind !== 'transaction') {
+			throw new SqlError('25P02', 'current transaction is aborted, commands ignored until end of transaction block');
+		}
+
+		switch (statement.kind) {
+			case 'transaction': {
+				return runTransaction(statement);
+			}
+
+			case 'set': {
+				state.settings.set(statement.name, statement.value);
+				return {tag: 'SET', columns: [], rows: []};
+			}
+
+			case 'show': {
+				const value = state.settings.get(statement.name) ?? '';
+				return {tag: 'SHOW', columns: [{name: statement.name, type: 'text'}], rows: [[value]]};
+			}
+
+			case 'discard': {
+				state.settings.clear();
+				state.statements.clear();
+				return {tag: 'DISCARD ALL', columns: [], rows: []};
+			}
+
+			case 'alterSystem': {
+				if (statement.name === 'primary_conninfo') {
+					instance.setUpstream(statement.value);
+				}
+
+				return {tag: 'ALTER SYSTEM', columns: [], rows: []};
+			}
+
+			default: {
+				return instance.occupySlot(async () => {
+					await sleepIfAsked(statement, parameters);
+					return executeData(createContext(requireTransaction(), parameters), statement);
+				});
+			}
+		}
+	};
+
+	const sendResult = async (result: ResultSet, describe: boolean) => {
+		if (describe && result.columns.length > 0) {
+			await send(createRowDescription(result.columns));
+		}
+
+		for (const row of result.rows) {
+			await send(createDataRow(row));
+		}
+
+		await send(createComplete(result.tag));
+	};
+
+	const sendError = async (thrown: unknown) => {
+		const code = thrown instanceof SqlError ? thrown.code : 'XX000';
+		await send(createErrorResponse({severity: 'ERROR', code, message: getMessage(thrown)}));
+		if (state.status === 'idle') {
+			endTransaction(false);
+		} else {
+			state.status = 'failed';
+		}
+	};
+
+	const endImplicit = async () => {
+		if (state.status === 'idle' && state.transaction) {
+			try {
+				endTransaction(true);
+			} catch (error) {
+				await sendError(error);
+			}
+		}
+
+		if (state.status === 'idle') {
+			state.portals.clear();
+		}
+	};
+
+	const runSimple = async (text: string) => {
+		try {
+			const parsed = parseSql(text);
+			if (parsed.err) {
+				throw new SqlError(parsed.val.code, parsed.val.message);
+			}
+
+			if (parsed.val.length === 0) {
+				await send(createMessage('I'));
+			}
+
+			for (const statement of parsed.val) {
+				await sendResult(await runStatement(statement, []), true);
+			}
+		} catch (error) {
+			await sendError(error);
+		}
+
+		await endImplicit();
+		await send(createReady(state.status));
+	};
+
+	const parse = (body: Buffer) => {
+		const [name, afterName] = readText(body, 0);
+		const [text] = readText(body, afterName);
+		const parsed = parseSql(text);
+		if (parsed.err) {
+			throw new SqlError(parsed.val.code, parsed.val.message);
+		}
+
+		if (parsed.val.length > 1) {
+			throw new SqlError('42601', 'cannot insert multiple commands into a prepared statement');
+		}
+
+		if (name !== '' && state.statements.has(name)) {
+			throw new SqlError('42P05', `prepared statement "${name}" already exists`);
+		}
+
+		state.statements.set(name, parsed.val[0]);
+	};
+
+	const bind = (body: Buffer) => {
+		const [portal, afterPortal] = readText(body, 0);
+		const [name, afterName] = readText(body, afterPortal);
+		if (!state.statements.has(name)) {
+			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
+		}
+
+		state.portals.set(portal, {statement: state.statements.get(name), parameters: readParameters(body, afterName)});
+	};
+
+	const describe = async (body: Buffer) => {
+		const isStatement = body.toString('latin1', 0, 1) === 'S';
+		const [name] = readText(body, 1);
+		const statement = isStatement ? state.statements.get(name) : state.portals.get(name)?.statement;
+		if (isStatement) {
+			await send(createMessage('t', encodeInt16(0)));
+		}
+
+		const columns = statement ? describeStatement(createContext(requireTransaction(), state.portals.get(name)?.parameters ?? []), statement) : [];
+		await send(columns.length > 0 ? createRowDescription(columns) : NO_DATA);
+	};
+
+	const execute = async (body: Buffer) => {
+		const [name] = readText(body, 0);
+		const portal = state.portals.get(name);
+		if (!portal) {
+			throw new SqlError('34000', `portal "${name}" does not exist`);
+		}
+
+		await (portal.statement ? sendResult(await runStatement(portal.statement, portal.parameters), false) : send(createMessage('I')));
+	};
+
+	const close = async (body: Buffer) => {
+		const [name] = readText(body, 1);
+		if (body.toString('latin1', 0, 1) === 'S') {
+			state.statements.delete(name);
+		} else {
+			state.portals.delete(name);
+		}
+
+		await send(createMessage('3'));
+	};
+
+	const runExtended = async (message: Message) => {
+		const body = getBody(message);
+		switch (message.type) {
+			case 'P': {
+				parse(body);
+				await send(createMessage('1'));
+				break;
+			}
+
+			case 'B': {
+				bind(body);
+				await send(createMessage('2'));
+				break;
+			}
+
+			case 'D': {
+				await describe(body);
+				break;
+			}
+
+			case 'E': {
+				await execute(body);
+				break;
+			}
+
+			case 'C': {
+				await close(body);
+				break;
+			}
+
+			default: {
+				throw new SqlError(SQLSTATE.protocolViolation, `unexpected message ${message.type}`);
+			}
+		}
+	};
+
+	const handle = async (message: Message) => {
+		switch (message.type) {
+			case 'Q': {
+				await runSimple(readText(getBody(message), 0)[0]);
+				await flush();
+
+				break;
+			}
+
+			case 'S': {
+				state.skipping = false;
+				await endImplicit();
+				await send(createReady(state.status));
+				await flush();
+
+				break;
+			}
+
+			case 'H': {
+				await flush();
+
+				break;
+			}
+
+			default: {
+				if (!state.skipping) {
+					try {
+						await runExtended(message);
+					} catch (error) {
+						state.skipping = true;
+						await sendError(error);
+					}
+				}
+			}
+		}
+	};
+
+	context.onCancel(() => {
+		state.cancel.abort();
+		state.cancel = new AbortController();
+	});
+	try {
+		while (true) {
+			const messages = await wire.readMessages();
+			await instance.waitWhileCut(context.peer);
+			if (messages.err) {
+				return;
+			}
+
+			for (const message of messages.val) {
+				instance.onBytes(message.bytes);
+				if (message.type === 'X') {
+					return;
+				}
+
+				await handle(message);
+			}
+		}
+	} finally {
+		if (state.transaction) {
+			engine.rollback(state.transaction);
+		}
+	}
+};
--- /dev/null
+++ b/packages/telemetry/src/catalogue.ts
@@ -0,0 +1,56 @@
+/** Catalogue of the numbered events; docs/EVENTS.md lists the same. */
+
+/** Severity of an event. */
+export type Level = 'info' | 'warn' | 'error';
+
+/** One kind of event. */
+export type EventKind = Readonly<{
+	/** Number, never reused. */
+	id: number;
+	/** Severity. */
+	level: Level;
+	/** What has happened, in a few words. */
+	title: string;
+}>;
+
+const createKind = (id: number, level: Level, title: string): EventKind => ({id, level, title});
+
+/** Every kind of event. */
+export const EVENTS = {
+	processStarted: createKind(1001, 'info', 'process started'),
+	processDraining: createKind(1002, 'info', 'process draining'),
+	processStopped: createKind(1003, 'info', 'process stopped'),
+	taskFailed: createKind(1004, 'error', 'task ended by an exception'),
+	configurationApplied: createKind(1101, 'info', 'configuration in force'),
+	configurationRejected: createKind(1102, 'error', 'configuration rejected'),
+	configurationStale: createKind(1103, 'warn', 'configuration no longer confirmed fresh'),
+	storeUnreachable: createKind(1104, 'warn', 'store unreachable'),
+	storeReachable: createKind(1105, 'info', 'store reachable again'),
+	callerRefused: createKind(1201, 'warn', 'caller refused at startup'),
+	callerClosed: createKind(1202, 'info', 'caller closed by the proxy'),
+	keyWithdrawn: createKind(1203, 'info', 'open connection closed, key withdrawn'),
+	requestRefused: createKind(1301, 'info', 'request refused, not run'),
+	requestUnknown: createKind(1302, 'warn', 'request outcome unknown'),
+	requestRetried: createKind(1303, 'info', 'request retried, certainly not run'),
+	instanceUnreachable: createKind(1401, 'warn', 'instance unreachable'),
+	instanceReachable: createKind(1402, 'info', 'instance reachable'),
+	connectionDialFailed: createKind(1403, 'warn', 'connection to an instance not opened'),
+	homeGained: createKind(1404, 'info', 'home of an instance gained'),
+	homeLost: createKind(1405, 'info', 'home of an instance given up'),
+	roleGained: createKind(1501, 'info', 'role slot gained'),
+	roleLost: createKind(1502, 'info', 'role slot lost'),
+	roleExtended: createKind(1503, 'info', 'role slot extended by promises while the store is unreachable'),
+	failoverStarted: createKind(1601, 'warn', 'failover started'),
+	grantsEnded: createKind(1602, 'info', 'all grants of the term ended'),
+	recordChanged: createKind(1603, 'info', 'group record changed'),
+	instancePromoted: createKind(1604, 'info', 'instance promoted'),
+	failoverFinished: createKind(1605, 'info', 'failover finished'),
+	failoverBlocked: createKind(1606, 'error', 'failover blocked'),
+	instanceRejoined: createKind(1607, 'info', 'instance told to follow the primary'),
+	memberSuspected: createKind(1701, 'warn', 'vm suspected'),
+	memberDead: createKind(1702, 'warn', 'vm declared dead'),
+	memberJoined: createKind(1703, 'info', 'vm joined'),
+	peerLost: createKind(1704, 'warn', 'connection to a peer lost'),
+	frameRefused: createKind(1705, 'warn', 'malformed frame refused'),
+	standinCommand: createKind(1901, 'info', 'stand-in command carried out'),
+} as const satisfies Readonly<Record<string, EventKind>>;
--- /dev/null
+++ b/packages/telemetry/src/events.ts
@@ -0,0 +1,59 @@
+/** Numbered events of one process, written as JSON lines in causal order. */
+
+import winston from 'winston';
+import type {CausalClock, CausalTime} from './clock.js';
+import type {EventKind} from './catalogue.js';
+
+/** Who writes events. */
+export type EventSource = Readonly<{
+	/** Program, such as `guavapitch-proxy`. */
+	program: string;
+	/** The vm it runs on. */
+	vm: string;
+	/** Identifier of this run of the process. */
+	incarnation: string;
+}>;
+
+/** Details of one event; never a key, nor anything derived from one. */
+export type EventFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
+
+/** One line of the time line. */
+export type EventRecord = EventSource & Readonly<{
+	id: number;
+	level: string;
+	title: string;
+	hlc: CausalTime;
+	at: string;
+	fields: EventFields;
+}>;
+
+/** Writes one event. */
+export type Emit = (kind: EventKind, fields?: EventFields) => void;
+
+/** Creates the event writer of a process. */
+export const createEmit = (source: EventSource, clock: CausalClock, write: (record: EventRecord) => void): Emit => (kind, fields = {}) => {
+	const hlc = clock.read();
+	write({
+		...source,
+		id: kind.id,
+		level: kind.level,
+		title: kind.title,
+		hlc,
+		at: new Date(hlc[0]).toISOString(),
+		fields,
+	});
+};
+
+/** Opens a writer of JSON lines to standard error or a file. */
+export const openLog = (file?: string): ((record: EventRecord) => void) => {
+	const transport = file
+		? new winston.transports.File({filename: file})
+		: new winston.transports.Console({stderrLevels: ['info', 'warn', 'error']});
+	const logger = winston.createLogger({
+		format: winston.format.printf(({record}) => JSON.stringify(record)),
+		transports: [transport],
+	});
+	return record => {
+		logger.log({level: record.level, message: record.title, record});
+	};
+};
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,4 @@
+export * from './clock.js';
+export * from './catalogue.js';
+export * from './events.js';
+export * from './metrics.js';
