--- /dev/null
+++ b/packages/back-postgres/src/connection.ts
@@ -0,0 +1,221 @@
+/** One connection to an instance. */
+
+import {createConnection} from 'node:net';
+import type {Buffer} from 'node:buffer';
+import {
+	Err, Ok, type Failure, type Result,
+} from '@guavapitch/core';
+import type {PoolFailure, Poolable} from '@guavapitch/pool';
+import {
+	createCancel, createMessage, createQuery, createStartup, getBody, openWire, readErrorResponse, readText, startScramClient,
+	type Message, type ReadFailure, type Wire,
+} from '@guavapitch/postgres-wire';
+
+/** How to reach an instance. */
+export type InstanceAddress = Readonly<{
+	host: string;
+	port: number;
+	user: string;
+	password: string | undefined;
+	databaseName: string;
+	/** Name that the connection gives itself. */
+	applicationName: string;
+}>;
+
+/** An open connection to an instance. */
+export type InstanceConnection = Poolable & Readonly<{
+	/** Statements prepared on this connection, by hash. */
+	prepared: Set<string>;
+	/** Writes messages. */
+	write: (...parts: readonly Buffer[]) => Promise<void>;
+	/** Reads at least one message. */
+	read: () => Promise<Result<readonly Message[], ReadFailure>>;
+	/** Asks the instance to cancel the running statement. */
+	cancel: () => void;
+	/** Runs a simple query and collects its rows as texts, a list for each statement. */
+	query: (text: string) => Promise<Result<readonly QueryRows[], QueryFailure>>;
+}>;
+
+/** Rows of one statement. */
+export type QueryRows = ReadonlyArray<ReadonlyArray<string | undefined>>;
+
+/** Failure of a query of our own. */
+export type QueryFailure = Failure<'queryFailed' | 'closed' | 'messageMalformed'>;
+
+const CONNECT_TIMEOUT_MS = 2000;
+const AUTHENTICATION_OK = 0;
+const AUTHENTICATION_CLEARTEXT = 3;
+const AUTHENTICATION_SASL = 10;
+const AUTHENTICATION_SASL_CONTINUE = 11;
+const AUTHENTICATION_SASL_FINAL = 12;
+
+const createFailure = (message: string): PoolFailure => ({code: 'instanceUnreachable', message});
+
+const parseRow = (message: Message): ReadonlyArray<string | undefined> => {
+	const body = getBody(message);
+	const count = body.readInt16BE(0);
+	const values: Array<string | undefined> = [];
+	let offset = 2;
+	for (let index = 0; index < count; index++) {
+		const length = body.readInt32BE(offset);
+		offset += 4;
+		values.push(length === -1 ? undefined : body.toString('utf8', offset, offset + length));
+		offset += Math.max(0, length);
+	}
+
+	return values;
+};
+
+/** Answers the instance's requests for authentication until it is ready. */
+const authenticate = async (wire: Wire, address: InstanceAddress): Promise<Result<Message | undefined, PoolFailure>> => {
+	const password = address.password ?? '';
+	const scram = startScramClient(password);
+	let keyData: Message | undefined;
+	while (true) {
+		const messages = await wire.readMessages();
+		if (messages.err) {
+			return Err(createFailure('The instance closed the connection'));
+		}
+
+		for (const message of messages.val) {
+			if (message.type === 'E') {
+				return Err(createFailure(readErrorResponse(message).message));
+			}
+
+			if (message.type === 'K') {
+				keyData = message;
+			}
+
+			if (message.type === 'Z') {
+				return Ok(keyData);
+			}
+
+			if (message.type !== 'R') {
+				continue;
+			}
+
+			const body = getBody(message);
+			const kind = body.readInt32BE(0);
+			switch (kind) {
+				case AUTHENTICATION_CLEARTEXT: {
+					await wire.write(createMessage('p', password).bytes);
+
+					break;
+				}
+
+				case AUTHENTICATION_SASL: {
+					await wire.write(scram.createFirst().bytes);
+
+					break;
+				}
+
+				case AUTHENTICATION_SASL_CONTINUE: {
+					await wire.write(scram.createFinal(body.toString('utf8', 4)).bytes);
+
+					break;
+				}
+
+				default: {
+					if (kind !== AUTHENTICATION_OK && kind !== AUTHENTICATION_SASL_FINAL) {
+						return Err(createFailure(`The instance asks for authentication ${kind}, which is not supported`));
+					}
+				}
+			}
+		}
+	}
+};
+
+/** Opens a connection to an instance. */
+export const openInstanceConnection = async (address: InstanceAddress): Promise<Result<InstanceConnection, PoolFailure>> => {
+	const socket = createConnection({host: address.host, port: address.port, noDelay: true});
+	const wire = openWire(socket);
+	socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+		socket.destroy();
+	});
+	await wire.write(createStartup({user: address.user, database: address.databaseName, application_name: address.applicationName}));
+	const authenticated = await authenticate(wire, address);
+	if (authenticated.err) {
+		await wire[Symbol.asyncDispose]();
+		return authenticated;
+	}
+
+	socket.setTimeout(0);
+	const key = authenticated.val ? getBody(authenticated.val) : undefined;
+	const prepared = new Set<string>();
+
+	const query = async (text: string): Promise<Result<readonly QueryRows[], QueryFailure>> => {
+		await wire.write(createQuery(text).bytes);
+		const results: QueryRows[] = [];
+		let rows: Array<ReadonlyArray<string | undefined>> = [];
+		let failure: QueryFailure | undefined;
+		while (true) {
+			const messages = await wire.readMessages();
+			if (messages.err) {
+				return messages;
+			}
+
+			for (const message of messages.val) {
+				switch (message.type) {
+					case 'D': {
+						rows.push(parseRow(message));
+
+						break;
+					}
+
+					case 'C': {
+						results.push(rows);
+						rows = [];
+
+						break;
+					}
+
+					case 'E': {
+						failure = {code: 'queryFailed', message: readErrorResponse(message).message};
+
+						break;
+					}
+
+					case 'Z': {
+						return failure ? Err(failure) : Ok(results);
+					}
+				// No default
+				}
+			}
+		}
+	};
+
+	return Ok({
+		prepared,
+		write: wire.write,
+		read: wire.readMessages,
+		query,
+		isEnded: () => socket.destroyed || socket.readableEnded,
+		cancel() {
+			if (!key) {
+				return;
+			}
+
+			const canceller = createConnection({host: address.host, port: address.port});
+			canceller.on('error', () => {
+				canceller.destroy();
+			});
+			canceller.end(createCancel(key.readInt32BE(0), key.readInt32BE(4)));
+		},
+		async reset() {
+			const result = await query('ROLLBACK');
+			const discarded = result.ok ? await query('DISCARD ALL') : result;
+			prepared.clear();
+			return discarded.ok;
+		},
+		async [Symbol.asyncDispose]() {
+			socket.destroy();
+			await wire[Symbol.asyncDispose]();
+		},
+	});
+};
+
+/** Reads the first column of the first row of a result. */
+export const getFirstValue = (results: readonly QueryRows[], index = 0): string | undefined => results[index]?.[0]?.[0];
+
+/** Reads a text at the start of a message body. */
+export const getBodyText = (message: Message): string => readText(getBody(message), 0)[0];
--- /dev/null
+++ b/packages/back-postgres/src/home.ts
@@ -0,0 +1,304 @@
+/** The home's part of a request: one task from its header to the end of its transaction. */
+
+import {Buffer} from 'node:buffer';
+import {
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type Result, type Stream, type World,
+} from '@guavapitch/core';
+import type {
+	FairQueue, Loan, Permit, Pool,
+} from '@guavapitch/pool';
+import {
+	readErrorResponse, readStatus, SQLSTATE, type Message, type TransactionStatus,
+} from '@guavapitch/postgres-wire';
+import type {
+	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
+} from '@guavapitch/sessions';
+import type {InstanceConnection} from './connection.js';
+import {sendChunk} from './exchange.js';
+
+/** An instance as its home works it. */
+export type HomeInstance = Readonly<{
+	queue: FairQueue;
+	pool: Pool<InstanceConnection>;
+	/** Tells whether the instance gets no new work. */
+	isLeaving: () => boolean;
+}>;
+
+/** How waiting for a durable answer ended. */
+export type AnswerState = 'durable' | 'unproved';
+
+/** An answer that waits for its release. */
+export type PendingAnswer = Readonly<{database: DatabaseId; instance: InstanceId; term: number; deadline: Deadline; signal: AbortSignal}>;
+
+/** What a home decides with. */
+export type HomeContext = Readonly<{
+	world: World;
+	/** Gets an instance of which this process is home. */
+	getInstance: (instance: InstanceId) => HomeInstance | undefined;
+	/** Checks that a request may be sent to the instance now; gives the term. */
+	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
+	/** Waits until the answer of a write may be released. */
+	waitUntilDurable: (answer: PendingAnswer) => Promise<AnswerState>;
+	/** Hears how long a request held its slot. */
+	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
+	/** Tells whether the process takes no new requests. */
+	isDraining: () => boolean;
+}>;
+
+/** The home's end of a request. */
+export type HomeStream = Stream<Reply, RequestChunk>;
+
+type Served = Readonly<{context: HomeContext; header: RequestHeader; stream: HomeStream; target: HomeInstance}>;
+
+/** How a chunk ended. */
+type ChunkEnd
+	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
+		| Readonly<{kind: 'flushed'; skipping: boolean}>
+		| Readonly<{kind: 'readOnly'}>
+		| Readonly<{kind: 'lost'}>;
+
+/** A chunk, and whether the instance ignores everything up to a Sync. */
+type ChunkTurn = Readonly<{chunk: RequestChunk; skipping: boolean}>;
+
+/** Releases the held messages when the answer may be given; `false` if it may not. */
+type ReleaseAnswer = (held: readonly Message[], status: TransactionStatus) => Promise<boolean>;
+
+/** State in which a connection is given back. */
+type LoanState = 'clean' | 'dirty' | 'broken';
+
+/** What a transaction starts with. */
+type FirstTurn = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
+
+const UNPROVED_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the answer was proved durable';
+const FLUSH_BYTES = 32_768;
+
+const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
+
+/** Reads the answer to one chunk and passes it on, holding back the last completion of a write. */
+const relayAnswer = async (served: Served, connection: InstanceConnection, turn: ChunkTurn, onHeld: ReleaseAnswer): Promise<ChunkEnd> => {
+	const {chunk, skipping} = turn;
+	const {stream, header} = served;
+	const progress = await sendChunk(connection, chunk, skipping);
+	let parts: Buffer[] = progress.initial.map(message => message.bytes);
+	let size = 0;
+	let sent = false;
+	let held: Message[] = [];
+
+	const flush = async () => {
+		if (parts.length > 0) {
+			const bytes = Buffer.concat(parts);
+			parts = [];
+			size = 0;
+			sent = true;
+			await stream.send({kind: 'messages', bytes});
+		}
+	};
+
+	const pass = (message: Message) => {
+		if (held.length > 0) {
+			parts.push(...held.map(one => one.bytes));
+			held = [];
+		}
+
+		if (message.type === 'C') {
+			held = [message];
+		} else {
+			parts.push(message.bytes);
+		}
+
+		size += message.bytes.length;
+	};
+
+	while (true) {
+		if (progress.isSettled()) {
+			parts.push(...held.map(one => one.bytes));
+			await flush();
+			return {kind: 'flushed', skipping: progress.hasFailed()};
+		}
+
+		const messages = await connection.read();
+		if (messages.err) {
+			await flush();
+			return {kind: 'lost'};
+		}
+
+		for (const message of messages.val) {
+			if (message.type === 'E' && header.mode !== 'write' && !sent && readErrorResponse(message).code === SQLSTATE.readOnly) {
+				return {kind: 'readOnly'};
+			}
+
+			if (message.type === 'Z') {
+				const status = readStatus(message);
+				await flush();
+				return await onHeld(held, status) ? {kind: 'ready', status} : {kind: 'lost'};
+			}
+
+			for (const own of progress.accept(message)) {
+				pass(own);
+			}
+		}
+
+		if (size > FLUSH_BYTES || !chunk.ends) {
+			await flush();
+		}
+	}
+};
+
+/** Waits for the next chunk of a transaction, at most until its idle deadline. */
+const receiveNext = async (served: Served): Promise<RequestChunk | 'idle' | undefined> => {
+	const {context, stream, header} = served;
+	const timer = new AbortController();
+	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
+	const next = await Promise.race([stream.receive(), idle]);
+	timer.abort();
+	return next;
+};
+
+const sendLoss = async (served: Served, status: TransactionStatus, committed: boolean): Promise<void> => {
+	const {stream} = served;
+	const isUnknown = status === 'idle' || committed;
+	await stream.send(isUnknown ? {kind: 'unknown', message: UNPROVED_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
+};
+
+/** Runs chunks on a connection until the transaction is over; tells in what state the connection is left. */
+const runTransaction = async (served: Served, loan: Loan<InstanceConnection>, first: FirstTurn): Promise<LoanState> => {
+	const {context, header, stream, target} = served;
+	const {connection} = loan;
+	const cancel = () => {
+		connection.cancel();
+	};
+
+	let dirty = false;
+	let chunk = first.chunk as RequestChunk | 'idle' | undefined;
+	let permit = first.permit as Permit | undefined;
+	let skipping = false;
+	let status: TransactionStatus = 'idle';
+
+	const releaseAnswer = async (held: readonly Message[], next: TransactionStatus): Promise<boolean> => {
+		permit?.[Symbol.dispose]();
+		if (next === 'idle' && header.mode === 'write') {
+			const deadline = createDeadline(context.world.now(), header.remainingMs);
+			const state = await context.waitUntilDurable({
+				database: header.database, instance: header.instance, term: first.term, deadline, signal: stream.signal,
+			});
+			if (state !== 'durable') {
+				return false;
+			}
+		}
+
+		if (held.length > 0) {
+			await stream.send({kind: 'messages', bytes: Buffer.concat(held.map(message => message.bytes))});
+		}
+
+		return true;
+	};
+
+	while (chunk !== undefined && chunk !== 'idle') {
+		if (!permit) {
+			const entered = await target.queue.enter({
+				customer: header.customer, weight: header.weight, deadline: createDeadline(context.world.now(), header.idleTransactionMs), pinned: true,
+			}, stream.signal);
+			if (entered.err) {
+				return 'broken';
+			}
+
+			permit = entered.val;
+		}
+
+		dirty ||= chunk.leavesState;
+		stream.signal.addEventListener('abort', cancel, {once: true});
+		const end: ChunkEnd = await relayAnswer(served, connection, {chunk, skipping}, releaseAnswer);
+		stream.signal.removeEventListener('abort', cancel);
+		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
+		permit[Symbol.dispose]();
+		permit = undefined;
+		if (end.kind === 'readOnly') {
+			await stream.send({kind: 'readOnly'});
+			return 'broken';
+		}
+
+		if (end.kind === 'lost') {
+			await sendLoss(served, status, chunk.mayCommit);
+			return 'broken';
+		}
+
+		skipping = end.kind === 'flushed' && end.skipping;
+		if (end.kind === 'ready') {
+			status = end.status;
+			await stream.send({kind: 'ready', status});
+			if (status === 'idle') {
+				return dirty ? 'dirty' : 'clean';
+			}
+		} else {
+			status = status === 'idle' ? 'open' : status;
+			await stream.send({kind: 'flushed'});
+		}
+
+		chunk = await receiveNext(served);
+	}
+
+	if (chunk === 'idle') {
+		await stream.send({kind: 'rolledBack', message: 'The transaction was idle for too long and was rolled back'});
+	}
+
+	return 'dirty';
+};
+
+/** Serves one request; whatever is refused has not run. */
+export const serveRequest = async (context: HomeContext, header: RequestHeader, stream: HomeStream): Promise<void> => {
+	const refuse = async (refusal: Refusal) => {
+		await stream.send({kind: 'refused', refusal});
+	};
+
+	const deadline = createDeadline(context.world.now(), header.remainingMs);
+	const target = context.getInstance(header.instance);
+	if (!target || context.isDraining()) {
+		await refuse(createRefusal('notHome', 'This vm is not a home of the instance'));
+		return;
+	}
+
+	if (target.isLeaving()) {
+		await refuse(createRefusal('instanceLeaving', 'The instance is leaving'));
+		return;
+	}
+
+	const before = context.checkGrant(header);
+	if (before.err) {
+		await refuse(before.val);
+		return;
+	}
+
+	const entered = await target.queue.enter({
+		customer: header.customer, weight: header.weight, deadline, pinned: false,
+	}, stream.signal);
+	if (entered.err) {
+		const {code, message, retryAfterMs} = entered.val;
+		await refuse(createRefusal(code === 'queueFull' ? 'queueFull' : 'deadlinePassed', message, retryAfterMs));
+		return;
+	}
+
+	using permit = entered.val;
+	const taken = await target.pool.take(deadline);
+	if (taken.err) {
+		await refuse(createRefusal(taken.val.code, taken.val.message));
+		return;
+	}
+
+	const loan = taken.val;
+	const first = await stream.receive();
+	const after = context.checkGrant(header);
+	if (after.err || first === undefined) {
+		loan.giveBack('clean');
+		await refuse(after.err ? after.val : createRefusal('deadlinePassed', 'The caller has gone'));
+		return;
+	}
+
+	let state: LoanState = 'broken';
+	try {
+		state = await runTransaction({
+			context, header, stream, target,
+		}, loan, {chunk: first, permit, term: after.val});
+	} finally {
+		loan.giveBack(state);
+	}
+};
--- a/packages/back-postgres/src/index.ts
+++ b/packages/back-postgres/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './connection.js';
+export * from './exchange.js';
+export * from './home.js';
--- /dev/null
+++ b/packages/failover/src/durability.ts
@@ -0,0 +1,85 @@
+/** Waits until the writes of an answer are held by every awaited replica. */
+
+import {
+	createSharedFlight, isPast, type DatabaseId, type Deadline, type InstanceId, type Result, type Failure, type World,
+} from '@guavapitch/core';
+import {isReplicated, type GrantBook} from './grants.js';
+
+/** What a primary says of its log and its replicas. */
+export type PrimaryPositions = Readonly<{
+	/** End of the log. */
+	position: number;
+	/** Position each replica has replayed, by name. */
+	replayed: ReadonlyMap<string, number>;
+}>;
+
+/** Reads the positions of a primary. */
+export type ReadPositions = (instance: InstanceId) => Promise<Result<PrimaryPositions, Failure>>;
+
+/** How waiting for an acknowledgement ended. */
+export type Durability
+	/** The answer may be released. */
+	= | 'durable'
+	/** The primary may have been replaced, or nothing could be proved in time. */
+		| 'unproved';
+
+/** What the wait is for. */
+export type DurabilityRequest = Readonly<{
+	database: DatabaseId;
+	instance: InstanceId;
+	/** Term in which the write was sent. */
+	term: number;
+	deadline: Deadline;
+	/** Whether to wait for replicas, or only for the grant. */
+	replicated: boolean;
+	/** Aborts when nobody waits for the answer. */
+	signal: AbortSignal;
+}>;
+
+const FIRST_PAUSE_MS = 1;
+const LONGEST_PAUSE_MS = 10;
+
+/** Creates the wait of one primary; waiting answers share one probe. */
+export const createDurability = (book: GrantBook, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<Durability>) => {
+	const flights = new Map<InstanceId, () => Promise<Result<PrimaryPositions, Failure>>>();
+
+	const probe = async (instance: InstanceId) => {
+		const flight = flights.get(instance) ?? createSharedFlight(async () => readPositions(instance));
+		flights.set(instance, flight);
+		return flight();
+	};
+
+	/** Under a grant that is valid at this moment, the primary has not been replaced. */
+	const isProved = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
+		const record = book.checkWrite(request.database, request.instance);
+		return record.ok && record.val.term === request.term && (!request.replicated || isReplicated(record.val, position, replayed));
+	};
+
+	return async request => {
+		let position: number | undefined;
+		let pauseMs = FIRST_PAUSE_MS;
+		while (!isPast(request.deadline, world.now()) && !request.signal.aborted) {
+			const state = await book.waitForTerm(request.database, request.term, request.deadline, request.signal);
+			if (state !== 'valid') {
+				return 'unproved';
+			}
+
+			if (!request.replicated) {
+				return isProved(request, 0, new Map()) ? 'durable' : 'unproved';
+			}
+
+			const positions = await probe(request.instance);
+			if (positions.ok) {
+				position ??= positions.val.position;
+				if (isProved(request, position, positions.val.replayed)) {
+					return 'durable';
+				}
+			}
+
+			await world.sleep(pauseMs);
+			pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+		}
+
+		return 'unproved';
+	};
+};
--- /dev/null
+++ b/packages/failover/src/grants.ts
@@ -0,0 +1,128 @@
+/** Grants as their holders keep them: short permissions of the steward, valid until a local deadline. */
+
+import {
+	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
+} from '@guavapitch/core';
+import {getAwaited, type GroupRecord, type GroupView} from './record.js';
+
+/** What a steward answers to a request for a grant. */
+export type GrantReply = Readonly<{
+	view: GroupView;
+	/** Validity from the moment the holder asked, in milliseconds. */
+	validMs: number;
+	/** Proved age of each replica's data when the steward answered, in milliseconds. */
+	agesMs: Readonly<Record<string, number>>;
+	/** What the grant allows. */
+	permissions: Readonly<{writes: boolean; reads: boolean}>;
+}>;
+
+/** Why a request may not run now; it has not run. */
+export type GrantFailure = Failure<'noGrant' | 'notPrimary' | 'tooOld'>;
+
+/** How a wait for an acknowledgement ended. */
+export type GrantState = 'valid' | 'replaced' | 'none';
+
+/** Grants held by one process. */
+export type GrantBook = Readonly<{
+	/** Takes a reply; `askedAt` is when the request for it was sent. */
+	accept: (reply: GrantReply, askedAt: Instant) => void;
+	/** Gives up permissions of a database before their deadline; replies asked for earlier no longer count. */
+	revoke: (database: DatabaseId, permissions: Readonly<{writes: boolean; reads: boolean}>) => void;
+	/** Gets the view of the last grant, valid or not. */
+	getView: (database: DatabaseId) => GroupView | undefined;
+	/** Checks that a write may be sent to an instance now. */
+	checkWrite: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that an instance holds every acknowledged write now. */
+	checkRead: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that an instance's data are proved to be young enough. */
+	checkAge: (database: DatabaseId, instance: InstanceId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
+	/** Waits until a grant of the term is valid, or it is known that the term is over. */
+	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
+}>;
+
+type Held = Readonly<{reply: GrantReply; askedAt: Instant; writes: Deadline; reads: Deadline}>;
+
+const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant of the steward'};
+
+/** Creates an empty book. */
+export const createGrantBook = (world: World): GrantBook => {
+	const held = new Map<DatabaseId, Held>();
+	const changed = createNotifier(world);
+
+	const revokedAt = new Map<DatabaseId, Instant>();
+
+	const getValid = (database: DatabaseId, permission: 'writes' | 'reads'): GroupRecord | undefined => {
+		const grant = held.get(database);
+		return grant && !isPast(grant[permission], world.now()) ? grant.reply.view.record : undefined;
+	};
+
+	return {
+		accept(reply, askedAt) {
+			const {database} = reply.view.record;
+			const known = held.get(database);
+			const isOutdated = known !== undefined && known.reply.view.revision > reply.view.revision;
+			if (isOutdated || askedAt <= (revokedAt.get(database) ?? PAST)) {
+				return;
+			}
+
+			const deadline = createDeadline(askedAt, reply.validMs);
+			held.set(database, {
+				reply,
+				askedAt,
+				writes: reply.permissions.writes ? deadline : PAST,
+				reads: reply.permissions.reads ? deadline : PAST,
+			});
+			changed.notify();
+		},
+		revoke(database, permissions) {
+			revokedAt.set(database, world.now());
+			const known = held.get(database);
+			if (known) {
+				held.set(database, {...known, writes: permissions.writes ? PAST : known.writes, reads: permissions.reads ? PAST : known.reads});
+			}
+		},
+		getView: database => held.get(database)?.reply.view,
+		checkWrite(database, instance) {
+			const record = getValid(database, 'writes');
+			if (!record) {
+				return Err(NO_GRANT);
+			}
+
+			return record.primary === instance ? Ok(record) : Err({code: 'notPrimary', message: `${instance} is not the primary`});
+		},
+		checkRead(database, instance) {
+			const record = getValid(database, 'reads');
+			if (!record) {
+				return Err(NO_GRANT);
+			}
+
+			return record.synced.includes(instance) || record.primary === instance
+				? Ok(record)
+				: Err({code: 'tooOld', message: `${instance} is not in the synced set`});
+		},
+		checkAge(database, instance, maximumAgeMs) {
+			const grant = held.get(database);
+			const ageMs = grant?.reply.agesMs[instance];
+			if (!grant || ageMs === undefined) {
+				return Err(NO_GRANT);
+			}
+
+			const nowMs = ageMs + (world.now() - grant.askedAt);
+			return nowMs <= maximumAgeMs
+				? Ok(grant.reply.view.record)
+				: Err({code: 'tooOld', message: `The data of ${instance} may be ${Math.round(nowMs)} ms old`});
+		},
+		async waitForTerm(database, term, deadline, signal) {
+			const isOver = () => (held.get(database)?.reply.view.record.term ?? 0) > term;
+			await changed.waitUntil(() => isOver() || getValid(database, 'writes')?.term === term, deadline, signal);
+			if (isOver()) {
+				return 'replaced';
+			}
+
+			return getValid(database, 'writes')?.term === term ? 'valid' : 'none';
+		},
+	};
+};
+
+/** Tells whether every awaited replica has replayed a position. */
+export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => getAwaited(record).every(instance => (replayed.get(instance) ?? -1) >= position);
--- /dev/null
+++ b/packages/failover/src/record.ts
@@ -0,0 +1,66 @@
+/** The record of a database in the store: who leads, since when, and who holds every acknowledged write. */
+
+import {
+	Err, getMessage, Ok, type DatabaseId, type Failure, type InstanceId, type Result,
+} from '@guavapitch/core';
+
+/** Start of one term. */
+export type TermStart = Readonly<{term: number; primary: InstanceId; position: number}>;
+
+/** Record of a database; changed only by compare-and-swap. */
+export type GroupRecord = Readonly<{
+	database: DatabaseId;
+	/** Grows by one with each primary. */
+	term: number;
+	primary: InstanceId;
+	/** Replicas that every acknowledgement waits for. */
+	synced: readonly InstanceId[];
+	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
+	joining: readonly InstanceId[];
+	/** Recent terms, oldest first. */
+	starts: readonly TermStart[];
+}>;
+
+/** A record and the revision of its entry in the store. */
+export type GroupView = Readonly<{record: GroupRecord; revision: number}>;
+
+/** Failure of parsing a record. */
+export type RecordFailure = Failure<'recordMalformed'>;
+
+/** Prefix of the records in the store. */
+export const GROUP_PREFIX = '/guavapitch/groups/';
+
+const KEPT_STARTS = 8;
+
+/** Formats the key of a record. */
+export const formatGroupKey = (database: DatabaseId): string => `${GROUP_PREFIX}${database}`;
+
+/** Formats a record for the store. */
+export const formatRecord = (record: GroupRecord): string => JSON.stringify(record);
+
+/** Parses a record from the store. */
+export const parseRecord = (text: string): Result<GroupRecord, RecordFailure> => {
+	try {
+		return Ok(JSON.parse(text) as GroupRecord);
+	} catch (error) {
+		return Err({code: 'recordMalformed', message: getMessage(error)});
+	}
+};
+
+/** Creates the first record of a database. */
+export const createRecord = (database: DatabaseId, primary: InstanceId, position: number): GroupRecord => ({
+	database, term: 1, primary, synced: [], joining: [], starts: [{term: 1, primary, position}],
+});
+
+/** Creates the record after a promotion. */
+export const promoteRecord = (record: GroupRecord, primary: InstanceId, position: number): GroupRecord => ({
+	...record,
+	term: record.term + 1,
+	primary,
+	synced: record.synced.filter(instance => instance !== primary),
+	joining: [],
+	starts: [...record.starts, {term: record.term + 1, primary, position}].slice(-KEPT_STARTS),
+});
+
+/** Gets the replicas that acknowledgements wait for. */
+export const getAwaited = (record: GroupRecord): readonly InstanceId[] => [...record.synced, ...record.joining];
--- a/packages/front-postgres/src/index.ts
+++ b/packages/front-postgres/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './startup.js';
+export * from './chunks.js';
+export * from './caller.js';
--- /dev/null
+++ b/packages/limits/src/allowance.ts
@@ -0,0 +1,132 @@
+/** The entry's side of a share: tokens at hand, asked for ahead of need, spent before their deadline. */
+
+import {
+	createDeadline, createNotifier, createSharedFlight, Err, getRemainingMs, isPast, Ok, PAST,
+	type CustomerId, type Deadline, type Failure, type Result, type World,
+} from '@guavapitch/core';
+import {SPEND_MS, type Allotment, type AllotmentRequest} from './keeper.js';
+
+/** Refusal of a request over the share; it has not run. */
+export type ShareRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
+
+/** Tokens of all customers in one process. */
+export type Allowances = Readonly<{
+	/** Spends a token, waiting a little for one. */
+	spend: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, ShareRefusal>>;
+	/** Gets how many tokens were spent, by customer. */
+	getSpent: () => ReadonlyMap<CustomerId, number>;
+}>;
+
+/** Asks the keeper of a customer. */
+export type AskKeeper = (request: AllotmentRequest) => Promise<Result<Allotment, Failure>>;
+
+type Purse = {
+	tokens: number;
+	deadline: Deadline;
+	epoch: number;
+	waiting: number;
+	spent: number;
+	/** Requests a millisecond, as a moving mean. */
+	demand: number;
+	lastAt: number;
+	retryAt: Deadline;
+	readonly refill: () => Promise<void>;
+};
+
+const WAIT_MS = 300;
+const FIRST_RETRY_MS = 20;
+const DEMAND_WINDOW_MS = 500;
+const MOST_WANTED = 1000;
+
+/** Creates the allowances of a process. */
+export const createAllowances = (ask: AskKeeper, world: World): Allowances => {
+	const purses = new Map<CustomerId, Purse>();
+	const changed = createNotifier(world);
+
+	const noteDemand = (purse: Purse) => {
+		const now = world.now();
+		const elapsed = Math.max(0.1, now - purse.lastAt);
+		const share = Math.exp(-elapsed / DEMAND_WINDOW_MS);
+		purse.demand = (purse.demand * share) + ((1 - share) / elapsed);
+		purse.lastAt = now;
+	};
+
+	const refill = async (customer: CustomerId, purse: Purse) => {
+		const askedAt = world.now();
+		const isLiving = !isPast(purse.deadline, askedAt);
+		const returned = isLiving ? purse.tokens : 0;
+		const expected = Math.floor(purse.demand * SPEND_MS / 2);
+		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting, expected, 1));
+		purse.tokens = 0;
+		const answer = await ask({
+			customer, wanted, returned, epoch: purse.epoch,
+		});
+		if (answer.ok) {
+			const {tokens, validMs, retryAfterMs, epoch} = answer.val;
+			purse.tokens = tokens;
+			purse.epoch = epoch;
+			purse.deadline = createDeadline(askedAt, validMs);
+			purse.retryAt = createDeadline(world.now(), tokens > 0 ? 0 : Math.max(1, retryAfterMs));
+		} else {
+			purse.retryAt = createDeadline(world.now(), FIRST_RETRY_MS);
+		}
+
+		changed.notify();
+	};
+
+	const getPurse = (customer: CustomerId): Purse => {
+		const known = purses.get(customer);
+		if (known) {
+			return known;
+		}
+
+		const purse: Purse = {
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, refill: createSharedFlight(async () => refill(customer, purse)),
+		};
+		purses.set(customer, purse);
+		return purse;
+	};
+
+	const takeToken = (purse: Purse): boolean => {
+		if (purse.tokens < 1 || isPast(purse.deadline, world.now())) {
+			return false;
+		}
+
+		purse.tokens--;
+		purse.spent++;
+		return true;
+	};
+
+	const createRefusal = (purse: Purse): ShareRefusal => ({
+		code: 'limitExceeded',
+		message: 'The customer has used its rate and burst',
+		retryAfterMs: Math.max(1, Math.ceil(getRemainingMs(purse.retryAt, world.now()))),
+	});
+
+	return {
+		async spend(customer, deadline, signal) {
+			const purse = getPurse(customer);
+			const giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+			noteDemand(purse);
+			purse.waiting++;
+			try {
+				while (!takeToken(purse)) {
+					if (signal?.aborted) {
+						return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
+					}
+
+					if (isPast(giveUpAt, world.now()) || purse.retryAt > giveUpAt) {
+						return Err(createRefusal(purse));
+					}
+
+					await (isPast(purse.retryAt, world.now()) ? purse.refill() : changed.waitForChange(Math.min(giveUpAt, purse.retryAt) as Deadline, signal));
+				}
+
+				return Ok(undefined);
+			} finally {
+				purse.waiting--;
+			}
+		},
+		getSpent: () => new Map([...purses].map(([customer, purse]) => [customer, purse.spent])),
+	};
+};
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './bucket.js';
+export * from './keeper.js';
+export * from './allowance.js';
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './members.js';
+export * from './pinger.js';
--- /dev/null
+++ b/packages/pool/src/connections.ts
@@ -0,0 +1,206 @@
+/** Scarce connections to one instance, opened ahead of need and reused. */
+
+import {
+	createDeadline, createNotifier, createScope, Err, isPast, Ok, PAST, type Deadline, type Failure, type Result, type World,
+} from '@guavapitch/core';
+
+/** Failure of taking a connection; nothing has run. */
+export type PoolFailure = Failure<'instanceUnreachable' | 'connectionsExhausted'>;
+
+/** A connection that the pool can keep. */
+export type Poolable = AsyncDisposable & Readonly<{
+	/** Tells whether the connection has ended. */
+	isEnded: () => boolean;
+	/** Removes all state of earlier users; `false` if that failed. */
+	reset: () => Promise<boolean>;
+}>;
+
+/** A connection on loan. */
+export type Loan<Connection> = Readonly<{
+	connection: Connection;
+	/** Gives the connection back; a dirty one is reset first. */
+	giveBack: (state: 'clean' | 'dirty' | 'broken') => void;
+}>;
+
+/** Settings of a pool. */
+export type PoolSettings<Connection> = Readonly<{
+	/** Connections open at a time. */
+	limit: number;
+	/** Connections kept open ahead of need. */
+	spare: number;
+	dial: () => Promise<Result<Connection, PoolFailure>>;
+	/** Called when a connection has become free. */
+	onFree: () => void;
+	/** Called when a dial has failed or worked again. */
+	onReachable: (reachable: boolean, message: string) => void;
+}>;
+
+/** Pool of connections. */
+export type Pool<Connection> = AsyncDisposable & Readonly<{
+	/** Takes a connection, waiting for a dial if needed. */
+	take: (deadline: Deadline) => Promise<Result<Loan<Connection>, PoolFailure>>;
+	/** Tells whether a connection is idle or may be opened. */
+	hasCapacity: () => boolean;
+	getOpen: () => number;
+	getIdle: () => number;
+}>;
+
+const FIRST_BACKOFF_MS = 20;
+const LONGEST_BACKOFF_MS = 500;
+
+/** Creates a pool and begins to open its spare connections. */
+export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, world: World): Pool<Connection> => {
+	const idle: Connection[] = [];
+	const changed = createNotifier(world);
+	const scope = createScope(() => undefined);
+	let open = 0;
+	let dialling = 0;
+	let waiting = 0;
+	let reachable = true;
+	let nextDialAt: Deadline = PAST;
+	let backoffMs = FIRST_BACKOFF_MS;
+
+	const takeIdle = (): Connection | undefined => {
+		while (true) {
+			const connection = idle.pop();
+			if (!connection?.isEnded()) {
+				return connection;
+			}
+
+			open--;
+		}
+	};
+
+	const announce = () => {
+		changed.notify();
+		settings.onFree();
+	};
+
+	const noteFailure = (message: string) => {
+		nextDialAt = createDeadline(world.now(), backoffMs * (0.5 + world.random()));
+		backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
+		if (reachable) {
+			reachable = false;
+			settings.onReachable(false, message);
+		}
+	};
+
+	const noteSuccess = () => {
+		backoffMs = FIRST_BACKOFF_MS;
+		if (!reachable) {
+			reachable = true;
+			settings.onReachable(true, '');
+		}
+	};
+
+	const dialOne = async () => {
+		const dialled = await settings.dial();
+		dialling--;
+		if (dialled.err) {
+			noteFailure(dialled.val.message);
+		} else if (scope.signal.aborted) {
+			await dialled.val[Symbol.asyncDispose]();
+		} else {
+			noteSuccess();
+			open++;
+			idle.push(dialled.val);
+		}
+
+		announce();
+	};
+
+	const mayDial = () => open + dialling < settings.limit && isPast(nextDialAt, world.now());
+
+	const dialAhead = () => {
+		const wanted = waiting + settings.spare - idle.length - dialling;
+		for (let count = 0; count < wanted && mayDial() && !scope.signal.aborted; count++) {
+			dialling++;
+			scope.run(dialOne);
+		}
+	};
+
+	const lend = (connection: Connection): Loan<Connection> => {
+		let given = false;
+		const drop = async () => {
+			open--;
+			await connection[Symbol.asyncDispose]();
+			dialAhead();
+			announce();
+		};
+
+		const keep = () => {
+			idle.push(connection);
+			announce();
+		};
+
+		const reset = async () => {
+			const clean = await connection.reset();
+			if (clean && !scope.signal.aborted) {
+				keep();
+			} else {
+				await drop();
+			}
+		};
+
+		return {
+			connection,
+			giveBack(state) {
+				if (given) {
+					return;
+				}
+
+				given = true;
+				if (state === 'broken' || connection.isEnded() || scope.signal.aborted) {
+					scope.run(drop);
+				} else if (state === 'dirty') {
+					scope.run(reset);
+				} else {
+					keep();
+				}
+			},
+		};
+	};
+
+	const waitForIdle = async (deadline: Deadline): Promise<Connection | undefined> => {
+		while (true) {
+			const connection = takeIdle();
+			const isOver = isPast(deadline, world.now()) || scope.signal.aborted;
+			if (connection !== undefined || isOver) {
+				return connection;
+			}
+
+			dialAhead();
+			const wakeAt = isPast(nextDialAt, world.now()) ? deadline : Math.min(deadline, nextDialAt) as Deadline;
+			await changed.waitForChange(wakeAt);
+			if (!reachable) {
+				return takeIdle();
+			}
+		}
+	};
+
+	dialAhead();
+	return {
+		async take(deadline) {
+			waiting++;
+			const connection = await waitForIdle(deadline);
+			waiting--;
+			dialAhead();
+			if (connection) {
+				return Ok(lend(connection));
+			}
+
+			return reachable
+				? Err({code: 'connectionsExhausted', message: 'No connection became free in time'})
+				: Err({code: 'instanceUnreachable', message: 'The instance cannot be reached'});
+		},
+		hasCapacity: () => idle.length > 0 || open + dialling < settings.limit,
+		getOpen: () => open,
+		getIdle: () => idle.length,
+		async [Symbol.asyncDispose]() {
+			const closing = scope[Symbol.asyncDispose]();
+			changed.notify();
+			await closing;
+			await Promise.all(idle.splice(0).map(async connection => connection[Symbol.asyncDispose]()));
+		},
+	};
+};
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './fair-queue.js';
+export * from './connections.js';
--- a/packages/postgres-wire/src/scram.ts
+++ b/packages/postgres-wire/src/scram.ts
@@ -7,6 +7,7 @@
 import {
 	Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
+import {createMessage, encodeInt32, type Message} from './messages.js';
 
 /** What an inventory keeps instead of a key. */
 export type Verifier = Readonly<{
@@ -104,3 +105,31 @@
 		},
 	});
 };
+
+/** The client's part of one exchange. */
+export type ScramClient = Readonly<{
+	/** Creates `SASLInitialResponse`. */
+	createFirst: () => Message;
+	/** Creates `SASLResponse` from the server's first message. */
+	createFinal: (serverFirst: string) => Message;
+}>;
+
+/** Starts the client's part. */
+export const startScramClient = (password: string): ScramClient => {
+	const nonce = randomBytes(NONCE_BYTES).toString('base64');
+	const bare = `n=,r=${nonce}`;
+	return {
+		createFirst() {
+			const first = Buffer.from(`n,,${bare}`);
+			return createMessage('p', 'SCRAM-SHA-256', encodeInt32(first.length), first);
+		},
+		createFinal(serverFirst) {
+			const fields = parseFields(serverFirst);
+			const salted = pbkdf2Sync(password.normalize('NFKC'), Buffer.from(fields.get('s') ?? '', 'base64'), Number(fields.get('i') ?? ITERATIONS), HASH_BYTES, 'sha256');
+			const clientKey = computeHmac(salted, 'Client Key');
+			const withoutProof = `c=biws,r=${fields.get('r') ?? ''}`;
+			const signature = computeHmac(computeSha(clientKey), `${bare},${serverFirst},${withoutProof}`);
+			return createMessage('p', Buffer.from(`${withoutProof},p=${mixBytes(clientKey, signature).toString('base64')}`));
+		},
+	};
+};
--- a/packages/roles/src/index.ts
+++ b/packages/roles/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './records.js';
+export * from './promises.js';
+export * from './lease.js';
+export * from './slots.js';
--- /dev/null
+++ b/packages/roles/src/slots.ts
@@ -0,0 +1,190 @@
+/** Holding a slot: one task from the claim to the loss, again and again. */
+
+import {
+	chooseEarliest, createDeadline, getRemainingMs, isPast, PAST, type Deadline, type Failure, type Result, type VmId, type World,
+} from '@guavapitch/core';
+import type {Store} from '@guavapitch/platform';
+import type {ProcessLease} from './lease.js';
+import type {PromiseBook, PromiseRequest} from './promises.js';
+import {
+	ALIVE_PREFIX, formatSlotRecord, parseSlotRecord, ROLE_PREFIX, type Candidate, type SlotRecord,
+} from './records.js';
+
+/** Authority over a slot: valid before a deadline, which moves while the slot is held. */
+export type Authority = Readonly<{
+	slot: string;
+	epoch: number;
+	/** Gets the deadline; whoever acts under it checks it after every wait. */
+	getDeadline: () => Deadline;
+}>;
+
+/** Why the authority was extended. */
+export type Extension = 'lease' | 'promises';
+
+/** What the task that holds a slot needs. */
+export type SlotContext = Readonly<{
+	world: World;
+	store: Store;
+	lease: ProcessLease;
+	promises: PromiseBook;
+	self: Candidate;
+	slot: string;
+	/** Ranks the live vms for the slot, best first. */
+	rank: () => readonly Candidate[];
+	/** Asks a candidate for a promise. */
+	askPromise: (candidate: Candidate, request: PromiseRequest) => Promise<Result<boolean, Failure>>;
+	/** Tells whether a run of a process is surely over: another one answers, or the platform's list has dropped the vm. */
+	isSurelyGone: (candidate: Candidate) => boolean;
+	/** Acts as holder until the signal aborts. */
+	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	onGained: (slot: string, epoch: number) => void;
+	onLost: (slot: string, epoch: number) => void;
+	onExtended: (slot: string, by: Extension) => void;
+}>;
+
+/** Time for which candidates promise, in milliseconds. */
+export const PROMISE_MS = 1500;
+
+const CONTENDERS = 3;
+const CANDIDATES = 2;
+const POLL_MS = 250;
+const RENEW_MS = 400;
+/** Allowance for clocks that run at different rates. */
+const DRIFT_MS = 100;
+
+type Claim = Readonly<{record: SlotRecord; revision: number}>;
+
+const isSame = (a: Candidate, b: Candidate): boolean => a.vm === b.vm && a.incarnation === b.incarnation;
+
+const chooseCandidates = (context: SlotContext): readonly Candidate[] => context.rank()
+	.filter(candidate => candidate.vm !== context.self.vm && candidate.incarnation !== '')
+	.slice(0, CANDIDATES);
+
+const mayClaim = (context: SlotContext, record: SlotRecord | undefined): boolean => {
+	const {self} = context;
+	if (!record || isSame(record.holder, self) || record.candidates.some(candidate => isSame(candidate, self))) {
+		return true;
+	}
+
+	const isContender = context.rank().slice(0, CONTENDERS).some(candidate => isSame(candidate, self));
+	return isContender && (record.candidates.length === 0 || record.candidates.some(candidate => context.isSurelyGone(candidate)));
+};
+
+/** Takes the slot's living entry and then its record; `undefined` if somebody else holds it or the store does not answer. */
+const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
+	const {store, slot, self, lease} = context;
+	const recordKey = `${ROLE_PREFIX}${slot}`;
+	const found = await store.read(recordKey);
+	if (found.err) {
+		return undefined;
+	}
+
+	const record = found.val ? parseSlotRecord(found.val.value).unwrapOr(undefined) : undefined;
+	if (!mayClaim(context, record)) {
+		return undefined;
+	}
+
+	const alive = await store.read(`${ALIVE_PREFIX}${slot}`);
+	const own = `${self.vm}/${self.incarnation}`;
+	if (alive.err || (alive.val && alive.val.value !== own)) {
+		return undefined;
+	}
+
+	const living = await lease.require();
+	if (living.err) {
+		return undefined;
+	}
+
+	const entered = await store.swap(`${ALIVE_PREFIX}${slot}`, alive.val?.revision ?? 0, own, living.val.id);
+	if (entered.err || !entered.val.swapped) {
+		return undefined;
+	}
+
+	const next: SlotRecord = {epoch: (record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
+	const written = await store.swap(recordKey, found.val?.revision ?? 0, formatSlotRecord(next));
+	return written.ok && written.val.swapped ? {record: next, revision: written.val.current?.revision ?? 0} : undefined;
+};
+
+/** Asks every candidate for a promise; gives the deadline until which none will take over. */
+const collectPromises = async (context: SlotContext, record: SlotRecord): Promise<Deadline> => {
+	const askedAt = context.world.now();
+	if (record.candidates.length === 0) {
+		return PAST;
+	}
+
+	const answers = await Promise.all(record.candidates.map(async candidate => {
+		const answer = await context.askPromise(candidate, {
+			slot: context.slot, epoch: record.epoch, validMs: PROMISE_MS, incarnation: candidate.incarnation,
+		});
+		return answer.ok && answer.val ? createDeadline(askedAt, PROMISE_MS - DRIFT_MS) : PAST;
+	}));
+	return chooseEarliest(answers);
+};
+
+/** Replaces candidates that are no longer good, so that promises can be had when they are needed. */
+const refreshCandidates = async (context: SlotContext, claim: Claim): Promise<Claim> => {
+	const live = context.rank();
+	const isGood = claim.record.candidates.length === Math.min(CANDIDATES, live.length - 1)
+		&& claim.record.candidates.every(candidate => live.some(one => isSame(one, candidate)));
+	if (isGood) {
+		return claim;
+	}
+
+	const record: SlotRecord = {...claim.record, candidates: chooseCandidates(context)};
+	const written = await context.store.swap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
+	return written.ok && written.val.swapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
+};
+
+/** Keeps a claimed slot until it is lost. */
+const holdSlot = async (context: SlotContext, first: Claim, signal: AbortSignal): Promise<void> => {
+	const {world, lease, slot} = context;
+	const lost = new AbortController();
+	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -DRIFT_MS);
+	let claim = first;
+	let deadline = createLeaseDeadline();
+	let extension: Extension = 'lease';
+	const acting = context.act({slot, epoch: first.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
+	context.onGained(slot, first.record.epoch);
+	while (!signal.aborted && !isPast(deadline, world.now())) {
+		await world.sleep(RENEW_MS, signal).catch(() => undefined);
+		const renewed = await lease.renew();
+		const leaseDeadline = renewed.ok ? createLeaseDeadline() : PAST;
+		const promised = renewed.ok ? PAST : await collectPromises(context, claim.record);
+		const by: Extension = renewed.ok ? 'lease' : 'promises';
+		deadline = Math.max(deadline, leaseDeadline, promised) as Deadline;
+		if (by !== extension) {
+			extension = by;
+			context.onExtended(slot, by);
+		}
+
+		if (renewed.ok) {
+			claim = await refreshCandidates(context, claim);
+		} else if (renewed.val.code === 'leaseLost' && !signal.aborted) {
+			break;
+		}
+	}
+
+	lost.abort();
+	await acting;
+	context.onLost(slot, first.record.epoch);
+	// Whatever was granted under this authority may last until its deadline.
+	await world.sleep(getRemainingMs(deadline, world.now()), signal).catch(() => undefined);
+};
+
+/** Contends for a slot and holds it whenever it can be had. */
+export const runSlot = async (context: SlotContext, signal: AbortSignal): Promise<void> => {
+	const {world, promises, slot} = context;
+	while (!signal.aborted) {
+		await world.sleep(POLL_MS * (0.5 + world.random()), signal);
+		const isContender = context.rank().slice(0, CONTENDERS).some(candidate => isSame(candidate, context.self));
+		if (!isContender || !promises.beginClaim(slot)) {
+			continue;
+		}
+
+		const claim = await claimSlot(context);
+		promises.endClaim(slot);
+		if (claim) {
+			await holdSlot(context, claim, signal);
+		}
+	}
+};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './view.js';
+export * from './routes.js';
+export * from './retries.js';
--- /dev/null
+++ b/packages/routing/src/routes.ts
@@ -0,0 +1,83 @@
+/** Choice of the instance and the home for a request. */
+
+import {match} from 'ts-pattern';
+import {
+	Err, Ok, parseId, type DatabaseId, type InstanceId, type Result, type VmId,
+} from '@guavapitch/core';
+import type {GroupRecord} from '@guavapitch/failover';
+import type {Database} from '@guavapitch/inventory';
+import type {Refusal, RequestMode, StatementClass} from '@guavapitch/sessions';
+import {getDatabase, type RoutingView} from './view.js';
+
+/** Where a request goes and why. */
+export type Route = Readonly<{
+	instance: InstanceId;
+	home: VmId;
+	/** Mode in which the home serves it; a read that no replica may serve goes to the primary as a write. */
+	mode: RequestMode;
+	/** Why this instance, in one sentence. */
+	reason: string;
+}>;
+
+/** A choice already tried for the same request. */
+export type Attempt = Readonly<{instance: InstanceId; home: VmId}>;
+
+/** Chooses the consistency that a class of statement needs under the rule of its service. */
+export const chooseMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
+	.with('read', 'empty', (): RequestMode => staleReadsMs === undefined ? 'read' : 'stale')
+	.otherwise(() => 'write');
+
+const getReplicas = (database: Database, record: GroupRecord): readonly InstanceId[] => database.instances
+	.map(instance => parseId<InstanceId>(instance.name))
+	.filter(instance => instance !== record.primary);
+
+const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly InstanceId[] => match(mode)
+	.with('write', () => [])
+	.with('read', () => getReplicas(database, record).filter(instance => record.synced.includes(instance)))
+	.with('stale', () => getReplicas(database, record))
+	.exhaustive();
+
+const chooseHome = (view: RoutingView, instance: InstanceId, tried: readonly Attempt[]): VmId | undefined => {
+	const homes = view.getHomes(instance);
+	return homes.find(home => !tried.some(attempt => attempt.instance === instance && attempt.home === home));
+};
+
+const chooseReplica = (view: RoutingView, candidates: readonly InstanceId[], tried: readonly Attempt[]): Attempt | undefined => {
+	const open = candidates
+		.filter(instance => !view.isLeaving(instance) && !tried.some(attempt => attempt.instance === instance))
+		.map(instance => ({instance, order: view.getPending(instance) + view.random()}))
+		.toSorted((a, b) => a.order - b.order);
+	for (const {instance} of open) {
+		const home = chooseHome(view, instance, tried);
+		if (home) {
+			return {instance, home};
+		}
+	}
+
+	return undefined;
+};
+
+const noRoute = (message: string): Refusal => ({code: 'noRoute', message});
+
+/** Chooses a route; `tried` are the choices that were refused without having run. */
+export const chooseRoute = (view: RoutingView, databaseId: DatabaseId, mode: RequestMode, tried: readonly Attempt[]): Result<Route, Refusal> => {
+	const database = getDatabase(view.inventory, databaseId);
+	const record = view.getGroup(databaseId)?.record;
+	if (!database || !record) {
+		return Err(noRoute(`The primary of ${databaseId} is not known yet`));
+	}
+
+	const replica = chooseReplica(view, getCandidates(database, record, mode), tried);
+	if (replica) {
+		return Ok({...replica, mode, reason: mode === 'read' ? 'a synced replica holds every acknowledged write' : 'the rule of the service allows data of a stated age'});
+	}
+
+	const home = chooseHome(view, record.primary, tried) ?? view.getHomes(record.primary)[0];
+	if (!home) {
+		return Err(noRoute(`No live vm is home of ${record.primary}`));
+	}
+
+	return Ok({
+		instance: record.primary, home, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
+	});
+};
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -48,6 +48,8 @@
 	parts: readonly RequestPart[];
 	/** Whether the database will answer `ReadyForQuery`. */
 	ends: boolean;
+	/** Whether the parts may commit a transaction. */
+	mayCommit: boolean;
 	/** Whether the parts may leave state on the connection. */
 	leavesState: boolean;
 }>;
@@ -56,7 +58,7 @@
 export type RefusalCode
 	= | 'notHome' | 'noGrant' | 'notPrimary' | 'tooOld' | 'instanceUnreachable' | 'connectionsExhausted' | 'queueFull'
 		| 'deadlinePassed' | 'instanceLeaving' | 'limitExceeded' | 'keyWithdrawn' | 'keyUnconfirmed' | 'peerUnreachable' | 'draining' | 'noRoute'
-		| 'unsupported';
+		| 'unsupported' | 'canceled';
 
 /** Refusal of a request that has certainly not run. */
 export type Refusal = Failure<RefusalCode> & Readonly<{
@@ -70,6 +72,8 @@
 	= | Readonly<{kind: 'messages'; bytes: Uint8Array}>
 	/** The chunk is answered; unless `idle`, the connection waits for more of the transaction. */
 		| Readonly<{kind: 'ready'; status: TransactionStatus}>
+	/** The chunk ended with a Flush and is answered; the connection waits for more. */
+		| Readonly<{kind: 'flushed'}>
 	/** Not run. */
 		| Readonly<{kind: 'refused'; refusal: Refusal}>
 	/** A replica refused a write; not run. */
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -93,7 +93,10 @@
 	? columns.map(column => ({name: column.name, expression: {kind: 'column', name: column.name} as const}))
 	: [output]);
 
-const describeOutputs = (outputs: readonly Output[], columns: readonly Column[]): readonly ResultColumn[] => expandOutputs(outputs, columns).map(({name, expression}) => ({name, type: inferType(expression, columns)}));
+const describeOutputs = (outputs: readonly Output[], columns: readonly Column[]): readonly ResultColumn[] => {
+	const expanded = expandOutputs(outputs, columns);
+	return expanded.map(({name, expression}) => ({name, type: inferType(expression, columns)}));
+};
 
 const projectRows = (context: ExecutionContext, outputs: readonly Output[], columns: readonly Column[], rows: readonly Row[]): readonly Row[] => {
 	const expanded = expandOutputs(outputs, columns);
