--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -2,7 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type Result, type Stream, type World,
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Stream, type World,
 } from '@guavapitch/core';
 import type {
 	FairQueue, Loan, Permit, Pool,
@@ -41,6 +41,8 @@
 	waitUntilDurable: (answer: PendingAnswer) => Promise<AnswerState>;
 	/** Hears how long a request held its slot. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
+	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
+	keepCancel: (requestId: RequestId, cancel: () => void) => Disposable;
 	/** Tells whether the process takes no new requests. */
 	isDraining: () => boolean;
 }>;
@@ -168,6 +170,7 @@
 		connection.cancel();
 	};
 
+	using kept = context.keepCancel(header.requestId, cancel);
 	let dirty = false;
 	let chunk = first.chunk as RequestChunk | 'idle' | undefined;
 	let permit = first.permit as Permit | undefined;
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './stack.js';
+export * from './examples.js';
--- /dev/null
+++ b/packages/bench/src/stack.ts
@@ -0,0 +1,284 @@
+/** Starts a whole fleet with its stand-ins as separate processes on loopback; a development script, not part of the product. */
+
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, readdirSync, readFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import {createServer} from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createWorld} from '@guavapitch/core';
+import {changeConfiguration, readConfiguration} from '@guavapitch/configuration';
+import type {Inventory} from '@guavapitch/inventory';
+import {
+	issueKey, openFleetClient, readStatuses, withdrawKey, type FleetClient, type ProxyStatus,
+} from '@guavapitch/operator';
+import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+
+/** One child process. */
+export type Child = Readonly<{
+	name: string;
+	process: ChildProcess;
+	/** Waits until it has ended. */
+	ended: Promise<void>;
+}>;
+
+/** A proxy of the stack. */
+export type StackProxy = Child & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
+
+/** An instance of the stack. */
+export type StackInstance = Child & Readonly<{port: number; database: string}>;
+
+/** What to start. */
+export type StackPlan = Readonly<{
+	inventory: Inventory;
+	/** Proxies in each data centre. */
+	proxiesPerDataCentre: number;
+	connectMs: number;
+	statementMs: number;
+	lagMs: number;
+}>;
+
+/** A running stack. */
+export type Stack = AsyncDisposable & Readonly<{
+	inventory: Inventory;
+	store: EtcdStore;
+	fleet: FleetClient;
+	platform: Child;
+	platformPort: number;
+	proxies: Map<string, StackProxy>;
+	instances: Map<string, StackInstance>;
+	/** Secret of the key of each customer. */
+	secrets: ReadonlyMap<string, string>;
+	logFolder: string;
+	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
+	startInstance: (name: string, follow: string | undefined) => Promise<StackInstance>;
+	/** Changes the configuration in force. */
+	change: (edit: (inventory: Inventory) => Inventory) => Promise<number>;
+	withdraw: (keyId: string) => Promise<number>;
+	getStatuses: () => Promise<readonly ProxyStatus[]>;
+	/** Waits until every proxy serves and every database has a full synced set. */
+	waitUntilReady: () => Promise<void>;
+	/** Reads the events of all processes. */
+	readEvents: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
+}>;
+
+const READY_TIMEOUT_MS = 30_000;
+const POLL_MS = 50;
+const STORE_TIMEOUT_MS = 2000;
+const require = createRequire(import.meta.url);
+
+const getProgram = (name: string): string => path.join(path.dirname(require.resolve(`@guavapitch/${name}`)), 'main.js');
+
+/** Finds a port that is free now. */
+export const findFreePort = async (): Promise<number> => new Promise((resolve, reject) => {
+	const server = createServer();
+	server.once('error', reject);
+	server.listen(0, '127.0.0.1', () => {
+		const address = server.address();
+		server.close(() => {
+			resolve(typeof address === 'object' && address ? address.port : 0);
+		});
+	});
+});
+
+/** Starts one program of the project. */
+export const startChild = (name: string, program: string, args: readonly string[], flags: readonly string[] = []): Child => {
+	const child = spawn(process.execPath, [...flags, getProgram(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
+	const ended = new Promise<void>(resolve => {
+		child.once('exit', () => {
+			resolve();
+		});
+	});
+	return {name, process: child, ended};
+};
+
+const stopChild = async (child: Child, signal: NodeJS.Signals): Promise<void> => {
+	child.process.kill('SIGCONT');
+	child.process.kill(signal);
+	await child.ended;
+};
+
+const readLog = (file: string): ReadonlyArray<Readonly<Record<string, unknown>>> => readFileSync(file, 'utf8')
+	.split('\n')
+	.filter(line => line !== '')
+	.map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
+
+/** Starts a stack and waits until it serves. */
+export const startStack = async (plan: StackPlan): Promise<Stack> => {
+	const world = createWorld();
+	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
+	const platformPort = await findFreePort();
+	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
+	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
+	const fleet = openFleetClient(world);
+	const proxies = new Map<string, StackProxy>();
+	const instances = new Map<string, StackInstance>();
+	const secrets = new Map<string, string>();
+
+	const waitFor = async (what: string, isReady: () => Promise<boolean>) => {
+		const giveUpAt = world.now() + READY_TIMEOUT_MS;
+		while (!await isReady()) {
+			if (world.now() > giveUpAt) {
+				throw new Error(`Not ready in time: ${what}`);
+			}
+
+			await world.sleep(POLL_MS);
+		}
+	};
+
+	const findSettings = (name: string) => {
+		for (const [database, settings] of Object.entries(plan.inventory.databases)) {
+			const instance = settings.instances.find(one => one.name === name);
+			if (instance) {
+				return {database, instance};
+			}
+		}
+
+		throw new Error(`There is no instance ${name}`);
+	};
+
+	const ports = new Map<string, number>();
+	const startInstance = async (name: string, follow: string | undefined): Promise<StackInstance> => {
+		const {database, instance} = findSettings(name);
+		const port = ports.get(name) ?? await findFreePort();
+		ports.set(name, port);
+		const upstream = follow === undefined ? [] : ['--follow', follow === '' ? '127.0.0.1:1' : `127.0.0.1:${ports.get(follow)}`];
+		const child = startChild(name, 'standin', [
+			'database',
+			'--name',
+			name,
+			'--port',
+			String(port),
+			'--slots',
+			String(instance.slots),
+			'--connections',
+			String(instance.connections),
+			'--connect-ms',
+			String(plan.connectMs),
+			'--statement-ms',
+			String(plan.statementMs),
+			'--lag-ms',
+			String(plan.lagMs),
+			...upstream,
+		]);
+		const started = {...child, port, database};
+		instances.set(name, started);
+		return started;
+	};
+
+	const startProxy = async (vm: string, dataCentre: string): Promise<StackProxy> => {
+		const known = proxies.get(vm);
+		const port = known?.port ?? await findFreePort();
+		const peerPort = known?.peerPort ?? await findFreePort();
+		const listed = {
+			vm, dataCentre, host: '127.0.0.1', port: peerPort, state: 'live',
+		};
+		const current = await store.read(`/platform/vms/${vm}`);
+		await store.swap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
+		const child = startChild(vm, 'proxy', [
+			'--vm',
+			vm,
+			'--data-centre',
+			dataCentre,
+			'--listen',
+			`127.0.0.1:${port}`,
+			'--peer-listen',
+			`127.0.0.1:${peerPort}`,
+			'--platform',
+			`127.0.0.1:${platformPort}`,
+			'--log-file',
+			path.join(logFolder, `${vm}-${world.createId()}.log`),
+		]);
+		const started = {
+			...child, vm, dataCentre, port, peerPort,
+		};
+		proxies.set(vm, started);
+		return started;
+	};
+
+	const getStatuses = async (): Promise<readonly ProxyStatus[]> => {
+		const statuses = await readStatuses(store, fleet);
+		return statuses.filter(({status}) => status.ok).map(({status}) => status.unwrap());
+	};
+
+	const change = async (edit: (inventory: Inventory) => Inventory): Promise<number> => {
+		const current = (await readConfiguration(store)).unwrap();
+		const inventory = edit(current.document?.inventory ?? plan.inventory);
+		return (await changeConfiguration(store, world, {expectedRevision: current.revision, author: 'stack', inventory})).unwrap();
+	};
+
+	const isDatabaseReady = (statuses: readonly ProxyStatus[], name: string): boolean => {
+		const count = plan.inventory.databases[name]?.instances.length ?? 0;
+		return statuses.some(status => status.groups.some(({record}) => record.database === name && record.synced.length === count - 1));
+	};
+
+	const waitUntilReady = async () => {
+		await waitFor('proxies and databases', async () => {
+			const statuses = await getStatuses();
+			return statuses.length === proxies.size
+				&& statuses.every(status => status.revision > 0 && status.members.every(member => member.status === 'alive'))
+				&& Object.keys(plan.inventory.databases).every(name => isDatabaseReady(statuses, name));
+		});
+	};
+
+	await waitFor('platform', async () => (await store.read('/')).ok);
+	for (const database of Object.values(plan.inventory.databases)) {
+		const [first, ...others] = database.instances;
+		if (first) {
+			await startInstance(first.name, undefined);
+			for (const other of others) {
+				await startInstance(other.name, first.name);
+			}
+		}
+	}
+
+	const withAddresses = (inventory: Inventory): Inventory => ({
+		...inventory,
+		databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, database]) => [name, {
+			...database,
+			instances: database.instances.map(instance => ({...instance, address: `127.0.0.1:${ports.get(instance.name)}`})),
+		}])),
+	});
+
+	let inventory = withAddresses(plan.inventory);
+	for (const customer of Object.keys(inventory.customers)) {
+		const issued = issueKey(inventory, customer, `${customer}-key`).unwrap();
+		secrets.set(customer, issued.secret);
+		inventory = issued.inventory;
+	}
+
+	await change(() => inventory);
+	for (const dataCentre of inventory.dataCentres) {
+		for (let number = 1; number <= plan.proxiesPerDataCentre; number++) {
+			await startProxy(`${dataCentre}-${number}`, dataCentre);
+		}
+	}
+
+	await waitUntilReady();
+	return {
+		inventory,
+		store,
+		fleet,
+		platform,
+		platformPort,
+		proxies,
+		instances,
+		secrets,
+		logFolder,
+		startProxy,
+		startInstance,
+		change,
+		withdraw: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
+		getStatuses,
+		waitUntilReady,
+		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
+		async [Symbol.asyncDispose]() {
+			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
+			await Promise.all([...instances.values()].map(async child => stopChild(child, 'SIGKILL')));
+			await stopChild(platform, 'SIGKILL');
+			await fleet[Symbol.asyncDispose]();
+			await store[Symbol.asyncDispose]();
+		},
+	};
+};
--- /dev/null
+++ b/packages/bench/src/tests/path.test.ts
@@ -0,0 +1,121 @@
+/** The whole path with separate processes: a stock client, a proxy, a home and an instance. */
+
+import assert from 'node:assert/strict';
+import {createConnection} from 'node:net';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import pg from 'pg';
+import {createCancel} from '@guavapitch/postgres-wire';
+import {readExample} from '../examples.js';
+import {startStack, type Stack} from '../stack.js';
+
+describe('whole path', () => {
+	let stack: Stack;
+
+	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
+		const proxy = [...stack.proxies.values()][vm];
+		const client = new pg.Client({
+			host: '127.0.0.1', port: proxy?.port, user: 'klub-brno-key', password: stack.secrets.get('klub-brno'), database: 'motions', ...options,
+		});
+		client.on('error', () => undefined);
+		await client.connect();
+		return client;
+	};
+
+	before(async () => {
+		stack = await startStack({
+			inventory: readExample('dvorak'), proxiesPerDataCentre: 1, connectMs: 2, statementMs: 0, lagMs: 2,
+		});
+		const client = await connect(0);
+		await client.query('CREATE TABLE motions (id int PRIMARY KEY, wording text)');
+		await client.end();
+	});
+
+	after(async () => {
+		await stack[Symbol.asyncDispose]();
+	});
+
+	describe('statements', () => {
+		it('serves simple, extended and named statements', async () => {
+			const client = await connect(0);
+			const inserted = await client.query('INSERT INTO motions VALUES ($1, $2) RETURNING id', [1, 'This house']);
+			const named = {name: 'find', text: 'SELECT wording FROM motions WHERE id = $1', values: [1]};
+			const first = await client.query<{wording: string}>(named);
+			const second = await client.query<{wording: string}>(named);
+			const simple = await client.query('SELECT * FROM motions');
+			await client.end();
+			assert.deepEqual(inserted.rows, [{id: 1}]);
+			assert.deepEqual(first.rows, [{wording: 'This house'}]);
+			assert.deepEqual(second.rows, first.rows);
+			assert.equal(simple.rowCount, 1);
+		});
+
+		it('rolls a transaction back as a whole', async () => {
+			const client = await connect(1);
+			await client.query('BEGIN');
+			await client.query('INSERT INTO motions VALUES (2, \'never\')');
+			await client.query('ROLLBACK');
+			const found = await client.query('SELECT * FROM motions WHERE id = 2');
+			await client.end();
+			assert.equal(found.rowCount, 0);
+		});
+
+		it('streams a large result whole', async () => {
+			const client = await connect(2);
+			const found = await client.query<{generate_series: number}>('SELECT * FROM generate_series(1, 50000)');
+			await client.end();
+			assert.equal(found.rowCount, 50_000);
+			assert.equal(found.rows.at(-1)?.generate_series, 50_000);
+		});
+	});
+
+	describe('sessions', () => {
+		it('reads its own writes through every proxy', async () => {
+			const clients = await Promise.all([0, 1, 2, 3].map(async vm => connect(vm)));
+			for (let id = 100; id < 130; id++) {
+				await clients[0]?.query('INSERT INTO motions VALUES ($1, $2)', [id, 'own']);
+				for (const client of clients) {
+					const found = await client.query('SELECT * FROM motions WHERE id = $1', [id]);
+					assert.equal(found.rowCount, 1);
+				}
+			}
+
+			await Promise.all(clients.map(async client => client.end()));
+		});
+	});
+
+	describe('refusals', () => {
+		it('refuses a wrong key with 28P01', async () => {
+			await assert.rejects(connect(0, {password: 'wrong'}), {code: '28P01'});
+		});
+
+		it('refuses an unknown service with 3D000', async () => {
+			await assert.rejects(connect(0, {database: 'nowhere'}), {code: '3D000'});
+		});
+
+		it('refuses COPY and session state as not run', async () => {
+			const client = await connect(0);
+			await assert.rejects(client.query('COPY motions FROM STDIN'), {code: '0A000', message: /^not run/v});
+			await assert.rejects(client.query('SET work_mem = 1'), {code: '0A000', message: /^not run/v});
+			const found = await client.query('SELECT 1 AS one');
+			await client.end();
+			assert.equal(found.rowCount, 1);
+		});
+	});
+
+	describe('cancel', () => {
+		it('cancels a running statement through another vm\'s home', async () => {
+			const client = await connect(0);
+			const sleeping = assert.rejects(client.query('SELECT pg_sleep(20)'), {code: '57014'});
+			await new Promise(resolve => {
+				setTimeout(resolve, 300);
+			});
+			const {processID, secretKey} = client as unknown as Readonly<{processID: number; secretKey: number}>;
+			const socket = createConnection([...stack.proxies.values()][0]?.port ?? 0, '127.0.0.1');
+			socket.end(createCancel(processID, secretKey));
+			await sleeping;
+			await client.end();
+		});
+	});
+});
--- a/packages/core/src/result.ts
+++ b/packages/core/src/result.ts
@@ -1,4 +1,4 @@
-/** Results instead of exceptions; the only place that touches the CommonJS default export of `ts-results`. */
+/** Results instead of exceptions; the only place that touches the CommonJS default export of `ts-results` (which needs `tslib` without saying so). */
 
 import tsResults from 'ts-results';
 
--- a/packages/inventory/src/schemas.ts
+++ b/packages/inventory/src/schemas.ts
@@ -52,7 +52,7 @@
 	/** Requests a second over the whole fleet. */
 	rate: z.number().positive(),
 	/** Requests at once over the whole fleet. */
-	burst: positive,
+	burst: positive.min(2, 'expected at least 2'),
 	/** Share of a busy instance, relative to the other customers. */
 	weight: z.number().positive().default(1),
 	/** Services the customer may use. */
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './history.js';
--- /dev/null
+++ b/packages/operator/src/fleet.ts
@@ -0,0 +1,83 @@
+/** Asking the proxies of the fleet, over the inner protocol. */
+
+import type {
+	Failure, Result, VmId, World,
+} from '@guavapitch/core';
+import {
+	createDial, createPeers, type Address, type PeerTls,
+} from '@guavapitch/peer-protocol';
+import type {Store} from '@guavapitch/platform';
+
+/** A vm of the platform's list. */
+export type ListedVm = Readonly<{vm: VmId; dataCentre: string; host: string; port: number; state: string}>;
+
+/** Status that a proxy gives of itself. */
+export type ProxyStatus = Readonly<{
+	vm: string;
+	dataCentre: string;
+	incarnation: string;
+	version: string;
+	revision: number;
+	confirmedAgeMs: number;
+	draining: boolean;
+	members: ReadonlyArray<Readonly<{vm: string; status: string; state: string}>>;
+	groups: ReadonlyArray<Readonly<{revision: number; record: Readonly<{database: string; term: number; primary: string; synced: readonly string[]; joining: readonly string[]}>}>>;
+	homes: ReadonlyArray<Readonly<{instance: string; queued: number; busy: number; open: number; idle: number}>>;
+	metrics: Readonly<Record<string, number>>;
+}>;
+
+/** Calls to proxies. */
+export type FleetClient = AsyncDisposable & Readonly<{
+	call: <Reply>(address: Address, method: string, body: unknown) => Promise<Result<Reply, Failure>>;
+}>;
+
+const CALL_TIMEOUT_MS = 2000;
+const POLL_MS = 50;
+
+/** Opens a client of the fleet. */
+export const openFleetClient = (world: World, tls?: PeerTls): FleetClient => {
+	const peers = createPeers({
+		world,
+		identity: {vm: 'operator', incarnation: world.createId()},
+		handlers: {calls: {}, streams: {}},
+		readTime: () => [world.readWallClock(), 0],
+		witnessTime: () => undefined,
+		onMalformed: () => undefined,
+	}, createDial(tls));
+	return {
+		async call<Reply>(address: Address, method: string, body: unknown): Promise<Result<Reply, Failure>> {
+			const reply = await peers.call(address, method, body, CALL_TIMEOUT_MS);
+			return reply.map(answer => answer as Reply);
+		},
+		[Symbol.asyncDispose]: async () => peers[Symbol.asyncDispose](),
+	};
+};
+
+/** Reads the platform's list of vms. */
+export const readVms = async (store: Store): Promise<readonly ListedVm[]> => {
+	const entries = await store.readAll('/platform/vms/');
+	return entries.ok ? entries.val.map(entry => JSON.parse(entry.value) as ListedVm).filter(vm => vm.state !== 'gone') : [];
+};
+
+/** Status of one vm, or why there is none. */
+export type VmStatus = Readonly<{vm: ListedVm; status: Result<ProxyStatus, Failure>}>;
+
+/** Asks every vm of the list for its status. */
+export const readStatuses = async (store: Store, client: FleetClient): Promise<readonly VmStatus[]> => {
+	const vms = await readVms(store);
+	return Promise.all(vms.map(async vm => ({vm, status: await client.call<ProxyStatus>(vm, 'status', null)})));
+};
+
+/** Waits until a revision is in force at every vm; gives the vms where it is not. */
+export const waitForRevision = async (store: Store, client: FleetClient, world: World, wait: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
+	const giveUpAt = world.now() + wait.timeoutMs;
+	while (true) {
+		const statuses = await readStatuses(store, client);
+		const behind = statuses.filter(({status}) => status.err || status.val.revision < wait.revision);
+		if (behind.length === 0 || world.now() >= giveUpAt) {
+			return behind;
+		}
+
+		await world.sleep(POLL_MS);
+	}
+};
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './keys.js';
+export * from './fleet.js';
--- /dev/null
+++ b/packages/operator/src/main.ts
@@ -0,0 +1,243 @@
+#!/usr/bin/env node
+/** Program `guavapitch-operator`. */
+
+import {readFileSync} from 'node:fs';
+import os from 'node:os';
+import process from 'node:process';
+import yargs from 'yargs';
+import {createWorld} from '@guavapitch/core';
+import {changeConfiguration, readConfiguration, type ChangeFailure} from '@guavapitch/configuration';
+import {
+	compareInventories, parseInventory, type Difference, type Inventory,
+} from '@guavapitch/inventory';
+import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+import {
+	openFleetClient, readStatuses, readVms, waitForRevision, type ProxyStatus,
+} from './fleet.js';
+import {issueKey, withdrawKey} from './keys.js';
+
+const SKIP_NODE_AND_SCRIPT = 2;
+const EXIT_REFUSED = 1;
+const EXIT_SETTING = 2;
+const EXIT_NOT_IN_FORCE = 4;
+const STORE_TIMEOUT_MS = 2000;
+const DEFAULT_WAIT_MS = 10_000;
+
+const world = createWorld();
+
+const print = (text: string) => {
+	process.stdout.write(`${text}\n`);
+};
+
+const stop = (message: string, code: number) => {
+	process.stderr.write(`guavapitch-operator: ${message}\n`);
+	process.exitCode = code;
+};
+
+const formatDifference = ({path, before, after}: Difference): string => {
+	if (before === undefined) {
+		return `+ ${path}: ${after}`;
+	}
+
+	return after === undefined ? `- ${path}: ${before}` : `~ ${path}: ${before} -> ${after}`;
+};
+
+const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
+
+const readFile = (file: string): Inventory | undefined => {
+	const parsed = parseInventory(readFileSync(file, 'utf8'));
+	if (parsed.err) {
+		stop(`${file}: the inventory is not valid\n${parsed.val.message}`, EXIT_REFUSED);
+		return undefined;
+	}
+
+	return parsed.val;
+};
+
+/** Keys are issued and withdrawn by commands, so a file without keys keeps those in force. */
+const keepKeys = (inventory: Inventory, current: Inventory | undefined): Inventory => Object.keys(inventory.keys).length === 0 && current
+	? {...inventory, keys: Object.fromEntries(Object.entries(current.keys).filter(([, key]) => Object.hasOwn(inventory.customers, key.customer)))}
+	: inventory;
+
+const explainChange = (failure: ChangeFailure, before: Inventory | undefined): string => {
+	if (failure.code !== 'configurationRaced') {
+		return failure.message;
+	}
+
+	const lines = failure.current ? compareInventories(before, failure.current.inventory).map(difference => formatDifference(difference)) : [];
+	return `${failure.message} (by ${failure.current?.author ?? 'unknown'}, now revision ${failure.revision}); nothing was changed. Their change:\n${lines.join('\n')}`;
+};
+
+type Flags = Readonly<{platform: string; wait: boolean; waitMs: number; json?: boolean}>;
+
+const waitIfAsked = async (store: EtcdStore, flags: Flags, revision: number) => {
+	if (!flags.wait) {
+		return;
+	}
+
+	await using client = openFleetClient(world);
+	const behind = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
+	if (behind.length === 0) {
+		print(`revision ${revision} is in force everywhere`);
+		return;
+	}
+
+	const names = behind.map(({vm, status}) => `${vm.vm} (${status.ok ? `revision ${status.val.revision}` : status.val.message})`);
+	stop(`revision ${revision} is accepted but not yet in force at: ${names.join(', ')}`, EXIT_NOT_IN_FORCE);
+};
+
+const changeTo = async (flags: Flags, change: (current: Inventory | undefined) => Inventory | undefined) => {
+	await using store = openStore(flags.platform);
+	const current = await readConfiguration(store);
+	if (current.err) {
+		stop(current.val.message, EXIT_REFUSED);
+		return;
+	}
+
+	const before = current.val.document?.inventory;
+	const inventory = change(before);
+	if (!inventory) {
+		return;
+	}
+
+	const changed = await changeConfiguration(store, world, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
+	if (changed.err) {
+		stop(explainChange(changed.val, before), EXIT_REFUSED);
+		return;
+	}
+
+	for (const difference of compareInventories(before, inventory)) {
+		print(formatDifference(difference));
+	}
+
+	print(`accepted as revision ${changed.val}`);
+	await waitIfAsked(store, flags, changed.val);
+};
+
+const formatList = (names: readonly string[]): string => names.join(' ') || '-';
+
+const formatRecord = ({database, term, primary, synced, joining}: ProxyStatus['groups'][number]['record']): string => [
+	database, `term ${term}`, `primary ${primary}`, `synced ${formatList(synced)}`, `joining ${formatList(joining)}`,
+].join('  ');
+
+const printStatus = async (flags: Flags) => {
+	await using store = openStore(flags.platform);
+	await using client = openFleetClient(world);
+	const statuses = await readStatuses(store, client);
+	if (flags.json) {
+		print(JSON.stringify(statuses.map(({vm, status}) => ({vm, status: status.val})), null, 2));
+		return;
+	}
+
+	for (const {vm, status} of statuses) {
+		print(status.ok
+			? `${vm.vm}  ${vm.dataCentre}  revision ${status.val.revision}  confirmed ${status.val.confirmedAgeMs} ms ago  homes ${status.val.homes.map(home => home.instance).join(' ') || '-'}`
+			: `${vm.vm}  ${vm.dataCentre}  no answer: ${status.val.message}`);
+	}
+
+	const groups = new Map<string, Readonly<{revision: number; text: string}>>();
+	for (const {status} of statuses) {
+		for (const {record, revision} of status.ok ? status.val.groups : []) {
+			if (revision > (groups.get(record.database)?.revision ?? 0)) {
+				groups.set(record.database, {revision, text: formatRecord(record)});
+			}
+		}
+	}
+
+	for (const {text} of groups.values()) {
+		print(text);
+	}
+};
+
+const explain = async (flags: Flags & Readonly<{customer: string; service: string; statement: string}>) => {
+	await using store = openStore(flags.platform);
+	await using client = openFleetClient(world);
+	for (const vm of await readVms(store)) {
+		const answer = await client.call<Readonly<{steps: readonly string[]}>>(vm, 'explain', {customer: flags.customer, service: flags.service, statement: flags.statement});
+		if (answer.ok) {
+			for (const [index, step] of answer.val.steps.entries()) {
+				print(`${index + 1}. ${step}`);
+			}
+
+			return;
+		}
+	}
+
+	stop('no vm answered', EXIT_REFUSED);
+};
+
+await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+	.scriptName('guavapitch-operator')
+	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is wrong, 4 accepted but not yet in force everywhere.')
+	.env('GUAVAPITCH')
+	.strict()
+	.version('0.1.0')
+	.demandCommand(1)
+	.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
+	.option('wait', {type: 'boolean', default: false, describe: 'wait until the change is in force at every vm'})
+	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'longest wait, in milliseconds'})
+	.command('check <file>', 'check an inventory file', command => command.positional('file', {type: 'string', demandOption: true}), flags => {
+		if (readFile(flags.file)) {
+			print(`${flags.file}: valid`);
+		}
+	})
+	.command('diff <file>', 'show what applying a file would change', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
+		const inventory = readFile(flags.file);
+		await using store = openStore(flags.platform);
+		const current = await readConfiguration(store);
+		if (inventory && current.ok) {
+			const before = current.val.document?.inventory;
+			print(compareInventories(before, keepKeys(inventory, before)).map(difference => formatDifference(difference)).join('\n') || 'no difference');
+		} else if (current.err) {
+			stop(current.val.message, EXIT_REFUSED);
+		}
+	})
+	.command('apply <file>', 'put an inventory in force', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
+		const inventory = readFile(flags.file);
+		if (inventory) {
+			await changeTo(flags, current => keepKeys(inventory, current));
+		}
+	})
+	.command('key <action> <name>', 'issue or withdraw a key', command => command
+		.positional('action', {choices: ['issue', 'withdraw'] as const, demandOption: true})
+		.positional('name', {type: 'string', demandOption: true, describe: 'identifier of the key, which callers give as user'})
+		.option('customer', {type: 'string', describe: 'customer of a new key'}), async flags => {
+		await changeTo(flags, current => {
+			if (!current) {
+				stop('there is no configuration yet', EXIT_REFUSED);
+				return undefined;
+			}
+
+			if (flags.action === 'withdraw') {
+				const withdrawn = withdrawKey(current, flags.name);
+				if (withdrawn.err) {
+					stop(withdrawn.val.message, EXIT_REFUSED);
+				}
+
+				return withdrawn.unwrapOr(undefined);
+			}
+
+			const issued = issueKey(current, flags.customer ?? '', flags.name);
+			if (issued.err) {
+				stop(issued.val.message, EXIT_REFUSED);
+				return undefined;
+			}
+
+			print(`key ${issued.val.keyId}: ${issued.val.secret}`);
+			return issued.val.inventory;
+		});
+	})
+	.command('status', 'show every vm and every database', command => command.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), async flags => {
+		await printStatus(flags);
+	})
+	.command('explain', 'show which rule, route and share a request meets', command => command
+		.option('customer', {type: 'string', demandOption: true})
+		.option('service', {type: 'string', demandOption: true})
+		.option('statement', {type: 'string', demandOption: true}), async flags => {
+		await explain(flags);
+	})
+	.fail((message: string, error: unknown) => {
+		stop(error instanceof Error ? error.message : message, EXIT_SETTING);
+	})
+	.exitProcess(false)
+	.parse();
--- /dev/null
+++ b/packages/proxy/src/entry.ts
@@ -0,0 +1,319 @@
+/** The entry of a request: key, share, route, and retries while it has certainly not run. */
+
+import {
+	createDeadline, createStreamPair, Err, getRemainingMs, isPast, Ok, parseId,
+	type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Scope, type ServiceId, type Stream, type World,
+} from '@guavapitch/core';
+import {serveRequest, type HomeContext} from '@guavapitch/back-postgres';
+import type {GroupView} from '@guavapitch/failover';
+import type {
+	Caller, CallerContext, RequestFailure, RunningRequest,
+} from '@guavapitch/front-postgres';
+import type {Service} from '@guavapitch/inventory';
+import type {Allowances} from '@guavapitch/limits';
+import type {Peers} from '@guavapitch/peer-protocol';
+import {
+	chooseMode, chooseRoute, getCustomer, getService, waitBeforeRetry, type Attempt, type RetryBudget, type Route, type RoutingView,
+} from '@guavapitch/routing';
+import type {
+	Refusal, Reply, RequestChunk, RequestHeader, RequestMode, StatementClass,
+} from '@guavapitch/sessions';
+import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
+import type {Fleet} from './fleet.js';
+
+/** What the entry needs. */
+export type EntryContext = Readonly<{
+	world: World;
+	vm: string;
+	fleet: Fleet;
+	peers: Peers;
+	allowances: Allowances;
+	home: HomeContext;
+	budget: RetryBudget;
+	/** Owner of the tasks that serve requests whose home is this process. */
+	scope: Scope;
+	emit: Emit;
+	metrics: Metrics;
+	getGroup: (database: DatabaseId) => GroupView | undefined;
+	cancelRequest: (requestId: string) => void;
+	isDraining: () => boolean;
+}>;
+
+type Target = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
+
+/** A caller's chunk on its way to a home. */
+type Turn = Readonly<{caller: Caller; target: Target; chunk: RequestChunk; signal: AbortSignal}>;
+
+type RequestStream = Stream<RequestChunk, Reply>;
+
+/** Weight of callers of services open to all. */
+const OPEN_WEIGHT = 1;
+const OPEN_CUSTOMER = parseId<CustomerId>('open');
+const MOST_ATTEMPTS = 400;
+
+const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
+
+/** Creates what the callers' tasks ask of the entry. */
+export const createEntry = (context: EntryContext): CallerContext => {
+	const {world, fleet, emit, metrics} = context;
+	const pending = new Map<InstanceId, number>();
+
+	const getView = (): RoutingView | undefined => {
+		const inventory = fleet.inForce.getInventory();
+		return inventory && {
+			inventory,
+			getGroup: context.getGroup,
+			getHomes: fleet.getHomes,
+			isLeaving: instance => fleet.findInstance(instance)?.instance.leaving ?? true,
+			getPending: instance => pending.get(instance) ?? 0,
+			random: world.random,
+		};
+	};
+
+	const checkKey = (caller: Caller): Result<undefined, Refusal> => {
+		if (caller.keyId === undefined || caller.customer === undefined) {
+			return Ok(undefined);
+		}
+
+		const checked = fleet.inForce.checkKey(caller.keyId, caller.customer);
+		if (checked.err) {
+			return Err(createRefusal(checked.val, checked.val === 'keyWithdrawn' ? 'The key has been withdrawn' : 'The key cannot be confirmed: the configuration may be out of date', 1000));
+		}
+
+		const customer = fleet.inForce.getInventory()?.customers[caller.customer];
+		return customer?.services.includes(caller.service) ? Ok(undefined) : Err(createRefusal('keyWithdrawn', 'The customer may no longer use this service'));
+	};
+
+	const spendShare = async (caller: Caller, deadline: Deadline, signal: AbortSignal): Promise<Result<undefined, Refusal>> => {
+		if (!caller.customer) {
+			return Ok(undefined);
+		}
+
+		const spent = await context.allowances.spend(caller.customer, deadline, signal);
+		if (spent.err) {
+			const {code, message, retryAfterMs} = spent.val;
+			return Err(createRefusal(code === 'aborted' ? 'canceled' : 'limitExceeded', message, retryAfterMs));
+		}
+
+		return Ok(undefined);
+	};
+
+	const createTarget = (caller: Caller): Result<Target, Refusal> => {
+		const inventory = fleet.inForce.getInventory();
+		const service = inventory && getService(inventory, caller.service);
+		if (!inventory || !service) {
+			return Err(createRefusal('noRoute', `There is no service ${caller.service}`));
+		}
+
+		return Ok({
+			service,
+			database: parseId<DatabaseId>(service.database),
+			customer: caller.customer,
+			requestId: parseId<RequestId>(world.createId()),
+			deadline: createDeadline(world.now(), service.requestTimeoutMs),
+			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_WEIGHT : OPEN_WEIGHT,
+		});
+	};
+
+	const createHeader = (caller: Caller, target: Target, route: Route): RequestHeader => ({
+		requestId: target.requestId,
+		service: caller.service,
+		database: target.database,
+		instance: route.instance,
+		customer: target.customer ?? OPEN_CUSTOMER,
+		weight: target.weight,
+		mode: route.mode,
+		maximumAgeMs: target.service.staleReadsMs ?? 0,
+		remainingMs: getRemainingMs(target.deadline, world.now()),
+		idleTransactionMs: target.service.idleTransactionMs,
+	});
+
+	const openStream = async (route: Route, header: RequestHeader): Promise<Result<RequestStream, Refusal>> => {
+		if (route.home === context.vm) {
+			const [near, far] = createStreamPair<RequestChunk, Reply>();
+			context.scope.run(async () => {
+				await using own = far;
+				await serveRequest(context.home, header, own);
+				own.finish();
+			});
+			return Ok(near);
+		}
+
+		const member = fleet.members.get(route.home);
+		const opened = member
+			? await context.peers.openStream({host: member.host, port: member.port}, 'request', header)
+			: Err({code: 'peerUnreachable' as const, message: 'unknown vm'});
+		if (opened.err) {
+			fleet.members.noteSilence(route.home);
+			return Err(createRefusal('peerUnreachable', `The home ${route.home} cannot be reached`));
+		}
+
+		return Ok(opened.val as RequestStream);
+	};
+
+	const addPending = (instance: InstanceId, by: number) => {
+		pending.set(instance, (pending.get(instance) ?? 0) + by);
+	};
+
+	const createRunning = (target: Target, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
+		requestId: target.requestId,
+		mode: route.mode,
+		first,
+		stream,
+		async [Symbol.asyncDispose]() {
+			addPending(route.instance, -1);
+			await stream[Symbol.asyncDispose]();
+		},
+	});
+
+	/** One try at a route. */
+	type Tried
+		= | Readonly<{kind: 'running'; running: RunningRequest}>
+			| Readonly<{kind: 'refused'; refusal: Refusal}>
+			| Readonly<{kind: 'readOnly'}>
+			| Readonly<{kind: 'lost'}>;
+
+	const tryRoute = async ({caller, target, chunk, signal}: Turn, route: Route): Promise<Tried> => {
+		const opened = await openStream(route, createHeader(caller, target, route));
+		if (opened.err) {
+			return {kind: 'refused', refusal: opened.val};
+		}
+
+		const stream = opened.val;
+		const leave = () => {
+			void stream[Symbol.asyncDispose]();
+		};
+
+		addPending(route.instance, 1);
+		signal.addEventListener('abort', leave, {once: true});
+		await stream.send(chunk);
+		const first = await stream.receive();
+		signal.removeEventListener('abort', leave);
+		if (first && first.kind !== 'refused' && first.kind !== 'readOnly') {
+			return {kind: 'running', running: createRunning(target, route, stream, first)};
+		}
+
+		addPending(route.instance, -1);
+		await stream[Symbol.asyncDispose]();
+		if (!first) {
+			return {kind: 'lost'};
+		}
+
+		return first.kind === 'refused' ? {kind: 'refused', refusal: first.refusal} : {kind: 'readOnly'};
+	};
+
+	const isFinal = (refusal: Refusal): boolean => refusal.code === 'queueFull' || refusal.code === 'deadlinePassed' || refusal.code === 'limitExceeded';
+
+	const fail = (target: Target, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: target.requestId, failure});
+
+	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
+		const {caller, target, signal} = turn;
+		let mode = wanted;
+		let tried: readonly Attempt[] = [];
+		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
+		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+			if (signal.aborted) {
+				return fail(target, createRefusal('canceled', 'The request was canceled before it ran'));
+			}
+
+			const view = getView();
+			const route = view ? chooseRoute(view, target.database, mode, tried) : Err(last);
+			if (route.ok) {
+				const outcome = await tryRoute(turn, route.val);
+				if (outcome.kind === 'running') {
+					metrics.count('entry.requests', {service: caller.service, mode: route.val.mode, wanted});
+					return Ok(outcome.running);
+				}
+
+				if (outcome.kind === 'readOnly') {
+					mode = 'write';
+					continue;
+				}
+
+				if (outcome.kind === 'lost') {
+					if (route.val.mode === 'write') {
+						return fail(target, {code: 'outcomeUnknown', message: 'The vm that ran the request was lost'});
+					}
+
+					last = createRefusal('peerUnreachable', `The home ${route.val.home} was lost`);
+				} else {
+					last = outcome.refusal;
+					if (isFinal(last)) {
+						return fail(target, last);
+					}
+				}
+
+				const isNewRound = route.val.mode === 'write';
+				tried = isNewRound ? [] : [...tried, {instance: route.val.instance, home: route.val.home}];
+				if (!isNewRound) {
+					continue;
+				}
+			} else {
+				last = route.val;
+				tried = [];
+			}
+
+			metrics.count('entry.retries', {reason: last.code});
+			if (!await waitBeforeRetry(attempt, target.deadline, world, signal)) {
+				break;
+			}
+		}
+
+		return fail(target, isPast(target.deadline, world.now()) ? createRefusal('deadlinePassed', `No answer in time: ${last.message}`) : last);
+	};
+
+	return {
+		async startRequest(caller, chunk, statement: StatementClass, signal) {
+			const target = createTarget(caller);
+			const requestId = target.ok ? target.val.requestId : '';
+			if (target.err) {
+				return Err({requestId, failure: target.val});
+			}
+
+			if (statement === 'session' || statement === 'copy') {
+				return fail(target.val, createRefusal('unsupported', statement === 'copy'
+					? 'COPY is not supported'
+					: 'State that outlives a transaction is not kept; use SET LOCAL, or parameters at connect'));
+			}
+
+			const key = checkKey(caller);
+			if (key.err) {
+				return fail(target.val, key.val);
+			}
+
+			const spent = await spendShare(caller, target.val.deadline, signal);
+			if (spent.err) {
+				return fail(target.val, spent.val);
+			}
+
+			const turn: Turn = {
+				caller, target: target.val, chunk, signal,
+			};
+			return runRequest(turn, chooseMode(statement, target.val.service.staleReadsMs));
+		},
+		async continueRequest(caller, signal) {
+			const requestId = world.createId();
+			const key = checkKey(caller);
+			const spent = key.err ? key : await spendShare(caller, createDeadline(world.now(), Number.POSITIVE_INFINITY), signal);
+			return spent.mapErr(failure => ({requestId, failure}));
+		},
+		cancelRequest: context.cancelRequest,
+		getClosing(caller) {
+			if (context.isDraining()) {
+				return createRefusal('draining', 'The proxy is leaving; connect again');
+			}
+
+			const key = checkKey(caller);
+			return key.err && key.val.code === 'keyWithdrawn' ? key.val : undefined;
+		},
+		onOutcome(caller, requestId, outcome, detail) {
+			metrics.count(`entry.${outcome}`, {service: caller.service, ...(caller.customer ? {customer: caller.customer} : {}), ...(outcome === 'refused' ? {reason: detail} : {})});
+			if (outcome !== 'done') {
+				emit(outcome === 'refused' ? EVENTS.requestRefused : EVENTS.requestUnknown, {
+					request: requestId, service: caller.service, customer: caller.customer, reason: detail,
+				});
+			}
+		},
+	};
+};
+
--- /dev/null
+++ b/packages/proxy/src/fleet.ts
@@ -0,0 +1,142 @@
+/** What this process knows of the fleet, and how it reaches its peers. */
+
+import {
+	Err, rankCandidates, type DataCentreId, type Failure, type InstanceId, type Result, type VmId, type World,
+} from '@guavapitch/core';
+import {
+	createFacts, createInForce, type Facts, type InForce,
+} from '@guavapitch/configuration';
+import type {Database, Instance, Inventory} from '@guavapitch/inventory';
+import {
+	createMembers, type Member, type Members, type VmEntry,
+} from '@guavapitch/membership';
+import type {Peers} from '@guavapitch/peer-protocol';
+import type {Candidate} from '@guavapitch/roles';
+import {EVENTS, type Emit} from '@guavapitch/telemetry';
+import type {Settings} from './settings.js';
+
+/** Prefix of the platform's list of vms. */
+export const VM_PREFIX = '/platform/vms/';
+
+/** Relays of each data centre. */
+export const RELAYS = 2;
+
+/** Homes of an instance: the first, and one that takes over when the first is gone. */
+export const HOMES = 2;
+
+/** An instance and the database it belongs to. */
+export type KnownInstance = Readonly<{databaseName: string; database: Database; instance: Instance}>;
+
+/** View of the fleet. */
+export type Fleet = Readonly<{
+	members: Members;
+	facts: Facts;
+	inForce: InForce;
+	/** Gets the homes of an instance, best first. */
+	getHomes: (instance: InstanceId) => readonly VmId[];
+	/** Ranks the live vms for a role, best first. */
+	rankLive: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
+	/** Finds an instance in the inventory. */
+	findInstance: (instance: InstanceId) => KnownInstance | undefined;
+	/** Gets every instance of the inventory. */
+	listInstances: () => readonly KnownInstance[];
+	isRelay: () => boolean;
+	/** Gets the relays to ask: of this data centre, then of the others. */
+	getRelays: () => readonly VmId[];
+}>;
+
+/** What the fleet's view needs. */
+export type FleetContext = Readonly<{
+	world: World;
+	settings: Settings;
+	incarnation: string;
+	emit: Emit;
+	/** Hears that a new inventory is in force. */
+	onInventory: (inventory: Inventory) => void;
+}>;
+
+const listInstances = (inventory: Inventory | undefined): readonly KnownInstance[] => Object.entries(inventory?.databases ?? {})
+	.flatMap(([databaseName, database]) => database.instances.map(instance => ({databaseName, database, instance})));
+
+/** Creates the view. */
+export const createFleet = (context: FleetContext): Fleet => {
+	const {world, settings, emit, incarnation} = context;
+	const self = {
+		vm: settings.vm, dataCentre: settings.dataCentre, host: settings.peerListen.host, port: settings.peerListen.port, state: 'live' as const, incarnation,
+	};
+	const members = createMembers(self, world, (member, before) => {
+		const fields = {member: member.vm, status: member.status, memberIncarnation: member.incarnation};
+		if (member.status === 'suspect') {
+			emit(EVENTS.memberSuspected, fields);
+		} else if (member.status === 'dead') {
+			emit(EVENTS.memberDead, fields);
+		} else if (before !== 'suspect') {
+			emit(EVENTS.memberJoined, fields);
+		}
+	});
+	const facts = createFacts(world);
+	let known: ReadonlyMap<string, KnownInstance> = new Map();
+	const inForce = createInForce(facts, world, {
+		onApplied(revision, inventory) {
+			known = new Map(listInstances(inventory).map(one => [one.instance.name, one]));
+			emit(EVENTS.configurationApplied, {revision});
+			context.onInventory(inventory);
+		},
+		onRejected(revision, failure) {
+			emit(EVENTS.configurationRejected, {revision, reason: failure.code});
+		},
+	});
+
+	facts.subscribe(keys => {
+		const entries = keys.filter(key => key.startsWith(VM_PREFIX)).map(key => facts.get(key)).filter(entry => entry !== undefined);
+		members.setList(entries.map(entry => JSON.parse(entry.value) as VmEntry));
+	});
+
+	const getNames = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
+
+	const rankVms = (key: string, dataCentre?: DataCentreId): readonly VmId[] => {
+		const live = getNames(members.getLive(dataCentre));
+		return rankCandidates(key, live);
+	};
+
+	const getHomes = (instance: InstanceId): readonly VmId[] => {
+		const place = known.get(instance)?.instance.dataCentre as DataCentreId | undefined;
+		const near = rankVms(`home/${instance}`, place);
+		const ranked = near.length > 0 ? near : rankVms(`home/${instance}`);
+		return ranked.slice(0, HOMES);
+	};
+
+	const getPlaces = (): readonly DataCentreId[] => [...new Set(members.getAll().map(member => member.dataCentre))];
+
+	return {
+		members,
+		facts,
+		inForce,
+		getHomes,
+		rankLive: (key, dataCentre) => rankVms(key, dataCentre).map(vm => ({vm, incarnation: members.get(vm)?.incarnation ?? ''})),
+		findInstance: instance => known.get(instance),
+		listInstances: () => [...known.values()],
+		isRelay: () => rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS).includes(settings.vm),
+		getRelays() {
+			const own = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS);
+			const others = getPlaces()
+				.filter(place => place !== settings.dataCentre)
+				.flatMap(place => rankVms(`relay/${place}`, place).slice(0, RELAYS));
+			return [...own, ...others].filter(vm => vm !== settings.vm);
+		},
+	};
+};
+
+/** Calls a vm by its name. */
+export type CallVm = <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<Reply, Failure>>;
+
+/** Creates calls by name over the connections to the peers. */
+export const createCallVm = (members: Members, peers: Peers): CallVm => async <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<Reply, Failure>> => {
+	const member = members.get(vm);
+	if (!member) {
+		return Err({code: 'peerUnreachable', message: `The vm ${vm} is not in the platform's list`});
+	}
+
+	const reply = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
+	return reply.map(body_ => body_ as Reply);
+};
--- /dev/null
+++ b/packages/proxy/src/handlers.ts
@@ -0,0 +1,100 @@
+/** What this process answers to its peers. */
+
+import type {
+	DatabaseId, Scope, Stream, VmId, World,
+} from '@guavapitch/core';
+import {serveRequest, type HomeContext, type HomeStream} from '@guavapitch/back-postgres';
+import type {RelayService, SyncRequest} from '@guavapitch/configuration';
+import type {GrantBook, Holder, Permissions} from '@guavapitch/failover';
+import type {AllotmentRequest} from '@guavapitch/limits';
+import type {Ping, Pong} from '@guavapitch/membership';
+import type {PeerHandlers} from '@guavapitch/peer-protocol';
+import type {PromiseBook, PromiseRequest} from '@guavapitch/roles';
+import type {RequestHeader} from '@guavapitch/sessions';
+import type {CallVm, Fleet} from './fleet.js';
+import type {Keepers} from './keepers.js';
+import type {Stewards} from './stewards.js';
+
+/** What the handlers need. */
+export type HandlersContext = Readonly<{
+	world: World;
+	incarnation: string;
+	scope: Scope;
+	fleet: Fleet;
+	callVm: CallVm;
+	relay: RelayService;
+	stewards: Stewards;
+	keepers: Keepers;
+	book: GrantBook;
+	promises: PromiseBook;
+	home: HomeContext;
+	/** Gets the epoch of a slot as far as it is known here. */
+	getEpoch: (slot: string) => number;
+	/** Tells whether this process reached the store lately. */
+	isStoreReached: () => boolean;
+	cancelHere: (requestId: string) => void;
+	cancelCaller: (processId: number, secret: number) => void;
+	getStatus: () => unknown;
+	explain: (question: unknown) => unknown;
+}>;
+
+const THROUGH_TIMEOUT_MS = 250;
+
+/** Creates the handlers. */
+export const createHandlers = (context: HandlersContext): PeerHandlers => {
+	const {fleet} = context;
+
+	const answerPing = async (ping: Ping): Promise<Pong> => {
+		fleet.members.accept(ping.news);
+		if (ping.through) {
+			const answer = await context.callVm<Pong>(ping.through, 'ping', {news: []}, THROUGH_TIMEOUT_MS);
+			return answer.unwrap();
+		}
+
+		return {incarnation: context.incarnation, news: fleet.members.chooseNews()};
+	};
+
+	return {
+		calls: {
+			async ping(body, from) {
+				fleet.members.noteAnswer(from.vm as VmId, from.incarnation);
+				return answerPing(body as Ping);
+			},
+			sync: async body => context.relay.sync(body as SyncRequest),
+			async grant(body) {
+				const {database, holder} = body as Readonly<{database: DatabaseId; holder: Holder}>;
+				return context.stewards.grant(database, holder) ?? null;
+			},
+			async revoke(body) {
+				const {database, permissions, incarnation} = body as Readonly<{database: DatabaseId; permissions: Permissions; incarnation: string}>;
+				if (incarnation === context.incarnation) {
+					context.book.revoke(database, permissions);
+				}
+
+				return true;
+			},
+			allot: async body => context.keepers.allot(body as AllotmentRequest) ?? null,
+			async promise(body) {
+				const request = body as PromiseRequest;
+				return context.promises.give(request, context.getEpoch(request.slot));
+			},
+			vouch: async () => context.isStoreReached(),
+			async cancel(body) {
+				context.cancelHere(body as string);
+				return true;
+			},
+			async cancelCaller(body) {
+				const {processId, secret} = body as Readonly<{processId: number; secret: number}>;
+				context.cancelCaller(processId, secret);
+				return true;
+			},
+			status: async () => context.getStatus(),
+			explain: async body => context.explain(body),
+		},
+		streams: {
+			async request(header, stream: Stream<unknown, unknown>) {
+				await serveRequest(context.home, header as RequestHeader, stream as HomeStream);
+			},
+		},
+	};
+};
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './settings.js';
+export * from './process.js';
+export type * from './explain.js';
--- /dev/null
+++ b/packages/proxy/src/main.ts
@@ -0,0 +1,34 @@
+#!/usr/bin/env node
+/** Program `guavapitch-proxy`. */
+
+import process from 'node:process';
+import {createWorld} from '@guavapitch/core';
+import {startProxy} from './process.js';
+import {parseSettings} from './settings.js';
+
+const EXIT_SETTING = 2;
+const EXIT_ADDRESS = 3;
+const SKIP_NODE_AND_SCRIPT = 2;
+
+const argv = process.argv.slice(SKIP_NODE_AND_SCRIPT);
+const asksForText = argv.includes('--help') || argv.includes('--version');
+const settings = await parseSettings(asksForText ? [...argv, '--vm', 'none', '--data-centre', 'none'] : argv);
+if (asksForText) {
+	process.exitCode = 0;
+} else if (settings.err) {
+	process.stderr.write(`guavapitch-proxy: ${settings.val.message}\n`);
+	process.exitCode = EXIT_SETTING;
+} else {
+	const proxy = await startProxy(settings.val, createWorld());
+	if (proxy.err) {
+		process.stderr.write(`guavapitch-proxy: ${proxy.val.message}\n`);
+		process.exitCode = EXIT_ADDRESS;
+	} else {
+		const stop = () => {
+			void proxy.val.stop();
+		};
+
+		process.once('SIGTERM', stop);
+		process.once('SIGINT', stop);
+	}
+}
--- /dev/null
+++ b/packages/proxy/src/process.ts
@@ -0,0 +1,368 @@
+/** One proxy from start to stop: wires the parts and owns their tasks. */
+
+import {
+	computeHash, createScope, Err, getMessage, Ok, parseId,
+	type DatabaseId, type Failure, type RequestId, type Result, type VmId, type World,
+} from '@guavapitch/core';
+import type {HomeContext} from '@guavapitch/back-postgres';
+import {
+	createRelayService, runFreshness, runWatches, type FreshnessContext, type SyncReply,
+} from '@guavapitch/configuration';
+import {GROUP_PREFIX, parseRecord, type GroupView} from '@guavapitch/failover';
+import {createAllowances} from '@guavapitch/limits';
+import {runPinger, type Pong} from '@guavapitch/membership';
+import {
+	createDial, createPeers, startPeerListener, type PeerContext, type PeerHandlers,
+} from '@guavapitch/peer-protocol';
+import {openEtcdStore} from '@guavapitch/platform';
+import {
+	createProcessLease, createPromiseBook, formatSlot, parseSlotRecord, ROLE_PREFIX, runSlot, type RoleName, type SlotContext,
+} from '@guavapitch/roles';
+import {createRetryBudget} from '@guavapitch/routing';
+import {
+	createCausalClock, createEmit, EVENTS, openLog, openMetrics,
+} from '@guavapitch/telemetry';
+import {
+	computeVmNumber, findVmByNumber, startCallers, type Callers,
+} from './callers.js';
+import {createEntry} from './entry.js';
+import {createExplain} from './explain.js';
+import {createCallVm, createFleet} from './fleet.js';
+import {createHandlers} from './handlers.js';
+import {createHomes} from './homes.js';
+import {createKeepers} from './keepers.js';
+import {VERSION, type Settings} from './settings.js';
+import {createStewards} from './stewards.js';
+
+/** A running proxy. */
+export type Proxy = Readonly<{
+	callers: Callers;
+	/** Leaves: finishes what is under way and stops. */
+	stop: () => Promise<void>;
+}>;
+
+/** Failure of a start. */
+export type StartFailure = Failure<'addressUnusable'>;
+
+const STORE_TIMEOUT_MS = 1000;
+const PEER_TIMEOUT_MS = 300;
+const SYNC_TIMEOUT_MS = 1500;
+const SWEEP_MS = 100;
+const INCARNATION_BYTES = 8;
+const STORE_SILENCE_MS = 2000;
+
+/** Starts a proxy. */
+export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
+	const incarnation = world.createId().slice(0, INCARNATION_BYTES);
+	const clock = createCausalClock(world.readWallClock);
+	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, openLog(settings.logFile));
+	const metrics = openMetrics(settings.statsd);
+	const onFailure = (task: string) => (thrown: unknown) => {
+		emit(EVENTS.taskFailed, {task, reason: thrown instanceof Error ? thrown.stack : String(thrown)});
+	};
+
+	const control = createScope(onFailure('control'));
+	const roles = createScope(onFailure('role'));
+	const requests = createScope(onFailure('request'));
+	const store = openEtcdStore({
+		address: settings.platform,
+		callTimeoutMs: STORE_TIMEOUT_MS,
+		onCall(method) {
+			metrics.count('store.calls', {method});
+		},
+	}, world);
+	let callers: Callers | undefined;
+	let draining = false;
+	let storeReachedAt = world.now();
+	let storeReached = true;
+
+	const fleet = createFleet({
+		world, settings, incarnation, emit,
+		onInventory() {
+			callers?.closeIdle();
+		},
+	});
+	const {facts, inForce, members} = fleet;
+
+	// The handlers need parts that need the peers; calls are only answered once all are made.
+	let handlers: PeerHandlers = {calls: {}, streams: {}};
+	const peerContext: PeerContext = {
+		world,
+		identity: {vm: settings.vm, incarnation},
+		get handlers() {
+			return handlers;
+		},
+		readTime: clock.read,
+		witnessTime: clock.witness,
+		onMalformed(failure) {
+			emit(EVENTS.frameRefused, {reason: failure.code});
+			metrics.count('peer.malformed');
+		},
+		onBytes(direction, bytes) {
+			metrics.count('peer.bytes', {direction}, bytes);
+		},
+	};
+	const peers = createPeers(peerContext, createDial(settings.peerTls));
+	const callVm = createCallVm(members, peers);
+
+	const groups = new Map<DatabaseId, GroupView>();
+	const acceptView = (view: GroupView) => {
+		const known = groups.get(view.record.database);
+		if (!known || known.revision < view.revision) {
+			groups.set(view.record.database, view);
+		}
+	};
+
+	facts.subscribe(keys => {
+		for (const key of keys.filter(one => one.startsWith(GROUP_PREFIX))) {
+			const entry = facts.get(key);
+			const record = entry ? parseRecord(entry.value) : undefined;
+			if (entry && record?.ok) {
+				acceptView({record: record.val, revision: entry.revision});
+			}
+		}
+	});
+
+	const homes = createHomes({
+		world, vm: settings.vm, incarnation, fleet, callVm, emit, metrics, onView: acceptView,
+	});
+	const cancels = new Map<RequestId, () => void>();
+	const home: HomeContext = {
+		world,
+		getInstance: homes.get,
+		checkGrant(header) {
+			const {book} = homes;
+			const checked = header.mode === 'write'
+				? book.checkWrite(header.database, header.instance)
+				: (header.mode === 'read' ? book.checkRead(header.database, header.instance) : book.checkAge(header.database, header.instance, header.maximumAgeMs));
+			return checked.map(record => record.term);
+		},
+		async waitUntilDurable(answer) {
+			const acknowledge = inForce.getInventory()?.databases[answer.database]?.acknowledge;
+			return homes.waitUntilDurable({...answer, replicated: acknowledge !== 'primary'});
+		},
+		onServed(customer, mode, usedMs) {
+			metrics.count('home.requests', {customer, mode});
+			metrics.time('home.request', usedMs, {customer});
+		},
+		keepCancel(requestId, cancel) {
+			cancels.set(requestId, cancel);
+			return {
+				[Symbol.dispose]() {
+					cancels.delete(requestId);
+				},
+			};
+		},
+		isDraining: () => false,
+	};
+
+	const stewards = createStewards({
+		world, vm: settings.vm, fleet, store, callVm, emit, onView: acceptView,
+	});
+	const keepers = createKeepers(world, fleet, callVm);
+	const lease = createProcessLease(store, world);
+	const promises = createPromiseBook(incarnation, world);
+	const relay = createRelayService(facts, incarnation, world);
+
+	const cancelHere = (requestId: string) => {
+		cancels.get(parseId<RequestId>(requestId))?.();
+	};
+
+	const cancelRequest = (requestId: string) => {
+		cancelHere(requestId);
+		for (const member of members.getLive()) {
+			if (member.vm !== settings.vm) {
+				void callVm(member.vm, 'cancel', requestId, PEER_TIMEOUT_MS);
+			}
+		}
+	};
+
+	const numberOf = (vm: string) => computeVmNumber(computeHash(vm));
+	const forwardCancel = (vmNumber: number, processId: number, secret: number) => {
+		const target = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, numberOf);
+		if (target) {
+			void callVm(target, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
+		}
+	};
+
+	const entry = createEntry({
+		world,
+		vm: settings.vm,
+		fleet,
+		peers,
+		allowances: createAllowances(keepers.ask, world),
+		home,
+		budget: createRetryBudget(),
+		scope: requests,
+		emit,
+		metrics,
+		getGroup: database => groups.get(database),
+		cancelRequest,
+		isDraining: () => draining,
+	});
+
+	handlers = createHandlers({
+		world, incarnation, scope: requests, fleet, callVm, relay, stewards, keepers, book: homes.book, promises, home,
+		getEpoch(slot) {
+			const known = facts.get(`${ROLE_PREFIX}${slot}`);
+			return known ? parseSlotRecord(known.value).map(record => record.epoch).unwrapOr(0) : 0;
+		},
+		isStoreReached: () => storeReached && world.now() - storeReachedAt < STORE_SILENCE_MS,
+		cancelHere,
+		cancelCaller(processId, secret) {
+			callers?.cancel(processId, secret);
+		},
+		getStatus: () => ({
+			vm: settings.vm,
+			dataCentre: settings.dataCentre,
+			incarnation,
+			version: VERSION,
+			revision: inForce.getRevision(),
+			confirmedAgeMs: Math.round(world.now() - inForce.getConfirmedAt()),
+			draining,
+			members: members.getAll().map(({vm, status, state}) => ({vm, status, state})),
+			groups: [...groups.values()],
+			homes: homes.getState(),
+			reports: relay.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(world.now() - at)})),
+			metrics: metrics.snapshot(),
+		}),
+		explain: createExplain({fleet, getGroup: database => groups.get(database), random: world.random}),
+	});
+
+	const freshness: FreshnessContext = {
+		world,
+		facts,
+		store,
+		vm: settings.vm,
+		isRelay: () => fleet.isRelay(),
+		getRelays: () => fleet.getRelays(),
+		ask: async (vm, request) => callVm<SyncReply>(vm, 'sync', request, SYNC_TIMEOUT_MS),
+		async isStoreDownForAll() {
+			const places = new Set(inForce.getInventory()?.dataCentres);
+			const others = fleet.getRelays();
+			const answers = await Promise.all(others.map(async vm => ({
+				place: members.get(vm)?.dataCentre, answer: await callVm<boolean>(vm, 'vouch', null, PEER_TIMEOUT_MS),
+			})));
+			if (answers.some(({answer}) => answer.ok && answer.val)) {
+				return false;
+			}
+
+			const vouching = new Set<string | undefined>(answers.filter(({answer}) => answer.ok).map(({place}) => place));
+			vouching.add(settings.dataCentre);
+			return [...places].every(place => vouching.has(place));
+		},
+		getInForce: inForce.getRevision,
+		onStore(reachable) {
+			if (reachable) {
+				storeReachedAt = world.now();
+			}
+
+			if (reachable !== storeReached) {
+				storeReached = reachable;
+				emit(reachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
+			}
+		},
+	};
+
+	const createSlotContext = (role: RoleName, slot: string): SlotContext => ({
+		world,
+		store,
+		lease,
+		promises,
+		self: {vm: settings.vm, incarnation},
+		slot,
+		rank: () => draining ? [] : fleet.rankLive(`role/${slot}`),
+		askPromise: async (candidate, request) => callVm<boolean>(candidate.vm, 'promise', request, PEER_TIMEOUT_MS),
+		isSurelyGone(candidate) {
+			const member = members.get(candidate.vm);
+			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
+		},
+		act: role === 'steward' ? stewards.act : keepers.act,
+		onGained(name, epoch) {
+			emit(EVENTS.roleGained, {slot: name, epoch});
+		},
+		onLost(name, epoch) {
+			emit(EVENTS.roleLost, {slot: name, epoch});
+		},
+		onExtended(name, by) {
+			emit(EVENTS.roleExtended, {slot: name, by});
+		},
+	});
+
+	/** Starts a contender for each slot once the inventory says how many there are. */
+	const runRoles = async (signal: AbortSignal) => {
+		const started = new Set<string>();
+		while (!signal.aborted) {
+			const counts = inForce.getInventory()?.fleet;
+			const slots: ReadonlyArray<readonly [RoleName, number]> = [['steward', counts?.stewardSlots ?? 0], ['keeper', counts?.keeperSlots ?? 0]];
+			for (const [role, count] of slots) {
+				for (let number = 0; number < count; number++) {
+					const slot = formatSlot(role, number);
+					if (!started.has(slot)) {
+						started.add(slot);
+						roles.run(async own => runSlot(createSlotContext(role, slot), own));
+					}
+				}
+			}
+
+			await world.sleep(SWEEP_MS, signal);
+		}
+	};
+
+	const runSweep = async (signal: AbortSignal) => {
+		while (!signal.aborted) {
+			callers?.closeIdle();
+			metrics.gauge('entry.confirmedAgeMs', world.now() - inForce.getConfirmedAt());
+			await world.sleep(SWEEP_MS, signal);
+		}
+	};
+
+	try {
+		const listener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
+		callers = await startCallers({
+			settings, fleet, entry, emit, metrics, vmNumber: numberOf(settings.vm), forwardCancel,
+		});
+		emit(EVENTS.processStarted, {
+			version: VERSION, dataCentre: settings.dataCentre, listen: `${callers.address.host}:${callers.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
+		});
+		control.run(async signal => runFreshness(freshness, signal));
+		control.run(async signal => runWatches(freshness, signal));
+		control.run(async signal => runPinger({
+			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<Pong>(vm, 'ping', ping, timeoutMs),
+		}, signal));
+		control.run(runRoles);
+		control.run(homes.runGrants);
+		control.run(homes.runMoves);
+		control.run(runSweep);
+		const open = callers;
+		return Ok({
+			callers: open,
+			async stop() {
+				draining = true;
+				emit(EVENTS.processDraining);
+				members.leave();
+				const patience = new AbortController();
+				const timer = setTimeout(() => {
+					patience.abort();
+				}, settings.drainMs);
+				await roles[Symbol.asyncDispose]();
+				await lease.revoke();
+				await open.drain(patience.signal);
+				clearTimeout(timer);
+				await open[Symbol.asyncDispose]();
+				await control[Symbol.asyncDispose]();
+				await requests[Symbol.asyncDispose]();
+				await homes[Symbol.asyncDispose]();
+				await stewards[Symbol.asyncDispose]();
+				await peers[Symbol.asyncDispose]();
+				await listener[Symbol.asyncDispose]();
+				await store[Symbol.asyncDispose]();
+				emit(EVENTS.processStopped);
+				await metrics[Symbol.asyncDispose]();
+			},
+		});
+	} catch (error) {
+		return Err({code: 'addressUnusable', message: getMessage(error)});
+	}
+};
+
--- /dev/null
+++ b/packages/proxy/src/settings.ts
@@ -0,0 +1,143 @@
+/** Settings of the proxy, from flags and environment variables. */
+
+import {readFileSync} from 'node:fs';
+import yargs from 'yargs';
+import {
+	Err, getMessage, Ok, parseId, type DataCentreId, type Failure, type Result, type VmId,
+} from '@guavapitch/core';
+import type {Address, PeerTls} from '@guavapitch/peer-protocol';
+
+/** Settings of the proxy. */
+export type Settings = Readonly<{
+	vm: VmId;
+	dataCentre: DataCentreId;
+	/** Where callers connect. */
+	listen: Address;
+	/** Where peers connect. */
+	peerListen: Address;
+	/** Key-value service of the platform. */
+	platform: string;
+	logFile: string | undefined;
+	statsd: Address | undefined;
+	/** Time for requests to finish after SIGTERM, in milliseconds. */
+	drainMs: number;
+	/** Certificate and key for callers, in PEM. */
+	callerTls: Readonly<{cert: string; key: string}> | undefined;
+	peerTls: PeerTls | undefined;
+}>;
+
+/** Failure of a setting. */
+export type SettingsFailure = Failure<'settingInvalid'>;
+
+/** Version of the program. */
+export const VERSION = '0.1.0';
+
+const LARGEST_PORT = 65_535;
+const DEFAULT_DRAIN_MS = 10_000;
+const NAME_PATTERN = /^[a-z][\-a-z\d]{0,62}$/v;
+
+class SettingError extends Error {
+	override readonly name = 'SettingError';
+}
+
+const parseAddress = (flag: string, text: string): Address => {
+	const [host, port] = text.split(':');
+	const number = Number(port);
+	if (!host || !Number.isInteger(number) || number < 0 || number > LARGEST_PORT) {
+		throw new SettingError(`--${flag}: expected host:port, got "${text}"`);
+	}
+
+	return {host, port: number};
+};
+
+const parseName = <Id extends string>(flag: string, text: string): Id => {
+	if (!NAME_PATTERN.test(text)) {
+		throw new SettingError(`--${flag}: expected a name of lower-case letters, digits and hyphens, got "${text}"`);
+	}
+
+	return parseId<Id>(text);
+};
+
+const parseMs = (flag: string, value: number): number => {
+	if (!Number.isFinite(value) || value < 0) {
+		throw new SettingError(`--${flag}: expected milliseconds, got "${value}"`);
+	}
+
+	return value;
+};
+
+const readPem = (flag: string, file: string): string => {
+	try {
+		return readFileSync(file, 'utf8');
+	} catch (error) {
+		throw new SettingError(`--${flag}: cannot read "${file}": ${getMessage(error)}`);
+	}
+};
+
+const readTriple = (files: Readonly<{cert?: string; key?: string; ca?: string}>): PeerTls | undefined => {
+	if (!files.cert && !files.key && !files.ca) {
+		return undefined;
+	}
+
+	if (!files.cert || !files.key || !files.ca) {
+		throw new SettingError('--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together');
+	}
+
+	return {cert: readPem('peer-tls-cert', files.cert), key: readPem('peer-tls-key', files.key), ca: readPem('peer-tls-ca', files.ca)};
+};
+
+const readPair = (files: Readonly<{cert?: string; key?: string}>): Readonly<{cert: string; key: string}> | undefined => {
+	if (!files.cert && !files.key) {
+		return undefined;
+	}
+
+	if (!files.cert || !files.key) {
+		throw new SettingError('--tls-cert and --tls-key go together');
+	}
+
+	return {cert: readPem('tls-cert', files.cert), key: readPem('tls-key', files.key)};
+};
+
+/** Parses the settings; flags go before `GUAVAPITCH_*` environment variables. */
+export const parseSettings = async (argv: readonly string[]): Promise<Result<Settings, SettingsFailure>> => {
+	try {
+		const flags = await yargs([...argv])
+			.scriptName('guavapitch-proxy')
+			.usage('$0 --vm NAME --data-centre NAME [options]\n\nExit codes: 0 stopped cleanly, 2 a setting is wrong, 3 an address cannot be used.')
+			.env('GUAVAPITCH')
+			.strict()
+			.version(VERSION)
+			.option('vm', {type: 'string', demandOption: true, describe: 'name of this vm'})
+			.option('data-centre', {type: 'string', demandOption: true, describe: 'data centre of this vm'})
+			.option('listen', {type: 'string', default: '127.0.0.1:6432', describe: 'address for callers, host:port'})
+			.option('peer-listen', {type: 'string', default: '127.0.0.1:6433', describe: 'address for peers, host:port'})
+			.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
+			.option('log-file', {type: 'string', describe: 'file for the numbered events; standard error if absent'})
+			.option('statsd', {type: 'string', describe: 'address for metrics, host:port'})
+			.option('drain-ms', {type: 'number', default: DEFAULT_DRAIN_MS, describe: 'time for requests to finish after SIGTERM, in milliseconds'})
+			.option('tls-cert', {type: 'string', describe: 'certificate for callers, PEM file'})
+			.option('tls-key', {type: 'string', describe: 'key for callers, PEM file'})
+			.option('peer-tls-cert', {type: 'string', describe: 'certificate for peers, PEM file'})
+			.option('peer-tls-key', {type: 'string', describe: 'key for peers, PEM file'})
+			.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of peers, PEM file'})
+			.exitProcess(false)
+			.fail((message: string, error: unknown) => {
+				throw error instanceof Error ? error : new SettingError(message);
+			})
+			.parse();
+		return Ok({
+			vm: parseName<VmId>('vm', flags.vm),
+			dataCentre: parseName<DataCentreId>('data-centre', flags.dataCentre),
+			listen: parseAddress('listen', flags.listen),
+			peerListen: parseAddress('peer-listen', flags.peerListen),
+			platform: `${parseAddress('platform', flags.platform).host}:${parseAddress('platform', flags.platform).port}`,
+			logFile: flags.logFile,
+			statsd: flags.statsd ? parseAddress('statsd', flags.statsd) : undefined,
+			drainMs: parseMs('drain-ms', flags.drainMs),
+			callerTls: readPair({cert: flags.tlsCert, key: flags.tlsKey}),
+			peerTls: readTriple({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}),
+		});
+	} catch (error) {
+		return Err({code: 'settingInvalid', message: getMessage(error)});
+	}
+};
--- /dev/null
+++ b/packages/proxy/src/stewards.ts
@@ -0,0 +1,177 @@
+/** The stewards that run in this process, one for each database of the slots it holds. */
+
+import {
+	createScope, Err, parseId, type DatabaseId, type InstanceId, type Result, type Failure, type World,
+} from '@guavapitch/core';
+import {
+	askState, commandFollow, commandPromote, commandRejoin, createQuestions, type Questions,
+} from '@guavapitch/back-postgres';
+import {
+	createSteward, type GrantReply, type GroupView, type Holder, type InstanceCommands, type Steward, type StewardedDatabase, type StewardEvent,
+} from '@guavapitch/failover';
+import type {Store} from '@guavapitch/platform';
+import {chooseSlot, type Authority} from '@guavapitch/roles';
+import {EVENTS, type Emit} from '@guavapitch/telemetry';
+import type {CallVm, Fleet, KnownInstance} from './fleet.js';
+import {createInstanceAddress} from './homes.js';
+
+/** Stewards of one process. */
+export type Stewards = AsyncDisposable & Readonly<{
+	/** Works for the databases of a slot until the signal aborts. */
+	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	/** Answers a request for a grant; `undefined` if this process is not the steward. */
+	grant: (database: DatabaseId, holder: Holder) => GrantReply | undefined;
+}>;
+
+/** What the stewards need. */
+export type StewardsContext = Readonly<{
+	world: World;
+	vm: string;
+	fleet: Fleet;
+	store: Store;
+	callVm: CallVm;
+	emit: Emit;
+	onView: (view: GroupView) => void;
+}>;
+
+const REVOKE_TIMEOUT_MS = 300;
+const REFRESH_MS = 250;
+
+const emitEvent = (emit: Emit, database: DatabaseId, event: StewardEvent): void => {
+	switch (event.kind) {
+		case 'started': {
+			emit(EVENTS.failoverStarted, {database, term: event.term, primary: event.primary});
+			break;
+		}
+
+		case 'grantsEnded': {
+			emit(EVENTS.grantsEnded, {database, term: event.term});
+			break;
+		}
+
+		case 'recordChanged': {
+			const {term, primary, synced, joining} = event.record;
+			emit(EVENTS.recordChanged, {
+				database, term, primary, synced, joining, revision: event.revision,
+			});
+			break;
+		}
+
+		case 'promoted': {
+			emit(EVENTS.instancePromoted, {database, term: event.term, primary: event.primary});
+			break;
+		}
+
+		case 'finished': {
+			emit(EVENTS.failoverFinished, {database, term: event.term, primary: event.primary});
+			break;
+		}
+
+		case 'blocked': {
+			emit(EVENTS.failoverBlocked, {database, reason: event.reason});
+			break;
+		}
+
+		case 'rejoined': {
+			emit(EVENTS.instanceRejoined, {database, instance: event.instance, primary: event.primary});
+			break;
+		}
+
+		default: {
+			emit(event.reachable ? EVENTS.instanceReachable : EVENTS.instanceUnreachable, {database, instance: event.instance});
+		}
+	}
+};
+
+/** Creates the stewards of a process. */
+export const createStewards = (context: StewardsContext): Stewards => {
+	const {world, fleet, emit} = context;
+	const running = new Map<DatabaseId, Steward>();
+	const questions = new Map<string, Questions>();
+
+	const withQuestions = async <Answer>(instance: InstanceId, ask: (asked: Questions, known: KnownInstance) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
+		const known = fleet.findInstance(instance);
+		if (!known) {
+			return Err({code: 'unknownInstance', message: `The instance ${instance} is not in the inventory`});
+		}
+
+		const existing = questions.get(known.instance.address);
+		const asked = existing ?? createQuestions(createInstanceAddress(known, context.vm), world);
+		questions.set(known.instance.address, asked);
+		return ask(asked, known);
+	};
+
+	const formatConninfo = (primary: InstanceId | undefined, follower: InstanceId): string => {
+		const known = primary ? fleet.findInstance(primary) : undefined;
+		if (!known) {
+			return '';
+		}
+
+		const address = createInstanceAddress(known, context.vm);
+		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
+	};
+
+	const commands: InstanceCommands = {
+		probe: async instance => withQuestions(instance, askState),
+		promote: async instance => withQuestions(instance, commandPromote),
+		follow: async (instance, primary) => withQuestions(instance, async asked => commandFollow(asked, formatConninfo(primary, instance))),
+		rejoin: async (instance, primary) => withQuestions(instance, async asked => commandRejoin(asked, formatConninfo(primary, instance))),
+	};
+
+	const getSettings = (database: DatabaseId): StewardedDatabase | undefined => {
+		const known = fleet.inForce.getInventory()?.databases[database];
+		return known && {
+			database,
+			minimumSynced: known.minimumSynced,
+			instances: known.instances.map(instance => parseId<InstanceId>(instance.name)),
+			leaving: known.instances.filter(instance => instance.leaving).map(instance => parseId<InstanceId>(instance.name)),
+		};
+	};
+
+	const createOne = (database: DatabaseId, authority: Authority): Steward => createSteward({
+		world,
+		store: context.store,
+		commands,
+		getDatabase: () => getSettings(database),
+		getAuthority: authority.getDeadline,
+		revoke: async (holder, id, permissions) => context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, REVOKE_TIMEOUT_MS),
+		publish: context.onView,
+		onEvent(event) {
+			emitEvent(emit, database, event);
+		},
+	}, database);
+
+	const getDatabases = (slot: string): readonly DatabaseId[] => {
+		const inventory = fleet.inForce.getInventory();
+		const slots = inventory?.fleet.stewardSlots ?? 1;
+		return Object.keys(inventory?.databases ?? {})
+			.filter(name => chooseSlot('steward', slots, name) === slot)
+			.map(name => parseId<DatabaseId>(name));
+	};
+
+	return {
+		async act(authority, signal) {
+			await using scope = createScope(error => {
+				emit(EVENTS.taskFailed, {task: 'steward', reason: error instanceof Error ? error.stack : String(error)});
+			}, signal);
+			while (!signal.aborted) {
+				for (const database of getDatabases(authority.slot)) {
+					if (!running.has(database)) {
+						const steward = createOne(database, authority);
+						running.set(database, steward);
+						scope.run(async own => {
+							await steward.run(own);
+							running.delete(database);
+						});
+					}
+				}
+
+				await world.sleep(REFRESH_MS, signal).catch(() => undefined);
+			}
+		},
+		grant: (database, holder) => running.get(database)?.grant(holder),
+		async [Symbol.asyncDispose]() {
+			await Promise.all([...questions.values()].map(async one => one[Symbol.asyncDispose]()));
+		},
+	};
+};
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './merge.js';
+export * from './text.js';
+export * from './picture.js';
--- /dev/null
+++ b/packages/timeline/src/text.ts
@@ -0,0 +1,14 @@
+/** Time line as text. */
+
+import type {EventRecord} from '@guavapitch/telemetry';
+
+const TIME_START = 11;
+const TIME_END = 23;
+
+const formatFields = (record: EventRecord): string => Object.entries(record.fields)
+	.filter(([, value]) => value !== undefined)
+	.map(([name, value]) => `${name}=${Array.isArray(value) ? value.join(',') : String(value)}`)
+	.join(' ');
+
+/** Formats one event as a line. */
+export const formatEvent = (record: EventRecord): string => `${record.at.slice(TIME_START, TIME_END)}+${record.hlc[1]} ${record.vm} ${record.id} ${record.title} ${formatFields(record)}`.trimEnd();
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,4 +29,11 @@
 			'@typescript-eslint/no-restricted-types': 'off',
 		},
 	},
+	{
+		files: ['**/tests/**/*.ts'],
+		rules: {
+			// The runner keeps the promises of `describe` and `it`.
+			'@typescript-eslint/no-floating-promises': 'off',
+		},
+	},
 ];
