--- /dev/null
+++ b/packages/bench/src/faults.ts
@@ -0,0 +1,137 @@
+/** Faults on command, drawn from a seed. */
+
+import process from 'node:process';
+import pg from 'pg';
+import {chooseOne, type Random} from '@guavapitch/load';
+import type {Stack, StackInstance} from './stack.js';
+import {waitMs} from './workload.js';
+
+/** Kinds of faults. */
+export type FaultKind
+	= | 'killPrimary' | 'freezePrimary' | 'cutPrimary' | 'killReplica' | 'lagReplica'
+		| 'killProxy' | 'freezeProxy' | 'platformDown' | 'loseAnswers' | 'freezePlatform';
+
+/** One fault of a schedule. */
+export type Fault = Readonly<{kind: FaultKind; atMs: number; forMs: number; choice: number}>;
+
+/** A fault as it was carried out. */
+export type CarriedOut = Readonly<{fault: Fault; target: string; at: number}>;
+
+const KINDS: readonly FaultKind[] = ['killPrimary', 'freezePrimary', 'cutPrimary', 'killReplica', 'lagReplica', 'killProxy', 'freezeProxy', 'platformDown', 'loseAnswers', 'freezePlatform'];
+const FAULTS_KEY = '/standin/faults';
+const SHORTEST_MS = 800;
+const LONGEST_MS = 3500;
+const LAG_MS = 1500;
+const LOST_ANSWERS = 3;
+
+/** Draws a schedule: one to three faults, some of them together, some twice. */
+export const drawSchedule = (random: Random, durationMs: number, only?: FaultKind): readonly Fault[] => {
+	const count = only ? 1 : 1 + Math.floor(random() * 3);
+	const faults: Fault[] = [];
+	for (let index = 0; index < count; index++) {
+		const previous = faults.at(-1);
+		const isTogether = previous !== undefined && random() < 0.4;
+		const isTwice = previous !== undefined && random() < 0.25;
+		faults.push({
+			kind: only ?? (isTwice ? previous.kind : chooseOne(KINDS, random)),
+			atMs: isTogether ? previous.atMs + (random() * 100) : 500 + (random() * durationMs * 0.6),
+			forMs: SHORTEST_MS + (random() * (LONGEST_MS - SHORTEST_MS)),
+			choice: random(),
+		});
+	}
+
+	return faults.toSorted((a, b) => a.atMs - b.atMs);
+};
+
+/** Runs a command of an instance that no fault holds up. */
+export const controlInstance = async (instance: StackInstance, statement: string): Promise<void> => {
+	const client = new pg.Client({
+		host: '127.0.0.1', port: instance.port, user: 'control', database: 'control', connectionTimeoutMillis: 2000, query_timeout: 2000,
+	});
+	client.on('error', () => undefined);
+	try {
+		await client.connect();
+		await client.query(statement);
+	} finally {
+		await client.end().catch(() => undefined);
+	}
+};
+
+/** Sets the faults of the platform. */
+const setPlatformFaults = async (stack: Stack, faults: Readonly<Record<string, unknown>>): Promise<void> => {
+	const text = JSON.stringify(faults);
+	const current = await stack.store.read(FAULTS_KEY);
+	await stack.store.swap(FAULTS_KEY, current.ok ? current.val?.revision ?? 0 : 0, text);
+};
+
+/** Gets the primary of a database as the fleet's newest record says. */
+export const findPrimary = async (stack: Stack, database: string): Promise<string> => {
+	const statuses = await stack.getStatuses();
+	const views = statuses.flatMap(status => status.groups).filter(view => view.record.database === database);
+	const newest = views.toSorted((a, b) => b.revision - a.revision)[0];
+	if (!newest) {
+		throw new RangeError(`The primary of ${database} is not known`);
+	}
+
+	return newest.record.primary;
+};
+
+const restartInstance = async (stack: Stack, instance: StackInstance, forMs: number) => {
+	instance.process.kill('SIGKILL');
+	await instance.ended;
+	await waitMs(forMs);
+	await stack.startInstance(instance.name, '');
+};
+
+const freeze = async (child: Readonly<{process: Readonly<{kill: (signal: NodeJS.Signals) => boolean}>}>, forMs: number) => {
+	child.process.kill('SIGSTOP');
+	await waitMs(forMs);
+	child.process.kill('SIGCONT');
+};
+
+/** Carries out one fault and heals it; `onStart` hears of its target. */
+export const carryOut = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
+	const instances = [...stack.instances.values()].filter(instance => instance.database === database);
+	const primaryName = await findPrimary(stack, database);
+	const primary = stack.instances.get(primaryName);
+	const replicas = instances.filter(instance => instance.name !== primaryName);
+	const replica = replicas[Math.floor(fault.choice * replicas.length)];
+	const proxies = [...stack.proxies.values()];
+	const proxy = proxies[Math.floor(fault.choice * proxies.length)];
+	if (!primary || !replica || !proxy) {
+		throw new RangeError('The stack is too small for faults');
+	}
+
+	const steps: Readonly<Record<FaultKind, readonly [target: string, run: () => Promise<void>]>> = {
+		killPrimary: [primary.name, async () => restartInstance(stack, primary, fault.forMs)],
+		freezePrimary: [primary.name, async () => freeze(primary, fault.forMs)],
+		cutPrimary: [primary.name, async () => {
+			await controlInstance(primary, 'SELECT standin_cut(\'*\')');
+			await waitMs(fault.forMs);
+			await controlInstance(primary, 'SELECT standin_heal()');
+		}],
+		killReplica: [replica.name, async () => restartInstance(stack, replica, fault.forMs)],
+		lagReplica: [replica.name, async () => {
+			await controlInstance(replica, `SELECT standin_lag(${LAG_MS})`);
+			await waitMs(fault.forMs);
+			await controlInstance(replica, 'SELECT standin_lag(5)');
+		}],
+		killProxy: [proxy.vm, async () => {
+			proxy.process.kill('SIGKILL');
+			await proxy.ended;
+			await waitMs(fault.forMs);
+			await stack.startProxy(proxy.vm, proxy.dataCentre);
+		}],
+		freezeProxy: [proxy.vm, async () => freeze(proxy, fault.forMs)],
+		platformDown: ['platform', async () => {
+			await setPlatformFaults(stack, {down: true});
+			await waitMs(fault.forMs);
+			await setPlatformFaults(stack, {});
+		}],
+		loseAnswers: ['platform', async () => setPlatformFaults(stack, {loseAnswers: LOST_ANSWERS})],
+		freezePlatform: ['platform', async () => freeze(stack.platform, fault.forMs)],
+	};
+	const [target, run] = steps[fault.kind];
+	onStart(target);
+	await run();
+};
--- /dev/null
+++ b/packages/bench/src/proof.ts
@@ -0,0 +1,144 @@
+/** One proof: a seeded workload under a seeded schedule of faults, checked afterwards. */
+
+import {performance} from 'node:perf_hooks';
+import {
+	checkHistory, computeWriteGapMs, createRandom, type FinalState, type Operation, type Violation,
+} from '@guavapitch/load';
+import {readExample, type ExampleName} from './examples.js';
+import {
+	carryOut, drawSchedule, type CarriedOut, type FaultKind,
+} from './faults.js';
+import {startStack, type Stack, type StackPlan} from './stack.js';
+import {
+	connectTo, prepareTables, startWorkload, waitMs, type WorkloadPlan,
+} from './workload.js';
+
+/** Result of one proof. */
+export type ProofResult = Readonly<{
+	seed: number;
+	faults: readonly CarriedOut[];
+	violations: readonly Violation[];
+	/** Longest time without an acknowledged write, in milliseconds. */
+	gapMs: number;
+	counts: Readonly<Record<string, number>>;
+	/** Failure of the run itself, such as a fleet that did not recover. */
+	failure: string | undefined;
+	events: ReadonlyArray<Readonly<Record<string, unknown>>>;
+	history: readonly Operation[];
+}>;
+
+/** Settings of a proof. */
+export type ProofPlan = Readonly<{
+	seed: number;
+	example: ExampleName;
+	durationMs: number;
+	only?: FaultKind;
+	/** Mechanism that is switched off, to see the check fail. */
+	without?: 'replication';
+	proxiesPerDataCentre: number;
+	lagMs: number;
+}>;
+
+const SESSIONS = 8;
+const PAUSE_MS = 30;
+const ACCOUNTS = 6;
+const BALANCE = 100;
+const SETTLE_MS = 300;
+
+/** Keeps one database of an example, with its services. */
+const createPlan = (plan: ProofPlan): Readonly<{stack: StackPlan; workload: WorkloadPlan; database: string}> => {
+	const full = readExample(plan.example);
+	const [[database, settings]] = Object.entries(full.databases) as [[string, (typeof full.databases)[string]]];
+	const services = Object.fromEntries(Object.entries(full.services).filter(([, service]) => service.database === database));
+	const [service, browseService] = Object.keys(services);
+	const customers = Object.fromEntries(Object.entries(full.customers).map(([name, customer]) => [name, {
+		...customer, rate: 500, burst: 1000, services: Object.keys(services),
+	}]));
+	const acknowledge = plan.without === 'replication' ? 'primary' : settings.acknowledge;
+	return {
+		database,
+		workload: {
+			service: service ?? '', browseService: browseService ?? '', sessions: SESSIONS, accounts: ACCOUNTS, balance: BALANCE, pauseMs: PAUSE_MS,
+		},
+		stack: {
+			inventory: {
+				...full, databases: {[database]: {...settings, acknowledge}}, services, customers,
+			},
+			proxiesPerDataCentre: plan.proxiesPerDataCentre,
+			connectMs: plan.example === 'siphon' ? 30 : 10,
+			statementMs: 1,
+			lagMs: plan.lagMs,
+		},
+	};
+};
+
+const readFinalState = async (stack: Stack, plan: WorkloadPlan): Promise<FinalState> => {
+	const [proxy] = stack.proxies.values();
+	const [customer] = stack.secrets.keys();
+	if (!proxy || !customer) {
+		throw new RangeError('The stack has no proxy or no customer');
+	}
+
+	const client = await connectTo(stack, proxy, customer, plan.service);
+	await client.query('BEGIN');
+	const lodged = await client.query<{id: string}>('SELECT id FROM lodged');
+	const sum = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
+	await client.query('COMMIT');
+	await client.end();
+	return {lodged: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNTS * BALANCE};
+};
+
+const countOutcomes = (history: readonly Operation[]): Readonly<Record<string, number>> => {
+	const counts: Record<string, number> = {};
+	for (const operation of history) {
+		const key = operation.outcome === 'done' ? `${operation.kind}.done` : `${operation.kind}.${operation.outcome}.${operation.sqlState ?? 'lost'}`;
+		counts[key] = (counts[key] ?? 0) + 1;
+	}
+
+	return counts;
+};
+
+/** Runs one proof. */
+export const runProof = async (plan: ProofPlan): Promise<ProofResult> => {
+	const {stack: stackPlan, workload: workloadPlan, database} = createPlan(plan);
+	const random = createRandom(plan.seed);
+	const schedule = drawSchedule(random, plan.durationMs, plan.only);
+	const faults: CarriedOut[] = [];
+	let history: readonly Operation[] = [];
+	let violations: readonly Violation[] = [];
+	let gapMs = 0;
+	let failure: string | undefined;
+	await using stack = await startStack(stackPlan);
+	try {
+		await prepareTables(stack, workloadPlan);
+		const workload = startWorkload(stack, workloadPlan, number => createRandom((plan.seed * 1000) + number));
+		history = workload.history;
+		const startedAt = performance.now();
+		const wallStart = Date.now();
+		const carrying = schedule.map(async fault => {
+			await waitMs(Math.max(0, fault.atMs - (performance.now() - startedAt)));
+			await carryOut(stack, fault, database, target => {
+				faults.push({fault, target, at: Date.now() - wallStart});
+			});
+		});
+		await waitMs(plan.durationMs);
+		const settled = await Promise.allSettled(carrying);
+		const wallEnd = Date.now();
+		await waitMs(SETTLE_MS);
+		await workload.stop();
+		gapMs = computeWriteGapMs(history, wallStart, wallEnd);
+		await stack.waitUntilReady();
+		const broken = settled.find(one => one.status === 'rejected');
+		if (broken) {
+			failure = `a fault could not be carried out: ${String(broken.reason)}`;
+		}
+
+		violations = checkHistory(history, await readFinalState(stack, workloadPlan));
+	} catch (error) {
+		failure = error instanceof Error ? error.message : String(error);
+	}
+
+	return {
+		seed: plan.seed, faults, violations, gapMs, counts: countOutcomes(history), failure, events: stack.readEvents(), history,
+	};
+};
--- /dev/null
+++ b/packages/bench/src/prove.ts
@@ -0,0 +1,80 @@
+#!/usr/bin/env node
+/** Development script: proves the promises over many seeded schedules of faults. */
+
+import {mkdirSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import yargs from 'yargs';
+import {runProof, type ProofPlan, type ProofResult} from './proof.js';
+import type {FaultKind} from './faults.js';
+
+const SKIP_NODE_AND_SCRIPT = 2;
+const DEFAULT_DURATION_MS = 7000;
+const PERCENTILES = [0.5, 0.9, 0.99] as const;
+
+const print = (text: string) => {
+	process.stdout.write(`${text}\n`);
+};
+
+const formatResult = (result: ProofResult): string => {
+	const faults = result.faults.map(({fault, target, at}) => `${fault.kind}(${target})@${Math.round(at)}+${Math.round(fault.forMs)}`).join(' ');
+	const verdict = result.failure ? `RUN FAILED ${result.failure}` : (result.violations.length === 0 ? 'held' : `BROKEN ${result.violations.map(one => `${one.promise}: ${one.detail}`).slice(0, 3).join('; ')}`);
+	return `seed ${result.seed}  gap ${Math.round(result.gapMs)} ms  ${verdict}  [${faults}]  ${Object.entries(result.counts).map(([key, count]) => `${key}=${count}`).join(' ')}`;
+};
+
+const printTimeline = (result: ProofResult) => {
+	const events = result.events.toSorted((a, b) => String(a.at) < String(b.at) ? -1 : 1);
+	for (const event of events) {
+		print(`${String(event.at)} ${String(event.vm)} ${String(event.id)} ${String(event.title)} ${JSON.stringify(event.fields)}`);
+	}
+};
+
+const computePercentile = (sorted: readonly number[], part: number): number => sorted[Math.min(sorted.length - 1, Math.ceil(sorted.length * part) - 1)] ?? 0;
+
+const flags = await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+	.scriptName('prove')
+	.strict()
+	.option('seed', {type: 'number', default: 1, describe: 'first seed'})
+	.option('runs', {type: 'number', default: 1, describe: 'number of schedules'})
+	.option('parallel', {type: 'number', default: 3, describe: 'schedules at a time'})
+	.option('example', {choices: ['dvorak', 'siphon'] as const, default: 'siphon' as const, describe: 'sizes'})
+	.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'length of a schedule, in milliseconds'})
+	.option('only', {type: 'string', describe: 'a single kind of fault'})
+	.option('without', {choices: ['replication'] as const, describe: 'mechanism switched off'})
+	.option('proxies', {type: 'number', default: 1, describe: 'proxies in each data centre'})
+	.option('lag-ms', {type: 'number', default: 20, describe: 'lag of the replicas, in milliseconds'})
+	.option('output', {type: 'string', default: 'out/prove', describe: 'folder for the histories of broken runs'})
+	.parse();
+
+const results: ProofResult[] = [];
+let next = flags.seed;
+const last = flags.seed + flags.runs - 1;
+
+const runLane = async () => {
+	while (next <= last) {
+		const seed = next++;
+		const plan: ProofPlan = {
+			seed, example: flags.example, durationMs: flags.durationMs, proxiesPerDataCentre: flags.proxies, lagMs: flags.lagMs,
+			...(flags.only ? {only: flags.only as FaultKind} : {}),
+			...(flags.without ? {without: flags.without} : {}),
+		};
+		const result = await runProof(plan);
+		results.push(result);
+		print(formatResult(result));
+		if (flags.runs === 1) {
+			printTimeline(result);
+		}
+
+		if (result.violations.length > 0 || result.failure) {
+			mkdirSync(flags.output, {recursive: true});
+			writeFileSync(`${flags.output}/seed-${seed}.json`, JSON.stringify(result, null, 1));
+		}
+	}
+};
+
+await Promise.all(Array.from({length: Math.min(flags.parallel, flags.runs)}, runLane));
+const broken = results.filter(result => result.violations.length > 0).length;
+const failed = results.filter(result => result.failure !== undefined).length;
+const gaps = results.filter(result => !result.failure).map(result => result.gapMs).toSorted((a, b) => a - b);
+print(`schedules ${results.length}  held ${results.length - broken - failed}  broken ${broken}  run failed ${failed}`);
+print(`write gap ms  ${PERCENTILES.map(part => `p${part * 100} ${Math.round(computePercentile(gaps, part))}`).join('  ')}  max ${Math.round(gaps.at(-1) ?? 0)}`);
+process.exitCode = broken + failed > 0 ? 1 : 0;
