--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -2,13 +2,13 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Stream, type World,
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
 	FairQueue, Loan, Permit, Pool,
 } from '@guavapitch/pool';
 import {
-	readErrorResponse, readStatus, SQLSTATE, type Message, type TransactionStatus,
+	readErrorResponse, readStatus, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -101,7 +101,7 @@
 };
 
 /** Carries out one fault and heals it; `onStart` hears of its target. */
-export const carryOut = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
+export const applyFault = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
 	const instances = [...stack.instances.values()].filter(instance => instance.database === database);
 	const primaryName = await findPrimary(stack, database);
 	const primary = stack.instances.get(primaryName);
--- a/packages/bench/src/proof.ts
+++ b/packages/bench/src/proof.ts
@@ -6,7 +6,7 @@
 } from '@guavapitch/load';
 import {readExample, type ExampleName} from './examples.js';
 import {
-	carryOut, drawSchedule, type CarriedOut, type FaultKind,
+	applyFault, drawSchedule, type CarriedOut, type FaultKind,
 } from './faults.js';
 import {startStack, type Stack, type StackPlan} from './stack.js';
 import {
@@ -117,7 +117,7 @@
 		const wallStart = Date.now();
 		const carrying = Promise.allSettled(schedule.map(async fault => {
 			await waitMs(Math.max(0, fault.atMs - (performance.now() - startedAt)));
-			await carryOut(stack, fault, database, target => {
+			await applyFault(stack, fault, database, target => {
 				faults.push({fault, target, at: Date.now() - wallStart});
 			});
 		}));
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -41,6 +41,7 @@
 
 /** A running stack. */
 export type Stack = AsyncDisposable & Readonly<{
+	inventory: Inventory;
 	store: EtcdStore;
 	fleet: FleetClient;
 	platform: Child;
@@ -304,6 +305,7 @@
 
 	return {
 		start,
+		inventory: plan.inventory,
 		store,
 		fleet,
 		platform,
--- /dev/null
+++ b/packages/bench/src/tests/structure.test.ts
@@ -0,0 +1,110 @@
+/** The shape of the code: imports, names, sizes, and the catalogue of events. */
+
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {describe, it} from 'node:test';
+import {EVENTS} from '@guavapitch/telemetry';
+
+const ROOT = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', '..', '..');
+const MOST_LINES = 400;
+
+/** Rows of the table in docs/DESIGN.md. */
+const ROWS: ReadonlyArray<readonly string[]> = [
+	['core'],
+	['telemetry', 'inventory', 'platform', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool'],
+	['configuration', 'roles', 'sessions'],
+	['failover', 'front-postgres', 'back-postgres'],
+	['routing'],
+	['proxy', 'operator', 'timeline', 'standin', 'load'],
+	['bench'],
+];
+/** Programs may use each other's libraries. */
+const PROGRAM_ROW = 5;
+const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions'];
+const CODECS: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
+
+const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
+	.filter(file => file.endsWith('.ts'))
+	.map(file => path.join(ROOT, 'packages', name, 'src', file));
+
+const listPackages = (): readonly string[] => readdirSync(path.join(ROOT, 'packages'));
+
+const listImports = (file: string): readonly string[] => [...readFileSync(file, 'utf8').matchAll(/from '@guavapitch\/(?<name>[\-a-z]+)'/gv)].map(match => match.groups?.name ?? '');
+
+const readVerbs = (): ReadonlySet<string> => {
+	const glossary = readFileSync(path.join(ROOT, 'docs', 'GLOSSARY.md'), 'utf8');
+	const list = glossary.split('## Verbs')[1] ?? '';
+	return new Set([...list.matchAll(/`(?<verb>[a-z]+)`/gv)].map(match => match.groups?.verb ?? ''));
+};
+
+describe('structure', () => {
+	describe('imports', () => {
+		it('follow the table of docs/DESIGN.md', () => {
+			assert.deepEqual(ROWS.flat().toSorted(), [...listPackages()].toSorted());
+			for (const [row, names] of ROWS.entries()) {
+				const allowed = new Set([...ROWS.slice(0, row).flat(), ...(row === PROGRAM_ROW ? names : [])]);
+				for (const name of names) {
+					for (const file of listSources(name)) {
+						for (const imported of listImports(file)) {
+							assert.ok(allowed.has(imported), `${name} imports ${imported} in ${path.basename(file)}`);
+						}
+					}
+				}
+			}
+		});
+
+		it('keep decisions free of codecs', () => {
+			for (const name of DECISIONS) {
+				const imports = listSources(name).flatMap(file => listImports(file));
+				assert.deepEqual(imports.filter(imported => CODECS.has(imported)), [], name);
+			}
+		});
+	});
+
+	describe('names', () => {
+		it('of exported functions begin with a verb of docs/GLOSSARY.md', () => {
+			const verbs = readVerbs();
+			const strange: string[] = [];
+			for (const file of listPackages().flatMap(name => listSources(name))) {
+				for (const match of readFileSync(file, 'utf8').matchAll(/^export const (?<name>[a-z]\w*) = (?:async )?(?:<[^>]*>)?\(/gmv)) {
+					const name = match.groups?.name ?? '';
+					const verb = /^[a-z]+/v.exec(name)?.[0] ?? '';
+					if (!verbs.has(verb)) {
+						strange.push(name);
+					}
+				}
+			}
+
+			assert.deepEqual(strange, []);
+		});
+	});
+
+	describe('files', () => {
+		it(`have at most ${MOST_LINES} lines and begin with a doc comment`, () => {
+			for (const file of listPackages().flatMap(name => listSources(name))) {
+				const text = readFileSync(file, 'utf8');
+				assert.ok(text.split('\n').length <= MOST_LINES, `${file} is too long`);
+				assert.ok(file.endsWith('index.ts') || /^(?:#![^\n]*\n)?\/\*\*/v.test(text), `${file} has no doc comment`);
+			}
+		});
+
+		it('named index only re-export', () => {
+			const reExport = /^export (?:type )?\* from '.+';$/v;
+			for (const name of listPackages()) {
+				const text = readFileSync(path.join(ROOT, 'packages', name, 'src', 'index.ts'), 'utf8');
+				assert.deepEqual(text.trim().split('\n').filter(line => !reExport.test(line)), [], name);
+			}
+		});
+	});
+
+	describe('events', () => {
+		it('stand in docs/EVENTS.md, each number once', () => {
+			const page = readFileSync(path.join(ROOT, 'docs', 'EVENTS.md'), 'utf8');
+			const rows = [...page.matchAll(/^\| (?<id>\d+) \| (?<level>\w+) \| (?<title>[^\|]+) \|$/gmv)].map(({groups}) => ({id: Number(groups?.id), level: groups?.level, title: groups?.title}));
+			assert.deepEqual(rows, Object.values(EVENTS).map(({id, level, title}) => ({id, level, title})));
+			assert.equal(new Set(rows.map(row => row.id)).size, rows.length);
+		});
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,4 @@
 export * from './rendezvous.js';
 export * from './shared-flight.js';
 export * from './virtual-world.js';
+export type * from './transactions.js';
--- a/packages/failover/src/health.ts
+++ b/packages/failover/src/health.ts
@@ -36,6 +36,8 @@
 	isReachable: (instance: InstanceId) => boolean;
 	/** Tells whether an instance has not answered for so long that it counts as failed. */
 	hasFailed: (instance: InstanceId) => boolean;
+	/** Gets the position in the last report of an instance; -1 if there is none. */
+	getPosition: (instance: InstanceId) => number;
 	/** Gets the proved age of a replica's data, in milliseconds; `undefined` if nothing is proved. */
 	getAgeMs: (instance: InstanceId) => number | undefined;
 	/** Notes the position of the primary at an instant. */
@@ -87,6 +89,7 @@
 			const {failingSince} = get(instance);
 			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILED_AFTER_MS), world.now());
 		},
+		getPosition: instance => get(instance).report?.position ?? -1,
 		getAgeMs(instance) {
 			const position = get(instance).report?.position ?? -1;
 			const sample = history.findLast(one => one.position <= position);
--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -4,3 +4,4 @@
 export * from './granter.js';
 export * from './health.js';
 export * from './steward.js';
+export * from './synced-set.js';
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -7,18 +7,11 @@
 import {createGranter, type Holder, type Permissions} from './granter.js';
 import type {GrantReply} from './grants.js';
 import {createHealth, type Health, type Probe} from './health.js';
+import {createSyncedSet, type StewardedDatabase} from './synced-set.js';
 import {
 	createRecord, formatGroupKey, formatRecord, getAwaited, parseRecord, promoteRecord, type GroupRecord, type GroupView,
 } from './record.js';
 
-/** Settings of a database that a steward needs. */
-export type StewardedDatabase = Readonly<{
-	database: DatabaseId;
-	instances: readonly InstanceId[];
-	leaving: readonly InstanceId[];
-	minimumSynced: number;
-}>;
-
 /** Commands to instances. */
 export type InstanceCommands = Readonly<{
 	probe: Probe;
@@ -68,9 +61,6 @@
 const STORE_RETRY_MS = 50;
 const COMMAND_RETRY_MS = 50;
 const COMMAND_TRIES = 20;
-/** Time for which a synced replica may hold up acknowledgements. */
-const LAG_LIMIT_MS = 1000;
-const JOIN_TIMEOUT_MS = 3000;
 const REPAIR_MS = 1000;
 
 /** Creates the steward of a database. */
@@ -84,7 +74,6 @@
 	let permissions: Permissions = {writes: false, reads: false};
 	let blocked = '';
 	let repairAt = createDeadline(world.now(), 0);
-	let joinAt = createDeadline(world.now(), 0);
 
 	const hasAuthority = () => !isPast(context.getAuthority(), world.now());
 
@@ -167,6 +156,18 @@
 		await granter.endAll(ended, async holder => context.revoke(holder, database, ended), signal);
 	};
 
+	const syncedSet = createSyncedSet({
+		world,
+		health,
+		granter,
+		getRevision: () => view?.revision ?? 0,
+		writeRecord,
+		endGrants,
+		allowAll() {
+			permissions = {writes: true, reads: true};
+		},
+	});
+
 	const bootstrap = async (instances: readonly InstanceId[], signal: AbortSignal) => {
 		const leaders = instances
 			.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica === false)
@@ -179,8 +180,6 @@
 		}
 	};
 
-	const getPosition = (instance: InstanceId): number => health.get(instance).report?.position ?? -1;
-
 	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<InstanceId | undefined> => {
 		const reachable = record.synced.filter(instance => health.isReachable(instance));
@@ -188,7 +187,7 @@
 		await health.probeAll(reachable);
 		return reachable
 			.filter(instance => health.isReachable(instance))
-			.toSorted((a, b) => getPosition(b) - getPosition(a))[0];
+			.toSorted((a, b) => health.getPosition(b) - health.getPosition(a))[0];
 	};
 
 	/** Makes the primary of the record lead, and the others follow it. */
@@ -224,7 +223,7 @@
 		}
 
 		const kept = {...record, synced: record.synced.filter(instance => !lost.includes(instance))};
-		if (!await writeRecord(promoteRecord(kept, successor, getPosition(successor)), signal) || !view) {
+		if (!await writeRecord(promoteRecord(kept, successor, health.getPosition(successor)), signal) || !view) {
 			return;
 		}
 
@@ -242,79 +241,6 @@
 		return health.isReachable(record.primary) && report !== undefined && report.position < start;
 	};
 
-	const isLagging = (instance: InstanceId, primary: InstanceId): boolean => {
-		if (health.hasFailed(instance)) {
-			return true;
-		}
-
-		const age = health.getAgeMs(instance);
-		return health.isReachable(primary) && (age === undefined || age > LAG_LIMIT_MS);
-	};
-
-	/** Takes replicas out of the set that hold up acknowledgements, after their read grants have ended. */
-	const dropLaggards = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
-		const joining = record.joining.filter(instance => !isLagging(instance, record.primary));
-		const lagging = record.synced.filter(instance => isLagging(instance, record.primary) || settings.leaving.includes(instance));
-		const spare = Math.max(0, record.synced.length - settings.minimumSynced);
-		const dropped = lagging.slice(0, spare);
-		if (dropped.length === 0 && joining.length === record.joining.length) {
-			return false;
-		}
-
-		if (dropped.length > 0) {
-			await endGrants({writes: true, reads: true}, signal);
-		}
-
-		await writeRecord({...record, joining, synced: record.synced.filter(instance => !dropped.includes(instance))}, signal);
-		permissions = {writes: true, reads: true};
-		return true;
-	};
-
-	/** Starts to wait for a caught-up replica; it counts as synced once it holds all that was acknowledged without it. */
-	const startJoin = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
-		const candidates = settings.instances.filter(instance => instance !== record.primary
-			&& !getAwaited(record).includes(instance)
-			&& !settings.leaving.includes(instance)
-			&& health.isReachable(instance)
-			&& health.get(record.primary).report?.replayed.has(instance)
-			&& !isLagging(instance, record.primary));
-		if (candidates.length === 0 || !isPast(joinAt, world.now())) {
-			return false;
-		}
-
-		joinAt = createDeadline(world.now(), REPAIR_MS);
-		return writeRecord({...record, joining: [...record.joining, ...candidates]}, signal);
-	};
-
-	const finishJoin = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
-		if (record.joining.length === 0 || !view) {
-			return false;
-		}
-
-		const deadline = createDeadline(world.now(), JOIN_TIMEOUT_MS);
-		if (!await granter.waitForRevision(view.revision, deadline, signal)) {
-			return false;
-		}
-
-		await health.probeAll([record.primary]);
-		const needed = getPosition(record.primary);
-		if (!health.isReachable(record.primary)) {
-			return false;
-		}
-
-		while (!isPast(deadline, world.now()) && !signal.aborted) {
-			await health.probeAll(record.joining);
-			const joined = record.joining.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica && getPosition(instance) >= needed);
-			if (joined.length === record.joining.length) {
-				return writeRecord({...record, joining: [], synced: [...record.synced, ...joined]}, signal);
-			}
-
-			await world.sleep(PROBE_PERIOD_MS / 4, signal);
-		}
-
-		return false;
-	};
-
 	/** Makes instances that lead or follow wrongly follow the primary. */
 	const repair = async (record: GroupRecord, settings: StewardedDatabase) => {
 		if (!isPast(repairAt, world.now()) || !hasAuthority()) {
@@ -327,7 +253,7 @@
 		await Promise.all(strays.map(async instance => {
 			const leads = health.get(instance).report?.isReplica === false;
 			const isBehind = (health.get(instance).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
-			if (leads || (isBehind && getPosition(instance) > (record.starts.at(-1)?.position ?? 0))) {
+			if (leads || (isBehind && health.getPosition(instance) > (record.starts.at(-1)?.position ?? 0))) {
 				await commands.rejoin(instance, record.primary);
 				onEvent({kind: 'rejoined', instance, primary: record.primary});
 			} else {
@@ -348,7 +274,7 @@
 			permissions = {writes: true, reads: true};
 		}
 
-		const isChanged = await dropLaggards(record, settings, signal) || await finishJoin(record, signal) || await startJoin(record, settings, signal);
+		const isChanged = await syncedSet.improve(record, settings, signal);
 		if (!isChanged) {
 			await repair(record, settings);
 		}
--- /dev/null
+++ b/packages/failover/src/synced-set.ts
@@ -0,0 +1,126 @@
+/** The synced set: which replicas acknowledgements wait for, and when that changes. */
+
+import {
+	createDeadline, isPast, type DatabaseId, type InstanceId, type World,
+} from '@guavapitch/core';
+import type {Granter, Permissions} from './granter.js';
+import type {Health} from './health.js';
+import {getAwaited, type GroupRecord} from './record.js';
+
+/** Settings of a database that a steward needs. */
+export type StewardedDatabase = Readonly<{
+	database: DatabaseId;
+	instances: readonly InstanceId[];
+	leaving: readonly InstanceId[];
+	minimumSynced: number;
+}>;
+
+/** What the synced set needs of its steward. */
+export type SyncedSetContext = Readonly<{
+	world: World;
+	health: Health;
+	granter: Granter;
+	/** Gets the revision of the record now. */
+	getRevision: () => number;
+	writeRecord: (record: GroupRecord, signal: AbortSignal) => Promise<boolean>;
+	endGrants: (ended: Permissions, signal: AbortSignal) => Promise<void>;
+	/** Grants everything again. */
+	allowAll: () => void;
+}>;
+
+/** Changes of the synced set. */
+export type SyncedSet = Readonly<{
+	/** Makes one change if one is due; tells whether it did. */
+	improve: (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal) => Promise<boolean>;
+}>;
+
+/** Time for which a synced replica may hold up acknowledgements. */
+const LAG_LIMIT_MS = 1000;
+const JOIN_TIMEOUT_MS = 3000;
+const JOIN_PERIOD_MS = 1000;
+const JOIN_PROBE_MS = 25;
+
+/** Creates the changes of the synced set of one database. */
+export const createSyncedSet = (context: SyncedSetContext): SyncedSet => {
+	const {world, health, granter} = context;
+	let joinAt = createDeadline(world.now(), 0);
+
+	const isLagging = (instance: InstanceId, primary: InstanceId): boolean => {
+		if (health.hasFailed(instance)) {
+			return true;
+		}
+
+		const age = health.getAgeMs(instance);
+		return health.isReachable(primary) && (age === undefined || age > LAG_LIMIT_MS);
+	};
+
+	/** Takes replicas out of the set that hold up acknowledgements, after their read grants have ended. */
+	const dropLaggards = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+		const joining = record.joining.filter(instance => !isLagging(instance, record.primary));
+		const lagging = record.synced.filter(instance => isLagging(instance, record.primary) || settings.leaving.includes(instance));
+		const spare = Math.max(0, record.synced.length - settings.minimumSynced);
+		const dropped = lagging.slice(0, spare);
+		if (dropped.length === 0 && joining.length === record.joining.length) {
+			return false;
+		}
+
+		if (dropped.length > 0) {
+			await context.endGrants({writes: true, reads: true}, signal);
+		}
+
+		await context.writeRecord({...record, joining, synced: record.synced.filter(instance => !dropped.includes(instance))}, signal);
+		context.allowAll();
+		return true;
+	};
+
+	/** Starts to wait for a caught-up replica; it counts as synced once it holds all that was acknowledged without it. */
+	const startJoin = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+		const candidates = settings.instances.filter(instance => instance !== record.primary
+			&& !getAwaited(record).includes(instance)
+			&& !settings.leaving.includes(instance)
+			&& health.isReachable(instance)
+			&& health.get(record.primary).report?.replayed.has(instance)
+			&& !isLagging(instance, record.primary));
+		if (candidates.length === 0 || !isPast(joinAt, world.now())) {
+			return false;
+		}
+
+		joinAt = createDeadline(world.now(), JOIN_PERIOD_MS);
+		return context.writeRecord({...record, joining: [...record.joining, ...candidates]}, signal);
+	};
+
+	const finishJoin = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
+		if (record.joining.length === 0) {
+			return false;
+		}
+
+		const deadline = createDeadline(world.now(), JOIN_TIMEOUT_MS);
+		if (!await granter.waitForRevision(context.getRevision(), deadline, signal)) {
+			return false;
+		}
+
+		await health.probeAll([record.primary]);
+		const needed = health.getPosition(record.primary);
+		if (!health.isReachable(record.primary)) {
+			return false;
+		}
+
+		while (!isPast(deadline, world.now()) && !signal.aborted) {
+			await health.probeAll(record.joining);
+			const joined = record.joining.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica && health.getPosition(instance) >= needed);
+			if (joined.length === record.joining.length) {
+				return context.writeRecord({...record, joining: [], synced: [...record.synced, ...joined]}, signal);
+			}
+
+			await world.sleep(JOIN_PROBE_MS, signal);
+		}
+
+		return false;
+	};
+
+	return {
+		improve: async (record, settings, signal) => await dropLaggards(record, settings, signal)
+			|| await finishJoin(record, signal)
+			|| startJoin(record, settings, signal),
+	};
+};
--- a/packages/front-postgres/src/caller.ts
+++ b/packages/front-postgres/src/caller.ts
@@ -1,9 +1,11 @@
 /** One caller: the task that serves its connection after the startup. */
 
 import type {Buffer} from 'node:buffer';
-import {isAbort, type Result, type Stream} from '@guavapitch/core';
 import {
-	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, SQLSTATE, type Message, type TransactionStatus,
+	isAbort, type Result, type Stream, type TransactionStatus,
+} from '@guavapitch/core';
+import {
+	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import {
 	createPreparedNames, type Refusal, type Reply, type RequestChunk, type RequestMode, type StatementClass,
--- a/packages/front-postgres/src/chunks.ts
+++ b/packages/front-postgres/src/chunks.ts
@@ -8,7 +8,7 @@
 	createMessage, getBody, readText, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import {
-	classifyStatement, createStatement, mayLeaveState, type PreparedNames, type PreparedStatement, type RequestChunk, type RequestPart, type StatementClass,
+	classifyStatement, createStatement, isStateful, type PreparedNames, type PreparedStatement, type RequestChunk, type RequestPart, type StatementClass,
 } from '@guavapitch/sessions';
 
 /** Failure of a chunk; nothing of it was sent to a database. */
@@ -176,7 +176,7 @@
 			parts: draft.parts,
 			ends: ENDS.has(messages.at(-1)?.type ?? ''),
 			mayCommit: draft.texts.some(text => COMMIT_PATTERN.test(text)),
-			leavesState: draft.texts.some(text => mayLeaveState(text)),
+			leavesState: draft.texts.some(text => isStateful(text)),
 		},
 	});
 };
--- a/packages/postgres-wire/src/messages.ts
+++ b/packages/postgres-wire/src/messages.ts
@@ -1,6 +1,7 @@
 /** Messages of the PostgreSQL protocol version 3, kept as bytes. */
 
 import {Buffer} from 'node:buffer';
+import type {TransactionStatus} from '@guavapitch/core';
 
 /** One message: its type and all its bytes, header included. */
 export type Message = Readonly<{
@@ -16,9 +17,6 @@
 /** Largest message accepted from a caller. */
 export const MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024;
 
-/** Transaction status that `ReadyForQuery` carries. */
-export type TransactionStatus = 'idle' | 'open' | 'failed';
-
 /** Creates a message from its type and body parts. */
 export const createMessage = (type: string, ...parts: ReadonlyArray<Buffer | string>): Message => {
 	const body = parts.map(part => typeof part === 'string' ? Buffer.from(`${part}\u0000`) : part);
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -72,28 +72,31 @@
 	return isContender && (record.candidates.length === 0 || record.candidates.some(candidate => context.isSurelyGone(candidate)));
 };
 
-/** Takes the slot's living entry and then its record; `undefined` if somebody else holds it or the store does not answer. */
-const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
-	const {store, slot, self, lease, promises} = context;
-	const recordKey = `${ROLE_PREFIX}${slot}`;
-	const found = await store.read(recordKey);
-	if (found.err) {
-		return undefined;
-	}
-
-	const record = found.val ? parseSlotRecord(found.val.value).unwrapOr(undefined) : undefined;
-	if (!mayClaim(context, record)) {
-		return undefined;
-	}
+/** What a claim is based on, as read from the store. */
+type Opening = Readonly<{record: SlotRecord | undefined; recordRevision: number; aliveRevision: number}>;
 
+/** Reads whether the slot may be claimed; `undefined` if not, or if the store does not answer. */
+const readOpening = async (context: SlotContext): Promise<Opening | undefined> => {
+	const {store, slot, self} = context;
+	const found = await store.read(`${ROLE_PREFIX}${slot}`);
 	const alive = await store.read(`${ALIVE_PREFIX}${slot}`);
-	const own = formatOwner(self);
-	if (alive.err || (alive.val && alive.val.value !== own)) {
+	if (found.err || alive.err) {
 		return undefined;
 	}
 
-	const living = await lease.require();
-	if (living.err || !promises.beginClaim(slot)) {
+	const record = found.val ? parseSlotRecord(found.val.value).unwrapOr(undefined) : undefined;
+	const isTaken = alive.val !== undefined && alive.val.value !== formatOwner(self);
+	return isTaken || !mayClaim(context, record)
+		? undefined
+		: {record, recordRevision: found.val?.revision ?? 0, aliveRevision: alive.val?.revision ?? 0};
+};
+
+/** Takes the slot's living entry and then its record; `undefined` if somebody else holds it or the store does not answer. */
+const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
+	const {store, slot, self, lease, promises} = context;
+	const opening = await readOpening(context);
+	const living = opening ? await lease.require() : undefined;
+	if (!opening || !living?.ok || !promises.beginClaim(slot)) {
 		return undefined;
 	}
 
@@ -103,13 +106,13 @@
 			promises.endClaim(slot);
 		},
 	};
-	const entered = await store.swap(`${ALIVE_PREFIX}${slot}`, alive.val?.revision ?? 0, own, living.val.id);
+	const entered = await store.swap(`${ALIVE_PREFIX}${slot}`, opening.aliveRevision, formatOwner(self), living.val.id);
 	if (entered.err || !entered.val.swapped) {
 		return undefined;
 	}
 
-	const next: SlotRecord = {epoch: (record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
-	const written = await store.swap(recordKey, found.val?.revision ?? 0, formatSlotRecord(next));
+	const next: SlotRecord = {epoch: (opening.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
+	const written = await store.swap(`${ROLE_PREFIX}${slot}`, opening.recordRevision, formatSlotRecord(next));
 	return written.ok && written.val.swapped ? {record: next, revision: written.val.current?.revision ?? 0} : undefined;
 };
 
--- a/packages/sessions/src/classes.ts
+++ b/packages/sessions/src/classes.ts
@@ -52,4 +52,4 @@
 };
 
 /** Tells whether a statement may leave state on its connection, which then is reset before reuse. */
-export const mayLeaveState = (text: string): boolean => STATE_PATTERN.test(text);
+export const isStateful = (text: string): boolean => STATE_PATTERN.test(text);
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -1,9 +1,8 @@
 /** Requests and answers between an entry and a home, free of any message encoding of the inner protocol. */
 
 import type {
-	CustomerId, DatabaseId, Failure, InstanceId, RequestId, ServiceId,
+	CustomerId, DatabaseId, Failure, InstanceId, RequestId, ServiceId, TransactionStatus,
 } from '@guavapitch/core';
-import type {TransactionStatus} from '@guavapitch/postgres-wire';
 
 /** Consistency that a request needs. */
 export type RequestMode
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -1,16 +1,17 @@
 /** One caller of the database stand-in: the task that serves its connection. */
 
-import {Buffer} from 'node:buffer';
-import {getMessage, type World} from '@guavapitch/core';
+import {type Buffer} from 'node:buffer';
+import {getMessage, type World, type TransactionStatus} from '@guavapitch/core';
 import {
 	createComplete, createErrorResponse, createMessage, createReady, encodeInt16, encodeInt32, getBody, readText, SQLSTATE,
-	type Message, type TransactionStatus, type Wire,
+	type Message, type Wire,
 } from '@guavapitch/postgres-wire';
 import type {Row, Transaction} from './engine.js';
 import {
 	describeStatement, executeData, type ExecutionContext, type ResultColumn, type ResultSet,
 } from './executor.js';
 import type {Instance} from './instance.js';
+import {createDataRow, createRowDescription, readParameters} from './rows.js';
 import type {Statement, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 import {parseSql} from './sql-parser.js';
@@ -38,50 +39,9 @@
 	onCancel: (cancel: () => void) => void;
 }>;
 
-const TYPE_OIDS: Readonly<Record<string, number>> = {
-	int: 23, integer: 23, int4: 23, serial: 23, bigint: 20, int8: 20, bool: 16, boolean: 16, text: 25,
-};
-const TEXT_OID = 25;
 const FLUSH_BYTES = 65_536;
 const NO_DATA = createMessage('n');
 
-const createRowDescription = (columns: readonly ResultColumn[]): Message => createMessage('T', encodeInt16(columns.length), ...columns.flatMap(column => [
-	column.name, encodeInt32(0), encodeInt16(0), encodeInt32(TYPE_OIDS[column.type] ?? TEXT_OID), encodeInt16(-1), encodeInt32(-1), encodeInt16(0),
-]));
-
-const encodeValue = (value: Value): readonly Buffer[] => {
-	if (value === null) {
-		return [encodeInt32(-1)];
-	}
-
-	const text = typeof value === 'boolean' ? (value ? 't' : 'f') : String(value);
-	const bytes = Buffer.from(text);
-	return [encodeInt32(bytes.length), bytes];
-};
-
-const createDataRow = (row: Row): Message => createMessage('D', encodeInt16(row.length), ...row.flatMap(value => encodeValue(value)));
-
-const readParameters = (body: Buffer, start: number): readonly Value[] => {
-	let offset = start;
-	const formats = body.readInt16BE(offset);
-	offset += 2 + (formats * 2);
-	const count = body.readInt16BE(offset);
-	offset += 2;
-	const values: Value[] = [];
-	for (let index = 0; index < count; index++) {
-		const length = body.readInt32BE(offset);
-		offset += 4;
-		if (length === -1) {
-			values.push(null);
-		} else {
-			values.push(body.toString('utf8', offset, offset + length));
-			offset += length;
-		}
-	}
-
-	return values;
-};
-
 /** Serves a caller after its startup until it leaves. */
 export const serveSession = async (context: SessionContext): Promise<void> => {
 	const {instance, wire, world} = context;
