Cut no request when a proxy leaves, and refuse nothing inside the rate

Cause, found by replacing every proxy under load: (1) requests that waited for tokens in one entry took turns in asking the keeper, and each question gave back the tokens of the one before, so they starved and were refused after 0.3 s; (2) a leaving process finished its own callers but not the requests it served as a home for others, which ended as outcome unknown; (3) a customer was refused while its keeper was changing. Ruled out: a lost keeper slot (time line: all slots regained within 0.4 s). Change: one question at a time for each customer, its tokens taken by all that wait; a leaving process refuses new work as a home and waits for what it has; without a keeper a request waits up to 4 s.

--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -43,6 +43,8 @@
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
 	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
 	keepCancel: (requestId: RequestId, cancel: () => void) => Disposable;
+	/** Counts a request in until it is disposed, so that a leaving process can wait for it. */
+	trackRequest: () => Disposable;
 	/** Tells whether the process takes no new requests. */
 	isDraining: () => boolean;
 }>;
@@ -253,6 +255,7 @@
 		await stream.send({kind: 'refused', refusal});
 	};
 
+	using tracked = context.trackRequest();
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	const target = context.getInstance(header.instance);
 	if (!target || context.isDraining()) {
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -2,9 +2,8 @@
 
 import process from 'node:process';
 import pg from 'pg';
-import {chooseOne, type Random} from '@guavapitch/load';
+import {chooseOne, waitMs, type Random} from '@guavapitch/load';
 import type {Stack, StackInstance} from './stack.js';
-import {waitMs} from './workload.js';
 
 /** Kinds of faults. */
 export type FaultKind
--- /dev/null
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -0,0 +1,197 @@
+/** The fleet acting together: withdrawals, coming and going, and what never leaks. */
+
+import assert from 'node:assert/strict';
+import {
+	createConnection, type Socket,
+} from 'node:net';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import type pg from 'pg';
+import {createRandom, waitMs} from '@guavapitch/load';
+import {readExample} from '../examples.js';
+import {startStack, type Stack, type StackProxy} from '../stack.js';
+import {connectTo} from '../workload.js';
+
+const WITHIN_MS = 3000;
+
+describe('fleet', () => {
+	let stack: Stack;
+
+	const getProxies = (): readonly StackProxy[] => [...stack.proxies.values()];
+
+	const waitFor = async (what: string, test: () => Promise<boolean>, timeoutMs = 15_000) => {
+		const giveUpAt = Date.now() + timeoutMs;
+		while (!await test()) {
+			assert.ok(Date.now() < giveUpAt, `not in time: ${what}`);
+			await waitMs(20);
+		}
+	};
+
+	before(async () => {
+		const full = readExample('dvorak');
+		const databases = Object.fromEntries(Object.entries(full.databases).slice(0, 1));
+		const services = Object.fromEntries(Object.entries(full.services).filter(([, service]) => service.database in databases));
+		const customers = Object.fromEntries(Object.entries(full.customers).map(([name, customer]) => [name, {
+			...customer, rate: 1000, burst: 2000, services: Object.keys(services),
+		}]));
+		stack = await startStack({
+			inventory: {
+				...full, databases, services, customers,
+			}, proxiesPerDataCentre: 1, connectMs: 5, statementMs: 0, lagMs: 5,
+		});
+		const [proxy] = getProxies();
+		assert.ok(proxy);
+		const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+		await client.query('CREATE TABLE lodged (id text, session text)');
+		await client.end();
+	});
+
+	after(async () => {
+		await stack[Symbol.asyncDispose]();
+	});
+
+	describe('keys', () => {
+		it('stop working within seconds, on open connections too', async () => {
+			const clients = await Promise.all(getProxies().map(async proxy => connectTo(stack, proxy, 'klub-vyskov', 'motions')));
+			const ended = Promise.all(clients.map(async client => new Promise<void>(resolve => {
+				client.once('end', resolve);
+			})));
+			const startedAt = Date.now();
+			await stack.withdraw('klub-vyskov-key');
+			await ended;
+			assert.ok(Date.now() - startedAt < WITHIN_MS);
+			for (const proxy of getProxies()) {
+				await assert.rejects(connectTo(stack, proxy, 'klub-vyskov', 'motions'), {code: '28P01'});
+			}
+		});
+
+		it('appear in no event', () => {
+			const text = JSON.stringify(stack.readEvents());
+			for (const secret of stack.secrets.values()) {
+				assert.ok(!text.includes(secret));
+			}
+
+			assert.ok(!text.includes('SCRAM-SHA-256'));
+		});
+	});
+
+	describe('garbage', () => {
+		it('on the callers\' and the peers\' ports disturbs nobody', async () => {
+			const random = createRandom(5);
+			const [proxy] = getProxies();
+			assert.ok(proxy);
+			const closed = async (socket: Socket) => new Promise<void>(resolve => {
+				socket.resume();
+				socket.on('error', () => undefined);
+				socket.on('close', () => {
+					resolve();
+				});
+			});
+			for (const port of [proxy.port, proxy.peerPort]) {
+				for (let count = 0; count < 5; count++) {
+					const socket = createConnection(port, '127.0.0.1');
+					socket.end(Uint8Array.from({length: 64}, () => 64 + Math.floor(random() * 190)));
+					await closed(socket);
+				}
+			}
+
+			const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+			const found = await client.query('SELECT 1 AS one');
+			await client.end();
+			assert.equal(found.rowCount, 1);
+		});
+	});
+
+	describe('coming and going', () => {
+		/** Lodges until told to stop; a session that the proxy closes between requests connects again. */
+		const lodge = (session: string, state: Readonly<{running: () => boolean}>) => {
+			const done: string[] = [];
+			const failures: string[] = [];
+			const run = async () => {
+				let client: pg.Client | undefined;
+				const random = createRandom(session.length);
+				for (let count = 0; state.running(); count++) {
+					const proxies = getProxies().filter(proxy => proxy.process.exitCode === null);
+					const proxy = proxies[Math.floor(random() * proxies.length)];
+					client ??= proxy ? await connectTo(stack, proxy, 'klub-brno', 'motions').catch(() => undefined) : undefined;
+					if (!client) {
+						await waitMs(20);
+						continue;
+					}
+
+					const id = `${session}.${count}`;
+					try {
+						await client.query('INSERT INTO lodged VALUES ($1, $2)', [id, session]);
+						done.push(id);
+					} catch (error) {
+						const {code, message} = error as Readonly<{code?: string; message: string}>;
+						// The stock client refuses to send on a connection that the proxy closed between two requests.
+						if (code !== '57P01' && !message.endsWith('is not queryable')) {
+							failures.push(`${id}: ${code} ${message}`);
+						}
+
+						client = undefined;
+					}
+
+					await waitMs(10);
+				}
+
+				await client?.end().catch(() => undefined);
+			};
+
+			return {done, failures, running: run()};
+		};
+
+		it('replaces every proxy under load without cutting a request', async () => {
+			let running = true;
+			const sessions = Array.from({length: 6}, (_, index) => lodge(`roll${index}`, {running: () => running}));
+			await waitMs(300);
+			for (const proxy of getProxies()) {
+				proxy.process.kill('SIGTERM');
+				await proxy.ended;
+				assert.equal(proxy.process.exitCode, 0);
+				await stack.startProxy(proxy.vm, proxy.dataCentre);
+				await stack.waitUntilReady();
+			}
+
+			running = false;
+			await Promise.all(sessions.map(async session => session.running));
+			assert.deepEqual(sessions.flatMap(session => session.failures), []);
+			const [proxy] = getProxies();
+			assert.ok(proxy);
+			const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+			const found = await client.query<{id: string}>('SELECT id FROM lodged');
+			await client.end();
+			const ids = new Set(found.rows.map(row => row.id));
+			assert.equal(ids.size, found.rows.length, 'a write was doubled');
+			assert.deepEqual(sessions.flatMap(session => session.done).filter(id => !ids.has(id)), []);
+		});
+
+		it('gives a leaving instance no new work, and moves the primary off it', async () => {
+			const [database] = Object.keys(stack.inventory.databases);
+			const findPrimary = async () => {
+				const views = (await stack.getStatuses()).flatMap(status => status.groups).toSorted((a, b) => b.revision - a.revision);
+				return views[0]?.record.primary ?? '';
+			};
+
+			const leaving = await findPrimary();
+			await stack.change(inventory => ({
+				...inventory,
+				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, one]) => [name, name === database
+					? {
+						...one, instances: one.instances.map(instance => instance.name === leaving ? {...instance, leaving: true} : instance),
+					}
+					: one])),
+			}));
+			await waitFor('another primary', async () => await findPrimary() !== leaving, WITHIN_MS);
+			let running = true;
+			const session = lodge('leaving', {running: () => running});
+			await waitMs(1000);
+			running = false;
+			await session.running;
+			assert.deepEqual(session.failures, []);
+			assert.ok(session.done.length > 10);
+		});
+	});
+});
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -1,7 +1,7 @@
 /** The entry's side of a share: tokens at hand, asked for ahead of need, spent before their deadline. */
 
 import {
-	createDeadline, createNotifier, createSharedFlight, Err, getRemainingMs, isPast, Ok, PAST,
+	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
 	type CustomerId, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {SPEND_MS, type Allotment, type AllotmentRequest} from './keeper.js';
@@ -30,10 +30,14 @@
 	demand: number;
 	lastAt: number;
 	retryAt: Deadline;
-	readonly refill: () => Promise<void>;
+	/** Whether the last question was answered; a customer is not refused because its keeper is changing. */
+	answered: boolean;
+	/** Whether a question to the keeper is under way. */
+	refilling: boolean;
 };
 
 const WAIT_MS = 300;
+const KEEPER_WAIT_MS = 4000;
 const FIRST_RETRY_MS = 20;
 const DEMAND_WINDOW_MS = 500;
 const MOST_WANTED = 1000;
@@ -58,9 +62,12 @@
 		const expected = Math.floor(purse.demand * SPEND_MS / 2);
 		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting, expected, 1));
 		purse.tokens = 0;
+		purse.refilling = true;
 		const answer = await ask({
 			customer, wanted, returned, epoch: purse.epoch,
 		});
+		purse.refilling = false;
+		purse.answered = answer.ok;
 		if (answer.ok) {
 			const {tokens, validMs, retryAfterMs, epoch} = answer.val;
 			purse.tokens = tokens;
@@ -81,7 +88,7 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, refill: createSharedFlight(async () => refill(customer, purse)),
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, answered: true, refilling: false,
 		};
 		purses.set(customer, purse);
 		return purse;
@@ -107,6 +114,7 @@
 		async spend(customer, deadline, signal) {
 			const purse = getPurse(customer);
 			const giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+			const keeperBy = Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline;
 			noteDemand(purse);
 			purse.waiting++;
 			try {
@@ -115,11 +123,18 @@
 						return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
 					}
 
-					if (isPast(giveUpAt, world.now()) || purse.retryAt > giveUpAt) {
+					const until = purse.answered ? giveUpAt : keeperBy;
+					if (isPast(until, world.now()) || purse.retryAt > until) {
 						return Err(createRefusal(purse));
 					}
 
-					await (isPast(purse.retryAt, world.now()) ? purse.refill() : changed.waitForChange(Math.min(giveUpAt, purse.retryAt) as Deadline, signal));
+					if (purse.refilling) {
+						await changed.waitForChange(until, signal);
+					} else if (isPast(purse.retryAt, world.now())) {
+						await refill(customer, purse);
+					} else {
+						await changed.waitForChange(Math.min(until, purse.retryAt) as Deadline, signal);
+					}
 				}
 
 				return Ok(undefined);
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,3 +1,5 @@
 export * from './history.js';
 export * from './checker.js';
 export * from './random.js';
+export * from './targets.js';
+export * from './traffic.js';
--- /dev/null
+++ b/packages/load/src/main.ts
@@ -0,0 +1,91 @@
+#!/usr/bin/env node
+/** Program `guavapitch-load`. */
+
+import {readFileSync, writeFileSync} from 'node:fs';
+import process from 'node:process';
+import yargs from 'yargs';
+import type {Target} from './targets.js';
+import {runOpen, type TrafficResult} from './traffic.js';
+
+const SKIP_NODE_AND_SCRIPT = 2;
+const EXIT_SETTING = 2;
+const DEFAULT_DURATION_MS = 10_000;
+const COMPARED = ['perSecond', 'p50', 'p99', 'max', 'refused', 'failed'] as const;
+
+const print = (text: string) => {
+	process.stdout.write(`${text}\n`);
+};
+
+const parseTarget = (text: string): Target => {
+	const [host, port] = text.split(':');
+	if (!host || !Number.isInteger(Number(port))) {
+		throw new RangeError(`--target: expected host:port, got "${text}"`);
+	}
+
+	return {host, port: Number(port)};
+};
+
+const formatResult = ({sent, done, refused, failed, perSecond, p50, p99, max}: TrafficResult): string => [
+	`sent ${sent}`,
+	`done ${done}`,
+	`refused ${refused}`,
+	`failed ${failed}`,
+	`${perSecond.toFixed(1)}/s`,
+	`p50 ${p50.toFixed(2)} ms`,
+	`p99 ${p99.toFixed(2)} ms`,
+	`max ${max.toFixed(2)} ms`,
+].join('  ');
+
+const readResult = (file: string): TrafficResult => JSON.parse(readFileSync(file, 'utf8')) as TrafficResult;
+
+await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+	.scriptName('guavapitch-load')
+	.usage('$0 <command>\n\nExit codes: 0 done, 2 a setting is wrong.')
+	.env('GUAVAPITCH')
+	.strict()
+	.version('0.1.0')
+	.demandCommand(1)
+	.command('run', 'send statements at random times, whatever the answers', command => command
+		.option('target', {
+			type: 'string', array: true, demandOption: true, describe: 'proxies, host:port',
+		})
+		.option('key', {type: 'string', demandOption: true, describe: 'identifier of the key'})
+		.option('secret', {type: 'string', describe: 'the key; better given as GUAVAPITCH_SECRET'})
+		.option('service', {type: 'string', demandOption: true, describe: 'service to use'})
+		.option('statement', {type: 'string', default: 'SELECT 1', describe: 'statement to send'})
+		.option('per-second', {type: 'number', default: 100, describe: 'statements a second'})
+		.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'length of the run, in milliseconds'})
+		.option('connections', {type: 'number', default: 8, describe: 'connections, spread over the proxies'})
+		.option('seed', {type: 'number', default: 1, describe: 'seed of the arrivals'})
+		.option('output', {type: 'string', describe: 'file for the result, JSON'}), async flags => {
+		const result = await runOpen(flags.target.map(text => parseTarget(text)), {
+			login: {keyId: flags.key, secret: flags.secret, service: flags.service},
+			perSecond: flags.perSecond,
+			durationMs: flags.durationMs,
+			connections: flags.connections,
+			seed: flags.seed,
+			statement: flags.statement,
+			onProgress(sent, done) {
+				process.stderr.write(`sent ${sent} done ${done}\n`);
+			},
+		});
+		print(formatResult(result));
+		if (flags.output) {
+			writeFileSync(flags.output, JSON.stringify(result, null, 1));
+		}
+	})
+	.command('compare <before> <after>', 'show the ratios of two results', command => command
+		.positional('before', {type: 'string', demandOption: true})
+		.positional('after', {type: 'string', demandOption: true}), flags => {
+		const before = readResult(flags.before);
+		const after = readResult(flags.after);
+		for (const name of COMPARED) {
+			print(`${name}: ${before[name].toFixed(2)} -> ${after[name].toFixed(2)}, ratio ${(after[name] / before[name]).toFixed(3)}`);
+		}
+	})
+	.fail((message: string, error: unknown) => {
+		process.stderr.write(`guavapitch-load: ${error instanceof Error ? error.message : message}\n`);
+		process.exitCode = EXIT_SETTING;
+	})
+	.exitProcess(false)
+	.parse();
--- /dev/null
+++ b/packages/load/src/targets.ts
@@ -0,0 +1,33 @@
+/** Proxies to load, and connections to them. */
+
+import pg from 'pg';
+
+/** One proxy. */
+export type Target = Readonly<{host: string; port: number}>;
+
+/** Who connects to what. */
+export type Login = Readonly<{keyId: string; secret: string | undefined; service: string}>;
+
+const CONNECT_TIMEOUT_MS = 3000;
+const QUERY_TIMEOUT_MS = 20_000;
+
+/** Waits. */
+export const waitMs = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
+/** Connects to a proxy with a stock client. */
+export const connectTarget = async (target: Target, login: Login): Promise<pg.Client> => {
+	const client = new pg.Client({
+		host: target.host,
+		port: target.port,
+		user: login.keyId,
+		password: login.secret,
+		database: login.service,
+		connectionTimeoutMillis: CONNECT_TIMEOUT_MS,
+		query_timeout: QUERY_TIMEOUT_MS,
+	});
+	client.on('error', () => undefined);
+	await client.connect();
+	return client;
+};
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -49,6 +49,7 @@
 const SYNC_TIMEOUT_MS = 1500;
 const SWEEP_MS = 100;
 const INCARNATION_BYTES = 8;
+const DRAIN_POLL_MS = 20;
 const STORE_SILENCE_MS = 2000;
 
 /** Starts a proxy. */
@@ -73,6 +74,7 @@
 	}, world);
 	let callers: Callers | undefined;
 	let draining = false;
+	let underWay = 0;
 	let storeReachedAt = world.now();
 	let storeReached = true;
 
@@ -156,7 +158,15 @@
 				},
 			};
 		},
-		isDraining: () => false,
+		trackRequest() {
+			underWay++;
+			return {
+				[Symbol.dispose]() {
+					underWay--;
+				},
+			};
+		},
+		isDraining: () => draining,
 	};
 
 	const stewards = createStewards({
@@ -351,6 +361,10 @@
 				await roles[Symbol.asyncDispose]();
 				await lease.revoke();
 				await open.drain(patience.signal);
+				while (underWay > 0 && !patience.signal.aborted) {
+					await world.sleep(DRAIN_POLL_MS);
+				}
+
 				clearTimeout(timer);
 				await open[Symbol.asyncDispose]();
 				await control[Symbol.asyncDispose]();
