Back off from a keeper that does not answer

Change: unanswered questions back off to 0.3 s with jitter; the load tool counts failures by SQLSTATE.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -185,6 +185,7 @@
 		const failed = results.reduce((sum, result) => sum + result.failed, 0);
 		const worst = Math.max(...results.map(result => result.refused / result.sent));
 		print(`${name}: ${proxies} proxies, 80% of every rate: sent ${sent}, refused inside the rate ${refused} (${format(100 * refused / sent, 3)}%)`);
+		print(`  other failures ${JSON.stringify(results.map(result => result.failures))}`);
 		print(`  worst customer ${format(100 * worst, 2)}%, otherwise failed ${failed}, p99 ${format(Math.max(...results.map(result => result.p99)))} ms`);
 	};
 
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -32,6 +32,8 @@
 	retryAt: Deadline;
 	/** Whether the last question was answered; a customer is not refused because its keeper is changing. */
 	answered: boolean;
+	/** Questions that went unanswered since the last answer. */
+	failures: number;
 	/** Whether a question to the keeper is under way. */
 	refilling: boolean;
 };
@@ -39,6 +41,7 @@
 const WAIT_MS = 300;
 const KEEPER_WAIT_MS = 4000;
 const FIRST_RETRY_MS = 20;
+const LONGEST_RETRY_MS = 300;
 const DEMAND_WINDOW_MS = 500;
 const MOST_WANTED = 1000;
 
@@ -68,6 +71,7 @@
 		});
 		purse.refilling = false;
 		purse.answered = answer.ok;
+		purse.failures = answer.ok ? 0 : purse.failures + 1;
 		if (answer.ok) {
 			const {tokens, validMs, retryAfterMs, epoch} = answer.val;
 			purse.tokens = tokens;
@@ -75,7 +79,8 @@
 			purse.deadline = createDeadline(askedAt, validMs);
 			purse.retryAt = createDeadline(world.now(), tokens > 0 ? 0 : Math.max(1, retryAfterMs));
 		} else {
-			purse.retryAt = createDeadline(world.now(), FIRST_RETRY_MS);
+			const longest = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * (2 ** purse.failures));
+			purse.retryAt = createDeadline(world.now(), longest * (0.5 + (world.random() / 2)));
 		}
 
 		changed.notify();
@@ -88,7 +93,7 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, answered: true, refilling: false,
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, answered: true, failures: 0, refilling: false,
 		};
 		purses.set(customer, purse);
 		return purse;
--- a/packages/load/src/traffic.ts
+++ b/packages/load/src/traffic.ts
@@ -15,6 +15,8 @@
 	refused: number;
 	/** Any other failure. */
 	failed: number;
+	/** Other failures by SQLSTATE, or `lost` without one. */
+	failures: Readonly<Record<string, number>>;
 	p50: number;
 	p99: number;
 	max: number;
@@ -41,7 +43,7 @@
 const MICROSECONDS = 1000;
 const LIMIT_STATE = '53400';
 
-const createResult = (counts: Readonly<{sent: number; refused: number; failed: number}>, histogram: Histogram, durationMs: number): TrafficResult => ({
+const createResult = (counts: Pick<TrafficResult, 'sent' | 'refused' | 'failed' | 'failures'>, histogram: Histogram, durationMs: number): TrafficResult => ({
 	...counts,
 	done: histogram.totalCount,
 	p50: histogram.getValueAtPercentile(50) / MICROSECONDS,
@@ -78,7 +80,9 @@
 	counting = false;
 	running = false;
 	await Promise.all(loops);
-	return createResult({sent: histogram.totalCount, refused: 0, failed: 0}, histogram, durationMs);
+	return createResult({
+		sent: histogram.totalCount, refused: 0, failed: 0, failures: {},
+	}, histogram, durationMs);
 };
 
 /** Connects several times, spread over the proxies. */
@@ -95,15 +99,18 @@
 	let sent = 0;
 	let refused = 0;
 	let failed = 0;
+	const failures: Record<string, number> = {};
 	const sendOne = async (client: pg.Client, dueAt: number) => {
 		try {
 			await client.query(plan.statement);
 			recordMs(histogram, performance.now() - dueAt);
 		} catch (error) {
-			if ((error as Readonly<{code?: string}>).code === LIMIT_STATE) {
+			const {code} = error as Readonly<{code?: string}>;
+			if (code === LIMIT_STATE) {
 				refused++;
 			} else {
 				failed++;
+				failures[code ?? 'lost'] = (failures[code ?? 'lost'] ?? 0) + 1;
 			}
 		}
 	};
@@ -125,5 +132,7 @@
 
 	await Promise.all(waiting);
 	clearInterval(progress);
-	return createResult({sent, refused, failed}, histogram, plan.durationMs);
+	return createResult({
+		sent, refused, failed, failures,
+	}, histogram, plan.durationMs);
 };
