--- a/packages/back-postgres/src/connection.ts
+++ b/packages/back-postgres/src/connection.ts
@@ -7,7 +7,7 @@
 } from '@guavapitch/core';
 import type {PoolFailure, Poolable} from '@guavapitch/pool';
 import {
-	createCancel, createMessage, createQuery, createStartup, getBody, openWire, readErrorResponse, readText, startScramClient,
+	createCancel, createMessage, createQuery, createStartup, getBody, openWire, readErrorResponse, startScramClient,
 	type Message, type ReadFailure, type Wire,
 } from '@guavapitch/postgres-wire';
 
@@ -213,9 +213,3 @@
 		},
 	});
 };
-
-/** Reads the first column of the first row of a result. */
-export const getFirstValue = (results: readonly QueryRows[], index = 0): string | undefined => results[index]?.[0]?.[0];
-
-/** Reads a text at the start of a message body. */
-export const getBodyText = (message: Message): string => readText(getBody(message), 0)[0];
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -13,6 +13,7 @@
 import {
 	issueKey, openFleetClient, withdrawKey, type FleetClient, type ProxyStatus,
 } from '@guavapitch/operator';
+import type {PeerTls} from '@guavapitch/peer-protocol';
 import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
 
 /** One child process. */
@@ -37,6 +38,10 @@
 	connectMs: number;
 	statementMs: number;
 	lagMs: number;
+	/** Further flags of every proxy. */
+	proxyFlags?: readonly string[];
+	/** Keys with which this script asks the proxies. */
+	peerTls?: PeerTls;
 }>;
 
 /** A running stack. */
@@ -147,7 +152,7 @@
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
-	const fleet = openFleetClient(world);
+	const fleet = openFleetClient(world, plan.peerTls);
 	const proxies = new Map<string, StackProxy>();
 	const instances = new Map<string, StackInstance>();
 	const secrets = new Map<string, string>();
@@ -225,6 +230,7 @@
 			`127.0.0.1:${platformPort}`,
 			'--log-file',
 			path.join(logFolder, `${vm}-${world.createId()}.log`),
+			...plan.proxyFlags ?? [],
 		]);
 		const started = {
 			...child, vm, dataCentre, port, peerPort,
--- a/packages/load/src/checker.ts
+++ b/packages/load/src/checker.ts
@@ -3,7 +3,7 @@
 import type {Operation} from './history.js';
 
 /** Promises that a history can break. */
-export type Promised = 'lostWrite' | 'doubledWrite' | 'ranThoughNotRun' | 'staleRead' | 'mixedTransaction' | 'foreignAnswer' | 'replacedAcknowledgement';
+export type Promised = 'lostWrite' | 'doubledWrite' | 'ranThoughNotRun' | 'staleRead' | 'mixedTransaction' | 'foreignAnswer';
 
 /** One broken promise. */
 export type Violation = Readonly<{promise: Promised; operation: number; detail: string}>;
@@ -18,9 +18,6 @@
 	expectedSum: number;
 }>;
 
-/** Period in which an instance was no longer the primary though it may have thought so. */
-export type Replaced = Readonly<{instance: string; from: number}>;
-
 const countAll = (ids: readonly string[]): ReadonlyMap<string, number> => {
 	const counts = new Map<string, number>();
 	for (const id of ids) {
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -210,6 +210,7 @@
 	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
 		const {caller, target, signal} = turn;
 		let mode = wanted;
+		context.budget.earn();
 		let tried: readonly Attempt[] = [];
 		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
 		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
@@ -255,7 +256,9 @@
 			}
 
 			metrics.count('entry.retries', {reason: last.code});
-			if (!await waitBeforeRetry(attempt, target.deadline, world, signal)) {
+			// Beyond the budget, retries come at the longest pause, so that a failover brings no storm.
+			const pace = context.budget.take() ? attempt : MOST_ATTEMPTS;
+			if (!await waitBeforeRetry(pace, target.deadline, world, signal)) {
 				break;
 			}
 		}
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -131,16 +131,16 @@
 	return chooseEarliest(answers);
 };
 
-/** Replaces candidates that are no longer good, so that promises can be had when they are needed. */
+/** Keeps the candidates in line with the ranking: only the best ranked contend, so only they can take over in time. */
 const refreshCandidates = async (context: SlotContext, claim: Claim): Promise<Claim> => {
-	const live = context.rank();
-	const isGood = claim.record.candidates.length === Math.min(CANDIDATES, live.length - 1)
-		&& claim.record.candidates.every(candidate => live.some(one => isSame(one, candidate)));
+	const wanted = chooseCandidates(context);
+	const isGood = wanted.length === claim.record.candidates.length
+		&& wanted.every(candidate => claim.record.candidates.some(one => isSame(one, candidate)));
 	if (isGood) {
 		return claim;
 	}
 
-	const record: SlotRecord = {...claim.record, candidates: chooseCandidates(context)};
+	const record: SlotRecord = {...claim.record, candidates: wanted};
 	const written = await context.store.swap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
 	return written.ok && written.val.swapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
 };
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -15,7 +15,7 @@
 const VMS = ['a', 'b', 'c', 'd'].map(name => parseId<VmId>(name));
 const SLOT = 'steward/0';
 
-type Weather = {storeDown: boolean; readonly cut: Set<VmId>};
+type Weather = {storeDown: boolean; readonly cut: Set<VmId>; order: readonly VmId[]};
 
 /** A store that does not answer while the weather says so; a change may take effect all the same. */
 const createFlakyStore = (inner: Store, world: World, weather: Weather, vm: VmId): Store => {
@@ -45,13 +45,13 @@
 	};
 };
 
-type Step = Readonly<{kind: 'storeDown' | 'storeUp' | 'cut' | 'heal'; vm: number; ms: number}>;
+type Step = Readonly<{kind: 'storeDown' | 'storeUp' | 'cut' | 'heal' | 'reorder'; vm: number; ms: number}>;
 
 /** Runs four contenders through a list of steps; gives the holders seen at each moment and the time held. */
 const runContenders = async (steps: readonly Step[], seed: number) => {
 	const {world, advance} = createVirtualWorld(seed);
 	const inner = createMemoryStore(world);
-	const weather: Weather = {storeDown: false, cut: new Set()};
+	const weather: Weather = {storeDown: false, cut: new Set(), order: VMS};
 	const candidates: readonly Candidate[] = VMS.map(vm => ({vm, incarnation: `${vm}1`}));
 	const books = new Map(candidates.map(candidate => [candidate.vm, createPromiseBook(candidate.incarnation, world)]));
 	const held = new Map<VmId, Authority>();
@@ -67,7 +67,7 @@
 			promises: books.get(self.vm) ?? createPromiseBook('', world),
 			self,
 			slot: SLOT,
-			rank: () => candidates,
+			rank: () => weather.order.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
 			async askPromise(candidate, request) {
 				await world.sleep(1 + world.random());
 				const isCut = weather.cut.has(self.vm) || weather.cut.has(candidate.vm);
@@ -107,6 +107,12 @@
 	for (const step of steps) {
 		const vm = VMS[step.vm] ?? parseId<VmId>('a');
 		weather.storeDown = step.kind === 'storeDown' || (step.kind !== 'storeUp' && weather.storeDown);
+		if (step.kind === 'reorder') {
+			// The ranking changes so that the holder stays in it and two others than before come next.
+			const holder = [...held.keys()][0] ?? vm;
+			weather.order = [holder, ...VMS.filter(one => one !== holder).toReversed()];
+		}
+
 		if (step.kind === 'cut') {
 			weather.cut.add(vm);
 		} else if (step.kind === 'heal') {
@@ -133,6 +139,13 @@
 		});
 	});
 
+	describe('take-over', () => {
+		it('goes to those who contend now, though the ranking has changed since the claim', async () => {
+			const {heldMs, totalMs} = await runContenders([{kind: 'reorder', vm: 0, ms: 3000}, {kind: 'cut', vm: 0, ms: 10}, {kind: 'cut', vm: 1, ms: 12_000}], 9);
+			assert.ok(heldMs > 0.7 * totalMs, `held ${heldMs} of ${totalMs} ms`);
+		});
+	});
+
 	describe('outage of the store', () => {
 		it('costs no authority while all candidates promise', async () => {
 			const {heldMs, totalMs} = await runContenders([{kind: 'storeDown', vm: 0, ms: 20_000}], 3);
--- a/packages/sessions/src/classes.ts
+++ b/packages/sessions/src/classes.ts
@@ -18,15 +18,28 @@
 const READ_WORDS: ReadonlySet<string> = new Set(['select', 'values', 'table', 'show', 'with']);
 const BEGIN_WORDS: ReadonlySet<string> = new Set(['begin', 'start']);
 const SESSION_WORDS: ReadonlySet<string> = new Set(['set', 'reset', 'listen', 'unlisten', 'prepare', 'deallocate', 'load', 'discard', 'declare']);
-const COMMENT_PATTERN = /^(?:\s+|;|--[^\n]*(?:\n|$)|\/\*(?:[^*]|\*(?!\/))*\*\/)+/v;
+/** What may stand before a statement: space, empty statements and comments. */
+const LEADING_PATTERNS = [/^\s+/v, /^;/v, /^--[^\n]*/v, /^\/\*[\s\S]*?\*\//v] as const;
 const FIRST_WORD_PATTERN = /^[a-z]+/iv;
 const LATER_STATEMENT_PATTERN = /;(?=[\s\S]*\S)/v;
 const STATE_PATTERN = /\b(?:set_config|temp|temporary|pg_advisory\w*|prepare|listen|declare|set)\b/iv;
 const LOCK_PATTERN = /\bpg_(?:try_)?advisory\w*/iv;
 
+const skipLeading = (text: string): string => {
+	let rest = text;
+	while (true) {
+		const found = LEADING_PATTERNS.map(pattern => pattern.exec(rest)?.[0]).find(match => match !== undefined);
+		if (found === undefined) {
+			return rest;
+		}
+
+		rest = rest.slice(found.length);
+	}
+};
+
 /** Classifies the text of a simple query or of one prepared statement. */
 export const classifyStatement = (text: string): StatementClass => {
-	const start = text.replace(COMMENT_PATTERN, '');
+	const start = skipLeading(text);
 	const word = FIRST_WORD_PATTERN.exec(start)?.[0].toLowerCase();
 	if (start.trim() === '') {
 		return 'empty';
--- /dev/null
+++ b/packages/timeline/src/tests/timeline.test.ts
@@ -0,0 +1,48 @@
+/** Merging and showing events. */
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createCausalClock, type EventRecord} from '@guavapitch/telemetry';
+import {filterEvents, mergeEvents, parseEvents} from '../merge.js';
+import {drawTimeline} from '../picture.js';
+import {formatEvent} from '../text.js';
+
+const createEvent = (vm: string, hlc: readonly [number, number], fields: EventRecord['fields'] = {}): EventRecord => ({
+	program: 'p', vm, incarnation: 'i', id: 1601, level: 'warn', title: 'failover started', hlc, at: new Date(hlc[0]).toISOString(), fields,
+});
+
+describe('time line', () => {
+	describe('clocks', () => {
+		it('put an effect after its cause though the wall clocks are skewed', () => {
+			const ahead = createCausalClock(() => 5000);
+			const behind = createCausalClock(() => 1000);
+			const cause = ahead.read();
+			behind.witness(cause);
+			const effect = behind.read();
+			const merged = mergeEvents([[createEvent('b', effect)], [createEvent('a', cause)]]);
+			assert.deepEqual(merged.map(event => event.vm), ['a', 'b']);
+		});
+	});
+
+	describe('filters', () => {
+		it('keep what they name', () => {
+			const events = [createEvent('a', [1, 0], {database: 'x', term: 2}), createEvent('b', [2, 0], {database: 'y'})];
+			assert.equal(filterEvents(events, {database: 'x', term: 2}).length, 1);
+			assert.equal(filterEvents(events, {ids: [1605]}).length, 0);
+			assert.equal(filterEvents(events, {}).length, 2);
+		});
+	});
+
+	describe('forms', () => {
+		it('show every event, with its fields escaped', () => {
+			const event = createEvent('a', [1, 0], {reason: '<b>'});
+			assert.match(formatEvent(event), /1601 failover started reason=<b>/v);
+			assert.match(drawTimeline([event]), /&lt;b&gt;/v);
+		});
+
+		it('name the line that cannot be read', () => {
+			const parsed = parseEvents('{}\nnot json\n');
+			assert.ok(parsed.err && parsed.val.message.startsWith('line 2'));
+		});
+	});
+});
