--- a/packages/sessions/src/classes.ts
+++ b/packages/sessions/src/classes.ts
@@ -25,16 +25,17 @@
 const STATE_PATTERN = /\b(?:set_config|temp|temporary|pg_advisory\w*|prepare|listen|declare|set)\b/iv;
 const LOCK_PATTERN = /\bpg_(?:try_)?advisory\w*/iv;
 
+const matchLeading = (text: string): string | undefined => LEADING_PATTERNS.map(pattern => pattern.exec(text)?.[0]).find(match => match !== undefined);
+
 const skipLeading = (text: string): string => {
 	let rest = text;
-	while (true) {
-		const found = LEADING_PATTERNS.map(pattern => pattern.exec(rest)?.[0]).find(match => match !== undefined);
-		if (found === undefined) {
-			return rest;
-		}
-
-		rest = rest.slice(found.length);
+	let leading = matchLeading(rest);
+	while (leading !== undefined) {
+		rest = rest.slice(leading.length);
+		leading = matchLeading(rest);
 	}
+
+	return rest;
 };
 
 /** Classifies the text of a simple query or of one prepared statement. */
