Give up an answer that cannot be used any more

Change: the home ends the connection when the term is over, when a read's replica is no longer synced and nothing of the answer has come, or at the deadline.

--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -39,6 +39,8 @@
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
 	/** Waits until the answer of a write may be released. */
 	waitUntilDurable: (answer: PendingAnswer) => Promise<AnswerState>;
+	/** Waits until the instance may no longer answer a request, or its deadline has passed; ends early when the signal aborts. */
+	waitUntilHopeless: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
 	/** Hears how long a request held its slot. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
 	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
@@ -62,7 +64,7 @@
 		| Readonly<{kind: 'lost'}>;
 
 /** A chunk, and whether the instance ignores everything up to a Sync. */
-type ChunkTurn = Readonly<{chunk: RequestChunk; skipping: boolean}>;
+type ChunkTurn = Readonly<{chunk: RequestChunk; skipping: boolean; onBegin: () => void}>;
 
 /** Releases the held messages when the answer may be given; `false` if it may not. */
 type ReleaseAnswer = (held: readonly Message[], status: TransactionStatus) => Promise<boolean>;
@@ -73,6 +75,7 @@
 /** What a transaction starts with. */
 type FirstTurn = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
 
+const ANSWERED = 'the answer has come';
 const UNPROVED_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the answer was proved durable';
 const FLUSH_BYTES = 32_768;
 
@@ -126,6 +129,7 @@
 			return {kind: 'lost'};
 		}
 
+		turn.onBegin();
 		for (const message of messages.val) {
 			if (message.type === 'E' && header.mode !== 'write' && !sent && readErrorResponse(message).code === SQLSTATE.readOnly) {
 				return {kind: 'readOnly'};
@@ -158,6 +162,21 @@
 	return next;
 };
 
+/** An answer that is waited for. */
+type AwaitedAnswer = Readonly<{term: number; hasBegun: () => boolean; answered: AbortSignal}>;
+
+/** Ends a connection whose instance will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
+const giveUpWhenHopeless = async (served: Served, connection: InstanceConnection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
+	const {context, header} = served;
+	const deadline = createDeadline(context.world.now(), header.remainingMs);
+	await context.waitUntilHopeless(header, term, deadline, answered);
+	const isOfUse = header.mode !== 'write' && hasBegun();
+	if (!answered.aborted && !isOfUse) {
+		connection.cancel();
+		await connection[Symbol.asyncDispose]();
+	}
+};
+
 const sendLoss = async (served: Served, status: TransactionStatus, committed: boolean): Promise<void> => {
 	const {stream} = served;
 	const isUnknown = status === 'idle' || committed;
@@ -212,7 +231,15 @@
 
 		dirty ||= chunk.leavesState;
 		stream.signal.addEventListener('abort', cancel, {once: true});
-		const end: ChunkEnd = await relayAnswer(served, connection, {chunk, skipping}, releaseAnswer);
+		const answered = new AbortController();
+		let begun = false;
+		const onBegin = () => {
+			begun = true;
+		};
+
+		void giveUpWhenHopeless(served, connection, {term: first.term, hasBegun: () => begun, answered: answered.signal});
+		const end: ChunkEnd = await relayAnswer(served, connection, {chunk, skipping, onBegin}, releaseAnswer);
+		answered.abort(ANSWERED);
 		stream.signal.removeEventListener('abort', cancel);
 		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
 		permit[Symbol.dispose]();
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -179,11 +179,19 @@
 		throw new Error(`There is no instance ${name}`);
 	};
 
+	let stopped = false;
+	const requireRunning = () => {
+		if (stopped) {
+			throw new Error('The stack has been stopped');
+		}
+	};
+
 	const ports = new Map<string, number>();
 	const startInstance = async (name: string, follow: string | undefined): Promise<StackInstance> => {
 		const {database, instance} = findSettings(name);
 		const port = ports.get(name) ?? await findFreePort();
 		ports.set(name, port);
+		requireRunning();
 		const upstream = follow === undefined ? [] : ['--follow', follow === '' ? '127.0.0.1:1' : `127.0.0.1:${ports.get(follow)}`];
 		const child = startChild(name, 'standin', [
 			'database',
@@ -217,6 +225,7 @@
 		};
 		const current = await store.read(`/platform/vms/${vm}`);
 		await store.swap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
+		requireRunning();
 		const child = startChild(vm, 'proxy', [
 			'--vm',
 			vm,
@@ -328,6 +337,7 @@
 		waitUntilReady,
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
+			stopped = true;
 			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await Promise.all([...instances.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await stopChild(platform, 'SIGKILL');
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -38,6 +38,17 @@
 	checkAge: (database: DatabaseId, instance: InstanceId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
 	/** Waits until a grant of the term is valid, or it is known that the term is over. */
 	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
+	/** Waits until it is known that an instance may no longer answer a request; `false` if the wait is over first. */
+	waitUntilUnfit: (request: FitnessRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
+}>;
+
+/** What an instance was asked under a grant. */
+export type FitnessRequest = Readonly<{
+	database: DatabaseId;
+	instance: InstanceId;
+	/** Term in which the request was sent. */
+	term: number;
+	mode: 'write' | 'read' | 'stale';
 }>;
 
 type Held = Readonly<{reply: GrantReply; askedAt: Instant; writes: Deadline; reads: Deadline}>;
@@ -112,6 +123,21 @@
 				? Ok(grant.reply.view.record)
 				: Err({code: 'tooOld', message: `The data of ${instance} may be ${Math.round(nowMs)} ms old`});
 		},
+		async waitUntilUnfit(request, deadline, signal) {
+			const isUnfit = () => {
+				const record = held.get(request.database)?.reply.view.record;
+				if (!record || request.mode === 'stale') {
+					return false;
+				}
+
+				return request.mode === 'write'
+					? record.term > request.term
+					: record.primary !== request.instance && !record.synced.includes(request.instance);
+			};
+
+			const waited = await changed.waitUntil(isUnfit, deadline, signal);
+			return waited.ok;
+		},
 		async waitForTerm(database, term, deadline, signal) {
 			const isOver = () => (held.get(database)?.reply.view.record.term ?? 0) > term;
 			await changed.waitUntil(() => isOver() || getValid(database, 'writes')?.term === term, deadline, signal);
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -146,6 +146,11 @@
 			const acknowledge = inForce.getInventory()?.databases[answer.database]?.acknowledge;
 			return homes.waitUntilDurable({...answer, replicated: acknowledge !== 'primary'});
 		},
+		async waitUntilHopeless(header, term, deadline, signal) {
+			await homes.book.waitUntilUnfit({
+				database: header.database, instance: header.instance, term, mode: header.mode,
+			}, deadline, signal);
+		},
 		onServed(customer, mode, usedMs) {
 			metrics.count('home.requests', {customer, mode});
 			metrics.time('home.request', usedMs, {customer});
