--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -118,7 +118,8 @@
 	return {
 		async spend(customer, deadline, signal) {
 			const purse = getPurse(customer);
-			const giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+			let giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+			let wasAnswered = purse.answered;
 			const keeperBy = Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline;
 			noteDemand(purse);
 			purse.waiting++;
@@ -128,6 +129,12 @@
 						return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
 					}
 
+					// A new keeper starts empty: the wait for tokens begins when it answers.
+					if (purse.answered && !wasAnswered) {
+						giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+					}
+
+					wasAnswered = purse.answered;
 					const until = purse.answered ? giveUpAt : keeperBy;
 					if (isPast(until, world.now()) || purse.retryAt > until) {
 						return Err(createRefusal(purse));
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -123,6 +123,24 @@
 			assert.ok(times.length >= 0.95 * 100 * (seconds - 1), `${times.length} in ${seconds} s`);
 		});
 
+		it('waits for tokens of a keeper that comes late and starts empty', async () => {
+			const {world, advance} = createVirtualWorld(8);
+			const late: {keeper: Keeper | undefined} = {keeper: undefined};
+			const allowances = createAllowances(async request => {
+				await world.sleep(2);
+				const allotment = late.keeper?.allot(request);
+				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
+			}, world);
+			const spending = allowances.spend(CUSTOMER, createDeadline(world.now(), 10_000));
+			await advance(1500);
+			late.keeper = createKeeper({
+				world, epoch: 1, getAuthority: () => NEVER, getShare: () => ({rate: 10, burst: 10}),
+			});
+			await advance(1000);
+			const spent = await spending;
+			assert.ok(spent.ok);
+		});
+
 		it('refuses nothing inside the rate when several requests wait in one entry', async () => {
 			const {refusals} = await runEntries({
 				rate: 1000, burst: 2000, entries: 2, loss: 0, seed: 6, takeOvers: false, waiters: 4, pauseMs: 20,
