Say goodbye on peer connections before closing them

A leaving proxy waited until none of its requests were under way, then destroyed its peers' sockets. A request frame that was on its way, or a refusal not yet flushed, went with them, and the entry had to call a write's outcome unknown although it had certainly not run. Ruled out: false deaths in the membership under load (with only the goodbye changed the failure is gone); the test's bounds. Change: a `goaway` frame names the last stream that is served. What came before is answered, then the socket is ended, not destroyed; streams after it end with the reason NOT_ACCEPTED and are tried elsewhere. The version of the inner protocol is 2. Conclusion: a planned stop leaves no doubt about a request.

--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -11,7 +11,7 @@
 	receive: () => Promise<In | undefined>;
 	/** Tells the other end that nothing more will be sent. */
 	finish: () => void;
-	/** Aborts when the other end is gone before it finished. */
+	/** Aborts when the other end is gone before it finished; with `NOT_ACCEPTED` as reason when it certainly took nothing. */
 	signal: AbortSignal;
 }>;
 
@@ -21,6 +21,9 @@
 	finish: () => void;
 }>;
 
+/** Reason of the signal of a stream that the other end certainly did not accept. */
+export const NOT_ACCEPTED = 'the other end did not accept the stream';
+
 const WINDOW_ITEMS = 8;
 const GONE = 'the other end is gone';
 
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createDeadline, createNotifier, createScope, Err, getMessage, Ok, type Failure, type Result, type Stream, type World,
+	createDeadline, createNotifier, createScope, Err, getMessage, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
 } from '@guavapitch/core';
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
@@ -49,8 +49,10 @@
 	openStream: (method: string, header: unknown) => Stream<unknown, unknown>;
 	/** Waits until the connection has ended. */
 	waitForEnd: () => Promise<void>;
-	/** Tells whether the connection has ended. */
+	/** Tells whether the connection takes nothing new. */
 	isEnded: () => boolean;
+	/** Refuses what the peer opens from now on, answers what it opened before, and ends; gives up at the deadline. */
+	leave: (deadline: Deadline) => Promise<void>;
 }>;
 
 type Pending = (result: Result<unknown, PeerFailure>) => void;
@@ -69,6 +71,10 @@
 	let peer: PeerIdentity | undefined;
 	let ended = false;
 	let lastId = 0;
+	let lastServedId = 0;
+	let serving = 0;
+	let leaving = false;
+	let peerLeaving = false;
 
 	const send = async (frame: Frame): Promise<void> => {
 		if (ended) {
@@ -117,6 +123,33 @@
 		stream.finish();
 	};
 
+	/** Serves what the peer opened, unless it was told that nothing more is served. */
+	const serve = (id: number, task: () => Promise<void>) => {
+		if (leaving) {
+			return;
+		}
+
+		lastServedId = id;
+		serving++;
+		scope.run(async () => {
+			try {
+				await task();
+			} finally {
+				serving--;
+				changed.notify();
+			}
+		});
+	};
+
+	const acceptLeaving = (servedId: number) => {
+		peerLeaving = true;
+		for (const [key, stream] of streams) {
+			if (key.startsWith('opener') && Number(key.slice('opener'.length)) > servedId) {
+				stream.breakOff(NOT_ACCEPTED);
+			}
+		}
+	};
+
 	const settle = (id: number, result: Result<unknown, PeerFailure>) => {
 		pending.get(id)?.(result);
 		pending.delete(id);
@@ -151,7 +184,7 @@
 			}
 
 			case 'call': {
-				scope.run(async () => answerCall(frame[2], frame[3], frame[4], from));
+				serve(frame[2], async () => answerCall(frame[2], frame[3], frame[4], from));
 
 				break;
 			}
@@ -169,7 +202,13 @@
 			}
 
 			case 'open': {
-				scope.run(async () => serveStream(frame[2], frame[3], frame[4], from));
+				serve(frame[2], async () => serveStream(frame[2], frame[3], frame[4], from));
+
+				break;
+			}
+
+			case 'goaway': {
+				acceptLeaving(frame[2]);
 
 				break;
 			}
@@ -255,8 +294,8 @@
 			const id = ++lastId;
 			const stream = createEnd(id, 'opener');
 			void send(['open', context.readTime(), id, method, header]);
-			if (ended) {
-				streams.get(`opener${id}`)?.breakOff();
+			if (ended || peerLeaving) {
+				streams.get(`opener${id}`)?.breakOff(NOT_ACCEPTED);
 			}
 
 			return stream;
@@ -264,7 +303,14 @@
 		async waitForEnd() {
 			await changed.waitUntil(() => ended, createDeadline(world.now(), Number.POSITIVE_INFINITY));
 		},
-		isEnded: () => ended,
+		isEnded: () => ended || peerLeaving,
+		async leave(deadline) {
+			leaving = true;
+			await send(['goaway', context.readTime(), lastServedId]);
+			await changed.waitUntil(() => ended || serving === 0, deadline);
+			socket.end();
+			await changed.waitUntil(() => ended, deadline);
+		},
 		async [Symbol.asyncDispose]() {
 			socket.destroy();
 			end();
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -10,7 +10,7 @@
 export type FrameFailure = Failure<'frameTooLarge' | 'frameMalformed'>;
 
 /** Version of the inner protocol, sent in the hello. */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 /** Largest frame accepted from a peer. */
 export const FRAME_LIMIT_BYTES = 4 * 1024 * 1024;
@@ -30,14 +30,15 @@
 		| readonly [kind: 'item', time: FrameTime, id: number, side: StreamSide, item: unknown]
 		| readonly [kind: 'credit', time: FrameTime, id: number, side: StreamSide, items: number]
 		| readonly [kind: 'finish', time: FrameTime, id: number, side: StreamSide]
-		| readonly [kind: 'reset', time: FrameTime, id: number, side: StreamSide];
+		| readonly [kind: 'reset', time: FrameTime, id: number, side: StreamSide]
+		| readonly [kind: 'goaway', time: FrameTime, lastId: number];
 
 /** Which end of a stream sent a frame. */
 export type StreamSide = 'opener' | 'acceptor';
 
 /** Number of items of each kind of frame. */
 const FRAME_SIZES: Readonly<Record<Frame[0], number>> = {
-	hello: 5, call: 5, reply: 4, refuse: 5, open: 5, item: 5, credit: 5, finish: 4, reset: 4,
+	hello: 5, call: 5, reply: 4, refuse: 5, open: 5, item: 5, credit: 5, finish: 4, reset: 4, goaway: 3,
 };
 
 const encoder = new Encoder({useRecords: false, tagUint8Array: false});
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -3,7 +3,7 @@
 import {createConnection, createServer, type Socket} from 'node:net';
 import {connect as connectTls, createServer as createTlsServer} from 'node:tls';
 import {
-	createScope, Err, Ok, type Result,
+	createScope, Err, Ok, type Deadline, type Result,
 } from '@guavapitch/core';
 import {
 	openPeerConnection, type PeerConnection, type PeerContext, type PeerFailure,
@@ -16,7 +16,11 @@
 export type PeerTls = Readonly<{key: string; cert: string; ca: string}>;
 
 /** A running listener. */
-export type Listener = AsyncDisposable & Readonly<{address: Address}>;
+export type Listener = AsyncDisposable & Readonly<{
+	address: Address;
+	/** Accepts nothing new, and answers what the peers opened before; gives up at the deadline. */
+	leave: (deadline: Deadline) => Promise<void>;
+}>;
 
 /** Dials a socket; tests pass one with broken links. */
 export type Dial = (address: Address) => Promise<Result<Socket, PeerFailure>>;
@@ -26,6 +30,7 @@
 /** Starts accepting peers. */
 export const startPeerListener = async (address: Address, context: PeerContext, tls?: PeerTls): Promise<Listener> => {
 	const scope = createScope(() => undefined);
+	const open = new Set<PeerConnection>();
 	const serve = (socket: Socket) => {
 		scope.run(async signal => {
 			await using connection = openPeerConnection(socket, context);
@@ -34,7 +39,9 @@
 			});
 			const hello = await connection.waitForHello();
 			if (hello.ok) {
+				open.add(connection);
 				await connection.waitForEnd();
+				open.delete(connection);
 			}
 		});
 	};
@@ -49,6 +56,10 @@
 	const bound = server.address();
 	return {
 		address: {host: address.host, port: typeof bound === 'object' && bound ? bound.port : address.port},
+		async leave(deadline) {
+			server.close();
+			await Promise.all([...open].map(async connection => connection.leave(deadline)));
+		},
 		async [Symbol.asyncDispose]() {
 			server.close();
 			await scope[Symbol.asyncDispose]();
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -13,7 +13,7 @@
 	/** Takes a frame that arrived for this stream. */
 	accept: (frame: Frame) => void;
 	/** Ends the stream because the connection or the other end is gone. */
-	breakOff: () => void;
+	breakOff: (reason?: string) => void;
 }>;
 
 /** Creates one end of a stream; `send` writes a frame, `forget` drops the stream from the connection. */
@@ -30,9 +30,9 @@
 	let receivedFinish = false;
 	const credited = createGate();
 
-	const breakOff = () => {
+	const breakOff = (reason?: string) => {
 		if (!receivedFinish) {
-			gone.abort();
+			gone.abort(reason);
 		}
 
 		incoming.close();
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -5,7 +5,9 @@
 import {createConnection} from 'node:net';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {createWorld, type Stream} from '@guavapitch/core';
+import {
+	createDeadline, createWorld, NOT_ACCEPTED, type Stream,
+} from '@guavapitch/core';
 import type {PeerContext, PeerHandlers} from '../connection.js';
 import {
 	encodeFrame, FRAME_LIMIT_BYTES, splitFrames, type Frame, type FrameFailure,
@@ -88,6 +90,47 @@
 			await listener[Symbol.asyncDispose]();
 		});
 
+		it('leaves without losing a stream: each is answered, or known not to have been accepted', async () => {
+			let served = 0;
+			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
+				served++;
+				await stream.receive();
+				await stream.send('answer');
+			};
+
+			const world = createWorld();
+			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {}, streams: {ask: serve}}));
+			const peers = createPeers(createContext('a', NO_HANDLERS), createDial());
+			const outcomes: string[] = [];
+			const ask = async () => {
+				const opened = await peers.openStream(listener.address, 'ask', null);
+				if (opened.err) {
+					outcomes.push('unreachable');
+					return;
+				}
+
+				await using stream = opened.val;
+				await stream.send('question');
+				const answer = await stream.receive();
+				outcomes.push(answer === 'answer' ? 'answered' : String(stream.signal.reason));
+			};
+
+			await ask();
+			const before = Array.from({length: 50}, ask);
+			await Promise.resolve();
+			const leaving = listener.leave(createDeadline(world.now(), 5000));
+			const after = Array.from({length: 50}, ask);
+			await Promise.all([...before, ...after, leaving]);
+			assert.equal(outcomes.length, 101);
+			assert.equal(outcomes.filter(outcome => outcome === 'answered').length, served);
+			assert.deepEqual(outcomes.filter(outcome => !['answered', NOT_ACCEPTED, 'unreachable'].includes(outcome)), []);
+			assert.ok(outcomes.includes(NOT_ACCEPTED));
+			const late = await peers.openStream(listener.address, 'ask', null);
+			assert.ok(late.err && late.val.code === 'peerUnreachable');
+			await peers[Symbol.asyncDispose]();
+			await listener[Symbol.asyncDispose]();
+		});
+
 		it('counts garbage on its port and goes on', async () => {
 			const failures: FrameFailure[] = [];
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo: async body => body}, streams: {}}, failure => {
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -1,7 +1,7 @@
 /** The entry of a request: key, share, route, and retries while it has certainly not run. */
 
 import {
-	createDeadline, createStreamPair, Err, getRemainingMs, isPast, Ok, parseId,
+	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
 	type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Scope, type ServiceId, type Stream, type World,
 } from '@guavapitch/core';
 import {serveRequest, type HomeContext} from '@guavapitch/back-postgres';
@@ -196,6 +196,10 @@
 
 		addPending(route.instance, -1);
 		await stream[Symbol.asyncDispose]();
+		if (!first && stream.signal.reason === NOT_ACCEPTED) {
+			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The home ${route.home} is leaving`)};
+		}
+
 		if (!first || isRepeatable) {
 			return {kind: 'lost'};
 		}
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -1,7 +1,7 @@
 /** One proxy from start to stop: wires the parts and owns their tasks. */
 
 import {
-	computeHash, createScope, Err, getMessage, Ok, parseId,
+	computeHash, createDeadline, createScope, Err, getMessage, Ok, parseId,
 	type DatabaseId, type Failure, type RequestId, type Result, type VmId, type World,
 } from '@guavapitch/core';
 import type {HomeContext} from '@guavapitch/back-postgres';
@@ -51,6 +51,7 @@
 const INCARNATION_BYTES = 8;
 const DRAIN_POLL_MS = 20;
 const STORE_SILENCE_MS = 2000;
+const GOODBYE_MS = 1000;
 
 /** Starts a proxy. */
 export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
@@ -371,6 +372,7 @@
 				}
 
 				clearTimeout(timer);
+				await listener.leave(createDeadline(world.now(), GOODBYE_MS));
 				await open[Symbol.asyncDispose]();
 				await control[Symbol.asyncDispose]();
 				await requests[Symbol.asyncDispose]();
