Bound what waits for a slow caller by bytes; rates and cuts in the platform's stand-in

Cause: the new whole-path test, a caller that stops reading an answer of 48 MB, saw a proxy grow by 54 MB. Credit counted items, and one item may be a row of a megabyte; besides, each chunk read was joined with all before it, so a long message was copied once for each 64 KB. Ruled out: cutting long messages into pieces (an error of the entry could then fall into the middle of a row); a smaller window of items (slows short rows and still bounds nothing). Change: streams, over the wire and in a process, grant bytes (256 KB, one item more may be under way). A collector joins the chunks of a message once, when all are there. Bound of the test: half the answer, 24 MB. The test of back-pressure on one stream now sends items of 16 KB: the window is in bytes; the bound of 20 items is the same.

"Too many requests" means not carried out.

--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -6,22 +6,17 @@
 	after, before, describe, it,
 } from 'node:test';
 import pg from 'pg';
+import {waitMs} from '@guavapitch/load';
 import {createCancel} from '@guavapitch/postgres-wire';
 import {readExample} from '../examples.js';
+import {findPrimary} from '../faults.js';
 import {startStack, type Stack} from '../stack.js';
+import {connectMember, readResidentBytes} from './helpers.js';
 
 describe('whole path', () => {
 	let stack: Stack;
 
-	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
-		const proxy = [...stack.proxies.values()][vm];
-		const client = new pg.Client({
-			host: '127.0.0.1', port: proxy?.port, user: 'klub-brno-key', password: stack.secrets.get('klub-brno'), database: 'motions', ...options,
-		});
-		client.on('error', () => undefined);
-		await client.connect();
-		return client;
-	};
+	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}) => connectMember(stack, vm, options);
 
 	before(async () => {
 		stack = await startStack({
@@ -70,6 +65,50 @@
 		});
 	});
 
+	describe('slow callers', () => {
+		const ROWS = 48;
+		const ROW_BYTES = 1024 * 1024;
+
+		/** Writes wide rows past the proxies, so that their memory is not touched. */
+		const writeWideRows = async () => {
+			const primary = await findPrimary(stack, stack.inventory.services.motions?.database ?? '');
+			const direct = new pg.Client({
+				host: '127.0.0.1', port: stack.instances.get(primary)?.port, user: 'test', database: 'test',
+			});
+			await direct.connect();
+			await direct.query('CREATE TABLE wide (id int PRIMARY KEY, body text)');
+			for (let id = 0; id < ROWS; id++) {
+				await direct.query('INSERT INTO wide VALUES ($1, $2)', [id, 'x'.repeat(ROW_BYTES)]);
+			}
+
+			await direct.end();
+		};
+
+		it('do not fill the memory of the proxies, hold nobody up, and get their answer whole', async () => {
+			await writeWideRows();
+			const client = await connect(0);
+			const other = await connect(0);
+			const pids = [...stack.proxies.values()].map(proxy => proxy.process.pid ?? 0);
+			const before = pids.map(pid => readResidentBytes(pid));
+			const {stream} = (client as unknown as Readonly<{connection: Readonly<{stream: Readonly<{pause: () => void; resume: () => void}>}>}>).connection;
+			const answer = client.query<{body: string}>('SELECT * FROM wide');
+			await waitMs(20);
+			stream.pause();
+			await waitMs(1500);
+			const after = pids.map(pid => readResidentBytes(pid));
+			const found = await other.query('SELECT 1 AS one');
+			assert.equal(found.rowCount, 1);
+			stream.resume();
+			const {rows} = await answer;
+			assert.equal(rows.reduce((sum, row) => sum + row.body.length, 0), ROWS * ROW_BYTES);
+			await Promise.all([client.end(), other.end()]);
+			for (const [index, bytes] of after.entries()) {
+				const grown = bytes - (before[index] ?? 0);
+				assert.ok(grown < ROWS * ROW_BYTES / 2, `a proxy grew by ${grown} bytes`);
+			}
+		});
+	});
+
 	describe('sessions', () => {
 		it('reads its own writes through every proxy', async () => {
 			const clients = await Promise.all([0, 1, 2, 3].map(async vm => connect(vm)));
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -7,11 +7,11 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import pg from 'pg';
 import {createWorld} from '@guavapitch/core';
 import {openFleetClient} from '@guavapitch/operator';
 import {readExample} from '../examples.js';
 import {startStack, type Stack} from '../stack.js';
+import {connectMember} from './helpers.js';
 
 const FOLDER = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', 'fixtures');
 const getFile = (name: string): string => path.join(FOLDER, `${name}.pem`);
@@ -20,15 +20,7 @@
 describe('TLS', () => {
 	let stack: Stack;
 
-	const connect = async (options: Readonly<Record<string, unknown>>): Promise<pg.Client> => {
-		const [proxy] = stack.proxies.values();
-		const client = new pg.Client({
-			host: '127.0.0.1', port: proxy?.port, user: 'klub-brno-key', password: stack.secrets.get('klub-brno'), database: 'motions', ...options,
-		});
-		client.on('error', () => undefined);
-		await client.connect();
-		return client;
-	};
+	const connect = async (options: Readonly<Record<string, unknown>>) => connectMember(stack, 0, options);
 
 	before(async () => {
 		const files = ['--tls-cert', getFile('cert'), '--tls-key', getFile('key')];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './queue.js';
 export * from './notifier.js';
 export * from './stream.js';
+export * from './collector.js';
 export * from './rendezvous.js';
 export * from './shared-flight.js';
 export * from './virtual-world.js';
--- a/packages/core/src/queue.ts
+++ b/packages/core/src/queue.ts
@@ -8,8 +8,6 @@
 	take: () => Promise<Item | undefined>;
 	/** Ends the queue after the items already in it. */
 	close: () => void;
-	/** Tells how many items wait. */
-	getSize: () => number;
 }>;
 
 /** Creates an empty queue. */
@@ -49,6 +47,5 @@
 				taker(undefined);
 			}
 		},
-		getSize: () => items.length,
 	};
 };
--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -24,22 +24,26 @@
 /** Reason of the signal of a stream that the other end certainly did not accept. */
 export const NOT_ACCEPTED = 'the other end did not accept the stream';
 
-const WINDOW_ITEMS = 8;
+/** Bytes that wait in one direction before the sender waits. */
+const WINDOW_BYTES = 262_144;
 const GONE = 'the other end is gone';
 
-const createHalf = <Item>(): Half<Item> => {
+const createHalf = <Item>(measure: (item: Item) => number): Half<Item> => {
 	const items = createQueue<Item>();
+	let waitingBytes = 0;
 	const taken = createGate();
 	let finished = false;
 	return {
 		async send(item) {
 			items.push(item);
-			while (items.getSize() > WINDOW_ITEMS && !finished) {
+			waitingBytes += measure(item);
+			while (waitingBytes > WINDOW_BYTES && !finished) {
 				await taken.wait();
 			}
 		},
 		async receive() {
 			const item = await items.take();
+			waitingBytes -= item === undefined ? 0 : measure(item);
 			taken.open();
 			return item;
 		},
@@ -64,10 +68,10 @@
 	},
 });
 
-/** Creates both ends of a stream inside one process. */
-export const createStreamPair = <Left, Right>(): readonly [Stream<Left, Right>, Stream<Right, Left>] => {
-	const toRight = createHalf<Left>();
-	const toLeft = createHalf<Right>();
+/** Creates both ends of a stream inside one process; `measure` gives the size of an item in bytes. */
+export const createStreamPair = <Left, Right>(measure: (item: Left | Right) => number): readonly [Stream<Left, Right>, Stream<Right, Left>] => {
+	const toRight = createHalf<Left>(measure);
+	const toLeft = createHalf<Right>(measure);
 	const left = new AbortController();
 	const right = new AbortController();
 	return [createEnd(toRight, toLeft, left, right), createEnd(toLeft, toRight, right, left)];
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -1,9 +1,9 @@
 /** One connection between two processes: hello, calls and streams, served by one task. */
 
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createDeadline, createNotifier, createScope, Err, getMessage, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
+	createCollector, createDeadline, createNotifier, createScope, Err, getMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
 } from '@guavapitch/core';
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
@@ -76,22 +76,34 @@
 	let leaving = false;
 	let peerLeaving = false;
 
-	const send = async (frame: Frame): Promise<void> => {
+	/** Writes a frame without waiting; gives its size in bytes. */
+	const write = (frame: Frame): number => {
 		if (ended) {
-			return;
+			return 0;
 		}
 
 		const bytes = encodeFrame(frame);
 		context.onBytes?.('sent', bytes.length);
-		if (!socket.write(bytes)) {
-			await changed.waitUntil(() => ended || !socket.writableNeedDrain, createDeadline(world.now(), Number.POSITIVE_INFINITY));
+		socket.write(bytes);
+		return bytes.length;
+	};
+
+	const waitForDrain = async (): Promise<void> => {
+		if (socket.writableNeedDrain) {
+			await changed.waitUntil(() => ended || !socket.writableNeedDrain, NEVER);
 		}
 	};
 
+	const send = async (frame: Frame): Promise<void> => {
+		write(frame);
+		await waitForDrain();
+	};
+
 	const createEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
 		const key = `${side}${id}`;
 		const wireStream = createWireStream(id, side, {
-			send,
+			write,
+			waitForDrain,
 			readTime: context.readTime,
 			forget() {
 				streams.delete(key);
@@ -166,7 +178,7 @@
 		changed.notify();
 	};
 
-	const accept = (frame: Frame) => {
+	const accept = (frame: Frame, bytes: number) => {
 		context.witnessTime(frame[1]);
 		if (!peer && frame[0] !== 'hello') {
 			context.onMalformed({code: 'frameMalformed', message: 'The first frame is not a hello'});
@@ -214,7 +226,7 @@
 			}
 
 			default: {
-				streams.get(`${OTHER_SIDE[frame[3]]}${frame[2]}`)?.accept(frame);
+				streams.get(`${OTHER_SIDE[frame[3]]}${frame[2]}`)?.accept(frame, bytes);
 			}
 		}
 	};
@@ -236,19 +248,25 @@
 		changed.notify();
 	};
 
-	let rest: Buffer = Buffer.alloc(0);
+	const collected = createCollector();
 	const acceptBytes = (chunk: Buffer) => {
 		context.onBytes?.('received', chunk.length);
-		const split = splitFrames(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]));
+		collected.push(chunk);
+		const bytes = collected.take();
+		if (!bytes) {
+			return;
+		}
+
+		const split = splitFrames(bytes);
 		if (split.err) {
 			context.onMalformed(split.val);
 			socket.destroy();
 			return;
 		}
 
-		rest = split.val.rest;
-		for (const frame of split.val.frames) {
-			accept(frame);
+		collected.keep(split.val.rest, split.val.wantedBytes);
+		for (const [index, frame] of split.val.frames.entries()) {
+			accept(frame, split.val.sizes[index] ?? 0);
 		}
 	};
 
@@ -301,7 +319,7 @@
 			return stream;
 		},
 		async waitForEnd() {
-			await changed.waitUntil(() => ended, createDeadline(world.now(), Number.POSITIVE_INFINITY));
+			await changed.waitUntil(() => ended, NEVER);
 		},
 		isEnded: () => ended || peerLeaving,
 		async leave(deadline) {
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -77,13 +77,15 @@
 	}
 };
 
-/** Frames at the start of some bytes, and what is left. */
-export type SplitFrames = Readonly<{frames: readonly Frame[]; rest: Buffer}>;
+/** Frames at the start of some bytes with their sizes in bytes, what is left, and how many bytes the next frame takes. */
+export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; wantedBytes: number}>;
 
 /** Splits off and decodes the whole frames at the start of some bytes. */
 export const splitFrames = (bytes: Buffer): Result<SplitFrames, FrameFailure> => {
 	const frames: Frame[] = [];
+	const sizes: number[] = [];
 	let offset = 0;
+	let wantedBytes = LENGTH_BYTES;
 	while (bytes.length - offset >= LENGTH_BYTES) {
 		const length = bytes.readUInt32BE(offset);
 		if (length > FRAME_LIMIT_BYTES) {
@@ -92,6 +94,7 @@
 
 		const start = offset + LENGTH_BYTES;
 		if (start + length > bytes.length) {
+			wantedBytes = LENGTH_BYTES + length;
 			break;
 		}
 
@@ -101,8 +104,11 @@
 		}
 
 		frames.push(frame.val);
+		sizes.push(LENGTH_BYTES + length);
 		offset = start + length;
 	}
 
-	return Ok({frames, rest: bytes.subarray(offset)});
+	return Ok({
+		frames, sizes, rest: bytes.subarray(offset), wantedBytes,
+	});
 };
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -3,29 +3,42 @@
 import {createGate, createQueue, type Stream} from '@guavapitch/core';
 import type {Frame, FrameTime, StreamSide} from './frames.js';
 
-/** Items that may travel before the receiver has taken one. */
-export const WINDOW_ITEMS = 16;
+/** Bytes that may travel before the receiver has taken an item; one item more may be on its way. */
+export const WINDOW_BYTES = 262_144;
 
 /** A stream with the ends that the connection drives. */
 export type WireStream = Readonly<{
 	/** The end that the task holds. */
 	stream: Stream<unknown, unknown>;
 	/** Takes a frame that arrived for this stream. */
-	accept: (frame: Frame) => void;
+	accept: (frame: Frame, bytes: number) => void;
 	/** Ends the stream because the connection or the other end is gone. */
 	breakOff: (reason?: string) => void;
 }>;
 
-/** Creates one end of a stream; `send` writes a frame, `forget` drops the stream from the connection. */
+/** What a stream needs of its connection. */
+export type StreamLink = Readonly<{
+	/** Writes a frame without waiting; gives its size in bytes. */
+	write: (frame: Frame) => number;
+	/** Waits while the connection has too much to write. */
+	waitForDrain: () => Promise<void>;
+	readTime: () => FrameTime;
+	/** Drops the stream from the connection. */
+	forget: () => void;
+}>;
+
+type Arrived = Readonly<{item: unknown; bytes: number}>;
+
+/** Creates one end of a stream. */
 export const createWireStream = (
 	id: number,
 	side: StreamSide,
-	link: Readonly<{send: (frame: Frame) => Promise<void>; readTime: () => FrameTime; forget: () => void}>,
+	link: StreamLink,
 ): WireStream => {
-	const incoming = createQueue<unknown>();
+	const incoming = createQueue<Arrived>();
 	const gone = new AbortController();
-	let credit = WINDOW_ITEMS;
-	let taken = 0;
+	let creditBytes = WINDOW_BYTES;
+	let takenBytes = 0;
 	let sentFinish = false;
 	let receivedFinish = false;
 	const credited = createGate();
@@ -39,34 +52,33 @@
 		credited.open();
 	};
 
-	const giveCredit = async () => {
-		taken++;
-		if (taken >= WINDOW_ITEMS / 2 && !receivedFinish) {
-			const items = taken;
-			taken = 0;
-			await link.send(['credit', link.readTime(), id, side, items]);
+	const giveCredit = (bytes: number) => {
+		takenBytes += bytes;
+		if (takenBytes >= WINDOW_BYTES / 2 && !receivedFinish) {
+			link.write(['credit', link.readTime(), id, side, takenBytes]);
+			takenBytes = 0;
 		}
 	};
 
 	const finish = () => {
 		if (!sentFinish) {
 			sentFinish = true;
-			void link.send(['finish', link.readTime(), id, side]);
+			link.write(['finish', link.readTime(), id, side]);
 		}
 	};
 
 	return {
 		breakOff,
-		accept(frame) {
+		accept(frame, bytes) {
 			switch (frame[0]) {
 				case 'item': {
-					incoming.push(frame[4]);
+					incoming.push({item: frame[4], bytes});
 
 					break;
 				}
 
 				case 'credit': {
-					credit += frame[4];
+					creditBytes += frame[4];
 					credited.open();
 
 					break;
@@ -88,20 +100,20 @@
 		stream: {
 			signal: gone.signal,
 			async send(item) {
-				while (credit === 0 && !gone.signal.aborted) {
+				while (creditBytes <= 0 && !gone.signal.aborted) {
 					await credited.wait();
 				}
 
-				credit--;
-				await link.send(['item', link.readTime(), id, side, item]);
+				creditBytes -= link.write(['item', link.readTime(), id, side, item]);
+				await link.waitForDrain();
 			},
 			async receive() {
-				const item = await incoming.take();
-				if (item !== undefined) {
-					await giveCredit();
+				const arrived = await incoming.take();
+				if (arrived) {
+					giveCredit(arrived.bytes);
 				}
 
-				return item;
+				return arrived?.item;
 			},
 			finish,
 			async [Symbol.asyncDispose]() {
@@ -112,7 +124,7 @@
 
 				link.forget();
 				incoming.close();
-				await link.send(['reset', link.readTime(), id, side]);
+				link.write(['reset', link.readTime(), id, side]);
 			},
 		},
 	};
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -14,6 +14,7 @@
 } from '../frames.js';
 import {createDial, startPeerListener} from '../listener.js';
 import {createPeers} from '../peers.js';
+import {WINDOW_BYTES} from '../streams.js';
 
 const NO_HANDLERS: PeerHandlers = {calls: {}, streams: {}};
 const ANY_PORT = {host: '127.0.0.1', port: 0};
@@ -66,10 +67,11 @@
 		});
 
 		it('holds a sender back until the receiver takes items', async () => {
+			const body = Buffer.alloc(WINDOW_BYTES / 16);
 			let sent = 0;
 			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
 				for (; sent < 500; sent++) {
-					await stream.send(sent);
+					await stream.send({sent, body});
 				}
 			};
 
--- a/packages/platform/src/etcd-store.ts
+++ b/packages/platform/src/etcd-store.ts
@@ -28,6 +28,8 @@
 export type EtcdSettings = Readonly<{
 	/** Address as `host:port`. */
 	address: string;
+	/** Name of the client, sent as user agent. */
+	clientName?: string;
 	/** Time after which a call counts as failed, in milliseconds. */
 	callTimeoutMs: number;
 	/** Counts calls, by method. */
@@ -47,14 +49,23 @@
 	key: Buffer.from(pair.key).toString(), value: Buffer.from(pair.value).toString(), revision: pair.mod_revision,
 });
 
-const describeError = (error: ServiceError): StoreFailure => error.code === status.UNAVAILABLE && error.details.includes('not carried out')
+/** Tells whether the service says that it did nothing. */
+const isNotCarriedOut = (error: ServiceError): boolean => error.code === status.RESOURCE_EXHAUSTED
+	|| (error.code === status.UNAVAILABLE && error.details.includes('not carried out'));
+
+const describeError = (error: ServiceError): StoreFailure => isNotCarriedOut(error)
 	? {code: 'storeUnreachable', message: error.details}
 	: {code: 'storeUnknown', message: `${error.details} (${error.code})`};
 
 /** Opens a store. */
 export const openEtcdStore = (settings: EtcdSettings, world: World): EtcdStore => {
 	const services = loadServices();
-	const options = {'grpc.initial_reconnect_backoff_ms': RECONNECT_MS, 'grpc.max_reconnect_backoff_ms': RECONNECT_MS, 'grpc.min_reconnect_backoff_ms': RECONNECT_MS};
+	const options = {
+		'grpc.initial_reconnect_backoff_ms': RECONNECT_MS,
+		'grpc.max_reconnect_backoff_ms': RECONNECT_MS,
+		'grpc.min_reconnect_backoff_ms': RECONNECT_MS,
+		...(settings.clientName === undefined ? {} : {'grpc.primary_user_agent': settings.clientName}),
+	};
 	const open = (name: keyof typeof services) => new services[name](settings.address, credentials.createInsecure(), options) as unknown as EtcdClient;
 	const kv = open('KV');
 	const leases = open('Lease');
--- a/packages/postgres-wire/src/messages.ts
+++ b/packages/postgres-wire/src/messages.ts
@@ -77,18 +77,25 @@
 /** Reads the command tag of a `CommandComplete`. */
 export const readTag = (complete: Message): string => readText(complete.bytes, HEADER_BYTES)[0];
 
+/** Messages at the start of some bytes, what is left, and how many bytes the next message takes. */
+export type SplitMessages = Readonly<{messages: readonly Message[]; rest: Buffer; wantedBytes: number; malformed: boolean}>;
+
 /** Splits off the complete messages at the start of some bytes; fails on a length out of bounds. */
-export const splitMessages = (bytes: Buffer, limit = MESSAGE_LIMIT_BYTES): Readonly<{messages: readonly Message[]; rest: Buffer; malformed: boolean}> => {
+export const splitMessages = (bytes: Buffer, limit = MESSAGE_LIMIT_BYTES): SplitMessages => {
 	const messages: Message[] = [];
 	let offset = 0;
+	let wantedBytes = HEADER_BYTES;
 	while (bytes.length - offset >= HEADER_BYTES) {
 		const length = bytes.readInt32BE(offset + 1);
 		if (length < 4 || length > limit) {
-			return {messages, rest: bytes.subarray(offset), malformed: true};
+			return {
+				messages, rest: bytes.subarray(offset), wantedBytes: 0, malformed: true,
+			};
 		}
 
 		const end = offset + 1 + length;
 		if (end > bytes.length) {
+			wantedBytes = end - offset;
 			break;
 		}
 
@@ -96,5 +103,7 @@
 		offset = end;
 	}
 
-	return {messages, rest: bytes.subarray(offset), malformed: false};
+	return {
+		messages, rest: bytes.subarray(offset), wantedBytes, malformed: false,
+	};
 };
--- a/packages/postgres-wire/src/reader.ts
+++ b/packages/postgres-wire/src/reader.ts
@@ -3,8 +3,7 @@
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createGate,
-	Err, Ok, type Failure, type Result,
+	createCollector, createGate, Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import {splitMessages, type Message} from './messages.js';
 import {readStartupLength, type StartupFailure} from './startup.js';
@@ -36,18 +35,17 @@
 
 /** Opens a wire over a socket; the socket is paused between reads. */
 export const openWire = (socket: Socket): Wire => {
-	let rest: Buffer = EMPTY;
+	const collected = createCollector();
 	let ended = socket.destroyed;
 	const readable = createGate();
 	const writable = createGate();
-	const chunks: Buffer[] = [];
 	const wake = () => {
 		readable.open();
 		writable.open();
 	};
 
 	const onData = (chunk: Buffer) => {
-		chunks.push(chunk);
+		collected.push(chunk);
 		socket.pause();
 		readable.open();
 	};
@@ -68,27 +66,30 @@
 	socket.on('drain', onDrain);
 	socket.pause();
 
-	const readMore = async (): Promise<boolean> => {
-		if (chunks.length === 0 && !ended) {
+	/** Takes as many bytes as are wanted, or what there is when the peer has ended. */
+	const readBytes = async (): Promise<Buffer | undefined> => {
+		while (true) {
+			const taken = collected.take();
+			if (taken ?? ended) {
+				return taken;
+			}
+
 			socket.resume();
 			await readable.wait();
 		}
-
-		if (chunks.length === 0) {
-			return false;
-		}
-
-		rest = rest.length === 0 && chunks.length === 1 ? (chunks[0] ?? EMPTY) : Buffer.concat([rest, ...chunks]);
-		chunks.length = 0;
-		return true;
 	};
 
 	return {
 		socket,
 		async readMessages() {
 			while (true) {
-				const split = splitMessages(rest);
-				rest = split.rest;
+				const bytes = await readBytes();
+				if (!bytes) {
+					return Err(CLOSED);
+				}
+
+				const split = splitMessages(bytes);
+				collected.keep(split.rest, split.wantedBytes);
 				if (split.messages.length > 0) {
 					return Ok(split.messages);
 				}
@@ -96,40 +97,36 @@
 				if (split.malformed) {
 					return Err({code: 'messageMalformed', message: 'A message announces a length that is out of bounds'});
 				}
-
-				if (!await readMore()) {
-					return Err(CLOSED);
-				}
 			}
 		},
 		async readStartup() {
 			while (true) {
-				const length = readStartupLength(rest);
+				const bytes = await readBytes();
+				if (!bytes) {
+					return Err(CLOSED);
+				}
+
+				const length = readStartupLength(bytes);
 				if (length.err) {
 					return length;
 				}
 
-				if (length.val !== undefined && rest.length >= length.val) {
-					const packet = rest.subarray(0, length.val);
-					rest = rest.subarray(length.val);
-					return Ok(packet);
+				if (length.val !== undefined && bytes.length >= length.val) {
+					collected.keep(bytes.subarray(length.val), 1);
+					return Ok(bytes.subarray(0, length.val));
 				}
 
-				if (!await readMore()) {
-					return Err(CLOSED);
-				}
+				collected.keep(bytes, length.val ?? bytes.length + 1);
 			}
 		},
 		async readByte() {
-			while (rest.length === 0) {
-				if (!await readMore()) {
-					return Err(CLOSED);
-				}
+			const bytes = await readBytes();
+			if (!bytes) {
+				return Err(CLOSED);
 			}
 
-			const byte = rest[0] ?? 0;
-			rest = rest.subarray(1);
-			return Ok(byte);
+			collected.keep(bytes.subarray(1), 1);
+			return Ok(bytes[0] ?? 0);
 		},
 		async write(...parts) {
 			if (ended || socket.destroyed) {
@@ -141,12 +138,7 @@
 				await writable.wait();
 			}
 		},
-		takeRest() {
-			const taken = Buffer.concat([rest, ...chunks]);
-			rest = EMPTY;
-			chunks.length = 0;
-			return taken;
-		},
+		takeRest: collected.takeAll,
 		detach() {
 			socket.off('data', onData);
 			socket.off('end', onEnd);
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -50,6 +50,10 @@
 const OPEN_WEIGHT = 1;
 const OPEN_CUSTOMER = parseId<CustomerId>('open');
 const MOST_ATTEMPTS = 400;
+const SMALL_ITEM_BYTES = 256;
+
+/** Measures what an item of a request keeps in memory, in bytes. */
+const measureItem = (item: RequestChunk | Reply): number => 'kind' in item && item.kind === 'messages' ? item.bytes.length : SMALL_ITEM_BYTES;
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
@@ -130,7 +134,7 @@
 
 	const openStream = async (route: Route, header: RequestHeader): Promise<Result<RequestStream, Refusal>> => {
 		if (route.home === context.vm) {
-			const [near, far] = createStreamPair<RequestChunk, Reply>();
+			const [near, far] = createStreamPair<RequestChunk, Reply>(measureItem);
 			context.scope.run(async () => {
 				await using own = far;
 				await serveRequest(context.home, header, own);
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -68,6 +68,7 @@
 	const requests = createScope(onFailure('request'));
 	const store = openEtcdStore({
 		address: settings.platform,
+		clientName: settings.vm,
 		callTimeoutMs: STORE_TIMEOUT_MS,
 		onCall(method) {
 			metrics.count('store.calls', {method});
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -6,7 +6,7 @@
 import {createWorld} from '@guavapitch/core';
 import {startDatabase} from './database.js';
 import {createInstance} from './instance.js';
-import {startPlatform} from './platform.js';
+import {DEFAULT_RATES, startPlatform} from './platform.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_SETTING = 2;
@@ -32,8 +32,10 @@
 	.version('0.1.0')
 	.demandCommand(1)
 	.command('platform', 'stand-in of the key-value service of the platform', command => command
-		.option('port', {type: 'number', default: 2379, describe: 'port on loopback; 0 for any'}), async flags => {
-		serveUntilStopped('platform', await startPlatform(createWorld(), flags.port));
+		.option('port', {type: 'number', default: 2379, describe: 'port on loopback; 0 for any'})
+		.option('writes', {type: 'number', default: DEFAULT_RATES.writes, describe: 'changes taken per second; more are refused'})
+		.option('reads', {type: 'number', default: DEFAULT_RATES.reads, describe: 'reads taken per second; more are refused'}), async flags => {
+		serveUntilStopped('platform', await startPlatform(createWorld(), flags.port, {writes: flags.writes, reads: flags.reads}));
 	})
 	.command('database', 'stand-in of one instance of a database', command => command
 		.option('port', {type: 'number', default: 5432, describe: 'port on loopback; 0 for any'})
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -2,31 +2,20 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall, type ServiceError, type UntypedServiceImplementation,
+	Server, ServerCredentials, status, type Metadata, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall, type ServiceError, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import {createScope, type World} from '@guavapitch/core';
 import {
 	createMemoryStore, loadServices, type Entry, type MemoryStore,
 } from '@guavapitch/platform';
-
-/** Faults of the service, changed by writing the key `/standin/faults` as JSON. */
-export type PlatformFaults = Readonly<{
-	/** Answers nothing. */
-	down?: boolean;
-	/** Delay of each answer, in milliseconds. */
-	slowMs?: number;
-	/** Carries out this many further changes without answering. */
-	loseAnswers?: number;
-	/** Client addresses or names that are cut off. */
-	cut?: readonly string[];
-}>;
+import {
+	createFaultControl, type CallKind, type PlatformFaults, type PlatformRates,
+} from './platform-faults.js';
 
 /** A running service. */
 export type PlatformServer = AsyncDisposable & Readonly<{
 	port: number;
 	store: MemoryStore;
-	/** Sets the faults. */
-	setFaults: (faults: PlatformFaults) => void;
 	/** Gets the number of calls so far, by method; a waiting watch counts as one. */
 	getCalls: () => Readonly<Record<string, number>>;
 }>;
@@ -38,13 +27,19 @@
 type PutRequest = Readonly<{key: Uint8Array; value: Uint8Array; lease: number}>;
 type RangeRequest = Readonly<{key: Uint8Array; range_end: Uint8Array}>;
 
+/** Rates of the platform's service, in calls per second. */
+export const DEFAULT_RATES: PlatformRates = {writes: 400, reads: 2000};
+
 const FAULTS_KEY = '/standin/faults';
+const CALLS_KEY = '/standin/calls';
 const EXPIRY_MS = 50;
-const HANG_MS = 3_600_000;
+const TOO_MANY = {code: status.RESOURCE_EXHAUSTED, details: 'too many requests'};
 
 const createPair = (entry: Entry) => ({key: Buffer.from(entry.key), value: Buffer.from(entry.value), mod_revision: entry.revision});
 const formatKey = (key: Uint8Array): string => Buffer.from(key).toString();
 const createHeader = (revision: number) => ({revision});
+/** Reads the name that a client gives in its user agent. */
+const readClient = (metadata: Metadata): string => String(metadata.get('user-agent')[0] ?? '').split(' ')[0] ?? '';
 const formatLease = (lease: number): string | undefined => lease === 0 ? undefined : String(lease);
 
 /** Faults are set and healed whatever faults there are. */
@@ -55,18 +50,12 @@
 };
 
 /** Starts the service on loopback. */
-export const startPlatform = async (world: World, port: number): Promise<PlatformServer> => {
+export const startPlatform = async (world: World, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
 	const store = createMemoryStore(world);
 	const services = loadServices();
 	const scope = createScope(() => undefined);
 	const calls = new Map<string, number>();
-	let faults: PlatformFaults = {};
-	let lostAnswers = 0;
-
-	const setFaults = (next: PlatformFaults) => {
-		faults = next;
-		lostAnswers = next.loseAnswers ?? 0;
-	};
+	const control = createFaultControl(world, store, rates, scope.signal);
 
 	const range = async (request: RangeRequest) => {
 		const key = formatKey(request.key);
@@ -75,13 +64,17 @@
 			return {header: createHeader(0), kvs: found.map(entry => createPair(entry)), count: found.length};
 		}
 
+		if (key === CALLS_KEY) {
+			return {header: createHeader(0), kvs: [createPair({key, value: JSON.stringify(Object.fromEntries(calls)), revision: 1})], count: 1};
+		}
+
 		const entry = (await store.read(key)).unwrap();
 		return {header: createHeader(0), kvs: entry ? [createPair(entry)] : [], count: entry ? 1 : 0};
 	};
 
 	const applyFaults = (key: string, value: string) => {
 		if (key === FAULTS_KEY) {
-			setFaults(JSON.parse(value) as PlatformFaults);
+			control.set(JSON.parse(value) as PlatformFaults);
 		}
 	};
 
@@ -124,28 +117,27 @@
 		return {header: createHeader(entry.revision)};
 	};
 
-	const passFaults = async (isControl: boolean) => {
-		if (faults.down && !isControl) {
-			await world.sleep(HANG_MS, scope.signal).catch(() => undefined);
-		}
-
-		if (faults.slowMs) {
-			await world.sleep(faults.slowMs);
-		}
+	const countCall = (name: string) => {
+		calls.set(name, (calls.get(name) ?? 0) + 1);
 	};
 
-	const serveUnary = (name: string, changes: boolean, handle: (request: Request) => Promise<Answer>) => (call: ServerUnaryCall<Request, Answer>, done: sendUnaryData<Answer>) => {
-		calls.set(name, (calls.get(name) ?? 0) + 1);
+	const serveUnary = (name: string, kind: CallKind, handle: (request: Request) => Promise<Answer>) => (call: ServerUnaryCall<Request, Answer>, done: sendUnaryData<Answer>) => {
+		countCall(name);
 		scope.run(async () => {
-			await passFaults(isControlRequest(call.request));
-			try {
-				const answer = await handle(call.request);
-				if (changes && lostAnswers > 0) {
-					lostAnswers--;
+			const isControl = isControlRequest(call.request);
+			if (!isControl) {
+				await control.waitForService(readClient(call.metadata));
+				if (!control.takeCall(kind)) {
+					done(TOO_MANY);
 					return;
 				}
+			}
 
-				done(null, answer);
+			try {
+				const answer = await handle(call.request);
+				if (kind === 'reads' || isControl || !control.losesAnswer()) {
+					done(null, answer);
+				}
 			} catch (error) {
 				done(error as ServiceError);
 			}
@@ -154,9 +146,14 @@
 
 	const keepAlive = (stream: ServerDuplexStream<Request, Answer>) => {
 		stream.on('data', (request: Request) => {
-			calls.set('LeaseKeepAlive', (calls.get('LeaseKeepAlive') ?? 0) + 1);
+			countCall('LeaseKeepAlive');
 			scope.run(async () => {
-				await passFaults(false);
+				await control.waitForService(readClient(stream.metadata));
+				if (!control.takeCall('writes')) {
+					stream.emit('error', TOO_MANY);
+					return;
+				}
+
 				const renewed = await store.renewLease(String(request.ID));
 				const seconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
 				stream.write({header: createHeader(0), ID: request.ID, TTL: seconds});
@@ -171,12 +168,13 @@
 	const watch = (stream: ServerDuplexStream<Request, Answer>) => {
 		const gone = new AbortController();
 		stream.on('data', (request: Request) => {
-			calls.set('Watch', (calls.get('Watch') ?? 0) + 1);
+			countCall('Watch');
 			const create = request.create_request as RangeRequest;
 			scope.run(async () => {
-				await passFaults(false);
+				const client = readClient(stream.metadata);
+				await control.waitForService(client);
 				await store.watch(formatKey(create.key), keys => {
-					if (!faults.down) {
+					if (!control.isCut(client)) {
 						stream.write({
 							header: createHeader(0), created: keys.length === 0, events: keys.map(key => ({type: 'PUT', kv: {key: Buffer.from(key)}})),
 						});
@@ -199,16 +197,16 @@
 	};
 
 	implement('KV', {
-		Range: serveUnary('Range', false, async request => range(request as unknown as RangeRequest)),
-		Put: serveUnary('Put', false, put),
-		Txn: serveUnary('Txn', true, transact),
+		Range: serveUnary('Range', 'reads', async request => range(request as unknown as RangeRequest)),
+		Put: serveUnary('Put', 'writes', put),
+		Txn: serveUnary('Txn', 'writes', transact),
 	});
 	implement('Lease', {
-		LeaseGrant: serveUnary('LeaseGrant', true, async request => {
+		LeaseGrant: serveUnary('LeaseGrant', 'writes', async request => {
 			const lease = (await store.grantLease(Number(request.TTL))).unwrap();
 			return {header: createHeader(0), ID: lease.id, TTL: request.TTL};
 		}),
-		LeaseRevoke: serveUnary('LeaseRevoke', true, async request => {
+		LeaseRevoke: serveUnary('LeaseRevoke', 'writes', async request => {
 			await store.revokeLease(String(request.ID));
 			return {header: createHeader(0)};
 		}),
@@ -233,7 +231,6 @@
 	return {
 		port: bound,
 		store,
-		setFaults,
 		getCalls: () => Object.fromEntries(calls),
 		async [Symbol.asyncDispose]() {
 			server.forceShutdown();
