Cut proxies and data centres off from each other in the proofs

Cause: the proofs had no partition between vms; a data centre that is cut off was not proved with processes. Change: the development stack puts a relay before each proxy's peer port; a relay learns from the hello who dials and holds back what the cut forbids. Instances and replicas are cut by the names that connect. New faults: a proxy or a data centre cut off (with or without the platform), a slow platform, all leases lapsed. Ruled out: a fault hook in the product.

--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -8,7 +8,8 @@
 /** Kinds of faults. */
 export type FaultKind
 	= | 'killPrimary' | 'freezePrimary' | 'cutPrimary' | 'killReplica' | 'lagReplica'
-		| 'killProxy' | 'freezeProxy' | 'platformDown' | 'loseAnswers' | 'freezePlatform';
+		| 'killProxy' | 'freezeProxy' | 'platformDown' | 'loseAnswers' | 'freezePlatform'
+		| 'slowPlatform' | 'lapseLeases' | 'cutProxy' | 'cutDataCentre';
 
 /** One fault of a schedule. */
 export type Fault = Readonly<{kind: FaultKind; atMs: number; forMs: number; choice: number}>;
@@ -16,7 +17,7 @@
 /** A fault as it was carried out. */
 export type CarriedOut = Readonly<{fault: Fault; target: string; at: number}>;
 
-const KINDS: readonly FaultKind[] = ['killPrimary', 'freezePrimary', 'cutPrimary', 'killReplica', 'lagReplica', 'killProxy', 'freezeProxy', 'platformDown', 'loseAnswers', 'freezePlatform'];
+const KINDS: readonly FaultKind[] = ['killPrimary', 'freezePrimary', 'cutPrimary', 'killReplica', 'lagReplica', 'killProxy', 'freezeProxy', 'platformDown', 'loseAnswers', 'freezePlatform', 'slowPlatform', 'lapseLeases', 'cutProxy', 'cutDataCentre'];
 /** Failures of connecting to an instance that another fault has killed. */
 const DEAD_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 const FAULTS_KEY = '/standin/faults';
@@ -24,6 +25,7 @@
 const LONGEST_MS = 3500;
 const LAG_MS = 1500;
 const LOST_ANSWERS = 3;
+const SLOW_MS = 400;
 
 /** Draws a schedule: one to three faults, some of them together, some twice. */
 export const drawSchedule = (random: Random, durationMs: number, only?: FaultKind): readonly Fault[] => {
@@ -82,6 +84,36 @@
 	return newest.record.primary;
 };
 
+/** Cuts vms off from all other vms, from the instances of other places, and maybe from the platform. */
+const cutOff = async (stack: Stack, vms: ReadonlySet<string>, places: ReadonlySet<string>, withPlatform: boolean) => {
+	const settings = Object.values(stack.inventory.databases).flatMap(database => database.instances);
+	const inside = settings.filter(instance => places.has(instance.dataCentre));
+	const outside = settings.filter(instance => !places.has(instance.dataCentre));
+	const otherVms = [...stack.proxies.keys()].filter(vm => !vms.has(vm));
+	stack.links.setCut((from, to) => vms.has(from) !== vms.has(to));
+	if (withPlatform) {
+		await setPlatformFaults(stack, {cut: [...vms]});
+	}
+
+	const cutFrom = async (instance: string, peers: readonly string[]) => {
+		const running = stack.instances.get(instance);
+		for (const peer of running ? peers : []) {
+			await controlInstance(running as StackInstance, `SELECT standin_cut('${peer}')`);
+		}
+	};
+
+	await Promise.all([
+		...inside.map(async one => cutFrom(one.name, [...otherVms, ...outside.map(other => other.name)])),
+		...outside.map(async one => cutFrom(one.name, [...vms, ...inside.map(other => other.name)])),
+	]);
+};
+
+const healCut = async (stack: Stack) => {
+	stack.links.setCut(() => false);
+	await setPlatformFaults(stack, {});
+	await Promise.all([...stack.instances.values()].map(async instance => controlInstance(instance, 'SELECT standin_heal()')));
+};
+
 const restartInstance = async (stack: Stack, instance: StackInstance, forMs: number) => {
 	if (instance.process.exitCode !== null || instance.process.signalCode !== null) {
 		return;
@@ -144,6 +176,23 @@
 		}],
 		loseAnswers: ['platform', async () => setPlatformFaults(stack, {loseAnswers: LOST_ANSWERS})],
 		freezePlatform: ['platform', async () => freeze(stack.platform, fault.forMs)],
+		slowPlatform: ['platform', async () => {
+			await setPlatformFaults(stack, {slowMs: SLOW_MS});
+			await waitMs(fault.forMs);
+			await setPlatformFaults(stack, {});
+		}],
+		lapseLeases: ['platform', async () => setPlatformFaults(stack, {lapseLeases: true})],
+		cutProxy: [proxy.vm, async () => {
+			await cutOff(stack, new Set([proxy.vm]), new Set(), fault.choice < 0.5);
+			await waitMs(fault.forMs);
+			await healCut(stack);
+		}],
+		cutDataCentre: [proxy.dataCentre, async () => {
+			const inside = proxies.filter(one => one.dataCentre === proxy.dataCentre);
+			await cutOff(stack, new Set(inside.map(one => one.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
+			await waitMs(fault.forMs);
+			await healCut(stack);
+		}],
 	};
 	const [target, run] = steps[fault.kind];
 	onStart(target);
--- a/packages/bench/src/proof.ts
+++ b/packages/bench/src/proof.ts
@@ -68,6 +68,7 @@
 			connectMs: plan.example === 'siphon' ? 30 : 10,
 			statementMs: 1,
 			lagMs: plan.lagMs,
+			relayed: true,
 		},
 	};
 };
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -15,6 +15,7 @@
 } from '@guavapitch/operator';
 import type {PeerTls} from '@guavapitch/peer-protocol';
 import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+import {createLinks, type Links} from './relays.js';
 
 /** One child process. */
 export type Child = Readonly<{
@@ -40,6 +41,8 @@
 	lagMs: number;
 	/** Further flags of every proxy. */
 	proxyFlags?: readonly string[];
+	/** Puts relays between the proxies, so that they can be cut off from each other. */
+	relayed?: boolean;
 	/** Keys with which this script asks the proxies. */
 	peerTls?: PeerTls;
 }>;
@@ -55,6 +58,7 @@
 	instances: Map<string, StackInstance>;
 	/** Secret of the key of each customer. */
 	secrets: ReadonlyMap<string, string>;
+	links: Links;
 	logFolder: string;
 	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
 	startInstance: (name: string, follow: string | undefined) => Promise<StackInstance>;
@@ -68,6 +72,8 @@
 	readEvents: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
 }>;
 
+type Relay = Readonly<{port: number; owner: AsyncDisposable}>;
+
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 const STORE_TIMEOUT_MS = 2000;
@@ -156,6 +162,8 @@
 	const proxies = new Map<string, StackProxy>();
 	const instances = new Map<string, StackInstance>();
 	const secrets = new Map<string, string>();
+	const links = createLinks(world);
+	const relays = new Map<string, Relay>();
 
 	const waitFor = async (what: string, isReady: () => Promise<boolean>) => {
 		const giveUpAt = world.now() + READY_TIMEOUT_MS;
@@ -216,12 +224,24 @@
 		return started;
 	};
 
+	/** Gets the port at which peers reach a vm. */
+	const getOuterPort = async (vm: string, peerPort: number): Promise<number> => {
+		const known = relays.get(vm);
+		if (known || !plan.relayed) {
+			return known?.port ?? peerPort;
+		}
+
+		const port = await findFreePort();
+		relays.set(vm, {port, owner: await links.openRelay(vm, peerPort, port)});
+		return port;
+	};
+
 	const startProxy = async (vm: string, dataCentre: string): Promise<StackProxy> => {
 		const known = proxies.get(vm);
 		const port = known?.port ?? await findFreePort();
 		const peerPort = known?.peerPort ?? await findFreePort();
 		const listed = {
-			vm, dataCentre, host: '127.0.0.1', port: peerPort, state: 'live',
+			vm, dataCentre, host: '127.0.0.1', port: await getOuterPort(vm, peerPort), state: 'live',
 		};
 		const current = await store.read(`/platform/vms/${vm}`);
 		await store.swap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
@@ -328,6 +348,7 @@
 		proxies,
 		instances,
 		secrets,
+		links,
 		logFolder,
 		startProxy,
 		startInstance,
@@ -341,6 +362,7 @@
 			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await Promise.all([...instances.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await stopChild(platform, 'SIGKILL');
+			await Promise.all([...relays.values()].map(async relay => relay.owner[Symbol.asyncDispose]()));
 			await fleet[Symbol.asyncDispose]();
 			await store[Symbol.asyncDispose]();
 		},
