Drain writes before a planned change of primary

Cause: moving the primary off a leaving instance ended all permissions at once, so writes on their way got "outcome unknown" although nothing had failed. Ruled out: waiting in the steward for a quiet moment (never comes under load). Change: sending writes and releasing their answers are two permissions. A planned change ends the first alone; a holder says so once none of its writes is under way (at most the validity of a grant), then the second is ended as before. A failed primary loses both at once. A replica that stays is promoted before one that leaves.

--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -46,7 +46,7 @@
 	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
 	keepCancel: (requestId: RequestId, cancel: () => void) => Disposable;
 	/** Counts a request in until it is disposed, so that a leaving process can wait for it. */
-	trackRequest: () => Disposable;
+	trackRequest: (header: RequestHeader) => Disposable;
 	/** Tells whether the process takes no new requests. */
 	isDraining: () => boolean;
 }>;
@@ -282,7 +282,7 @@
 		await stream.send({kind: 'refused', refusal});
 	};
 
-	using tracked = context.trackRequest();
+	using tracked = context.trackRequest(header);
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	const target = context.getInstance(header.instance);
 	if (!target || context.isDraining()) {
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -176,6 +176,9 @@
 			};
 
 			const leaving = await findPrimary();
+			let busy = true;
+			const busySessions = Array.from({length: 6}, (_, index) => lodge(`planned${index}`, {running: () => busy}));
+			await waitMs(300);
 			await stack.change(inventory => ({
 				...inventory,
 				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, one]) => [name, name === database
@@ -185,6 +188,10 @@
 					: one])),
 			}));
 			await waitFor('another primary', async () => await findPrimary() !== leaving, WITHIN_MS);
+			await waitMs(300);
+			busy = false;
+			await Promise.all(busySessions.map(async one => one.running));
+			assert.deepEqual(busySessions.flatMap(one => one.failures), [], 'a planned change of primary failed requests');
 			let running = true;
 			const session = lodge('leaving', {running: () => running});
 			await waitMs(1000);
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -51,7 +51,7 @@
 
 	/** Under a grant that is valid at this moment, the primary has not been replaced. */
 	const isProved = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
-		const record = book.checkWrite(request.database, request.instance);
+		const record = book.checkAcknowledgement(request.database, request.instance);
 		return record.ok && record.val.term === request.term && (!request.replicated || isReplicated(record.val, position, replayed));
 	};
 
--- a/packages/failover/src/granter.ts
+++ b/packages/failover/src/granter.ts
@@ -9,8 +9,45 @@
 /** One run of the process of a vm that holds grants. */
 export type Holder = Readonly<{vm: VmId; incarnation: string}>;
 
-/** Which permissions of a holder end. */
-export type Permissions = Readonly<{writes: boolean; reads: boolean}>;
+/** What a holder may do, or what of it ends. */
+export type Permissions = Readonly<{
+	/** Send writes to the primary. */
+	writes: boolean;
+	/** Release the answers of writes. */
+	acknowledgements: boolean;
+	/** Read from the synced set what must not be stale. */
+	reads: boolean;
+}>;
+
+/** Every permission. */
+export const ALL: Permissions = {writes: true, acknowledgements: true, reads: true};
+
+/** No permission. */
+export const NONE: Permissions = {writes: false, acknowledgements: false, reads: false};
+
+/** Reading only, as between two primaries. */
+export const READS: Permissions = {...NONE, reads: true};
+
+/** Sending writes only: what was sent before may still be acknowledged when it ends. */
+export const WRITES: Permissions = {...NONE, writes: true};
+
+/** All that only a primary is needed for. */
+export const PRIMARY_ONLY: Permissions = {writes: true, acknowledgements: true, reads: false};
+
+/** Until when each permission is valid. */
+export type Deadlines = Readonly<Record<keyof Permissions, Deadline>>;
+
+/** Nothing valid. */
+export const OVER: Deadlines = {writes: PAST, acknowledgements: PAST, reads: PAST};
+
+/** Sets the deadline of the permissions that are named. */
+export const setDeadlines = (deadlines: Deadlines, permissions: Permissions, deadline: Deadline): Deadlines => ({
+	writes: permissions.writes ? deadline : deadlines.writes,
+	acknowledgements: permissions.acknowledgements ? deadline : deadlines.acknowledgements,
+	reads: permissions.reads ? deadline : deadlines.reads,
+});
+
+const KINDS = ['writes', 'acknowledgements', 'reads'] as const;
 
 /** Permissions that a steward gives now. */
 export type GrantTerms = Readonly<{
@@ -25,7 +62,7 @@
 export type Granter = Readonly<{
 	/** Gives a grant; `undefined` if the authority has passed. */
 	grant: (holder: Holder, terms: GrantTerms) => GrantReply | undefined;
-	/** Ends permissions of all holders: asks each, and waits out those that do not answer. */
+	/** Ends permissions of all holders: asks each, and waits out those that do not answer. A holder answers once nothing runs under them. */
 	endAll: (permissions: Permissions, revoke: (holder: Holder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
 	/** Waits until every outstanding grant is of a revision or newer. */
 	waitForRevision: (revision: number, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
@@ -37,7 +74,7 @@
 /** Allowance for clocks that run at different rates. */
 const DRIFT_MS = 50;
 
-type Outstanding = {readonly holder: Holder; writes: Deadline; reads: Deadline; revision: number};
+type Outstanding = {readonly holder: Holder; deadlines: Deadlines; revision: number};
 
 const formatHolder = (holder: Holder): string => `${holder.vm}/${holder.incarnation}`;
 
@@ -48,23 +85,16 @@
 
 	const isOver = (grant: Outstanding, permissions: Permissions): boolean => {
 		const now = world.now();
-		return (!permissions.writes || isPast(grant.writes, now)) && (!permissions.reads || isPast(grant.reads, now));
+		return KINDS.every(kind => !permissions[kind] || isPast(grant.deadlines[kind], now));
 	};
 
 	const end = (grant: Outstanding, permissions: Permissions) => {
-		if (permissions.writes) {
-			grant.writes = PAST;
-		}
-
-		if (permissions.reads) {
-			grant.reads = PAST;
-		}
-
+		grant.deadlines = setDeadlines(grant.deadlines, permissions, PAST);
 		changed.notify();
 	};
 
 	const getLastDeadline = (permissions: Permissions): Deadline => {
-		const deadlines = [...outstanding.values()].flatMap(grant => [permissions.writes ? grant.writes : PAST, permissions.reads ? grant.reads : PAST]);
+		const deadlines = [...outstanding.values()].flatMap(grant => KINDS.map(kind => permissions[kind] ? grant.deadlines[kind] : PAST));
 		return Math.max(PAST, ...deadlines) as Deadline;
 	};
 
@@ -81,8 +111,7 @@
 			const known = outstanding.get(key);
 			outstanding.set(key, {
 				holder,
-				writes: terms.permissions.writes ? deadline : (known?.writes ?? PAST),
-				reads: terms.permissions.reads ? deadline : (known?.reads ?? PAST),
+				deadlines: setDeadlines(known?.deadlines ?? OVER, terms.permissions, deadline),
 				revision: terms.view.revision,
 			});
 			return {
@@ -102,7 +131,7 @@
 			await changed.waitUntil(() => living.every(grant => isOver(grant, permissions)), getLastDeadline(permissions), signal);
 		},
 		async waitForRevision(revision, deadline, signal) {
-			const isRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || isOver(grant, {writes: true, reads: true}));
+			const isRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || isOver(grant, ALL));
 			while (!isRenewed()) {
 				if (isPast(deadline, world.now()) || signal.aborted) {
 					return false;
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -3,6 +3,9 @@
 import {
 	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
 } from '@guavapitch/core';
+import {
+	OVER, setDeadlines, type Deadlines, type Permissions,
+} from './granter.js';
 import {getAwaited, type GroupRecord, type GroupView} from './record.js';
 
 /** What a steward answers to a request for a grant. */
@@ -13,7 +16,7 @@
 	/** Proved age of each replica's data when the steward answered, in milliseconds. */
 	agesMs: Readonly<Record<string, number>>;
 	/** What the grant allows. */
-	permissions: Readonly<{writes: boolean; reads: boolean}>;
+	permissions: Permissions;
 }>;
 
 /** Why a request may not run now; it has not run. */
@@ -27,11 +30,17 @@
 	/** Takes a reply; `askedAt` is when the request for it was sent. */
 	accept: (reply: GrantReply, askedAt: Instant) => void;
 	/** Gives up permissions of a database before their deadline; replies asked for earlier no longer count. */
-	revoke: (database: DatabaseId, permissions: Readonly<{writes: boolean; reads: boolean}>) => void;
+	revoke: (database: DatabaseId, permissions: Permissions) => void;
+	/** Counts a write in until it is disposed. */
+	enterWrite: (database: DatabaseId) => Disposable;
+	/** Waits until no write of a database is under way. */
+	waitUntilIdle: (database: DatabaseId, deadline: Deadline) => Promise<void>;
 	/** Gets the view of the last grant, valid or not. */
 	getView: (database: DatabaseId) => GroupView | undefined;
 	/** Checks that a write may be sent to an instance now. */
 	checkWrite: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that the answer of a write may be released now. */
+	checkAcknowledgement: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that an instance holds every acknowledged write now. */
 	checkRead: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that an instance's data are proved to be young enough. */
@@ -51,7 +60,7 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type Held = Readonly<{reply: GrantReply; askedAt: Instant; writes: Deadline; reads: Deadline}>;
+type Held = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: Deadlines}>;
 
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant of the steward'};
 
@@ -62,9 +71,20 @@
 
 	const revokedAt = new Map<DatabaseId, Instant>();
 
-	const getValid = (database: DatabaseId, permission: 'writes' | 'reads'): GroupRecord | undefined => {
+	const writing = new Map<DatabaseId, number>();
+
+	const getValid = (database: DatabaseId, permission: keyof Permissions): GroupRecord | undefined => {
 		const grant = held.get(database);
-		return grant && !isPast(grant[permission], world.now()) ? grant.reply.view.record : undefined;
+		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.reply.view.record : undefined;
+	};
+
+	const checkPrimary = (database: DatabaseId, instance: InstanceId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
+		const record = getValid(database, permission);
+		if (!record) {
+			return Err(NO_GRANT);
+		}
+
+		return record.primary === instance ? Ok(record) : Err({code: 'notPrimary', message: `${instance} is not the primary`});
 	};
 
 	return {
@@ -80,8 +100,7 @@
 			held.set(database, {
 				reply,
 				askedAt,
-				writes: reply.permissions.writes ? deadline : PAST,
-				reads: reply.permissions.reads ? deadline : PAST,
+				deadlines: setDeadlines(OVER, reply.permissions, deadline),
 			});
 			changed.notify();
 		},
@@ -89,18 +108,24 @@
 			revokedAt.set(database, world.now());
 			const known = held.get(database);
 			if (known) {
-				held.set(database, {...known, writes: permissions.writes ? PAST : known.writes, reads: permissions.reads ? PAST : known.reads});
+				held.set(database, {...known, deadlines: setDeadlines(known.deadlines, permissions, PAST)});
 			}
 		},
 		getView: database => held.get(database)?.reply.view,
-		checkWrite(database, instance) {
-			const record = getValid(database, 'writes');
-			if (!record) {
-				return Err(NO_GRANT);
-			}
-
-			return record.primary === instance ? Ok(record) : Err({code: 'notPrimary', message: `${instance} is not the primary`});
+		enterWrite(database) {
+			writing.set(database, (writing.get(database) ?? 0) + 1);
+			return {
+				[Symbol.dispose]() {
+					writing.set(database, (writing.get(database) ?? 0) - 1);
+					changed.notify();
+				},
+			};
+		},
+		async waitUntilIdle(database, deadline) {
+			await changed.waitUntil(() => (writing.get(database) ?? 0) === 0, deadline);
 		},
+		checkWrite: (database, instance) => checkPrimary(database, instance, 'writes'),
+		checkAcknowledgement: (database, instance) => checkPrimary(database, instance, 'acknowledgements'),
 		checkRead(database, instance) {
 			const record = getValid(database, 'reads');
 			if (!record) {
@@ -140,12 +165,12 @@
 		},
 		async waitForTerm(database, term, deadline, signal) {
 			const isOver = () => (held.get(database)?.reply.view.record.term ?? 0) > term;
-			await changed.waitUntil(() => isOver() || getValid(database, 'writes')?.term === term, deadline, signal);
+			await changed.waitUntil(() => isOver() || getValid(database, 'acknowledgements')?.term === term, deadline, signal);
 			if (isOver()) {
 				return 'replaced';
 			}
 
-			return getValid(database, 'writes')?.term === term ? 'valid' : 'none';
+			return getValid(database, 'acknowledgements')?.term === term ? 'valid' : 'none';
 		},
 	};
 };
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -4,7 +4,9 @@
 	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/platform';
-import {createGranter, type Holder, type Permissions} from './granter.js';
+import {
+	ALL, createGranter, NONE, PRIMARY_ONLY, READS, WRITES, type Holder, type Permissions,
+} from './granter.js';
 import type {GrantReply} from './grants.js';
 import {createHealth, type Health, type Probe} from './health.js';
 import {createSyncedSet, type StewardedDatabase} from './synced-set.js';
@@ -71,7 +73,7 @@
 		onEvent({kind: 'instance', instance, reachable});
 	});
 	let view: GroupView | undefined;
-	let permissions: Permissions = {writes: false, reads: false};
+	let permissions: Permissions = NONE;
 	let blocked = '';
 	let repairAt = createDeadline(world.now(), 0);
 
@@ -152,7 +154,11 @@
 	};
 
 	const endGrants = async (ended: Permissions, signal: AbortSignal) => {
-		permissions = {writes: permissions.writes && !ended.writes, reads: permissions.reads && !ended.reads};
+		permissions = {
+			writes: permissions.writes && !ended.writes,
+			acknowledgements: permissions.acknowledgements && !ended.acknowledgements,
+			reads: permissions.reads && !ended.reads,
+		};
 		await granter.endAll(ended, async holder => context.revoke(holder, database, ended), signal);
 	};
 
@@ -164,7 +170,7 @@
 		writeRecord,
 		endGrants,
 		allowAll() {
-			permissions = {writes: true, reads: true};
+			permissions = ALL;
 		},
 	});
 
@@ -180,14 +186,15 @@
 		}
 	};
 
-	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most. */
+	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most; one that stays goes first. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<InstanceId | undefined> => {
+		const leaving = new Set(context.getDatabase()?.leaving);
 		const reachable = record.synced.filter(instance => health.isReachable(instance));
 		await Promise.all(reachable.map(async instance => commands.follow(instance, undefined)));
 		await health.probeAll(reachable);
 		return reachable
 			.filter(instance => health.isReachable(instance))
-			.toSorted((a, b) => health.getPosition(b) - health.getPosition(a))[0];
+			.toSorted((a, b) => Number(leaving.has(a)) - Number(leaving.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
 	};
 
 	/** Makes the primary of the record lead, and the others follow it. */
@@ -202,14 +209,19 @@
 		return true;
 	};
 
-	const failOver = async (record: GroupRecord, signal: AbortSignal) => {
+	const failOver = async (record: GroupRecord, planned: boolean, signal: AbortSignal) => {
 		if (!record.synced.some(instance => health.isReachable(instance))) {
 			block('no replica of the synced set can be reached');
 			return;
 		}
 
 		onEvent({kind: 'started', primary: record.primary, term: record.term});
-		await endGrants({writes: true, reads: false}, signal);
+		if (planned) {
+			// What was sent is answered first: holders say that their writes have ended once none is under way.
+			await endGrants(WRITES, signal);
+		}
+
+		await endGrants(PRIMARY_ONLY, signal);
 		onEvent({kind: 'grantsEnded', term: record.term});
 		const successor = await chooseSuccessor(record);
 		if (!successor || !hasAuthority()) {
@@ -219,7 +231,7 @@
 
 		const lost = record.synced.filter(instance => !health.isReachable(instance));
 		if (lost.length > 0) {
-			await endGrants({writes: true, reads: true}, signal);
+			await endGrants(ALL, signal);
 		}
 
 		const kept = {...record, synced: record.synced.filter(instance => !lost.includes(instance))};
@@ -227,9 +239,9 @@
 			return;
 		}
 
-		permissions = {writes: false, reads: true};
+		permissions = READS;
 		if (await completePromotion(view.record, signal)) {
-			permissions = {writes: true, reads: true};
+			permissions = ALL;
 			onEvent({kind: 'finished', primary: successor, term: view.record.term});
 		}
 	};
@@ -265,13 +277,13 @@
 	const improve = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal) => {
 		const {report} = health.get(record.primary);
 		if (report?.isReplica) {
-			permissions = {writes: false, reads: true};
+			permissions = READS;
 			await completePromotion(record, signal);
 			return;
 		}
 
 		if (!permissions.writes) {
-			permissions = {writes: true, reads: true};
+			permissions = ALL;
 		}
 
 		const isChanged = await syncedSet.improve(record, settings, signal);
@@ -295,8 +307,9 @@
 		}
 
 		const isLeaving = settings.leaving.includes(record.primary) && record.synced.some(instance => health.isReachable(instance) && !settings.leaving.includes(instance));
-		if (health.hasFailed(record.primary) || isLeaving || hasLostData(record)) {
-			await failOver(record, signal);
+		const hasFailed = health.hasFailed(record.primary) || hasLostData(record);
+		if (hasFailed || isLeaving) {
+			await failOver(record, !hasFailed, signal);
 		} else if (health.isReachable(record.primary)) {
 			await improve(record, settings, signal);
 		}
@@ -317,7 +330,7 @@
 			if (first !== undefined && first !== 'none') {
 				view = first;
 				context.publish(first);
-				permissions = {writes: false, reads: true};
+				permissions = READS;
 			}
 
 			while (hasAuthority() && !signal.aborted) {
@@ -329,7 +342,7 @@
 				await world.sleep(PROBE_PERIOD_MS, signal);
 			}
 
-			permissions = {writes: false, reads: false};
+			permissions = NONE;
 		},
 	};
 };
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, isPast, type DatabaseId, type InstanceId, type World,
 } from '@guavapitch/core';
-import type {Granter, Permissions} from './granter.js';
+import {ALL, type Granter, type Permissions} from './granter.js';
 import type {Health} from './health.js';
 import {getAwaited, type GroupRecord} from './record.js';
 
@@ -65,7 +65,7 @@
 		}
 
 		if (dropped.length > 0) {
-			await context.endGrants({writes: true, reads: true}, signal);
+			await context.endGrants(ALL, signal);
 		}
 
 		await context.writeRecord({...record, joining, synced: record.synced.filter(instance => !dropped.includes(instance))}, signal);
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -7,14 +7,13 @@
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type DatabaseId, type InstanceId, type VmId,
 } from '@guavapitch/core';
 import {createDurability} from '../durability.js';
-import {createGranter, GRANT_MS} from '../granter.js';
+import {ALL, createGranter, GRANT_MS} from '../granter.js';
 import {createGrantBook, type GrantReply} from '../grants.js';
 import {createRecord, promoteRecord, type GroupView} from '../record.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
 const PRIMARY = parseId<InstanceId>('orders-1');
 const REPLICA = parseId<InstanceId>('orders-2');
-const ALL = {writes: true, reads: true};
 
 const createView = (revision: number): GroupView => ({revision, record: {...createRecord(DATABASE, PRIMARY, 0), synced: [REPLICA]}});
 
@@ -68,6 +67,7 @@
 					await advance(20);
 					if (ended) {
 						assert.ok(books.every(book => book.checkWrite(DATABASE, PRIMARY).err), 'a grant is valid after all have ended');
+						assert.ok(books.every(book => book.checkAcknowledgement(DATABASE, PRIMARY).err), 'answers may be released after all have ended');
 					}
 				}
 
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -1,11 +1,13 @@
 /** What this process answers to its peers. */
 
-import type {
-	DatabaseId, Scope, Stream, VmId, World,
+import {
+	createDeadline, type DatabaseId, type Scope, type Stream, type VmId, type World,
 } from '@guavapitch/core';
 import {serveRequest, type HomeContext, type HomeStream} from '@guavapitch/back-postgres';
 import type {RelayService, SyncRequest} from '@guavapitch/configuration';
-import type {GrantBook, Holder, Permissions} from '@guavapitch/failover';
+import {
+	GRANT_MS, type GrantBook, type Holder, type Permissions,
+} from '@guavapitch/failover';
 import type {AllotmentRequest} from '@guavapitch/limits';
 import type {Ping, Pong} from '@guavapitch/membership';
 import type {PeerHandlers} from '@guavapitch/peer-protocol';
@@ -69,6 +71,9 @@
 				const {database, permissions, incarnation} = body as Readonly<{database: DatabaseId; permissions: Permissions; incarnation: string}>;
 				if (incarnation === context.incarnation) {
 					context.book.revoke(database, permissions);
+					if (permissions.writes && !permissions.acknowledgements) {
+						await context.book.waitUntilIdle(database, createDeadline(context.world.now(), GRANT_MS));
+					}
 				}
 
 				return true;
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -165,10 +165,12 @@
 				},
 			};
 		},
-		trackRequest() {
+		trackRequest(header) {
 			underWay++;
+			const write = header.mode === 'write' ? homes.book.enterWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
+					write?.[Symbol.dispose]();
 					underWay--;
 				},
 			};
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -7,7 +7,7 @@
 	askState, commandFollow, commandPromote, commandRejoin, createQuestions, type Questions,
 } from '@guavapitch/back-postgres';
 import {
-	createSteward, type GrantReply, type GroupView, type Holder, type InstanceCommands, type Steward, type StewardedDatabase, type StewardEvent,
+	createSteward, GRANT_MS, type GrantReply, type GroupView, type Holder, type InstanceCommands, type Steward, type StewardedDatabase, type StewardEvent,
 } from '@guavapitch/failover';
 import type {Store} from '@guavapitch/platform';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
@@ -134,7 +134,7 @@
 		commands,
 		getDatabase: () => getSettings(database),
 		getAuthority: authority.getDeadline,
-		revoke: async (holder, id, permissions) => context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, REVOKE_TIMEOUT_MS),
+		revoke: async (holder, id, permissions) => context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, permissions.acknowledgements ? REVOKE_TIMEOUT_MS : GRANT_MS),
 		publish: context.onView,
 		onEvent(event) {
 			emitEvent(emit, database, event);
