--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -17,7 +17,22 @@
 /** A fault as it was carried out. */
 export type CarriedOut = Readonly<{fault: Fault; target: string; at: number}>;
 
-const KINDS: readonly FaultKind[] = ['killPrimary', 'freezePrimary', 'cutPrimary', 'killReplica', 'lagReplica', 'killProxy', 'freezeProxy', 'platformDown', 'loseAnswers', 'freezePlatform', 'slowPlatform', 'lapseLeases', 'cutProxy', 'cutDataCentre'];
+const KINDS: readonly FaultKind[] = [
+	'killPrimary',
+	'freezePrimary',
+	'cutPrimary',
+	'killReplica',
+	'lagReplica',
+	'killProxy',
+	'freezeProxy',
+	'platformDown',
+	'loseAnswers',
+	'freezePlatform',
+	'slowPlatform',
+	'lapseLeases',
+	'cutProxy',
+	'cutDataCentre',
+];
 /** Failures of connecting to an instance that another fault has killed. */
 const DEAD_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 const FAULTS_KEY = '/standin/faults';
@@ -95,10 +110,14 @@
 		await setPlatformFaults(stack, {cut: [...vms]});
 	}
 
-	const cutFrom = async (instance: string, peers: readonly string[]) => {
-		const running = stack.instances.get(instance);
-		for (const peer of running ? peers : []) {
-			await controlInstance(running as StackInstance, `SELECT standin_cut('${peer}')`);
+	const cutFrom = async (name: string, peers: readonly string[]) => {
+		const running = stack.instances.get(name);
+		if (!running) {
+			return;
+		}
+
+		for (const peer of peers) {
+			await controlInstance(running, `SELECT standin_cut('${peer}')`);
 		}
 	};
 
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -227,8 +227,12 @@
 	/** Gets the port at which peers reach a vm. */
 	const getOuterPort = async (vm: string, peerPort: number): Promise<number> => {
 		const known = relays.get(vm);
-		if (known || !plan.relayed) {
-			return known?.port ?? peerPort;
+		if (known) {
+			return known.port;
+		}
+
+		if (plan.relayed !== true) {
+			return peerPort;
 		}
 
 		const port = await findFreePort();
--- a/packages/failover/src/granter.ts
+++ b/packages/failover/src/granter.ts
@@ -41,7 +41,7 @@
 export const OVER: Deadlines = {writes: PAST, acknowledgements: PAST, reads: PAST};
 
 /** Sets the deadline of the permissions that are named. */
-export const setDeadlines = (deadlines: Deadlines, permissions: Permissions, deadline: Deadline): Deadlines => ({
+export const changeDeadlines = (deadlines: Deadlines, permissions: Permissions, deadline: Deadline): Deadlines => ({
 	writes: permissions.writes ? deadline : deadlines.writes,
 	acknowledgements: permissions.acknowledgements ? deadline : deadlines.acknowledgements,
 	reads: permissions.reads ? deadline : deadlines.reads,
@@ -89,7 +89,7 @@
 	};
 
 	const end = (grant: Outstanding, permissions: Permissions) => {
-		grant.deadlines = setDeadlines(grant.deadlines, permissions, PAST);
+		grant.deadlines = changeDeadlines(grant.deadlines, permissions, PAST);
 		changed.notify();
 	};
 
@@ -111,7 +111,7 @@
 			const known = outstanding.get(key);
 			outstanding.set(key, {
 				holder,
-				deadlines: setDeadlines(known?.deadlines ?? OVER, terms.permissions, deadline),
+				deadlines: changeDeadlines(known?.deadlines ?? OVER, terms.permissions, deadline),
 				revision: terms.view.revision,
 			});
 			return {
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -4,7 +4,7 @@
 	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import {
-	OVER, setDeadlines, type Deadlines, type Permissions,
+	OVER, changeDeadlines, type Deadlines, type Permissions,
 } from './granter.js';
 import {getAwaited, type GroupRecord, type GroupView} from './record.js';
 
@@ -100,7 +100,7 @@
 			held.set(database, {
 				reply,
 				askedAt,
-				deadlines: setDeadlines(OVER, reply.permissions, deadline),
+				deadlines: changeDeadlines(OVER, reply.permissions, deadline),
 			});
 			changed.notify();
 		},
@@ -108,7 +108,7 @@
 			revokedAt.set(database, world.now());
 			const known = held.get(database);
 			if (known) {
-				held.set(database, {...known, deadlines: setDeadlines(known.deadlines, permissions, PAST)});
+				held.set(database, {...known, deadlines: changeDeadlines(known.deadlines, permissions, PAST)});
 			}
 		},
 		getView: database => held.get(database)?.reply.view,
@@ -132,7 +132,12 @@
 				return Err(NO_GRANT);
 			}
 
-			return record.synced.includes(instance) || record.primary === instance
+			// A primary that is being replaced may lack what its successor acknowledges.
+			if (record.primary === instance) {
+				return checkPrimary(database, instance, 'acknowledgements');
+			}
+
+			return record.synced.includes(instance)
 				? Ok(record)
 				: Err({code: 'tooOld', message: `${instance} is not in the synced set`});
 		},
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -134,7 +134,11 @@
 		commands,
 		getDatabase: () => getSettings(database),
 		getAuthority: authority.getDeadline,
-		revoke: async (holder, id, permissions) => context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, permissions.acknowledgements ? REVOKE_TIMEOUT_MS : GRANT_MS),
+		async revoke(holder, id, permissions) {
+			// A holder that keeps its acknowledgements answers when its writes have ended.
+			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : GRANT_MS;
+			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
+		},
 		publish: context.onView,
 		onEvent(event) {
 			emitEvent(emit, database, event);
