Make the rule of acknowledgement part of the record, and keep own writes readable under it

Cause: with `acknowledge: primary` answers do not wait for replicas, yet reads that must not be stale still went to replicas of the synced set; a caller could miss its own write. The home took the rule from its own configuration, so two homes could act by different rules for seconds. Ruled out: floors of sessions by position (a session roams between proxies and there is no session store). Change: the record says whether replicas are waited for. A steward changes it after all grants have ended; back to waiting, replicas join anew. Reads that must not be stale go to the primary meanwhile.

--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -30,8 +30,6 @@
 	/** Term in which the write was sent. */
 	term: number;
 	deadline: Deadline;
-	/** Whether to wait for replicas, or only for the grant. */
-	replicated: boolean;
 	/** Aborts when nobody waits for the answer. */
 	signal: AbortSignal;
 }>;
@@ -52,7 +50,13 @@
 	/** Under a grant that is valid at this moment, the primary has not been replaced. */
 	const isProved = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
 		const record = book.checkAcknowledgement(request.database, request.instance);
-		return record.ok && record.val.term === request.term && (!request.replicated || isReplicated(record.val, position, replayed));
+		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayed);
+	};
+
+	/** Tells whether the record says that no replica is waited for. */
+	const isAloneEnough = (request: DurabilityRequest): boolean => {
+		const record = book.checkAcknowledgement(request.database, request.instance);
+		return record.ok && record.val.term === request.term && !record.val.replicated;
 	};
 
 	return async request => {
@@ -64,8 +68,8 @@
 				return 'unproved';
 			}
 
-			if (!request.replicated) {
-				return isProved(request, 0, new Map()) ? 'durable' : 'unproved';
+			if (isAloneEnough(request)) {
+				return 'durable';
 			}
 
 			const positions = await probe(request.instance);
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -137,9 +137,9 @@
 				return checkPrimary(database, instance, 'acknowledgements');
 			}
 
-			return record.synced.includes(instance)
+			return record.replicated && record.synced.includes(instance)
 				? Ok(record)
-				: Err({code: 'tooOld', message: `${instance} is not in the synced set`});
+				: Err({code: 'tooOld', message: `${instance} may lack acknowledged writes`});
 		},
 		checkAge(database, instance, maximumAgeMs) {
 			const grant = held.get(database);
@@ -180,5 +180,5 @@
 	};
 };
 
-/** Tells whether every awaited replica has replayed a position. */
+/** Tells whether every replica that is waited for has replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => getAwaited(record).every(instance => (replayed.get(instance) ?? -1) >= position);
--- a/packages/failover/src/record.ts
+++ b/packages/failover/src/record.ts
@@ -13,6 +13,8 @@
 	/** Grows by one with each primary. */
 	term: number;
 	primary: InstanceId;
+	/** Whether acknowledgements wait for replicas; if not, replicas may lack acknowledged writes. */
+	replicated: boolean;
 	/** Replicas that every acknowledgement waits for. */
 	synced: readonly InstanceId[];
 	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
@@ -48,8 +50,8 @@
 };
 
 /** Creates the first record of a database. */
-export const createRecord = (database: DatabaseId, primary: InstanceId, position: number): GroupRecord => ({
-	database, term: 1, primary, synced: [], joining: [], starts: [{term: 1, primary, position}],
+export const createRecord = (database: DatabaseId, primary: InstanceId, position: number, replicated = true): GroupRecord => ({
+	database, term: 1, primary, replicated, synced: [], joining: [], starts: [{term: 1, primary, position}],
 });
 
 /** Creates the record after a promotion. */
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -174,13 +174,13 @@
 		},
 	});
 
-	const bootstrap = async (instances: readonly InstanceId[], signal: AbortSignal) => {
+	const bootstrap = async ({instances, replicated}: StewardedDatabase, signal: AbortSignal) => {
 		const leaders = instances
 			.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica === false)
 			.toSorted((a, b) => (health.get(b).report?.timeline ?? 0) - (health.get(a).report?.timeline ?? 0));
 		const [primary] = leaders;
 		if (primary) {
-			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0), signal);
+			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0, replicated), signal);
 		} else {
 			block('no instance leads');
 		}
@@ -296,7 +296,7 @@
 		const probedAt: Instant = world.now();
 		await health.probeAll(settings.instances);
 		if (!view) {
-			await bootstrap(settings.instances, signal);
+			await bootstrap(settings, signal);
 			return;
 		}
 
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -13,6 +13,8 @@
 	instances: readonly InstanceId[];
 	leaving: readonly InstanceId[];
 	minimumSynced: number;
+	/** Whether acknowledgements wait for replicas. */
+	replicated: boolean;
 }>;
 
 /** What the synced set needs of its steward. */
@@ -73,6 +75,23 @@
 		return true;
 	};
 
+	/** Changes whether acknowledgements wait for replicas; replicas count as synced again once they hold what was acknowledged without them. */
+	const changeRule = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+		if (record.replicated === settings.replicated) {
+			return false;
+		}
+
+		await context.endGrants(ALL, signal);
+		const next = settings.replicated
+			? {
+				...record, replicated: true, synced: [], joining: getAwaited(record),
+			}
+			: {...record, replicated: false};
+		await context.writeRecord(next, signal);
+		context.allowAll();
+		return true;
+	};
+
 	/** Starts to wait for a caught-up replica; it counts as synced once it holds all that was acknowledged without it. */
 	const startJoin = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
 		const candidates = settings.instances.filter(instance => instance !== record.primary
@@ -119,7 +138,8 @@
 	};
 
 	return {
-		improve: async (record, settings, signal) => await dropLaggards(record, settings, signal)
+		improve: async (record, settings, signal) => await changeRule(record, settings, signal)
+			|| await dropLaggards(record, settings, signal)
 			|| await finishJoin(record, signal)
 			|| startJoin(record, settings, signal),
 	};
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -117,7 +117,7 @@
 				return Ok({position: 100, replayed: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
 			const state = wait({
-				database: DATABASE, instance: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), replicated: true, signal: new AbortController().signal,
+				database: DATABASE, instance: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
 			});
 			await advance(50);
 			change(book, world);
--- a/packages/failover/src/tests/steward.test.ts
+++ b/packages/failover/src/tests/steward.test.ts
@@ -29,6 +29,7 @@
 		| Readonly<{kind: 'lag'; instance: number; lagMs: number; atMs: number; forMs: number}>
 		| Readonly<{kind: 'storeDown'; atMs: number; forMs: number}>
 		| Readonly<{kind: 'loseAnswers'; atMs: number; forMs: number}>
+		| Readonly<{kind: 'acknowledgeByPrimary'; atMs: number; forMs: number}>
 		| Readonly<{kind: 'newSteward'; gapMs: number; atMs: number; forMs: number}>
 		| Readonly<{kind: 'leaving'; instance: number; atMs: number; forMs: number}>;
 
@@ -36,15 +37,16 @@
 const forMs = fc.integer({min: 50, max: 2500});
 const instance = fc.nat({max: NAMES.length - 1});
 const cut = fc.record({fromSteward: fc.boolean(), fromHomes: fc.boolean(), fromReplicas: fc.boolean()});
+const lag: fc.Arbitrary<Fault> = fc.record({
+	kind: fc.constant('lag' as const), instance, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
+});
 const fault: fc.Arbitrary<Fault> = fc.oneof(
 	{
 		weight: 4, arbitrary: fc.record({
 			kind: fc.constant('cut' as const), instance, cut, atMs, forMs,
 		}),
 	},
-	fc.record({
-		kind: fc.constant('lag' as const), instance, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
-	}),
+	lag,
 	fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
 	fc.record({kind: fc.constant('loseAnswers' as const), atMs, forMs}),
 	fc.record({
@@ -96,6 +98,7 @@
 	const starts = [0, ...changes.map(one => one.atMs + one.gapMs)];
 	const ends = [...changes.map(one => one.atMs), RUN_MS * 2];
 	const getLeaving = () => NAMES.filter((_, index) => faults.some(one => one.kind === 'leaving' && one.instance === index && isDuring(one, world.now())));
+	const isReplicated = () => !faults.some(one => one.kind === 'acknowledgeByPrimary' && isDuring(one, world.now()));
 	const stewards = starts.map((startMs, index) => {
 		const deadline = createDeadline(world.now(), ends[index] ?? 0);
 		const getAuthority = (): Deadline => world.now() >= startMs ? deadline : PAST;
@@ -104,7 +107,7 @@
 			store,
 			commands: group.commands,
 			getDatabase: () => ({
-				database: DATABASE, instances: NAMES, leaving: getLeaving(), minimumSynced: 1,
+				database: DATABASE, instances: NAMES, leaving: getLeaving(), minimumSynced: 1, replicated: isReplicated(),
 			}),
 			getAuthority,
 			async revoke(holder, _database, permissions) {
@@ -176,10 +179,10 @@
 		const waitUntilDurable = createDurability(book, async name => {
 			await world.sleep(world.random() * 20);
 			const {log, replayed, cut} = group.get(name);
-			return cut.fromHomes ? Err({code: 'lost', message: 'no answer'}) : Ok({position: log.length, replayed: new Map(replayed)});
+			return cut.fromHomes ? Err({code: 'lost', message: 'no answer'}) : Ok({position: without.replicas ? 0 : log.length, replayed: new Map(replayed)});
 		}, world);
 		const state = await waitUntilDurable({
-			database: DATABASE, instance: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), replicated: !without.replicas, signal,
+			database: DATABASE, instance: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
 		});
 		if (state === 'durable') {
 			acknowledged.add(id);
@@ -250,7 +253,7 @@
 	return homes.getOutcome();
 };
 
-const drawRuns = (count: number, seed: number) => fc.sample(fc.record({seed: fc.nat(), faults: fc.array(fault, {minLength: 1, maxLength: 4})}), {numRuns: count, seed});
+const drawRuns = (count: number, seed: number, faults = fault) => fc.sample(fc.record({seed: fc.nat(), faults: fc.array(faults, {minLength: 1, maxLength: 4})}), {numRuns: count, seed});
 
 describe('steward', () => {
 	describe('under drawn faults', () => {
@@ -264,6 +267,19 @@
 		});
 	});
 
+	describe('changes of the rule of acknowledgement', () => {
+		const harmless = fc.oneof(lag, fc.record({kind: fc.constant('acknowledgeByPrimary' as const), atMs, forMs}));
+
+		it('leave every read with every acknowledged write while no primary is lost', async () => {
+			for (const {seed, faults} of drawRuns(12, 73, harmless)) {
+				const outcome = await runSchedule(seed, faults);
+				const told = JSON.stringify({seed, faults, outcome});
+				assert.deepEqual(outcome.violations, [], told);
+				assert.ok(outcome.lastAcknowledgedAt > RUN_MS - 1000, `writes did not go on: ${told}`);
+			}
+		});
+	});
+
 	describe('the check itself', () => {
 		const isBroken = async (without: Without): Promise<boolean> => {
 			for (const {seed, faults} of drawRuns(15, 72)) {
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -144,10 +144,7 @@
 				: (header.mode === 'read' ? book.checkRead(header.database, header.instance) : book.checkAge(header.database, header.instance, header.maximumAgeMs));
 			return checked.map(record => record.term);
 		},
-		async waitUntilDurable(answer) {
-			const acknowledge = inForce.getInventory()?.databases[answer.database]?.acknowledge;
-			return homes.waitUntilDurable({...answer, replicated: acknowledge !== 'primary'});
-		},
+		waitUntilDurable: homes.waitUntilDurable,
 		async waitUntilHopeless(header, term, deadline, signal) {
 			await homes.book.waitUntilUnfit({
 				database: header.database, instance: header.instance, term, mode: header.mode,
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -123,6 +123,7 @@
 		return known && {
 			database,
 			minimumSynced: known.minimumSynced,
+			replicated: known.acknowledge === 'replicated',
 			instances: known.instances.map(instance => parseId<InstanceId>(instance.name)),
 			leaving: known.instances.filter(instance => instance.leaving).map(instance => parseId<InstanceId>(instance.name)),
 		};
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -33,7 +33,7 @@
 
 const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly InstanceId[] => match(mode)
 	.with('write', () => [])
-	.with('read', () => getReplicas(database, record).filter(instance => record.synced.includes(instance)))
+	.with('read', () => record.replicated ? getReplicas(database, record).filter(instance => record.synced.includes(instance)) : [])
 	.with('stale', () => getReplicas(database, record))
 	.exhaustive();
 
