--- a/packages/bench/src/examples.ts
+++ b/packages/bench/src/examples.ts
@@ -12,3 +12,18 @@
 
 /** Reads an example. */
 export const readExample = (name: ExampleName): Inventory => parseInventory(readFileSync(path.join(FOLDER, `${name}.yaml`), 'utf8')).unwrap();
+
+/** Rate and burst of every customer, in requests per second and requests. */
+export type Shares = Readonly<{rate: number; burst: number}>;
+
+/** Keeps the first database of an inventory, with its services; all customers may use them, under shares of their own or the given ones. */
+export const takeFirstDatabase = (inventory: Inventory, shares?: Shares): Inventory => {
+	const databases = Object.fromEntries(Object.entries(inventory.databases).slice(0, 1));
+	const services = Object.fromEntries(Object.entries(inventory.services).filter(([, service]) => service.database in databases));
+	const customers = Object.fromEntries(Object.entries(inventory.customers).map(([name, customer]) => [name, {
+		...customer, ...shares, services: Object.keys(services),
+	}]));
+	return {
+		...inventory, databases, services, customers,
+	};
+};
--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -88,6 +88,8 @@
 			await writeWideRows();
 			const client = await connect(0);
 			const other = await connect(0);
+			// An acknowledged write proves that the replicas hold what came before it.
+			await other.query('INSERT INTO motions VALUES (50, \'after the wide rows\')');
 			const pids = [...stack.proxies.values()].map(proxy => proxy.process.pid ?? 0);
 			const before = pids.map(pid => readResidentBytes(pid));
 			const {stream} = (client as unknown as Readonly<{connection: Readonly<{stream: Readonly<{pause: () => void; resume: () => void}>}>}>).connection;
