Acknowledge nothing on fewer copies than the rule asks for

Ruled out: refusing the promotion (the successor holds everything that was acknowledged, and reads go on). Change: the record carries `minimumSynced`; with fewer replicas awaited, answers of writes wait. Changed by the steward like the rule of acknowledgement. A database of one instance waits for none. Figures: a unit test holds; before, an empty set released at once.

--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -180,5 +180,8 @@
 	};
 };
 
-/** Tells whether every replica that is waited for has replayed a position. */
-export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => getAwaited(record).every(instance => (replayed.get(instance) ?? -1) >= position);
+/** Tells whether every replica that is waited for, and enough of them, have replayed a position. */
+export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
+	const awaited = getAwaited(record);
+	return awaited.length >= record.minimumSynced && awaited.every(instance => (replayed.get(instance) ?? -1) >= position);
+};
--- a/packages/failover/src/record.ts
+++ b/packages/failover/src/record.ts
@@ -15,6 +15,8 @@
 	primary: InstanceId;
 	/** Whether acknowledgements wait for replicas; if not, replicas may lack acknowledged writes. */
 	replicated: boolean;
+	/** Fewest replicas that acknowledgements wait for; with fewer at hand there are none. */
+	minimumSynced: number;
 	/** Replicas that every acknowledgement waits for. */
 	synced: readonly InstanceId[];
 	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
@@ -49,9 +51,12 @@
 	}
 };
 
+/** Rule of acknowledgement of a database. */
+export type AcknowledgementRule = Pick<GroupRecord, 'replicated' | 'minimumSynced'>;
+
 /** Creates the first record of a database. */
-export const createRecord = (database: DatabaseId, primary: InstanceId, position: number, replicated = true): GroupRecord => ({
-	database, term: 1, primary, replicated, synced: [], joining: [], starts: [{term: 1, primary, position}],
+export const createRecord = (database: DatabaseId, primary: InstanceId, position: number, {replicated, minimumSynced}: AcknowledgementRule): GroupRecord => ({
+	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], starts: [{term: 1, primary, position}],
 });
 
 /** Creates the record after a promotion. */
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -174,13 +174,13 @@
 		},
 	});
 
-	const bootstrap = async ({instances, replicated}: StewardedDatabase, signal: AbortSignal) => {
-		const leaders = instances
+	const bootstrap = async (settings: StewardedDatabase, signal: AbortSignal) => {
+		const leaders = settings.instances
 			.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica === false)
 			.toSorted((a, b) => (health.get(b).report?.timeline ?? 0) - (health.get(a).report?.timeline ?? 0));
 		const [primary] = leaders;
 		if (primary) {
-			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0, replicated), signal);
+			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
 		} else {
 			block('no instance leads');
 		}
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -75,19 +75,19 @@
 		return true;
 	};
 
-	/** Changes whether acknowledgements wait for replicas; replicas count as synced again once they hold what was acknowledged without them. */
+	/** Changes whether acknowledgements wait for replicas, and for how many; replicas count as synced again once they hold what was acknowledged without them. */
 	const changeRule = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
-		if (record.replicated === settings.replicated) {
+		const {replicated, minimumSynced} = settings;
+		if (record.replicated === replicated && record.minimumSynced === minimumSynced) {
 			return false;
 		}
 
 		await context.endGrants(ALL, signal);
-		const next = settings.replicated
-			? {
-				...record, replicated: true, synced: [], joining: getAwaited(record),
-			}
-			: {...record, replicated: false};
-		await context.writeRecord(next, signal);
+		const isResumed = replicated && !record.replicated;
+		const sets = isResumed ? {synced: [], joining: getAwaited(record)} : {};
+		await context.writeRecord({
+			...record, replicated, minimumSynced, ...sets,
+		}, signal);
 		context.allowAll();
 		return true;
 	};
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -15,7 +15,7 @@
 const PRIMARY = parseId<InstanceId>('orders-1');
 const REPLICA = parseId<InstanceId>('orders-2');
 
-const createView = (revision: number): GroupView => ({revision, record: {...createRecord(DATABASE, PRIMARY, 0), synced: [REPLICA]}});
+const createView = (revision: number): GroupView => ({revision, record: {...createRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
 
 describe('grants', () => {
 	describe('endAll', () => {
@@ -129,6 +129,14 @@
 			assert.equal(await run(200, () => undefined), 'durable');
 		});
 
+		it('releases nothing while too few replicas are waited for', async () => {
+			const state = await run(200, (book, world) => {
+				const view = createView(2);
+				book.accept(createReply({...view, record: {...view.record, synced: []}}), world.now());
+			});
+			assert.equal(state, 'unproved');
+		});
+
 		it('never releases an answer of a term that is over', async () => {
 			const state = await run(200, (book, world) => {
 				const view = createView(2);
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -122,7 +122,7 @@
 		const known = fleet.inForce.getInventory()?.databases[database];
 		return known && {
 			database,
-			minimumSynced: known.minimumSynced,
+			minimumSynced: Math.min(known.minimumSynced, known.instances.length - 1),
 			replicated: known.acknowledge === 'replicated',
 			instances: known.instances.map(instance => parseId<InstanceId>(instance.name)),
 			leaving: known.instances.filter(instance => instance.leaving).map(instance => parseId<InstanceId>(instance.name)),
