--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -66,7 +66,7 @@
 	});
 
 	describe('slow callers', () => {
-		const ROWS = 48;
+		const ROWS = 96;
 		const ROW_BYTES = 1024 * 1024;
 
 		/** Writes wide rows past the proxies, so that their memory is not touched. */
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -32,6 +32,8 @@
 	retryAt: Deadline;
 	/** Whether the last question was answered; a customer is not refused because its keeper is changing. */
 	answered: boolean;
+	/** Until when requests wait longer, as what piled up without a keeper is worked off. */
+	patientUntil: Deadline;
 	/** Questions that went unanswered since the last answer. */
 	failures: number;
 	/** Whether a question to the keeper is under way. */
@@ -39,6 +41,8 @@
 };
 
 const WAIT_MS = 300;
+const PATIENT_WAIT_MS = 2500;
+const RECOVERY_MS = 5000;
 const KEEPER_WAIT_MS = 4000;
 const FIRST_RETRY_MS = 20;
 const LONGEST_RETRY_MS = 300;
@@ -70,6 +74,10 @@
 			customer, wanted, returned, epoch: purse.epoch,
 		});
 		purse.refilling = false;
+		if (answer.ok && !purse.answered) {
+			purse.patientUntil = createDeadline(world.now(), RECOVERY_MS);
+		}
+
 		purse.answered = answer.ok;
 		purse.failures = answer.ok ? 0 : purse.failures + 1;
 		if (answer.ok) {
@@ -93,7 +101,7 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, answered: true, failures: 0, refilling: false,
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, patientUntil: PAST, answered: true, failures: 0, refilling: false,
 		};
 		purses.set(customer, purse);
 		return purse;
@@ -109,6 +117,13 @@
 		return true;
 	};
 
+	/** Computes when a request that begins to wait now gives up. */
+	const computeGiveUp = (purse: Purse, deadline: Deadline): Deadline => {
+		const now = world.now();
+		const waitMs = isPast(purse.patientUntil, now) ? WAIT_MS : PATIENT_WAIT_MS;
+		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
+	};
+
 	const createRefusal = (purse: Purse): ShareRefusal => ({
 		code: 'limitExceeded',
 		message: 'The customer has used its rate and burst',
@@ -118,7 +133,7 @@
 	return {
 		async spend(customer, deadline, signal) {
 			const purse = getPurse(customer);
-			let giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+			let giveUpAt = computeGiveUp(purse, deadline);
 			let wasAnswered = purse.answered;
 			const keeperBy = Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline;
 			noteDemand(purse);
@@ -131,7 +146,7 @@
 
 					// A new keeper starts empty: the wait for tokens begins when it answers.
 					if (purse.answered && !wasAnswered) {
-						giveUpAt = Math.min(deadline, createDeadline(world.now(), WAIT_MS)) as Deadline;
+						giveUpAt = computeGiveUp(purse, deadline);
 					}
 
 					wasAnswered = purse.answered;
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -141,6 +141,37 @@
 			assert.ok(spent.ok);
 		});
 
+		it('refuses nothing of a customer inside its rate while what piled up without a keeper is worked off', async () => {
+			const {world, advance} = createVirtualWorld(9);
+			const state: {keeper: Keeper | undefined} = {keeper: undefined};
+			const allowances = createAllowances(async request => {
+				await world.sleep(2);
+				const allotment = state.keeper?.allot(request);
+				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
+			}, world);
+			let refused = 0;
+			const spendOne = async () => {
+				const spent = await allowances.spend(CUSTOMER, createDeadline(world.now(), 10_000));
+				refused += spent.err ? 1 : 0;
+			};
+
+			const spending: Array<Promise<void>> = [];
+			for (let count = 0; count < 400; count++) {
+				if (count === 200) {
+					state.keeper = createKeeper({
+						world, epoch: 1, getAuthority: () => NEVER, getShare: () => ({rate: 100, burst: 100}),
+					});
+				}
+
+				spending.push(spendOne());
+				await advance(12.5);
+			}
+
+			await advance(10_000);
+			await Promise.all(spending);
+			assert.equal(refused, 0);
+		});
+
 		it('refuses nothing inside the rate when several requests wait in one entry', async () => {
 			const {refusals} = await runEntries({
 				rate: 1000, burst: 2000, entries: 2, loss: 0, seed: 6, takeOvers: false, waiters: 4, pauseMs: 20,
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -3,3 +3,4 @@
 export * from './random.js';
 export * from './targets.js';
 export * from './traffic.js';
+export * from './shares.js';
