Never lead with an instance that came back without its data; ask proxies for events

Ruled out: comparing positions with the start of the term (0 in term 1). Change: the record says whether its primary has led (`confirmed`); one that has and follows again has failed. Replicas are read only while the steward sees them live and with what they held; one that holds less leaves the synced set and is not promoted. Not covered: a replica that loses its data while its steward changes, or that is back within 2 s; only the steward that saw it knows.

--- a/packages/bench/src/proof.ts
+++ b/packages/bench/src/proof.ts
@@ -7,7 +7,7 @@
 import type {EventRecord} from '@guavapitch/telemetry';
 import {takeFirstDatabase, readExample, type ExampleName} from './examples.js';
 import {
-	applyFault, drawSchedule, type CarriedOut, type FaultKind,
+	applyFault, drawSchedule, healCut, type CarriedOut, type FaultKind,
 } from './faults.js';
 import {computeReads, splitFailover, type Phases} from './phases.js';
 import {startStack, type Stack, type StackPlan} from './stack.js';
@@ -127,6 +127,7 @@
 		await waitMs(plan.durationMs);
 		const settled = await carrying;
 		const wallEnd = Date.now();
+		await healCut(stack);
 		await waitMs(SETTLE_MS);
 		await workload.stop();
 		gapMs = computeWriteGapMs(history, wallStart, wallEnd);
--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -7,6 +7,7 @@
 } from 'node:test';
 import pg from 'pg';
 import {waitMs} from '@guavapitch/load';
+import {askEvents, describeRequest} from '@guavapitch/operator';
 import {createCancel} from '@guavapitch/postgres-wire';
 import {readExample} from '../examples.js';
 import {findPrimary} from '../faults.js';
@@ -145,6 +146,20 @@
 		});
 	});
 
+	describe('desk', () => {
+		it('explains a refused request by the identifier in its error, from the events of the running proxies', async () => {
+			const client = await connect(1);
+			const error = await client.query('LISTEN news').then(() => undefined, (error_: unknown) => error_ as Readonly<{detail?: string}>);
+			await client.end();
+			const request = /request=(?<id>[\w\-]+)/v.exec(error?.detail ?? '')?.groups?.id ?? '';
+			const {lists, missing} = await askEvents(stack.store, stack.fleet, {request});
+			const [event, ...others] = lists.flat();
+			assert.ok(event);
+			assert.deepEqual([others, missing], [[], []]);
+			assert.match(describeRequest(event), /request of klub-brno for motions was refused and has not run \(unsupported: /v);
+		});
+	});
+
 	describe('cancel', () => {
 		it('cancels a running statement through another vm\'s home', async () => {
 			const client = await connect(0);
--- a/packages/failover/src/granter.ts
+++ b/packages/failover/src/granter.ts
@@ -1,7 +1,7 @@
 /** The steward's side of grants: what is outstanding, and how it ends. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
+	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type InstanceId, type VmId, type World,
 } from '@guavapitch/core';
 import type {GrantReply} from './grants.js';
 import type {GroupView} from './record.js';
@@ -54,6 +54,7 @@
 	view: GroupView;
 	permissions: Permissions;
 	agesMs: Readonly<Record<string, number>>;
+	readable: readonly InstanceId[];
 	/** Deadline of the steward's own authority. */
 	authority: Deadline;
 }>;
@@ -115,7 +116,7 @@
 				revision: terms.view.revision,
 			});
 			return {
-				view: terms.view, validMs, agesMs: terms.agesMs, permissions: terms.permissions,
+				view: terms.view, validMs, agesMs: terms.agesMs, readable: terms.readable, permissions: terms.permissions,
 			};
 		},
 		async endAll(permissions, revoke, signal) {
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -15,6 +15,8 @@
 	validMs: number;
 	/** Proved age of each replica's data when the steward answered, in milliseconds. */
 	agesMs: Readonly<Record<string, number>>;
+	/** Replicas that hold every acknowledged write, as far as the steward saw when it answered. */
+	readable: readonly InstanceId[];
 	/** What the grant allows. */
 	permissions: Permissions;
 }>;
@@ -137,7 +139,8 @@
 				return checkPrimary(database, instance, 'acknowledgements');
 			}
 
-			return record.replicated && record.synced.includes(instance)
+			const isReadable = held.get(database)?.reply.readable.includes(instance) ?? false;
+			return record.replicated && isReadable
 				? Ok(record)
 				: Err({code: 'tooOld', message: `${instance} may lack acknowledged writes`});
 		},
--- a/packages/failover/src/health.ts
+++ b/packages/failover/src/health.ts
@@ -40,6 +40,10 @@
 	getPosition: (instance: InstanceId) => number;
 	/** Gets the proved age of a replica's data, in milliseconds; `undefined` if nothing is proved. */
 	getAgeMs: (instance: InstanceId) => number | undefined;
+	/** Tells whether an instance is known to have held more than it does now. */
+	hasLostData: (instance: InstanceId) => boolean;
+	/** Forgets what an instance held, as its log is rewound on purpose. */
+	forget: (instance: InstanceId) => void;
 	/** Notes the position of the primary at an instant. */
 	notePosition: (position: number, at: Instant) => void;
 }>;
@@ -56,6 +60,7 @@
 export const createHealth = (probe: Probe, world: World, onChange: (instance: InstanceId, reachable: boolean) => void): Health => {
 	const healths = new Map<InstanceId, InstanceHealth>();
 	const history: Sample[] = [];
+	const highest = new Map<InstanceId, number>();
 
 	const get = (instance: InstanceId): InstanceHealth => healths.get(instance) ?? UNKNOWN;
 
@@ -65,6 +70,7 @@
 		const before = get(instance);
 		if (report.ok) {
 			healths.set(instance, {report: report.val, answeredAt: askedAt, failingSince: undefined});
+			highest.set(instance, Math.max(report.val.position, highest.get(instance) ?? 0));
 		} else {
 			healths.set(instance, {...before, failingSince: before.failingSince ?? askedAt});
 		}
@@ -95,6 +101,10 @@
 			const sample = history.findLast(one => one.position <= position);
 			return sample ? world.now() - sample.at : undefined;
 		},
+		hasLostData: instance => (get(instance).report?.position ?? Number.POSITIVE_INFINITY) < (highest.get(instance) ?? 0),
+		forget(instance) {
+			highest.delete(instance);
+		},
 		notePosition(position, at) {
 			history.push({position, at});
 			if (history.length > HISTORY_LENGTH) {
--- a/packages/failover/src/record.ts
+++ b/packages/failover/src/record.ts
@@ -21,6 +21,8 @@
 	synced: readonly InstanceId[];
 	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
 	joining: readonly InstanceId[];
+	/** Whether the primary has led in this term; a primary that was not yet promoted may still be. */
+	confirmed: boolean;
 	/** Recent terms, oldest first. */
 	starts: readonly TermStart[];
 }>;
@@ -56,7 +58,7 @@
 
 /** Creates the first record of a database. */
 export const createRecord = (database: DatabaseId, primary: InstanceId, position: number, {replicated, minimumSynced}: AcknowledgementRule): GroupRecord => ({
-	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], starts: [{term: 1, primary, position}],
+	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], confirmed: true, starts: [{term: 1, primary, position}],
 });
 
 /** Creates the record after a promotion. */
@@ -66,6 +68,7 @@
 	primary,
 	synced: record.synced.filter(instance => instance !== primary),
 	joining: [],
+	confirmed: false,
 	starts: [...record.starts, {term: record.term + 1, primary, position}].slice(-KEPT_STARTS),
 });
 
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -85,6 +85,10 @@
 		return Object.fromEntries(ages.filter((pair): pair is readonly [InstanceId, number] => pair[1] !== undefined));
 	};
 
+	/** Gets the replicas of the synced set that are seen to live and to hold what they held. */
+	const getReadable = (record: GroupRecord): readonly InstanceId[] => record.synced
+		.filter(instance => health.isReachable(instance) && !health.hasLostData(instance));
+
 	const block = (reason: string) => {
 		if (blocked !== reason) {
 			blocked = reason;
@@ -189,24 +193,24 @@
 	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most; one that stays goes first. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<InstanceId | undefined> => {
 		const leaving = new Set(context.getDatabase()?.leaving);
-		const reachable = record.synced.filter(instance => health.isReachable(instance));
+		const reachable = record.synced.filter(instance => health.isReachable(instance) && !health.hasLostData(instance));
 		await Promise.all(reachable.map(async instance => commands.follow(instance, undefined)));
 		await health.probeAll(reachable);
 		return reachable
-			.filter(instance => health.isReachable(instance))
+			.filter(instance => health.isReachable(instance) && !health.hasLostData(instance))
 			.toSorted((a, b) => Number(leaving.has(a)) - Number(leaving.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
 	};
 
-	/** Makes the primary of the record lead, and the others follow it. */
+	/** Makes the primary of the record lead, and the others follow it; only then the record says that it has led. */
 	const completePromotion = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
-		const promoted = await tryCommand(async () => commands.promote(record.primary), signal);
-		if (!promoted) {
+		const leads = health.get(record.primary).report?.isReplica === false;
+		if (!leads && !await tryCommand(async () => commands.promote(record.primary), signal)) {
 			return false;
 		}
 
 		onEvent({kind: 'promoted', primary: record.primary, term: record.term});
 		await Promise.all(getAwaited(record).map(async instance => commands.follow(instance, record.primary)));
-		return true;
+		return writeRecord({...record, confirmed: true}, signal);
 	};
 
 	const failOver = async (record: GroupRecord, planned: boolean, signal: AbortSignal) => {
@@ -229,7 +233,7 @@
 			return;
 		}
 
-		const lost = record.synced.filter(instance => !health.isReachable(instance));
+		const lost = record.synced.filter(instance => !health.isReachable(instance) || health.hasLostData(instance));
 		if (lost.length > 0) {
 			await endGrants(ALL, signal);
 		}
@@ -246,11 +250,11 @@
 		}
 	};
 
-	/** Tells whether the primary lacks what its own term began with, as after a restart without its data. */
+	/** Tells whether the primary came back without its data: it has led and follows again, or lacks what its term began with. */
 	const hasLostData = (record: GroupRecord): boolean => {
 		const {report} = health.get(record.primary);
 		const start = record.starts.at(-1)?.position ?? 0;
-		return health.isReachable(record.primary) && report !== undefined && report.position < start;
+		return health.isReachable(record.primary) && report !== undefined && ((record.confirmed && report.isReplica) || report.position < start);
 	};
 
 	/** Makes instances that lead or follow wrongly follow the primary. */
@@ -267,6 +271,7 @@
 			const isBehind = (health.get(instance).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
 			if (leads || (isBehind && health.getPosition(instance) > (record.starts.at(-1)?.position ?? 0))) {
 				await commands.rejoin(instance, record.primary);
+				health.forget(instance);
 				onEvent({kind: 'rejoined', instance, primary: record.primary});
 			} else {
 				await commands.follow(instance, record.primary);
@@ -276,7 +281,7 @@
 
 	const improve = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal) => {
 		const {report} = health.get(record.primary);
-		if (report?.isReplica) {
+		if (!record.confirmed) {
 			permissions = READS;
 			await completePromotion(record, signal);
 			return;
@@ -322,7 +327,7 @@
 			}
 
 			return granter.grant(holder, {
-				view, permissions, agesMs: getAges(), authority: context.getAuthority(),
+				view, permissions, agesMs: getAges(), readable: getReadable(view.record), authority: context.getAuthority(),
 			});
 		},
 		async run(signal) {
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -56,12 +56,14 @@
 		return health.isReachable(primary) && (age === undefined || age > LAG_LIMIT_MS);
 	};
 
-	/** Takes replicas out of the set that hold up acknowledgements, after their read grants have ended. */
+	/** Takes replicas out of the set that hold up acknowledgements or have lost their data, after their read grants have ended. */
 	const dropLaggards = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
 		const joining = record.joining.filter(instance => !isLagging(instance, record.primary));
-		const lagging = record.synced.filter(instance => isLagging(instance, record.primary) || settings.leaving.includes(instance));
-		const spare = Math.max(0, record.synced.length - settings.minimumSynced);
-		const dropped = lagging.slice(0, spare);
+		const lost = record.synced.filter(instance => health.hasLostData(instance));
+		const kept = record.synced.filter(instance => !lost.includes(instance));
+		const lagging = kept.filter(instance => isLagging(instance, record.primary) || settings.leaving.includes(instance));
+		const spare = Math.max(0, kept.length - settings.minimumSynced);
+		const dropped = [...lost, ...lagging.slice(0, spare)];
 		if (dropped.length === 0 && joining.length === record.joining.length) {
 			return false;
 		}
--- a/packages/front-postgres/src/caller.ts
+++ b/packages/front-postgres/src/caller.ts
@@ -26,6 +26,11 @@
 /** How a request could not be served. */
 export type RequestFailure = Readonly<{requestId: string; failure: Refusal | Readonly<{code: 'outcomeUnknown'; message: string}>}>;
 
+/** How a request ended for its caller. */
+export type RequestOutcome
+	= | Readonly<{kind: 'done'}>
+		| Readonly<{kind: 'refused' | 'unknown'; code: RequestFailure['failure']['code'] | 'rolledBack'; message: string}>;
+
 /** What the caller's task asks of the entry. */
 export type CallerContext = Readonly<{
 	/** Checks the key, spends the share and routes; retries whatever has certainly not run. */
@@ -37,7 +42,7 @@
 	/** Tells whether the connection must end before another request. */
 	getClosing: (caller: Caller) => Refusal | undefined;
 	/** Hears of outcomes. */
-	onOutcome: (caller: Caller, requestId: string, outcome: 'done' | 'refused' | 'unknown', detail: string) => void;
+	onOutcome: (caller: Caller, requestId: string, outcome: RequestOutcome) => void;
 }>;
 
 /** Identity for cancel requests. */
@@ -135,7 +140,7 @@
 
 			case 'ready': {
 				await wire.write(createReady(reply.status).bytes);
-				context.onOutcome(caller, request.requestId, 'done', '');
+				context.onOutcome(caller, request.requestId, {kind: 'done'});
 				return {status: reply.status, flushed: false, closing: false};
 			}
 
@@ -147,7 +152,7 @@
 				await wire.write(createErrorResponse({
 					severity: 'FATAL', code: SQLSTATE.idleInTransaction, message: reply.message, hint: 'Nothing of the transaction was kept.',
 				}).bytes);
-				context.onOutcome(caller, request.requestId, 'refused', 'rolledBack');
+				context.onOutcome(caller, request.requestId, {kind: 'refused', code: 'rolledBack', message: reply.message});
 				return {status: 'idle', flushed: false, closing: true};
 			}
 
@@ -156,7 +161,7 @@
 				const fields = {code: SQLSTATE.outcomeUnknown, message: `outcome unknown: ${message}`, detail: `request=${request.requestId}`};
 				const inTransaction = before !== 'idle';
 				await wire.write(createErrorResponse({...fields, severity: inTransaction ? 'FATAL' : 'ERROR'}).bytes);
-				context.onOutcome(caller, request.requestId, 'unknown', message);
+				context.onOutcome(caller, request.requestId, {kind: 'unknown', code: 'outcomeUnknown', message});
 				if (!inTransaction) {
 					await wire.write(createReady('idle').bytes);
 				}
@@ -201,7 +206,7 @@
 
 	const refuseFailure = async (messages: readonly Message[], {requestId, failure}: RequestFailure): Promise<boolean> => {
 		const isUnknown = failure.code === 'outcomeUnknown';
-		context.onOutcome(caller, requestId, isUnknown ? 'unknown' : 'refused', failure.code);
+		context.onOutcome(caller, requestId, {kind: isUnknown ? 'unknown' : 'refused', code: failure.code, message: failure.message});
 		return refuse(messages, isUnknown ? createUnknownMessage(requestId, failure.message) : createRefusalMessage(requestId, failure));
 	};
 
--- /dev/null
+++ b/packages/operator/src/events.ts
@@ -0,0 +1,56 @@
+/** Events of the running proxies, and what they say of a request. */
+
+import {match} from 'ts-pattern';
+import type {VmId} from '@guavapitch/core';
+import type {Store} from '@guavapitch/platform';
+import {EVENTS, type EventRecord} from '@guavapitch/telemetry';
+import {readVms, type FleetClient} from './fleet.js';
+
+/** Events gathered from the fleet. */
+export type GatheredEvents = Readonly<{
+	/** A list for each vm that answered. */
+	lists: ReadonlyArray<readonly EventRecord[]>;
+	/** The vms that did not answer; their events are missing. */
+	missing: readonly VmId[];
+}>;
+
+/** Which events to ask for; an absent field asks for all. */
+export type EventQuestion = Readonly<{request?: string | undefined}>;
+
+/** Asks every vm of the list for the last events that it keeps. */
+export const askEvents = async (store: Store, client: FleetClient, question: EventQuestion = {}): Promise<GatheredEvents> => {
+	const vms = await readVms(store);
+	const answers = await Promise.all(vms.map(async vm => ({vm: vm.vm, events: await client.call<readonly EventRecord[]>(vm, 'events', question)})));
+	return {
+		lists: answers.filter(({events}) => events.ok).map(({events}) => events.unwrap()),
+		missing: answers.filter(({events}) => events.err).map(({vm}) => vm),
+	};
+};
+
+/** Describes what refused a request, and what to do, in one sentence. */
+export const describeReason = (reason: string): string => match(reason)
+	.with('limitExceeded', () => 'the customer had used its rate and burst over the whole fleet: the caller waits for retry_after_ms, or its share is raised in the inventory')
+	.with('queueFull', () => 'too many requests of this customer waited for the instance: the caller sends less at a time, or the instance gets more slots')
+	.with('keyWithdrawn', () => 'the key was withdrawn, or may not use the service: issue another key')
+	.with('keyUnconfirmed', () => 'the proxy could not confirm that its configuration is fresh: see whether it reaches the platform or a relay')
+	.with('noRoute', () => 'no instance could serve it: see whether the database has a primary, and whether its homes live')
+	.with('deadlinePassed', () => 'it was not served before its deadline: see the time line of the database for a failover or an overloaded instance')
+	.with('connectionsExhausted', () => 'no connection to the instance became free: see its limit in the inventory')
+	.with('unsupported', () => 'guavapitch does not carry this statement; it would leave state behind on a shared connection')
+	.with('canceled', () => 'the caller cancelled it before it ran')
+	.with('rolledBack', () => 'its transaction was open for too long, or its home was lost; nothing was kept')
+	.otherwise(() => 'the instance or its home could not take it, and no other could before the deadline');
+
+const getField = (event: EventRecord, name: string, otherwise: string): string => String(event.fields[name] ?? otherwise);
+
+/** Describes what became of a request from one event that names it. */
+export const describeRequest = (event: EventRecord): string => {
+	const customer = getField(event, 'customer', 'a caller without a key');
+	const message = getField(event, 'message', event.title);
+	const reason = getField(event, 'reason', '');
+	const who = `${event.at} at ${event.vm}: request of ${customer} for ${getField(event, 'service', 'a service')}`;
+	return match(event.id)
+		.with(EVENTS.requestRefused.id, () => `${who} was refused and has not run (${reason}: ${message}); ${describeReason(reason)}`)
+		.with(EVENTS.requestUnknown.id, () => `${who} may or may not have run (${message}); look for its effect before sending it again`)
+		.otherwise(() => `${who}: ${event.title}`);
+};
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,2 +1,3 @@
 export * from './keys.js';
 export * from './fleet.js';
+export * from './events.js';
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -14,6 +14,7 @@
 import {
 	openFleetClient, readStatuses, readVms, waitForRevision, type ProxyStatus,
 } from './fleet.js';
+import {askEvents, describeRequest} from './events.js';
 import {issueKey, withdrawKey} from './keys.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
@@ -166,6 +167,21 @@
 	stop('no vm answered', EXIT_REFUSED);
 };
 
+const explainRequest = async (flags: Flags, request: string) => {
+	await using store = openStore(flags.platform);
+	await using client = openFleetClient(world);
+	const {lists, missing} = await askEvents(store, client, {request});
+	const events = lists.flat();
+	for (const event of events) {
+		print(describeRequest(event));
+	}
+
+	if (events.length === 0) {
+		const silent = missing.length > 0 ? `; no answer from ${missing.join(', ')}` : '';
+		stop(`no vm keeps an event of the request ${request}: it was answered, or it is too long ago${silent}`, EXIT_REFUSED);
+	}
+};
+
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
 	.scriptName('guavapitch-operator')
 	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is wrong, 4 accepted but not yet in force everywhere.')
@@ -230,11 +246,21 @@
 	.command('status', 'show every vm and every database', command => command.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), async flags => {
 		await printStatus(flags);
 	})
-	.command('explain', 'show which rule, route and share a request meets', command => command
-		.option('customer', {type: 'string', demandOption: true})
-		.option('service', {type: 'string', demandOption: true})
-		.option('statement', {type: 'string', demandOption: true}), async flags => {
-		await explain(flags);
+	.command('explain', 'show which rule, route and share a request meets, or what refused one', command => command
+		.option('customer', {type: 'string', describe: 'customer who would ask'})
+		.option('service', {type: 'string', describe: 'service that would be asked'})
+		.option('statement', {type: 'string', describe: 'statement that would be sent'})
+		.option('request', {type: 'string', describe: 'identifier of a request, from the detail of its error', conflicts: ['customer', 'service', 'statement']}), async flags => {
+		const {customer, service, statement, request} = flags;
+		if (request !== undefined) {
+			await explainRequest(flags, request);
+		} else if (customer !== undefined && service !== undefined && statement !== undefined) {
+			await explain({
+				...flags, customer, service, statement,
+			});
+		} else {
+			stop('explain needs --request, or --customer, --service and --statement', EXIT_SETTING);
+		}
 	})
 	.fail((message: string, error: unknown) => {
 		stop(error instanceof Error ? error.message : message, EXIT_SETTING);
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -318,11 +318,13 @@
 			const key = checkKey(caller);
 			return key.err && key.val.code === 'keyWithdrawn' ? key.val : undefined;
 		},
-		onOutcome(caller, requestId, outcome, detail) {
-			metrics.count(`entry.${outcome}`, {service: caller.service, ...(caller.customer ? {customer: caller.customer} : {}), ...(outcome === 'refused' ? {reason: detail} : {})});
-			if (outcome !== 'done') {
-				emit(outcome === 'refused' ? EVENTS.requestRefused : EVENTS.requestUnknown, {
-					request: requestId, service: caller.service, customer: caller.customer, reason: detail,
+		onOutcome(caller, requestId, outcome) {
+			const {service, customer} = caller;
+			const reason: Readonly<Record<string, string>> = outcome.kind === 'refused' ? {reason: outcome.code} : {};
+			metrics.count(`entry.${outcome.kind}`, {service, ...(customer ? {customer} : {}), ...reason});
+			if (outcome.kind !== 'done') {
+				emit(outcome.kind === 'refused' ? EVENTS.requestRefused : EVENTS.requestUnknown, {
+					request: requestId, service, customer, reason: outcome.code, message: outcome.message,
 				});
 			}
 		},
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -13,6 +13,7 @@
 import type {PeerHandlers} from '@guavapitch/peer-protocol';
 import type {PromiseBook, PromiseRequest} from '@guavapitch/roles';
 import type {RequestHeader} from '@guavapitch/sessions';
+import type {EventRecord} from '@guavapitch/telemetry';
 import type {CallVm, Fleet} from './fleet.js';
 import type {Keepers} from './keepers.js';
 import type {Stewards} from './stewards.js';
@@ -38,6 +39,8 @@
 	cancelCaller: (processId: number, secret: number) => void;
 	getStatus: () => unknown;
 	explain: (question: unknown) => unknown;
+	/** Lists the last events of this process. */
+	listEvents: () => readonly EventRecord[];
 }>;
 
 const THROUGH_TIMEOUT_MS = 250;
@@ -95,6 +98,10 @@
 			},
 			status: async () => context.getStatus(),
 			explain: async body => context.explain(body),
+			async events(body) {
+				const {request} = body as Readonly<{request?: string}>;
+				return context.listEvents().filter(event => request === undefined || event.fields.request === request);
+			},
 		},
 		streams: {
 			async request(header, stream: Stream<unknown, unknown>) {
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -20,7 +20,7 @@
 } from '@guavapitch/roles';
 import {createRetryBudget} from '@guavapitch/routing';
 import {
-	createCausalClock, createEmit, EVENTS, openLog, openMetrics,
+	createCausalClock, createEmit, createEventRing, EVENTS, openLog, openMetrics,
 } from '@guavapitch/telemetry';
 import {
 	computeVmNumber, findVmByNumber, startCallers, type Callers,
@@ -52,12 +52,18 @@
 const DRAIN_POLL_MS = 20;
 const STORE_SILENCE_MS = 2000;
 const GOODBYE_MS = 1000;
+const KEPT_EVENTS = 2000;
 
 /** Starts a proxy. */
 export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
 	const incarnation = world.createId().slice(0, INCARNATION_BYTES);
 	const clock = createCausalClock(world.readWallClock);
-	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, openLog(settings.logFile));
+	const ring = createEventRing(KEPT_EVENTS);
+	const log = openLog(settings.logFile);
+	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, record => {
+		ring.write(record);
+		log(record);
+	});
 	const metrics = openMetrics(settings.statsd);
 	const onFailure = (task: string) => (thrown: unknown) => {
 		emit(EVENTS.taskFailed, {task, reason: thrown instanceof Error ? thrown.stack : String(thrown)});
@@ -245,6 +251,7 @@
 			reports: relay.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(world.now() - at)})),
 			metrics: metrics.snapshot(),
 		}),
+		listEvents: ring.list,
 		explain: createExplain({fleet, getGroup: database => groups.get(database), random: world.random}),
 	});
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,3 +2,5 @@
 export * from './catalogue.js';
 export * from './events.js';
 export * from './metrics.js';
+export * from './ring.js';
+export * from './text.js';
--- a/packages/timeline/src/text.ts
+++ b/packages/telemetry/src/text.ts
@@ -1,6 +1,6 @@
-/** Time line as text. */
+/** Events as lines of text. */
 
-import type {EventRecord} from '@guavapitch/telemetry';
+import type {EventRecord} from './events.js';
 
 const TIME_START = 11;
 const TIME_END = 23;
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,3 +1,2 @@
 export * from './merge.js';
-export * from './text.js';
 export * from './picture.js';
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -7,14 +7,21 @@
 import path from 'node:path';
 import process from 'node:process';
 import yargs from 'yargs';
-import {getMessage} from '@guavapitch/core';
-import {filterEvents, mergeEvents, parseEvents} from './merge.js';
+import {
+	createWorld, Err, getMessage, Ok, type Result,
+} from '@guavapitch/core';
+import {askEvents, openFleetClient} from '@guavapitch/operator';
+import {openEtcdStore} from '@guavapitch/platform';
+import {formatEvent, type EventRecord} from '@guavapitch/telemetry';
+import {
+	filterEvents, mergeEvents, parseEvents, type TimelineFailure,
+} from './merge.js';
 import {drawTimeline} from './picture.js';
-import {formatEvent} from './text.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_MALFORMED = 1;
 const EXIT_SETTING = 2;
+const STORE_TIMEOUT_MS = 2000;
 
 const stop = (message: string, code: number) => {
 	process.stderr.write(`guavapitch-timeline: ${message}\n`);
@@ -25,16 +32,38 @@
 	? readdirSync(place).map(file => path.join(place, file))
 	: [place];
 
+type Lists = ReadonlyArray<readonly EventRecord[]>;
+
+const readFiles = (files: readonly string[]): Result<Lists, TimelineFailure> => {
+	const lists = files.flatMap(place => listFiles(place)).map(file => parseEvents(readFileSync(file, 'utf8')));
+	const malformed = lists.find(list => list.err);
+	return malformed?.err ? Err(malformed.val) : Ok(lists.map(list => list.unwrap()));
+};
+
+/** Asks the running proxies; names those that did not answer, as their events are missing. */
+const askFleet = async (platform: string): Promise<Lists> => {
+	const world = createWorld();
+	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
+	await using client = openFleetClient(world);
+	const {lists, missing} = await askEvents(store, client);
+	if (missing.length > 0) {
+		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; their events are missing\n`);
+	}
+
+	return lists;
+};
+
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
 	.scriptName('guavapitch-timeline')
-	.usage('$0 <files..>\n\nExit codes: 0 done, 1 a line cannot be read, 2 a setting is wrong.')
+	.usage('$0 [files..]\n\nExit codes: 0 done, 1 a line cannot be read, 2 a setting is wrong.')
 	.env('GUAVAPITCH')
 	.strict()
 	.version('0.1.0')
-	.command('$0 <files..>', 'merge the events of files or folders', command => command
+	.command('$0 [files..]', 'merge the events of files, folders or the running proxies', command => command
 		.positional('files', {
-			type: 'string', array: true, demandOption: true, describe: 'log files, or folders of them',
+			type: 'string', array: true, default: [], describe: 'log files, or folders of them',
 		})
+		.option('platform', {type: 'string', describe: 'address of the key-value service, host:port, to ask the running proxies'})
 		.option('format', {choices: ['text', 'json', 'svg'] as const, default: 'text' as const, describe: 'form of the time line'})
 		.option('output', {type: 'string', describe: 'file to write; standard output if absent'})
 		.option('customer', {type: 'string', describe: 'only events of a customer'})
@@ -42,15 +71,20 @@
 		.option('request', {type: 'string', describe: 'only events of a request'})
 		.option('term', {type: 'number', describe: 'only events of a term'})
 		.option('vm', {type: 'string', describe: 'only events of a vm'})
-		.option('id', {type: 'number', array: true, describe: 'only events of these numbers'}), flags => {
-		const lists = flags.files.flatMap(place => listFiles(place)).map(file => parseEvents(readFileSync(file, 'utf8')));
-		const malformed = lists.find(list => list.err);
-		if (malformed?.err) {
-			stop(malformed.val.message, EXIT_MALFORMED);
+		.option('id', {type: 'number', array: true, describe: 'only events of these numbers'}), async flags => {
+		if (flags.files.length === 0 && flags.platform === undefined) {
+			stop('give files, or --platform to ask the running proxies', EXIT_SETTING);
+			return;
+		}
+
+		const read = readFiles(flags.files);
+		if (read.err) {
+			stop(read.val.message, EXIT_MALFORMED);
 			return;
 		}
 
-		const merged = mergeEvents(lists.map(list => list.unwrap()));
+		const asked = flags.platform === undefined ? [] : await askFleet(flags.platform);
+		const merged = mergeEvents([...read.val, ...asked]);
 		const events = filterEvents(merged, {
 			customer: flags.customer, database: flags.database, request: flags.request, term: flags.term, vm: flags.vm, ids: flags.id,
 		});
