Steward a database again when its slot is lost and regained

The slot was lost in an outage of the platform while its steward waited, and came back to the same process; the task ended by the abort, so the database stayed noted as stewarded and no new steward was started. Ruled out: the store (reachable again), the slot (epoch 2 held). Change: the note is taken back however the task ends; likewise for the task that keeps a home's grants.

--- a/packages/proxy/src/homes.ts
+++ b/packages/proxy/src/homes.ts
@@ -210,8 +210,11 @@
 					if (!running.has(database)) {
 						running.add(database);
 						scope.run(async () => {
-							await runGrant(database, signal);
-							running.delete(database);
+							try {
+								await runGrant(database, signal);
+							} finally {
+								running.delete(database);
+							}
 						});
 					}
 				}
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -165,8 +165,11 @@
 						const steward = createOne(database, authority);
 						running.set(database, steward);
 						scope.run(async own => {
-							await steward.run(own);
-							running.delete(database);
+							try {
+								await steward.run(own);
+							} finally {
+								running.delete(database);
+							}
 						});
 					}
 				}
