Let operators speak to proxies that use mutual TLS

Change: `--peer-tls-cert`, `--peer-tls-key`, `--peer-tls-ca` on both, read by the same function as the proxy's; missing or unreadable files are told by flag. Tested: answered with keys, not without.

--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -1,8 +1,11 @@
 /** TLS towards callers and mutual TLS between peers. */
 
 import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
 import {readFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
 import path from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {
 	after, before, describe, it,
@@ -62,6 +65,30 @@
 		});
 	});
 
+	describe('operators', () => {
+		const runStatus = async (flags: readonly string[]): Promise<string> => {
+			const program = createRequire(import.meta.url).resolve('@guavapitch/operator').replace(/index\.js$/v, 'main.js');
+			const args = [program, 'status', '--platform', `127.0.0.1:${stack.platformPort}`, ...flags];
+			return new Promise(resolve => {
+				execFile(process.execPath, args, (_error, stdout, stderr) => {
+					resolve(stdout + stderr);
+				});
+			});
+		};
+
+		it('ask with the keys of a peer, and get no answer without', async () => {
+			const files = ['--peer-tls-cert', getFile('cert'), '--peer-tls-key', getFile('key'), '--peer-tls-ca', getFile('ca')];
+			const answered = await runStatus(files);
+			assert.match(answered, /motions {2}term 1/v);
+			assert.ok(!answered.includes('no answer'));
+			assert.match(await runStatus([]), /no answer/v);
+		});
+
+		it('are told which files are missing', async () => {
+			assert.match(await runStatus(['--peer-tls-cert', getFile('cert')]), /go together/v);
+		});
+	});
+
 	describe('peers', () => {
 		it('without a certificate are not served', async () => {
 			const [proxy] = stack.proxies.values();
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -10,9 +10,10 @@
 import {
 	compareInventories, parseInventory, type Difference, type Inventory,
 } from '@guavapitch/inventory';
+import {readPeerTls} from '@guavapitch/peer-protocol';
 import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
 import {
-	openFleetClient, readStatuses, readVms, waitForRevision, type ProxyStatus,
+	openFleetClient, readStatuses, readVms, waitForRevision, type FleetClient, type ProxyStatus,
 } from './fleet.js';
 import {askEvents, describeRequest} from './events.js';
 import {issueKey, withdrawKey} from './keys.js';
@@ -69,14 +70,24 @@
 	return `${failure.message} (by ${failure.current?.author ?? 'unknown'}, now revision ${failure.revision}); nothing was changed. Their change:\n${lines.join('\n')}`;
 };
 
-type Flags = Readonly<{platform: string; wait: boolean; waitMs: number; json?: boolean}>;
+type Flags = Readonly<{
+	platform: string;
+	wait: boolean;
+	waitMs: number;
+	json?: boolean;
+	peerTlsCert?: string | undefined;
+	peerTlsKey?: string | undefined;
+	peerTlsCa?: string | undefined;
+}>;
+
+const openClient = (flags: Flags): FleetClient => openFleetClient(world, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
 
 const waitIfAsked = async (store: EtcdStore, flags: Flags, revision: number) => {
 	if (!flags.wait) {
 		return;
 	}
 
-	await using client = openFleetClient(world);
+	await using client = openClient(flags);
 	const behind = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
 	if (behind.length === 0) {
 		print(`revision ${revision} is in force everywhere`);
@@ -123,7 +134,7 @@
 
 const printStatus = async (flags: Flags) => {
 	await using store = openStore(flags.platform);
-	await using client = openFleetClient(world);
+	await using client = openClient(flags);
 	const statuses = await readStatuses(store, client);
 	if (flags.json) {
 		print(JSON.stringify(statuses.map(({vm, status}) => ({vm, status: status.val})), null, 2));
@@ -152,7 +163,7 @@
 
 const explain = async (flags: Flags & Readonly<{customer: string; service: string; statement: string}>) => {
 	await using store = openStore(flags.platform);
-	await using client = openFleetClient(world);
+	await using client = openClient(flags);
 	for (const vm of await readVms(store)) {
 		const answer = await client.call<Readonly<{steps: readonly string[]}>>(vm, 'explain', {customer: flags.customer, service: flags.service, statement: flags.statement});
 		if (answer.ok) {
@@ -169,7 +180,7 @@
 
 const explainRequest = async (flags: Flags, request: string) => {
 	await using store = openStore(flags.platform);
-	await using client = openFleetClient(world);
+	await using client = openClient(flags);
 	const {lists, missing} = await askEvents(store, client, {request});
 	const events = lists.flat();
 	for (const event of events) {
@@ -192,6 +203,9 @@
 	.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
 	.option('wait', {type: 'boolean', default: false, describe: 'wait until the change is in force at every vm'})
 	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'longest wait, in milliseconds'})
+	.option('peer-tls-cert', {type: 'string', describe: 'certificate towards the proxies, PEM file'})
+	.option('peer-tls-key', {type: 'string', describe: 'key towards the proxies, PEM file'})
+	.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of the proxies, PEM file'})
 	.command('check <file>', 'check an inventory file', command => command.positional('file', {type: 'string', demandOption: true}), flags => {
 		if (readFile(flags.file)) {
 			print(`${flags.file}: valid`);
--- /dev/null
+++ b/packages/peer-protocol/src/tls.ts
@@ -0,0 +1,34 @@
+/** Keys of mutual TLS, read from files. */
+
+import {readFileSync} from 'node:fs';
+import {
+	Err, getMessage, Ok, type Failure, type Result,
+} from '@guavapitch/core';
+import type {PeerTls} from './listener.js';
+
+/** Failure of reading the keys. */
+export type TlsFailure = Failure<'tlsFilesIncomplete' | 'tlsFileUnreadable'>;
+
+/** Files of the keys, PEM; all or none. */
+export type TlsFiles = Readonly<{[Part in keyof PeerTls]: string | undefined}>;
+
+const readPem = (part: string, file: string): Result<string, TlsFailure> => {
+	try {
+		return Ok(readFileSync(file, 'utf8'));
+	} catch (error) {
+		return Err({code: 'tlsFileUnreadable', message: `--peer-tls-${part}: ${getMessage(error)}`});
+	}
+};
+
+/** Reads the keys with which a process speaks to its peers; `undefined` if no files are given. */
+export const readPeerTls = ({cert, key, ca}: TlsFiles): Result<PeerTls | undefined, TlsFailure> => {
+	if (cert === undefined && key === undefined && ca === undefined) {
+		return Ok(undefined);
+	}
+
+	if (cert === undefined || key === undefined || ca === undefined) {
+		return Err({code: 'tlsFilesIncomplete', message: '--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together'});
+	}
+
+	return readPem('cert', cert).andThen(readCert => readPem('key', key).andThen(readKey => readPem('ca', ca).map(readCa => ({cert: readCert, key: readKey, ca: readCa}))));
+};
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -5,7 +5,7 @@
 import {
 	Err, getMessage, Ok, parseId, type DataCentreId, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
-import type {Address, PeerTls} from '@guavapitch/peer-protocol';
+import {readPeerTls, type Address, type PeerTls} from '@guavapitch/peer-protocol';
 
 /** Settings of the proxy. */
 export type Settings = Readonly<{
@@ -66,6 +66,14 @@
 	return value;
 };
 
+const requireSetting = <Value>(read: Result<Value, Failure>): Value => {
+	if (read.err) {
+		throw new SettingError(read.val.message);
+	}
+
+	return read.val;
+};
+
 const readPem = (flag: string, file: string): string => {
 	try {
 		return readFileSync(file, 'utf8');
@@ -74,18 +82,6 @@
 	}
 };
 
-const readTriple = (files: Readonly<{cert?: string; key?: string; ca?: string}>): PeerTls | undefined => {
-	if (!files.cert && !files.key && !files.ca) {
-		return undefined;
-	}
-
-	if (!files.cert || !files.key || !files.ca) {
-		throw new SettingError('--peer-tls-cert, --peer-tls-key and --peer-tls-ca go together');
-	}
-
-	return {cert: readPem('peer-tls-cert', files.cert), key: readPem('peer-tls-key', files.key), ca: readPem('peer-tls-ca', files.ca)};
-};
-
 const readPair = (files: Readonly<{cert?: string; key?: string}>): Readonly<{cert: string; key: string}> | undefined => {
 	if (!files.cert && !files.key) {
 		return undefined;
@@ -135,7 +131,7 @@
 			statsd: flags.statsd ? parseAddress('statsd', flags.statsd) : undefined,
 			drainMs: parseMs('drain-ms', flags.drainMs),
 			callerTls: readPair({cert: flags.tlsCert, key: flags.tlsKey}),
-			peerTls: readTriple({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}),
+			peerTls: requireSetting(readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa})),
 		});
 	} catch (error) {
 		return Err({code: 'settingInvalid', message: getMessage(error)});
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -11,6 +11,7 @@
 	createWorld, Err, getMessage, Ok, type Result,
 } from '@guavapitch/core';
 import {askEvents, openFleetClient} from '@guavapitch/operator';
+import {readPeerTls, type TlsFiles} from '@guavapitch/peer-protocol';
 import {openEtcdStore} from '@guavapitch/platform';
 import {formatEvent, type EventRecord} from '@guavapitch/telemetry';
 import {
@@ -41,10 +42,10 @@
 };
 
 /** Asks the running proxies; names those that did not answer, as their events are missing. */
-const askFleet = async (platform: string): Promise<Lists> => {
+const askFleet = async (platform: string, files: TlsFiles): Promise<Lists> => {
 	const world = createWorld();
 	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
-	await using client = openFleetClient(world);
+	await using client = openFleetClient(world, readPeerTls(files).unwrap());
 	const {lists, missing} = await askEvents(store, client);
 	if (missing.length > 0) {
 		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; their events are missing\n`);
@@ -64,6 +65,9 @@
 			type: 'string', array: true, default: [], describe: 'log files, or folders of them',
 		})
 		.option('platform', {type: 'string', describe: 'address of the key-value service, host:port, to ask the running proxies'})
+		.option('peer-tls-cert', {type: 'string', describe: 'certificate towards the proxies, PEM file'})
+		.option('peer-tls-key', {type: 'string', describe: 'key towards the proxies, PEM file'})
+		.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of the proxies, PEM file'})
 		.option('format', {choices: ['text', 'json', 'svg'] as const, default: 'text' as const, describe: 'form of the time line'})
 		.option('output', {type: 'string', describe: 'file to write; standard output if absent'})
 		.option('customer', {type: 'string', describe: 'only events of a customer'})
@@ -83,7 +87,7 @@
 			return;
 		}
 
-		const asked = flags.platform === undefined ? [] : await askFleet(flags.platform);
+		const asked = flags.platform === undefined ? [] : await askFleet(flags.platform, {cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa});
 		const merged = mergeEvents([...read.val, ...asked]);
 		const events = filterEvents(merged, {
 			customer: flags.customer, database: flags.database, request: flags.request, term: flags.term, vm: flags.vm, ids: flags.id,
