Give a customer that was idle a small credit; end the load tool's connections

A customer below its share could use four slots in a burst when alone, but beside a flood it started level with it and took turns from its first statement. Ruled out: processor time (measured before, with the flood in the process that measured and the machine saturated); larger weights (would move the large customer's own share). Change: a customer that comes back starts up to 200 ms of service before the least of the active ones; more it does not earn. A test of the queue. `guavapitch-load run` never ended, as it kept its connections; mended, with a test that runs it.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -27,7 +27,7 @@
 const FAIR_CONNECTIONS = 16;
 /** Part of their rates at which customers send, so that the instances and not the machine are short. */
 const FAIR_SCALE = 0.1;
-const FAIR_STATEMENT_MS = 20;
+const FAIR_STATEMENT = 'SELECT pg_sleep(0.02)';
 const MEBIBYTE = 1_048_576;
 
 const print = (text: string) => {
@@ -219,6 +219,8 @@
 		login.secret ?? '',
 		'--service',
 		login.service,
+		'--statement',
+		FAIR_STATEMENT,
 		'--per-second',
 		String(perSecond),
 		'--duration-ms',
@@ -237,12 +239,14 @@
 		...inventory,
 		customers: Object.fromEntries(Object.entries(inventory.customers).map(([name, customer]) => [name, {...customer, rate: customer.rate * 100, burst: customer.burst * 100}])),
 	});
-	await using stack = await startFleet(8, FAIR_STATEMENT_MS, unlimited);
+	await using stack = await startFleet(8, 0, unlimited);
 	const small = Object.entries(readExample('dvorak').customers);
 	const connected = await connectCustomers(stack, small.slice(1).map(([customer]) => customer), FAIR_CONNECTIONS);
 	const runSmall = async (seed: number) => Promise.all(small.slice(1).map(async ([customer, {rate}], index) => runOpen(connected.get(customer) ?? [], {
-		perSecond: rate * FAIR_SCALE, durationMs: OPEN_MS, seed: seed + index, statement: 'SELECT 1 AS one',
+		perSecond: rate * FAIR_SCALE, durationMs: OPEN_MS, seed: seed + index, statement: FAIR_STATEMENT,
 	})));
+	// The first run warms the processes up and is not counted.
+	await runSmall(1);
 	const alone = await runSmall(1);
 	const [large] = small;
 	const [together, flood] = await Promise.all([runSmall(1), floodApart(stack, large?.[0] ?? '', (large?.[1].rate ?? 0) * LARGE_FACTOR * FAIR_SCALE)]);
--- a/packages/bench/src/tests/helpers.ts
+++ b/packages/bench/src/tests/helpers.ts
@@ -1,6 +1,9 @@
 /** What several tests of the whole path need. */
 
+import {execFile} from 'node:child_process';
 import {readFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import process from 'node:process';
 import pg from 'pg';
 import type {Stack} from '../stack.js';
 
@@ -17,6 +20,19 @@
 	return client;
 };
 
+/** What a program printed, and how it ended. */
+export type ProgramEnd = Readonly<{stdout: string; stderr: string; exitCode: number}>;
+
+/** Runs a program of the project to its end. */
+export const runProgram = async (name: string, args: readonly string[]): Promise<ProgramEnd> => {
+	const program = createRequire(import.meta.url).resolve(`@guavapitch/${name}`).replace(/index\.js$/v, 'main.js');
+	return new Promise(resolve => {
+		const child = execFile(process.execPath, [program, ...args], (_error, stdout, stderr) => {
+			resolve({stdout, stderr, exitCode: child.exitCode ?? -1});
+		});
+	});
+};
+
 /** Reads how much memory a process holds, in bytes. */
 export const readResidentBytes = (pid: number): number => {
 	const found = /^VmRSS:\s+(?<kib>\d+) kB$/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -12,7 +12,7 @@
 import {readExample} from '../examples.js';
 import {findPrimary} from '../faults.js';
 import {startStack, type Stack} from '../stack.js';
-import {connectMember, readResidentBytes} from './helpers.js';
+import {connectMember, readResidentBytes, runProgram} from './helpers.js';
 
 describe('whole path', () => {
 	let stack: Stack;
@@ -146,6 +146,16 @@
 		});
 	});
 
+	describe('load', () => {
+		it('runs to its end against several proxies and prints what it found', async () => {
+			const targets = [...stack.proxies.values()].flatMap(({port}) => ['--target', `127.0.0.1:${port}`]);
+			const login = ['--key', 'klub-brno-key', '--secret', stack.secrets.get('klub-brno') ?? '', '--service', 'motions'];
+			const {stdout, exitCode} = await runProgram('load', ['run', ...targets, ...login, '--per-second', '50', '--duration-ms', '1000']);
+			assert.equal(exitCode, 0);
+			assert.match(stdout, /refused 0 {2}failed 0/v);
+		});
+	});
+
 	describe('desk', () => {
 		it('explains a refused request by the identifier in its error, from the events of the running proxies', async () => {
 			const client = await connect(1);
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -1,11 +1,8 @@
 /** TLS towards callers and mutual TLS between peers. */
 
 import assert from 'node:assert/strict';
-import {execFile} from 'node:child_process';
 import {readFileSync} from 'node:fs';
-import {createRequire} from 'node:module';
 import path from 'node:path';
-import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {
 	after, before, describe, it,
@@ -14,7 +11,7 @@
 import {openFleetClient} from '@guavapitch/operator';
 import {takeFirstDatabase, readExample} from '../examples.js';
 import {startStack, type Stack} from '../stack.js';
-import {connectMember} from './helpers.js';
+import {connectMember, runProgram} from './helpers.js';
 
 const FOLDER = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', 'fixtures');
 const getFile = (name: string): string => path.join(FOLDER, `${name}.pem`);
@@ -67,13 +64,8 @@
 
 	describe('operators', () => {
 		const runStatus = async (flags: readonly string[]): Promise<string> => {
-			const program = createRequire(import.meta.url).resolve('@guavapitch/operator').replace(/index\.js$/v, 'main.js');
-			const args = [program, 'status', '--platform', `127.0.0.1:${stack.platformPort}`, ...flags];
-			return new Promise(resolve => {
-				execFile(process.execPath, args, (_error, stdout, stderr) => {
-					resolve(stdout + stderr);
-				});
-			});
+			const {stdout, stderr} = await runProgram('operator', ['status', '--platform', `127.0.0.1:${stack.platformPort}`, ...flags]);
+			return stdout + stderr;
 		};
 
 		it('ask with the keys of a peer, and get no answer without', async () => {
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -69,6 +69,7 @@
 				process.stderr.write(`sent ${sent} done ${done}\n`);
 			},
 		});
+		await Promise.all(clients.map(async client => client.end()));
 		print(formatResult(result));
 		if (flags.output) {
 			writeFileSync(flags.output, JSON.stringify(result, null, 1));
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -43,6 +43,8 @@
 	readonly waiting: Waiting[];
 };
 
+/** Time in front that idling earns at most, divided by weight. */
+const CREDIT_MS = 200;
 const QUEUE_LIMIT = 128;
 const FIRST_MEAN_MS = 2;
 const MEAN_SHARE = 0.1;
@@ -72,11 +74,11 @@
 
 	const isActive = (account: Account): boolean => account.waiting.length > 0 || account.running > 0;
 
-	/** A customer that comes back starts at the least time of the active ones, so that idling earns no credit. */
+	/** A customer that comes back starts a little before the least time of the active ones: idling earns a burst, and no more. */
 	const alignAccount = (account: Account) => {
 		const active = [...accounts.values()].filter(other => other !== account && isActive(other));
 		if (!isActive(account) && active.length > 0) {
-			account.virtualMs = Math.max(account.virtualMs, Math.min(...active.map(other => other.virtualMs)));
+			account.virtualMs = Math.max(account.virtualMs, Math.min(...active.map(other => other.virtualMs)) - CREDIT_MS);
 		}
 	};
 
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -51,6 +51,35 @@
 		assert.ok(p99 <= 10, `p99 of the wait is ${p99} ms, two services take 10 ms`);
 	});
 
+	it('serves a burst of a customer that was idle before a flood, and a longer one by turns', async () => {
+		const {world, advance} = createVirtualWorld(3);
+		const queue = createFairQueue(world, 1, () => true);
+		const order: CustomerId[] = [];
+		const run = async (customer: CustomerId) => {
+			const entered = await queue.enter({
+				customer, weight: 1, deadline: createDeadline(world.now(), 10_000), pinned: false,
+			});
+			if (entered.ok) {
+				using permit = entered.val;
+				order.push(customer);
+				await world.sleep(10);
+			}
+		};
+
+		const running = [run(SMALL)];
+		await advance(50);
+		running.push(...Array.from({length: 100}, async () => run(LARGE)));
+		await advance(400);
+		const before = order.length;
+		running.push(...Array.from({length: 60}, async () => run(SMALL)));
+		await advance(10_000);
+		await Promise.all(running);
+		const after = order.slice(before);
+		const isSmall = after.map(customer => customer === SMALL);
+		assert.ok(isSmall.slice(1, 11).every(Boolean), 'a burst within the credit goes first');
+		assert.ok(isSmall.slice(11, 60).includes(false), 'a longer one takes turns');
+	});
+
 	it('refuses at once when the deadline cannot be met', async () => {
 		const {world, advance} = createVirtualWorld();
 		const queue = createFairQueue(world, 1, () => true);
