--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -16,7 +16,7 @@
 } from '@guavapitch/peer-protocol';
 import {openEtcdStore} from '@guavapitch/platform';
 import {
-	createProcessLease, createPromiseBook, formatSlot, parseSlotRecord, ROLE_PREFIX, runSlot, type RoleName, type SlotContext,
+	createProcessLease, createPromiseBook, parseSlotRecord, ROLE_PREFIX,
 } from '@guavapitch/roles';
 import {createRetryBudget} from '@guavapitch/routing';
 import {
@@ -25,6 +25,7 @@
 import {
 	computeVmNumber, findVmByNumber, startCallers, type Callers,
 } from './callers.js';
+import {createContenders} from './contenders.js';
 import {createEntry} from './entry.js';
 import {createExplain} from './explain.js';
 import {createCallVm, createFleet} from './fleet.js';
@@ -290,51 +291,12 @@
 		},
 	};
 
-	const createSlotContext = (role: RoleName, slot: string): SlotContext => ({
-		world,
-		store,
-		lease,
-		promises,
-		self: {vm: settings.vm, incarnation},
-		slot,
-		rank: () => draining ? [] : fleet.rankLive(`role/${slot}`),
-		askPromise: async (candidate, request) => callVm<boolean>(candidate.vm, 'promise', request, PEER_TIMEOUT_MS),
-		isSurelyGone(candidate) {
-			const member = members.get(candidate.vm);
-			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
-		},
-		act: role === 'steward' ? stewards.act : keepers.act,
-		onGained(name, epoch) {
-			emit(EVENTS.roleGained, {slot: name, epoch});
-		},
-		onLost(name, epoch) {
-			emit(EVENTS.roleLost, {slot: name, epoch});
-		},
-		onExtended(name, by) {
-			emit(EVENTS.roleExtended, {slot: name, by});
-		},
+	const runContenders = createContenders({
+		world, vm: settings.vm, incarnation, fleet, store, lease, promises, scope: roles, emit, isDraining: () => draining,
+		askPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
+		act: {steward: stewards.act, keeper: keepers.act},
 	});
 
-	/** Starts a contender for each slot once the inventory says how many there are. */
-	const runRoles = async (signal: AbortSignal) => {
-		const started = new Set<string>();
-		while (!signal.aborted) {
-			const counts = inForce.getInventory()?.fleet;
-			const slots: ReadonlyArray<readonly [RoleName, number]> = [['steward', counts?.stewardSlots ?? 0], ['keeper', counts?.keeperSlots ?? 0]];
-			for (const [role, count] of slots) {
-				for (let number = 0; number < count; number++) {
-					const slot = formatSlot(role, number);
-					if (!started.has(slot)) {
-						started.add(slot);
-						roles.run(async own => runSlot(createSlotContext(role, slot), own));
-					}
-				}
-			}
-
-			await world.sleep(SWEEP_MS, signal);
-		}
-	};
-
 	const runSweep = async (signal: AbortSignal) => {
 		while (!signal.aborted) {
 			callers?.closeIdle();
@@ -356,7 +318,7 @@
 		control.run(async signal => runPinger({
 			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<Pong>(vm, 'ping', ping, timeoutMs),
 		}, signal));
-		control.run(runRoles);
+		control.run(runContenders);
 		control.run(homes.runGrants);
 		control.run(homes.runMoves);
 		control.run(runSweep);
