Watch what databases receive for keys and what is derived from them

Cause: that no key reaches a database was proved for events only.

The slow caller's rows are made by the statement now (`repeat`), not stored: copying 96 MB to the replicas on a busy machine held the stand-ins up so long that a failover began and other tests of the file failed with it.

--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -45,6 +45,8 @@
 	proxyFlags?: readonly string[];
 	/** Puts relays between the proxies, so that they can be cut off from each other. */
 	relayed?: boolean;
+	/** Records every byte that instances receive. */
+	recorded?: boolean;
 	/** Keys with which this script asks the proxies. */
 	peerTls?: PeerTls;
 }>;
@@ -72,6 +74,8 @@
 	waitUntilReady: () => Promise<void>;
 	/** Reads the events of all processes. */
 	readEvents: () => readonly EventRecord[];
+	/** Reads what the instances received, if it is recorded. */
+	readReceived: () => string;
 }>;
 
 type Relay = Readonly<{port: number; owner: AsyncDisposable}>;
@@ -154,6 +158,7 @@
 const launchStack = async (plan: StackPlan): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
 	const world = createWorld();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
+	const recordFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
@@ -216,6 +221,7 @@
 			String(plan.statementMs),
 			'--lag-ms',
 			String(plan.lagMs),
+			...(plan.recorded === true ? ['--record', path.join(recordFolder, name)] : []),
 			...upstream,
 		]);
 		const started = {...child, port, database};
@@ -359,6 +365,7 @@
 		withdraw: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
 		getStatuses,
 		waitUntilReady,
+		readReceived: () => readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
 			stopped = true;
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/instance.ts
@@ -97,6 +97,7 @@
 			lagMs = Number(args[0]);
 			return true;
 		},
+		repeat: args => String(args[0]).repeat(Number(args[1])),
 		standin_most_connections: () => mostConnections,
 		pg_current_wal_lsn() {
 			if (engine.isReplica()) {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** Program `guavapitch-standin`. */
 
+import {appendFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
 import {createWorld} from '@guavapitch/core';
@@ -15,6 +16,13 @@
 const DEFAULT_CONNECT_MS = 10;
 const DEFAULT_LAG_MS = 5;
 
+/** Creates what hears of received bytes; without a file they are dropped. */
+const createRecorder = (file: string | undefined) => (bytes: Uint8Array) => {
+	if (file !== undefined) {
+		appendFileSync(file, bytes);
+	}
+};
+
 const serveUntilStopped = (name: string, server: AsyncDisposable & Readonly<{port: number}>) => {
 	process.stdout.write(`${name} listening on 127.0.0.1:${server.port}\n`);
 	process.once('SIGTERM', () => {
@@ -45,7 +53,8 @@
 		.option('connections', {type: 'number', default: DEFAULT_CONNECTIONS, describe: 'connections accepted at a time'})
 		.option('connect-ms', {type: 'number', default: DEFAULT_CONNECT_MS, describe: 'time to open a connection, in milliseconds'})
 		.option('statement-ms', {type: 'number', default: 0, describe: 'time a statement occupies a slot, in milliseconds'})
-		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay of replay, in milliseconds'}), async flags => {
+		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay of replay, in milliseconds'})
+		.option('record', {type: 'string', describe: 'file for every byte received from clients'}), async flags => {
 		const world = createWorld();
 		const instance = createInstance({
 			name: flags.name,
@@ -55,7 +64,7 @@
 			connectMs: flags.connectMs,
 			statementMs: flags.statementMs,
 			lagMs: flags.lagMs,
-		}, world);
+		}, world, createRecorder(flags.record));
 		if (flags.follow) {
 			const [host, port] = flags.follow.split(':');
 			instance.setUpstream(`host=${host} port=${port}`);
