--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -158,7 +158,7 @@
 const launchStack = async (plan: StackPlan): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
 	const world = createWorld();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
-	const recordFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
+	const recordFolder = plan.recorded === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
@@ -221,7 +221,7 @@
 			String(plan.statementMs),
 			'--lag-ms',
 			String(plan.lagMs),
-			...(plan.recorded === true ? ['--record', path.join(recordFolder, name)] : []),
+			...(recordFolder === undefined ? [] : ['--record', path.join(recordFolder, name)]),
 			...upstream,
 		]);
 		const started = {...child, port, database};
@@ -365,7 +365,7 @@
 		withdraw: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
 		getStatuses,
 		waitUntilReady,
-		readReceived: () => readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
+		readReceived: () => recordFolder === undefined ? '' : readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
 			stopped = true;
--- a/packages/failover/src/granter.ts
+++ b/packages/failover/src/granter.ts
@@ -1,10 +1,9 @@
 /** The steward's side of grants: what is outstanding, and how it ends. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type InstanceId, type VmId, type World,
+	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
 import type {GrantReply} from './grants.js';
-import type {GroupView} from './record.js';
 
 /** One run of the process of a vm that holds grants. */
 export type Holder = Readonly<{vm: VmId; incarnation: string}>;
@@ -50,11 +49,7 @@
 const KINDS = ['writes', 'acknowledgements', 'reads'] as const;
 
 /** Permissions that a steward gives now. */
-export type GrantTerms = Readonly<{
-	view: GroupView;
-	permissions: Permissions;
-	agesMs: Readonly<Record<string, number>>;
-	readable: readonly InstanceId[];
+export type GrantTerms = Omit<GrantReply, 'validMs'> & Readonly<{
 	/** Deadline of the steward's own authority. */
 	authority: Deadline;
 }>;
@@ -102,7 +97,8 @@
 	return {
 		grant(holder, terms) {
 			const now = world.now();
-			const validMs = Math.min(GRANT_MS, terms.authority - now - DRIFT_MS);
+			const {authority, ...given} = terms;
+			const validMs = Math.min(GRANT_MS, authority - now - DRIFT_MS);
 			if (validMs <= 0) {
 				return undefined;
 			}
@@ -115,9 +111,7 @@
 				deadlines: changeDeadlines(known?.deadlines ?? OVER, terms.permissions, deadline),
 				revision: terms.view.revision,
 			});
-			return {
-				view: terms.view, validMs, agesMs: terms.agesMs, readable: terms.readable, permissions: terms.permissions,
-			};
+			return {...given, validMs};
 		},
 		async endAll(permissions, revoke, signal) {
 			const living = [...outstanding.values()].filter(grant => !isOver(grant, permissions));
