--- /dev/null
+++ b/packages/callers/src/index.ts
@@ -0,0 +1,1 @@
+export * from './session.js';
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -17,6 +17,9 @@
 /** Name of one instance of a database. */
 export type InstanceId = Brand<string, 'InstanceId'>;
 
+/** Name of one back end of a database. */
+export type TargetId = Brand<string, 'TargetId'>;
+
 /** Name of a service, which callers give as their database name. */
 export type ServiceId = Brand<string, 'ServiceId'>;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './result.js';
 export * from './errors.js';
 export * from './world.js';
+export * from './suspension.js';
 export * from './scope.js';
 export * from './gate.js';
 export * from './queue.js';
--- a/packages/core/src/result.ts
+++ b/packages/core/src/result.ts
@@ -1,11 +1,15 @@
-/** Results instead of exceptions; the only place that touches the CommonJS default export of `ts-results` (which needs `tslib` without saying so). */
+/** Results instead of exceptions; the only place that imports `ts-results` (which needs `tslib` without saying so). */
 
-import tsResults from 'ts-results';
+import * as tsResults from 'ts-results';
+
+/** Node gives the CommonJS build as a default export, a bundler the names of the ES build. */
+const {default: commonJs}: Readonly<{default?: typeof tsResults}> = tsResults;
+const library: typeof tsResults = commonJs ?? tsResults;
 
 /** Wraps a success. */
-export const {Ok} = tsResults;
+export const {Ok} = library;
 
 /** Wraps a failure. */
-export const {Err} = tsResults;
+export const {Err} = library;
 
 export type {Result} from 'ts-results';
--- a/packages/core/src/virtual-world.ts
+++ b/packages/core/src/virtual-world.ts
@@ -86,6 +86,13 @@
 					}, {once: true});
 				});
 			},
+			schedule(ms, task) {
+				const sleeper: Sleeper = {at: now + Math.max(0, ms), order: order++, wake: task};
+				sleepers.add(sleeper);
+				return () => {
+					sleepers.delete(sleeper);
+				};
+			},
 			random() {
 				state = (Math.imul(state, LCG_FACTOR) + LCG_STEP) >>> 0;
 				return state / RANGE;
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -13,6 +13,8 @@
 	readWallClock: () => number;
 	/** Waits; rejects with `AbortError` when the signal aborts. */
 	sleep: (ms: number, signal?: AbortSignal) => Promise<void>;
+	/** Runs a task once after some time, unless the returned function is called before. */
+	schedule: (ms: number, task: () => void) => (() => void);
 	/** Draws a number in [0, 1). */
 	random: () => number;
 	/** Creates a fresh identifier. */
@@ -28,6 +30,12 @@
 	async sleep(ms, signal) {
 		await delay(ms, undefined, signal ? {signal} : {});
 	},
+	schedule(ms, task) {
+		const timer = setTimeout(task, Math.max(0, ms));
+		return () => {
+			clearTimeout(timer);
+		};
+	},
 	random: () => Math.random(),
 	createId: () => randomBytes(ID_BYTES).toString('base64url'),
 });
--- /dev/null
+++ b/packages/feed/src/index.ts
@@ -0,0 +1,2 @@
+export * from './entries.js';
+export * from './feed.js';
--- /dev/null
+++ b/packages/homes/src/answers.ts
@@ -0,0 +1,79 @@
+/** What a target's replies mean for a request. */
+
+import type {Instant, TargetId, TransactionStatus} from '@guavapitch/core';
+import {
+	createRefusal, getAccess, type HomeAnswer, type HomeRequest, type Outcome,
+} from '@guavapitch/sessions';
+import type {SharedParts} from './home.js';
+import type {Execution, Reply, TargetErrorCode} from './targets.js';
+
+/** Creates an answer that needed no target, or got none. */
+export const createAnswer = (outcome: Outcome, waitedMs = 0, status: TransactionStatus = 'idle'): HomeAnswer => ({
+	outcome, status, position: undefined, target: undefined, waitedMs,
+});
+
+/** Meaning of the end of a statement. */
+export type Verdict
+	/** The outcome stands. */
+	= | Readonly<{kind: 'final'; outcome: Outcome; reply: Reply | undefined}>
+	/** It has not run, and may run elsewhere or later. */
+		| Readonly<{kind: 'notRun'; code: TargetErrorCode | 'lost'}>;
+
+/** Codes by which a target says that a statement has not run. */
+const NOT_RUN: ReadonlySet<TargetErrorCode> = new Set(['busy', 'noStatement', 'lagging', 'readOnly', 'misrouted', 'tooMany']);
+
+const createLostOutcome = (execution: Execution, request: HomeRequest): Outcome => execution.ended === 'timeout'
+	? {kind: 'timeout', reason: 'the target did not answer in time'}
+	: {kind: 'unknown', reason: `the connection was lost while the target ran a ${getAccess(request.statement)}`};
+
+/** Judges the reply to the statement, which stands at `index` among the commands. */
+export const evaluateReply = (execution: Execution, index: number, request: HomeRequest): Verdict => {
+	const reply = execution.replies[index];
+	if (!reply) {
+		// A read may run twice; anything else may have taken effect.
+		return getAccess(request.statement) === 'read' && execution.ended === 'lost'
+			? {kind: 'notRun', code: 'lost'}
+			: {kind: 'final', outcome: createLostOutcome(execution, request), reply: undefined};
+	}
+
+	const {result} = reply;
+	if (result.kind === 'done') {
+		return {kind: 'final', outcome: result, reply};
+	}
+
+	if (NOT_RUN.has(result.code)) {
+		return {kind: 'notRun', code: result.code};
+	}
+
+	const outcome: Outcome = result.code === 'timeout'
+		? {kind: 'timeout', reason: result.text}
+		: {kind: 'failed', reason: result.text};
+	return {kind: 'final', outcome, reply};
+};
+
+/** Takes note of what a reply says about its target. */
+export const noteReply = (parts: SharedParts, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
+	const now = parts.context.world.now();
+	if (code === 'lost') {
+		parts.reach.noteFailure(target, now);
+	} else if (code === 'lagging') {
+		parts.reach.noteLagging(target, now);
+	} else {
+		parts.reach.noteAnswer(target, now);
+	}
+
+	if (code === 'readOnly') {
+		parts.leadership.noteFollowing(target, now);
+	}
+};
+
+/** Takes note that a target proved that it leads, with the position that it gave to a question of an instant. */
+export const noteVerified = (parts: SharedParts, target: TargetId, reply: Reply, askedAt: Instant): void => {
+	if (reply.position) {
+		parts.floors.note(askedAt, reply.position);
+		parts.leadership.noteLeading(target, parts.context.world.now());
+	}
+};
+
+/** Refusal after everything that could be tried. */
+export const createBusyRefusal = (reason: string, retryAfterMs: number): Outcome => createRefusal('busy', reason, retryAfterMs);
--- /dev/null
+++ b/packages/homes/src/singles.ts
@@ -0,0 +1,149 @@
+/** Statements outside a transaction. */
+
+import {
+	createDeadline, isPast, type Deadline, type TargetId,
+} from '@guavapitch/core';
+import {
+	createRefusal, type HomeAnswer, type HomeRequest,
+} from '@guavapitch/sessions';
+import {
+	createAnswer, createBusyRefusal, evaluateReply, noteReply, noteVerified, type Verdict,
+} from './answers.js';
+import type {Loan} from './connections.js';
+import type {HomeParts} from './home.js';
+import {
+	chooseTarget, computeSlotDeadline, createPlan, type Plan,
+} from './plans.js';
+import type {Command} from './targets.js';
+
+/** Attempts that end without having run, at most; each takes another target or a later moment. */
+const MOST_ATTEMPTS = 5;
+/** Pause before an attempt at the same target, in milliseconds; about the time of one statement. */
+const RETRY_PAUSE_MS = 10;
+/** Time after which a caller should come back when no leader is known, in milliseconds; about the time of a promotion. */
+const LEADER_RETRY_MS = 800;
+
+/** Creates the statement's command. */
+export const createStatementCommand = (request: HomeRequest, preparedName: string, plan: Plan | undefined): Command => ({
+	kind: 'statement',
+	id: request.id,
+	statement: request.statement,
+	preparedName,
+	after: plan?.kind === 'anywhere' ? plan.after : undefined,
+});
+
+/** Runs a read that needs the newest state: inside a transaction, which only a leader accepts. */
+const runVerifiedRead = async (parts: HomeParts, request: HomeRequest, target: TargetId, loan: Loan, deadline: Deadline): Promise<Verdict> => {
+	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
+	const begun = await loan.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
+	const beginReply = begun.replies[commands.length];
+	if (!beginReply || beginReply.result.kind === 'error') {
+		loan.giveBack(begun.ended === 'no' && beginReply?.status === 'idle');
+		const code = beginReply?.result.kind === 'error' ? beginReply.result.code : 'lost';
+		return {kind: 'notRun', code};
+	}
+
+	const askedAt = parts.context.readClock();
+	const execution = await loan.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
+	const verdict = evaluateReply(execution, 0, request);
+	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply) {
+		noteVerified(parts, target, verdict.reply, askedAt);
+	}
+
+	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
+		loan.forgetPrepared();
+	}
+
+	loan.giveBack(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
+	return verdict;
+};
+
+/** Runs a statement by itself. */
+const runPlain = async (parts: HomeParts, request: HomeRequest, plan: Plan, target: TargetId, loan: Loan, deadline: Deadline): Promise<Verdict> => {
+	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
+	const askedAt = parts.context.readClock();
+	const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
+	const verdict = evaluateReply(execution, commands.length, request);
+	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply && plan.kind === 'leader') {
+		noteVerified(parts, target, verdict.reply, askedAt);
+	}
+
+	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
+		loan.forgetPrepared();
+	}
+
+	loan.giveBack(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
+	return verdict;
+};
+
+const computeRetryAfter = (parts: HomeParts, plan: Plan): number => plan.kind === 'leader' && parts.leadership.getLeader() === undefined
+	? LEADER_RETRY_MS
+	: RETRY_PAUSE_MS * (1 + parts.placement.getWaiting());
+
+/** Serves a statement outside a transaction. */
+export const serveSingle = async (parts: HomeParts, request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
+	const {context, placement} = parts;
+	const {world} = context;
+	const arrivedAt = world.now();
+	const promptUntil = createDeadline(arrivedAt, request.promptMs);
+	const tried = new Set<TargetId>();
+	let reason = 'no target can run the statement now';
+
+	for (let attempt = 0; attempt < MOST_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
+		const plan = await createPlan(parts, request, deadline);
+		if (!plan) {
+			return createAnswer(createRefusal('busy', 'no leader has proved its position', LEADER_RETRY_MS), world.now() - arrivedAt);
+		}
+
+		const slot = await placement.enter({
+			customer: request.customer,
+			priority: request.priority,
+			promptUntil,
+			deadline: computeSlotDeadline(parts, plan, deadline),
+			isPinned: false,
+			choose: free => chooseTarget(parts, plan, request, tried, free),
+		});
+		if (slot.err) {
+			return createAnswer(createBusyRefusal(slot.val.message, computeRetryAfter(parts, plan)), world.now() - arrivedAt);
+		}
+
+		const {target, release} = slot.val;
+		const connections = parts.getConnections(target);
+		const loan = await connections?.take(request.customer, request.values, deadline);
+		if (!loan || loan.err) {
+			release();
+			parts.reach.noteFailure(target, world.now());
+			tried.add(target);
+			reason = loan ? loan.val.message : 'the target has left';
+			context.onDecision({
+				kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
+			});
+			continue;
+		}
+
+		const startedAt = world.now();
+		const verdict = plan.kind === 'leader' && !plan.isWrite
+			? await runVerifiedRead(parts, request, target, loan.val, deadline)
+			: await runPlain(parts, request, plan, target, loan.val, deadline);
+		release(world.now() - startedAt);
+		if (verdict.kind === 'final') {
+			noteReply(parts, target, verdict.reply ? undefined : 'lost');
+			return {
+				outcome: verdict.outcome, status: 'idle', position: verdict.reply?.position, target, waitedMs: startedAt - arrivedAt,
+			};
+		}
+
+		noteReply(parts, target, verdict.code);
+		reason = `the target answered ${verdict.code}`;
+		context.onDecision({
+			kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
+		});
+		if (verdict.code === 'busy') {
+			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
+		} else if (verdict.code !== 'noStatement') {
+			tried.add(target);
+		}
+	}
+
+	return createAnswer(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + placement.getWaiting())), world.now() - arrivedAt);
+};
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -58,6 +58,12 @@
 type Pending = (result: Result<unknown, PeerFailure>) => void;
 
 const HELLO_TIMEOUT_MS = 3000;
+/** Pause between looks for a silent peer, in milliseconds; longer than a busy process needs to answer a ping. */
+const SILENCE_LOOK_MS = 250;
+/** Silent looks before the connection is ended; the first of them sends a ping. */
+const SILENT_LOOKS = 3;
+/** Method that every peer answers at once. */
+const PING = 'ping';
 const GONE: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
 const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
@@ -75,6 +81,9 @@
 	let serving = 0;
 	let leaving = false;
 	let peerLeaving = false;
+	let heardAt = world.now();
+	let watching = false;
+	let silentLooks = 0;
 
 	/** Writes a frame without waiting; gives its size in bytes. */
 	const write = (frame: Frame): number => {
@@ -114,6 +123,11 @@
 	};
 
 	const answerCall = async (id: number, method: string, body: unknown, from: PeerIdentity) => {
+		if (method === PING) {
+			await send(['reply', context.readTime(), id, undefined]);
+			return;
+		}
+
 		const handler = Object.hasOwn(handlers.calls, method) ? handlers.calls[method] : undefined;
 		if (!handler) {
 			await send(['refuse', context.readTime(), id, 'unknownMethod', `There is no method ${method}`]);
@@ -248,8 +262,36 @@
 		changed.notify();
 	};
 
+	/** Looks while answers are awaited whether the peer is silent: pings it, and then ends the connection. */
+	const watchSilence = () => {
+		if (watching || pending.size === 0) {
+			return;
+		}
+
+		watching = true;
+		const watchedAt = world.now();
+		world.schedule(SILENCE_LOOK_MS, () => {
+			watching = false;
+			const silentMs = world.now() - Math.max(heardAt, watchedAt);
+			silentLooks = silentMs >= SILENCE_LOOK_MS * 0.9 ? silentLooks + 1 : 0;
+			if (ended || pending.size === 0) {
+				silentLooks = 0;
+			} else if (silentLooks > SILENT_LOOKS) {
+				socket.destroy();
+				end();
+			} else {
+				if (silentLooks > 0) {
+					write(['call', context.readTime(), ++lastId, PING, undefined]);
+				}
+
+				watchSilence();
+			}
+		});
+	};
+
 	const collected = createCollector();
 	const acceptBytes = (chunk: Buffer) => {
+		heardAt = world.now();
 		context.onBytes?.('received', chunk.length);
 		collected.push(chunk);
 		const bytes = collected.take();
@@ -292,20 +334,16 @@
 			}
 
 			const id = ++lastId;
-			const timer = new AbortController();
+			const cancelTimer = world.schedule(timeoutMs, () => {
+				settle(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
+			});
 			const answered = new Promise<Result<unknown, PeerFailure>>(resolve => {
 				pending.set(id, resolve);
 			});
-			const expired = world.sleep(timeoutMs, timer.signal).then(
-				() => {
-					settle(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
-				},
-				() => undefined,
-			);
+			watchSilence();
 			await send(['call', context.readTime(), id, method, body]);
 			const result = await answered;
-			timer.abort();
-			await expired;
+			cancelTimer();
 			return result;
 		},
 		openStream(method, header) {
--- /dev/null
+++ b/packages/vm/src/view.ts
@@ -0,0 +1,136 @@
+/** What a vm knows from the feed: rules, targets and members. */
+
+import type {DatabaseId, DataCentreId, TargetId} from '@guavapitch/core';
+import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
+import type {Target} from '@guavapitch/homes';
+import {EVENTS} from '@guavapitch/telemetry';
+import type {VmContext} from './context.js';
+import {parseMember, rankHomes, type Member} from './members.js';
+import type {Rules} from './rules.js';
+
+/** Prefix of everything that the product keeps in the store. */
+export const OWN_PREFIX = 'guavapitch/';
+/** Prefix of the entries of vms. */
+export const MEMBER_PREFIX = `${OWN_PREFIX}vms/`;
+/** Prefix of the entries of those who hold duties. */
+export const HOLDER_PREFIX = `${OWN_PREFIX}holders/`;
+/** Prefix of the fencing numbers of duties. */
+export const EPOCH_PREFIX = `${OWN_PREFIX}epochs/`;
+
+/** Knowledge of one vm. */
+export type View = Readonly<{
+	getRules: () => Rules | undefined;
+	listMembers: () => readonly Member[];
+	listTargets: (database: DatabaseId) => readonly Target[];
+	findTarget: (id: TargetId) => Target | undefined;
+	/** Ranks the vms as homes of a database, best first. */
+	rankHomes: (database: DatabaseId) => readonly Member[];
+	/** Takes note of changes; tells which kinds of entries changed. */
+	apply: (changes: readonly StoreChange[]) => Readonly<{rules: boolean; targets: boolean; members: boolean}>;
+}>;
+
+/** Tells whether a change matters: a heartbeat alone does not. */
+export const isNews = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
+	if (!change.entry || !before || !change.key.startsWith(context.targetPrefix)) {
+		return true;
+	}
+
+	const now = context.parseTarget(change.entry);
+	const earlier = context.parseTarget(before);
+	return now.err || earlier.err || JSON.stringify(now.val) !== JSON.stringify(earlier.val);
+};
+
+/** Creates the view of a vm that knows nothing. */
+export const createView = (context: VmContext, getFeed: () => Feed): View => {
+	let rules: Rules | undefined;
+	let members: readonly Member[] = [];
+	let targets = new Map<TargetId, Target>();
+	let byDatabase = new Map<DatabaseId, Target[]>();
+	let ranks = new Map<DatabaseId, readonly Member[]>();
+
+	const readRules = (entry: StoreEntry | undefined) => {
+		const parsed = entry && context.parseRules(entry.value);
+		if (!parsed) {
+			return;
+		}
+
+		if (parsed.err) {
+			context.emit(EVENTS.configurationRejected, {message: parsed.val.message, revision: entry.revision});
+			return;
+		}
+
+		if (!rules || parsed.val.version > rules.version) {
+			rules = parsed.val;
+			context.emit(EVENTS.configurationApplied, {version: rules.version, revision: entry.revision, ageMs: Math.round(getFeed().getAgeMs())});
+		}
+	};
+
+	const readTargets = () => {
+		const next = new Map<TargetId, Target>();
+		const grouped = new Map<DatabaseId, Target[]>();
+		for (const entry of getFeed().list(context.targetPrefix)) {
+			const parsed = context.parseTarget(entry);
+			if (parsed.ok) {
+				next.set(parsed.val.id, parsed.val);
+				grouped.set(parsed.val.database, [...grouped.get(parsed.val.database) ?? [], parsed.val]);
+			}
+		}
+
+		targets = next;
+		byDatabase = grouped;
+		ranks = new Map();
+	};
+
+	const reportMalformed = (changes: readonly StoreChange[]) => {
+		for (const {key, entry} of changes) {
+			const parsed = entry && key.startsWith(context.targetPrefix) ? context.parseTarget(entry) : undefined;
+			if (parsed?.err) {
+				context.emit(EVENTS.targetMalformed, {key, message: parsed.val.message});
+			}
+		}
+	};
+
+	const readMembers = () => {
+		members = getFeed().list(MEMBER_PREFIX).flatMap(entry => parseMember(entry) ?? []);
+		ranks = new Map();
+	};
+
+	/** Data centre of the primary, by the registry, so that homes do not follow every belief. */
+	const getPreferred = (database: DatabaseId): DataCentreId | undefined => byDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
+
+	return {
+		getRules: () => rules,
+		listMembers: () => members,
+		listTargets: database => byDatabase.get(database) ?? [],
+		findTarget: id => targets.get(id),
+		rankHomes(database) {
+			const known = ranks.get(database);
+			if (known) {
+				return known;
+			}
+
+			const ranked = rankHomes(database, members, getPreferred(database));
+			ranks.set(database, ranked);
+			return ranked;
+		},
+		apply(changes) {
+			const hasRules = changes.some(({key}) => key === context.rulesKey);
+			const hasTargets = changes.some(({key}) => key.startsWith(context.targetPrefix));
+			const hasMembers = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
+			if (hasRules) {
+				readRules(getFeed().get(context.rulesKey));
+			}
+
+			if (hasTargets) {
+				readTargets();
+				reportMalformed(changes);
+			}
+
+			if (hasMembers) {
+				readMembers();
+			}
+
+			return {rules: hasRules, targets: hasTargets, members: hasMembers};
+		},
+	};
+};
