Bundle the ES build of ts-results without a warning

Cause: the bundler warned of a default export that the ES build lacks; the types refuse the shorter spelling.

--- a/packages/core/src/result.ts
+++ b/packages/core/src/result.ts
@@ -3,8 +3,8 @@
 import * as tsResults from 'ts-results';
 
 /** Node gives the CommonJS build as a default export, a bundler the names of the ES build. */
-const {default: commonJs}: Readonly<{default?: typeof tsResults}> = tsResults;
-const library: typeof tsResults = commonJs ?? tsResults;
+const {default: commonJs} = tsResults as Readonly<{default?: unknown}>;
+const library = (commonJs ?? tsResults) as typeof tsResults;
 
 /** Wraps a success. */
 export const {Ok} = library;
