Spend a part of each share while no keeper answers; probe lost vms off the path of requests

Requests also waited for dials to vms that were already known to be lost. Change: without a keeper each home spends share / databases; a duty whose holder's vm has begun another run is claimed at once; a background probe decides when a lost vm is tried again; a silent peer is noticed in 0.6 s instead of 1 s.

--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/home.ts
@@ -22,6 +22,7 @@
 export type HomeDecision = Readonly<{
 	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
+	customer?: string;
 	target: string;
 	reason: string;
 	/** Age or wait that led to the decision, in milliseconds. */
@@ -179,7 +180,7 @@
 			const spent = await context.spend(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
 			if (spent.err) {
 				context.onDecision({
-					kind: 'refused', requestId: request.id, target: '', reason: spent.val.message, ageMs: 0,
+					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: spent.val.message, ageMs: 0,
 				});
 				return createAnswer(createRefusal('busy', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
 			}
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -4,6 +4,9 @@
 	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
 	type CustomerId, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
+import {
+	createBucket, fillBucket, takeTokens, type Bucket, type Share,
+} from './bucket.js';
 import {SPEND_MS, type Allotment, type AllotmentRequest} from './keeper.js';
 
 /** Refusal of a request over the share; it has not run. */
@@ -38,8 +41,13 @@
 	failures: number;
 	/** Whether a question to the keeper is under way. */
 	refilling: boolean;
+	/** Tokens of this process's own part, spent while no keeper answers. */
+	own: Bucket;
 };
 
+/** Gets the part of a customer's share that this process may spend while no keeper answers; `undefined` for none. */
+export type GetOwnPart = (customer: CustomerId) => Share | undefined;
+
 const WAIT_MS = 300;
 const PATIENT_WAIT_MS = 2500;
 const RECOVERY_MS = 5000;
@@ -50,7 +58,7 @@
 const MOST_WANTED = 1000;
 
 /** Creates the allowances of a process. */
-export const createAllowances = (ask: AskKeeper, world: World): Allowances => {
+export const createAllowances = (ask: AskKeeper, world: World, getOwnPart: GetOwnPart = () => undefined): Allowances => {
 	const purses = new Map<CustomerId, Purse>();
 	const changed = createNotifier(world);
 
@@ -101,7 +109,7 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, patientUntil: PAST, answered: true, failures: 0, refilling: false,
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, patientUntil: PAST, answered: true, failures: 0, refilling: false, own: createBucket(world.now()),
 		};
 		purses.set(customer, purse);
 		return purse;
@@ -117,6 +125,19 @@
 		return true;
 	};
 
+	/** Takes a token of the process's own part, if no keeper answers. */
+	const takeOwnToken = (customer: CustomerId, purse: Purse): boolean => {
+		const part = purse.answered ? undefined : getOwnPart(customer);
+		if (!part) {
+			return false;
+		}
+
+		const [after, taken] = takeTokens(fillBucket(purse.own, part, world.now()), 1);
+		purse.own = after;
+		purse.spent += taken;
+		return taken === 1;
+	};
+
 	/** Computes when a request that begins to wait now gives up. */
 	const computeGiveUp = (purse: Purse, deadline: Deadline): Deadline => {
 		const now = world.now();
@@ -139,7 +160,7 @@
 			noteDemand(purse);
 			purse.waiting++;
 			try {
-				while (!takeToken(purse)) {
+				while (!takeToken(purse) && !takeOwnToken(customer, purse)) {
 					if (signal?.aborted) {
 						return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
 					}
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -59,7 +59,7 @@
 
 const HELLO_TIMEOUT_MS = 3000;
 /** Pause between looks for a silent peer, in milliseconds; longer than a busy process needs to answer a ping. */
-const SILENCE_LOOK_MS = 250;
+const SILENCE_LOOK_MS = 150;
 /** Silent looks before the connection is ended; the first of them sends a ping. */
 const SILENT_LOOKS = 3;
 /** Method that every peer answers at once. */
--- a/packages/roles/src/stewardship.ts
+++ b/packages/roles/src/stewardship.ts
@@ -25,6 +25,8 @@
 	listDuties: () => readonly string[];
 	/** Ranks this vm for a duty, 0 for the first; `undefined` if it is no candidate. */
 	getRank: (duty: string) => number | undefined;
+	/** Tells whether a run of a process is over for certain, as the same vm has begun another. */
+	isOver: (holding: Holding) => boolean;
 	/** Takes note of an entry that this process has written. */
 	onWritten: (key: string, value: string, revision: number) => void;
 	onClaimed: (duty: string, epoch: number) => void;
@@ -86,11 +88,12 @@
 		const holderKey = `${context.holderPrefix}${duty}`;
 		const epochKey = `${context.epochPrefix}${duty}`;
 		const before = getEpoch(duty);
+		const holderRevision = context.getEntry(holderKey)?.revision ?? 0;
 		const epoch = before.epoch + 1;
 		const holding: Holding = {vm: context.vm, run: context.run, epoch};
 		const value = JSON.stringify(holding);
 		const written = await store.transact({
-			conditions: [{key: holderKey, revision: 0}, {key: epochKey, revision: before.revision}],
+			conditions: [{key: holderKey, revision: holderRevision}, {key: epochKey, revision: before.revision}],
 			puts: [{key: holderKey, value, leaseId}, {key: epochKey, value: String(epoch), leaseId: undefined}],
 			removes: [],
 		});
@@ -103,7 +106,8 @@
 
 	const look = async (duty: string): Promise<void> => {
 		const rank = context.getRank(duty);
-		if (getHolder(duty) || rank === undefined || rank >= RANKS) {
+		const holder = getHolder(duty);
+		if ((holder && !context.isOver(holder)) || rank === undefined || rank >= RANKS) {
 			claimableAt.delete(duty);
 			return;
 		}
--- a/packages/vm/src/databases.ts
+++ b/packages/vm/src/databases.ts
@@ -78,10 +78,12 @@
 			spend: async (customer, deadline) => view.getRules()?.shares.has(customer)
 				? parts.shares.allowances.spend(customer, deadline)
 				: Ok(undefined),
-			onDecision({kind, requestId, target, reason, ageMs}) {
+			onDecision({
+				kind, requestId, customer, target, reason, ageMs,
+			}) {
 				metrics.count(`home.${kind}`, {database});
 				emit(EVENTS.homeDecision, {
-					kind, database, requestId, target, reason, ageMs: Math.round(ageMs),
+					kind, database, requestId, customer, target, reason, ageMs: Math.round(ageMs),
 				});
 			},
 		});
--- a/packages/vm/src/peers.ts
+++ b/packages/vm/src/peers.ts
@@ -1,7 +1,7 @@
 /** Calls between vms. */
 
 import {
-	Err, isPast, Ok, createDeadline, PAST, type Deadline, type Failure, type Result, type VmId, type World,
+	Err, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {
 	createDial, createPeers, startPeerListener, type Listener, type PeerContext, type PeerHandlers, type Peers,
@@ -21,14 +21,17 @@
 	listen: () => Promise<Listener>;
 }>;
 
-/** Time for which a vm is passed over after a failed connection, in milliseconds. */
-const PASS_OVER_MS = 1000;
+/** Pause between attempts to reach a vm that is passed over, in milliseconds. */
+const PROBE_PAUSE_MS = 300;
+const PROBE_TIMEOUT_MS = 500;
+const PROBE_METHOD = 'ping';
 
 /** Creates the calls of a vm. */
-export const createVmCalls = (context: VmContext, handlers: PeerHandlers): VmCalls => {
+export const createVmCalls = (context: VmContext, handlers: PeerHandlers, isMember: (member: Member) => boolean): VmCalls => {
 	const {world, settings, emit} = context;
 	const clock = createCausalClock(world.readWallClock);
-	const passedOver = new Map<VmId, Deadline>();
+	const passedOver = new Set<VmId>();
+	let closed = false;
 	const peerContext: PeerContext = {
 		world,
 		identity: {vm: settings.vm, incarnation: settings.run},
@@ -43,14 +46,28 @@
 	};
 	const peers: Peers = createPeers(peerContext, createDial());
 
-	const isUsable = (vm: VmId) => isPast(passedOver.get(vm) ?? PAST, world.now());
+	const isUsable = (vm: VmId) => !passedOver.has(vm);
+
+	/** Tries to reach a vm again until it answers or is no member; no request waits for that. */
+	const probe = async (member: Member): Promise<void> => {
+		const address = {host: member.host, port: member.port};
+		while (!closed && isMember(member)) {
+			await world.sleep(PROBE_PAUSE_MS * (0.5 + world.random()));
+			const answer = await peers.call(address, PROBE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			if (answer.ok) {
+				break;
+			}
+		}
+
+		passedOver.delete(member.vm);
+	};
 
 	const passOver = (member: Member, message: string) => {
 		if (isUsable(member.vm)) {
 			emit(EVENTS.peerLost, {peer: member.vm, message});
+			passedOver.add(member.vm);
+			void probe(member);
 		}
-
-		passedOver.set(member.vm, createDeadline(world.now(), PASS_OVER_MS));
 	};
 
 	return {
@@ -70,20 +87,8 @@
 		isUsable,
 		listen: async () => startPeerListener({host: settings.host, port: settings.port}, peerContext),
 		async [Symbol.asyncDispose]() {
+			closed = true;
 			await peers[Symbol.asyncDispose]();
 		},
 	};
 };
-
-/** Waits at most some time for a promise; `undefined` if it takes longer. */
-export const waitAtMost = async <Value>(world: World, promise: Promise<Value>, ms: number): Promise<Value | undefined> => {
-	let cancel: (() => void) | undefined;
-	const late = new Promise<undefined>(resolve => {
-		cancel = world.schedule(ms, () => {
-			resolve(undefined);
-		});
-	});
-	const first = await Promise.race([promise, late]);
-	cancel?.();
-	return first;
-};
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -143,7 +143,7 @@
 			[REACH_METHOD]: async body => databases.isReached((body as Readonly<{target: Parameters<typeof databases.isReached>[0]}>).target),
 		},
 		streams: {},
-	});
+	}, member => view.listMembers().some(({run}) => run === member.run));
 
 	duties = createStewardships({
 		world,
@@ -160,6 +160,7 @@
 			const rank = view.rankHomes(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
+		isOver: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
 		onWritten(key, value, revision) {
 			feed.applyOwn({
 				key, revision, entry: {
--- a/packages/vm/src/shares.ts
+++ b/packages/vm/src/shares.ts
@@ -1,10 +1,10 @@
 /** Shares of customers over the fleet: this vm's tokens, and the keeper that gives them. */
 
 import {
-	createDeadline, Err, Ok, PAST, type Deadline, type Failure, type Result,
+	createDeadline, Err, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
 } from '@guavapitch/core';
 import {
-	createAllowances, createKeeper, type Allotment, type AllotmentRequest, type Allowances, type Keeper,
+	createAllowances, createKeeper, type Allotment, type AllotmentRequest, type Allowances, type Keeper, type Share,
 } from '@guavapitch/limits';
 import type {Stewardships} from '@guavapitch/roles';
 import type {VmContext} from './context.js';
@@ -41,6 +41,9 @@
 /** Age of knowledge above which a vm cannot have heard of another keeper, in milliseconds. */
 const BLIND_MS = 1500;
 
+/** Part of a burst that may be spent without the keeper, which may have given the whole of it away just before. */
+const OWN_BURST_PART = 0.3;
+
 /** Creates the shares of a vm. */
 export const createShares = (context: VmContext, parts: SharesParts): Shares => {
 	const {world, settings} = context;
@@ -110,8 +113,16 @@
 		return answer.val ? Ok(answer.val as Allotment) : Err({code: 'noKeeper', message: 'The vm is not the keeper'});
 	};
 
+	/** A database has one home, so that equal parts for each database add up to the share. */
+	const getOwnPart = (customer: CustomerId): Share | undefined => {
+		const rules = view.getRules();
+		const share = rules?.shares.get(customer);
+		const parts = Math.max(1, rules?.databases.size ?? 1);
+		return share && {rate: share.rate / parts, burst: Math.max(1, share.burst * OWN_BURST_PART / parts)};
+	};
+
 	return {
-		allowances: createAllowances(ask, world),
+		allowances: createAllowances(ask, world, getOwnPart),
 		allot,
 	};
 };
--- a/packages/vm/src/view.ts
+++ b/packages/vm/src/view.ts
@@ -40,6 +40,17 @@
 	return now.err || earlier.err || JSON.stringify(now.val) !== JSON.stringify(earlier.val);
 };
 
+/** Changed shares named in one line of the log. */
+const MOST_SHARES = 20;
+
+/** Lists the shares that differ between two versions, for the log. */
+const listChangedShares = (before: Rules | undefined, after: Rules): readonly string[] => before
+	? [...after.shares]
+		.filter(([customer, {rate, burst}]) => before.shares.get(customer)?.rate !== rate || before.shares.get(customer)?.burst !== burst)
+		.slice(0, MOST_SHARES)
+		.map(([customer, {rate, burst}]) => `${customer}: ${rate}/s, burst ${burst}`)
+	: [];
+
 /** Creates the view of a vm that knows nothing. */
 export const createView = (context: VmContext, getFeed: () => Feed): View => {
 	let rules: Rules | undefined;
@@ -60,8 +71,11 @@
 		}
 
 		if (!rules || parsed.val.version > rules.version) {
+			const changedShares = listChangedShares(rules, parsed.val);
 			rules = parsed.val;
-			context.emit(EVENTS.configurationApplied, {version: rules.version, revision: entry.revision, ageMs: Math.round(getFeed().getAgeMs())});
+			context.emit(EVENTS.configurationApplied, {
+				version: rules.version, revision: entry.revision, ageMs: Math.round(Math.min(getFeed().getAgeMs(), Number.MAX_SAFE_INTEGER)), changedShares,
+			});
 		}
 	};
 
