Call the store's package by its name; check the adapter's borders

Cause: packages/platform and platform/ were two things of one name; lint found long argument lists and a few habits in the new code. Change: packages/platform becomes packages/store (mechanical); arguments that travel together are one record; the structure test knows the new packages and refuses the platform's names outside platform/.

--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -14,7 +14,7 @@
 	issueKey, openFleetClient, withdrawKey, type FleetClient, type ProxyStatus,
 } from '@guavapitch/operator';
 import type {PeerTls} from '@guavapitch/peer-protocol';
-import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+import {openEtcdStore, type EtcdStore} from '@guavapitch/store';
 import type {EventRecord} from '@guavapitch/telemetry';
 import {parseEvents} from '@guavapitch/timeline';
 import {createLinks, type Links} from './relays.js';
--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -13,16 +13,16 @@
 /** Rows of the table in docs/DESIGN.md. */
 const ROWS: ReadonlyArray<readonly string[]> = [
 	['core'],
-	['telemetry', 'inventory', 'platform', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool'],
+	['telemetry', 'inventory', 'store', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool', 'feed'],
 	['configuration', 'roles', 'sessions'],
-	['failover', 'front-postgres', 'back-postgres'],
+	['failover', 'front-postgres', 'back-postgres', 'homes', 'callers'],
 	['routing'],
-	['proxy', 'operator', 'timeline', 'standin', 'load'],
+	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load'],
 	['bench'],
 ];
 /** Programs may use each other's libraries. */
 const PROGRAM_ROW = 5;
-const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions'];
+const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers'];
 const CODECS: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
@@ -39,7 +39,37 @@
 	return new Set([...list.matchAll(/`(?<verb>[a-z]+)`/gv)].map(match => match.groups?.verb ?? ''));
 };
 
+/** Names that only the adapter of the users' platform may know. */
+const PLATFORM_NAMES = /X-Fencing-Token|X-Lease-Holder|kv-(?:txn|range|watch|lease|keep)|op\/config|GUAVAPITCH_BOOT|target_latency_ms|bounded_staleness|read_your_writes|db_role|tx_idle_ms/v;
+
+const listAdapterSources = (): readonly string[] => readdirSync(path.join(ROOT, 'platform', 'src'))
+	.filter(file => file.endsWith('.ts'))
+	.map(file => path.join(ROOT, 'platform', 'src', file));
+
 describe('structure', () => {
+	describe('the adapter of the platform', () => {
+		it('alone knows the names of the platform', () => {
+			const knowing = listPackages().flatMap(name => listSources(name)).filter(file => PLATFORM_NAMES.test(readFileSync(file, 'utf8')));
+			assert.deepEqual(knowing, []);
+		});
+
+		it('is imported by nothing, and keeps the rules of files and names', () => {
+			const verbs = readVerbs();
+			for (const name of listPackages()) {
+				assert.ok(listSources(name).every(file => !listImports(file).includes('platform-adapter')), name);
+			}
+
+			for (const file of listAdapterSources()) {
+				const text = readFileSync(file, 'utf8');
+				assert.ok(text.split('\n').length <= MOST_LINES, `${file} is too long`);
+				assert.ok(file.endsWith('index.ts') || /^(?:#![^\n]*\n)?\/\*\*/v.test(text), `${file} has no doc comment`);
+				for (const match of text.matchAll(/^export const (?<name>[a-z]\w*) = (?:async )?(?:<[^>]*>)?\(/gmv)) {
+					assert.ok(verbs.has(/^[a-z]+/v.exec(match.groups?.name ?? '')?.[0] ?? ''), `${file}: ${match.groups?.name}`);
+				}
+			}
+		});
+	});
+
 	describe('imports', () => {
 		it('follow the table of docs/DESIGN.md', () => {
 			assert.deepEqual(ROWS.flat().toSorted(), [...listPackages()].toSorted());
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -6,7 +6,7 @@
 import {
 	formatDocument, parseDocumentText, type ConfigurationDocument, type DocumentFailure, type Inventory,
 } from '@guavapitch/inventory';
-import type {Entry, Store, StoreFailure} from '@guavapitch/platform';
+import type {Entry, Store, StoreFailure} from '@guavapitch/store';
 import {CONFIGURATION_KEY} from './relay.js';
 
 /** Failure of a change. */
--- a/packages/configuration/src/facts.ts
+++ b/packages/configuration/src/facts.ts
@@ -3,7 +3,7 @@
 import {
 	createNotifier, isPast, PAST, type Deadline, type Instant, type World,
 } from '@guavapitch/core';
-import type {Entry} from '@guavapitch/platform';
+import type {Entry} from '@guavapitch/store';
 
 /** Facts of one process. */
 export type Facts = Readonly<{
--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
-import type {Entry, Store} from '@guavapitch/platform';
+import type {Entry, Store} from '@guavapitch/store';
 import type {Facts} from './facts.js';
 
 /** Prefix of every entry that is carried to all processes. */
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -7,7 +7,7 @@
 	createVirtualWorld, Err, parseId, type CustomerId, type Instant,
 } from '@guavapitch/core';
 import {formatDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
-import {createMemoryStore, type Store} from '@guavapitch/platform';
+import {createMemoryStore, type Store} from '@guavapitch/store';
 import {changeConfiguration, readConfiguration} from '../change.js';
 import {createFacts} from '../facts.js';
 import {createInForce} from '../in-force.js';
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
 } from '@guavapitch/core';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 import {
 	ALL, createGranter, NONE, PRIMARY_ONLY, READS, WRITES, type Holder, type Permissions,
 } from './granter.js';
--- a/packages/failover/src/tests/steward.test.ts
+++ b/packages/failover/src/tests/steward.test.ts
@@ -7,7 +7,7 @@
 import {
 	createDeadline, createVirtualWorld, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type InstanceId, type VmId, type World,
 } from '@guavapitch/core';
-import {createMemoryStore, type Store} from '@guavapitch/platform';
+import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createDurability} from '../durability.js';
 import {createGrantBook, type GrantBook, type GrantReply} from '../grants.js';
 import {createSteward, type Steward} from '../steward.js';
--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/home.ts
@@ -222,7 +222,7 @@
 		ping,
 		async askStatus(id, deadline) {
 			const borrowed = await borrow(id, deadline);
-			if (!borrowed || borrowed.err) {
+			if (!borrowed?.ok) {
 				return undefined;
 			}
 
--- a/packages/homes/src/plans.ts
+++ b/packages/homes/src/plans.ts
@@ -47,8 +47,11 @@
 	return createFloorPlan(parts, request, request.consistency.maxStalenessMs, deadline);
 };
 
+/** A search for a target. */
+export type Search = Readonly<{plan: Plan; request: HomeRequest; tried: ReadonlySet<TargetId>}>;
+
 /** Chooses a target with a free slot for a plan; the `tried` ones come last. */
-export const chooseTarget = (parts: SharedParts, plan: Plan, request: HomeRequest, tried: ReadonlySet<TargetId>, free: readonly TargetLoad[]): TargetId | undefined => {
+export const chooseTarget = (parts: SharedParts, {plan, request, tried}: Search, free: readonly TargetLoad[]): TargetId | undefined => {
 	const now = parts.context.world.now();
 	const {leadership, reach, getConnections, getTarget} = parts;
 	const leader = leadership.getLeader();
--- a/packages/homes/src/singles.ts
+++ b/packages/homes/src/singles.ts
@@ -32,8 +32,19 @@
 	after: plan?.kind === 'anywhere' ? plan.after : undefined,
 });
 
+/** One attempt to run a statement: where, how and until when. */
+type Attempt = Readonly<{
+	request: HomeRequest;
+	plan: Plan;
+	target: TargetId;
+	loan: Loan;
+	deadline: Deadline;
+}>;
+
 /** Runs a read that needs the newest state: inside a transaction, which only a leader accepts. */
-const runVerifiedRead = async (parts: HomeParts, request: HomeRequest, target: TargetId, loan: Loan, deadline: Deadline): Promise<Verdict> => {
+const runVerifiedRead = async (parts: HomeParts, {
+	request, target, loan, deadline,
+}: Attempt): Promise<Verdict> => {
 	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
 	const begun = await loan.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
 	const beginReply = begun.replies[commands.length];
@@ -59,7 +70,9 @@
 };
 
 /** Runs a statement by itself. */
-const runPlain = async (parts: HomeParts, request: HomeRequest, plan: Plan, target: TargetId, loan: Loan, deadline: Deadline): Promise<Verdict> => {
+const runPlain = async (parts: HomeParts, {
+	request, plan, target, loan, deadline,
+}: Attempt): Promise<Verdict> => {
 	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
 	const askedAt = parts.context.readClock();
 	const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
@@ -101,7 +114,7 @@
 			promptUntil,
 			deadline: computeSlotDeadline(parts, plan, deadline),
 			isPinned: false,
-			choose: free => chooseTarget(parts, plan, request, tried, free),
+			choose: free => chooseTarget(parts, {plan, request, tried}, free),
 		});
 		if (slot.err) {
 			return createAnswer(createBusyRefusal(slot.val.message, computeRetryAfter(parts, plan)), world.now() - arrivedAt);
@@ -122,9 +135,10 @@
 		}
 
 		const startedAt = world.now();
-		const verdict = plan.kind === 'leader' && !plan.isWrite
-			? await runVerifiedRead(parts, request, target, loan.val, deadline)
-			: await runPlain(parts, request, plan, target, loan.val, deadline);
+		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runPlain;
+		const verdict = await run(parts, {
+			request, plan, target, loan: loan.val, deadline,
+		});
 		release(world.now() - startedAt);
 		if (verdict.kind === 'final') {
 			noteReply(parts, target, verdict.reply ? undefined : 'lost');
--- a/packages/homes/src/transactions.ts
+++ b/packages/homes/src/transactions.ts
@@ -37,11 +37,17 @@
 	isAbandoned: boolean;
 };
 
+/** A statement of a transaction and its times. */
+type Turn = Readonly<{request: HomeRequest; deadline: Deadline; arrivedAt: number}>;
+
 const MOST_ATTEMPTS = 4;
 const RETRY_PAUSE_MS = 10;
 /** Time for rolling back before the connection is given up, in milliseconds. */
 const ROLLBACK_TIMEOUT_MS = 1000;
 
+/** Stands for the timer that does not run yet. */
+const doNothing = () => undefined;
+
 const createAborted = (reason: string): Outcome => createRefusal('aborted', reason);
 
 /** Creates the transactions of a home. */
@@ -93,7 +99,7 @@
 	});
 
 	/** Runs a statement of an open transaction in a slot that it has. */
-	const run = async (request: HomeRequest, transaction: Open, slot: Slot, deadline: Deadline, arrivedAt: number): Promise<HomeAnswer | 'again'> => {
+	const run = async (transaction: Open, slot: Slot, {request, deadline, arrivedAt}: Turn): Promise<HomeAnswer | 'again'> => {
 		const {loan, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
 		const {commands, preparedName} = loan.listSetup(request.values, request.statement);
@@ -152,8 +158,7 @@
 		return answer;
 	};
 
-	const continueTransaction = async (id: string, transaction: Open, request: HomeRequest, deadline: Deadline, firstSlot?: Slot): Promise<HomeAnswer> => {
-		const arrivedAt = world.now();
+	const continueTransaction = async (id: string, transaction: Open, {request, deadline, arrivedAt}: Turn, firstSlot?: Slot): Promise<HomeAnswer> => {
 		transaction.cancelIdle();
 		transaction.isBusy = true;
 		let slot = firstSlot;
@@ -167,7 +172,7 @@
 				slot = entered.val;
 			}
 
-			const answer = await run(request, transaction, slot, deadline, arrivedAt);
+			const answer = await run(transaction, slot, {request, deadline, arrivedAt});
 			slot = undefined;
 			if (answer !== 'again') {
 				return settle(id, transaction, answer);
@@ -180,7 +185,7 @@
 	};
 
 	/** Begins a transaction at a target on a connection; `undefined` if the target refused. */
-	const begin = async (plan: Plan, target: TargetId, loan: Loan, request: HomeRequest, deadline: Deadline): Promise<Open | undefined> => {
+	const begin = async (plan: Plan, loan: Loan, {request, deadline}: Turn, target: TargetId): Promise<Open | undefined> => {
 		const readOnly = plan.kind === 'anywhere';
 		const {commands} = loan.listSetup(request.values, {kind: 'commit', text: ''});
 		const askedAt = context.readClock();
@@ -197,7 +202,7 @@
 		}
 
 		return {
-			target, loan, isLeaders: !readOnly, cancelIdle() {/* No timer runs yet. */}, isBusy: true, isAbandoned: false,
+			target, loan, isLeaders: !readOnly, cancelIdle: doNothing, isBusy: true, isAbandoned: false,
 		};
 	};
 
@@ -216,7 +221,7 @@
 				promptUntil: createDeadline(arrivedAt, request.promptMs),
 				deadline: computeSlotDeadline(parts, plan, deadline),
 				isPinned: false,
-				choose: free => chooseTarget(parts, plan, request, tried, free),
+				choose: free => chooseTarget(parts, {plan, request, tried}, free),
 			});
 			if (slot.err) {
 				return createAnswer(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
@@ -224,10 +229,10 @@
 
 			const {target} = slot.val;
 			const loan = await parts.getConnections(target)?.take(request.customer, request.values, deadline);
-			const transaction = loan?.ok ? await begin(plan, target, loan.val, request, deadline) : undefined;
+			const transaction = loan?.ok ? await begin(plan, loan.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
 				open.set(id, transaction);
-				return continueTransaction(id, transaction, request, deadline, slot.val);
+				return continueTransaction(id, transaction, {request, deadline, arrivedAt}, slot.val);
 			}
 
 			slot.val.release();
@@ -248,7 +253,7 @@
 			if (transaction) {
 				return transaction.isBusy
 					? createAnswer(createAborted('two statements of one transaction at once'), 0, 'failed')
-					: continueTransaction(id, transaction, request, deadline);
+					: continueTransaction(id, transaction, {request, deadline, arrivedAt: world.now()});
 			}
 
 			return request.transaction?.isFirst
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -109,7 +109,8 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST, patientUntil: PAST, answered: true, failures: 0, refilling: false, own: createBucket(world.now()),
+			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST,
+			patientUntil: PAST, answered: true, failures: 0, refilling: false, own: createBucket(world.now()),
 		};
 		purses.set(customer, purse);
 		return purse;
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -2,7 +2,7 @@
 
 import {match} from 'ts-pattern';
 import type {VmId} from '@guavapitch/core';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 import {EVENTS, type EventRecord} from '@guavapitch/telemetry';
 import {readVms, type FleetClient} from './fleet.js';
 
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -6,7 +6,7 @@
 import {
 	createDial, createPeers, type Address, type PeerTls,
 } from '@guavapitch/peer-protocol';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 
 /** A vm of the platform's list. */
 export type ListedVm = Readonly<{vm: VmId; dataCentre: string; host: string; port: number; state: string}>;
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -11,7 +11,7 @@
 	compareInventories, parseInventory, type Difference, type Inventory,
 } from '@guavapitch/inventory';
 import {readPeerTls} from '@guavapitch/peer-protocol';
-import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+import {openEtcdStore, type EtcdStore} from '@guavapitch/store';
 import {
 	openFleetClient, readStatuses, readVms, waitForRevision, type FleetClient, type ProxyStatus,
 } from './fleet.js';
--- a/packages/proxy/src/contenders.ts
+++ b/packages/proxy/src/contenders.ts
@@ -3,7 +3,7 @@
 import type {
 	Failure, Result, Scope, VmId, World,
 } from '@guavapitch/core';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 import {
 	formatSlot, runSlot, type Authority, type ProcessLease, type PromiseBook, type PromiseRequest, type RoleName, type SlotContext,
 } from '@guavapitch/roles';
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -14,7 +14,7 @@
 import {
 	createDial, createPeers, startPeerListener, type PeerContext, type PeerHandlers,
 } from '@guavapitch/peer-protocol';
-import {openEtcdStore} from '@guavapitch/platform';
+import {openEtcdStore} from '@guavapitch/store';
 import {
 	createProcessLease, createPromiseBook, parseSlotRecord, ROLE_PREFIX,
 } from '@guavapitch/roles';
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -9,7 +9,7 @@
 import {
 	createSteward, GRANT_MS, type GrantReply, type GroupView, type Holder, type InstanceCommands, type Steward, type StewardedDatabase, type StewardEvent,
 } from '@guavapitch/failover';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {CallVm, Fleet, KnownInstance} from './fleet.js';
--- a/packages/proxy/src/tests/stewards.test.ts
+++ b/packages/proxy/src/tests/stewards.test.ts
@@ -7,7 +7,7 @@
 } from '@guavapitch/core';
 import {createRecord, formatGroupKey, formatRecord} from '@guavapitch/failover';
 import type {Inventory} from '@guavapitch/inventory';
-import {createMemoryStore, type Store} from '@guavapitch/platform';
+import {createMemoryStore, type Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
 import type {Fleet} from '../fleet.js';
 import {createStewards} from '../stewards.js';
--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -3,7 +3,7 @@
 import {
 	createSharedFlight, Err, Ok, PAST, type Deadline, type Result, type World,
 } from '@guavapitch/core';
-import type {Lease, Store, StoreFailure} from '@guavapitch/platform';
+import type {Lease, Store, StoreFailure} from '@guavapitch/store';
 
 /** Lease of a process. */
 export type ProcessLease = Readonly<{
--- a/packages/roles/src/presence.ts
+++ b/packages/roles/src/presence.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, isPast, PAST, type Deadline, type Instant, type Result, type World,
 } from '@guavapitch/core';
-import type {StoreFailure} from '@guavapitch/platform';
+import type {StoreFailure} from '@guavapitch/store';
 
 /** A lease as the store gave it. */
 export type GrantedLease = Readonly<{id: string; ttlMs: number}>;
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -3,7 +3,7 @@
 import {
 	chooseEarliest, createDeadline, getRemainingMs, isPast, PAST, type Deadline, type Failure, type Result, type VmId, type World,
 } from '@guavapitch/core';
-import type {Store} from '@guavapitch/platform';
+import type {Store} from '@guavapitch/store';
 import type {ProcessLease} from './lease.js';
 import type {PromiseBook, PromiseRequest} from './promises.js';
 import {
--- a/packages/roles/src/stewardship.ts
+++ b/packages/roles/src/stewardship.ts
@@ -1,6 +1,8 @@
 /** Exclusive duties of one vm at a time, held by an entry on the vm's lease, with fencing numbers from the store. */
 
-import {createDeadline, isPast, type Deadline, type World} from '@guavapitch/core';
+import {
+	createDeadline, isPast, type Deadline, type World,
+} from '@guavapitch/core';
 import type {Presence, RoleStore} from './presence.js';
 
 /** A store's entry as the feed knows it. */
@@ -107,7 +109,8 @@
 	const look = async (duty: string): Promise<void> => {
 		const rank = context.getRank(duty);
 		const holder = getHolder(duty);
-		if ((holder && !context.isOver(holder)) || rank === undefined || rank >= RANKS) {
+		const isTaken = holder !== undefined && !context.isOver(holder);
+		if (isTaken || rank === undefined || rank >= RANKS) {
 			claimableAt.delete(duty);
 			return;
 		}
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -6,7 +6,7 @@
 import {
 	createScope, createVirtualWorld, Err, Ok, parseId, type VmId, type World,
 } from '@guavapitch/core';
-import {createMemoryStore, type Store} from '@guavapitch/platform';
+import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createProcessLease} from '../lease.js';
 import {createPromiseBook} from '../promises.js';
 import type {Candidate} from '../records.js';
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -1,7 +1,7 @@
 /** What goes wrong with the platform's stand-in on command, and the rates that it takes. */
 
 import type {World} from '@guavapitch/core';
-import type {MemoryStore} from '@guavapitch/platform';
+import type {MemoryStore} from '@guavapitch/store';
 
 /** Faults of the service, changed by writing the key `/standin/faults` as JSON. */
 export type PlatformFaults = Readonly<{
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -7,7 +7,7 @@
 import {createScope, type World} from '@guavapitch/core';
 import {
 	createMemoryStore, loadServices, type Entry, type MemoryStore,
-} from '@guavapitch/platform';
+} from '@guavapitch/store';
 import {
 	createFaultControl, type CallKind, type PlatformFaults, type PlatformRates,
 } from './platform-faults.js';
--- a/packages/standin/src/tests/platform.test.ts
+++ b/packages/standin/src/tests/platform.test.ts
@@ -5,7 +5,7 @@
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
 import {createWorld} from '@guavapitch/core';
-import {openEtcdStore, type EtcdStore} from '@guavapitch/platform';
+import {openEtcdStore, type EtcdStore} from '@guavapitch/store';
 import {startPlatform, type PlatformServer} from '../platform.js';
 
 const CALL_TIMEOUT_MS = 3000;
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -12,7 +12,7 @@
 } from '@guavapitch/core';
 import {askEvents, openFleetClient} from '@guavapitch/operator';
 import {readPeerTls, type TlsFiles} from '@guavapitch/peer-protocol';
-import {openEtcdStore} from '@guavapitch/platform';
+import {openEtcdStore} from '@guavapitch/store';
 import {formatEvent, type EventRecord} from '@guavapitch/telemetry';
 import {
 	filterEvents, mergeEvents, parseEvents, type TimelineFailure,
--- a/packages/vm/src/index.ts
+++ b/packages/vm/src/index.ts
@@ -1,4 +1,4 @@
-export * from './rules.js';
+export type * from './rules.js';
 export * from './members.js';
 export type * from './context.js';
 export * from './view.js';
--- a/packages/vm/src/peers.ts
+++ b/packages/vm/src/peers.ts
@@ -36,7 +36,7 @@
 		world,
 		identity: {vm: settings.vm, incarnation: settings.run},
 		handlers,
-		readTime: () => clock.read() as CausalTime,
+		readTime: () => clock.read(),
 		witnessTime(time) {
 			clock.witness(time);
 		},
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -60,9 +60,6 @@
 		emit(EVENTS.taskFailed, {message: getMessage(thrown)});
 	});
 	let leaving = false;
-	let feed: Feed;
-	let calls: VmCalls;
-	let duties: Stewardships;
 	let isStoreReachable = true;
 
 	const view = createView(context, () => feed);
@@ -99,7 +96,7 @@
 		view, shares, calls: () => calls, duties: () => duties, getSignal: () => scope.signal,
 	});
 
-	feed = createFeed({
+	const feed: Feed = createFeed({
 		world,
 		run: settings.run,
 		source: context.source,
@@ -131,7 +128,7 @@
 		onStore: noteStore,
 	});
 
-	calls = createVmCalls(context, {
+	const calls: VmCalls = createVmCalls(context, {
 		calls: {
 			[RUN_METHOD]: async body => databases.get((body as HomeRequest).database).serve(body as HomeRequest),
 			async [ROLL_BACK_METHOD](body) {
@@ -145,7 +142,7 @@
 		streams: {},
 	}, member => view.listMembers().some(({run}) => run === member.run));
 
-	duties = createStewardships({
+	const duties: Stewardships = createStewardships({
 		world,
 		store: context.store,
 		presence,
@@ -233,7 +230,7 @@
 			return Ok(createSession({
 				world,
 				admit: () => admit(service, key),
-				runAtHome: async (request: HomeRequest, deadline: Deadline) => {
+				async runAtHome(request: HomeRequest, deadline: Deadline) {
 					metrics.count('statements');
 					return routing.run(request, deadline);
 				},
--- a/packages/vm/src/rules.ts
+++ b/packages/vm/src/rules.ts
@@ -1,6 +1,8 @@
 /** The operators' rules in force, as every vm knows them. */
 
-import type {CustomerId, DatabaseId, Failure, Result} from '@guavapitch/core';
+import type {
+	CustomerId, DatabaseId, Failure, Result,
+} from '@guavapitch/core';
 import type {Route} from '@guavapitch/callers';
 import type {Share} from '@guavapitch/limits';
 
