--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/home.ts
@@ -182,7 +182,7 @@
 				context.onDecision({
 					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: spent.val.message, ageMs: 0,
 				});
-				return createAnswer(createRefusal('busy', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
+				return createAnswer(createRefusal('overShare', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
 			}
 		}
 
--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/allowance.ts
@@ -2,7 +2,7 @@
 
 import {
 	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
-	type CustomerId, type Deadline, type Failure, type Result, type World,
+	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
 	createBucket, fillBucket, takeTokens, type Bucket, type Share,
@@ -23,12 +23,28 @@
 /** Asks the keeper of a customer. */
 export type AskKeeper = (request: AllotmentRequest) => Promise<Result<Allotment, Failure>>;
 
+type Waiter = {
+	readonly deadline: Deadline;
+	giveUpAt: Deadline;
+	readonly keeperBy: Deadline;
+	readonly settle: (result: Result<undefined, ShareRefusal>) => void;
+};
+
 type Purse = {
 	tokens: number;
 	deadline: Deadline;
 	epoch: number;
-	waiting: number;
+	/** Requests that wait for a token, in turn. */
+	readonly waiting: Waiter[];
+	/** Wakes the task of the purse. */
+	readonly changed: Notifier;
+	isRunning: boolean;
 	spent: number;
+	/** Tokens a millisecond that were had, as a moving mean. */
+	granted: number;
+	grantedAt: number;
+	/** Whether the keeper gave fewer tokens than asked for the last time. */
+	isShort: boolean;
 	/** Requests a millisecond, as a moving mean. */
 	demand: number;
 	lastAt: number;
@@ -39,8 +55,6 @@
 	patientUntil: Deadline;
 	/** Questions that went unanswered since the last answer. */
 	failures: number;
-	/** Whether a question to the keeper is under way. */
-	refilling: boolean;
 	/** Tokens of this process's own part, spent while no keeper answers. */
 	own: Bucket;
 };
@@ -56,11 +70,16 @@
 const LONGEST_RETRY_MS = 300;
 const DEMAND_WINDOW_MS = 500;
 const MOST_WANTED = 1000;
+/** Window of the mean of granted tokens, in milliseconds. */
+const GRANT_WINDOW_MS = 1000;
+/** Requests of a customer that may wait whatever its rate. */
+const LEAST_WAITING = 4;
+/** Longest time after which a refused caller is asked to come back, in milliseconds. */
+const LONGEST_RETRY_AFTER_MS = 2000;
 
 /** Creates the allowances of a process. */
 export const createAllowances = (ask: AskKeeper, world: World, getOwnPart: GetOwnPart = () => undefined): Allowances => {
 	const purses = new Map<CustomerId, Purse>();
-	const changed = createNotifier(world);
 
 	const noteDemand = (purse: Purse) => {
 		const now = world.now();
@@ -75,13 +94,11 @@
 		const isLiving = !isPast(purse.deadline, askedAt);
 		const returned = isLiving ? purse.tokens : 0;
 		const expected = Math.floor(purse.demand * SPEND_MS / 2);
-		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting, expected, 1));
+		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting.length, expected, 1));
 		purse.tokens = 0;
-		purse.refilling = true;
 		const answer = await ask({
 			customer, wanted, returned, epoch: purse.epoch,
 		});
-		purse.refilling = false;
 		if (answer.ok && !purse.answered) {
 			purse.patientUntil = createDeadline(world.now(), RECOVERY_MS);
 		}
@@ -90,6 +107,11 @@
 		purse.failures = answer.ok ? 0 : purse.failures + 1;
 		if (answer.ok) {
 			const {tokens, validMs, retryAfterMs, epoch} = answer.val;
+			const elapsed = Math.max(1, world.now() - purse.grantedAt);
+			const share = Math.exp(-elapsed / GRANT_WINDOW_MS);
+			purse.granted = (purse.granted * share) + ((1 - share) * Math.max(0, tokens - returned) / elapsed);
+			purse.grantedAt = world.now();
+			purse.isShort = tokens < wanted;
 			purse.tokens = tokens;
 			purse.epoch = epoch;
 			purse.deadline = createDeadline(askedAt, validMs);
@@ -99,7 +121,6 @@
 			purse.retryAt = createDeadline(world.now(), longest * (0.5 + (world.random() / 2)));
 		}
 
-		changed.notify();
 	};
 
 	const getPurse = (customer: CustomerId): Purse => {
@@ -109,8 +130,8 @@
 		}
 
 		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: 0, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST,
-			patientUntil: PAST, answered: true, failures: 0, refilling: false, own: createBucket(world.now()),
+			tokens: 0, deadline: PAST, epoch: 0, waiting: [], changed: createNotifier(world), isRunning: false, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST,
+			patientUntil: PAST, answered: true, failures: 0, granted: 0, grantedAt: world.now(), isShort: false, own: createBucket(world.now()),
 		};
 		purses.set(customer, purse);
 		return purse;
@@ -146,50 +167,105 @@
 		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
 	};
 
-	const createRefusal = (purse: Purse): ShareRefusal => ({
+	/** Computes when a caller whose request is refused now may come back: after those that wait have had their tokens. */
+	const computeRetryAfter = (purse: Purse): number => {
+		const untilNext = getRemainingMs(purse.retryAt, world.now());
+		const perToken = purse.granted > 0 ? 1 / purse.granted : 0;
+		return Math.max(1, Math.ceil(Math.min(LONGEST_RETRY_AFTER_MS, untilNext + (purse.waiting.length * perToken))));
+	};
+
+	const createRefusal = (purse: Purse): Result<undefined, ShareRefusal> => Err({
 		code: 'limitExceeded',
 		message: 'The customer has used its rate and burst',
-		retryAfterMs: Math.max(1, Math.ceil(getRemainingMs(purse.retryAt, world.now()))),
+		retryAfterMs: computeRetryAfter(purse),
 	});
 
-	return {
-		async spend(customer, deadline, signal) {
-			const purse = getPurse(customer);
-			let giveUpAt = computeGiveUp(purse, deadline);
-			let wasAnswered = purse.answered;
-			const keeperBy = Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline;
-			noteDemand(purse);
-			purse.waiting++;
-			try {
-				while (!takeToken(purse) && !takeOwnToken(customer, purse)) {
-					if (signal?.aborted) {
-						return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
-					}
+	/** Tells whether those that wait already will take every token that may come before a new one gives up. */
+	const isHopeless = (purse: Purse): boolean => purse.answered
+		&& purse.isShort
+		&& isPast(purse.patientUntil, world.now())
+		&& purse.waiting.length > LEAST_WAITING + (purse.granted * WAIT_MS);
 
-					// A new keeper starts empty: the wait for tokens begins when it answers.
-					if (purse.answered && !wasAnswered) {
-						giveUpAt = computeGiveUp(purse, deadline);
-					}
+	const getUntil = (purse: Purse, waiter: Waiter): Deadline => purse.answered ? waiter.giveUpAt : waiter.keeperBy;
 
-					wasAnswered = purse.answered;
-					const until = purse.answered ? giveUpAt : keeperBy;
-					if (isPast(until, world.now()) || purse.retryAt > until) {
-						return Err(createRefusal(purse));
-					}
+	/** Gives tokens to those that wait, in turn, and refuses those that will not get one in time. */
+	const serveWaiting = (customer: CustomerId, purse: Purse) => {
+		while (purse.waiting.length > 0 && (takeToken(purse) || takeOwnToken(customer, purse))) {
+			purse.waiting.shift()?.settle(Ok(undefined));
+		}
+
+		const now = world.now();
+		const isOver = (waiter: Waiter): boolean => {
+			const until = getUntil(purse, waiter);
+			return isPast(until, now) || purse.retryAt > until;
+		};
+
+		for (const waiter of purse.waiting.filter(one => isOver(one))) {
+			purse.waiting.splice(purse.waiting.indexOf(waiter), 1);
+			waiter.settle(createRefusal(purse));
+		}
+	};
 
-					if (purse.refilling) {
-						await changed.waitForChange(until, signal);
-					} else if (isPast(purse.retryAt, world.now())) {
-						await refill(customer, purse);
-					} else {
-						await changed.waitForChange(Math.min(until, purse.retryAt) as Deadline, signal);
+	/** Asks the keeper for those that wait until nobody does: one task for each customer. */
+	const runPurse = async (customer: CustomerId, purse: Purse): Promise<void> => {
+		purse.isRunning = true;
+		while (purse.waiting.length > 0) {
+			if (isPast(purse.retryAt, world.now())) {
+				const wasAnswered = purse.answered;
+				await refill(customer, purse);
+				if (purse.answered && !wasAnswered) {
+					// A new keeper starts empty: the wait for tokens begins when it answers.
+					for (const waiter of purse.waiting) {
+						waiter.giveUpAt = computeGiveUp(purse, waiter.deadline);
 					}
 				}
+			} else {
+				const earliest = Math.min(...purse.waiting.map(waiter => getUntil(purse, waiter)));
+				await purse.changed.waitForChange(Math.min(earliest, purse.retryAt) as Deadline);
+			}
+
+			serveWaiting(customer, purse);
+		}
+
+		purse.isRunning = false;
+	};
+
+	const waitForToken = async (customer: CustomerId, purse: Purse, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, ShareRefusal>> => new Promise(settle => {
+		const waiter: Waiter = {
+			deadline,
+			giveUpAt: computeGiveUp(purse, deadline),
+			keeperBy: Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline,
+			settle,
+		};
+		purse.waiting.push(waiter);
+		signal?.addEventListener('abort', () => {
+			const index = purse.waiting.indexOf(waiter);
+			if (index !== -1) {
+				purse.waiting.splice(index, 1);
+				settle(Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0}));
+			}
+		}, {once: true});
+		serveWaiting(customer, purse);
+		if (purse.isRunning) {
+			purse.changed.notify();
+		} else if (purse.waiting.length > 0) {
+			void runPurse(customer, purse);
+		}
+	});
 
+	return {
+		async spend(customer, deadline, signal) {
+			const purse = getPurse(customer);
+			noteDemand(purse);
+			if (signal?.aborted) {
+				return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
+			}
+
+			if (purse.waiting.length === 0 && (takeToken(purse) || takeOwnToken(customer, purse))) {
 				return Ok(undefined);
-			} finally {
-				purse.waiting--;
 			}
+
+			return isHopeless(purse) ? createRefusal(purse) : waitForToken(customer, purse, deadline, signal);
 		},
 		getSpent: () => new Map([...purses].map(([customer, purse]) => [customer, purse.spent])),
 	};
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -38,7 +38,7 @@
 		| Readonly<{kind: 'deallocate'; name: string}>;
 
 /** Why a statement was not run, or nothing of it is kept. */
-export type StatementRefusalCode = 'busy' | 'aborted' | 'lagging' | 'readOnly' | 'tooMany' | 'noKey' | 'noDatabase' | 'malformed' | 'noStatement';
+export type StatementRefusalCode = 'busy' | 'overShare' | 'aborted' | 'lagging' | 'readOnly' | 'tooMany' | 'noKey' | 'noDatabase' | 'malformed' | 'noStatement';
 
 /** Outcome of a statement. */
 export type Outcome
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -7,6 +7,7 @@
 	createSession, type Admission, type Session,
 } from '@guavapitch/callers';
 import {createFeed, type Feed, type FeedQuestion} from '@guavapitch/feed';
+import {createHolds} from '@guavapitch/limits';
 import {createPresence, createStewardships, type Stewardships} from '@guavapitch/roles';
 import {
 	createRefusal, type HomeAnswer, type HomeRequest, type Outcome,
@@ -195,6 +196,28 @@
 		},
 	});
 
+	const holds = createHolds(world, () => view.listMembers().length);
+
+	/** Runs a statement at its home, unless the home has just refused the customer an operation. */
+	const runAtHome = async (request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
+		metrics.count('statements');
+		const isNew = !request.transaction || request.transaction.isFirst;
+		const heldMs = isNew ? holds.getRemainingMs(request.database, request.customer) : 0;
+		if (heldMs > 0) {
+			metrics.count('held');
+			return {
+				outcome: createRefusal('overShare', 'The customer has used its rate and burst', heldMs), status: request.transaction ? 'failed' : 'idle', position: undefined, target: undefined, waitedMs: 0,
+			};
+		}
+
+		const answer = await routing.run(request, deadline);
+		if (answer.outcome.kind === 'refused' && answer.outcome.code === 'overShare') {
+			holds.note(request.database, request.customer, answer.outcome.retryAfterMs);
+		}
+
+		return answer;
+	};
+
 	const admit = (service: string, key: string): Result<Admission, Outcome> => {
 		const rules = view.getRules();
 		const route = rules?.routes.get(service);
