--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -77,6 +77,10 @@
 const STALE_MS = 1800;
 /** Time for which a vm goes on reading the store after it was asked to relay, in milliseconds. */
 const RELAY_MS = 5000;
+/** Shortest time of reading the store, in milliseconds, so that a relay that fails again and again is not tried all the time. */
+const LEAST_READING_MS = 1500;
+/** Pause between looks whether a relay can be followed instead, in milliseconds. */
+const READING_LOOK_MS = 500;
 /** Relays tried before the store itself. */
 const RELAYS_TRIED = 3;
 const FIRST_PAUSE_MS = 100;
@@ -186,9 +190,9 @@
 		reading = true;
 		context.onSource('store', '');
 		const readers = context.prefixes.map(async prefix => readPrefix(prefix, stop.signal));
-		await world.sleep(RELAY_MS, signal).catch(() => undefined);
+		await world.sleep(LEAST_READING_MS, signal).catch(() => undefined);
 		while (!signal.aborted && (shouldRead() || getAgeMs() > STALE_MS)) {
-			await world.sleep(RELAY_MS, signal).catch(() => undefined);
+			await world.sleep(READING_LOOK_MS, signal).catch(() => undefined);
 		}
 
 		stop.abort();
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -43,12 +43,14 @@
 const ROLL_BACK_METHOD = 'rollBack';
 const FEED_METHOD = 'feed';
 
-/** Longest wait of one watch of rules and members, in milliseconds; a silent connection is noticed after it. */
-const WATCH_MS = 2000;
+/** Longest wait of one watch of the rules, in milliseconds: a silent connection must be noticed within the bound for changes. */
+const RULES_WATCH_MS = 2000;
+/** Longest wait of one watch of members and duties, in milliseconds. */
+const OWN_WATCH_MS = 5000;
 /** Longest wait of one watch of targets, in milliseconds. */
 const TARGET_WATCH_MS = 5000;
 /** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
-const TARGET_PAUSE_MS = 600;
+const TARGET_PAUSE_MS = 1200;
 const FEED_TIMEOUT_MS = 1500;
 const ROLL_BACK_TIMEOUT_MS = 1000;
 /** Age of what is known from which a vm no longer calls itself connected, in milliseconds. */
@@ -102,8 +104,8 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: [
-			{prefix: context.rulesKey, waitMs: WATCH_MS, pauseMs: 0},
-			{prefix: OWN_PREFIX, waitMs: WATCH_MS, pauseMs: 0},
+			{prefix: context.rulesKey, waitMs: RULES_WATCH_MS, pauseMs: 0},
+			{prefix: OWN_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: 0},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
 		isNews: (change, before) => isNews(context, change, before),
