Probe silent targets and move the reads under way there elsewhere

Change: silence with statements under way makes a target suspect; a suspect is probed on a kept and then on a new connection with a question that needs no slot; while it is down nothing is sent there, its reads go elsewhere, and a probe says when it is back. The steward counts silence from the last answer.

--- a/packages/homes/src/answers.ts
+++ b/packages/homes/src/answers.ts
@@ -5,7 +5,9 @@
 	createRefusal, getAccess, type HomeAnswer, type HomeRequest, type Outcome,
 } from '@guavapitch/sessions';
 import type {SharedParts} from './home.js';
-import type {Execution, Reply, TargetErrorCode} from './targets.js';
+import type {
+	DialFailure, Execution, Reply, TargetErrorCode,
+} from './targets.js';
 
 /** Creates an answer that needed no target, or got none. */
 export const createAnswer = (outcome: Outcome, waitedMs = 0, status: TransactionStatus = 'idle'): HomeAnswer => ({
@@ -53,17 +55,16 @@
 
 /** Takes note of what a reply says about its target. */
 export const noteReply = (parts: SharedParts, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
-	const now = parts.context.world.now();
 	if (code === 'lost') {
-		parts.reach.noteFailure(target, now);
+		parts.reach.noteSuspect(target, 'a statement got no answer');
 	} else if (code === 'lagging') {
-		parts.reach.noteLagging(target, now);
+		parts.reach.noteLagging(target);
 	} else {
-		parts.reach.noteAnswer(target, now);
+		parts.reach.noteAnswer(target);
 	}
 
 	if (code === 'readOnly') {
-		parts.leadership.noteFollowing(target, now);
+		parts.leadership.noteFollowing(target, parts.context.world.now());
 	}
 };
 
@@ -77,3 +78,10 @@
 
 /** Refusal after everything that could be tried. */
 export const createBusyRefusal = (reason: string, retryAfterMs: number): Outcome => createRefusal('busy', reason, retryAfterMs);
+
+/** Takes note that no connection could be had; a full target is not down. */
+export const noteDialFailure = (parts: SharedParts, target: TargetId, failure: DialFailure | undefined): void => {
+	if (failure && failure.code !== 'tooMany') {
+		parts.reach.noteSuspect(target, failure.message);
+	}
+};
--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -28,6 +28,8 @@
 	hasRoom: (customer: CustomerId) => boolean;
 	/** Takes an idle connection of the customer, or opens one. */
 	take: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
+	/** Opens a connection even if others are idle: those may have gone silent without a reset. */
+	takeNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
 	/** Takes an idle connection of whichever customer, for questions of the home itself. */
 	takeAny: () => Loan | undefined;
 	/** Closes connections that were idle for long. */
@@ -48,7 +50,7 @@
 };
 
 /** Longest time for opening a connection, in milliseconds; several times the handshake of a loaded target. */
-const DIAL_TIMEOUT_MS = 700;
+const DIAL_TIMEOUT_MS = 350;
 
 /** Counts the values of a session that stand in the way of a statement. */
 const countForeign = (session: Session, values: SessionValues): number => {
@@ -189,25 +191,27 @@
 		return Ok(lend(session));
 	};
 
-	return {
-		hasRoom: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastUsed() !== undefined,
-		async take(customer, values, deadline) {
-			const idle = findIdle(customer, values);
-			if (idle) {
-				return Ok(lend(idle));
+	/** Opens a connection, in the place of the least used one if there are too many. */
+	const openInPlace = async (customer: CustomerId, deadline: Deadline): Promise<Result<Loan, DialFailure>> => {
+		if (sessions.size + dialling >= getLimit()) {
+			const least = findLeastUsed();
+			if (!least) {
+				return Err({code: 'tooMany', message: 'Every connection to the target is in use'});
 			}
 
-			if (sessions.size + dialling >= getLimit()) {
-				const least = findLeastUsed();
-				if (!least) {
-					return Err({code: 'tooMany', message: 'Every connection to the target is in use'});
-				}
+			drop(least);
+		}
 
-				drop(least);
-			}
+		return open(customer, deadline);
+	};
 
-			return open(customer, deadline);
+	return {
+		hasRoom: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastUsed() !== undefined,
+		async take(customer, values, deadline) {
+			const idle = findIdle(customer, values);
+			return idle ? Ok(lend(idle)) : openInPlace(customer, deadline);
 		},
+		takeNew: openInPlace,
 		takeAny() {
 			for (const session of sessions) {
 				if (!session.busy && !session.connection.isEnded()) {
--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/home.ts
@@ -58,6 +58,8 @@
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
+	/** Calls a function if a target is taken for down; gives a function that forgets it. */
+	abandonWhenDown: (target: TargetId, abandon: () => void) => (() => void);
 	/** Waits until a position was verified after now; `false` if no leader proved itself before the deadline. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Tells whether writes wait, as the leader is being replaced in an orderly way. */
@@ -67,6 +69,9 @@
 /** Parts of a home as others see them. */
 export type HomeParts = SharedParts & Readonly<{transactions: Transactions}>;
 
+/** What a target says to the question whether it leads; `undefined` if it is silent. */
+export type PingAnswer = 'leads' | 'follows' | 'refused' | undefined;
+
 /** Home of one database. */
 export type DatabaseHome = Readonly<{
 	serve: (request: HomeRequest) => Promise<HomeAnswer>;
@@ -74,7 +79,7 @@
 	rollBack: (transaction: string) => void;
 	setTargets: (targets: readonly Target[]) => void;
 	/** Asks a target whether it leads; `undefined` if it does not answer. */
-	ping: (target: TargetId, deadline: Deadline) => Promise<'leads' | 'follows' | 'refused' | undefined>;
+	ping: (target: TargetId, deadline: Deadline) => Promise<PingAnswer>;
 	/** Asks a target for its state, after another command if there is one; `undefined` if it does not answer. */
 	askStatus: (target: TargetId, deadline: Deadline, before?: Command) => Promise<TargetStatus | undefined>;
 	/** Holds writes back, or lets them go on. */
@@ -86,6 +91,8 @@
 
 /** Longest time for the question whether a target leads, in milliseconds; it needs no slot. */
 const PING_TIMEOUT_MS = 400;
+/** Longest time for a probe of a suspect on one connection, in milliseconds; a kept one is tried first, then a new one. */
+const PROBE_TIMEOUT_MS = 200;
 
 /** Tells whether two descriptions are of one run of one target. */
 const isSameRun = (a: Target, b: Target): boolean => a.id === b.id && a.born === b.born && a.host === b.host && a.port === b.port;
@@ -96,39 +103,59 @@
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const floors = createFloors();
-	const reach = createReach();
 	const placement = createPlacement(world);
+	/** What to do with the reads under way at a target that is taken for down. */
+	const abandons = new Map<TargetId, Set<() => void>>();
 	const leadership = createLeadership(leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'the newest target that leads', ageMs: 0,
 		});
 		placement.wake();
 	});
+	const reach = createReach({
+		world,
+		async probe(id) {
+			const answer = await ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS)) ?? await ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS), true);
+			return answer === 'leads' || answer === 'follows';
+		},
+		onChange(target, isUp, reason) {
+			context.onDecision({
+				kind: isUp ? 'targetBack' : 'targetFailing', requestId: '', target, reason, ageMs: 0,
+			});
+			if (!isUp) {
+				for (const abandon of abandons.get(target) ?? []) {
+					abandon();
+				}
+			}
+
+			placement.wake();
+		},
+	});
 	let paused = false;
 	let lastCustomer: HomeRequest['customer'] | undefined;
 
 	/** Takes a connection for a question of the home itself. */
-	const borrow = async (id: TargetId, deadline: Deadline): Promise<Result<Loan, DialFailure> | undefined> => {
+	const borrow = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<Loan, DialFailure> | undefined> => {
 		const own = connections.get(id);
 		if (!own) {
 			return undefined;
 		}
 
+		if (isNew) {
+			return own.takeNew(lastCustomer ?? context.getAnyCustomer(), deadline);
+		}
+
 		const idle = own.takeAny();
 		return idle ? Ok(idle) : own.take(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
-	const ping: DatabaseHome['ping'] = async (id, deadline) => {
+	/** Asks a target whether it leads: a plain begin, which only a leader accepts and which needs no slot. */
+	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingAnswer> => {
 		const latest = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
 		const askedAt = readClock();
-		const borrowed = await borrow(id, latest);
-		if (!borrowed) {
-			return undefined;
-		}
-
-		if (borrowed.err) {
-			reach.noteFailure(id, world.now());
-			return borrowed.val.code === 'silent' ? undefined : 'refused';
+		const borrowed = await borrow(id, latest, isNew);
+		if (!borrowed?.ok) {
+			return borrowed && borrowed.val.code !== 'silent' ? 'refused' : undefined;
 		}
 
 		const loan = borrowed.val;
@@ -136,11 +163,10 @@
 		const [begun, rolledBack] = replies;
 		loan.giveBack(ended === 'no' && rolledBack?.status === 'idle');
 		if (!begun) {
-			reach.noteFailure(id, world.now());
 			return undefined;
 		}
 
-		reach.noteAnswer(id, world.now());
+		reach.noteAnswer(id);
 		if (begun.result.kind === 'done' && begun.position) {
 			floors.note(askedAt, begun.position);
 			leadership.noteLeading(id, world.now());
@@ -168,6 +194,14 @@
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
+		abandonWhenDown(target, abandon) {
+			const own = abandons.get(target) ?? new Set();
+			abandons.set(target, own);
+			own.add(abandon);
+			return () => {
+				own.delete(abandon);
+			};
+		},
 		async verifyPosition(deadline: Deadline) {
 			return !isPast(deadline, world.now()) && verifyOnce();
 		},
@@ -221,7 +255,7 @@
 			leadership.noteRegistry(next, world.now());
 			placement.setTargets(next);
 		},
-		ping,
+		ping: async (id, deadline) => await ping(id, deadline) ?? ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS), true),
 		async askStatus(id, deadline, before) {
 			const borrowed = await borrow(id, deadline);
 			if (!borrowed?.ok) {
--- a/packages/homes/src/plans.ts
+++ b/packages/homes/src/plans.ts
@@ -52,10 +52,9 @@
 
 /** Chooses a target with a free slot for a plan; the `tried` ones come last. */
 export const chooseTarget = (parts: SharedParts, {plan, request, tried}: Search, free: readonly TargetLoad[]): TargetId | undefined => {
-	const now = parts.context.world.now();
 	const {leadership, reach, getConnections, getTarget} = parts;
 	const leader = leadership.getLeader();
-	const hasRoom = (id: TargetId): boolean => reach.isUsable(id, now) && (getConnections(id)?.hasRoom(request.customer) ?? false);
+	const hasRoom = (id: TargetId): boolean => reach.isUsable(id) && (getConnections(id)?.hasRoom(request.customer) ?? false);
 	if (plan.kind === 'leader') {
 		const mayGo = leader !== undefined && !(plan.isWrite && parts.arePaused()) && hasRoom(leader);
 		return mayGo ? free.find(load => load.id === leader)?.id : undefined;
@@ -63,7 +62,7 @@
 
 	const isEligible = (id: TargetId): boolean => hasRoom(id)
 		&& !tried.has(id)
-		&& (id === leader || reach.isCurrent(id, now))
+		&& (id === leader || reach.isCurrent(id))
 		&& (getTarget(id)?.isDraining === false || id === leader);
 	return chooseReadTarget(free, {leader, isEligible, all: parts.listTargets().map(({id}) => id)});
 };
@@ -73,7 +72,7 @@
 	const {leadership, reach, context} = parts;
 	const leader = leadership.getLeader();
 	const now = context.world.now();
-	const hasLeader = leader !== undefined && reach.getFailingSince(leader) === undefined;
+	const hasLeader = leader !== undefined && reach.isUsable(leader);
 	return plan.kind === 'leader' && !hasLeader
 		? Math.min(deadline, createDeadline(now, LEADER_WAIT_MS)) as Deadline
 		: deadline;
--- a/packages/homes/src/reach.ts
+++ b/packages/homes/src/reach.ts
@@ -1,46 +1,61 @@
 /** Which targets a home can reach and use at this moment. */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type Instant, type TargetId,
+	createDeadline, isPast, PAST, type Deadline, type Instant, type TargetId, type World,
 } from '@guavapitch/core';
 
+/** What the beliefs about targets need. */
+export type ReachContext = Readonly<{
+	world: World;
+	/** Asks a target for a sign of life, which needs no slot; `false` if it gives none. */
+	probe: (target: TargetId) => Promise<boolean>;
+	/** Hears that a target is down, or up again. */
+	onChange: (target: TargetId, isUp: boolean, reason: string) => void;
+}>;
+
 /** Beliefs of a home about the health of targets. */
 export type Reach = Readonly<{
+	/** A statement was sent to a target; a long silence after it makes the target suspect. */
+	noteSent: (target: TargetId) => void;
+	/** A statement has ended, however. */
+	noteEnded: (target: TargetId) => void;
 	/** A target has answered. */
-	noteAnswer: (target: TargetId, now: Instant) => void;
-	/** A connection to a target failed, was lost, or a question went unanswered. */
-	noteFailure: (target: TargetId, now: Instant) => void;
+	noteAnswer: (target: TargetId) => void;
+	/** A connection to a target was lost or refused, or a statement went unanswered: the target is probed. */
+	noteSuspect: (target: TargetId, reason: string) => void;
 	/** A target lacked a position that a read needs. */
-	noteLagging: (target: TargetId, now: Instant) => void;
+	noteLagging: (target: TargetId) => void;
 	/** Tells whether a target may be tried. */
-	isUsable: (target: TargetId, now: Instant) => boolean;
+	isUsable: (target: TargetId) => boolean;
 	/** Tells whether a target is likely to have what reads need. */
-	isCurrent: (target: TargetId, now: Instant) => boolean;
+	isCurrent: (target: TargetId) => boolean;
 	/** Gets when a target last answered. */
 	getAnsweredAt: (target: TargetId) => Instant | undefined;
-	/** Gets since when a target has failed without an answer. */
-	getFailingSince: (target: TargetId) => Instant | undefined;
 	forget: (target: TargetId) => void;
 }>;
 
 type Health = {
 	answeredAt: Instant | undefined;
-	failingSince: Instant | undefined;
-	failures: number;
-	usableAt: Deadline;
+	isDown: boolean;
+	isProbing: boolean;
+	isWatched: boolean;
+	underWay: number;
+	busySince: Instant;
 	lags: number;
 	currentAt: Deadline;
 };
 
-/** First and longest pause after a failed connection, in milliseconds. */
-const FIRST_PAUSE_MS = 50;
-const LONGEST_PAUSE_MS = 800;
+/** Silence with statements under way that makes a target suspect, in milliseconds; several times a long statement. */
+const SUSPECT_MS = 200;
+/** Pause between probes of a target that is down, in milliseconds. */
+const PROBE_PAUSE_MS = 200;
 /** First and longest pause after a target lacked a position, in milliseconds; replication usually needs some tens. */
 const FIRST_LAG_PAUSE_MS = 30;
 const LONGEST_LAG_PAUSE_MS = 500;
 
 /** Creates beliefs that take every target for healthy. */
-export const createReach = (): Reach => {
+export const createReach = (context: ReachContext): Reach => {
+	const {world} = context;
 	const healths = new Map<TargetId, Health>();
 
 	const getHealth = (target: TargetId): Health => {
@@ -50,41 +65,102 @@
 		}
 
 		const created: Health = {
-			answeredAt: undefined, failingSince: undefined, failures: 0, usableAt: PAST, lags: 0, currentAt: PAST,
+			answeredAt: undefined, isDown: false, isProbing: false, isWatched: false, underWay: 0, busySince: world.now(), lags: 0, currentAt: PAST,
 		};
 		healths.set(target, created);
 		return created;
 	};
 
+	const isKnown = (target: TargetId, health: Health): boolean => healths.get(target) === health;
+
+	const noteAnswer = (target: TargetId) => {
+		const health = getHealth(target);
+		health.answeredAt = world.now();
+		if (health.isDown) {
+			health.isDown = false;
+			context.onChange(target, true, 'it answers again');
+		}
+	};
+
+	/** Probes a suspect; if it is silent, takes it for down and goes on until it answers. */
+	const probe = async (target: TargetId, reason: string): Promise<void> => {
+		const health = getHealth(target);
+		if (health.isProbing) {
+			return;
+		}
+
+		health.isProbing = true;
+		while (isKnown(target, health)) {
+			if (await context.probe(target)) {
+				noteAnswer(target);
+				break;
+			}
+
+			if (!health.isDown && isKnown(target, health)) {
+				health.isDown = true;
+				context.onChange(target, false, reason);
+			}
+
+			await world.sleep(PROBE_PAUSE_MS * (0.5 + world.random()));
+		}
+
+		health.isProbing = false;
+	};
+
+	/** Looks, while statements are under way, whether the target is silent. */
+	const watch = (target: TargetId, health: Health) => {
+		if (health.isWatched) {
+			return;
+		}
+
+		health.isWatched = true;
+		world.schedule(SUSPECT_MS, () => {
+			health.isWatched = false;
+			if (health.underWay === 0 || !isKnown(target, health)) {
+				return;
+			}
+
+			const heardAt = Math.max(health.answeredAt ?? PAST, health.busySince);
+			if (world.now() - heardAt >= SUSPECT_MS) {
+				void probe(target, 'it is silent');
+			}
+
+			watch(target, health);
+		});
+	};
+
 	return {
-		noteAnswer(target, now) {
+		noteSent(target) {
 			const health = getHealth(target);
-			health.answeredAt = now;
-			health.failingSince = undefined;
-			health.failures = 0;
-			health.usableAt = PAST;
-			if (isPast(health.currentAt, now)) {
-				health.lags = 0;
+			if (health.underWay === 0) {
+				health.busySince = world.now();
 			}
+
+			health.underWay++;
+			watch(target, health);
 		},
-		noteFailure(target, now) {
+		noteEnded(target) {
 			const health = getHealth(target);
-			health.failingSince ??= now;
-			health.usableAt = createDeadline(now, Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * (2 ** health.failures)));
-			health.failures++;
+			health.underWay = Math.max(0, health.underWay - 1);
+		},
+		noteAnswer,
+		noteSuspect(target, reason) {
+			void probe(target, reason);
 		},
-		noteLagging(target, now) {
+		noteLagging(target) {
 			const health = getHealth(target);
-			health.answeredAt = now;
+			const now = world.now();
+			noteAnswer(target);
 			if (isPast(health.currentAt, now)) {
+				// A target that was current for a while starts with short pauses again.
+				health.lags = now - health.currentAt > LONGEST_LAG_PAUSE_MS ? 0 : health.lags;
 				health.currentAt = createDeadline(now, Math.min(LONGEST_LAG_PAUSE_MS, FIRST_LAG_PAUSE_MS * (2 ** health.lags)));
 				health.lags++;
 			}
 		},
-		isUsable: (target, now) => isPast(healths.get(target)?.usableAt ?? PAST, now),
-		isCurrent: (target, now) => isPast(healths.get(target)?.currentAt ?? PAST, now),
+		isUsable: target => healths.get(target)?.isDown !== true,
+		isCurrent: target => isPast(healths.get(target)?.currentAt ?? PAST, world.now()),
 		getAnsweredAt: target => healths.get(target)?.answeredAt,
-		getFailingSince: target => healths.get(target)?.failingSince,
 		forget(target) {
 			healths.delete(target);
 		},
--- a/packages/homes/src/singles.ts
+++ b/packages/homes/src/singles.ts
@@ -4,10 +4,10 @@
 	createDeadline, isPast, type Deadline, type TargetId,
 } from '@guavapitch/core';
 import {
-	createRefusal, type HomeAnswer, type HomeRequest,
+	createRefusal, getAccess, type HomeAnswer, type HomeRequest,
 } from '@guavapitch/sessions';
 import {
-	createAnswer, createBusyRefusal, evaluateReply, noteReply, noteVerified, type Verdict,
+	createAnswer, createBusyRefusal, evaluateReply, noteDialFailure, noteReply, noteVerified, type Verdict,
 } from './answers.js';
 import type {Loan} from './connections.js';
 import type {HomeParts} from './home.js';
@@ -125,7 +125,7 @@
 		const loan = await connections?.take(request.customer, request.values, deadline);
 		if (!loan || loan.err) {
 			release();
-			parts.reach.noteFailure(target, world.now());
+			noteDialFailure(parts, target, loan?.err ? loan.val : undefined);
 			tried.add(target);
 			reason = loan ? loan.val.message : 'the target has left';
 			context.onDecision({
@@ -136,9 +136,13 @@
 
 		const startedAt = world.now();
 		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runPlain;
+		parts.reach.noteSent(target);
+		const forget = getAccess(request.statement) === 'read' ? parts.abandonWhenDown(target, loan.val.connection.close) : undefined;
 		const verdict = await run(parts, {
 			request, plan, target, loan: loan.val, deadline,
 		});
+		forget?.();
+		parts.reach.noteEnded(target);
 		release(world.now() - startedAt);
 		if (verdict.kind === 'final') {
 			noteReply(parts, target, verdict.reply ? undefined : 'lost');
--- a/packages/homes/src/steward.ts
+++ b/packages/homes/src/steward.ts
@@ -47,7 +47,7 @@
 /** Time that a refusing primary has to come back, in milliseconds: a restart of its listener is not a crash. */
 const REFUSING_MS = 150;
 /** Silence after which the primary is taken for dead, in milliseconds; several pings. */
-const SILENT_MS = 900;
+const SILENT_MS = 800;
 /** Time without any target that leads before one is chosen, in milliseconds; the registry lags behind a promotion. */
 const LEADERLESS_MS = 600;
 /** Longest time for the questions before an order, in milliseconds. */
@@ -190,7 +190,12 @@
 };
 
 /** What the steward believes of the primary while it looks again and again. */
-type Suspicion = {refusedSince: Instant | undefined; silentSince: Instant | undefined; leaderlessSince: Instant | undefined};
+type Suspicion = {
+	refusedSince: Instant | undefined;
+	leaderlessSince: Instant | undefined;
+	/** When this vm first looked at the primary. */
+	knownSince: Instant | undefined;
+};
 
 /** Looks once at the primary; gives the reason to replace it. */
 const examine = async (context: StewardContext, suspicion: Suspicion): Promise<string | undefined> => {
@@ -204,34 +209,32 @@
 	}
 
 	suspicion.leaderlessSince = undefined;
-	const answeredAt = reach.getAnsweredAt(leader);
-	if (answeredAt !== undefined && now - answeredAt < QUIET_MS && reach.getFailingSince(leader) === undefined) {
+	const answeredAt = reach.getAnsweredAt(leader) ?? suspicion.knownSince ?? now;
+	suspicion.knownSince ??= now;
+	if (now - answeredAt < QUIET_MS && reach.isUsable(leader)) {
 		suspicion.refusedSince = undefined;
-		suspicion.silentSince = undefined;
 		return undefined;
 	}
 
 	const answer = await home.ping(leader, createDeadline(now, QUIET_MS));
 	if (answer === 'leads' || answer === 'follows') {
 		suspicion.refusedSince = undefined;
-		suspicion.silentSince = undefined;
 		return undefined;
 	}
 
-	suspicion.silentSince ??= now;
 	suspicion.refusedSince = answer === 'refused' ? suspicion.refusedSince ?? now : undefined;
 	if (suspicion.refusedSince !== undefined && world.now() - suspicion.refusedSince >= REFUSING_MS) {
 		return 'the primary refuses connections';
 	}
 
-	const isSilent = world.now() - suspicion.silentSince >= SILENT_MS;
+	const isSilent = world.now() - answeredAt >= SILENT_MS;
 	return isSilent && !await context.isReachedByOthers(leader) ? 'the primary is silent' : undefined;
 };
 
 /** Tends a database until the signal aborts; acts only while this vm is its steward. */
 export const runSteward = async (context: StewardContext, signal: AbortSignal): Promise<void> => {
 	const {world, home} = context;
-	const suspicion: Suspicion = {refusedSince: undefined, silentSince: undefined, leaderlessSince: undefined};
+	const suspicion: Suspicion = {refusedSince: undefined, leaderlessSince: undefined, knownSince: undefined};
 	while (!signal.aborted) {
 		await world.sleep(LOOK_MS, signal).catch(() => undefined);
 		if (signal.aborted || !context.isSteward() || home.parts.listTargets().length === 0) {
@@ -247,14 +250,14 @@
 		const reason = await examine(context, suspicion);
 		if (reason !== undefined && context.isSteward()) {
 			context.onEvent({
-				kind: 'started', target: leader ?? '', reason, ageMs: suspicion.silentSince === undefined ? 0 : world.now() - suspicion.silentSince,
+				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (home.parts.reach.getAnsweredAt(leader) ?? world.now()),
 			});
 			const all = listReplicas(context, leader);
 			const staying = all.filter(({isDraining}) => !isDraining);
 			await promoteBest(context, staying.length > 0 && !context.isReplicated() ? staying : all, reason);
 			suspicion.refusedSince = undefined;
-			suspicion.silentSince = undefined;
 			suspicion.leaderlessSince = undefined;
+			suspicion.knownSince = undefined;
 		}
 	}
 };
--- a/packages/homes/src/tests/fake-targets.ts
+++ b/packages/homes/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** Targets of one database in memory, for tests of a home: terms, positions, lag and faults, on a virtual clock. */
 
 import {
-	Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
+	createGate, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
 } from '@guavapitch/core';
 import type {Position} from '@guavapitch/sessions';
 import type {
@@ -55,6 +55,7 @@
 	const session: Session = {
 		inTransaction: false, readOnly: false, values: new Map(), prepared: new Set(),
 	};
+	const closed = createGate();
 	let ended = false;
 
 	const reply = (result: Reply['result']): Reply => ({result, status: session.inTransaction ? 'open' : 'idle', position: target.position});
@@ -152,9 +153,10 @@
 				}
 
 				if (target.fault === 'silent') {
-					await world.sleep(Math.max(0, deadline - world.now()));
+					await Promise.race([world.sleep(Math.max(0, deadline - world.now())), closed.wait()]);
+					const how = ended ? 'lost' : 'timeout';
 					ended = true;
-					return {replies, ended: 'timeout'};
+					return {replies, ended: how};
 				}
 
 				const answer = await run(command);
@@ -171,6 +173,7 @@
 		isEnded: () => ended,
 		close() {
 			ended = true;
+			closed.open();
 		},
 	};
 };
--- a/packages/homes/src/tests/home.test.ts
+++ b/packages/homes/src/tests/home.test.ts
@@ -137,6 +137,35 @@
 		});
 	});
 
+	describe('targets that are silent', () => {
+		it('lose the reads under way to another target long before their time is up', async () => {
+			const [one, two, three] = createGroup();
+			const {run, world} = createSetup([one, two, three]);
+			await run(createRequest(READ, BOUNDED));
+			two.fault = 'silent';
+			three.fault = 'silent';
+			const askedAt = world.now();
+			const answer = await run(createRequest(READ, BOUNDED));
+			assert.equal(answer.outcome.kind, 'done');
+			assert.equal(answer.target, 'one');
+			assert.ok(world.now() - askedAt < 1000);
+		});
+
+		it('get no reads until they answer a probe', async () => {
+			const [one, two, three] = createGroup();
+			const {run, advance} = createSetup([one, two, three]);
+			two.fault = 'refuses';
+			three.fault = 'refuses';
+			for (let count = 0; count < 3; count++) {
+				assert.equal((await run(createRequest(READ, BOUNDED))).target, 'one');
+			}
+
+			two.fault = 'none';
+			await advance(700);
+			assert.equal((await run(createRequest(READ, BOUNDED))).target, 'two');
+		});
+	});
+
 	describe('writes', () => {
 		it('whose answer is lost are unknown and run once', async () => {
 			const [one, two, three] = createGroup();
--- a/packages/homes/src/transactions.ts
+++ b/packages/homes/src/transactions.ts
@@ -7,7 +7,7 @@
 	createRefusal, type HomeAnswer, type HomeRequest, type Outcome,
 } from '@guavapitch/sessions';
 import {
-	createAnswer, createBusyRefusal, evaluateReply, noteReply, noteVerified,
+	createAnswer, createBusyRefusal, evaluateReply, noteDialFailure, noteReply, noteVerified,
 } from './answers.js';
 import type {Loan} from './connections.js';
 import type {SharedParts} from './home.js';
@@ -105,7 +105,9 @@
 		const {commands, preparedName} = loan.listSetup(request.values, request.statement);
 		const askedAt = context.readClock();
 		const startedAt = world.now();
+		parts.reach.noteSent(target);
 		const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
+		parts.reach.noteEnded(target);
 		slot.release(world.now() - startedAt);
 		const reply = execution.replies[commands.length];
 		const verdict = evaluateReply(execution, commands.length, request);
@@ -237,7 +239,7 @@
 
 			slot.val.release();
 			if (!loan?.ok) {
-				parts.reach.noteFailure(target, world.now());
+				noteDialFailure(parts, target, loan?.val);
 			}
 
 			tried.add(target);
