--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -30,6 +30,7 @@
 	take: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
 	/** Opens a connection even if others are idle: those may have gone silent without a reset. */
 	takeNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
+	hasIdle: () => boolean;
 	/** Takes an idle connection of whichever customer, for questions of the home itself. */
 	takeAny: () => Loan | undefined;
 	/** Closes connections that were idle for long. */
@@ -212,6 +213,7 @@
 			return idle ? Ok(lend(idle)) : openInPlace(customer, deadline);
 		},
 		takeNew: openInPlace,
+		hasIdle: () => findLeastUsed() !== undefined,
 		takeAny() {
 			for (const session of sessions) {
 				if (!session.busy && !session.connection.isEnded()) {
--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/home.ts
@@ -115,7 +115,7 @@
 	const reach = createReach({
 		world,
 		async probe(id) {
-			const answer = await ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS)) ?? await ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS), true);
+			const answer = await pingTwice(id, PROBE_TIMEOUT_MS);
 			return answer === 'leads' || answer === 'follows';
 		},
 		onChange(target, isUp, reason) {
@@ -180,6 +180,12 @@
 		return 'follows';
 	};
 
+	/** Asks on a kept connection, which may have gone silent without a reset, and then on a new one. */
+	const pingTwice = async (id: TargetId, timeoutMs: number): Promise<PingAnswer> => {
+		const kept = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(world.now(), timeoutMs)) : undefined;
+		return kept ?? ping(id, createDeadline(world.now(), timeoutMs), true);
+	};
+
 	const verifyOnce = createSharedFlight(async (): Promise<boolean> => {
 		const leader = leadership.getLeader();
 		return leader !== undefined && await ping(leader, createDeadline(world.now(), PING_TIMEOUT_MS)) === 'leads';
@@ -255,7 +261,7 @@
 			leadership.noteRegistry(next, world.now());
 			placement.setTargets(next);
 		},
-		ping: async (id, deadline) => await ping(id, deadline) ?? ping(id, createDeadline(world.now(), PROBE_TIMEOUT_MS), true),
+		ping: async (id, deadline) => pingTwice(id, deadline - world.now()),
 		async askStatus(id, deadline, before) {
 			const borrowed = await borrow(id, deadline);
 			if (!borrowed?.ok) {
