Send callers elsewhere within a second when a data centre is cut off

Cause (incident of atlas, from our own lines alone): 33.5 s to 38.8 s every vm of sale-tabriquet logs peers of both other data centres lost and answers busy, 'no home of the database can be reached'; it stayed ready until what it knew was 2.5 s old and closed its idle sessions 2.1 s after that. Change: a vm that cannot reach a peer of another data centre asks two vms of each; if none answers it is not ready and closes idle sessions at once. With two data centres the one that has the store goes on.

--- a/packages/vm/src/peers.ts
+++ b/packages/vm/src/peers.ts
@@ -16,6 +16,8 @@
 /** Calls to other vms. */
 export type VmCalls = AsyncDisposable & Readonly<{
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
+	/** Asks a vm for a sign of life. */
+	ping: (member: Member) => Promise<boolean>;
 	/** Tells whether a vm may be tried: it did not just refuse or stay silent. */
 	isUsable: (vm: VmId) => boolean;
 	listen: () => Promise<Listener>;
@@ -26,8 +28,16 @@
 const PROBE_TIMEOUT_MS = 500;
 const PROBE_METHOD = 'ping';
 
+/** What the calls need to know and say of members. */
+export type MemberFunctions = Readonly<{
+	/** Tells whether a vm is still a member. */
+	isMember: (member: Member) => boolean;
+	/** Hears that a vm could not be reached. */
+	onUnreachable: (member: Member) => void;
+}>;
+
 /** Creates the calls of a vm. */
-export const createVmCalls = (context: VmContext, handlers: PeerHandlers, isMember: (member: Member) => boolean): VmCalls => {
+export const createVmCalls = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MemberFunctions): VmCalls => {
 	const {world, settings, emit} = context;
 	const clock = createCausalClock(world.readWallClock);
 	const passedOver = new Set<VmId>();
@@ -66,6 +76,7 @@
 		if (isUsable(member.vm)) {
 			emit(EVENTS.peerLost, {peer: member.vm, message});
 			passedOver.add(member.vm);
+			onUnreachable(member);
 			void probe(member);
 		}
 	};
@@ -84,6 +95,10 @@
 
 			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
 		},
+		async ping({host, port}) {
+			const answer = await peers.call({host, port}, PROBE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			return answer.ok;
+		},
 		isUsable,
 		listen: async () => startPeerListener({host: settings.host, port: settings.port}, peerContext),
 		async [Symbol.asyncDispose]() {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -15,6 +15,7 @@
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
 import {createDatabases, formatStewardDuty, REACH_METHOD} from './databases.js';
+import {createIsolation} from './isolation.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createVmCalls, type VmCalls} from './peers.js';
 import {createRouting} from './routing.js';
@@ -35,8 +36,8 @@
 	leave: () => Promise<void>;
 	isLeaving: () => boolean;
 	hasRules: () => boolean;
-	/** Tells whether idle sessions had better be opened elsewhere. */
-	shouldShed: () => boolean;
+	/** Tells whether idle sessions had better be opened elsewhere, and whether that cannot wait for the balancer. */
+	getShedding: () => 'no' | 'afterBalancer' | 'now';
 }>;
 
 const RUN_METHOD = 'run';
@@ -55,6 +56,8 @@
 const ROLL_BACK_TIMEOUT_MS = 1000;
 /** Age of what is known from which a vm no longer calls itself connected, in milliseconds. */
 const STALE_MS = 2500;
+/** Data centres of which neither can be outnumbered. */
+const TWO_SIDES = 2;
 
 /** Starts the process of an entry vm. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
@@ -131,6 +134,17 @@
 		onStore: noteStore,
 	});
 
+	const isolation = createIsolation({
+		world,
+		vm: settings.vm,
+		dataCentre: settings.dataCentre,
+		listMembers: view.listMembers,
+		ping: async member => calls.ping(member),
+		onChange(isIsolated) {
+			emit(EVENTS.readinessChanged, {isIsolated, feedAgeMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
+		},
+	});
+
 	const calls: VmCalls = createVmCalls(context, {
 		calls: {
 			[RUN_METHOD]: async body => databases.get((body as HomeRequest).database).serve(body as HomeRequest),
@@ -143,7 +157,12 @@
 			[REACH_METHOD]: async body => databases.isReached((body as Readonly<{target: Parameters<typeof databases.isReached>[0]}>).target),
 		},
 		streams: {},
-	}, member => view.listMembers().some(({run}) => run === member.run));
+	}, {
+		isMember: member => view.listMembers().some(({run}) => run === member.run),
+		onUnreachable(member) {
+			isolation.noteUnreachable(member);
+		},
+	});
 
 	const duties: Stewardships = createStewardships({
 		world,
@@ -241,8 +260,12 @@
 			: Err(createRefusal('noKey', 'the key is not issued'));
 	};
 
-	const isConnected = (): boolean => feed.getAgeMs() < STALE_MS
-		|| view.listMembers().some(({vm, dataCentre}) => vm !== settings.vm && dataCentre !== settings.dataCentre && calls.isUsable(vm));
+	/**
+	 * Callers are better off elsewhere when this data centre is cut off. With two data centres both see the same;
+	 * then the one that has the store goes on.
+	 */
+	const isConnected = (): boolean => !isolation.isIsolated()
+		|| (settings.dataCentres <= TWO_SIDES && feed.getAgeMs() < STALE_MS);
 
 	const listener = await calls.listen();
 	for (const run of [presence.run, feed.run, duties.run, databases.run]) {
@@ -273,7 +296,13 @@
 		},
 		isLeaving: () => leaving,
 		hasRules: () => view.getRules() !== undefined,
-		shouldShed: () => leaving || !isConnected(),
+		getShedding() {
+			if (!isConnected()) {
+				return 'now';
+			}
+
+			return leaving ? 'afterBalancer' : 'no';
+		},
 		async [Symbol.asyncDispose]() {
 			await listener[Symbol.asyncDispose]();
 			await calls[Symbol.asyncDispose]();
