Serve counters and histograms of latency as text

Cause: the on-call engineers have logs and metrics only, and the platform reads metrics from an address of the deploy file.

--- a/packages/homes/src/tests/steward.test.ts
+++ b/packages/homes/src/tests/steward.test.ts
@@ -13,7 +13,14 @@
 
 type Order = Readonly<{target: TargetId; fence: number}>;
 
-const createSetup = (options: Readonly<{isSteward?: () => boolean; isReachedByOthers?: boolean; isReplicated?: boolean; order?: (order: Order, targets: readonly FakeTarget[]) => OrderOutcome}> = {}) => {
+type Options = Readonly<{
+	isSteward?: () => boolean;
+	isReachedByOthers?: boolean;
+	isReplicated?: boolean;
+	order?: (order: Order, targets: readonly FakeTarget[]) => OrderOutcome;
+}>;
+
+const createSetup = (options: Options = {}) => {
 	const {world, advance} = createVirtualWorld(5);
 	const targets = [createFakeTarget('one', 'primary'), createFakeTarget('two', 'replica'), createFakeTarget('three', 'replica')] as const;
 	const home = createDatabaseHome({
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -4,3 +4,4 @@
 export * from './metrics.js';
 export * from './ring.js';
 export * from './text.js';
+export * from './exposition.js';
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -5,6 +5,18 @@
 /** Labels of a metric. */
 export type Tags = Readonly<Record<string, string>>;
 
+/** Upper bounds of the buckets of times, in milliseconds. */
+export const BUCKETS_MS: readonly number[] = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000];
+
+/** Times of one name and one set of tags. */
+export type Histogram = Readonly<{
+	name: string;
+	tags: Tags;
+	/** Times up to each bound, and the rest, not yet added up. */
+	counts: readonly number[];
+	sumMs: number;
+}>;
+
 /** Metrics of one process. */
 export type Metrics = AsyncDisposable & Readonly<{
 	/** Adds to a counter. */
@@ -13,6 +25,8 @@
 	gauge: (name: string, value: number, tags?: Tags) => void;
 	/** Records a time in milliseconds. */
 	time: (name: string, ms: number, tags?: Tags) => void;
+	/** Gets every histogram of times, by name and tags. */
+	listHistograms: () => readonly Histogram[];
 	/** Gets every counter and gauge, by name and tags. */
 	snapshot: () => Readonly<Record<string, number>>;
 }>;
@@ -28,6 +42,20 @@
 /** Opens the metrics; with no address they are only kept in the process. */
 export const openMetrics = (address?: Readonly<{host: string; port: number}>): Metrics => {
 	const values = new Map<string, number>();
+	const histograms = new Map<string, {name: string; tags: Tags; counts: number[]; sumMs: number}>();
+
+	const recordTime = (name: string, ms: number, tags: Tags) => {
+		const key = formatKey(name, tags);
+		const histogram = histograms.get(key) ?? {
+			name, tags, counts: Array.from({length: BUCKETS_MS.length + 1}, () => 0), sumMs: 0,
+		};
+		histograms.set(key, histogram);
+		const bucket = BUCKETS_MS.findIndex(bound => ms <= bound);
+		const index = bucket === -1 ? BUCKETS_MS.length : bucket;
+		histogram.counts[index] = (histogram.counts[index] ?? 0) + 1;
+		histogram.sumMs += ms;
+	};
+
 	const client = address
 		? new StatsD({
 			host: address.host, port: address.port, prefix: 'guavapitch.', errorHandler: ignoreFailure,
@@ -44,8 +72,10 @@
 			client?.gauge(name, value, tags);
 		},
 		time(name, ms, tags = {}) {
+			recordTime(name, ms, tags);
 			client?.timing(name, ms, tags);
 		},
+		listHistograms: () => [...histograms.values()],
 		snapshot: () => Object.fromEntries(values),
 		async [Symbol.asyncDispose]() {
 			await new Promise<void>(resolve => {
