Tell a long call from a silent peer

Cause: an answer to the ping of a silent look came within the first tenth of the next look, which therefore counted as silent too; every connection with a call longer than 0.6 s was ended (logs: peers lost again and again every 0.6 s while they answered; writes at a dark primary ended as unknown after 537 ms because their home was 'lost'). Ruled out: silent homes (they answered pings within 2 ms). Change: a look is silent only if nothing was heard since it began. Test: a call of 1.5 s is answered; it failed before the change. A mute peer is given up within a second.

--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -272,8 +272,7 @@
 		const watchedAt = world.now();
 		world.schedule(SILENCE_LOOK_MS, () => {
 			watching = false;
-			const silentMs = world.now() - Math.max(heardAt, watchedAt);
-			silentLooks = silentMs >= SILENCE_LOOK_MS * 0.9 ? silentLooks + 1 : 0;
+			silentLooks = heardAt <= watchedAt ? silentLooks + 1 : 0;
 			if (ended || pending.size === 0) {
 				silentLooks = 0;
 			} else if (silentLooks > SILENT_LOOKS) {
