Give the protocol's own question a name that no handler has

Change: the question is protocol/alive, also answered while a process leaves. Test: a handler named ping is called; it failed before.

--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -62,8 +62,8 @@
 const SILENCE_LOOK_MS = 150;
 /** Silent looks before the connection is ended; the first of them sends a ping. */
 const SILENT_LOOKS = 3;
-/** Method that every peer answers at once. */
-const PING = 'ping';
+/** Method that every peer answers at once; no handler can have its name. */
+export const ALIVE_METHOD = 'protocol/alive';
 const GONE: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
 const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
@@ -123,11 +123,6 @@
 	};
 
 	const answerCall = async (id: number, method: string, body: unknown, from: PeerIdentity) => {
-		if (method === PING) {
-			await send(['reply', context.readTime(), id, undefined]);
-			return;
-		}
-
 		const handler = Object.hasOwn(handlers.calls, method) ? handlers.calls[method] : undefined;
 		if (!handler) {
 			await send(['refuse', context.readTime(), id, 'unknownMethod', `There is no method ${method}`]);
@@ -210,6 +205,12 @@
 			}
 
 			case 'call': {
+				if (frame[3] === ALIVE_METHOD) {
+					// Answered also while leaving: what the peer opened before is still under way.
+					write(['reply', context.readTime(), frame[2], undefined]);
+					break;
+				}
+
 				serve(frame[2], async () => answerCall(frame[2], frame[3], frame[4], from));
 
 				break;
@@ -280,7 +281,7 @@
 				end();
 			} else {
 				if (silentLooks > 0) {
-					write(['call', context.readTime(), ++lastId, PING, undefined]);
+					write(['call', context.readTime(), ++lastId, ALIVE_METHOD, undefined]);
 				}
 
 				watchSilence();
--- a/packages/peer-protocol/src/tests/silence.test.ts
+++ b/packages/peer-protocol/src/tests/silence.test.ts
@@ -33,6 +33,12 @@
 		assert.equal(answer.unwrap(), 'done');
 	});
 
+	it('is looked for by a method of its own: a handler named ping is called', async () => {
+		await using listener = await startPeerListener({host: '127.0.0.1', port: 0}, createContext('b', {calls: {ping: async () => 'from the handler'}, streams: {}}));
+		await using peers = createPeers(createContext('a', NONE), createDial());
+		assert.equal((await peers.call(listener.address, 'ping', undefined, 1000)).unwrap(), 'from the handler');
+	});
+
 	it('ends the calls to a peer that answers nothing within a second', async () => {
 		const server = createServer(socket => {
 			socket.on('error', () => undefined);
--- a/packages/vm/src/peers.ts
+++ b/packages/vm/src/peers.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {
-	createDial, createPeers, startPeerListener, type Listener, type PeerContext, type PeerHandlers, type Peers,
+	ALIVE_METHOD, createDial, createPeers, startPeerListener, type Listener, type PeerContext, type PeerHandlers, type Peers,
 } from '@guavapitch/peer-protocol';
 import {createCausalClock, EVENTS, type CausalTime} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
@@ -26,7 +26,6 @@
 /** Pause between attempts to reach a vm that is passed over, in milliseconds. */
 const PROBE_PAUSE_MS = 300;
 const PROBE_TIMEOUT_MS = 500;
-const PROBE_METHOD = 'ping';
 
 /** What the calls need to know and say of members. */
 export type MemberFunctions = Readonly<{
@@ -63,7 +62,7 @@
 		const address = {host: member.host, port: member.port};
 		while (!closed && isMember(member)) {
 			await world.sleep(PROBE_PAUSE_MS * (0.5 + world.random()));
-			const answer = await peers.call(address, PROBE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			const answer = await peers.call(address, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
 			if (answer.ok) {
 				break;
 			}
@@ -96,7 +95,7 @@
 			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
 		},
 		async ping({host, port}) {
-			const answer = await peers.call({host, port}, PROBE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			const answer = await peers.call({host, port}, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
 			return answer.ok;
 		},
 		isUsable,
