--- a/packages/homes/src/tests/home.test.ts
+++ b/packages/homes/src/tests/home.test.ts
@@ -3,14 +3,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createSuspensionClock, createVirtualWorld, Ok, parseId, type CustomerId,
+	createVirtualWorld, parseId, type CustomerId,
 } from '@guavapitch/core';
 import type {
 	Consistency, HomeAnswer, HomeRequest, TargetStatement,
 } from '@guavapitch/sessions';
-import {createDatabaseHome} from '../home.js';
+import {createFakeHome} from './fake-home.js';
 import {
-	createFakeDial, createFakeTarget, DATABASE, readFakeStatus, type FakeTarget,
+	createFakeTarget, DATABASE, type FakeTarget,
 } from './fake-targets.js';
 
 const LATEST: Consistency = {kind: 'latest'};
@@ -36,19 +36,7 @@
 
 const createSetup = (targets: readonly FakeTarget[]) => {
 	const {world, advance} = createVirtualWorld(3);
-	const home = createDatabaseHome({
-		world,
-		readClock: createSuspensionClock(world),
-		database: DATABASE,
-		dial: createFakeDial(targets, world),
-		readStatus: readFakeStatus(targets),
-		getConnectionLimit: () => 8,
-		getAnyCustomer: () => parseId<CustomerId>('club'),
-		getIdleTransactionMs: () => 3000,
-		spend: async () => Ok(undefined),
-		onDecision: () => undefined,
-	});
-	home.setTargets(targets.map(({description}) => description));
+	const home = createFakeHome(targets, world);
 	const run = async (request: HomeRequest): Promise<HomeAnswer> => {
 		let answer: HomeAnswer | undefined;
 		void home.serve(request).then(value => {
--- a/packages/homes/src/tests/steward.test.ts
+++ b/packages/homes/src/tests/steward.test.ts
@@ -3,12 +3,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createSuspensionClock, createVirtualWorld, Ok, parseId, type CustomerId, type TargetId,
+	createVirtualWorld, type TargetId,
 } from '@guavapitch/core';
-import {createDatabaseHome} from '../home.js';
 import {rankReplicas, runSteward, type OrderOutcome} from '../steward.js';
+import {createFakeHome} from './fake-home.js';
 import {
-	createFakeDial, createFakeTarget, DATABASE, readFakeStatus, type FakeTarget,
+	createFakeTarget, DATABASE, type FakeTarget,
 } from './fake-targets.js';
 
 type Order = Readonly<{target: TargetId; fence: number}>;
@@ -23,19 +23,7 @@
 const createSetup = (options: Options = {}) => {
 	const {world, advance} = createVirtualWorld(5);
 	const targets = [createFakeTarget('one', 'primary'), createFakeTarget('two', 'replica'), createFakeTarget('three', 'replica')] as const;
-	const home = createDatabaseHome({
-		world,
-		readClock: createSuspensionClock(world),
-		database: DATABASE,
-		dial: createFakeDial(targets, world),
-		readStatus: readFakeStatus(targets),
-		getConnectionLimit: () => 8,
-		getAnyCustomer: () => parseId<CustomerId>('club'),
-		getIdleTransactionMs: () => 3000,
-		spend: async () => Ok(undefined),
-		onDecision: () => undefined,
-	});
-	home.setTargets(targets.map(({description}) => description));
+	const home = createFakeHome(targets, world);
 	const orders: Order[] = [];
 	const stop = new AbortController();
 	let fence = 0;
