--- a/packages/back-postgres/src/commands.ts
+++ b/packages/back-postgres/src/commands.ts
@@ -1,10 +1,10 @@
-/** Commands and questions of our own to an instance, over one connection that is kept open. */
+/** Commands and questions of our own to a target, over one connection that is kept open. */
 
 import {
 	Err, Ok, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
-	openInstanceConnection, type InstanceAddress, type InstanceConnection, type QueryRows,
+	openTargetConnection, type TargetAddress, type TargetConnection, type QueryRows,
 } from './connection.js';
 
 /** A connection for questions; it is opened when needed and dropped after a failure. */
@@ -13,7 +13,7 @@
 	ask: (text: string) => Promise<Result<readonly QueryRows[], Failure>>;
 }>;
 
-/** Time within which an instance must answer, in milliseconds. */
+/** Time within which a target must answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
 
 const HEX = 16;
@@ -25,9 +25,9 @@
 	return high && low ? (Number.parseInt(high, HEX) * LOW_BITS) + Number.parseInt(low, HEX) : -1;
 };
 
-/** Creates the questions to an instance; one is asked at a time. */
-export const createQuestions = (address: InstanceAddress, world: World): Questions => {
-	let connection: InstanceConnection | undefined;
+/** Creates the questions to a target; one is asked at a time. */
+export const createQuestions = (address: TargetAddress, world: World): Questions => {
+	let connection: TargetConnection | undefined;
 	let turn: Promise<unknown> = Promise.resolve();
 
 	const drop = async () => {
@@ -38,7 +38,7 @@
 
 	const askOnce = async (text: string): Promise<Result<readonly QueryRows[], Failure>> => {
 		if (!connection || connection.isEnded()) {
-			const opened = await openInstanceConnection(address);
+			const opened = await openTargetConnection(address);
 			if (opened.err) {
 				return opened;
 			}
@@ -51,14 +51,14 @@
 
 	const askInTime = async (text: string): Promise<Result<readonly QueryRows[], Failure>> => {
 		const timer = new AbortController();
-		const expired = world.sleep(ANSWER_TIMEOUT_MS, timer.signal).then(() => Err({code: 'instanceTimeout', message: 'The instance did not answer in time'} as const), () => undefined);
+		const expired = world.sleep(ANSWER_TIMEOUT_MS, timer.signal).then(() => Err({code: 'targetTimeout', message: 'The target did not answer in time'} as const), () => undefined);
 		const answer = await Promise.race([askOnce(text), expired]);
 		timer.abort();
 		if (!answer || (answer.err && answer.val.code !== 'queryFailed')) {
 			await drop();
 		}
 
-		return answer ?? Err({code: 'instanceTimeout', message: 'The question was aborted'});
+		return answer ?? Err({code: 'targetTimeout', message: 'The question was aborted'});
 	};
 
 	return {
@@ -71,7 +71,7 @@
 	};
 };
 
-/** What an instance says of itself. */
+/** What a target says of itself. */
 export type StateAnswer = Readonly<{isReplica: boolean; timeline: number; position: number; replayed: ReadonlyMap<string, number>}>;
 
 const STATE_QUERY = 'SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint(); SELECT pg_last_wal_replay_lsn()';
@@ -85,7 +85,7 @@
 	return answer.map(([position, replicas]) => ({position: parsePosition(position?.[0]?.[0]), replayed: parseReplicas(replicas)}));
 };
 
-/** Asks an instance for its state. */
+/** Asks a target for its state. */
 export const askState = async (questions: Questions): Promise<Result<StateAnswer, Failure>> => {
 	const answer = await questions.ask(STATE_QUERY);
 	if (answer.err) {
@@ -114,5 +114,5 @@
 /** Makes a replica the primary. */
 export const commandPromote = async (questions: Questions): Promise<Result<unknown, Failure>> => questions.ask('SELECT pg_promote()');
 
-/** Makes an instance with a history of its own a replica; the platform supplies the function. */
+/** Makes a target with a history of its own a replica; the platform supplies the function. */
 export const commandRejoin = async (questions: Questions, conninfo: string): Promise<Result<unknown, Failure>> => questions.ask(`SELECT platform_rejoin(${quoteText(conninfo)})`);
--- a/packages/back-postgres/src/connection.ts
+++ b/packages/back-postgres/src/connection.ts
@@ -1,4 +1,4 @@
-/** One connection to an instance. */
+/** One connection to a target. */
 
 import {createConnection} from 'node:net';
 import type {Buffer} from 'node:buffer';
@@ -11,8 +11,8 @@
 	type Message, type ReadFailure, type Wire,
 } from '@guavapitch/postgres-wire';
 
-/** How to reach an instance. */
-export type InstanceAddress = Readonly<{
+/** How to reach a target. */
+export type TargetAddress = Readonly<{
 	host: string;
 	port: number;
 	user: string;
@@ -22,15 +22,15 @@
 	applicationName: string;
 }>;
 
-/** An open connection to an instance. */
-export type InstanceConnection = Poolable & Readonly<{
+/** An open connection to a target. */
+export type TargetConnection = Poolable & Readonly<{
 	/** Statements prepared on this connection, by hash. */
 	prepared: Set<string>;
 	/** Writes messages. */
 	write: (...parts: readonly Buffer[]) => Promise<void>;
 	/** Reads at least one message. */
 	read: () => Promise<Result<readonly Message[], ReadFailure>>;
-	/** Asks the instance to cancel the running statement. */
+	/** Asks the target to cancel the running statement. */
 	cancel: () => void;
 	/** Runs a simple query and collects its rows as texts, a list for each statement. */
 	query: (text: string) => Promise<Result<readonly QueryRows[], QueryFailure>>;
@@ -49,7 +49,7 @@
 const AUTHENTICATION_SASL_CONTINUE = 11;
 const AUTHENTICATION_SASL_FINAL = 12;
 
-const createFailure = (message: string): PoolFailure => ({code: 'instanceUnreachable', message});
+const createFailure = (message: string): PoolFailure => ({code: 'targetUnreachable', message});
 
 const parseRow = (message: Message): ReadonlyArray<string | undefined> => {
 	const body = getBody(message);
@@ -66,15 +66,15 @@
 	return values;
 };
 
-/** Answers the instance's requests for authentication until it is ready. */
-const authenticate = async (wire: Wire, address: InstanceAddress): Promise<Result<Message | undefined, PoolFailure>> => {
+/** Answers the target's requests for authentication until it is ready. */
+const authenticate = async (wire: Wire, address: TargetAddress): Promise<Result<Message | undefined, PoolFailure>> => {
 	const password = address.password ?? '';
 	const scram = startScramClient(password);
 	let keyData: Message | undefined;
 	while (true) {
 		const messages = await wire.readMessages();
 		if (messages.err) {
-			return Err(createFailure('The instance closed the connection'));
+			return Err(createFailure('The target closed the connection'));
 		}
 
 		for (const message of messages.val) {
@@ -117,7 +117,7 @@
 
 				default: {
 					if (kind !== AUTHENTICATION_OK && kind !== AUTHENTICATION_SASL_FINAL) {
-						return Err(createFailure(`The instance asks for authentication ${kind}, which is not supported`));
+						return Err(createFailure(`The target asks for authentication ${kind}, which is not supported`));
 					}
 				}
 			}
@@ -125,8 +125,8 @@
 	}
 };
 
-/** Opens a connection to an instance. */
-export const openInstanceConnection = async (address: InstanceAddress): Promise<Result<InstanceConnection, PoolFailure>> => {
+/** Opens a connection to a target. */
+export const openTargetConnection = async (address: TargetAddress): Promise<Result<TargetConnection, PoolFailure>> => {
 	const socket = createConnection({host: address.host, port: address.port, noDelay: true});
 	const wire = openWire(socket);
 	socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
--- a/packages/back-postgres/src/exchange.ts
+++ b/packages/back-postgres/src/exchange.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {createMessage, encodeInt16, type Message} from '@guavapitch/postgres-wire';
 import type {PreparedStatement, RequestChunk, RequestPart} from '@guavapitch/sessions';
-import type {InstanceConnection} from './connection.js';
+import type {TargetConnection} from './connection.js';
 
 /** What becomes of the next reply. */
 type Expected
@@ -16,13 +16,13 @@
 
 /** Progress of one chunk on a connection. */
 export type ChunkProgress = Readonly<{
-	/** Messages for the caller that need no answer of the instance. */
+	/** Messages for the caller that need no answer of the target. */
 	initial: readonly Message[];
-	/** Takes a message of the instance; gives the messages for the caller. */
+	/** Takes a message of the target; gives the messages for the caller. */
 	accept: (message: Message) => readonly Message[];
 	/** Tells whether nothing more will come unless the chunk ends with `ReadyForQuery`. */
 	isSettled: () => boolean;
-	/** Tells whether the instance now ignores everything up to a Sync. */
+	/** Tells whether the target now ignores everything up to a Sync. */
 	hasFailed: () => boolean;
 }>;
 
@@ -51,8 +51,8 @@
 	return [createParse(statement)];
 };
 
-/** Sends a chunk; `skipping` tells that the instance ignores everything up to a Sync after an error. */
-export const sendChunk = async (connection: InstanceConnection, chunk: RequestChunk, skipping: boolean): Promise<ChunkProgress> => {
+/** Sends a chunk; `skipping` tells that the target ignores everything up to a Sync after an error. */
+export const sendChunk = async (connection: TargetConnection, chunk: RequestChunk, skipping: boolean): Promise<ChunkProgress> => {
 	const expected: Expected[] = [];
 	const known = new Set(connection.prepared);
 	const bytes: Buffer[] = [];
@@ -76,7 +76,7 @@
 
 	await connection.write(...bytes);
 
-	/** Creates the replies that come next without the instance saying anything. */
+	/** Creates the replies that come next without the target saying anything. */
 	const takeCreated = (): readonly Message[] => {
 		const created: Message[] = [];
 		while (expected[0]?.kind === 'create') {
--- a/packages/back-postgres/src/home.ts
+++ b/packages/back-postgres/src/home.ts
@@ -2,7 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
 	FairQueue, Loan, Permit, Pool,
@@ -13,14 +13,14 @@
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
 } from '@guavapitch/sessions';
-import type {InstanceConnection} from './connection.js';
+import type {TargetConnection} from './connection.js';
 import {sendChunk} from './exchange.js';
 
-/** An instance as its home works it. */
-export type HomeInstance = Readonly<{
+/** A target as its home works it. */
+export type HomeTarget = Readonly<{
 	queue: FairQueue;
-	pool: Pool<InstanceConnection>;
-	/** Tells whether the instance gets no new work. */
+	pool: Pool<TargetConnection>;
+	/** Tells whether the target gets no new work. */
 	isLeaving: () => boolean;
 }>;
 
@@ -28,18 +28,18 @@
 export type AnswerState = 'durable' | 'unproved';
 
 /** An answer that waits for its release. */
-export type PendingAnswer = Readonly<{database: DatabaseId; instance: InstanceId; term: number; deadline: Deadline; signal: AbortSignal}>;
+export type PendingAnswer = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
 
 /** What a home decides with. */
 export type HomeContext = Readonly<{
 	world: World;
-	/** Gets an instance of which this process is home. */
-	getInstance: (instance: InstanceId) => HomeInstance | undefined;
-	/** Checks that a request may be sent to the instance now; gives the term. */
+	/** Gets a target of which this process is home. */
+	getTarget: (target: TargetId) => HomeTarget | undefined;
+	/** Checks that a request may be sent to the target now; gives the term. */
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
 	/** Waits until the answer of a write may be released. */
 	waitUntilDurable: (answer: PendingAnswer) => Promise<AnswerState>;
-	/** Waits until the instance may no longer answer a request, or its deadline has passed; ends early when the signal aborts. */
+	/** Waits until the target may no longer answer a request, or its deadline has passed; ends early when the signal aborts. */
 	waitUntilHopeless: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
 	/** Hears how long a request held its slot. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
@@ -54,7 +54,7 @@
 /** The home's end of a request. */
 export type HomeStream = Stream<Reply, RequestChunk>;
 
-type Served = Readonly<{context: HomeContext; header: RequestHeader; stream: HomeStream; target: HomeInstance}>;
+type Served = Readonly<{context: HomeContext; header: RequestHeader; stream: HomeStream; target: HomeTarget}>;
 
 /** How a chunk ended. */
 type ChunkEnd
@@ -63,7 +63,7 @@
 		| Readonly<{kind: 'readOnly'}>
 		| Readonly<{kind: 'lost'}>;
 
-/** A chunk, and whether the instance ignores everything up to a Sync. */
+/** A chunk, and whether the target ignores everything up to a Sync. */
 type ChunkTurn = Readonly<{chunk: RequestChunk; skipping: boolean; onBegin: () => void}>;
 
 /** Releases the held messages when the answer may be given; `false` if it may not. */
@@ -82,7 +82,7 @@
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
 /** Reads the answer to one chunk and passes it on, holding back the last completion of a write. */
-const relayAnswer = async (served: Served, connection: InstanceConnection, turn: ChunkTurn, onHeld: ReleaseAnswer): Promise<ChunkEnd> => {
+const relayAnswer = async (served: Served, connection: TargetConnection, turn: ChunkTurn, onHeld: ReleaseAnswer): Promise<ChunkEnd> => {
 	const {chunk, skipping} = turn;
 	const {stream, header} = served;
 	const progress = await sendChunk(connection, chunk, skipping);
@@ -165,8 +165,8 @@
 /** An answer that is waited for. */
 type AwaitedAnswer = Readonly<{term: number; hasBegun: () => boolean; answered: AbortSignal}>;
 
-/** Ends a connection whose instance will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
-const giveUpWhenHopeless = async (served: Served, connection: InstanceConnection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
+/** Ends a connection whose target will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
+const giveUpWhenHopeless = async (served: Served, connection: TargetConnection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
 	const {context, header} = served;
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	await context.waitUntilHopeless(header, term, deadline, answered);
@@ -184,7 +184,7 @@
 };
 
 /** Runs chunks on a connection until the transaction is over; tells in what state the connection is left. */
-const runTransaction = async (served: Served, loan: Loan<InstanceConnection>, first: FirstTurn): Promise<LoanState> => {
+const runTransaction = async (served: Served, loan: Loan<TargetConnection>, first: FirstTurn): Promise<LoanState> => {
 	const {context, header, stream, target} = served;
 	const {connection} = loan;
 	const cancel = () => {
@@ -203,7 +203,7 @@
 		if (next === 'idle' && header.mode === 'write') {
 			const deadline = createDeadline(context.world.now(), header.remainingMs);
 			const state = await context.waitUntilDurable({
-				database: header.database, instance: header.instance, term: first.term, deadline, signal: stream.signal,
+				database: header.database, target: header.target, term: first.term, deadline, signal: stream.signal,
 			});
 			if (state !== 'durable') {
 				return false;
@@ -284,14 +284,14 @@
 
 	using tracked = context.trackRequest(header);
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
-	const target = context.getInstance(header.instance);
+	const target = context.getTarget(header.target);
 	if (!target || context.isDraining()) {
-		await refuse(createRefusal('notHome', 'This vm is not a home of the instance'));
+		await refuse(createRefusal('notHome', 'This vm is not a home of the target'));
 		return;
 	}
 
 	if (target.isLeaving()) {
-		await refuse(createRefusal('instanceLeaving', 'The instance is leaving'));
+		await refuse(createRefusal('targetLeaving', 'The target is leaving'));
 		return;
 	}
 
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -20,11 +20,11 @@
 	dataCentres: kept,
 	databases: Object.fromEntries(Object.entries(full.databases).map(([name, database]) => [name, {
 		...database,
-		instances: database.instances.map((instance, index) => ({...instance, dataCentre: kept[index % kept.length] ?? instance.dataCentre})),
+		targets: database.targets.map((target, index) => ({...target, dataCentre: kept[index % kept.length] ?? target.dataCentre})),
 	}])),
 };
 
-print('starting the platform, nine instances and four proxies …');
+print('starting the platform, nine targets and four proxies …');
 const stack = await startStack({
 	inventory, proxiesPerDataCentre: 2, connectMs: CONNECT_MS, statementMs: 1, lagMs: LAG_MS,
 });
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import pg from 'pg';
 import {chooseOne, waitMs, type Random} from '@guavapitch/load';
-import type {Stack, StackInstance} from './stack.js';
+import type {Stack, StackTarget} from './stack.js';
 
 /** Kinds of faults. */
 export type FaultKind
@@ -33,9 +33,9 @@
 	'cutProxy',
 	'cutDataCentre',
 ];
-/** Failures of connecting to an instance that another fault has killed. */
+/** Failures of connecting to a target that another fault has killed. */
 const DEAD_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
-/** Messages about an instance that another fault has killed or frozen. */
+/** Messages about a target that another fault has killed or frozen. */
 const SILENT_MESSAGES = ['Connection terminated', 'timeout expired', 'Query read timeout'];
 const FAULTS_KEY = '/standin/faults';
 const SHORTEST_MS = 800;
@@ -63,10 +63,10 @@
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 };
 
-/** Runs a command of an instance that no fault holds up; one that another fault has killed or frozen may not hear it. */
-export const controlInstance = async (instance: StackInstance, statement: string): Promise<void> => {
+/** Runs a command of a target that no fault holds up; one that another fault has killed or frozen may not hear it. */
+export const controlTarget = async (target: StackTarget, statement: string): Promise<void> => {
 	const client = new pg.Client({
-		host: '127.0.0.1', port: instance.port, user: 'control', database: 'control', connectionTimeoutMillis: 2000, query_timeout: 2000,
+		host: '127.0.0.1', port: target.port, user: 'control', database: 'control', connectionTimeoutMillis: 2000, query_timeout: 2000,
 	});
 	client.on('error', () => undefined);
 	try {
@@ -101,11 +101,11 @@
 	return newest.record.primary;
 };
 
-/** Cuts vms off from all other vms, from the instances of other places, and maybe from the platform. */
+/** Cuts vms off from all other vms, from the targets of other places, and maybe from the platform. */
 const cutOff = async (stack: Stack, vms: ReadonlySet<string>, places: ReadonlySet<string>, withPlatform: boolean) => {
-	const settings = Object.values(stack.inventory.databases).flatMap(database => database.instances);
-	const inside = settings.filter(instance => places.has(instance.dataCentre));
-	const outside = settings.filter(instance => !places.has(instance.dataCentre));
+	const settings = Object.values(stack.inventory.databases).flatMap(database => database.targets);
+	const inside = settings.filter(target => places.has(target.dataCentre));
+	const outside = settings.filter(target => !places.has(target.dataCentre));
 	const otherVms = [...stack.proxies.keys()].filter(vm => !vms.has(vm));
 	stack.links.setCut((from, to) => vms.has(from) !== vms.has(to));
 	if (withPlatform) {
@@ -113,13 +113,13 @@
 	}
 
 	const cutFrom = async (name: string, peers: readonly string[]) => {
-		const running = stack.instances.get(name);
+		const running = stack.targets.get(name);
 		if (!running) {
 			return;
 		}
 
 		for (const peer of peers) {
-			await controlInstance(running, `SELECT standin_cut('${peer}')`);
+			await controlTarget(running, `SELECT standin_cut('${peer}')`);
 		}
 	};
 
@@ -129,22 +129,22 @@
 	]);
 };
 
-/** Ends every cut; also at the end of a schedule, as a frozen instance may hear of a cut after it was healed. */
+/** Ends every cut; also at the end of a schedule, as a frozen target may hear of a cut after it was healed. */
 export const healCut = async (stack: Stack) => {
 	stack.links.setCut(() => false);
 	await setPlatformFaults(stack, {});
-	await Promise.all([...stack.instances.values()].map(async instance => controlInstance(instance, 'SELECT standin_heal()')));
+	await Promise.all([...stack.targets.values()].map(async target => controlTarget(target, 'SELECT standin_heal()')));
 };
 
-const restartInstance = async (stack: Stack, instance: StackInstance, forMs: number) => {
-	if (instance.process.exitCode !== null || instance.process.signalCode !== null) {
+const restartTarget = async (stack: Stack, target: StackTarget, forMs: number) => {
+	if (target.process.exitCode !== null || target.process.signalCode !== null) {
 		return;
 	}
 
-	instance.process.kill('SIGKILL');
-	await instance.ended;
+	target.process.kill('SIGKILL');
+	await target.ended;
 	await waitMs(forMs);
-	await stack.startInstance(instance.name, '');
+	await stack.startTarget(target.name, '');
 };
 
 const freeze = async (child: Readonly<{process: Readonly<{kill: (signal: NodeJS.Signals) => boolean}>}>, forMs: number) => {
@@ -155,10 +155,10 @@
 
 /** Carries out one fault and heals it; `onStart` hears of its target. */
 export const applyFault = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
-	const instances = [...stack.instances.values()].filter(instance => instance.database === database);
+	const targets = [...stack.targets.values()].filter(target => target.database === database);
 	const primaryName = await findPrimary(stack, database);
-	const primary = stack.instances.get(primaryName);
-	const replicas = instances.filter(instance => instance.name !== primaryName);
+	const primary = stack.targets.get(primaryName);
+	const replicas = targets.filter(target => target.name !== primaryName);
 	const replica = replicas[Math.floor(fault.choice * replicas.length)];
 	const proxies = [...stack.proxies.values()];
 	const proxy = proxies[Math.floor(fault.choice * proxies.length)];
@@ -167,18 +167,18 @@
 	}
 
 	const steps: Readonly<Record<FaultKind, readonly [target: string, run: () => Promise<void>]>> = {
-		killPrimary: [primary.name, async () => restartInstance(stack, primary, fault.forMs)],
+		killPrimary: [primary.name, async () => restartTarget(stack, primary, fault.forMs)],
 		freezePrimary: [primary.name, async () => freeze(primary, fault.forMs)],
 		cutPrimary: [primary.name, async () => {
-			await controlInstance(primary, 'SELECT standin_cut(\'*\')');
+			await controlTarget(primary, 'SELECT standin_cut(\'*\')');
 			await waitMs(fault.forMs);
-			await controlInstance(primary, 'SELECT standin_heal()');
+			await controlTarget(primary, 'SELECT standin_heal()');
 		}],
-		killReplica: [replica.name, async () => restartInstance(stack, replica, fault.forMs)],
+		killReplica: [replica.name, async () => restartTarget(stack, replica, fault.forMs)],
 		lagReplica: [replica.name, async () => {
-			await controlInstance(replica, `SELECT standin_lag(${LAG_MS})`);
+			await controlTarget(replica, `SELECT standin_lag(${LAG_MS})`);
 			await waitMs(fault.forMs);
-			await controlInstance(replica, 'SELECT standin_lag(5)');
+			await controlTarget(replica, 'SELECT standin_lag(5)');
 		}],
 		killProxy: [proxy.vm, async () => {
 			if (proxy.process.signalCode !== null) {
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -9,7 +9,7 @@
 import yargs from 'yargs';
 import type {Inventory} from '@guavapitch/inventory';
 import {
-	connectAll, runClosed, runOpen, waitMs, type Login, type Target, type TrafficResult,
+	connectAll, runClosed, runOpen, waitMs, type Login, type EntryAddress, type TrafficResult,
 } from '@guavapitch/load';
 import {createStartup} from '@guavapitch/postgres-wire';
 import {readExample} from './examples.js';
@@ -25,7 +25,7 @@
 const OPEN_MS = 10_000;
 const LARGE_FACTOR = 8;
 const FAIR_CONNECTIONS = 16;
-/** Part of their rates at which customers send, so that the instances and not the machine are short. */
+/** Part of their rates at which customers send, so that the targets and not the machine are short. */
 const FAIR_SCALE = 0.1;
 const FAIR_STATEMENT = 'SELECT pg_sleep(0.02)';
 const MEBIBYTE = 1_048_576;
@@ -39,7 +39,7 @@
 /** Connects every customer before any traffic starts, so that logins do not count as latency. */
 const connectCustomers = async (stack: Stack, customers: readonly string[], connections: number): Promise<ReadonlyMap<string, readonly pg.Client[]>> => {
 	const connecting = customers.map(async (customer, index) => {
-		const clients = await connectAll(listTargets(stack), createLogin(stack, customer), connections, index);
+		const clients = await connectAll(listEntries(stack), createLogin(stack, customer), connections, index);
 		return [customer, clients] as const;
 	});
 	return new Map(await Promise.all(connecting));
@@ -48,7 +48,7 @@
 const firstService = (inventory: Inventory): string => Object.keys(inventory.services)[0] ?? '';
 const firstCustomer = (stack: Stack): string => [...stack.secrets.keys()][0] ?? '';
 
-/** Keeps the first database; puts all its instances in one data centre. */
+/** Keeps the first database; puts all its targets in one data centre. */
 const createSmall = (dataCentres: readonly string[], place: string): Inventory => {
 	const full = readExample('dvorak');
 	const [[name, database]] = Object.entries(full.databases) as [[string, Inventory['databases'][string]]];
@@ -56,7 +56,7 @@
 	return {
 		...full,
 		dataCentres: [...dataCentres],
-		databases: {[name]: {...database, instances: database.instances.map(instance => ({...instance, dataCentre: place, slots: 8}))}},
+		databases: {[name]: {...database, targets: database.targets.map(target => ({...target, dataCentre: place, slots: 8}))}},
 		services,
 		customers: Object.fromEntries(Object.entries(full.customers).map(([customer, share]) => [customer, {
 			...share, rate: UNLIMITED, burst: UNLIMITED, services: Object.keys(services),
@@ -88,10 +88,10 @@
 	await waitMs(200);
 	const through = await runClosed(clients, CLOSED_MS, createSelect);
 	await Promise.all(clients.map(async client => client.end()));
-	const [instance] = stack.instances.values();
+	const [target] = stack.targets.values();
 	const direct = await Promise.all(Array.from({length: CLIENTS}, async () => {
 		const client = new pg.Client({
-			host: '127.0.0.1', port: instance?.port, user: 'direct', database: 'postgres',
+			host: '127.0.0.1', port: target?.port, user: 'direct', database: 'postgres',
 		});
 		await client.connect();
 		return client;
@@ -152,7 +152,7 @@
 	}
 };
 
-const listTargets = (stack: Stack): readonly Target[] => [...stack.proxies.values()].map(({port}) => ({host: '127.0.0.1', port}));
+const listEntries = (stack: Stack): readonly EntryAddress[] => [...stack.proxies.values()].map(({port}) => ({host: '127.0.0.1', port}));
 
 const createLogin = (stack: Stack, customer: string): Login => ({keyId: `${customer}-key`, secret: stack.secrets.get(customer), service: 'motions'});
 
@@ -212,7 +212,7 @@
 	const login = createLogin(stack, customer);
 	const child = startChild('flood', 'load', [
 		'run',
-		...listTargets(stack).flatMap(({host, port}) => ['--target', `${host}:${port}`]),
+		...listEntries(stack).flatMap(({host, port}) => ['--target', `${host}:${port}`]),
 		'--key',
 		login.keyId,
 		'--secret',
--- a/packages/bench/src/phases.ts
+++ b/packages/bench/src/phases.ts
@@ -19,7 +19,7 @@
 	const startedAt = findAfter(EVENTS.failoverStarted, faultAt) ?? Number.NaN;
 	const endedAt = findAfter(EVENTS.grantsEnded, startedAt) ?? Number.NaN;
 	const recordedAt = findAfter(EVENTS.recordChanged, endedAt) ?? Number.NaN;
-	const promotedAt = findAfter(EVENTS.instancePromoted, recordedAt) ?? Number.NaN;
+	const promotedAt = findAfter(EVENTS.targetPromoted, recordedAt) ?? Number.NaN;
 	const written = history
 		.filter(operation => operation.kind === 'lodge' && operation.outcome === 'done' && operation.endedAt >= promotedAt)
 		.map(operation => operation.endedAt);
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -30,8 +30,8 @@
 /** A proxy of the stack. */
 export type StackProxy = Child & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
 
-/** An instance of the stack. */
-export type StackInstance = Child & Readonly<{port: number; database: string}>;
+/** A target of the stack. */
+export type StackTarget = Child & Readonly<{port: number; database: string}>;
 
 /** What to start. */
 export type StackPlan = Readonly<{
@@ -45,7 +45,7 @@
 	proxyFlags?: readonly string[];
 	/** Puts relays between the proxies, so that they can be cut off from each other. */
 	relayed?: boolean;
-	/** Records every byte that instances receive. */
+	/** Records every byte that targets receive. */
 	recorded?: boolean;
 	/** Keys with which this script asks the proxies. */
 	peerTls?: PeerTls;
@@ -59,13 +59,13 @@
 	platform: Child;
 	platformPort: number;
 	proxies: Map<string, StackProxy>;
-	instances: Map<string, StackInstance>;
+	targets: Map<string, StackTarget>;
 	/** Secret of the key of each customer. */
 	secrets: ReadonlyMap<string, string>;
 	links: Links;
 	logFolder: string;
 	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
-	startInstance: (name: string, follow: string | undefined) => Promise<StackInstance>;
+	startTarget: (name: string, follow: string | undefined) => Promise<StackTarget>;
 	/** Changes the configuration in force. */
 	change: (edit: (inventory: Inventory) => Inventory) => Promise<number>;
 	withdraw: (keyId: string) => Promise<number>;
@@ -74,7 +74,7 @@
 	waitUntilReady: () => Promise<void>;
 	/** Reads the events of all processes. */
 	readEvents: () => readonly EventRecord[];
-	/** Reads what the instances received, if it is recorded. */
+	/** Reads what the targets received, if it is recorded. */
 	readReceived: () => string;
 }>;
 
@@ -164,7 +164,7 @@
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 	const fleet = openFleetClient(world, plan.peerTls);
 	const proxies = new Map<string, StackProxy>();
-	const instances = new Map<string, StackInstance>();
+	const targets = new Map<string, StackTarget>();
 	const secrets = new Map<string, string>();
 	const links = createLinks(world);
 	const relays = new Map<string, Relay>();
@@ -182,13 +182,13 @@
 
 	const findSettings = (name: string) => {
 		for (const [database, settings] of Object.entries(plan.inventory.databases)) {
-			const instance = settings.instances.find(one => one.name === name);
-			if (instance) {
-				return {database, instance};
+			const target = settings.targets.find(one => one.name === name);
+			if (target) {
+				return {database, target};
 			}
 		}
 
-		throw new Error(`There is no instance ${name}`);
+		throw new Error(`There is no target ${name}`);
 	};
 
 	let stopped = false;
@@ -199,8 +199,8 @@
 	};
 
 	const ports = new Map<string, number>();
-	const startInstance = async (name: string, follow: string | undefined): Promise<StackInstance> => {
-		const {database, instance} = findSettings(name);
+	const startTarget = async (name: string, follow: string | undefined): Promise<StackTarget> => {
+		const {database, target} = findSettings(name);
 		const port = ports.get(name) ?? await findFreePort();
 		ports.set(name, port);
 		requireRunning();
@@ -212,9 +212,9 @@
 			'--port',
 			String(port),
 			'--slots',
-			String(instance.slots),
+			String(target.slots),
 			'--connections',
-			String(instance.connections),
+			String(target.connections),
 			'--connect-ms',
 			String(plan.connectMs),
 			'--statement-ms',
@@ -225,7 +225,7 @@
 			...upstream,
 		]);
 		const started = {...child, port, database};
-		instances.set(name, started);
+		targets.set(name, started);
 		return started;
 	};
 
@@ -289,7 +289,7 @@
 	};
 
 	const isDatabaseReady = (statuses: readonly ProxyStatus[], name: string): boolean => {
-		const count = plan.inventory.databases[name]?.instances.length ?? 0;
+		const count = plan.inventory.databases[name]?.targets.length ?? 0;
 		return statuses.some(status => status.groups.some(({record}) => record.database === name && record.synced.length === count - 1));
 	};
 
@@ -302,13 +302,13 @@
 		});
 	};
 
-	const startInstances = async () => {
+	const startTargets = async () => {
 		for (const database of Object.values(plan.inventory.databases)) {
-			const [first, ...others] = database.instances;
+			const [first, ...others] = database.targets;
 			if (first) {
-				await startInstance(first.name, undefined);
+				await startTarget(first.name, undefined);
 				for (const other of others) {
-					await startInstance(other.name, first.name);
+					await startTarget(other.name, first.name);
 				}
 			}
 		}
@@ -318,7 +318,7 @@
 		...inventory,
 		databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, database]) => [name, {
 			...database,
-			instances: database.instances.map(instance => ({...instance, address: `127.0.0.1:${ports.get(instance.name)}`})),
+			targets: database.targets.map(target => ({...target, address: `127.0.0.1:${ports.get(target.name)}`})),
 		}])),
 	});
 
@@ -335,7 +335,7 @@
 
 	const start = async () => {
 		await waitFor('platform', async () => (await store.read('/')).ok);
-		await startInstances();
+		await startTargets();
 		const inventory = addKeys(withAddresses(plan.inventory));
 		await change(() => inventory);
 		for (const dataCentre of inventory.dataCentres) {
@@ -355,12 +355,12 @@
 		platform,
 		platformPort,
 		proxies,
-		instances,
+		targets,
 		secrets,
 		links,
 		logFolder,
 		startProxy,
-		startInstance,
+		startTarget,
 		change,
 		withdraw: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
 		getStatuses,
@@ -370,7 +370,7 @@
 		async [Symbol.asyncDispose]() {
 			stopped = true;
 			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
-			await Promise.all([...instances.values()].map(async child => stopChild(child, 'SIGKILL')));
+			await Promise.all([...targets.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await stopChild(platform, 'SIGKILL');
 			await Promise.all([...relays.values()].map(async relay => relay.owner[Symbol.asyncDispose]()));
 			await fleet[Symbol.asyncDispose]();
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -174,7 +174,7 @@
 			assert.deepEqual(sessions.flatMap(session => session.done).filter(id => !ids.has(id)), []);
 		});
 
-		it('gives a leaving instance no new work, and moves the primary off it', async () => {
+		it('gives a leaving target no new work, and moves the primary off it', async () => {
 			const [database] = Object.keys(stack.inventory.databases);
 			const findPrimary = async () => {
 				const views = (await stack.getStatuses()).flatMap(status => status.groups).toSorted((a, b) => b.revision - a.revision);
@@ -189,7 +189,7 @@
 				...inventory,
 				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, one]) => [name, name === database
 					? {
-						...one, instances: one.instances.map(instance => instance.name === leaving ? {...instance, leaving: true} : instance),
+						...one, targets: one.targets.map(target => target.name === leaving ? {...target, leaving: true} : target),
 					}
 					: one])),
 			}));
--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/path.test.ts
@@ -1,4 +1,4 @@
-/** The whole path with separate processes: a stock client, a proxy, a home and an instance. */
+/** The whole path with separate processes: a stock client, a proxy, a home and a target. */
 
 import assert from 'node:assert/strict';
 import {createConnection} from 'node:net';
--- a/packages/bench/src/tests/transactions.test.ts
+++ b/packages/bench/src/tests/transactions.test.ts
@@ -45,7 +45,7 @@
 		const [database] = Object.keys(stack.inventory.databases);
 		const primary = await findPrimary(stack, database ?? '');
 		const statuses = await stack.getStatuses();
-		return statuses.filter(status => status.homes.some(home => home.instance === primary && home.busy + home.open > 0)).map(status => status.vm);
+		return statuses.filter(status => status.homes.some(home => home.target === primary && home.busy + home.open > 0)).map(status => status.vm);
 	};
 
 	const killAndReplace = async (proxy: StackProxy) => {
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -2,7 +2,7 @@
 
 import type pg from 'pg';
 import {
-	chooseOne, classifyFailure, connectTarget, waitMs, type Operation, type Random,
+	chooseOne, classifyFailure, connectEntry, waitMs, type Operation, type Random,
 } from '@guavapitch/load';
 import type {Stack, StackProxy} from './stack.js';
 
@@ -28,7 +28,7 @@
 const ROAM_SHARE = 0.1;
 
 /** Connects a customer to a proxy. */
-export const connectTo = async (stack: Stack, proxy: StackProxy, customer: string, service: string): Promise<pg.Client> => connectTarget(
+export const connectTo = async (stack: Stack, proxy: StackProxy, customer: string, service: string): Promise<pg.Client> => connectEntry(
 	{host: '127.0.0.1', port: proxy.port},
 	{keyId: `${customer}-key`, secret: stack.secrets.get(customer), service},
 );
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -17,7 +17,7 @@
 	dataCentres: ['d'],
 	databases: {
 		db: {
-			instances: [{
+			targets: [{
 				name: 'db-1', dataCentre: 'd', address: 'h:1', slots: 1, connections: 10,
 			}],
 		},
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -14,9 +14,6 @@
 /** Name of a database: one primary and its replicas. */
 export type DatabaseId = Brand<string, 'DatabaseId'>;
 
-/** Name of one instance of a database. */
-export type InstanceId = Brand<string, 'InstanceId'>;
-
 /** Name of one back end of a database. */
 export type TargetId = Brand<string, 'TargetId'>;
 
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -1,7 +1,7 @@
 /** Waits until the writes of an answer are held by every awaited replica. */
 
 import {
-	createSharedFlight, isPast, type DatabaseId, type Deadline, type InstanceId, type Result, type Failure, type World,
+	createSharedFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type World,
 } from '@guavapitch/core';
 import {isReplicated, type GrantBook} from './grants.js';
 
@@ -14,7 +14,7 @@
 }>;
 
 /** Reads the positions of a primary. */
-export type ReadPositions = (instance: InstanceId) => Promise<Result<PrimaryPositions, Failure>>;
+export type ReadPositions = (target: TargetId) => Promise<Result<PrimaryPositions, Failure>>;
 
 /** How waiting for an acknowledgement ended. */
 export type Durability
@@ -26,7 +26,7 @@
 /** What the wait is for. */
 export type DurabilityRequest = Readonly<{
 	database: DatabaseId;
-	instance: InstanceId;
+	target: TargetId;
 	/** Term in which the write was sent. */
 	term: number;
 	deadline: Deadline;
@@ -39,23 +39,23 @@
 
 /** Creates the wait of one primary; waiting answers share one probe. */
 export const createDurability = (book: GrantBook, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<Durability>) => {
-	const flights = new Map<InstanceId, () => Promise<Result<PrimaryPositions, Failure>>>();
+	const flights = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
-	const probe = async (instance: InstanceId) => {
-		const flight = flights.get(instance) ?? createSharedFlight(async () => readPositions(instance));
-		flights.set(instance, flight);
+	const probe = async (target: TargetId) => {
+		const flight = flights.get(target) ?? createSharedFlight(async () => readPositions(target));
+		flights.set(target, flight);
 		return flight();
 	};
 
 	/** Under a grant that is valid at this moment, the primary has not been replaced. */
 	const isProved = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
-		const record = book.checkAcknowledgement(request.database, request.instance);
+		const record = book.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayed);
 	};
 
 	/** Tells whether the record says that no replica is waited for. */
 	const isAloneEnough = (request: DurabilityRequest): boolean => {
-		const record = book.checkAcknowledgement(request.database, request.instance);
+		const record = book.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && !record.val.replicated;
 	};
 
@@ -72,7 +72,7 @@
 				return 'durable';
 			}
 
-			const positions = await probe(request.instance);
+			const positions = await probe(request.target);
 			if (positions.ok) {
 				position ??= positions.val.position;
 				if (isProved(request, position, positions.val.replayed)) {
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grants.ts
@@ -1,7 +1,7 @@
 /** Grants as their holders keep them: short permissions of the steward, valid until a local deadline. */
 
 import {
-	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
+	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import {
 	OVER, changeDeadlines, type Deadlines, type Permissions,
@@ -16,7 +16,7 @@
 	/** Proved age of each replica's data when the steward answered, in milliseconds. */
 	agesMs: Readonly<Record<string, number>>;
 	/** Replicas that hold every acknowledged write, as far as the steward saw when it answered. */
-	readable: readonly InstanceId[];
+	readable: readonly TargetId[];
 	/** What the grant allows. */
 	permissions: Permissions;
 }>;
@@ -39,24 +39,24 @@
 	waitUntilIdle: (database: DatabaseId, deadline: Deadline) => Promise<void>;
 	/** Gets the view of the last grant, valid or not. */
 	getView: (database: DatabaseId) => GroupView | undefined;
-	/** Checks that a write may be sent to an instance now. */
-	checkWrite: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that a write may be sent to a target now. */
+	checkWrite: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that the answer of a write may be released now. */
-	checkAcknowledgement: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that an instance holds every acknowledged write now. */
-	checkRead: (database: DatabaseId, instance: InstanceId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that an instance's data are proved to be young enough. */
-	checkAge: (database: DatabaseId, instance: InstanceId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
+	checkAcknowledgement: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that a target holds every acknowledged write now. */
+	checkRead: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
+	/** Checks that a target's data are proved to be young enough. */
+	checkAge: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
 	/** Waits until a grant of the term is valid, or it is known that the term is over. */
 	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
-	/** Waits until it is known that an instance may no longer answer a request; `false` if the wait is over first. */
+	/** Waits until it is known that a target may no longer answer a request; `false` if the wait is over first. */
 	waitUntilUnfit: (request: FitnessRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
-/** What an instance was asked under a grant. */
+/** What a target was asked under a grant. */
 export type FitnessRequest = Readonly<{
 	database: DatabaseId;
-	instance: InstanceId;
+	target: TargetId;
 	/** Term in which the request was sent. */
 	term: number;
 	mode: 'write' | 'read' | 'stale';
@@ -80,13 +80,13 @@
 		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.reply.view.record : undefined;
 	};
 
-	const checkPrimary = (database: DatabaseId, instance: InstanceId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
+	const checkPrimary = (database: DatabaseId, target: TargetId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
 		const record = getValid(database, permission);
 		if (!record) {
 			return Err(NO_GRANT);
 		}
 
-		return record.primary === instance ? Ok(record) : Err({code: 'notPrimary', message: `${instance} is not the primary`});
+		return record.primary === target ? Ok(record) : Err({code: 'notPrimary', message: `${target} is not the primary`});
 	};
 
 	return {
@@ -126,27 +126,27 @@
 		async waitUntilIdle(database, deadline) {
 			await changed.waitUntil(() => (writing.get(database) ?? 0) === 0, deadline);
 		},
-		checkWrite: (database, instance) => checkPrimary(database, instance, 'writes'),
-		checkAcknowledgement: (database, instance) => checkPrimary(database, instance, 'acknowledgements'),
-		checkRead(database, instance) {
+		checkWrite: (database, target) => checkPrimary(database, target, 'writes'),
+		checkAcknowledgement: (database, target) => checkPrimary(database, target, 'acknowledgements'),
+		checkRead(database, target) {
 			const record = getValid(database, 'reads');
 			if (!record) {
 				return Err(NO_GRANT);
 			}
 
 			// A primary that is being replaced may lack what its successor acknowledges.
-			if (record.primary === instance) {
-				return checkPrimary(database, instance, 'acknowledgements');
+			if (record.primary === target) {
+				return checkPrimary(database, target, 'acknowledgements');
 			}
 
-			const isReadable = held.get(database)?.reply.readable.includes(instance) ?? false;
+			const isReadable = held.get(database)?.reply.readable.includes(target) ?? false;
 			return record.replicated && isReadable
 				? Ok(record)
-				: Err({code: 'tooOld', message: `${instance} may lack acknowledged writes`});
+				: Err({code: 'tooOld', message: `${target} may lack acknowledged writes`});
 		},
-		checkAge(database, instance, maximumAgeMs) {
+		checkAge(database, target, maximumAgeMs) {
 			const grant = held.get(database);
-			const ageMs = grant?.reply.agesMs[instance];
+			const ageMs = grant?.reply.agesMs[target];
 			if (!grant || ageMs === undefined) {
 				return Err(NO_GRANT);
 			}
@@ -154,7 +154,7 @@
 			const nowMs = ageMs + (world.now() - grant.askedAt);
 			return nowMs <= maximumAgeMs
 				? Ok(grant.reply.view.record)
-				: Err({code: 'tooOld', message: `The data of ${instance} may be ${Math.round(nowMs)} ms old`});
+				: Err({code: 'tooOld', message: `The data of ${target} may be ${Math.round(nowMs)} ms old`});
 		},
 		async waitUntilUnfit(request, deadline, signal) {
 			const isUnfit = () => {
@@ -165,7 +165,7 @@
 
 				return request.mode === 'write'
 					? record.term > request.term
-					: record.primary !== request.instance && !record.synced.includes(request.instance);
+					: record.primary !== request.target && !record.synced.includes(request.target);
 			};
 
 			const waited = await changed.waitUntil(isUnfit, deadline, signal);
@@ -186,5 +186,5 @@
 /** Tells whether every replica that is waited for, and enough of them, have replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
 	const awaited = getAwaited(record);
-	return awaited.length >= record.minimumSynced && awaited.every(instance => (replayed.get(instance) ?? -1) >= position);
+	return awaited.length >= record.minimumSynced && awaited.every(target => (replayed.get(target) ?? -1) >= position);
 };
--- a/packages/failover/src/health.ts
+++ b/packages/failover/src/health.ts
@@ -1,13 +1,13 @@
-/** What a steward sees of the instances of a database. */
+/** What a steward sees of the targets of a database. */
 
 import {
-	createDeadline, isPast, type Failure, type InstanceId, type Instant, type Result, type World,
+	createDeadline, isPast, type Failure, type TargetId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 
-/** What an instance says of itself. */
-export type InstanceReport = Readonly<{
+/** What a target says of itself. */
+export type TargetReport = Readonly<{
 	isReplica: boolean;
-	/** Timeline, which is the instance's own count of terms. */
+	/** Timeline, which is the target's own count of terms. */
 	timeline: number;
 	/** End of the log of a primary, or position replayed by a replica. */
 	position: number;
@@ -15,95 +15,95 @@
 	replayed: ReadonlyMap<string, number>;
 }>;
 
-/** Asks an instance for its report. */
-export type Probe = (instance: InstanceId) => Promise<Result<InstanceReport, Failure>>;
+/** Asks a target for its report. */
+export type Probe = (target: TargetId) => Promise<Result<TargetReport, Failure>>;
 
-/** Health of one instance. */
-export type InstanceHealth = Readonly<{
-	report: InstanceReport | undefined;
+/** Health of one target. */
+export type TargetHealth = Readonly<{
+	report: TargetReport | undefined;
 	/** When the last report was asked for that was answered. */
 	answeredAt: Instant | undefined;
 	/** When the first of the probes was asked for that have failed since. */
 	failingSince: Instant | undefined;
 }>;
 
-/** Health of all instances of a database. */
+/** Health of all targets of a database. */
 export type Health = Readonly<{
-	/** Asks every instance once. */
-	probeAll: (instances: readonly InstanceId[]) => Promise<void>;
-	get: (instance: InstanceId) => InstanceHealth;
-	/** Tells whether the last probe of an instance was answered. */
-	isReachable: (instance: InstanceId) => boolean;
-	/** Tells whether an instance has not answered for so long that it counts as failed. */
-	hasFailed: (instance: InstanceId) => boolean;
-	/** Gets the position in the last report of an instance; -1 if there is none. */
-	getPosition: (instance: InstanceId) => number;
+	/** Asks every target once. */
+	probeAll: (targets: readonly TargetId[]) => Promise<void>;
+	get: (target: TargetId) => TargetHealth;
+	/** Tells whether the last probe of a target was answered. */
+	isReachable: (target: TargetId) => boolean;
+	/** Tells whether a target has not answered for so long that it counts as failed. */
+	hasFailed: (target: TargetId) => boolean;
+	/** Gets the position in the last report of a target; -1 if there is none. */
+	getPosition: (target: TargetId) => number;
 	/** Gets the proved age of a replica's data, in milliseconds; `undefined` if nothing is proved. */
-	getAgeMs: (instance: InstanceId) => number | undefined;
-	/** Tells whether an instance is known to have held more than it does now. */
-	hasLostData: (instance: InstanceId) => boolean;
-	/** Forgets what an instance held, as its log is rewound on purpose. */
-	forget: (instance: InstanceId) => void;
+	getAgeMs: (target: TargetId) => number | undefined;
+	/** Tells whether a target is known to have held more than it does now. */
+	hasLostData: (target: TargetId) => boolean;
+	/** Forgets what a target held, as its log is rewound on purpose. */
+	forget: (target: TargetId) => void;
 	/** Notes the position of the primary at an instant. */
 	notePosition: (position: number, at: Instant) => void;
 }>;
 
-/** Time without an answer after which an instance counts as failed. */
+/** Time without an answer after which a target counts as failed. */
 export const FAILED_AFTER_MS = 500;
 
 const HISTORY_LENGTH = 600;
-const UNKNOWN: InstanceHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
+const UNKNOWN: TargetHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
 
 type Sample = Readonly<{position: number; at: Instant}>;
 
-/** Creates the health of instances that have not been asked yet. */
-export const createHealth = (probe: Probe, world: World, onChange: (instance: InstanceId, reachable: boolean) => void): Health => {
-	const healths = new Map<InstanceId, InstanceHealth>();
+/** Creates the health of targets that have not been asked yet. */
+export const createHealth = (probe: Probe, world: World, onChange: (target: TargetId, reachable: boolean) => void): Health => {
+	const healths = new Map<TargetId, TargetHealth>();
 	const history: Sample[] = [];
-	const highest = new Map<InstanceId, number>();
+	const highest = new Map<TargetId, number>();
 
-	const get = (instance: InstanceId): InstanceHealth => healths.get(instance) ?? UNKNOWN;
+	const get = (target: TargetId): TargetHealth => healths.get(target) ?? UNKNOWN;
 
-	const probeOne = async (instance: InstanceId) => {
+	const probeOne = async (target: TargetId) => {
 		const askedAt = world.now();
-		const report = await probe(instance);
-		const before = get(instance);
+		const report = await probe(target);
+		const before = get(target);
 		if (report.ok) {
-			healths.set(instance, {report: report.val, answeredAt: askedAt, failingSince: undefined});
-			highest.set(instance, Math.max(report.val.position, highest.get(instance) ?? 0));
+			healths.set(target, {report: report.val, answeredAt: askedAt, failingSince: undefined});
+			highest.set(target, Math.max(report.val.position, highest.get(target) ?? 0));
 		} else {
-			healths.set(instance, {...before, failingSince: before.failingSince ?? askedAt});
+			healths.set(target, {...before, failingSince: before.failingSince ?? askedAt});
 		}
 
 		const isFirst = before === UNKNOWN;
 		const wasReachable = before.failingSince === undefined;
 		if (isFirst || wasReachable !== report.ok) {
-			onChange(instance, report.ok);
+			onChange(target, report.ok);
 		}
 	};
 
 	return {
-		async probeAll(instances) {
-			await Promise.all(instances.map(async instance => probeOne(instance)));
+		async probeAll(targets) {
+			await Promise.all(targets.map(async target => probeOne(target)));
 		},
 		get,
-		isReachable(instance) {
-			const health = get(instance);
+		isReachable(target) {
+			const health = get(target);
 			return health.report !== undefined && health.failingSince === undefined;
 		},
-		hasFailed(instance) {
-			const {failingSince} = get(instance);
+		hasFailed(target) {
+			const {failingSince} = get(target);
 			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILED_AFTER_MS), world.now());
 		},
-		getPosition: instance => get(instance).report?.position ?? -1,
-		getAgeMs(instance) {
-			const position = get(instance).report?.position ?? -1;
+		getPosition: target => get(target).report?.position ?? -1,
+		getAgeMs(target) {
+			const position = get(target).report?.position ?? -1;
 			const sample = history.findLast(one => one.position <= position);
 			return sample ? world.now() - sample.at : undefined;
 		},
-		hasLostData: instance => (get(instance).report?.position ?? Number.POSITIVE_INFINITY) < (highest.get(instance) ?? 0),
-		forget(instance) {
-			highest.delete(instance);
+		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highest.get(target) ?? 0),
+		forget(target) {
+			highest.delete(target);
 		},
 		notePosition(position, at) {
 			history.push({position, at});
--- a/packages/failover/src/record.ts
+++ b/packages/failover/src/record.ts
@@ -1,26 +1,26 @@
 /** The record of a database in the store: who leads, since when, and who holds every acknowledged write. */
 
 import {
-	Err, getMessage, Ok, type DatabaseId, type Failure, type InstanceId, type Result,
+	Err, getMessage, Ok, type DatabaseId, type Failure, type TargetId, type Result,
 } from '@guavapitch/core';
 
 /** Start of one term. */
-export type TermStart = Readonly<{term: number; primary: InstanceId; position: number}>;
+export type TermStart = Readonly<{term: number; primary: TargetId; position: number}>;
 
 /** Record of a database; changed only by compare-and-swap. */
 export type GroupRecord = Readonly<{
 	database: DatabaseId;
 	/** Grows by one with each primary. */
 	term: number;
-	primary: InstanceId;
+	primary: TargetId;
 	/** Whether acknowledgements wait for replicas; if not, replicas may lack acknowledged writes. */
 	replicated: boolean;
 	/** Fewest replicas that acknowledgements wait for; with fewer at hand there are none. */
 	minimumSynced: number;
 	/** Replicas that every acknowledgement waits for. */
-	synced: readonly InstanceId[];
+	synced: readonly TargetId[];
 	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
-	joining: readonly InstanceId[];
+	joining: readonly TargetId[];
 	/** Whether the primary has led in this term; a primary that was not yet promoted may still be. */
 	confirmed: boolean;
 	/** Recent terms, oldest first. */
@@ -57,20 +57,20 @@
 export type AcknowledgementRule = Pick<GroupRecord, 'replicated' | 'minimumSynced'>;
 
 /** Creates the first record of a database. */
-export const createRecord = (database: DatabaseId, primary: InstanceId, position: number, {replicated, minimumSynced}: AcknowledgementRule): GroupRecord => ({
+export const createRecord = (database: DatabaseId, primary: TargetId, position: number, {replicated, minimumSynced}: AcknowledgementRule): GroupRecord => ({
 	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], confirmed: true, starts: [{term: 1, primary, position}],
 });
 
 /** Creates the record after a promotion. */
-export const promoteRecord = (record: GroupRecord, primary: InstanceId, position: number): GroupRecord => ({
+export const promoteRecord = (record: GroupRecord, primary: TargetId, position: number): GroupRecord => ({
 	...record,
 	term: record.term + 1,
 	primary,
-	synced: record.synced.filter(instance => instance !== primary),
+	synced: record.synced.filter(target => target !== primary),
 	joining: [],
 	confirmed: false,
 	starts: [...record.starts, {term: record.term + 1, primary, position}].slice(-KEPT_STARTS),
 });
 
 /** Gets the replicas that acknowledgements wait for. */
-export const getAwaited = (record: GroupRecord): readonly InstanceId[] => [...record.synced, ...record.joining];
+export const getAwaited = (record: GroupRecord): readonly TargetId[] => [...record.synced, ...record.joining];
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/steward.ts
@@ -1,7 +1,7 @@
 /** The steward of one database: the only task in the fleet that may change its record. */
 
 import {
-	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type InstanceId, type Instant, type Result, type World,
+	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
@@ -14,34 +14,34 @@
 	createRecord, formatGroupKey, formatRecord, getAwaited, parseRecord, promoteRecord, type GroupRecord, type GroupView,
 } from './record.js';
 
-/** Commands to instances. */
-export type InstanceCommands = Readonly<{
+/** Commands to targets. */
+export type TargetCommands = Readonly<{
 	probe: Probe;
 	/** Makes a replica the primary. */
-	promote: (instance: InstanceId) => Promise<Result<unknown, Failure>>;
+	promote: (target: TargetId) => Promise<Result<unknown, Failure>>;
 	/** Makes a replica follow a primary; with no primary it follows nobody. */
-	follow: (instance: InstanceId, primary: InstanceId | undefined) => Promise<Result<unknown, Failure>>;
-	/** Makes an instance with a history of its own a replica of the primary. */
-	rejoin: (instance: InstanceId, primary: InstanceId) => Promise<Result<unknown, Failure>>;
+	follow: (target: TargetId, primary: TargetId | undefined) => Promise<Result<unknown, Failure>>;
+	/** Makes a target with a history of its own a replica of the primary. */
+	rejoin: (target: TargetId, primary: TargetId) => Promise<Result<unknown, Failure>>;
 }>;
 
 /** Steps of a failover, for the time line. */
 export type StewardEvent
-	= | Readonly<{kind: 'started'; primary: InstanceId; term: number}>
+	= | Readonly<{kind: 'started'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'grantsEnded'; term: number}>
 		| Readonly<{kind: 'recordChanged'; record: GroupRecord; revision: number}>
-		| Readonly<{kind: 'promoted'; primary: InstanceId; term: number}>
-		| Readonly<{kind: 'finished'; primary: InstanceId; term: number}>
+		| Readonly<{kind: 'promoted'; primary: TargetId; term: number}>
+		| Readonly<{kind: 'finished'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'blocked'; reason: string}>
-		| Readonly<{kind: 'rejoined'; instance: InstanceId; primary: InstanceId}>
-		| Readonly<{kind: 'instance'; instance: InstanceId; reachable: boolean}>;
+		| Readonly<{kind: 'rejoined'; target: TargetId; primary: TargetId}>
+		| Readonly<{kind: 'target'; target: TargetId; reachable: boolean}>;
 
 /** What a steward needs. */
 export type StewardContext = Readonly<{
 	world: World;
 	store: Store;
 	getDatabase: () => StewardedDatabase | undefined;
-	commands: InstanceCommands;
+	commands: TargetCommands;
 	/** Gets the deadline of the authority over the database. */
 	getAuthority: () => Deadline;
 	/** Asks a holder to give up permissions. */
@@ -69,8 +69,8 @@
 export const createSteward = (context: StewardContext, database: DatabaseId): Steward => {
 	const {world, store, commands, onEvent} = context;
 	const granter = createGranter(world);
-	const health: Health = createHealth(commands.probe, world, (instance, reachable) => {
-		onEvent({kind: 'instance', instance, reachable});
+	const health: Health = createHealth(commands.probe, world, (target, reachable) => {
+		onEvent({kind: 'target', target, reachable});
 	});
 	let view: GroupView | undefined;
 	let permissions: Permissions = NONE;
@@ -80,14 +80,14 @@
 	const hasAuthority = () => !isPast(context.getAuthority(), world.now());
 
 	const getAges = (): Readonly<Record<string, number>> => {
-		const instances = context.getDatabase()?.instances ?? [];
-		const ages = instances.map(instance => [instance, health.getAgeMs(instance)] as const);
-		return Object.fromEntries(ages.filter((pair): pair is readonly [InstanceId, number] => pair[1] !== undefined));
+		const targets = context.getDatabase()?.targets ?? [];
+		const ages = targets.map(target => [target, health.getAgeMs(target)] as const);
+		return Object.fromEntries(ages.filter((pair): pair is readonly [TargetId, number] => pair[1] !== undefined));
 	};
 
 	/** Gets the replicas of the synced set that are seen to live and to hold what they held. */
-	const getReadable = (record: GroupRecord): readonly InstanceId[] => record.synced
-		.filter(instance => health.isReachable(instance) && !health.hasLostData(instance));
+	const getReadable = (record: GroupRecord): readonly TargetId[] => record.synced
+		.filter(target => health.isReachable(target) && !health.hasLostData(target));
 
 	const block = (reason: string) => {
 		if (blocked !== reason) {
@@ -179,25 +179,25 @@
 	});
 
 	const bootstrap = async (settings: StewardedDatabase, signal: AbortSignal) => {
-		const leaders = settings.instances
-			.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica === false)
+		const leaders = settings.targets
+			.filter(target => health.isReachable(target) && health.get(target).report?.isReplica === false)
 			.toSorted((a, b) => (health.get(b).report?.timeline ?? 0) - (health.get(a).report?.timeline ?? 0));
 		const [primary] = leaders;
 		if (primary) {
 			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
 		} else {
-			block('no instance leads');
+			block('no target leads');
 		}
 	};
 
 	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most; one that stays goes first. */
-	const chooseSuccessor = async (record: GroupRecord): Promise<InstanceId | undefined> => {
+	const chooseSuccessor = async (record: GroupRecord): Promise<TargetId | undefined> => {
 		const leaving = new Set(context.getDatabase()?.leaving);
-		const reachable = record.synced.filter(instance => health.isReachable(instance) && !health.hasLostData(instance));
-		await Promise.all(reachable.map(async instance => commands.follow(instance, undefined)));
+		const reachable = record.synced.filter(target => health.isReachable(target) && !health.hasLostData(target));
+		await Promise.all(reachable.map(async target => commands.follow(target, undefined)));
 		await health.probeAll(reachable);
 		return reachable
-			.filter(instance => health.isReachable(instance) && !health.hasLostData(instance))
+			.filter(target => health.isReachable(target) && !health.hasLostData(target))
 			.toSorted((a, b) => Number(leaving.has(a)) - Number(leaving.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
 	};
 
@@ -209,12 +209,12 @@
 		}
 
 		onEvent({kind: 'promoted', primary: record.primary, term: record.term});
-		await Promise.all(getAwaited(record).map(async instance => commands.follow(instance, record.primary)));
+		await Promise.all(getAwaited(record).map(async target => commands.follow(target, record.primary)));
 		return writeRecord({...record, confirmed: true}, signal);
 	};
 
 	const failOver = async (record: GroupRecord, planned: boolean, signal: AbortSignal) => {
-		if (!record.synced.some(instance => health.isReachable(instance))) {
+		if (!record.synced.some(target => health.isReachable(target))) {
 			block('no replica of the synced set can be reached');
 			return;
 		}
@@ -233,12 +233,12 @@
 			return;
 		}
 
-		const lost = record.synced.filter(instance => !health.isReachable(instance) || health.hasLostData(instance));
+		const lost = record.synced.filter(target => !health.isReachable(target) || health.hasLostData(target));
 		if (lost.length > 0) {
 			await endGrants(ALL, signal);
 		}
 
-		const kept = {...record, synced: record.synced.filter(instance => !lost.includes(instance))};
+		const kept = {...record, synced: record.synced.filter(target => !lost.includes(target))};
 		if (!await writeRecord(promoteRecord(kept, successor, health.getPosition(successor)), signal) || !view) {
 			return;
 		}
@@ -257,7 +257,7 @@
 		return health.isReachable(record.primary) && report !== undefined && ((record.confirmed && report.isReplica) || report.position < start);
 	};
 
-	/** Makes instances that lead or follow wrongly follow the primary. */
+	/** Makes targets that lead or follow wrongly follow the primary. */
 	const repair = async (record: GroupRecord, settings: StewardedDatabase) => {
 		if (!isPast(repairAt, world.now()) || !hasAuthority()) {
 			return;
@@ -265,16 +265,16 @@
 
 		repairAt = createDeadline(world.now(), REPAIR_MS);
 		const following = health.get(record.primary).report?.replayed ?? new Map<string, number>();
-		const strays = settings.instances.filter(instance => instance !== record.primary && health.isReachable(instance) && !following.has(instance));
-		await Promise.all(strays.map(async instance => {
-			const leads = health.get(instance).report?.isReplica === false;
-			const isBehind = (health.get(instance).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
-			if (leads || (isBehind && health.getPosition(instance) > (record.starts.at(-1)?.position ?? 0))) {
-				await commands.rejoin(instance, record.primary);
-				health.forget(instance);
-				onEvent({kind: 'rejoined', instance, primary: record.primary});
+		const strays = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !following.has(target));
+		await Promise.all(strays.map(async target => {
+			const leads = health.get(target).report?.isReplica === false;
+			const isBehind = (health.get(target).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
+			if (leads || (isBehind && health.getPosition(target) > (record.starts.at(-1)?.position ?? 0))) {
+				await commands.rejoin(target, record.primary);
+				health.forget(target);
+				onEvent({kind: 'rejoined', target, primary: record.primary});
 			} else {
-				await commands.follow(instance, record.primary);
+				await commands.follow(target, record.primary);
 			}
 		}));
 	};
@@ -299,7 +299,7 @@
 
 	const workOnce = async (settings: StewardedDatabase, signal: AbortSignal) => {
 		const probedAt: Instant = world.now();
-		await health.probeAll(settings.instances);
+		await health.probeAll(settings.targets);
 		if (!view) {
 			await bootstrap(settings, signal);
 			return;
@@ -311,7 +311,7 @@
 			health.notePosition(report.position, probedAt);
 		}
 
-		const isLeaving = settings.leaving.includes(record.primary) && record.synced.some(instance => health.isReachable(instance) && !settings.leaving.includes(instance));
+		const isLeaving = settings.leaving.includes(record.primary) && record.synced.some(target => health.isReachable(target) && !settings.leaving.includes(target));
 		const hasFailed = health.hasFailed(record.primary) || hasLostData(record);
 		if (hasFailed || isLeaving) {
 			await failOver(record, !hasFailed, signal);
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -1,7 +1,7 @@
 /** The synced set: which replicas acknowledgements wait for, and when that changes. */
 
 import {
-	createDeadline, isPast, type DatabaseId, type InstanceId, type World,
+	createDeadline, isPast, type DatabaseId, type TargetId, type World,
 } from '@guavapitch/core';
 import {ALL, type Granter, type Permissions} from './granter.js';
 import type {Health} from './health.js';
@@ -10,8 +10,8 @@
 /** Settings of a database that a steward needs. */
 export type StewardedDatabase = Readonly<{
 	database: DatabaseId;
-	instances: readonly InstanceId[];
-	leaving: readonly InstanceId[];
+	targets: readonly TargetId[];
+	leaving: readonly TargetId[];
 	minimumSynced: number;
 	/** Whether acknowledgements wait for replicas. */
 	replicated: boolean;
@@ -47,21 +47,21 @@
 	const {world, health, granter} = context;
 	let joinAt = createDeadline(world.now(), 0);
 
-	const isLagging = (instance: InstanceId, primary: InstanceId): boolean => {
-		if (health.hasFailed(instance)) {
+	const isLagging = (target: TargetId, primary: TargetId): boolean => {
+		if (health.hasFailed(target)) {
 			return true;
 		}
 
-		const age = health.getAgeMs(instance);
+		const age = health.getAgeMs(target);
 		return health.isReachable(primary) && (age === undefined || age > LAG_LIMIT_MS);
 	};
 
 	/** Takes replicas out of the set that hold up acknowledgements or have lost their data, after their read grants have ended. */
 	const dropLaggards = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
-		const joining = record.joining.filter(instance => !isLagging(instance, record.primary));
-		const lost = record.synced.filter(instance => health.hasLostData(instance));
-		const kept = record.synced.filter(instance => !lost.includes(instance));
-		const lagging = kept.filter(instance => isLagging(instance, record.primary) || settings.leaving.includes(instance));
+		const joining = record.joining.filter(target => !isLagging(target, record.primary));
+		const lost = record.synced.filter(target => health.hasLostData(target));
+		const kept = record.synced.filter(target => !lost.includes(target));
+		const lagging = kept.filter(target => isLagging(target, record.primary) || settings.leaving.includes(target));
 		const spare = Math.max(0, kept.length - settings.minimumSynced);
 		const dropped = [...lost, ...lagging.slice(0, spare)];
 		if (dropped.length === 0 && joining.length === record.joining.length) {
@@ -72,7 +72,7 @@
 			await context.endGrants(ALL, signal);
 		}
 
-		await context.writeRecord({...record, joining, synced: record.synced.filter(instance => !dropped.includes(instance))}, signal);
+		await context.writeRecord({...record, joining, synced: record.synced.filter(target => !dropped.includes(target))}, signal);
 		context.allowAll();
 		return true;
 	};
@@ -96,12 +96,12 @@
 
 	/** Starts to wait for a caught-up replica; it counts as synced once it holds all that was acknowledged without it. */
 	const startJoin = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
-		const candidates = settings.instances.filter(instance => instance !== record.primary
-			&& !getAwaited(record).includes(instance)
-			&& !settings.leaving.includes(instance)
-			&& health.isReachable(instance)
-			&& health.get(record.primary).report?.replayed.has(instance)
-			&& !isLagging(instance, record.primary));
+		const candidates = settings.targets.filter(target => target !== record.primary
+			&& !getAwaited(record).includes(target)
+			&& !settings.leaving.includes(target)
+			&& health.isReachable(target)
+			&& health.get(record.primary).report?.replayed.has(target)
+			&& !isLagging(target, record.primary));
 		if (candidates.length === 0 || !isPast(joinAt, world.now())) {
 			return false;
 		}
@@ -128,7 +128,7 @@
 
 		while (!isPast(deadline, world.now()) && !signal.aborted) {
 			await health.probeAll(record.joining);
-			const joined = record.joining.filter(instance => health.isReachable(instance) && health.get(instance).report?.isReplica && health.getPosition(instance) >= needed);
+			const joined = record.joining.filter(target => health.isReachable(target) && health.get(target).report?.isReplica && health.getPosition(target) >= needed);
 			if (joined.length === record.joining.length) {
 				return context.writeRecord({...record, joining: [], synced: [...record.synced, ...joined]}, signal);
 			}
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -1,21 +1,21 @@
-/** A small group of instances for tests: logs that are copied, led and cut on a virtual clock. */
+/** A small group of targets for tests: logs that are copied, led and cut on a virtual clock. */
 
 import {
-	Err, Ok, type Failure, type InstanceId, type Result, type World,
+	Err, Ok, type Failure, type TargetId, type Result, type World,
 } from '@guavapitch/core';
-import type {InstanceReport} from '../health.js';
-import type {InstanceCommands} from '../steward.js';
+import type {TargetReport} from '../health.js';
+import type {TargetCommands} from '../steward.js';
 
-/** Who a fault keeps from an instance. */
+/** Who a fault keeps from a target. */
 export type Cut = Readonly<{fromSteward: boolean; fromHomes: boolean; fromReplicas: boolean}>;
 
-/** One instance. */
-export type FakeInstance = {
-	readonly name: InstanceId;
+/** One target. */
+export type FakeTarget = {
+	readonly name: TargetId;
 	log: readonly string[];
 	isReplica: boolean;
 	timeline: number;
-	upstream: InstanceId | undefined;
+	upstream: TargetId | undefined;
 	/** What each follower has said to hold. */
 	readonly replayed: Map<string, number>;
 	cut: Cut;
@@ -25,8 +25,8 @@
 
 /** A group. */
 export type FakeGroup = Readonly<{
-	get: (name: InstanceId) => FakeInstance;
-	commands: InstanceCommands;
+	get: (name: TargetId) => FakeTarget;
+	commands: TargetCommands;
 	/** Copies logs until the signal aborts. */
 	replicate: (signal: AbortSignal) => Promise<void>;
 }>;
@@ -34,13 +34,13 @@
 /** No cut. */
 export const WHOLE: Cut = {fromSteward: false, fromHomes: false, fromReplicas: false};
 
-/** Takes an instance's data away; it comes back as an empty replica that follows nobody. */
-export const clearInstance = (instance: FakeInstance): void => {
-	instance.log = [];
-	instance.isReplica = true;
-	instance.timeline = 1;
-	instance.upstream = undefined;
-	instance.replayed.clear();
+/** Takes a target's data away; it comes back as an empty replica that follows nobody. */
+export const clearTarget = (target: FakeTarget): void => {
+	target.log = [];
+	target.isReplica = true;
+	target.timeline = 1;
+	target.upstream = undefined;
+	target.replayed.clear();
 };
 
 const LAG_MS = 15;
@@ -51,40 +51,40 @@
 
 const isPrefix = (short: readonly string[], long: readonly string[]): boolean => short.length <= long.length && short.every((entry, index) => entry === long[index]);
 
-/** Creates a group; the first instance leads. */
-export const createFakeGroup = (names: readonly InstanceId[], world: World): FakeGroup => {
+/** Creates a group; the first target leads. */
+export const createFakeGroup = (names: readonly TargetId[], world: World): FakeGroup => {
 	const [first] = names;
-	const instances = new Map(names.map((name): [InstanceId, FakeInstance] => [name, {
+	const targets = new Map(names.map((name): [TargetId, FakeTarget] => [name, {
 		name, log: [], isReplica: name !== first, timeline: 1, upstream: name === first ? undefined : first, replayed: new Map(), cut: WHOLE, isDown: false, lagMs: LAG_MS,
 	}]));
 
-	const get = (name: InstanceId): FakeInstance => {
-		const found = instances.get(name);
+	const get = (name: TargetId): FakeTarget => {
+		const found = targets.get(name);
 		if (!found) {
-			throw new RangeError(`no instance ${name}`);
+			throw new RangeError(`no target ${name}`);
 		}
 
 		return found;
 	};
 
 	/** Carries a command there and the answer back; either may be lost to a cut. */
-	const command = async <Answer>(name: InstanceId, run: (instance: FakeInstance) => Answer): Promise<Result<Answer, Failure>> => {
-		const instance = get(name);
+	const command = async <Answer>(name: TargetId, run: (target: FakeTarget) => Answer): Promise<Result<Answer, Failure>> => {
+		const target = get(name);
 		await world.sleep(world.random() * LONGEST_CALL_MS);
-		if (instance.cut.fromSteward || instance.isDown) {
+		if (target.cut.fromSteward || target.isDown) {
 			await world.sleep(CALL_TIMEOUT_MS);
 			return Err(LOST);
 		}
 
-		const answer = run(instance);
+		const answer = run(target);
 		await world.sleep(world.random() * LONGEST_CALL_MS);
-		return instance.cut.fromSteward || instance.isDown ? Err(LOST) : Ok(answer);
+		return target.cut.fromSteward || target.isDown ? Err(LOST) : Ok(answer);
 	};
 
-	const copyOnce = (replica: FakeInstance) => {
+	const copyOnce = (replica: FakeTarget) => {
 		const source = replica.upstream ? get(replica.upstream) : undefined;
 		const isOpen = source && !source.cut.fromReplicas && !replica.cut.fromReplicas && !source.isDown && !replica.isDown && replica.isReplica;
-		for (const other of instances.values()) {
+		for (const other of targets.values()) {
 			if (other !== source || !isOpen) {
 				other.replayed.delete(replica.name);
 			}
@@ -100,32 +100,32 @@
 	return {
 		get,
 		commands: {
-			probe: async name => command(name, ({isReplica, timeline, log, replayed}): InstanceReport => ({
+			probe: async name => command(name, ({isReplica, timeline, log, replayed}): TargetReport => ({
 				isReplica, timeline, position: log.length, replayed: new Map(replayed),
 			})),
-			promote: async name => command(name, instance => {
-				if (instance.isReplica) {
-					instance.isReplica = false;
-					instance.timeline++;
-					instance.upstream = undefined;
+			promote: async name => command(name, target => {
+				if (target.isReplica) {
+					target.isReplica = false;
+					target.timeline++;
+					target.upstream = undefined;
 				}
 			}),
-			follow: async (name, primary) => command(name, instance => {
-				instance.upstream = primary;
+			follow: async (name, primary) => command(name, target => {
+				target.upstream = primary;
 			}),
-			rejoin: async (name, primary) => command(name, instance => {
+			rejoin: async (name, primary) => command(name, target => {
 				const leader = get(primary);
-				const common = instance.log.findIndex((entry, index) => entry !== leader.log[index]);
-				instance.log = common === -1 ? instance.log.slice(0, leader.log.length) : instance.log.slice(0, common);
-				instance.isReplica = true;
-				instance.timeline = leader.timeline;
-				instance.upstream = primary;
+				const common = target.log.findIndex((entry, index) => entry !== leader.log[index]);
+				target.log = common === -1 ? target.log.slice(0, leader.log.length) : target.log.slice(0, common);
+				target.isReplica = true;
+				target.timeline = leader.timeline;
+				target.upstream = primary;
 			}),
 		},
 		async replicate(signal) {
-			const due = new Map<InstanceId, number>();
+			const due = new Map<TargetId, number>();
 			while (!signal.aborted) {
-				for (const replica of instances.values()) {
+				for (const replica of targets.values()) {
 					if (world.now() >= (due.get(replica.name) ?? 0)) {
 						due.set(replica.name, world.now() + replica.lagMs);
 						copyOnce(replica);
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type DatabaseId, type InstanceId, type VmId,
+	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {createDurability} from '../durability.js';
 import {ALL, createGranter, GRANT_MS} from '../granter.js';
@@ -12,8 +12,8 @@
 import {createRecord, promoteRecord, type GroupView} from '../record.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
-const PRIMARY = parseId<InstanceId>('orders-1');
-const REPLICA = parseId<InstanceId>('orders-2');
+const PRIMARY = parseId<TargetId>('orders-1');
+const REPLICA = parseId<TargetId>('orders-2');
 
 const createView = (revision: number): GroupView => ({revision, record: {...createRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
 
@@ -119,7 +119,7 @@
 				return Ok({position: 100, replayed: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
 			const state = wait({
-				database: DATABASE, instance: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
+				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
 			});
 			await advance(50);
 			change(book, world);
--- a/packages/failover/src/tests/steward.test.ts
+++ b/packages/failover/src/tests/steward.test.ts
@@ -5,18 +5,18 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualWorld, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type InstanceId, type VmId, type World,
+	createDeadline, createVirtualWorld, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createDurability} from '../durability.js';
 import {createGrantBook, type GrantBook, type GrantReply} from '../grants.js';
 import {createSteward, type Steward} from '../steward.js';
 import {
-	clearInstance, createFakeGroup, WHOLE, type Cut, type FakeGroup,
+	clearTarget, createFakeGroup, WHOLE, type Cut, type FakeGroup,
 } from './fake-group.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
-const NAMES = ['orders-1', 'orders-2', 'orders-3'].map(name => parseId<InstanceId>(name));
+const NAMES = ['orders-1', 'orders-2', 'orders-3'].map(name => parseId<TargetId>(name));
 const HOMES = 2;
 const RUN_MS = 14_000;
 const FAULTS_MS = 8000;
@@ -25,31 +25,31 @@
 
 /** One fault of a run. */
 type Fault
-	= | Readonly<{kind: 'cut'; instance: number; cut: Cut; atMs: number; forMs: number}>
-		| Readonly<{kind: 'lag'; instance: number; lagMs: number; atMs: number; forMs: number}>
-		| Readonly<{kind: 'destroy'; instance: number; atMs: number; forMs: number}>
+	= | Readonly<{kind: 'cut'; target: number; cut: Cut; atMs: number; forMs: number}>
+		| Readonly<{kind: 'lag'; target: number; lagMs: number; atMs: number; forMs: number}>
+		| Readonly<{kind: 'destroy'; target: number; atMs: number; forMs: number}>
 		| Readonly<{kind: 'storeDown'; atMs: number; forMs: number}>
 		| Readonly<{kind: 'loseAnswers'; atMs: number; forMs: number}>
 		| Readonly<{kind: 'acknowledgeByPrimary'; atMs: number; forMs: number}>
 		| Readonly<{kind: 'newSteward'; gapMs: number; atMs: number; forMs: number}>
-		| Readonly<{kind: 'leaving'; instance: number; atMs: number; forMs: number}>;
+		| Readonly<{kind: 'leaving'; target: number; atMs: number; forMs: number}>;
 
 const atMs = fc.integer({min: 1000, max: FAULTS_MS - 2500});
 const forMs = fc.integer({min: 50, max: 2500});
-const instance = fc.nat({max: NAMES.length - 1});
+const target = fc.nat({max: NAMES.length - 1});
 const cut = fc.record({fromSteward: fc.boolean(), fromHomes: fc.boolean(), fromReplicas: fc.boolean()});
 const lag: fc.Arbitrary<Fault> = fc.record({
-	kind: fc.constant('lag' as const), instance, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
+	kind: fc.constant('lag' as const), target, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
 });
 const fault: fc.Arbitrary<Fault> = fc.oneof(
 	{
 		weight: 4, arbitrary: fc.record({
-			kind: fc.constant('cut' as const), instance, cut, atMs, forMs,
+			kind: fc.constant('cut' as const), target, cut, atMs, forMs,
 		}),
 	},
 	lag,
 	fc.record({
-		kind: fc.constant('destroy' as const), instance, atMs, forMs: fc.integer({min: 2000, max: 2500}),
+		kind: fc.constant('destroy' as const), target, atMs, forMs: fc.integer({min: 2000, max: 2500}),
 	}),
 	fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
 	fc.record({kind: fc.constant('loseAnswers' as const), atMs, forMs}),
@@ -57,7 +57,7 @@
 		kind: fc.constant('newSteward' as const), gapMs: fc.integer({min: 0, max: 500}), atMs, forMs,
 	}),
 	fc.record({
-		kind: fc.constant('leaving' as const), instance, atMs, forMs,
+		kind: fc.constant('leaving' as const), target, atMs, forMs,
 	}),
 );
 
@@ -101,7 +101,7 @@
 	const changes = faults.filter(one => one.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
 	const starts = [0, ...changes.map(one => one.atMs + one.gapMs)];
 	const ends = [...changes.map(one => one.atMs), RUN_MS * 2];
-	const getLeaving = () => NAMES.filter((_, index) => faults.some(one => one.kind === 'leaving' && one.instance === index && isDuring(one, world.now())));
+	const getLeaving = () => NAMES.filter((_, index) => faults.some(one => one.kind === 'leaving' && one.target === index && isDuring(one, world.now())));
 	const isReplicated = () => !faults.some(one => one.kind === 'acknowledgeByPrimary' && isDuring(one, world.now()));
 	const stewards = starts.map((startMs, index) => {
 		const deadline = createDeadline(world.now(), ends[index] ?? 0);
@@ -111,7 +111,7 @@
 			store,
 			commands: group.commands,
 			getDatabase: () => ({
-				database: DATABASE, instances: NAMES, leaving: getLeaving(), minimumSynced: 1, replicated: isReplicated(),
+				database: DATABASE, targets: NAMES, leaving: getLeaving(), minimumSynced: 1, replicated: isReplicated(),
 			}),
 			getAuthority,
 			async revoke(holder, _database, permissions) {
@@ -174,19 +174,19 @@
 
 		using entered = book.enterWrite(DATABASE);
 		await world.sleep(world.random() * 60);
-		const target = group.get(primary);
-		if (target.isReplica || target.isDown || target.cut.fromHomes) {
+		const asked = group.get(primary);
+		if (asked.isReplica || asked.isDown || asked.cut.fromHomes) {
 			return;
 		}
 
-		target.log = [...target.log, id];
+		asked.log = [...asked.log, id];
 		const waitUntilDurable = createDurability(book, async name => {
 			await world.sleep(world.random() * 20);
 			const {log, replayed, cut, isDown} = group.get(name);
 			return cut.fromHomes || isDown ? Err({code: 'lost', message: 'no answer'}) : Ok({position: without.replicas ? 0 : log.length, replayed: new Map(replayed)});
 		}, world);
 		const state = await waitUntilDurable({
-			database: DATABASE, instance: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
+			database: DATABASE, target: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
 		});
 		if (state === 'durable') {
 			acknowledged.add(id);
@@ -224,17 +224,17 @@
 
 const applyFaults = ({world, group, faults}: Run) => {
 	for (const [index, name] of NAMES.entries()) {
-		const cuts = faults.filter(one => one.kind === 'cut' && one.instance === index && isDuring(one, world.now())).map(one => one.kind === 'cut' ? one.cut : WHOLE);
-		const lag = faults.find(one => one.kind === 'lag' && one.instance === index && isDuring(one, world.now()));
-		const target = group.get(name);
-		target.cut = {
+		const cuts = faults.filter(one => one.kind === 'cut' && one.target === index && isDuring(one, world.now())).map(one => one.kind === 'cut' ? one.cut : WHOLE);
+		const lag = faults.find(one => one.kind === 'lag' && one.target === index && isDuring(one, world.now()));
+		const asked = group.get(name);
+		asked.cut = {
 			fromSteward: cuts.some(one => one.fromSteward), fromHomes: cuts.some(one => one.fromHomes), fromReplicas: cuts.some(one => one.fromReplicas),
 		};
-		target.lagMs = lag?.kind === 'lag' ? lag.lagMs : 15;
-		const destroyed = faults.find(one => one.kind === 'destroy' && one.instance === index && isDuring(one, world.now()));
-		target.isDown = destroyed !== undefined;
+		asked.lagMs = lag?.kind === 'lag' ? lag.lagMs : 15;
+		const destroyed = faults.find(one => one.kind === 'destroy' && one.target === index && isDuring(one, world.now()));
+		asked.isDown = destroyed !== undefined;
 		if (destroyed) {
-			clearInstance(target);
+			clearTarget(asked);
 		}
 	}
 };
@@ -262,7 +262,7 @@
 	return homes.getOutcome();
 };
 
-/** A rule of one replica survives the loss of one instance's data; that a replica lost its data is known only to the steward that saw it. */
+/** A rule of one replica survives the loss of one target's data; that a replica lost its data is known only to the steward that saw it. */
 const hasOneDestruction = (faults: readonly Fault[]): boolean => {
 	const destroyed = faults.filter(one => one.kind === 'destroy').length;
 	return destroyed === 0 || (destroyed === 1 && !faults.some(one => one.kind === 'newSteward'));
--- a/packages/inventory/src/references.ts
+++ b/packages/inventory/src/references.ts
@@ -5,25 +5,25 @@
 /** A reference that leads nowhere. */
 export type BrokenReference = Readonly<{path: ReadonlyArray<string | number>; message: string}>;
 
-const checkInstances = (inventory: Inventory): readonly BrokenReference[] => {
+const checkTargets = (inventory: Inventory): readonly BrokenReference[] => {
 	const seen = new Set<string>();
 	const broken: BrokenReference[] = [];
 	for (const [databaseName, database] of Object.entries(inventory.databases)) {
-		for (const [index, instance] of database.instances.entries()) {
-			const path = ['databases', databaseName, 'instances', index];
-			if (seen.has(instance.name)) {
-				broken.push({path: [...path, 'name'], message: `instance ${instance.name} stands twice`});
+		for (const [index, target] of database.targets.entries()) {
+			const path = ['databases', databaseName, 'targets', index];
+			if (seen.has(target.name)) {
+				broken.push({path: [...path, 'name'], message: `target ${target.name} stands twice`});
 			}
 
-			if (!inventory.dataCentres.includes(instance.dataCentre)) {
+			if (!inventory.dataCentres.includes(target.dataCentre)) {
 				broken.push({path: [...path, 'dataCentre'], message: `expected one of ${inventory.dataCentres.join(', ')}`});
 			}
 
-			seen.add(instance.name);
+			seen.add(target.name);
 		}
 
-		if (database.minimumSynced >= database.instances.length && database.instances.length > 1) {
-			broken.push({path: ['databases', databaseName, 'minimumSynced'], message: `expected at most ${database.instances.length - 1}, the number of replicas`});
+		if (database.minimumSynced >= database.targets.length && database.targets.length > 1) {
+			broken.push({path: ['databases', databaseName, 'minimumSynced'], message: `expected at most ${database.targets.length - 1}, the number of replicas`});
 		}
 	}
 
@@ -46,5 +46,5 @@
 
 /** Finds every reference that leads nowhere. */
 export const findBrokenReferences = (inventory: Inventory): readonly BrokenReference[] => [
-	...checkInstances(inventory), ...checkServices(inventory), ...checkCustomers(inventory), ...checkKeys(inventory),
+	...checkTargets(inventory), ...checkServices(inventory), ...checkCustomers(inventory), ...checkKeys(inventory),
 ];
--- a/packages/inventory/src/schemas.ts
+++ b/packages/inventory/src/schemas.ts
@@ -6,21 +6,31 @@
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/v, 'expected host:port');
 const positive = z.number().int().positive();
 
-/** One instance of a database. */
-export const instanceSchema = z.strictObject({
+/** One target of a database. */
+export const targetSchema = z.strictObject({
 	name,
 	dataCentre: name,
 	address,
-	/** Statements the instance runs at a time. */
+	/** Statements the target runs at a time. */
 	slots: positive,
-	/** Connections the instance accepts. */
+	/** Connections the target accepts. */
 	connections: positive.min(4, 'expected at least 4 connections'),
 	/** Gets no new work. */
 	leaving: z.boolean().default(false),
 }).readonly();
 
+/** Takes the name that the list of targets had in documents of earlier versions. */
+const renameFormerKeys = (database: unknown): unknown => {
+	if (typeof database !== 'object' || database === null || !('instances' in database) || 'targets' in database) {
+		return database;
+	}
+
+	const {instances, ...others} = database;
+	return {...others, targets: instances};
+};
+
 /** One database: a primary and its replicas. */
-export const databaseSchema = z.strictObject({
+export const databaseSchema = z.preprocess(renameFormerKeys, z.strictObject({
 	/** `replicated`: an answer waits for the synced replicas; `primary`: it does not, and a failover may lose it. */
 	acknowledge: z.enum(['replicated', 'primary']).default('replicated'),
 	/** Replicas that must stay in the synced set. */
@@ -29,10 +39,10 @@
 	user: z.string().min(1).default('guavapitch'),
 	/** Environment variable of the proxies that holds the password of that user. */
 	passwordVariable: z.string().regex(/^[A-Z][\dA-Z_]*$/v).optional(),
-	/** Database name on the instances. */
+	/** Database name on the targets. */
 	databaseName: z.string().min(1).default('postgres'),
-	instances: z.array(instanceSchema).min(1).readonly(),
-}).readonly();
+	targets: z.array(targetSchema).min(1).readonly(),
+}).readonly());
 
 /** One service: what callers name as their database. */
 export const serviceSchema = z.strictObject({
@@ -53,7 +63,7 @@
 	rate: z.number().positive(),
 	/** Requests at once over the whole fleet. */
 	burst: positive.min(2, 'expected at least 2'),
-	/** Share of a busy instance, relative to the other customers. */
+	/** Share of a busy target, relative to the other customers. */
 	weight: z.number().positive().default(1),
 	/** Services the customer may use. */
 	services: z.array(name).min(1).readonly(),
@@ -85,8 +95,8 @@
 	keys: z.record(name, keySchema).readonly().default({}),
 }).readonly();
 
-/** One instance of a database. */
-export type Instance = z.infer<typeof instanceSchema>;
+/** One target of a database. */
+export type Target = z.infer<typeof targetSchema>;
 
 /** One database. */
 export type Database = z.infer<typeof databaseSchema>;
--- a/packages/inventory/src/tests/parser.test.ts
+++ b/packages/inventory/src/tests/parser.test.ts
@@ -10,7 +10,7 @@
 dataCentres: [brno-sever]
 databases:
   motions:
-    instances:
+    targets:
       - {name: motions-1, dataCentre: brno-sever, address: "127.0.0.1:5500", slots: 2, connections: 35}
 services:
   motions: {database: motions}
@@ -34,6 +34,11 @@
 			assert.deepEqual(inventory.keys, {});
 		});
 
+		it('reads the former name of the list of targets', () => {
+			assert.deepEqual(parseInventory(GOOD.replace('targets:', 'instances:')).unwrap(), parseInventory(GOOD).unwrap());
+			assert.ok(findIssue(GOOD.replace('targets:', 'instances: []\n    targets:')), 'both names at once');
+		});
+
 		it('names line, path and what was expected', () => {
 			assert.deepEqual(findIssue(GOOD.replace('rate: 10', 'rate: fast'))?.path, 'customers.klub.rate');
 			assert.equal(findIssue(GOOD.replace('rate: 10', 'rate: fast'))?.line, 10);
--- a/packages/load/src/targets.ts
+++ b/packages/load/src/entries.ts
@@ -3,7 +3,7 @@
 import pg from 'pg';
 
 /** One proxy. */
-export type Target = Readonly<{host: string; port: number}>;
+export type EntryAddress = Readonly<{host: string; port: number}>;
 
 /** Who connects to what. */
 export type Login = Readonly<{keyId: string; secret: string | undefined; service: string}>;
@@ -17,10 +17,10 @@
 });
 
 /** Connects to a proxy with a stock client. */
-export const connectTarget = async (target: Target, login: Login): Promise<pg.Client> => {
+export const connectEntry = async (entry: EntryAddress, login: Login): Promise<pg.Client> => {
 	const client = new pg.Client({
-		host: target.host,
-		port: target.port,
+		host: entry.host,
+		port: entry.port,
 		user: login.keyId,
 		password: login.secret,
 		database: login.service,
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,6 +1,6 @@
 export * from './history.js';
 export * from './checker.js';
 export * from './random.js';
-export * from './targets.js';
+export * from './entries.js';
 export * from './traffic.js';
 export * from './shares.js';
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -4,7 +4,7 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
-import type {Target} from './targets.js';
+import type {EntryAddress} from './entries.js';
 import {connectAll, runOpen, type TrafficResult} from './traffic.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
@@ -16,7 +16,7 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const parseTarget = (text: string): Target => {
+const parseEntry = (text: string): EntryAddress => {
 	const [host, port] = text.split(':');
 	if (!host || !Number.isInteger(Number(port))) {
 		throw new RangeError(`--target: expected host:port, got "${text}"`);
@@ -59,7 +59,7 @@
 		.option('seed', {type: 'number', default: 1, describe: 'seed of the arrivals'})
 		.option('output', {type: 'string', describe: 'file for the result, JSON'}), async flags => {
 		const login = {keyId: flags.key, secret: flags.secret, service: flags.service};
-		const clients = await connectAll(flags.target.map(text => parseTarget(text)), login, flags.connections);
+		const clients = await connectAll(flags.target.map(text => parseEntry(text)), login, flags.connections);
 		const result = await runOpen(clients, {
 			perSecond: flags.perSecond,
 			durationMs: flags.durationMs,
--- a/packages/load/src/traffic.ts
+++ b/packages/load/src/traffic.ts
@@ -4,8 +4,8 @@
 import {build, encodeIntoCompressedBase64, type Histogram} from 'hdr-histogram-js';
 import {createRandom} from './random.js';
 import {
-	connectTarget, waitMs, type Login, type Target,
-} from './targets.js';
+	connectEntry, waitMs, type Login, type EntryAddress,
+} from './entries.js';
 
 /** What a run of traffic found; latencies in milliseconds. */
 export type TrafficResult = Readonly<{
@@ -86,9 +86,9 @@
 };
 
 /** Connects several times, spread over the proxies. */
-export const connectAll = async (targets: readonly Target[], login: Login, connections: number, first = 0): Promise<readonly pg.Client[]> => {
-	const chosen = Array.from({length: connections}, (_, index) => targets[(index + first) % targets.length]);
-	return Promise.all(chosen.filter(target => target !== undefined).map(async target => connectTarget(target, login)));
+export const connectAll = async (entries: readonly EntryAddress[], login: Login, connections: number, first = 0): Promise<readonly pg.Client[]> => {
+	const chosen = Array.from({length: connections}, (_, index) => entries[(index + first) % entries.length]);
+	return Promise.all(chosen.filter(entry => entry !== undefined).map(async entry => connectEntry(entry, login)));
 };
 
 /** Sends statements at random times whatever the answers; a latency counts from the time at which its statement was due. */
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -30,16 +30,16 @@
 /** Describes what refused a request, and what to do, in one sentence. */
 export const describeReason = (reason: string): string => match(reason)
 	.with('limitExceeded', () => 'the customer had used its rate and burst over the whole fleet: the caller waits for retry_after_ms, or its share is raised in the inventory')
-	.with('queueFull', () => 'too many requests of this customer waited for the instance: the caller sends less at a time, or the instance gets more slots')
+	.with('queueFull', () => 'too many requests of this customer waited for the target: the caller sends less at a time, or the target gets more slots')
 	.with('keyWithdrawn', () => 'the key was withdrawn, or may not use the service: issue another key')
 	.with('keyUnconfirmed', () => 'the proxy could not confirm that its configuration is fresh: see whether it reaches the platform or a relay')
-	.with('noRoute', () => 'no instance could serve it: see whether the database has a primary, and whether its homes live')
-	.with('deadlinePassed', () => 'it was not served before its deadline: see the time line of the database for a failover or an overloaded instance')
-	.with('connectionsExhausted', () => 'no connection to the instance became free: see its limit in the inventory')
+	.with('noRoute', () => 'no target could serve it: see whether the database has a primary, and whether its homes live')
+	.with('deadlinePassed', () => 'it was not served before its deadline: see the time line of the database for a failover or an overloaded target')
+	.with('connectionsExhausted', () => 'no connection to the target became free: see its limit in the inventory')
 	.with('unsupported', () => 'guavapitch does not carry this statement; it would leave state behind on a shared connection')
 	.with('canceled', () => 'the caller cancelled it before it ran')
 	.with('rolledBack', () => 'its transaction was open for too long, or its home was lost; nothing was kept')
-	.otherwise(() => 'the instance or its home could not take it, and no other could before the deadline');
+	.otherwise(() => 'the target or its home could not take it, and no other could before the deadline');
 
 const getField = (event: EventRecord, name: string, otherwise: string): string => String(event.fields[name] ?? otherwise);
 
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -22,7 +22,7 @@
 	draining: boolean;
 	members: ReadonlyArray<Readonly<{vm: string; status: string; state: string}>>;
 	groups: ReadonlyArray<Readonly<{revision: number; record: Readonly<{database: string; term: number; primary: string; synced: readonly string[]; joining: readonly string[]}>}>>;
-	homes: ReadonlyArray<Readonly<{instance: string; queued: number; busy: number; open: number; idle: number}>>;
+	homes: ReadonlyArray<Readonly<{target: string; queued: number; busy: number; open: number; idle: number}>>;
 	metrics: Readonly<Record<string, number>>;
 }>;
 
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -143,7 +143,7 @@
 
 	for (const {vm, status} of statuses) {
 		print(status.ok
-			? `${vm.vm}  ${vm.dataCentre}  revision ${status.val.revision}  confirmed ${status.val.confirmedAgeMs} ms ago  homes ${status.val.homes.map(home => home.instance).join(' ') || '-'}`
+			? `${vm.vm}  ${vm.dataCentre}  revision ${status.val.revision}  confirmed ${status.val.confirmedAgeMs} ms ago  homes ${status.val.homes.map(home => home.target).join(' ') || '-'}`
 			: `${vm.vm}  ${vm.dataCentre}  no answer: ${status.val.message}`);
 	}
 
--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -1,11 +1,11 @@
-/** Scarce connections to one instance, opened ahead of need and reused. */
+/** Scarce connections to one target, opened ahead of need and reused. */
 
 import {
 	createDeadline, createNotifier, createScope, Err, isPast, Ok, PAST, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
 
 /** Failure of taking a connection; nothing has run. */
-export type PoolFailure = Failure<'instanceUnreachable' | 'connectionsExhausted'>;
+export type PoolFailure = Failure<'targetUnreachable' | 'connectionsExhausted'>;
 
 /** A connection that the pool can keep. */
 export type Poolable = AsyncDisposable & Readonly<{
@@ -191,7 +191,7 @@
 
 			return reachable
 				? Err({code: 'connectionsExhausted', message: 'No connection became free in time'})
-				: Err({code: 'instanceUnreachable', message: 'The instance cannot be reached'});
+				: Err({code: 'targetUnreachable', message: 'The target cannot be reached'});
 		},
 		hasCapacity: () => idle.length > 0 || open + dialling < settings.limit,
 		getOpen: () => open,
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -1,4 +1,4 @@
-/** Fair queue of one instance: customers share its slots by the time they use, by weight. */
+/** Fair queue of one target: customers share its slots by the time they use, by weight. */
 
 import {
 	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type World,
@@ -188,7 +188,7 @@
 			const account = getAccount(entry.customer);
 			const waitMs = estimateWaitMs(account);
 			if (!entry.pinned && (account.waiting.length >= QUEUE_LIMIT || world.now() + waitMs > entry.deadline)) {
-				return Err({code: 'queueFull', message: 'Too many requests of this customer wait for the instance', retryAfterMs: Math.ceil(waitMs)});
+				return Err({code: 'queueFull', message: 'Too many requests of this customer wait for the target', retryAfterMs: Math.ceil(waitMs)});
 			}
 
 			alignAccount(account);
--- a/packages/proxy/src/callers.ts
+++ b/packages/proxy/src/callers.ts
@@ -89,10 +89,10 @@
 	};
 
 	const cancel = (processId: number, secret: number) => {
-		const target = open.get(processId);
-		if (target?.secret === secret) {
-			target.control.cancel();
-		} else if (!target && readVmNumber(processId) !== context.vmNumber) {
+		const asked = open.get(processId);
+		if (asked?.secret === secret) {
+			asked.control.cancel();
+		} else if (!asked && readVmNumber(processId) !== context.vmNumber) {
 			context.forwardCancel(readVmNumber(processId), processId, secret);
 		}
 	};
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -2,7 +2,7 @@
 
 import {
 	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
-	type CustomerId, type DatabaseId, type Deadline, type InstanceId, type RequestId, type Result, type Scope, type ServiceId, type Stream, type World,
+	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type ServiceId, type Stream, type World,
 } from '@guavapitch/core';
 import {serveRequest, type HomeContext} from '@guavapitch/back-postgres';
 import type {GroupView} from '@guavapitch/failover';
@@ -39,10 +39,10 @@
 	isDraining: () => boolean;
 }>;
 
-type Target = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
+type Call = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
 
 /** A caller's chunk on its way to a home. */
-type Turn = Readonly<{caller: Caller; target: Target; chunk: RequestChunk; signal: AbortSignal}>;
+type Turn = Readonly<{caller: Caller; call: Call; chunk: RequestChunk; signal: AbortSignal}>;
 
 type RequestStream = Stream<RequestChunk, Reply>;
 
@@ -60,7 +60,7 @@
 /** Creates what the callers' tasks ask of the entry. */
 export const createEntry = (context: EntryContext): CallerContext => {
 	const {world, fleet, emit, metrics} = context;
-	const pending = new Map<InstanceId, number>();
+	const pending = new Map<TargetId, number>();
 
 	const getView = (): RoutingView | undefined => {
 		const inventory = fleet.inForce.getInventory();
@@ -68,8 +68,8 @@
 			inventory,
 			getGroup: context.getGroup,
 			getHomes: fleet.getHomes,
-			isLeaving: instance => fleet.findInstance(instance)?.instance.leaving ?? true,
-			getPending: instance => pending.get(instance) ?? 0,
+			isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
+			getPending: target => pending.get(target) ?? 0,
 			random: world.random,
 		};
 	};
@@ -102,7 +102,7 @@
 		return Ok(undefined);
 	};
 
-	const createTarget = (caller: Caller): Result<Target, Refusal> => {
+	const createCall = (caller: Caller): Result<Call, Refusal> => {
 		const inventory = fleet.inForce.getInventory();
 		const service = inventory && getService(inventory, caller.service);
 		if (!inventory || !service) {
@@ -119,17 +119,17 @@
 		});
 	};
 
-	const createHeader = (caller: Caller, target: Target, route: Route): RequestHeader => ({
-		requestId: target.requestId,
+	const createHeader = (caller: Caller, call: Call, route: Route): RequestHeader => ({
+		requestId: call.requestId,
 		service: caller.service,
-		database: target.database,
-		instance: route.instance,
-		customer: target.customer ?? OPEN_CUSTOMER,
-		weight: target.weight,
+		database: call.database,
+		target: route.target,
+		customer: call.customer ?? OPEN_CUSTOMER,
+		weight: call.weight,
 		mode: route.mode,
-		maximumAgeMs: target.service.staleReadsMs ?? 0,
-		remainingMs: getRemainingMs(target.deadline, world.now()),
-		idleTransactionMs: target.service.idleTransactionMs,
+		maximumAgeMs: call.service.staleReadsMs ?? 0,
+		remainingMs: getRemainingMs(call.deadline, world.now()),
+		idleTransactionMs: call.service.idleTransactionMs,
 	});
 
 	const openStream = async (route: Route, header: RequestHeader): Promise<Result<RequestStream, Refusal>> => {
@@ -155,17 +155,17 @@
 		return Ok(opened.val as RequestStream);
 	};
 
-	const addPending = (instance: InstanceId, by: number) => {
-		pending.set(instance, (pending.get(instance) ?? 0) + by);
+	const addPending = (target: TargetId, by: number) => {
+		pending.set(target, (pending.get(target) ?? 0) + by);
 	};
 
-	const createRunning = (target: Target, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
-		requestId: target.requestId,
+	const createRunning = (call: Call, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
+		requestId: call.requestId,
 		mode: route.mode,
 		first,
 		stream,
 		async [Symbol.asyncDispose]() {
-			addPending(route.instance, -1);
+			addPending(route.target, -1);
 			await stream[Symbol.asyncDispose]();
 		},
 	});
@@ -177,8 +177,8 @@
 			| Readonly<{kind: 'readOnly'}>
 			| Readonly<{kind: 'lost'}>;
 
-	const tryRoute = async ({caller, target, chunk, signal}: Turn, route: Route): Promise<Tried> => {
-		const opened = await openStream(route, createHeader(caller, target, route));
+	const tryRoute = async ({caller, call, chunk, signal}: Turn, route: Route): Promise<Tried> => {
+		const opened = await openStream(route, createHeader(caller, call, route));
 		if (opened.err) {
 			return {kind: 'refused', refusal: opened.val};
 		}
@@ -188,17 +188,17 @@
 			void stream[Symbol.asyncDispose]();
 		};
 
-		addPending(route.instance, 1);
+		addPending(route.target, 1);
 		signal.addEventListener('abort', leave, {once: true});
 		await stream.send(chunk);
 		const first = await stream.receive();
 		signal.removeEventListener('abort', leave);
 		const isRepeatable = first?.kind === 'unknown' && route.mode !== 'write';
 		if (first && first.kind !== 'refused' && first.kind !== 'readOnly' && !isRepeatable) {
-			return {kind: 'running', running: createRunning(target, route, stream, first)};
+			return {kind: 'running', running: createRunning(call, route, stream, first)};
 		}
 
-		addPending(route.instance, -1);
+		addPending(route.target, -1);
 		await stream[Symbol.asyncDispose]();
 		if (!first && stream.signal.reason === NOT_ACCEPTED) {
 			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The home ${route.home} is leaving`)};
@@ -213,21 +213,21 @@
 
 	const isFinal = (refusal: Refusal): boolean => refusal.code === 'queueFull' || refusal.code === 'deadlinePassed' || refusal.code === 'limitExceeded';
 
-	const fail = (target: Target, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: target.requestId, failure});
+	const fail = (call: Call, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: call.requestId, failure});
 
 	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
-		const {caller, target, signal} = turn;
+		const {caller, call, signal} = turn;
 		let mode = wanted;
 		context.budget.earn();
 		let tried: readonly Attempt[] = [];
 		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
 		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
 			if (signal.aborted) {
-				return fail(target, createRefusal('canceled', 'The request was canceled before it ran'));
+				return fail(call, createRefusal('canceled', 'The request was canceled before it ran'));
 			}
 
 			const view = getView();
-			const route = view ? chooseRoute(view, target.database, mode, tried) : Err(last);
+			const route = view ? chooseRoute(view, call.database, mode, tried) : Err(last);
 			if (route.ok) {
 				const outcome = await tryRoute(turn, route.val);
 				if (outcome.kind === 'running') {
@@ -242,19 +242,19 @@
 
 				if (outcome.kind === 'lost') {
 					if (route.val.mode === 'write') {
-						return fail(target, {code: 'outcomeUnknown', message: 'The vm that ran the request was lost'});
+						return fail(call, {code: 'outcomeUnknown', message: 'The vm that ran the request was lost'});
 					}
 
 					last = createRefusal('peerUnreachable', `The home ${route.val.home} was lost`);
 				} else {
 					last = outcome.refusal;
 					if (isFinal(last)) {
-						return fail(target, last);
+						return fail(call, last);
 					}
 				}
 
 				const isNewRound = route.val.mode === 'write';
-				tried = isNewRound ? [] : [...tried, {instance: route.val.instance, home: route.val.home}];
+				tried = isNewRound ? [] : [...tried, {target: route.val.target, home: route.val.home}];
 				if (!isNewRound) {
 					continue;
 				}
@@ -266,42 +266,42 @@
 			metrics.count('entry.retries', {reason: last.code});
 			// Beyond the budget, retries come at the longest pause, so that a failover brings no storm.
 			const pace = context.budget.take() ? attempt : MOST_ATTEMPTS;
-			if (!await waitBeforeRetry(pace, target.deadline, world, signal)) {
+			if (!await waitBeforeRetry(pace, call.deadline, world, signal)) {
 				break;
 			}
 		}
 
-		return fail(target, isPast(target.deadline, world.now()) ? createRefusal('deadlinePassed', `No answer in time: ${last.message}`) : last);
+		return fail(call, isPast(call.deadline, world.now()) ? createRefusal('deadlinePassed', `No answer in time: ${last.message}`) : last);
 	};
 
 	return {
 		async startRequest(caller, chunk, statement: StatementClass, signal) {
-			const target = createTarget(caller);
-			const requestId = target.ok ? target.val.requestId : '';
-			if (target.err) {
-				return Err({requestId, failure: target.val});
+			const call = createCall(caller);
+			const requestId = call.ok ? call.val.requestId : '';
+			if (call.err) {
+				return Err({requestId, failure: call.val});
 			}
 
 			if (statement === 'session' || statement === 'copy') {
-				return fail(target.val, createRefusal('unsupported', statement === 'copy'
+				return fail(call.val, createRefusal('unsupported', statement === 'copy'
 					? 'COPY is not supported'
 					: 'State that outlives a transaction is not kept; use SET LOCAL, or parameters at connect'));
 			}
 
 			const key = checkKey(caller);
 			if (key.err) {
-				return fail(target.val, key.val);
+				return fail(call.val, key.val);
 			}
 
-			const spent = await spendShare(caller, target.val.deadline, signal);
+			const spent = await spendShare(caller, call.val.deadline, signal);
 			if (spent.err) {
-				return fail(target.val, spent.val);
+				return fail(call.val, spent.val);
 			}
 
 			const turn: Turn = {
-				caller, target: target.val, chunk, signal,
+				caller, call: call.val, chunk, signal,
 			};
-			return runRequest(turn, chooseMode(statement, target.val.service.staleReadsMs));
+			return runRequest(turn, chooseMode(statement, call.val.service.staleReadsMs));
 		},
 		async continueRequest(caller, signal) {
 			const requestId = world.createId();
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -41,7 +41,7 @@
 		inventory,
 		getGroup: context.getGroup,
 		getHomes: fleet.getHomes,
-		isLeaving: instance => fleet.findInstance(instance)?.instance.leaving ?? true,
+		isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
 		getPending: () => 0,
 		random: context.random,
 	};
@@ -54,7 +54,7 @@
 			share ? `share: ${share.rate} requests a second, burst ${share.burst}, weight ${share.weight}, over the whole fleet` : `customer ${customer} is not in the inventory`,
 			`statement is classed as ${kind}, so it runs in mode ${mode}`,
 			record ? `database ${database}: term ${record.term}, primary ${record.primary}, synced ${record.synced.join(' ') || 'none'}` : `database ${database}: no record is known yet`,
-			route.ok ? `route: instance ${route.val.instance} through home ${route.val.home}, because ${route.val.reason}` : `no route: ${route.val.message}`,
+			route.ok ? `route: target ${route.val.target} through home ${route.val.home}, because ${route.val.reason}` : `no route: ${route.val.message}`,
 			`answers of writes wait for ${inventory.databases[found.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
 		],
 	};
--- a/packages/proxy/src/fleet.ts
+++ b/packages/proxy/src/fleet.ts
@@ -1,12 +1,12 @@
 /** What this process knows of the fleet, and how it reaches its peers. */
 
 import {
-	Err, rankCandidates, type DataCentreId, type Failure, type InstanceId, type Result, type VmId, type World,
+	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type World,
 } from '@guavapitch/core';
 import {
 	createFacts, createInForce, type Facts, type InForce,
 } from '@guavapitch/configuration';
-import type {Database, Instance, Inventory} from '@guavapitch/inventory';
+import type {Database, Target, Inventory} from '@guavapitch/inventory';
 import {
 	createMembers, type Member, type Members, type VmEntry,
 } from '@guavapitch/membership';
@@ -21,25 +21,25 @@
 /** Relays of each data centre. */
 export const RELAYS = 2;
 
-/** Homes of an instance: the first, and one that takes over when the first is gone. */
+/** Homes of a target: the first, and one that takes over when the first is gone. */
 export const HOMES = 2;
 
-/** An instance and the database it belongs to. */
-export type KnownInstance = Readonly<{databaseName: string; database: Database; instance: Instance}>;
+/** A target and the database it belongs to. */
+export type KnownTarget = Readonly<{databaseName: string; database: Database; target: Target}>;
 
 /** View of the fleet. */
 export type Fleet = Readonly<{
 	members: Members;
 	facts: Facts;
 	inForce: InForce;
-	/** Gets the homes of an instance, best first. */
-	getHomes: (instance: InstanceId) => readonly VmId[];
+	/** Gets the homes of a target, best first. */
+	getHomes: (target: TargetId) => readonly VmId[];
 	/** Ranks the live vms for a role, best first. */
 	rankLive: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
-	/** Finds an instance in the inventory. */
-	findInstance: (instance: InstanceId) => KnownInstance | undefined;
-	/** Gets every instance of the inventory. */
-	listInstances: () => readonly KnownInstance[];
+	/** Finds a target in the inventory. */
+	findTarget: (target: TargetId) => KnownTarget | undefined;
+	/** Gets every target of the inventory. */
+	listTargets: () => readonly KnownTarget[];
 	isRelay: () => boolean;
 	/** Gets the relays to ask: of this data centre, then of the others. */
 	getRelays: () => readonly VmId[];
@@ -57,8 +57,8 @@
 	onInventory: (inventory: Inventory) => void;
 }>;
 
-const listInstances = (inventory: Inventory | undefined): readonly KnownInstance[] => Object.entries(inventory?.databases ?? {})
-	.flatMap(([databaseName, database]) => database.instances.map(instance => ({databaseName, database, instance})));
+const listTargets = (inventory: Inventory | undefined): readonly KnownTarget[] => Object.entries(inventory?.databases ?? {})
+	.flatMap(([databaseName, database]) => database.targets.map(target => ({databaseName, database, target})));
 
 /** Creates the view. */
 export const createFleet = (context: FleetContext): Fleet => {
@@ -78,10 +78,10 @@
 		}
 	});
 	const facts = createFacts(world);
-	let known: ReadonlyMap<string, KnownInstance> = new Map();
+	let known: ReadonlyMap<string, KnownTarget> = new Map();
 	const inForce = createInForce(facts, world, {
 		onApplied(revision, inventory) {
-			known = new Map(listInstances(inventory).map(one => [one.instance.name, one]));
+			known = new Map(listTargets(inventory).map(one => [one.target.name, one]));
 			emit(EVENTS.configurationApplied, {revision});
 			context.onInventory(inventory);
 		},
@@ -113,10 +113,10 @@
 		return kept;
 	};
 
-	const getHomes = (instance: InstanceId): readonly VmId[] => {
-		const place = known.get(instance)?.instance.dataCentre as DataCentreId | undefined;
-		const near = rankVms(`home/${instance}`, place);
-		return (near.length > 0 ? near : rankVms(`home/${instance}`)).slice(0, HOMES);
+	const getHomes = (target: TargetId): readonly VmId[] => {
+		const place = known.get(target)?.target.dataCentre as DataCentreId | undefined;
+		const near = rankVms(`home/${target}`, place);
+		return (near.length > 0 ? near : rankVms(`home/${target}`)).slice(0, HOMES);
 	};
 
 	const getPlaces = (): readonly DataCentreId[] => [...new Set(members.getAll().map(member => member.dataCentre))];
@@ -127,8 +127,8 @@
 		inForce,
 		getHomes,
 		rankLive: (key, dataCentre) => rankVms(key, dataCentre).map(vm => ({vm, incarnation: members.get(vm)?.incarnation ?? ''})),
-		findInstance: instance => known.get(instance),
-		listInstances: () => [...known.values()],
+		findTarget: target => known.get(target),
+		listTargets: () => [...known.values()],
 		isRelay: () => rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS).includes(settings.vm),
 		getRelays() {
 			const own = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS);
--- a/packages/proxy/src/homes.ts
+++ b/packages/proxy/src/homes.ts
@@ -1,11 +1,11 @@
-/** The instances of which this process is home: their connections, queues and grants. */
+/** The targets of which this process is home: their connections, queues and grants. */
 
 import process from 'node:process';
 import {
-	createScope, Err, parseId, type DatabaseId, type InstanceId, type VmId, type World,
+	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	askPositions, createQuestions, openInstanceConnection, type HomeInstance, type InstanceAddress, type InstanceConnection, type Questions,
+	askPositions, createQuestions, openTargetConnection, type HomeTarget, type TargetAddress, type TargetConnection, type Questions,
 } from '@guavapitch/back-postgres';
 import {
 	createDurability, createGrantBook, type GrantBook, type GrantReply, type GroupView,
@@ -16,21 +16,21 @@
 import {chooseSlot, parseSlotRecord, ROLE_PREFIX} from '@guavapitch/roles';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import {
-	type CallVm, type Fleet, type KnownInstance, HOMES,
+	type CallVm, type Fleet, type KnownTarget, HOMES,
 } from './fleet.js';
 
 /** Homes of one process. */
 export type Homes = AsyncDisposable & Readonly<{
 	book: GrantBook;
-	/** Gets an instance of which this process is home, opening it if needed. */
-	get: (instance: InstanceId) => HomeInstance | undefined;
+	/** Gets a target of which this process is home, opening it if needed. */
+	get: (target: TargetId) => HomeTarget | undefined;
 	waitUntilDurable: ReturnType<typeof createDurability>;
 	/** Asks for grants until the signal aborts. */
 	runGrants: (signal: AbortSignal) => Promise<void>;
-	/** Opens and closes instances as homes move, until the signal aborts. */
+	/** Opens and closes targets as homes move, until the signal aborts. */
 	runMoves: (signal: AbortSignal) => Promise<void>;
-	/** Gets queue lengths and connections, by instance. */
-	getState: () => ReadonlyArray<Readonly<{instance: string; queued: number; busy: number; open: number; idle: number}>>;
+	/** Gets queue lengths and connections, by target. */
+	getState: () => ReadonlyArray<Readonly<{target: string; queued: number; busy: number; open: number; idle: number}>>;
 }>;
 
 /** What the homes need. */
@@ -46,9 +46,9 @@
 	onView: (view: GroupView) => void;
 }>;
 
-type OpenInstance = Readonly<{known: KnownInstance; address: InstanceAddress; pool: Pool<InstanceConnection>; queue: FairQueue; home: HomeInstance}>;
+type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: HomeTarget}>;
 
-/** Connections of an instance kept back for the steward's and the homes' own questions. */
+/** Connections of a target kept back for the steward's and the homes' own questions. */
 const RESERVED_CONNECTIONS = 4;
 const SPARE_CONNECTIONS = 2;
 const GRANT_PERIOD_MS = 250;
@@ -56,9 +56,9 @@
 const GRANT_TIMEOUT_MS = 300;
 const MOVE_PERIOD_MS = 250;
 
-/** Creates the address of an instance. */
-export const createInstanceAddress = (known: KnownInstance, applicationName: string): InstanceAddress => {
-	const [host, port] = known.instance.address.split(':');
+/** Creates the address of a target. */
+export const createTargetAddress = (known: KnownTarget, applicationName: string): TargetAddress => {
+	const [host, port] = known.target.address.split(':');
 	const {user, passwordVariable, databaseName} = known.database;
 	return {
 		host: host ?? '', port: Number(port), user, password: passwordVariable ? process.env[passwordVariable] : undefined, databaseName, applicationName,
@@ -73,91 +73,91 @@
 	const {world, vm, fleet, emit, metrics} = context;
 	const book = createGrantBook(world);
 	const scope = createScope(() => undefined);
-	const open = new Map<InstanceId, OpenInstance>();
-	const questions = new Map<InstanceId, Questions>();
-
-	const isHome = (instance: InstanceId) => fleet.getHomes(instance).includes(vm);
-
-	const openInstance = (known: KnownInstance): OpenInstance => {
-		const {instance} = known;
-		const address = createInstanceAddress(known, vm);
-		const isFirst = fleet.getHomes(parseId<InstanceId>(instance.name))[0] === vm;
-		const pool: Pool<InstanceConnection> = createPool({
-			limit: computeHomeLimit(instance.connections),
-			spare: isFirst ? Math.min(SPARE_CONNECTIONS, instance.slots) : 0,
-			dial: async () => openInstanceConnection(address),
+	const open = new Map<TargetId, OpenTarget>();
+	const questions = new Map<TargetId, Questions>();
+
+	const isHome = (target: TargetId) => fleet.getHomes(target).includes(vm);
+
+	const openTarget = (known: KnownTarget): OpenTarget => {
+		const {target} = known;
+		const address = createTargetAddress(known, vm);
+		const isFirst = fleet.getHomes(parseId<TargetId>(target.name))[0] === vm;
+		const pool: Pool<TargetConnection> = createPool({
+			limit: computeHomeLimit(target.connections),
+			spare: isFirst ? Math.min(SPARE_CONNECTIONS, target.slots) : 0,
+			dial: async () => openTargetConnection(address),
 			onFree() {
 				queue.wake();
 			},
 			onReachable(reachable, message) {
-				emit(reachable ? EVENTS.instanceReachable : EVENTS.connectionDialFailed, {instance: instance.name, reason: message});
+				emit(reachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
 			},
 		}, world);
-		const queue: FairQueue = createFairQueue(world, instance.slots, pool.hasCapacity);
-		emit(EVENTS.homeGained, {instance: instance.name});
+		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
+		emit(EVENTS.homeGained, {target: target.name});
 		return {
-			known, address, pool, queue, home: {pool, queue, isLeaving: () => fleet.findInstance(parseId<InstanceId>(instance.name))?.instance.leaving ?? true},
+			known, address, pool, queue, home: {pool, queue, isLeaving: () => fleet.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
 		};
 	};
 
-	const getOpen = (instance: InstanceId): OpenInstance | undefined => {
-		const existing = open.get(instance);
+	const getOpen = (target: TargetId): OpenTarget | undefined => {
+		const existing = open.get(target);
 		if (existing) {
 			return existing;
 		}
 
-		const known = fleet.findInstance(instance);
-		if (!known || !isHome(instance)) {
+		const known = fleet.findTarget(target);
+		if (!known || !isHome(target)) {
 			return undefined;
 		}
 
-		const created = openInstance(known);
-		open.set(instance, created);
+		const created = openTarget(known);
+		open.set(target, created);
 		return created;
 	};
 
-	const closeInstance = async (instance: InstanceId, one: OpenInstance) => {
-		open.delete(instance);
-		emit(EVENTS.homeLost, {instance});
+	const closeTarget = async (target: TargetId, one: OpenTarget) => {
+		open.delete(target);
+		emit(EVENTS.homeLost, {target});
 		await one.pool[Symbol.asyncDispose]();
 	};
 
-	const getQuestions = (known: KnownInstance): Questions => {
-		const id = parseId<InstanceId>(known.instance.name);
+	const getQuestions = (known: KnownTarget): Questions => {
+		const id = parseId<TargetId>(known.target.name);
 		const existing = questions.get(id);
 		if (existing) {
 			return existing;
 		}
 
-		const created = createQuestions(createInstanceAddress(known, vm), world);
+		const created = createQuestions(createTargetAddress(known, vm), world);
 		questions.set(id, created);
 		return created;
 	};
 
-	const waitUntilDurable = createDurability(book, async instance => {
-		const known = fleet.findInstance(instance);
-		return known ? askPositions(getQuestions(known)) : Err({code: 'unknownInstance', message: `The instance ${instance} is not in the inventory`});
+	const waitUntilDurable = createDurability(book, async target => {
+		const known = fleet.findTarget(target);
+		return known ? askPositions(getQuestions(known)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 	}, world);
 
-	const isSame = (a: KnownInstance, b: KnownInstance): boolean => a.instance.address === b.instance.address && a.instance.connections === b.instance.connections;
+	const isSame = (a: KnownTarget, b: KnownTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
 	const moveOnce = async () => {
 		for (const [id, one] of open) {
-			const known = fleet.findInstance(id);
+			const known = fleet.findTarget(id);
 			const isIdle = one.queue.getBusy() === 0 && one.queue.getLength() === 0 && one.pool.getIdle() === one.pool.getOpen();
 			if (!known || (isIdle && (!isHome(id) || !isSame(known, one.known)))) {
-				scope.run(async () => closeInstance(id, one));
+				scope.run(async () => closeTarget(id, one));
 			} else {
-				one.queue.setSlots(known.instance.slots);
+				one.queue.setSlots(known.target.slots);
 			}
 
-			metrics.gauge('home.queue', one.queue.getLength(), {instance: id});
-			metrics.gauge('home.connections', one.pool.getOpen(), {instance: id});
+			metrics.gauge('home.queue', one.queue.getLength(), {target: id});
+			metrics.gauge('home.connections', one.pool.getOpen(), {target: id});
 		}
 
-		for (const {instance} of fleet.listInstances()) {
-			const id = parseId<InstanceId>(instance.name);
-			if (fleet.getHomes(id)[0] === vm && !instance.leaving) {
+		for (const {target} of fleet.listTargets()) {
+			const id = parseId<TargetId>(target.name);
+			if (fleet.getHomes(id)[0] === vm && !target.leaving) {
 				getOpen(id);
 			}
 		}
@@ -187,8 +187,8 @@
 		return reply.val.permissions.writes;
 	};
 
-	const getHomeDatabases = (): ReadonlySet<DatabaseId> => new Set(fleet.listInstances()
-		.filter(({instance}) => isHome(parseId<InstanceId>(instance.name)) || open.has(parseId<InstanceId>(instance.name)))
+	const getHomeDatabases = (): ReadonlySet<DatabaseId> => new Set(fleet.listTargets()
+		.filter(({target}) => isHome(parseId<TargetId>(target.name)) || open.has(parseId<TargetId>(target.name)))
 		.map(({databaseName}) => parseId<DatabaseId>(databaseName)));
 
 	/** Keeps the grant of one database fresh; asks more often while writes are not allowed. */
@@ -202,7 +202,7 @@
 	return {
 		book,
 		waitUntilDurable,
-		get: instance => getOpen(instance)?.home,
+		get: target => getOpen(target)?.home,
 		async runGrants(signal) {
 			const running = new Set<DatabaseId>();
 			while (!signal.aborted) {
@@ -228,8 +228,8 @@
 				await world.sleep(MOVE_PERIOD_MS, signal);
 			}
 		},
-		getState: () => [...open].map(([instance, one]) => ({
-			instance, queued: one.queue.getLength(), busy: one.queue.getBusy(), open: one.pool.getOpen(), idle: one.pool.getIdle(),
+		getState: () => [...open].map(([target, one]) => ({
+			target, queued: one.queue.getLength(), busy: one.queue.getBusy(), open: one.pool.getOpen(), idle: one.pool.getIdle(),
 		})),
 		async [Symbol.asyncDispose]() {
 			await scope[Symbol.asyncDispose]();
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -143,18 +143,18 @@
 	const cancels = new Map<RequestId, () => void>();
 	const home: HomeContext = {
 		world,
-		getInstance: homes.get,
+		getTarget: homes.get,
 		checkGrant(header) {
 			const {book} = homes;
 			const checked = header.mode === 'write'
-				? book.checkWrite(header.database, header.instance)
-				: (header.mode === 'read' ? book.checkRead(header.database, header.instance) : book.checkAge(header.database, header.instance, header.maximumAgeMs));
+				? book.checkWrite(header.database, header.target)
+				: (header.mode === 'read' ? book.checkRead(header.database, header.target) : book.checkAge(header.database, header.target, header.maximumAgeMs));
 			return checked.map(record => record.term);
 		},
 		waitUntilDurable: homes.waitUntilDurable,
 		async waitUntilHopeless(header, term, deadline, signal) {
 			await homes.book.waitUntilUnfit({
-				database: header.database, instance: header.instance, term, mode: header.mode,
+				database: header.database, target: header.target, term, mode: header.mode,
 			}, deadline, signal);
 		},
 		onServed(customer, mode, usedMs) {
@@ -205,9 +205,9 @@
 
 	const numberOf = (vm: string) => computeVmNumber(computeHash(vm));
 	const forwardCancel = (vmNumber: number, processId: number, secret: number) => {
-		const target = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, numberOf);
-		if (target) {
-			void callVm(target, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
+		const member = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, numberOf);
+		if (member) {
+			void callVm(member, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
 		}
 	};
 
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -1,19 +1,19 @@
 /** The stewards that run in this process, one for each database of the slots it holds. */
 
 import {
-	createScope, Err, parseId, type DatabaseId, type InstanceId, type Result, type Failure, type World,
+	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type World,
 } from '@guavapitch/core';
 import {
 	askState, commandFollow, commandPromote, commandRejoin, createQuestions, type Questions,
 } from '@guavapitch/back-postgres';
 import {
-	createSteward, GRANT_MS, type GrantReply, type GroupView, type Holder, type InstanceCommands, type Steward, type StewardedDatabase, type StewardEvent,
+	createSteward, GRANT_MS, type GrantReply, type GroupView, type Holder, type TargetCommands, type Steward, type StewardedDatabase, type StewardEvent,
 } from '@guavapitch/failover';
 import type {Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
-import type {CallVm, Fleet, KnownInstance} from './fleet.js';
-import {createInstanceAddress} from './homes.js';
+import type {CallVm, Fleet, KnownTarget} from './fleet.js';
+import {createTargetAddress} from './homes.js';
 
 /** Stewards of one process. */
 export type Stewards = AsyncDisposable & Readonly<{
@@ -58,7 +58,7 @@
 		}
 
 		case 'promoted': {
-			emit(EVENTS.instancePromoted, {database, term: event.term, primary: event.primary});
+			emit(EVENTS.targetPromoted, {database, term: event.term, primary: event.primary});
 			break;
 		}
 
@@ -73,12 +73,12 @@
 		}
 
 		case 'rejoined': {
-			emit(EVENTS.instanceRejoined, {database, instance: event.instance, primary: event.primary});
+			emit(EVENTS.targetRejoined, {database, target: event.target, primary: event.primary});
 			break;
 		}
 
 		default: {
-			emit(event.reachable ? EVENTS.instanceReachable : EVENTS.instanceUnreachable, {database, instance: event.instance});
+			emit(event.reachable ? EVENTS.targetReachable : EVENTS.targetUnreachable, {database, target: event.target});
 		}
 	}
 };
@@ -89,43 +89,43 @@
 	const running = new Map<DatabaseId, Steward>();
 	const questions = new Map<string, Questions>();
 
-	const withQuestions = async <Answer>(instance: InstanceId, ask: (asked: Questions, known: KnownInstance) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
-		const known = fleet.findInstance(instance);
+	const withQuestions = async <Answer>(target: TargetId, ask: (asked: Questions, known: KnownTarget) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
+		const known = fleet.findTarget(target);
 		if (!known) {
-			return Err({code: 'unknownInstance', message: `The instance ${instance} is not in the inventory`});
+			return Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 		}
 
-		const existing = questions.get(known.instance.address);
-		const asked = existing ?? createQuestions(createInstanceAddress(known, context.vm), world);
-		questions.set(known.instance.address, asked);
+		const existing = questions.get(known.target.address);
+		const asked = existing ?? createQuestions(createTargetAddress(known, context.vm), world);
+		questions.set(known.target.address, asked);
 		return ask(asked, known);
 	};
 
-	const formatConninfo = (primary: InstanceId | undefined, follower: InstanceId): string => {
-		const known = primary ? fleet.findInstance(primary) : undefined;
+	const formatConninfo = (primary: TargetId | undefined, follower: TargetId): string => {
+		const known = primary ? fleet.findTarget(primary) : undefined;
 		if (!known) {
 			return '';
 		}
 
-		const address = createInstanceAddress(known, context.vm);
+		const address = createTargetAddress(known, context.vm);
 		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
 	};
 
-	const commands: InstanceCommands = {
-		probe: async instance => withQuestions(instance, askState),
-		promote: async instance => withQuestions(instance, commandPromote),
-		follow: async (instance, primary) => withQuestions(instance, async asked => commandFollow(asked, formatConninfo(primary, instance))),
-		rejoin: async (instance, primary) => withQuestions(instance, async asked => commandRejoin(asked, formatConninfo(primary, instance))),
+	const commands: TargetCommands = {
+		probe: async target => withQuestions(target, askState),
+		promote: async target => withQuestions(target, commandPromote),
+		follow: async (target, primary) => withQuestions(target, async asked => commandFollow(asked, formatConninfo(primary, target))),
+		rejoin: async (target, primary) => withQuestions(target, async asked => commandRejoin(asked, formatConninfo(primary, target))),
 	};
 
 	const getSettings = (database: DatabaseId): StewardedDatabase | undefined => {
 		const known = fleet.inForce.getInventory()?.databases[database];
 		return known && {
 			database,
-			minimumSynced: Math.min(known.minimumSynced, known.instances.length - 1),
+			minimumSynced: Math.min(known.minimumSynced, known.targets.length - 1),
 			replicated: known.acknowledge === 'replicated',
-			instances: known.instances.map(instance => parseId<InstanceId>(instance.name)),
-			leaving: known.instances.filter(instance => instance.leaving).map(instance => parseId<InstanceId>(instance.name)),
+			targets: known.targets.map(target => parseId<TargetId>(target.name)),
+			leaving: known.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
 		};
 	};
 
--- a/packages/proxy/src/tests/stewards.test.ts
+++ b/packages/proxy/src/tests/stewards.test.ts
@@ -21,7 +21,7 @@
 	fleet: {stewardSlots: SLOTS, keeperSlots: 1, keyGraceMs: 1000},
 	databases: {
 		[DATABASE]: {
-			acknowledge: 'replicated', minimumSynced: 1, instances: [], user: 'guavapitch', databaseName: 'orders',
+			acknowledge: 'replicated', minimumSynced: 1, targets: [], user: 'guavapitch', databaseName: 'orders',
 		},
 	},
 });
@@ -39,7 +39,7 @@
 				read: async key => isDown ? Err({code: 'storeUnreachable', message: 'down'}) : memory.read(key),
 			};
 			const inventory = createInventory() as Inventory;
-			const fleet = {inForce: {getInventory: () => inventory}, findInstance: () => undefined} as unknown as Fleet;
+			const fleet = {inForce: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as Fleet;
 			await using stewards = createStewards({
 				world, vm: 'v', fleet, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onView: () => undefined,
 			});
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -1,8 +1,8 @@
-/** Choice of the instance and the home for a request. */
+/** Choice of the target and the home for a request. */
 
 import {match} from 'ts-pattern';
 import {
-	Err, Ok, parseId, type DatabaseId, type InstanceId, type Result, type VmId,
+	Err, Ok, parseId, type DatabaseId, type TargetId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {GroupRecord} from '@guavapitch/failover';
 import type {Database} from '@guavapitch/inventory';
@@ -11,46 +11,46 @@
 
 /** Where a request goes and why. */
 export type Route = Readonly<{
-	instance: InstanceId;
+	target: TargetId;
 	home: VmId;
 	/** Mode in which the home serves it; a read that no replica may serve goes to the primary as a write. */
 	mode: RequestMode;
-	/** Why this instance, in one sentence. */
+	/** Why this target, in one sentence. */
 	reason: string;
 }>;
 
 /** A choice already tried for the same request. */
-export type Attempt = Readonly<{instance: InstanceId; home: VmId}>;
+export type Attempt = Readonly<{target: TargetId; home: VmId}>;
 
 /** Chooses the consistency that a class of statement needs under the rule of its service. */
 export const chooseMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
 	.with('read', 'empty', (): RequestMode => staleReadsMs === undefined ? 'read' : 'stale')
 	.otherwise(() => 'write');
 
-const getReplicas = (database: Database, record: GroupRecord): readonly InstanceId[] => database.instances
-	.map(instance => parseId<InstanceId>(instance.name))
-	.filter(instance => instance !== record.primary);
+const getReplicas = (database: Database, record: GroupRecord): readonly TargetId[] => database.targets
+	.map(target => parseId<TargetId>(target.name))
+	.filter(target => target !== record.primary);
 
-const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly InstanceId[] => match(mode)
+const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly TargetId[] => match(mode)
 	.with('write', () => [])
-	.with('read', () => record.replicated ? getReplicas(database, record).filter(instance => record.synced.includes(instance)) : [])
+	.with('read', () => record.replicated ? getReplicas(database, record).filter(target => record.synced.includes(target)) : [])
 	.with('stale', () => getReplicas(database, record))
 	.exhaustive();
 
-const chooseHome = (view: RoutingView, instance: InstanceId, tried: readonly Attempt[]): VmId | undefined => {
-	const homes = view.getHomes(instance);
-	return homes.find(home => !tried.some(attempt => attempt.instance === instance && attempt.home === home));
+const chooseHome = (view: RoutingView, target: TargetId, tried: readonly Attempt[]): VmId | undefined => {
+	const homes = view.getHomes(target);
+	return homes.find(home => !tried.some(attempt => attempt.target === target && attempt.home === home));
 };
 
-const chooseReplica = (view: RoutingView, candidates: readonly InstanceId[], tried: readonly Attempt[]): Attempt | undefined => {
+const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly Attempt[]): Attempt | undefined => {
 	const open = candidates
-		.filter(instance => !view.isLeaving(instance) && !tried.some(attempt => attempt.instance === instance))
-		.map(instance => ({instance, order: view.getPending(instance) + view.random()}))
+		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
+		.map(target => ({target, order: view.getPending(target) + view.random()}))
 		.toSorted((a, b) => a.order - b.order);
-	for (const {instance} of open) {
-		const home = chooseHome(view, instance, tried);
+	for (const {target} of open) {
+		const home = chooseHome(view, target, tried);
 		if (home) {
-			return {instance, home};
+			return {target, home};
 		}
 	}
 
@@ -78,6 +78,6 @@
 	}
 
 	return Ok({
-		instance: record.primary, home, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
+		target: record.primary, home, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
 	});
 };
--- a/packages/routing/src/view.ts
+++ b/packages/routing/src/view.ts
@@ -1,7 +1,7 @@
 /** What the entry knows of the fleet when it chooses where a request goes. */
 
 import type {
-	CustomerId, DatabaseId, InstanceId, ServiceId, VmId,
+	CustomerId, DatabaseId, TargetId, ServiceId, VmId,
 } from '@guavapitch/core';
 import type {GroupView} from '@guavapitch/failover';
 import type {
@@ -13,12 +13,12 @@
 	inventory: Inventory;
 	/** Gets the last known record of a database. */
 	getGroup: (database: DatabaseId) => GroupView | undefined;
-	/** Gets the homes of an instance, best first. */
-	getHomes: (instance: InstanceId) => readonly VmId[];
-	/** Tells whether the platform's list or the inventory says that an instance is leaving. */
-	isLeaving: (instance: InstanceId) => boolean;
-	/** Gets the number of requests this entry has under way on an instance. */
-	getPending: (instance: InstanceId) => number;
+	/** Gets the homes of a target, best first. */
+	getHomes: (target: TargetId) => readonly VmId[];
+	/** Tells whether the platform's list or the inventory says that a target is leaving. */
+	isLeaving: (target: TargetId) => boolean;
+	/** Gets the number of requests this entry has under way on a target. */
+	getPending: (target: TargetId) => number;
 	random: () => number;
 }>;
 
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -1,14 +1,14 @@
 /** Requests and answers between an entry and a home, free of any message encoding of the inner protocol. */
 
 import type {
-	CustomerId, DatabaseId, Failure, InstanceId, RequestId, ServiceId, TransactionStatus,
+	CustomerId, DatabaseId, Failure, TargetId, RequestId, ServiceId, TransactionStatus,
 } from '@guavapitch/core';
 
 /** Consistency that a request needs. */
 export type RequestMode
 	/** Runs on the primary; the answer waits until it is durable. */
 	= | 'write'
-	/** Runs on any instance that holds every acknowledged write. */
+	/** Runs on any target that holds every acknowledged write. */
 		| 'read'
 	/** Runs on any replica whose data are young enough. */
 		| 'stale';
@@ -18,7 +18,7 @@
 	requestId: RequestId;
 	service: ServiceId;
 	database: DatabaseId;
-	instance: InstanceId;
+	target: TargetId;
 	customer: CustomerId;
 	weight: number;
 	mode: RequestMode;
@@ -55,8 +55,8 @@
 
 /** Why a request was refused without having run. */
 export type RefusalCode
-	= | 'notHome' | 'noGrant' | 'notPrimary' | 'tooOld' | 'instanceUnreachable' | 'connectionsExhausted' | 'queueFull'
-		| 'deadlinePassed' | 'instanceLeaving' | 'limitExceeded' | 'keyWithdrawn' | 'keyUnconfirmed' | 'peerUnreachable' | 'draining' | 'noRoute'
+	= | 'notHome' | 'noGrant' | 'notPrimary' | 'tooOld' | 'targetUnreachable' | 'connectionsExhausted' | 'queueFull'
+		| 'deadlinePassed' | 'targetLeaving' | 'limitExceeded' | 'keyWithdrawn' | 'keyUnconfirmed' | 'peerUnreachable' | 'draining' | 'noRoute'
 		| 'unsupported' | 'canceled';
 
 /** Refusal of a request that has certainly not run. */
--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -1,4 +1,4 @@
-/** Server of one instance of the database stand-in. */
+/** Server of one target of the database stand-in. */
 
 import {randomInt} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
@@ -6,11 +6,11 @@
 import {
 	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, openWire, parseStartup, SQLSTATE, type Wire,
 } from '@guavapitch/postgres-wire';
-import {CONTROL_PEER, type Instance} from './instance.js';
+import {CONTROL_PEER, type Target} from './target.js';
 import {followUpstream, serveReplica} from './replication.js';
 import {serveSession} from './session.js';
 
-/** A running instance. */
+/** A running target. */
 export type DatabaseServer = AsyncDisposable & Readonly<{port: number}>;
 
 type Cancels = Map<number, Readonly<{secret: number; cancel: () => void}>>;
@@ -27,25 +27,25 @@
 	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReady('idle').bytes);
 };
 
-type ServerContext = Readonly<{instance: Instance; world: World; cancels: Cancels}>;
+type ServerContext = Readonly<{target: Target; world: World; cancels: Cancels}>;
 
-const serveCaller = async ({instance, world, cancels}: ServerContext, wire: Wire, parameters: ReadonlyMap<string, string>) => {
+const serveCaller = async ({target, world, cancels}: ServerContext, wire: Wire, parameters: ReadonlyMap<string, string>) => {
 	const isControl = parameters.get('database') === CONTROL_PEER;
 	const peer = isControl ? CONTROL_PEER : parameters.get('application_name') ?? '';
-	const allowed = isControl || instance.enterConnection();
+	const allowed = isControl || target.enterConnection();
 	const processId = randomInt(LARGEST_SECRET);
 	const secret = randomInt(LARGEST_SECRET);
 	try {
-		await instance.waitWhileCut(peer);
+		await target.waitWhileCut(peer);
 		if (!allowed) {
 			await wire.write(createErrorResponse({severity: 'FATAL', code: SQLSTATE.tooManyConnections, message: 'sorry, too many clients already'}).bytes);
 			return;
 		}
 
-		await world.sleep(isControl ? 0 : instance.settings.connectMs);
+		await world.sleep(isControl ? 0 : target.settings.connectMs);
 		await greet(wire, processId, secret);
 		await serveSession({
-			instance, world, wire, peer,
+			target, world, wire, peer,
 			onCancel(cancel) {
 				cancels.set(processId, {secret, cancel});
 			},
@@ -53,13 +53,13 @@
 	} finally {
 		cancels.delete(processId);
 		if (!isControl) {
-			instance.leaveConnection();
+			target.leaveConnection();
 		}
 	}
 };
 
 const serveSocket = async (context: ServerContext, socket: Socket) => {
-	const {instance, cancels} = context;
+	const {target, cancels} = context;
 	socket.setNoDelay(true);
 	await using wire = openWire(socket);
 	while (true) {
@@ -68,7 +68,7 @@
 			return;
 		}
 
-		instance.onBytes(packet.val);
+		target.onBytes(packet.val);
 		const startup = parseStartup(packet.val);
 		if (startup.err) {
 			return;
@@ -76,9 +76,9 @@
 
 		switch (startup.val.kind) {
 			case 'cancel': {
-				const target = cancels.get(startup.val.processId);
-				if (target?.secret === startup.val.secret) {
-					target.cancel();
+				const running = cancels.get(startup.val.processId);
+				if (running?.secret === startup.val.secret) {
+					running.cancel();
 				}
 
 				return;
@@ -87,7 +87,7 @@
 			case 'startup': {
 				const {parameters} = startup.val;
 				await (parameters.get('replication') === 'true'
-					? serveReplica(instance, wire, parameters.get('application_name') ?? '')
+					? serveReplica(target, wire, parameters.get('application_name') ?? '')
 					: serveCaller(context, wire, parameters));
 				return;
 			}
@@ -99,8 +99,8 @@
 	}
 };
 
-/** Starts serving an instance on loopback. */
-export const startDatabase = async (instance: Instance, world: World, port: number): Promise<DatabaseServer> => {
+/** Starts serving a target on loopback. */
+export const startDatabase = async (target: Target, world: World, port: number): Promise<DatabaseServer> => {
 	const scope = createScope(() => undefined);
 	const cancels: Cancels = new Map();
 	const sockets = new Set<Socket>();
@@ -109,13 +109,13 @@
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
-		scope.run(async () => serveSocket({instance, world, cancels}, socket));
+		scope.run(async () => serveSocket({target, world, cancels}, socket));
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, '127.0.0.1', resolve);
 	});
-	scope.run(async signal => followUpstream(instance, world, signal));
+	scope.run(async signal => followUpstream(target, world, signal));
 	const address = server.address();
 	return {
 		port: typeof address === 'object' && address ? address.port : port,
@@ -125,7 +125,7 @@
 				socket.destroy();
 			}
 
-			instance.engine.notify();
+			target.engine.notify();
 			await scope[Symbol.asyncDispose]();
 		},
 	};
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -1,4 +1,4 @@
-/** Tables, transactions and the log of one instance of the database stand-in. */
+/** Tables, transactions and the log of one target of the database stand-in. */
 
 import {
 	createNotifier, createDeadline, isPast, type World,
@@ -36,7 +36,7 @@
 /** Where a timeline began. */
 export type TimelineStart = Readonly<{timeline: number; position: number}>;
 
-/** State of one instance. */
+/** State of one target. */
 export type Engine = Readonly<{
 	begin: (readOnly: boolean) => Transaction;
 	commit: (transaction: Transaction) => void;
@@ -71,7 +71,7 @@
 const GROWTH_WAIT_MS = 1000;
 const FIRST_POSITION = 0x1_00_00_00;
 
-/** Creates the state of an empty instance. */
+/** Creates the state of an empty target. */
 export const createEngine = (world: World, options: Readonly<{replica: boolean}>): Engine => {
 	const tables = new Map<string, Table>();
 	const log: LogRecord[] = [];
@@ -122,7 +122,7 @@
 			if (transaction.changes.length > 0) {
 				if (replica) {
 					release(transaction);
-					throw new SqlError('25006', 'cannot commit a write in a read-only instance');
+					throw new SqlError('25006', 'cannot commit a write in a read-only target');
 				}
 
 				append({position: position + (RECORD_BYTES * transaction.changes.length), timeline: getTimeline(), changes: [...transaction.changes]});
--- a/packages/standin/src/expressions.ts
+++ b/packages/standin/src/expressions.ts
@@ -8,7 +8,7 @@
 	parameters: readonly Value[];
 	/** Gets the value of a column of the current row. */
 	getColumn: (name: string) => Value;
-	/** Calls a function of the instance. */
+	/** Calls a function of the target. */
 	callFunction: (name: string, args: readonly Value[]) => Value;
 }>;
 
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,4 +1,4 @@
-export * from './instance.js';
+export * from './target.js';
 export * from './database.js';
 export * from './sql-parser.js';
 export * from './platform.js';
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -6,7 +6,7 @@
 import yargs from 'yargs';
 import {createWorld} from '@guavapitch/core';
 import {startDatabase} from './database.js';
-import {createInstance} from './instance.js';
+import {createTarget} from './target.js';
 import {DEFAULT_RATES, startPlatform} from './platform.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
@@ -45,10 +45,10 @@
 		.option('reads', {type: 'number', default: DEFAULT_RATES.reads, describe: 'reads taken per second; more are refused'}), async flags => {
 		serveUntilStopped('platform', await startPlatform(createWorld(), flags.port, {writes: flags.writes, reads: flags.reads}));
 	})
-	.command('database', 'stand-in of one instance of a database', command => command
+	.command('database', 'stand-in of one target of a database', command => command
 		.option('port', {type: 'number', default: 5432, describe: 'port on loopback; 0 for any'})
-		.option('name', {type: 'string', demandOption: true, describe: 'name of the instance'})
-		.option('follow', {type: 'string', describe: 'primary to follow, host:port; the instance leads if absent'})
+		.option('name', {type: 'string', demandOption: true, describe: 'name of the target'})
+		.option('follow', {type: 'string', describe: 'primary to follow, host:port; the target leads if absent'})
 		.option('slots', {type: 'number', default: DEFAULT_SLOTS, describe: 'statements that run at a time'})
 		.option('connections', {type: 'number', default: DEFAULT_CONNECTIONS, describe: 'connections accepted at a time'})
 		.option('connect-ms', {type: 'number', default: DEFAULT_CONNECT_MS, describe: 'time to open a connection, in milliseconds'})
@@ -56,7 +56,7 @@
 		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay of replay, in milliseconds'})
 		.option('record', {type: 'string', describe: 'file for every byte received from clients'}), async flags => {
 		const world = createWorld();
-		const instance = createInstance({
+		const target = createTarget({
 			name: flags.name,
 			replica: flags.follow !== undefined,
 			slots: flags.slots,
@@ -67,11 +67,11 @@
 		}, world, createRecorder(flags.record));
 		if (flags.follow) {
 			const [host, port] = flags.follow.split(':');
-			instance.setUpstream(`host=${host} port=${port}`);
-			instance.callFunction('pg_reload_conf', []);
+			target.setUpstream(`host=${host} port=${port}`);
+			target.callFunction('pg_reload_conf', []);
 		}
 
-		serveUntilStopped(flags.name, await startDatabase(instance, world, flags.port));
+		serveUntilStopped(flags.name, await startDatabase(target, world, flags.port));
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-standin: ${error instanceof Error ? error.message : message}\n`);
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -1,4 +1,4 @@
-/** Asynchronous replication between instances of the database stand-in. */
+/** Asynchronous replication between targets of the database stand-in. */
 
 import {Buffer} from 'node:buffer';
 import {createConnection} from 'node:net';
@@ -7,7 +7,7 @@
 	createMessage, createStartup, getBody, openWire, type Wire,
 } from '@guavapitch/postgres-wire';
 import type {LogRecord, TimelineStart} from './engine.js';
-import type {Instance, ReplicaState} from './instance.js';
+import type {Target, ReplicaState} from './target.js';
 
 type Hello = Readonly<{position: number; timeline: number}>;
 type Batch = Readonly<{history: readonly TimelineStart[]; records: readonly LogRecord[]; diverged: boolean}>;
@@ -22,9 +22,9 @@
 
 const hasDiverged = (hello: Hello, history: readonly TimelineStart[]): boolean => history.some(({timeline, position}) => timeline > hello.timeline && hello.position > position);
 
-/** Serves a replica that has connected to this instance. */
-export const serveReplica = async (instance: Instance, wire: Wire, name: string): Promise<void> => {
-	const {engine} = instance;
+/** Serves a replica that has connected to this target. */
+export const serveReplica = async (target: Target, wire: Wire, name: string): Promise<void> => {
+	const {engine} = target;
 	const state: ReplicaState = {name, replayed: 0};
 	const gone = new AbortController();
 	const first = await wire.readMessages();
@@ -39,7 +39,7 @@
 	}
 
 	state.replayed = hello.position;
-	instance.replicas.add(state);
+	target.replicas.add(state);
 	const readFeedback = async () => {
 		while (true) {
 			const messages = await wire.readMessages();
@@ -48,7 +48,7 @@
 				return;
 			}
 
-			await instance.waitWhileCut(name);
+			await target.waitWhileCut(name);
 			for (const message of messages.val) {
 				state.replayed = (JSON.parse(getBody(message).toString()) as Feedback).replayed;
 			}
@@ -62,7 +62,7 @@
 		const records = engine.getRecordsAfter(sent).slice(0, MAXIMUM_RECORDS);
 		const history = engine.getHistory();
 		if (records.length > 0 || history.length !== sentHistory) {
-			await instance.waitWhileCut(name);
+			await target.waitWhileCut(name);
 			await wire.write(encodeJson({history, records, diverged: false} satisfies Batch));
 			sent = records.at(-1)?.position ?? sent;
 			sentHistory = history.length;
@@ -71,7 +71,7 @@
 		}
 	}
 
-	instance.replicas.delete(state);
+	target.replicas.delete(state);
 	await reading;
 };
 
@@ -80,14 +80,14 @@
 	return {host: fields.get('host') ?? '127.0.0.1', port: Number(fields.get('port'))};
 };
 
-const followOnce = async (instance: Instance, conninfo: string, world: World): Promise<void> => {
-	const {engine, settings} = instance;
+const followOnce = async (target: Target, conninfo: string, world: World): Promise<void> => {
+	const {engine, settings} = target;
 	const socket = createConnection(parseConninfo(conninfo));
 	await using wire = openWire(socket);
 	let following = true;
 	const watchUpstream = async () => {
-		while (following && instance.getUpstream() === conninfo) {
-			await instance.waitForUpstream();
+		while (following && target.getUpstream() === conninfo) {
+			await target.waitForUpstream();
 		}
 
 		socket.destroy();
@@ -96,14 +96,14 @@
 	void watchUpstream();
 	await wire.write(createStartup({user: 'replication', replication: 'true', application_name: settings.name}));
 	await wire.write(encodeJson({position: engine.getPosition(), timeline: engine.getTimeline()} satisfies Hello));
-	while (engine.isReplica() && instance.getUpstream() === conninfo) {
+	while (engine.isReplica() && target.getUpstream() === conninfo) {
 		const messages = await wire.readMessages();
 		if (messages.err) {
 			break;
 		}
 
-		await instance.waitWhileCut(UPSTREAM_PEER);
-		await world.sleep(instance.getLagMs());
+		await target.waitWhileCut(UPSTREAM_PEER);
+		await world.sleep(target.getLagMs());
 		for (const message of messages.val) {
 			const batch = JSON.parse(getBody(message).toString()) as Batch;
 			if (batch.diverged) {
@@ -124,12 +124,12 @@
 	following = false;
 };
 
-/** Follows whatever upstream the instance is set to, while it is a replica. */
-export const followUpstream = async (instance: Instance, world: World, signal: AbortSignal): Promise<void> => {
+/** Follows whatever upstream the target is set to, while it is a replica. */
+export const followUpstream = async (target: Target, world: World, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
-		const conninfo = instance.getUpstream();
-		if (conninfo && instance.engine.isReplica()) {
-			await followOnce(instance, conninfo, world);
+		const conninfo = target.getUpstream();
+		if (conninfo && target.engine.isReplica()) {
+			await followOnce(target, conninfo, world);
 		}
 
 		await world.sleep(RETRY_MS, signal);
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -10,7 +10,7 @@
 import {
 	describeStatement, executeData, type ExecutionContext, type ResultColumn, type ResultSet,
 } from './executor.js';
-import type {Instance} from './instance.js';
+import type {Target} from './target.js';
 import {createDataRow, createRowDescription, readParameters} from './rows.js';
 import type {Statement, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
@@ -30,7 +30,7 @@
 
 /** What a session is served with. */
 export type SessionContext = Readonly<{
-	instance: Instance;
+	target: Target;
 	world: World;
 	wire: Wire;
 	/** Name the caller gave itself. */
@@ -44,8 +44,8 @@
 
 /** Serves a caller after its startup until it leaves. */
 export const serveSession = async (context: SessionContext): Promise<void> => {
-	const {instance, wire, world} = context;
-	const {engine} = instance;
+	const {target, wire, world} = context;
+	const {engine} = target;
 	const state: SessionState = {
 		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), skipping: false, cancel: new AbortController(),
 	};
@@ -56,7 +56,7 @@
 		const parts = output;
 		output = [];
 		outputBytes = 0;
-		await instance.waitWhileCut(context.peer);
+		await target.waitWhileCut(context.peer);
 		if (parts.length > 0) {
 			await wire.write(...parts);
 		}
@@ -71,7 +71,7 @@
 	};
 
 	const createContext = (transaction: Transaction, parameters: readonly Value[]): ExecutionContext => ({
-		engine, transaction, parameters, callFunction: instance.callFunction, getVirtualTable: instance.getVirtualTable,
+		engine, transaction, parameters, callFunction: target.callFunction, getVirtualTable: target.getVirtualTable,
 	});
 
 	const requireTransaction = (): Transaction => {
@@ -149,14 +149,14 @@
 
 			case 'alterSystem': {
 				if (statement.name === 'primary_conninfo') {
-					instance.setUpstream(statement.value);
+					target.setUpstream(statement.value);
 				}
 
 				return {tag: 'ALTER SYSTEM', columns: [], rows: []};
 			}
 
 			default: {
-				return instance.occupySlot(async () => {
+				return target.occupySlot(async () => {
 					await sleepIfAsked(statement, parameters);
 					return executeData(createContext(requireTransaction(), parameters), statement);
 				});
@@ -364,13 +364,13 @@
 	try {
 		while (true) {
 			const messages = await wire.readMessages();
-			await instance.waitWhileCut(context.peer);
+			await target.waitWhileCut(context.peer);
 			if (messages.err) {
 				return;
 			}
 
 			for (const message of messages.val) {
-				instance.onBytes(message.bytes);
+				target.onBytes(message.bytes);
 				if (message.type === 'X') {
 					return;
 				}
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/target.ts
@@ -1,4 +1,4 @@
-/** One instance of the database stand-in: its engine, its limits and its faults. */
+/** One target of the database stand-in: its engine, its limits and its faults. */
 
 import {
 	createDeadline, createGate, createNotifier, type World,
@@ -7,8 +7,8 @@
 import type {Column, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 
-/** Settings of an instance. */
-export type InstanceSettings = Readonly<{
+/** Settings of a target. */
+export type TargetSettings = Readonly<{
 	name: string;
 	replica: boolean;
 	/** Statements that run at a time. */
@@ -26,9 +26,9 @@
 /** A replica as its primary sees it. */
 export type ReplicaState = {readonly name: string; replayed: number};
 
-/** An instance with its faults and counters. */
-export type Instance = Readonly<{
-	settings: InstanceSettings;
+/** A target with its faults and counters. */
+export type Target = Readonly<{
+	settings: TargetSettings;
 	engine: Engine;
 	replicas: Set<ReplicaState>;
 	/** Gets the address to follow, as a connection string. */
@@ -65,8 +65,8 @@
 const textColumn = (name: string): Column => ({name, type: 'text', primaryKey: false});
 const integerColumn = (name: string): Column => ({name, type: 'int', primaryKey: false});
 
-/** Creates an instance. */
-export const createInstance = (settings: InstanceSettings, world: World, onBytes: (bytes: Uint8Array) => void = () => undefined): Instance => {
+/** Creates a target. */
+export const createTarget = (settings: TargetSettings, world: World, onBytes: (bytes: Uint8Array) => void = () => undefined): Target => {
 	const engine = createEngine(world, {replica: settings.replica});
 	const replicas = new Set<ReplicaState>();
 	const cuts = new Set<string>();
