Take the decisions of a request out of the PostgreSQL codecs

Cause: front-postgres and back-postgres held the caller's transaction, ran a request at its home and decided when an answer may be released, so another front end could not use that code. Change: package requests holds both tasks (caller, home) and takes the codec as functions (CallerPort, RunChunk); the codecs encode and decode. The table of imports checks that requests knows no codec. Ruled out: one code for PostgreSQL and the platform's statements; the first proves durability by grants and replayed positions, the second by positions that targets check (docs/DESIGN.md).

--- a/packages/back-postgres/src/index.ts
+++ b/packages/back-postgres/src/index.ts
@@ -1,4 +1,4 @@
 export * from './connection.js';
 export * from './exchange.js';
-export * from './home.js';
+export * from './relay.js';
 export * from './commands.js';
--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -15,14 +15,15 @@
 	['core'],
 	['telemetry', 'inventory', 'store', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool', 'feed'],
 	['configuration', 'roles', 'sessions'],
-	['failover', 'front-postgres', 'back-postgres', 'homes', 'callers'],
+	['failover', 'requests', 'homes', 'callers'],
+	['front-postgres', 'back-postgres'],
 	['routing'],
 	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load'],
 	['bench'],
 ];
 /** Programs may use each other's libraries. */
-const PROGRAM_ROW = 5;
-const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers'];
+const PROGRAM_ROW = 6;
+const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests'];
 const CODECS: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
--- a/packages/front-postgres/src/startup.ts
+++ b/packages/front-postgres/src/startup.ts
@@ -10,18 +10,14 @@
 	checkPassword, createMessage, encodeInt32, getBody, openWire, parseStartup, parseVerifier, readText, SQLSTATE, startScramServer,
 	type Verifier, type Wire,
 } from '@guavapitch/postgres-wire';
+import type {CallerIdentity} from '@guavapitch/requests';
 
 /** Failure of a startup, with the SQLSTATE that the caller is told. */
 export type StartupRefusal = Failure<'closed' | 'malformed' | 'unknownService' | 'keyRejected' | 'tlsRequired' | 'notAllowed'> & Readonly<{sqlState: string}>;
 
 /** A caller that has proved who it is. */
-export type Caller = Readonly<{
+export type Caller = CallerIdentity & Readonly<{
 	wire: Wire;
-	service: ServiceId;
-	/** Customer whose key came with the connection; `undefined` on a service open to all. */
-	customer: CustomerId | undefined;
-	/** Identifier of the key, never the key. */
-	keyId: string | undefined;
 	/** Name that the caller gave itself. */
 	applicationName: string;
 }>;
--- a/packages/proxy/src/callers.ts
+++ b/packages/proxy/src/callers.ts
@@ -7,10 +7,11 @@
 	createScope, parseId, type CustomerId, type VmId,
 } from '@guavapitch/core';
 import {
-	greetCaller, receiveStartup, serveCaller, type Caller, type CallerContext, type CallerControl, type StartupContext,
+	createCallerPort, greetCaller, receiveStartup, type Caller, type StartupContext,
 } from '@guavapitch/front-postgres';
 import type {Address} from '@guavapitch/peer-protocol';
 import {createErrorResponse, SQLSTATE, type Wire} from '@guavapitch/postgres-wire';
+import {serveCaller, type CallerContext, type CallerControl} from '@guavapitch/requests';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import type {Fleet} from './fleet.js';
 import type {Settings} from './settings.js';
@@ -105,7 +106,7 @@
 		metrics.gauge('entry.callers', open.size);
 		try {
 			await greetCaller(caller, {processId, secret});
-			await serveCaller(caller, entry, control);
+			await serveCaller(caller, createCallerPort(caller), entry, control);
 		} finally {
 			open.delete(processId);
 			metrics.gauge('entry.callers', open.size);
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -4,17 +4,17 @@
 	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
 	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type ServiceId, type Stream, type World,
 } from '@guavapitch/core';
-import {serveRequest, type HomeContext} from '@guavapitch/back-postgres';
+import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {GroupView} from '@guavapitch/failover';
-import type {
-	Caller, CallerContext, RequestFailure, RunningRequest,
-} from '@guavapitch/front-postgres';
 import type {Service} from '@guavapitch/inventory';
 import type {Allowances} from '@guavapitch/limits';
 import type {Peers} from '@guavapitch/peer-protocol';
 import {
 	chooseMode, chooseRoute, getCustomer, getService, waitBeforeRetry, type Attempt, type RetryBudget, type Route, type RoutingView,
 } from '@guavapitch/routing';
+import {
+	serveRequest, type CallerContext, type CallerIdentity, type HomeContext, type RequestFailure, type RunningRequest,
+} from '@guavapitch/requests';
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode, StatementClass,
 } from '@guavapitch/sessions';
@@ -28,7 +28,7 @@
 	fleet: Fleet;
 	peers: Peers;
 	allowances: Allowances;
-	home: HomeContext;
+	home: HomeContext<TargetConnection>;
 	budget: RetryBudget;
 	/** Owner of the tasks that serve requests whose home is this process. */
 	scope: Scope;
@@ -42,7 +42,7 @@
 type Call = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
 
 /** A caller's chunk on its way to a home. */
-type Turn = Readonly<{caller: Caller; call: Call; chunk: RequestChunk; signal: AbortSignal}>;
+type Turn = Readonly<{caller: CallerIdentity; call: Call; chunk: RequestChunk; signal: AbortSignal}>;
 
 type RequestStream = Stream<RequestChunk, Reply>;
 
@@ -74,7 +74,7 @@
 		};
 	};
 
-	const checkKey = (caller: Caller): Result<undefined, Refusal> => {
+	const checkKey = (caller: CallerIdentity): Result<undefined, Refusal> => {
 		if (caller.keyId === undefined || caller.customer === undefined) {
 			return Ok(undefined);
 		}
@@ -88,7 +88,7 @@
 		return customer?.services.includes(caller.service) ? Ok(undefined) : Err(createRefusal('keyWithdrawn', 'The customer may no longer use this service'));
 	};
 
-	const spendShare = async (caller: Caller, deadline: Deadline, signal: AbortSignal): Promise<Result<undefined, Refusal>> => {
+	const spendShare = async (caller: CallerIdentity, deadline: Deadline, signal: AbortSignal): Promise<Result<undefined, Refusal>> => {
 		if (!caller.customer) {
 			return Ok(undefined);
 		}
@@ -102,7 +102,7 @@
 		return Ok(undefined);
 	};
 
-	const createCall = (caller: Caller): Result<Call, Refusal> => {
+	const createCall = (caller: CallerIdentity): Result<Call, Refusal> => {
 		const inventory = fleet.inForce.getInventory();
 		const service = inventory && getService(inventory, caller.service);
 		if (!inventory || !service) {
@@ -119,7 +119,7 @@
 		});
 	};
 
-	const createHeader = (caller: Caller, call: Call, route: Route): RequestHeader => ({
+	const createHeader = (caller: CallerIdentity, call: Call, route: Route): RequestHeader => ({
 		requestId: call.requestId,
 		service: caller.service,
 		database: call.database,
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, type DatabaseId, type Scope, type Stream, type VmId, type World,
 } from '@guavapitch/core';
-import {serveRequest, type HomeContext, type HomeStream} from '@guavapitch/back-postgres';
+import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {RelayService, SyncRequest} from '@guavapitch/configuration';
 import {
 	GRANT_MS, type GrantBook, type Holder, type Permissions,
@@ -11,6 +11,7 @@
 import type {AllotmentRequest} from '@guavapitch/limits';
 import type {Ping, Pong} from '@guavapitch/membership';
 import type {PeerHandlers} from '@guavapitch/peer-protocol';
+import {serveRequest, type HomeContext, type HomeStream} from '@guavapitch/requests';
 import type {PromiseBook, PromiseRequest} from '@guavapitch/roles';
 import type {RequestHeader} from '@guavapitch/sessions';
 import type {EventRecord} from '@guavapitch/telemetry';
@@ -30,7 +31,7 @@
 	keepers: Keepers;
 	book: GrantBook;
 	promises: PromiseBook;
-	home: HomeContext;
+	home: HomeContext<TargetConnection>;
 	/** Gets the epoch of a slot as far as it is known here. */
 	getEpoch: (slot: string) => number;
 	/** Tells whether this process reached the store lately. */
--- a/packages/proxy/src/homes.ts
+++ b/packages/proxy/src/homes.ts
@@ -5,7 +5,7 @@
 	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	askPositions, createQuestions, openTargetConnection, type HomeTarget, type TargetAddress, type TargetConnection, type Questions,
+	askPositions, createQuestions, openTargetConnection, type TargetAddress, type TargetConnection, type Questions,
 } from '@guavapitch/back-postgres';
 import {
 	createDurability, createGrantBook, type GrantBook, type GrantReply, type GroupView,
@@ -13,6 +13,7 @@
 import {
 	createFairQueue, createPool, type FairQueue, type Pool,
 } from '@guavapitch/pool';
+import type {HomeTarget} from '@guavapitch/requests';
 import {chooseSlot, parseSlotRecord, ROLE_PREFIX} from '@guavapitch/roles';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import {
@@ -23,7 +24,7 @@
 export type Homes = AsyncDisposable & Readonly<{
 	book: GrantBook;
 	/** Gets a target of which this process is home, opening it if needed. */
-	get: (target: TargetId) => HomeTarget | undefined;
+	get: (target: TargetId) => HomeTarget<TargetConnection> | undefined;
 	waitUntilDurable: ReturnType<typeof createDurability>;
 	/** Asks for grants until the signal aborts. */
 	runGrants: (signal: AbortSignal) => Promise<void>;
@@ -46,7 +47,7 @@
 	onView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: HomeTarget}>;
+type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: HomeTarget<TargetConnection>}>;
 
 /** Connections of a target kept back for the steward's and the homes' own questions. */
 const RESERVED_CONNECTIONS = 4;
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -4,7 +4,7 @@
 	computeHash, createDeadline, createScope, Err, getMessage, Ok, parseId,
 	type DatabaseId, type Failure, type RequestId, type Result, type VmId, type World,
 } from '@guavapitch/core';
-import type {HomeContext} from '@guavapitch/back-postgres';
+import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
 import {
 	createRelayService, runFreshness, runWatches, type FreshnessContext, type SyncReply,
 } from '@guavapitch/configuration';
@@ -18,6 +18,7 @@
 import {
 	createProcessLease, createPromiseBook, parseSlotRecord, ROLE_PREFIX,
 } from '@guavapitch/roles';
+import type {HomeContext} from '@guavapitch/requests';
 import {createRetryBudget} from '@guavapitch/routing';
 import {
 	createCausalClock, createEmit, createEventRing, EVENTS, openLog, openMetrics,
@@ -141,7 +142,8 @@
 		world, vm: settings.vm, incarnation, fleet, callVm, emit, metrics, onView: acceptView,
 	});
 	const cancels = new Map<RequestId, () => void>();
-	const home: HomeContext = {
+	const home: HomeContext<TargetConnection> = {
+		runChunk,
 		world,
 		getTarget: homes.get,
 		checkGrant(header) {
--- a/packages/back-postgres/src/home.ts
+++ b/packages/requests/src/home.ts
@@ -1,25 +1,25 @@
-/** The home's part of a request: one task from its header to the end of its transaction. */
+/** The home's part of a request: one task from its header to the end of its transaction, without an encoding. */
 
-import {Buffer} from 'node:buffer';
 import {
 	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
 	FairQueue, Loan, Permit, Pool,
 } from '@guavapitch/pool';
-import {
-	readErrorResponse, readStatus, SQLSTATE, type Message,
-} from '@guavapitch/postgres-wire';
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
 } from '@guavapitch/sessions';
-import type {TargetConnection} from './connection.js';
-import {sendChunk} from './exchange.js';
+
+/** Connection to a target as the decisions see it. */
+export type HomeConnection = AsyncDisposable & Readonly<{
+	/** Asks the target to cancel what runs on the connection. */
+	cancel: () => void;
+}>;
 
 /** A target as its home works it. */
-export type HomeTarget = Readonly<{
+export type HomeTarget<Connection extends HomeConnection> = Readonly<{
 	queue: FairQueue;
-	pool: Pool<TargetConnection>;
+	pool: Pool<Connection>;
 	/** Tells whether the target gets no new work. */
 	isLeaving: () => boolean;
 }>;
@@ -31,10 +31,12 @@
 export type PendingAnswer = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
 
 /** What a home decides with. */
-export type HomeContext = Readonly<{
+export type HomeContext<Connection extends HomeConnection> = Readonly<{
 	world: World;
 	/** Gets a target of which this process is home. */
-	getTarget: (target: TargetId) => HomeTarget | undefined;
+	getTarget: (target: TargetId) => HomeTarget<Connection> | undefined;
+	/** Sends a chunk to the target and passes its answer on. */
+	runChunk: RunChunk<Connection>;
 	/** Checks that a request may be sent to the target now; gives the term. */
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
 	/** Waits until the answer of a write may be released. */
@@ -54,20 +56,32 @@
 /** The home's end of a request. */
 export type HomeStream = Stream<Reply, RequestChunk>;
 
-type Served = Readonly<{context: HomeContext; header: RequestHeader; stream: HomeStream; target: HomeTarget}>;
+type Served<Connection extends HomeConnection> = Readonly<{context: HomeContext<Connection>; header: RequestHeader; stream: HomeStream; target: HomeTarget<Connection>}>;
 
 /** How a chunk ended. */
-type ChunkEnd
+export type ChunkEnd
 	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
 		| Readonly<{kind: 'flushed'; skipping: boolean}>
 		| Readonly<{kind: 'readOnly'}>
 		| Readonly<{kind: 'lost'}>;
 
-/** A chunk, and whether the target ignores everything up to a Sync. */
-type ChunkTurn = Readonly<{chunk: RequestChunk; skipping: boolean; onBegin: () => void}>;
+/** A chunk and where its answer goes. */
+export type ChunkTurn = Readonly<{
+	chunk: RequestChunk;
+	/** Whether the target ignores everything up to a Sync after an error. */
+	skipping: boolean;
+	/** Whether the request may write, so that a refusal to write is an answer like others. */
+	isWrite: boolean;
+	/** Hears that the answer has begun. */
+	onBegin: () => void;
+	/** Passes messages of the answer on. */
+	send: (bytes: Uint8Array) => Promise<void>;
+	/** Tells whether the last completion may be given, now that the target is in a status. */
+	mayRelease: (status: TransactionStatus) => Promise<boolean>;
+}>;
 
-/** Releases the held messages when the answer may be given; `false` if it may not. */
-type ReleaseAnswer = (held: readonly Message[], status: TransactionStatus) => Promise<boolean>;
+/** Sends a chunk over a connection and passes the answer on, holding back its last completion until it may be given. */
+export type RunChunk<Connection> = (connection: Connection, turn: ChunkTurn) => Promise<ChunkEnd>;
 
 /** State in which a connection is given back. */
 type LoanState = 'clean' | 'dirty' | 'broken';
@@ -77,83 +91,11 @@
 
 const ANSWERED = 'the answer has come';
 const UNPROVED_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the answer was proved durable';
-const FLUSH_BYTES = 32_768;
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
-/** Reads the answer to one chunk and passes it on, holding back the last completion of a write. */
-const relayAnswer = async (served: Served, connection: TargetConnection, turn: ChunkTurn, onHeld: ReleaseAnswer): Promise<ChunkEnd> => {
-	const {chunk, skipping} = turn;
-	const {stream, header} = served;
-	const progress = await sendChunk(connection, chunk, skipping);
-	let parts: Buffer[] = progress.initial.map(message => message.bytes);
-	let size = 0;
-	let sent = false;
-	let held: Message[] = [];
-
-	const flush = async () => {
-		if (parts.length > 0) {
-			const bytes = Buffer.concat(parts);
-			parts = [];
-			size = 0;
-			sent = true;
-			await stream.send({kind: 'messages', bytes});
-		}
-	};
-
-	const pass = (message: Message) => {
-		if (held.length > 0) {
-			parts.push(...held.map(one => one.bytes));
-			held = [];
-		}
-
-		if (message.type === 'C') {
-			held = [message];
-		} else {
-			parts.push(message.bytes);
-		}
-
-		size += message.bytes.length;
-	};
-
-	while (true) {
-		if (progress.isSettled()) {
-			parts.push(...held.map(one => one.bytes));
-			await flush();
-			return {kind: 'flushed', skipping: progress.hasFailed()};
-		}
-
-		const messages = await connection.read();
-		if (messages.err) {
-			await flush();
-			return {kind: 'lost'};
-		}
-
-		turn.onBegin();
-		for (const message of messages.val) {
-			if (message.type === 'E' && header.mode !== 'write' && !sent && readErrorResponse(message).code === SQLSTATE.readOnly) {
-				return {kind: 'readOnly'};
-			}
-
-			if (message.type === 'Z') {
-				const status = readStatus(message);
-				await flush();
-				return await onHeld(held, status) ? {kind: 'ready', status} : {kind: 'lost'};
-			}
-
-			for (const own of progress.accept(message)) {
-				pass(own);
-			}
-		}
-
-		if (size > FLUSH_BYTES || !chunk.ends) {
-			await flush();
-		}
-	}
-};
-
 /** Waits for the next chunk of a transaction, at most until its idle deadline. */
-const receiveNext = async (served: Served): Promise<RequestChunk | 'idle' | undefined> => {
+const receiveNext = async <Connection extends HomeConnection>(served: Served<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
 	const {context, stream, header} = served;
 	const timer = new AbortController();
 	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
@@ -166,7 +108,7 @@
 type AwaitedAnswer = Readonly<{term: number; hasBegun: () => boolean; answered: AbortSignal}>;
 
 /** Ends a connection whose target will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
-const giveUpWhenHopeless = async (served: Served, connection: TargetConnection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
+const giveUpWhenHopeless = async <Connection extends HomeConnection>(served: Served<Connection>, connection: Connection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
 	const {context, header} = served;
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	await context.waitUntilHopeless(header, term, deadline, answered);
@@ -177,14 +119,14 @@
 	}
 };
 
-const sendLoss = async (served: Served, status: TransactionStatus, committed: boolean): Promise<void> => {
+const sendLoss = async <Connection extends HomeConnection>(served: Served<Connection>, status: TransactionStatus, committed: boolean): Promise<void> => {
 	const {stream} = served;
 	const isUnknown = status === 'idle' || committed;
 	await stream.send(isUnknown ? {kind: 'unknown', message: UNPROVED_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
 };
 
 /** Runs chunks on a connection until the transaction is over; tells in what state the connection is left. */
-const runTransaction = async (served: Served, loan: Loan<TargetConnection>, first: FirstTurn): Promise<LoanState> => {
+const runTransaction = async <Connection extends HomeConnection>(served: Served<Connection>, loan: Loan<Connection>, first: FirstTurn): Promise<LoanState> => {
 	const {context, header, stream, target} = served;
 	const {connection} = loan;
 	const cancel = () => {
@@ -198,20 +140,18 @@
 	let skipping = false;
 	let status: TransactionStatus = 'idle';
 
-	const releaseAnswer = async (held: readonly Message[], next: TransactionStatus): Promise<boolean> => {
+	const send = async (bytes: Uint8Array) => {
+		await stream.send({kind: 'messages', bytes});
+	};
+
+	const mayRelease = async (next: TransactionStatus): Promise<boolean> => {
 		permit?.[Symbol.dispose]();
 		if (next === 'idle' && header.mode === 'write') {
 			const deadline = createDeadline(context.world.now(), header.remainingMs);
 			const state = await context.waitUntilDurable({
 				database: header.database, target: header.target, term: first.term, deadline, signal: stream.signal,
 			});
-			if (state !== 'durable') {
-				return false;
-			}
-		}
-
-		if (held.length > 0) {
-			await stream.send({kind: 'messages', bytes: Buffer.concat(held.map(message => message.bytes))});
+			return state === 'durable';
 		}
 
 		return true;
@@ -238,7 +178,9 @@
 		};
 
 		void giveUpWhenHopeless(served, connection, {term: first.term, hasBegun: () => begun, answered: answered.signal});
-		const end: ChunkEnd = await relayAnswer(served, connection, {chunk, skipping, onBegin}, releaseAnswer);
+		const end: ChunkEnd = await context.runChunk(connection, {
+			chunk, skipping, isWrite: header.mode === 'write', onBegin, send, mayRelease,
+		});
 		answered.abort(ANSWERED);
 		stream.signal.removeEventListener('abort', cancel);
 		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
@@ -277,7 +219,7 @@
 };
 
 /** Serves one request; whatever is refused has not run. */
-export const serveRequest = async (context: HomeContext, header: RequestHeader, stream: HomeStream): Promise<void> => {
+export const serveRequest = async <Connection extends HomeConnection>(context: HomeContext<Connection>, header: RequestHeader, stream: HomeStream): Promise<void> => {
 	const refuse = async (refusal: Refusal) => {
 		await stream.send({kind: 'refused', refusal});
 	};
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,2 @@
+export * from './caller.js';
+export * from './home.js';
--- /dev/null
+++ b/packages/requests/src/tests/home.test.ts
@@ -0,0 +1,155 @@
+/** The home's part of a request over a connection that a test answers for. */
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	createStreamPair, createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
+} from '@guavapitch/core';
+import {createFairQueue, createPool} from '@guavapitch/pool';
+import type {Reply, RequestChunk, RequestHeader} from '@guavapitch/sessions';
+import {
+	serveRequest, type AnswerState, type ChunkEnd, type ChunkTurn, type HomeContext, type HomeStream,
+} from '../home.js';
+
+const TARGET = parseId<TargetId>('motions-1');
+const CHUNK: RequestChunk = {
+	parts: [], ends: true, mayCommit: true, leavesState: false,
+};
+
+const HEADER: RequestHeader = {
+	requestId: parseId<RequestId>('r1'),
+	service: parseId<ServiceId>('motions'),
+	database: parseId<DatabaseId>('motions'),
+	target: TARGET,
+	customer: parseId<CustomerId>('klub'),
+	weight: 1,
+	mode: 'write',
+	maximumAgeMs: 0,
+	remainingMs: 1000,
+	idleTransactionMs: 300,
+};
+
+type Connection = AsyncDisposable & Readonly<{cancel: () => void; isEnded: () => boolean; reset: () => Promise<boolean>}>;
+
+/** What a test decides. */
+type Choices = Readonly<{
+	answer?: (turn: ChunkTurn) => Promise<ChunkEnd>;
+	isDurable?: AnswerState;
+	isGranted?: boolean;
+	isDraining?: boolean;
+}>;
+
+const answerAtOnce = async (turn: ChunkTurn): Promise<ChunkEnd> => {
+	await turn.send(new Uint8Array([1]));
+	return await turn.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
+};
+
+const createFixture = (choices: Choices) => {
+	const {world, advance, settle} = createVirtualWorld();
+	let resets = 0;
+	const pool = createPool<Connection>({
+		limit: 2,
+		spare: 0,
+		dial: async () => Ok({
+			cancel: () => undefined,
+			isEnded: () => false,
+			async reset() {
+				resets++;
+				return true;
+			},
+			[Symbol.asyncDispose]: async () => undefined,
+		}),
+		onFree: () => undefined,
+		onReachable: () => undefined,
+	}, world);
+	const queue = createFairQueue(world, 1, () => true);
+	const context: HomeContext<Connection> = {
+		world,
+		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
+		runChunk: async (_, turn) => (choices.answer ?? answerAtOnce)(turn),
+		checkGrant: () => choices.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
+		waitUntilDurable: async () => choices.isDurable ?? 'durable',
+		waitUntilHopeless: async (_header, _term, _deadline, signal) => new Promise(resolve => {
+			signal.addEventListener('abort', () => {
+				resolve();
+			});
+		}),
+		onServed: () => undefined,
+		keepCancel: () => ({[Symbol.dispose]: () => undefined}),
+		trackRequest: () => ({[Symbol.dispose]: () => undefined}),
+		isDraining: () => choices.isDraining ?? false,
+	};
+	const [entry, own] = createStreamPair<RequestChunk, Reply>(() => 1);
+	return {
+		entry, advance, settle, queue, getResets: () => resets,
+		serve: async (header = HEADER) => serveRequest(context, header, own as HomeStream),
+	};
+};
+
+/** Serves one chunk and gives the kinds of the replies. */
+const collectKinds = async (choices: Choices, header = HEADER): Promise<readonly string[]> => {
+	const {entry, serve} = createFixture(choices);
+	await entry.send(CHUNK);
+	const served = serve(header);
+	const kinds: string[] = [];
+	while (kinds.at(-1) === undefined || kinds.at(-1) === 'messages') {
+		const reply = await entry.receive();
+		kinds.push(reply?.kind === 'refused' ? reply.refusal.code : reply?.kind ?? 'end');
+	}
+
+	await entry[Symbol.asyncDispose]();
+	await served;
+	return kinds;
+};
+
+describe('requests at their home', () => {
+	describe('a single write', () => {
+		it('is answered once it is durable', async () => {
+			assert.deepEqual(await collectKinds({}), ['messages', 'ready']);
+		});
+
+		it('has an unknown outcome while it is not proved durable', async () => {
+			assert.deepEqual(await collectKinds({isDurable: 'unproved'}), ['messages', 'unknown']);
+		});
+
+		it('has an unknown outcome when the connection is lost', async () => {
+			assert.deepEqual(await collectKinds({answer: async () => ({kind: 'lost'})}), ['unknown']);
+		});
+	});
+
+	describe('a read', () => {
+		it('does not wait for replicas', async () => {
+			assert.deepEqual(await collectKinds({isDurable: 'unproved'}, {...HEADER, mode: 'read'}), ['messages', 'ready']);
+		});
+
+		it('goes back to the entry when a replica finds that it writes', async () => {
+			assert.deepEqual(await collectKinds({answer: async () => ({kind: 'readOnly'})}, {...HEADER, mode: 'read'}), ['readOnly']);
+		});
+	});
+
+	describe('a refusal', () => {
+		it('comes before anything is sent to the target', async () => {
+			const refuseToRun = async (): Promise<ChunkEnd> => assert.fail('the chunk was sent');
+			assert.deepEqual(await collectKinds({answer: refuseToRun, isGranted: false}), ['noGrant']);
+			assert.deepEqual(await collectKinds({answer: refuseToRun, isDraining: true}), ['notHome']);
+			assert.deepEqual(await collectKinds({answer: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
+		});
+	});
+
+	describe('a transaction', () => {
+		it('holds no slot in its pauses, and is rolled back when it stays idle too long', async () => {
+			const {entry, serve, advance, settle, queue, getResets} = createFixture({answer: async () => ({kind: 'ready', status: 'open'})});
+			await entry.send(CHUNK);
+			const served = serve();
+			await settle();
+			assert.deepEqual(await entry.receive(), {kind: 'ready', status: 'open'});
+			assert.equal(queue.getBusy(), 0);
+			await advance(HEADER.idleTransactionMs + 1);
+			const reply = await entry.receive();
+			assert.equal(reply?.kind, 'rolledBack');
+			await served;
+			await settle();
+			assert.equal(getResets(), 1, 'the connection is reset before it is used again');
+		});
+	});
+});
