--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -63,5 +63,6 @@
 	readinessChanged: createKind(1807, 'info', 'readiness changed'),
 	settingsReloaded: createKind(1808, 'info', 'settings read again'),
 	linesDropped: createKind(1809, 'warn', 'log lines dropped'),
+	settingsRejected: createKind(1810, 'warn', 'settings cannot be used'),
 	standinCommand: createKind(1901, 'info', 'stand-in command carried out'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -24,8 +24,6 @@
 	port: number;
 	/** Processor share. */
 	capacity: number;
-	/** Time from the signal to stop until the process is ended, in milliseconds. */
-	graceMs: number;
 }>;
 
 /** Functions and keys of the surroundings. */
