Let able vms be homes first; end fewer watches while a fleet starts

After all vms restart it takes eight seconds until nine tenths are served again (the small site: under two). All statements of a database meet at one home; vms have 0.227 to 1.35 cores there and the weighted draw gives a sixth of them to the weakest. Change: of the preferred data centre, vms with half of its largest capacity or more rank first. A pause of 100 ms between watches of members.

--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -36,14 +36,26 @@
 
 const HASH_RANGE = 4_294_967_296;
 
-/** Ranks vms for a key by weighted rendezvous hashing, those of a preferred data centre first. */
-export const rankHomes = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => members
-	.map(member => {
-		const drawn = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
-		return {member, isNear: member.dataCentre === preferred, score: -member.capacity / Math.log(drawn)};
-	})
-	.toSorted((a, b) => Number(b.isNear) - Number(a.isNear) || b.score - a.score || (a.member.vm < b.member.vm ? -1 : 1))
-	.map(({member}) => member);
+/** Part of the largest capacity that a vm must have to be home before the others: all statements of a database meet there. */
+const ABLE_PART = 0.5;
+
+/**
+ * Ranks vms for a key by weighted rendezvous hashing: those of a preferred data centre first, and of these the able ones.
+ * Answers the load of a fleet of unequal vms, where a weak home is the bottleneck of its whole database.
+ */
+export const rankHomes = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => {
+	const near = members.filter(member => member.dataCentre === preferred);
+	const able = ABLE_PART * Math.max(0, ...(near.length > 0 ? near : members).map(({capacity}) => capacity));
+	return members
+		.map(member => {
+			const drawn = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
+			return {
+				member, isNear: member.dataCentre === preferred, isAble: member.capacity >= able, score: -member.capacity / Math.log(drawn),
+			};
+		})
+		.toSorted((a, b) => Number(b.isNear) - Number(a.isNear) || Number(b.isAble) - Number(a.isAble) || b.score - a.score || (a.member.vm < b.member.vm ? -1 : 1))
+		.map(({member}) => member);
+};
 
 /** Ranks the vms that a vm may follow: the older ones of its data centre, oldest first. */
 export const rankRelays = (self: VmId, dataCentre: DataCentreId, members: readonly Member[]): readonly Member[] => {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -48,6 +48,8 @@
 const RULES_WATCH_MS = 2000;
 /** Longest wait of one watch of members and duties, in milliseconds. */
 const OWN_WATCH_MS = 5000;
+/** Pause between watches of members and duties, in milliseconds: when a whole fleet starts, each joining vm would end every watch. */
+const OWN_PAUSE_MS = 100;
 /** Longest wait of one watch of targets, in milliseconds. */
 const TARGET_WATCH_MS = 5000;
 /** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
@@ -108,7 +110,7 @@
 		source: context.source,
 		prefixes: [
 			{prefix: context.rulesKey, waitMs: RULES_WATCH_MS, pauseMs: 0},
-			{prefix: OWN_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: 0},
+			{prefix: OWN_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: OWN_PAUSE_MS},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
 		isNews: (change, before) => isNews(context, change, before),
