An emulator of targets and callers on the virtual clock, and guavapitch-load replay

Change: package emulator drives the product's home, floors, reach, shares and keeper with emulated targets (slots, times with tails, dials that take a slot, lag, terms) and callers with retries; seven named loads; tables by class, data centre, customer and window, ratios to another version, a plot. Ruled out: replaying through the peer protocol, which would show the codec's cost and not the decisions.

--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -18,12 +18,12 @@
 	['failover', 'requests', 'homes', 'callers'],
 	['front-postgres', 'back-postgres'],
 	['routing'],
-	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load'],
+	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load', 'emulator'],
 	['bench'],
 ];
 /** Programs may use each other's libraries. */
 const PROGRAM_ROW = 6;
-const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests'];
+const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests', 'emulator'];
 const CODECS: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
--- /dev/null
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -0,0 +1,108 @@
+/** Replayed loads: what callers get when load is at its worst, and the tables over it. */
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {findLoad, LOADS} from '../loads.js';
+import {formatPlot} from '../plot.js';
+import {runReplay, type ReplayResult} from '../replay.js';
+import {
+	compareTables, computeWorstWindows, createTable, formatTable, type TableRow,
+} from '../table.js';
+
+const replay = async (name: string, seed = 1): Promise<readonly TableRow[]> => {
+	const load = findLoad(name);
+	assert.ok(load, name);
+	return createTable(await runReplay(load, seed));
+};
+
+const findWorth = (rows: readonly TableRow[], group: string, name: string): number => rows.find(row => row.group === group && row.name === name)?.worth ?? 0;
+
+describe('replayed loads', () => {
+	describe('the same seed', () => {
+		it('gives the same operations', async () => {
+			assert.deepEqual(await replay('failover', 7), await replay('failover', 7));
+		});
+	});
+
+	describe('a quiet time', () => {
+		it('loses next to nothing, whatever the seed', async () => {
+			for (const seed of [1, 2, 3]) {
+				assert.ok(findWorth(await replay('quiet', seed), 'all', '') >= 0.99);
+			}
+		});
+	});
+
+	describe('one hot customer', () => {
+		it('leaves the others their worth', async () => {
+			const rows = await replay('hot-customer');
+			assert.ok(findWorth(rows, 'customer', 'large') >= 0.95, 'large');
+			assert.ok(findWorth(rows, 'customer', 'middle') >= 0.95, 'middle');
+		});
+	});
+
+	describe('a target that is slow or silent', () => {
+		it('costs a small part of the worst windows', async () => {
+			assert.ok(computeWorstWindows(await replay('slow-target')) >= 0.9);
+			assert.ok(computeWorstWindows(await replay('dark-target')) >= 0.9);
+		});
+	});
+
+	describe('a failover', () => {
+		it('leaves reads that need no leader their worth, and ends with it', async () => {
+			const rows = await replay('failover');
+			assert.ok(findWorth(rows, 'class', 'swaps') >= 0.95);
+			assert.ok(findWorth(rows, 'from ms', '12000') >= 0.98, 'two seconds after the promotion all is served');
+		});
+	});
+
+	describe('a restart of all vms', () => {
+		it('is over in the window after it', async () => {
+			assert.ok(findWorth(await replay('restart'), 'from ms', '12000') >= 0.98);
+		});
+	});
+});
+
+describe('tables', () => {
+	const operation = {
+		className: 'orders', customer: 'large', dataCentre: 'east', worth: 2,
+	};
+	const result: ReplayResult = {
+		load: 'made',
+		seed: 1,
+		dials: 0,
+		operations: [
+			{
+				...operation, atMs: 100, end: 'prompt', ms: 10, earned: 2,
+			},
+			{
+				...operation, atMs: 2100, end: 'late', ms: 900, earned: 0.5,
+			},
+			{
+				...operation, atMs: 4100, end: 'refused', ms: 5, earned: 0,
+			},
+		],
+	};
+
+	it('group by class, data centre, customer and window', () => {
+		const rows = createTable(result);
+		assert.deepEqual(rows.map(({group, name}) => `${group} ${name}`), ['all ', 'class orders', 'data centre east', 'customer large', 'from ms 0', 'from ms 2000', 'from ms 4000']);
+		assert.equal(rows[0]?.worth, 2.5 / 6);
+		assert.equal(computeWorstWindows(rows), 0.125);
+		assert.equal(formatTable(rows).split('\n').length, rows.length + 1);
+	});
+
+	it('compare as ratios', () => {
+		assert.match(compareTables(createTable(result), createTable(result)), /^all +worth 0\.417 -> 0\.417, ratio 1\.000/v);
+	});
+
+	it('are plotted with a line for each class', () => {
+		assert.equal(formatPlot(result).match(/<polyline/gv)?.length, 1);
+	});
+});
+
+describe('loads', () => {
+	it('have names of their own and a description', () => {
+		assert.equal(new Set(LOADS.map(({name}) => name)).size, LOADS.length);
+		assert.ok(LOADS.every(({description}) => description.length > 0));
+	});
+});
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -4,6 +4,9 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
+import {
+	compareTables, computeWorstWindows, createTable, findLoad, formatPlot, formatTable, LOADS, runReplay, type TableRow,
+} from '@guavapitch/emulator';
 import type {EntryAddress} from './entries.js';
 import {connectAll, runOpen, type TrafficResult} from './traffic.js';
 
@@ -84,6 +87,32 @@
 			print(`${name}: ${before[name].toFixed(2)} -> ${after[name].toFixed(2)}, ratio ${(after[name] / before[name]).toFixed(3)}`);
 		}
 	})
+	.command('replay <load>', 'replay a named load on emulated targets and callers', command => command
+		.positional('load', {choices: LOADS.map(({name}) => name), demandOption: true})
+		.option('seed', {type: 'number', default: 1, describe: 'seed of all chance'})
+		.option('output', {type: 'string', describe: 'file for the table, JSON'})
+		.option('compare', {type: 'string', describe: 'table of another version, JSON; shows ratios to it'})
+		.option('plot', {type: 'string', describe: 'file for the plot of worth by window, SVG'}), async flags => {
+		const load = findLoad(flags.load);
+		if (!load) {
+			throw new RangeError(`There is no load ${flags.load}`);
+		}
+
+		const result = await runReplay(load, flags.seed);
+		const rows = createTable(result);
+		print(`${load.name}, seed ${flags.seed}: ${load.description}\n${formatTable(rows)}\nworst two windows: ${computeWorstWindows(rows).toFixed(3)}, connections opened: ${result.dials}`);
+		if (flags.compare) {
+			print(compareTables(JSON.parse(readFileSync(flags.compare, 'utf8')) as readonly TableRow[], rows));
+		}
+
+		if (flags.output) {
+			writeFileSync(flags.output, JSON.stringify(rows, undefined, '\t'));
+		}
+
+		if (flags.plot) {
+			writeFileSync(flags.plot, formatPlot(result));
+		}
+	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-load: ${error instanceof Error ? error.message : message}\n`);
 		process.exitCode = EXIT_SETTING;
