--- a/packages/back-postgres/src/relay.ts
+++ b/packages/back-postgres/src/relay.ts
@@ -4,7 +4,7 @@
 import {
 	readErrorResponse, readStatus, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
-import type {ChunkEnd, ChunkTurn} from '@guavapitch/requests';
+import type {ChunkResult, ChunkTask} from '@guavapitch/requests';
 import type {TargetConnection} from './connection.js';
 import {sendChunk} from './exchange.js';
 
@@ -12,7 +12,7 @@
 const FLUSH_BYTES = 32_768;
 
 /** Sends one chunk and passes its answer on, holding back the last completion until it may be given. */
-export const runChunk = async (connection: TargetConnection, turn: ChunkTurn): Promise<ChunkEnd> => {
+export const runChunk = async (connection: TargetConnection, turn: ChunkTask): Promise<ChunkResult> => {
 	const {chunk, skipping} = turn;
 	const progress = await sendChunk(connection, chunk, skipping);
 	let parts: Buffer[] = progress.initial.map(message => message.bytes);
@@ -58,7 +58,7 @@
 			return {kind: 'lost'};
 		}
 
-		turn.onBegin();
+		turn.onResponseStarted();
 		for (const message of messages.val) {
 			if (message.type === 'E' && !turn.isWrite && !sent && readErrorResponse(message).code === SQLSTATE.readOnly) {
 				return {kind: 'readOnly'};
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -85,7 +85,7 @@
 const setPlatformFaults = async (stack: Stack, faults: Readonly<Record<string, unknown>>): Promise<void> => {
 	const text = JSON.stringify(faults);
 	const current = await stack.store.read(FAULTS_KEY);
-	await stack.store.swap(FAULTS_KEY, current.ok ? current.val?.revision ?? 0 : 0, text);
+	await stack.store.compareAndSwap(FAULTS_KEY, current.ok ? current.val?.revision ?? 0 : 0, text);
 };
 
 /** Gets the primary of a database as the fleet's newest record says. */
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -253,7 +253,7 @@
 			vm, dataCentre, host: '127.0.0.1', port: await getOuterPort(vm, peerPort), state: 'live',
 		};
 		const current = await store.read(`/platform/vms/${vm}`);
-		await store.swap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
+		await store.compareAndSwap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
 		requireRunning();
 		const child = startChild(vm, 'proxy', [
 			'--vm',
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -4,7 +4,7 @@
 	createDeadline, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type World,
 } from '@guavapitch/core';
 import {
-	chooseLater, createRefusal, getAccess, type CallerStatement, type Consistency, type HomeAnswer, type HomeRequest, type Outcome, type Position, type Prepared, type TargetStatement,
+	chooseLaterPosition, createRefusal, getAccess, type CallerStatement, type Consistency, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
 } from '@guavapitch/sessions';
 
 /** Rules of the service that a session uses. */
@@ -16,32 +16,32 @@
 	/** Limit of one statement, in milliseconds. */
 	timeoutMs: number;
 	/** Time in which a whole operation should be answered, in milliseconds. */
-	promptMs: number;
+	latencyObjectiveMs: number;
 	/** Smaller goes first. */
 	priority: number;
 	/** Whether callers need no key. */
-	isOpen: boolean;
+	isPublic: boolean;
 }>;
 
 /** Who a caller proved to be. */
-export type Admission = Readonly<{route: Route; customer: CustomerId}>;
+export type Authorization = Readonly<{route: Route; customer: CustomerId}>;
 
 /** What a session needs. */
 export type SessionContext = Readonly<{
 	world: World;
 	/** Reads the rules that hold now for the session; a refusal if its service or key is gone. */
-	admit: () => Result<Admission, Outcome>;
+	authorize: () => Result<Authorization, StatementOutcome>;
 	/** Lets the home of the database run a statement. */
-	runAtHome: (request: HomeRequest, deadline: Deadline) => Promise<HomeAnswer>;
+	runAtOwner: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	/** Rolls a transaction back at its home. */
 	rollBack: (database: DatabaseId, transaction: string) => void;
 }>;
 
 /** What a caller hears of a statement. */
-export type SessionAnswer = Readonly<{
-	outcome: Outcome;
+export type SessionResponse = Readonly<{
+	outcome: StatementOutcome;
 	status: TransactionStatus;
-	position: Position | undefined;
+	position: LogPosition | undefined;
 	/** Target that answered, for the logs. */
 	target: string | undefined;
 	waitedMs: number;
@@ -50,7 +50,7 @@
 /** Session of a caller. */
 export type Session = Readonly<{
 	/** Runs a statement; one at a time. */
-	run: (id: string, statement: CallerStatement) => Promise<SessionAnswer>;
+	run: (id: string, statement: CallerStatement) => Promise<SessionResponse>;
 	getStatus: () => TransactionStatus;
 	/** Ends the session; an open transaction is rolled back. */
 	end: () => void;
@@ -59,23 +59,23 @@
 type Transaction = Readonly<{
 	id: string;
 	readOnly: boolean;
-	admission: Admission;
+	admission: Authorization;
 	promptUntil: Deadline;
 }>;
 
-const DONE: Outcome = {kind: 'done', rows: [], signature: ''};
+const DONE: StatementOutcome = {kind: 'done', rows: [], signature: ''};
 
 /** Creates a session in no transaction. */
 export const createSession = (context: SessionContext): Session => {
 	const {world} = context;
 	const values = new Map<string, string>();
-	const prepared = new Map<string, Prepared>();
+	const prepared = new Map<string, PreparedDefinition>();
 	let status: TransactionStatus = 'idle';
 	let transaction: Transaction | undefined;
 	let isStarted = false;
-	let floor: Position | undefined;
+	let floor: LogPosition | undefined;
 
-	const answer = (outcome: Outcome, from?: HomeAnswer): SessionAnswer => ({
+	const answer = (outcome: StatementOutcome, from?: StatementResponse): SessionResponse => ({
 		outcome, status, position: from?.position, target: from?.target, waitedMs: from?.waitedMs ?? 0,
 	});
 
@@ -91,7 +91,7 @@
 		}
 	};
 
-	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Admission, promptUntil: Deadline): HomeRequest => ({
+	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, promptUntil: Deadline): StatementRequest => ({
 		id,
 		database: route.database,
 		customer,
@@ -105,29 +105,29 @@
 		priority: route.priority,
 	});
 
-	const noteAnswer = (request: HomeRequest, {outcome, position}: HomeAnswer) => {
+	const noteAnswer = (request: StatementRequest, {outcome, position}: StatementResponse) => {
 		const mayHaveWritten = getAccess(request.statement) !== 'read';
 		if (outcome.kind === 'done' && mayHaveWritten && position) {
-			floor = chooseLater(floor, position);
+			floor = chooseLaterPosition(floor, position);
 		}
 	};
 
-	const runSingle = async (id: string, statement: TargetStatement): Promise<SessionAnswer> => {
+	const runSingle = async (id: string, statement: TargetStatement): Promise<SessionResponse> => {
 		const startedAt = world.now();
-		const admission = context.admit();
+		const admission = context.authorize();
 		if (admission.err) {
 			return answer(admission.val);
 		}
 
 		const {route} = admission.val;
-		const request = createRequest(id, statement, admission.val, createDeadline(startedAt, route.promptMs));
-		const ran = await context.runAtHome(request, createDeadline(world.now(), route.timeoutMs));
+		const request = createRequest(id, statement, admission.val, createDeadline(startedAt, route.latencyObjectiveMs));
+		const ran = await context.runAtOwner(request, createDeadline(world.now(), route.timeoutMs));
 		noteAnswer(request, ran);
 		return answer(ran.outcome, ran);
 	};
 
-	const runInTransaction = async (id: string, statement: TargetStatement, open: Transaction): Promise<SessionAnswer> => {
-		const current = context.admit();
+	const runInTransaction = async (id: string, statement: TargetStatement, open: Transaction): Promise<SessionResponse> => {
+		const current = context.authorize();
 		if (current.err && current.val.kind === 'refused' && current.val.code === 'noKey') {
 			leaveTransaction('failed');
 			return answer(current.val);
@@ -135,7 +135,7 @@
 
 		const request = createRequest(id, statement, open.admission, open.promptUntil);
 		isStarted = true;
-		const ran = await context.runAtHome(request, createDeadline(world.now(), open.admission.route.timeoutMs));
+		const ran = await context.runAtOwner(request, createDeadline(world.now(), open.admission.route.timeoutMs));
 		noteAnswer(request, ran);
 		if (statement.kind === 'commit' || ran.status !== 'open') {
 			isStarted = ran.status === 'open';
@@ -145,26 +145,26 @@
 		return answer(ran.outcome, ran);
 	};
 
-	const begin = (readOnly: boolean): SessionAnswer => {
+	const begin = (readOnly: boolean): SessionResponse => {
 		if (status === 'open') {
 			return answer(createRefusal('malformed', 'a transaction is open already'));
 		}
 
 		const startedAt = world.now();
-		const admission = context.admit();
+		const admission = context.authorize();
 		if (admission.err) {
 			return answer(admission.val);
 		}
 
 		transaction = {
-			id: world.createId(), readOnly, admission: admission.val, promptUntil: createDeadline(startedAt, admission.val.route.promptMs),
+			id: world.createId(), readOnly, admission: admission.val, promptUntil: createDeadline(startedAt, admission.val.route.latencyObjectiveMs),
 		};
 		isStarted = false;
 		status = 'open';
 		return answer(DONE);
 	};
 
-	const runAtTarget = async (id: string, statement: TargetStatement): Promise<SessionAnswer> => {
+	const runAtTarget = async (id: string, statement: TargetStatement): Promise<SessionResponse> => {
 		if (transaction) {
 			return runInTransaction(id, statement, transaction);
 		}
@@ -174,14 +174,14 @@
 			: runSingle(id, statement);
 	};
 
-	const execute = async (id: string, name: string, rest: string): Promise<SessionAnswer> => {
+	const execute = async (id: string, name: string, rest: string): Promise<SessionResponse> => {
 		const known = prepared.get(name);
 		return known
 			? runAtTarget(id, {kind: 'prepared', prepared: known, rest})
 			: answer(createRefusal('noStatement', 'no statement of that name is prepared'));
 	};
 
-	const runStatement = async (id: string, statement: CallerStatement): Promise<SessionAnswer> => {
+	const runStatement = async (id: string, statement: CallerStatement): Promise<SessionResponse> => {
 		switch (statement.kind) {
 			case 'begin': {
 				return begin(statement.readOnly);
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -6,24 +6,24 @@
 	createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId,
 } from '@guavapitch/core';
 import {
-	createRefusal, type HomeAnswer, type HomeRequest, type Outcome,
+	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {createSession, type Route} from '../session.js';
 
 const ROUTE: Route = {
-	service: 'club', database: parseId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, promptMs: 200, priority: 1, isOpen: false,
+	service: 'club', database: parseId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
 };
-const DONE: Outcome = {kind: 'done', rows: ['row'], signature: 's'};
+const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
-const createSetup = (answer: (request: HomeRequest) => Partial<HomeAnswer> = () => ({})) => {
+const createSetup = (answer: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
 	const {world} = createVirtualWorld();
-	const requests: HomeRequest[] = [];
+	const requests: StatementRequest[] = [];
 	const rolledBack: string[] = [];
 	const state = {isIssued: true};
 	const session = createSession({
 		world,
-		admit: () => state.isIssued ? Ok({route: ROUTE, customer: parseId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
-		async runAtHome(request) {
+		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: parseId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
+		async runAtOwner(request) {
 			requests.push(request);
 			const status = request.transaction && request.statement.kind !== 'commit' ? 'open' : 'idle';
 			return {
--- a/packages/configuration/src/in-force.ts
+++ b/packages/configuration/src/active-configuration.ts
@@ -6,14 +6,14 @@
 import {
 	parseDocumentText, type ConfigurationDocument, type DocumentFailure, type Inventory, type Key,
 } from '@guavapitch/inventory';
-import type {Facts} from './facts.js';
+import type {StoreCache} from './store-cache.js';
 import {CONFIGURATION_KEY} from './relay.js';
 
 /** Why a key may not be used now. */
 export type KeyRefusal = 'keyWithdrawn' | 'keyUnconfirmed';
 
 /** Configuration in force. */
-export type InForce = Readonly<{
+export type ActiveConfiguration = Readonly<{
 	/** Gets the inventory; `undefined` until the first one has come. */
 	getInventory: () => Inventory | undefined;
 	/** Gets the revision; 0 until the first one has come. */
@@ -27,13 +27,13 @@
 }>;
 
 /** Listener of changes. */
-export type InForceListener = Readonly<{
+export type ConfigurationListener = Readonly<{
 	onApplied: (revision: number, inventory: Inventory) => void;
 	onRejected: (revision: number, failure: DocumentFailure) => void;
 }>;
 
 /** Puts each newer configuration of the facts in force. */
-export const createInForce = (facts: Facts, world: World, listener: InForceListener): InForce => {
+export const createActiveConfiguration = (facts: StoreCache, world: World, listener: ConfigurationListener): ActiveConfiguration => {
 	let document: ConfigurationDocument | undefined;
 	let revision = 0;
 
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -46,7 +46,7 @@
 
 	let last: StoreFailure = {code: 'storeUnreachable', message: 'The store was not asked'};
 	for (let count = 0; count < TRIES; count++) {
-		const outcome = await store.swap(CONFIGURATION_KEY, change.expectedRevision, text.val);
+		const outcome = await store.compareAndSwap(CONFIGURATION_KEY, change.expectedRevision, text.val);
 		if (outcome.ok) {
 			const {swapped, current} = outcome.val;
 			const standing = parseEntry(current);
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,4 @@
-export * from './facts.js';
+export * from './store-cache.js';
 export * from './relay.js';
-export * from './in-force.js';
+export * from './active-configuration.js';
 export * from './change.js';
--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -4,7 +4,7 @@
 	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
 import type {Entry, Store} from '@guavapitch/store';
-import type {Facts} from './facts.js';
+import type {StoreCache} from './store-cache.js';
 
 /** Prefix of every entry that is carried to all processes. */
 export const SHARED_PREFIXES = ['/guavapitch/', '/platform/'] as const;
@@ -33,26 +33,26 @@
 }>;
 
 /** Report of the revision in force at a vm. */
-export type InForceReport = Readonly<{vm: VmId; revision: number; at: Instant}>;
+export type ActiveRevisionReport = Readonly<{vm: VmId; revision: number; at: Instant}>;
 
 /** Relay service of one process; any process may be asked. */
 export type RelayService = Readonly<{
 	/** Answers a request, waiting a little for news. */
 	sync: (request: SyncRequest) => Promise<SyncReply>;
 	/** Gets what the askers have in force. */
-	getReports: () => readonly InForceReport[];
+	getReports: () => readonly ActiveRevisionReport[];
 }>;
 
 const NEWS_WAIT_MS = 400;
 
-const getAgeMs = (facts: Facts, now: Instant): number => {
+const getAgeMs = (facts: StoreCache, now: Instant): number => {
 	const confirmedAt = facts.getConfirmedAt();
 	return Number.isFinite(confirmedAt) ? now - confirmedAt : -1;
 };
 
 /** Creates the relay service over the facts of a process. */
-export const createRelayService = (facts: Facts, incarnation: string, world: World): RelayService => {
-	const reports = new Map<VmId, InForceReport>();
+export const createRelayService = (facts: StoreCache, incarnation: string, world: World): RelayService => {
+	const reports = new Map<VmId, ActiveRevisionReport>();
 	return {
 		async sync(request) {
 			const after = request.incarnation === incarnation ? request.after : 0;
@@ -67,9 +67,9 @@
 };
 
 /** What the tasks that keep the facts fresh need. */
-export type FreshnessContext = Readonly<{
+export type CacheSyncContext = Readonly<{
 	world: World;
-	facts: Facts;
+	cache: StoreCache;
 	store: Store;
 	vm: VmId;
 	/** Tells whether this vm is a relay of its data centre now. */
@@ -77,41 +77,41 @@
 	/** Gets the vms to ask, best first: relays of this data centre, then of the others. */
 	getRelays: () => readonly VmId[];
 	/** Asks a vm. */
-	ask: (vm: VmId, request: SyncRequest) => Promise<Result<SyncReply, Failure>>;
+	sendSync: (vm: VmId, request: SyncRequest) => Promise<Result<SyncReply, Failure>>;
 	/** Asks the relays of every data centre whether none reaches the store. */
 	isStoreDownForAll: () => Promise<boolean>;
-	getInForce: () => number;
+	getActiveRevision: () => number;
 	/** Hears whether the store answers this vm. */
-	onStore: (reachable: boolean) => void;
+	onStoreContact: (reachable: boolean) => void;
 }>;
 
 const CONFIRM_MS = 400;
 const RETRY_MS = 100;
 const FULL_READ_MS = 5000;
 
-const readAll = async (context: FreshnessContext): Promise<boolean> => {
+const readAll = async (context: CacheSyncContext): Promise<boolean> => {
 	for (const prefix of SHARED_PREFIXES) {
 		const entries = await context.store.readAll(prefix);
 		if (entries.err) {
 			return false;
 		}
 
-		context.facts.accept(entries.val);
+		context.cache.merge(entries.val);
 	}
 
 	return true;
 };
 
-const readChanged = async (context: FreshnessContext, keys: readonly string[]) => {
+const readChanged = async (context: CacheSyncContext, keys: readonly string[]) => {
 	for (const key of keys) {
 		const entry = await context.store.read(key);
 		if (entry.ok && entry.val) {
-			context.facts.accept([entry.val]);
+			context.cache.merge([entry.val]);
 		}
 	}
 };
 
-const watchPrefix = async (context: FreshnessContext, prefix: string, signal: AbortSignal) => {
+const watchPrefix = async (context: CacheSyncContext, prefix: string, signal: AbortSignal) => {
 	while (!signal.aborted) {
 		await context.store.watch(prefix, keys => {
 			void readChanged(context, keys);
@@ -121,7 +121,7 @@
 };
 
 /** Runs the watches of a relay while it is one. */
-export const runWatches = async (context: FreshnessContext, signal: AbortSignal): Promise<void> => {
+export const runRelayWatches = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		if (context.isRelay()) {
 			const stop = new AbortController();
@@ -139,21 +139,21 @@
 };
 
 /** Reads the store as a relay: confirms freshness, and from time to time reads everything. */
-const confirmOnce = async (context: FreshnessContext, fullReadDue: boolean): Promise<boolean> => {
+const confirmOnce = async (context: CacheSyncContext, fullReadDue: boolean): Promise<boolean> => {
 	const askedAt = context.world.now();
 	const isReached = fullReadDue ? await readAll(context) : await readConfiguration(context);
-	context.onStore(isReached);
+	context.onStoreContact(isReached);
 	if (isReached || await context.isStoreDownForAll()) {
-		context.facts.confirm(askedAt);
+		context.cache.markConfirmed(askedAt);
 	}
 
 	return isReached;
 };
 
-const readConfiguration = async (context: FreshnessContext): Promise<boolean> => {
+const readConfiguration = async (context: CacheSyncContext): Promise<boolean> => {
 	const entry = await context.store.read(CONFIGURATION_KEY);
 	if (entry.ok && entry.val) {
-		context.facts.accept([entry.val]);
+		context.cache.merge([entry.val]);
 	}
 
 	return entry.ok;
@@ -161,26 +161,26 @@
 
 type Progress = {incarnation: string; after: number};
 
-const askOnce = async (context: FreshnessContext, relay: VmId, progress: Progress): Promise<boolean> => {
+const askOnce = async (context: CacheSyncContext, relay: VmId, progress: Progress): Promise<boolean> => {
 	const askedAt = context.world.now();
-	const reply = await context.ask(relay, {vm: context.vm, ...progress, inForce: context.getInForce()});
+	const reply = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
 	if (reply.err) {
 		return false;
 	}
 
 	const {incarnation, sequence, entries, confirmedAgeMs} = reply.val;
-	context.facts.accept(entries);
+	context.cache.merge(entries);
 	progress.incarnation = incarnation;
 	progress.after = sequence;
 	if (confirmedAgeMs >= 0) {
-		context.facts.confirm((askedAt - confirmedAgeMs) as Instant);
+		context.cache.markConfirmed((askedAt - confirmedAgeMs) as Instant);
 	}
 
 	return true;
 };
 
 /** Keeps the facts fresh: a relay reads the store, every other process asks a relay. */
-export const runFreshness = async (context: FreshnessContext, signal: AbortSignal): Promise<void> => {
+export const runCacheSync = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	const {world} = context;
 	const progress = new Map<VmId, Progress>();
 	let fullReadAt = createDeadline(world.now(), 0);
--- a/packages/configuration/src/facts.ts
+++ b/packages/configuration/src/store-cache.ts
@@ -6,9 +6,9 @@
 import type {Entry} from '@guavapitch/store';
 
 /** Facts of one process. */
-export type Facts = Readonly<{
+export type StoreCache = Readonly<{
 	/** Takes entries; those that are not newer are ignored. */
-	accept: (entries: readonly Entry[]) => void;
+	merge: (entries: readonly Entry[]) => void;
 	get: (key: string) => Entry | undefined;
 	list: (prefix: string) => readonly Entry[];
 	/** Gets the number of the last change in this process. */
@@ -16,7 +16,7 @@
 	/** Gets the entries changed after a number. */
 	getChangedAfter: (sequence: number) => readonly Entry[];
 	/** Notes that the facts were known to be complete at an instant. */
-	confirm: (at: Instant) => void;
+	markConfirmed: (at: Instant) => void;
 	/** Gets the latest instant at which the facts were known to be complete. */
 	getConfirmedAt: () => Instant;
 	/** Waits until something has changed after a number. */
@@ -28,7 +28,7 @@
 type Known = Readonly<{entry: Entry; sequence: number}>;
 
 /** Creates empty facts. */
-export const createFacts = (world: World): Facts => {
+export const createStoreCache = (world: World): StoreCache => {
 	const known = new Map<string, Known>();
 	const listeners: Array<(keys: readonly string[]) => void> = [];
 	const changed = createNotifier(world);
@@ -36,7 +36,7 @@
 	let confirmedAt = PAST as number as Instant;
 
 	return {
-		accept(entries) {
+		merge(entries) {
 			const newer = entries.filter(entry => entry.revision > (known.get(entry.key)?.entry.revision ?? 0));
 			for (const entry of newer) {
 				sequence++;
@@ -56,7 +56,7 @@
 		list: prefix => [...known.values()].map(({entry}) => entry).filter(entry => entry.key.startsWith(prefix)),
 		getSequence: () => sequence,
 		getChangedAfter: after => [...known.values()].filter(one => one.sequence > after).map(({entry}) => entry),
-		confirm(at) {
+		markConfirmed(at) {
 			if (at > confirmedAt) {
 				confirmedAt = at;
 			}
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -9,8 +9,8 @@
 import {formatDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {changeConfiguration, readConfiguration} from '../change.js';
-import {createFacts} from '../facts.js';
-import {createInForce} from '../in-force.js';
+import {createStoreCache} from '../store-cache.js';
+import {createActiveConfiguration} from '../active-configuration.js';
 import {CONFIGURATION_KEY} from '../relay.js';
 
 const createInventory = (rate: number): Inventory => inventorySchema.parse({
@@ -44,8 +44,8 @@
 		let losses = 1;
 		const store: Store = {
 			...inner,
-			async swap(...args) {
-				const outcome = await inner.swap(...args);
+			async compareAndSwap(...args) {
+				const outcome = await inner.compareAndSwap(...args);
 				return losses-- > 0 ? Err({code: 'storeUnknown', message: 'lost'}) : outcome;
 			},
 		};
@@ -60,10 +60,10 @@
 	it('only ever move to higher revisions, in whatever order they come', () => {
 		fc.assert(fc.property(fc.array(fc.record({key: fc.constantFrom('a', 'b'), revision: fc.integer({min: 1, max: 20})}), {maxLength: 40}), entries => {
 			const {world} = createVirtualWorld();
-			const facts = createFacts(world);
+			const facts = createStoreCache(world);
 			const highest = new Map<string, number>();
 			for (const {key, revision} of entries) {
-				facts.accept([{key, revision, value: String(revision)}]);
+				facts.merge([{key, revision, value: String(revision)}]);
 				highest.set(key, Math.max(revision, highest.get(key) ?? 0));
 				assert.equal(facts.get(key)?.revision, highest.get(key));
 			}
@@ -72,10 +72,10 @@
 
 	it('hand over every change after a number', () => {
 		const {world} = createVirtualWorld();
-		const facts = createFacts(world);
-		facts.accept([{key: 'a', revision: 1, value: '1'}]);
+		const facts = createStoreCache(world);
+		facts.merge([{key: 'a', revision: 1, value: '1'}]);
 		const seen = facts.getSequence();
-		facts.accept([{key: 'b', revision: 2, value: '2'}]);
+		facts.merge([{key: 'b', revision: 2, value: '2'}]);
 		assert.deepEqual(facts.getChangedAfter(seen).map(entry => entry.key), ['b']);
 	});
 });
@@ -85,19 +85,19 @@
 
 	it('work while fresh, not past the grace, and never after withdrawal', async () => {
 		const {world, advance} = createVirtualWorld();
-		const facts = createFacts(world);
-		const inForce = createInForce(facts, world, {onApplied: () => undefined, onRejected: () => undefined});
+		const facts = createStoreCache(world);
+		const inForce = createActiveConfiguration(facts, world, {onApplied: () => undefined, onRejected: () => undefined});
 		const put = (revision: number, inventory: Inventory) => {
-			facts.accept([{key: CONFIGURATION_KEY, revision, value: formatDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
+			facts.merge([{key: CONFIGURATION_KEY, revision, value: formatDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
 		};
 
 		put(1, createInventory(1));
-		facts.confirm(world.now());
+		facts.markConfirmed(world.now());
 		assert.ok(inForce.checkKey('k', klub).ok);
 		await advance(6000);
 		const stale = inForce.checkKey('k', klub);
 		assert.ok(stale.err && stale.val === 'keyUnconfirmed');
-		facts.confirm(world.now());
+		facts.markConfirmed(world.now());
 		assert.ok(inForce.checkKey('k', klub).ok);
 		put(2, {...createInventory(1), keys: {}});
 		const withdrawn = inForce.checkKey('k', klub);
@@ -108,9 +108,9 @@
 
 	it('are not confirmed by an older confirmation', () => {
 		const {world} = createVirtualWorld();
-		const facts = createFacts(world);
-		facts.confirm(100 as Instant);
-		facts.confirm(50 as Instant);
+		const facts = createStoreCache(world);
+		facts.markConfirmed(100 as Instant);
+		facts.markConfirmed(50 as Instant);
 		assert.equal(facts.getConfirmedAt(), 100);
 	});
 });
--- a/packages/core/src/collector.ts
+++ b/packages/core/src/chunk-buffer.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 
 /** Bytes read but not yet used. */
-export type Collector = Readonly<{
+export type ChunkBuffer = Readonly<{
 	/** Adds a chunk at the end. */
 	push: (chunk: Buffer) => void;
 	/** Takes all bytes if there are as many as wanted. */
@@ -11,13 +11,13 @@
 	/** Takes all bytes, however few. */
 	takeAll: () => Buffer;
 	/** Puts back what was not used, and says how many bytes are wanted before it is looked at again. */
-	keep: (rest: Buffer, wantedBytes: number) => void;
+	putBack: (rest: Buffer, neededBytes: number) => void;
 }>;
 
 const EMPTY = Buffer.alloc(0);
 
 /** Creates an empty collector, which wants any bytes. */
-export const createCollector = (): Collector => {
+export const createChunkBuffer = (): ChunkBuffer => {
 	let chunks: Buffer[] = [];
 	let size = 0;
 	let wanted = 1;
@@ -37,7 +37,7 @@
 		},
 		take: () => size >= wanted ? takeAll() : undefined,
 		takeAll,
-		keep(rest, wantedBytes) {
+		putBack(rest, wantedBytes) {
 			if (rest.length > 0) {
 				chunks = [rest, ...chunks];
 				size += rest.length;
--- a/packages/core/src/gate.ts
+++ b/packages/core/src/condition-variable.ts
@@ -1,15 +1,15 @@
 /** A gate on which tasks wait until another task opens it once. */
 
 /** Wakes the tasks that wait at this moment. */
-export type Gate = Readonly<{
+export type ConditionVariable = Readonly<{
 	/** Waits for the next `open`. */
 	wait: () => Promise<void>;
 	/** Wakes every waiting task. */
-	open: () => void;
+	notifyAll: () => void;
 }>;
 
 /** Creates a gate. */
-export const createGate = (): Gate => {
+export const createConditionVariable = (): ConditionVariable => {
 	let waiting: Array<() => void> = [];
 	return {
 		async wait() {
@@ -17,7 +17,7 @@
 				waiting.push(resolve);
 			});
 		},
-		open() {
+		notifyAll() {
 			const woken = waiting;
 			waiting = [];
 			for (const wake of woken) {
--- a/packages/core/src/shared-flight.ts
+++ b/packages/core/src/single-flight.ts
@@ -1,7 +1,7 @@
 /** Shares one running call between all that ask for it. */
 
 /** Creates a function whose callers get the result of a call that began after they asked. */
-export const createSharedFlight = <Value>(call: () => Promise<Value>): (() => Promise<Value>) => {
+export const createSingleFlight = <Value>(call: () => Promise<Value>): (() => Promise<Value>) => {
 	let running: Promise<Value> | undefined;
 	let next: Promise<Value> | undefined;
 
--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -1,6 +1,6 @@
 /** Two-way streams between two tasks, in one process or over the inner protocol. */
 
-import {createGate} from './gate.js';
+import {createConditionVariable} from './condition-variable.js';
 import {createQueue} from './queue.js';
 
 /** One end of a two-way stream. */
@@ -31,7 +31,7 @@
 const createHalf = <Item>(measure: (item: Item) => number): Half<Item> => {
 	const items = createQueue<Item>();
 	let waitingBytes = 0;
-	const taken = createGate();
+	const taken = createConditionVariable();
 	let finished = false;
 	return {
 		async send(item) {
@@ -44,13 +44,13 @@
 		async receive() {
 			const item = await items.take();
 			waitingBytes -= item === undefined ? 0 : measure(item);
-			taken.open();
+			taken.notifyAll();
 			return item;
 		},
 		finish() {
 			finished = true;
 			items.close();
-			taken.open();
+			taken.notifyAll();
 		},
 	};
 };
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type World,
 } from '@guavapitch/core';
-import type {HomeAnswer, HomeRequest} from '@guavapitch/sessions';
+import type {StatementResponse, StatementRequest} from '@guavapitch/sessions';
 import type {Load, LoadClass, LoadCustomer} from './loads.js';
 import {DATABASE} from './targets.js';
 
@@ -25,7 +25,7 @@
 }>;
 
 /** Runs a statement at the home; `undefined` if the vm is away. */
-export type RunStatement = (request: HomeRequest) => Promise<HomeAnswer | undefined>;
+export type RunStatement = (request: StatementRequest) => Promise<StatementResponse | undefined>;
 
 type Attempt = Readonly<{ok: boolean; isRepeatable: boolean; retryAfterMs: number}>;
 
@@ -45,7 +45,7 @@
 	const isTransaction = world.random() < one.transactionPart;
 	const isWrite = world.random() < one.writePart;
 
-	const createRequest = (text: string, transaction: HomeRequest['transaction']): HomeRequest => ({
+	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
 		id: world.createId(),
 		database: DATABASE,
 		customer: parseId<CustomerId>(customer),
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -3,8 +3,8 @@
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type World,
 } from '@guavapitch/core';
-import {createDatabaseHome, type DatabaseHome} from '@guavapitch/homes';
-import {createAllowances, createKeeper, type Allowances} from '@guavapitch/limits';
+import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/homes';
+import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
 import {runCallers, type SeenOperation} from './callers.js';
 import type {Load, LoadEvent} from './loads.js';
 import {createEmulatedTargets, DATABASE, type EmulatedTargets} from './targets.js';
@@ -24,23 +24,23 @@
 /** Step of the virtual clock between looks whether all operations have ended, in milliseconds. */
 const STEP_MS = 500;
 
-const createShares = (load: Load, world: World): Allowances => {
-	const keeper = createKeeper({
+const createShares = (load: Load, world: World): QuotaClient => {
+	const keeper = createQuotaAllocator({
 		world,
 		epoch: 1,
-		getAuthority: () => NEVER,
-		getShare: customer => load.customers.find(({name}) => name === customer),
+		getAuthorityDeadline: () => NEVER,
+		getQuota: customer => load.customers.find(({name}) => name === customer),
 	});
-	return createAllowances(async request => {
+	return createQuotaClient(async request => {
 		await world.sleep(KEEPER_ANSWER_MS);
-		const allotment = keeper.allot(request);
+		const allotment = keeper.grantTokens(request);
 		return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'The customer has no share'});
 	}, world, () => ({rate: 0, burst: 0}));
 };
 
-const createHome = (load: Load, targets: EmulatedTargets, world: World): DatabaseHome => {
+const createHome = (load: Load, targets: EmulatedTargets, world: World): DatabaseOwner => {
 	const allowances = createShares(load, world);
-	const home = createDatabaseHome({
+	const home = createDatabaseOwner({
 		world,
 		readClock: world.now,
 		database: DATABASE,
@@ -49,8 +49,8 @@
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
-		async spend(customer, deadline: Deadline): Promise<Result<undefined, Readonly<{code: string; message: string; retryAfterMs: number}>>> {
-			return allowances.spend(customer, deadline);
+		async acquireToken(customer, deadline: Deadline): Promise<Result<undefined, Readonly<{code: string; message: string; retryAfterMs: number}>>> {
+			return allowances.acquire(customer, deadline);
 		},
 		onDecision: () => undefined,
 	});
@@ -62,7 +62,7 @@
 export const runReplay = async (load: Load, seed: number): Promise<ReplayResult> => {
 	const {world, advance} = createVirtualWorld(seed);
 	const targets = createEmulatedTargets(load, world);
-	let home: DatabaseHome | undefined = createHome(load, targets, world);
+	let home: DatabaseOwner | undefined = createHome(load, targets, world);
 	const schedule = (event: LoadEvent) => {
 		if (event.kind === 'restart') {
 			world.schedule(event.atMs, () => {
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -6,7 +6,7 @@
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
 } from '@guavapitch/homes';
-import {comparePositions, type Position} from '@guavapitch/sessions';
+import {comparePositions, type LogPosition} from '@guavapitch/sessions';
 import type {Load, LoadEvent, LoadTarget} from './loads.js';
 
 /** The emulated database. */
@@ -54,7 +54,7 @@
 	const getEvent = (kind: 'slow' | 'dark' | 'failover', id: string) => load.events.find(event => event.kind === kind && event.target === id && isDuring(event));
 	const isDark = (id: string) => getEvent('dark', id) !== undefined || getEvent('failover', id) !== undefined;
 
-	const getPosition = (id: string): Position => {
+	const getPosition = (id: string): LogPosition => {
 		const lagMs = id === leader ? 0 : targets.get(id)?.load.lagMs ?? 0;
 		const seen = writtenAt.findLastIndex(at => at <= world.now() - lagMs) + 1;
 		return {term, number: base + seen};
@@ -89,7 +89,7 @@
 		const reply = (result: Reply['result']): Reply => ({result, status: inTransaction ? 'open' : 'idle', position: getPosition(id)});
 		const finish = () => reply({kind: 'done', rows: [], signature: `${id}.1`});
 		const fail = (code: TargetErrorCode) => reply({kind: 'error', code, text: code});
-		const lacks = (after: Position | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
+		const lacks = (after: LogPosition | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
 
 		const runStatement = async ({statement, after}: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
 			const {isWrite, className} = readStatement(statement.kind === 'text' ? statement.text : '');
@@ -167,7 +167,7 @@
 			slots,
 			isDraining: false,
 			role: id === leader ? 'primary' : 'replica',
-			born: 1,
+			startedAtMs: 1,
 		})),
 		async dial({id}, _customer, deadline) {
 			const target = targets.get(id);
--- a/packages/failover/src/steward.ts
+++ b/packages/failover/src/coordinator.ts
@@ -5,18 +5,18 @@
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
-	ALL, createGranter, NONE, PRIMARY_ONLY, READS, WRITES, type Holder, type Permissions,
-} from './granter.js';
-import type {GrantReply} from './grants.js';
-import {createHealth, type Health, type Probe} from './health.js';
-import {createSyncedSet, type StewardedDatabase} from './synced-set.js';
+	ALL_PERMISSIONS, createGrantIssuer, NO_PERMISSIONS, PRIMARY_PERMISSIONS, READ_PERMISSION, WRITE_PERMISSION, type Holder, type Permissions,
+} from './grant-issuer.js';
+import type {GrantReply} from './grant-registry.js';
+import {createHealthMonitor, type HealthMonitor, type ProbeTarget} from './health-monitor.js';
+import {createSyncedSet, type FailoverSettings} from './synced-set.js';
 import {
-	createRecord, formatGroupKey, formatRecord, getAwaited, parseRecord, promoteRecord, type GroupRecord, type GroupView,
-} from './record.js';
+	createGroupRecord, formatGroupKey, formatGroupRecord, getAwaitedReplicas, parseGroupRecord, promoteRecord, type GroupRecord, type GroupView,
+} from './group-record.js';
 
 /** Commands to targets. */
 export type TargetCommands = Readonly<{
-	probe: Probe;
+	probe: ProbeTarget;
 	/** Makes a replica the primary. */
 	promote: (target: TargetId) => Promise<Result<unknown, Failure>>;
 	/** Makes a replica follow a primary; with no primary it follows nobody. */
@@ -26,7 +26,7 @@
 }>;
 
 /** Steps of a failover, for the time line. */
-export type StewardEvent
+export type FailoverEvent
 	= | Readonly<{kind: 'started'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'grantsEnded'; term: number}>
 		| Readonly<{kind: 'recordChanged'; record: GroupRecord; revision: number}>
@@ -37,22 +37,22 @@
 		| Readonly<{kind: 'target'; target: TargetId; reachable: boolean}>;
 
 /** What a steward needs. */
-export type StewardContext = Readonly<{
+export type FailoverCoordinatorContext = Readonly<{
 	world: World;
 	store: Store;
-	getDatabase: () => StewardedDatabase | undefined;
+	getSettings: () => FailoverSettings | undefined;
 	commands: TargetCommands;
 	/** Gets the deadline of the authority over the database. */
-	getAuthority: () => Deadline;
+	getAuthorityDeadline: () => Deadline;
 	/** Asks a holder to give up permissions. */
 	revoke: (holder: Holder, database: DatabaseId, permissions: Permissions) => Promise<Result<unknown, Failure>>;
 	/** Tells everybody of a record. */
 	publish: (view: GroupView) => void;
-	onEvent: (event: StewardEvent) => void;
+	onEvent: (event: FailoverEvent) => void;
 }>;
 
 /** Steward of one database. */
-export type Steward = Readonly<{
+export type FailoverCoordinator = Readonly<{
 	/** Answers a holder's request for a grant. */
 	grant: (holder: Holder) => GrantReply | undefined;
 	/** Works until the signal aborts. */
@@ -66,21 +66,21 @@
 const REPAIR_MS = 1000;
 
 /** Creates the steward of a database. */
-export const createSteward = (context: StewardContext, database: DatabaseId): Steward => {
+export const createFailoverCoordinator = (context: FailoverCoordinatorContext, database: DatabaseId): FailoverCoordinator => {
 	const {world, store, commands, onEvent} = context;
-	const granter = createGranter(world);
-	const health: Health = createHealth(commands.probe, world, (target, reachable) => {
+	const granter = createGrantIssuer(world);
+	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, reachable) => {
 		onEvent({kind: 'target', target, reachable});
 	});
 	let view: GroupView | undefined;
-	let permissions: Permissions = NONE;
+	let permissions: Permissions = NO_PERMISSIONS;
 	let blocked = '';
 	let repairAt = createDeadline(world.now(), 0);
 
-	const hasAuthority = () => !isPast(context.getAuthority(), world.now());
+	const hasAuthority = () => !isPast(context.getAuthorityDeadline(), world.now());
 
 	const getAges = (): Readonly<Record<string, number>> => {
-		const targets = context.getDatabase()?.targets ?? [];
+		const targets = context.getSettings()?.targets ?? [];
 		const ages = targets.map(target => [target, health.getAgeMs(target)] as const);
 		return Object.fromEntries(ages.filter((pair): pair is readonly [TargetId, number] => pair[1] !== undefined));
 	};
@@ -108,7 +108,7 @@
 		while (hasAuthority() && !signal.aborted) {
 			const entry = await store.read(formatGroupKey(database));
 			if (entry.ok) {
-				const record = entry.val ? parseRecord(entry.val.value) : undefined;
+				const record = entry.val ? parseGroupRecord(entry.val.value) : undefined;
 				return entry.val && record?.ok ? {record: record.val, revision: entry.val.revision} : 'none';
 			}
 
@@ -120,9 +120,9 @@
 
 	/** Writes a record by compare-and-swap; a lost answer is resolved by reading back. */
 	const writeRecord = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
-		const text = formatRecord(record);
+		const text = formatGroupRecord(record);
 		while (hasAuthority() && !signal.aborted) {
-			const written = await store.swap(formatGroupKey(database), view?.revision ?? 0, text);
+			const written = await store.compareAndSwap(formatGroupKey(database), view?.revision ?? 0, text);
 			if (written.ok) {
 				const {swapped, current} = written.val;
 				if (current && (swapped || current.value === text)) {
@@ -130,7 +130,7 @@
 					return true;
 				}
 
-				const standing = current ? parseRecord(current.value) : undefined;
+				const standing = current ? parseGroupRecord(current.value) : undefined;
 				if (current && standing?.ok) {
 					adopt({record: standing.val, revision: current.revision});
 				}
@@ -163,28 +163,28 @@
 			acknowledgements: permissions.acknowledgements && !ended.acknowledgements,
 			reads: permissions.reads && !ended.reads,
 		};
-		await granter.endAll(ended, async holder => context.revoke(holder, database, ended), signal);
+		await granter.revokeAll(ended, async holder => context.revoke(holder, database, ended), signal);
 	};
 
 	const syncedSet = createSyncedSet({
 		world,
 		health,
-		granter,
+		issuer: granter,
 		getRevision: () => view?.revision ?? 0,
 		writeRecord,
-		endGrants,
-		allowAll() {
-			permissions = ALL;
+		revokeGrants: endGrants,
+		restorePermissions() {
+			permissions = ALL_PERMISSIONS;
 		},
 	});
 
-	const bootstrap = async (settings: StewardedDatabase, signal: AbortSignal) => {
+	const bootstrap = async (settings: FailoverSettings, signal: AbortSignal) => {
 		const leaders = settings.targets
 			.filter(target => health.isReachable(target) && health.get(target).report?.isReplica === false)
 			.toSorted((a, b) => (health.get(b).report?.timeline ?? 0) - (health.get(a).report?.timeline ?? 0));
 		const [primary] = leaders;
 		if (primary) {
-			await writeRecord(createRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
+			await writeRecord(createGroupRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
 		} else {
 			block('no target leads');
 		}
@@ -192,7 +192,7 @@
 
 	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most; one that stays goes first. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<TargetId | undefined> => {
-		const leaving = new Set(context.getDatabase()?.leaving);
+		const leaving = new Set(context.getSettings()?.leaving);
 		const reachable = record.synced.filter(target => health.isReachable(target) && !health.hasLostData(target));
 		await Promise.all(reachable.map(async target => commands.follow(target, undefined)));
 		await health.probeAll(reachable);
@@ -209,7 +209,7 @@
 		}
 
 		onEvent({kind: 'promoted', primary: record.primary, term: record.term});
-		await Promise.all(getAwaited(record).map(async target => commands.follow(target, record.primary)));
+		await Promise.all(getAwaitedReplicas(record).map(async target => commands.follow(target, record.primary)));
 		return writeRecord({...record, confirmed: true}, signal);
 	};
 
@@ -222,10 +222,10 @@
 		onEvent({kind: 'started', primary: record.primary, term: record.term});
 		if (planned) {
 			// What was sent is answered first: holders say that their writes have ended once none is under way.
-			await endGrants(WRITES, signal);
+			await endGrants(WRITE_PERMISSION, signal);
 		}
 
-		await endGrants(PRIMARY_ONLY, signal);
+		await endGrants(PRIMARY_PERMISSIONS, signal);
 		onEvent({kind: 'grantsEnded', term: record.term});
 		const successor = await chooseSuccessor(record);
 		if (!successor || !hasAuthority()) {
@@ -235,7 +235,7 @@
 
 		const lost = record.synced.filter(target => !health.isReachable(target) || health.hasLostData(target));
 		if (lost.length > 0) {
-			await endGrants(ALL, signal);
+			await endGrants(ALL_PERMISSIONS, signal);
 		}
 
 		const kept = {...record, synced: record.synced.filter(target => !lost.includes(target))};
@@ -243,9 +243,9 @@
 			return;
 		}
 
-		permissions = READS;
+		permissions = READ_PERMISSION;
 		if (await completePromotion(view.record, signal)) {
-			permissions = ALL;
+			permissions = ALL_PERMISSIONS;
 			onEvent({kind: 'finished', primary: successor, term: view.record.term});
 		}
 	};
@@ -258,7 +258,7 @@
 	};
 
 	/** Makes targets that lead or follow wrongly follow the primary. */
-	const repair = async (record: GroupRecord, settings: StewardedDatabase) => {
+	const repair = async (record: GroupRecord, settings: FailoverSettings) => {
 		if (!isPast(repairAt, world.now()) || !hasAuthority()) {
 			return;
 		}
@@ -271,7 +271,7 @@
 			const isBehind = (health.get(target).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
 			if (leads || (isBehind && health.getPosition(target) > (record.starts.at(-1)?.position ?? 0))) {
 				await commands.rejoin(target, record.primary);
-				health.forget(target);
+				health.forgetHighestPosition(target);
 				onEvent({kind: 'rejoined', target, primary: record.primary});
 			} else {
 				await commands.follow(target, record.primary);
@@ -279,24 +279,24 @@
 		}));
 	};
 
-	const improve = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal) => {
+	const improve = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => {
 		if (!record.confirmed) {
-			permissions = READS;
+			permissions = READ_PERMISSION;
 			await completePromotion(record, signal);
 			return;
 		}
 
 		if (!permissions.writes) {
-			permissions = ALL;
+			permissions = ALL_PERMISSIONS;
 		}
 
-		const isChanged = await syncedSet.improve(record, settings, signal);
+		const isChanged = await syncedSet.adjust(record, settings, signal);
 		if (!isChanged) {
 			await repair(record, settings);
 		}
 	};
 
-	const workOnce = async (settings: StewardedDatabase, signal: AbortSignal) => {
+	const workOnce = async (settings: FailoverSettings, signal: AbortSignal) => {
 		const probedAt: Instant = world.now();
 		await health.probeAll(settings.targets);
 		if (!view) {
@@ -307,7 +307,7 @@
 		const {record} = view;
 		const {report} = health.get(record.primary);
 		if (health.isReachable(record.primary) && report && !report.isReplica) {
-			health.notePosition(report.position, probedAt);
+			health.recordPosition(report.position, probedAt);
 		}
 
 		const isLeaving = settings.leaving.includes(record.primary) && record.synced.some(target => health.isReachable(target) && !settings.leaving.includes(target));
@@ -326,7 +326,7 @@
 			}
 
 			return granter.grant(holder, {
-				view, permissions, agesMs: getAges(), readable: getReadable(view.record), authority: context.getAuthority(),
+				view, permissions, agesMs: getAges(), readable: getReadable(view.record), authorityDeadline: context.getAuthorityDeadline(),
 			});
 		},
 		async run(signal) {
@@ -334,11 +334,11 @@
 			if (first !== undefined && first !== 'none') {
 				view = first;
 				context.publish(first);
-				permissions = READS;
+				permissions = READ_PERMISSION;
 			}
 
 			while (hasAuthority() && !signal.aborted) {
-				const settings = context.getDatabase();
+				const settings = context.getSettings();
 				if (settings) {
 					await workOnce(settings, signal);
 				}
@@ -346,7 +346,7 @@
 				await world.sleep(PROBE_PERIOD_MS, signal);
 			}
 
-			permissions = NONE;
+			permissions = NO_PERMISSIONS;
 		},
 	};
 };
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -1,9 +1,9 @@
 /** Waits until the writes of an answer are held by every awaited replica. */
 
 import {
-	createSharedFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type World,
+	createSingleFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type World,
 } from '@guavapitch/core';
-import {isReplicated, type GrantBook} from './grants.js';
+import {isReplicated, type GrantRegistry} from './grant-registry.js';
 
 /** What a primary says of its log and its replicas. */
 export type PrimaryPositions = Readonly<{
@@ -17,7 +17,7 @@
 export type ReadPositions = (target: TargetId) => Promise<Result<PrimaryPositions, Failure>>;
 
 /** How waiting for an acknowledgement ended. */
-export type Durability
+export type DurabilityOutcome
 	/** The answer may be released. */
 	= | 'durable'
 	/** The primary may have been replaced, or nothing could be proved in time. */
@@ -38,11 +38,11 @@
 const LONGEST_PAUSE_MS = 10;
 
 /** Creates the wait of one primary; waiting answers share one probe. */
-export const createDurability = (book: GrantBook, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<Durability>) => {
+export const createDurabilityWaiter = (book: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
 	const flights = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
 	const probe = async (target: TargetId) => {
-		const flight = flights.get(target) ?? createSharedFlight(async () => readPositions(target));
+		const flight = flights.get(target) ?? createSingleFlight(async () => readPositions(target));
 		flights.set(target, flight);
 		return flight();
 	};
--- a/packages/failover/src/granter.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
-import type {GrantReply} from './grants.js';
+import type {GrantReply} from './grant-registry.js';
 
 /** One run of the process of a vm that holds grants. */
 export type Holder = Readonly<{vm: VmId; incarnation: string}>;
@@ -19,28 +19,28 @@
 }>;
 
 /** Every permission. */
-export const ALL: Permissions = {writes: true, acknowledgements: true, reads: true};
+export const ALL_PERMISSIONS: Permissions = {writes: true, acknowledgements: true, reads: true};
 
 /** No permission. */
-export const NONE: Permissions = {writes: false, acknowledgements: false, reads: false};
+export const NO_PERMISSIONS: Permissions = {writes: false, acknowledgements: false, reads: false};
 
 /** Reading only, as between two primaries. */
-export const READS: Permissions = {...NONE, reads: true};
+export const READ_PERMISSION: Permissions = {...NO_PERMISSIONS, reads: true};
 
 /** Sending writes only: what was sent before may still be acknowledged when it ends. */
-export const WRITES: Permissions = {...NONE, writes: true};
+export const WRITE_PERMISSION: Permissions = {...NO_PERMISSIONS, writes: true};
 
 /** All that only a primary is needed for. */
-export const PRIMARY_ONLY: Permissions = {writes: true, acknowledgements: true, reads: false};
+export const PRIMARY_PERMISSIONS: Permissions = {writes: true, acknowledgements: true, reads: false};
 
 /** Until when each permission is valid. */
-export type Deadlines = Readonly<Record<keyof Permissions, Deadline>>;
+export type PermissionDeadlines = Readonly<Record<keyof Permissions, Deadline>>;
 
 /** Nothing valid. */
-export const OVER: Deadlines = {writes: PAST, acknowledgements: PAST, reads: PAST};
+export const EXPIRED_DEADLINES: PermissionDeadlines = {writes: PAST, acknowledgements: PAST, reads: PAST};
 
 /** Sets the deadline of the permissions that are named. */
-export const changeDeadlines = (deadlines: Deadlines, permissions: Permissions, deadline: Deadline): Deadlines => ({
+export const changeDeadlines = (deadlines: PermissionDeadlines, permissions: Permissions, deadline: Deadline): PermissionDeadlines => ({
 	writes: permissions.writes ? deadline : deadlines.writes,
 	acknowledgements: permissions.acknowledgements ? deadline : deadlines.acknowledgements,
 	reads: permissions.reads ? deadline : deadlines.reads,
@@ -49,33 +49,33 @@
 const KINDS = ['writes', 'acknowledgements', 'reads'] as const;
 
 /** Permissions that a steward gives now. */
-export type GrantTerms = Omit<GrantReply, 'validMs'> & Readonly<{
+export type GrantParameters = Omit<GrantReply, 'validMs'> & Readonly<{
 	/** Deadline of the steward's own authority. */
-	authority: Deadline;
+	authorityDeadline: Deadline;
 }>;
 
 /** Grants given by one steward for one database. */
-export type Granter = Readonly<{
+export type GrantIssuer = Readonly<{
 	/** Gives a grant; `undefined` if the authority has passed. */
-	grant: (holder: Holder, terms: GrantTerms) => GrantReply | undefined;
+	grant: (holder: Holder, terms: GrantParameters) => GrantReply | undefined;
 	/** Ends permissions of all holders: asks each, and waits out those that do not answer. A holder answers once nothing runs under them. */
-	endAll: (permissions: Permissions, revoke: (holder: Holder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
+	revokeAll: (permissions: Permissions, revoke: (holder: Holder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
 	/** Waits until every outstanding grant is of a revision or newer. */
 	waitForRevision: (revision: number, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
 /** Longest validity of a grant, in milliseconds. */
-export const GRANT_MS = 1000;
+export const MAX_GRANT_VALIDITY_MS = 1000;
 
 /** Allowance for clocks that run at different rates. */
 const DRIFT_MS = 50;
 
-type Outstanding = {readonly holder: Holder; deadlines: Deadlines; revision: number};
+type Outstanding = {readonly holder: Holder; deadlines: PermissionDeadlines; revision: number};
 
 const formatHolder = (holder: Holder): string => `${holder.vm}/${holder.incarnation}`;
 
 /** Creates the table of a steward that has granted nothing. */
-export const createGranter = (world: World): Granter => {
+export const createGrantIssuer = (world: World): GrantIssuer => {
 	const outstanding = new Map<string, Outstanding>();
 	const changed = createNotifier(world);
 
@@ -97,8 +97,8 @@
 	return {
 		grant(holder, terms) {
 			const now = world.now();
-			const {authority, ...given} = terms;
-			const validMs = Math.min(GRANT_MS, authority - now - DRIFT_MS);
+			const {authorityDeadline: authority, ...given} = terms;
+			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authority - now - DRIFT_MS);
 			if (validMs <= 0) {
 				return undefined;
 			}
@@ -108,12 +108,12 @@
 			const known = outstanding.get(key);
 			outstanding.set(key, {
 				holder,
-				deadlines: changeDeadlines(known?.deadlines ?? OVER, terms.permissions, deadline),
+				deadlines: changeDeadlines(known?.deadlines ?? EXPIRED_DEADLINES, terms.permissions, deadline),
 				revision: terms.view.revision,
 			});
 			return {...given, validMs};
 		},
-		async endAll(permissions, revoke, signal) {
+		async revokeAll(permissions, revoke, signal) {
 			const living = [...outstanding.values()].filter(grant => !isOver(grant, permissions));
 			for (const grant of living) {
 				void revoke(grant.holder).then(answer => {
@@ -126,7 +126,7 @@
 			await changed.waitUntil(() => living.every(grant => isOver(grant, permissions)), getLastDeadline(permissions), signal);
 		},
 		async waitForRevision(revision, deadline, signal) {
-			const isRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || isOver(grant, ALL));
+			const isRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || isOver(grant, ALL_PERMISSIONS));
 			while (!isRenewed()) {
 				if (isPast(deadline, world.now()) || signal.aborted) {
 					return false;
--- a/packages/failover/src/grants.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -4,9 +4,9 @@
 	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import {
-	OVER, changeDeadlines, type Deadlines, type Permissions,
-} from './granter.js';
-import {getAwaited, type GroupRecord, type GroupView} from './record.js';
+	EXPIRED_DEADLINES, changeDeadlines, type PermissionDeadlines, type Permissions,
+} from './grant-issuer.js';
+import {getAwaitedReplicas, type GroupRecord, type GroupView} from './group-record.js';
 
 /** What a steward answers to a request for a grant. */
 export type GrantReply = Readonly<{
@@ -28,15 +28,15 @@
 export type GrantState = 'valid' | 'replaced' | 'none';
 
 /** Grants held by one process. */
-export type GrantBook = Readonly<{
+export type GrantRegistry = Readonly<{
 	/** Takes a reply; `askedAt` is when the request for it was sent. */
 	accept: (reply: GrantReply, askedAt: Instant) => void;
 	/** Gives up permissions of a database before their deadline; replies asked for earlier no longer count. */
 	revoke: (database: DatabaseId, permissions: Permissions) => void;
 	/** Counts a write in until it is disposed. */
-	enterWrite: (database: DatabaseId) => Disposable;
+	trackWrite: (database: DatabaseId) => Disposable;
 	/** Waits until no write of a database is under way. */
-	waitUntilIdle: (database: DatabaseId, deadline: Deadline) => Promise<void>;
+	waitUntilWritesEnd: (database: DatabaseId, deadline: Deadline) => Promise<void>;
 	/** Gets the view of the last grant, valid or not. */
 	getView: (database: DatabaseId) => GroupView | undefined;
 	/** Checks that a write may be sent to a target now. */
@@ -46,15 +46,15 @@
 	/** Checks that a target holds every acknowledged write now. */
 	checkRead: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that a target's data are proved to be young enough. */
-	checkAge: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
+	checkStaleness: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
 	/** Waits until a grant of the term is valid, or it is known that the term is over. */
 	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
 	/** Waits until it is known that a target may no longer answer a request; `false` if the wait is over first. */
-	waitUntilUnfit: (request: FitnessRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
+	waitUntilIneligible: (request: EligibilityRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
 /** What a target was asked under a grant. */
-export type FitnessRequest = Readonly<{
+export type EligibilityRequest = Readonly<{
 	database: DatabaseId;
 	target: TargetId;
 	/** Term in which the request was sent. */
@@ -62,12 +62,12 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type Held = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: Deadlines}>;
+type Held = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: PermissionDeadlines}>;
 
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant of the steward'};
 
 /** Creates an empty book. */
-export const createGrantBook = (world: World): GrantBook => {
+export const createGrantRegistry = (world: World): GrantRegistry => {
 	const held = new Map<DatabaseId, Held>();
 	const changed = createNotifier(world);
 
@@ -102,7 +102,7 @@
 			held.set(database, {
 				reply,
 				askedAt,
-				deadlines: changeDeadlines(OVER, reply.permissions, deadline),
+				deadlines: changeDeadlines(EXPIRED_DEADLINES, reply.permissions, deadline),
 			});
 			changed.notify();
 		},
@@ -114,7 +114,7 @@
 			}
 		},
 		getView: database => held.get(database)?.reply.view,
-		enterWrite(database) {
+		trackWrite(database) {
 			writing.set(database, (writing.get(database) ?? 0) + 1);
 			return {
 				[Symbol.dispose]() {
@@ -123,7 +123,7 @@
 				},
 			};
 		},
-		async waitUntilIdle(database, deadline) {
+		async waitUntilWritesEnd(database, deadline) {
 			await changed.waitUntil(() => (writing.get(database) ?? 0) === 0, deadline);
 		},
 		checkWrite: (database, target) => checkPrimary(database, target, 'writes'),
@@ -144,7 +144,7 @@
 				? Ok(record)
 				: Err({code: 'tooOld', message: `${target} may lack acknowledged writes`});
 		},
-		checkAge(database, target, maximumAgeMs) {
+		checkStaleness(database, target, maximumAgeMs) {
 			const grant = held.get(database);
 			const ageMs = grant?.reply.agesMs[target];
 			if (!grant || ageMs === undefined) {
@@ -156,7 +156,7 @@
 				? Ok(grant.reply.view.record)
 				: Err({code: 'tooOld', message: `The data of ${target} may be ${Math.round(nowMs)} ms old`});
 		},
-		async waitUntilUnfit(request, deadline, signal) {
+		async waitUntilIneligible(request, deadline, signal) {
 			const isUnfit = () => {
 				const record = held.get(request.database)?.reply.view.record;
 				if (!record || request.mode === 'stale') {
@@ -185,6 +185,6 @@
 
 /** Tells whether every replica that is waited for, and enough of them, have replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
-	const awaited = getAwaited(record);
+	const awaited = getAwaitedReplicas(record);
 	return awaited.length >= record.minimumSynced && awaited.every(target => (replayed.get(target) ?? -1) >= position);
 };
--- a/packages/failover/src/record.ts
+++ b/packages/failover/src/group-record.ts
@@ -31,7 +31,7 @@
 export type GroupView = Readonly<{record: GroupRecord; revision: number}>;
 
 /** Failure of parsing a record. */
-export type RecordFailure = Failure<'recordMalformed'>;
+export type GroupRecordFailure = Failure<'recordMalformed'>;
 
 /** Prefix of the records in the store. */
 export const GROUP_PREFIX = '/guavapitch/groups/';
@@ -42,10 +42,10 @@
 export const formatGroupKey = (database: DatabaseId): string => `${GROUP_PREFIX}${database}`;
 
 /** Formats a record for the store. */
-export const formatRecord = (record: GroupRecord): string => JSON.stringify(record);
+export const formatGroupRecord = (record: GroupRecord): string => JSON.stringify(record);
 
 /** Parses a record from the store. */
-export const parseRecord = (text: string): Result<GroupRecord, RecordFailure> => {
+export const parseGroupRecord = (text: string): Result<GroupRecord, GroupRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as GroupRecord);
 	} catch (error) {
@@ -54,10 +54,10 @@
 };
 
 /** Rule of acknowledgement of a database. */
-export type AcknowledgementRule = Pick<GroupRecord, 'replicated' | 'minimumSynced'>;
+export type AcknowledgementPolicy = Pick<GroupRecord, 'replicated' | 'minimumSynced'>;
 
 /** Creates the first record of a database. */
-export const createRecord = (database: DatabaseId, primary: TargetId, position: number, {replicated, minimumSynced}: AcknowledgementRule): GroupRecord => ({
+export const createGroupRecord = (database: DatabaseId, primary: TargetId, position: number, {replicated, minimumSynced}: AcknowledgementPolicy): GroupRecord => ({
 	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], confirmed: true, starts: [{term: 1, primary, position}],
 });
 
@@ -73,4 +73,4 @@
 });
 
 /** Gets the replicas that acknowledgements wait for. */
-export const getAwaited = (record: GroupRecord): readonly TargetId[] => [...record.synced, ...record.joining];
+export const getAwaitedReplicas = (record: GroupRecord): readonly TargetId[] => [...record.synced, ...record.joining];
--- a/packages/failover/src/health.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -16,7 +16,7 @@
 }>;
 
 /** Asks a target for its report. */
-export type Probe = (target: TargetId) => Promise<Result<TargetReport, Failure>>;
+export type ProbeTarget = (target: TargetId) => Promise<Result<TargetReport, Failure>>;
 
 /** Health of one target. */
 export type TargetHealth = Readonly<{
@@ -28,7 +28,7 @@
 }>;
 
 /** Health of all targets of a database. */
-export type Health = Readonly<{
+export type HealthMonitor = Readonly<{
 	/** Asks every target once. */
 	probeAll: (targets: readonly TargetId[]) => Promise<void>;
 	get: (target: TargetId) => TargetHealth;
@@ -43,13 +43,13 @@
 	/** Tells whether a target is known to have held more than it does now. */
 	hasLostData: (target: TargetId) => boolean;
 	/** Forgets what a target held, as its log is rewound on purpose. */
-	forget: (target: TargetId) => void;
+	forgetHighestPosition: (target: TargetId) => void;
 	/** Notes the position of the primary at an instant. */
-	notePosition: (position: number, at: Instant) => void;
+	recordPosition: (position: number, at: Instant) => void;
 }>;
 
 /** Time without an answer after which a target counts as failed. */
-export const FAILED_AFTER_MS = 500;
+export const FAILURE_TIMEOUT_MS = 500;
 
 const HISTORY_LENGTH = 600;
 const UNKNOWN: TargetHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
@@ -57,7 +57,7 @@
 type Sample = Readonly<{position: number; at: Instant}>;
 
 /** Creates the health of targets that have not been asked yet. */
-export const createHealth = (probe: Probe, world: World, onChange: (target: TargetId, reachable: boolean) => void): Health => {
+export const createHealthMonitor = (probe: ProbeTarget, world: World, onChange: (target: TargetId, reachable: boolean) => void): HealthMonitor => {
 	const healths = new Map<TargetId, TargetHealth>();
 	const history: Sample[] = [];
 	const highest = new Map<TargetId, number>();
@@ -93,7 +93,7 @@
 		},
 		hasFailed(target) {
 			const {failingSince} = get(target);
-			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILED_AFTER_MS), world.now());
+			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILURE_TIMEOUT_MS), world.now());
 		},
 		getPosition: target => get(target).report?.position ?? -1,
 		getAgeMs(target) {
@@ -102,10 +102,10 @@
 			return sample ? world.now() - sample.at : undefined;
 		},
 		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highest.get(target) ?? 0),
-		forget(target) {
+		forgetHighestPosition(target) {
 			highest.delete(target);
 		},
-		notePosition(position, at) {
+		recordPosition(position, at) {
 			history.push({position, at});
 			if (history.length > HISTORY_LENGTH) {
 				history.shift();
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -3,12 +3,12 @@
 import {
 	createDeadline, isPast, type DatabaseId, type TargetId, type World,
 } from '@guavapitch/core';
-import {ALL, type Granter, type Permissions} from './granter.js';
-import type {Health} from './health.js';
-import {getAwaited, type GroupRecord} from './record.js';
+import {ALL_PERMISSIONS, type GrantIssuer, type Permissions} from './grant-issuer.js';
+import type {HealthMonitor} from './health-monitor.js';
+import {getAwaitedReplicas, type GroupRecord} from './group-record.js';
 
 /** Settings of a database that a steward needs. */
-export type StewardedDatabase = Readonly<{
+export type FailoverSettings = Readonly<{
 	database: DatabaseId;
 	targets: readonly TargetId[];
 	leaving: readonly TargetId[];
@@ -20,20 +20,20 @@
 /** What the synced set needs of its steward. */
 export type SyncedSetContext = Readonly<{
 	world: World;
-	health: Health;
-	granter: Granter;
+	health: HealthMonitor;
+	issuer: GrantIssuer;
 	/** Gets the revision of the record now. */
 	getRevision: () => number;
 	writeRecord: (record: GroupRecord, signal: AbortSignal) => Promise<boolean>;
-	endGrants: (ended: Permissions, signal: AbortSignal) => Promise<void>;
+	revokeGrants: (ended: Permissions, signal: AbortSignal) => Promise<void>;
 	/** Grants everything again. */
-	allowAll: () => void;
+	restorePermissions: () => void;
 }>;
 
 /** Changes of the synced set. */
 export type SyncedSet = Readonly<{
 	/** Makes one change if one is due; tells whether it did. */
-	improve: (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal) => Promise<boolean>;
+	adjust: (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => Promise<boolean>;
 }>;
 
 /** Time for which a synced replica may hold up acknowledgements. */
@@ -44,7 +44,7 @@
 
 /** Creates the changes of the synced set of one database. */
 export const createSyncedSet = (context: SyncedSetContext): SyncedSet => {
-	const {world, health, granter} = context;
+	const {world, health, issuer: granter} = context;
 	let joinAt = createDeadline(world.now(), 0);
 
 	const isLagging = (target: TargetId, primary: TargetId): boolean => {
@@ -57,7 +57,7 @@
 	};
 
 	/** Takes replicas out of the set that hold up acknowledgements or have lost their data, after their read grants have ended. */
-	const dropLaggards = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+	const dropLaggards = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal): Promise<boolean> => {
 		const joining = record.joining.filter(target => !isLagging(target, record.primary));
 		const lost = record.synced.filter(target => health.hasLostData(target));
 		const kept = record.synced.filter(target => !lost.includes(target));
@@ -69,35 +69,35 @@
 		}
 
 		if (dropped.length > 0) {
-			await context.endGrants(ALL, signal);
+			await context.revokeGrants(ALL_PERMISSIONS, signal);
 		}
 
 		await context.writeRecord({...record, joining, synced: record.synced.filter(target => !dropped.includes(target))}, signal);
-		context.allowAll();
+		context.restorePermissions();
 		return true;
 	};
 
 	/** Changes whether acknowledgements wait for replicas, and for how many; replicas count as synced again once they hold what was acknowledged without them. */
-	const changeRule = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+	const changeRule = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal): Promise<boolean> => {
 		const {replicated, minimumSynced} = settings;
 		if (record.replicated === replicated && record.minimumSynced === minimumSynced) {
 			return false;
 		}
 
-		await context.endGrants(ALL, signal);
+		await context.revokeGrants(ALL_PERMISSIONS, signal);
 		const isResumed = replicated && !record.replicated;
-		const sets = isResumed ? {synced: [], joining: getAwaited(record)} : {};
+		const sets = isResumed ? {synced: [], joining: getAwaitedReplicas(record)} : {};
 		await context.writeRecord({
 			...record, replicated, minimumSynced, ...sets,
 		}, signal);
-		context.allowAll();
+		context.restorePermissions();
 		return true;
 	};
 
 	/** Starts to wait for a caught-up replica; it counts as synced once it holds all that was acknowledged without it. */
-	const startJoin = async (record: GroupRecord, settings: StewardedDatabase, signal: AbortSignal): Promise<boolean> => {
+	const startJoin = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal): Promise<boolean> => {
 		const candidates = settings.targets.filter(target => target !== record.primary
-			&& !getAwaited(record).includes(target)
+			&& !getAwaitedReplicas(record).includes(target)
 			&& !settings.leaving.includes(target)
 			&& health.isReachable(target)
 			&& health.get(record.primary).report?.replayed.has(target)
@@ -140,7 +140,7 @@
 	};
 
 	return {
-		improve: async (record, settings, signal) => await changeRule(record, settings, signal)
+		adjust: async (record, settings, signal) => await changeRule(record, settings, signal)
 			|| await dropLaggards(record, settings, signal)
 			|| await finishJoin(record, signal)
 			|| startJoin(record, settings, signal),
--- a/packages/failover/src/tests/steward.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -8,9 +8,9 @@
 	createDeadline, createVirtualWorld, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
-import {createDurability} from '../durability.js';
-import {createGrantBook, type GrantBook, type GrantReply} from '../grants.js';
-import {createSteward, type Steward} from '../steward.js';
+import {createDurabilityWaiter} from '../durability.js';
+import {createGrantRegistry, type GrantRegistry, type GrantReply} from '../grant-registry.js';
+import {createFailoverCoordinator, type FailoverCoordinator} from '../coordinator.js';
 import {
 	clearTarget, createFakeGroup, WHOLE, type Cut, type FakeGroup,
 } from './fake-group.js';
@@ -81,13 +81,13 @@
 			await world.sleep(world.random() * 20);
 			return has('storeDown') ? lost : store.read(key);
 		},
-		async swap(...args) {
+		async compareAndSwap(...args) {
 			await world.sleep(world.random() * 20);
 			if (has('storeDown')) {
 				return lost;
 			}
 
-			const answer = await store.swap(...args);
+			const answer = await store.compareAndSwap(...args);
 			await world.sleep(world.random() * 20);
 			return has('loseAnswers') && world.random() < 0.5 ? lost : answer;
 		},
@@ -95,7 +95,7 @@
 };
 
 /** Lets stewards follow each other: authority is never held by two. */
-const runStewards = (run: Run, books: readonly GrantBook[]): (() => Steward | undefined) => {
+const runStewards = (run: Run, books: readonly GrantRegistry[]): (() => FailoverCoordinator | undefined) => {
 	const {world, group, faults, signal, without} = run;
 	const store = createFaultyStore(run, createMemoryStore(world));
 	const changes = faults.filter(one => one.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
@@ -106,14 +106,14 @@
 	const stewards = starts.map((startMs, index) => {
 		const deadline = createDeadline(world.now(), ends[index] ?? 0);
 		const getAuthority = (): Deadline => world.now() >= startMs ? deadline : PAST;
-		const steward = createSteward({
+		const steward = createFailoverCoordinator({
 			world,
 			store,
 			commands: group.commands,
-			getDatabase: () => ({
+			getSettings: () => ({
 				database: DATABASE, targets: NAMES, leaving: getLeaving(), minimumSynced: 1, replicated: isReplicated(),
 			}),
-			getAuthority,
+			getAuthorityDeadline: getAuthority,
 			async revoke(holder, _database, permissions) {
 				await world.sleep(world.random() * 50);
 				if (without.endOfGrants) {
@@ -127,7 +127,7 @@
 				const book = books[Number(holder.vm)];
 				book?.revoke(DATABASE, permissions);
 				if (!permissions.acknowledgements) {
-					await book?.waitUntilIdle(DATABASE, createDeadline(world.now(), 1000));
+					await book?.waitUntilWritesEnd(DATABASE, createDeadline(world.now(), 1000));
 				}
 
 				return Ok(true);
@@ -145,13 +145,13 @@
 };
 
 /** Runs the homes: each writes, waits for durability, and checks what it may read. */
-const runHomes = (run: Run, books: readonly GrantBook[], getSteward: () => Steward | undefined) => {
+const runHomes = (run: Run, books: readonly GrantRegistry[], getSteward: () => FailoverCoordinator | undefined) => {
 	const {world, group, signal, without} = run;
 	const acknowledged = new Set<string>();
 	const violations: string[] = [];
 	let lastAcknowledgedAt = 0;
 
-	const askGrants = async (book: GrantBook, index: number) => {
+	const askGrants = async (book: GrantRegistry, index: number) => {
 		while (!signal.aborted) {
 			const askedAt = world.now();
 			await world.sleep(world.random() * 40);
@@ -165,14 +165,14 @@
 		}
 	};
 
-	const writeOne = async (book: GrantBook, id: string) => {
+	const writeOne = async (book: GrantRegistry, id: string) => {
 		const primary = book.getView(DATABASE)?.record.primary;
 		const allowed = primary ? book.checkWrite(DATABASE, primary) : undefined;
 		if (!primary || !allowed?.ok) {
 			return;
 		}
 
-		using entered = book.enterWrite(DATABASE);
+		using entered = book.trackWrite(DATABASE);
 		await world.sleep(world.random() * 60);
 		const asked = group.get(primary);
 		if (asked.isReplica || asked.isDown || asked.cut.fromHomes) {
@@ -180,7 +180,7 @@
 		}
 
 		asked.log = [...asked.log, id];
-		const waitUntilDurable = createDurability(book, async name => {
+		const waitUntilDurable = createDurabilityWaiter(book, async name => {
 			await world.sleep(world.random() * 20);
 			const {log, replayed, cut, isDown} = group.get(name);
 			return cut.fromHomes || isDown ? Err({code: 'lost', message: 'no answer'}) : Ok({position: without.replicas ? 0 : log.length, replayed: new Map(replayed)});
@@ -194,7 +194,7 @@
 		}
 	};
 
-	const write = async (book: GrantBook, index: number) => {
+	const write = async (book: GrantRegistry, index: number) => {
 		for (let count = 0; !signal.aborted; count++) {
 			await writeOne(book, `${index}.${count}`);
 			await world.sleep(20 + (world.random() * 40), signal).catch(() => undefined);
@@ -248,7 +248,7 @@
 	const run: Run = {
 		world, group, faults, without, signal: stop.signal,
 	};
-	const books = Array.from({length: HOMES}, () => createGrantBook(world));
+	const books = Array.from({length: HOMES}, () => createGrantRegistry(world));
 	const homes = runHomes(run, books, runStewards(run, books));
 	void group.replicate(stop.signal);
 	while (world.now() < RUN_MS) {
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -3,8 +3,8 @@
 import {
 	Err, Ok, type Failure, type TargetId, type Result, type World,
 } from '@guavapitch/core';
-import type {TargetReport} from '../health.js';
-import type {TargetCommands} from '../steward.js';
+import type {TargetReport} from '../health-monitor.js';
+import type {TargetCommands} from '../coordinator.js';
 
 /** Who a fault keeps from a target. */
 export type Cut = Readonly<{fromSteward: boolean; fromHomes: boolean; fromReplicas: boolean}>;
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -6,16 +6,16 @@
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
-import {createDurability} from '../durability.js';
-import {ALL, createGranter, GRANT_MS} from '../granter.js';
-import {createGrantBook, type GrantReply} from '../grants.js';
-import {createRecord, promoteRecord, type GroupView} from '../record.js';
+import {createDurabilityWaiter} from '../durability.js';
+import {ALL_PERMISSIONS, createGrantIssuer, MAX_GRANT_VALIDITY_MS} from '../grant-issuer.js';
+import {createGrantRegistry, type GrantReply} from '../grant-registry.js';
+import {createGroupRecord, promoteRecord, type GroupView} from '../group-record.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
 const PRIMARY = parseId<TargetId>('orders-1');
 const REPLICA = parseId<TargetId>('orders-2');
 
-const createView = (revision: number): GroupView => ({revision, record: {...createRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
+const createView = (revision: number): GroupView => ({revision, record: {...createGroupRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
 
 describe('grants', () => {
 	describe('endAll', () => {
@@ -25,11 +25,11 @@
 			});
 			await fc.assert(fc.asyncProperty(fc.array(holderPlan, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (plans, endAt) => {
 				const {world, advance} = createVirtualWorld();
-				const granter = createGranter(world);
+				const granter = createGrantIssuer(world);
 				const stop = new AbortController();
 				let open = true;
 				let ended = false;
-				const books = plans.map(() => createGrantBook(world));
+				const books = plans.map(() => createGrantRegistry(world));
 				const holders = plans.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
 				const runs = plans.map(async (plan, index) => {
 					for (let count = 0; count < 4; count++) {
@@ -38,7 +38,7 @@
 						const holder = holders[index];
 						const reply = open && holder
 							? granter.grant(holder, {
-								view: createView(1), permissions: ALL, agesMs: {}, readable: [REPLICA], authority: NEVER,
+								view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 							})
 							: undefined;
 						await world.sleep(plan.replyMs);
@@ -50,7 +50,7 @@
 				const ending = (async () => {
 					await world.sleep(endAt);
 					open = false;
-					await granter.endAll(ALL, async holder => {
+					await granter.revokeAll(ALL_PERMISSIONS, async holder => {
 						const index = holders.indexOf(holder);
 						const plan = plans[index];
 						await world.sleep(plan?.revokeMs ?? 0);
@@ -58,7 +58,7 @@
 							return Err({code: 'lost', message: 'lost'});
 						}
 
-						books[index]?.revoke(DATABASE, ALL);
+						books[index]?.revoke(DATABASE, ALL_PERMISSIONS);
 						return Ok(true);
 					}, stop.signal);
 					ended = true;
@@ -77,15 +77,15 @@
 
 		it('waits out a holder that does not answer', async () => {
 			const {world, advance} = createVirtualWorld();
-			const granter = createGranter(world);
+			const granter = createGrantIssuer(world);
 			granter.grant({vm: parseId<VmId>('v'), incarnation: 'i'}, {
-				view: createView(1), permissions: ALL, agesMs: {}, readable: [REPLICA], authority: NEVER,
+				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 			});
 			let ended = false;
-			void granter.endAll(ALL, async () => Err({code: 'lost', message: 'lost'}), new AbortController().signal).then(() => {
+			void granter.revokeAll(ALL_PERMISSIONS, async () => Err({code: 'lost', message: 'lost'}), new AbortController().signal).then(() => {
 				ended = true;
 			});
-			await advance(GRANT_MS - 50);
+			await advance(MAX_GRANT_VALIDITY_MS - 50);
 			assert.equal(ended, false);
 			await advance(200);
 			assert.equal(ended, true);
@@ -95,26 +95,26 @@
 	describe('grant', () => {
 		it('never outlives the authority of the steward', () => {
 			const {world} = createVirtualWorld();
-			const granter = createGranter(world);
+			const granter = createGrantIssuer(world);
 			const terms = {
-				view: createView(1), permissions: ALL, agesMs: {}, readable: [REPLICA],
+				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA],
 			};
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			assert.ok((granter.grant(holder, {...terms, authority: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
-			assert.equal(granter.grant(holder, {...terms, authority: createDeadline(world.now(), 10)}), undefined);
+			assert.ok((granter.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
+			assert.equal(granter.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
 		});
 	});
 
 	describe('durability', () => {
 		const createReply = (view: GroupView): GrantReply => ({
-			view, validMs: GRANT_MS, agesMs: {}, readable: [REPLICA], permissions: ALL,
+			view, validMs: MAX_GRANT_VALIDITY_MS, agesMs: {}, readable: [REPLICA], permissions: ALL_PERMISSIONS,
 		});
 
-		const run = async (replayedAt: number, change: (book: ReturnType<typeof createGrantBook>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
+		const run = async (replayedAt: number, change: (book: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
 			const {world, advance} = createVirtualWorld();
-			const book = createGrantBook(world);
+			const book = createGrantRegistry(world);
 			book.accept(createReply(createView(1)), world.now());
-			const wait = createDurability(book, async () => {
+			const wait = createDurabilityWaiter(book, async () => {
 				await world.sleep(1);
 				return Ok({position: 100, replayed: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -8,7 +8,7 @@
 } from './entries.js';
 
 /** What a follower asks a relay. */
-export type FeedQuestion = Readonly<{
+export type FeedRequest = Readonly<{
 	/** Run of the relay that the follower last heard, and the number of the last change it has from it. */
 	run: string;
 	after: number;
@@ -16,7 +16,7 @@
 }>;
 
 /** What a relay answers. */
-export type FeedAnswer = Readonly<{
+export type FeedResponse = Readonly<{
 	run: string;
 	/** Number of the newest change in the answer. */
 	number: number;
@@ -44,13 +44,13 @@
 	source: FeedSource;
 	prefixes: readonly FeedPrefix[];
 	/** Tells whether a change matters to followers. */
-	isNews: (change: StoreChange, before: StoreEntry | undefined) => boolean;
+	isRelevantChange: (change: StoreChange, before: StoreEntry | undefined) => boolean;
 	/** Ranks the vms to follow, best first; empty if this vm should read the store itself. */
 	listRelays: () => readonly string[];
-	ask: (relay: string, question: FeedQuestion) => Promise<Result<FeedAnswer, Failure>>;
+	callRelay: (relay: string, question: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
 	onChange: (changes: readonly StoreChange[]) => void;
-	onSource: (kind: 'store' | 'relay', name: string) => void;
-	onStore: (isReachable: boolean, reason: string) => void;
+	onSourceChange: (kind: 'store' | 'relay', name: string) => void;
+	onStoreStatus: (isReachable: boolean, reason: string) => void;
 }>;
 
 /** Feed of one process. */
@@ -60,13 +60,13 @@
 	get: (key: string) => StoreEntry | undefined;
 	list: (prefix: string) => readonly StoreEntry[];
 	/** Answers a follower. */
-	answer: (question: FeedQuestion) => Promise<FeedAnswer>;
+	serve: (question: FeedRequest) => Promise<FeedResponse>;
 	/** Gets the age of what is known, in milliseconds: time since somebody of the chain had contact with the store. */
 	getAgeMs: () => number;
 	/** Takes note of another successful call to the store, such as the renewal of a lease. */
-	noteContact: (askedAt: Instant) => void;
+	recordContact: (askedAt: Instant) => void;
 	/** Applies what this process wrote itself. */
-	applyOwn: (change: StoreChange) => void;
+	applyLocalWrite: (change: StoreChange) => void;
 }>;
 
 /** Changes kept for followers that are behind. */
@@ -103,7 +103,7 @@
 	const getAgeMs = () => world.now() - contactAt;
 
 	const publish = (changes: readonly StoreChange[], before: ReadonlyMap<string, StoreEntry | undefined>) => {
-		const news = changes.filter(change => context.isNews(change, before.get(change.key)));
+		const news = changes.filter(change => context.isRelevantChange(change, before.get(change.key)));
 		if (news.length === 0) {
 			return;
 		}
@@ -171,12 +171,12 @@
 	/** Takes note of how a read ended; gives the next pause after failures. */
 	const noteRead = (failure: SourceProblem | undefined, askedAt: Instant, pauseMs: number): number => {
 		if (failure && failure.code !== 'historyLost') {
-			context.onStore(false, failure.message);
+			context.onStoreStatus(false, failure.message);
 			return Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
 		}
 
 		noteContact(askedAt);
-		context.onStore(true, '');
+		context.onStoreStatus(true, '');
 		return FIRST_PAUSE_MS;
 	};
 
@@ -188,7 +188,7 @@
 
 		signal.addEventListener('abort', abort, {once: true});
 		reading = true;
-		context.onSource('store', '');
+		context.onSourceChange('store', '');
 		const readers = context.prefixes.map(async prefix => readPrefix(prefix, stop.signal));
 		await world.sleep(LEAST_READING_MS, signal).catch(() => undefined);
 		while (!signal.aborted && (shouldRead() || getAgeMs() > STALE_MS)) {
@@ -207,13 +207,13 @@
 		let answered = false;
 		while (!signal.aborted && !shouldRead()) {
 			const askedAt = world.now();
-			const answer = await context.ask(relay, {run: followedRun, after: followedNumber, waitMs: answered ? FOLLOW_WAIT_MS : 0});
+			const answer = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: answered ? FOLLOW_WAIT_MS : 0});
 			if (answer.err || answer.val.ageMs > STALE_MS) {
 				return answered;
 			}
 
 			if (!answered) {
-				context.onSource('relay', relay);
+				context.onSourceChange('relay', relay);
 			}
 
 			answered = true;
@@ -260,7 +260,7 @@
 		},
 		get: table.get,
 		list: table.list,
-		async answer(question) {
+		async serve(question) {
 			relayUntil = createDeadline(world.now(), RELAY_MS);
 			const until = createDeadline(world.now(), Math.min(question.waitMs, FOLLOW_WAIT_MS));
 			const nextNumber = () => firstNumber + log.length;
@@ -282,8 +282,8 @@
 			};
 		},
 		getAgeMs,
-		noteContact,
-		applyOwn(change) {
+		recordContact: noteContact,
+		applyLocalWrite(change) {
 			applyChanges([change]);
 		},
 	};
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -64,14 +64,14 @@
 			run: name,
 			source,
 			prefixes: PREFIXES,
-			isNews: () => true,
+			isRelevantChange: () => true,
 			listRelays: () => relay ? ['relay'] : [],
-			ask: async (_relay, question): Promise<Result<Awaited<ReturnType<Feed['answer']>>, {code: string; message: string}>> => relay
-				? Ok(await relay.answer(question))
+			callRelay: async (_relay, question): Promise<Result<Awaited<ReturnType<Feed['serve']>>, {code: string; message: string}>> => relay
+				? Ok(await relay.serve(question))
 				: Err({code: 'gone', message: 'gone'}),
 			onChange: () => undefined,
-			onSource: () => undefined,
-			onStore: () => undefined,
+			onSourceChange: () => undefined,
+			onStoreStatus: () => undefined,
 		});
 		void feed.run(stop.signal);
 		return feed;
--- a/packages/front-postgres/src/caller.ts
+++ b/packages/front-postgres/src/caller.ts
@@ -5,7 +5,7 @@
 	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import type {CallerPort, RequestFailure} from '@guavapitch/requests';
-import {createPreparedNames, type Refusal} from '@guavapitch/sessions';
+import {createPreparedStatementMap, type Refusal} from '@guavapitch/sessions';
 import {createChunk, isChunkEnd} from './chunks.js';
 import type {Caller} from './startup.js';
 
@@ -94,7 +94,7 @@
 /** Creates what the caller's task sends and receives with. */
 export const createCallerPort = (caller: Caller): CallerPort => {
 	const {wire} = caller;
-	const names = createPreparedNames();
+	const names = createPreparedStatementMap();
 	const pending: Message[] = [];
 
 	const createFailureMessage = ({requestId, failure}: RequestFailure): Message => failure.code === 'outcomeUnknown'
@@ -128,10 +128,10 @@
 		sendLost: async (requestId, message, endsConnection) => wire.write(createErrorResponse({
 			severity: endsConnection ? 'FATAL' : 'ERROR', code: SQLSTATE.outcomeUnknown, message: `outcome unknown: ${message}`, detail: `request=${requestId}`,
 		}).bytes),
-		sendClosing: async refusal => wire.write(createErrorResponse({
+		sendCloseReason: async refusal => wire.write(createErrorResponse({
 			severity: 'FATAL', code: REFUSAL_STATES[refusal.code] ?? SQLSTATE.adminShutdown, message: refusal.message,
 		}).bytes),
-		watchClose(leave) {
+		onClose(leave) {
 			wire.socket.once('close', leave);
 			return {
 				[Symbol.dispose]() {
--- a/packages/front-postgres/src/chunks.ts
+++ b/packages/front-postgres/src/chunks.ts
@@ -8,7 +8,7 @@
 	createMessage, getBody, readText, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import {
-	classifyStatement, createStatement, isStateful, type PreparedNames, type PreparedStatement, type RequestChunk, type RequestPart, type StatementClass,
+	classifyStatement, createPreparedStatement, isStateful, type PreparedStatementMap, type PreparedStatement, type RequestChunk, type RequestPart, type StatementClass,
 } from '@guavapitch/sessions';
 
 /** Failure of a chunk; nothing of it was sent to a database. */
@@ -42,7 +42,7 @@
 	draft.classes.push(classifyStatement(text));
 };
 
-const requireStatement = (draft: Draft, names: PreparedNames, name: string): Result<PreparedStatement, ChunkFailure> => {
+const requireStatement = (draft: Draft, names: PreparedStatementMap, name: string): Result<PreparedStatement, ChunkFailure> => {
 	const statement = names.get(name);
 	if (!statement) {
 		return Err(createFailure('unknownStatement', SQLSTATE.undefinedStatement, `prepared statement "${name}" does not exist`));
@@ -53,17 +53,17 @@
 	return Ok(statement);
 };
 
-const addParse = (draft: Draft, names: PreparedNames, body: Buffer): Result<undefined, ChunkFailure> => {
+const addParse = (draft: Draft, names: PreparedStatementMap, body: Buffer): Result<undefined, ChunkFailure> => {
 	const [name, afterName] = readText(body, 0);
 	const [text, afterText] = readText(body, afterName);
-	const statement = createStatement(text, Buffer.from(body.subarray(afterText)));
+	const statement = createPreparedStatement(text, Buffer.from(body.subarray(afterText)));
 	noteText(draft, text);
 	names.set(name, statement);
 	draft.parts.push({kind: 'prepare', statement});
 	return Ok(undefined);
 };
 
-const addBind = (draft: Draft, names: PreparedNames, body: Buffer): Result<undefined, ChunkFailure> => {
+const addBind = (draft: Draft, names: PreparedStatementMap, body: Buffer): Result<undefined, ChunkFailure> => {
 	const [portal, afterPortal] = readText(body, 0);
 	const [name, afterName] = readText(body, afterPortal);
 	return requireStatement(draft, names, name).map(statement => {
@@ -72,7 +72,7 @@
 	});
 };
 
-const addDescribe = (draft: Draft, names: PreparedNames, message: Message): Result<undefined, ChunkFailure> => {
+const addDescribe = (draft: Draft, names: PreparedStatementMap, message: Message): Result<undefined, ChunkFailure> => {
 	const body = getBody(message);
 	if (body.toString('latin1', 0, 1) !== 'S') {
 		passOn(draft, message, 1);
@@ -85,7 +85,7 @@
 	});
 };
 
-const addClose = (draft: Draft, names: PreparedNames, message: Message): Result<undefined, ChunkFailure> => {
+const addClose = (draft: Draft, names: PreparedStatementMap, message: Message): Result<undefined, ChunkFailure> => {
 	const body = getBody(message);
 	if (body.toString('latin1', 0, 1) === 'S') {
 		names.remove(readText(body, 1)[0]);
@@ -98,7 +98,7 @@
 	return Ok(undefined);
 };
 
-const addMessage = (draft: Draft, names: PreparedNames, message: Message): Result<undefined, ChunkFailure> => {
+const addMessage = (draft: Draft, names: PreparedStatementMap, message: Message): Result<undefined, ChunkFailure> => {
 	switch (message.type) {
 		case 'Q': {
 			noteText(draft, readText(getBody(message), 0)[0]);
@@ -159,7 +159,7 @@
 };
 
 /** Creates a chunk from the messages up to its end. */
-export const createChunk = (messages: readonly Message[], names: PreparedNames): Result<CallerChunk, ChunkFailure> => {
+export const createChunk = (messages: readonly Message[], names: PreparedStatementMap): Result<CallerChunk, ChunkFailure> => {
 	const draft: Draft = {
 		parts: [], texts: [], classes: [], executions: 0,
 	};
--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -12,32 +12,32 @@
 export type SessionValues = ReadonlyArray<readonly [name: string, value: string]>;
 
 /** A connection lent to a request, and what is known of its session at the target. */
-export type Loan = Readonly<{
+export type ConnectionHandle = Readonly<{
 	connection: TargetConnection;
 	/** Lists the commands that give the session the values and the prepared statement that a statement needs. */
-	listSetup: (values: SessionValues, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
+	createSetupCommands: (values: SessionValues, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
 	/** Forgets the prepared statements, after the target has said that it lacks one. */
-	forgetPrepared: () => void;
+	discardPrepared: () => void;
 	/** Gives the connection back; it is closed unless it is clean. */
-	giveBack: (isClean: boolean) => void;
+	release: (isClean: boolean) => void;
 }>;
 
 /** Connections to one target. */
 export type TargetConnections = Readonly<{
 	/** Tells whether a customer could get a connection now. */
-	hasRoom: (customer: CustomerId) => boolean;
+	canAcquire: (customer: CustomerId) => boolean;
 	/** Takes an idle connection of the customer, or opens one. */
-	take: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
+	acquire: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Opens a connection even if others are idle: those may have gone silent without a reset. */
-	takeNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<Loan, DialFailure>>;
+	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	hasIdle: () => boolean;
 	/** Takes an idle connection of whichever customer, for questions of the home itself. */
-	takeAny: () => Loan | undefined;
+	acquireIdle: () => ConnectionHandle | undefined;
 	/** Closes connections that were idle for long. */
 	closeIdle: (idleSince: Instant) => void;
 	/** Closes all idle connections, and the others when they are given back. */
 	close: () => void;
-	getOpen: () => number;
+	getOpenCount: () => number;
 }>;
 
 type Session = {
@@ -85,11 +85,11 @@
 	return commands;
 };
 
-const createLoan = (session: Session, onReturn: (isClean: boolean) => void): Loan => {
+const createLoan = (session: Session, onReturn: (isClean: boolean) => void): ConnectionHandle => {
 	let given = false;
 	return {
 		connection: session.connection,
-		listSetup(values, statement) {
+		createSetupCommands(values, statement) {
 			const commands = [...listValueCommands(session, values)];
 			if (statement.kind !== 'prepared') {
 				return {commands, preparedName: ''};
@@ -107,10 +107,10 @@
 			commands.push({kind: 'prepare', name, prepared});
 			return {commands, preparedName: name};
 		},
-		forgetPrepared() {
+		discardPrepared() {
 			session.mustReset = true;
 		},
-		giveBack(isClean) {
+		release(isClean) {
 			if (!given) {
 				given = true;
 				onReturn(isClean);
@@ -164,7 +164,7 @@
 		return least;
 	};
 
-	const lend = (session: Session): Loan => {
+	const lend = (session: Session): ConnectionHandle => {
 		session.busy = true;
 		session.usedAt = world.now();
 		return createLoan(session, isClean => {
@@ -176,7 +176,7 @@
 		});
 	};
 
-	const open = async (customer: CustomerId, deadline: Deadline): Promise<Result<Loan, DialFailure>> => {
+	const open = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		dialling++;
 		const latest = Math.min(deadline, createDeadline(world.now(), DIAL_TIMEOUT_MS)) as Deadline;
 		const dialled = await dial(target, customer, latest);
@@ -193,7 +193,7 @@
 	};
 
 	/** Opens a connection, in the place of the least used one if there are too many. */
-	const openInPlace = async (customer: CustomerId, deadline: Deadline): Promise<Result<Loan, DialFailure>> => {
+	const openInPlace = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		if (sessions.size + dialling >= getLimit()) {
 			const least = findLeastUsed();
 			if (!least) {
@@ -207,14 +207,14 @@
 	};
 
 	return {
-		hasRoom: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastUsed() !== undefined,
-		async take(customer, values, deadline) {
+		canAcquire: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastUsed() !== undefined,
+		async acquire(customer, values, deadline) {
 			const idle = findIdle(customer, values);
 			return idle ? Ok(lend(idle)) : openInPlace(customer, deadline);
 		},
-		takeNew: openInPlace,
+		acquireNew: openInPlace,
 		hasIdle: () => findLeastUsed() !== undefined,
-		takeAny() {
+		acquireIdle() {
 			for (const session of sessions) {
 				if (!session.busy && !session.connection.isEnded()) {
 					return lend(session);
@@ -238,6 +238,6 @@
 				}
 			}
 		},
-		getOpen: () => sessions.size + dialling,
+		getOpenCount: () => sessions.size + dialling,
 	};
 };
--- a/packages/homes/src/home.ts
+++ b/packages/homes/src/database-owner.ts
@@ -1,25 +1,25 @@
 /** The home of a database: places its statements on targets and answers for their consistency. */
 
 import {
-	createDeadline, createSharedFlight, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
+	createDeadline, createSingleFlight, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
 } from '@guavapitch/core';
 import {
-	createRefusal, type HomeAnswer, type HomeRequest,
+	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
-import {createTargetConnections, type Loan, type TargetConnections} from './connections.js';
-import {createFloors, type Floors} from './floors.js';
-import {createAnswer} from './answers.js';
-import {createLeadership, type Leadership} from './leadership.js';
-import {createPlacement, type Placement} from './placement.js';
-import {createReach, type Reach} from './reach.js';
-import {serveSingle} from './singles.js';
+import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
+import {createPositionHistory, type PositionHistory} from './position-history.js';
+import {createResponse} from './replies.js';
+import {createLeaderTracker, type LeaderTracker} from './leader-tracker.js';
+import {createSlotScheduler, type SlotScheduler} from './slot-scheduler.js';
+import {createHealthTracker, type HealthTracker} from './health-tracker.js';
+import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
 import type {
 	Command, DialFailure, DialTarget, ReadStatus, Target, TargetStatus,
 } from './targets.js';
 
 /** What happened to a request at its home, for the logs. */
-export type HomeDecision = Readonly<{
+export type DatabaseOwnerDecision = Readonly<{
 	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
@@ -30,7 +30,7 @@
 }>;
 
 /** What a home needs. */
-export type HomeContext = Readonly<{
+export type DatabaseOwnerContext = Readonly<{
 	world: World;
 	/** Reads the suspension clock. */
 	readClock: () => Instant;
@@ -44,49 +44,49 @@
 	/** Gets how long a transaction may stay idle, in milliseconds. */
 	getIdleTransactionMs: () => number;
 	/** Spends one operation of a customer's share. */
-	spend: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, Failure & Readonly<{retryAfterMs: number}>>>;
-	onDecision: (decision: HomeDecision) => void;
+	acquireToken: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, Failure & Readonly<{retryAfterMs: number}>>>;
+	onDecision: (decision: DatabaseOwnerDecision) => void;
 }>;
 
 /** Parts of a home that its tasks share. */
-export type SharedParts = Readonly<{
-	context: HomeContext;
-	floors: Floors;
-	leadership: Leadership;
-	placement: Placement;
-	reach: Reach;
+export type SharedComponents = Readonly<{
+	context: DatabaseOwnerContext;
+	positionHistory: PositionHistory;
+	leaderTracker: LeaderTracker;
+	scheduler: SlotScheduler;
+	healthTracker: HealthTracker;
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
 	/** Calls a function if a target is taken for down; gives a function that forgets it. */
-	abandonWhenDown: (target: TargetId, abandon: () => void) => (() => void);
+	onTargetDown: (target: TargetId, abandon: () => void) => (() => void);
 	/** Waits until a position was verified after now; `false` if no leader proved itself before the deadline. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Tells whether writes wait, as the leader is being replaced in an orderly way. */
-	arePaused: () => boolean;
+	areWritesPaused: () => boolean;
 }>;
 
 /** Parts of a home as others see them. */
-export type HomeParts = SharedParts & Readonly<{transactions: Transactions}>;
+export type DatabaseOwnerComponents = SharedComponents & Readonly<{transactions: Transactions}>;
 
 /** What a target says to the question whether it leads; `undefined` if it is silent. */
-export type PingAnswer = 'leads' | 'follows' | 'refused' | undefined;
+export type PingResult = 'leads' | 'follows' | 'refused' | undefined;
 
 /** Home of one database. */
-export type DatabaseHome = Readonly<{
-	serve: (request: HomeRequest) => Promise<HomeAnswer>;
+export type DatabaseOwner = Readonly<{
+	serve: (request: StatementRequest) => Promise<StatementResponse>;
 	/** Rolls a transaction back. */
 	rollBack: (transaction: string) => void;
 	setTargets: (targets: readonly Target[]) => void;
 	/** Asks a target whether it leads; `undefined` if it does not answer. */
-	ping: (target: TargetId, deadline: Deadline) => Promise<PingAnswer>;
+	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
 	/** Asks a target for its state, after another command if there is one; `undefined` if it does not answer. */
-	askStatus: (target: TargetId, deadline: Deadline, before?: Command) => Promise<TargetStatus | undefined>;
+	queryStatus: (target: TargetId, deadline: Deadline, before?: Command) => Promise<TargetStatus | undefined>;
 	/** Holds writes back, or lets them go on. */
 	pauseWrites: (paused: boolean) => void;
 	/** Closes connections that were not used for some time. */
-	closeIdle: (idleMs: number) => void;
-	parts: HomeParts;
+	closeIdleConnections: (idleMs: number) => void;
+	components: DatabaseOwnerComponents;
 }>;
 
 /** Longest time for the question whether a target leads, in milliseconds; it needs no slot. */
@@ -95,24 +95,24 @@
 const PROBE_TIMEOUT_MS = 200;
 
 /** Tells whether two descriptions are of one run of one target. */
-const isSameRun = (a: Target, b: Target): boolean => a.id === b.id && a.born === b.born && a.host === b.host && a.port === b.port;
+const isSameRun = (a: Target, b: Target): boolean => a.id === b.id && a.startedAtMs === b.startedAtMs && a.host === b.host && a.port === b.port;
 
 /** Creates the home of a database. */
-export const createDatabaseHome = (context: HomeContext): DatabaseHome => {
+export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
 	const {world, readClock} = context;
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
-	const floors = createFloors();
-	const placement = createPlacement(world);
+	const floors = createPositionHistory();
+	const placement = createSlotScheduler(world);
 	/** What to do with the reads under way at a target that is taken for down. */
 	const abandons = new Map<TargetId, Set<() => void>>();
-	const leadership = createLeadership(leader => {
+	const leadership = createLeaderTracker(leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'the newest target that leads', ageMs: 0,
 		});
-		placement.wake();
+		placement.admitWaiting();
 	});
-	const reach = createReach({
+	const reach = createHealthTracker({
 		world,
 		async probe(id) {
 			const answer = await pingTwice(id, PROBE_TIMEOUT_MS);
@@ -128,29 +128,29 @@
 				}
 			}
 
-			placement.wake();
+			placement.admitWaiting();
 		},
 	});
 	let paused = false;
-	let lastCustomer: HomeRequest['customer'] | undefined;
+	let lastCustomer: StatementRequest['customer'] | undefined;
 
 	/** Takes a connection for a question of the home itself. */
-	const borrow = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<Loan, DialFailure> | undefined> => {
+	const borrow = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
 		const own = connections.get(id);
 		if (!own) {
 			return undefined;
 		}
 
 		if (isNew) {
-			return own.takeNew(lastCustomer ?? context.getAnyCustomer(), deadline);
+			return own.acquireNew(lastCustomer ?? context.getAnyCustomer(), deadline);
 		}
 
-		const idle = own.takeAny();
-		return idle ? Ok(idle) : own.take(lastCustomer ?? context.getAnyCustomer(), [], deadline);
+		const idle = own.acquireIdle();
+		return idle ? Ok(idle) : own.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
 	/** Asks a target whether it leads: a plain begin, which only a leader accepts and which needs no slot. */
-	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingAnswer> => {
+	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingResult> => {
 		const latest = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
 		const askedAt = readClock();
 		const borrowed = await borrow(id, latest, isNew);
@@ -161,46 +161,46 @@
 		const loan = borrowed.val;
 		const {replies, ended} = await loan.connection.execute([{kind: 'begin', readOnly: false, after: undefined}, {kind: 'rollback'}], latest);
 		const [begun, rolledBack] = replies;
-		loan.giveBack(ended === 'no' && rolledBack?.status === 'idle');
+		loan.release(ended === 'no' && rolledBack?.status === 'idle');
 		if (!begun) {
 			return undefined;
 		}
 
-		reach.noteAnswer(id);
+		reach.recordResponse(id);
 		if (begun.result.kind === 'done' && begun.position) {
-			floors.note(askedAt, begun.position);
-			leadership.noteLeading(id, world.now());
+			floors.record(askedAt, begun.position);
+			leadership.markLeading(id, world.now());
 			return 'leads';
 		}
 
 		if (begun.result.kind === 'error' && begun.result.code === 'readOnly') {
-			leadership.noteFollowing(id, world.now());
+			leadership.markFollowing(id, world.now());
 		}
 
 		return 'follows';
 	};
 
 	/** Asks on a kept connection, which may have gone silent without a reset, and then on a new one. */
-	const pingTwice = async (id: TargetId, timeoutMs: number): Promise<PingAnswer> => {
+	const pingTwice = async (id: TargetId, timeoutMs: number): Promise<PingResult> => {
 		const kept = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(world.now(), timeoutMs)) : undefined;
 		return kept ?? ping(id, createDeadline(world.now(), timeoutMs), true);
 	};
 
-	const verifyOnce = createSharedFlight(async (): Promise<boolean> => {
+	const verifyOnce = createSingleFlight(async (): Promise<boolean> => {
 		const leader = leadership.getLeader();
 		return leader !== undefined && await ping(leader, createDeadline(world.now(), PING_TIMEOUT_MS)) === 'leads';
 	});
 
-	const shared: SharedParts = {
+	const shared: SharedComponents = {
 		context,
-		floors,
-		leadership,
-		placement,
-		reach,
+		positionHistory: floors,
+		leaderTracker: leadership,
+		scheduler: placement,
+		healthTracker: reach,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
-		abandonWhenDown(target, abandon) {
+		onTargetDown(target, abandon) {
 			const own = abandons.get(target) ?? new Set();
 			abandons.set(target, own);
 			own.add(abandon);
@@ -211,21 +211,21 @@
 		async verifyPosition(deadline: Deadline) {
 			return !isPast(deadline, world.now()) && verifyOnce();
 		},
-		arePaused: () => paused,
+		areWritesPaused: () => paused,
 	};
 	const transactions = createTransactions(shared);
-	const parts: HomeParts = {...shared, transactions};
+	const parts: DatabaseOwnerComponents = {...shared, transactions};
 
-	const serve = async (request: HomeRequest): Promise<HomeAnswer> => {
+	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(world.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
-			const spent = await context.spend(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
+			const spent = await context.acquireToken(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
 			if (spent.err) {
 				context.onDecision({
 					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: spent.val.message, ageMs: 0,
 				});
-				return createAnswer(createRefusal('overShare', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
+				return createResponse(createRefusal('overShare', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
 			}
 		}
 
@@ -234,8 +234,8 @@
 		}
 
 		return request.statement.kind === 'commit'
-			? createAnswer(createRefusal('malformed', 'There is no transaction to commit'))
-			: serveSingle(parts, request, deadline);
+			? createResponse(createRefusal('malformed', 'There is no transaction to commit'))
+			: serveSingleStatement(parts, request, deadline);
 	};
 
 	return {
@@ -247,7 +247,7 @@
 					connections.get(id)?.close();
 					connections.delete(id);
 					targets.delete(id);
-					reach.forget(id);
+					reach.remove(id);
 				}
 			}
 
@@ -258,11 +258,11 @@
 				}
 			}
 
-			leadership.noteRegistry(next, world.now());
+			leadership.applyRegistry(next, world.now());
 			placement.setTargets(next);
 		},
 		ping: async (id, deadline) => pingTwice(id, deadline - world.now()),
-		async askStatus(id, deadline, before) {
+		async queryStatus(id, deadline, before) {
 			const borrowed = await borrow(id, deadline);
 			if (!borrowed?.ok) {
 				return undefined;
@@ -271,21 +271,21 @@
 			const loan = borrowed.val;
 			const commands: readonly Command[] = before ? [before, {kind: 'status'}] : [{kind: 'status'}];
 			const {replies, ended} = await loan.connection.execute(commands, deadline);
-			loan.giveBack(ended === 'no');
+			loan.release(ended === 'no');
 			const isRefused = replies[0]?.result.kind === 'error';
 			const reply = replies[commands.length - 1];
 			return reply && !isRefused ? context.readStatus(reply) : undefined;
 		},
 		pauseWrites(next) {
 			paused = next;
-			placement.wake();
+			placement.admitWaiting();
 		},
-		closeIdle(idleMs) {
+		closeIdleConnections(idleMs) {
 			const since = createDeadline(world.now(), -idleMs) as number as Instant;
 			for (const own of connections.values()) {
 				own.closeIdle(since);
 			}
 		},
-		parts,
+		components: parts,
 	};
 };
--- a/packages/homes/src/steward.ts
+++ b/packages/homes/src/failover-coordinator.ts
@@ -4,11 +4,11 @@
 	createDeadline, isPast, type DatabaseId, type Instant, type TargetId, type World,
 } from '@guavapitch/core';
 import {comparePositions} from '@guavapitch/sessions';
-import type {DatabaseHome} from './home.js';
+import type {DatabaseOwner} from './database-owner.js';
 import type {Command, Target, TargetStatus} from './targets.js';
 
 /** Outcome of an order of promotion. */
-export type OrderOutcome
+export type PromotionOutcome
 	= 'done'
 	/** A newer fencing number was seen, or the target is not running. */
 		| 'refused'
@@ -16,7 +16,7 @@
 		| 'unknown';
 
 /** What happened in a change of primary, for the logs. */
-export type StewardEvent = Readonly<{
+export type FailoverCoordinatorEvent = Readonly<{
 	kind: 'suspected' | 'started' | 'ordered' | 'finished' | 'failed';
 	target: string;
 	reason: string;
@@ -24,20 +24,20 @@
 }>;
 
 /** What a steward needs. */
-export type StewardContext = Readonly<{
+export type FailoverCoordinatorContext = Readonly<{
 	world: World;
 	database: DatabaseId;
-	home: DatabaseHome;
+	owner: DatabaseOwner;
 	/** Tells whether this vm holds the stewardship, surely and now. */
-	isSteward: () => boolean;
+	isCoordinator: () => boolean;
 	/** Draws a fencing number higher than all before. */
-	drawFence: () => Promise<number | undefined>;
-	order: (target: TargetId, fence: number) => Promise<OrderOutcome>;
+	drawFencingToken: () => Promise<number | undefined>;
+	orderPromotion: (target: TargetId, fence: number) => Promise<PromotionOutcome>;
 	/** Tells whether another vm reaches a target that this one does not. */
-	isReachedByOthers: (target: TargetId) => Promise<boolean>;
+	isReachableFromPeers: (target: TargetId) => Promise<boolean>;
 	/** Tells whether commits are acknowledged only when a replica has them. */
-	isReplicated: () => boolean;
-	onEvent: (event: StewardEvent) => void;
+	isSynchronouslyReplicated: () => boolean;
+	onEvent: (event: FailoverCoordinatorEvent) => void;
 }>;
 
 /** Pause between looks at the primary, in milliseconds. */
@@ -61,10 +61,10 @@
 type Standing = Readonly<{target: Target; status: TargetStatus}>;
 
 /** Asks targets for their state, after another command if there is one. */
-const askAll = async (context: StewardContext, targets: readonly Target[], before?: Command): Promise<readonly Standing[]> => {
+const askAll = async (context: FailoverCoordinatorContext, targets: readonly Target[], before?: Command): Promise<readonly Standing[]> => {
 	const deadline = createDeadline(context.world.now(), STATUS_TIMEOUT_MS);
 	const answers = await Promise.all(targets.map(async target => {
-		const status = await context.home.askStatus(target.id, deadline, before);
+		const status = await context.owner.queryStatus(target.id, deadline, before);
 		return status ? [{target, status}] : [];
 	}));
 	return answers.flat();
@@ -77,8 +77,8 @@
 	|| (a.target.id < b.target.id ? -1 : 1));
 
 /** Waits until a target proves that it leads. */
-const waitForProof = async (context: StewardContext, target: TargetId): Promise<boolean> => {
-	const {world, home} = context;
+const waitForProof = async (context: FailoverCoordinatorContext, target: TargetId): Promise<boolean> => {
+	const {world, owner: home} = context;
 	const deadline = createDeadline(world.now(), PROOF_MS);
 	while (!isPast(deadline, world.now())) {
 		if (await home.ping(target, deadline) === 'leads') {
@@ -95,13 +95,13 @@
  * Asks the replicas where they stand. Where a commit is acknowledged once one replica has it, they stop receiving first,
  * so that the old primary acknowledges nothing more, and all of them must answer: the one that is missing may have it.
  */
-const askStandings = async (context: StewardContext, replicas: readonly Target[]): Promise<readonly Standing[]> => {
-	if (!context.isReplicated()) {
+const askStandings = async (context: FailoverCoordinatorContext, replicas: readonly Target[]): Promise<readonly Standing[]> => {
+	if (!context.isSynchronouslyReplicated()) {
 		return rankReplicas(await askAll(context, replicas));
 	}
 
 	const known = await askAll(context, replicas);
-	const term = Math.max(0, ...known.map(({status}) => status.term), context.home.parts.floors.getLatest()?.term ?? 0) + 1;
+	const term = Math.max(0, ...known.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
 	const paused = await askAll(context, replicas, {kind: 'pause', term});
 	if (paused.length === replicas.length) {
 		return rankReplicas(paused);
@@ -112,18 +112,18 @@
 };
 
 /** Orders the replicas in turn to lead, until one does. */
-const promoteBest = async (context: StewardContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
+const promoteBest = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
 	const startedAt = context.world.now();
 	const standings = await askStandings(context, replicas);
 	if (standings.length === 0) {
 		context.onEvent({
-			kind: 'failed', target: '', reason: `${reason}; ${context.isReplicated() ? 'a replica does' : 'the replicas do'} not answer`, ageMs: 0,
+			kind: 'failed', target: '', reason: `${reason}; ${context.isSynchronouslyReplicated() ? 'a replica does' : 'the replicas do'} not answer`, ageMs: 0,
 		});
 		return false;
 	}
 
 	for (const {target} of standings) {
-		const fence = await context.drawFence();
+		const fence = await context.drawFencingToken();
 		if (fence === undefined) {
 			context.onEvent({
 				kind: 'failed', target: target.id, reason: 'the store gave no fencing number', ageMs: context.world.now() - startedAt,
@@ -134,7 +134,7 @@
 		context.onEvent({
 			kind: 'ordered', target: target.id, reason: `${reason}; fence ${fence}`, ageMs: context.world.now() - startedAt,
 		});
-		const outcome = await context.order(target.id, fence);
+		const outcome = await context.orderPromotion(target.id, fence);
 		if (outcome !== 'refused' && await waitForProof(context, target.id)) {
 			context.onEvent({
 				kind: 'finished', target: target.id, reason, ageMs: context.world.now() - startedAt,
@@ -143,23 +143,23 @@
 		}
 
 		// With acknowledgements by a replica only the longest log surely holds them all.
-		if (context.isReplicated()) {
+		if (context.isSynchronouslyReplicated()) {
 			break;
 		}
 	}
 
-	if (context.isReplicated()) {
+	if (context.isSynchronouslyReplicated()) {
 		await askAll(context, replicas, {kind: 'resume'});
 	}
 
 	return false;
 };
 
-const listReplicas = (context: StewardContext, except: TargetId | undefined): readonly Target[] => context.home.parts.listTargets().filter(({id}) => id !== except);
+const listReplicas = (context: FailoverCoordinatorContext, except: TargetId | undefined): readonly Target[] => context.owner.components.listTargets().filter(({id}) => id !== except);
 
 /** Replaces a primary that is about to leave: writes wait until a replica has everything. */
-const handOver = async (context: StewardContext, leader: Target): Promise<boolean> => {
-	const {world, home} = context;
+const handOver = async (context: FailoverCoordinatorContext, leader: Target): Promise<boolean> => {
+	const {world, owner: home} = context;
 	const replicas = listReplicas(context, leader.id).filter(({isDraining}) => !isDraining);
 	if (replicas.length === 0) {
 		return false;
@@ -176,14 +176,14 @@
 			const [own] = await askAll(context, [leader]);
 			const standings = rankReplicas(await askAll(context, replicas));
 			const best = standings[0];
-			if (own && best && comparePositions(best.status.received, own.status.received) >= 0 && home.parts.transactions.getWriters() === 0) {
+			if (own && best && comparePositions(best.status.received, own.status.received) >= 0 && home.components.transactions.getWriterCount() === 0) {
 				break;
 			}
 
 			await world.sleep(HANDOVER_LOOK_MS);
 		}
 
-		return await promoteBest(context, context.isReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
+		return await promoteBest(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
 	} finally {
 		home.pauseWrites(false);
 	}
@@ -198,18 +198,18 @@
 };
 
 /** Looks once at the primary; gives the reason to replace it. */
-const examine = async (context: StewardContext, suspicion: Suspicion): Promise<string | undefined> => {
-	const {world, home} = context;
-	const {leadership, reach} = home.parts;
+const examine = async (context: FailoverCoordinatorContext, suspicion: Suspicion): Promise<string | undefined> => {
+	const {world, owner: home} = context;
+	const {leaderTracker: leadership, healthTracker: reach} = home.components;
 	const leader = leadership.getLeader();
 	const now = world.now();
-	if (leader === undefined || !home.parts.getTarget(leader)) {
+	if (leader === undefined || !home.components.getTarget(leader)) {
 		suspicion.leaderlessSince ??= now;
 		return now - suspicion.leaderlessSince >= LEADERLESS_MS ? 'no target leads' : undefined;
 	}
 
 	suspicion.leaderlessSince = undefined;
-	const answeredAt = reach.getAnsweredAt(leader) ?? suspicion.knownSince ?? now;
+	const answeredAt = reach.getLastResponseAt(leader) ?? suspicion.knownSince ?? now;
 	suspicion.knownSince ??= now;
 	if (now - answeredAt < QUIET_MS && reach.isUsable(leader)) {
 		suspicion.refusedSince = undefined;
@@ -228,33 +228,33 @@
 	}
 
 	const isSilent = world.now() - answeredAt >= SILENT_MS;
-	return isSilent && !await context.isReachedByOthers(leader) ? 'the primary is silent' : undefined;
+	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary is silent' : undefined;
 };
 
 /** Tends a database until the signal aborts; acts only while this vm is its steward. */
-export const runSteward = async (context: StewardContext, signal: AbortSignal): Promise<void> => {
-	const {world, home} = context;
+export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
+	const {world, owner: home} = context;
 	const suspicion: Suspicion = {refusedSince: undefined, leaderlessSince: undefined, knownSince: undefined};
 	while (!signal.aborted) {
 		await world.sleep(LOOK_MS, signal).catch(() => undefined);
-		if (signal.aborted || !context.isSteward() || home.parts.listTargets().length === 0) {
+		if (signal.aborted || !context.isCoordinator() || home.components.listTargets().length === 0) {
 			continue;
 		}
 
-		const leader = home.parts.leadership.getLeader();
-		const known = leader === undefined ? undefined : home.parts.getTarget(leader);
+		const leader = home.components.leaderTracker.getLeader();
+		const known = leader === undefined ? undefined : home.components.getTarget(leader);
 		if (known?.isDraining && await handOver(context, known)) {
 			continue;
 		}
 
 		const reason = await examine(context, suspicion);
-		if (reason !== undefined && context.isSteward()) {
+		if (reason !== undefined && context.isCoordinator()) {
 			context.onEvent({
-				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (home.parts.reach.getAnsweredAt(leader) ?? world.now()),
+				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (home.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
 			});
 			const all = listReplicas(context, leader);
 			const staying = all.filter(({isDraining}) => !isDraining);
-			await promoteBest(context, staying.length > 0 && !context.isReplicated() ? staying : all, reason);
+			await promoteBest(context, staying.length > 0 && !context.isSynchronouslyReplicated() ? staying : all, reason);
 			suspicion.refusedSince = undefined;
 			suspicion.leaderlessSince = undefined;
 			suspicion.knownSince = undefined;
--- a/packages/homes/src/reach.ts
+++ b/packages/homes/src/health-tracker.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 
 /** What the beliefs about targets need. */
-export type ReachContext = Readonly<{
+export type HealthTrackerContext = Readonly<{
 	world: World;
 	/** Asks a target for a sign of life, which needs no slot; `false` if it gives none. */
 	probe: (target: TargetId) => Promise<boolean>;
@@ -14,24 +14,24 @@
 }>;
 
 /** Beliefs of a home about the health of targets. */
-export type Reach = Readonly<{
+export type HealthTracker = Readonly<{
 	/** A statement was sent to a target; a long silence after it makes the target suspect. */
-	noteSent: (target: TargetId) => void;
+	recordStatementSent: (target: TargetId) => void;
 	/** A statement has ended, however. */
-	noteEnded: (target: TargetId) => void;
+	recordStatementEnded: (target: TargetId) => void;
 	/** A target has answered. */
-	noteAnswer: (target: TargetId) => void;
+	recordResponse: (target: TargetId) => void;
 	/** A connection to a target was lost or refused, or a statement went unanswered: the target is probed. */
-	noteSuspect: (target: TargetId, reason: string) => void;
+	markSuspect: (target: TargetId, reason: string) => void;
 	/** A target lacked a position that a read needs. */
-	noteLagging: (target: TargetId) => void;
+	markLagging: (target: TargetId) => void;
 	/** Tells whether a target may be tried. */
 	isUsable: (target: TargetId) => boolean;
 	/** Tells whether a target is likely to have what reads need. */
-	isCurrent: (target: TargetId) => boolean;
+	isCaughtUp: (target: TargetId) => boolean;
 	/** Gets when a target last answered. */
-	getAnsweredAt: (target: TargetId) => Instant | undefined;
-	forget: (target: TargetId) => void;
+	getLastResponseAt: (target: TargetId) => Instant | undefined;
+	remove: (target: TargetId) => void;
 }>;
 
 type Health = {
@@ -54,7 +54,7 @@
 const LONGEST_LAG_PAUSE_MS = 500;
 
 /** Creates beliefs that take every target for healthy. */
-export const createReach = (context: ReachContext): Reach => {
+export const createHealthTracker = (context: HealthTrackerContext): HealthTracker => {
 	const {world} = context;
 	const healths = new Map<TargetId, Health>();
 
@@ -130,7 +130,7 @@
 	};
 
 	return {
-		noteSent(target) {
+		recordStatementSent(target) {
 			const health = getHealth(target);
 			if (health.underWay === 0) {
 				health.busySince = world.now();
@@ -139,15 +139,15 @@
 			health.underWay++;
 			watch(target, health);
 		},
-		noteEnded(target) {
+		recordStatementEnded(target) {
 			const health = getHealth(target);
 			health.underWay = Math.max(0, health.underWay - 1);
 		},
-		noteAnswer,
-		noteSuspect(target, reason) {
+		recordResponse: noteAnswer,
+		markSuspect(target, reason) {
 			void probe(target, reason);
 		},
-		noteLagging(target) {
+		markLagging(target) {
 			const health = getHealth(target);
 			const now = world.now();
 			noteAnswer(target);
@@ -159,9 +159,9 @@
 			}
 		},
 		isUsable: target => healths.get(target)?.isDown !== true,
-		isCurrent: target => isPast(healths.get(target)?.currentAt ?? PAST, world.now()),
-		getAnsweredAt: target => healths.get(target)?.answeredAt,
-		forget(target) {
+		isCaughtUp: target => isPast(healths.get(target)?.currentAt ?? PAST, world.now()),
+		getLastResponseAt: target => healths.get(target)?.answeredAt,
+		remove(target) {
 			healths.delete(target);
 		},
 	};
--- a/packages/homes/src/index.ts
+++ b/packages/homes/src/index.ts
@@ -1,9 +1,9 @@
 export type * from './targets.js';
-export * from './floors.js';
+export * from './position-history.js';
 export * from './connections.js';
-export * from './placement.js';
-export * from './choices.js';
-export * from './leadership.js';
-export * from './reach.js';
-export * from './home.js';
-export * from './steward.js';
+export * from './slot-scheduler.js';
+export * from './read-targets.js';
+export * from './leader-tracker.js';
+export * from './health-tracker.js';
+export * from './database-owner.js';
+export * from './failover-coordinator.js';
--- a/packages/homes/src/leadership.ts
+++ b/packages/homes/src/leader-tracker.ts
@@ -4,13 +4,13 @@
 import type {Target} from './targets.js';
 
 /** Beliefs about the leader of one database. */
-export type Leadership = Readonly<{
+export type LeaderTracker = Readonly<{
 	/** Takes note of the registry; only a change of what a target says of itself counts as news. */
-	noteRegistry: (targets: readonly Target[], now: Instant) => void;
+	applyRegistry: (targets: readonly Target[], now: Instant) => void;
 	/** A target has proved that it leads. */
-	noteLeading: (target: TargetId, now: Instant) => void;
+	markLeading: (target: TargetId, now: Instant) => void;
 	/** A target has said that it does not lead. */
-	noteFollowing: (target: TargetId, now: Instant) => void;
+	markFollowing: (target: TargetId, now: Instant) => void;
 	/** Gets the target that leads; the one whose lead began last, if several say so. */
 	getLeader: () => TargetId | undefined;
 }>;
@@ -20,7 +20,7 @@
 type Seen = Readonly<{role: string; born: number}>;
 
 /** Creates beliefs that know nothing. */
-export const createLeadership = (onChange: (leader: TargetId | undefined) => void): Leadership => {
+export const createLeaderTracker = (onChange: (leader: TargetId | undefined) => void): LeaderTracker => {
 	const evidence = new Map<TargetId, Evidence>();
 	const seen = new Map<TargetId, Seen>();
 	let leader: TargetId | undefined;
@@ -49,7 +49,7 @@
 	};
 
 	return {
-		noteRegistry(targets, now) {
+		applyRegistry(targets, now) {
 			const present = new Set(targets.map(target => target.id));
 			for (const id of seen.keys()) {
 				if (!present.has(id)) {
@@ -58,7 +58,7 @@
 				}
 			}
 
-			for (const {id, role, born} of targets) {
+			for (const {id, role, startedAtMs: born} of targets) {
 				const before = seen.get(id);
 				if (before?.role !== role || before.born !== born) {
 					seen.set(id, {role, born});
@@ -68,10 +68,10 @@
 
 			choose();
 		},
-		noteLeading(target, now) {
+		markLeading(target, now) {
 			note(target, true, now);
 		},
-		noteFollowing(target, now) {
+		markFollowing(target, now) {
 			note(target, false, now);
 		},
 		getLeader: () => leader,
--- a/packages/homes/src/floors.ts
+++ b/packages/homes/src/position-history.ts
@@ -1,17 +1,17 @@
 /** Verified positions of a database's log, and the floors of reads that follow from them. */
 
 import {createDeadline, type Instant} from '@guavapitch/core';
-import {chooseLater, comparePositions, type Position} from '@guavapitch/sessions';
+import {chooseLaterPosition, comparePositions, type LogPosition} from '@guavapitch/sessions';
 
 /** Verified positions of one database, as one home knows them. */
-export type Floors = Readonly<{
+export type PositionHistory = Readonly<{
 	/** Takes note of a position that a target gave to a question sent at an instant, while it proved that it leads. */
-	note: (askedAt: Instant, position: Position) => void;
+	record: (askedAt: Instant, position: LogPosition) => void;
 	/** Gets the lowest position that holds every commit acknowledged longer ago than an age; `undefined` if none is young enough. */
-	getFloor: (maxStalenessMs: number, now: Instant) => Position | undefined;
+	getMinimumPosition: (maxStalenessMs: number, now: Instant) => LogPosition | undefined;
 	/** Translates the floor of a session into the newest term: commits of older terms may have been taken back. */
-	translate: (floor: Position | undefined) => Position | undefined;
-	getLatest: () => Position | undefined;
+	translateToLatestTerm: (floor: LogPosition | undefined) => LogPosition | undefined;
+	getLatest: () => LogPosition | undefined;
 	/** Forgets every position but the term's first. */
 	clear: () => void;
 }>;
@@ -22,16 +22,16 @@
 /** Positions closer together than this replace each other, in milliseconds; bounds the list. */
 const SPACING_MS = 10;
 
-type Verified = Readonly<{askedAt: Instant; position: Position}>;
+type Verified = Readonly<{askedAt: Instant; position: LogPosition}>;
 
 /** Creates an empty history. Instants are those of the suspension clock. */
-export const createFloors = (): Floors => {
+export const createPositionHistory = (): PositionHistory => {
 	let history: Verified[] = [];
-	let termStart: Position | undefined;
-	let latest: Position | undefined;
+	let termStart: LogPosition | undefined;
+	let latest: LogPosition | undefined;
 
 	return {
-		note(askedAt, position) {
+		record(askedAt, position) {
 			if (termStart && position.term < termStart.term) {
 				return;
 			}
@@ -42,7 +42,7 @@
 				latest = position;
 			}
 
-			latest = chooseLater(latest, position);
+			latest = chooseLaterPosition(latest, position);
 			const last = history.at(-1);
 			if (last && askedAt - last.askedAt < SPACING_MS) {
 				return;
@@ -55,11 +55,11 @@
 				history.splice(0, kept);
 			}
 		},
-		getFloor(maxStalenessMs, now) {
+		getMinimumPosition(maxStalenessMs, now) {
 			const oldest = now - maxStalenessMs;
 			return history.find(verified => verified.askedAt >= oldest)?.position;
 		},
-		translate(floor) {
+		translateToLatestTerm(floor) {
 			return floor && termStart && floor.term < termStart.term ? termStart : floor;
 		},
 		getLatest: () => latest,
@@ -70,4 +70,4 @@
 };
 
 /** Tells whether a log that holds one position holds another. */
-export const isReached = (held: Position, wanted: Position): boolean => comparePositions(held, wanted) >= 0;
+export const isReached = (held: LogPosition, wanted: LogPosition): boolean => comparePositions(held, wanted) >= 0;
--- a/packages/homes/src/choices.ts
+++ b/packages/homes/src/read-targets.ts
@@ -1,15 +1,15 @@
 /** Which target a read goes to. */
 
 import type {TargetId} from '@guavapitch/core';
-import type {TargetLoad} from './placement.js';
+import type {TargetLoad} from './slot-scheduler.js';
 
 /** What is known of the targets when a read is placed. */
-export type ReadSituation = Readonly<{
+export type ReadContext = Readonly<{
 	leader: TargetId | undefined;
 	/** Tells whether a target may serve the read. */
 	isEligible: (target: TargetId) => boolean;
 	/** Every target of the database, free or not. */
-	all: readonly TargetId[];
+	targetIds: readonly TargetId[];
 }>;
 
 /** Factor by which the leader's time counts for reads: writes have nowhere else to go. */
@@ -22,8 +22,8 @@
  * Chooses the target that is likely to answer a read first.
  * The last free slot of the leader is kept for writes while another target can serve the read.
  */
-export const chooseReadTarget = (free: readonly TargetLoad[], situation: ReadSituation): TargetId | undefined => {
-	const {leader, isEligible, all} = situation;
+export const chooseReadTarget = (free: readonly TargetLoad[], situation: ReadContext): TargetId | undefined => {
+	const {leader, isEligible, targetIds: all} = situation;
 	const hasFollower = all.some(id => id !== leader && isEligible(id));
 	let chosen: TargetId | undefined;
 	let leastMs = Number.POSITIVE_INFINITY;
--- a/packages/homes/src/answers.ts
+++ b/packages/homes/src/replies.ts
@@ -2,34 +2,34 @@
 
 import type {Instant, TargetId, TransactionStatus} from '@guavapitch/core';
 import {
-	createRefusal, getAccess, type HomeAnswer, type HomeRequest, type Outcome,
+	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
-import type {SharedParts} from './home.js';
+import type {SharedComponents} from './database-owner.js';
 import type {
 	DialFailure, Execution, Reply, TargetErrorCode,
 } from './targets.js';
 
 /** Creates an answer that needed no target, or got none. */
-export const createAnswer = (outcome: Outcome, waitedMs = 0, status: TransactionStatus = 'idle'): HomeAnswer => ({
+export const createResponse = (outcome: StatementOutcome, waitedMs = 0, status: TransactionStatus = 'idle'): StatementResponse => ({
 	outcome, status, position: undefined, target: undefined, waitedMs,
 });
 
 /** Meaning of the end of a statement. */
 export type Verdict
 	/** The outcome stands. */
-	= | Readonly<{kind: 'final'; outcome: Outcome; reply: Reply | undefined}>
+	= | Readonly<{kind: 'final'; outcome: StatementOutcome; reply: Reply | undefined}>
 	/** It has not run, and may run elsewhere or later. */
 		| Readonly<{kind: 'notRun'; code: TargetErrorCode | 'lost'}>;
 
 /** Codes by which a target says that a statement has not run. */
 const NOT_RUN: ReadonlySet<TargetErrorCode> = new Set(['busy', 'noStatement', 'lagging', 'readOnly', 'misrouted', 'tooMany']);
 
-const createLostOutcome = (execution: Execution, request: HomeRequest): Outcome => execution.ended === 'timeout'
+const createLostOutcome = (execution: Execution, request: StatementRequest): StatementOutcome => execution.ended === 'timeout'
 	? {kind: 'timeout', reason: 'the target did not answer in time'}
 	: {kind: 'unknown', reason: `the connection was lost while the target ran a ${getAccess(request.statement)}`};
 
 /** Judges the reply to the statement, which stands at `index` among the commands. */
-export const evaluateReply = (execution: Execution, index: number, request: HomeRequest): Verdict => {
+export const evaluateReply = (execution: Execution, index: number, request: StatementRequest): Verdict => {
 	const reply = execution.replies[index];
 	if (!reply) {
 		// A read may run twice; anything else may have taken effect.
@@ -47,41 +47,41 @@
 		return {kind: 'notRun', code: result.code};
 	}
 
-	const outcome: Outcome = result.code === 'timeout'
+	const outcome: StatementOutcome = result.code === 'timeout'
 		? {kind: 'timeout', reason: result.text}
 		: {kind: 'failed', reason: result.text};
 	return {kind: 'final', outcome, reply};
 };
 
 /** Takes note of what a reply says about its target. */
-export const noteReply = (parts: SharedParts, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
+export const recordReply = (parts: SharedComponents, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
 	if (code === 'lost') {
-		parts.reach.noteSuspect(target, 'a statement got no answer');
+		parts.healthTracker.markSuspect(target, 'a statement got no answer');
 	} else if (code === 'lagging') {
-		parts.reach.noteLagging(target);
+		parts.healthTracker.markLagging(target);
 	} else {
-		parts.reach.noteAnswer(target);
+		parts.healthTracker.recordResponse(target);
 	}
 
 	if (code === 'readOnly') {
-		parts.leadership.noteFollowing(target, parts.context.world.now());
+		parts.leaderTracker.markFollowing(target, parts.context.world.now());
 	}
 };
 
 /** Takes note that a target proved that it leads, with the position that it gave to a question of an instant. */
-export const noteVerified = (parts: SharedParts, target: TargetId, reply: Reply, askedAt: Instant): void => {
+export const recordVerifiedPosition = (parts: SharedComponents, target: TargetId, reply: Reply, askedAt: Instant): void => {
 	if (reply.position) {
-		parts.floors.note(askedAt, reply.position);
-		parts.leadership.noteLeading(target, parts.context.world.now());
+		parts.positionHistory.record(askedAt, reply.position);
+		parts.leaderTracker.markLeading(target, parts.context.world.now());
 	}
 };
 
 /** Refusal after everything that could be tried. */
-export const createBusyRefusal = (reason: string, retryAfterMs: number): Outcome => createRefusal('busy', reason, retryAfterMs);
+export const createBusyRefusal = (reason: string, retryAfterMs: number): StatementOutcome => createRefusal('busy', reason, retryAfterMs);
 
 /** Takes note that no connection could be had; a full target is not down. */
-export const noteDialFailure = (parts: SharedParts, target: TargetId, failure: DialFailure | undefined): void => {
+export const recordDialFailure = (parts: SharedComponents, target: TargetId, failure: DialFailure | undefined): void => {
 	if (failure && failure.code !== 'tooMany') {
-		parts.reach.noteSuspect(target, failure.message);
+		parts.healthTracker.markSuspect(target, failure.message);
 	}
 };
--- a/packages/homes/src/singles.ts
+++ b/packages/homes/src/single-statements.ts
@@ -4,13 +4,13 @@
 	createDeadline, isPast, type Deadline, type TargetId,
 } from '@guavapitch/core';
 import {
-	createRefusal, getAccess, type HomeAnswer, type HomeRequest,
+	createRefusal, getAccess, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import {
-	createAnswer, createBusyRefusal, evaluateReply, noteDialFailure, noteReply, noteVerified, type Verdict,
-} from './answers.js';
-import type {Loan} from './connections.js';
-import type {HomeParts} from './home.js';
+	createResponse, createBusyRefusal, evaluateReply, recordDialFailure, recordReply, recordVerifiedPosition, type Verdict,
+} from './replies.js';
+import type {ConnectionHandle} from './connections.js';
+import type {DatabaseOwnerComponents} from './database-owner.js';
 import {
 	chooseTarget, computeSlotDeadline, createPlan, type Plan,
 } from './plans.js';
@@ -24,7 +24,7 @@
 const LEADER_RETRY_MS = 800;
 
 /** Creates the statement's command. */
-export const createStatementCommand = (request: HomeRequest, preparedName: string, plan: Plan | undefined): Command => ({
+export const createStatementCommand = (request: StatementRequest, preparedName: string, plan: Plan | undefined): Command => ({
 	kind: 'statement',
 	id: request.id,
 	statement: request.statement,
@@ -34,22 +34,22 @@
 
 /** One attempt to run a statement: where, how and until when. */
 type Attempt = Readonly<{
-	request: HomeRequest;
+	request: StatementRequest;
 	plan: Plan;
 	target: TargetId;
-	loan: Loan;
+	loan: ConnectionHandle;
 	deadline: Deadline;
 }>;
 
 /** Runs a read that needs the newest state: inside a transaction, which only a leader accepts. */
-const runVerifiedRead = async (parts: HomeParts, {
+const runVerifiedRead = async (parts: DatabaseOwnerComponents, {
 	request, target, loan, deadline,
 }: Attempt): Promise<Verdict> => {
-	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
+	const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
 	const begun = await loan.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
 	const beginReply = begun.replies[commands.length];
 	if (!beginReply || beginReply.result.kind === 'error') {
-		loan.giveBack(begun.ended === 'no' && beginReply?.status === 'idle');
+		loan.release(begun.ended === 'no' && beginReply?.status === 'idle');
 		const code = beginReply?.result.kind === 'error' ? beginReply.result.code : 'lost';
 		return {kind: 'notRun', code};
 	}
@@ -58,44 +58,44 @@
 	const execution = await loan.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
 	const verdict = evaluateReply(execution, 0, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply) {
-		noteVerified(parts, target, verdict.reply, askedAt);
+		recordVerifiedPosition(parts, target, verdict.reply, askedAt);
 	}
 
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
-		loan.forgetPrepared();
+		loan.discardPrepared();
 	}
 
-	loan.giveBack(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
+	loan.release(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
 	return verdict;
 };
 
 /** Runs a statement by itself. */
-const runPlain = async (parts: HomeParts, {
+const runPlain = async (parts: DatabaseOwnerComponents, {
 	request, plan, target, loan, deadline,
 }: Attempt): Promise<Verdict> => {
-	const {commands, preparedName} = loan.listSetup(request.values, request.statement);
+	const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
 	const askedAt = parts.context.readClock();
 	const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
 	const verdict = evaluateReply(execution, commands.length, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply && plan.kind === 'leader') {
-		noteVerified(parts, target, verdict.reply, askedAt);
+		recordVerifiedPosition(parts, target, verdict.reply, askedAt);
 	}
 
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
-		loan.forgetPrepared();
+		loan.discardPrepared();
 	}
 
-	loan.giveBack(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
+	loan.release(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
 	return verdict;
 };
 
-const computeRetryAfter = (parts: HomeParts, plan: Plan): number => plan.kind === 'leader' && parts.leadership.getLeader() === undefined
+const computeRetryAfter = (parts: DatabaseOwnerComponents, plan: Plan): number => plan.kind === 'leader' && parts.leaderTracker.getLeader() === undefined
 	? LEADER_RETRY_MS
-	: RETRY_PAUSE_MS * (1 + parts.placement.getWaiting());
+	: RETRY_PAUSE_MS * (1 + parts.scheduler.getWaitingCount());
 
 /** Serves a statement outside a transaction. */
-export const serveSingle = async (parts: HomeParts, request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
-	const {context, placement} = parts;
+export const serveSingleStatement = async (parts: DatabaseOwnerComponents, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+	const {context, scheduler: placement} = parts;
 	const {world} = context;
 	const arrivedAt = world.now();
 	const promptUntil = createDeadline(arrivedAt, request.promptMs);
@@ -105,27 +105,27 @@
 	for (let attempt = 0; attempt < MOST_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
 		const plan = await createPlan(parts, request, deadline);
 		if (!plan) {
-			return createAnswer(createRefusal('busy', 'no leader has proved its position', LEADER_RETRY_MS), world.now() - arrivedAt);
+			return createResponse(createRefusal('busy', 'no leader has proved its position', LEADER_RETRY_MS), world.now() - arrivedAt);
 		}
 
-		const slot = await placement.enter({
+		const slot = await placement.acquire({
 			customer: request.customer,
 			priority: request.priority,
-			promptUntil,
+			latencyDeadline: promptUntil,
 			deadline: computeSlotDeadline(parts, plan, deadline),
 			isPinned: false,
-			choose: free => chooseTarget(parts, {plan, request, tried}, free),
+			chooseTarget: free => chooseTarget(parts, {plan, request, tried}, free),
 		});
 		if (slot.err) {
-			return createAnswer(createBusyRefusal(slot.val.message, computeRetryAfter(parts, plan)), world.now() - arrivedAt);
+			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfter(parts, plan)), world.now() - arrivedAt);
 		}
 
 		const {target, release} = slot.val;
 		const connections = parts.getConnections(target);
-		const loan = await connections?.take(request.customer, request.values, deadline);
+		const loan = await connections?.acquire(request.customer, request.values, deadline);
 		if (!loan || loan.err) {
 			release();
-			noteDialFailure(parts, target, loan?.err ? loan.val : undefined);
+			recordDialFailure(parts, target, loan?.err ? loan.val : undefined);
 			tried.add(target);
 			reason = loan ? loan.val.message : 'the target has left';
 			context.onDecision({
@@ -136,22 +136,22 @@
 
 		const startedAt = world.now();
 		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runPlain;
-		parts.reach.noteSent(target);
-		const forget = getAccess(request.statement) === 'read' ? parts.abandonWhenDown(target, loan.val.connection.close) : undefined;
+		parts.healthTracker.recordStatementSent(target);
+		const forget = getAccess(request.statement) === 'read' ? parts.onTargetDown(target, loan.val.connection.close) : undefined;
 		const verdict = await run(parts, {
 			request, plan, target, loan: loan.val, deadline,
 		});
 		forget?.();
-		parts.reach.noteEnded(target);
+		parts.healthTracker.recordStatementEnded(target);
 		release(world.now() - startedAt);
 		if (verdict.kind === 'final') {
-			noteReply(parts, target, verdict.reply ? undefined : 'lost');
+			recordReply(parts, target, verdict.reply ? undefined : 'lost');
 			return {
 				outcome: verdict.outcome, status: 'idle', position: verdict.reply?.position, target, waitedMs: startedAt - arrivedAt,
 			};
 		}
 
-		noteReply(parts, target, verdict.code);
+		recordReply(parts, target, verdict.code);
 		reason = `the target answered ${verdict.code}`;
 		context.onDecision({
 			kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
@@ -163,5 +163,5 @@
 		}
 	}
 
-	return createAnswer(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + placement.getWaiting())), world.now() - arrivedAt);
+	return createResponse(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + placement.getWaitingCount())), world.now() - arrivedAt);
 };
--- a/packages/homes/src/placement.ts
+++ b/packages/homes/src/slot-scheduler.ts
@@ -22,13 +22,13 @@
 	/** Smaller goes first. */
 	priority: number;
 	/** Until when an answer counts as prompt. */
-	promptUntil: Deadline;
+	latencyDeadline: Deadline;
 	/** Until when a slot is of use. */
 	deadline: Deadline;
 	/** Continues a transaction, which holds a connection meanwhile. */
 	isPinned: boolean;
 	/** Chooses one of the targets that have a free slot; `undefined` to wait. */
-	choose: (free: readonly TargetLoad[]) => TargetId | undefined;
+	chooseTarget: (free: readonly TargetLoad[]) => TargetId | undefined;
 }>;
 
 /** A slot of a target, occupied until it is released. */
@@ -39,13 +39,13 @@
 }>;
 
 /** Placement of one database's requests. */
-export type Placement = Readonly<{
-	enter: (request: SlotRequest) => Promise<Result<Slot, SlotRefusal>>;
+export type SlotScheduler = Readonly<{
+	acquire: (request: SlotRequest) => Promise<Result<Slot, SlotRefusal>>;
 	/** Sets the targets and their slots. */
 	setTargets: (targets: ReadonlyArray<Readonly<{id: TargetId; slots: number}>>) => void;
 	/** Looks again whether somebody may go. */
-	wake: () => void;
-	getWaiting: () => number;
+	admitWaiting: () => void;
+	getWaitingCount: () => number;
 	getLoads: () => readonly TargetLoad[];
 }>;
 
@@ -74,14 +74,14 @@
 	const {request: left} = a;
 	const {request: right} = b;
 	return Number(right.isPinned) - Number(left.isPinned)
-		|| Number(isPast(left.promptUntil, now)) - Number(isPast(right.promptUntil, now))
+		|| Number(isPast(left.latencyDeadline, now)) - Number(isPast(right.latencyDeadline, now))
 		|| left.priority - right.priority
 		|| getVirtualMs(left.customer) - getVirtualMs(right.customer)
 		|| a.order - b.order;
 };
 
 /** Creates the placement of a database without targets. */
-export const createPlacement = (world: World): Placement => {
+export const createSlotScheduler = (world: World): SlotScheduler => {
 	let loads = new Map<TargetId, Load>();
 	const accounts = new Map<CustomerId, Account>();
 	let waiting: Waiting[] = [];
@@ -144,7 +144,7 @@
 
 	const tryPlace = (request: SlotRequest): Slot | undefined => {
 		const free = listFree();
-		const chosen = free.length > 0 ? request.choose(free) : undefined;
+		const chosen = free.length > 0 ? request.chooseTarget(free) : undefined;
 		const load = chosen === undefined ? undefined : loads.get(chosen);
 		return load ? occupy(request, load) : undefined;
 	};
@@ -180,7 +180,7 @@
 	};
 
 	return {
-		async enter(request) {
+		async acquire(request) {
 			if (waiting.length >= WAITING_LIMIT) {
 				return Err({code: 'queueFull', message: 'Too many requests wait for the database', retryAfterMs: 500});
 			}
@@ -217,8 +217,8 @@
 			loads = next;
 			admit();
 		},
-		wake: admit,
-		getWaiting: () => waiting.length,
+		admitWaiting: admit,
+		getWaitingCount: () => waiting.length,
 		getLoads: () => [...loads.values()],
 	};
 };
--- a/packages/homes/src/targets.ts
+++ b/packages/homes/src/targets.ts
@@ -3,7 +3,7 @@
 import type {
 	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, Result, TargetId, TransactionStatus,
 } from '@guavapitch/core';
-import type {Position, Prepared, TargetStatement} from '@guavapitch/sessions';
+import type {LogPosition, PreparedDefinition, TargetStatement} from '@guavapitch/sessions';
 
 /** Role that a target says it has. */
 export type TargetRole = 'primary' | 'replica';
@@ -21,17 +21,17 @@
 	isDraining: boolean;
 	role: TargetRole;
 	/** Start of this run of the target, in milliseconds since 1970 by its own clock. */
-	born: number;
+	startedAtMs: number;
 }>;
 
 /** One thing to ask on a connection to a target. */
 export type Command
-	= | Readonly<{kind: 'statement'; id: string; statement: TargetStatement; preparedName: string; after: Position | undefined}>
-		| Readonly<{kind: 'begin'; readOnly: boolean; after: Position | undefined}>
+	= | Readonly<{kind: 'statement'; id: string; statement: TargetStatement; preparedName: string; after: LogPosition | undefined}>
+		| Readonly<{kind: 'begin'; readOnly: boolean; after: LogPosition | undefined}>
 		| Readonly<{kind: 'rollback'}>
 		| Readonly<{kind: 'reset'}>
 		| Readonly<{kind: 'set'; name: string; value: string}>
-		| Readonly<{kind: 'prepare'; name: string; prepared: Prepared}>
+		| Readonly<{kind: 'prepare'; name: string; prepared: PreparedDefinition}>
 		| Readonly<{kind: 'status'}>
 		/** Stops a replica from receiving until it is promoted or resumed. */
 		| Readonly<{kind: 'pause'; term: number}>
@@ -47,7 +47,7 @@
 		| Readonly<{kind: 'error'; code: TargetErrorCode; text: string}>;
 	status: TransactionStatus;
 	/** Position of the target's log. */
-	position: Position | undefined;
+	position: LogPosition | undefined;
 }>;
 
 /** Answers to some commands; fewer than the commands when the connection ended before. */
@@ -57,7 +57,7 @@
 }>;
 
 /** State that a target reports of itself. */
-export type TargetStatus = Readonly<{role: TargetRole; term: number; received: Position; lagMs: number}>;
+export type TargetStatus = Readonly<{role: TargetRole; term: number; received: LogPosition; lagMs: number}>;
 
 /** A connection to a target. After a time-out it is ended, since a late answer could not be told from the next one. */
 export type TargetConnection = Readonly<{
--- a/packages/homes/src/tests/home.test.ts
+++ b/packages/homes/src/tests/database-owner.test.ts
@@ -6,9 +6,9 @@
 	createVirtualWorld, parseId, type CustomerId,
 } from '@guavapitch/core';
 import type {
-	Consistency, HomeAnswer, HomeRequest, TargetStatement,
+	Consistency, StatementResponse, StatementRequest, TargetStatement,
 } from '@guavapitch/sessions';
-import {createFakeHome} from './fake-home.js';
+import {createFakeOwner} from './fake-owner.js';
 import {
 	createFakeTarget, DATABASE, type FakeTarget,
 } from './fake-targets.js';
@@ -19,7 +19,7 @@
 const WRITE: TargetStatement = {kind: 'text', access: 'write', text: 'WRITE a b'};
 const COMMIT: TargetStatement = {kind: 'commit', text: 'COMMIT'};
 
-const createRequest = (statement: TargetStatement, consistency: Consistency, more: Partial<HomeRequest> = {}): HomeRequest => ({
+const createRequest = (statement: TargetStatement, consistency: Consistency, more: Partial<StatementRequest> = {}): StatementRequest => ({
 	id: 'q1',
 	database: DATABASE,
 	customer: parseId<CustomerId>('club'),
@@ -36,9 +36,9 @@
 
 const createSetup = (targets: readonly FakeTarget[]) => {
 	const {world, advance} = createVirtualWorld(3);
-	const home = createFakeHome(targets, world);
-	const run = async (request: HomeRequest): Promise<HomeAnswer> => {
-		let answer: HomeAnswer | undefined;
+	const home = createFakeOwner(targets, world);
+	const run = async (request: StatementRequest): Promise<StatementResponse> => {
+		let answer: StatementResponse | undefined;
 		void home.serve(request).then(value => {
 			answer = value;
 		});
@@ -64,7 +64,7 @@
 			const {run} = createSetup([one, two, three]);
 			const answer = await run(createRequest(READ, LATEST));
 			assert.equal(answer.outcome.kind, 'done');
-			assert.deepEqual(one.ran.map(({inTransaction}) => inTransaction), [true]);
+			assert.deepEqual(one.executed.map(({inTransaction}) => inTransaction), [true]);
 		});
 
 		it('never run at a target that has lost the lead, though the registry still names it', async () => {
@@ -73,7 +73,7 @@
 			one.role = 'replica';
 			const answer = await run(createRequest(READ, LATEST));
 			assert.equal(answer.outcome.kind, 'refused');
-			assert.deepEqual([...one.ran, ...two.ran, ...three.ran], []);
+			assert.deepEqual([...one.executed, ...two.executed, ...three.executed], []);
 		});
 	});
 
@@ -90,7 +90,7 @@
 			}
 
 			assert.ok(answers.every(({outcome}) => outcome.kind === 'done'));
-			assert.deepEqual([...two.ran, ...three.ran], []);
+			assert.deepEqual([...two.executed, ...three.executed], []);
 		});
 
 		it('are refused when no leader proves a position', async () => {
@@ -99,7 +99,7 @@
 			one.fault = 'refuses';
 			const answer = await run(createRequest(READ, BOUNDED));
 			assert.equal(answer.outcome.kind, 'refused');
-			assert.deepEqual([...two.ran, ...three.ran], []);
+			assert.deepEqual([...two.executed, ...three.executed], []);
 		});
 
 		it('see the session\'s own last write', async () => {
@@ -111,14 +111,14 @@
 				assert.equal(read.outcome.kind, 'done');
 			}
 
-			assert.deepEqual([...two.ran, ...three.ran], [], 'the replicas hold 100, the write is 101');
+			assert.deepEqual([...two.executed, ...three.executed], [], 'the replicas hold 100, the write is 101');
 		});
 
 		it('run again elsewhere when the answer of one target is lost', async () => {
 			const [one, two, three] = createGroup();
 			const {run} = createSetup([one, two, three]);
-			two.losesAnswers = true;
-			three.losesAnswers = true;
+			two.dropsReplies = true;
+			three.dropsReplies = true;
 			const answer = await run(createRequest(READ, BOUNDED));
 			assert.equal(answer.outcome.kind, 'done');
 			assert.equal(answer.target, 'one');
@@ -158,10 +158,10 @@
 		it('whose answer is lost are unknown and run once', async () => {
 			const [one, two, three] = createGroup();
 			const {run} = createSetup([one, two, three]);
-			one.losesAnswers = true;
+			one.dropsReplies = true;
 			const answer = await run(createRequest(WRITE, LATEST));
 			assert.equal(answer.outcome.kind, 'unknown');
-			assert.equal(one.ran.length, 1);
+			assert.equal(one.executed.length, 1);
 		});
 
 		it('are refused as not run while no target leads', async () => {
@@ -170,7 +170,7 @@
 			one.fault = 'refuses';
 			const answer = await run(createRequest(WRITE, LATEST));
 			assert.equal(answer.outcome.kind, 'refused');
-			assert.equal(one.ran.length, 0);
+			assert.equal(one.executed.length, 0);
 		});
 
 		it('occupy no more slots than the target has', async () => {
@@ -179,7 +179,7 @@
 			const answers = Promise.all(Array.from({length: 20}, async () => home.serve(createRequest(WRITE, LATEST))));
 			await advance(500);
 			assert.ok((await answers).every(({outcome}) => outcome.kind === 'done'));
-			assert.equal(one.mostRunning, 2);
+			assert.equal(one.maxRunning, 2);
 			assert.ok(one.dials <= 3);
 		});
 	});
@@ -193,7 +193,7 @@
 			assert.equal((await run(createRequest(WRITE, LATEST, transaction(true)))).status, 'open');
 			assert.equal((await run(createRequest(READ, LATEST, transaction(false)))).status, 'open');
 			assert.equal((await run(createRequest(COMMIT, LATEST, transaction(false)))).status, 'idle');
-			assert.deepEqual(one.ran.map(({text, inTransaction}) => [text, inTransaction]), [['WRITE a b', true], ['READ a', true], ['COMMIT', true]]);
+			assert.deepEqual(one.executed.map(({text, inTransaction}) => [text, inTransaction]), [['WRITE a b', true], ['READ a', true], ['COMMIT', true]]);
 			assert.equal(one.dials, 1);
 		});
 
@@ -213,14 +213,14 @@
 			await advance(3500);
 			const answer = await run(createRequest(COMMIT, LATEST, transaction(false)));
 			assert.equal(answer.outcome.kind === 'refused' && answer.outcome.code, 'aborted');
-			assert.equal(one.ran.length, 1);
+			assert.equal(one.executed.length, 1);
 		});
 
 		it('whose commit gets no answer are unknown', async () => {
 			const [one, two, three] = createGroup();
 			const {run} = createSetup([one, two, three]);
 			await run(createRequest(WRITE, LATEST, transaction(true)));
-			one.losesAnswers = true;
+			one.dropsReplies = true;
 			const answer = await run(createRequest(COMMIT, LATEST, transaction(false)));
 			assert.equal(answer.outcome.kind, 'unknown');
 		});
@@ -244,7 +244,7 @@
 				await run(createRequest(WRITE, LATEST, {values}));
 			}
 
-			assert.deepEqual(one.ran.map(({values}) => values), ['[["x","1"]]', '[["y","2"]]', '[]', '[["x","3"]]']);
+			assert.deepEqual(one.executed.map(({values}) => values), ['[["x","1"]]', '[["y","2"]]', '[]', '[["x","3"]]']);
 		});
 	});
 });
--- a/packages/homes/src/tests/steward.test.ts
+++ b/packages/homes/src/tests/failover-coordinator.test.ts
@@ -5,8 +5,8 @@
 import {
 	createVirtualWorld, type TargetId,
 } from '@guavapitch/core';
-import {rankReplicas, runSteward, type OrderOutcome} from '../steward.js';
-import {createFakeHome} from './fake-home.js';
+import {rankReplicas, runFailoverCoordinator, type PromotionOutcome} from '../failover-coordinator.js';
+import {createFakeOwner} from './fake-owner.js';
 import {
 	createFakeTarget, DATABASE, type FakeTarget,
 } from './fake-targets.js';
@@ -17,19 +17,19 @@
 	isSteward?: () => boolean;
 	isReachedByOthers?: boolean;
 	isReplicated?: boolean;
-	order?: (order: Order, targets: readonly FakeTarget[]) => OrderOutcome;
+	order?: (order: Order, targets: readonly FakeTarget[]) => PromotionOutcome;
 }>;
 
 const createSetup = (options: Options = {}) => {
 	const {world, advance} = createVirtualWorld(5);
 	const targets = [createFakeTarget('one', 'primary'), createFakeTarget('two', 'replica'), createFakeTarget('three', 'replica')] as const;
-	const home = createFakeHome(targets, world);
+	const home = createFakeOwner(targets, world);
 	const orders: Order[] = [];
 	const stop = new AbortController();
 	let fence = 0;
 
 	/** Carries an order out, as the platform does. */
-	const carryOut = (order: Order): OrderOutcome => {
+	const carryOut = (order: Order): PromotionOutcome => {
 		for (const target of targets) {
 			const leads = target.description.id === order.target;
 			target.role = leads ? 'primary' : 'replica';
@@ -41,18 +41,18 @@
 		return 'done';
 	};
 
-	void runSteward({
+	void runFailoverCoordinator({
 		world,
 		database: DATABASE,
-		home,
-		isSteward: options.isSteward ?? (() => true),
-		drawFence: async () => ++fence,
-		async order(target, drawn) {
+		owner: home,
+		isCoordinator: options.isSteward ?? (() => true),
+		drawFencingToken: async () => ++fence,
+		async orderPromotion(target, drawn) {
 			orders.push({target, fence: drawn});
 			return options.order ? options.order({target, fence: drawn}, targets) : carryOut({target, fence: drawn});
 		},
-		isReachedByOthers: async () => options.isReachedByOthers ?? false,
-		isReplicated: () => options.isReplicated ?? false,
+		isReachableFromPeers: async () => options.isReachedByOthers ?? false,
+		isSynchronouslyReplicated: () => options.isReplicated ?? false,
 		onEvent: () => undefined,
 	}, stop.signal);
 	return {
@@ -71,7 +71,7 @@
 			one.fault = 'refuses';
 			await advance(1500);
 			assert.deepEqual(orders.map(({target}) => target), [three.description.id]);
-			assert.equal(home.parts.leadership.getLeader(), three.description.id);
+			assert.equal(home.components.leaderTracker.getLeader(), three.description.id);
 			stop.abort();
 		});
 	});
--- a/packages/homes/src/tests/fake-home.ts
+++ b/packages/homes/src/tests/fake-owner.ts
@@ -3,14 +3,14 @@
 import {
 	createSuspensionClock, Ok, parseId, type CustomerId, type World,
 } from '@guavapitch/core';
-import {createDatabaseHome, type DatabaseHome} from '../home.js';
+import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
 import {
 	createFakeDial, DATABASE, readFakeStatus, type FakeTarget,
 } from './fake-targets.js';
 
 /** Creates a home that knows the targets as they describe themselves. */
-export const createFakeHome = (targets: readonly FakeTarget[], world: World): DatabaseHome => {
-	const home = createDatabaseHome({
+export const createFakeOwner = (targets: readonly FakeTarget[], world: World): DatabaseOwner => {
+	const home = createDatabaseOwner({
 		world,
 		readClock: createSuspensionClock(world),
 		database: DATABASE,
@@ -19,7 +19,7 @@
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => parseId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
-		spend: async () => Ok(undefined),
+		acquireToken: async () => Ok(undefined),
 		onDecision: () => undefined,
 	});
 	home.setTargets(targets.map(({description}) => description));
--- a/packages/homes/src/tests/fake-targets.ts
+++ b/packages/homes/src/tests/fake-targets.ts
@@ -1,9 +1,9 @@
 /** Targets of one database in memory, for tests of a home: terms, positions, lag and faults, on a virtual clock. */
 
 import {
-	createGate, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
+	createConditionVariable, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
 } from '@guavapitch/core';
-import type {Position} from '@guavapitch/sessions';
+import type {LogPosition} from '@guavapitch/sessions';
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
 } from '../targets.js';
@@ -12,19 +12,19 @@
 export type FakeTarget = {
 	readonly description: Target;
 	role: 'primary' | 'replica';
-	position: Position;
+	position: LogPosition;
 	/** Refuses connections, or answers nothing. */
 	fault: 'none' | 'refuses' | 'silent';
 	/** Runs statements and loses their answers. */
-	losesAnswers: boolean;
+	dropsReplies: boolean;
 	/** Time of a statement, in milliseconds. */
-	workMs: number;
+	statementMs: number;
 	/** Statements that ran: identifier and position of the log. */
-	readonly ran: Array<Readonly<{id: string; text: string; inTransaction: boolean; position: Position; values: string}>>;
+	readonly executed: Array<Readonly<{id: string; text: string; inTransaction: boolean; position: LogPosition; values: string}>>;
 	dials: number;
 	pauses: number;
 	running: number;
-	mostRunning: number;
+	maxRunning: number;
 };
 
 /** The name of the database of all fake targets. */
@@ -33,29 +33,29 @@
 /** Creates a target. */
 export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2): FakeTarget => ({
 	description: {
-		id: parseId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: parseId<DataCentreId>('here'), slots, isDraining: false, role, born: 1,
+		id: parseId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: parseId<DataCentreId>('here'), slots, isDraining: false, role, startedAtMs: 1,
 	},
 	role,
 	position: {term: 1, number: 100},
 	fault: 'none',
-	losesAnswers: false,
-	workMs: 10,
-	ran: [],
+	dropsReplies: false,
+	statementMs: 10,
+	executed: [],
 	dials: 0,
 	pauses: 0,
 	running: 0,
-	mostRunning: 0,
+	maxRunning: 0,
 });
 
 type Session = {inTransaction: boolean; readOnly: boolean; values: Map<string, string>; prepared: Set<string>};
 
-const isBefore = (a: Position, b: Position) => a.term < b.term || (a.term === b.term && a.number < b.number);
+const isBefore = (a: LogPosition, b: LogPosition) => a.term < b.term || (a.term === b.term && a.number < b.number);
 
 const createConnection = (target: FakeTarget, world: World): TargetConnection => {
 	const session: Session = {
 		inTransaction: false, readOnly: false, values: new Map(), prepared: new Set(),
 	};
-	const closed = createGate();
+	const closed = createConditionVariable();
 	let ended = false;
 
 	const reply = (result: Reply['result']): Reply => ({result, status: session.inTransaction ? 'open' : 'idle', position: target.position});
@@ -75,10 +75,10 @@
 		}
 
 		target.running++;
-		target.mostRunning = Math.max(target.mostRunning, target.running);
-		await world.sleep(target.workMs);
+		target.maxRunning = Math.max(target.maxRunning, target.running);
+		await world.sleep(target.statementMs);
 		target.running--;
-		target.ran.push({
+		target.executed.push({
 			id: command.id,
 			text: statement.kind === 'prepared' ? command.preparedName : statement.text,
 			inTransaction: session.inTransaction,
@@ -160,7 +160,7 @@
 				}
 
 				const answer = await run(command);
-				if (target.losesAnswers && command.kind === 'statement') {
+				if (target.dropsReplies && command.kind === 'statement') {
 					ended = true;
 					return {replies, ended: 'lost'};
 				}
@@ -173,7 +173,7 @@
 		isEnded: () => ended,
 		close() {
 			ended = true;
-			closed.open();
+			closed.notifyAll();
 		},
 	};
 };
--- a/packages/homes/src/tests/floors.test.ts
+++ b/packages/homes/src/tests/position-history.test.ts
@@ -4,21 +4,21 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import type {Instant} from '@guavapitch/core';
-import {comparePositions, type Position} from '@guavapitch/sessions';
-import {createFloors} from '../floors.js';
+import {comparePositions, type LogPosition} from '@guavapitch/sessions';
+import {createPositionHistory} from '../position-history.js';
 
 const at = (ms: number) => ms as Instant;
-const position = (number: number, term = 1): Position => ({term, number});
+const position = (number: number, term = 1): LogPosition => ({term, number});
 
 describe('floors', () => {
 	describe('of bounded reads', () => {
 		it('are the oldest verified position that is young enough', () => {
-			const floors = createFloors();
-			floors.note(at(0), position(10));
-			floors.note(at(1000), position(20));
-			floors.note(at(2000), position(30));
-			assert.deepEqual(floors.getFloor(1500, at(2000)), position(20));
-			assert.equal(floors.getFloor(100, at(2500)), undefined);
+			const floors = createPositionHistory();
+			floors.record(at(0), position(10));
+			floors.record(at(1000), position(20));
+			floors.record(at(2000), position(30));
+			assert.deepEqual(floors.getMinimumPosition(1500, at(2000)), position(20));
+			assert.equal(floors.getMinimumPosition(100, at(2500)), undefined);
 		});
 
 		it('hold every commit that was acknowledged longer ago than the age, whatever the order of questions', () => {
@@ -26,7 +26,7 @@
 				fc.array(fc.record({gap: fc.integer({min: 0, max: 400}), commits: fc.integer({min: 0, max: 5}), isVerified: fc.boolean()}), {maxLength: 60}),
 				fc.integer({min: 50, max: 3000}),
 				(steps, ageMs) => {
-					const floors = createFloors();
+					const floors = createPositionHistory();
 					let now = 0;
 					let number = 1;
 					const acknowledged: Array<Readonly<{at: number; number: number}>> = [];
@@ -35,10 +35,10 @@
 						number += commits;
 						acknowledged.push({at: now, number});
 						if (isVerified) {
-							floors.note(at(now), position(number));
+							floors.record(at(now), position(number));
 						}
 
-						const floor = floors.getFloor(ageMs, at(now));
+						const floor = floors.getMinimumPosition(ageMs, at(now));
 						const oldest = now - ageMs;
 						const owed = acknowledged.findLast(commit => commit.at < oldest)?.number ?? 0;
 						assert.ok(!floor || floor.number >= owed);
@@ -48,27 +48,27 @@
 		});
 
 		it('do not survive a suspension that the clock counts', () => {
-			const floors = createFloors();
-			floors.note(at(100), position(10));
-			assert.equal(floors.getFloor(1500, at(100 + 4000)), undefined);
+			const floors = createPositionHistory();
+			floors.record(at(100), position(10));
+			assert.equal(floors.getMinimumPosition(1500, at(100 + 4000)), undefined);
 		});
 	});
 
 	describe('of sessions', () => {
 		it('of an older term become the first verified position of the newer one', () => {
-			const floors = createFloors();
-			floors.note(at(0), position(50, 3));
-			floors.note(at(500), position(40, 4));
-			assert.deepEqual(floors.translate(position(50, 3)), position(40, 4));
-			assert.deepEqual(floors.translate(position(45, 4)), position(45, 4));
+			const floors = createPositionHistory();
+			floors.record(at(0), position(50, 3));
+			floors.record(at(500), position(40, 4));
+			assert.deepEqual(floors.translateToLatestTerm(position(50, 3)), position(40, 4));
+			assert.deepEqual(floors.translateToLatestTerm(position(45, 4)), position(45, 4));
 		});
 	});
 
 	describe('of a replaced primary', () => {
 		it('are not noted', () => {
-			const floors = createFloors();
-			floors.note(at(0), position(40, 4));
-			floors.note(at(500), position(60, 3));
+			const floors = createPositionHistory();
+			floors.record(at(0), position(40, 4));
+			floors.record(at(500), position(60, 3));
 			assert.ok(comparePositions(floors.getLatest() ?? position(0), position(40, 4)) === 0);
 		});
 	});
--- a/packages/homes/src/tests/placement.test.ts
+++ b/packages/homes/src/tests/slot-scheduler.test.ts
@@ -5,8 +5,8 @@
 import {
 	createDeadline, createVirtualWorld, parseId, type CustomerId, type TargetId,
 } from '@guavapitch/core';
-import {chooseReadTarget} from '../choices.js';
-import {createPlacement, type TargetLoad} from '../placement.js';
+import {chooseReadTarget} from '../read-targets.js';
+import {createSlotScheduler, type TargetLoad} from '../slot-scheduler.js';
 
 const SMALL = parseId<CustomerId>('small');
 const LARGE = parseId<CustomerId>('large');
@@ -19,15 +19,15 @@
 describe('placement', () => {
 	const flood = async (largeCallers: number) => {
 		const {world, advance} = createVirtualWorld(11);
-		const placement = createPlacement(world);
+		const placement = createSlotScheduler(world);
 		placement.setTargets([{id: ONE, slots: 2}]);
 		const waits: number[] = [];
 		let isOn = true;
 		const call = async (customer: CustomerId, pauseMs: number) => {
 			while (isOn) {
 				const askedAt = world.now();
-				const slot = await placement.enter({
-					customer, priority: 1, promptUntil: createDeadline(askedAt, 5000), deadline: createDeadline(askedAt, 5000), isPinned: false, choose: chooseFirst,
+				const slot = await placement.acquire({
+					customer, priority: 1, latencyDeadline: createDeadline(askedAt, 5000), deadline: createDeadline(askedAt, 5000), isPinned: false, chooseTarget: chooseFirst,
 				});
 				if (slot.ok) {
 					if (customer === SMALL) {
@@ -58,12 +58,12 @@
 
 	it('serves what can still be prompt before what cannot', async () => {
 		const {world, advance} = createVirtualWorld(2);
-		const placement = createPlacement(world);
+		const placement = createSlotScheduler(world);
 		placement.setTargets([{id: ONE, slots: 1}]);
 		const order: string[] = [];
 		const enter = async (name: string, promptMs: number) => {
-			const slot = await placement.enter({
-				customer: SMALL, priority: 1, promptUntil: createDeadline(world.now(), promptMs), deadline: createDeadline(world.now(), 1000), isPinned: false, choose: chooseFirst,
+			const slot = await placement.acquire({
+				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), promptMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
 			});
 			if (slot.ok) {
 				order.push(name);
@@ -82,13 +82,13 @@
 
 	it('refuses at its deadline what got no slot', async () => {
 		const {world, advance} = createVirtualWorld(2);
-		const placement = createPlacement(world);
+		const placement = createSlotScheduler(world);
 		placement.setTargets([{id: ONE, slots: 1}]);
 		const request = {
-			customer: SMALL, priority: 1, promptUntil: createDeadline(world.now(), 100), deadline: createDeadline(world.now(), 100), isPinned: false, choose: () => undefined,
+			customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), 100), deadline: createDeadline(world.now(), 100), isPinned: false, chooseTarget: () => undefined,
 		};
 		let code = '';
-		void placement.enter(request).then(slot => {
+		void placement.acquire(request).then(slot => {
 			code = slot.err ? slot.val.code : 'ok';
 		});
 		await advance(120);
@@ -100,7 +100,7 @@
 	const load = (id: TargetId, busy: number, meanMs: number): TargetLoad => ({
 		id, busy, slots: 3, meanMs,
 	});
-	const situation = {leader: LEADER, isEligible: () => true, all: [LEADER, ONE, TWO]};
+	const situation = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, ONE, TWO]};
 
 	it('prefers a follower that is as fast as the leader', () => {
 		assert.equal(chooseReadTarget([load(LEADER, 0, 20), load(ONE, 0, 20)], situation), ONE);
--- a/packages/homes/src/transactions.ts
+++ b/packages/homes/src/transactions.ts
@@ -4,31 +4,31 @@
 	createDeadline, isPast, type Deadline, type TargetId,
 } from '@guavapitch/core';
 import {
-	createRefusal, type HomeAnswer, type HomeRequest, type Outcome,
+	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {
-	createAnswer, createBusyRefusal, evaluateReply, noteDialFailure, noteReply, noteVerified,
-} from './answers.js';
-import type {Loan} from './connections.js';
-import type {SharedParts} from './home.js';
+	createResponse, createBusyRefusal, evaluateReply, recordDialFailure, recordReply, recordVerifiedPosition,
+} from './replies.js';
+import type {ConnectionHandle} from './connections.js';
+import type {SharedComponents} from './database-owner.js';
 import {
 	chooseTarget, computeSlotDeadline, createPlan, type Plan,
 } from './plans.js';
-import {createStatementCommand} from './singles.js';
-import type {Slot} from './placement.js';
+import {createStatementCommand} from './single-statements.js';
+import type {Slot} from './slot-scheduler.js';
 
 /** Open transactions of a home. */
 export type Transactions = Readonly<{
-	serve: (request: HomeRequest, deadline: Deadline) => Promise<HomeAnswer>;
+	serve: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	rollBack: (id: string) => void;
-	getOpen: () => number;
+	getOpenCount: () => number;
 	/** Counts the open transactions that may write. */
-	getWriters: () => number;
+	getWriterCount: () => number;
 }>;
 
 type Open = {
 	readonly target: TargetId;
-	readonly loan: Loan;
+	readonly loan: ConnectionHandle;
 	readonly isLeaders: boolean;
 	/** Cancels the timer of the idle limit. */
 	cancelIdle: () => void;
@@ -38,7 +38,7 @@
 };
 
 /** A statement of a transaction and its times. */
-type Turn = Readonly<{request: HomeRequest; deadline: Deadline; arrivedAt: number}>;
+type Turn = Readonly<{request: StatementRequest; deadline: Deadline; arrivedAt: number}>;
 
 const MOST_ATTEMPTS = 4;
 const RETRY_PAUSE_MS = 10;
@@ -48,22 +48,22 @@
 /** Stands for the timer that does not run yet. */
 const doNothing = () => undefined;
 
-const createAborted = (reason: string): Outcome => createRefusal('aborted', reason);
+const createAborted = (reason: string): StatementOutcome => createRefusal('aborted', reason);
 
 /** Creates the transactions of a home. */
-export const createTransactions = (parts: SharedParts): Transactions => {
-	const {context, placement} = parts;
+export const createTransactions = (parts: SharedComponents): Transactions => {
+	const {context, scheduler: placement} = parts;
 	const {world} = context;
 	const open = new Map<string, Open>();
 
 	const finishLoan = async (transaction: Open) => {
 		if (transaction.loan.connection.isEnded()) {
-			transaction.loan.giveBack(false);
+			transaction.loan.release(false);
 			return;
 		}
 
 		const {replies, ended} = await transaction.loan.connection.execute([{kind: 'rollback'}], createDeadline(world.now(), ROLLBACK_TIMEOUT_MS));
-		transaction.loan.giveBack(ended === 'no' && replies[0]?.status === 'idle');
+		transaction.loan.release(ended === 'no' && replies[0]?.status === 'idle');
 	};
 
 	const rollBack = (id: string) => {
@@ -89,37 +89,37 @@
 	});
 
 	/** Takes a slot of the transaction's target. */
-	const enterPinned = async (request: HomeRequest, transaction: Open, deadline: Deadline) => placement.enter({
+	const enterPinned = async (request: StatementRequest, transaction: Open, deadline: Deadline) => placement.acquire({
 		customer: request.customer,
 		priority: request.priority,
-		promptUntil: createDeadline(world.now(), request.promptMs),
+		latencyDeadline: createDeadline(world.now(), request.promptMs),
 		deadline,
 		isPinned: true,
-		choose: free => free.find(load => load.id === transaction.target)?.id,
+		chooseTarget: free => free.find(load => load.id === transaction.target)?.id,
 	});
 
 	/** Runs a statement of an open transaction in a slot that it has. */
-	const run = async (transaction: Open, slot: Slot, {request, deadline, arrivedAt}: Turn): Promise<HomeAnswer | 'again'> => {
+	const run = async (transaction: Open, slot: Slot, {request, deadline, arrivedAt}: Turn): Promise<StatementResponse | 'again'> => {
 		const {loan, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
-		const {commands, preparedName} = loan.listSetup(request.values, request.statement);
+		const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
 		const askedAt = context.readClock();
 		const startedAt = world.now();
-		parts.reach.noteSent(target);
+		parts.healthTracker.recordStatementSent(target);
 		const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
-		parts.reach.noteEnded(target);
+		parts.healthTracker.recordStatementEnded(target);
 		slot.release(world.now() - startedAt);
 		const reply = execution.replies[commands.length];
 		const verdict = evaluateReply(execution, commands.length, request);
-		noteReply(parts, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
+		recordReply(parts, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
 		const waitedMs = startedAt - arrivedAt;
-		const answer = (outcome: Outcome, status: HomeAnswer['status']): HomeAnswer => ({
+		const answer = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 			outcome, status, position: reply?.position, target, waitedMs,
 		});
 
 		if (verdict.kind === 'final' && verdict.outcome.kind === 'done') {
 			if (transaction.isLeaders && reply) {
-				noteVerified(parts, target, reply, askedAt);
+				recordVerifiedPosition(parts, target, reply, askedAt);
 			}
 
 			return answer(verdict.outcome, reply?.status ?? 'failed');
@@ -127,7 +127,7 @@
 
 		if (verdict.kind === 'notRun' && reply?.status === 'open' && (verdict.code === 'busy' || verdict.code === 'noStatement')) {
 			if (verdict.code === 'noStatement') {
-				loan.forgetPrepared();
+				loan.discardPrepared();
 			}
 
 			return 'again';
@@ -143,7 +143,7 @@
 	};
 
 	/** Puts an open transaction aside until its next statement, or ends it. */
-	const settle = (id: string, transaction: Open, answer: HomeAnswer): HomeAnswer => {
+	const settle = (id: string, transaction: Open, answer: StatementResponse): StatementResponse => {
 		transaction.isBusy = false;
 		if (answer.status === 'open' && !transaction.isAbandoned) {
 			transaction.cancelIdle = startIdleTimer(id);
@@ -152,7 +152,7 @@
 
 		open.delete(id);
 		if (answer.status === 'idle') {
-			transaction.loan.giveBack(!transaction.loan.connection.isEnded());
+			transaction.loan.release(!transaction.loan.connection.isEnded());
 		} else {
 			void finishLoan(transaction);
 		}
@@ -160,7 +160,7 @@
 		return answer;
 	};
 
-	const continueTransaction = async (id: string, transaction: Open, {request, deadline, arrivedAt}: Turn, firstSlot?: Slot): Promise<HomeAnswer> => {
+	const continueTransaction = async (id: string, transaction: Open, {request, deadline, arrivedAt}: Turn, firstSlot?: Slot): Promise<StatementResponse> => {
 		transaction.cancelIdle();
 		transaction.isBusy = true;
 		let slot = firstSlot;
@@ -168,7 +168,7 @@
 			if (!slot) {
 				const entered = await enterPinned(request, transaction, deadline);
 				if (entered.err) {
-					return settle(id, transaction, createAnswer(createAborted(entered.val.message), world.now() - arrivedAt, 'failed'));
+					return settle(id, transaction, createResponse(createAborted(entered.val.message), world.now() - arrivedAt, 'failed'));
 				}
 
 				slot = entered.val;
@@ -183,24 +183,24 @@
 			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
 		}
 
-		return settle(id, transaction, createAnswer(createAborted('the target stayed busy'), world.now() - arrivedAt, 'failed'));
+		return settle(id, transaction, createResponse(createAborted('the target stayed busy'), world.now() - arrivedAt, 'failed'));
 	};
 
 	/** Begins a transaction at a target on a connection; `undefined` if the target refused. */
-	const begin = async (plan: Plan, loan: Loan, {request, deadline}: Turn, target: TargetId): Promise<Open | undefined> => {
+	const begin = async (plan: Plan, loan: ConnectionHandle, {request, deadline}: Turn, target: TargetId): Promise<Open | undefined> => {
 		const readOnly = plan.kind === 'anywhere';
-		const {commands} = loan.listSetup(request.values, {kind: 'commit', text: ''});
+		const {commands} = loan.createSetupCommands(request.values, {kind: 'commit', text: ''});
 		const askedAt = context.readClock();
 		const execution = await loan.connection.execute([...commands, {kind: 'begin', readOnly, after: readOnly ? plan.after : undefined}], deadline);
 		const reply = execution.replies[commands.length];
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
-			noteReply(parts, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
-			loan.giveBack(execution.ended === 'no' && reply?.status === 'idle');
+			recordReply(parts, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
+			loan.release(execution.ended === 'no' && reply?.status === 'idle');
 			return undefined;
 		}
 
 		if (!readOnly) {
-			noteVerified(parts, target, reply, askedAt);
+			recordVerifiedPosition(parts, target, reply, askedAt);
 		}
 
 		return {
@@ -208,7 +208,7 @@
 		};
 	};
 
-	const startTransaction = async (id: string, request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
+	const startTransaction = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		const arrivedAt = world.now();
 		const tried = new Set<TargetId>();
 		for (let attempt = 0; attempt < MOST_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
@@ -217,20 +217,20 @@
 				break;
 			}
 
-			const slot = await placement.enter({
+			const slot = await placement.acquire({
 				customer: request.customer,
 				priority: request.priority,
-				promptUntil: createDeadline(arrivedAt, request.promptMs),
+				latencyDeadline: createDeadline(arrivedAt, request.promptMs),
 				deadline: computeSlotDeadline(parts, plan, deadline),
 				isPinned: false,
-				choose: free => chooseTarget(parts, {plan, request, tried}, free),
+				chooseTarget: free => chooseTarget(parts, {plan, request, tried}, free),
 			});
 			if (slot.err) {
-				return createAnswer(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
+				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
 			}
 
 			const {target} = slot.val;
-			const loan = await parts.getConnections(target)?.take(request.customer, request.values, deadline);
+			const loan = await parts.getConnections(target)?.acquire(request.customer, request.values, deadline);
 			const transaction = loan?.ok ? await begin(plan, loan.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
 				open.set(id, transaction);
@@ -239,13 +239,13 @@
 
 			slot.val.release();
 			if (!loan?.ok) {
-				noteDialFailure(parts, target, loan?.val);
+				recordDialFailure(parts, target, loan?.val);
 			}
 
 			tried.add(target);
 		}
 
-		return createAnswer(createBusyRefusal('no target accepts the transaction now', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
+		return createResponse(createBusyRefusal('no target accepts the transaction now', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
 	};
 
 	return {
@@ -254,16 +254,16 @@
 			const transaction = open.get(id);
 			if (transaction) {
 				return transaction.isBusy
-					? createAnswer(createAborted('two statements of one transaction at once'), 0, 'failed')
+					? createResponse(createAborted('two statements of one transaction at once'), 0, 'failed')
 					: continueTransaction(id, transaction, {request, deadline, arrivedAt: world.now()});
 			}
 
 			return request.transaction?.isFirst
 				? startTransaction(id, request, deadline)
-				: createAnswer(createAborted('the transaction has ended'), 0, 'failed');
+				: createResponse(createAborted('the transaction has ended'), 0, 'failed');
 		},
 		rollBack,
-		getOpen: () => open.size,
-		getWriters: () => [...open.values()].filter(({isLeaders}) => isLeaders).length,
+		getOpenCount: () => open.size,
+		getWriterCount: () => [...open.values()].filter(({isLeaders}) => isLeaders).length,
 	};
 };
--- a/packages/limits/src/bucket.ts
+++ b/packages/limits/src/bucket.ts
@@ -3,7 +3,7 @@
 import type {Instant} from '@guavapitch/core';
 
 /** Rate and burst of a customer. */
-export type Share = Readonly<{
+export type Quota = Readonly<{
 	/** Tokens a second. */
 	rate: number;
 	/** Tokens at once. */
@@ -19,7 +19,7 @@
 export const createBucket = (now: Instant): Bucket => ({tokens: 0, at: now});
 
 /** Fills a bucket for the time that has passed. */
-export const fillBucket = (bucket: Bucket, share: Share, now: Instant): Bucket => ({
+export const fillBucket = (bucket: Bucket, share: Quota, now: Instant): Bucket => ({
 	tokens: Math.min(share.burst, bucket.tokens + ((now - bucket.at) * share.rate / MILLISECONDS)),
 	at: now,
 });
@@ -31,4 +31,4 @@
 };
 
 /** Gets the time until a bucket holds a token, in milliseconds. */
-export const getWaitMs = (bucket: Bucket, share: Share): number => Math.max(0, (1 - bucket.tokens) * MILLISECONDS / share.rate);
+export const getNextTokenWaitMs = (bucket: Bucket, share: Quota): number => Math.max(0, (1 - bucket.tokens) * MILLISECONDS / share.rate);
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,4 +1,4 @@
 export * from './bucket.js';
-export * from './keeper.js';
-export * from './allowance.js';
-export * from './holds.js';
+export * from './quota-allocator.js';
+export * from './quota-client.js';
+export * from './refusal-cache.js';
--- a/packages/limits/src/keeper.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -4,11 +4,11 @@
 	isPast, type CustomerId, type Deadline, type World,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, getWaitMs, takeTokens, type Bucket, type Share,
+	createBucket, fillBucket, getNextTokenWaitMs, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
 
 /** What an entry asks a keeper. */
-export type AllotmentRequest = Readonly<{
+export type TokenRequest = Readonly<{
 	customer: CustomerId;
 	/** Tokens wanted. */
 	wanted: number;
@@ -19,7 +19,7 @@
 }>;
 
 /** What a keeper answers. */
-export type Allotment = Readonly<{
+export type TokenGrant = Readonly<{
 	epoch: number;
 	tokens: number;
 	/** Validity of the tokens from the moment the entry asked, in milliseconds. */
@@ -29,22 +29,22 @@
 }>;
 
 /** Keeper of the customers of one slot. */
-export type Keeper = Readonly<{
+export type QuotaAllocator = Readonly<{
 	/** Gives tokens; `undefined` if the authority has passed or the customer is unknown. */
-	allot: (request: AllotmentRequest) => Allotment | undefined;
+	grantTokens: (request: TokenRequest) => TokenGrant | undefined;
 }>;
 
 /** What a keeper needs. */
-export type KeeperContext = Readonly<{
+export type QuotaAllocatorContext = Readonly<{
 	world: World;
 	epoch: number;
 	/** Gets the deadline of the keeper's authority. */
-	getAuthority: () => Deadline;
-	getShare: (customer: CustomerId) => Share | undefined;
+	getAuthorityDeadline: () => Deadline;
+	getQuota: (customer: CustomerId) => Quota | undefined;
 }>;
 
 /** Time within which tokens must be spent, in milliseconds. */
-export const SPEND_MS = 200;
+export const MAX_TOKEN_VALIDITY_MS = 200;
 
 /** Part of a burst that may be set aside for tokens still unspent. */
 const RESERVED_PART = 0.5;
@@ -53,27 +53,27 @@
  * Computes the share that may be given away, so that what is spent never exceeds rate × t + burst:
  * tokens given at the end of one window may be spent in the next, so their number is set aside from the burst.
  */
-export const computeGivenShare = (share: Share): Readonly<{share: Share; spendMs: number}> => {
-	const spendMs = Math.min(SPEND_MS, share.burst * RESERVED_PART * 1000 / share.rate);
+export const computeGrantableQuota = (share: Quota): Readonly<{share: Quota; spendMs: number}> => {
+	const spendMs = Math.min(MAX_TOKEN_VALIDITY_MS, share.burst * RESERVED_PART * 1000 / share.rate);
 	return {share: {rate: share.rate, burst: Math.max(1, share.burst - (share.rate * spendMs / 1000))}, spendMs};
 };
 
 /** Creates a keeper that starts empty. */
-export const createKeeper = (context: KeeperContext): Keeper => {
+export const createQuotaAllocator = (context: QuotaAllocatorContext): QuotaAllocator => {
 	const {world, epoch} = context;
 	const startedAt = world.now();
 	const buckets = new Map<CustomerId, Bucket>();
 
 	return {
-		allot(request) {
-			const whole = context.getShare(request.customer);
+		grantTokens(request) {
+			const whole = context.getQuota(request.customer);
 			const now = world.now();
-			const authority = context.getAuthority();
+			const authority = context.getAuthorityDeadline();
 			if (!whole || isPast(authority, now)) {
 				return undefined;
 			}
 
-			const {share, spendMs} = computeGivenShare(whole);
+			const {share, spendMs} = computeGrantableQuota(whole);
 			const filled = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), share, now);
 			const returned = request.epoch === epoch ? request.returned : 0;
 			const credited: Bucket = {...filled, tokens: Math.min(share.burst, filled.tokens + returned)};
@@ -81,7 +81,7 @@
 			const [after, tokens] = takeTokens(credited, request.wanted);
 			buckets.set(request.customer, after);
 			return {
-				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getWaitMs(after, share),
+				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(after, share),
 			};
 		},
 	};
