--- a/packages/limits/src/allowance.ts
+++ b/packages/limits/src/quota-client.ts
@@ -5,29 +5,29 @@
 	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, takeTokens, type Bucket, type Share,
+	createBucket, fillBucket, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
-import {SPEND_MS, type Allotment, type AllotmentRequest} from './keeper.js';
+import {MAX_TOKEN_VALIDITY_MS, type TokenGrant, type TokenRequest} from './quota-allocator.js';
 
 /** Refusal of a request over the share; it has not run. */
-export type ShareRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
+export type QuotaRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
 
 /** Tokens of all customers in one process. */
-export type Allowances = Readonly<{
+export type QuotaClient = Readonly<{
 	/** Spends a token, waiting a little for one. */
-	spend: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, ShareRefusal>>;
+	acquire: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, QuotaRefusal>>;
 	/** Gets how many tokens were spent, by customer. */
-	getSpent: () => ReadonlyMap<CustomerId, number>;
+	getAcquiredCounts: () => ReadonlyMap<CustomerId, number>;
 }>;
 
 /** Asks the keeper of a customer. */
-export type AskKeeper = (request: AllotmentRequest) => Promise<Result<Allotment, Failure>>;
+export type RequestTokens = (request: TokenRequest) => Promise<Result<TokenGrant, Failure>>;
 
 type Waiter = {
 	readonly deadline: Deadline;
 	giveUpAt: Deadline;
 	readonly keeperBy: Deadline;
-	readonly settle: (result: Result<undefined, ShareRefusal>) => void;
+	readonly settle: (result: Result<undefined, QuotaRefusal>) => void;
 };
 
 type Purse = {
@@ -60,7 +60,7 @@
 };
 
 /** Gets the part of a customer's share that this process may spend while no keeper answers; `undefined` for none. */
-export type GetOwnPart = (customer: CustomerId) => Share | undefined;
+export type GetFallbackQuota = (customer: CustomerId) => Quota | undefined;
 
 const WAIT_MS = 300;
 const PATIENT_WAIT_MS = 2500;
@@ -80,7 +80,7 @@
 const LONGEST_RETRY_AFTER_MS = 2000;
 
 /** Creates the allowances of a process. */
-export const createAllowances = (ask: AskKeeper, world: World, getOwnPart: GetOwnPart = () => undefined): Allowances => {
+export const createQuotaClient = (ask: RequestTokens, world: World, getOwnPart: GetFallbackQuota = () => undefined): QuotaClient => {
 	const purses = new Map<CustomerId, Purse>();
 
 	const noteDemand = (purse: Purse) => {
@@ -95,7 +95,7 @@
 		const askedAt = world.now();
 		const isLiving = !isPast(purse.deadline, askedAt);
 		const returned = isLiving ? purse.tokens : 0;
-		const expected = Math.floor(purse.demand * SPEND_MS / 2);
+		const expected = Math.floor(purse.demand * MAX_TOKEN_VALIDITY_MS / 2);
 		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting.length, expected, 1));
 		purse.tokens = 0;
 		const answer = await ask({
@@ -175,7 +175,7 @@
 		return Math.max(1, Math.ceil(Math.min(LONGEST_RETRY_AFTER_MS, untilNext + (purse.waiting.length * perToken))));
 	};
 
-	const createRefusal = (purse: Purse): Result<undefined, ShareRefusal> => Err({
+	const createRefusal = (purse: Purse): Result<undefined, QuotaRefusal> => Err({
 		code: 'limitExceeded',
 		message: 'The customer has used its rate and burst',
 		retryAfterMs: computeRetryAfter(purse),
@@ -231,7 +231,7 @@
 		purse.isRunning = false;
 	};
 
-	const waitForToken = async (customer: CustomerId, purse: Purse, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, ShareRefusal>> => new Promise(settle => {
+	const waitForToken = async (customer: CustomerId, purse: Purse, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
 		const waiter: Waiter = {
 			deadline,
 			giveUpAt: computeGiveUp(purse, deadline),
@@ -255,7 +255,7 @@
 	});
 
 	return {
-		async spend(customer, deadline, signal) {
+		async acquire(customer, deadline, signal) {
 			const purse = getPurse(customer);
 			noteDemand(purse);
 			if (signal?.aborted) {
@@ -268,6 +268,6 @@
 
 			return isHopeless(purse) ? createRefusal(purse) : waitForToken(customer, purse, deadline, signal);
 		},
-		getSpent: () => new Map([...purses].map(([customer, purse]) => [customer, purse.spent])),
+		getAcquiredCounts: () => new Map([...purses].map(([customer, purse]) => [customer, purse.spent])),
 	};
 };
--- a/packages/limits/src/holds.ts
+++ b/packages/limits/src/refusal-cache.ts
@@ -5,9 +5,9 @@
 } from '@guavapitch/core';
 
 /** Customers that are held back at one entry. */
-export type Holds = Readonly<{
+export type RefusalCache = Readonly<{
 	/** Takes note that a home refused a customer, with the time after which it may come back. */
-	note: (home: string, customer: CustomerId, retryAfterMs: number) => void;
+	recordRefusal: (home: string, customer: CustomerId, retryAfterMs: number) => void;
 	/** Gets the time after which a customer that is held back may come again, in milliseconds; `undefined` if it is not held back. */
 	getRetryAfterMs: (home: string, customer: CustomerId) => number | undefined;
 }>;
@@ -16,11 +16,11 @@
 const HOLD_MS_PER_ENTRY = 6;
 
 /** Creates the holds of an entry; `countEntries` gives the size of the fleet. */
-export const createHolds = (world: Pick<World, 'now' | 'random'>, countEntries: () => number): Holds => {
+export const createRefusalCache = (world: Pick<World, 'now' | 'random'>, countEntries: () => number): RefusalCache => {
 	const held = new Map<string, Readonly<{until: Deadline; returnAt: Deadline}>>();
 	const createKey = (home: string, customer: CustomerId) => `${home} ${customer}`;
 	return {
-		note(home, customer, retryAfterMs) {
+		recordRefusal(home, customer, retryAfterMs) {
 			const holdMs = Math.min(retryAfterMs, HOLD_MS_PER_ENTRY * countEntries()) * (0.5 + world.random());
 			held.set(createKey(home, customer), {until: createDeadline(world.now(), holdMs), returnAt: createDeadline(world.now(), Math.max(holdMs, retryAfterMs))});
 		},
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -5,31 +5,31 @@
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type CustomerId, type Failure, type Result,
 } from '@guavapitch/core';
-import {createAllowances} from '../allowance.js';
-import {createHolds} from '../holds.js';
-import {createKeeper, type Allotment, type AllotmentRequest} from '../keeper.js';
+import {createQuotaClient} from '../quota-client.js';
+import {createRefusalCache} from '../refusal-cache.js';
+import {createQuotaAllocator, type TokenGrant, type TokenRequest} from '../quota-allocator.js';
 
 const FLOOD = parseId<CustomerId>('flood');
 const SHARE = {rate: 60, burst: 60};
 
 const createSetup = (isKeeperThere: () => boolean = () => true) => {
 	const {world, advance} = createVirtualWorld(21);
-	const keeper = createKeeper({
-		world, epoch: 1, getAuthority: () => NEVER, getShare: () => SHARE,
+	const keeper = createQuotaAllocator({
+		world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => SHARE,
 	});
-	const asked: AllotmentRequest[] = [];
-	const ask = async (request: AllotmentRequest): Promise<Result<Allotment, Failure>> => {
+	const asked: TokenRequest[] = [];
+	const ask = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
 		asked.push(request);
 		await world.sleep(2);
-		const allotment = isKeeperThere() ? keeper.allot(request) : undefined;
+		const allotment = isKeeperThere() ? keeper.grantTokens(request) : undefined;
 		return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'no keeper'});
 	};
 
-	const allowances = createAllowances(ask, world, () => ({rate: SHARE.rate / 3, burst: SHARE.burst * 0.1}));
+	const allowances = createQuotaClient(ask, world, () => ({rate: SHARE.rate / 3, burst: SHARE.burst * 0.1}));
 	const results: Array<Readonly<{ok: boolean; waitedMs: number; at: number}>> = [];
 	const send = async () => {
 		const sentAt = world.now();
-		const spent = await allowances.spend(FLOOD, createDeadline(sentAt, 400));
+		const spent = await allowances.acquire(FLOOD, createDeadline(sentAt, 400));
 		results.push({ok: spent.ok, waitedMs: world.now() - sentAt, at: world.now()});
 	};
 
@@ -87,8 +87,8 @@
 describe('holds', () => {
 	it('keep a refused customer back for a moment that grows with the fleet, and only that one', async () => {
 		const {world, advance} = createVirtualWorld(1);
-		const holds = createHolds(world, () => 15);
-		holds.note('ledger', FLOOD, 2000);
+		const holds = createRefusalCache(world, () => 15);
+		holds.recordRefusal('ledger', FLOOD, 2000);
 		assert.equal(holds.getRetryAfterMs('ledger', FLOOD), 2000, 'it is told what its home said');
 		assert.equal(holds.getRetryAfterMs('ledger', parseId<CustomerId>('other')), undefined);
 		assert.equal(holds.getRetryAfterMs('archive', FLOOD), undefined);
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -6,8 +6,8 @@
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type CustomerId, type Deadline, type Instant,
 } from '@guavapitch/core';
-import {createAllowances, type AskKeeper} from '../allowance.js';
-import {createKeeper, type Keeper} from '../keeper.js';
+import {createQuotaClient, type RequestTokens} from '../quota-client.js';
+import {createQuotaAllocator, type QuotaAllocator} from '../quota-allocator.js';
 
 const CUSTOMER = parseId<CustomerId>('klub');
 const LEASE_MS = 2000;
@@ -33,36 +33,36 @@
 	const times: number[] = [];
 	let refusals = 0;
 	let authority: Deadline = NEVER;
-	let keeper: Keeper;
+	let keeper: QuotaAllocator;
 	let epoch = 0;
 	const takeOver = () => {
 		epoch++;
 		const own = run.takeOvers ? createDeadline(world.now(), LEASE_MS) : NEVER;
 		authority = own;
-		keeper = createKeeper({
-			world, epoch, getAuthority: () => own, getShare: () => ({rate: run.rate, burst: run.burst}),
+		keeper = createQuotaAllocator({
+			world, epoch, getAuthorityDeadline: () => own, getQuota: () => ({rate: run.rate, burst: run.burst}),
 		});
 	};
 
 	takeOver();
-	const ask: AskKeeper = async request => {
+	const ask: RequestTokens = async request => {
 		const asked = keeper;
 		await world.sleep(world.random() * 4);
 		if (world.random() < run.loss / 2) {
 			return Err({code: 'lost', message: 'the request was lost'});
 		}
 
-		const allotment = asked.allot(request);
+		const allotment = asked.grantTokens(request);
 		await world.sleep(world.random() * 4);
 		return world.random() < run.loss / 2 || !allotment ? Err({code: 'lost', message: 'the answer was lost'}) : Ok(allotment);
 	};
 
 	let running = true;
 	const entries = Array.from({length: run.entries}, async () => {
-		const allowances = createAllowances(ask, world);
+		const allowances = createQuotaClient(ask, world);
 		const work = async () => {
 			while (running) {
-				const spent = await allowances.spend(CUSTOMER, createDeadline(world.now(), 1000));
+				const spent = await allowances.acquire(CUSTOMER, createDeadline(world.now(), 1000));
 				if (spent.ok) {
 					times.push(world.now());
 				} else {
@@ -125,16 +125,16 @@
 
 		it('waits for tokens of a keeper that comes late and starts empty', async () => {
 			const {world, advance} = createVirtualWorld(8);
-			const late: {keeper: Keeper | undefined} = {keeper: undefined};
-			const allowances = createAllowances(async request => {
+			const late: {keeper: QuotaAllocator | undefined} = {keeper: undefined};
+			const allowances = createQuotaClient(async request => {
 				await world.sleep(2);
-				const allotment = late.keeper?.allot(request);
+				const allotment = late.keeper?.grantTokens(request);
 				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
 			}, world);
-			const spending = allowances.spend(CUSTOMER, createDeadline(world.now(), 10_000));
+			const spending = allowances.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
 			await advance(1500);
-			late.keeper = createKeeper({
-				world, epoch: 1, getAuthority: () => NEVER, getShare: () => ({rate: 10, burst: 10}),
+			late.keeper = createQuotaAllocator({
+				world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 10, burst: 10}),
 			});
 			await advance(1000);
 			const spent = await spending;
@@ -143,23 +143,23 @@
 
 		it('refuses nothing of a customer inside its rate while what piled up without a keeper is worked off', async () => {
 			const {world, advance} = createVirtualWorld(9);
-			const state: {keeper: Keeper | undefined} = {keeper: undefined};
-			const allowances = createAllowances(async request => {
+			const state: {keeper: QuotaAllocator | undefined} = {keeper: undefined};
+			const allowances = createQuotaClient(async request => {
 				await world.sleep(2);
-				const allotment = state.keeper?.allot(request);
+				const allotment = state.keeper?.grantTokens(request);
 				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
 			}, world);
 			let refused = 0;
 			const spendOne = async () => {
-				const spent = await allowances.spend(CUSTOMER, createDeadline(world.now(), 10_000));
+				const spent = await allowances.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
 				refused += spent.err ? 1 : 0;
 			};
 
 			const spending: Array<Promise<void>> = [];
 			for (let count = 0; count < 400; count++) {
 				if (count === 200) {
-					state.keeper = createKeeper({
-						world, epoch: 1, getAuthority: () => NEVER, getShare: () => ({rate: 100, burst: 100}),
+					state.keeper = createQuotaAllocator({
+						world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 100, burst: 100}),
 					});
 				}
 
--- a/packages/membership/src/pinger.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -3,21 +3,21 @@
 import type {
 	Failure, Result, VmId, World,
 } from '@guavapitch/core';
-import type {Member, MemberNews, Members} from './members.js';
+import type {Member, MemberUpdate, Members} from './members.js';
 
 /** A ping and its answer carry news both ways. */
-export type Ping = Readonly<{news: readonly MemberNews[]; through?: VmId}>;
+export type PingRequest = Readonly<{news: readonly MemberUpdate[]; through?: VmId}>;
 
 /** Answer to a ping. */
-export type Pong = Readonly<{incarnation: string; news: readonly MemberNews[]}>;
+export type PingResponse = Readonly<{incarnation: string; news: readonly MemberUpdate[]}>;
 
 /** What the task needs. */
-export type PingerContext = Readonly<{
+export type FailureDetectorContext = Readonly<{
 	world: World;
 	members: Members;
 	self: VmId;
 	/** Pings a vm. */
-	ping: (vm: VmId, ping: Ping, timeoutMs: number) => Promise<Result<Pong, Failure>>;
+	ping: (vm: VmId, ping: PingRequest, timeoutMs: number) => Promise<Result<PingResponse, Failure>>;
 }>;
 
 const PERIOD_MS = 200;
@@ -27,17 +27,17 @@
 
 const chooseTarget = (members: readonly Member[], random: () => number): Member | undefined => members[Math.floor(random() * members.length)];
 
-const takePong = (context: PingerContext, vm: VmId, pong: Result<Pong, Failure>): boolean => {
+const takePong = (context: FailureDetectorContext, vm: VmId, pong: Result<PingResponse, Failure>): boolean => {
 	if (pong.err) {
 		return false;
 	}
 
-	context.members.noteAnswer(vm, pong.val.incarnation);
-	context.members.accept(pong.val.news);
+	context.members.recordResponse(vm, pong.val.incarnation);
+	context.members.applyUpdates(pong.val.news);
 	return true;
 };
 
-const pingThroughOthers = async (context: PingerContext, target: VmId): Promise<boolean> => {
+const pingThroughOthers = async (context: FailureDetectorContext, target: VmId): Promise<boolean> => {
 	const {members, world, self} = context;
 	const helpers = members.getLive()
 		.filter(member => member.vm !== target && member.vm !== self)
@@ -49,25 +49,25 @@
 };
 
 /** Pings one member and draws the conclusion. */
-export const pingOnce = async (context: PingerContext, target: VmId): Promise<void> => {
+export const pingMember = async (context: FailureDetectorContext, target: VmId): Promise<void> => {
 	const {members} = context;
-	const pong = await context.ping(target, {news: members.chooseNews()}, PING_TIMEOUT_MS);
+	const pong = await context.ping(target, {news: members.chooseUpdates()}, PING_TIMEOUT_MS);
 	if (!takePong(context, target, pong) && !await pingThroughOthers(context, target)) {
-		members.noteSilence(target);
+		members.recordTimeout(target);
 	}
 };
 
 /** Pings members until the signal aborts. */
-export const runPinger = async (context: PingerContext, signal: AbortSignal): Promise<void> => {
+export const runFailureDetector = async (context: FailureDetectorContext, signal: AbortSignal): Promise<void> => {
 	const {members, world, self} = context;
 	while (!signal.aborted) {
 		await world.sleep(PERIOD_MS * (0.75 + (world.random() / 2)), signal);
 		const others = members.getAll().filter(member => member.vm !== self && member.state !== 'gone');
 		const target = chooseTarget(others, world.random);
 		if (target) {
-			await pingOnce(context, target.vm);
+			await pingMember(context, target.vm);
 		}
 
-		members.expire();
+		members.expireSuspects();
 	}
 };
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,2 @@
 export * from './members.js';
-export * from './pinger.js';
+export * from './failure-detector.js';
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -19,7 +19,7 @@
 export type MemberStatus = 'alive' | 'suspect' | 'dead' | 'leaving';
 
 /** What one vm says of another. */
-export type MemberNews = Readonly<{
+export type MemberUpdate = Readonly<{
 	vm: VmId;
 	/** Identifier of the run of the process; unknown before the first contact. */
 	incarnation: string;
@@ -29,22 +29,22 @@
 }>;
 
 /** A vm with its state. */
-export type Member = VmEntry & MemberNews;
+export type Member = VmEntry & MemberUpdate;
 
 /** Members as one process sees them. */
 export type Members = Readonly<{
 	/** Takes the platform's list. */
-	setList: (entries: readonly VmEntry[]) => void;
+	applyVmList: (entries: readonly VmEntry[]) => void;
 	/** Takes what a peer says. */
-	accept: (news: readonly MemberNews[]) => void;
+	applyUpdates: (news: readonly MemberUpdate[]) => void;
 	/** Notes that a vm answered. */
-	noteAnswer: (vm: VmId, incarnation: string) => void;
+	recordResponse: (vm: VmId, incarnation: string) => void;
 	/** Notes that a vm did not answer. */
-	noteSilence: (vm: VmId) => void;
+	recordTimeout: (vm: VmId) => void;
 	/** Declares suspects dead whose deadline has passed. */
-	expire: () => void;
+	expireSuspects: () => void;
 	/** Says that this vm is leaving. */
-	leave: () => void;
+	markLeaving: () => void;
 	get: (vm: VmId) => Member | undefined;
 	/** Gets the vms that may be given work, this one included. */
 	getLive: (dataCentre?: DataCentreId) => readonly Member[];
@@ -53,15 +53,15 @@
 	/** Gets a number that grows whenever the answer of `getLive` may have changed. */
 	getVersion: () => number;
 	/** Chooses the news to pass on with the next message. */
-	chooseNews: () => readonly MemberNews[];
+	chooseUpdates: () => readonly MemberUpdate[];
 }>;
 
 /** Who this process is. */
-export type Self = VmEntry & Readonly<{incarnation: string}>;
+export type LocalMember = VmEntry & Readonly<{incarnation: string}>;
 
 type State = {
 	entry: VmEntry;
-	news: MemberNews;
+	news: MemberUpdate;
 	suspectUntil: Deadline;
 	/** How often this news may still be passed on. */
 	tellings: number;
@@ -74,7 +74,7 @@
 	alive: 0, suspect: 1, leaving: 2, dead: 3,
 };
 
-const isNewer = (news: MemberNews, known: MemberNews): boolean => {
+const isNewer = (news: MemberUpdate, known: MemberUpdate): boolean => {
 	if (news.incarnation !== known.incarnation && known.incarnation !== '') {
 		// Another run of the process: it has said so itself, or it has been seen by somebody.
 		return news.status === 'alive';
@@ -84,15 +84,15 @@
 };
 
 /** Creates the members, with only this vm in them. */
-export const createMembers = (self: Self, world: World, onChange: (member: Member, before: MemberStatus | undefined) => void): Members => {
+export const createMembers = (self: LocalMember, world: World, onChange: (member: Member, before: MemberStatus | undefined) => void): Members => {
 	const states = new Map<VmId, State>();
-	let ownNews: MemberNews = {
+	let ownNews: MemberUpdate = {
 		vm: self.vm, incarnation: self.incarnation, version: 1, status: 'alive',
 	};
 
 	let changes = 0;
 
-	const change = (state: State, news: MemberNews) => {
+	const change = (state: State, news: MemberUpdate) => {
 		changes++;
 		const before = state.news.status;
 		const isFirst = state.news.incarnation === '' && news.incarnation !== '';
@@ -104,7 +104,7 @@
 		}
 	};
 
-	const refute = (news: MemberNews) => {
+	const refute = (news: MemberUpdate) => {
 		if (news.incarnation === self.incarnation && news.status !== 'alive' && news.version >= ownNews.version && ownNews.status === 'alive') {
 			ownNews = {...ownNews, version: news.version + 1};
 		}
@@ -115,7 +115,7 @@
 
 	return {
 		getVersion: () => changes,
-		setList(entries) {
+		applyVmList(entries) {
 			changes++;
 			for (const entry of entries) {
 				if (entry.vm === self.vm) {
@@ -137,7 +137,7 @@
 				}
 			}
 		},
-		accept(news) {
+		applyUpdates(news) {
 			for (const one of news) {
 				if (one.vm === self.vm) {
 					refute(one);
@@ -150,7 +150,7 @@
 				}
 			}
 		},
-		noteAnswer(vm, incarnation) {
+		recordResponse(vm, incarnation) {
 			const state = states.get(vm);
 			if (!state) {
 				return;
@@ -165,20 +165,20 @@
 				change(state, {...news, version: news.version + 1, status: 'alive'});
 			}
 		},
-		noteSilence(vm) {
+		recordTimeout(vm) {
 			const state = states.get(vm);
 			if (state?.news.status === 'alive') {
 				change(state, {...state.news, status: 'suspect'});
 			}
 		},
-		expire() {
+		expireSuspects() {
 			for (const state of states.values()) {
 				if (state.news.status === 'suspect' && isPast(state.suspectUntil, world.now())) {
 					change(state, {...state.news, status: 'dead'});
 				}
 			}
 		},
-		leave() {
+		markLeaving() {
 			changes++;
 			ownNews = {...ownNews, version: ownNews.version + 1, status: 'leaving'};
 		},
@@ -189,8 +189,8 @@
 				.filter(member => dataCentre === undefined || member.dataCentre === dataCentre);
 		},
 		getAll: () => [getOwn(), ...[...states.values()].map(state => getMember(state))],
-		chooseNews() {
-			const told: MemberNews[] = [ownNews];
+		chooseUpdates() {
+			const told: MemberUpdate[] = [ownNews];
 			const fresh = [...states.values()]
 				.filter(state => state.tellings > 0)
 				.toSorted((a, b) => b.tellings - a.tellings)
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -3,7 +3,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createCollector, createDeadline, createNotifier, createScope, Err, getMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
+	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
 } from '@guavapitch/core';
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
@@ -289,7 +289,7 @@
 		});
 	};
 
-	const collected = createCollector();
+	const collected = createChunkBuffer();
 	const acceptBytes = (chunk: Buffer) => {
 		heardAt = world.now();
 		context.onBytes?.('received', chunk.length);
@@ -306,7 +306,7 @@
 			return;
 		}
 
-		collected.keep(split.val.rest, split.val.wantedBytes);
+		collected.putBack(split.val.rest, split.val.wantedBytes);
 		for (const [index, frame] of split.val.frames.entries()) {
 			accept(frame, split.val.sizes[index] ?? 0);
 		}
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -1,6 +1,6 @@
 /** Streams of items inside one peer connection, with credit for back-pressure. */
 
-import {createGate, createQueue, type Stream} from '@guavapitch/core';
+import {createConditionVariable, createQueue, type Stream} from '@guavapitch/core';
 import type {Frame, FrameTime, StreamSide} from './frames.js';
 
 /** Bytes that may travel before the receiver has taken an item; one item more may be on its way. */
@@ -41,7 +41,7 @@
 	let takenBytes = 0;
 	let sentFinish = false;
 	let receivedFinish = false;
-	const credited = createGate();
+	const credited = createConditionVariable();
 
 	const breakOff = (reason?: string) => {
 		if (!receivedFinish) {
@@ -49,7 +49,7 @@
 		}
 
 		incoming.close();
-		credited.open();
+		credited.notifyAll();
 	};
 
 	const giveCredit = (bytes: number) => {
@@ -79,7 +79,7 @@
 
 				case 'credit': {
 					creditBytes += frame[4];
-					credited.open();
+					credited.notifyAll();
 
 					break;
 				}
--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -16,33 +16,33 @@
 }>;
 
 /** A connection on loan. */
-export type Loan<Connection> = Readonly<{
+export type ConnectionHandle<Connection> = Readonly<{
 	connection: Connection;
 	/** Gives the connection back; a dirty one is reset first. */
-	giveBack: (state: 'clean' | 'dirty' | 'broken') => void;
+	release: (state: 'clean' | 'dirty' | 'broken') => void;
 }>;
 
 /** Settings of a pool. */
 export type PoolSettings<Connection> = Readonly<{
 	/** Connections open at a time. */
-	limit: number;
+	maxOpen: number;
 	/** Connections kept open ahead of need. */
-	spare: number;
+	minIdle: number;
 	dial: () => Promise<Result<Connection, PoolFailure>>;
 	/** Called when a connection has become free. */
-	onFree: () => void;
+	onAvailable: () => void;
 	/** Called when a dial has failed or worked again. */
-	onReachable: (reachable: boolean, message: string) => void;
+	onReachabilityChange: (reachable: boolean, message: string) => void;
 }>;
 
 /** Pool of connections. */
 export type Pool<Connection> = AsyncDisposable & Readonly<{
 	/** Takes a connection, waiting for a dial if needed. */
-	take: (deadline: Deadline) => Promise<Result<Loan<Connection>, PoolFailure>>;
+	acquire: (deadline: Deadline) => Promise<Result<ConnectionHandle<Connection>, PoolFailure>>;
 	/** Tells whether a connection is idle or may be opened. */
 	hasCapacity: () => boolean;
-	getOpen: () => number;
-	getIdle: () => number;
+	getOpenCount: () => number;
+	getIdleCount: () => number;
 }>;
 
 const FIRST_BACKOFF_MS = 20;
@@ -73,7 +73,7 @@
 
 	const announce = () => {
 		changed.notify();
-		settings.onFree();
+		settings.onAvailable();
 	};
 
 	const noteFailure = (message: string) => {
@@ -81,7 +81,7 @@
 		backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
 		if (reachable) {
 			reachable = false;
-			settings.onReachable(false, message);
+			settings.onReachabilityChange(false, message);
 		}
 	};
 
@@ -89,7 +89,7 @@
 		backoffMs = FIRST_BACKOFF_MS;
 		if (!reachable) {
 			reachable = true;
-			settings.onReachable(true, '');
+			settings.onReachabilityChange(true, '');
 		}
 	};
 
@@ -109,17 +109,17 @@
 		announce();
 	};
 
-	const mayDial = () => open + dialling < settings.limit && isPast(nextDialAt, world.now());
+	const mayDial = () => open + dialling < settings.maxOpen && isPast(nextDialAt, world.now());
 
 	const dialAhead = () => {
-		const wanted = waiting + settings.spare - idle.length - dialling;
+		const wanted = waiting + settings.minIdle - idle.length - dialling;
 		for (let count = 0; count < wanted && mayDial() && !scope.signal.aborted; count++) {
 			dialling++;
 			scope.run(dialOne);
 		}
 	};
 
-	const lend = (connection: Connection): Loan<Connection> => {
+	const lend = (connection: Connection): ConnectionHandle<Connection> => {
 		let given = false;
 		const drop = async () => {
 			open--;
@@ -144,7 +144,7 @@
 
 		return {
 			connection,
-			giveBack(state) {
+			release(state) {
 				if (given) {
 					return;
 				}
@@ -180,7 +180,7 @@
 
 	dialAhead();
 	return {
-		async take(deadline) {
+		async acquire(deadline) {
 			waiting++;
 			const connection = await waitForIdle(deadline);
 			waiting--;
@@ -193,9 +193,9 @@
 				? Err({code: 'connectionsExhausted', message: 'No connection became free in time'})
 				: Err({code: 'targetUnreachable', message: 'The target cannot be reached'});
 		},
-		hasCapacity: () => idle.length > 0 || open + dialling < settings.limit,
-		getOpen: () => open,
-		getIdle: () => idle.length,
+		hasCapacity: () => idle.length > 0 || open + dialling < settings.maxOpen,
+		getOpenCount: () => open,
+		getIdleCount: () => idle.length,
 		async [Symbol.asyncDispose]() {
 			const closing = scope[Symbol.asyncDispose]();
 			changed.notify();
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -25,11 +25,11 @@
 	/** Waits for a slot. */
 	enter: (entry: QueueEntry, signal?: AbortSignal) => Promise<Result<Permit, QueueFailure>>;
 	/** Looks again whether somebody may go; called when a connection has become free. */
-	wake: () => void;
+	admitWaiting: () => void;
 	/** Changes the number of slots. */
 	setSlots: (slots: number) => void;
 	getLength: () => number;
-	getBusy: () => number;
+	getBusyCount: () => number;
 }>;
 
 type Waiting = QueueEntry & Readonly<{settle: (result: Result<Permit, QueueFailure>) => void}>;
@@ -205,12 +205,12 @@
 				}
 			});
 		},
-		wake: admit,
+		admitWaiting: admit,
 		setSlots(next) {
 			capacity = next;
 			admit();
 		},
 		getLength: () => length,
-		getBusy: () => busy,
+		getBusyCount: () => busy,
 	};
 };
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -122,8 +122,8 @@
 		let resets = 0;
 		let dials = 0;
 		const pool = createPool<Poolable>({
-			limit: 3,
-			spare: 1,
+			maxOpen: 3,
+			minIdle: 1,
 			async dial() {
 				dials++;
 				open++;
@@ -140,14 +140,14 @@
 					},
 				});
 			},
-			onFree: () => undefined,
-			onReachable: () => undefined,
+			onAvailable: () => undefined,
+			onReachabilityChange: () => undefined,
 		}, world);
 		const use = async (index: number) => {
-			const taken = await pool.take(createDeadline(world.now(), 5000));
+			const taken = await pool.acquire(createDeadline(world.now(), 5000));
 			const loan = taken.unwrap();
 			await world.sleep(10);
-			loan.giveBack(index % 3 === 0 ? 'dirty' : (index % 7 === 0 ? 'broken' : 'clean'));
+			loan.release(index % 3 === 0 ? 'dirty' : (index % 7 === 0 ? 'broken' : 'clean'));
 		};
 
 		const uses = Promise.all(Array.from({length: 60}, async (_, index) => use(index)));
--- a/packages/postgres-wire/src/reader.ts
+++ b/packages/postgres-wire/src/reader.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createCollector, createGate, Err, Ok, type Failure, type Result,
+	createChunkBuffer, createConditionVariable, Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import {splitMessages, type Message} from './messages.js';
 import {readStartupLength, type StartupFailure} from './startup.js';
@@ -35,19 +35,19 @@
 
 /** Opens a wire over a socket; the socket is paused between reads. */
 export const openWire = (socket: Socket): Wire => {
-	const collected = createCollector();
+	const collected = createChunkBuffer();
 	let ended = socket.destroyed;
-	const readable = createGate();
-	const writable = createGate();
+	const readable = createConditionVariable();
+	const writable = createConditionVariable();
 	const wake = () => {
-		readable.open();
-		writable.open();
+		readable.notifyAll();
+		writable.notifyAll();
 	};
 
 	const onData = (chunk: Buffer) => {
 		collected.push(chunk);
 		socket.pause();
-		readable.open();
+		readable.notifyAll();
 	};
 
 	const onEnd = () => {
@@ -56,7 +56,7 @@
 	};
 
 	const onDrain = () => {
-		writable.open();
+		writable.notifyAll();
 	};
 
 	socket.on('data', onData);
@@ -89,7 +89,7 @@
 				}
 
 				const split = splitMessages(bytes);
-				collected.keep(split.rest, split.wantedBytes);
+				collected.putBack(split.rest, split.wantedBytes);
 				if (split.messages.length > 0) {
 					return Ok(split.messages);
 				}
@@ -112,11 +112,11 @@
 				}
 
 				if (length.val !== undefined && bytes.length >= length.val) {
-					collected.keep(bytes.subarray(length.val), 1);
+					collected.putBack(bytes.subarray(length.val), 1);
 					return Ok(bytes.subarray(0, length.val));
 				}
 
-				collected.keep(bytes, length.val ?? bytes.length + 1);
+				collected.putBack(bytes, length.val ?? bytes.length + 1);
 			}
 		},
 		async readByte() {
@@ -125,7 +125,7 @@
 				return Err(CLOSED);
 			}
 
-			collected.keep(bytes.subarray(1), 1);
+			collected.putBack(bytes.subarray(1), 1);
 			return Ok(bytes[0] ?? 0);
 		},
 		async write(...parts) {
--- a/packages/proxy/src/callers.ts
+++ b/packages/proxy/src/callers.ts
@@ -153,7 +153,7 @@
 
 	const closeIdle = () => {
 		for (const {caller, control} of open.values()) {
-			const closing = control.idle ? entry.getClosing(caller) : undefined;
+			const closing = control.idle ? entry.getCloseReason(caller) : undefined;
 			if (closing) {
 				emit(closing.code === 'draining' ? EVENTS.callerClosed : EVENTS.keyWithdrawn, {service: caller.service, customer: caller.customer});
 				const code = closing.code === 'draining' ? SQLSTATE.adminShutdown : SQLSTATE.notAuthorized;
--- a/packages/proxy/src/contenders.ts
+++ b/packages/proxy/src/contenders.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
-	formatSlot, runSlot, type Authority, type ProcessLease, type PromiseBook, type PromiseRequest, type RoleName, type SlotContext,
+	formatSlotName, runSlot, type Authority, type ProcessLease, type TakeoverPromises, type TakeoverPromiseRequest, type RoleName, type SlotContext,
 } from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {Fleet} from './fleet.js';
@@ -18,13 +18,13 @@
 	fleet: Fleet;
 	store: Store;
 	lease: ProcessLease;
-	promises: PromiseBook;
+	promises: TakeoverPromises;
 	/** Owner of the tasks that contend. */
 	scope: Scope;
 	emit: Emit;
 	isDraining: () => boolean;
 	/** Asks a candidate not to take over for a while. */
-	askPromise: (vm: VmId, request: PromiseRequest) => Promise<Result<boolean, Failure>>;
+	askPromise: (vm: VmId, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
 	/** What the holder of a slot does, by role. */
 	act: Readonly<Record<RoleName, (authority: Authority, signal: AbortSignal) => Promise<void>>>;
 }>;
@@ -43,13 +43,13 @@
 		promises: context.promises,
 		self: {vm: context.vm, incarnation: context.incarnation},
 		slot,
-		rank: () => context.isDraining() ? [] : fleet.rankLive(`role/${slot}`),
-		askPromise: async (candidate, request) => context.askPromise(candidate.vm, request),
-		isSurelyGone(candidate) {
+		rankCandidates: () => context.isDraining() ? [] : fleet.rankLive(`role/${slot}`),
+		requestPromise: async (candidate, request) => context.askPromise(candidate.vm, request),
+		isConfirmedGone(candidate) {
 			const member = members.get(candidate.vm);
 			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
 		},
-		act: context.act[role],
+		runAsHolder: context.act[role],
 		onGained(name, epoch) {
 			emit(EVENTS.roleGained, {slot: name, epoch});
 		},
@@ -64,7 +64,7 @@
 	const listSlots = (): ReadonlyArray<readonly [RoleName, string]> => {
 		const counts = inForce.getInventory()?.fleet;
 		const roles: ReadonlyArray<readonly [RoleName, number]> = [['steward', counts?.stewardSlots ?? 0], ['keeper', counts?.keeperSlots ?? 0]];
-		return roles.flatMap(([role, count]) => Array.from({length: count}, (_, number) => [role, formatSlot(role, number)] as const));
+		return roles.flatMap(([role, count]) => Array.from({length: count}, (_, number) => [role, formatSlotName(role, number)] as const));
 	};
 
 	return async signal => {
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -7,13 +7,13 @@
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {GroupView} from '@guavapitch/failover';
 import type {Service} from '@guavapitch/inventory';
-import type {Allowances} from '@guavapitch/limits';
+import type {QuotaClient} from '@guavapitch/limits';
 import type {Peers} from '@guavapitch/peer-protocol';
 import {
-	chooseMode, chooseRoute, getCustomer, getService, waitBeforeRetry, type Attempt, type RetryBudget, type Route, type RoutingView,
+	chooseRequestMode, chooseRoute, getCustomer, getService, waitBeforeRetry, type RouteAttempt, type RetryBudget, type Route, type RoutingView,
 } from '@guavapitch/routing';
 import {
-	serveRequest, type CallerContext, type CallerIdentity, type HomeContext, type RequestFailure, type RunningRequest,
+	serveRequest, type CallerContext, type CallerIdentity, type OwnerContext, type RequestFailure, type RunningRequest,
 } from '@guavapitch/requests';
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode, StatementClass,
@@ -27,8 +27,8 @@
 	vm: string;
 	fleet: Fleet;
 	peers: Peers;
-	allowances: Allowances;
-	home: HomeContext<TargetConnection>;
+	allowances: QuotaClient;
+	home: OwnerContext<TargetConnection>;
 	budget: RetryBudget;
 	/** Owner of the tasks that serve requests whose home is this process. */
 	scope: Scope;
@@ -67,9 +67,9 @@
 		return inventory && {
 			inventory,
 			getGroup: context.getGroup,
-			getHomes: fleet.getHomes,
+			getOwners: fleet.getHomes,
 			isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
-			getPending: target => pending.get(target) ?? 0,
+			getPendingCount: target => pending.get(target) ?? 0,
 			random: world.random,
 		};
 	};
@@ -93,7 +93,7 @@
 			return Ok(undefined);
 		}
 
-		const spent = await context.allowances.spend(caller.customer, deadline, signal);
+		const spent = await context.allowances.acquire(caller.customer, deadline, signal);
 		if (spent.err) {
 			const {code, message, retryAfterMs} = spent.val;
 			return Err(createRefusal(code === 'aborted' ? 'canceled' : 'limitExceeded', message, retryAfterMs));
@@ -133,7 +133,7 @@
 	});
 
 	const openStream = async (route: Route, header: RequestHeader): Promise<Result<RequestStream, Refusal>> => {
-		if (route.home === context.vm) {
+		if (route.owner === context.vm) {
 			const [near, far] = createStreamPair<RequestChunk, Reply>(measureItem);
 			context.scope.run(async () => {
 				await using own = far;
@@ -143,13 +143,13 @@
 			return Ok(near);
 		}
 
-		const member = fleet.members.get(route.home);
+		const member = fleet.members.get(route.owner);
 		const opened = member
 			? await context.peers.openStream({host: member.host, port: member.port}, 'request', header)
 			: Err({code: 'peerUnreachable' as const, message: 'unknown vm'});
 		if (opened.err) {
-			fleet.members.noteSilence(route.home);
-			return Err(createRefusal('peerUnreachable', `The home ${route.home} cannot be reached`));
+			fleet.members.recordTimeout(route.owner);
+			return Err(createRefusal('peerUnreachable', `The home ${route.owner} cannot be reached`));
 		}
 
 		return Ok(opened.val as RequestStream);
@@ -162,7 +162,7 @@
 	const createRunning = (call: Call, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
 		requestId: call.requestId,
 		mode: route.mode,
-		first,
+		firstReply: first,
 		stream,
 		async [Symbol.asyncDispose]() {
 			addPending(route.target, -1);
@@ -201,7 +201,7 @@
 		addPending(route.target, -1);
 		await stream[Symbol.asyncDispose]();
 		if (!first && stream.signal.reason === NOT_ACCEPTED) {
-			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The home ${route.home} is leaving`)};
+			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The home ${route.owner} is leaving`)};
 		}
 
 		if (!first || isRepeatable) {
@@ -218,8 +218,8 @@
 	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
 		const {caller, call, signal} = turn;
 		let mode = wanted;
-		context.budget.earn();
-		let tried: readonly Attempt[] = [];
+		context.budget.deposit();
+		let tried: readonly RouteAttempt[] = [];
 		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
 		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
 			if (signal.aborted) {
@@ -245,7 +245,7 @@
 						return fail(call, {code: 'outcomeUnknown', message: 'The vm that ran the request was lost'});
 					}
 
-					last = createRefusal('peerUnreachable', `The home ${route.val.home} was lost`);
+					last = createRefusal('peerUnreachable', `The home ${route.val.owner} was lost`);
 				} else {
 					last = outcome.refusal;
 					if (isFinal(last)) {
@@ -254,7 +254,7 @@
 				}
 
 				const isNewRound = route.val.mode === 'write';
-				tried = isNewRound ? [] : [...tried, {target: route.val.target, home: route.val.home}];
+				tried = isNewRound ? [] : [...tried, {target: route.val.target, owner: route.val.owner}];
 				if (!isNewRound) {
 					continue;
 				}
@@ -265,7 +265,7 @@
 
 			metrics.count('entry.retries', {reason: last.code});
 			// Beyond the budget, retries come at the longest pause, so that a failover brings no storm.
-			const pace = context.budget.take() ? attempt : MOST_ATTEMPTS;
+			const pace = context.budget.tryWithdraw() ? attempt : MOST_ATTEMPTS;
 			if (!await waitBeforeRetry(pace, call.deadline, world, signal)) {
 				break;
 			}
@@ -301,7 +301,7 @@
 			const turn: Turn = {
 				caller, call: call.val, chunk, signal,
 			};
-			return runRequest(turn, chooseMode(statement, call.val.service.staleReadsMs));
+			return runRequest(turn, chooseRequestMode(statement, call.val.service.staleReadsMs));
 		},
 		async continueRequest(caller, signal) {
 			const requestId = world.createId();
@@ -310,7 +310,7 @@
 			return spent.mapErr(failure => ({requestId, failure}));
 		},
 		cancelRequest: context.cancelRequest,
-		getClosing(caller) {
+		getCloseReason(caller) {
 			if (context.isDraining()) {
 				return createRefusal('draining', 'The proxy is leaving; connect again');
 			}
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import type {GroupView} from '@guavapitch/failover';
 import {
-	chooseMode, chooseRoute, getCustomer, getService, type RoutingView,
+	chooseRequestMode, chooseRoute, getCustomer, getService, type RoutingView,
 } from '@guavapitch/routing';
 import {classifyStatement} from '@guavapitch/sessions';
 import type {Fleet} from './fleet.js';
@@ -35,14 +35,14 @@
 	}
 
 	const kind = classifyStatement(statement);
-	const mode = chooseMode(kind, found.staleReadsMs);
+	const mode = chooseRequestMode(kind, found.staleReadsMs);
 	const database = parseId<DatabaseId>(found.database);
 	const view: RoutingView = {
 		inventory,
 		getGroup: context.getGroup,
-		getHomes: fleet.getHomes,
+		getOwners: fleet.getHomes,
 		isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
-		getPending: () => 0,
+		getPendingCount: () => 0,
 		random: context.random,
 	};
 	const route = chooseRoute(view, database, mode, []);
@@ -54,7 +54,7 @@
 			share ? `share: ${share.rate} requests a second, burst ${share.burst}, weight ${share.weight}, over the whole fleet` : `customer ${customer} is not in the inventory`,
 			`statement is classed as ${kind}, so it runs in mode ${mode}`,
 			record ? `database ${database}: term ${record.term}, primary ${record.primary}, synced ${record.synced.join(' ') || 'none'}` : `database ${database}: no record is known yet`,
-			route.ok ? `route: target ${route.val.target} through home ${route.val.home}, because ${route.val.reason}` : `no route: ${route.val.message}`,
+			route.ok ? `route: target ${route.val.target} through home ${route.val.owner}, because ${route.val.reason}` : `no route: ${route.val.message}`,
 			`answers of writes wait for ${inventory.databases[found.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
 		],
 	};
--- a/packages/proxy/src/fleet.ts
+++ b/packages/proxy/src/fleet.ts
@@ -4,7 +4,7 @@
 	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	createFacts, createInForce, type Facts, type InForce,
+	createStoreCache, createActiveConfiguration, type StoreCache, type ActiveConfiguration,
 } from '@guavapitch/configuration';
 import type {Database, Target, Inventory} from '@guavapitch/inventory';
 import {
@@ -30,8 +30,8 @@
 /** View of the fleet. */
 export type Fleet = Readonly<{
 	members: Members;
-	facts: Facts;
-	inForce: InForce;
+	facts: StoreCache;
+	inForce: ActiveConfiguration;
 	/** Gets the homes of a target, best first. */
 	getHomes: (target: TargetId) => readonly VmId[];
 	/** Ranks the live vms for a role, best first. */
@@ -77,9 +77,9 @@
 			emit(EVENTS.memberJoined, fields);
 		}
 	});
-	const facts = createFacts(world);
+	const facts = createStoreCache(world);
 	let known: ReadonlyMap<string, KnownTarget> = new Map();
-	const inForce = createInForce(facts, world, {
+	const inForce = createActiveConfiguration(facts, world, {
 		onApplied(revision, inventory) {
 			known = new Map(listTargets(inventory).map(one => [one.target.name, one]));
 			emit(EVENTS.configurationApplied, {revision});
@@ -92,7 +92,7 @@
 
 	facts.subscribe(keys => {
 		const entries = keys.filter(key => key.startsWith(VM_PREFIX)).map(key => facts.get(key)).filter(entry => entry !== undefined);
-		members.setList(entries.map(entry => JSON.parse(entry.value) as VmEntry));
+		members.applyVmList(entries.map(entry => JSON.parse(entry.value) as VmEntry));
 	});
 
 	const getNames = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -6,13 +6,13 @@
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {RelayService, SyncRequest} from '@guavapitch/configuration';
 import {
-	GRANT_MS, type GrantBook, type Holder, type Permissions,
+	MAX_GRANT_VALIDITY_MS, type GrantRegistry, type Holder, type Permissions,
 } from '@guavapitch/failover';
-import type {AllotmentRequest} from '@guavapitch/limits';
-import type {Ping, Pong} from '@guavapitch/membership';
+import type {TokenRequest} from '@guavapitch/limits';
+import type {PingRequest, PingResponse} from '@guavapitch/membership';
 import type {PeerHandlers} from '@guavapitch/peer-protocol';
-import {serveRequest, type HomeContext, type HomeStream} from '@guavapitch/requests';
-import type {PromiseBook, PromiseRequest} from '@guavapitch/roles';
+import {serveRequest, type OwnerContext, type OwnerStream} from '@guavapitch/requests';
+import type {TakeoverPromises, TakeoverPromiseRequest} from '@guavapitch/roles';
 import type {RequestHeader} from '@guavapitch/sessions';
 import type {EventRecord} from '@guavapitch/telemetry';
 import type {CallVm, Fleet} from './fleet.js';
@@ -29,9 +29,9 @@
 	relay: RelayService;
 	stewards: Stewards;
 	keepers: Keepers;
-	book: GrantBook;
-	promises: PromiseBook;
-	home: HomeContext<TargetConnection>;
+	book: GrantRegistry;
+	promises: TakeoverPromises;
+	home: OwnerContext<TargetConnection>;
 	/** Gets the epoch of a slot as far as it is known here. */
 	getEpoch: (slot: string) => number;
 	/** Tells whether this process reached the store lately. */
@@ -50,21 +50,21 @@
 export const createHandlers = (context: HandlersContext): PeerHandlers => {
 	const {fleet} = context;
 
-	const answerPing = async (ping: Ping): Promise<Pong> => {
-		fleet.members.accept(ping.news);
+	const answerPing = async (ping: PingRequest): Promise<PingResponse> => {
+		fleet.members.applyUpdates(ping.news);
 		if (ping.through) {
-			const answer = await context.callVm<Pong>(ping.through, 'ping', {news: []}, THROUGH_TIMEOUT_MS);
+			const answer = await context.callVm<PingResponse>(ping.through, 'ping', {news: []}, THROUGH_TIMEOUT_MS);
 			return answer.unwrap();
 		}
 
-		return {incarnation: context.incarnation, news: fleet.members.chooseNews()};
+		return {incarnation: context.incarnation, news: fleet.members.chooseUpdates()};
 	};
 
 	return {
 		calls: {
 			async ping(body, from) {
-				fleet.members.noteAnswer(from.vm as VmId, from.incarnation);
-				return answerPing(body as Ping);
+				fleet.members.recordResponse(from.vm as VmId, from.incarnation);
+				return answerPing(body as PingRequest);
 			},
 			sync: async body => context.relay.sync(body as SyncRequest),
 			async grant(body) {
@@ -76,15 +76,15 @@
 				if (incarnation === context.incarnation) {
 					context.book.revoke(database, permissions);
 					if (permissions.writes && !permissions.acknowledgements) {
-						await context.book.waitUntilIdle(database, createDeadline(context.world.now(), GRANT_MS));
+						await context.book.waitUntilWritesEnd(database, createDeadline(context.world.now(), MAX_GRANT_VALIDITY_MS));
 					}
 				}
 
 				return true;
 			},
-			allot: async body => context.keepers.allot(body as AllotmentRequest) ?? null,
+			allot: async body => context.keepers.allot(body as TokenRequest) ?? null,
 			async promise(body) {
-				const request = body as PromiseRequest;
+				const request = body as TakeoverPromiseRequest;
 				return context.promises.give(request, context.getEpoch(request.slot));
 			},
 			vouch: async () => context.isStoreReached(),
@@ -106,7 +106,7 @@
 		},
 		streams: {
 			async request(header, stream: Stream<unknown, unknown>) {
-				await serveRequest(context.home, header as RequestHeader, stream as HomeStream);
+				await serveRequest(context.home, header as RequestHeader, stream as OwnerStream);
 			},
 		},
 	};
--- a/packages/proxy/src/homes.ts
+++ b/packages/proxy/src/homes.ts
@@ -8,12 +8,12 @@
 	askPositions, createQuestions, openTargetConnection, type TargetAddress, type TargetConnection, type Questions,
 } from '@guavapitch/back-postgres';
 import {
-	createDurability, createGrantBook, type GrantBook, type GrantReply, type GroupView,
+	createDurabilityWaiter, createGrantRegistry, type GrantRegistry, type GrantReply, type GroupView,
 } from '@guavapitch/failover';
 import {
 	createFairQueue, createPool, type FairQueue, type Pool,
 } from '@guavapitch/pool';
-import type {HomeTarget} from '@guavapitch/requests';
+import type {OwnedTarget} from '@guavapitch/requests';
 import {chooseSlot, parseSlotRecord, ROLE_PREFIX} from '@guavapitch/roles';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import {
@@ -22,10 +22,10 @@
 
 /** Homes of one process. */
 export type Homes = AsyncDisposable & Readonly<{
-	book: GrantBook;
+	book: GrantRegistry;
 	/** Gets a target of which this process is home, opening it if needed. */
-	get: (target: TargetId) => HomeTarget<TargetConnection> | undefined;
-	waitUntilDurable: ReturnType<typeof createDurability>;
+	get: (target: TargetId) => OwnedTarget<TargetConnection> | undefined;
+	waitUntilDurable: ReturnType<typeof createDurabilityWaiter>;
 	/** Asks for grants until the signal aborts. */
 	runGrants: (signal: AbortSignal) => Promise<void>;
 	/** Opens and closes targets as homes move, until the signal aborts. */
@@ -47,7 +47,7 @@
 	onView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: HomeTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: OwnedTarget<TargetConnection>}>;
 
 /** Connections of a target kept back for the steward's and the homes' own questions. */
 const RESERVED_CONNECTIONS = 4;
@@ -72,7 +72,7 @@
 /** Creates the homes of a process. */
 export const createHomes = (context: HomesContext): Homes => {
 	const {world, vm, fleet, emit, metrics} = context;
-	const book = createGrantBook(world);
+	const book = createGrantRegistry(world);
 	const scope = createScope(() => undefined);
 	const open = new Map<TargetId, OpenTarget>();
 	const questions = new Map<TargetId, Questions>();
@@ -84,18 +84,18 @@
 		const address = createTargetAddress(known, vm);
 		const isFirst = fleet.getHomes(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
-			limit: computeHomeLimit(target.connections),
-			spare: isFirst ? Math.min(SPARE_CONNECTIONS, target.slots) : 0,
+			maxOpen: computeHomeLimit(target.connections),
+			minIdle: isFirst ? Math.min(SPARE_CONNECTIONS, target.slots) : 0,
 			dial: async () => openTargetConnection(address),
-			onFree() {
-				queue.wake();
+			onAvailable() {
+				queue.admitWaiting();
 			},
-			onReachable(reachable, message) {
+			onReachabilityChange(reachable, message) {
 				emit(reachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
 			},
 		}, world);
 		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
-		emit(EVENTS.homeGained, {target: target.name});
+		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
 			known, address, pool, queue, home: {pool, queue, isLeaving: () => fleet.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
 		};
@@ -119,7 +119,7 @@
 
 	const closeTarget = async (target: TargetId, one: OpenTarget) => {
 		open.delete(target);
-		emit(EVENTS.homeLost, {target});
+		emit(EVENTS.ownershipReleased, {target});
 		await one.pool[Symbol.asyncDispose]();
 	};
 
@@ -135,7 +135,7 @@
 		return created;
 	};
 
-	const waitUntilDurable = createDurability(book, async target => {
+	const waitUntilDurable = createDurabilityWaiter(book, async target => {
 		const known = fleet.findTarget(target);
 		return known ? askPositions(getQuestions(known)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 	}, world);
@@ -145,7 +145,7 @@
 	const moveOnce = async () => {
 		for (const [id, one] of open) {
 			const known = fleet.findTarget(id);
-			const isIdle = one.queue.getBusy() === 0 && one.queue.getLength() === 0 && one.pool.getIdle() === one.pool.getOpen();
+			const isIdle = one.queue.getBusyCount() === 0 && one.queue.getLength() === 0 && one.pool.getIdleCount() === one.pool.getOpenCount();
 			if (!known || (isIdle && (!isHome(id) || !isSame(known, one.known)))) {
 				scope.run(async () => closeTarget(id, one));
 			} else {
@@ -153,7 +153,7 @@
 			}
 
 			metrics.gauge('home.queue', one.queue.getLength(), {target: id});
-			metrics.gauge('home.connections', one.pool.getOpen(), {target: id});
+			metrics.gauge('home.connections', one.pool.getOpenCount(), {target: id});
 		}
 
 		for (const {target} of fleet.listTargets()) {
@@ -230,7 +230,7 @@
 			}
 		},
 		getState: () => [...open].map(([target, one]) => ({
-			target, queued: one.queue.getLength(), busy: one.queue.getBusy(), open: one.pool.getOpen(), idle: one.pool.getIdle(),
+			target, queued: one.queue.getLength(), busy: one.queue.getBusyCount(), open: one.pool.getOpenCount(), idle: one.pool.getIdleCount(),
 		})),
 		async [Symbol.asyncDispose]() {
 			await scope[Symbol.asyncDispose]();
--- a/packages/proxy/src/keepers.ts
+++ b/packages/proxy/src/keepers.ts
@@ -4,7 +4,7 @@
 	Err, parseId, type CustomerId, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
-	createKeeper, type Allotment, type AllotmentRequest, type AskKeeper, type Keeper,
+	createQuotaAllocator, type TokenGrant, type TokenRequest, type RequestTokens, type QuotaAllocator,
 } from '@guavapitch/limits';
 import {
 	chooseSlot, parseSlotRecord, ROLE_PREFIX, type Authority,
@@ -16,9 +16,9 @@
 	/** Keeps the customers of a slot until the signal aborts. */
 	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Answers an entry; `undefined` if this process is not the keeper. */
-	allot: (request: AllotmentRequest) => Allotment | undefined;
+	allot: (request: TokenRequest) => TokenGrant | undefined;
 	/** Asks the keeper of a customer, wherever it runs. */
-	ask: AskKeeper;
+	ask: RequestTokens;
 }>;
 
 const ASK_TIMEOUT_MS = 250;
@@ -26,7 +26,7 @@
 
 /** Creates the keepers of a process. */
 export const createKeepers = (world: World, fleet: Fleet, callVm: CallVm): Keepers => {
-	const held = new Map<string, Keeper>();
+	const held = new Map<string, QuotaAllocator>();
 
 	const getSlot = (customer: CustomerId): string => chooseSlot('keeper', fleet.inForce.getInventory()?.fleet.keeperSlots ?? 1, customer);
 
@@ -34,8 +34,8 @@
 
 	return {
 		async act(authority, signal) {
-			const keeper = createKeeper({
-				world, epoch: authority.epoch, getAuthority: authority.getDeadline, getShare,
+			const keeper = createQuotaAllocator({
+				world, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota: getShare,
 			});
 			held.set(authority.slot, keeper);
 			await new Promise<void>(resolve => {
@@ -49,15 +49,15 @@
 			});
 			held.delete(authority.slot);
 		},
-		allot: request => held.get(getSlot(parseId<CustomerId>(request.customer)))?.allot(request),
-		async ask(request): Promise<Result<Allotment, Failure>> {
+		allot: request => held.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
+		async ask(request): Promise<Result<TokenGrant, Failure>> {
 			const entry = fleet.facts.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
 			const record = entry ? parseSlotRecord(entry.value) : undefined;
 			if (!record?.ok) {
 				return Err(NO_KEEPER);
 			}
 
-			const reply = await callVm<Allotment | null>(record.val.holder.vm, 'allot', request, ASK_TIMEOUT_MS);
+			const reply = await callVm<TokenGrant | null>(record.val.holder.vm, 'allot', request, ASK_TIMEOUT_MS);
 			return reply.andThen(allotment => allotment ? reply.map(() => allotment) : Err(NO_KEEPER));
 		},
 	};
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -6,22 +6,22 @@
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
 import {
-	createRelayService, runFreshness, runWatches, type FreshnessContext, type SyncReply,
+	createRelayService, runCacheSync, runRelayWatches, type CacheSyncContext, type SyncReply,
 } from '@guavapitch/configuration';
-import {GROUP_PREFIX, parseRecord, type GroupView} from '@guavapitch/failover';
-import {createAllowances} from '@guavapitch/limits';
-import {runPinger, type Pong} from '@guavapitch/membership';
+import {GROUP_PREFIX, parseGroupRecord, type GroupView} from '@guavapitch/failover';
+import {createQuotaClient} from '@guavapitch/limits';
+import {runFailureDetector, type PingResponse} from '@guavapitch/membership';
 import {
 	createDial, createPeers, startPeerListener, type PeerContext, type PeerHandlers,
 } from '@guavapitch/peer-protocol';
 import {openEtcdStore} from '@guavapitch/store';
 import {
-	createProcessLease, createPromiseBook, parseSlotRecord, ROLE_PREFIX,
+	createProcessLease, createTakeoverPromises, parseSlotRecord, ROLE_PREFIX,
 } from '@guavapitch/roles';
-import type {HomeContext} from '@guavapitch/requests';
+import type {OwnerContext} from '@guavapitch/requests';
 import {createRetryBudget} from '@guavapitch/routing';
 import {
-	createCausalClock, createEmit, createEventRing, EVENTS, openLog, openMetrics,
+	createHybridLogicalClock, createEmit, createEventRingBuffer, EVENTS, openLog, openMetrics,
 } from '@guavapitch/telemetry';
 import {
 	computeVmNumber, findVmByNumber, startCallers, type Callers,
@@ -59,8 +59,8 @@
 /** Starts a proxy. */
 export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
 	const incarnation = world.createId().slice(0, INCARNATION_BYTES);
-	const clock = createCausalClock(world.readWallClock);
-	const ring = createEventRing(KEPT_EVENTS);
+	const clock = createHybridLogicalClock(world.readWallClock);
+	const ring = createEventRingBuffer(KEPT_EVENTS);
 	const log = openLog(settings.logFile);
 	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, record => {
 		ring.write(record);
@@ -108,7 +108,7 @@
 			return handlers;
 		},
 		readTime: clock.read,
-		witnessTime: clock.witness,
+		witnessTime: clock.observe,
 		onMalformed(failure) {
 			emit(EVENTS.frameRefused, {reason: failure.code});
 			metrics.count('peer.malformed');
@@ -131,7 +131,7 @@
 	facts.subscribe(keys => {
 		for (const key of keys.filter(one => one.startsWith(GROUP_PREFIX))) {
 			const entry = facts.get(key);
-			const record = entry ? parseRecord(entry.value) : undefined;
+			const record = entry ? parseGroupRecord(entry.value) : undefined;
 			if (entry && record?.ok) {
 				acceptView({record: record.val, revision: entry.revision});
 			}
@@ -142,7 +142,7 @@
 		world, vm: settings.vm, incarnation, fleet, callVm, emit, metrics, onView: acceptView,
 	});
 	const cancels = new Map<RequestId, () => void>();
-	const home: HomeContext<TargetConnection> = {
+	const home: OwnerContext<TargetConnection> = {
 		runChunk,
 		world,
 		getTarget: homes.get,
@@ -150,12 +150,12 @@
 			const {book} = homes;
 			const checked = header.mode === 'write'
 				? book.checkWrite(header.database, header.target)
-				: (header.mode === 'read' ? book.checkRead(header.database, header.target) : book.checkAge(header.database, header.target, header.maximumAgeMs));
+				: (header.mode === 'read' ? book.checkRead(header.database, header.target) : book.checkStaleness(header.database, header.target, header.maximumAgeMs));
 			return checked.map(record => record.term);
 		},
 		waitUntilDurable: homes.waitUntilDurable,
-		async waitUntilHopeless(header, term, deadline, signal) {
-			await homes.book.waitUntilUnfit({
+		async waitUntilUnanswerable(header, term, deadline, signal) {
+			await homes.book.waitUntilIneligible({
 				database: header.database, target: header.target, term, mode: header.mode,
 			}, deadline, signal);
 		},
@@ -163,7 +163,7 @@
 			metrics.count('home.requests', {customer, mode});
 			metrics.time('home.request', usedMs, {customer});
 		},
-		keepCancel(requestId, cancel) {
+		registerCancel(requestId, cancel) {
 			cancels.set(requestId, cancel);
 			return {
 				[Symbol.dispose]() {
@@ -173,7 +173,7 @@
 		},
 		trackRequest(header) {
 			underWay++;
-			const write = header.mode === 'write' ? homes.book.enterWrite(header.database) : undefined;
+			const write = header.mode === 'write' ? homes.book.trackWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
 					write?.[Symbol.dispose]();
@@ -189,7 +189,7 @@
 	});
 	const keepers = createKeepers(world, fleet, callVm);
 	const lease = createProcessLease(store, world);
-	const promises = createPromiseBook(incarnation, world);
+	const promises = createTakeoverPromises(incarnation, world);
 	const relay = createRelayService(facts, incarnation, world);
 
 	const cancelHere = (requestId: string) => {
@@ -218,7 +218,7 @@
 		vm: settings.vm,
 		fleet,
 		peers,
-		allowances: createAllowances(keepers.ask, world),
+		allowances: createQuotaClient(keepers.ask, world),
 		home,
 		budget: createRetryBudget(),
 		scope: requests,
@@ -258,14 +258,14 @@
 		explain: createExplain({fleet, getGroup: database => groups.get(database), random: world.random}),
 	});
 
-	const freshness: FreshnessContext = {
+	const freshness: CacheSyncContext = {
 		world,
-		facts,
+		cache: facts,
 		store,
 		vm: settings.vm,
 		isRelay: () => fleet.isRelay(),
 		getRelays: () => fleet.getRelays(),
-		ask: async (vm, request) => callVm<SyncReply>(vm, 'sync', request, SYNC_TIMEOUT_MS),
+		sendSync: async (vm, request) => callVm<SyncReply>(vm, 'sync', request, SYNC_TIMEOUT_MS),
 		async isStoreDownForAll() {
 			const places = new Set(inForce.getInventory()?.dataCentres);
 			const others = fleet.getRelays();
@@ -280,8 +280,8 @@
 			vouching.add(settings.dataCentre);
 			return [...places].every(place => vouching.has(place));
 		},
-		getInForce: inForce.getRevision,
-		onStore(reachable) {
+		getActiveRevision: inForce.getRevision,
+		onStoreContact(reachable) {
 			if (reachable) {
 				storeReachedAt = world.now();
 			}
@@ -315,10 +315,10 @@
 		emit(EVENTS.processStarted, {
 			version: VERSION, dataCentre: settings.dataCentre, listen: `${callers.address.host}:${callers.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
 		});
-		control.run(async signal => runFreshness(freshness, signal));
-		control.run(async signal => runWatches(freshness, signal));
-		control.run(async signal => runPinger({
-			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<Pong>(vm, 'ping', ping, timeoutMs),
+		control.run(async signal => runCacheSync(freshness, signal));
+		control.run(async signal => runRelayWatches(freshness, signal));
+		control.run(async signal => runFailureDetector({
+			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
 		control.run(runContenders);
 		control.run(homes.runGrants);
@@ -330,7 +330,7 @@
 			async stop() {
 				draining = true;
 				emit(EVENTS.processDraining);
-				members.leave();
+				members.markLeaving();
 				const patience = new AbortController();
 				const timer = setTimeout(() => {
 					patience.abort();
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/stewards.ts
@@ -7,7 +7,7 @@
 	askState, commandFollow, commandPromote, commandRejoin, createQuestions, type Questions,
 } from '@guavapitch/back-postgres';
 import {
-	createSteward, GRANT_MS, type GrantReply, type GroupView, type Holder, type TargetCommands, type Steward, type StewardedDatabase, type StewardEvent,
+	createFailoverCoordinator, MAX_GRANT_VALIDITY_MS, type GrantReply, type GroupView, type Holder, type TargetCommands, type FailoverCoordinator, type FailoverSettings, type FailoverEvent,
 } from '@guavapitch/failover';
 import type {Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
@@ -37,7 +37,7 @@
 const REVOKE_TIMEOUT_MS = 300;
 const REFRESH_MS = 250;
 
-const emitEvent = (emit: Emit, database: DatabaseId, event: StewardEvent): void => {
+const emitEvent = (emit: Emit, database: DatabaseId, event: FailoverEvent): void => {
 	switch (event.kind) {
 		case 'started': {
 			emit(EVENTS.failoverStarted, {database, term: event.term, primary: event.primary});
@@ -86,7 +86,7 @@
 /** Creates the stewards of a process. */
 export const createStewards = (context: StewardsContext): Stewards => {
 	const {world, fleet, emit} = context;
-	const running = new Map<DatabaseId, Steward>();
+	const running = new Map<DatabaseId, FailoverCoordinator>();
 	const questions = new Map<string, Questions>();
 
 	const withQuestions = async <Answer>(target: TargetId, ask: (asked: Questions, known: KnownTarget) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
@@ -118,7 +118,7 @@
 		rejoin: async (target, primary) => withQuestions(target, async asked => commandRejoin(asked, formatConninfo(primary, target))),
 	};
 
-	const getSettings = (database: DatabaseId): StewardedDatabase | undefined => {
+	const getSettings = (database: DatabaseId): FailoverSettings | undefined => {
 		const known = fleet.inForce.getInventory()?.databases[database];
 		return known && {
 			database,
@@ -129,15 +129,15 @@
 		};
 	};
 
-	const createOne = (database: DatabaseId, authority: Authority): Steward => createSteward({
+	const createOne = (database: DatabaseId, authority: Authority): FailoverCoordinator => createFailoverCoordinator({
 		world,
 		store: context.store,
 		commands,
-		getDatabase: () => getSettings(database),
-		getAuthority: authority.getDeadline,
+		getSettings: () => getSettings(database),
+		getAuthorityDeadline: authority.getDeadline,
 		async revoke(holder, id, permissions) {
 			// A holder that keeps its acknowledgements answers when its writes have ended.
-			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : GRANT_MS;
+			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
 			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
 		publish: context.onView,
--- a/packages/proxy/src/tests/stewards.test.ts
+++ b/packages/proxy/src/tests/stewards.test.ts
@@ -5,7 +5,7 @@
 import {
 	createDeadline, createWorld, Err, NEVER, parseId, type DatabaseId, type VmId,
 } from '@guavapitch/core';
-import {createRecord, formatGroupKey, formatRecord} from '@guavapitch/failover';
+import {createGroupRecord, formatGroupKey, formatGroupRecord} from '@guavapitch/failover';
 import type {Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
@@ -31,8 +31,8 @@
 		it('work for its databases again', async () => {
 			const world = createWorld();
 			const memory = createMemoryStore(world);
-			const record = createRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
-			memory.put(formatGroupKey(DATABASE), formatRecord(record));
+			const record = createGroupRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
+			memory.put(formatGroupKey(DATABASE), formatGroupRecord(record));
 			let isDown = true;
 			const store: Store = {
 				...memory,
--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -22,7 +22,7 @@
 	/** Mode in which the home serves it. */
 	mode: RequestMode;
 	/** The home's first reply. */
-	first: Reply;
+	firstReply: Reply;
 	stream: Stream<RequestChunk, Reply>;
 }>;
 
@@ -43,7 +43,7 @@
 	/** Cancels the statement that a home runs. */
 	cancelRequest: (requestId: string) => void;
 	/** Tells whether the connection must end before another request. */
-	getClosing: (caller: CallerIdentity) => Refusal | undefined;
+	getCloseReason: (caller: CallerIdentity) => Refusal | undefined;
 	/** Hears of outcomes. */
 	onOutcome: (caller: CallerIdentity, requestId: string, outcome: RequestOutcome) => void;
 }>;
@@ -82,9 +82,9 @@
 	/** Sends that a running request was lost. */
 	sendLost: (requestId: string, message: string, endsConnection: boolean) => Promise<void>;
 	/** Sends why the connection ends. */
-	sendClosing: (refusal: Refusal) => Promise<void>;
+	sendCloseReason: (refusal: Refusal) => Promise<void>;
 	/** Calls a function if the connection closes before the result is disposed. */
-	watchClose: (leave: () => void) => Disposable;
+	onClose: (leave: () => void) => Disposable;
 }>;
 
 /** How one chunk ended for the caller. */
@@ -184,7 +184,7 @@
 			return refuse(received, passed.val);
 		}
 
-		const turn = 'request' in passed ? passed : {request: passed.val, first: passed.val.first, before: status};
+		const turn = 'request' in passed ? passed : {request: passed.val, first: passed.val.firstReply, before: status};
 		running = turn.request;
 		const answered = await relayReplies(attended, turn);
 		status = answered.status;
@@ -212,9 +212,9 @@
 	try {
 		while (true) {
 			control.idle = running === undefined && !port.hasPending();
-			const closing = control.idle ? context.getClosing(caller) : undefined;
+			const closing = control.idle ? context.getCloseReason(caller) : undefined;
 			if (closing) {
-				await port.sendClosing(closing);
+				await port.sendCloseReason(closing);
 				return;
 			}
 
@@ -225,7 +225,7 @@
 
 			control.idle = false;
 			gone = new AbortController();
-			using watched = port.watchClose(leave);
+			using watched = port.onClose(leave);
 			if (!await serveChunk(received, gone.signal)) {
 				return;
 			}
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,2 +1,2 @@
 export * from './caller.js';
-export * from './home.js';
+export * from './owner.js';
--- a/packages/requests/src/home.ts
+++ b/packages/requests/src/owner.ts
@@ -4,20 +4,20 @@
 	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
-	FairQueue, Loan, Permit, Pool,
+	FairQueue, ConnectionHandle, Permit, Pool,
 } from '@guavapitch/pool';
 import type {
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
 } from '@guavapitch/sessions';
 
 /** Connection to a target as the decisions see it. */
-export type HomeConnection = AsyncDisposable & Readonly<{
+export type CancelableConnection = AsyncDisposable & Readonly<{
 	/** Asks the target to cancel what runs on the connection. */
 	cancel: () => void;
 }>;
 
 /** A target as its home works it. */
-export type HomeTarget<Connection extends HomeConnection> = Readonly<{
+export type OwnedTarget<Connection extends CancelableConnection> = Readonly<{
 	queue: FairQueue;
 	pool: Pool<Connection>;
 	/** Tells whether the target gets no new work. */
@@ -25,28 +25,28 @@
 }>;
 
 /** How waiting for a durable answer ended. */
-export type AnswerState = 'durable' | 'unproved';
+export type DurabilityState = 'durable' | 'unproved';
 
 /** An answer that waits for its release. */
-export type PendingAnswer = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
+export type PendingWrite = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
 
 /** What a home decides with. */
-export type HomeContext<Connection extends HomeConnection> = Readonly<{
+export type OwnerContext<Connection extends CancelableConnection> = Readonly<{
 	world: World;
 	/** Gets a target of which this process is home. */
-	getTarget: (target: TargetId) => HomeTarget<Connection> | undefined;
+	getTarget: (target: TargetId) => OwnedTarget<Connection> | undefined;
 	/** Sends a chunk to the target and passes its answer on. */
 	runChunk: RunChunk<Connection>;
 	/** Checks that a request may be sent to the target now; gives the term. */
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
 	/** Waits until the answer of a write may be released. */
-	waitUntilDurable: (answer: PendingAnswer) => Promise<AnswerState>;
+	waitUntilDurable: (answer: PendingWrite) => Promise<DurabilityState>;
 	/** Waits until the target may no longer answer a request, or its deadline has passed; ends early when the signal aborts. */
-	waitUntilHopeless: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
+	waitUntilUnanswerable: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
 	/** Hears how long a request held its slot. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
 	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
-	keepCancel: (requestId: RequestId, cancel: () => void) => Disposable;
+	registerCancel: (requestId: RequestId, cancel: () => void) => Disposable;
 	/** Counts a request in until it is disposed, so that a leaving process can wait for it. */
 	trackRequest: (header: RequestHeader) => Disposable;
 	/** Tells whether the process takes no new requests. */
@@ -54,26 +54,26 @@
 }>;
 
 /** The home's end of a request. */
-export type HomeStream = Stream<Reply, RequestChunk>;
+export type OwnerStream = Stream<Reply, RequestChunk>;
 
-type Served<Connection extends HomeConnection> = Readonly<{context: HomeContext<Connection>; header: RequestHeader; stream: HomeStream; target: HomeTarget<Connection>}>;
+type Served<Connection extends CancelableConnection> = Readonly<{context: OwnerContext<Connection>; header: RequestHeader; stream: OwnerStream; target: OwnedTarget<Connection>}>;
 
 /** How a chunk ended. */
-export type ChunkEnd
+export type ChunkResult
 	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
 		| Readonly<{kind: 'flushed'; skipping: boolean}>
 		| Readonly<{kind: 'readOnly'}>
 		| Readonly<{kind: 'lost'}>;
 
 /** A chunk and where its answer goes. */
-export type ChunkTurn = Readonly<{
+export type ChunkTask = Readonly<{
 	chunk: RequestChunk;
 	/** Whether the target ignores everything up to a Sync after an error. */
 	skipping: boolean;
 	/** Whether the request may write, so that a refusal to write is an answer like others. */
 	isWrite: boolean;
 	/** Hears that the answer has begun. */
-	onBegin: () => void;
+	onResponseStarted: () => void;
 	/** Passes messages of the answer on. */
 	send: (bytes: Uint8Array) => Promise<void>;
 	/** Tells whether the last completion may be given, now that the target is in a status. */
@@ -81,7 +81,7 @@
 }>;
 
 /** Sends a chunk over a connection and passes the answer on, holding back its last completion until it may be given. */
-export type RunChunk<Connection> = (connection: Connection, turn: ChunkTurn) => Promise<ChunkEnd>;
+export type RunChunk<Connection> = (connection: Connection, turn: ChunkTask) => Promise<ChunkResult>;
 
 /** State in which a connection is given back. */
 type LoanState = 'clean' | 'dirty' | 'broken';
@@ -95,7 +95,7 @@
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
 /** Waits for the next chunk of a transaction, at most until its idle deadline. */
-const receiveNext = async <Connection extends HomeConnection>(served: Served<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
+const receiveNext = async <Connection extends CancelableConnection>(served: Served<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
 	const {context, stream, header} = served;
 	const timer = new AbortController();
 	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
@@ -108,10 +108,10 @@
 type AwaitedAnswer = Readonly<{term: number; hasBegun: () => boolean; answered: AbortSignal}>;
 
 /** Ends a connection whose target will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
-const giveUpWhenHopeless = async <Connection extends HomeConnection>(served: Served<Connection>, connection: Connection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
+const giveUpWhenHopeless = async <Connection extends CancelableConnection>(served: Served<Connection>, connection: Connection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
 	const {context, header} = served;
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
-	await context.waitUntilHopeless(header, term, deadline, answered);
+	await context.waitUntilUnanswerable(header, term, deadline, answered);
 	const isOfUse = header.mode !== 'write' && hasBegun();
 	if (!answered.aborted && !isOfUse) {
 		connection.cancel();
@@ -119,21 +119,21 @@
 	}
 };
 
-const sendLoss = async <Connection extends HomeConnection>(served: Served<Connection>, status: TransactionStatus, committed: boolean): Promise<void> => {
+const sendLoss = async <Connection extends CancelableConnection>(served: Served<Connection>, status: TransactionStatus, committed: boolean): Promise<void> => {
 	const {stream} = served;
 	const isUnknown = status === 'idle' || committed;
 	await stream.send(isUnknown ? {kind: 'unknown', message: UNPROVED_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
 };
 
 /** Runs chunks on a connection until the transaction is over; tells in what state the connection is left. */
-const runTransaction = async <Connection extends HomeConnection>(served: Served<Connection>, loan: Loan<Connection>, first: FirstTurn): Promise<LoanState> => {
+const runTransaction = async <Connection extends CancelableConnection>(served: Served<Connection>, loan: ConnectionHandle<Connection>, first: FirstTurn): Promise<LoanState> => {
 	const {context, header, stream, target} = served;
 	const {connection} = loan;
 	const cancel = () => {
 		connection.cancel();
 	};
 
-	using kept = context.keepCancel(header.requestId, cancel);
+	using kept = context.registerCancel(header.requestId, cancel);
 	let dirty = false;
 	let chunk = first.chunk as RequestChunk | 'idle' | undefined;
 	let permit = first.permit as Permit | undefined;
@@ -178,8 +178,8 @@
 		};
 
 		void giveUpWhenHopeless(served, connection, {term: first.term, hasBegun: () => begun, answered: answered.signal});
-		const end: ChunkEnd = await context.runChunk(connection, {
-			chunk, skipping, isWrite: header.mode === 'write', onBegin, send, mayRelease,
+		const end: ChunkResult = await context.runChunk(connection, {
+			chunk, skipping, isWrite: header.mode === 'write', onResponseStarted: onBegin, send, mayRelease,
 		});
 		answered.abort(ANSWERED);
 		stream.signal.removeEventListener('abort', cancel);
@@ -219,7 +219,7 @@
 };
 
 /** Serves one request; whatever is refused has not run. */
-export const serveRequest = async <Connection extends HomeConnection>(context: HomeContext<Connection>, header: RequestHeader, stream: HomeStream): Promise<void> => {
+export const serveRequest = async <Connection extends CancelableConnection>(context: OwnerContext<Connection>, header: RequestHeader, stream: OwnerStream): Promise<void> => {
 	const refuse = async (refusal: Refusal) => {
 		await stream.send({kind: 'refused', refusal});
 	};
@@ -253,7 +253,7 @@
 	}
 
 	using permit = entered.val;
-	const taken = await target.pool.take(deadline);
+	const taken = await target.pool.acquire(deadline);
 	if (taken.err) {
 		await refuse(createRefusal(taken.val.code, taken.val.message));
 		return;
@@ -263,7 +263,7 @@
 	const first = await stream.receive();
 	const after = context.checkGrant(header);
 	if (after.err || first === undefined) {
-		loan.giveBack('clean');
+		loan.release('clean');
 		await refuse(after.err ? after.val : createRefusal('deadlinePassed', 'The caller has gone'));
 		return;
 	}
@@ -274,6 +274,6 @@
 			context, header, stream, target,
 		}, loan, {chunk: first, permit, term: after.val});
 	} finally {
-		loan.giveBack(state);
+		loan.release(state);
 	}
 };
--- a/packages/requests/src/tests/home.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -8,8 +8,8 @@
 import {createFairQueue, createPool} from '@guavapitch/pool';
 import type {Reply, RequestChunk, RequestHeader} from '@guavapitch/sessions';
 import {
-	serveRequest, type AnswerState, type ChunkEnd, type ChunkTurn, type HomeContext, type HomeStream,
-} from '../home.js';
+	serveRequest, type DurabilityState, type ChunkResult, type ChunkTask, type OwnerContext, type OwnerStream,
+} from '../owner.js';
 
 const TARGET = parseId<TargetId>('motions-1');
 const CHUNK: RequestChunk = {
@@ -33,13 +33,13 @@
 
 /** What a test decides. */
 type Choices = Readonly<{
-	answer?: (turn: ChunkTurn) => Promise<ChunkEnd>;
-	isDurable?: AnswerState;
+	answer?: (turn: ChunkTask) => Promise<ChunkResult>;
+	isDurable?: DurabilityState;
 	isGranted?: boolean;
 	isDraining?: boolean;
 }>;
 
-const answerAtOnce = async (turn: ChunkTurn): Promise<ChunkEnd> => {
+const answerAtOnce = async (turn: ChunkTask): Promise<ChunkResult> => {
 	await turn.send(new Uint8Array([1]));
 	return await turn.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
 };
@@ -48,8 +48,8 @@
 	const {world, advance, settle} = createVirtualWorld();
 	let resets = 0;
 	const pool = createPool<Connection>({
-		limit: 2,
-		spare: 0,
+		maxOpen: 2,
+		minIdle: 0,
 		dial: async () => Ok({
 			cancel: () => undefined,
 			isEnded: () => false,
@@ -59,30 +59,30 @@
 			},
 			[Symbol.asyncDispose]: async () => undefined,
 		}),
-		onFree: () => undefined,
-		onReachable: () => undefined,
+		onAvailable: () => undefined,
+		onReachabilityChange: () => undefined,
 	}, world);
 	const queue = createFairQueue(world, 1, () => true);
-	const context: HomeContext<Connection> = {
+	const context: OwnerContext<Connection> = {
 		world,
 		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
 		runChunk: async (_, turn) => (choices.answer ?? answerAtOnce)(turn),
 		checkGrant: () => choices.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
 		waitUntilDurable: async () => choices.isDurable ?? 'durable',
-		waitUntilHopeless: async (_header, _term, _deadline, signal) => new Promise(resolve => {
+		waitUntilUnanswerable: async (_header, _term, _deadline, signal) => new Promise(resolve => {
 			signal.addEventListener('abort', () => {
 				resolve();
 			});
 		}),
 		onServed: () => undefined,
-		keepCancel: () => ({[Symbol.dispose]: () => undefined}),
+		registerCancel: () => ({[Symbol.dispose]: () => undefined}),
 		trackRequest: () => ({[Symbol.dispose]: () => undefined}),
 		isDraining: () => choices.isDraining ?? false,
 	};
 	const [entry, own] = createStreamPair<RequestChunk, Reply>(() => 1);
 	return {
 		entry, advance, settle, queue, getResets: () => resets,
-		serve: async (header = HEADER) => serveRequest(context, header, own as HomeStream),
+		serve: async (header = HEADER) => serveRequest(context, header, own as OwnerStream),
 	};
 };
 
@@ -129,7 +129,7 @@
 
 	describe('a refusal', () => {
 		it('comes before anything is sent to the target', async () => {
-			const refuseToRun = async (): Promise<ChunkEnd> => assert.fail('the chunk was sent');
+			const refuseToRun = async (): Promise<ChunkResult> => assert.fail('the chunk was sent');
 			assert.deepEqual(await collectKinds({answer: refuseToRun, isGranted: false}), ['noGrant']);
 			assert.deepEqual(await collectKinds({answer: refuseToRun, isDraining: true}), ['notHome']);
 			assert.deepEqual(await collectKinds({answer: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
@@ -143,7 +143,7 @@
 			const served = serve();
 			await settle();
 			assert.deepEqual(await entry.receive(), {kind: 'ready', status: 'open'});
-			assert.equal(queue.getBusy(), 0);
+			assert.equal(queue.getBusyCount(), 0);
 			await advance(HEADER.idleTransactionMs + 1);
 			const reply = await entry.receive();
 			assert.equal(reply?.kind, 'rolledBack');
--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -1,14 +1,14 @@
 /** The one lease of a process, shared by all the slots it holds. */
 
 import {
-	createSharedFlight, Err, Ok, PAST, type Deadline, type Result, type World,
+	createSingleFlight, Err, Ok, PAST, type Deadline, type Result, type World,
 } from '@guavapitch/core';
 import type {Lease, Store, StoreFailure} from '@guavapitch/store';
 
 /** Lease of a process. */
 export type ProcessLease = Readonly<{
 	/** Gets a living lease, granting one if there is none. */
-	require: () => Promise<Result<Lease, StoreFailure>>;
+	acquire: () => Promise<Result<Lease, StoreFailure>>;
 	/** Renews the lease; calls at the same time share one renewal. */
 	renew: () => Promise<Result<Lease, StoreFailure>>;
 	/** Gets the deadline until which the lease surely lives. */
@@ -18,7 +18,7 @@
 }>;
 
 /** Life of a lease without renewal, in whole seconds as the store counts. */
-export const LEASE_SECONDS = 2;
+export const LEASE_TTL_SECONDS = 2;
 
 /** Creates the lease of a process; nothing is granted yet. */
 export const createProcessLease = (store: Store, world: World): ProcessLease => {
@@ -26,12 +26,12 @@
 
 	const isLiving = () => lease !== undefined && world.now() < lease.deadline;
 
-	const require = createSharedFlight(async (): Promise<Result<Lease, StoreFailure>> => {
+	const require = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
 		if (lease && isLiving()) {
 			return Ok(lease);
 		}
 
-		const granted = await store.grantLease(LEASE_SECONDS);
+		const granted = await store.grantLease(LEASE_TTL_SECONDS);
 		if (granted.ok) {
 			lease = granted.val;
 		}
@@ -39,7 +39,7 @@
 		return granted;
 	});
 
-	const renew = createSharedFlight(async (): Promise<Result<Lease, StoreFailure>> => {
+	const renew = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
 		if (!lease) {
 			return Err({code: 'leaseLost', message: 'There is no lease'});
 		}
@@ -55,7 +55,7 @@
 	});
 
 	return {
-		require,
+		acquire: require,
 		renew,
 		getDeadline: () => lease?.deadline ?? PAST,
 		async revoke() {
--- a/packages/roles/src/records.ts
+++ b/packages/roles/src/records.ts
@@ -20,25 +20,25 @@
 export type RoleName = 'steward' | 'keeper';
 
 /** Failure of parsing a record. */
-export type SlotFailure = Failure<'slotMalformed'>;
+export type SlotRecordFailure = Failure<'slotMalformed'>;
 
 /** Prefix of the records of slots. */
 export const ROLE_PREFIX = '/guavapitch/roles/';
 
 /** Prefix of the entries that live as long as the lease of the holder. */
-export const ALIVE_PREFIX = '/guavapitch-alive/';
+export const HOLDER_LEASE_PREFIX = '/guavapitch-alive/';
 
 /** Formats the name of a slot. */
-export const formatSlot = (role: RoleName, number: number): string => `${role}/${number}`;
+export const formatSlotName = (role: RoleName, number: number): string => `${role}/${number}`;
 
 /** Chooses the slot that something belongs to. */
-export const chooseSlot = (role: RoleName, slots: number, key: string): string => formatSlot(role, computeHash(key) % slots);
+export const chooseSlot = (role: RoleName, slots: number, key: string): string => formatSlotName(role, computeHash(key) % slots);
 
 /** Formats a record for the store. */
 export const formatSlotRecord = (record: SlotRecord): string => JSON.stringify(record);
 
 /** Parses a record from the store. */
-export const parseSlotRecord = (text: string): Result<SlotRecord, SlotFailure> => {
+export const parseSlotRecord = (text: string): Result<SlotRecord, SlotRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as SlotRecord);
 	} catch (error) {
--- a/packages/roles/src/stewardship.ts
+++ b/packages/roles/src/role-claims.ts
@@ -3,47 +3,47 @@
 import {
 	createDeadline, isPast, type Deadline, type World,
 } from '@guavapitch/core';
-import type {Presence, RoleStore} from './presence.js';
+import type {VmRegistration, RoleStore} from './vm-registration.js';
 
 /** A store's entry as the feed knows it. */
-export type KnownEntry = Readonly<{value: string; revision: number}>;
+export type CachedEntry = Readonly<{value: string; revision: number}>;
 
 /** Record of who holds a duty. */
-export type Holding = Readonly<{vm: string; run: string; epoch: number}>;
+export type HolderRecord = Readonly<{vm: string; run: string; epoch: number}>;
 
 /** What stewardships need. */
-export type StewardshipContext = Readonly<{
+export type RoleClaimsContext = Readonly<{
 	world: World;
 	store: RoleStore;
-	presence: Presence;
+	registration: VmRegistration;
 	vm: string;
 	/** Identifier of this run of the process. */
 	run: string;
 	/** Prefixes of the entries of holders and of fencing numbers. */
 	holderPrefix: string;
 	epochPrefix: string;
-	getEntry: (key: string) => KnownEntry | undefined;
+	getEntry: (key: string) => CachedEntry | undefined;
 	/** Lists the duties that there are. */
-	listDuties: () => readonly string[];
+	listRoles: () => readonly string[];
 	/** Ranks this vm for a duty, 0 for the first; `undefined` if it is no candidate. */
 	getRank: (duty: string) => number | undefined;
 	/** Tells whether a run of a process is over for certain, as the same vm has begun another. */
-	isOver: (holding: Holding) => boolean;
+	isRunOver: (holding: HolderRecord) => boolean;
 	/** Takes note of an entry that this process has written. */
 	onWritten: (key: string, value: string, revision: number) => void;
 	onClaimed: (duty: string, epoch: number) => void;
 }>;
 
 /** Duties of one process. */
-export type Stewardships = Readonly<{
+export type RoleClaims = Readonly<{
 	/** Claims duties that nobody holds, until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
 	/** Tells whether this process holds a duty, surely and now. */
 	isHeld: (duty: string) => boolean;
 	/** Gets who holds a duty, by the feed. */
-	getHolder: (duty: string) => Holding | undefined;
+	getHolder: (duty: string) => HolderRecord | undefined;
 	/** Draws a fencing number higher than all before; `undefined` if the duty is lost or the store does not answer. */
-	drawFence: (duty: string) => Promise<number | undefined>;
+	drawFencingToken: (duty: string) => Promise<number | undefined>;
 }>;
 
 /** Pause between looks at the duties, in milliseconds. */
@@ -53,9 +53,9 @@
 const RANKS = 4;
 
 /** Parses the record of a holder; `undefined` if it is malformed. */
-export const parseHolding = (text: string): Holding | undefined => {
+export const parseHolderRecord = (text: string): HolderRecord | undefined => {
 	try {
-		const value = JSON.parse(text) as Partial<Holding>;
+		const value = JSON.parse(text) as Partial<HolderRecord>;
 		return typeof value.vm === 'string' && typeof value.run === 'string' && typeof value.epoch === 'number'
 			? {vm: value.vm, run: value.run, epoch: value.epoch}
 			: undefined;
@@ -65,13 +65,13 @@
 };
 
 /** Creates the duties of a process; it holds none yet. */
-export const createStewardships = (context: StewardshipContext): Stewardships => {
-	const {world, store, presence} = context;
+export const createRoleClaims = (context: RoleClaimsContext): RoleClaims => {
+	const {world, store, registration: presence} = context;
 	const claimableAt = new Map<string, Deadline>();
 
-	const getHolder = (duty: string): Holding | undefined => {
+	const getHolder = (duty: string): HolderRecord | undefined => {
 		const entry = context.getEntry(`${context.holderPrefix}${duty}`);
-		return entry && parseHolding(entry.value);
+		return entry && parseHolderRecord(entry.value);
 	};
 
 	const isHeld = (duty: string): boolean => getHolder(duty)?.run === context.run && presence.getLease() !== undefined;
@@ -92,7 +92,7 @@
 		const before = getEpoch(duty);
 		const holderRevision = context.getEntry(holderKey)?.revision ?? 0;
 		const epoch = before.epoch + 1;
-		const holding: Holding = {vm: context.vm, run: context.run, epoch};
+		const holding: HolderRecord = {vm: context.vm, run: context.run, epoch};
 		const value = JSON.stringify(holding);
 		const written = await store.transact({
 			conditions: [{key: holderKey, revision: holderRevision}, {key: epochKey, revision: before.revision}],
@@ -109,7 +109,7 @@
 	const look = async (duty: string): Promise<void> => {
 		const rank = context.getRank(duty);
 		const holder = getHolder(duty);
-		const isTaken = holder !== undefined && !context.isOver(holder);
+		const isTaken = holder !== undefined && !context.isRunOver(holder);
 		if (isTaken || rank === undefined || rank >= RANKS) {
 			claimableAt.delete(duty);
 			return;
@@ -126,7 +126,7 @@
 	return {
 		async run(signal) {
 			while (!signal.aborted) {
-				for (const duty of context.listDuties()) {
+				for (const duty of context.listRoles()) {
 					await look(duty);
 				}
 
@@ -135,7 +135,7 @@
 		},
 		isHeld,
 		getHolder,
-		async drawFence(duty) {
+		async drawFencingToken(duty) {
 			const holderKey = `${context.holderPrefix}${duty}`;
 			const holder = context.getEntry(holderKey);
 			if (!holder || !isHeld(duty)) {
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -5,9 +5,9 @@
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import type {ProcessLease} from './lease.js';
-import type {PromiseBook, PromiseRequest} from './promises.js';
+import type {TakeoverPromises, TakeoverPromiseRequest} from './takeover-promises.js';
 import {
-	ALIVE_PREFIX, formatSlotRecord, parseSlotRecord, ROLE_PREFIX, type Candidate, type SlotRecord,
+	HOLDER_LEASE_PREFIX, formatSlotRecord, parseSlotRecord, ROLE_PREFIX, type Candidate, type SlotRecord,
 } from './records.js';
 
 /** Authority over a slot: valid before a deadline, which moves while the slot is held. */
@@ -19,31 +19,31 @@
 }>;
 
 /** Why the authority was extended. */
-export type Extension = 'lease' | 'promises';
+export type ExtensionSource = 'lease' | 'promises';
 
 /** What the task that holds a slot needs. */
 export type SlotContext = Readonly<{
 	world: World;
 	store: Store;
 	lease: ProcessLease;
-	promises: PromiseBook;
+	promises: TakeoverPromises;
 	self: Candidate;
 	slot: string;
 	/** Ranks the live vms for the slot, best first. */
-	rank: () => readonly Candidate[];
+	rankCandidates: () => readonly Candidate[];
 	/** Asks a candidate for a promise. */
-	askPromise: (candidate: Candidate, request: PromiseRequest) => Promise<Result<boolean, Failure>>;
+	requestPromise: (candidate: Candidate, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
 	/** Tells whether a run of a process is surely over: another one answers, or the platform's list has dropped the vm. */
-	isSurelyGone: (candidate: Candidate) => boolean;
+	isConfirmedGone: (candidate: Candidate) => boolean;
 	/** Acts as holder until the signal aborts. */
-	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	onGained: (slot: string, epoch: number) => void;
 	onLost: (slot: string, epoch: number) => void;
-	onExtended: (slot: string, by: Extension) => void;
+	onExtended: (slot: string, by: ExtensionSource) => void;
 }>;
 
 /** Time for which candidates promise, in milliseconds. */
-export const PROMISE_MS = 1500;
+export const PROMISE_VALIDITY_MS = 1500;
 
 const CONTENDERS = 3;
 const CANDIDATES = 2;
@@ -58,7 +58,7 @@
 
 const formatOwner = (candidate: Candidate): string => `${candidate.vm}/${candidate.incarnation}`;
 
-const chooseCandidates = (context: SlotContext): readonly Candidate[] => context.rank()
+const chooseCandidates = (context: SlotContext): readonly Candidate[] => context.rankCandidates()
 	.filter(candidate => candidate.vm !== context.self.vm && candidate.incarnation !== '')
 	.slice(0, CANDIDATES);
 
@@ -68,8 +68,8 @@
 		return true;
 	}
 
-	const isContender = context.rank().slice(0, CONTENDERS).some(candidate => isSame(candidate, self));
-	return isContender && (record.candidates.length === 0 || record.candidates.some(candidate => context.isSurelyGone(candidate)));
+	const isContender = context.rankCandidates().slice(0, CONTENDERS).some(candidate => isSame(candidate, self));
+	return isContender && (record.candidates.length === 0 || record.candidates.some(candidate => context.isConfirmedGone(candidate)));
 };
 
 /** What a claim is based on, as read from the store. */
@@ -78,7 +78,7 @@
 /** Reads whether the slot may be claimed; `undefined` if not, or if the store does not answer. */
 const readOpening = async (context: SlotContext): Promise<Opening | undefined> => {
 	const {store, slot, self} = context;
-	const alive = await store.read(`${ALIVE_PREFIX}${slot}`);
+	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
 	if (alive.err || (alive.val !== undefined && alive.val.value !== formatOwner(self))) {
 		return undefined;
 	}
@@ -94,7 +94,7 @@
 const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
 	const {store, slot, self, lease, promises} = context;
 	const opening = await readOpening(context);
-	const living = opening ? await lease.require() : undefined;
+	const living = opening ? await lease.acquire() : undefined;
 	if (!opening || !living?.ok || !promises.beginClaim(slot)) {
 		return undefined;
 	}
@@ -105,13 +105,13 @@
 			promises.endClaim(slot);
 		},
 	};
-	const entered = await store.swap(`${ALIVE_PREFIX}${slot}`, opening.aliveRevision, formatOwner(self), living.val.id);
+	const entered = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, opening.aliveRevision, formatOwner(self), living.val.id);
 	if (entered.err || !entered.val.swapped) {
 		return undefined;
 	}
 
 	const next: SlotRecord = {epoch: (opening.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
-	const written = await store.swap(`${ROLE_PREFIX}${slot}`, opening.recordRevision, formatSlotRecord(next));
+	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, opening.recordRevision, formatSlotRecord(next));
 	return written.ok && written.val.swapped ? {record: next, revision: written.val.current?.revision ?? 0} : undefined;
 };
 
@@ -123,10 +123,10 @@
 	}
 
 	const answers = await Promise.all(record.candidates.map(async candidate => {
-		const answer = await context.askPromise(candidate, {
-			slot: context.slot, epoch: record.epoch, validMs: PROMISE_MS, incarnation: candidate.incarnation,
+		const answer = await context.requestPromise(candidate, {
+			slot: context.slot, epoch: record.epoch, validMs: PROMISE_VALIDITY_MS, incarnation: candidate.incarnation,
 		});
-		return answer.ok && answer.val ? createDeadline(askedAt, PROMISE_MS - DRIFT_MS) : PAST;
+		return answer.ok && answer.val ? createDeadline(askedAt, PROMISE_VALIDITY_MS - DRIFT_MS) : PAST;
 	}));
 	return chooseEarliest(answers);
 };
@@ -141,20 +141,20 @@
 	}
 
 	const record: SlotRecord = {...claim.record, candidates: wanted};
-	const written = await context.store.swap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
+	const written = await context.store.compareAndSwap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
 	return written.ok && written.val.swapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
 };
 
 /** Attaches a held slot to a new lease after the old one has lapsed, if nobody else has taken it meanwhile. */
 const reattachSlot = async (context: SlotContext, claim: Claim): Promise<boolean> => {
 	const {store, slot, self, lease} = context;
-	const living = await lease.require();
-	const alive = await store.read(`${ALIVE_PREFIX}${slot}`);
+	const living = await lease.acquire();
+	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
 	if (living.err || alive.err || (alive.val && alive.val.value !== formatOwner(self))) {
 		return false;
 	}
 
-	const entered = await store.swap(`${ALIVE_PREFIX}${slot}`, alive.val?.revision ?? 0, formatOwner(self), living.val.id);
+	const entered = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, alive.val?.revision ?? 0, formatOwner(self), living.val.id);
 	const record = await store.read(`${ROLE_PREFIX}${slot}`);
 	return entered.ok && entered.val.swapped && record.ok && record.val?.revision === claim.revision;
 };
@@ -166,14 +166,14 @@
 	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -DRIFT_MS);
 	let claim = first;
 	let deadline = createLeaseDeadline();
-	let extension: Extension = 'lease';
+	let extension: ExtensionSource = 'lease';
 	const extendByPromises = async (): Promise<Deadline> => {
 		const promised = await collectPromises(context, claim.record);
 		deadline = Math.max(deadline, promised) as Deadline;
 		return promised;
 	};
 
-	const acting = context.act({slot, epoch: first.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
+	const acting = context.runAsHolder({slot, epoch: first.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
 	context.onGained(slot, first.record.epoch);
 	while (!signal.aborted && !isPast(deadline, world.now())) {
 		await world.sleep(RENEW_MS, signal).catch(() => undefined);
@@ -184,7 +184,7 @@
 		const promised: Deadline = renewed.ok ? PAST : await (early ?? extendByPromises());
 		const isAttached: boolean = renewed.ok || (isLapsed && !isPast(promised, world.now()) && await reattachSlot(context, claim));
 		deadline = isAttached ? Math.max(deadline, createLeaseDeadline()) as Deadline : deadline;
-		const by: Extension = isAttached ? 'lease' : 'promises';
+		const by: ExtensionSource = isAttached ? 'lease' : 'promises';
 		if (by !== extension) {
 			extension = by;
 			context.onExtended(slot, by);
@@ -209,7 +209,7 @@
 	const {world, promises, slot} = context;
 	while (!signal.aborted) {
 		await world.sleep(POLL_MS * (0.5 + world.random()), signal);
-		const isContender = context.rank().slice(0, CONTENDERS).some(candidate => isSame(candidate, context.self));
+		const isContender = context.rankCandidates().slice(0, CONTENDERS).some(candidate => isSame(candidate, context.self));
 		if (!isContender || promises.isGiven(slot)) {
 			continue;
 		}
--- a/packages/roles/src/promises.ts
+++ b/packages/roles/src/takeover-promises.ts
@@ -5,12 +5,12 @@
 } from '@guavapitch/core';
 
 /** What the holder of a slot asks of a candidate. */
-export type PromiseRequest = Readonly<{slot: string; epoch: number; validMs: number; incarnation: string}>;
+export type TakeoverPromiseRequest = Readonly<{slot: string; epoch: number; validMs: number; incarnation: string}>;
 
 /** Promises of one process. */
-export type PromiseBook = Readonly<{
+export type TakeoverPromises = Readonly<{
 	/** Gives a promise, unless a take-over is under way or the holder is not the newest known. */
-	give: (request: PromiseRequest, knownEpoch: number) => boolean;
+	give: (request: TakeoverPromiseRequest, knownEpoch: number) => boolean;
 	/** Tells whether a promise holds now. */
 	isGiven: (slot: string) => boolean;
 	/** Begins a take-over; `false` while a promise holds. */
@@ -19,7 +19,7 @@
 }>;
 
 /** Creates the promises of a process. */
-export const createPromiseBook = (incarnation: string, world: World): PromiseBook => {
+export const createTakeoverPromises = (incarnation: string, world: World): TakeoverPromises => {
 	const given = new Map<string, Deadline>();
 	const claiming = new Set<string>();
 	const isGiven = (slot: string) => !isPast(given.get(slot) ?? PAST, world.now());
--- a/packages/roles/src/tests/stewardship.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -5,8 +5,8 @@
 import {
 	createVirtualWorld, Err, Ok, type Instant, type World,
 } from '@guavapitch/core';
-import {createPresence, type RoleStore} from '../presence.js';
-import {createStewardships} from '../stewardship.js';
+import {createVmRegistration, type RoleStore} from '../vm-registration.js';
+import {createRoleClaims} from '../role-claims.js';
 
 type Item = Readonly<{value: string; revision: number; leaseId: string | undefined}>;
 
@@ -34,7 +34,7 @@
 
 	const down = Err({code: 'storeUnreachable', message: 'down'} as const);
 	const store: RoleStore = {
-		async grant(ttlMs) {
+		async grantLease(ttlMs) {
 			expire();
 			if (state.isDown) {
 				return down;
@@ -44,7 +44,7 @@
 			leases.set(id, world.now() + ttlMs);
 			return Ok({id, ttlMs});
 		},
-		async renew(id) {
+		async renewLease(id) {
 			expire();
 			if (state.isDown) {
 				return down;
@@ -57,7 +57,7 @@
 			leases.set(id, world.now() + 4000);
 			return Ok(4000);
 		},
-		async end(id) {
+		async revokeLease(id) {
 			leases.set(id, 0);
 			expire();
 			return Ok(undefined);
@@ -95,13 +95,13 @@
 		stop.signal.addEventListener('abort', () => {
 			own.abort();
 		});
-		const presence = createPresence({
+		const presence = createVmRegistration({
 			world, readClock: () => (world.now() + skew.suspendedMs) as Instant, store: fake.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
 		});
-		const duties = createStewardships({
+		const duties = createRoleClaims({
 			world,
 			store: fake.store,
-			presence,
+			registration: presence,
 			vm,
 			run: `${vm}-1`,
 			holderPrefix: 'holders/',
@@ -110,9 +110,9 @@
 				fake.expire();
 				return fake.items.get(key);
 			},
-			listDuties: () => ['ledger'],
+			listRoles: () => ['ledger'],
 			getRank: () => rank,
-			isOver: () => false,
+			isRunOver: () => false,
 			onWritten: () => undefined,
 			onClaimed: () => undefined,
 		});
@@ -186,11 +186,11 @@
 		const first = start('one', 0);
 		const second = start('two', 1);
 		await advance(1500);
-		const drawn = [await first.duties.drawFence('ledger'), await first.duties.drawFence('ledger')];
-		assert.equal(await second.duties.drawFence('ledger'), undefined);
+		const drawn = [await first.duties.drawFencingToken('ledger'), await first.duties.drawFencingToken('ledger')];
+		assert.equal(await second.duties.drawFencingToken('ledger'), undefined);
 		first.kill();
 		await advance(6000);
-		drawn.push(await second.duties.drawFence('ledger'));
+		drawn.push(await second.duties.drawFencingToken('ledger'));
 		assert.deepEqual(drawn, drawn.toSorted((a, b) => (a ?? 0) - (b ?? 0)));
 		assert.equal(new Set(drawn).size, 3);
 		stop.abort();
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -8,7 +8,7 @@
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createProcessLease} from '../lease.js';
-import {createPromiseBook} from '../promises.js';
+import {createTakeoverPromises} from '../takeover-promises.js';
 import type {Candidate} from '../records.js';
 import {runSlot, type Authority, type SlotContext} from '../slots.js';
 
@@ -33,8 +33,8 @@
 	return {
 		read: async key => await pass(async () => inner.read(key)) ?? lost,
 		readAll: async prefix => await pass(async () => inner.readAll(prefix)) ?? lost,
-		async swap(...args) {
-			const outcome = await pass(async () => inner.swap(...args));
+		async compareAndSwap(...args) {
+			const outcome = await pass(async () => inner.compareAndSwap(...args));
 			return outcome && world.random() > 0.05 ? outcome : lost;
 		},
 		remove: async (...args) => await pass(async () => inner.remove(...args)) ?? lost,
@@ -53,7 +53,7 @@
 	const inner = createMemoryStore(world);
 	const weather: Weather = {storeDown: false, cut: new Set(), order: VMS};
 	const candidates: readonly Candidate[] = VMS.map(vm => ({vm, incarnation: `${vm}1`}));
-	const books = new Map(candidates.map(candidate => [candidate.vm, createPromiseBook(candidate.incarnation, world)]));
+	const books = new Map(candidates.map(candidate => [candidate.vm, createTakeoverPromises(candidate.incarnation, world)]));
 	const held = new Map<VmId, Authority>();
 	const scope = createScope(error => {
 		throw error;
@@ -64,17 +64,17 @@
 			world,
 			store,
 			lease: createProcessLease(store, world),
-			promises: books.get(self.vm) ?? createPromiseBook('', world),
+			promises: books.get(self.vm) ?? createTakeoverPromises('', world),
 			self,
 			slot: SLOT,
-			rank: () => weather.order.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
-			async askPromise(candidate, request) {
+			rankCandidates: () => weather.order.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
+			async requestPromise(candidate, request) {
 				await world.sleep(1 + world.random());
 				const isCut = weather.cut.has(self.vm) || weather.cut.has(candidate.vm);
 				return isCut ? Err({code: 'peerTimeout', message: 'cut off'}) : Ok(books.get(candidate.vm)?.give(request, 0) ?? false);
 			},
-			isSurelyGone: () => false,
-			async act(authority, signal) {
+			isConfirmedGone: () => false,
+			async runAsHolder(authority, signal) {
 				held.set(self.vm, authority);
 				await new Promise<void>(resolve => {
 					signal.addEventListener('abort', () => {
--- a/packages/roles/src/presence.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -21,14 +21,14 @@
 
 /** Functions of the store for roles. */
 export type RoleStore = Readonly<{
-	grant: (ttlMs: number) => Promise<Result<GrantedLease, StoreFailure>>;
-	renew: (id: string) => Promise<Result<number, StoreFailure>>;
-	end: (id: string) => Promise<Result<undefined, StoreFailure>>;
+	grantLease: (ttlMs: number) => Promise<Result<GrantedLease, StoreFailure>>;
+	renewLease: (id: string) => Promise<Result<number, StoreFailure>>;
+	revokeLease: (id: string) => Promise<Result<undefined, StoreFailure>>;
 	transact: (transaction: StoreTransaction) => Promise<Result<TransactionOutcome, StoreFailure>>;
 }>;
 
 /** What presence needs. */
-export type PresenceContext = Readonly<{
+export type VmRegistrationContext = Readonly<{
 	world: World;
 	/** Reads the suspension clock. */
 	readClock: () => Instant;
@@ -42,13 +42,13 @@
 }>;
 
 /** Presence of a process. */
-export type Presence = Readonly<{
+export type VmRegistration = Readonly<{
 	/** Keeps the lease until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
 	/** Gets the lease while it surely lives. */
 	getLease: () => string | undefined;
 	/** Ends the lease; its entries go with it. */
-	leave: () => Promise<void>;
+	deregister: () => Promise<void>;
 }>;
 
 /** Life of a lease without renewal, in milliseconds: longer than a hiccup of the store, short enough for a lost vm. */
@@ -61,7 +61,7 @@
 const DRIFT_MS = 150;
 
 /** Creates the presence of a process; nothing is granted yet. */
-export const createPresence = (context: PresenceContext): Presence => {
+export const createVmRegistration = (context: VmRegistrationContext): VmRegistration => {
 	const {world, readClock, store} = context;
 	let leaseId: string | undefined;
 	let deadline: Deadline = PAST;
@@ -78,7 +78,7 @@
 	const grant = async (): Promise<boolean> => {
 		const askedAt = readClock();
 		const steadyAt = world.now();
-		const granted = await store.grant(LEASE_TTL_MS);
+		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
 			fail(granted.val);
 			return false;
@@ -99,7 +99,7 @@
 	const renew = async (id: string): Promise<boolean> => {
 		const askedAt = readClock();
 		const steadyAt = world.now();
-		const renewed = await store.renew(id);
+		const renewed = await store.renewLease(id);
 		if (renewed.err) {
 			fail(renewed.val);
 			return false;
@@ -118,13 +118,13 @@
 			}
 		},
 		getLease: () => leaseId !== undefined && !isPast(deadline, readClock()) ? leaseId : undefined,
-		async leave() {
+		async deregister() {
 			isLeaving = true;
 			const id = leaseId;
 			leaseId = undefined;
 			deadline = PAST;
 			if (id !== undefined) {
-				const ended = await store.end(id);
+				const ended = await store.revokeLease(id);
 				if (ended.err) {
 					context.onFailure(ended.val);
 				}
--- a/packages/routing/src/retries.ts
+++ b/packages/routing/src/retries.ts
@@ -7,9 +7,9 @@
 /** Budget of retries of one process. */
 export type RetryBudget = Readonly<{
 	/** Earns a share of a retry for each first try. */
-	earn: () => void;
+	deposit: () => void;
 	/** Takes one retry; `false` if the budget is spent. */
-	take: () => boolean;
+	tryWithdraw: () => boolean;
 }>;
 
 const SHARE = 0.2;
@@ -22,10 +22,10 @@
 export const createRetryBudget = (): RetryBudget => {
 	let tokens = RESERVE;
 	return {
-		earn() {
+		deposit() {
 			tokens = Math.min(CAPACITY, tokens + SHARE);
 		},
-		take() {
+		tryWithdraw() {
 			if (tokens < 1) {
 				return false;
 			}
@@ -37,14 +37,14 @@
 };
 
 /** Chooses the pause before a retry, in milliseconds: doubled each time, with full jitter. */
-export const choosePauseMs = (attempt: number, random: () => number): number => {
+export const computeBackoffMs = (attempt: number, random: () => number): number => {
 	const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * (2 ** attempt));
 	return longest * (0.5 + (random() / 2));
 };
 
 /** Waits before a retry; `false` if the deadline leaves no time for it. */
 export const waitBeforeRetry = async (attempt: number, deadline: Deadline, world: World, signal: AbortSignal): Promise<boolean> => {
-	const pauseMs = choosePauseMs(attempt, world.random);
+	const pauseMs = computeBackoffMs(attempt, world.random);
 	if (isPast(deadline, world.now()) || createDeadline(world.now(), pauseMs) >= deadline) {
 		return false;
 	}
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -12,7 +12,7 @@
 /** Where a request goes and why. */
 export type Route = Readonly<{
 	target: TargetId;
-	home: VmId;
+	owner: VmId;
 	/** Mode in which the home serves it; a read that no replica may serve goes to the primary as a write. */
 	mode: RequestMode;
 	/** Why this target, in one sentence. */
@@ -20,10 +20,10 @@
 }>;
 
 /** A choice already tried for the same request. */
-export type Attempt = Readonly<{target: TargetId; home: VmId}>;
+export type RouteAttempt = Readonly<{target: TargetId; owner: VmId}>;
 
 /** Chooses the consistency that a class of statement needs under the rule of its service. */
-export const chooseMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
+export const chooseRequestMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
 	.with('read', 'empty', (): RequestMode => staleReadsMs === undefined ? 'read' : 'stale')
 	.otherwise(() => 'write');
 
@@ -37,20 +37,20 @@
 	.with('stale', () => getReplicas(database, record))
 	.exhaustive();
 
-const chooseHome = (view: RoutingView, target: TargetId, tried: readonly Attempt[]): VmId | undefined => {
-	const homes = view.getHomes(target);
-	return homes.find(home => !tried.some(attempt => attempt.target === target && attempt.home === home));
+const chooseHome = (view: RoutingView, target: TargetId, tried: readonly RouteAttempt[]): VmId | undefined => {
+	const homes = view.getOwners(target);
+	return homes.find(home => !tried.some(attempt => attempt.target === target && attempt.owner === home));
 };
 
-const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly Attempt[]): Attempt | undefined => {
+const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly RouteAttempt[]): RouteAttempt | undefined => {
 	const open = candidates
 		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
-		.map(target => ({target, order: view.getPending(target) + view.random()}))
+		.map(target => ({target, order: view.getPendingCount(target) + view.random()}))
 		.toSorted((a, b) => a.order - b.order);
 	for (const {target} of open) {
 		const home = chooseHome(view, target, tried);
 		if (home) {
-			return {target, home};
+			return {target, owner: home};
 		}
 	}
 
@@ -60,7 +60,7 @@
 const noRoute = (message: string): Refusal => ({code: 'noRoute', message});
 
 /** Chooses a route; `tried` are the choices that were refused without having run. */
-export const chooseRoute = (view: RoutingView, databaseId: DatabaseId, mode: RequestMode, tried: readonly Attempt[]): Result<Route, Refusal> => {
+export const chooseRoute = (view: RoutingView, databaseId: DatabaseId, mode: RequestMode, tried: readonly RouteAttempt[]): Result<Route, Refusal> => {
 	const database = getDatabase(view.inventory, databaseId);
 	const record = view.getGroup(databaseId)?.record;
 	if (!database || !record) {
@@ -72,12 +72,12 @@
 		return Ok({...replica, mode, reason: mode === 'read' ? 'a synced replica holds every acknowledged write' : 'the rule of the service allows data of a stated age'});
 	}
 
-	const home = chooseHome(view, record.primary, tried) ?? view.getHomes(record.primary)[0];
-	if (!home) {
+	const owner = chooseHome(view, record.primary, tried) ?? view.getOwners(record.primary)[0];
+	if (!owner) {
 		return Err(noRoute(`No live vm is home of ${record.primary}`));
 	}
 
 	return Ok({
-		target: record.primary, home, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
+		target: record.primary, owner: owner, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
 	});
 };
--- a/packages/routing/src/view.ts
+++ b/packages/routing/src/view.ts
@@ -14,11 +14,11 @@
 	/** Gets the last known record of a database. */
 	getGroup: (database: DatabaseId) => GroupView | undefined;
 	/** Gets the homes of a target, best first. */
-	getHomes: (target: TargetId) => readonly VmId[];
+	getOwners: (target: TargetId) => readonly VmId[];
 	/** Tells whether the platform's list or the inventory says that a target is leaving. */
 	isLeaving: (target: TargetId) => boolean;
 	/** Gets the number of requests this entry has under way on a target. */
-	getPending: (target: TargetId) => number;
+	getPendingCount: (target: TargetId) => number;
 	random: () => number;
 }>;
 
--- a/packages/sessions/src/index.ts
+++ b/packages/sessions/src/index.ts
@@ -1,4 +1,4 @@
-export * from './classes.js';
+export * from './classification.js';
 export type * from './requests.js';
-export * from './prepared.js';
+export * from './prepared-statements.js';
 export * from './statements.js';
--- a/packages/sessions/src/prepared.ts
+++ b/packages/sessions/src/prepared-statements.ts
@@ -4,7 +4,7 @@
 import type {PreparedStatement} from './requests.js';
 
 /** Names of one caller. */
-export type PreparedNames = Readonly<{
+export type PreparedStatementMap = Readonly<{
 	get: (name: string) => PreparedStatement | undefined;
 	set: (name: string, statement: PreparedStatement) => void;
 	remove: (name: string) => void;
@@ -13,12 +13,12 @@
 const HASH_LENGTH = 24;
 
 /** Creates the statement of a text and its parameter types. */
-export const createStatement = (text: string, types: Uint8Array): PreparedStatement => ({
+export const createPreparedStatement = (text: string, types: Uint8Array): PreparedStatement => ({
 	hash: `g${createHash('sha256').update(text).update('\u0000').update(types).digest('hex').slice(0, HASH_LENGTH)}`, text, types,
 });
 
 /** Creates the names of a caller that has prepared nothing. */
-export const createPreparedNames = (): PreparedNames => {
+export const createPreparedStatementMap = (): PreparedStatementMap => {
 	const statements = new Map<string, PreparedStatement>();
 	return {
 		get: name => statements.get(name),
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -3,7 +3,7 @@
 import type {CustomerId, DatabaseId, TransactionStatus} from '@guavapitch/core';
 
 /** Place in the log of a database. */
-export type Position = Readonly<{term: number; number: number}>;
+export type LogPosition = Readonly<{term: number; number: number}>;
 
 /** What a read must have seen. */
 export type Consistency
@@ -18,12 +18,12 @@
 export type Access = 'read' | 'write';
 
 /** A statement prepared by a caller: its access and the text that defines it. */
-export type Prepared = Readonly<{access: Access; shape: string}>;
+export type PreparedDefinition = Readonly<{access: Access; shape: string}>;
 
 /** A statement that a target must run. */
 export type TargetStatement
 	= | Readonly<{kind: 'text'; access: Access; text: string}>
-		| Readonly<{kind: 'prepared'; prepared: Prepared; rest: string}>
+		| Readonly<{kind: 'prepared'; prepared: PreparedDefinition; rest: string}>
 		| Readonly<{kind: 'commit'; text: string}>;
 
 /** A statement as a caller sends it. */
@@ -33,7 +33,7 @@
 		| Readonly<{kind: 'rollback'}>
 		| Readonly<{kind: 'text'; access: Access; text: string}>
 		| Readonly<{kind: 'set'; name: string; value: string}>
-		| Readonly<{kind: 'prepare'; name: string; prepared: Prepared}>
+		| Readonly<{kind: 'prepare'; name: string; prepared: PreparedDefinition}>
 		| Readonly<{kind: 'execute'; name: string; rest: string}>
 		| Readonly<{kind: 'deallocate'; name: string}>;
 
@@ -41,7 +41,7 @@
 export type StatementRefusalCode = 'busy' | 'overShare' | 'aborted' | 'lagging' | 'readOnly' | 'tooMany' | 'noKey' | 'noDatabase' | 'malformed' | 'noStatement';
 
 /** Outcome of a statement. */
-export type Outcome
+export type StatementOutcome
 	/** It ran; `signature` is the target's proof, empty when no target was needed. */
 	= | Readonly<{kind: 'done'; rows: readonly string[]; signature: string}>
 	/** Nothing of the caller's attempt is kept. */
@@ -54,7 +54,7 @@
 		| Readonly<{kind: 'unknown'; reason: string}>;
 
 /** What an entry asks of the home of a database. */
-export type HomeRequest = Readonly<{
+export type StatementRequest = Readonly<{
 	/** Identifier that the caller gave. */
 	id: string;
 	database: DatabaseId;
@@ -62,7 +62,7 @@
 	statement: TargetStatement;
 	consistency: Consistency;
 	/** Last position acknowledged to the session. */
-	floor: Position | undefined;
+	floor: LogPosition | undefined;
 	/** Session values that must be set at the target. */
 	values: ReadonlyArray<readonly [name: string, value: string]>;
 	/** Transaction that the statement belongs to. */
@@ -76,12 +76,12 @@
 }>;
 
 /** What a home answers. */
-export type HomeAnswer = Readonly<{
-	outcome: Outcome;
+export type StatementResponse = Readonly<{
+	outcome: StatementOutcome;
 	/** State of the transaction afterwards. */
 	status: TransactionStatus;
 	/** Position of the target's log, for the session's floor. */
-	position: Position | undefined;
+	position: LogPosition | undefined;
 	/** Target that answered, for the logs. */
 	target: string | undefined;
 	/** Time from the request's arrival at the home to its target, in milliseconds. */
@@ -89,10 +89,10 @@
 }>;
 
 /** Compares two positions. */
-export const comparePositions = (a: Position, b: Position): number => a.term - b.term || a.number - b.number;
+export const comparePositions = (a: LogPosition, b: LogPosition): number => a.term - b.term || a.number - b.number;
 
 /** Chooses the later of two positions. */
-export const chooseLater = (a: Position | undefined, b: Position | undefined): Position | undefined => {
+export const chooseLaterPosition = (a: LogPosition | undefined, b: LogPosition | undefined): LogPosition | undefined => {
 	if (!a || !b) {
 		return a ?? b;
 	}
@@ -101,7 +101,7 @@
 };
 
 /** Creates a refusal. */
-export const createRefusal = (code: StatementRefusalCode, reason: string, retryAfterMs = 0): Outcome => ({
+export const createRefusal = (code: StatementRefusalCode, reason: string, retryAfterMs = 0): StatementOutcome => ({
 	kind: 'refused', code, reason, retryAfterMs,
 });
 
--- a/packages/sessions/src/tests/classes.test.ts
+++ b/packages/sessions/src/tests/classification.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {classifyStatement, isStateful} from '../classes.js';
+import {classifyStatement, isStateful} from '../classification.js';
 
 describe('classifyStatement', () => {
 	describe('reads', () => {
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -54,7 +54,7 @@
 			faults = next;
 			lostAnswers = next.loseAnswers ?? 0;
 			if (next.lapseLeases) {
-				store.lapseAllLeases();
+				store.expireAllLeases();
 			}
 		},
 		async waitForService(client) {
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -81,7 +81,7 @@
 	const swap = async (compare: Compare, put: PutRequest) => {
 		const key = formatKey(compare.key);
 		const value = Buffer.from(put.value).toString();
-		const outcome = await store.swap(key, compare.mod_revision, value, formatLease(put.lease));
+		const outcome = await store.compareAndSwap(key, compare.mod_revision, value, formatLease(put.lease));
 		if (outcome.err) {
 			throw Object.assign(new Error(outcome.val.message), {code: status.NOT_FOUND, details: outcome.val.message});
 		}
@@ -224,7 +224,7 @@
 	});
 	scope.run(async signal => {
 		while (!signal.aborted) {
-			store.expireLeases();
+			store.expireDueLeases();
 			await world.sleep(EXPIRY_MS, signal);
 		}
 	});
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -1,7 +1,7 @@
 /** One target of the database stand-in: its engine, its limits and its faults. */
 
 import {
-	createDeadline, createGate, createNotifier, type World,
+	createDeadline, createConditionVariable, createNotifier, type World,
 } from '@guavapitch/core';
 import {createEngine, type Engine, type Row} from './engine.js';
 import type {Column, Value} from './sql-ast.js';
@@ -71,8 +71,8 @@
 	const replicas = new Set<ReplicaState>();
 	const cuts = new Set<string>();
 	const cutChanged = createNotifier(world);
-	const upstreamChanged = createGate();
-	const slotFreed = createGate();
+	const upstreamChanged = createConditionVariable();
+	const slotFreed = createConditionVariable();
 	let upstream: string | undefined;
 	let pendingUpstream: string | undefined;
 	let {lagMs} = settings;
@@ -117,13 +117,13 @@
 		},
 		pg_reload_conf() {
 			upstream = pendingUpstream ?? upstream;
-			upstreamChanged.open();
+			upstreamChanged.notifyAll();
 			return 't';
 		},
 		platform_rejoin(args) {
 			engine.rewind();
 			upstream = String(args[0]);
-			upstreamChanged.open();
+			upstreamChanged.notifyAll();
 			return 't';
 		},
 		pg_sleep: () => '',
@@ -156,7 +156,7 @@
 				return await task();
 			} finally {
 				busy--;
-				slotFreed.open();
+				slotFreed.notifyAll();
 			}
 		},
 		enterConnection() {
--- a/packages/standin/src/tests/platform.test.ts
+++ b/packages/standin/src/tests/platform.test.ts
@@ -25,7 +25,7 @@
 
 	const setFaults = async (store: EtcdStore, faults: Readonly<Record<string, unknown>>) => {
 		const current = (await store.read(FAULTS)).unwrap();
-		(await store.swap(FAULTS, current?.revision ?? 0, JSON.stringify(faults))).unwrap();
+		(await store.compareAndSwap(FAULTS, current?.revision ?? 0, JSON.stringify(faults))).unwrap();
 	};
 
 	const readCalls = async (store: EtcdStore) => JSON.parse((await store.read('/standin/calls')).unwrap()?.value ?? '{}') as Readonly<Record<string, number>>;
@@ -44,7 +44,7 @@
 	describe('rates', () => {
 		it('refuse what is over them, and carry none of it out', async () => {
 			const store = connect('a');
-			const swaps = await Promise.all(Array.from({length: 10}, async (_, index) => store.swap(`/k/${index}`, 0, 'v')));
+			const swaps = await Promise.all(Array.from({length: 10}, async (_, index) => store.compareAndSwap(`/k/${index}`, 0, 'v')));
 			const refused = swaps.filter(swap => swap.err);
 			assert.equal(refused.length, 7);
 			assert.ok(refused.every(swap => swap.err && swap.val.code === 'storeUnreachable'));
@@ -61,8 +61,8 @@
 			const watched = store.watch('/k/', () => {
 				heard++;
 			}, watching.signal);
-			(await store.swap('/k/1', 0, 'v')).unwrap();
-			(await store.swap('/k/2', 0, 'v')).unwrap();
+			(await store.compareAndSwap('/k/1', 0, 'v')).unwrap();
+			(await store.compareAndSwap('/k/2', 0, 'v')).unwrap();
 			while (heard < 2) {
 				await world.sleep(5);
 			}
@@ -90,7 +90,7 @@
 		it('lose the answer after the change took effect', async () => {
 			const store = connect('a');
 			await setFaults(store, {loseAnswers: 1});
-			const swap = await store.swap('/k/1', 0, 'v');
+			const swap = await store.compareAndSwap('/k/1', 0, 'v');
 			assert.ok(swap.err && swap.val.code === 'storeUnknown');
 			assert.equal((await store.read('/k/1')).unwrap()?.value, 'v');
 		});
@@ -98,7 +98,7 @@
 		it('end the leases, with what hangs on them', async () => {
 			const store = connect('a');
 			const lease = (await store.grantLease(60)).unwrap();
-			(await store.swap('/k/1', 0, 'v', lease.id)).unwrap();
+			(await store.compareAndSwap('/k/1', 0, 'v', lease.id)).unwrap();
 			await setFaults(store, {lapseLeases: true});
 			assert.equal((await store.read('/k/1')).unwrap(), undefined);
 			const renewed = await store.renewLease(lease.id);
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -116,7 +116,7 @@
 			const response = await call(kv, 'Range', {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)});
 			return response.map(found => (found as RangeResponse).kvs.map(pair => createEntry(pair)));
 		},
-		async swap(key, expectedRevision, value, leaseId) {
+		async compareAndSwap(key, expectedRevision, value, leaseId) {
 			const bytes = Buffer.from(key);
 			const response = await call(kv, 'Txn', {
 				compare: [{
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -8,11 +8,11 @@
 /** A store in memory, with the clock hidden behind its world. */
 export type MemoryStore = Store & Readonly<{
 	/** Ends leases whose deadline has passed. */
-	expireLeases: () => void;
+	expireDueLeases: () => void;
 	/** Ends one lease at once, as if it had lapsed. */
-	lapseLease: (id: string) => void;
+	expireLease: (id: string) => void;
 	/** Ends every lease at once. */
-	lapseAllLeases: () => void;
+	expireAllLeases: () => void;
 	/** Writes an entry whatever its revision. */
 	put: (key: string, value: string, leaseId?: string) => Entry;
 }>;
@@ -75,9 +75,9 @@
 	};
 
 	return {
-		expireLeases,
-		lapseLease: endLease,
-		lapseAllLeases() {
+		expireDueLeases: expireLeases,
+		expireLease: endLease,
+		expireAllLeases() {
 			for (const id of leases.keys()) {
 				endLease(id);
 			}
@@ -91,7 +91,7 @@
 			expireLeases();
 			return Ok([...entries.values()].map(({entry}) => entry).filter(({key}) => key.startsWith(prefix)));
 		},
-		async swap(key, expectedRevision, value, leaseId) {
+		async compareAndSwap(key, expectedRevision, value, leaseId) {
 			expireLeases();
 			const current = entries.get(key)?.entry;
 			if ((current?.revision ?? 0) !== expectedRevision) {
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -26,7 +26,7 @@
 	/** Reads all entries under a prefix. */
 	readAll: (prefix: string) => Promise<Result<readonly Entry[], StoreFailure>>;
 	/** Replaces a value if its revision is the expected one; revision 0 expects no entry. */
-	swap: (key: string, expectedRevision: number, value: string, leaseId?: string) => Promise<Result<SwapOutcome, StoreFailure>>;
+	compareAndSwap: (key: string, expectedRevision: number, value: string, leaseId?: string) => Promise<Result<SwapOutcome, StoreFailure>>;
 	/** Removes an entry if its revision is the expected one. */
 	remove: (key: string, expectedRevision: number) => Promise<Result<boolean, StoreFailure>>;
 	/** Grants a lease of whole seconds. */
--- a/packages/telemetry/src/ring.ts
+++ b/packages/telemetry/src/event-ring-buffer.ts
@@ -3,7 +3,7 @@
 import type {EventRecord} from './events.js';
 
 /** Ring of events. */
-export type EventRing = Readonly<{
+export type EventRingBuffer = Readonly<{
 	/** Keeps an event, and forgets the oldest if there are too many. */
 	write: (record: EventRecord) => void;
 	/** Lists the events, oldest first. */
@@ -11,7 +11,7 @@
 }>;
 
 /** Creates an empty ring that keeps up to `limit` events. */
-export const createEventRing = (limit: number): EventRing => {
+export const createEventRingBuffer = (limit: number): EventRingBuffer => {
 	const kept: EventRecord[] = [];
 	let next = 0;
 	return {
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -1,11 +1,11 @@
 /** Numbered events of one process, written as JSON lines in causal order. */
 
 import winston from 'winston';
-import type {CausalClock, CausalTime} from './clock.js';
+import type {HybridLogicalClock, HybridTimestamp} from './hybrid-logical-clock.js';
 import type {EventKind} from './catalogue.js';
 
 /** Who writes events. */
-export type EventSource = Readonly<{
+export type EventOrigin = Readonly<{
 	/** Program, such as `guavapitch-proxy`. */
 	program: string;
 	/** The vm it runs on. */
@@ -18,11 +18,11 @@
 export type EventFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
 
 /** One line of the time line. */
-export type EventRecord = EventSource & Readonly<{
+export type EventRecord = EventOrigin & Readonly<{
 	id: number;
 	level: string;
 	title: string;
-	hlc: CausalTime;
+	hlc: HybridTimestamp;
 	at: string;
 	fields: EventFields;
 }>;
@@ -31,7 +31,7 @@
 export type Emit = (kind: EventKind, fields?: EventFields) => void;
 
 /** Creates the event writer of a process. */
-export const createEmit = (source: EventSource, clock: CausalClock, write: (record: EventRecord) => void): Emit => (kind, fields = {}) => {
+export const createEmit = (source: EventOrigin, clock: HybridLogicalClock, write: (record: EventRecord) => void): Emit => (kind, fields = {}) => {
 	const hlc = clock.read();
 	write({
 		...source,
--- a/packages/telemetry/src/clock.ts
+++ b/packages/telemetry/src/hybrid-logical-clock.ts
@@ -1,30 +1,30 @@
 /** Hybrid logical clock: orders events of all processes causally despite skewed wall clocks. */
 
 /** A hybrid logical time: wall milliseconds, then a counter. */
-export type CausalTime = readonly [wallMs: number, counter: number];
+export type HybridTimestamp = readonly [wallMs: number, counter: number];
 
 /** Clock of one process. */
-export type CausalClock = Readonly<{
+export type HybridLogicalClock = Readonly<{
 	/** Reads a time later than every time read or witnessed before. */
-	read: () => CausalTime;
+	read: () => HybridTimestamp;
 	/** Takes note of a time received from another process. */
-	witness: (time: CausalTime) => void;
+	observe: (time: HybridTimestamp) => void;
 }>;
 
 /** Compares two causal times. */
-export const compareCausalTimes = (a: CausalTime, b: CausalTime): number => a[0] - b[0] || a[1] - b[1];
+export const compareHybridTimestamps = (a: HybridTimestamp, b: HybridTimestamp): number => a[0] - b[0] || a[1] - b[1];
 
 /** Creates a clock over a wall clock. */
-export const createCausalClock = (readWallClock: () => number): CausalClock => {
-	let last: CausalTime = [0, 0];
+export const createHybridLogicalClock = (readWallClock: () => number): HybridLogicalClock => {
+	let last: HybridTimestamp = [0, 0];
 	return {
 		read() {
 			const wall = readWallClock();
 			last = wall > last[0] ? [wall, 0] : [last[0], last[1] + 1];
 			return last;
 		},
-		witness(time) {
-			if (compareCausalTimes(time, last) > 0) {
+		observe(time) {
+			if (compareHybridTimestamps(time, last) > 0) {
 				last = time;
 			}
 		},
--- a/packages/timeline/src/merge.ts
+++ b/packages/timeline/src/merge.ts
@@ -1,6 +1,6 @@
 /** Merging the events of all processes in causal order. */
 
-import {compareCausalTimes, type EventRecord} from '@guavapitch/telemetry';
+import {compareHybridTimestamps, type EventRecord} from '@guavapitch/telemetry';
 import {
 	Err, getMessage, Ok, type Failure, type Result,
 } from '@guavapitch/core';
@@ -40,7 +40,7 @@
 /** Merges events: causal time first, then the process, so that the order is the same every time. */
 export const mergeEvents = (lists: ReadonlyArray<readonly EventRecord[]>): readonly EventRecord[] => lists
 	.flat()
-	.toSorted((a, b) => compareCausalTimes(a.hlc, b.hlc) || (a.vm < b.vm ? -1 : Number(a.vm > b.vm)));
+	.toSorted((a, b) => compareHybridTimestamps(a.hlc, b.hlc) || (a.vm < b.vm ? -1 : Number(a.vm > b.vm)));
 
 const isKept = (record: EventRecord, filter: TimelineFilter): boolean => {
 	const {customer, database, request, term} = record.fields;
--- a/packages/timeline/src/tests/timeline.test.ts
+++ b/packages/timeline/src/tests/timeline.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createCausalClock, formatEvent, type EventRecord} from '@guavapitch/telemetry';
+import {createHybridLogicalClock, formatEvent, type EventRecord} from '@guavapitch/telemetry';
 import {filterEvents, mergeEvents, parseEvents} from '../merge.js';
 import {drawTimeline} from '../picture.js';
 
@@ -13,10 +13,10 @@
 describe('time line', () => {
 	describe('clocks', () => {
 		it('put an effect after its cause though the wall clocks are skewed', () => {
-			const ahead = createCausalClock(() => 5000);
-			const behind = createCausalClock(() => 1000);
+			const ahead = createHybridLogicalClock(() => 5000);
+			const behind = createHybridLogicalClock(() => 1000);
 			const cause = ahead.read();
-			behind.witness(cause);
+			behind.observe(cause);
 			const effect = behind.read();
 			const merged = mergeEvents([[createEvent('b', effect)], [createEvent('a', cause)]]);
 			assert.deepEqual(merged.map(event => event.vm), ['a', 'b']);
--- a/packages/vm/src/view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -5,32 +5,32 @@
 import type {Target} from '@guavapitch/homes';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import {parseMember, rankHomes, type Member} from './members.js';
-import type {Rules} from './rules.js';
+import {parseMember, rankOwners, type Member} from './members.js';
+import type {Configuration} from './configuration.js';
 
 /** Prefix of everything that the product keeps in the store. */
-export const OWN_PREFIX = 'guavapitch/';
+export const STORE_PREFIX = 'guavapitch/';
 /** Prefix of the entries of vms. */
-export const MEMBER_PREFIX = `${OWN_PREFIX}vms/`;
+export const MEMBER_PREFIX = `${STORE_PREFIX}vms/`;
 /** Prefix of the entries of those who hold duties. */
-export const HOLDER_PREFIX = `${OWN_PREFIX}holders/`;
+export const HOLDER_PREFIX = `${STORE_PREFIX}holders/`;
 /** Prefix of the fencing numbers of duties. */
-export const EPOCH_PREFIX = `${OWN_PREFIX}epochs/`;
+export const FENCING_TOKEN_PREFIX = `${STORE_PREFIX}epochs/`;
 
 /** Knowledge of one vm. */
-export type View = Readonly<{
-	getRules: () => Rules | undefined;
+export type ClusterView = Readonly<{
+	getConfiguration: () => Configuration | undefined;
 	listMembers: () => readonly Member[];
 	listTargets: (database: DatabaseId) => readonly Target[];
 	findTarget: (id: TargetId) => Target | undefined;
 	/** Ranks the vms as homes of a database, best first. */
-	rankHomes: (database: DatabaseId) => readonly Member[];
+	rankOwners: (database: DatabaseId) => readonly Member[];
 	/** Takes note of changes; tells which kinds of entries changed. */
-	apply: (changes: readonly StoreChange[]) => Readonly<{rules: boolean; targets: boolean; members: boolean}>;
+	applyChanges: (changes: readonly StoreChange[]) => Readonly<{configuration: boolean; targets: boolean; members: boolean}>;
 }>;
 
 /** Tells whether a change matters: a heartbeat alone does not. */
-export const isNews = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
+export const isRelevantChange = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
 	if (!change.entry || !before || !change.key.startsWith(context.targetPrefix)) {
 		return true;
 	}
@@ -44,23 +44,23 @@
 const MOST_SHARES = 20;
 
 /** Lists the shares that differ between two versions, for the log. */
-const listChangedShares = (before: Rules | undefined, after: Rules): readonly string[] => before
-	? [...after.shares]
-		.filter(([customer, {rate, burst}]) => before.shares.get(customer)?.rate !== rate || before.shares.get(customer)?.burst !== burst)
+const listChangedShares = (before: Configuration | undefined, after: Configuration): readonly string[] => before
+	? [...after.quotas]
+		.filter(([customer, {rate, burst}]) => before.quotas.get(customer)?.rate !== rate || before.quotas.get(customer)?.burst !== burst)
 		.slice(0, MOST_SHARES)
 		.map(([customer, {rate, burst}]) => `${customer}: ${rate}/s, burst ${burst}`)
 	: [];
 
 /** Creates the view of a vm that knows nothing. */
-export const createView = (context: VmContext, getFeed: () => Feed): View => {
-	let rules: Rules | undefined;
+export const createClusterView = (context: VmContext, getFeed: () => Feed): ClusterView => {
+	let rules: Configuration | undefined;
 	let members: readonly Member[] = [];
 	let targets = new Map<TargetId, Target>();
 	let byDatabase = new Map<DatabaseId, Target[]>();
 	let ranks = new Map<DatabaseId, readonly Member[]>();
 
 	const readRules = (entry: StoreEntry | undefined) => {
-		const parsed = entry && context.parseRules(entry.value);
+		const parsed = entry && context.parseConfiguration(entry.value);
 		if (!parsed) {
 			return;
 		}
@@ -113,26 +113,26 @@
 	const getPreferred = (database: DatabaseId): DataCentreId | undefined => byDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
 
 	return {
-		getRules: () => rules,
+		getConfiguration: () => rules,
 		listMembers: () => members,
 		listTargets: database => byDatabase.get(database) ?? [],
 		findTarget: id => targets.get(id),
-		rankHomes(database) {
+		rankOwners(database) {
 			const known = ranks.get(database);
 			if (known) {
 				return known;
 			}
 
-			const ranked = rankHomes(database, members, getPreferred(database));
+			const ranked = rankOwners(database, members, getPreferred(database));
 			ranks.set(database, ranked);
 			return ranked;
 		},
-		apply(changes) {
-			const hasRules = changes.some(({key}) => key === context.rulesKey);
+		applyChanges(changes) {
+			const hasRules = changes.some(({key}) => key === context.configurationKey);
 			const hasTargets = changes.some(({key}) => key.startsWith(context.targetPrefix));
 			const hasMembers = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
 			if (hasRules) {
-				readRules(getFeed().get(context.rulesKey));
+				readRules(getFeed().get(context.configurationKey));
 			}
 
 			if (hasTargets) {
@@ -144,7 +144,7 @@
 				readMembers();
 			}
 
-			return {rules: hasRules, targets: hasTargets, members: hasMembers};
+			return {configuration: hasRules, targets: hasTargets, members: hasMembers};
 		},
 	};
 };
--- a/packages/vm/src/rules.ts
+++ b/packages/vm/src/configuration.ts
@@ -4,25 +4,25 @@
 	CustomerId, DatabaseId, Failure, Result,
 } from '@guavapitch/core';
 import type {Route} from '@guavapitch/callers';
-import type {Share} from '@guavapitch/limits';
+import type {Quota} from '@guavapitch/limits';
 
 /** Rules for one database. */
-export type DatabaseRules = Readonly<{
+export type DatabaseConfiguration = Readonly<{
 	id: DatabaseId;
 	/** Connections that each target accepts from all vms together. */
-	connections: number;
+	connectionLimit: number;
 	/** Whether commits are acknowledged only when a replica has them. */
 	isReplicated: boolean;
 }>;
 
 /** All rules of one version. */
-export type Rules = Readonly<{
+export type Configuration = Readonly<{
 	version: number;
 	routes: ReadonlyMap<string, Route>;
-	databases: ReadonlyMap<DatabaseId, DatabaseRules>;
+	databases: ReadonlyMap<DatabaseId, DatabaseConfiguration>;
 	/** Customers by key. */
-	keys: ReadonlyMap<string, CustomerId>;
-	shares: ReadonlyMap<CustomerId, Share>;
+	customersByKey: ReadonlyMap<string, CustomerId>;
+	quotas: ReadonlyMap<CustomerId, Quota>;
 	/** Time that a transaction may stay idle, in milliseconds. */
 	idleTransactionMs: number;
 }>;
@@ -31,4 +31,4 @@
 export type DocumentFailure = Failure<'documentMalformed'>;
 
 /** Parses the rules out of the operators' entry. */
-export type ParseRules = (value: string) => Result<Rules, DocumentFailure>;
+export type ParseConfiguration = (value: string) => Result<Configuration, DocumentFailure>;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -5,11 +5,11 @@
 } from '@guavapitch/core';
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
 import type {
-	DialTarget, OrderOutcome, ReadStatus, Target,
+	DialTarget, PromotionOutcome, ReadStatus, Target,
 } from '@guavapitch/homes';
 import type {RoleStore} from '@guavapitch/roles';
 import type {Emit, Metrics} from '@guavapitch/telemetry';
-import type {DocumentFailure, ParseRules} from './rules.js';
+import type {DocumentFailure, ParseConfiguration} from './configuration.js';
 
 /** Who the vm is, and where. */
 export type VmSettings = Readonly<{
@@ -18,7 +18,7 @@
 	run: string;
 	dataCentre: DataCentreId;
 	/** Number of data centres of the fleet. */
-	dataCentres: number;
+	dataCentreCount: number;
 	/** Address for the other vms. */
 	host: string;
 	port: number;
@@ -37,15 +37,15 @@
 	source: FeedSource;
 	store: RoleStore;
 	/** Key of the operators' rules. */
-	rulesKey: string;
+	configurationKey: string;
 	/** Prefix of the entries of targets. */
 	targetPrefix: string;
-	parseRules: ParseRules;
+	parseConfiguration: ParseConfiguration;
 	parseTarget: (entry: StoreEntry) => Result<Target, DocumentFailure>;
 	dialTarget: DialTarget;
 	readStatus: ReadStatus;
 	/** Orders a target to lead its database. */
-	orderPromotion: (target: Target, holder: VmId, fence: number) => Promise<OrderOutcome>;
+	requestPromotion: (target: Target, holder: VmId, fencingToken: number) => Promise<PromotionOutcome>;
 }>;
 
 /** Looks up a target of any database. */
--- a/packages/vm/src/databases.ts
+++ b/packages/vm/src/database-owners.ts
@@ -4,33 +4,33 @@
 	createDeadline, Ok, parseId, type CustomerId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
-	createDatabaseHome, runSteward, type DatabaseHome,
+	createDatabaseOwner, runFailoverCoordinator, type DatabaseOwner,
 } from '@guavapitch/homes';
-import type {Stewardships} from '@guavapitch/roles';
+import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import type {VmCalls} from './peers.js';
-import type {Shares} from './shares.js';
-import type {View} from './view.js';
+import type {PeerClient} from './peer-client.js';
+import type {Quotas} from './quotas.js';
+import type {ClusterView} from './cluster-view.js';
 
 /** Homes of databases at one vm. */
-export type Databases = Readonly<{
+export type DatabaseOwners = Readonly<{
 	/** Gets the home of a database, opening it if needed. */
-	get: (database: DatabaseId) => DatabaseHome;
+	get: (database: DatabaseId) => DatabaseOwner;
 	/** Passes changed targets on to the open homes. */
-	refresh: () => void;
+	refreshTargets: () => void;
 	/** Answers whether this vm reaches a target. */
-	isReached: (target: TargetId) => Promise<boolean>;
+	isReachable: (target: TargetId) => Promise<boolean>;
 	/** Closes idle connections of databases whose first home is another vm, until the signal aborts. */
-	run: (signal: AbortSignal) => Promise<void>;
+	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
 }>;
 
 /** What the databases need of the vm. */
-export type DatabasesParts = Readonly<{
-	view: View;
-	shares: Shares;
-	calls: () => VmCalls;
-	duties: () => Stewardships;
+export type DatabaseDependencies = Readonly<{
+	view: ClusterView;
+	quotas: Quotas;
+	getPeerClient: () => PeerClient;
+	getRoleClaims: () => RoleClaims;
 	getSignal: () => AbortSignal;
 }>;
 
@@ -49,60 +49,60 @@
 const DEFAULT_CONNECTIONS = 8;
 
 /** Duty of the steward of a database. */
-export const formatStewardDuty = (database: DatabaseId): string => `database/${database}`;
+export const formatCoordinatorRole = (database: DatabaseId): string => `database/${database}`;
 
 /** Creates the databases of a vm. */
-export const createDatabases = (context: VmContext, parts: DatabasesParts): Databases => {
+export const createDatabaseOwners = (context: VmContext, parts: DatabaseDependencies): DatabaseOwners => {
 	const {world, settings, emit, metrics} = context;
 	const {view} = parts;
-	const homes = new Map<DatabaseId, DatabaseHome>();
+	const homes = new Map<DatabaseId, DatabaseOwner>();
 
 	const askWitnesses = async (target: TargetId): Promise<boolean> => {
-		const others = view.listMembers().filter(({vm}) => vm !== settings.vm && parts.calls().isUsable(vm));
+		const others = view.listMembers().filter(({vm}) => vm !== settings.vm && parts.getPeerClient().isUsable(vm));
 		const start = Math.floor(world.random() * others.length);
 		const asked = [...others.slice(start), ...others.slice(0, start)].slice(0, WITNESSES);
-		const answers = await Promise.all(asked.map(async member => parts.calls().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
+		const answers = await Promise.all(asked.map(async member => parts.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
 		return answers.some(answer => answer.ok && answer.val === true);
 	};
 
-	const open = (database: DatabaseId): DatabaseHome => {
-		const home = createDatabaseHome({
+	const open = (database: DatabaseId): DatabaseOwner => {
+		const home = createDatabaseOwner({
 			world,
 			readClock: context.readClock,
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
-			getConnectionLimit: () => Math.max(1, Math.floor((view.getRules()?.databases.get(database)?.connections ?? DEFAULT_CONNECTIONS) * HOME_PART)),
-			getAnyCustomer: () => [...view.getRules()?.shares.keys() ?? []][0] ?? parseId<CustomerId>('-'),
-			getIdleTransactionMs: () => view.getRules()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
-			spend: async (customer, deadline) => view.getRules()?.shares.has(customer)
-				? parts.shares.allowances.spend(customer, deadline)
+			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTIONS) * HOME_PART)),
+			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? parseId<CustomerId>('-'),
+			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
+			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
+				? parts.quotas.quotaClient.acquire(customer, deadline)
 				: Ok(undefined),
 			onDecision({
 				kind, requestId, customer, target, reason, ageMs,
 			}) {
 				metrics.count(`home.${kind}`, {database});
-				emit(EVENTS.homeDecision, {
+				emit(EVENTS.ownerDecision, {
 					kind, database, requestId, customer, target, reason, ageMs: Math.round(ageMs),
 				});
 			},
 		});
 		home.setTargets(view.listTargets(database));
-		void runSteward({
+		void runFailoverCoordinator({
 			world,
 			database,
-			home,
-			isSteward: () => parts.duties().isHeld(formatStewardDuty(database)),
-			drawFence: async () => parts.duties().drawFence(formatStewardDuty(database)),
-			async order(target, fence) {
+			owner: home,
+			isCoordinator: () => parts.getRoleClaims().isHeld(formatCoordinatorRole(database)),
+			drawFencingToken: async () => parts.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
+			async orderPromotion(target, fence) {
 				const known = view.findTarget(target);
-				return known ? context.orderPromotion(known, settings.vm, fence) : 'refused';
+				return known ? context.requestPromotion(known, settings.vm, fence) : 'refused';
 			},
-			isReachedByOthers: askWitnesses,
-			isReplicated: () => view.getRules()?.databases.get(database)?.isReplicated ?? false,
+			isReachableFromPeers: askWitnesses,
+			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
-				emit(EVENTS.stewardDecision, {
+				emit(EVENTS.coordinatorDecision, {
 					kind, database, target, reason, ageMs: Math.round(ageMs),
 				});
 			},
@@ -110,7 +110,7 @@
 		return home;
 	};
 
-	const get = (database: DatabaseId): DatabaseHome => {
+	const get = (database: DatabaseId): DatabaseOwner => {
 		const known = homes.get(database);
 		if (known) {
 			return known;
@@ -123,23 +123,23 @@
 
 	return {
 		get,
-		refresh() {
+		refreshTargets() {
 			for (const [database, home] of homes) {
 				home.setTargets(view.listTargets(database));
 			}
 		},
-		async isReached(id) {
+		async isReachable(id) {
 			const target = view.findTarget(id);
 			const answer = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
 			return answer === 'leads' || answer === 'follows';
 		},
-		async run(signal) {
+		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
 				await world.sleep(LOOK_MS, signal).catch(() => undefined);
 				for (const [database, home] of homes) {
-					const first: VmId | undefined = view.rankHomes(database)[0]?.vm;
+					const first: VmId | undefined = view.rankOwners(database)[0]?.vm;
 					if (first !== settings.vm) {
-						home.closeIdle(IDLE_MS);
+						home.closeIdleConnections(IDLE_MS);
 					}
 				}
 			}
--- a/packages/vm/src/index.ts
+++ b/packages/vm/src/index.ts
@@ -1,9 +1,9 @@
-export type * from './rules.js';
+export type * from './configuration.js';
 export * from './members.js';
 export type * from './context.js';
-export * from './view.js';
-export * from './peers.js';
-export * from './routing.js';
-export * from './shares.js';
-export * from './databases.js';
+export * from './cluster-view.js';
+export * from './peer-client.js';
+export * from './statement-router.js';
+export * from './quotas.js';
+export * from './database-owners.js';
 export * from './process.js';
--- a/packages/vm/src/isolation.ts
+++ b/packages/vm/src/isolation-detector.ts
@@ -4,7 +4,7 @@
 import type {Member} from './members.js';
 
 /** What noticing needs. */
-export type IsolationContext = Readonly<{
+export type IsolationDetectorContext = Readonly<{
 	world: World;
 	vm: VmId;
 	dataCentre: DataCentreId;
@@ -15,9 +15,9 @@
 }>;
 
 /** Belief of a vm about its data centre. */
-export type Isolation = Readonly<{
+export type IsolationDetector = Readonly<{
 	/** A vm could not be reached: looks whether any vm of another data centre can. */
-	noteUnreachable: (member: Member) => void;
+	handleUnreachable: (member: Member) => void;
 	isIsolated: () => boolean;
 }>;
 
@@ -27,7 +27,7 @@
 const LOOK_MS = 300;
 
 /** Chooses some vms of each other data centre. */
-const chooseWitnesses = (context: IsolationContext): readonly Member[] => {
+const chooseWitnesses = (context: IsolationDetectorContext): readonly Member[] => {
 	const byCentre = new Map<DataCentreId, Member[]>();
 	for (const member of context.listMembers()) {
 		if (member.dataCentre !== context.dataCentre) {
@@ -42,7 +42,7 @@
 };
 
 /** Creates the belief of a vm that takes itself for connected. */
-export const createIsolation = (context: IsolationContext): Isolation => {
+export const createIsolationDetector = (context: IsolationDetectorContext): IsolationDetector => {
 	let isolated = false;
 	let looking = false;
 
@@ -66,7 +66,7 @@
 	};
 
 	return {
-		noteUnreachable(member) {
+		handleUnreachable(member) {
 			if (!looking && member.dataCentre !== context.dataCentre) {
 				void look();
 			}
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -43,7 +43,7 @@
  * Ranks vms for a key by weighted rendezvous hashing: those of a preferred data centre first, and of these the able ones.
  * Answers the load of a fleet of unequal vms, where a weak home is the bottleneck of its whole database.
  */
-export const rankHomes = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => {
+export const rankOwners = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => {
 	const near = members.filter(member => member.dataCentre === preferred);
 	const able = ABLE_PART * Math.max(0, ...(near.length > 0 ? near : members).map(({capacity}) => capacity));
 	return members
--- a/packages/vm/src/peers.ts
+++ b/packages/vm/src/peer-client.ts
@@ -6,7 +6,7 @@
 import {
 	ALIVE_METHOD, createDial, createPeers, startPeerListener, type Listener, type PeerContext, type PeerHandlers, type Peers,
 } from '@guavapitch/peer-protocol';
-import {createCausalClock, EVENTS} from '@guavapitch/telemetry';
+import {createHybridLogicalClock, EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
 import type {Member} from './members.js';
 
@@ -14,7 +14,7 @@
 export type CallFailure = Failure<'notSent' | 'lost'>;
 
 /** Calls to other vms. */
-export type VmCalls = AsyncDisposable & Readonly<{
+export type PeerClient = AsyncDisposable & Readonly<{
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
 	/** Asks a vm for a sign of life. */
 	ping: (member: Member) => Promise<boolean>;
@@ -28,7 +28,7 @@
 const PROBE_TIMEOUT_MS = 500;
 
 /** What the calls need to know and say of members. */
-export type MemberFunctions = Readonly<{
+export type MembershipHooks = Readonly<{
 	/** Tells whether a vm is still a member. */
 	isMember: (member: Member) => boolean;
 	/** Hears that a vm could not be reached. */
@@ -36,9 +36,9 @@
 }>;
 
 /** Creates the calls of a vm. */
-export const createVmCalls = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MemberFunctions): VmCalls => {
+export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MembershipHooks): PeerClient => {
 	const {world, settings, emit} = context;
-	const clock = createCausalClock(world.readWallClock);
+	const clock = createHybridLogicalClock(world.readWallClock);
 	const passedOver = new Set<VmId>();
 	let closed = false;
 	const peerContext: PeerContext = {
@@ -47,7 +47,7 @@
 		handlers,
 		readTime: () => clock.read(),
 		witnessTime(time) {
-			clock.witness(time);
+			clock.observe(time);
 		},
 		onMalformed(failure) {
 			emit(EVENTS.frameRefused, {message: failure.message});
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -4,40 +4,40 @@
 	createScope, Err, getMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
 } from '@guavapitch/core';
 import {
-	createSession, type Admission, type Session,
+	createSession, type Authorization, type Session,
 } from '@guavapitch/callers';
-import {createFeed, type Feed, type FeedQuestion} from '@guavapitch/feed';
-import {createHolds} from '@guavapitch/limits';
-import {createPresence, createStewardships, type Stewardships} from '@guavapitch/roles';
+import {createFeed, type Feed, type FeedRequest} from '@guavapitch/feed';
+import {createRefusalCache} from '@guavapitch/limits';
+import {createVmRegistration, createRoleClaims, type RoleClaims} from '@guavapitch/roles';
 import {
-	createRefusal, type HomeAnswer, type HomeRequest, type Outcome,
+	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import {createDatabases, formatStewardDuty, REACH_METHOD} from './databases.js';
-import {createIsolation} from './isolation.js';
+import {createDatabaseOwners, formatCoordinatorRole, REACH_METHOD} from './database-owners.js';
+import {createIsolationDetector} from './isolation-detector.js';
 import {formatMember, rankRelays, type Member} from './members.js';
-import {createVmCalls, type VmCalls} from './peers.js';
-import {createRouting} from './routing.js';
+import {createPeerClient, type PeerClient} from './peer-client.js';
+import {createStatementRouter} from './statement-router.js';
 import {
-	ALLOT_METHOD, createShares, KEEPER_DUTY, type AllotQuestion,
-} from './shares.js';
+	ALLOT_METHOD, createQuotas, ALLOCATOR_ROLE, type TokenGrantMessage,
+} from './quotas.js';
 import {
-	createView, EPOCH_PREFIX, HOLDER_PREFIX, isNews, MEMBER_PREFIX, OWN_PREFIX,
-} from './view.js';
+	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX, STORE_PREFIX,
+} from './cluster-view.js';
 
 /** A running entry vm. */
 export type Vm = AsyncDisposable & Readonly<{
 	/** Opens the session of a caller; a refusal if its service or key is not known. */
-	openSession: (service: string, key: string) => Result<Session, Outcome>;
+	openSession: (service: string, key: string) => Result<Session, StatementOutcome>;
 	/** Tells whether new callers should be sent here. */
 	isReady: () => boolean;
 	/** Stops taking new work; the roles pass to others. */
 	leave: () => Promise<void>;
 	isLeaving: () => boolean;
-	hasRules: () => boolean;
+	hasConfiguration: () => boolean;
 	/** Tells whether idle sessions had better be opened elsewhere, and whether that cannot wait for the balancer. */
-	getShedding: () => 'no' | 'afterBalancer' | 'now';
+	getSheddingMode: () => 'no' | 'afterBalancer' | 'now';
 }>;
 
 const RUN_METHOD = 'run';
@@ -70,7 +70,7 @@
 	let leaving = false;
 	let isStoreReachable = true;
 
-	const view = createView(context, () => feed);
+	const view = createClusterView(context, () => feed);
 	const getEntry = (key: string) => feed.get(key);
 	const self: Omit<Member, 'since'> = {
 		vm: settings.vm, run: settings.run, dataCentre: settings.dataCentre, host: settings.host, port: settings.port, capacity: settings.capacity,
@@ -83,25 +83,25 @@
 		}
 	};
 
-	const presence = createPresence({
+	const presence = createVmRegistration({
 		world,
 		readClock: context.readClock,
 		store: context.store,
 		key: `${MEMBER_PREFIX}${settings.vm}`,
 		value: formatMember(self),
 		onContact(askedAt) {
-			feed.noteContact(askedAt);
+			feed.recordContact(askedAt);
 		},
 		onFailure(failure) {
 			noteStore(false, failure.message);
 		},
 	});
 
-	const shares = createShares(context, {
-		view, calls: () => calls, duties: () => duties, getFeedAgeMs: () => feed.getAgeMs(),
+	const shares = createQuotas(context, {
+		view, getPeerClient: () => calls, getRoleClaims: () => duties, getFeedAgeMs: () => feed.getAgeMs(),
 	});
-	const databases = createDatabases(context, {
-		view, shares, calls: () => calls, duties: () => duties, getSignal: () => scope.signal,
+	const databases = createDatabaseOwners(context, {
+		view, quotas: shares, getPeerClient: () => calls, getRoleClaims: () => duties, getSignal: () => scope.signal,
 	});
 
 	const feed: Feed = createFeed({
@@ -109,34 +109,34 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: [
-			{prefix: context.rulesKey, waitMs: RULES_WATCH_MS, pauseMs: 0},
-			{prefix: OWN_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: OWN_PAUSE_MS},
+			{prefix: context.configurationKey, waitMs: RULES_WATCH_MS, pauseMs: 0},
+			{prefix: STORE_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: OWN_PAUSE_MS},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
-		isNews: (change, before) => isNews(context, change, before),
+		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
 		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(({vm}) => calls.isUsable(vm)).map(({vm}) => vm),
-		async ask(relay, question) {
+		async callRelay(relay, question) {
 			const member = view.listMembers().find(({vm}) => vm === relay);
 			if (!member) {
 				return Err({code: 'gone', message: 'The relay has left'});
 			}
 
 			const answer = await calls.call(member, FEED_METHOD, question, FEED_TIMEOUT_MS);
-			return answer.map(value => value as Awaited<ReturnType<Feed['answer']>>);
+			return answer.map(value => value as Awaited<ReturnType<Feed['serve']>>);
 		},
 		onChange(changes) {
-			const {targets} = view.apply(changes);
+			const {targets} = view.applyChanges(changes);
 			if (targets) {
-				databases.refresh();
+				databases.refreshTargets();
 			}
 		},
-		onSource(kind, name) {
-			emit(EVENTS.feedChanged, {kind, name, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
+		onSourceChange(kind, name) {
+			emit(EVENTS.feedSourceChanged, {kind, name, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
 		},
-		onStore: noteStore,
+		onStoreStatus: noteStore,
 	});
 
-	const isolation = createIsolation({
+	const isolation = createIsolationDetector({
 		world,
 		vm: settings.vm,
 		dataCentre: settings.dataCentre,
@@ -147,66 +147,66 @@
 		},
 	});
 
-	const calls: VmCalls = createVmCalls(context, {
+	const calls: PeerClient = createPeerClient(context, {
 		calls: {
-			[RUN_METHOD]: async body => databases.get((body as HomeRequest).database).serve(body as HomeRequest),
+			[RUN_METHOD]: async body => databases.get((body as StatementRequest).database).serve(body as StatementRequest),
 			async [ROLL_BACK_METHOD](body) {
 				const {database, transaction} = body as Readonly<{database: DatabaseId; transaction: string}>;
 				databases.get(database).rollBack(transaction);
 			},
-			[FEED_METHOD]: async body => feed.answer(body as FeedQuestion),
-			[ALLOT_METHOD]: async body => shares.allot(body as AllotQuestion),
-			[REACH_METHOD]: async body => databases.isReached((body as Readonly<{target: Parameters<typeof databases.isReached>[0]}>).target),
+			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
+			[ALLOT_METHOD]: async body => shares.grantTokens(body as TokenGrantMessage),
+			[REACH_METHOD]: async body => databases.isReachable((body as Readonly<{target: Parameters<typeof databases.isReachable>[0]}>).target),
 		},
 		streams: {},
 	}, {
 		isMember: member => view.listMembers().some(({run}) => run === member.run),
 		onUnreachable(member) {
-			isolation.noteUnreachable(member);
+			isolation.handleUnreachable(member);
 		},
 	});
 
-	const duties: Stewardships = createStewardships({
+	const duties: RoleClaims = createRoleClaims({
 		world,
 		store: context.store,
-		presence,
+		registration: presence,
 		vm: settings.vm,
 		run: settings.run,
 		holderPrefix: HOLDER_PREFIX,
-		epochPrefix: EPOCH_PREFIX,
+		epochPrefix: FENCING_TOKEN_PREFIX,
 		getEntry,
-		listDuties: () => leaving ? [] : [KEEPER_DUTY, ...[...view.getRules()?.databases.keys() ?? []].map(database => formatStewardDuty(database))],
+		listRoles: () => leaving ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(duty) {
 			const name = duty.slice(duty.indexOf('/') + 1);
-			const rank = view.rankHomes(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
+			const rank = view.rankOwners(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
-		isOver: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
+		isRunOver: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
 		onWritten(key, value, revision) {
-			feed.applyOwn({
+			feed.applyLocalWrite({
 				key, revision, entry: {
 					key, value, revision, createdRevision: revision,
 				},
 			});
 		},
 		onClaimed(duty, epoch) {
-			emit(EVENTS.dutyClaimed, {duty, epoch});
-			if (duty !== KEEPER_DUTY) {
+			emit(EVENTS.roleClaimed, {duty, epoch});
+			if (duty !== ALLOCATOR_ROLE) {
 				databases.get(parseId<DatabaseId>(duty.slice(duty.indexOf('/') + 1)));
 			}
 		},
 	});
 
-	const routing = createRouting({
+	const routing = createStatementRouter({
 		world,
 		self: settings.vm,
-		rankHomes: view.rankHomes,
+		rankOwners: view.rankOwners,
 		isUsable: vm => calls.isUsable(vm),
-		async callHome(member, request, timeoutMs) {
+		async callOwner(member, request, timeoutMs) {
 			const answer = await calls.call(member, RUN_METHOD, request, timeoutMs);
-			return answer.map(value => value as HomeAnswer);
+			return answer.map(value => value as StatementResponse);
 		},
-		serveHere: async request => databases.get(request.database).serve(request),
+		serveLocally: async request => databases.get(request.database).serve(request),
 		rollBackAt(member, database, transaction) {
 			if (member) {
 				void calls.call(member, ROLL_BACK_METHOD, {database, transaction}, ROLL_BACK_TIMEOUT_MS);
@@ -219,10 +219,10 @@
 		},
 	});
 
-	const holds = createHolds(world, () => view.listMembers().length);
+	const holds = createRefusalCache(world, () => view.listMembers().length);
 
 	/** Runs a statement at its home, unless the home has just refused the customer an operation. */
-	const runAtHome = async (request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
+	const runAtHome = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		metrics.count('statements');
 		const isNew = !request.transaction || request.transaction.isFirst;
 		const retryAfterMs = isNew ? holds.getRetryAfterMs(request.database, request.customer) : undefined;
@@ -239,25 +239,25 @@
 
 		const answer = await routing.run(request, deadline);
 		if (answer.outcome.kind === 'refused' && answer.outcome.code === 'overShare') {
-			holds.note(request.database, request.customer, answer.outcome.retryAfterMs);
+			holds.recordRefusal(request.database, request.customer, answer.outcome.retryAfterMs);
 		}
 
 		return answer;
 	};
 
-	const admit = (service: string, key: string): Result<Admission, Outcome> => {
-		const rules = view.getRules();
+	const admit = (service: string, key: string): Result<Authorization, StatementOutcome> => {
+		const rules = view.getConfiguration();
 		const route = rules?.routes.get(service);
 		if (!rules || !route) {
 			return Err(createRefusal(rules ? 'noDatabase' : 'busy', rules ? 'no service has that name' : 'the rules are not known yet'));
 		}
 
-		const customer = rules.keys.get(key);
+		const customer = rules.customersByKey.get(key);
 		if (customer) {
 			return Ok({route, customer});
 		}
 
-		return route.isOpen
+		return route.isPublic
 			? Ok({route, customer: parseId<CustomerId>('-')})
 			: Err(createRefusal('noKey', 'the key is not issued'));
 	};
@@ -267,10 +267,10 @@
 	 * then the one that has the store goes on.
 	 */
 	const isConnected = (): boolean => !isolation.isIsolated()
-		|| (settings.dataCentres <= TWO_SIDES && feed.getAgeMs() < STALE_MS);
+		|| (settings.dataCentreCount <= TWO_SIDES && feed.getAgeMs() < STALE_MS);
 
 	const listener = await calls.listen();
-	for (const run of [presence.run, feed.run, duties.run, databases.run]) {
+	for (const run of [presence.run, feed.run, duties.run, databases.closeIdleConnections]) {
 		scope.run(run);
 	}
 
@@ -283,19 +283,19 @@
 
 			return Ok(createSession({
 				world,
-				admit: () => admit(service, key),
-				runAtHome,
+				authorize: () => admit(service, key),
+				runAtOwner: runAtHome,
 				rollBack: routing.rollBack,
 			}));
 		},
-		isReady: () => !leaving && view.getRules() !== undefined && view.listMembers().length > 0 && isConnected(),
+		isReady: () => !leaving && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
 		async leave() {
 			leaving = true;
-			await presence.leave();
+			await presence.deregister();
 		},
 		isLeaving: () => leaving,
-		hasRules: () => view.getRules() !== undefined,
-		getShedding() {
+		hasConfiguration: () => view.getConfiguration() !== undefined,
+		getSheddingMode() {
 			if (!isConnected()) {
 				return 'now';
 			}
--- a/packages/vm/src/shares.ts
+++ b/packages/vm/src/quotas.ts
@@ -4,34 +4,34 @@
 	createDeadline, Err, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
 } from '@guavapitch/core';
 import {
-	createAllowances, createKeeper, type Allotment, type AllotmentRequest, type Allowances, type Keeper, type Share,
+	createQuotaClient, createQuotaAllocator, type TokenGrant, type TokenRequest, type QuotaClient, type QuotaAllocator, type Quota,
 } from '@guavapitch/limits';
-import type {Stewardships} from '@guavapitch/roles';
+import type {RoleClaims} from '@guavapitch/roles';
 import type {VmContext} from './context.js';
 import type {Member} from './members.js';
-import type {VmCalls} from './peers.js';
-import type {View} from './view.js';
+import type {PeerClient} from './peer-client.js';
+import type {ClusterView} from './cluster-view.js';
 
 /** Duty of the keeper of all customers. */
-export const KEEPER_DUTY = 'shares';
+export const ALLOCATOR_ROLE = 'shares';
 /** Method by which vms ask the keeper. */
 export const ALLOT_METHOD = 'allot';
 
 /** What a vm asks the keeper, with what it knows of the store. */
-export type AllotQuestion = Readonly<{request: AllotmentRequest; feedAgeMs: number}>;
+export type TokenGrantMessage = Readonly<{request: TokenRequest; feedAgeMs: number}>;
 
 /** Shares at one vm. */
-export type Shares = Readonly<{
-	allowances: Allowances;
+export type Quotas = Readonly<{
+	quotaClient: QuotaClient;
 	/** Answers as keeper; `undefined` if this vm is not the keeper. */
-	allot: (question: AllotQuestion) => Allotment | undefined;
+	grantTokens: (question: TokenGrantMessage) => TokenGrant | undefined;
 }>;
 
 /** What the shares need of the vm. */
-export type SharesParts = Readonly<{
-	view: View;
-	calls: () => VmCalls;
-	duties: () => Stewardships;
+export type QuotaDependencies = Readonly<{
+	view: ClusterView;
+	getPeerClient: () => PeerClient;
+	getRoleClaims: () => RoleClaims;
 	getFeedAgeMs: () => number;
 }>;
 
@@ -45,10 +45,10 @@
 const OWN_BURST_PART = 0.3;
 
 /** Creates the shares of a vm. */
-export const createShares = (context: VmContext, parts: SharesParts): Shares => {
+export const createQuotas = (context: VmContext, parts: QuotaDependencies): Quotas => {
 	const {world, settings} = context;
 	const {view} = parts;
-	let keeper: Keeper | undefined;
+	let keeper: QuotaAllocator | undefined;
 	let keeperEpoch = -1;
 	/** When somebody that knows the store's present state last asked while this vm's lease had lapsed. */
 	let contradictedAt = Number.NEGATIVE_INFINITY;
@@ -58,13 +58,13 @@
 	 * then nobody can have taken its place.
 	 */
 	const getAuthority = (): Deadline => {
-		const isSure = parts.duties().isHeld(KEEPER_DUTY);
+		const isSure = parts.getRoleClaims().isHeld(ALLOCATOR_ROLE);
 		const isBlind = parts.getFeedAgeMs() > BLIND_MS && world.now() - contradictedAt > BLIND_MS;
 		return isSure || isBlind ? createDeadline(world.now(), AUTHORITY_MS) : PAST;
 	};
 
-	const getKeeper = (): Keeper | undefined => {
-		const holder = parts.duties().getHolder(KEEPER_DUTY);
+	const getKeeper = (): QuotaAllocator | undefined => {
+		const holder = parts.getRoleClaims().getHolder(ALLOCATOR_ROLE);
 		if (holder?.run !== settings.run) {
 			keeper = undefined;
 			return undefined;
@@ -72,29 +72,29 @@
 
 		if (!keeper || keeperEpoch !== holder.epoch) {
 			keeperEpoch = holder.epoch;
-			keeper = createKeeper({
-				world, epoch: holder.epoch, getAuthority, getShare: customer => view.getRules()?.shares.get(customer),
+			keeper = createQuotaAllocator({
+				world, epoch: holder.epoch, getAuthorityDeadline: getAuthority, getQuota: customer => view.getConfiguration()?.quotas.get(customer),
 			});
 		}
 
 		return keeper;
 	};
 
-	const allot = ({request, feedAgeMs}: AllotQuestion): Allotment | undefined => {
-		if (feedAgeMs < BLIND_MS && !parts.duties().isHeld(KEEPER_DUTY)) {
+	const allot = ({request, feedAgeMs}: TokenGrantMessage): TokenGrant | undefined => {
+		if (feedAgeMs < BLIND_MS && !parts.getRoleClaims().isHeld(ALLOCATOR_ROLE)) {
 			contradictedAt = world.now();
 		}
 
-		return getKeeper()?.allot(request);
+		return getKeeper()?.grantTokens(request);
 	};
 
 	const findKeeper = (): Member | undefined => {
-		const holder = parts.duties().getHolder(KEEPER_DUTY);
+		const holder = parts.getRoleClaims().getHolder(ALLOCATOR_ROLE);
 		return holder && view.listMembers().find(({run}) => run === holder.run);
 	};
 
-	const ask = async (request: AllotmentRequest): Promise<Result<Allotment, Failure>> => {
-		const question: AllotQuestion = {request, feedAgeMs: Math.round(Math.min(parts.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
+	const ask = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
+		const question: TokenGrantMessage = {request, feedAgeMs: Math.round(Math.min(parts.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
 		const member = findKeeper();
 		if (!member) {
 			return Err({code: 'noKeeper', message: 'No keeper is known'});
@@ -105,24 +105,24 @@
 			return own ? Ok(own) : Err({code: 'noKeeper', message: 'This vm is no longer the keeper'});
 		}
 
-		const answer = await parts.calls().call(member, ALLOT_METHOD, question, ALLOT_TIMEOUT_MS);
+		const answer = await parts.getPeerClient().call(member, ALLOT_METHOD, question, ALLOT_TIMEOUT_MS);
 		if (answer.err) {
 			return answer;
 		}
 
-		return answer.val ? Ok(answer.val as Allotment) : Err({code: 'noKeeper', message: 'The vm is not the keeper'});
+		return answer.val ? Ok(answer.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm is not the keeper'});
 	};
 
 	/** A database has one home, so that equal parts for each database add up to the share. */
-	const getOwnPart = (customer: CustomerId): Share | undefined => {
-		const rules = view.getRules();
-		const share = rules?.shares.get(customer);
+	const getOwnPart = (customer: CustomerId): Quota | undefined => {
+		const rules = view.getConfiguration();
+		const share = rules?.quotas.get(customer);
 		const parts = Math.max(1, rules?.databases.size ?? 1);
 		return share && {rate: share.rate / parts, burst: Math.max(1, share.burst * OWN_BURST_PART / parts)};
 	};
 
 	return {
-		allowances: createAllowances(ask, world, getOwnPart),
-		allot,
+		quotaClient: createQuotaClient(ask, world, getOwnPart),
+		grantTokens: allot,
 	};
 };
--- a/packages/vm/src/routing.ts
+++ b/packages/vm/src/statement-router.ts
@@ -4,26 +4,26 @@
 	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	createRefusal, getAccess, type HomeAnswer, type HomeRequest, type Outcome,
+	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import type {Member} from './members.js';
-import type {CallFailure} from './peers.js';
+import type {CallFailure} from './peer-client.js';
 
 /** What sending needs. */
-export type RoutingContext = Readonly<{
+export type StatementRouterContext = Readonly<{
 	world: World;
 	self: VmId;
-	rankHomes: (database: DatabaseId) => readonly Member[];
+	rankOwners: (database: DatabaseId) => readonly Member[];
 	isUsable: (vm: VmId) => boolean;
-	callHome: (member: Member, request: HomeRequest, timeoutMs: number) => Promise<Result<HomeAnswer, CallFailure>>;
-	serveHere: (request: HomeRequest) => Promise<HomeAnswer>;
+	callOwner: (member: Member, request: StatementRequest, timeoutMs: number) => Promise<Result<StatementResponse, CallFailure>>;
+	serveLocally: (request: StatementRequest) => Promise<StatementResponse>;
 	rollBackAt: (member: Member | undefined, database: DatabaseId, transaction: string) => void;
-	onRetried: (request: HomeRequest, home: VmId, reason: string) => void;
+	onRetried: (request: StatementRequest, owner: VmId, reason: string) => void;
 }>;
 
 /** Routing of one entry. */
-export type Routing = Readonly<{
-	run: (request: HomeRequest, deadline: Deadline) => Promise<HomeAnswer>;
+export type StatementRouter = Readonly<{
+	run: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	rollBack: (database: DatabaseId, transaction: string) => void;
 }>;
 
@@ -34,12 +34,12 @@
 /** Time after which a caller should come back when no home can be reached, in milliseconds. */
 const HOME_RETRY_MS = 300;
 
-const createAnswer = (outcome: Outcome, status: HomeAnswer['status']): HomeAnswer => ({
+const createAnswer = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 	outcome, status, position: undefined, target: undefined, waitedMs: 0,
 });
 
 /** Judges a statement whose home was lost; `undefined` if it may run again elsewhere. */
-export const judgeLost = (request: HomeRequest, reason: string): HomeAnswer | undefined => {
+export const judgeLostStatement = (request: StatementRequest, reason: string): StatementResponse | undefined => {
 	const access = getAccess(request.statement);
 	if (request.transaction && access !== 'commit') {
 		// The home rolls back what it does not hear of again, and nobody sends the commit.
@@ -52,18 +52,18 @@
 };
 
 /** Creates the routing of an entry. */
-export const createRouting = (context: RoutingContext): Routing => {
+export const createStatementRouter = (context: StatementRouterContext): StatementRouter => {
 	const {world, self} = context;
 	/** Homes of open transactions; no member for this vm itself. */
 	const homes = new Map<string, Member | undefined>();
 
-	const callAt = async (member: Member | undefined, request: HomeRequest, deadline: Deadline): Promise<Result<HomeAnswer, CallFailure> | HomeAnswer> => {
+	const callAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<Result<StatementResponse, CallFailure> | StatementResponse> => {
 		const remainingMs = getRemainingMs(deadline, world.now());
 		const timed = {...request, remainingMs};
-		return member ? context.callHome(member, timed, remainingMs + RETURN_MS) : context.serveHere(timed);
+		return member ? context.callOwner(member, timed, remainingMs + RETURN_MS) : context.serveLocally(timed);
 	};
 
-	const noteTransaction = (request: HomeRequest, member: Member | undefined, answer: HomeAnswer) => {
+	const noteTransaction = (request: StatementRequest, member: Member | undefined, answer: StatementResponse) => {
 		const id = request.transaction?.id;
 		if (id !== undefined) {
 			if (answer.status === 'open') {
@@ -74,7 +74,7 @@
 		}
 	};
 
-	const runAt = async (member: Member | undefined, request: HomeRequest, deadline: Deadline): Promise<HomeAnswer | 'elsewhere'> => {
+	const runAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<StatementResponse | 'elsewhere'> => {
 		const result = await callAt(member, request, deadline);
 		if (!('ok' in result)) {
 			noteTransaction(request, member, result);
@@ -90,7 +90,7 @@
 			return 'elsewhere';
 		}
 
-		const judged = judgeLost(request, result.val.message);
+		const judged = judgeLostStatement(request, result.val.message);
 		if (judged) {
 			noteTransaction(request, member, judged);
 		}
@@ -98,7 +98,7 @@
 		return judged ?? 'elsewhere';
 	};
 
-	const continueAtHome = async (id: string, request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
+	const continueAtHome = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		const member = homes.get(id);
 		const answer = await runAt(member, request, deadline);
 		if (answer !== 'elsewhere') {
@@ -109,8 +109,8 @@
 		return createAnswer(createRefusal('aborted', 'the home of the transaction cannot be reached'), request.statement.kind === 'commit' ? 'idle' : 'failed');
 	};
 
-	const runAnywhere = async (request: HomeRequest, deadline: Deadline): Promise<HomeAnswer> => {
-		const ranked = context.rankHomes(request.database);
+	const runAnywhere = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+		const ranked = context.rankOwners(request.database);
 		const usable = ranked.filter(({vm}) => vm === self || context.isUsable(vm));
 		for (const member of usable.slice(0, MOST_HOMES)) {
 			if (isPast(deadline, world.now())) {
--- a/packages/vm/src/tests/isolation.test.ts
+++ b/packages/vm/src/tests/isolation-detector.test.ts
@@ -5,7 +5,7 @@
 import {
 	createVirtualWorld, parseId, type DataCentreId, type VmId,
 } from '@guavapitch/core';
-import {createIsolation} from '../isolation.js';
+import {createIsolationDetector} from '../isolation-detector.js';
 import type {Member} from '../members.js';
 
 const createMember = (name: string, dataCentre: string): Member => ({
@@ -15,7 +15,7 @@
 
 const createSetup = (isReached: (member: Member) => boolean) => {
 	const {world, advance} = createVirtualWorld(4);
-	const isolation = createIsolation({
+	const isolation = createIsolationDetector({
 		world,
 		vm: parseId<VmId>('a1'),
 		dataCentre: parseId<DataCentreId>('a'),
@@ -33,7 +33,7 @@
 	it('is noticed within a second when no other data centre answers, and so is its end', async () => {
 		let isCut = true;
 		const {isolation, advance} = createSetup(() => !isCut);
-		isolation.noteUnreachable(MEMBERS[2]!);
+		isolation.handleUnreachable(MEMBERS[2]!);
 		await advance(1000);
 		assert.ok(isolation.isIsolated());
 		isCut = false;
@@ -43,14 +43,14 @@
 
 	it('is not believed when one vm or one data centre is lost', async () => {
 		const {isolation, advance} = createSetup(({dataCentre}) => dataCentre === 'c');
-		isolation.noteUnreachable(MEMBERS[2]!);
+		isolation.handleUnreachable(MEMBERS[2]!);
 		await advance(2000);
 		assert.ok(!isolation.isIsolated());
 	});
 
 	it('is not looked for when a vm of the own data centre is lost', async () => {
 		const {isolation, advance} = createSetup(() => false);
-		isolation.noteUnreachable(MEMBERS[1]!);
+		isolation.handleUnreachable(MEMBERS[1]!);
 		await advance(2000);
 		assert.ok(!isolation.isIsolated());
 	});
--- a/packages/vm/src/tests/routing.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -5,20 +5,20 @@
 import {
 	createDeadline, createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
 } from '@guavapitch/core';
-import type {HomeAnswer, HomeRequest, TargetStatement} from '@guavapitch/sessions';
-import {rankHomes, rankRelays, type Member} from '../members.js';
-import type {CallFailure} from '../peers.js';
-import {createRouting} from '../routing.js';
+import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
+import {rankOwners, rankRelays, type Member} from '../members.js';
+import type {CallFailure} from '../peer-client.js';
+import {createStatementRouter} from '../statement-router.js';
 
 const createMember = (name: string, dataCentre = 'here', capacity = 1, since = 1): Member => ({
 	vm: parseId<VmId>(name), run: `${name}-1`, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity, since,
 });
 const MEMBERS = [createMember('one'), createMember('two')];
-const ANSWER: HomeAnswer = {
+const ANSWER: StatementResponse = {
 	outcome: {kind: 'done', rows: [], signature: 's'}, status: 'idle', position: undefined, target: 't', waitedMs: 0,
 };
 
-const createRequest = (statement: TargetStatement, transaction?: HomeRequest['transaction']): HomeRequest => ({
+const createRequest = (statement: TargetStatement, transaction?: StatementRequest['transaction']): StatementRequest => ({
 	id: 'q',
 	database: parseId<DatabaseId>('ledger'),
 	customer: parseId<CustomerId>('c'),
@@ -34,26 +34,26 @@
 const READ: TargetStatement = {kind: 'text', access: 'read', text: 'READ a'};
 const WRITE: TargetStatement = {kind: 'text', access: 'write', text: 'WRITE a b'};
 
-const createSetup = (call: (vm: VmId) => Result<HomeAnswer, CallFailure>) => {
+const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
 	const {world} = createVirtualWorld();
 	const called: VmId[] = [];
-	const routing = createRouting({
+	const routing = createStatementRouter({
 		world,
 		self: parseId<VmId>('self'),
-		rankHomes: () => MEMBERS,
+		rankOwners: () => MEMBERS,
 		isUsable: () => true,
-		async callHome({vm}) {
+		async callOwner({vm}) {
 			called.push(vm);
 			return call(vm);
 		},
-		serveHere: async () => ANSWER,
+		serveLocally: async () => ANSWER,
 		rollBackAt: () => undefined,
 		onRetried: () => undefined,
 	});
-	return {called, run: async (request: HomeRequest) => routing.run(request, createDeadline(world.now(), 1000))};
+	return {called, run: async (request: StatementRequest) => routing.run(request, createDeadline(world.now(), 1000))};
 };
 
-const lose = (code: CallFailure['code']) => (vm: VmId): Result<HomeAnswer, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(ANSWER);
+const lose = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(ANSWER);
 
 describe('routing', () => {
 	it('tries a write elsewhere only if it was certainly not sent', async () => {
@@ -94,7 +94,7 @@
 			createMember('far', 'there', 5),
 		];
 		for (let key = 0; key < 200; key++) {
-			const ranked = rankHomes(`db${key}`, members, parseId<DataCentreId>('here')).map(({vm}) => vm);
+			const ranked = rankOwners(`db${key}`, members, parseId<DataCentreId>('here')).map(({vm}) => vm);
 			assert.deepEqual(new Set(ranked.slice(0, 2)), new Set(['strong', 'able']));
 			assert.equal(ranked.at(-1), 'far');
 		}
@@ -104,7 +104,7 @@
 		const members = [...Array.from({length: 20}, (_, index) => createMember(`near${index}`, 'here', index < 10 ? 3 : 2)), createMember('far', 'there', 9)];
 		const counts = new Map<string, number>();
 		for (let key = 0; key < 2000; key++) {
-			const [first] = rankHomes(`db${key}`, members, parseId<DataCentreId>('here'));
+			const [first] = rankOwners(`db${key}`, members, parseId<DataCentreId>('here'));
 			counts.set(String(first?.capacity), (counts.get(String(first?.capacity)) ?? 0) + 1);
 		}
 
@@ -116,8 +116,8 @@
 	it('of homes moves few databases when a vm leaves', () => {
 		const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
 		const keys = Array.from({length: 500}, (_, index) => `db${index}`);
-		const moved = keys.filter(key => rankHomes(key, members, undefined)[0] !== rankHomes(key, members.slice(1), undefined)[0]);
-		assert.ok(moved.every(key => rankHomes(key, members, undefined)[0] === members[0]));
+		const moved = keys.filter(key => rankOwners(key, members, undefined)[0] !== rankOwners(key, members.slice(1), undefined)[0]);
+		assert.ok(moved.every(key => rankOwners(key, members, undefined)[0] === members[0]));
 	});
 
 	it('of relays lists the older vms of the data centre', () => {
