--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,4 +1,4 @@
-/** What a vm knows from the feed: rules, targets and members. */
+/** View that a vm has of the cluster through the change feed: configuration, targets and members. */
 
 import type {DatabaseId, DataCentreId, TargetId} from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
@@ -8,58 +8,58 @@
 import {parseMember, rankOwners, type Member} from './members.js';
 import type {Configuration} from './configuration.js';
 
-/** Prefix of everything that the product keeps in the store. */
+/** Prefix of all keys that this product writes to the store. */
 export const STORE_PREFIX = 'guavapitch/';
-/** Prefix of the entries of vms. */
+/** Key prefix of the store entries of vms. */
 export const MEMBER_PREFIX = `${STORE_PREFIX}vms/`;
-/** Prefix of the entries of those who hold duties. */
+/** Key prefix of the entries that name the holder of each role. */
 export const HOLDER_PREFIX = `${STORE_PREFIX}holders/`;
-/** Prefix of the fencing numbers of duties. */
+/** Key prefix of the entries from which the fencing tokens of each role are drawn. */
 export const FENCING_TOKEN_PREFIX = `${STORE_PREFIX}epochs/`;
 
-/** Knowledge of one vm. */
+/** View of the cluster at one vm. */
 export type ClusterView = Readonly<{
 	getConfiguration: () => Configuration | undefined;
 	listMembers: () => readonly Member[];
 	listTargets: (database: DatabaseId) => readonly Target[];
 	findTarget: (id: TargetId) => Target | undefined;
-	/** Ranks the vms as homes of a database, best first. */
+	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
-	/** Takes note of changes; tells which kinds of entries changed. */
+	/** Applies changes of the feed; returns which kinds of entries they touch. */
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{configuration: boolean; targets: boolean; members: boolean}>;
 }>;
 
-/** Tells whether a change matters: a heartbeat alone does not. */
+/** Tells whether a change matters. A changed target entry that parses to the same value is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
 	if (!change.entry || !before || !change.key.startsWith(context.targetPrefix)) {
 		return true;
 	}
 
-	const now = context.parseTarget(change.entry);
-	const earlier = context.parseTarget(before);
-	return now.err || earlier.err || JSON.stringify(now.val) !== JSON.stringify(earlier.val);
+	const parsedAfter = context.parseTarget(change.entry);
+	const parsedBefore = context.parseTarget(before);
+	return parsedAfter.err || parsedBefore.err || JSON.stringify(parsedAfter.val) !== JSON.stringify(parsedBefore.val);
 };
 
-/** Changed shares named in one line of the log. */
-const MOST_SHARES = 20;
+/** Maximum number of changed quotas named in one log line. */
+const MAX_LOGGED_QUOTAS = 20;
 
-/** Lists the shares that differ between two versions, for the log. */
-const listChangedShares = (before: Configuration | undefined, after: Configuration): readonly string[] => before
+/** Lists the quotas that differ between two versions, for the log. */
+const listChangedQuotas = (before: Configuration | undefined, after: Configuration): readonly string[] => before
 	? [...after.quotas]
 		.filter(([customer, {rate, burst}]) => before.quotas.get(customer)?.rate !== rate || before.quotas.get(customer)?.burst !== burst)
-		.slice(0, MOST_SHARES)
+		.slice(0, MAX_LOGGED_QUOTAS)
 		.map(([customer, {rate, burst}]) => `${customer}: ${rate}/s, burst ${burst}`)
 	: [];
 
-/** Creates the view of a vm that knows nothing. */
+/** Creates an empty cluster view. */
 export const createClusterView = (context: VmContext, getFeed: () => Feed): ClusterView => {
-	let rules: Configuration | undefined;
+	let configuration: Configuration | undefined;
 	let members: readonly Member[] = [];
 	let targets = new Map<TargetId, Target>();
-	let byDatabase = new Map<DatabaseId, Target[]>();
-	let ranks = new Map<DatabaseId, readonly Member[]>();
+	let targetsByDatabase = new Map<DatabaseId, Target[]>();
+	let ownerRanks = new Map<DatabaseId, readonly Member[]>();
 
-	const readRules = (entry: StoreEntry | undefined) => {
+	const applyConfiguration = (entry: StoreEntry | undefined) => {
 		const parsed = entry && context.parseConfiguration(entry.value);
 		if (!parsed) {
 			return;
@@ -70,16 +70,16 @@
 			return;
 		}
 
-		if (!rules || parsed.val.version > rules.version) {
-			const changedShares = listChangedShares(rules, parsed.val);
-			rules = parsed.val;
+		if (!configuration || parsed.val.version > configuration.version) {
+			const changedQuotas = listChangedQuotas(configuration, parsed.val);
+			configuration = parsed.val;
 			context.emit(EVENTS.configurationApplied, {
-				version: rules.version, revision: entry.revision, ageMs: Math.round(Math.min(getFeed().getAgeMs(), Number.MAX_SAFE_INTEGER)), changedShares,
+				version: configuration.version, revision: entry.revision, ageMs: Math.round(Math.min(getFeed().getAgeMs(), Number.MAX_SAFE_INTEGER)), changedShares: changedQuotas,
 			});
 		}
 	};
 
-	const readTargets = () => {
+	const rebuildTargets = () => {
 		const next = new Map<TargetId, Target>();
 		const grouped = new Map<DatabaseId, Target[]>();
 		for (const entry of getFeed().list(context.targetPrefix)) {
@@ -91,8 +91,8 @@
 		}
 
 		targets = next;
-		byDatabase = grouped;
-		ranks = new Map();
+		targetsByDatabase = grouped;
+		ownerRanks = new Map();
 	};
 
 	const reportMalformed = (changes: readonly StoreChange[]) => {
@@ -104,47 +104,47 @@
 		}
 	};
 
-	const readMembers = () => {
+	const rebuildMembers = () => {
 		members = getFeed().list(MEMBER_PREFIX).flatMap(entry => parseMember(entry) ?? []);
-		ranks = new Map();
+		ownerRanks = new Map();
 	};
 
-	/** Data centre of the primary, by the registry, so that homes do not follow every belief. */
-	const getPreferred = (database: DatabaseId): DataCentreId | undefined => byDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
+	/** Returns the data centre of the primary as the store names it. What this vm observes itself is not used, so that owners do not move with every observation. */
+	const getPreferredDataCentre = (database: DatabaseId): DataCentreId | undefined => targetsByDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
 
 	return {
-		getConfiguration: () => rules,
+		getConfiguration: () => configuration,
 		listMembers: () => members,
-		listTargets: database => byDatabase.get(database) ?? [],
+		listTargets: database => targetsByDatabase.get(database) ?? [],
 		findTarget: id => targets.get(id),
 		rankOwners(database) {
-			const known = ranks.get(database);
-			if (known) {
-				return known;
+			const cached = ownerRanks.get(database);
+			if (cached) {
+				return cached;
 			}
 
-			const ranked = rankOwners(database, members, getPreferred(database));
-			ranks.set(database, ranked);
+			const ranked = rankOwners(database, members, getPreferredDataCentre(database));
+			ownerRanks.set(database, ranked);
 			return ranked;
 		},
 		applyChanges(changes) {
-			const hasRules = changes.some(({key}) => key === context.configurationKey);
-			const hasTargets = changes.some(({key}) => key.startsWith(context.targetPrefix));
-			const hasMembers = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
-			if (hasRules) {
-				readRules(getFeed().get(context.configurationKey));
+			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
+			const hasTargetChange = changes.some(({key}) => key.startsWith(context.targetPrefix));
+			const hasMemberChange = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
+			if (hasConfigurationChange) {
+				applyConfiguration(getFeed().get(context.configurationKey));
 			}
 
-			if (hasTargets) {
-				readTargets();
+			if (hasTargetChange) {
+				rebuildTargets();
 				reportMalformed(changes);
 			}
 
-			if (hasMembers) {
-				readMembers();
+			if (hasMemberChange) {
+				rebuildMembers();
 			}
 
-			return {configuration: hasRules, targets: hasTargets, members: hasMembers};
+			return {configuration: hasConfigurationChange, targets: hasTargetChange, members: hasMemberChange};
 		},
 	};
 };
--- a/packages/vm/src/configuration.ts
+++ b/packages/vm/src/configuration.ts
@@ -1,4 +1,4 @@
-/** The operators' rules in force, as every vm knows them. */
+/** The active configuration, as every vm knows it. */
 
 import type {
 	CustomerId, DatabaseId, Failure, Result,
@@ -6,29 +6,29 @@
 import type {Route} from '@guavapitch/callers';
 import type {Quota} from '@guavapitch/limits';
 
-/** Rules for one database. */
+/** Configuration of one database. */
 export type DatabaseConfiguration = Readonly<{
 	id: DatabaseId;
-	/** Connections that each target accepts from all vms together. */
+	/** Maximum number of connections to each target, from all vms together. */
 	connectionLimit: number;
-	/** Whether commits are acknowledged only when a replica has them. */
+	/** Whether a commit is acknowledged only after a replica has received it. */
 	isReplicated: boolean;
 }>;
 
-/** All rules of one version. */
+/** One version of the operators' configuration. */
 export type Configuration = Readonly<{
 	version: number;
 	routes: ReadonlyMap<string, Route>;
 	databases: ReadonlyMap<DatabaseId, DatabaseConfiguration>;
-	/** Customers by key. */
+	/** Customers by the keys issued to them. */
 	customersByKey: ReadonlyMap<string, CustomerId>;
 	quotas: ReadonlyMap<CustomerId, Quota>;
-	/** Time that a transaction may stay idle, in milliseconds. */
+	/** Maximum time that a transaction may stay idle, in milliseconds. */
 	idleTransactionMs: number;
 }>;
 
-/** Failure of reading rules or a target's description. */
+/** Failure to parse a configuration or the entry of a target. */
 export type DocumentFailure = Failure<'documentMalformed'>;
 
-/** Parses the rules out of the operators' entry. */
+/** Parses the configuration from the value of its store entry. */
 export type ParseConfiguration = (value: string) => Result<Configuration, DocumentFailure>;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -1,4 +1,4 @@
-/** What the process of an entry vm needs from its surroundings. */
+/** Dependencies of the process of an entry vm. */
 
 import type {
 	DataCentreId, Instant, Result, TargetId, VmId, World,
@@ -11,42 +11,42 @@
 import type {Emit, Metrics} from '@guavapitch/telemetry';
 import type {DocumentFailure, ParseConfiguration} from './configuration.js';
 
-/** Who the vm is, and where. */
+/** Identity, location and capacity of a vm. */
 export type VmSettings = Readonly<{
 	vm: VmId;
 	/** Identifier of this run of the process. */
 	run: string;
 	dataCentre: DataCentreId;
-	/** Number of data centres of the fleet. */
+	/** Number of data centres in the fleet. */
 	dataCentreCount: number;
-	/** Address for the other vms. */
+	/** Address at which other vms reach this one. */
 	host: string;
 	port: number;
-	/** Processor share. */
+	/** Processor share; work is distributed in proportion to it. */
 	capacity: number;
 }>;
 
-/** Functions and keys of the surroundings. */
+/** Functions, store keys and settings that the process is given. */
 export type VmContext = Readonly<{
 	world: World;
-	/** Reads the suspension clock. */
+	/** Reads the suspension clock, which keeps counting while the process is suspended. */
 	readClock: () => Instant;
 	settings: VmSettings;
 	emit: Emit;
 	metrics: Metrics;
 	source: FeedSource;
 	store: RoleStore;
-	/** Key of the operators' rules. */
+	/** Store key of the operators' configuration. */
 	configurationKey: string;
-	/** Prefix of the entries of targets. */
+	/** Key prefix of the store entries of targets. */
 	targetPrefix: string;
 	parseConfiguration: ParseConfiguration;
 	parseTarget: (entry: StoreEntry) => Result<Target, DocumentFailure>;
 	dialTarget: DialTarget;
 	readStatus: ReadStatus;
-	/** Orders a target to lead its database. */
+	/** Asks a target to become the primary of its database, for the holder of the coordinator role and under its fencing token. */
 	requestPromotion: (target: Target, holder: VmId, fencingToken: number) => Promise<PromotionOutcome>;
 }>;
 
-/** Looks up a target of any database. */
+/** Finds a target of any database; returns `undefined` if it is unknown. */
 export type FindTarget = (id: TargetId) => Target | undefined;
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,4 +1,4 @@
-/** The databases whose home or steward this vm is. */
+/** The databases that this vm owns, and their failover coordinators. */
 
 import {
 	createDeadline, Ok, parseId, type CustomerId, type DatabaseId, type TargetId, type VmId,
@@ -13,19 +13,19 @@
 import type {Quotas} from './quotas.js';
 import type {ClusterView} from './cluster-view.js';
 
-/** Homes of databases at one vm. */
+/** Database owners at one vm. */
 export type DatabaseOwners = Readonly<{
-	/** Gets the home of a database, opening it if needed. */
+	/** Returns the owner of a database, creating it if needed. */
 	get: (database: DatabaseId) => DatabaseOwner;
-	/** Passes changed targets on to the open homes. */
+	/** Passes the current targets on to every owner. */
 	refreshTargets: () => void;
-	/** Answers whether this vm reaches a target. */
+	/** Tells whether this vm can reach a target. */
 	isReachable: (target: TargetId) => Promise<boolean>;
-	/** Closes idle connections of databases whose first home is another vm, until the signal aborts. */
+	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
 	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
 }>;
 
-/** What the databases need of the vm. */
+/** Dependencies of the database owners. */
 export type DatabaseDependencies = Readonly<{
 	view: ClusterView;
 	quotas: Quotas;
@@ -34,49 +34,49 @@
 	getSignal: () => AbortSignal;
 }>;
 
-/** Method by which vms ask whether another reaches a target. */
+/** Method by which vms ask a peer to probe a target. */
 export const REACH_METHOD = 'reach';
 
-/** Part of a target's connections that one home may open; two homes with different views stay within the limit together. */
-const HOME_PART = 0.5;
+/** Fraction of a target's connections that one owner may open: two owners, chosen under different views, stay within the limit together. */
+const OWNER_CONNECTION_FRACTION = 0.5;
 const REACH_TIMEOUT_MS = 500;
-/** Vms asked whether they reach a target. */
-const WITNESSES = 3;
-/** Time after which the idle connections of a home that is no longer the first are closed, in milliseconds. */
-const IDLE_MS = 3000;
-const LOOK_MS = 1000;
+/** Maximum number of peers that probe a target. */
+const PROBING_PEERS = 3;
+/** Idle time after which an owner that is no longer the preferred one closes a connection, in milliseconds. */
+const MAX_IDLE_CONNECTION_MS = 3000;
+const IDLE_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TRANSACTION_MS = 3000;
-const DEFAULT_CONNECTIONS = 8;
+const DEFAULT_CONNECTION_LIMIT = 8;
 
-/** Duty of the steward of a database. */
+/** Formats the name of the failover coordinator's role for a database. */
 export const formatCoordinatorRole = (database: DatabaseId): string => `database/${database}`;
 
-/** Creates the databases of a vm. */
-export const createDatabaseOwners = (context: VmContext, parts: DatabaseDependencies): DatabaseOwners => {
+/** Creates the database owners of a vm. */
+export const createDatabaseOwners = (context: VmContext, dependencies: DatabaseDependencies): DatabaseOwners => {
 	const {world, settings, emit, metrics} = context;
-	const {view} = parts;
-	const homes = new Map<DatabaseId, DatabaseOwner>();
+	const {view} = dependencies;
+	const owners = new Map<DatabaseId, DatabaseOwner>();
 
-	const askWitnesses = async (target: TargetId): Promise<boolean> => {
-		const others = view.listMembers().filter(({vm}) => vm !== settings.vm && parts.getPeerClient().isUsable(vm));
-		const start = Math.floor(world.random() * others.length);
-		const asked = [...others.slice(start), ...others.slice(0, start)].slice(0, WITNESSES);
-		const answers = await Promise.all(asked.map(async member => parts.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
-		return answers.some(answer => answer.ok && answer.val === true);
+	const askPeers = async (target: TargetId): Promise<boolean> => {
+		const usablePeers = view.listMembers().filter(({vm}) => vm !== settings.vm && dependencies.getPeerClient().isUsable(vm));
+		const start = Math.floor(world.random() * usablePeers.length);
+		const asked = [...usablePeers.slice(start), ...usablePeers.slice(0, start)].slice(0, PROBING_PEERS);
+		const responses = await Promise.all(asked.map(async member => dependencies.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
+		return responses.some(response => response.ok && response.val === true);
 	};
 
-	const open = (database: DatabaseId): DatabaseOwner => {
-		const home = createDatabaseOwner({
+	const createOwner = (database: DatabaseId): DatabaseOwner => {
+		const owner = createDatabaseOwner({
 			world,
 			readClock: context.readClock,
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
-			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTIONS) * HOME_PART)),
+			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT) * OWNER_CONNECTION_FRACTION)),
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? parseId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
-				? parts.quotas.quotaClient.acquire(customer, deadline)
+				? dependencies.quotas.quotaClient.acquire(customer, deadline)
 				: Ok(undefined),
 			onDecision({
 				kind, requestId, customer, target, reason, ageMs,
@@ -87,18 +87,18 @@
 				});
 			},
 		});
-		home.setTargets(view.listTargets(database));
+		owner.setTargets(view.listTargets(database));
 		void runFailoverCoordinator({
 			world,
 			database,
-			owner: home,
-			isCoordinator: () => parts.getRoleClaims().isHeld(formatCoordinatorRole(database)),
-			drawFencingToken: async () => parts.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
-			async orderPromotion(target, fence) {
+			owner,
+			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
+			drawFencingToken: async () => dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
+			async orderPromotion(target, fencingToken) {
 				const known = view.findTarget(target);
-				return known ? context.requestPromotion(known, settings.vm, fence) : 'refused';
+				return known ? context.requestPromotion(known, settings.vm, fencingToken) : 'refused';
 			},
-			isReachableFromPeers: askWitnesses,
+			isReachableFromPeers: askPeers,
 			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
@@ -106,40 +106,40 @@
 					kind, database, target, reason, ageMs: Math.round(ageMs),
 				});
 			},
-		}, parts.getSignal());
-		return home;
+		}, dependencies.getSignal());
+		return owner;
 	};
 
 	const get = (database: DatabaseId): DatabaseOwner => {
-		const known = homes.get(database);
-		if (known) {
-			return known;
+		const existing = owners.get(database);
+		if (existing) {
+			return existing;
 		}
 
-		const opened = open(database);
-		homes.set(database, opened);
-		return opened;
+		const created = createOwner(database);
+		owners.set(database, created);
+		return created;
 	};
 
 	return {
 		get,
 		refreshTargets() {
-			for (const [database, home] of homes) {
-				home.setTargets(view.listTargets(database));
+			for (const [database, owner] of owners) {
+				owner.setTargets(view.listTargets(database));
 			}
 		},
 		async isReachable(id) {
 			const target = view.findTarget(id);
-			const answer = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
-			return answer === 'leads' || answer === 'follows';
+			const response = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
+			return response === 'leads' || response === 'follows';
 		},
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
-				await world.sleep(LOOK_MS, signal).catch(() => undefined);
-				for (const [database, home] of homes) {
-					const first: VmId | undefined = view.rankOwners(database)[0]?.vm;
-					if (first !== settings.vm) {
-						home.closeIdleConnections(IDLE_MS);
+				await world.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
+				for (const [database, owner] of owners) {
+					const preferred: VmId | undefined = view.rankOwners(database)[0]?.vm;
+					if (preferred !== settings.vm) {
+						owner.closeIdleConnections(MAX_IDLE_CONNECTION_MS);
 					}
 				}
 			}
--- a/packages/vm/src/isolation-detector.ts
+++ b/packages/vm/src/isolation-detector.ts
@@ -1,74 +1,74 @@
-/** Notices that a vm can no longer reach any other data centre. */
+/** Detects that a vm can no longer reach any other data centre. */
 
 import type {DataCentreId, VmId, World} from '@guavapitch/core';
 import type {Member} from './members.js';
 
-/** What noticing needs. */
+/** Dependencies of the isolation detector. */
 export type IsolationDetectorContext = Readonly<{
 	world: World;
 	vm: VmId;
 	dataCentre: DataCentreId;
 	listMembers: () => readonly Member[];
-	/** Asks a vm for a sign of life. */
+	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
 	onChange: (isIsolated: boolean) => void;
 }>;
 
-/** Belief of a vm about its data centre. */
+/** Detects whether the data centre of a vm is isolated from all others. */
 export type IsolationDetector = Readonly<{
-	/** A vm could not be reached: looks whether any vm of another data centre can. */
+	/** Called when a vm could not be reached: checks whether any vm of another data centre can be. */
 	handleUnreachable: (member: Member) => void;
 	isIsolated: () => boolean;
 }>;
 
-/** Vms of each other data centre that are asked. */
-const WITNESSES = 2;
-/** Pause between looks while no other data centre answers, in milliseconds. */
-const LOOK_MS = 300;
+/** Number of vms probed in each other data centre. */
+const PROBED_VMS_PER_DATA_CENTRE = 2;
+/** Pause between checks while no other data centre answers, in milliseconds. */
+const CHECK_INTERVAL_MS = 300;
 
-/** Chooses some vms of each other data centre. */
-const chooseWitnesses = (context: IsolationDetectorContext): readonly Member[] => {
-	const byCentre = new Map<DataCentreId, Member[]>();
+/** Chooses the vms to probe, some of each other data centre. */
+const chooseProbedVms = (context: IsolationDetectorContext): readonly Member[] => {
+	const byDataCentre = new Map<DataCentreId, Member[]>();
 	for (const member of context.listMembers()) {
 		if (member.dataCentre !== context.dataCentre) {
-			byCentre.set(member.dataCentre, [...byCentre.get(member.dataCentre) ?? [], member]);
+			byDataCentre.set(member.dataCentre, [...byDataCentre.get(member.dataCentre) ?? [], member]);
 		}
 	}
 
-	return [...byCentre.values()].flatMap(members => {
+	return [...byDataCentre.values()].flatMap(members => {
 		const start = Math.floor(context.world.random() * members.length);
-		return [...members.slice(start), ...members.slice(0, start)].slice(0, WITNESSES);
+		return [...members.slice(start), ...members.slice(0, start)].slice(0, PROBED_VMS_PER_DATA_CENTRE);
 	});
 };
 
-/** Creates the belief of a vm that takes itself for connected. */
+/** Creates a detector, which starts as not isolated. */
 export const createIsolationDetector = (context: IsolationDetectorContext): IsolationDetector => {
 	let isolated = false;
-	let looking = false;
+	let checking = false;
 
-	const look = async (): Promise<void> => {
-		looking = true;
+	const checkIsolation = async (): Promise<void> => {
+		checking = true;
 		do {
-			const witnesses = chooseWitnesses(context);
-			const answers = await Promise.all(witnesses.map(async member => context.ping(member)));
-			const next = witnesses.length > 0 && !answers.includes(true);
-			if (next !== isolated) {
-				isolated = next;
+			const probed = chooseProbedVms(context);
+			const results = await Promise.all(probed.map(async member => context.ping(member)));
+			const isIsolatedNow = probed.length > 0 && !results.includes(true);
+			if (isIsolatedNow !== isolated) {
+				isolated = isIsolatedNow;
 				context.onChange(isolated);
 			}
 
 			if (isolated) {
-				await context.world.sleep(LOOK_MS);
+				await context.world.sleep(CHECK_INTERVAL_MS);
 			}
 		} while (isolated);
 
-		looking = false;
+		checking = false;
 	};
 
 	return {
 		handleUnreachable(member) {
-			if (!looking && member.dataCentre !== context.dataCentre) {
-				void look();
+			if (!checking && member.dataCentre !== context.dataCentre) {
+				void checkIsolation();
 			}
 		},
 		isIsolated: () => isolated,
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -1,4 +1,4 @@
-/** The live vms, and which of them is the home of what. */
+/** The live vms, and their ranking as database owners and as relays. */
 
 import {
 	computeHash, type DataCentreId, type VmId,
@@ -13,22 +13,22 @@
 	dataCentre: DataCentreId;
 	host: string;
 	port: number;
-	/** Processor share, by which work is dealt out. */
+	/** Processor share; work is distributed in proportion to it. */
 	capacity: number;
-	/** Revision of its entry's creation; the oldest relay for the others. */
+	/** Store revision at which its entry was created; the oldest vms relay the change feed to the others. */
 	since: number;
 }>;
 
-/** Formats the entry of a vm. */
+/** Formats the store entry of a vm. */
 export const formatMember = (member: Omit<Member, 'since'>): string => JSON.stringify(member);
 
-/** Parses the entry of a vm; `undefined` if it is malformed. */
+/** Parses the store entry of a vm; returns `undefined` if it is malformed. */
 export const parseMember = (entry: StoreEntry): Member | undefined => {
 	try {
 		const value = JSON.parse(entry.value) as Partial<Member>;
-		const isWhole = typeof value.vm === 'string' && typeof value.run === 'string' && typeof value.dataCentre === 'string'
+		const isComplete = typeof value.vm === 'string' && typeof value.run === 'string' && typeof value.dataCentre === 'string'
 			&& typeof value.host === 'string' && typeof value.port === 'number' && typeof value.capacity === 'number';
-		return isWhole ? {...value as Member, since: entry.createdRevision} : undefined;
+		return isComplete ? {...value as Member, since: entry.createdRevision} : undefined;
 	} catch {
 		return undefined;
 	}
@@ -36,30 +36,30 @@
 
 const HASH_RANGE = 4_294_967_296;
 
-/** Part of the largest capacity that a vm must have to be home before the others: all statements of a database meet there. */
-const ABLE_PART = 0.5;
+/** Fraction of the largest capacity below which a vm ranks behind the others as an owner: all statements of a database go through its owner. */
+const MIN_CAPACITY_FRACTION = 0.5;
 
 /**
- * Ranks vms for a key by weighted rendezvous hashing: those of a preferred data centre first, and of these the able ones.
- * Answers the load of a fleet of unequal vms, where a weak home is the bottleneck of its whole database.
+ * Ranks vms as owners of a key by weighted rendezvous hashing: those of the preferred data centre first, and among these the ones with enough capacity.
+ * In a fleet of unequal vms, a weak owner would be the bottleneck of its whole database.
  */
 export const rankOwners = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => {
-	const near = members.filter(member => member.dataCentre === preferred);
-	const able = ABLE_PART * Math.max(0, ...(near.length > 0 ? near : members).map(({capacity}) => capacity));
+	const preferredMembers = members.filter(member => member.dataCentre === preferred);
+	const minCapacity = MIN_CAPACITY_FRACTION * Math.max(0, ...(preferredMembers.length > 0 ? preferredMembers : members).map(({capacity}) => capacity));
 	return members
 		.map(member => {
-			const drawn = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
+			const uniform = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
 			return {
-				member, isNear: member.dataCentre === preferred, isAble: member.capacity >= able, score: -member.capacity / Math.log(drawn),
+				member, isPreferred: member.dataCentre === preferred, hasCapacity: member.capacity >= minCapacity, score: -member.capacity / Math.log(uniform),
 			};
 		})
-		.toSorted((a, b) => Number(b.isNear) - Number(a.isNear) || Number(b.isAble) - Number(a.isAble) || b.score - a.score || (a.member.vm < b.member.vm ? -1 : 1))
+		.toSorted((a, b) => Number(b.isPreferred) - Number(a.isPreferred) || Number(b.hasCapacity) - Number(a.hasCapacity) || b.score - a.score || (a.member.vm < b.member.vm ? -1 : 1))
 		.map(({member}) => member);
 };
 
-/** Ranks the vms that a vm may follow: the older ones of its data centre, oldest first. */
+/** Ranks the vms that may relay the change feed to a vm: the older ones of its data centre, oldest first. */
 export const rankRelays = (self: VmId, dataCentre: DataCentreId, members: readonly Member[]): readonly Member[] => {
-	const near = members.filter(member => member.dataCentre === dataCentre).toSorted((a, b) => a.since - b.since);
-	const index = near.findIndex(member => member.vm === self);
-	return index === -1 ? near : near.slice(0, index);
+	const localMembers = members.filter(member => member.dataCentre === dataCentre).toSorted((a, b) => a.since - b.since);
+	const index = localMembers.findIndex(member => member.vm === self);
+	return index === -1 ? localMembers : localMembers.slice(0, index);
 };
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -10,36 +10,36 @@
 import type {VmContext} from './context.js';
 import type {Member} from './members.js';
 
-/** Failure of a call: whether the other vm may have acted on it. */
+/** Failure of a call: with `notSent` the other vm did not act on it, with `lost` it may have. */
 export type CallFailure = Failure<'notSent' | 'lost'>;
 
-/** Calls to other vms. */
+/** Client for calls to other vms. */
 export type PeerClient = AsyncDisposable & Readonly<{
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
-	/** Asks a vm for a sign of life. */
+	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
-	/** Tells whether a vm may be tried: it did not just refuse or stay silent. */
+	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds. */
 	isUsable: (vm: VmId) => boolean;
 	listen: () => Promise<Listener>;
 }>;
 
-/** Pause between attempts to reach a vm that is passed over, in milliseconds. */
-const PROBE_PAUSE_MS = 300;
+/** Mean pause between probes of an excluded vm, in milliseconds. */
+const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 500;
 
-/** What the calls need to know and say of members. */
+/** Membership functions of the peer client. */
 export type MembershipHooks = Readonly<{
 	/** Tells whether a vm is still a member. */
 	isMember: (member: Member) => boolean;
-	/** Hears that a vm could not be reached. */
+	/** Called when a vm could not be reached. */
 	onUnreachable: (member: Member) => void;
 }>;
 
-/** Creates the calls of a vm. */
+/** Creates the peer client of a vm. */
 export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MembershipHooks): PeerClient => {
 	const {world, settings, emit} = context;
 	const clock = createHybridLogicalClock(world.readWallClock);
-	const passedOver = new Set<VmId>();
+	const excludedVms = new Set<VmId>();
 	let closed = false;
 	const peerContext: PeerContext = {
 		world,
@@ -55,26 +55,26 @@
 	};
 	const peers: Peers = createPeers(peerContext, createDial());
 
-	const isUsable = (vm: VmId) => !passedOver.has(vm);
+	const isUsable = (vm: VmId) => !excludedVms.has(vm);
 
-	/** Tries to reach a vm again until it answers or is no member; no request waits for that. */
+	/** Probes a vm until it answers or is no longer a member, then includes it again; no request waits for this. */
 	const probe = async (member: Member): Promise<void> => {
 		const address = {host: member.host, port: member.port};
 		while (!closed && isMember(member)) {
-			await world.sleep(PROBE_PAUSE_MS * (0.5 + world.random()));
-			const answer = await peers.call(address, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
-			if (answer.ok) {
+			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
+			const response = await peers.call(address, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			if (response.ok) {
 				break;
 			}
 		}
 
-		passedOver.delete(member.vm);
+		excludedVms.delete(member.vm);
 	};
 
-	const passOver = (member: Member, message: string) => {
+	const exclude = (member: Member, message: string) => {
 		if (isUsable(member.vm)) {
 			emit(EVENTS.peerLost, {peer: member.vm, message});
-			passedOver.add(member.vm);
+			excludedVms.add(member.vm);
 			onUnreachable(member);
 			void probe(member);
 		}
@@ -82,21 +82,21 @@
 
 	return {
 		async call(member, method, body, timeoutMs) {
-			const answer = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
-			if (answer.ok) {
-				return Ok(answer.val);
+			const response = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
+			if (response.ok) {
+				return Ok(response.val);
 			}
 
-			const {code, message} = answer.val;
+			const {code, message} = response.val;
 			if (code !== 'peerTimeout' && code !== 'peerRefused') {
-				passOver(member, message);
+				exclude(member, message);
 			}
 
 			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
 		},
 		async ping({host, port}) {
-			const answer = await peers.call({host, port}, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
-			return answer.ok;
+			const response = await peers.call({host, port}, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			return response.ok;
 		},
 		isUsable,
 		listen: async () => startPeerListener({host: settings.host, port: settings.port}, peerContext),
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,4 +1,4 @@
-/** The process of an entry vm, whatever protocol its callers and targets speak. */
+/** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
 	createScope, Err, getMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
@@ -28,15 +28,15 @@
 
 /** A running entry vm. */
 export type Vm = AsyncDisposable & Readonly<{
-	/** Opens the session of a caller; a refusal if its service or key is not known. */
+	/** Opens the session of a caller; refuses it if its service or key is unknown. */
 	openSession: (service: string, key: string) => Result<Session, StatementOutcome>;
-	/** Tells whether new callers should be sent here. */
+	/** Tells whether new callers should be sent to this vm. */
 	isReady: () => boolean;
-	/** Stops taking new work; the roles pass to others. */
+	/** Stops accepting new work; the roles pass to other vms. */
 	leave: () => Promise<void>;
 	isLeaving: () => boolean;
 	hasConfiguration: () => boolean;
-	/** Tells whether idle sessions had better be opened elsewhere, and whether that cannot wait for the balancer. */
+	/** Tells whether idle sessions should move to another vm, and whether at once or only after the load balancer sends no more callers here. */
 	getSheddingMode: () => 'no' | 'afterBalancer' | 'now';
 }>;
 
@@ -44,22 +44,22 @@
 const ROLL_BACK_METHOD = 'rollBack';
 const FEED_METHOD = 'feed';
 
-/** Longest wait of one watch of the rules, in milliseconds: a silent connection must be noticed within the bound for changes. */
-const RULES_WATCH_MS = 2000;
-/** Longest wait of one watch of members and duties, in milliseconds. */
-const OWN_WATCH_MS = 5000;
-/** Pause between watches of members and duties, in milliseconds: when a whole fleet starts, each joining vm would end every watch. */
-const OWN_PAUSE_MS = 100;
-/** Longest wait of one watch of targets, in milliseconds. */
+/** Maximum duration of one watch of the configuration, in milliseconds: a connection that no longer answers must be noticed within the bound for configuration changes. */
+const CONFIGURATION_WATCH_MS = 2000;
+/** Maximum duration of one watch of members and roles, in milliseconds. */
+const MEMBER_WATCH_MS = 5000;
+/** Pause between watches of members and roles, in milliseconds: when a whole fleet starts, each joining vm would otherwise end every watch. */
+const MEMBER_PAUSE_MS = 100;
+/** Maximum duration of one watch of targets, in milliseconds. */
 const TARGET_WATCH_MS = 5000;
 /** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
 const TARGET_PAUSE_MS = 1200;
 const FEED_TIMEOUT_MS = 1500;
 const ROLL_BACK_TIMEOUT_MS = 1000;
-/** Age of what is known from which a vm no longer calls itself connected, in milliseconds. */
-const STALE_MS = 2500;
-/** Data centres of which neither can be outnumbered. */
-const TWO_SIDES = 2;
+/** Age of the change feed from which a vm no longer counts as connected, in milliseconds. */
+const STALE_FEED_MS = 2500;
+/** Largest number of data centres in which no side of a partition outnumbers the other. */
+const MAX_DATA_CENTRES_WITHOUT_MAJORITY = 2;
 
 /** Starts the process of an entry vm. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
@@ -76,14 +76,14 @@
 		vm: settings.vm, run: settings.run, dataCentre: settings.dataCentre, host: settings.host, port: settings.port, capacity: settings.capacity,
 	};
 
-	const noteStore = (isReachable: boolean, reason: string) => {
+	const handleStoreStatus = (isReachable: boolean, reason: string) => {
 		if (isReachable !== isStoreReachable) {
 			isStoreReachable = isReachable;
 			emit(isReachable ? EVENTS.storeReachable : EVENTS.storeUnreachable, {reason});
 		}
 	};
 
-	const presence = createVmRegistration({
+	const registration = createVmRegistration({
 		world,
 		readClock: context.readClock,
 		store: context.store,
@@ -93,15 +93,15 @@
 			feed.recordContact(askedAt);
 		},
 		onFailure(failure) {
-			noteStore(false, failure.message);
+			handleStoreStatus(false, failure.message);
 		},
 	});
 
-	const shares = createQuotas(context, {
-		view, getPeerClient: () => calls, getRoleClaims: () => duties, getFeedAgeMs: () => feed.getAgeMs(),
+	const quotas = createQuotas(context, {
+		view, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getFeedAgeMs: () => feed.getAgeMs(),
 	});
-	const databases = createDatabaseOwners(context, {
-		view, quotas: shares, getPeerClient: () => calls, getRoleClaims: () => duties, getSignal: () => scope.signal,
+	const databaseOwners = createDatabaseOwners(context, {
+		view, quotas, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
 	});
 
 	const feed: Feed = createFeed({
@@ -109,75 +109,75 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: [
-			{prefix: context.configurationKey, waitMs: RULES_WATCH_MS, pauseMs: 0},
-			{prefix: STORE_PREFIX, waitMs: OWN_WATCH_MS, pauseMs: OWN_PAUSE_MS},
+			{prefix: context.configurationKey, waitMs: CONFIGURATION_WATCH_MS, pauseMs: 0},
+			{prefix: STORE_PREFIX, waitMs: MEMBER_WATCH_MS, pauseMs: MEMBER_PAUSE_MS},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
-		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(({vm}) => calls.isUsable(vm)).map(({vm}) => vm),
-		async callRelay(relay, question) {
+		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(({vm}) => peerClient.isUsable(vm)).map(({vm}) => vm),
+		async callRelay(relay, request) {
 			const member = view.listMembers().find(({vm}) => vm === relay);
 			if (!member) {
-				return Err({code: 'gone', message: 'The relay has left'});
+				return Err({code: 'gone', message: 'The relay has left the fleet'});
 			}
 
-			const answer = await calls.call(member, FEED_METHOD, question, FEED_TIMEOUT_MS);
-			return answer.map(value => value as Awaited<ReturnType<Feed['serve']>>);
+			const response = await peerClient.call(member, FEED_METHOD, request, FEED_TIMEOUT_MS);
+			return response.map(value => value as Awaited<ReturnType<Feed['serve']>>);
 		},
 		onChange(changes) {
 			const {targets} = view.applyChanges(changes);
 			if (targets) {
-				databases.refreshTargets();
+				databaseOwners.refreshTargets();
 			}
 		},
 		onSourceChange(kind, name) {
 			emit(EVENTS.feedSourceChanged, {kind, name, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
 		},
-		onStoreStatus: noteStore,
+		onStoreStatus: handleStoreStatus,
 	});
 
-	const isolation = createIsolationDetector({
+	const isolationDetector = createIsolationDetector({
 		world,
 		vm: settings.vm,
 		dataCentre: settings.dataCentre,
 		listMembers: view.listMembers,
-		ping: async member => calls.ping(member),
+		ping: async member => peerClient.ping(member),
 		onChange(isIsolated) {
 			emit(EVENTS.readinessChanged, {isIsolated, feedAgeMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
 		},
 	});
 
-	const calls: PeerClient = createPeerClient(context, {
+	const peerClient: PeerClient = createPeerClient(context, {
 		calls: {
-			[RUN_METHOD]: async body => databases.get((body as StatementRequest).database).serve(body as StatementRequest),
+			[RUN_METHOD]: async body => databaseOwners.get((body as StatementRequest).database).serve(body as StatementRequest),
 			async [ROLL_BACK_METHOD](body) {
 				const {database, transaction} = body as Readonly<{database: DatabaseId; transaction: string}>;
-				databases.get(database).rollBack(transaction);
+				databaseOwners.get(database).rollBack(transaction);
 			},
 			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
-			[ALLOT_METHOD]: async body => shares.grantTokens(body as TokenGrantMessage),
-			[REACH_METHOD]: async body => databases.isReachable((body as Readonly<{target: Parameters<typeof databases.isReachable>[0]}>).target),
+			[ALLOT_METHOD]: async body => quotas.grantTokens(body as TokenGrantMessage),
+			[REACH_METHOD]: async body => databaseOwners.isReachable((body as Readonly<{target: Parameters<typeof databaseOwners.isReachable>[0]}>).target),
 		},
 		streams: {},
 	}, {
 		isMember: member => view.listMembers().some(({run}) => run === member.run),
 		onUnreachable(member) {
-			isolation.handleUnreachable(member);
+			isolationDetector.handleUnreachable(member);
 		},
 	});
 
-	const duties: RoleClaims = createRoleClaims({
+	const roleClaims: RoleClaims = createRoleClaims({
 		world,
 		store: context.store,
-		registration: presence,
+		registration,
 		vm: settings.vm,
 		run: settings.run,
 		holderPrefix: HOLDER_PREFIX,
 		epochPrefix: FENCING_TOKEN_PREFIX,
 		getEntry,
 		listRoles: () => leaving ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
-		getRank(duty) {
-			const name = duty.slice(duty.indexOf('/') + 1);
+		getRank(role) {
+			const name = role.slice(role.indexOf('/') + 1);
 			const rank = view.rankOwners(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
@@ -189,43 +189,43 @@
 				},
 			});
 		},
-		onClaimed(duty, epoch) {
-			emit(EVENTS.roleClaimed, {duty, epoch});
-			if (duty !== ALLOCATOR_ROLE) {
-				databases.get(parseId<DatabaseId>(duty.slice(duty.indexOf('/') + 1)));
+		onClaimed(role, epoch) {
+			emit(EVENTS.roleClaimed, {duty: role, epoch});
+			if (role !== ALLOCATOR_ROLE) {
+				databaseOwners.get(parseId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
 			}
 		},
 	});
 
-	const routing = createStatementRouter({
+	const statementRouter = createStatementRouter({
 		world,
 		self: settings.vm,
 		rankOwners: view.rankOwners,
-		isUsable: vm => calls.isUsable(vm),
+		isUsable: vm => peerClient.isUsable(vm),
 		async callOwner(member, request, timeoutMs) {
-			const answer = await calls.call(member, RUN_METHOD, request, timeoutMs);
-			return answer.map(value => value as StatementResponse);
+			const response = await peerClient.call(member, RUN_METHOD, request, timeoutMs);
+			return response.map(value => value as StatementResponse);
 		},
-		serveLocally: async request => databases.get(request.database).serve(request),
+		serveLocally: async request => databaseOwners.get(request.database).serve(request),
 		rollBackAt(member, database, transaction) {
 			if (member) {
-				void calls.call(member, ROLL_BACK_METHOD, {database, transaction}, ROLL_BACK_TIMEOUT_MS);
+				void peerClient.call(member, ROLL_BACK_METHOD, {database, transaction}, ROLL_BACK_TIMEOUT_MS);
 			} else {
-				databases.get(database).rollBack(transaction);
+				databaseOwners.get(database).rollBack(transaction);
 			}
 		},
-		onRetried(request, home, reason) {
-			emit(EVENTS.requestRetried, {requestId: request.id, home, reason});
+		onRetried(request, owner, reason) {
+			emit(EVENTS.requestRetried, {requestId: request.id, home: owner, reason});
 		},
 	});
 
-	const holds = createRefusalCache(world, () => view.listMembers().length);
+	const refusalCache = createRefusalCache(world, () => view.listMembers().length);
 
-	/** Runs a statement at its home, unless the home has just refused the customer an operation. */
-	const runAtHome = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+	/** Runs a statement at the owner of its database, unless that owner has just refused the customer because of its quota. */
+	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		metrics.count('statements');
 		const isNew = !request.transaction || request.transaction.isFirst;
-		const retryAfterMs = isNew ? holds.getRetryAfterMs(request.database, request.customer) : undefined;
+		const retryAfterMs = isNew ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
 		if (retryAfterMs !== undefined) {
 			metrics.count('held');
 			return {
@@ -237,61 +237,61 @@
 			};
 		}
 
-		const answer = await routing.run(request, deadline);
-		if (answer.outcome.kind === 'refused' && answer.outcome.code === 'overShare') {
-			holds.recordRefusal(request.database, request.customer, answer.outcome.retryAfterMs);
+		const response = await statementRouter.run(request, deadline);
+		if (response.outcome.kind === 'refused' && response.outcome.code === 'overShare') {
+			refusalCache.recordRefusal(request.database, request.customer, response.outcome.retryAfterMs);
 		}
 
-		return answer;
+		return response;
 	};
 
-	const admit = (service: string, key: string): Result<Authorization, StatementOutcome> => {
-		const rules = view.getConfiguration();
-		const route = rules?.routes.get(service);
-		if (!rules || !route) {
-			return Err(createRefusal(rules ? 'noDatabase' : 'busy', rules ? 'no service has that name' : 'the rules are not known yet'));
+	const authorize = (service: string, key: string): Result<Authorization, StatementOutcome> => {
+		const configuration = view.getConfiguration();
+		const route = configuration?.routes.get(service);
+		if (!configuration || !route) {
+			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no service has that name' : 'the configuration is not known yet'));
 		}
 
-		const customer = rules.customersByKey.get(key);
+		const customer = configuration.customersByKey.get(key);
 		if (customer) {
 			return Ok({route, customer});
 		}
 
 		return route.isPublic
 			? Ok({route, customer: parseId<CustomerId>('-')})
-			: Err(createRefusal('noKey', 'the key is not issued'));
+			: Err(createRefusal('noKey', 'the key is unknown'));
 	};
 
 	/**
-	 * Callers are better off elsewhere when this data centre is cut off. With two data centres both see the same;
-	 * then the one that has the store goes on.
+	 * Callers are better served by another data centre when this one is isolated. With two data centres, each finds the other unreachable;
+	 * the one that is still in contact with the store then continues.
 	 */
-	const isConnected = (): boolean => !isolation.isIsolated()
-		|| (settings.dataCentreCount <= TWO_SIDES && feed.getAgeMs() < STALE_MS);
+	const isConnected = (): boolean => !isolationDetector.isIsolated()
+		|| (settings.dataCentreCount <= MAX_DATA_CENTRES_WITHOUT_MAJORITY && feed.getAgeMs() < STALE_FEED_MS);
 
-	const listener = await calls.listen();
-	for (const run of [presence.run, feed.run, duties.run, databases.closeIdleConnections]) {
+	const listener = await peerClient.listen();
+	for (const run of [registration.run, feed.run, roleClaims.run, databaseOwners.closeIdleConnections]) {
 		scope.run(run);
 	}
 
 	return {
 		openSession(service, key) {
-			const admission = admit(service, key);
-			if (admission.err) {
-				return admission;
+			const authorization = authorize(service, key);
+			if (authorization.err) {
+				return authorization;
 			}
 
 			return Ok(createSession({
 				world,
-				authorize: () => admit(service, key),
-				runAtOwner: runAtHome,
-				rollBack: routing.rollBack,
+				authorize: () => authorize(service, key),
+				runAtOwner,
+				rollBack: statementRouter.rollBack,
 			}));
 		},
 		isReady: () => !leaving && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
 		async leave() {
 			leaving = true;
-			await presence.deregister();
+			await registration.deregister();
 		},
 		isLeaving: () => leaving,
 		hasConfiguration: () => view.getConfiguration() !== undefined,
@@ -304,7 +304,7 @@
 		},
 		async [Symbol.asyncDispose]() {
 			await listener[Symbol.asyncDispose]();
-			await calls[Symbol.asyncDispose]();
+			await peerClient[Symbol.asyncDispose]();
 			await scope[Symbol.asyncDispose]();
 		},
 	};
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -1,4 +1,4 @@
-/** Shares of customers over the fleet: this vm's tokens, and the keeper that gives them. */
+/** Customer quotas across the fleet: the quota client of a vm, and the quota allocator while the vm holds that role. */
 
 import {
 	createDeadline, Err, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
@@ -12,22 +12,22 @@
 import type {PeerClient} from './peer-client.js';
 import type {ClusterView} from './cluster-view.js';
 
-/** Duty of the keeper of all customers. */
+/** Role of the quota allocator, which serves all customers. */
 export const ALLOCATOR_ROLE = 'shares';
-/** Method by which vms ask the keeper. */
+/** Method by which vms request tokens from the quota allocator. */
 export const ALLOT_METHOD = 'allot';
 
-/** What a vm asks the keeper, with what it knows of the store. */
+/** Request of a vm to the quota allocator, with the age of the vm's view of the store. */
 export type TokenGrantMessage = Readonly<{request: TokenRequest; feedAgeMs: number}>;
 
-/** Shares at one vm. */
+/** Quota client and quota allocator of one vm. */
 export type Quotas = Readonly<{
 	quotaClient: QuotaClient;
-	/** Answers as keeper; `undefined` if this vm is not the keeper. */
-	grantTokens: (question: TokenGrantMessage) => TokenGrant | undefined;
+	/** Grants tokens as the quota allocator; returns `undefined` if this vm does not hold that role. */
+	grantTokens: (message: TokenGrantMessage) => TokenGrant | undefined;
 }>;
 
-/** What the shares need of the vm. */
+/** Dependencies of the quotas of a vm. */
 export type QuotaDependencies = Readonly<{
 	view: ClusterView;
 	getPeerClient: () => PeerClient;
@@ -36,93 +36,93 @@
 }>;
 
 const ALLOT_TIMEOUT_MS = 300;
-/** Validity of the keeper's authority at each answer, in milliseconds; it is checked again at the next one. */
+/** Validity of the allocator's authority after each check, in milliseconds; every request checks it again. */
 const AUTHORITY_MS = 1000;
-/** Age of knowledge above which a vm cannot have heard of another keeper, in milliseconds. */
-const BLIND_MS = 1500;
+/** Age of the view of the store above which a vm cannot have learned of another allocator, in milliseconds. */
+const STALE_CONTACT_MS = 1500;
 
-/** Part of a burst that may be spent without the keeper, which may have given the whole of it away just before. */
-const OWN_BURST_PART = 0.3;
+/** Fraction of a burst that may be used without the allocator, which may have granted the whole burst just before. */
+const FALLBACK_BURST_FRACTION = 0.3;
 
-/** Creates the shares of a vm. */
-export const createQuotas = (context: VmContext, parts: QuotaDependencies): Quotas => {
+/** Creates the quotas of a vm. */
+export const createQuotas = (context: VmContext, dependencies: QuotaDependencies): Quotas => {
 	const {world, settings} = context;
-	const {view} = parts;
-	let keeper: QuotaAllocator | undefined;
-	let keeperEpoch = -1;
-	/** When somebody that knows the store's present state last asked while this vm's lease had lapsed. */
-	let contradictedAt = Number.NEGATIVE_INFINITY;
+	const {view} = dependencies;
+	let allocator: QuotaAllocator | undefined;
+	let allocatorEpoch = -1;
+	/** When a vm in contact with the store last sent a request while this vm's lease was not confirmed. */
+	let lastFreshRequestAtMs = Number.NEGATIVE_INFINITY;
 
 	/**
-	 * A keeper whose lease cannot be renewed goes on while nobody who asks it is in touch with the store:
-	 * then nobody can have taken its place.
+	 * An allocator whose lease cannot be renewed continues while no vm that sends it requests is in contact with the store:
+	 * no other vm can then have taken over the role.
 	 */
-	const getAuthority = (): Deadline => {
-		const isSure = parts.getRoleClaims().isHeld(ALLOCATOR_ROLE);
-		const isBlind = parts.getFeedAgeMs() > BLIND_MS && world.now() - contradictedAt > BLIND_MS;
-		return isSure || isBlind ? createDeadline(world.now(), AUTHORITY_MS) : PAST;
+	const getAuthorityDeadline = (): Deadline => {
+		const isLeaseConfirmed = dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE);
+		const isStoreContactStale = dependencies.getFeedAgeMs() > STALE_CONTACT_MS && world.now() - lastFreshRequestAtMs > STALE_CONTACT_MS;
+		return isLeaseConfirmed || isStoreContactStale ? createDeadline(world.now(), AUTHORITY_MS) : PAST;
 	};
 
-	const getKeeper = (): QuotaAllocator | undefined => {
-		const holder = parts.getRoleClaims().getHolder(ALLOCATOR_ROLE);
+	const getAllocator = (): QuotaAllocator | undefined => {
+		const holder = dependencies.getRoleClaims().getHolder(ALLOCATOR_ROLE);
 		if (holder?.run !== settings.run) {
-			keeper = undefined;
+			allocator = undefined;
 			return undefined;
 		}
 
-		if (!keeper || keeperEpoch !== holder.epoch) {
-			keeperEpoch = holder.epoch;
-			keeper = createQuotaAllocator({
-				world, epoch: holder.epoch, getAuthorityDeadline: getAuthority, getQuota: customer => view.getConfiguration()?.quotas.get(customer),
+		if (!allocator || allocatorEpoch !== holder.epoch) {
+			allocatorEpoch = holder.epoch;
+			allocator = createQuotaAllocator({
+				world, epoch: holder.epoch, getAuthorityDeadline, getQuota: customer => view.getConfiguration()?.quotas.get(customer),
 			});
 		}
 
-		return keeper;
+		return allocator;
 	};
 
-	const allot = ({request, feedAgeMs}: TokenGrantMessage): TokenGrant | undefined => {
-		if (feedAgeMs < BLIND_MS && !parts.getRoleClaims().isHeld(ALLOCATOR_ROLE)) {
-			contradictedAt = world.now();
+	const grantTokens = ({request, feedAgeMs}: TokenGrantMessage): TokenGrant | undefined => {
+		if (feedAgeMs < STALE_CONTACT_MS && !dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE)) {
+			lastFreshRequestAtMs = world.now();
 		}
 
-		return getKeeper()?.grantTokens(request);
+		return getAllocator()?.grantTokens(request);
 	};
 
-	const findKeeper = (): Member | undefined => {
-		const holder = parts.getRoleClaims().getHolder(ALLOCATOR_ROLE);
+	const findAllocator = (): Member | undefined => {
+		const holder = dependencies.getRoleClaims().getHolder(ALLOCATOR_ROLE);
 		return holder && view.listMembers().find(({run}) => run === holder.run);
 	};
 
-	const ask = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
-		const question: TokenGrantMessage = {request, feedAgeMs: Math.round(Math.min(parts.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
-		const member = findKeeper();
+	const requestTokens = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
+		const message: TokenGrantMessage = {request, feedAgeMs: Math.round(Math.min(dependencies.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
+		const member = findAllocator();
 		if (!member) {
-			return Err({code: 'noKeeper', message: 'No keeper is known'});
+			return Err({code: 'noKeeper', message: 'No vm is known to hold the quota allocator role'});
 		}
 
 		if (member.run === settings.run) {
-			const own = allot(question);
-			return own ? Ok(own) : Err({code: 'noKeeper', message: 'This vm is no longer the keeper'});
+			const grant = grantTokens(message);
+			return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'This vm no longer holds the quota allocator role'});
 		}
 
-		const answer = await parts.getPeerClient().call(member, ALLOT_METHOD, question, ALLOT_TIMEOUT_MS);
-		if (answer.err) {
-			return answer;
+		const response = await dependencies.getPeerClient().call(member, ALLOT_METHOD, message, ALLOT_TIMEOUT_MS);
+		if (response.err) {
+			return response;
 		}
 
-		return answer.val ? Ok(answer.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm is not the keeper'});
+		return response.val ? Ok(response.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm that was asked does not hold the quota allocator role'});
 	};
 
-	/** A database has one home, so that equal parts for each database add up to the share. */
-	const getOwnPart = (customer: CustomerId): Quota | undefined => {
-		const rules = view.getConfiguration();
-		const share = rules?.quotas.get(customer);
-		const parts = Math.max(1, rules?.databases.size ?? 1);
-		return share && {rate: share.rate / parts, burst: Math.max(1, share.burst * OWN_BURST_PART / parts)};
+	/** Returns the fallback quota of a customer at one database. A database has one owner, so equal parts for each database add up to the quota. */
+	const getFallbackQuota = (customer: CustomerId): Quota | undefined => {
+		const configuration = view.getConfiguration();
+		const quota = configuration?.quotas.get(customer);
+		const databaseCount = Math.max(1, configuration?.databases.size ?? 1);
+		return quota && {rate: quota.rate / databaseCount, burst: Math.max(1, quota.burst * FALLBACK_BURST_FRACTION / databaseCount)};
 	};
 
 	return {
-		quotaClient: createQuotaClient(ask, world, getOwnPart),
-		grantTokens: allot,
+		quotaClient: createQuotaClient(requestTokens, world, getFallbackQuota),
+		grantTokens,
 	};
 };
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -1,4 +1,4 @@
-/** Sends statements to the home of their database. */
+/** Routes statements to the owner of their database. */
 
 import {
 	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type World,
@@ -9,7 +9,7 @@
 import type {Member} from './members.js';
 import type {CallFailure} from './peer-client.js';
 
-/** What sending needs. */
+/** Dependencies of the statement router. */
 export type StatementRouterContext = Readonly<{
 	world: World;
 	self: VmId;
@@ -21,55 +21,55 @@
 	onRetried: (request: StatementRequest, owner: VmId, reason: string) => void;
 }>;
 
-/** Routing of one entry. */
+/** Routes the statements of one entry. */
 export type StatementRouter = Readonly<{
 	run: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	rollBack: (database: DatabaseId, transaction: string) => void;
 }>;
 
-/** Allowance for the way back of an answer that a home gives at the deadline, in milliseconds. */
-const RETURN_MS = 100;
-/** Homes tried for one statement. */
-const MOST_HOMES = 4;
-/** Time after which a caller should come back when no home can be reached, in milliseconds. */
-const HOME_RETRY_MS = 300;
+/** Time allowed for the transit of a response that an owner sends at the deadline, in milliseconds. */
+const RESPONSE_TRANSIT_MS = 100;
+/** Maximum number of owners tried for one statement. */
+const MAX_OWNERS = 4;
+/** Time after which a caller should retry when no owner can be reached, in milliseconds. */
+const NO_OWNER_RETRY_MS = 300;
 
-const createAnswer = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
+const createResponse = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 	outcome, status, position: undefined, target: undefined, waitedMs: 0,
 });
 
-/** Judges a statement whose home was lost; `undefined` if it may run again elsewhere. */
+/** Creates the response to a statement whose owner was lost; returns `undefined` if the statement may run again at another owner. */
 export const judgeLostStatement = (request: StatementRequest, reason: string): StatementResponse | undefined => {
 	const access = getAccess(request.statement);
 	if (request.transaction && access !== 'commit') {
-		// The home rolls back what it does not hear of again, and nobody sends the commit.
-		return createAnswer(createRefusal('aborted', `the home of the transaction was lost: ${reason}`), 'failed');
+		// The owner rolls back a transaction that gets no further statements, and no commit will be sent.
+		return createResponse(createRefusal('aborted', `the database owner that held the transaction was lost: ${reason}`), 'failed');
 	}
 
 	return access === 'read'
 		? undefined
-		: createAnswer({kind: 'unknown', reason: `the home was lost during a ${access}: ${reason}`}, 'idle');
+		: createResponse({kind: 'unknown', reason: `the database owner was lost during a ${access}: ${reason}`}, 'idle');
 };
 
-/** Creates the routing of an entry. */
+/** Creates the statement router of an entry. */
 export const createStatementRouter = (context: StatementRouterContext): StatementRouter => {
 	const {world, self} = context;
-	/** Homes of open transactions; no member for this vm itself. */
-	const homes = new Map<string, Member | undefined>();
+	/** Owners of open transactions by transaction identifier; `undefined` stands for this vm itself. */
+	const transactionOwners = new Map<string, Member | undefined>();
 
 	const callAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<Result<StatementResponse, CallFailure> | StatementResponse> => {
 		const remainingMs = getRemainingMs(deadline, world.now());
-		const timed = {...request, remainingMs};
-		return member ? context.callOwner(member, timed, remainingMs + RETURN_MS) : context.serveLocally(timed);
+		const timedRequest = {...request, remainingMs};
+		return member ? context.callOwner(member, timedRequest, remainingMs + RESPONSE_TRANSIT_MS) : context.serveLocally(timedRequest);
 	};
 
-	const noteTransaction = (request: StatementRequest, member: Member | undefined, answer: StatementResponse) => {
+	const recordTransaction = (request: StatementRequest, member: Member | undefined, response: StatementResponse) => {
 		const id = request.transaction?.id;
 		if (id !== undefined) {
-			if (answer.status === 'open') {
-				homes.set(id, member);
+			if (response.status === 'open') {
+				transactionOwners.set(id, member);
 			} else {
-				homes.delete(id);
+				transactionOwners.delete(id);
 			}
 		}
 	};
@@ -77,12 +77,12 @@
 	const runAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<StatementResponse | 'elsewhere'> => {
 		const result = await callAt(member, request, deadline);
 		if (!('ok' in result)) {
-			noteTransaction(request, member, result);
+			recordTransaction(request, member, result);
 			return result;
 		}
 
 		if (result.ok) {
-			noteTransaction(request, member, result.val);
+			recordTransaction(request, member, result.val);
 			return result.val;
 		}
 
@@ -90,55 +90,55 @@
 			return 'elsewhere';
 		}
 
-		const judged = judgeLostStatement(request, result.val.message);
-		if (judged) {
-			noteTransaction(request, member, judged);
+		const lossResponse = judgeLostStatement(request, result.val.message);
+		if (lossResponse) {
+			recordTransaction(request, member, lossResponse);
 		}
 
-		return judged ?? 'elsewhere';
+		return lossResponse ?? 'elsewhere';
 	};
 
-	const continueAtHome = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		const member = homes.get(id);
-		const answer = await runAt(member, request, deadline);
-		if (answer !== 'elsewhere') {
-			return answer;
+	const continueAtOwner = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+		const member = transactionOwners.get(id);
+		const response = await runAt(member, request, deadline);
+		if (response !== 'elsewhere') {
+			return response;
 		}
 
-		homes.delete(id);
-		return createAnswer(createRefusal('aborted', 'the home of the transaction cannot be reached'), request.statement.kind === 'commit' ? 'idle' : 'failed');
+		transactionOwners.delete(id);
+		return createResponse(createRefusal('aborted', 'the database owner that holds the transaction cannot be reached'), request.statement.kind === 'commit' ? 'idle' : 'failed');
 	};
 
-	const runAnywhere = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+	const runAtAnyOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		const ranked = context.rankOwners(request.database);
 		const usable = ranked.filter(({vm}) => vm === self || context.isUsable(vm));
-		for (const member of usable.slice(0, MOST_HOMES)) {
+		for (const member of usable.slice(0, MAX_OWNERS)) {
 			if (isPast(deadline, world.now())) {
 				break;
 			}
 
-			const answer = await runAt(member.vm === self ? undefined : member, request, deadline);
-			if (answer !== 'elsewhere') {
-				return answer;
+			const response = await runAt(member.vm === self ? undefined : member, request, deadline);
+			if (response !== 'elsewhere') {
+				return response;
 			}
 
-			context.onRetried(request, member.vm, 'the home cannot be reached');
+			context.onRetried(request, member.vm, 'the database owner cannot be reached');
 		}
 
-		return createAnswer(createRefusal('busy', 'no home of the database can be reached', HOME_RETRY_MS), request.transaction ? 'failed' : 'idle');
+		return createResponse(createRefusal('busy', 'no owner of the database can be reached', NO_OWNER_RETRY_MS), request.transaction ? 'failed' : 'idle');
 	};
 
 	return {
 		async run(request, deadline) {
 			const id = request.transaction?.id;
-			return id !== undefined && homes.has(id)
-				? continueAtHome(id, request, deadline)
-				: runAnywhere(request, deadline);
+			return id !== undefined && transactionOwners.has(id)
+				? continueAtOwner(id, request, deadline)
+				: runAtAnyOwner(request, deadline);
 		},
 		rollBack(database, transaction) {
-			if (homes.has(transaction)) {
-				context.rollBackAt(homes.get(transaction), database, transaction);
-				homes.delete(transaction);
+			if (transactionOwners.has(transaction)) {
+				context.rollBackAt(transactionOwners.get(transaction), database, transaction);
+				transactionOwners.delete(transaction);
 			}
 		},
 	};
--- a/packages/vm/src/tests/isolation-detector.test.ts
+++ b/packages/vm/src/tests/isolation-detector.test.ts
@@ -1,4 +1,4 @@
-/** A data centre that is cut off notices it; one lost vm is no cut. */
+/** Guards against an isolated data centre that goes undetected, and against one lost vm that is taken for isolation. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -13,45 +13,45 @@
 });
 const MEMBERS = [createMember('a1', 'a'), createMember('a2', 'a'), createMember('b1', 'b'), createMember('b2', 'b'), createMember('c1', 'c')];
 
-const createSetup = (isReached: (member: Member) => boolean) => {
+const createSetup = (isReachable: (member: Member) => boolean) => {
 	const {world, advance} = createVirtualWorld(4);
-	const isolation = createIsolationDetector({
+	const detector = createIsolationDetector({
 		world,
 		vm: parseId<VmId>('a1'),
 		dataCentre: parseId<DataCentreId>('a'),
 		listMembers: () => MEMBERS,
 		async ping(member) {
-			await world.sleep(isReached(member) ? 2 : 300);
-			return isReached(member);
+			await world.sleep(isReachable(member) ? 2 : 300);
+			return isReachable(member);
 		},
 		onChange: () => undefined,
 	});
-	return {isolation, advance};
+	return {detector, advance};
 };
 
-describe('isolation', () => {
-	it('is noticed within a second when no other data centre answers, and so is its end', async () => {
-		let isCut = true;
-		const {isolation, advance} = createSetup(() => !isCut);
-		isolation.handleUnreachable(MEMBERS[2]!);
+describe('isolation detector', () => {
+	it('detects within a second that no other data centre answers, and that one answers again', async () => {
+		let isPartitioned = true;
+		const {detector, advance} = createSetup(() => !isPartitioned);
+		detector.handleUnreachable(MEMBERS[2]!);
 		await advance(1000);
-		assert.ok(isolation.isIsolated());
-		isCut = false;
+		assert.ok(detector.isIsolated());
+		isPartitioned = false;
 		await advance(1000);
-		assert.ok(!isolation.isIsolated());
+		assert.ok(!detector.isIsolated());
 	});
 
-	it('is not believed when one vm or one data centre is lost', async () => {
-		const {isolation, advance} = createSetup(({dataCentre}) => dataCentre === 'c');
-		isolation.handleUnreachable(MEMBERS[2]!);
+	it('reports no isolation when one vm or one data centre is lost', async () => {
+		const {detector, advance} = createSetup(({dataCentre}) => dataCentre === 'c');
+		detector.handleUnreachable(MEMBERS[2]!);
 		await advance(2000);
-		assert.ok(!isolation.isIsolated());
+		assert.ok(!detector.isIsolated());
 	});
 
-	it('is not looked for when a vm of the own data centre is lost', async () => {
-		const {isolation, advance} = createSetup(() => false);
-		isolation.handleUnreachable(MEMBERS[1]!);
+	it('does not check for isolation when a vm of the same data centre is lost', async () => {
+		const {detector, advance} = createSetup(() => false);
+		detector.handleUnreachable(MEMBERS[1]!);
 		await advance(2000);
-		assert.ok(!isolation.isIsolated());
+		assert.ok(!detector.isIsolated());
 	});
 });
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -1,4 +1,4 @@
-/** Routing to homes: what may be tried elsewhere, and what is said of what was lost. */
+/** Routing to database owners: which statements may be retried at another owner, and which outcome a lost call is given. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -14,7 +14,7 @@
 	vm: parseId<VmId>(name), run: `${name}-1`, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity, since,
 });
 const MEMBERS = [createMember('one'), createMember('two')];
-const ANSWER: StatementResponse = {
+const RESPONSE: StatementResponse = {
 	outcome: {kind: 'done', rows: [], signature: 's'}, status: 'idle', position: undefined, target: 't', waitedMs: 0,
 };
 
@@ -37,7 +37,7 @@
 const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
 	const {world} = createVirtualWorld();
 	const called: VmId[] = [];
-	const routing = createStatementRouter({
+	const router = createStatementRouter({
 		world,
 		self: parseId<VmId>('self'),
 		rankOwners: () => MEMBERS,
@@ -46,47 +46,47 @@
 			called.push(vm);
 			return call(vm);
 		},
-		serveLocally: async () => ANSWER,
+		serveLocally: async () => RESPONSE,
 		rollBackAt: () => undefined,
 		onRetried: () => undefined,
 	});
-	return {called, run: async (request: StatementRequest) => routing.run(request, createDeadline(world.now(), 1000))};
+	return {called, run: async (request: StatementRequest) => router.run(request, createDeadline(world.now(), 1000))};
 };
 
-const lose = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(ANSWER);
+const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
 
-describe('routing', () => {
-	it('tries a write elsewhere only if it was certainly not sent', async () => {
-		const notSent = createSetup(lose('notSent'));
+describe('statement router', () => {
+	it('retries a write at another owner only if it was not sent', async () => {
+		const notSent = createSetup(failAtFirstOwner('notSent'));
 		assert.equal((await notSent.run(createRequest(WRITE))).outcome.kind, 'done');
 		assert.deepEqual(notSent.called, ['one', 'two']);
-		const lost = createSetup(lose('lost'));
+		const lost = createSetup(failAtFirstOwner('lost'));
 		assert.equal((await lost.run(createRequest(WRITE))).outcome.kind, 'unknown');
 		assert.deepEqual(lost.called, ['one']);
 	});
 
-	it('tries a read elsewhere in any case', async () => {
-		const {called, run} = createSetup(lose('lost'));
+	it('retries a read at another owner in any case', async () => {
+		const {called, run} = createSetup(failAtFirstOwner('lost'));
 		assert.equal((await run(createRequest(READ))).outcome.kind, 'done');
 		assert.deepEqual(called, ['one', 'two']);
 	});
 
-	it('says aborted for a transaction whose home is lost before the commit, and unknown during it', async () => {
+	it('reports a transaction whose owner is lost as aborted before the commit, and as unknown during it', async () => {
 		const transaction = {id: 't', readOnly: false, isFirst: true};
-		const {run} = createSetup(lose('lost'));
+		const {run} = createSetup(failAtFirstOwner('lost'));
 		const aborted = await run(createRequest(WRITE, transaction));
 		assert.equal(aborted.outcome.kind === 'refused' && aborted.outcome.code, 'aborted');
 		assert.equal((await run(createRequest({kind: 'commit', text: 'COMMIT'}, transaction))).outcome.kind, 'unknown');
 	});
 
-	it('refuses what no home takes', async () => {
+	it('refuses a statement that no owner accepts', async () => {
 		const {run} = createSetup(() => Err({code: 'notSent', message: 'refused'}));
 		assert.equal((await run(createRequest(WRITE))).outcome.kind, 'refused');
 	});
 });
 
-describe('ranking', () => {
-	it('of homes puts weak vms behind the others of their data centre', () => {
+describe('ranking of vms', () => {
+	it('puts weak vms behind the others of their data centre as owners', () => {
 		const members = [
 			...Array.from({length: 9}, (_, index) => createMember(`weak${index}`, 'here', 0.227)),
 			createMember('strong', 'here', 1.35),
@@ -100,7 +100,7 @@
 		}
 	});
 
-	it('of homes puts the primary\'s data centre first and deals by capacity among the able', () => {
+	it('puts vms of the primary\'s data centre first as owners, and distributes databases by capacity among those with enough of it', () => {
 		const members = [...Array.from({length: 20}, (_, index) => createMember(`near${index}`, 'here', index < 10 ? 3 : 2)), createMember('far', 'there', 9)];
 		const counts = new Map<string, number>();
 		for (let key = 0; key < 2000; key++) {
@@ -113,14 +113,14 @@
 		assert.ok(strong > 2000 * 0.55 && strong < 2000 * 0.65, `${strong} of 2000 at the strong vms`);
 	});
 
-	it('of homes moves few databases when a vm leaves', () => {
+	it('moves only the databases of a vm that leaves', () => {
 		const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
 		const keys = Array.from({length: 500}, (_, index) => `db${index}`);
 		const moved = keys.filter(key => rankOwners(key, members, undefined)[0] !== rankOwners(key, members.slice(1), undefined)[0]);
 		assert.ok(moved.every(key => rankOwners(key, members, undefined)[0] === members[0]));
 	});
 
-	it('of relays lists the older vms of the data centre', () => {
+	it('lists the older vms of the data centre as relays, oldest first', () => {
 		const members = [createMember('c', 'here', 1, 30), createMember('a', 'here', 1, 10), createMember('b', 'here', 1, 20), createMember('x', 'there', 1, 1)];
 		assert.deepEqual(rankRelays(parseId<VmId>('c'), parseId<DataCentreId>('here'), members).map(({vm}) => vm), ['a', 'b']);
 		assert.deepEqual(rankRelays(parseId<VmId>('a'), parseId<DataCentreId>('here'), members), []);
