Reword the core package

Timers, directions of a stream and waiters name what they are; constants say maximum or minimum; doc comments give units and failures and speak of the monotonic clock, a condition variable and shared calls.

--- a/packages/core/src/brand.ts
+++ b/packages/core/src/brand.ts
@@ -1,6 +1,6 @@
-/** Nominal types over primitives. */
+/** Branded types: nominal types over primitives. */
 
 declare const brand: unique symbol;
 
-/** A primitive that cannot be mixed up with another one of the same shape. */
+/** A primitive that the compiler does not confuse with another one of the same type. */
 export type Brand<Value, Name extends string> = Value & {readonly [brand]: Name};
--- a/packages/core/src/chunk-buffer.ts
+++ b/packages/core/src/chunk-buffer.ts
@@ -1,49 +1,49 @@
-/** Joins chunks of bytes, at most once for each message however long it is. */
+/** Buffers chunks of bytes and joins them at most once for each message, however long it is. */
 
 import {Buffer} from 'node:buffer';
 
-/** Bytes read but not yet used. */
+/** Bytes received but not yet consumed. */
 export type ChunkBuffer = Readonly<{
 	/** Adds a chunk at the end. */
 	push: (chunk: Buffer) => void;
-	/** Takes all bytes if there are as many as wanted. */
+	/** Takes all bytes if at least the needed number is present; returns `undefined` otherwise. */
 	take: () => Buffer | undefined;
-	/** Takes all bytes, however few. */
+	/** Takes all bytes, however few there are. */
 	takeAll: () => Buffer;
-	/** Puts back what was not used, and says how many bytes are wanted before it is looked at again. */
+	/** Puts unconsumed bytes back at the front, and sets how many bytes the next `take` needs. */
 	putBack: (rest: Buffer, neededBytes: number) => void;
 }>;
 
 const EMPTY = Buffer.alloc(0);
 
-/** Creates an empty collector, which wants any bytes. */
+/** Creates an empty buffer, whose `take` needs one byte. */
 export const createChunkBuffer = (): ChunkBuffer => {
 	let chunks: Buffer[] = [];
-	let size = 0;
-	let wanted = 1;
+	let sizeBytes = 0;
+	let minBytes = 1;
 
 	const takeAll = (): Buffer => {
 		const taken = chunks.length === 1 ? (chunks[0] ?? EMPTY) : Buffer.concat(chunks);
 		chunks = [];
-		size = 0;
-		wanted = 1;
+		sizeBytes = 0;
+		minBytes = 1;
 		return taken;
 	};
 
 	return {
 		push(chunk) {
 			chunks.push(chunk);
-			size += chunk.length;
+			sizeBytes += chunk.length;
 		},
-		take: () => size >= wanted ? takeAll() : undefined,
+		take: () => sizeBytes >= minBytes ? takeAll() : undefined,
 		takeAll,
-		putBack(rest, wantedBytes) {
+		putBack(rest, neededBytes) {
 			if (rest.length > 0) {
 				chunks = [rest, ...chunks];
-				size += rest.length;
+				sizeBytes += rest.length;
 			}
 
-			wanted = Math.max(wantedBytes, 1);
+			minBytes = Math.max(neededBytes, 1);
 		},
 	};
 };
--- a/packages/core/src/condition-variable.ts
+++ b/packages/core/src/condition-variable.ts
@@ -1,25 +1,25 @@
-/** A gate on which tasks wait until another task opens it once. */
+/** A condition variable, on which tasks wait until another task notifies them. */
 
-/** Wakes the tasks that wait at this moment. */
+/** Wakes the tasks that are waiting when `notifyAll` is called. */
 export type ConditionVariable = Readonly<{
-	/** Waits for the next `open`. */
+	/** Waits for the next `notifyAll`. */
 	wait: () => Promise<void>;
 	/** Wakes every waiting task. */
 	notifyAll: () => void;
 }>;
 
-/** Creates a gate. */
+/** Creates a condition variable. */
 export const createConditionVariable = (): ConditionVariable => {
-	let waiting: Array<() => void> = [];
+	let waiters: Array<() => void> = [];
 	return {
 		async wait() {
 			await new Promise<void>(resolve => {
-				waiting.push(resolve);
+				waiters.push(resolve);
 			});
 		},
 		notifyAll() {
-			const woken = waiting;
-			waiting = [];
+			const woken = waiters;
+			waiters = [];
 			for (const wake of woken) {
 				wake();
 			}
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -1,17 +1,17 @@
-/** Failures, told apart by a literal `code`. */
+/** Failures as values, distinguished by a literal `code`. */
 
-/** Shape that every failure of every package has. */
+/** Base of the failure types of every package. */
 export type Failure<Code extends string = string> = Readonly<{
-	/** Tells failures apart. */
+	/** Identifies the kind of failure. */
 	code: Code;
-	/** One sentence for a person. */
+	/** One sentence for a human reader. */
 	message: string;
 }>;
 
-/** Failure of waiting: the deadline passed or the owner was disposed. */
+/** Failure of a wait: the deadline passed or the wait was aborted. */
 export type WaitFailure = Failure<'timeout' | 'aborted'>;
 
-/** Exception that carries a failure across an edge where only throwing is possible. */
+/** Exception that carries a failure through code that can only throw. */
 export class FailureError extends Error {
 	override readonly name = 'FailureError';
 
@@ -20,8 +20,8 @@
 	}
 }
 
-/** Gets the message of anything that was thrown. */
+/** Returns the message of a thrown value. */
 export const getMessage = (thrown: unknown): string => thrown instanceof Error ? thrown.message : JSON.stringify(thrown) ?? 'unknown';
 
-/** Tells whether something thrown is an abort. */
+/** Tells whether a thrown value is an `AbortError`. */
 export const isAbort = (thrown: unknown): boolean => thrown instanceof Error && thrown.name === 'AbortError';
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -1,4 +1,4 @@
-/** Identifiers of the things an inventory names. */
+/** Branded identifiers of vms, databases, customers and the like. */
 
 import type {Brand} from './brand.js';
 
@@ -14,14 +14,14 @@
 /** Name of a database: one primary and its replicas. */
 export type DatabaseId = Brand<string, 'DatabaseId'>;
 
-/** Name of one back end of a database. */
+/** Name of a target: one database server behind the proxy. */
 export type TargetId = Brand<string, 'TargetId'>;
 
 /** Name of a service, which callers give as their database name. */
 export type ServiceId = Brand<string, 'ServiceId'>;
 
-/** Identifier of one request, unique over the fleet. */
+/** Identifier of one request, unique across the fleet. */
 export type RequestId = Brand<string, 'RequestId'>;
 
-/** Brands a checked string as an identifier. */
+/** Brands a string as an identifier; the caller has validated it. */
 export const parseId = <Id extends string>(text: string): Id => text as Id;
--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -5,21 +5,21 @@
 import {getRemainingMs, isPast, type Deadline} from './time.js';
 import type {World} from './world.js';
 
-/** Wakes every waiting task when state has changed. */
+/** Wakes every waiting task after a change of state. */
 export type Notifier = Readonly<{
 	/** Wakes all waiting tasks. */
 	notify: () => void;
 	/** Waits for the next `notify`, at most until a deadline. */
 	waitForChange: (deadline: Deadline, signal?: AbortSignal) => Promise<void>;
-	/** Waits until a condition holds, tested at each `notify`. */
+	/** Waits until a condition holds, checked at each `notify`; fails when the deadline passes or the signal aborts. */
 	waitUntil: (condition: () => boolean, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, WaitFailure>>;
 }>;
 
-const LONGEST_SLEEP_MS = 3_600_000;
+const MAX_SLEEP_MS = 3_600_000;
 
 /** Creates a notifier. */
 export const createNotifier = (world: Pick<World, 'now' | 'sleep'>): Notifier => {
-	const waiting = new Set<() => void>();
+	const waiters = new Set<() => void>();
 
 	const waitForChange = async (deadline: Deadline, signal?: AbortSignal) => {
 		const timer = new AbortController();
@@ -27,23 +27,23 @@
 		const changed = new Promise<void>(resolve => {
 			wake = resolve;
 		});
-		const stop = () => {
+		const wakeWaiter = () => {
 			wake();
 		};
 
-		waiting.add(stop);
-		signal?.addEventListener('abort', stop, {once: true});
-		const remaining = Math.min(getRemainingMs(deadline, world.now()), LONGEST_SLEEP_MS);
-		const sleeping = world.sleep(remaining, timer.signal).catch(() => undefined);
+		waiters.add(wakeWaiter);
+		signal?.addEventListener('abort', wakeWaiter, {once: true});
+		const remainingMs = Math.min(getRemainingMs(deadline, world.now()), MAX_SLEEP_MS);
+		const sleeping = world.sleep(remainingMs, timer.signal).catch(() => undefined);
 		await Promise.race([changed, sleeping]);
 		timer.abort();
-		waiting.delete(stop);
-		signal?.removeEventListener('abort', stop);
+		waiters.delete(wakeWaiter);
+		signal?.removeEventListener('abort', wakeWaiter);
 	};
 
 	return {
 		notify() {
-			for (const wake of waiting) {
+			for (const wake of waiters) {
 				wake();
 			}
 		},
--- a/packages/core/src/queue.ts
+++ b/packages/core/src/queue.ts
@@ -1,19 +1,19 @@
-/** Unbounded hand-over between two tasks; bounds are kept by whoever sends, by credit. */
+/** Unbounded queue between two tasks; the sender limits its length by credit. */
 
 /** Queue from one task to another. */
 export type Queue<Item> = Readonly<{
-	/** Adds an item; ignored after `close`. */
+	/** Adds an item; does nothing after `close`. */
 	push: (item: Item) => void;
-	/** Waits for the next item; `undefined` after the queue is closed and empty. */
+	/** Waits for the next item; resolves to `undefined` once the queue is closed and empty. */
 	take: () => Promise<Item | undefined>;
-	/** Ends the queue after the items already in it. */
+	/** Closes the queue; items already in it can still be taken. */
 	close: () => void;
 }>;
 
 /** Creates an empty queue. */
 export const createQueue = <Item>(): Queue<Item> => {
 	const items: Item[] = [];
-	const takers: Array<(item: Item | undefined) => void> = [];
+	const waitingTakers: Array<(item: Item | undefined) => void> = [];
 	let closed = false;
 	return {
 		push(item) {
@@ -21,7 +21,7 @@
 				return;
 			}
 
-			const taker = takers.shift();
+			const taker = waitingTakers.shift();
 			if (taker) {
 				taker(item);
 			} else {
@@ -38,12 +38,12 @@
 			}
 
 			return new Promise(resolve => {
-				takers.push(resolve);
+				waitingTakers.push(resolve);
 			});
 		},
 		close() {
 			closed = true;
-			for (const taker of takers.splice(0)) {
+			for (const taker of waitingTakers.splice(0)) {
 				taker(undefined);
 			}
 		},
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -1,4 +1,4 @@
-/** Rendezvous hashing: every process ranks the same candidates alike, and one change moves little. */
+/** Rendezvous hashing: every process ranks the same candidates in the same order, and a change of one candidate moves few keys. */
 
 const FNV_OFFSET = 0x81_1C_9D_C5;
 const FNV_PRIME = 0x01_00_01_93;
--- a/packages/core/src/result.ts
+++ b/packages/core/src/result.ts
@@ -1,8 +1,8 @@
-/** Results instead of exceptions; the only place that imports `ts-results` (which needs `tslib` without saying so). */
+/** Results as values instead of exceptions. The only module that imports `ts-results`, which needs `tslib` without declaring it. */
 
 import * as tsResults from 'ts-results';
 
-/** Node gives the CommonJS build as a default export, a bundler the names of the ES build. */
+/** Node provides the CommonJS build as the default export, a bundler the named exports of the ES build. */
 const {default: commonJs} = tsResults as Readonly<{default?: unknown}>;
 const library = (commonJs ?? tsResults) as typeof tsResults;
 
--- a/packages/core/src/scope.ts
+++ b/packages/core/src/scope.ts
@@ -1,4 +1,4 @@
-/** Ownership of tasks: leaving a scope aborts its tasks and waits for them. */
+/** Structured concurrency: a scope owns tasks, and disposing it aborts them and waits for them. */
 
 import {setMaxListeners} from 'node:events';
 import {isAbort} from './errors.js';
@@ -11,13 +11,13 @@
 	run: (task: (signal: AbortSignal) => Promise<void>) => void;
 }>;
 
-/** Creates a scope; `onFailure` hears of tasks that end by an exception. */
+/** Creates a scope; `onFailure` is called with every exception of a task other than an abort. */
 export const createScope = (onFailure: (thrown: unknown) => void, parent?: AbortSignal): Scope => {
 	const controller = new AbortController();
-	// Every task of the scope may listen at the same time.
+	// Every task of the scope may listen to the signal at the same time, so the limit on listeners is lifted.
 	setMaxListeners(0, controller.signal);
-	const running = new Set<Promise<void>>();
-	const abort = () => {
+	const runningTasks = new Set<Promise<void>>();
+	const abortTasks = () => {
 		controller.abort();
 	};
 
@@ -25,7 +25,7 @@
 		controller.abort();
 	}
 
-	parent?.addEventListener('abort', abort, {once: true});
+	parent?.addEventListener('abort', abortTasks, {once: true});
 	const runGuarded = async (task: (signal: AbortSignal) => Promise<void>) => {
 		try {
 			await task(controller.signal);
@@ -40,15 +40,15 @@
 		signal: controller.signal,
 		run(task) {
 			const promise = runGuarded(task);
-			running.add(promise);
+			runningTasks.add(promise);
 			void promise.finally(() => {
-				running.delete(promise);
+				runningTasks.delete(promise);
 			});
 		},
 		async [Symbol.asyncDispose]() {
 			controller.abort();
-			parent?.removeEventListener('abort', abort);
-			await Promise.all(running);
+			parent?.removeEventListener('abort', abortTasks);
+			await Promise.all(runningTasks);
 		},
 	};
 };
--- a/packages/core/src/single-flight.ts
+++ b/packages/core/src/single-flight.ts
@@ -1,32 +1,32 @@
-/** Shares one running call between all that ask for it. */
+/** Shares one call among concurrent callers. */
 
-/** Creates a function whose callers get the result of a call that began after they asked. */
+/** Creates a function whose concurrent callers share the result of one call, which starts no earlier than their own request. */
 export const createSingleFlight = <Value>(call: () => Promise<Value>): (() => Promise<Value>) => {
-	let running: Promise<Value> | undefined;
-	let next: Promise<Value> | undefined;
+	let runningCall: Promise<Value> | undefined;
+	let nextCall: Promise<Value> | undefined;
 
 	const start = async (): Promise<Value> => {
-		const flight = call();
-		running = flight;
+		const promise = call();
+		runningCall = promise;
 		try {
-			return await flight;
+			return await promise;
 		} finally {
-			running = undefined;
+			runningCall = undefined;
 		}
 	};
 
-	const startAfter = async (flight: Promise<Value>): Promise<Value> => {
-		await flight.catch(() => undefined);
-		next = undefined;
+	const startAfter = async (promise: Promise<Value>): Promise<Value> => {
+		await promise.catch(() => undefined);
+		nextCall = undefined;
 		return start();
 	};
 
 	return async () => {
-		if (!running) {
+		if (!runningCall) {
 			return start();
 		}
 
-		next ??= startAfter(running);
-		return next;
+		nextCall ??= startAfter(runningCall);
+		return nextCall;
 	};
 };
--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -1,77 +1,77 @@
-/** Two-way streams between two tasks, in one process or over the inner protocol. */
+/** Bidirectional streams between two tasks, in one process or over the peer protocol. */
 
 import {createConditionVariable} from './condition-variable.js';
 import {createQueue} from './queue.js';
 
-/** One end of a two-way stream. */
+/** One end of a bidirectional stream. */
 export type Stream<Out, In> = AsyncDisposable & Readonly<{
-	/** Sends an item; waits while the other end is too far behind. */
+	/** Sends an item; waits while more than the window of bytes is unread at the other end. */
 	send: (item: Out) => Promise<void>;
-	/** Waits for an item; `undefined` when the other end has finished or is gone. */
+	/** Waits for the next item; resolves to `undefined` when the other end has finished or is closed. */
 	receive: () => Promise<In | undefined>;
-	/** Tells the other end that nothing more will be sent. */
+	/** Signals to the other end that no more items follow. */
 	finish: () => void;
-	/** Aborts when the other end is gone before it finished; with `NOT_ACCEPTED` as reason when it certainly took nothing. */
+	/** Aborts when the other end is closed before it has finished; the reason is `NOT_ACCEPTED` if it is known to have taken no item. */
 	signal: AbortSignal;
 }>;
 
-type Half<Item> = Readonly<{
+type Direction<Item> = Readonly<{
 	send: (item: Item) => Promise<void>;
 	receive: () => Promise<Item | undefined>;
 	finish: () => void;
 }>;
 
-/** Reason of the signal of a stream that the other end certainly did not accept. */
+/** Abort reason of a stream of which the other end is known to have taken no item. */
 export const NOT_ACCEPTED = 'the other end did not accept the stream';
 
-/** Bytes that wait in one direction before the sender waits. */
+/** Number of unread bytes in one direction above which the sender waits. */
 const WINDOW_BYTES = 262_144;
-const GONE = 'the other end is gone';
+const OTHER_END_CLOSED = 'the other end closed the stream';
 
-const createHalf = <Item>(measure: (item: Item) => number): Half<Item> => {
+const createDirection = <Item>(measureBytes: (item: Item) => number): Direction<Item> => {
 	const items = createQueue<Item>();
-	let waitingBytes = 0;
-	const taken = createConditionVariable();
+	let bufferedBytes = 0;
+	const itemTaken = createConditionVariable();
 	let finished = false;
 	return {
 		async send(item) {
 			items.push(item);
-			waitingBytes += measure(item);
-			while (waitingBytes > WINDOW_BYTES && !finished) {
-				await taken.wait();
+			bufferedBytes += measureBytes(item);
+			while (bufferedBytes > WINDOW_BYTES && !finished) {
+				await itemTaken.wait();
 			}
 		},
 		async receive() {
 			const item = await items.take();
-			waitingBytes -= item === undefined ? 0 : measure(item);
-			taken.notifyAll();
+			bufferedBytes -= item === undefined ? 0 : measureBytes(item);
+			itemTaken.notifyAll();
 			return item;
 		},
 		finish() {
 			finished = true;
 			items.close();
-			taken.notifyAll();
+			itemTaken.notifyAll();
 		},
 	};
 };
 
-const createEnd = <Out, In>(out: Half<Out>, incoming: Half<In>, own: AbortController, other: AbortController): Stream<Out, In> => ({
-	send: out.send,
+const createEnd = <Out, In>(outgoing: Direction<Out>, incoming: Direction<In>, ownController: AbortController, otherController: AbortController): Stream<Out, In> => ({
+	send: outgoing.send,
 	receive: incoming.receive,
-	finish: out.finish,
-	signal: own.signal,
+	finish: outgoing.finish,
+	signal: ownController.signal,
 	async [Symbol.asyncDispose]() {
-		// A reason of our own spares the cost of an exception for each stream.
-		other.abort(GONE);
-		out.finish();
+		// An explicit reason avoids the cost of creating an exception for each stream.
+		otherController.abort(OTHER_END_CLOSED);
+		outgoing.finish();
 		incoming.finish();
 	},
 });
 
-/** Creates both ends of a stream inside one process; `measure` gives the size of an item in bytes. */
-export const createStreamPair = <Left, Right>(measure: (item: Left | Right) => number): readonly [Stream<Left, Right>, Stream<Right, Left>] => {
-	const toRight = createHalf<Left>(measure);
-	const toLeft = createHalf<Right>(measure);
+/** Creates both ends of a stream within one process; `measureBytes` returns the size of an item in bytes. */
+export const createStreamPair = <Left, Right>(measureBytes: (item: Left | Right) => number): readonly [Stream<Left, Right>, Stream<Right, Left>] => {
+	const toRight = createDirection<Left>(measureBytes);
+	const toLeft = createDirection<Right>(measureBytes);
 	const left = new AbortController();
 	const right = new AbortController();
 	return [createEnd(toRight, toLeft, left, right), createEnd(toLeft, toRight, right, left)];
--- a/packages/core/src/suspension.ts
+++ b/packages/core/src/suspension.ts
@@ -1,18 +1,18 @@
-/** Time that goes on while the process is suspended, for what must not outlive a suspension. */
+/** A clock that keeps counting while the process is suspended, for state that must not stay valid through a suspension. */
 
 import type {Instant} from './time.js';
 import type {World} from './world.js';
 
-/** Difference between the two clocks that counts as a jump, in milliseconds; above the granularity of the wall clock and its usual slew. */
-const JUMP_MS = 20;
+/** Difference between the two clocks above which a change counts as a jump, in milliseconds; larger than the granularity of the wall clock and its usual slew. */
+const MIN_JUMP_MS = 20;
 
-/** Time that a backward jump of the wall clock counts for, in milliseconds: it may hide a suspension, so nothing held may survive it. */
-const BACKWARD_JUMP_MS = 10_000;
+/** Time added for a backward jump of the wall clock, in milliseconds: the jump may hide a suspension, so no authority may stay valid after it. */
+const BACKWARD_JUMP_PENALTY_MS = 10_000;
 
 /**
- * Creates a clock that adds jumps of the wall clock to the steady clock.
- * The steady clock stands still while a vm is suspended; the wall clock does not, but may also be set.
- * A step of the wall clock is thus taken for a suspension, which only lets authority lapse sooner.
+ * Creates a clock that adds jumps of the wall clock to the monotonic clock.
+ * The monotonic clock stops while a vm is suspended; the wall clock does not, but it may also be set.
+ * A step of the wall clock is therefore treated as a suspension, which only makes authority expire sooner.
  */
 export const createSuspensionClock = (world: Pick<World, 'now' | 'readWallClock'>): (() => Instant) => {
 	let offsetMs = world.readWallClock() - world.now();
@@ -20,9 +20,9 @@
 	return () => {
 		const now = world.now();
 		const jumpMs = world.readWallClock() - now - offsetMs;
-		if (Math.abs(jumpMs) > JUMP_MS) {
+		if (Math.abs(jumpMs) > MIN_JUMP_MS) {
 			offsetMs += jumpMs;
-			suspendedMs += jumpMs > 0 ? jumpMs : BACKWARD_JUMP_MS;
+			suspendedMs += jumpMs > 0 ? jumpMs : BACKWARD_JUMP_PENALTY_MS;
 		}
 
 		return (now + suspendedMs) as Instant;
--- a/packages/core/src/time.ts
+++ b/packages/core/src/time.ts
@@ -5,13 +5,13 @@
 /** A point on the monotonic clock, in milliseconds. */
 export type Instant = Brand<number, 'Instant'>;
 
-/** A point on the monotonic clock after which something no longer holds. */
+/** A point on the monotonic clock from which something is no longer valid, in milliseconds. */
 export type Deadline = Brand<number, 'Deadline'>;
 
 /** A deadline that never passes. */
 export const NEVER = Number.POSITIVE_INFINITY as Deadline;
 
-/** A deadline that has always passed. */
+/** A deadline that has passed at any time. */
 export const PAST = Number.NEGATIVE_INFINITY as Deadline;
 
 /** Creates the deadline `ms` milliseconds after an instant. */
@@ -20,10 +20,10 @@
 /** Tells whether a deadline has passed. */
 export const isPast = (deadline: Deadline, now: Instant): boolean => now >= deadline;
 
-/** Gets the milliseconds left before a deadline, never negative. */
+/** Returns the milliseconds left before a deadline, never negative. */
 export const getRemainingMs = (deadline: Deadline, now: Instant): number => Math.max(0, deadline - now);
 
-/** Chooses the earliest of several deadlines; `NEVER` if there is none. */
+/** Returns the earliest of several deadlines; `NEVER` if there is none. */
 export const chooseEarliest = (deadlines: readonly Deadline[]): Deadline => {
 	let earliest = NEVER;
 	for (const deadline of deadlines) {
--- a/packages/core/src/transactions.ts
+++ b/packages/core/src/transactions.ts
@@ -1,4 +1,4 @@
 /** State of a caller's transaction. */
 
-/** Transaction status: none, in progress, or failed and waiting for its end. */
+/** Transaction status: none (`idle`), in progress (`open`), or failed and waiting for its end (`failed`). */
 export type TransactionStatus = 'idle' | 'open' | 'failed';
--- a/packages/core/src/virtual-world.ts
+++ b/packages/core/src/virtual-world.ts
@@ -1,46 +1,46 @@
-/** A world whose clock moves only when a test says so. */
+/** A world whose clock moves only when a test advances it. */
 
 import {setImmediate as yieldTurn} from 'node:timers/promises';
 import type {Instant} from './time.js';
 import type {World} from './world.js';
 
-/** A world under a test's control. */
+/** A world that a test controls. */
 export type VirtualWorld = Readonly<{
 	world: World;
-	/** Moves the clock, waking sleepers in order. */
+	/** Advances the clock by some milliseconds, firing due timers in order. */
 	advance: (ms: number) => Promise<void>;
-	/** Lets every task run on that does not wait for the clock. */
+	/** Lets every task that does not wait for the clock continue. */
 	settle: () => Promise<void>;
 }>;
 
-type Sleeper = Readonly<{at: number; order: number; wake: () => void}>;
+type VirtualTimer = Readonly<{at: number; order: number; wake: () => void}>;
 
-const TURNS = 3;
-const LCG_FACTOR = 1_664_525;
-const LCG_STEP = 1_013_904_223;
-const RANGE = 4_294_967_296;
+const EVENT_LOOP_TURNS = 3;
+const LCG_MULTIPLIER = 1_664_525;
+const LCG_INCREMENT = 1_013_904_223;
+const LCG_MODULUS = 4_294_967_296;
 
 const createAbortError = (): Error => Object.assign(new Error('The wait was aborted'), {name: 'AbortError'});
 
-/** Creates a virtual world; the seed decides its chance. */
+/** Creates a virtual world; the seed determines its random numbers. */
 export const createVirtualWorld = (seed = 1): VirtualWorld => {
-	const sleepers = new Set<Sleeper>();
+	const timers = new Set<VirtualTimer>();
 	let now = 0;
 	let order = 0;
 	let state = seed >>> 0;
-	let ids = 0;
+	let idCount = 0;
 
 	const settle = async () => {
-		for (let turn = 0; turn < TURNS; turn++) {
+		for (let turn = 0; turn < EVENT_LOOP_TURNS; turn++) {
 			await yieldTurn();
 		}
 	};
 
-	const findNext = (until: number): Sleeper | undefined => {
-		let next: Sleeper | undefined;
-		for (const sleeper of sleepers) {
-			if (sleeper.at <= until && (!next || sleeper.at < next.at || (sleeper.at === next.at && sleeper.order < next.order))) {
-				next = sleeper;
+	const findNext = (untilMs: number): VirtualTimer | undefined => {
+		let next: VirtualTimer | undefined;
+		for (const timer of timers) {
+			if (timer.at <= untilMs && (!next || timer.at < next.at || (timer.at === next.at && timer.order < next.order))) {
+				next = timer;
 			}
 		}
 
@@ -48,21 +48,21 @@
 	};
 
 	const advance = async (ms: number) => {
-		const until = now + ms;
+		const untilMs = now + ms;
 		await settle();
 		while (true) {
-			const next = findNext(until);
+			const next = findNext(untilMs);
 			if (!next) {
 				break;
 			}
 
-			sleepers.delete(next);
+			timers.delete(next);
 			now = Math.max(now, next.at);
 			next.wake();
 			await settle();
 		}
 
-		now = until;
+		now = untilMs;
 		await settle();
 	};
 
@@ -78,26 +78,26 @@
 				}
 
 				await new Promise<void>((resolve, reject) => {
-					const sleeper: Sleeper = {at: now + Math.max(0, ms), order: order++, wake: resolve};
-					sleepers.add(sleeper);
+					const timer: VirtualTimer = {at: now + Math.max(0, ms), order: order++, wake: resolve};
+					timers.add(timer);
 					signal?.addEventListener('abort', () => {
-						sleepers.delete(sleeper);
+						timers.delete(timer);
 						reject(createAbortError());
 					}, {once: true});
 				});
 			},
 			schedule(ms, task) {
-				const sleeper: Sleeper = {at: now + Math.max(0, ms), order: order++, wake: task};
-				sleepers.add(sleeper);
+				const timer: VirtualTimer = {at: now + Math.max(0, ms), order: order++, wake: task};
+				timers.add(timer);
 				return () => {
-					sleepers.delete(sleeper);
+					timers.delete(timer);
 				};
 			},
 			random() {
-				state = (Math.imul(state, LCG_FACTOR) + LCG_STEP) >>> 0;
-				return state / RANGE;
+				state = (Math.imul(state, LCG_MULTIPLIER) + LCG_INCREMENT) >>> 0;
+				return state / LCG_MODULUS;
 			},
-			createId: () => `id${++ids}`,
+			createId: () => `id${++idCount}`,
 		},
 	};
 };
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -1,29 +1,29 @@
-/** What a task may ask of the world outside; tests pass functions of their own. */
+/** Access to time, timers and randomness, replaced by a virtual clock in tests. */
 
 import {randomBytes} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Instant} from './time.js';
 
-/** Functions through which a task reads time and chance. */
+/** Functions through which tasks use clocks, timers, random numbers and fresh identifiers. */
 export type World = Readonly<{
 	/** Reads the monotonic clock. */
 	now: () => Instant;
 	/** Reads the wall clock, in milliseconds since 1970. */
 	readWallClock: () => number;
-	/** Waits; rejects with `AbortError` when the signal aborts. */
+	/** Waits for some milliseconds; rejects with an `AbortError` when the signal aborts. */
 	sleep: (ms: number, signal?: AbortSignal) => Promise<void>;
-	/** Runs a task once after some time, unless the returned function is called before. */
+	/** Runs a task once after some milliseconds, unless the returned function is called first. */
 	schedule: (ms: number, task: () => void) => (() => void);
-	/** Draws a number in [0, 1). */
+	/** Draws a random number in [0, 1). */
 	random: () => number;
-	/** Creates a fresh identifier. */
+	/** Creates a unique identifier. */
 	createId: () => string;
 }>;
 
 const ID_BYTES = 9;
 
-/** Creates the real world of a process. */
+/** Creates the world of a process, over the clocks and timers of Node. */
 export const createWorld = (): World => ({
 	now: () => performance.now() as Instant,
 	readWallClock: () => Date.now(),
