Reword the telemetry package

Titles of 17 events take the terms of the field (owner, coordinator, role, change feed); numbers, levels and fields of the events stay.

--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -1,68 +1,68 @@
-/** Catalogue of the numbered events; docs/EVENTS.md lists the same. */
+/** Catalogue of the numbered events; docs/EVENTS.md lists the same events. */
 
 /** Severity of an event. */
 export type Level = 'info' | 'warn' | 'error';
 
 /** One kind of event. */
 export type EventKind = Readonly<{
-	/** Number, never reused. */
+	/** Event number, never reused. */
 	id: number;
 	/** Severity. */
 	level: Level;
-	/** What has happened, in a few words. */
+	/** What happened, in a few words. */
 	title: string;
 }>;
 
-const createKind = (id: number, level: Level, title: string): EventKind => ({id, level, title});
+const createEventKind = (id: number, level: Level, title: string): EventKind => ({id, level, title});
 
-/** Every kind of event. */
+/** All kinds of events. */
 export const EVENTS = {
-	processStarted: createKind(1001, 'info', 'process started'),
-	processDraining: createKind(1002, 'info', 'process draining'),
-	processStopped: createKind(1003, 'info', 'process stopped'),
-	taskFailed: createKind(1004, 'error', 'task ended by an exception'),
-	configurationApplied: createKind(1101, 'info', 'configuration in force'),
-	configurationRejected: createKind(1102, 'error', 'configuration rejected'),
-	configurationStale: createKind(1103, 'warn', 'configuration no longer confirmed fresh'),
-	storeUnreachable: createKind(1104, 'warn', 'store unreachable'),
-	storeReachable: createKind(1105, 'info', 'store reachable again'),
-	callerRefused: createKind(1201, 'warn', 'caller refused at startup'),
-	callerClosed: createKind(1202, 'info', 'caller closed by the proxy'),
-	keyWithdrawn: createKind(1203, 'info', 'open connection closed, key withdrawn'),
-	requestRefused: createKind(1301, 'info', 'request refused, not run'),
-	requestUnknown: createKind(1302, 'warn', 'request outcome unknown'),
-	requestRetried: createKind(1303, 'info', 'request retried, certainly not run'),
-	targetUnreachable: createKind(1401, 'warn', 'target unreachable'),
-	targetReachable: createKind(1402, 'info', 'target reachable'),
-	connectionDialFailed: createKind(1403, 'warn', 'connection to a target not opened'),
-	ownershipGained: createKind(1404, 'info', 'home of a target gained'),
-	ownershipReleased: createKind(1405, 'info', 'home of a target given up'),
-	roleGained: createKind(1501, 'info', 'role slot gained'),
-	roleLost: createKind(1502, 'info', 'role slot lost'),
-	roleExtended: createKind(1503, 'info', 'role slot extended by promises while the store is unreachable'),
-	failoverStarted: createKind(1601, 'warn', 'failover started'),
-	grantsEnded: createKind(1602, 'info', 'all grants of the term ended'),
-	recordChanged: createKind(1603, 'info', 'group record changed'),
-	targetPromoted: createKind(1604, 'info', 'target promoted'),
-	failoverFinished: createKind(1605, 'info', 'failover finished'),
-	failoverBlocked: createKind(1606, 'error', 'failover blocked'),
-	targetRejoined: createKind(1607, 'info', 'target told to follow the primary'),
-	memberSuspected: createKind(1701, 'warn', 'vm suspected'),
-	memberDead: createKind(1702, 'warn', 'vm declared dead'),
-	memberJoined: createKind(1703, 'info', 'vm joined'),
-	peerLost: createKind(1704, 'warn', 'connection to a peer lost'),
-	frameRefused: createKind(1705, 'warn', 'malformed frame refused'),
-	targetMalformed: createKind(1706, 'warn', 'entry of a target does not parse'),
-	feedSourceChanged: createKind(1707, 'info', 'source of the store entries changed'),
-	ownerDecision: createKind(1801, 'info', 'decision of a home'),
-	coordinatorDecision: createKind(1802, 'info', 'decision of a steward'),
-	roleClaimed: createKind(1803, 'info', 'duty claimed'),
-	requestDone: createKind(1804, 'info', 'request answered'),
-	requestFailed: createKind(1805, 'info', 'request not answered with success'),
-	sessionRefused: createKind(1806, 'info', 'session refused at its start'),
-	readinessChanged: createKind(1807, 'info', 'readiness changed'),
-	settingsReloaded: createKind(1808, 'info', 'settings read again'),
-	linesDropped: createKind(1809, 'warn', 'log lines dropped'),
-	settingsRejected: createKind(1810, 'warn', 'settings cannot be used'),
-	standinCommand: createKind(1901, 'info', 'stand-in command carried out'),
+	processStarted: createEventKind(1001, 'info', 'process started'),
+	processDraining: createEventKind(1002, 'info', 'process draining'),
+	processStopped: createEventKind(1003, 'info', 'process stopped'),
+	taskFailed: createEventKind(1004, 'error', 'task ended by an exception'),
+	configurationApplied: createEventKind(1101, 'info', 'configuration active'),
+	configurationRejected: createEventKind(1102, 'error', 'configuration rejected'),
+	configurationStale: createEventKind(1103, 'warn', 'configuration may be stale'),
+	storeUnreachable: createEventKind(1104, 'warn', 'store unreachable'),
+	storeReachable: createEventKind(1105, 'info', 'store reachable again'),
+	callerRefused: createEventKind(1201, 'warn', 'caller refused at startup'),
+	callerClosed: createEventKind(1202, 'info', 'caller closed by the proxy'),
+	keyWithdrawn: createEventKind(1203, 'info', 'open connection closed, key withdrawn'),
+	requestRefused: createEventKind(1301, 'info', 'request refused before it ran'),
+	requestUnknown: createEventKind(1302, 'warn', 'request outcome unknown'),
+	requestRetried: createEventKind(1303, 'info', 'request retried after an attempt that did not run'),
+	targetUnreachable: createEventKind(1401, 'warn', 'target unreachable'),
+	targetReachable: createEventKind(1402, 'info', 'target reachable'),
+	connectionDialFailed: createEventKind(1403, 'warn', 'opening a connection to a target failed'),
+	ownershipGained: createEventKind(1404, 'info', 'ownership of a target gained'),
+	ownershipReleased: createEventKind(1405, 'info', 'ownership of a target released'),
+	roleGained: createEventKind(1501, 'info', 'role slot gained'),
+	roleLost: createEventKind(1502, 'info', 'role slot lost'),
+	roleExtended: createEventKind(1503, 'info', 'role slot extended by promises while the store is unreachable'),
+	failoverStarted: createEventKind(1601, 'warn', 'failover started'),
+	grantsEnded: createEventKind(1602, 'info', 'all grants of the term ended'),
+	recordChanged: createEventKind(1603, 'info', 'group record changed'),
+	targetPromoted: createEventKind(1604, 'info', 'target promoted'),
+	failoverFinished: createEventKind(1605, 'info', 'failover finished'),
+	failoverBlocked: createEventKind(1606, 'error', 'failover blocked'),
+	targetRejoined: createEventKind(1607, 'info', 'target instructed to follow the primary'),
+	memberSuspected: createEventKind(1701, 'warn', 'vm suspected'),
+	memberDead: createEventKind(1702, 'warn', 'vm declared dead'),
+	memberJoined: createEventKind(1703, 'info', 'vm joined'),
+	peerLost: createEventKind(1704, 'warn', 'connection to a peer lost'),
+	frameRefused: createEventKind(1705, 'warn', 'malformed frame refused'),
+	targetMalformed: createEventKind(1706, 'warn', 'target entry malformed'),
+	feedSourceChanged: createEventKind(1707, 'info', 'change feed source changed'),
+	ownerDecision: createEventKind(1801, 'info', 'database owner decision'),
+	coordinatorDecision: createEventKind(1802, 'info', 'failover coordinator decision'),
+	roleClaimed: createEventKind(1803, 'info', 'role claimed'),
+	requestDone: createEventKind(1804, 'info', 'request answered'),
+	requestFailed: createEventKind(1805, 'info', 'request failed or refused'),
+	sessionRefused: createEventKind(1806, 'info', 'session refused at its start'),
+	readinessChanged: createEventKind(1807, 'info', 'readiness changed'),
+	settingsReloaded: createEventKind(1808, 'info', 'settings reloaded'),
+	linesDropped: createEventKind(1809, 'warn', 'log lines dropped'),
+	settingsRejected: createEventKind(1810, 'warn', 'settings rejected'),
+	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/telemetry/src/event-ring-buffer.ts
+++ b/packages/telemetry/src/event-ring-buffer.ts
@@ -1,24 +1,24 @@
-/** The last events of a process, kept in memory so that they can be asked for. */
+/** The most recent events of a process, kept in memory for requests from other processes. */
 
 import type {EventRecord} from './events.js';
 
-/** Ring of events. */
+/** Ring buffer of events. */
 export type EventRingBuffer = Readonly<{
-	/** Keeps an event, and forgets the oldest if there are too many. */
+	/** Adds an event, replacing the oldest if the buffer is full. */
 	write: (record: EventRecord) => void;
 	/** Lists the events, oldest first. */
 	list: () => readonly EventRecord[];
 }>;
 
-/** Creates an empty ring that keeps up to `limit` events. */
+/** Creates an empty ring buffer for up to `limit` events. */
 export const createEventRingBuffer = (limit: number): EventRingBuffer => {
-	const kept: EventRecord[] = [];
-	let next = 0;
+	const records: EventRecord[] = [];
+	let nextIndex = 0;
 	return {
 		write(record) {
-			kept[next] = record;
-			next = (next + 1) % limit;
+			records[nextIndex] = record;
+			nextIndex = (nextIndex + 1) % limit;
 		},
-		list: () => kept.length < limit ? [...kept] : [...kept.slice(next), ...kept.slice(0, next)],
+		list: () => records.length < limit ? [...records] : [...records.slice(nextIndex), ...records.slice(0, nextIndex)],
 	};
 };
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -4,20 +4,20 @@
 import type {HybridLogicalClock, HybridTimestamp} from './hybrid-logical-clock.js';
 import type {EventKind} from './catalogue.js';
 
-/** Who writes events. */
+/** Process that writes events. */
 export type EventOrigin = Readonly<{
 	/** Program, such as `guavapitch-proxy`. */
 	program: string;
-	/** The vm it runs on. */
+	/** Vm on which it runs. */
 	vm: string;
 	/** Identifier of this run of the process. */
 	incarnation: string;
 }>;
 
-/** Details of one event; never a key, nor anything derived from one. */
+/** Details of one event. They never contain a customer's key or anything derived from one. */
 export type EventFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
 
-/** One line of the time line. */
+/** One event as it is written to the log. */
 export type EventRecord = EventOrigin & Readonly<{
 	id: number;
 	level: string;
@@ -30,11 +30,11 @@
 /** Writes one event. */
 export type Emit = (kind: EventKind, fields?: EventFields) => void;
 
-/** Creates the event writer of a process. */
-export const createEmit = (source: EventOrigin, clock: HybridLogicalClock, write: (record: EventRecord) => void): Emit => (kind, fields = {}) => {
+/** Creates the function that stamps and writes the events of a process. */
+export const createEmit = (origin: EventOrigin, clock: HybridLogicalClock, write: (record: EventRecord) => void): Emit => (kind, fields = {}) => {
 	const hlc = clock.read();
 	write({
-		...source,
+		...origin,
 		id: kind.id,
 		level: kind.level,
 		title: kind.title,
--- a/packages/telemetry/src/exposition.ts
+++ b/packages/telemetry/src/exposition.ts
@@ -1,4 +1,4 @@
-/** Metrics as text, in the format that Prometheus reads. */
+/** Metrics in the Prometheus text format. */
 
 import {BUCKETS_MS, type Histogram, type Metrics} from './metrics.js';
 
@@ -12,10 +12,10 @@
 
 /** Splits a key of a snapshot, such as `outcomes{kind=busy}`, into its name and labels. */
 const splitKey = (key: string): Readonly<{name: string; labels: ReadonlyArray<readonly [string, string]>}> => {
-	const [name = '', inner = ''] = key.replace(/\}$/v, '').split('{');
-	const labels = inner === ''
+	const [name = '', labelText = ''] = key.replace(/\}$/v, '').split('{');
+	const labels = labelText === ''
 		? []
-		: inner.split(',').map(pair => {
+		: labelText.split(',').map(pair => {
 			const [label = '', value = ''] = pair.split('=');
 			return [label, value] as const;
 		});
--- a/packages/telemetry/src/hybrid-logical-clock.ts
+++ b/packages/telemetry/src/hybrid-logical-clock.ts
@@ -1,26 +1,26 @@
-/** Hybrid logical clock: orders events of all processes causally despite skewed wall clocks. */
+/** Hybrid logical clock: orders the events of all processes causally despite clock skew. */
 
-/** A hybrid logical time: wall milliseconds, then a counter. */
+/** A hybrid logical time: milliseconds of the wall clock, then a counter. */
 export type HybridTimestamp = readonly [wallMs: number, counter: number];
 
-/** Clock of one process. */
+/** Hybrid logical clock of one process. */
 export type HybridLogicalClock = Readonly<{
-	/** Reads a time later than every time read or witnessed before. */
+	/** Returns a time later than every time read or observed before. */
 	read: () => HybridTimestamp;
-	/** Takes note of a time received from another process. */
+	/** Records a time received from another process. */
 	observe: (time: HybridTimestamp) => void;
 }>;
 
-/** Compares two causal times. */
+/** Compares two hybrid logical times; negative if the first is earlier. */
 export const compareHybridTimestamps = (a: HybridTimestamp, b: HybridTimestamp): number => a[0] - b[0] || a[1] - b[1];
 
-/** Creates a clock over a wall clock. */
+/** Creates a hybrid logical clock over a wall clock in milliseconds. */
 export const createHybridLogicalClock = (readWallClock: () => number): HybridLogicalClock => {
 	let last: HybridTimestamp = [0, 0];
 	return {
 		read() {
-			const wall = readWallClock();
-			last = wall > last[0] ? [wall, 0] : [last[0], last[1] + 1];
+			const wallMs = readWallClock();
+			last = wallMs > last[0] ? [wallMs, 0] : [last[0], last[1] + 1];
 			return last;
 		},
 		observe(time) {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,18 +1,18 @@
-/** Counters and gauges, kept in the process and sent by `hot-shots`. */
+/** Counters, gauges and histograms, kept in the process and sent to StatsD. */
 
 import {StatsD} from 'hot-shots';
 
 /** Labels of a metric. */
 export type Tags = Readonly<Record<string, string>>;
 
-/** Upper bounds of the buckets of times, in milliseconds. */
+/** Upper bounds of the histogram buckets, in milliseconds. */
 export const BUCKETS_MS: readonly number[] = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000];
 
-/** Times of one name and one set of tags. */
+/** Histogram of the times recorded under one name and one set of tags. */
 export type Histogram = Readonly<{
 	name: string;
 	tags: Tags;
-	/** Times up to each bound, and the rest, not yet added up. */
+	/** Number of times in each bucket, not cumulative; the last bucket has no upper bound. */
 	counts: readonly number[];
 	sumMs: number;
 }>;
@@ -20,14 +20,14 @@
 /** Metrics of one process. */
 export type Metrics = AsyncDisposable & Readonly<{
 	/** Adds to a counter. */
-	count: (name: string, tags?: Tags, by?: number) => void;
+	count: (name: string, tags?: Tags, amount?: number) => void;
 	/** Sets a gauge. */
 	gauge: (name: string, value: number, tags?: Tags) => void;
 	/** Records a time in milliseconds. */
 	time: (name: string, ms: number, tags?: Tags) => void;
-	/** Gets every histogram of times, by name and tags. */
+	/** Returns every histogram. */
 	listHistograms: () => readonly Histogram[];
-	/** Gets every counter and gauge, by name and tags. */
+	/** Returns the value of every counter and gauge, by name and tags. */
 	snapshot: () => Readonly<Record<string, number>>;
 }>;
 
@@ -37,9 +37,9 @@
 };
 
 /** Metrics are best effort: a failed send is dropped. */
-const ignoreFailure = () => undefined;
+const ignoreSendFailure = () => undefined;
 
-/** Opens the metrics; with no address they are only kept in the process. */
+/** Opens the metrics; without the address of a StatsD server they are only kept in the process. */
 export const openMetrics = (address?: Readonly<{host: string; port: number}>): Metrics => {
 	const values = new Map<string, number>();
 	const histograms = new Map<string, {name: string; tags: Tags; counts: number[]; sumMs: number}>();
@@ -58,14 +58,14 @@
 
 	const client = address
 		? new StatsD({
-			host: address.host, port: address.port, prefix: 'guavapitch.', errorHandler: ignoreFailure,
+			host: address.host, port: address.port, prefix: 'guavapitch.', errorHandler: ignoreSendFailure,
 		})
 		: undefined;
 	return {
-		count(name, tags = {}, by = 1) {
+		count(name, tags = {}, amount = 1) {
 			const key = formatKey(name, tags);
-			values.set(key, (values.get(key) ?? 0) + by);
-			client?.increment(name, by, tags);
+			values.set(key, (values.get(key) ?? 0) + amount);
+			client?.increment(name, amount, tags);
 		},
 		gauge(name, value, tags = {}) {
 			values.set(formatKey(name, tags), value);
--- a/packages/telemetry/src/tests/exposition.test.ts
+++ b/packages/telemetry/src/tests/exposition.test.ts
@@ -1,12 +1,12 @@
-/** Metrics as text. */
+/** Guards against metrics that Prometheus cannot read: missing labels or histogram buckets that are not cumulative. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {formatMetrics} from '../exposition.js';
 import {openMetrics} from '../metrics.js';
 
-describe('metrics', () => {
-	it('are written with their labels, histograms added up', async () => {
+describe('metrics in the Prometheus format', () => {
+	it('carry their labels, with cumulative histogram buckets', async () => {
 		await using metrics = openMetrics();
 		metrics.count('outcomes', {kind: 'busy'}, 3);
 		metrics.time('statement', 7, {outcome: 'done'});
