Reword the store package

A lease expires instead of lapsing, and replies, timeouts and failures are named as such; the failure texts name the store. No test matches them.

--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -21,23 +21,23 @@
 type Duplex = () => ClientDuplexStream<unknown, unknown>;
 type EtcdClient = Client & Readonly<Record<string, Unary & Duplex>>;
 
-/** A store that holds a channel. */
+/** A store with open gRPC channels, which are closed when it is disposed. */
 export type EtcdStore = AsyncDisposable & Store;
 
-/** Settings of the client. */
+/** Settings of an etcd client. */
 export type EtcdSettings = Readonly<{
 	/** Address as `host:port`. */
 	address: string;
 	/** Name of the client, sent as user agent. */
 	clientName?: string;
-	/** Time after which a call counts as failed, in milliseconds. */
+	/** Timeout of each call, in milliseconds. */
 	callTimeoutMs: number;
-	/** Counts calls, by method. */
+	/** Called with the method of each call, to count calls. */
 	onCall?: (method: string) => void;
 }>;
 
-const RECONNECT_MS = 200;
-const MILLISECONDS = 1000;
+const RECONNECT_BACKOFF_MS = 200;
+const MS_PER_SECOND = 1000;
 
 const createPrefixEnd = (prefix: string): Buffer => {
 	const end = Buffer.from(prefix);
@@ -49,33 +49,33 @@
 	key: Buffer.from(pair.key).toString(), value: Buffer.from(pair.value).toString(), revision: pair.mod_revision,
 });
 
-/** Tells whether the service says that it did nothing. */
-const isNotCarriedOut = (error: ServiceError): boolean => error.code === status.RESOURCE_EXHAUSTED
+/** Tells whether the error confirms that the store did not execute the request. */
+const isNotExecuted = (error: ServiceError): boolean => error.code === status.RESOURCE_EXHAUSTED
 	|| (error.code === status.UNAVAILABLE && error.details.includes('not carried out'));
 
-const describeError = (error: ServiceError): StoreFailure => isNotCarriedOut(error)
+const createStoreFailure = (error: ServiceError): StoreFailure => isNotExecuted(error)
 	? {code: 'storeUnreachable', message: error.details}
 	: {code: 'storeUnknown', message: `${error.details} (${error.code})`};
 
-/** Opens a store. */
+/** Opens a store over etcd. */
 export const openEtcdStore = (settings: EtcdSettings, world: World): EtcdStore => {
 	const services = loadServices();
 	const options = {
-		'grpc.initial_reconnect_backoff_ms': RECONNECT_MS,
-		'grpc.max_reconnect_backoff_ms': RECONNECT_MS,
-		'grpc.min_reconnect_backoff_ms': RECONNECT_MS,
+		'grpc.initial_reconnect_backoff_ms': RECONNECT_BACKOFF_MS,
+		'grpc.max_reconnect_backoff_ms': RECONNECT_BACKOFF_MS,
+		'grpc.min_reconnect_backoff_ms': RECONNECT_BACKOFF_MS,
 		...(settings.clientName === undefined ? {} : {'grpc.primary_user_agent': settings.clientName}),
 	};
-	const open = (name: keyof typeof services) => new services[name](settings.address, credentials.createInsecure(), options) as unknown as EtcdClient;
-	const kv = open('KV');
-	const leases = open('Lease');
-	const watches = open('Watch');
+	const openClient = (name: keyof typeof services) => new services[name](settings.address, credentials.createInsecure(), options) as unknown as EtcdClient;
+	const kv = openClient('KV');
+	const leases = openClient('Lease');
+	const watches = openClient('Watch');
 
 	const call = async (client: EtcdClient, method: string, request: unknown): Promise<Result<unknown, StoreFailure>> => {
 		settings.onCall?.(method);
 		return new Promise(resolve => {
 			client[method]?.(request, {deadline: Date.now() + settings.callTimeoutMs}, (error, response) => {
-				resolve(error ? Err(describeError(error)) : Ok(response));
+				resolve(error ? Err(createStoreFailure(error)) : Ok(response));
 			});
 		});
 	};
@@ -85,10 +85,10 @@
 		const timer = new AbortController();
 		const stream = leases.LeaseKeepAlive?.();
 		if (!stream) {
-			return Err({code: 'storeUnreachable', message: 'The service has no LeaseKeepAlive'});
+			return Err({code: 'storeUnreachable', message: 'The store has no method LeaseKeepAlive'});
 		}
 
-		const answered = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
+		const replied = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
 			stream.on('data', response => {
 				resolve(Ok(response as KeepAliveResponse));
 			});
@@ -97,24 +97,24 @@
 			});
 			stream.write({ID: id});
 		});
-		const expired = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The renewal was not answered in time'} as const), () => undefined);
-		const result = await Promise.race([answered, expired]);
+		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The store did not answer the renewal in time'} as const), () => undefined);
+		const result = await Promise.race([replied, timedOut]);
 		timer.abort();
 		stream.cancel();
-		return result ?? Err({code: 'storeUnknown', message: 'The renewal was aborted'});
+		return result ?? Err({code: 'storeUnknown', message: 'The lease renewal was aborted'});
 	};
 
 	return {
 		async read(key) {
 			const response = await call(kv, 'Range', {key: Buffer.from(key)});
-			return response.map(found => {
-				const [pair] = (found as RangeResponse).kvs;
+			return response.map(range => {
+				const [pair] = (range as RangeResponse).kvs;
 				return pair ? createEntry(pair) : undefined;
 			});
 		},
 		async readAll(prefix) {
 			const response = await call(kv, 'Range', {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)});
-			return response.map(found => (found as RangeResponse).kvs.map(pair => createEntry(pair)));
+			return response.map(range => (range as RangeResponse).kvs.map(pair => createEntry(pair)));
 		},
 		async compareAndSwap(key, expectedRevision, value, leaseId) {
 			const bytes = Buffer.from(key);
@@ -125,8 +125,8 @@
 				success: [{request_put: {key: bytes, value: Buffer.from(value), lease: leaseId ?? 0}}],
 				failure: [{request_range: {key: bytes}}],
 			});
-			return response.map((answer): SwapOutcome => {
-				const {succeeded, header, responses} = answer as TxnResponse;
+			return response.map((reply): SwapOutcome => {
+				const {succeeded, header, responses} = reply as TxnResponse;
 				if (succeeded) {
 					return {swapped: true, current: {key, value, revision: header.revision}};
 				}
@@ -144,25 +144,25 @@
 				success: [{request_delete_range: {key: bytes}}],
 				failure: [],
 			});
-			return response.map(answer => (answer as TxnResponse).succeeded);
+			return response.map(reply => (reply as TxnResponse).succeeded);
 		},
 		async grantLease(seconds) {
-			const asked = world.now();
+			const requestedAt = world.now();
 			const response = await call(leases, 'LeaseGrant', {TTL: seconds, ID: 0});
-			return response.map((answer): Lease => ({
-				id: String((answer as KeepAliveResponse).ID), deadline: createDeadline(asked, seconds * MILLISECONDS),
+			return response.map((reply): Lease => ({
+				id: String((reply as KeepAliveResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
 			}));
 		},
 		async renewLease(id) {
-			const asked = world.now();
+			const requestedAt = world.now();
 			const response = await keepAlive(id);
 			if (response.err) {
 				return response;
 			}
 
 			return response.val.TTL > 0
-				? Ok({id, deadline: createDeadline(asked, response.val.TTL * MILLISECONDS)})
-				: Err({code: 'leaseLost', message: 'The lease has lapsed'});
+				? Ok({id, deadline: createDeadline(requestedAt, response.val.TTL * MS_PER_SECOND)})
+				: Err({code: 'leaseLost', message: 'The lease has expired'});
 		},
 		async revokeLease(id) {
 			const response = await call(leases, 'LeaseRevoke', {ID: id});
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -1,37 +1,37 @@
-/** The state of the key-value service, for the stand-in and for tests. */
+/** In-memory store, for the stand-in and for tests. */
 
 import {
 	createDeadline, createNotifier, Err, isPast, Ok, NEVER, type Deadline, type World,
 } from '@guavapitch/core';
 import type {Entry, Lease, Store} from './store.js';
 
-/** A store in memory, with the clock hidden behind its world. */
+/** A store in memory; it reads the time from its `World`. */
 export type MemoryStore = Store & Readonly<{
 	/** Ends leases whose deadline has passed. */
 	expireDueLeases: () => void;
-	/** Ends one lease at once, as if it had lapsed. */
+	/** Ends one lease at once, as if it had expired. */
 	expireLease: (id: string) => void;
 	/** Ends every lease at once. */
 	expireAllLeases: () => void;
-	/** Writes an entry whatever its revision. */
+	/** Writes an entry regardless of its revision. */
 	put: (key: string, value: string, leaseId?: string) => Entry;
 }>;
 
-type Stored = Readonly<{entry: Entry; leaseId: string | undefined}>;
+type StoredEntry = Readonly<{entry: Entry; leaseId: string | undefined}>;
 type LeaseState = Readonly<{seconds: number; deadline: Deadline}>;
 
-const MILLISECONDS = 1000;
+const MS_PER_SECOND = 1000;
 
 /** Creates an empty store. */
 export const createMemoryStore = (world: World): MemoryStore => {
-	const entries = new Map<string, Stored>();
+	const entries = new Map<string, StoredEntry>();
 	const leases = new Map<string, LeaseState>();
 	const watchers = new Set<(key: string) => void>();
-	const changed = createNotifier(world);
+	const watchNotifier = createNotifier(world);
 	let revision = 0;
 	let leaseCount = 0;
 
-	const announce = (key: string) => {
+	const notifyWatchers = (key: string) => {
 		for (const watcher of watchers) {
 			watcher(key);
 		}
@@ -41,21 +41,21 @@
 		revision++;
 		const entry: Entry = {key, value, revision};
 		entries.set(key, {entry, leaseId});
-		announce(key);
+		notifyWatchers(key);
 		return entry;
 	};
 
-	const erase = (key: string) => {
+	const removeEntry = (key: string) => {
 		revision++;
 		entries.delete(key);
-		announce(key);
+		notifyWatchers(key);
 	};
 
 	const endLease = (id: string) => {
 		leases.delete(id);
 		for (const [key, {leaseId}] of entries) {
 			if (leaseId === id) {
-				erase(key);
+				removeEntry(key);
 			}
 		}
 	};
@@ -69,7 +69,7 @@
 	};
 
 	const extend = (id: string, seconds: number): Lease => {
-		const deadline = createDeadline(world.now(), seconds * MILLISECONDS);
+		const deadline = createDeadline(world.now(), seconds * MS_PER_SECOND);
 		leases.set(id, {seconds, deadline});
 		return {id, deadline};
 	};
@@ -99,7 +99,7 @@
 			}
 
 			if (leaseId !== undefined && !leases.has(leaseId)) {
-				return Err({code: 'leaseLost', message: 'The lease has lapsed'});
+				return Err({code: 'leaseLost', message: 'The lease has expired'});
 			}
 
 			return Ok({swapped: true, current: write(key, value, leaseId)});
@@ -110,7 +110,7 @@
 				return Ok(false);
 			}
 
-			erase(key);
+			removeEntry(key);
 			return Ok(true);
 		},
 		async grantLease(seconds) {
@@ -120,7 +120,7 @@
 		async renewLease(id) {
 			expireLeases();
 			const lease = leases.get(id);
-			return lease ? Ok(extend(id, lease.seconds)) : Err({code: 'leaseLost', message: 'The lease has lapsed'});
+			return lease ? Ok(extend(id, lease.seconds)) : Err({code: 'leaseLost', message: 'The lease has expired'});
 		},
 		async revokeLease(id) {
 			endLease(id);
@@ -135,7 +135,7 @@
 
 			watchers.add(watcher);
 			onChange([]);
-			await changed.waitUntil(() => signal.aborted, NEVER, signal);
+			await watchNotifier.waitUntil(() => signal.aborted, NEVER, signal);
 			watchers.delete(watcher);
 			return Ok(undefined);
 		},
--- a/packages/store/src/proto.ts
+++ b/packages/store/src/proto.ts
@@ -1,4 +1,4 @@
-/** Loads the protocol of the key-value service. */
+/** Loads the gRPC protocol of etcd. */
 
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -7,14 +7,14 @@
 
 const PROTO_PATH = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', 'proto', 'etcd.proto');
 
-/** Constructors of the three services. */
+/** Client constructors of the three etcd services in use. */
 export type EtcdServices = Readonly<{
 	KV: ServiceClientConstructor;
 	Lease: ServiceClientConstructor;
 	Watch: ServiceClientConstructor;
 }>;
 
-/** Loads the services of the protocol. */
+/** Loads the client constructors from the protocol definition. */
 export const loadServices = (): EtcdServices => {
 	const definition = loadSync(PROTO_PATH, {
 		keepCase: true, longs: Number, enums: String, defaults: true, oneofs: true,
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,4 +1,4 @@
-/** The key-value service as the decisions see it: functions, no codec. */
+/** The key-value store as a set of functions, independent of its protocol. */
 
 import type {Deadline, Failure, Result} from '@guavapitch/core';
 
@@ -12,29 +12,29 @@
 export type SwapOutcome = Readonly<{
 	/** Whether the value was replaced. */
 	swapped: boolean;
-	/** The entry that stands now; `undefined` if there is none. */
+	/** The entry after the call; `undefined` if there is none. */
 	current: Entry | undefined;
 }>;
 
-/** A lease and the local deadline until which it surely lives. */
+/** A lease and the local deadline until which it is confirmed to be valid. */
 export type Lease = Readonly<{id: string; deadline: Deadline}>;
 
-/** Functions of the key-value service. */
+/** Functions of the key-value store. */
 export type Store = Readonly<{
 	/** Reads one entry. */
 	read: (key: string) => Promise<Result<Entry | undefined, StoreFailure>>;
 	/** Reads all entries under a prefix. */
 	readAll: (prefix: string) => Promise<Result<readonly Entry[], StoreFailure>>;
-	/** Replaces a value if its revision is the expected one; revision 0 expects no entry. */
+	/** Writes a value if the entry's revision is the expected one; revision 0 expects no entry. */
 	compareAndSwap: (key: string, expectedRevision: number, value: string, leaseId?: string) => Promise<Result<SwapOutcome, StoreFailure>>;
-	/** Removes an entry if its revision is the expected one. */
+	/** Removes an entry if its revision is the expected one; returns whether it was removed. */
 	remove: (key: string, expectedRevision: number) => Promise<Result<boolean, StoreFailure>>;
-	/** Grants a lease of whole seconds. */
+	/** Grants a lease of a whole number of seconds. */
 	grantLease: (seconds: number) => Promise<Result<Lease, StoreFailure>>;
 	/** Renews a lease. */
 	renewLease: (id: string) => Promise<Result<Lease, StoreFailure>>;
-	/** Ends a lease; its entries go with it. */
+	/** Ends a lease and removes its entries. */
 	revokeLease: (id: string) => Promise<Result<undefined, StoreFailure>>;
-	/** Watches a prefix until the signal aborts or the watch breaks; gives each changed key. */
+	/** Watches a prefix until the signal aborts or the watch breaks; calls `onChange` with the changed keys, and with none when the watch starts. */
 	watch: (prefix: string, onChange: (keys: readonly string[]) => void, signal: AbortSignal) => Promise<Result<undefined, StoreFailure>>;
 }>;
