Reword the limits package

Comments, texts and local names use the terms of rate limiting: quota, tokens, quota allocator, quota client, fallback quota, refusal cache. The refusal of a caller that left says that it has disconnected.

--- a/packages/limits/src/bucket.ts
+++ b/packages/limits/src/bucket.ts
@@ -1,34 +1,34 @@
-/** Token bucket: what a customer may still send. */
+/** Token bucket of a customer: each request takes one token, and tokens are added at a fixed rate. */
 
 import type {Instant} from '@guavapitch/core';
 
-/** Rate and burst of a customer. */
+/** Limit of a customer over the whole fleet: in any time t, at most rate × t + burst requests run. */
 export type Quota = Readonly<{
-	/** Tokens a second. */
+	/** Tokens added per second. */
 	rate: number;
-	/** Tokens at once. */
+	/** Capacity of the bucket, in tokens. */
 	burst: number;
 }>;
 
-/** State of a bucket at an instant. */
+/** Number of tokens, possibly fractional, in a bucket at an instant. */
 export type Bucket = Readonly<{tokens: number; at: Instant}>;
 
-const MILLISECONDS = 1000;
+const MS_PER_SECOND = 1000;
 
 /** Creates an empty bucket. */
 export const createBucket = (now: Instant): Bucket => ({tokens: 0, at: now});
 
-/** Fills a bucket for the time that has passed. */
-export const fillBucket = (bucket: Bucket, share: Quota, now: Instant): Bucket => ({
-	tokens: Math.min(share.burst, bucket.tokens + ((now - bucket.at) * share.rate / MILLISECONDS)),
+/** Adds the tokens for the time since the bucket was last filled, up to the burst. */
+export const fillBucket = (bucket: Bucket, quota: Quota, now: Instant): Bucket => ({
+	tokens: Math.min(quota.burst, bucket.tokens + ((now - bucket.at) * quota.rate / MS_PER_SECOND)),
 	at: now,
 });
 
-/** Takes up to a number of whole tokens; gives the bucket after it and how many were taken. */
+/** Takes up to `wanted` whole tokens; returns the remaining bucket and the number of tokens taken. */
 export const takeTokens = (bucket: Bucket, wanted: number): readonly [after: Bucket, taken: number] => {
 	const taken = Math.max(0, Math.min(wanted, Math.floor(bucket.tokens)));
 	return [{...bucket, tokens: bucket.tokens - taken}, taken];
 };
 
-/** Gets the time until a bucket holds a token, in milliseconds. */
-export const getNextTokenWaitMs = (bucket: Bucket, share: Quota): number => Math.max(0, (1 - bucket.tokens) * MILLISECONDS / share.rate);
+/** Returns the time until the bucket holds a whole token, in milliseconds; 0 if it holds one now. */
+export const getNextTokenWaitMs = (bucket: Bucket, quota: Quota): number => Math.max(0, (1 - bucket.tokens) * MS_PER_SECOND / quota.rate);
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -1,4 +1,4 @@
-/** The keeper of customers' shares: the only process that gives tokens of a customer away. */
+/** Quota allocator: the only process that grants tokens of a customer to the entries. */
 
 import {
 	isPast, type CustomerId, type Deadline, type World,
@@ -7,58 +7,58 @@
 	createBucket, fillBucket, getNextTokenWaitMs, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
 
-/** What an entry asks a keeper. */
+/** Request of an entry for tokens of a customer. */
 export type TokenRequest = Readonly<{
 	customer: CustomerId;
-	/** Tokens wanted. */
+	/** Number of tokens wanted. */
 	wanted: number;
-	/** Tokens of the last allotment of the same epoch that were not spent. */
+	/** Number of tokens from the last grant of the same epoch that were not used. */
 	returned: number;
-	/** Epoch of the keeper that gave the returned tokens. */
+	/** Epoch of the allocator that granted the returned tokens. */
 	epoch: number;
 }>;
 
-/** What a keeper answers. */
+/** Response of the allocator. */
 export type TokenGrant = Readonly<{
 	epoch: number;
 	tokens: number;
-	/** Validity of the tokens from the moment the entry asked, in milliseconds. */
+	/** Time for which the tokens are valid, counted from when the entry sent its request, in milliseconds. */
 	validMs: number;
-	/** Time until more can be had, in milliseconds. */
+	/** Time until more tokens are available, in milliseconds; 0 if all wanted tokens were granted. */
 	retryAfterMs: number;
 }>;
 
-/** Keeper of the customers of one slot. */
+/** Quota allocator for the customers of one slot. */
 export type QuotaAllocator = Readonly<{
-	/** Gives tokens; `undefined` if the authority has passed or the customer is unknown. */
+	/** Grants tokens, possibly fewer than wanted; `undefined` if the allocator's authority has ended or the customer is unknown. */
 	grantTokens: (request: TokenRequest) => TokenGrant | undefined;
 }>;
 
-/** What a keeper needs. */
+/** Dependencies of a quota allocator. */
 export type QuotaAllocatorContext = Readonly<{
 	world: World;
 	epoch: number;
-	/** Gets the deadline of the keeper's authority. */
+	/** Returns the deadline of the allocator's authority; tokens are not valid beyond it. */
 	getAuthorityDeadline: () => Deadline;
 	getQuota: (customer: CustomerId) => Quota | undefined;
 }>;
 
-/** Time within which tokens must be spent, in milliseconds. */
+/** Longest time for which granted tokens are valid, in milliseconds. */
 export const MAX_TOKEN_VALIDITY_MS = 200;
 
-/** Part of a burst that may be set aside for tokens still unspent. */
-const RESERVED_PART = 0.5;
+/** Largest fraction of a burst that may be reserved for tokens that are granted and not yet used. */
+const MAX_RESERVED_FRACTION = 0.5;
 
 /**
- * Computes the share that may be given away, so that what is spent never exceeds rate × t + burst:
- * tokens given at the end of one window may be spent in the next, so their number is set aside from the burst.
+ * Computes the quota from which tokens may be granted, so that the tokens used never exceed rate × t + burst.
+ * Tokens granted at the end of one validity window may be used in the next one, so their number is reserved from the burst.
  */
-export const computeGrantableQuota = (share: Quota): Readonly<{share: Quota; spendMs: number}> => {
-	const spendMs = Math.min(MAX_TOKEN_VALIDITY_MS, share.burst * RESERVED_PART * 1000 / share.rate);
-	return {share: {rate: share.rate, burst: Math.max(1, share.burst - (share.rate * spendMs / 1000))}, spendMs};
+export const computeGrantableQuota = (quota: Quota): Readonly<{grantable: Quota; maxValidMs: number}> => {
+	const maxValidMs = Math.min(MAX_TOKEN_VALIDITY_MS, quota.burst * MAX_RESERVED_FRACTION * 1000 / quota.rate);
+	return {grantable: {rate: quota.rate, burst: Math.max(1, quota.burst - (quota.rate * maxValidMs / 1000))}, maxValidMs};
 };
 
-/** Creates a keeper that starts empty. */
+/** Creates a quota allocator whose buckets start empty. */
 export const createQuotaAllocator = (context: QuotaAllocatorContext): QuotaAllocator => {
 	const {world, epoch} = context;
 	const startedAt = world.now();
@@ -66,22 +66,22 @@
 
 	return {
 		grantTokens(request) {
-			const whole = context.getQuota(request.customer);
+			const quota = context.getQuota(request.customer);
 			const now = world.now();
-			const authority = context.getAuthorityDeadline();
-			if (!whole || isPast(authority, now)) {
+			const authorityDeadline = context.getAuthorityDeadline();
+			if (!quota || isPast(authorityDeadline, now)) {
 				return undefined;
 			}
 
-			const {share, spendMs} = computeGrantableQuota(whole);
-			const filled = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), share, now);
+			const {grantable, maxValidMs} = computeGrantableQuota(quota);
+			const filled = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), grantable, now);
 			const returned = request.epoch === epoch ? request.returned : 0;
-			const credited: Bucket = {...filled, tokens: Math.min(share.burst, filled.tokens + returned)};
-			const validMs = Math.min(spendMs, authority - now);
+			const credited: Bucket = {...filled, tokens: Math.min(grantable.burst, filled.tokens + returned)};
+			const validMs = Math.min(maxValidMs, authorityDeadline - now);
 			const [after, tokens] = takeTokens(credited, request.wanted);
 			buckets.set(request.customer, after);
 			return {
-				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(after, share),
+				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(after, grantable),
 			};
 		},
 	};
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -1,4 +1,4 @@
-/** The entry's side of a share: tokens at hand, asked for ahead of need, spent before their deadline. */
+/** Quota client of an entry: requests tokens from the quota allocator ahead of need and uses them before they expire. */
 
 import {
 	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
@@ -9,265 +9,269 @@
 } from './bucket.js';
 import {MAX_TOKEN_VALIDITY_MS, type TokenGrant, type TokenRequest} from './quota-allocator.js';
 
-/** Refusal of a request over the share; it has not run. */
+/** Refusal of a request beyond the quota (`limitExceeded`) or of a caller that has disconnected (`aborted`); the request has not run. */
 export type QuotaRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
 
 /** Tokens of all customers in one process. */
 export type QuotaClient = Readonly<{
-	/** Spends a token, waiting a little for one. */
+	/** Acquires a token, waiting a short time for one if necessary. */
 	acquire: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, QuotaRefusal>>;
-	/** Gets how many tokens were spent, by customer. */
+	/** Returns the number of tokens acquired so far, by customer. */
 	getAcquiredCounts: () => ReadonlyMap<CustomerId, number>;
 }>;
 
-/** Asks the keeper of a customer. */
+/** Requests tokens from the quota allocator of a customer. */
 export type RequestTokens = (request: TokenRequest) => Promise<Result<TokenGrant, Failure>>;
 
+/** A request that waits for a token. */
 type Waiter = {
 	readonly deadline: Deadline;
+	/** When the request is refused while the allocator responds. */
 	giveUpAt: Deadline;
-	readonly keeperBy: Deadline;
+	/** When the request is refused while no allocator responds. */
+	readonly allocatorDeadline: Deadline;
 	readonly settle: (result: Result<undefined, QuotaRefusal>) => void;
 };
 
-type Purse = {
+/** Tokens of one customer and the requests that wait for them. */
+type CustomerTokens = {
 	tokens: number;
 	deadline: Deadline;
 	epoch: number;
-	/** Requests that wait for a token, in turn. */
+	/** Requests that wait for a token, in order of arrival. */
 	readonly waiting: Waiter[];
-	/** Wakes the task of the purse. */
+	/** Wakes the task that requests tokens for the customer. */
 	readonly changed: Notifier;
 	isRunning: boolean;
-	spent: number;
-	/** Tokens a millisecond that were had, as a moving mean. */
-	granted: number;
+	acquired: number;
+	/** Tokens granted per millisecond, as a moving average. */
+	grantedPerMs: number;
 	grantedAt: number;
-	/** Whether the keeper gave fewer tokens than asked for the last time. */
+	/** Whether the last grant had fewer tokens than wanted. */
 	isShort: boolean;
-	/** Requests a millisecond, as a moving mean. */
-	demand: number;
-	lastAt: number;
+	/** Requests per millisecond, as a moving average. */
+	demandPerMs: number;
+	lastRequestAt: number;
 	retryAt: Deadline;
-	/** Whether the last question was answered; a customer is not refused because its keeper is changing. */
-	answered: boolean;
-	/** Until when requests wait longer, as what piled up without a keeper is worked off. */
-	patientUntil: Deadline;
-	/** Questions that went unanswered since the last answer. */
+	/** Whether the allocator responded to the last token request; a customer is not refused because its allocator is changing. */
+	isAllocatorResponding: boolean;
+	/** Until when requests wait longer, while the backlog from a time without an allocator is worked off. */
+	extendedWaitUntil: Deadline;
+	/** Token requests that failed since the last response. */
 	failures: number;
-	/** Tokens of this process's own part, spent while no keeper answers. */
-	own: Bucket;
+	/** Bucket of this process's fallback quota, used while no allocator responds. */
+	fallbackBucket: Bucket;
 };
 
-/** Gets the part of a customer's share that this process may spend while no keeper answers; `undefined` for none. */
+/** Returns the part of a customer's quota that this process may use while no allocator responds; `undefined` for none. */
 export type GetFallbackQuota = (customer: CustomerId) => Quota | undefined;
 
-const WAIT_MS = 300;
-const PATIENT_WAIT_MS = 2500;
+const MAX_WAIT_MS = 300;
+const EXTENDED_MAX_WAIT_MS = 2500;
 const RECOVERY_MS = 5000;
-const KEEPER_WAIT_MS = 4000;
-const FIRST_RETRY_MS = 20;
-const LONGEST_RETRY_MS = 300;
+const MAX_ALLOCATOR_WAIT_MS = 4000;
+const BASE_RETRY_MS = 20;
+const MAX_RETRY_MS = 300;
 const DEMAND_WINDOW_MS = 500;
-const MOST_WANTED = 1000;
-/** Pause before the keeper is asked again after it gave fewer tokens than wanted, in milliseconds; several tokens at a time cost one question. */
-const SHORT_PAUSE_MS = 50;
-/** Window of the mean of granted tokens, in milliseconds. */
+const MAX_WANTED_TOKENS = 1000;
+/** Pause before the next token request after a grant of fewer tokens than wanted, in milliseconds, so that one request fetches several tokens. */
+const SHORTAGE_PAUSE_MS = 50;
+/** Window of the moving average of granted tokens, in milliseconds. */
 const GRANT_WINDOW_MS = 1000;
-/** Requests of a customer that may wait whatever its rate. */
-const LEAST_WAITING = 4;
-/** Longest time after which a refused caller is asked to come back, in milliseconds. */
-const LONGEST_RETRY_AFTER_MS = 2000;
+/** Number of requests of a customer that may wait, however low its rate. */
+const MIN_WAITERS = 4;
+/** Upper bound of the retry time given with a refusal, in milliseconds. */
+const MAX_RETRY_AFTER_MS = 2000;
 
-/** Creates the allowances of a process. */
-export const createQuotaClient = (ask: RequestTokens, world: World, getOwnPart: GetFallbackQuota = () => undefined): QuotaClient => {
-	const purses = new Map<CustomerId, Purse>();
+/** Creates the quota client of a process. */
+export const createQuotaClient = (requestTokens: RequestTokens, world: World, getFallbackQuota: GetFallbackQuota = () => undefined): QuotaClient => {
+	const statesByCustomer = new Map<CustomerId, CustomerTokens>();
 
-	const noteDemand = (purse: Purse) => {
+	const recordDemand = (state: CustomerTokens) => {
 		const now = world.now();
-		const elapsed = Math.max(0.1, now - purse.lastAt);
-		const share = Math.exp(-elapsed / DEMAND_WINDOW_MS);
-		purse.demand = (purse.demand * share) + ((1 - share) / elapsed);
-		purse.lastAt = now;
+		const elapsedMs = Math.max(0.1, now - state.lastRequestAt);
+		const decay = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
+		state.demandPerMs = (state.demandPerMs * decay) + ((1 - decay) / elapsedMs);
+		state.lastRequestAt = now;
 	};
 
-	const refill = async (customer: CustomerId, purse: Purse) => {
-		const askedAt = world.now();
-		const isLiving = !isPast(purse.deadline, askedAt);
-		const returned = isLiving ? purse.tokens : 0;
-		const expected = Math.floor(purse.demand * MAX_TOKEN_VALIDITY_MS / 2);
-		const wanted = Math.min(MOST_WANTED, Math.max(purse.waiting.length, expected, 1));
-		purse.tokens = 0;
-		const answer = await ask({
-			customer, wanted, returned, epoch: purse.epoch,
+	const refill = async (customer: CustomerId, state: CustomerTokens) => {
+		const requestedAt = world.now();
+		const isValid = !isPast(state.deadline, requestedAt);
+		const returned = isValid ? state.tokens : 0;
+		const expected = Math.floor(state.demandPerMs * MAX_TOKEN_VALIDITY_MS / 2);
+		const wanted = Math.min(MAX_WANTED_TOKENS, Math.max(state.waiting.length, expected, 1));
+		state.tokens = 0;
+		const response = await requestTokens({
+			customer, wanted, returned, epoch: state.epoch,
 		});
-		if (answer.ok && !purse.answered) {
-			purse.patientUntil = createDeadline(world.now(), RECOVERY_MS);
+		if (response.ok && !state.isAllocatorResponding) {
+			state.extendedWaitUntil = createDeadline(world.now(), RECOVERY_MS);
 		}
 
-		purse.answered = answer.ok;
-		purse.failures = answer.ok ? 0 : purse.failures + 1;
-		if (answer.ok) {
-			const {tokens, validMs, retryAfterMs, epoch} = answer.val;
-			const elapsed = Math.max(1, world.now() - purse.grantedAt);
-			const share = Math.exp(-elapsed / GRANT_WINDOW_MS);
-			purse.granted = (purse.granted * share) + ((1 - share) * Math.max(0, tokens - returned) / elapsed);
-			purse.grantedAt = world.now();
-			purse.isShort = tokens < wanted;
-			purse.tokens = tokens;
-			purse.epoch = epoch;
-			purse.deadline = createDeadline(askedAt, validMs);
-			purse.retryAt = createDeadline(world.now(), purse.isShort ? Math.max(SHORT_PAUSE_MS, retryAfterMs) : 0);
+		state.isAllocatorResponding = response.ok;
+		state.failures = response.ok ? 0 : state.failures + 1;
+		if (response.ok) {
+			const {tokens, validMs, retryAfterMs, epoch} = response.val;
+			const elapsedMs = Math.max(1, world.now() - state.grantedAt);
+			const decay = Math.exp(-elapsedMs / GRANT_WINDOW_MS);
+			state.grantedPerMs = (state.grantedPerMs * decay) + ((1 - decay) * Math.max(0, tokens - returned) / elapsedMs);
+			state.grantedAt = world.now();
+			state.isShort = tokens < wanted;
+			state.tokens = tokens;
+			state.epoch = epoch;
+			state.deadline = createDeadline(requestedAt, validMs);
+			state.retryAt = createDeadline(world.now(), state.isShort ? Math.max(SHORTAGE_PAUSE_MS, retryAfterMs) : 0);
 		} else {
-			const longest = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * (2 ** purse.failures));
-			purse.retryAt = createDeadline(world.now(), longest * (0.5 + (world.random() / 2)));
+			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failures));
+			state.retryAt = createDeadline(world.now(), maxPauseMs * (0.5 + (world.random() / 2)));
 		}
 	};
 
-	const getPurse = (customer: CustomerId): Purse => {
-		const known = purses.get(customer);
+	const getState = (customer: CustomerId): CustomerTokens => {
+		const known = statesByCustomer.get(customer);
 		if (known) {
 			return known;
 		}
 
-		const purse: Purse = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: [], changed: createNotifier(world), isRunning: false, spent: 0, demand: 0, lastAt: world.now(), retryAt: PAST,
-			patientUntil: PAST, answered: true, failures: 0, granted: 0, grantedAt: world.now(), isShort: false, own: createBucket(world.now()),
+		const state: CustomerTokens = {
+			tokens: 0, deadline: PAST, epoch: 0, waiting: [], changed: createNotifier(world), isRunning: false, acquired: 0, demandPerMs: 0, lastRequestAt: world.now(), retryAt: PAST,
+			extendedWaitUntil: PAST, isAllocatorResponding: true, failures: 0, grantedPerMs: 0, grantedAt: world.now(), isShort: false, fallbackBucket: createBucket(world.now()),
 		};
-		purses.set(customer, purse);
-		return purse;
+		statesByCustomer.set(customer, state);
+		return state;
 	};
 
-	const takeToken = (purse: Purse): boolean => {
-		if (purse.tokens < 1 || isPast(purse.deadline, world.now())) {
+	const takeToken = (state: CustomerTokens): boolean => {
+		if (state.tokens < 1 || isPast(state.deadline, world.now())) {
 			return false;
 		}
 
-		purse.tokens--;
-		purse.spent++;
+		state.tokens--;
+		state.acquired++;
 		return true;
 	};
 
-	/** Takes a token of the process's own part, if no keeper answers. */
-	const takeOwnToken = (customer: CustomerId, purse: Purse): boolean => {
-		const part = purse.answered ? undefined : getOwnPart(customer);
-		if (!part) {
+	/** Takes a token of the fallback quota if no allocator responds. */
+	const takeFallbackToken = (customer: CustomerId, state: CustomerTokens): boolean => {
+		const quota = state.isAllocatorResponding ? undefined : getFallbackQuota(customer);
+		if (!quota) {
 			return false;
 		}
 
-		const [after, taken] = takeTokens(fillBucket(purse.own, part, world.now()), 1);
-		purse.own = after;
-		purse.spent += taken;
+		const [after, taken] = takeTokens(fillBucket(state.fallbackBucket, quota, world.now()), 1);
+		state.fallbackBucket = after;
+		state.acquired += taken;
 		return taken === 1;
 	};
 
-	/** Computes when a request that begins to wait now gives up. */
-	const computeGiveUp = (purse: Purse, deadline: Deadline): Deadline => {
+	/** Computes when a request that starts to wait now is refused. */
+	const computeGiveUpAt = (state: CustomerTokens, deadline: Deadline): Deadline => {
 		const now = world.now();
-		const waitMs = isPast(purse.patientUntil, now) ? WAIT_MS : PATIENT_WAIT_MS;
+		const waitMs = isPast(state.extendedWaitUntil, now) ? MAX_WAIT_MS : EXTENDED_MAX_WAIT_MS;
 		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
 	};
 
-	/** Computes when a caller whose request is refused now may come back: after those that wait have had their tokens. */
-	const computeRetryAfter = (purse: Purse): number => {
-		const untilNext = getRemainingMs(purse.retryAt, world.now());
-		const perToken = purse.granted > 0 ? 1 / purse.granted : 0;
-		return Math.max(1, Math.ceil(Math.min(LONGEST_RETRY_AFTER_MS, untilNext + (purse.waiting.length * perToken))));
+	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens. */
+	const computeRetryAfterMs = (state: CustomerTokens): number => {
+		const untilNextMs = getRemainingMs(state.retryAt, world.now());
+		const msPerToken = state.grantedPerMs > 0 ? 1 / state.grantedPerMs : 0;
+		return Math.max(1, Math.ceil(Math.min(MAX_RETRY_AFTER_MS, untilNextMs + (state.waiting.length * msPerToken))));
 	};
 
-	const createRefusal = (purse: Purse): Result<undefined, QuotaRefusal> => Err({
+	const createRefusal = (state: CustomerTokens): Result<undefined, QuotaRefusal> => Err({
 		code: 'limitExceeded',
 		message: 'The customer has used its rate and burst',
-		retryAfterMs: computeRetryAfter(purse),
+		retryAfterMs: computeRetryAfterMs(state),
 	});
 
-	/** Tells whether those that wait already will take every token that may come before a new one gives up. */
-	const isHopeless = (purse: Purse): boolean => purse.answered
-		&& purse.isShort
-		&& isPast(purse.patientUntil, world.now())
-		&& purse.waiting.length > LEAST_WAITING + (purse.granted * WAIT_MS);
+	/** Tells whether the waiting requests will take all tokens that can arrive before a new request would be refused. */
+	const isBacklogTooLong = (state: CustomerTokens): boolean => state.isAllocatorResponding
+		&& state.isShort
+		&& isPast(state.extendedWaitUntil, world.now())
+		&& state.waiting.length > MIN_WAITERS + (state.grantedPerMs * MAX_WAIT_MS);
 
-	const getUntil = (purse: Purse, waiter: Waiter): Deadline => purse.answered ? waiter.giveUpAt : waiter.keeperBy;
+	const getWaitDeadline = (state: CustomerTokens, waiter: Waiter): Deadline => state.isAllocatorResponding ? waiter.giveUpAt : waiter.allocatorDeadline;
 
-	/** Gives tokens to those that wait, in turn, and refuses those that will not get one in time. */
-	const serveWaiting = (customer: CustomerId, purse: Purse) => {
-		while (purse.waiting.length > 0 && (takeToken(purse) || takeOwnToken(customer, purse))) {
-			purse.waiting.shift()?.settle(Ok(undefined));
+	/** Gives tokens to the waiting requests in order of arrival, and refuses those that will not get one in time. */
+	const serveWaiting = (customer: CustomerId, state: CustomerTokens) => {
+		while (state.waiting.length > 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
+			state.waiting.shift()?.settle(Ok(undefined));
 		}
 
 		const now = world.now();
-		const isOver = (waiter: Waiter): boolean => {
-			const until = getUntil(purse, waiter);
-			return isPast(until, now) || purse.retryAt > until;
+		const isExpired = (waiter: Waiter): boolean => {
+			const deadline = getWaitDeadline(state, waiter);
+			return isPast(deadline, now) || state.retryAt > deadline;
 		};
 
-		for (const waiter of purse.waiting.filter(one => isOver(one))) {
-			purse.waiting.splice(purse.waiting.indexOf(waiter), 1);
-			waiter.settle(createRefusal(purse));
+		for (const waiter of state.waiting.filter(one => isExpired(one))) {
+			state.waiting.splice(state.waiting.indexOf(waiter), 1);
+			waiter.settle(createRefusal(state));
 		}
 	};
 
-	/** Asks the keeper for those that wait until nobody does: one task for each customer. */
-	const runPurse = async (customer: CustomerId, purse: Purse): Promise<void> => {
-		purse.isRunning = true;
-		while (purse.waiting.length > 0) {
-			if (isPast(purse.retryAt, world.now())) {
-				const wasAnswered = purse.answered;
-				await refill(customer, purse);
-				if (purse.answered && !wasAnswered) {
-					// A new keeper starts empty: the wait for tokens begins when it answers.
-					for (const waiter of purse.waiting) {
-						waiter.giveUpAt = computeGiveUp(purse, waiter.deadline);
+	/** Requests tokens until no request waits any more: one task for each customer. */
+	const runRefills = async (customer: CustomerId, state: CustomerTokens): Promise<void> => {
+		state.isRunning = true;
+		while (state.waiting.length > 0) {
+			if (isPast(state.retryAt, world.now())) {
+				const wasResponding = state.isAllocatorResponding;
+				await refill(customer, state);
+				if (state.isAllocatorResponding && !wasResponding) {
+					// A new allocator starts with empty buckets, so the wait for tokens counts from its first response.
+					for (const waiter of state.waiting) {
+						waiter.giveUpAt = computeGiveUpAt(state, waiter.deadline);
 					}
 				}
 			} else {
-				const earliest = Math.min(...purse.waiting.map(waiter => getUntil(purse, waiter)));
-				await purse.changed.waitForChange(Math.min(earliest, purse.retryAt) as Deadline);
+				const earliest = Math.min(...state.waiting.map(waiter => getWaitDeadline(state, waiter)));
+				await state.changed.waitForChange(Math.min(earliest, state.retryAt) as Deadline);
 			}
 
-			serveWaiting(customer, purse);
+			serveWaiting(customer, state);
 		}
 
-		purse.isRunning = false;
+		state.isRunning = false;
 	};
 
-	const waitForToken = async (customer: CustomerId, purse: Purse, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
+	const waitForToken = async (customer: CustomerId, state: CustomerTokens, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
 		const waiter: Waiter = {
 			deadline,
-			giveUpAt: computeGiveUp(purse, deadline),
-			keeperBy: Math.min(deadline, createDeadline(world.now(), KEEPER_WAIT_MS)) as Deadline,
+			giveUpAt: computeGiveUpAt(state, deadline),
+			allocatorDeadline: Math.min(deadline, createDeadline(world.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
 			settle,
 		};
-		purse.waiting.push(waiter);
+		state.waiting.push(waiter);
 		signal?.addEventListener('abort', () => {
-			const index = purse.waiting.indexOf(waiter);
+			const index = state.waiting.indexOf(waiter);
 			if (index !== -1) {
-				purse.waiting.splice(index, 1);
-				settle(Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0}));
+				state.waiting.splice(index, 1);
+				settle(Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0}));
 			}
 		}, {once: true});
-		serveWaiting(customer, purse);
-		if (purse.isRunning) {
-			purse.changed.notify();
-		} else if (purse.waiting.length > 0) {
-			void runPurse(customer, purse);
+		serveWaiting(customer, state);
+		if (state.isRunning) {
+			state.changed.notify();
+		} else if (state.waiting.length > 0) {
+			void runRefills(customer, state);
 		}
 	});
 
 	return {
 		async acquire(customer, deadline, signal) {
-			const purse = getPurse(customer);
-			noteDemand(purse);
+			const state = getState(customer);
+			recordDemand(state);
 			if (signal?.aborted) {
-				return Err({code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
+				return Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 			}
 
-			if (purse.waiting.length === 0 && (takeToken(purse) || takeOwnToken(customer, purse))) {
+			if (state.waiting.length === 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
 				return Ok(undefined);
 			}
 
-			return isHopeless(purse) ? createRefusal(purse) : waitForToken(customer, purse, deadline, signal);
+			return isBacklogTooLong(state) ? createRefusal(state) : waitForToken(customer, state, deadline, signal);
 		},
-		getAcquiredCounts: () => new Map([...purses].map(([customer, purse]) => [customer, purse.spent])),
+		getAcquiredCounts: () => new Map([...statesByCustomer].map(([customer, state]) => [customer, state.acquired])),
 	};
 };
--- a/packages/limits/src/refusal-cache.ts
+++ b/packages/limits/src/refusal-cache.ts
@@ -1,32 +1,32 @@
-/** Refusals at an entry for a customer that its home has just refused, so that a flood does not reach the home. */
+/** Refusal cache: after an owner has refused a customer, the entry refuses that customer itself for a short time, so that a flood does not reach the owner. */
 
 import {
 	createDeadline, getRemainingMs, isPast, type CustomerId, type Deadline, type World,
 } from '@guavapitch/core';
 
-/** Customers that are held back at one entry. */
+/** Customers throttled at one entry, separately for each owner. */
 export type RefusalCache = Readonly<{
-	/** Takes note that a home refused a customer, with the time after which it may come back. */
-	recordRefusal: (home: string, customer: CustomerId, retryAfterMs: number) => void;
-	/** Gets the time after which a customer that is held back may come again, in milliseconds; `undefined` if it is not held back. */
-	getRetryAfterMs: (home: string, customer: CustomerId) => number | undefined;
+	/** Records that an owner refused a customer, with the time after which the customer may try again. */
+	recordRefusal: (owner: string, customer: CustomerId, retryAfterMs: number) => void;
+	/** Returns the time after which a throttled customer may try again, in milliseconds; `undefined` if the customer is not throttled. */
+	getRetryAfterMs: (owner: string, customer: CustomerId) => number | undefined;
 }>;
 
-/** Time for which one refusal holds a customer back for each entry of the fleet, in milliseconds: all of them together still ask often enough to use every token. */
-const HOLD_MS_PER_ENTRY = 6;
+/** Time for which one refusal throttles a customer, in milliseconds per entry of the fleet; all entries together still ask often enough to use every token. */
+const THROTTLE_MS_PER_ENTRY = 6;
 
-/** Creates the holds of an entry; `countEntries` gives the size of the fleet. */
+/** Creates the refusal cache of an entry; `countEntries` returns the size of the fleet. */
 export const createRefusalCache = (world: Pick<World, 'now' | 'random'>, countEntries: () => number): RefusalCache => {
-	const held = new Map<string, Readonly<{until: Deadline; returnAt: Deadline}>>();
-	const createKey = (home: string, customer: CustomerId) => `${home} ${customer}`;
+	const refusals = new Map<string, Readonly<{throttledUntil: Deadline; retryAt: Deadline}>>();
+	const createKey = (owner: string, customer: CustomerId) => `${owner} ${customer}`;
 	return {
-		recordRefusal(home, customer, retryAfterMs) {
-			const holdMs = Math.min(retryAfterMs, HOLD_MS_PER_ENTRY * countEntries()) * (0.5 + world.random());
-			held.set(createKey(home, customer), {until: createDeadline(world.now(), holdMs), returnAt: createDeadline(world.now(), Math.max(holdMs, retryAfterMs))});
+		recordRefusal(owner, customer, retryAfterMs) {
+			const throttleMs = Math.min(retryAfterMs, THROTTLE_MS_PER_ENTRY * countEntries()) * (0.5 + world.random());
+			refusals.set(createKey(owner, customer), {throttledUntil: createDeadline(world.now(), throttleMs), retryAt: createDeadline(world.now(), Math.max(throttleMs, retryAfterMs))});
 		},
-		getRetryAfterMs(home, customer) {
-			const hold = held.get(createKey(home, customer));
-			return hold && !isPast(hold.until, world.now()) ? getRemainingMs(hold.returnAt, world.now()) : undefined;
+		getRetryAfterMs(owner, customer) {
+			const refusal = refusals.get(createKey(owner, customer));
+			return refusal && !isPast(refusal.throttledUntil, world.now()) ? getRemainingMs(refusal.retryAt, world.now()) : undefined;
 		},
 	};
 };
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -1,4 +1,4 @@
-/** Floods over one customer's share, and times without a keeper. */
+/** Behaviour of the quota client when a customer sends far more than its quota, and while no quota allocator responds. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -9,28 +9,28 @@
 import {createRefusalCache} from '../refusal-cache.js';
 import {createQuotaAllocator, type TokenGrant, type TokenRequest} from '../quota-allocator.js';
 
-const FLOOD = parseId<CustomerId>('flood');
-const SHARE = {rate: 60, burst: 60};
+const CUSTOMER = parseId<CustomerId>('flood');
+const QUOTA = {rate: 60, burst: 60};
 
-const createSetup = (isKeeperThere: () => boolean = () => true) => {
+const createSetup = (isAllocatorUp: () => boolean = () => true) => {
 	const {world, advance} = createVirtualWorld(21);
-	const keeper = createQuotaAllocator({
-		world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => SHARE,
+	const allocator = createQuotaAllocator({
+		world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => QUOTA,
 	});
-	const asked: TokenRequest[] = [];
-	const ask = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
-		asked.push(request);
+	const requests: TokenRequest[] = [];
+	const requestTokens = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
+		requests.push(request);
 		await world.sleep(2);
-		const allotment = isKeeperThere() ? keeper.grantTokens(request) : undefined;
-		return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'no keeper'});
+		const grant = isAllocatorUp() ? allocator.grantTokens(request) : undefined;
+		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator'});
 	};
 
-	const allowances = createQuotaClient(ask, world, () => ({rate: SHARE.rate / 3, burst: SHARE.burst * 0.1}));
+	const quotaClient = createQuotaClient(requestTokens, world, () => ({rate: QUOTA.rate / 3, burst: QUOTA.burst * 0.1}));
 	const results: Array<Readonly<{ok: boolean; waitedMs: number; at: number}>> = [];
 	const send = async () => {
 		const sentAt = world.now();
-		const spent = await allowances.acquire(FLOOD, createDeadline(sentAt, 400));
-		results.push({ok: spent.ok, waitedMs: world.now() - sentAt, at: world.now()});
+		const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(sentAt, 400));
+		results.push({ok: acquired.ok, waitedMs: world.now() - sentAt, at: world.now()});
 	};
 
 	const flood = async (perSecond: number, seconds: number) => {
@@ -43,38 +43,38 @@
 	};
 
 	return {
-		world, advance, flood, results, asked,
+		world, advance, flood, results, requests,
 	};
 };
 
-describe('flood over a share', () => {
-	it('uses the whole share, never more, and refuses most of the rest at once', async () => {
+describe('flood beyond a quota', () => {
+	it('gets the whole quota, never more, and most of the rest is refused at once', async () => {
 		const {flood, results} = createSetup();
 		await flood(600, 5);
 		const served = results.filter(({ok}) => ok).length;
-		assert.ok(served <= (SHARE.rate * 6) + SHARE.burst);
-		assert.ok(served >= SHARE.rate * 5 * 0.85, `served ${served}`);
+		assert.ok(served <= (QUOTA.rate * 6) + QUOTA.burst);
+		assert.ok(served >= QUOTA.rate * 5 * 0.85, `served ${served}`);
 		const refused = results.filter(({ok}) => !ok);
 		assert.ok(refused.filter(({waitedMs}) => waitedMs === 0).length >= refused.length * 0.8);
 	});
 
-	it('asks the keeper at most 25 times a second', async () => {
-		const {flood, asked} = createSetup();
+	it('sends the allocator at most 25 requests a second', async () => {
+		const {flood, requests} = createSetup();
 		await flood(600, 3);
-		assert.ok(asked.length <= 4 * 25, `asked ${asked.length} times`);
+		assert.ok(requests.length <= 4 * 25, `${requests.length} requests`);
 	});
 });
 
-describe('without a keeper', () => {
-	it('the own part of a share is spent, and no more', async () => {
+describe('without a quota allocator', () => {
+	it('grants the fallback quota and no more', async () => {
 		const {flood, results} = createSetup(() => false);
 		await flood(100, 5);
 		const served = results.filter(({ok}) => ok).length;
-		assert.ok(served >= SHARE.rate / 3 * 5 * 0.85, `served ${served}`);
-		assert.ok(served <= (SHARE.rate / 3 * 6) + (SHARE.burst * 0.1));
+		assert.ok(served >= QUOTA.rate / 3 * 5 * 0.85, `served ${served}`);
+		assert.ok(served <= (QUOTA.rate / 3 * 6) + (QUOTA.burst * 0.1));
 	});
 
-	it('a customer inside its part waits for nobody after the first question', async () => {
+	it('lets a customer within its fallback quota run without waiting after the first failed request', async () => {
 		const {advance, flood, results} = createSetup(() => false);
 		await flood(1, 1);
 		await advance(1000);
@@ -84,17 +84,17 @@
 	});
 });
 
-describe('holds', () => {
-	it('keep a refused customer back for a moment that grows with the fleet, and only that one', async () => {
+describe('refusal cache', () => {
+	it('throttles a refused customer, and no other, for a time that grows with the fleet', async () => {
 		const {world, advance} = createVirtualWorld(1);
-		const holds = createRefusalCache(world, () => 15);
-		holds.recordRefusal('ledger', FLOOD, 2000);
-		assert.equal(holds.getRetryAfterMs('ledger', FLOOD), 2000, 'it is told what its home said');
-		assert.equal(holds.getRetryAfterMs('ledger', parseId<CustomerId>('other')), undefined);
-		assert.equal(holds.getRetryAfterMs('archive', FLOOD), undefined);
+		const refusalCache = createRefusalCache(world, () => 15);
+		refusalCache.recordRefusal('ledger', CUSTOMER, 2000);
+		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 2000, 'the cached refusal gives the retry time of the owner');
+		assert.equal(refusalCache.getRetryAfterMs('ledger', parseId<CustomerId>('other')), undefined);
+		assert.equal(refusalCache.getRetryAfterMs('archive', CUSTOMER), undefined);
 		await advance(40);
-		assert.equal(holds.getRetryAfterMs('ledger', FLOOD), 1960);
+		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 1960);
 		await advance(100);
-		assert.equal(holds.getRetryAfterMs('ledger', FLOOD), undefined);
+		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), undefined);
 	});
 });
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -1,4 +1,4 @@
-/** Rate and burst hold over all entries, whatever is lost, paused or taken over. */
+/** Checks that all entries together stay within the rate and burst of a customer when messages are lost and the quota allocator is replaced, and that the quota is then still fully usable. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -12,13 +12,13 @@
 const CUSTOMER = parseId<CustomerId>('klub');
 const LEASE_MS = 2000;
 
-/** Finds by how much a list of spending times exceeds rate × t + burst in its worst window. */
+/** Computes by how many tokens a list of acquisition times exceeds rate × t + burst in its worst window; negative if it stays below. */
 const computeExcess = (times: readonly number[], rate: number, burst: number): number => {
 	let worst = Number.NEGATIVE_INFINITY;
 	for (let from = 0; from < times.length; from++) {
 		for (let to = from; to < times.length; to++) {
-			const spent = to - from + 1;
-			worst = Math.max(worst, spent - burst - (rate * ((times[to] ?? 0) - (times[from] ?? 0)) / 1000));
+			const count = to - from + 1;
+			worst = Math.max(worst, count - burst - (rate * ((times[to] ?? 0) - (times[from] ?? 0)) / 1000));
 		}
 	}
 
@@ -27,43 +27,43 @@
 
 type Run = Readonly<{rate: number; burst: number; entries: number; loss: number; seed: number; takeOvers: boolean; waiters: number; pauseMs: number}>;
 
-/** Runs entries that ask all the time, against a keeper that may be replaced while its predecessor is paused. */
+/** Runs entries that constantly acquire tokens; the allocator may be replaced when its lease ends, and a paused predecessor still responds to requests sent to it. */
 const runEntries = async (run: Run): Promise<Readonly<{times: readonly number[]; refusals: number}>> => {
 	const {world, advance} = createVirtualWorld(run.seed);
 	const times: number[] = [];
 	let refusals = 0;
-	let authority: Deadline = NEVER;
-	let keeper: QuotaAllocator;
+	let authorityDeadline: Deadline = NEVER;
+	let allocator: QuotaAllocator;
 	let epoch = 0;
 	const takeOver = () => {
 		epoch++;
-		const own = run.takeOvers ? createDeadline(world.now(), LEASE_MS) : NEVER;
-		authority = own;
-		keeper = createQuotaAllocator({
-			world, epoch, getAuthorityDeadline: () => own, getQuota: () => ({rate: run.rate, burst: run.burst}),
+		const deadline = run.takeOvers ? createDeadline(world.now(), LEASE_MS) : NEVER;
+		authorityDeadline = deadline;
+		allocator = createQuotaAllocator({
+			world, epoch, getAuthorityDeadline: () => deadline, getQuota: () => ({rate: run.rate, burst: run.burst}),
 		});
 	};
 
 	takeOver();
-	const ask: RequestTokens = async request => {
-		const asked = keeper;
+	const requestTokens: RequestTokens = async request => {
+		const receiver = allocator;
 		await world.sleep(world.random() * 4);
 		if (world.random() < run.loss / 2) {
 			return Err({code: 'lost', message: 'the request was lost'});
 		}
 
-		const allotment = asked.grantTokens(request);
+		const grant = receiver.grantTokens(request);
 		await world.sleep(world.random() * 4);
-		return world.random() < run.loss / 2 || !allotment ? Err({code: 'lost', message: 'the answer was lost'}) : Ok(allotment);
+		return world.random() < run.loss / 2 || !grant ? Err({code: 'lost', message: 'the response was lost'}) : Ok(grant);
 	};
 
 	let running = true;
 	const entries = Array.from({length: run.entries}, async () => {
-		const allowances = createQuotaClient(ask, world);
+		const quotaClient = createQuotaClient(requestTokens, world);
 		const work = async () => {
 			while (running) {
-				const spent = await allowances.acquire(CUSTOMER, createDeadline(world.now(), 1000));
-				if (spent.ok) {
+				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 1000));
+				if (acquired.ok) {
 					times.push(world.now());
 				} else {
 					refusals++;
@@ -78,7 +78,7 @@
 	});
 	for (let step = 0; step < 12; step++) {
 		await advance(500);
-		if (world.now() >= authority) {
+		if (world.now() >= authorityDeadline) {
 			takeOver();
 		}
 	}
@@ -89,9 +89,9 @@
 	return {times, refusals};
 };
 
-describe('shares', () => {
-	describe('bound', () => {
-		it('is never exceeded, with lost answers and keepers that are replaced', async () => {
+describe('quotas', () => {
+	describe('limit', () => {
+		it('is never exceeded when responses are lost and allocators are replaced', async () => {
 			await fc.assert(fc.asyncProperty(fc.record({
 
 				rate: fc.integer({min: 5, max: 200}),
@@ -108,7 +108,7 @@
 			}), {seed: 31, numRuns: 15});
 		});
 
-		it('is found broken by the same check when each entry has a bucket of its own', () => {
+		it('is reported as exceeded by the same check when each entry has a bucket of its own', () => {
 			const times = Array.from({length: 40}, () => 0);
 			assert.ok(computeExcess(times, 10, 20) > 0);
 		});
@@ -123,56 +123,56 @@
 			assert.ok(times.length >= 0.95 * 100 * (seconds - 1), `${times.length} in ${seconds} s`);
 		});
 
-		it('waits for tokens of a keeper that comes late and starts empty', async () => {
+		it('waits for tokens of an allocator that starts late with empty buckets', async () => {
 			const {world, advance} = createVirtualWorld(8);
-			const late: {keeper: QuotaAllocator | undefined} = {keeper: undefined};
-			const allowances = createQuotaClient(async request => {
+			const late: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
+			const quotaClient = createQuotaClient(async request => {
 				await world.sleep(2);
-				const allotment = late.keeper?.grantTokens(request);
-				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
+				const grant = late.allocator?.grantTokens(request);
+				return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator yet'});
 			}, world);
-			const spending = allowances.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
+			const acquiring = quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
 			await advance(1500);
-			late.keeper = createQuotaAllocator({
+			late.allocator = createQuotaAllocator({
 				world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 10, burst: 10}),
 			});
 			await advance(1000);
-			const spent = await spending;
-			assert.ok(spent.ok);
+			const acquired = await acquiring;
+			assert.ok(acquired.ok);
 		});
 
-		it('refuses nothing of a customer inside its rate while what piled up without a keeper is worked off', async () => {
+		it('refuses no request of a customer within its rate while the backlog from a time without an allocator is worked off', async () => {
 			const {world, advance} = createVirtualWorld(9);
-			const state: {keeper: QuotaAllocator | undefined} = {keeper: undefined};
-			const allowances = createQuotaClient(async request => {
+			const state: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
+			const quotaClient = createQuotaClient(async request => {
 				await world.sleep(2);
-				const allotment = state.keeper?.grantTokens(request);
-				return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'none yet'});
+				const grant = state.allocator?.grantTokens(request);
+				return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator yet'});
 			}, world);
 			let refused = 0;
-			const spendOne = async () => {
-				const spent = await allowances.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
-				refused += spent.err ? 1 : 0;
+			const acquireOne = async () => {
+				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
+				refused += acquired.err ? 1 : 0;
 			};
 
-			const spending: Array<Promise<void>> = [];
+			const acquiring: Array<Promise<void>> = [];
 			for (let count = 0; count < 400; count++) {
 				if (count === 200) {
-					state.keeper = createQuotaAllocator({
+					state.allocator = createQuotaAllocator({
 						world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 100, burst: 100}),
 					});
 				}
 
-				spending.push(spendOne());
+				acquiring.push(acquireOne());
 				await advance(12.5);
 			}
 
 			await advance(10_000);
-			await Promise.all(spending);
+			await Promise.all(acquiring);
 			assert.equal(refused, 0);
 		});
 
-		it('refuses nothing inside the rate when several requests wait in one entry', async () => {
+		it('refuses no request within the rate when several requests wait at one entry', async () => {
 			const {refusals} = await runEntries({
 				rate: 1000, burst: 2000, entries: 2, loss: 0, seed: 6, takeOvers: false, waiters: 4, pauseMs: 20,
 			});
