Reword the requests package

The vm that owns all connections to a target is its owner; a connection is released, not given back; a response is confirmed durable. Messages say what failed: a lost connection, an idle timeout, a target that is being removed. No test matches the changed messages.

--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -1,4 +1,4 @@
-/** One caller: the task that serves its requests, without an encoding. */
+/** Serves the requests of one caller at the entry: one task for each caller. Independent of the wire encoding. */
 
 import {
 	isAbort, type CustomerId, type Result, type ServiceId, type Stream, type TransactionStatus,
@@ -7,100 +7,100 @@
 	Refusal, Reply, RequestChunk, RequestMode, StatementClass,
 } from '@guavapitch/sessions';
 
-/** Who a caller proved to be. */
+/** Authenticated identity of a caller. */
 export type CallerIdentity = Readonly<{
 	service: ServiceId;
-	/** Customer whose key came with the connection; `undefined` on a service open to all. */
+	/** Customer to whom the key of the connection was issued; `undefined` on a service that needs no key. */
 	customer: CustomerId | undefined;
-	/** Identifier of the key, never the key. */
+	/** Identifier of the key, never the key itself. */
 	keyId: string | undefined;
 }>;
 
-/** A request that a home has begun to answer. */
+/** A request to which an owner has sent its first reply. */
 export type RunningRequest = AsyncDisposable & Readonly<{
 	requestId: string;
-	/** Mode in which the home serves it. */
+	/** Mode in which the owner serves the request. */
 	mode: RequestMode;
-	/** The home's first reply. */
+	/** First reply of the owner. */
 	firstReply: Reply;
 	stream: Stream<RequestChunk, Reply>;
 }>;
 
-/** How a request could not be served. */
+/** Why a request could not be served. */
 export type RequestFailure = Readonly<{requestId: string; failure: Refusal | Readonly<{code: 'outcomeUnknown'; message: string}>}>;
 
-/** How a request ended for its caller. */
+/** Outcome of a request, as reported to its caller. */
 export type RequestOutcome
 	= | Readonly<{kind: 'done'}>
 		| Readonly<{kind: 'refused' | 'unknown'; code: RequestFailure['failure']['code'] | 'rolledBack'; message: string}>;
 
-/** What the caller's task asks of the entry. */
+/** Operations of the entry that serving a caller needs. */
 export type CallerContext = Readonly<{
-	/** Checks the key, spends the share and routes; retries whatever has certainly not run. */
+	/** Checks the key, acquires a token of the quota and routes the request; retries it only when it is certain that it has not run. */
 	startRequest: (caller: CallerIdentity, chunk: RequestChunk, statement: StatementClass, signal: AbortSignal) => Promise<Result<RunningRequest, RequestFailure>>;
-	/** Checks the key and spends the share for a further chunk of a transaction. */
+	/** Checks the key and acquires a token of the quota for a further chunk of a transaction. */
 	continueRequest: (caller: CallerIdentity, signal: AbortSignal) => Promise<Result<undefined, RequestFailure>>;
-	/** Cancels the statement that a home runs. */
+	/** Cancels a request that an owner is running. */
 	cancelRequest: (requestId: string) => void;
-	/** Tells whether the connection must end before another request. */
+	/** Returns why the connection must be closed before the next request; `undefined` if it may stay open. */
 	getCloseReason: (caller: CallerIdentity) => Refusal | undefined;
-	/** Hears of outcomes. */
+	/** Called with the outcome of each request. */
 	onOutcome: (caller: CallerIdentity, requestId: string, outcome: RequestOutcome) => void;
 }>;
 
-/** State of one caller that other tasks may act on. */
+/** State of one caller that other tasks may read or act on. */
 export type CallerControl = {
 	/** Cancels the running request. */
 	cancel: () => void;
-	/** Whether nothing is under way, so that the connection may be closed. */
+	/** Whether no request is running or being received, so that the connection may be closed. */
 	idle: boolean;
 };
 
-/** A chunk as it came; an invalid one is rejected by the codec, which knows what was wrong. */
+/** A received chunk; the codec rejects an invalid one itself, since it knows the error. */
 export type ReceivedChunk = Readonly<{
-	/** Reads on to the end of the request that the chunk began; `false` if the caller left. */
+	/** Discards the rest of the request that the chunk started; `false` if the caller has disconnected. */
 	skipRest: () => Promise<boolean>;
 }> & (
 	| Readonly<{kind: 'chunk'; chunk: RequestChunk; statement: StatementClass}>
 	| Readonly<{kind: 'invalid'; reject: () => Promise<void>}>
 );
 
-/** The caller's connection as its task sees it. */
+/** Connection to a caller, independent of its wire encoding. */
 export type CallerPort = Readonly<{
-	/** Receives the next chunk; `undefined` when the caller has left. */
+	/** Receives the next chunk; `undefined` when the caller has disconnected. */
 	receive: () => Promise<ReceivedChunk | undefined>;
-	/** Tells whether part of a chunk has come. */
+	/** Tells whether part of a chunk has been received. */
 	hasPending: () => boolean;
-	/** Sends messages of a target as they are. */
+	/** Sends messages of a target unchanged. */
 	sendMessages: (bytes: Uint8Array) => Promise<void>;
-	/** Sends that the next request may come. */
+	/** Reports that the next request may be sent. */
 	sendReady: (status: TransactionStatus) => Promise<void>;
-	/** Sends how a request failed. */
+	/** Reports why a request failed. */
 	sendFailure: (failure: RequestFailure) => Promise<void>;
-	/** Sends that nothing of a transaction was kept; the connection ends after it. */
+	/** Reports that a transaction was rolled back; the connection closes after that. */
 	sendRolledBack: (message: string) => Promise<void>;
-	/** Sends that a running request was lost. */
+	/** Reports that the outcome of a running request is unknown. */
 	sendLost: (requestId: string, message: string, endsConnection: boolean) => Promise<void>;
-	/** Sends why the connection ends. */
+	/** Reports why the connection closes. */
 	sendCloseReason: (refusal: Refusal) => Promise<void>;
-	/** Calls a function if the connection closes before the result is disposed. */
-	onClose: (leave: () => void) => Disposable;
+	/** Calls a listener if the connection closes before the result is disposed. */
+	onClose: (listener: () => void) => Disposable;
 }>;
 
-/** How one chunk ended for the caller. */
-type Answered = Readonly<{status: TransactionStatus; flushed: boolean; closing: boolean}>;
+/** State of the caller after one chunk. */
+type ChunkOutcome = Readonly<{status: TransactionStatus; flushed: boolean; isClosing: boolean}>;
 
-/** A running request, its next reply and the status before it. */
-type ReplyTurn = Readonly<{request: RunningRequest; first: Reply | undefined; before: TransactionStatus}>;
+/** A running request, its next reply, and the transaction status before the reply. */
+type PendingReply = Readonly<{request: RunningRequest; nextReply: Reply | undefined; statusBefore: TransactionStatus}>;
 
-/** A caller and what its task works with. */
-type Attended = Readonly<{caller: CallerIdentity; port: CallerPort; context: CallerContext}>;
+/** A caller with its connection and the operations of the entry. */
+type ServedCaller = Readonly<{caller: CallerIdentity; port: CallerPort; context: CallerContext}>;
 
-const LOST_MESSAGE = 'The vm that ran the request was lost';
+const LOST_MESSAGE = 'The connection to the vm that ran the request was lost';
 
-/** Relays the replies of a home to the caller until the chunk is answered. */
-const relayReplies = async ({caller, port, context}: Attended, {request, first, before}: ReplyTurn): Promise<Answered> => {
-	let reply = first;
+/** Forwards the owner's replies to the caller until the chunk is outcome. */
+const relayReplies = async ({caller, port, context}: ServedCaller, {request, nextReply, statusBefore}: PendingReply): Promise<ChunkOutcome> => {
+	let reply = nextReply;
 	while (true) {
 		switch (reply?.kind) {
 			case 'messages': {
@@ -111,29 +111,29 @@
 			case 'ready': {
 				await port.sendReady(reply.status);
 				context.onOutcome(caller, request.requestId, {kind: 'done'});
-				return {status: reply.status, flushed: false, closing: false};
+				return {status: reply.status, flushed: false, isClosing: false};
 			}
 
 			case 'flushed': {
-				return {status: before, flushed: true, closing: false};
+				return {status: statusBefore, flushed: true, isClosing: false};
 			}
 
 			case 'rolledBack': {
 				await port.sendRolledBack(reply.message);
 				context.onOutcome(caller, request.requestId, {kind: 'refused', code: 'rolledBack', message: reply.message});
-				return {status: 'idle', flushed: false, closing: true};
+				return {status: 'idle', flushed: false, isClosing: true};
 			}
 
 			default: {
 				const message = reply?.kind === 'unknown' ? reply.message : LOST_MESSAGE;
-				const inTransaction = before !== 'idle';
+				const inTransaction = statusBefore !== 'idle';
 				await port.sendLost(request.requestId, message, inTransaction);
 				context.onOutcome(caller, request.requestId, {kind: 'unknown', code: 'outcomeUnknown', message});
 				if (!inTransaction) {
 					await port.sendReady('idle');
 				}
 
-				return {status: 'idle', flushed: false, closing: inTransaction};
+				return {status: 'idle', flushed: false, isClosing: inTransaction};
 			}
 		}
 
@@ -141,9 +141,9 @@
 	}
 };
 
-/** Serves a caller until it leaves, or until it must be closed between two requests. */
+/** Serves a caller until it disconnects, or until its connection must be closed between two requests. */
 export const serveCaller = async (caller: CallerIdentity, port: CallerPort, context: CallerContext, control: CallerControl): Promise<void> => {
-	const attended: Attended = {caller, port, context};
+	const served: ServedCaller = {caller, port, context};
 	let running: RunningRequest | undefined;
 	let status: TransactionStatus = 'idle';
 
@@ -151,13 +151,13 @@
 		const kind = failure.code === 'outcomeUnknown' ? 'unknown' : 'refused';
 		context.onOutcome(caller, requestId, {kind, code: failure.code, message: failure.message});
 		await port.sendFailure({requestId, failure});
-		const goesOn = await received.skipRest();
+		const isConnected = await received.skipRest();
 		await port.sendReady(status);
-		return goesOn;
+		return isConnected;
 	};
 
-	/** Begins a request or sends the chunk to the one that runs; gives the first reply. */
-	const pass = async (received: ReceivedChunk & Readonly<{kind: 'chunk'}>, signal: AbortSignal): Promise<Result<RunningRequest, RequestFailure> | ReplyTurn> => {
+	/** Starts a request, or sends the chunk to the running one; returns the first reply. */
+	const sendChunk = async (received: ReceivedChunk & Readonly<{kind: 'chunk'}>, signal: AbortSignal): Promise<Result<RunningRequest, RequestFailure> | PendingReply> => {
 		if (!running) {
 			return context.startRequest(caller, {...received.chunk, mayCommit: true}, received.statement, signal);
 		}
@@ -168,53 +168,53 @@
 		}
 
 		await running.stream.send(received.chunk);
-		return {request: running, first: await running.stream.receive(), before: status};
+		return {request: running, nextReply: await running.stream.receive(), statusBefore: status};
 	};
 
 	const serveChunk = async (received: ReceivedChunk, signal: AbortSignal): Promise<boolean> => {
 		if (received.kind === 'invalid') {
 			await received.reject();
-			const goesOn = await received.skipRest();
+			const isConnected = await received.skipRest();
 			await port.sendReady(status);
-			return goesOn;
+			return isConnected;
 		}
 
-		const passed = await pass(received, signal);
-		if ('err' in passed && passed.err) {
-			return refuse(received, passed.val);
+		const sent = await sendChunk(received, signal);
+		if ('err' in sent && sent.err) {
+			return refuse(received, sent.val);
 		}
 
-		const turn = 'request' in passed ? passed : {request: passed.val, first: passed.val.firstReply, before: status};
-		running = turn.request;
-		const answered = await relayReplies(attended, turn);
-		status = answered.status;
-		if (status === 'idle' && !answered.flushed) {
+		const next = 'request' in sent ? sent : {request: sent.val, nextReply: sent.val.firstReply, statusBefore: status};
+		running = next.request;
+		const outcome = await relayReplies(served, next);
+		status = outcome.status;
+		if (status === 'idle' && !outcome.flushed) {
 			await running[Symbol.asyncDispose]();
 			running = undefined;
 		}
 
-		return !answered.closing;
+		return !outcome.isClosing;
 	};
 
-	let gone = new AbortController();
-	const leave = () => {
-		gone.abort();
+	let disconnection = new AbortController();
+	const disconnect = () => {
+		disconnection.abort();
 	};
 
 	control.cancel = () => {
 		if (running) {
 			context.cancelRequest(running.requestId);
 		} else {
-			leave();
+			disconnect();
 		}
 	};
 
 	try {
 		while (true) {
 			control.idle = running === undefined && !port.hasPending();
-			const closing = control.idle ? context.getCloseReason(caller) : undefined;
-			if (closing) {
-				await port.sendCloseReason(closing);
+			const closeReason = control.idle ? context.getCloseReason(caller) : undefined;
+			if (closeReason) {
+				await port.sendCloseReason(closeReason);
 				return;
 			}
 
@@ -224,9 +224,9 @@
 			}
 
 			control.idle = false;
-			gone = new AbortController();
-			using watched = port.onClose(leave);
-			if (!await serveChunk(received, gone.signal)) {
+			disconnection = new AbortController();
+			using closeListener = port.onClose(disconnect);
+			if (!await serveChunk(received, disconnection.signal)) {
 				return;
 			}
 		}
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -1,4 +1,4 @@
-/** The home's part of a request: one task from its header to the end of its transaction, without an encoding. */
+/** Serves requests at the owner of a target: one task for each request, from its header to the end of its transaction. Independent of the wire encoding. */
 
 import {
 	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
@@ -10,93 +10,94 @@
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode,
 } from '@guavapitch/sessions';
 
-/** Connection to a target as the decisions see it. */
+/** Connection to a target, as far as serving a request needs it. */
 export type CancelableConnection = AsyncDisposable & Readonly<{
-	/** Asks the target to cancel what runs on the connection. */
+	/** Asks the target to cancel the statement that runs on the connection. */
 	cancel: () => void;
 }>;
 
-/** A target as its home works it. */
+/** Queue and connections of a target at its owner. */
 export type OwnedTarget<Connection extends CancelableConnection> = Readonly<{
 	queue: FairQueue;
 	pool: Pool<Connection>;
-	/** Tells whether the target gets no new work. */
+	/** Tells whether the target is being removed and gets no new requests. */
 	isLeaving: () => boolean;
 }>;
 
-/** How waiting for a durable answer ended. */
+/** Whether a write was confirmed durable before waiting for it ended. */
 export type DurabilityState = 'durable' | 'unproved';
 
-/** An answer that waits for its release. */
+/** A write whose response is withheld until the write is durable. */
 export type PendingWrite = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
 
-/** What a home decides with. */
+/** Dependencies of the owner of targets. */
 export type OwnerContext<Connection extends CancelableConnection> = Readonly<{
 	world: World;
-	/** Gets a target of which this process is home. */
+	/** Returns a target that this process owns; `undefined` if it does not own it. */
 	getTarget: (target: TargetId) => OwnedTarget<Connection> | undefined;
-	/** Sends a chunk to the target and passes its answer on. */
+	/** Sends a chunk to the target and forwards the response. */
 	runChunk: RunChunk<Connection>;
-	/** Checks that a request may be sent to the target now; gives the term. */
+	/** Checks that a request may be sent to the target now; returns the term. */
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
-	/** Waits until the answer of a write may be released. */
-	waitUntilDurable: (answer: PendingWrite) => Promise<DurabilityState>;
-	/** Waits until the target may no longer answer a request, or its deadline has passed; ends early when the signal aborts. */
+	/** Waits until a write is durable, so that its response may be sent. */
+	waitUntilDurable: (write: PendingWrite) => Promise<DurabilityState>;
+	/** Waits until the target may no longer answer a request or the deadline has passed; returns early when the signal aborts. */
 	waitUntilUnanswerable: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
-	/** Hears how long a request held its slot. */
+	/** Called with the time for which a request occupied its slot, in milliseconds. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
-	/** Keeps the function that cancels a request while it runs; disposing forgets it. */
+	/** Registers the function that cancels a running request, until the result is disposed. */
 	registerCancel: (requestId: RequestId, cancel: () => void) => Disposable;
-	/** Counts a request in until it is disposed, so that a leaving process can wait for it. */
+	/** Counts a request as running until the result is disposed, so that a process that shuts down can wait for it. */
 	trackRequest: (header: RequestHeader) => Disposable;
-	/** Tells whether the process takes no new requests. */
+	/** Tells whether the process is shutting down and accepts no new requests. */
 	isDraining: () => boolean;
 }>;
 
-/** The home's end of a request. */
+/** The owner's end of the stream of a request. */
 export type OwnerStream = Stream<Reply, RequestChunk>;
 
-type Served<Connection extends CancelableConnection> = Readonly<{context: OwnerContext<Connection>; header: RequestHeader; stream: OwnerStream; target: OwnedTarget<Connection>}>;
+/** A request that is being request, and its target. */
+type ActiveRequest<Connection extends CancelableConnection> = Readonly<{context: OwnerContext<Connection>; header: RequestHeader; stream: OwnerStream; target: OwnedTarget<Connection>}>;
 
-/** How a chunk ended. */
+/** Result of running a chunk. */
 export type ChunkResult
 	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
 		| Readonly<{kind: 'flushed'; skipping: boolean}>
 		| Readonly<{kind: 'readOnly'}>
 		| Readonly<{kind: 'lost'}>;
 
-/** A chunk and where its answer goes. */
+/** A chunk to run and the callbacks for its response. */
 export type ChunkTask = Readonly<{
 	chunk: RequestChunk;
-	/** Whether the target ignores everything up to a Sync after an error. */
+	/** Whether the target ignores all messages up to the next Sync because of an error. */
 	skipping: boolean;
-	/** Whether the request may write, so that a refusal to write is an answer like others. */
+	/** Whether the request may write; an error that refuses a write is then forwarded like any other response. */
 	isWrite: boolean;
-	/** Hears that the answer has begun. */
+	/** Called when the response starts. */
 	onResponseStarted: () => void;
-	/** Passes messages of the answer on. */
+	/** Forwards messages of the response. */
 	send: (bytes: Uint8Array) => Promise<void>;
-	/** Tells whether the last completion may be given, now that the target is in a status. */
+	/** Tells whether the final completion message may be forwarded, given the transaction status at the target; waits for durability if necessary. */
 	mayRelease: (status: TransactionStatus) => Promise<boolean>;
 }>;
 
-/** Sends a chunk over a connection and passes the answer on, holding back its last completion until it may be given. */
-export type RunChunk<Connection> = (connection: Connection, turn: ChunkTask) => Promise<ChunkResult>;
+/** Sends a chunk over a connection and forwards the response, withholding its final completion message until `mayRelease` allows it. */
+export type RunChunk<Connection> = (connection: Connection, task: ChunkTask) => Promise<ChunkResult>;
 
-/** State in which a connection is given back. */
-type LoanState = 'clean' | 'dirty' | 'broken';
+/** State in which a connection is released to the pool. */
+type ConnectionState = 'clean' | 'dirty' | 'broken';
 
-/** What a transaction starts with. */
-type FirstTurn = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
+/** First chunk of a transaction, with its slot and the term it runs in. */
+type TransactionStart = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
 
-const ANSWERED = 'the answer has come';
-const UNPROVED_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the answer was proved durable';
+const RESPONSE_COMPLETE = 'the response is complete';
+const NOT_DURABLE_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the write was confirmed durable';
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
-/** Waits for the next chunk of a transaction, at most until its idle deadline. */
-const receiveNext = async <Connection extends CancelableConnection>(served: Served<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
-	const {context, stream, header} = served;
+/** Receives the next chunk of a transaction; `idle` if none arrives within the idle timeout, `undefined` if the stream has ended. */
+const receiveNextChunk = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
+	const {context, stream, header} = request;
 	const timer = new AbortController();
 	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
 	const next = await Promise.race([stream.receive(), idle]);
@@ -104,37 +105,38 @@
 	return next;
 };
 
-/** An answer that is waited for. */
-type AwaitedAnswer = Readonly<{term: number; hasBegun: () => boolean; answered: AbortSignal}>;
+/** A response that is being waited for. */
+type PendingResponse = Readonly<{term: number; hasStarted: () => boolean; done: AbortSignal}>;
 
-/** Ends a connection whose target will not answer in time, or whose answer could not be used; a read that is being answered goes on. */
-const giveUpWhenHopeless = async <Connection extends CancelableConnection>(served: Served<Connection>, connection: Connection, {term, hasBegun, answered}: AwaitedAnswer): Promise<void> => {
-	const {context, header} = served;
+/** Cancels and closes a connection when its target cannot answer in time or its response may no longer be used; a read whose response has started continues. */
+const cancelIfUnanswerable = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, connection: Connection, {term, hasStarted, done}: PendingResponse): Promise<void> => {
+	const {context, header} = request;
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
-	await context.waitUntilUnanswerable(header, term, deadline, answered);
-	const isOfUse = header.mode !== 'write' && hasBegun();
-	if (!answered.aborted && !isOfUse) {
+	await context.waitUntilUnanswerable(header, term, deadline, done);
+	const isUsable = header.mode !== 'write' && hasStarted();
+	if (!done.aborted && !isUsable) {
 		connection.cancel();
 		await connection[Symbol.asyncDispose]();
 	}
 };
 
-const sendLoss = async <Connection extends CancelableConnection>(served: Served<Connection>, status: TransactionStatus, committed: boolean): Promise<void> => {
-	const {stream} = served;
-	const isUnknown = status === 'idle' || committed;
-	await stream.send(isUnknown ? {kind: 'unknown', message: UNPROVED_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
+/** Reports a lost connection: the outcome is unknown if a commit may have been sent, otherwise the transaction was rolled back. */
+const sendLostOutcome = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, status: TransactionStatus, mayCommit: boolean): Promise<void> => {
+	const {stream} = request;
+	const isUnknown = status === 'idle' || mayCommit;
+	await stream.send(isUnknown ? {kind: 'unknown', message: NOT_DURABLE_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
 };
 
-/** Runs chunks on a connection until the transaction is over; tells in what state the connection is left. */
-const runTransaction = async <Connection extends CancelableConnection>(served: Served<Connection>, loan: ConnectionHandle<Connection>, first: FirstTurn): Promise<LoanState> => {
-	const {context, header, stream, target} = served;
-	const {connection} = loan;
+/** Runs chunks on a connection until the transaction has ended; returns the state of the connection. */
+const runTransaction = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, handle: ConnectionHandle<Connection>, first: TransactionStart): Promise<ConnectionState> => {
+	const {context, header, stream, target} = request;
+	const {connection} = handle;
 	const cancel = () => {
 		connection.cancel();
 	};
 
-	using kept = context.registerCancel(header.requestId, cancel);
-	let dirty = false;
+	using registration = context.registerCancel(header.requestId, cancel);
+	let isDirty = false;
 	let chunk = first.chunk as RequestChunk | 'idle' | undefined;
 	let permit = first.permit as Permit | undefined;
 	let skipping = false;
@@ -169,56 +171,56 @@
 			permit = entered.val;
 		}
 
-		dirty ||= chunk.leavesState;
+		isDirty ||= chunk.leavesState;
 		stream.signal.addEventListener('abort', cancel, {once: true});
-		const answered = new AbortController();
-		let begun = false;
-		const onBegin = () => {
-			begun = true;
+		const done = new AbortController();
+		let hasStarted = false;
+		const onResponseStarted = () => {
+			hasStarted = true;
 		};
 
-		void giveUpWhenHopeless(served, connection, {term: first.term, hasBegun: () => begun, answered: answered.signal});
-		const end: ChunkResult = await context.runChunk(connection, {
-			chunk, skipping, isWrite: header.mode === 'write', onResponseStarted: onBegin, send, mayRelease,
+		void cancelIfUnanswerable(request, connection, {term: first.term, hasStarted: () => hasStarted, done: done.signal});
+		const result: ChunkResult = await context.runChunk(connection, {
+			chunk, skipping, isWrite: header.mode === 'write', onResponseStarted, send, mayRelease,
 		});
-		answered.abort(ANSWERED);
+		done.abort(RESPONSE_COMPLETE);
 		stream.signal.removeEventListener('abort', cancel);
 		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
 		permit[Symbol.dispose]();
 		permit = undefined;
-		if (end.kind === 'readOnly') {
+		if (result.kind === 'readOnly') {
 			await stream.send({kind: 'readOnly'});
 			return 'broken';
 		}
 
-		if (end.kind === 'lost') {
-			await sendLoss(served, status, chunk.mayCommit);
+		if (result.kind === 'lost') {
+			await sendLostOutcome(request, status, chunk.mayCommit);
 			return 'broken';
 		}
 
-		skipping = end.kind === 'flushed' && end.skipping;
-		if (end.kind === 'ready') {
-			status = end.status;
+		skipping = result.kind === 'flushed' && result.skipping;
+		if (result.kind === 'ready') {
+			status = result.status;
 			await stream.send({kind: 'ready', status});
 			if (status === 'idle') {
-				return dirty ? 'dirty' : 'clean';
+				return isDirty ? 'dirty' : 'clean';
 			}
 		} else {
 			status = status === 'idle' ? 'open' : status;
 			await stream.send({kind: 'flushed'});
 		}
 
-		chunk = await receiveNext(served);
+		chunk = await receiveNextChunk(request);
 	}
 
 	if (chunk === 'idle') {
-		await stream.send({kind: 'rolledBack', message: 'The transaction was idle for too long and was rolled back'});
+		await stream.send({kind: 'rolledBack', message: 'The transaction was rolled back because it exceeded its idle timeout'});
 	}
 
 	return 'dirty';
 };
 
-/** Serves one request; whatever is refused has not run. */
+/** Serves one request; a refused request has not run. */
 export const serveRequest = async <Connection extends CancelableConnection>(context: OwnerContext<Connection>, header: RequestHeader, stream: OwnerStream): Promise<void> => {
 	const refuse = async (refusal: Refusal) => {
 		await stream.send({kind: 'refused', refusal});
@@ -228,18 +230,18 @@
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	const target = context.getTarget(header.target);
 	if (!target || context.isDraining()) {
-		await refuse(createRefusal('notHome', 'This vm is not a home of the target'));
+		await refuse(createRefusal('notHome', 'This vm does not own the target'));
 		return;
 	}
 
 	if (target.isLeaving()) {
-		await refuse(createRefusal('targetLeaving', 'The target is leaving'));
+		await refuse(createRefusal('targetLeaving', 'The target is being removed and accepts no new requests'));
 		return;
 	}
 
-	const before = context.checkGrant(header);
-	if (before.err) {
-		await refuse(before.val);
+	const initialGrant = context.checkGrant(header);
+	if (initialGrant.err) {
+		await refuse(initialGrant.val);
 		return;
 	}
 
@@ -253,27 +255,27 @@
 	}
 
 	using permit = entered.val;
-	const taken = await target.pool.acquire(deadline);
-	if (taken.err) {
-		await refuse(createRefusal(taken.val.code, taken.val.message));
+	const acquired = await target.pool.acquire(deadline);
+	if (acquired.err) {
+		await refuse(createRefusal(acquired.val.code, acquired.val.message));
 		return;
 	}
 
-	const loan = taken.val;
+	const handle = acquired.val;
 	const first = await stream.receive();
-	const after = context.checkGrant(header);
-	if (after.err || first === undefined) {
-		loan.release('clean');
-		await refuse(after.err ? after.val : createRefusal('deadlinePassed', 'The caller has gone'));
+	const grant = context.checkGrant(header);
+	if (grant.err || first === undefined) {
+		handle.release('clean');
+		await refuse(grant.err ? grant.val : createRefusal('deadlinePassed', 'The caller has disconnected'));
 		return;
 	}
 
-	let state: LoanState = 'broken';
+	let state: ConnectionState = 'broken';
 	try {
 		state = await runTransaction({
 			context, header, stream, target,
-		}, loan, {chunk: first, permit, term: after.val});
+		}, handle, {chunk: first, permit, term: grant.val});
 	} finally {
-		loan.release(state);
+		handle.release(state);
 	}
 };
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -1,4 +1,4 @@
-/** The home's part of a request over a connection that a test answers for. */
+/** Serving requests at the owner of a target, over a connection whose responses each test supplies. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -31,20 +31,20 @@
 
 type Connection = AsyncDisposable & Readonly<{cancel: () => void; isEnded: () => boolean; reset: () => Promise<boolean>}>;
 
-/** What a test decides. */
-type Choices = Readonly<{
-	answer?: (turn: ChunkTask) => Promise<ChunkResult>;
+/** Behaviour of the target and its owner that a test chooses. */
+type Behaviour = Readonly<{
+	answer?: (task: ChunkTask) => Promise<ChunkResult>;
 	isDurable?: DurabilityState;
 	isGranted?: boolean;
 	isDraining?: boolean;
 }>;
 
-const answerAtOnce = async (turn: ChunkTask): Promise<ChunkResult> => {
-	await turn.send(new Uint8Array([1]));
-	return await turn.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
+const answerImmediately = async (task: ChunkTask): Promise<ChunkResult> => {
+	await task.send(new Uint8Array([1]));
+	return await task.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
 };
 
-const createFixture = (choices: Choices) => {
+const createFixture = (behaviour: Behaviour) => {
 	const {world, advance, settle} = createVirtualWorld();
 	let resets = 0;
 	const pool = createPool<Connection>({
@@ -66,9 +66,9 @@
 	const context: OwnerContext<Connection> = {
 		world,
 		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
-		runChunk: async (_, turn) => (choices.answer ?? answerAtOnce)(turn),
-		checkGrant: () => choices.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
-		waitUntilDurable: async () => choices.isDurable ?? 'durable',
+		runChunk: async (_, task) => (behaviour.answer ?? answerImmediately)(task),
+		checkGrant: () => behaviour.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
+		waitUntilDurable: async () => behaviour.isDurable ?? 'durable',
 		waitUntilUnanswerable: async (_header, _term, _deadline, signal) => new Promise(resolve => {
 			signal.addEventListener('abort', () => {
 				resolve();
@@ -77,18 +77,18 @@
 		onServed: () => undefined,
 		registerCancel: () => ({[Symbol.dispose]: () => undefined}),
 		trackRequest: () => ({[Symbol.dispose]: () => undefined}),
-		isDraining: () => choices.isDraining ?? false,
+		isDraining: () => behaviour.isDraining ?? false,
 	};
-	const [entry, own] = createStreamPair<RequestChunk, Reply>(() => 1);
+	const [entry, owner] = createStreamPair<RequestChunk, Reply>(() => 1);
 	return {
 		entry, advance, settle, queue, getResets: () => resets,
-		serve: async (header = HEADER) => serveRequest(context, header, own as OwnerStream),
+		serve: async (header = HEADER) => serveRequest(context, header, owner as OwnerStream),
 	};
 };
 
-/** Serves one chunk and gives the kinds of the replies. */
-const collectKinds = async (choices: Choices, header = HEADER): Promise<readonly string[]> => {
-	const {entry, serve} = createFixture(choices);
+/** Serves one chunk and returns the kinds of the replies, with the code in place of `refused`. */
+const collectKinds = async (behaviour: Behaviour, header = HEADER): Promise<readonly string[]> => {
+	const {entry, serve} = createFixture(behaviour);
 	await entry.send(CHUNK);
 	const served = serve(header);
 	const kinds: string[] = [];
@@ -102,13 +102,13 @@
 	return kinds;
 };
 
-describe('requests at their home', () => {
+describe('serveRequest', () => {
 	describe('a single write', () => {
 		it('is answered once it is durable', async () => {
 			assert.deepEqual(await collectKinds({}), ['messages', 'ready']);
 		});
 
-		it('has an unknown outcome while it is not proved durable', async () => {
+		it('has an unknown outcome while it is not confirmed durable', async () => {
 			assert.deepEqual(await collectKinds({isDurable: 'unproved'}), ['messages', 'unknown']);
 		});
 
@@ -122,13 +122,13 @@
 			assert.deepEqual(await collectKinds({isDurable: 'unproved'}, {...HEADER, mode: 'read'}), ['messages', 'ready']);
 		});
 
-		it('goes back to the entry when a replica finds that it writes', async () => {
+		it('is returned to the entry when a replica refuses it as a write', async () => {
 			assert.deepEqual(await collectKinds({answer: async () => ({kind: 'readOnly'})}, {...HEADER, mode: 'read'}), ['readOnly']);
 		});
 	});
 
 	describe('a refusal', () => {
-		it('comes before anything is sent to the target', async () => {
+		it('is sent before the target receives anything', async () => {
 			const refuseToRun = async (): Promise<ChunkResult> => assert.fail('the chunk was sent');
 			assert.deepEqual(await collectKinds({answer: refuseToRun, isGranted: false}), ['noGrant']);
 			assert.deepEqual(await collectKinds({answer: refuseToRun, isDraining: true}), ['notHome']);
@@ -137,7 +137,7 @@
 	});
 
 	describe('a transaction', () => {
-		it('holds no slot in its pauses, and is rolled back when it stays idle too long', async () => {
+		it('occupies no slot between its statements and is rolled back after its idle timeout', async () => {
 			const {entry, serve, advance, settle, queue, getResets} = createFixture({answer: async () => ({kind: 'ready', status: 'open'})});
 			await entry.send(CHUNK);
 			const served = serve();
@@ -149,7 +149,7 @@
 			assert.equal(reply?.kind, 'rolledBack');
 			await served;
 			await settle();
-			assert.equal(getResets(), 1, 'the connection is reset before it is used again');
+			assert.equal(getResets(), 1, 'the connection is reset before it is reused');
 		});
 	});
 });
