Reword the sessions package

Comments name the owner of a database, log positions, the minimum position and the latency objective; each refusal and outcome says whether the statement has run. Fields that travel keep their names.

--- a/packages/sessions/src/classification.ts
+++ b/packages/sessions/src/classification.ts
@@ -1,28 +1,28 @@
-/** Classification of statements by their first words; a replica itself refuses whatever turns out to write. */
+/** Classification of SQL statements by their first word. A statement that is wrongly classified as a read is refused by the replica itself when it writes. */
 
-/** What a statement needs. */
+/** How a statement must be run. */
 export type StatementClass
-	/** May be tried on a replica. */
+	/** May run on a replica. */
 	= | 'read'
-	/** Needs the primary. */
+	/** Must run on the primary. */
 		| 'write'
-	/** Opens a transaction. */
+	/** Starts a transaction. */
 		| 'begin'
-	/** Changes the state of a database connection for longer than a transaction. */
+	/** Changes connection state that outlives a transaction. */
 		| 'session'
-	/** Copies data in or out of the connection. */
+	/** Copies data into or out of the database over the connection. */
 		| 'copy'
-	/** Nothing to run. */
+	/** Contains nothing to run. */
 		| 'empty';
 
 const READ_WORDS: ReadonlySet<string> = new Set(['select', 'values', 'table', 'show', 'with']);
 const BEGIN_WORDS: ReadonlySet<string> = new Set(['begin', 'start']);
 const SESSION_WORDS: ReadonlySet<string> = new Set(['set', 'reset', 'listen', 'unlisten', 'prepare', 'deallocate', 'load', 'discard', 'declare']);
-/** What may stand before a statement: space, empty statements and comments. */
+/** What may precede a statement: white space, empty statements and comments. */
 const LEADING_PATTERNS = [/^\s+/v, /^;/v, /^--[^\n]*/v, /^\/\*[\s\S]*?\*\//v] as const;
 const FIRST_WORD_PATTERN = /^[a-z]+/iv;
 const LATER_STATEMENT_PATTERN = /;(?=[\s\S]*\S)/v;
-const STATE_PATTERN = /\b(?:set_config|temp|temporary|pg_advisory\w*|prepare|listen|declare|set)\b/iv;
+const STATEFUL_PATTERN = /\b(?:set_config|temp|temporary|pg_advisory\w*|prepare|listen|declare|set)\b/iv;
 const LOCK_PATTERN = /\bpg_(?:try_)?advisory\w*/iv;
 
 const matchLeading = (text: string): string | undefined => LEADING_PATTERNS.map(pattern => pattern.exec(text)?.[0]).find(match => match !== undefined);
@@ -38,7 +38,7 @@
 	return rest;
 };
 
-/** Classifies the text of a simple query or of one prepared statement. */
+/** Classifies the text of a simple query or of one prepared statement. Text with several statements, and text that takes advisory locks, is a write. */
 export const classifyStatement = (text: string): StatementClass => {
 	const start = skipLeading(text);
 	const word = FIRST_WORD_PATTERN.exec(start)?.[0].toLowerCase();
@@ -65,5 +65,5 @@
 	return word !== undefined && READ_WORDS.has(word) ? 'read' : 'write';
 };
 
-/** Tells whether a statement may leave state on its connection, which then is reset before reuse. */
-export const isStateful = (text: string): boolean => STATE_PATTERN.test(text);
+/** Tells whether a statement may leave state on its connection; the connection must then be reset before reuse. */
+export const isStateful = (text: string): boolean => STATEFUL_PATTERN.test(text);
--- a/packages/sessions/src/prepared-statements.ts
+++ b/packages/sessions/src/prepared-statements.ts
@@ -1,9 +1,9 @@
-/** Prepared statements of one caller, by name; homes know them by hash. */
+/** Prepared statements of one caller. The caller names them; owners identify them by hash, whatever the name. */
 
 import {createHash} from 'node:crypto';
 import type {PreparedStatement} from './requests.js';
 
-/** Names of one caller. */
+/** Prepared statements of one caller, by name. */
 export type PreparedStatementMap = Readonly<{
 	get: (name: string) => PreparedStatement | undefined;
 	set: (name: string, statement: PreparedStatement) => void;
@@ -12,12 +12,12 @@
 
 const HASH_LENGTH = 24;
 
-/** Creates the statement of a text and its parameter types. */
+/** Creates a prepared statement; the hash is computed from its text and its encoded parameter types. */
 export const createPreparedStatement = (text: string, types: Uint8Array): PreparedStatement => ({
 	hash: `g${createHash('sha256').update(text).update('\u0000').update(types).digest('hex').slice(0, HASH_LENGTH)}`, text, types,
 });
 
-/** Creates the names of a caller that has prepared nothing. */
+/** Creates an empty map of prepared statements. */
 export const createPreparedStatementMap = (): PreparedStatementMap => {
 	const statements = new Map<string, PreparedStatement>();
 	return {
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -1,19 +1,19 @@
-/** Requests and answers between an entry and a home, free of any message encoding of the inner protocol. */
+/** Requests and replies between an entry and the owner of a target, independent of the encoding between vms. */
 
 import type {
 	CustomerId, DatabaseId, Failure, TargetId, RequestId, ServiceId, TransactionStatus,
 } from '@guavapitch/core';
 
-/** Consistency that a request needs. */
+/** Consistency required by a request. */
 export type RequestMode
-	/** Runs on the primary; the answer waits until it is durable. */
+	/** Runs on the primary; the response is withheld until the write is durable. */
 	= | 'write'
-	/** Runs on any target that holds every acknowledged write. */
+	/** Runs on any target that has every acknowledged write. */
 		| 'read'
-	/** Runs on any replica whose data are young enough. */
+	/** Runs on any replica whose data are recent enough. */
 		| 'stale';
 
-/** What an entry tells a home of a request before its messages. */
+/** Header of a request, sent by the entry to the owner before any chunk. */
 export type RequestHeader = Readonly<{
 	requestId: RequestId;
 	service: ServiceId;
@@ -22,62 +22,62 @@
 	customer: CustomerId;
 	weight: number;
 	mode: RequestMode;
-	/** Largest age of the data, in milliseconds, for `stale`. */
+	/** Maximum age of the data for mode `stale`, in milliseconds. */
 	maximumAgeMs: number;
-	/** Time left for the answer when the header was sent; clocks are not shared, so no deadline can travel. */
+	/** Time left for the response when the header was sent, in milliseconds; a duration, because the clocks of vms are not synchronized. */
 	remainingMs: number;
-	/** Time the transaction may stay idle, in milliseconds. */
+	/** Time for which the transaction may be idle before it is rolled back, in milliseconds. */
 	idleTransactionMs: number;
 }>;
 
-/** A prepared statement by the hash of its text and types. */
+/** A prepared statement, identified by the hash of its text and its encoded parameter types. */
 export type PreparedStatement = Readonly<{hash: string; text: string; types: Uint8Array}>;
 
-/** One step of what a caller asked, in order. */
+/** One part of a chunk; the parts are run in order. */
 export type RequestPart
-	/** Messages to pass on as they are. */
+	/** Messages to forward unchanged. */
 	= | Readonly<{kind: 'messages'; bytes: Uint8Array; replies: number}>
-	/** Statement the caller prepares; it hears of the result. */
+	/** Statement that the caller prepares; the result is sent to the caller. */
 		| Readonly<{kind: 'prepare'; statement: PreparedStatement}>
-	/** Statement the next messages refer to; the caller does not hear of it. */
+	/** Statement that the following messages refer to; it is prepared if necessary, and the result is not sent to the caller. */
 		| Readonly<{kind: 'require'; statement: PreparedStatement}>;
 
-/** What an entry sends a home: the parts up to a Sync, a Flush or the end of a simple query. */
+/** A chunk of a request: all parts up to a Sync, a Flush or the end of a simple query. */
 export type RequestChunk = Readonly<{
 	parts: readonly RequestPart[];
-	/** Whether the database will answer `ReadyForQuery`. */
+	/** Whether the database answers the chunk with `ReadyForQuery`. */
 	ends: boolean;
-	/** Whether the parts may commit a transaction. */
+	/** Whether the chunk may commit a transaction. */
 	mayCommit: boolean;
-	/** Whether the parts may leave state on the connection. */
+	/** Whether the chunk may leave state on the connection. */
 	leavesState: boolean;
 }>;
 
-/** Why a request was refused without having run. */
+/** Reason for refusing a request that has not run. */
 export type RefusalCode
 	= | 'notHome' | 'noGrant' | 'notPrimary' | 'tooOld' | 'targetUnreachable' | 'connectionsExhausted' | 'queueFull'
 		| 'deadlinePassed' | 'targetLeaving' | 'limitExceeded' | 'keyWithdrawn' | 'keyUnconfirmed' | 'peerUnreachable' | 'draining' | 'noRoute'
 		| 'unsupported' | 'canceled';
 
-/** Refusal of a request that has certainly not run. */
+/** Refusal of a request; it is certain that the request has not run. */
 export type Refusal = Failure<RefusalCode> & Readonly<{
-	/** Time after which to try again, in milliseconds. */
+	/** Time after which the caller may try again, in milliseconds. */
 	retryAfterMs?: number;
 }>;
 
-/** What a home sends back. */
+/** Reply of an owner to a chunk. */
 export type Reply
 	/** Messages for the caller. */
 	= | Readonly<{kind: 'messages'; bytes: Uint8Array}>
-	/** The chunk is answered; unless `idle`, the connection waits for more of the transaction. */
+	/** The chunk is complete; unless the status is `idle`, the connection is kept for the next chunk of the transaction. */
 		| Readonly<{kind: 'ready'; status: TransactionStatus}>
-	/** The chunk ended with a Flush and is answered; the connection waits for more. */
+	/** The chunk ended with a Flush and is complete; the connection is kept for the next chunk. */
 		| Readonly<{kind: 'flushed'}>
-	/** Not run. */
+	/** The request was refused and has not run. */
 		| Readonly<{kind: 'refused'; refusal: Refusal}>
-	/** A replica refused a write; not run. */
+	/** A replica refused the request because it writes; it has not run. */
 		| Readonly<{kind: 'readOnly'}>
-	/** The transaction was rolled back, no commit was sent. */
+	/** The transaction was rolled back; no commit was sent. */
 		| Readonly<{kind: 'rolledBack'; message: string}>
-	/** It may or may not have run. */
+	/** The outcome is unknown: the request may have run. */
 		| Readonly<{kind: 'unknown'; message: string}>;
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -1,32 +1,32 @@
-/** Statements of callers and what becomes of them, without an encoding. */
+/** Statements of callers and their outcomes, independent of the wire encoding. */
 
 import type {CustomerId, DatabaseId, TransactionStatus} from '@guavapitch/core';
 
-/** Place in the log of a database. */
+/** Position in the log of a database: positions of a later term follow all positions of an earlier one. */
 export type LogPosition = Readonly<{term: number; number: number}>;
 
-/** What a read must have seen. */
+/** Which writes a read must include. */
 export type Consistency
-	/** Everything acknowledged before it began. */
+	/** All writes acknowledged before the read started. */
 	= | Readonly<{kind: 'latest'}>
-	/** Everything acknowledged longer ago than the age. */
+	/** All writes acknowledged more than `maxStalenessMs` ago. */
 		| Readonly<{kind: 'bounded'; maxStalenessMs: number}>
-	/** The same, and everything acknowledged to the session itself. */
+	/** As `bounded`, and all writes acknowledged to the same session. */
 		| Readonly<{kind: 'ownWrites'; maxStalenessMs: number}>;
 
 /** Whether a statement may change data. */
 export type Access = 'read' | 'write';
 
-/** A statement prepared by a caller: its access and the text that defines it. */
+/** Definition of a statement that a caller has prepared: its access and its text. */
 export type PreparedDefinition = Readonly<{access: Access; shape: string}>;
 
-/** A statement that a target must run. */
+/** A statement to run at a target. */
 export type TargetStatement
 	= | Readonly<{kind: 'text'; access: Access; text: string}>
 		| Readonly<{kind: 'prepared'; prepared: PreparedDefinition; rest: string}>
 		| Readonly<{kind: 'commit'; text: string}>;
 
-/** A statement as a caller sends it. */
+/** A statement as received from a caller. */
 export type CallerStatement
 	= | Readonly<{kind: 'begin'; readOnly: boolean}>
 		| Readonly<{kind: 'commit'; text: string}>
@@ -37,61 +37,61 @@
 		| Readonly<{kind: 'execute'; name: string; rest: string}>
 		| Readonly<{kind: 'deallocate'; name: string}>;
 
-/** Why a statement was not run, or nothing of it is kept. */
+/** Why a statement was not run, or was rolled back. */
 export type StatementRefusalCode = 'busy' | 'overShare' | 'aborted' | 'lagging' | 'readOnly' | 'tooMany' | 'noKey' | 'noDatabase' | 'malformed' | 'noStatement';
 
 /** Outcome of a statement. */
 export type StatementOutcome
-	/** It ran; `signature` is the target's proof, empty when no target was needed. */
+	/** The statement ran; `signature` is the proof given by the target, empty if no target was needed. */
 	= | Readonly<{kind: 'done'; rows: readonly string[]; signature: string}>
-	/** Nothing of the caller's attempt is kept. */
+	/** The statement has no effect: it was not run or was rolled back. */
 		| Readonly<{kind: 'refused'; code: StatementRefusalCode; reason: string; retryAfterMs: number}>
-	/** It ran at the target and failed there. */
+	/** The statement ran at the target and failed there. */
 		| Readonly<{kind: 'failed'; reason: string}>
-	/** Its time ran out; it may have run. */
+	/** The statement timed out; it may have run. */
 		| Readonly<{kind: 'timeout'; reason: string}>
-	/** It may have run; nobody can tell. */
+	/** The outcome is unknown: the statement may have run. */
 		| Readonly<{kind: 'unknown'; reason: string}>;
 
-/** What an entry asks of the home of a database. */
+/** Request of an entry to the owner of a database to run a statement. */
 export type StatementRequest = Readonly<{
-	/** Identifier that the caller gave. */
+	/** Identifier given by the caller. */
 	id: string;
 	database: DatabaseId;
 	customer: CustomerId;
 	statement: TargetStatement;
 	consistency: Consistency;
-	/** Last position acknowledged to the session. */
+	/** Minimum log position that a read must include: that of the last write acknowledged to the session. */
 	floor: LogPosition | undefined;
-	/** Session values that must be set at the target. */
+	/** Session variables to set at the target. */
 	values: ReadonlyArray<readonly [name: string, value: string]>;
-	/** Transaction that the statement belongs to. */
+	/** Transaction to which the statement belongs. */
 	transaction: Readonly<{id: string; readOnly: boolean; isFirst: boolean}> | undefined;
-	/** Time left for the statement when it was sent; clocks are not shared. */
+	/** Time left for the statement when it was sent, in milliseconds; a duration, because the clocks of vms are not synchronized. */
 	remainingMs: number;
-	/** Time left in which an answer counts as prompt when it was sent. */
+	/** Time left of the latency objective when the request was sent, in milliseconds. */
 	promptMs: number;
-	/** Smaller goes first. */
+	/** Statements with a smaller number run first. */
 	priority: number;
 }>;
 
-/** What a home answers. */
+/** Response of the owner of a database. */
 export type StatementResponse = Readonly<{
 	outcome: StatementOutcome;
-	/** State of the transaction afterwards. */
+	/** Status of the transaction after the statement. */
 	status: TransactionStatus;
-	/** Position of the target's log, for the session's floor. */
+	/** Log position of the target, from which the session takes its minimum position. */
 	position: LogPosition | undefined;
-	/** Target that answered, for the logs. */
+	/** Target that ran the statement, for logging. */
 	target: string | undefined;
-	/** Time from the request's arrival at the home to its target, in milliseconds. */
+	/** Time from the arrival of the request at the owner until it was sent to a target, in milliseconds. */
 	waitedMs: number;
 }>;
 
-/** Compares two positions. */
+/** Compares two log positions, as for `Array.sort`. */
 export const comparePositions = (a: LogPosition, b: LogPosition): number => a.term - b.term || a.number - b.number;
 
-/** Chooses the later of two positions. */
+/** Returns the later of two log positions, or the one that is defined. */
 export const chooseLaterPosition = (a: LogPosition | undefined, b: LogPosition | undefined): LogPosition | undefined => {
 	if (!a || !b) {
 		return a ?? b;
@@ -100,12 +100,12 @@
 	return comparePositions(a, b) >= 0 ? a : b;
 };
 
-/** Creates a refusal. */
+/** Creates the outcome of a refused statement. */
 export const createRefusal = (code: StatementRefusalCode, reason: string, retryAfterMs = 0): StatementOutcome => ({
 	kind: 'refused', code, reason, retryAfterMs,
 });
 
-/** Gets the access that a statement needs. */
+/** Returns the access that a statement needs. */
 export const getAccess = (statement: TargetStatement): Access | 'commit' => {
 	if (statement.kind === 'commit') {
 		return 'commit';
