Reword the callers package

A session checks its authorization, sends statements to the owner of the database and carries a minimum position. Refusals say what is accepted instead. No test matches the changed messages.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,89 +1,94 @@
-/** Session of one caller: its values, prepared statements and transaction, without an encoding. */
+/** Session of one caller: its variables, prepared statements and transaction. Independent of the wire encoding. */
 
 import {
 	createDeadline, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type World,
 } from '@guavapitch/core';
 import {
-	chooseLaterPosition, createRefusal, getAccess, type CallerStatement, type Consistency, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
+	chooseLaterPosition, createRefusal, getAccess,
+	type CallerStatement, type Consistency, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
 } from '@guavapitch/sessions';
 
-/** Rules of the service that a session uses. */
+/** Configuration of the service that a session uses. */
 export type Route = Readonly<{
-	/** Name under which callers ask for it. */
+	/** Name by which callers request the service. */
 	service: string;
 	database: DatabaseId;
 	consistency: Consistency;
-	/** Limit of one statement, in milliseconds. */
+	/** Timeout of one statement, in milliseconds. */
 	timeoutMs: number;
-	/** Time in which a whole operation should be answered, in milliseconds. */
+	/** Time within which a whole operation, a single statement or a transaction, should complete, in milliseconds. */
 	latencyObjectiveMs: number;
-	/** Smaller goes first. */
+	/** Statements with a smaller number run first. */
 	priority: number;
 	/** Whether callers need no key. */
 	isPublic: boolean;
 }>;
 
-/** Who a caller proved to be. */
+/** Service and customer for which a caller is authorized. */
 export type Authorization = Readonly<{route: Route; customer: CustomerId}>;
 
-/** What a session needs. */
+/** Dependencies of a session. */
 export type SessionContext = Readonly<{
 	world: World;
-	/** Reads the rules that hold now for the session; a refusal if its service or key is gone. */
+	/** Checks the caller against the active configuration; fails with a refusal if its service or key has been removed. */
 	authorize: () => Result<Authorization, StatementOutcome>;
-	/** Lets the home of the database run a statement. */
+	/** Runs a statement at the owner of the database. */
 	runAtOwner: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
-	/** Rolls a transaction back at its home. */
+	/** Rolls a transaction back at the owner of its database. */
 	rollBack: (database: DatabaseId, transaction: string) => void;
 }>;
 
-/** What a caller hears of a statement. */
+/** Response to a statement of the caller. */
 export type SessionResponse = Readonly<{
 	outcome: StatementOutcome;
 	status: TransactionStatus;
 	position: LogPosition | undefined;
-	/** Target that answered, for the logs. */
+	/** Target that response the statement, for logging. */
 	target: string | undefined;
+	/** Time from the arrival of the request at the owner until it was sent to a target, in milliseconds. */
 	waitedMs: number;
 }>;
 
 /** Session of a caller. */
 export type Session = Readonly<{
-	/** Runs a statement; one at a time. */
+	/** Runs a statement; the previous one must have completed. */
 	run: (id: string, statement: CallerStatement) => Promise<SessionResponse>;
 	getStatus: () => TransactionStatus;
-	/** Ends the session; an open transaction is rolled back. */
+	/** Ends the session and rolls back an open transaction. */
 	end: () => void;
 }>;
 
 type Transaction = Readonly<{
 	id: string;
 	readOnly: boolean;
-	admission: Authorization;
-	promptUntil: Deadline;
+	authorization: Authorization;
+	latencyDeadline: Deadline;
 }>;
 
 const DONE: StatementOutcome = {kind: 'done', rows: [], signature: ''};
 
-/** Creates a session in no transaction. */
+/** Creates a session with no open transaction. */
 export const createSession = (context: SessionContext): Session => {
 	const {world} = context;
 	const values = new Map<string, string>();
 	const prepared = new Map<string, PreparedDefinition>();
 	let status: TransactionStatus = 'idle';
 	let transaction: Transaction | undefined;
+	/** Whether a statement of the transaction has been sent to the owner. */
 	let isStarted = false;
-	let floor: LogPosition | undefined;
+	/** Log position of the last acknowledged write. */
+	let minimumPosition: LogPosition | undefined;
 
-	const answer = (outcome: StatementOutcome, from?: StatementResponse): SessionResponse => ({
-		outcome, status, position: from?.position, target: from?.target, waitedMs: from?.waitedMs ?? 0,
+	const createResponse = (outcome: StatementOutcome, response?: StatementResponse): SessionResponse => ({
+		outcome, status, position: response?.position, target: response?.target, waitedMs: response?.waitedMs ?? 0,
 	});
 
-	const leaveTransaction = (next: TransactionStatus) => {
+	/** Sets the status; unless it is `open`, ends the transaction and rolls it back at the owner if it has started there. */
+	const endTransaction = (next: TransactionStatus) => {
 		status = next;
 		if (next !== 'open') {
 			if (transaction && isStarted) {
-				context.rollBack(transaction.admission.route.database, transaction.id);
+				context.rollBack(transaction.authorization.route.database, transaction.id);
 			}
 
 			transaction = undefined;
@@ -91,77 +96,77 @@
 		}
 	};
 
-	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, promptUntil: Deadline): StatementRequest => ({
+	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, latencyDeadline: Deadline): StatementRequest => ({
 		id,
 		database: route.database,
 		customer,
 		statement,
 		consistency: route.consistency,
-		floor: route.consistency.kind === 'ownWrites' ? floor : undefined,
+		floor: route.consistency.kind === 'ownWrites' ? minimumPosition : undefined,
 		values: [...values],
 		transaction: transaction && {id: transaction.id, readOnly: transaction.readOnly, isFirst: !isStarted},
 		remainingMs: route.timeoutMs,
-		promptMs: Math.max(0, promptUntil - world.now()),
+		promptMs: Math.max(0, latencyDeadline - world.now()),
 		priority: route.priority,
 	});
 
-	const noteAnswer = (request: StatementRequest, {outcome, position}: StatementResponse) => {
+	const recordResponse = (request: StatementRequest, {outcome, position}: StatementResponse) => {
 		const mayHaveWritten = getAccess(request.statement) !== 'read';
 		if (outcome.kind === 'done' && mayHaveWritten && position) {
-			floor = chooseLaterPosition(floor, position);
+			minimumPosition = chooseLaterPosition(minimumPosition, position);
 		}
 	};
 
 	const runSingle = async (id: string, statement: TargetStatement): Promise<SessionResponse> => {
 		const startedAt = world.now();
-		const admission = context.authorize();
-		if (admission.err) {
-			return answer(admission.val);
+		const authorization = context.authorize();
+		if (authorization.err) {
+			return createResponse(authorization.val);
 		}
 
-		const {route} = admission.val;
-		const request = createRequest(id, statement, admission.val, createDeadline(startedAt, route.latencyObjectiveMs));
-		const ran = await context.runAtOwner(request, createDeadline(world.now(), route.timeoutMs));
-		noteAnswer(request, ran);
-		return answer(ran.outcome, ran);
+		const {route} = authorization.val;
+		const request = createRequest(id, statement, authorization.val, createDeadline(startedAt, route.latencyObjectiveMs));
+		const response = await context.runAtOwner(request, createDeadline(world.now(), route.timeoutMs));
+		recordResponse(request, response);
+		return createResponse(response.outcome, response);
 	};
 
 	const runInTransaction = async (id: string, statement: TargetStatement, open: Transaction): Promise<SessionResponse> => {
 		const current = context.authorize();
 		if (current.err && current.val.kind === 'refused' && current.val.code === 'noKey') {
-			leaveTransaction('failed');
-			return answer(current.val);
+			endTransaction('failed');
+			return createResponse(current.val);
 		}
 
-		const request = createRequest(id, statement, open.admission, open.promptUntil);
+		const request = createRequest(id, statement, open.authorization, open.latencyDeadline);
 		isStarted = true;
-		const ran = await context.runAtOwner(request, createDeadline(world.now(), open.admission.route.timeoutMs));
-		noteAnswer(request, ran);
-		if (statement.kind === 'commit' || ran.status !== 'open') {
-			isStarted = ran.status === 'open';
-			leaveTransaction(statement.kind === 'commit' ? 'idle' : 'failed');
+		const response = await context.runAtOwner(request, createDeadline(world.now(), open.authorization.route.timeoutMs));
+		recordResponse(request, response);
+		if (statement.kind === 'commit' || response.status !== 'open') {
+			isStarted = response.status === 'open';
+			endTransaction(statement.kind === 'commit' ? 'idle' : 'failed');
 		}
 
-		return answer(ran.outcome, ran);
+		return createResponse(response.outcome, response);
 	};
 
 	const begin = (readOnly: boolean): SessionResponse => {
 		if (status === 'open') {
-			return answer(createRefusal('malformed', 'a transaction is open already'));
+			return createResponse(createRefusal('malformed', 'a transaction is already open'));
 		}
 
 		const startedAt = world.now();
-		const admission = context.authorize();
-		if (admission.err) {
-			return answer(admission.val);
+		const authorization = context.authorize();
+		if (authorization.err) {
+			return createResponse(authorization.val);
 		}
 
 		transaction = {
-			id: world.createId(), readOnly, admission: admission.val, promptUntil: createDeadline(startedAt, admission.val.route.latencyObjectiveMs),
+			id: world.createId(), readOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
 		};
 		isStarted = false;
 		status = 'open';
-		return answer(DONE);
+		return createResponse(DONE);
 	};
 
 	const runAtTarget = async (id: string, statement: TargetStatement): Promise<SessionResponse> => {
@@ -170,15 +175,15 @@
 		}
 
 		return statement.kind === 'commit'
-			? answer(createRefusal('malformed', 'there is no transaction to commit'))
+			? createResponse(createRefusal('malformed', 'no transaction is open to commit'))
 			: runSingle(id, statement);
 	};
 
 	const execute = async (id: string, name: string, rest: string): Promise<SessionResponse> => {
-		const known = prepared.get(name);
-		return known
-			? runAtTarget(id, {kind: 'prepared', prepared: known, rest})
-			: answer(createRefusal('noStatement', 'no statement of that name is prepared'));
+		const definition = prepared.get(name);
+		return definition
+			? runAtTarget(id, {kind: 'prepared', prepared: definition, rest})
+			: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
 	};
 
 	const runStatement = async (id: string, statement: CallerStatement): Promise<SessionResponse> => {
@@ -189,32 +194,32 @@
 
 			case 'commit': {
 				if (status === 'failed') {
-					leaveTransaction('idle');
-					return answer(createRefusal('aborted', 'the transaction had failed and is rolled back'));
+					endTransaction('idle');
+					return createResponse(createRefusal('aborted', 'the transaction had failed and was rolled back'));
 				}
 
 				return runAtTarget(id, statement);
 			}
 
 			case 'rollback': {
-				leaveTransaction('idle');
-				return answer(DONE);
+				endTransaction('idle');
+				return createResponse(DONE);
 			}
 
 			case 'set': {
 				values.set(statement.name, statement.value);
-				return answer(DONE);
+				return createResponse(DONE);
 			}
 
 			case 'prepare': {
 				prepared.set(statement.name, statement.prepared);
-				return answer(DONE);
+				return createResponse(DONE);
 			}
 
 			case 'deallocate': {
 				return prepared.delete(statement.name)
-					? answer(DONE)
-					: answer(createRefusal('noStatement', 'no statement of that name is prepared'));
+					? createResponse(DONE)
+					: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
 			}
 
 			case 'execute': {
@@ -230,12 +235,12 @@
 	return {
 		async run(id, statement) {
 			return status === 'failed' && statement.kind !== 'rollback' && statement.kind !== 'commit'
-				? answer(createRefusal('malformed', 'the transaction has failed; only its end is accepted'))
+				? createResponse(createRefusal('malformed', 'the transaction has failed; only commit or rollback is accepted'))
 				: runStatement(id, statement);
 		},
 		getStatus: () => status,
 		end() {
-			leaveTransaction('idle');
+			endTransaction('idle');
 		},
 	};
 };
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -1,4 +1,4 @@
-/** Sessions of callers: transactions, values, prepared statements, withdrawn keys. */
+/** Sessions of callers: transactions, minimum position, prepared statements and withdrawn keys. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -15,7 +15,7 @@
 };
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
-const createSetup = (answer: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
+const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
 	const {world} = createVirtualWorld();
 	const requests: StatementRequest[] = [];
 	const rolledBack: string[] = [];
@@ -27,7 +27,7 @@
 			requests.push(request);
 			const status = request.transaction && request.statement.kind !== 'commit' ? 'open' : 'idle';
 			return {
-				outcome: DONE, status, position: {term: 1, number: 7}, target: 'one', waitedMs: 0, ...answer(request),
+				outcome: DONE, status, position: {term: 1, number: 7}, target: 'one', waitedMs: 0, ...respond(request),
 			};
 		},
 		rollBack(_database, transaction) {
@@ -41,7 +41,7 @@
 
 describe('session', () => {
 	describe('transaction', () => {
-		it('reaches its home only with its first statement', async () => {
+		it('reaches the owner only with its first statement', async () => {
 			const {session, requests} = createSetup();
 			assert.equal((await session.run('1', {kind: 'begin', readOnly: false})).status, 'open');
 			assert.equal(requests.length, 0);
@@ -52,7 +52,7 @@
 			assert.equal(session.getStatus(), 'idle');
 		});
 
-		it('that failed accepts only its end', async () => {
+		it('that has failed accepts only commit or rollback', async () => {
 			const {session} = createSetup(() => ({outcome: createRefusal('aborted', 'lost'), status: 'failed'}));
 			await session.run('1', {kind: 'begin', readOnly: false});
 			assert.equal((await session.run('2', {kind: 'text', access: 'read', text: 'READ a'})).status, 'failed');
@@ -61,7 +61,7 @@
 			assert.equal((await session.run('4', {kind: 'rollback'})).status, 'idle');
 		});
 
-		it('is rolled back when its caller leaves', async () => {
+		it('is rolled back when its caller disconnects', async () => {
 			const {session, rolledBack} = createSetup();
 			await session.run('1', {kind: 'begin', readOnly: false});
 			await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
@@ -70,8 +70,8 @@
 		});
 	});
 
-	describe('floor', () => {
-		it('is the position of the session\'s last write', async () => {
+	describe('minimum position', () => {
+		it('is the log position of the last write of the session', async () => {
 			const {session, requests} = createSetup();
 			await session.run('1', {kind: 'text', access: 'write', text: 'WRITE a b'});
 			await session.run('2', {kind: 'text', access: 'read', text: 'READ a'});
@@ -80,7 +80,7 @@
 	});
 
 	describe('prepared statements', () => {
-		it('travel with their shape, not with the caller\'s name', async () => {
+		it('are sent with their text, not with the name given by the caller', async () => {
 			const {session, requests} = createSetup();
 			await session.run('1', {kind: 'prepare', name: 's1', prepared: {access: 'write', shape: 'q2c'}});
 			await session.run('2', {kind: 'execute', name: 's1', rest: 'a b'});
@@ -92,7 +92,7 @@
 	});
 
 	describe('key', () => {
-		it('that is withdrawn ends the session\'s work, also inside a transaction', async () => {
+		it('that is withdrawn makes the session refuse statements, also inside a transaction', async () => {
 			const {session, requests, state} = createSetup();
 			await session.run('1', {kind: 'begin', readOnly: false});
 			state.isIssued = false;
