--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -1,4 +1,4 @@
-/** The steward of one database: the only task in the fleet that may change its record. */
+/** Failover coordinator of one database: the only task in the fleet that may change its group record. */
 
 import {
 	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
@@ -14,18 +14,18 @@
 	createGroupRecord, formatGroupKey, formatGroupRecord, getAwaitedReplicas, parseGroupRecord, promoteRecord, type GroupRecord, type GroupView,
 } from './group-record.js';
 
-/** Commands to targets. */
+/** Commands that the coordinator sends to targets. */
 export type TargetCommands = Readonly<{
 	probe: ProbeTarget;
 	/** Makes a replica the primary. */
 	promote: (target: TargetId) => Promise<Result<unknown, Failure>>;
-	/** Makes a replica follow a primary; with no primary it follows nobody. */
+	/** Makes a replica follow a primary; without a primary it stops replication. */
 	follow: (target: TargetId, primary: TargetId | undefined) => Promise<Result<unknown, Failure>>;
-	/** Makes a target with a history of its own a replica of the primary. */
+	/** Makes a target whose log has diverged a replica of the primary. */
 	rejoin: (target: TargetId, primary: TargetId) => Promise<Result<unknown, Failure>>;
 }>;
 
-/** Steps of a failover, for the time line. */
+/** Events of a failover, for the log and its timeline. */
 export type FailoverEvent
 	= | Readonly<{kind: 'started'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'grantsEnded'; term: number}>
@@ -36,74 +36,74 @@
 		| Readonly<{kind: 'rejoined'; target: TargetId; primary: TargetId}>
 		| Readonly<{kind: 'target'; target: TargetId; reachable: boolean}>;
 
-/** What a steward needs. */
+/** Dependencies of a failover coordinator. */
 export type FailoverCoordinatorContext = Readonly<{
 	world: World;
 	store: Store;
 	getSettings: () => FailoverSettings | undefined;
 	commands: TargetCommands;
-	/** Gets the deadline of the authority over the database. */
+	/** Returns the deadline of the authority over the database. */
 	getAuthorityDeadline: () => Deadline;
-	/** Asks a holder to give up permissions. */
+	/** Asks the holder of a grant to stop using permissions. */
 	revoke: (holder: Holder, database: DatabaseId, permissions: Permissions) => Promise<Result<unknown, Failure>>;
-	/** Tells everybody of a record. */
+	/** Publishes the current group record. */
 	publish: (view: GroupView) => void;
 	onEvent: (event: FailoverEvent) => void;
 }>;
 
-/** Steward of one database. */
+/** Failover coordinator of one database. */
 export type FailoverCoordinator = Readonly<{
-	/** Answers a holder's request for a grant. */
+	/** Issues a grant to a holder that requests one; returns `undefined` if there is no group record or no authority. */
 	grant: (holder: Holder) => GrantReply | undefined;
-	/** Works until the signal aborts. */
+	/** Coordinates until the signal aborts or the authority expires. */
 	run: (signal: AbortSignal) => Promise<void>;
 }>;
 
-const PROBE_PERIOD_MS = 100;
-const STORE_RETRY_MS = 50;
-const COMMAND_RETRY_MS = 50;
-const COMMAND_TRIES = 20;
-const REPAIR_MS = 1000;
+const PROBE_INTERVAL_MS = 100;
+const STORE_RETRY_DELAY_MS = 50;
+const COMMAND_RETRY_DELAY_MS = 50;
+const MAX_COMMAND_ATTEMPTS = 20;
+const REPAIR_INTERVAL_MS = 1000;
 
-/** Creates the steward of a database. */
+/** Creates the failover coordinator of a database. */
 export const createFailoverCoordinator = (context: FailoverCoordinatorContext, database: DatabaseId): FailoverCoordinator => {
 	const {world, store, commands, onEvent} = context;
-	const granter = createGrantIssuer(world);
+	const issuer = createGrantIssuer(world);
 	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, reachable) => {
 		onEvent({kind: 'target', target, reachable});
 	});
 	let view: GroupView | undefined;
 	let permissions: Permissions = NO_PERMISSIONS;
-	let blocked = '';
-	let repairAt = createDeadline(world.now(), 0);
+	let blockedReason = '';
+	let nextRepairAt = createDeadline(world.now(), 0);
 
 	const hasAuthority = () => !isPast(context.getAuthorityDeadline(), world.now());
 
 	const getAges = (): Readonly<Record<string, number>> => {
 		const targets = context.getSettings()?.targets ?? [];
 		const ages = targets.map(target => [target, health.getAgeMs(target)] as const);
-		return Object.fromEntries(ages.filter((pair): pair is readonly [TargetId, number] => pair[1] !== undefined));
+		return Object.fromEntries(ages.filter((entry): entry is readonly [TargetId, number] => entry[1] !== undefined));
 	};
 
-	/** Gets the replicas of the synced set that are seen to live and to hold what they held. */
+	/** Returns the replicas of the synced set that are reachable and have not lost data. */
 	const getReadable = (record: GroupRecord): readonly TargetId[] => record.synced
 		.filter(target => health.isReachable(target) && !health.hasLostData(target));
 
-	const block = (reason: string) => {
-		if (blocked !== reason) {
-			blocked = reason;
+	const reportBlocked = (reason: string) => {
+		if (blockedReason !== reason) {
+			blockedReason = reason;
 			onEvent({kind: 'blocked', reason});
 		}
 	};
 
-	const adopt = (next: GroupView) => {
-		view = next;
-		blocked = '';
-		context.publish(next);
-		onEvent({kind: 'recordChanged', record: next.record, revision: next.revision});
+	const updateView = (newView: GroupView) => {
+		view = newView;
+		blockedReason = '';
+		context.publish(newView);
+		onEvent({kind: 'recordChanged', record: newView.record, revision: newView.revision});
 	};
 
-	/** Reads the record until the store answers; `undefined` if the authority ends first. */
+	/** Reads the group record, with retries until the store answers; returns `undefined` if the authority expires first. */
 	const readRecord = async (signal: AbortSignal): Promise<GroupView | 'none' | undefined> => {
 		while (hasAuthority() && !signal.aborted) {
 			const entry = await store.read(formatGroupKey(database));
@@ -112,13 +112,13 @@
 				return entry.val && record?.ok ? {record: record.val, revision: entry.val.revision} : 'none';
 			}
 
-			await world.sleep(STORE_RETRY_MS, signal);
+			await world.sleep(STORE_RETRY_DELAY_MS, signal);
 		}
 
 		return undefined;
 	};
 
-	/** Writes a record by compare-and-swap; a lost answer is resolved by reading back. */
+	/** Writes a group record by compare-and-swap. If the response is lost, the swap is repeated, and the entry then found shows whether it took effect. */
 	const writeRecord = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
 		const text = formatGroupRecord(record);
 		while (hasAuthority() && !signal.aborted) {
@@ -126,71 +126,71 @@
 			if (written.ok) {
 				const {swapped, current} = written.val;
 				if (current && (swapped || current.value === text)) {
-					adopt({record, revision: current.revision});
+					updateView({record, revision: current.revision});
 					return true;
 				}
 
-				const standing = current ? parseGroupRecord(current.value) : undefined;
-				if (current && standing?.ok) {
-					adopt({record: standing.val, revision: current.revision});
+				const currentRecord = current ? parseGroupRecord(current.value) : undefined;
+				if (current && currentRecord?.ok) {
+					updateView({record: currentRecord.val, revision: current.revision});
 				}
 
 				return false;
 			}
 
-			await world.sleep(STORE_RETRY_MS, signal);
+			await world.sleep(STORE_RETRY_DELAY_MS, signal);
 		}
 
 		return false;
 	};
 
-	const tryCommand = async (run: () => Promise<Result<unknown, Failure>>, signal: AbortSignal): Promise<boolean> => {
-		for (let count = 0; count < COMMAND_TRIES && hasAuthority() && !signal.aborted; count++) {
+	const runWithRetries = async (run: () => Promise<Result<unknown, Failure>>, signal: AbortSignal): Promise<boolean> => {
+		for (let count = 0; count < MAX_COMMAND_ATTEMPTS && hasAuthority() && !signal.aborted; count++) {
 			const done = await run();
 			if (done.ok) {
 				return true;
 			}
 
-			await world.sleep(COMMAND_RETRY_MS, signal);
+			await world.sleep(COMMAND_RETRY_DELAY_MS, signal);
 		}
 
 		return false;
 	};
 
-	const endGrants = async (ended: Permissions, signal: AbortSignal) => {
+	const revokeGrants = async (revoked: Permissions, signal: AbortSignal) => {
 		permissions = {
-			writes: permissions.writes && !ended.writes,
-			acknowledgements: permissions.acknowledgements && !ended.acknowledgements,
-			reads: permissions.reads && !ended.reads,
+			writes: permissions.writes && !revoked.writes,
+			acknowledgements: permissions.acknowledgements && !revoked.acknowledgements,
+			reads: permissions.reads && !revoked.reads,
 		};
-		await granter.revokeAll(ended, async holder => context.revoke(holder, database, ended), signal);
+		await issuer.revokeAll(revoked, async holder => context.revoke(holder, database, revoked), signal);
 	};
 
 	const syncedSet = createSyncedSet({
 		world,
 		health,
-		issuer: granter,
+		issuer,
 		getRevision: () => view?.revision ?? 0,
 		writeRecord,
-		revokeGrants: endGrants,
+		revokeGrants,
 		restorePermissions() {
 			permissions = ALL_PERMISSIONS;
 		},
 	});
 
 	const bootstrap = async (settings: FailoverSettings, signal: AbortSignal) => {
-		const leaders = settings.targets
+		const primaries = settings.targets
 			.filter(target => health.isReachable(target) && health.get(target).report?.isReplica === false)
 			.toSorted((a, b) => (health.get(b).report?.timeline ?? 0) - (health.get(a).report?.timeline ?? 0));
-		const [primary] = leaders;
+		const [primary] = primaries;
 		if (primary) {
 			await writeRecord(createGroupRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
 		} else {
-			block('no target leads');
+			reportBlocked('no reachable target is a primary');
 		}
 	};
 
-	/** Keeps replicas of the synced set from receiving more of the old primary, then chooses the one that has most; one that stays goes first. */
+	/** Stops replication from the old primary, then chooses the replica of the synced set with the highest position. Replicas that are not about to be removed come first. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<TargetId | undefined> => {
 		const leaving = new Set(context.getSettings()?.leaving);
 		const reachable = record.synced.filter(target => health.isReachable(target) && !health.hasLostData(target));
@@ -201,10 +201,10 @@
 			.toSorted((a, b) => Number(leaving.has(a)) - Number(leaving.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
 	};
 
-	/** Makes the primary of the record lead, and the others follow it; only then the record says that it has led. */
+	/** Promotes the primary of the record, makes the replicas that acknowledgements wait for follow it, and only then marks the record as confirmed. */
 	const completePromotion = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
 		const leads = health.get(record.primary).report?.isReplica === false;
-		if (!leads && !await tryCommand(async () => commands.promote(record.primary), signal)) {
+		if (!leads && !await runWithRetries(async () => commands.promote(record.primary), signal)) {
 			return false;
 		}
 
@@ -215,31 +215,31 @@
 
 	const failOver = async (record: GroupRecord, planned: boolean, signal: AbortSignal) => {
 		if (!record.synced.some(target => health.isReachable(target))) {
-			block('no replica of the synced set can be reached');
+			reportBlocked('no replica of the synced set can be reached');
 			return;
 		}
 
 		onEvent({kind: 'started', primary: record.primary, term: record.term});
 		if (planned) {
-			// What was sent is answered first: holders say that their writes have ended once none is under way.
-			await endGrants(WRITE_PERMISSION, signal);
+			// Writes that were already sent are finished first: holders respond once none of their writes is in progress.
+			await revokeGrants(WRITE_PERMISSION, signal);
 		}
 
-		await endGrants(PRIMARY_PERMISSIONS, signal);
+		await revokeGrants(PRIMARY_PERMISSIONS, signal);
 		onEvent({kind: 'grantsEnded', term: record.term});
 		const successor = await chooseSuccessor(record);
 		if (!successor || !hasAuthority()) {
-			block('no replica of the synced set can be reached');
+			reportBlocked('no replica of the synced set can be reached');
 			return;
 		}
 
 		const lost = record.synced.filter(target => !health.isReachable(target) || health.hasLostData(target));
 		if (lost.length > 0) {
-			await endGrants(ALL_PERMISSIONS, signal);
+			await revokeGrants(ALL_PERMISSIONS, signal);
 		}
 
-		const kept = {...record, synced: record.synced.filter(target => !lost.includes(target))};
-		if (!await writeRecord(promoteRecord(kept, successor, health.getPosition(successor)), signal) || !view) {
+		const remaining = {...record, synced: record.synced.filter(target => !lost.includes(target))};
+		if (!await writeRecord(promoteRecord(remaining, successor, health.getPosition(successor)), signal) || !view) {
 			return;
 		}
 
@@ -250,23 +250,23 @@
 		}
 	};
 
-	/** Tells whether the primary came back without its data: it has led and follows again, or lacks what its term began with. */
+	/** Returns whether the primary has come back without its data: it is a replica again after a confirmed promotion, or its position is lower than the start of its term. */
 	const hasLostData = (record: GroupRecord): boolean => {
 		const {report} = health.get(record.primary);
 		const start = record.starts.at(-1)?.position ?? 0;
 		return health.isReachable(record.primary) && report !== undefined && ((record.confirmed && report.isReplica) || report.position < start);
 	};
 
-	/** Makes targets that lead or follow wrongly follow the primary. */
+	/** Makes all other targets follow the primary; those that lead or whose log has diverged are rejoined. */
 	const repair = async (record: GroupRecord, settings: FailoverSettings) => {
-		if (!isPast(repairAt, world.now()) || !hasAuthority()) {
+		if (!isPast(nextRepairAt, world.now()) || !hasAuthority()) {
 			return;
 		}
 
-		repairAt = createDeadline(world.now(), REPAIR_MS);
+		nextRepairAt = createDeadline(world.now(), REPAIR_INTERVAL_MS);
 		const following = health.get(record.primary).report?.replayed ?? new Map<string, number>();
-		const strays = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !following.has(target));
-		await Promise.all(strays.map(async target => {
+		const misdirected = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !following.has(target));
+		await Promise.all(misdirected.map(async target => {
 			const leads = health.get(target).report?.isReplica === false;
 			const isBehind = (health.get(target).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
 			if (leads || (isBehind && health.getPosition(target) > (record.starts.at(-1)?.position ?? 0))) {
@@ -279,7 +279,7 @@
 		}));
 	};
 
-	const improve = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => {
+	const maintain = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => {
 		if (!record.confirmed) {
 			permissions = READ_PERMISSION;
 			await completePromotion(record, signal);
@@ -296,7 +296,7 @@
 		}
 	};
 
-	const workOnce = async (settings: FailoverSettings, signal: AbortSignal) => {
+	const runOnce = async (settings: FailoverSettings, signal: AbortSignal) => {
 		const probedAt: Instant = world.now();
 		await health.probeAll(settings.targets);
 		if (!view) {
@@ -315,7 +315,7 @@
 		if (hasFailed || isLeaving) {
 			await failOver(record, !hasFailed, signal);
 		} else if (health.isReachable(record.primary)) {
-			await improve(record, settings, signal);
+			await maintain(record, settings, signal);
 		}
 	};
 
@@ -325,25 +325,25 @@
 				return undefined;
 			}
 
-			return granter.grant(holder, {
+			return issuer.grant(holder, {
 				view, permissions, agesMs: getAges(), readable: getReadable(view.record), authorityDeadline: context.getAuthorityDeadline(),
 			});
 		},
 		async run(signal) {
-			const first = await readRecord(signal);
-			if (first !== undefined && first !== 'none') {
-				view = first;
-				context.publish(first);
+			const initial = await readRecord(signal);
+			if (initial !== undefined && initial !== 'none') {
+				view = initial;
+				context.publish(initial);
 				permissions = READ_PERMISSION;
 			}
 
 			while (hasAuthority() && !signal.aborted) {
 				const settings = context.getSettings();
 				if (settings) {
-					await workOnce(settings, signal);
+					await runOnce(settings, signal);
 				}
 
-				await world.sleep(PROBE_PERIOD_MS, signal);
+				await world.sleep(PROBE_INTERVAL_MS, signal);
 			}
 
 			permissions = NO_PERMISSIONS;
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -1,87 +1,87 @@
-/** Waits until the writes of an answer are held by every awaited replica. */
+/** Holds back the response to a write until every replica that acknowledgements wait for has replayed the write. */
 
 import {
 	createSingleFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type World,
 } from '@guavapitch/core';
 import {isReplicated, type GrantRegistry} from './grant-registry.js';
 
-/** What a primary says of its log and its replicas. */
+/** Log positions that a primary reports for itself and its replicas. */
 export type PrimaryPositions = Readonly<{
-	/** End of the log. */
+	/** End of the log of the primary. */
 	position: number;
-	/** Position each replica has replayed, by name. */
+	/** Position that each replica has replayed, by the name of the replica. */
 	replayed: ReadonlyMap<string, number>;
 }>;
 
-/** Reads the positions of a primary. */
+/** Reads the log positions of a primary. */
 export type ReadPositions = (target: TargetId) => Promise<Result<PrimaryPositions, Failure>>;
 
-/** How waiting for an acknowledgement ended. */
+/** Outcome of waiting until a write is durable. */
 export type DurabilityOutcome
-	/** The answer may be released. */
+	/** The write is durable: its response may be sent to the caller. */
 	= | 'durable'
-	/** The primary may have been replaced, or nothing could be proved in time. */
+	/** The primary may have been replaced, or the deadline passed before durability was confirmed. */
 		| 'unproved';
 
-/** What the wait is for. */
+/** The write to wait for. */
 export type DurabilityRequest = Readonly<{
 	database: DatabaseId;
 	target: TargetId;
 	/** Term in which the write was sent. */
 	term: number;
 	deadline: Deadline;
-	/** Aborts when nobody waits for the answer. */
+	/** Aborts when the caller no longer waits for the response. */
 	signal: AbortSignal;
 }>;
 
-const FIRST_PAUSE_MS = 1;
-const LONGEST_PAUSE_MS = 10;
+const INITIAL_BACKOFF_MS = 1;
+const MAX_BACKOFF_MS = 10;
 
-/** Creates the wait of one primary; waiting answers share one probe. */
-export const createDurabilityWaiter = (book: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
-	const flights = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
+/** Creates a function that waits until a write is durable. Waits for the same target at the same time share one read of its positions. */
+export const createDurabilityWaiter = (grants: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
+	const reads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
-	const probe = async (target: TargetId) => {
-		const flight = flights.get(target) ?? createSingleFlight(async () => readPositions(target));
-		flights.set(target, flight);
-		return flight();
+	const readShared = async (target: TargetId) => {
+		const read = reads.get(target) ?? createSingleFlight(async () => readPositions(target));
+		reads.set(target, read);
+		return read();
 	};
 
-	/** Under a grant that is valid at this moment, the primary has not been replaced. */
-	const isProved = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
-		const record = book.checkAcknowledgement(request.database, request.target);
+	/** Returns whether every awaited replica has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
+	const isConfirmed = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
+		const record = grants.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayed);
 	};
 
-	/** Tells whether the record says that no replica is waited for. */
-	const isAloneEnough = (request: DurabilityRequest): boolean => {
-		const record = book.checkAcknowledgement(request.database, request.target);
+	/** Returns whether acknowledgements of this database do not wait for replicas. */
+	const isPrimarySufficient = (request: DurabilityRequest): boolean => {
+		const record = grants.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && !record.val.replicated;
 	};
 
 	return async request => {
 		let position: number | undefined;
-		let pauseMs = FIRST_PAUSE_MS;
+		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!isPast(request.deadline, world.now()) && !request.signal.aborted) {
-			const state = await book.waitForTerm(request.database, request.term, request.deadline, request.signal);
+			const state = await grants.waitForTerm(request.database, request.term, request.deadline, request.signal);
 			if (state !== 'valid') {
 				return 'unproved';
 			}
 
-			if (isAloneEnough(request)) {
+			if (isPrimarySufficient(request)) {
 				return 'durable';
 			}
 
-			const positions = await probe(request.target);
+			const positions = await readShared(request.target);
 			if (positions.ok) {
 				position ??= positions.val.position;
-				if (isProved(request, position, positions.val.replayed)) {
+				if (isConfirmed(request, position, positions.val.replayed)) {
 					return 'durable';
 				}
 			}
 
-			await world.sleep(pauseMs);
-			pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+			await world.sleep(backoffMs);
+			backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		}
 
 		return 'unproved';
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -1,138 +1,138 @@
-/** The steward's side of grants: what is outstanding, and how it ends. */
+/** Issues grants on the side of the failover coordinator: tracks those that may still be valid, and revokes them. */
 
 import {
 	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
 import type {GrantReply} from './grant-registry.js';
 
-/** One run of the process of a vm that holds grants. */
+/** Holder of a grant: one run of the process of a vm. */
 export type Holder = Readonly<{vm: VmId; incarnation: string}>;
 
-/** What a holder may do, or what of it ends. */
+/** A set of permissions: those a grant gives, or those a revocation ends. */
 export type Permissions = Readonly<{
 	/** Send writes to the primary. */
 	writes: boolean;
-	/** Release the answers of writes. */
+	/** Send the responses of writes to callers. */
 	acknowledgements: boolean;
-	/** Read from the synced set what must not be stale. */
+	/** Send reads that must not be stale to the synced set. */
 	reads: boolean;
 }>;
 
-/** Every permission. */
+/** All permissions. */
 export const ALL_PERMISSIONS: Permissions = {writes: true, acknowledgements: true, reads: true};
 
 /** No permission. */
 export const NO_PERMISSIONS: Permissions = {writes: false, acknowledgements: false, reads: false};
 
-/** Reading only, as between two primaries. */
+/** Permission to read only, for the time between two primaries. */
 export const READ_PERMISSION: Permissions = {...NO_PERMISSIONS, reads: true};
 
-/** Sending writes only: what was sent before may still be acknowledged when it ends. */
+/** Permission to send writes only. When only this is revoked, writes sent earlier may still be acknowledged. */
 export const WRITE_PERMISSION: Permissions = {...NO_PERMISSIONS, writes: true};
 
-/** All that only a primary is needed for. */
+/** Permissions that need a primary. */
 export const PRIMARY_PERMISSIONS: Permissions = {writes: true, acknowledgements: true, reads: false};
 
-/** Until when each permission is valid. */
+/** Deadline of each permission. */
 export type PermissionDeadlines = Readonly<Record<keyof Permissions, Deadline>>;
 
-/** Nothing valid. */
+/** Deadlines of a grant without any valid permission. */
 export const EXPIRED_DEADLINES: PermissionDeadlines = {writes: PAST, acknowledgements: PAST, reads: PAST};
 
-/** Sets the deadline of the permissions that are named. */
+/** Returns the deadlines with the deadline of the given permissions replaced. */
 export const changeDeadlines = (deadlines: PermissionDeadlines, permissions: Permissions, deadline: Deadline): PermissionDeadlines => ({
 	writes: permissions.writes ? deadline : deadlines.writes,
 	acknowledgements: permissions.acknowledgements ? deadline : deadlines.acknowledgements,
 	reads: permissions.reads ? deadline : deadlines.reads,
 });
 
-const KINDS = ['writes', 'acknowledgements', 'reads'] as const;
+const PERMISSION_NAMES = ['writes', 'acknowledgements', 'reads'] as const;
 
-/** Permissions that a steward gives now. */
+/** Contents of a grant to issue. */
 export type GrantParameters = Omit<GrantReply, 'validMs'> & Readonly<{
-	/** Deadline of the steward's own authority. */
+	/** Deadline of the coordinator's own authority, which no grant outlives. */
 	authorityDeadline: Deadline;
 }>;
 
-/** Grants given by one steward for one database. */
+/** Grants issued by one coordinator for one database. */
 export type GrantIssuer = Readonly<{
-	/** Gives a grant; `undefined` if the authority has passed. */
-	grant: (holder: Holder, terms: GrantParameters) => GrantReply | undefined;
-	/** Ends permissions of all holders: asks each, and waits out those that do not answer. A holder answers once nothing runs under them. */
+	/** Issues a grant; returns `undefined` if the authority has expired. */
+	grant: (holder: Holder, parameters: GrantParameters) => GrantReply | undefined;
+	/** Revokes permissions of all holders: asks each of them, and waits for the grants of those that do not respond to expire. A holder responds once nothing runs under the permissions any more. */
 	revokeAll: (permissions: Permissions, revoke: (holder: Holder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
-	/** Waits until every outstanding grant is of a revision or newer. */
+	/** Waits until every outstanding grant is based on the given record revision or a newer one; returns `false` if the deadline passes or the signal aborts first. */
 	waitForRevision: (revision: number, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
-/** Longest validity of a grant, in milliseconds. */
+/** Maximum validity of a grant, in milliseconds. */
 export const MAX_GRANT_VALIDITY_MS = 1000;
 
-/** Allowance for clocks that run at different rates. */
-const DRIFT_MS = 50;
+/** Safety margin for clocks that run at different rates. */
+const CLOCK_DRIFT_MS = 50;
 
-type Outstanding = {readonly holder: Holder; deadlines: PermissionDeadlines; revision: number};
+type IssuedGrant = {readonly holder: Holder; deadlines: PermissionDeadlines; revision: number};
 
 const formatHolder = (holder: Holder): string => `${holder.vm}/${holder.incarnation}`;
 
-/** Creates the table of a steward that has granted nothing. */
+/** Creates an issuer without outstanding grants. */
 export const createGrantIssuer = (world: World): GrantIssuer => {
-	const outstanding = new Map<string, Outstanding>();
+	const outstanding = new Map<string, IssuedGrant>();
 	const changed = createNotifier(world);
 
-	const isOver = (grant: Outstanding, permissions: Permissions): boolean => {
+	const hasExpired = (grant: IssuedGrant, permissions: Permissions): boolean => {
 		const now = world.now();
-		return KINDS.every(kind => !permissions[kind] || isPast(grant.deadlines[kind], now));
+		return PERMISSION_NAMES.every(kind => !permissions[kind] || isPast(grant.deadlines[kind], now));
 	};
 
-	const end = (grant: Outstanding, permissions: Permissions) => {
+	const expire = (grant: IssuedGrant, permissions: Permissions) => {
 		grant.deadlines = changeDeadlines(grant.deadlines, permissions, PAST);
 		changed.notify();
 	};
 
-	const getLastDeadline = (permissions: Permissions): Deadline => {
-		const deadlines = [...outstanding.values()].flatMap(grant => KINDS.map(kind => permissions[kind] ? grant.deadlines[kind] : PAST));
+	const getLatestDeadline = (permissions: Permissions): Deadline => {
+		const deadlines = [...outstanding.values()].flatMap(grant => PERMISSION_NAMES.map(kind => permissions[kind] ? grant.deadlines[kind] : PAST));
 		return Math.max(PAST, ...deadlines) as Deadline;
 	};
 
 	return {
-		grant(holder, terms) {
+		grant(holder, parameters) {
 			const now = world.now();
-			const {authorityDeadline: authority, ...given} = terms;
-			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authority - now - DRIFT_MS);
+			const {authorityDeadline: authority, ...contents} = parameters;
+			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authority - now - CLOCK_DRIFT_MS);
 			if (validMs <= 0) {
 				return undefined;
 			}
 
 			const key = formatHolder(holder);
-			const deadline = createDeadline(now, validMs + DRIFT_MS);
-			const known = outstanding.get(key);
+			const deadline = createDeadline(now, validMs + CLOCK_DRIFT_MS);
+			const previous = outstanding.get(key);
 			outstanding.set(key, {
 				holder,
-				deadlines: changeDeadlines(known?.deadlines ?? EXPIRED_DEADLINES, terms.permissions, deadline),
-				revision: terms.view.revision,
+				deadlines: changeDeadlines(previous?.deadlines ?? EXPIRED_DEADLINES, parameters.permissions, deadline),
+				revision: parameters.view.revision,
 			});
-			return {...given, validMs};
+			return {...contents, validMs};
 		},
 		async revokeAll(permissions, revoke, signal) {
-			const living = [...outstanding.values()].filter(grant => !isOver(grant, permissions));
-			for (const grant of living) {
-				void revoke(grant.holder).then(answer => {
-					if (answer.ok) {
-						end(grant, permissions);
+			const valid = [...outstanding.values()].filter(grant => !hasExpired(grant, permissions));
+			for (const grant of valid) {
+				void revoke(grant.holder).then(response => {
+					if (response.ok) {
+						expire(grant, permissions);
 					}
 				});
 			}
 
-			await changed.waitUntil(() => living.every(grant => isOver(grant, permissions)), getLastDeadline(permissions), signal);
+			await changed.waitUntil(() => valid.every(grant => hasExpired(grant, permissions)), getLatestDeadline(permissions), signal);
 		},
 		async waitForRevision(revision, deadline, signal) {
-			const isRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || isOver(grant, ALL_PERMISSIONS));
-			while (!isRenewed()) {
+			const areAllRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || hasExpired(grant, ALL_PERMISSIONS));
+			while (!areAllRenewed()) {
 				if (isPast(deadline, world.now()) || signal.aborted) {
 					return false;
 				}
 
-				await world.sleep(DRIFT_MS, signal).catch(() => undefined);
+				await world.sleep(CLOCK_DRIFT_MS, signal).catch(() => undefined);
 			}
 
 			return true;
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -1,4 +1,4 @@
-/** Grants as their holders keep them: short permissions of the steward, valid until a local deadline. */
+/** Registry of the grants that a process holds: short-lived permissions from the failover coordinator, each valid until a deadline of the local clock. */
 
 import {
 	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
@@ -8,52 +8,52 @@
 } from './grant-issuer.js';
 import {getAwaitedReplicas, type GroupRecord, type GroupView} from './group-record.js';
 
-/** What a steward answers to a request for a grant. */
+/** Response of a failover coordinator to a request for a grant. */
 export type GrantReply = Readonly<{
 	view: GroupView;
-	/** Validity from the moment the holder asked, in milliseconds. */
+	/** Validity in milliseconds, counted from the moment the holder sent its request. */
 	validMs: number;
-	/** Proved age of each replica's data when the steward answered, in milliseconds. */
+	/** Upper bound of the age of each replica's data when the coordinator responded, in milliseconds. */
 	agesMs: Readonly<Record<string, number>>;
-	/** Replicas that hold every acknowledged write, as far as the steward saw when it answered. */
+	/** Replicas that held every acknowledged write, as known to the coordinator when it responded. */
 	readable: readonly TargetId[];
-	/** What the grant allows. */
+	/** Permissions that the grant gives. */
 	permissions: Permissions;
 }>;
 
-/** Why a request may not run now; it has not run. */
+/** Reason why a request may not run now. The request has not been run. */
 export type GrantFailure = Failure<'noGrant' | 'notPrimary' | 'tooOld'>;
 
-/** How a wait for an acknowledgement ended. */
+/** Outcome of waiting for a grant of a term. */
 export type GrantState = 'valid' | 'replaced' | 'none';
 
-/** Grants held by one process. */
+/** Grants that one process holds. */
 export type GrantRegistry = Readonly<{
-	/** Takes a reply; `askedAt` is when the request for it was sent. */
+	/** Stores a grant; `askedAt` is when the request for it was sent. A grant that is older than the one known, or was requested before a revocation, is ignored. */
 	accept: (reply: GrantReply, askedAt: Instant) => void;
-	/** Gives up permissions of a database before their deadline; replies asked for earlier no longer count. */
+	/** Ends permissions of a database before their deadline. Grants that were requested earlier are ignored from now on. */
 	revoke: (database: DatabaseId, permissions: Permissions) => void;
-	/** Counts a write in until it is disposed. */
+	/** Counts a write as in progress until the returned object is disposed. */
 	trackWrite: (database: DatabaseId) => Disposable;
-	/** Waits until no write of a database is under way. */
+	/** Waits until no write of a database is in progress. */
 	waitUntilWritesEnd: (database: DatabaseId, deadline: Deadline) => Promise<void>;
-	/** Gets the view of the last grant, valid or not. */
+	/** Returns the group view of the last grant, even if the grant has expired. */
 	getView: (database: DatabaseId) => GroupView | undefined;
 	/** Checks that a write may be sent to a target now. */
 	checkWrite: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that the answer of a write may be released now. */
+	/** Checks that the response of a write may be sent to the caller now. */
 	checkAcknowledgement: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that a target holds every acknowledged write now. */
 	checkRead: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that a target's data are proved to be young enough. */
+	/** Checks that the data of a target are confirmed to be at most `maximumAgeMs` old. */
 	checkStaleness: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
-	/** Waits until a grant of the term is valid, or it is known that the term is over. */
+	/** Waits until a grant of the term is valid, or the term is known to have ended. */
 	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
-	/** Waits until it is known that a target may no longer answer a request; `false` if the wait is over first. */
+	/** Waits until a target is known to be no longer eligible for a request; returns `false` if the deadline passes or the signal aborts first. */
 	waitUntilIneligible: (request: EligibilityRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
-/** What a target was asked under a grant. */
+/** A request that was sent to a target under a grant. */
 export type EligibilityRequest = Readonly<{
 	database: DatabaseId;
 	target: TargetId;
@@ -62,44 +62,44 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type Held = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: PermissionDeadlines}>;
+type HeldGrant = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: PermissionDeadlines}>;
 
-const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant of the steward'};
+const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant from the failover coordinator'};
 
-/** Creates an empty book. */
+/** Creates a registry without grants. */
 export const createGrantRegistry = (world: World): GrantRegistry => {
-	const held = new Map<DatabaseId, Held>();
+	const grants = new Map<DatabaseId, HeldGrant>();
 	const changed = createNotifier(world);
 
 	const revokedAt = new Map<DatabaseId, Instant>();
 
-	const writing = new Map<DatabaseId, number>();
+	const activeWrites = new Map<DatabaseId, number>();
 
-	const getValid = (database: DatabaseId, permission: keyof Permissions): GroupRecord | undefined => {
-		const grant = held.get(database);
+	const getValidRecord = (database: DatabaseId, permission: keyof Permissions): GroupRecord | undefined => {
+		const grant = grants.get(database);
 		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.reply.view.record : undefined;
 	};
 
 	const checkPrimary = (database: DatabaseId, target: TargetId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
-		const record = getValid(database, permission);
+		const record = getValidRecord(database, permission);
 		if (!record) {
 			return Err(NO_GRANT);
 		}
 
-		return record.primary === target ? Ok(record) : Err({code: 'notPrimary', message: `${target} is not the primary`});
+		return record.primary === target ? Ok(record) : Err({code: 'notPrimary', message: `Target ${target} is not the primary`});
 	};
 
 	return {
 		accept(reply, askedAt) {
 			const {database} = reply.view.record;
-			const known = held.get(database);
-			const isOutdated = known !== undefined && known.reply.view.revision > reply.view.revision;
+			const previous = grants.get(database);
+			const isOutdated = previous !== undefined && previous.reply.view.revision > reply.view.revision;
 			if (isOutdated || askedAt <= (revokedAt.get(database) ?? PAST)) {
 				return;
 			}
 
 			const deadline = createDeadline(askedAt, reply.validMs);
-			held.set(database, {
+			grants.set(database, {
 				reply,
 				askedAt,
 				deadlines: changeDeadlines(EXPIRED_DEADLINES, reply.permissions, deadline),
@@ -108,57 +108,57 @@
 		},
 		revoke(database, permissions) {
 			revokedAt.set(database, world.now());
-			const known = held.get(database);
-			if (known) {
-				held.set(database, {...known, deadlines: changeDeadlines(known.deadlines, permissions, PAST)});
+			const previous = grants.get(database);
+			if (previous) {
+				grants.set(database, {...previous, deadlines: changeDeadlines(previous.deadlines, permissions, PAST)});
 			}
 		},
-		getView: database => held.get(database)?.reply.view,
+		getView: database => grants.get(database)?.reply.view,
 		trackWrite(database) {
-			writing.set(database, (writing.get(database) ?? 0) + 1);
+			activeWrites.set(database, (activeWrites.get(database) ?? 0) + 1);
 			return {
 				[Symbol.dispose]() {
-					writing.set(database, (writing.get(database) ?? 0) - 1);
+					activeWrites.set(database, (activeWrites.get(database) ?? 0) - 1);
 					changed.notify();
 				},
 			};
 		},
 		async waitUntilWritesEnd(database, deadline) {
-			await changed.waitUntil(() => (writing.get(database) ?? 0) === 0, deadline);
+			await changed.waitUntil(() => (activeWrites.get(database) ?? 0) === 0, deadline);
 		},
 		checkWrite: (database, target) => checkPrimary(database, target, 'writes'),
 		checkAcknowledgement: (database, target) => checkPrimary(database, target, 'acknowledgements'),
 		checkRead(database, target) {
-			const record = getValid(database, 'reads');
+			const record = getValidRecord(database, 'reads');
 			if (!record) {
 				return Err(NO_GRANT);
 			}
 
-			// A primary that is being replaced may lack what its successor acknowledges.
+			// A primary that is being replaced may lack writes that its successor acknowledges.
 			if (record.primary === target) {
 				return checkPrimary(database, target, 'acknowledgements');
 			}
 
-			const isReadable = held.get(database)?.reply.readable.includes(target) ?? false;
+			const isReadable = grants.get(database)?.reply.readable.includes(target) ?? false;
 			return record.replicated && isReadable
 				? Ok(record)
-				: Err({code: 'tooOld', message: `${target} may lack acknowledged writes`});
+				: Err({code: 'tooOld', message: `Target ${target} may lack acknowledged writes`});
 		},
 		checkStaleness(database, target, maximumAgeMs) {
-			const grant = held.get(database);
+			const grant = grants.get(database);
 			const ageMs = grant?.reply.agesMs[target];
 			if (!grant || ageMs === undefined) {
 				return Err(NO_GRANT);
 			}
 
-			const nowMs = ageMs + (world.now() - grant.askedAt);
-			return nowMs <= maximumAgeMs
+			const currentAgeMs = ageMs + (world.now() - grant.askedAt);
+			return currentAgeMs <= maximumAgeMs
 				? Ok(grant.reply.view.record)
-				: Err({code: 'tooOld', message: `The data of ${target} may be ${Math.round(nowMs)} ms old`});
+				: Err({code: 'tooOld', message: `The data of target ${target} may be ${Math.round(currentAgeMs)} ms old`});
 		},
 		async waitUntilIneligible(request, deadline, signal) {
-			const isUnfit = () => {
-				const record = held.get(request.database)?.reply.view.record;
+			const isIneligible = () => {
+				const record = grants.get(request.database)?.reply.view.record;
 				if (!record || request.mode === 'stale') {
 					return false;
 				}
@@ -168,22 +168,22 @@
 					: record.primary !== request.target && !record.synced.includes(request.target);
 			};
 
-			const waited = await changed.waitUntil(isUnfit, deadline, signal);
+			const waited = await changed.waitUntil(isIneligible, deadline, signal);
 			return waited.ok;
 		},
 		async waitForTerm(database, term, deadline, signal) {
-			const isOver = () => (held.get(database)?.reply.view.record.term ?? 0) > term;
-			await changed.waitUntil(() => isOver() || getValid(database, 'acknowledgements')?.term === term, deadline, signal);
-			if (isOver()) {
+			const hasTermEnded = () => (grants.get(database)?.reply.view.record.term ?? 0) > term;
+			await changed.waitUntil(() => hasTermEnded() || getValidRecord(database, 'acknowledgements')?.term === term, deadline, signal);
+			if (hasTermEnded()) {
 				return 'replaced';
 			}
 
-			return getValid(database, 'acknowledgements')?.term === term ? 'valid' : 'none';
+			return getValidRecord(database, 'acknowledgements')?.term === term ? 'valid' : 'none';
 		},
 	};
 };
 
-/** Tells whether every replica that is waited for, and enough of them, have replayed a position. */
+/** Returns whether at least the required number of replicas are waited for and all of these have replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
 	const awaited = getAwaitedReplicas(record);
 	return awaited.length >= record.minimumSynced && awaited.every(target => (replayed.get(target) ?? -1) >= position);
--- a/packages/failover/src/group-record.ts
+++ b/packages/failover/src/group-record.ts
@@ -1,50 +1,50 @@
-/** The record of a database in the store: who leads, since when, and who holds every acknowledged write. */
+/** Record of a database in the store: which target is the primary, since which position, and which replicas hold every acknowledged write. */
 
 import {
 	Err, getMessage, Ok, type DatabaseId, type Failure, type TargetId, type Result,
 } from '@guavapitch/core';
 
-/** Start of one term. */
+/** Start of one term: its primary, and the log position at which it began. */
 export type TermStart = Readonly<{term: number; primary: TargetId; position: number}>;
 
-/** Record of a database; changed only by compare-and-swap. */
+/** Replication state of a database. It is changed only by compare-and-swap. */
 export type GroupRecord = Readonly<{
 	database: DatabaseId;
-	/** Grows by one with each primary. */
+	/** Number of the term; grows by one with each new primary. */
 	term: number;
 	primary: TargetId;
 	/** Whether acknowledgements wait for replicas; if not, replicas may lack acknowledged writes. */
 	replicated: boolean;
-	/** Fewest replicas that acknowledgements wait for; with fewer at hand there are none. */
+	/** Minimum number of replicas that acknowledgements wait for; with fewer replicas available, no write is acknowledged. */
 	minimumSynced: number;
-	/** Replicas that every acknowledgement waits for. */
+	/** Replicas that every acknowledgement waits for and that hold every acknowledged write. */
 	synced: readonly TargetId[];
-	/** Replicas that acknowledgements wait for, but that may still lack older writes. */
+	/** Replicas that acknowledgements wait for but that may still lack older acknowledged writes. */
 	joining: readonly TargetId[];
-	/** Whether the primary has led in this term; a primary that was not yet promoted may still be. */
+	/** Whether the promotion of the primary in this term is complete; until then, the promotion may still be carried out. */
 	confirmed: boolean;
-	/** Recent terms, oldest first. */
+	/** Starts of the most recent terms, oldest first. */
 	starts: readonly TermStart[];
 }>;
 
-/** A record and the revision of its entry in the store. */
+/** A group record and the revision of its entry in the store. */
 export type GroupView = Readonly<{record: GroupRecord; revision: number}>;
 
-/** Failure of parsing a record. */
+/** Failure to parse a group record. */
 export type GroupRecordFailure = Failure<'recordMalformed'>;
 
-/** Prefix of the records in the store. */
+/** Prefix of the keys of group records in the store. */
 export const GROUP_PREFIX = '/guavapitch/groups/';
 
-const KEPT_STARTS = 8;
+const MAX_TERM_STARTS = 8;
 
-/** Formats the key of a record. */
+/** Returns the key of the group record of a database. */
 export const formatGroupKey = (database: DatabaseId): string => `${GROUP_PREFIX}${database}`;
 
-/** Formats a record for the store. */
+/** Encodes a group record for the store. */
 export const formatGroupRecord = (record: GroupRecord): string => JSON.stringify(record);
 
-/** Parses a record from the store. */
+/** Parses a group record from the store. */
 export const parseGroupRecord = (text: string): Result<GroupRecord, GroupRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as GroupRecord);
@@ -53,7 +53,7 @@
 	}
 };
 
-/** Rule of acknowledgement of a database. */
+/** Policy that determines which replicas acknowledgements of a database wait for. */
 export type AcknowledgementPolicy = Pick<GroupRecord, 'replicated' | 'minimumSynced'>;
 
 /** Creates the first record of a database. */
@@ -61,7 +61,7 @@
 	database, term: 1, primary, replicated, minimumSynced, synced: [], joining: [], confirmed: true, starts: [{term: 1, primary, position}],
 });
 
-/** Creates the record after a promotion. */
+/** Returns the record of the next term, with another primary; the promotion is not confirmed yet. */
 export const promoteRecord = (record: GroupRecord, primary: TargetId, position: number): GroupRecord => ({
 	...record,
 	term: record.term + 1,
@@ -69,8 +69,8 @@
 	synced: record.synced.filter(target => target !== primary),
 	joining: [],
 	confirmed: false,
-	starts: [...record.starts, {term: record.term + 1, primary, position}].slice(-KEPT_STARTS),
+	starts: [...record.starts, {term: record.term + 1, primary, position}].slice(-MAX_TERM_STARTS),
 });
 
-/** Gets the replicas that acknowledgements wait for. */
+/** Returns the replicas that acknowledgements wait for. */
 export const getAwaitedReplicas = (record: GroupRecord): readonly TargetId[] => [...record.synced, ...record.joining];
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -1,82 +1,82 @@
-/** What a steward sees of the targets of a database. */
+/** Monitors the health of the targets of a database for its failover coordinator. */
 
 import {
 	createDeadline, isPast, type Failure, type TargetId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 
-/** What a target says of itself. */
+/** State that a target reports of itself. */
 export type TargetReport = Readonly<{
 	isReplica: boolean;
-	/** Timeline, which is the target's own count of terms. */
+	/** Timeline of the target, a number that grows with each promotion. */
 	timeline: number;
-	/** End of the log of a primary, or position replayed by a replica. */
+	/** End of the log of a primary, or the position that a replica has replayed. */
 	position: number;
-	/** Replicas that follow a primary, with the position each has replayed. */
+	/** Replicas that follow this target, with the position that each has replayed. */
 	replayed: ReadonlyMap<string, number>;
 }>;
 
-/** Asks a target for its report. */
+/** Requests a report from a target. */
 export type ProbeTarget = (target: TargetId) => Promise<Result<TargetReport, Failure>>;
 
-/** Health of one target. */
+/** Health of one target as its last probes showed it. */
 export type TargetHealth = Readonly<{
 	report: TargetReport | undefined;
-	/** When the last report was asked for that was answered. */
+	/** When the last successful probe was sent. */
 	answeredAt: Instant | undefined;
-	/** When the first of the probes was asked for that have failed since. */
+	/** When the first of the probes was sent that have failed since the last success. */
 	failingSince: Instant | undefined;
 }>;
 
-/** Health of all targets of a database. */
+/** Health of all targets of one database. */
 export type HealthMonitor = Readonly<{
-	/** Asks every target once. */
+	/** Probes every target once. */
 	probeAll: (targets: readonly TargetId[]) => Promise<void>;
 	get: (target: TargetId) => TargetHealth;
-	/** Tells whether the last probe of a target was answered. */
+	/** Returns whether the last probe of a target succeeded. */
 	isReachable: (target: TargetId) => boolean;
-	/** Tells whether a target has not answered for so long that it counts as failed. */
+	/** Returns whether probes of a target have failed for so long that it counts as failed. */
 	hasFailed: (target: TargetId) => boolean;
-	/** Gets the position in the last report of a target; -1 if there is none. */
+	/** Returns the position in the last report of a target; -1 if there is no report. */
 	getPosition: (target: TargetId) => number;
-	/** Gets the proved age of a replica's data, in milliseconds; `undefined` if nothing is proved. */
+	/** Returns an upper bound of the age of a replica's data, in milliseconds; `undefined` if the age is not known. */
 	getAgeMs: (target: TargetId) => number | undefined;
-	/** Tells whether a target is known to have held more than it does now. */
+	/** Returns whether a target has reported a higher position earlier than it does now. */
 	hasLostData: (target: TargetId) => boolean;
-	/** Forgets what a target held, as its log is rewound on purpose. */
+	/** Forgets the highest position of a target, because its log is rewound on purpose. */
 	forgetHighestPosition: (target: TargetId) => void;
-	/** Notes the position of the primary at an instant. */
+	/** Records the position of the primary at an instant, from which the age of replicas follows. */
 	recordPosition: (position: number, at: Instant) => void;
 }>;
 
-/** Time without an answer after which a target counts as failed. */
+/** Time of failing probes after which a target counts as failed, in milliseconds. */
 export const FAILURE_TIMEOUT_MS = 500;
 
-const HISTORY_LENGTH = 600;
-const UNKNOWN: TargetHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
+const MAX_POSITION_SAMPLES = 600;
+const UNKNOWN_HEALTH: TargetHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
 
-type Sample = Readonly<{position: number; at: Instant}>;
+type PositionSample = Readonly<{position: number; at: Instant}>;
 
-/** Creates the health of targets that have not been asked yet. */
+/** Creates a monitor of targets that have not been probed yet. */
 export const createHealthMonitor = (probe: ProbeTarget, world: World, onChange: (target: TargetId, reachable: boolean) => void): HealthMonitor => {
-	const healths = new Map<TargetId, TargetHealth>();
-	const history: Sample[] = [];
-	const highest = new Map<TargetId, number>();
+	const healthByTarget = new Map<TargetId, TargetHealth>();
+	const primaryPositions: PositionSample[] = [];
+	const highestPositions = new Map<TargetId, number>();
 
-	const get = (target: TargetId): TargetHealth => healths.get(target) ?? UNKNOWN;
+	const get = (target: TargetId): TargetHealth => healthByTarget.get(target) ?? UNKNOWN_HEALTH;
 
 	const probeOne = async (target: TargetId) => {
 		const askedAt = world.now();
 		const report = await probe(target);
-		const before = get(target);
+		const previous = get(target);
 		if (report.ok) {
-			healths.set(target, {report: report.val, answeredAt: askedAt, failingSince: undefined});
-			highest.set(target, Math.max(report.val.position, highest.get(target) ?? 0));
+			healthByTarget.set(target, {report: report.val, answeredAt: askedAt, failingSince: undefined});
+			highestPositions.set(target, Math.max(report.val.position, highestPositions.get(target) ?? 0));
 		} else {
-			healths.set(target, {...before, failingSince: before.failingSince ?? askedAt});
+			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? askedAt});
 		}
 
-		const isFirst = before === UNKNOWN;
-		const wasReachable = before.failingSince === undefined;
+		const isFirst = previous === UNKNOWN_HEALTH;
+		const wasReachable = previous.failingSince === undefined;
 		if (isFirst || wasReachable !== report.ok) {
 			onChange(target, report.ok);
 		}
@@ -98,17 +98,17 @@
 		getPosition: target => get(target).report?.position ?? -1,
 		getAgeMs(target) {
 			const position = get(target).report?.position ?? -1;
-			const sample = history.findLast(one => one.position <= position);
+			const sample = primaryPositions.findLast(other => other.position <= position);
 			return sample ? world.now() - sample.at : undefined;
 		},
-		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highest.get(target) ?? 0),
+		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highestPositions.get(target) ?? 0),
 		forgetHighestPosition(target) {
-			highest.delete(target);
+			highestPositions.delete(target);
 		},
 		recordPosition(position, at) {
-			history.push({position, at});
-			if (history.length > HISTORY_LENGTH) {
-				history.shift();
+			primaryPositions.push({position, at});
+			if (primaryPositions.length > MAX_POSITION_SAMPLES) {
+				primaryPositions.shift();
 			}
 		},
 	};
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -1,4 +1,4 @@
-/** A small group of targets for tests: logs that are copied, led and cut on a virtual clock. */
+/** Simulates a small group of replicated targets on a virtual clock, with network partitions, lag and data loss. */
 
 import {
 	Err, Ok, type Failure, type TargetId, type Result, type World,
@@ -6,35 +6,35 @@
 import type {TargetReport} from '../health-monitor.js';
 import type {TargetCommands} from '../coordinator.js';
 
-/** Who a fault keeps from a target. */
-export type Cut = Readonly<{fromSteward: boolean; fromHomes: boolean; fromReplicas: boolean}>;
+/** Peers that a network partition separates from a target. */
+export type Partition = Readonly<{fromCoordinator: boolean; fromOwners: boolean; fromReplicas: boolean}>;
 
-/** One target. */
+/** One simulated target. */
 export type FakeTarget = {
 	readonly name: TargetId;
 	log: readonly string[];
 	isReplica: boolean;
 	timeline: number;
 	upstream: TargetId | undefined;
-	/** What each follower has said to hold. */
+	/** Position that each follower has confirmed. */
 	readonly replayed: Map<string, number>;
-	cut: Cut;
+	partition: Partition;
 	isDown: boolean;
 	lagMs: number;
 };
 
-/** A group. */
+/** A simulated group of targets. */
 export type FakeGroup = Readonly<{
 	get: (name: TargetId) => FakeTarget;
 	commands: TargetCommands;
-	/** Copies logs until the signal aborts. */
+	/** Replicates logs until the signal aborts. */
 	replicate: (signal: AbortSignal) => Promise<void>;
 }>;
 
-/** No cut. */
-export const WHOLE: Cut = {fromSteward: false, fromHomes: false, fromReplicas: false};
+/** No partition. */
+export const NO_PARTITION: Partition = {fromCoordinator: false, fromOwners: false, fromReplicas: false};
 
-/** Takes a target's data away; it comes back as an empty replica that follows nobody. */
+/** Erases the data of a target. It comes back as an empty replica that follows no target. */
 export const clearTarget = (target: FakeTarget): void => {
 	target.log = [];
 	target.isReplica = true;
@@ -43,19 +43,19 @@
 	target.replayed.clear();
 };
 
-const LAG_MS = 15;
-const LONGEST_CALL_MS = 30;
+const DEFAULT_LAG_MS = 15;
+const MAX_LATENCY_MS = 30;
 const CALL_TIMEOUT_MS = 100;
-const COPY_MS = 10;
-const LOST: Failure = {code: 'lost', message: 'no answer'};
+const REPLICATION_INTERVAL_MS = 10;
+const NO_ANSWER: Failure = {code: 'lost', message: 'no answer'};
 
-const isPrefix = (short: readonly string[], long: readonly string[]): boolean => short.length <= long.length && short.every((entry, index) => entry === long[index]);
+const isPrefix = (shorter: readonly string[], longer: readonly string[]): boolean => shorter.length <= longer.length && shorter.every((entry, index) => entry === longer[index]);
 
-/** Creates a group; the first target leads. */
+/** Creates a group; the first target is its primary. */
 export const createFakeGroup = (names: readonly TargetId[], world: World): FakeGroup => {
 	const [first] = names;
 	const targets = new Map(names.map((name): [TargetId, FakeTarget] => [name, {
-		name, log: [], isReplica: name !== first, timeline: 1, upstream: name === first ? undefined : first, replayed: new Map(), cut: WHOLE, isDown: false, lagMs: LAG_MS,
+		name, log: [], isReplica: name !== first, timeline: 1, upstream: name === first ? undefined : first, replayed: new Map(), partition: NO_PARTITION, isDown: false, lagMs: DEFAULT_LAG_MS,
 	}]));
 
 	const get = (name: TargetId): FakeTarget => {
@@ -67,30 +67,30 @@
 		return found;
 	};
 
-	/** Carries a command there and the answer back; either may be lost to a cut. */
-	const command = async <Answer>(name: TargetId, run: (target: FakeTarget) => Answer): Promise<Result<Answer, Failure>> => {
+	/** Delivers a command and its response; either may be lost to a partition. */
+	const command = async <Value>(name: TargetId, run: (target: FakeTarget) => Value): Promise<Result<Value, Failure>> => {
 		const target = get(name);
-		await world.sleep(world.random() * LONGEST_CALL_MS);
-		if (target.cut.fromSteward || target.isDown) {
+		await world.sleep(world.random() * MAX_LATENCY_MS);
+		if (target.partition.fromCoordinator || target.isDown) {
 			await world.sleep(CALL_TIMEOUT_MS);
-			return Err(LOST);
+			return Err(NO_ANSWER);
 		}
 
-		const answer = run(target);
-		await world.sleep(world.random() * LONGEST_CALL_MS);
-		return target.cut.fromSteward || target.isDown ? Err(LOST) : Ok(answer);
+		const value = run(target);
+		await world.sleep(world.random() * MAX_LATENCY_MS);
+		return target.partition.fromCoordinator || target.isDown ? Err(NO_ANSWER) : Ok(value);
 	};
 
-	const copyOnce = (replica: FakeTarget) => {
+	const replicateOnce = (replica: FakeTarget) => {
 		const source = replica.upstream ? get(replica.upstream) : undefined;
-		const isOpen = source && !source.cut.fromReplicas && !replica.cut.fromReplicas && !source.isDown && !replica.isDown && replica.isReplica;
+		const isConnected = source && !source.partition.fromReplicas && !replica.partition.fromReplicas && !source.isDown && !replica.isDown && replica.isReplica;
 		for (const other of targets.values()) {
-			if (other !== source || !isOpen) {
+			if (other !== source || !isConnected) {
 				other.replayed.delete(replica.name);
 			}
 		}
 
-		if (source && isOpen && isPrefix(replica.log, source.log)) {
+		if (source && isConnected && isPrefix(replica.log, source.log)) {
 			replica.log = source.log;
 			replica.timeline = Math.max(replica.timeline, source.timeline);
 			source.replayed.set(replica.name, replica.log.length);
@@ -114,25 +114,25 @@
 				target.upstream = primary;
 			}),
 			rejoin: async (name, primary) => command(name, target => {
-				const leader = get(primary);
-				const common = target.log.findIndex((entry, index) => entry !== leader.log[index]);
-				target.log = common === -1 ? target.log.slice(0, leader.log.length) : target.log.slice(0, common);
+				const upstream = get(primary);
+				const divergedAt = target.log.findIndex((entry, index) => entry !== upstream.log[index]);
+				target.log = divergedAt === -1 ? target.log.slice(0, upstream.log.length) : target.log.slice(0, divergedAt);
 				target.isReplica = true;
-				target.timeline = leader.timeline;
+				target.timeline = upstream.timeline;
 				target.upstream = primary;
 			}),
 		},
 		async replicate(signal) {
-			const due = new Map<TargetId, number>();
+			const nextCopyAt = new Map<TargetId, number>();
 			while (!signal.aborted) {
 				for (const replica of targets.values()) {
-					if (world.now() >= (due.get(replica.name) ?? 0)) {
-						due.set(replica.name, world.now() + replica.lagMs);
-						copyOnce(replica);
+					if (world.now() >= (nextCopyAt.get(replica.name) ?? 0)) {
+						nextCopyAt.set(replica.name, world.now() + replica.lagMs);
+						replicateOnce(replica);
 					}
 				}
 
-				await world.sleep(COPY_MS, signal).catch(() => undefined);
+				await world.sleep(REPLICATION_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
 	};
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -1,4 +1,4 @@
-/** Grants: once a steward has ended them, no holder acts under them. */
+/** Grants: once the failover coordinator has revoked them, no holder acts under them any more. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -18,39 +18,39 @@
 const createView = (revision: number): GroupView => ({revision, record: {...createGroupRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
 
 describe('grants', () => {
-	describe('endAll', () => {
-		it('leaves no valid grant, whatever messages are late, lost or paused', async () => {
+	describe('revokeAll', () => {
+		it('leaves no valid grant, even if messages are delayed, lost or paused', async () => {
 			const holderPlan = fc.record({
 				askMs: fc.integer({min: 0, max: 800}), replyMs: fc.integer({min: 0, max: 1500}), revokeMs: fc.integer({min: 0, max: 600}), revokeLost: fc.boolean(),
 			});
-			await fc.assert(fc.asyncProperty(fc.array(holderPlan, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (plans, endAt) => {
+			await fc.assert(fc.asyncProperty(fc.array(holderPlan, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (plans, revokeAtMs) => {
 				const {world, advance} = createVirtualWorld();
-				const granter = createGrantIssuer(world);
+				const issuer = createGrantIssuer(world);
 				const stop = new AbortController();
-				let open = true;
-				let ended = false;
-				const books = plans.map(() => createGrantRegistry(world));
+				let isIssuing = true;
+				let isRevoked = false;
+				const registries = plans.map(() => createGrantRegistry(world));
 				const holders = plans.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
 				const runs = plans.map(async (plan, index) => {
 					for (let count = 0; count < 4; count++) {
 						const askedAt = world.now();
 						await world.sleep(plan.askMs);
 						const holder = holders[index];
-						const reply = open && holder
-							? granter.grant(holder, {
+						const reply = isIssuing && holder
+							? issuer.grant(holder, {
 								view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 							})
 							: undefined;
 						await world.sleep(plan.replyMs);
 						if (reply) {
-							books[index]?.accept(reply, askedAt);
+							registries[index]?.accept(reply, askedAt);
 						}
 					}
 				});
-				const ending = (async () => {
-					await world.sleep(endAt);
-					open = false;
-					await granter.revokeAll(ALL_PERMISSIONS, async holder => {
+				const revocation = (async () => {
+					await world.sleep(revokeAtMs);
+					isIssuing = false;
+					await issuer.revokeAll(ALL_PERMISSIONS, async holder => {
 						const index = holders.indexOf(holder);
 						const plan = plans[index];
 						await world.sleep(plan?.revokeMs ?? 0);
@@ -58,50 +58,50 @@
 							return Err({code: 'lost', message: 'lost'});
 						}
 
-						books[index]?.revoke(DATABASE, ALL_PERMISSIONS);
+						registries[index]?.revoke(DATABASE, ALL_PERMISSIONS);
 						return Ok(true);
 					}, stop.signal);
-					ended = true;
+					isRevoked = true;
 				})();
 				for (let step = 0; step < 600; step++) {
 					await advance(20);
-					if (ended) {
-						assert.ok(books.every(book => book.checkWrite(DATABASE, PRIMARY).err), 'a grant is valid after all have ended');
-						assert.ok(books.every(book => book.checkAcknowledgement(DATABASE, PRIMARY).err), 'answers may be released after all have ended');
+					if (isRevoked) {
+						assert.ok(registries.every(registry => registry.checkWrite(DATABASE, PRIMARY).err), 'a grant is still valid after all were revoked');
+						assert.ok(registries.every(registry => registry.checkAcknowledgement(DATABASE, PRIMARY).err), 'responses may still be sent after all grants were revoked');
 					}
 				}
 
-				await Promise.all([...runs, ending]);
+				await Promise.all([...runs, revocation]);
 			}), {seed: 51, numRuns: 25});
 		});
 
-		it('waits out a holder that does not answer', async () => {
+		it('waits for the grant of a holder that does not respond to expire', async () => {
 			const {world, advance} = createVirtualWorld();
-			const granter = createGrantIssuer(world);
-			granter.grant({vm: parseId<VmId>('v'), incarnation: 'i'}, {
+			const issuer = createGrantIssuer(world);
+			issuer.grant({vm: parseId<VmId>('v'), incarnation: 'i'}, {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 			});
-			let ended = false;
-			void granter.revokeAll(ALL_PERMISSIONS, async () => Err({code: 'lost', message: 'lost'}), new AbortController().signal).then(() => {
-				ended = true;
+			let isRevoked = false;
+			void issuer.revokeAll(ALL_PERMISSIONS, async () => Err({code: 'lost', message: 'lost'}), new AbortController().signal).then(() => {
+				isRevoked = true;
 			});
 			await advance(MAX_GRANT_VALIDITY_MS - 50);
-			assert.equal(ended, false);
+			assert.equal(isRevoked, false);
 			await advance(200);
-			assert.equal(ended, true);
+			assert.equal(isRevoked, true);
 		});
 	});
 
 	describe('grant', () => {
-		it('never outlives the authority of the steward', () => {
+		it('never outlives the authority of the coordinator', () => {
 			const {world} = createVirtualWorld();
-			const granter = createGrantIssuer(world);
+			const issuer = createGrantIssuer(world);
 			const terms = {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA],
 			};
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			assert.ok((granter.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
-			assert.equal(granter.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
+			assert.ok((issuer.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
+			assert.equal(issuer.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
 		});
 	});
 
@@ -110,11 +110,11 @@
 			view, validMs: MAX_GRANT_VALIDITY_MS, agesMs: {}, readable: [REPLICA], permissions: ALL_PERMISSIONS,
 		});
 
-		const run = async (replayedAt: number, change: (book: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
+		const run = async (replayedAt: number, change: (registry: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
 			const {world, advance} = createVirtualWorld();
-			const book = createGrantRegistry(world);
-			book.accept(createReply(createView(1)), world.now());
-			const wait = createDurabilityWaiter(book, async () => {
+			const registry = createGrantRegistry(world);
+			registry.accept(createReply(createView(1)), world.now());
+			const wait = createDurabilityWaiter(registry, async () => {
 				await world.sleep(1);
 				return Ok({position: 100, replayed: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
@@ -122,7 +122,7 @@
 				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
 			});
 			await advance(50);
-			change(book, world);
+			change(registry, world);
 			await advance(5000);
 			return state;
 		};
@@ -131,23 +131,23 @@
 			assert.equal(await run(200, () => undefined), 'durable');
 		});
 
-		it('releases nothing while too few replicas are waited for', async () => {
-			const state = await run(200, (book, world) => {
+		it('does not acknowledge while fewer replicas than the minimum are waited for', async () => {
+			const state = await run(200, (registry, world) => {
 				const view = createView(2);
-				book.accept(createReply({...view, record: {...view.record, synced: []}}), world.now());
+				registry.accept(createReply({...view, record: {...view.record, synced: []}}), world.now());
 			});
 			assert.equal(state, 'unproved');
 		});
 
-		it('never releases an answer of a term that is over', async () => {
-			const state = await run(200, (book, world) => {
+		it('does not acknowledge a write of a term that has ended', async () => {
+			const state = await run(200, (registry, world) => {
 				const view = createView(2);
-				book.accept(createReply({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
+				registry.accept(createReply({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
 			});
 			assert.equal(state, 'unproved');
 		});
 
-		it('does not release an answer when the grant has run out', async () => {
+		it('does not acknowledge a write after the grant has expired', async () => {
 			assert.equal(await run(1500, () => undefined), 'unproved');
 		});
 	});
