--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -28,7 +28,7 @@
 	/** Ranks this vm for a duty, 0 for the first; `undefined` if it is no candidate. */
 	getRank: (duty: string) => number | undefined;
 	/** Tells whether a run of a process is over for certain, as the same vm has begun another. */
-	isRunOver: (holding: HolderRecord) => boolean;
+	hasRunEnded: (holding: HolderRecord) => boolean;
 	/** Takes note of an entry that this process has written. */
 	onWritten: (key: string, value: string, revision: number) => void;
 	onClaimed: (duty: string, epoch: number) => void;
@@ -109,7 +109,7 @@
 	const look = async (duty: string): Promise<void> => {
 		const rank = context.getRank(duty);
 		const holder = getHolder(duty);
-		const isTaken = holder !== undefined && !context.isRunOver(holder);
+		const isTaken = holder !== undefined && !context.hasRunEnded(holder);
 		if (isTaken || rank === undefined || rank >= RANKS) {
 			claimableAt.delete(duty);
 			return;
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -112,7 +112,7 @@
 			},
 			listRoles: () => ['ledger'],
 			getRank: () => rank,
-			isRunOver: () => false,
+			hasRunEnded: () => false,
 			onWritten: () => undefined,
 			onClaimed: () => undefined,
 		});
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -181,7 +181,7 @@
 			const rank = view.rankOwners(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
-		isRunOver: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
+		hasRunEnded: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
 		onWritten(key, value, revision) {
 			feed.applyLocalWrite({
 				key, revision, entry: {
