Reword the roles package

Comments, messages, test titles and local names use the terms of the field: role claim, holder, fencing token, vm registration, takeover promise, candidate and eligible vm.

--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -1,33 +1,33 @@
-/** The one lease of a process, shared by all the slots it holds. */
+/** The single store lease of a process, shared by all slots that it holds. */
 
 import {
 	createSingleFlight, Err, Ok, PAST, type Deadline, type Result, type World,
 } from '@guavapitch/core';
 import type {Lease, Store, StoreFailure} from '@guavapitch/store';
 
-/** Lease of a process. */
+/** Store lease of a process. */
 export type ProcessLease = Readonly<{
-	/** Gets a living lease, granting one if there is none. */
+	/** Returns the current lease if it is still valid; requests a new one from the store otherwise. */
 	acquire: () => Promise<Result<Lease, StoreFailure>>;
-	/** Renews the lease; calls at the same time share one renewal. */
+	/** Renews the lease; concurrent calls share one renewal. */
 	renew: () => Promise<Result<Lease, StoreFailure>>;
-	/** Gets the deadline until which the lease surely lives. */
+	/** Returns the deadline until which the lease is confirmed to be valid. */
 	getDeadline: () => Deadline;
-	/** Ends the lease. */
+	/** Revokes the lease in the store. */
 	revoke: () => Promise<void>;
 }>;
 
-/** Life of a lease without renewal, in whole seconds as the store counts. */
+/** Lifetime of a lease without renewal, in whole seconds because the store counts in seconds. */
 export const LEASE_TTL_SECONDS = 2;
 
-/** Creates the lease of a process; nothing is granted yet. */
+/** Creates the lease of a process; the store is not contacted yet. */
 export const createProcessLease = (store: Store, world: World): ProcessLease => {
 	let lease: Lease | undefined;
 
-	const isLiving = () => lease !== undefined && world.now() < lease.deadline;
+	const isValid = () => lease !== undefined && world.now() < lease.deadline;
 
 	const require = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
-		if (lease && isLiving()) {
+		if (lease && isValid()) {
 			return Ok(lease);
 		}
 
@@ -41,7 +41,7 @@
 
 	const renew = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
 		if (!lease) {
-			return Err({code: 'leaseLost', message: 'There is no lease'});
+			return Err({code: 'leaseLost', message: 'The process has no store lease to renew'});
 		}
 
 		const renewed = await store.renewLease(lease.id);
--- a/packages/roles/src/records.ts
+++ b/packages/roles/src/records.ts
@@ -1,43 +1,43 @@
-/** Records of exclusive role slots in the store. */
+/** Records of the slots of exclusive roles in the store. */
 
 import {
 	computeHash, Err, getMessage, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 
-/** One run of the process of a vm. */
+/** A vm that may hold a slot, identified by one run of its process. */
 export type Candidate = Readonly<{vm: VmId; incarnation: string}>;
 
-/** Record of a slot; changed only by compare-and-swap. */
+/** Record of a slot. It is changed only by compare-and-swap. */
 export type SlotRecord = Readonly<{
-	/** Grows by one with each holder. */
+	/** Number of the holder; grows by one with each new holder. */
 	epoch: number;
 	holder: Candidate;
-	/** Processes that must promise not to take over when the holder cannot reach the store. */
+	/** Processes that the holder asks for a promise not to take over while it cannot reach the store. */
 	candidates: readonly Candidate[];
 }>;
 
-/** Name of a role. */
+/** Name of a role as it stands in the store: `steward` is the failover coordinator, `keeper` the quota allocator. */
 export type RoleName = 'steward' | 'keeper';
 
-/** Failure of parsing a record. */
+/** Failure to parse a slot record. */
 export type SlotRecordFailure = Failure<'slotMalformed'>;
 
-/** Prefix of the records of slots. */
+/** Prefix of the keys of slot records. */
 export const ROLE_PREFIX = '/guavapitch/roles/';
 
-/** Prefix of the entries that live as long as the lease of the holder. */
+/** Prefix of the keys of entries that are attached to the lease of the holder of a slot. */
 export const HOLDER_LEASE_PREFIX = '/guavapitch-alive/';
 
-/** Formats the name of a slot. */
+/** Returns the name of a slot. */
 export const formatSlotName = (role: RoleName, number: number): string => `${role}/${number}`;
 
-/** Chooses the slot that something belongs to. */
+/** Chooses the slot of a role that is responsible for a key, by a hash of the key. */
 export const chooseSlot = (role: RoleName, slots: number, key: string): string => formatSlotName(role, computeHash(key) % slots);
 
-/** Formats a record for the store. */
+/** Encodes a slot record for the store. */
 export const formatSlotRecord = (record: SlotRecord): string => JSON.stringify(record);
 
-/** Parses a record from the store. */
+/** Parses a slot record from the store. */
 export const parseSlotRecord = (text: string): Result<SlotRecord, SlotRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as SlotRecord);
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -1,17 +1,17 @@
-/** Exclusive duties of one vm at a time, held by an entry on the vm's lease, with fencing numbers from the store. */
+/** Exclusive roles, each held by one vm at a time through an entry on the lease of the vm, with fencing tokens from the store. */
 
 import {
 	createDeadline, isPast, type Deadline, type World,
 } from '@guavapitch/core';
 import type {VmRegistration, RoleStore} from './vm-registration.js';
 
-/** A store's entry as the feed knows it. */
+/** An entry of the store as the change feed last delivered it. */
 export type CachedEntry = Readonly<{value: string; revision: number}>;
 
-/** Record of who holds a duty. */
+/** Record of the holder of a role. */
 export type HolderRecord = Readonly<{vm: string; run: string; epoch: number}>;
 
-/** What stewardships need. */
+/** Dependencies of role claims. */
 export type RoleClaimsContext = Readonly<{
 	world: World;
 	store: RoleStore;
@@ -19,40 +19,41 @@
 	vm: string;
 	/** Identifier of this run of the process. */
 	run: string;
-	/** Prefixes of the entries of holders and of fencing numbers. */
+	/** Prefixes of the keys of holder records and of fencing tokens. */
 	holderPrefix: string;
 	epochPrefix: string;
 	getEntry: (key: string) => CachedEntry | undefined;
-	/** Lists the duties that there are. */
+	/** Lists all roles. */
 	listRoles: () => readonly string[];
-	/** Ranks this vm for a duty, 0 for the first; `undefined` if it is no candidate. */
-	getRank: (duty: string) => number | undefined;
-	/** Tells whether a run of a process is over for certain, as the same vm has begun another. */
-	hasRunEnded: (holding: HolderRecord) => boolean;
-	/** Takes note of an entry that this process has written. */
+	/** Returns the rank of this vm for a role, 0 for the best; `undefined` if it may not hold the role. */
+	getRank: (role: string) => number | undefined;
+	/** Returns whether the run of the holder is confirmed to have ended, because the same vm has started another run. */
+	hasRunEnded: (holder: HolderRecord) => boolean;
+	/** Called after this process has written an entry. */
 	onWritten: (key: string, value: string, revision: number) => void;
-	onClaimed: (duty: string, epoch: number) => void;
+	onClaimed: (role: string, epoch: number) => void;
 }>;
 
-/** Duties of one process. */
+/** Roles that one process holds and claims. */
 export type RoleClaims = Readonly<{
-	/** Claims duties that nobody holds, until the signal aborts. */
+	/** Claims roles without a holder until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
-	/** Tells whether this process holds a duty, surely and now. */
-	isHeld: (duty: string) => boolean;
-	/** Gets who holds a duty, by the feed. */
-	getHolder: (duty: string) => HolderRecord | undefined;
-	/** Draws a fencing number higher than all before; `undefined` if the duty is lost or the store does not answer. */
-	drawFencingToken: (duty: string) => Promise<number | undefined>;
+	/** Returns whether this process is confirmed to hold a role at this moment. */
+	isHeld: (role: string) => boolean;
+	/** Returns the holder of a role according to the change feed. */
+	getHolder: (role: string) => HolderRecord | undefined;
+	/** Draws a fencing token that is higher than all earlier ones; returns `undefined` if the role is lost or the store does not answer. */
+	drawFencingToken: (role: string) => Promise<number | undefined>;
 }>;
 
-/** Pause between looks at the duties, in milliseconds. */
-const LOOK_MS = 150;
-/** Head start of each rank before the next, in milliseconds; longer than a claim takes to be known. */
+/** Interval at which roles are checked, in milliseconds. */
+const CHECK_INTERVAL_MS = 150;
+/** Head start that each rank has over the next, in milliseconds; longer than other vms take to learn of a claim. */
 const RANK_DELAY_MS = 400;
-const RANKS = 4;
+/** Number of best-ranked vms that may claim a role. */
+const MAX_RANKS = 4;
 
-/** Parses the record of a holder; `undefined` if it is malformed. */
+/** Parses the record of a holder; returns `undefined` if it is malformed. */
 export const parseHolderRecord = (text: string): HolderRecord | undefined => {
 	try {
 		const value = JSON.parse(text) as Partial<HolderRecord>;
@@ -64,89 +65,89 @@
 	}
 };
 
-/** Creates the duties of a process; it holds none yet. */
+/** Creates the role claims of a process; it holds no role yet. */
 export const createRoleClaims = (context: RoleClaimsContext): RoleClaims => {
-	const {world, store, registration: presence} = context;
+	const {world, store, registration} = context;
 	const claimableAt = new Map<string, Deadline>();
 
-	const getHolder = (duty: string): HolderRecord | undefined => {
-		const entry = context.getEntry(`${context.holderPrefix}${duty}`);
+	const getHolder = (role: string): HolderRecord | undefined => {
+		const entry = context.getEntry(`${context.holderPrefix}${role}`);
 		return entry && parseHolderRecord(entry.value);
 	};
 
-	const isHeld = (duty: string): boolean => getHolder(duty)?.run === context.run && presence.getLease() !== undefined;
+	const isHeld = (role: string): boolean => getHolder(role)?.run === context.run && registration.getLease() !== undefined;
 
-	const getEpoch = (duty: string): Readonly<{epoch: number; revision: number}> => {
-		const entry = context.getEntry(`${context.epochPrefix}${duty}`);
+	const getEpoch = (role: string): Readonly<{epoch: number; revision: number}> => {
+		const entry = context.getEntry(`${context.epochPrefix}${role}`);
 		return {epoch: Number(entry?.value ?? 0), revision: entry?.revision ?? 0};
 	};
 
-	const claim = async (duty: string): Promise<void> => {
-		const leaseId = presence.getLease();
+	const claim = async (role: string): Promise<void> => {
+		const leaseId = registration.getLease();
 		if (leaseId === undefined) {
 			return;
 		}
 
-		const holderKey = `${context.holderPrefix}${duty}`;
-		const epochKey = `${context.epochPrefix}${duty}`;
-		const before = getEpoch(duty);
+		const holderKey = `${context.holderPrefix}${role}`;
+		const epochKey = `${context.epochPrefix}${role}`;
+		const previous = getEpoch(role);
 		const holderRevision = context.getEntry(holderKey)?.revision ?? 0;
-		const epoch = before.epoch + 1;
-		const holding: HolderRecord = {vm: context.vm, run: context.run, epoch};
-		const value = JSON.stringify(holding);
+		const epoch = previous.epoch + 1;
+		const holder: HolderRecord = {vm: context.vm, run: context.run, epoch};
+		const value = JSON.stringify(holder);
 		const written = await store.transact({
-			conditions: [{key: holderKey, revision: holderRevision}, {key: epochKey, revision: before.revision}],
+			conditions: [{key: holderKey, revision: holderRevision}, {key: epochKey, revision: previous.revision}],
 			puts: [{key: holderKey, value, leaseId}, {key: epochKey, value: String(epoch), leaseId: undefined}],
 			removes: [],
 		});
 		if (written.ok && written.val.revision !== undefined) {
 			context.onWritten(epochKey, String(epoch), written.val.revision);
 			context.onWritten(holderKey, value, written.val.revision);
-			context.onClaimed(duty, epoch);
+			context.onClaimed(role, epoch);
 		}
 	};
 
-	const look = async (duty: string): Promise<void> => {
-		const rank = context.getRank(duty);
-		const holder = getHolder(duty);
-		const isTaken = holder !== undefined && !context.hasRunEnded(holder);
-		if (isTaken || rank === undefined || rank >= RANKS) {
-			claimableAt.delete(duty);
+	const checkRole = async (role: string): Promise<void> => {
+		const rank = context.getRank(role);
+		const holder = getHolder(role);
+		const hasHolder = holder !== undefined && !context.hasRunEnded(holder);
+		if (hasHolder || rank === undefined || rank >= MAX_RANKS) {
+			claimableAt.delete(role);
 			return;
 		}
 
-		const at = claimableAt.get(duty) ?? createDeadline(world.now(), rank * RANK_DELAY_MS);
-		claimableAt.set(duty, at);
-		if (presence.getLease() !== undefined && isPast(at, world.now())) {
-			claimableAt.set(duty, createDeadline(world.now(), RANK_DELAY_MS));
-			await claim(duty);
+		const claimAt = claimableAt.get(role) ?? createDeadline(world.now(), rank * RANK_DELAY_MS);
+		claimableAt.set(role, claimAt);
+		if (registration.getLease() !== undefined && isPast(claimAt, world.now())) {
+			claimableAt.set(role, createDeadline(world.now(), RANK_DELAY_MS));
+			await claim(role);
 		}
 	};
 
 	return {
 		async run(signal) {
 			while (!signal.aborted) {
-				for (const duty of context.listRoles()) {
-					await look(duty);
+				for (const role of context.listRoles()) {
+					await checkRole(role);
 				}
 
-				await world.sleep(LOOK_MS, signal).catch(() => undefined);
+				await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
 		isHeld,
 		getHolder,
-		async drawFencingToken(duty) {
-			const holderKey = `${context.holderPrefix}${duty}`;
+		async drawFencingToken(role) {
+			const holderKey = `${context.holderPrefix}${role}`;
 			const holder = context.getEntry(holderKey);
-			if (!holder || !isHeld(duty)) {
+			if (!holder || !isHeld(role)) {
 				return undefined;
 			}
 
-			const epochKey = `${context.epochPrefix}${duty}`;
-			const before = getEpoch(duty);
-			const value = String(before.epoch + 1);
+			const epochKey = `${context.epochPrefix}${role}`;
+			const previous = getEpoch(role);
+			const value = String(previous.epoch + 1);
 			const written = await store.transact({
-				conditions: [{key: holderKey, revision: holder.revision}, {key: epochKey, revision: before.revision}],
+				conditions: [{key: holderKey, revision: holder.revision}, {key: epochKey, revision: previous.revision}],
 				puts: [{key: epochKey, value, leaseId: undefined}],
 				removes: [],
 			});
@@ -155,7 +156,7 @@
 			}
 
 			context.onWritten(epochKey, value, written.val.revision);
-			return before.epoch + 1;
+			return previous.epoch + 1;
 		},
 	};
 };
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -1,4 +1,4 @@
-/** Holding a slot: one task from the claim to the loss, again and again. */
+/** Claims and holds a slot of a role: one task per slot, which claims the slot, extends its authority, and starts again after a loss. */
 
 import {
 	chooseEarliest, createDeadline, getRemainingMs, isPast, PAST, type Deadline, type Failure, type Result, type World,
@@ -10,18 +10,18 @@
 	HOLDER_LEASE_PREFIX, formatSlotRecord, parseSlotRecord, ROLE_PREFIX, type Candidate, type SlotRecord,
 } from './records.js';
 
-/** Authority over a slot: valid before a deadline, which moves while the slot is held. */
+/** Authority over a slot. It is valid until a deadline, which is extended while the slot is held. */
 export type Authority = Readonly<{
 	slot: string;
 	epoch: number;
-	/** Gets the deadline; whoever acts under it checks it after every wait. */
+	/** Returns the current deadline. Code that acts under the authority must check it after every wait. */
 	getDeadline: () => Deadline;
 }>;
 
-/** Why the authority was extended. */
+/** What the authority was extended by: the store lease, or takeover promises of the candidates. */
 export type ExtensionSource = 'lease' | 'promises';
 
-/** What the task that holds a slot needs. */
+/** Dependencies of the task that claims and holds a slot. */
 export type SlotContext = Readonly<{
 	world: World;
 	store: Store;
@@ -29,38 +29,40 @@
 	promises: TakeoverPromises;
 	self: Candidate;
 	slot: string;
-	/** Ranks the live vms for the slot, best first. */
+	/** Ranks the live vms for the slot, the best first. */
 	rankCandidates: () => readonly Candidate[];
-	/** Asks a candidate for a promise. */
+	/** Asks a candidate to promise not to take over. */
 	requestPromise: (candidate: Candidate, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
-	/** Tells whether a run of a process is surely over: another one answers, or the platform's list has dropped the vm. */
+	/** Returns whether a run of a process is confirmed to have ended: another run of the same vm responds, or the vm has been removed from the platform's list. */
 	isConfirmedGone: (candidate: Candidate) => boolean;
-	/** Acts as holder until the signal aborts. */
+	/** Performs the role until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	onGained: (slot: string, epoch: number) => void;
 	onLost: (slot: string, epoch: number) => void;
 	onExtended: (slot: string, by: ExtensionSource) => void;
 }>;
 
-/** Time for which candidates promise, in milliseconds. */
+/** Validity of a takeover promise, in milliseconds. */
 export const PROMISE_VALIDITY_MS = 1500;
 
-const CONTENDERS = 3;
-const CANDIDATES = 2;
-const POLL_MS = 400;
-const RENEW_MS = 400;
-/** Allowance for clocks that run at different rates. */
-const DRIFT_MS = 100;
+/** Number of best-ranked vms that may claim a slot. */
+const MAX_ELIGIBLE_VMS = 3;
+/** Number of candidates in the record of a slot. */
+const MAX_RECORDED_CANDIDATES = 2;
+const CLAIM_INTERVAL_MS = 400;
+const RENEWAL_INTERVAL_MS = 400;
+/** Safety margin for clocks that run at different rates. */
+const CLOCK_DRIFT_MS = 100;
 
 type Claim = Readonly<{record: SlotRecord; revision: number}>;
 
 const isSame = (a: Candidate, b: Candidate): boolean => a.vm === b.vm && a.incarnation === b.incarnation;
 
-const formatOwner = (candidate: Candidate): string => `${candidate.vm}/${candidate.incarnation}`;
+const formatHolder = (candidate: Candidate): string => `${candidate.vm}/${candidate.incarnation}`;
 
 const chooseCandidates = (context: SlotContext): readonly Candidate[] => context.rankCandidates()
 	.filter(candidate => candidate.vm !== context.self.vm && candidate.incarnation !== '')
-	.slice(0, CANDIDATES);
+	.slice(0, MAX_RECORDED_CANDIDATES);
 
 const mayClaim = (context: SlotContext, record: SlotRecord | undefined): boolean => {
 	const {self} = context;
@@ -68,18 +70,18 @@
 		return true;
 	}
 
-	const isContender = context.rankCandidates().slice(0, CONTENDERS).some(candidate => isSame(candidate, self));
-	return isContender && (record.candidates.length === 0 || record.candidates.some(candidate => context.isConfirmedGone(candidate)));
+	const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, self));
+	return isEligible && (record.candidates.length === 0 || record.candidates.some(candidate => context.isConfirmedGone(candidate)));
 };
 
-/** What a claim is based on, as read from the store. */
-type Opening = Readonly<{record: SlotRecord | undefined; recordRevision: number; aliveRevision: number}>;
+/** State of a slot in the store on which a claim is based. */
+type SlotState = Readonly<{record: SlotRecord | undefined; recordRevision: number; aliveRevision: number}>;
 
-/** Reads whether the slot may be claimed; `undefined` if not, or if the store does not answer. */
-const readOpening = async (context: SlotContext): Promise<Opening | undefined> => {
+/** Reads the state of a slot; returns `undefined` if this process may not claim it, or if the store does not answer. */
+const readSlotState = async (context: SlotContext): Promise<SlotState | undefined> => {
 	const {store, slot, self} = context;
 	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
-	if (alive.err || (alive.val !== undefined && alive.val.value !== formatOwner(self))) {
+	if (alive.err || (alive.val !== undefined && alive.val.value !== formatHolder(self))) {
 		return undefined;
 	}
 
@@ -90,99 +92,99 @@
 		: {record, recordRevision: found.val?.revision ?? 0, aliveRevision: alive.val?.revision ?? 0};
 };
 
-/** Takes the slot's living entry and then its record; `undefined` if somebody else holds it or the store does not answer. */
+/** Writes the lease entry of a slot and then its record; returns `undefined` if another process holds the slot or the store does not answer. */
 const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
 	const {store, slot, self, lease, promises} = context;
-	const opening = await readOpening(context);
-	const living = opening ? await lease.acquire() : undefined;
-	if (!opening || !living?.ok || !promises.beginClaim(slot)) {
+	const state = await readSlotState(context);
+	const leased = state ? await lease.acquire() : undefined;
+	if (!state || !leased?.ok || !promises.beginClaim(slot)) {
 		return undefined;
 	}
 
-	// From here on no promise is given, and none was given before that still holds.
+	// No promise is in effect, and from here on none is made.
 	using claiming = {
 		[Symbol.dispose]() {
 			promises.endClaim(slot);
 		},
 	};
-	const entered = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, opening.aliveRevision, formatOwner(self), living.val.id);
-	if (entered.err || !entered.val.swapped) {
+	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, state.aliveRevision, formatHolder(self), leased.val.id);
+	if (attached.err || !attached.val.swapped) {
 		return undefined;
 	}
 
-	const next: SlotRecord = {epoch: (opening.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
-	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, opening.recordRevision, formatSlotRecord(next));
+	const next: SlotRecord = {epoch: (state.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
+	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, state.recordRevision, formatSlotRecord(next));
 	return written.ok && written.val.swapped ? {record: next, revision: written.val.current?.revision ?? 0} : undefined;
 };
 
-/** Asks every candidate for a promise; gives the deadline until which none will take over. */
+/** Asks every candidate for a promise; returns the deadline until which no candidate takes over. */
 const collectPromises = async (context: SlotContext, record: SlotRecord): Promise<Deadline> => {
 	const askedAt = context.world.now();
 	if (record.candidates.length === 0) {
 		return PAST;
 	}
 
-	const answers = await Promise.all(record.candidates.map(async candidate => {
-		const answer = await context.requestPromise(candidate, {
+	const deadlines = await Promise.all(record.candidates.map(async candidate => {
+		const response = await context.requestPromise(candidate, {
 			slot: context.slot, epoch: record.epoch, validMs: PROMISE_VALIDITY_MS, incarnation: candidate.incarnation,
 		});
-		return answer.ok && answer.val ? createDeadline(askedAt, PROMISE_VALIDITY_MS - DRIFT_MS) : PAST;
+		return response.ok && response.val ? createDeadline(askedAt, PROMISE_VALIDITY_MS - CLOCK_DRIFT_MS) : PAST;
 	}));
-	return chooseEarliest(answers);
+	return chooseEarliest(deadlines);
 };
 
-/** Keeps the candidates in line with the ranking: only the best ranked contend, so only they can take over in time. */
+/** Updates the recorded candidates after a change of the ranking. Only the best-ranked vms claim slots, so only they can take over in time. */
 const refreshCandidates = async (context: SlotContext, claim: Claim): Promise<Claim> => {
-	const wanted = chooseCandidates(context);
-	const isGood = wanted.length === claim.record.candidates.length
-		&& wanted.every(candidate => claim.record.candidates.some(one => isSame(one, candidate)));
-	if (isGood) {
+	const candidates = chooseCandidates(context);
+	const isCurrent = candidates.length === claim.record.candidates.length
+		&& candidates.every(candidate => claim.record.candidates.some(one => isSame(one, candidate)));
+	if (isCurrent) {
 		return claim;
 	}
 
-	const record: SlotRecord = {...claim.record, candidates: wanted};
+	const record: SlotRecord = {...claim.record, candidates};
 	const written = await context.store.compareAndSwap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
 	return written.ok && written.val.swapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
 };
 
-/** Attaches a held slot to a new lease after the old one has lapsed, if nobody else has taken it meanwhile. */
+/** Attaches a held slot to a new lease after the old one has expired, unless another process has claimed the slot in the meantime. */
 const reattachSlot = async (context: SlotContext, claim: Claim): Promise<boolean> => {
 	const {store, slot, self, lease} = context;
-	const living = await lease.acquire();
+	const leased = await lease.acquire();
 	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
-	if (living.err || alive.err || (alive.val && alive.val.value !== formatOwner(self))) {
+	if (leased.err || alive.err || (alive.val && alive.val.value !== formatHolder(self))) {
 		return false;
 	}
 
-	const entered = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, alive.val?.revision ?? 0, formatOwner(self), living.val.id);
+	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, alive.val?.revision ?? 0, formatHolder(self), leased.val.id);
 	const record = await store.read(`${ROLE_PREFIX}${slot}`);
-	return entered.ok && entered.val.swapped && record.ok && record.val?.revision === claim.revision;
+	return attached.ok && attached.val.swapped && record.ok && record.val?.revision === claim.revision;
 };
 
-/** Keeps a claimed slot until it is lost. */
-const holdSlot = async (context: SlotContext, first: Claim, signal: AbortSignal): Promise<void> => {
+/** Holds a claimed slot until its authority has ended. */
+const holdSlot = async (context: SlotContext, initialClaim: Claim, signal: AbortSignal): Promise<void> => {
 	const {world, lease, slot} = context;
 	const lost = new AbortController();
-	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -DRIFT_MS);
-	let claim = first;
+	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -CLOCK_DRIFT_MS);
+	let claim = initialClaim;
 	let deadline = createLeaseDeadline();
 	let extension: ExtensionSource = 'lease';
 	const extendByPromises = async (): Promise<Deadline> => {
-		const promised = await collectPromises(context, claim.record);
-		deadline = Math.max(deadline, promised) as Deadline;
-		return promised;
+		const promisedUntil = await collectPromises(context, claim.record);
+		deadline = Math.max(deadline, promisedUntil) as Deadline;
+		return promisedUntil;
 	};
 
-	const acting = context.runAsHolder({slot, epoch: first.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
-	context.onGained(slot, first.record.epoch);
+	const running = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
+	context.onGained(slot, initialClaim.record.epoch);
 	while (!signal.aborted && !isPast(deadline, world.now())) {
-		await world.sleep(RENEW_MS, signal).catch(() => undefined);
-		// Once a renewal has failed, promises are asked for at the same time, and count at once: the next renewal may fail as slowly.
-		const early: Promise<Deadline> | undefined = extension === 'promises' ? extendByPromises() : undefined;
+		await world.sleep(RENEWAL_INTERVAL_MS, signal).catch(() => undefined);
+		// After a failed renewal, promises are requested in parallel with the next one and extend the deadline at once, because that renewal may take just as long to fail.
+		const pendingPromises: Promise<Deadline> | undefined = extension === 'promises' ? extendByPromises() : undefined;
 		const renewed = await lease.renew();
-		const isLapsed = renewed.err && renewed.val.code === 'leaseLost';
-		const promised: Deadline = renewed.ok ? PAST : await (early ?? extendByPromises());
-		const isAttached: boolean = renewed.ok || (isLapsed && !isPast(promised, world.now()) && await reattachSlot(context, claim));
+		const hasExpired = renewed.err && renewed.val.code === 'leaseLost';
+		const promisedUntil: Deadline = renewed.ok ? PAST : await (pendingPromises ?? extendByPromises());
+		const isAttached: boolean = renewed.ok || (hasExpired && !isPast(promisedUntil, world.now()) && await reattachSlot(context, claim));
 		deadline = isAttached ? Math.max(deadline, createLeaseDeadline()) as Deadline : deadline;
 		const by: ExtensionSource = isAttached ? 'lease' : 'promises';
 		if (by !== extension) {
@@ -192,25 +194,25 @@
 
 		if (isAttached) {
 			claim = await refreshCandidates(context, claim);
-		} else if (isLapsed && isPast(promised, world.now())) {
+		} else if (hasExpired && isPast(promisedUntil, world.now())) {
 			break;
 		}
 	}
 
 	lost.abort();
-	await acting;
-	context.onLost(slot, first.record.epoch);
-	// Whatever was granted under this authority may last until its deadline.
+	await running;
+	context.onLost(slot, initialClaim.record.epoch);
+	// Grants issued under this authority may be valid until its deadline.
 	await world.sleep(getRemainingMs(deadline, world.now()), signal).catch(() => undefined);
 };
 
-/** Contends for a slot and holds it whenever it can be had. */
+/** Claims a slot whenever this vm is eligible and the slot is free, and holds it until it is lost. */
 export const runSlot = async (context: SlotContext, signal: AbortSignal): Promise<void> => {
 	const {world, promises, slot} = context;
 	while (!signal.aborted) {
-		await world.sleep(POLL_MS * (0.5 + world.random()), signal);
-		const isContender = context.rankCandidates().slice(0, CONTENDERS).some(candidate => isSame(candidate, context.self));
-		if (!isContender || promises.isGiven(slot)) {
+		await world.sleep(CLAIM_INTERVAL_MS * (0.5 + world.random()), signal);
+		const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, context.self));
+		if (!isEligible || promises.isGiven(slot)) {
 			continue;
 		}
 
--- a/packages/roles/src/takeover-promises.ts
+++ b/packages/roles/src/takeover-promises.ts
@@ -1,28 +1,28 @@
-/** Promises of a candidate not to take over a slot before a deadline; they die with the process. */
+/** Promises of a candidate not to take over a slot before a deadline. They are kept in memory only and end with the process. */
 
 import {
 	createDeadline, isPast, PAST, type Deadline, type World,
 } from '@guavapitch/core';
 
-/** What the holder of a slot asks of a candidate. */
+/** Request of the holder of a slot to a candidate for a promise. */
 export type TakeoverPromiseRequest = Readonly<{slot: string; epoch: number; validMs: number; incarnation: string}>;
 
-/** Promises of one process. */
+/** Takeover promises that one process has made. */
 export type TakeoverPromises = Readonly<{
-	/** Gives a promise, unless a take-over is under way or the holder is not the newest known. */
+	/** Makes a promise; returns `false` if a takeover is in progress, the request was meant for another run of the process, or a newer epoch than that of the holder is known. */
 	give: (request: TakeoverPromiseRequest, knownEpoch: number) => boolean;
-	/** Tells whether a promise holds now. */
+	/** Returns whether a promise for the slot is in effect now. */
 	isGiven: (slot: string) => boolean;
-	/** Begins a take-over; `false` while a promise holds. */
+	/** Begins a takeover; returns `false` while a promise is in effect. */
 	beginClaim: (slot: string) => boolean;
 	endClaim: (slot: string) => void;
 }>;
 
-/** Creates the promises of a process. */
+/** Creates the promises of a process; none is made yet. */
 export const createTakeoverPromises = (incarnation: string, world: World): TakeoverPromises => {
-	const given = new Map<string, Deadline>();
+	const deadlines = new Map<string, Deadline>();
 	const claiming = new Set<string>();
-	const isGiven = (slot: string) => !isPast(given.get(slot) ?? PAST, world.now());
+	const isGiven = (slot: string) => !isPast(deadlines.get(slot) ?? PAST, world.now());
 
 	return {
 		isGiven,
@@ -32,7 +32,7 @@
 			}
 
 			const deadline = createDeadline(world.now(), request.validMs);
-			given.set(request.slot, Math.max(deadline, given.get(request.slot) ?? PAST) as Deadline);
+			deadlines.set(request.slot, Math.max(deadline, deadlines.get(request.slot) ?? PAST) as Deadline);
 			return true;
 		},
 		beginClaim(slot) {
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -1,4 +1,4 @@
-/** Duties of one vm at a time: claims, lost answers, fencing numbers, suspensions. */
+/** Role claims: no role has two holders, after lost responses and suspensions too, and fencing tokens only grow. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -8,11 +8,11 @@
 import {createVmRegistration, type RoleStore} from '../vm-registration.js';
 import {createRoleClaims} from '../role-claims.js';
 
-type Item = Readonly<{value: string; revision: number; leaseId: string | undefined}>;
+type Entry = Readonly<{value: string; revision: number; leaseId: string | undefined}>;
 
-/** A store with leases, all-or-nothing changes and switches for its faults. */
+/** A store with leases, atomic transactions and switchable faults. */
 const createFakeStore = (world: World) => {
-	const items = new Map<string, Item>();
+	const entries = new Map<string, Entry>();
 	const leases = new Map<string, number>();
 	const state = {isDown: false, losesAnswers: false};
 	let revision = 0;
@@ -22,9 +22,9 @@
 		for (const [id, until] of leases) {
 			if (world.now() >= until) {
 				leases.delete(id);
-				for (const [key, item] of items) {
-					if (item.leaseId === id) {
-						items.delete(key);
+				for (const [key, entry] of entries) {
+					if (entry.leaseId === id) {
+						entries.delete(key);
 						revision++;
 					}
 				}
@@ -32,12 +32,12 @@
 		}
 	};
 
-	const down = Err({code: 'storeUnreachable', message: 'down'} as const);
+	const unreachable = Err({code: 'storeUnreachable', message: 'down'} as const);
 	const store: RoleStore = {
 		async grantLease(ttlMs) {
 			expire();
 			if (state.isDown) {
-				return down;
+				return unreachable;
 			}
 
 			const id = String(++lastLease);
@@ -47,7 +47,7 @@
 		async renewLease(id) {
 			expire();
 			if (state.isDown) {
-				return down;
+				return unreachable;
 			}
 
 			if (!leases.has(id)) {
@@ -65,23 +65,23 @@
 		async transact({conditions, puts}) {
 			expire();
 			if (state.isDown) {
-				return down;
+				return unreachable;
 			}
 
-			if (conditions.some(({key, revision: wanted}) => (items.get(key)?.revision ?? 0) !== wanted)) {
+			if (conditions.some(({key, revision: expected}) => (entries.get(key)?.revision ?? 0) !== expected)) {
 				return Ok({revision: undefined});
 			}
 
 			revision++;
 			for (const {key, value, leaseId} of puts) {
-				items.set(key, {value, revision, leaseId});
+				entries.set(key, {value, revision, leaseId});
 			}
 
 			return state.losesAnswers ? Err({code: 'storeUnknown', message: 'lost'}) : Ok({revision});
 		},
 	};
 	return {
-		store, items, state, expire,
+		store, entries, state, expire,
 	};
 };
 
@@ -90,25 +90,25 @@
 	const fake = createFakeStore(world);
 	const stop = new AbortController();
 	const start = (vm: string, rank: number) => {
-		const skew = {suspendedMs: 0};
-		const own = new AbortController();
+		const suspension = {suspendedMs: 0};
+		const stopVm = new AbortController();
 		stop.signal.addEventListener('abort', () => {
-			own.abort();
+			stopVm.abort();
 		});
-		const presence = createVmRegistration({
-			world, readClock: () => (world.now() + skew.suspendedMs) as Instant, store: fake.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
+		const registration = createVmRegistration({
+			world, readClock: () => (world.now() + suspension.suspendedMs) as Instant, store: fake.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
 		});
-		const duties = createRoleClaims({
+		const roles = createRoleClaims({
 			world,
 			store: fake.store,
-			registration: presence,
+			registration,
 			vm,
 			run: `${vm}-1`,
 			holderPrefix: 'holders/',
 			epochPrefix: 'epochs/',
 			getEntry(key) {
 				fake.expire();
-				return fake.items.get(key);
+				return fake.entries.get(key);
 			},
 			listRoles: () => ['ledger'],
 			getRank: () => rank,
@@ -116,14 +116,14 @@
 			onWritten: () => undefined,
 			onClaimed: () => undefined,
 		});
-		void presence.run(own.signal);
-		void duties.run(own.signal);
+		void registration.run(stopVm.signal);
+		void roles.run(stopVm.signal);
 		return {
-			duties,
-			presence,
-			skew,
+			roles,
+			registration,
+			suspension,
 			kill() {
-				own.abort();
+				stopVm.abort();
 			},
 		};
 	};
@@ -133,43 +133,43 @@
 	};
 };
 
-describe('stewardship', () => {
-	it('is held by the first ranked, and by the next after it is gone', async () => {
+describe('role', () => {
+	it('is held by the best-ranked vm, and by the next one after the first has stopped', async () => {
 		const {start, advance, stop} = createSetup();
 		const first = start('one', 0);
 		const second = start('two', 1);
 		await advance(1500);
-		assert.ok(first.duties.isHeld('ledger'));
-		assert.ok(!second.duties.isHeld('ledger'));
+		assert.ok(first.roles.isHeld('ledger'));
+		assert.ok(!second.roles.isHeld('ledger'));
 		first.kill();
 		await advance(6000);
-		assert.ok(second.duties.isHeld('ledger'));
+		assert.ok(second.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
-	it('is never held twice at one moment, also when a holder cannot renew', async () => {
+	it('never has two holders at the same time, even if a holder cannot renew its lease', async () => {
 		const {fake, start, advance, stop} = createSetup();
 		const vms = [start('one', 0), start('two', 1), start('three', 2)];
 		for (let step = 0; step < 400; step++) {
 			fake.state.isDown = step % 130 > 80;
 			await advance(50);
-			assert.ok(vms.filter(({duties}) => duties.isHeld('ledger')).length <= 1);
+			assert.ok(vms.filter(({roles}) => roles.isHeld('ledger')).length <= 1);
 		}
 
 		stop.abort();
 	});
 
-	it('is not held after a suspension that outlasted the lease', async () => {
+	it('is not held after a suspension that lasted longer than the lease', async () => {
 		const {start, advance, stop} = createSetup();
 		const first = start('one', 0);
 		await advance(1000);
-		assert.ok(first.duties.isHeld('ledger'));
-		first.skew.suspendedMs = 5000;
-		assert.ok(!first.duties.isHeld('ledger'));
+		assert.ok(first.roles.isHeld('ledger'));
+		first.suspension.suspendedMs = 5000;
+		assert.ok(!first.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
-	it('is known to its holder although the answer to the claim was lost', async () => {
+	it('is known to its holder although the response to the claim was lost', async () => {
 		const {fake, start, advance, stop} = createSetup();
 		const first = start('one', 0);
 		await advance(100);
@@ -177,22 +177,22 @@
 		await advance(300);
 		fake.state.losesAnswers = false;
 		await advance(1500);
-		assert.ok(first.duties.isHeld('ledger'));
+		assert.ok(first.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
-	it('draws fencing numbers that only grow, over all holders', async () => {
+	it('draws fencing tokens that only grow, across all holders', async () => {
 		const {start, advance, stop} = createSetup();
 		const first = start('one', 0);
 		const second = start('two', 1);
 		await advance(1500);
-		const drawn = [await first.duties.drawFencingToken('ledger'), await first.duties.drawFencingToken('ledger')];
-		assert.equal(await second.duties.drawFencingToken('ledger'), undefined);
+		const tokens = [await first.roles.drawFencingToken('ledger'), await first.roles.drawFencingToken('ledger')];
+		assert.equal(await second.roles.drawFencingToken('ledger'), undefined);
 		first.kill();
 		await advance(6000);
-		drawn.push(await second.duties.drawFencingToken('ledger'));
-		assert.deepEqual(drawn, drawn.toSorted((a, b) => (a ?? 0) - (b ?? 0)));
-		assert.equal(new Set(drawn).size, 3);
+		tokens.push(await second.roles.drawFencingToken('ledger'));
+		assert.deepEqual(tokens, tokens.toSorted((a, b) => (a ?? 0) - (b ?? 0)));
+		assert.equal(new Set(tokens).size, 3);
 		stop.abort();
 	});
 });
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -1,25 +1,25 @@
-/** The lease of a process and the entry by which others find it. */
+/** Registration of a vm in the store: a lease, and an entry by which other vms find this one. */
 
 import {
 	createDeadline, isPast, PAST, type Deadline, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import type {StoreFailure} from '@guavapitch/store';
 
-/** A lease as the store gave it. */
+/** A lease that the store granted. */
 export type GrantedLease = Readonly<{id: string; ttlMs: number}>;
 
-/** A change of several entries at once. */
+/** An atomic change of several entries. */
 export type StoreTransaction = Readonly<{
-	/** Revisions that the entries must have; 0 for none. */
+	/** Revisions that entries must have; 0 if the entry must not exist. */
 	conditions: ReadonlyArray<Readonly<{key: string; revision: number}>>;
 	puts: ReadonlyArray<Readonly<{key: string; value: string; leaseId: string | undefined}>>;
 	removes: readonly string[];
 }>;
 
-/** Outcome of a transaction: its revision, or `undefined` if a condition did not hold. */
+/** Outcome of a transaction: its revision, or `undefined` if a condition was not met. */
 export type TransactionOutcome = Readonly<{revision: number | undefined}>;
 
-/** Functions of the store for roles. */
+/** Store operations that roles need. */
 export type RoleStore = Readonly<{
 	grantLease: (ttlMs: number) => Promise<Result<GrantedLease, StoreFailure>>;
 	renewLease: (id: string) => Promise<Result<number, StoreFailure>>;
@@ -27,47 +27,47 @@
 	transact: (transaction: StoreTransaction) => Promise<Result<TransactionOutcome, StoreFailure>>;
 }>;
 
-/** What presence needs. */
+/** Dependencies of a vm registration. */
 export type VmRegistrationContext = Readonly<{
 	world: World;
 	/** Reads the suspension clock. */
 	readClock: () => Instant;
 	store: RoleStore;
-	/** Entry that lives as long as the lease. */
+	/** Key and value of the entry that is attached to the lease. */
 	key: string;
 	value: string;
-	/** Hears of each answer of the store. */
+	/** Called after each successful call to the store, with the time when the call was sent. */
 	onContact: (askedAt: Instant) => void;
 	onFailure: (failure: StoreFailure) => void;
 }>;
 
-/** Presence of a process. */
+/** Registration of a vm. */
 export type VmRegistration = Readonly<{
-	/** Keeps the lease until the signal aborts. */
+	/** Acquires and renews the lease until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
-	/** Gets the lease while it surely lives. */
+	/** Returns the identifier of the lease while it is confirmed to be valid. */
 	getLease: () => string | undefined;
-	/** Ends the lease; its entries go with it. */
+	/** Revokes the lease; the store removes its entries. */
 	deregister: () => Promise<void>;
 }>;
 
-/** Life of a lease without renewal, in milliseconds: longer than a hiccup of the store, short enough for a lost vm. */
+/** Lifetime of a lease without renewal, in milliseconds: longer than a short interruption of the store, yet short enough that a failed vm is noticed in time. */
 export const LEASE_TTL_MS = 4000;
-/** Pause between renewals, in milliseconds; three attempts fit into a lease. */
-const RENEW_MS = 1300;
-/** Pause after a failed call, in milliseconds. */
-const RETRY_MS = 400;
-/** Allowance for clocks that run at different rates, in milliseconds. */
-const DRIFT_MS = 150;
-
-/** Creates the presence of a process; nothing is granted yet. */
+/** Pause between renewals, in milliseconds; three attempts fit into the lifetime of a lease. */
+const RENEWAL_INTERVAL_MS = 1300;
+/** Mean pause after a failed call, in milliseconds. */
+const RETRY_DELAY_MS = 400;
+/** Safety margin for clocks that run at different rates, in milliseconds. */
+const CLOCK_DRIFT_MS = 150;
+
+/** Creates the registration of a vm; it has no lease yet. */
 export const createVmRegistration = (context: VmRegistrationContext): VmRegistration => {
 	const {world, readClock, store} = context;
 	let leaseId: string | undefined;
 	let deadline: Deadline = PAST;
-	let isLeaving = false;
+	let isDeregistered = false;
 
-	const fail = (failure: StoreFailure) => {
+	const handleFailure = (failure: StoreFailure) => {
 		context.onFailure(failure);
 		if (failure.code === 'leaseLost') {
 			leaseId = undefined;
@@ -75,51 +75,51 @@
 		}
 	};
 
-	const grant = async (): Promise<boolean> => {
+	const register = async (): Promise<boolean> => {
 		const askedAt = readClock();
-		const steadyAt = world.now();
+		const sentAt = world.now();
 		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
-			fail(granted.val);
+			handleFailure(granted.val);
 			return false;
 		}
 
-		context.onContact(steadyAt);
-		const entered = await store.transact({conditions: [], puts: [{key: context.key, value: context.value, leaseId: granted.val.id}], removes: []});
-		if (entered.err) {
-			fail(entered.val);
+		context.onContact(sentAt);
+		const written = await store.transact({conditions: [], puts: [{key: context.key, value: context.value, leaseId: granted.val.id}], removes: []});
+		if (written.err) {
+			handleFailure(written.val);
 			return false;
 		}
 
 		leaseId = granted.val.id;
-		deadline = createDeadline(askedAt, granted.val.ttlMs - DRIFT_MS);
+		deadline = createDeadline(askedAt, granted.val.ttlMs - CLOCK_DRIFT_MS);
 		return true;
 	};
 
 	const renew = async (id: string): Promise<boolean> => {
 		const askedAt = readClock();
-		const steadyAt = world.now();
+		const sentAt = world.now();
 		const renewed = await store.renewLease(id);
 		if (renewed.err) {
-			fail(renewed.val);
+			handleFailure(renewed.val);
 			return false;
 		}
 
-		context.onContact(steadyAt);
-		deadline = createDeadline(askedAt, renewed.val - DRIFT_MS);
+		context.onContact(sentAt);
+		deadline = createDeadline(askedAt, renewed.val - CLOCK_DRIFT_MS);
 		return true;
 	};
 
 	return {
 		async run(signal) {
-			while (!signal.aborted && !isLeaving) {
-				const done = leaseId === undefined ? await grant() : await renew(leaseId);
-				await world.sleep(done ? RENEW_MS : RETRY_MS * (0.5 + world.random()), signal).catch(() => undefined);
+			while (!signal.aborted && !isDeregistered) {
+				const done = leaseId === undefined ? await register() : await renew(leaseId);
+				await world.sleep(done ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + world.random()), signal).catch(() => undefined);
 			}
 		},
 		getLease: () => leaseId !== undefined && !isPast(deadline, readClock()) ? leaseId : undefined,
 		async deregister() {
-			isLeaving = true;
+			isDeregistered = true;
 			const id = leaseId;
 			leaseId = undefined;
 			deadline = PAST;
