--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -1,71 +1,71 @@
-/** The task that pings members: one at random each period, through others before suspicion. */
+/** Failure detector: pings one random member each period, and before suspecting it also through other vms. */
 
 import type {
 	Failure, Result, VmId, World,
 } from '@guavapitch/core';
 import type {Member, MemberUpdate, Members} from './members.js';
 
-/** A ping and its answer carry news both ways. */
+/** Request of a ping. Requests and responses both carry updates. With `through`, the receiver pings that vm on behalf of the sender. */
 export type PingRequest = Readonly<{news: readonly MemberUpdate[]; through?: VmId}>;
 
-/** Answer to a ping. */
+/** Response to a ping. */
 export type PingResponse = Readonly<{incarnation: string; news: readonly MemberUpdate[]}>;
 
-/** What the task needs. */
+/** Dependencies of the failure detector. */
 export type FailureDetectorContext = Readonly<{
 	world: World;
 	members: Members;
 	self: VmId;
-	/** Pings a vm. */
+	/** Sends a ping to a vm. */
 	ping: (vm: VmId, ping: PingRequest, timeoutMs: number) => Promise<Result<PingResponse, Failure>>;
 }>;
 
-const PERIOD_MS = 200;
+const PING_INTERVAL_MS = 200;
 const PING_TIMEOUT_MS = 250;
-const INDIRECT_TIMEOUT_MS = 400;
-const HELPERS = 2;
+const INDIRECT_PING_TIMEOUT_MS = 400;
+const MAX_INTERMEDIARIES = 2;
 
-const chooseTarget = (members: readonly Member[], random: () => number): Member | undefined => members[Math.floor(random() * members.length)];
+const chooseMember = (members: readonly Member[], random: () => number): Member | undefined => members[Math.floor(random() * members.length)];
 
-const takePong = (context: FailureDetectorContext, vm: VmId, pong: Result<PingResponse, Failure>): boolean => {
-	if (pong.err) {
+const handleResponse = (context: FailureDetectorContext, vm: VmId, response: Result<PingResponse, Failure>): boolean => {
+	if (response.err) {
 		return false;
 	}
 
-	context.members.recordResponse(vm, pong.val.incarnation);
-	context.members.applyUpdates(pong.val.news);
+	context.members.recordResponse(vm, response.val.incarnation);
+	context.members.applyUpdates(response.val.news);
 	return true;
 };
 
-const pingThroughOthers = async (context: FailureDetectorContext, target: VmId): Promise<boolean> => {
+const pingIndirectly = async (context: FailureDetectorContext, vm: VmId): Promise<boolean> => {
 	const {members, world, self} = context;
-	const helpers = members.getLive()
-		.filter(member => member.vm !== target && member.vm !== self)
+	const intermediaries = members.getLive()
+		.filter(member => member.vm !== vm && member.vm !== self)
 		.map(member => ({member, order: world.random()}))
 		.toSorted((a, b) => a.order - b.order)
-		.slice(0, HELPERS);
-	const answers = await Promise.all(helpers.map(async ({member}) => context.ping(member.vm, {news: [], through: target}, INDIRECT_TIMEOUT_MS)));
-	return answers.some(answer => takePong(context, target, answer));
+		.slice(0, MAX_INTERMEDIARIES);
+	const responses = await Promise.all(intermediaries.map(async ({member}) => context.ping(member.vm, {news: [], through: vm}, INDIRECT_PING_TIMEOUT_MS)));
+	return responses.some(response => handleResponse(context, vm, response));
 };
 
-/** Pings one member and draws the conclusion. */
-export const pingMember = async (context: FailureDetectorContext, target: VmId): Promise<void> => {
+/** Pings one member and records whether it responded. */
+export const pingMember = async (context: FailureDetectorContext, vm: VmId): Promise<void> => {
 	const {members} = context;
-	const pong = await context.ping(target, {news: members.chooseUpdates()}, PING_TIMEOUT_MS);
-	if (!takePong(context, target, pong) && !await pingThroughOthers(context, target)) {
-		members.recordTimeout(target);
+	const response = await context.ping(vm, {news: members.chooseUpdates()}, PING_TIMEOUT_MS);
+	if (!handleResponse(context, vm, response) && !await pingIndirectly(context, vm)) {
+		members.recordTimeout(vm);
 	}
 };
 
-/** Pings members until the signal aborts. */
+/** Runs the failure detector until the signal aborts. */
 export const runFailureDetector = async (context: FailureDetectorContext, signal: AbortSignal): Promise<void> => {
 	const {members, world, self} = context;
 	while (!signal.aborted) {
-		await world.sleep(PERIOD_MS * (0.75 + (world.random() / 2)), signal);
-		const others = members.getAll().filter(member => member.vm !== self && member.state !== 'gone');
-		const target = chooseTarget(others, world.random);
-		if (target) {
-			await pingMember(context, target.vm);
+		await world.sleep(PING_INTERVAL_MS * (0.75 + (world.random() / 2)), signal);
+		const candidates = members.getAll().filter(member => member.vm !== self && member.state !== 'gone');
+		const member = chooseMember(candidates, world.random);
+		if (member) {
+			await pingMember(context, member.vm);
 		}
 
 		members.expireSuspects();
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -1,122 +1,122 @@
-/** Which vms are alive: pings of a few, suspicion before death, and word of mouth. */
+/** Membership of the fleet: which vms are alive, by direct pings, a suspicion time before a vm is declared dead, and gossip. */
 
 import {
 	createDeadline, isPast, NEVER, type DataCentreId, type Deadline, type VmId, type World,
 } from '@guavapitch/core';
 
-/** Address and place of a vm, as the platform's list says. */
+/** Address and data centre of a vm according to the platform's list. */
 export type VmEntry = Readonly<{
 	vm: VmId;
 	dataCentre: DataCentreId;
-	/** Address of the inner protocol. */
+	/** Address for the protocol between vms. */
 	host: string;
 	port: number;
-	/** State in the platform's list, which lags. */
+	/** State in the platform's list, which lags behind. */
 	state: 'live' | 'leaving' | 'gone';
 }>;
 
-/** State of a vm as its peers see it. */
+/** Status of a vm as its peers see it. */
 export type MemberStatus = 'alive' | 'suspect' | 'dead' | 'leaving';
 
-/** What one vm says of another. */
+/** Gossip update: what one vm reports of another. */
 export type MemberUpdate = Readonly<{
 	vm: VmId;
-	/** Identifier of the run of the process; unknown before the first contact. */
+	/** Identifier of the run of the process; empty before the first contact. */
 	incarnation: string;
-	/** Version of the news within a run: a vm refutes what is said of it by a higher one. */
+	/** Version of the update within a run. A vm refutes a false update about itself by one with a higher version. */
 	version: number;
 	status: MemberStatus;
 }>;
 
-/** A vm with its state. */
+/** A vm with its entry in the list and its status. */
 export type Member = VmEntry & MemberUpdate;
 
-/** Members as one process sees them. */
+/** Members of the fleet as one process sees them. */
 export type Members = Readonly<{
-	/** Takes the platform's list. */
+	/** Applies the platform's list of vms. */
 	applyVmList: (entries: readonly VmEntry[]) => void;
-	/** Takes what a peer says. */
-	applyUpdates: (news: readonly MemberUpdate[]) => void;
-	/** Notes that a vm answered. */
+	/** Applies updates that a peer sent. */
+	applyUpdates: (updates: readonly MemberUpdate[]) => void;
+	/** Records that a vm responded; a suspected or dead one counts as alive again. */
 	recordResponse: (vm: VmId, incarnation: string) => void;
-	/** Notes that a vm did not answer. */
+	/** Records that a vm did not respond; if it counted as alive, it becomes a suspect. */
 	recordTimeout: (vm: VmId) => void;
-	/** Declares suspects dead whose deadline has passed. */
+	/** Declares suspects dead whose suspicion time has passed. */
 	expireSuspects: () => void;
-	/** Says that this vm is leaving. */
+	/** Marks this vm as leaving. */
 	markLeaving: () => void;
 	get: (vm: VmId) => Member | undefined;
-	/** Gets the vms that may be given work, this one included. */
+	/** Returns the vms that may be given work, including this one. */
 	getLive: (dataCentre?: DataCentreId) => readonly Member[];
-	/** Gets every vm of the list. */
+	/** Returns all vms of the list. */
 	getAll: () => readonly Member[];
-	/** Gets a number that grows whenever the answer of `getLive` may have changed. */
+	/** Returns a number that grows whenever the result of `getLive` may have changed. */
 	getVersion: () => number;
-	/** Chooses the news to pass on with the next message. */
+	/** Chooses the updates to send with the next message and counts them as sent. */
 	chooseUpdates: () => readonly MemberUpdate[];
 }>;
 
-/** Who this process is. */
+/** The vm of this process. */
 export type LocalMember = VmEntry & Readonly<{incarnation: string}>;
 
-type State = {
+type MemberState = {
 	entry: VmEntry;
-	news: MemberUpdate;
+	update: MemberUpdate;
 	suspectUntil: Deadline;
-	/** How often this news may still be passed on. */
-	tellings: number;
+	/** Number of messages that this update is still sent with. */
+	remainingTransmissions: number;
 };
 
-const SUSPECT_MS = 600;
-const TELLINGS = 8;
-const NEWS_LIMIT = 12;
-const STATUS_ORDER: Readonly<Record<MemberStatus, number>> = {
+const SUSPICION_TIMEOUT_MS = 600;
+const MAX_TRANSMISSIONS = 8;
+const MAX_UPDATES_PER_MESSAGE = 12;
+const STATUS_PRECEDENCE: Readonly<Record<MemberStatus, number>> = {
 	alive: 0, suspect: 1, leaving: 2, dead: 3,
 };
 
-const isNewer = (news: MemberUpdate, known: MemberUpdate): boolean => {
-	if (news.incarnation !== known.incarnation && known.incarnation !== '') {
-		// Another run of the process: it has said so itself, or it has been seen by somebody.
-		return news.status === 'alive';
+const isNewer = (update: MemberUpdate, known: MemberUpdate): boolean => {
+	if (update.incarnation !== known.incarnation && known.incarnation !== '') {
+		// The update is about another run of the process, which announced itself or was seen by another vm.
+		return update.status === 'alive';
 	}
 
-	return news.version > known.version || (news.version === known.version && STATUS_ORDER[news.status] > STATUS_ORDER[known.status]);
+	return update.version > known.version || (update.version === known.version && STATUS_PRECEDENCE[update.status] > STATUS_PRECEDENCE[known.status]);
 };
 
-/** Creates the members, with only this vm in them. */
-export const createMembers = (self: LocalMember, world: World, onChange: (member: Member, before: MemberStatus | undefined) => void): Members => {
-	const states = new Map<VmId, State>();
-	let ownNews: MemberUpdate = {
+/** Creates the members; this vm is the only one. */
+export const createMembers = (self: LocalMember, world: World, onChange: (member: Member, previousStatus: MemberStatus | undefined) => void): Members => {
+	const states = new Map<VmId, MemberState>();
+	let localUpdate: MemberUpdate = {
 		vm: self.vm, incarnation: self.incarnation, version: 1, status: 'alive',
 	};
 
-	let changes = 0;
-
-	const change = (state: State, news: MemberUpdate) => {
-		changes++;
-		const before = state.news.status;
-		const isFirst = state.news.incarnation === '' && news.incarnation !== '';
-		state.news = news;
-		state.tellings = TELLINGS;
-		state.suspectUntil = news.status === 'suspect' ? createDeadline(world.now(), SUSPECT_MS) : NEVER;
-		if (before !== news.status || isFirst) {
-			onChange({...state.entry, ...news}, before);
+	let changeCount = 0;
+
+	const applyUpdate = (state: MemberState, update: MemberUpdate) => {
+		changeCount++;
+		const previousStatus = state.update.status;
+		const isFirst = state.update.incarnation === '' && update.incarnation !== '';
+		state.update = update;
+		state.remainingTransmissions = MAX_TRANSMISSIONS;
+		state.suspectUntil = update.status === 'suspect' ? createDeadline(world.now(), SUSPICION_TIMEOUT_MS) : NEVER;
+		if (previousStatus !== update.status || isFirst) {
+			onChange({...state.entry, ...update}, previousStatus);
 		}
 	};
 
-	const refute = (news: MemberUpdate) => {
-		if (news.incarnation === self.incarnation && news.status !== 'alive' && news.version >= ownNews.version && ownNews.status === 'alive') {
-			ownNews = {...ownNews, version: news.version + 1};
+	const refute = (update: MemberUpdate) => {
+		if (update.incarnation === self.incarnation && update.status !== 'alive' && update.version >= localUpdate.version && localUpdate.status === 'alive') {
+			localUpdate = {...localUpdate, version: update.version + 1};
 		}
 	};
 
-	const getOwn = (): Member => ({...self, ...ownNews});
-	const getMember = (state: State): Member => ({...state.entry, ...state.news});
+	const getLocal = (): Member => ({...self, ...localUpdate});
+	const getMember = (state: MemberState): Member => ({...state.entry, ...state.update});
 
 	return {
-		getVersion: () => changes,
+		getVersion: () => changeCount,
 		applyVmList(entries) {
-			changes++;
+			changeCount++;
 			for (const entry of entries) {
 				if (entry.vm === self.vm) {
 					continue;
@@ -128,25 +128,25 @@
 				} else {
 					states.set(entry.vm, {
 						entry,
-						news: {
+						update: {
 							vm: entry.vm, incarnation: '', version: 0, status: 'alive',
 						},
 						suspectUntil: NEVER,
-						tellings: 0,
+						remainingTransmissions: 0,
 					});
 				}
 			}
 		},
-		applyUpdates(news) {
-			for (const one of news) {
-				if (one.vm === self.vm) {
-					refute(one);
+		applyUpdates(updates) {
+			for (const update of updates) {
+				if (update.vm === self.vm) {
+					refute(update);
 					continue;
 				}
 
-				const state = states.get(one.vm);
-				if (state && isNewer(one, state.news)) {
-					change(state, one);
+				const state = states.get(update.vm);
+				if (state && isNewer(update, state.update)) {
+					applyUpdate(state, update);
 				}
 			}
 		},
@@ -156,51 +156,51 @@
 				return;
 			}
 
-			const {news} = state;
-			if (news.incarnation !== incarnation) {
-				change(state, {
+			const {update} = state;
+			if (update.incarnation !== incarnation) {
+				applyUpdate(state, {
 					vm, incarnation, version: 1, status: 'alive',
 				});
-			} else if (news.status === 'suspect' || news.status === 'dead') {
-				change(state, {...news, version: news.version + 1, status: 'alive'});
+			} else if (update.status === 'suspect' || update.status === 'dead') {
+				applyUpdate(state, {...update, version: update.version + 1, status: 'alive'});
 			}
 		},
 		recordTimeout(vm) {
 			const state = states.get(vm);
-			if (state?.news.status === 'alive') {
-				change(state, {...state.news, status: 'suspect'});
+			if (state?.update.status === 'alive') {
+				applyUpdate(state, {...state.update, status: 'suspect'});
 			}
 		},
 		expireSuspects() {
 			for (const state of states.values()) {
-				if (state.news.status === 'suspect' && isPast(state.suspectUntil, world.now())) {
-					change(state, {...state.news, status: 'dead'});
+				if (state.update.status === 'suspect' && isPast(state.suspectUntil, world.now())) {
+					applyUpdate(state, {...state.update, status: 'dead'});
 				}
 			}
 		},
 		markLeaving() {
-			changes++;
-			ownNews = {...ownNews, version: ownNews.version + 1, status: 'leaving'};
+			changeCount++;
+			localUpdate = {...localUpdate, version: localUpdate.version + 1, status: 'leaving'};
 		},
-		get: vm => vm === self.vm ? getOwn() : [states.get(vm)].filter(state => state !== undefined).map(state => getMember(state))[0],
+		get: vm => vm === self.vm ? getLocal() : [states.get(vm)].filter(state => state !== undefined).map(state => getMember(state))[0],
 		getLive(dataCentre) {
-			return [getOwn(), ...[...states.values()].map(state => getMember(state))]
+			return [getLocal(), ...[...states.values()].map(state => getMember(state))]
 				.filter(member => (member.status === 'alive' || member.status === 'suspect') && member.state === 'live')
 				.filter(member => dataCentre === undefined || member.dataCentre === dataCentre);
 		},
-		getAll: () => [getOwn(), ...[...states.values()].map(state => getMember(state))],
+		getAll: () => [getLocal(), ...[...states.values()].map(state => getMember(state))],
 		chooseUpdates() {
-			const told: MemberUpdate[] = [ownNews];
-			const fresh = [...states.values()]
-				.filter(state => state.tellings > 0)
-				.toSorted((a, b) => b.tellings - a.tellings)
-				.slice(0, NEWS_LIMIT);
-			for (const state of fresh) {
-				state.tellings--;
-				told.push(state.news);
+			const updates: MemberUpdate[] = [localUpdate];
+			const pending = [...states.values()]
+				.filter(state => state.remainingTransmissions > 0)
+				.toSorted((a, b) => b.remainingTransmissions - a.remainingTransmissions)
+				.slice(0, MAX_UPDATES_PER_MESSAGE);
+			for (const state of pending) {
+				state.remainingTransmissions--;
+				updates.push(state.update);
 			}
 
-			return told;
+			return updates;
 		},
 	};
 };
