--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -1,4 +1,4 @@
-/** Connections of one home to one target, each for one customer. */
+/** Connections of a database owner to one target; each connection belongs to one customer. */
 
 import {
 	createDeadline, Err, Ok, type CustomerId, type Deadline, type Instant, type Result, type World,
@@ -8,35 +8,37 @@
 	Command, DialFailure, DialTarget, Target, TargetConnection,
 } from './targets.js';
 
-/** Session values that a statement needs. */
+/** Session variables that a statement needs. */
 export type SessionValues = ReadonlyArray<readonly [name: string, value: string]>;
 
-/** A connection lent to a request, and what is known of its session at the target. */
+/** Exclusive use of a connection, with the known state of its session on the target. */
 export type ConnectionHandle = Readonly<{
 	connection: TargetConnection;
-	/** Lists the commands that give the session the values and the prepared statement that a statement needs. */
+	/** Creates the commands that set the session variables and the prepared statement that a statement needs; records them as sent. */
 	createSetupCommands: (values: SessionValues, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
-	/** Forgets the prepared statements, after the target has said that it lacks one. */
+	/** Discards the prepared statements after the target reported one as unknown; the next setup resets the session. */
 	discardPrepared: () => void;
-	/** Gives the connection back; it is closed unless it is clean. */
+	/** Releases the connection; closes it unless `isClean`. Further calls do nothing. */
 	release: (isClean: boolean) => void;
 }>;
 
-/** Connections to one target. */
+/** Connection pool of one target. */
 export type TargetConnections = Readonly<{
-	/** Tells whether a customer could get a connection now. */
+	/** Tells whether a customer could acquire a connection now. */
 	canAcquire: (customer: CustomerId) => boolean;
-	/** Takes an idle connection of the customer, or opens one. */
+	/** Acquires an idle connection of the customer, preferring one with matching session variables, or opens one. */
 	acquire: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
-	/** Opens a connection even if others are idle: those may have gone silent without a reset. */
+	/** Opens a connection even if others are idle, as an idle connection may have died without a TCP reset. */
 	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
+	/** Tells whether any connection is idle. */
 	hasIdle: () => boolean;
-	/** Takes an idle connection of whichever customer, for questions of the home itself. */
+	/** Acquires an idle connection of any customer, for pings and status queries. */
 	acquireIdle: () => ConnectionHandle | undefined;
-	/** Closes connections that were idle for long. */
+	/** Closes connections that have been idle since before an instant. */
 	closeIdle: (idleSince: Instant) => void;
-	/** Closes all idle connections, and the others when they are given back. */
+	/** Closes all idle connections now, and the others once they are released. */
 	close: () => void;
+	/** Counts the connections that are open or being opened. */
 	getOpenCount: () => number;
 }>;
 
@@ -46,15 +48,15 @@
 	values: Map<string, string>;
 	prepared: Map<string, string>;
 	mustReset: boolean;
-	busy: boolean;
-	usedAt: Instant;
+	isBusy: boolean;
+	lastUsedAt: Instant;
 };
 
-/** Longest time for opening a connection, in milliseconds; several times the handshake of a loaded target. */
+/** Timeout for opening a connection: several times the handshake with a loaded target. */
 const DIAL_TIMEOUT_MS = 350;
 
-/** Counts the values of a session that stand in the way of a statement. */
-const countForeign = (session: Session, values: SessionValues): number => {
+/** Counts the session variables that differ from those that a statement needs. */
+const countMismatches = (session: Session, values: SessionValues): number => {
 	let matching = 0;
 	for (const [name, value] of values) {
 		if (session.values.get(name) === value) {
@@ -65,7 +67,7 @@
 	return session.values.size + values.length - (2 * matching);
 };
 
-const listValueCommands = (session: Session, values: SessionValues): readonly Command[] => {
+const createValueCommands = (session: Session, values: SessionValues): readonly Command[] => {
 	const commands: Command[] = [];
 	const wanted = new Map(values);
 	if (session.mustReset || [...session.values.keys()].some(name => !wanted.has(name))) {
@@ -85,12 +87,12 @@
 	return commands;
 };
 
-const createLoan = (session: Session, onReturn: (isClean: boolean) => void): ConnectionHandle => {
-	let given = false;
+const createHandle = (session: Session, onRelease: (isClean: boolean) => void): ConnectionHandle => {
+	let released = false;
 	return {
 		connection: session.connection,
 		createSetupCommands(values, statement) {
-			const commands = [...listValueCommands(session, values)];
+			const commands = [...createValueCommands(session, values)];
 			if (statement.kind !== 'prepared') {
 				return {commands, preparedName: ''};
 			}
@@ -111,113 +113,113 @@
 			session.mustReset = true;
 		},
 		release(isClean) {
-			if (!given) {
-				given = true;
-				onReturn(isClean);
+			if (!released) {
+				released = true;
+				onRelease(isClean);
 			}
 		},
 	};
 };
 
-/** Creates the empty set of connections to a target; `getLimit` gives the most that may be open. */
+/** Creates an empty connection pool; `getLimit` returns the maximum number of open connections. */
 export const createTargetConnections = (target: Target, dial: DialTarget, getLimit: () => number, world: World): TargetConnections => {
 	const sessions = new Set<Session>();
 	let dialling = 0;
-	let closed = false;
+	let isClosed = false;
 
-	const drop = (session: Session) => {
+	const closeSession = (session: Session) => {
 		sessions.delete(session);
 		session.connection.close();
 	};
 
 	const findIdle = (customer: CustomerId, values: SessionValues): Session | undefined => {
 		let best: Session | undefined;
-		let fewest = Number.POSITIVE_INFINITY;
+		let fewestMismatches = Number.POSITIVE_INFINITY;
 		for (const session of sessions) {
-			if (session.busy || session.customer !== customer) {
+			if (session.isBusy || session.customer !== customer) {
 				continue;
 			}
 
 			if (session.connection.isEnded()) {
-				drop(session);
+				closeSession(session);
 				continue;
 			}
 
-			const foreign = countForeign(session, values);
-			if (foreign < fewest) {
+			const mismatches = countMismatches(session, values);
+			if (mismatches < fewestMismatches) {
 				best = session;
-				fewest = foreign;
+				fewestMismatches = mismatches;
 			}
 		}
 
 		return best;
 	};
 
-	const findLeastUsed = (): Session | undefined => {
-		let least: Session | undefined;
+	const findLeastRecentlyUsed = (): Session | undefined => {
+		let leastRecentlyUsed: Session | undefined;
 		for (const session of sessions) {
-			if (!session.busy && (!least || session.usedAt < least.usedAt)) {
-				least = session;
+			if (!session.isBusy && (!leastRecentlyUsed || session.lastUsedAt < leastRecentlyUsed.lastUsedAt)) {
+				leastRecentlyUsed = session;
 			}
 		}
 
-		return least;
+		return leastRecentlyUsed;
 	};
 
-	const lend = (session: Session): ConnectionHandle => {
-		session.busy = true;
-		session.usedAt = world.now();
-		return createLoan(session, isClean => {
-			session.busy = false;
-			session.usedAt = world.now();
-			if (closed || !isClean || session.connection.isEnded()) {
-				drop(session);
+	const checkOut = (session: Session): ConnectionHandle => {
+		session.isBusy = true;
+		session.lastUsedAt = world.now();
+		return createHandle(session, isClean => {
+			session.isBusy = false;
+			session.lastUsedAt = world.now();
+			if (isClosed || !isClean || session.connection.isEnded()) {
+				closeSession(session);
 			}
 		});
 	};
 
-	const open = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
+	const openSession = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		dialling++;
-		const latest = Math.min(deadline, createDeadline(world.now(), DIAL_TIMEOUT_MS)) as Deadline;
-		const dialled = await dial(target, customer, latest);
+		const dialDeadline = Math.min(deadline, createDeadline(world.now(), DIAL_TIMEOUT_MS)) as Deadline;
+		const dialled = await dial(target, customer, dialDeadline);
 		dialling--;
 		if (dialled.err) {
 			return dialled;
 		}
 
 		const session: Session = {
-			connection: dialled.val, customer, values: new Map(), prepared: new Map(), mustReset: false, busy: true, usedAt: world.now(),
+			connection: dialled.val, customer, values: new Map(), prepared: new Map(), mustReset: false, isBusy: true, lastUsedAt: world.now(),
 		};
 		sessions.add(session);
-		return Ok(lend(session));
+		return Ok(checkOut(session));
 	};
 
-	/** Opens a connection, in the place of the least used one if there are too many. */
-	const openInPlace = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
+	/** Opens a connection; at the limit, it replaces the least recently used idle one. */
+	const openOrReplace = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		if (sessions.size + dialling >= getLimit()) {
-			const least = findLeastUsed();
-			if (!least) {
+			const leastRecentlyUsed = findLeastRecentlyUsed();
+			if (!leastRecentlyUsed) {
 				return Err({code: 'tooMany', message: 'Every connection to the target is in use'});
 			}
 
-			drop(least);
+			closeSession(leastRecentlyUsed);
 		}
 
-		return open(customer, deadline);
+		return openSession(customer, deadline);
 	};
 
 	return {
-		canAcquire: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastUsed() !== undefined,
+		canAcquire: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastRecentlyUsed() !== undefined,
 		async acquire(customer, values, deadline) {
 			const idle = findIdle(customer, values);
-			return idle ? Ok(lend(idle)) : openInPlace(customer, deadline);
+			return idle ? Ok(checkOut(idle)) : openOrReplace(customer, deadline);
 		},
-		acquireNew: openInPlace,
-		hasIdle: () => findLeastUsed() !== undefined,
+		acquireNew: openOrReplace,
+		hasIdle: () => findLeastRecentlyUsed() !== undefined,
 		acquireIdle() {
 			for (const session of sessions) {
-				if (!session.busy && !session.connection.isEnded()) {
-					return lend(session);
+				if (!session.isBusy && !session.connection.isEnded()) {
+					return checkOut(session);
 				}
 			}
 
@@ -225,16 +227,16 @@
 		},
 		closeIdle(idleSince) {
 			for (const session of sessions) {
-				if (!session.busy && session.usedAt < idleSince) {
-					drop(session);
+				if (!session.isBusy && session.lastUsedAt < idleSince) {
+					closeSession(session);
 				}
 			}
 		},
 		close() {
-			closed = true;
+			isClosed = true;
 			for (const session of sessions) {
-				if (!session.busy) {
-					drop(session);
+				if (!session.isBusy) {
+					closeSession(session);
 				}
 			}
 		},
--- a/packages/homes/src/database-owner.ts
+++ b/packages/homes/src/database-owner.ts
@@ -1,4 +1,4 @@
-/** The home of a database: places its statements on targets and answers for their consistency. */
+/** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
 	createDeadline, createSingleFlight, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
@@ -18,37 +18,37 @@
 	Command, DialFailure, DialTarget, ReadStatus, Target, TargetStatus,
 } from './targets.js';
 
-/** What happened to a request at its home, for the logs. */
+/** A decision of a database owner, for the logs and metrics. */
 export type DatabaseOwnerDecision = Readonly<{
 	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
 	target: string;
 	reason: string;
-	/** Age or wait that led to the decision, in milliseconds. */
+	/** Age or waiting time behind the decision, in milliseconds. */
 	ageMs: number;
 }>;
 
-/** What a home needs. */
+/** Dependencies of a database owner. */
 export type DatabaseOwnerContext = Readonly<{
 	world: World;
-	/** Reads the suspension clock. */
+	/** Reads a clock that keeps running while the process or its machine is suspended. */
 	readClock: () => Instant;
 	database: DatabaseId;
 	dial: DialTarget;
 	readStatus: ReadStatus;
-	/** Gets how many connections this home may have at each target. */
+	/** Returns how many connections this owner may open to each target. */
 	getConnectionLimit: () => number;
-	/** Gets a customer in whose name questions of the home itself may be asked. */
+	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
 	getAnyCustomer: () => CustomerId;
-	/** Gets how long a transaction may stay idle, in milliseconds. */
+	/** Returns how long a transaction may stay idle, in milliseconds. */
 	getIdleTransactionMs: () => number;
-	/** Spends one operation of a customer's share. */
+	/** Acquires one token of the customer's quota; fails with the time to wait if the customer has exceeded it. */
 	acquireToken: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, Failure & Readonly<{retryAfterMs: number}>>>;
 	onDecision: (decision: DatabaseOwnerDecision) => void;
 }>;
 
-/** Parts of a home that its tasks share. */
+/** Components of a database owner that the modules of this package share. */
 export type SharedComponents = Readonly<{
 	context: DatabaseOwnerContext;
 	positionHistory: PositionHistory;
@@ -58,174 +58,176 @@
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
-	/** Calls a function if a target is taken for down; gives a function that forgets it. */
-	onTargetDown: (target: TargetId, abandon: () => void) => (() => void);
-	/** Waits until a position was verified after now; `false` if no leader proved itself before the deadline. */
+	/** Registers a callback for the moment at which a target is considered down; returns a function that removes it. */
+	onTargetDown: (target: TargetId, callback: () => void) => (() => void);
+	/** Pings the leader to record a newly verified log position; resolves to `false` if no leader confirmed one. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
-	/** Tells whether writes wait, as the leader is being replaced in an orderly way. */
+	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
 }>;
 
-/** Parts of a home as others see them. */
+/** Components of a database owner, as the failover coordinator uses them. */
 export type DatabaseOwnerComponents = SharedComponents & Readonly<{transactions: Transactions}>;
 
-/** What a target says to the question whether it leads; `undefined` if it is silent. */
+/** Result of asking a target whether it leads; `undefined` if it did not respond. */
 export type PingResult = 'leads' | 'follows' | 'refused' | undefined;
 
-/** Home of one database. */
+/** Owner of one database: the vm through which its statements run. */
 export type DatabaseOwner = Readonly<{
+	/** Runs a statement. Refusals and failures are outcomes of the response. */
 	serve: (request: StatementRequest) => Promise<StatementResponse>;
-	/** Rolls a transaction back. */
+	/** Rolls a transaction back; does nothing if it is not open here. */
 	rollBack: (transaction: string) => void;
+	/** Replaces the list of targets; connections to targets that left or restarted are closed. */
 	setTargets: (targets: readonly Target[]) => void;
-	/** Asks a target whether it leads; `undefined` if it does not answer. */
+	/** Asks a target whether it leads; `undefined` if it does not respond before the deadline. */
 	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
-	/** Asks a target for its state, after another command if there is one; `undefined` if it does not answer. */
+	/** Queries the status of a target, after running the command `before` if given; `undefined` if it does not respond or refuses that command. */
 	queryStatus: (target: TargetId, deadline: Deadline, before?: Command) => Promise<TargetStatus | undefined>;
-	/** Holds writes back, or lets them go on. */
-	pauseWrites: (paused: boolean) => void;
-	/** Closes connections that were not used for some time. */
+	/** Keeps new writes in the queue, or admits them again. */
+	pauseWrites: (areWritesPaused: boolean) => void;
+	/** Closes connections that have been idle for longer than `idleMs` milliseconds. */
 	closeIdleConnections: (idleMs: number) => void;
 	components: DatabaseOwnerComponents;
 }>;
 
-/** Longest time for the question whether a target leads, in milliseconds; it needs no slot. */
+/** Timeout of a ping; short, as a ping occupies no slot of the target. */
 const PING_TIMEOUT_MS = 400;
-/** Longest time for a probe of a suspect on one connection, in milliseconds; a kept one is tried first, then a new one. */
+/** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
-/** Tells whether two descriptions are of one run of one target. */
+/** Tells whether two descriptions denote the same target without a restart in between. */
 const isSameRun = (a: Target, b: Target): boolean => a.id === b.id && a.startedAtMs === b.startedAtMs && a.host === b.host && a.port === b.port;
 
-/** Creates the home of a database. */
+/** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
 	const {world, readClock} = context;
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
-	const floors = createPositionHistory();
-	const placement = createSlotScheduler(world);
-	/** What to do with the reads under way at a target that is taken for down. */
-	const abandons = new Map<TargetId, Set<() => void>>();
-	const leadership = createLeaderTracker(leader => {
+	const positionHistory = createPositionHistory();
+	const scheduler = createSlotScheduler(world);
+	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
+	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
+	const leaderTracker = createLeaderTracker(leader => {
 		context.onDecision({
-			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'the newest target that leads', ageMs: 0,
+			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'the target that most recently became leader', ageMs: 0,
 		});
-		placement.admitWaiting();
+		scheduler.admitWaiting();
 	});
-	const reach = createHealthTracker({
+	const healthTracker = createHealthTracker({
 		world,
 		async probe(id) {
-			const answer = await pingTwice(id, PROBE_TIMEOUT_MS);
-			return answer === 'leads' || answer === 'follows';
+			const result = await pingWithRedial(id, PROBE_TIMEOUT_MS);
+			return result === 'leads' || result === 'follows';
 		},
 		onChange(target, isUp, reason) {
 			context.onDecision({
 				kind: isUp ? 'targetBack' : 'targetFailing', requestId: '', target, reason, ageMs: 0,
 			});
 			if (!isUp) {
-				for (const abandon of abandons.get(target) ?? []) {
-					abandon();
+				for (const callback of targetDownCallbacks.get(target) ?? []) {
+					callback();
 				}
 			}
 
-			placement.admitWaiting();
+			scheduler.admitWaiting();
 		},
 	});
-	let paused = false;
+	let areWritesPaused = false;
 	let lastCustomer: StatementRequest['customer'] | undefined;
 
-	/** Takes a connection for a question of the home itself. */
-	const borrow = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
-		const own = connections.get(id);
-		if (!own) {
+	/** Acquires a connection for a ping or a status query. */
+	const acquireConnection = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
+		const targetConnections = connections.get(id);
+		if (!targetConnections) {
 			return undefined;
 		}
 
 		if (isNew) {
-			return own.acquireNew(lastCustomer ?? context.getAnyCustomer(), deadline);
+			return targetConnections.acquireNew(lastCustomer ?? context.getAnyCustomer(), deadline);
 		}
 
-		const idle = own.acquireIdle();
-		return idle ? Ok(idle) : own.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
+		const idle = targetConnections.acquireIdle();
+		return idle ? Ok(idle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
-	/** Asks a target whether it leads: a plain begin, which only a leader accepts and which needs no slot. */
+	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot. */
 	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingResult> => {
-		const latest = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
-		const askedAt = readClock();
-		const borrowed = await borrow(id, latest, isNew);
-		if (!borrowed?.ok) {
-			return borrowed && borrowed.val.code !== 'silent' ? 'refused' : undefined;
+		const pingDeadline = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
+		const sentAt = readClock();
+		const acquired = await acquireConnection(id, pingDeadline, isNew);
+		if (!acquired?.ok) {
+			return acquired && acquired.val.code !== 'silent' ? 'refused' : undefined;
 		}
 
-		const loan = borrowed.val;
-		const {replies, ended} = await loan.connection.execute([{kind: 'begin', readOnly: false, after: undefined}, {kind: 'rollback'}], latest);
-		const [begun, rolledBack] = replies;
-		loan.release(ended === 'no' && rolledBack?.status === 'idle');
-		if (!begun) {
+		const handle = acquired.val;
+		const {replies, ended} = await handle.connection.execute([{kind: 'begin', readOnly: false, after: undefined}, {kind: 'rollback'}], pingDeadline);
+		const [beginReply, rollbackReply] = replies;
+		handle.release(ended === 'no' && rollbackReply?.status === 'idle');
+		if (!beginReply) {
 			return undefined;
 		}
 
-		reach.recordResponse(id);
-		if (begun.result.kind === 'done' && begun.position) {
-			floors.record(askedAt, begun.position);
-			leadership.markLeading(id, world.now());
+		healthTracker.recordResponse(id);
+		if (beginReply.result.kind === 'done' && beginReply.position) {
+			positionHistory.record(sentAt, beginReply.position);
+			leaderTracker.markLeading(id, world.now());
 			return 'leads';
 		}
 
-		if (begun.result.kind === 'error' && begun.result.code === 'readOnly') {
-			leadership.markFollowing(id, world.now());
+		if (beginReply.result.kind === 'error' && beginReply.result.code === 'readOnly') {
+			leaderTracker.markFollowing(id, world.now());
 		}
 
 		return 'follows';
 	};
 
-	/** Asks on a kept connection, which may have gone silent without a reset, and then on a new one. */
-	const pingTwice = async (id: TargetId, timeoutMs: number): Promise<PingResult> => {
-		const kept = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(world.now(), timeoutMs)) : undefined;
-		return kept ?? ping(id, createDeadline(world.now(), timeoutMs), true);
+	/** Pings on an idle connection and then on a new one, as an idle connection may have died without a TCP reset. */
+	const pingWithRedial = async (id: TargetId, timeoutMs: number): Promise<PingResult> => {
+		const idleResult = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(world.now(), timeoutMs)) : undefined;
+		return idleResult ?? ping(id, createDeadline(world.now(), timeoutMs), true);
 	};
 
-	const verifyOnce = createSingleFlight(async (): Promise<boolean> => {
-		const leader = leadership.getLeader();
+	const verifyLeader = createSingleFlight(async (): Promise<boolean> => {
+		const leader = leaderTracker.getLeader();
 		return leader !== undefined && await ping(leader, createDeadline(world.now(), PING_TIMEOUT_MS)) === 'leads';
 	});
 
 	const shared: SharedComponents = {
 		context,
-		positionHistory: floors,
-		leaderTracker: leadership,
-		scheduler: placement,
-		healthTracker: reach,
+		positionHistory,
+		leaderTracker,
+		scheduler,
+		healthTracker,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
-		onTargetDown(target, abandon) {
-			const own = abandons.get(target) ?? new Set();
-			abandons.set(target, own);
-			own.add(abandon);
+		onTargetDown(target, callback) {
+			const callbacks = targetDownCallbacks.get(target) ?? new Set();
+			targetDownCallbacks.set(target, callbacks);
+			callbacks.add(callback);
 			return () => {
-				own.delete(abandon);
+				callbacks.delete(callback);
 			};
 		},
 		async verifyPosition(deadline: Deadline) {
-			return !isPast(deadline, world.now()) && verifyOnce();
+			return !isPast(deadline, world.now()) && verifyLeader();
 		},
-		areWritesPaused: () => paused,
+		areWritesPaused: () => areWritesPaused,
 	};
 	const transactions = createTransactions(shared);
-	const parts: DatabaseOwnerComponents = {...shared, transactions};
+	const components: DatabaseOwnerComponents = {...shared, transactions};
 
 	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(world.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
-			const spent = await context.acquireToken(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
-			if (spent.err) {
+			const token = await context.acquireToken(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
+			if (token.err) {
 				context.onDecision({
-					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: spent.val.message, ageMs: 0,
+					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: token.val.message, ageMs: 0,
 				});
-				return createResponse(createRefusal('overShare', spent.val.message, spent.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
+				return createResponse(createRefusal('overShare', token.val.message, token.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
 			}
 		}
 
@@ -234,58 +236,58 @@
 		}
 
 		return request.statement.kind === 'commit'
-			? createResponse(createRefusal('malformed', 'There is no transaction to commit'))
-			: serveSingleStatement(parts, request, deadline);
+			? createResponse(createRefusal('malformed', 'COMMIT outside a transaction'))
+			: serveSingleStatement(components, request, deadline);
 	};
 
 	return {
 		serve,
 		rollBack: transactions.rollBack,
-		setTargets(next) {
+		setTargets(nextTargets) {
 			for (const [id, known] of targets) {
-				if (!next.some(target => isSameRun(target, known))) {
+				if (!nextTargets.some(target => isSameRun(target, known))) {
 					connections.get(id)?.close();
 					connections.delete(id);
 					targets.delete(id);
-					reach.remove(id);
+					healthTracker.remove(id);
 				}
 			}
 
-			for (const target of next) {
+			for (const target of nextTargets) {
 				targets.set(target.id, target);
 				if (!connections.has(target.id)) {
 					connections.set(target.id, createTargetConnections(target, context.dial, context.getConnectionLimit, world));
 				}
 			}
 
-			leadership.applyRegistry(next, world.now());
-			placement.setTargets(next);
+			leaderTracker.applyRegistry(nextTargets, world.now());
+			scheduler.setTargets(nextTargets);
 		},
-		ping: async (id, deadline) => pingTwice(id, deadline - world.now()),
+		ping: async (id, deadline) => pingWithRedial(id, deadline - world.now()),
 		async queryStatus(id, deadline, before) {
-			const borrowed = await borrow(id, deadline);
-			if (!borrowed?.ok) {
+			const acquired = await acquireConnection(id, deadline);
+			if (!acquired?.ok) {
 				return undefined;
 			}
 
-			const loan = borrowed.val;
+			const handle = acquired.val;
 			const commands: readonly Command[] = before ? [before, {kind: 'status'}] : [{kind: 'status'}];
-			const {replies, ended} = await loan.connection.execute(commands, deadline);
-			loan.release(ended === 'no');
+			const {replies, ended} = await handle.connection.execute(commands, deadline);
+			handle.release(ended === 'no');
 			const isRefused = replies[0]?.result.kind === 'error';
 			const reply = replies[commands.length - 1];
 			return reply && !isRefused ? context.readStatus(reply) : undefined;
 		},
-		pauseWrites(next) {
-			paused = next;
-			placement.admitWaiting();
+		pauseWrites(isPaused) {
+			areWritesPaused = isPaused;
+			scheduler.admitWaiting();
 		},
 		closeIdleConnections(idleMs) {
-			const since = createDeadline(world.now(), -idleMs) as number as Instant;
-			for (const own of connections.values()) {
-				own.closeIdle(since);
+			const idleSince = createDeadline(world.now(), -idleMs) as number as Instant;
+			for (const targetConnections of connections.values()) {
+				targetConnections.closeIdle(idleSince);
 			}
 		},
-		components: parts,
+		components,
 	};
 };
--- a/packages/homes/src/failover-coordinator.ts
+++ b/packages/homes/src/failover-coordinator.ts
@@ -1,4 +1,4 @@
-/** The steward of a database: notices that its primary is gone or leaving, and orders another one. */
+/** Failover coordinator of a database: detects that its primary has failed or is leaving, and promotes a replica. */
 
 import {
 	createDeadline, isPast, type DatabaseId, type Instant, type TargetId, type World,
@@ -7,15 +7,15 @@
 import type {DatabaseOwner} from './database-owner.js';
 import type {Command, Target, TargetStatus} from './targets.js';
 
-/** Outcome of an order of promotion. */
+/** Outcome of a promotion order. */
 export type PromotionOutcome
 	= 'done'
-	/** A newer fencing number was seen, or the target is not running. */
+	/** Refused because of a newer fencing token, or because the target is not running. */
 		| 'refused'
-	/** No answer: it may still be carried out. */
+	/** No response: the order may still be carried out. */
 		| 'unknown';
 
-/** What happened in a change of primary, for the logs. */
+/** A step in a change of primary, for the logs and metrics. */
 export type FailoverCoordinatorEvent = Readonly<{
 	kind: 'suspected' | 'started' | 'ordered' | 'finished' | 'failed';
 	target: string;
@@ -23,133 +23,135 @@
 	ageMs: number;
 }>;
 
-/** What a steward needs. */
+/** Dependencies of a failover coordinator. */
 export type FailoverCoordinatorContext = Readonly<{
 	world: World;
 	database: DatabaseId;
 	owner: DatabaseOwner;
-	/** Tells whether this vm holds the stewardship, surely and now. */
+	/** Tells whether this vm is confirmed to hold the coordinator role now. */
 	isCoordinator: () => boolean;
-	/** Draws a fencing number higher than all before. */
+	/** Draws a fencing token higher than all before; `undefined` if the store does not respond or the role is lost. */
 	drawFencingToken: () => Promise<number | undefined>;
-	orderPromotion: (target: TargetId, fence: number) => Promise<PromotionOutcome>;
-	/** Tells whether another vm reaches a target that this one does not. */
+	/** Orders a target to become primary. */
+	orderPromotion: (target: TargetId, fencingToken: number) => Promise<PromotionOutcome>;
+	/** Asks other vms whether any of them reaches a target that this vm does not reach. */
 	isReachableFromPeers: (target: TargetId) => Promise<boolean>;
-	/** Tells whether commits are acknowledged only when a replica has them. */
+	/** Tells whether commits are acknowledged only once a replica has them. */
 	isSynchronouslyReplicated: () => boolean;
 	onEvent: (event: FailoverCoordinatorEvent) => void;
 }>;
 
-/** Pause between looks at the primary, in milliseconds. */
-const LOOK_MS = 100;
-/** Silence after which the primary is pinged, in milliseconds. */
-const QUIET_MS = 300;
-/** Time that a refusing primary has to come back, in milliseconds: a restart of its listener is not a crash. */
-const REFUSING_MS = 150;
-/** Silence after which the primary is taken for dead, in milliseconds; several pings. */
-const SILENT_MS = 800;
-/** Time without any target that leads before one is chosen, in milliseconds; the registry lags behind a promotion. */
-const LEADERLESS_MS = 600;
-/** Longest time for the questions before an order, in milliseconds. */
+/** Interval between checks of the primary. */
+const CHECK_INTERVAL_MS = 100;
+/** Silence after which the primary is pinged; also the timeout of that ping. */
+const PING_AFTER_MS = 300;
+/** How long a primary may refuse connections before it is replaced: a restart of its listener is not a crash. */
+const REFUSAL_GRACE_MS = 150;
+/** Silence after which the primary counts as failed: long enough for several pings. */
+const SILENCE_TIMEOUT_MS = 800;
+/** How long no target may lead before one is promoted: the registry lags behind a promotion. */
+const LEADERLESS_GRACE_MS = 600;
+/** Timeout of the status queries before a promotion. */
 const STATUS_TIMEOUT_MS = 300;
-/** Longest time that an ordered target has to prove that it leads, in milliseconds; several times a promotion. */
-const PROOF_MS = 3000;
-/** Longest time that writes wait for a replica to have everything before a planned change, in milliseconds. */
-const HANDOVER_MS = 1500;
-const HANDOVER_LOOK_MS = 20;
+/** How long a target may take to prove that it leads after the order: several times the duration of a promotion. */
+const PROMOTION_TIMEOUT_MS = 3000;
+/** How long writes are paused, at most, for a replica to catch up before a planned change of primary. */
+const SWITCHOVER_TIMEOUT_MS = 1500;
+const SWITCHOVER_CHECK_INTERVAL_MS = 20;
 
-type Standing = Readonly<{target: Target; status: TargetStatus}>;
+type TargetReport = Readonly<{target: Target; status: TargetStatus}>;
 
-/** Asks targets for their state, after another command if there is one. */
-const askAll = async (context: FailoverCoordinatorContext, targets: readonly Target[], before?: Command): Promise<readonly Standing[]> => {
+/** Queries the status of targets, after running the command `before` if given; omits those that do not respond. */
+const queryAll = async (context: FailoverCoordinatorContext, targets: readonly Target[], before?: Command): Promise<readonly TargetReport[]> => {
 	const deadline = createDeadline(context.world.now(), STATUS_TIMEOUT_MS);
-	const answers = await Promise.all(targets.map(async target => {
+	const reports = await Promise.all(targets.map(async target => {
 		const status = await context.owner.queryStatus(target.id, deadline, before);
 		return status ? [{target, status}] : [];
 	}));
-	return answers.flat();
+	return reports.flat();
 };
 
-/** Ranks replicas for a promotion: the longest log first. */
-export const rankReplicas = (standings: readonly Standing[]): readonly Standing[] => standings.toSorted((a, b) =>
+/** Ranks replicas for promotion: the longest log first, then those that are not draining. */
+export const rankReplicas = (reports: readonly TargetReport[]): readonly TargetReport[] => reports.toSorted((a, b) =>
 	comparePositions(b.status.received, a.status.received)
 	|| Number(a.target.isDraining) - Number(b.target.isDraining)
 	|| (a.target.id < b.target.id ? -1 : 1));
 
-/** Waits until a target proves that it leads. */
-const waitForProof = async (context: FailoverCoordinatorContext, target: TargetId): Promise<boolean> => {
-	const {world, owner: home} = context;
-	const deadline = createDeadline(world.now(), PROOF_MS);
+/** Waits until a target proves that it leads; `false` if it does not in time. */
+const waitUntilLeading = async (context: FailoverCoordinatorContext, target: TargetId): Promise<boolean> => {
+	const {world, owner} = context;
+	const deadline = createDeadline(world.now(), PROMOTION_TIMEOUT_MS);
 	while (!isPast(deadline, world.now())) {
-		if (await home.ping(target, deadline) === 'leads') {
+		if (await owner.ping(target, deadline) === 'leads') {
 			return true;
 		}
 
-		await world.sleep(LOOK_MS / 2);
+		await world.sleep(CHECK_INTERVAL_MS / 2);
 	}
 
 	return false;
 };
 
 /**
- * Asks the replicas where they stand. Where a commit is acknowledged once one replica has it, they stop receiving first,
- * so that the old primary acknowledges nothing more, and all of them must answer: the one that is missing may have it.
+ * Queries the log positions of the replicas, ranked for promotion; an empty list if none may be promoted.
+ * With synchronous replication, the replicas first stop receiving, so that the old primary can acknowledge nothing more,
+ * and all of them must respond: one that is missing may be the only one with an acknowledged commit.
  */
-const askStandings = async (context: FailoverCoordinatorContext, replicas: readonly Target[]): Promise<readonly Standing[]> => {
+const queryReplicas = async (context: FailoverCoordinatorContext, replicas: readonly Target[]): Promise<readonly TargetReport[]> => {
 	if (!context.isSynchronouslyReplicated()) {
-		return rankReplicas(await askAll(context, replicas));
+		return rankReplicas(await queryAll(context, replicas));
 	}
 
-	const known = await askAll(context, replicas);
-	const term = Math.max(0, ...known.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
-	const paused = await askAll(context, replicas, {kind: 'pause', term});
-	if (paused.length === replicas.length) {
-		return rankReplicas(paused);
+	const knownReports = await queryAll(context, replicas);
+	const term = Math.max(0, ...knownReports.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
+	const pausedReports = await queryAll(context, replicas, {kind: 'pause', term});
+	if (pausedReports.length === replicas.length) {
+		return rankReplicas(pausedReports);
 	}
 
-	await askAll(context, replicas, {kind: 'resume'});
+	await queryAll(context, replicas, {kind: 'resume'});
 	return [];
 };
 
-/** Orders the replicas in turn to lead, until one does. */
-const promoteBest = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
+/** Promotes the replicas one after the other until one leads; `false` if none does. */
+const promoteBestReplica = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
 	const startedAt = context.world.now();
-	const standings = await askStandings(context, replicas);
-	if (standings.length === 0) {
+	const reports = await queryReplicas(context, replicas);
+	if (reports.length === 0) {
 		context.onEvent({
-			kind: 'failed', target: '', reason: `${reason}; ${context.isSynchronouslyReplicated() ? 'a replica does' : 'the replicas do'} not answer`, ageMs: 0,
+			kind: 'failed', target: '', reason: `${reason}; no replica promoted, as ${context.isSynchronouslyReplicated() ? 'at least one replica does' : 'the replicas do'} not respond`, ageMs: 0,
 		});
 		return false;
 	}
 
-	for (const {target} of standings) {
-		const fence = await context.drawFencingToken();
-		if (fence === undefined) {
+	for (const {target} of reports) {
+		const fencingToken = await context.drawFencingToken();
+		if (fencingToken === undefined) {
 			context.onEvent({
-				kind: 'failed', target: target.id, reason: 'the store gave no fencing number', ageMs: context.world.now() - startedAt,
+				kind: 'failed', target: target.id, reason: 'no fencing token from the store; no replica promoted', ageMs: context.world.now() - startedAt,
 			});
 			return false;
 		}
 
 		context.onEvent({
-			kind: 'ordered', target: target.id, reason: `${reason}; fence ${fence}`, ageMs: context.world.now() - startedAt,
+			kind: 'ordered', target: target.id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.world.now() - startedAt,
 		});
-		const outcome = await context.orderPromotion(target.id, fence);
-		if (outcome !== 'refused' && await waitForProof(context, target.id)) {
+		const outcome = await context.orderPromotion(target.id, fencingToken);
+		if (outcome !== 'refused' && await waitUntilLeading(context, target.id)) {
 			context.onEvent({
 				kind: 'finished', target: target.id, reason, ageMs: context.world.now() - startedAt,
 			});
 			return true;
 		}
 
-		// With acknowledgements by a replica only the longest log surely holds them all.
+		// With synchronous replication, only the longest log is certain to contain every acknowledged commit.
 		if (context.isSynchronouslyReplicated()) {
 			break;
 		}
 	}
 
 	if (context.isSynchronouslyReplicated()) {
-		await askAll(context, replicas, {kind: 'resume'});
+		await queryAll(context, replicas, {kind: 'resume'});
 	}
 
 	return false;
@@ -157,107 +159,109 @@
 
 const listReplicas = (context: FailoverCoordinatorContext, except: TargetId | undefined): readonly Target[] => context.owner.components.listTargets().filter(({id}) => id !== except);
 
-/** Replaces a primary that is about to leave: writes wait until a replica has everything. */
-const handOver = async (context: FailoverCoordinatorContext, leader: Target): Promise<boolean> => {
-	const {world, owner: home} = context;
+/** Replaces a primary that is about to leave: pauses writes until a replica has caught up, and promotes it. */
+const switchOver = async (context: FailoverCoordinatorContext, leader: Target): Promise<boolean> => {
+	const {world, owner} = context;
 	const replicas = listReplicas(context, leader.id).filter(({isDraining}) => !isDraining);
 	if (replicas.length === 0) {
 		return false;
 	}
 
 	const startedAt = world.now();
-	const deadline = createDeadline(startedAt, HANDOVER_MS);
+	const deadline = createDeadline(startedAt, SWITCHOVER_TIMEOUT_MS);
 	context.onEvent({
 		kind: 'started', target: leader.id, reason: 'the primary is leaving', ageMs: 0,
 	});
-	home.pauseWrites(true);
+	owner.pauseWrites(true);
 	try {
 		while (!isPast(deadline, world.now())) {
-			const [own] = await askAll(context, [leader]);
-			const standings = rankReplicas(await askAll(context, replicas));
-			const best = standings[0];
-			if (own && best && comparePositions(best.status.received, own.status.received) >= 0 && home.components.transactions.getWriterCount() === 0) {
+			const [leaderReport] = await queryAll(context, [leader]);
+			const reports = rankReplicas(await queryAll(context, replicas));
+			const best = reports[0];
+			if (leaderReport && best && comparePositions(best.status.received, leaderReport.status.received) >= 0 && owner.components.transactions.getWriterCount() === 0) {
 				break;
 			}
 
-			await world.sleep(HANDOVER_LOOK_MS);
+			await world.sleep(SWITCHOVER_CHECK_INTERVAL_MS);
 		}
 
-		return await promoteBest(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
+		return await promoteBestReplica(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
 	} finally {
-		home.pauseWrites(false);
+		owner.pauseWrites(false);
 	}
 };
 
-/** What the steward believes of the primary while it looks again and again. */
-type Suspicion = {
-	refusedSince: Instant | undefined;
+/** State of the suspicion against the primary between checks. */
+type SuspicionState = {
+	/** Since when the primary has refused connections. */
+	refusingSince: Instant | undefined;
+	/** Since when no target has led. */
 	leaderlessSince: Instant | undefined;
-	/** When this vm first looked at the primary. */
-	knownSince: Instant | undefined;
+	/** When this vm first checked the primary; stands in for the last response until there is one. */
+	watchedSince: Instant | undefined;
 };
 
-/** Looks once at the primary; gives the reason to replace it. */
-const examine = async (context: FailoverCoordinatorContext, suspicion: Suspicion): Promise<string | undefined> => {
-	const {world, owner: home} = context;
-	const {leaderTracker: leadership, healthTracker: reach} = home.components;
-	const leader = leadership.getLeader();
+/** Checks the primary once; returns the reason to replace it, or `undefined`. */
+const checkPrimary = async (context: FailoverCoordinatorContext, suspicion: SuspicionState): Promise<string | undefined> => {
+	const {world, owner} = context;
+	const {leaderTracker, healthTracker} = owner.components;
+	const leader = leaderTracker.getLeader();
 	const now = world.now();
-	if (leader === undefined || !home.components.getTarget(leader)) {
+	if (leader === undefined || !owner.components.getTarget(leader)) {
 		suspicion.leaderlessSince ??= now;
-		return now - suspicion.leaderlessSince >= LEADERLESS_MS ? 'no target leads' : undefined;
+		return now - suspicion.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
 	}
 
 	suspicion.leaderlessSince = undefined;
-	const answeredAt = reach.getLastResponseAt(leader) ?? suspicion.knownSince ?? now;
-	suspicion.knownSince ??= now;
-	if (now - answeredAt < QUIET_MS && reach.isUsable(leader)) {
-		suspicion.refusedSince = undefined;
+	const lastResponseAt = healthTracker.getLastResponseAt(leader) ?? suspicion.watchedSince ?? now;
+	suspicion.watchedSince ??= now;
+	if (now - lastResponseAt < PING_AFTER_MS && healthTracker.isUsable(leader)) {
+		suspicion.refusingSince = undefined;
 		return undefined;
 	}
 
-	const answer = await home.ping(leader, createDeadline(now, QUIET_MS));
-	if (answer === 'leads' || answer === 'follows') {
-		suspicion.refusedSince = undefined;
+	const pingResult = await owner.ping(leader, createDeadline(now, PING_AFTER_MS));
+	if (pingResult === 'leads' || pingResult === 'follows') {
+		suspicion.refusingSince = undefined;
 		return undefined;
 	}
 
-	suspicion.refusedSince = answer === 'refused' ? suspicion.refusedSince ?? now : undefined;
-	if (suspicion.refusedSince !== undefined && world.now() - suspicion.refusedSince >= REFUSING_MS) {
+	suspicion.refusingSince = pingResult === 'refused' ? suspicion.refusingSince ?? now : undefined;
+	if (suspicion.refusingSince !== undefined && world.now() - suspicion.refusingSince >= REFUSAL_GRACE_MS) {
 		return 'the primary refuses connections';
 	}
 
-	const isSilent = world.now() - answeredAt >= SILENT_MS;
-	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary is silent' : undefined;
+	const isSilent = world.now() - lastResponseAt >= SILENCE_TIMEOUT_MS;
+	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary does not respond' : undefined;
 };
 
-/** Tends a database until the signal aborts; acts only while this vm is its steward. */
+/** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
-	const {world, owner: home} = context;
-	const suspicion: Suspicion = {refusedSince: undefined, leaderlessSince: undefined, knownSince: undefined};
+	const {world, owner} = context;
+	const suspicion: SuspicionState = {refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined};
 	while (!signal.aborted) {
-		await world.sleep(LOOK_MS, signal).catch(() => undefined);
-		if (signal.aborted || !context.isCoordinator() || home.components.listTargets().length === 0) {
+		await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
+		if (signal.aborted || !context.isCoordinator() || owner.components.listTargets().length === 0) {
 			continue;
 		}
 
-		const leader = home.components.leaderTracker.getLeader();
-		const known = leader === undefined ? undefined : home.components.getTarget(leader);
-		if (known?.isDraining && await handOver(context, known)) {
+		const leader = owner.components.leaderTracker.getLeader();
+		const leaderTarget = leader === undefined ? undefined : owner.components.getTarget(leader);
+		if (leaderTarget?.isDraining && await switchOver(context, leaderTarget)) {
 			continue;
 		}
 
-		const reason = await examine(context, suspicion);
+		const reason = await checkPrimary(context, suspicion);
 		if (reason !== undefined && context.isCoordinator()) {
 			context.onEvent({
-				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (home.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
+				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
 			});
 			const all = listReplicas(context, leader);
 			const staying = all.filter(({isDraining}) => !isDraining);
-			await promoteBest(context, staying.length > 0 && !context.isSynchronouslyReplicated() ? staying : all, reason);
-			suspicion.refusedSince = undefined;
+			await promoteBestReplica(context, staying.length > 0 && !context.isSynchronouslyReplicated() ? staying : all, reason);
+			suspicion.refusingSince = undefined;
 			suspicion.leaderlessSince = undefined;
-			suspicion.knownSince = undefined;
+			suspicion.watchedSince = undefined;
 		}
 	}
 };
--- a/packages/homes/src/health-tracker.ts
+++ b/packages/homes/src/health-tracker.ts
@@ -1,59 +1,60 @@
-/** Which targets a home can reach and use at this moment. */
+/** Tracks which targets respond and are caught up enough for reads. */
 
 import {
 	createDeadline, isPast, PAST, type Deadline, type Instant, type TargetId, type World,
 } from '@guavapitch/core';
 
-/** What the beliefs about targets need. */
+/** Dependencies of a health tracker. */
 export type HealthTrackerContext = Readonly<{
 	world: World;
-	/** Asks a target for a sign of life, which needs no slot; `false` if it gives none. */
+	/** Sends a liveness probe, which needs no slot of the target; resolves to `false` if it gets no response. */
 	probe: (target: TargetId) => Promise<boolean>;
-	/** Hears that a target is down, or up again. */
+	/** Called when a target is considered down, and when it is up again. */
 	onChange: (target: TargetId, isUp: boolean, reason: string) => void;
 }>;
 
-/** Beliefs of a home about the health of targets. */
+/** Health of a database's targets, as its owner sees it. */
 export type HealthTracker = Readonly<{
-	/** A statement was sent to a target; a long silence after it makes the target suspect. */
+	/** Records that a statement was sent to a target; a target that then stays silent is probed. */
 	recordStatementSent: (target: TargetId) => void;
-	/** A statement has ended, however. */
+	/** Records that a statement has ended, with or without a reply. */
 	recordStatementEnded: (target: TargetId) => void;
-	/** A target has answered. */
+	/** Records that a target has responded. */
 	recordResponse: (target: TargetId) => void;
-	/** A connection to a target was lost or refused, or a statement went unanswered: the target is probed. */
+	/** Starts to probe a target, because a connection to it was lost or refused or a statement got no reply. */
 	markSuspect: (target: TargetId, reason: string) => void;
-	/** A target lacked a position that a read needs. */
+	/** Records that a target had not reached the log position that a read needs. */
 	markLagging: (target: TargetId) => void;
-	/** Tells whether a target may be tried. */
+	/** Tells whether statements may be sent to a target. */
 	isUsable: (target: TargetId) => boolean;
-	/** Tells whether a target is likely to have what reads need. */
+	/** Tells whether a target is likely to have reached the log position that reads need. */
 	isCaughtUp: (target: TargetId) => boolean;
-	/** Gets when a target last answered. */
+	/** Returns when a target last responded; `undefined` if it never did. */
 	getLastResponseAt: (target: TargetId) => Instant | undefined;
+	/** Stops tracking a target. */
 	remove: (target: TargetId) => void;
 }>;
 
 type Health = {
-	answeredAt: Instant | undefined;
+	lastResponseAt: Instant | undefined;
 	isDown: boolean;
 	isProbing: boolean;
-	isWatched: boolean;
-	underWay: number;
-	busySince: Instant;
-	lags: number;
-	currentAt: Deadline;
+	isWatchScheduled: boolean;
+	runningCount: number;
+	runningSince: Instant;
+	lagCount: number;
+	laggingUntil: Deadline;
 };
 
-/** Silence with statements under way that makes a target suspect, in milliseconds; several times a long statement. */
-const SUSPECT_MS = 200;
-/** Pause between probes of a target that is down, in milliseconds. */
-const PROBE_PAUSE_MS = 200;
-/** First and longest pause after a target lacked a position, in milliseconds; replication usually needs some tens. */
-const FIRST_LAG_PAUSE_MS = 30;
-const LONGEST_LAG_PAUSE_MS = 500;
+/** A target with running statements that is silent for this long is probed: several times the duration of a long statement. */
+const SILENCE_TIMEOUT_MS = 200;
+/** Mean interval between probes of a target that is down. */
+const PROBE_INTERVAL_MS = 200;
+/** Shortest and longest time without reads for a lagging target, doubled each time; replication usually takes some tens of milliseconds. */
+const MIN_LAG_PAUSE_MS = 30;
+const MAX_LAG_PAUSE_MS = 500;
 
-/** Creates beliefs that take every target for healthy. */
+/** Creates a tracker that considers every target healthy. */
 export const createHealthTracker = (context: HealthTrackerContext): HealthTracker => {
 	const {world} = context;
 	const healths = new Map<TargetId, Health>();
@@ -65,24 +66,24 @@
 		}
 
 		const created: Health = {
-			answeredAt: undefined, isDown: false, isProbing: false, isWatched: false, underWay: 0, busySince: world.now(), lags: 0, currentAt: PAST,
+			lastResponseAt: undefined, isDown: false, isProbing: false, isWatchScheduled: false, runningCount: 0, runningSince: world.now(), lagCount: 0, laggingUntil: PAST,
 		};
 		healths.set(target, created);
 		return created;
 	};
 
-	const isKnown = (target: TargetId, health: Health): boolean => healths.get(target) === health;
+	const isTracked = (target: TargetId, health: Health): boolean => healths.get(target) === health;
 
-	const noteAnswer = (target: TargetId) => {
+	const recordResponse = (target: TargetId) => {
 		const health = getHealth(target);
-		health.answeredAt = world.now();
+		health.lastResponseAt = world.now();
 		if (health.isDown) {
 			health.isDown = false;
-			context.onChange(target, true, 'it answers again');
+			context.onChange(target, true, 'the target responds again');
 		}
 	};
 
-	/** Probes a suspect; if it is silent, takes it for down and goes on until it answers. */
+	/** Probes a suspect target; if it does not respond, considers it down and probes it until it does. */
 	const probe = async (target: TargetId, reason: string): Promise<void> => {
 		const health = getHealth(target);
 		if (health.isProbing) {
@@ -90,77 +91,77 @@
 		}
 
 		health.isProbing = true;
-		while (isKnown(target, health)) {
+		while (isTracked(target, health)) {
 			if (await context.probe(target)) {
-				noteAnswer(target);
+				recordResponse(target);
 				break;
 			}
 
-			if (!health.isDown && isKnown(target, health)) {
+			if (!health.isDown && isTracked(target, health)) {
 				health.isDown = true;
 				context.onChange(target, false, reason);
 			}
 
-			await world.sleep(PROBE_PAUSE_MS * (0.5 + world.random()));
+			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
 		}
 
 		health.isProbing = false;
 	};
 
-	/** Looks, while statements are under way, whether the target is silent. */
-	const watch = (target: TargetId, health: Health) => {
-		if (health.isWatched) {
+	/** Checks periodically, while statements are running, whether the target is silent. */
+	const watchForSilence = (target: TargetId, health: Health) => {
+		if (health.isWatchScheduled) {
 			return;
 		}
 
-		health.isWatched = true;
-		world.schedule(SUSPECT_MS, () => {
-			health.isWatched = false;
-			if (health.underWay === 0 || !isKnown(target, health)) {
+		health.isWatchScheduled = true;
+		world.schedule(SILENCE_TIMEOUT_MS, () => {
+			health.isWatchScheduled = false;
+			if (health.runningCount === 0 || !isTracked(target, health)) {
 				return;
 			}
 
-			const heardAt = Math.max(health.answeredAt ?? PAST, health.busySince);
-			if (world.now() - heardAt >= SUSPECT_MS) {
-				void probe(target, 'it is silent');
+			const lastActiveAt = Math.max(health.lastResponseAt ?? PAST, health.runningSince);
+			if (world.now() - lastActiveAt >= SILENCE_TIMEOUT_MS) {
+				void probe(target, 'no response while statements are running');
 			}
 
-			watch(target, health);
+			watchForSilence(target, health);
 		});
 	};
 
 	return {
 		recordStatementSent(target) {
 			const health = getHealth(target);
-			if (health.underWay === 0) {
-				health.busySince = world.now();
+			if (health.runningCount === 0) {
+				health.runningSince = world.now();
 			}
 
-			health.underWay++;
-			watch(target, health);
+			health.runningCount++;
+			watchForSilence(target, health);
 		},
 		recordStatementEnded(target) {
 			const health = getHealth(target);
-			health.underWay = Math.max(0, health.underWay - 1);
+			health.runningCount = Math.max(0, health.runningCount - 1);
 		},
-		recordResponse: noteAnswer,
+		recordResponse,
 		markSuspect(target, reason) {
 			void probe(target, reason);
 		},
 		markLagging(target) {
 			const health = getHealth(target);
 			const now = world.now();
-			noteAnswer(target);
-			if (isPast(health.currentAt, now)) {
-				// A target that was current for a while starts with short pauses again.
-				health.lags = now - health.currentAt > LONGEST_LAG_PAUSE_MS ? 0 : health.lags;
-				health.currentAt = createDeadline(now, Math.min(LONGEST_LAG_PAUSE_MS, FIRST_LAG_PAUSE_MS * (2 ** health.lags)));
-				health.lags++;
+			recordResponse(target);
+			if (isPast(health.laggingUntil, now)) {
+				// After a while without lag, the backoff starts from the shortest pause again.
+				health.lagCount = now - health.laggingUntil > MAX_LAG_PAUSE_MS ? 0 : health.lagCount;
+				health.laggingUntil = createDeadline(now, Math.min(MAX_LAG_PAUSE_MS, MIN_LAG_PAUSE_MS * (2 ** health.lagCount)));
+				health.lagCount++;
 			}
 		},
 		isUsable: target => healths.get(target)?.isDown !== true,
-		isCaughtUp: target => isPast(healths.get(target)?.currentAt ?? PAST, world.now()),
-		getLastResponseAt: target => healths.get(target)?.answeredAt,
+		isCaughtUp: target => isPast(healths.get(target)?.laggingUntil ?? PAST, world.now()),
+		getLastResponseAt: target => healths.get(target)?.lastResponseAt,
 		remove(target) {
 			healths.delete(target);
 		},
--- a/packages/homes/src/leader-tracker.ts
+++ b/packages/homes/src/leader-tracker.ts
@@ -1,31 +1,31 @@
-/** Which target of a database leads, by everything that is known of it. */
+/** Tracks which target of a database leads, from the registry and from replies. */
 
 import type {Instant, TargetId} from '@guavapitch/core';
 import type {Target} from './targets.js';
 
-/** Beliefs about the leader of one database. */
+/** Leader of one database, as far as its owner knows. */
 export type LeaderTracker = Readonly<{
-	/** Takes note of the registry; only a change of what a target says of itself counts as news. */
+	/** Applies the registry; an entry counts only if its role or its start time has changed, since replies are more recent than an unchanged entry. */
 	applyRegistry: (targets: readonly Target[], now: Instant) => void;
-	/** A target has proved that it leads. */
+	/** Records that a target has proved that it leads. */
 	markLeading: (target: TargetId, now: Instant) => void;
-	/** A target has said that it does not lead. */
+	/** Records that a target has reported that it does not lead. */
 	markFollowing: (target: TargetId, now: Instant) => void;
-	/** Gets the target that leads; the one whose lead began last, if several say so. */
+	/** Returns the target that leads: if several appear to, the one that was first seen leading most recently. */
 	getLeader: () => TargetId | undefined;
 }>;
 
 type Evidence = Readonly<{leads: boolean; since: Instant}>;
 
-type Seen = Readonly<{role: string; born: number}>;
+type RegistryEntry = Readonly<{role: string; startedAtMs: number}>;
 
-/** Creates beliefs that know nothing. */
+/** Creates a tracker without a known leader. */
 export const createLeaderTracker = (onChange: (leader: TargetId | undefined) => void): LeaderTracker => {
 	const evidence = new Map<TargetId, Evidence>();
-	const seen = new Map<TargetId, Seen>();
+	const registryEntries = new Map<TargetId, RegistryEntry>();
 	let leader: TargetId | undefined;
 
-	const choose = () => {
+	const chooseLeader = () => {
 		let chosen: TargetId | undefined;
 		let latest = Number.NEGATIVE_INFINITY;
 		for (const [id, {leads, since}] of evidence) {
@@ -41,38 +41,38 @@
 		}
 	};
 
-	const note = (target: TargetId, leads: boolean, now: Instant) => {
+	const recordEvidence = (target: TargetId, leads: boolean, now: Instant) => {
 		if (evidence.get(target)?.leads !== leads) {
 			evidence.set(target, {leads, since: now});
-			choose();
+			chooseLeader();
 		}
 	};
 
 	return {
 		applyRegistry(targets, now) {
 			const present = new Set(targets.map(target => target.id));
-			for (const id of seen.keys()) {
+			for (const id of registryEntries.keys()) {
 				if (!present.has(id)) {
-					seen.delete(id);
+					registryEntries.delete(id);
 					evidence.delete(id);
 				}
 			}
 
-			for (const {id, role, startedAtMs: born} of targets) {
-				const before = seen.get(id);
-				if (before?.role !== role || before.born !== born) {
-					seen.set(id, {role, born});
-					note(id, role === 'primary', now);
+			for (const {id, role, startedAtMs} of targets) {
+				const previous = registryEntries.get(id);
+				if (previous?.role !== role || previous.startedAtMs !== startedAtMs) {
+					registryEntries.set(id, {role, startedAtMs});
+					recordEvidence(id, role === 'primary', now);
 				}
 			}
 
-			choose();
+			chooseLeader();
 		},
 		markLeading(target, now) {
-			note(target, true, now);
+			recordEvidence(target, true, now);
 		},
 		markFollowing(target, now) {
-			note(target, false, now);
+			recordEvidence(target, false, now);
 		},
 		getLeader: () => leader,
 	};
--- a/packages/homes/src/plans.ts
+++ b/packages/homes/src/plans.ts
@@ -1,4 +1,4 @@
-/** Where a statement may run, and which position it must see there. */
+/** Plans where a statement may run and which log position it must see there. */
 
 import {
 	createDeadline, type Deadline, type TargetId,
@@ -10,70 +10,70 @@
 import type {SharedComponents} from './database-owner.js';
 import type {TargetLoad} from './slot-scheduler.js';
 
-/** How a statement or a transaction is to be placed. */
+/** Placement constraint of a statement or a transaction. */
 export type Plan
-	/** At the leader; `proves` tells whether the statement itself is refused elsewhere. */
+	/** On the leader; `isWrite` tells whether the target itself refuses the statement if it is not the leader. */
 	= | Readonly<{kind: 'leader'; isWrite: boolean}>
-	/** At any target that holds a position. */
+	/** On any target whose log has reached a position. */
 		| Readonly<{kind: 'anywhere'; after: LogPosition}>;
 
-/** Reserve for the time between computing a floor and running the read, in milliseconds; the read itself counts from its first byte, which is earlier. */
+/** Margin for the time between computing the minimum position and running the read. The caller measures staleness from the first byte of its request, which is earlier still. */
 const STALENESS_MARGIN_MS = 100;
 
-/** Waiting for a leader to appear, in milliseconds: longer than reconnecting takes, shorter than a promotion. */
-const LEADER_WAIT_MS = 250;
+/** How long a request waits for a leader to appear: longer than reconnecting takes, shorter than a promotion. */
+const MAX_LEADER_WAIT_MS = 250;
 
-/** Makes the plan of a statement that may run anywhere once its floor is known; `undefined` if no leader proves a position in time. */
-const createFloorPlan = async (parts: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
-	const {positionHistory: floors, context} = parts;
+/** Creates the plan of a read that may run on any target once its minimum position is known; `undefined` if no leader confirms a position in time. */
+const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
+	const {positionHistory, context} = components;
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
-	let base = floors.getMinimumPosition(allowedMs, context.readClock());
-	if (!base) {
-		await parts.verifyPosition(deadline);
-		base = floors.getMinimumPosition(allowedMs, context.readClock());
+	let verified = positionHistory.getMinimumPosition(allowedMs, context.readClock());
+	if (!verified) {
+		await components.verifyPosition(deadline);
+		verified = positionHistory.getMinimumPosition(allowedMs, context.readClock());
 	}
 
-	const after = base && chooseLaterPosition(base, floors.translateToLatestTerm(request.floor));
+	const after = verified && chooseLaterPosition(verified, positionHistory.translateToLatestTerm(request.floor));
 	return after && {kind: 'anywhere', after};
 };
 
-/** Makes the plan of a statement outside a transaction, or of a transaction's begin. */
-export const createPlan = async (parts: SharedComponents, request: StatementRequest, deadline: Deadline): Promise<Plan | undefined> => {
+/** Creates the plan of a statement outside a transaction, or of the begin of a transaction; `undefined` if no leader confirms a position in time. */
+export const createPlan = async (components: SharedComponents, request: StatementRequest, deadline: Deadline): Promise<Plan | undefined> => {
 	const isReadOnly = request.transaction ? request.transaction.readOnly : getAccess(request.statement) === 'read';
 	if (!isReadOnly || request.consistency.kind === 'latest') {
 		return {kind: 'leader', isWrite: !isReadOnly};
 	}
 
-	return createFloorPlan(parts, request, request.consistency.maxStalenessMs, deadline);
+	return createBoundedStalenessPlan(components, request, request.consistency.maxStalenessMs, deadline);
 };
 
-/** A search for a target. */
+/** Criteria for choosing a target; `tried` are the targets on which this request has failed already. */
 export type Search = Readonly<{plan: Plan; request: StatementRequest; tried: ReadonlySet<TargetId>}>;
 
-/** Chooses a target with a free slot for a plan; the `tried` ones come last. */
-export const chooseTarget = (parts: SharedComponents, {plan, request, tried}: Search, free: readonly TargetLoad[]): TargetId | undefined => {
-	const {leaderTracker: leadership, healthTracker: reach, getConnections, getTarget} = parts;
-	const leader = leadership.getLeader();
-	const hasRoom = (id: TargetId): boolean => reach.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
+/** Chooses a target with a free slot for a plan; `undefined` if none can run it now. Targets in `tried` get no reads. */
+export const chooseTarget = (components: SharedComponents, {plan, request, tried}: Search, free: readonly TargetLoad[]): TargetId | undefined => {
+	const {leaderTracker, healthTracker, getConnections, getTarget} = components;
+	const leader = leaderTracker.getLeader();
+	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
-		const mayGo = leader !== undefined && !(plan.isWrite && parts.areWritesPaused()) && hasRoom(leader);
-		return mayGo ? free.find(load => load.id === leader)?.id : undefined;
+		const canRun = leader !== undefined && !(plan.isWrite && components.areWritesPaused()) && canAcquire(leader);
+		return canRun ? free.find(load => load.id === leader)?.id : undefined;
 	}
 
-	const isEligible = (id: TargetId): boolean => hasRoom(id)
+	const isEligible = (id: TargetId): boolean => canAcquire(id)
 		&& !tried.has(id)
-		&& (id === leader || reach.isCaughtUp(id))
+		&& (id === leader || healthTracker.isCaughtUp(id))
 		&& (getTarget(id)?.isDraining === false || id === leader);
-	return chooseReadTarget(free, {leader, isEligible, targetIds: parts.listTargets().map(({id}) => id)});
+	return chooseReadTarget(free, {leader, isEligible, targetIds: components.listTargets().map(({id}) => id)});
 };
 
-/** Computes until when a request may wait for a slot. */
-export const computeSlotDeadline = (parts: SharedComponents, plan: Plan, deadline: Deadline): Deadline => {
-	const {leaderTracker: leadership, healthTracker: reach, context} = parts;
-	const leader = leadership.getLeader();
+/** Computes until when a request waits for a slot: without a usable leader, requests that need one are refused early. */
+export const computeSlotDeadline = (components: SharedComponents, plan: Plan, deadline: Deadline): Deadline => {
+	const {leaderTracker, healthTracker, context} = components;
+	const leader = leaderTracker.getLeader();
 	const now = context.world.now();
-	const hasLeader = leader !== undefined && reach.isUsable(leader);
+	const hasLeader = leader !== undefined && healthTracker.isUsable(leader);
 	return plan.kind === 'leader' && !hasLeader
-		? Math.min(deadline, createDeadline(now, LEADER_WAIT_MS)) as Deadline
+		? Math.min(deadline, createDeadline(now, MAX_LEADER_WAIT_MS)) as Deadline
 		: deadline;
 };
--- a/packages/homes/src/position-history.ts
+++ b/packages/homes/src/position-history.ts
@@ -1,37 +1,38 @@
-/** Verified positions of a database's log, and the floors of reads that follow from them. */
+/** Verified log positions of a database, and the minimum positions that they imply for reads. */
 
 import {createDeadline, type Instant} from '@guavapitch/core';
 import {chooseLaterPosition, comparePositions, type LogPosition} from '@guavapitch/sessions';
 
-/** Verified positions of one database, as one home knows them. */
+/** Log positions of one database that its owner has verified with the leader. */
 export type PositionHistory = Readonly<{
-	/** Takes note of a position that a target gave to a question sent at an instant, while it proved that it leads. */
-	record: (askedAt: Instant, position: LogPosition) => void;
-	/** Gets the lowest position that holds every commit acknowledged longer ago than an age; `undefined` if none is young enough. */
+	/** Records a position that a proven leader reported in reply to a command; `sentAt` is when the command was sent. */
+	record: (sentAt: Instant, position: LogPosition) => void;
+	/** Returns the lowest position that includes every commit acknowledged more than `maxStalenessMs` ago; `undefined` if no verified position is recent enough. */
 	getMinimumPosition: (maxStalenessMs: number, now: Instant) => LogPosition | undefined;
-	/** Translates the floor of a session into the newest term: commits of older terms may have been taken back. */
-	translateToLatestTerm: (floor: LogPosition | undefined) => LogPosition | undefined;
+	/** Replaces a session's minimum position of an older term by the first position of the latest term, as a failover may have dropped commits of the older term. */
+	translateToLatestTerm: (minimumPosition: LogPosition | undefined) => LogPosition | undefined;
+	/** Returns the highest verified position. */
 	getLatest: () => LogPosition | undefined;
-	/** Forgets every position but the term's first. */
+	/** Removes all positions except the first of the term and the latest. */
 	clear: () => void;
 }>;
 
-/** Time for which positions are kept, in milliseconds; longer than any staleness that is worth tolerating at a floor. */
-const KEPT_MS = 10_000;
+/** Retention of positions: longer than any staleness that reads are usefully allowed. */
+const RETENTION_MS = 10_000;
 
-/** Positions closer together than this replace each other, in milliseconds; bounds the list. */
-const SPACING_MS = 10;
+/** Minimum time between two stored positions; bounds the length of the history. */
+const MIN_SPACING_MS = 10;
 
-type Verified = Readonly<{askedAt: Instant; position: LogPosition}>;
+type VerifiedPosition = Readonly<{sentAt: Instant; position: LogPosition}>;
 
-/** Creates an empty history. Instants are those of the suspension clock. */
+/** Creates an empty history. Its instants are those of the clock that keeps running during suspensions. */
 export const createPositionHistory = (): PositionHistory => {
-	let history: Verified[] = [];
+	let history: VerifiedPosition[] = [];
 	let termStart: LogPosition | undefined;
 	let latest: LogPosition | undefined;
 
 	return {
-		record(askedAt, position) {
+		record(sentAt, position) {
 			if (termStart && position.term < termStart.term) {
 				return;
 			}
@@ -44,23 +45,23 @@
 
 			latest = chooseLaterPosition(latest, position);
 			const last = history.at(-1);
-			if (last && askedAt - last.askedAt < SPACING_MS) {
+			if (last && sentAt - last.sentAt < MIN_SPACING_MS) {
 				return;
 			}
 
-			history.push({askedAt, position});
-			const oldest = createDeadline(askedAt, -KEPT_MS);
-			const kept = history.findIndex(verified => verified.askedAt >= oldest);
-			if (kept > 0) {
-				history.splice(0, kept);
+			history.push({sentAt, position});
+			const oldest = createDeadline(sentAt, -RETENTION_MS);
+			const firstRetained = history.findIndex(verified => verified.sentAt >= oldest);
+			if (firstRetained > 0) {
+				history.splice(0, firstRetained);
 			}
 		},
 		getMinimumPosition(maxStalenessMs, now) {
 			const oldest = now - maxStalenessMs;
-			return history.find(verified => verified.askedAt >= oldest)?.position;
+			return history.find(verified => verified.sentAt >= oldest)?.position;
 		},
-		translateToLatestTerm(floor) {
-			return floor && termStart && floor.term < termStart.term ? termStart : floor;
+		translateToLatestTerm(minimumPosition) {
+			return minimumPosition && termStart && minimumPosition.term < termStart.term ? termStart : minimumPosition;
 		},
 		getLatest: () => latest,
 		clear() {
@@ -69,5 +70,5 @@
 	};
 };
 
-/** Tells whether a log that holds one position holds another. */
+/** Tells whether a log that has reached the position `held` includes the position `wanted`. */
 export const isReached = (held: LogPosition, wanted: LogPosition): boolean => comparePositions(held, wanted) >= 0;
--- a/packages/homes/src/read-targets.ts
+++ b/packages/homes/src/read-targets.ts
@@ -1,42 +1,42 @@
-/** Which target a read goes to. */
+/** Chooses the target of a read. */
 
 import type {TargetId} from '@guavapitch/core';
 import type {TargetLoad} from './slot-scheduler.js';
 
-/** What is known of the targets when a read is placed. */
+/** State of a database's targets when a read is placed. */
 export type ReadContext = Readonly<{
 	leader: TargetId | undefined;
 	/** Tells whether a target may serve the read. */
 	isEligible: (target: TargetId) => boolean;
-	/** Every target of the database, free or not. */
+	/** All targets of the database, whether or not they have a free slot. */
 	targetIds: readonly TargetId[];
 }>;
 
-/** Factor by which the leader's time counts for reads: writes have nowhere else to go. */
+/** Factor on the leader's estimated time, so that reads prefer replicas: writes can run only on the leader. */
 const LEADER_FACTOR = 1.5;
 
-/** Estimates how long a statement would take at a target, in milliseconds. */
+/** Estimates how long a statement would take on a target, in milliseconds. */
 const estimateMs = (load: TargetLoad): number => load.meanMs * (1 + (load.busy / load.slots));
 
 /**
- * Chooses the target that is likely to answer a read first.
- * The last free slot of the leader is kept for writes while another target can serve the read.
+ * Chooses the target with the shortest estimated time for a read; `undefined` if none of the free ones is eligible.
+ * The last free slot of the leader is reserved for writes while another target can serve the read.
  */
-export const chooseReadTarget = (free: readonly TargetLoad[], situation: ReadContext): TargetId | undefined => {
-	const {leader, isEligible, targetIds: all} = situation;
-	const hasFollower = all.some(id => id !== leader && isEligible(id));
+export const chooseReadTarget = (free: readonly TargetLoad[], context: ReadContext): TargetId | undefined => {
+	const {leader, isEligible, targetIds} = context;
+	const hasFollower = targetIds.some(id => id !== leader && isEligible(id));
 	let chosen: TargetId | undefined;
-	let leastMs = Number.POSITIVE_INFINITY;
+	let minMs = Number.POSITIVE_INFINITY;
 	for (const load of free) {
 		const isLeader = load.id === leader;
 		if (!isEligible(load.id) || (isLeader && hasFollower && load.busy >= load.slots - 1)) {
 			continue;
 		}
 
-		const ms = estimateMs(load) * (isLeader ? LEADER_FACTOR : 1);
-		if (ms < leastMs) {
+		const estimatedMs = estimateMs(load) * (isLeader ? LEADER_FACTOR : 1);
+		if (estimatedMs < minMs) {
 			chosen = load.id;
-			leastMs = ms;
+			minMs = estimatedMs;
 		}
 	}
 
--- a/packages/homes/src/replies.ts
+++ b/packages/homes/src/replies.ts
@@ -1,4 +1,4 @@
-/** What a target's replies mean for a request. */
+/** Interprets the replies of targets. */
 
 import type {Instant, TargetId, TransactionStatus} from '@guavapitch/core';
 import {
@@ -9,30 +9,30 @@
 	DialFailure, Execution, Reply, TargetErrorCode,
 } from './targets.js';
 
-/** Creates an answer that needed no target, or got none. */
+/** Creates the response to a statement that no target replied to. `waitedMs` is the time spent in the queue. */
 export const createResponse = (outcome: StatementOutcome, waitedMs = 0, status: TransactionStatus = 'idle'): StatementResponse => ({
 	outcome, status, position: undefined, target: undefined, waitedMs,
 });
 
-/** Meaning of the end of a statement. */
+/** What the execution of a statement means for its request. */
 export type Verdict
-	/** The outcome stands. */
+	/** The outcome is final. */
 	= | Readonly<{kind: 'final'; outcome: StatementOutcome; reply: Reply | undefined}>
-	/** It has not run, and may run elsewhere or later. */
+	/** The statement has not run, or is a read: it may be retried on another target or later. */
 		| Readonly<{kind: 'notRun'; code: TargetErrorCode | 'lost'}>;
 
-/** Codes by which a target says that a statement has not run. */
-const NOT_RUN: ReadonlySet<TargetErrorCode> = new Set(['busy', 'noStatement', 'lagging', 'readOnly', 'misrouted', 'tooMany']);
+/** Error codes of targets that guarantee that the statement has not run. */
+const NOT_RUN_CODES: ReadonlySet<TargetErrorCode> = new Set(['busy', 'noStatement', 'lagging', 'readOnly', 'misrouted', 'tooMany']);
 
 const createLostOutcome = (execution: Execution, request: StatementRequest): StatementOutcome => execution.ended === 'timeout'
-	? {kind: 'timeout', reason: 'the target did not answer in time'}
-	: {kind: 'unknown', reason: `the connection was lost while the target ran a ${getAccess(request.statement)}`};
+	? {kind: 'timeout', reason: 'the target did not respond before the deadline'}
+	: {kind: 'unknown', reason: `the connection to the target was lost while it ran a ${getAccess(request.statement)}`};
 
-/** Judges the reply to the statement, which stands at `index` among the commands. */
+/** Evaluates the reply to a statement, which is at `index` in the list of commands. */
 export const evaluateReply = (execution: Execution, index: number, request: StatementRequest): Verdict => {
 	const reply = execution.replies[index];
 	if (!reply) {
-		// A read may run twice; anything else may have taken effect.
+		// A read can be run again, but a write or a commit may have taken effect.
 		return getAccess(request.statement) === 'read' && execution.ended === 'lost'
 			? {kind: 'notRun', code: 'lost'}
 			: {kind: 'final', outcome: createLostOutcome(execution, request), reply: undefined};
@@ -43,7 +43,7 @@
 		return {kind: 'final', outcome: result, reply};
 	}
 
-	if (NOT_RUN.has(result.code)) {
+	if (NOT_RUN_CODES.has(result.code)) {
 		return {kind: 'notRun', code: result.code};
 	}
 
@@ -53,35 +53,35 @@
 	return {kind: 'final', outcome, reply};
 };
 
-/** Takes note of what a reply says about its target. */
-export const recordReply = (parts: SharedComponents, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
+/** Updates the health and the role of a target after a reply; `code` is `lost` if there was none. */
+export const recordReply = (components: SharedComponents, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
 	if (code === 'lost') {
-		parts.healthTracker.markSuspect(target, 'a statement got no answer');
+		components.healthTracker.markSuspect(target, 'a statement got no reply');
 	} else if (code === 'lagging') {
-		parts.healthTracker.markLagging(target);
+		components.healthTracker.markLagging(target);
 	} else {
-		parts.healthTracker.recordResponse(target);
+		components.healthTracker.recordResponse(target);
 	}
 
 	if (code === 'readOnly') {
-		parts.leaderTracker.markFollowing(target, parts.context.world.now());
+		components.leaderTracker.markFollowing(target, components.context.world.now());
 	}
 };
 
-/** Takes note that a target proved that it leads, with the position that it gave to a question of an instant. */
-export const recordVerifiedPosition = (parts: SharedComponents, target: TargetId, reply: Reply, askedAt: Instant): void => {
+/** Records the log position of a reply that only a leader could give; `sentAt` is when its statement was sent. */
+export const recordVerifiedPosition = (components: SharedComponents, target: TargetId, reply: Reply, sentAt: Instant): void => {
 	if (reply.position) {
-		parts.positionHistory.record(askedAt, reply.position);
-		parts.leaderTracker.markLeading(target, parts.context.world.now());
+		components.positionHistory.record(sentAt, reply.position);
+		components.leaderTracker.markLeading(target, components.context.world.now());
 	}
 };
 
-/** Refusal after everything that could be tried. */
+/** Creates the refusal for a statement that no target could run. */
 export const createBusyRefusal = (reason: string, retryAfterMs: number): StatementOutcome => createRefusal('busy', reason, retryAfterMs);
 
-/** Takes note that no connection could be had; a full target is not down. */
-export const recordDialFailure = (parts: SharedComponents, target: TargetId, failure: DialFailure | undefined): void => {
+/** Records that no connection could be opened; a target that has reached its connection limit is not considered down. */
+export const recordDialFailure = (components: SharedComponents, target: TargetId, failure: DialFailure | undefined): void => {
 	if (failure && failure.code !== 'tooMany') {
-		parts.healthTracker.markSuspect(target, failure.message);
+		components.healthTracker.markSuspect(target, failure.message);
 	}
 };
--- a/packages/homes/src/single-statements.ts
+++ b/packages/homes/src/single-statements.ts
@@ -1,4 +1,4 @@
-/** Statements outside a transaction. */
+/** Runs statements outside a transaction. */
 
 import {
 	createDeadline, isPast, type Deadline, type TargetId,
@@ -16,14 +16,14 @@
 } from './plans.js';
 import type {Command} from './targets.js';
 
-/** Attempts that end without having run, at most; each takes another target or a later moment. */
-const MOST_ATTEMPTS = 5;
-/** Pause before an attempt at the same target, in milliseconds; about the time of one statement. */
+/** Maximum number of attempts for a statement that has not run; each uses another target or happens later. */
+const MAX_ATTEMPTS = 5;
+/** Pause before another attempt on a busy target: about the duration of one statement. */
 const RETRY_PAUSE_MS = 10;
-/** Time after which a caller should come back when no leader is known, in milliseconds; about the time of a promotion. */
-const LEADER_RETRY_MS = 800;
+/** Retry-after time for callers while no leader is known: about the duration of a promotion. */
+const LEADER_RETRY_AFTER_MS = 800;
 
-/** Creates the statement's command. */
+/** Creates the command that runs a request's statement on a target. */
 export const createStatementCommand = (request: StatementRequest, preparedName: string, plan: Plan | undefined): Command => ({
 	kind: 'statement',
 	id: request.id,
@@ -32,102 +32,102 @@
 	after: plan?.kind === 'anywhere' ? plan.after : undefined,
 });
 
-/** One attempt to run a statement: where, how and until when. */
+/** One attempt to run a statement on a target. */
 type Attempt = Readonly<{
 	request: StatementRequest;
 	plan: Plan;
 	target: TargetId;
-	loan: ConnectionHandle;
+	handle: ConnectionHandle;
 	deadline: Deadline;
 }>;
 
-/** Runs a read that needs the newest state: inside a transaction, which only a leader accepts. */
-const runVerifiedRead = async (parts: DatabaseOwnerComponents, {
-	request, target, loan, deadline,
+/** Runs a read that needs the latest state in a write transaction, which only a leader accepts. */
+const runVerifiedRead = async (components: DatabaseOwnerComponents, {
+	request, target, handle, deadline,
 }: Attempt): Promise<Verdict> => {
-	const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
-	const begun = await loan.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
-	const beginReply = begun.replies[commands.length];
+	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
+	const beginExecution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
+	const beginReply = beginExecution.replies[commands.length];
 	if (!beginReply || beginReply.result.kind === 'error') {
-		loan.release(begun.ended === 'no' && beginReply?.status === 'idle');
+		handle.release(beginExecution.ended === 'no' && beginReply?.status === 'idle');
 		const code = beginReply?.result.kind === 'error' ? beginReply.result.code : 'lost';
 		return {kind: 'notRun', code};
 	}
 
-	const askedAt = parts.context.readClock();
-	const execution = await loan.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
+	const sentAt = components.context.readClock();
+	const execution = await handle.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
 	const verdict = evaluateReply(execution, 0, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply) {
-		recordVerifiedPosition(parts, target, verdict.reply, askedAt);
+		recordVerifiedPosition(components, target, verdict.reply, sentAt);
 	}
 
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
-		loan.discardPrepared();
+		handle.discardPrepared();
 	}
 
-	loan.release(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
+	handle.release(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
 	return verdict;
 };
 
-/** Runs a statement by itself. */
-const runPlain = async (parts: DatabaseOwnerComponents, {
-	request, plan, target, loan, deadline,
+/** Runs a statement without a transaction. */
+const runStatement = async (components: DatabaseOwnerComponents, {
+	request, plan, target, handle, deadline,
 }: Attempt): Promise<Verdict> => {
-	const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
-	const askedAt = parts.context.readClock();
-	const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
+	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
+	const sentAt = components.context.readClock();
+	const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
 	const verdict = evaluateReply(execution, commands.length, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply && plan.kind === 'leader') {
-		recordVerifiedPosition(parts, target, verdict.reply, askedAt);
+		recordVerifiedPosition(components, target, verdict.reply, sentAt);
 	}
 
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
-		loan.discardPrepared();
+		handle.discardPrepared();
 	}
 
-	loan.release(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
+	handle.release(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
 	return verdict;
 };
 
-const computeRetryAfter = (parts: DatabaseOwnerComponents, plan: Plan): number => plan.kind === 'leader' && parts.leaderTracker.getLeader() === undefined
-	? LEADER_RETRY_MS
-	: RETRY_PAUSE_MS * (1 + parts.scheduler.getWaitingCount());
+const computeRetryAfterMs = (components: DatabaseOwnerComponents, plan: Plan): number => plan.kind === 'leader' && components.leaderTracker.getLeader() === undefined
+	? LEADER_RETRY_AFTER_MS
+	: RETRY_PAUSE_MS * (1 + components.scheduler.getWaitingCount());
 
-/** Serves a statement outside a transaction. */
-export const serveSingleStatement = async (parts: DatabaseOwnerComponents, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-	const {context, scheduler: placement} = parts;
+/** Runs a statement outside a transaction, with retries while it has certainly not run. */
+export const serveSingleStatement = async (components: DatabaseOwnerComponents, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
+	const {context, scheduler} = components;
 	const {world} = context;
 	const arrivedAt = world.now();
-	const promptUntil = createDeadline(arrivedAt, request.promptMs);
+	const latencyDeadline = createDeadline(arrivedAt, request.promptMs);
 	const tried = new Set<TargetId>();
 	let reason = 'no target can run the statement now';
 
-	for (let attempt = 0; attempt < MOST_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
-		const plan = await createPlan(parts, request, deadline);
+	for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
+		const plan = await createPlan(components, request, deadline);
 		if (!plan) {
-			return createResponse(createRefusal('busy', 'no leader has proved its position', LEADER_RETRY_MS), world.now() - arrivedAt);
+			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), world.now() - arrivedAt);
 		}
 
-		const slot = await placement.acquire({
+		const slot = await scheduler.acquire({
 			customer: request.customer,
 			priority: request.priority,
-			latencyDeadline: promptUntil,
-			deadline: computeSlotDeadline(parts, plan, deadline),
+			latencyDeadline,
+			deadline: computeSlotDeadline(components, plan, deadline),
 			isPinned: false,
-			chooseTarget: free => chooseTarget(parts, {plan, request, tried}, free),
+			chooseTarget: free => chooseTarget(components, {plan, request, tried}, free),
 		});
 		if (slot.err) {
-			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfter(parts, plan)), world.now() - arrivedAt);
+			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfterMs(components, plan)), world.now() - arrivedAt);
 		}
 
 		const {target, release} = slot.val;
-		const connections = parts.getConnections(target);
-		const loan = await connections?.acquire(request.customer, request.values, deadline);
-		if (!loan || loan.err) {
+		const connections = components.getConnections(target);
+		const handle = await connections?.acquire(request.customer, request.values, deadline);
+		if (!handle || handle.err) {
 			release();
-			recordDialFailure(parts, target, loan?.err ? loan.val : undefined);
+			recordDialFailure(components, target, handle?.err ? handle.val : undefined);
 			tried.add(target);
-			reason = loan ? loan.val.message : 'the target has left';
+			reason = handle ? handle.val.message : 'the target is no longer registered';
 			context.onDecision({
 				kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
 			});
@@ -135,24 +135,24 @@
 		}
 
 		const startedAt = world.now();
-		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runPlain;
-		parts.healthTracker.recordStatementSent(target);
-		const forget = getAccess(request.statement) === 'read' ? parts.onTargetDown(target, loan.val.connection.close) : undefined;
-		const verdict = await run(parts, {
-			request, plan, target, loan: loan.val, deadline,
+		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
+		components.healthTracker.recordStatementSent(target);
+		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
+		const verdict = await run(components, {
+			request, plan, target, handle: handle.val, deadline,
 		});
-		forget?.();
-		parts.healthTracker.recordStatementEnded(target);
+		unsubscribe?.();
+		components.healthTracker.recordStatementEnded(target);
 		release(world.now() - startedAt);
 		if (verdict.kind === 'final') {
-			recordReply(parts, target, verdict.reply ? undefined : 'lost');
+			recordReply(components, target, verdict.reply ? undefined : 'lost');
 			return {
 				outcome: verdict.outcome, status: 'idle', position: verdict.reply?.position, target, waitedMs: startedAt - arrivedAt,
 			};
 		}
 
-		recordReply(parts, target, verdict.code);
-		reason = `the target answered ${verdict.code}`;
+		recordReply(components, target, verdict.code);
+		reason = `the target did not run the statement: ${verdict.code}`;
 		context.onDecision({
 			kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
 		});
@@ -163,5 +163,5 @@
 		}
 	}
 
-	return createResponse(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + placement.getWaitingCount())), world.now() - arrivedAt);
+	return createResponse(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + scheduler.getWaitingCount())), world.now() - arrivedAt);
 };
--- a/packages/homes/src/slot-scheduler.ts
+++ b/packages/homes/src/slot-scheduler.ts
@@ -1,16 +1,18 @@
-/** Slots of a database's targets, and the order in which requests wait for them. */
+/** Schedules requests on the slots of a database's targets. */
 
 import {
 	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
 } from '@guavapitch/core';
 
-/** Refusal of a slot; nothing has run. */
+/** Failure to acquire a slot; nothing has run. */
 export type SlotRefusal = Failure<'queueFull' | 'deadlinePassed'> & Readonly<{retryAfterMs: number}>;
 
-/** Load of a target, by which requests are placed. */
+/** Load of a target, used to place requests. */
 export type TargetLoad = Readonly<{
 	id: TargetId;
+	/** Slots in use. */
 	busy: number;
+	/** Statements that the target runs concurrently. */
 	slots: number;
 	/** Mean time of a statement, in milliseconds. */
 	meanMs: number;
@@ -19,31 +21,32 @@
 /** A request that needs a slot. */
 export type SlotRequest = Readonly<{
 	customer: CustomerId;
-	/** Smaller goes first. */
+	/** Smaller values are served first. */
 	priority: number;
-	/** Until when an answer counts as prompt. */
+	/** Until when a response is within the latency objective. */
 	latencyDeadline: Deadline;
-	/** Until when a slot is of use. */
+	/** Until when the request waits for a slot. */
 	deadline: Deadline;
-	/** Continues a transaction, which holds a connection meanwhile. */
+	/** Whether the request continues a transaction; such requests go first, as a transaction occupies a connection. */
 	isPinned: boolean;
-	/** Chooses one of the targets that have a free slot; `undefined` to wait. */
+	/** Chooses one of the targets with a free slot; `undefined` to keep waiting. */
 	chooseTarget: (free: readonly TargetLoad[]) => TargetId | undefined;
 }>;
 
-/** A slot of a target, occupied until it is released. */
+/** A slot of a target, in use until it is released. */
 export type Slot = Readonly<{
 	target: TargetId;
-	/** Frees the slot; `servedMs` is the time of the statement, if it was served. */
+	/** Releases the slot; `servedMs` is the time that the statement took, if it ran. */
 	release: (servedMs?: number) => void;
 }>;
 
-/** Placement of one database's requests. */
+/** Scheduler of one database's requests: by transaction, latency objective, priority and fair queueing between customers. */
 export type SlotScheduler = Readonly<{
+	/** Waits for a slot; fails with `queueFull` or `deadlinePassed`. */
 	acquire: (request: SlotRequest) => Promise<Result<Slot, SlotRefusal>>;
-	/** Sets the targets and their slots. */
+	/** Replaces the targets and their numbers of slots. */
 	setTargets: (targets: ReadonlyArray<Readonly<{id: TargetId; slots: number}>>) => void;
-	/** Looks again whether somebody may go. */
+	/** Checks again which waiting requests can run; called when a target or a connection becomes usable. */
 	admitWaiting: () => void;
 	getWaitingCount: () => number;
 	getLoads: () => readonly TargetLoad[];
@@ -56,35 +59,36 @@
 	meanMs: number;
 };
 
-type Account = {virtualMs: number; active: number};
+/** Fair queueing state of a customer: its virtual time is the slot time that it has used. */
+type Account = {virtualTimeMs: number; runningCount: number};
 
-type Waiting = Readonly<{request: SlotRequest; order: number; settle: (result: Result<Slot, SlotRefusal>) => void}>;
+type WaitingRequest = Readonly<{request: SlotRequest; order: number; settle: (result: Result<Slot, SlotRefusal>) => void}>;
 
-/** Mean time of a statement before one was measured, in milliseconds. */
-const FIRST_MEAN_MS = 10;
-/** Weight of a new measurement in the mean. */
-const MEAN_SHARE = 0.1;
-/** Time in front that idling earns a customer at most, in milliseconds; a small burst goes before a flood. */
-const CREDIT_MS = 200;
-/** Requests that may wait at once; far beyond what can be served within any deadline. */
-const WAITING_LIMIT = 512;
+/** Assumed mean time of a statement before the first measurement. */
+const INITIAL_MEAN_MS = 10;
+/** Weight of a new measurement in the moving average. */
+const MEAN_WEIGHT = 0.1;
+/** Maximum lead in virtual time that a customer gains by being idle, so that a small burst goes ahead of a customer that floods the queue. */
+const MAX_IDLE_CREDIT_MS = 200;
+/** Maximum number of waiting requests: far more than can be served within any deadline. */
+const MAX_WAITING = 512;
 
-/** Compares two waiting requests, the one to serve first in front. */
-const compareWaiting = (a: Waiting, b: Waiting, now: Instant, getVirtualMs: (customer: CustomerId) => number): number => {
+/** Compares two waiting requests; the one to serve first sorts first. */
+const compareWaitingRequests = (a: WaitingRequest, b: WaitingRequest, now: Instant, getVirtualTimeMs: (customer: CustomerId) => number): number => {
 	const {request: left} = a;
 	const {request: right} = b;
 	return Number(right.isPinned) - Number(left.isPinned)
 		|| Number(isPast(left.latencyDeadline, now)) - Number(isPast(right.latencyDeadline, now))
 		|| left.priority - right.priority
-		|| getVirtualMs(left.customer) - getVirtualMs(right.customer)
+		|| getVirtualTimeMs(left.customer) - getVirtualTimeMs(right.customer)
 		|| a.order - b.order;
 };
 
-/** Creates the placement of a database without targets. */
+/** Creates a scheduler without targets. */
 export const createSlotScheduler = (world: World): SlotScheduler => {
 	let loads = new Map<TargetId, Load>();
 	const accounts = new Map<CustomerId, Account>();
-	let waiting: Waiting[] = [];
+	let waiting: WaitingRequest[] = [];
 	let order = 0;
 
 	const getAccount = (customer: CustomerId): Account => {
@@ -93,35 +97,35 @@
 			return known;
 		}
 
-		const created: Account = {virtualMs: 0, active: 0};
+		const created: Account = {virtualTimeMs: 0, runningCount: 0};
 		accounts.set(customer, created);
 		return created;
 	};
 
-	const getVirtualMs = (customer: CustomerId): number => accounts.get(customer)?.virtualMs ?? 0;
+	const getVirtualTimeMs = (customer: CustomerId): number => accounts.get(customer)?.virtualTimeMs ?? 0;
 
-	/** A customer that comes back starts a little before the least time of the active ones. */
-	const alignAccount = (account: Account) => {
-		if (account.active > 0) {
+	/** Moves the virtual time of a customer that was idle close to the lowest of the active customers, to limit its credit. */
+	const capIdleCredit = (account: Account) => {
+		if (account.runningCount > 0) {
 			return;
 		}
 
-		const active = [...accounts.values()].filter(other => other.active > 0).map(other => other.virtualMs);
+		const active = [...accounts.values()].filter(other => other.runningCount > 0).map(other => other.virtualTimeMs);
 		if (active.length > 0) {
-			account.virtualMs = Math.max(account.virtualMs, Math.min(...active) - CREDIT_MS);
+			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...active) - MAX_IDLE_CREDIT_MS);
 		}
 	};
 
 	const listFree = (): readonly Load[] => [...loads.values()].filter(load => load.busy < load.slots);
 
-	const occupy = (request: SlotRequest, load: Load): Slot => {
+	const occupySlot = (request: SlotRequest, load: Load): Slot => {
 		const account = getAccount(request.customer);
 		const startedAt = world.now();
-		const charged = load.meanMs;
+		const chargedMs = load.meanMs;
 		let released = false;
 		load.busy++;
-		account.active++;
-		account.virtualMs += charged;
+		account.runningCount++;
+		account.virtualTimeMs += chargedMs;
 		return {
 			target: load.id,
 			release(servedMs) {
@@ -131,22 +135,22 @@
 
 				released = true;
 				load.busy--;
-				account.active--;
-				account.virtualMs += (world.now() - startedAt) - charged;
+				account.runningCount--;
+				account.virtualTimeMs += (world.now() - startedAt) - chargedMs;
 				if (servedMs !== undefined) {
-					load.meanMs += (servedMs - load.meanMs) * MEAN_SHARE;
+					load.meanMs += (servedMs - load.meanMs) * MEAN_WEIGHT;
 				}
 
-				admit();
+				admitWaiting();
 			},
 		};
 	};
 
-	const tryPlace = (request: SlotRequest): Slot | undefined => {
+	const tryOccupySlot = (request: SlotRequest): Slot | undefined => {
 		const free = listFree();
 		const chosen = free.length > 0 ? request.chooseTarget(free) : undefined;
 		const load = chosen === undefined ? undefined : loads.get(chosen);
-		return load ? occupy(request, load) : undefined;
+		return load ? occupySlot(request, load) : undefined;
 	};
 
 	const refuseExpired = (now: Instant) => {
@@ -154,22 +158,22 @@
 		if (expired.length > 0) {
 			waiting = waiting.filter(({request}) => !isPast(request.deadline, now));
 			for (const {settle} of expired) {
-				settle(Err({code: 'deadlinePassed', message: 'No slot became free in time', retryAfterMs: 0}));
+				settle(Err({code: 'deadlinePassed', message: 'No slot became free before the deadline', retryAfterMs: 0}));
 			}
 		}
 	};
 
-	const admit = () => {
+	const admitWaiting = () => {
 		if (waiting.length === 0) {
 			return;
 		}
 
 		const now = world.now();
 		refuseExpired(now);
-		waiting.sort((a, b) => compareWaiting(a, b, now, getVirtualMs));
+		waiting.sort((a, b) => compareWaitingRequests(a, b, now, getVirtualTimeMs));
 		for (let index = 0; index < waiting.length && listFree().length > 0;) {
 			const next = waiting[index];
-			const slot = next ? tryPlace(next.request) : undefined;
+			const slot = next ? tryOccupySlot(next.request) : undefined;
 			if (next && slot) {
 				waiting.splice(index, 1);
 				next.settle(Ok(slot));
@@ -181,23 +185,23 @@
 
 	return {
 		async acquire(request) {
-			if (waiting.length >= WAITING_LIMIT) {
-				return Err({code: 'queueFull', message: 'Too many requests wait for the database', retryAfterMs: 500});
+			if (waiting.length >= MAX_WAITING) {
+				return Err({code: 'queueFull', message: 'Too many requests are waiting for the database', retryAfterMs: 500});
 			}
 
-			alignAccount(getAccount(request.customer));
-			// Nobody passes those who wait already, unless it continues a transaction.
-			const slot = waiting.length === 0 || request.isPinned ? tryPlace(request) : undefined;
+			capIdleCredit(getAccount(request.customer));
+			// A new request must not overtake those that are waiting, unless it continues a transaction.
+			const slot = waiting.length === 0 || request.isPinned ? tryOccupySlot(request) : undefined;
 			if (slot) {
 				return Ok(slot);
 			}
 
 			return new Promise(settle => {
-				const entry: Waiting = {request, order: order++, settle};
+				const entry: WaitingRequest = {request, order: order++, settle};
 				waiting.push(entry);
-				admit();
+				admitWaiting();
 				if (waiting.includes(entry)) {
-					world.schedule(request.deadline - world.now() + 1, admit);
+					world.schedule(request.deadline - world.now() + 1, admitWaiting);
 				}
 			});
 		},
@@ -210,14 +214,14 @@
 				}
 
 				next.set(id, known ?? {
-					id, busy: 0, slots, meanMs: FIRST_MEAN_MS,
+					id, busy: 0, slots, meanMs: INITIAL_MEAN_MS,
 				});
 			}
 
 			loads = next;
-			admit();
+			admitWaiting();
 		},
-		admitWaiting: admit,
+		admitWaiting,
 		getWaitingCount: () => waiting.length,
 		getLoads: () => [...loads.values()],
 	};
--- a/packages/homes/src/targets.ts
+++ b/packages/homes/src/targets.ts
@@ -1,30 +1,30 @@
-/** Targets of a database and the functions by which a home reaches them, without an encoding. */
+/** Targets of a database and the interface through which a database owner talks to them, independent of any encoding. */
 
 import type {
 	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, Result, TargetId, TransactionStatus,
 } from '@guavapitch/core';
 import type {LogPosition, PreparedDefinition, TargetStatement} from '@guavapitch/sessions';
 
-/** Role that a target says it has. */
+/** Role that a target reports. */
 export type TargetRole = 'primary' | 'replica';
 
-/** A target as the registry describes it. */
+/** A target, as listed in the registry. */
 export type Target = Readonly<{
 	id: TargetId;
 	database: DatabaseId;
 	host: string;
 	port: number;
 	dataCentre: DataCentreId;
-	/** Statements it runs at the same time. */
+	/** Statements that it runs concurrently. */
 	slots: number;
-	/** Whether it is about to leave. */
+	/** Whether it is about to be removed. */
 	isDraining: boolean;
 	role: TargetRole;
-	/** Start of this run of the target, in milliseconds since 1970 by its own clock. */
+	/** When the target process was started, in milliseconds since 1970 by its own clock. */
 	startedAtMs: number;
 }>;
 
-/** One thing to ask on a connection to a target. */
+/** A command on a connection to a target. `after` is the minimum log position that the target must have reached. */
 export type Command
 	= | Readonly<{kind: 'statement'; id: string; statement: TargetStatement; preparedName: string; after: LogPosition | undefined}>
 		| Readonly<{kind: 'begin'; readOnly: boolean; after: LogPosition | undefined}>
@@ -33,45 +33,45 @@
 		| Readonly<{kind: 'set'; name: string; value: string}>
 		| Readonly<{kind: 'prepare'; name: string; prepared: PreparedDefinition}>
 		| Readonly<{kind: 'status'}>
-		/** Stops a replica from receiving until it is promoted or resumed. */
+		/** Stops a replica from receiving the log until it is promoted or resumed. */
 		| Readonly<{kind: 'pause'; term: number}>
 		| Readonly<{kind: 'resume'}>;
 
-/** Why a target refused or failed a command. */
+/** Why a target refused a command or failed to run it. */
 export type TargetErrorCode = 'busy' | 'noStatement' | 'lagging' | 'readOnly' | 'failed' | 'timeout' | 'misrouted' | 'tooMany' | 'malformed' | 'other';
 
-/** Answer to one command. */
+/** Reply to one command. */
 export type Reply = Readonly<{
 	result:
 		| Readonly<{kind: 'done'; rows: readonly string[]; signature: string}>
 		| Readonly<{kind: 'error'; code: TargetErrorCode; text: string}>;
 	status: TransactionStatus;
-	/** Position of the target's log. */
+	/** Log position of the target. */
 	position: LogPosition | undefined;
 }>;
 
-/** Answers to some commands; fewer than the commands when the connection ended before. */
+/** Replies to a list of commands; fewer than the commands if the connection ended early. */
 export type Execution = Readonly<{
 	replies: readonly Reply[];
 	ended: 'no' | 'lost' | 'timeout';
 }>;
 
-/** State that a target reports of itself. */
+/** Status that a target reports; `received` is the log position up to which it has received the log. */
 export type TargetStatus = Readonly<{role: TargetRole; term: number; received: LogPosition; lagMs: number}>;
 
-/** A connection to a target. After a time-out it is ended, since a late answer could not be told from the next one. */
+/** A connection to a target. It ends after a timeout, since a late reply could be taken for the next one. */
 export type TargetConnection = Readonly<{
-	/** Sends commands together and collects their answers. */
+	/** Sends commands as one batch and collects their replies. */
 	execute: (commands: readonly Command[], deadline: Deadline) => Promise<Execution>;
 	isEnded: () => boolean;
 	close: () => void;
 }>;
 
-/** Failure of opening a connection; nothing has run. */
+/** Failure to open a connection; nothing has run. */
 export type DialFailure = Failure<'refused' | 'silent' | 'misrouted' | 'tooMany' | 'rejected'>;
 
-/** Opens connections to targets. */
+/** Opens a connection to a target. */
 export type DialTarget = (target: Target, customer: CustomerId, deadline: Deadline) => Promise<Result<TargetConnection, DialFailure>>;
 
-/** Reads the status out of a reply. */
+/** Reads the status from a reply; `undefined` if it contains none. */
 export type ReadStatus = (reply: Reply) => TargetStatus | undefined;
--- a/packages/homes/src/tests/failover-coordinator.test.ts
+++ b/packages/homes/src/tests/failover-coordinator.test.ts
@@ -1,4 +1,4 @@
-/** The steward: replaces a primary that is gone or leaving, and only while it is the steward. */
+/** Failover coordinator: replaces a primary that has failed or is leaving, but only while it holds the role. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -11,25 +11,25 @@
 	createFakeTarget, DATABASE, type FakeTarget,
 } from './fake-targets.js';
 
-type Order = Readonly<{target: TargetId; fence: number}>;
+type PromotionOrder = Readonly<{target: TargetId; fencingToken: number}>;
 
 type Options = Readonly<{
-	isSteward?: () => boolean;
-	isReachedByOthers?: boolean;
-	isReplicated?: boolean;
-	order?: (order: Order, targets: readonly FakeTarget[]) => PromotionOutcome;
+	isCoordinator?: () => boolean;
+	isReachableFromPeers?: boolean;
+	isSynchronouslyReplicated?: boolean;
+	orderPromotion?: (order: PromotionOrder, targets: readonly FakeTarget[]) => PromotionOutcome;
 }>;
 
 const createSetup = (options: Options = {}) => {
 	const {world, advance} = createVirtualWorld(5);
 	const targets = [createFakeTarget('one', 'primary'), createFakeTarget('two', 'replica'), createFakeTarget('three', 'replica')] as const;
-	const home = createFakeOwner(targets, world);
-	const orders: Order[] = [];
+	const owner = createFakeOwner(targets, world);
+	const orders: PromotionOrder[] = [];
 	const stop = new AbortController();
-	let fence = 0;
+	let fencingToken = 0;
 
-	/** Carries an order out, as the platform does. */
-	const carryOut = (order: Order): PromotionOutcome => {
+	/** Carries out a promotion order, as the platform does. */
+	const applyOrder = (order: PromotionOrder): PromotionOutcome => {
 		for (const target of targets) {
 			const leads = target.description.id === order.target;
 			target.role = leads ? 'primary' : 'replica';
@@ -44,26 +44,26 @@
 	void runFailoverCoordinator({
 		world,
 		database: DATABASE,
-		owner: home,
-		isCoordinator: options.isSteward ?? (() => true),
-		drawFencingToken: async () => ++fence,
-		async orderPromotion(target, drawn) {
-			orders.push({target, fence: drawn});
-			return options.order ? options.order({target, fence: drawn}, targets) : carryOut({target, fence: drawn});
+		owner,
+		isCoordinator: options.isCoordinator ?? (() => true),
+		drawFencingToken: async () => ++fencingToken,
+		async orderPromotion(target, token) {
+			orders.push({target, fencingToken: token});
+			return options.orderPromotion ? options.orderPromotion({target, fencingToken: token}, targets) : applyOrder({target, fencingToken: token});
 		},
-		isReachableFromPeers: async () => options.isReachedByOthers ?? false,
-		isSynchronouslyReplicated: () => options.isReplicated ?? false,
+		isReachableFromPeers: async () => options.isReachableFromPeers ?? false,
+		isSynchronouslyReplicated: () => options.isSynchronouslyReplicated ?? false,
 		onEvent: () => undefined,
 	}, stop.signal);
 	return {
-		targets, home, orders, advance, stop,
+		targets, owner, orders, advance, stop,
 	};
 };
 
-describe('steward', () => {
-	describe('of a primary that refuses connections', () => {
-		it('orders the replica with the longest log', async () => {
-			const {targets: [one, two, three], orders, advance, home, stop} = createSetup();
+describe('failover coordinator', () => {
+	describe('with a primary that refuses connections', () => {
+		it('promotes the replica with the longest log', async () => {
+			const {targets: [one, two, three], orders, advance, owner, stop} = createSetup();
 			await advance(500);
 			assert.deepEqual(orders, []);
 			two.position = {term: 1, number: 90};
@@ -71,13 +71,13 @@
 			one.fault = 'refuses';
 			await advance(1500);
 			assert.deepEqual(orders.map(({target}) => target), [three.description.id]);
-			assert.equal(home.components.leaderTracker.getLeader(), three.description.id);
+			assert.equal(owner.components.leaderTracker.getLeader(), three.description.id);
 			stop.abort();
 		});
 	});
 
-	describe('of a silent primary', () => {
-		it('orders another one when nobody reaches it', async () => {
+	describe('with an unresponsive primary', () => {
+		it('promotes a replica if no other vm reaches the primary', async () => {
 			const {targets: [one], orders, advance, stop} = createSetup();
 			await advance(500);
 			one.fault = 'silent';
@@ -86,8 +86,8 @@
 			stop.abort();
 		});
 
-		it('orders nothing while another vm reaches it', async () => {
-			const {targets: [one], orders, advance, stop} = createSetup({isReachedByOthers: true});
+		it('promotes nothing while another vm reaches the primary', async () => {
+			const {targets: [one], orders, advance, stop} = createSetup({isReachableFromPeers: true});
 			await advance(500);
 			one.fault = 'silent';
 			await advance(5000);
@@ -96,21 +96,21 @@
 		});
 	});
 
-	describe('of a primary that is leaving', () => {
-		it('orders a replica that has everything', async () => {
-			const {targets: [one, two, three], orders, advance, home, stop} = createSetup();
+	describe('with a primary that is leaving', () => {
+		it('promotes a replica that has caught up', async () => {
+			const {targets: [one, two, three], orders, advance, owner, stop} = createSetup();
 			await advance(500);
 			two.position = {term: 1, number: 60};
-			home.setTargets([one, two, three].map(({description}) => description === one.description ? {...description, isDraining: true} : description));
+			owner.setTargets([one, two, three].map(({description}) => description === one.description ? {...description, isDraining: true} : description));
 			await advance(600);
 			assert.deepEqual(orders.map(({target}) => target), [three.description.id]);
 			stop.abort();
 		});
 	});
 
-	describe('of a database whose commits count when a replica has them', () => {
-		it('orders nothing while a replica does not answer, which may be the one that has them', async () => {
-			const {targets: [one, , three], orders, advance, stop} = createSetup({isReplicated: true});
+	describe('with synchronous replication', () => {
+		it('promotes nothing while a replica is unresponsive, as it may be the only one with an acknowledged commit', async () => {
+			const {targets: [one, , three], orders, advance, stop} = createSetup({isSynchronouslyReplicated: true});
 			await advance(500);
 			one.fault = 'refuses';
 			three.fault = 'silent';
@@ -123,8 +123,8 @@
 			stop.abort();
 		});
 
-		it('stops the replicas from receiving before it reads their positions', async () => {
-			const {targets: [one, two, three], advance, stop} = createSetup({isReplicated: true, order: () => 'refused'});
+		it('stops the replicas from receiving before it reads their positions, so that the old primary acknowledges nothing more', async () => {
+			const {targets: [one, two, three], advance, stop} = createSetup({isSynchronouslyReplicated: true, orderPromotion: () => 'refused'});
 			await advance(500);
 			one.fault = 'refuses';
 			await advance(1000);
@@ -133,9 +133,9 @@
 		});
 	});
 
-	describe('that is not the steward', () => {
-		it('orders nothing', async () => {
-			const {targets: [one], orders, advance, stop} = createSetup({isSteward: () => false});
+	describe('without the coordinator role', () => {
+		it('promotes nothing', async () => {
+			const {targets: [one], orders, advance, stop} = createSetup({isCoordinator: () => false});
 			one.fault = 'refuses';
 			await advance(4000);
 			assert.deepEqual(orders, []);
@@ -143,20 +143,20 @@
 		});
 	});
 
-	describe('whose order gets no answer', () => {
-		it('draws a higher fencing number for the next, so that the first cannot be carried out late', async () => {
-			const {targets: [one], orders, advance, stop} = createSetup({order: () => 'unknown'});
+	describe('with a promotion order that gets no response', () => {
+		it('draws a higher fencing token for the next order, so that the first cannot be carried out late', async () => {
+			const {targets: [one], orders, advance, stop} = createSetup({orderPromotion: () => 'unknown'});
 			await advance(500);
 			one.fault = 'refuses';
 			await advance(9000);
 			assert.ok(orders.length >= 2);
-			assert.ok(orders.every(({fence}, index) => index === 0 || fence > (orders[index - 1]?.fence ?? 0)));
+			assert.ok(orders.every(({fencingToken}, index) => index === 0 || fencingToken > (orders[index - 1]?.fencingToken ?? 0)));
 			stop.abort();
 		});
 	});
 
-	describe('ranking', () => {
-		it('puts the longest log first, of a newer term before an older', () => {
+	describe('rankReplicas', () => {
+		it('puts the longest log first; a position of a newer term is ahead of any older one', () => {
 			const [one, two] = [createFakeTarget('one', 'replica'), createFakeTarget('two', 'replica')];
 			const ranked = rankReplicas([
 				{
--- a/packages/homes/src/tests/fake-owner.ts
+++ b/packages/homes/src/tests/fake-owner.ts
@@ -1,4 +1,4 @@
-/** A home over fake targets, for tests on a virtual clock. */
+/** A database owner with fake targets, for tests on a virtual clock. */
 
 import {
 	createSuspensionClock, Ok, parseId, type CustomerId, type World,
@@ -8,9 +8,9 @@
 	createFakeDial, DATABASE, readFakeStatus, type FakeTarget,
 } from './fake-targets.js';
 
-/** Creates a home that knows the targets as they describe themselves. */
+/** Creates a database owner whose registry lists the given targets. */
 export const createFakeOwner = (targets: readonly FakeTarget[], world: World): DatabaseOwner => {
-	const home = createDatabaseOwner({
+	const owner = createDatabaseOwner({
 		world,
 		readClock: createSuspensionClock(world),
 		database: DATABASE,
@@ -22,6 +22,6 @@
 		acquireToken: async () => Ok(undefined),
 		onDecision: () => undefined,
 	});
-	home.setTargets(targets.map(({description}) => description));
-	return home;
+	owner.setTargets(targets.map(({description}) => description));
+	return owner;
 };
--- a/packages/homes/src/tests/fake-targets.ts
+++ b/packages/homes/src/tests/fake-targets.ts
@@ -1,4 +1,4 @@
-/** Targets of one database in memory, for tests of a home: terms, positions, lag and faults, on a virtual clock. */
+/** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
 	createConditionVariable, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
@@ -8,29 +8,30 @@
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
 } from '../targets.js';
 
-/** One target and its switches. */
+/** A fake target; tests change its fields to inject faults. */
 export type FakeTarget = {
 	readonly description: Target;
 	role: 'primary' | 'replica';
 	position: LogPosition;
-	/** Refuses connections, or answers nothing. */
+	/** Whether the target refuses connections or never responds. */
 	fault: 'none' | 'refuses' | 'silent';
-	/** Runs statements and loses their answers. */
+	/** Whether the target runs statements but loses their replies. */
 	dropsReplies: boolean;
-	/** Time of a statement, in milliseconds. */
+	/** Duration of a statement, in milliseconds. */
 	statementMs: number;
-	/** Statements that ran: identifier and position of the log. */
+	/** Statements that ran, with the log position and the session variables at that time. */
 	readonly executed: Array<Readonly<{id: string; text: string; inTransaction: boolean; position: LogPosition; values: string}>>;
 	dials: number;
 	pauses: number;
 	running: number;
+	/** Highest number of statements that ran concurrently. */
 	maxRunning: number;
 };
 
-/** The name of the database of all fake targets. */
+/** Database of all fake targets. */
 export const DATABASE = parseId<DatabaseId>('ledger');
 
-/** Creates a target. */
+/** Creates a fake target at position 100 of term 1. */
 export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2): FakeTarget => ({
 	description: {
 		id: parseId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: parseId<DataCentreId>('here'), slots, isDraining: false, role, startedAtMs: 1,
@@ -154,18 +155,18 @@
 
 				if (target.fault === 'silent') {
 					await Promise.race([world.sleep(Math.max(0, deadline - world.now())), closed.wait()]);
-					const how = ended ? 'lost' : 'timeout';
+					const reason = ended ? 'lost' : 'timeout';
 					ended = true;
-					return {replies, ended: how};
+					return {replies, ended: reason};
 				}
 
-				const answer = await run(command);
+				const response = await run(command);
 				if (target.dropsReplies && command.kind === 'statement') {
 					ended = true;
 					return {replies, ended: 'lost'};
 				}
 
-				replies.push(answer);
+				replies.push(response);
 			}
 
 			return {replies, ended: 'no'};
@@ -178,7 +179,7 @@
 	};
 };
 
-/** Creates the dial function of some targets. */
+/** Creates the dial function for the given targets. */
 export const createFakeDial = (targets: readonly FakeTarget[], world: World) => async (description: Target, _customer: string, deadline: Deadline): Promise<Result<TargetConnection, DialFailure>> => {
 	const target = targets.find(one => one.description.id === description.id);
 	if (!target || target.fault === 'refuses') {
@@ -195,7 +196,7 @@
 	return Ok(createConnection(target, world));
 };
 
-/** Lists the replies of the status of a target. */
+/** Creates a status reader that looks up the target by the signature of the reply. */
 export const readFakeStatus = (targets: readonly FakeTarget[]) => (reply: Reply) => {
 	const name = reply.result.kind === 'done' ? reply.result.signature.replace('signed by ', '') : '';
 	const target = targets.find(one => one.description.id === name);
--- a/packages/homes/src/tests/position-history.test.ts
+++ b/packages/homes/src/tests/position-history.test.ts
@@ -1,4 +1,4 @@
-/** Verified positions and the floors that follow from them. */
+/** Verified log positions and the minimum positions of reads that they imply. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -10,23 +10,23 @@
 const at = (ms: number) => ms as Instant;
 const position = (number: number, term = 1): LogPosition => ({term, number});
 
-describe('floors', () => {
-	describe('of bounded reads', () => {
-		it('are the oldest verified position that is young enough', () => {
-			const floors = createPositionHistory();
-			floors.record(at(0), position(10));
-			floors.record(at(1000), position(20));
-			floors.record(at(2000), position(30));
-			assert.deepEqual(floors.getMinimumPosition(1500, at(2000)), position(20));
-			assert.equal(floors.getMinimumPosition(100, at(2500)), undefined);
+describe('position history', () => {
+	describe('minimum position for a staleness bound', () => {
+		it('is the oldest verified position within the bound', () => {
+			const history = createPositionHistory();
+			history.record(at(0), position(10));
+			history.record(at(1000), position(20));
+			history.record(at(2000), position(30));
+			assert.deepEqual(history.getMinimumPosition(1500, at(2000)), position(20));
+			assert.equal(history.getMinimumPosition(100, at(2500)), undefined);
 		});
 
-		it('hold every commit that was acknowledged longer ago than the age, whatever the order of questions', () => {
+		it('includes every commit acknowledged before the bound, for any sequence of verifications', () => {
 			fc.assert(fc.property(
 				fc.array(fc.record({gap: fc.integer({min: 0, max: 400}), commits: fc.integer({min: 0, max: 5}), isVerified: fc.boolean()}), {maxLength: 60}),
 				fc.integer({min: 50, max: 3000}),
 				(steps, ageMs) => {
-					const floors = createPositionHistory();
+					const history = createPositionHistory();
 					let now = 0;
 					let number = 1;
 					const acknowledged: Array<Readonly<{at: number; number: number}>> = [];
@@ -35,41 +35,41 @@
 						number += commits;
 						acknowledged.push({at: now, number});
 						if (isVerified) {
-							floors.record(at(now), position(number));
+							history.record(at(now), position(number));
 						}
 
-						const floor = floors.getMinimumPosition(ageMs, at(now));
+						const minimumPosition = history.getMinimumPosition(ageMs, at(now));
 						const oldest = now - ageMs;
-						const owed = acknowledged.findLast(commit => commit.at < oldest)?.number ?? 0;
-						assert.ok(!floor || floor.number >= owed);
+						const requiredNumber = acknowledged.findLast(commit => commit.at < oldest)?.number ?? 0;
+						assert.ok(!minimumPosition || minimumPosition.number >= requiredNumber);
 					}
 				},
 			), {seed: 20_261_204});
 		});
 
-		it('do not survive a suspension that the clock counts', () => {
-			const floors = createPositionHistory();
-			floors.record(at(100), position(10));
-			assert.equal(floors.getMinimumPosition(1500, at(100 + 4000)), undefined);
+		it('expires during a suspension of the process', () => {
+			const history = createPositionHistory();
+			history.record(at(100), position(10));
+			assert.equal(history.getMinimumPosition(1500, at(100 + 4000)), undefined);
 		});
 	});
 
-	describe('of sessions', () => {
-		it('of an older term become the first verified position of the newer one', () => {
-			const floors = createPositionHistory();
-			floors.record(at(0), position(50, 3));
-			floors.record(at(500), position(40, 4));
-			assert.deepEqual(floors.translateToLatestTerm(position(50, 3)), position(40, 4));
-			assert.deepEqual(floors.translateToLatestTerm(position(45, 4)), position(45, 4));
+	describe('minimum position of a session', () => {
+		it('is the first verified position of the latest term if it is of an older term', () => {
+			const history = createPositionHistory();
+			history.record(at(0), position(50, 3));
+			history.record(at(500), position(40, 4));
+			assert.deepEqual(history.translateToLatestTerm(position(50, 3)), position(40, 4));
+			assert.deepEqual(history.translateToLatestTerm(position(45, 4)), position(45, 4));
 		});
 	});
 
-	describe('of a replaced primary', () => {
-		it('are not noted', () => {
-			const floors = createPositionHistory();
-			floors.record(at(0), position(40, 4));
-			floors.record(at(500), position(60, 3));
-			assert.ok(comparePositions(floors.getLatest() ?? position(0), position(40, 4)) === 0);
+	describe('positions of a replaced primary', () => {
+		it('are ignored', () => {
+			const history = createPositionHistory();
+			history.record(at(0), position(40, 4));
+			history.record(at(500), position(60, 3));
+			assert.ok(comparePositions(history.getLatest() ?? position(0), position(40, 4)) === 0);
 		});
 	});
 });
--- a/packages/homes/src/tests/slot-scheduler.test.ts
+++ b/packages/homes/src/tests/slot-scheduler.test.ts
@@ -1,4 +1,4 @@
-/** Placement under load: a flood of one customer, requests past their time, a slow target. */
+/** Slot scheduling under load: a flood by one customer, late requests, and the choice of targets for reads. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -16,17 +16,17 @@
 
 const chooseFirst = (free: readonly TargetLoad[]) => free[0]?.id;
 
-describe('placement', () => {
-	const flood = async (largeCallers: number) => {
+describe('slot scheduler', () => {
+	const measureSmallCustomerWaitMs = async (largeCallers: number) => {
 		const {world, advance} = createVirtualWorld(11);
-		const placement = createSlotScheduler(world);
-		placement.setTargets([{id: ONE, slots: 2}]);
+		const scheduler = createSlotScheduler(world);
+		scheduler.setTargets([{id: ONE, slots: 2}]);
 		const waits: number[] = [];
-		let isOn = true;
+		let isRunning = true;
 		const call = async (customer: CustomerId, pauseMs: number) => {
-			while (isOn) {
+			while (isRunning) {
 				const askedAt = world.now();
-				const slot = await placement.acquire({
+				const slot = await scheduler.acquire({
 					customer, priority: 1, latencyDeadline: createDeadline(askedAt, 5000), deadline: createDeadline(askedAt, 5000), isPinned: false, chooseTarget: chooseFirst,
 				});
 				if (slot.ok) {
@@ -47,22 +47,22 @@
 		}
 
 		await advance(10_000);
-		isOn = false;
+		isRunning = false;
 		await advance(200);
 		return waits.toSorted((a, b) => a - b)[Math.floor(waits.length * 0.99)] ?? 0;
 	};
 
-	it('keeps the wait of a small customer at the time of one statement beside a flood', async () => {
-		assert.ok(await flood(40) <= 15);
+	it('keeps the wait of a small customer to about one statement during a flood by another', async () => {
+		assert.ok(await measureSmallCustomerWaitMs(40) <= 15);
 	});
 
-	it('serves what can still be prompt before what cannot', async () => {
+	it('serves requests within their latency objective before those past it', async () => {
 		const {world, advance} = createVirtualWorld(2);
-		const placement = createSlotScheduler(world);
-		placement.setTargets([{id: ONE, slots: 1}]);
+		const scheduler = createSlotScheduler(world);
+		scheduler.setTargets([{id: ONE, slots: 1}]);
 		const order: string[] = [];
 		const enter = async (name: string, promptMs: number) => {
-			const slot = await placement.acquire({
+			const slot = await scheduler.acquire({
 				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), promptMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
 			});
 			if (slot.ok) {
@@ -80,15 +80,15 @@
 		assert.deepEqual(order, ['first', 'prompt', 'late']);
 	});
 
-	it('refuses at its deadline what got no slot', async () => {
+	it('refuses a request that got no slot before its deadline', async () => {
 		const {world, advance} = createVirtualWorld(2);
-		const placement = createSlotScheduler(world);
-		placement.setTargets([{id: ONE, slots: 1}]);
+		const scheduler = createSlotScheduler(world);
+		scheduler.setTargets([{id: ONE, slots: 1}]);
 		const request = {
 			customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), 100), deadline: createDeadline(world.now(), 100), isPinned: false, chooseTarget: () => undefined,
 		};
 		let code = '';
-		void placement.acquire(request).then(slot => {
+		void scheduler.acquire(request).then(slot => {
 			code = slot.err ? slot.val.code : 'ok';
 		});
 		await advance(120);
@@ -96,22 +96,22 @@
 	});
 });
 
-describe('choice of a target for reads', () => {
-	const load = (id: TargetId, busy: number, meanMs: number): TargetLoad => ({
+describe('chooseReadTarget', () => {
+	const createLoad = (id: TargetId, busy: number, meanMs: number): TargetLoad => ({
 		id, busy, slots: 3, meanMs,
 	});
-	const situation = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, ONE, TWO]};
+	const context = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, ONE, TWO]};
 
-	it('prefers a follower that is as fast as the leader', () => {
-		assert.equal(chooseReadTarget([load(LEADER, 0, 20), load(ONE, 0, 20)], situation), ONE);
+	it('prefers a replica that is as fast as the leader', () => {
+		assert.equal(chooseReadTarget([createLoad(LEADER, 0, 20), createLoad(ONE, 0, 20)], context), ONE);
 	});
 
-	it('gives a slow target less', () => {
-		assert.equal(chooseReadTarget([load(ONE, 1, 20), load(TWO, 0, 100)], situation), ONE);
+	it('prefers a fast busy target to a slow idle one', () => {
+		assert.equal(chooseReadTarget([createLoad(ONE, 1, 20), createLoad(TWO, 0, 100)], context), ONE);
 	});
 
-	it('keeps the last slot of the leader for writes while a follower can serve', () => {
-		assert.equal(chooseReadTarget([load(LEADER, 2, 20)], situation), undefined);
-		assert.equal(chooseReadTarget([load(LEADER, 2, 20)], {...situation, isEligible: id => id === LEADER}), LEADER);
+	it('reserves the last slot of the leader for writes while a replica can serve the read', () => {
+		assert.equal(chooseReadTarget([createLoad(LEADER, 2, 20)], context), undefined);
+		assert.equal(chooseReadTarget([createLoad(LEADER, 2, 20)], {...context, isEligible: id => id === LEADER}), LEADER);
 	});
 });
--- a/packages/homes/src/transactions.ts
+++ b/packages/homes/src/transactions.ts
@@ -1,4 +1,4 @@
-/** Transactions held open at a home, each on a connection of its own. */
+/** Open transactions of a database owner, each on a connection of its own. */
 
 import {
 	createDeadline, isPast, type Deadline, type TargetId,
@@ -17,79 +17,82 @@
 import {createStatementCommand} from './single-statements.js';
 import type {Slot} from './slot-scheduler.js';
 
-/** Open transactions of a home. */
+/** Open transactions of a database owner. */
 export type Transactions = Readonly<{
+	/** Runs a statement of a transaction; begins the transaction if it is the first one. */
 	serve: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
+	/** Rolls a transaction back; if one of its statements is running, as soon as that ends. */
 	rollBack: (id: string) => void;
 	getOpenCount: () => number;
 	/** Counts the open transactions that may write. */
 	getWriterCount: () => number;
 }>;
 
-type Open = {
+type OpenTransaction = {
 	readonly target: TargetId;
-	readonly loan: ConnectionHandle;
-	readonly isLeaders: boolean;
-	/** Cancels the timer of the idle limit. */
-	cancelIdle: () => void;
+	readonly handle: ConnectionHandle;
+	/** Whether it was begun on the leader and may therefore write. */
+	readonly isAtLeader: boolean;
+	/** Cancels the timer that enforces the idle limit. */
+	cancelIdleTimer: () => void;
 	isBusy: boolean;
-	/** Ended while a statement was under way: it is rolled back when that ends. */
-	isAbandoned: boolean;
+	/** Whether it was ended while a statement was running: it is rolled back when that statement ends. */
+	isRollbackPending: boolean;
 };
 
-/** A statement of a transaction and its times. */
-type Turn = Readonly<{request: StatementRequest; deadline: Deadline; arrivedAt: number}>;
+/** A statement of a transaction with its deadline and arrival time. */
+type TransactionStatement = Readonly<{request: StatementRequest; deadline: Deadline; arrivedAt: number}>;
 
-const MOST_ATTEMPTS = 4;
+const MAX_ATTEMPTS = 4;
 const RETRY_PAUSE_MS = 10;
-/** Time for rolling back before the connection is given up, in milliseconds. */
+/** Timeout of a rollback; after it the connection is closed. */
 const ROLLBACK_TIMEOUT_MS = 1000;
 
-/** Stands for the timer that does not run yet. */
+/** Placeholder for `cancelIdleTimer` while no timer is running. */
 const doNothing = () => undefined;
 
-const createAborted = (reason: string): StatementOutcome => createRefusal('aborted', reason);
+const createAbortedRefusal = (reason: string): StatementOutcome => createRefusal('aborted', reason);
 
-/** Creates the transactions of a home. */
-export const createTransactions = (parts: SharedComponents): Transactions => {
-	const {context, scheduler: placement} = parts;
+/** Creates an empty set of open transactions. */
+export const createTransactions = (components: SharedComponents): Transactions => {
+	const {context, scheduler} = components;
 	const {world} = context;
-	const open = new Map<string, Open>();
+	const openTransactions = new Map<string, OpenTransaction>();
 
-	const finishLoan = async (transaction: Open) => {
-		if (transaction.loan.connection.isEnded()) {
-			transaction.loan.release(false);
+	const rollBackAndRelease = async (transaction: OpenTransaction) => {
+		if (transaction.handle.connection.isEnded()) {
+			transaction.handle.release(false);
 			return;
 		}
 
-		const {replies, ended} = await transaction.loan.connection.execute([{kind: 'rollback'}], createDeadline(world.now(), ROLLBACK_TIMEOUT_MS));
-		transaction.loan.release(ended === 'no' && replies[0]?.status === 'idle');
+		const {replies, ended} = await transaction.handle.connection.execute([{kind: 'rollback'}], createDeadline(world.now(), ROLLBACK_TIMEOUT_MS));
+		transaction.handle.release(ended === 'no' && replies[0]?.status === 'idle');
 	};
 
 	const rollBack = (id: string) => {
-		const transaction = open.get(id);
+		const transaction = openTransactions.get(id);
 		if (!transaction) {
 			return;
 		}
 
-		open.delete(id);
-		transaction.cancelIdle();
+		openTransactions.delete(id);
+		transaction.cancelIdleTimer();
 		if (transaction.isBusy) {
-			transaction.isAbandoned = true;
+			transaction.isRollbackPending = true;
 		} else {
-			void finishLoan(transaction);
+			void rollBackAndRelease(transaction);
 		}
 	};
 
 	const startIdleTimer = (id: string): (() => void) => world.schedule(context.getIdleTransactionMs(), () => {
 		context.onDecision({
-			kind: 'transactionExpired', requestId: id, target: open.get(id)?.target ?? '', reason: 'the transaction stayed idle too long', ageMs: context.getIdleTransactionMs(),
+			kind: 'transactionExpired', requestId: id, target: openTransactions.get(id)?.target ?? '', reason: 'the transaction exceeded its idle limit', ageMs: context.getIdleTransactionMs(),
 		});
 		rollBack(id);
 	});
 
-	/** Takes a slot of the transaction's target. */
-	const enterPinned = async (request: StatementRequest, transaction: Open, deadline: Deadline) => placement.acquire({
+	/** Acquires a slot on the target of a transaction. */
+	const acquirePinnedSlot = async (request: StatementRequest, transaction: OpenTransaction, deadline: Deadline) => scheduler.acquire({
 		customer: request.customer,
 		priority: request.priority,
 		latencyDeadline: createDeadline(world.now(), request.promptMs),
@@ -98,172 +101,172 @@
 		chooseTarget: free => free.find(load => load.id === transaction.target)?.id,
 	});
 
-	/** Runs a statement of an open transaction in a slot that it has. */
-	const run = async (transaction: Open, slot: Slot, {request, deadline, arrivedAt}: Turn): Promise<StatementResponse | 'again'> => {
-		const {loan, target} = transaction;
+	/** Runs a statement of an open transaction in an acquired slot; `again` if it has not run and can be retried. */
+	const run = async (transaction: OpenTransaction, slot: Slot, {request, deadline, arrivedAt}: TransactionStatement): Promise<StatementResponse | 'again'> => {
+		const {handle, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
-		const {commands, preparedName} = loan.createSetupCommands(request.values, request.statement);
-		const askedAt = context.readClock();
+		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
+		const sentAt = context.readClock();
 		const startedAt = world.now();
-		parts.healthTracker.recordStatementSent(target);
-		const execution = await loan.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
-		parts.healthTracker.recordStatementEnded(target);
+		components.healthTracker.recordStatementSent(target);
+		const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
+		components.healthTracker.recordStatementEnded(target);
 		slot.release(world.now() - startedAt);
 		const reply = execution.replies[commands.length];
 		const verdict = evaluateReply(execution, commands.length, request);
-		recordReply(parts, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
+		recordReply(components, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
 		const waitedMs = startedAt - arrivedAt;
-		const answer = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
+		const respond = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 			outcome, status, position: reply?.position, target, waitedMs,
 		});
 
 		if (verdict.kind === 'final' && verdict.outcome.kind === 'done') {
-			if (transaction.isLeaders && reply) {
-				recordVerifiedPosition(parts, target, reply, askedAt);
+			if (transaction.isAtLeader && reply) {
+				recordVerifiedPosition(components, target, reply, sentAt);
 			}
 
-			return answer(verdict.outcome, reply?.status ?? 'failed');
+			return respond(verdict.outcome, reply?.status ?? 'failed');
 		}
 
 		if (verdict.kind === 'notRun' && reply?.status === 'open' && (verdict.code === 'busy' || verdict.code === 'noStatement')) {
 			if (verdict.code === 'noStatement') {
-				loan.discardPrepared();
+				handle.discardPrepared();
 			}
 
 			return 'again';
 		}
 
-		// Without a commit at the target nothing is kept, since the connection is rolled back or closed.
+		// Unless a commit may have run, the transaction has no effect: its connection is rolled back or closed.
 		if (!isCommit || verdict.kind === 'notRun') {
-			const reason = verdict.kind === 'notRun' ? `the target answered ${verdict.code}` : ('reason' in verdict.outcome ? verdict.outcome.reason : '');
-			return answer(createAborted(reason), 'failed');
+			const reason = verdict.kind === 'notRun' ? `the target did not run the statement: ${verdict.code}` : ('reason' in verdict.outcome ? verdict.outcome.reason : '');
+			return respond(createAbortedRefusal(reason), 'failed');
 		}
 
-		return answer(verdict.outcome.kind === 'timeout' ? {kind: 'unknown', reason: verdict.outcome.reason} : verdict.outcome, 'idle');
+		return respond(verdict.outcome.kind === 'timeout' ? {kind: 'unknown', reason: verdict.outcome.reason} : verdict.outcome, 'idle');
 	};
 
-	/** Puts an open transaction aside until its next statement, or ends it. */
-	const settle = (id: string, transaction: Open, answer: StatementResponse): StatementResponse => {
+	/** Starts the idle timer of a transaction that stays open, or ends it. */
+	const finishStatement = (id: string, transaction: OpenTransaction, response: StatementResponse): StatementResponse => {
 		transaction.isBusy = false;
-		if (answer.status === 'open' && !transaction.isAbandoned) {
-			transaction.cancelIdle = startIdleTimer(id);
-			return answer;
+		if (response.status === 'open' && !transaction.isRollbackPending) {
+			transaction.cancelIdleTimer = startIdleTimer(id);
+			return response;
 		}
 
-		open.delete(id);
-		if (answer.status === 'idle') {
-			transaction.loan.release(!transaction.loan.connection.isEnded());
+		openTransactions.delete(id);
+		if (response.status === 'idle') {
+			transaction.handle.release(!transaction.handle.connection.isEnded());
 		} else {
-			void finishLoan(transaction);
+			void rollBackAndRelease(transaction);
 		}
 
-		return answer;
+		return response;
 	};
 
-	const continueTransaction = async (id: string, transaction: Open, {request, deadline, arrivedAt}: Turn, firstSlot?: Slot): Promise<StatementResponse> => {
-		transaction.cancelIdle();
+	const continueTransaction = async (id: string, transaction: OpenTransaction, {request, deadline, arrivedAt}: TransactionStatement, firstSlot?: Slot): Promise<StatementResponse> => {
+		transaction.cancelIdleTimer();
 		transaction.isBusy = true;
 		let slot = firstSlot;
-		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+		for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 			if (!slot) {
-				const entered = await enterPinned(request, transaction, deadline);
-				if (entered.err) {
-					return settle(id, transaction, createResponse(createAborted(entered.val.message), world.now() - arrivedAt, 'failed'));
+				const acquired = await acquirePinnedSlot(request, transaction, deadline);
+				if (acquired.err) {
+					return finishStatement(id, transaction, createResponse(createAbortedRefusal(acquired.val.message), world.now() - arrivedAt, 'failed'));
 				}
 
-				slot = entered.val;
+				slot = acquired.val;
 			}
 
-			const answer = await run(transaction, slot, {request, deadline, arrivedAt});
+			const response = await run(transaction, slot, {request, deadline, arrivedAt});
 			slot = undefined;
-			if (answer !== 'again') {
-				return settle(id, transaction, answer);
+			if (response !== 'again') {
+				return finishStatement(id, transaction, response);
 			}
 
 			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
 		}
 
-		return settle(id, transaction, createResponse(createAborted('the target stayed busy'), world.now() - arrivedAt, 'failed'));
+		return finishStatement(id, transaction, createResponse(createAbortedRefusal('the target was busy on every attempt'), world.now() - arrivedAt, 'failed'));
 	};
 
-	/** Begins a transaction at a target on a connection; `undefined` if the target refused. */
-	const begin = async (plan: Plan, loan: ConnectionHandle, {request, deadline}: Turn, target: TargetId): Promise<Open | undefined> => {
+	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
+	const begin = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
 		const readOnly = plan.kind === 'anywhere';
-		const {commands} = loan.createSetupCommands(request.values, {kind: 'commit', text: ''});
-		const askedAt = context.readClock();
-		const execution = await loan.connection.execute([...commands, {kind: 'begin', readOnly, after: readOnly ? plan.after : undefined}], deadline);
+		const {commands} = handle.createSetupCommands(request.values, {kind: 'commit', text: ''});
+		const sentAt = context.readClock();
+		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly, after: readOnly ? plan.after : undefined}], deadline);
 		const reply = execution.replies[commands.length];
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
-			recordReply(parts, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
-			loan.release(execution.ended === 'no' && reply?.status === 'idle');
+			recordReply(components, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
+			handle.release(execution.ended === 'no' && reply?.status === 'idle');
 			return undefined;
 		}
 
 		if (!readOnly) {
-			recordVerifiedPosition(parts, target, reply, askedAt);
+			recordVerifiedPosition(components, target, reply, sentAt);
 		}
 
 		return {
-			target, loan, isLeaders: !readOnly, cancelIdle: doNothing, isBusy: true, isAbandoned: false,
+			target, handle, isAtLeader: !readOnly, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
 		};
 	};
 
 	const startTransaction = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		const arrivedAt = world.now();
 		const tried = new Set<TargetId>();
-		for (let attempt = 0; attempt < MOST_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
-			const plan = await createPlan(parts, request, deadline);
+		for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
+			const plan = await createPlan(components, request, deadline);
 			if (!plan) {
 				break;
 			}
 
-			const slot = await placement.acquire({
+			const slot = await scheduler.acquire({
 				customer: request.customer,
 				priority: request.priority,
 				latencyDeadline: createDeadline(arrivedAt, request.promptMs),
-				deadline: computeSlotDeadline(parts, plan, deadline),
+				deadline: computeSlotDeadline(components, plan, deadline),
 				isPinned: false,
-				chooseTarget: free => chooseTarget(parts, {plan, request, tried}, free),
+				chooseTarget: free => chooseTarget(components, {plan, request, tried}, free),
 			});
 			if (slot.err) {
 				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
 			}
 
 			const {target} = slot.val;
-			const loan = await parts.getConnections(target)?.acquire(request.customer, request.values, deadline);
-			const transaction = loan?.ok ? await begin(plan, loan.val, {request, deadline, arrivedAt}, target) : undefined;
+			const handle = await components.getConnections(target)?.acquire(request.customer, request.values, deadline);
+			const transaction = handle?.ok ? await begin(plan, handle.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
-				open.set(id, transaction);
+				openTransactions.set(id, transaction);
 				return continueTransaction(id, transaction, {request, deadline, arrivedAt}, slot.val);
 			}
 
 			slot.val.release();
-			if (!loan?.ok) {
-				recordDialFailure(parts, target, loan?.val);
+			if (!handle?.ok) {
+				recordDialFailure(components, target, handle?.val);
 			}
 
 			tried.add(target);
 		}
 
-		return createResponse(createBusyRefusal('no target accepts the transaction now', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
+		return createResponse(createBusyRefusal('no target could begin the transaction', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
 	};
 
 	return {
 		async serve(request, deadline) {
 			const id = request.transaction?.id ?? '';
-			const transaction = open.get(id);
+			const transaction = openTransactions.get(id);
 			if (transaction) {
 				return transaction.isBusy
-					? createResponse(createAborted('two statements of one transaction at once'), 0, 'failed')
+					? createResponse(createAbortedRefusal('another statement of the transaction is still running'), 0, 'failed')
 					: continueTransaction(id, transaction, {request, deadline, arrivedAt: world.now()});
 			}
 
 			return request.transaction?.isFirst
 				? startTransaction(id, request, deadline)
-				: createResponse(createAborted('the transaction has ended'), 0, 'failed');
+				: createResponse(createAbortedRefusal('the transaction has ended'), 0, 'failed');
 		},
 		rollBack,
-		getOpenCount: () => open.size,
-		getWriterCount: () => [...open.values()].filter(({isLeaders}) => isLeaders).length,
+		getOpenCount: () => openTransactions.size,
+		getWriterCount: () => [...openTransactions.values()].filter(({isAtLeader}) => isAtLeader).length,
 	};
 };
