Reword the configuration package

The store cache is confirmed to be up to date; processes sync with relays; a configuration is active. Failures of a change say that the configuration was changed since it was read, or that no request was sent. The trees compare equal: no structure, no field and no number changed.

--- a/packages/configuration/src/active-configuration.ts
+++ b/packages/configuration/src/active-configuration.ts
@@ -1,4 +1,4 @@
-/** The configuration in force in one process. */
+/** Active configuration of one process: the newest valid one that it has received. */
 
 import {
 	Err, Ok, type CustomerId, type Instant, type Result, type World,
@@ -9,36 +9,36 @@
 import type {StoreCache} from './store-cache.js';
 import {CONFIGURATION_KEY} from './relay.js';
 
-/** Why a key may not be used now. */
+/** Why a key may not be used: it was removed, or the configuration is too old to be certain of it. */
 export type KeyRefusal = 'keyWithdrawn' | 'keyUnconfirmed';
 
-/** Configuration in force. */
+/** Active configuration. */
 export type ActiveConfiguration = Readonly<{
-	/** Gets the inventory; `undefined` until the first one has come. */
+	/** Returns the inventory; `undefined` until the first configuration has been received. */
 	getInventory: () => Inventory | undefined;
-	/** Gets the revision; 0 until the first one has come. */
+	/** Returns the revision; 0 until the first configuration has been received. */
 	getRevision: () => number;
-	/** Gets the document. */
+	/** Returns the whole document; `undefined` until the first configuration has been received. */
 	getDocument: () => ConfigurationDocument | undefined;
-	/** Checks that a key is still issued to a customer, and that this is known freshly enough. */
+	/** Checks that a key is issued to a customer and that the configuration was confirmed recently enough, unless the customer may also use unconfirmed keys. */
 	checkKey: (keyId: string, customer: CustomerId) => Result<Key, KeyRefusal>;
-	/** Gets the instant at which the configuration was last known to be the newest. */
+	/** Returns the latest instant at which the configuration was confirmed to be the newest. */
 	getConfirmedAt: () => Instant;
 }>;
 
-/** Listener of changes. */
+/** Called when a newer configuration is activated, or rejected because it is invalid. */
 export type ConfigurationListener = Readonly<{
 	onApplied: (revision: number, inventory: Inventory) => void;
 	onRejected: (revision: number, failure: DocumentFailure) => void;
 }>;
 
-/** Puts each newer configuration of the facts in force. */
-export const createActiveConfiguration = (facts: StoreCache, world: World, listener: ConfigurationListener): ActiveConfiguration => {
+/** Creates the active configuration, which follows the store cache; an invalid configuration is rejected and the previous one stays active. */
+export const createActiveConfiguration = (cache: StoreCache, world: World, listener: ConfigurationListener): ActiveConfiguration => {
 	let document: ConfigurationDocument | undefined;
 	let revision = 0;
 
 	const apply = () => {
-		const entry = facts.get(CONFIGURATION_KEY);
+		const entry = cache.get(CONFIGURATION_KEY);
 		if (!entry || entry.revision <= revision) {
 			return;
 		}
@@ -54,7 +54,7 @@
 		listener.onApplied(revision, document.inventory);
 	};
 
-	facts.subscribe(keys => {
+	cache.subscribe(keys => {
 		if (keys.includes(CONFIGURATION_KEY)) {
 			apply();
 		}
@@ -65,7 +65,7 @@
 		getInventory: () => document?.inventory,
 		getRevision: () => revision,
 		getDocument: () => document,
-		getConfirmedAt: facts.getConfirmedAt,
+		getConfirmedAt: cache.getConfirmedAt,
 		checkKey(keyId, customer) {
 			const inventory = document?.inventory;
 			const key = inventory && Object.hasOwn(inventory.keys, keyId) ? inventory.keys[keyId] : undefined;
@@ -73,7 +73,7 @@
 				return Err('keyWithdrawn');
 			}
 
-			const isFresh = world.now() - facts.getConfirmedAt() <= inventory.fleet.keyGraceMs;
+			const isFresh = world.now() - cache.getConfirmedAt() <= inventory.fleet.keyGraceMs;
 			return isFresh || inventory.customers[customer]?.serveUnconfirmed ? Ok(key) : Err('keyUnconfirmed');
 		},
 	};
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -1,4 +1,4 @@
-/** Changing the configuration by compare-and-swap, whatever answers get lost. */
+/** Reads and changes the configuration in the store. Changes use compare-and-swap and remain correct when responses of the store are lost. */
 
 import {
 	Err, Ok, type Failure, type Result, type World,
@@ -9,18 +9,18 @@
 import type {Entry, Store, StoreFailure} from '@guavapitch/store';
 import {CONFIGURATION_KEY} from './relay.js';
 
-/** Failure of a change. */
+/** Failure of a change of the configuration. */
 export type ChangeFailure
 	= | StoreFailure
 		| DocumentFailure
-	/** Somebody else has changed the configuration since it was read. */
+	/** The configuration has been changed by someone else since it was read. */
 		| (Failure<'configurationRaced'> & Readonly<{current: ConfigurationDocument | undefined; revision: number}>);
 
-/** The configuration as read from the store. */
+/** The configuration as read from the store; revision 0 and no document if there is none yet. */
 export type StoredConfiguration = Readonly<{document: ConfigurationDocument | undefined; revision: number}>;
 
-const TRIES = 8;
-const RETRY_MS = 250;
+const MAX_ATTEMPTS = 8;
+const RETRY_PAUSE_MS = 250;
 
 const parseEntry = (entry: Entry | undefined): Result<StoredConfiguration, DocumentFailure> => {
 	if (!entry) {
@@ -36,7 +36,10 @@
 	return entry.ok ? parseEntry(entry.val) : entry;
 };
 
-/** Replaces the configuration that stands at a revision; a lost answer is resolved by reading back the change's identifier. */
+/**
+ * Replaces the configuration if it is still at the expected revision; returns the new revision.
+ * When a response of the store is lost, the identifier of the change in the stored document tells whether the change took effect.
+ */
 export const changeConfiguration = async (store: Store, world: World, change: Readonly<{expectedRevision: number; author: string; inventory: Inventory}>): Promise<Result<number, ChangeFailure>> => {
 	const changeId = world.createId();
 	const text = formatDocument({changeId, author: change.author, inventory: change.inventory});
@@ -44,27 +47,27 @@
 		return text;
 	}
 
-	let last: StoreFailure = {code: 'storeUnreachable', message: 'The store was not asked'};
-	for (let count = 0; count < TRIES; count++) {
+	let lastFailure: StoreFailure = {code: 'storeUnreachable', message: 'No request was sent to the store'};
+	for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 		const outcome = await store.compareAndSwap(CONFIGURATION_KEY, change.expectedRevision, text.val);
 		if (outcome.ok) {
 			const {swapped, current} = outcome.val;
-			const standing = parseEntry(current);
-			if (swapped || (standing.ok && standing.val.document?.changeId === changeId)) {
+			const stored = parseEntry(current);
+			if (swapped || (stored.ok && stored.val.document?.changeId === changeId)) {
 				return Ok(current?.revision ?? 0);
 			}
 
 			return Err({
 				code: 'configurationRaced',
-				message: 'Somebody else has changed the configuration',
-				current: standing.ok ? standing.val.document : undefined,
+				message: 'The configuration has been changed by someone else since it was read',
+				current: stored.ok ? stored.val.document : undefined,
 				revision: current?.revision ?? 0,
 			});
 		}
 
-		last = outcome.val;
-		await world.sleep(RETRY_MS);
+		lastFailure = outcome.val;
+		await world.sleep(RETRY_PAUSE_MS);
 	}
 
-	return Err(last);
+	return Err(lastFailure);
 };
--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -1,4 +1,4 @@
-/** Bringing the store's entries to every process: few relays of a data centre read the store, the rest ask them. */
+/** Distributes the entries of the store to all processes: a few relays in each data centre read the store, and all other processes sync with a relay. */
 
 import {
 	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type World,
@@ -6,88 +6,88 @@
 import type {Entry, Store} from '@guavapitch/store';
 import type {StoreCache} from './store-cache.js';
 
-/** Prefix of every entry that is carried to all processes. */
+/** Prefixes of the entries that are distributed to all processes. */
 export const SHARED_PREFIXES = ['/guavapitch/', '/platform/'] as const;
 
-/** Key of the configuration. */
+/** Key of the configuration in the store. */
 export const CONFIGURATION_KEY = '/guavapitch/configuration';
 
-/** What a process asks a relay. */
+/** Sync request of a process to a relay. */
 export type SyncRequest = Readonly<{
 	vm: VmId;
-	/** Run of the relay that `after` counts for. */
+	/** Incarnation of the relay to whose changes `after` refers. */
 	incarnation: string;
-	/** Number of the last change received from that run. */
+	/** Sequence number of the last change received from that incarnation. */
 	after: number;
-	/** Revision of the configuration in force at the asker. */
+	/** Revision of the configuration that is active at the requesting process. */
 	inForce: number;
 }>;
 
-/** What a relay answers. */
+/** Reply of a relay. */
 export type SyncReply = Readonly<{
 	incarnation: string;
 	sequence: number;
 	entries: readonly Entry[];
-	/** Time since the relay's facts were known to be complete, in milliseconds; negative if never. */
+	/** Time since the relay's cache was last confirmed to be up to date, in milliseconds; negative if never. */
 	confirmedAgeMs: number;
 }>;
 
-/** Report of the revision in force at a vm. */
+/** Revision of the configuration that was active at a vm at an instant. */
 export type ActiveRevisionReport = Readonly<{vm: VmId; revision: number; at: Instant}>;
 
-/** Relay service of one process; any process may be asked. */
+/** Relay service of one process; every process offers it, whether it is a relay or not. */
 export type RelayService = Readonly<{
-	/** Answers a request, waiting a little for news. */
+	/** Returns the changes since the last sync; if there are none, waits a short time for some. */
 	sync: (request: SyncRequest) => Promise<SyncReply>;
-	/** Gets what the askers have in force. */
+	/** Returns the active revision last reported by each requesting vm. */
 	getReports: () => readonly ActiveRevisionReport[];
 }>;
 
-const NEWS_WAIT_MS = 400;
+const MAX_CHANGE_WAIT_MS = 400;
 
-const getAgeMs = (facts: StoreCache, now: Instant): number => {
-	const confirmedAt = facts.getConfirmedAt();
+const getAgeMs = (cache: StoreCache, now: Instant): number => {
+	const confirmedAt = cache.getConfirmedAt();
 	return Number.isFinite(confirmedAt) ? now - confirmedAt : -1;
 };
 
-/** Creates the relay service over the facts of a process. */
-export const createRelayService = (facts: StoreCache, incarnation: string, world: World): RelayService => {
+/** Creates the relay service of a process from its store cache. */
+export const createRelayService = (cache: StoreCache, incarnation: string, world: World): RelayService => {
 	const reports = new Map<VmId, ActiveRevisionReport>();
 	return {
 		async sync(request) {
 			const after = request.incarnation === incarnation ? request.after : 0;
 			reports.set(request.vm, {vm: request.vm, revision: request.inForce, at: world.now()});
-			await facts.waitForChange(after, createDeadline(world.now(), NEWS_WAIT_MS));
+			await cache.waitForChange(after, createDeadline(world.now(), MAX_CHANGE_WAIT_MS));
 			return {
-				incarnation, sequence: facts.getSequence(), entries: facts.getChangedAfter(after), confirmedAgeMs: getAgeMs(facts, world.now()),
+				incarnation, sequence: cache.getSequence(), entries: cache.getChangedAfter(after), confirmedAgeMs: getAgeMs(cache, world.now()),
 			};
 		},
 		getReports: () => [...reports.values()],
 	};
 };
 
-/** What the tasks that keep the facts fresh need. */
+/** Dependencies of the tasks that keep the store cache up to date. */
 export type CacheSyncContext = Readonly<{
 	world: World;
 	cache: StoreCache;
 	store: Store;
 	vm: VmId;
-	/** Tells whether this vm is a relay of its data centre now. */
+	/** Tells whether this vm is currently a relay of its data centre. */
 	isRelay: () => boolean;
-	/** Gets the vms to ask, best first: relays of this data centre, then of the others. */
+	/** Returns the relays in order of preference: those of this data centre, then those of the others. */
 	getRelays: () => readonly VmId[];
-	/** Asks a vm. */
+	/** Sends a sync request to a vm. */
 	sendSync: (vm: VmId, request: SyncRequest) => Promise<Result<SyncReply, Failure>>;
-	/** Asks the relays of every data centre whether none reaches the store. */
+	/** Asks the relays of every data centre; tells whether none of them can reach the store. */
 	isStoreDownForAll: () => Promise<boolean>;
 	getActiveRevision: () => number;
-	/** Hears whether the store answers this vm. */
+	/** Called after each read of the store, with whether it succeeded. */
 	onStoreContact: (reachable: boolean) => void;
 }>;
 
-const CONFIRM_MS = 400;
-const RETRY_MS = 100;
-const FULL_READ_MS = 5000;
+const CONFIRM_INTERVAL_MS = 400;
+const RETRY_PAUSE_MS = 100;
+const FULL_READ_INTERVAL_MS = 5000;
 
 const readAll = async (context: CacheSyncContext): Promise<boolean> => {
 	for (const prefix of SHARED_PREFIXES) {
@@ -116,38 +116,41 @@
 		await context.store.watch(prefix, keys => {
 			void readChanged(context, keys);
 		}, signal);
-		await context.world.sleep(RETRY_MS, signal);
+		await context.world.sleep(RETRY_PAUSE_MS, signal);
 	}
 };
 
-/** Runs the watches of a relay while it is one. */
+/** Watches the store for changes while this vm is a relay; returns when the signal aborts. */
 export const runRelayWatches = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		if (context.isRelay()) {
 			const stop = new AbortController();
 			const watching = Promise.allSettled(SHARED_PREFIXES.map(async prefix => watchPrefix(context, prefix, AbortSignal.any([signal, stop.signal]))));
 			while (context.isRelay() && !signal.aborted) {
-				await context.world.sleep(CONFIRM_MS, signal).catch(() => undefined);
+				await context.world.sleep(CONFIRM_INTERVAL_MS, signal).catch(() => undefined);
 			}
 
 			stop.abort();
 			await watching;
 		}
 
-		await context.world.sleep(CONFIRM_MS, signal);
+		await context.world.sleep(CONFIRM_INTERVAL_MS, signal);
 	}
 };
 
-/** Reads the store as a relay: confirms freshness, and from time to time reads everything. */
-const confirmOnce = async (context: CacheSyncContext, fullReadDue: boolean): Promise<boolean> => {
-	const askedAt = context.world.now();
-	const isReached = fullReadDue ? await readAll(context) : await readConfiguration(context);
-	context.onStoreContact(isReached);
-	if (isReached || await context.isStoreDownForAll()) {
-		context.cache.markConfirmed(askedAt);
+/**
+ * Reads the store as a relay, either all entries or only the configuration, and marks the cache as confirmed.
+ * The cache is also confirmed while no relay can reach the store.
+ */
+const readAsRelay = async (context: CacheSyncContext, isFullReadDue: boolean): Promise<boolean> => {
+	const requestedAt = context.world.now();
+	const isReachable = isFullReadDue ? await readAll(context) : await readConfiguration(context);
+	context.onStoreContact(isReachable);
+	if (isReachable || await context.isStoreDownForAll()) {
+		context.cache.markConfirmed(requestedAt);
 	}
 
-	return isReached;
+	return isReachable;
 };
 
 const readConfiguration = async (context: CacheSyncContext): Promise<boolean> => {
@@ -159,10 +162,11 @@
 	return entry.ok;
 };
 
+/** Last change received from a relay. */
 type Progress = {incarnation: string; after: number};
 
-const askOnce = async (context: CacheSyncContext, relay: VmId, progress: Progress): Promise<boolean> => {
-	const askedAt = context.world.now();
+const syncWithRelay = async (context: CacheSyncContext, relay: VmId, progress: Progress): Promise<boolean> => {
+	const requestedAt = context.world.now();
 	const reply = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
 	if (reply.err) {
 		return false;
@@ -173,48 +177,48 @@
 	progress.incarnation = incarnation;
 	progress.after = sequence;
 	if (confirmedAgeMs >= 0) {
-		context.cache.markConfirmed((askedAt - confirmedAgeMs) as Instant);
+		context.cache.markConfirmed((requestedAt - confirmedAgeMs) as Instant);
 	}
 
 	return true;
 };
 
-/** Keeps the facts fresh: a relay reads the store, every other process asks a relay. */
+/** Keeps the store cache up to date: a relay reads the store, and falls back to another relay if it cannot; every other process syncs with a relay. */
 export const runCacheSync = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	const {world} = context;
 	const progress = new Map<VmId, Progress>();
 	let fullReadAt = createDeadline(world.now(), 0);
-	let turn = 0;
+	let relayIndex = 0;
 
-	const askAnyRelay = async (): Promise<boolean> => {
+	const syncWithAnyRelay = async (): Promise<boolean> => {
 		const relays = context.getRelays();
-		const relay = relays[turn % Math.max(1, relays.length)];
+		const relay = relays[relayIndex % Math.max(1, relays.length)];
 		if (!relay) {
 			return false;
 		}
 
-		const known = progress.get(relay) ?? {incarnation: '', after: 0};
-		progress.set(relay, known);
-		const answered = await askOnce(context, relay, known);
-		turn = answered ? 0 : turn + 1;
-		return answered;
+		const relayProgress = progress.get(relay) ?? {incarnation: '', after: 0};
+		progress.set(relay, relayProgress);
+		const succeeded = await syncWithRelay(context, relay, relayProgress);
+		relayIndex = succeeded ? 0 : relayIndex + 1;
+		return succeeded;
 	};
 
 	while (!signal.aborted) {
 		if (context.isRelay()) {
-			const isDue = getRemainingMs(fullReadAt, world.now()) === 0;
-			const isReached = await confirmOnce(context, isDue);
-			if (isReached && isDue) {
-				fullReadAt = createDeadline(world.now(), FULL_READ_MS);
+			const isFullReadDue = getRemainingMs(fullReadAt, world.now()) === 0;
+			const isReachable = await readAsRelay(context, isFullReadDue);
+			if (isReachable && isFullReadDue) {
+				fullReadAt = createDeadline(world.now(), FULL_READ_INTERVAL_MS);
 			}
 
-			if (!isReached) {
-				await askAnyRelay();
+			if (!isReachable) {
+				await syncWithAnyRelay();
 			}
 
-			await world.sleep(isReached ? CONFIRM_MS : RETRY_MS, signal);
-		} else if (!await askAnyRelay()) {
-			await world.sleep(RETRY_MS, signal);
+			await world.sleep(isReachable ? CONFIRM_INTERVAL_MS : RETRY_PAUSE_MS, signal);
+		} else if (!await syncWithAnyRelay()) {
+			await world.sleep(RETRY_PAUSE_MS, signal);
 		}
 	}
 };
--- a/packages/configuration/src/store-cache.ts
+++ b/packages/configuration/src/store-cache.ts
@@ -1,35 +1,36 @@
-/** What a process knows of the store: entries that only ever move to higher revisions. */
+/** Local cache of the entries of the store; an entry is only ever replaced by a higher revision of it. */
 
 import {
 	createNotifier, isPast, PAST, type Deadline, type Instant, type World,
 } from '@guavapitch/core';
 import type {Entry} from '@guavapitch/store';
 
-/** Facts of one process. */
+/** Store cache of one process. */
 export type StoreCache = Readonly<{
-	/** Takes entries; those that are not newer are ignored. */
+	/** Adds entries; those that are not newer than the cached ones are ignored. */
 	merge: (entries: readonly Entry[]) => void;
 	get: (key: string) => Entry | undefined;
 	list: (prefix: string) => readonly Entry[];
-	/** Gets the number of the last change in this process. */
+	/** Returns the sequence number of the last change of this cache; it has no meaning in other processes. */
 	getSequence: () => number;
-	/** Gets the entries changed after a number. */
+	/** Returns the entries changed after a sequence number. */
 	getChangedAfter: (sequence: number) => readonly Entry[];
-	/** Notes that the facts were known to be complete at an instant. */
+	/** Records that the cache was confirmed to be up to date at an instant; earlier instants than the recorded one are ignored. */
 	markConfirmed: (at: Instant) => void;
-	/** Gets the latest instant at which the facts were known to be complete. */
+	/** Returns the latest instant at which the cache was confirmed to be up to date; `PAST` if never. */
 	getConfirmedAt: () => Instant;
-	/** Waits until something has changed after a number. */
+	/** Waits until an entry changes after a sequence number, the deadline passes or the signal aborts. */
 	waitForChange: (sequence: number, deadline: Deadline, signal?: AbortSignal) => Promise<void>;
-	/** Calls a function after each change, with the keys that changed. */
+	/** Calls a listener after each change, with the keys that changed. */
 	subscribe: (listener: (keys: readonly string[]) => void) => void;
 }>;
 
-type Known = Readonly<{entry: Entry; sequence: number}>;
+/** An entry and the sequence number of its last change. */
+type CachedEntry = Readonly<{entry: Entry; sequence: number}>;
 
-/** Creates empty facts. */
+/** Creates an empty cache. */
 export const createStoreCache = (world: World): StoreCache => {
-	const known = new Map<string, Known>();
+	const cachedByKey = new Map<string, CachedEntry>();
 	const listeners: Array<(keys: readonly string[]) => void> = [];
 	const changed = createNotifier(world);
 	let sequence = 0;
@@ -37,10 +38,10 @@
 
 	return {
 		merge(entries) {
-			const newer = entries.filter(entry => entry.revision > (known.get(entry.key)?.entry.revision ?? 0));
+			const newer = entries.filter(entry => entry.revision > (cachedByKey.get(entry.key)?.entry.revision ?? 0));
 			for (const entry of newer) {
 				sequence++;
-				known.set(entry.key, {entry, sequence});
+				cachedByKey.set(entry.key, {entry, sequence});
 			}
 
 			if (newer.length > 0) {
@@ -52,10 +53,10 @@
 				changed.notify();
 			}
 		},
-		get: key => known.get(key)?.entry,
-		list: prefix => [...known.values()].map(({entry}) => entry).filter(entry => entry.key.startsWith(prefix)),
+		get: key => cachedByKey.get(key)?.entry,
+		list: prefix => [...cachedByKey.values()].map(({entry}) => entry).filter(entry => entry.key.startsWith(prefix)),
 		getSequence: () => sequence,
-		getChangedAfter: after => [...known.values()].filter(one => one.sequence > after).map(({entry}) => entry),
+		getChangedAfter: after => [...cachedByKey.values()].filter(cached => cached.sequence > after).map(({entry}) => entry),
 		markConfirmed(at) {
 			if (at > confirmedAt) {
 				confirmedAt = at;
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -1,4 +1,4 @@
-/** Configurations: accepted once, never reverting, and raced without loss. */
+/** Changes of the configuration under races and lost responses, the store cache, and checks of keys against the active configuration. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -28,7 +28,7 @@
 });
 
 describe('changes', () => {
-	it('tells the loser of a race who won and what', async () => {
+	it('report the winning configuration to the loser of a race', async () => {
 		const {world} = createVirtualWorld();
 		const store = createMemoryStore(world);
 		const first = await changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
@@ -38,7 +38,7 @@
 		assert.equal((await readConfiguration(store)).unwrap().document?.inventory.customers.klub?.rate, 1);
 	});
 
-	it('finds out that a change whose answer was lost has taken effect', async () => {
+	it('are recognized as done when the response of the store was lost', async () => {
 		const {world, advance} = createVirtualWorld();
 		const inner = createMemoryStore(world);
 		let losses = 1;
@@ -56,61 +56,61 @@
 	});
 });
 
-describe('facts', () => {
-	it('only ever move to higher revisions, in whatever order they come', () => {
+describe('store cache', () => {
+	it('only replaces entries by higher revisions, in whatever order they arrive', () => {
 		fc.assert(fc.property(fc.array(fc.record({key: fc.constantFrom('a', 'b'), revision: fc.integer({min: 1, max: 20})}), {maxLength: 40}), entries => {
 			const {world} = createVirtualWorld();
-			const facts = createStoreCache(world);
+			const cache = createStoreCache(world);
 			const highest = new Map<string, number>();
 			for (const {key, revision} of entries) {
-				facts.merge([{key, revision, value: String(revision)}]);
+				cache.merge([{key, revision, value: String(revision)}]);
 				highest.set(key, Math.max(revision, highest.get(key) ?? 0));
-				assert.equal(facts.get(key)?.revision, highest.get(key));
+				assert.equal(cache.get(key)?.revision, highest.get(key));
 			}
 		}), {seed: 61});
 	});
 
-	it('hand over every change after a number', () => {
+	it('returns every change after a sequence number', () => {
 		const {world} = createVirtualWorld();
-		const facts = createStoreCache(world);
-		facts.merge([{key: 'a', revision: 1, value: '1'}]);
-		const seen = facts.getSequence();
-		facts.merge([{key: 'b', revision: 2, value: '2'}]);
-		assert.deepEqual(facts.getChangedAfter(seen).map(entry => entry.key), ['b']);
+		const cache = createStoreCache(world);
+		cache.merge([{key: 'a', revision: 1, value: '1'}]);
+		const seen = cache.getSequence();
+		cache.merge([{key: 'b', revision: 2, value: '2'}]);
+		assert.deepEqual(cache.getChangedAfter(seen).map(entry => entry.key), ['b']);
 	});
 });
 
 describe('keys', () => {
 	const klub = parseId<CustomerId>('klub');
 
-	it('work while fresh, not past the grace, and never after withdrawal', async () => {
+	it('are accepted while the configuration is confirmed within the grace period, and never after their withdrawal', async () => {
 		const {world, advance} = createVirtualWorld();
-		const facts = createStoreCache(world);
-		const inForce = createActiveConfiguration(facts, world, {onApplied: () => undefined, onRejected: () => undefined});
+		const cache = createStoreCache(world);
+		const activeConfiguration = createActiveConfiguration(cache, world, {onApplied: () => undefined, onRejected: () => undefined});
 		const put = (revision: number, inventory: Inventory) => {
-			facts.merge([{key: CONFIGURATION_KEY, revision, value: formatDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
+			cache.merge([{key: CONFIGURATION_KEY, revision, value: formatDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
 		};
 
 		put(1, createInventory(1));
-		facts.markConfirmed(world.now());
-		assert.ok(inForce.checkKey('k', klub).ok);
+		cache.markConfirmed(world.now());
+		assert.ok(activeConfiguration.checkKey('k', klub).ok);
 		await advance(6000);
-		const stale = inForce.checkKey('k', klub);
+		const stale = activeConfiguration.checkKey('k', klub);
 		assert.ok(stale.err && stale.val === 'keyUnconfirmed');
-		facts.markConfirmed(world.now());
-		assert.ok(inForce.checkKey('k', klub).ok);
+		cache.markConfirmed(world.now());
+		assert.ok(activeConfiguration.checkKey('k', klub).ok);
 		put(2, {...createInventory(1), keys: {}});
-		const withdrawn = inForce.checkKey('k', klub);
+		const withdrawn = activeConfiguration.checkKey('k', klub);
 		assert.ok(withdrawn.err && withdrawn.val === 'keyWithdrawn');
 		put(1, createInventory(1));
-		assert.ok(inForce.checkKey('k', klub).err, 'an older revision came back');
+		assert.ok(activeConfiguration.checkKey('k', klub).err, 'an older revision must not become active again');
 	});
 
-	it('are not confirmed by an older confirmation', () => {
+	it('keep the latest confirmation when an older one arrives', () => {
 		const {world} = createVirtualWorld();
-		const facts = createStoreCache(world);
-		facts.markConfirmed(100 as Instant);
-		facts.markConfirmed(50 as Instant);
-		assert.equal(facts.getConfirmedAt(), 100);
+		const cache = createStoreCache(world);
+		cache.markConfirmed(100 as Instant);
+		cache.markConfirmed(50 as Instant);
+		assert.equal(cache.getConfirmedAt(), 100);
 	});
 });
