--- a/packages/feed/src/entries.ts
+++ b/packages/feed/src/entries.ts
@@ -1,4 +1,4 @@
-/** Entries of the store as they are handed on, without an encoding. */
+/** Entries of the store and their changes, independent of any encoding. */
 
 import type {Failure, Result} from '@guavapitch/core';
 
@@ -6,45 +6,45 @@
 export type StoreEntry = Readonly<{
 	key: string;
 	value: string;
-	/** Revision of its last change. */
+	/** Revision of the last change of the entry. */
 	revision: number;
-	/** Revision of its creation. */
+	/** Revision at which the entry was created. */
 	createdRevision: number;
 }>;
 
-/** A change of an entry; without an entry it was removed. */
+/** A change of an entry; `entry` is `undefined` if the entry was removed. */
 export type StoreChange = Readonly<{key: string; revision: number; entry: StoreEntry | undefined}>;
 
-/** Failure of reading the store. */
+/** Failure to read the store. After `historyLost`, changes since the given revision are no longer available and everything must be read again. */
 export type SourceFailure = Failure<'storeUnreachable' | 'historyLost'>;
 
-/** Reads of the store from which a feed is fed. */
+/** Read operations of the store that a change feed uses. */
 export type FeedSource = Readonly<{
-	/** Reads all entries under a prefix, with the store's revision from before the first page. */
+	/** Reads all entries under a prefix. The revision is that of the store before the first page was read. */
 	readAll: (prefix: string) => Promise<Result<Readonly<{entries: readonly StoreEntry[]; revision: number}>, SourceFailure>>;
-	/** Waits for changes after a revision, for some time. */
+	/** Waits at most `waitMs` for changes after a revision. */
 	watch: (prefix: string, after: number, waitMs: number) => Promise<Result<Readonly<{changes: readonly StoreChange[]; revision: number}>, SourceFailure>>;
 }>;
 
-/** Entries known to a process. */
+/** Entries that are known to a process. */
 export type EntryTable = Readonly<{
 	get: (key: string) => StoreEntry | undefined;
-	/** Lists the entries under a prefix. */
+	/** Returns the entries under a prefix. */
 	list: (prefix: string) => readonly StoreEntry[];
-	/** Applies a change unless a newer one of the same key is known. */
+	/** Applies a change unless the same or a newer one of the key is known; returns whether it was applied. */
 	apply: (change: StoreChange) => boolean;
-	/** Replaces everything under a prefix by what the store held at a revision; gives the changes. */
+	/** Replaces all entries under a prefix with those that the store held at a revision; returns the changes that were applied. */
 	replace: (prefix: string, entries: readonly StoreEntry[], revision: number) => readonly StoreChange[];
 }>;
 
-/** Creates an empty table. Removed keys leave a mark, so that an older change does not bring them back. */
+/** Creates an empty table. The table remembers the revisions at which keys were removed, so that an older change does not restore them. */
 export const createEntryTable = (): EntryTable => {
 	const entries = new Map<string, StoreEntry>();
 	const removedAt = new Map<string, number>();
 
 	const apply = ({key, revision, entry}: StoreChange): boolean => {
-		const known = Math.max(entries.get(key)?.revision ?? 0, removedAt.get(key) ?? 0);
-		if (revision <= known) {
+		const knownRevision = Math.max(entries.get(key)?.revision ?? 0, removedAt.get(key) ?? 0);
+		if (revision <= knownRevision) {
 			return false;
 		}
 
@@ -65,11 +65,11 @@
 		get: key => entries.get(key),
 		list,
 		apply,
-		replace(prefix, next, revision) {
-			const present = new Set(next.map(({key}) => key));
-			const changes: StoreChange[] = next.map(entry => ({key: entry.key, revision: entry.revision, entry}));
-			for (const {key, revision: known} of list(prefix)) {
-				if (!present.has(key) && known <= revision) {
+		replace(prefix, newEntries, revision) {
+			const presentKeys = new Set(newEntries.map(({key}) => key));
+			const changes: StoreChange[] = newEntries.map(entry => ({key: entry.key, revision: entry.revision, entry}));
+			for (const {key, revision: knownRevision} of list(prefix)) {
+				if (!presentKeys.has(key) && knownRevision <= revision) {
 					changes.push({key, revision, entry: undefined});
 				}
 			}
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -1,4 +1,4 @@
-/** Feed of the store's entries: from the store itself, or from a relay that reads it. */
+/** Change feed of the store: reads entries from the store itself, or follows a relay that does. */
 
 import {
 	createDeadline, createNotifier, isPast, PAST, type Deadline, type Failure, type Instant, type Result, type World,
@@ -7,138 +7,138 @@
 	createEntryTable, type FeedSource, type StoreChange, type StoreEntry,
 } from './entries.js';
 
-/** What a follower asks a relay. */
+/** Request of a follower to a relay. */
 export type FeedRequest = Readonly<{
-	/** Run of the relay that the follower last heard, and the number of the last change it has from it. */
+	/** Run of the relay that last responded to the follower, and the number of the last change that the follower received from it. */
 	run: string;
 	after: number;
 	waitMs: number;
 }>;
 
-/** What a relay answers. */
+/** Response of a relay to a follower. */
 export type FeedResponse = Readonly<{
 	run: string;
-	/** Number of the newest change in the answer. */
+	/** Number of the newest change in the response. */
 	number: number;
-	/** Whether `changes` are all entries, instead of what changed. */
+	/** Whether `changes` holds all entries instead of only those that changed. */
 	isWhole: boolean;
 	changes: readonly StoreChange[];
-	/** Age of the relay's last contact with the store, in milliseconds. */
+	/** Time since the relay's last contact with the store, in milliseconds. */
 	ageMs: number;
 }>;
 
-/** A prefix that the feed covers. */
+/** A key prefix that the feed covers. */
 export type FeedPrefix = Readonly<{
 	prefix: string;
-	/** Longest wait of one watch, in milliseconds; a silent connection is noticed after it. */
+	/** Maximum wait of one watch, in milliseconds; an unresponsive connection is noticed after this time. */
 	waitMs: number;
-	/** Pause between two watches, in milliseconds, for entries that change all the time. */
+	/** Pause between two watches, in milliseconds; it limits the load of entries that change continuously. */
 	pauseMs: number;
 }>;
 
-/** What a feed needs. */
+/** Dependencies of a change feed. */
 export type FeedContext = Readonly<{
 	world: World;
 	/** Identifier of this run of the process. */
 	run: string;
 	source: FeedSource;
 	prefixes: readonly FeedPrefix[];
-	/** Tells whether a change matters to followers. */
-	isRelevantChange: (change: StoreChange, before: StoreEntry | undefined) => boolean;
-	/** Ranks the vms to follow, best first; empty if this vm should read the store itself. */
+	/** Returns whether a change is relevant to followers. */
+	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
+	/** Returns the vms to follow, the best first; none if this vm should read the store itself. */
 	listRelays: () => readonly string[];
-	callRelay: (relay: string, question: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
+	callRelay: (relay: string, request: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
 	onChange: (changes: readonly StoreChange[]) => void;
 	onSourceChange: (kind: 'store' | 'relay', name: string) => void;
 	onStoreStatus: (isReachable: boolean, reason: string) => void;
 }>;
 
-/** Feed of one process. */
+/** Change feed of one process. */
 export type Feed = Readonly<{
 	/** Runs until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
 	get: (key: string) => StoreEntry | undefined;
 	list: (prefix: string) => readonly StoreEntry[];
-	/** Answers a follower. */
-	serve: (question: FeedRequest) => Promise<FeedResponse>;
-	/** Gets the age of what is known, in milliseconds: time since somebody of the chain had contact with the store. */
+	/** Serves the request of a follower. */
+	serve: (request: FeedRequest) => Promise<FeedResponse>;
+	/** Returns the age of the known entries in milliseconds: the time since this vm, or the relay that it follows, had contact with the store. */
 	getAgeMs: () => number;
-	/** Takes note of another successful call to the store, such as the renewal of a lease. */
+	/** Records another successful call to the store, such as the renewal of a lease. */
 	recordContact: (askedAt: Instant) => void;
-	/** Applies what this process wrote itself. */
+	/** Applies a change that this process wrote to the store itself. */
 	applyLocalWrite: (change: StoreChange) => void;
 }>;
 
-/** Changes kept for followers that are behind. */
-const LOG_LIMIT = 2000;
-/** Longest wait of a follower's question, in milliseconds; also the resolution of ages. */
-const FOLLOW_WAIT_MS = 800;
-/** Age above which a relay is of no use, in milliseconds. */
-const STALE_MS = 1800;
-/** Time for which a vm goes on reading the store after it was asked to relay, in milliseconds. */
-const RELAY_MS = 5000;
-/** Shortest time of reading the store, in milliseconds, so that a relay that fails again and again is not tried all the time. */
-const LEAST_READING_MS = 1500;
-/** Pause between looks whether a relay can be followed instead, in milliseconds. */
-const READING_LOOK_MS = 500;
-/** Relays tried before the store itself. */
-const RELAYS_TRIED = 3;
-const FIRST_PAUSE_MS = 100;
-const LONGEST_PAUSE_MS = 1000;
-
-/** Creates a feed that knows nothing. */
+/** Maximum number of changes kept for followers that lag behind. */
+const MAX_LOG_LENGTH = 2000;
+/** Maximum wait of a follower's request, in milliseconds; also the resolution of ages. */
+const MAX_FOLLOWER_WAIT_MS = 800;
+/** Age above which data counts as stale, in milliseconds. A relay whose data is stale is not followed. */
+const STALENESS_LIMIT_MS = 1800;
+/** Time for which a vm keeps reading the store after the last request of a follower, in milliseconds. */
+const RELAY_TIMEOUT_MS = 5000;
+/** Minimum time of reading the store, in milliseconds, so that a relay that fails repeatedly is not tried continuously. */
+const MIN_READING_MS = 1500;
+/** Interval at which a vm that reads the store checks whether it can follow a relay instead, in milliseconds. */
+const READING_CHECK_INTERVAL_MS = 500;
+/** Maximum number of relays tried before the store is read directly. */
+const MAX_RELAY_ATTEMPTS = 3;
+const INITIAL_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 1000;
+
+/** Creates a change feed without entries. */
 export const createFeed = (context: FeedContext): Feed => {
 	const {world, source} = context;
 	const table = createEntryTable();
 	const changed = createNotifier(world);
-	let log: StoreChange[] = [];
+	let changeLog: StoreChange[] = [];
 	let firstNumber = 1;
 	let contactAt = PAST as number;
 	let storeContactAt = PAST as number;
 	let relayUntil: Deadline = PAST;
-	let reading = false;
+	let isReadingStore = false;
 	let followedRun = '';
 	let followedNumber = 0;
 
 	const getAgeMs = () => world.now() - contactAt;
 
-	const publish = (changes: readonly StoreChange[], before: ReadonlyMap<string, StoreEntry | undefined>) => {
-		const news = changes.filter(change => context.isRelevantChange(change, before.get(change.key)));
-		if (news.length === 0) {
+	const publish = (changes: readonly StoreChange[], previous: ReadonlyMap<string, StoreEntry | undefined>) => {
+		const relevant = changes.filter(change => context.isRelevantChange(change, previous.get(change.key)));
+		if (relevant.length === 0) {
 			return;
 		}
 
-		log.push(...news);
-		if (log.length > LOG_LIMIT) {
-			firstNumber += log.length - LOG_LIMIT;
-			log = log.slice(-LOG_LIMIT);
+		changeLog.push(...relevant);
+		if (changeLog.length > MAX_LOG_LENGTH) {
+			firstNumber += changeLog.length - MAX_LOG_LENGTH;
+			changeLog = changeLog.slice(-MAX_LOG_LENGTH);
 		}
 
-		context.onChange(news);
+		context.onChange(relevant);
 		changed.notify();
 	};
 
 	const applyChanges = (changes: readonly StoreChange[]) => {
-		const before = new Map(changes.map(({key}) => [key, table.get(key)]));
-		publish(changes.filter(change => table.apply(change)), before);
+		const previous = new Map(changes.map(({key}) => [key, table.get(key)]));
+		publish(changes.filter(change => table.apply(change)), previous);
 	};
 
 	const replaceAll = (prefix: string, entries: readonly StoreEntry[], revision: number) => {
-		const before = new Map(table.list(prefix).map(entry => [entry.key, entry]));
-		publish(table.replace(prefix, entries, revision), before);
+		const previous = new Map(table.list(prefix).map(entry => [entry.key, entry]));
+		publish(table.replace(prefix, entries, revision), previous);
 	};
 
-	const noteContact = (askedAt: Instant) => {
+	const recordContact = (askedAt: Instant) => {
 		contactAt = Math.max(contactAt, askedAt);
 		storeContactAt = Math.max(storeContactAt, askedAt);
 	};
 
-	/** Whether this vm should read the store: nobody else can be followed, or somebody follows it. */
-	const shouldRead = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, world.now());
+	/** Returns whether this vm should read the store, because there is no relay to follow or because other vms follow this one. */
+	const shouldReadStore = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, world.now());
 
 	const readPrefix = async (prefix: FeedPrefix, signal: AbortSignal): Promise<void> => {
 		let revision: number | undefined;
-		let pauseMs = FIRST_PAUSE_MS;
+		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!signal.aborted) {
 			const askedAt = world.now();
 			if (revision === undefined) {
@@ -148,7 +148,7 @@
 					replaceAll(prefix.prefix, read.val.entries, revision);
 				}
 
-				pauseMs = noteRead(read.ok ? undefined : read.val, askedAt, pauseMs);
+				backoffMs = recordRead(read.ok ? undefined : read.val, askedAt, backoffMs);
 			} else {
 				const watched = await source.watch(prefix.prefix, revision, prefix.waitMs);
 				if (watched.ok) {
@@ -158,66 +158,66 @@
 					revision = undefined;
 				}
 
-				pauseMs = noteRead(watched.ok ? undefined : watched.val, askedAt, pauseMs);
+				backoffMs = recordRead(watched.ok ? undefined : watched.val, askedAt, backoffMs);
 			}
 
-			const wait = pauseMs > FIRST_PAUSE_MS ? pauseMs * (0.5 + world.random()) : prefix.pauseMs;
-			if (wait > 0 && !signal.aborted) {
-				await world.sleep(wait, signal).catch(() => undefined);
+			const delayMs = backoffMs > INITIAL_BACKOFF_MS ? backoffMs * (0.5 + world.random()) : prefix.pauseMs;
+			if (delayMs > 0 && !signal.aborted) {
+				await world.sleep(delayMs, signal).catch(() => undefined);
 			}
 		}
 	};
 
-	/** Takes note of how a read ended; gives the next pause after failures. */
-	const noteRead = (failure: SourceProblem | undefined, askedAt: Instant, pauseMs: number): number => {
+	/** Records the outcome of a read; returns the next pause after failures. */
+	const recordRead = (failure: ReadFailure | undefined, askedAt: Instant, backoffMs: number): number => {
 		if (failure && failure.code !== 'historyLost') {
 			context.onStoreStatus(false, failure.message);
-			return Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+			return Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		}
 
-		noteContact(askedAt);
+		recordContact(askedAt);
 		context.onStoreStatus(true, '');
-		return FIRST_PAUSE_MS;
+		return INITIAL_BACKOFF_MS;
 	};
 
 	const readStore = async (signal: AbortSignal): Promise<void> => {
-		const stop = new AbortController();
+		const readerAbort = new AbortController();
 		const abort = () => {
-			stop.abort();
+			readerAbort.abort();
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
-		reading = true;
+		isReadingStore = true;
 		context.onSourceChange('store', '');
-		const readers = context.prefixes.map(async prefix => readPrefix(prefix, stop.signal));
-		await world.sleep(LEAST_READING_MS, signal).catch(() => undefined);
-		while (!signal.aborted && (shouldRead() || getAgeMs() > STALE_MS)) {
-			await world.sleep(READING_LOOK_MS, signal).catch(() => undefined);
+		const readers = context.prefixes.map(async prefix => readPrefix(prefix, readerAbort.signal));
+		await world.sleep(MIN_READING_MS, signal).catch(() => undefined);
+		while (!signal.aborted && (shouldReadStore() || getAgeMs() > STALENESS_LIMIT_MS)) {
+			await world.sleep(READING_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 		}
 
-		stop.abort();
-		reading = false;
+		readerAbort.abort();
+		isReadingStore = false;
 		signal.removeEventListener('abort', abort);
-		// The watches under way end by themselves within their wait.
+		// Watches in progress end by themselves when their wait is over.
 		void Promise.all(readers);
 	};
 
-	/** Follows a relay until it fails; `false` if it never answered. */
+	/** Follows a relay until it fails; returns `false` if it never responded with fresh data. */
 	const followRelay = async (relay: string, signal: AbortSignal): Promise<boolean> => {
-		let answered = false;
-		while (!signal.aborted && !shouldRead()) {
+		let hasResponded = false;
+		while (!signal.aborted && !shouldReadStore()) {
 			const askedAt = world.now();
-			const answer = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: answered ? FOLLOW_WAIT_MS : 0});
-			if (answer.err || answer.val.ageMs > STALE_MS) {
-				return answered;
+			const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: hasResponded ? MAX_FOLLOWER_WAIT_MS : 0});
+			if (response.err || response.val.ageMs > STALENESS_LIMIT_MS) {
+				return hasResponded;
 			}
 
-			if (!answered) {
+			if (!hasResponded) {
 				context.onSourceChange('relay', relay);
 			}
 
-			answered = true;
-			const {run, number, isWhole, changes, ageMs} = answer.val;
+			hasResponded = true;
+			const {run, number, isWhole, changes, ageMs} = response.val;
 			followedRun = run;
 			followedNumber = number;
 			contactAt = Math.max(contactAt, askedAt - ageMs);
@@ -231,62 +231,62 @@
 			}
 		}
 
-		return answered;
+		return hasResponded;
 	};
 
-	const listWhole = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => table.list(prefix))
+	const listAllChanges = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => table.list(prefix))
 		.map(entry => ({key: entry.key, revision: entry.revision, entry}));
 
 	return {
 		async run(signal) {
 			while (!signal.aborted) {
-				if (shouldRead()) {
+				if (shouldReadStore()) {
 					await readStore(signal);
 					continue;
 				}
 
-				let followed = false;
-				for (const relay of context.listRelays().slice(0, RELAYS_TRIED)) {
-					followed = await followRelay(relay, signal);
-					if (followed || signal.aborted || shouldRead()) {
+				let wasFollowed = false;
+				for (const relay of context.listRelays().slice(0, MAX_RELAY_ATTEMPTS)) {
+					wasFollowed = await followRelay(relay, signal);
+					if (wasFollowed || signal.aborted || shouldReadStore()) {
 						break;
 					}
 				}
 
-				if (!followed && !signal.aborted) {
+				if (!wasFollowed && !signal.aborted) {
 					await readStore(signal);
 				}
 			}
 		},
 		get: table.get,
 		list: table.list,
-		async serve(question) {
-			relayUntil = createDeadline(world.now(), RELAY_MS);
-			const until = createDeadline(world.now(), Math.min(question.waitMs, FOLLOW_WAIT_MS));
-			const nextNumber = () => firstNumber + log.length;
-			const isKnown = question.run === context.run && question.after >= firstNumber - 1;
-			if (isKnown) {
-				while (question.after + 1 >= nextNumber() && !isPast(until, world.now())) {
-					await changed.waitForChange(until);
+		async serve(request) {
+			relayUntil = createDeadline(world.now(), RELAY_TIMEOUT_MS);
+			const waitDeadline = createDeadline(world.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
+			const nextNumber = () => firstNumber + changeLog.length;
+			const isInLog = request.run === context.run && request.after >= firstNumber - 1;
+			if (isInLog) {
+				while (request.after + 1 >= nextNumber() && !isPast(waitDeadline, world.now())) {
+					await changed.waitForChange(waitDeadline);
 				}
 			}
 
-			const ageMs = Math.max(0, world.now() - (reading ? storeContactAt : contactAt));
-			const stillKnown = isKnown && question.after >= firstNumber - 1;
+			const ageMs = Math.max(0, world.now() - (isReadingStore ? storeContactAt : contactAt));
+			const isStillInLog = isInLog && request.after >= firstNumber - 1;
 			return {
 				run: context.run,
 				number: nextNumber() - 1,
-				isWhole: !stillKnown,
-				changes: stillKnown ? log.slice(question.after + 1 - firstNumber) : listWhole(),
+				isWhole: !isStillInLog,
+				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstNumber) : listAllChanges(),
 				ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
 			};
 		},
 		getAgeMs,
-		recordContact: noteContact,
+		recordContact,
 		applyLocalWrite(change) {
 			applyChanges([change]);
 		},
 	};
 };
 
-type SourceProblem = Readonly<{code: string; message: string}>;
+type ReadFailure = Readonly<{code: string; message: string}>;
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -1,4 +1,4 @@
-/** The feed: from the store, through a relay, across lost history. */
+/** Change feed: reads the store directly, follows a relay, and recovers when the store has lost its history. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -10,7 +10,7 @@
 
 const PREFIXES = [{prefix: 'a/', waitMs: 1000, pauseMs: 0}];
 
-/** A store of a few entries, with switches for its faults. */
+/** A store of a few entries with switchable faults. */
 const createStore = (world: World) => {
 	const changes: StoreChange[] = [];
 	const state = {isDown: false, historyFrom: 0, reads: 0};
@@ -34,9 +34,9 @@
 		},
 		async watch(prefix, after, waitMs) {
 			for (let waited = 0; waited < waitMs && !state.isDown && after >= state.historyFrom; waited += 20) {
-				const news = changes.filter(change => change.revision > after && change.key.startsWith(prefix));
-				if (news.length > 0) {
-					return Ok({changes: news, revision: getRevision()});
+				const newChanges = changes.filter(change => change.revision > after && change.key.startsWith(prefix));
+				if (newChanges.length > 0) {
+					return Ok({changes: newChanges, revision: getRevision()});
 				}
 
 				await world.sleep(20);
@@ -66,8 +66,8 @@
 			prefixes: PREFIXES,
 			isRelevantChange: () => true,
 			listRelays: () => relay ? ['relay'] : [],
-			callRelay: async (_relay, question): Promise<Result<Awaited<ReturnType<Feed['serve']>>, {code: string; message: string}>> => relay
-				? Ok(await relay.serve(question))
+			callRelay: async (_relay, request): Promise<Result<Awaited<ReturnType<Feed['serve']>>, {code: string; message: string}>> => relay
+				? Ok(await relay.serve(request))
 				: Err({code: 'gone', message: 'gone'}),
 			onChange: () => undefined,
 			onSourceChange: () => undefined,
@@ -83,7 +83,7 @@
 };
 
 describe('feed', () => {
-	it('reads the store and hears of changes', async () => {
+	it('reads the store and receives changes', async () => {
 		const {advance, store, start, stop} = createSetup();
 		store.put('a/x', '1');
 		const feed = start('one', store.source);
@@ -98,17 +98,17 @@
 		const {advance, store, start, stop} = createSetup();
 		const relay = start('one', store.source);
 		await advance(100);
-		const before = store.state.reads;
-		const follower = start('two', {...store.source, readAll: async () => Err({code: 'storeUnreachable', message: 'cut'})}, relay);
+		const previousReads = store.state.reads;
+		const follower = start('two', {...store.source, readAll: async () => Err({code: 'storeUnreachable', message: 'unreachable'})}, relay);
 		store.put('a/y', '7');
 		await advance(1200);
 		assert.equal(follower.get('a/y')?.value, '7');
 		assert.ok(follower.getAgeMs() < 2100);
-		assert.equal(store.state.reads, before);
+		assert.equal(store.state.reads, previousReads);
 		stop.abort();
 	});
 
-	it('knows the age of what a relay without the store tells', async () => {
+	it('reports the age of data from a relay that cannot reach the store', async () => {
 		const {advance, store, start, stop} = createSetup();
 		const relay = start('one', store.source);
 		await advance(100);
@@ -120,7 +120,7 @@
 		stop.abort();
 	});
 
-	it('reads everything again when the store has lost its history', async () => {
+	it('reads all entries again when the store has lost its history', async () => {
 		const {advance, store, start, stop} = createSetup();
 		store.put('a/x', '1');
 		const feed = start('one', store.source);
@@ -133,19 +133,19 @@
 	});
 });
 
-describe('table of entries', () => {
+describe('entry table', () => {
 	const entry = (revision: number) => ({
 		key: 'a/x', value: String(revision), revision, createdRevision: 1,
 	});
 
-	it('never goes back', () => {
+	it('never replaces an entry with an older one', () => {
 		const table = createEntryTable();
 		assert.ok(table.apply({key: 'a/x', revision: 5, entry: entry(5)}));
 		assert.ok(!table.apply({key: 'a/x', revision: 4, entry: entry(4)}));
 		assert.equal(table.get('a/x')?.value, '5');
 	});
 
-	it('does not bring a removed entry back by an older change', () => {
+	it('does not restore a removed entry by an older change', () => {
 		const table = createEntryTable();
 		table.apply({key: 'a/x', revision: 5, entry: entry(5)});
 		table.apply({key: 'a/x', revision: 7, entry: undefined});
