--- a/packages/routing/src/retries.ts
+++ b/packages/routing/src/retries.ts
@@ -1,29 +1,29 @@
-/** Retries of requests that have certainly not run: bounded, with jitter and a budget. */
+/** Retries of requests that have certainly not run: with backoff, jitter and a retry budget. */
 
 import {
 	createDeadline, isPast, type Deadline, type World,
 } from '@guavapitch/core';
 
-/** Budget of retries of one process. */
+/** Retry budget of a process: limits retries to a fraction of all requests. */
 export type RetryBudget = Readonly<{
-	/** Earns a share of a retry for each first try. */
+	/** Adds a fraction of a retry to the budget; called for the first try of each request. */
 	deposit: () => void;
-	/** Takes one retry; `false` if the budget is spent. */
+	/** Withdraws one retry; `false` if the budget is exhausted. */
 	tryWithdraw: () => boolean;
 }>;
 
-const SHARE = 0.2;
-const RESERVE = 100;
-const CAPACITY = 1000;
-const FIRST_PAUSE_MS = 5;
-const LONGEST_PAUSE_MS = 100;
+const DEPOSIT_PER_FIRST_TRY = 0.2;
+const INITIAL_TOKENS = 100;
+const MAX_TOKENS = 1000;
+const MIN_BACKOFF_MS = 5;
+const MAX_BACKOFF_MS = 100;
 
-/** Creates a budget: a fifth of the first tries, and a reserve. */
+/** Creates a budget that allows retries for a fifth of the requests, plus an initial reserve. */
 export const createRetryBudget = (): RetryBudget => {
-	let tokens = RESERVE;
+	let tokens = INITIAL_TOKENS;
 	return {
 		deposit() {
-			tokens = Math.min(CAPACITY, tokens + SHARE);
+			tokens = Math.min(MAX_TOKENS, tokens + DEPOSIT_PER_FIRST_TRY);
 		},
 		tryWithdraw() {
 			if (tokens < 1) {
@@ -36,19 +36,19 @@
 	};
 };
 
-/** Chooses the pause before a retry, in milliseconds: doubled each time, with full jitter. */
+/** Computes the pause before a retry, in milliseconds: exponential backoff, with jitter between half and all of it. */
 export const computeBackoffMs = (attempt: number, random: () => number): number => {
-	const longest = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * (2 ** attempt));
-	return longest * (0.5 + (random() / 2));
+	const ceilingMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * (2 ** attempt));
+	return ceilingMs * (0.5 + (random() / 2));
 };
 
-/** Waits before a retry; `false` if the deadline leaves no time for it. */
+/** Waits before a retry; resolves to `false` without waiting if the deadline would pass meanwhile. */
 export const waitBeforeRetry = async (attempt: number, deadline: Deadline, world: World, signal: AbortSignal): Promise<boolean> => {
-	const pauseMs = computeBackoffMs(attempt, world.random);
-	if (isPast(deadline, world.now()) || createDeadline(world.now(), pauseMs) >= deadline) {
+	const backoffMs = computeBackoffMs(attempt, world.random);
+	if (isPast(deadline, world.now()) || createDeadline(world.now(), backoffMs) >= deadline) {
 		return false;
 	}
 
-	await world.sleep(pauseMs, signal);
+	await world.sleep(backoffMs, signal);
 	return true;
 };
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -1,4 +1,4 @@
-/** Choice of the target and the home for a request. */
+/** Chooses the target of a request and the owner through which it runs. */
 
 import {match} from 'ts-pattern';
 import {
@@ -9,20 +9,21 @@
 import type {Refusal, RequestMode, StatementClass} from '@guavapitch/sessions';
 import {getDatabase, type RoutingView} from './view.js';
 
-/** Where a request goes and why. */
+/** Where a request is sent and why. */
 export type Route = Readonly<{
 	target: TargetId;
+	/** The vm that owns the connections to the target. */
 	owner: VmId;
-	/** Mode in which the home serves it; a read that no replica may serve goes to the primary as a write. */
+	/** Mode in which the owner runs it; a read that no replica can serve goes to the primary as a write. */
 	mode: RequestMode;
-	/** Why this target, in one sentence. */
+	/** Why this target was chosen, as a clause for people to read. */
 	reason: string;
 }>;
 
-/** A choice already tried for the same request. */
+/** A target and an owner that were already tried for the same request. */
 export type RouteAttempt = Readonly<{target: TargetId; owner: VmId}>;
 
-/** Chooses the consistency that a class of statement needs under the rule of its service. */
+/** Chooses the request mode for a class of statement; `staleReadsMs` is the staleness that the service allows for reads, if any. */
 export const chooseRequestMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
 	.with('read', 'empty', (): RequestMode => staleReadsMs === undefined ? 'read' : 'stale')
 	.otherwise(() => 'write');
@@ -37,47 +38,47 @@
 	.with('stale', () => getReplicas(database, record))
 	.exhaustive();
 
-const chooseHome = (view: RoutingView, target: TargetId, tried: readonly RouteAttempt[]): VmId | undefined => {
-	const homes = view.getOwners(target);
-	return homes.find(home => !tried.some(attempt => attempt.target === target && attempt.owner === home));
+const chooseOwner = (view: RoutingView, target: TargetId, tried: readonly RouteAttempt[]): VmId | undefined => {
+	const owners = view.getOwners(target);
+	return owners.find(owner => !tried.some(attempt => attempt.target === target && attempt.owner === owner));
 };
 
 const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly RouteAttempt[]): RouteAttempt | undefined => {
-	const open = candidates
+	const available = candidates
 		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
 		.map(target => ({target, order: view.getPendingCount(target) + view.random()}))
 		.toSorted((a, b) => a.order - b.order);
-	for (const {target} of open) {
-		const home = chooseHome(view, target, tried);
-		if (home) {
-			return {target, owner: home};
+	for (const {target} of available) {
+		const owner = chooseOwner(view, target, tried);
+		if (owner) {
+			return {target, owner};
 		}
 	}
 
 	return undefined;
 };
 
-const noRoute = (message: string): Refusal => ({code: 'noRoute', message});
+const createNoRouteRefusal = (message: string): Refusal => ({code: 'noRoute', message});
 
-/** Chooses a route; `tried` are the choices that were refused without having run. */
+/** Chooses a route; fails with `noRoute` if there is none. `tried` are the attempts that were refused without having run. */
 export const chooseRoute = (view: RoutingView, databaseId: DatabaseId, mode: RequestMode, tried: readonly RouteAttempt[]): Result<Route, Refusal> => {
 	const database = getDatabase(view.inventory, databaseId);
 	const record = view.getGroup(databaseId)?.record;
 	if (!database || !record) {
-		return Err(noRoute(`The primary of ${databaseId} is not known yet`));
+		return Err(createNoRouteRefusal(`The primary of ${databaseId} is not known yet`));
 	}
 
 	const replica = chooseReplica(view, getCandidates(database, record, mode), tried);
 	if (replica) {
-		return Ok({...replica, mode, reason: mode === 'read' ? 'a synced replica holds every acknowledged write' : 'the rule of the service allows data of a stated age'});
+		return Ok({...replica, mode, reason: mode === 'read' ? 'a synced replica has every acknowledged write' : 'the service allows stale reads'});
 	}
 
-	const owner = chooseHome(view, record.primary, tried) ?? view.getOwners(record.primary)[0];
+	const owner = chooseOwner(view, record.primary, tried) ?? view.getOwners(record.primary)[0];
 	if (!owner) {
-		return Err(noRoute(`No live vm is home of ${record.primary}`));
+		return Err(createNoRouteRefusal(`No live vm owns the target ${record.primary}`));
 	}
 
 	return Ok({
-		target: record.primary, owner: owner, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica may serve it now',
+		target: record.primary, owner, mode: 'write', reason: mode === 'write' ? 'writes go to the primary' : 'no replica can serve the read now',
 	});
 };
--- a/packages/routing/src/view.ts
+++ b/packages/routing/src/view.ts
@@ -1,4 +1,4 @@
-/** What the entry knows of the fleet when it chooses where a request goes. */
+/** State of the fleet on which an entry bases its choice of a route. */
 
 import type {
 	CustomerId, DatabaseId, TargetId, ServiceId, VmId,
@@ -8,25 +8,26 @@
 	Customer, Database, Inventory, Service,
 } from '@guavapitch/inventory';
 
-/** View of the fleet. */
+/** Dependencies of the choice of a route. */
 export type RoutingView = Readonly<{
 	inventory: Inventory;
-	/** Gets the last known record of a database. */
+	/** Returns the last known replication group of a database. */
 	getGroup: (database: DatabaseId) => GroupView | undefined;
-	/** Gets the homes of a target, best first. */
+	/** Returns the vms that own a target, in order of preference. */
 	getOwners: (target: TargetId) => readonly VmId[];
-	/** Tells whether the platform's list or the inventory says that a target is leaving. */
+	/** Tells whether a target is leaving according to the platform or the inventory. */
 	isLeaving: (target: TargetId) => boolean;
-	/** Gets the number of requests this entry has under way on a target. */
+	/** Returns the number of requests of this entry that are running on a target. */
 	getPendingCount: (target: TargetId) => number;
+	/** Returns a random number from 0 up to, but not including, 1; breaks ties between targets. */
 	random: () => number;
 }>;
 
-/** Gets a service by name. */
+/** Returns a service by name; `undefined` if the inventory has none of that name. */
 export const getService = (inventory: Inventory, service: ServiceId): Service | undefined => Object.hasOwn(inventory.services, service) ? inventory.services[service] : undefined;
 
-/** Gets a customer by name. */
+/** Returns a customer by name; `undefined` if the inventory has none of that name. */
 export const getCustomer = (inventory: Inventory, customer: CustomerId): Customer | undefined => Object.hasOwn(inventory.customers, customer) ? inventory.customers[customer] : undefined;
 
-/** Gets a database by name. */
+/** Returns a database by name; `undefined` if the inventory has none of that name. */
 export const getDatabase = (inventory: Inventory, database: DatabaseId): Database | undefined => Object.hasOwn(inventory.databases, database) ? inventory.databases[database] : undefined;
