--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -1,161 +1,162 @@
-/** Scarce connections to one target, opened ahead of need and reused. */
+/** Connection pool of one target: connections are limited, opened in advance and reused. */
 
 import {
 	createDeadline, createNotifier, createScope, Err, isPast, Ok, PAST, type Deadline, type Failure, type Result, type World,
 } from '@guavapitch/core';
 
-/** Failure of taking a connection; nothing has run. */
+/** Failure to acquire a connection; nothing has run. */
 export type PoolFailure = Failure<'targetUnreachable' | 'connectionsExhausted'>;
 
-/** A connection that the pool can keep. */
+/** A connection that can be pooled. */
 export type Poolable = AsyncDisposable & Readonly<{
 	/** Tells whether the connection has ended. */
 	isEnded: () => boolean;
-	/** Removes all state of earlier users; `false` if that failed. */
+	/** Removes the session state of earlier users; resolves to `false` if that failed. */
 	reset: () => Promise<boolean>;
 }>;
 
-/** A connection on loan. */
+/** Exclusive use of a pooled connection. */
 export type ConnectionHandle<Connection> = Readonly<{
 	connection: Connection;
-	/** Gives the connection back; a dirty one is reset first. */
+	/** Releases the connection: a dirty one is reset before reuse, a broken one is closed. Further calls do nothing. */
 	release: (state: 'clean' | 'dirty' | 'broken') => void;
 }>;
 
 /** Settings of a pool. */
 export type PoolSettings<Connection> = Readonly<{
-	/** Connections open at a time. */
+	/** Maximum number of open connections. */
 	maxOpen: number;
-	/** Connections kept open ahead of need. */
+	/** Number of idle connections that the pool tries to keep ready. */
 	minIdle: number;
+	/** Opens a connection. */
 	dial: () => Promise<Result<Connection, PoolFailure>>;
-	/** Called when a connection has become free. */
+	/** Called when a connection may have become available. */
 	onAvailable: () => void;
-	/** Called when a dial has failed or worked again. */
-	onReachabilityChange: (reachable: boolean, message: string) => void;
+	/** Called when opening a connection fails for the first time, and when it works again. */
+	onReachabilityChange: (isReachable: boolean, message: string) => void;
 }>;
 
-/** Pool of connections. */
+/** Connection pool. Disposing of it closes all connections. */
 export type Pool<Connection> = AsyncDisposable & Readonly<{
-	/** Takes a connection, waiting for a dial if needed. */
+	/** Acquires a connection, waiting for one to be released or opened; fails at the deadline, or early if the target is unreachable. */
 	acquire: (deadline: Deadline) => Promise<Result<ConnectionHandle<Connection>, PoolFailure>>;
-	/** Tells whether a connection is idle or may be opened. */
+	/** Tells whether a connection is idle or can be opened. */
 	hasCapacity: () => boolean;
 	getOpenCount: () => number;
 	getIdleCount: () => number;
 }>;
 
-const FIRST_BACKOFF_MS = 20;
-const LONGEST_BACKOFF_MS = 500;
+const MIN_BACKOFF_MS = 20;
+const MAX_BACKOFF_MS = 500;
 
-/** Creates a pool and begins to open its spare connections. */
+/** Creates a pool and starts to open its idle connections. */
 export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, world: World): Pool<Connection> => {
 	const idle: Connection[] = [];
 	const changed = createNotifier(world);
 	const scope = createScope(() => undefined);
-	let open = 0;
-	let dialling = 0;
-	let waiting = 0;
-	let reachable = true;
+	let openCount = 0;
+	let diallingCount = 0;
+	let waitingCount = 0;
+	let isReachable = true;
 	let nextDialAt: Deadline = PAST;
-	let backoffMs = FIRST_BACKOFF_MS;
+	let backoffMs = MIN_BACKOFF_MS;
 
-	const takeIdle = (): Connection | undefined => {
+	const popIdle = (): Connection | undefined => {
 		while (true) {
 			const connection = idle.pop();
 			if (!connection?.isEnded()) {
 				return connection;
 			}
 
-			open--;
+			openCount--;
 		}
 	};
 
-	const announce = () => {
+	const notifyAvailable = () => {
 		changed.notify();
 		settings.onAvailable();
 	};
 
-	const noteFailure = (message: string) => {
+	const recordDialFailure = (message: string) => {
 		nextDialAt = createDeadline(world.now(), backoffMs * (0.5 + world.random()));
-		backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2);
-		if (reachable) {
-			reachable = false;
+		backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+		if (isReachable) {
+			isReachable = false;
 			settings.onReachabilityChange(false, message);
 		}
 	};
 
-	const noteSuccess = () => {
-		backoffMs = FIRST_BACKOFF_MS;
-		if (!reachable) {
-			reachable = true;
+	const recordDialSuccess = () => {
+		backoffMs = MIN_BACKOFF_MS;
+		if (!isReachable) {
+			isReachable = true;
 			settings.onReachabilityChange(true, '');
 		}
 	};
 
 	const dialOne = async () => {
 		const dialled = await settings.dial();
-		dialling--;
+		diallingCount--;
 		if (dialled.err) {
-			noteFailure(dialled.val.message);
+			recordDialFailure(dialled.val.message);
 		} else if (scope.signal.aborted) {
 			await dialled.val[Symbol.asyncDispose]();
 		} else {
-			noteSuccess();
-			open++;
+			recordDialSuccess();
+			openCount++;
 			idle.push(dialled.val);
 		}
 
-		announce();
+		notifyAvailable();
 	};
 
-	const mayDial = () => open + dialling < settings.maxOpen && isPast(nextDialAt, world.now());
+	const canDial = () => openCount + diallingCount < settings.maxOpen && isPast(nextDialAt, world.now());
 
 	const dialAhead = () => {
-		const wanted = waiting + settings.minIdle - idle.length - dialling;
-		for (let count = 0; count < wanted && mayDial() && !scope.signal.aborted; count++) {
-			dialling++;
+		const missingCount = waitingCount + settings.minIdle - idle.length - diallingCount;
+		for (let count = 0; count < missingCount && canDial() && !scope.signal.aborted; count++) {
+			diallingCount++;
 			scope.run(dialOne);
 		}
 	};
 
-	const lend = (connection: Connection): ConnectionHandle<Connection> => {
-		let given = false;
-		const drop = async () => {
-			open--;
+	const createHandle = (connection: Connection): ConnectionHandle<Connection> => {
+		let released = false;
+		const closeConnection = async () => {
+			openCount--;
 			await connection[Symbol.asyncDispose]();
 			dialAhead();
-			announce();
+			notifyAvailable();
 		};
 
-		const keep = () => {
+		const returnToIdle = () => {
 			idle.push(connection);
-			announce();
+			notifyAvailable();
 		};
 
 		const reset = async () => {
-			const clean = await connection.reset();
-			if (clean && !scope.signal.aborted) {
-				keep();
+			const wasReset = await connection.reset();
+			if (wasReset && !scope.signal.aborted) {
+				returnToIdle();
 			} else {
-				await drop();
+				await closeConnection();
 			}
 		};
 
 		return {
 			connection,
 			release(state) {
-				if (given) {
+				if (released) {
 					return;
 				}
 
-				given = true;
+				released = true;
 				if (state === 'broken' || connection.isEnded() || scope.signal.aborted) {
-					scope.run(drop);
+					scope.run(closeConnection);
 				} else if (state === 'dirty') {
 					scope.run(reset);
 				} else {
-					keep();
+					returnToIdle();
 				}
 			},
 		};
@@ -163,17 +164,17 @@
 
 	const waitForIdle = async (deadline: Deadline): Promise<Connection | undefined> => {
 		while (true) {
-			const connection = takeIdle();
-			const isOver = isPast(deadline, world.now()) || scope.signal.aborted;
-			if (connection !== undefined || isOver) {
+			const connection = popIdle();
+			const mustStop = isPast(deadline, world.now()) || scope.signal.aborted;
+			if (connection !== undefined || mustStop) {
 				return connection;
 			}
 
 			dialAhead();
-			const wakeAt = isPast(nextDialAt, world.now()) ? deadline : Math.min(deadline, nextDialAt) as Deadline;
-			await changed.waitForChange(wakeAt);
-			if (!reachable) {
-				return takeIdle();
+			const recheckAt = isPast(nextDialAt, world.now()) ? deadline : Math.min(deadline, nextDialAt) as Deadline;
+			await changed.waitForChange(recheckAt);
+			if (!isReachable) {
+				return popIdle();
 			}
 		}
 	};
@@ -181,25 +182,25 @@
 	dialAhead();
 	return {
 		async acquire(deadline) {
-			waiting++;
+			waitingCount++;
 			const connection = await waitForIdle(deadline);
-			waiting--;
+			waitingCount--;
 			dialAhead();
 			if (connection) {
-				return Ok(lend(connection));
+				return Ok(createHandle(connection));
 			}
 
-			return reachable
-				? Err({code: 'connectionsExhausted', message: 'No connection became free in time'})
-				: Err({code: 'targetUnreachable', message: 'The target cannot be reached'});
+			return isReachable
+				? Err({code: 'connectionsExhausted', message: 'No connection became available before the deadline'})
+				: Err({code: 'targetUnreachable', message: 'The target is unreachable'});
 		},
-		hasCapacity: () => idle.length > 0 || open + dialling < settings.maxOpen,
-		getOpenCount: () => open,
+		hasCapacity: () => idle.length > 0 || openCount + diallingCount < settings.maxOpen,
+		getOpenCount: () => openCount,
 		getIdleCount: () => idle.length,
 		async [Symbol.asyncDispose]() {
-			const closing = scope[Symbol.asyncDispose]();
+			const tasksEnded = scope[Symbol.asyncDispose]();
 			changed.notify();
-			await closing;
+			await tasksEnded;
 			await Promise.all(idle.splice(0).map(async connection => connection[Symbol.asyncDispose]()));
 		},
 	};
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -1,63 +1,65 @@
-/** Fair queue of one target: customers share its slots by the time they use, by weight. */
+/** Weighted fair queue of one target: its slots are shared between customers by the time that they use, in proportion to their weights. */
 
 import {
 	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type World,
 } from '@guavapitch/core';
 
-/** Failure of entering the queue; the request has not run. */
+/** Failure to get a slot; the request has not run. */
 export type QueueFailure = Failure<'queueFull' | 'deadlinePassed' | 'aborted'> & Readonly<{retryAfterMs: number}>;
 
-/** Who waits, and for how long. */
+/** A request for a slot. */
 export type QueueEntry = Readonly<{
 	customer: CustomerId;
-	/** Share relative to the other customers. */
+	/** Weight of the customer, which gets slot time in proportion to it. */
 	weight: number;
 	deadline: Deadline;
-	/** Continues a transaction that already holds a connection; goes before the others. */
+	/** Whether it continues a transaction, which occupies a connection; such requests go first. */
 	pinned: boolean;
 }>;
 
-/** Permission to occupy a slot until it is disposed. */
+/** Permission to use a slot; disposing of it releases the slot. */
 export type Permit = Disposable & Readonly<{startedAt: Instant}>;
 
-/** Fair queue. */
+/** Weighted fair queue. */
 export type FairQueue = Readonly<{
-	/** Waits for a slot. */
+	/** Waits for a slot. Refuses at once if the customer's queue is full or the deadline cannot be met. */
 	enter: (entry: QueueEntry, signal?: AbortSignal) => Promise<Result<Permit, QueueFailure>>;
-	/** Looks again whether somebody may go; called when a connection has become free. */
+	/** Checks again which waiting requests can run; called when a connection becomes available. */
 	admitWaiting: () => void;
 	/** Changes the number of slots. */
 	setSlots: (slots: number) => void;
+	/** Counts the waiting requests. */
 	getLength: () => number;
+	/** Counts the slots in use. */
 	getBusyCount: () => number;
 }>;
 
-type Waiting = QueueEntry & Readonly<{settle: (result: Result<Permit, QueueFailure>) => void}>;
+type WaitingEntry = QueueEntry & Readonly<{settle: (result: Result<Permit, QueueFailure>) => void}>;
 
 type Account = {
-	/** Time used divided by weight, in milliseconds. */
-	virtualMs: number;
+	/** Slot time used, divided by the weight, in milliseconds. */
+	virtualTimeMs: number;
 	/** Mean time of a request, in milliseconds. */
 	meanMs: number;
-	running: number;
-	readonly waiting: Waiting[];
+	runningCount: number;
+	readonly waiting: WaitingEntry[];
 };
 
-/** Time in front that idling earns at most, divided by weight. */
-const CREDIT_MS = 200;
-const QUEUE_LIMIT = 128;
-const FIRST_MEAN_MS = 2;
-const MEAN_SHARE = 0.1;
-const SWEEP_MS = 20;
+/** Maximum lead in virtual time that a customer gains by being idle. */
+const MAX_IDLE_CREDIT_MS = 200;
+const MAX_WAITING_PER_CUSTOMER = 128;
+const INITIAL_MEAN_MS = 2;
+const MEAN_WEIGHT = 0.1;
+const SWEEP_INTERVAL_MS = 20;
 
-/** Creates an empty queue; `hasConnection` tells whether a connection could be taken now. */
+/** Creates an empty queue; `hasConnection` tells whether a connection could be acquired now. */
 export const createFairQueue = (world: World, slots: number, hasConnection: () => boolean): FairQueue => {
 	const accounts = new Map<CustomerId, Account>();
-	const pinned: Waiting[] = [];
-	let capacity = slots;
-	let busy = 0;
-	let length = 0;
-	let sweeping = false;
+	const pinnedEntries: WaitingEntry[] = [];
+	let slotCount = slots;
+	let busyCount = 0;
+	let waitingCount = 0;
+	let isSweeping = false;
 
 	const getAccount = (customer: CustomerId): Account => {
 		const known = accounts.get(customer);
@@ -66,30 +68,30 @@
 		}
 
 		const created: Account = {
-			virtualMs: 0, meanMs: FIRST_MEAN_MS, running: 0, waiting: [],
+			virtualTimeMs: 0, meanMs: INITIAL_MEAN_MS, runningCount: 0, waiting: [],
 		};
 		accounts.set(customer, created);
 		return created;
 	};
 
-	const isActive = (account: Account): boolean => account.waiting.length > 0 || account.running > 0;
+	const isActive = (account: Account): boolean => account.waiting.length > 0 || account.runningCount > 0;
 
-	/** A customer that comes back starts a little before the least time of the active ones: idling earns a burst, and no more. */
-	const alignAccount = (account: Account) => {
+	/** Moves the virtual time of a customer that was idle close to the lowest of the active customers: being idle earns one burst, not more. */
+	const capIdleCredit = (account: Account) => {
 		const active = [...accounts.values()].filter(other => other !== account && isActive(other));
 		if (!isActive(account) && active.length > 0) {
-			account.virtualMs = Math.max(account.virtualMs, Math.min(...active.map(other => other.virtualMs)) - CREDIT_MS);
+			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...active.map(other => other.virtualTimeMs)) - MAX_IDLE_CREDIT_MS);
 		}
 	};
 
-	const start = (waiting: Waiting): Permit => {
+	const issuePermit = (waiting: WaitingEntry): Permit => {
 		const account = getAccount(waiting.customer);
 		const startedAt = world.now();
-		const charged = account.meanMs;
+		const chargedMs = account.meanMs;
 		let released = false;
-		busy++;
-		account.running++;
-		account.virtualMs += charged / waiting.weight;
+		busyCount++;
+		account.runningCount++;
+		account.virtualTimeMs += chargedMs / waiting.weight;
 		return {
 			startedAt,
 			[Symbol.dispose]() {
@@ -98,18 +100,18 @@
 				}
 
 				released = true;
-				const used = world.now() - startedAt;
-				busy--;
-				account.running--;
-				account.virtualMs += (used - charged) / waiting.weight;
-				account.meanMs += (used - account.meanMs) * MEAN_SHARE;
-				admit();
+				const usedMs = world.now() - startedAt;
+				busyCount--;
+				account.runningCount--;
+				account.virtualTimeMs += (usedMs - chargedMs) / waiting.weight;
+				account.meanMs += (usedMs - account.meanMs) * MEAN_WEIGHT;
+				admitWaiting();
 			},
 		};
 	};
 
-	const chooseNext = (): Waiting | undefined => {
-		const first = pinned.shift();
+	const chooseNext = (): WaitingEntry | undefined => {
+		const first = pinnedEntries.shift();
 		if (first) {
 			return first;
 		}
@@ -120,7 +122,7 @@
 
 		let best: Account | undefined;
 		for (const account of accounts.values()) {
-			if (account.waiting.length > 0 && (!best || account.virtualMs < best.virtualMs)) {
+			if (account.waiting.length > 0 && (!best || account.virtualTimeMs < best.virtualTimeMs)) {
 				best = account;
 			}
 		}
@@ -128,89 +130,89 @@
 		return best?.waiting.shift();
 	};
 
-	const admit = () => {
-		while (busy < capacity) {
+	const admitWaiting = () => {
+		while (busyCount < slotCount) {
 			const next = chooseNext();
 			if (!next) {
 				return;
 			}
 
-			length--;
+			waitingCount--;
 			if (isPast(next.deadline, world.now())) {
-				next.settle(Err({code: 'deadlinePassed', message: 'The deadline passed in the queue', retryAfterMs: 0}));
+				next.settle(Err({code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0}));
 			} else {
-				next.settle(Ok(start(next)));
+				next.settle(Ok(issuePermit(next)));
 			}
 		}
 	};
 
-	const removeWhere = (queue: Waiting[], test: (waiting: Waiting) => boolean, failure: QueueFailure) => {
+	const removeWhere = (queue: WaitingEntry[], predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
 		for (let index = queue.length - 1; index >= 0; index--) {
 			const waiting = queue[index];
-			if (waiting && test(waiting)) {
+			if (waiting && predicate(waiting)) {
 				queue.splice(index, 1);
-				length--;
+				waitingCount--;
 				waiting.settle(Err(failure));
 			}
 		}
 	};
 
-	const removeAll = (test: (waiting: Waiting) => boolean, failure: QueueFailure) => {
-		removeWhere(pinned, test, failure);
+	const removeAll = (predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
+		removeWhere(pinnedEntries, predicate, failure);
 		for (const account of accounts.values()) {
-			removeWhere(account.waiting, test, failure);
+			removeWhere(account.waiting, predicate, failure);
 		}
 	};
 
-	/** Refuses requests whose deadline passes while they wait; runs only while somebody waits. */
+	/** Refuses requests whose deadline passes while they wait; runs only while requests are waiting. */
 	const sweep = async () => {
-		if (sweeping) {
+		if (isSweeping) {
 			return;
 		}
 
-		sweeping = true;
-		while (length > 0) {
-			await world.sleep(SWEEP_MS);
+		isSweeping = true;
+		while (waitingCount > 0) {
+			await world.sleep(SWEEP_INTERVAL_MS);
 			const now = world.now();
-			removeAll(waiting => isPast(waiting.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed in the queue', retryAfterMs: 0});
+			removeAll(waiting => isPast(waiting.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
 		}
 
-		sweeping = false;
+		isSweeping = false;
 	};
 
 	const estimateWaitMs = (account: Account): number => {
 		const active = [...accounts.values()].filter(other => isActive(other)).length;
-		return account.waiting.length * account.meanMs * Math.max(1, active) / capacity;
+		return account.waiting.length * account.meanMs * Math.max(1, active) / slotCount;
 	};
 
 	return {
 		async enter(entry, signal) {
 			const account = getAccount(entry.customer);
 			const waitMs = estimateWaitMs(account);
-			if (!entry.pinned && (account.waiting.length >= QUEUE_LIMIT || world.now() + waitMs > entry.deadline)) {
-				return Err({code: 'queueFull', message: 'Too many requests of this customer wait for the target', retryAfterMs: Math.ceil(waitMs)});
+			if (!entry.pinned && (account.waiting.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
+				return Err({code: 'queueFull', message: 'Too many requests of this customer are waiting for the target', retryAfterMs: Math.ceil(waitMs)});
 			}
 
-			alignAccount(account);
+			capIdleCredit(account);
 			return new Promise(settle => {
-				const waiting: Waiting = {...entry, settle};
-				(entry.pinned ? pinned : account.waiting).push(waiting);
-				length++;
+				const waiting: WaitingEntry = {...entry, settle};
+				(entry.pinned ? pinnedEntries : account.waiting).push(waiting);
+				waitingCount++;
 				signal?.addEventListener('abort', () => {
-					removeAll(other => other === waiting, {code: 'aborted', message: 'The caller has gone', retryAfterMs: 0});
+					removeAll(other => other === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 				}, {once: true});
-				admit();
-				if (length > 0) {
+				admitWaiting();
+				if (waitingCount > 0) {
 					void sweep();
 				}
 			});
 		},
-		admitWaiting: admit,
+		admitWaiting,
 		setSlots(next) {
-			capacity = next;
-			admit();
+			slotCount = next;
+			admitWaiting();
 		},
-		getLength: () => length,
-		getBusyCount: () => busy,
+		getLength: () => waitingCount,
+		getBusyCount: () => busyCount,
 	};
 };
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -1,4 +1,4 @@
-/** Fair service and scarce connections. */
+/** Weighted fair queue and connection pool. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -12,7 +12,7 @@
 const LARGE = parseId<CustomerId>('large');
 
 describe('fair queue', () => {
-	const serve = async (largeWorkers: number, smallWeight = 1) => {
+	const measureWaits = async (largeWorkers: number, smallWeight = 1) => {
 		const {world, advance} = createVirtualWorld(7);
 		const queue = createFairQueue(world, 2, () => true);
 		const waits: number[] = [];
@@ -20,7 +20,7 @@
 		let running = true;
 		const work = async (customer: CustomerId, weight: number, pauseMs: number) => {
 			while (running) {
-				const askedAt = world.now();
+				const enteredAt = world.now();
 				const entered = await queue.enter({
 					customer, weight, deadline: createDeadline(world.now(), 5000), pinned: false,
 				});
@@ -29,7 +29,7 @@
 					await world.sleep(5);
 					served.set(customer, (served.get(customer) ?? 0) + 1);
 					if (customer === SMALL) {
-						waits.push(permit.startedAt - askedAt);
+						waits.push(permit.startedAt - enteredAt);
 					}
 				}
 
@@ -45,13 +45,13 @@
 		return {waits: waits.toSorted((a, b) => a - b), served};
 	};
 
-	it('keeps a small customer from waiting behind a large one', async () => {
-		const {waits} = await serve(60);
+	it('keeps the wait of a small customer short during a flood by a large one', async () => {
+		const {waits} = await measureWaits(60);
 		const p99 = waits[Math.floor(waits.length * 0.99)] ?? 0;
-		assert.ok(p99 <= 10, `p99 of the wait is ${p99} ms, two services take 10 ms`);
+		assert.ok(p99 <= 10, `p99 of the wait is ${p99} ms; two requests take 10 ms`);
 	});
 
-	it('serves a burst of a customer that was idle before a flood, and a longer one by turns', async () => {
+	it('serves a short burst of an idle customer before a flood, and alternates during a longer one', async () => {
 		const {world, advance} = createVirtualWorld(3);
 		const queue = createFairQueue(world, 1, () => true);
 		const order: CustomerId[] = [];
@@ -75,9 +75,9 @@
 		await advance(10_000);
 		await Promise.all(running);
 		const after = order.slice(before);
-		const isSmall = after.map(customer => customer === SMALL);
-		assert.ok(isSmall.slice(1, 11).every(Boolean), 'a burst within the credit goes first');
-		assert.ok(isSmall.slice(11, 60).includes(false), 'a longer one takes turns');
+		const servedSmall = after.map(customer => customer === SMALL);
+		assert.ok(servedSmall.slice(1, 11).every(Boolean), 'a burst within the idle credit goes first');
+		assert.ok(servedSmall.slice(11, 60).includes(false), 'a longer burst alternates with the flood');
 	});
 
 	it('refuses at once when the deadline cannot be met', async () => {
@@ -93,7 +93,7 @@
 		assert.ok(results.slice(1).every(result => result.err));
 	});
 
-	it('gives a pinned transaction the next slot', async () => {
+	it('gives the next slot to a pinned transaction', async () => {
 		const {world, advance} = createVirtualWorld();
 		const queue = createFairQueue(world, 1, () => true);
 		const deadline = createDeadline(world.now(), 1000);
@@ -115,10 +115,10 @@
 });
 
 describe('pool', () => {
-	it('never opens more than its limit, reuses, and resets what is dirty', async () => {
+	it('stays within its limit, reuses connections and resets dirty ones', async () => {
 		const {world, advance} = createVirtualWorld(3);
-		let open = 0;
-		let most = 0;
+		let openCount = 0;
+		let maxOpenCount = 0;
 		let resets = 0;
 		let dials = 0;
 		const pool = createPool<Poolable>({
@@ -126,8 +126,8 @@
 			minIdle: 1,
 			async dial() {
 				dials++;
-				open++;
-				most = Math.max(most, open);
+				openCount++;
+				maxOpenCount = Math.max(maxOpenCount, openCount);
 				await world.sleep(30);
 				return Ok({
 					isEnded: () => false,
@@ -136,7 +136,7 @@
 						return true;
 					},
 					async [Symbol.asyncDispose]() {
-						open--;
+						openCount--;
 					},
 				});
 			},
@@ -144,19 +144,19 @@
 			onReachabilityChange: () => undefined,
 		}, world);
 		const use = async (index: number) => {
-			const taken = await pool.acquire(createDeadline(world.now(), 5000));
-			const loan = taken.unwrap();
+			const acquired = await pool.acquire(createDeadline(world.now(), 5000));
+			const handle = acquired.unwrap();
 			await world.sleep(10);
-			loan.release(index % 3 === 0 ? 'dirty' : (index % 7 === 0 ? 'broken' : 'clean'));
+			handle.release(index % 3 === 0 ? 'dirty' : (index % 7 === 0 ? 'broken' : 'clean'));
 		};
 
 		const uses = Promise.all(Array.from({length: 60}, async (_, index) => use(index)));
 		await advance(5000);
 		await uses;
-		assert.equal(most, 3);
+		assert.equal(maxOpenCount, 3);
 		assert.equal(resets, 20);
 		assert.ok(dials <= 12, `${dials} dials for 60 uses`);
 		await pool[Symbol.asyncDispose]();
-		assert.equal(open, 0);
+		assert.equal(openCount, 0);
 	});
 });
