--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -124,7 +124,7 @@
 /** Creates an empty connection pool; `getLimit` returns the maximum number of open connections. */
 export const createTargetConnections = (target: Target, dial: DialTarget, getLimit: () => number, world: World): TargetConnections => {
 	const sessions = new Set<Session>();
-	let dialling = 0;
+	let diallingCount = 0;
 	let isClosed = false;
 
 	const closeSession = (session: Session) => {
@@ -179,10 +179,10 @@
 	};
 
 	const openSession = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
-		dialling++;
+		diallingCount++;
 		const dialDeadline = Math.min(deadline, createDeadline(world.now(), DIAL_TIMEOUT_MS)) as Deadline;
 		const dialled = await dial(target, customer, dialDeadline);
-		dialling--;
+		diallingCount--;
 		if (dialled.err) {
 			return dialled;
 		}
@@ -196,7 +196,7 @@
 
 	/** Opens a connection; at the limit, it replaces the least recently used idle one. */
 	const openOrReplace = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
-		if (sessions.size + dialling >= getLimit()) {
+		if (sessions.size + diallingCount >= getLimit()) {
 			const leastRecentlyUsed = findLeastRecentlyUsed();
 			if (!leastRecentlyUsed) {
 				return Err({code: 'tooMany', message: 'Every connection to the target is in use'});
@@ -209,7 +209,7 @@
 	};
 
 	return {
-		canAcquire: customer => sessions.size + dialling < getLimit() || findIdle(customer, []) !== undefined || findLeastRecentlyUsed() !== undefined,
+		canAcquire: customer => sessions.size + diallingCount < getLimit() || findIdle(customer, []) !== undefined || findLeastRecentlyUsed() !== undefined,
 		async acquire(customer, values, deadline) {
 			const idle = findIdle(customer, values);
 			return idle ? Ok(checkOut(idle)) : openOrReplace(customer, deadline);
@@ -240,6 +240,6 @@
 				}
 			}
 		},
-		getOpenCount: () => sessions.size + dialling,
+		getOpenCount: () => sessions.size + diallingCount,
 	};
 };
--- a/packages/homes/src/failover-coordinator.ts
+++ b/packages/homes/src/failover-coordinator.ts
@@ -102,8 +102,8 @@
 		return rankReplicas(await queryAll(context, replicas));
 	}
 
-	const knownReports = await queryAll(context, replicas);
-	const term = Math.max(0, ...knownReports.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
+	const initialReports = await queryAll(context, replicas);
+	const term = Math.max(0, ...initialReports.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
 	const pausedReports = await queryAll(context, replicas, {kind: 'pause', term});
 	if (pausedReports.length === replicas.length) {
 		return rankReplicas(pausedReports);
@@ -191,8 +191,8 @@
 	}
 };
 
-/** State of the suspicion against the primary between checks. */
-type SuspicionState = {
+/** What the checks of the primary have found so far. */
+type PrimaryCheckState = {
 	/** Since when the primary has refused connections. */
 	refusingSince: Instant | undefined;
 	/** Since when no target has led. */
@@ -202,32 +202,32 @@
 };
 
 /** Checks the primary once; returns the reason to replace it, or `undefined`. */
-const checkPrimary = async (context: FailoverCoordinatorContext, suspicion: SuspicionState): Promise<string | undefined> => {
+const checkPrimary = async (context: FailoverCoordinatorContext, state: PrimaryCheckState): Promise<string | undefined> => {
 	const {world, owner} = context;
 	const {leaderTracker, healthTracker} = owner.components;
 	const leader = leaderTracker.getLeader();
 	const now = world.now();
 	if (leader === undefined || !owner.components.getTarget(leader)) {
-		suspicion.leaderlessSince ??= now;
-		return now - suspicion.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
+		state.leaderlessSince ??= now;
+		return now - state.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
 	}
 
-	suspicion.leaderlessSince = undefined;
-	const lastResponseAt = healthTracker.getLastResponseAt(leader) ?? suspicion.watchedSince ?? now;
-	suspicion.watchedSince ??= now;
+	state.leaderlessSince = undefined;
+	const lastResponseAt = healthTracker.getLastResponseAt(leader) ?? state.watchedSince ?? now;
+	state.watchedSince ??= now;
 	if (now - lastResponseAt < PING_AFTER_MS && healthTracker.isUsable(leader)) {
-		suspicion.refusingSince = undefined;
+		state.refusingSince = undefined;
 		return undefined;
 	}
 
 	const pingResult = await owner.ping(leader, createDeadline(now, PING_AFTER_MS));
 	if (pingResult === 'leads' || pingResult === 'follows') {
-		suspicion.refusingSince = undefined;
+		state.refusingSince = undefined;
 		return undefined;
 	}
 
-	suspicion.refusingSince = pingResult === 'refused' ? suspicion.refusingSince ?? now : undefined;
-	if (suspicion.refusingSince !== undefined && world.now() - suspicion.refusingSince >= REFUSAL_GRACE_MS) {
+	state.refusingSince = pingResult === 'refused' ? state.refusingSince ?? now : undefined;
+	if (state.refusingSince !== undefined && world.now() - state.refusingSince >= REFUSAL_GRACE_MS) {
 		return 'the primary refuses connections';
 	}
 
@@ -238,7 +238,7 @@
 /** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
 	const {world, owner} = context;
-	const suspicion: SuspicionState = {refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined};
+	const state: PrimaryCheckState = {refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined};
 	while (!signal.aborted) {
 		await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 		if (signal.aborted || !context.isCoordinator() || owner.components.listTargets().length === 0) {
@@ -251,7 +251,7 @@
 			continue;
 		}
 
-		const reason = await checkPrimary(context, suspicion);
+		const reason = await checkPrimary(context, state);
 		if (reason !== undefined && context.isCoordinator()) {
 			context.onEvent({
 				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
@@ -259,9 +259,9 @@
 			const all = listReplicas(context, leader);
 			const staying = all.filter(({isDraining}) => !isDraining);
 			await promoteBestReplica(context, staying.length > 0 && !context.isSynchronouslyReplicated() ? staying : all, reason);
-			suspicion.refusingSince = undefined;
-			suspicion.leaderlessSince = undefined;
-			suspicion.watchedSince = undefined;
+			state.refusingSince = undefined;
+			state.leaderlessSince = undefined;
+			state.watchedSince = undefined;
 		}
 	}
 };
