--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -97,8 +97,8 @@
 	return {
 		grant(holder, parameters) {
 			const now = world.now();
-			const {authorityDeadline: authority, ...contents} = parameters;
-			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authority - now - CLOCK_DRIFT_MS);
+			const {authorityDeadline, ...contents} = parameters;
+			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authorityDeadline - now - CLOCK_DRIFT_MS);
 			if (validMs <= 0) {
 				return undefined;
 			}
--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import type {Member, MemberUpdate, Members} from './members.js';
 
-/** Request of a ping. Requests and responses both carry updates. With `through`, the receiver pings that vm on behalf of the sender. */
+/** Request of a ping. Requests and responses both carry updates, in `news`. With `through`, the receiver pings that vm on behalf of the sender. */
 export type PingRequest = Readonly<{news: readonly MemberUpdate[]; through?: VmId}>;
 
 /** Response to a ping. */
