--- a/packages/back-postgres/src/exchange.ts
+++ b/packages/back-postgres/src/chunk-response.ts
@@ -15,13 +15,13 @@
 		| Readonly<{kind: 'create'}>;
 
 /** Progress of one chunk on a connection. */
-export type ChunkProgress = Readonly<{
+export type ChunkResponse = Readonly<{
 	/** Messages for the caller that need no answer of the target. */
-	initial: readonly Message[];
+	initialReplies: readonly Message[];
 	/** Takes a message of the target; gives the messages for the caller. */
 	accept: (message: Message) => readonly Message[];
 	/** Tells whether nothing more will come unless the chunk ends with `ReadyForQuery`. */
-	isSettled: () => boolean;
+	isComplete: () => boolean;
 	/** Tells whether the target now ignores everything up to a Sync. */
 	hasFailed: () => boolean;
 }>;
@@ -52,9 +52,9 @@
 };
 
 /** Sends a chunk; `skipping` tells that the target ignores everything up to a Sync after an error. */
-export const sendChunk = async (connection: TargetConnection, chunk: RequestChunk, skipping: boolean): Promise<ChunkProgress> => {
+export const sendChunk = async (connection: TargetConnection, chunk: RequestChunk, skipping: boolean): Promise<ChunkResponse> => {
 	const expected: Expected[] = [];
-	const known = new Set(connection.prepared);
+	const known = new Set(connection.preparedHashes);
 	const bytes: Buffer[] = [];
 	let simple = false;
 	let failed = skipping;
@@ -90,7 +90,7 @@
 	const acceptReply = (message: Message): readonly Message[] => {
 		const next = expected.shift();
 		if (next && next.kind !== 'create' && next.prepares !== undefined) {
-			connection.prepared.add(next.prepares);
+			connection.preparedHashes.add(next.prepares);
 		}
 
 		const own = next?.kind === 'drop' ? [] : [message];
@@ -98,7 +98,7 @@
 	};
 
 	return {
-		initial: takeCreated(),
+		initialReplies: takeCreated(),
 		accept(message) {
 			if (message.type === 'E') {
 				failed = true;
@@ -116,7 +116,7 @@
 
 			return !simple && TERMINATORS.has(message.type) ? acceptReply(message) : [message];
 		},
-		isSettled: () => !chunk.ends && (failed || expected.length === 0),
+		isComplete: () => !chunk.ends && (failed || expected.length === 0),
 		hasFailed: () => failed,
 	};
 };
--- a/packages/back-postgres/src/connection.ts
+++ b/packages/back-postgres/src/connection.ts
@@ -7,8 +7,8 @@
 } from '@guavapitch/core';
 import type {PoolFailure, Poolable} from '@guavapitch/pool';
 import {
-	createCancel, createMessage, createQuery, createStartup, getBody, openWire, readErrorResponse, startScramClient,
-	type Message, type ReadFailure, type Wire,
+	createCancelRequest, createMessage, createQuery, createStartupPacket, getBody, openWireConnection, readErrorResponse, startScramClient,
+	type Message, type ReadFailure, type WireConnection,
 } from '@guavapitch/postgres-wire';
 
 /** How to reach a target. */
@@ -25,7 +25,7 @@
 /** An open connection to a target. */
 export type TargetConnection = Poolable & Readonly<{
 	/** Statements prepared on this connection, by hash. */
-	prepared: Set<string>;
+	preparedHashes: Set<string>;
 	/** Writes messages. */
 	write: (...parts: readonly Buffer[]) => Promise<void>;
 	/** Reads at least one message. */
@@ -67,7 +67,7 @@
 };
 
 /** Answers the target's requests for authentication until it is ready. */
-const authenticate = async (wire: Wire, address: TargetAddress): Promise<Result<Message | undefined, PoolFailure>> => {
+const authenticate = async (wire: WireConnection, address: TargetAddress): Promise<Result<Message | undefined, PoolFailure>> => {
 	const password = address.password ?? '';
 	const scram = startScramClient(password);
 	let keyData: Message | undefined;
@@ -104,13 +104,13 @@
 				}
 
 				case AUTHENTICATION_SASL: {
-					await wire.write(scram.createFirst().bytes);
+					await wire.write(scram.createInitialResponse().bytes);
 
 					break;
 				}
 
 				case AUTHENTICATION_SASL_CONTINUE: {
-					await wire.write(scram.createFinal(body.toString('utf8', 4)).bytes);
+					await wire.write(scram.createFinalResponse(body.toString('utf8', 4)).bytes);
 
 					break;
 				}
@@ -128,11 +128,11 @@
 /** Opens a connection to a target. */
 export const openTargetConnection = async (address: TargetAddress): Promise<Result<TargetConnection, PoolFailure>> => {
 	const socket = createConnection({host: address.host, port: address.port, noDelay: true});
-	const wire = openWire(socket);
+	const wire = openWireConnection(socket);
 	socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
 		socket.destroy();
 	});
-	await wire.write(createStartup({user: address.user, database: address.databaseName, application_name: address.applicationName}));
+	await wire.write(createStartupPacket({user: address.user, database: address.databaseName, application_name: address.applicationName}));
 	const authenticated = await authenticate(wire, address);
 	if (authenticated.err) {
 		await wire[Symbol.asyncDispose]();
@@ -141,7 +141,7 @@
 
 	socket.setTimeout(0);
 	const key = authenticated.val ? getBody(authenticated.val) : undefined;
-	const prepared = new Set<string>();
+	const preparedHashes = new Set<string>();
 
 	const query = async (text: string): Promise<Result<readonly QueryRows[], QueryFailure>> => {
 		await wire.write(createQuery(text).bytes);
@@ -185,7 +185,7 @@
 	};
 
 	return Ok({
-		prepared,
+		preparedHashes: preparedHashes,
 		write: wire.write,
 		read: wire.readMessages,
 		query,
@@ -199,12 +199,12 @@
 			canceller.on('error', () => {
 				canceller.destroy();
 			});
-			canceller.end(createCancel(key.readInt32BE(0), key.readInt32BE(4)));
+			canceller.end(createCancelRequest(key.readInt32BE(0), key.readInt32BE(4)));
 		},
 		async reset() {
 			const result = await query('ROLLBACK');
 			const discarded = result.ok ? await query('DISCARD ALL') : result;
-			prepared.clear();
+			preparedHashes.clear();
 			return discarded.ok;
 		},
 		async [Symbol.asyncDispose]() {
--- a/packages/back-postgres/src/commands.ts
+++ b/packages/back-postgres/src/control-connection.ts
@@ -8,9 +8,9 @@
 } from './connection.js';
 
 /** A connection for questions; it is opened when needed and dropped after a failure. */
-export type Questions = AsyncDisposable & Readonly<{
+export type ControlConnection = AsyncDisposable & Readonly<{
 	/** Runs a simple query. */
-	ask: (text: string) => Promise<Result<readonly QueryRows[], Failure>>;
+	query: (text: string) => Promise<Result<readonly QueryRows[], Failure>>;
 }>;
 
 /** Time within which a target must answer, in milliseconds. */
@@ -26,7 +26,7 @@
 };
 
 /** Creates the questions to a target; one is asked at a time. */
-export const createQuestions = (address: TargetAddress, world: World): Questions => {
+export const createControlConnection = (address: TargetAddress, world: World): ControlConnection => {
 	let connection: TargetConnection | undefined;
 	let turn: Promise<unknown> = Promise.resolve();
 
@@ -62,7 +62,7 @@
 	};
 
 	return {
-		async ask(text) {
+		async query(text) {
 			const answer = turn.then(async () => askInTime(text));
 			turn = answer;
 			return answer;
@@ -72,7 +72,7 @@
 };
 
 /** What a target says of itself. */
-export type StateAnswer = Readonly<{isReplica: boolean; timeline: number; position: number; replayed: ReadonlyMap<string, number>}>;
+export type TargetState = Readonly<{isReplica: boolean; timeline: number; position: number; replayed: ReadonlyMap<string, number>}>;
 
 const STATE_QUERY = 'SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint(); SELECT pg_last_wal_replay_lsn()';
 const PRIMARY_QUERY = 'SELECT pg_current_wal_lsn(); SELECT application_name, replay_lsn FROM pg_stat_replication';
@@ -80,14 +80,14 @@
 const parseReplicas = (rows: QueryRows | undefined): ReadonlyMap<string, number> => new Map((rows ?? []).map(([name, position]) => [name ?? '', parsePosition(position)]));
 
 /** Asks a primary for the end of its log and the progress of its replicas. */
-export const askPositions = async (questions: Questions): Promise<Result<Readonly<{position: number; replayed: ReadonlyMap<string, number>}>, Failure>> => {
-	const answer = await questions.ask(PRIMARY_QUERY);
+export const readPrimaryPositions = async (questions: ControlConnection): Promise<Result<Readonly<{position: number; replayed: ReadonlyMap<string, number>}>, Failure>> => {
+	const answer = await questions.query(PRIMARY_QUERY);
 	return answer.map(([position, replicas]) => ({position: parsePosition(position?.[0]?.[0]), replayed: parseReplicas(replicas)}));
 };
 
 /** Asks a target for its state. */
-export const askState = async (questions: Questions): Promise<Result<StateAnswer, Failure>> => {
-	const answer = await questions.ask(STATE_QUERY);
+export const readTargetState = async (questions: ControlConnection): Promise<Result<TargetState, Failure>> => {
+	const answer = await questions.query(STATE_QUERY);
 	if (answer.err) {
 		return answer;
 	}
@@ -99,20 +99,20 @@
 		return Ok({...state, position: parsePosition(replay?.[0]?.[0]), replayed: new Map<string, number>()});
 	}
 
-	const positions = await askPositions(questions);
+	const positions = await readPrimaryPositions(questions);
 	return positions.map(found => ({...state, ...found}));
 };
 
 const quoteText = (text: string): string => `'${text.replaceAll('\'', '\'\'')}'`;
 
 /** Makes a replica follow a primary; an empty text makes it follow nobody. */
-export const commandFollow = async (questions: Questions, conninfo: string): Promise<Result<unknown, Failure>> => {
-	const changed = await questions.ask(`ALTER SYSTEM SET primary_conninfo = ${quoteText(conninfo)}`);
-	return changed.ok ? questions.ask('SELECT pg_reload_conf()') : changed;
+export const followPrimary = async (questions: ControlConnection, conninfo: string): Promise<Result<unknown, Failure>> => {
+	const changed = await questions.query(`ALTER SYSTEM SET primary_conninfo = ${quoteText(conninfo)}`);
+	return changed.ok ? questions.query('SELECT pg_reload_conf()') : changed;
 };
 
 /** Makes a replica the primary. */
-export const commandPromote = async (questions: Questions): Promise<Result<unknown, Failure>> => questions.ask('SELECT pg_promote()');
+export const promoteReplica = async (questions: ControlConnection): Promise<Result<unknown, Failure>> => questions.query('SELECT pg_promote()');
 
 /** Makes a target with a history of its own a replica; the platform supplies the function. */
-export const commandRejoin = async (questions: Questions, conninfo: string): Promise<Result<unknown, Failure>> => questions.ask(`SELECT platform_rejoin(${quoteText(conninfo)})`);
+export const rejoinReplica = async (questions: ControlConnection, conninfo: string): Promise<Result<unknown, Failure>> => questions.query(`SELECT platform_rejoin(${quoteText(conninfo)})`);
--- a/packages/back-postgres/src/index.ts
+++ b/packages/back-postgres/src/index.ts
@@ -1,4 +1,4 @@
 export * from './connection.js';
-export * from './exchange.js';
-export * from './relay.js';
-export * from './commands.js';
+export * from './chunk-response.js';
+export * from './run-chunk.js';
+export * from './control-connection.js';
--- a/packages/back-postgres/src/relay.ts
+++ b/packages/back-postgres/src/run-chunk.ts
@@ -2,11 +2,11 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	readErrorResponse, readStatus, SQLSTATE, type Message,
+	readErrorResponse, readTransactionStatus, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import type {ChunkResult, ChunkTask} from '@guavapitch/requests';
 import type {TargetConnection} from './connection.js';
-import {sendChunk} from './exchange.js';
+import {sendChunk} from './chunk-response.js';
 
 /** Size at which messages of an answer are passed on, in bytes; a few network packets. */
 const FLUSH_BYTES = 32_768;
@@ -15,7 +15,7 @@
 export const runChunk = async (connection: TargetConnection, turn: ChunkTask): Promise<ChunkResult> => {
 	const {chunk, skipping} = turn;
 	const progress = await sendChunk(connection, chunk, skipping);
-	let parts: Buffer[] = progress.initial.map(message => message.bytes);
+	let parts: Buffer[] = progress.initialReplies.map(message => message.bytes);
 	let size = 0;
 	let sent = false;
 	let held: Message[] = [];
@@ -46,7 +46,7 @@
 	};
 
 	while (true) {
-		if (progress.isSettled()) {
+		if (progress.isComplete()) {
 			parts.push(...held.map(one => one.bytes));
 			await flush();
 			return {kind: 'flushed', skipping: progress.hasFailed()};
@@ -65,7 +65,7 @@
 			}
 
 			if (message.type === 'Z') {
-				const status = readStatus(message);
+				const status = readTransactionStatus(message);
 				await flush();
 				if (!await turn.mayRelease(status)) {
 					return {kind: 'lost'};
--- a/packages/bench/src/proof.ts
+++ b/packages/bench/src/consistency-check.ts
@@ -2,23 +2,23 @@
 
 import {performance} from 'node:perf_hooks';
 import {
-	checkHistory, computeWriteGapMs, createRandom, waitMs, type FinalState, type Operation, type Violation,
+	checkHistory, computeWriteGapMs, createRandom, wait, type FinalState, type Operation, type Violation,
 } from '@guavapitch/load';
 import type {EventRecord} from '@guavapitch/telemetry';
 import {takeFirstDatabase, readExample, type ExampleName} from './examples.js';
 import {
-	applyFault, drawSchedule, healCut, type CarriedOut, type FaultKind,
+	applyFault, drawFaultSchedule, removePartitions, type AppliedFault, type FaultKind,
 } from './faults.js';
-import {computeReads, splitFailover, type Phases} from './phases.js';
-import {startStack, type Stack, type StackPlan} from './stack.js';
+import {computeReadCounts, computeFailoverPhases, type FailoverPhases} from './failover-phases.js';
+import {startStack, type Stack, type StackOptions} from './stack.js';
 import {
-	connectTo, prepareTables, startWorkload, type WorkloadPlan,
+	connectCustomer, createTables, startWorkload, type WorkloadOptions,
 } from './workload.js';
 
 /** Result of one proof. */
-export type ProofResult = Readonly<{
+export type ConsistencyCheckResult = Readonly<{
 	seed: number;
-	faults: readonly CarriedOut[];
+	faults: readonly AppliedFault[];
 	violations: readonly Violation[];
 	/** Longest time without an acknowledged write, in milliseconds. */
 	gapMs: number;
@@ -28,19 +28,19 @@
 	events: readonly EventRecord[];
 	history: readonly Operation[];
 	/** Phases of the first failover after the first fault, if there was one. */
-	phases: Phases | undefined;
+	phases: FailoverPhases | undefined;
 	/** Reads that replicas served, and all reads, at the proxies that live at the end. */
 	reads: Readonly<{replica: number; all: number}>;
 }>;
 
 /** Settings of a proof. */
-export type ProofPlan = Readonly<{
+export type ConsistencyCheckOptions = Readonly<{
 	seed: number;
 	example: ExampleName;
 	durationMs: number;
-	only?: FaultKind;
+	onlyFault?: FaultKind;
 	/** Mechanism that is switched off, to see the check fail. */
-	without?: 'replication';
+	disabledMechanism?: 'replication';
 	proxiesPerDataCentre: number;
 	lagMs: number;
 }>;
@@ -52,11 +52,11 @@
 const SETTLE_MS = 300;
 
 /** Keeps one database of an example, with its services. */
-const createPlan = (plan: ProofPlan): Readonly<{stack: StackPlan; workload: WorkloadPlan; database: string}> => {
+const createPlan = (plan: ConsistencyCheckOptions): Readonly<{stack: StackOptions; workload: WorkloadOptions; database: string}> => {
 	const inventory = takeFirstDatabase(readExample(plan.example), {rate: 500, burst: 1000});
 	const [[database, settings]] = Object.entries(inventory.databases) as [[string, (typeof inventory.databases)[string]]];
 	const [service, browseService] = Object.keys(inventory.services);
-	const acknowledge = plan.without === 'replication' ? 'primary' : settings.acknowledge;
+	const acknowledge = plan.disabledMechanism === 'replication' ? 'primary' : settings.acknowledge;
 	return {
 		database,
 		workload: {
@@ -68,25 +68,25 @@
 			connectMs: plan.example === 'siphon' ? 30 : 10,
 			statementMs: 1,
 			lagMs: plan.lagMs,
-			relayed: true,
+			usesRelays: true,
 		},
 	};
 };
 
-const readFinalState = async (stack: Stack, plan: WorkloadPlan): Promise<FinalState> => {
+const readFinalState = async (stack: Stack, plan: WorkloadOptions): Promise<FinalState> => {
 	const [proxy] = stack.proxies.values();
 	const [customer] = stack.secrets.keys();
 	if (!proxy || !customer) {
 		throw new RangeError('The stack has no proxy or no customer');
 	}
 
-	const client = await connectTo(stack, proxy, customer, plan.service);
+	const client = await connectCustomer(stack, proxy, customer, plan.service);
 	await client.query('BEGIN');
 	const lodged = await client.query<{id: string}>('SELECT id FROM lodged');
 	const sum = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
 	await client.query('COMMIT');
 	await client.end();
-	return {lodged: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNTS * BALANCE};
+	return {storedIds: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNTS * BALANCE};
 };
 
 const countOutcomes = (history: readonly Operation[]): Readonly<Record<string, number>> => {
@@ -100,11 +100,11 @@
 };
 
 /** Runs one proof. */
-export const runProof = async (plan: ProofPlan): Promise<ProofResult> => {
+export const runConsistencyCheck = async (plan: ConsistencyCheckOptions): Promise<ConsistencyCheckResult> => {
 	const {stack: stackPlan, workload: workloadPlan, database} = createPlan(plan);
 	const random = createRandom(plan.seed);
-	const schedule = drawSchedule(random, plan.durationMs, plan.only);
-	const faults: CarriedOut[] = [];
+	const schedule = drawFaultSchedule(random, plan.durationMs, plan.onlyFault);
+	const faults: AppliedFault[] = [];
 	let history: readonly Operation[] = [];
 	let violations: readonly Violation[] = [];
 	let gapMs = 0;
@@ -113,27 +113,27 @@
 	let failure: string | undefined;
 	await using stack = await startStack(stackPlan);
 	try {
-		await prepareTables(stack, workloadPlan);
+		await createTables(stack, workloadPlan);
 		const workload = startWorkload(stack, workloadPlan, number => createRandom((plan.seed * 1000) + number));
 		history = workload.history;
 		const startedAt = performance.now();
 		wallStart = Date.now();
 		const carrying = Promise.allSettled(schedule.map(async fault => {
-			await waitMs(Math.max(0, fault.atMs - (performance.now() - startedAt)));
+			await wait(Math.max(0, fault.atMs - (performance.now() - startedAt)));
 			await applyFault(stack, fault, database, target => {
 				faults.push({fault, target, at: Date.now() - wallStart});
 			});
 		}));
-		await waitMs(plan.durationMs);
+		await wait(plan.durationMs);
 		const settled = await carrying;
 		const wallEnd = Date.now();
-		await healCut(stack);
-		await waitMs(SETTLE_MS);
+		await removePartitions(stack);
+		await wait(SETTLE_MS);
 		await workload.stop();
 		gapMs = computeWriteGapMs(history, wallStart, wallEnd);
 		await stack.waitUntilReady();
 		const statuses = await stack.getStatuses();
-		reads = computeReads(statuses.map(status => status.metrics));
+		reads = computeReadCounts(statuses.map(status => status.metrics));
 		const broken = settled.find(one => one.status === 'rejected');
 		if (broken) {
 			failure = `a fault could not be carried out: ${String(broken.reason)}`;
@@ -146,7 +146,7 @@
 
 	const events = stack.readEvents();
 	const [first] = faults.toSorted((a, b) => a.at - b.at);
-	const phases = first && splitFailover(events, history, wallStart + first.at);
+	const phases = first && computeFailoverPhases(events, history, wallStart + first.at);
 	return {
 		seed: plan.seed, faults, violations, gapMs, counts: countOutcomes(history), failure, events, history, phases, reads,
 	};
--- a/packages/bench/src/examples.ts
+++ b/packages/bench/src/examples.ts
@@ -14,10 +14,10 @@
 export const readExample = (name: ExampleName): Inventory => parseInventory(readFileSync(path.join(FOLDER, `${name}.yaml`), 'utf8')).unwrap();
 
 /** Rate and burst of every customer, in requests per second and requests. */
-export type Shares = Readonly<{rate: number; burst: number}>;
+export type CustomerQuota = Readonly<{rate: number; burst: number}>;
 
 /** Keeps the first database of an inventory, with its services; all customers may use them, under shares of their own or the given ones. */
-export const takeFirstDatabase = (inventory: Inventory, shares?: Shares): Inventory => {
+export const takeFirstDatabase = (inventory: Inventory, shares?: CustomerQuota): Inventory => {
 	const databases = Object.fromEntries(Object.entries(inventory.databases).slice(0, 1));
 	const services = Object.fromEntries(Object.entries(inventory.services).filter(([, service]) => service.database in databases));
 	const customers = Object.fromEntries(Object.entries(inventory.customers).map(([name, customer]) => [name, {
--- a/packages/bench/src/phases.ts
+++ b/packages/bench/src/failover-phases.ts
@@ -4,13 +4,13 @@
 import {EVENTS, type EventKind, type EventRecord} from '@guavapitch/telemetry';
 
 /** Phases in order. */
-export const PHASES = ['detection', 'ending grants', 'choosing and recording', 'promotion', 'first write'] as const;
+export const FAILOVER_PHASES = ['detection', 'ending grants', 'choosing and recording', 'promotion', 'first write'] as const;
 
 /** Length of each phase, in milliseconds. */
-export type Phases = Readonly<Record<typeof PHASES[number], number>>;
+export type FailoverPhases = Readonly<Record<typeof FAILOVER_PHASES[number], number>>;
 
 /** Splits the first failover after a fault; `undefined` if it did not run to its end. */
-export const splitFailover = (events: readonly EventRecord[], history: readonly Operation[], faultAt: number): Phases | undefined => {
+export const computeFailoverPhases = (events: readonly EventRecord[], history: readonly Operation[], faultAt: number): FailoverPhases | undefined => {
 	const findAfter = (kind: EventKind, from: number): number | undefined => events
 		.filter(event => event.id === kind.id && Date.parse(event.at) >= from)
 		.map(event => Date.parse(event.at))
@@ -36,7 +36,7 @@
 };
 
 /** Computes from the metrics of all entries how many reads a replica served, and how many there were. */
-export const computeReads = (metrics: ReadonlyArray<Readonly<Record<string, number>>>): Readonly<{replica: number; all: number}> => {
+export const computeReadCounts = (metrics: ReadonlyArray<Readonly<Record<string, number>>>): Readonly<{replica: number; all: number}> => {
 	const pattern = /^entry\.requests\{.*mode=(?<mode>\w+),wanted=(?<wanted>read|stale)\}$/v;
 	let replica = 0;
 	let all = 0;
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -1,7 +1,7 @@
 /** Faults on command, drawn from a seed. */
 
 import pg from 'pg';
-import {chooseOne, waitMs, type Random} from '@guavapitch/load';
+import {chooseRandom, wait, type Random} from '@guavapitch/load';
 import type {Stack, StackTarget} from './stack.js';
 
 /** Kinds of faults. */
@@ -14,7 +14,7 @@
 export type Fault = Readonly<{kind: FaultKind; atMs: number; forMs: number; choice: number}>;
 
 /** A fault as it was carried out. */
-export type CarriedOut = Readonly<{fault: Fault; target: string; at: number}>;
+export type AppliedFault = Readonly<{fault: Fault; target: string; at: number}>;
 
 const KINDS: readonly FaultKind[] = [
 	'killPrimary',
@@ -44,7 +44,7 @@
 const SLOW_MS = 400;
 
 /** Draws a schedule: one to three faults, some of them together, some twice. */
-export const drawSchedule = (random: Random, durationMs: number, only?: FaultKind): readonly Fault[] => {
+export const drawFaultSchedule = (random: Random, durationMs: number, only?: FaultKind): readonly Fault[] => {
 	const count = only ? 1 : 1 + Math.floor(random() * 3);
 	const faults: Fault[] = [];
 	for (let index = 0; index < count; index++) {
@@ -52,7 +52,7 @@
 		const isTogether = previous !== undefined && random() < 0.4;
 		const isTwice = previous !== undefined && random() < 0.25;
 		faults.push({
-			kind: only ?? (isTwice ? previous.kind : chooseOne(KINDS, random)),
+			kind: only ?? (isTwice ? previous.kind : chooseRandom(KINDS, random)),
 			atMs: isTogether ? previous.atMs + (random() * 100) : 500 + (random() * durationMs * 0.6),
 			forMs: SHORTEST_MS + (random() * (LONGEST_MS - SHORTEST_MS)),
 			choice: random(),
@@ -63,7 +63,7 @@
 };
 
 /** Runs a command of a target that no fault holds up; one that another fault has killed or frozen may not hear it. */
-export const controlTarget = async (target: StackTarget, statement: string): Promise<void> => {
+export const runControlStatement = async (target: StackTarget, statement: string): Promise<void> => {
 	const client = new pg.Client({
 		host: '127.0.0.1', port: target.port, user: 'control', database: 'control', connectionTimeoutMillis: 2000, query_timeout: 2000,
 	});
@@ -106,7 +106,7 @@
 	const inside = settings.filter(target => places.has(target.dataCentre));
 	const outside = settings.filter(target => !places.has(target.dataCentre));
 	const otherVms = [...stack.proxies.keys()].filter(vm => !vms.has(vm));
-	stack.links.setCut((from, to) => vms.has(from) !== vms.has(to));
+	stack.links.setPartition((from, to) => vms.has(from) !== vms.has(to));
 	if (withPlatform) {
 		await setPlatformFaults(stack, {cut: [...vms]});
 	}
@@ -118,7 +118,7 @@
 		}
 
 		for (const peer of peers) {
-			await controlTarget(running, `SELECT standin_cut('${peer}')`);
+			await runControlStatement(running, `SELECT standin_cut('${peer}')`);
 		}
 	};
 
@@ -129,10 +129,10 @@
 };
 
 /** Ends every cut; also at the end of a schedule, as a frozen target may hear of a cut after it was healed. */
-export const healCut = async (stack: Stack) => {
-	stack.links.setCut(() => false);
+export const removePartitions = async (stack: Stack) => {
+	stack.links.setPartition(() => false);
 	await setPlatformFaults(stack, {});
-	await Promise.all([...stack.targets.values()].map(async target => controlTarget(target, 'SELECT standin_heal()')));
+	await Promise.all([...stack.targets.values()].map(async target => runControlStatement(target, 'SELECT standin_heal()')));
 };
 
 const restartTarget = async (stack: Stack, target: StackTarget, forMs: number) => {
@@ -141,14 +141,14 @@
 	}
 
 	target.process.kill('SIGKILL');
-	await target.ended;
-	await waitMs(forMs);
+	await target.exited;
+	await wait(forMs);
 	await stack.startTarget(target.name, '');
 };
 
 const freeze = async (child: Readonly<{process: Readonly<{kill: (signal: NodeJS.Signals) => boolean}>}>, forMs: number) => {
 	child.process.kill('SIGSTOP');
-	await waitMs(forMs);
+	await wait(forMs);
 	child.process.kill('SIGCONT');
 };
 
@@ -169,15 +169,15 @@
 		killPrimary: [primary.name, async () => restartTarget(stack, primary, fault.forMs)],
 		freezePrimary: [primary.name, async () => freeze(primary, fault.forMs)],
 		cutPrimary: [primary.name, async () => {
-			await controlTarget(primary, 'SELECT standin_cut(\'*\')');
-			await waitMs(fault.forMs);
-			await controlTarget(primary, 'SELECT standin_heal()');
+			await runControlStatement(primary, 'SELECT standin_cut(\'*\')');
+			await wait(fault.forMs);
+			await runControlStatement(primary, 'SELECT standin_heal()');
 		}],
 		killReplica: [replica.name, async () => restartTarget(stack, replica, fault.forMs)],
 		lagReplica: [replica.name, async () => {
-			await controlTarget(replica, `SELECT standin_lag(${LAG_MS})`);
-			await waitMs(fault.forMs);
-			await controlTarget(replica, 'SELECT standin_lag(5)');
+			await runControlStatement(replica, `SELECT standin_lag(${LAG_MS})`);
+			await wait(fault.forMs);
+			await runControlStatement(replica, 'SELECT standin_lag(5)');
 		}],
 		killProxy: [proxy.vm, async () => {
 			if (proxy.process.signalCode !== null) {
@@ -185,34 +185,34 @@
 			}
 
 			proxy.process.kill('SIGKILL');
-			await proxy.ended;
-			await waitMs(fault.forMs);
+			await proxy.exited;
+			await wait(fault.forMs);
 			await stack.startProxy(proxy.vm, proxy.dataCentre);
 		}],
 		freezeProxy: [proxy.vm, async () => freeze(proxy, fault.forMs)],
 		platformDown: ['platform', async () => {
 			await setPlatformFaults(stack, {down: true});
-			await waitMs(fault.forMs);
+			await wait(fault.forMs);
 			await setPlatformFaults(stack, {});
 		}],
 		loseAnswers: ['platform', async () => setPlatformFaults(stack, {loseAnswers: LOST_ANSWERS})],
 		freezePlatform: ['platform', async () => freeze(stack.platform, fault.forMs)],
 		slowPlatform: ['platform', async () => {
 			await setPlatformFaults(stack, {slowMs: SLOW_MS});
-			await waitMs(fault.forMs);
+			await wait(fault.forMs);
 			await setPlatformFaults(stack, {});
 		}],
 		lapseLeases: ['platform', async () => setPlatformFaults(stack, {lapseLeases: true})],
 		cutProxy: [proxy.vm, async () => {
 			await cutOff(stack, new Set([proxy.vm]), new Set(), fault.choice < 0.5);
-			await waitMs(fault.forMs);
-			await healCut(stack);
+			await wait(fault.forMs);
+			await removePartitions(stack);
 		}],
 		cutDataCentre: [proxy.dataCentre, async () => {
 			const inside = proxies.filter(one => one.dataCentre === proxy.dataCentre);
 			await cutOff(stack, new Set(inside.map(one => one.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
-			await waitMs(fault.forMs);
-			await healCut(stack);
+			await wait(fault.forMs);
+			await removePartitions(stack);
 		}],
 	};
 	const [target, run] = steps[fault.kind];
--- a/packages/bench/src/known-red.ts
+++ b/packages/bench/src/known-red.ts
@@ -18,7 +18,7 @@
 const INDENT = 4;
 
 /** Parses the names of the tests that a list of known failures gives; comments begin with #. */
-export const parseKnownRed = (text: string): readonly string[] => text
+export const parseKnownFailures = (text: string): readonly string[] => text
 	.split('\n')
 	.flatMap(line => ENTRY_PATTERN.exec(line)?.groups?.name ?? []);
 
@@ -46,8 +46,8 @@
 };
 
 /** Judges a run by its exit code and output. */
-export const judgeTests = (exitCode: number, output: string, knownRed: string): Verdict => {
-	const listed = new Set(parseKnownRed(knownRed));
+export const evaluateTestRun = (exitCode: number, output: string, knownRed: string): Verdict => {
+	const listed = new Set(parseKnownFailures(knownRed));
 	const failures = findFailures(output).map(names => ({name: names.at(-1) ?? '', path: names.join(' > ')}));
 	const known = failures.filter(({name}) => listed.has(name)).map(one => one.path);
 	const unknown = failures.filter(({name}) => !listed.has(name)).map(one => one.path);
@@ -58,7 +58,7 @@
 if (process.argv[1] !== undefined && import.meta.url === pathToFileURL(process.argv[1]).href) {
 	const [exitCode = '1', outputFile = '', knownRedFile = ''] = process.argv.slice(2);
 	const knownRed = readFileSync(knownRedFile, 'utf8');
-	const verdict = judgeTests(Number(exitCode), readFileSync(outputFile, 'utf8'), knownRed);
+	const verdict = evaluateTestRun(Number(exitCode), readFileSync(outputFile, 'utf8'), knownRed);
 	const entries = knownRed.split('\n').filter(line => ENTRY_PATTERN.test(line));
 	process.stdout.write(`Known red, listed (${entries.length}):\n${entries.map(line => `  ${line}\n`).join('')}`);
 	process.stdout.write(`Failed in this run and listed: ${verdict.known.join('; ') || 'none'}\nFailed and not listed: ${verdict.unknown.join('; ') || 'none'}\n`);
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -9,13 +9,13 @@
 import yargs from 'yargs';
 import type {Inventory} from '@guavapitch/inventory';
 import {
-	connectAll, runClosed, runOpen, waitMs, type Login, type EntryAddress, type TrafficResult,
+	connectAll, runClosedLoop, runOpenLoop, wait, type LoginOptions, type EntryAddress, type TrafficResult,
 } from '@guavapitch/load';
-import {createStartup} from '@guavapitch/postgres-wire';
+import {createStartupPacket} from '@guavapitch/postgres-wire';
 import {readExample} from './examples.js';
-import {computePercentile, computeSlope, readProcess} from './readings.js';
+import {computePercentile, computeSlope, readProcessUsage} from './statistics.js';
 import {startChild, startStack, type Stack} from './stack.js';
-import {connectTo} from './workload.js';
+import {connectCustomer} from './workload.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const CLIENTS = 16;
@@ -83,10 +83,10 @@
 	}
 
 	const service = firstService(stack.inventory);
-	const clients = await Promise.all(Array.from({length: CLIENTS}, async () => connectTo(stack, proxy, firstCustomer(stack), service)));
+	const clients = await Promise.all(Array.from({length: CLIENTS}, async () => connectCustomer(stack, proxy, firstCustomer(stack), service)));
 	await fillTable(clients[0] ?? new pg.Client());
-	await waitMs(200);
-	const through = await runClosed(clients, CLOSED_MS, createSelect);
+	await wait(200);
+	const through = await runClosedLoop(clients, CLOSED_MS, createSelect);
 	await Promise.all(clients.map(async client => client.end()));
 	const [target] = stack.targets.values();
 	const direct = await Promise.all(Array.from({length: CLIENTS}, async () => {
@@ -96,7 +96,7 @@
 		await client.connect();
 		return client;
 	}));
-	const straight = await runClosed(direct, CLOSED_MS, createSelect);
+	const straight = await runClosedLoop(direct, CLOSED_MS, createSelect);
 	await Promise.all(direct.map(async client => client.end()));
 	return {through, straight};
 };
@@ -113,7 +113,7 @@
 
 const openIdle = async (port: number, service: string): Promise<Socket> => new Promise((resolve, reject) => {
 	const socket = createConnection({host: '127.0.0.1', port}, () => {
-		socket.write(createStartup({user: 'idle', database: service}));
+		socket.write(createStartupPacket({user: 'idle', database: service}));
 	});
 	socket.once('data', () => {
 		resolve(socket);
@@ -140,8 +140,8 @@
 			sockets.push(...await Promise.all(Array.from({length: 100}, async () => openIdle(proxy.port, service))));
 		}
 
-		await waitMs(3000);
-		const {residentBytes} = readProcess(proxy);
+		await wait(3000);
+		const {residentBytes} = readProcessUsage(proxy);
 		points.push([target, residentBytes]);
 		print(`idle callers ${target}: resident ${format(residentBytes / MEBIBYTE, 1)} MiB`);
 	}
@@ -154,7 +154,7 @@
 
 const listEntries = (stack: Stack): readonly EntryAddress[] => [...stack.proxies.values()].map(({port}) => ({host: '127.0.0.1', port}));
 
-const createLogin = (stack: Stack, customer: string): Login => ({keyId: `${customer}-key`, secret: stack.secrets.get(customer), service: 'motions'});
+const createLogin = (stack: Stack, customer: string): LoginOptions => ({keyId: `${customer}-key`, secret: stack.secrets.get(customer), service: 'motions'});
 
 const startFleet = async (proxies: number, statementMs: number, change: (inventory: Inventory) => Inventory = inventory => inventory) => {
 	const inventory = change(readExample('dvorak'));
@@ -167,7 +167,7 @@
 	}
 
 	await stack.waitUntilReady();
-	await waitMs(1500);
+	await wait(1500);
 	return stack;
 };
 
@@ -176,10 +176,10 @@
 	const customers = Object.entries(stack.inventory.customers);
 	const run = async (seed: number, onHalf?: () => Promise<void>) => {
 		const clients = await connectCustomers(stack, customers.map(([customer]) => customer), proxies);
-		const all = customers.map(async ([customer, {rate}], index) => runOpen(clients.get(customer) ?? [], {
+		const all = customers.map(async ([customer, {rate}], index) => runOpenLoop(clients.get(customer) ?? [], {
 			perSecond: rate * 0.8, durationMs: OPEN_MS, seed: seed + index, statement: 'SELECT 1 AS one',
 		}));
-		await waitMs(OPEN_MS / 2);
+		await wait(OPEN_MS / 2);
 		await onHalf?.();
 		return Promise.all(all);
 	};
@@ -230,7 +230,7 @@
 		'--output',
 		output,
 	]);
-	await child.ended;
+	await child.exited;
 	return JSON.parse(readFileSync(output, 'utf8')) as TrafficResult;
 };
 
@@ -242,7 +242,7 @@
 	await using stack = await startFleet(8, 0, unlimited);
 	const small = Object.entries(readExample('dvorak').customers);
 	const connected = await connectCustomers(stack, small.slice(1).map(([customer]) => customer), FAIR_CONNECTIONS);
-	const runSmall = async (seed: number) => Promise.all(small.slice(1).map(async ([customer, {rate}], index) => runOpen(connected.get(customer) ?? [], {
+	const runSmall = async (seed: number) => Promise.all(small.slice(1).map(async ([customer, {rate}], index) => runOpenLoop(connected.get(customer) ?? [], {
 		perSecond: rate * FAIR_SCALE, durationMs: OPEN_MS, seed: seed + index, statement: FAIR_STATEMENT,
 	})));
 	// The first run warms the processes up and is not counted.
@@ -265,16 +265,16 @@
 	const customers = [...stack.secrets.keys()];
 	for (let round = 0; round < 6; round++) {
 		const customer = customers[round] ?? '';
-		const clients = await Promise.all([...stack.proxies.values()].map(async proxy => connectTo(stack, proxy, customer, 'motions')));
+		const clients = await Promise.all([...stack.proxies.values()].map(async proxy => connectCustomer(stack, proxy, customer, 'motions')));
 		const ended = clients.map(async client => new Promise<void>(resolve => {
 			client.once('end', resolve);
 		}));
 		const startedAt = performance.now();
-		const revision = await stack.withdraw(`${customer}-key`);
+		const revision = await stack.withdrawKey(`${customer}-key`);
 		await Promise.all(ended);
 		withdrawals.push(performance.now() - startedAt);
 		while ((await stack.getStatuses()).some(status => status.revision < revision)) {
-			await waitMs(5);
+			await wait(5);
 		}
 
 		changes.push(performance.now() - startedAt);
@@ -296,9 +296,9 @@
 	for (const proxies of sizes) {
 		await using stack = await startFleet(proxies, 0);
 		const before = await stack.getStatuses();
-		const cpuBefore = [...stack.proxies.values()].map(proxy => readProcess(proxy).cpuMs);
-		await waitMs(OPEN_MS);
-		const readings = [...stack.proxies.values()].map(proxy => readProcess(proxy));
+		const cpuBefore = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy).cpuMs);
+		await wait(OPEN_MS);
+		const readings = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy));
 		const after = await stack.getStatuses();
 		const seconds = OPEN_MS / 1000;
 		const cpu = readings.map((reading, index) => (reading.cpuMs - (cpuBefore[index] ?? 0)) / OPEN_MS * 100);
--- a/packages/bench/src/prove.ts
+++ b/packages/bench/src/prove.ts
@@ -4,10 +4,10 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
-import {PHASES} from './phases.js';
-import {runProof, type ProofPlan, type ProofResult} from './proof.js';
+import {FAILOVER_PHASES} from './failover-phases.js';
+import {runConsistencyCheck, type ConsistencyCheckOptions, type ConsistencyCheckResult} from './consistency-check.js';
 import type {FaultKind} from './faults.js';
-import {computePercentile} from './readings.js';
+import {computePercentile} from './statistics.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const DEFAULT_DURATION_MS = 7000;
@@ -19,7 +19,7 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const formatVerdict = ({failure, violations}: ProofResult): string => {
+const formatVerdict = ({failure, violations}: ConsistencyCheckResult): string => {
 	if (failure) {
 		return `RUN FAILED ${failure}`;
 	}
@@ -28,21 +28,21 @@
 	return broken.length === 0 ? 'held' : `BROKEN ${broken.join('; ')}`;
 };
 
-const formatResult = (result: ProofResult): string => {
+const formatResult = (result: ConsistencyCheckResult): string => {
 	const faults = result.faults.map(({fault, target, at}) => `${fault.kind}(${target})@${Math.round(at)}+${Math.round(fault.forMs)}`).join(' ');
 	return `seed ${result.seed}  gap ${Math.round(result.gapMs)} ms  ${formatVerdict(result)}  [${faults}]  ${Object.entries(result.counts).map(([key, count]) => `${key}=${count}`).join(' ')}`;
 };
 
 /** Prints how long each phase of the failovers took. */
-const printPhases = (all: readonly ProofResult[]) => {
+const printPhases = (all: readonly ConsistencyCheckResult[]) => {
 	const split = all.map(result => result.phases).filter(phases => phases !== undefined);
-	for (const phase of split.length > 0 ? PHASES : []) {
+	for (const phase of split.length > 0 ? FAILOVER_PHASES : []) {
 		const sorted = split.map(phases => phases[phase]).toSorted((a, b) => a - b);
 		print(`  ${phase.padEnd(PHASE_WIDTH)}${PERCENTILES.map(part => `p${part * 100} ${Math.round(computePercentile(sorted, part))}`).join('  ')} ms`);
 	}
 };
 
-const printTimeline = (result: ProofResult) => {
+const printTimeline = (result: ConsistencyCheckResult) => {
 	const events = result.events.toSorted((a, b) => String(a.at) < String(b.at) ? -1 : 1);
 	for (const event of events) {
 		print(`${String(event.at)} ${String(event.vm)} ${String(event.id)} ${String(event.title)} ${JSON.stringify(event.fields)}`);
@@ -64,19 +64,19 @@
 	.option('output', {type: 'string', default: 'out/prove', describe: 'folder for the histories of broken runs'})
 	.parse();
 
-const results: ProofResult[] = [];
+const results: ConsistencyCheckResult[] = [];
 let next = flags.seed;
 const last = flags.seed + flags.runs - 1;
 
 const runLane = async () => {
 	while (next <= last) {
 		const seed = next++;
-		const plan: ProofPlan = {
+		const plan: ConsistencyCheckOptions = {
 			seed, example: flags.example, durationMs: flags.durationMs, proxiesPerDataCentre: flags.proxies, lagMs: flags.lagMs,
-			...(flags.only ? {only: flags.only as FaultKind} : {}),
-			...(flags.without ? {without: flags.without} : {}),
+			...(flags.only ? {onlyFault: flags.only as FaultKind} : {}),
+			...(flags.without ? {disabledMechanism: flags.without} : {}),
 		};
-		const result = await runProof(plan);
+		const result = await runConsistencyCheck(plan);
 		results.push(result);
 		print(formatResult(result));
 		if (flags.runs === 1) {
--- a/packages/bench/src/relays.ts
+++ b/packages/bench/src/relays.ts
@@ -6,9 +6,9 @@
 import {splitFrames} from '@guavapitch/peer-protocol';
 
 /** Links between vms. */
-export type Links = Readonly<{
+export type PeerLinks = Readonly<{
 	/** Decides which links are cut from now on. */
-	setCut: (isCut: (from: string, to: string) => boolean) => void;
+	setPartition: (isCut: (from: string, to: string) => boolean) => void;
 	/** Opens a relay before a vm's peer port; gives the port of the relay. */
 	openRelay: (vm: string, peerPort: number, relayPort: number) => Promise<AsyncDisposable>;
 }>;
@@ -21,7 +21,7 @@
 };
 
 /** Creates the links, none of them cut. */
-export const createLinks = (world: World): Links => {
+export const createPeerLinks = (world: World): PeerLinks => {
 	let isCut: (from: string, to: string) => boolean = () => false;
 	const changed = createNotifier(world);
 
@@ -67,7 +67,7 @@
 	};
 
 	return {
-		setCut(next) {
+		setPartition(next) {
 			isCut = next;
 			changed.notify();
 		},
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -17,24 +17,24 @@
 import {openEtcdStore, type EtcdStore} from '@guavapitch/store';
 import type {EventRecord} from '@guavapitch/telemetry';
 import {parseEvents} from '@guavapitch/timeline';
-import {createLinks, type Links} from './relays.js';
+import {createPeerLinks, type PeerLinks} from './relays.js';
 
 /** One child process. */
-export type Child = Readonly<{
+export type ChildProgram = Readonly<{
 	name: string;
 	process: ChildProcess;
 	/** Waits until it has ended. */
-	ended: Promise<void>;
+	exited: Promise<void>;
 }>;
 
 /** A proxy of the stack. */
-export type StackProxy = Child & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
+export type StackProxy = ChildProgram & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
 
 /** A target of the stack. */
-export type StackTarget = Child & Readonly<{port: number; database: string}>;
+export type StackTarget = ChildProgram & Readonly<{port: number; database: string}>;
 
 /** What to start. */
-export type StackPlan = Readonly<{
+export type StackOptions = Readonly<{
 	inventory: Inventory;
 	/** Proxies in each data centre. */
 	proxiesPerDataCentre: number;
@@ -42,11 +42,11 @@
 	statementMs: number;
 	lagMs: number;
 	/** Further flags of every proxy. */
-	proxyFlags?: readonly string[];
+	extraProxyFlags?: readonly string[];
 	/** Puts relays between the proxies, so that they can be cut off from each other. */
-	relayed?: boolean;
+	usesRelays?: boolean;
 	/** Records every byte that targets receive. */
-	recorded?: boolean;
+	recordsTraffic?: boolean;
 	/** Keys with which this script asks the proxies. */
 	peerTls?: PeerTls;
 }>;
@@ -56,26 +56,26 @@
 	inventory: Inventory;
 	store: EtcdStore;
 	fleet: FleetClient;
-	platform: Child;
+	platform: ChildProgram;
 	platformPort: number;
 	proxies: Map<string, StackProxy>;
 	targets: Map<string, StackTarget>;
 	/** Secret of the key of each customer. */
 	secrets: ReadonlyMap<string, string>;
-	links: Links;
+	links: PeerLinks;
 	logFolder: string;
 	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
 	startTarget: (name: string, follow: string | undefined) => Promise<StackTarget>;
 	/** Changes the configuration in force. */
-	change: (edit: (inventory: Inventory) => Inventory) => Promise<number>;
-	withdraw: (keyId: string) => Promise<number>;
+	changeConfiguration: (edit: (inventory: Inventory) => Inventory) => Promise<number>;
+	withdrawKey: (keyId: string) => Promise<number>;
 	getStatuses: () => Promise<readonly ProxyStatus[]>;
 	/** Waits until every proxy serves and every database has a full synced set. */
 	waitUntilReady: () => Promise<void>;
 	/** Reads the events of all processes. */
 	readEvents: () => readonly EventRecord[];
 	/** Reads what the targets received, if it is recorded. */
-	readReceived: () => string;
+	readReceivedTraffic: () => string;
 }>;
 
 type Relay = Readonly<{port: number; owner: AsyncDisposable}>;
@@ -123,7 +123,7 @@
 });
 
 /** Starts one program of the project; it ends with this process at the latest. */
-export const startChild = (name: string, program: string, args: readonly string[], flags: readonly string[] = []): Child => {
+export const startChild = (name: string, program: string, args: readonly string[], flags: readonly string[] = []): ChildProgram => {
 	const child = spawn(process.execPath, [...flags, getProgram(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
 	running.add(child);
 	const ended = new Promise<void>(resolve => {
@@ -132,19 +132,19 @@
 			resolve();
 		});
 	});
-	return {name, process: child, ended};
+	return {name, process: child, exited: ended};
 };
 
-const stopChild = async (child: Child, signal: NodeJS.Signals): Promise<void> => {
+const stopChild = async (child: ChildProgram, signal: NodeJS.Signals): Promise<void> => {
 	child.process.kill('SIGCONT');
 	child.process.kill(signal);
-	await child.ended;
+	await child.exited;
 };
 
 const readLog = (file: string): readonly EventRecord[] => parseEvents(readFileSync(file, 'utf8')).unwrap();
 
 /** Starts a stack and waits until it serves; if it does not, everything is stopped. */
-export const startStack = async (plan: StackPlan): Promise<Stack> => {
+export const startStack = async (plan: StackOptions): Promise<Stack> => {
 	const stack = await launchStack(plan);
 	try {
 		await stack.start();
@@ -155,10 +155,10 @@
 	}
 };
 
-const launchStack = async (plan: StackPlan): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
+const launchStack = async (plan: StackOptions): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
 	const world = createWorld();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
-	const recordFolder = plan.recorded === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
+	const recordFolder = plan.recordsTraffic === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
@@ -166,7 +166,7 @@
 	const proxies = new Map<string, StackProxy>();
 	const targets = new Map<string, StackTarget>();
 	const secrets = new Map<string, string>();
-	const links = createLinks(world);
+	const links = createPeerLinks(world);
 	const relays = new Map<string, Relay>();
 
 	const waitFor = async (what: string, isReady: () => Promise<boolean>) => {
@@ -236,7 +236,7 @@
 			return known.port;
 		}
 
-		if (plan.relayed !== true) {
+		if (plan.usesRelays !== true) {
 			return peerPort;
 		}
 
@@ -268,7 +268,7 @@
 			`127.0.0.1:${platformPort}`,
 			'--log-file',
 			path.join(logFolder, `${vm}-${world.createId()}.log`),
-			...plan.proxyFlags ?? [],
+			...plan.extraProxyFlags ?? [],
 		]);
 		const started = {
 			...child, vm, dataCentre, port, peerPort,
@@ -361,11 +361,11 @@
 		logFolder,
 		startProxy,
 		startTarget,
-		change,
-		withdraw: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
+		changeConfiguration: change,
+		withdrawKey: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
 		getStatuses,
 		waitUntilReady,
-		readReceived: () => recordFolder === undefined ? '' : readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
+		readReceivedTraffic: () => recordFolder === undefined ? '' : readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
 			stopped = true;
--- a/packages/bench/src/readings.ts
+++ b/packages/bench/src/statistics.ts
@@ -1,17 +1,17 @@
 /** Readings of child processes, and percentiles of lists of times. */
 
 import {readFileSync} from 'node:fs';
-import type {Child} from './stack.js';
+import type {ChildProgram} from './stack.js';
 
 /** Processor time and memory of a process. */
-export type Reading = Readonly<{cpuMs: number; residentBytes: number}>;
+export type ProcessUsage = Readonly<{cpuMs: number; residentBytes: number}>;
 
 const TICK_MS = 10;
 const USER_FIELD = 11;
 const KIBIBYTE = 1024;
 
 /** Reads the processor time and the resident memory of a child. */
-export const readProcess = (child: Child): Reading => {
+export const readProcessUsage = (child: ChildProgram): ProcessUsage => {
 	const pid = String(child.process.pid);
 	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
 	const status = readFileSync(`/proc/${pid}/status`, 'utf8');
--- a/packages/bench/src/tests/path.test.ts
+++ b/packages/bench/src/tests/end-to-end.test.ts
@@ -5,17 +5,17 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {waitMs} from '@guavapitch/load';
-import {askEvents, describeRequest} from '@guavapitch/operator';
-import {createCancel} from '@guavapitch/postgres-wire';
+import {wait} from '@guavapitch/load';
+import {requestEvents, describeRequest} from '@guavapitch/operator';
+import {createCancelRequest} from '@guavapitch/postgres-wire';
 import {readExample} from '../examples.js';
 import {startStack, type Stack} from '../stack.js';
-import {connectMember, readResidentBytes, runProgram} from './helpers.js';
+import {connectToProxy, readResidentBytes, runProgram} from './helpers.js';
 
 describe('whole path', () => {
 	let stack: Stack;
 
-	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}) => connectMember(stack, vm, options);
+	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}) => connectToProxy(stack, vm, options);
 
 	before(async () => {
 		stack = await startStack({
@@ -75,9 +75,9 @@
 			const before = pids.map(pid => readResidentBytes(pid));
 			const {stream} = (client as unknown as Readonly<{connection: Readonly<{stream: Readonly<{pause: () => void; resume: () => void}>}>}>).connection;
 			const answer = client.query<{body: string}>(`SELECT repeat('x', ${ROW_BYTES}) AS body FROM generate_series(1, ${ROWS})`);
-			await waitMs(20);
+			await wait(20);
 			stream.pause();
-			await waitMs(1500);
+			await wait(1500);
 			const after = pids.map(pid => readResidentBytes(pid));
 			const found = await other.query('SELECT 1 AS one');
 			assert.equal(found.rowCount, 1);
@@ -142,7 +142,7 @@
 			const error = await client.query('LISTEN news').then(() => undefined, (error_: unknown) => error_ as Readonly<{detail?: string}>);
 			await client.end();
 			const request = /request=(?<id>[\w\-]+)/v.exec(error?.detail ?? '')?.groups?.id ?? '';
-			const {lists, missing} = await askEvents(stack.store, stack.fleet, {request});
+			const {lists, missing} = await requestEvents(stack.store, stack.fleet, {request});
 			const [event, ...others] = lists.flat();
 			assert.ok(event);
 			assert.deepEqual([others, missing], [[], []]);
@@ -159,7 +159,7 @@
 			});
 			const {processID, secretKey} = client as unknown as Readonly<{processID: number; secretKey: number}>;
 			const socket = createConnection([...stack.proxies.values()][0]?.port ?? 0, '127.0.0.1');
-			socket.end(createCancel(processID, secretKey));
+			socket.end(createCancelRequest(processID, secretKey));
 			await sleeping;
 			await client.end();
 		});
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -9,10 +9,10 @@
 } from 'node:test';
 import type pg from 'pg';
 import {readConfiguration} from '@guavapitch/configuration';
-import {createRandom, waitMs} from '@guavapitch/load';
+import {createRandom, wait} from '@guavapitch/load';
 import {takeFirstDatabase, readExample} from '../examples.js';
 import {startStack, type Stack, type StackProxy} from '../stack.js';
-import {connectTo} from '../workload.js';
+import {connectCustomer} from '../workload.js';
 
 const WITHIN_MS = 3000;
 
@@ -25,7 +25,7 @@
 		const giveUpAt = Date.now() + timeoutMs;
 		while (!await test()) {
 			assert.ok(Date.now() < giveUpAt, `not in time: ${what}`);
-			await waitMs(20);
+			await wait(20);
 		}
 	};
 
@@ -36,11 +36,11 @@
 			connectMs: 5,
 			statementMs: 0,
 			lagMs: 5,
-			recorded: true,
+			recordsTraffic: true,
 		});
 		const [proxy] = getProxies();
 		assert.ok(proxy);
-		const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+		const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
 		await client.query('CREATE TABLE lodged (id text, session text)');
 		await client.end();
 	});
@@ -51,26 +51,26 @@
 
 	describe('keys', () => {
 		it('stop working within seconds, on open connections too', async () => {
-			const clients = await Promise.all(getProxies().map(async proxy => connectTo(stack, proxy, 'klub-vyskov', 'motions')));
+			const clients = await Promise.all(getProxies().map(async proxy => connectCustomer(stack, proxy, 'klub-vyskov', 'motions')));
 			const ended = Promise.all(clients.map(async client => new Promise<void>(resolve => {
 				client.once('end', resolve);
 			})));
 			const startedAt = Date.now();
-			await stack.withdraw('klub-vyskov-key');
+			await stack.withdrawKey('klub-vyskov-key');
 			await ended;
 			assert.ok(Date.now() - startedAt < WITHIN_MS);
 			for (const proxy of getProxies()) {
-				await assert.rejects(connectTo(stack, proxy, 'klub-vyskov', 'motions'), {code: '28P01'});
+				await assert.rejects(connectCustomer(stack, proxy, 'klub-vyskov', 'motions'), {code: '28P01'});
 			}
 		});
 
 		it('appear in no event, no metric, no status, and in nothing that a database receives', async () => {
 			const [proxy] = getProxies();
 			assert.ok(proxy);
-			const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
 			await client.query('SELECT \'seen by the database\' AS text');
 			await client.end();
-			const received = stack.readReceived();
+			const received = stack.readReceivedTraffic();
 			assert.ok(received.includes('seen by the database'));
 			const {document} = (await readConfiguration(stack.store)).unwrap();
 			const verifiers = Object.values(document?.inventory.keys ?? {}).flatMap(key => key.verifier.split(/[$:]/v).filter(part => part.length > 10));
@@ -102,7 +102,7 @@
 				}
 			}
 
-			const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
 			const found = await client.query('SELECT 1 AS one');
 			await client.end();
 			assert.equal(found.rowCount, 1);
@@ -120,9 +120,9 @@
 				for (let count = 0; state.running(); count++) {
 					const proxies = getProxies().filter(proxy => proxy.process.exitCode === null);
 					const proxy = proxies[Math.floor(random() * proxies.length)];
-					client ??= proxy ? await connectTo(stack, proxy, 'klub-brno', 'motions').catch(() => undefined) : undefined;
+					client ??= proxy ? await connectCustomer(stack, proxy, 'klub-brno', 'motions').catch(() => undefined) : undefined;
 					if (!client) {
-						await waitMs(20);
+						await wait(20);
 						continue;
 					}
 
@@ -140,7 +140,7 @@
 						client = undefined;
 					}
 
-					await waitMs(10);
+					await wait(10);
 				}
 
 				await client?.end().catch(() => undefined);
@@ -152,10 +152,10 @@
 		it('replaces every proxy under load without cutting a request', async () => {
 			let running = true;
 			const sessions = Array.from({length: 6}, (_, index) => lodge(`roll${index}`, {running: () => running}));
-			await waitMs(300);
+			await wait(300);
 			for (const proxy of getProxies()) {
 				proxy.process.kill('SIGTERM');
-				await proxy.ended;
+				await proxy.exited;
 				assert.equal(proxy.process.exitCode, 0);
 				await stack.startProxy(proxy.vm, proxy.dataCentre);
 				await stack.waitUntilReady();
@@ -166,7 +166,7 @@
 			assert.deepEqual(sessions.flatMap(session => session.failures), []);
 			const [proxy] = getProxies();
 			assert.ok(proxy);
-			const client = await connectTo(stack, proxy, 'klub-brno', 'motions');
+			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
 			const found = await client.query<{id: string}>('SELECT id FROM lodged');
 			await client.end();
 			const ids = new Set(found.rows.map(row => row.id));
@@ -184,8 +184,8 @@
 			const leaving = await findPrimary();
 			let busy = true;
 			const busySessions = Array.from({length: 6}, (_, index) => lodge(`planned${index}`, {running: () => busy}));
-			await waitMs(300);
-			await stack.change(inventory => ({
+			await wait(300);
+			await stack.changeConfiguration(inventory => ({
 				...inventory,
 				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, one]) => [name, name === database
 					? {
@@ -194,13 +194,13 @@
 					: one])),
 			}));
 			await waitFor('another primary', async () => await findPrimary() !== leaving, WITHIN_MS);
-			await waitMs(300);
+			await wait(300);
 			busy = false;
 			await Promise.all(busySessions.map(async one => one.running));
 			assert.deepEqual(busySessions.flatMap(one => one.failures), [], 'a planned change of primary failed requests');
 			let running = true;
 			const session = lodge('leaving', {running: () => running});
-			await waitMs(1000);
+			await wait(1000);
 			running = false;
 			await session.running;
 			assert.deepEqual(session.failures, []);
--- a/packages/bench/src/tests/helpers.ts
+++ b/packages/bench/src/tests/helpers.ts
@@ -10,7 +10,7 @@
 const KIB = 1024;
 
 /** Connects a stock client of one customer to the proxy at a place in the list. */
-export const connectMember = async (stack: Stack, place: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
+export const connectToProxy = async (stack: Stack, place: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
 	const proxy = [...stack.proxies.values()][place];
 	const client = new pg.Client({
 		host: '127.0.0.1', port: proxy?.port, user: 'klub-brno-key', password: stack.secrets.get('klub-brno'), database: 'motions', ...options,
@@ -21,10 +21,10 @@
 };
 
 /** What a program printed, and how it ended. */
-export type ProgramEnd = Readonly<{stdout: string; stderr: string; exitCode: number}>;
+export type ProgramResult = Readonly<{stdout: string; stderr: string; exitCode: number}>;
 
 /** Runs a program of the project to its end. */
-export const runProgram = async (name: string, args: readonly string[]): Promise<ProgramEnd> => {
+export const runProgram = async (name: string, args: readonly string[]): Promise<ProgramResult> => {
 	const program = createRequire(import.meta.url).resolve(`@guavapitch/${name}`).replace(/index\.js$/v, 'main.js');
 	return new Promise(resolve => {
 		const child = execFile(process.execPath, [program, ...args], (_error, stdout, stderr) => {
--- a/packages/bench/src/tests/known-red.test.ts
+++ b/packages/bench/src/tests/known-red.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {findFailures, judgeTests} from '../known-red.js';
+import {findFailures, evaluateTestRun} from '../known-red.js';
 
 const OUTPUT = `TAP version 13
 # Subtest: fleet
@@ -34,14 +34,14 @@
 
 	describe('judgeTests', () => {
 		it('passes over just what is listed', () => {
-			assert.deepEqual(judgeTests(1, OUTPUT, LISTED), {passes: true, known: ['fleet > replaces every proxy'], unknown: []});
-			assert.equal(judgeTests(1, OUTPUT, '# comment with "replaces every proxy"').passes, false);
-			assert.equal(judgeTests(1, OUTPUT.replace('ok 2 - starts', 'not ok 2 - starts'), LISTED).passes, false);
+			assert.deepEqual(evaluateTestRun(1, OUTPUT, LISTED), {passes: true, known: ['fleet > replaces every proxy'], unknown: []});
+			assert.equal(evaluateTestRun(1, OUTPUT, '# comment with "replaces every proxy"').passes, false);
+			assert.equal(evaluateTestRun(1, OUTPUT.replace('ok 2 - starts', 'not ok 2 - starts'), LISTED).passes, false);
 		});
 
 		it('fails when the tests were not reached', () => {
-			assert.equal(judgeTests(1, 'error TS2304: Cannot find name', LISTED).passes, false);
-			assert.equal(judgeTests(0, '', LISTED).passes, true);
+			assert.equal(evaluateTestRun(1, 'error TS2304: Cannot find name', LISTED).passes, false);
+			assert.equal(evaluateTestRun(0, '', LISTED).passes, true);
 		});
 	});
 });
--- a/packages/bench/src/tests/shares.test.ts
+++ b/packages/bench/src/tests/quotas.test.ts
@@ -5,11 +5,11 @@
 	after, before, describe, it,
 } from 'node:test';
 import type pg from 'pg';
-import {findExcess, waitMs, type LetThrough} from '@guavapitch/load';
+import {findExcessWindow, wait, type AdmittedRequest} from '@guavapitch/load';
 import {chooseSlot, parseSlotRecord, ROLE_PREFIX} from '@guavapitch/roles';
 import {readExample, takeFirstDatabase} from '../examples.js';
 import {startStack, type Stack, type StackProxy} from '../stack.js';
-import {connectTo} from '../workload.js';
+import {connectCustomer} from '../workload.js';
 
 const SHARE = {rate: 60, burst: 40};
 const CUSTOMER = 'klub-brno';
@@ -30,12 +30,12 @@
 	};
 
 	/** Sends without pause through one proxy until told to stop; notes what was, or may have been, let through. */
-	const flood = async (proxy: StackProxy, noted: LetThrough[], isRunning: () => boolean) => {
+	const flood = async (proxy: StackProxy, noted: AdmittedRequest[], isRunning: () => boolean) => {
 		let client: pg.Client | undefined;
 		while (isRunning()) {
-			client ??= await connectTo(stack, proxy, CUSTOMER, 'motions').catch(() => undefined);
+			client ??= await connectCustomer(stack, proxy, CUSTOMER, 'motions').catch(() => undefined);
 			if (!client) {
-				await waitMs(100);
+				await wait(100);
 				continue;
 			}
 
@@ -46,7 +46,7 @@
 			} catch (error) {
 				const {code} = error as Readonly<{code?: string}>;
 				client = code === LIMIT_STATE ? client : undefined;
-				await waitMs(10);
+				await wait(10);
 			}
 		}
 
@@ -65,15 +65,15 @@
 
 	describe('of a customer that floods every proxy', () => {
 		const runFlood = async (onHalf: () => Promise<void>) => {
-			const noted: LetThrough[] = [];
+			const noted: AdmittedRequest[] = [];
 			let running = true;
 			const loops = [...stack.proxies.values()].flatMap(proxy => Array.from({length: LOOPS}, async () => flood(proxy, noted, () => running)));
-			await waitMs(FLOOD_MS / 2);
+			await wait(FLOOD_MS / 2);
 			await onHalf();
-			await waitMs(FLOOD_MS / 2);
+			await wait(FLOOD_MS / 2);
 			running = false;
 			await Promise.all(loops);
-			assert.equal(findExcess(noted, SHARE), undefined);
+			assert.equal(findExcessWindow(noted, SHARE), undefined);
 			assert.ok(noted.length > SHARE.rate * LEAST_PART * FLOOD_MS / 1000, `only ${noted.length} were let through`);
 		};
 
@@ -86,7 +86,7 @@
 				const keeper = await findKeeper();
 				assert.ok(keeper);
 				keeper.process.kill('SIGKILL');
-				await keeper.ended;
+				await keeper.exited;
 			});
 		});
 
@@ -95,7 +95,7 @@
 				const keeper = await findKeeper();
 				assert.ok(keeper);
 				keeper.process.kill('SIGSTOP');
-				await waitMs(FLOOD_MS / 2);
+				await wait(FLOOD_MS / 2);
 				keeper.process.kill('SIGCONT');
 			});
 		});
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -11,7 +11,7 @@
 import {openFleetClient} from '@guavapitch/operator';
 import {takeFirstDatabase, readExample} from '../examples.js';
 import {startStack, type Stack} from '../stack.js';
-import {connectMember, runProgram} from './helpers.js';
+import {connectToProxy, runProgram} from './helpers.js';
 
 const FOLDER = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', 'fixtures');
 const getFile = (name: string): string => path.join(FOLDER, `${name}.pem`);
@@ -20,7 +20,7 @@
 describe('TLS', () => {
 	let stack: Stack;
 
-	const connect = async (options: Readonly<Record<string, unknown>>) => connectMember(stack, 0, options);
+	const connect = async (options: Readonly<Record<string, unknown>>) => connectToProxy(stack, 0, options);
 
 	before(async () => {
 		const files = ['--tls-cert', getFile('cert'), '--tls-key', getFile('key')];
@@ -31,7 +31,7 @@
 			connectMs: 2,
 			statementMs: 0,
 			lagMs: 2,
-			proxyFlags: [...files, ...peerFiles],
+			extraProxyFlags: [...files, ...peerFiles],
 			peerTls: {cert: readPem('cert'), key: readPem('key'), ca: readPem('ca')},
 		});
 	});
--- a/packages/bench/src/tests/transactions.test.ts
+++ b/packages/bench/src/tests/transactions.test.ts
@@ -5,11 +5,11 @@
 	after, before, describe, it,
 } from 'node:test';
 import type pg from 'pg';
-import {waitMs} from '@guavapitch/load';
+import {wait} from '@guavapitch/load';
 import {takeFirstDatabase, readExample} from '../examples.js';
 import {findPrimary} from '../faults.js';
 import {startStack, type Stack, type StackProxy} from '../stack.js';
-import {connectMember} from './helpers.js';
+import {connectToProxy} from './helpers.js';
 
 const IDLE_MS = 600;
 const SUM = 200;
@@ -27,7 +27,7 @@
 
 	/** Moves 1 there and back, which needs the locks of both accounts, and checks that the sum is whole. */
 	const checkWhole = async () => {
-		const client = await connectMember(stack, 2);
+		const client = await connectToProxy(stack, 2);
 		for (const by of [1, -1]) {
 			await client.query('BEGIN');
 			await client.query('UPDATE accounts SET balance = balance - $1 WHERE id = 1', [by]);
@@ -50,7 +50,7 @@
 
 	const killAndReplace = async (proxy: StackProxy) => {
 		proxy.process.kill('SIGKILL');
-		await proxy.ended;
+		await proxy.exited;
 		await stack.startProxy(proxy.vm, proxy.dataCentre);
 	};
 
@@ -60,7 +60,7 @@
 		stack = await startStack({
 			inventory: {...inventory, services}, proxiesPerDataCentre: 1, connectMs: 2, statementMs: 0, lagMs: 5,
 		});
-		const client = await connectMember(stack, 0);
+		const client = await connectToProxy(stack, 0);
 		await client.query('CREATE TABLE accounts (id int PRIMARY KEY, balance int)');
 		await client.query('INSERT INTO accounts VALUES (1, 100)');
 		await client.query('INSERT INTO accounts VALUES (2, 100)');
@@ -73,7 +73,7 @@
 
 	describe('of a caller that dies', () => {
 		it('are rolled back', async () => {
-			const clients = await Promise.all(Array.from({length: 4}, async () => connectMember(stack, 0)));
+			const clients = await Promise.all(Array.from({length: 4}, async () => connectToProxy(stack, 0)));
 			const [first, ...others] = clients;
 			assert.ok(first);
 			await beginTransfer(first);
@@ -87,7 +87,7 @@
 		it('are rolled back', async () => {
 			const homes = await findHomes();
 			const place = getProxies().findIndex(proxy => !homes.includes(proxy.vm));
-			const client = await connectMember(stack, place);
+			const client = await connectToProxy(stack, place);
 			await beginTransfer(client);
 			const proxy = getProxies()[place];
 			assert.ok(proxy);
@@ -101,7 +101,7 @@
 		it('are rolled back, and the caller is told that the outcome is not known or that nothing was kept', async () => {
 			const homes = await findHomes();
 			const place = getProxies().findIndex(proxy => !homes.includes(proxy.vm));
-			const client = await connectMember(stack, place);
+			const client = await connectToProxy(stack, place);
 			await beginTransfer(client);
 			for (const proxy of getProxies().filter(one => homes.includes(one.vm))) {
 				await killAndReplace(proxy);
@@ -115,9 +115,9 @@
 
 	describe('that idle', () => {
 		it('are rolled back at their deadline, and the caller is told', async () => {
-			const client = await connectMember(stack, 1);
+			const client = await connectToProxy(stack, 1);
 			await beginTransfer(client);
-			await waitMs(IDLE_MS * 2);
+			await wait(IDLE_MS * 2);
 			await assert.rejects(client.query('COMMIT'));
 			await checkWhole();
 		});
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -2,12 +2,12 @@
 
 import type pg from 'pg';
 import {
-	chooseOne, classifyFailure, connectEntry, waitMs, type Operation, type Random,
+	chooseRandom, classifyFailure, connectEntry, wait, type Operation, type Random,
 } from '@guavapitch/load';
 import type {Stack, StackProxy} from './stack.js';
 
 /** What the sessions do. */
-export type WorkloadPlan = Readonly<{
+export type WorkloadOptions = Readonly<{
 	service: string;
 	browseService: string;
 	sessions: number;
@@ -28,20 +28,20 @@
 const ROAM_SHARE = 0.1;
 
 /** Connects a customer to a proxy. */
-export const connectTo = async (stack: Stack, proxy: StackProxy, customer: string, service: string): Promise<pg.Client> => connectEntry(
+export const connectCustomer = async (stack: Stack, proxy: StackProxy, customer: string, service: string): Promise<pg.Client> => connectEntry(
 	{host: '127.0.0.1', port: proxy.port},
 	{keyId: `${customer}-key`, secret: stack.secrets.get(customer), service},
 );
 
 /** Creates the tables of a workload. */
-export const prepareTables = async (stack: Stack, plan: WorkloadPlan): Promise<void> => {
+export const createTables = async (stack: Stack, plan: WorkloadOptions): Promise<void> => {
 	const [proxy] = stack.proxies.values();
 	const [customer] = stack.secrets.keys();
 	if (!proxy || !customer) {
 		throw new RangeError('The stack has no proxy or no customer');
 	}
 
-	const client = await connectTo(stack, proxy, customer, plan.service);
+	const client = await connectCustomer(stack, proxy, customer, plan.service);
 	await client.query('CREATE TABLE lodged (id text, session text)');
 	await client.query('CREATE TABLE accounts (id int PRIMARY KEY, balance int)');
 	for (let id = 0; id < plan.accounts; id++) {
@@ -54,7 +54,7 @@
 type Session = Readonly<{name: string; customer: string; random: Random}>;
 type Step = Readonly<{kind: Operation['kind']; id: string; run: (client: pg.Client) => Promise<readonly string[]>}>;
 
-const createTransfer = (session: Session, plan: WorkloadPlan): Step => {
+const createTransfer = (session: Session, plan: WorkloadOptions): Step => {
 	const from = Math.floor(session.random() * plan.accounts);
 	const to = (from + 1 + Math.floor(session.random() * (plan.accounts - 1))) % plan.accounts;
 	const [low, high] = from < to ? [from, to] : [to, from];
@@ -71,7 +71,7 @@
 	};
 };
 
-const createStep = (session: Session, plan: WorkloadPlan, number: number): Step => {
+const createStep = (session: Session, plan: WorkloadOptions, number: number): Step => {
 	const draw = session.random();
 	if (draw < 0.4) {
 		const id = `${session.name}.${number}`;
@@ -111,7 +111,7 @@
 };
 
 /** Starts the sessions. */
-export const startWorkload = (stack: Stack, plan: WorkloadPlan, createSessionRandom: (number: number) => Random): Workload => {
+export const startWorkload = (stack: Stack, plan: WorkloadOptions, createSessionRandom: (number: number) => Random): Workload => {
 	const history: Operation[] = [];
 	let running = true;
 	let count = 0;
@@ -121,11 +121,11 @@
 		let vm = '';
 		while (running) {
 			if (!client) {
-				const proxy = chooseOne([...stack.proxies.values()], session.random);
-				client = await connectTo(stack, proxy, session.customer, plan.service).catch(() => undefined);
+				const proxy = chooseRandom([...stack.proxies.values()], session.random);
+				client = await connectCustomer(stack, proxy, session.customer, plan.service).catch(() => undefined);
 				vm = proxy.vm;
 				if (!client) {
-					await waitMs(RETRY_MS);
+					await wait(RETRY_MS);
 					continue;
 				}
 			}
@@ -156,7 +156,7 @@
 				client = undefined;
 			}
 
-			await waitMs(plan.pauseMs * session.random());
+			await wait(plan.pauseMs * session.random());
 		}
 
 		await client?.end().catch(() => undefined);
--- a/packages/configuration/src/active-configuration.ts
+++ b/packages/configuration/src/active-configuration.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type CustomerId, type Instant, type Result, type World,
 } from '@guavapitch/core';
 import {
-	parseDocumentText, type ConfigurationDocument, type DocumentFailure, type Inventory, type Key,
+	parseConfigurationDocument, type ConfigurationDocument, type DocumentFailure, type Inventory, type Key,
 } from '@guavapitch/inventory';
 import type {StoreCache} from './store-cache.js';
 import {CONFIGURATION_KEY} from './relay.js';
@@ -43,7 +43,7 @@
 			return;
 		}
 
-		const parsed = parseDocumentText(entry.value);
+		const parsed = parseConfigurationDocument(entry.value);
 		if (parsed.err) {
 			listener.onRejected(entry.revision, parsed.val);
 			return;
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
-	formatDocument, parseDocumentText, type ConfigurationDocument, type DocumentFailure, type Inventory,
+	formatConfigurationDocument, parseConfigurationDocument, type ConfigurationDocument, type DocumentFailure, type Inventory,
 } from '@guavapitch/inventory';
 import type {Entry, Store, StoreFailure} from '@guavapitch/store';
 import {CONFIGURATION_KEY} from './relay.js';
@@ -27,7 +27,7 @@
 		return Ok({document: undefined, revision: 0});
 	}
 
-	return parseDocumentText(entry.value).map(document => ({document, revision: entry.revision}));
+	return parseConfigurationDocument(entry.value).map(document => ({document, revision: entry.revision}));
 };
 
 /** Reads the configuration from the store. */
@@ -42,7 +42,7 @@
  */
 export const changeConfiguration = async (store: Store, world: World, change: Readonly<{expectedRevision: number; author: string; inventory: Inventory}>): Promise<Result<number, ChangeFailure>> => {
 	const changeId = world.createId();
-	const text = formatDocument({changeId, author: change.author, inventory: change.inventory});
+	const text = formatConfigurationDocument({changeId, author: change.author, inventory: change.inventory});
 	if (text.err) {
 		return text;
 	}
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -6,7 +6,7 @@
 import {
 	createVirtualWorld, Err, parseId, type CustomerId, type Instant,
 } from '@guavapitch/core';
-import {formatDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
+import {formatConfigurationDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {changeConfiguration, readConfiguration} from '../change.js';
 import {createStoreCache} from '../store-cache.js';
@@ -88,7 +88,7 @@
 		const cache = createStoreCache(world);
 		const activeConfiguration = createActiveConfiguration(cache, world, {onApplied: () => undefined, onRejected: () => undefined});
 		const put = (revision: number, inventory: Inventory) => {
-			cache.merge([{key: CONFIGURATION_KEY, revision, value: formatDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
+			cache.merge([{key: CONFIGURATION_KEY, revision, value: formatConfigurationDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
 		};
 
 		put(1, createInventory(1));
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -4,24 +4,24 @@
 	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type World,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest} from '@guavapitch/sessions';
-import type {Load, LoadClass, LoadCustomer} from './loads.js';
-import {DATABASE} from './targets.js';
+import type {Load, OperationClass, CustomerLoad} from './loads.js';
+import {EMULATED_DATABASE} from './targets.js';
 
 /** How an operation ended for its caller. */
-export type OperationEnd = 'prompt' | 'late' | 'refused' | 'failed';
+export type OperationOutcome = 'prompt' | 'late' | 'refused' | 'failed';
 
 /** One operation from its first attempt on. */
-export type SeenOperation = Readonly<{
+export type OperationResult = Readonly<{
 	className: string;
 	customer: string;
 	dataCentre: string;
 	/** Milliseconds from the start of the load. */
-	atMs: number;
-	end: OperationEnd;
-	ms: number;
+	startedAtMs: number;
+	outcome: OperationOutcome;
+	latencyMs: number;
 	/** Worth that it earned, and that it could have earned. */
-	earned: number;
-	worth: number;
+	earnedWorth: number;
+	maxWorth: number;
 }>;
 
 /** Runs a statement at the home; `undefined` if the vm is away. */
@@ -38,16 +38,16 @@
 type CallContext = Readonly<{load: Load; world: World; run: RunStatement}>;
 
 /** Runs one operation with its attempts. */
-const runOperation = async ({load, world, run}: CallContext, one: LoadClass, customer: string): Promise<SeenOperation> => {
+const runOperation = async ({load, world, run}: CallContext, one: OperationClass, customer: string): Promise<OperationResult> => {
 	const startedAt = world.now();
-	const deadline = createDeadline(startedAt, one.deadlineMs);
+	const deadline = createDeadline(startedAt, one.timeoutMs);
 	const dataCentre = load.dataCentres[Math.floor(world.random() * load.dataCentres.length)] ?? '';
-	const isTransaction = world.random() < one.transactionPart;
-	const isWrite = world.random() < one.writePart;
+	const isTransaction = world.random() < one.transactionFraction;
+	const isWrite = world.random() < one.writeFraction;
 
 	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
 		id: world.createId(),
-		database: DATABASE,
+		database: EMULATED_DATABASE,
 		customer: parseId<CustomerId>(customer),
 		statement: text === 'COMMIT' ? {kind: 'commit', text} : {kind: 'text', access: text.startsWith('WRITE') ? 'write' : 'read', text},
 		consistency: one.consistency,
@@ -55,7 +55,7 @@
 		values: [],
 		transaction,
 		remainingMs: Math.max(0, getRemainingMs(deadline, world.now())),
-		promptMs: Math.max(0, one.promptMs - (world.now() - startedAt)),
+		promptMs: Math.max(0, one.latencyObjectiveMs - (world.now() - startedAt)),
 		priority: one.priority,
 	});
 
@@ -68,9 +68,9 @@
 	const attempt = async (): Promise<Attempt> => {
 		const transaction = world.createId();
 		for (const [index, text] of listTexts().entries()) {
-			await world.sleep(load.hopMs);
+			await world.sleep(load.networkDelayMs);
 			const answer = await run(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
-			await world.sleep(load.hopMs);
+			await world.sleep(load.networkDelayMs);
 			if (answer?.outcome.kind !== 'done') {
 				const isRefused = answer?.outcome.kind === 'refused';
 				const isRead = !isWrite || (isTransaction && text !== 'COMMIT');
@@ -99,25 +99,25 @@
 
 	const ms = world.now() - startedAt - pausedMs;
 	const isInTime = last.ok && world.now() - pausedMs <= deadline;
-	const isPrompt = ms <= one.promptMs;
-	const end: OperationEnd = isInTime ? (isPrompt ? 'prompt' : 'late') : (last.isRepeatable ? 'refused' : 'failed');
+	const isPrompt = ms <= one.latencyObjectiveMs;
+	const end: OperationOutcome = isInTime ? (isPrompt ? 'prompt' : 'late') : (last.isRepeatable ? 'refused' : 'failed');
 	return {
-		className: one.name, customer, dataCentre, atMs: startedAt, end, ms, worth: one.worth, earned: isInTime ? (isPrompt ? one.worth : one.lateWorth) : 0,
+		className: one.name, customer, dataCentre, startedAtMs: startedAt, outcome: end, latencyMs: ms, maxWorth: one.worth, earnedWorth: isInTime ? (isPrompt ? one.worth : one.lateWorth) : 0,
 	};
 };
 
 /** Computes how many times as often a customer asks now. */
 const computeTimes = (load: Load, customer: string, now: number): number => load.events
 	.filter(event => event.kind === 'more' && now >= event.atMs && now < event.untilMs && (event.customer ?? customer) === customer)
-	.reduce((times, event) => times * (event.kind === 'more' ? event.times : 1), 1);
+	.reduce((times, event) => times * (event.kind === 'more' ? event.factor : 1), 1);
 
 /** Operations of one class that one customer asks for. */
-type Arrivals = Readonly<{one: LoadClass; customer: LoadCustomer; end: Deadline; onArrival: () => void}>;
+type Arrivals = Readonly<{one: OperationClass; customer: CustomerLoad; end: Deadline; onArrival: () => void}>;
 
 /** Lets operations arrive at random times until the load is over. */
 const sendOperations = async ({load, world}: CallContext, {one, customer, end, onArrival}: Arrivals): Promise<void> => {
-	const mostTimes = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.times : 1));
-	const perMs = one.perSecond * customer.part * mostTimes / 1000;
+	const mostTimes = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.factor : 1));
+	const perMs = one.operationsPerSecond * customer.fraction * mostTimes / 1000;
 	while (!isPast(end, world.now())) {
 		await world.sleep(-Math.log(1 - world.random()) / perMs);
 		// Arrivals are drawn at the highest rate and thinned out, so that the rate may change at any time.
@@ -128,12 +128,12 @@
 };
 
 /** Runs all callers of a load; gives their operations. */
-export const runCallers = async (load: Load, world: World, run: RunStatement): Promise<readonly SeenOperation[]> => {
+export const runCallers = async (load: Load, world: World, run: RunStatement): Promise<readonly OperationResult[]> => {
 	const end = createDeadline(world.now(), load.durationMs);
-	const seen: SeenOperation[] = [];
+	const seen: OperationResult[] = [];
 	const running: Array<Promise<void>> = [];
 	const context: CallContext = {load, world, run};
-	const runOne = async (one: LoadClass, customer: LoadCustomer) => {
+	const runOne = async (one: OperationClass, customer: CustomerLoad) => {
 		seen.push(await runOperation(context, one, customer.name));
 	};
 
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -3,20 +3,20 @@
 import type {Consistency} from '@guavapitch/sessions';
 
 /** A kind of operation that callers ask for. */
-export type LoadClass = Readonly<{
+export type OperationClass = Readonly<{
 	name: string;
 	consistency: Consistency;
 	/** Part of the operations that write. */
-	writePart: number;
+	writeFraction: number;
 	/** Part of the operations that are transactions of three statements with pauses. */
-	transactionPart: number;
+	transactionFraction: number;
 	/** Mean time of a statement in its slot, in milliseconds. */
-	workMs: number;
+	meanStatementMs: number;
 	/** Time in which an operation should be answered, in milliseconds. */
-	promptMs: number;
+	latencyObjectiveMs: number;
 	/** Time after which its caller gives up, in milliseconds. */
-	deadlineMs: number;
-	perSecond: number;
+	timeoutMs: number;
+	operationsPerSecond: number;
 	/** Worth of an operation in time, and of a late one. */
 	worth: number;
 	lateWorth: number;
@@ -27,17 +27,17 @@
 }>;
 
 /** A target of the emulated database. */
-export type LoadTarget = Readonly<{id: string; dataCentre: string; slots: number; lagMs: number}>;
+export type TargetSpec = Readonly<{id: string; dataCentre: string; slots: number; lagMs: number}>;
 
 /** A customer, its part of the operations and its share. */
-export type LoadCustomer = Readonly<{name: string; part: number; rate: number; burst: number}>;
+export type CustomerLoad = Readonly<{name: string; fraction: number; rate: number; burst: number}>;
 
 /** Something that changes during a load. */
 export type LoadEvent = Readonly<{atMs: number; untilMs: number}> & (
 	/** All callers, or those of one customer, ask this many times as often. */
-	| Readonly<{kind: 'more'; times: number; customer?: string}>
+	| Readonly<{kind: 'more'; factor: number; customer?: string}>
 	/** A target takes this many times as long. */
-	| Readonly<{kind: 'slow'; target: string; times: number}>
+	| Readonly<{kind: 'slow'; target: string; factor: number}>
 	/** A target neither answers nor refuses. */
 	| Readonly<{kind: 'dark'; target: string}>
 	/** The leader is dark; another target leads from the end on. */
@@ -55,13 +55,13 @@
 	/** Time that a new connection holds a slot, in milliseconds. */
 	dialMs: number;
 	/** Way between two data centres, in milliseconds. */
-	hopMs: number;
+	networkDelayMs: number;
 	connections: number;
 	dataCentres: readonly string[];
 	/** The first one leads. */
-	targets: readonly LoadTarget[];
-	classes: readonly LoadClass[];
-	customers: readonly LoadCustomer[];
+	targets: readonly TargetSpec[];
+	classes: readonly OperationClass[];
+	customers: readonly CustomerLoad[];
 	events: readonly LoadEvent[];
 }>;
 
@@ -69,7 +69,7 @@
 const BASE: Omit<Load, 'name' | 'description' | 'events'> = {
 	durationMs: 20_000,
 	dialMs: 27,
-	hopMs: 1,
+	networkDelayMs: 1,
 	connections: 38,
 	dataCentres: ['east', 'middle', 'west'],
 	targets: [
@@ -87,12 +87,12 @@
 		{
 			name: 'orders',
 			consistency: {kind: 'latest'},
-			writePart: 0.35,
-			transactionPart: 0.4,
-			workMs: 8,
-			promptMs: 200,
-			deadlineMs: 2000,
-			perSecond: 12.6,
+			writeFraction: 0.35,
+			transactionFraction: 0.4,
+			meanStatementMs: 8,
+			latencyObjectiveMs: 200,
+			timeoutMs: 2000,
+			operationsPerSecond: 12.6,
 			worth: 2,
 			lateWorth: 0.2,
 			priority: 0,
@@ -101,12 +101,12 @@
 		{
 			name: 'lookups',
 			consistency: {kind: 'bounded', maxStalenessMs: 1500},
-			writePart: 0,
-			transactionPart: 0.1,
-			workMs: 40,
-			promptMs: 600,
-			deadlineMs: 6000,
-			perSecond: 12.6,
+			writeFraction: 0,
+			transactionFraction: 0.1,
+			meanStatementMs: 40,
+			latencyObjectiveMs: 600,
+			timeoutMs: 6000,
+			operationsPerSecond: 12.6,
 			worth: 1,
 			lateWorth: 0.1,
 			priority: 2,
@@ -115,12 +115,12 @@
 		{
 			name: 'swaps',
 			consistency: {kind: 'ownWrites', maxStalenessMs: 2500},
-			writePart: 0.12,
-			transactionPart: 0.12,
-			workMs: 24,
-			promptMs: 400,
-			deadlineMs: 2000,
-			perSecond: 58.7,
+			writeFraction: 0.12,
+			transactionFraction: 0.12,
+			meanStatementMs: 24,
+			latencyObjectiveMs: 400,
+			timeoutMs: 2000,
+			operationsPerSecond: 58.7,
 			worth: 2,
 			lateWorth: 0.1,
 			priority: 1,
@@ -129,13 +129,13 @@
 	],
 	customers: [
 		{
-			name: 'large', part: 0.5, rate: 80, burst: 80,
+			name: 'large', fraction: 0.5, rate: 80, burst: 80,
 		},
 		{
-			name: 'middle', part: 0.3, rate: 50, burst: 50,
+			name: 'middle', fraction: 0.3, rate: 50, burst: 50,
 		},
 		{
-			name: 'small', part: 0.2, rate: 40, burst: 40,
+			name: 'small', fraction: 0.2, rate: 40, burst: 40,
 		},
 	],
 };
@@ -147,17 +147,17 @@
 	},
 	{
 		...BASE, name: 'burst', description: 'three times as many operations for six seconds', events: [{
-			kind: 'more', times: 3, atMs: 6000, untilMs: 12_000,
+			kind: 'more', factor: 3, atMs: 6000, untilMs: 12_000,
 		}],
 	},
 	{
 		...BASE, name: 'hot-customer', description: 'one customer asks twelve times as often for eight seconds', events: [{
-			kind: 'more', customer: 'small', times: 12, atMs: 6000, untilMs: 14_000,
+			kind: 'more', customer: 'small', factor: 12, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
 		...BASE, name: 'slow-target', description: 'one replica takes eight times as long', events: [{
-			kind: 'slow', target: 'target-2', times: 8, atMs: 6000, untilMs: 14_000,
+			kind: 'slow', target: 'target-2', factor: 8, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
--- a/packages/emulator/src/plot.ts
+++ b/packages/emulator/src/plot.ts
@@ -11,7 +11,7 @@
 /** Draws the worth of each window, one line for each class. */
 export const formatPlot = (result: ReplayResult): string => {
 	const names = [...new Set(result.operations.map(({className}) => className))].toSorted();
-	const latest = Math.max(1, ...result.operations.map(({atMs}) => atMs));
+	const latest = Math.max(1, ...result.operations.map(({startedAtMs: atMs}) => atMs));
 	const lines = names.map((name, index) => {
 		const rows = createTable({...result, operations: result.operations.filter(({className}) => className === name)}).filter(({group}) => group === 'from ms');
 		const points = rows.map(row => `${(MARGIN + ((Number(row.name) / latest) * (WIDTH - (2 * MARGIN)))).toFixed(1)},${(HEIGHT - MARGIN - (row.worth * (HEIGHT - (2 * MARGIN)))).toFixed(1)}`);
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -5,16 +5,16 @@
 } from '@guavapitch/core';
 import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/homes';
 import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
-import {runCallers, type SeenOperation} from './callers.js';
+import {runCallers, type OperationResult} from './callers.js';
 import type {Load, LoadEvent} from './loads.js';
-import {createEmulatedTargets, DATABASE, type EmulatedTargets} from './targets.js';
+import {createEmulatedTargets, EMULATED_DATABASE, type EmulatedTargets} from './targets.js';
 
 /** What came of a load. */
 export type ReplayResult = Readonly<{
 	load: string;
 	seed: number;
-	operations: readonly SeenOperation[];
-	dials: number;
+	operations: readonly OperationResult[];
+	dialCount: number;
 }>;
 
 const KEEPER_ANSWER_MS = 2;
@@ -43,7 +43,7 @@
 	const home = createDatabaseOwner({
 		world,
 		readClock: world.now,
-		database: DATABASE,
+		database: EMULATED_DATABASE,
 		dial: targets.dial,
 		readStatus: () => undefined,
 		getConnectionLimit: () => load.connections,
@@ -54,7 +54,7 @@
 		},
 		onDecision: () => undefined,
 	});
-	home.setTargets(targets.list());
+	home.setTargets(targets.describeTargets());
 	return home;
 };
 
@@ -74,7 +74,7 @@
 		} else if (event.kind === 'failover') {
 			world.schedule(event.untilMs, () => {
 				targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
-				home?.setTargets(targets.list());
+				home?.setTargets(targets.describeTargets());
 			});
 		}
 	};
@@ -83,7 +83,7 @@
 		schedule(event);
 	}
 
-	let operations: readonly SeenOperation[] | undefined;
+	let operations: readonly OperationResult[] | undefined;
 	const running = runCallers(load, world, async request => {
 		const asked = home;
 		const answer = await asked?.serve(request);
@@ -99,6 +99,6 @@
 
 	await Promise.race([running, advance(STEP_MS)]);
 	return {
-		load: load.name, seed, operations: operations ?? [], dials: targets.countDials(),
+		load: load.name, seed, operations: operations ?? [], dialCount: targets.getDialCount(),
 	};
 };
--- a/packages/emulator/src/table.ts
+++ b/packages/emulator/src/table.ts
@@ -1,6 +1,6 @@
 /** Tables over the operations of a replay: by class, data centre, customer and window. */
 
-import type {SeenOperation} from './callers.js';
+import type {OperationResult} from './callers.js';
 import type {ReplayResult} from './replay.js';
 
 /** One row of a table. */
@@ -29,9 +29,9 @@
 
 const computePercentile = (sorted: readonly number[], part: number): number => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0;
 
-const createRow = (group: string, name: string, operations: readonly SeenOperation[]): TableRow => {
-	const count = (end: SeenOperation['end']) => operations.filter(one => one.end === end).length;
-	const times = operations.filter(({end}) => end === 'prompt' || end === 'late').map(({ms}) => ms).toSorted((a, b) => a - b);
+const createRow = (group: string, name: string, operations: readonly OperationResult[]): TableRow => {
+	const count = (end: OperationResult['outcome']) => operations.filter(one => one.outcome === end).length;
+	const times = operations.filter(({outcome: end}) => end === 'prompt' || end === 'late').map(({latencyMs: ms}) => ms).toSorted((a, b) => a - b);
 	return {
 		group,
 		name,
@@ -40,7 +40,7 @@
 		late: count('late'),
 		refused: count('refused'),
 		failed: count('failed'),
-		worth: sum(operations.map(({earned}) => earned)) / Math.max(1e-9, sum(operations.map(({worth}) => worth))),
+		worth: sum(operations.map(({earnedWorth: earned}) => earned)) / Math.max(1e-9, sum(operations.map(({maxWorth: worth}) => worth))),
 		p50: computePercentile(times, 0.5),
 		p99: computePercentile(times, 0.99),
 	};
@@ -48,11 +48,11 @@
 
 /** Creates the rows of a result; the first covers all operations. */
 export const createTable = ({operations}: ReplayResult): readonly TableRow[] => {
-	const groups: ReadonlyArray<readonly [string, (operation: SeenOperation) => string]> = [
+	const groups: ReadonlyArray<readonly [string, (operation: OperationResult) => string]> = [
 		['class', ({className}) => className],
 		['data centre', ({dataCentre}) => dataCentre],
 		['customer', ({customer}) => customer],
-		['from ms', ({atMs}) => String(Math.floor(atMs / WINDOW_MS) * WINDOW_MS)],
+		['from ms', ({startedAtMs: atMs}) => String(Math.floor(atMs / WINDOW_MS) * WINDOW_MS)],
 	];
 	return [
 		createRow('all', '', operations),
@@ -64,7 +64,7 @@
 };
 
 /** Computes the mean worth of the two worst windows. */
-export const computeWorstWindows = (rows: readonly TableRow[]): number => {
+export const computeWorstWindowsWorth = (rows: readonly TableRow[]): number => {
 	const worst = rows.filter(({group}) => group === 'from ms').map(({worth}) => worth).toSorted((a, b) => a - b).slice(0, 2);
 	return sum(worst) / Math.max(1, worst.length);
 };
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -7,23 +7,23 @@
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
 } from '@guavapitch/homes';
 import {comparePositions, type LogPosition} from '@guavapitch/sessions';
-import type {Load, LoadEvent, LoadTarget} from './loads.js';
+import type {Load, LoadEvent, TargetSpec} from './loads.js';
 
 /** The emulated database. */
-export const DATABASE = parseId<DatabaseId>('emulated');
+export const EMULATED_DATABASE = parseId<DatabaseId>('emulated');
 
 /** Targets of one load. */
 export type EmulatedTargets = Readonly<{
 	/** Describes them as the registry would. */
-	list: () => readonly Target[];
+	describeTargets: () => readonly Target[];
 	dial: (target: Target, customer: string, deadline: Deadline) => Promise<Result<TargetConnection, DialFailure>>;
 	/** Makes another target lead the next term. */
 	promote: (id: string) => void;
 	getLeader: () => string;
-	countDials: () => number;
+	getDialCount: () => number;
 }>;
 
-type Emulated = {readonly load: LoadTarget; busy: number; readonly waiting: Array<() => void>};
+type Emulated = {readonly load: TargetSpec; busy: number; readonly waiting: Array<() => void>};
 
 /** Spread of the times of statements: standard deviation of their logarithm. */
 const TIME_SPREAD = 0.35;
@@ -74,9 +74,9 @@
 	};
 
 	const work = async (target: Emulated, className: string) => {
-		const meanMs = load.classes.find(({name}) => name === className)?.workMs ?? 1;
+		const meanMs = load.classes.find(({name}) => name === className)?.meanStatementMs ?? 1;
 		const slow = getEvent('slow', target.load.id);
-		await holdSlot(target, drawTimeMs(meanMs, world.random) * (slow?.kind === 'slow' ? slow.times : 1));
+		await holdSlot(target, drawTimeMs(meanMs, world.random) * (slow?.kind === 'slow' ? slow.factor : 1));
 	};
 
 	const connect = (target: Emulated): TargetConnection => {
@@ -158,9 +158,9 @@
 	};
 
 	return {
-		list: () => load.targets.map(({id, dataCentre, slots}) => ({
+		describeTargets: () => load.targets.map(({id, dataCentre, slots}) => ({
 			id: parseId<TargetId>(id),
-			database: DATABASE,
+			database: EMULATED_DATABASE,
 			host: id,
 			port: 1,
 			dataCentre: parseId<DataCentreId>(dataCentre),
@@ -187,6 +187,6 @@
 			term++;
 		},
 		getLeader: () => leader,
-		countDials: () => dials,
+		getDialCount: () => dials,
 	};
 };
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -6,7 +6,7 @@
 import {formatPlot} from '../plot.js';
 import {runReplay, type ReplayResult} from '../replay.js';
 import {
-	compareTables, computeWorstWindows, createTable, formatTable, type TableRow,
+	compareTables, computeWorstWindowsWorth, createTable, formatTable, type TableRow,
 } from '../table.js';
 
 const replay = async (name: string, seed = 1): Promise<readonly TableRow[]> => {
@@ -42,8 +42,8 @@
 
 	describe('a target that is slow or silent', () => {
 		it('costs a small part of the worst windows', async () => {
-			assert.ok(computeWorstWindows(await replay('slow-target')) >= 0.9);
-			assert.ok(computeWorstWindows(await replay('dark-target')) >= 0.9);
+			assert.ok(computeWorstWindowsWorth(await replay('slow-target')) >= 0.9);
+			assert.ok(computeWorstWindowsWorth(await replay('dark-target')) >= 0.9);
 		});
 	});
 
@@ -64,21 +64,21 @@
 
 describe('tables', () => {
 	const operation = {
-		className: 'orders', customer: 'large', dataCentre: 'east', worth: 2,
+		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2,
 	};
 	const result: ReplayResult = {
 		load: 'made',
 		seed: 1,
-		dials: 0,
+		dialCount: 0,
 		operations: [
 			{
-				...operation, atMs: 100, end: 'prompt', ms: 10, earned: 2,
+				...operation, startedAtMs: 100, outcome: 'prompt', latencyMs: 10, earnedWorth: 2,
 			},
 			{
-				...operation, atMs: 2100, end: 'late', ms: 900, earned: 0.5,
+				...operation, startedAtMs: 2100, outcome: 'late', latencyMs: 900, earnedWorth: 0.5,
 			},
 			{
-				...operation, atMs: 4100, end: 'refused', ms: 5, earned: 0,
+				...operation, startedAtMs: 4100, outcome: 'refused', latencyMs: 5, earnedWorth: 0,
 			},
 		],
 	};
@@ -87,7 +87,7 @@
 		const rows = createTable(result);
 		assert.deepEqual(rows.map(({group, name}) => `${group} ${name}`), ['all ', 'class orders', 'data centre east', 'customer large', 'from ms 0', 'from ms 2000', 'from ms 4000']);
 		assert.equal(rows[0]?.worth, 2.5 / 6);
-		assert.equal(computeWorstWindows(rows), 0.125);
+		assert.equal(computeWorstWindowsWorth(rows), 0.125);
 		assert.equal(formatTable(rows).split('\n').length, rows.length + 1);
 	});
 
--- a/packages/front-postgres/src/caller.ts
+++ b/packages/front-postgres/src/caller-port.ts
@@ -2,7 +2,7 @@
 
 import type {Buffer} from 'node:buffer';
 import {
-	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, SQLSTATE, type Message,
+	createErrorResponse, createMessage, createParameterStatus, createReadyForQuery, encodeInt32, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import type {CallerPort, RequestFailure} from '@guavapitch/requests';
 import {createPreparedStatementMap, type Refusal} from '@guavapitch/sessions';
@@ -51,11 +51,11 @@
 });
 
 /** Greets a caller that has proved its key. */
-export const greetCaller = async (caller: Caller, key: CancelKey): Promise<void> => {
+export const sendStartupResponse = async (caller: Caller, key: CancelKey): Promise<void> => {
 	const parameters = Object.entries({...SERVER_PARAMETERS, application_name: caller.applicationName})
-		.map(([name, value]) => createParameter(name, value).bytes);
+		.map(([name, value]) => createParameterStatus(name, value).bytes);
 	const keyData = createMessage('K', encodeInt32(key.processId), encodeInt32(key.secret));
-	await caller.wire.write(createMessage('R', encodeInt32(0)).bytes, ...parameters, keyData.bytes, createReady('idle').bytes);
+	await caller.wire.write(createMessage('R', encodeInt32(0)).bytes, ...parameters, keyData.bytes, createReadyForQuery('idle').bytes);
 };
 
 /** Reads the messages of the next chunk; `undefined` when the caller has left. */
@@ -120,7 +120,7 @@
 		},
 		hasPending: () => pending.length > 0,
 		sendMessages: async bytes => wire.write(bytes as Buffer),
-		sendReady: async status => wire.write(createReady(status).bytes),
+		sendReady: async status => wire.write(createReadyForQuery(status).bytes),
 		sendFailure: async failure => wire.write(createFailureMessage(failure).bytes),
 		sendRolledBack: async message => wire.write(createErrorResponse({
 			severity: 'FATAL', code: SQLSTATE.idleInTransaction, message, hint: 'Nothing of the transaction was kept.',
--- a/packages/front-postgres/src/chunks.ts
+++ b/packages/front-postgres/src/chunks.ts
@@ -5,7 +5,7 @@
 	Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import {
-	createMessage, getBody, readText, SQLSTATE, type Message,
+	createMessage, getBody, readCString, SQLSTATE, type Message,
 } from '@guavapitch/postgres-wire';
 import {
 	classifyStatement, createPreparedStatement, isStateful, type PreparedStatementMap, type PreparedStatement, type RequestChunk, type RequestPart, type StatementClass,
@@ -54,8 +54,8 @@
 };
 
 const addParse = (draft: Draft, names: PreparedStatementMap, body: Buffer): Result<undefined, ChunkFailure> => {
-	const [name, afterName] = readText(body, 0);
-	const [text, afterText] = readText(body, afterName);
+	const [name, afterName] = readCString(body, 0);
+	const [text, afterText] = readCString(body, afterName);
 	const statement = createPreparedStatement(text, Buffer.from(body.subarray(afterText)));
 	noteText(draft, text);
 	names.set(name, statement);
@@ -64,8 +64,8 @@
 };
 
 const addBind = (draft: Draft, names: PreparedStatementMap, body: Buffer): Result<undefined, ChunkFailure> => {
-	const [portal, afterPortal] = readText(body, 0);
-	const [name, afterName] = readText(body, afterPortal);
+	const [portal, afterPortal] = readCString(body, 0);
+	const [name, afterName] = readCString(body, afterPortal);
 	return requireStatement(draft, names, name).map(statement => {
 		passOn(draft, createMessage('B', portal, statement.hash, body.subarray(afterName)), 1);
 		return undefined;
@@ -79,7 +79,7 @@
 		return Ok(undefined);
 	}
 
-	return requireStatement(draft, names, readText(body, 1)[0]).map(statement => {
+	return requireStatement(draft, names, readCString(body, 1)[0]).map(statement => {
 		passOn(draft, createMessage('D', Buffer.from('S'), statement.hash), 1);
 		return undefined;
 	});
@@ -88,7 +88,7 @@
 const addClose = (draft: Draft, names: PreparedStatementMap, message: Message): Result<undefined, ChunkFailure> => {
 	const body = getBody(message);
 	if (body.toString('latin1', 0, 1) === 'S') {
-		names.remove(readText(body, 1)[0]);
+		names.remove(readCString(body, 1)[0]);
 		// Statements are kept by hash on the connection, so the caller's name is closed by closing a portal that does not exist.
 		passOn(draft, createMessage('C', Buffer.from('P'), 'guavapitch_closed'), 1);
 	} else {
@@ -101,7 +101,7 @@
 const addMessage = (draft: Draft, names: PreparedStatementMap, message: Message): Result<undefined, ChunkFailure> => {
 	switch (message.type) {
 		case 'Q': {
-			noteText(draft, readText(getBody(message), 0)[0]);
+			noteText(draft, readCString(getBody(message), 0)[0]);
 			passOn(draft, message, 0);
 			return Ok(undefined);
 		}
--- a/packages/front-postgres/src/index.ts
+++ b/packages/front-postgres/src/index.ts
@@ -1,3 +1,3 @@
 export * from './startup.js';
 export * from './chunks.js';
-export * from './caller.js';
+export * from './caller-port.js';
--- a/packages/front-postgres/src/startup.ts
+++ b/packages/front-postgres/src/startup.ts
@@ -7,8 +7,8 @@
 	Err, Ok, parseId, type CustomerId, type Failure, type Result, type ServiceId,
 } from '@guavapitch/core';
 import {
-	checkPassword, createMessage, encodeInt32, getBody, openWire, parseStartup, parseVerifier, readText, SQLSTATE, startScramServer,
-	type Verifier, type Wire,
+	checkPassword, createMessage, encodeInt32, getBody, openWireConnection, parseStartupPacket, parseVerifier, readCString, SQLSTATE, startScramServer,
+	type Verifier, type WireConnection,
 } from '@guavapitch/postgres-wire';
 import type {CallerIdentity} from '@guavapitch/requests';
 
@@ -17,7 +17,7 @@
 
 /** A caller that has proved who it is. */
 export type Caller = CallerIdentity & Readonly<{
-	wire: Wire;
+	wire: WireConnection;
 	/** Name that the caller gave itself. */
 	applicationName: string;
 }>;
@@ -52,7 +52,7 @@
 const CLOSED = createRefusal('closed', SQLSTATE.connectionFailure, 'The connection was closed');
 const REJECTED = createRefusal('keyRejected', SQLSTATE.wrongPassword, 'The key is not valid for this service');
 
-const readPassword = async (wire: Wire): Promise<Result<Buffer, StartupRefusal>> => {
+const readPassword = async (wire: WireConnection): Promise<Result<Buffer, StartupRefusal>> => {
 	const messages = await wire.readMessages();
 	if (messages.err) {
 		return Err(CLOSED);
@@ -62,14 +62,14 @@
 	return message?.type === 'p' ? Ok(getBody(message)) : Err(createRefusal('malformed', SQLSTATE.protocolViolation, 'A password message was expected'));
 };
 
-const checkByScram = async (wire: Wire, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
+const checkByScram = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
 	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_SASL), SCRAM, Buffer.from([0])).bytes);
 	const first = await readPassword(wire);
 	if (first.err) {
 		return first;
 	}
 
-	const [mechanism, offset] = readText(first.val, 0);
+	const [mechanism, offset] = readCString(first.val, 0);
 	if (mechanism !== SCRAM) {
 		return Err(createRefusal('malformed', SQLSTATE.protocolViolation, `Expected the mechanism ${SCRAM}`));
 	}
@@ -79,13 +79,13 @@
 		return Err(createRefusal('malformed', SQLSTATE.protocolViolation, exchange.val.message));
 	}
 
-	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_SASL_CONTINUE), Buffer.from(exchange.val.firstMessage)).bytes);
+	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_SASL_CONTINUE), Buffer.from(exchange.val.serverFirst)).bytes);
 	const final = await readPassword(wire);
 	if (final.err) {
 		return final;
 	}
 
-	const finished = exchange.val.finish(final.val.toString('utf8'));
+	const finished = exchange.val.verifyClientFinal(final.val.toString('utf8'));
 	if (finished.err) {
 		return Ok(false);
 	}
@@ -94,13 +94,13 @@
 	return Ok(true);
 };
 
-const checkByPassword = async (wire: Wire, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
+const checkByPassword = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
 	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_CLEARTEXT)).bytes);
 	const password = await readPassword(wire);
-	return password.map(body => verifier !== undefined && checkPassword(readText(body, 0)[0], verifier));
+	return password.map(body => verifier !== undefined && checkPassword(readCString(body, 0)[0], verifier));
 };
 
-const proveKey = async (wire: Wire, parameters: ReadonlyMap<string, string>, context: StartupContext): Promise<Result<Caller, StartupRefusal>> => {
+const proveKey = async (wire: WireConnection, parameters: ReadonlyMap<string, string>, context: StartupContext): Promise<Result<Caller, StartupRefusal>> => {
 	const keyId = parameters.get('user') ?? '';
 	const service = parseId<ServiceId>(parameters.get('database') ?? keyId);
 	const applicationName = parameters.get('application_name') ?? '';
@@ -134,25 +134,25 @@
 		: Err(createRefusal('notAllowed', SQLSTATE.notAuthorized, `The customer of this key may not use ${service}`));
 };
 
-const startTls = (wire: Wire, context: SecureContext): Wire => {
+const startTls = (wire: WireConnection, context: SecureContext): WireConnection => {
 	const socket = wire.detach();
-	return openWire(new TLSSocket(socket, {isServer: true, secureContext: context}));
+	return openWireConnection(new TLSSocket(socket, {isServer: true, secureContext: context}));
 };
 
 /** Result of a startup, with the wire to answer on. */
-export type StartupResult = Readonly<{wire: Wire; outcome: Result<StartupOutcome, StartupRefusal>}>;
+export type StartupResult = Readonly<{wire: WireConnection; outcome: Result<StartupOutcome, StartupRefusal>}>;
 
 /** Runs the first exchange with a caller. */
 export const receiveStartup = async (socket: Socket, context: StartupContext): Promise<StartupResult> => {
-	let wire = openWire(socket);
+	let wire = openWireConnection(socket);
 	while (true) {
-		const packet = await wire.readStartup();
+		const packet = await wire.readStartupPacket();
 		if (packet.err) {
 			const refusal = packet.val.code === 'closed' ? CLOSED : createRefusal('malformed', SQLSTATE.protocolViolation, packet.val.message);
 			return {wire, outcome: Err(refusal)};
 		}
 
-		const startup = parseStartup(packet.val);
+		const startup = parseStartupPacket(packet.val);
 		if (startup.err) {
 			return {wire, outcome: Err(createRefusal('malformed', SQLSTATE.protocolViolation, startup.val.message))};
 		}
--- a/packages/inventory/src/document.ts
+++ b/packages/inventory/src/document.ts
@@ -20,18 +20,18 @@
 export type DocumentFailure = Failure<'documentMalformed' | 'documentTooLarge'>;
 
 /** Largest value that the store holds. */
-export const DOCUMENT_LIMIT_BYTES = 1_000_000;
+export const MAX_DOCUMENT_BYTES = 1_000_000;
 
 /** Formats a document for the store: compressed JSON. */
-export const formatDocument = (document: ConfigurationDocument): Result<string, DocumentFailure> => {
+export const formatConfigurationDocument = (document: ConfigurationDocument): Result<string, DocumentFailure> => {
 	const text = gzipSync(JSON.stringify(document)).toString('base64');
-	return text.length <= DOCUMENT_LIMIT_BYTES
+	return text.length <= MAX_DOCUMENT_BYTES
 		? Ok(text)
-		: Err({code: 'documentTooLarge', message: `The configuration takes ${text.length} bytes; the store holds ${DOCUMENT_LIMIT_BYTES}`});
+		: Err({code: 'documentTooLarge', message: `The configuration takes ${text.length} bytes; the store holds ${MAX_DOCUMENT_BYTES}`});
 };
 
 /** Parses a document from the store. */
-export const parseDocumentText = (text: string): Result<ConfigurationDocument, DocumentFailure> => {
+export const parseConfigurationDocument = (text: string): Result<ConfigurationDocument, DocumentFailure> => {
 	try {
 		const raw = JSON.parse(gunzipSync(Buffer.from(text, 'base64')).toString()) as ConfigurationDocument;
 		return Ok({...raw, inventory: inventorySchema.parse(raw.inventory)});
--- a/packages/inventory/src/tests/parser.test.ts
+++ b/packages/inventory/src/tests/parser.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {compareInventories} from '../difference.js';
-import {formatDocument, parseDocumentText} from '../document.js';
+import {formatConfigurationDocument, parseConfigurationDocument} from '../document.js';
 import {parseInventory} from '../parser.js';
 
 const GOOD = `
@@ -74,8 +74,8 @@
 	describe('documents', () => {
 		it('come back from the store as they went in', () => {
 			const document = {changeId: 'c', author: 'a', inventory: parseInventory(GOOD).unwrap()};
-			assert.deepEqual(parseDocumentText(formatDocument(document).unwrap()).unwrap(), document);
-			assert.ok(parseDocumentText('garbage').err);
+			assert.deepEqual(parseConfigurationDocument(formatConfigurationDocument(document).unwrap()).unwrap(), document);
+			assert.ok(parseConfigurationDocument('garbage').err);
 		});
 	});
 });
--- a/packages/load/src/checker.ts
+++ b/packages/load/src/checker.ts
@@ -3,15 +3,15 @@
 import type {Operation} from './history.js';
 
 /** Promises that a history can break. */
-export type Promised = 'lostWrite' | 'doubledWrite' | 'ranThoughNotRun' | 'staleRead' | 'mixedTransaction' | 'foreignAnswer';
+export type Guarantee = 'lostWrite' | 'doubledWrite' | 'ranThoughNotRun' | 'staleRead' | 'mixedTransaction' | 'foreignAnswer';
 
 /** One broken promise. */
-export type Violation = Readonly<{promise: Promised; operation: number; detail: string}>;
+export type Violation = Readonly<{promise: Guarantee; operation: number; detail: string}>;
 
 /** What lies in the databases when the run is over. */
 export type FinalState = Readonly<{
 	/** Identifiers lodged, each as often as it is stored. */
-	lodged: readonly string[];
+	storedIds: readonly string[];
 	/** Sum over all accounts. */
 	sum: number;
 	/** Sum that transfers keep. */
@@ -28,7 +28,7 @@
 };
 
 const checkLodgings = (history: readonly Operation[], final: FinalState): readonly Violation[] => {
-	const counts = countAll(final.lodged);
+	const counts = countAll(final.storedIds);
 	const violations: Violation[] = [];
 	for (const operation of history.filter(one => one.kind === 'lodge')) {
 		const count = counts.get(operation.id) ?? 0;
--- a/packages/load/src/entries.ts
+++ b/packages/load/src/entries.ts
@@ -6,18 +6,18 @@
 export type EntryAddress = Readonly<{host: string; port: number}>;
 
 /** Who connects to what. */
-export type Login = Readonly<{keyId: string; secret: string | undefined; service: string}>;
+export type LoginOptions = Readonly<{keyId: string; secret: string | undefined; service: string}>;
 
 const CONNECT_TIMEOUT_MS = 3000;
 const QUERY_TIMEOUT_MS = 20_000;
 
 /** Waits. */
-export const waitMs = async (ms: number): Promise<void> => new Promise(resolve => {
+export const wait = async (ms: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
 
 /** Connects to a proxy with a stock client. */
-export const connectEntry = async (entry: EntryAddress, login: Login): Promise<pg.Client> => {
+export const connectEntry = async (entry: EntryAddress, login: LoginOptions): Promise<pg.Client> => {
 	const client = new pg.Client({
 		host: entry.host,
 		port: entry.port,
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -3,4 +3,4 @@
 export * from './random.js';
 export * from './entries.js';
 export * from './traffic.js';
-export * from './shares.js';
+export * from './quota-check.js';
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -5,10 +5,10 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {
-	compareTables, computeWorstWindows, createTable, findLoad, formatPlot, formatTable, LOADS, runReplay, type TableRow,
+	compareTables, computeWorstWindowsWorth, createTable, findLoad, formatPlot, formatTable, LOADS, runReplay, type TableRow,
 } from '@guavapitch/emulator';
 import type {EntryAddress} from './entries.js';
-import {connectAll, runOpen, type TrafficResult} from './traffic.js';
+import {connectAll, runOpenLoop, type TrafficResult} from './traffic.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_SETTING = 2;
@@ -63,7 +63,7 @@
 		.option('output', {type: 'string', describe: 'file for the result, JSON'}), async flags => {
 		const login = {keyId: flags.key, secret: flags.secret, service: flags.service};
 		const clients = await connectAll(flags.target.map(text => parseEntry(text)), login, flags.connections);
-		const result = await runOpen(clients, {
+		const result = await runOpenLoop(clients, {
 			perSecond: flags.perSecond,
 			durationMs: flags.durationMs,
 			seed: flags.seed,
@@ -100,7 +100,7 @@
 
 		const result = await runReplay(load, flags.seed);
 		const rows = createTable(result);
-		print(`${load.name}, seed ${flags.seed}: ${load.description}\n${formatTable(rows)}\nworst two windows: ${computeWorstWindows(rows).toFixed(3)}, connections opened: ${result.dials}`);
+		print(`${load.name}, seed ${flags.seed}: ${load.description}\n${formatTable(rows)}\nworst two windows: ${computeWorstWindowsWorth(rows).toFixed(3)}, connections opened: ${result.dialCount}`);
 		if (flags.compare) {
 			print(compareTables(JSON.parse(readFileSync(flags.compare, 'utf8')) as readonly TableRow[], rows));
 		}
--- a/packages/load/src/shares.ts
+++ b/packages/load/src/quota-check.ts
@@ -1,7 +1,7 @@
 /** Checks a recorded history against rate and burst, whatever the clocks of the processes said. */
 
 /** A request that was let through, as its caller saw it; wall times in milliseconds, all of one process. */
-export type LetThrough = Readonly<{startedAt: number; endedAt: number}>;
+export type AdmittedRequest = Readonly<{startedAt: number; endedAt: number}>;
 
 /** A window in which more was let through than the share allows. */
 export type ExcessWindow = Readonly<{from: number; to: number; count: number; allowed: number}>;
@@ -9,7 +9,7 @@
 const MILLISECONDS = 1000;
 
 /** Finds the window with the largest excess over rate × t + burst; `undefined` if there is none. A request counts in a window that it certainly lay in. */
-export const findExcess = (requests: readonly LetThrough[], share: Readonly<{rate: number; burst: number}>): ExcessWindow | undefined => {
+export const findExcessWindow = (requests: readonly AdmittedRequest[], share: Readonly<{rate: number; burst: number}>): ExcessWindow | undefined => {
 	const byEnd = requests.toSorted((a, b) => a.endedAt - b.endedAt);
 	let worst: ExcessWindow | undefined;
 	for (const {startedAt: from} of requests) {
--- a/packages/load/src/random.ts
+++ b/packages/load/src/random.ts
@@ -18,7 +18,7 @@
 };
 
 /** Chooses one of several. */
-export const chooseOne = <Item>(items: readonly Item[], random: Random): Item => {
+export const chooseRandom = <Item>(items: readonly Item[], random: Random): Item => {
 	const chosen = items[Math.floor(random() * items.length)];
 	if (chosen === undefined) {
 		throw new RangeError('There is nothing to choose from');
--- a/packages/load/src/tests/checker.test.ts
+++ b/packages/load/src/tests/checker.test.ts
@@ -5,7 +5,7 @@
 import {checkHistory, computeWriteGapMs, type FinalState} from '../checker.js';
 import {classifyFailure, type Operation} from '../history.js';
 
-const FINAL: FinalState = {lodged: ['s0.1'], sum: 10, expectedSum: 10};
+const FINAL: FinalState = {storedIds: ['s0.1'], sum: 10, expectedSum: 10};
 
 const createOperation = (change: Partial<Operation>): Operation => ({
 	number: 1, session: 's0', customer: 'c', kind: 'lodge', id: 's0.1', startedAt: 0, endedAt: 1, outcome: 'done', vm: 'v', ...change,
@@ -25,17 +25,17 @@
 		it('an unknown write, whether it is there or not', () => {
 			const unknown = createOperation({outcome: 'unknown'});
 			assert.deepEqual(listPromises([unknown], FINAL), []);
-			assert.deepEqual(listPromises([unknown], {...FINAL, lodged: []}), []);
+			assert.deepEqual(listPromises([unknown], {...FINAL, storedIds: []}), []);
 		});
 	});
 
 	describe('rejects', () => {
 		it('a lost acknowledged write', () => {
-			assert.deepEqual(listPromises([createOperation({})], {...FINAL, lodged: []}), ['lostWrite']);
+			assert.deepEqual(listPromises([createOperation({})], {...FINAL, storedIds: []}), ['lostWrite']);
 		});
 
 		it('a doubled write', () => {
-			assert.deepEqual(listPromises([createOperation({})], {...FINAL, lodged: ['s0.1', 's0.1']}), ['doubledWrite']);
+			assert.deepEqual(listPromises([createOperation({})], {...FINAL, storedIds: ['s0.1', 's0.1']}), ['doubledWrite']);
 		});
 
 		it('a refusal that ran', () => {
--- a/packages/load/src/traffic.ts
+++ b/packages/load/src/traffic.ts
@@ -4,7 +4,7 @@
 import {build, encodeIntoCompressedBase64, type Histogram} from 'hdr-histogram-js';
 import {createRandom} from './random.js';
 import {
-	connectEntry, waitMs, type Login, type EntryAddress,
+	connectEntry, wait, type LoginOptions, type EntryAddress,
 } from './entries.js';
 
 /** What a run of traffic found; latencies in milliseconds. */
@@ -26,7 +26,7 @@
 }>;
 
 /** Plan of open-loop arrivals. */
-export type OpenPlan = Readonly<{
+export type OpenLoopOptions = Readonly<{
 	perSecond: number;
 	durationMs: number;
 	seed: number;
@@ -58,7 +58,7 @@
 };
 
 /** Runs statements in closed loops on the given clients. */
-export const runClosed = async (clients: readonly pg.Client[], durationMs: number, createStatement: (number: number) => LoopStatement): Promise<TrafficResult> => {
+export const runClosedLoop = async (clients: readonly pg.Client[], durationMs: number, createStatement: (number: number) => LoopStatement): Promise<TrafficResult> => {
 	const histogram = build();
 	let counting = false;
 	let running = true;
@@ -74,9 +74,9 @@
 			}
 		}
 	});
-	await waitMs(WARM_UP_MS);
+	await wait(WARM_UP_MS);
 	counting = true;
-	await waitMs(durationMs);
+	await wait(durationMs);
 	counting = false;
 	running = false;
 	await Promise.all(loops);
@@ -86,13 +86,13 @@
 };
 
 /** Connects several times, spread over the proxies. */
-export const connectAll = async (entries: readonly EntryAddress[], login: Login, connections: number, first = 0): Promise<readonly pg.Client[]> => {
+export const connectAll = async (entries: readonly EntryAddress[], login: LoginOptions, connections: number, first = 0): Promise<readonly pg.Client[]> => {
 	const chosen = Array.from({length: connections}, (_, index) => entries[(index + first) % entries.length]);
 	return Promise.all(chosen.filter(entry => entry !== undefined).map(async entry => connectEntry(entry, login)));
 };
 
 /** Sends statements at random times whatever the answers; a latency counts from the time at which its statement was due. */
-export const runOpen = async (clients: readonly pg.Client[], plan: OpenPlan): Promise<TrafficResult> => {
+export const runOpenLoop = async (clients: readonly pg.Client[], plan: OpenLoopOptions): Promise<TrafficResult> => {
 	const random = createRandom(plan.seed);
 	const histogram = build();
 	const waiting: Array<Promise<void>> = [];
@@ -122,7 +122,7 @@
 	let dueAt = startedAt;
 	while (dueAt - startedAt < plan.durationMs) {
 		dueAt += -Math.log(1 - random()) * MILLISECONDS / plan.perSecond;
-		await waitMs(Math.max(0, dueAt - performance.now()));
+		await wait(Math.max(0, dueAt - performance.now()));
 		const client = clients[sent % clients.length];
 		sent++;
 		if (client) {
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -7,7 +7,7 @@
 import {readVms, type FleetClient} from './fleet.js';
 
 /** Events gathered from the fleet. */
-export type GatheredEvents = Readonly<{
+export type FleetEvents = Readonly<{
 	/** A list for each vm that answered. */
 	lists: ReadonlyArray<readonly EventRecord[]>;
 	/** The vms that did not answer; their events are missing. */
@@ -15,12 +15,12 @@
 }>;
 
 /** Which events to ask for; an absent field asks for all. */
-export type EventQuestion = Readonly<{request?: string | undefined}>;
+export type EventQuery = Readonly<{request?: string | undefined}>;
 
 /** Asks every vm of the list for the last events that it keeps. */
-export const askEvents = async (store: Store, client: FleetClient, question: EventQuestion = {}): Promise<GatheredEvents> => {
+export const requestEvents = async (store: Store, client: FleetClient, query: EventQuery = {}): Promise<FleetEvents> => {
 	const vms = await readVms(store);
-	const answers = await Promise.all(vms.map(async vm => ({vm: vm.vm, events: await client.call<readonly EventRecord[]>(vm, 'events', question)})));
+	const answers = await Promise.all(vms.map(async vm => ({vm: vm.vm, events: await client.call<readonly EventRecord[]>(vm, 'events', query)})));
 	return {
 		lists: answers.filter(({events}) => events.ok).map(({events}) => events.unwrap()),
 		missing: answers.filter(({events}) => events.err).map(({vm}) => vm),
@@ -28,7 +28,7 @@
 };
 
 /** Describes what refused a request, and what to do, in one sentence. */
-export const describeReason = (reason: string): string => match(reason)
+export const describeRefusalReason = (reason: string): string => match(reason)
 	.with('limitExceeded', () => 'the customer had used its rate and burst over the whole fleet: the caller waits for retry_after_ms, or its share is raised in the inventory')
 	.with('queueFull', () => 'too many requests of this customer waited for the target: the caller sends less at a time, or the target gets more slots')
 	.with('keyWithdrawn', () => 'the key was withdrawn, or may not use the service: issue another key')
@@ -50,7 +50,7 @@
 	const reason = getField(event, 'reason', '');
 	const who = `${event.at} at ${event.vm}: request of ${customer} for ${getField(event, 'service', 'a service')}`;
 	return match(event.id)
-		.with(EVENTS.requestRefused.id, () => `${who} was refused and has not run (${reason}: ${message}); ${describeReason(reason)}`)
+		.with(EVENTS.requestRefused.id, () => `${who} was refused and has not run (${reason}: ${message}); ${describeRefusalReason(reason)}`)
 		.with(EVENTS.requestUnknown.id, () => `${who} may or may not have run (${message}); look for its effect before sending it again`)
 		.otherwise(() => `${who}: ${event.title}`);
 };
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -4,7 +4,7 @@
 	Failure, Result, VmId, World,
 } from '@guavapitch/core';
 import {
-	createDial, createPeers, type Address, type PeerTls,
+	createDial, createPeerConnections, type Address, type PeerTls,
 } from '@guavapitch/peer-protocol';
 import type {Store} from '@guavapitch/store';
 
@@ -36,13 +36,13 @@
 
 /** Opens a client of the fleet. */
 export const openFleetClient = (world: World, tls?: PeerTls): FleetClient => {
-	const peers = createPeers({
+	const peers = createPeerConnections({
 		world,
 		identity: {vm: 'operator', incarnation: world.createId()},
 		handlers: {calls: {}, streams: {}},
 		readTime: () => [world.readWallClock(), 0],
-		witnessTime: () => undefined,
-		onMalformed: () => undefined,
+		observeTime: () => undefined,
+		onMalformedFrame: () => undefined,
 	}, createDial(tls));
 	return {
 		async call<Reply>(address: Address, method: string, body: unknown): Promise<Result<Reply, Failure>> {
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -15,7 +15,7 @@
 import {
 	openFleetClient, readStatuses, readVms, waitForRevision, type FleetClient, type ProxyStatus,
 } from './fleet.js';
-import {askEvents, describeRequest} from './events.js';
+import {requestEvents, describeRequest} from './events.js';
 import {issueKey, withdrawKey} from './keys.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
@@ -181,7 +181,7 @@
 const explainRequest = async (flags: Flags, request: string) => {
 	await using store = openStore(flags.platform);
 	await using client = openClient(flags);
-	const {lists, missing} = await askEvents(store, client, {request});
+	const {lists, missing} = await requestEvents(store, client, {request});
 	const events = lists.flat();
 	for (const event of events) {
 		print(describeRequest(event));
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -8,7 +8,7 @@
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
 } from './frames.js';
-import {createWireStream, type WireStream} from './streams.js';
+import {createMultiplexedStream, type MultiplexedStream} from './streams.js';
 
 /** Failure of a call to a peer. */
 export type PeerFailure = Failure<'peerUnreachable' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
@@ -32,11 +32,11 @@
 	/** Reads the causal clock, for the frames sent. */
 	readTime: () => FrameTime;
 	/** Hears of causal times received. */
-	witnessTime: (time: FrameTime) => void;
+	observeTime: (time: FrameTime) => void;
 	/** Hears of frames that were refused. */
-	onMalformed: (failure: FrameFailure) => void;
+	onMalformedFrame: (failure: FrameFailure) => void;
 	/** Hears of bytes sent and received. */
-	onBytes?: (direction: 'sent' | 'received', bytes: number) => void;
+	onTransfer?: (direction: 'sent' | 'received', bytes: number) => void;
 }>;
 
 /** An open connection to a peer. */
@@ -52,7 +52,7 @@
 	/** Tells whether the connection takes nothing new. */
 	isEnded: () => boolean;
 	/** Refuses what the peer opens from now on, answers what it opened before, and ends; gives up at the deadline. */
-	leave: (deadline: Deadline) => Promise<void>;
+	drain: (deadline: Deadline) => Promise<void>;
 }>;
 
 type Pending = (result: Result<unknown, PeerFailure>) => void;
@@ -63,7 +63,7 @@
 /** Silent looks before the connection is ended; the first of them sends a ping. */
 const SILENT_LOOKS = 3;
 /** Method that every peer answers at once; no handler can have its name. */
-export const ALIVE_METHOD = 'protocol/alive';
+export const LIVENESS_METHOD = 'protocol/alive';
 const GONE: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
 const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
@@ -72,7 +72,7 @@
 	const {world, handlers} = context;
 	const changed = createNotifier(world);
 	const pending = new Map<number, Pending>();
-	const streams = new Map<string, WireStream>();
+	const streams = new Map<string, MultiplexedStream>();
 	const scope = createScope(() => undefined);
 	let peer: PeerIdentity | undefined;
 	let ended = false;
@@ -92,7 +92,7 @@
 		}
 
 		const bytes = encodeFrame(frame);
-		context.onBytes?.('sent', bytes.length);
+		context.onTransfer?.('sent', bytes.length);
 		socket.write(bytes);
 		return bytes.length;
 	};
@@ -110,11 +110,11 @@
 
 	const createEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
 		const key = `${side}${id}`;
-		const wireStream = createWireStream(id, side, {
+		const wireStream = createMultiplexedStream(id, side, {
 			write,
 			waitForDrain,
 			readTime: context.readTime,
-			forget() {
+			remove() {
 				streams.delete(key);
 			},
 		});
@@ -166,7 +166,7 @@
 		peerLeaving = true;
 		for (const [key, stream] of streams) {
 			if (key.startsWith('opener') && Number(key.slice('opener'.length)) > servedId) {
-				stream.breakOff(NOT_ACCEPTED);
+				stream.abort(NOT_ACCEPTED);
 			}
 		}
 	};
@@ -178,7 +178,7 @@
 
 	const acceptHello = (version: number, identity: PeerIdentity) => {
 		if (version !== PROTOCOL_VERSION) {
-			context.onMalformed({code: 'frameMalformed', message: `The peer speaks version ${version}; this process speaks ${PROTOCOL_VERSION}`});
+			context.onMalformedFrame({code: 'frameMalformed', message: `The peer speaks version ${version}; this process speaks ${PROTOCOL_VERSION}`});
 			socket.destroy();
 			return;
 		}
@@ -188,9 +188,9 @@
 	};
 
 	const accept = (frame: Frame, bytes: number) => {
-		context.witnessTime(frame[1]);
+		context.observeTime(frame[1]);
 		if (!peer && frame[0] !== 'hello') {
-			context.onMalformed({code: 'frameMalformed', message: 'The first frame is not a hello'});
+			context.onMalformedFrame({code: 'frameMalformed', message: 'The first frame is not a hello'});
 			socket.destroy();
 			return;
 		}
@@ -205,7 +205,7 @@
 			}
 
 			case 'call': {
-				if (frame[3] === ALIVE_METHOD) {
+				if (frame[3] === LIVENESS_METHOD) {
 					// Answered also while leaving: what the peer opened before is still under way.
 					write(['reply', context.readTime(), frame[2], undefined]);
 					break;
@@ -257,7 +257,7 @@
 		}
 
 		for (const stream of streams.values()) {
-			stream.breakOff();
+			stream.abort();
 		}
 
 		changed.notify();
@@ -281,7 +281,7 @@
 				end();
 			} else {
 				if (silentLooks > 0) {
-					write(['call', context.readTime(), ++lastId, ALIVE_METHOD, undefined]);
+					write(['call', context.readTime(), ++lastId, LIVENESS_METHOD, undefined]);
 				}
 
 				watchSilence();
@@ -292,7 +292,7 @@
 	const collected = createChunkBuffer();
 	const acceptBytes = (chunk: Buffer) => {
 		heardAt = world.now();
-		context.onBytes?.('received', chunk.length);
+		context.onTransfer?.('received', chunk.length);
 		collected.push(chunk);
 		const bytes = collected.take();
 		if (!bytes) {
@@ -301,12 +301,12 @@
 
 		const split = splitFrames(bytes);
 		if (split.err) {
-			context.onMalformed(split.val);
+			context.onMalformedFrame(split.val);
 			socket.destroy();
 			return;
 		}
 
-		collected.putBack(split.val.rest, split.val.wantedBytes);
+		collected.putBack(split.val.rest, split.val.neededBytes);
 		for (const [index, frame] of split.val.frames.entries()) {
 			accept(frame, split.val.sizes[index] ?? 0);
 		}
@@ -351,7 +351,7 @@
 			const stream = createEnd(id, 'opener');
 			void send(['open', context.readTime(), id, method, header]);
 			if (ended || peerLeaving) {
-				streams.get(`opener${id}`)?.breakOff(NOT_ACCEPTED);
+				streams.get(`opener${id}`)?.abort(NOT_ACCEPTED);
 			}
 
 			return stream;
@@ -360,7 +360,7 @@
 			await changed.waitUntil(() => ended, NEVER);
 		},
 		isEnded: () => ended || peerLeaving,
-		async leave(deadline) {
+		async drain(deadline) {
 			leaving = true;
 			await send(['goaway', context.readTime(), lastServedId]);
 			await changed.waitUntil(() => ended || serving === 0, deadline);
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -13,7 +13,7 @@
 export const PROTOCOL_VERSION = 3;
 
 /** Largest frame accepted from a peer. */
-export const FRAME_LIMIT_BYTES = 4 * 1024 * 1024;
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 const LENGTH_BYTES = 4;
 
@@ -125,23 +125,23 @@
 };
 
 /** Frames at the start of some bytes with their sizes in bytes, what is left, and how many bytes the next frame takes. */
-export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; wantedBytes: number}>;
+export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; neededBytes: number}>;
 
 /** Splits off and decodes the whole frames at the start of some bytes. */
 export const splitFrames = (bytes: Buffer): Result<SplitFrames, FrameFailure> => {
 	const frames: Frame[] = [];
 	const sizes: number[] = [];
 	let offset = 0;
-	let wantedBytes = LENGTH_BYTES;
+	let neededBytes = LENGTH_BYTES;
 	while (bytes.length - offset >= LENGTH_BYTES) {
 		const length = bytes.readUInt32BE(offset);
-		if (length > FRAME_LIMIT_BYTES) {
-			return Err({code: 'frameTooLarge', message: `A frame announces ${length} bytes; at most ${FRAME_LIMIT_BYTES} are accepted`});
+		if (length > MAX_FRAME_BYTES) {
+			return Err({code: 'frameTooLarge', message: `A frame announces ${length} bytes; at most ${MAX_FRAME_BYTES} are accepted`});
 		}
 
 		const start = offset + LENGTH_BYTES;
 		if (start + length > bytes.length) {
-			wantedBytes = LENGTH_BYTES + length;
+			neededBytes = LENGTH_BYTES + length;
 			break;
 		}
 
@@ -156,6 +156,6 @@
 	}
 
 	return Ok({
-		frames, sizes, rest: bytes.subarray(offset), wantedBytes,
+		frames, sizes, rest: bytes.subarray(offset), neededBytes: neededBytes,
 	});
 };
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,5 +1,5 @@
 export * from './frames.js';
 export * from './connection.js';
 export * from './listener.js';
-export * from './peers.js';
+export * from './peer-connections.js';
 export * from './tls.js';
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -16,10 +16,10 @@
 export type PeerTls = Readonly<{key: string; cert: string; ca: string}>;
 
 /** A running listener. */
-export type Listener = AsyncDisposable & Readonly<{
+export type PeerListener = AsyncDisposable & Readonly<{
 	address: Address;
 	/** Accepts nothing new, and answers what the peers opened before; gives up at the deadline. */
-	leave: (deadline: Deadline) => Promise<void>;
+	drain: (deadline: Deadline) => Promise<void>;
 }>;
 
 /** Dials a socket; tests pass one with broken links. */
@@ -28,7 +28,7 @@
 const DIAL_TIMEOUT_MS = 1000;
 
 /** Starts accepting peers. */
-export const startPeerListener = async (address: Address, context: PeerContext, tls?: PeerTls): Promise<Listener> => {
+export const startPeerListener = async (address: Address, context: PeerContext, tls?: PeerTls): Promise<PeerListener> => {
 	const scope = createScope(() => undefined);
 	const open = new Set<PeerConnection>();
 	const serve = (socket: Socket) => {
@@ -56,9 +56,9 @@
 	const bound = server.address();
 	return {
 		address: {host: address.host, port: typeof bound === 'object' && bound ? bound.port : address.port},
-		async leave(deadline) {
+		async drain(deadline) {
 			server.close();
-			await Promise.all([...open].map(async connection => connection.leave(deadline)));
+			await Promise.all([...open].map(async connection => connection.drain(deadline)));
 		},
 		async [Symbol.asyncDispose]() {
 			server.close();
--- a/packages/peer-protocol/src/peers.ts
+++ b/packages/peer-protocol/src/peer-connections.ts
@@ -5,19 +5,19 @@
 import {dialPeer, type Address, type Dial} from './listener.js';
 
 /** Connections to all peers, dialled on demand. */
-export type Peers = AsyncDisposable & Readonly<{
+export type PeerConnections = AsyncDisposable & Readonly<{
 	/** Calls a method of the peer at an address. */
 	call: (address: Address, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, PeerFailure>>;
 	/** Opens a stream to the peer at an address. */
 	openStream: (address: Address, method: string, header: unknown) => Promise<Result<Stream<unknown, unknown>, PeerFailure>>;
 	/** Ends the connection to the peer at an address; what is under way on it is lost. */
-	drop: (address: Address) => void;
+	disconnect: (address: Address) => void;
 	/** Counts the open connections. */
-	getSize: () => number;
+	getConnectionCount: () => number;
 }>;
 
 /** Creates the set of connections. */
-export const createPeers = (context: PeerContext, dial: Dial): Peers => {
+export const createPeerConnections = (context: PeerContext, dial: Dial): PeerConnections => {
 	const connections = new Map<string, PeerConnection>();
 	const dialling = new Map<string, Promise<Result<PeerConnection, PeerFailure>>>();
 
@@ -55,11 +55,11 @@
 			const connection = await connect(address);
 			return connection.map(open => open.openStream(method, header));
 		},
-		drop(address) {
+		disconnect(address) {
 			const open = connections.get(`${address.host}:${address.port}`);
 			void open?.[Symbol.asyncDispose]();
 		},
-		getSize: () => connections.size,
+		getConnectionCount: () => connections.size,
 		async [Symbol.asyncDispose]() {
 			await Promise.all([...connections.values()].map(async connection => connection[Symbol.asyncDispose]()));
 		},
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -7,34 +7,34 @@
 export const WINDOW_BYTES = 262_144;
 
 /** A stream with the ends that the connection drives. */
-export type WireStream = Readonly<{
+export type MultiplexedStream = Readonly<{
 	/** The end that the task holds. */
 	stream: Stream<unknown, unknown>;
 	/** Takes a frame that arrived for this stream. */
 	accept: (frame: Frame, bytes: number) => void;
 	/** Ends the stream because the connection or the other end is gone. */
-	breakOff: (reason?: string) => void;
+	abort: (reason?: string) => void;
 }>;
 
 /** What a stream needs of its connection. */
-export type StreamLink = Readonly<{
+export type StreamConnection = Readonly<{
 	/** Writes a frame without waiting; gives its size in bytes. */
 	write: (frame: Frame) => number;
 	/** Waits while the connection has too much to write. */
 	waitForDrain: () => Promise<void>;
 	readTime: () => FrameTime;
 	/** Drops the stream from the connection. */
-	forget: () => void;
+	remove: () => void;
 }>;
 
 type Arrived = Readonly<{item: unknown; bytes: number}>;
 
 /** Creates one end of a stream. */
-export const createWireStream = (
+export const createMultiplexedStream = (
 	id: number,
 	side: StreamSide,
-	link: StreamLink,
-): WireStream => {
+	link: StreamConnection,
+): MultiplexedStream => {
 	const incoming = createQueue<Arrived>();
 	const gone = new AbortController();
 	let creditBytes = WINDOW_BYTES;
@@ -68,7 +68,7 @@
 	};
 
 	return {
-		breakOff,
+		abort: breakOff,
 		accept(frame, bytes) {
 			switch (frame[0]) {
 				case 'item': {
@@ -93,7 +93,7 @@
 
 				default: {
 					breakOff();
-					link.forget();
+					link.remove();
 				}
 			}
 		},
@@ -118,11 +118,11 @@
 			finish,
 			async [Symbol.asyncDispose]() {
 				if (sentFinish && receivedFinish) {
-					link.forget();
+					link.remove();
 					return;
 				}
 
-				link.forget();
+				link.remove();
 				incoming.close();
 				link.write(['reset', link.readTime(), id, side]);
 			},
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -10,17 +10,17 @@
 } from '@guavapitch/core';
 import type {PeerContext, PeerHandlers} from '../connection.js';
 import {
-	encodeFrame, FRAME_LIMIT_BYTES, splitFrames, type Frame, type FrameFailure,
+	encodeFrame, MAX_FRAME_BYTES, splitFrames, type Frame, type FrameFailure,
 } from '../frames.js';
 import {createDial, startPeerListener} from '../listener.js';
-import {createPeers} from '../peers.js';
+import {createPeerConnections} from '../peer-connections.js';
 import {WINDOW_BYTES} from '../streams.js';
 
 const NO_HANDLERS: PeerHandlers = {calls: {}, streams: {}};
 const ANY_PORT = {host: '127.0.0.1', port: 0};
 
 const createContext = (vm: string, handlers: PeerHandlers, onMalformed: (failure: FrameFailure) => void = () => undefined): PeerContext => ({
-	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], witnessTime: () => undefined, onMalformed,
+	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: onMalformed,
 });
 
 describe('frames', () => {
@@ -76,7 +76,7 @@
 
 		it('refuses a frame over the limit before reading it', () => {
 			const header = Buffer.alloc(4);
-			header.writeUInt32BE(FRAME_LIMIT_BYTES + 1);
+			header.writeUInt32BE(MAX_FRAME_BYTES + 1);
 			const split = splitFrames(header);
 			assert.ok(split.err && split.val.code === 'frameTooLarge');
 		});
@@ -85,7 +85,7 @@
 	describe('connections', () => {
 		it('answers calls, refuses unknown methods and reports a lost peer', async () => {
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo: async body => body}, streams: {}}));
-			const peers = createPeers(createContext('a', NO_HANDLERS), createDial());
+			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const echoed = await peers.call(listener.address, 'echo', {text: 'x'}, 1000);
 			const unknown = await peers.call(listener.address, 'nothing', null, 1000);
 			assert.deepEqual(echoed.unwrap(), {text: 'x'});
@@ -106,7 +106,7 @@
 			};
 
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {}, streams: {count: serve}}));
-			const peers = createPeers(createContext('a', NO_HANDLERS), createDial());
+			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const stream = (await peers.openStream(listener.address, 'count', null)).unwrap();
 			await new Promise(resolve => {
 				setTimeout(resolve, 100);
@@ -132,7 +132,7 @@
 
 			const world = createWorld();
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {}, streams: {ask: serve}}));
-			const peers = createPeers(createContext('a', NO_HANDLERS), createDial());
+			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const outcomes: string[] = [];
 			const ask = async () => {
 				const opened = await peers.openStream(listener.address, 'ask', null);
@@ -150,7 +150,7 @@
 			await ask();
 			const before = Array.from({length: 50}, ask);
 			await Promise.resolve();
-			const leaving = listener.leave(createDeadline(world.now(), 5000));
+			const leaving = listener.drain(createDeadline(world.now(), 5000));
 			const after = Array.from({length: 50}, ask);
 			await Promise.all([...before, ...after, leaving]);
 			assert.equal(outcomes.length, 101);
@@ -175,7 +175,7 @@
 				socket.on('close', resolve);
 				socket.on('error', () => undefined);
 			});
-			const peers = createPeers(createContext('a', NO_HANDLERS), createDial());
+			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const echoed = await peers.call(listener.address, 'echo', 1, 1000);
 			assert.equal(echoed.unwrap(), 1);
 			assert.equal(failures.length, 1);
--- a/packages/peer-protocol/src/tests/silence.test.ts
+++ b/packages/peer-protocol/src/tests/liveness.test.ts
@@ -7,13 +7,13 @@
 import type {PeerContext, PeerHandlers} from '../connection.js';
 import {encodeFrame} from '../frames.js';
 import {createDial, startPeerListener} from '../listener.js';
-import {createPeers} from '../peers.js';
+import {createPeerConnections} from '../peer-connections.js';
 
 const NONE: PeerHandlers = {calls: {}, streams: {}};
 const LONG_MS = 1500;
 
 const createContext = (vm: string, handlers: PeerHandlers): PeerContext => ({
-	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], witnessTime: () => undefined, onMalformed: () => undefined,
+	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: () => undefined,
 });
 
 describe('silence', () => {
@@ -28,14 +28,14 @@
 			},
 			streams: {},
 		}));
-		await using peers = createPeers(createContext('a', NONE), createDial());
+		await using peers = createPeerConnections(createContext('a', NONE), createDial());
 		const answer = await peers.call(listener.address, 'long', undefined, LONG_MS * 2);
 		assert.equal(answer.unwrap(), 'done');
 	});
 
 	it('is looked for by a method of its own: a handler named ping is called', async () => {
 		await using listener = await startPeerListener({host: '127.0.0.1', port: 0}, createContext('b', {calls: {ping: async () => 'from the handler'}, streams: {}}));
-		await using peers = createPeers(createContext('a', NONE), createDial());
+		await using peers = createPeerConnections(createContext('a', NONE), createDial());
 		assert.equal((await peers.call(listener.address, 'ping', undefined, 1000)).unwrap(), 'from the handler');
 	});
 
@@ -48,7 +48,7 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const {port} = server.address() as AddressInfo;
-		await using peers = createPeers(createContext('a', NONE), createDial());
+		await using peers = createPeerConnections(createContext('a', NONE), createDial());
 		const {world} = createContext('w', NONE);
 		const askedAt = world.now();
 		const answer = await peers.call({host: '127.0.0.1', port}, 'any', undefined, 5000);
--- a/packages/postgres-wire/src/notices.ts
+++ b/packages/postgres-wire/src/error-response.ts
@@ -2,7 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import {
-	createMessage, getBody, readText, type Message,
+	createMessage, getBody, readCString, type Message,
 } from './messages.js';
 
 /** Fields of an `ErrorResponse`. */
@@ -60,7 +60,7 @@
 	let offset = 0;
 	while (offset < body.length && body[offset] !== 0) {
 		const key = body.toString('latin1', offset, offset + 1);
-		const [text, next] = readText(body, offset + 1);
+		const [text, next] = readCString(body, offset + 1);
 		found.set(key, text);
 		offset = next;
 	}
--- a/packages/postgres-wire/src/messages.ts
+++ b/packages/postgres-wire/src/messages.ts
@@ -15,7 +15,7 @@
 export const HEADER_BYTES = 5;
 
 /** Largest message accepted from a caller. */
-export const MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
 /** Creates a message from its type and body parts. */
 export const createMessage = (type: string, ...parts: ReadonlyArray<Buffer | string>): Message => {
@@ -45,7 +45,7 @@
 export const getBody = (message: Message): Buffer => message.bytes.subarray(HEADER_BYTES);
 
 /** Reads a zero-terminated text at an offset; gives the text and the offset behind it. */
-export const readText = (bytes: Buffer, offset: number): readonly [text: string, next: number] => {
+export const readCString = (bytes: Buffer, offset: number): readonly [text: string, next: number] => {
 	const end = bytes.indexOf(0, offset);
 	return end === -1 ? [bytes.toString('utf8', offset), bytes.length] : [bytes.toString('utf8', offset, end), end + 1];
 };
@@ -53,10 +53,10 @@
 const STATUS_BYTES: Readonly<Record<TransactionStatus, string>> = {idle: 'I', open: 'T', failed: 'E'};
 
 /** Creates `ReadyForQuery`. */
-export const createReady = (status: TransactionStatus): Message => createMessage('Z', Buffer.from(STATUS_BYTES[status], 'latin1'));
+export const createReadyForQuery = (status: TransactionStatus): Message => createMessage('Z', Buffer.from(STATUS_BYTES[status], 'latin1'));
 
 /** Reads the status of a `ReadyForQuery`. */
-export const readStatus = (ready: Message): TransactionStatus => {
+export const readTransactionStatus = (ready: Message): TransactionStatus => {
 	const byte = ready.bytes.toString('latin1', HEADER_BYTES, HEADER_BYTES + 1);
 	if (byte === 'T') {
 		return 'open';
@@ -66,22 +66,22 @@
 };
 
 /** Creates `ParameterStatus`. */
-export const createParameter = (name: string, value: string): Message => createMessage('S', name, value);
+export const createParameterStatus = (name: string, value: string): Message => createMessage('S', name, value);
 
 /** Creates `CommandComplete`. */
-export const createComplete = (tag: string): Message => createMessage('C', tag);
+export const createCommandComplete = (tag: string): Message => createMessage('C', tag);
 
 /** Creates a simple `Query`. */
 export const createQuery = (text: string): Message => createMessage('Q', text);
 
 /** Reads the command tag of a `CommandComplete`. */
-export const readTag = (complete: Message): string => readText(complete.bytes, HEADER_BYTES)[0];
+export const readCommandTag = (complete: Message): string => readCString(complete.bytes, HEADER_BYTES)[0];
 
 /** Messages at the start of some bytes, what is left, and how many bytes the next message takes. */
-export type SplitMessages = Readonly<{messages: readonly Message[]; rest: Buffer; wantedBytes: number; malformed: boolean}>;
+export type SplitMessages = Readonly<{messages: readonly Message[]; rest: Buffer; neededBytes: number; malformed: boolean}>;
 
 /** Splits off the complete messages at the start of some bytes; fails on a length out of bounds. */
-export const splitMessages = (bytes: Buffer, limit = MESSAGE_LIMIT_BYTES): SplitMessages => {
+export const splitMessages = (bytes: Buffer, limit = MAX_MESSAGE_BYTES): SplitMessages => {
 	const messages: Message[] = [];
 	let offset = 0;
 	let wantedBytes = HEADER_BYTES;
@@ -89,7 +89,7 @@
 		const length = bytes.readInt32BE(offset + 1);
 		if (length < 4 || length > limit) {
 			return {
-				messages, rest: bytes.subarray(offset), wantedBytes: 0, malformed: true,
+				messages, rest: bytes.subarray(offset), neededBytes: 0, malformed: true,
 			};
 		}
 
@@ -104,6 +104,6 @@
 	}
 
 	return {
-		messages, rest: bytes.subarray(offset), wantedBytes, malformed: false,
+		messages, rest: bytes.subarray(offset), neededBytes: wantedBytes, malformed: false,
 	};
 };
--- a/packages/postgres-wire/src/scram.ts
+++ b/packages/postgres-wire/src/scram.ts
@@ -67,9 +67,9 @@
 /** The server's part of one exchange. */
 export type ScramServer = Readonly<{
 	/** Message that answers the client's first. */
-	firstMessage: string;
+	serverFirst: string;
 	/** Checks the client's final message; gives the server's final one. */
-	finish: (clientFinal: string) => Result<string, ScramFailure>;
+	verifyClientFinal: (clientFinal: string) => Result<string, ScramFailure>;
 }>;
 
 /** Starts the server's part; with no verifier it runs to the end and then rejects, so that key names cannot be probed. */
@@ -84,10 +84,10 @@
 		iterations: ITERATIONS, salt: randomBytes(SALT_BYTES), storedKey: randomBytes(HASH_BYTES), serverKey: randomBytes(HASH_BYTES),
 	};
 	const nonce = clientNonce + randomBytes(NONCE_BYTES).toString('base64');
-	const firstMessage = `r=${nonce},s=${verifier.salt.toString('base64')},i=${verifier.iterations}`;
+	const serverFirst = `r=${nonce},s=${verifier.salt.toString('base64')},i=${verifier.iterations}`;
 	return Ok({
-		firstMessage,
-		finish(clientFinal) {
+		serverFirst: serverFirst,
+		verifyClientFinal(clientFinal) {
 			const proofAt = clientFinal.lastIndexOf(',p=');
 			const withoutProof = clientFinal.slice(0, proofAt);
 			const proof = Buffer.from(clientFinal.slice(proofAt + 3), 'base64');
@@ -95,7 +95,7 @@
 				return Err({code: 'scramMalformed', message: 'The final SCRAM message is malformed'});
 			}
 
-			const exchange = `${bare},${firstMessage},${withoutProof}`;
+			const exchange = `${bare},${serverFirst},${withoutProof}`;
 			const clientKey = mixBytes(proof, computeHmac(verifier.storedKey, exchange));
 			if (!known || !timingSafeEqual(computeSha(clientKey), verifier.storedKey)) {
 				return Err({code: 'scramRejected', message: 'The key is not valid'});
@@ -109,9 +109,9 @@
 /** The client's part of one exchange. */
 export type ScramClient = Readonly<{
 	/** Creates `SASLInitialResponse`. */
-	createFirst: () => Message;
+	createInitialResponse: () => Message;
 	/** Creates `SASLResponse` from the server's first message. */
-	createFinal: (serverFirst: string) => Message;
+	createFinalResponse: (serverFirst: string) => Message;
 }>;
 
 /** Starts the client's part. */
@@ -119,11 +119,11 @@
 	const nonce = randomBytes(NONCE_BYTES).toString('base64');
 	const bare = `n=,r=${nonce}`;
 	return {
-		createFirst() {
+		createInitialResponse() {
 			const first = Buffer.from(`n,,${bare}`);
 			return createMessage('p', 'SCRAM-SHA-256', encodeInt32(first.length), first);
 		},
-		createFinal(serverFirst) {
+		createFinalResponse(serverFirst) {
 			const fields = parseFields(serverFirst);
 			const salted = pbkdf2Sync(password.normalize('NFKC'), Buffer.from(fields.get('s') ?? '', 'base64'), Number(fields.get('i') ?? ITERATIONS), HASH_BYTES, 'sha256');
 			const clientKey = computeHmac(salted, 'Client Key');
--- a/packages/postgres-wire/src/startup.ts
+++ b/packages/postgres-wire/src/startup-packets.ts
@@ -4,7 +4,7 @@
 import {
 	Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
-import {readText} from './messages.js';
+import {readCString} from './messages.js';
 
 /** What a caller may send first. */
 export type StartupPacket
@@ -17,7 +17,7 @@
 export type StartupFailure = Failure<'packetTooLarge' | 'packetMalformed' | 'versionUnsupported'>;
 
 /** Largest first packet accepted. */
-export const STARTUP_LIMIT_BYTES = 10_000;
+export const MAX_STARTUP_PACKET_BYTES = 10_000;
 
 const TLS_REQUEST_CODE = 80_877_103;
 const GSS_REQUEST_CODE = 80_877_104;
@@ -27,14 +27,14 @@
 const CANCEL_BYTES = 16;
 
 /** Reads the length that a first packet announces; `undefined` until four bytes are there. */
-export const readStartupLength = (bytes: Buffer): Result<number | undefined, StartupFailure> => {
+export const readStartupPacketLength = (bytes: Buffer): Result<number | undefined, StartupFailure> => {
 	if (bytes.length < 4) {
 		return Ok(undefined);
 	}
 
 	const length = bytes.readInt32BE(0);
-	if (length > STARTUP_LIMIT_BYTES) {
-		return Err({code: 'packetTooLarge', message: `The startup packet announces ${length} bytes; at most ${STARTUP_LIMIT_BYTES} are accepted`});
+	if (length > MAX_STARTUP_PACKET_BYTES) {
+		return Err({code: 'packetTooLarge', message: `The startup packet announces ${length} bytes; at most ${MAX_STARTUP_PACKET_BYTES} are accepted`});
 	}
 
 	if (length < SMALLEST_BYTES) {
@@ -48,8 +48,8 @@
 	const parameters = new Map<string, string>();
 	let offset = SMALLEST_BYTES;
 	while (offset < packet.length && packet[offset] !== 0) {
-		const [name, afterName] = readText(packet, offset);
-		const [value, afterValue] = readText(packet, afterName);
+		const [name, afterName] = readCString(packet, offset);
+		const [value, afterValue] = readCString(packet, afterName);
 		parameters.set(name, value);
 		offset = afterValue;
 	}
@@ -58,7 +58,7 @@
 };
 
 /** Parses a whole first packet. */
-export const parseStartup = (packet: Buffer): Result<StartupPacket, StartupFailure> => {
+export const parseStartupPacket = (packet: Buffer): Result<StartupPacket, StartupFailure> => {
 	const code = packet.readInt32BE(4);
 	if (code === TLS_REQUEST_CODE) {
 		return Ok({kind: 'tlsRequest'});
@@ -82,7 +82,7 @@
 };
 
 /** Creates a startup packet. */
-export const createStartup = (parameters: Readonly<Record<string, string>>): Buffer => {
+export const createStartupPacket = (parameters: Readonly<Record<string, string>>): Buffer => {
 	const body = Buffer.concat([
 		...Object.entries(parameters).map(([name, value]) => Buffer.from(`${name}\u0000${value}\u0000`)),
 		Buffer.from([0]),
@@ -94,7 +94,7 @@
 };
 
 /** Creates a cancel request. */
-export const createCancel = (processId: number, secret: number): Buffer => {
+export const createCancelRequest = (processId: number, secret: number): Buffer => {
 	const packet = Buffer.alloc(CANCEL_BYTES);
 	packet.writeInt32BE(CANCEL_BYTES, 0);
 	packet.writeInt32BE(CANCEL_CODE, 4);
--- a/packages/postgres-wire/src/tests/wire.test.ts
+++ b/packages/postgres-wire/src/tests/wire.test.ts
@@ -5,20 +5,20 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createMessage, createQuery, getBody, readText, splitMessages,
+	createMessage, createQuery, getBody, readCString, splitMessages,
 } from '../messages.js';
-import {createErrorResponse, readErrorResponse} from '../notices.js';
+import {createErrorResponse, readErrorResponse} from '../error-response.js';
 import {
 	checkPassword, createVerifier, formatVerifier, parseVerifier, startScramClient, startScramServer,
 } from '../scram.js';
 import {
-	createStartup, parseStartup, readStartupLength, STARTUP_LIMIT_BYTES,
-} from '../startup.js';
+	createStartupPacket, parseStartupPacket, readStartupPacketLength, MAX_STARTUP_PACKET_BYTES,
+} from '../startup-packets.js';
 
 const readInitial = (key: string) => {
 	const client = startScramClient(key);
-	const first = getBody(client.createFirst());
-	const [, offset] = readText(first, 0);
+	const first = getBody(client.createInitialResponse());
+	const [, offset] = readCString(first, 0);
 	return {client, text: first.toString('utf8', offset + 4)};
 };
 
@@ -52,22 +52,22 @@
 		it('never throws on garbage', () => {
 			fc.assert(fc.property(fc.uint8Array({minLength: 8, maxLength: 300}), garbage => {
 				const packet = Buffer.from(garbage);
-				const parsed = parseStartup(packet);
+				const parsed = parseStartupPacket(packet);
 				assert.ok(parsed.ok || parsed.val.code.length > 0);
-				const length = readStartupLength(packet);
+				const length = readStartupPacketLength(packet);
 				assert.ok(length.ok || length.val.message.length > 0);
 			}), {seed: 22, numRuns: 2000});
 		});
 
 		it('refuses a packet over the limit', () => {
 			const header = Buffer.alloc(8);
-			header.writeInt32BE(STARTUP_LIMIT_BYTES + 1);
-			const length = readStartupLength(header);
+			header.writeInt32BE(MAX_STARTUP_PACKET_BYTES + 1);
+			const length = readStartupPacketLength(header);
 			assert.ok(length.err && length.val.code === 'packetTooLarge');
 		});
 
 		it('reads parameters', () => {
-			const startup = parseStartup(createStartup({user: 'u', database: 'd'})).unwrap();
+			const startup = parseStartupPacket(createStartupPacket({user: 'u', database: 'd'})).unwrap();
 			assert.ok(startup.kind === 'startup');
 			assert.deepEqual([...startup.parameters], [['user', 'u'], ['database', 'd']]);
 		});
@@ -79,8 +79,8 @@
 			for (const [key, isAccepted] of [['secret', true], ['other', false]] as const) {
 				const {client, text} = readInitial(key);
 				const server = startScramServer(text, verifier).unwrap();
-				const final = getBody(client.createFinal(server.firstMessage)).toString();
-				assert.equal(server.finish(final).ok, isAccepted);
+				const final = getBody(client.createFinalResponse(server.serverFirst)).toString();
+				assert.equal(server.verifyClientFinal(final).ok, isAccepted);
 				assert.equal(checkPassword(key, verifier), isAccepted);
 			}
 		});
@@ -88,14 +88,14 @@
 		it('runs to the end for an unknown key and then rejects it', () => {
 			const {client, text} = readInitial('secret');
 			const server = startScramServer(text, undefined).unwrap();
-			const finished = server.finish(getBody(client.createFinal(server.firstMessage)).toString());
+			const finished = server.verifyClientFinal(getBody(client.createFinalResponse(server.serverFirst)).toString());
 			assert.ok(finished.err && finished.val.code === 'scramRejected');
 		});
 
 		it('never throws on malformed messages', () => {
 			fc.assert(fc.property(fc.string(), fc.string(), (first, final) => {
 				const server = startScramServer(first, undefined);
-				assert.ok(server.err || server.val.finish(final).err);
+				assert.ok(server.err || server.val.verifyClientFinal(final).err);
 			}), {seed: 23, numRuns: 500});
 		});
 	});
--- a/packages/postgres-wire/src/reader.ts
+++ b/packages/postgres-wire/src/wire-connection.ts
@@ -6,25 +6,25 @@
 	createChunkBuffer, createConditionVariable, Err, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import {splitMessages, type Message} from './messages.js';
-import {readStartupLength, type StartupFailure} from './startup.js';
+import {readStartupPacketLength, type StartupFailure} from './startup-packets.js';
 
 /** Failure of reading from a connection. */
 export type ReadFailure = Failure<'closed' | 'messageMalformed'>;
 
 /** A connection as a task sees it. */
-export type Wire = AsyncDisposable & Readonly<{
+export type WireConnection = AsyncDisposable & Readonly<{
 	/** The socket below. */
 	socket: Socket;
 	/** Reads at least one whole message, and all that are there. */
 	readMessages: () => Promise<Result<readonly Message[], ReadFailure>>;
 	/** Reads the first packet, which has no type byte. */
-	readStartup: () => Promise<Result<Buffer, ReadFailure | StartupFailure>>;
+	readStartupPacket: () => Promise<Result<Buffer, ReadFailure | StartupFailure>>;
 	/** Reads exactly one byte. */
 	readByte: () => Promise<Result<number, ReadFailure>>;
 	/** Writes bytes; waits while the peer reads too slowly. */
 	write: (...parts: readonly Buffer[]) => Promise<void>;
 	/** Takes the bytes read but not yet used. */
-	takeRest: () => Buffer;
+	takeUnread: () => Buffer;
 	/** Gives up the socket, to wrap it anew. */
 	detach: () => Socket;
 }>;
@@ -34,7 +34,7 @@
 const CLOSED: ReadFailure = {code: 'closed', message: 'The connection was closed'};
 
 /** Opens a wire over a socket; the socket is paused between reads. */
-export const openWire = (socket: Socket): Wire => {
+export const openWireConnection = (socket: Socket): WireConnection => {
 	const collected = createChunkBuffer();
 	let ended = socket.destroyed;
 	const readable = createConditionVariable();
@@ -89,7 +89,7 @@
 				}
 
 				const split = splitMessages(bytes);
-				collected.putBack(split.rest, split.wantedBytes);
+				collected.putBack(split.rest, split.neededBytes);
 				if (split.messages.length > 0) {
 					return Ok(split.messages);
 				}
@@ -99,14 +99,14 @@
 				}
 			}
 		},
-		async readStartup() {
+		async readStartupPacket() {
 			while (true) {
 				const bytes = await readBytes();
 				if (!bytes) {
 					return Err(CLOSED);
 				}
 
-				const length = readStartupLength(bytes);
+				const length = readStartupPacketLength(bytes);
 				if (length.err) {
 					return length;
 				}
@@ -138,7 +138,7 @@
 				await writable.wait();
 			}
 		},
-		takeRest: collected.takeAll,
+		takeUnread: collected.takeAll,
 		detach() {
 			socket.off('data', onData);
 			socket.off('end', onEnd);
--- a/packages/proxy/src/callers.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -7,19 +7,19 @@
 	createScope, parseId, type CustomerId, type VmId,
 } from '@guavapitch/core';
 import {
-	createCallerPort, greetCaller, receiveStartup, type Caller, type StartupContext,
+	createCallerPort, sendStartupResponse, receiveStartup, type Caller, type StartupContext,
 } from '@guavapitch/front-postgres';
 import type {Address} from '@guavapitch/peer-protocol';
-import {createErrorResponse, SQLSTATE, type Wire} from '@guavapitch/postgres-wire';
+import {createErrorResponse, SQLSTATE, type WireConnection} from '@guavapitch/postgres-wire';
 import {serveCaller, type CallerContext, type CallerControl} from '@guavapitch/requests';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
-import type {Fleet} from './fleet.js';
+import type {ClusterView} from './cluster-view.js';
 import type {Settings} from './settings.js';
 
 /** Callers of one process. */
-export type Callers = AsyncDisposable & Readonly<{
+export type CallerListener = AsyncDisposable & Readonly<{
 	address: Address;
-	getSize: () => number;
+	getOpenCount: () => number;
 	/** Closes the idle callers that must be closed: their key was withdrawn, or the process is leaving. */
 	closeIdle: () => void;
 	/** Stops accepting; waits until all callers have left or the signal aborts. */
@@ -29,9 +29,9 @@
 }>;
 
 /** What the callers need. */
-export type CallersContext = Readonly<{
+export type CallerListenerContext = Readonly<{
 	settings: Settings;
-	fleet: Fleet;
+	clusterView: ClusterView;
 	entry: CallerContext;
 	emit: Emit;
 	metrics: Metrics;
@@ -49,7 +49,7 @@
 const DRAIN_POLL_MS = 20;
 const STARTUP_TIMEOUT_MS = 10_000;
 
-const closeCaller = async (wire: Wire, code: string, message: string): Promise<void> => {
+const closeCaller = async (wire: WireConnection, code: string, message: string): Promise<void> => {
 	await wire.write(createErrorResponse({severity: 'FATAL', code, message}).bytes);
 	await wire[Symbol.asyncDispose]();
 };
@@ -61,8 +61,8 @@
 export const readVmNumber = (processId: number): number => processId >>> VM_BITS;
 
 /** Starts accepting callers. */
-export const startCallers = async (context: CallersContext): Promise<Callers> => {
-	const {settings, fleet, entry, emit, metrics} = context;
+export const startCallerListener = async (context: CallerListenerContext): Promise<CallerListener> => {
+	const {settings, clusterView: fleet, entry, emit, metrics} = context;
 	const open = new Map<number, OpenCaller>();
 	const scope = createScope(error => {
 		emit(EVENTS.taskFailed, {task: 'caller', reason: error instanceof Error ? error.stack : String(error)});
@@ -105,7 +105,7 @@
 		open.set(processId, {caller, control, secret});
 		metrics.gauge('entry.callers', open.size);
 		try {
-			await greetCaller(caller, {processId, secret});
+			await sendStartupResponse(caller, {processId, secret});
 			await serveCaller(caller, createCallerPort(caller), entry, control);
 		} finally {
 			open.delete(processId);
@@ -164,7 +164,7 @@
 
 	return {
 		address: {host: settings.listen.host, port: typeof bound === 'object' && bound ? bound.port : settings.listen.port},
-		getSize: () => open.size,
+		getOpenCount: () => open.size,
 		closeIdle,
 		cancel,
 		async drain(signal) {
--- a/packages/proxy/src/fleet.ts
+++ b/packages/proxy/src/cluster-view.ts
@@ -10,7 +10,7 @@
 import {
 	createMembers, type Member, type Members, type VmEntry,
 } from '@guavapitch/membership';
-import type {Peers} from '@guavapitch/peer-protocol';
+import type {PeerConnections} from '@guavapitch/peer-protocol';
 import type {Candidate} from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {Settings} from './settings.js';
@@ -19,49 +19,49 @@
 export const VM_PREFIX = '/platform/vms/';
 
 /** Relays of each data centre. */
-export const RELAYS = 2;
+export const RELAYS_PER_DATA_CENTRE = 2;
 
 /** Homes of a target: the first, and one that takes over when the first is gone. */
-export const HOMES = 2;
+export const OWNERS_PER_TARGET = 2;
 
 /** A target and the database it belongs to. */
-export type KnownTarget = Readonly<{databaseName: string; database: Database; target: Target}>;
+export type ConfiguredTarget = Readonly<{databaseName: string; database: Database; target: Target}>;
 
 /** View of the fleet. */
-export type Fleet = Readonly<{
+export type ClusterView = Readonly<{
 	members: Members;
-	facts: StoreCache;
+	storeCache: StoreCache;
 	inForce: ActiveConfiguration;
 	/** Gets the homes of a target, best first. */
-	getHomes: (target: TargetId) => readonly VmId[];
+	getOwners: (target: TargetId) => readonly VmId[];
 	/** Ranks the live vms for a role, best first. */
-	rankLive: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
+	rankLiveVms: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
 	/** Finds a target in the inventory. */
-	findTarget: (target: TargetId) => KnownTarget | undefined;
+	findTarget: (target: TargetId) => ConfiguredTarget | undefined;
 	/** Gets every target of the inventory. */
-	listTargets: () => readonly KnownTarget[];
+	listTargets: () => readonly ConfiguredTarget[];
 	isRelay: () => boolean;
 	/** Gets the relays to ask: of this data centre, then of the others. */
 	getRelays: () => readonly VmId[];
 }>;
 
 /** What the fleet's view needs. */
-export type FleetContext = Readonly<{
+export type ClusterViewContext = Readonly<{
 	world: World;
 	settings: Settings;
 	incarnation: string;
 	emit: Emit;
 	/** Hears that a vm was declared dead. */
-	onDead: (member: Member) => void;
+	onMemberDead: (member: Member) => void;
 	/** Hears that a new inventory is in force. */
-	onInventory: (inventory: Inventory) => void;
+	onInventoryApplied: (inventory: Inventory) => void;
 }>;
 
-const listTargets = (inventory: Inventory | undefined): readonly KnownTarget[] => Object.entries(inventory?.databases ?? {})
+const listTargets = (inventory: Inventory | undefined): readonly ConfiguredTarget[] => Object.entries(inventory?.databases ?? {})
 	.flatMap(([databaseName, database]) => database.targets.map(target => ({databaseName, database, target})));
 
 /** Creates the view. */
-export const createFleet = (context: FleetContext): Fleet => {
+export const createClusterView = (context: ClusterViewContext): ClusterView => {
 	const {world, settings, emit, incarnation} = context;
 	const self = {
 		vm: settings.vm, dataCentre: settings.dataCentre, host: settings.peerListen.host, port: settings.peerListen.port, state: 'live' as const, incarnation,
@@ -72,18 +72,18 @@
 			emit(EVENTS.memberSuspected, fields);
 		} else if (member.status === 'dead') {
 			emit(EVENTS.memberDead, fields);
-			context.onDead(member);
+			context.onMemberDead(member);
 		} else if (before !== 'suspect') {
 			emit(EVENTS.memberJoined, fields);
 		}
 	});
 	const facts = createStoreCache(world);
-	let known: ReadonlyMap<string, KnownTarget> = new Map();
+	let known: ReadonlyMap<string, ConfiguredTarget> = new Map();
 	const inForce = createActiveConfiguration(facts, world, {
 		onApplied(revision, inventory) {
 			known = new Map(listTargets(inventory).map(one => [one.target.name, one]));
 			emit(EVENTS.configurationApplied, {revision});
-			context.onInventory(inventory);
+			context.onInventoryApplied(inventory);
 		},
 		onRejected(revision, failure) {
 			emit(EVENTS.configurationRejected, {revision, reason: failure.code});
@@ -116,25 +116,25 @@
 	const getHomes = (target: TargetId): readonly VmId[] => {
 		const place = known.get(target)?.target.dataCentre as DataCentreId | undefined;
 		const near = rankVms(`home/${target}`, place);
-		return (near.length > 0 ? near : rankVms(`home/${target}`)).slice(0, HOMES);
+		return (near.length > 0 ? near : rankVms(`home/${target}`)).slice(0, OWNERS_PER_TARGET);
 	};
 
 	const getPlaces = (): readonly DataCentreId[] => [...new Set(members.getAll().map(member => member.dataCentre))];
 
 	return {
 		members,
-		facts,
+		storeCache: facts,
 		inForce,
-		getHomes,
-		rankLive: (key, dataCentre) => rankVms(key, dataCentre).map(vm => ({vm, incarnation: members.get(vm)?.incarnation ?? ''})),
+		getOwners: getHomes,
+		rankLiveVms: (key, dataCentre) => rankVms(key, dataCentre).map(vm => ({vm, incarnation: members.get(vm)?.incarnation ?? ''})),
 		findTarget: target => known.get(target),
 		listTargets: () => [...known.values()],
-		isRelay: () => rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS).includes(settings.vm),
+		isRelay: () => rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS_PER_DATA_CENTRE).includes(settings.vm),
 		getRelays() {
-			const own = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS);
+			const own = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS_PER_DATA_CENTRE);
 			const others = getPlaces()
 				.filter(place => place !== settings.dataCentre)
-				.flatMap(place => rankVms(`relay/${place}`, place).slice(0, RELAYS));
+				.flatMap(place => rankVms(`relay/${place}`, place).slice(0, RELAYS_PER_DATA_CENTRE));
 			return [...own, ...others].filter(vm => vm !== settings.vm);
 		},
 	};
@@ -144,7 +144,7 @@
 export type CallVm = <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<Reply, Failure>>;
 
 /** Creates calls by name over the connections to the peers. */
-export const createCallVm = (members: Members, peers: Peers): CallVm => async <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<Reply, Failure>> => {
+export const createCallVm = (members: Members, peers: PeerConnections): CallVm => async <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<Reply, Failure>> => {
 	const member = members.get(vm);
 	if (!member) {
 		return Err({code: 'peerUnreachable', message: `The vm ${vm} is not in the platform's list`});
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -8,7 +8,7 @@
 import type {GroupView} from '@guavapitch/failover';
 import type {Service} from '@guavapitch/inventory';
 import type {QuotaClient} from '@guavapitch/limits';
-import type {Peers} from '@guavapitch/peer-protocol';
+import type {PeerConnections} from '@guavapitch/peer-protocol';
 import {
 	chooseRequestMode, chooseRoute, getCustomer, getService, waitBeforeRetry, type RouteAttempt, type RetryBudget, type Route, type RoutingView,
 } from '@guavapitch/routing';
@@ -19,17 +19,17 @@
 	Refusal, Reply, RequestChunk, RequestHeader, RequestMode, StatementClass,
 } from '@guavapitch/sessions';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
-import type {Fleet} from './fleet.js';
+import type {ClusterView} from './cluster-view.js';
 
 /** What the entry needs. */
 export type EntryContext = Readonly<{
 	world: World;
 	vm: string;
-	fleet: Fleet;
-	peers: Peers;
-	allowances: QuotaClient;
-	home: OwnerContext<TargetConnection>;
-	budget: RetryBudget;
+	clusterView: ClusterView;
+	peers: PeerConnections;
+	quotaClient: QuotaClient;
+	owner: OwnerContext<TargetConnection>;
+	retryBudget: RetryBudget;
 	/** Owner of the tasks that serve requests whose home is this process. */
 	scope: Scope;
 	emit: Emit;
@@ -59,7 +59,7 @@
 
 /** Creates what the callers' tasks ask of the entry. */
 export const createEntry = (context: EntryContext): CallerContext => {
-	const {world, fleet, emit, metrics} = context;
+	const {world, clusterView: fleet, emit, metrics} = context;
 	const pending = new Map<TargetId, number>();
 
 	const getView = (): RoutingView | undefined => {
@@ -67,7 +67,7 @@
 		return inventory && {
 			inventory,
 			getGroup: context.getGroup,
-			getOwners: fleet.getHomes,
+			getOwners: fleet.getOwners,
 			isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
 			getPendingCount: target => pending.get(target) ?? 0,
 			random: world.random,
@@ -93,7 +93,7 @@
 			return Ok(undefined);
 		}
 
-		const spent = await context.allowances.acquire(caller.customer, deadline, signal);
+		const spent = await context.quotaClient.acquire(caller.customer, deadline, signal);
 		if (spent.err) {
 			const {code, message, retryAfterMs} = spent.val;
 			return Err(createRefusal(code === 'aborted' ? 'canceled' : 'limitExceeded', message, retryAfterMs));
@@ -137,7 +137,7 @@
 			const [near, far] = createStreamPair<RequestChunk, Reply>(measureItem);
 			context.scope.run(async () => {
 				await using own = far;
-				await serveRequest(context.home, header, own);
+				await serveRequest(context.owner, header, own);
 				own.finish();
 			});
 			return Ok(near);
@@ -218,7 +218,7 @@
 	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
 		const {caller, call, signal} = turn;
 		let mode = wanted;
-		context.budget.deposit();
+		context.retryBudget.deposit();
 		let tried: readonly RouteAttempt[] = [];
 		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
 		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
@@ -265,7 +265,7 @@
 
 			metrics.count('entry.retries', {reason: last.code});
 			// Beyond the budget, retries come at the longest pause, so that a failover brings no storm.
-			const pace = context.budget.tryWithdraw() ? attempt : MOST_ATTEMPTS;
+			const pace = context.retryBudget.tryWithdraw() ? attempt : MOST_ATTEMPTS;
 			if (!await waitBeforeRetry(pace, call.deadline, world, signal)) {
 				break;
 			}
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -8,25 +8,25 @@
 	chooseRequestMode, chooseRoute, getCustomer, getService, type RoutingView,
 } from '@guavapitch/routing';
 import {classifyStatement} from '@guavapitch/sessions';
-import type {Fleet} from './fleet.js';
+import type {ClusterView} from './cluster-view.js';
 
 /** Question of an operator. */
-export type ExplainQuestion = Readonly<{customer: CustomerId; service: ServiceId; statement: string}>;
+export type ExplainRequest = Readonly<{customer: CustomerId; service: ServiceId; statement: string}>;
 
 /** Answer: rule by rule, in the order in which the proxy decides. */
 export type Explanation = Readonly<{steps: readonly string[]}>;
 
 /** What an explanation needs. */
 export type ExplainContext = Readonly<{
-	fleet: Fleet;
+	clusterView: ClusterView;
 	getGroup: (database: DatabaseId) => GroupView | undefined;
 	random: () => number;
 }>;
 
 /** Creates the function that explains. */
-export const createExplain = (context: ExplainContext) => (question: unknown): Explanation => {
-	const {fleet} = context;
-	const {customer, service, statement} = question as ExplainQuestion;
+export const createExplain = (context: ExplainContext) => (request: unknown): Explanation => {
+	const {clusterView: fleet} = context;
+	const {customer, service, statement} = request as ExplainRequest;
 	const inventory = fleet.inForce.getInventory();
 	const found = inventory && getService(inventory, service);
 	const share = inventory && getCustomer(inventory, customer);
@@ -40,7 +40,7 @@
 	const view: RoutingView = {
 		inventory,
 		getGroup: context.getGroup,
-		getOwners: fleet.getHomes,
+		getOwners: fleet.getOwners,
 		isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
 		getPendingCount: () => 0,
 		random: context.random,
--- a/packages/proxy/src/stewards.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -4,7 +4,7 @@
 	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type World,
 } from '@guavapitch/core';
 import {
-	askState, commandFollow, commandPromote, commandRejoin, createQuestions, type Questions,
+	readTargetState, followPrimary, promoteReplica, rejoinReplica, createControlConnection, type ControlConnection,
 } from '@guavapitch/back-postgres';
 import {
 	createFailoverCoordinator, MAX_GRANT_VALIDITY_MS, type GrantReply, type GroupView, type Holder, type TargetCommands, type FailoverCoordinator, type FailoverSettings, type FailoverEvent,
@@ -12,26 +12,26 @@
 import type {Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
-import type {CallVm, Fleet, KnownTarget} from './fleet.js';
-import {createTargetAddress} from './homes.js';
+import type {CallVm, ClusterView, ConfiguredTarget} from './cluster-view.js';
+import {createTargetAddress} from './owned-targets.js';
 
 /** Stewards of one process. */
-export type Stewards = AsyncDisposable & Readonly<{
+export type FailoverCoordinators = AsyncDisposable & Readonly<{
 	/** Works for the databases of a slot until the signal aborts. */
-	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Answers a request for a grant; `undefined` if this process is not the steward. */
 	grant: (database: DatabaseId, holder: Holder) => GrantReply | undefined;
 }>;
 
 /** What the stewards need. */
-export type StewardsContext = Readonly<{
+export type FailoverCoordinatorsContext = Readonly<{
 	world: World;
 	vm: string;
-	fleet: Fleet;
+	clusterView: ClusterView;
 	store: Store;
 	callVm: CallVm;
 	emit: Emit;
-	onView: (view: GroupView) => void;
+	onGroupView: (view: GroupView) => void;
 }>;
 
 const REVOKE_TIMEOUT_MS = 300;
@@ -84,19 +84,19 @@
 };
 
 /** Creates the stewards of a process. */
-export const createStewards = (context: StewardsContext): Stewards => {
-	const {world, fleet, emit} = context;
+export const createFailoverCoordinators = (context: FailoverCoordinatorsContext): FailoverCoordinators => {
+	const {world, clusterView: fleet, emit} = context;
 	const running = new Map<DatabaseId, FailoverCoordinator>();
-	const questions = new Map<string, Questions>();
+	const questions = new Map<string, ControlConnection>();
 
-	const withQuestions = async <Answer>(target: TargetId, ask: (asked: Questions, known: KnownTarget) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
+	const withQuestions = async <Answer>(target: TargetId, ask: (asked: ControlConnection, known: ConfiguredTarget) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
 		const known = fleet.findTarget(target);
 		if (!known) {
 			return Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 		}
 
 		const existing = questions.get(known.target.address);
-		const asked = existing ?? createQuestions(createTargetAddress(known, context.vm), world);
+		const asked = existing ?? createControlConnection(createTargetAddress(known, context.vm), world);
 		questions.set(known.target.address, asked);
 		return ask(asked, known);
 	};
@@ -112,10 +112,10 @@
 	};
 
 	const commands: TargetCommands = {
-		probe: async target => withQuestions(target, askState),
-		promote: async target => withQuestions(target, commandPromote),
-		follow: async (target, primary) => withQuestions(target, async asked => commandFollow(asked, formatConninfo(primary, target))),
-		rejoin: async (target, primary) => withQuestions(target, async asked => commandRejoin(asked, formatConninfo(primary, target))),
+		probe: async target => withQuestions(target, readTargetState),
+		promote: async target => withQuestions(target, promoteReplica),
+		follow: async (target, primary) => withQuestions(target, async asked => followPrimary(asked, formatConninfo(primary, target))),
+		rejoin: async (target, primary) => withQuestions(target, async asked => rejoinReplica(asked, formatConninfo(primary, target))),
 	};
 
 	const getSettings = (database: DatabaseId): FailoverSettings | undefined => {
@@ -140,7 +140,7 @@
 			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
 			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
-		publish: context.onView,
+		publish: context.onGroupView,
 		onEvent(event) {
 			emitEvent(emit, database, event);
 		},
@@ -155,7 +155,7 @@
 	};
 
 	return {
-		async act(authority, signal) {
+		async runAsHolder(authority, signal) {
 			await using scope = createScope(error => {
 				emit(EVENTS.taskFailed, {task: 'steward', reason: error instanceof Error ? error.stack : String(error)});
 			}, signal);
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -15,28 +15,28 @@
 import type {TakeoverPromises, TakeoverPromiseRequest} from '@guavapitch/roles';
 import type {RequestHeader} from '@guavapitch/sessions';
 import type {EventRecord} from '@guavapitch/telemetry';
-import type {CallVm, Fleet} from './fleet.js';
-import type {Keepers} from './keepers.js';
-import type {Stewards} from './stewards.js';
+import type {CallVm, ClusterView} from './cluster-view.js';
+import type {QuotaAllocators} from './quota-allocators.js';
+import type {FailoverCoordinators} from './failover-coordinators.js';
 
 /** What the handlers need. */
 export type HandlersContext = Readonly<{
 	world: World;
 	incarnation: string;
 	scope: Scope;
-	fleet: Fleet;
+	clusterView: ClusterView;
 	callVm: CallVm;
 	relay: RelayService;
-	stewards: Stewards;
-	keepers: Keepers;
-	book: GrantRegistry;
+	coordinators: FailoverCoordinators;
+	allocators: QuotaAllocators;
+	grantRegistry: GrantRegistry;
 	promises: TakeoverPromises;
-	home: OwnerContext<TargetConnection>;
+	owner: OwnerContext<TargetConnection>;
 	/** Gets the epoch of a slot as far as it is known here. */
 	getEpoch: (slot: string) => number;
 	/** Tells whether this process reached the store lately. */
-	isStoreReached: () => boolean;
-	cancelHere: (requestId: string) => void;
+	isStoreReachable: () => boolean;
+	cancelLocally: (requestId: string) => void;
 	cancelCaller: (processId: number, secret: number) => void;
 	getStatus: () => unknown;
 	explain: (question: unknown) => unknown;
@@ -48,7 +48,7 @@
 
 /** Creates the handlers. */
 export const createHandlers = (context: HandlersContext): PeerHandlers => {
-	const {fleet} = context;
+	const {clusterView: fleet} = context;
 
 	const answerPing = async (ping: PingRequest): Promise<PingResponse> => {
 		fleet.members.applyUpdates(ping.news);
@@ -69,27 +69,27 @@
 			sync: async body => context.relay.sync(body as SyncRequest),
 			async grant(body) {
 				const {database, holder} = body as Readonly<{database: DatabaseId; holder: Holder}>;
-				return context.stewards.grant(database, holder) ?? null;
+				return context.coordinators.grant(database, holder) ?? null;
 			},
 			async revoke(body) {
 				const {database, permissions, incarnation} = body as Readonly<{database: DatabaseId; permissions: Permissions; incarnation: string}>;
 				if (incarnation === context.incarnation) {
-					context.book.revoke(database, permissions);
+					context.grantRegistry.revoke(database, permissions);
 					if (permissions.writes && !permissions.acknowledgements) {
-						await context.book.waitUntilWritesEnd(database, createDeadline(context.world.now(), MAX_GRANT_VALIDITY_MS));
+						await context.grantRegistry.waitUntilWritesEnd(database, createDeadline(context.world.now(), MAX_GRANT_VALIDITY_MS));
 					}
 				}
 
 				return true;
 			},
-			allot: async body => context.keepers.allot(body as TokenRequest) ?? null,
+			allot: async body => context.allocators.grantTokens(body as TokenRequest) ?? null,
 			async promise(body) {
 				const request = body as TakeoverPromiseRequest;
 				return context.promises.give(request, context.getEpoch(request.slot));
 			},
-			vouch: async () => context.isStoreReached(),
+			vouch: async () => context.isStoreReachable(),
 			async cancel(body) {
-				context.cancelHere(body as string);
+				context.cancelLocally(body as string);
 				return true;
 			},
 			async cancelCaller(body) {
@@ -106,7 +106,7 @@
 		},
 		streams: {
 			async request(header, stream: Stream<unknown, unknown>) {
-				await serveRequest(context.home, header as RequestHeader, stream as OwnerStream);
+				await serveRequest(context.owner, header as RequestHeader, stream as OwnerStream);
 			},
 		},
 	};
--- a/packages/proxy/src/homes.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -5,7 +5,7 @@
 	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	askPositions, createQuestions, openTargetConnection, type TargetAddress, type TargetConnection, type Questions,
+	readPrimaryPositions, createControlConnection, openTargetConnection, type TargetAddress, type TargetConnection, type ControlConnection,
 } from '@guavapitch/back-postgres';
 import {
 	createDurabilityWaiter, createGrantRegistry, type GrantRegistry, type GrantReply, type GroupView,
@@ -17,37 +17,37 @@
 import {chooseSlot, parseSlotRecord, ROLE_PREFIX} from '@guavapitch/roles';
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import {
-	type CallVm, type Fleet, type KnownTarget, HOMES,
-} from './fleet.js';
+	type CallVm, type ClusterView, type ConfiguredTarget, OWNERS_PER_TARGET,
+} from './cluster-view.js';
 
 /** Homes of one process. */
-export type Homes = AsyncDisposable & Readonly<{
-	book: GrantRegistry;
+export type OwnedTargets = AsyncDisposable & Readonly<{
+	grantRegistry: GrantRegistry;
 	/** Gets a target of which this process is home, opening it if needed. */
 	get: (target: TargetId) => OwnedTarget<TargetConnection> | undefined;
 	waitUntilDurable: ReturnType<typeof createDurabilityWaiter>;
 	/** Asks for grants until the signal aborts. */
-	runGrants: (signal: AbortSignal) => Promise<void>;
+	runGrantRenewal: (signal: AbortSignal) => Promise<void>;
 	/** Opens and closes targets as homes move, until the signal aborts. */
-	runMoves: (signal: AbortSignal) => Promise<void>;
+	runOwnershipUpdates: (signal: AbortSignal) => Promise<void>;
 	/** Gets queue lengths and connections, by target. */
 	getState: () => ReadonlyArray<Readonly<{target: string; queued: number; busy: number; open: number; idle: number}>>;
 }>;
 
 /** What the homes need. */
-export type HomesContext = Readonly<{
+export type OwnedTargetsContext = Readonly<{
 	world: World;
 	vm: VmId;
 	incarnation: string;
-	fleet: Fleet;
+	clusterView: ClusterView;
 	callVm: CallVm;
 	emit: Emit;
 	metrics: Metrics;
 	/** Hears of views that came with grants. */
-	onView: (view: GroupView) => void;
+	onGroupView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{known: KnownTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: OwnedTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{known: ConfiguredTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: OwnedTarget<TargetConnection>}>;
 
 /** Connections of a target kept back for the steward's and the homes' own questions. */
 const RESERVED_CONNECTIONS = 4;
@@ -58,7 +58,7 @@
 const MOVE_PERIOD_MS = 250;
 
 /** Creates the address of a target. */
-export const createTargetAddress = (known: KnownTarget, applicationName: string): TargetAddress => {
+export const createTargetAddress = (known: ConfiguredTarget, applicationName: string): TargetAddress => {
 	const [host, port] = known.target.address.split(':');
 	const {user, passwordVariable, databaseName} = known.database;
 	return {
@@ -67,24 +67,24 @@
 };
 
 /** Computes the connections one home may open: two homes with different views together stay within the limit. */
-export const computeHomeLimit = (connections: number): number => Math.max(1, Math.floor((connections - RESERVED_CONNECTIONS) / HOMES));
+export const computeOwnerConnectionLimit = (connections: number): number => Math.max(1, Math.floor((connections - RESERVED_CONNECTIONS) / OWNERS_PER_TARGET));
 
 /** Creates the homes of a process. */
-export const createHomes = (context: HomesContext): Homes => {
-	const {world, vm, fleet, emit, metrics} = context;
+export const createOwnedTargets = (context: OwnedTargetsContext): OwnedTargets => {
+	const {world, vm, clusterView: fleet, emit, metrics} = context;
 	const book = createGrantRegistry(world);
 	const scope = createScope(() => undefined);
 	const open = new Map<TargetId, OpenTarget>();
-	const questions = new Map<TargetId, Questions>();
+	const questions = new Map<TargetId, ControlConnection>();
 
-	const isHome = (target: TargetId) => fleet.getHomes(target).includes(vm);
+	const isHome = (target: TargetId) => fleet.getOwners(target).includes(vm);
 
-	const openTarget = (known: KnownTarget): OpenTarget => {
+	const openTarget = (known: ConfiguredTarget): OpenTarget => {
 		const {target} = known;
 		const address = createTargetAddress(known, vm);
-		const isFirst = fleet.getHomes(parseId<TargetId>(target.name))[0] === vm;
+		const isFirst = fleet.getOwners(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
-			maxOpen: computeHomeLimit(target.connections),
+			maxOpen: computeOwnerConnectionLimit(target.connections),
 			minIdle: isFirst ? Math.min(SPARE_CONNECTIONS, target.slots) : 0,
 			dial: async () => openTargetConnection(address),
 			onAvailable() {
@@ -123,24 +123,24 @@
 		await one.pool[Symbol.asyncDispose]();
 	};
 
-	const getQuestions = (known: KnownTarget): Questions => {
+	const getQuestions = (known: ConfiguredTarget): ControlConnection => {
 		const id = parseId<TargetId>(known.target.name);
 		const existing = questions.get(id);
 		if (existing) {
 			return existing;
 		}
 
-		const created = createQuestions(createTargetAddress(known, vm), world);
+		const created = createControlConnection(createTargetAddress(known, vm), world);
 		questions.set(id, created);
 		return created;
 	};
 
 	const waitUntilDurable = createDurabilityWaiter(book, async target => {
 		const known = fleet.findTarget(target);
-		return known ? askPositions(getQuestions(known)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
+		return known ? readPrimaryPositions(getQuestions(known)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 	}, world);
 
-	const isSame = (a: KnownTarget, b: KnownTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
+	const isSame = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
 	const moveOnce = async () => {
 		for (const [id, one] of open) {
@@ -158,7 +158,7 @@
 
 		for (const {target} of fleet.listTargets()) {
 			const id = parseId<TargetId>(target.name);
-			if (fleet.getHomes(id)[0] === vm && !target.leaving) {
+			if (fleet.getOwners(id)[0] === vm && !target.leaving) {
 				getOpen(id);
 			}
 		}
@@ -166,7 +166,7 @@
 
 	const getSteward = (database: DatabaseId): VmId | undefined => {
 		const slots = fleet.inForce.getInventory()?.fleet.stewardSlots ?? 1;
-		const entry = fleet.facts.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
+		const entry = fleet.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
 		const record = entry ? parseSlotRecord(entry.value) : undefined;
 		return record?.ok ? record.val.holder.vm : undefined;
 	};
@@ -184,7 +184,7 @@
 		}
 
 		book.accept(reply.val, askedAt);
-		context.onView(reply.val.view);
+		context.onGroupView(reply.val.view);
 		return reply.val.permissions.writes;
 	};
 
@@ -201,10 +201,10 @@
 	};
 
 	return {
-		book,
+		grantRegistry: book,
 		waitUntilDurable,
 		get: target => getOpen(target)?.home,
-		async runGrants(signal) {
+		async runGrantRenewal(signal) {
 			const running = new Set<DatabaseId>();
 			while (!signal.aborted) {
 				for (const database of getHomeDatabases()) {
@@ -223,7 +223,7 @@
 				await world.sleep(MOVE_PERIOD_MS, signal);
 			}
 		},
-		async runMoves(signal) {
+		async runOwnershipUpdates(signal) {
 			while (!signal.aborted) {
 				await moveOnce();
 				await world.sleep(MOVE_PERIOD_MS, signal);
