--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -12,7 +12,7 @@
 import {createQuotaClient} from '@guavapitch/limits';
 import {runFailureDetector, type PingResponse} from '@guavapitch/membership';
 import {
-	createDial, createPeers, startPeerListener, type PeerContext, type PeerHandlers,
+	createDial, createPeerConnections, startPeerListener, type PeerContext, type PeerHandlers,
 } from '@guavapitch/peer-protocol';
 import {openEtcdStore} from '@guavapitch/store';
 import {
@@ -24,21 +24,21 @@
 	createHybridLogicalClock, createEmit, createEventRingBuffer, EVENTS, openLog, openMetrics,
 } from '@guavapitch/telemetry';
 import {
-	computeVmNumber, findVmByNumber, startCallers, type Callers,
-} from './callers.js';
-import {createContenders} from './contenders.js';
+	computeVmNumber, findVmByNumber, startCallerListener, type CallerListener,
+} from './caller-listener.js';
+import {createRoleCandidates} from './role-candidates.js';
 import {createEntry} from './entry.js';
 import {createExplain} from './explain.js';
-import {createCallVm, createFleet} from './fleet.js';
+import {createCallVm, createClusterView} from './cluster-view.js';
 import {createHandlers} from './handlers.js';
-import {createHomes} from './homes.js';
-import {createKeepers} from './keepers.js';
+import {createOwnedTargets} from './owned-targets.js';
+import {createQuotaAllocators} from './quota-allocators.js';
 import {VERSION, type Settings} from './settings.js';
-import {createStewards} from './stewards.js';
+import {createFailoverCoordinators} from './failover-coordinators.js';
 
 /** A running proxy. */
 export type Proxy = Readonly<{
-	callers: Callers;
+	callers: CallerListener;
 	/** Leaves: finishes what is under way and stops. */
 	stop: () => Promise<void>;
 }>;
@@ -82,22 +82,22 @@
 			metrics.count('store.calls', {method});
 		},
 	}, world);
-	let callers: Callers | undefined;
+	let callers: CallerListener | undefined;
 	let draining = false;
 	let underWay = 0;
 	let storeReachedAt = world.now();
 	let storeReached = true;
 
-	const fleet = createFleet({
+	const fleet = createClusterView({
 		world, settings, incarnation, emit,
-		onDead(member) {
-			peers.drop({host: member.host, port: member.port});
+		onMemberDead(member) {
+			peers.disconnect({host: member.host, port: member.port});
 		},
-		onInventory() {
+		onInventoryApplied() {
 			callers?.closeIdle();
 		},
 	});
-	const {facts, inForce, members} = fleet;
+	const {storeCache: facts, inForce, members} = fleet;
 
 	// The handlers need parts that need the peers; calls are only answered once all are made.
 	let handlers: PeerHandlers = {calls: {}, streams: {}};
@@ -108,16 +108,16 @@
 			return handlers;
 		},
 		readTime: clock.read,
-		witnessTime: clock.observe,
-		onMalformed(failure) {
+		observeTime: clock.observe,
+		onMalformedFrame(failure) {
 			emit(EVENTS.frameRefused, {reason: failure.code});
 			metrics.count('peer.malformed');
 		},
-		onBytes(direction, bytes) {
+		onTransfer(direction, bytes) {
 			metrics.count('peer.bytes', {direction}, bytes);
 		},
 	};
-	const peers = createPeers(peerContext, createDial(settings.peerTls));
+	const peers = createPeerConnections(peerContext, createDial(settings.peerTls));
 	const callVm = createCallVm(members, peers);
 
 	const groups = new Map<DatabaseId, GroupView>();
@@ -138,8 +138,8 @@
 		}
 	});
 
-	const homes = createHomes({
-		world, vm: settings.vm, incarnation, fleet, callVm, emit, metrics, onView: acceptView,
+	const homes = createOwnedTargets({
+		world, vm: settings.vm, incarnation, clusterView: fleet, callVm, emit, metrics, onGroupView: acceptView,
 	});
 	const cancels = new Map<RequestId, () => void>();
 	const home: OwnerContext<TargetConnection> = {
@@ -147,7 +147,7 @@
 		world,
 		getTarget: homes.get,
 		checkGrant(header) {
-			const {book} = homes;
+			const {grantRegistry: book} = homes;
 			const checked = header.mode === 'write'
 				? book.checkWrite(header.database, header.target)
 				: (header.mode === 'read' ? book.checkRead(header.database, header.target) : book.checkStaleness(header.database, header.target, header.maximumAgeMs));
@@ -155,7 +155,7 @@
 		},
 		waitUntilDurable: homes.waitUntilDurable,
 		async waitUntilUnanswerable(header, term, deadline, signal) {
-			await homes.book.waitUntilIneligible({
+			await homes.grantRegistry.waitUntilIneligible({
 				database: header.database, target: header.target, term, mode: header.mode,
 			}, deadline, signal);
 		},
@@ -173,7 +173,7 @@
 		},
 		trackRequest(header) {
 			underWay++;
-			const write = header.mode === 'write' ? homes.book.trackWrite(header.database) : undefined;
+			const write = header.mode === 'write' ? homes.grantRegistry.trackWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
 					write?.[Symbol.dispose]();
@@ -184,10 +184,10 @@
 		isDraining: () => draining,
 	};
 
-	const stewards = createStewards({
-		world, vm: settings.vm, fleet, store, callVm, emit, onView: acceptView,
+	const stewards = createFailoverCoordinators({
+		world, vm: settings.vm, clusterView: fleet, store, callVm, emit, onGroupView: acceptView,
 	});
-	const keepers = createKeepers(world, fleet, callVm);
+	const keepers = createQuotaAllocators(world, fleet, callVm);
 	const lease = createProcessLease(store, world);
 	const promises = createTakeoverPromises(incarnation, world);
 	const relay = createRelayService(facts, incarnation, world);
@@ -216,11 +216,11 @@
 	const entry = createEntry({
 		world,
 		vm: settings.vm,
-		fleet,
+		clusterView: fleet,
 		peers,
-		allowances: createQuotaClient(keepers.ask, world),
-		home,
-		budget: createRetryBudget(),
+		quotaClient: createQuotaClient(keepers.requestTokens, world),
+		owner: home,
+		retryBudget: createRetryBudget(),
 		scope: requests,
 		emit,
 		metrics,
@@ -230,13 +230,13 @@
 	});
 
 	handlers = createHandlers({
-		world, incarnation, scope: requests, fleet, callVm, relay, stewards, keepers, book: homes.book, promises, home,
+		world, incarnation, scope: requests, clusterView: fleet, callVm, relay, coordinators: stewards, allocators: keepers, grantRegistry: homes.grantRegistry, promises, owner: home,
 		getEpoch(slot) {
 			const known = facts.get(`${ROLE_PREFIX}${slot}`);
 			return known ? parseSlotRecord(known.value).map(record => record.epoch).unwrapOr(0) : 0;
 		},
-		isStoreReached: () => storeReached && world.now() - storeReachedAt < STORE_SILENCE_MS,
-		cancelHere,
+		isStoreReachable: () => storeReached && world.now() - storeReachedAt < STORE_SILENCE_MS,
+		cancelLocally: cancelHere,
 		cancelCaller(processId, secret) {
 			callers?.cancel(processId, secret);
 		},
@@ -255,7 +255,7 @@
 			metrics: metrics.snapshot(),
 		}),
 		listEvents: ring.list,
-		explain: createExplain({fleet, getGroup: database => groups.get(database), random: world.random}),
+		explain: createExplain({clusterView: fleet, getGroup: database => groups.get(database), random: world.random}),
 	});
 
 	const freshness: CacheSyncContext = {
@@ -293,10 +293,10 @@
 		},
 	};
 
-	const runContenders = createContenders({
-		world, vm: settings.vm, incarnation, fleet, store, lease, promises, scope: roles, emit, isDraining: () => draining,
-		askPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
-		act: {steward: stewards.act, keeper: keepers.act},
+	const runContenders = createRoleCandidates({
+		world, vm: settings.vm, incarnation, clusterView: fleet, store, lease, promises, scope: roles, emit, isDraining: () => draining,
+		requestPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
+		runAsHolder: {steward: stewards.runAsHolder, keeper: keepers.runAsHolder},
 	});
 
 	const runSweep = async (signal: AbortSignal) => {
@@ -309,8 +309,8 @@
 
 	try {
 		const listener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
-		callers = await startCallers({
-			settings, fleet, entry, emit, metrics, vmNumber: numberOf(settings.vm), forwardCancel,
+		callers = await startCallerListener({
+			settings, clusterView: fleet, entry, emit, metrics, vmNumber: numberOf(settings.vm), forwardCancel,
 		});
 		emit(EVENTS.processStarted, {
 			version: VERSION, dataCentre: settings.dataCentre, listen: `${callers.address.host}:${callers.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
@@ -321,8 +321,8 @@
 			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
 		control.run(runContenders);
-		control.run(homes.runGrants);
-		control.run(homes.runMoves);
+		control.run(homes.runGrantRenewal);
+		control.run(homes.runOwnershipUpdates);
 		control.run(runSweep);
 		const open = callers;
 		return Ok({
@@ -343,7 +343,7 @@
 				}
 
 				clearTimeout(timer);
-				await listener.leave(createDeadline(world.now(), GOODBYE_MS));
+				await listener.drain(createDeadline(world.now(), GOODBYE_MS));
 				await open[Symbol.asyncDispose]();
 				await control[Symbol.asyncDispose]();
 				await requests[Symbol.asyncDispose]();
--- a/packages/proxy/src/keepers.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -9,23 +9,23 @@
 import {
 	chooseSlot, parseSlotRecord, ROLE_PREFIX, type Authority,
 } from '@guavapitch/roles';
-import type {CallVm, Fleet} from './fleet.js';
+import type {CallVm, ClusterView} from './cluster-view.js';
 
 /** Keepers of one process. */
-export type Keepers = Readonly<{
+export type QuotaAllocators = Readonly<{
 	/** Keeps the customers of a slot until the signal aborts. */
-	act: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Answers an entry; `undefined` if this process is not the keeper. */
-	allot: (request: TokenRequest) => TokenGrant | undefined;
+	grantTokens: (request: TokenRequest) => TokenGrant | undefined;
 	/** Asks the keeper of a customer, wherever it runs. */
-	ask: RequestTokens;
+	requestTokens: RequestTokens;
 }>;
 
 const ASK_TIMEOUT_MS = 250;
 const NO_KEEPER: Failure = {code: 'noKeeper', message: 'The customer has no keeper now'};
 
 /** Creates the keepers of a process. */
-export const createKeepers = (world: World, fleet: Fleet, callVm: CallVm): Keepers => {
+export const createQuotaAllocators = (world: World, fleet: ClusterView, callVm: CallVm): QuotaAllocators => {
 	const held = new Map<string, QuotaAllocator>();
 
 	const getSlot = (customer: CustomerId): string => chooseSlot('keeper', fleet.inForce.getInventory()?.fleet.keeperSlots ?? 1, customer);
@@ -33,7 +33,7 @@
 	const getShare = (customer: CustomerId) => fleet.inForce.getInventory()?.customers[customer];
 
 	return {
-		async act(authority, signal) {
+		async runAsHolder(authority, signal) {
 			const keeper = createQuotaAllocator({
 				world, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota: getShare,
 			});
@@ -49,9 +49,9 @@
 			});
 			held.delete(authority.slot);
 		},
-		allot: request => held.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
-		async ask(request): Promise<Result<TokenGrant, Failure>> {
-			const entry = fleet.facts.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
+		grantTokens: request => held.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
+		async requestTokens(request): Promise<Result<TokenGrant, Failure>> {
+			const entry = fleet.storeCache.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
 			const record = entry ? parseSlotRecord(entry.value) : undefined;
 			if (!record?.ok) {
 				return Err(NO_KEEPER);
--- a/packages/proxy/src/contenders.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -8,14 +8,14 @@
 	formatSlotName, runSlot, type Authority, type ProcessLease, type TakeoverPromises, type TakeoverPromiseRequest, type RoleName, type SlotContext,
 } from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
-import type {Fleet} from './fleet.js';
+import type {ClusterView} from './cluster-view.js';
 
 /** What the contenders of a process need. */
-export type ContendersContext = Readonly<{
+export type RoleCandidatesContext = Readonly<{
 	world: World;
 	vm: VmId;
 	incarnation: string;
-	fleet: Fleet;
+	clusterView: ClusterView;
 	store: Store;
 	lease: ProcessLease;
 	promises: TakeoverPromises;
@@ -24,16 +24,16 @@
 	emit: Emit;
 	isDraining: () => boolean;
 	/** Asks a candidate not to take over for a while. */
-	askPromise: (vm: VmId, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
+	requestPromise: (vm: VmId, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
 	/** What the holder of a slot does, by role. */
-	act: Readonly<Record<RoleName, (authority: Authority, signal: AbortSignal) => Promise<void>>>;
+	runAsHolder: Readonly<Record<RoleName, (authority: Authority, signal: AbortSignal) => Promise<void>>>;
 }>;
 
 const SWEEP_MS = 100;
 
 /** Creates the task that starts a contender for each slot once the inventory says how many there are. */
-export const createContenders = (context: ContendersContext): ((signal: AbortSignal) => Promise<void>) => {
-	const {world, fleet, emit} = context;
+export const createRoleCandidates = (context: RoleCandidatesContext): ((signal: AbortSignal) => Promise<void>) => {
+	const {world, clusterView: fleet, emit} = context;
 	const {members, inForce} = fleet;
 
 	const createSlotContext = (role: RoleName, slot: string): SlotContext => ({
@@ -43,13 +43,13 @@
 		promises: context.promises,
 		self: {vm: context.vm, incarnation: context.incarnation},
 		slot,
-		rankCandidates: () => context.isDraining() ? [] : fleet.rankLive(`role/${slot}`),
-		requestPromise: async (candidate, request) => context.askPromise(candidate.vm, request),
+		rankCandidates: () => context.isDraining() ? [] : fleet.rankLiveVms(`role/${slot}`),
+		requestPromise: async (candidate, request) => context.requestPromise(candidate.vm, request),
 		isConfirmedGone(candidate) {
 			const member = members.get(candidate.vm);
 			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
 		},
-		runAsHolder: context.act[role],
+		runAsHolder: context.runAsHolder[role],
 		onGained(name, epoch) {
 			emit(EVENTS.roleGained, {slot: name, epoch});
 		},
--- a/packages/proxy/src/tests/stewards.test.ts
+++ b/packages/proxy/src/tests/failover-coordinators.test.ts
@@ -9,8 +9,8 @@
 import type {Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
-import type {Fleet} from '../fleet.js';
-import {createStewards} from '../stewards.js';
+import type {ClusterView} from '../cluster-view.js';
+import {createFailoverCoordinators} from '../failover-coordinators.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
 const WITHIN_MS = 10_000;
@@ -39,21 +39,21 @@
 				read: async key => isDown ? Err({code: 'storeUnreachable', message: 'down'}) : memory.read(key),
 			};
 			const inventory = createInventory() as Inventory;
-			const fleet = {inForce: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as Fleet;
-			await using stewards = createStewards({
-				world, vm: 'v', fleet, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onView: () => undefined,
+			const fleet = {inForce: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as ClusterView;
+			await using stewards = createFailoverCoordinators({
+				world, vm: 'v', clusterView: fleet, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onGroupView: () => undefined,
 			});
 			const authority: Authority = {slot: chooseSlot('steward', SLOTS, DATABASE), epoch: 1, getDeadline: () => NEVER};
 
 			const first = new AbortController();
-			const acting = stewards.act(authority, first.signal);
+			const acting = stewards.runAsHolder(authority, first.signal);
 			await world.sleep(100);
 			first.abort();
 			await acting;
 
 			isDown = false;
 			const second = new AbortController();
-			const again = stewards.act({...authority, epoch: 2}, second.signal);
+			const again = stewards.runAsHolder({...authority, epoch: 2}, second.signal);
 			const giveUpAt = createDeadline(world.now(), WITHIN_MS);
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
 			while (!stewards.grant(DATABASE, holder) && world.now() < giveUpAt) {
--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -4,7 +4,7 @@
 import {createServer, type Socket} from 'node:net';
 import {createScope, type World} from '@guavapitch/core';
 import {
-	createErrorResponse, createMessage, createParameter, createReady, encodeInt32, openWire, parseStartup, SQLSTATE, type Wire,
+	createErrorResponse, createMessage, createParameterStatus, createReadyForQuery, encodeInt32, openWireConnection, parseStartupPacket, SQLSTATE, type WireConnection,
 } from '@guavapitch/postgres-wire';
 import {CONTROL_PEER, type Target} from './target.js';
 import {followUpstream, serveReplica} from './replication.js';
@@ -21,22 +21,22 @@
 	server_version: '15.0 (guavapitch stand-in)', server_encoding: 'UTF8', client_encoding: 'UTF8', DateStyle: 'ISO, MDY', standard_conforming_strings: 'on',
 };
 
-const greet = async (wire: Wire, processId: number, secret: number) => {
-	const parameters = Object.entries(PARAMETERS).map(([name, value]) => createParameter(name, value).bytes);
+const greet = async (wire: WireConnection, processId: number, secret: number) => {
+	const parameters = Object.entries(PARAMETERS).map(([name, value]) => createParameterStatus(name, value).bytes);
 	const key = createMessage('K', encodeInt32(processId), encodeInt32(secret));
-	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReady('idle').bytes);
+	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReadyForQuery('idle').bytes);
 };
 
 type ServerContext = Readonly<{target: Target; world: World; cancels: Cancels}>;
 
-const serveCaller = async ({target, world, cancels}: ServerContext, wire: Wire, parameters: ReadonlyMap<string, string>) => {
+const serveCaller = async ({target, world, cancels}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
 	const isControl = parameters.get('database') === CONTROL_PEER;
 	const peer = isControl ? CONTROL_PEER : parameters.get('application_name') ?? '';
-	const allowed = isControl || target.enterConnection();
+	const allowed = isControl || target.addConnection();
 	const processId = randomInt(LARGEST_SECRET);
 	const secret = randomInt(LARGEST_SECRET);
 	try {
-		await target.waitWhileCut(peer);
+		await target.waitWhilePartitioned(peer);
 		if (!allowed) {
 			await wire.write(createErrorResponse({severity: 'FATAL', code: SQLSTATE.tooManyConnections, message: 'sorry, too many clients already'}).bytes);
 			return;
@@ -53,7 +53,7 @@
 	} finally {
 		cancels.delete(processId);
 		if (!isControl) {
-			target.leaveConnection();
+			target.removeConnection();
 		}
 	}
 };
@@ -61,15 +61,15 @@
 const serveSocket = async (context: ServerContext, socket: Socket) => {
 	const {target, cancels} = context;
 	socket.setNoDelay(true);
-	await using wire = openWire(socket);
+	await using wire = openWireConnection(socket);
 	while (true) {
-		const packet = await wire.readStartup();
+		const packet = await wire.readStartupPacket();
 		if (packet.err) {
 			return;
 		}
 
-		target.onBytes(packet.val);
-		const startup = parseStartup(packet.val);
+		target.onBytesReceived(packet.val);
+		const startup = parseStartupPacket(packet.val);
 		if (startup.err) {
 			return;
 		}
@@ -125,7 +125,7 @@
 				socket.destroy();
 			}
 
-			target.engine.notify();
+			target.engine.wakeWaiters();
 			await scope[Symbol.asyncDispose]();
 		},
 	};
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -48,7 +48,7 @@
 	createRowId: () => string;
 	getPosition: () => number;
 	getTimeline: () => number;
-	getHistory: () => readonly TimelineStart[];
+	getTimelineHistory: () => readonly TimelineStart[];
 	isReplica: () => boolean;
 	/** Gets the records behind a position. */
 	getRecordsAfter: (position: number) => readonly LogRecord[];
@@ -57,13 +57,13 @@
 	/** Starts a new timeline as primary. */
 	promote: () => void;
 	/** Throws all data away and follows from the start. */
-	rewind: () => void;
+	reset: () => void;
 	/** Takes over the timeline history of the primary. */
-	adoptHistory: (history: readonly TimelineStart[]) => void;
+	setTimelineHistory: (history: readonly TimelineStart[]) => void;
 	/** Waits until the log has grown, or the wait is over. */
-	waitForGrowth: (signal: AbortSignal) => Promise<void>;
+	waitForRecords: (signal: AbortSignal) => Promise<void>;
 	/** Wakes whoever waits for growth. */
-	notify: () => void;
+	wakeWaiters: () => void;
 }>;
 
 const RECORD_BYTES = 64;
@@ -172,7 +172,7 @@
 		createRowId: () => `${getTimeline()}.${position}.${++rowCount}`,
 		getPosition: () => position,
 		getTimeline,
-		getHistory: () => history,
+		getTimelineHistory: () => history,
 		isReplica: () => replica,
 		getRecordsAfter(after) {
 			let low = 0;
@@ -198,19 +198,19 @@
 			history = [...history, {timeline: getTimeline() + 1, position}];
 			grown.notify();
 		},
-		rewind() {
+		reset() {
 			tables.clear();
 			log.length = 0;
 			position = FIRST_POSITION;
 			history = [{timeline: 1, position}];
 			replica = true;
 		},
-		adoptHistory(next) {
+		setTimelineHistory(next) {
 			history = next;
 		},
-		async waitForGrowth(signal) {
+		async waitForRecords(signal) {
 			await grown.waitForChange(createDeadline(world.now(), GROWTH_WAIT_MS), signal);
 		},
-		notify: grown.notify,
+		wakeWaiters: grown.notify,
 	};
 };
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -1,9 +1,9 @@
 /** Execution of one statement against an engine. */
 
 import type {Engine, Row, Transaction} from './engine.js';
-import {evaluate, type Environment} from './expressions.js';
+import {evaluateExpression, type EvaluationContext} from './expressions.js';
 import type {
-	Column, Expression, Output, Statement, Value,
+	Column, Expression, OutputColumn, Statement, Value,
 } from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 
@@ -29,7 +29,7 @@
 const ONE_EMPTY_ROW: RowSet = {columns: [], rows: new Map([['', []]])};
 const AGGREGATES: ReadonlySet<string> = new Set(['count', 'max', 'min', 'sum']);
 
-const createEnvironment = (context: ExecutionContext, columns: readonly Column[], row: Row): Environment => ({
+const createEnvironment = (context: ExecutionContext, columns: readonly Column[], row: Row): EvaluationContext => ({
 	parameters: context.parameters,
 	callFunction: context.callFunction,
 	getColumn(name) {
@@ -42,7 +42,7 @@
 	},
 });
 
-const evaluateAlone = (context: ExecutionContext, expression: Expression): Value => evaluate(expression, createEnvironment(context, [], []));
+const evaluateAlone = (context: ExecutionContext, expression: Expression): Value => evaluateExpression(expression, createEnvironment(context, [], []));
 
 const findKeyLookup = (columns: readonly Column[], where: Expression | undefined): Expression | undefined => {
 	if (where?.kind !== 'binary' || where.operator !== '=' || where.left.kind !== 'column' || where.right.kind === 'column') {
@@ -65,7 +65,7 @@
 
 	const found: Array<readonly [string, Row]> = [];
 	for (const [id, row] of source.rows) {
-		if (!where || evaluate(where, createEnvironment(context, source.columns, row)) === true) {
+		if (!where || evaluateExpression(where, createEnvironment(context, source.columns, row)) === true) {
 			found.push([id, row]);
 		}
 	}
@@ -89,20 +89,20 @@
 	return expression.kind === 'binary' && ['+', '-', '*', '/'].includes(expression.operator) ? 'int' : 'text';
 };
 
-const expandOutputs = (outputs: readonly Output[], columns: readonly Column[]): ReadonlyArray<Exclude<Output, '*'>> => outputs.flatMap(output => output === '*'
+const expandOutputs = (outputs: readonly OutputColumn[], columns: readonly Column[]): ReadonlyArray<Exclude<OutputColumn, '*'>> => outputs.flatMap(output => output === '*'
 	? columns.map(column => ({name: column.name, expression: {kind: 'column', name: column.name} as const}))
 	: [output]);
 
-const describeOutputs = (outputs: readonly Output[], columns: readonly Column[]): readonly ResultColumn[] => {
+const describeOutputs = (outputs: readonly OutputColumn[], columns: readonly Column[]): readonly ResultColumn[] => {
 	const expanded = expandOutputs(outputs, columns);
 	return expanded.map(({name, expression}) => ({name, type: inferType(expression, columns)}));
 };
 
-const projectRows = (context: ExecutionContext, outputs: readonly Output[], columns: readonly Column[], rows: readonly Row[]): readonly Row[] => {
+const projectRows = (context: ExecutionContext, outputs: readonly OutputColumn[], columns: readonly Column[], rows: readonly Row[]): readonly Row[] => {
 	const expanded = expandOutputs(outputs, columns);
 	return rows.map(row => {
 		const environment = createEnvironment(context, columns, row);
-		return expanded.map(({expression}) => evaluate(expression, environment));
+		return expanded.map(({expression}) => evaluateExpression(expression, environment));
 	});
 };
 
@@ -120,7 +120,7 @@
 		throw new SqlError('42883', `${expression.name} needs an argument`);
 	}
 
-	const values = rows.map(row => Number(evaluate(argument, createEnvironment(context, columns, row))));
+	const values = rows.map(row => Number(evaluateExpression(argument, createEnvironment(context, columns, row))));
 	if (values.length === 0) {
 		return null;
 	}
@@ -142,7 +142,7 @@
 	return virtual ?? context.engine.getTable(context.transaction, from.name);
 };
 
-const isAggregate = (outputs: readonly Output[]): boolean => outputs.some(output => output !== '*' && output.expression.kind === 'call' && AGGREGATES.has(output.expression.name));
+const isAggregate = (outputs: readonly OutputColumn[]): boolean => outputs.some(output => output !== '*' && output.expression.kind === 'call' && AGGREGATES.has(output.expression.name));
 
 const sortRows = (columns: readonly Column[], rows: readonly Row[], orderBy: string | undefined, descending: boolean): readonly Row[] => {
 	const index = columns.findIndex(column => column.name === orderBy);
@@ -249,12 +249,12 @@
 const runUpdate = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'update'}>): Promise<ResultSet> => {
 	requireWritable(context, 'UPDATE');
 	const {columns, found} = await lockRows(context, statement.table, statement.where);
-	const sets = new Map(statement.sets);
+	const sets = new Map(statement.assignments);
 	const updated = found.map(([id, row]) => {
 		const environment = createEnvironment(context, columns, row);
 		const next = columns.map((column, index) => {
 			const expression = sets.get(column.name);
-			return expression ? evaluate(expression, environment) : (row[index] ?? null);
+			return expression ? evaluateExpression(expression, environment) : (row[index] ?? null);
 		});
 		context.transaction.changes.push({
 			kind: 'put', table: statement.table, id, row: next,
@@ -295,7 +295,7 @@
 };
 
 /** Runs a statement that reads or changes data. */
-export const executeData = async (context: ExecutionContext, statement: Statement): Promise<ResultSet> => {
+export const executeStatement = async (context: ExecutionContext, statement: Statement): Promise<ResultSet> => {
 	switch (statement.kind) {
 		case 'select': {
 			return runSelect(context, statement);
--- a/packages/standin/src/expressions.ts
+++ b/packages/standin/src/expressions.ts
@@ -4,7 +4,7 @@
 import {SqlError} from './sql-errors.js';
 
 /** What an expression may refer to. */
-export type Environment = Readonly<{
+export type EvaluationContext = Readonly<{
 	parameters: readonly Value[];
 	/** Gets the value of a column of the current row. */
 	getColumn: (name: string) => Value;
@@ -56,7 +56,7 @@
 };
 
 /** Evaluates an expression. */
-export const evaluate = (expression: Expression, environment: Environment): Value => {
+export const evaluateExpression = (expression: Expression, environment: EvaluationContext): Value => {
 	switch (expression.kind) {
 		case 'literal': {
 			return expression.value;
@@ -76,20 +76,20 @@
 		}
 
 		case 'call': {
-			return environment.callFunction(expression.name, expression.args.map(argument => evaluate(argument, environment)));
+			return environment.callFunction(expression.name, expression.args.map(argument => evaluateExpression(argument, environment)));
 		}
 
 		default: {
 			const {operator, left, right} = expression;
 			if (operator === 'and') {
-				return evaluate(left, environment) === true && evaluate(right, environment) === true;
+				return evaluateExpression(left, environment) === true && evaluateExpression(right, environment) === true;
 			}
 
 			if (operator === 'or') {
-				return evaluate(left, environment) === true || evaluate(right, environment) === true;
+				return evaluateExpression(left, environment) === true || evaluateExpression(right, environment) === true;
 			}
 
-			return applyOperator(operator, evaluate(left, environment), evaluate(right, environment));
+			return applyOperator(operator, evaluateExpression(left, environment), evaluateExpression(right, environment));
 		}
 	}
 };
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -24,23 +24,23 @@
 export type CallKind = keyof PlatformRates;
 
 /** Faults and rates at work. */
-export type FaultControl = Readonly<{
-	set: (faults: PlatformFaults) => void;
+export type FaultController = Readonly<{
+	setFaults: (faults: PlatformFaults) => void;
 	/** Waits as long as the faults hold up the calls of a client; for good if it is cut off. */
-	waitForService: (client: string) => Promise<void>;
+	delayCall: (client: string) => Promise<void>;
 	/** Counts a call; `false` if the rate of its kind is used up. */
-	takeCall: (kind: CallKind) => boolean;
+	acquireCall: (kind: CallKind) => boolean;
 	/** Tells whether the answer to a change that was carried out gets lost. */
-	losesAnswer: () => boolean;
+	shouldDropResponse: () => boolean;
 	/** Tells whether a client hears nothing. */
-	isCut: (client: string) => boolean;
+	isPartitioned: (client: string) => boolean;
 }>;
 
 const SECOND_MS = 1000;
 const HANG_MS = 3_600_000;
 
 /** Creates the control, without faults. */
-export const createFaultControl = (world: World, store: MemoryStore, rates: PlatformRates, signal: AbortSignal): FaultControl => {
+export const createFaultController = (world: World, store: MemoryStore, rates: PlatformRates, signal: AbortSignal): FaultController => {
 	let faults: PlatformFaults = {};
 	let lostAnswers = 0;
 	let second = 0;
@@ -49,15 +49,15 @@
 	const isCut = (client: string): boolean => faults.down === true || (faults.cut ?? []).includes(client);
 
 	return {
-		isCut,
-		set(next) {
+		isPartitioned: isCut,
+		setFaults(next) {
 			faults = next;
 			lostAnswers = next.loseAnswers ?? 0;
 			if (next.lapseLeases) {
 				store.expireAllLeases();
 			}
 		},
-		async waitForService(client) {
+		async delayCall(client) {
 			if (isCut(client)) {
 				await world.sleep(HANG_MS, signal).catch(() => undefined);
 			}
@@ -66,7 +66,7 @@
 				await world.sleep(faults.slowMs);
 			}
 		},
-		takeCall(kind) {
+		acquireCall(kind) {
 			const now = Math.floor(world.now() / SECOND_MS);
 			if (now !== second) {
 				second = now;
@@ -76,7 +76,7 @@
 			used[kind]++;
 			return used[kind] <= rates[kind];
 		},
-		losesAnswer() {
+		shouldDropResponse() {
 			if (lostAnswers === 0) {
 				return false;
 			}
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -9,7 +9,7 @@
 	createMemoryStore, loadServices, type Entry, type MemoryStore,
 } from '@guavapitch/store';
 import {
-	createFaultControl, type CallKind, type PlatformFaults, type PlatformRates,
+	createFaultController, type CallKind, type PlatformFaults, type PlatformRates,
 } from './platform-faults.js';
 
 /** A running service. */
@@ -17,7 +17,7 @@
 	port: number;
 	store: MemoryStore;
 	/** Gets the number of calls so far, by method; a waiting watch counts as one. */
-	getCalls: () => Readonly<Record<string, number>>;
+	getCallCounts: () => Readonly<Record<string, number>>;
 }>;
 
 type Request = Readonly<Record<string, unknown>>;
@@ -55,7 +55,7 @@
 	const services = loadServices();
 	const scope = createScope(() => undefined);
 	const calls = new Map<string, number>();
-	const control = createFaultControl(world, store, rates, scope.signal);
+	const control = createFaultController(world, store, rates, scope.signal);
 
 	const range = async (request: RangeRequest) => {
 		const key = formatKey(request.key);
@@ -74,7 +74,7 @@
 
 	const applyFaults = (key: string, value: string) => {
 		if (key === FAULTS_KEY) {
-			control.set(JSON.parse(value) as PlatformFaults);
+			control.setFaults(JSON.parse(value) as PlatformFaults);
 		}
 	};
 
@@ -126,8 +126,8 @@
 		scope.run(async () => {
 			const isControl = isControlRequest(call.request);
 			if (!isControl) {
-				await control.waitForService(readClient(call.metadata));
-				if (!control.takeCall(kind)) {
+				await control.delayCall(readClient(call.metadata));
+				if (!control.acquireCall(kind)) {
 					done(TOO_MANY);
 					return;
 				}
@@ -135,7 +135,7 @@
 
 			try {
 				const answer = await handle(call.request);
-				if (kind === 'reads' || isControl || !control.losesAnswer()) {
+				if (kind === 'reads' || isControl || !control.shouldDropResponse()) {
 					done(null, answer);
 				}
 			} catch (error) {
@@ -148,8 +148,8 @@
 		stream.on('data', (request: Request) => {
 			countCall('LeaseKeepAlive');
 			scope.run(async () => {
-				await control.waitForService(readClient(stream.metadata));
-				if (!control.takeCall('writes')) {
+				await control.delayCall(readClient(stream.metadata));
+				if (!control.acquireCall('writes')) {
 					stream.emit('error', TOO_MANY);
 					return;
 				}
@@ -172,9 +172,9 @@
 			const create = request.create_request as RangeRequest;
 			scope.run(async () => {
 				const client = readClient(stream.metadata);
-				await control.waitForService(client);
+				await control.delayCall(client);
 				await store.watch(formatKey(create.key), keys => {
-					if (!control.isCut(client)) {
+					if (!control.isPartitioned(client)) {
 						stream.write({
 							header: createHeader(0), created: keys.length === 0, events: keys.map(key => ({type: 'PUT', kv: {key: Buffer.from(key)}})),
 						});
@@ -231,7 +231,7 @@
 	return {
 		port: bound,
 		store,
-		getCalls: () => Object.fromEntries(calls),
+		getCallCounts: () => Object.fromEntries(calls),
 		async [Symbol.asyncDispose]() {
 			server.forceShutdown();
 			await scope[Symbol.asyncDispose]();
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -4,7 +4,7 @@
 import {createConnection} from 'node:net';
 import type {World} from '@guavapitch/core';
 import {
-	createMessage, createStartup, getBody, openWire, type Wire,
+	createMessage, createStartupPacket, getBody, openWireConnection, type WireConnection,
 } from '@guavapitch/postgres-wire';
 import type {LogRecord, TimelineStart} from './engine.js';
 import type {Target, ReplicaState} from './target.js';
@@ -23,9 +23,9 @@
 const hasDiverged = (hello: Hello, history: readonly TimelineStart[]): boolean => history.some(({timeline, position}) => timeline > hello.timeline && hello.position > position);
 
 /** Serves a replica that has connected to this target. */
-export const serveReplica = async (target: Target, wire: Wire, name: string): Promise<void> => {
+export const serveReplica = async (target: Target, wire: WireConnection, name: string): Promise<void> => {
 	const {engine} = target;
-	const state: ReplicaState = {name, replayed: 0};
+	const state: ReplicaState = {name, replayedPosition: 0};
 	const gone = new AbortController();
 	const first = await wire.readMessages();
 	if (first.err || !first.val[0]) {
@@ -33,12 +33,12 @@
 	}
 
 	const hello = JSON.parse(getBody(first.val[0]).toString()) as Hello;
-	if (hasDiverged(hello, engine.getHistory())) {
-		await wire.write(encodeJson({history: engine.getHistory(), records: [], diverged: true} satisfies Batch));
+	if (hasDiverged(hello, engine.getTimelineHistory())) {
+		await wire.write(encodeJson({history: engine.getTimelineHistory(), records: [], diverged: true} satisfies Batch));
 		return;
 	}
 
-	state.replayed = hello.position;
+	state.replayedPosition = hello.position;
 	target.replicas.add(state);
 	const readFeedback = async () => {
 		while (true) {
@@ -48,9 +48,9 @@
 				return;
 			}
 
-			await target.waitWhileCut(name);
+			await target.waitWhilePartitioned(name);
 			for (const message of messages.val) {
-				state.replayed = (JSON.parse(getBody(message).toString()) as Feedback).replayed;
+				state.replayedPosition = (JSON.parse(getBody(message).toString()) as Feedback).replayed;
 			}
 		}
 	};
@@ -60,14 +60,14 @@
 	let sentHistory = 0;
 	while (!gone.signal.aborted) {
 		const records = engine.getRecordsAfter(sent).slice(0, MAXIMUM_RECORDS);
-		const history = engine.getHistory();
+		const history = engine.getTimelineHistory();
 		if (records.length > 0 || history.length !== sentHistory) {
-			await target.waitWhileCut(name);
+			await target.waitWhilePartitioned(name);
 			await wire.write(encodeJson({history, records, diverged: false} satisfies Batch));
 			sent = records.at(-1)?.position ?? sent;
 			sentHistory = history.length;
 		} else {
-			await engine.waitForGrowth(gone.signal);
+			await engine.waitForRecords(gone.signal);
 		}
 	}
 
@@ -83,18 +83,18 @@
 const followOnce = async (target: Target, conninfo: string, world: World): Promise<void> => {
 	const {engine, settings} = target;
 	const socket = createConnection(parseConninfo(conninfo));
-	await using wire = openWire(socket);
+	await using wire = openWireConnection(socket);
 	let following = true;
 	const watchUpstream = async () => {
 		while (following && target.getUpstream() === conninfo) {
-			await target.waitForUpstream();
+			await target.waitForUpstreamChange();
 		}
 
 		socket.destroy();
 	};
 
 	void watchUpstream();
-	await wire.write(createStartup({user: 'replication', replication: 'true', application_name: settings.name}));
+	await wire.write(createStartupPacket({user: 'replication', replication: 'true', application_name: settings.name}));
 	await wire.write(encodeJson({position: engine.getPosition(), timeline: engine.getTimeline()} satisfies Hello));
 	while (engine.isReplica() && target.getUpstream() === conninfo) {
 		const messages = await wire.readMessages();
@@ -102,7 +102,7 @@
 			break;
 		}
 
-		await target.waitWhileCut(UPSTREAM_PEER);
+		await target.waitWhilePartitioned(UPSTREAM_PEER);
 		await world.sleep(target.getLagMs());
 		for (const message of messages.val) {
 			const batch = JSON.parse(getBody(message).toString()) as Batch;
@@ -115,7 +115,7 @@
 				engine.replay(record);
 			}
 
-			engine.adoptHistory(batch.history);
+			engine.setTimelineHistory(batch.history);
 		}
 
 		await wire.write(encodeJson({replayed: engine.getPosition()} satisfies Feedback));
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -3,12 +3,12 @@
 import {type Buffer} from 'node:buffer';
 import {getMessage, type World, type TransactionStatus} from '@guavapitch/core';
 import {
-	createComplete, createErrorResponse, createMessage, createReady, encodeInt16, getBody, readText, SQLSTATE,
-	type Message, type Wire,
+	createCommandComplete, createErrorResponse, createMessage, createReadyForQuery, encodeInt16, getBody, readCString, SQLSTATE,
+	type Message, type WireConnection,
 } from '@guavapitch/postgres-wire';
 import type {Transaction} from './engine.js';
 import {
-	describeStatement, executeData, type ExecutionContext, type ResultSet,
+	describeStatement, executeStatement, type ExecutionContext, type ResultSet,
 } from './executor.js';
 import type {Target} from './target.js';
 import {createDataRow, createRowDescription, readParameters} from './rows.js';
@@ -32,7 +32,7 @@
 export type SessionContext = Readonly<{
 	target: Target;
 	world: World;
-	wire: Wire;
+	wire: WireConnection;
 	/** Name the caller gave itself. */
 	peer: string;
 	/** Hears the function that cancels the running statement. */
@@ -56,7 +56,7 @@
 		const parts = output;
 		output = [];
 		outputBytes = 0;
-		await target.waitWhileCut(context.peer);
+		await target.waitWhilePartitioned(context.peer);
 		if (parts.length > 0) {
 			await wire.write(...parts);
 		}
@@ -156,9 +156,9 @@
 			}
 
 			default: {
-				return target.occupySlot(async () => {
+				return target.runInSlot(async () => {
 					await sleepIfAsked(statement, parameters);
-					return executeData(createContext(requireTransaction(), parameters), statement);
+					return executeStatement(createContext(requireTransaction(), parameters), statement);
 				});
 			}
 		}
@@ -173,7 +173,7 @@
 			await send(createDataRow(row));
 		}
 
-		await send(createComplete(result.tag));
+		await send(createCommandComplete(result.tag));
 	};
 
 	const sendError = async (thrown: unknown) => {
@@ -219,12 +219,12 @@
 		}
 
 		await endImplicit();
-		await send(createReady(state.status));
+		await send(createReadyForQuery(state.status));
 	};
 
 	const parse = (body: Buffer) => {
-		const [name, afterName] = readText(body, 0);
-		const [text] = readText(body, afterName);
+		const [name, afterName] = readCString(body, 0);
+		const [text] = readCString(body, afterName);
 		const parsed = parseSql(text);
 		if (parsed.err) {
 			throw new SqlError(parsed.val.code, parsed.val.message);
@@ -242,8 +242,8 @@
 	};
 
 	const bind = (body: Buffer) => {
-		const [portal, afterPortal] = readText(body, 0);
-		const [name, afterName] = readText(body, afterPortal);
+		const [portal, afterPortal] = readCString(body, 0);
+		const [name, afterName] = readCString(body, afterPortal);
 		if (!state.statements.has(name)) {
 			throw new SqlError('26000', `prepared statement "${name}" does not exist`);
 		}
@@ -253,7 +253,7 @@
 
 	const describe = async (body: Buffer) => {
 		const isStatement = body.toString('latin1', 0, 1) === 'S';
-		const [name] = readText(body, 1);
+		const [name] = readCString(body, 1);
 		const statement = isStatement ? state.statements.get(name) : state.portals.get(name)?.statement;
 		if (isStatement) {
 			await send(createMessage('t', encodeInt16(0)));
@@ -264,7 +264,7 @@
 	};
 
 	const execute = async (body: Buffer) => {
-		const [name] = readText(body, 0);
+		const [name] = readCString(body, 0);
 		const portal = state.portals.get(name);
 		if (!portal) {
 			throw new SqlError('34000', `portal "${name}" does not exist`);
@@ -274,7 +274,7 @@
 	};
 
 	const close = async (body: Buffer) => {
-		const [name] = readText(body, 1);
+		const [name] = readCString(body, 1);
 		if (body.toString('latin1', 0, 1) === 'S') {
 			state.statements.delete(name);
 		} else {
@@ -323,7 +323,7 @@
 	const handle = async (message: Message) => {
 		switch (message.type) {
 			case 'Q': {
-				await runSimple(readText(getBody(message), 0)[0]);
+				await runSimple(readCString(getBody(message), 0)[0]);
 				await flush();
 
 				break;
@@ -332,7 +332,7 @@
 			case 'S': {
 				state.skipping = false;
 				await endImplicit();
-				await send(createReady(state.status));
+				await send(createReadyForQuery(state.status));
 				await flush();
 
 				break;
@@ -364,13 +364,13 @@
 	try {
 		while (true) {
 			const messages = await wire.readMessages();
-			await target.waitWhileCut(context.peer);
+			await target.waitWhilePartitioned(context.peer);
 			if (messages.err) {
 				return;
 			}
 
 			for (const message of messages.val) {
-				target.onBytes(message.bytes);
+				target.onBytesReceived(message.bytes);
 				if (message.type === 'X') {
 					return;
 				}
--- a/packages/standin/src/sql-ast.ts
+++ b/packages/standin/src/sql-ast.ts
@@ -15,15 +15,15 @@
 export type Column = Readonly<{name: string; type: string; primaryKey: boolean}>;
 
 /** An output column of a query. */
-export type Output = Readonly<{name: string; expression: Expression}> | '*';
+export type OutputColumn = Readonly<{name: string; expression: Expression}> | '*';
 
 /** One statement. */
 export type Statement
 	= | Readonly<{kind: 'create'; table: string; columns: readonly Column[]; ifNotExists: boolean}>
-		| Readonly<{kind: 'insert'; table: string; columns: readonly string[]; rows: ReadonlyArray<readonly Expression[]>; ignoreConflict: boolean; returning: readonly Output[]}>
-		| Readonly<{kind: 'update'; table: string; sets: ReadonlyArray<readonly [string, Expression]>; where?: Expression; returning: readonly Output[]}>
-		| Readonly<{kind: 'delete'; table: string; where?: Expression; returning: readonly Output[]}>
-		| Readonly<{kind: 'select'; outputs: readonly Output[]; from?: Source; where?: Expression; orderBy?: string; descending: boolean; limit?: Expression; forUpdate: boolean}>
+		| Readonly<{kind: 'insert'; table: string; columns: readonly string[]; rows: ReadonlyArray<readonly Expression[]>; ignoreConflict: boolean; returning: readonly OutputColumn[]}>
+		| Readonly<{kind: 'update'; table: string; assignments: ReadonlyArray<readonly [string, Expression]>; where?: Expression; returning: readonly OutputColumn[]}>
+		| Readonly<{kind: 'delete'; table: string; where?: Expression; returning: readonly OutputColumn[]}>
+		| Readonly<{kind: 'select'; outputs: readonly OutputColumn[]; from?: TableSource; where?: Expression; orderBy?: string; descending: boolean; limit?: Expression; forUpdate: boolean}>
 		| Readonly<{kind: 'transaction'; action: 'begin' | 'commit' | 'rollback'; readOnly: boolean}>
 		| Readonly<{kind: 'set'; name: string; value: string; local: boolean}>
 		| Readonly<{kind: 'show'; name: string}>
@@ -32,4 +32,4 @@
 		| Readonly<{kind: 'empty'}>;
 
 /** Where a query reads from. */
-export type Source = Readonly<{name: string; args?: readonly Expression[]}>;
+export type TableSource = Readonly<{name: string; args?: readonly Expression[]}>;
--- a/packages/standin/src/sql-parser.ts
+++ b/packages/standin/src/sql-parser.ts
@@ -4,7 +4,7 @@
 	Err, Ok, getMessage, type Result,
 } from '@guavapitch/core';
 import type {
-	Column, Expression, Output, Source, Statement,
+	Column, Expression, OutputColumn, TableSource, Statement,
 } from './sql-ast.js';
 import {SqlError, type SqlFailure} from './sql-errors.js';
 import {splitTokens, type Token} from './sql-tokens.js';
@@ -161,7 +161,7 @@
 	return expression.kind === 'call' ? expression.name : '?column?';
 };
 
-const parseOutputs = (cursor: Cursor): readonly Output[] => parseList(cursor, () => {
+const parseOutputs = (cursor: Cursor): readonly OutputColumn[] => parseList(cursor, () => {
 	if (cursor.takeIf('*')) {
 		return '*';
 	}
@@ -171,7 +171,7 @@
 	return {name, expression};
 });
 
-const parseReturning = (cursor: Cursor): readonly Output[] => cursor.takeIf('returning') ? parseOutputs(cursor) : [];
+const parseReturning = (cursor: Cursor): readonly OutputColumn[] => cursor.takeIf('returning') ? parseOutputs(cursor) : [];
 
 const parseWhere = (cursor: Cursor): Readonly<{where?: Expression}> => cursor.takeIf('where') ? {where: parseExpression(cursor)} : {};
 
@@ -227,7 +227,7 @@
 		return [name, parseExpression(cursor)] as const;
 	});
 	return {
-		kind: 'update', table, sets, ...parseWhere(cursor), returning: parseReturning(cursor),
+		kind: 'update', table, assignments: sets, ...parseWhere(cursor), returning: parseReturning(cursor),
 	};
 };
 
@@ -239,7 +239,7 @@
 	};
 };
 
-const parseSource = (cursor: Cursor): Source => {
+const parseSource = (cursor: Cursor): TableSource => {
 	const name = cursor.takeName();
 	return cursor.takeIf('(') ? {name, args: parseArguments(cursor)} : {name};
 };
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -24,7 +24,7 @@
 }>;
 
 /** A replica as its primary sees it. */
-export type ReplicaState = {readonly name: string; replayed: number};
+export type ReplicaState = {readonly name: string; replayedPosition: number};
 
 /** A target with its faults and counters. */
 export type Target = Readonly<{
@@ -36,20 +36,20 @@
 	setUpstream: (conninfo: string) => void;
 	getLagMs: () => number;
 	/** Waits for a slot and occupies it for the time of a statement. */
-	occupySlot: <Value_>(task: () => Promise<Value_>) => Promise<Value_>;
+	runInSlot: <Value_>(task: () => Promise<Value_>) => Promise<Value_>;
 	/** Counts a connection in or out; tells whether it is within the limit. */
-	enterConnection: () => boolean;
-	leaveConnection: () => void;
+	addConnection: () => boolean;
+	removeConnection: () => void;
 	/** Waits while the named peer is cut off. */
-	waitWhileCut: (peer: string) => Promise<void>;
-	isCut: (peer: string) => boolean;
+	waitWhilePartitioned: (peer: string) => Promise<void>;
+	isPartitioned: (peer: string) => boolean;
 	/** Calls a function of SQL. */
 	callFunction: (name: string, args: readonly Value[]) => Value;
 	getVirtualTable: (name: string, args: readonly Value[]) => Readonly<{columns: readonly Column[]; rows: ReadonlyMap<string, Row>}> | undefined;
 	/** Waits until the upstream has been changed. */
-	waitForUpstream: () => Promise<void>;
+	waitForUpstreamChange: () => Promise<void>;
 	/** Called with every byte received from a caller, for tests that look for leaks. */
-	onBytes: (bytes: Uint8Array) => void;
+	onBytesReceived: (bytes: Uint8Array) => void;
 }>;
 
 /** Database name and peer of sessions that command faults; no fault holds them up. */
@@ -121,7 +121,7 @@
 			return 't';
 		},
 		platform_rejoin(args) {
-			engine.rewind();
+			engine.reset();
 			upstream = String(args[0]);
 			upstreamChanged.notifyAll();
 			return 't';
@@ -135,14 +135,14 @@
 		settings,
 		engine,
 		replicas,
-		onBytes,
-		isCut,
+		onBytesReceived: onBytes,
+		isPartitioned: isCut,
 		getUpstream: () => upstream,
 		setUpstream(conninfo) {
 			pendingUpstream = conninfo;
 		},
 		getLagMs: () => lagMs,
-		async occupySlot(task) {
+		async runInSlot(task) {
 			while (busy >= settings.slots) {
 				await slotFreed.wait();
 			}
@@ -159,15 +159,15 @@
 				slotFreed.notifyAll();
 			}
 		},
-		enterConnection() {
+		addConnection() {
 			connections++;
 			mostConnections = Math.max(mostConnections, connections);
 			return connections <= settings.connectionLimit;
 		},
-		leaveConnection() {
+		removeConnection() {
 			connections--;
 		},
-		async waitWhileCut(peer) {
+		async waitWhilePartitioned(peer) {
 			await cutChanged.waitUntil(() => !isCut(peer), createDeadline(world.now(), Number.POSITIVE_INFINITY));
 		},
 		callFunction(name, args) {
@@ -180,7 +180,7 @@
 		},
 		getVirtualTable(name, args) {
 			if (name === 'pg_stat_replication') {
-				const rows = [...replicas].map((replica, index) => [String(index), [replica.name, formatPosition(replica.replayed)]] as const);
+				const rows = [...replicas].map((replica, index) => [String(index), [replica.name, formatPosition(replica.replayedPosition)]] as const);
 				return {columns: [textColumn('application_name'), textColumn('replay_lsn')], rows: new Map(rows)};
 			}
 
@@ -197,7 +197,7 @@
 
 			return undefined;
 		},
-		async waitForUpstream() {
+		async waitForUpstreamChange() {
 			await upstreamChanged.wait();
 		},
 	};
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,2 +1,2 @@
 export * from './merge.js';
-export * from './picture.js';
+export * from './svg.js';
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -10,14 +10,14 @@
 import {
 	createWorld, Err, getMessage, Ok, type Result,
 } from '@guavapitch/core';
-import {askEvents, openFleetClient} from '@guavapitch/operator';
+import {requestEvents, openFleetClient} from '@guavapitch/operator';
 import {readPeerTls, type TlsFiles} from '@guavapitch/peer-protocol';
 import {openEtcdStore} from '@guavapitch/store';
 import {formatEvent, type EventRecord} from '@guavapitch/telemetry';
 import {
 	filterEvents, mergeEvents, parseEvents, type TimelineFailure,
 } from './merge.js';
-import {drawTimeline} from './picture.js';
+import {drawTimeline} from './svg.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_MALFORMED = 1;
@@ -46,7 +46,7 @@
 	const world = createWorld();
 	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 	await using client = openFleetClient(world, readPeerTls(files).unwrap());
-	const {lists, missing} = await askEvents(store, client);
+	const {lists, missing} = await requestEvents(store, client);
 	if (missing.length > 0) {
 		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; their events are missing\n`);
 	}
--- a/packages/timeline/src/tests/timeline.test.ts
+++ b/packages/timeline/src/tests/timeline.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import {createHybridLogicalClock, formatEvent, type EventRecord} from '@guavapitch/telemetry';
 import {filterEvents, mergeEvents, parseEvents} from '../merge.js';
-import {drawTimeline} from '../picture.js';
+import {drawTimeline} from '../svg.js';
 
 const createEvent = (vm: string, hlc: readonly [number, number], fields: EventRecord['fields'] = {}): EventRecord => ({
 	program: 'p', vm, incarnation: 'i', id: 1601, level: 'warn', title: 'failover started', hlc, at: new Date(hlc[0]).toISOString(), fields,
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {
-	ALIVE_METHOD, createDial, createPeers, startPeerListener, type Listener, type PeerContext, type PeerHandlers, type Peers,
+	LIVENESS_METHOD, createDial, createPeerConnections, startPeerListener, type PeerListener, type PeerContext, type PeerHandlers, type PeerConnections,
 } from '@guavapitch/peer-protocol';
 import {createHybridLogicalClock, EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
@@ -20,7 +20,7 @@
 	ping: (member: Member) => Promise<boolean>;
 	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds. */
 	isUsable: (vm: VmId) => boolean;
-	listen: () => Promise<Listener>;
+	listen: () => Promise<PeerListener>;
 }>;
 
 /** Mean pause between probes of an excluded vm, in milliseconds. */
@@ -46,14 +46,14 @@
 		identity: {vm: settings.vm, incarnation: settings.run},
 		handlers,
 		readTime: () => clock.read(),
-		witnessTime(time) {
+		observeTime(time) {
 			clock.observe(time);
 		},
-		onMalformed(failure) {
+		onMalformedFrame(failure) {
 			emit(EVENTS.frameRefused, {message: failure.message});
 		},
 	};
-	const peers: Peers = createPeers(peerContext, createDial());
+	const peers: PeerConnections = createPeerConnections(peerContext, createDial());
 
 	const isUsable = (vm: VmId) => !excludedVms.has(vm);
 
@@ -62,7 +62,7 @@
 		const address = {host: member.host, port: member.port};
 		while (!closed && isMember(member)) {
 			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
-			const response = await peers.call(address, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			const response = await peers.call(address, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
 			if (response.ok) {
 				break;
 			}
@@ -95,7 +95,7 @@
 			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
 		},
 		async ping({host, port}) {
-			const response = await peers.call({host, port}, ALIVE_METHOD, undefined, PROBE_TIMEOUT_MS);
+			const response = await peers.call({host, port}, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
 			return response.ok;
 		},
 		isUsable,
