--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -1,4 +1,4 @@
-/** Accepting callers: one task for each connection. */
+/** Accepts connections of callers and runs one task for each. */
 
 import {randomInt} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
@@ -16,65 +16,65 @@
 import type {ClusterView} from './cluster-view.js';
 import type {Settings} from './settings.js';
 
-/** Callers of one process. */
+/** Listener for callers, with the connections that are open in this process. */
 export type CallerListener = AsyncDisposable & Readonly<{
 	address: Address;
 	getOpenCount: () => number;
-	/** Closes the idle callers that must be closed: their key was withdrawn, or the process is leaving. */
+	/** Closes the idle connections that may not stay open: their key was withdrawn, or the process is draining. */
 	closeIdle: () => void;
-	/** Stops accepting; waits until all callers have left or the signal aborts. */
+	/** Stops accepting connections, closes idle ones and waits until all have closed or the signal aborts. */
 	drain: (signal: AbortSignal) => Promise<void>;
-	/** Cancels the request of a caller of this process. */
+	/** Cancels the running request of the caller that got this cancel key; forwards the request if another vm issued the key. */
 	cancel: (processId: number, secret: number) => void;
 }>;
 
-/** What the callers need. */
+/** Dependencies of the caller listener. */
 export type CallerListenerContext = Readonly<{
 	settings: Settings;
 	clusterView: ClusterView;
 	entry: CallerContext;
 	emit: Emit;
 	metrics: Metrics;
-	/** Number of this vm, part of the cancel keys it gives. */
+	/** Number of this vm, part of the process identifiers in the cancel keys that it issues. */
 	vmNumber: number;
-	/** Passes a cancel request on to the vm that gave the key. */
+	/** Forwards a cancel request to the vm that issued the key. */
 	forwardCancel: (vmNumber: number, processId: number, secret: number) => void;
 }>;
 
 type OpenCaller = Readonly<{caller: Caller; control: CallerControl; secret: number}>;
 
-const LARGEST_SECRET = 2_147_483_647;
-const VM_BITS = 18;
-const BACKLOG = 4096;
+const MAX_SECRET = 2_147_483_647;
+const CONNECTION_NUMBER_BITS = 18;
+const LISTEN_BACKLOG = 4096;
 const DRAIN_POLL_MS = 20;
 const STARTUP_TIMEOUT_MS = 10_000;
 
-const closeCaller = async (wire: WireConnection, code: string, message: string): Promise<void> => {
+const sendFatalError = async (wire: WireConnection, code: string, message: string): Promise<void> => {
 	await wire.write(createErrorResponse({severity: 'FATAL', code, message}).bytes);
 	await wire[Symbol.asyncDispose]();
 };
 
-/** Numbers a vm for cancel keys. */
-export const computeVmNumber = (hash: number): number => hash % (2 ** (31 - VM_BITS));
+/** Computes the number of a vm from the hash of its name; it fits in the bits of a process identifier that the connection number leaves. */
+export const computeVmNumber = (hash: number): number => hash % (2 ** (31 - CONNECTION_NUMBER_BITS));
 
-/** Reads the number of the vm that gave a cancel key. */
-export const readVmNumber = (processId: number): number => processId >>> VM_BITS;
+/** Reads the number of the vm that issued a cancel key. */
+export const readVmNumber = (processId: number): number => processId >>> CONNECTION_NUMBER_BITS;
 
-/** Starts accepting callers. */
+/** Starts accepting callers; throws if the address cannot be bound. */
 export const startCallerListener = async (context: CallerListenerContext): Promise<CallerListener> => {
-	const {settings, clusterView: fleet, entry, emit, metrics} = context;
-	const open = new Map<number, OpenCaller>();
+	const {settings, clusterView, entry, emit, metrics} = context;
+	const openCallers = new Map<number, OpenCaller>();
 	const scope = createScope(error => {
 		emit(EVENTS.taskFailed, {task: 'caller', reason: error instanceof Error ? error.stack : String(error)});
 	});
 	const tls: SecureContext | undefined = settings.callerTls ? createSecureContext(settings.callerTls) : undefined;
-	let lastNumber = randomInt(2 ** VM_BITS);
+	let lastConnectionNumber = randomInt(2 ** CONNECTION_NUMBER_BITS);
 
 	const startup: StartupContext = {
 		tls,
-		findService: service => fleet.inForce.getInventory()?.services[service],
+		findService: service => clusterView.activeConfiguration.getInventory()?.services[service],
 		findKey(keyId) {
-			const inventory = fleet.inForce.getInventory();
+			const inventory = clusterView.activeConfiguration.getInventory();
 			const key = inventory && Object.hasOwn(inventory.keys, keyId) ? inventory.keys[keyId] : undefined;
 			const customer = key && inventory?.customers[key.customer];
 			return key && customer ? {customer: parseId<CustomerId>(key.customer), verifier: key.verifier, services: customer.services} : undefined;
@@ -83,33 +83,33 @@
 
 	const createProcessId = (): number => {
 		do {
-			lastNumber = (lastNumber + 1) % (2 ** VM_BITS);
-		} while (open.has((context.vmNumber << VM_BITS) | lastNumber));
+			lastConnectionNumber = (lastConnectionNumber + 1) % (2 ** CONNECTION_NUMBER_BITS);
+		} while (openCallers.has((context.vmNumber << CONNECTION_NUMBER_BITS) | lastConnectionNumber));
 
-		return (context.vmNumber << VM_BITS) | lastNumber;
+		return (context.vmNumber << CONNECTION_NUMBER_BITS) | lastConnectionNumber;
 	};
 
 	const cancel = (processId: number, secret: number) => {
-		const asked = open.get(processId);
-		if (asked?.secret === secret) {
-			asked.control.cancel();
-		} else if (!asked && readVmNumber(processId) !== context.vmNumber) {
+		const found = openCallers.get(processId);
+		if (found?.secret === secret) {
+			found.control.cancel();
+		} else if (!found && readVmNumber(processId) !== context.vmNumber) {
 			context.forwardCancel(readVmNumber(processId), processId, secret);
 		}
 	};
 
 	const serveOpen = async (caller: Caller) => {
 		const processId = createProcessId();
-		const secret = randomInt(LARGEST_SECRET);
+		const secret = randomInt(MAX_SECRET);
 		const control: CallerControl = {cancel: () => undefined, idle: true};
-		open.set(processId, {caller, control, secret});
-		metrics.gauge('entry.callers', open.size);
+		openCallers.set(processId, {caller, control, secret});
+		metrics.gauge('entry.callers', openCallers.size);
 		try {
 			await sendStartupResponse(caller, {processId, secret});
 			await serveCaller(caller, createCallerPort(caller), entry, control);
 		} finally {
-			open.delete(processId);
-			metrics.gauge('entry.callers', open.size);
+			openCallers.delete(processId);
+			metrics.gauge('entry.callers', openCallers.size);
 		}
 	};
 
@@ -119,13 +119,13 @@
 			socket.destroy();
 		});
 		const {wire, outcome} = await receiveStartup(socket, startup);
-		await using own = wire;
+		await using ownedWire = wire;
 		socket.setTimeout(0);
 		if (outcome.err) {
 			if (outcome.val.code !== 'closed') {
 				emit(EVENTS.callerRefused, {reason: outcome.val.code});
 				metrics.count('entry.startup.refused', {reason: outcome.val.code});
-				await closeCaller(own, outcome.val.sqlState, outcome.val.message);
+				await sendFatalError(ownedWire, outcome.val.sqlState, outcome.val.message);
 			}
 
 			return;
@@ -147,29 +147,29 @@
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
-		server.listen({...settings.listen, backlog: BACKLOG}, resolve);
+		server.listen({...settings.listen, backlog: LISTEN_BACKLOG}, resolve);
 	});
 	const bound = server.address();
 
 	const closeIdle = () => {
-		for (const {caller, control} of open.values()) {
-			const closing = control.idle ? entry.getCloseReason(caller) : undefined;
-			if (closing) {
-				emit(closing.code === 'draining' ? EVENTS.callerClosed : EVENTS.keyWithdrawn, {service: caller.service, customer: caller.customer});
-				const code = closing.code === 'draining' ? SQLSTATE.adminShutdown : SQLSTATE.notAuthorized;
-				void closeCaller(caller.wire, code, closing.message);
+		for (const {caller, control} of openCallers.values()) {
+			const closeReason = control.idle ? entry.getCloseReason(caller) : undefined;
+			if (closeReason) {
+				emit(closeReason.code === 'draining' ? EVENTS.callerClosed : EVENTS.keyWithdrawn, {service: caller.service, customer: caller.customer});
+				const code = closeReason.code === 'draining' ? SQLSTATE.adminShutdown : SQLSTATE.notAuthorized;
+				void sendFatalError(caller.wire, code, closeReason.message);
 			}
 		}
 	};
 
 	return {
 		address: {host: settings.listen.host, port: typeof bound === 'object' && bound ? bound.port : settings.listen.port},
-		getOpenCount: () => open.size,
+		getOpenCount: () => openCallers.size,
 		closeIdle,
 		cancel,
 		async drain(signal) {
 			server.close();
-			while (open.size > 0 && !signal.aborted) {
+			while (openCallers.size > 0 && !signal.aborted) {
 				closeIdle();
 				await new Promise(resolve => {
 					setTimeout(resolve, DRAIN_POLL_MS);
@@ -178,11 +178,11 @@
 		},
 		async [Symbol.asyncDispose]() {
 			server.close();
-			await Promise.all([...open.values()].map(async ({caller}) => caller.wire[Symbol.asyncDispose]()));
+			await Promise.all([...openCallers.values()].map(async ({caller}) => caller.wire[Symbol.asyncDispose]()));
 			await scope[Symbol.asyncDispose]();
 		},
 	};
 };
 
-/** Finds the vm with a number. */
+/** Finds the vm with a number; `undefined` if there is none. */
 export const findVmByNumber = (vms: readonly VmId[], number: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === number);
--- a/packages/proxy/src/cluster-view.ts
+++ b/packages/proxy/src/cluster-view.ts
@@ -1,4 +1,4 @@
-/** What this process knows of the fleet, and how it reaches its peers. */
+/** View that this process has of the cluster: members, configuration and owners; and calls to peers by name. */
 
 import {
 	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type World,
@@ -15,52 +15,53 @@
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {Settings} from './settings.js';
 
-/** Prefix of the platform's list of vms. */
+/** Key prefix of the platform's list of vms. */
 export const VM_PREFIX = '/platform/vms/';
 
-/** Relays of each data centre. */
+/** Number of relays in each data centre. */
 export const RELAYS_PER_DATA_CENTRE = 2;
 
-/** Homes of a target: the first, and one that takes over when the first is gone. */
+/** Number of owners of a target: the preferred one, and one that takes over when it fails. */
 export const OWNERS_PER_TARGET = 2;
 
-/** A target and the database it belongs to. */
+/** A target of the active inventory, with its database. */
 export type ConfiguredTarget = Readonly<{databaseName: string; database: Database; target: Target}>;
 
-/** View of the fleet. */
+/** View of the cluster at one process. */
 export type ClusterView = Readonly<{
 	members: Members;
 	storeCache: StoreCache;
-	inForce: ActiveConfiguration;
-	/** Gets the homes of a target, best first. */
+	activeConfiguration: ActiveConfiguration;
+	/** Returns the vms that own a target, best first. */
 	getOwners: (target: TargetId) => readonly VmId[];
-	/** Ranks the live vms for a role, best first. */
+	/** Ranks the live vms for a key, such as that of a role slot, best first. */
 	rankLiveVms: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
-	/** Finds a target in the inventory. */
+	/** Finds a target in the active inventory. */
 	findTarget: (target: TargetId) => ConfiguredTarget | undefined;
-	/** Gets every target of the inventory. */
+	/** Returns every target of the active inventory. */
 	listTargets: () => readonly ConfiguredTarget[];
+	/** Tells whether this vm is a relay of its data centre. */
 	isRelay: () => boolean;
-	/** Gets the relays to ask: of this data centre, then of the others. */
+	/** Returns the relays to read from: those of this data centre, then those of the others. */
 	getRelays: () => readonly VmId[];
 }>;
 
-/** What the fleet's view needs. */
+/** Dependencies of the cluster view. */
 export type ClusterViewContext = Readonly<{
 	world: World;
 	settings: Settings;
 	incarnation: string;
 	emit: Emit;
-	/** Hears that a vm was declared dead. */
+	/** Called when a vm was declared dead. */
 	onMemberDead: (member: Member) => void;
-	/** Hears that a new inventory is in force. */
+	/** Called when a new inventory has become active. */
 	onInventoryApplied: (inventory: Inventory) => void;
 }>;
 
-const listTargets = (inventory: Inventory | undefined): readonly ConfiguredTarget[] => Object.entries(inventory?.databases ?? {})
+const listConfiguredTargets = (inventory: Inventory | undefined): readonly ConfiguredTarget[] => Object.entries(inventory?.databases ?? {})
 	.flatMap(([databaseName, database]) => database.targets.map(target => ({databaseName, database, target})));
 
-/** Creates the view. */
+/** Creates a cluster view that knows only this vm until entries arrive from the store. */
 export const createClusterView = (context: ClusterViewContext): ClusterView => {
 	const {world, settings, emit, incarnation} = context;
 	const self = {
@@ -77,11 +78,11 @@
 			emit(EVENTS.memberJoined, fields);
 		}
 	});
-	const facts = createStoreCache(world);
-	let known: ReadonlyMap<string, ConfiguredTarget> = new Map();
-	const inForce = createActiveConfiguration(facts, world, {
+	const storeCache = createStoreCache(world);
+	let configuredTargets: ReadonlyMap<string, ConfiguredTarget> = new Map();
+	const activeConfiguration = createActiveConfiguration(storeCache, world, {
 		onApplied(revision, inventory) {
-			known = new Map(listTargets(inventory).map(one => [one.target.name, one]));
+			configuredTargets = new Map(listConfiguredTargets(inventory).map(configured => [configured.target.name, configured]));
 			emit(EVENTS.configurationApplied, {revision});
 			context.onInventoryApplied(inventory);
 		},
@@ -90,60 +91,60 @@
 		},
 	});
 
-	facts.subscribe(keys => {
-		const entries = keys.filter(key => key.startsWith(VM_PREFIX)).map(key => facts.get(key)).filter(entry => entry !== undefined);
+	storeCache.subscribe(keys => {
+		const entries = keys.filter(key => key.startsWith(VM_PREFIX)).map(key => storeCache.get(key)).filter(entry => entry !== undefined);
 		members.applyVmList(entries.map(entry => JSON.parse(entry.value) as VmEntry));
 	});
 
-	const getNames = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
+	const getVms = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
 
-	const ranked = new Map<string, readonly VmId[]>();
-	let rankedVersion = -1;
+	const rankings = new Map<string, readonly VmId[]>();
+	let rankedMembersVersion = -1;
 
-	/** Ranks the live vms for a key; kept until a member changes. */
+	/** Ranks the live vms for a key; the result is cached until a member changes. */
 	const rankVms = (key: string, dataCentre?: DataCentreId): readonly VmId[] => {
-		if (rankedVersion !== members.getVersion()) {
-			ranked.clear();
-			rankedVersion = members.getVersion();
+		if (rankedMembersVersion !== members.getVersion()) {
+			rankings.clear();
+			rankedMembersVersion = members.getVersion();
 		}
 
-		const place = `${dataCentre ?? ''}/${key}`;
-		const kept = ranked.get(place) ?? rankCandidates(key, getNames(members.getLive(dataCentre)));
-		ranked.set(place, kept);
-		return kept;
+		const cacheKey = `${dataCentre ?? ''}/${key}`;
+		const ranking = rankings.get(cacheKey) ?? rankCandidates(key, getVms(members.getLive(dataCentre)));
+		rankings.set(cacheKey, ranking);
+		return ranking;
 	};
 
-	const getHomes = (target: TargetId): readonly VmId[] => {
-		const place = known.get(target)?.target.dataCentre as DataCentreId | undefined;
-		const near = rankVms(`home/${target}`, place);
-		return (near.length > 0 ? near : rankVms(`home/${target}`)).slice(0, OWNERS_PER_TARGET);
+	const getOwners = (target: TargetId): readonly VmId[] => {
+		const dataCentre = configuredTargets.get(target)?.target.dataCentre as DataCentreId | undefined;
+		const localOwners = rankVms(`home/${target}`, dataCentre);
+		return (localOwners.length > 0 ? localOwners : rankVms(`home/${target}`)).slice(0, OWNERS_PER_TARGET);
 	};
 
-	const getPlaces = (): readonly DataCentreId[] => [...new Set(members.getAll().map(member => member.dataCentre))];
+	const listDataCentres = (): readonly DataCentreId[] => [...new Set(members.getAll().map(member => member.dataCentre))];
 
 	return {
 		members,
-		storeCache: facts,
-		inForce,
-		getOwners: getHomes,
+		storeCache,
+		activeConfiguration,
+		getOwners,
 		rankLiveVms: (key, dataCentre) => rankVms(key, dataCentre).map(vm => ({vm, incarnation: members.get(vm)?.incarnation ?? ''})),
-		findTarget: target => known.get(target),
-		listTargets: () => [...known.values()],
+		findTarget: target => configuredTargets.get(target),
+		listTargets: () => [...configuredTargets.values()],
 		isRelay: () => rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS_PER_DATA_CENTRE).includes(settings.vm),
 		getRelays() {
-			const own = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS_PER_DATA_CENTRE);
-			const others = getPlaces()
-				.filter(place => place !== settings.dataCentre)
-				.flatMap(place => rankVms(`relay/${place}`, place).slice(0, RELAYS_PER_DATA_CENTRE));
-			return [...own, ...others].filter(vm => vm !== settings.vm);
+			const localRelays = rankVms(`relay/${settings.dataCentre}`, settings.dataCentre).slice(0, RELAYS_PER_DATA_CENTRE);
+			const remoteRelays = listDataCentres()
+				.filter(dataCentre => dataCentre !== settings.dataCentre)
+				.flatMap(dataCentre => rankVms(`relay/${dataCentre}`, dataCentre).slice(0, RELAYS_PER_DATA_CENTRE));
+			return [...localRelays, ...remoteRelays].filter(vm => vm !== settings.vm);
 		},
 	};
 };
 
-/** Calls a vm by its name. */
+/** Calls a method of a vm by the name of the vm. */
 export type CallVm = <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<Reply, Failure>>;
 
-/** Creates calls by name over the connections to the peers. */
+/** Creates the function that looks up the address of a vm and calls it over the connections to peers. */
 export const createCallVm = (members: Members, peers: PeerConnections): CallVm => async <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<Reply, Failure>> => {
 	const member = members.get(vm);
 	if (!member) {
@@ -151,5 +152,5 @@
 	}
 
 	const reply = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
-	return reply.map(body_ => body_ as Reply);
+	return reply.map(responseBody => responseBody as Reply);
 };
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -1,4 +1,4 @@
-/** The entry of a request: key, share, route, and retries while it has certainly not run. */
+/** Admits and routes requests at the entry: checks the key, acquires a quota token, chooses a route, and retries only requests that cannot have taken effect. */
 
 import {
 	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
@@ -21,7 +21,7 @@
 import {EVENTS, type Emit, type Metrics} from '@guavapitch/telemetry';
 import type {ClusterView} from './cluster-view.js';
 
-/** What the entry needs. */
+/** Dependencies of the entry. */
 export type EntryContext = Readonly<{
 	world: World;
 	vm: string;
@@ -30,7 +30,7 @@
 	quotaClient: QuotaClient;
 	owner: OwnerContext<TargetConnection>;
 	retryBudget: RetryBudget;
-	/** Owner of the tasks that serve requests whose home is this process. */
+	/** Scope that owns the tasks serving requests for targets that this process owns. */
 	scope: Scope;
 	emit: Emit;
 	metrics: Metrics;
@@ -39,37 +39,37 @@
 	isDraining: () => boolean;
 }>;
 
-type Call = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
+type RequestContext = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
 
-/** A caller's chunk on its way to a home. */
-type Turn = Readonly<{caller: CallerIdentity; call: Call; chunk: RequestChunk; signal: AbortSignal}>;
+/** First chunk of a request, with its caller; the signal aborts when the caller cancels or disconnects. */
+type RequestStart = Readonly<{caller: CallerIdentity; request: RequestContext; chunk: RequestChunk; signal: AbortSignal}>;
 
 type RequestStream = Stream<RequestChunk, Reply>;
 
-/** Weight of callers of services open to all. */
-const OPEN_WEIGHT = 1;
-const OPEN_CUSTOMER = parseId<CustomerId>('open');
-const MOST_ATTEMPTS = 400;
+/** Scheduling weight of callers without a key, on services that are open to all. */
+const OPEN_SERVICE_WEIGHT = 1;
+const OPEN_SERVICE_CUSTOMER = parseId<CustomerId>('open');
+const MAX_ATTEMPTS = 400;
 const SMALL_ITEM_BYTES = 256;
 
-/** Measures what an item of a request keeps in memory, in bytes. */
-const measureItem = (item: RequestChunk | Reply): number => 'kind' in item && item.kind === 'messages' ? item.bytes.length : SMALL_ITEM_BYTES;
+/** Estimates the memory that a stream item occupies, in bytes. */
+const estimateItemBytes = (item: RequestChunk | Reply): number => 'kind' in item && item.kind === 'messages' ? item.bytes.length : SMALL_ITEM_BYTES;
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
-/** Creates what the callers' tasks ask of the entry. */
+/** Creates the operations of the entry that serve callers. */
 export const createEntry = (context: EntryContext): CallerContext => {
-	const {world, clusterView: fleet, emit, metrics} = context;
-	const pending = new Map<TargetId, number>();
+	const {world, clusterView, emit, metrics} = context;
+	const pendingCounts = new Map<TargetId, number>();
 
 	const getView = (): RoutingView | undefined => {
-		const inventory = fleet.inForce.getInventory();
+		const inventory = clusterView.activeConfiguration.getInventory();
 		return inventory && {
 			inventory,
 			getGroup: context.getGroup,
-			getOwners: fleet.getOwners,
-			isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
-			getPendingCount: target => pending.get(target) ?? 0,
+			getOwners: clusterView.getOwners,
+			isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
+			getPendingCount: target => pendingCounts.get(target) ?? 0,
 			random: world.random,
 		};
 	};
@@ -79,31 +79,31 @@
 			return Ok(undefined);
 		}
 
-		const checked = fleet.inForce.checkKey(caller.keyId, caller.customer);
-		if (checked.err) {
-			return Err(createRefusal(checked.val, checked.val === 'keyWithdrawn' ? 'The key has been withdrawn' : 'The key cannot be confirmed: the configuration may be out of date', 1000));
+		const keyCheck = clusterView.activeConfiguration.checkKey(caller.keyId, caller.customer);
+		if (keyCheck.err) {
+			return Err(createRefusal(keyCheck.val, keyCheck.val === 'keyWithdrawn' ? 'The key has been withdrawn' : 'The key cannot be checked: the configuration may be out of date', 1000));
 		}
 
-		const customer = fleet.inForce.getInventory()?.customers[caller.customer];
+		const customer = clusterView.activeConfiguration.getInventory()?.customers[caller.customer];
 		return customer?.services.includes(caller.service) ? Ok(undefined) : Err(createRefusal('keyWithdrawn', 'The customer may no longer use this service'));
 	};
 
-	const spendShare = async (caller: CallerIdentity, deadline: Deadline, signal: AbortSignal): Promise<Result<undefined, Refusal>> => {
+	const acquireToken = async (caller: CallerIdentity, deadline: Deadline, signal: AbortSignal): Promise<Result<undefined, Refusal>> => {
 		if (!caller.customer) {
 			return Ok(undefined);
 		}
 
-		const spent = await context.quotaClient.acquire(caller.customer, deadline, signal);
-		if (spent.err) {
-			const {code, message, retryAfterMs} = spent.val;
+		const acquired = await context.quotaClient.acquire(caller.customer, deadline, signal);
+		if (acquired.err) {
+			const {code, message, retryAfterMs} = acquired.val;
 			return Err(createRefusal(code === 'aborted' ? 'canceled' : 'limitExceeded', message, retryAfterMs));
 		}
 
 		return Ok(undefined);
 	};
 
-	const createCall = (caller: CallerIdentity): Result<Call, Refusal> => {
-		const inventory = fleet.inForce.getInventory();
+	const createRequestContext = (caller: CallerIdentity): Result<RequestContext, Refusal> => {
+		const inventory = clusterView.activeConfiguration.getInventory();
 		const service = inventory && getService(inventory, caller.service);
 		if (!inventory || !service) {
 			return Err(createRefusal('noRoute', `There is no service ${caller.service}`));
@@ -115,52 +115,52 @@
 			customer: caller.customer,
 			requestId: parseId<RequestId>(world.createId()),
 			deadline: createDeadline(world.now(), service.requestTimeoutMs),
-			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_WEIGHT : OPEN_WEIGHT,
+			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_SERVICE_WEIGHT : OPEN_SERVICE_WEIGHT,
 		});
 	};
 
-	const createHeader = (caller: CallerIdentity, call: Call, route: Route): RequestHeader => ({
-		requestId: call.requestId,
+	const createHeader = (caller: CallerIdentity, request: RequestContext, route: Route): RequestHeader => ({
+		requestId: request.requestId,
 		service: caller.service,
-		database: call.database,
+		database: request.database,
 		target: route.target,
-		customer: call.customer ?? OPEN_CUSTOMER,
-		weight: call.weight,
+		customer: request.customer ?? OPEN_SERVICE_CUSTOMER,
+		weight: request.weight,
 		mode: route.mode,
-		maximumAgeMs: call.service.staleReadsMs ?? 0,
-		remainingMs: getRemainingMs(call.deadline, world.now()),
-		idleTransactionMs: call.service.idleTransactionMs,
+		maximumAgeMs: request.service.staleReadsMs ?? 0,
+		remainingMs: getRemainingMs(request.deadline, world.now()),
+		idleTransactionMs: request.service.idleTransactionMs,
 	});
 
 	const openStream = async (route: Route, header: RequestHeader): Promise<Result<RequestStream, Refusal>> => {
 		if (route.owner === context.vm) {
-			const [near, far] = createStreamPair<RequestChunk, Reply>(measureItem);
+			const [entryEnd, ownerEnd] = createStreamPair<RequestChunk, Reply>(estimateItemBytes);
 			context.scope.run(async () => {
-				await using own = far;
-				await serveRequest(context.owner, header, own);
-				own.finish();
+				await using stream = ownerEnd;
+				await serveRequest(context.owner, header, stream);
+				stream.finish();
 			});
-			return Ok(near);
+			return Ok(entryEnd);
 		}
 
-		const member = fleet.members.get(route.owner);
+		const member = clusterView.members.get(route.owner);
 		const opened = member
 			? await context.peers.openStream({host: member.host, port: member.port}, 'request', header)
 			: Err({code: 'peerUnreachable' as const, message: 'unknown vm'});
 		if (opened.err) {
-			fleet.members.recordTimeout(route.owner);
-			return Err(createRefusal('peerUnreachable', `The home ${route.owner} cannot be reached`));
+			clusterView.members.recordTimeout(route.owner);
+			return Err(createRefusal('peerUnreachable', `The owner ${route.owner} of the target cannot be reached`));
 		}
 
 		return Ok(opened.val as RequestStream);
 	};
 
-	const addPending = (target: TargetId, by: number) => {
-		pending.set(target, (pending.get(target) ?? 0) + by);
+	const addPending = (target: TargetId, change: number) => {
+		pendingCounts.set(target, (pendingCounts.get(target) ?? 0) + change);
 	};
 
-	const createRunning = (call: Call, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
-		requestId: call.requestId,
+	const createRunning = (request: RequestContext, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
+		requestId: request.requestId,
 		mode: route.mode,
 		firstReply: first,
 		stream,
@@ -170,38 +170,38 @@
 		},
 	});
 
-	/** One try at a route. */
-	type Tried
+	/** Outcome of one attempt at a route. */
+	type AttemptOutcome
 		= | Readonly<{kind: 'running'; running: RunningRequest}>
 			| Readonly<{kind: 'refused'; refusal: Refusal}>
 			| Readonly<{kind: 'readOnly'}>
 			| Readonly<{kind: 'lost'}>;
 
-	const tryRoute = async ({caller, call, chunk, signal}: Turn, route: Route): Promise<Tried> => {
-		const opened = await openStream(route, createHeader(caller, call, route));
+	const tryRoute = async ({caller, request, chunk, signal}: RequestStart, route: Route): Promise<AttemptOutcome> => {
+		const opened = await openStream(route, createHeader(caller, request, route));
 		if (opened.err) {
 			return {kind: 'refused', refusal: opened.val};
 		}
 
 		const stream = opened.val;
-		const leave = () => {
+		const closeStream = () => {
 			void stream[Symbol.asyncDispose]();
 		};
 
 		addPending(route.target, 1);
-		signal.addEventListener('abort', leave, {once: true});
+		signal.addEventListener('abort', closeStream, {once: true});
 		await stream.send(chunk);
 		const first = await stream.receive();
-		signal.removeEventListener('abort', leave);
+		signal.removeEventListener('abort', closeStream);
 		const isRepeatable = first?.kind === 'unknown' && route.mode !== 'write';
 		if (first && first.kind !== 'refused' && first.kind !== 'readOnly' && !isRepeatable) {
-			return {kind: 'running', running: createRunning(call, route, stream, first)};
+			return {kind: 'running', running: createRunning(request, route, stream, first)};
 		}
 
 		addPending(route.target, -1);
 		await stream[Symbol.asyncDispose]();
 		if (!first && stream.signal.reason === NOT_ACCEPTED) {
-			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The home ${route.owner} is leaving`)};
+			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The owner ${route.owner} of the target is shutting down`)};
 		}
 
 		if (!first || isRepeatable) {
@@ -213,23 +213,23 @@
 
 	const isFinal = (refusal: Refusal): boolean => refusal.code === 'queueFull' || refusal.code === 'deadlinePassed' || refusal.code === 'limitExceeded';
 
-	const fail = (call: Call, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: call.requestId, failure});
+	const fail = (request: RequestContext, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: request.requestId, failure});
 
-	const runRequest = async (turn: Turn, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
-		const {caller, call, signal} = turn;
+	const runRequest = async (start: RequestStart, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
+		const {caller, request, signal} = start;
 		let mode = wanted;
 		context.retryBudget.deposit();
-		let tried: readonly RouteAttempt[] = [];
-		let last: Refusal = createRefusal('noRoute', 'No route was found in time');
-		for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+		let attempts: readonly RouteAttempt[] = [];
+		let lastRefusal: Refusal = createRefusal('noRoute', 'No route to a target was found before the deadline');
+		for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 			if (signal.aborted) {
-				return fail(call, createRefusal('canceled', 'The request was canceled before it ran'));
+				return fail(request, createRefusal('canceled', 'The request was canceled before it ran'));
 			}
 
 			const view = getView();
-			const route = view ? chooseRoute(view, call.database, mode, tried) : Err(last);
+			const route = view ? chooseRoute(view, request.database, mode, attempts) : Err(lastRefusal);
 			if (route.ok) {
-				const outcome = await tryRoute(turn, route.val);
+				const outcome = await tryRoute(start, route.val);
 				if (outcome.kind === 'running') {
 					metrics.count('entry.requests', {service: caller.service, mode: route.val.mode, wanted});
 					return Ok(outcome.running);
@@ -242,81 +242,81 @@
 
 				if (outcome.kind === 'lost') {
 					if (route.val.mode === 'write') {
-						return fail(call, {code: 'outcomeUnknown', message: 'The vm that ran the request was lost'});
+						return fail(request, {code: 'outcomeUnknown', message: 'The connection to the vm that ran the request was lost'});
 					}
 
-					last = createRefusal('peerUnreachable', `The home ${route.val.owner} was lost`);
+					lastRefusal = createRefusal('peerUnreachable', `The connection to the owner ${route.val.owner} of the target was lost`);
 				} else {
-					last = outcome.refusal;
-					if (isFinal(last)) {
-						return fail(call, last);
+					lastRefusal = outcome.refusal;
+					if (isFinal(lastRefusal)) {
+						return fail(request, lastRefusal);
 					}
 				}
 
 				const isNewRound = route.val.mode === 'write';
-				tried = isNewRound ? [] : [...tried, {target: route.val.target, owner: route.val.owner}];
+				attempts = isNewRound ? [] : [...attempts, {target: route.val.target, owner: route.val.owner}];
 				if (!isNewRound) {
 					continue;
 				}
 			} else {
-				last = route.val;
-				tried = [];
+				lastRefusal = route.val;
+				attempts = [];
 			}
 
-			metrics.count('entry.retries', {reason: last.code});
-			// Beyond the budget, retries come at the longest pause, so that a failover brings no storm.
-			const pace = context.retryBudget.tryWithdraw() ? attempt : MOST_ATTEMPTS;
-			if (!await waitBeforeRetry(pace, call.deadline, world, signal)) {
+			metrics.count('entry.retries', {reason: lastRefusal.code});
+			// When the retry budget is exhausted, each retry waits for the maximum backoff, so that a failover causes no retry storm.
+			const backoffAttempt = context.retryBudget.tryWithdraw() ? attempt : MAX_ATTEMPTS;
+			if (!await waitBeforeRetry(backoffAttempt, request.deadline, world, signal)) {
 				break;
 			}
 		}
 
-		return fail(call, isPast(call.deadline, world.now()) ? createRefusal('deadlinePassed', `No answer in time: ${last.message}`) : last);
+		return fail(request, isPast(request.deadline, world.now()) ? createRefusal('deadlinePassed', `The deadline passed before the request was served: ${lastRefusal.message}`) : lastRefusal);
 	};
 
 	return {
 		async startRequest(caller, chunk, statement: StatementClass, signal) {
-			const call = createCall(caller);
-			const requestId = call.ok ? call.val.requestId : '';
-			if (call.err) {
-				return Err({requestId, failure: call.val});
+			const request = createRequestContext(caller);
+			const requestId = request.ok ? request.val.requestId : '';
+			if (request.err) {
+				return Err({requestId, failure: request.val});
 			}
 
 			if (statement === 'session' || statement === 'copy') {
-				return fail(call.val, createRefusal('unsupported', statement === 'copy'
+				return fail(request.val, createRefusal('unsupported', statement === 'copy'
 					? 'COPY is not supported'
-					: 'State that outlives a transaction is not kept; use SET LOCAL, or parameters at connect'));
+					: 'Session state that outlives a transaction is not supported; use SET LOCAL, or parameters at connect'));
 			}
 
-			const key = checkKey(caller);
-			if (key.err) {
-				return fail(call.val, key.val);
+			const keyCheck = checkKey(caller);
+			if (keyCheck.err) {
+				return fail(request.val, keyCheck.val);
 			}
 
-			const spent = await spendShare(caller, call.val.deadline, signal);
-			if (spent.err) {
-				return fail(call.val, spent.val);
+			const acquired = await acquireToken(caller, request.val.deadline, signal);
+			if (acquired.err) {
+				return fail(request.val, acquired.val);
 			}
 
-			const turn: Turn = {
-				caller, call: call.val, chunk, signal,
+			const start: RequestStart = {
+				caller, request: request.val, chunk, signal,
 			};
-			return runRequest(turn, chooseRequestMode(statement, call.val.service.staleReadsMs));
+			return runRequest(start, chooseRequestMode(statement, request.val.service.staleReadsMs));
 		},
 		async continueRequest(caller, signal) {
 			const requestId = world.createId();
-			const key = checkKey(caller);
-			const spent = key.err ? key : await spendShare(caller, createDeadline(world.now(), Number.POSITIVE_INFINITY), signal);
-			return spent.mapErr(failure => ({requestId, failure}));
+			const keyCheck = checkKey(caller);
+			const acquired = keyCheck.err ? keyCheck : await acquireToken(caller, createDeadline(world.now(), Number.POSITIVE_INFINITY), signal);
+			return acquired.mapErr(failure => ({requestId, failure}));
 		},
 		cancelRequest: context.cancelRequest,
 		getCloseReason(caller) {
 			if (context.isDraining()) {
-				return createRefusal('draining', 'The proxy is leaving; connect again');
+				return createRefusal('draining', 'The proxy is shutting down; connect again');
 			}
 
-			const key = checkKey(caller);
-			return key.err && key.val.code === 'keyWithdrawn' ? key.val : undefined;
+			const keyCheck = checkKey(caller);
+			return keyCheck.err && keyCheck.val.code === 'keyWithdrawn' ? keyCheck.val : undefined;
 		},
 		onOutcome(caller, requestId, outcome) {
 			const {service, customer} = caller;
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -1,4 +1,4 @@
-/** Explains what a request meets now, by the same functions that decide. */
+/** Explains how a request would be handled now, using the functions that handle requests. */
 
 import {
 	parseId, type CustomerId, type DatabaseId, type ServiceId,
@@ -10,52 +10,52 @@
 import {classifyStatement} from '@guavapitch/sessions';
 import type {ClusterView} from './cluster-view.js';
 
-/** Question of an operator. */
+/** Request of an operator for an explanation. */
 export type ExplainRequest = Readonly<{customer: CustomerId; service: ServiceId; statement: string}>;
 
-/** Answer: rule by rule, in the order in which the proxy decides. */
+/** Explanation: one step for each decision, in the order in which the proxy decides. */
 export type Explanation = Readonly<{steps: readonly string[]}>;
 
-/** What an explanation needs. */
+/** Dependencies of an explanation. */
 export type ExplainContext = Readonly<{
 	clusterView: ClusterView;
 	getGroup: (database: DatabaseId) => GroupView | undefined;
 	random: () => number;
 }>;
 
-/** Creates the function that explains. */
+/** Creates the function that explains how a request would be handled; the request comes unchecked from a peer. */
 export const createExplain = (context: ExplainContext) => (request: unknown): Explanation => {
-	const {clusterView: fleet} = context;
+	const {clusterView} = context;
 	const {customer, service, statement} = request as ExplainRequest;
-	const inventory = fleet.inForce.getInventory();
-	const found = inventory && getService(inventory, service);
-	const share = inventory && getCustomer(inventory, customer);
-	if (!inventory || !found) {
-		return {steps: [`There is no service ${service} in revision ${fleet.inForce.getRevision()}`]};
+	const inventory = clusterView.activeConfiguration.getInventory();
+	const foundService = inventory && getService(inventory, service);
+	const entry = inventory && getCustomer(inventory, customer);
+	if (!inventory || !foundService) {
+		return {steps: [`There is no service ${service} in revision ${clusterView.activeConfiguration.getRevision()}`]};
 	}
 
-	const kind = classifyStatement(statement);
-	const mode = chooseRequestMode(kind, found.staleReadsMs);
-	const database = parseId<DatabaseId>(found.database);
-	const view: RoutingView = {
+	const statementClass = classifyStatement(statement);
+	const mode = chooseRequestMode(statementClass, foundService.staleReadsMs);
+	const database = parseId<DatabaseId>(foundService.database);
+	const routingView: RoutingView = {
 		inventory,
 		getGroup: context.getGroup,
-		getOwners: fleet.getOwners,
-		isLeaving: target => fleet.findTarget(target)?.target.leaving ?? true,
+		getOwners: clusterView.getOwners,
+		isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
 		getPendingCount: () => 0,
 		random: context.random,
 	};
-	const route = chooseRoute(view, database, mode, []);
+	const route = chooseRoute(routingView, database, mode, []);
 	const record = context.getGroup(database)?.record;
 	return {
 		steps: [
-			`revision ${fleet.inForce.getRevision()} of the configuration is in force`,
-			found.open ? `service ${service} is open to all: no key and no share` : `customer ${customer} ${share?.services.includes(service) ? 'may' : 'may not'} use service ${service}`,
-			share ? `share: ${share.rate} requests a second, burst ${share.burst}, weight ${share.weight}, over the whole fleet` : `customer ${customer} is not in the inventory`,
-			`statement is classed as ${kind}, so it runs in mode ${mode}`,
+			`revision ${clusterView.activeConfiguration.getRevision()} of the configuration is active`,
+			foundService.open ? `service ${service} is open to all: no key and no quota` : `customer ${customer} ${entry?.services.includes(service) ? 'may' : 'may not'} use service ${service}`,
+			entry ? `quota: ${entry.rate} requests a second, burst ${entry.burst}, weight ${entry.weight}, over the whole fleet` : `customer ${customer} is not in the inventory`,
+			`statement is classified as ${statementClass}, so it runs in mode ${mode}`,
 			record ? `database ${database}: term ${record.term}, primary ${record.primary}, synced ${record.synced.join(' ') || 'none'}` : `database ${database}: no record is known yet`,
-			route.ok ? `route: target ${route.val.target} through home ${route.val.owner}, because ${route.val.reason}` : `no route: ${route.val.message}`,
-			`answers of writes wait for ${inventory.databases[found.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
+			route.ok ? `route: target ${route.val.target} through owner ${route.val.owner}, because ${route.val.reason}` : `no route: ${route.val.message}`,
+			`responses to writes wait for ${inventory.databases[foundService.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
 		],
 	};
 };
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -1,4 +1,4 @@
-/** The stewards that run in this process, one for each database of the slots it holds. */
+/** The failover coordinators that run in this process, one for each database of the slots that it holds. */
 
 import {
 	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type World,
@@ -15,15 +15,15 @@
 import type {CallVm, ClusterView, ConfiguredTarget} from './cluster-view.js';
 import {createTargetAddress} from './owned-targets.js';
 
-/** Stewards of one process. */
+/** Failover coordinators of one process. */
 export type FailoverCoordinators = AsyncDisposable & Readonly<{
-	/** Works for the databases of a slot until the signal aborts. */
+	/** Runs the coordinators of the databases of a slot until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
-	/** Answers a request for a grant; `undefined` if this process is not the steward. */
+	/** Issues a grant to a holder; `undefined` if this process is not the coordinator of the database, or the coordinator issues none. */
 	grant: (database: DatabaseId, holder: Holder) => GrantReply | undefined;
 }>;
 
-/** What the stewards need. */
+/** Dependencies of the failover coordinators. */
 export type FailoverCoordinatorsContext = Readonly<{
 	world: World;
 	vm: string;
@@ -31,11 +31,12 @@
 	store: Store;
 	callVm: CallVm;
 	emit: Emit;
+	/** Called with each group view that a coordinator publishes. */
 	onGroupView: (view: GroupView) => void;
 }>;
 
 const REVOKE_TIMEOUT_MS = 300;
-const REFRESH_MS = 250;
+const CHECK_INTERVAL_MS = 250;
 
 const emitEvent = (emit: Emit, database: DatabaseId, event: FailoverEvent): void => {
 	switch (event.kind) {
@@ -83,60 +84,60 @@
 	}
 };
 
-/** Creates the stewards of a process. */
+/** Creates the failover coordinators of a process; none runs until a slot is gained. */
 export const createFailoverCoordinators = (context: FailoverCoordinatorsContext): FailoverCoordinators => {
-	const {world, clusterView: fleet, emit} = context;
-	const running = new Map<DatabaseId, FailoverCoordinator>();
-	const questions = new Map<string, ControlConnection>();
+	const {world, clusterView, emit} = context;
+	const coordinators = new Map<DatabaseId, FailoverCoordinator>();
+	const controlConnections = new Map<string, ControlConnection>();
 
-	const withQuestions = async <Answer>(target: TargetId, ask: (asked: ControlConnection, known: ConfiguredTarget) => Promise<Result<Answer, Failure>>): Promise<Result<Answer, Failure>> => {
-		const known = fleet.findTarget(target);
-		if (!known) {
+	const runCommand = async <Value>(target: TargetId, command: (connection: ControlConnection, configured: ConfiguredTarget) => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> => {
+		const configured = clusterView.findTarget(target);
+		if (!configured) {
 			return Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 		}
 
-		const existing = questions.get(known.target.address);
-		const asked = existing ?? createControlConnection(createTargetAddress(known, context.vm), world);
-		questions.set(known.target.address, asked);
-		return ask(asked, known);
+		const existing = controlConnections.get(configured.target.address);
+		const connection = existing ?? createControlConnection(createTargetAddress(configured, context.vm), world);
+		controlConnections.set(configured.target.address, connection);
+		return command(connection, configured);
 	};
 
 	const formatConninfo = (primary: TargetId | undefined, follower: TargetId): string => {
-		const known = primary ? fleet.findTarget(primary) : undefined;
-		if (!known) {
+		const configured = primary ? clusterView.findTarget(primary) : undefined;
+		if (!configured) {
 			return '';
 		}
 
-		const address = createTargetAddress(known, context.vm);
+		const address = createTargetAddress(configured, context.vm);
 		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
 	};
 
 	const commands: TargetCommands = {
-		probe: async target => withQuestions(target, readTargetState),
-		promote: async target => withQuestions(target, promoteReplica),
-		follow: async (target, primary) => withQuestions(target, async asked => followPrimary(asked, formatConninfo(primary, target))),
-		rejoin: async (target, primary) => withQuestions(target, async asked => rejoinReplica(asked, formatConninfo(primary, target))),
+		probe: async target => runCommand(target, readTargetState),
+		promote: async target => runCommand(target, promoteReplica),
+		follow: async (target, primary) => runCommand(target, async connection => followPrimary(connection, formatConninfo(primary, target))),
+		rejoin: async (target, primary) => runCommand(target, async connection => rejoinReplica(connection, formatConninfo(primary, target))),
 	};
 
 	const getSettings = (database: DatabaseId): FailoverSettings | undefined => {
-		const known = fleet.inForce.getInventory()?.databases[database];
-		return known && {
+		const configured = clusterView.activeConfiguration.getInventory()?.databases[database];
+		return configured && {
 			database,
-			minimumSynced: Math.min(known.minimumSynced, known.targets.length - 1),
-			replicated: known.acknowledge === 'replicated',
-			targets: known.targets.map(target => parseId<TargetId>(target.name)),
-			leaving: known.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
+			minimumSynced: Math.min(configured.minimumSynced, configured.targets.length - 1),
+			replicated: configured.acknowledge === 'replicated',
+			targets: configured.targets.map(target => parseId<TargetId>(target.name)),
+			leaving: configured.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
 		};
 	};
 
-	const createOne = (database: DatabaseId, authority: Authority): FailoverCoordinator => createFailoverCoordinator({
+	const createCoordinator = (database: DatabaseId, authority: Authority): FailoverCoordinator => createFailoverCoordinator({
 		world,
 		store: context.store,
 		commands,
 		getSettings: () => getSettings(database),
 		getAuthorityDeadline: authority.getDeadline,
 		async revoke(holder, id, permissions) {
-			// A holder that keeps its acknowledgements answers when its writes have ended.
+			// A holder that keeps the permission to acknowledge responds only when its running writes have ended, hence the longer timeout.
 			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
 			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
@@ -147,7 +148,7 @@
 	}, database);
 
 	const getDatabases = (slot: string): readonly DatabaseId[] => {
-		const inventory = fleet.inForce.getInventory();
+		const inventory = clusterView.activeConfiguration.getInventory();
 		const slots = inventory?.fleet.stewardSlots ?? 1;
 		return Object.keys(inventory?.databases ?? {})
 			.filter(name => chooseSlot('steward', slots, name) === slot)
@@ -161,25 +162,25 @@
 			}, signal);
 			while (!signal.aborted) {
 				for (const database of getDatabases(authority.slot)) {
-					if (!running.has(database)) {
-						const steward = createOne(database, authority);
-						running.set(database, steward);
-						scope.run(async own => {
+					if (!coordinators.has(database)) {
+						const coordinator = createCoordinator(database, authority);
+						coordinators.set(database, coordinator);
+						scope.run(async taskSignal => {
 							try {
-								await steward.run(own);
+								await coordinator.run(taskSignal);
 							} finally {
-								running.delete(database);
+								coordinators.delete(database);
 							}
 						});
 					}
 				}
 
-				await world.sleep(REFRESH_MS, signal).catch(() => undefined);
+				await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
-		grant: (database, holder) => running.get(database)?.grant(holder),
+		grant: (database, holder) => coordinators.get(database)?.grant(holder),
 		async [Symbol.asyncDispose]() {
-			await Promise.all([...questions.values()].map(async one => one[Symbol.asyncDispose]()));
+			await Promise.all([...controlConnections.values()].map(async connection => connection[Symbol.asyncDispose]()));
 		},
 	};
 };
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -1,4 +1,4 @@
-/** What this process answers to its peers. */
+/** Handlers of the methods that peers and operators call on this process. */
 
 import {
 	createDeadline, type DatabaseId, type Scope, type Stream, type VmId, type World,
@@ -19,7 +19,7 @@
 import type {QuotaAllocators} from './quota-allocators.js';
 import type {FailoverCoordinators} from './failover-coordinators.js';
 
-/** What the handlers need. */
+/** Dependencies of the handlers. */
 export type HandlersContext = Readonly<{
 	world: World;
 	incarnation: string;
@@ -32,39 +32,39 @@
 	grantRegistry: GrantRegistry;
 	promises: TakeoverPromises;
 	owner: OwnerContext<TargetConnection>;
-	/** Gets the epoch of a slot as far as it is known here. */
+	/** Returns the latest epoch of a slot that this process knows. */
 	getEpoch: (slot: string) => number;
-	/** Tells whether this process reached the store lately. */
+	/** Tells whether this process has been in contact with the store recently. */
 	isStoreReachable: () => boolean;
 	cancelLocally: (requestId: string) => void;
 	cancelCaller: (processId: number, secret: number) => void;
 	getStatus: () => unknown;
-	explain: (question: unknown) => unknown;
-	/** Lists the last events of this process. */
+	explain: (request: unknown) => unknown;
+	/** Lists the most recent events of this process. */
 	listEvents: () => readonly EventRecord[];
 }>;
 
-const THROUGH_TIMEOUT_MS = 250;
+const INDIRECT_PING_TIMEOUT_MS = 250;
 
-/** Creates the handlers. */
+/** Creates the handlers; the names of calls and streams are the method names on the wire. */
 export const createHandlers = (context: HandlersContext): PeerHandlers => {
-	const {clusterView: fleet} = context;
+	const {clusterView} = context;
 
-	const answerPing = async (ping: PingRequest): Promise<PingResponse> => {
-		fleet.members.applyUpdates(ping.news);
+	const handlePing = async (ping: PingRequest): Promise<PingResponse> => {
+		clusterView.members.applyUpdates(ping.news);
 		if (ping.through) {
-			const answer = await context.callVm<PingResponse>(ping.through, 'ping', {news: []}, THROUGH_TIMEOUT_MS);
-			return answer.unwrap();
+			const response = await context.callVm<PingResponse>(ping.through, 'ping', {news: []}, INDIRECT_PING_TIMEOUT_MS);
+			return response.unwrap();
 		}
 
-		return {incarnation: context.incarnation, news: fleet.members.chooseUpdates()};
+		return {incarnation: context.incarnation, news: clusterView.members.chooseUpdates()};
 	};
 
 	return {
 		calls: {
 			async ping(body, from) {
-				fleet.members.recordResponse(from.vm as VmId, from.incarnation);
-				return answerPing(body as PingRequest);
+				clusterView.members.recordResponse(from.vm as VmId, from.incarnation);
+				return handlePing(body as PingRequest);
 			},
 			sync: async body => context.relay.sync(body as SyncRequest),
 			async grant(body) {
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -1,4 +1,4 @@
-/** The targets of which this process is home: their connections, queues and grants. */
+/** The targets that this process owns, with their connections, queues and grants. */
 
 import process from 'node:process';
 import {
@@ -20,21 +20,21 @@
 	type CallVm, type ClusterView, type ConfiguredTarget, OWNERS_PER_TARGET,
 } from './cluster-view.js';
 
-/** Homes of one process. */
+/** Targets that one process owns. */
 export type OwnedTargets = AsyncDisposable & Readonly<{
 	grantRegistry: GrantRegistry;
-	/** Gets a target of which this process is home, opening it if needed. */
+	/** Returns a target that this process owns, opening it if needed; `undefined` if this process does not own it. */
 	get: (target: TargetId) => OwnedTarget<TargetConnection> | undefined;
 	waitUntilDurable: ReturnType<typeof createDurabilityWaiter>;
-	/** Asks for grants until the signal aborts. */
+	/** Requests and renews the grants of the databases of owned targets until the signal aborts. */
 	runGrantRenewal: (signal: AbortSignal) => Promise<void>;
-	/** Opens and closes targets as homes move, until the signal aborts. */
+	/** Opens and closes targets as their ownership changes, until the signal aborts. */
 	runOwnershipUpdates: (signal: AbortSignal) => Promise<void>;
-	/** Gets queue lengths and connections, by target. */
+	/** Returns queue lengths and numbers of connections, by target. */
 	getState: () => ReadonlyArray<Readonly<{target: string; queued: number; busy: number; open: number; idle: number}>>;
 }>;
 
-/** What the homes need. */
+/** Dependencies of the owned targets. */
 export type OwnedTargetsContext = Readonly<{
 	world: World;
 	vm: VmId;
@@ -43,49 +43,49 @@
 	callVm: CallVm;
 	emit: Emit;
 	metrics: Metrics;
-	/** Hears of views that came with grants. */
+	/** Called with each group view that came with a grant. */
 	onGroupView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{known: ConfiguredTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; home: OwnedTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{configured: ConfiguredTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
 
-/** Connections of a target kept back for the steward's and the homes' own questions. */
+/** Connections of a target reserved for control queries of the failover coordinator and of the owners. */
 const RESERVED_CONNECTIONS = 4;
-const SPARE_CONNECTIONS = 2;
-const GRANT_PERIOD_MS = 250;
+const MIN_IDLE_CONNECTIONS = 2;
+const GRANT_RENEWAL_MS = 250;
 const GRANT_RETRY_MS = 40;
 const GRANT_TIMEOUT_MS = 300;
-const MOVE_PERIOD_MS = 250;
+const OWNERSHIP_CHECK_MS = 250;
 
-/** Creates the address of a target. */
-export const createTargetAddress = (known: ConfiguredTarget, applicationName: string): TargetAddress => {
-	const [host, port] = known.target.address.split(':');
-	const {user, passwordVariable, databaseName} = known.database;
+/** Creates the address of a target, with the credentials of its database. */
+export const createTargetAddress = (configured: ConfiguredTarget, applicationName: string): TargetAddress => {
+	const [host, port] = configured.target.address.split(':');
+	const {user, passwordVariable, databaseName} = configured.database;
 	return {
 		host: host ?? '', port: Number(port), user, password: passwordVariable ? process.env[passwordVariable] : undefined, databaseName, applicationName,
 	};
 };
 
-/** Computes the connections one home may open: two homes with different views together stay within the limit. */
+/** Computes how many connections one owner may open, so that two owners, chosen under different views of the cluster, together stay within the limit of the target. */
 export const computeOwnerConnectionLimit = (connections: number): number => Math.max(1, Math.floor((connections - RESERVED_CONNECTIONS) / OWNERS_PER_TARGET));
 
-/** Creates the homes of a process. */
+/** Creates the owned targets of a process; none is open at first. */
 export const createOwnedTargets = (context: OwnedTargetsContext): OwnedTargets => {
-	const {world, vm, clusterView: fleet, emit, metrics} = context;
-	const book = createGrantRegistry(world);
+	const {world, vm, clusterView, emit, metrics} = context;
+	const grantRegistry = createGrantRegistry(world);
 	const scope = createScope(() => undefined);
-	const open = new Map<TargetId, OpenTarget>();
-	const questions = new Map<TargetId, ControlConnection>();
+	const openTargets = new Map<TargetId, OpenTarget>();
+	const controlConnections = new Map<TargetId, ControlConnection>();
 
-	const isHome = (target: TargetId) => fleet.getOwners(target).includes(vm);
+	const isOwner = (target: TargetId) => clusterView.getOwners(target).includes(vm);
 
-	const openTarget = (known: ConfiguredTarget): OpenTarget => {
-		const {target} = known;
-		const address = createTargetAddress(known, vm);
-		const isFirst = fleet.getOwners(parseId<TargetId>(target.name))[0] === vm;
+	const openTarget = (configured: ConfiguredTarget): OpenTarget => {
+		const {target} = configured;
+		const address = createTargetAddress(configured, vm);
+		const isPreferredOwner = clusterView.getOwners(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
 			maxOpen: computeOwnerConnectionLimit(target.connections),
-			minIdle: isFirst ? Math.min(SPARE_CONNECTIONS, target.slots) : 0,
+			minIdle: isPreferredOwner ? Math.min(MIN_IDLE_CONNECTIONS, target.slots) : 0,
 			dial: async () => openTargetConnection(address),
 			onAvailable() {
 				queue.admitWaiting();
@@ -97,122 +97,122 @@
 		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
 		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
-			known, address, pool, queue, home: {pool, queue, isLeaving: () => fleet.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
+			configured, address, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
 		};
 	};
 
-	const getOpen = (target: TargetId): OpenTarget | undefined => {
-		const existing = open.get(target);
+	const getOpenTarget = (target: TargetId): OpenTarget | undefined => {
+		const existing = openTargets.get(target);
 		if (existing) {
 			return existing;
 		}
 
-		const known = fleet.findTarget(target);
-		if (!known || !isHome(target)) {
+		const configured = clusterView.findTarget(target);
+		if (!configured || !isOwner(target)) {
 			return undefined;
 		}
 
-		const created = openTarget(known);
-		open.set(target, created);
+		const created = openTarget(configured);
+		openTargets.set(target, created);
 		return created;
 	};
 
-	const closeTarget = async (target: TargetId, one: OpenTarget) => {
-		open.delete(target);
+	const closeTarget = async (target: TargetId, opened: OpenTarget) => {
+		openTargets.delete(target);
 		emit(EVENTS.ownershipReleased, {target});
-		await one.pool[Symbol.asyncDispose]();
+		await opened.pool[Symbol.asyncDispose]();
 	};
 
-	const getQuestions = (known: ConfiguredTarget): ControlConnection => {
-		const id = parseId<TargetId>(known.target.name);
-		const existing = questions.get(id);
+	const getControlConnection = (configured: ConfiguredTarget): ControlConnection => {
+		const id = parseId<TargetId>(configured.target.name);
+		const existing = controlConnections.get(id);
 		if (existing) {
 			return existing;
 		}
 
-		const created = createControlConnection(createTargetAddress(known, vm), world);
-		questions.set(id, created);
+		const created = createControlConnection(createTargetAddress(configured, vm), world);
+		controlConnections.set(id, created);
 		return created;
 	};
 
-	const waitUntilDurable = createDurabilityWaiter(book, async target => {
-		const known = fleet.findTarget(target);
-		return known ? readPrimaryPositions(getQuestions(known)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
+	const waitUntilDurable = createDurabilityWaiter(grantRegistry, async target => {
+		const configured = clusterView.findTarget(target);
+		return configured ? readPrimaryPositions(getControlConnection(configured)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
 	}, world);
 
-	const isSame = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
+	const hasSameConnectionSettings = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
-	const moveOnce = async () => {
-		for (const [id, one] of open) {
-			const known = fleet.findTarget(id);
-			const isIdle = one.queue.getBusyCount() === 0 && one.queue.getLength() === 0 && one.pool.getIdleCount() === one.pool.getOpenCount();
-			if (!known || (isIdle && (!isHome(id) || !isSame(known, one.known)))) {
-				scope.run(async () => closeTarget(id, one));
+	const updateOwnership = async () => {
+		for (const [id, opened] of openTargets) {
+			const configured = clusterView.findTarget(id);
+			const isUnused = opened.queue.getBusyCount() === 0 && opened.queue.getLength() === 0 && opened.pool.getIdleCount() === opened.pool.getOpenCount();
+			if (!configured || (isUnused && (!isOwner(id) || !hasSameConnectionSettings(configured, opened.configured)))) {
+				scope.run(async () => closeTarget(id, opened));
 			} else {
-				one.queue.setSlots(known.target.slots);
+				opened.queue.setSlots(configured.target.slots);
 			}
 
-			metrics.gauge('home.queue', one.queue.getLength(), {target: id});
-			metrics.gauge('home.connections', one.pool.getOpenCount(), {target: id});
+			metrics.gauge('home.queue', opened.queue.getLength(), {target: id});
+			metrics.gauge('home.connections', opened.pool.getOpenCount(), {target: id});
 		}
 
-		for (const {target} of fleet.listTargets()) {
+		for (const {target} of clusterView.listTargets()) {
 			const id = parseId<TargetId>(target.name);
-			if (fleet.getOwners(id)[0] === vm && !target.leaving) {
-				getOpen(id);
+			if (clusterView.getOwners(id)[0] === vm && !target.leaving) {
+				getOpenTarget(id);
 			}
 		}
 	};
 
-	const getSteward = (database: DatabaseId): VmId | undefined => {
-		const slots = fleet.inForce.getInventory()?.fleet.stewardSlots ?? 1;
-		const entry = fleet.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
+	const getCoordinator = (database: DatabaseId): VmId | undefined => {
+		const slots = clusterView.activeConfiguration.getInventory()?.fleet.stewardSlots ?? 1;
+		const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
 		const record = entry ? parseSlotRecord(entry.value) : undefined;
 		return record?.ok ? record.val.holder.vm : undefined;
 	};
 
-	const askGrant = async (database: DatabaseId): Promise<boolean> => {
-		const steward = getSteward(database);
-		if (!steward) {
+	const requestGrant = async (database: DatabaseId): Promise<boolean> => {
+		const coordinator = getCoordinator(database);
+		if (!coordinator) {
 			return false;
 		}
 
-		const askedAt = world.now();
-		const reply = await context.callVm<GrantReply | null>(steward, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
+		const requestedAt = world.now();
+		const reply = await context.callVm<GrantReply | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
 		if (reply.err || !reply.val) {
 			return false;
 		}
 
-		book.accept(reply.val, askedAt);
+		grantRegistry.accept(reply.val, requestedAt);
 		context.onGroupView(reply.val.view);
 		return reply.val.permissions.writes;
 	};
 
-	const getHomeDatabases = (): ReadonlySet<DatabaseId> => new Set(fleet.listTargets()
-		.filter(({target}) => isHome(parseId<TargetId>(target.name)) || open.has(parseId<TargetId>(target.name)))
+	const getOwnedDatabases = (): ReadonlySet<DatabaseId> => new Set(clusterView.listTargets()
+		.filter(({target}) => isOwner(parseId<TargetId>(target.name)) || openTargets.has(parseId<TargetId>(target.name)))
 		.map(({databaseName}) => parseId<DatabaseId>(databaseName)));
 
-	/** Keeps the grant of one database fresh; asks more often while writes are not allowed. */
-	const runGrant = async (database: DatabaseId, signal: AbortSignal) => {
-		while (!signal.aborted && getHomeDatabases().has(database)) {
-			const isWritable = await askGrant(database);
-			await world.sleep((isWritable ? GRANT_PERIOD_MS : GRANT_RETRY_MS) * (0.75 + (world.random() / 2)), signal);
+	/** Renews the grant of one database while this process owns one of its targets; requests it more often while writes are not permitted. */
+	const renewGrant = async (database: DatabaseId, signal: AbortSignal) => {
+		while (!signal.aborted && getOwnedDatabases().has(database)) {
+			const isWritable = await requestGrant(database);
+			await world.sleep((isWritable ? GRANT_RENEWAL_MS : GRANT_RETRY_MS) * (0.75 + (world.random() / 2)), signal);
 		}
 	};
 
 	return {
-		grantRegistry: book,
+		grantRegistry,
 		waitUntilDurable,
-		get: target => getOpen(target)?.home,
+		get: target => getOpenTarget(target)?.owned,
 		async runGrantRenewal(signal) {
 			const running = new Set<DatabaseId>();
 			while (!signal.aborted) {
-				for (const database of getHomeDatabases()) {
+				for (const database of getOwnedDatabases()) {
 					if (!running.has(database)) {
 						running.add(database);
 						scope.run(async () => {
 							try {
-								await runGrant(database, signal);
+								await renewGrant(database, signal);
 							} finally {
 								running.delete(database);
 							}
@@ -220,22 +220,22 @@
 					}
 				}
 
-				await world.sleep(MOVE_PERIOD_MS, signal);
+				await world.sleep(OWNERSHIP_CHECK_MS, signal);
 			}
 		},
 		async runOwnershipUpdates(signal) {
 			while (!signal.aborted) {
-				await moveOnce();
-				await world.sleep(MOVE_PERIOD_MS, signal);
+				await updateOwnership();
+				await world.sleep(OWNERSHIP_CHECK_MS, signal);
 			}
 		},
-		getState: () => [...open].map(([target, one]) => ({
-			target, queued: one.queue.getLength(), busy: one.queue.getBusyCount(), open: one.pool.getOpenCount(), idle: one.pool.getIdleCount(),
+		getState: () => [...openTargets].map(([target, opened]) => ({
+			target, queued: opened.queue.getLength(), busy: opened.queue.getBusyCount(), open: opened.pool.getOpenCount(), idle: opened.pool.getIdleCount(),
 		})),
 		async [Symbol.asyncDispose]() {
 			await scope[Symbol.asyncDispose]();
-			await Promise.all([...open.values()].map(async one => one.pool[Symbol.asyncDispose]()));
-			await Promise.all([...questions.values()].map(async one => one[Symbol.asyncDispose]()));
+			await Promise.all([...openTargets.values()].map(async opened => opened.pool[Symbol.asyncDispose]()));
+			await Promise.all([...controlConnections.values()].map(async connection => connection[Symbol.asyncDispose]()));
 		},
 	};
 };
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -1,4 +1,4 @@
-/** One proxy from start to stop: wires the parts and owns their tasks. */
+/** One proxy process from start to stop: connects its components and owns their tasks. */
 
 import {
 	computeHash, createDeadline, createScope, Err, getMessage, Ok, parseId,
@@ -38,32 +38,32 @@
 
 /** A running proxy. */
 export type Proxy = Readonly<{
-	callers: CallerListener;
-	/** Leaves: finishes what is under way and stops. */
+	callerListener: CallerListener;
+	/** Shuts down gracefully: gives up roles, drains callers and running requests, then closes everything. */
 	stop: () => Promise<void>;
 }>;
 
-/** Failure of a start. */
+/** Failure to start: an address for callers or peers cannot be used. */
 export type StartFailure = Failure<'addressUnusable'>;
 
 const STORE_TIMEOUT_MS = 600;
 const PEER_TIMEOUT_MS = 300;
 const SYNC_TIMEOUT_MS = 1500;
-const SWEEP_MS = 100;
-const INCARNATION_BYTES = 8;
+const CHECK_INTERVAL_MS = 100;
+const INCARNATION_CHARACTERS = 8;
 const DRAIN_POLL_MS = 20;
-const STORE_SILENCE_MS = 2000;
-const GOODBYE_MS = 1000;
-const KEPT_EVENTS = 2000;
+const MAX_STORE_CONTACT_AGE_MS = 2000;
+const GOAWAY_TIMEOUT_MS = 1000;
+const MAX_RECENT_EVENTS = 2000;
 
-/** Starts a proxy. */
+/** Starts a proxy: listens for peers and callers and runs the background tasks. */
 export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
-	const incarnation = world.createId().slice(0, INCARNATION_BYTES);
+	const incarnation = world.createId().slice(0, INCARNATION_CHARACTERS);
 	const clock = createHybridLogicalClock(world.readWallClock);
-	const ring = createEventRingBuffer(KEPT_EVENTS);
+	const recentEvents = createEventRingBuffer(MAX_RECENT_EVENTS);
 	const log = openLog(settings.logFile);
 	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, record => {
-		ring.write(record);
+		recentEvents.write(record);
 		log(record);
 	});
 	const metrics = openMetrics(settings.statsd);
@@ -82,24 +82,24 @@
 			metrics.count('store.calls', {method});
 		},
 	}, world);
-	let callers: CallerListener | undefined;
-	let draining = false;
-	let underWay = 0;
-	let storeReachedAt = world.now();
-	let storeReached = true;
+	let callerListener: CallerListener | undefined;
+	let isDraining = false;
+	let runningRequestCount = 0;
+	let storeContactAt = world.now();
+	let isStoreReachable = true;
 
-	const fleet = createClusterView({
+	const clusterView = createClusterView({
 		world, settings, incarnation, emit,
 		onMemberDead(member) {
 			peers.disconnect({host: member.host, port: member.port});
 		},
 		onInventoryApplied() {
-			callers?.closeIdle();
+			callerListener?.closeIdle();
 		},
 	});
-	const {storeCache: facts, inForce, members} = fleet;
+	const {storeCache, activeConfiguration, members} = clusterView;
 
-	// The handlers need parts that need the peers; calls are only answered once all are made.
+	// The handlers depend on components that depend on the peers, so they are set once all components exist; the peer listener starts after that.
 	let handlers: PeerHandlers = {calls: {}, streams: {}};
 	const peerContext: PeerContext = {
 		world,
@@ -128,9 +128,9 @@
 		}
 	};
 
-	facts.subscribe(keys => {
-		for (const key of keys.filter(one => one.startsWith(GROUP_PREFIX))) {
-			const entry = facts.get(key);
+	storeCache.subscribe(keys => {
+		for (const key of keys.filter(changedKey => changedKey.startsWith(GROUP_PREFIX))) {
+			const entry = storeCache.get(key);
 			const record = entry ? parseGroupRecord(entry.value) : undefined;
 			if (entry && record?.ok) {
 				acceptView({record: record.val, revision: entry.revision});
@@ -138,24 +138,24 @@
 		}
 	});
 
-	const homes = createOwnedTargets({
-		world, vm: settings.vm, incarnation, clusterView: fleet, callVm, emit, metrics, onGroupView: acceptView,
+	const ownedTargets = createOwnedTargets({
+		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptView,
 	});
-	const cancels = new Map<RequestId, () => void>();
-	const home: OwnerContext<TargetConnection> = {
+	const cancelCallbacks = new Map<RequestId, () => void>();
+	const owner: OwnerContext<TargetConnection> = {
 		runChunk,
 		world,
-		getTarget: homes.get,
+		getTarget: ownedTargets.get,
 		checkGrant(header) {
-			const {grantRegistry: book} = homes;
-			const checked = header.mode === 'write'
-				? book.checkWrite(header.database, header.target)
-				: (header.mode === 'read' ? book.checkRead(header.database, header.target) : book.checkStaleness(header.database, header.target, header.maximumAgeMs));
-			return checked.map(record => record.term);
+			const {grantRegistry} = ownedTargets;
+			const grantCheck = header.mode === 'write'
+				? grantRegistry.checkWrite(header.database, header.target)
+				: (header.mode === 'read' ? grantRegistry.checkRead(header.database, header.target) : grantRegistry.checkStaleness(header.database, header.target, header.maximumAgeMs));
+			return grantCheck.map(record => record.term);
 		},
-		waitUntilDurable: homes.waitUntilDurable,
+		waitUntilDurable: ownedTargets.waitUntilDurable,
 		async waitUntilUnanswerable(header, term, deadline, signal) {
-			await homes.grantRegistry.waitUntilIneligible({
+			await ownedTargets.grantRegistry.waitUntilIneligible({
 				database: header.database, target: header.target, term, mode: header.mode,
 			}, deadline, signal);
 		},
@@ -164,40 +164,40 @@
 			metrics.time('home.request', usedMs, {customer});
 		},
 		registerCancel(requestId, cancel) {
-			cancels.set(requestId, cancel);
+			cancelCallbacks.set(requestId, cancel);
 			return {
 				[Symbol.dispose]() {
-					cancels.delete(requestId);
+					cancelCallbacks.delete(requestId);
 				},
 			};
 		},
 		trackRequest(header) {
-			underWay++;
-			const write = header.mode === 'write' ? homes.grantRegistry.trackWrite(header.database) : undefined;
+			runningRequestCount++;
+			const write = header.mode === 'write' ? ownedTargets.grantRegistry.trackWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
 					write?.[Symbol.dispose]();
-					underWay--;
+					runningRequestCount--;
 				},
 			};
 		},
-		isDraining: () => draining,
+		isDraining: () => isDraining,
 	};
 
-	const stewards = createFailoverCoordinators({
-		world, vm: settings.vm, clusterView: fleet, store, callVm, emit, onGroupView: acceptView,
+	const coordinators = createFailoverCoordinators({
+		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptView,
 	});
-	const keepers = createQuotaAllocators(world, fleet, callVm);
+	const allocators = createQuotaAllocators(world, clusterView, callVm);
 	const lease = createProcessLease(store, world);
 	const promises = createTakeoverPromises(incarnation, world);
-	const relay = createRelayService(facts, incarnation, world);
+	const relayService = createRelayService(storeCache, incarnation, world);
 
-	const cancelHere = (requestId: string) => {
-		cancels.get(parseId<RequestId>(requestId))?.();
+	const cancelLocally = (requestId: string) => {
+		cancelCallbacks.get(parseId<RequestId>(requestId))?.();
 	};
 
 	const cancelRequest = (requestId: string) => {
-		cancelHere(requestId);
+		cancelLocally(requestId);
 		for (const member of members.getLive()) {
 			if (member.vm !== settings.vm) {
 				void callVm(member.vm, 'cancel', requestId, PEER_TIMEOUT_MS);
@@ -205,9 +205,9 @@
 		}
 	};
 
-	const numberOf = (vm: string) => computeVmNumber(computeHash(vm));
+	const getVmNumber = (vm: string) => computeVmNumber(computeHash(vm));
 	const forwardCancel = (vmNumber: number, processId: number, secret: number) => {
-		const member = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, numberOf);
+		const member = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, getVmNumber);
 		if (member) {
 			void callVm(member, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
 		}
@@ -216,139 +216,139 @@
 	const entry = createEntry({
 		world,
 		vm: settings.vm,
-		clusterView: fleet,
+		clusterView,
 		peers,
-		quotaClient: createQuotaClient(keepers.requestTokens, world),
-		owner: home,
+		quotaClient: createQuotaClient(allocators.requestTokens, world),
+		owner,
 		retryBudget: createRetryBudget(),
 		scope: requests,
 		emit,
 		metrics,
 		getGroup: database => groups.get(database),
 		cancelRequest,
-		isDraining: () => draining,
+		isDraining: () => isDraining,
 	});
 
 	handlers = createHandlers({
-		world, incarnation, scope: requests, clusterView: fleet, callVm, relay, coordinators: stewards, allocators: keepers, grantRegistry: homes.grantRegistry, promises, owner: home,
+		world, incarnation, scope: requests, clusterView, callVm, relay: relayService, coordinators, allocators, grantRegistry: ownedTargets.grantRegistry, promises, owner,
 		getEpoch(slot) {
-			const known = facts.get(`${ROLE_PREFIX}${slot}`);
-			return known ? parseSlotRecord(known.value).map(record => record.epoch).unwrapOr(0) : 0;
+			const slotEntry = storeCache.get(`${ROLE_PREFIX}${slot}`);
+			return slotEntry ? parseSlotRecord(slotEntry.value).map(record => record.epoch).unwrapOr(0) : 0;
 		},
-		isStoreReachable: () => storeReached && world.now() - storeReachedAt < STORE_SILENCE_MS,
-		cancelLocally: cancelHere,
+		isStoreReachable: () => isStoreReachable && world.now() - storeContactAt < MAX_STORE_CONTACT_AGE_MS,
+		cancelLocally,
 		cancelCaller(processId, secret) {
-			callers?.cancel(processId, secret);
+			callerListener?.cancel(processId, secret);
 		},
 		getStatus: () => ({
 			vm: settings.vm,
 			dataCentre: settings.dataCentre,
 			incarnation,
 			version: VERSION,
-			revision: inForce.getRevision(),
-			confirmedAgeMs: Math.round(world.now() - inForce.getConfirmedAt()),
-			draining,
+			revision: activeConfiguration.getRevision(),
+			confirmedAgeMs: Math.round(world.now() - activeConfiguration.getConfirmedAt()),
+			draining: isDraining,
 			members: members.getAll().map(({vm, status, state}) => ({vm, status, state})),
 			groups: [...groups.values()],
-			homes: homes.getState(),
-			reports: relay.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(world.now() - at)})),
+			homes: ownedTargets.getState(),
+			reports: relayService.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(world.now() - at)})),
 			metrics: metrics.snapshot(),
 		}),
-		listEvents: ring.list,
-		explain: createExplain({clusterView: fleet, getGroup: database => groups.get(database), random: world.random}),
+		listEvents: recentEvents.list,
+		explain: createExplain({clusterView, getGroup: database => groups.get(database), random: world.random}),
 	});
 
-	const freshness: CacheSyncContext = {
+	const cacheSync: CacheSyncContext = {
 		world,
-		cache: facts,
+		cache: storeCache,
 		store,
 		vm: settings.vm,
-		isRelay: () => fleet.isRelay(),
-		getRelays: () => fleet.getRelays(),
+		isRelay: () => clusterView.isRelay(),
+		getRelays: () => clusterView.getRelays(),
 		sendSync: async (vm, request) => callVm<SyncReply>(vm, 'sync', request, SYNC_TIMEOUT_MS),
 		async isStoreDownForAll() {
-			const places = new Set(inForce.getInventory()?.dataCentres);
-			const others = fleet.getRelays();
-			const answers = await Promise.all(others.map(async vm => ({
-				place: members.get(vm)?.dataCentre, answer: await callVm<boolean>(vm, 'vouch', null, PEER_TIMEOUT_MS),
+			const dataCentres = new Set(activeConfiguration.getInventory()?.dataCentres);
+			const others = clusterView.getRelays();
+			const responses = await Promise.all(others.map(async vm => ({
+				dataCentre: members.get(vm)?.dataCentre, response: await callVm<boolean>(vm, 'vouch', null, PEER_TIMEOUT_MS),
 			})));
-			if (answers.some(({answer}) => answer.ok && answer.val)) {
+			if (responses.some(({response}) => response.ok && response.val)) {
 				return false;
 			}
 
-			const vouching = new Set<string | undefined>(answers.filter(({answer}) => answer.ok).map(({place}) => place));
-			vouching.add(settings.dataCentre);
-			return [...places].every(place => vouching.has(place));
+			const confirmingDataCentres = new Set<string | undefined>(responses.filter(({response}) => response.ok).map(({dataCentre}) => dataCentre));
+			confirmingDataCentres.add(settings.dataCentre);
+			return [...dataCentres].every(dataCentre => confirmingDataCentres.has(dataCentre));
 		},
-		getActiveRevision: inForce.getRevision,
+		getActiveRevision: activeConfiguration.getRevision,
 		onStoreContact(reachable) {
 			if (reachable) {
-				storeReachedAt = world.now();
+				storeContactAt = world.now();
 			}
 
-			if (reachable !== storeReached) {
-				storeReached = reachable;
+			if (reachable !== isStoreReachable) {
+				isStoreReachable = reachable;
 				emit(reachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
 			}
 		},
 	};
 
-	const runContenders = createRoleCandidates({
-		world, vm: settings.vm, incarnation, clusterView: fleet, store, lease, promises, scope: roles, emit, isDraining: () => draining,
+	const runRoleCandidates = createRoleCandidates({
+		world, vm: settings.vm, incarnation, clusterView, store, lease, promises, scope: roles, emit, isDraining: () => isDraining,
 		requestPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
-		runAsHolder: {steward: stewards.runAsHolder, keeper: keepers.runAsHolder},
+		runAsHolder: {steward: coordinators.runAsHolder, keeper: allocators.runAsHolder},
 	});
 
-	const runSweep = async (signal: AbortSignal) => {
+	const runPeriodicChecks = async (signal: AbortSignal) => {
 		while (!signal.aborted) {
-			callers?.closeIdle();
-			metrics.gauge('entry.confirmedAgeMs', world.now() - inForce.getConfirmedAt());
-			await world.sleep(SWEEP_MS, signal);
+			callerListener?.closeIdle();
+			metrics.gauge('entry.confirmedAgeMs', world.now() - activeConfiguration.getConfirmedAt());
+			await world.sleep(CHECK_INTERVAL_MS, signal);
 		}
 	};
 
 	try {
 		const listener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
-		callers = await startCallerListener({
-			settings, clusterView: fleet, entry, emit, metrics, vmNumber: numberOf(settings.vm), forwardCancel,
+		callerListener = await startCallerListener({
+			settings, clusterView, entry, emit, metrics, vmNumber: getVmNumber(settings.vm), forwardCancel,
 		});
 		emit(EVENTS.processStarted, {
-			version: VERSION, dataCentre: settings.dataCentre, listen: `${callers.address.host}:${callers.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
+			version: VERSION, dataCentre: settings.dataCentre, listen: `${callerListener.address.host}:${callerListener.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
 		});
-		control.run(async signal => runCacheSync(freshness, signal));
-		control.run(async signal => runRelayWatches(freshness, signal));
+		control.run(async signal => runCacheSync(cacheSync, signal));
+		control.run(async signal => runRelayWatches(cacheSync, signal));
 		control.run(async signal => runFailureDetector({
 			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
-		control.run(runContenders);
-		control.run(homes.runGrantRenewal);
-		control.run(homes.runOwnershipUpdates);
-		control.run(runSweep);
-		const open = callers;
+		control.run(runRoleCandidates);
+		control.run(ownedTargets.runGrantRenewal);
+		control.run(ownedTargets.runOwnershipUpdates);
+		control.run(runPeriodicChecks);
+		const openListener = callerListener;
 		return Ok({
-			callers: open,
+			callerListener: openListener,
 			async stop() {
-				draining = true;
+				isDraining = true;
 				emit(EVENTS.processDraining);
 				members.markLeaving();
-				const patience = new AbortController();
+				const drainTimeout = new AbortController();
 				const timer = setTimeout(() => {
-					patience.abort();
+					drainTimeout.abort();
 				}, settings.drainMs);
 				await roles[Symbol.asyncDispose]();
 				await lease.revoke();
-				await open.drain(patience.signal);
-				while (underWay > 0 && !patience.signal.aborted) {
+				await openListener.drain(drainTimeout.signal);
+				while (runningRequestCount > 0 && !drainTimeout.signal.aborted) {
 					await world.sleep(DRAIN_POLL_MS);
 				}
 
 				clearTimeout(timer);
-				await listener.drain(createDeadline(world.now(), GOODBYE_MS));
-				await open[Symbol.asyncDispose]();
+				await listener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
+				await openListener[Symbol.asyncDispose]();
 				await control[Symbol.asyncDispose]();
 				await requests[Symbol.asyncDispose]();
-				await homes[Symbol.asyncDispose]();
-				await stewards[Symbol.asyncDispose]();
+				await ownedTargets[Symbol.asyncDispose]();
+				await coordinators[Symbol.asyncDispose]();
 				await peers[Symbol.asyncDispose]();
 				await listener[Symbol.asyncDispose]();
 				await store[Symbol.asyncDispose]();
--- a/packages/proxy/src/quota-allocators.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -1,4 +1,4 @@
-/** The keepers that run in this process, and how entries ask the keeper of a customer. */
+/** The quota allocators that run in this process, and requests of the entry for tokens from the allocator of a customer. */
 
 import {
 	Err, parseId, type CustomerId, type Failure, type Result, type World,
@@ -11,33 +11,33 @@
 } from '@guavapitch/roles';
 import type {CallVm, ClusterView} from './cluster-view.js';
 
-/** Keepers of one process. */
+/** Quota allocators of one process. */
 export type QuotaAllocators = Readonly<{
-	/** Keeps the customers of a slot until the signal aborts. */
+	/** Allocates quota to the customers of a slot until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
-	/** Answers an entry; `undefined` if this process is not the keeper. */
+	/** Grants tokens to an entry; `undefined` if this process is not the customer's quota allocator. */
 	grantTokens: (request: TokenRequest) => TokenGrant | undefined;
-	/** Asks the keeper of a customer, wherever it runs. */
+	/** Requests tokens from the quota allocator of a customer, at whichever vm it runs. */
 	requestTokens: RequestTokens;
 }>;
 
-const ASK_TIMEOUT_MS = 250;
-const NO_KEEPER: Failure = {code: 'noKeeper', message: 'The customer has no keeper now'};
+const REQUEST_TIMEOUT_MS = 250;
+const NO_ALLOCATOR: Failure = {code: 'noKeeper', message: 'The customer has no quota allocator at present'};
 
-/** Creates the keepers of a process. */
-export const createQuotaAllocators = (world: World, fleet: ClusterView, callVm: CallVm): QuotaAllocators => {
-	const held = new Map<string, QuotaAllocator>();
+/** Creates the quota allocators of a process; none is active until a slot is gained. */
+export const createQuotaAllocators = (world: World, clusterView: ClusterView, callVm: CallVm): QuotaAllocators => {
+	const allocators = new Map<string, QuotaAllocator>();
 
-	const getSlot = (customer: CustomerId): string => chooseSlot('keeper', fleet.inForce.getInventory()?.fleet.keeperSlots ?? 1, customer);
+	const getSlot = (customer: CustomerId): string => chooseSlot('keeper', clusterView.activeConfiguration.getInventory()?.fleet.keeperSlots ?? 1, customer);
 
-	const getShare = (customer: CustomerId) => fleet.inForce.getInventory()?.customers[customer];
+	const getQuota = (customer: CustomerId) => clusterView.activeConfiguration.getInventory()?.customers[customer];
 
 	return {
 		async runAsHolder(authority, signal) {
-			const keeper = createQuotaAllocator({
-				world, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota: getShare,
+			const allocator = createQuotaAllocator({
+				world, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota,
 			});
-			held.set(authority.slot, keeper);
+			allocators.set(authority.slot, allocator);
 			await new Promise<void>(resolve => {
 				if (signal.aborted) {
 					resolve();
@@ -47,18 +47,18 @@
 					resolve();
 				}, {once: true});
 			});
-			held.delete(authority.slot);
+			allocators.delete(authority.slot);
 		},
-		grantTokens: request => held.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
+		grantTokens: request => allocators.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
 		async requestTokens(request): Promise<Result<TokenGrant, Failure>> {
-			const entry = fleet.storeCache.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
+			const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
 			const record = entry ? parseSlotRecord(entry.value) : undefined;
 			if (!record?.ok) {
-				return Err(NO_KEEPER);
+				return Err(NO_ALLOCATOR);
 			}
 
-			const reply = await callVm<TokenGrant | null>(record.val.holder.vm, 'allot', request, ASK_TIMEOUT_MS);
-			return reply.andThen(allotment => allotment ? reply.map(() => allotment) : Err(NO_KEEPER));
+			const response = await callVm<TokenGrant | null>(record.val.holder.vm, 'allot', request, REQUEST_TIMEOUT_MS);
+			return response.andThen(grant => grant ? response.map(() => grant) : Err(NO_ALLOCATOR));
 		},
 	};
 };
--- a/packages/proxy/src/role-candidates.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -1,4 +1,4 @@
-/** Contending for the slots of the roles that the inventory asks for. */
+/** Runs this process as a candidate for every role slot that the inventory configures. */
 
 import type {
 	Failure, Result, Scope, VmId, World,
@@ -10,7 +10,7 @@
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {ClusterView} from './cluster-view.js';
 
-/** What the contenders of a process need. */
+/** Dependencies of the role candidates of a process. */
 export type RoleCandidatesContext = Readonly<{
 	world: World;
 	vm: VmId;
@@ -19,22 +19,22 @@
 	store: Store;
 	lease: ProcessLease;
 	promises: TakeoverPromises;
-	/** Owner of the tasks that contend. */
+	/** Scope that owns the task of each slot. */
 	scope: Scope;
 	emit: Emit;
 	isDraining: () => boolean;
-	/** Asks a candidate not to take over for a while. */
+	/** Asks a candidate for a takeover promise: not to take over the slot for a limited time. */
 	requestPromise: (vm: VmId, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
-	/** What the holder of a slot does, by role. */
+	/** Work of the holder of a slot, by role; runs until the signal aborts. */
 	runAsHolder: Readonly<Record<RoleName, (authority: Authority, signal: AbortSignal) => Promise<void>>>;
 }>;
 
-const SWEEP_MS = 100;
+const CHECK_INTERVAL_MS = 100;
 
-/** Creates the task that starts a contender for each slot once the inventory says how many there are. */
+/** Creates the task that becomes a candidate for each slot as soon as the active inventory contains it. */
 export const createRoleCandidates = (context: RoleCandidatesContext): ((signal: AbortSignal) => Promise<void>) => {
-	const {world, clusterView: fleet, emit} = context;
-	const {members, inForce} = fleet;
+	const {world, clusterView, emit} = context;
+	const {members, activeConfiguration} = clusterView;
 
 	const createSlotContext = (role: RoleName, slot: string): SlotContext => ({
 		world,
@@ -43,41 +43,41 @@
 		promises: context.promises,
 		self: {vm: context.vm, incarnation: context.incarnation},
 		slot,
-		rankCandidates: () => context.isDraining() ? [] : fleet.rankLiveVms(`role/${slot}`),
+		rankCandidates: () => context.isDraining() ? [] : clusterView.rankLiveVms(`role/${slot}`),
 		requestPromise: async (candidate, request) => context.requestPromise(candidate.vm, request),
 		isConfirmedGone(candidate) {
 			const member = members.get(candidate.vm);
 			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
 		},
 		runAsHolder: context.runAsHolder[role],
-		onGained(name, epoch) {
-			emit(EVENTS.roleGained, {slot: name, epoch});
+		onGained(slotName, epoch) {
+			emit(EVENTS.roleGained, {slot: slotName, epoch});
 		},
-		onLost(name, epoch) {
-			emit(EVENTS.roleLost, {slot: name, epoch});
+		onLost(slotName, epoch) {
+			emit(EVENTS.roleLost, {slot: slotName, epoch});
 		},
-		onExtended(name, by) {
-			emit(EVENTS.roleExtended, {slot: name, by});
+		onExtended(slotName, by) {
+			emit(EVENTS.roleExtended, {slot: slotName, by});
 		},
 	});
 
 	const listSlots = (): ReadonlyArray<readonly [RoleName, string]> => {
-		const counts = inForce.getInventory()?.fleet;
-		const roles: ReadonlyArray<readonly [RoleName, number]> = [['steward', counts?.stewardSlots ?? 0], ['keeper', counts?.keeperSlots ?? 0]];
+		const slotCounts = activeConfiguration.getInventory()?.fleet;
+		const roles: ReadonlyArray<readonly [RoleName, number]> = [['steward', slotCounts?.stewardSlots ?? 0], ['keeper', slotCounts?.keeperSlots ?? 0]];
 		return roles.flatMap(([role, count]) => Array.from({length: count}, (_, number) => [role, formatSlotName(role, number)] as const));
 	};
 
 	return async signal => {
-		const started = new Set<string>();
+		const startedSlots = new Set<string>();
 		while (!signal.aborted) {
 			for (const [role, slot] of listSlots()) {
-				if (!started.has(slot)) {
-					started.add(slot);
-					context.scope.run(async own => runSlot(createSlotContext(role, slot), own));
+				if (!startedSlots.has(slot)) {
+					startedSlots.add(slot);
+					context.scope.run(async slotSignal => runSlot(createSlotContext(role, slot), slotSignal));
 				}
 			}
 
-			await world.sleep(SWEEP_MS, signal);
+			await world.sleep(CHECK_INTERVAL_MS, signal);
 		}
 	};
 };
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -11,12 +11,13 @@
 export type Settings = Readonly<{
 	vm: VmId;
 	dataCentre: DataCentreId;
-	/** Where callers connect. */
+	/** Address on which callers connect. */
 	listen: Address;
-	/** Where peers connect. */
+	/** Address on which peers connect. */
 	peerListen: Address;
-	/** Key-value service of the platform. */
+	/** Address of the platform's key-value service. */
 	platform: string;
+	/** File for events; standard error if `undefined`. */
 	logFile: string | undefined;
 	statsd: Address | undefined;
 	/** Time for requests to finish after SIGTERM, in milliseconds. */
@@ -26,13 +27,13 @@
 	peerTls: PeerTls | undefined;
 }>;
 
-/** Failure of a setting. */
+/** Failure to parse or read a setting. */
 export type SettingsFailure = Failure<'settingInvalid'>;
 
 /** Version of the program. */
 export const VERSION = '0.1.0';
 
-const LARGEST_PORT = 65_535;
+const MAX_PORT = 65_535;
 const DEFAULT_DRAIN_MS = 10_000;
 const NAME_PATTERN = /^[a-z][\-a-z\d]{0,62}$/v;
 
@@ -43,7 +44,7 @@
 const parseAddress = (flag: string, text: string): Address => {
 	const [host, port] = text.split(':');
 	const number = Number(port);
-	if (!host || !Number.isInteger(number) || number < 0 || number > LARGEST_PORT) {
+	if (!host || !Number.isInteger(number) || number < 0 || number > MAX_PORT) {
 		throw new SettingError(`--${flag}: expected host:port, got "${text}"`);
 	}
 
@@ -82,24 +83,24 @@
 	}
 };
 
-const readPair = (files: Readonly<{cert?: string; key?: string}>): Readonly<{cert: string; key: string}> | undefined => {
+const readCertificatePair = (files: Readonly<{cert?: string; key?: string}>): Readonly<{cert: string; key: string}> | undefined => {
 	if (!files.cert && !files.key) {
 		return undefined;
 	}
 
 	if (!files.cert || !files.key) {
-		throw new SettingError('--tls-cert and --tls-key go together');
+		throw new SettingError('--tls-cert and --tls-key must be given together');
 	}
 
 	return {cert: readPem('tls-cert', files.cert), key: readPem('tls-key', files.key)};
 };
 
-/** Parses the settings; flags go before `GUAVAPITCH_*` environment variables. */
+/** Parses the settings; flags take precedence over `GUAVAPITCH_*` environment variables. Reads the TLS files. */
 export const parseSettings = async (argv: readonly string[]): Promise<Result<Settings, SettingsFailure>> => {
 	try {
 		const flags = await yargs([...argv])
 			.scriptName('guavapitch-proxy')
-			.usage('$0 --vm NAME --data-centre NAME [options]\n\nExit codes: 0 stopped cleanly, 2 a setting is wrong, 3 an address cannot be used.')
+			.usage('$0 --vm NAME --data-centre NAME [options]\n\nExit codes: 0 stopped cleanly, 2 a setting is invalid, 3 an address cannot be used.')
 			.env('GUAVAPITCH')
 			.strict()
 			.version(VERSION)
@@ -115,7 +116,7 @@
 			.option('tls-key', {type: 'string', describe: 'key for callers, PEM file'})
 			.option('peer-tls-cert', {type: 'string', describe: 'certificate for peers, PEM file'})
 			.option('peer-tls-key', {type: 'string', describe: 'key for peers, PEM file'})
-			.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of peers, PEM file'})
+			.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the peers, PEM file'})
 			.exitProcess(false)
 			.fail((message: string, error: unknown) => {
 				throw error instanceof Error ? error : new SettingError(message);
@@ -130,7 +131,7 @@
 			logFile: flags.logFile,
 			statsd: flags.statsd ? parseAddress('statsd', flags.statsd) : undefined,
 			drainMs: parseMs('drain-ms', flags.drainMs),
-			callerTls: readPair({cert: flags.tlsCert, key: flags.tlsKey}),
+			callerTls: readCertificatePair({cert: flags.tlsCert, key: flags.tlsKey}),
 			peerTls: requireSetting(readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa})),
 		});
 	} catch (error) {
--- a/packages/proxy/src/tests/failover-coordinators.test.ts
+++ b/packages/proxy/src/tests/failover-coordinators.test.ts
@@ -1,4 +1,7 @@
-/** Stewards of a process that loses a slot and gets it again. */
+/**
+ * Failover coordinators of a process that loses a slot and gains it again. A coordinator whose wait is aborted
+ * with the slot must not stay registered as running: its database would have no coordinator after the slot is gained again.
+ */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -13,12 +16,12 @@
 import {createFailoverCoordinators} from '../failover-coordinators.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
-const WITHIN_MS = 10_000;
+const MAX_WAIT_MS = 10_000;
 const POLL_MS = 10;
-const SLOTS = 1;
+const SLOT_COUNT = 1;
 
 const createInventory = (): Pick<Inventory, 'databases' | 'fleet'> => ({
-	fleet: {stewardSlots: SLOTS, keeperSlots: 1, keyGraceMs: 1000},
+	fleet: {stewardSlots: SLOT_COUNT, keeperSlots: 1, keyGraceMs: 1000},
 	databases: {
 		[DATABASE]: {
 			acknowledge: 'replicated', minimumSynced: 1, targets: [], user: 'guavapitch', databaseName: 'orders',
@@ -26,43 +29,43 @@
 	},
 });
 
-describe('stewards', () => {
-	describe('of a slot that is lost in the middle of a wait and gained again', () => {
-		it('work for its databases again', async () => {
+describe('failover coordinators', () => {
+	describe('of a slot that is lost during a wait and gained again', () => {
+		it('run for the databases of the slot again', async () => {
 			const world = createWorld();
 			const memory = createMemoryStore(world);
 			const record = createGroupRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
 			memory.put(formatGroupKey(DATABASE), formatGroupRecord(record));
-			let isDown = true;
+			let isStoreDown = true;
 			const store: Store = {
 				...memory,
-				read: async key => isDown ? Err({code: 'storeUnreachable', message: 'down'}) : memory.read(key),
+				read: async key => isStoreDown ? Err({code: 'storeUnreachable', message: 'down'}) : memory.read(key),
 			};
 			const inventory = createInventory() as Inventory;
-			const fleet = {inForce: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as ClusterView;
-			await using stewards = createFailoverCoordinators({
-				world, vm: 'v', clusterView: fleet, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onGroupView: () => undefined,
+			const clusterView = {activeConfiguration: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as ClusterView;
+			await using coordinators = createFailoverCoordinators({
+				world, vm: 'v', clusterView, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onGroupView: () => undefined,
 			});
-			const authority: Authority = {slot: chooseSlot('steward', SLOTS, DATABASE), epoch: 1, getDeadline: () => NEVER};
+			const authority: Authority = {slot: chooseSlot('steward', SLOT_COUNT, DATABASE), epoch: 1, getDeadline: () => NEVER};
 
-			const first = new AbortController();
-			const acting = stewards.runAsHolder(authority, first.signal);
+			const firstSlotLoss = new AbortController();
+			const firstRun = coordinators.runAsHolder(authority, firstSlotLoss.signal);
 			await world.sleep(100);
-			first.abort();
-			await acting;
+			firstSlotLoss.abort();
+			await firstRun;
 
-			isDown = false;
-			const second = new AbortController();
-			const again = stewards.runAsHolder({...authority, epoch: 2}, second.signal);
-			const giveUpAt = createDeadline(world.now(), WITHIN_MS);
+			isStoreDown = false;
+			const secondSlotLoss = new AbortController();
+			const secondRun = coordinators.runAsHolder({...authority, epoch: 2}, secondSlotLoss.signal);
+			const deadline = createDeadline(world.now(), MAX_WAIT_MS);
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			while (!stewards.grant(DATABASE, holder) && world.now() < giveUpAt) {
+			while (!coordinators.grant(DATABASE, holder) && world.now() < deadline) {
 				await world.sleep(POLL_MS);
 			}
 
-			assert.ok(stewards.grant(DATABASE, holder), 'nobody is steward of the database');
-			second.abort();
-			await again;
+			assert.ok(coordinators.grant(DATABASE, holder), 'no coordinator issues grants for the database');
+			secondSlotLoss.abort();
+			await secondRun;
 		});
 	});
 });
