Reword the operator package

Texts name owners, quotas and the active configuration instead of homes, shares and what is in force; advice says what to check.

--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -1,4 +1,4 @@
-/** Asking the proxies of the fleet, over the inner protocol. */
+/** Client for the proxies of the fleet, over the peer protocol. */
 
 import type {
 	Failure, Result, VmId, World,
@@ -8,10 +8,10 @@
 } from '@guavapitch/peer-protocol';
 import type {Store} from '@guavapitch/store';
 
-/** A vm of the platform's list. */
+/** A vm in the platform's list. */
 export type ListedVm = Readonly<{vm: VmId; dataCentre: string; host: string; port: number; state: string}>;
 
-/** Status that a proxy gives of itself. */
+/** Status that a proxy reports about itself. */
 export type ProxyStatus = Readonly<{
 	vm: string;
 	dataCentre: string;
@@ -26,7 +26,7 @@
 	metrics: Readonly<Record<string, number>>;
 }>;
 
-/** Calls to proxies. */
+/** Client that calls methods of proxies. */
 export type FleetClient = AsyncDisposable & Readonly<{
 	call: <Reply>(address: Address, method: string, body: unknown) => Promise<Result<Reply, Failure>>;
 }>;
@@ -34,7 +34,7 @@
 const CALL_TIMEOUT_MS = 2000;
 const POLL_MS = 50;
 
-/** Opens a client of the fleet. */
+/** Opens a client for the fleet; it connects to a proxy at its first call. */
 export const openFleetClient = (world: World, tls?: PeerTls): FleetClient => {
 	const peers = createPeerConnections({
 		world,
@@ -53,22 +53,22 @@
 	};
 };
 
-/** Reads the platform's list of vms. */
+/** Reads the platform's list of vms, without those that are gone; empty if the store cannot be read. */
 export const readVms = async (store: Store): Promise<readonly ListedVm[]> => {
 	const entries = await store.readAll('/platform/vms/');
 	return entries.ok ? entries.val.map(entry => JSON.parse(entry.value) as ListedVm).filter(vm => vm.state !== 'gone') : [];
 };
 
-/** Status of one vm, or why there is none. */
+/** Status of one vm, or why it could not be read. */
 export type VmStatus = Readonly<{vm: ListedVm; status: Result<ProxyStatus, Failure>}>;
 
-/** Asks every vm of the list for its status. */
+/** Reads the status of every listed vm. */
 export const readStatuses = async (store: Store, client: FleetClient): Promise<readonly VmStatus[]> => {
 	const vms = await readVms(store);
 	return Promise.all(vms.map(async vm => ({vm, status: await client.call<ProxyStatus>(vm, 'status', null)})));
 };
 
-/** Waits until a revision is in force at every vm; gives the vms where it is not. */
+/** Waits until a revision of the configuration is active at every vm or the timeout passes; returns the vms where it is not active. */
 export const waitForRevision = async (store: Store, client: FleetClient, world: World, wait: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
 	const giveUpAt = world.now() + wait.timeoutMs;
 	while (true) {
--- a/packages/operator/src/keys.ts
+++ b/packages/operator/src/keys.ts
@@ -1,4 +1,4 @@
-/** Issuing and withdrawing keys. */
+/** Issues and withdraws keys of customers. */
 
 import {randomBytes} from 'node:crypto';
 import {
@@ -7,15 +7,15 @@
 import type {Inventory} from '@guavapitch/inventory';
 import {createVerifier, formatVerifier} from '@guavapitch/postgres-wire';
 
-/** Failure of a change of keys. */
+/** Failure to issue or withdraw a key. */
 export type KeyFailure = Failure<'unknownCustomer' | 'unknownKey' | 'keyExists'>;
 
-/** A new key: shown once, kept nowhere. */
+/** A new key. Its secret is shown once and stored nowhere; the inventory holds a verifier. */
 export type IssuedKey = Readonly<{keyId: string; secret: string; inventory: Inventory}>;
 
 const SECRET_BYTES = 24;
 
-/** Adds a key of a customer to an inventory. */
+/** Adds a new key of a customer to an inventory. */
 export const issueKey = (inventory: Inventory, customer: string, keyId: string): Result<IssuedKey, KeyFailure> => {
 	if (!Object.hasOwn(inventory.customers, customer)) {
 		return Err({code: 'unknownCustomer', message: `There is no customer ${customer}`});
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -21,7 +21,7 @@
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_REFUSED = 1;
 const EXIT_SETTING = 2;
-const EXIT_NOT_IN_FORCE = 4;
+const EXIT_NOT_ACTIVE = 4;
 const STORE_TIMEOUT_MS = 2000;
 const DEFAULT_WAIT_MS = 10_000;
 
@@ -31,7 +31,7 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const stop = (message: string, code: number) => {
+const fail = (message: string, code: number) => {
 	process.stderr.write(`guavapitch-operator: ${message}\n`);
 	process.exitCode = code;
 };
@@ -46,28 +46,28 @@
 
 const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 
-const readFile = (file: string): Inventory | undefined => {
+const readInventoryFile = (file: string): Inventory | undefined => {
 	const parsed = parseInventory(readFileSync(file, 'utf8'));
 	if (parsed.err) {
-		stop(`${file}: the inventory is not valid\n${parsed.val.message}`, EXIT_REFUSED);
+		fail(`${file}: the inventory is not valid\n${parsed.val.message}`, EXIT_REFUSED);
 		return undefined;
 	}
 
 	return parsed.val;
 };
 
-/** Keys are issued and withdrawn by commands, so a file without keys keeps those in force. */
-const keepKeys = (inventory: Inventory, current: Inventory | undefined): Inventory => Object.keys(inventory.keys).length === 0 && current
+/** Keys are issued and withdrawn by commands, so a file without keys keeps the active ones. */
+const keepActiveKeys = (inventory: Inventory, current: Inventory | undefined): Inventory => Object.keys(inventory.keys).length === 0 && current
 	? {...inventory, keys: Object.fromEntries(Object.entries(current.keys).filter(([, key]) => Object.hasOwn(inventory.customers, key.customer)))}
 	: inventory;
 
-const explainChange = (failure: ChangeFailure, before: Inventory | undefined): string => {
+const describeChangeFailure = (failure: ChangeFailure, before: Inventory | undefined): string => {
 	if (failure.code !== 'configurationRaced') {
 		return failure.message;
 	}
 
 	const lines = failure.current ? compareInventories(before, failure.current.inventory).map(difference => formatDifference(difference)) : [];
-	return `${failure.message} (by ${failure.current?.author ?? 'unknown'}, now revision ${failure.revision}); nothing was changed. Their change:\n${lines.join('\n')}`;
+	return `${failure.message} (by ${failure.current?.author ?? 'unknown'}, now revision ${failure.revision}); nothing was changed. The concurrent change:\n${lines.join('\n')}`;
 };
 
 type Flags = Readonly<{
@@ -82,7 +82,7 @@
 
 const openClient = (flags: Flags): FleetClient => openFleetClient(world, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
 
-const waitIfAsked = async (store: EtcdStore, flags: Flags, revision: number) => {
+const waitIfRequested = async (store: EtcdStore, flags: Flags, revision: number) => {
 	if (!flags.wait) {
 		return;
 	}
@@ -90,19 +90,19 @@
 	await using client = openClient(flags);
 	const behind = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
 	if (behind.length === 0) {
-		print(`revision ${revision} is in force everywhere`);
+		print(`revision ${revision} is active at every vm`);
 		return;
 	}
 
 	const names = behind.map(({vm, status}) => `${vm.vm} (${status.ok ? `revision ${status.val.revision}` : status.val.message})`);
-	stop(`revision ${revision} is accepted but not yet in force at: ${names.join(', ')}`, EXIT_NOT_IN_FORCE);
+	fail(`revision ${revision} is accepted but not yet active at: ${names.join(', ')}`, EXIT_NOT_ACTIVE);
 };
 
-const changeTo = async (flags: Flags, change: (current: Inventory | undefined) => Inventory | undefined) => {
+const applyChange = async (flags: Flags, change: (current: Inventory | undefined) => Inventory | undefined) => {
 	await using store = openStore(flags.platform);
 	const current = await readConfiguration(store);
 	if (current.err) {
-		stop(current.val.message, EXIT_REFUSED);
+		fail(current.val.message, EXIT_REFUSED);
 		return;
 	}
 
@@ -114,7 +114,7 @@
 
 	const changed = await changeConfiguration(store, world, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
 	if (changed.err) {
-		stop(explainChange(changed.val, before), EXIT_REFUSED);
+		fail(describeChangeFailure(changed.val, before), EXIT_REFUSED);
 		return;
 	}
 
@@ -123,7 +123,7 @@
 	}
 
 	print(`accepted as revision ${changed.val}`);
-	await waitIfAsked(store, flags, changed.val);
+	await waitIfRequested(store, flags, changed.val);
 };
 
 const formatList = (names: readonly string[]): string => names.join(' ') || '-';
@@ -143,7 +143,7 @@
 
 	for (const {vm, status} of statuses) {
 		print(status.ok
-			? `${vm.vm}  ${vm.dataCentre}  revision ${status.val.revision}  confirmed ${status.val.confirmedAgeMs} ms ago  homes ${status.val.homes.map(home => home.target).join(' ') || '-'}`
+			? `${vm.vm}  ${vm.dataCentre}  revision ${status.val.revision}  confirmed ${status.val.confirmedAgeMs} ms ago  owner of ${status.val.homes.map(home => home.target).join(' ') || '-'}`
 			: `${vm.vm}  ${vm.dataCentre}  no answer: ${status.val.message}`);
 	}
 
@@ -161,13 +161,13 @@
 	}
 };
 
-const explain = async (flags: Flags & Readonly<{customer: string; service: string; statement: string}>) => {
+const explainRouting = async (flags: Flags & Readonly<{customer: string; service: string; statement: string}>) => {
 	await using store = openStore(flags.platform);
 	await using client = openClient(flags);
 	for (const vm of await readVms(store)) {
-		const answer = await client.call<Readonly<{steps: readonly string[]}>>(vm, 'explain', {customer: flags.customer, service: flags.service, statement: flags.statement});
-		if (answer.ok) {
-			for (const [index, step] of answer.val.steps.entries()) {
+		const response = await client.call<Readonly<{steps: readonly string[]}>>(vm, 'explain', {customer: flags.customer, service: flags.service, statement: flags.statement});
+		if (response.ok) {
+			for (const [index, step] of response.val.steps.entries()) {
 				print(`${index + 1}. ${step}`);
 			}
 
@@ -175,7 +175,7 @@
 		}
 	}
 
-	stop('no vm answered', EXIT_REFUSED);
+	fail('no vm responded', EXIT_REFUSED);
 };
 
 const explainRequest = async (flags: Flags, request: string) => {
@@ -188,60 +188,60 @@
 	}
 
 	if (events.length === 0) {
-		const silent = missing.length > 0 ? `; no answer from ${missing.join(', ')}` : '';
-		stop(`no vm keeps an event of the request ${request}: it was answered, or it is too long ago${silent}`, EXIT_REFUSED);
+		const unresponsive = missing.length > 0 ? `; no answer from ${missing.join(', ')}` : '';
+		fail(`no vm holds an event of the request ${request}: it succeeded, or its events are no longer in memory${unresponsive}`, EXIT_REFUSED);
 	}
 };
 
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
 	.scriptName('guavapitch-operator')
-	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is wrong, 4 accepted but not yet in force everywhere.')
+	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is invalid, 4 accepted but not yet active at every vm.')
 	.env('GUAVAPITCH')
 	.strict()
 	.version('0.1.0')
 	.demandCommand(1)
 	.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
-	.option('wait', {type: 'boolean', default: false, describe: 'wait until the change is in force at every vm'})
-	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'longest wait, in milliseconds'})
-	.option('peer-tls-cert', {type: 'string', describe: 'certificate towards the proxies, PEM file'})
-	.option('peer-tls-key', {type: 'string', describe: 'key towards the proxies, PEM file'})
-	.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of the proxies, PEM file'})
+	.option('wait', {type: 'boolean', default: false, describe: 'wait until the change is active at every vm'})
+	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'maximum wait, in milliseconds'})
+	.option('peer-tls-cert', {type: 'string', describe: 'client certificate for connections to the proxies, PEM file'})
+	.option('peer-tls-key', {type: 'string', describe: 'private key of the client certificate, PEM file'})
+	.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the proxies, PEM file'})
 	.command('check <file>', 'check an inventory file', command => command.positional('file', {type: 'string', demandOption: true}), flags => {
-		if (readFile(flags.file)) {
+		if (readInventoryFile(flags.file)) {
 			print(`${flags.file}: valid`);
 		}
 	})
 	.command('diff <file>', 'show what applying a file would change', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
-		const inventory = readFile(flags.file);
+		const inventory = readInventoryFile(flags.file);
 		await using store = openStore(flags.platform);
 		const current = await readConfiguration(store);
 		if (inventory && current.ok) {
 			const before = current.val.document?.inventory;
-			print(compareInventories(before, keepKeys(inventory, before)).map(difference => formatDifference(difference)).join('\n') || 'no difference');
+			print(compareInventories(before, keepActiveKeys(inventory, before)).map(difference => formatDifference(difference)).join('\n') || 'no difference');
 		} else if (current.err) {
-			stop(current.val.message, EXIT_REFUSED);
+			fail(current.val.message, EXIT_REFUSED);
 		}
 	})
-	.command('apply <file>', 'put an inventory in force', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
-		const inventory = readFile(flags.file);
+	.command('apply <file>', 'make an inventory active', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
+		const inventory = readInventoryFile(flags.file);
 		if (inventory) {
-			await changeTo(flags, current => keepKeys(inventory, current));
+			await applyChange(flags, current => keepActiveKeys(inventory, current));
 		}
 	})
 	.command('key <action> <name>', 'issue or withdraw a key', command => command
 		.positional('action', {choices: ['issue', 'withdraw'] as const, demandOption: true})
 		.positional('name', {type: 'string', demandOption: true, describe: 'identifier of the key, which callers give as user'})
 		.option('customer', {type: 'string', describe: 'customer of a new key'}), async flags => {
-		await changeTo(flags, current => {
+		await applyChange(flags, current => {
 			if (!current) {
-				stop('there is no configuration yet', EXIT_REFUSED);
+				fail('there is no configuration yet', EXIT_REFUSED);
 				return undefined;
 			}
 
 			if (flags.action === 'withdraw') {
 				const withdrawn = withdrawKey(current, flags.name);
 				if (withdrawn.err) {
-					stop(withdrawn.val.message, EXIT_REFUSED);
+					fail(withdrawn.val.message, EXIT_REFUSED);
 				}
 
 				return withdrawn.unwrapOr(undefined);
@@ -249,7 +249,7 @@
 
 			const issued = issueKey(current, flags.customer ?? '', flags.name);
 			if (issued.err) {
-				stop(issued.val.message, EXIT_REFUSED);
+				fail(issued.val.message, EXIT_REFUSED);
 				return undefined;
 			}
 
@@ -260,24 +260,24 @@
 	.command('status', 'show every vm and every database', command => command.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), async flags => {
 		await printStatus(flags);
 	})
-	.command('explain', 'show which rule, route and share a request meets, or what refused one', command => command
-		.option('customer', {type: 'string', describe: 'customer who would ask'})
-		.option('service', {type: 'string', describe: 'service that would be asked'})
+	.command('explain', 'show the access rule, quota and route of a request, or why a request was refused', command => command
+		.option('customer', {type: 'string', describe: 'customer that would send the request'})
+		.option('service', {type: 'string', describe: 'service that would receive the request'})
 		.option('statement', {type: 'string', describe: 'statement that would be sent'})
 		.option('request', {type: 'string', describe: 'identifier of a request, from the detail of its error', conflicts: ['customer', 'service', 'statement']}), async flags => {
 		const {customer, service, statement, request} = flags;
 		if (request !== undefined) {
 			await explainRequest(flags, request);
 		} else if (customer !== undefined && service !== undefined && statement !== undefined) {
-			await explain({
+			await explainRouting({
 				...flags, customer, service, statement,
 			});
 		} else {
-			stop('explain needs --request, or --customer, --service and --statement', EXIT_SETTING);
+			fail('explain needs --request, or --customer, --service and --statement', EXIT_SETTING);
 		}
 	})
 	.fail((message: string, error: unknown) => {
-		stop(error instanceof Error ? error.message : message, EXIT_SETTING);
+		fail(error instanceof Error ? error.message : message, EXIT_SETTING);
 	})
 	.exitProcess(false)
 	.parse();
