Reword the timeline package

Doc comments state what each function returns; local names say what they hold (event lists, margins, conditions); help texts name client certificates. Test titles say what is checked, the checks are the same.

--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -24,31 +24,31 @@
 const EXIT_SETTING = 2;
 const STORE_TIMEOUT_MS = 2000;
 
-const stop = (message: string, code: number) => {
+const fail = (message: string, code: number) => {
 	process.stderr.write(`guavapitch-timeline: ${message}\n`);
 	process.exitCode = code;
 };
 
-const listFiles = (place: string): readonly string[] => statSync(place).isDirectory()
-	? readdirSync(place).map(file => path.join(place, file))
-	: [place];
+const listLogFiles = (fileOrFolder: string): readonly string[] => statSync(fileOrFolder).isDirectory()
+	? readdirSync(fileOrFolder).map(file => path.join(fileOrFolder, file))
+	: [fileOrFolder];
 
-type Lists = ReadonlyArray<readonly EventRecord[]>;
+type EventLists = ReadonlyArray<readonly EventRecord[]>;
 
-const readFiles = (files: readonly string[]): Result<Lists, TimelineFailure> => {
-	const lists = files.flatMap(place => listFiles(place)).map(file => parseEvents(readFileSync(file, 'utf8')));
+const readFiles = (files: readonly string[]): Result<EventLists, TimelineFailure> => {
+	const lists = files.flatMap(fileOrFolder => listLogFiles(fileOrFolder)).map(file => parseEvents(readFileSync(file, 'utf8')));
 	const malformed = lists.find(list => list.err);
 	return malformed?.err ? Err(malformed.val) : Ok(lists.map(list => list.unwrap()));
 };
 
-/** Asks the running proxies; names those that did not answer, as their events are missing. */
-const askFleet = async (platform: string, files: TlsFiles): Promise<Lists> => {
+/** Requests the events of the running proxies; reports on standard error which proxies did not respond, since their events are missing. */
+const requestFleetEvents = async (platform: string, files: TlsFiles): Promise<EventLists> => {
 	const world = createWorld();
 	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 	await using client = openFleetClient(world, readPeerTls(files).unwrap());
 	const {lists, missing} = await requestEvents(store, client);
 	if (missing.length > 0) {
-		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; their events are missing\n`);
+		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; the time line lacks their events\n`);
 	}
 
 	return lists;
@@ -56,7 +56,7 @@
 
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
 	.scriptName('guavapitch-timeline')
-	.usage('$0 [files..]\n\nExit codes: 0 done, 1 a line cannot be read, 2 a setting is wrong.')
+	.usage('$0 [files..]\n\nExit codes: 0 done, 1 a line cannot be parsed, 2 a setting is invalid.')
 	.env('GUAVAPITCH')
 	.strict()
 	.version('0.1.0')
@@ -64,11 +64,11 @@
 		.positional('files', {
 			type: 'string', array: true, default: [], describe: 'log files, or folders of them',
 		})
-		.option('platform', {type: 'string', describe: 'address of the key-value service, host:port, to ask the running proxies'})
-		.option('peer-tls-cert', {type: 'string', describe: 'certificate towards the proxies, PEM file'})
-		.option('peer-tls-key', {type: 'string', describe: 'key towards the proxies, PEM file'})
-		.option('peer-tls-ca', {type: 'string', describe: 'authority of the certificates of the proxies, PEM file'})
-		.option('format', {choices: ['text', 'json', 'svg'] as const, default: 'text' as const, describe: 'form of the time line'})
+		.option('platform', {type: 'string', describe: 'address of the key-value service, host:port, to request the events of the running proxies'})
+		.option('peer-tls-cert', {type: 'string', describe: 'client certificate for connections to the proxies, PEM file'})
+		.option('peer-tls-key', {type: 'string', describe: 'private key of the client certificate, PEM file'})
+		.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the proxies, PEM file'})
+		.option('format', {choices: ['text', 'json', 'svg'] as const, default: 'text' as const, describe: 'output format of the time line'})
 		.option('output', {type: 'string', describe: 'file to write; standard output if absent'})
 		.option('customer', {type: 'string', describe: 'only events of a customer'})
 		.option('database', {type: 'string', describe: 'only events of a database'})
@@ -77,18 +77,18 @@
 		.option('vm', {type: 'string', describe: 'only events of a vm'})
 		.option('id', {type: 'number', array: true, describe: 'only events of these numbers'}), async flags => {
 		if (flags.files.length === 0 && flags.platform === undefined) {
-			stop('give files, or --platform to ask the running proxies', EXIT_SETTING);
+			fail('give log files, or --platform to request the events of the running proxies', EXIT_SETTING);
 			return;
 		}
 
-		const read = readFiles(flags.files);
-		if (read.err) {
-			stop(read.val.message, EXIT_MALFORMED);
+		const fileEvents = readFiles(flags.files);
+		if (fileEvents.err) {
+			fail(fileEvents.val.message, EXIT_MALFORMED);
 			return;
 		}
 
-		const asked = flags.platform === undefined ? [] : await askFleet(flags.platform, {cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa});
-		const merged = mergeEvents([...read.val, ...asked]);
+		const fleetEvents = flags.platform === undefined ? [] : await requestFleetEvents(flags.platform, {cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa});
+		const merged = mergeEvents([...fileEvents.val, ...fleetEvents]);
 		const events = filterEvents(merged, {
 			customer: flags.customer, database: flags.database, request: flags.request, term: flags.term, vm: flags.vm, ids: flags.id,
 		});
@@ -105,7 +105,7 @@
 		}
 	})
 	.fail((message: string, error: unknown) => {
-		stop(message ?? getMessage(error), EXIT_SETTING);
+		fail(message ?? getMessage(error), EXIT_SETTING);
 	})
 	.exitProcess(false)
 	.parse();
--- a/packages/timeline/src/merge.ts
+++ b/packages/timeline/src/merge.ts
@@ -1,25 +1,25 @@
-/** Merging the events of all processes in causal order. */
+/** Parses, merges and filters the events of all processes. */
 
 import {compareHybridTimestamps, type EventRecord} from '@guavapitch/telemetry';
 import {
 	Err, getMessage, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 
-/** What to keep of a time line; an absent field keeps everything. */
+/** Conditions that an event must meet to be kept; an absent field accepts every event. */
 export type TimelineFilter = Readonly<{
 	customer?: string;
 	database?: string;
 	request?: string;
 	term?: number;
 	vm?: string;
-	/** Numbers of the kinds of events. */
+	/** Event numbers. */
 	ids?: readonly number[];
 }>;
 
-/** Failure of reading events. */
+/** Failure to parse a line as an event. */
 export type TimelineFailure = Failure<'lineMalformed'>;
 
-/** Parses lines of events. */
+/** Parses events from JSON, one a line; empty lines are skipped. */
 export const parseEvents = (text: string): Result<readonly EventRecord[], TimelineFailure> => {
 	const records: EventRecord[] = [];
 	for (const [index, line] of text.split('\n').entries()) {
@@ -37,19 +37,19 @@
 	return Ok(records);
 };
 
-/** Merges events: causal time first, then the process, so that the order is the same every time. */
+/** Merges events in causal order by their hybrid timestamps; events with equal timestamps are ordered by vm, so that the result is deterministic. */
 export const mergeEvents = (lists: ReadonlyArray<readonly EventRecord[]>): readonly EventRecord[] => lists
 	.flat()
 	.toSorted((a, b) => compareHybridTimestamps(a.hlc, b.hlc) || (a.vm < b.vm ? -1 : Number(a.vm > b.vm)));
 
-const isKept = (record: EventRecord, filter: TimelineFilter): boolean => {
+const matchesFilter = (record: EventRecord, filter: TimelineFilter): boolean => {
 	const {customer, database, request, term} = record.fields;
-	const wanted: ReadonlyArray<readonly [asked: unknown, found: unknown]> = [
+	const conditions: ReadonlyArray<readonly [expected: unknown, actual: unknown]> = [
 		[filter.customer, customer], [filter.database, database], [filter.request, request], [filter.term, term], [filter.vm, record.vm],
 	];
-	return wanted.every(([asked, found]) => asked === undefined || asked === found)
+	return conditions.every(([expected, actual]) => expected === undefined || expected === actual)
 		&& (filter.ids === undefined || filter.ids.includes(record.id));
 };
 
-/** Keeps the events that a filter names. */
-export const filterEvents = (records: readonly EventRecord[], filter: TimelineFilter): readonly EventRecord[] => records.filter(record => isKept(record, filter));
+/** Returns the events that meet all conditions of a filter. */
+export const filterEvents = (records: readonly EventRecord[], filter: TimelineFilter): readonly EventRecord[] => records.filter(record => matchesFilter(record, filter));
--- a/packages/timeline/src/svg.ts
+++ b/packages/timeline/src/svg.ts
@@ -1,12 +1,12 @@
-/** Time line as one self-contained SVG picture, with a lane for each process. */
+/** Draws a time line as a self-contained SVG image, with a lane for each vm. */
 
 import type {EventRecord} from '@guavapitch/telemetry';
 
 const WIDTH = 1400;
 const LANE_HEIGHT = 46;
-const LEFT = 190;
-const TOP = 46;
-const RIGHT = 30;
+const LEFT_MARGIN = 190;
+const TOP_MARGIN = 46;
+const RIGHT_MARGIN = 30;
 const DOT_RADIUS = 5;
 const TICKS = 8;
 const LABEL_SPACING = 90;
@@ -16,35 +16,35 @@
 
 const formatDetails = (record: EventRecord): string => `${record.id} ${record.title} ${JSON.stringify(record.fields)}`;
 
-/** Draws events. */
+/** Draws events, given in the order of their timestamps, as an SVG document. */
 export const drawTimeline = (records: readonly EventRecord[]): string => {
 	const lanes = [...new Set(records.map(record => record.vm))].toSorted((a, b) => a < b ? -1 : 1);
-	const first = records[0]?.hlc[0] ?? 0;
-	const span = Math.max(1, (records.at(-1)?.hlc[0] ?? 0) - first);
-	const height = TOP + (lanes.length * LANE_HEIGHT) + TOP;
-	const placeX = (ms: number): number => LEFT + ((ms - first) / span * (WIDTH - LEFT - RIGHT));
-	const placeY = (vm: string): number => TOP + (lanes.indexOf(vm) * LANE_HEIGHT) + (LANE_HEIGHT / 2);
+	const startMs = records[0]?.hlc[0] ?? 0;
+	const durationMs = Math.max(1, (records.at(-1)?.hlc[0] ?? 0) - startMs);
+	const height = TOP_MARGIN + (lanes.length * LANE_HEIGHT) + TOP_MARGIN;
+	const computeX = (ms: number): number => LEFT_MARGIN + ((ms - startMs) / durationMs * (WIDTH - LEFT_MARGIN - RIGHT_MARGIN));
+	const computeY = (vm: string): number => TOP_MARGIN + (lanes.indexOf(vm) * LANE_HEIGHT) + (LANE_HEIGHT / 2);
 	const parts: string[] = [];
 	for (const lane of lanes) {
 		parts.push(
-			`<text x="10" y="${placeY(lane) + 4}" class="lane">${escapeText(lane)}</text>`,
-			`<line x1="${LEFT}" x2="${WIDTH - RIGHT}" y1="${placeY(lane)}" y2="${placeY(lane)}" class="rule"/>`,
+			`<text x="10" y="${computeY(lane) + 4}" class="lane">${escapeText(lane)}</text>`,
+			`<line x1="${LEFT_MARGIN}" x2="${WIDTH - RIGHT_MARGIN}" y1="${computeY(lane)}" y2="${computeY(lane)}" class="rule"/>`,
 		);
 	}
 
 	for (let tick = 0; tick <= TICKS; tick++) {
-		const ms = first + (span * tick / TICKS);
-		parts.push(`<text x="${placeX(ms)}" y="20" class="tick">+${Math.round(ms - first)} ms</text>`);
+		const ms = startMs + (durationMs * tick / TICKS);
+		parts.push(`<text x="${computeX(ms)}" y="20" class="tick">+${Math.round(ms - startMs)} ms</text>`);
 	}
 
-	const labelled = new Map<string, number>();
+	const lastLabelX = new Map<string, number>();
 	for (const record of records) {
-		const x = placeX(record.hlc[0]);
-		const y = placeY(record.vm);
-		const isFree = x - (labelled.get(record.vm) ?? Number.NEGATIVE_INFINITY) > LABEL_SPACING;
+		const x = computeX(record.hlc[0]);
+		const y = computeY(record.vm);
+		const hasLabelSpace = x - (lastLabelX.get(record.vm) ?? Number.NEGATIVE_INFINITY) > LABEL_SPACING;
 		parts.push(`<circle cx="${x.toFixed(1)}" cy="${y}" r="${DOT_RADIUS}" fill="${COLOURS[record.level] ?? '#555'}"><title>${escapeText(formatDetails(record))}</title></circle>`);
-		if (isFree) {
-			labelled.set(record.vm, x);
+		if (hasLabelSpace) {
+			lastLabelX.set(record.vm, x);
 			parts.push(`<text x="${x.toFixed(1)}" y="${y - 9}" class="label">${escapeText(record.title)}</text>`);
 		}
 	}
--- a/packages/timeline/src/tests/timeline.test.ts
+++ b/packages/timeline/src/tests/timeline.test.ts
@@ -1,4 +1,4 @@
-/** Merging and showing events. */
+/** Merging, filtering and formatting of events. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -11,8 +11,8 @@
 });
 
 describe('time line', () => {
-	describe('clocks', () => {
-		it('put an effect after its cause though the wall clocks are skewed', () => {
+	describe('hybrid clocks', () => {
+		it('order an effect after its cause when the wall clocks are skewed', () => {
 			const ahead = createHybridLogicalClock(() => 5000);
 			const behind = createHybridLogicalClock(() => 1000);
 			const cause = ahead.read();
@@ -24,7 +24,7 @@
 	});
 
 	describe('filters', () => {
-		it('keep what they name', () => {
+		it('keep only the events that meet every condition', () => {
 			const events = [createEvent('a', [1, 0], {database: 'x', term: 2}), createEvent('b', [2, 0], {database: 'y'})];
 			assert.equal(filterEvents(events, {database: 'x', term: 2}).length, 1);
 			assert.equal(filterEvents(events, {ids: [1605]}).length, 0);
@@ -32,14 +32,14 @@
 		});
 	});
 
-	describe('forms', () => {
-		it('show every event, with its fields escaped', () => {
+	describe('output formats', () => {
+		it('contain every event, with its fields escaped', () => {
 			const event = createEvent('a', [1, 0], {reason: '<b>'});
 			assert.match(formatEvent(event), /1601 failover started reason=<b>/v);
 			assert.match(drawTimeline([event]), /&lt;b&gt;/v);
 		});
 
-		it('name the line that cannot be read', () => {
+		it('name the line that cannot be parsed', () => {
 			const parsed = parseEvents('{}\nnot json\n');
 			assert.ok(parsed.err && parsed.val.message.startsWith('line 2'));
 		});
