Reword the peer protocol package

Comments, messages, test titles and local names use the terms of the field: liveness probe and silence check for looks, draining for leaving, credit and consumed bytes for the flow-control window. The credit frame's last item is labelled bytes, which it carries.

--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -1,4 +1,4 @@
-/** One connection between two processes: hello, calls and streams, served by one task. */
+/** One connection between two processes: exchanges hellos, then carries calls and streams in both directions. */
 
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
@@ -10,82 +10,82 @@
 } from './frames.js';
 import {createMultiplexedStream, type MultiplexedStream} from './streams.js';
 
-/** Failure of a call to a peer. */
+/** Failure of a call to a peer: with `peerUnreachable` it was not sent, otherwise the peer may have handled it. */
 export type PeerFailure = Failure<'peerUnreachable' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
 
-/** Who a process is to its peers. */
+/** Identity of a process, sent to its peers in the hello. */
 export type PeerIdentity = Readonly<{vm: string; incarnation: string}>;
 
-/** What a process serves to its peers. */
+/** Handlers for the calls and streams that peers open. */
 export type PeerHandlers = Readonly<{
-	/** Answers calls, by method. */
+	/** Handlers of calls, by method; the caller receives the result, or a refusal if the handler throws. */
 	calls: Readonly<Record<string, (body: unknown, from: PeerIdentity) => Promise<unknown>>>;
-	/** Serves streams, by method. */
+	/** Handlers of streams, by method; the stream is finished when the handler returns. */
 	streams: Readonly<Record<string, (header: unknown, stream: Stream<unknown, unknown>, from: PeerIdentity) => Promise<void>>>;
 }>;
 
-/** What a connection needs from its process. */
+/** Dependencies of a peer connection. */
 export type PeerContext = Readonly<{
 	world: World;
 	identity: PeerIdentity;
 	handlers: PeerHandlers;
-	/** Reads the causal clock, for the frames sent. */
+	/** Reads the hybrid logical clock for a frame to be sent. */
 	readTime: () => FrameTime;
-	/** Hears of causal times received. */
+	/** Called with the time of each frame received. */
 	observeTime: (time: FrameTime) => void;
-	/** Hears of frames that were refused. */
+	/** Called when a frame is malformed or too large; the connection is then closed. */
 	onMalformedFrame: (failure: FrameFailure) => void;
-	/** Hears of bytes sent and received. */
+	/** Called with the number of bytes of each write and each read. */
 	onTransfer?: (direction: 'sent' | 'received', bytes: number) => void;
 }>;
 
 /** An open connection to a peer. */
 export type PeerConnection = AsyncDisposable & Readonly<{
-	/** Waits for the peer's hello. */
+	/** Waits for the peer's hello; fails with `peerTimeout` or `peerGone`. */
 	waitForHello: () => Promise<Result<PeerIdentity, PeerFailure>>;
-	/** Calls a method of the peer. */
+	/** Calls a method of the peer and waits for its reply. */
 	call: (method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, PeerFailure>>;
-	/** Opens a stream to the peer. */
+	/** Opens a stream to the peer; its signal aborts with `NOT_ACCEPTED` if the peer is known not to serve it. */
 	openStream: (method: string, header: unknown) => Stream<unknown, unknown>;
 	/** Waits until the connection has ended. */
 	waitForEnd: () => Promise<void>;
-	/** Tells whether the connection takes nothing new. */
+	/** Tells whether no new calls or streams can be opened, because the connection has ended or the peer is draining. */
 	isEnded: () => boolean;
-	/** Refuses what the peer opens from now on, answers what it opened before, and ends; gives up at the deadline. */
+	/** Accepts no new calls or streams, completes those already accepted, and closes the connection; stops waiting at the deadline. */
 	drain: (deadline: Deadline) => Promise<void>;
 }>;
 
-type Pending = (result: Result<unknown, PeerFailure>) => void;
+type SettleCall = (result: Result<unknown, PeerFailure>) => void;
 
 const HELLO_TIMEOUT_MS = 3000;
-/** Pause between looks for a silent peer, in milliseconds; longer than a busy process needs to answer a ping. */
-const SILENCE_LOOK_MS = 150;
-/** Silent looks before the connection is ended; the first of them sends a ping. */
-const SILENT_LOOKS = 3;
-/** Method that every peer answers at once; no handler can have its name. */
+/** Interval between checks for a silent peer, in milliseconds; longer than a busy process takes to answer a liveness probe. */
+const SILENCE_CHECK_INTERVAL_MS = 150;
+/** Number of successive silent checks that send a liveness probe; the next silent check ends the connection. */
+const MAX_SILENT_CHECKS = 3;
+/** Method of the liveness probe, which every peer answers immediately; handlers cannot have this name. */
 export const LIVENESS_METHOD = 'protocol/alive';
-const GONE: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
+const CONNECTION_LOST: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
 const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
-/** Opens the protocol on a connected socket, whichever end connected. */
+/** Starts the protocol on a connected socket; both ends use it in the same way. */
 export const openPeerConnection = (socket: Socket, context: PeerContext): PeerConnection => {
 	const {world, handlers} = context;
-	const changed = createNotifier(world);
-	const pending = new Map<number, Pending>();
+	const stateChanged = createNotifier(world);
+	const pendingCalls = new Map<number, SettleCall>();
 	const streams = new Map<string, MultiplexedStream>();
 	const scope = createScope(() => undefined);
 	let peer: PeerIdentity | undefined;
 	let ended = false;
 	let lastId = 0;
 	let lastServedId = 0;
-	let serving = 0;
-	let leaving = false;
-	let peerLeaving = false;
-	let heardAt = world.now();
-	let watching = false;
-	let silentLooks = 0;
-
-	/** Writes a frame without waiting; gives its size in bytes. */
+	let activeCount = 0;
+	let isDraining = false;
+	let isPeerDraining = false;
+	let lastReceivedAt = world.now();
+	let isCheckScheduled = false;
+	let silentChecks = 0;
+
+	/** Writes a frame without waiting; returns its size in bytes, or 0 if the connection has ended. */
 	const write = (frame: Frame): number => {
 		if (ended) {
 			return 0;
@@ -99,7 +99,7 @@
 
 	const waitForDrain = async (): Promise<void> => {
 		if (socket.writableNeedDrain) {
-			await changed.waitUntil(() => ended || !socket.writableNeedDrain, NEVER);
+			await stateChanged.waitUntil(() => ended || !socket.writableNeedDrain, NEVER);
 		}
 	};
 
@@ -108,9 +108,9 @@
 		await waitForDrain();
 	};
 
-	const createEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
+	const createStreamEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
 		const key = `${side}${id}`;
-		const wireStream = createMultiplexedStream(id, side, {
+		const multiplexedStream = createMultiplexedStream(id, side, {
 			write,
 			waitForDrain,
 			readTime: context.readTime,
@@ -118,14 +118,14 @@
 				streams.delete(key);
 			},
 		});
-		streams.set(key, wireStream);
-		return wireStream.stream;
+		streams.set(key, multiplexedStream);
+		return multiplexedStream.stream;
 	};
 
-	const answerCall = async (id: number, method: string, body: unknown, from: PeerIdentity) => {
+	const serveCall = async (id: number, method: string, body: unknown, from: PeerIdentity) => {
 		const handler = Object.hasOwn(handlers.calls, method) ? handlers.calls[method] : undefined;
 		if (!handler) {
-			await send(['refuse', context.readTime(), id, 'unknownMethod', `There is no method ${method}`]);
+			await send(['refuse', context.readTime(), id, 'unknownMethod', `Unknown method ${method}`]);
 			return;
 		}
 
@@ -138,59 +138,59 @@
 	};
 
 	const serveStream = async (id: number, method: string, header: unknown, from: PeerIdentity) => {
-		await using stream = createEnd(id, 'acceptor');
+		await using stream = createStreamEnd(id, 'acceptor');
 		const handler = Object.hasOwn(handlers.streams, method) ? handlers.streams[method] : undefined;
 		await handler?.(header, stream, from);
 		stream.finish();
 	};
 
-	/** Serves what the peer opened, unless it was told that nothing more is served. */
+	/** Serves a call or stream of the peer; ignores it while draining, as the peer was told that it is not accepted. */
 	const serve = (id: number, task: () => Promise<void>) => {
-		if (leaving) {
+		if (isDraining) {
 			return;
 		}
 
 		lastServedId = id;
-		serving++;
+		activeCount++;
 		scope.run(async () => {
 			try {
 				await task();
 			} finally {
-				serving--;
-				changed.notify();
+				activeCount--;
+				stateChanged.notify();
 			}
 		});
 	};
 
-	const acceptLeaving = (servedId: number) => {
-		peerLeaving = true;
+	const handleGoaway = (lastAcceptedId: number) => {
+		isPeerDraining = true;
 		for (const [key, stream] of streams) {
-			if (key.startsWith('opener') && Number(key.slice('opener'.length)) > servedId) {
+			if (key.startsWith('opener') && Number(key.slice('opener'.length)) > lastAcceptedId) {
 				stream.abort(NOT_ACCEPTED);
 			}
 		}
 	};
 
-	const settle = (id: number, result: Result<unknown, PeerFailure>) => {
-		pending.get(id)?.(result);
-		pending.delete(id);
+	const settleCall = (id: number, result: Result<unknown, PeerFailure>) => {
+		pendingCalls.get(id)?.(result);
+		pendingCalls.delete(id);
 	};
 
-	const acceptHello = (version: number, identity: PeerIdentity) => {
+	const handleHello = (version: number, identity: PeerIdentity) => {
 		if (version !== PROTOCOL_VERSION) {
-			context.onMalformedFrame({code: 'frameMalformed', message: `The peer speaks version ${version}; this process speaks ${PROTOCOL_VERSION}`});
+			context.onMalformedFrame({code: 'frameMalformed', message: `The peer uses protocol version ${version}, this process uses ${PROTOCOL_VERSION}; the connection is closed`});
 			socket.destroy();
 			return;
 		}
 
 		peer = identity;
-		changed.notify();
+		stateChanged.notify();
 	};
 
-	const accept = (frame: Frame, bytes: number) => {
+	const handleFrame = (frame: Frame, bytes: number) => {
 		context.observeTime(frame[1]);
 		if (!peer && frame[0] !== 'hello') {
-			context.onMalformedFrame({code: 'frameMalformed', message: 'The first frame is not a hello'});
+			context.onMalformedFrame({code: 'frameMalformed', message: 'The first frame is not a hello; the connection is closed'});
 			socket.destroy();
 			return;
 		}
@@ -199,31 +199,31 @@
 		const [kind] = frame;
 		switch (kind) {
 			case 'hello': {
-				acceptHello(frame[2], {vm: frame[3], incarnation: frame[4]});
+				handleHello(frame[2], {vm: frame[3], incarnation: frame[4]});
 
 				break;
 			}
 
 			case 'call': {
 				if (frame[3] === LIVENESS_METHOD) {
-					// Answered also while leaving: what the peer opened before is still under way.
+					// Also answered while draining, because calls and streams accepted earlier are still running.
 					write(['reply', context.readTime(), frame[2], undefined]);
 					break;
 				}
 
-				serve(frame[2], async () => answerCall(frame[2], frame[3], frame[4], from));
+				serve(frame[2], async () => serveCall(frame[2], frame[3], frame[4], from));
 
 				break;
 			}
 
 			case 'reply': {
-				settle(frame[2], Ok(frame[3]));
+				settleCall(frame[2], Ok(frame[3]));
 
 				break;
 			}
 
 			case 'refuse': {
-				settle(frame[2], Err({code: 'peerRefused', message: `${frame[3]}: ${frame[4]}`}));
+				settleCall(frame[2], Err({code: 'peerRefused', message: `${frame[3]}: ${frame[4]}`}));
 
 				break;
 			}
@@ -235,7 +235,7 @@
 			}
 
 			case 'goaway': {
-				acceptLeaving(frame[2]);
+				handleGoaway(frame[2]);
 
 				break;
 			}
@@ -246,55 +246,55 @@
 		}
 	};
 
-	const end = () => {
+	const handleEnd = () => {
 		if (ended) {
 			return;
 		}
 
 		ended = true;
-		for (const id of pending.keys()) {
-			settle(id, Err(GONE));
+		for (const id of pendingCalls.keys()) {
+			settleCall(id, Err(CONNECTION_LOST));
 		}
 
 		for (const stream of streams.values()) {
 			stream.abort();
 		}
 
-		changed.notify();
+		stateChanged.notify();
 	};
 
-	/** Looks while answers are awaited whether the peer is silent: pings it, and then ends the connection. */
-	const watchSilence = () => {
-		if (watching || pending.size === 0) {
+	/** Checks at intervals, while replies are pending, whether the peer is silent: sends liveness probes first, then ends the connection. */
+	const scheduleSilenceCheck = () => {
+		if (isCheckScheduled || pendingCalls.size === 0) {
 			return;
 		}
 
-		watching = true;
-		const watchedAt = world.now();
-		world.schedule(SILENCE_LOOK_MS, () => {
-			watching = false;
-			silentLooks = heardAt <= watchedAt ? silentLooks + 1 : 0;
-			if (ended || pending.size === 0) {
-				silentLooks = 0;
-			} else if (silentLooks > SILENT_LOOKS) {
+		isCheckScheduled = true;
+		const scheduledAt = world.now();
+		world.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
+			isCheckScheduled = false;
+			silentChecks = lastReceivedAt <= scheduledAt ? silentChecks + 1 : 0;
+			if (ended || pendingCalls.size === 0) {
+				silentChecks = 0;
+			} else if (silentChecks > MAX_SILENT_CHECKS) {
 				socket.destroy();
-				end();
+				handleEnd();
 			} else {
-				if (silentLooks > 0) {
+				if (silentChecks > 0) {
 					write(['call', context.readTime(), ++lastId, LIVENESS_METHOD, undefined]);
 				}
 
-				watchSilence();
+				scheduleSilenceCheck();
 			}
 		});
 	};
 
-	const collected = createChunkBuffer();
-	const acceptBytes = (chunk: Buffer) => {
-		heardAt = world.now();
+	const receivedBytes = createChunkBuffer();
+	const handleData = (chunk: Buffer) => {
+		lastReceivedAt = world.now();
 		context.onTransfer?.('received', chunk.length);
-		collected.push(chunk);
-		const bytes = collected.take();
+		receivedBytes.push(chunk);
+		const bytes = receivedBytes.take();
 		if (!bytes) {
 			return;
 		}
@@ -306,70 +306,70 @@
 			return;
 		}
 
-		collected.putBack(split.val.rest, split.val.neededBytes);
+		receivedBytes.putBack(split.val.rest, split.val.neededBytes);
 		for (const [index, frame] of split.val.frames.entries()) {
-			accept(frame, split.val.sizes[index] ?? 0);
+			handleFrame(frame, split.val.sizes[index] ?? 0);
 		}
 	};
 
 	socket.setNoDelay(true);
-	socket.on('data', acceptBytes);
-	socket.on('drain', changed.notify);
-	socket.on('close', end);
-	socket.on('error', end);
+	socket.on('data', handleData);
+	socket.on('drain', stateChanged.notify);
+	socket.on('close', handleEnd);
+	socket.on('error', handleEnd);
 	void send(['hello', context.readTime(), PROTOCOL_VERSION, context.identity.vm, context.identity.incarnation]);
 
 	return {
 		async waitForHello() {
-			const said = await changed.waitUntil(() => ended || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
-			if (said.err) {
-				return Err({code: 'peerTimeout', message: 'The peer sent no hello'});
+			const hello = await stateChanged.waitUntil(() => ended || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
+			if (hello.err) {
+				return Err({code: 'peerTimeout', message: 'The peer did not send its hello in time'});
 			}
 
-			return peer ? Ok(peer) : Err(GONE);
+			return peer ? Ok(peer) : Err(CONNECTION_LOST);
 		},
 		async call(method, body, timeoutMs) {
 			if (ended) {
-				return Err(GONE);
+				return Err(CONNECTION_LOST);
 			}
 
 			const id = ++lastId;
 			const cancelTimer = world.schedule(timeoutMs, () => {
-				settle(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
+				settleCall(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
 			});
-			const answered = new Promise<Result<unknown, PeerFailure>>(resolve => {
-				pending.set(id, resolve);
+			const response = new Promise<Result<unknown, PeerFailure>>(resolve => {
+				pendingCalls.set(id, resolve);
 			});
-			watchSilence();
+			scheduleSilenceCheck();
 			await send(['call', context.readTime(), id, method, body]);
-			const result = await answered;
+			const result = await response;
 			cancelTimer();
 			return result;
 		},
 		openStream(method, header) {
 			const id = ++lastId;
-			const stream = createEnd(id, 'opener');
+			const stream = createStreamEnd(id, 'opener');
 			void send(['open', context.readTime(), id, method, header]);
-			if (ended || peerLeaving) {
+			if (ended || isPeerDraining) {
 				streams.get(`opener${id}`)?.abort(NOT_ACCEPTED);
 			}
 
 			return stream;
 		},
 		async waitForEnd() {
-			await changed.waitUntil(() => ended, NEVER);
+			await stateChanged.waitUntil(() => ended, NEVER);
 		},
-		isEnded: () => ended || peerLeaving,
+		isEnded: () => ended || isPeerDraining,
 		async drain(deadline) {
-			leaving = true;
+			isDraining = true;
 			await send(['goaway', context.readTime(), lastServedId]);
-			await changed.waitUntil(() => ended || serving === 0, deadline);
+			await stateChanged.waitUntil(() => ended || activeCount === 0, deadline);
 			socket.end();
-			await changed.waitUntil(() => ended, deadline);
+			await stateChanged.waitUntil(() => ended, deadline);
 		},
 		async [Symbol.asyncDispose]() {
 			socket.destroy();
-			end();
+			handleEnd();
 			await scope[Symbol.asyncDispose]();
 		},
 	};
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -1,4 +1,4 @@
-/** Frames of the inner protocol: a 32-bit length, then one CBOR item. */
+/** Frames of the protocol between vms: a 32-bit length, followed by one CBOR item. */
 
 import {Buffer} from 'node:buffer';
 import {Encoder} from 'cbor-x';
@@ -6,21 +6,21 @@
 	Err, Ok, getMessage, type Failure, type Result,
 } from '@guavapitch/core';
 
-/** Failure of reading frames. */
+/** Failure of decoding frames received from a peer. */
 export type FrameFailure = Failure<'frameTooLarge' | 'frameMalformed'>;
 
-/** Version of the inner protocol, sent in the hello. */
+/** Version of the protocol between vms, sent in the hello. */
 export const PROTOCOL_VERSION = 3;
 
-/** Largest frame accepted from a peer. */
+/** Largest frame body accepted from a peer, in bytes. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 const LENGTH_BYTES = 4;
 
-/** Causal time as it travels in a frame. */
+/** Hybrid logical time carried by every frame: wall clock in milliseconds, then a counter. */
 export type FrameTime = readonly [number, number];
 
-/** One frame. */
+/** One frame of the protocol. */
 export type Frame
 	= | readonly [kind: 'hello', time: FrameTime, version: number, vm: string, incarnation: string]
 		| readonly [kind: 'call', time: FrameTime, id: number, method: string, body: unknown]
@@ -28,22 +28,22 @@
 		| readonly [kind: 'refuse', time: FrameTime, id: number, code: string, message: string]
 		| readonly [kind: 'open', time: FrameTime, id: number, method: string, header: unknown]
 		| readonly [kind: 'item', time: FrameTime, id: number, side: StreamSide, item: unknown]
-		| readonly [kind: 'credit', time: FrameTime, id: number, side: StreamSide, items: number]
+		| readonly [kind: 'credit', time: FrameTime, id: number, side: StreamSide, bytes: number]
 		| readonly [kind: 'finish', time: FrameTime, id: number, side: StreamSide]
 		| readonly [kind: 'reset', time: FrameTime, id: number, side: StreamSide]
 		| readonly [kind: 'goaway', time: FrameTime, lastId: number];
 
-/** Which end of a stream sent a frame. */
+/** End of a stream that sent a frame. */
 export type StreamSide = 'opener' | 'acceptor';
 
-/** Number of items of each kind of frame. */
-const FRAME_SIZES: Readonly<Record<Frame[0], number>> = {
+/** Number of array items in each kind of frame. */
+const FRAME_ITEM_COUNTS: Readonly<Record<Frame[0], number>> = {
 	hello: 5, call: 5, reply: 4, refuse: 5, open: 5, item: 5, credit: 5, finish: 4, reset: 4, goaway: 3,
 };
 
 /**
- * Fields that travel by number, as their names took over a third of most frames. A number is never given to another
- * field, and a changed table needs another version of the protocol. Other fields travel by name.
+ * Field names that are encoded as numbers, because the names took over a third of most frames. A number is never reassigned to another
+ * field, and a change of the table requires a new version of the protocol. Other fields are encoded by name.
  */
 const NUMBERED_FIELDS: readonly string[] = [
 	'id',
@@ -90,7 +90,7 @@
 	useRecords: false, tagUint8Array: false, keyMap: Object.fromEntries(NUMBERED_FIELDS.map((name, index) => [name, index + 1])),
 });
 
-/** Encodes a frame. */
+/** Encodes a frame, including its length. */
 export const encodeFrame = (frame: Frame): Buffer => {
 	const body = encoder.encode(frame);
 	const bytes = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
@@ -99,7 +99,7 @@
 	return bytes;
 };
 
-const isTime = (value: unknown): boolean => Array.isArray(value) && value.length === 2 && value.every(part => typeof part === 'number');
+const isFrameTime = (value: unknown): boolean => Array.isArray(value) && value.length === 2 && value.every(part => typeof part === 'number');
 
 const isFrame = (value: unknown): value is Frame => {
 	if (!Array.isArray(value)) {
@@ -108,26 +108,26 @@
 
 	const [kind, time, id] = value as readonly unknown[];
 	return typeof kind === 'string'
-		&& Object.hasOwn(FRAME_SIZES, kind)
-		&& FRAME_SIZES[kind as Frame[0]] === value.length
-		&& isTime(time)
+		&& Object.hasOwn(FRAME_ITEM_COUNTS, kind)
+		&& FRAME_ITEM_COUNTS[kind as Frame[0]] === value.length
+		&& isFrameTime(time)
 		&& typeof id === 'number';
 };
 
-/** Decodes the body of a frame. */
+/** Decodes the body of a frame, without its length; fails with `frameMalformed`. */
 export const decodeFrame = (body: Buffer): Result<Frame, FrameFailure> => {
 	try {
 		const value: unknown = encoder.decode(body);
-		return isFrame(value) ? Ok(value) : Err({code: 'frameMalformed', message: 'A frame has the wrong shape'});
+		return isFrame(value) ? Ok(value) : Err({code: 'frameMalformed', message: 'Malformed frame: unknown kind, or items of the wrong number or type'});
 	} catch (error) {
-		return Err({code: 'frameMalformed', message: `A frame is not CBOR: ${getMessage(error)}`});
+		return Err({code: 'frameMalformed', message: `Malformed frame: the body is not valid CBOR: ${getMessage(error)}`});
 	}
 };
 
-/** Frames at the start of some bytes with their sizes in bytes, what is left, and how many bytes the next frame takes. */
+/** Complete frames at the start of a buffer with their sizes in bytes, the remaining bytes, and the number of bytes needed for the next frame. */
 export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; neededBytes: number}>;
 
-/** Splits off and decodes the whole frames at the start of some bytes. */
+/** Decodes the complete frames at the start of a buffer; fails on the first frame that is too large or malformed. */
 export const splitFrames = (bytes: Buffer): Result<SplitFrames, FrameFailure> => {
 	const frames: Frame[] = [];
 	const sizes: number[] = [];
@@ -136,7 +136,7 @@
 	while (bytes.length - offset >= LENGTH_BYTES) {
 		const length = bytes.readUInt32BE(offset);
 		if (length > MAX_FRAME_BYTES) {
-			return Err({code: 'frameTooLarge', message: `A frame announces ${length} bytes; at most ${MAX_FRAME_BYTES} are accepted`});
+			return Err({code: 'frameTooLarge', message: `A frame of ${length} bytes exceeds the limit of ${MAX_FRAME_BYTES} bytes`});
 		}
 
 		const start = offset + LENGTH_BYTES;
@@ -156,6 +156,6 @@
 	}
 
 	return Ok({
-		frames, sizes, rest: bytes.subarray(offset), neededBytes: neededBytes,
+		frames, sizes, rest: bytes.subarray(offset), neededBytes,
 	});
 };
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -1,4 +1,4 @@
-/** Accepting and dialling peer connections over TCP or mutual TLS. */
+/** Accepts and dials peer connections over TCP or mutual TLS. */
 
 import {createConnection, createServer, type Socket} from 'node:net';
 import {connect as connectTls, createServer as createTlsServer} from 'node:tls';
@@ -9,29 +9,30 @@
 	openPeerConnection, type PeerConnection, type PeerContext, type PeerFailure,
 } from './connection.js';
 
-/** Address of a listener. */
+/** Address of a peer or a listener. */
 export type Address = Readonly<{host: string; port: number}>;
 
-/** Keys of mutual TLS, in PEM. */
+/** Private key, certificate and certificate authority for mutual TLS, in PEM. */
 export type PeerTls = Readonly<{key: string; cert: string; ca: string}>;
 
-/** A running listener. */
+/** A listener for peer connections. */
 export type PeerListener = AsyncDisposable & Readonly<{
+	/** Address with the port that was actually bound. */
 	address: Address;
-	/** Accepts nothing new, and answers what the peers opened before; gives up at the deadline. */
+	/** Stops accepting connections, calls and streams, and completes those already accepted; stops waiting at the deadline. */
 	drain: (deadline: Deadline) => Promise<void>;
 }>;
 
-/** Dials a socket; tests pass one with broken links. */
+/** Connects a socket to a peer; replaced by tests that partition the network. */
 export type Dial = (address: Address) => Promise<Result<Socket, PeerFailure>>;
 
 const DIAL_TIMEOUT_MS = 1000;
 
-/** Starts accepting peers. */
+/** Starts a listener for peer connections; throws if the address cannot be bound. */
 export const startPeerListener = async (address: Address, context: PeerContext, tls?: PeerTls): Promise<PeerListener> => {
 	const scope = createScope(() => undefined);
-	const open = new Set<PeerConnection>();
-	const serve = (socket: Socket) => {
+	const openConnections = new Set<PeerConnection>();
+	const serveConnection = (socket: Socket) => {
 		scope.run(async signal => {
 			await using connection = openPeerConnection(socket, context);
 			signal.addEventListener('abort', () => {
@@ -39,16 +40,16 @@
 			});
 			const hello = await connection.waitForHello();
 			if (hello.ok) {
-				open.add(connection);
+				openConnections.add(connection);
 				await connection.waitForEnd();
-				open.delete(connection);
+				openConnections.delete(connection);
 			}
 		});
 	};
 
 	const server = tls
-		? createTlsServer({...tls, requestCert: true, rejectUnauthorized: true}, serve)
-		: createServer(serve);
+		? createTlsServer({...tls, requestCert: true, rejectUnauthorized: true}, serveConnection)
+		: createServer(serveConnection);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
@@ -58,7 +59,7 @@
 		address: {host: address.host, port: typeof bound === 'object' && bound ? bound.port : address.port},
 		async drain(deadline) {
 			server.close();
-			await Promise.all([...open].map(async connection => connection.drain(deadline)));
+			await Promise.all([...openConnections].map(async connection => connection.drain(deadline)));
 		},
 		async [Symbol.asyncDispose]() {
 			server.close();
@@ -67,7 +68,7 @@
 	};
 };
 
-/** Creates the dial function of TCP or mutual TLS. */
+/** Creates a dial function for mutual TLS, or for plain TCP if no keys are given. */
 export const createDial = (tls?: PeerTls): Dial => async address => new Promise(resolve => {
 	const socket = tls
 		? connectTls({...tls, ...address, checkServerIdentity: () => undefined})
@@ -89,7 +90,7 @@
 	});
 });
 
-/** Dials a peer and waits for its hello. */
+/** Connects to a peer and waits for its hello. */
 export const dialPeer = async (address: Address, context: PeerContext, dial: Dial): Promise<Result<PeerConnection, PeerFailure>> => {
 	const socket = await dial(address);
 	if (socket.err) {
--- a/packages/peer-protocol/src/peer-connections.ts
+++ b/packages/peer-protocol/src/peer-connections.ts
@@ -1,29 +1,29 @@
-/** Keeps one dialled connection to each peer that is asked for. */
+/** Maintains one outgoing connection to each peer that is called. */
 
 import {Ok, type Result, type Stream} from '@guavapitch/core';
 import type {PeerConnection, PeerContext, PeerFailure} from './connection.js';
 import {dialPeer, type Address, type Dial} from './listener.js';
 
-/** Connections to all peers, dialled on demand. */
+/** Outgoing connections to all peers, opened on demand. */
 export type PeerConnections = AsyncDisposable & Readonly<{
-	/** Calls a method of the peer at an address. */
+	/** Calls a method of the peer at an address, connecting first if necessary. */
 	call: (address: Address, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, PeerFailure>>;
-	/** Opens a stream to the peer at an address. */
+	/** Opens a stream to the peer at an address, connecting first if necessary. */
 	openStream: (address: Address, method: string, header: unknown) => Promise<Result<Stream<unknown, unknown>, PeerFailure>>;
-	/** Ends the connection to the peer at an address; what is under way on it is lost. */
+	/** Closes the connection to the peer at an address; its running calls and streams fail. */
 	disconnect: (address: Address) => void;
-	/** Counts the open connections. */
+	/** Returns the number of peers that a connection was opened to, including connections that have ended. */
 	getConnectionCount: () => number;
 }>;
 
-/** Creates the set of connections. */
+/** Creates the outgoing connections of a process, none of them open yet. */
 export const createPeerConnections = (context: PeerContext, dial: Dial): PeerConnections => {
 	const connections = new Map<string, PeerConnection>();
-	const dialling = new Map<string, Promise<Result<PeerConnection, PeerFailure>>>();
+	const dialing = new Map<string, Promise<Result<PeerConnection, PeerFailure>>>();
 
 	const dialOnce = async (key: string, address: Address): Promise<Result<PeerConnection, PeerFailure>> => {
 		const result = await dialPeer(address, context, dial);
-		dialling.delete(key);
+		dialing.delete(key);
 		if (result.ok) {
 			connections.set(key, result.val);
 		}
@@ -31,28 +31,28 @@
 		return result;
 	};
 
-	const connect = async (address: Address): Promise<Result<PeerConnection, PeerFailure>> => {
+	const getConnection = async (address: Address): Promise<Result<PeerConnection, PeerFailure>> => {
 		const key = `${address.host}:${address.port}`;
 		const open = connections.get(key);
 		if (open && !open.isEnded()) {
 			return Ok(open);
 		}
 
-		const flight = dialling.get(key) ?? dialOnce(key, address);
-		if (dialling.get(key) !== flight) {
-			dialling.set(key, flight);
+		const inFlight = dialing.get(key) ?? dialOnce(key, address);
+		if (dialing.get(key) !== inFlight) {
+			dialing.set(key, inFlight);
 		}
 
-		return flight;
+		return inFlight;
 	};
 
 	return {
 		async call(address, method, body, timeoutMs) {
-			const connection = await connect(address);
+			const connection = await getConnection(address);
 			return connection.ok ? connection.val.call(method, body, timeoutMs) : connection;
 		},
 		async openStream(address, method, header) {
-			const connection = await connect(address);
+			const connection = await getConnection(address);
 			return connection.map(open => open.openStream(method, header));
 		},
 		disconnect(address) {
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -1,74 +1,74 @@
-/** Streams of items inside one peer connection, with credit for back-pressure. */
+/** Streams multiplexed over one peer connection, with credit-based flow control. */
 
 import {createConditionVariable, createQueue, type Stream} from '@guavapitch/core';
 import type {Frame, FrameTime, StreamSide} from './frames.js';
 
-/** Bytes that may travel before the receiver has taken an item; one item more may be on its way. */
+/** Flow-control window: number of bytes that may be sent before the receiver consumes an item. The last item sent may exceed it. */
 export const WINDOW_BYTES = 262_144;
 
-/** A stream with the ends that the connection drives. */
+/** A stream, and the functions through which its connection controls it. */
 export type MultiplexedStream = Readonly<{
-	/** The end that the task holds. */
+	/** The stream as the task that reads and writes it sees it. */
 	stream: Stream<unknown, unknown>;
-	/** Takes a frame that arrived for this stream. */
+	/** Handles a frame received for this stream. */
 	accept: (frame: Frame, bytes: number) => void;
-	/** Ends the stream because the connection or the other end is gone. */
+	/** Ends the stream because the connection was lost or the other end was closed. */
 	abort: (reason?: string) => void;
 }>;
 
-/** What a stream needs of its connection. */
+/** Functions of the connection that a stream depends on. */
 export type StreamConnection = Readonly<{
-	/** Writes a frame without waiting; gives its size in bytes. */
+	/** Writes a frame without waiting; returns its size in bytes. */
 	write: (frame: Frame) => number;
-	/** Waits while the connection has too much to write. */
+	/** Waits while the connection's write buffer is full. */
 	waitForDrain: () => Promise<void>;
 	readTime: () => FrameTime;
-	/** Drops the stream from the connection. */
+	/** Removes the stream from the connection. */
 	remove: () => void;
 }>;
 
-type Arrived = Readonly<{item: unknown; bytes: number}>;
+type ReceivedItem = Readonly<{item: unknown; bytes: number}>;
 
 /** Creates one end of a stream. */
 export const createMultiplexedStream = (
 	id: number,
 	side: StreamSide,
-	link: StreamConnection,
+	connection: StreamConnection,
 ): MultiplexedStream => {
-	const incoming = createQueue<Arrived>();
-	const gone = new AbortController();
-	let creditBytes = WINDOW_BYTES;
-	let takenBytes = 0;
+	const incoming = createQueue<ReceivedItem>();
+	const closedController = new AbortController();
+	let sendCreditBytes = WINDOW_BYTES;
+	let consumedBytes = 0;
 	let sentFinish = false;
 	let receivedFinish = false;
-	const credited = createConditionVariable();
+	const creditAdded = createConditionVariable();
 
-	const breakOff = (reason?: string) => {
+	const abort = (reason?: string) => {
 		if (!receivedFinish) {
-			gone.abort(reason);
+			closedController.abort(reason);
 		}
 
 		incoming.close();
-		credited.notifyAll();
+		creditAdded.notifyAll();
 	};
 
-	const giveCredit = (bytes: number) => {
-		takenBytes += bytes;
-		if (takenBytes >= WINDOW_BYTES / 2 && !receivedFinish) {
-			link.write(['credit', link.readTime(), id, side, takenBytes]);
-			takenBytes = 0;
+	const returnCredit = (bytes: number) => {
+		consumedBytes += bytes;
+		if (consumedBytes >= WINDOW_BYTES / 2 && !receivedFinish) {
+			connection.write(['credit', connection.readTime(), id, side, consumedBytes]);
+			consumedBytes = 0;
 		}
 	};
 
 	const finish = () => {
 		if (!sentFinish) {
 			sentFinish = true;
-			link.write(['finish', link.readTime(), id, side]);
+			connection.write(['finish', connection.readTime(), id, side]);
 		}
 	};
 
 	return {
-		abort: breakOff,
+		abort,
 		accept(frame, bytes) {
 			switch (frame[0]) {
 				case 'item': {
@@ -78,8 +78,8 @@
 				}
 
 				case 'credit': {
-					creditBytes += frame[4];
-					credited.notifyAll();
+					sendCreditBytes += frame[4];
+					creditAdded.notifyAll();
 
 					break;
 				}
@@ -92,39 +92,39 @@
 				}
 
 				default: {
-					breakOff();
-					link.remove();
+					abort();
+					connection.remove();
 				}
 			}
 		},
 		stream: {
-			signal: gone.signal,
+			signal: closedController.signal,
 			async send(item) {
-				while (creditBytes <= 0 && !gone.signal.aborted) {
-					await credited.wait();
+				while (sendCreditBytes <= 0 && !closedController.signal.aborted) {
+					await creditAdded.wait();
 				}
 
-				creditBytes -= link.write(['item', link.readTime(), id, side, item]);
-				await link.waitForDrain();
+				sendCreditBytes -= connection.write(['item', connection.readTime(), id, side, item]);
+				await connection.waitForDrain();
 			},
 			async receive() {
-				const arrived = await incoming.take();
-				if (arrived) {
-					giveCredit(arrived.bytes);
+				const received = await incoming.take();
+				if (received) {
+					returnCredit(received.bytes);
 				}
 
-				return arrived?.item;
+				return received?.item;
 			},
 			finish,
 			async [Symbol.asyncDispose]() {
 				if (sentFinish && receivedFinish) {
-					link.remove();
+					connection.remove();
 					return;
 				}
 
-				link.remove();
+				connection.remove();
 				incoming.close();
-				link.write(['reset', link.readTime(), id, side]);
+				connection.write(['reset', connection.readTime(), id, side]);
 			},
 		},
 	};
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -1,4 +1,4 @@
-/** Frames under garbage, and calls and streams over a real socket. */
+/** Decoding of frames from arbitrary bytes, and calls and streams over real sockets. */
 
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
@@ -25,19 +25,19 @@
 
 describe('frames', () => {
 	describe('splitFrames', () => {
-		it('reads back any frame however the bytes are cut', () => {
-			fc.assert(fc.property(fc.array(fc.record({id: fc.nat(), body: fc.oneof(fc.string(), fc.integer(), fc.uint8Array(), fc.constant(null))}), {maxLength: 6}), fc.nat(), (calls, cutAt) => {
+		it('decodes encoded frames wherever the bytes are split', () => {
+			fc.assert(fc.property(fc.array(fc.record({id: fc.nat(), body: fc.oneof(fc.string(), fc.integer(), fc.uint8Array(), fc.constant(null))}), {maxLength: 6}), fc.nat(), (calls, splitSeed) => {
 				const frames: Frame[] = calls.map(({id, body}) => ['call', [1, 2], id, 'method', body]);
 				const bytes = Buffer.concat(frames.map(frame => encodeFrame(frame)));
-				const cut = bytes.length === 0 ? 0 : cutAt % (bytes.length + 1);
-				const first = splitFrames(bytes.subarray(0, cut)).unwrap();
-				const second = splitFrames(Buffer.concat([first.rest, bytes.subarray(cut)])).unwrap();
+				const splitAt = bytes.length === 0 ? 0 : splitSeed % (bytes.length + 1);
+				const first = splitFrames(bytes.subarray(0, splitAt)).unwrap();
+				const second = splitFrames(Buffer.concat([first.rest, bytes.subarray(splitAt)])).unwrap();
 				assert.equal(first.frames.length + second.frames.length, frames.length);
 				assert.equal(second.rest.length, 0);
 			}), {seed: 11, numRuns: 300});
 		});
 
-		it('reads back fields that travel by number and fields that do not', () => {
+		it('decodes fields encoded by number and fields encoded by name', () => {
 			const name = fc.constantFrom('id', 'kind', 'statement', 'values', 'changes', 'other', '1', '38', 'constructor');
 			const key = fc.oneof(name, fc.string({maxLength: 4}).filter(one => one !== '__proto__'));
 			const inner = fc.dictionary(key, fc.array(fc.integer()), {noNullPrototype: true});
@@ -48,7 +48,7 @@
 			}), {seed: 13, numRuns: 500});
 		});
 
-		it('keeps a frame of a statement small', () => {
+		it('encodes a statement in less than 60 % of its size with field names', () => {
 			const statement = {
 				id: '5c0e7a21d94b36f8',
 				database: 'lepu270',
@@ -64,17 +64,17 @@
 			};
 			const named = JSON.stringify(statement).length;
 			const bytes = encodeFrame(['call', [1_796_400_192_760, 5], 1234, 'run', statement]).length;
-			assert.ok(bytes < named * 0.6, `${bytes} bytes, ${named} with names`);
+			assert.ok(bytes < named * 0.6, `${bytes} bytes, ${named} bytes with field names`);
 		});
 
-		it('never throws on garbage', () => {
+		it('does not throw on arbitrary bytes', () => {
 			fc.assert(fc.property(fc.uint8Array({maxLength: 200}), garbage => {
 				const split = splitFrames(Buffer.from(garbage));
 				assert.ok(split.ok || split.val.code === 'frameMalformed' || split.val.code === 'frameTooLarge');
 			}), {seed: 12, numRuns: 2000});
 		});
 
-		it('refuses a frame over the limit before reading it', () => {
+		it('refuses a frame over the size limit from its length alone', () => {
 			const header = Buffer.alloc(4);
 			header.writeUInt32BE(MAX_FRAME_BYTES + 1);
 			const split = splitFrames(header);
@@ -83,7 +83,7 @@
 	});
 
 	describe('connections', () => {
-		it('answers calls, refuses unknown methods and reports a lost peer', async () => {
+		it('answers calls, refuses unknown methods and reports the loss of a peer', async () => {
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo: async body => body}, streams: {}}));
 			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const echoed = await peers.call(listener.address, 'echo', {text: 'x'}, 1000);
@@ -96,7 +96,7 @@
 			await peers[Symbol.asyncDispose]();
 		});
 
-		it('holds a sender back until the receiver takes items', async () => {
+		it('blocks a sender until the receiver consumes items', async () => {
 			const body = Buffer.alloc(WINDOW_BYTES / 16);
 			let sent = 0;
 			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
@@ -111,7 +111,7 @@
 			await new Promise(resolve => {
 				setTimeout(resolve, 100);
 			});
-			assert.ok(sent <= 20, `${sent} items were sent although none was taken`);
+			assert.ok(sent <= 20, `${sent} items were sent although none was consumed`);
 			const items: unknown[] = [];
 			for (let item = await stream.receive(); item !== undefined; item = await stream.receive()) {
 				items.push(item);
@@ -122,7 +122,7 @@
 			await listener[Symbol.asyncDispose]();
 		});
 
-		it('leaves without losing a stream: each is answered, or known not to have been accepted', async () => {
+		it('drains without losing a stream: each is answered or reported as not accepted', async () => {
 			let served = 0;
 			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
 				served++;
@@ -143,16 +143,16 @@
 
 				await using stream = opened.val;
 				await stream.send('question');
-				const answer = await stream.receive();
-				outcomes.push(answer === 'answer' ? 'answered' : String(stream.signal.reason));
+				const reply = await stream.receive();
+				outcomes.push(reply === 'answer' ? 'answered' : String(stream.signal.reason));
 			};
 
 			await ask();
 			const before = Array.from({length: 50}, ask);
 			await Promise.resolve();
-			const leaving = listener.drain(createDeadline(world.now(), 5000));
+			const draining = listener.drain(createDeadline(world.now(), 5000));
 			const after = Array.from({length: 50}, ask);
-			await Promise.all([...before, ...after, leaving]);
+			await Promise.all([...before, ...after, draining]);
 			assert.equal(outcomes.length, 101);
 			assert.equal(outcomes.filter(outcome => outcome === 'answered').length, served);
 			assert.deepEqual(outcomes.filter(outcome => !['answered', NOT_ACCEPTED, 'unreachable'].includes(outcome)), []);
@@ -163,7 +163,7 @@
 			await listener[Symbol.asyncDispose]();
 		});
 
-		it('counts garbage on its port and goes on', async () => {
+		it('reports arbitrary bytes on its port and continues to serve', async () => {
 			const failures: FrameFailure[] = [];
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo: async body => body}, streams: {}}, failure => {
 				failures.push(failure);
--- a/packages/peer-protocol/src/tests/liveness.test.ts
+++ b/packages/peer-protocol/src/tests/liveness.test.ts
@@ -1,4 +1,4 @@
-/** Silent peers: told from slow answers, and given up within a second. */
+/** Liveness of peers: a silent peer is detected within a second, while a slow call is not mistaken for silence. */
 
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo} from 'node:net';
@@ -9,37 +9,37 @@
 import {createDial, startPeerListener} from '../listener.js';
 import {createPeerConnections} from '../peer-connections.js';
 
-const NONE: PeerHandlers = {calls: {}, streams: {}};
-const LONG_MS = 1500;
+const NO_HANDLERS: PeerHandlers = {calls: {}, streams: {}};
+const LONG_CALL_MS = 1500;
 
 const createContext = (vm: string, handlers: PeerHandlers): PeerContext => ({
 	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: () => undefined,
 });
 
-describe('silence', () => {
-	it('is not taken from a peer that works on a long call', async () => {
-		const {world} = createContext('w', NONE);
+describe('liveness', () => {
+	it('keeps the connection to a peer that is running a long call', async () => {
+		const {world} = createContext('w', NO_HANDLERS);
 		await using listener = await startPeerListener({host: '127.0.0.1', port: 0}, createContext('b', {
 			calls: {
 				async long() {
-					await world.sleep(LONG_MS);
+					await world.sleep(LONG_CALL_MS);
 					return 'done';
 				},
 			},
 			streams: {},
 		}));
-		await using peers = createPeerConnections(createContext('a', NONE), createDial());
-		const answer = await peers.call(listener.address, 'long', undefined, LONG_MS * 2);
-		assert.equal(answer.unwrap(), 'done');
+		await using peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
+		const response = await peers.call(listener.address, 'long', undefined, LONG_CALL_MS * 2);
+		assert.equal(response.unwrap(), 'done');
 	});
 
-	it('is looked for by a method of its own: a handler named ping is called', async () => {
+	it('is probed by a reserved method, so that a handler named ping can be called', async () => {
 		await using listener = await startPeerListener({host: '127.0.0.1', port: 0}, createContext('b', {calls: {ping: async () => 'from the handler'}, streams: {}}));
-		await using peers = createPeerConnections(createContext('a', NONE), createDial());
+		await using peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 		assert.equal((await peers.call(listener.address, 'ping', undefined, 1000)).unwrap(), 'from the handler');
 	});
 
-	it('ends the calls to a peer that answers nothing within a second', async () => {
+	it('fails calls to an unresponsive peer within a second', async () => {
 		const server = createServer(socket => {
 			socket.on('error', () => undefined);
 			socket.write(encodeFrame(['hello', [1, 2], 2, 'mute', 'i']));
@@ -48,12 +48,12 @@
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const {port} = server.address() as AddressInfo;
-		await using peers = createPeerConnections(createContext('a', NONE), createDial());
-		const {world} = createContext('w', NONE);
-		const askedAt = world.now();
-		const answer = await peers.call({host: '127.0.0.1', port}, 'any', undefined, 5000);
-		assert.equal(answer.err && answer.val.code, 'peerGone');
-		assert.ok(world.now() - askedAt < 1000);
+		await using peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
+		const {world} = createContext('w', NO_HANDLERS);
+		const calledAt = world.now();
+		const response = await peers.call({host: '127.0.0.1', port}, 'any', undefined, 5000);
+		assert.equal(response.err && response.val.code, 'peerGone');
+		assert.ok(world.now() - calledAt < 1000);
 		server.close();
 	});
 });
--- a/packages/peer-protocol/src/tls.ts
+++ b/packages/peer-protocol/src/tls.ts
@@ -1,4 +1,4 @@
-/** Keys of mutual TLS, read from files. */
+/** Reads the key, certificate and certificate authority for mutual TLS from files. */
 
 import {readFileSync} from 'node:fs';
 import {
@@ -6,10 +6,10 @@
 } from '@guavapitch/core';
 import type {PeerTls} from './listener.js';
 
-/** Failure of reading the keys. */
+/** Failure of reading the TLS files: not all of them are given, or one cannot be read. */
 export type TlsFailure = Failure<'tlsFilesIncomplete' | 'tlsFileUnreadable'>;
 
-/** Files of the keys, PEM; all or none. */
+/** Names of the PEM files for mutual TLS; either all or none are given. */
 export type TlsFiles = Readonly<{[Part in keyof PeerTls]: string | undefined}>;
 
 const readPem = (part: string, file: string): Result<string, TlsFailure> => {
@@ -20,7 +20,7 @@
 	}
 };
 
-/** Reads the keys with which a process speaks to its peers; `undefined` if no files are given. */
+/** Reads the files for mutual TLS between peers; returns `undefined` if no files are given. */
 export const readPeerTls = ({cert, key, ca}: TlsFiles): Result<PeerTls | undefined, TlsFailure> => {
 	if (cert === undefined && key === undefined && ca === undefined) {
 		return Ok(undefined);
