--- a/packages/postgres-wire/src/error-response.ts
+++ b/packages/postgres-wire/src/error-response.ts
@@ -1,4 +1,4 @@
-/** `ErrorResponse` messages and their SQLSTATE codes. */
+/** `ErrorResponse` messages and SQLSTATE codes. */
 
 import {Buffer} from 'node:buffer';
 import {
@@ -8,14 +8,14 @@
 /** Fields of an `ErrorResponse`. */
 export type ErrorFields = Readonly<{
 	severity: 'ERROR' | 'FATAL';
-	/** SQLSTATE. */
+	/** SQLSTATE code. */
 	code: string;
 	message: string;
 	detail?: string;
 	hint?: string;
 }>;
 
-/** SQLSTATE codes that guavapitch sends or acts on. */
+/** SQLSTATE codes that guavapitch sends or handles. */
 export const SQLSTATE = {
 	outcomeUnknown: '08007',
 	protocolViolation: '08P01',
@@ -53,23 +53,23 @@
 	return createMessage('E', ...parts, Buffer.from([0]));
 };
 
-/** Reads the fields of an `ErrorResponse`. */
+/** Reads the fields of an `ErrorResponse`; a missing code is read as `XX000`. */
 export const readErrorResponse = (message: Message): ErrorFields => {
 	const body = getBody(message);
-	const found = new Map<string, string>();
+	const fieldsByType = new Map<string, string>();
 	let offset = 0;
 	while (offset < body.length && body[offset] !== 0) {
 		const key = body.toString('latin1', offset, offset + 1);
 		const [text, next] = readCString(body, offset + 1);
-		found.set(key, text);
+		fieldsByType.set(key, text);
 		offset = next;
 	}
 
 	return {
-		severity: found.get('S') === 'FATAL' ? 'FATAL' : 'ERROR',
-		code: found.get('C') ?? 'XX000',
-		message: found.get('M') ?? '',
-		...(found.has('D') ? {detail: found.get('D')} : {}),
-		...(found.has('H') ? {hint: found.get('H')} : {}),
+		severity: fieldsByType.get('S') === 'FATAL' ? 'FATAL' : 'ERROR',
+		code: fieldsByType.get('C') ?? 'XX000',
+		message: fieldsByType.get('M') ?? '',
+		...(fieldsByType.has('D') ? {detail: fieldsByType.get('D')} : {}),
+		...(fieldsByType.has('H') ? {hint: fieldsByType.get('H')} : {}),
 	};
 };
--- a/packages/postgres-wire/src/tests/wire.test.ts
+++ b/packages/postgres-wire/src/tests/wire.test.ts
@@ -1,4 +1,4 @@
-/** Reading what callers send, garbage included. */
+/** Parsing of messages and startup packets, and SCRAM exchanges, also with arbitrary and malformed input. */
 
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
@@ -15,7 +15,7 @@
 	createStartupPacket, parseStartupPacket, readStartupPacketLength, MAX_STARTUP_PACKET_BYTES,
 } from '../startup-packets.js';
 
-const readInitial = (key: string) => {
+const createClientFirst = (key: string) => {
 	const client = startScramClient(key);
 	const first = getBody(client.createInitialResponse());
 	const [, offset] = readCString(first, 0);
@@ -24,23 +24,23 @@
 
 describe('wire', () => {
 	describe('messages', () => {
-		it('splits any sequence at any cut', () => {
-			fc.assert(fc.property(fc.array(fc.string(), {maxLength: 8}), fc.nat(), (texts, cutAt) => {
+		it('splits a sequence of messages wherever the bytes are divided', () => {
+			fc.assert(fc.property(fc.array(fc.string(), {maxLength: 8}), fc.nat(), (texts, splitSeed) => {
 				const bytes = Buffer.concat(texts.map(text => createQuery(text).bytes));
-				const cut = bytes.length === 0 ? 0 : cutAt % (bytes.length + 1);
-				const first = splitMessages(bytes.subarray(0, cut));
-				const second = splitMessages(Buffer.concat([first.rest, bytes.subarray(cut)]));
+				const splitAt = bytes.length === 0 ? 0 : splitSeed % (bytes.length + 1);
+				const first = splitMessages(bytes.subarray(0, splitAt));
+				const second = splitMessages(Buffer.concat([first.rest, bytes.subarray(splitAt)]));
 				assert.equal(first.messages.length + second.messages.length, texts.length);
 			}), {seed: 21, numRuns: 300});
 		});
 
-		it('tells a length out of bounds from one that is incomplete', () => {
+		it('distinguishes a length out of range from an incomplete message', () => {
 			assert.ok(splitMessages(Buffer.from([81, 0, 0, 0, 1])).malformed);
 			assert.ok(splitMessages(Buffer.from([81, 127, 255, 255, 255])).malformed);
 			assert.ok(!splitMessages(Buffer.from([81, 0, 0, 0, 9])).malformed);
 		});
 
-		it('reads back an error response', () => {
+		it('decodes an encoded error response', () => {
 			const fields = {
 				severity: 'ERROR', code: '08007', message: 'm', detail: 'd', hint: 'h',
 			} as const;
@@ -49,7 +49,7 @@
 	});
 
 	describe('startup', () => {
-		it('never throws on garbage', () => {
+		it('does not throw on arbitrary bytes', () => {
 			fc.assert(fc.property(fc.uint8Array({minLength: 8, maxLength: 300}), garbage => {
 				const packet = Buffer.from(garbage);
 				const parsed = parseStartupPacket(packet);
@@ -59,14 +59,14 @@
 			}), {seed: 22, numRuns: 2000});
 		});
 
-		it('refuses a packet over the limit', () => {
+		it('refuses a packet over the size limit', () => {
 			const header = Buffer.alloc(8);
 			header.writeInt32BE(MAX_STARTUP_PACKET_BYTES + 1);
 			const length = readStartupPacketLength(header);
 			assert.ok(length.err && length.val.code === 'packetTooLarge');
 		});
 
-		it('reads parameters', () => {
+		it('parses the startup parameters', () => {
 			const startup = parseStartupPacket(createStartupPacket({user: 'u', database: 'd'})).unwrap();
 			assert.ok(startup.kind === 'startup');
 			assert.deepEqual([...startup.parameters], [['user', 'u'], ['database', 'd']]);
@@ -74,10 +74,10 @@
 	});
 
 	describe('SCRAM', () => {
-		it('accepts the key of its verifier and no other', () => {
+		it('accepts only the key that the verifier was created from', () => {
 			const verifier = parseVerifier(formatVerifier(createVerifier('secret'))).unwrap();
 			for (const [key, isAccepted] of [['secret', true], ['other', false]] as const) {
-				const {client, text} = readInitial(key);
+				const {client, text} = createClientFirst(key);
 				const server = startScramServer(text, verifier).unwrap();
 				const final = getBody(client.createFinalResponse(server.serverFirst)).toString();
 				assert.equal(server.verifyClientFinal(final).ok, isAccepted);
@@ -85,14 +85,14 @@
 			}
 		});
 
-		it('runs to the end for an unknown key and then rejects it', () => {
-			const {client, text} = readInitial('secret');
+		it('completes the exchange for an unknown key and then rejects it', () => {
+			const {client, text} = createClientFirst('secret');
 			const server = startScramServer(text, undefined).unwrap();
 			const finished = server.verifyClientFinal(getBody(client.createFinalResponse(server.serverFirst)).toString());
 			assert.ok(finished.err && finished.val.code === 'scramRejected');
 		});
 
-		it('never throws on malformed messages', () => {
+		it('does not throw on malformed messages', () => {
 			fc.assert(fc.property(fc.string(), fc.string(), (first, final) => {
 				const server = startScramServer(first, undefined);
 				assert.ok(server.err || server.val.verifyClientFinal(final).err);
@@ -101,7 +101,7 @@
 	});
 
 	describe('createMessage', () => {
-		it('ends texts with a zero byte', () => {
+		it('terminates texts with a zero byte', () => {
 			assert.deepEqual([...createMessage('C', 'a').bytes], [67, 0, 0, 0, 6, 97, 0]);
 		});
 	});
--- a/packages/postgres-wire/src/wire-connection.ts
+++ b/packages/postgres-wire/src/wire-connection.ts
@@ -1,4 +1,4 @@
-/** Reading and writing a socket with back-pressure, one task at a time. */
+/** Reads and writes protocol messages on a socket with back-pressure; used by one task at a time. */
 
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
@@ -11,48 +11,48 @@
 /** Failure of reading from a connection. */
 export type ReadFailure = Failure<'closed' | 'messageMalformed'>;
 
-/** A connection as a task sees it. */
+/** A connection from which messages are read and to which bytes are written. */
 export type WireConnection = AsyncDisposable & Readonly<{
-	/** The socket below. */
+	/** The underlying socket. */
 	socket: Socket;
-	/** Reads at least one whole message, and all that are there. */
+	/** Waits for at least one complete message; returns all complete messages received so far. */
 	readMessages: () => Promise<Result<readonly Message[], ReadFailure>>;
-	/** Reads the first packet, which has no type byte. */
+	/** Waits for the first packet of the connection, which has no type byte. */
 	readStartupPacket: () => Promise<Result<Buffer, ReadFailure | StartupFailure>>;
-	/** Reads exactly one byte. */
+	/** Waits for one byte. */
 	readByte: () => Promise<Result<number, ReadFailure>>;
-	/** Writes bytes; waits while the peer reads too slowly. */
+	/** Writes bytes; waits while the socket's write buffer is full. Does nothing after the connection has ended. */
 	write: (...parts: readonly Buffer[]) => Promise<void>;
-	/** Takes the bytes read but not yet used. */
+	/** Takes the bytes received but not yet read. */
 	takeUnread: () => Buffer;
-	/** Gives up the socket, to wrap it anew. */
+	/** Detaches the connection from its socket and returns the socket, so that it can be wrapped in TLS. */
 	detach: () => Socket;
 }>;
 
 const EMPTY = Buffer.alloc(0);
 
-const CLOSED: ReadFailure = {code: 'closed', message: 'The connection was closed'};
+const CONNECTION_CLOSED: ReadFailure = {code: 'closed', message: 'The connection was closed'};
 
-/** Opens a wire over a socket; the socket is paused between reads. */
+/** Opens a connection on a socket; the socket is paused between reads. */
 export const openWireConnection = (socket: Socket): WireConnection => {
-	const collected = createChunkBuffer();
+	const received = createChunkBuffer();
 	let ended = socket.destroyed;
 	const readable = createConditionVariable();
 	const writable = createConditionVariable();
-	const wake = () => {
+	const wakeAll = () => {
 		readable.notifyAll();
 		writable.notifyAll();
 	};
 
 	const onData = (chunk: Buffer) => {
-		collected.push(chunk);
+		received.push(chunk);
 		socket.pause();
 		readable.notifyAll();
 	};
 
 	const onEnd = () => {
 		ended = true;
-		wake();
+		wakeAll();
 	};
 
 	const onDrain = () => {
@@ -66,10 +66,10 @@
 	socket.on('drain', onDrain);
 	socket.pause();
 
-	/** Takes as many bytes as are wanted, or what there is when the peer has ended. */
+	/** Waits for the number of bytes that is needed; returns `undefined` if the peer ends the connection before. */
 	const readBytes = async (): Promise<Buffer | undefined> => {
 		while (true) {
-			const taken = collected.take();
+			const taken = received.take();
 			if (taken ?? ended) {
 				return taken;
 			}
@@ -85,17 +85,17 @@
 			while (true) {
 				const bytes = await readBytes();
 				if (!bytes) {
-					return Err(CLOSED);
+					return Err(CONNECTION_CLOSED);
 				}
 
 				const split = splitMessages(bytes);
-				collected.putBack(split.rest, split.neededBytes);
+				received.putBack(split.rest, split.neededBytes);
 				if (split.messages.length > 0) {
 					return Ok(split.messages);
 				}
 
 				if (split.malformed) {
-					return Err({code: 'messageMalformed', message: 'A message announces a length that is out of bounds'});
+					return Err({code: 'messageMalformed', message: 'The length of a message is out of range'});
 				}
 			}
 		},
@@ -103,7 +103,7 @@
 			while (true) {
 				const bytes = await readBytes();
 				if (!bytes) {
-					return Err(CLOSED);
+					return Err(CONNECTION_CLOSED);
 				}
 
 				const length = readStartupPacketLength(bytes);
@@ -112,20 +112,20 @@
 				}
 
 				if (length.val !== undefined && bytes.length >= length.val) {
-					collected.putBack(bytes.subarray(length.val), 1);
+					received.putBack(bytes.subarray(length.val), 1);
 					return Ok(bytes.subarray(0, length.val));
 				}
 
-				collected.putBack(bytes, length.val ?? bytes.length + 1);
+				received.putBack(bytes, length.val ?? bytes.length + 1);
 			}
 		},
 		async readByte() {
 			const bytes = await readBytes();
 			if (!bytes) {
-				return Err(CLOSED);
+				return Err(CONNECTION_CLOSED);
 			}
 
-			collected.putBack(bytes.subarray(1), 1);
+			received.putBack(bytes.subarray(1), 1);
 			return Ok(bytes[0] ?? 0);
 		},
 		async write(...parts) {
@@ -138,7 +138,7 @@
 				await writable.wait();
 			}
 		},
-		takeUnread: collected.takeAll,
+		takeUnread: received.takeAll,
 		detach() {
 			socket.off('data', onData);
 			socket.off('end', onEnd);
@@ -148,7 +148,7 @@
 		},
 		async [Symbol.asyncDispose]() {
 			ended = true;
-			wake();
+			wakeAll();
 			socket.end();
 			socket.destroySoon();
 		},
