Reword the PostgreSQL front end

Comments and local names use the terms of the field: authenticate a caller, verify with SCRAM or a password, prepared statements for names. No text that a caller receives is changed. The package has no tests of its own.

--- a/packages/front-postgres/src/caller-port.ts
+++ b/packages/front-postgres/src/caller-port.ts
@@ -1,4 +1,4 @@
-/** The caller's side of the PostgreSQL protocol after the startup: chunks in, answers out. */
+/** Connection to a caller after the startup: receives chunks of requests and sends responses in the PostgreSQL protocol. */
 
 import type {Buffer} from 'node:buffer';
 import {
@@ -9,7 +9,7 @@
 import {createChunk, isChunkEnd} from './chunks.js';
 import type {Caller} from './startup.js';
 
-/** Identity for cancel requests. */
+/** Identity of a connection, with which the caller can request a cancel. */
 export type CancelKey = Readonly<{processId: number; secret: number}>;
 
 const SERVER_PARAMETERS: Readonly<Record<string, string>> = {
@@ -22,8 +22,8 @@
 	TimeZone: 'UTC',
 };
 
-/** SQLSTATE of each refusal; every one says that the request was not run. */
-const REFUSAL_STATES: Readonly<Partial<Record<Refusal['code'], string>>> = {
+/** SQLSTATE by refusal code, `cannotConnectNow` for all others; each of them means that the request has not run. */
+const REFUSAL_SQLSTATES: Readonly<Partial<Record<Refusal['code'], string>>> = {
 	limitExceeded: SQLSTATE.limitExceeded,
 	queueFull: SQLSTATE.limitExceeded,
 	keyWithdrawn: SQLSTATE.notAuthorized,
@@ -36,13 +36,13 @@
 
 const createRefusalMessage = (requestId: string, refusal: Refusal): Message => createErrorResponse({
 	severity: 'ERROR',
-	code: REFUSAL_STATES[refusal.code] ?? SQLSTATE.cannotConnectNow,
+	code: REFUSAL_SQLSTATES[refusal.code] ?? SQLSTATE.cannotConnectNow,
 	message: `not run: ${refusal.message}`,
 	detail: `reason=${refusal.code} request=${requestId}${refusal.retryAfterMs === undefined ? '' : ` retry_after_ms=${Math.ceil(refusal.retryAfterMs)}`}`,
 	hint: 'The request has not run and may be sent again.',
 });
 
-const createUnknownMessage = (requestId: string, message: string): Message => createErrorResponse({
+const createUnknownOutcomeMessage = (requestId: string, message: string): Message => createErrorResponse({
 	severity: 'ERROR',
 	code: SQLSTATE.outcomeUnknown,
 	message: `outcome unknown: ${message}`,
@@ -50,7 +50,7 @@
 	hint: 'The request may or may not have run; check before sending it again.',
 });
 
-/** Greets a caller that has proved its key. */
+/** Completes the startup of an authenticated caller: sends the server parameters, the cancel key and `ReadyForQuery`. */
 export const sendStartupResponse = async (caller: Caller, key: CancelKey): Promise<void> => {
 	const parameters = Object.entries({...SERVER_PARAMETERS, application_name: caller.applicationName})
 		.map(([name, value]) => createParameterStatus(name, value).bytes);
@@ -58,7 +58,7 @@
 	await caller.wire.write(createMessage('R', encodeInt32(0)).bytes, ...parameters, keyData.bytes, createReadyForQuery('idle').bytes);
 };
 
-/** Reads the messages of the next chunk; `undefined` when the caller has left. */
+/** Reads the messages of the next chunk; returns `undefined` when the caller has disconnected. */
 const readChunk = async (caller: Caller, pending: Message[]): Promise<readonly Message[] | undefined> => {
 	while (true) {
 		const end = pending.findIndex(message => isChunkEnd(message) || message.type === 'X');
@@ -76,7 +76,7 @@
 	}
 };
 
-/** Reads on to the Sync that ends a failed extended request. */
+/** Discards messages up to the Sync that ends a failed extended query; returns `false` if the caller disconnects before. */
 const skipToSync = async (caller: Caller, pending: Message[], messages: readonly Message[]): Promise<boolean> => {
 	let last = messages.at(-1)?.type;
 	while (last === 'H') {
@@ -91,14 +91,14 @@
 	return true;
 };
 
-/** Creates what the caller's task sends and receives with. */
+/** Creates the port through which the task of a caller receives chunks and sends responses. */
 export const createCallerPort = (caller: Caller): CallerPort => {
 	const {wire} = caller;
-	const names = createPreparedStatementMap();
+	const statements = createPreparedStatementMap();
 	const pending: Message[] = [];
 
 	const createFailureMessage = ({requestId, failure}: RequestFailure): Message => failure.code === 'outcomeUnknown'
-		? createUnknownMessage(requestId, failure.message)
+		? createUnknownOutcomeMessage(requestId, failure.message)
 		: createRefusalMessage(requestId, failure);
 
 	return {
@@ -109,7 +109,7 @@
 			}
 
 			const skipRest = async () => skipToSync(caller, pending, messages);
-			const chunk = createChunk(messages, names);
+			const chunk = createChunk(messages, statements);
 			return chunk.ok
 				? {kind: 'chunk', ...chunk.val, skipRest}
 				: {
@@ -129,13 +129,13 @@
 			severity: endsConnection ? 'FATAL' : 'ERROR', code: SQLSTATE.outcomeUnknown, message: `outcome unknown: ${message}`, detail: `request=${requestId}`,
 		}).bytes),
 		sendCloseReason: async refusal => wire.write(createErrorResponse({
-			severity: 'FATAL', code: REFUSAL_STATES[refusal.code] ?? SQLSTATE.adminShutdown, message: refusal.message,
+			severity: 'FATAL', code: REFUSAL_SQLSTATES[refusal.code] ?? SQLSTATE.adminShutdown, message: refusal.message,
 		}).bytes),
-		onClose(leave) {
-			wire.socket.once('close', leave);
+		onClose(listener) {
+			wire.socket.once('close', listener);
 			return {
 				[Symbol.dispose]() {
-					wire.socket.off('close', leave);
+					wire.socket.off('close', listener);
 				},
 			};
 		},
--- a/packages/front-postgres/src/startup.ts
+++ b/packages/front-postgres/src/startup.ts
@@ -1,4 +1,4 @@
-/** First exchange with a caller: TLS, startup packet and proof of its key. */
+/** Startup of a connection from a caller: TLS, startup packet and authentication. */
 
 import {TLSSocket, type SecureContext} from 'node:tls';
 import type {Socket} from 'node:net';
@@ -12,35 +12,35 @@
 } from '@guavapitch/postgres-wire';
 import type {CallerIdentity} from '@guavapitch/requests';
 
-/** Failure of a startup, with the SQLSTATE that the caller is told. */
+/** Refusal of a startup, with the SQLSTATE for the caller. */
 export type StartupRefusal = Failure<'closed' | 'malformed' | 'unknownService' | 'keyRejected' | 'tlsRequired' | 'notAllowed'> & Readonly<{sqlState: string}>;
 
-/** A caller that has proved who it is. */
+/** An authenticated caller, or a caller of a service that needs no key. */
 export type Caller = CallerIdentity & Readonly<{
 	wire: WireConnection;
-	/** Name that the caller gave itself. */
+	/** Value of `application_name` in the startup packet. */
 	applicationName: string;
 }>;
 
-/** What a first packet leads to. */
+/** Result of the first packets: a cancel request or an authenticated caller. */
 export type StartupOutcome
 	= | Readonly<{kind: 'cancel'; processId: number; secret: number}>
 		| Readonly<{kind: 'caller'; caller: Caller}>;
 
-/** What a key entitles to. */
+/** Customer, verifier and permitted services of a key. */
 export type KnownKey = Readonly<{customer: CustomerId; verifier: string; services: readonly string[]}>;
 
-/** What the startup asks of the configuration. */
+/** Dependencies of the startup. */
 export type StartupContext = Readonly<{
-	/** TLS of the listener, if it offers any. */
+	/** TLS keys of the listener; `undefined` if it does not offer TLS. */
 	tls: SecureContext | undefined;
-	/** Finds a service: `undefined` if there is none. */
+	/** Finds a service by name; `open` tells that it needs no key. */
 	findService: (service: ServiceId) => Readonly<{open: boolean}> | undefined;
-	/** Finds a key. */
+	/** Finds a key by its identifier. */
 	findKey: (keyId: string) => KnownKey | undefined;
 }>;
 
-const SCRAM = 'SCRAM-SHA-256';
+const SCRAM_MECHANISM = 'SCRAM-SHA-256';
 const AUTHENTICATION_CLEARTEXT = 3;
 const AUTHENTICATION_SASL = 10;
 const AUTHENTICATION_SASL_CONTINUE = 11;
@@ -49,29 +49,29 @@
 const REFUSE_TLS = Buffer.from('N');
 
 const createRefusal = (code: StartupRefusal['code'], sqlState: string, message: string): StartupRefusal => ({code, sqlState, message});
-const CLOSED = createRefusal('closed', SQLSTATE.connectionFailure, 'The connection was closed');
-const REJECTED = createRefusal('keyRejected', SQLSTATE.wrongPassword, 'The key is not valid for this service');
+const CONNECTION_CLOSED = createRefusal('closed', SQLSTATE.connectionFailure, 'The connection was closed');
+const KEY_REJECTED = createRefusal('keyRejected', SQLSTATE.wrongPassword, 'The key is not valid for this service');
 
 const readPassword = async (wire: WireConnection): Promise<Result<Buffer, StartupRefusal>> => {
 	const messages = await wire.readMessages();
 	if (messages.err) {
-		return Err(CLOSED);
+		return Err(CONNECTION_CLOSED);
 	}
 
 	const [message] = messages.val;
 	return message?.type === 'p' ? Ok(getBody(message)) : Err(createRefusal('malformed', SQLSTATE.protocolViolation, 'A password message was expected'));
 };
 
-const checkByScram = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
-	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_SASL), SCRAM, Buffer.from([0])).bytes);
+const verifyWithScram = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
+	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_SASL), SCRAM_MECHANISM, Buffer.from([0])).bytes);
 	const first = await readPassword(wire);
 	if (first.err) {
 		return first;
 	}
 
 	const [mechanism, offset] = readCString(first.val, 0);
-	if (mechanism !== SCRAM) {
-		return Err(createRefusal('malformed', SQLSTATE.protocolViolation, `Expected the mechanism ${SCRAM}`));
+	if (mechanism !== SCRAM_MECHANISM) {
+		return Err(createRefusal('malformed', SQLSTATE.protocolViolation, `Expected the mechanism ${SCRAM_MECHANISM}`));
 	}
 
 	const exchange = startScramServer(first.val.toString('utf8', offset + 4), verifier);
@@ -94,18 +94,18 @@
 	return Ok(true);
 };
 
-const checkByPassword = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
+const verifyWithPassword = async (wire: WireConnection, verifier: Verifier | undefined): Promise<Result<boolean, StartupRefusal>> => {
 	await wire.write(createMessage('R', encodeInt32(AUTHENTICATION_CLEARTEXT)).bytes);
 	const password = await readPassword(wire);
 	return password.map(body => verifier !== undefined && checkPassword(readCString(body, 0)[0], verifier));
 };
 
-const proveKey = async (wire: WireConnection, parameters: ReadonlyMap<string, string>, context: StartupContext): Promise<Result<Caller, StartupRefusal>> => {
+const authenticateCaller = async (wire: WireConnection, parameters: ReadonlyMap<string, string>, context: StartupContext): Promise<Result<Caller, StartupRefusal>> => {
 	const keyId = parameters.get('user') ?? '';
 	const service = parseId<ServiceId>(parameters.get('database') ?? keyId);
 	const applicationName = parameters.get('application_name') ?? '';
-	const found = context.findService(service);
-	if (found?.open) {
+	const foundService = context.findService(service);
+	if (foundService?.open) {
 		return Ok({
 			wire, service, customer: undefined, keyId: undefined, applicationName,
 		});
@@ -114,16 +114,16 @@
 	const key = context.findKey(keyId);
 	const verifier = key ? parseVerifier(key.verifier).unwrapOr(undefined) : undefined;
 	const wantsPassword = parameters.get('options')?.includes('guavapitch.auth=password') && wire.socket instanceof TLSSocket;
-	const proved = wantsPassword ? await checkByPassword(wire, verifier) : await checkByScram(wire, verifier);
-	if (proved.err) {
-		return proved;
+	const verified = wantsPassword ? await verifyWithPassword(wire, verifier) : await verifyWithScram(wire, verifier);
+	if (verified.err) {
+		return verified;
 	}
 
-	if (!proved.val || !key) {
-		return Err(REJECTED);
+	if (!verified.val || !key) {
+		return Err(KEY_REJECTED);
 	}
 
-	if (!found) {
+	if (!foundService) {
 		return Err(createRefusal('unknownService', SQLSTATE.unknownDatabase, `There is no service ${service}`));
 	}
 
@@ -139,16 +139,16 @@
 	return openWireConnection(new TLSSocket(socket, {isServer: true, secureContext: context}));
 };
 
-/** Result of a startup, with the wire to answer on. */
+/** Result of a startup, with the connection on which to respond; it is another one after a change to TLS. */
 export type StartupResult = Readonly<{wire: WireConnection; outcome: Result<StartupOutcome, StartupRefusal>}>;
 
-/** Runs the first exchange with a caller. */
+/** Reads the first packets of a connection, starts TLS if requested, and authenticates the caller. */
 export const receiveStartup = async (socket: Socket, context: StartupContext): Promise<StartupResult> => {
 	let wire = openWireConnection(socket);
 	while (true) {
 		const packet = await wire.readStartupPacket();
 		if (packet.err) {
-			const refusal = packet.val.code === 'closed' ? CLOSED : createRefusal('malformed', SQLSTATE.protocolViolation, packet.val.message);
+			const refusal = packet.val.code === 'closed' ? CONNECTION_CLOSED : createRefusal('malformed', SQLSTATE.protocolViolation, packet.val.message);
 			return {wire, outcome: Err(refusal)};
 		}
 
@@ -163,8 +163,8 @@
 		}
 
 		if (val.kind === 'startup') {
-			const caller = await proveKey(wire, val.parameters, context);
-			return {wire, outcome: caller.map(proved => ({kind: 'caller', caller: proved}) as const)};
+			const caller = await authenticateCaller(wire, val.parameters, context);
+			return {wire, outcome: caller.map(authenticated => ({kind: 'caller', caller: authenticated}) as const)};
 		}
 
 		if (val.kind === 'tlsRequest' && context.tls) {
