--- a/packages/back-postgres/src/connection.ts
+++ b/packages/back-postgres/src/connection.ts
@@ -1,4 +1,4 @@
-/** One connection to a target. */
+/** Connections to targets. */
 
 import {createConnection} from 'node:net';
 import type {Buffer} from 'node:buffer';
@@ -11,35 +11,35 @@
 	type Message, type ReadFailure, type WireConnection,
 } from '@guavapitch/postgres-wire';
 
-/** How to reach a target. */
+/** Address and credentials of a target. */
 export type TargetAddress = Readonly<{
 	host: string;
 	port: number;
 	user: string;
 	password: string | undefined;
 	databaseName: string;
-	/** Name that the connection gives itself. */
+	/** Value of `application_name` in the startup packet. */
 	applicationName: string;
 }>;
 
 /** An open connection to a target. */
 export type TargetConnection = Poolable & Readonly<{
-	/** Statements prepared on this connection, by hash. */
+	/** Hashes of the statements prepared on this connection. */
 	preparedHashes: Set<string>;
-	/** Writes messages. */
+	/** Writes encoded messages. */
 	write: (...parts: readonly Buffer[]) => Promise<void>;
-	/** Reads at least one message. */
+	/** Waits for at least one message. */
 	read: () => Promise<Result<readonly Message[], ReadFailure>>;
-	/** Asks the target to cancel the running statement. */
+	/** Requests that the target cancel the running statement. */
 	cancel: () => void;
-	/** Runs a simple query and collects its rows as texts, a list for each statement. */
+	/** Runs a simple query; returns the rows of each of its statements as texts. */
 	query: (text: string) => Promise<Result<readonly QueryRows[], QueryFailure>>;
 }>;
 
-/** Rows of one statement. */
+/** Rows of one statement; `undefined` stands for NULL. */
 export type QueryRows = ReadonlyArray<ReadonlyArray<string | undefined>>;
 
-/** Failure of a query of our own. */
+/** Failure of a query of the proxy itself. */
 export type QueryFailure = Failure<'queryFailed' | 'closed' | 'messageMalformed'>;
 
 const CONNECT_TIMEOUT_MS = 2000;
@@ -66,7 +66,7 @@
 	return values;
 };
 
-/** Answers the target's requests for authentication until it is ready. */
+/** Answers the target's authentication requests until it is ready for queries; returns its `BackendKeyData`, if it sent any. */
 const authenticate = async (wire: WireConnection, address: TargetAddress): Promise<Result<Message | undefined, PoolFailure>> => {
 	const password = address.password ?? '';
 	const scram = startScramClient(password);
@@ -74,7 +74,7 @@
 	while (true) {
 		const messages = await wire.readMessages();
 		if (messages.err) {
-			return Err(createFailure('The target closed the connection'));
+			return Err(createFailure('The target closed the connection during authentication'));
 		}
 
 		for (const message of messages.val) {
@@ -117,7 +117,7 @@
 
 				default: {
 					if (kind !== AUTHENTICATION_OK && kind !== AUTHENTICATION_SASL_FINAL) {
-						return Err(createFailure(`The target asks for authentication ${kind}, which is not supported`));
+						return Err(createFailure(`The target requires authentication method ${kind}, which is not supported`));
 					}
 				}
 			}
@@ -125,7 +125,7 @@
 	}
 };
 
-/** Opens a connection to a target. */
+/** Opens and authenticates a connection to a target; fails with `targetUnreachable`. */
 export const openTargetConnection = async (address: TargetAddress): Promise<Result<TargetConnection, PoolFailure>> => {
 	const socket = createConnection({host: address.host, port: address.port, noDelay: true});
 	const wire = openWireConnection(socket);
@@ -140,7 +140,7 @@
 	}
 
 	socket.setTimeout(0);
-	const key = authenticated.val ? getBody(authenticated.val) : undefined;
+	const backendKey = authenticated.val ? getBody(authenticated.val) : undefined;
 	const preparedHashes = new Set<string>();
 
 	const query = async (text: string): Promise<Result<readonly QueryRows[], QueryFailure>> => {
@@ -185,21 +185,21 @@
 	};
 
 	return Ok({
-		preparedHashes: preparedHashes,
+		preparedHashes,
 		write: wire.write,
 		read: wire.readMessages,
 		query,
 		isEnded: () => socket.destroyed || socket.readableEnded,
 		cancel() {
-			if (!key) {
+			if (!backendKey) {
 				return;
 			}
 
-			const canceller = createConnection({host: address.host, port: address.port});
-			canceller.on('error', () => {
-				canceller.destroy();
+			const cancelSocket = createConnection({host: address.host, port: address.port});
+			cancelSocket.on('error', () => {
+				cancelSocket.destroy();
 			});
-			canceller.end(createCancelRequest(key.readInt32BE(0), key.readInt32BE(4)));
+			cancelSocket.end(createCancelRequest(backendKey.readInt32BE(0), backendKey.readInt32BE(4)));
 		},
 		async reset() {
 			const result = await query('ROLLBACK');
--- a/packages/back-postgres/src/run-chunk.ts
+++ b/packages/back-postgres/src/run-chunk.ts
@@ -1,4 +1,4 @@
-/** Passing a chunk to a target and its answer back, message by message. */
+/** Runs a chunk of a request on a connection to a target and forwards the response. */
 
 import {Buffer} from 'node:buffer';
 import {
@@ -8,48 +8,48 @@
 import type {TargetConnection} from './connection.js';
 import {sendChunk} from './chunk-response.js';
 
-/** Size at which messages of an answer are passed on, in bytes; a few network packets. */
+/** Size above which buffered messages of a response are forwarded, in bytes; a few network packets. */
 const FLUSH_BYTES = 32_768;
 
-/** Sends one chunk and passes its answer on, holding back the last completion until it may be given. */
-export const runChunk = async (connection: TargetConnection, turn: ChunkTask): Promise<ChunkResult> => {
-	const {chunk, skipping} = turn;
-	const progress = await sendChunk(connection, chunk, skipping);
-	let parts: Buffer[] = progress.initialReplies.map(message => message.bytes);
-	let size = 0;
-	let sent = false;
-	let held: Message[] = [];
+/** Sends a chunk and forwards the response, withholding its last `CommandComplete` until the task allows its release. */
+export const runChunk = async (connection: TargetConnection, task: ChunkTask): Promise<ChunkResult> => {
+	const {chunk, skipping} = task;
+	const response = await sendChunk(connection, chunk, skipping);
+	let parts: Buffer[] = response.initialReplies.map(message => message.bytes);
+	let sizeBytes = 0;
+	let hasForwarded = false;
+	let withheld: Message[] = [];
 
 	const flush = async () => {
 		if (parts.length > 0) {
 			const bytes = Buffer.concat(parts);
 			parts = [];
-			size = 0;
-			sent = true;
-			await turn.send(bytes);
+			sizeBytes = 0;
+			hasForwarded = true;
+			await task.send(bytes);
 		}
 	};
 
-	const pass = (message: Message) => {
-		if (held.length > 0) {
-			parts.push(...held.map(one => one.bytes));
-			held = [];
+	const collect = (message: Message) => {
+		if (withheld.length > 0) {
+			parts.push(...withheld.map(message => message.bytes));
+			withheld = [];
 		}
 
 		if (message.type === 'C') {
-			held = [message];
+			withheld = [message];
 		} else {
 			parts.push(message.bytes);
 		}
 
-		size += message.bytes.length;
+		sizeBytes += message.bytes.length;
 	};
 
 	while (true) {
-		if (progress.isComplete()) {
-			parts.push(...held.map(one => one.bytes));
+		if (response.isComplete()) {
+			parts.push(...withheld.map(message => message.bytes));
 			await flush();
-			return {kind: 'flushed', skipping: progress.hasFailed()};
+			return {kind: 'flushed', skipping: response.hasFailed()};
 		}
 
 		const messages = await connection.read();
@@ -58,32 +58,32 @@
 			return {kind: 'lost'};
 		}
 
-		turn.onResponseStarted();
+		task.onResponseStarted();
 		for (const message of messages.val) {
-			if (message.type === 'E' && !turn.isWrite && !sent && readErrorResponse(message).code === SQLSTATE.readOnly) {
+			if (message.type === 'E' && !task.isWrite && !hasForwarded && readErrorResponse(message).code === SQLSTATE.readOnly) {
 				return {kind: 'readOnly'};
 			}
 
 			if (message.type === 'Z') {
 				const status = readTransactionStatus(message);
 				await flush();
-				if (!await turn.mayRelease(status)) {
+				if (!await task.mayRelease(status)) {
 					return {kind: 'lost'};
 				}
 
-				if (held.length > 0) {
-					await turn.send(Buffer.concat(held.map(one => one.bytes)));
+				if (withheld.length > 0) {
+					await task.send(Buffer.concat(withheld.map(message => message.bytes)));
 				}
 
 				return {kind: 'ready', status};
 			}
 
-			for (const own of progress.accept(message)) {
-				pass(own);
+			for (const forwarded of response.accept(message)) {
+				collect(forwarded);
 			}
 		}
 
-		if (size > FLUSH_BYTES || !chunk.ends) {
+		if (sizeBytes > FLUSH_BYTES || !chunk.ends) {
 			await flush();
 		}
 	}
