Reword the emulator package

Replaces "home", "keeper", "share", "part", "dark" and "worth earned" prose by database owner, quota allocator, quota, fraction, unresponsive and the terms of load testing, in comments, local names, load descriptions and test titles, so that a reader needs no glossary. Names and fields of loads and tables stay.

--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -1,4 +1,4 @@
-/** Emulated callers: operations that come at random times, and callers that try again. */
+/** Emulated callers: operations arrive at random times and are retried after failures. */
 
 import {
 	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type World,
@@ -7,10 +7,10 @@
 import type {Load, OperationClass, CustomerLoad} from './loads.js';
 import {EMULATED_DATABASE} from './targets.js';
 
-/** How an operation ended for its caller. */
+/** Outcome of an operation for its caller: within its latency objective, later, refused, or failed. */
 export type OperationOutcome = 'prompt' | 'late' | 'refused' | 'failed';
 
-/** One operation from its first attempt on. */
+/** Result of one operation, including its retries. */
 export type OperationResult = Readonly<{
 	className: string;
 	customer: string;
@@ -18,67 +18,71 @@
 	/** Milliseconds from the start of the load. */
 	startedAtMs: number;
 	outcome: OperationOutcome;
+	/** Time from the first attempt to the end, without the pauses of the caller, in milliseconds. */
 	latencyMs: number;
-	/** Worth that it earned, and that it could have earned. */
+	/** Worth that the operation earned. */
 	earnedWorth: number;
+	/** Worth of the operation if it meets its latency objective. */
 	maxWorth: number;
 }>;
 
-/** Runs a statement at the home; `undefined` if the vm is away. */
+/** Runs a statement at the database owner; resolves to `undefined` if the vm is down. */
 export type RunStatement = (request: StatementRequest) => Promise<StatementResponse | undefined>;
 
+/** Result of one attempt; an attempt is repeatable if repeating it cannot run a write twice. */
 type Attempt = Readonly<{ok: boolean; isRepeatable: boolean; retryAfterMs: number}>;
 
-const PAUSE_MS = 40;
-const STATEMENTS = 3;
-/** Pause before another attempt without a hint, in milliseconds. */
-const RETRY_MS = 100;
+/** Longest pause of a caller between two statements of a transaction, in milliseconds. */
+const MAX_PAUSE_MS = 40;
+const STATEMENTS_PER_TRANSACTION = 3;
+/** Mean pause before a retry unless the response asks for a longer one, in milliseconds. */
+const MEAN_RETRY_MS = 100;
 
-/** What callers work with. */
+/** Dependencies of the emulated callers. */
 type CallContext = Readonly<{load: Load; world: World; run: RunStatement}>;
 
-/** Runs one operation with its attempts. */
-const runOperation = async ({load, world, run}: CallContext, one: OperationClass, customer: string): Promise<OperationResult> => {
+/** Runs one operation, with retries. */
+const runOperation = async ({load, world, run}: CallContext, operationClass: OperationClass, customer: string): Promise<OperationResult> => {
 	const startedAt = world.now();
-	const deadline = createDeadline(startedAt, one.timeoutMs);
+	const deadline = createDeadline(startedAt, operationClass.timeoutMs);
 	const dataCentre = load.dataCentres[Math.floor(world.random() * load.dataCentres.length)] ?? '';
-	const isTransaction = world.random() < one.transactionFraction;
-	const isWrite = world.random() < one.writeFraction;
+	const isTransaction = world.random() < operationClass.transactionFraction;
+	const isWrite = world.random() < operationClass.writeFraction;
 
 	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
 		id: world.createId(),
 		database: EMULATED_DATABASE,
 		customer: parseId<CustomerId>(customer),
 		statement: text === 'COMMIT' ? {kind: 'commit', text} : {kind: 'text', access: text.startsWith('WRITE') ? 'write' : 'read', text},
-		consistency: one.consistency,
+		consistency: operationClass.consistency,
 		floor: undefined,
 		values: [],
 		transaction,
 		remainingMs: Math.max(0, getRemainingMs(deadline, world.now())),
-		promptMs: Math.max(0, one.latencyObjectiveMs - (world.now() - startedAt)),
-		priority: one.priority,
+		promptMs: Math.max(0, operationClass.latencyObjectiveMs - (world.now() - startedAt)),
+		priority: operationClass.priority,
 	});
 
-	const listTexts = (): readonly string[] => {
-		const own = `${isWrite ? 'WRITE' : 'READ'} ${one.name}`;
-		return isTransaction ? [...Array.from({length: STATEMENTS}, () => own), 'COMMIT'] : [own];
+	const createTexts = (): readonly string[] => {
+		const text = `${isWrite ? 'WRITE' : 'READ'} ${operationClass.name}`;
+		return isTransaction ? [...Array.from({length: STATEMENTS_PER_TRANSACTION}, () => text), 'COMMIT'] : [text];
 	};
 
 	let pausedMs = 0;
 	const attempt = async (): Promise<Attempt> => {
 		const transaction = world.createId();
-		for (const [index, text] of listTexts().entries()) {
+		for (const [index, text] of createTexts().entries()) {
 			await world.sleep(load.networkDelayMs);
-			const answer = await run(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
+			const response = await run(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
 			await world.sleep(load.networkDelayMs);
-			if (answer?.outcome.kind !== 'done') {
-				const isRefused = answer?.outcome.kind === 'refused';
+			if (response?.outcome.kind !== 'done') {
+				const isRefused = response?.outcome.kind === 'refused';
 				const isRead = !isWrite || (isTransaction && text !== 'COMMIT');
-				return {ok: false, isRepeatable: isRefused || isRead, retryAfterMs: answer?.outcome.kind === 'refused' ? answer.outcome.retryAfterMs : 0};
+				return {ok: false, isRepeatable: isRefused || isRead, retryAfterMs: response?.outcome.kind === 'refused' ? response.outcome.retryAfterMs : 0};
 			}
 
 			if (isTransaction && text !== 'COMMIT') {
-				const pauseMs = PAUSE_MS * world.random();
+				const pauseMs = MAX_PAUSE_MS * world.random();
 				pausedMs += pauseMs;
 				await world.sleep(pauseMs);
 			}
@@ -87,64 +91,71 @@
 		return {ok: true, isRepeatable: false, retryAfterMs: 0};
 	};
 
-	let last = await attempt();
-	for (let retry = 0; retry < one.retries && !last.ok && last.isRepeatable; retry++) {
-		await world.sleep(Math.max(last.retryAfterMs, RETRY_MS * (0.5 + world.random())));
+	let lastAttempt = await attempt();
+	for (let retry = 0; retry < operationClass.retries && !lastAttempt.ok && lastAttempt.isRepeatable; retry++) {
+		await world.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_MS * (0.5 + world.random())));
 		if (isPast(deadline, world.now())) {
 			break;
 		}
 
-		last = await attempt();
+		lastAttempt = await attempt();
 	}
 
-	const ms = world.now() - startedAt - pausedMs;
-	const isInTime = last.ok && world.now() - pausedMs <= deadline;
-	const isPrompt = ms <= one.latencyObjectiveMs;
-	const end: OperationOutcome = isInTime ? (isPrompt ? 'prompt' : 'late') : (last.isRepeatable ? 'refused' : 'failed');
+	const latencyMs = world.now() - startedAt - pausedMs;
+	const isBeforeTimeout = lastAttempt.ok && world.now() - pausedMs <= deadline;
+	const meetsObjective = latencyMs <= operationClass.latencyObjectiveMs;
+	const outcome: OperationOutcome = isBeforeTimeout ? (meetsObjective ? 'prompt' : 'late') : (lastAttempt.isRepeatable ? 'refused' : 'failed');
 	return {
-		className: one.name, customer, dataCentre, startedAtMs: startedAt, outcome: end, latencyMs: ms, maxWorth: one.worth, earnedWorth: isInTime ? (isPrompt ? one.worth : one.lateWorth) : 0,
+		className: operationClass.name,
+		customer,
+		dataCentre,
+		startedAtMs: startedAt,
+		outcome,
+		latencyMs,
+		maxWorth: operationClass.worth,
+		earnedWorth: isBeforeTimeout ? (meetsObjective ? operationClass.worth : operationClass.lateWorth) : 0,
 	};
 };
 
-/** Computes how many times as often a customer asks now. */
-const computeTimes = (load: Load, customer: string, now: number): number => load.events
+/** Computes the factor by which the request rate of a customer is multiplied at an instant. */
+const computeRateFactor = (load: Load, customer: string, now: number): number => load.events
 	.filter(event => event.kind === 'more' && now >= event.atMs && now < event.untilMs && (event.customer ?? customer) === customer)
-	.reduce((times, event) => times * (event.kind === 'more' ? event.factor : 1), 1);
-
-/** Operations of one class that one customer asks for. */
-type Arrivals = Readonly<{one: OperationClass; customer: CustomerLoad; end: Deadline; onArrival: () => void}>;
-
-/** Lets operations arrive at random times until the load is over. */
-const sendOperations = async ({load, world}: CallContext, {one, customer, end, onArrival}: Arrivals): Promise<void> => {
-	const mostTimes = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.factor : 1));
-	const perMs = one.operationsPerSecond * customer.fraction * mostTimes / 1000;
-	while (!isPast(end, world.now())) {
-		await world.sleep(-Math.log(1 - world.random()) / perMs);
-		// Arrivals are drawn at the highest rate and thinned out, so that the rate may change at any time.
-		if (world.random() < computeTimes(load, customer.name, world.now()) / mostTimes) {
+	.reduce((factor, event) => factor * (event.kind === 'more' ? event.factor : 1), 1);
+
+/** Arrivals of the operations of one class from one customer. */
+type Arrivals = Readonly<{operationClass: OperationClass; customer: CustomerLoad; endsAt: Deadline; onArrival: () => void}>;
+
+/** Starts operations at random times until the load has ended. */
+const startOperations = async ({load, world}: CallContext, {operationClass, customer, endsAt, onArrival}: Arrivals): Promise<void> => {
+	const maxFactor = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.factor : 1));
+	const maxRatePerMs = operationClass.operationsPerSecond * customer.fraction * maxFactor / 1000;
+	while (!isPast(endsAt, world.now())) {
+		await world.sleep(-Math.log(1 - world.random()) / maxRatePerMs);
+		// Arrivals are drawn at the highest rate and then thinned, so that the rate may change at any time.
+		if (world.random() < computeRateFactor(load, customer.name, world.now()) / maxFactor) {
 			onArrival();
 		}
 	}
 };
 
-/** Runs all callers of a load; gives their operations. */
+/** Runs all callers of a load and returns the results of their operations. */
 export const runCallers = async (load: Load, world: World, run: RunStatement): Promise<readonly OperationResult[]> => {
-	const end = createDeadline(world.now(), load.durationMs);
-	const seen: OperationResult[] = [];
+	const endsAt = createDeadline(world.now(), load.durationMs);
+	const results: OperationResult[] = [];
 	const running: Array<Promise<void>> = [];
 	const context: CallContext = {load, world, run};
-	const runOne = async (one: OperationClass, customer: CustomerLoad) => {
-		seen.push(await runOperation(context, one, customer.name));
+	const runAndRecord = async (operationClass: OperationClass, customer: CustomerLoad) => {
+		results.push(await runOperation(context, operationClass, customer.name));
 	};
 
-	await Promise.all(load.classes.flatMap(one => load.customers.map(async customer => sendOperations(context, {
-		one,
+	await Promise.all(load.classes.flatMap(operationClass => load.customers.map(async customer => startOperations(context, {
+		operationClass,
 		customer,
-		end,
+		endsAt,
 		onArrival() {
-			running.push(runOne(one, customer));
+			running.push(runAndRecord(operationClass, customer));
 		},
 	}))));
 	await Promise.all(running);
-	return seen;
+	return results;
 };
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -1,71 +1,74 @@
-/** Named loads: who asks what, of which targets, and what goes wrong meanwhile. */
+/** Named loads: the operations that callers request, the targets that run them and the faults that occur meanwhile. */
 
 import type {Consistency} from '@guavapitch/sessions';
 
-/** A kind of operation that callers ask for. */
+/** Class of operations that callers request. */
 export type OperationClass = Readonly<{
 	name: string;
 	consistency: Consistency;
-	/** Part of the operations that write. */
+	/** Fraction of the operations that write. */
 	writeFraction: number;
-	/** Part of the operations that are transactions of three statements with pauses. */
+	/** Fraction of the operations that are transactions of three statements with pauses between them. */
 	transactionFraction: number;
-	/** Mean time of a statement in its slot, in milliseconds. */
+	/** Mean time for which a statement occupies a slot of its target, in milliseconds. */
 	meanStatementMs: number;
-	/** Time in which an operation should be answered, in milliseconds. */
+	/** Latency objective of an operation, in milliseconds. */
 	latencyObjectiveMs: number;
-	/** Time after which its caller gives up, in milliseconds. */
+	/** Time after which the caller of an operation gives up, in milliseconds. */
 	timeoutMs: number;
+	/** Mean rate of arrivals, over all customers. */
 	operationsPerSecond: number;
-	/** Worth of an operation in time, and of a late one. */
+	/** Worth of an operation that meets its latency objective. */
 	worth: number;
+	/** Worth of an operation that completes later, but before its timeout. */
 	lateWorth: number;
-	/** Smaller goes first. */
+	/** Operations with a smaller number are scheduled first. */
 	priority: number;
-	/** Times that a caller tries again. */
+	/** Maximum number of retries of an operation. */
 	retries: number;
 }>;
 
-/** A target of the emulated database. */
+/** Target of the emulated database; `lagMs` is its replication lag, in milliseconds. */
 export type TargetSpec = Readonly<{id: string; dataCentre: string; slots: number; lagMs: number}>;
 
-/** A customer, its part of the operations and its share. */
+/** Customer, its fraction of the operations and its quota. */
 export type CustomerLoad = Readonly<{name: string; fraction: number; rate: number; burst: number}>;
 
-/** Something that changes during a load. */
+/** Change or fault during a load, with its start and end in milliseconds from the start of the load. */
 export type LoadEvent = Readonly<{atMs: number; untilMs: number}> & (
-	/** All callers, or those of one customer, ask this many times as often. */
+	/** The request rate of all callers, or of those of one customer, is multiplied by a factor. */
 	| Readonly<{kind: 'more'; factor: number; customer?: string}>
-	/** A target takes this many times as long. */
+	/** The time of a statement on a target is multiplied by a factor. */
 	| Readonly<{kind: 'slow'; target: string; factor: number}>
-	/** A target neither answers nor refuses. */
+	/** A target is unresponsive: it neither responds nor refuses. */
 	| Readonly<{kind: 'dark'; target: string}>
-	/** The leader is dark; another target leads from the end on. */
+	/** The leader is unresponsive; another target is promoted at the end of the event. */
 	| Readonly<{kind: 'failover'; target: string}>
-	/** All vms are away; the home starts with nothing. */
+	/** All vms are down; the database owner starts again at the end of the event, without any state. */
 	| Readonly<{kind: 'restart'}>
 );
 
-/** A load that can be replayed. */
+/** Load that can be replayed. */
 export type Load = Readonly<{
 	name: string;
-	/** What it shows. */
+	/** What the load demonstrates. */
 	description: string;
 	durationMs: number;
-	/** Time that a new connection holds a slot, in milliseconds. */
+	/** Time for which opening a connection occupies a slot of the target, in milliseconds. */
 	dialMs: number;
-	/** Way between two data centres, in milliseconds. */
+	/** One-way network delay between two data centres, in milliseconds. */
 	networkDelayMs: number;
+	/** Maximum number of connections to each target. */
 	connections: number;
 	dataCentres: readonly string[];
-	/** The first one leads. */
+	/** Targets of the database; the first one is the leader at the start. */
 	targets: readonly TargetSpec[];
 	classes: readonly OperationClass[];
 	customers: readonly CustomerLoad[];
 	events: readonly LoadEvent[];
 }>;
 
-/** Operations, targets and customers of one database of a small deployment. */
+/** Operations, targets and customers of one database in a small deployment. */
 const BASE: Omit<Load, 'name' | 'description' | 'events'> = {
 	durationMs: 20_000,
 	dialMs: 27,
@@ -143,37 +146,37 @@
 /** All named loads. */
 export const LOADS: readonly Load[] = [
 	{
-		...BASE, name: 'quiet', description: 'nothing happens', events: [],
+		...BASE, name: 'quiet', description: 'no faults', events: [],
 	},
 	{
-		...BASE, name: 'burst', description: 'three times as many operations for six seconds', events: [{
+		...BASE, name: 'burst', description: 'three times the request rate for six seconds', events: [{
 			kind: 'more', factor: 3, atMs: 6000, untilMs: 12_000,
 		}],
 	},
 	{
-		...BASE, name: 'hot-customer', description: 'one customer asks twelve times as often for eight seconds', events: [{
+		...BASE, name: 'hot-customer', description: 'one customer sends twelve times its usual request rate for eight seconds', events: [{
 			kind: 'more', customer: 'small', factor: 12, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'slow-target', description: 'one replica takes eight times as long', events: [{
+		...BASE, name: 'slow-target', description: 'statements on one replica take eight times as long', events: [{
 			kind: 'slow', target: 'target-2', factor: 8, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'dark-target', description: 'one replica falls silent', events: [{
+		...BASE, name: 'dark-target', description: 'one replica becomes unresponsive', events: [{
 			kind: 'dark', target: 'target-3', atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'failover', description: 'the leader falls silent and a replica leads two seconds later', events: [{
+		...BASE, name: 'failover', description: 'the leader becomes unresponsive and a replica is promoted two seconds later', events: [{
 			kind: 'failover', target: 'target-1', atMs: 8000, untilMs: 10_000,
 		}],
 	},
 	{
-		...BASE, name: 'restart', description: 'all vms are away for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
+		...BASE, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
 	},
 ];
 
-/** Finds a load by its name. */
+/** Returns the load with the given name; `undefined` if there is none. */
 export const findLoad = (name: string): Load | undefined => LOADS.find(load => load.name === name);
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -1,4 +1,4 @@
-/** Replays a load against a home on the virtual clock. */
+/** Replays a load against a database owner on a virtual clock. */
 
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type World,
@@ -9,38 +9,40 @@
 import type {Load, LoadEvent} from './loads.js';
 import {createEmulatedTargets, EMULATED_DATABASE, type EmulatedTargets} from './targets.js';
 
-/** What came of a load. */
+/** Result of a replay. */
 export type ReplayResult = Readonly<{
 	load: string;
 	seed: number;
 	operations: readonly OperationResult[];
+	/** Number of connections opened to the targets. */
 	dialCount: number;
 }>;
 
-const KEEPER_ANSWER_MS = 2;
+/** Response time of the quota allocator, in milliseconds. */
+const ALLOCATOR_RESPONSE_MS = 2;
 const IDLE_TRANSACTION_MS = 1500;
-/** Time after the end of a load in which the last operations end, in milliseconds. */
-const TAIL_MS = 8000;
-/** Step of the virtual clock between looks whether all operations have ended, in milliseconds. */
-const STEP_MS = 500;
+/** Time after the end of a load within which the last operations complete, in milliseconds. */
+const COMPLETION_TIMEOUT_MS = 8000;
+/** Step of the virtual clock between checks whether all operations have ended, in milliseconds. */
+const CLOCK_STEP_MS = 500;
 
-const createShares = (load: Load, world: World): QuotaClient => {
-	const keeper = createQuotaAllocator({
+const createQuotas = (load: Load, world: World): QuotaClient => {
+	const allocator = createQuotaAllocator({
 		world,
 		epoch: 1,
 		getAuthorityDeadline: () => NEVER,
 		getQuota: customer => load.customers.find(({name}) => name === customer),
 	});
 	return createQuotaClient(async request => {
-		await world.sleep(KEEPER_ANSWER_MS);
-		const allotment = keeper.grantTokens(request);
-		return allotment ? Ok(allotment) : Err({code: 'noKeeper', message: 'The customer has no share'});
+		await world.sleep(ALLOCATOR_RESPONSE_MS);
+		const grant = allocator.grantTokens(request);
+		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'The customer has no quota'});
 	}, world, () => ({rate: 0, burst: 0}));
 };
 
-const createHome = (load: Load, targets: EmulatedTargets, world: World): DatabaseOwner => {
-	const allowances = createShares(load, world);
-	const home = createDatabaseOwner({
+const createOwner = (load: Load, targets: EmulatedTargets, world: World): DatabaseOwner => {
+	const quotaClient = createQuotas(load, world);
+	const owner = createDatabaseOwner({
 		world,
 		readClock: world.now,
 		database: EMULATED_DATABASE,
@@ -50,31 +52,31 @@
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
 		async acquireToken(customer, deadline: Deadline): Promise<Result<undefined, Readonly<{code: string; message: string; retryAfterMs: number}>>> {
-			return allowances.acquire(customer, deadline);
+			return quotaClient.acquire(customer, deadline);
 		},
 		onDecision: () => undefined,
 	});
-	home.setTargets(targets.describeTargets());
-	return home;
+	owner.setTargets(targets.describeTargets());
+	return owner;
 };
 
-/** Replays a load; the seed decides its chance. */
+/** Replays a load; the seed determines all random choices. */
 export const runReplay = async (load: Load, seed: number): Promise<ReplayResult> => {
 	const {world, advance} = createVirtualWorld(seed);
 	const targets = createEmulatedTargets(load, world);
-	let home: DatabaseOwner | undefined = createHome(load, targets, world);
+	let owner: DatabaseOwner | undefined = createOwner(load, targets, world);
 	const schedule = (event: LoadEvent) => {
 		if (event.kind === 'restart') {
 			world.schedule(event.atMs, () => {
-				home = undefined;
+				owner = undefined;
 			});
 			world.schedule(event.untilMs, () => {
-				home = createHome(load, targets, world);
+				owner = createOwner(load, targets, world);
 			});
 		} else if (event.kind === 'failover') {
 			world.schedule(event.untilMs, () => {
 				targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
-				home?.setTargets(targets.describeTargets());
+				owner?.setTargets(targets.describeTargets());
 			});
 		}
 	};
@@ -84,20 +86,20 @@
 	}
 
 	let operations: readonly OperationResult[] | undefined;
-	const running = runCallers(load, world, async request => {
-		const asked = home;
-		const answer = await asked?.serve(request);
-		// A vm that went away meanwhile answers nothing.
-		return asked === home ? answer : undefined;
-	}).then(seen => {
-		operations = seen;
+	const callersDone = runCallers(load, world, async request => {
+		const requestedOwner = owner;
+		const response = await requestedOwner?.serve(request);
+		// A vm that was stopped meanwhile sends no response.
+		return requestedOwner === owner ? response : undefined;
+	}).then(results => {
+		operations = results;
 	});
-	const end = createDeadline(world.now(), load.durationMs + TAIL_MS);
-	while (operations === undefined && world.now() < end) {
-		await advance(STEP_MS);
+	const endsAt = createDeadline(world.now(), load.durationMs + COMPLETION_TIMEOUT_MS);
+	while (operations === undefined && world.now() < endsAt) {
+		await advance(CLOCK_STEP_MS);
 	}
 
-	await Promise.race([running, advance(STEP_MS)]);
+	await Promise.race([callersDone, advance(CLOCK_STEP_MS)]);
 	return {
 		load: load.name, seed, operations: operations ?? [], dialCount: targets.getDialCount(),
 	};
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -1,4 +1,4 @@
-/** Emulated targets: slots, times with tails, dials that take a slot, logs and lag. */
+/** Emulated targets with limited slots, long-tailed statement times, connections that occupy a slot while they are opened, and replication lag. */
 
 import {
 	Err, getRemainingMs, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
@@ -9,106 +9,109 @@
 import {comparePositions, type LogPosition} from '@guavapitch/sessions';
 import type {Load, LoadEvent, TargetSpec} from './loads.js';
 
-/** The emulated database. */
+/** Identifier of the emulated database. */
 export const EMULATED_DATABASE = parseId<DatabaseId>('emulated');
 
-/** Targets of one load. */
+/** Emulated targets of one load. */
 export type EmulatedTargets = Readonly<{
-	/** Describes them as the registry would. */
+	/** Returns the targets in the form that the database owner gets in production. */
 	describeTargets: () => readonly Target[];
+	/** Opens a connection; fails at the deadline if the target is unresponsive. */
 	dial: (target: Target, customer: string, deadline: Deadline) => Promise<Result<TargetConnection, DialFailure>>;
-	/** Makes another target lead the next term. */
+	/** Makes a target the leader of the next term. */
 	promote: (id: string) => void;
 	getLeader: () => string;
+	/** Returns the number of connections opened so far. */
 	getDialCount: () => number;
 }>;
 
-type Emulated = {readonly load: TargetSpec; busy: number; readonly waiting: Array<() => void>};
+/** Target with its occupied slots and the callbacks of the statements that wait for one. */
+type EmulatedTarget = {readonly spec: TargetSpec; busySlots: number; readonly waiting: Array<() => void>};
 
-/** Spread of the times of statements: standard deviation of their logarithm. */
-const TIME_SPREAD = 0.35;
+/** Standard deviation of the logarithm of the statement times. */
+const LOG_TIME_DEVIATION = 0.35;
 
-/** Draws a time around a mean, with a long tail. */
+/** Draws a time from a log-normal distribution with the given mean, in milliseconds. */
 export const drawTimeMs = (meanMs: number, random: () => number): number => {
 	const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
-	return meanMs * Math.exp((TIME_SPREAD * normal) - ((TIME_SPREAD ** 2) / 2));
+	return meanMs * Math.exp((LOG_TIME_DEVIATION * normal) - ((LOG_TIME_DEVIATION ** 2) / 2));
 };
 
-/** Reads the class and the access out of an emulated statement: `READ swaps`. */
+/** Reads the access mode and the operation class from an emulated statement such as `READ swaps`. */
 const readStatement = (text: string): Readonly<{isWrite: boolean; className: string}> => {
 	const [word = '', className = ''] = text.split(' ');
 	return {isWrite: word === 'WRITE', className};
 };
 
-/** Creates the targets of a load. */
+/** Creates the emulated targets of a load. */
 export const createEmulatedTargets = (load: Load, world: World): EmulatedTargets => {
-	const targets = new Map(load.targets.map(one => [one.id, {load: one, busy: 0, waiting: []}]));
+	const targets = new Map(load.targets.map(spec => [spec.id, {spec, busySlots: 0, waiting: []}]));
 	let leader = load.targets[0]?.id ?? '';
 	let term = 1;
-	/** When each number of the log was written, in the present term. */
-	let writtenAt: number[] = [];
-	let base = 0;
-	let dials = 0;
+	/** Commit times of the records of the current term; their numbers follow `startNumber`. */
+	let commitTimes: number[] = [];
+	let startNumber = 0;
+	let dialCount = 0;
 
-	const isDuring = ({atMs, untilMs}: LoadEvent) => world.now() >= atMs && world.now() < untilMs;
-	const getEvent = (kind: 'slow' | 'dark' | 'failover', id: string) => load.events.find(event => event.kind === kind && event.target === id && isDuring(event));
-	const isDark = (id: string) => getEvent('dark', id) !== undefined || getEvent('failover', id) !== undefined;
+	const isActive = ({atMs, untilMs}: LoadEvent) => world.now() >= atMs && world.now() < untilMs;
+	const findActiveEvent = (kind: 'slow' | 'dark' | 'failover', id: string) => load.events.find(event => event.kind === kind && event.target === id && isActive(event));
+	const isUnresponsive = (id: string) => findActiveEvent('dark', id) !== undefined || findActiveEvent('failover', id) !== undefined;
 
 	const getPosition = (id: string): LogPosition => {
-		const lagMs = id === leader ? 0 : targets.get(id)?.load.lagMs ?? 0;
-		const seen = writtenAt.findLastIndex(at => at <= world.now() - lagMs) + 1;
-		return {term, number: base + seen};
+		const lagMs = id === leader ? 0 : targets.get(id)?.spec.lagMs ?? 0;
+		const replicated = commitTimes.findLastIndex(committedAt => committedAt <= world.now() - lagMs) + 1;
+		return {term, number: startNumber + replicated};
 	};
 
-	const holdSlot = async (target: Emulated, ms: number) => {
-		while (target.busy >= target.load.slots) {
+	const occupySlot = async (target: EmulatedTarget, ms: number) => {
+		while (target.busySlots >= target.spec.slots) {
 			await new Promise<void>(resolve => {
 				target.waiting.push(resolve);
 			});
 		}
 
-		target.busy++;
+		target.busySlots++;
 		await world.sleep(ms);
-		target.busy--;
+		target.busySlots--;
 		target.waiting.shift()?.();
 	};
 
-	const work = async (target: Emulated, className: string) => {
+	const executeInSlot = async (target: EmulatedTarget, className: string) => {
 		const meanMs = load.classes.find(({name}) => name === className)?.meanStatementMs ?? 1;
-		const slow = getEvent('slow', target.load.id);
-		await holdSlot(target, drawTimeMs(meanMs, world.random) * (slow?.kind === 'slow' ? slow.factor : 1));
+		const slowdown = findActiveEvent('slow', target.spec.id);
+		await occupySlot(target, drawTimeMs(meanMs, world.random) * (slowdown?.kind === 'slow' ? slowdown.factor : 1));
 	};
 
-	const connect = (target: Emulated): TargetConnection => {
-		const {id} = target.load;
-		let ended = false;
+	const createConnection = (target: EmulatedTarget): TargetConnection => {
+		const {id} = target.spec;
+		let isConnectionEnded = false;
 		let inTransaction = false;
 		let isReadOnly = false;
-		let begunIn = 0;
+		let beginTerm = 0;
 
-		const reply = (result: Reply['result']): Reply => ({result, status: inTransaction ? 'open' : 'idle', position: getPosition(id)});
-		const finish = () => reply({kind: 'done', rows: [], signature: `${id}.1`});
-		const fail = (code: TargetErrorCode) => reply({kind: 'error', code, text: code});
-		const lacks = (after: LogPosition | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
+		const createReply = (result: Reply['result']): Reply => ({result, status: inTransaction ? 'open' : 'idle', position: getPosition(id)});
+		const createDoneReply = () => createReply({kind: 'done', rows: [], signature: `${id}.1`});
+		const createErrorReply = (code: TargetErrorCode) => createReply({kind: 'error', code, text: code});
+		const isBehind = (after: LogPosition | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
 
 		const runStatement = async ({statement, after}: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
 			const {isWrite, className} = readStatement(statement.kind === 'text' ? statement.text : '');
-			const needsLead = isWrite || (inTransaction && !isReadOnly);
-			if (lacks(after)) {
-				return fail('lagging');
+			const requiresLeader = isWrite || (inTransaction && !isReadOnly);
+			if (isBehind(after)) {
+				return createErrorReply('lagging');
 			}
 
-			if (needsLead && (id !== leader || (inTransaction && begunIn !== term))) {
-				return fail('readOnly');
+			if (requiresLeader && (id !== leader || (inTransaction && beginTerm !== term))) {
+				return createErrorReply('readOnly');
 			}
 
-			await work(target, className);
+			await executeInSlot(target, className);
 			if (isWrite || statement.kind === 'commit') {
-				writtenAt.push(world.now());
+				commitTimes.push(world.now());
 			}
 
 			inTransaction &&= statement.kind !== 'commit';
-			return finish();
+			return createDoneReply();
 		};
 
 		const run = async (command: Command): Promise<Reply> => {
@@ -117,31 +120,31 @@
 			}
 
 			if (command.kind === 'begin') {
-				if (lacks(command.after) || (!command.readOnly && id !== leader)) {
-					return fail(lacks(command.after) ? 'lagging' : 'readOnly');
+				if (isBehind(command.after) || (!command.readOnly && id !== leader)) {
+					return createErrorReply(isBehind(command.after) ? 'lagging' : 'readOnly');
 				}
 
 				inTransaction = true;
 				isReadOnly = command.readOnly;
-				begunIn = term;
+				beginTerm = term;
 			} else if (command.kind === 'rollback') {
 				inTransaction = false;
 			}
 
-			return finish();
+			return createDoneReply();
 		};
 
 		return {
 			async execute(commands, deadline): Promise<Execution> {
 				const replies: Reply[] = [];
 				for (const command of commands) {
-					if (ended) {
+					if (isConnectionEnded) {
 						return {replies, ended: 'lost'};
 					}
 
-					if (isDark(id)) {
+					if (isUnresponsive(id)) {
 						await world.sleep(Math.max(0, getRemainingMs(deadline, world.now())));
-						ended = true;
+						isConnectionEnded = true;
 						return {replies, ended: 'timeout'};
 					}
 
@@ -150,9 +153,9 @@
 
 				return {replies, ended: 'no'};
 			},
-			isEnded: () => ended,
+			isEnded: () => isConnectionEnded,
 			close() {
-				ended = true;
+				isConnectionEnded = true;
 			},
 		};
 	};
@@ -171,22 +174,22 @@
 		})),
 		async dial({id}, _customer, deadline) {
 			const target = targets.get(id);
-			if (!target || isDark(id)) {
+			if (!target || isUnresponsive(id)) {
 				await world.sleep(Math.max(0, getRemainingMs(deadline, world.now())));
-				return Err({code: 'silent', message: 'the target is silent'});
+				return Err({code: 'silent', message: 'the target did not respond before the deadline'});
 			}
 
-			dials++;
-			await holdSlot(target, load.dialMs);
-			return Ok(connect(target));
+			dialCount++;
+			await occupySlot(target, load.dialMs);
+			return Ok(createConnection(target));
 		},
 		promote(id) {
-			base = getPosition(id).number;
-			writtenAt = [];
+			startNumber = getPosition(id).number;
+			commitTimes = [];
 			leader = id;
 			term++;
 		},
 		getLeader: () => leader,
-		getDialCount: () => dials,
+		getDialCount: () => dialCount,
 	};
 };
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -1,4 +1,4 @@
-/** Replayed loads: what callers get when load is at its worst, and the tables over it. */
+/** Replayed loads: the worth of the operations under overload and faults, and the tables of the results. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -24,45 +24,45 @@
 		});
 	});
 
-	describe('a quiet time', () => {
-		it('loses next to nothing, whatever the seed', async () => {
+	describe('a load without faults', () => {
+		it('loses at most 1% of the worth with each seed', async () => {
 			for (const seed of [1, 2, 3]) {
 				assert.ok(findWorth(await replay('quiet', seed), 'all', '') >= 0.99);
 			}
 		});
 	});
 
-	describe('one hot customer', () => {
-		it('leaves the others their worth', async () => {
+	describe('one customer beyond its quota', () => {
+		it('costs the other customers at most 5% of their worth', async () => {
 			const rows = await replay('hot-customer');
 			assert.ok(findWorth(rows, 'customer', 'large') >= 0.95, 'large');
 			assert.ok(findWorth(rows, 'customer', 'middle') >= 0.95, 'middle');
 		});
 	});
 
-	describe('a target that is slow or silent', () => {
-		it('costs a small part of the worst windows', async () => {
+	describe('a slow or unresponsive target', () => {
+		it('costs at most 10% of the worth in the worst windows', async () => {
 			assert.ok(computeWorstWindowsWorth(await replay('slow-target')) >= 0.9);
 			assert.ok(computeWorstWindowsWorth(await replay('dark-target')) >= 0.9);
 		});
 	});
 
 	describe('a failover', () => {
-		it('leaves reads that need no leader their worth, and ends with it', async () => {
+		it('costs reads that need no leader at most 5% of their worth, and recovers after the promotion', async () => {
 			const rows = await replay('failover');
 			assert.ok(findWorth(rows, 'class', 'swaps') >= 0.95);
-			assert.ok(findWorth(rows, 'from ms', '12000') >= 0.98, 'two seconds after the promotion all is served');
+			assert.ok(findWorth(rows, 'from ms', '12000') >= 0.98, 'all operations are served two seconds after the promotion');
 		});
 	});
 
 	describe('a restart of all vms', () => {
-		it('is over in the window after it', async () => {
+		it('recovers within two windows', async () => {
 			assert.ok(findWorth(await replay('restart'), 'from ms', '12000') >= 0.98);
 		});
 	});
 });
 
-describe('tables', () => {
+describe('tables of results', () => {
 	const operation = {
 		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2,
 	};
@@ -83,7 +83,7 @@
 		],
 	};
 
-	it('group by class, data centre, customer and window', () => {
+	it('are grouped by class, data centre, customer and time window', () => {
 		const rows = createTable(result);
 		assert.deepEqual(rows.map(({group, name}) => `${group} ${name}`), ['all ', 'class orders', 'data centre east', 'customer large', 'from ms 0', 'from ms 2000', 'from ms 4000']);
 		assert.equal(rows[0]?.worth, 2.5 / 6);
@@ -91,17 +91,17 @@
 		assert.equal(formatTable(rows).split('\n').length, rows.length + 1);
 	});
 
-	it('compare as ratios', () => {
+	it('are compared as ratios', () => {
 		assert.match(compareTables(createTable(result), createTable(result)), /^all +worth 0\.417 -> 0\.417, ratio 1\.000/v);
 	});
 
-	it('are plotted with a line for each class', () => {
+	it('are plotted with one line for each class', () => {
 		assert.equal(formatPlot(result).match(/<polyline/gv)?.length, 1);
 	});
 });
 
 describe('loads', () => {
-	it('have names of their own and a description', () => {
+	it('have unique names and a description', () => {
 		assert.equal(new Set(LOADS.map(({name}) => name)).size, LOADS.length);
 		assert.ok(LOADS.every(({description}) => description.length > 0));
 	});
