--- a/packages/load/src/entries.ts
+++ b/packages/load/src/entries.ts
@@ -1,22 +1,22 @@
-/** Proxies to load, and connections to them. */
+/** Connections to the proxies under load. */
 
 import pg from 'pg';
 
-/** One proxy. */
+/** Address of one proxy. */
 export type EntryAddress = Readonly<{host: string; port: number}>;
 
-/** Who connects to what. */
+/** Credentials of a connection and the service that it uses. */
 export type LoginOptions = Readonly<{keyId: string; secret: string | undefined; service: string}>;
 
 const CONNECT_TIMEOUT_MS = 3000;
 const QUERY_TIMEOUT_MS = 20_000;
 
-/** Waits. */
+/** Waits for the given time, in milliseconds. */
 export const wait = async (ms: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
 
-/** Connects to a proxy with a stock client. */
+/** Connects to a proxy with an unmodified PostgreSQL client. */
 export const connectEntry = async (entry: EntryAddress, login: LoginOptions): Promise<pg.Client> => {
 	const client = new pg.Client({
 		host: entry.host,
--- a/packages/load/src/history.ts
+++ b/packages/load/src/history.ts
@@ -1,35 +1,36 @@
-/** History of a concurrent run: what each session asked, and what it was told. */
+/** History of a concurrent run: the operations of each session and the outcomes reported to it. */
 
-/** What became of an operation, as the caller was told. */
+/** Outcome of an operation as reported to the caller. */
 export type Outcome = 'done' | 'notRun' | 'unknown' | 'rolledBack';
 
-/** One operation of a session. */
+/** Operation of a session. */
 export type Operation = Readonly<{
-	/** Number of the operation in the run. */
+	/** Sequence number of the operation in the run. */
 	number: number;
 	session: string;
 	customer: string;
+	/** `lodge` inserts a row, `transfer` moves an amount between two accounts, `read` reads the rows of its session, `stale` reads a value that may be outdated, such as the sum of all balances. */
 	kind: 'lodge' | 'transfer' | 'read' | 'stale';
-	/** Identifier of what was written or read. */
+	/** Identifier of the row or value that was written or read. */
 	id: string;
-	/** Wall times in milliseconds, all of one process. */
+	/** Start and end in milliseconds of wall-clock time, read in one process for all operations. */
 	startedAt: number;
 	endedAt: number;
 	outcome: Outcome;
 	/** SQLSTATE of a failure. */
 	sqlState?: string;
-	/** What a read found: the identifiers or values. */
+	/** Identifiers or values that a read returned. */
 	found?: readonly string[];
-	/** Proxy that served it. */
+	/** Proxy that served the operation. */
 	vm: string;
 }>;
 
-/** SQLSTATE of each outcome that is not `done`. */
-const UNKNOWN_STATES: ReadonlySet<string> = new Set(['08007']);
+/** SQLSTATEs that report an unknown outcome. */
+const UNKNOWN_OUTCOME_SQLSTATES: ReadonlySet<string> = new Set(['08007']);
 
-/** Classifies a failure by what the caller was told; a connection lost without a word may have run. */
+/** Classifies a failure by the error reported to the caller; a statement whose connection was lost without an error may have run. */
 export const classifyFailure = (sqlState: string | undefined, message: string): Outcome => {
-	if (sqlState === undefined || UNKNOWN_STATES.has(sqlState)) {
+	if (sqlState === undefined || UNKNOWN_OUTCOME_SQLSTATES.has(sqlState)) {
 		return 'unknown';
 	}
 
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `guavapitch-load`. */
+/** Command-line program `guavapitch-load`: sends traffic to proxies, compares results and replays named loads. */
 
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
@@ -11,9 +11,9 @@
 import {connectAll, runOpenLoop, type TrafficResult} from './traffic.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
-const EXIT_SETTING = 2;
+const EXIT_INVALID_SETTING = 2;
 const DEFAULT_DURATION_MS = 10_000;
-const COMPARED = ['perSecond', 'p50', 'p99', 'max', 'refused', 'failed'] as const;
+const COMPARED_FIELDS = ['perSecond', 'p50', 'p99', 'max', 'refused', 'failed'] as const;
 
 const print = (text: string) => {
 	process.stdout.write(`${text}\n`);
@@ -43,24 +43,24 @@
 
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
 	.scriptName('guavapitch-load')
-	.usage('$0 <command>\n\nExit codes: 0 done, 2 a setting is wrong.')
+	.usage('$0 <command>\n\nExit codes: 0 success, 2 invalid setting.')
 	.env('GUAVAPITCH')
 	.strict()
 	.version('0.1.0')
 	.demandCommand(1)
-	.command('run', 'send statements at random times, whatever the answers', command => command
+	.command('run', 'send statements at random times without waiting for responses', command => command
 		.option('target', {
 			type: 'string', array: true, demandOption: true, describe: 'proxies, host:port',
 		})
 		.option('key', {type: 'string', demandOption: true, describe: 'identifier of the key'})
-		.option('secret', {type: 'string', describe: 'the key; better given as GUAVAPITCH_SECRET'})
+		.option('secret', {type: 'string', describe: 'secret of the key; preferably set as GUAVAPITCH_SECRET'})
 		.option('service', {type: 'string', demandOption: true, describe: 'service to use'})
 		.option('statement', {type: 'string', default: 'SELECT 1', describe: 'statement to send'})
-		.option('per-second', {type: 'number', default: 100, describe: 'statements a second'})
-		.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'length of the run, in milliseconds'})
-		.option('connections', {type: 'number', default: 8, describe: 'connections, spread over the proxies'})
-		.option('seed', {type: 'number', default: 1, describe: 'seed of the arrivals'})
-		.option('output', {type: 'string', describe: 'file for the result, JSON'}), async flags => {
+		.option('per-second', {type: 'number', default: 100, describe: 'statements per second'})
+		.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'duration of the run, in milliseconds'})
+		.option('connections', {type: 'number', default: 8, describe: 'number of connections, distributed over the proxies'})
+		.option('seed', {type: 'number', default: 1, describe: 'seed of the random arrival times'})
+		.option('output', {type: 'string', describe: 'file to write the result to, as JSON'}), async flags => {
 		const login = {keyId: flags.key, secret: flags.secret, service: flags.service};
 		const clients = await connectAll(flags.target.map(text => parseEntry(text)), login, flags.connections);
 		const result = await runOpenLoop(clients, {
@@ -78,24 +78,24 @@
 			writeFileSync(flags.output, JSON.stringify(result, null, 1));
 		}
 	})
-	.command('compare <before> <after>', 'show the ratios of two results', command => command
+	.command('compare <before> <after>', 'print the ratios of two results', command => command
 		.positional('before', {type: 'string', demandOption: true})
 		.positional('after', {type: 'string', demandOption: true}), flags => {
 		const before = readResult(flags.before);
 		const after = readResult(flags.after);
-		for (const name of COMPARED) {
+		for (const name of COMPARED_FIELDS) {
 			print(`${name}: ${before[name].toFixed(2)} -> ${after[name].toFixed(2)}, ratio ${(after[name] / before[name]).toFixed(3)}`);
 		}
 	})
 	.command('replay <load>', 'replay a named load on emulated targets and callers', command => command
 		.positional('load', {choices: LOADS.map(({name}) => name), demandOption: true})
-		.option('seed', {type: 'number', default: 1, describe: 'seed of all chance'})
-		.option('output', {type: 'string', describe: 'file for the table, JSON'})
-		.option('compare', {type: 'string', describe: 'table of another version, JSON; shows ratios to it'})
-		.option('plot', {type: 'string', describe: 'file for the plot of worth by window, SVG'}), async flags => {
+		.option('seed', {type: 'number', default: 1, describe: 'seed of all random numbers'})
+		.option('output', {type: 'string', describe: 'file to write the table to, as JSON'})
+		.option('compare', {type: 'string', describe: 'table of another version, as JSON, to print ratios to'})
+		.option('plot', {type: 'string', describe: 'file to write a plot of the worth per time window to, as SVG'}), async flags => {
 		const load = findLoad(flags.load);
 		if (!load) {
-			throw new RangeError(`There is no load ${flags.load}`);
+			throw new RangeError(`There is no load named ${flags.load}`);
 		}
 
 		const result = await runReplay(load, flags.seed);
@@ -115,7 +115,7 @@
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-load: ${error instanceof Error ? error.message : message}\n`);
-		process.exitCode = EXIT_SETTING;
+		process.exitCode = EXIT_INVALID_SETTING;
 	})
 	.exitProcess(false)
 	.parse();
--- a/packages/load/src/quota-check.ts
+++ b/packages/load/src/quota-check.ts
@@ -1,15 +1,15 @@
-/** Checks a recorded history against rate and burst, whatever the clocks of the processes said. */
+/** Checks recorded requests against a rate and a burst, independently of the clocks of the proxies. */
 
-/** A request that was let through, as its caller saw it; wall times in milliseconds, all of one process. */
+/** Admitted request as seen by its caller; wall-clock times in milliseconds, read in one process for all requests. */
 export type AdmittedRequest = Readonly<{startedAt: number; endedAt: number}>;
 
-/** A window in which more was let through than the share allows. */
+/** Time window in which more requests were admitted than the quota allows. */
 export type ExcessWindow = Readonly<{from: number; to: number; count: number; allowed: number}>;
 
-const MILLISECONDS = 1000;
+const MS_PER_SECOND = 1000;
 
-/** Finds the window with the largest excess over rate × t + burst; `undefined` if there is none. A request counts in a window that it certainly lay in. */
-export const findExcessWindow = (requests: readonly AdmittedRequest[], share: Readonly<{rate: number; burst: number}>): ExcessWindow | undefined => {
+/** Finds the time window with the largest excess over rate × t + burst; `undefined` if there is none. A request counts only in windows that contain it from start to end. */
+export const findExcessWindow = (requests: readonly AdmittedRequest[], quota: Readonly<{rate: number; burst: number}>): ExcessWindow | undefined => {
 	const byEnd = requests.toSorted((a, b) => a.endedAt - b.endedAt);
 	let worst: ExcessWindow | undefined;
 	for (const {startedAt: from} of requests) {
@@ -20,7 +20,7 @@
 			}
 
 			count++;
-			const allowed = share.burst + (share.rate * (to - from) / MILLISECONDS);
+			const allowed = quota.burst + (quota.rate * (to - from) / MS_PER_SECOND);
 			if (count > allowed && (!worst || count - allowed > worst.count - worst.allowed)) {
 				worst = {
 					from, to, count, allowed,
--- a/packages/load/src/traffic.ts
+++ b/packages/load/src/traffic.ts
@@ -1,4 +1,4 @@
-/** Traffic: closed loops, and open-loop arrivals that do not wait for answers. */
+/** Traffic generators: closed loops, and open loops whose arrivals do not wait for responses. */
 
 import type pg from 'pg';
 import {build, encodeIntoCompressedBase64, type Histogram} from 'hdr-histogram-js';
@@ -7,106 +7,106 @@
 	connectEntry, wait, type LoginOptions, type EntryAddress,
 } from './entries.js';
 
-/** What a run of traffic found; latencies in milliseconds. */
+/** Result of a run; latencies in milliseconds. */
 export type TrafficResult = Readonly<{
 	sent: number;
 	done: number;
-	/** Refused over the share, as not run. */
+	/** Number of statements refused as not run because the customer exceeded its quota. */
 	refused: number;
-	/** Any other failure. */
+	/** Number of all other failures. */
 	failed: number;
-	/** Other failures by SQLSTATE, or `lost` without one. */
+	/** Other failures by SQLSTATE; `lost` stands for a failure without one. */
 	failures: Readonly<Record<string, number>>;
 	p50: number;
 	p99: number;
 	max: number;
 	perSecond: number;
-	/** Histogram of latencies in microseconds, in the compressed HDR form. */
+	/** Histogram of the latencies in microseconds, in the compressed HDR format. */
 	histogram: string;
 }>;
 
-/** Plan of open-loop arrivals. */
+/** Options of an open-loop run. */
 export type OpenLoopOptions = Readonly<{
 	perSecond: number;
 	durationMs: number;
 	seed: number;
 	statement: string;
-	/** Hears of progress once a second. */
+	/** Called once per second with the number of statements sent and completed so far. */
 	onProgress?: (sent: number, done: number) => void;
 }>;
 
-/** A statement of a closed loop. */
+/** Statement of a closed loop, with its parameter values. */
 export type LoopStatement = Readonly<{text: string; values?: readonly unknown[]}>;
 
 const WARM_UP_MS = 500;
-const MILLISECONDS = 1000;
-const MICROSECONDS = 1000;
-const LIMIT_STATE = '53400';
+const MS_PER_SECOND = 1000;
+const MICROSECONDS_PER_MS = 1000;
+const LIMIT_EXCEEDED_SQLSTATE = '53400';
 
 const createResult = (counts: Pick<TrafficResult, 'sent' | 'refused' | 'failed' | 'failures'>, histogram: Histogram, durationMs: number): TrafficResult => ({
 	...counts,
 	done: histogram.totalCount,
-	p50: histogram.getValueAtPercentile(50) / MICROSECONDS,
-	p99: histogram.getValueAtPercentile(99) / MICROSECONDS,
-	max: histogram.maxValue / MICROSECONDS,
-	perSecond: histogram.totalCount * MILLISECONDS / durationMs,
+	p50: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+	p99: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+	max: histogram.maxValue / MICROSECONDS_PER_MS,
+	perSecond: histogram.totalCount * MS_PER_SECOND / durationMs,
 	histogram: encodeIntoCompressedBase64(histogram),
 });
 
 const recordMs = (histogram: Histogram, ms: number) => {
-	histogram.recordValue(Math.max(1, Math.round(ms * MICROSECONDS)));
+	histogram.recordValue(Math.max(1, Math.round(ms * MICROSECONDS_PER_MS)));
 };
 
-/** Runs statements in closed loops on the given clients. */
+/** Runs statements in one closed loop per client; latencies of the warm-up are not recorded. */
 export const runClosedLoop = async (clients: readonly pg.Client[], durationMs: number, createStatement: (number: number) => LoopStatement): Promise<TrafficResult> => {
 	const histogram = build();
-	let counting = false;
-	let running = true;
-	let count = 0;
+	let isRecording = false;
+	let isRunning = true;
+	let statementCount = 0;
 	const loops = clients.map(async client => {
-		while (running) {
-			count++;
-			const {text, values} = createStatement(count);
+		while (isRunning) {
+			statementCount++;
+			const {text, values} = createStatement(statementCount);
 			const startedAt = performance.now();
 			await client.query(text, [...values ?? []]);
-			if (counting) {
+			if (isRecording) {
 				recordMs(histogram, performance.now() - startedAt);
 			}
 		}
 	});
 	await wait(WARM_UP_MS);
-	counting = true;
+	isRecording = true;
 	await wait(durationMs);
-	counting = false;
-	running = false;
+	isRecording = false;
+	isRunning = false;
 	await Promise.all(loops);
 	return createResult({
 		sent: histogram.totalCount, refused: 0, failed: 0, failures: {},
 	}, histogram, durationMs);
 };
 
-/** Connects several times, spread over the proxies. */
+/** Opens connections distributed evenly over the proxies, beginning with the proxy at index `first`. */
 export const connectAll = async (entries: readonly EntryAddress[], login: LoginOptions, connections: number, first = 0): Promise<readonly pg.Client[]> => {
 	const chosen = Array.from({length: connections}, (_, index) => entries[(index + first) % entries.length]);
 	return Promise.all(chosen.filter(entry => entry !== undefined).map(async entry => connectEntry(entry, login)));
 };
 
-/** Sends statements at random times whatever the answers; a latency counts from the time at which its statement was due. */
-export const runOpenLoop = async (clients: readonly pg.Client[], plan: OpenLoopOptions): Promise<TrafficResult> => {
-	const random = createRandom(plan.seed);
+/** Sends statements at random times without waiting for responses; a latency is measured from the time at which its statement was due. */
+export const runOpenLoop = async (clients: readonly pg.Client[], options: OpenLoopOptions): Promise<TrafficResult> => {
+	const random = createRandom(options.seed);
 	const histogram = build();
-	const waiting: Array<Promise<void>> = [];
+	const pending: Array<Promise<void>> = [];
 	let sent = 0;
 	let refused = 0;
 	let failed = 0;
 	const failures: Record<string, number> = {};
 	const sendOne = async (client: pg.Client, dueAt: number) => {
 		try {
-			await client.query(plan.statement);
+			await client.query(options.statement);
 			recordMs(histogram, performance.now() - dueAt);
 		} catch (error) {
 			const {code} = error as Readonly<{code?: string}>;
-			if (code === LIMIT_STATE) {
+			if (code === LIMIT_EXCEEDED_SQLSTATE) {
 				refused++;
 			} else {
 				failed++;
@@ -115,24 +115,24 @@
 		}
 	};
 
-	const progress = setInterval(() => {
-		plan.onProgress?.(sent, histogram.totalCount);
-	}, MILLISECONDS);
+	const progressTimer = setInterval(() => {
+		options.onProgress?.(sent, histogram.totalCount);
+	}, MS_PER_SECOND);
 	const startedAt = performance.now();
 	let dueAt = startedAt;
-	while (dueAt - startedAt < plan.durationMs) {
-		dueAt += -Math.log(1 - random()) * MILLISECONDS / plan.perSecond;
+	while (dueAt - startedAt < options.durationMs) {
+		dueAt += -Math.log(1 - random()) * MS_PER_SECOND / options.perSecond;
 		await wait(Math.max(0, dueAt - performance.now()));
 		const client = clients[sent % clients.length];
 		sent++;
 		if (client) {
-			waiting.push(sendOne(client, dueAt));
+			pending.push(sendOne(client, dueAt));
 		}
 	}
 
-	await Promise.all(waiting);
-	clearInterval(progress);
+	await Promise.all(pending);
+	clearInterval(progressTimer);
 	return createResult({
 		sent, refused, failed, failures,
-	}, histogram, plan.durationMs);
+	}, histogram, options.durationMs);
 };
