Reword the inventory package

The slots of failover coordinators and quota allocators now have a doc comment, as their settings keep their names.

--- a/packages/inventory/src/difference.ts
+++ b/packages/inventory/src/difference.ts
@@ -1,30 +1,30 @@
-/** Difference between two inventories. */
+/** Differences between two inventories. */
 
 import type {Inventory} from './schemas.js';
 
-/** One changed value. */
+/** One changed value, as JSON; `undefined` where the value does not exist. */
 export type Difference = Readonly<{path: string; before: string | undefined; after: string | undefined}>;
 
-const flatten = (value: unknown, path: string, into: Map<string, string>): ReadonlyMap<string, string> => {
+const flatten = (value: unknown, path: string, values: Map<string, string>): ReadonlyMap<string, string> => {
 	if (typeof value === 'object' && value !== null) {
-		for (const [key, inner] of Object.entries(value)) {
-			flatten(inner, path === '' ? key : `${path}.${key}`, into);
+		for (const [key, child] of Object.entries(value)) {
+			flatten(child, path === '' ? key : `${path}.${key}`, values);
 		}
 	} else if (value !== undefined) {
-		into.set(path, JSON.stringify(value));
+		values.set(path, JSON.stringify(value));
 	}
 
-	return into;
+	return values;
 };
 
-const hideSecret = (path: string, text: string | undefined): string | undefined => path.endsWith('.verifier') && text !== undefined ? '(verifier)' : text;
+const maskVerifier = (path: string, text: string | undefined): string | undefined => path.endsWith('.verifier') && text !== undefined ? '(verifier)' : text;
 
-/** Compares two inventories value by value; verifiers are not shown. */
+/** Compares two inventories value by value; returns the differences ordered by path, without the text of verifiers. */
 export const compareInventories = (before: Inventory | undefined, after: Inventory): readonly Difference[] => {
-	const old = flatten(before ?? {}, '', new Map());
-	const next = flatten(after, '', new Map());
-	const paths = [...new Set([...old.keys(), ...next.keys()])].toSorted((a, b) => a < b ? -1 : 1);
+	const oldValues = flatten(before ?? {}, '', new Map());
+	const newValues = flatten(after, '', new Map());
+	const paths = [...new Set([...oldValues.keys(), ...newValues.keys()])].toSorted((a, b) => a < b ? -1 : 1);
 	return paths
-		.filter(path => old.get(path) !== next.get(path))
-		.map(path => ({path, before: hideSecret(path, old.get(path)), after: hideSecret(path, next.get(path))}));
+		.filter(path => oldValues.get(path) !== newValues.get(path))
+		.map(path => ({path, before: maskVerifier(path, oldValues.get(path)), after: maskVerifier(path, newValues.get(path))}));
 };
--- a/packages/inventory/src/document.ts
+++ b/packages/inventory/src/document.ts
@@ -1,4 +1,4 @@
-/** The configuration as it lies in the store: one versioned document. */
+/** Configuration document: the inventory in the form in which it is stored, as one versioned value. */
 
 import {Buffer} from 'node:buffer';
 import {gunzipSync, gzipSync} from 'node:zlib';
@@ -7,30 +7,30 @@
 } from '@guavapitch/core';
 import {inventorySchema, type Inventory} from './schemas.js';
 
-/** An inventory with the change that put it in force. */
+/** An inventory with the change that made it the active configuration. */
 export type ConfigurationDocument = Readonly<{
-	/** Identifier of the change, by which its author recognises it after a lost answer. */
+	/** Identifier of the change, by which its author recognises it if the response to the write was lost. */
 	changeId: string;
-	/** Who made the change. */
+	/** Author of the change. */
 	author: string;
 	inventory: Inventory;
 }>;
 
-/** Failure of a document. */
+/** Failure of formatting or parsing a document. */
 export type DocumentFailure = Failure<'documentMalformed' | 'documentTooLarge'>;
 
-/** Largest value that the store holds. */
+/** Largest value accepted by the store, in bytes. */
 export const MAX_DOCUMENT_BYTES = 1_000_000;
 
-/** Formats a document for the store: compressed JSON. */
+/** Formats a document for the store, as compressed JSON in base64; fails with `documentTooLarge`. */
 export const formatConfigurationDocument = (document: ConfigurationDocument): Result<string, DocumentFailure> => {
 	const text = gzipSync(JSON.stringify(document)).toString('base64');
 	return text.length <= MAX_DOCUMENT_BYTES
 		? Ok(text)
-		: Err({code: 'documentTooLarge', message: `The configuration takes ${text.length} bytes; the store holds ${MAX_DOCUMENT_BYTES}`});
+		: Err({code: 'documentTooLarge', message: `The configuration of ${text.length} bytes exceeds the limit of ${MAX_DOCUMENT_BYTES} bytes for a value in the store`});
 };
 
-/** Parses a document from the store. */
+/** Parses a document from the store; fails with `documentMalformed`. */
 export const parseConfigurationDocument = (text: string): Result<ConfigurationDocument, DocumentFailure> => {
 	try {
 		const raw = JSON.parse(gunzipSync(Buffer.from(text, 'base64')).toString()) as ConfigurationDocument;
--- a/packages/inventory/src/references.ts
+++ b/packages/inventory/src/references.ts
@@ -1,25 +1,25 @@
-/** Checks of names that refer to each other. */
+/** Validates the references between the parts of an inventory. */
 
 import type {Inventory} from './schemas.js';
 
-/** A reference that leads nowhere. */
+/** A reference to a name that is not defined, or a value that contradicts another part of the inventory. */
 export type BrokenReference = Readonly<{path: ReadonlyArray<string | number>; message: string}>;
 
 const checkTargets = (inventory: Inventory): readonly BrokenReference[] => {
-	const seen = new Set<string>();
+	const targetNames = new Set<string>();
 	const broken: BrokenReference[] = [];
 	for (const [databaseName, database] of Object.entries(inventory.databases)) {
 		for (const [index, target] of database.targets.entries()) {
 			const path = ['databases', databaseName, 'targets', index];
-			if (seen.has(target.name)) {
-				broken.push({path: [...path, 'name'], message: `target ${target.name} stands twice`});
+			if (targetNames.has(target.name)) {
+				broken.push({path: [...path, 'name'], message: `duplicate target name ${target.name}`});
 			}
 
 			if (!inventory.dataCentres.includes(target.dataCentre)) {
 				broken.push({path: [...path, 'dataCentre'], message: `expected one of ${inventory.dataCentres.join(', ')}`});
 			}
 
-			seen.add(target.name);
+			targetNames.add(target.name);
 		}
 
 		if (database.minimumSynced >= database.targets.length && database.targets.length > 1) {
@@ -44,7 +44,7 @@
 	.filter(([, key]) => !Object.hasOwn(inventory.customers, key.customer))
 	.map(([key]) => ({path: ['keys', key, 'customer'], message: 'expected the name of a customer'}));
 
-/** Finds every reference that leads nowhere. */
+/** Returns all broken references and contradictions in an inventory. */
 export const findBrokenReferences = (inventory: Inventory): readonly BrokenReference[] => [
 	...checkTargets(inventory), ...checkServices(inventory), ...checkCustomers(inventory), ...checkKeys(inventory),
 ];
--- a/packages/inventory/src/schemas.ts
+++ b/packages/inventory/src/schemas.ts
@@ -1,4 +1,4 @@
-/** Schema of the inventory that operators edit. */
+/** Schemas of the inventory that operators edit. */
 
 import {z} from 'zod';
 
@@ -6,21 +6,21 @@
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/v, 'expected host:port');
 const positive = z.number().int().positive();
 
-/** One target of a database. */
+/** Schema of a target, one server of a database. */
 export const targetSchema = z.strictObject({
 	name,
 	dataCentre: name,
 	address,
-	/** Statements the target runs at a time. */
+	/** Maximum number of statements that run on the target at the same time. */
 	slots: positive,
-	/** Connections the target accepts. */
+	/** Maximum number of connections that the target accepts. */
 	connections: positive.min(4, 'expected at least 4 connections'),
-	/** Gets no new work. */
+	/** Whether the target is being removed and gets no new requests. */
 	leaving: z.boolean().default(false),
 }).readonly();
 
-/** Takes the name that the list of targets had in documents of earlier versions. */
-const renameFormerKeys = (database: unknown): unknown => {
+/** Renames `instances`, the name of the list of targets in documents of earlier versions, to `targets`. */
+const migrateFormerKeys = (database: unknown): unknown => {
 	if (typeof database !== 'object' || database === null || !('instances' in database) || 'targets' in database) {
 		return database;
 	}
@@ -29,63 +29,65 @@
 	return {...others, targets: instances};
 };
 
-/** One database: a primary and its replicas. */
-export const databaseSchema = z.preprocess(renameFormerKeys, z.strictObject({
-	/** `replicated`: an answer waits for the synced replicas; `primary`: it does not, and a failover may lose it. */
+/** Schema of a database, a primary and its replicas. */
+export const databaseSchema = z.preprocess(migrateFormerKeys, z.strictObject({
+	/** When a write is acknowledged: with `replicated` after the synced replicas have it; with `primary` without waiting for them, so that a failover may lose it. */
 	acknowledge: z.enum(['replicated', 'primary']).default('replicated'),
-	/** Replicas that must stay in the synced set. */
+	/** Minimum number of replicas in the synced set. */
 	minimumSynced: z.number().int().min(0).default(1),
-	/** User that guavapitch connects as. */
+	/** User name with which guavapitch connects to the targets. */
 	user: z.string().min(1).default('guavapitch'),
-	/** Environment variable of the proxies that holds the password of that user. */
+	/** Environment variable of the proxies that contains the password of that user. */
 	passwordVariable: z.string().regex(/^[A-Z][\dA-Z_]*$/v).optional(),
-	/** Database name on the targets. */
+	/** Name of the database on the targets. */
 	databaseName: z.string().min(1).default('postgres'),
 	targets: z.array(targetSchema).min(1).readonly(),
 }).readonly());
 
-/** One service: what callers name as their database. */
+/** Schema of a service, which callers select as their database. */
 export const serviceSchema = z.strictObject({
 	database: name,
-	/** Whether callers need no key. */
+	/** Whether callers may use the service without a key. */
 	open: z.boolean().default(false),
-	/** Age up to which reads may be stale, in milliseconds; none: every read sees the caller's writes. */
+	/** Maximum staleness of reads, in milliseconds; without it every read sees the caller's own writes. */
 	staleReadsMs: positive.optional(),
-	/** Time within which a request must be answered or refused, in milliseconds. */
+	/** Timeout within which a request is answered or refused, in milliseconds. */
 	requestTimeoutMs: positive.default(10_000),
-	/** Time that a transaction may stay idle, in milliseconds. */
+	/** Maximum time that a transaction may be idle, in milliseconds. */
 	idleTransactionMs: positive.default(30_000),
 }).readonly();
 
-/** One customer and its share. */
+/** Schema of a customer and its quota. */
 export const customerSchema = z.strictObject({
-	/** Requests a second over the whole fleet. */
+	/** Requests per second, over the whole fleet. */
 	rate: z.number().positive(),
-	/** Requests at once over the whole fleet. */
+	/** Burst size, the number of requests that may arrive at once, over the whole fleet. */
 	burst: positive.min(2, 'expected at least 2'),
-	/** Share of a busy target, relative to the other customers. */
+	/** Weight in the queue of a busy target, relative to the other customers. */
 	weight: z.number().positive().default(1),
 	/** Services the customer may use. */
 	services: z.array(name).min(1).readonly(),
-	/** Whether its keys still work when their freshness cannot be confirmed. */
+	/** Whether its keys are still accepted when it cannot be confirmed that they are current. */
 	serveUnconfirmed: z.boolean().default(false),
 }).readonly();
 
-/** One key; the inventory keeps only its verifier. */
+/** Schema of a key; the inventory contains only its verifier. */
 export const keySchema = z.strictObject({
 	customer: name,
 	verifier: z.string().regex(/^SCRAM-SHA-256\$\d+:[^$:]+\$[^$:]+:[^$:]+$/v, 'expected a SCRAM-SHA-256 verifier'),
 }).readonly();
 
-/** Numbers that hold for the whole fleet. */
+/** Schema of the settings for the whole fleet. */
 export const fleetSchema = z.strictObject({
+	/** Number of slots for failover coordinators, among which the databases are distributed. */
 	stewardSlots: positive.default(4),
+	/** Number of slots for quota allocators, among which the customers are distributed. */
 	keeperSlots: positive.default(4),
-	/** Time for which keys work without a confirmation of freshness, in milliseconds. */
+	/** Time for which keys are accepted without confirmation that they are current, in milliseconds. */
 	keyGraceMs: positive.default(5000),
 }).readonly();
 
-/** The whole inventory. */
+/** Schema of the complete inventory. */
 export const inventorySchema = z.strictObject({
 	fleet: fleetSchema.prefault({}),
 	dataCentres: z.array(name).min(1).readonly(),
@@ -95,20 +97,20 @@
 	keys: z.record(name, keySchema).readonly().default({}),
 }).readonly();
 
-/** One target of a database. */
+/** A target, one server of a database. */
 export type Target = z.infer<typeof targetSchema>;
 
-/** One database. */
+/** A database, a primary and its replicas. */
 export type Database = z.infer<typeof databaseSchema>;
 
-/** One service. */
+/** A service, which callers select as their database. */
 export type Service = z.infer<typeof serviceSchema>;
 
-/** One customer. */
+/** A customer and its quota. */
 export type Customer = z.infer<typeof customerSchema>;
 
-/** One key. */
+/** A key, of which only the verifier is known. */
 export type Key = z.infer<typeof keySchema>;
 
-/** The whole inventory. */
+/** A complete inventory. */
 export type Inventory = z.infer<typeof inventorySchema>;
