--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -1,4 +1,4 @@
-/** Server of one target of the database stand-in. */
+/** TCP server of one target of the database stand-in. */
 
 import {randomInt} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
@@ -10,40 +10,41 @@
 import {followUpstream, serveReplica} from './replication.js';
 import {serveSession} from './session.js';
 
-/** A running target. */
+/** Running target. */
 export type DatabaseServer = AsyncDisposable & Readonly<{port: number}>;
 
-type Cancels = Map<number, Readonly<{secret: number; cancel: () => void}>>;
+/** Cancel callbacks and secrets of the running sessions, by process identifier. */
+type CancelRegistry = Map<number, Readonly<{secret: number; cancel: () => void}>>;
 
 const AUTHENTICATION_OK = createMessage('R', encodeInt32(0));
-const LARGEST_SECRET = 2_147_483_647;
-const PARAMETERS: Readonly<Record<string, string>> = {
+const MAX_SECRET = 2_147_483_647;
+const PARAMETER_STATUS: Readonly<Record<string, string>> = {
 	server_version: '15.0 (guavapitch stand-in)', server_encoding: 'UTF8', client_encoding: 'UTF8', DateStyle: 'ISO, MDY', standard_conforming_strings: 'on',
 };
 
-const greet = async (wire: WireConnection, processId: number, secret: number) => {
-	const parameters = Object.entries(PARAMETERS).map(([name, value]) => createParameterStatus(name, value).bytes);
+const sendGreeting = async (wire: WireConnection, processId: number, secret: number) => {
+	const parameters = Object.entries(PARAMETER_STATUS).map(([name, value]) => createParameterStatus(name, value).bytes);
 	const key = createMessage('K', encodeInt32(processId), encodeInt32(secret));
 	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReadyForQuery('idle').bytes);
 };
 
-type ServerContext = Readonly<{target: Target; world: World; cancels: Cancels}>;
+type ServerContext = Readonly<{target: Target; world: World; cancels: CancelRegistry}>;
 
 const serveCaller = async ({target, world, cancels}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
-	const isControl = parameters.get('database') === CONTROL_PEER;
-	const peer = isControl ? CONTROL_PEER : parameters.get('application_name') ?? '';
-	const allowed = isControl || target.addConnection();
-	const processId = randomInt(LARGEST_SECRET);
-	const secret = randomInt(LARGEST_SECRET);
+	const isControlSession = parameters.get('database') === CONTROL_PEER;
+	const peer = isControlSession ? CONTROL_PEER : parameters.get('application_name') ?? '';
+	const isWithinLimit = isControlSession || target.addConnection();
+	const processId = randomInt(MAX_SECRET);
+	const secret = randomInt(MAX_SECRET);
 	try {
 		await target.waitWhilePartitioned(peer);
-		if (!allowed) {
+		if (!isWithinLimit) {
 			await wire.write(createErrorResponse({severity: 'FATAL', code: SQLSTATE.tooManyConnections, message: 'sorry, too many clients already'}).bytes);
 			return;
 		}
 
-		await world.sleep(isControl ? 0 : target.settings.connectMs);
-		await greet(wire, processId, secret);
+		await world.sleep(isControlSession ? 0 : target.settings.connectMs);
+		await sendGreeting(wire, processId, secret);
 		await serveSession({
 			target, world, wire, peer,
 			onCancel(cancel) {
@@ -52,7 +53,7 @@
 		});
 	} finally {
 		cancels.delete(processId);
-		if (!isControl) {
+		if (!isControlSession) {
 			target.removeConnection();
 		}
 	}
@@ -99,10 +100,10 @@
 	}
 };
 
-/** Starts serving a target on loopback. */
+/** Starts serving a target on the loopback interface. */
 export const startDatabase = async (target: Target, world: World, port: number): Promise<DatabaseServer> => {
 	const scope = createScope(() => undefined);
-	const cancels: Cancels = new Map();
+	const cancels: CancelRegistry = new Map();
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -1,4 +1,4 @@
-/** Tables, transactions and the log of one target of the database stand-in. */
+/** Storage engine of one target of the database stand-in: tables, transactions, row locks and the log. */
 
 import {
 	createNotifier, createDeadline, isPast, type World,
@@ -6,43 +6,45 @@
 import type {Column, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 
-/** One stored row. */
+/** Stored row. */
 export type Row = readonly Value[];
 
-/** One change of a transaction. */
+/** Change made by a transaction. */
 export type Change
 	= | Readonly<{kind: 'create'; table: string; columns: readonly Column[]}>
 		| Readonly<{kind: 'put'; table: string; id: string; row: Row}>
 		| Readonly<{kind: 'remove'; table: string; id: string}>;
 
-/** One committed transaction in the log. */
+/** Log record of a committed transaction. */
 export type LogRecord = Readonly<{
-	/** Position behind this record. */
+	/** Log position at the end of this record. */
 	position: number;
 	timeline: number;
 	changes: readonly Change[];
 }>;
 
-/** A table as stored. */
+/** Stored table. */
 export type Table = Readonly<{columns: readonly Column[]; rows: Map<string, Row>}>;
 
-/** A transaction in progress. */
+/** Transaction in progress, with its changes and the keys that it has locked. */
 export type Transaction = {
 	readonly readOnly: boolean;
 	readonly changes: Change[];
 	readonly locks: Set<string>;
 };
 
-/** Where a timeline began. */
+/** Log position at which a timeline starts. */
 export type TimelineStart = Readonly<{timeline: number; position: number}>;
 
-/** State of one target. */
+/** Storage engine of one target. */
 export type Engine = Readonly<{
 	begin: (readOnly: boolean) => Transaction;
+	/** Commits a transaction; throws an `SqlError` if it has changes and the target is a replica. */
 	commit: (transaction: Transaction) => void;
 	rollback: (transaction: Transaction) => void;
-	/** Waits for a lock that the transaction keeps until its end. */
+	/** Acquires a lock that the transaction holds until its end; throws an `SqlError` if the wait times out. */
 	lock: (transaction: Transaction, key: string) => Promise<void>;
+	/** Returns a table as the transaction sees it; throws an `SqlError` if it does not exist. */
 	getTable: (transaction: Transaction, name: string) => Readonly<{columns: readonly Column[]; rows: ReadonlyMap<string, Row>}>;
 	hasTable: (transaction: Transaction, name: string) => boolean;
 	createRowId: () => string;
@@ -50,34 +52,35 @@
 	getTimeline: () => number;
 	getTimelineHistory: () => readonly TimelineStart[];
 	isReplica: () => boolean;
-	/** Gets the records behind a position. */
+	/** Returns the log records after a position. */
 	getRecordsAfter: (position: number) => readonly LogRecord[];
 	/** Applies a record received from the primary. */
 	replay: (record: LogRecord) => void;
 	/** Starts a new timeline as primary. */
 	promote: () => void;
-	/** Throws all data away and follows from the start. */
+	/** Deletes all data and becomes a replica that replicates from the start of the log. */
 	reset: () => void;
-	/** Takes over the timeline history of the primary. */
+	/** Sets the timeline history to that of the primary. */
 	setTimelineHistory: (history: readonly TimelineStart[]) => void;
-	/** Waits until the log has grown, or the wait is over. */
+	/** Waits until the log has new records, a timeout has passed or the signal aborts. */
 	waitForRecords: (signal: AbortSignal) => Promise<void>;
-	/** Wakes whoever waits for growth. */
+	/** Wakes all tasks that wait for records. */
 	wakeWaiters: () => void;
 }>;
 
-const RECORD_BYTES = 64;
+/** Number of bytes by which a change advances the log position. */
+const BYTES_PER_CHANGE = 64;
 const LOCK_TIMEOUT_MS = 2000;
-const GROWTH_WAIT_MS = 1000;
+const MAX_RECORD_WAIT_MS = 1000;
 const FIRST_POSITION = 0x1_00_00_00;
 
-/** Creates the state of an empty target. */
+/** Creates an engine without tables. */
 export const createEngine = (world: World, options: Readonly<{replica: boolean}>): Engine => {
 	const tables = new Map<string, Table>();
 	const log: LogRecord[] = [];
 	const locks = new Map<string, Transaction>();
-	const released = createNotifier(world);
-	const grown = createNotifier(world);
+	const locksReleased = createNotifier(world);
+	const logGrown = createNotifier(world);
 	let history: readonly TimelineStart[] = [{timeline: 1, position: FIRST_POSITION}];
 	let {replica} = options;
 	let position = FIRST_POSITION;
@@ -102,16 +105,16 @@
 			apply(change);
 		}
 
-		grown.notify();
+		logGrown.notify();
 	};
 
-	const release = (transaction: Transaction) => {
+	const releaseLocks = (transaction: Transaction) => {
 		for (const key of transaction.locks) {
 			locks.delete(key);
 		}
 
 		transaction.locks.clear();
-		released.notify();
+		locksReleased.notify();
 	};
 
 	const findCreated = (transaction: Transaction, name: string) => transaction.changes.find(change => change.kind === 'create' && change.table === name);
@@ -121,16 +124,16 @@
 		commit(transaction) {
 			if (transaction.changes.length > 0) {
 				if (replica) {
-					release(transaction);
+					releaseLocks(transaction);
 					throw new SqlError('25006', 'cannot commit a write in a read-only target');
 				}
 
-				append({position: position + (RECORD_BYTES * transaction.changes.length), timeline: getTimeline(), changes: [...transaction.changes]});
+				append({position: position + (BYTES_PER_CHANGE * transaction.changes.length), timeline: getTimeline(), changes: [...transaction.changes]});
 			}
 
-			release(transaction);
+			releaseLocks(transaction);
 		},
-		rollback: release,
+		rollback: releaseLocks,
 		async lock(transaction, key) {
 			const deadline = createDeadline(world.now(), LOCK_TIMEOUT_MS);
 			while ((locks.get(key) ?? transaction) !== transaction) {
@@ -138,7 +141,7 @@
 					throw new SqlError('40P01', 'deadlock detected');
 				}
 
-				await released.waitForChange(deadline);
+				await locksReleased.waitForChange(deadline);
 			}
 
 			locks.set(key, transaction);
@@ -146,20 +149,20 @@
 		},
 		hasTable: (transaction, name) => tables.has(name) || findCreated(transaction, name) !== undefined,
 		getTable(transaction, name) {
-			const base = tables.get(name);
+			const storedTable = tables.get(name);
 			const created = findCreated(transaction, name);
-			const columns = base?.columns ?? (created?.kind === 'create' ? created.columns : undefined);
+			const columns = storedTable?.columns ?? (created?.kind === 'create' ? created.columns : undefined);
 			if (!columns) {
 				throw new SqlError('42P01', `relation "${name}" does not exist`);
 			}
 
-			const own = transaction.changes.filter(change => change.table === name);
-			if (own.length === 0) {
-				return {columns, rows: base?.rows ?? new Map<string, Row>()};
+			const ownChanges = transaction.changes.filter(change => change.table === name);
+			if (ownChanges.length === 0) {
+				return {columns, rows: storedTable?.rows ?? new Map<string, Row>()};
 			}
 
-			const rows = new Map(base?.rows);
-			for (const change of own) {
+			const rows = new Map(storedTable?.rows);
+			for (const change of ownChanges) {
 				if (change.kind === 'put') {
 					rows.set(change.id, change.row);
 				} else if (change.kind === 'remove') {
@@ -196,7 +199,7 @@
 		promote() {
 			replica = false;
 			history = [...history, {timeline: getTimeline() + 1, position}];
-			grown.notify();
+			logGrown.notify();
 		},
 		reset() {
 			tables.clear();
@@ -209,8 +212,8 @@
 			history = next;
 		},
 		async waitForRecords(signal) {
-			await grown.waitForChange(createDeadline(world.now(), GROWTH_WAIT_MS), signal);
+			await logGrown.waitForChange(createDeadline(world.now(), MAX_RECORD_WAIT_MS), signal);
 		},
-		wakeWaiters: grown.notify,
+		wakeWaiters: logGrown.notify,
 	};
 };
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -1,4 +1,4 @@
-/** Execution of one statement against an engine. */
+/** Execution of SQL statements on an engine. */
 
 import type {Engine, Row, Transaction} from './engine.js';
 import {evaluateExpression, type EvaluationContext} from './expressions.js';
@@ -7,19 +7,19 @@
 } from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 
-/** A column of a result. */
+/** Column of a result. */
 export type ResultColumn = Readonly<{name: string; type: string}>;
 
-/** Result of a statement. */
+/** Result of a statement, with its command tag. */
 export type ResultSet = Readonly<{tag: string; columns: readonly ResultColumn[]; rows: readonly Row[]}>;
 
-/** What a statement runs in. */
+/** Dependencies of the execution of a statement. */
 export type ExecutionContext = Readonly<{
 	engine: Engine;
 	transaction: Transaction;
 	parameters: readonly Value[];
 	callFunction: (name: string, args: readonly Value[]) => Value;
-	/** Gets the rows of a virtual table, if there is one of that name. */
+	/** Returns a system view or the rows of a table function; `undefined` if there is none of that name. */
 	getVirtualTable: (name: string, args: readonly Value[]) => Readonly<{columns: readonly Column[]; rows: ReadonlyMap<string, Row>}> | undefined;
 }>;
 
@@ -29,7 +29,7 @@
 const ONE_EMPTY_ROW: RowSet = {columns: [], rows: new Map([['', []]])};
 const AGGREGATES: ReadonlySet<string> = new Set(['count', 'max', 'min', 'sum']);
 
-const createEnvironment = (context: ExecutionContext, columns: readonly Column[], row: Row): EvaluationContext => ({
+const createEvaluationContext = (context: ExecutionContext, columns: readonly Column[], row: Row): EvaluationContext => ({
 	parameters: context.parameters,
 	callFunction: context.callFunction,
 	getColumn(name) {
@@ -42,9 +42,9 @@
 	},
 });
 
-const evaluateAlone = (context: ExecutionContext, expression: Expression): Value => evaluateExpression(expression, createEnvironment(context, [], []));
+const evaluateWithoutRow = (context: ExecutionContext, expression: Expression): Value => evaluateExpression(expression, createEvaluationContext(context, [], []));
 
-const findKeyLookup = (columns: readonly Column[], where: Expression | undefined): Expression | undefined => {
+const findKeyExpression = (columns: readonly Column[], where: Expression | undefined): Expression | undefined => {
 	if (where?.kind !== 'binary' || where.operator !== '=' || where.left.kind !== 'column' || where.right.kind === 'column') {
 		return undefined;
 	}
@@ -56,16 +56,16 @@
 const createKey = (value: Value): string => `k:${String(value)}`;
 
 const selectRows = (context: ExecutionContext, source: RowSet, where: Expression | undefined): ReadonlyArray<readonly [string, Row]> => {
-	const lookup = findKeyLookup(source.columns, where);
-	if (lookup) {
-		const key = createKey(evaluateAlone(context, lookup));
+	const keyExpression = findKeyExpression(source.columns, where);
+	if (keyExpression) {
+		const key = createKey(evaluateWithoutRow(context, keyExpression));
 		const row = source.rows.get(key);
 		return row ? [[key, row]] : [];
 	}
 
 	const found: Array<readonly [string, Row]> = [];
 	for (const [id, row] of source.rows) {
-		if (!where || evaluateExpression(where, createEnvironment(context, source.columns, row)) === true) {
+		if (!where || evaluateExpression(where, createEvaluationContext(context, source.columns, row)) === true) {
 			found.push([id, row]);
 		}
 	}
@@ -101,14 +101,14 @@
 const projectRows = (context: ExecutionContext, outputs: readonly OutputColumn[], columns: readonly Column[], rows: readonly Row[]): readonly Row[] => {
 	const expanded = expandOutputs(outputs, columns);
 	return rows.map(row => {
-		const environment = createEnvironment(context, columns, row);
-		return expanded.map(({expression}) => evaluateExpression(expression, environment));
+		const evaluationContext = createEvaluationContext(context, columns, row);
+		return expanded.map(({expression}) => evaluateExpression(expression, evaluationContext));
 	});
 };
 
-const aggregate = (context: ExecutionContext, expression: Expression, columns: readonly Column[], rows: readonly Row[]): Value => {
+const computeAggregate = (context: ExecutionContext, expression: Expression, columns: readonly Column[], rows: readonly Row[]): Value => {
 	if (expression.kind !== 'call') {
-		throw new SqlError('42803', 'only aggregates may stand beside aggregates');
+		throw new SqlError('42803', 'a query with an aggregate may select only aggregates');
 	}
 
 	const [argument] = expression.args;
@@ -117,10 +117,10 @@
 	}
 
 	if (!argument) {
-		throw new SqlError('42883', `${expression.name} needs an argument`);
+		throw new SqlError('42883', `${expression.name} requires an argument`);
 	}
 
-	const values = rows.map(row => Number(evaluateExpression(argument, createEnvironment(context, columns, row))));
+	const values = rows.map(row => Number(evaluateExpression(argument, createEvaluationContext(context, columns, row))));
 	if (values.length === 0) {
 		return null;
 	}
@@ -138,11 +138,11 @@
 		return ONE_EMPTY_ROW;
 	}
 
-	const virtual = context.getVirtualTable(from.name, (from.args ?? []).map(argument => evaluateAlone(context, argument)));
-	return virtual ?? context.engine.getTable(context.transaction, from.name);
+	const virtualTable = context.getVirtualTable(from.name, (from.args ?? []).map(argument => evaluateWithoutRow(context, argument)));
+	return virtualTable ?? context.engine.getTable(context.transaction, from.name);
 };
 
-const isAggregate = (outputs: readonly OutputColumn[]): boolean => outputs.some(output => output !== '*' && output.expression.kind === 'call' && AGGREGATES.has(output.expression.name));
+const hasAggregate = (outputs: readonly OutputColumn[]): boolean => outputs.some(output => output !== '*' && output.expression.kind === 'call' && AGGREGATES.has(output.expression.name));
 
 const sortRows = (columns: readonly Column[], rows: readonly Row[], orderBy: string | undefined, descending: boolean): readonly Row[] => {
 	const index = columns.findIndex(column => column.name === orderBy);
@@ -162,7 +162,7 @@
 	});
 };
 
-const requireWritable = (context: ExecutionContext, verb: string) => {
+const checkWritable = (context: ExecutionContext, verb: string) => {
 	if (context.transaction.readOnly) {
 		throw new SqlError('25006', `cannot execute ${verb} in a read-only transaction`);
 	}
@@ -170,7 +170,7 @@
 
 const runSelect = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'select'}>): Promise<ResultSet> => {
 	if (statement.forUpdate) {
-		requireWritable(context, 'SELECT FOR UPDATE');
+		checkWritable(context, 'SELECT FOR UPDATE');
 	}
 
 	const source = getSource(context, statement);
@@ -182,35 +182,35 @@
 	}
 
 	const columns = describeOutputs(statement.outputs, source.columns);
-	if (isAggregate(statement.outputs)) {
+	if (hasAggregate(statement.outputs)) {
 		const all = found.map(([, row]) => row);
-		const row = statement.outputs.map(output => output === '*' ? null : aggregate(context, output.expression, source.columns, all));
+		const row = statement.outputs.map(output => output === '*' ? null : computeAggregate(context, output.expression, source.columns, all));
 		return {tag: 'SELECT 1', columns, rows: [row]};
 	}
 
-	const limit = statement.limit ? Number(evaluateAlone(context, statement.limit)) : Number.POSITIVE_INFINITY;
+	const limit = statement.limit ? Number(evaluateWithoutRow(context, statement.limit)) : Number.POSITIVE_INFINITY;
 	const sorted = sortRows(source.columns, found.map(([, row]) => row), statement.orderBy, statement.descending);
 	const rows = projectRows(context, statement.outputs, source.columns, sorted.slice(0, limit));
 	return {tag: `SELECT ${rows.length}`, columns, rows};
 };
 
-const arrangeRow = (context: ExecutionContext, columns: readonly Column[], names: readonly string[], values: readonly Expression[]): Row => {
+const createRow = (context: ExecutionContext, columns: readonly Column[], names: readonly string[], values: readonly Expression[]): Row => {
 	const order = names.length > 0 ? names : columns.map(column => column.name);
 	return columns.map(column => {
 		const index = order.indexOf(column.name);
 		const expression = index === -1 ? undefined : values[index];
-		return expression ? evaluateAlone(context, expression) : null;
+		return expression ? evaluateWithoutRow(context, expression) : null;
 	});
 };
 
 const runInsert = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'insert'}>): Promise<ResultSet> => {
-	requireWritable(context, 'INSERT');
+	checkWritable(context, 'INSERT');
 	const {engine, transaction} = context;
 	const {columns} = engine.getTable(transaction, statement.table);
 	const keyIndex = columns.findIndex(column => column.primaryKey);
 	const inserted: Row[] = [];
 	for (const values of statement.rows) {
-		const row = arrangeRow(context, columns, statement.columns, values);
+		const row = createRow(context, columns, statement.columns, values);
 		const id = keyIndex === -1 ? engine.createRowId() : createKey(row[keyIndex] ?? null);
 		await engine.lock(transaction, `${statement.table}/${id}`);
 		if (engine.getTable(transaction, statement.table).rows.has(id)) {
@@ -247,19 +247,19 @@
 };
 
 const runUpdate = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'update'}>): Promise<ResultSet> => {
-	requireWritable(context, 'UPDATE');
+	checkWritable(context, 'UPDATE');
 	const {columns, found} = await lockRows(context, statement.table, statement.where);
-	const sets = new Map(statement.assignments);
+	const assignments = new Map(statement.assignments);
 	const updated = found.map(([id, row]) => {
-		const environment = createEnvironment(context, columns, row);
-		const next = columns.map((column, index) => {
-			const expression = sets.get(column.name);
-			return expression ? evaluateExpression(expression, environment) : (row[index] ?? null);
+		const evaluationContext = createEvaluationContext(context, columns, row);
+		const updatedRow = columns.map((column, index) => {
+			const expression = assignments.get(column.name);
+			return expression ? evaluateExpression(expression, evaluationContext) : (row[index] ?? null);
 		});
 		context.transaction.changes.push({
-			kind: 'put', table: statement.table, id, row: next,
+			kind: 'put', table: statement.table, id, row: updatedRow,
 		});
-		return next;
+		return updatedRow;
 	});
 	return {
 		tag: `UPDATE ${updated.length}`,
@@ -269,7 +269,7 @@
 };
 
 const runDelete = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'delete'}>): Promise<ResultSet> => {
-	requireWritable(context, 'DELETE');
+	checkWritable(context, 'DELETE');
 	const {columns, found} = await lockRows(context, statement.table, statement.where);
 	for (const [id] of found) {
 		context.transaction.changes.push({kind: 'remove', table: statement.table, id});
@@ -283,7 +283,7 @@
 };
 
 const runCreate = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'create'}>): Promise<ResultSet> => {
-	requireWritable(context, 'CREATE TABLE');
+	checkWritable(context, 'CREATE TABLE');
 	await context.engine.lock(context.transaction, `table/${statement.table}`);
 	if (!context.engine.hasTable(context.transaction, statement.table)) {
 		context.transaction.changes.push({kind: 'create', table: statement.table, columns: statement.columns});
@@ -294,7 +294,7 @@
 	return {tag: 'CREATE TABLE', columns: [], rows: []};
 };
 
-/** Runs a statement that reads or changes data. */
+/** Executes a statement that reads or changes data or creates a table; throws an `SqlError` if it fails. */
 export const executeStatement = async (context: ExecutionContext, statement: Statement): Promise<ResultSet> => {
 	switch (statement.kind) {
 		case 'select': {
@@ -323,7 +323,7 @@
 	}
 };
 
-/** Describes the result of a statement without running it. */
+/** Returns the columns of the result of a statement without executing it. */
 export const describeStatement = (context: ExecutionContext, statement: Statement): readonly ResultColumn[] => {
 	if (statement.kind === 'select') {
 		return describeOutputs(statement.outputs, statement.from ? getSource(context, statement).columns : NO_ROWS.columns);
--- a/packages/standin/src/expressions.ts
+++ b/packages/standin/src/expressions.ts
@@ -1,12 +1,12 @@
-/** Evaluation of expressions over one row. */
+/** Evaluation of expressions for one row. */
 
 import type {Expression, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
 
-/** What an expression may refer to. */
+/** Values and functions that an expression may refer to. */
 export type EvaluationContext = Readonly<{
 	parameters: readonly Value[];
-	/** Gets the value of a column of the current row. */
+	/** Returns the value of a column of the current row. */
 	getColumn: (name: string) => Value;
 	/** Calls a function of the target. */
 	callFunction: (name: string, args: readonly Value[]) => Value;
@@ -24,7 +24,7 @@
 	return String(left) < String(right) ? -1 : 1;
 };
 
-const COMPARISONS: Readonly<Record<string, (order: number) => boolean>> = {
+const COMPARISON_OPERATORS: Readonly<Record<string, (order: number) => boolean>> = {
 	'=': order => order === 0,
 	'<>': order => order !== 0,
 	'!=': order => order !== 0,
@@ -34,7 +34,7 @@
 	'>=': order => order >= 0,
 };
 
-const ARITHMETIC: Readonly<Record<string, (left: number, right: number) => number>> = {
+const ARITHMETIC_OPERATORS: Readonly<Record<string, (left: number, right: number) => number>> = {
 	'+': (left, right) => left + right,
 	'-': (left, right) => left - right,
 	'*': (left, right) => left * right,
@@ -46,24 +46,24 @@
 		return null;
 	}
 
-	const compare = COMPARISONS[operator];
+	const compare = COMPARISON_OPERATORS[operator];
 	if (compare) {
 		return compare(compareValues(left, right));
 	}
 
-	const compute = ARITHMETIC[operator];
+	const compute = ARITHMETIC_OPERATORS[operator];
 	return compute ? compute(Number(left), Number(right)) : `${String(left)}${String(right)}`;
 };
 
-/** Evaluates an expression. */
-export const evaluateExpression = (expression: Expression, environment: EvaluationContext): Value => {
+/** Evaluates an expression; throws an `SqlError` if a parameter is missing. */
+export const evaluateExpression = (expression: Expression, context: EvaluationContext): Value => {
 	switch (expression.kind) {
 		case 'literal': {
 			return expression.value;
 		}
 
 		case 'parameter': {
-			const value = environment.parameters[expression.index];
+			const value = context.parameters[expression.index];
 			if (value === undefined) {
 				throw new SqlError('08P01', `there is no parameter $${expression.index + 1}`);
 			}
@@ -72,24 +72,24 @@
 		}
 
 		case 'column': {
-			return environment.getColumn(expression.name);
+			return context.getColumn(expression.name);
 		}
 
 		case 'call': {
-			return environment.callFunction(expression.name, expression.args.map(argument => evaluateExpression(argument, environment)));
+			return context.callFunction(expression.name, expression.args.map(argument => evaluateExpression(argument, context)));
 		}
 
 		default: {
 			const {operator, left, right} = expression;
 			if (operator === 'and') {
-				return evaluateExpression(left, environment) === true && evaluateExpression(right, environment) === true;
+				return evaluateExpression(left, context) === true && evaluateExpression(right, context) === true;
 			}
 
 			if (operator === 'or') {
-				return evaluateExpression(left, environment) === true || evaluateExpression(right, environment) === true;
+				return evaluateExpression(left, context) === true || evaluateExpression(right, context) === true;
 			}
 
-			return applyOperator(operator, evaluateExpression(left, environment), evaluateExpression(right, environment));
+			return applyOperator(operator, evaluateExpression(left, context), evaluateExpression(right, context));
 		}
 	}
 };
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `guavapitch-standin`. */
+/** Command-line program `guavapitch-standin`: runs a stand-in of the platform's key-value service or of a database target. */
 
 import {appendFileSync} from 'node:fs';
 import process from 'node:process';
@@ -10,14 +10,14 @@
 import {DEFAULT_RATES, startPlatform} from './platform.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
-const EXIT_SETTING = 2;
+const EXIT_INVALID_SETTING = 2;
 const DEFAULT_SLOTS = 3;
 const DEFAULT_CONNECTIONS = 80;
 const DEFAULT_CONNECT_MS = 10;
 const DEFAULT_LAG_MS = 5;
 
-/** Creates what hears of received bytes; without a file they are dropped. */
-const createRecorder = (file: string | undefined) => (bytes: Uint8Array) => {
+/** Creates a callback that appends received bytes to a file; without a file, it ignores them. */
+const createByteRecorder = (file: string | undefined) => (bytes: Uint8Array) => {
 	if (file !== undefined) {
 		appendFileSync(file, bytes);
 	}
@@ -40,21 +40,21 @@
 	.version('0.1.0')
 	.demandCommand(1)
 	.command('platform', 'stand-in of the key-value service of the platform', command => command
-		.option('port', {type: 'number', default: 2379, describe: 'port on loopback; 0 for any'})
-		.option('writes', {type: 'number', default: DEFAULT_RATES.writes, describe: 'changes taken per second; more are refused'})
-		.option('reads', {type: 'number', default: DEFAULT_RATES.reads, describe: 'reads taken per second; more are refused'}), async flags => {
+		.option('port', {type: 'number', default: 2379, describe: 'port on the loopback interface; 0 for any free port'})
+		.option('writes', {type: 'number', default: DEFAULT_RATES.writes, describe: 'maximum rate of changes per second; changes beyond it are refused'})
+		.option('reads', {type: 'number', default: DEFAULT_RATES.reads, describe: 'maximum rate of reads per second; reads beyond it are refused'}), async flags => {
 		serveUntilStopped('platform', await startPlatform(createWorld(), flags.port, {writes: flags.writes, reads: flags.reads}));
 	})
-	.command('database', 'stand-in of one target of a database', command => command
-		.option('port', {type: 'number', default: 5432, describe: 'port on loopback; 0 for any'})
+	.command('database', 'stand-in of one database target', command => command
+		.option('port', {type: 'number', default: 5432, describe: 'port on the loopback interface; 0 for any free port'})
 		.option('name', {type: 'string', demandOption: true, describe: 'name of the target'})
-		.option('follow', {type: 'string', describe: 'primary to follow, host:port; the target leads if absent'})
-		.option('slots', {type: 'number', default: DEFAULT_SLOTS, describe: 'statements that run at a time'})
-		.option('connections', {type: 'number', default: DEFAULT_CONNECTIONS, describe: 'connections accepted at a time'})
+		.option('follow', {type: 'string', describe: 'primary to replicate from, host:port; if absent, the target is a primary'})
+		.option('slots', {type: 'number', default: DEFAULT_SLOTS, describe: 'maximum number of statements that run concurrently'})
+		.option('connections', {type: 'number', default: DEFAULT_CONNECTIONS, describe: 'maximum number of open connections'})
 		.option('connect-ms', {type: 'number', default: DEFAULT_CONNECT_MS, describe: 'time to open a connection, in milliseconds'})
-		.option('statement-ms', {type: 'number', default: 0, describe: 'time a statement occupies a slot, in milliseconds'})
-		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay of replay, in milliseconds'})
-		.option('record', {type: 'string', describe: 'file for every byte received from clients'}), async flags => {
+		.option('statement-ms', {type: 'number', default: 0, describe: 'time for which a statement occupies a slot, in milliseconds'})
+		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay before received records are replayed, in milliseconds'})
+		.option('record', {type: 'string', describe: 'file to append all bytes received from clients to'}), async flags => {
 		const world = createWorld();
 		const target = createTarget({
 			name: flags.name,
@@ -64,7 +64,7 @@
 			connectMs: flags.connectMs,
 			statementMs: flags.statementMs,
 			lagMs: flags.lagMs,
-		}, world, createRecorder(flags.record));
+		}, world, createByteRecorder(flags.record));
 		if (flags.follow) {
 			const [host, port] = flags.follow.split(':');
 			target.setUpstream(`host=${host} port=${port}`);
@@ -75,7 +75,7 @@
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-standin: ${error instanceof Error ? error.message : message}\n`);
-		process.exitCode = EXIT_SETTING;
+		process.exitCode = EXIT_INVALID_SETTING;
 	})
 	.exitProcess(false)
 	.parse();
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -1,65 +1,66 @@
-/** What goes wrong with the platform's stand-in on command, and the rates that it takes. */
+/** Injected faults and rate limits of the platform stand-in. */
 
 import type {World} from '@guavapitch/core';
 import type {MemoryStore} from '@guavapitch/store';
 
-/** Faults of the service, changed by writing the key `/standin/faults` as JSON. */
+/** Faults of the service; set by writing them as JSON to the key `/standin/faults`. */
 export type PlatformFaults = Readonly<{
-	/** Answers nothing. */
+	/** The service does not respond to any client. */
 	down?: boolean;
-	/** Delay of each answer, in milliseconds. */
+	/** Delay of each response, in milliseconds. */
 	slowMs?: number;
-	/** Carries out this many further changes without answering. */
+	/** Number of further changes that are applied but not responded to. */
 	loseAnswers?: number;
-	/** Names of the clients that are cut off. */
+	/** Names of the clients that are partitioned from the service. */
 	cut?: readonly string[];
-	/** Ends every lease at once. */
+	/** Expires all leases at once. */
 	lapseLeases?: boolean;
 }>;
 
-/** Rates that the service takes, in calls per second. */
+/** Rate limits of the service, in calls per second. */
 export type PlatformRates = Readonly<{writes: number; reads: number}>;
 
-/** Kind of a call, as its rate is counted. */
+/** Kind of a call, for rate limiting. */
 export type CallKind = keyof PlatformRates;
 
-/** Faults and rates at work. */
+/** Applies the faults and rate limits to calls. */
 export type FaultController = Readonly<{
+	/** Replaces the current faults. */
 	setFaults: (faults: PlatformFaults) => void;
-	/** Waits as long as the faults hold up the calls of a client; for good if it is cut off. */
+	/** Waits for the delay that the current faults add to a call of a client; for an hour if the client is partitioned, so that the call times out. */
 	delayCall: (client: string) => Promise<void>;
-	/** Counts a call; `false` if the rate of its kind is used up. */
+	/** Counts a call; returns `false` if it exceeds the rate limit of its kind. */
 	acquireCall: (kind: CallKind) => boolean;
-	/** Tells whether the answer to a change that was carried out gets lost. */
+	/** Returns whether the response to a change that was applied is dropped. */
 	shouldDropResponse: () => boolean;
-	/** Tells whether a client hears nothing. */
+	/** Returns whether a client is partitioned from the service. */
 	isPartitioned: (client: string) => boolean;
 }>;
 
-const SECOND_MS = 1000;
-const HANG_MS = 3_600_000;
+const MS_PER_SECOND = 1000;
+const PARTITION_DELAY_MS = 3_600_000;
 
-/** Creates the control, without faults. */
+/** Creates a fault controller without faults. */
 export const createFaultController = (world: World, store: MemoryStore, rates: PlatformRates, signal: AbortSignal): FaultController => {
 	let faults: PlatformFaults = {};
-	let lostAnswers = 0;
-	let second = 0;
-	let used: Record<CallKind, number> = {writes: 0, reads: 0};
+	let responsesToDrop = 0;
+	let currentSecond = 0;
+	let callCounts: Record<CallKind, number> = {writes: 0, reads: 0};
 
-	const isCut = (client: string): boolean => faults.down === true || (faults.cut ?? []).includes(client);
+	const isPartitioned = (client: string): boolean => faults.down === true || (faults.cut ?? []).includes(client);
 
 	return {
-		isPartitioned: isCut,
+		isPartitioned,
 		setFaults(next) {
 			faults = next;
-			lostAnswers = next.loseAnswers ?? 0;
+			responsesToDrop = next.loseAnswers ?? 0;
 			if (next.lapseLeases) {
 				store.expireAllLeases();
 			}
 		},
 		async delayCall(client) {
-			if (isCut(client)) {
-				await world.sleep(HANG_MS, signal).catch(() => undefined);
+			if (isPartitioned(client)) {
+				await world.sleep(PARTITION_DELAY_MS, signal).catch(() => undefined);
 			}
 
 			if (faults.slowMs) {
@@ -67,21 +68,21 @@
 			}
 		},
 		acquireCall(kind) {
-			const now = Math.floor(world.now() / SECOND_MS);
-			if (now !== second) {
-				second = now;
-				used = {writes: 0, reads: 0};
+			const now = Math.floor(world.now() / MS_PER_SECOND);
+			if (now !== currentSecond) {
+				currentSecond = now;
+				callCounts = {writes: 0, reads: 0};
 			}
 
-			used[kind]++;
-			return used[kind] <= rates[kind];
+			callCounts[kind]++;
+			return callCounts[kind] <= rates[kind];
 		},
 		shouldDropResponse() {
-			if (lostAnswers === 0) {
+			if (responsesToDrop === 0) {
 				return false;
 			}
 
-			lostAnswers--;
+			responsesToDrop--;
 			return true;
 		},
 	};
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -1,4 +1,4 @@
-/** Stand-in of the platform's key-value service, over the etcd v3 protocol, with faults on command. */
+/** Stand-in of the platform's key-value service, with the etcd v3 protocol and injected faults. */
 
 import {Buffer} from 'node:buffer';
 import {
@@ -12,73 +12,73 @@
 	createFaultController, type CallKind, type PlatformFaults, type PlatformRates,
 } from './platform-faults.js';
 
-/** A running service. */
+/** Running service. */
 export type PlatformServer = AsyncDisposable & Readonly<{
 	port: number;
 	store: MemoryStore;
-	/** Gets the number of calls so far, by method; a waiting watch counts as one. */
+	/** Returns the number of calls so far, by method; an open watch counts as one call. */
 	getCallCounts: () => Readonly<Record<string, number>>;
 }>;
 
 type Request = Readonly<Record<string, unknown>>;
-type Answer = Readonly<Record<string, unknown>>;
+type Response = Readonly<Record<string, unknown>>;
 type Compare = Readonly<{key: Uint8Array; mod_revision: number}>;
 type Operation = Readonly<{request?: string; request_put?: PutRequest; request_range?: RangeRequest}>;
 type PutRequest = Readonly<{key: Uint8Array; value: Uint8Array; lease: number}>;
 type RangeRequest = Readonly<{key: Uint8Array; range_end: Uint8Array}>;
 
-/** Rates of the platform's service, in calls per second. */
+/** Rate limits of the platform's service, in calls per second. */
 export const DEFAULT_RATES: PlatformRates = {writes: 400, reads: 2000};
 
 const FAULTS_KEY = '/standin/faults';
 const CALLS_KEY = '/standin/calls';
-const EXPIRY_MS = 50;
-const TOO_MANY = {code: status.RESOURCE_EXHAUSTED, details: 'too many requests'};
+const LEASE_CHECK_INTERVAL_MS = 50;
+const TOO_MANY_REQUESTS = {code: status.RESOURCE_EXHAUSTED, details: 'too many requests'};
 
-const createPair = (entry: Entry) => ({key: Buffer.from(entry.key), value: Buffer.from(entry.value), mod_revision: entry.revision});
+const createKeyValue = (entry: Entry) => ({key: Buffer.from(entry.key), value: Buffer.from(entry.value), mod_revision: entry.revision});
 const formatKey = (key: Uint8Array): string => Buffer.from(key).toString();
 const createHeader = (revision: number) => ({revision});
-/** Reads the name that a client gives in its user agent. */
-const readClient = (metadata: Metadata): string => String(metadata.get('user-agent')[0] ?? '').split(' ')[0] ?? '';
+/** Returns the client name from the user agent of a call. */
+const readClientName = (metadata: Metadata): string => String(metadata.get('user-agent')[0] ?? '').split(' ')[0] ?? '';
 const formatLease = (lease: number): string | undefined => lease === 0 ? undefined : String(lease);
 
-/** Faults are set and healed whatever faults there are. */
+/** Returns whether a request concerns a key of the stand-in itself; such requests are served regardless of faults and rate limits. */
 const isControlRequest = (request: Request): boolean => {
 	const [compare] = (request.compare ?? []) as readonly Compare[];
 	const key = compare?.key ?? request.key as Uint8Array | undefined;
 	return key !== undefined && formatKey(key).startsWith('/standin/');
 };
 
-/** Starts the service on loopback. */
+/** Starts the service on the loopback interface. */
 export const startPlatform = async (world: World, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
 	const store = createMemoryStore(world);
 	const services = loadServices();
 	const scope = createScope(() => undefined);
 	const calls = new Map<string, number>();
-	const control = createFaultController(world, store, rates, scope.signal);
+	const faultController = createFaultController(world, store, rates, scope.signal);
 
 	const range = async (request: RangeRequest) => {
 		const key = formatKey(request.key);
 		if (request.range_end.length > 0) {
 			const found = (await store.readAll(key)).unwrap();
-			return {header: createHeader(0), kvs: found.map(entry => createPair(entry)), count: found.length};
+			return {header: createHeader(0), kvs: found.map(entry => createKeyValue(entry)), count: found.length};
 		}
 
 		if (key === CALLS_KEY) {
-			return {header: createHeader(0), kvs: [createPair({key, value: JSON.stringify(Object.fromEntries(calls)), revision: 1})], count: 1};
+			return {header: createHeader(0), kvs: [createKeyValue({key, value: JSON.stringify(Object.fromEntries(calls)), revision: 1})], count: 1};
 		}
 
 		const entry = (await store.read(key)).unwrap();
-		return {header: createHeader(0), kvs: entry ? [createPair(entry)] : [], count: entry ? 1 : 0};
+		return {header: createHeader(0), kvs: entry ? [createKeyValue(entry)] : [], count: entry ? 1 : 0};
 	};
 
 	const applyFaults = (key: string, value: string) => {
 		if (key === FAULTS_KEY) {
-			control.setFaults(JSON.parse(value) as PlatformFaults);
+			faultController.setFaults(JSON.parse(value) as PlatformFaults);
 		}
 	};
 
-	const swap = async (compare: Compare, put: PutRequest) => {
+	const compareAndPut = async (compare: Compare, put: PutRequest) => {
 		const key = formatKey(compare.key);
 		const value = Buffer.from(put.value).toString();
 		const outcome = await store.compareAndSwap(key, compare.mod_revision, value, formatLease(put.lease));
@@ -92,10 +92,10 @@
 			return {header: createHeader(current?.revision ?? 0), succeeded: true, responses: []};
 		}
 
-		return {header: createHeader(0), succeeded: false, responses: [{response_range: {kvs: current ? [createPair(current)] : []}}]};
+		return {header: createHeader(0), succeeded: false, responses: [{response_range: {kvs: current ? [createKeyValue(current)] : []}}]};
 	};
 
-	const transact = async (request: Request): Promise<Answer> => {
+	const transact = async (request: Request): Promise<Response> => {
 		const [compare] = request.compare as readonly Compare[];
 		const [operation] = request.success as readonly Operation[];
 		if (!compare || !operation) {
@@ -103,14 +103,14 @@
 		}
 
 		if (operation.request_put) {
-			return swap(compare, operation.request_put);
+			return compareAndPut(compare, operation.request_put);
 		}
 
 		const removed = (await store.remove(formatKey(compare.key), compare.mod_revision)).unwrap();
 		return {header: createHeader(0), succeeded: removed, responses: []};
 	};
 
-	const put = async (request: Request): Promise<Answer> => {
+	const put = async (request: Request): Promise<Response> => {
 		const {key, value, lease} = request as unknown as PutRequest;
 		const entry = store.put(formatKey(key), Buffer.from(value).toString(), formatLease(lease));
 		applyFaults(entry.key, entry.value);
@@ -121,22 +121,22 @@
 		calls.set(name, (calls.get(name) ?? 0) + 1);
 	};
 
-	const serveUnary = (name: string, kind: CallKind, handle: (request: Request) => Promise<Answer>) => (call: ServerUnaryCall<Request, Answer>, done: sendUnaryData<Answer>) => {
+	const serveUnary = (name: string, kind: CallKind, handle: (request: Request) => Promise<Response>) => (call: ServerUnaryCall<Request, Response>, done: sendUnaryData<Response>) => {
 		countCall(name);
 		scope.run(async () => {
 			const isControl = isControlRequest(call.request);
 			if (!isControl) {
-				await control.delayCall(readClient(call.metadata));
-				if (!control.acquireCall(kind)) {
-					done(TOO_MANY);
+				await faultController.delayCall(readClientName(call.metadata));
+				if (!faultController.acquireCall(kind)) {
+					done(TOO_MANY_REQUESTS);
 					return;
 				}
 			}
 
 			try {
-				const answer = await handle(call.request);
-				if (kind === 'reads' || isControl || !control.shouldDropResponse()) {
-					done(null, answer);
+				const response = await handle(call.request);
+				if (kind === 'reads' || isControl || !faultController.shouldDropResponse()) {
+					done(null, response);
 				}
 			} catch (error) {
 				done(error as ServiceError);
@@ -144,13 +144,13 @@
 		});
 	};
 
-	const keepAlive = (stream: ServerDuplexStream<Request, Answer>) => {
+	const keepAlive = (stream: ServerDuplexStream<Request, Response>) => {
 		stream.on('data', (request: Request) => {
 			countCall('LeaseKeepAlive');
 			scope.run(async () => {
-				await control.delayCall(readClient(stream.metadata));
-				if (!control.acquireCall('writes')) {
-					stream.emit('error', TOO_MANY);
+				await faultController.delayCall(readClientName(stream.metadata));
+				if (!faultController.acquireCall('writes')) {
+					stream.emit('error', TOO_MANY_REQUESTS);
 					return;
 				}
 
@@ -165,30 +165,30 @@
 		stream.on('error', () => undefined);
 	};
 
-	const watch = (stream: ServerDuplexStream<Request, Answer>) => {
-		const gone = new AbortController();
+	const watch = (stream: ServerDuplexStream<Request, Response>) => {
+		const watchEnded = new AbortController();
 		stream.on('data', (request: Request) => {
 			countCall('Watch');
 			const create = request.create_request as RangeRequest;
 			scope.run(async () => {
-				const client = readClient(stream.metadata);
-				await control.delayCall(client);
+				const client = readClientName(stream.metadata);
+				await faultController.delayCall(client);
 				await store.watch(formatKey(create.key), keys => {
-					if (!control.isPartitioned(client)) {
+					if (!faultController.isPartitioned(client)) {
 						stream.write({
 							header: createHeader(0), created: keys.length === 0, events: keys.map(key => ({type: 'PUT', kv: {key: Buffer.from(key)}})),
 						});
 					}
-				}, AbortSignal.any([gone.signal, scope.signal]));
+				}, AbortSignal.any([watchEnded.signal, scope.signal]));
 			});
 		});
-		const leave = () => {
-			gone.abort();
+		const endWatch = () => {
+			watchEnded.abort();
 		};
 
-		stream.on('cancelled', leave);
-		stream.on('end', leave);
-		stream.on('error', leave);
+		stream.on('cancelled', endWatch);
+		stream.on('end', endWatch);
+		stream.on('error', endWatch);
 	};
 
 	const server = new Server();
@@ -213,23 +213,23 @@
 		LeaseKeepAlive: keepAlive,
 	});
 	implement('Watch', {Watch: watch});
-	const bound = await new Promise<number>((resolve, reject) => {
-		server.bindAsync(`127.0.0.1:${port}`, ServerCredentials.createInsecure(), (error, actual) => {
+	const boundPort = await new Promise<number>((resolve, reject) => {
+		server.bindAsync(`127.0.0.1:${port}`, ServerCredentials.createInsecure(), (error, actualPort) => {
 			if (error) {
 				reject(error);
 			} else {
-				resolve(actual);
+				resolve(actualPort);
 			}
 		});
 	});
 	scope.run(async signal => {
 		while (!signal.aborted) {
 			store.expireDueLeases();
-			await world.sleep(EXPIRY_MS, signal);
+			await world.sleep(LEASE_CHECK_INTERVAL_MS, signal);
 		}
 	});
 	return {
-		port: bound,
+		port: boundPort,
 		store,
 		getCallCounts: () => Object.fromEntries(calls),
 		async [Symbol.asyncDispose]() {
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -9,31 +9,35 @@
 import type {LogRecord, TimelineStart} from './engine.js';
 import type {Target, ReplicaState} from './target.js';
 
+/** First message of a replica: its log position and timeline. */
 type Hello = Readonly<{position: number; timeline: number}>;
+/** Message of the primary; `diverged` means that the log of the replica has records that the primary does not have. */
 type Batch = Readonly<{history: readonly TimelineStart[]; records: readonly LogRecord[]; diverged: boolean}>;
+/** Message of a replica: the log position that it has replayed. */
 type Feedback = Readonly<{replayed: number}>;
 
-/** Name under which a replica cuts itself off from its primary. */
+/** Peer name with which a fault partitions a replica from its primary. */
 const UPSTREAM_PEER = 'upstream';
-const RETRY_MS = 100;
-const MAXIMUM_RECORDS = 500;
+const RETRY_DELAY_MS = 100;
+const MAX_BATCH_RECORDS = 500;
 
 const encodeJson = (value: unknown): Buffer => createMessage('d', Buffer.from(JSON.stringify(value))).bytes;
 
-const hasDiverged = (hello: Hello, history: readonly TimelineStart[]): boolean => history.some(({timeline, position}) => timeline > hello.timeline && hello.position > position);
+/** Returns whether a replica has records beyond the start of a timeline that it does not know. */
+const isDiverged = (hello: Hello, history: readonly TimelineStart[]): boolean => history.some(({timeline, position}) => timeline > hello.timeline && hello.position > position);
 
-/** Serves a replica that has connected to this target. */
+/** Sends the log to a connected replica and records the position that it has replayed, until it disconnects; a replica with a diverged log is rejected. */
 export const serveReplica = async (target: Target, wire: WireConnection, name: string): Promise<void> => {
 	const {engine} = target;
 	const state: ReplicaState = {name, replayedPosition: 0};
-	const gone = new AbortController();
-	const first = await wire.readMessages();
-	if (first.err || !first.val[0]) {
+	const disconnected = new AbortController();
+	const firstMessages = await wire.readMessages();
+	if (firstMessages.err || !firstMessages.val[0]) {
 		return;
 	}
 
-	const hello = JSON.parse(getBody(first.val[0]).toString()) as Hello;
-	if (hasDiverged(hello, engine.getTimelineHistory())) {
+	const hello = JSON.parse(getBody(firstMessages.val[0]).toString()) as Hello;
+	if (isDiverged(hello, engine.getTimelineHistory())) {
 		await wire.write(encodeJson({history: engine.getTimelineHistory(), records: [], diverged: true} satisfies Batch));
 		return;
 	}
@@ -44,7 +48,7 @@
 		while (true) {
 			const messages = await wire.readMessages();
 			if (messages.err) {
-				gone.abort();
+				disconnected.abort();
 				return;
 			}
 
@@ -55,24 +59,24 @@
 		}
 	};
 
-	const reading = readFeedback();
-	let sent = hello.position;
-	let sentHistory = 0;
-	while (!gone.signal.aborted) {
-		const records = engine.getRecordsAfter(sent).slice(0, MAXIMUM_RECORDS);
+	const feedbackTask = readFeedback();
+	let sentPosition = hello.position;
+	let sentHistoryLength = 0;
+	while (!disconnected.signal.aborted) {
+		const records = engine.getRecordsAfter(sentPosition).slice(0, MAX_BATCH_RECORDS);
 		const history = engine.getTimelineHistory();
-		if (records.length > 0 || history.length !== sentHistory) {
+		if (records.length > 0 || history.length !== sentHistoryLength) {
 			await target.waitWhilePartitioned(name);
 			await wire.write(encodeJson({history, records, diverged: false} satisfies Batch));
-			sent = records.at(-1)?.position ?? sent;
-			sentHistory = history.length;
+			sentPosition = records.at(-1)?.position ?? sentPosition;
+			sentHistoryLength = history.length;
 		} else {
-			await engine.waitForRecords(gone.signal);
+			await engine.waitForRecords(disconnected.signal);
 		}
 	}
 
 	target.replicas.delete(state);
-	await reading;
+	await feedbackTask;
 };
 
 const parseConninfo = (conninfo: string): Readonly<{host: string; port: number}> => {
@@ -84,9 +88,9 @@
 	const {engine, settings} = target;
 	const socket = createConnection(parseConninfo(conninfo));
 	await using wire = openWireConnection(socket);
-	let following = true;
+	let isFollowing = true;
 	const watchUpstream = async () => {
-		while (following && target.getUpstream() === conninfo) {
+		while (isFollowing && target.getUpstream() === conninfo) {
 			await target.waitForUpstreamChange();
 		}
 
@@ -107,7 +111,7 @@
 		for (const message of messages.val) {
 			const batch = JSON.parse(getBody(message).toString()) as Batch;
 			if (batch.diverged) {
-				await world.sleep(RETRY_MS);
+				await world.sleep(RETRY_DELAY_MS);
 				return;
 			}
 
@@ -121,10 +125,10 @@
 		await wire.write(encodeJson({replayed: engine.getPosition()} satisfies Feedback));
 	}
 
-	following = false;
+	isFollowing = false;
 };
 
-/** Follows whatever upstream the target is set to, while it is a replica. */
+/** Replicates from the configured upstream of the target while the target is a replica; reconnects after failures. */
 export const followUpstream = async (target: Target, world: World, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		const conninfo = target.getUpstream();
@@ -132,6 +136,6 @@
 			await followOnce(target, conninfo, world);
 		}
 
-		await world.sleep(RETRY_MS, signal);
+		await world.sleep(RETRY_DELAY_MS, signal);
 	}
 };
--- a/packages/standin/src/rows.ts
+++ b/packages/standin/src/rows.ts
@@ -1,4 +1,4 @@
-/** Rows and parameters as messages. */
+/** Encoding of result rows and decoding of parameters in the PostgreSQL protocol. */
 
 import {Buffer} from 'node:buffer';
 import {
@@ -12,7 +12,7 @@
 	int: 23, integer: 23, int4: 23, serial: 23, bigint: 20, int8: 20, bool: 16, boolean: 16, text: 25,
 };
 const TEXT_OID = 25;
-/** Creates the description of the rows of a result. */
+/** Creates the RowDescription message for the columns of a result. */
 export const createRowDescription = (columns: readonly ResultColumn[]): Message => createMessage('T', encodeInt16(columns.length), ...columns.flatMap(column => [
 	column.name, encodeInt32(0), encodeInt16(0), encodeInt32(TYPE_OIDS[column.type] ?? TEXT_OID), encodeInt16(-1), encodeInt32(-1), encodeInt16(0),
 ]));
@@ -27,14 +27,14 @@
 	return [encodeInt32(bytes.length), bytes];
 };
 
-/** Creates the message of one row. */
+/** Creates the DataRow message for a row. */
 export const createDataRow = (row: Row): Message => createMessage('D', encodeInt16(row.length), ...row.flatMap(value => encodeValue(value)));
 
-/** Reads the parameters of a Bind from an offset. */
+/** Reads the parameter values of a Bind message, starting at the offset of the parameter formats; all values are read as text. */
 export const readParameters = (body: Buffer, start: number): readonly Value[] => {
 	let offset = start;
-	const formats = body.readInt16BE(offset);
-	offset += 2 + (formats * 2);
+	const formatCount = body.readInt16BE(offset);
+	offset += 2 + (formatCount * 2);
 	const count = body.readInt16BE(offset);
 	offset += 2;
 	const values: Value[] = [];
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -1,4 +1,4 @@
-/** One caller of the database stand-in: the task that serves its connection. */
+/** Session of the database stand-in: the task that serves one connection. */
 
 import {type Buffer} from 'node:buffer';
 import {getMessage, type World, type TransactionStatus} from '@guavapitch/core';
@@ -24,30 +24,31 @@
 	readonly statements: Map<string, Statement | undefined>;
 	readonly portals: Map<string, Portal>;
 	readonly settings: Map<string, string>;
-	skipping: boolean;
+	/** Whether messages are skipped until the next Sync because an earlier message failed. */
+	isSkipping: boolean;
 	cancel: AbortController;
 };
 
-/** What a session is served with. */
+/** Dependencies of a session. */
 export type SessionContext = Readonly<{
 	target: Target;
 	world: World;
 	wire: WireConnection;
-	/** Name the caller gave itself. */
+	/** Application name that the caller sent. */
 	peer: string;
-	/** Hears the function that cancels the running statement. */
+	/** Called with the function that cancels the running statement. */
 	onCancel: (cancel: () => void) => void;
 }>;
 
-const FLUSH_BYTES = 65_536;
+const FLUSH_THRESHOLD_BYTES = 65_536;
 const NO_DATA = createMessage('n');
 
-/** Serves a caller after its startup until it leaves. */
+/** Serves a caller from the end of its startup until it disconnects. */
 export const serveSession = async (context: SessionContext): Promise<void> => {
 	const {target, wire, world} = context;
 	const {engine} = target;
 	const state: SessionState = {
-		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), skipping: false, cancel: new AbortController(),
+		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), isSkipping: false, cancel: new AbortController(),
 	};
 	let output: Buffer[] = [];
 	let outputBytes = 0;
@@ -65,7 +66,7 @@
 	const send = async (message: Message) => {
 		output.push(message.bytes);
 		outputBytes += message.bytes.length;
-		if (outputBytes > FLUSH_BYTES) {
+		if (outputBytes > FLUSH_THRESHOLD_BYTES) {
 			await flush();
 		}
 	};
@@ -74,7 +75,7 @@
 		engine, transaction, parameters, callFunction: target.callFunction, getVirtualTable: target.getVirtualTable,
 	});
 
-	const requireTransaction = (): Transaction => {
+	const getOrBeginTransaction = (): Transaction => {
 		state.transaction ??= engine.begin(false);
 		return state.transaction;
 	};
@@ -94,7 +95,7 @@
 		}
 	};
 
-	const runTransaction = (statement: Extract<Statement, {kind: 'transaction'}>): ResultSet => {
+	const runTransactionStatement = (statement: Extract<Statement, {kind: 'transaction'}>): ResultSet => {
 		if (statement.action === 'begin') {
 			state.transaction ??= engine.begin(statement.readOnly);
 			state.status = 'open';
@@ -106,13 +107,13 @@
 		return {tag: commit ? 'COMMIT' : 'ROLLBACK', columns: [], rows: []};
 	};
 
-	const sleepIfAsked = async (statement: Statement, parameters: readonly Value[]) => {
-		const output_ = statement.kind === 'select' ? statement.outputs[0] : undefined;
-		if (output_ === undefined || output_ === '*' || output_.expression.kind !== 'call' || output_.expression.name !== 'pg_sleep') {
+	const sleepIfRequested = async (statement: Statement, parameters: readonly Value[]) => {
+		const firstOutput = statement.kind === 'select' ? statement.outputs[0] : undefined;
+		if (firstOutput === undefined || firstOutput === '*' || firstOutput.expression.kind !== 'call' || firstOutput.expression.name !== 'pg_sleep') {
 			return;
 		}
 
-		const [argument] = output_.expression.args;
+		const [argument] = firstOutput.expression.args;
 		const seconds = argument?.kind === 'literal' ? Number(argument.value) : Number(parameters[0] ?? 0);
 		try {
 			await world.sleep(seconds * 1000, state.cancel.signal);
@@ -128,7 +129,7 @@
 
 		switch (statement.kind) {
 			case 'transaction': {
-				return runTransaction(statement);
+				return runTransactionStatement(statement);
 			}
 
 			case 'set': {
@@ -157,8 +158,8 @@
 
 			default: {
 				return target.runInSlot(async () => {
-					await sleepIfAsked(statement, parameters);
-					return executeStatement(createContext(requireTransaction(), parameters), statement);
+					await sleepIfRequested(statement, parameters);
+					return executeStatement(createContext(getOrBeginTransaction(), parameters), statement);
 				});
 			}
 		}
@@ -176,9 +177,9 @@
 		await send(createCommandComplete(result.tag));
 	};
 
-	const sendError = async (thrown: unknown) => {
-		const code = thrown instanceof SqlError ? thrown.code : 'XX000';
-		await send(createErrorResponse({severity: 'ERROR', code, message: getMessage(thrown)}));
+	const sendError = async (error: unknown) => {
+		const code = error instanceof SqlError ? error.code : 'XX000';
+		await send(createErrorResponse({severity: 'ERROR', code, message: getMessage(error)}));
 		if (state.status === 'idle') {
 			endTransaction(false);
 		} else {
@@ -186,7 +187,7 @@
 		}
 	};
 
-	const endImplicit = async () => {
+	const endImplicitTransaction = async () => {
 		if (state.status === 'idle' && state.transaction) {
 			try {
 				endTransaction(true);
@@ -218,7 +219,7 @@
 			await sendError(error);
 		}
 
-		await endImplicit();
+		await endImplicitTransaction();
 		await send(createReadyForQuery(state.status));
 	};
 
@@ -259,7 +260,7 @@
 			await send(createMessage('t', encodeInt16(0)));
 		}
 
-		const columns = statement ? describeStatement(createContext(requireTransaction(), state.portals.get(name)?.parameters ?? []), statement) : [];
+		const columns = statement ? describeStatement(createContext(getOrBeginTransaction(), state.portals.get(name)?.parameters ?? []), statement) : [];
 		await send(columns.length > 0 ? createRowDescription(columns) : NO_DATA);
 	};
 
@@ -330,8 +331,8 @@
 			}
 
 			case 'S': {
-				state.skipping = false;
-				await endImplicit();
+				state.isSkipping = false;
+				await endImplicitTransaction();
 				await send(createReadyForQuery(state.status));
 				await flush();
 
@@ -345,11 +346,11 @@
 			}
 
 			default: {
-				if (!state.skipping) {
+				if (!state.isSkipping) {
 					try {
 						await runExtended(message);
 					} catch (error) {
-						state.skipping = true;
+						state.isSkipping = true;
 						await sendError(error);
 					}
 				}
--- a/packages/standin/src/sql-ast.ts
+++ b/packages/standin/src/sql-ast.ts
@@ -1,9 +1,9 @@
-/** Statements of the SQL subset. */
+/** Syntax tree of the SQL subset that the database stand-in supports. */
 
-/** A stored value. */
+/** Stored value. */
 export type Value = string | number | boolean | null;
 
-/** An expression. */
+/** Expression; the index of a parameter starts at 0. */
 export type Expression
 	= | Readonly<{kind: 'literal'; value: Value}>
 		| Readonly<{kind: 'parameter'; index: number}>
@@ -11,13 +11,13 @@
 		| Readonly<{kind: 'call'; name: string; args: readonly Expression[]}>
 		| Readonly<{kind: 'binary'; operator: string; left: Expression; right: Expression}>;
 
-/** A column of a table. */
+/** Column of a table. */
 export type Column = Readonly<{name: string; type: string; primaryKey: boolean}>;
 
-/** An output column of a query. */
+/** Output column of a query; `*` stands for all columns. */
 export type OutputColumn = Readonly<{name: string; expression: Expression}> | '*';
 
-/** One statement. */
+/** Parsed statement. */
 export type Statement
 	= | Readonly<{kind: 'create'; table: string; columns: readonly Column[]; ifNotExists: boolean}>
 		| Readonly<{kind: 'insert'; table: string; columns: readonly string[]; rows: ReadonlyArray<readonly Expression[]>; ignoreConflict: boolean; returning: readonly OutputColumn[]}>
@@ -31,5 +31,5 @@
 		| Readonly<{kind: 'alterSystem'; name: string; value: string}>
 		| Readonly<{kind: 'empty'}>;
 
-/** Where a query reads from. */
+/** Table or table function in the `FROM` clause of a query. */
 export type TableSource = Readonly<{name: string; args?: readonly Expression[]}>;
--- a/packages/standin/src/sql-errors.ts
+++ b/packages/standin/src/sql-errors.ts
@@ -1,11 +1,11 @@
-/** Failures of the database stand-in; the code is the SQLSTATE. */
+/** Errors of the database stand-in; their code is the SQLSTATE. */
 
 import type {Failure} from '@guavapitch/core';
 
-/** Failure of a statement. */
+/** Failure of a statement; the code is the SQLSTATE. */
 export type SqlFailure = Failure;
 
-/** Exception inside the stand-in's engine. */
+/** Error thrown while a statement is parsed or executed; the code is the SQLSTATE. */
 export class SqlError extends Error {
 	override readonly name = 'SqlError';
 
--- a/packages/standin/src/sql-parser.ts
+++ b/packages/standin/src/sql-parser.ts
@@ -1,4 +1,4 @@
-/** Parser of the SQL subset. */
+/** Parser of the SQL subset that the database stand-in supports. */
 
 import {
 	Err, Ok, getMessage, type Result,
@@ -9,28 +9,31 @@
 import {SqlError, type SqlFailure} from './sql-errors.js';
 import {splitTokens, type Token} from './sql-tokens.js';
 
+/** Read position in a list of tokens. */
 type Cursor = Readonly<{
 	peek: (ahead?: number) => Token;
 	next: () => Token;
-	/** Takes the given words or symbols if they come next. */
+	/** Consumes the given words or symbols if they come next, and returns whether they did. */
 	takeIf: (...values: readonly string[]) => boolean;
+	/** Consumes the given word or symbol; throws a syntax error if another token comes next. */
 	expect: (value: string) => void;
+	/** Consumes a name; throws a syntax error if another token comes next. */
 	takeName: () => string;
 }>;
 
 const END: Token = {kind: 'end', value: ''};
 
 const createCursor = (tokens: readonly Token[]): Cursor => {
-	let at = 0;
-	const peek = (ahead = 0): Token => tokens[at + ahead] ?? END;
+	let offset = 0;
+	const peek = (ahead = 0): Token => tokens[offset + ahead] ?? END;
 	const next = (): Token => {
 		const token = peek();
-		at++;
+		offset++;
 		return token;
 	};
 
 	const matches = (token: Token, value: string) => token.value === value && token.kind !== 'text';
-	const fail = (): never => {
+	const throwSyntaxError = (): never => {
 		throw new SqlError('42601', `syntax error at or near "${peek().value}"`);
 	};
 
@@ -39,7 +42,7 @@
 			return false;
 		}
 
-		at += values.length;
+		offset += values.length;
 		return true;
 	};
 
@@ -49,12 +52,12 @@
 		takeIf,
 		expect(value) {
 			if (!takeIf(value)) {
-				fail();
+				throwSyntaxError();
 			}
 		},
 		takeName() {
 			const token = next();
-			return token.kind === 'word' ? token.value : fail();
+			return token.kind === 'word' ? token.value : throwSyntaxError();
 		},
 	};
 };
@@ -131,11 +134,11 @@
 	return expression;
 };
 
-/** Operators by precedence, loosest first. */
-const PRECEDENCE: ReadonlyArray<readonly string[]> = [['or'], ['and'], ['=', '<>', '!=', '<', '>', '<=', '>='], ['+', '-', '||'], ['*', '/']];
+/** Operators by precedence, lowest first. */
+const OPERATORS_BY_PRECEDENCE: ReadonlyArray<readonly string[]> = [['or'], ['and'], ['=', '<>', '!=', '<', '>', '<=', '>='], ['+', '-', '||'], ['*', '/']];
 
 const parseBinary = (cursor: Cursor, level: number): Expression => {
-	const operators = PRECEDENCE[level];
+	const operators = OPERATORS_BY_PRECEDENCE[level];
 	if (!operators) {
 		return parseCast(cursor);
 	}
@@ -221,13 +224,13 @@
 const parseUpdate = (cursor: Cursor): Statement => {
 	const table = cursor.takeName();
 	cursor.expect('set');
-	const sets = parseList(cursor, () => {
+	const assignments = parseList(cursor, () => {
 		const name = cursor.takeName();
 		cursor.expect('=');
 		return [name, parseExpression(cursor)] as const;
 	});
 	return {
-		kind: 'update', table, assignments: sets, ...parseWhere(cursor), returning: parseReturning(cursor),
+		kind: 'update', table, assignments, ...parseWhere(cursor), returning: parseReturning(cursor),
 	};
 };
 
@@ -258,7 +261,7 @@
 	};
 };
 
-const skipToEnd = (cursor: Cursor): readonly string[] => {
+const takeRestOfStatement = (cursor: Cursor): readonly string[] => {
 	const words: string[] = [];
 	while (cursor.peek().kind !== 'end' && cursor.peek().value !== ';') {
 		words.push(cursor.next().value);
@@ -268,7 +271,7 @@
 };
 
 const parseTransaction = (cursor: Cursor, action: 'begin' | 'commit' | 'rollback'): Statement => {
-	const words = skipToEnd(cursor).join(' ');
+	const words = takeRestOfStatement(cursor).join(' ');
 	return {kind: 'transaction', action, readOnly: words.includes('read only')};
 };
 
@@ -281,7 +284,7 @@
 	}
 
 	return {
-		kind: 'set', name, value: skipToEnd(cursor).join(' '), local,
+		kind: 'set', name, value: takeRestOfStatement(cursor).join(' '), local,
 	};
 };
 
@@ -293,7 +296,7 @@
 	return {kind: 'alterSystem', name, value: cursor.next().value};
 };
 
-const PARSERS: ReadonlyMap<string, (cursor: Cursor) => Statement> = new Map<string, (cursor: Cursor) => Statement>([
+const STATEMENT_PARSERS: ReadonlyMap<string, (cursor: Cursor) => Statement> = new Map<string, (cursor: Cursor) => Statement>([
 	['create', parseCreate],
 	['insert', parseInsert],
 	['update', parseUpdate],
@@ -308,7 +311,7 @@
 	['set', parseSet],
 	['show', cursor => ({kind: 'show', name: cursor.takeName()})],
 	['discard', cursor => {
-		skipToEnd(cursor);
+		takeRestOfStatement(cursor);
 		return {kind: 'discard'};
 	}],
 	['alter', parseAlterSystem],
@@ -319,10 +322,10 @@
 		return {kind: 'empty'};
 	}
 
-	const word = cursor.next().value;
-	const parser = PARSERS.get(word);
+	const keyword = cursor.next().value;
+	const parser = STATEMENT_PARSERS.get(keyword);
 	if (!parser) {
-		throw new SqlError('42601', `syntax error at or near "${word}"`);
+		throw new SqlError('42601', `syntax error at or near "${keyword}"`);
 	}
 
 	const statement = parser(cursor);
@@ -333,7 +336,7 @@
 	return statement;
 };
 
-/** Parses all statements of a text. */
+/** Parses all statements of an SQL text; returns a failure with the SQLSTATE at the first syntax error. */
 export const parseSql = (text: string): Result<readonly Statement[], SqlFailure> => {
 	const tokens = splitTokens(text);
 	if (tokens.err) {
--- a/packages/standin/src/sql-tokens.ts
+++ b/packages/standin/src/sql-tokens.ts
@@ -1,16 +1,16 @@
-/** Tokens of the SQL subset that the database stand-in understands. */
+/** Tokenizer of the SQL subset that the database stand-in supports. */
 
 import {Err, Ok, type Result} from '@guavapitch/core';
 import type {SqlFailure} from './sql-errors.js';
 
-/** One token. */
+/** Token of an SQL text. */
 export type Token = Readonly<{
 	kind: 'word' | 'number' | 'text' | 'parameter' | 'symbol' | 'end';
-	/** Words in lower case; texts without quotes. */
+	/** Text of the token; words are in lower case, and string literals and quoted identifiers have no quotes. */
 	value: string;
 }>;
 
-const PATTERNS: ReadonlyArray<readonly [Token['kind'] | 'skip', RegExp]> = [
+const TOKEN_PATTERNS: ReadonlyArray<readonly [Token['kind'] | 'skip', RegExp]> = [
 	['skip', /\s+|--[^\n]*/vy],
 	['word', /[A-Z_a-z][\w.]*/vy],
 	['number', /\d+(?:\.\d+)?/vy],
@@ -22,7 +22,7 @@
 
 const END: Token = {kind: 'end', value: ''};
 
-const cleanValue = (kind: Token['kind'], raw: string): string => {
+const normalizeValue = (kind: Token['kind'], raw: string): string => {
 	if (kind === 'text') {
 		return raw.slice(1, -1).replaceAll('\'\'', '\'');
 	}
@@ -35,7 +35,7 @@
 };
 
 const matchAt = (text: string, offset: number) => {
-	for (const [kind, pattern] of PATTERNS) {
+	for (const [kind, pattern] of TOKEN_PATTERNS) {
 		pattern.lastIndex = offset;
 		const raw = pattern.exec(text)?.[0];
 		if (raw !== undefined) {
@@ -51,16 +51,16 @@
 	const tokens: Token[] = [];
 	let offset = 0;
 	while (offset < text.length) {
-		const found = matchAt(text, offset);
-		if (!found) {
+		const match = matchAt(text, offset);
+		if (!match) {
 			return Err({code: '42601', message: `syntax error at or near "${text.slice(offset, offset + 10)}"`});
 		}
 
-		if (found.kind !== 'skip') {
-			tokens.push({kind: found.kind, value: cleanValue(found.kind, found.raw)});
+		if (match.kind !== 'skip') {
+			tokens.push({kind: match.kind, value: normalizeValue(match.kind, match.raw)});
 		}
 
-		offset += found.raw.length;
+		offset += match.raw.length;
 	}
 
 	return Ok([...tokens, END]);
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -1,4 +1,4 @@
-/** One target of the database stand-in: its engine, its limits and its faults. */
+/** Target of the database stand-in: engine, limits, injected faults and SQL functions. */
 
 import {
 	createDeadline, createConditionVariable, createNotifier, type World,
@@ -11,86 +11,89 @@
 export type TargetSettings = Readonly<{
 	name: string;
 	replica: boolean;
-	/** Statements that run at a time. */
+	/** Maximum number of statements that run concurrently. */
 	slots: number;
-	/** Connections accepted at a time. */
+	/** Maximum number of open connections. */
 	connectionLimit: number;
-	/** Time that opening a connection takes. */
+	/** Time to open a connection, in milliseconds. */
 	connectMs: number;
-	/** Time that a statement occupies a slot. */
+	/** Time for which a statement occupies a slot, in milliseconds. */
 	statementMs: number;
-	/** Delay of the replay of a received record. */
+	/** Delay before received records are replayed, in milliseconds. */
 	lagMs: number;
 }>;
 
-/** A replica as its primary sees it. */
+/** Connected replica as seen by its primary. */
 export type ReplicaState = {readonly name: string; replayedPosition: number};
 
-/** A target with its faults and counters. */
+/** Target with its faults and counters. */
 export type Target = Readonly<{
 	settings: TargetSettings;
 	engine: Engine;
 	replicas: Set<ReplicaState>;
-	/** Gets the address to follow, as a connection string. */
+	/** Returns the connection string of the primary to replicate from. */
 	getUpstream: () => string | undefined;
+	/** Sets the connection string of the primary; it takes effect when `pg_reload_conf` is called. */
 	setUpstream: (conninfo: string) => void;
 	getLagMs: () => number;
-	/** Waits for a slot and occupies it for the time of a statement. */
+	/** Runs a task in a slot, after waiting for a free slot and for the time of a statement. */
 	runInSlot: <Value_>(task: () => Promise<Value_>) => Promise<Value_>;
-	/** Counts a connection in or out; tells whether it is within the limit. */
+	/** Counts a new connection; returns whether the number of connections is within the limit. */
 	addConnection: () => boolean;
+	/** Counts a closed connection. */
 	removeConnection: () => void;
-	/** Waits while the named peer is cut off. */
+	/** Waits while the named peer is partitioned from the target. */
 	waitWhilePartitioned: (peer: string) => Promise<void>;
 	isPartitioned: (peer: string) => boolean;
-	/** Calls a function of SQL. */
+	/** Calls an SQL function; throws an `SqlError` if there is none of that name. */
 	callFunction: (name: string, args: readonly Value[]) => Value;
+	/** Returns a system view or the rows of a table function; `undefined` if there is none of that name. */
 	getVirtualTable: (name: string, args: readonly Value[]) => Readonly<{columns: readonly Column[]; rows: ReadonlyMap<string, Row>}> | undefined;
-	/** Waits until the upstream has been changed. */
+	/** Waits until the upstream has changed. */
 	waitForUpstreamChange: () => Promise<void>;
-	/** Called with every byte received from a caller, for tests that look for leaks. */
+	/** Called with all bytes received from callers, for tests that search them for leaked secrets. */
 	onBytesReceived: (bytes: Uint8Array) => void;
 }>;
 
-/** Database name and peer of sessions that command faults; no fault holds them up. */
+/** Database name and peer name of sessions that set faults; no fault affects these sessions. */
 export const CONTROL_PEER = 'control';
 
-const HEX = 16;
-const LOW_BITS = 4_294_967_296;
-const MANY_ROWS = 10_000_000;
+const HEX_RADIX = 16;
+const UINT32_RANGE = 4_294_967_296;
+const MAX_SERIES_ROWS = 10_000_000;
 
-/** Formats a log position as PostgreSQL does. */
-export const formatPosition = (position: number): string => `${Math.floor(position / LOW_BITS).toString(HEX).toUpperCase()}/${(position % LOW_BITS).toString(HEX).toUpperCase()}`;
+/** Formats a log position in the format of PostgreSQL, such as `0/1000000`. */
+export const formatPosition = (position: number): string => `${Math.floor(position / UINT32_RANGE).toString(HEX_RADIX).toUpperCase()}/${(position % UINT32_RANGE).toString(HEX_RADIX).toUpperCase()}`;
 
-const textColumn = (name: string): Column => ({name, type: 'text', primaryKey: false});
-const integerColumn = (name: string): Column => ({name, type: 'int', primaryKey: false});
+const createTextColumn = (name: string): Column => ({name, type: 'text', primaryKey: false});
+const createIntegerColumn = (name: string): Column => ({name, type: 'int', primaryKey: false});
 
-/** Creates a target. */
-export const createTarget = (settings: TargetSettings, world: World, onBytes: (bytes: Uint8Array) => void = () => undefined): Target => {
+/** Creates a target with an empty database. */
+export const createTarget = (settings: TargetSettings, world: World, onBytesReceived: (bytes: Uint8Array) => void = () => undefined): Target => {
 	const engine = createEngine(world, {replica: settings.replica});
 	const replicas = new Set<ReplicaState>();
-	const cuts = new Set<string>();
-	const cutChanged = createNotifier(world);
+	const partitionedPeers = new Set<string>();
+	const partitionChanged = createNotifier(world);
 	const upstreamChanged = createConditionVariable();
 	const slotFreed = createConditionVariable();
 	let upstream: string | undefined;
 	let pendingUpstream: string | undefined;
 	let {lagMs} = settings;
 	let connections = 0;
-	let mostConnections = 0;
-	let busy = 0;
+	let maxConnections = 0;
+	let busySlots = 0;
 
-	const isCut = (peer: string) => peer !== CONTROL_PEER && (cuts.has('*') || cuts.has(peer));
+	const isPartitioned = (peer: string) => peer !== CONTROL_PEER && (partitionedPeers.has('*') || partitionedPeers.has(peer));
 
-	const controls: Readonly<Record<string, (args: readonly Value[]) => Value>> = {
+	const functions: Readonly<Record<string, (args: readonly Value[]) => Value>> = {
 		standin_cut(args) {
-			cuts.add(String(args[0]));
-			cutChanged.notify();
+			partitionedPeers.add(String(args[0]));
+			partitionChanged.notify();
 			return true;
 		},
 		standin_heal() {
-			cuts.clear();
-			cutChanged.notify();
+			partitionedPeers.clear();
+			partitionChanged.notify();
 			return true;
 		},
 		standin_lag(args) {
@@ -98,7 +101,7 @@
 			return true;
 		},
 		repeat: args => String(args[0]).repeat(Number(args[1])),
-		standin_most_connections: () => mostConnections,
+		standin_most_connections: () => maxConnections,
 		pg_current_wal_lsn() {
 			if (engine.isReplica()) {
 				throw new SqlError('55000', 'recovery is in progress');
@@ -135,19 +138,19 @@
 		settings,
 		engine,
 		replicas,
-		onBytesReceived: onBytes,
-		isPartitioned: isCut,
+		onBytesReceived,
+		isPartitioned,
 		getUpstream: () => upstream,
 		setUpstream(conninfo) {
 			pendingUpstream = conninfo;
 		},
 		getLagMs: () => lagMs,
 		async runInSlot(task) {
-			while (busy >= settings.slots) {
+			while (busySlots >= settings.slots) {
 				await slotFreed.wait();
 			}
 
-			busy++;
+			busySlots++;
 			try {
 				if (settings.statementMs > 0) {
 					await world.sleep(settings.statementMs);
@@ -155,44 +158,44 @@
 
 				return await task();
 			} finally {
-				busy--;
+				busySlots--;
 				slotFreed.notifyAll();
 			}
 		},
 		addConnection() {
 			connections++;
-			mostConnections = Math.max(mostConnections, connections);
+			maxConnections = Math.max(maxConnections, connections);
 			return connections <= settings.connectionLimit;
 		},
 		removeConnection() {
 			connections--;
 		},
 		async waitWhilePartitioned(peer) {
-			await cutChanged.waitUntil(() => !isCut(peer), createDeadline(world.now(), Number.POSITIVE_INFINITY));
+			await partitionChanged.waitUntil(() => !isPartitioned(peer), createDeadline(world.now(), Number.POSITIVE_INFINITY));
 		},
 		callFunction(name, args) {
-			const control = controls[name];
-			if (!control) {
+			const sqlFunction = functions[name];
+			if (!sqlFunction) {
 				throw new SqlError('42883', `function ${name} does not exist`);
 			}
 
-			return control(args);
+			return sqlFunction(args);
 		},
 		getVirtualTable(name, args) {
 			if (name === 'pg_stat_replication') {
 				const rows = [...replicas].map((replica, index) => [String(index), [replica.name, formatPosition(replica.replayedPosition)]] as const);
-				return {columns: [textColumn('application_name'), textColumn('replay_lsn')], rows: new Map(rows)};
+				return {columns: [createTextColumn('application_name'), createTextColumn('replay_lsn')], rows: new Map(rows)};
 			}
 
 			if (name === 'pg_control_checkpoint') {
-				return {columns: [integerColumn('timeline_id')], rows: new Map([['', [engine.getTimeline()]]])};
+				return {columns: [createIntegerColumn('timeline_id')], rows: new Map([['', [engine.getTimeline()]]])};
 			}
 
 			if (name === 'generate_series') {
 				const first = Number(args[0]);
-				const count = Math.min(Number(args[1]) - first + 1, MANY_ROWS);
+				const count = Math.min(Number(args[1]) - first + 1, MAX_SERIES_ROWS);
 				const rows = Array.from({length: count}, (_, index) => [String(index), [first + index]] as const);
-				return {columns: [integerColumn('generate_series')], rows: new Map(rows)};
+				return {columns: [createIntegerColumn('generate_series')], rows: new Map(rows)};
 			}
 
 			return undefined;
--- a/packages/standin/src/tests/platform.test.ts
+++ b/packages/standin/src/tests/platform.test.ts
@@ -1,4 +1,4 @@
-/** The platform's stand-in: rates, counts of calls, and faults on command. */
+/** Platform stand-in: rate limits, call counts and injected faults. */
 
 import assert from 'node:assert/strict';
 import {
@@ -9,7 +9,7 @@
 import {startPlatform, type PlatformServer} from '../platform.js';
 
 const CALL_TIMEOUT_MS = 3000;
-const FAULTS = '/standin/faults';
+const FAULTS_KEY = '/standin/faults';
 
 describe('platform', () => {
 	const world = createWorld();
@@ -24,14 +24,14 @@
 	};
 
 	const setFaults = async (store: EtcdStore, faults: Readonly<Record<string, unknown>>) => {
-		const current = (await store.read(FAULTS)).unwrap();
-		(await store.compareAndSwap(FAULTS, current?.revision ?? 0, JSON.stringify(faults))).unwrap();
+		const current = (await store.read(FAULTS_KEY)).unwrap();
+		(await store.compareAndSwap(FAULTS_KEY, current?.revision ?? 0, JSON.stringify(faults))).unwrap();
 	};
 
-	const readCalls = async (store: EtcdStore) => JSON.parse((await store.read('/standin/calls')).unwrap()?.value ?? '{}') as Readonly<Record<string, number>>;
+	const readCallCounts = async (store: EtcdStore) => JSON.parse((await store.read('/standin/calls')).unwrap()?.value ?? '{}') as Readonly<Record<string, number>>;
 
 	beforeEach(async () => {
-		// One clock second never ends, so the rates are exact.
+		// The clock stands still, so that all calls fall into the same second and the rate limits are exact.
 		server = await startPlatform({...world, now: () => startedAt}, 0, {writes: 3, reads: 50});
 	});
 
@@ -41,33 +41,33 @@
 		await server[Symbol.asyncDispose]();
 	});
 
-	describe('rates', () => {
-		it('refuse what is over them, and carry none of it out', async () => {
+	describe('rate limits', () => {
+		it('refuse calls beyond the limit without applying them', async () => {
 			const store = connect('a');
 			const swaps = await Promise.all(Array.from({length: 10}, async (_, index) => store.compareAndSwap(`/k/${index}`, 0, 'v')));
 			const refused = swaps.filter(swap => swap.err);
 			assert.equal(refused.length, 7);
 			assert.ok(refused.every(swap => swap.err && swap.val.code === 'storeUnreachable'));
-			const kept = (await store.readAll('/k/')).unwrap();
-			assert.equal(kept.length, 3);
+			const stored = (await store.readAll('/k/')).unwrap();
+			assert.equal(stored.length, 3);
 		});
 	});
 
-	describe('counts', () => {
-		it('name every call, a waiting watch as one', async () => {
+	describe('call counts', () => {
+		it('include every call, and an open watch as one call', async () => {
 			const store = connect('a');
 			const watching = new AbortController();
-			let heard = 0;
+			let notificationCount = 0;
 			const watched = store.watch('/k/', () => {
-				heard++;
+				notificationCount++;
 			}, watching.signal);
 			(await store.compareAndSwap('/k/1', 0, 'v')).unwrap();
 			(await store.compareAndSwap('/k/2', 0, 'v')).unwrap();
-			while (heard < 2) {
+			while (notificationCount < 2) {
 				await world.sleep(5);
 			}
 
-			const calls = await readCalls(store);
+			const calls = await readCallCounts(store);
 			assert.equal(calls.Watch, 1);
 			assert.equal(calls.Txn, 2);
 			watching.abort();
@@ -76,18 +76,18 @@
 	});
 
 	describe('faults', () => {
-		it('cut off only the clients that are named', async () => {
-			const near = connect('near');
-			const far = connect('far');
-			await setFaults(near, {cut: ['far']});
-			assert.ok((await near.read('/k/1')).ok);
-			const cut = await far.read('/k/1');
-			assert.ok(cut.err && cut.val.code === 'storeUnknown');
-			await setFaults(near, {});
-			assert.ok((await far.read('/k/1')).ok);
+		it('partition only the named clients', async () => {
+			const connected = connect('near');
+			const partitioned = connect('far');
+			await setFaults(connected, {cut: ['far']});
+			assert.ok((await connected.read('/k/1')).ok);
+			const partitionedRead = await partitioned.read('/k/1');
+			assert.ok(partitionedRead.err && partitionedRead.val.code === 'storeUnknown');
+			await setFaults(connected, {});
+			assert.ok((await partitioned.read('/k/1')).ok);
 		});
 
-		it('lose the answer after the change took effect', async () => {
+		it('drop the response after the change was applied', async () => {
 			const store = connect('a');
 			await setFaults(store, {loseAnswers: 1});
 			const swap = await store.compareAndSwap('/k/1', 0, 'v');
@@ -95,7 +95,7 @@
 			assert.equal((await store.read('/k/1')).unwrap()?.value, 'v');
 		});
 
-		it('end the leases, with what hangs on them', async () => {
+		it('expire the leases and remove their keys', async () => {
 			const store = connect('a');
 			const lease = (await store.grantLease(60)).unwrap();
 			(await store.compareAndSwap('/k/1', 0, 'v', lease.id)).unwrap();
