--- a/packages/bench/src/consistency-check.ts
+++ b/packages/bench/src/consistency-check.ts
@@ -1,4 +1,4 @@
-/** One proof: a seeded workload under a seeded schedule of faults, checked afterwards. */
+/** Consistency check: runs a seeded workload under a seeded fault schedule and checks the recorded history against the guarantees. */
 
 import {performance} from 'node:perf_hooks';
 import {
@@ -15,7 +15,7 @@
 	connectCustomer, createTables, startWorkload, type WorkloadOptions,
 } from './workload.js';
 
-/** Result of one proof. */
+/** Result of a consistency check. */
 export type ConsistencyCheckResult = Readonly<{
 	seed: number;
 	faults: readonly AppliedFault[];
@@ -23,70 +23,70 @@
 	/** Longest time without an acknowledged write, in milliseconds. */
 	gapMs: number;
 	counts: Readonly<Record<string, number>>;
-	/** Failure of the run itself, such as a fleet that did not recover. */
+	/** Why the check could not be completed, for example because the fleet did not recover. */
 	failure: string | undefined;
 	events: readonly EventRecord[];
 	history: readonly Operation[];
-	/** Phases of the first failover after the first fault, if there was one. */
+	/** Phases of the first failover after the first fault, if one completed. */
 	phases: FailoverPhases | undefined;
-	/** Reads that replicas served, and all reads, at the proxies that live at the end. */
+	/** Number of reads that replicas served, and of all reads, counted at the proxies that run at the end. */
 	reads: Readonly<{replica: number; all: number}>;
 }>;
 
-/** Settings of a proof. */
+/** Options of a consistency check. */
 export type ConsistencyCheckOptions = Readonly<{
 	seed: number;
 	example: ExampleName;
 	durationMs: number;
 	onlyFault?: FaultKind;
-	/** Mechanism that is switched off, to see the check fail. */
+	/** Mechanism that is switched off, to verify that the check fails without it. */
 	disabledMechanism?: 'replication';
 	proxiesPerDataCentre: number;
 	lagMs: number;
 }>;
 
-const SESSIONS = 8;
+const SESSION_COUNT = 8;
 const PAUSE_MS = 30;
-const ACCOUNTS = 6;
-const BALANCE = 100;
+const ACCOUNT_COUNT = 6;
+const INITIAL_BALANCE = 100;
 const SETTLE_MS = 300;
 
-/** Keeps one database of an example, with its services. */
-const createPlan = (plan: ConsistencyCheckOptions): Readonly<{stack: StackOptions; workload: WorkloadOptions; database: string}> => {
-	const inventory = takeFirstDatabase(readExample(plan.example), {rate: 500, burst: 1000});
+/** Creates the options of the stack and of the workload for the first database of the example. */
+const createOptions = (options: ConsistencyCheckOptions): Readonly<{stack: StackOptions; workload: WorkloadOptions; database: string}> => {
+	const inventory = takeFirstDatabase(readExample(options.example), {rate: 500, burst: 1000});
 	const [[database, settings]] = Object.entries(inventory.databases) as [[string, (typeof inventory.databases)[string]]];
 	const [service, browseService] = Object.keys(inventory.services);
-	const acknowledge = plan.disabledMechanism === 'replication' ? 'primary' : settings.acknowledge;
+	const acknowledge = options.disabledMechanism === 'replication' ? 'primary' : settings.acknowledge;
 	return {
 		database,
 		workload: {
-			service: service ?? '', browseService: browseService ?? '', sessions: SESSIONS, accounts: ACCOUNTS, balance: BALANCE, pauseMs: PAUSE_MS,
+			service: service ?? '', browseService: browseService ?? '', sessions: SESSION_COUNT, accounts: ACCOUNT_COUNT, balance: INITIAL_BALANCE, pauseMs: PAUSE_MS,
 		},
 		stack: {
 			inventory: {...inventory, databases: {[database]: {...settings, acknowledge}}},
-			proxiesPerDataCentre: plan.proxiesPerDataCentre,
-			connectMs: plan.example === 'siphon' ? 30 : 10,
+			proxiesPerDataCentre: options.proxiesPerDataCentre,
+			connectMs: options.example === 'siphon' ? 30 : 10,
 			statementMs: 1,
-			lagMs: plan.lagMs,
+			lagMs: options.lagMs,
 			usesRelays: true,
 		},
 	};
 };
 
-const readFinalState = async (stack: Stack, plan: WorkloadOptions): Promise<FinalState> => {
+const readFinalState = async (stack: Stack, options: WorkloadOptions): Promise<FinalState> => {
 	const [proxy] = stack.proxies.values();
 	const [customer] = stack.secrets.keys();
 	if (!proxy || !customer) {
 		throw new RangeError('The stack has no proxy or no customer');
 	}
 
-	const client = await connectCustomer(stack, proxy, customer, plan.service);
+	const client = await connectCustomer(stack, proxy, customer, options.service);
 	await client.query('BEGIN');
 	const lodged = await client.query<{id: string}>('SELECT id FROM lodged');
 	const sum = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
 	await client.query('COMMIT');
 	await client.end();
-	return {storedIds: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNTS * BALANCE};
+	return {storedIds: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNT_COUNT * INITIAL_BALANCE};
 };
 
 const countOutcomes = (history: readonly Operation[]): Readonly<Record<string, number>> => {
@@ -99,55 +99,55 @@
 	return counts;
 };
 
-/** Runs one proof. */
-export const runConsistencyCheck = async (plan: ConsistencyCheckOptions): Promise<ConsistencyCheckResult> => {
-	const {stack: stackPlan, workload: workloadPlan, database} = createPlan(plan);
-	const random = createRandom(plan.seed);
-	const schedule = drawFaultSchedule(random, plan.durationMs, plan.onlyFault);
+/** Runs a consistency check. Errors of the run itself are returned as `failure`. */
+export const runConsistencyCheck = async (options: ConsistencyCheckOptions): Promise<ConsistencyCheckResult> => {
+	const {stack: stackOptions, workload: workloadOptions, database} = createOptions(options);
+	const random = createRandom(options.seed);
+	const schedule = drawFaultSchedule(random, options.durationMs, options.onlyFault);
 	const faults: AppliedFault[] = [];
 	let history: readonly Operation[] = [];
 	let violations: readonly Violation[] = [];
 	let gapMs = 0;
-	let wallStart = Date.now();
+	let wallStartMs = Date.now();
 	let reads = {replica: 0, all: 0};
 	let failure: string | undefined;
-	await using stack = await startStack(stackPlan);
+	await using stack = await startStack(stackOptions);
 	try {
-		await createTables(stack, workloadPlan);
-		const workload = startWorkload(stack, workloadPlan, number => createRandom((plan.seed * 1000) + number));
+		await createTables(stack, workloadOptions);
+		const workload = startWorkload(stack, workloadOptions, number => createRandom((options.seed * 1000) + number));
 		history = workload.history;
 		const startedAt = performance.now();
-		wallStart = Date.now();
-		const carrying = Promise.allSettled(schedule.map(async fault => {
+		wallStartMs = Date.now();
+		const faultRuns = Promise.allSettled(schedule.map(async fault => {
 			await wait(Math.max(0, fault.atMs - (performance.now() - startedAt)));
 			await applyFault(stack, fault, database, target => {
-				faults.push({fault, target, at: Date.now() - wallStart});
+				faults.push({fault, target, at: Date.now() - wallStartMs});
 			});
 		}));
-		await wait(plan.durationMs);
-		const settled = await carrying;
-		const wallEnd = Date.now();
+		await wait(options.durationMs);
+		const faultResults = await faultRuns;
+		const wallEndMs = Date.now();
 		await removePartitions(stack);
 		await wait(SETTLE_MS);
 		await workload.stop();
-		gapMs = computeWriteGapMs(history, wallStart, wallEnd);
+		gapMs = computeWriteGapMs(history, wallStartMs, wallEndMs);
 		await stack.waitUntilReady();
 		const statuses = await stack.getStatuses();
 		reads = computeReadCounts(statuses.map(status => status.metrics));
-		const broken = settled.find(one => one.status === 'rejected');
-		if (broken) {
-			failure = `a fault could not be carried out: ${String(broken.reason)}`;
+		const failedFault = faultResults.find(one => one.status === 'rejected');
+		if (failedFault) {
+			failure = `a fault could not be injected: ${String(failedFault.reason)}`;
 		}
 
-		violations = checkHistory(history, await readFinalState(stack, workloadPlan));
+		violations = checkHistory(history, await readFinalState(stack, workloadOptions));
 	} catch (error) {
 		failure = error instanceof Error ? error.message : String(error);
 	}
 
 	const events = stack.readEvents();
 	const [first] = faults.toSorted((a, b) => a.at - b.at);
-	const phases = first && computeFailoverPhases(events, history, wallStart + first.at);
+	const phases = first && computeFailoverPhases(events, history, wallStartMs + first.at);
 	return {
-		seed: plan.seed, faults, violations, gapMs, counts: countOutcomes(history), failure, events, history, phases, reads,
+		seed: options.seed, faults, violations, gapMs, counts: countOutcomes(history), failure, events, history, phases, reads,
 	};
 };
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Development script: starts a small fleet with its stand-ins, and prints what to try. */
+/** Development script: starts a small fleet with stand-ins for its platform and targets, and prints commands to try. */
 
 import process from 'node:process';
 import {readExample} from './examples.js';
@@ -11,16 +11,16 @@
 
 const CONNECT_MS = 10;
 const LAG_MS = 20;
-const DATA_CENTRES = 2;
+const DATA_CENTRE_COUNT = 2;
 
-const full = readExample('dvorak');
-const kept = full.dataCentres.slice(0, DATA_CENTRES);
+const example = readExample('dvorak');
+const dataCentres = example.dataCentres.slice(0, DATA_CENTRE_COUNT);
 const inventory = {
-	...full,
-	dataCentres: kept,
-	databases: Object.fromEntries(Object.entries(full.databases).map(([name, database]) => [name, {
+	...example,
+	dataCentres,
+	databases: Object.fromEntries(Object.entries(example.databases).map(([name, database]) => [name, {
 		...database,
-		targets: database.targets.map((target, index) => ({...target, dataCentre: kept[index % kept.length] ?? target.dataCentre})),
+		targets: database.targets.map((target, index) => ({...target, dataCentre: dataCentres[index % dataCentres.length] ?? target.dataCentre})),
 	}])),
 };
 
--- a/packages/bench/src/failover-phases.ts
+++ b/packages/bench/src/failover-phases.ts
@@ -1,29 +1,29 @@
-/** The time without writes in a failover, split into its phases. */
+/** Duration of the phases of a failover, during which a database accepts no writes. */
 
 import type {Operation} from '@guavapitch/load';
 import {EVENTS, type EventKind, type EventRecord} from '@guavapitch/telemetry';
 
-/** Phases in order. */
+/** Names of the phases, in order. */
 export const FAILOVER_PHASES = ['detection', 'ending grants', 'choosing and recording', 'promotion', 'first write'] as const;
 
-/** Length of each phase, in milliseconds. */
+/** Duration of each phase, in milliseconds. */
 export type FailoverPhases = Readonly<Record<typeof FAILOVER_PHASES[number], number>>;
 
-/** Splits the first failover after a fault; `undefined` if it did not run to its end. */
+/** Computes the phases of the first failover after a fault; returns `undefined` if that failover did not complete. */
 export const computeFailoverPhases = (events: readonly EventRecord[], history: readonly Operation[], faultAt: number): FailoverPhases | undefined => {
-	const findAfter = (kind: EventKind, from: number): number | undefined => events
+	const findFirstAfter = (kind: EventKind, from: number): number | undefined => events
 		.filter(event => event.id === kind.id && Date.parse(event.at) >= from)
 		.map(event => Date.parse(event.at))
 		.toSorted((a, b) => a - b)[0];
 
-	const startedAt = findAfter(EVENTS.failoverStarted, faultAt) ?? Number.NaN;
-	const endedAt = findAfter(EVENTS.grantsEnded, startedAt) ?? Number.NaN;
-	const recordedAt = findAfter(EVENTS.recordChanged, endedAt) ?? Number.NaN;
-	const promotedAt = findAfter(EVENTS.targetPromoted, recordedAt) ?? Number.NaN;
-	const written = history
+	const startedAt = findFirstAfter(EVENTS.failoverStarted, faultAt) ?? Number.NaN;
+	const endedAt = findFirstAfter(EVENTS.grantsEnded, startedAt) ?? Number.NaN;
+	const recordedAt = findFirstAfter(EVENTS.recordChanged, endedAt) ?? Number.NaN;
+	const promotedAt = findFirstAfter(EVENTS.targetPromoted, recordedAt) ?? Number.NaN;
+	const writeTimes = history
 		.filter(operation => operation.kind === 'lodge' && operation.outcome === 'done' && operation.endedAt >= promotedAt)
 		.map(operation => operation.endedAt);
-	const writtenAt = Math.min(...written);
+	const writtenAt = Math.min(...writeTimes);
 	return Number.isFinite(writtenAt)
 		? {
 			detection: startedAt - faultAt,
@@ -35,7 +35,7 @@
 		: undefined;
 };
 
-/** Computes from the metrics of all entries how many reads a replica served, and how many there were. */
+/** Computes the number of reads that replicas served and the number of all reads, from the metrics of all entries. */
 export const computeReadCounts = (metrics: ReadonlyArray<Readonly<Record<string, number>>>): Readonly<{replica: number; all: number}> => {
 	const pattern = /^entry\.requests\{.*mode=(?<mode>\w+),wanted=(?<wanted>read|stale)\}$/v;
 	let replica = 0;
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -1,22 +1,22 @@
-/** Faults on command, drawn from a seed. */
+/** Fault injection: schedules drawn from a seed, and the faults themselves. */
 
 import pg from 'pg';
 import {chooseRandom, wait, type Random} from '@guavapitch/load';
 import type {Stack, StackTarget} from './stack.js';
 
-/** Kinds of faults. */
+/** Kind of an injected fault. */
 export type FaultKind
 	= | 'killPrimary' | 'freezePrimary' | 'cutPrimary' | 'killReplica' | 'lagReplica'
 		| 'killProxy' | 'freezeProxy' | 'platformDown' | 'loseAnswers' | 'freezePlatform'
 		| 'slowPlatform' | 'lapseLeases' | 'cutProxy' | 'cutDataCentre';
 
-/** One fault of a schedule. */
+/** A fault of a schedule: start and duration in milliseconds, and a random number in [0, 1) that decides its target and variant. */
 export type Fault = Readonly<{kind: FaultKind; atMs: number; forMs: number; choice: number}>;
 
-/** A fault as it was carried out. */
+/** A fault that was injected, its target, and its time in milliseconds since the start of the schedule. */
 export type AppliedFault = Readonly<{fault: Fault; target: string; at: number}>;
 
-const KINDS: readonly FaultKind[] = [
+const FAULT_KINDS: readonly FaultKind[] = [
 	'killPrimary',
 	'freezePrimary',
 	'cutPrimary',
@@ -32,29 +32,29 @@
 	'cutProxy',
 	'cutDataCentre',
 ];
-/** Failures of connecting to a target that another fault has killed. */
-const DEAD_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
-/** Messages about a target that another fault has killed or frozen. */
-const SILENT_MESSAGES = ['Connection terminated', 'timeout expired', 'Query read timeout'];
+/** Error codes of connecting to a target that another fault has killed. */
+const UNREACHABLE_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+/** Prefixes of the error messages about a target that another fault has killed or frozen. */
+const UNRESPONSIVE_MESSAGES = ['Connection terminated', 'timeout expired', 'Query read timeout'];
 const FAULTS_KEY = '/standin/faults';
-const SHORTEST_MS = 800;
-const LONGEST_MS = 3500;
-const LAG_MS = 1500;
-const LOST_ANSWERS = 3;
-const SLOW_MS = 400;
-
-/** Draws a schedule: one to three faults, some of them together, some twice. */
-export const drawFaultSchedule = (random: Random, durationMs: number, only?: FaultKind): readonly Fault[] => {
-	const count = only ? 1 : 1 + Math.floor(random() * 3);
+const MIN_FAULT_MS = 800;
+const MAX_FAULT_MS = 3500;
+const INJECTED_LAG_MS = 1500;
+const LOST_RESPONSE_COUNT = 3;
+const PLATFORM_DELAY_MS = 400;
+
+/** Draws a schedule of one to three faults; some start at nearly the same time, some repeat the kind of the previous fault. With `onlyKind`, the schedule is one fault of that kind. */
+export const drawFaultSchedule = (random: Random, durationMs: number, onlyKind?: FaultKind): readonly Fault[] => {
+	const count = onlyKind ? 1 : 1 + Math.floor(random() * 3);
 	const faults: Fault[] = [];
 	for (let index = 0; index < count; index++) {
 		const previous = faults.at(-1);
-		const isTogether = previous !== undefined && random() < 0.4;
-		const isTwice = previous !== undefined && random() < 0.25;
+		const isSimultaneous = previous !== undefined && random() < 0.4;
+		const repeatsKind = previous !== undefined && random() < 0.25;
 		faults.push({
-			kind: only ?? (isTwice ? previous.kind : chooseRandom(KINDS, random)),
-			atMs: isTogether ? previous.atMs + (random() * 100) : 500 + (random() * durationMs * 0.6),
-			forMs: SHORTEST_MS + (random() * (LONGEST_MS - SHORTEST_MS)),
+			kind: onlyKind ?? (repeatsKind ? previous.kind : chooseRandom(FAULT_KINDS, random)),
+			atMs: isSimultaneous ? previous.atMs + (random() * 100) : 500 + (random() * durationMs * 0.6),
+			forMs: MIN_FAULT_MS + (random() * (MAX_FAULT_MS - MIN_FAULT_MS)),
 			choice: random(),
 		});
 	}
@@ -62,7 +62,7 @@
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 };
 
-/** Runs a command of a target that no fault holds up; one that another fault has killed or frozen may not hear it. */
+/** Runs a statement on the control database of a target, which injected faults do not delay. Does nothing if another fault has killed or frozen the target; throws on any other error. */
 export const runControlStatement = async (target: StackTarget, statement: string): Promise<void> => {
 	const client = new pg.Client({
 		host: '127.0.0.1', port: target.port, user: 'control', database: 'control', connectionTimeoutMillis: 2000, query_timeout: 2000,
@@ -73,7 +73,7 @@
 		await client.query(statement);
 	} catch (error) {
 		const {code, message} = error as Readonly<{code?: string; message: string}>;
-		if (!DEAD_CODES.has(code ?? '') && !SILENT_MESSAGES.some(silent => message.startsWith(silent))) {
+		if (!UNREACHABLE_CODES.has(code ?? '') && !UNRESPONSIVE_MESSAGES.some(prefix => message.startsWith(prefix))) {
 			throw error;
 		}
 	} finally {
@@ -81,78 +81,78 @@
 	}
 };
 
-/** Sets the faults of the platform. */
+/** Replaces the faults that the stand-in of the platform simulates. */
 const setPlatformFaults = async (stack: Stack, faults: Readonly<Record<string, unknown>>): Promise<void> => {
-	const text = JSON.stringify(faults);
+	const document = JSON.stringify(faults);
 	const current = await stack.store.read(FAULTS_KEY);
-	await stack.store.compareAndSwap(FAULTS_KEY, current.ok ? current.val?.revision ?? 0 : 0, text);
+	await stack.store.compareAndSwap(FAULTS_KEY, current.ok ? current.val?.revision ?? 0 : 0, document);
 };
 
-/** Gets the primary of a database as the fleet's newest record says. */
+/** Returns the name of the primary of a database according to the newest group record in the fleet; throws if no proxy has a record. */
 export const findPrimary = async (stack: Stack, database: string): Promise<string> => {
 	const statuses = await stack.getStatuses();
 	const views = statuses.flatMap(status => status.groups).filter(view => view.record.database === database);
 	const newest = views.toSorted((a, b) => b.revision - a.revision)[0];
 	if (!newest) {
-		throw new RangeError(`The primary of ${database} is not known`);
+		throw new RangeError(`No proxy has a group record of ${database}: its primary is unknown`);
 	}
 
 	return newest.record.primary;
 };
 
-/** Cuts vms off from all other vms, from the targets of other places, and maybe from the platform. */
-const cutOff = async (stack: Stack, vms: ReadonlySet<string>, places: ReadonlySet<string>, withPlatform: boolean) => {
-	const settings = Object.values(stack.inventory.databases).flatMap(database => database.targets);
-	const inside = settings.filter(target => places.has(target.dataCentre));
-	const outside = settings.filter(target => !places.has(target.dataCentre));
+/** Isolates vms from all other vms, from the targets of other data centres and, if requested, from the platform. */
+const partitionVms = async (stack: Stack, vms: ReadonlySet<string>, dataCentres: ReadonlySet<string>, includesPlatform: boolean) => {
+	const targets = Object.values(stack.inventory.databases).flatMap(database => database.targets);
+	const inside = targets.filter(target => dataCentres.has(target.dataCentre));
+	const outside = targets.filter(target => !dataCentres.has(target.dataCentre));
 	const otherVms = [...stack.proxies.keys()].filter(vm => !vms.has(vm));
 	stack.links.setPartition((from, to) => vms.has(from) !== vms.has(to));
-	if (withPlatform) {
+	if (includesPlatform) {
 		await setPlatformFaults(stack, {cut: [...vms]});
 	}
 
-	const cutFrom = async (name: string, peers: readonly string[]) => {
-		const running = stack.targets.get(name);
-		if (!running) {
+	const partitionTarget = async (name: string, peers: readonly string[]) => {
+		const target = stack.targets.get(name);
+		if (!target) {
 			return;
 		}
 
 		for (const peer of peers) {
-			await runControlStatement(running, `SELECT standin_cut('${peer}')`);
+			await runControlStatement(target, `SELECT standin_cut('${peer}')`);
 		}
 	};
 
 	await Promise.all([
-		...inside.map(async one => cutFrom(one.name, [...otherVms, ...outside.map(other => other.name)])),
-		...outside.map(async one => cutFrom(one.name, [...vms, ...inside.map(other => other.name)])),
+		...inside.map(async target => partitionTarget(target.name, [...otherVms, ...outside.map(other => other.name)])),
+		...outside.map(async target => partitionTarget(target.name, [...vms, ...inside.map(other => other.name)])),
 	]);
 };
 
-/** Ends every cut; also at the end of a schedule, as a frozen target may hear of a cut after it was healed. */
+/** Removes all network partitions. Also runs at the end of a schedule, because a frozen target may execute the command for a partition after the partition was removed. */
 export const removePartitions = async (stack: Stack) => {
 	stack.links.setPartition(() => false);
 	await setPlatformFaults(stack, {});
 	await Promise.all([...stack.targets.values()].map(async target => runControlStatement(target, 'SELECT standin_heal()')));
 };
 
-const restartTarget = async (stack: Stack, target: StackTarget, forMs: number) => {
+const restartTarget = async (stack: Stack, target: StackTarget, downtimeMs: number) => {
 	if (target.process.exitCode !== null || target.process.signalCode !== null) {
 		return;
 	}
 
 	target.process.kill('SIGKILL');
 	await target.exited;
-	await wait(forMs);
+	await wait(downtimeMs);
 	await stack.startTarget(target.name, '');
 };
 
-const freeze = async (child: Readonly<{process: Readonly<{kill: (signal: NodeJS.Signals) => boolean}>}>, forMs: number) => {
+const freezeProcess = async (child: Readonly<{process: Readonly<{kill: (signal: NodeJS.Signals) => boolean}>}>, durationMs: number) => {
 	child.process.kill('SIGSTOP');
-	await wait(forMs);
+	await wait(durationMs);
 	child.process.kill('SIGCONT');
 };
 
-/** Carries out one fault and heals it; `onStart` hears of its target. */
+/** Injects a fault and removes it after its duration. `onStart` is called with the name of its target before the injection. */
 export const applyFault = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
 	const targets = [...stack.targets.values()].filter(target => target.database === database);
 	const primaryName = await findPrimary(stack, database);
@@ -162,12 +162,12 @@
 	const proxies = [...stack.proxies.values()];
 	const proxy = proxies[Math.floor(fault.choice * proxies.length)];
 	if (!primary || !replica || !proxy) {
-		throw new RangeError('The stack is too small for faults');
+		throw new RangeError('The stack needs a primary, a replica and a proxy to inject faults');
 	}
 
-	const steps: Readonly<Record<FaultKind, readonly [target: string, run: () => Promise<void>]>> = {
+	const actions: Readonly<Record<FaultKind, readonly [target: string, run: () => Promise<void>]>> = {
 		killPrimary: [primary.name, async () => restartTarget(stack, primary, fault.forMs)],
-		freezePrimary: [primary.name, async () => freeze(primary, fault.forMs)],
+		freezePrimary: [primary.name, async () => freezeProcess(primary, fault.forMs)],
 		cutPrimary: [primary.name, async () => {
 			await runControlStatement(primary, 'SELECT standin_cut(\'*\')');
 			await wait(fault.forMs);
@@ -175,7 +175,7 @@
 		}],
 		killReplica: [replica.name, async () => restartTarget(stack, replica, fault.forMs)],
 		lagReplica: [replica.name, async () => {
-			await runControlStatement(replica, `SELECT standin_lag(${LAG_MS})`);
+			await runControlStatement(replica, `SELECT standin_lag(${INJECTED_LAG_MS})`);
 			await wait(fault.forMs);
 			await runControlStatement(replica, 'SELECT standin_lag(5)');
 		}],
@@ -189,33 +189,33 @@
 			await wait(fault.forMs);
 			await stack.startProxy(proxy.vm, proxy.dataCentre);
 		}],
-		freezeProxy: [proxy.vm, async () => freeze(proxy, fault.forMs)],
+		freezeProxy: [proxy.vm, async () => freezeProcess(proxy, fault.forMs)],
 		platformDown: ['platform', async () => {
 			await setPlatformFaults(stack, {down: true});
 			await wait(fault.forMs);
 			await setPlatformFaults(stack, {});
 		}],
-		loseAnswers: ['platform', async () => setPlatformFaults(stack, {loseAnswers: LOST_ANSWERS})],
-		freezePlatform: ['platform', async () => freeze(stack.platform, fault.forMs)],
+		loseAnswers: ['platform', async () => setPlatformFaults(stack, {loseAnswers: LOST_RESPONSE_COUNT})],
+		freezePlatform: ['platform', async () => freezeProcess(stack.platform, fault.forMs)],
 		slowPlatform: ['platform', async () => {
-			await setPlatformFaults(stack, {slowMs: SLOW_MS});
+			await setPlatformFaults(stack, {slowMs: PLATFORM_DELAY_MS});
 			await wait(fault.forMs);
 			await setPlatformFaults(stack, {});
 		}],
 		lapseLeases: ['platform', async () => setPlatformFaults(stack, {lapseLeases: true})],
 		cutProxy: [proxy.vm, async () => {
-			await cutOff(stack, new Set([proxy.vm]), new Set(), fault.choice < 0.5);
+			await partitionVms(stack, new Set([proxy.vm]), new Set(), fault.choice < 0.5);
 			await wait(fault.forMs);
 			await removePartitions(stack);
 		}],
 		cutDataCentre: [proxy.dataCentre, async () => {
 			const inside = proxies.filter(one => one.dataCentre === proxy.dataCentre);
-			await cutOff(stack, new Set(inside.map(one => one.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
+			await partitionVms(stack, new Set(inside.map(one => one.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
 			await wait(fault.forMs);
 			await removePartitions(stack);
 		}],
 	};
-	const [target, run] = steps[fault.kind];
+	const [target, run] = actions[fault.kind];
 	onStart(target);
 	await run();
 };
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Development script: measurements that docs/MEASUREMENTS.md and docs/CAPACITY.md quote. */
+/** Development script: takes the measurements that docs/MEASUREMENTS.md and docs/CAPACITY.md quote. */
 
 import {readFileSync} from 'node:fs';
 import {createConnection, type Socket} from 'node:net';
@@ -18,17 +18,17 @@
 import {connectCustomer} from './workload.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
-const CLIENTS = 16;
-const CLOSED_MS = 4000;
-const UNLIMITED = 1_000_000;
-const ROWS = 100;
-const OPEN_MS = 10_000;
-const LARGE_FACTOR = 8;
-const FAIR_CONNECTIONS = 16;
-/** Part of their rates at which customers send, so that the targets and not the machine are short. */
-const FAIR_SCALE = 0.1;
-const FAIR_STATEMENT = 'SELECT pg_sleep(0.02)';
-const MEBIBYTE = 1_048_576;
+const CLIENT_COUNT = 16;
+const CLOSED_LOOP_MS = 4000;
+const UNLIMITED_RATE = 1_000_000;
+const ROW_COUNT = 100;
+const OPEN_LOOP_MS = 10_000;
+const LARGE_CUSTOMER_FACTOR = 8;
+const FAIRNESS_CONNECTIONS = 16;
+/** Fraction of their rates at which customers send, so that the targets are the bottleneck and not the machine. */
+const FAIRNESS_RATE_FRACTION = 0.1;
+const FAIRNESS_STATEMENT = 'SELECT pg_sleep(0.02)';
+const BYTES_PER_MEBIBYTE = 1_048_576;
 
 const print = (text: string) => {
 	process.stdout.write(`${text}\n`);
@@ -36,7 +36,7 @@
 
 const format = (value: number, digits = 2): string => value.toFixed(digits);
 
-/** Connects every customer before any traffic starts, so that logins do not count as latency. */
+/** Connects all customers before any traffic starts, so that logins do not count as latency. */
 const connectCustomers = async (stack: Stack, customers: readonly string[], connections: number): Promise<ReadonlyMap<string, readonly pg.Client[]>> => {
 	const connecting = customers.map(async (customer, index) => {
 		const clients = await connectAll(listEntries(stack), createLogin(stack, customer), connections, index);
@@ -45,73 +45,73 @@
 	return new Map(await Promise.all(connecting));
 };
 
-const firstService = (inventory: Inventory): string => Object.keys(inventory.services)[0] ?? '';
-const firstCustomer = (stack: Stack): string => [...stack.secrets.keys()][0] ?? '';
+const getFirstService = (inventory: Inventory): string => Object.keys(inventory.services)[0] ?? '';
+const getFirstCustomer = (stack: Stack): string => [...stack.secrets.keys()][0] ?? '';
 
-/** Keeps the first database; puts all its targets in one data centre. */
-const createSmall = (dataCentres: readonly string[], place: string): Inventory => {
-	const full = readExample('dvorak');
-	const [[name, database]] = Object.entries(full.databases) as [[string, Inventory['databases'][string]]];
-	const services = Object.fromEntries(Object.entries(full.services).filter(([, service]) => service.database === name));
+/** Creates an inventory with the first database of the example, all its targets in one data centre and no limits on customers. */
+const createSingleDatabaseInventory = (dataCentres: readonly string[], targetDataCentre: string): Inventory => {
+	const example = readExample('dvorak');
+	const [[name, database]] = Object.entries(example.databases) as [[string, Inventory['databases'][string]]];
+	const services = Object.fromEntries(Object.entries(example.services).filter(([, service]) => service.database === name));
 	return {
-		...full,
+		...example,
 		dataCentres: [...dataCentres],
-		databases: {[name]: {...database, targets: database.targets.map(target => ({...target, dataCentre: place, slots: 8}))}},
+		databases: {[name]: {...database, targets: database.targets.map(target => ({...target, dataCentre: targetDataCentre, slots: 8}))}},
 		services,
-		customers: Object.fromEntries(Object.entries(full.customers).map(([customer, share]) => [customer, {
-			...share, rate: UNLIMITED, burst: UNLIMITED, services: Object.keys(services),
+		customers: Object.fromEntries(Object.entries(example.customers).map(([customer, settings]) => [customer, {
+			...settings, rate: UNLIMITED_RATE, burst: UNLIMITED_RATE, services: Object.keys(services),
 		}])),
 	};
 };
 
 const fillTable = async (client: pg.Client) => {
 	await client.query('CREATE TABLE rows (id int PRIMARY KEY, body text)');
-	for (let id = 0; id < ROWS; id++) {
+	for (let id = 0; id < ROW_COUNT; id++) {
 		await client.query('INSERT INTO rows VALUES ($1, $2)', [id, 'x'.repeat(100)]);
 	}
 };
 
-const createSelect = (number: number) => ({text: 'SELECT body FROM rows WHERE id = $1', values: [number % ROWS]});
+const createSelectStatement = (number: number) => ({text: 'SELECT body FROM rows WHERE id = $1', values: [number % ROW_COUNT]});
 
-const measurePath = async (dataCentres: readonly string[], place: string, entryPlace: string) => {
+const measurePath = async (dataCentres: readonly string[], targetDataCentre: string, entryDataCentre: string) => {
 	await using stack = await startStack({
-		inventory: createSmall(dataCentres, place), proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
+		inventory: createSingleDatabaseInventory(dataCentres, targetDataCentre), proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
 	});
-	const proxy = [...stack.proxies.values()].find(one => one.dataCentre === entryPlace);
+	const proxy = [...stack.proxies.values()].find(one => one.dataCentre === entryDataCentre);
 	if (!proxy) {
-		throw new RangeError('There is no proxy in that data centre');
+		throw new RangeError('The stack has no proxy in the data centre of the entry');
 	}
 
-	const service = firstService(stack.inventory);
-	const clients = await Promise.all(Array.from({length: CLIENTS}, async () => connectCustomer(stack, proxy, firstCustomer(stack), service)));
+	const service = getFirstService(stack.inventory);
+	const clients = await Promise.all(Array.from({length: CLIENT_COUNT}, async () => connectCustomer(stack, proxy, getFirstCustomer(stack), service)));
 	await fillTable(clients[0] ?? new pg.Client());
 	await wait(200);
-	const through = await runClosedLoop(clients, CLOSED_MS, createSelect);
+	const proxied = await runClosedLoop(clients, CLOSED_LOOP_MS, createSelectStatement);
 	await Promise.all(clients.map(async client => client.end()));
 	const [target] = stack.targets.values();
-	const direct = await Promise.all(Array.from({length: CLIENTS}, async () => {
+	const directClients = await Promise.all(Array.from({length: CLIENT_COUNT}, async () => {
 		const client = new pg.Client({
 			host: '127.0.0.1', port: target?.port, user: 'direct', database: 'postgres',
 		});
 		await client.connect();
 		return client;
 	}));
-	const straight = await runClosedLoop(direct, CLOSED_MS, createSelect);
-	await Promise.all(direct.map(async client => client.end()));
-	return {through, straight};
+	const direct = await runClosedLoop(directClients, CLOSED_LOOP_MS, createSelectStatement);
+	await Promise.all(directClients.map(async client => client.end()));
+	return {proxied, direct};
 };
 
 const formatTraffic = ({perSecond, p50, p99}: TrafficResult): string => `${format(perSecond, 0)}/s p50 ${format(p50)} p99 ${format(p99)} ms`;
 
 const measureBaseline = async () => {
-	for (const [name, dataCentres, entryPlace] of [['one proxy', ['a'], 'a'], ['entry and home', ['a', 'b'], 'b']] as const) {
-		const {through, straight} = await measurePath(dataCentres, 'a', entryPlace);
-		print(`${name}: ${formatTraffic(through)}; direct: ${formatTraffic(straight)}`);
-		print(`  ratios: throughput ${format(through.perSecond / straight.perSecond)} p50 ${format(through.p50 / straight.p50)} p99 ${format(through.p99 / straight.p99)}`);
+	for (const [name, dataCentres, entryDataCentre] of [['one proxy', ['a'], 'a'], ['entry and owner', ['a', 'b'], 'b']] as const) {
+		const {proxied, direct} = await measurePath(dataCentres, 'a', entryDataCentre);
+		print(`${name}: ${formatTraffic(proxied)}; direct: ${formatTraffic(direct)}`);
+		print(`  ratios: throughput ${format(proxied.perSecond / direct.perSecond)} p50 ${format(proxied.p50 / direct.p50)} p99 ${format(proxied.p99 / direct.p99)}`);
 	}
 };
 
-const openIdle = async (port: number, service: string): Promise<Socket> => new Promise((resolve, reject) => {
+const openIdleConnection = async (port: number, service: string): Promise<Socket> => new Promise((resolve, reject) => {
 	const socket = createConnection({host: '127.0.0.1', port}, () => {
 		socket.write(createStartupPacket({user: 'idle', database: service}));
 	});
@@ -122,28 +122,28 @@
 });
 
 const measureMemory = async () => {
-	const small = createSmall(['a'], 'a');
-	const service = firstService(small);
-	const open = {...small, services: Object.fromEntries(Object.entries(small.services).map(([name, one]) => [name, {...one, open: true}]))};
+	const inventory = createSingleDatabaseInventory(['a'], 'a');
+	const service = getFirstService(inventory);
+	const openInventory = {...inventory, services: Object.fromEntries(Object.entries(inventory.services).map(([name, one]) => [name, {...one, open: true}]))};
 	await using stack = await startStack({
-		inventory: open, proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
+		inventory: openInventory, proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
 	});
 	const [proxy] = stack.proxies.values();
 	if (!proxy) {
-		throw new RangeError('There is no proxy');
+		throw new RangeError('The stack has no proxy');
 	}
 
 	const sockets: Socket[] = [];
 	const points: Array<readonly [number, number]> = [];
-	for (const target of [1000, 5000, 10_000]) {
-		while (sockets.length < target) {
-			sockets.push(...await Promise.all(Array.from({length: 100}, async () => openIdle(proxy.port, service))));
+	for (const callerCount of [1000, 5000, 10_000]) {
+		while (sockets.length < callerCount) {
+			sockets.push(...await Promise.all(Array.from({length: 100}, async () => openIdleConnection(proxy.port, service))));
 		}
 
 		await wait(3000);
 		const {residentBytes} = readProcessUsage(proxy);
-		points.push([target, residentBytes]);
-		print(`idle callers ${target}: resident ${format(residentBytes / MEBIBYTE, 1)} MiB`);
+		points.push([callerCount, residentBytes]);
+		print(`idle callers ${callerCount}: resident ${format(residentBytes / BYTES_PER_MEBIBYTE, 1)} MiB`);
 	}
 
 	print(`slope: ${format(computeSlope(points) / 1024)} KiB for each idle caller`);
@@ -156,8 +156,8 @@
 
 const createLogin = (stack: Stack, customer: string): LoginOptions => ({keyId: `${customer}-key`, secret: stack.secrets.get(customer), service: 'motions'});
 
-const startFleet = async (proxies: number, statementMs: number, change: (inventory: Inventory) => Inventory = inventory => inventory) => {
-	const inventory = change(readExample('dvorak'));
+const startFleet = async (proxies: number, statementMs: number, adjust: (inventory: Inventory) => Inventory = inventory => inventory) => {
+	const inventory = adjust(readExample('dvorak'));
 	const stack = await startStack({
 		inventory, proxiesPerDataCentre: Math.floor(proxies / inventory.dataCentres.length), connectMs: 10, statementMs, lagMs: 5,
 	});
@@ -171,43 +171,43 @@
 	return stack;
 };
 
-const measureShares = async (proxies: number) => {
+const measureQuotas = async (proxies: number) => {
 	await using stack = await startFleet(proxies, 0);
 	const customers = Object.entries(stack.inventory.customers);
-	const run = async (seed: number, onHalf?: () => Promise<void>) => {
+	const run = async (seed: number, onMidpoint?: () => Promise<void>) => {
 		const clients = await connectCustomers(stack, customers.map(([customer]) => customer), proxies);
-		const all = customers.map(async ([customer, {rate}], index) => runOpenLoop(clients.get(customer) ?? [], {
-			perSecond: rate * 0.8, durationMs: OPEN_MS, seed: seed + index, statement: 'SELECT 1 AS one',
+		const traffic = customers.map(async ([customer, {rate}], index) => runOpenLoop(clients.get(customer) ?? [], {
+			perSecond: rate * 0.8, durationMs: OPEN_LOOP_MS, seed: seed + index, statement: 'SELECT 1 AS one',
 		}));
-		await wait(OPEN_MS / 2);
-		await onHalf?.();
-		return Promise.all(all);
+		await wait(OPEN_LOOP_MS / 2);
+		await onMidpoint?.();
+		return Promise.all(traffic);
 	};
 
-	const report = (name: string, results: Awaited<ReturnType<typeof run>>) => {
+	const printResults = (name: string, results: Awaited<ReturnType<typeof run>>) => {
 		const sent = results.reduce((sum, result) => sum + result.sent, 0);
 		const refused = results.reduce((sum, result) => sum + result.refused, 0);
 		const failed = results.reduce((sum, result) => sum + result.failed, 0);
 		const worst = Math.max(...results.map(result => result.refused / result.sent));
-		print(`${name}: ${proxies} proxies, 80% of every rate: sent ${sent}, refused inside the rate ${refused} (${format(100 * refused / sent, 3)}%)`);
+		print(`${name}: ${proxies} proxies, 80% of every rate: sent ${sent}, refused within the quota ${refused} (${format(100 * refused / sent, 3)}%)`);
 		print(`  other failures ${JSON.stringify(results.map(result => result.failures))}`);
 		print(`  worst customer ${format(100 * worst, 2)}%, otherwise failed ${failed}, p99 ${format(Math.max(...results.map(result => result.p99)))} ms`);
 	};
 
-	report('steady', await run(1));
-	report('a keeper killed half way', await run(100, async () => {
+	printResults('steady', await run(1));
+	printResults('a quota allocator killed half way', await run(100, async () => {
 		const statuses = await stack.getStatuses();
-		const target = statuses.toSorted((a, b) => countCalls(b) - countCalls(a))[0];
-		const proxy = stack.proxies.get(target?.vm ?? '');
+		const busiest = statuses.toSorted((a, b) => countLeaseRenewals(b) - countLeaseRenewals(a))[0];
+		const proxy = stack.proxies.get(busiest?.vm ?? '');
 		proxy?.process.kill('SIGKILL');
-		stack.proxies.delete(target?.vm ?? '');
+		stack.proxies.delete(busiest?.vm ?? '');
 	}));
 };
 
-const countCalls = (status: Readonly<{metrics: Readonly<Record<string, number>>}>): number => status.metrics['store.calls{method=LeaseKeepAlive}'] ?? 0;
+const countLeaseRenewals = (status: Readonly<{metrics: Readonly<Record<string, number>>}>): number => status.metrics['store.calls{method=LeaseKeepAlive}'] ?? 0;
 
-/** Floods as one customer from a process of its own, so that the clock of the others is not held up. */
-const floodApart = async (stack: Stack, customer: string, perSecond: number): Promise<TrafficResult> => {
+/** Sends the load of one large customer from a separate process, so that it does not delay the timers of the other customers. */
+const floodFromOwnProcess = async (stack: Stack, customer: string, perSecond: number): Promise<TrafficResult> => {
 	const output = path.join(stack.logFolder, 'flood.json');
 	const login = createLogin(stack, customer);
 	const child = startChild('flood', 'load', [
@@ -220,13 +220,13 @@
 		'--service',
 		login.service,
 		'--statement',
-		FAIR_STATEMENT,
+		FAIRNESS_STATEMENT,
 		'--per-second',
 		String(perSecond),
 		'--duration-ms',
-		String(OPEN_MS),
+		String(OPEN_LOOP_MS),
 		'--connections',
-		String(FAIR_CONNECTIONS),
+		String(FAIRNESS_CONNECTIONS),
 		'--output',
 		output,
 	]);
@@ -235,30 +235,30 @@
 };
 
 const measureFairness = async () => {
-	const unlimited = (inventory: Inventory): Inventory => ({
+	const raiseQuotas = (inventory: Inventory): Inventory => ({
 		...inventory,
 		customers: Object.fromEntries(Object.entries(inventory.customers).map(([name, customer]) => [name, {...customer, rate: customer.rate * 100, burst: customer.burst * 100}])),
 	});
-	await using stack = await startFleet(8, 0, unlimited);
-	const small = Object.entries(readExample('dvorak').customers);
-	const connected = await connectCustomers(stack, small.slice(1).map(([customer]) => customer), FAIR_CONNECTIONS);
-	const runSmall = async (seed: number) => Promise.all(small.slice(1).map(async ([customer, {rate}], index) => runOpenLoop(connected.get(customer) ?? [], {
-		perSecond: rate * FAIR_SCALE, durationMs: OPEN_MS, seed: seed + index, statement: FAIR_STATEMENT,
+	await using stack = await startFleet(8, 0, raiseQuotas);
+	const customers = Object.entries(readExample('dvorak').customers);
+	const clients = await connectCustomers(stack, customers.slice(1).map(([customer]) => customer), FAIRNESS_CONNECTIONS);
+	const runSmallCustomers = async (seed: number) => Promise.all(customers.slice(1).map(async ([customer, {rate}], index) => runOpenLoop(clients.get(customer) ?? [], {
+		perSecond: rate * FAIRNESS_RATE_FRACTION, durationMs: OPEN_LOOP_MS, seed: seed + index, statement: FAIRNESS_STATEMENT,
 	})));
-	// The first run warms the processes up and is not counted.
-	await runSmall(1);
-	const alone = await runSmall(1);
-	const [large] = small;
-	const [together, flood] = await Promise.all([runSmall(1), floodApart(stack, large?.[0] ?? '', (large?.[1].rate ?? 0) * LARGE_FACTOR * FAIR_SCALE)]);
+	// The first run is a warm-up and is not counted.
+	await runSmallCustomers(1);
+	const alone = await runSmallCustomers(1);
+	const [large] = customers;
+	const [together, flood] = await Promise.all([runSmallCustomers(1), floodFromOwnProcess(stack, large?.[0] ?? '', (large?.[1].rate ?? 0) * LARGE_CUSTOMER_FACTOR * FAIRNESS_RATE_FRACTION)]);
 	const ratios = alone.map((result, index) => (together[index]?.p99 ?? 0) / result.p99);
-	for (const [index, [customer]] of small.slice(1).entries()) {
+	for (const [index, [customer]] of customers.slice(1).entries()) {
 		print(`${customer}: p99 alone ${format(alone[index]?.p99 ?? 0)} ms, beside the large one ${format(together[index]?.p99 ?? 0)} ms, ratio ${format(ratios[index] ?? 0)}`);
 	}
 
 	print(`large one: sent ${flood.sent} done ${flood.done} refused ${flood.refused} p99 ${format(flood.p99)} ms; worst ratio of the others ${format(Math.max(...ratios))}`);
 };
 
-const measureChanges = async (proxies: number) => {
+const measureConfigurationChanges = async (proxies: number) => {
 	await using stack = await startFleet(proxies, 0);
 	const changes: number[] = [];
 	const withdrawals: number[] = [];
@@ -281,15 +281,15 @@
 	}
 
 	print(`${proxies} proxies, ${changes.length} withdrawals: open connections closed everywhere p50 ${format(computePercentile(withdrawals, 0.5), 0)} max ${format(Math.max(...withdrawals), 0)} ms`);
-	print(`  change in force everywhere: p50 ${format(computePercentile(changes, 0.5), 0)} max ${format(Math.max(...changes), 0)} ms`);
+	print(`  change active everywhere: p50 ${format(computePercentile(changes, 0.5), 0)} max ${format(Math.max(...changes), 0)} ms`);
 };
 
-const sumCalls = (statuses: ReadonlyArray<Readonly<{metrics: Readonly<Record<string, number>>}>>, name: string): number => statuses
+const sumMetrics = (statuses: ReadonlyArray<Readonly<{metrics: Readonly<Record<string, number>>}>>, name: string): number => statuses
 	.flatMap(status => Object.entries(status.metrics))
 	.filter(([key]) => key.startsWith(name))
 	.reduce((sum, [, value]) => sum + value, 0);
 
-const measureControl = async (sizes: readonly number[]) => {
+const measureControlPlane = async (sizes: readonly number[]) => {
 	const calls: Array<readonly [number, number]> = [];
 	const cpus: Array<readonly [number, number]> = [];
 	const bytes: Array<readonly [number, number]> = [];
@@ -297,19 +297,19 @@
 		await using stack = await startFleet(proxies, 0);
 		const before = await stack.getStatuses();
 		const cpuBefore = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy).cpuMs);
-		await wait(OPEN_MS);
-		const readings = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy));
+		await wait(OPEN_LOOP_MS);
+		const usages = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy));
 		const after = await stack.getStatuses();
-		const seconds = OPEN_MS / 1000;
-		const cpu = readings.map((reading, index) => (reading.cpuMs - (cpuBefore[index] ?? 0)) / OPEN_MS * 100);
-		const storeCalls = (sumCalls(after, 'store.calls') - sumCalls(before, 'store.calls')) / seconds;
-		const sent = (sumCalls(after, 'peer.bytes') - sumCalls(before, 'peer.bytes')) / seconds / proxies;
-		const resident = readings.map(reading => reading.residentBytes / MEBIBYTE);
+		const seconds = OPEN_LOOP_MS / 1000;
+		const cpu = usages.map((reading, index) => (reading.cpuMs - (cpuBefore[index] ?? 0)) / OPEN_LOOP_MS * 100);
+		const storeCalls = (sumMetrics(after, 'store.calls') - sumMetrics(before, 'store.calls')) / seconds;
+		const peerBytes = (sumMetrics(after, 'peer.bytes') - sumMetrics(before, 'peer.bytes')) / seconds / proxies;
+		const resident = usages.map(reading => reading.residentBytes / BYTES_PER_MEBIBYTE);
 		calls.push([proxies, storeCalls]);
 		cpus.push([proxies, computePercentile(cpu, 0.5)]);
-		bytes.push([proxies, sent]);
+		bytes.push([proxies, peerBytes]);
 		print(`${proxies} proxies idle: processor median ${format(computePercentile(cpu, 0.5))}% max ${format(Math.max(...cpu))}% of a core; store calls ${format(storeCalls, 1)}/s`);
-		print(`  peer bytes in and out ${format(sent / 1024)} KiB/s each; resident median ${format(computePercentile(resident, 0.5), 1)} MiB`);
+		print(`  peer bytes in and out ${format(peerBytes / 1024)} KiB/s each; resident median ${format(computePercentile(resident, 0.5), 1)} MiB`);
 	}
 
 	print(`slopes for each further proxy: store calls ${format(computeSlope(calls))}/s`);
@@ -320,25 +320,25 @@
 	.scriptName('measure')
 	.strict()
 	.demandCommand(1)
-	.option('proxies', {type: 'number', default: 19, describe: 'proxies of the fleet'})
+	.option('proxies', {type: 'number', default: 19, describe: 'number of proxies'})
 	.option('sizes', {
-		type: 'number', array: true, default: [4, 12, 24], describe: 'sizes of the fleet',
+		type: 'number', array: true, default: [4, 12, 24], describe: 'numbers of proxies to compare',
 	})
-	.command('baseline', 'point SELECT through the proxy against a direct connection')
+	.command('baseline', 'point SELECT through the proxy, compared with a direct connection')
 	.command('memory', 'resident memory for each idle caller')
-	.command('shares', 'refusals inside the rate')
-	.command('fairness', 'the worst-served customer beside a large one')
-	.command('changes', 'changes and withdrawals in force everywhere')
-	.command('control', 'cost of control for each proxy')
+	.command('shares', 'refusals of customers within their quotas')
+	.command('fairness', 'latency of small customers beside a large one')
+	.command('changes', 'time until changes and withdrawn keys are active everywhere')
+	.command('control', 'cost of the control plane for each proxy')
 	.parse();
 
-const runs: Readonly<Record<string, () => Promise<void>>> = {
+const measurements: Readonly<Record<string, () => Promise<void>>> = {
 	baseline: measureBaseline,
 	memory: measureMemory,
-	shares: async () => measureShares(flags.proxies),
+	shares: async () => measureQuotas(flags.proxies),
 	fairness: measureFairness,
-	changes: async () => measureChanges(flags.proxies),
-	control: async () => measureControl(flags.sizes),
+	changes: async () => measureConfigurationChanges(flags.proxies),
+	control: async () => measureControlPlane(flags.sizes),
 };
-await runs[String(flags._[0])]?.();
+await measurements[String(flags._[0])]?.();
 process.exitCode = 0;
--- a/packages/bench/src/prove.ts
+++ b/packages/bench/src/prove.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Development script: proves the promises over many seeded schedules of faults. */
+/** Development script: runs consistency checks with many seeded fault schedules. */
 
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
@@ -11,7 +11,7 @@
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const DEFAULT_DURATION_MS = 7000;
-const SHOWN_VIOLATIONS = 3;
+const MAX_SHOWN_VIOLATIONS = 3;
 const PHASE_WIDTH = 24;
 const PERCENTILES = [0.5, 0.9, 0.99] as const;
 
@@ -24,7 +24,7 @@
 		return `RUN FAILED ${failure}`;
 	}
 
-	const broken = violations.map(one => `${one.promise}: ${one.detail}`).slice(0, SHOWN_VIOLATIONS);
+	const broken = violations.map(one => `${one.promise}: ${one.detail}`).slice(0, MAX_SHOWN_VIOLATIONS);
 	return broken.length === 0 ? 'held' : `BROKEN ${broken.join('; ')}`;
 };
 
@@ -33,12 +33,12 @@
 	return `seed ${result.seed}  gap ${Math.round(result.gapMs)} ms  ${formatVerdict(result)}  [${faults}]  ${Object.entries(result.counts).map(([key, count]) => `${key}=${count}`).join(' ')}`;
 };
 
-/** Prints how long each phase of the failovers took. */
-const printPhases = (all: readonly ConsistencyCheckResult[]) => {
-	const split = all.map(result => result.phases).filter(phases => phases !== undefined);
-	for (const phase of split.length > 0 ? FAILOVER_PHASES : []) {
-		const sorted = split.map(phases => phases[phase]).toSorted((a, b) => a - b);
-		print(`  ${phase.padEnd(PHASE_WIDTH)}${PERCENTILES.map(part => `p${part * 100} ${Math.round(computePercentile(sorted, part))}`).join('  ')} ms`);
+/** Prints percentiles of the duration of each failover phase. */
+const printPhases = (checkResults: readonly ConsistencyCheckResult[]) => {
+	const phasesOfRuns = checkResults.map(result => result.phases).filter(phases => phases !== undefined);
+	for (const phase of phasesOfRuns.length > 0 ? FAILOVER_PHASES : []) {
+		const sorted = phasesOfRuns.map(phases => phases[phase]).toSorted((a, b) => a - b);
+		print(`  ${phase.padEnd(PHASE_WIDTH)}${PERCENTILES.map(fraction => `p${fraction * 100} ${Math.round(computePercentile(sorted, fraction))}`).join('  ')} ms`);
 	}
 };
 
@@ -53,30 +53,30 @@
 	.scriptName('prove')
 	.strict()
 	.option('seed', {type: 'number', default: 1, describe: 'first seed'})
-	.option('runs', {type: 'number', default: 1, describe: 'number of schedules'})
-	.option('parallel', {type: 'number', default: 3, describe: 'schedules at a time'})
-	.option('example', {choices: ['dvorak', 'siphon'] as const, default: 'siphon' as const, describe: 'sizes'})
-	.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'length of a schedule, in milliseconds'})
-	.option('only', {type: 'string', describe: 'a single kind of fault'})
-	.option('without', {choices: ['replication'] as const, describe: 'mechanism switched off'})
+	.option('runs', {type: 'number', default: 1, describe: 'number of fault schedules to run'})
+	.option('parallel', {type: 'number', default: 3, describe: 'schedules to run in parallel'})
+	.option('example', {choices: ['dvorak', 'siphon'] as const, default: 'siphon' as const, describe: 'example inventory that gives the sizes'})
+	.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'duration of a schedule, in milliseconds'})
+	.option('only', {type: 'string', describe: 'inject a single fault of this kind'})
+	.option('without', {choices: ['replication'] as const, describe: 'mechanism to switch off'})
 	.option('proxies', {type: 'number', default: 1, describe: 'proxies in each data centre'})
-	.option('lag-ms', {type: 'number', default: 20, describe: 'lag of the replicas, in milliseconds'})
-	.option('output', {type: 'string', default: 'out/prove', describe: 'folder for the histories of broken runs'})
+	.option('lag-ms', {type: 'number', default: 20, describe: 'replication lag of the replicas, in milliseconds'})
+	.option('output', {type: 'string', default: 'out/prove', describe: 'folder for the results of runs that violate a guarantee or fail'})
 	.parse();
 
 const results: ConsistencyCheckResult[] = [];
-let next = flags.seed;
-const last = flags.seed + flags.runs - 1;
+let nextSeed = flags.seed;
+const lastSeed = flags.seed + flags.runs - 1;
 
-const runLane = async () => {
-	while (next <= last) {
-		const seed = next++;
-		const plan: ConsistencyCheckOptions = {
+const runWorker = async () => {
+	while (nextSeed <= lastSeed) {
+		const seed = nextSeed++;
+		const options: ConsistencyCheckOptions = {
 			seed, example: flags.example, durationMs: flags.durationMs, proxiesPerDataCentre: flags.proxies, lagMs: flags.lagMs,
 			...(flags.only ? {onlyFault: flags.only as FaultKind} : {}),
 			...(flags.without ? {disabledMechanism: flags.without} : {}),
 		};
-		const result = await runConsistencyCheck(plan);
+		const result = await runConsistencyCheck(options);
 		results.push(result);
 		print(formatResult(result));
 		if (flags.runs === 1) {
@@ -90,12 +90,12 @@
 	}
 };
 
-await Promise.all(Array.from({length: Math.min(flags.parallel, flags.runs)}, runLane));
+await Promise.all(Array.from({length: Math.min(flags.parallel, flags.runs)}, runWorker));
 const broken = results.filter(result => result.violations.length > 0).length;
 const failed = results.filter(result => result.failure !== undefined).length;
 const gaps = results.filter(result => !result.failure).map(result => result.gapMs).toSorted((a, b) => a - b);
 print(`schedules ${results.length}  held ${results.length - broken - failed}  broken ${broken}  run failed ${failed}`);
-print(`write gap ms  ${PERCENTILES.map(part => `p${part * 100} ${Math.round(computePercentile(gaps, part))}`).join('  ')}  max ${Math.round(gaps.at(-1) ?? 0)}`);
+print(`write gap ms  ${PERCENTILES.map(fraction => `p${fraction * 100} ${Math.round(computePercentile(gaps, fraction))}`).join('  ')}  max ${Math.round(gaps.at(-1) ?? 0)}`);
 printPhases(results);
 const replica = results.reduce((sum, result) => sum + result.reads.replica, 0);
 const reads = results.reduce((sum, result) => sum + result.reads.all, 0);
--- a/packages/bench/src/relays.ts
+++ b/packages/bench/src/relays.ts
@@ -1,33 +1,33 @@
-/** Relays before the proxies' peer ports, which can be cut between any two vms. */
+/** TCP relays in front of the peer ports of vms, which can simulate a network partition between any two vms. */
 
 import {createServer, createConnection, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
 import {createNotifier, NEVER, type World} from '@guavapitch/core';
 import {splitFrames} from '@guavapitch/peer-protocol';
 
-/** Links between vms. */
+/** Network links between the vms of a stack. */
 export type PeerLinks = Readonly<{
-	/** Decides which links are cut from now on. */
-	setPartition: (isCut: (from: string, to: string) => boolean) => void;
-	/** Opens a relay before a vm's peer port; gives the port of the relay. */
+	/** Sets which links are partitioned from now on; a link with a partition in either direction forwards nothing until the partition is removed. */
+	setPartition: (isPartitioned: (from: string, to: string) => boolean) => void;
+	/** Opens a relay that listens on `relayPort` and forwards to the peer port of a vm; dispose of the result to close it. */
 	openRelay: (vm: string, peerPort: number, relayPort: number) => Promise<AsyncDisposable>;
 }>;
 
-/** Reads the name that the dialling vm gives in its hello. */
-const readDialler = (bytes: Buffer): string => {
+/** Reads the name of the dialling vm from its `hello` frame; returns an empty string if the first bytes are no such frame. */
+const readDiallingVm = (bytes: Buffer): string => {
 	const split = splitFrames(bytes);
 	const hello = split.ok ? split.val.frames[0] : undefined;
 	return hello?.[0] === 'hello' ? hello[3] : '';
 };
 
-/** Creates the links, none of them cut. */
+/** Creates links without any partition. */
 export const createPeerLinks = (world: World): PeerLinks => {
-	let isCut: (from: string, to: string) => boolean = () => false;
+	let isPartitioned: (from: string, to: string) => boolean = () => false;
 	const changed = createNotifier(world);
 
-	const pump = async (source: Socket, target: Socket, isOpen: () => boolean) => {
+	const forwardData = async (source: Socket, target: Socket, canForward: () => boolean) => {
 		for await (const chunk of source) {
-			await changed.waitUntil(isOpen, NEVER);
+			await changed.waitUntil(canForward, NEVER);
 			if (!target.write(chunk as Buffer)) {
 				await new Promise(resolve => {
 					target.once('drain', resolve);
@@ -39,7 +39,7 @@
 		target.end();
 	};
 
-	const relay = async (vm: string, socket: Socket, peerPort: number) => {
+	const relayConnection = async (vm: string, socket: Socket, peerPort: number) => {
 		const target = createConnection(peerPort, '127.0.0.1');
 		const destroy = () => {
 			socket.destroy();
@@ -59,16 +59,16 @@
 			});
 		});
 		socket.pause();
-		const dialler = readDialler(first);
-		const isOpen = () => socket.destroyed || !(isCut(dialler, vm) || isCut(vm, dialler));
-		await changed.waitUntil(isOpen, NEVER);
+		const diallingVm = readDiallingVm(first);
+		const canForward = () => socket.destroyed || !(isPartitioned(diallingVm, vm) || isPartitioned(vm, diallingVm));
+		await changed.waitUntil(canForward, NEVER);
 		target.write(first);
-		await Promise.allSettled([pump(socket, target, isOpen), pump(target, socket, isOpen)]);
+		await Promise.allSettled([forwardData(socket, target, canForward), forwardData(target, socket, canForward)]);
 	};
 
 	return {
-		setPartition(next) {
-			isCut = next;
+		setPartition(isPartitionedNow) {
+			isPartitioned = isPartitionedNow;
 			changed.notify();
 		},
 		async openRelay(vm, peerPort, relayPort) {
@@ -79,7 +79,7 @@
 					sockets.delete(socket);
 					changed.notify();
 				});
-				void relay(vm, socket, peerPort);
+				void relayConnection(vm, socket, peerPort);
 			});
 			await new Promise<void>(resolve => {
 				server.listen(relayPort, '127.0.0.1', resolve);
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -1,4 +1,4 @@
-/** Starts a whole fleet with its stand-ins as separate processes on loopback; a development script, not part of the product. */
+/** Starts a whole fleet with stand-ins for its platform and targets, as separate processes on loopback. For development and tests only. */
 
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, readdirSync, readFileSync} from 'node:fs';
@@ -19,35 +19,38 @@
 import {parseEvents} from '@guavapitch/timeline';
 import {createPeerLinks, type PeerLinks} from './relays.js';
 
-/** One child process. */
+/** A child process that runs a program of the project. */
 export type ChildProgram = Readonly<{
 	name: string;
 	process: ChildProcess;
-	/** Waits until it has ended. */
+	/** Resolves when the process has exited. */
 	exited: Promise<void>;
 }>;
 
-/** A proxy of the stack. */
+/** A proxy process of the stack. */
 export type StackProxy = ChildProgram & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
 
-/** A target of the stack. */
+/** A target process of the stack. */
 export type StackTarget = ChildProgram & Readonly<{port: number; database: string}>;
 
-/** What to start. */
+/** Options of a stack. */
 export type StackOptions = Readonly<{
 	inventory: Inventory;
 	/** Proxies in each data centre. */
 	proxiesPerDataCentre: number;
+	/** Time to open a connection to a target, in milliseconds. */
 	connectMs: number;
+	/** Time that a statement occupies a slot of a target, in milliseconds. */
 	statementMs: number;
+	/** Delay of replay on the replicas, in milliseconds. */
 	lagMs: number;
-	/** Further flags of every proxy. */
+	/** Additional command-line flags of every proxy. */
 	extraProxyFlags?: readonly string[];
-	/** Puts relays between the proxies, so that they can be cut off from each other. */
+	/** Connects the proxies through relays, so that they can be partitioned from each other. */
 	usesRelays?: boolean;
-	/** Records every byte that targets receive. */
+	/** Records all bytes that targets receive. */
 	recordsTraffic?: boolean;
-	/** Keys with which this script asks the proxies. */
+	/** TLS certificate and key with which this process calls the proxies. */
 	peerTls?: PeerTls;
 }>;
 
@@ -60,39 +63,43 @@
 	platformPort: number;
 	proxies: Map<string, StackProxy>;
 	targets: Map<string, StackTarget>;
-	/** Secret of the key of each customer. */
+	/** Secret of each customer's key, by customer. */
 	secrets: ReadonlyMap<string, string>;
 	links: PeerLinks;
 	logFolder: string;
+	/** Starts a proxy, or restarts one of the same name on its former ports. */
 	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
-	startTarget: (name: string, follow: string | undefined) => Promise<StackTarget>;
-	/** Changes the configuration in force. */
-	changeConfiguration: (edit: (inventory: Inventory) => Inventory) => Promise<number>;
+	/** Starts or restarts a target: as a primary without an upstream, otherwise as a replica of it. With an empty string, the replica starts without a reachable upstream. */
+	startTarget: (name: string, upstream: string | undefined) => Promise<StackTarget>;
+	/** Changes the active configuration; returns the new revision. */
+	changeConfiguration: (update: (inventory: Inventory) => Inventory) => Promise<number>;
+	/** Withdraws a customer's key; returns the new revision of the configuration. */
 	withdrawKey: (keyId: string) => Promise<number>;
+	/** Returns the status of every proxy that responds. */
 	getStatuses: () => Promise<readonly ProxyStatus[]>;
-	/** Waits until every proxy serves and every database has a full synced set. */
+	/** Waits until every proxy serves and regards all members as alive, and all replicas of every database are synced; throws after 30 s. */
 	waitUntilReady: () => Promise<void>;
-	/** Reads the events of all processes. */
+	/** Reads the events in the log files of all proxies. */
 	readEvents: () => readonly EventRecord[];
-	/** Reads what the targets received, if it is recorded. */
+	/** Returns the bytes that the targets received as Latin-1 text; empty unless `recordsTraffic` is set. */
 	readReceivedTraffic: () => string;
 }>;
 
-type Relay = Readonly<{port: number; owner: AsyncDisposable}>;
+type Relay = Readonly<{port: number; server: AsyncDisposable}>;
 
 const READY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
 const STORE_TIMEOUT_MS = 2000;
 const require = createRequire(import.meta.url);
 
-const getProgram = (name: string): string => path.join(path.dirname(require.resolve(`@guavapitch/${name}`)), 'main.js');
+const getProgramPath = (name: string): string => path.join(path.dirname(require.resolve(`@guavapitch/${name}`)), 'main.js');
 
 const FIRST_PORT = 10_000;
 const PORT_RANGE = 20_000;
 const PORT_STEP = 97;
 let lastPort = FIRST_PORT + ((process.pid * PORT_STEP) % PORT_RANGE);
 
-const isFree = async (port: number): Promise<boolean> => new Promise(resolve => {
+const isPortFree = async (port: number): Promise<boolean> => new Promise(resolve => {
 	const server = createServer();
 	server.once('error', () => {
 		resolve(false);
@@ -104,31 +111,31 @@
 	});
 });
 
-/** Finds a port that is free now, below those that clients are given, and never the same one twice. */
+/** Finds a free port below the range of ephemeral ports. Does not return the same port again before all others of its range. */
 export const findFreePort = async (): Promise<number> => {
 	while (true) {
 		lastPort = FIRST_PORT + ((lastPort + 1 - FIRST_PORT) % PORT_RANGE);
 		const port = lastPort;
-		if (await isFree(port)) {
+		if (await isPortFree(port)) {
 			return port;
 		}
 	}
 };
 
-const running = new Set<ChildProcess>();
+const runningChildren = new Set<ChildProcess>();
 process.on('exit', () => {
-	for (const child of running) {
+	for (const child of runningChildren) {
 		child.kill('SIGKILL');
 	}
 });
 
-/** Starts one program of the project; it ends with this process at the latest. */
+/** Starts a program of the project as a child process, which is killed when this process exits. */
 export const startChild = (name: string, program: string, args: readonly string[], flags: readonly string[] = []): ChildProgram => {
-	const child = spawn(process.execPath, [...flags, getProgram(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
-	running.add(child);
+	const child = spawn(process.execPath, [...flags, getProgramPath(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
+	runningChildren.add(child);
 	const ended = new Promise<void>(resolve => {
 		child.once('exit', () => {
-			running.delete(child);
+			runningChildren.delete(child);
 			resolve();
 		});
 	});
@@ -143,9 +150,9 @@
 
 const readLog = (file: string): readonly EventRecord[] => parseEvents(readFileSync(file, 'utf8')).unwrap();
 
-/** Starts a stack and waits until it serves; if it does not, everything is stopped. */
-export const startStack = async (plan: StackOptions): Promise<Stack> => {
-	const stack = await launchStack(plan);
+/** Starts a stack and waits until it serves; if that fails, stops all its processes and throws. */
+export const startStack = async (options: StackOptions): Promise<Stack> => {
+	const stack = await launchStack(options);
 	try {
 		await stack.start();
 		return stack;
@@ -155,56 +162,56 @@
 	}
 };
 
-const launchStack = async (plan: StackOptions): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
+const launchStack = async (options: StackOptions): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
 	const world = createWorld();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
-	const recordFolder = plan.recordsTraffic === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
+	const trafficFolder = options.recordsTraffic === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
 	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
-	const fleet = openFleetClient(world, plan.peerTls);
+	const fleet = openFleetClient(world, options.peerTls);
 	const proxies = new Map<string, StackProxy>();
 	const targets = new Map<string, StackTarget>();
 	const secrets = new Map<string, string>();
 	const links = createPeerLinks(world);
 	const relays = new Map<string, Relay>();
 
-	const waitFor = async (what: string, isReady: () => Promise<boolean>) => {
-		const giveUpAt = world.now() + READY_TIMEOUT_MS;
+	const waitFor = async (description: string, isReady: () => Promise<boolean>) => {
+		const deadlineMs = world.now() + READY_TIMEOUT_MS;
 		while (!await isReady()) {
-			if (world.now() > giveUpAt) {
-				throw new Error(`Not ready in time: ${what}`);
+			if (world.now() > deadlineMs) {
+				throw new Error(`Not ready in time: ${description}`);
 			}
 
 			await world.sleep(POLL_MS);
 		}
 	};
 
-	const findSettings = (name: string) => {
-		for (const [database, settings] of Object.entries(plan.inventory.databases)) {
+	const findTargetSettings = (name: string) => {
+		for (const [database, settings] of Object.entries(options.inventory.databases)) {
 			const target = settings.targets.find(one => one.name === name);
 			if (target) {
 				return {database, target};
 			}
 		}
 
-		throw new Error(`There is no target ${name}`);
+		throw new Error(`The inventory has no target ${name}`);
 	};
 
 	let stopped = false;
-	const requireRunning = () => {
+	const assertNotStopped = () => {
 		if (stopped) {
 			throw new Error('The stack has been stopped');
 		}
 	};
 
 	const ports = new Map<string, number>();
-	const startTarget = async (name: string, follow: string | undefined): Promise<StackTarget> => {
-		const {database, target} = findSettings(name);
+	const startTarget = async (name: string, upstream: string | undefined): Promise<StackTarget> => {
+		const {database, target} = findTargetSettings(name);
 		const port = ports.get(name) ?? await findFreePort();
 		ports.set(name, port);
-		requireRunning();
-		const upstream = follow === undefined ? [] : ['--follow', follow === '' ? '127.0.0.1:1' : `127.0.0.1:${ports.get(follow)}`];
+		assertNotStopped();
+		const upstreamFlags = upstream === undefined ? [] : ['--follow', upstream === '' ? '127.0.0.1:1' : `127.0.0.1:${ports.get(upstream)}`];
 		const child = startChild(name, 'standin', [
 			'database',
 			'--name',
@@ -216,45 +223,45 @@
 			'--connections',
 			String(target.connections),
 			'--connect-ms',
-			String(plan.connectMs),
+			String(options.connectMs),
 			'--statement-ms',
-			String(plan.statementMs),
+			String(options.statementMs),
 			'--lag-ms',
-			String(plan.lagMs),
-			...(recordFolder === undefined ? [] : ['--record', path.join(recordFolder, name)]),
-			...upstream,
+			String(options.lagMs),
+			...(trafficFolder === undefined ? [] : ['--record', path.join(trafficFolder, name)]),
+			...upstreamFlags,
 		]);
 		const started = {...child, port, database};
 		targets.set(name, started);
 		return started;
 	};
 
-	/** Gets the port at which peers reach a vm. */
-	const getOuterPort = async (vm: string, peerPort: number): Promise<number> => {
-		const known = relays.get(vm);
-		if (known) {
-			return known.port;
+	/** Returns the port at which peers connect to a vm: that of its relay, if it has one. */
+	const getAdvertisedPeerPort = async (vm: string, peerPort: number): Promise<number> => {
+		const existing = relays.get(vm);
+		if (existing) {
+			return existing.port;
 		}
 
-		if (plan.usesRelays !== true) {
+		if (options.usesRelays !== true) {
 			return peerPort;
 		}
 
 		const port = await findFreePort();
-		relays.set(vm, {port, owner: await links.openRelay(vm, peerPort, port)});
+		relays.set(vm, {port, server: await links.openRelay(vm, peerPort, port)});
 		return port;
 	};
 
 	const startProxy = async (vm: string, dataCentre: string): Promise<StackProxy> => {
-		const known = proxies.get(vm);
-		const port = known?.port ?? await findFreePort();
-		const peerPort = known?.peerPort ?? await findFreePort();
-		const listed = {
-			vm, dataCentre, host: '127.0.0.1', port: await getOuterPort(vm, peerPort), state: 'live',
+		const existing = proxies.get(vm);
+		const port = existing?.port ?? await findFreePort();
+		const peerPort = existing?.peerPort ?? await findFreePort();
+		const vmDocument = {
+			vm, dataCentre, host: '127.0.0.1', port: await getAdvertisedPeerPort(vm, peerPort), state: 'live',
 		};
 		const current = await store.read(`/platform/vms/${vm}`);
-		await store.compareAndSwap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(listed));
-		requireRunning();
+		await store.compareAndSwap(`/platform/vms/${vm}`, current.ok ? current.val?.revision ?? 0 : 0, JSON.stringify(vmDocument));
+		assertNotStopped();
 		const child = startChild(vm, 'proxy', [
 			'--vm',
 			vm,
@@ -268,7 +275,7 @@
 			`127.0.0.1:${platformPort}`,
 			'--log-file',
 			path.join(logFolder, `${vm}-${world.createId()}.log`),
-			...plan.extraProxyFlags ?? [],
+			...options.extraProxyFlags ?? [],
 		]);
 		const started = {
 			...child, vm, dataCentre, port, peerPort,
@@ -282,14 +289,14 @@
 		return statuses.filter(status => status.ok).map(status => status.unwrap());
 	};
 
-	const change = async (edit: (inventory: Inventory) => Inventory): Promise<number> => {
+	const updateConfiguration = async (update: (inventory: Inventory) => Inventory): Promise<number> => {
 		const current = (await readConfiguration(store)).unwrap();
-		const inventory = edit(current.document?.inventory ?? plan.inventory);
+		const inventory = update(current.document?.inventory ?? options.inventory);
 		return (await changeConfiguration(store, world, {expectedRevision: current.revision, author: 'stack', inventory})).unwrap();
 	};
 
 	const isDatabaseReady = (statuses: readonly ProxyStatus[], name: string): boolean => {
-		const count = plan.inventory.databases[name]?.targets.length ?? 0;
+		const count = options.inventory.databases[name]?.targets.length ?? 0;
 		return statuses.some(status => status.groups.some(({record}) => record.database === name && record.synced.length === count - 1));
 	};
 
@@ -298,12 +305,12 @@
 			const statuses = await getStatuses();
 			return statuses.length === proxies.size
 				&& statuses.every(status => status.revision > 0 && status.members.every(member => member.status === 'alive'))
-				&& Object.keys(plan.inventory.databases).every(name => isDatabaseReady(statuses, name));
+				&& Object.keys(options.inventory.databases).every(name => isDatabaseReady(statuses, name));
 		});
 	};
 
 	const startTargets = async () => {
-		for (const database of Object.values(plan.inventory.databases)) {
+		for (const database of Object.values(options.inventory.databases)) {
 			const [first, ...others] = database.targets;
 			if (first) {
 				await startTarget(first.name, undefined);
@@ -314,7 +321,7 @@
 		}
 	};
 
-	const withAddresses = (inventory: Inventory): Inventory => ({
+	const addAddresses = (inventory: Inventory): Inventory => ({
 		...inventory,
 		databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, database]) => [name, {
 			...database,
@@ -336,10 +343,10 @@
 	const start = async () => {
 		await waitFor('platform', async () => (await store.read('/')).ok);
 		await startTargets();
-		const inventory = addKeys(withAddresses(plan.inventory));
-		await change(() => inventory);
+		const inventory = addKeys(addAddresses(options.inventory));
+		await updateConfiguration(() => inventory);
 		for (const dataCentre of inventory.dataCentres) {
-			for (let number = 1; number <= plan.proxiesPerDataCentre; number++) {
+			for (let number = 1; number <= options.proxiesPerDataCentre; number++) {
 				await startProxy(`${dataCentre}-${number}`, dataCentre);
 			}
 		}
@@ -349,7 +356,7 @@
 
 	return {
 		start,
-		inventory: plan.inventory,
+		inventory: options.inventory,
 		store,
 		fleet,
 		platform,
@@ -361,18 +368,18 @@
 		logFolder,
 		startProxy,
 		startTarget,
-		changeConfiguration: change,
-		withdrawKey: async keyId => change(current => withdrawKey(current, keyId).unwrap()),
+		changeConfiguration: updateConfiguration,
+		withdrawKey: async keyId => updateConfiguration(current => withdrawKey(current, keyId).unwrap()),
 		getStatuses,
 		waitUntilReady,
-		readReceivedTraffic: () => recordFolder === undefined ? '' : readdirSync(recordFolder).map(file => readFileSync(path.join(recordFolder, file), 'latin1')).join('\n'),
+		readReceivedTraffic: () => trafficFolder === undefined ? '' : readdirSync(trafficFolder).map(file => readFileSync(path.join(trafficFolder, file), 'latin1')).join('\n'),
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
 			stopped = true;
 			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await Promise.all([...targets.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await stopChild(platform, 'SIGKILL');
-			await Promise.all([...relays.values()].map(async relay => relay.owner[Symbol.asyncDispose]()));
+			await Promise.all([...relays.values()].map(async relay => relay.server[Symbol.asyncDispose]()));
 			await fleet[Symbol.asyncDispose]();
 			await store[Symbol.asyncDispose]();
 		},
--- a/packages/bench/src/tests/end-to-end.test.ts
+++ b/packages/bench/src/tests/end-to-end.test.ts
@@ -1,4 +1,4 @@
-/** The whole path with separate processes: a stock client, a proxy, a home and a target. */
+/** End-to-end tests with separate processes: an unmodified client, the entry, the database owner and a target. */
 
 import assert from 'node:assert/strict';
 import {createConnection} from 'node:net';
@@ -12,10 +12,10 @@
 import {startStack, type Stack} from '../stack.js';
 import {connectToProxy, readResidentBytes, runProgram} from './helpers.js';
 
-describe('whole path', () => {
+describe('end to end', () => {
 	let stack: Stack;
 
-	const connect = async (vm: number, options: Readonly<Record<string, unknown>> = {}) => connectToProxy(stack, vm, options);
+	const connect = async (proxyIndex: number, options: Readonly<Record<string, unknown>> = {}) => connectToProxy(stack, proxyIndex, options);
 
 	before(async () => {
 		stack = await startStack({
@@ -55,7 +55,7 @@
 			assert.equal(found.rowCount, 0);
 		});
 
-		it('streams a large result whole', async () => {
+		it('streams a large result completely', async () => {
 			const client = await connect(2);
 			const found = await client.query<{generate_series: number}>('SELECT * FROM generate_series(1, 50000)');
 			await client.end();
@@ -65,16 +65,16 @@
 	});
 
 	describe('slow callers', () => {
-		const ROWS = 96;
+		const ROW_COUNT = 96;
 		const ROW_BYTES = 1024 * 1024;
 
-		it('do not fill the memory of the proxies, hold nobody up, and get their answer whole', async () => {
+		it('do not fill the memory of the proxies, do not delay other callers, and receive their complete result', async () => {
 			const client = await connect(0);
 			const other = await connect(0);
 			const pids = [...stack.proxies.values()].map(proxy => proxy.process.pid ?? 0);
 			const before = pids.map(pid => readResidentBytes(pid));
 			const {stream} = (client as unknown as Readonly<{connection: Readonly<{stream: Readonly<{pause: () => void; resume: () => void}>}>}>).connection;
-			const answer = client.query<{body: string}>(`SELECT repeat('x', ${ROW_BYTES}) AS body FROM generate_series(1, ${ROWS})`);
+			const response = client.query<{body: string}>(`SELECT repeat('x', ${ROW_BYTES}) AS body FROM generate_series(1, ${ROW_COUNT})`);
 			await wait(20);
 			stream.pause();
 			await wait(1500);
@@ -82,19 +82,19 @@
 			const found = await other.query('SELECT 1 AS one');
 			assert.equal(found.rowCount, 1);
 			stream.resume();
-			const {rows} = await answer;
-			assert.equal(rows.reduce((sum, row) => sum + row.body.length, 0), ROWS * ROW_BYTES);
+			const {rows} = await response;
+			assert.equal(rows.reduce((sum, row) => sum + row.body.length, 0), ROW_COUNT * ROW_BYTES);
 			await Promise.all([client.end(), other.end()]);
 			for (const [index, bytes] of after.entries()) {
-				const grown = bytes - (before[index] ?? 0);
-				assert.ok(grown < ROWS * ROW_BYTES / 2, `a proxy grew by ${grown} bytes`);
+				const growth = bytes - (before[index] ?? 0);
+				assert.ok(growth < ROW_COUNT * ROW_BYTES / 2, `the resident memory of a proxy grew by ${growth} bytes`);
 			}
 		});
 	});
 
 	describe('sessions', () => {
-		it('reads its own writes through every proxy', async () => {
-			const clients = await Promise.all([0, 1, 2, 3].map(async vm => connect(vm)));
+		it('read their own writes through every proxy', async () => {
+			const clients = await Promise.all([0, 1, 2, 3].map(async proxyIndex => connect(proxyIndex)));
 			for (let id = 100; id < 130; id++) {
 				await clients[0]?.query('INSERT INTO motions VALUES ($1, $2)', [id, 'own']);
 				for (const client of clients) {
@@ -116,7 +116,7 @@
 			await assert.rejects(connect(0, {database: 'nowhere'}), {code: '3D000'});
 		});
 
-		it('refuses COPY and session state as not run', async () => {
+		it('refuses COPY and session settings as not run', async () => {
 			const client = await connect(0);
 			await assert.rejects(client.query('COPY motions FROM STDIN'), {code: '0A000', message: /^not run/v});
 			await assert.rejects(client.query('SET work_mem = 1'), {code: '0A000', message: /^not run/v});
@@ -127,7 +127,7 @@
 	});
 
 	describe('load', () => {
-		it('runs to its end against several proxies and prints what it found', async () => {
+		it('completes against several proxies and prints its results', async () => {
 			const targets = [...stack.proxies.values()].flatMap(({port}) => ['--target', `127.0.0.1:${port}`]);
 			const login = ['--key', 'klub-brno-key', '--secret', stack.secrets.get('klub-brno') ?? '', '--service', 'motions'];
 			const {stdout, exitCode} = await runProgram('load', ['run', ...targets, ...login, '--per-second', '50', '--duration-ms', '1000']);
@@ -136,8 +136,8 @@
 		});
 	});
 
-	describe('desk', () => {
-		it('explains a refused request by the identifier in its error, from the events of the running proxies', async () => {
+	describe('event queries', () => {
+		it('explain a refused request by the request identifier in its error, from the events of the running proxies', async () => {
 			const client = await connect(1);
 			const error = await client.query('LISTEN news').then(() => undefined, (error_: unknown) => error_ as Readonly<{detail?: string}>);
 			await client.end();
@@ -151,7 +151,7 @@
 	});
 
 	describe('cancel', () => {
-		it('cancels a running statement through another vm\'s home', async () => {
+		it('cancels a running statement through a database owner on another vm', async () => {
 			const client = await connect(0);
 			const sleeping = assert.rejects(client.query('SELECT pg_sleep(20)'), {code: '57014'});
 			await new Promise(resolve => {
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -1,4 +1,4 @@
-/** The fleet acting together: withdrawals, coming and going, and what never leaks. */
+/** Tests of a whole fleet: withdrawn keys, secrets that must not leak, malformed input, rolling restarts and leaving targets. */
 
 import assert from 'node:assert/strict';
 import {
@@ -14,17 +14,17 @@
 import {startStack, type Stack, type StackProxy} from '../stack.js';
 import {connectCustomer} from '../workload.js';
 
-const WITHIN_MS = 3000;
+const PROPAGATION_TIMEOUT_MS = 3000;
 
 describe('fleet', () => {
 	let stack: Stack;
 
 	const getProxies = (): readonly StackProxy[] => [...stack.proxies.values()];
 
-	const waitFor = async (what: string, test: () => Promise<boolean>, timeoutMs = 15_000) => {
-		const giveUpAt = Date.now() + timeoutMs;
+	const waitFor = async (description: string, test: () => Promise<boolean>, timeoutMs = 15_000) => {
+		const deadlineMs = Date.now() + timeoutMs;
 		while (!await test()) {
-			assert.ok(Date.now() < giveUpAt, `not in time: ${what}`);
+			assert.ok(Date.now() < deadlineMs, `timed out waiting for ${description}`);
 			await wait(20);
 		}
 	};
@@ -50,7 +50,7 @@
 	});
 
 	describe('keys', () => {
-		it('stop working within seconds, on open connections too', async () => {
+		it('stop working within seconds of their withdrawal, also on open connections', async () => {
 			const clients = await Promise.all(getProxies().map(async proxy => connectCustomer(stack, proxy, 'klub-vyskov', 'motions')));
 			const ended = Promise.all(clients.map(async client => new Promise<void>(resolve => {
 				client.once('end', resolve);
@@ -58,13 +58,13 @@
 			const startedAt = Date.now();
 			await stack.withdrawKey('klub-vyskov-key');
 			await ended;
-			assert.ok(Date.now() - startedAt < WITHIN_MS);
+			assert.ok(Date.now() - startedAt < PROPAGATION_TIMEOUT_MS);
 			for (const proxy of getProxies()) {
 				await assert.rejects(connectCustomer(stack, proxy, 'klub-vyskov', 'motions'), {code: '28P01'});
 			}
 		});
 
-		it('appear in no event, no metric, no status, and in nothing that a database receives', async () => {
+		it('appear in no event, metric or status, nor in anything that a database receives', async () => {
 			const [proxy] = getProxies();
 			assert.ok(proxy);
 			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
@@ -77,13 +77,13 @@
 			assert.ok(verifiers.length > 0);
 			const outputs = [JSON.stringify(stack.readEvents()), JSON.stringify(await stack.getStatuses()), received];
 			for (const derived of [...stack.secrets.values(), ...verifiers, '-key']) {
-				assert.ok(outputs.every(text => !text.includes(derived)), 'a key, or something derived from one, got out');
+				assert.ok(outputs.every(text => !text.includes(derived)), 'a key or a value derived from one leaked');
 			}
 		});
 	});
 
-	describe('garbage', () => {
-		it('on the callers\' and the peers\' ports disturbs nobody', async () => {
+	describe('malformed input', () => {
+		it('on the ports for callers and peers does not disturb other callers', async () => {
 			const random = createRandom(5);
 			const [proxy] = getProxies();
 			assert.ok(proxy);
@@ -109,9 +109,9 @@
 		});
 	});
 
-	describe('coming and going', () => {
-		/** Lodges until told to stop; a session that the proxy closes between requests connects again. */
-		const lodge = (session: string, state: Readonly<{running: () => boolean}>) => {
+	describe('restarting proxies and removing targets', () => {
+		/** Inserts rows while `state.running` returns true; reconnects if the proxy closes the session between requests. */
+		const insertRows = (session: string, state: Readonly<{running: () => boolean}>) => {
 			const done: string[] = [];
 			const failures: string[] = [];
 			const run = async () => {
@@ -132,7 +132,7 @@
 						done.push(id);
 					} catch (error) {
 						const {code, message} = error as Readonly<{code?: string; message: string}>;
-						// The stock client refuses to send on a connection that the proxy closed between two requests.
+						// The unmodified client refuses to send on a connection that the proxy closed between two requests.
 						if (code !== '57P01' && !message.endsWith('is not queryable')) {
 							failures.push(`${id}: ${code} ${message}`);
 						}
@@ -151,7 +151,7 @@
 
 		it('replaces every proxy under load without cutting a request', async () => {
 			let running = true;
-			const sessions = Array.from({length: 6}, (_, index) => lodge(`roll${index}`, {running: () => running}));
+			const sessions = Array.from({length: 6}, (_, index) => insertRows(`roll${index}`, {running: () => running}));
 			await wait(300);
 			for (const proxy of getProxies()) {
 				proxy.process.kill('SIGTERM');
@@ -170,11 +170,11 @@
 			const found = await client.query<{id: string}>('SELECT id FROM lodged');
 			await client.end();
 			const ids = new Set(found.rows.map(row => row.id));
-			assert.equal(ids.size, found.rows.length, 'a write was doubled');
+			assert.equal(ids.size, found.rows.length, 'a write was applied twice');
 			assert.deepEqual(sessions.flatMap(session => session.done).filter(id => !ids.has(id)), []);
 		});
 
-		it('gives a leaving target no new work, and moves the primary off it', async () => {
+		it('gives a leaving target no new requests and moves the primary to another target', async () => {
 			const [database] = Object.keys(stack.inventory.databases);
 			const findPrimary = async () => {
 				const views = (await stack.getStatuses()).flatMap(status => status.groups).toSorted((a, b) => b.revision - a.revision);
@@ -182,8 +182,8 @@
 			};
 
 			const leaving = await findPrimary();
-			let busy = true;
-			const busySessions = Array.from({length: 6}, (_, index) => lodge(`planned${index}`, {running: () => busy}));
+			let isLoadRunning = true;
+			const loadSessions = Array.from({length: 6}, (_, index) => insertRows(`planned${index}`, {running: () => isLoadRunning}));
 			await wait(300);
 			await stack.changeConfiguration(inventory => ({
 				...inventory,
@@ -193,13 +193,13 @@
 					}
 					: one])),
 			}));
-			await waitFor('another primary', async () => await findPrimary() !== leaving, WITHIN_MS);
+			await waitFor('another primary', async () => await findPrimary() !== leaving, PROPAGATION_TIMEOUT_MS);
 			await wait(300);
-			busy = false;
-			await Promise.all(busySessions.map(async one => one.running));
-			assert.deepEqual(busySessions.flatMap(one => one.failures), [], 'a planned change of primary failed requests');
+			isLoadRunning = false;
+			await Promise.all(loadSessions.map(async one => one.running));
+			assert.deepEqual(loadSessions.flatMap(one => one.failures), [], 'requests failed during a planned change of primary');
 			let running = true;
-			const session = lodge('leaving', {running: () => running});
+			const session = insertRows('leaving', {running: () => running});
 			await wait(1000);
 			running = false;
 			await session.running;
--- a/packages/bench/src/tests/helpers.ts
+++ b/packages/bench/src/tests/helpers.ts
@@ -1,4 +1,4 @@
-/** What several tests of the whole path need. */
+/** Helpers shared by the end-to-end tests. */
 
 import {execFile} from 'node:child_process';
 import {readFileSync} from 'node:fs';
@@ -7,11 +7,11 @@
 import pg from 'pg';
 import type {Stack} from '../stack.js';
 
-const KIB = 1024;
+const BYTES_PER_KIBIBYTE = 1024;
 
-/** Connects a stock client of one customer to the proxy at a place in the list. */
-export const connectToProxy = async (stack: Stack, place: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
-	const proxy = [...stack.proxies.values()][place];
+/** Connects an unmodified client to the proxy with the given index, with the key of customer `klub-brno`. */
+export const connectToProxy = async (stack: Stack, proxyIndex: number, options: Readonly<Record<string, unknown>> = {}): Promise<pg.Client> => {
+	const proxy = [...stack.proxies.values()][proxyIndex];
 	const client = new pg.Client({
 		host: '127.0.0.1', port: proxy?.port, user: 'klub-brno-key', password: stack.secrets.get('klub-brno'), database: 'motions', ...options,
 	});
@@ -20,10 +20,10 @@
 	return client;
 };
 
-/** What a program printed, and how it ended. */
+/** Output and exit code of a program. */
 export type ProgramResult = Readonly<{stdout: string; stderr: string; exitCode: number}>;
 
-/** Runs a program of the project to its end. */
+/** Runs a program of the project until it exits. */
 export const runProgram = async (name: string, args: readonly string[]): Promise<ProgramResult> => {
 	const program = createRequire(import.meta.url).resolve(`@guavapitch/${name}`).replace(/index\.js$/v, 'main.js');
 	return new Promise(resolve => {
@@ -33,8 +33,8 @@
 	});
 };
 
-/** Reads how much memory a process holds, in bytes. */
+/** Reads the resident memory of a process, in bytes. */
 export const readResidentBytes = (pid: number): number => {
 	const found = /^VmRSS:\s+(?<kib>\d+) kB$/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
-	return Number(found?.groups?.kib) * KIB;
+	return Number(found?.groups?.kib) * BYTES_PER_KIBIBYTE;
 };
--- a/packages/bench/src/tests/known-red.test.ts
+++ b/packages/bench/src/tests/known-red.test.ts
@@ -1,4 +1,4 @@
-/** Which failures the listed ones excuse. */
+/** Guards CI: a run may fail only in tests that are listed as known failures. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -25,21 +25,21 @@
 `;
 const LISTED = '# comment with "starts"\nfleet "replaces every proxy" (npm test): seen once. Issue 9.\n';
 
-describe('known red', () => {
+describe('known failures', () => {
 	describe('findFailures', () => {
-		it('names innermost tests, not their suites', () => {
+		it('returns the failed tests without their suites', () => {
 			assert.deepEqual(findFailures(OUTPUT), [['fleet', 'replaces every proxy']]);
 		});
 	});
 
-	describe('judgeTests', () => {
-		it('passes over just what is listed', () => {
+	describe('evaluateTestRun', () => {
+		it('accepts only failures that are listed', () => {
 			assert.deepEqual(evaluateTestRun(1, OUTPUT, LISTED), {passes: true, known: ['fleet > replaces every proxy'], unknown: []});
 			assert.equal(evaluateTestRun(1, OUTPUT, '# comment with "replaces every proxy"').passes, false);
 			assert.equal(evaluateTestRun(1, OUTPUT.replace('ok 2 - starts', 'not ok 2 - starts'), LISTED).passes, false);
 		});
 
-		it('fails when the tests were not reached', () => {
+		it('rejects a failed run that did not reach the tests', () => {
 			assert.equal(evaluateTestRun(1, 'error TS2304: Cannot find name', LISTED).passes, false);
 			assert.equal(evaluateTestRun(0, '', LISTED).passes, true);
 		});
--- a/packages/bench/src/tests/quotas.test.ts
+++ b/packages/bench/src/tests/quotas.test.ts
@@ -1,4 +1,4 @@
-/** A customer that floods every proxy gets its rate and burst, and no more, also while its keeper changes. */
+/** A customer that floods every proxy is admitted its rate and burst and no more, also while its quota allocator changes. */
 
 import assert from 'node:assert/strict';
 import {
@@ -11,26 +11,26 @@
 import {startStack, type Stack, type StackProxy} from '../stack.js';
 import {connectCustomer} from '../workload.js';
 
-const SHARE = {rate: 60, burst: 40};
+const QUOTA = {rate: 60, burst: 40};
 const CUSTOMER = 'klub-brno';
-const LOOPS = 4;
+const LOOP_COUNT = 4;
 const FLOOD_MS = 6000;
-const LIMIT_STATE = '53400';
-/** Part of rate × t that must be let through at least: a keeper's death may cost some seconds. */
-const LEAST_PART = 0.3;
+const LIMIT_EXCEEDED_SQLSTATE = '53400';
+/** Minimum fraction of rate × t that must be admitted: replacing a failed quota allocator may take some seconds. */
+const MIN_ADMITTED_FRACTION = 0.3;
 
-describe('shares', () => {
+describe('quotas', () => {
 	let stack: Stack;
 
-	const findKeeper = async (): Promise<StackProxy | undefined> => {
+	const findQuotaAllocator = async (): Promise<StackProxy | undefined> => {
 		const slot = chooseSlot('keeper', stack.inventory.fleet.keeperSlots, CUSTOMER);
 		const entry = (await stack.store.read(`${ROLE_PREFIX}${slot}`)).unwrap();
 		const record = entry ? parseSlotRecord(entry.value).unwrap() : undefined;
 		return stack.proxies.get(record?.holder.vm ?? '');
 	};
 
-	/** Sends without pause through one proxy until told to stop; notes what was, or may have been, let through. */
-	const flood = async (proxy: StackProxy, noted: AdmittedRequest[], isRunning: () => boolean) => {
+	/** Sends requests through one proxy without pause while `isRunning` returns true, and records those that were, or may have been, admitted. */
+	const flood = async (proxy: StackProxy, admitted: AdmittedRequest[], isRunning: () => boolean) => {
 		let client: pg.Client | undefined;
 		while (isRunning()) {
 			client ??= await connectCustomer(stack, proxy, CUSTOMER, 'motions').catch(() => undefined);
@@ -42,10 +42,10 @@
 			const startedAt = Date.now();
 			try {
 				await client.query('SELECT 1 AS one');
-				noted.push({startedAt, endedAt: Date.now()});
+				admitted.push({startedAt, endedAt: Date.now()});
 			} catch (error) {
 				const {code} = error as Readonly<{code?: string}>;
-				client = code === LIMIT_STATE ? client : undefined;
+				client = code === LIMIT_EXCEEDED_SQLSTATE ? client : undefined;
 				await wait(10);
 			}
 		}
@@ -55,7 +55,7 @@
 
 	before(async () => {
 		stack = await startStack({
-			inventory: takeFirstDatabase(readExample('dvorak'), SHARE), proxiesPerDataCentre: 1, connectMs: 2, statementMs: 0, lagMs: 5,
+			inventory: takeFirstDatabase(readExample('dvorak'), QUOTA), proxiesPerDataCentre: 1, connectMs: 2, statementMs: 0, lagMs: 5,
 		});
 	});
 
@@ -64,39 +64,39 @@
 	});
 
 	describe('of a customer that floods every proxy', () => {
-		const runFlood = async (onHalf: () => Promise<void>) => {
-			const noted: AdmittedRequest[] = [];
+		const runFlood = async (onMidpoint: () => Promise<void>) => {
+			const admitted: AdmittedRequest[] = [];
 			let running = true;
-			const loops = [...stack.proxies.values()].flatMap(proxy => Array.from({length: LOOPS}, async () => flood(proxy, noted, () => running)));
+			const loops = [...stack.proxies.values()].flatMap(proxy => Array.from({length: LOOP_COUNT}, async () => flood(proxy, admitted, () => running)));
 			await wait(FLOOD_MS / 2);
-			await onHalf();
+			await onMidpoint();
 			await wait(FLOOD_MS / 2);
 			running = false;
 			await Promise.all(loops);
-			assert.equal(findExcessWindow(noted, SHARE), undefined);
-			assert.ok(noted.length > SHARE.rate * LEAST_PART * FLOOD_MS / 1000, `only ${noted.length} were let through`);
+			assert.equal(findExcessWindow(admitted, QUOTA), undefined);
+			assert.ok(admitted.length > QUOTA.rate * MIN_ADMITTED_FRACTION * FLOOD_MS / 1000, `only ${admitted.length} requests were admitted`);
 		};
 
-		it('are kept exactly', async () => {
+		it('are enforced exactly', async () => {
 			await runFlood(async () => undefined);
 		});
 
-		it('are kept exactly while the keeper is killed', async () => {
+		it('are enforced exactly while the quota allocator is killed', async () => {
 			await runFlood(async () => {
-				const keeper = await findKeeper();
-				assert.ok(keeper);
-				keeper.process.kill('SIGKILL');
-				await keeper.exited;
+				const allocator = await findQuotaAllocator();
+				assert.ok(allocator);
+				allocator.process.kill('SIGKILL');
+				await allocator.exited;
 			});
 		});
 
-		it('are kept exactly while the keeper is paused and wakes up', async () => {
+		it('are enforced exactly while the quota allocator is paused and resumed', async () => {
 			await runFlood(async () => {
-				const keeper = await findKeeper();
-				assert.ok(keeper);
-				keeper.process.kill('SIGSTOP');
+				const allocator = await findQuotaAllocator();
+				assert.ok(allocator);
+				allocator.process.kill('SIGSTOP');
 				await wait(FLOOD_MS / 2);
-				keeper.process.kill('SIGCONT');
+				allocator.process.kill('SIGCONT');
 			});
 		});
 	});
--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -1,4 +1,4 @@
-/** The shape of the code: imports, names, sizes, and the catalogue of events. */
+/** Structure of the code: imports, names, file sizes and the catalogue of events. */
 
 import assert from 'node:assert/strict';
 import {readdirSync, readFileSync} from 'node:fs';
@@ -8,10 +8,10 @@
 import {EVENTS} from '@guavapitch/telemetry';
 
 const ROOT = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', '..', '..');
-const MOST_LINES = 400;
+const MAX_LINES = 400;
 
-/** Rows of the table in docs/DESIGN.md. */
-const ROWS: ReadonlyArray<readonly string[]> = [
+/** Layers of packages, as in the table of docs/DESIGN.md; a package may import only packages of earlier layers. */
+const LAYERS: ReadonlyArray<readonly string[]> = [
 	['core'],
 	['telemetry', 'inventory', 'store', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool', 'feed'],
 	['configuration', 'roles', 'sessions'],
@@ -21,10 +21,10 @@
 	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load', 'emulator'],
 	['bench'],
 ];
-/** Programs may use each other's libraries. */
-const PROGRAM_ROW = 6;
-const DECISIONS: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests', 'emulator'];
-const CODECS: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
+/** Index of the layer of programs, which may also import each other's libraries. */
+const PROGRAM_LAYER = 6;
+const DECISION_PACKAGES: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests', 'emulator'];
+const CODEC_PACKAGES: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
 	.filter(file => file.endsWith('.ts'))
@@ -40,7 +40,7 @@
 	return new Set([...list.matchAll(/`(?<verb>[a-z]+)`/gv)].map(match => match.groups?.verb ?? ''));
 };
 
-/** Names that only the adapter of the users' platform may know. */
+/** Names of the users' platform, which only its adapter may use. */
 const PLATFORM_NAMES = /X-Fencing-Token|X-Lease-Holder|kv-(?:txn|range|watch|lease|keep)|op\/config|GUAVAPITCH_BOOT|target_latency_ms|bounded_staleness|read_your_writes|db_role|tx_idle_ms/v;
 
 const listAdapterSources = (): readonly string[] => readdirSync(path.join(ROOT, 'platform', 'src'))
@@ -49,12 +49,12 @@
 
 describe('structure', () => {
 	describe('the adapter of the platform', () => {
-		it('alone knows the names of the platform', () => {
-			const knowing = listPackages().flatMap(name => listSources(name)).filter(file => PLATFORM_NAMES.test(readFileSync(file, 'utf8')));
-			assert.deepEqual(knowing, []);
+		it('is the only code that uses names of the platform', () => {
+			const offenders = listPackages().flatMap(name => listSources(name)).filter(file => PLATFORM_NAMES.test(readFileSync(file, 'utf8')));
+			assert.deepEqual(offenders, []);
 		});
 
-		it('is imported by nothing, and keeps the rules of files and names', () => {
+		it('is imported by no package, and follows the rules for files and names', () => {
 			const verbs = readVerbs();
 			for (const name of listPackages()) {
 				assert.ok(listSources(name).every(file => !listImports(file).includes('platform-adapter')), name);
@@ -62,7 +62,7 @@
 
 			for (const file of listAdapterSources()) {
 				const text = readFileSync(file, 'utf8');
-				assert.ok(text.split('\n').length <= MOST_LINES, `${file} is too long`);
+				assert.ok(text.split('\n').length <= MAX_LINES, `${file} is too long`);
 				assert.ok(file.endsWith('index.ts') || /^(?:#![^\n]*\n)?\/\*\*/v.test(text), `${file} has no doc comment`);
 				for (const match of text.matchAll(/^export const (?<name>[a-z]\w*) = (?:async )?(?:<[^>]*>)?\(/gmv)) {
 					assert.ok(verbs.has(/^[a-z]+/v.exec(match.groups?.name ?? '')?.[0] ?? ''), `${file}: ${match.groups?.name}`);
@@ -73,9 +73,9 @@
 
 	describe('imports', () => {
 		it('follow the table of docs/DESIGN.md', () => {
-			assert.deepEqual(ROWS.flat().toSorted(), [...listPackages()].toSorted());
-			for (const [row, names] of ROWS.entries()) {
-				const allowed = new Set([...ROWS.slice(0, row).flat(), ...(row === PROGRAM_ROW ? names : [])]);
+			assert.deepEqual(LAYERS.flat().toSorted(), [...listPackages()].toSorted());
+			for (const [layer, names] of LAYERS.entries()) {
+				const allowed = new Set([...LAYERS.slice(0, layer).flat(), ...(layer === PROGRAM_LAYER ? names : [])]);
 				for (const name of names) {
 					for (const file of listSources(name)) {
 						for (const imported of listImports(file)) {
@@ -87,9 +87,9 @@
 		});
 
 		it('keep decisions free of codecs', () => {
-			for (const name of DECISIONS) {
+			for (const name of DECISION_PACKAGES) {
 				const imports = listSources(name).flatMap(file => listImports(file));
-				assert.deepEqual(imports.filter(imported => CODECS.has(imported)), [], name);
+				assert.deepEqual(imports.filter(imported => CODEC_PACKAGES.has(imported)), [], name);
 			}
 		});
 	});
@@ -97,31 +97,31 @@
 	describe('names', () => {
 		it('of exported functions begin with a verb of docs/GLOSSARY.md', () => {
 			const verbs = readVerbs();
-			const strange: string[] = [];
+			const unlisted: string[] = [];
 			for (const file of listPackages().flatMap(name => listSources(name))) {
 				for (const match of readFileSync(file, 'utf8').matchAll(/^export const (?<name>[a-z]\w*) = (?:async )?(?:<[^>]*>)?\(/gmv)) {
 					const name = match.groups?.name ?? '';
 					const verb = /^[a-z]+/v.exec(name)?.[0] ?? '';
 					if (!verbs.has(verb)) {
-						strange.push(name);
+						unlisted.push(name);
 					}
 				}
 			}
 
-			assert.deepEqual(strange, []);
+			assert.deepEqual(unlisted, []);
 		});
 	});
 
 	describe('files', () => {
-		it(`have at most ${MOST_LINES} lines and begin with a doc comment`, () => {
+		it(`have at most ${MAX_LINES} lines and begin with a doc comment`, () => {
 			for (const file of listPackages().flatMap(name => listSources(name))) {
 				const text = readFileSync(file, 'utf8');
-				assert.ok(text.split('\n').length <= MOST_LINES, `${file} is too long`);
+				assert.ok(text.split('\n').length <= MAX_LINES, `${file} is too long`);
 				assert.ok(file.endsWith('index.ts') || /^(?:#![^\n]*\n)?\/\*\*/v.test(text), `${file} has no doc comment`);
 			}
 		});
 
-		it('named index only re-export', () => {
+		it('named index contain only re-exports', () => {
 			const reExport = /^export (?:type )?\* from '.+';$/v;
 			for (const name of listPackages()) {
 				const text = readFileSync(path.join(ROOT, 'packages', name, 'src', 'index.ts'), 'utf8');
@@ -131,7 +131,7 @@
 	});
 
 	describe('events', () => {
-		it('stand in docs/EVENTS.md, each number once', () => {
+		it('are listed in docs/EVENTS.md, each number once', () => {
 			const page = readFileSync(path.join(ROOT, 'docs', 'EVENTS.md'), 'utf8');
 			const rows = [...page.matchAll(/^\| (?<id>\d+) \| (?<level>\w+) \| (?<title>[^\|]+) \|$/gmv)].map(({groups}) => ({id: Number(groups?.id), level: groups?.level, title: groups?.title}));
 			assert.deepEqual(rows, Object.values(EVENTS).map(({id, level, title}) => ({id, level, title})));
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -1,4 +1,4 @@
-/** TLS towards callers and mutual TLS between peers. */
+/** TLS for callers, and mutual TLS between peers and for operators. */
 
 import assert from 'node:assert/strict';
 import {readFileSync} from 'node:fs';
@@ -13,9 +13,9 @@
 import {startStack, type Stack} from '../stack.js';
 import {connectToProxy, runProgram} from './helpers.js';
 
-const FOLDER = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', 'fixtures');
-const getFile = (name: string): string => path.join(FOLDER, `${name}.pem`);
-const readPem = (name: string): string => readFileSync(getFile(name), 'utf8');
+const FIXTURES_FOLDER = path.join(path.dirname(fileURLToPath(import.meta.url)), '..', '..', 'fixtures');
+const getPemPath = (name: string): string => path.join(FIXTURES_FOLDER, `${name}.pem`);
+const readPem = (name: string): string => readFileSync(getPemPath(name), 'utf8');
 
 describe('TLS', () => {
 	let stack: Stack;
@@ -23,15 +23,15 @@
 	const connect = async (options: Readonly<Record<string, unknown>>) => connectToProxy(stack, 0, options);
 
 	before(async () => {
-		const files = ['--tls-cert', getFile('cert'), '--tls-key', getFile('key')];
-		const peerFiles = ['--peer-tls-cert', getFile('cert'), '--peer-tls-key', getFile('key'), '--peer-tls-ca', getFile('ca')];
+		const callerTlsFlags = ['--tls-cert', getPemPath('cert'), '--tls-key', getPemPath('key')];
+		const peerTlsFlags = ['--peer-tls-cert', getPemPath('cert'), '--peer-tls-key', getPemPath('key'), '--peer-tls-ca', getPemPath('ca')];
 		stack = await startStack({
 			inventory: takeFirstDatabase(readExample('dvorak')),
 			proxiesPerDataCentre: 1,
 			connectMs: 2,
 			statementMs: 0,
 			lagMs: 2,
-			extraProxyFlags: [...files, ...peerFiles],
+			extraProxyFlags: [...callerTlsFlags, ...peerTlsFlags],
 			peerTls: {cert: readPem('cert'), key: readPem('key'), ca: readPem('ca')},
 		});
 	});
@@ -50,14 +50,14 @@
 			}
 		});
 
-		it('are never asked for a plain password without TLS', async () => {
+		it('are never asked for a cleartext password without TLS', async () => {
 			const client = await connect({options: '-c guavapitch.auth=password'});
 			const found = await client.query('SELECT 1 AS one');
 			await client.end();
 			assert.equal(found.rowCount, 1);
 		});
 
-		it('are refused a wrong password over TLS', async () => {
+		it('are refused with a wrong password over TLS', async () => {
 			await assert.rejects(connect({ssl: {ca: readPem('ca'), checkServerIdentity: () => undefined}, options: '-c guavapitch.auth=password', password: 'wrong'}), {code: '28P01'});
 		});
 	});
@@ -68,24 +68,24 @@
 			return stdout + stderr;
 		};
 
-		it('ask with the keys of a peer, and get no answer without', async () => {
-			const files = ['--peer-tls-cert', getFile('cert'), '--peer-tls-key', getFile('key'), '--peer-tls-ca', getFile('ca')];
-			const answered = await runStatus(files);
-			assert.match(answered, /motions {2}term 1/v);
-			assert.ok(!answered.includes('no answer'));
+		it('get a status with the TLS files of a peer, and no response without them', async () => {
+			const peerTlsFlags = ['--peer-tls-cert', getPemPath('cert'), '--peer-tls-key', getPemPath('key'), '--peer-tls-ca', getPemPath('ca')];
+			const output = await runStatus(peerTlsFlags);
+			assert.match(output, /motions {2}term 1/v);
+			assert.ok(!output.includes('no answer'));
 			assert.match(await runStatus([]), /no answer/v);
 		});
 
 		it('are told which files are missing', async () => {
-			assert.match(await runStatus(['--peer-tls-cert', getFile('cert')]), /go together/v);
+			assert.match(await runStatus(['--peer-tls-cert', getPemPath('cert')]), /go together/v);
 		});
 	});
 
 	describe('peers', () => {
 		it('without a certificate are not served', async () => {
 			const [proxy] = stack.proxies.values();
-			await using stranger = openFleetClient(createWorld());
-			const status = await stranger.call({host: '127.0.0.1', port: proxy?.peerPort ?? 0}, 'status', null);
+			await using client = openFleetClient(createWorld());
+			const status = await client.call({host: '127.0.0.1', port: proxy?.peerPort ?? 0}, 'status', null);
 			assert.ok(status.err);
 		});
 	});
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -1,4 +1,4 @@
-/** Seeded sessions that write, read and roam, and note what they were told. */
+/** Seeded workload of sessions that write, read and switch between proxies, and record the outcome of each operation. */
 
 import type pg from 'pg';
 import {
@@ -6,46 +6,46 @@
 } from '@guavapitch/load';
 import type {Stack, StackProxy} from './stack.js';
 
-/** What the sessions do. */
+/** Options of a workload. */
 export type WorkloadOptions = Readonly<{
 	service: string;
 	browseService: string;
 	sessions: number;
 	accounts: number;
 	balance: number;
-	/** Pause between two operations of a session, in milliseconds. */
+	/** Maximum pause between two operations of a session, in milliseconds. */
 	pauseMs: number;
 }>;
 
 /** A running workload. */
 export type Workload = Readonly<{
 	history: readonly Operation[];
-	/** Ends the sessions after their current operation. */
+	/** Stops the sessions; resolves when each has completed its current operation. */
 	stop: () => Promise<void>;
 }>;
 
-const RETRY_MS = 50;
-const ROAM_SHARE = 0.1;
+const RECONNECT_DELAY_MS = 50;
+const PROXY_SWITCH_PROBABILITY = 0.1;
 
-/** Connects a customer to a proxy. */
+/** Connects to a proxy with the key of a customer. */
 export const connectCustomer = async (stack: Stack, proxy: StackProxy, customer: string, service: string): Promise<pg.Client> => connectEntry(
 	{host: '127.0.0.1', port: proxy.port},
 	{keyId: `${customer}-key`, secret: stack.secrets.get(customer), service},
 );
 
-/** Creates the tables of a workload. */
-export const createTables = async (stack: Stack, plan: WorkloadOptions): Promise<void> => {
+/** Creates and fills the tables that a workload uses. */
+export const createTables = async (stack: Stack, options: WorkloadOptions): Promise<void> => {
 	const [proxy] = stack.proxies.values();
 	const [customer] = stack.secrets.keys();
 	if (!proxy || !customer) {
 		throw new RangeError('The stack has no proxy or no customer');
 	}
 
-	const client = await connectCustomer(stack, proxy, customer, plan.service);
+	const client = await connectCustomer(stack, proxy, customer, options.service);
 	await client.query('CREATE TABLE lodged (id text, session text)');
 	await client.query('CREATE TABLE accounts (id int PRIMARY KEY, balance int)');
-	for (let id = 0; id < plan.accounts; id++) {
-		await client.query('INSERT INTO accounts VALUES ($1, $2)', [id, plan.balance]);
+	for (let id = 0; id < options.accounts; id++) {
+		await client.query('INSERT INTO accounts VALUES ($1, $2)', [id, options.balance]);
 	}
 
 	await client.end();
@@ -54,9 +54,9 @@
 type Session = Readonly<{name: string; customer: string; random: Random}>;
 type Step = Readonly<{kind: Operation['kind']; id: string; run: (client: pg.Client) => Promise<readonly string[]>}>;
 
-const createTransfer = (session: Session, plan: WorkloadOptions): Step => {
-	const from = Math.floor(session.random() * plan.accounts);
-	const to = (from + 1 + Math.floor(session.random() * (plan.accounts - 1))) % plan.accounts;
+const createTransfer = (session: Session, options: WorkloadOptions): Step => {
+	const from = Math.floor(session.random() * options.accounts);
+	const to = (from + 1 + Math.floor(session.random() * (options.accounts - 1))) % options.accounts;
 	const [low, high] = from < to ? [from, to] : [to, from];
 	return {
 		kind: 'transfer',
@@ -71,7 +71,7 @@
 	};
 };
 
-const createStep = (session: Session, plan: WorkloadOptions, number: number): Step => {
+const createStep = (session: Session, options: WorkloadOptions, number: number): Step => {
 	const draw = session.random();
 	if (draw < 0.4) {
 		const id = `${session.name}.${number}`;
@@ -107,11 +107,11 @@
 		};
 	}
 
-	return createTransfer(session, plan);
+	return createTransfer(session, options);
 };
 
-/** Starts the sessions. */
-export const startWorkload = (stack: Stack, plan: WorkloadOptions, createSessionRandom: (number: number) => Random): Workload => {
+/** Starts the sessions of a workload. */
+export const startWorkload = (stack: Stack, options: WorkloadOptions, createSessionRandom: (number: number) => Random): Workload => {
 	const history: Operation[] = [];
 	let running = true;
 	let count = 0;
@@ -122,17 +122,17 @@
 		while (running) {
 			if (!client) {
 				const proxy = chooseRandom([...stack.proxies.values()], session.random);
-				client = await connectCustomer(stack, proxy, session.customer, plan.service).catch(() => undefined);
+				client = await connectCustomer(stack, proxy, session.customer, options.service).catch(() => undefined);
 				vm = proxy.vm;
 				if (!client) {
-					await wait(RETRY_MS);
+					await wait(RECONNECT_DELAY_MS);
 					continue;
 				}
 			}
 
 			count++;
 			const number = count;
-			const step = createStep(session, plan, number);
+			const step = createStep(session, options, number);
 			const base = {
 				number, session: session.name, customer: session.customer, kind: step.kind, id: step.id, vm, startedAt: Date.now(),
 			};
@@ -151,19 +151,19 @@
 				client = undefined;
 			}
 
-			if (client && session.random() < ROAM_SHARE) {
+			if (client && session.random() < PROXY_SWITCH_PROBABILITY) {
 				await client.end().catch(() => undefined);
 				client = undefined;
 			}
 
-			await wait(plan.pauseMs * session.random());
+			await wait(options.pauseMs * session.random());
 		}
 
 		await client?.end().catch(() => undefined);
 	};
 
 	const customers = [...stack.secrets.keys()];
-	const sessions = Array.from({length: plan.sessions}, async (_, index) => runSession({
+	const sessions = Array.from({length: options.sessions}, async (_, index) => runSession({
 		name: `s${index}`, customer: customers[index % customers.length] ?? '', random: createSessionRandom(index),
 	}));
 	return {
