--- a/packages/front-postgres/src/chunks.ts
+++ b/packages/front-postgres/src/chunks.ts
@@ -89,7 +89,7 @@
 	const body = getBody(message);
 	if (body.toString('latin1', 0, 1) === 'S') {
 		statements.remove(readCString(body, 1)[0]);
-		// Statements are stored on the target by hash, for all callers. Closing a portal that does not exist gives the caller's Close its reply.
+		// Statements are kept on the connection by hash and shared by its callers, so they stay prepared. Closing a portal that does not exist gives the caller's Close its reply.
 		appendMessage(draft, createMessage('C', Buffer.from('P'), 'guavapitch_closed'), 1);
 	} else {
 		appendMessage(draft, message, 1);
