--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -22,7 +22,7 @@
 export type TargetHealth = Readonly<{
 	report: TargetReport | undefined;
 	/** When the last successful probe was sent. */
-	answeredAt: Instant | undefined;
+	lastSuccessAt: Instant | undefined;
 	/** When the first of the probes was sent that have failed since the last success. */
 	failingSince: Instant | undefined;
 }>;
@@ -52,7 +52,7 @@
 export const FAILURE_TIMEOUT_MS = 500;
 
 const MAX_POSITION_SAMPLES = 600;
-const UNKNOWN_HEALTH: TargetHealth = {report: undefined, answeredAt: undefined, failingSince: undefined};
+const UNKNOWN_HEALTH: TargetHealth = {report: undefined, lastSuccessAt: undefined, failingSince: undefined};
 
 type PositionSample = Readonly<{position: number; at: Instant}>;
 
@@ -69,7 +69,7 @@
 		const report = await probe(target);
 		const previous = get(target);
 		if (report.ok) {
-			healthByTarget.set(target, {report: report.val, answeredAt: askedAt, failingSince: undefined});
+			healthByTarget.set(target, {report: report.val, lastSuccessAt: askedAt, failingSince: undefined});
 			highestPositions.set(target, Math.max(report.val.position, highestPositions.get(target) ?? 0));
 		} else {
 			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? askedAt});
