--- a/packages/homes/src/connections.ts
+++ b/packages/homes/src/connections.ts
@@ -69,8 +69,8 @@
 
 const createValueCommands = (session: Session, values: SessionValues): readonly Command[] => {
 	const commands: Command[] = [];
-	const wanted = new Map(values);
-	if (session.mustReset || [...session.values.keys()].some(name => !wanted.has(name))) {
+	const neededValues = new Map(values);
+	if (session.mustReset || [...session.values.keys()].some(name => !neededValues.has(name))) {
 		commands.push({kind: 'reset'});
 		session.mustReset = false;
 		session.values = new Map();
@@ -99,9 +99,9 @@
 
 			const {prepared} = statement;
 			const key = `${prepared.access} ${prepared.shape}`;
-			const known = session.prepared.get(key);
-			if (known) {
-				return {commands, preparedName: known};
+			const existingName = session.prepared.get(key);
+			if (existingName) {
+				return {commands, preparedName: existingName};
 			}
 
 			const name = `p${session.prepared.size + 1}`;
--- a/packages/homes/src/database-owner.ts
+++ b/packages/homes/src/database-owner.ts
@@ -25,7 +25,7 @@
 	customer?: string;
 	target: string;
 	reason: string;
-	/** Age or waiting time behind the decision, in milliseconds. */
+	/** Age or waiting time that led to the decision, in milliseconds. */
 	ageMs: number;
 }>;
 
@@ -66,7 +66,7 @@
 	areWritesPaused: () => boolean;
 }>;
 
-/** Components of a database owner, as the failover coordinator uses them. */
+/** All components of a database owner, which the failover coordinator uses too. */
 export type DatabaseOwnerComponents = SharedComponents & Readonly<{transactions: Transactions}>;
 
 /** Result of asking a target whether it leads; `undefined` if it did not respond. */
@@ -110,7 +110,7 @@
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const leaderTracker = createLeaderTracker(leader => {
 		context.onDecision({
-			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'the target that most recently became leader', ageMs: 0,
+			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'chosen as the target that most recently became leader; none leads if the target is empty', ageMs: 0,
 		});
 		scheduler.admitWaiting();
 	});
@@ -151,7 +151,7 @@
 		return idle ? Ok(idle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
-	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot. */
+	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot; rolls it back at once. */
 	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingResult> => {
 		const pingDeadline = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
 		const sentAt = readClock();
@@ -243,9 +243,9 @@
 	return {
 		serve,
 		rollBack: transactions.rollBack,
-		setTargets(nextTargets) {
-			for (const [id, known] of targets) {
-				if (!nextTargets.some(target => isSameRun(target, known))) {
+		setTargets(newTargets) {
+			for (const [id, current] of targets) {
+				if (!newTargets.some(target => isSameRun(target, current))) {
 					connections.get(id)?.close();
 					connections.delete(id);
 					targets.delete(id);
@@ -253,15 +253,15 @@
 				}
 			}
 
-			for (const target of nextTargets) {
+			for (const target of newTargets) {
 				targets.set(target.id, target);
 				if (!connections.has(target.id)) {
 					connections.set(target.id, createTargetConnections(target, context.dial, context.getConnectionLimit, world));
 				}
 			}
 
-			leaderTracker.applyRegistry(nextTargets, world.now());
-			scheduler.setTargets(nextTargets);
+			leaderTracker.applyRegistry(newTargets, world.now());
+			scheduler.setTargets(newTargets);
 		},
 		ping: async (id, deadline) => pingWithRedial(id, deadline - world.now()),
 		async queryStatus(id, deadline, before) {
--- a/packages/homes/src/health-tracker.ts
+++ b/packages/homes/src/health-tracker.ts
@@ -60,9 +60,9 @@
 	const healths = new Map<TargetId, Health>();
 
 	const getHealth = (target: TargetId): Health => {
-		const known = healths.get(target);
-		if (known) {
-			return known;
+		const existing = healths.get(target);
+		if (existing) {
+			return existing;
 		}
 
 		const created: Health = {
--- a/packages/homes/src/plans.ts
+++ b/packages/homes/src/plans.ts
@@ -12,7 +12,7 @@
 
 /** Placement constraint of a statement or a transaction. */
 export type Plan
-	/** On the leader; `isWrite` tells whether the target itself refuses the statement if it is not the leader. */
+	/** On the leader; if `isWrite`, a target that is not the leader refuses the statement by itself. */
 	= | Readonly<{kind: 'leader'; isWrite: boolean}>
 	/** On any target whose log has reached a position. */
 		| Readonly<{kind: 'anywhere'; after: LogPosition}>;
--- a/packages/homes/src/replies.ts
+++ b/packages/homes/src/replies.ts
@@ -9,7 +9,7 @@
 	DialFailure, Execution, Reply, TargetErrorCode,
 } from './targets.js';
 
-/** Creates the response to a statement that no target replied to. `waitedMs` is the time spent in the queue. */
+/** Creates the response to a statement without a reply from a target. `waitedMs` is the time since the statement arrived. */
 export const createResponse = (outcome: StatementOutcome, waitedMs = 0, status: TransactionStatus = 'idle'): StatementResponse => ({
 	outcome, status, position: undefined, target: undefined, waitedMs,
 });
--- a/packages/homes/src/slot-scheduler.ts
+++ b/packages/homes/src/slot-scheduler.ts
@@ -59,7 +59,7 @@
 	meanMs: number;
 };
 
-/** Fair queueing state of a customer: its virtual time is the slot time that it has used. */
+/** Fair queueing state of a customer: its virtual time is the slot time that it has used, with the mean time charged in advance. */
 type Account = {virtualTimeMs: number; runningCount: number};
 
 type WaitingRequest = Readonly<{request: SlotRequest; order: number; settle: (result: Result<Slot, SlotRefusal>) => void}>;
@@ -92,9 +92,9 @@
 	let order = 0;
 
 	const getAccount = (customer: CustomerId): Account => {
-		const known = accounts.get(customer);
-		if (known) {
-			return known;
+		const existing = accounts.get(customer);
+		if (existing) {
+			return existing;
 		}
 
 		const created: Account = {virtualTimeMs: 0, runningCount: 0};
@@ -110,9 +110,9 @@
 			return;
 		}
 
-		const active = [...accounts.values()].filter(other => other.runningCount > 0).map(other => other.virtualTimeMs);
-		if (active.length > 0) {
-			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...active) - MAX_IDLE_CREDIT_MS);
+		const activeTimesMs = [...accounts.values()].filter(other => other.runningCount > 0).map(other => other.virtualTimeMs);
+		if (activeTimesMs.length > 0) {
+			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...activeTimesMs) - MAX_IDLE_CREDIT_MS);
 		}
 	};
 
@@ -172,11 +172,11 @@
 		refuseExpired(now);
 		waiting.sort((a, b) => compareWaitingRequests(a, b, now, getVirtualTimeMs));
 		for (let index = 0; index < waiting.length && listFree().length > 0;) {
-			const next = waiting[index];
-			const slot = next ? tryOccupySlot(next.request) : undefined;
-			if (next && slot) {
+			const candidate = waiting[index];
+			const slot = candidate ? tryOccupySlot(candidate.request) : undefined;
+			if (candidate && slot) {
 				waiting.splice(index, 1);
-				next.settle(Ok(slot));
+				candidate.settle(Ok(slot));
 			} else {
 				index++;
 			}
@@ -206,19 +206,19 @@
 			});
 		},
 		setTargets(targets) {
-			const next = new Map<TargetId, Load>();
+			const newLoads = new Map<TargetId, Load>();
 			for (const {id, slots} of targets) {
-				const known = loads.get(id);
-				if (known) {
-					known.slots = slots;
+				const existing = loads.get(id);
+				if (existing) {
+					existing.slots = slots;
 				}
 
-				next.set(id, known ?? {
+				newLoads.set(id, existing ?? {
 					id, busy: 0, slots, meanMs: INITIAL_MEAN_MS,
 				});
 			}
 
-			loads = next;
+			loads = newLoads;
 			admitWaiting();
 		},
 		admitWaiting,
--- a/packages/homes/src/tests/database-owner.test.ts
+++ b/packages/homes/src/tests/database-owner.test.ts
@@ -1,4 +1,4 @@
-/** Database owner: consistency, refusals, transactions and slots. */
+/** Database owner: consistency of reads, outcomes after lost replies, transactions and slots. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -132,11 +132,11 @@
 			await run(createRequest(READ, BOUNDED));
 			two.fault = 'silent';
 			three.fault = 'silent';
-			const askedAt = world.now();
+			const requestedAt = world.now();
 			const response = await run(createRequest(READ, BOUNDED));
 			assert.equal(response.outcome.kind, 'done');
 			assert.equal(response.target, 'one');
-			assert.ok(world.now() - askedAt < 1000);
+			assert.ok(world.now() - requestedAt < 1000);
 		});
 
 		it('get no reads until they respond to a probe', async () => {
--- a/packages/homes/src/tests/fake-targets.ts
+++ b/packages/homes/src/tests/fake-targets.ts
@@ -155,18 +155,18 @@
 
 				if (target.fault === 'silent') {
 					await Promise.race([world.sleep(Math.max(0, deadline - world.now())), closed.wait()]);
-					const reason = ended ? 'lost' : 'timeout';
+					const cause = ended ? 'lost' : 'timeout';
 					ended = true;
-					return {replies, ended: reason};
+					return {replies, ended: cause};
 				}
 
-				const response = await run(command);
+				const commandReply = await run(command);
 				if (target.dropsReplies && command.kind === 'statement') {
 					ended = true;
 					return {replies, ended: 'lost'};
 				}
 
-				replies.push(response);
+				replies.push(commandReply);
 			}
 
 			return {replies, ended: 'no'};
@@ -181,7 +181,7 @@
 
 /** Creates the dial function for the given targets. */
 export const createFakeDial = (targets: readonly FakeTarget[], world: World) => async (description: Target, _customer: string, deadline: Deadline): Promise<Result<TargetConnection, DialFailure>> => {
-	const target = targets.find(one => one.description.id === description.id);
+	const target = targets.find(candidate => candidate.description.id === description.id);
 	if (!target || target.fault === 'refuses') {
 		return Err({code: 'refused', message: 'refused'});
 	}
@@ -199,7 +199,7 @@
 /** Creates a status reader that looks up the target by the signature of the reply. */
 export const readFakeStatus = (targets: readonly FakeTarget[]) => (reply: Reply) => {
 	const name = reply.result.kind === 'done' ? reply.result.signature.replace('signed by ', '') : '';
-	const target = targets.find(one => one.description.id === name);
+	const target = targets.find(candidate => candidate.description.id === name);
 	return target && {
 		role: target.role, term: target.position.term, received: target.position, lagMs: 0,
 	};
--- a/packages/homes/src/tests/slot-scheduler.test.ts
+++ b/packages/homes/src/tests/slot-scheduler.test.ts
@@ -17,7 +17,7 @@
 const chooseFirst = (free: readonly TargetLoad[]) => free[0]?.id;
 
 describe('slot scheduler', () => {
-	const measureSmallCustomerWaitMs = async (largeCallers: number) => {
+	const measureSmallCustomerP99WaitMs = async (largeCallers: number) => {
 		const {world, advance} = createVirtualWorld(11);
 		const scheduler = createSlotScheduler(world);
 		scheduler.setTargets([{id: ONE, slots: 2}]);
@@ -25,13 +25,13 @@
 		let isRunning = true;
 		const call = async (customer: CustomerId, pauseMs: number) => {
 			while (isRunning) {
-				const askedAt = world.now();
+				const requestedAt = world.now();
 				const slot = await scheduler.acquire({
-					customer, priority: 1, latencyDeadline: createDeadline(askedAt, 5000), deadline: createDeadline(askedAt, 5000), isPinned: false, chooseTarget: chooseFirst,
+					customer, priority: 1, latencyDeadline: createDeadline(requestedAt, 5000), deadline: createDeadline(requestedAt, 5000), isPinned: false, chooseTarget: chooseFirst,
 				});
 				if (slot.ok) {
 					if (customer === SMALL) {
-						waits.push(world.now() - askedAt);
+						waits.push(world.now() - requestedAt);
 					}
 
 					await world.sleep(10);
@@ -53,7 +53,7 @@
 	};
 
 	it('keeps the wait of a small customer to about one statement during a flood by another', async () => {
-		assert.ok(await measureSmallCustomerWaitMs(40) <= 15);
+		assert.ok(await measureSmallCustomerP99WaitMs(40) <= 15);
 	});
 
 	it('serves requests within their latency objective before those past it', async () => {
@@ -61,9 +61,9 @@
 		const scheduler = createSlotScheduler(world);
 		scheduler.setTargets([{id: ONE, slots: 1}]);
 		const order: string[] = [];
-		const enter = async (name: string, promptMs: number) => {
+		const enter = async (name: string, latencyMs: number) => {
 			const slot = await scheduler.acquire({
-				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), promptMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
+				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), latencyMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
 			});
 			if (slot.ok) {
 				order.push(name);
@@ -72,8 +72,8 @@
 			}
 		};
 
-		for (const [name, promptMs] of [['first', 500], ['late', 10], ['prompt', 500]] as const) {
-			void enter(name, promptMs);
+		for (const [name, latencyMs] of [['first', 500], ['late', 10], ['prompt', 500]] as const) {
+			void enter(name, latencyMs);
 		}
 
 		await advance(500);
--- a/packages/homes/src/transactions.ts
+++ b/packages/homes/src/transactions.ts
@@ -43,7 +43,9 @@
 /** A statement of a transaction with its deadline and arrival time. */
 type TransactionStatement = Readonly<{request: StatementRequest; deadline: Deadline; arrivedAt: number}>;
 
+/** Maximum number of attempts to begin a transaction, or to run one of its statements. */
 const MAX_ATTEMPTS = 4;
+/** Pause before another attempt on a busy target: about the duration of one statement. */
 const RETRY_PAUSE_MS = 10;
 /** Timeout of a rollback; after it the connection is closed. */
 const ROLLBACK_TIMEOUT_MS = 1000;
