--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -213,14 +213,14 @@
 		return writeRecord({...record, confirmed: true}, signal);
 	};
 
-	const failOver = async (record: GroupRecord, planned: boolean, signal: AbortSignal) => {
+	const failOver = async (record: GroupRecord, isPlanned: boolean, signal: AbortSignal) => {
 		if (!record.synced.some(target => health.isReachable(target))) {
 			reportBlocked('no replica of the synced set can be reached');
 			return;
 		}
 
 		onEvent({kind: 'started', primary: record.primary, term: record.term});
-		if (planned) {
+		if (isPlanned) {
 			// Writes that were already sent are finished first: holders respond once none of their writes is in progress.
 			await revokeGrants(WRITE_PERMISSION, signal);
 		}
@@ -250,7 +250,7 @@
 		}
 	};
 
-	/** Returns whether the primary has come back without its data: it is a replica again after a confirmed promotion, or its position is lower than the start of its term. */
+	/** Tells whether the primary has come back without its data: it is a replica again after a confirmed promotion, or its position is lower than the start of its term. */
 	const hasLostData = (record: GroupRecord): boolean => {
 		const {report} = health.get(record.primary);
 		const start = record.starts.at(-1)?.position ?? 0;
@@ -290,8 +290,8 @@
 			permissions = ALL_PERMISSIONS;
 		}
 
-		const isChanged = await syncedSet.adjust(record, settings, signal);
-		if (!isChanged) {
+		const wasAdjusted = await syncedSet.adjust(record, settings, signal);
+		if (!wasAdjusted) {
 			await repair(record, settings);
 		}
 	};
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -39,21 +39,21 @@
 
 /** Creates a function that waits until a write is durable. Waits for the same target at the same time share one read of its positions. */
 export const createDurabilityWaiter = (grants: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
-	const reads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
+	const sharedReads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
 	const readShared = async (target: TargetId) => {
-		const read = reads.get(target) ?? createSingleFlight(async () => readPositions(target));
-		reads.set(target, read);
+		const read = sharedReads.get(target) ?? createSingleFlight(async () => readPositions(target));
+		sharedReads.set(target, read);
 		return read();
 	};
 
-	/** Returns whether every awaited replica has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
+	/** Tells whether every awaited replica has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
 	const isConfirmed = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
 		const record = grants.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayed);
 	};
 
-	/** Returns whether acknowledgements of this database do not wait for replicas. */
+	/** Tells whether acknowledgements of this database do not wait for replicas. */
 	const isPrimarySufficient = (request: DurabilityRequest): boolean => {
 		const record = grants.checkAcknowledgement(request.database, request.target);
 		return record.ok && record.val.term === request.term && !record.val.replicated;
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -81,7 +81,7 @@
 
 	const hasExpired = (grant: IssuedGrant, permissions: Permissions): boolean => {
 		const now = world.now();
-		return PERMISSION_NAMES.every(kind => !permissions[kind] || isPast(grant.deadlines[kind], now));
+		return PERMISSION_NAMES.every(name => !permissions[name] || isPast(grant.deadlines[name], now));
 	};
 
 	const expire = (grant: IssuedGrant, permissions: Permissions) => {
@@ -90,7 +90,7 @@
 	};
 
 	const getLatestDeadline = (permissions: Permissions): Deadline => {
-		const deadlines = [...outstanding.values()].flatMap(grant => PERMISSION_NAMES.map(kind => permissions[kind] ? grant.deadlines[kind] : PAST));
+		const deadlines = [...outstanding.values()].flatMap(grant => PERMISSION_NAMES.map(name => permissions[name] ? grant.deadlines[name] : PAST));
 		return Math.max(PAST, ...deadlines) as Deadline;
 	};
 
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -27,10 +27,10 @@
 /** Outcome of waiting for a grant of a term. */
 export type GrantState = 'valid' | 'replaced' | 'none';
 
-/** Grants that one process holds. */
+/** Grants that one process holds, at most one for each database. */
 export type GrantRegistry = Readonly<{
-	/** Stores a grant; `askedAt` is when the request for it was sent. A grant that is older than the one known, or was requested before a revocation, is ignored. */
-	accept: (reply: GrantReply, askedAt: Instant) => void;
+	/** Stores a grant; `sentAt` is when the request for it was sent. A grant that is older than the one known, or was requested before a revocation, is ignored. */
+	accept: (reply: GrantReply, sentAt: Instant) => void;
 	/** Ends permissions of a database before their deadline. Grants that were requested earlier are ignored from now on. */
 	revoke: (database: DatabaseId, permissions: Permissions) => void;
 	/** Counts a write as in progress until the returned object is disposed. */
@@ -62,7 +62,7 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type HeldGrant = Readonly<{reply: GrantReply; askedAt: Instant; deadlines: PermissionDeadlines}>;
+type HeldGrant = Readonly<{reply: GrantReply; sentAt: Instant; deadlines: PermissionDeadlines}>;
 
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant from the failover coordinator'};
 
@@ -90,18 +90,18 @@
 	};
 
 	return {
-		accept(reply, askedAt) {
+		accept(reply, sentAt) {
 			const {database} = reply.view.record;
 			const previous = grants.get(database);
 			const isOutdated = previous !== undefined && previous.reply.view.revision > reply.view.revision;
-			if (isOutdated || askedAt <= (revokedAt.get(database) ?? PAST)) {
+			if (isOutdated || sentAt <= (revokedAt.get(database) ?? PAST)) {
 				return;
 			}
 
-			const deadline = createDeadline(askedAt, reply.validMs);
+			const deadline = createDeadline(sentAt, reply.validMs);
 			grants.set(database, {
 				reply,
-				askedAt,
+				sentAt,
 				deadlines: changeDeadlines(EXPIRED_DEADLINES, reply.permissions, deadline),
 			});
 			changed.notify();
@@ -151,7 +151,7 @@
 				return Err(NO_GRANT);
 			}
 
-			const currentAgeMs = ageMs + (world.now() - grant.askedAt);
+			const currentAgeMs = ageMs + (world.now() - grant.sentAt);
 			return currentAgeMs <= maximumAgeMs
 				? Ok(grant.reply.view.record)
 				: Err({code: 'tooOld', message: `The data of target ${target} may be ${Math.round(currentAgeMs)} ms old`});
@@ -183,7 +183,7 @@
 	};
 };
 
-/** Returns whether at least the required number of replicas are waited for and all of these have replayed a position. */
+/** Tells whether at least the required number of replicas are waited for and all of these have replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
 	const awaited = getAwaitedReplicas(record);
 	return awaited.length >= record.minimumSynced && awaited.every(target => (replayed.get(target) ?? -1) >= position);
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -32,15 +32,15 @@
 	/** Probes every target once. */
 	probeAll: (targets: readonly TargetId[]) => Promise<void>;
 	get: (target: TargetId) => TargetHealth;
-	/** Returns whether the last probe of a target succeeded. */
+	/** Tells whether the last probe of a target succeeded. */
 	isReachable: (target: TargetId) => boolean;
-	/** Returns whether probes of a target have failed for so long that it counts as failed. */
+	/** Tells whether probes of a target have failed for so long that it counts as failed. */
 	hasFailed: (target: TargetId) => boolean;
 	/** Returns the position in the last report of a target; -1 if there is no report. */
 	getPosition: (target: TargetId) => number;
 	/** Returns an upper bound of the age of a replica's data, in milliseconds; `undefined` if the age is not known. */
 	getAgeMs: (target: TargetId) => number | undefined;
-	/** Returns whether a target has reported a higher position earlier than it does now. */
+	/** Tells whether a target has reported a higher position earlier than it does now. */
 	hasLostData: (target: TargetId) => boolean;
 	/** Forgets the highest position of a target, because its log is rewound on purpose. */
 	forgetHighestPosition: (target: TargetId) => void;
@@ -51,6 +51,7 @@
 /** Time of failing probes after which a target counts as failed, in milliseconds. */
 export const FAILURE_TIMEOUT_MS = 500;
 
+/** Number of recent positions of the primary that are kept for computing ages; one is recorded with each round of probes that reaches the primary. */
 const MAX_POSITION_SAMPLES = 600;
 const UNKNOWN_HEALTH: TargetHealth = {report: undefined, lastSuccessAt: undefined, failingSince: undefined};
 
@@ -65,14 +66,14 @@
 	const get = (target: TargetId): TargetHealth => healthByTarget.get(target) ?? UNKNOWN_HEALTH;
 
 	const probeOne = async (target: TargetId) => {
-		const askedAt = world.now();
+		const sentAt = world.now();
 		const report = await probe(target);
 		const previous = get(target);
 		if (report.ok) {
-			healthByTarget.set(target, {report: report.val, lastSuccessAt: askedAt, failingSince: undefined});
+			healthByTarget.set(target, {report: report.val, lastSuccessAt: sentAt, failingSince: undefined});
 			highestPositions.set(target, Math.max(report.val.position, highestPositions.get(target) ?? 0));
 		} else {
-			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? askedAt});
+			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? sentAt});
 		}
 
 		const isFirst = previous === UNKNOWN_HEALTH;
@@ -98,7 +99,7 @@
 		getPosition: target => get(target).report?.position ?? -1,
 		getAgeMs(target) {
 			const position = get(target).report?.position ?? -1;
-			const sample = primaryPositions.findLast(other => other.position <= position);
+			const sample = primaryPositions.findLast(recorded => recorded.position <= position);
 			return sample ? world.now() - sample.at : undefined;
 		},
 		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highestPositions.get(target) ?? 0),
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -11,7 +11,9 @@
 export type FailoverSettings = Readonly<{
 	database: DatabaseId;
 	targets: readonly TargetId[];
+	/** Targets that are about to be removed. */
 	leaving: readonly TargetId[];
+	/** Minimum number of replicas that acknowledgements wait for. */
 	minimumSynced: number;
 	/** Whether acknowledgements wait for replicas; if not, the primary acknowledges alone. */
 	replicated: boolean;
@@ -32,13 +34,15 @@
 
 /** Maintenance of the synced set of one database. */
 export type SyncedSet = Readonly<{
-	/** Makes at most one change that is due; returns whether it made one. */
+	/** Makes at most one change that is due; tells whether it made one. */
 	adjust: (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => Promise<boolean>;
 }>;
 
 /** Maximum replication lag for which a synced replica may delay acknowledgements, in milliseconds. */
 const MAX_LAG_MS = 1000;
+/** How long one attempt to complete a join may take; after it the replicas keep joining and the attempt is repeated. */
 const JOIN_TIMEOUT_MS = 3000;
+/** Minimum time between two additions of joining replicas. */
 const JOIN_INTERVAL_MS = 1000;
 const JOIN_PROBE_INTERVAL_MS = 25;
 
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -38,16 +38,16 @@
 const forMs = fc.integer({min: 50, max: 2500});
 const target = fc.nat({max: NAMES.length - 1});
 const partition = fc.record({fromCoordinator: fc.boolean(), fromOwners: fc.boolean(), fromReplicas: fc.boolean()});
-const lag: fc.Arbitrary<Fault> = fc.record({
+const lagArbitrary: fc.Arbitrary<Fault> = fc.record({
 	kind: fc.constant('lag' as const), target, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
 });
-const fault: fc.Arbitrary<Fault> = fc.oneof(
+const faultArbitrary: fc.Arbitrary<Fault> = fc.oneof(
 	{
 		weight: 4, arbitrary: fc.record({
 			kind: fc.constant('cut' as const), target, partition, atMs, forMs,
 		}),
 	},
-	lag,
+	lagArbitrary,
 	fc.record({
 		kind: fc.constant('destroy' as const), target, atMs, forMs: fc.integer({min: 2000, max: 2500}),
 	}),
@@ -69,27 +69,27 @@
 
 type Simulation = Readonly<{world: World; group: FakeGroup; faults: readonly Fault[]; disabled: DisabledMechanisms; signal: AbortSignal}>;
 
-const isActive = (one: Fault, now: number): boolean => now >= one.atMs && now < one.atMs + one.forMs;
+const isActive = (fault: Fault, now: number): boolean => now >= fault.atMs && now < fault.atMs + fault.forMs;
 
 /** Wraps a store with outages and lost responses. */
 const createFaultyStore = ({world, faults}: Simulation, store: Store): Store => {
-	const has = (kind: Fault['kind']) => faults.some(one => one.kind === kind && isActive(one, world.now()));
-	const noAnswer = Err({code: 'storeUnknown' as const, message: 'no answer'});
+	const has = (kind: Fault['kind']) => faults.some(fault => fault.kind === kind && isActive(fault, world.now()));
+	const noResponse = Err({code: 'storeUnknown' as const, message: 'no response'});
 	return {
 		...store,
 		async read(key) {
 			await world.sleep(world.random() * 20);
-			return has('storeDown') ? noAnswer : store.read(key);
+			return has('storeDown') ? noResponse : store.read(key);
 		},
 		async compareAndSwap(...args) {
 			await world.sleep(world.random() * 20);
 			if (has('storeDown')) {
-				return noAnswer;
+				return noResponse;
 			}
 
-			const answer = await store.compareAndSwap(...args);
+			const outcome = await store.compareAndSwap(...args);
 			await world.sleep(world.random() * 20);
-			return has('loseAnswers') && world.random() < 0.5 ? noAnswer : answer;
+			return has('loseAnswers') && world.random() < 0.5 ? noResponse : outcome;
 		},
 	};
 };
@@ -98,11 +98,11 @@
 const runCoordinators = (simulation: Simulation, registries: readonly GrantRegistry[]): (() => FailoverCoordinator | undefined) => {
 	const {world, group, faults, signal, disabled} = simulation;
 	const store = createFaultyStore(simulation, createMemoryStore(world));
-	const changes = faults.filter(one => one.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
-	const starts = [0, ...changes.map(one => one.atMs + one.gapMs)];
-	const ends = [...changes.map(one => one.atMs), RUN_MS * 2];
-	const getLeaving = () => NAMES.filter((_, index) => faults.some(one => one.kind === 'leaving' && one.target === index && isActive(one, world.now())));
-	const isReplicated = () => !faults.some(one => one.kind === 'acknowledgeByPrimary' && isActive(one, world.now()));
+	const changes = faults.filter(fault => fault.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
+	const starts = [0, ...changes.map(fault => fault.atMs + fault.gapMs)];
+	const ends = [...changes.map(fault => fault.atMs), RUN_MS * 2];
+	const getLeaving = () => NAMES.filter((_, index) => faults.some(fault => fault.kind === 'leaving' && fault.target === index && isActive(fault, world.now())));
+	const isReplicated = () => !faults.some(fault => fault.kind === 'acknowledgeByPrimary' && isActive(fault, world.now()));
 	const coordinators = starts.map((startMs, index) => {
 		const deadline = createDeadline(world.now(), ends[index] ?? 0);
 		const getAuthority = (): Deadline => world.now() >= startMs ? deadline : PAST;
@@ -121,7 +121,7 @@
 				}
 
 				if (world.random() < 0.3) {
-					return Err({code: 'lost', message: 'no answer'});
+					return Err({code: 'lost', message: 'no response'});
 				}
 
 				const registry = registries[Number(holder.vm)];
@@ -153,12 +153,12 @@
 
 	const renewGrants = async (registry: GrantRegistry, index: number) => {
 		while (!signal.aborted) {
-			const askedAt = world.now();
+			const sentAt = world.now();
 			await world.sleep(world.random() * 40);
 			const reply: GrantReply | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
 			await world.sleep(world.random() * 200);
 			if (reply && world.random() < 0.9) {
-				registry.accept(reply, askedAt);
+				registry.accept(reply, sentAt);
 			}
 
 			await world.sleep(100, signal).catch(() => undefined);
@@ -172,7 +172,7 @@
 			return;
 		}
 
-		using entered = registry.trackWrite(DATABASE);
+		using trackedWrite = registry.trackWrite(DATABASE);
 		await world.sleep(world.random() * 60);
 		const fakeTarget = group.get(primary);
 		if (fakeTarget.isReplica || fakeTarget.isDown || fakeTarget.partition.fromOwners) {
@@ -183,7 +183,7 @@
 		const waitUntilDurable = createDurabilityWaiter(registry, async name => {
 			await world.sleep(world.random() * 20);
 			const {log, replayed, partition, isDown} = group.get(name);
-			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no answer'}) : Ok({position: disabled.replicas ? 0 : log.length, replayed: new Map(replayed)});
+			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayed: new Map(replayed)});
 		}, world);
 		const state = await waitUntilDurable({
 			database: DATABASE, target: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
@@ -210,7 +210,7 @@
 	return {
 		/** Checks that every target that may be read holds all acknowledged writes. */
 		check() {
-			for (const name of NAMES.filter(one => !group.get(one).isDown)) {
+			for (const name of NAMES.filter(target => !group.get(target).isDown)) {
 				const present = new Set(group.get(name).log);
 				const missing = [...acknowledged].filter(id => !present.has(id));
 				if (missing.length > 0 && registries.some(registry => registry.checkRead(DATABASE, name).ok)) {
@@ -224,14 +224,14 @@
 
 const applyFaults = ({world, group, faults}: Simulation) => {
 	for (const [index, name] of NAMES.entries()) {
-		const partitions = faults.filter(one => one.kind === 'cut' && one.target === index && isActive(one, world.now())).map(one => one.kind === 'cut' ? one.partition : NO_PARTITION);
-		const lag = faults.find(one => one.kind === 'lag' && one.target === index && isActive(one, world.now()));
+		const partitions = faults.filter(fault => fault.kind === 'cut' && fault.target === index && isActive(fault, world.now())).map(fault => fault.kind === 'cut' ? fault.partition : NO_PARTITION);
+		const lag = faults.find(fault => fault.kind === 'lag' && fault.target === index && isActive(fault, world.now()));
 		const fakeTarget = group.get(name);
 		fakeTarget.partition = {
-			fromCoordinator: partitions.some(one => one.fromCoordinator), fromOwners: partitions.some(one => one.fromOwners), fromReplicas: partitions.some(one => one.fromReplicas),
+			fromCoordinator: partitions.some(active => active.fromCoordinator), fromOwners: partitions.some(active => active.fromOwners), fromReplicas: partitions.some(active => active.fromReplicas),
 		};
 		fakeTarget.lagMs = lag?.kind === 'lag' ? lag.lagMs : 15;
-		const destroyed = faults.find(one => one.kind === 'destroy' && one.target === index && isActive(one, world.now()));
+		const destroyed = faults.find(fault => fault.kind === 'destroy' && fault.target === index && isActive(fault, world.now()));
 		fakeTarget.isDown = destroyed !== undefined;
 		if (destroyed) {
 			clearTarget(fakeTarget);
@@ -264,11 +264,11 @@
 
 /** With one synced replica, only the loss of one target's data can be survived, and only if no other coordinator takes over: just the coordinator that saw the higher position knows of the loss. */
 const isSurvivable = (faults: readonly Fault[]): boolean => {
-	const destroyed = faults.filter(one => one.kind === 'destroy').length;
-	return destroyed === 0 || (destroyed === 1 && !faults.some(one => one.kind === 'newSteward'));
+	const destroyed = faults.filter(fault => fault.kind === 'destroy').length;
+	return destroyed === 0 || (destroyed === 1 && !faults.some(fault => fault.kind === 'newSteward'));
 };
 
-const sampleSchedules = (count: number, seed: number, faults = fault) => {
+const sampleSchedules = (count: number, seed: number, faults = faultArbitrary) => {
 	const arbitrary = fc.array(faults, {minLength: 1, maxLength: 4}).filter(all => isSurvivable(all));
 	return fc.sample(fc.record({seed: fc.nat(), faults: arbitrary}), {numRuns: count, seed});
 };
@@ -286,7 +286,7 @@
 	});
 
 	describe('changes of the acknowledgement policy', () => {
-		const harmless = fc.oneof(lag, fc.record({kind: fc.constant('acknowledgeByPrimary' as const), atMs, forMs}));
+		const harmless = fc.oneof(lagArbitrary, fc.record({kind: fc.constant('acknowledgeByPrimary' as const), atMs, forMs}));
 
 		it('keep every acknowledged write on each target that may be read, as long as no primary is lost', async () => {
 			for (const {seed, faults} of sampleSchedules(12, 73, harmless)) {
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -47,7 +47,7 @@
 const MAX_LATENCY_MS = 30;
 const CALL_TIMEOUT_MS = 100;
 const REPLICATION_INTERVAL_MS = 10;
-const NO_ANSWER: Failure = {code: 'lost', message: 'no answer'};
+const NO_RESPONSE: Failure = {code: 'lost', message: 'no response'};
 
 const isPrefix = (shorter: readonly string[], longer: readonly string[]): boolean => shorter.length <= longer.length && shorter.every((entry, index) => entry === longer[index]);
 
@@ -73,20 +73,20 @@
 		await world.sleep(world.random() * MAX_LATENCY_MS);
 		if (target.partition.fromCoordinator || target.isDown) {
 			await world.sleep(CALL_TIMEOUT_MS);
-			return Err(NO_ANSWER);
+			return Err(NO_RESPONSE);
 		}
 
 		const value = run(target);
 		await world.sleep(world.random() * MAX_LATENCY_MS);
-		return target.partition.fromCoordinator || target.isDown ? Err(NO_ANSWER) : Ok(value);
+		return target.partition.fromCoordinator || target.isDown ? Err(NO_RESPONSE) : Ok(value);
 	};
 
 	const replicateOnce = (replica: FakeTarget) => {
 		const source = replica.upstream ? get(replica.upstream) : undefined;
 		const isConnected = source && !source.partition.fromReplicas && !replica.partition.fromReplicas && !source.isDown && !replica.isDown && replica.isReplica;
-		for (const other of targets.values()) {
-			if (other !== source || !isConnected) {
-				other.replayed.delete(replica.name);
+		for (const target of targets.values()) {
+			if (target !== source || !isConnected) {
+				target.replayed.delete(replica.name);
 			}
 		}
 
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -20,30 +20,30 @@
 describe('grants', () => {
 	describe('revokeAll', () => {
 		it('leaves no valid grant, even if messages are delayed, lost or paused', async () => {
-			const holderPlan = fc.record({
+			const delaysArbitrary = fc.record({
 				askMs: fc.integer({min: 0, max: 800}), replyMs: fc.integer({min: 0, max: 1500}), revokeMs: fc.integer({min: 0, max: 600}), revokeLost: fc.boolean(),
 			});
-			await fc.assert(fc.asyncProperty(fc.array(holderPlan, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (plans, revokeAtMs) => {
+			await fc.assert(fc.asyncProperty(fc.array(delaysArbitrary, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (delaysByHolder, revokeAtMs) => {
 				const {world, advance} = createVirtualWorld();
 				const issuer = createGrantIssuer(world);
 				const stop = new AbortController();
 				let isIssuing = true;
 				let isRevoked = false;
-				const registries = plans.map(() => createGrantRegistry(world));
-				const holders = plans.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
-				const runs = plans.map(async (plan, index) => {
+				const registries = delaysByHolder.map(() => createGrantRegistry(world));
+				const holders = delaysByHolder.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
+				const runs = delaysByHolder.map(async (delays, index) => {
 					for (let count = 0; count < 4; count++) {
-						const askedAt = world.now();
-						await world.sleep(plan.askMs);
+						const sentAt = world.now();
+						await world.sleep(delays.askMs);
 						const holder = holders[index];
 						const reply = isIssuing && holder
 							? issuer.grant(holder, {
 								view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 							})
 							: undefined;
-						await world.sleep(plan.replyMs);
+						await world.sleep(delays.replyMs);
 						if (reply) {
-							registries[index]?.accept(reply, askedAt);
+							registries[index]?.accept(reply, sentAt);
 						}
 					}
 				});
@@ -52,9 +52,9 @@
 					isIssuing = false;
 					await issuer.revokeAll(ALL_PERMISSIONS, async holder => {
 						const index = holders.indexOf(holder);
-						const plan = plans[index];
-						await world.sleep(plan?.revokeMs ?? 0);
-						if (plan?.revokeLost) {
+						const delays = delaysByHolder[index];
+						await world.sleep(delays?.revokeMs ?? 0);
+						if (delays?.revokeLost) {
 							return Err({code: 'lost', message: 'lost'});
 						}
 
@@ -96,12 +96,12 @@
 		it('never outlives the authority of the coordinator', () => {
 			const {world} = createVirtualWorld();
 			const issuer = createGrantIssuer(world);
-			const terms = {
+			const parameters = {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA],
 			};
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			assert.ok((issuer.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
-			assert.equal(issuer.grant(holder, {...terms, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
+			assert.ok((issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
+			assert.equal(issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
 		});
 	});
 
