--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -11,7 +11,7 @@
 	acquire: () => Promise<Result<Lease, StoreFailure>>;
 	/** Renews the lease; concurrent calls share one renewal. */
 	renew: () => Promise<Result<Lease, StoreFailure>>;
-	/** Returns the deadline until which the lease is confirmed to be valid. */
+	/** Returns the deadline until which the lease is confirmed to be valid; in the past if there is no lease. */
 	getDeadline: () => Deadline;
 	/** Revokes the lease in the store. */
 	revoke: () => Promise<void>;
@@ -26,7 +26,7 @@
 
 	const isValid = () => lease !== undefined && world.now() < lease.deadline;
 
-	const require = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
+	const acquire = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
 		if (lease && isValid()) {
 			return Ok(lease);
 		}
@@ -55,7 +55,7 @@
 	});
 
 	return {
-		acquire: require,
+		acquire,
 		renew,
 		getDeadline: () => lease?.deadline ?? PAST,
 		async revoke() {
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -27,7 +27,7 @@
 	listRoles: () => readonly string[];
 	/** Returns the rank of this vm for a role, 0 for the best; `undefined` if it may not hold the role. */
 	getRank: (role: string) => number | undefined;
-	/** Returns whether the run of the holder is confirmed to have ended, because the same vm has started another run. */
+	/** Tells whether the run of the holder is confirmed to have ended, because the same vm has started another run. */
 	hasRunEnded: (holder: HolderRecord) => boolean;
 	/** Called after this process has written an entry. */
 	onWritten: (key: string, value: string, revision: number) => void;
@@ -38,7 +38,7 @@
 export type RoleClaims = Readonly<{
 	/** Claims roles without a holder until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
-	/** Returns whether this process is confirmed to hold a role at this moment. */
+	/** Tells whether this process is confirmed to hold a role at this moment. */
 	isHeld: (role: string) => boolean;
 	/** Returns the holder of a role according to the change feed. */
 	getHolder: (role: string) => HolderRecord | undefined;
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -33,13 +33,13 @@
 	rankCandidates: () => readonly Candidate[];
 	/** Asks a candidate to promise not to take over. */
 	requestPromise: (candidate: Candidate, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
-	/** Returns whether a run of a process is confirmed to have ended: another run of the same vm responds, or the vm has been removed from the platform's list. */
+	/** Tells whether a run of a process is confirmed to have ended: another run of the same vm responds, or the vm has been removed from the platform's list. */
 	isConfirmedGone: (candidate: Candidate) => boolean;
 	/** Performs the role until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	onGained: (slot: string, epoch: number) => void;
 	onLost: (slot: string, epoch: number) => void;
-	onExtended: (slot: string, by: ExtensionSource) => void;
+	onExtended: (slot: string, source: ExtensionSource) => void;
 }>;
 
 /** Validity of a takeover promise, in milliseconds. */
@@ -49,6 +49,7 @@
 const MAX_ELIGIBLE_VMS = 3;
 /** Number of candidates in the record of a slot. */
 const MAX_RECORDED_CANDIDATES = 2;
+/** Mean interval between attempts to claim a slot. */
 const CLAIM_INTERVAL_MS = 400;
 const RENEWAL_INTERVAL_MS = 400;
 /** Safety margin for clocks that run at different rates. */
@@ -75,29 +76,29 @@
 };
 
 /** State of a slot in the store on which a claim is based. */
-type SlotState = Readonly<{record: SlotRecord | undefined; recordRevision: number; aliveRevision: number}>;
+type SlotState = Readonly<{record: SlotRecord | undefined; recordRevision: number; leaseEntryRevision: number}>;
 
 /** Reads the state of a slot; returns `undefined` if this process may not claim it, or if the store does not answer. */
 const readSlotState = async (context: SlotContext): Promise<SlotState | undefined> => {
 	const {store, slot, self} = context;
-	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
-	if (alive.err || (alive.val !== undefined && alive.val.value !== formatHolder(self))) {
+	const leaseEntry = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
+	if (leaseEntry.err || (leaseEntry.val !== undefined && leaseEntry.val.value !== formatHolder(self))) {
 		return undefined;
 	}
 
-	const found = await store.read(`${ROLE_PREFIX}${slot}`);
-	const record = found.ok && found.val ? parseSlotRecord(found.val.value).unwrapOr(undefined) : undefined;
-	return found.err || !mayClaim(context, record)
+	const recordEntry = await store.read(`${ROLE_PREFIX}${slot}`);
+	const record = recordEntry.ok && recordEntry.val ? parseSlotRecord(recordEntry.val.value).unwrapOr(undefined) : undefined;
+	return recordEntry.err || !mayClaim(context, record)
 		? undefined
-		: {record, recordRevision: found.val?.revision ?? 0, aliveRevision: alive.val?.revision ?? 0};
+		: {record, recordRevision: recordEntry.val?.revision ?? 0, leaseEntryRevision: leaseEntry.val?.revision ?? 0};
 };
 
 /** Writes the lease entry of a slot and then its record; returns `undefined` if another process holds the slot or the store does not answer. */
 const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
 	const {store, slot, self, lease, promises} = context;
 	const state = await readSlotState(context);
-	const leased = state ? await lease.acquire() : undefined;
-	if (!state || !leased?.ok || !promises.beginClaim(slot)) {
+	const acquiredLease = state ? await lease.acquire() : undefined;
+	if (!state || !acquiredLease?.ok || !promises.beginClaim(slot)) {
 		return undefined;
 	}
 
@@ -107,19 +108,19 @@
 			promises.endClaim(slot);
 		},
 	};
-	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, state.aliveRevision, formatHolder(self), leased.val.id);
+	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, state.leaseEntryRevision, formatHolder(self), acquiredLease.val.id);
 	if (attached.err || !attached.val.swapped) {
 		return undefined;
 	}
 
-	const next: SlotRecord = {epoch: (state.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
-	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, state.recordRevision, formatSlotRecord(next));
-	return written.ok && written.val.swapped ? {record: next, revision: written.val.current?.revision ?? 0} : undefined;
+	const newRecord: SlotRecord = {epoch: (state.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
+	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, state.recordRevision, formatSlotRecord(newRecord));
+	return written.ok && written.val.swapped ? {record: newRecord, revision: written.val.current?.revision ?? 0} : undefined;
 };
 
 /** Asks every candidate for a promise; returns the deadline until which no candidate takes over. */
 const collectPromises = async (context: SlotContext, record: SlotRecord): Promise<Deadline> => {
-	const askedAt = context.world.now();
+	const sentAt = context.world.now();
 	if (record.candidates.length === 0) {
 		return PAST;
 	}
@@ -128,7 +129,7 @@
 		const response = await context.requestPromise(candidate, {
 			slot: context.slot, epoch: record.epoch, validMs: PROMISE_VALIDITY_MS, incarnation: candidate.incarnation,
 		});
-		return response.ok && response.val ? createDeadline(askedAt, PROMISE_VALIDITY_MS - CLOCK_DRIFT_MS) : PAST;
+		return response.ok && response.val ? createDeadline(sentAt, PROMISE_VALIDITY_MS - CLOCK_DRIFT_MS) : PAST;
 	}));
 	return chooseEarliest(deadlines);
 };
@@ -137,7 +138,7 @@
 const refreshCandidates = async (context: SlotContext, claim: Claim): Promise<Claim> => {
 	const candidates = chooseCandidates(context);
 	const isCurrent = candidates.length === claim.record.candidates.length
-		&& candidates.every(candidate => claim.record.candidates.some(one => isSame(one, candidate)));
+		&& candidates.every(candidate => claim.record.candidates.some(recorded => isSame(recorded, candidate)));
 	if (isCurrent) {
 		return claim;
 	}
@@ -150,13 +151,13 @@
 /** Attaches a held slot to a new lease after the old one has expired, unless another process has claimed the slot in the meantime. */
 const reattachSlot = async (context: SlotContext, claim: Claim): Promise<boolean> => {
 	const {store, slot, self, lease} = context;
-	const leased = await lease.acquire();
-	const alive = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
-	if (leased.err || alive.err || (alive.val && alive.val.value !== formatHolder(self))) {
+	const acquiredLease = await lease.acquire();
+	const leaseEntry = await store.read(`${HOLDER_LEASE_PREFIX}${slot}`);
+	if (acquiredLease.err || leaseEntry.err || (leaseEntry.val && leaseEntry.val.value !== formatHolder(self))) {
 		return false;
 	}
 
-	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, alive.val?.revision ?? 0, formatHolder(self), leased.val.id);
+	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, leaseEntry.val?.revision ?? 0, formatHolder(self), acquiredLease.val.id);
 	const record = await store.read(`${ROLE_PREFIX}${slot}`);
 	return attached.ok && attached.val.swapped && record.ok && record.val?.revision === claim.revision;
 };
@@ -186,10 +187,10 @@
 		const promisedUntil: Deadline = renewed.ok ? PAST : await (pendingPromises ?? extendByPromises());
 		const isAttached: boolean = renewed.ok || (hasExpired && !isPast(promisedUntil, world.now()) && await reattachSlot(context, claim));
 		deadline = isAttached ? Math.max(deadline, createLeaseDeadline()) as Deadline : deadline;
-		const by: ExtensionSource = isAttached ? 'lease' : 'promises';
-		if (by !== extension) {
-			extension = by;
-			context.onExtended(slot, by);
+		const source: ExtensionSource = isAttached ? 'lease' : 'promises';
+		if (source !== extension) {
+			extension = source;
+			context.onExtended(slot, source);
 		}
 
 		if (isAttached) {
--- a/packages/roles/src/takeover-promises.ts
+++ b/packages/roles/src/takeover-promises.ts
@@ -11,10 +11,11 @@
 export type TakeoverPromises = Readonly<{
 	/** Makes a promise; returns `false` if a takeover is in progress, the request was meant for another run of the process, or a newer epoch than that of the holder is known. */
 	give: (request: TakeoverPromiseRequest, knownEpoch: number) => boolean;
-	/** Returns whether a promise for the slot is in effect now. */
+	/** Tells whether a promise for the slot is in effect now. */
 	isGiven: (slot: string) => boolean;
 	/** Begins a takeover; returns `false` while a promise is in effect. */
 	beginClaim: (slot: string) => boolean;
+	/** Ends a takeover, whether or not it succeeded; promises may be made again. */
 	endClaim: (slot: string) => void;
 }>;
 
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -14,7 +14,7 @@
 const createFakeStore = (world: World) => {
 	const entries = new Map<string, Entry>();
 	const leases = new Map<string, number>();
-	const state = {isDown: false, losesAnswers: false};
+	const state = {isDown: false, losesResponses: false};
 	let revision = 0;
 	let lastLease = 0;
 
@@ -77,7 +77,7 @@
 				entries.set(key, {value, revision, leaseId});
 			}
 
-			return state.losesAnswers ? Err({code: 'storeUnknown', message: 'lost'}) : Ok({revision});
+			return state.losesResponses ? Err({code: 'storeUnknown', message: 'lost'}) : Ok({revision});
 		},
 	};
 	return {
@@ -173,9 +173,9 @@
 		const {fake, start, advance, stop} = createSetup();
 		const first = start('one', 0);
 		await advance(100);
-		fake.state.losesAnswers = true;
+		fake.state.losesResponses = true;
 		await advance(300);
-		fake.state.losesAnswers = false;
+		fake.state.losesResponses = false;
 		await advance(1500);
 		assert.ok(first.roles.isHeld('ledger'));
 		stop.abort();
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -29,18 +29,18 @@
 		return call();
 	};
 
-	const noAnswer = Err({code: 'storeUnknown', message: 'no answer'} as const);
+	const noResponse = Err({code: 'storeUnknown', message: 'no response'} as const);
 	return {
-		read: async key => await callStore(async () => inner.read(key)) ?? noAnswer,
-		readAll: async prefix => await callStore(async () => inner.readAll(prefix)) ?? noAnswer,
+		read: async key => await callStore(async () => inner.read(key)) ?? noResponse,
+		readAll: async prefix => await callStore(async () => inner.readAll(prefix)) ?? noResponse,
 		async compareAndSwap(...args) {
 			const outcome = await callStore(async () => inner.compareAndSwap(...args));
-			return outcome && world.random() > 0.05 ? outcome : noAnswer;
+			return outcome && world.random() > 0.05 ? outcome : noResponse;
 		},
-		remove: async (...args) => await callStore(async () => inner.remove(...args)) ?? noAnswer,
-		grantLease: async seconds => await callStore(async () => inner.grantLease(seconds)) ?? noAnswer,
-		renewLease: async id => await callStore(async () => inner.renewLease(id)) ?? noAnswer,
-		revokeLease: async id => await callStore(async () => inner.revokeLease(id)) ?? noAnswer,
+		remove: async (...args) => await callStore(async () => inner.remove(...args)) ?? noResponse,
+		grantLease: async seconds => await callStore(async () => inner.grantLease(seconds)) ?? noResponse,
+		renewLease: async id => await callStore(async () => inner.renewLease(id)) ?? noResponse,
+		revokeLease: async id => await callStore(async () => inner.revokeLease(id)) ?? noResponse,
 		watch: inner.watch,
 	};
 };
@@ -71,7 +71,7 @@
 			async requestPromise(candidate, request) {
 				await world.sleep(1 + world.random());
 				const isPartitioned = faults.partitioned.has(self.vm) || faults.partitioned.has(candidate.vm);
-				return isPartitioned ? Err({code: 'peerTimeout', message: 'no answer'}) : Ok(promisesByVm.get(candidate.vm)?.give(request, 0) ?? false);
+				return isPartitioned ? Err({code: 'peerTimeout', message: 'no response'}) : Ok(promisesByVm.get(candidate.vm)?.give(request, 0) ?? false);
 			},
 			isConfirmedGone: () => false,
 			async runAsHolder(authority, signal) {
@@ -93,7 +93,7 @@
 	let maxHolders = 0;
 	let heldMs = 0;
 	let totalMs = 0;
-	const observe = async (ms: number) => {
+	const advanceAndObserve = async (ms: number) => {
 		for (let passed = 0; passed < ms; passed += 20) {
 			await advance(20);
 			const holders = [...authorities.values()].filter(authority => authority.getDeadline() > world.now()).length;
@@ -103,14 +103,14 @@
 		}
 	};
 
-	await observe(1500);
+	await advanceAndObserve(1500);
 	for (const step of steps) {
 		const vm = VMS[step.vm] ?? parseId<VmId>('a');
 		faults.storeDown = step.kind === 'storeDown' || (step.kind !== 'storeUp' && faults.storeDown);
 		if (step.kind === 'reorder') {
 			// The ranking changes: the holder stays first, and two other vms than before come next.
 			const holder = [...authorities.keys()][0] ?? vm;
-			faults.order = [holder, ...VMS.filter(one => one !== holder).toReversed()];
+			faults.order = [holder, ...VMS.filter(name => name !== holder).toReversed()];
 		}
 
 		if (step.kind === 'cut') {
@@ -119,7 +119,7 @@
 			faults.partitioned.clear();
 		}
 
-		await observe(step.ms);
+		await advanceAndObserve(step.ms);
 	}
 
 	const disposal = scope[Symbol.asyncDispose]();
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -30,14 +30,14 @@
 /** Dependencies of a vm registration. */
 export type VmRegistrationContext = Readonly<{
 	world: World;
-	/** Reads the suspension clock. */
+	/** Reads a clock that keeps running while the process or its machine is suspended. */
 	readClock: () => Instant;
 	store: RoleStore;
 	/** Key and value of the entry that is attached to the lease. */
 	key: string;
 	value: string;
 	/** Called after each successful call to the store, with the time when the call was sent. */
-	onContact: (askedAt: Instant) => void;
+	onContact: (sentAt: Instant) => void;
 	onFailure: (failure: StoreFailure) => void;
 }>;
 
@@ -76,7 +76,7 @@
 	};
 
 	const register = async (): Promise<boolean> => {
-		const askedAt = readClock();
+		const suspensionClockAt = readClock();
 		const sentAt = world.now();
 		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
@@ -92,12 +92,12 @@
 		}
 
 		leaseId = granted.val.id;
-		deadline = createDeadline(askedAt, granted.val.ttlMs - CLOCK_DRIFT_MS);
+		deadline = createDeadline(suspensionClockAt, granted.val.ttlMs - CLOCK_DRIFT_MS);
 		return true;
 	};
 
 	const renew = async (id: string): Promise<boolean> => {
-		const askedAt = readClock();
+		const suspensionClockAt = readClock();
 		const sentAt = world.now();
 		const renewed = await store.renewLease(id);
 		if (renewed.err) {
@@ -106,7 +106,7 @@
 		}
 
 		context.onContact(sentAt);
-		deadline = createDeadline(askedAt, renewed.val - CLOCK_DRIFT_MS);
+		deadline = createDeadline(suspensionClockAt, renewed.val - CLOCK_DRIFT_MS);
 		return true;
 	};
 
