--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -49,7 +49,7 @@
 const MIN_BACKOFF_MS = 20;
 const MAX_BACKOFF_MS = 500;
 
-/** Creates a pool and starts to open its idle connections. */
+/** Creates a pool and starts to open `minIdle` connections. After a failed dial, the next one waits for a backoff with jitter. */
 export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, world: World): Pool<Connection> => {
 	const idle: Connection[] = [];
 	const changed = createNotifier(world);
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -45,10 +45,12 @@
 	readonly waiting: WaitingEntry[];
 };
 
-/** Maximum lead in virtual time that a customer gains by being idle. */
+/** Maximum lead in virtual time that a customer gains by being idle, so that a short burst goes ahead of a flood. */
 const MAX_IDLE_CREDIT_MS = 200;
 const MAX_WAITING_PER_CUSTOMER = 128;
+/** Assumed mean time of a request before the first measurement. */
 const INITIAL_MEAN_MS = 2;
+/** Weight of a new measurement in the moving average. */
 const MEAN_WEIGHT = 0.1;
 const SWEEP_INTERVAL_MS = 20;
 
@@ -62,9 +64,9 @@
 	let isSweeping = false;
 
 	const getAccount = (customer: CustomerId): Account => {
-		const known = accounts.get(customer);
-		if (known) {
-			return known;
+		const existing = accounts.get(customer);
+		if (existing) {
+			return existing;
 		}
 
 		const created: Account = {
@@ -181,8 +183,8 @@
 	};
 
 	const estimateWaitMs = (account: Account): number => {
-		const active = [...accounts.values()].filter(other => isActive(other)).length;
-		return account.waiting.length * account.meanMs * Math.max(1, active) / slotCount;
+		const activeCount = [...accounts.values()].filter(customerAccount => isActive(customerAccount)).length;
+		return account.waiting.length * account.meanMs * Math.max(1, activeCount) / slotCount;
 	};
 
 	return {
@@ -199,7 +201,7 @@
 				(entry.pinned ? pinnedEntries : account.waiting).push(waiting);
 				waitingCount++;
 				signal?.addEventListener('abort', () => {
-					removeAll(other => other === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
+					removeAll(candidate => candidate === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 				}, {once: true});
 				admitWaiting();
 				if (waitingCount > 0) {
@@ -208,8 +210,8 @@
 			});
 		},
 		admitWaiting,
-		setSlots(next) {
-			slotCount = next;
+		setSlots(newSlotCount) {
+			slotCount = newSlotCount;
 			admitWaiting();
 		},
 		getLength: () => waitingCount,
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -107,9 +107,9 @@
 			await world.sleep(10);
 		};
 
-		const all = [enter('first', false), enter('second', false), enter('pinned', true)];
+		const entries = [enter('first', false), enter('second', false), enter('pinned', true)];
 		await advance(100);
-		await Promise.all(all);
+		await Promise.all(entries);
 		assert.deepEqual(order, ['first', 'pinned', 'second']);
 	});
 });
