--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -23,6 +23,7 @@
 const PING_INTERVAL_MS = 200;
 const PING_TIMEOUT_MS = 250;
 const INDIRECT_PING_TIMEOUT_MS = 400;
+/** Maximum number of other vms through which a vm that did not respond is pinged. */
 const MAX_INTERMEDIARIES = 2;
 
 const chooseMember = (members: readonly Member[], random: () => number): Member | undefined => members[Math.floor(random() * members.length)];
@@ -48,7 +49,7 @@
 	return responses.some(response => handleResponse(context, vm, response));
 };
 
-/** Pings one member and records whether it responded. */
+/** Pings one member, first directly and then through other vms, and records whether it responded. */
 export const pingMember = async (context: FailureDetectorContext, vm: VmId): Promise<void> => {
 	const {members} = context;
 	const response = await context.ping(vm, {news: members.chooseUpdates()}, PING_TIMEOUT_MS);
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -67,20 +67,23 @@
 	remainingTransmissions: number;
 };
 
+/** How long a suspect may take to respond or to refute the suspicion before it is declared dead. */
 const SUSPICION_TIMEOUT_MS = 600;
+/** Number of messages that an update is sent with. */
 const MAX_TRANSMISSIONS = 8;
 const MAX_UPDATES_PER_MESSAGE = 12;
+/** Which of two updates of the same version wins: the one with the higher number. */
 const STATUS_PRECEDENCE: Readonly<Record<MemberStatus, number>> = {
 	alive: 0, suspect: 1, leaving: 2, dead: 3,
 };
 
-const isNewer = (update: MemberUpdate, known: MemberUpdate): boolean => {
-	if (update.incarnation !== known.incarnation && known.incarnation !== '') {
+const isNewer = (update: MemberUpdate, current: MemberUpdate): boolean => {
+	if (update.incarnation !== current.incarnation && current.incarnation !== '') {
 		// The update is about another run of the process, which announced itself or was seen by another vm.
 		return update.status === 'alive';
 	}
 
-	return update.version > known.version || (update.version === known.version && STATUS_PRECEDENCE[update.status] > STATUS_PRECEDENCE[known.status]);
+	return update.version > current.version || (update.version === current.version && STATUS_PRECEDENCE[update.status] > STATUS_PRECEDENCE[current.status]);
 };
 
 /** Creates the members; this vm is the only one. */
@@ -122,9 +125,9 @@
 					continue;
 				}
 
-				const known = states.get(entry.vm);
-				if (known) {
-					known.entry = entry;
+				const existing = states.get(entry.vm);
+				if (existing) {
+					existing.entry = entry;
 				} else {
 					states.set(entry.vm, {
 						entry,
