--- a/packages/feed/src/entries.ts
+++ b/packages/feed/src/entries.ts
@@ -31,7 +31,7 @@
 	get: (key: string) => StoreEntry | undefined;
 	/** Returns the entries under a prefix. */
 	list: (prefix: string) => readonly StoreEntry[];
-	/** Applies a change unless the same or a newer one of the key is known; returns whether it was applied. */
+	/** Applies a change unless the same or a newer one of the key is known; tells whether it was applied. */
 	apply: (change: StoreChange) => boolean;
 	/** Replaces all entries under a prefix with those that the store held at a revision; returns the changes that were applied. */
 	replace: (prefix: string, entries: readonly StoreEntry[], revision: number) => readonly StoreChange[];
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -43,7 +43,7 @@
 	run: string;
 	source: FeedSource;
 	prefixes: readonly FeedPrefix[];
-	/** Returns whether a change is relevant to followers. */
+	/** Tells whether a change is relevant to followers. */
 	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
 	/** Returns the vms to follow, the best first; none if this vm should read the store itself. */
 	listRelays: () => readonly string[];
@@ -64,7 +64,7 @@
 	/** Returns the age of the known entries in milliseconds: the time since this vm, or the relay that it follows, had contact with the store. */
 	getAgeMs: () => number;
 	/** Records another successful call to the store, such as the renewal of a lease. */
-	recordContact: (askedAt: Instant) => void;
+	recordContact: (sentAt: Instant) => void;
 	/** Applies a change that this process wrote to the store itself. */
 	applyLocalWrite: (change: StoreChange) => void;
 }>;
@@ -128,19 +128,19 @@
 		publish(table.replace(prefix, entries, revision), previous);
 	};
 
-	const recordContact = (askedAt: Instant) => {
-		contactAt = Math.max(contactAt, askedAt);
-		storeContactAt = Math.max(storeContactAt, askedAt);
+	const recordContact = (sentAt: Instant) => {
+		contactAt = Math.max(contactAt, sentAt);
+		storeContactAt = Math.max(storeContactAt, sentAt);
 	};
 
-	/** Returns whether this vm should read the store, because there is no relay to follow or because other vms follow this one. */
+	/** Tells whether this vm should read the store, because there is no relay to follow or because other vms follow this one. */
 	const shouldReadStore = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, world.now());
 
 	const readPrefix = async (prefix: FeedPrefix, signal: AbortSignal): Promise<void> => {
 		let revision: number | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!signal.aborted) {
-			const askedAt = world.now();
+			const sentAt = world.now();
 			if (revision === undefined) {
 				const read = await source.readAll(prefix.prefix);
 				if (read.ok) {
@@ -148,7 +148,7 @@
 					replaceAll(prefix.prefix, read.val.entries, revision);
 				}
 
-				backoffMs = recordRead(read.ok ? undefined : read.val, askedAt, backoffMs);
+				backoffMs = recordRead(read.ok ? undefined : read.val, sentAt, backoffMs);
 			} else {
 				const watched = await source.watch(prefix.prefix, revision, prefix.waitMs);
 				if (watched.ok) {
@@ -158,7 +158,7 @@
 					revision = undefined;
 				}
 
-				backoffMs = recordRead(watched.ok ? undefined : watched.val, askedAt, backoffMs);
+				backoffMs = recordRead(watched.ok ? undefined : watched.val, sentAt, backoffMs);
 			}
 
 			const delayMs = backoffMs > INITIAL_BACKOFF_MS ? backoffMs * (0.5 + world.random()) : prefix.pauseMs;
@@ -169,13 +169,13 @@
 	};
 
 	/** Records the outcome of a read; returns the next pause after failures. */
-	const recordRead = (failure: ReadFailure | undefined, askedAt: Instant, backoffMs: number): number => {
+	const recordRead = (failure: ReadFailure | undefined, sentAt: Instant, backoffMs: number): number => {
 		if (failure && failure.code !== 'historyLost') {
 			context.onStoreStatus(false, failure.message);
 			return Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		}
 
-		recordContact(askedAt);
+		recordContact(sentAt);
 		context.onStoreStatus(true, '');
 		return INITIAL_BACKOFF_MS;
 	};
@@ -198,7 +198,7 @@
 		readerAbort.abort();
 		isReadingStore = false;
 		signal.removeEventListener('abort', abort);
-		// Watches in progress end by themselves when their wait is over.
+		// Watches in progress end by themselves when their wait has ended.
 		void Promise.all(readers);
 	};
 
@@ -206,7 +206,7 @@
 	const followRelay = async (relay: string, signal: AbortSignal): Promise<boolean> => {
 		let hasResponded = false;
 		while (!signal.aborted && !shouldReadStore()) {
-			const askedAt = world.now();
+			const sentAt = world.now();
 			const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: hasResponded ? MAX_FOLLOWER_WAIT_MS : 0});
 			if (response.err || response.val.ageMs > STALENESS_LIMIT_MS) {
 				return hasResponded;
@@ -220,7 +220,7 @@
 			const {run, number, isWhole, changes, ageMs} = response.val;
 			followedRun = run;
 			followedNumber = number;
-			contactAt = Math.max(contactAt, askedAt - ageMs);
+			contactAt = Math.max(contactAt, sentAt - ageMs);
 			if (isWhole) {
 				for (const {prefix} of context.prefixes) {
 					const entries = changes.flatMap(({entry}) => entry?.key.startsWith(prefix) ? [entry] : []);
@@ -263,10 +263,10 @@
 		async serve(request) {
 			relayUntil = createDeadline(world.now(), RELAY_TIMEOUT_MS);
 			const waitDeadline = createDeadline(world.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
-			const nextNumber = () => firstNumber + changeLog.length;
+			const getNextNumber = () => firstNumber + changeLog.length;
 			const isInLog = request.run === context.run && request.after >= firstNumber - 1;
 			if (isInLog) {
-				while (request.after + 1 >= nextNumber() && !isPast(waitDeadline, world.now())) {
+				while (request.after + 1 >= getNextNumber() && !isPast(waitDeadline, world.now())) {
 					await changed.waitForChange(waitDeadline);
 				}
 			}
@@ -275,7 +275,7 @@
 			const isStillInLog = isInLog && request.after >= firstNumber - 1;
 			return {
 				run: context.run,
-				number: nextNumber() - 1,
+				number: getNextNumber() - 1,
 				isWhole: !isStillInLog,
 				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstNumber) : listAllChanges(),
 				ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -82,7 +82,7 @@
 	};
 };
 
-describe('feed', () => {
+describe('change feed', () => {
 	it('reads the store and receives changes', async () => {
 		const {advance, store, start, stop} = createSetup();
 		store.put('a/x', '1');
