Clarify names and texts of the vm package

Names locals after what they hold (targetsById, promoted, probingPeers), documents callbacks of the statement router and the isolation detector, and says what a vm lacks when it refuses a caller. compare.mjs: structure 0, numbers 0, fields 0, texts 3.

--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -29,7 +29,7 @@
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{configuration: boolean; targets: boolean; members: boolean}>;
 }>;
 
-/** Tells whether a change matters. A changed target entry that parses to the same value is only a heartbeat and does not. */
+/** Tells whether a change affects the cluster view. A target entry that parses to the same value as before is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
 	if (!change.entry || !before || !change.key.startsWith(context.targetPrefix)) {
 		return true;
@@ -80,17 +80,17 @@
 	};
 
 	const rebuildTargets = () => {
-		const next = new Map<TargetId, Target>();
+		const targetsById = new Map<TargetId, Target>();
 		const grouped = new Map<DatabaseId, Target[]>();
 		for (const entry of getFeed().list(context.targetPrefix)) {
 			const parsed = context.parseTarget(entry);
 			if (parsed.ok) {
-				next.set(parsed.val.id, parsed.val);
+				targetsById.set(parsed.val.id, parsed.val);
 				grouped.set(parsed.val.database, [...grouped.get(parsed.val.database) ?? [], parsed.val]);
 			}
 		}
 
-		targets = next;
+		targets = targetsById;
 		targetsByDatabase = grouped;
 		ownerRanks = new Map();
 	};
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -39,13 +39,16 @@
 
 /** Fraction of a target's connections that one owner may open: two owners, chosen under different views, stay within the limit together. */
 const OWNER_CONNECTION_FRACTION = 0.5;
+/** Timeout of one probe of a target, made by this vm or by a peer. */
 const REACH_TIMEOUT_MS = 500;
 /** Maximum number of peers that probe a target. */
 const PROBING_PEERS = 3;
 /** Idle time after which an owner that is no longer the preferred one closes a connection, in milliseconds. */
 const MAX_IDLE_CONNECTION_MS = 3000;
 const IDLE_CHECK_INTERVAL_MS = 1000;
+/** Idle timeout of transactions until the configuration is known. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000;
+/** Connection limit of the targets of a database that the configuration does not name. */
 const DEFAULT_CONNECTION_LIMIT = 8;
 
 /** Formats the name of the failover coordinator's role for a database. */
@@ -57,11 +60,11 @@
 	const {view} = dependencies;
 	const owners = new Map<DatabaseId, DatabaseOwner>();
 
-	const askPeers = async (target: TargetId): Promise<boolean> => {
+	const probeFromPeers = async (target: TargetId): Promise<boolean> => {
 		const usablePeers = view.listMembers().filter(({vm}) => vm !== settings.vm && dependencies.getPeerClient().isUsable(vm));
 		const start = Math.floor(world.random() * usablePeers.length);
-		const asked = [...usablePeers.slice(start), ...usablePeers.slice(0, start)].slice(0, PROBING_PEERS);
-		const responses = await Promise.all(asked.map(async member => dependencies.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
+		const probingPeers = [...usablePeers.slice(start), ...usablePeers.slice(0, start)].slice(0, PROBING_PEERS);
+		const responses = await Promise.all(probingPeers.map(async member => dependencies.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
 		return responses.some(response => response.ok && response.val === true);
 	};
 
@@ -95,10 +98,10 @@
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
 			drawFencingToken: async () => dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
 			async orderPromotion(target, fencingToken) {
-				const known = view.findTarget(target);
-				return known ? context.requestPromotion(known, settings.vm, fencingToken) : 'refused';
+				const promoted = view.findTarget(target);
+				return promoted ? context.requestPromotion(promoted, settings.vm, fencingToken) : 'refused';
 			},
-			isReachableFromPeers: askPeers,
+			isReachableFromPeers: probeFromPeers,
 			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
@@ -130,8 +133,8 @@
 		},
 		async isReachable(id) {
 			const target = view.findTarget(id);
-			const response = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
-			return response === 'leads' || response === 'follows';
+			const pingResult = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
+			return pingResult === 'leads' || pingResult === 'follows';
 		},
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
--- a/packages/vm/src/isolation-detector.ts
+++ b/packages/vm/src/isolation-detector.ts
@@ -11,6 +11,7 @@
 	listMembers: () => readonly Member[];
 	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
+	/** Called when the data centre becomes isolated, and when another one answers again. */
 	onChange: (isIsolated: boolean) => void;
 }>;
 
@@ -46,6 +47,7 @@
 	let isolated = false;
 	let checking = false;
 
+	/** Probes the other data centres, and repeats this until one of them answers. */
 	const checkIsolation = async (): Promise<void> => {
 		checking = true;
 		do {
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -34,6 +34,7 @@
 	}
 };
 
+/** Number of different hash values. */
 const HASH_RANGE = 4_294_967_296;
 
 /** Fraction of the largest capacity below which a vm ranks behind the others as an owner: all statements of a database go through its owner. */
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -20,6 +20,7 @@
 	ping: (member: Member) => Promise<boolean>;
 	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds. */
 	isUsable: (vm: VmId) => boolean;
+	/** Starts to accept calls from other vms. */
 	listen: () => Promise<PeerListener>;
 }>;
 
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -249,7 +249,7 @@
 		const configuration = view.getConfiguration();
 		const route = configuration?.routes.get(service);
 		if (!configuration || !route) {
-			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no service has that name' : 'the configuration is not known yet'));
+			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no service has this name' : 'this vm has not received the configuration yet'));
 		}
 
 		const customer = configuration.customersByKey.get(key);
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -35,10 +35,10 @@
 	getFeedAgeMs: () => number;
 }>;
 
-const ALLOT_TIMEOUT_MS = 300;
+const TOKEN_REQUEST_TIMEOUT_MS = 300;
 /** Validity of the allocator's authority after each check, in milliseconds; every request checks it again. */
 const AUTHORITY_MS = 1000;
-/** Age of the view of the store above which a vm cannot have learned of another allocator, in milliseconds. */
+/** Age of a vm's view of the store above which the vm counts as out of contact with the store, so that it cannot have learned of another allocator, in milliseconds. */
 const STALE_CONTACT_MS = 1500;
 
 /** Fraction of a burst that may be used without the allocator, which may have granted the whole burst just before. */
@@ -105,15 +105,15 @@
 			return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'This vm no longer holds the quota allocator role'});
 		}
 
-		const response = await dependencies.getPeerClient().call(member, ALLOT_METHOD, message, ALLOT_TIMEOUT_MS);
+		const response = await dependencies.getPeerClient().call(member, ALLOT_METHOD, message, TOKEN_REQUEST_TIMEOUT_MS);
 		if (response.err) {
 			return response;
 		}
 
-		return response.val ? Ok(response.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm that was asked does not hold the quota allocator role'});
+		return response.val ? Ok(response.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm that received the token request does not hold the quota allocator role'});
 	};
 
-	/** Returns the fallback quota of a customer at one database. A database has one owner, so equal parts for each database add up to the quota. */
+	/** Returns the fallback quota of a customer at one database. Each database has one owner, so the equal fractions of all databases add up to the quota. */
 	const getFallbackQuota = (customer: CustomerId): Quota | undefined => {
 		const configuration = view.getConfiguration();
 		const quota = configuration?.quotas.get(customer);
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -17,13 +17,17 @@
 	isUsable: (vm: VmId) => boolean;
 	callOwner: (member: Member, request: StatementRequest, timeoutMs: number) => Promise<Result<StatementResponse, CallFailure>>;
 	serveLocally: (request: StatementRequest) => Promise<StatementResponse>;
+	/** Rolls a transaction back at an owner; `undefined` stands for this vm itself. */
 	rollBackAt: (member: Member | undefined, database: DatabaseId, transaction: string) => void;
+	/** Called when an owner could not be reached, or was lost during a read; the next owner in the ranking is then tried. */
 	onRetried: (request: StatementRequest, owner: VmId, reason: string) => void;
 }>;
 
 /** Routes the statements of one entry. */
 export type StatementRouter = Readonly<{
+	/** Runs a statement at the owner that holds its transaction, otherwise at the best-ranked owner that can be reached. */
 	run: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
+	/** Rolls a transaction back at the owner that holds it; does nothing if no owner holds it. */
 	rollBack: (database: DatabaseId, transaction: string) => void;
 }>;
 
