--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -24,7 +24,7 @@
 	tokens: number;
 	/** Time for which the tokens are valid, counted from when the entry sent its request, in milliseconds. */
 	validMs: number;
-	/** Time until more tokens are available, in milliseconds; 0 if all wanted tokens were granted. */
+	/** Time until another whole token is available, in milliseconds; 0 if all wanted tokens were granted. */
 	retryAfterMs: number;
 }>;
 
@@ -43,10 +43,10 @@
 	getQuota: (customer: CustomerId) => Quota | undefined;
 }>;
 
-/** Longest time for which granted tokens are valid, in milliseconds. */
+/** Maximum time for which granted tokens are valid, in milliseconds. */
 export const MAX_TOKEN_VALIDITY_MS = 200;
 
-/** Largest fraction of a burst that may be reserved for tokens that are granted and not yet used. */
+/** Maximum fraction of a burst that may be reserved for tokens that are granted and not yet used. */
 const MAX_RESERVED_FRACTION = 0.5;
 
 /**
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -66,13 +66,20 @@
 /** Returns the part of a customer's quota that this process may use while no allocator responds; `undefined` for none. */
 export type GetFallbackQuota = (customer: CustomerId) => Quota | undefined;
 
+/** Maximum time that a request waits for a token while the allocator responds, in milliseconds. */
 const MAX_WAIT_MS = 300;
+/** Maximum time that a request waits while the backlog from a time without an allocator is worked off, in milliseconds. */
 const EXTENDED_MAX_WAIT_MS = 2500;
+/** Time after the first response of an allocator for which the extended wait applies, in milliseconds. */
 const RECOVERY_MS = 5000;
+/** Maximum time that a request waits while no allocator responds, in milliseconds. */
 const MAX_ALLOCATOR_WAIT_MS = 4000;
+/** Base and upper bound of the exponential backoff after failed token requests, in milliseconds. */
 const BASE_RETRY_MS = 20;
 const MAX_RETRY_MS = 300;
+/** Window of the moving average of the demand, in milliseconds. */
 const DEMAND_WINDOW_MS = 500;
+/** Maximum number of tokens wanted in one token request. */
 const MAX_WANTED_TOKENS = 1000;
 /** Pause before the next token request after a grant of fewer tokens than wanted, in milliseconds, so that one request fetches several tokens. */
 const SHORTAGE_PAUSE_MS = 50;
@@ -95,6 +102,7 @@
 		state.lastRequestAt = now;
 	};
 
+	/** Sends one token request to the allocator and records its grant, or the pause before the next attempt. */
 	const refill = async (customer: CustomerId, state: CustomerTokens) => {
 		const requestedAt = world.now();
 		const isValid = !isPast(state.deadline, requestedAt);
@@ -129,9 +137,9 @@
 	};
 
 	const getState = (customer: CustomerId): CustomerTokens => {
-		const known = statesByCustomer.get(customer);
-		if (known) {
-			return known;
+		const existing = statesByCustomer.get(customer);
+		if (existing) {
+			return existing;
 		}
 
 		const state: CustomerTokens = {
@@ -205,7 +213,7 @@
 			return isPast(deadline, now) || state.retryAt > deadline;
 		};
 
-		for (const waiter of state.waiting.filter(one => isExpired(one))) {
+		for (const waiter of state.waiting.filter(waiting => isExpired(waiting))) {
 			state.waiting.splice(state.waiting.indexOf(waiter), 1);
 			waiter.settle(createRefusal(state));
 		}
