Mend comments and texts of the requests package

Two comments had lost their verb in a rename; the rollback after a lost connection now gives its cause.

--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -98,7 +98,7 @@
 
 const LOST_MESSAGE = 'The connection to the vm that ran the request was lost';
 
-/** Forwards the owner's replies to the caller until the chunk is outcome. */
+/** Forwards the owner's replies to the caller, up to the one that completes the chunk. */
 const relayReplies = async ({caller, port, context}: ServedCaller, {request, nextReply, statusBefore}: PendingReply): Promise<ChunkOutcome> => {
 	let reply = nextReply;
 	while (true) {
@@ -184,9 +184,9 @@
 			return refuse(received, sent.val);
 		}
 
-		const next = 'request' in sent ? sent : {request: sent.val, nextReply: sent.val.firstReply, statusBefore: status};
-		running = next.request;
-		const outcome = await relayReplies(served, next);
+		const pendingReply = 'request' in sent ? sent : {request: sent.val, nextReply: sent.val.firstReply, statusBefore: status};
+		running = pendingReply.request;
+		const outcome = await relayReplies(served, pendingReply);
 		status = outcome.status;
 		if (status === 'idle' && !outcome.flushed) {
 			await running[Symbol.asyncDispose]();
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -56,7 +56,7 @@
 /** The owner's end of the stream of a request. */
 export type OwnerStream = Stream<Reply, RequestChunk>;
 
-/** A request that is being request, and its target. */
+/** A request that is being served, and its target. */
 type ActiveRequest<Connection extends CancelableConnection> = Readonly<{context: OwnerContext<Connection>; header: RequestHeader; stream: OwnerStream; target: OwnedTarget<Connection>}>;
 
 /** Result of running a chunk. */
@@ -100,9 +100,9 @@
 	const {context, stream, header} = request;
 	const timer = new AbortController();
 	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
-	const next = await Promise.race([stream.receive(), idle]);
+	const nextChunk = await Promise.race([stream.receive(), idle]);
 	timer.abort();
-	return next;
+	return nextChunk;
 };
 
 /** A response that is being waited for. */
@@ -124,7 +124,9 @@
 const sendLostOutcome = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, status: TransactionStatus, mayCommit: boolean): Promise<void> => {
 	const {stream} = request;
 	const isUnknown = status === 'idle' || mayCommit;
-	await stream.send(isUnknown ? {kind: 'unknown', message: NOT_DURABLE_MESSAGE} : {kind: 'rolledBack', message: 'The transaction was rolled back'});
+	await stream.send(isUnknown
+		? {kind: 'unknown', message: NOT_DURABLE_MESSAGE}
+		: {kind: 'rolledBack', message: 'The connection to the database was lost, or the primary was replaced; the transaction was rolled back'});
 };
 
 /** Runs chunks on a connection until the transaction has ended; returns the state of the connection. */
@@ -146,9 +148,9 @@
 		await stream.send({kind: 'messages', bytes});
 	};
 
-	const mayRelease = async (next: TransactionStatus): Promise<boolean> => {
+	const mayRelease = async (statusAtTarget: TransactionStatus): Promise<boolean> => {
 		permit?.[Symbol.dispose]();
-		if (next === 'idle' && header.mode === 'write') {
+		if (statusAtTarget === 'idle' && header.mode === 'write') {
 			const deadline = createDeadline(context.world.now(), header.remainingMs);
 			const state = await context.waitUntilDurable({
 				database: header.database, target: header.target, term: first.term, deadline, signal: stream.signal,
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -33,13 +33,13 @@
 
 /** Behaviour of the target and its owner that a test chooses. */
 type Behaviour = Readonly<{
-	answer?: (task: ChunkTask) => Promise<ChunkResult>;
-	isDurable?: DurabilityState;
+	respond?: (task: ChunkTask) => Promise<ChunkResult>;
+	durability?: DurabilityState;
 	isGranted?: boolean;
 	isDraining?: boolean;
 }>;
 
-const answerImmediately = async (task: ChunkTask): Promise<ChunkResult> => {
+const respondImmediately = async (task: ChunkTask): Promise<ChunkResult> => {
 	await task.send(new Uint8Array([1]));
 	return await task.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
 };
@@ -66,9 +66,9 @@
 	const context: OwnerContext<Connection> = {
 		world,
 		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
-		runChunk: async (_, task) => (behaviour.answer ?? answerImmediately)(task),
+		runChunk: async (_, task) => (behaviour.respond ?? respondImmediately)(task),
 		checkGrant: () => behaviour.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
-		waitUntilDurable: async () => behaviour.isDurable ?? 'durable',
+		waitUntilDurable: async () => behaviour.durability ?? 'durable',
 		waitUntilUnanswerable: async (_header, _term, _deadline, signal) => new Promise(resolve => {
 			signal.addEventListener('abort', () => {
 				resolve();
@@ -109,36 +109,36 @@
 		});
 
 		it('has an unknown outcome while it is not confirmed durable', async () => {
-			assert.deepEqual(await collectKinds({isDurable: 'unproved'}), ['messages', 'unknown']);
+			assert.deepEqual(await collectKinds({durability: 'unproved'}), ['messages', 'unknown']);
 		});
 
 		it('has an unknown outcome when the connection is lost', async () => {
-			assert.deepEqual(await collectKinds({answer: async () => ({kind: 'lost'})}), ['unknown']);
+			assert.deepEqual(await collectKinds({respond: async () => ({kind: 'lost'})}), ['unknown']);
 		});
 	});
 
 	describe('a read', () => {
 		it('does not wait for replicas', async () => {
-			assert.deepEqual(await collectKinds({isDurable: 'unproved'}, {...HEADER, mode: 'read'}), ['messages', 'ready']);
+			assert.deepEqual(await collectKinds({durability: 'unproved'}, {...HEADER, mode: 'read'}), ['messages', 'ready']);
 		});
 
 		it('is returned to the entry when a replica refuses it as a write', async () => {
-			assert.deepEqual(await collectKinds({answer: async () => ({kind: 'readOnly'})}, {...HEADER, mode: 'read'}), ['readOnly']);
+			assert.deepEqual(await collectKinds({respond: async () => ({kind: 'readOnly'})}, {...HEADER, mode: 'read'}), ['readOnly']);
 		});
 	});
 
 	describe('a refusal', () => {
 		it('is sent before the target receives anything', async () => {
 			const refuseToRun = async (): Promise<ChunkResult> => assert.fail('the chunk was sent');
-			assert.deepEqual(await collectKinds({answer: refuseToRun, isGranted: false}), ['noGrant']);
-			assert.deepEqual(await collectKinds({answer: refuseToRun, isDraining: true}), ['notHome']);
-			assert.deepEqual(await collectKinds({answer: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
+			assert.deepEqual(await collectKinds({respond: refuseToRun, isGranted: false}), ['noGrant']);
+			assert.deepEqual(await collectKinds({respond: refuseToRun, isDraining: true}), ['notHome']);
+			assert.deepEqual(await collectKinds({respond: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
 		});
 	});
 
 	describe('a transaction', () => {
 		it('occupies no slot between its statements and is rolled back after its idle timeout', async () => {
-			const {entry, serve, advance, settle, queue, getResets} = createFixture({answer: async () => ({kind: 'ready', status: 'open'})});
+			const {entry, serve, advance, settle, queue, getResets} = createFixture({respond: async () => ({kind: 'ready', status: 'open'})});
 			await entry.send(CHUNK);
 			const served = serve();
 			await settle();
