--- a/packages/sessions/src/classification.ts
+++ b/packages/sessions/src/classification.ts
@@ -21,8 +21,11 @@
 /** What may precede a statement: white space, empty statements and comments. */
 const LEADING_PATTERNS = [/^\s+/v, /^;/v, /^--[^\n]*/v, /^\/\*[\s\S]*?\*\//v] as const;
 const FIRST_WORD_PATTERN = /^[a-z]+/iv;
+/** A semicolon that another statement follows. */
 const LATER_STATEMENT_PATTERN = /;(?=[\s\S]*\S)/v;
+/** Words of statements whose effects on the connection may outlive a transaction. */
 const STATEFUL_PATTERN = /\b(?:set_config|temp|temporary|pg_advisory\w*|prepare|listen|declare|set)\b/iv;
+/** Calls of the functions that take advisory locks. */
 const LOCK_PATTERN = /\bpg_(?:try_)?advisory\w*/iv;
 
 const matchLeading = (text: string): string | undefined => LEADING_PATTERNS.map(pattern => pattern.exec(text)?.[0]).find(match => match !== undefined);
--- a/packages/sessions/src/prepared-statements.ts
+++ b/packages/sessions/src/prepared-statements.ts
@@ -10,6 +10,7 @@
 	remove: (name: string) => void;
 }>;
 
+/** Number of hexadecimal digits of the SHA-256 hash that are used. */
 const HASH_LENGTH = 24;
 
 /** Creates a prepared statement; the hash is computed from its text and its encoded parameter types. */
