Clarify names of the caller session

Names the session's variables, prepared statements and open transaction; says which authorization a transaction runs under.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -43,7 +43,7 @@
 	outcome: StatementOutcome;
 	status: TransactionStatus;
 	position: LogPosition | undefined;
-	/** Target that response the statement, for logging. */
+	/** Target that ran the statement, for logging. */
 	target: string | undefined;
 	/** Time from the arrival of the request at the owner until it was sent to a target, in milliseconds. */
 	waitedMs: number;
@@ -70,8 +70,8 @@
 /** Creates a session with no open transaction. */
 export const createSession = (context: SessionContext): Session => {
 	const {world} = context;
-	const values = new Map<string, string>();
-	const prepared = new Map<string, PreparedDefinition>();
+	const variables = new Map<string, string>();
+	const preparedStatements = new Map<string, PreparedDefinition>();
 	let status: TransactionStatus = 'idle';
 	let transaction: Transaction | undefined;
 	/** Whether a statement of the transaction has been sent to the owner. */
@@ -84,9 +84,9 @@
 	});
 
 	/** Sets the status; unless it is `open`, ends the transaction and rolls it back at the owner if it has started there. */
-	const endTransaction = (next: TransactionStatus) => {
-		status = next;
-		if (next !== 'open') {
+	const endTransaction = (newStatus: TransactionStatus) => {
+		status = newStatus;
+		if (newStatus !== 'open') {
 			if (transaction && isStarted) {
 				context.rollBack(transaction.authorization.route.database, transaction.id);
 			}
@@ -103,7 +103,7 @@
 		statement,
 		consistency: route.consistency,
 		floor: route.consistency.kind === 'ownWrites' ? minimumPosition : undefined,
-		values: [...values],
+		values: [...variables],
 		transaction: transaction && {id: transaction.id, readOnly: transaction.readOnly, isFirst: !isStarted},
 		remainingMs: route.timeoutMs,
 		promptMs: Math.max(0, latencyDeadline - world.now()),
@@ -131,16 +131,17 @@
 		return createResponse(response.outcome, response);
 	};
 
-	const runInTransaction = async (id: string, statement: TargetStatement, open: Transaction): Promise<SessionResponse> => {
+	/** Runs a statement under the authorization that the transaction began with; only a key that has been withdrawn since ends the transaction. */
+	const runInTransaction = async (id: string, statement: TargetStatement, openTransaction: Transaction): Promise<SessionResponse> => {
 		const current = context.authorize();
 		if (current.err && current.val.kind === 'refused' && current.val.code === 'noKey') {
 			endTransaction('failed');
 			return createResponse(current.val);
 		}
 
-		const request = createRequest(id, statement, open.authorization, open.latencyDeadline);
+		const request = createRequest(id, statement, openTransaction.authorization, openTransaction.latencyDeadline);
 		isStarted = true;
-		const response = await context.runAtOwner(request, createDeadline(world.now(), open.authorization.route.timeoutMs));
+		const response = await context.runAtOwner(request, createDeadline(world.now(), openTransaction.authorization.route.timeoutMs));
 		recordResponse(request, response);
 		if (statement.kind === 'commit' || response.status !== 'open') {
 			isStarted = response.status === 'open';
@@ -180,7 +181,7 @@
 	};
 
 	const execute = async (id: string, name: string, rest: string): Promise<SessionResponse> => {
-		const definition = prepared.get(name);
+		const definition = preparedStatements.get(name);
 		return definition
 			? runAtTarget(id, {kind: 'prepared', prepared: definition, rest})
 			: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
@@ -207,17 +208,17 @@
 			}
 
 			case 'set': {
-				values.set(statement.name, statement.value);
+				variables.set(statement.name, statement.value);
 				return createResponse(DONE);
 			}
 
 			case 'prepare': {
-				prepared.set(statement.name, statement.prepared);
+				preparedStatements.set(statement.name, statement.prepared);
 				return createResponse(DONE);
 			}
 
 			case 'deallocate': {
-				return prepared.delete(statement.name)
+				return preparedStatements.delete(statement.name)
 					? createResponse(DONE)
 					: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
 			}
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -56,8 +56,8 @@
 			const {session} = createSetup(() => ({outcome: createRefusal('aborted', 'lost'), status: 'failed'}));
 			await session.run('1', {kind: 'begin', readOnly: false});
 			assert.equal((await session.run('2', {kind: 'text', access: 'read', text: 'READ a'})).status, 'failed');
-			const next = await session.run('3', {kind: 'text', access: 'read', text: 'READ a'});
-			assert.equal(next.outcome.kind === 'refused' && next.outcome.code, 'malformed');
+			const response = await session.run('3', {kind: 'text', access: 'read', text: 'READ a'});
+			assert.equal(response.outcome.kind === 'refused' && response.outcome.code, 'malformed');
 			assert.equal((await session.run('4', {kind: 'rollback'})).status, 'idle');
 		});
 
@@ -86,8 +86,8 @@
 			await session.run('2', {kind: 'execute', name: 's1', rest: 'a b'});
 			assert.deepEqual(requests[0]?.statement, {kind: 'prepared', prepared: {access: 'write', shape: 'q2c'}, rest: 'a b'});
 			await session.run('3', {kind: 'deallocate', name: 's1'});
-			const gone = await session.run('4', {kind: 'execute', name: 's1', rest: 'a b'});
-			assert.equal(gone.outcome.kind === 'refused' && gone.outcome.code, 'noStatement');
+			const afterDeallocate = await session.run('4', {kind: 'execute', name: 's1', rest: 'a b'});
+			assert.equal(afterDeallocate.outcome.kind === 'refused' && afterDeallocate.outcome.code, 'noStatement');
 		});
 	});
 
