--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -23,7 +23,7 @@
 	inForce: number;
 }>;
 
-/** Reply of a relay. */
+/** Response of a relay. */
 export type SyncReply = Readonly<{
 	incarnation: string;
 	sequence: number;
@@ -43,9 +43,10 @@
 	getReports: () => readonly ActiveRevisionReport[];
 }>;
 
+/** Maximum time that a sync request waits for a change, in milliseconds. */
 const MAX_CHANGE_WAIT_MS = 400;
 
-const getAgeMs = (cache: StoreCache, now: Instant): number => {
+const getConfirmedAgeMs = (cache: StoreCache, now: Instant): number => {
 	const confirmedAt = cache.getConfirmedAt();
 	return Number.isFinite(confirmedAt) ? now - confirmedAt : -1;
 };
@@ -59,7 +60,7 @@
 			reports.set(request.vm, {vm: request.vm, revision: request.inForce, at: world.now()});
 			await cache.waitForChange(after, createDeadline(world.now(), MAX_CHANGE_WAIT_MS));
 			return {
-				incarnation, sequence: cache.getSequence(), entries: cache.getChangedAfter(after), confirmedAgeMs: getAgeMs(cache, world.now()),
+				incarnation, sequence: cache.getSequence(), entries: cache.getChangedAfter(after), confirmedAgeMs: getConfirmedAgeMs(cache, world.now()),
 			};
 		},
 		getReports: () => [...reports.values()],
@@ -85,8 +86,10 @@
 	onStoreContact: (reachable: boolean) => void;
 }>;
 
+/** Interval at which a relay reads the configuration, which confirms that its cache is up to date, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 400;
 const RETRY_PAUSE_MS = 100;
+/** Interval at which a relay reads all entries, not only the configuration, in milliseconds. */
 const FULL_READ_INTERVAL_MS = 5000;
 
 const readAll = async (context: CacheSyncContext): Promise<boolean> => {
@@ -167,12 +170,12 @@
 
 const syncWithRelay = async (context: CacheSyncContext, relay: VmId, progress: Progress): Promise<boolean> => {
 	const requestedAt = context.world.now();
-	const reply = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
-	if (reply.err) {
+	const response = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
+	if (response.err) {
 		return false;
 	}
 
-	const {incarnation, sequence, entries, confirmedAgeMs} = reply.val;
+	const {incarnation, sequence, entries, confirmedAgeMs} = response.val;
 	context.cache.merge(entries);
 	progress.incarnation = incarnation;
 	progress.after = sequence;
