--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -24,7 +24,7 @@
 }>;
 
 /** Response of a relay. */
-export type SyncReply = Readonly<{
+export type SyncResponse = Readonly<{
 	incarnation: string;
 	sequence: number;
 	entries: readonly Entry[];
@@ -38,7 +38,7 @@
 /** Relay service of one process; every process offers it, whether it is a relay or not. */
 export type RelayService = Readonly<{
 	/** Returns the changes since the last sync; if there are none, waits a short time for some. */
-	sync: (request: SyncRequest) => Promise<SyncReply>;
+	sync: (request: SyncRequest) => Promise<SyncResponse>;
 	/** Returns the active revision last reported by each requesting vm. */
 	getReports: () => readonly ActiveRevisionReport[];
 }>;
@@ -78,7 +78,7 @@
 	/** Returns the relays in order of preference: those of this data centre, then those of the others. */
 	getRelays: () => readonly VmId[];
 	/** Sends a sync request to a vm. */
-	sendSync: (vm: VmId, request: SyncRequest) => Promise<Result<SyncReply, Failure>>;
+	sendSync: (vm: VmId, request: SyncRequest) => Promise<Result<SyncResponse, Failure>>;
 	/** Asks the relays of every data centre; tells whether none of them can reach the store. */
 	isStoreDownForAll: () => Promise<boolean>;
 	getActiveRevision: () => number;
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -6,7 +6,7 @@
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
 import {
-	createRelayService, runCacheSync, runRelayWatches, type CacheSyncContext, type SyncReply,
+	createRelayService, runCacheSync, runRelayWatches, type CacheSyncContext, type SyncResponse,
 } from '@guavapitch/configuration';
 import {GROUP_PREFIX, parseGroupRecord, type GroupView} from '@guavapitch/failover';
 import {createQuotaClient} from '@guavapitch/limits';
@@ -265,7 +265,7 @@
 		vm: settings.vm,
 		isRelay: () => clusterView.isRelay(),
 		getRelays: () => clusterView.getRelays(),
-		sendSync: async (vm, request) => callVm<SyncReply>(vm, 'sync', request, SYNC_TIMEOUT_MS),
+		sendSync: async (vm, request) => callVm<SyncResponse>(vm, 'sync', request, SYNC_TIMEOUT_MS),
 		async isStoreDownForAll() {
 			const dataCentres = new Set(activeConfiguration.getInventory()?.dataCentres);
 			const others = clusterView.getRelays();
