--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -23,5 +23,5 @@
 /** Identifier of one request, unique across the fleet. */
 export type RequestId = Brand<string, 'RequestId'>;
 
-/** Brands a string as an identifier; the caller has validated it. */
+/** Brands a string as an identifier, without a check: the string must have been validated. */
 export const parseId = <Id extends string>(text: string): Id => text as Id;
--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -15,6 +15,7 @@
 	waitUntil: (condition: () => boolean, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, WaitFailure>>;
 }>;
 
+/** Maximum duration of one sleep, in milliseconds; the time left before `NEVER` is infinite, and timers accept no such delay. */
 const MAX_SLEEP_MS = 3_600_000;
 
 /** Creates a notifier. */
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -1,7 +1,9 @@
 /** Rendezvous hashing: every process ranks the same candidates in the same order, and a change of one candidate moves few keys. */
 
+/** Constants of the 32-bit FNV-1a hash. */
 const FNV_OFFSET = 0x81_1C_9D_C5;
 const FNV_PRIME = 0x01_00_01_93;
+/** Constants of the finalizer of MurmurHash3, which spreads each bit of the FNV hash over the whole result. */
 const MIX_FIRST = 0x85_EB_CA_6B;
 const MIX_SECOND = 0xC2_B2_AE_35;
 
--- a/packages/core/src/single-flight.ts
+++ b/packages/core/src/single-flight.ts
@@ -1,6 +1,6 @@
-/** Shares one call among concurrent callers. */
+/** Shares the result of one call among concurrent requests for it. */
 
-/** Creates a function whose concurrent callers share the result of one call, which starts no earlier than their own request. */
+/** Creates a function whose concurrent invocations share one call; each gets the result of a call that started no earlier than its own invocation. */
 export const createSingleFlight = <Value>(call: () => Promise<Value>): (() => Promise<Value>) => {
 	let runningCall: Promise<Value> | undefined;
 	let nextCall: Promise<Value> | undefined;
--- a/packages/core/src/virtual-world.ts
+++ b/packages/core/src/virtual-world.ts
@@ -15,7 +15,9 @@
 
 type VirtualTimer = Readonly<{at: number; order: number; wake: () => void}>;
 
+/** Turns of the event loop for which `settle` waits. */
 const EVENT_LOOP_TURNS = 3;
+/** Constants of the linear congruential generator of random numbers. */
 const LCG_MULTIPLIER = 1_664_525;
 const LCG_INCREMENT = 1_013_904_223;
 const LCG_MODULUS = 4_294_967_296;
@@ -36,29 +38,29 @@
 		}
 	};
 
-	const findNext = (untilMs: number): VirtualTimer | undefined => {
-		let next: VirtualTimer | undefined;
+	const findNextTimer = (untilMs: number): VirtualTimer | undefined => {
+		let nextTimer: VirtualTimer | undefined;
 		for (const timer of timers) {
-			if (timer.at <= untilMs && (!next || timer.at < next.at || (timer.at === next.at && timer.order < next.order))) {
-				next = timer;
+			if (timer.at <= untilMs && (!nextTimer || timer.at < nextTimer.at || (timer.at === nextTimer.at && timer.order < nextTimer.order))) {
+				nextTimer = timer;
 			}
 		}
 
-		return next;
+		return nextTimer;
 	};
 
 	const advance = async (ms: number) => {
 		const untilMs = now + ms;
 		await settle();
 		while (true) {
-			const next = findNext(untilMs);
-			if (!next) {
+			const nextTimer = findNextTimer(untilMs);
+			if (!nextTimer) {
 				break;
 			}
 
-			timers.delete(next);
-			now = Math.max(now, next.at);
-			next.wake();
+			timers.delete(nextTimer);
+			now = Math.max(now, nextTimer.at);
+			nextTimer.wake();
 			await settle();
 		}
 
