--- a/packages/telemetry/src/event-text.ts
+++ b/packages/telemetry/src/event-text.ts
@@ -2,6 +2,7 @@
 
 import type {EventRecord} from './events.js';
 
+/** Range of the time of day within an ISO 8601 timestamp. */
 const TIME_START = 11;
 const TIME_END = 23;
 
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -17,7 +17,7 @@
 /** Details of one event. They never contain a customer's key or anything derived from one. */
 export type EventFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
 
-/** One event as it is written to the log. */
+/** One event as it is written to the log; `hlc` orders the events of all processes, `at` is its wall time as text. */
 export type EventRecord = EventOrigin & Readonly<{
 	id: number;
 	level: string;
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -8,7 +8,7 @@
 /** Upper bounds of the histogram buckets, in milliseconds. */
 export const BUCKETS_MS: readonly number[] = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000];
 
-/** Histogram of the times recorded under one name and one set of tags. */
+/** Histogram of the times recorded under one name and one set of labels. */
 export type Histogram = Readonly<{
 	name: string;
 	tags: Tags;
@@ -27,7 +27,7 @@
 	time: (name: string, ms: number, tags?: Tags) => void;
 	/** Returns every histogram. */
 	listHistograms: () => readonly Histogram[];
-	/** Returns the value of every counter and gauge, by name and tags. */
+	/** Returns the value of every counter and gauge, by name and labels. */
 	snapshot: () => Readonly<Record<string, number>>;
 }>;
 
