--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -36,9 +36,11 @@
 	onCall?: (method: string) => void;
 }>;
 
+/** Pause between attempts to reconnect; initial, minimum and maximum are equal, so that the pause does not grow. */
 const RECONNECT_BACKOFF_MS = 200;
 const MS_PER_SECOND = 1000;
 
+/** Returns the exclusive upper end of the range of keys that start with a prefix. */
 const createPrefixEnd = (prefix: string): Buffer => {
 	const end = Buffer.from(prefix);
 	end[end.length - 1] = (end.at(-1) ?? 0) + 1;
@@ -88,7 +90,7 @@
 			return Err({code: 'storeUnreachable', message: 'The store has no method LeaseKeepAlive'});
 		}
 
-		const replied = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
+		const responded = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
 			stream.on('data', response => {
 				resolve(Ok(response as KeepAliveResponse));
 			});
@@ -97,8 +99,8 @@
 			});
 			stream.write({ID: id});
 		});
-		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The store did not answer the renewal in time'} as const), () => undefined);
-		const result = await Promise.race([replied, timedOut]);
+		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The renewal of the lease timed out'} as const), () => undefined);
+		const result = await Promise.race([responded, timedOut]);
 		timer.abort();
 		stream.cancel();
 		return result ?? Err({code: 'storeUnknown', message: 'The lease renewal was aborted'});
@@ -125,8 +127,8 @@
 				success: [{request_put: {key: bytes, value: Buffer.from(value), lease: leaseId ?? 0}}],
 				failure: [{request_range: {key: bytes}}],
 			});
-			return response.map((reply): SwapOutcome => {
-				const {succeeded, header, responses} = reply as TxnResponse;
+			return response.map((body): SwapOutcome => {
+				const {succeeded, header, responses} = body as TxnResponse;
 				if (succeeded) {
 					return {swapped: true, current: {key, value, revision: header.revision}};
 				}
@@ -144,13 +146,13 @@
 				success: [{request_delete_range: {key: bytes}}],
 				failure: [],
 			});
-			return response.map(reply => (reply as TxnResponse).succeeded);
+			return response.map(body => (body as TxnResponse).succeeded);
 		},
 		async grantLease(seconds) {
 			const requestedAt = world.now();
 			const response = await call(leases, 'LeaseGrant', {TTL: seconds, ID: 0});
-			return response.map((reply): Lease => ({
-				id: String((reply as KeepAliveResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
+			return response.map((body): Lease => ({
+				id: String((body as KeepAliveResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
 			}));
 		},
 		async renewLease(id) {
