Name the package of database owners after what it holds

The structure test names the new folder in its table and in its list of decision packages, and checks as much as before.

--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -15,7 +15,7 @@
 	['core'],
 	['telemetry', 'inventory', 'store', 'peer-protocol', 'postgres-wire', 'membership', 'limits', 'pool', 'feed'],
 	['configuration', 'roles', 'sessions'],
-	['failover', 'requests', 'homes', 'callers'],
+	['failover', 'requests', 'database-owners', 'callers'],
 	['front-postgres', 'back-postgres'],
 	['routing'],
 	['proxy', 'vm', 'operator', 'timeline', 'standin', 'load', 'emulator'],
@@ -23,7 +23,21 @@
 ];
 /** Index of the layer of programs, which may also import each other's libraries. */
 const PROGRAM_LAYER = 6;
-const DECISION_PACKAGES: readonly string[] = ['failover', 'routing', 'limits', 'membership', 'roles', 'pool', 'configuration', 'sessions', 'feed', 'homes', 'callers', 'requests', 'emulator'];
+const DECISION_PACKAGES: readonly string[] = [
+	'failover',
+	'routing',
+	'limits',
+	'membership',
+	'roles',
+	'pool',
+	'configuration',
+	'sessions',
+	'feed',
+	'database-owners',
+	'callers',
+	'requests',
+	'emulator',
+];
 const CODEC_PACKAGES: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, createVirtualWorld, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type World,
 } from '@guavapitch/core';
-import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/homes';
+import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/database-owners';
 import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
 import {runCallers, type OperationResult} from './callers.js';
 import type {Load, LoadEvent} from './loads.js';
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
-} from '@guavapitch/homes';
+} from '@guavapitch/database-owners';
 import {comparePositions, type LogPosition} from '@guavapitch/sessions';
 import type {Load, LoadEvent, TargetSpec} from './loads.js';
 
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -2,7 +2,7 @@
 
 import type {DatabaseId, DataCentreId, TargetId} from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
-import type {Target} from '@guavapitch/homes';
+import type {Target} from '@guavapitch/database-owners';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
 import {parseMember, rankOwners, type Member} from './members.js';
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -6,7 +6,7 @@
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
 import type {
 	DialTarget, PromotionOutcome, ReadStatus, Target,
-} from '@guavapitch/homes';
+} from '@guavapitch/database-owners';
 import type {RoleStore} from '@guavapitch/roles';
 import type {Emit, Metrics} from '@guavapitch/telemetry';
 import type {DocumentFailure, ParseConfiguration} from './configuration.js';
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, runFailoverCoordinator, type DatabaseOwner,
-} from '@guavapitch/homes';
+} from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
