--- a/packages/back-postgres/src/connection.ts
+++ b/packages/back-postgres/src/connection.ts
@@ -12,7 +12,7 @@
 } from '@guavapitch/postgres-wire';
 
 /** Address and credentials of a target. */
-export type TargetAddress = Readonly<{
+export type TargetConnectionSettings = Readonly<{
 	host: string;
 	port: number;
 	user: string;
@@ -67,7 +67,7 @@
 };
 
 /** Answers the target's authentication requests until it is ready for queries; returns its `BackendKeyData`, if it sent any. */
-const authenticate = async (wire: WireConnection, address: TargetAddress): Promise<Result<Message | undefined, PoolFailure>> => {
+const authenticate = async (wire: WireConnection, address: TargetConnectionSettings): Promise<Result<Message | undefined, PoolFailure>> => {
 	const password = address.password ?? '';
 	const scram = startScramClient(password);
 	let keyData: Message | undefined;
@@ -126,7 +126,7 @@
 };
 
 /** Opens and authenticates a connection to a target; fails with `targetUnreachable`. */
-export const openTargetConnection = async (address: TargetAddress): Promise<Result<TargetConnection, PoolFailure>> => {
+export const openTargetConnection = async (address: TargetConnectionSettings): Promise<Result<TargetConnection, PoolFailure>> => {
 	const socket = createConnection({host: address.host, port: address.port, noDelay: true});
 	const wire = openWireConnection(socket);
 	socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
--- a/packages/back-postgres/src/control-connection.ts
+++ b/packages/back-postgres/src/control-connection.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type Failure, type Result, type World,
 } from '@guavapitch/core';
 import {
-	openTargetConnection, type TargetAddress, type TargetConnection, type QueryRows,
+	openTargetConnection, type TargetConnectionSettings, type TargetConnection, type QueryRows,
 } from './connection.js';
 
 /** Connection for queries of the proxy itself; opened when needed and closed after a failure. */
@@ -26,7 +26,7 @@
 };
 
 /** Creates the control connection to a target, without opening it. */
-export const createControlConnection = (address: TargetAddress, world: World): ControlConnection => {
+export const createControlConnection = (address: TargetConnectionSettings, world: World): ControlConnection => {
 	let connection: TargetConnection | undefined;
 	let previousQuery: Promise<unknown> = Promise.resolve();
 
@@ -72,7 +72,7 @@
 };
 
 /** State that a target reports: its role, timeline and log position, and on a primary the replayed log positions of its replicas by name. */
-export type TargetState = Readonly<{isReplica: boolean; timeline: number; position: number; replayed: ReadonlyMap<string, number>}>;
+export type TargetState = Readonly<{isReplica: boolean; timeline: number; position: number; replayedPositions: ReadonlyMap<string, number>}>;
 
 const STATE_QUERY = 'SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint(); SELECT pg_last_wal_replay_lsn()';
 const PRIMARY_QUERY = 'SELECT pg_current_wal_lsn(); SELECT application_name, replay_lsn FROM pg_stat_replication';
@@ -80,9 +80,9 @@
 const parseReplicas = (rows: QueryRows | undefined): ReadonlyMap<string, number> => new Map((rows ?? []).map(([name, position]) => [name ?? '', parsePosition(position)]));
 
 /** Reads the current log position of a primary and the replayed log positions of its replicas. */
-export const readPrimaryPositions = async (connection: ControlConnection): Promise<Result<Readonly<{position: number; replayed: ReadonlyMap<string, number>}>, Failure>> => {
+export const readPrimaryPositions = async (connection: ControlConnection): Promise<Result<Readonly<{position: number; replayedPositions: ReadonlyMap<string, number>}>, Failure>> => {
 	const result = await connection.query(PRIMARY_QUERY);
-	return result.map(([position, replicas]) => ({position: parsePosition(position?.[0]?.[0]), replayed: parseReplicas(replicas)}));
+	return result.map(([position, replicas]) => ({position: parsePosition(position?.[0]?.[0]), replayedPositions: parseReplicas(replicas)}));
 };
 
 /** Reads the state of a target. */
@@ -96,7 +96,7 @@
 	const isReplica = recovery?.[0]?.[0] === 't';
 	const state = {isReplica, timeline: Number(timeline?.[0]?.[0] ?? 1)};
 	if (isReplica) {
-		return Ok({...state, position: parsePosition(replay?.[0]?.[0]), replayed: new Map<string, number>()});
+		return Ok({...state, position: parsePosition(replay?.[0]?.[0]), replayedPositions: new Map<string, number>()});
 	}
 
 	const positions = await readPrimaryPositions(connection);
--- a/packages/back-postgres/src/run-chunk.ts
+++ b/packages/back-postgres/src/run-chunk.ts
@@ -13,7 +13,7 @@
 
 /** Sends a chunk and forwards the response, withholding its last `CommandComplete` until the task allows its release. */
 export const runChunk = async (connection: TargetConnection, task: ChunkTask): Promise<ChunkResult> => {
-	const {chunk, skipping} = task;
+	const {chunk, isSkipping: skipping} = task;
 	const response = await sendChunk(connection, chunk, skipping);
 	let parts: Buffer[] = response.initialReplies.map(message => message.bytes);
 	let sizeBytes = 0;
@@ -49,7 +49,7 @@
 		if (response.isComplete()) {
 			parts.push(...withheld.map(message => message.bytes));
 			await flush();
-			return {kind: 'flushed', skipping: response.hasFailed()};
+			return {kind: 'flushed', isSkipping: response.hasFailed()};
 		}
 
 		const messages = await connection.read();
@@ -67,7 +67,7 @@
 			if (message.type === 'Z') {
 				const status = readTransactionStatus(message);
 				await flush();
-				if (!await task.mayRelease(status)) {
+				if (!await task.mayForwardCompletion(status)) {
 					return {kind: 'lost'};
 				}
 
--- a/packages/bench/src/tests/end-to-end.test.ts
+++ b/packages/bench/src/tests/end-to-end.test.ts
@@ -142,7 +142,7 @@
 			const error = await client.query('LISTEN news').then(() => undefined, (error_: unknown) => error_ as Readonly<{detail?: string}>);
 			await client.end();
 			const request = /request=(?<id>[\w\-]+)/v.exec(error?.detail ?? '')?.groups?.id ?? '';
-			const {lists, missing} = await requestEvents(stack.store, stack.fleet, {request});
+			const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(stack.store, stack.fleet, {request});
 			const [event, ...others] = lists.flat();
 			assert.ok(event);
 			assert.deepEqual([others, missing], [[], []]);
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -21,7 +21,7 @@
 }
 
 /** Returns the message of a thrown value. */
-export const getMessage = (thrown: unknown): string => thrown instanceof Error ? thrown.message : JSON.stringify(thrown) ?? 'unknown';
+export const getErrorMessage = (thrown: unknown): string => thrown instanceof Error ? thrown.message : JSON.stringify(thrown) ?? 'unknown';
 
 /** Tells whether a thrown value is an `AbortError`. */
-export const isAbort = (thrown: unknown): boolean => thrown instanceof Error && thrown.name === 'AbortError';
+export const isAbortError = (thrown: unknown): boolean => thrown instanceof Error && thrown.name === 'AbortError';
--- a/packages/core/src/scope.ts
+++ b/packages/core/src/scope.ts
@@ -1,7 +1,7 @@
 /** Structured concurrency: a scope owns tasks, and disposing it aborts them and waits for them. */
 
 import {setMaxListeners} from 'node:events';
-import {isAbort} from './errors.js';
+import {isAbortError} from './errors.js';
 
 /** Owner of running tasks. */
 export type Scope = AsyncDisposable & Readonly<{
@@ -30,7 +30,7 @@
 		try {
 			await task(controller.signal);
 		} catch (error) {
-			if (!isAbort(error)) {
+			if (!isAbortError(error)) {
 				onFailure(error);
 			}
 		}
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -33,7 +33,7 @@
 	/** Draws a fencing token higher than all before; `undefined` if the store does not respond or the role is lost. */
 	drawFencingToken: () => Promise<number | undefined>;
 	/** Orders a target to become primary. */
-	orderPromotion: (target: TargetId, fencingToken: number) => Promise<PromotionOutcome>;
+	requestPromotion: (target: TargetId, fencingToken: number) => Promise<PromotionOutcome>;
 	/** Asks other vms whether any of them reaches a target that this vm does not reach. */
 	isReachableFromPeers: (target: TargetId) => Promise<boolean>;
 	/** Tells whether commits are acknowledged only once a replica has them. */
@@ -136,7 +136,7 @@
 		context.onEvent({
 			kind: 'ordered', target: target.id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.world.now() - startedAt,
 		});
-		const outcome = await context.orderPromotion(target.id, fencingToken);
+		const outcome = await context.requestPromotion(target.id, fencingToken);
 		if (outcome !== 'refused' && await waitUntilLeading(context, target.id)) {
 			context.onEvent({
 				kind: 'finished', target: target.id, reason, ageMs: context.world.now() - startedAt,
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -47,7 +47,7 @@
 		owner,
 		isCoordinator: options.isCoordinator ?? (() => true),
 		drawFencingToken: async () => ++fencingToken,
-		async orderPromotion(target, token) {
+		async requestPromotion(target, token) {
 			orders.push({target, fencingToken: token});
 			return options.orderPromotion ? options.orderPromotion({target, fencingToken: token}, targets) : applyOrder({target, fencingToken: token});
 		},
--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -5,9 +5,9 @@
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
-	ALL_PERMISSIONS, createGrantIssuer, NO_PERMISSIONS, PRIMARY_PERMISSIONS, READ_PERMISSION, WRITE_PERMISSION, type Holder, type Permissions,
+	ALL_PERMISSIONS, createGrantIssuer, NO_PERMISSIONS, PRIMARY_PERMISSIONS, READ_PERMISSION, WRITE_PERMISSION, type GrantHolder, type Permissions,
 } from './grant-issuer.js';
-import type {GrantReply} from './grant-registry.js';
+import type {GrantResponse} from './grant-registry.js';
 import {createHealthMonitor, type HealthMonitor, type ProbeTarget} from './health-monitor.js';
 import {createSyncedSet, type FailoverSettings} from './synced-set.js';
 import {
@@ -34,7 +34,7 @@
 		| Readonly<{kind: 'finished'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'blocked'; reason: string}>
 		| Readonly<{kind: 'rejoined'; target: TargetId; primary: TargetId}>
-		| Readonly<{kind: 'target'; target: TargetId; reachable: boolean}>;
+		| Readonly<{kind: 'target'; target: TargetId; isReachable: boolean}>;
 
 /** Dependencies of a failover coordinator. */
 export type FailoverCoordinatorContext = Readonly<{
@@ -45,7 +45,7 @@
 	/** Returns the deadline of the authority over the database. */
 	getAuthorityDeadline: () => Deadline;
 	/** Asks the holder of a grant to stop using permissions. */
-	revoke: (holder: Holder, database: DatabaseId, permissions: Permissions) => Promise<Result<unknown, Failure>>;
+	revoke: (holder: GrantHolder, database: DatabaseId, permissions: Permissions) => Promise<Result<unknown, Failure>>;
 	/** Publishes the current group record. */
 	publish: (view: GroupView) => void;
 	onEvent: (event: FailoverEvent) => void;
@@ -54,7 +54,7 @@
 /** Failover coordinator of one database. */
 export type FailoverCoordinator = Readonly<{
 	/** Issues a grant to a holder that requests one; returns `undefined` if there is no group record or no authority. */
-	grant: (holder: Holder) => GrantReply | undefined;
+	grant: (holder: GrantHolder) => GrantResponse | undefined;
 	/** Coordinates until the signal aborts or the authority expires. */
 	run: (signal: AbortSignal) => Promise<void>;
 }>;
@@ -70,7 +70,7 @@
 	const {world, store, commands, onEvent} = context;
 	const issuer = createGrantIssuer(world);
 	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, reachable) => {
-		onEvent({kind: 'target', target, reachable});
+		onEvent({kind: 'target', target, isReachable: reachable});
 	});
 	let view: GroupView | undefined;
 	let permissions: Permissions = NO_PERMISSIONS;
@@ -264,7 +264,7 @@
 		}
 
 		nextRepairAt = createDeadline(world.now(), REPAIR_INTERVAL_MS);
-		const following = health.get(record.primary).report?.replayed ?? new Map<string, number>();
+		const following = health.get(record.primary).report?.replayedPositions ?? new Map<string, number>();
 		const misdirected = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !following.has(target));
 		await Promise.all(misdirected.map(async target => {
 			const leads = health.get(target).report?.isReplica === false;
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -10,7 +10,7 @@
 	/** End of the log of the primary. */
 	position: number;
 	/** Position that each replica has replayed, by the name of the replica. */
-	replayed: ReadonlyMap<string, number>;
+	replayedPositions: ReadonlyMap<string, number>;
 }>;
 
 /** Reads the log positions of a primary. */
@@ -75,7 +75,7 @@
 			const positions = await readShared(request.target);
 			if (positions.ok) {
 				position ??= positions.val.position;
-				if (isConfirmed(request, position, positions.val.replayed)) {
+				if (isConfirmed(request, position, positions.val.replayedPositions)) {
 					return 'durable';
 				}
 			}
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -3,10 +3,10 @@
 import {
 	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
 } from '@guavapitch/core';
-import type {GrantReply} from './grant-registry.js';
+import type {GrantResponse} from './grant-registry.js';
 
 /** Holder of a grant: one run of the process of a vm. */
-export type Holder = Readonly<{vm: VmId; incarnation: string}>;
+export type GrantHolder = Readonly<{vm: VmId; incarnation: string}>;
 
 /** A set of permissions: those a grant gives, or those a revocation ends. */
 export type Permissions = Readonly<{
@@ -49,7 +49,7 @@
 const PERMISSION_NAMES = ['writes', 'acknowledgements', 'reads'] as const;
 
 /** Contents of a grant to issue. */
-export type GrantParameters = Omit<GrantReply, 'validMs'> & Readonly<{
+export type GrantParameters = Omit<GrantResponse, 'validMs'> & Readonly<{
 	/** Deadline of the coordinator's own authority, which no grant outlives. */
 	authorityDeadline: Deadline;
 }>;
@@ -57,9 +57,9 @@
 /** Grants issued by one coordinator for one database. */
 export type GrantIssuer = Readonly<{
 	/** Issues a grant; returns `undefined` if the authority has expired. */
-	grant: (holder: Holder, parameters: GrantParameters) => GrantReply | undefined;
+	grant: (holder: GrantHolder, parameters: GrantParameters) => GrantResponse | undefined;
 	/** Revokes permissions of all holders: asks each of them, and waits for the grants of those that do not respond to expire. A holder responds once nothing runs under the permissions any more. */
-	revokeAll: (permissions: Permissions, revoke: (holder: Holder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
+	revokeAll: (permissions: Permissions, revoke: (holder: GrantHolder) => Promise<Result<unknown, Failure>>, signal: AbortSignal) => Promise<void>;
 	/** Waits until every outstanding grant is based on the given record revision or a newer one; returns `false` if the deadline passes or the signal aborts first. */
 	waitForRevision: (revision: number, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
@@ -70,9 +70,9 @@
 /** Safety margin for clocks that run at different rates. */
 const CLOCK_DRIFT_MS = 50;
 
-type IssuedGrant = {readonly holder: Holder; deadlines: PermissionDeadlines; revision: number};
+type IssuedGrant = {readonly holder: GrantHolder; deadlines: PermissionDeadlines; revision: number};
 
-const formatHolder = (holder: Holder): string => `${holder.vm}/${holder.incarnation}`;
+const formatHolder = (holder: GrantHolder): string => `${holder.vm}/${holder.incarnation}`;
 
 /** Creates an issuer without outstanding grants. */
 export const createGrantIssuer = (world: World): GrantIssuer => {
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -9,7 +9,7 @@
 import {getAwaitedReplicas, type GroupRecord, type GroupView} from './group-record.js';
 
 /** Response of a failover coordinator to a request for a grant. */
-export type GrantReply = Readonly<{
+export type GrantResponse = Readonly<{
 	view: GroupView;
 	/** Validity in milliseconds, counted from the moment the holder sent its request. */
 	validMs: number;
@@ -30,7 +30,7 @@
 /** Grants that one process holds, at most one for each database. */
 export type GrantRegistry = Readonly<{
 	/** Stores a grant; `sentAt` is when the request for it was sent. A grant that is older than the one known, or was requested before a revocation, is ignored. */
-	accept: (reply: GrantReply, sentAt: Instant) => void;
+	accept: (reply: GrantResponse, sentAt: Instant) => void;
 	/** Ends permissions of a database before their deadline. Grants that were requested earlier are ignored from now on. */
 	revoke: (database: DatabaseId, permissions: Permissions) => void;
 	/** Counts a write as in progress until the returned object is disposed. */
@@ -62,7 +62,7 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type HeldGrant = Readonly<{reply: GrantReply; sentAt: Instant; deadlines: PermissionDeadlines}>;
+type HeldGrant = Readonly<{reply: GrantResponse; sentAt: Instant; deadlines: PermissionDeadlines}>;
 
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant from the failover coordinator'};
 
--- a/packages/failover/src/group-record.ts
+++ b/packages/failover/src/group-record.ts
@@ -1,7 +1,7 @@
 /** Record of a database in the store: which target is the primary, since which position, and which replicas hold every acknowledged write. */
 
 import {
-	Err, getMessage, Ok, type DatabaseId, type Failure, type TargetId, type Result,
+	Err, getErrorMessage, Ok, type DatabaseId, type Failure, type TargetId, type Result,
 } from '@guavapitch/core';
 
 /** Start of one term: its primary, and the log position at which it began. */
@@ -49,7 +49,7 @@
 	try {
 		return Ok(JSON.parse(text) as GroupRecord);
 	} catch (error) {
-		return Err({code: 'recordMalformed', message: getMessage(error)});
+		return Err({code: 'recordMalformed', message: getErrorMessage(error)});
 	}
 };
 
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -12,7 +12,7 @@
 	/** End of the log of a primary, or the position that a replica has replayed. */
 	position: number;
 	/** Replicas that follow this target, with the position that each has replayed. */
-	replayed: ReadonlyMap<string, number>;
+	replayedPositions: ReadonlyMap<string, number>;
 }>;
 
 /** Requests a report from a target. */
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -104,7 +104,7 @@
 			&& !getAwaitedReplicas(record).includes(target)
 			&& !settings.leaving.includes(target)
 			&& health.isReachable(target)
-			&& health.get(record.primary).report?.replayed.has(target)
+			&& health.get(record.primary).report?.replayedPositions.has(target)
 			&& !isLagging(target, record.primary));
 		if (candidates.length === 0 || !isPast(nextJoinAt, world.now())) {
 			return false;
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -9,7 +9,7 @@
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createDurabilityWaiter} from '../durability.js';
-import {createGrantRegistry, type GrantRegistry, type GrantReply} from '../grant-registry.js';
+import {createGrantRegistry, type GrantRegistry, type GrantResponse} from '../grant-registry.js';
 import {createFailoverCoordinator, type FailoverCoordinator} from '../coordinator.js';
 import {
 	clearTarget, createFakeGroup, NO_PARTITION, type Partition, type FakeGroup,
@@ -155,7 +155,7 @@
 		while (!signal.aborted) {
 			const sentAt = world.now();
 			await world.sleep(world.random() * 40);
-			const reply: GrantReply | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
+			const reply: GrantResponse | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
 			await world.sleep(world.random() * 200);
 			if (reply && world.random() < 0.9) {
 				registry.accept(reply, sentAt);
@@ -183,7 +183,7 @@
 		const waitUntilDurable = createDurabilityWaiter(registry, async name => {
 			await world.sleep(world.random() * 20);
 			const {log, replayed, partition, isDown} = group.get(name);
-			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayed: new Map(replayed)});
+			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayedPositions: new Map(replayed)});
 		}, world);
 		const state = await waitUntilDurable({
 			database: DATABASE, target: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -101,7 +101,7 @@
 		get,
 		commands: {
 			probe: async name => command(name, ({isReplica, timeline, log, replayed}): TargetReport => ({
-				isReplica, timeline, position: log.length, replayed: new Map(replayed),
+				isReplica, timeline, position: log.length, replayedPositions: new Map(replayed),
 			})),
 			promote: async name => command(name, target => {
 				if (target.isReplica) {
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -8,7 +8,7 @@
 } from '@guavapitch/core';
 import {createDurabilityWaiter} from '../durability.js';
 import {ALL_PERMISSIONS, createGrantIssuer, MAX_GRANT_VALIDITY_MS} from '../grant-issuer.js';
-import {createGrantRegistry, type GrantReply} from '../grant-registry.js';
+import {createGrantRegistry, type GrantResponse} from '../grant-registry.js';
 import {createGroupRecord, promoteRecord, type GroupView} from '../group-record.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
@@ -106,7 +106,7 @@
 	});
 
 	describe('durability', () => {
-		const createReply = (view: GroupView): GrantReply => ({
+		const createReply = (view: GroupView): GrantResponse => ({
 			view, validMs: MAX_GRANT_VALIDITY_MS, agesMs: {}, readable: [REPLICA], permissions: ALL_PERMISSIONS,
 		});
 
@@ -116,7 +116,7 @@
 			registry.accept(createReply(createView(1)), world.now());
 			const wait = createDurabilityWaiter(registry, async () => {
 				await world.sleep(1);
-				return Ok({position: 100, replayed: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
+				return Ok({position: 100, replayedPositions: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
 			const state = wait({
 				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
--- a/packages/front-postgres/src/caller-port.ts
+++ b/packages/front-postgres/src/caller-port.ts
@@ -111,21 +111,21 @@
 			const skipRest = async () => skipToSync(caller, pending, messages);
 			const chunk = createChunk(messages, statements);
 			return chunk.ok
-				? {kind: 'chunk', ...chunk.val, skipRest}
+				? {kind: 'chunk', ...chunk.val, skipRestOfRequest: skipRest}
 				: {
 					kind: 'invalid',
-					skipRest,
+					skipRestOfRequest: skipRest,
 					reject: async () => wire.write(createErrorResponse({severity: 'ERROR', code: chunk.val.sqlState, message: `not run: ${chunk.val.message}`}).bytes),
 				};
 		},
-		hasPending: () => pending.length > 0,
+		hasPartialChunk: () => pending.length > 0,
 		sendMessages: async bytes => wire.write(bytes as Buffer),
 		sendReady: async status => wire.write(createReadyForQuery(status).bytes),
 		sendFailure: async failure => wire.write(createFailureMessage(failure).bytes),
 		sendRolledBack: async message => wire.write(createErrorResponse({
 			severity: 'FATAL', code: SQLSTATE.idleInTransaction, message, hint: 'Nothing of the transaction was kept.',
 		}).bytes),
-		sendLost: async (requestId, message, endsConnection) => wire.write(createErrorResponse({
+		sendUnknownOutcome: async (requestId, message, endsConnection) => wire.write(createErrorResponse({
 			severity: endsConnection ? 'FATAL' : 'ERROR', code: SQLSTATE.outcomeUnknown, message: `outcome unknown: ${message}`, detail: `request=${requestId}`,
 		}).bytes),
 		sendCloseReason: async refusal => wire.write(createErrorResponse({
--- a/packages/front-postgres/src/chunks.ts
+++ b/packages/front-postgres/src/chunks.ts
@@ -15,7 +15,7 @@
 export type ChunkFailure = Failure<'unknownStatement' | 'unsupported' | 'malformed'> & Readonly<{sqlState: string}>;
 
 /** A chunk and the class of its statements, which decides where it may run. */
-export type CallerChunk = Readonly<{chunk: RequestChunk; statement: StatementClass}>;
+export type CallerChunk = Readonly<{chunk: RequestChunk; statementClass: StatementClass}>;
 
 const COMMIT_PATTERN = /\b(?:commit|end|prepare)\b/iv;
 const READY_FOR_QUERY_TRIGGERS: ReadonlySet<string> = new Set(['Q', 'S']);
@@ -171,7 +171,7 @@
 	}
 
 	return Ok({
-		statement: combineClasses(draft),
+		statementClass: combineClasses(draft),
 		chunk: {
 			parts: draft.parts,
 			ends: READY_FOR_QUERY_TRIGGERS.has(messages.at(-1)?.type ?? ''),
--- a/packages/inventory/src/document.ts
+++ b/packages/inventory/src/document.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {gunzipSync, gzipSync} from 'node:zlib';
 import {
-	Err, getMessage, Ok, type Failure, type Result,
+	Err, getErrorMessage, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import {inventorySchema, type Inventory} from './schemas.js';
 
@@ -36,6 +36,6 @@
 		const raw = JSON.parse(gunzipSync(Buffer.from(text, 'base64')).toString()) as ConfigurationDocument;
 		return Ok({...raw, inventory: inventorySchema.parse(raw.inventory)});
 	} catch (error) {
-		return Err({code: 'documentMalformed', message: getMessage(error)});
+		return Err({code: 'documentMalformed', message: getErrorMessage(error)});
 	}
 };
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -9,9 +9,9 @@
 /** Events collected from the fleet. */
 export type FleetEvents = Readonly<{
 	/** One list for each vm that responded. */
-	lists: ReadonlyArray<readonly EventRecord[]>;
+	eventLists: ReadonlyArray<readonly EventRecord[]>;
 	/** Vms that did not respond, whose events are missing. */
-	missing: readonly VmId[];
+	unresponsiveVms: readonly VmId[];
 }>;
 
 /** Selects events by the identifier of their request; without one, all events. */
@@ -22,8 +22,8 @@
 	const vms = await readVms(store);
 	const responses = await Promise.all(vms.map(async vm => ({vm: vm.vm, events: await client.call<readonly EventRecord[]>(vm, 'events', query)})));
 	return {
-		lists: responses.filter(({events}) => events.ok).map(({events}) => events.unwrap()),
-		missing: responses.filter(({events}) => events.err).map(({vm}) => vm),
+		eventLists: responses.filter(({events}) => events.ok).map(({events}) => events.unwrap()),
+		unresponsiveVms: responses.filter(({events}) => events.err).map(({vm}) => vm),
 	};
 };
 
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -181,7 +181,7 @@
 const explainRequest = async (flags: Flags, request: string) => {
 	await using store = openStore(flags.platform);
 	await using client = openClient(flags);
-	const {lists, missing} = await requestEvents(store, client, {request});
+	const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(store, client, {request});
 	const events = lists.flat();
 	for (const event of events) {
 		print(describeRequest(event));
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -3,7 +3,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
+	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getErrorMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
 } from '@guavapitch/core';
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
@@ -133,7 +133,7 @@
 			const reply = await handler(body, from);
 			await send(['reply', context.readTime(), id, reply]);
 		} catch (error) {
-			await send(['refuse', context.readTime(), id, 'handlerFailed', getMessage(error)]);
+			await send(['refuse', context.readTime(), id, 'handlerFailed', getErrorMessage(error)]);
 		}
 	};
 
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -3,7 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {Encoder} from 'cbor-x';
 import {
-	Err, Ok, getMessage, type Failure, type Result,
+	Err, Ok, getErrorMessage, type Failure, type Result,
 } from '@guavapitch/core';
 
 /** Failure of decoding frames received from a peer. */
@@ -120,7 +120,7 @@
 		const value: unknown = encoder.decode(body);
 		return isFrame(value) ? Ok(value) : Err({code: 'frameMalformed', message: 'Malformed frame: unknown kind, or items of the wrong number or type'});
 	} catch (error) {
-		return Err({code: 'frameMalformed', message: `Malformed frame: the body is not valid CBOR: ${getMessage(error)}`});
+		return Err({code: 'frameMalformed', message: `Malformed frame: the body is not valid CBOR: ${getErrorMessage(error)}`});
 	}
 };
 
--- a/packages/peer-protocol/src/tls.ts
+++ b/packages/peer-protocol/src/tls.ts
@@ -2,7 +2,7 @@
 
 import {readFileSync} from 'node:fs';
 import {
-	Err, getMessage, Ok, type Failure, type Result,
+	Err, getErrorMessage, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 import type {PeerTls} from './listener.js';
 
@@ -16,7 +16,7 @@
 	try {
 		return Ok(readFileSync(file, 'utf8'));
 	} catch (error) {
-		return Err({code: 'tlsFileUnreadable', message: `--peer-tls-${part}: ${getMessage(error)}`});
+		return Err({code: 'tlsFileUnreadable', message: `--peer-tls-${part}: ${getErrorMessage(error)}`});
 	}
 };
 
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -27,9 +27,9 @@
 	/** Checks again which waiting requests can run; called when a connection becomes available. */
 	admitWaiting: () => void;
 	/** Changes the number of slots. */
-	setSlots: (slots: number) => void;
+	setSlotCount: (slots: number) => void;
 	/** Counts the waiting requests. */
-	getLength: () => number;
+	getWaitingCount: () => number;
 	/** Counts the slots in use. */
 	getBusyCount: () => number;
 }>;
@@ -210,11 +210,11 @@
 			});
 		},
 		admitWaiting,
-		setSlots(newSlotCount) {
+		setSlotCount(newSlotCount) {
 			slotCount = newSlotCount;
 			admitWaiting();
 		},
-		getLength: () => waitingCount,
+		getWaitingCount: () => waitingCount,
 		getBusyCount: () => busyCount,
 	};
 };
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -101,7 +101,7 @@
 	const serveOpen = async (caller: Caller) => {
 		const processId = createProcessId();
 		const secret = randomInt(MAX_SECRET);
-		const control: CallerControl = {cancel: () => undefined, idle: true};
+		const control: CallerControl = {cancel: () => undefined, isIdle: true};
 		openCallers.set(processId, {caller, control, secret});
 		metrics.gauge('entry.callers', openCallers.size);
 		try {
@@ -153,7 +153,7 @@
 
 	const closeIdle = () => {
 		for (const {caller, control} of openCallers.values()) {
-			const closeReason = control.idle ? entry.getCloseReason(caller) : undefined;
+			const closeReason = control.isIdle ? entry.getCloseReason(caller) : undefined;
 			if (closeReason) {
 				emit(closeReason.code === 'draining' ? EVENTS.callerClosed : EVENTS.keyWithdrawn, {service: caller.service, customer: caller.customer});
 				const code = closeReason.code === 'draining' ? SQLSTATE.adminShutdown : SQLSTATE.notAuthorized;
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -7,20 +7,20 @@
 	readTargetState, followPrimary, promoteReplica, rejoinReplica, createControlConnection, type ControlConnection,
 } from '@guavapitch/back-postgres';
 import {
-	createFailoverCoordinator, MAX_GRANT_VALIDITY_MS, type GrantReply, type GroupView, type Holder, type TargetCommands, type FailoverCoordinator, type FailoverSettings, type FailoverEvent,
+	createFailoverCoordinator, MAX_GRANT_VALIDITY_MS, type GrantResponse, type GroupView, type GrantHolder, type TargetCommands, type FailoverCoordinator, type FailoverSettings, type FailoverEvent,
 } from '@guavapitch/failover';
 import type {Store} from '@guavapitch/store';
 import {chooseSlot, type Authority} from '@guavapitch/roles';
 import {EVENTS, type Emit} from '@guavapitch/telemetry';
 import type {CallVm, ClusterView, ConfiguredTarget} from './cluster-view.js';
-import {createTargetAddress} from './owned-targets.js';
+import {createTargetConnectionSettings} from './owned-targets.js';
 
 /** Failover coordinators of one process. */
 export type FailoverCoordinators = AsyncDisposable & Readonly<{
 	/** Runs the coordinators of the databases of a slot until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Issues a grant to a holder; `undefined` if this process is not the coordinator of the database, or the coordinator issues none. */
-	grant: (database: DatabaseId, holder: Holder) => GrantReply | undefined;
+	grant: (database: DatabaseId, holder: GrantHolder) => GrantResponse | undefined;
 }>;
 
 /** Dependencies of the failover coordinators. */
@@ -79,7 +79,7 @@
 		}
 
 		default: {
-			emit(event.reachable ? EVENTS.targetReachable : EVENTS.targetUnreachable, {database, target: event.target});
+			emit(event.isReachable ? EVENTS.targetReachable : EVENTS.targetUnreachable, {database, target: event.target});
 		}
 	}
 };
@@ -97,7 +97,7 @@
 		}
 
 		const existing = controlConnections.get(configured.target.address);
-		const connection = existing ?? createControlConnection(createTargetAddress(configured, context.vm), world);
+		const connection = existing ?? createControlConnection(createTargetConnectionSettings(configured, context.vm), world);
 		controlConnections.set(configured.target.address, connection);
 		return command(connection, configured);
 	};
@@ -108,7 +108,7 @@
 			return '';
 		}
 
-		const address = createTargetAddress(configured, context.vm);
+		const address = createTargetConnectionSettings(configured, context.vm);
 		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
 	};
 
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -6,7 +6,7 @@
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {RelayService, SyncRequest} from '@guavapitch/configuration';
 import {
-	MAX_GRANT_VALIDITY_MS, type GrantRegistry, type Holder, type Permissions,
+	MAX_GRANT_VALIDITY_MS, type GrantRegistry, type GrantHolder, type Permissions,
 } from '@guavapitch/failover';
 import type {TokenRequest} from '@guavapitch/limits';
 import type {PingRequest, PingResponse} from '@guavapitch/membership';
@@ -68,7 +68,7 @@
 			},
 			sync: async body => context.relay.sync(body as SyncRequest),
 			async grant(body) {
-				const {database, holder} = body as Readonly<{database: DatabaseId; holder: Holder}>;
+				const {database, holder} = body as Readonly<{database: DatabaseId; holder: GrantHolder}>;
 				return context.coordinators.grant(database, holder) ?? null;
 			},
 			async revoke(body) {
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -5,10 +5,10 @@
 	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type World,
 } from '@guavapitch/core';
 import {
-	readPrimaryPositions, createControlConnection, openTargetConnection, type TargetAddress, type TargetConnection, type ControlConnection,
+	readPrimaryPositions, createControlConnection, openTargetConnection, type TargetConnectionSettings, type TargetConnection, type ControlConnection,
 } from '@guavapitch/back-postgres';
 import {
-	createDurabilityWaiter, createGrantRegistry, type GrantRegistry, type GrantReply, type GroupView,
+	createDurabilityWaiter, createGrantRegistry, type GrantRegistry, type GrantResponse, type GroupView,
 } from '@guavapitch/failover';
 import {
 	createFairQueue, createPool, type FairQueue, type Pool,
@@ -47,7 +47,7 @@
 	onGroupView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{configured: ConfiguredTarget; address: TargetAddress; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{configured: ConfiguredTarget; address: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
 
 /** Connections of a target reserved for control queries of the failover coordinator and of the owners. */
 const RESERVED_CONNECTIONS = 4;
@@ -58,7 +58,7 @@
 const OWNERSHIP_CHECK_MS = 250;
 
 /** Creates the address of a target, with the credentials of its database. */
-export const createTargetAddress = (configured: ConfiguredTarget, applicationName: string): TargetAddress => {
+export const createTargetConnectionSettings = (configured: ConfiguredTarget, applicationName: string): TargetConnectionSettings => {
 	const [host, port] = configured.target.address.split(':');
 	const {user, passwordVariable, databaseName} = configured.database;
 	return {
@@ -81,7 +81,7 @@
 
 	const openTarget = (configured: ConfiguredTarget): OpenTarget => {
 		const {target} = configured;
-		const address = createTargetAddress(configured, vm);
+		const address = createTargetConnectionSettings(configured, vm);
 		const isPreferredOwner = clusterView.getOwners(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
 			maxOpen: computeOwnerConnectionLimit(target.connections),
@@ -130,7 +130,7 @@
 			return existing;
 		}
 
-		const created = createControlConnection(createTargetAddress(configured, vm), world);
+		const created = createControlConnection(createTargetConnectionSettings(configured, vm), world);
 		controlConnections.set(id, created);
 		return created;
 	};
@@ -145,14 +145,14 @@
 	const updateOwnership = async () => {
 		for (const [id, opened] of openTargets) {
 			const configured = clusterView.findTarget(id);
-			const isUnused = opened.queue.getBusyCount() === 0 && opened.queue.getLength() === 0 && opened.pool.getIdleCount() === opened.pool.getOpenCount();
+			const isUnused = opened.queue.getBusyCount() === 0 && opened.queue.getWaitingCount() === 0 && opened.pool.getIdleCount() === opened.pool.getOpenCount();
 			if (!configured || (isUnused && (!isOwner(id) || !hasSameConnectionSettings(configured, opened.configured)))) {
 				scope.run(async () => closeTarget(id, opened));
 			} else {
-				opened.queue.setSlots(configured.target.slots);
+				opened.queue.setSlotCount(configured.target.slots);
 			}
 
-			metrics.gauge('home.queue', opened.queue.getLength(), {target: id});
+			metrics.gauge('home.queue', opened.queue.getWaitingCount(), {target: id});
 			metrics.gauge('home.connections', opened.pool.getOpenCount(), {target: id});
 		}
 
@@ -178,7 +178,7 @@
 		}
 
 		const requestedAt = world.now();
-		const reply = await context.callVm<GrantReply | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
+		const reply = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
 		if (reply.err || !reply.val) {
 			return false;
 		}
@@ -230,7 +230,7 @@
 			}
 		},
 		getState: () => [...openTargets].map(([target, opened]) => ({
-			target, queued: opened.queue.getLength(), busy: opened.queue.getBusyCount(), open: opened.pool.getOpenCount(), idle: opened.pool.getIdleCount(),
+			target, queued: opened.queue.getWaitingCount(), busy: opened.queue.getBusyCount(), open: opened.pool.getOpenCount(), idle: opened.pool.getIdleCount(),
 		})),
 		async [Symbol.asyncDispose]() {
 			await scope[Symbol.asyncDispose]();
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -1,7 +1,7 @@
 /** One proxy process from start to stop: connects its components and owns their tasks. */
 
 import {
-	computeHash, createDeadline, createScope, Err, getMessage, Ok, parseId,
+	computeHash, createDeadline, createScope, Err, getErrorMessage, Ok, parseId,
 	type DatabaseId, type Failure, type RequestId, type Result, type World,
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
@@ -357,7 +357,7 @@
 			},
 		});
 	} catch (error) {
-		return Err({code: 'addressUnusable', message: getMessage(error)});
+		return Err({code: 'addressUnusable', message: getErrorMessage(error)});
 	}
 };
 
--- a/packages/proxy/src/role-candidates.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -40,12 +40,12 @@
 		world,
 		store: context.store,
 		lease: context.lease,
-		promises: context.promises,
+		takeoverPromises: context.promises,
 		self: {vm: context.vm, incarnation: context.incarnation},
 		slot,
 		rankCandidates: () => context.isDraining() ? [] : clusterView.rankLiveVms(`role/${slot}`),
 		requestPromise: async (candidate, request) => context.requestPromise(candidate.vm, request),
-		isConfirmedGone(candidate) {
+		hasRunEnded(candidate) {
 			const member = members.get(candidate.vm);
 			return member?.state === 'gone' || (member !== undefined && member.incarnation !== '' && member.incarnation !== candidate.incarnation);
 		},
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -3,7 +3,7 @@
 import {readFileSync} from 'node:fs';
 import yargs from 'yargs';
 import {
-	Err, getMessage, Ok, parseId, type DataCentreId, type Failure, type Result, type VmId,
+	Err, getErrorMessage, Ok, parseId, type DataCentreId, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {readPeerTls, type Address, type PeerTls} from '@guavapitch/peer-protocol';
 
@@ -79,7 +79,7 @@
 	try {
 		return readFileSync(file, 'utf8');
 	} catch (error) {
-		throw new SettingError(`--${flag}: cannot read "${file}": ${getMessage(error)}`);
+		throw new SettingError(`--${flag}: cannot read "${file}": ${getErrorMessage(error)}`);
 	}
 };
 
@@ -135,6 +135,6 @@
 			peerTls: requireSetting(readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa})),
 		});
 	} catch (error) {
-		return Err({code: 'settingInvalid', message: getMessage(error)});
+		return Err({code: 'settingInvalid', message: getErrorMessage(error)});
 	}
 };
--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -1,7 +1,7 @@
 /** Serves the requests of one caller at the entry: one task for each caller. Independent of the wire encoding. */
 
 import {
-	isAbort, type CustomerId, type Result, type ServiceId, type Stream, type TransactionStatus,
+	isAbortError, type CustomerId, type Result, type ServiceId, type Stream, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
 	Refusal, Reply, RequestChunk, RequestMode, StatementClass,
@@ -53,15 +53,15 @@
 	/** Cancels the running request. */
 	cancel: () => void;
 	/** Whether no request is running or being received, so that the connection may be closed. */
-	idle: boolean;
+	isIdle: boolean;
 };
 
 /** A received chunk; the codec rejects an invalid one itself, since it knows the error. */
 export type ReceivedChunk = Readonly<{
 	/** Discards the rest of the request that the chunk started; `false` if the caller has disconnected. */
-	skipRest: () => Promise<boolean>;
+	skipRestOfRequest: () => Promise<boolean>;
 }> & (
-	| Readonly<{kind: 'chunk'; chunk: RequestChunk; statement: StatementClass}>
+	| Readonly<{kind: 'chunk'; chunk: RequestChunk; statementClass: StatementClass}>
 	| Readonly<{kind: 'invalid'; reject: () => Promise<void>}>
 );
 
@@ -70,7 +70,7 @@
 	/** Receives the next chunk; `undefined` when the caller has disconnected. */
 	receive: () => Promise<ReceivedChunk | undefined>;
 	/** Tells whether part of a chunk has been received. */
-	hasPending: () => boolean;
+	hasPartialChunk: () => boolean;
 	/** Sends messages of a target unchanged. */
 	sendMessages: (bytes: Uint8Array) => Promise<void>;
 	/** Reports that the next request may be sent. */
@@ -80,7 +80,7 @@
 	/** Reports that a transaction was rolled back; the connection closes after that. */
 	sendRolledBack: (message: string) => Promise<void>;
 	/** Reports that the outcome of a running request is unknown. */
-	sendLost: (requestId: string, message: string, endsConnection: boolean) => Promise<void>;
+	sendUnknownOutcome: (requestId: string, message: string, endsConnection: boolean) => Promise<void>;
 	/** Reports why the connection closes. */
 	sendCloseReason: (refusal: Refusal) => Promise<void>;
 	/** Calls a listener if the connection closes before the result is disposed. */
@@ -127,7 +127,7 @@
 			default: {
 				const message = reply?.kind === 'unknown' ? reply.message : LOST_MESSAGE;
 				const inTransaction = statusBefore !== 'idle';
-				await port.sendLost(request.requestId, message, inTransaction);
+				await port.sendUnknownOutcome(request.requestId, message, inTransaction);
 				context.onOutcome(caller, request.requestId, {kind: 'unknown', code: 'outcomeUnknown', message});
 				if (!inTransaction) {
 					await port.sendReady('idle');
@@ -151,7 +151,7 @@
 		const kind = failure.code === 'outcomeUnknown' ? 'unknown' : 'refused';
 		context.onOutcome(caller, requestId, {kind, code: failure.code, message: failure.message});
 		await port.sendFailure({requestId, failure});
-		const isConnected = await received.skipRest();
+		const isConnected = await received.skipRestOfRequest();
 		await port.sendReady(status);
 		return isConnected;
 	};
@@ -159,7 +159,7 @@
 	/** Starts a request, or sends the chunk to the running one; returns the first reply. */
 	const sendChunk = async (received: ReceivedChunk & Readonly<{kind: 'chunk'}>, signal: AbortSignal): Promise<Result<RunningRequest, RequestFailure> | PendingReply> => {
 		if (!running) {
-			return context.startRequest(caller, {...received.chunk, mayCommit: true}, received.statement, signal);
+			return context.startRequest(caller, {...received.chunk, mayCommit: true}, received.statementClass, signal);
 		}
 
 		const allowed = await context.continueRequest(caller, signal);
@@ -174,7 +174,7 @@
 	const serveChunk = async (received: ReceivedChunk, signal: AbortSignal): Promise<boolean> => {
 		if (received.kind === 'invalid') {
 			await received.reject();
-			const isConnected = await received.skipRest();
+			const isConnected = await received.skipRestOfRequest();
 			await port.sendReady(status);
 			return isConnected;
 		}
@@ -211,8 +211,8 @@
 
 	try {
 		while (true) {
-			control.idle = running === undefined && !port.hasPending();
-			const closeReason = control.idle ? context.getCloseReason(caller) : undefined;
+			control.isIdle = running === undefined && !port.hasPartialChunk();
+			const closeReason = control.isIdle ? context.getCloseReason(caller) : undefined;
 			if (closeReason) {
 				await port.sendCloseReason(closeReason);
 				return;
@@ -223,7 +223,7 @@
 				return;
 			}
 
-			control.idle = false;
+			control.isIdle = false;
 			disconnection = new AbortController();
 			using closeListener = port.onClose(disconnect);
 			if (!await serveChunk(received, disconnection.signal)) {
@@ -231,7 +231,7 @@
 			}
 		}
 	} catch (error) {
-		if (!isAbort(error)) {
+		if (!isAbortError(error)) {
 			throw error;
 		}
 	} finally {
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -62,7 +62,7 @@
 /** Result of running a chunk. */
 export type ChunkResult
 	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
-		| Readonly<{kind: 'flushed'; skipping: boolean}>
+		| Readonly<{kind: 'flushed'; isSkipping: boolean}>
 		| Readonly<{kind: 'readOnly'}>
 		| Readonly<{kind: 'lost'}>;
 
@@ -70,7 +70,7 @@
 export type ChunkTask = Readonly<{
 	chunk: RequestChunk;
 	/** Whether the target ignores all messages up to the next Sync because of an error. */
-	skipping: boolean;
+	isSkipping: boolean;
 	/** Whether the request may write; an error that refuses a write is then forwarded like any other response. */
 	isWrite: boolean;
 	/** Called when the response starts. */
@@ -78,7 +78,7 @@
 	/** Forwards messages of the response. */
 	send: (bytes: Uint8Array) => Promise<void>;
 	/** Tells whether the final completion message may be forwarded, given the transaction status at the target; waits for durability if necessary. */
-	mayRelease: (status: TransactionStatus) => Promise<boolean>;
+	mayForwardCompletion: (status: TransactionStatus) => Promise<boolean>;
 }>;
 
 /** Sends a chunk over a connection and forwards the response, withholding its final completion message until `mayRelease` allows it. */
@@ -183,7 +183,7 @@
 
 		void cancelIfUnanswerable(request, connection, {term: first.term, hasStarted: () => hasStarted, done: done.signal});
 		const result: ChunkResult = await context.runChunk(connection, {
-			chunk, skipping, isWrite: header.mode === 'write', onResponseStarted, send, mayRelease,
+			chunk, isSkipping: skipping, isWrite: header.mode === 'write', onResponseStarted, send, mayForwardCompletion: mayRelease,
 		});
 		done.abort(RESPONSE_COMPLETE);
 		stream.signal.removeEventListener('abort', cancel);
@@ -200,7 +200,7 @@
 			return 'broken';
 		}
 
-		skipping = result.kind === 'flushed' && result.skipping;
+		skipping = result.kind === 'flushed' && result.isSkipping;
 		if (result.kind === 'ready') {
 			status = result.status;
 			await stream.send({kind: 'ready', status});
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -41,7 +41,7 @@
 
 const respondImmediately = async (task: ChunkTask): Promise<ChunkResult> => {
 	await task.send(new Uint8Array([1]));
-	return await task.mayRelease('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
+	return await task.mayForwardCompletion('idle') ? {kind: 'ready', status: 'idle'} : {kind: 'lost'};
 };
 
 const createFixture = (behaviour: Behaviour) => {
--- a/packages/roles/src/records.ts
+++ b/packages/roles/src/records.ts
@@ -1,7 +1,7 @@
 /** Records of the slots of exclusive roles in the store. */
 
 import {
-	computeHash, Err, getMessage, Ok, type Failure, type Result, type VmId,
+	computeHash, Err, getErrorMessage, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 
 /** A vm that may hold a slot, identified by one run of its process. */
@@ -42,6 +42,6 @@
 	try {
 		return Ok(JSON.parse(text) as SlotRecord);
 	} catch (error) {
-		return Err({code: 'slotMalformed', message: getMessage(error)});
+		return Err({code: 'slotMalformed', message: getErrorMessage(error)});
 	}
 };
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -21,7 +21,7 @@
 	run: string;
 	/** Prefixes of the keys of holder records and of fencing tokens. */
 	holderPrefix: string;
-	epochPrefix: string;
+	fencingTokenPrefix: string;
 	getEntry: (key: string) => CachedEntry | undefined;
 	/** Lists all roles. */
 	listRoles: () => readonly string[];
@@ -78,7 +78,7 @@
 	const isHeld = (role: string): boolean => getHolder(role)?.run === context.run && registration.getLease() !== undefined;
 
 	const getEpoch = (role: string): Readonly<{epoch: number; revision: number}> => {
-		const entry = context.getEntry(`${context.epochPrefix}${role}`);
+		const entry = context.getEntry(`${context.fencingTokenPrefix}${role}`);
 		return {epoch: Number(entry?.value ?? 0), revision: entry?.revision ?? 0};
 	};
 
@@ -89,7 +89,7 @@
 		}
 
 		const holderKey = `${context.holderPrefix}${role}`;
-		const epochKey = `${context.epochPrefix}${role}`;
+		const epochKey = `${context.fencingTokenPrefix}${role}`;
 		const previous = getEpoch(role);
 		const holderRevision = context.getEntry(holderKey)?.revision ?? 0;
 		const epoch = previous.epoch + 1;
@@ -143,7 +143,7 @@
 				return undefined;
 			}
 
-			const epochKey = `${context.epochPrefix}${role}`;
+			const epochKey = `${context.fencingTokenPrefix}${role}`;
 			const previous = getEpoch(role);
 			const value = String(previous.epoch + 1);
 			const written = await store.transact({
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -26,7 +26,7 @@
 	world: World;
 	store: Store;
 	lease: ProcessLease;
-	promises: TakeoverPromises;
+	takeoverPromises: TakeoverPromises;
 	self: Candidate;
 	slot: string;
 	/** Ranks the live vms for the slot, the best first. */
@@ -34,7 +34,7 @@
 	/** Asks a candidate to promise not to take over. */
 	requestPromise: (candidate: Candidate, request: TakeoverPromiseRequest) => Promise<Result<boolean, Failure>>;
 	/** Tells whether a run of a process is confirmed to have ended: another run of the same vm responds, or the vm has been removed from the platform's list. */
-	isConfirmedGone: (candidate: Candidate) => boolean;
+	hasRunEnded: (candidate: Candidate) => boolean;
 	/** Performs the role until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	onGained: (slot: string, epoch: number) => void;
@@ -72,7 +72,7 @@
 	}
 
 	const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, self));
-	return isEligible && (record.candidates.length === 0 || record.candidates.some(candidate => context.isConfirmedGone(candidate)));
+	return isEligible && (record.candidates.length === 0 || record.candidates.some(candidate => context.hasRunEnded(candidate)));
 };
 
 /** State of a slot in the store on which a claim is based. */
@@ -95,7 +95,7 @@
 
 /** Writes the lease entry of a slot and then its record; returns `undefined` if another process holds the slot or the store does not answer. */
 const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
-	const {store, slot, self, lease, promises} = context;
+	const {store, slot, self, lease, takeoverPromises: promises} = context;
 	const state = await readSlotState(context);
 	const acquiredLease = state ? await lease.acquire() : undefined;
 	if (!state || !acquiredLease?.ok || !promises.beginClaim(slot)) {
@@ -209,7 +209,7 @@
 
 /** Claims a slot whenever this vm is eligible and the slot is free, and holds it until it is lost. */
 export const runSlot = async (context: SlotContext, signal: AbortSignal): Promise<void> => {
-	const {world, promises, slot} = context;
+	const {world, takeoverPromises: promises, slot} = context;
 	while (!signal.aborted) {
 		await world.sleep(CLAIM_INTERVAL_MS * (0.5 + world.random()), signal);
 		const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, context.self));
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -105,7 +105,7 @@
 			vm,
 			run: `${vm}-1`,
 			holderPrefix: 'holders/',
-			epochPrefix: 'epochs/',
+			fencingTokenPrefix: 'epochs/',
 			getEntry(key) {
 				fake.expire();
 				return fake.entries.get(key);
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -64,7 +64,7 @@
 			world,
 			store,
 			lease: createProcessLease(store, world),
-			promises: promisesByVm.get(self.vm) ?? createTakeoverPromises('', world),
+			takeoverPromises: promisesByVm.get(self.vm) ?? createTakeoverPromises('', world),
 			self,
 			slot: SLOT,
 			rankCandidates: () => faults.order.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
@@ -73,7 +73,7 @@
 				const isPartitioned = faults.partitioned.has(self.vm) || faults.partitioned.has(candidate.vm);
 				return isPartitioned ? Err({code: 'peerTimeout', message: 'no response'}) : Ok(promisesByVm.get(candidate.vm)?.give(request, 0) ?? false);
 			},
-			isConfirmedGone: () => false,
+			hasRunEnded: () => false,
 			async runAsHolder(authority, signal) {
 				authorities.set(self.vm, authority);
 				await new Promise<void>(resolve => {
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -1,7 +1,7 @@
 /** Session of the database stand-in: the task that serves one connection. */
 
 import {type Buffer} from 'node:buffer';
-import {getMessage, type World, type TransactionStatus} from '@guavapitch/core';
+import {getErrorMessage, type World, type TransactionStatus} from '@guavapitch/core';
 import {
 	createCommandComplete, createErrorResponse, createMessage, createReadyForQuery, encodeInt16, getBody, readCString, SQLSTATE,
 	type Message, type WireConnection,
@@ -179,7 +179,7 @@
 
 	const sendError = async (error: unknown) => {
 		const code = error instanceof SqlError ? error.code : 'XX000';
-		await send(createErrorResponse({severity: 'ERROR', code, message: getMessage(error)}));
+		await send(createErrorResponse({severity: 'ERROR', code, message: getErrorMessage(error)}));
 		if (state.status === 'idle') {
 			endTransaction(false);
 		} else {
--- a/packages/standin/src/sql-parser.ts
+++ b/packages/standin/src/sql-parser.ts
@@ -1,7 +1,7 @@
 /** Parser of the SQL subset that the database stand-in supports. */
 
 import {
-	Err, Ok, getMessage, type Result,
+	Err, Ok, getErrorMessage, type Result,
 } from '@guavapitch/core';
 import type {
 	Column, Expression, OutputColumn, TableSource, Statement,
@@ -357,6 +357,6 @@
 
 		return Ok(statements);
 	} catch (error) {
-		return Err({code: error instanceof SqlError ? error.code : 'XX000', message: getMessage(error)});
+		return Err({code: error instanceof SqlError ? error.code : 'XX000', message: getErrorMessage(error)});
 	}
 };
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {
-	createWorld, Err, getMessage, Ok, type Result,
+	createWorld, Err, getErrorMessage, Ok, type Result,
 } from '@guavapitch/core';
 import {requestEvents, openFleetClient} from '@guavapitch/operator';
 import {readPeerTls, type TlsFiles} from '@guavapitch/peer-protocol';
@@ -46,7 +46,7 @@
 	const world = createWorld();
 	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 	await using client = openFleetClient(world, readPeerTls(files).unwrap());
-	const {lists, missing} = await requestEvents(store, client);
+	const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(store, client);
 	if (missing.length > 0) {
 		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; the time line lacks their events\n`);
 	}
@@ -105,7 +105,7 @@
 		}
 	})
 	.fail((message: string, error: unknown) => {
-		fail(message ?? getMessage(error), EXIT_SETTING);
+		fail(message ?? getErrorMessage(error), EXIT_SETTING);
 	})
 	.exitProcess(false)
 	.parse();
--- a/packages/timeline/src/merge.ts
+++ b/packages/timeline/src/merge.ts
@@ -2,7 +2,7 @@
 
 import {compareHybridTimestamps, type EventRecord} from '@guavapitch/telemetry';
 import {
-	Err, getMessage, Ok, type Failure, type Result,
+	Err, getErrorMessage, Ok, type Failure, type Result,
 } from '@guavapitch/core';
 
 /** Conditions that an event must meet to be kept; an absent field accepts every event. */
@@ -30,7 +30,7 @@
 		try {
 			records.push(JSON.parse(line) as EventRecord);
 		} catch (error) {
-			return Err({code: 'lineMalformed', message: `line ${index + 1}: ${getMessage(error)}`});
+			return Err({code: 'lineMalformed', message: `line ${index + 1}: ${getErrorMessage(error)}`});
 		}
 	}
 
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -97,7 +97,7 @@
 			owner,
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
 			drawFencingToken: async () => dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
-			async orderPromotion(target, fencingToken) {
+			async requestPromotion(target, fencingToken) {
 				const promoted = view.findTarget(target);
 				return promoted ? context.requestPromotion(promoted, settings.vm, fencingToken) : 'refused';
 			},
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,7 +1,7 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createScope, Err, getMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
+	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
 } from '@guavapitch/core';
 import {
 	createSession, type Authorization, type Session,
@@ -65,7 +65,7 @@
 export const startVm = async (context: VmContext): Promise<Vm> => {
 	const {world, settings, emit, metrics} = context;
 	const scope = createScope(thrown => {
-		emit(EVENTS.taskFailed, {message: getMessage(thrown)});
+		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
 	let leaving = false;
 	let isStoreReachable = true;
@@ -173,7 +173,7 @@
 		vm: settings.vm,
 		run: settings.run,
 		holderPrefix: HOLDER_PREFIX,
-		epochPrefix: FENCING_TOKEN_PREFIX,
+		fencingTokenPrefix: FENCING_TOKEN_PREFIX,
 		getEntry,
 		listRoles: () => leaving ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
