--- a/packages/limits/src/bucket.ts
+++ b/packages/limits/src/bucket.ts
@@ -10,24 +10,24 @@
 	burst: number;
 }>;
 
-/** Number of tokens, possibly fractional, in a bucket at an instant. */
-export type Bucket = Readonly<{tokens: number; at: Instant}>;
+/** Number of tokens in a bucket, possibly fractional, when it was last filled. */
+export type Bucket = Readonly<{tokens: number; filledAt: Instant}>;
 
 const MS_PER_SECOND = 1000;
 
 /** Creates an empty bucket. */
-export const createBucket = (now: Instant): Bucket => ({tokens: 0, at: now});
+export const createBucket = (now: Instant): Bucket => ({tokens: 0, filledAt: now});
 
 /** Adds the tokens for the time since the bucket was last filled, up to the burst. */
 export const fillBucket = (bucket: Bucket, quota: Quota, now: Instant): Bucket => ({
-	tokens: Math.min(quota.burst, bucket.tokens + ((now - bucket.at) * quota.rate / MS_PER_SECOND)),
-	at: now,
+	tokens: Math.min(quota.burst, bucket.tokens + ((now - bucket.filledAt) * quota.rate / MS_PER_SECOND)),
+	filledAt: now,
 });
 
 /** Takes up to `wanted` whole tokens; returns the remaining bucket and the number of tokens taken. */
-export const takeTokens = (bucket: Bucket, wanted: number): readonly [after: Bucket, taken: number] => {
-	const taken = Math.max(0, Math.min(wanted, Math.floor(bucket.tokens)));
-	return [{...bucket, tokens: bucket.tokens - taken}, taken];
+export const takeTokens = (bucket: Bucket, wanted: number): readonly [remainingBucket: Bucket, takenCount: number] => {
+	const takenCount = Math.max(0, Math.min(wanted, Math.floor(bucket.tokens)));
+	return [{...bucket, tokens: bucket.tokens - takenCount}, takenCount];
 };
 
 /** Returns the time until the bucket holds a whole token, in milliseconds; 0 if it holds one now. */
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -52,10 +52,11 @@
 /**
  * Computes the quota from which tokens may be granted, so that the tokens used never exceed rate × t + burst.
  * Tokens granted at the end of one validity window may be used in the next one, so their number is reserved from the burst.
+ * `maxValidMs` is the maximum validity of the granted tokens, shorter for a burst that is small for its rate.
  */
-export const computeGrantableQuota = (quota: Quota): Readonly<{grantable: Quota; maxValidMs: number}> => {
+export const computeGrantableQuota = (quota: Quota): Readonly<{grantableQuota: Quota; maxValidMs: number}> => {
 	const maxValidMs = Math.min(MAX_TOKEN_VALIDITY_MS, quota.burst * MAX_RESERVED_FRACTION * 1000 / quota.rate);
-	return {grantable: {rate: quota.rate, burst: Math.max(1, quota.burst - (quota.rate * maxValidMs / 1000))}, maxValidMs};
+	return {grantableQuota: {rate: quota.rate, burst: Math.max(1, quota.burst - (quota.rate * maxValidMs / 1000))}, maxValidMs};
 };
 
 /** Creates a quota allocator whose buckets start empty. */
@@ -73,15 +74,15 @@
 				return undefined;
 			}
 
-			const {grantable, maxValidMs} = computeGrantableQuota(quota);
-			const filled = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), grantable, now);
+			const {grantableQuota, maxValidMs} = computeGrantableQuota(quota);
+			const filledBucket = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), grantableQuota, now);
 			const returned = request.epoch === epoch ? request.returned : 0;
-			const credited: Bucket = {...filled, tokens: Math.min(grantable.burst, filled.tokens + returned)};
+			const creditedBucket: Bucket = {...filledBucket, tokens: Math.min(grantableQuota.burst, filledBucket.tokens + returned)};
 			const validMs = Math.min(maxValidMs, authorityDeadline - now);
-			const [after, tokens] = takeTokens(credited, request.wanted);
-			buckets.set(request.customer, after);
+			const [remainingBucket, tokens] = takeTokens(creditedBucket, request.wanted);
+			buckets.set(request.customer, remainingBucket);
 			return {
-				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(after, grantable),
+				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(remainingBucket, grantableQuota),
 			};
 		},
 	};
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -9,10 +9,10 @@
 } from './bucket.js';
 import {MAX_TOKEN_VALIDITY_MS, type TokenGrant, type TokenRequest} from './quota-allocator.js';
 
-/** Refusal of a request beyond the quota (`limitExceeded`) or of a caller that has disconnected (`aborted`); the request has not run. */
+/** Refusal of a request beyond the quota (`limitExceeded`) or of a caller that has disconnected (`aborted`, with a `retryAfterMs` of 0); the request has not run. */
 export type QuotaRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
 
-/** Tokens of all customers in one process. */
+/** Acquires tokens for the requests of all customers at one entry. */
 export type QuotaClient = Readonly<{
 	/** Acquires a token, waiting a short time for one if necessary. */
 	acquire: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, QuotaRefusal>>;
@@ -20,45 +20,50 @@
 	getAcquiredCounts: () => ReadonlyMap<CustomerId, number>;
 }>;
 
-/** Requests tokens from the quota allocator of a customer. */
+/** Requests tokens from the quota allocator of a customer; fails if there is no allocator or it does not respond. */
 export type RequestTokens = (request: TokenRequest) => Promise<Result<TokenGrant, Failure>>;
 
 /** A request that waits for a token. */
 type Waiter = {
 	readonly deadline: Deadline;
 	/** When the request is refused while the allocator responds. */
-	giveUpAt: Deadline;
+	waitDeadline: Deadline;
 	/** When the request is refused while no allocator responds. */
-	readonly allocatorDeadline: Deadline;
+	readonly allocatorWaitDeadline: Deadline;
 	readonly settle: (result: Result<undefined, QuotaRefusal>) => void;
 };
 
 /** Tokens of one customer and the requests that wait for them. */
 type CustomerTokens = {
 	tokens: number;
+	/** Until when the tokens may be used. */
 	deadline: Deadline;
+	/** Epoch of the allocator that granted the tokens. */
 	epoch: number;
 	/** Requests that wait for a token, in order of arrival. */
-	readonly waiting: Waiter[];
+	readonly waiters: Waiter[];
 	/** Wakes the task that requests tokens for the customer. */
 	readonly changed: Notifier;
-	isRunning: boolean;
-	acquired: number;
+	/** Whether the task that requests tokens for the customer is running. */
+	isRefilling: boolean;
+	acquiredCount: number;
 	/** Tokens granted per millisecond, as a moving average. */
 	grantedPerMs: number;
+	/** When the last grant arrived. */
 	grantedAt: number;
 	/** Whether the last grant had fewer tokens than wanted. */
 	isShort: boolean;
 	/** Requests per millisecond, as a moving average. */
 	demandPerMs: number;
 	lastRequestAt: number;
+	/** When the next token request may be sent. */
 	retryAt: Deadline;
 	/** Whether the allocator responded to the last token request; a customer is not refused because its allocator is changing. */
 	isAllocatorResponding: boolean;
 	/** Until when requests wait longer, while the backlog from a time without an allocator is worked off. */
 	extendedWaitUntil: Deadline;
-	/** Token requests that failed since the last response. */
-	failures: number;
+	/** Number of token requests that failed since the last response. */
+	failureCount: number;
 	/** Bucket of this process's fallback quota, used while no allocator responds. */
 	fallbackBucket: Bucket;
 };
@@ -70,8 +75,8 @@
 const MAX_WAIT_MS = 300;
 /** Maximum time that a request waits while the backlog from a time without an allocator is worked off, in milliseconds. */
 const EXTENDED_MAX_WAIT_MS = 2500;
-/** Time after the first response of an allocator for which the extended wait applies, in milliseconds. */
-const RECOVERY_MS = 5000;
+/** How long the extended wait applies after the allocator responds again, in milliseconds. */
+const EXTENDED_WAIT_PERIOD_MS = 5000;
 /** Maximum time that a request waits while no allocator responds, in milliseconds. */
 const MAX_ALLOCATOR_WAIT_MS = 4000;
 /** Base and upper bound of the exponential backoff after failed token requests, in milliseconds. */
@@ -105,20 +110,20 @@
 	/** Sends one token request to the allocator and records its grant, or the pause before the next attempt. */
 	const refill = async (customer: CustomerId, state: CustomerTokens) => {
 		const requestedAt = world.now();
-		const isValid = !isPast(state.deadline, requestedAt);
-		const returned = isValid ? state.tokens : 0;
-		const expected = Math.floor(state.demandPerMs * MAX_TOKEN_VALIDITY_MS / 2);
-		const wanted = Math.min(MAX_WANTED_TOKENS, Math.max(state.waiting.length, expected, 1));
+		const areTokensValid = !isPast(state.deadline, requestedAt);
+		const returned = areTokensValid ? state.tokens : 0;
+		const expectedDemand = Math.floor(state.demandPerMs * MAX_TOKEN_VALIDITY_MS / 2);
+		const wanted = Math.min(MAX_WANTED_TOKENS, Math.max(state.waiters.length, expectedDemand, 1));
 		state.tokens = 0;
 		const response = await requestTokens({
 			customer, wanted, returned, epoch: state.epoch,
 		});
 		if (response.ok && !state.isAllocatorResponding) {
-			state.extendedWaitUntil = createDeadline(world.now(), RECOVERY_MS);
+			state.extendedWaitUntil = createDeadline(world.now(), EXTENDED_WAIT_PERIOD_MS);
 		}
 
 		state.isAllocatorResponding = response.ok;
-		state.failures = response.ok ? 0 : state.failures + 1;
+		state.failureCount = response.ok ? 0 : state.failureCount + 1;
 		if (response.ok) {
 			const {tokens, validMs, retryAfterMs, epoch} = response.val;
 			const elapsedMs = Math.max(1, world.now() - state.grantedAt);
@@ -131,7 +136,7 @@
 			state.deadline = createDeadline(requestedAt, validMs);
 			state.retryAt = createDeadline(world.now(), state.isShort ? Math.max(SHORTAGE_PAUSE_MS, retryAfterMs) : 0);
 		} else {
-			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failures));
+			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failureCount));
 			state.retryAt = createDeadline(world.now(), maxPauseMs * (0.5 + (world.random() / 2)));
 		}
 	};
@@ -143,8 +148,8 @@
 		}
 
 		const state: CustomerTokens = {
-			tokens: 0, deadline: PAST, epoch: 0, waiting: [], changed: createNotifier(world), isRunning: false, acquired: 0, demandPerMs: 0, lastRequestAt: world.now(), retryAt: PAST,
-			extendedWaitUntil: PAST, isAllocatorResponding: true, failures: 0, grantedPerMs: 0, grantedAt: world.now(), isShort: false, fallbackBucket: createBucket(world.now()),
+			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(world), isRefilling: false, acquiredCount: 0, demandPerMs: 0, lastRequestAt: world.now(), retryAt: PAST,
+			extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: world.now(), isShort: false, fallbackBucket: createBucket(world.now()),
 		};
 		statesByCustomer.set(customer, state);
 		return state;
@@ -156,7 +161,7 @@
 		}
 
 		state.tokens--;
-		state.acquired++;
+		state.acquiredCount++;
 		return true;
 	};
 
@@ -167,14 +172,14 @@
 			return false;
 		}
 
-		const [after, taken] = takeTokens(fillBucket(state.fallbackBucket, quota, world.now()), 1);
-		state.fallbackBucket = after;
-		state.acquired += taken;
-		return taken === 1;
+		const [remainingBucket, takenCount] = takeTokens(fillBucket(state.fallbackBucket, quota, world.now()), 1);
+		state.fallbackBucket = remainingBucket;
+		state.acquiredCount += takenCount;
+		return takenCount === 1;
 	};
 
 	/** Computes when a request that starts to wait now is refused. */
-	const computeGiveUpAt = (state: CustomerTokens, deadline: Deadline): Deadline => {
+	const computeWaitDeadline = (state: CustomerTokens, deadline: Deadline): Deadline => {
 		const now = world.now();
 		const waitMs = isPast(state.extendedWaitUntil, now) ? MAX_WAIT_MS : EXTENDED_MAX_WAIT_MS;
 		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
@@ -182,9 +187,9 @@
 
 	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens. */
 	const computeRetryAfterMs = (state: CustomerTokens): number => {
-		const untilNextMs = getRemainingMs(state.retryAt, world.now());
+		const nextRequestInMs = getRemainingMs(state.retryAt, world.now());
 		const msPerToken = state.grantedPerMs > 0 ? 1 / state.grantedPerMs : 0;
-		return Math.max(1, Math.ceil(Math.min(MAX_RETRY_AFTER_MS, untilNextMs + (state.waiting.length * msPerToken))));
+		return Math.max(1, Math.ceil(Math.min(MAX_RETRY_AFTER_MS, nextRequestInMs + (state.waiters.length * msPerToken))));
 	};
 
 	const createRefusal = (state: CustomerTokens): Result<undefined, QuotaRefusal> => Err({
@@ -197,71 +202,71 @@
 	const isBacklogTooLong = (state: CustomerTokens): boolean => state.isAllocatorResponding
 		&& state.isShort
 		&& isPast(state.extendedWaitUntil, world.now())
-		&& state.waiting.length > MIN_WAITERS + (state.grantedPerMs * MAX_WAIT_MS);
+		&& state.waiters.length > MIN_WAITERS + (state.grantedPerMs * MAX_WAIT_MS);
 
-	const getWaitDeadline = (state: CustomerTokens, waiter: Waiter): Deadline => state.isAllocatorResponding ? waiter.giveUpAt : waiter.allocatorDeadline;
+	const getCurrentWaitDeadline = (state: CustomerTokens, waiter: Waiter): Deadline => state.isAllocatorResponding ? waiter.waitDeadline : waiter.allocatorWaitDeadline;
 
 	/** Gives tokens to the waiting requests in order of arrival, and refuses those that will not get one in time. */
 	const serveWaiting = (customer: CustomerId, state: CustomerTokens) => {
-		while (state.waiting.length > 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
-			state.waiting.shift()?.settle(Ok(undefined));
+		while (state.waiters.length > 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
+			state.waiters.shift()?.settle(Ok(undefined));
 		}
 
 		const now = world.now();
 		const isExpired = (waiter: Waiter): boolean => {
-			const deadline = getWaitDeadline(state, waiter);
+			const deadline = getCurrentWaitDeadline(state, waiter);
 			return isPast(deadline, now) || state.retryAt > deadline;
 		};
 
-		for (const waiter of state.waiting.filter(waiting => isExpired(waiting))) {
-			state.waiting.splice(state.waiting.indexOf(waiter), 1);
+		for (const waiter of state.waiters.filter(waiter => isExpired(waiter))) {
+			state.waiters.splice(state.waiters.indexOf(waiter), 1);
 			waiter.settle(createRefusal(state));
 		}
 	};
 
 	/** Requests tokens until no request waits any more: one task for each customer. */
 	const runRefills = async (customer: CustomerId, state: CustomerTokens): Promise<void> => {
-		state.isRunning = true;
-		while (state.waiting.length > 0) {
+		state.isRefilling = true;
+		while (state.waiters.length > 0) {
 			if (isPast(state.retryAt, world.now())) {
 				const wasResponding = state.isAllocatorResponding;
 				await refill(customer, state);
 				if (state.isAllocatorResponding && !wasResponding) {
 					// A new allocator starts with empty buckets, so the wait for tokens counts from its first response.
-					for (const waiter of state.waiting) {
-						waiter.giveUpAt = computeGiveUpAt(state, waiter.deadline);
+					for (const waiter of state.waiters) {
+						waiter.waitDeadline = computeWaitDeadline(state, waiter.deadline);
 					}
 				}
 			} else {
-				const earliest = Math.min(...state.waiting.map(waiter => getWaitDeadline(state, waiter)));
-				await state.changed.waitForChange(Math.min(earliest, state.retryAt) as Deadline);
+				const earliestDeadline = Math.min(...state.waiters.map(waiter => getCurrentWaitDeadline(state, waiter)));
+				await state.changed.waitForChange(Math.min(earliestDeadline, state.retryAt) as Deadline);
 			}
 
 			serveWaiting(customer, state);
 		}
 
-		state.isRunning = false;
+		state.isRefilling = false;
 	};
 
 	const waitForToken = async (customer: CustomerId, state: CustomerTokens, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
 		const waiter: Waiter = {
 			deadline,
-			giveUpAt: computeGiveUpAt(state, deadline),
-			allocatorDeadline: Math.min(deadline, createDeadline(world.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
+			waitDeadline: computeWaitDeadline(state, deadline),
+			allocatorWaitDeadline: Math.min(deadline, createDeadline(world.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
 			settle,
 		};
-		state.waiting.push(waiter);
+		state.waiters.push(waiter);
 		signal?.addEventListener('abort', () => {
-			const index = state.waiting.indexOf(waiter);
+			const index = state.waiters.indexOf(waiter);
 			if (index !== -1) {
-				state.waiting.splice(index, 1);
+				state.waiters.splice(index, 1);
 				settle(Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0}));
 			}
 		}, {once: true});
 		serveWaiting(customer, state);
-		if (state.isRunning) {
+		if (state.isRefilling) {
 			state.changed.notify();
-		} else if (state.waiting.length > 0) {
+		} else if (state.waiters.length > 0) {
 			void runRefills(customer, state);
 		}
 	});
@@ -274,12 +279,12 @@
 				return Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 			}
 
-			if (state.waiting.length === 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
+			if (state.waiters.length === 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
 				return Ok(undefined);
 			}
 
 			return isBacklogTooLong(state) ? createRefusal(state) : waitForToken(customer, state, deadline, signal);
 		},
-		getAcquiredCounts: () => new Map([...statesByCustomer].map(([customer, state]) => [customer, state.acquired])),
+		getAcquiredCounts: () => new Map([...statesByCustomer].map(([customer, state]) => [customer, state.acquiredCount])),
 	};
 };
--- a/packages/limits/src/refusal-cache.ts
+++ b/packages/limits/src/refusal-cache.ts
@@ -4,7 +4,7 @@
 	createDeadline, getRemainingMs, isPast, type CustomerId, type Deadline, type World,
 } from '@guavapitch/core';
 
-/** Customers throttled at one entry, separately for each owner. */
+/** Customers throttled at one entry, separately for each owner; `owner` is a name that identifies it, such as that of its database. */
 export type RefusalCache = Readonly<{
 	/** Records that an owner refused a customer, with the time after which the customer may try again. */
 	recordRefusal: (owner: string, customer: CustomerId, retryAfterMs: number) => void;
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -51,9 +51,9 @@
 	it('gets the whole quota, never more, and most of the rest is refused at once', async () => {
 		const {flood, results} = createSetup();
 		await flood(600, 5);
-		const served = results.filter(({ok}) => ok).length;
-		assert.ok(served <= (QUOTA.rate * 6) + QUOTA.burst);
-		assert.ok(served >= QUOTA.rate * 5 * 0.85, `served ${served}`);
+		const servedCount = results.filter(({ok}) => ok).length;
+		assert.ok(servedCount <= (QUOTA.rate * 6) + QUOTA.burst);
+		assert.ok(servedCount >= QUOTA.rate * 5 * 0.85, `served ${servedCount}`);
 		const refused = results.filter(({ok}) => !ok);
 		assert.ok(refused.filter(({waitedMs}) => waitedMs === 0).length >= refused.length * 0.8);
 	});
@@ -69,9 +69,9 @@
 	it('grants the fallback quota and no more', async () => {
 		const {flood, results} = createSetup(() => false);
 		await flood(100, 5);
-		const served = results.filter(({ok}) => ok).length;
-		assert.ok(served >= QUOTA.rate / 3 * 5 * 0.85, `served ${served}`);
-		assert.ok(served <= (QUOTA.rate / 3 * 6) + (QUOTA.burst * 0.1));
+		const servedCount = results.filter(({ok}) => ok).length;
+		assert.ok(servedCount >= QUOTA.rate / 3 * 5 * 0.85, `served ${servedCount}`);
+		assert.ok(servedCount <= (QUOTA.rate / 3 * 6) + (QUOTA.burst * 0.1));
 	});
 
 	it('lets a customer within its fallback quota run without waiting after the first failed request', async () => {
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -25,7 +25,7 @@
 	return worst;
 };
 
-type Run = Readonly<{rate: number; burst: number; entries: number; loss: number; seed: number; takeOvers: boolean; waiters: number; pauseMs: number}>;
+type Run = Readonly<{rate: number; burst: number; entryCount: number; lossRate: number; seed: number; hasTakeovers: boolean; waitersPerEntry: number; pauseMs: number}>;
 
 /** Runs entries that constantly acquire tokens; the allocator may be replaced when its lease ends, and a paused predecessor still responds to requests sent to it. */
 const runEntries = async (run: Run): Promise<Readonly<{times: readonly number[]; refusals: number}>> => {
@@ -37,7 +37,7 @@
 	let epoch = 0;
 	const takeOver = () => {
 		epoch++;
-		const deadline = run.takeOvers ? createDeadline(world.now(), LEASE_MS) : NEVER;
+		const deadline = run.hasTakeovers ? createDeadline(world.now(), LEASE_MS) : NEVER;
 		authorityDeadline = deadline;
 		allocator = createQuotaAllocator({
 			world, epoch, getAuthorityDeadline: () => deadline, getQuota: () => ({rate: run.rate, burst: run.burst}),
@@ -48,20 +48,20 @@
 	const requestTokens: RequestTokens = async request => {
 		const receiver = allocator;
 		await world.sleep(world.random() * 4);
-		if (world.random() < run.loss / 2) {
+		if (world.random() < run.lossRate / 2) {
 			return Err({code: 'lost', message: 'the request was lost'});
 		}
 
 		const grant = receiver.grantTokens(request);
 		await world.sleep(world.random() * 4);
-		return world.random() < run.loss / 2 || !grant ? Err({code: 'lost', message: 'the response was lost'}) : Ok(grant);
+		return world.random() < run.lossRate / 2 || !grant ? Err({code: 'lost', message: 'the response was lost'}) : Ok(grant);
 	};
 
-	let running = true;
-	const entries = Array.from({length: run.entries}, async () => {
+	let isRunning = true;
+	const entries = Array.from({length: run.entryCount}, async () => {
 		const quotaClient = createQuotaClient(requestTokens, world);
 		const work = async () => {
-			while (running) {
+			while (isRunning) {
 				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 1000));
 				if (acquired.ok) {
 					times.push(world.now());
@@ -74,7 +74,7 @@
 			}
 		};
 
-		await Promise.all(Array.from({length: run.waiters}, work));
+		await Promise.all(Array.from({length: run.waitersPerEntry}, work));
 	});
 	for (let step = 0; step < 12; step++) {
 		await advance(500);
@@ -83,7 +83,7 @@
 		}
 	}
 
-	running = false;
+	isRunning = false;
 	await advance(2000);
 	await Promise.all(entries);
 	return {times, refusals};
@@ -93,14 +93,13 @@
 	describe('limit', () => {
 		it('is never exceeded when responses are lost and allocators are replaced', async () => {
 			await fc.assert(fc.asyncProperty(fc.record({
-
 				rate: fc.integer({min: 5, max: 200}),
 				burst: fc.integer({min: 2, max: 100}),
-				entries: fc.integer({min: 1, max: 5}),
-				loss: fc.constantFrom(0, 0.1, 0.4),
+				entryCount: fc.integer({min: 1, max: 5}),
+				lossRate: fc.constantFrom(0, 0.1, 0.4),
 				seed: fc.nat(),
-				takeOvers: fc.boolean(),
-				waiters: fc.integer({min: 1, max: 3}),
+				hasTakeovers: fc.boolean(),
+				waitersPerEntry: fc.integer({min: 1, max: 3}),
 			}), async run => {
 				const {times} = await runEntries({...run, pauseMs: 0});
 				const excess = computeExcess(times, run.rate, run.burst);
@@ -117,7 +116,7 @@
 	describe('use', () => {
 		it('gives nearly the whole rate to steady traffic', async () => {
 			const {times} = await runEntries({
-				rate: 100, burst: 100, entries: 3, loss: 0, seed: 5, takeOvers: false, waiters: 1, pauseMs: 0,
+				rate: 100, burst: 100, entryCount: 3, lossRate: 0, seed: 5, hasTakeovers: false, waitersPerEntry: 1, pauseMs: 0,
 			});
 			const seconds = ((times.at(-1) ?? 0) as Instant) / 1000;
 			assert.ok(times.length >= 0.95 * 100 * (seconds - 1), `${times.length} in ${seconds} s`);
@@ -125,15 +124,15 @@
 
 		it('waits for tokens of an allocator that starts late with empty buckets', async () => {
 			const {world, advance} = createVirtualWorld(8);
-			const late: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
+			const state: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
 			const quotaClient = createQuotaClient(async request => {
 				await world.sleep(2);
-				const grant = late.allocator?.grantTokens(request);
+				const grant = state.allocator?.grantTokens(request);
 				return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator yet'});
 			}, world);
 			const acquiring = quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
 			await advance(1500);
-			late.allocator = createQuotaAllocator({
+			state.allocator = createQuotaAllocator({
 				world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 10, burst: 10}),
 			});
 			await advance(1000);
@@ -174,7 +173,7 @@
 
 		it('refuses no request within the rate when several requests wait at one entry', async () => {
 			const {refusals} = await runEntries({
-				rate: 1000, burst: 2000, entries: 2, loss: 0, seed: 6, takeOvers: false, waiters: 4, pauseMs: 20,
+				rate: 1000, burst: 2000, entryCount: 2, lossRate: 0, seed: 6, hasTakeovers: false, waitersPerEntry: 4, pauseMs: 20,
 			});
 			assert.equal(refusals, 0);
 		});
--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -32,7 +32,7 @@
 	dial: () => Promise<Result<Connection, PoolFailure>>;
 	/** Called when a connection may have become available. */
 	onAvailable: () => void;
-	/** Called when opening a connection fails for the first time, and when it works again. */
+	/** Called when opening a connection fails after it worked, with the error, and when it works again, with an empty message. */
 	onReachabilityChange: (isReachable: boolean, message: string) => void;
 }>;
 
@@ -51,7 +51,7 @@
 
 /** Creates a pool and starts to open `minIdle` connections. After a failed dial, the next one waits for a backoff with jitter. */
 export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, world: World): Pool<Connection> => {
-	const idle: Connection[] = [];
+	const idleConnections: Connection[] = [];
 	const changed = createNotifier(world);
 	const scope = createScope(() => undefined);
 	let openCount = 0;
@@ -63,7 +63,7 @@
 
 	const popIdle = (): Connection | undefined => {
 		while (true) {
-			const connection = idle.pop();
+			const connection = idleConnections.pop();
 			if (!connection?.isEnded()) {
 				return connection;
 			}
@@ -94,7 +94,7 @@
 		}
 	};
 
-	const dialOne = async () => {
+	const dialConnection = async () => {
 		const dialled = await settings.dial();
 		diallingCount--;
 		if (dialled.err) {
@@ -104,7 +104,7 @@
 		} else {
 			recordDialSuccess();
 			openCount++;
-			idle.push(dialled.val);
+			idleConnections.push(dialled.val);
 		}
 
 		notifyAvailable();
@@ -113,15 +113,15 @@
 	const canDial = () => openCount + diallingCount < settings.maxOpen && isPast(nextDialAt, world.now());
 
 	const dialAhead = () => {
-		const missingCount = waitingCount + settings.minIdle - idle.length - diallingCount;
+		const missingCount = waitingCount + settings.minIdle - idleConnections.length - diallingCount;
 		for (let count = 0; count < missingCount && canDial() && !scope.signal.aborted; count++) {
 			diallingCount++;
-			scope.run(dialOne);
+			scope.run(dialConnection);
 		}
 	};
 
 	const createHandle = (connection: Connection): ConnectionHandle<Connection> => {
-		let released = false;
+		let isReleased = false;
 		const closeConnection = async () => {
 			openCount--;
 			await connection[Symbol.asyncDispose]();
@@ -130,11 +130,11 @@
 		};
 
 		const returnToIdle = () => {
-			idle.push(connection);
+			idleConnections.push(connection);
 			notifyAvailable();
 		};
 
-		const reset = async () => {
+		const resetConnection = async () => {
 			const wasReset = await connection.reset();
 			if (wasReset && !scope.signal.aborted) {
 				returnToIdle();
@@ -146,15 +146,15 @@
 		return {
 			connection,
 			release(state) {
-				if (released) {
+				if (isReleased) {
 					return;
 				}
 
-				released = true;
+				isReleased = true;
 				if (state === 'broken' || connection.isEnded() || scope.signal.aborted) {
 					scope.run(closeConnection);
 				} else if (state === 'dirty') {
-					scope.run(reset);
+					scope.run(resetConnection);
 				} else {
 					returnToIdle();
 				}
@@ -194,14 +194,14 @@
 				? Err({code: 'connectionsExhausted', message: 'No connection became available before the deadline'})
 				: Err({code: 'targetUnreachable', message: 'The target is unreachable'});
 		},
-		hasCapacity: () => idle.length > 0 || openCount + diallingCount < settings.maxOpen,
+		hasCapacity: () => idleConnections.length > 0 || openCount + diallingCount < settings.maxOpen,
 		getOpenCount: () => openCount,
-		getIdleCount: () => idle.length,
+		getIdleCount: () => idleConnections.length,
 		async [Symbol.asyncDispose]() {
 			const tasksEnded = scope[Symbol.asyncDispose]();
 			changed.notify();
 			await tasksEnded;
-			await Promise.all(idle.splice(0).map(async connection => connection[Symbol.asyncDispose]()));
+			await Promise.all(idleConnections.splice(0).map(async connection => connection[Symbol.asyncDispose]()));
 		},
 	};
 };
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -4,17 +4,17 @@
 	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type World,
 } from '@guavapitch/core';
 
-/** Failure to get a slot; the request has not run. */
+/** Failure to acquire a slot; the request has not run. */
 export type QueueFailure = Failure<'queueFull' | 'deadlinePassed' | 'aborted'> & Readonly<{retryAfterMs: number}>;
 
 /** A request for a slot. */
 export type QueueEntry = Readonly<{
 	customer: CustomerId;
-	/** Weight of the customer, which gets slot time in proportion to it. */
+	/** Weight of the customer: slot time is shared in proportion to the weights. */
 	weight: number;
 	deadline: Deadline;
-	/** Whether it continues a transaction, which occupies a connection; such requests go first. */
-	pinned: boolean;
+	/** Whether the request continues a transaction, which occupies a connection; such requests go first. */
+	isPinned: boolean;
 }>;
 
 /** Permission to use a slot; disposing of it releases the slot. */
@@ -27,7 +27,7 @@
 	/** Checks again which waiting requests can run; called when a connection becomes available. */
 	admitWaiting: () => void;
 	/** Changes the number of slots. */
-	setSlotCount: (slots: number) => void;
+	setSlotCount: (slotCount: number) => void;
 	/** Counts the waiting requests. */
 	getWaitingCount: () => number;
 	/** Counts the slots in use. */
@@ -36,6 +36,7 @@
 
 type WaitingEntry = QueueEntry & Readonly<{settle: (result: Result<Permit, QueueFailure>) => void}>;
 
+/** Fair queueing state of a customer. */
 type Account = {
 	/** Slot time used, divided by the weight, in milliseconds. */
 	virtualTimeMs: number;
@@ -55,10 +56,10 @@
 const SWEEP_INTERVAL_MS = 20;
 
 /** Creates an empty queue; `hasConnection` tells whether a connection could be acquired now. */
-export const createFairQueue = (world: World, slots: number, hasConnection: () => boolean): FairQueue => {
+export const createFairQueue = (world: World, initialSlotCount: number, hasConnection: () => boolean): FairQueue => {
 	const accounts = new Map<CustomerId, Account>();
 	const pinnedEntries: WaitingEntry[] = [];
-	let slotCount = slots;
+	let slotCount = initialSlotCount;
 	let busyCount = 0;
 	let waitingCount = 0;
 	let isSweeping = false;
@@ -90,18 +91,18 @@
 		const account = getAccount(waiting.customer);
 		const startedAt = world.now();
 		const chargedMs = account.meanMs;
-		let released = false;
+		let isReleased = false;
 		busyCount++;
 		account.runningCount++;
 		account.virtualTimeMs += chargedMs / waiting.weight;
 		return {
 			startedAt,
 			[Symbol.dispose]() {
-				if (released) {
+				if (isReleased) {
 					return;
 				}
 
-				released = true;
+				isReleased = true;
 				const usedMs = world.now() - startedAt;
 				busyCount--;
 				account.runningCount--;
@@ -113,42 +114,42 @@
 	};
 
 	const chooseNext = (): WaitingEntry | undefined => {
-		const first = pinnedEntries.shift();
-		if (first) {
-			return first;
+		const pinnedEntry = pinnedEntries.shift();
+		if (pinnedEntry) {
+			return pinnedEntry;
 		}
 
 		if (!hasConnection()) {
 			return undefined;
 		}
 
-		let best: Account | undefined;
+		let chosen: Account | undefined;
 		for (const account of accounts.values()) {
-			if (account.waiting.length > 0 && (!best || account.virtualTimeMs < best.virtualTimeMs)) {
-				best = account;
+			if (account.waiting.length > 0 && (!chosen || account.virtualTimeMs < chosen.virtualTimeMs)) {
+				chosen = account;
 			}
 		}
 
-		return best?.waiting.shift();
+		return chosen?.waiting.shift();
 	};
 
 	const admitWaiting = () => {
 		while (busyCount < slotCount) {
-			const next = chooseNext();
-			if (!next) {
+			const nextEntry = chooseNext();
+			if (!nextEntry) {
 				return;
 			}
 
 			waitingCount--;
-			if (isPast(next.deadline, world.now())) {
-				next.settle(Err({code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0}));
+			if (isPast(nextEntry.deadline, world.now())) {
+				nextEntry.settle(Err({code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0}));
 			} else {
-				next.settle(Ok(issuePermit(next)));
+				nextEntry.settle(Ok(issuePermit(nextEntry)));
 			}
 		}
 	};
 
-	const removeWhere = (queue: WaitingEntry[], predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
+	const refuseInQueue = (queue: WaitingEntry[], predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
 		for (let index = queue.length - 1; index >= 0; index--) {
 			const waiting = queue[index];
 			if (waiting && predicate(waiting)) {
@@ -159,10 +160,10 @@
 		}
 	};
 
-	const removeAll = (predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
-		removeWhere(pinnedEntries, predicate, failure);
+	const refuseWaiting = (predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
+		refuseInQueue(pinnedEntries, predicate, failure);
 		for (const account of accounts.values()) {
-			removeWhere(account.waiting, predicate, failure);
+			refuseInQueue(account.waiting, predicate, failure);
 		}
 	};
 
@@ -176,7 +177,7 @@
 		while (waitingCount > 0) {
 			await world.sleep(SWEEP_INTERVAL_MS);
 			const now = world.now();
-			removeAll(waiting => isPast(waiting.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
+			refuseWaiting(waiting => isPast(waiting.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
 		}
 
 		isSweeping = false;
@@ -191,17 +192,17 @@
 		async enter(entry, signal) {
 			const account = getAccount(entry.customer);
 			const waitMs = estimateWaitMs(account);
-			if (!entry.pinned && (account.waiting.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
+			if (!entry.isPinned && (account.waiting.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
 				return Err({code: 'queueFull', message: 'Too many requests of this customer are waiting for the target', retryAfterMs: Math.ceil(waitMs)});
 			}
 
 			capIdleCredit(account);
 			return new Promise(settle => {
 				const waiting: WaitingEntry = {...entry, settle};
-				(entry.pinned ? pinnedEntries : account.waiting).push(waiting);
+				(entry.isPinned ? pinnedEntries : account.waiting).push(waiting);
 				waitingCount++;
 				signal?.addEventListener('abort', () => {
-					removeAll(candidate => candidate === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
+					refuseWaiting(candidate => candidate === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 				}, {once: true});
 				admitWaiting();
 				if (waitingCount > 0) {
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -16,18 +16,18 @@
 		const {world, advance} = createVirtualWorld(7);
 		const queue = createFairQueue(world, 2, () => true);
 		const waits: number[] = [];
-		const served = new Map<CustomerId, number>();
-		let running = true;
+		const servedCounts = new Map<CustomerId, number>();
+		let isRunning = true;
 		const work = async (customer: CustomerId, weight: number, pauseMs: number) => {
-			while (running) {
+			while (isRunning) {
 				const enteredAt = world.now();
 				const entered = await queue.enter({
-					customer, weight, deadline: createDeadline(world.now(), 5000), pinned: false,
+					customer, weight, deadline: createDeadline(world.now(), 5000), isPinned: false,
 				});
 				if (entered.ok) {
 					using permit = entered.val;
 					await world.sleep(5);
-					served.set(customer, (served.get(customer) ?? 0) + 1);
+					servedCounts.set(customer, (servedCounts.get(customer) ?? 0) + 1);
 					if (customer === SMALL) {
 						waits.push(permit.startedAt - enteredAt);
 					}
@@ -39,10 +39,10 @@
 
 		const workers = [work(SMALL, smallWeight, 40), ...Array.from({length: largeWorkers}, async () => work(LARGE, 1, 0))];
 		await advance(4000);
-		running = false;
+		isRunning = false;
 		await advance(6000);
 		await Promise.all(workers);
-		return {waits: waits.toSorted((a, b) => a - b), served};
+		return {waits: waits.toSorted((a, b) => a - b), served: servedCounts};
 	};
 
 	it('keeps the wait of a small customer short during a flood by a large one', async () => {
@@ -57,7 +57,7 @@
 		const order: CustomerId[] = [];
 		const run = async (customer: CustomerId) => {
 			const entered = await queue.enter({
-				customer, weight: 1, deadline: createDeadline(world.now(), 10_000), pinned: false,
+				customer, weight: 1, deadline: createDeadline(world.now(), 10_000), isPinned: false,
 			});
 			if (entered.ok) {
 				using permit = entered.val;
@@ -66,25 +66,25 @@
 			}
 		};
 
-		const running = [run(SMALL)];
+		const runs = [run(SMALL)];
 		await advance(50);
-		running.push(...Array.from({length: 100}, async () => run(LARGE)));
+		runs.push(...Array.from({length: 100}, async () => run(LARGE)));
 		await advance(400);
-		const before = order.length;
-		running.push(...Array.from({length: 60}, async () => run(SMALL)));
+		const servedBeforeBurstCount = order.length;
+		runs.push(...Array.from({length: 60}, async () => run(SMALL)));
 		await advance(10_000);
-		await Promise.all(running);
-		const after = order.slice(before);
-		const servedSmall = after.map(customer => customer === SMALL);
-		assert.ok(servedSmall.slice(1, 11).every(Boolean), 'a burst within the idle credit goes first');
-		assert.ok(servedSmall.slice(11, 60).includes(false), 'a longer burst alternates with the flood');
+		await Promise.all(runs);
+		const orderAfterBurst = order.slice(servedBeforeBurstCount);
+		const smallFlags = orderAfterBurst.map(customer => customer === SMALL);
+		assert.ok(smallFlags.slice(1, 11).every(Boolean), 'a burst within the idle credit goes first');
+		assert.ok(smallFlags.slice(11, 60).includes(false), 'a longer burst alternates with the flood');
 	});
 
 	it('refuses at once when the deadline cannot be met', async () => {
 		const {world, advance} = createVirtualWorld();
 		const queue = createFairQueue(world, 1, () => true);
 		const entry = {
-			customer: LARGE, weight: 1, deadline: createDeadline(world.now(), 5), pinned: false,
+			customer: LARGE, weight: 1, deadline: createDeadline(world.now(), 5), isPinned: false,
 		};
 		const entering = Promise.all(Array.from({length: 30}, async () => queue.enter(entry)));
 		await advance(200);
@@ -98,9 +98,9 @@
 		const queue = createFairQueue(world, 1, () => true);
 		const deadline = createDeadline(world.now(), 1000);
 		const order: string[] = [];
-		const enter = async (name: string, pinned: boolean) => {
+		const enter = async (name: string, isPinned: boolean) => {
 			const entered = await queue.enter({
-				customer: LARGE, weight: 1, deadline, pinned,
+				customer: LARGE, weight: 1, deadline, isPinned,
 			});
 			using _permit = entered.unwrap();
 			order.push(name);
@@ -119,20 +119,20 @@
 		const {world, advance} = createVirtualWorld(3);
 		let openCount = 0;
 		let maxOpenCount = 0;
-		let resets = 0;
-		let dials = 0;
+		let resetCount = 0;
+		let dialCount = 0;
 		const pool = createPool<Poolable>({
 			maxOpen: 3,
 			minIdle: 1,
 			async dial() {
-				dials++;
+				dialCount++;
 				openCount++;
 				maxOpenCount = Math.max(maxOpenCount, openCount);
 				await world.sleep(30);
 				return Ok({
 					isEnded: () => false,
 					async reset() {
-						resets++;
+						resetCount++;
 						return true;
 					},
 					async [Symbol.asyncDispose]() {
@@ -154,8 +154,8 @@
 		await advance(5000);
 		await uses;
 		assert.equal(maxOpenCount, 3);
-		assert.equal(resets, 20);
-		assert.ok(dials <= 12, `${dials} dials for 60 uses`);
+		assert.equal(resetCount, 20);
+		assert.ok(dialCount <= 12, `${dialCount} dials for 60 uses`);
 		await pool[Symbol.asyncDispose]();
 		assert.equal(openCount, 0);
 	});
--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -37,7 +37,7 @@
 /** Operations of the entry that serving a caller needs. */
 export type CallerContext = Readonly<{
 	/** Checks the key, acquires a token of the quota and routes the request; retries it only when it is certain that it has not run. */
-	startRequest: (caller: CallerIdentity, chunk: RequestChunk, statement: StatementClass, signal: AbortSignal) => Promise<Result<RunningRequest, RequestFailure>>;
+	startRequest: (caller: CallerIdentity, chunk: RequestChunk, statementClass: StatementClass, signal: AbortSignal) => Promise<Result<RunningRequest, RequestFailure>>;
 	/** Checks the key and acquires a token of the quota for a further chunk of a transaction. */
 	continueRequest: (caller: CallerIdentity, signal: AbortSignal) => Promise<Result<undefined, RequestFailure>>;
 	/** Cancels a request that an owner is running. */
@@ -50,7 +50,7 @@
 
 /** State of one caller that other tasks may read or act on. */
 export type CallerControl = {
-	/** Cancels the running request. */
+	/** Cancels the running request, or aborts the one that is being started. */
 	cancel: () => void;
 	/** Whether no request is running or being received, so that the connection may be closed. */
 	isIdle: boolean;
@@ -79,7 +79,7 @@
 	sendFailure: (failure: RequestFailure) => Promise<void>;
 	/** Reports that a transaction was rolled back; the connection closes after that. */
 	sendRolledBack: (message: string) => Promise<void>;
-	/** Reports that the outcome of a running request is unknown. */
+	/** Reports that the outcome of a running request is unknown; `endsConnection` tells whether the connection closes after that. */
 	sendUnknownOutcome: (requestId: string, message: string, endsConnection: boolean) => Promise<void>;
 	/** Reports why the connection closes. */
 	sendCloseReason: (refusal: Refusal) => Promise<void>;
@@ -87,8 +87,8 @@
 	onClose: (listener: () => void) => Disposable;
 }>;
 
-/** State of the caller after one chunk. */
-type ChunkOutcome = Readonly<{status: TransactionStatus; flushed: boolean; isClosing: boolean}>;
+/** State of the caller after one chunk; `isFlushed` tells that the chunk ended with a Flush, so that its request continues. */
+type ChunkOutcome = Readonly<{status: TransactionStatus; isFlushed: boolean; isClosing: boolean}>;
 
 /** A running request, its next reply, and the transaction status before the reply. */
 type PendingReply = Readonly<{request: RunningRequest; nextReply: Reply | undefined; statusBefore: TransactionStatus}>;
@@ -111,29 +111,29 @@
 			case 'ready': {
 				await port.sendReady(reply.status);
 				context.onOutcome(caller, request.requestId, {kind: 'done'});
-				return {status: reply.status, flushed: false, isClosing: false};
+				return {status: reply.status, isFlushed: false, isClosing: false};
 			}
 
 			case 'flushed': {
-				return {status: statusBefore, flushed: true, isClosing: false};
+				return {status: statusBefore, isFlushed: true, isClosing: false};
 			}
 
 			case 'rolledBack': {
 				await port.sendRolledBack(reply.message);
 				context.onOutcome(caller, request.requestId, {kind: 'refused', code: 'rolledBack', message: reply.message});
-				return {status: 'idle', flushed: false, isClosing: true};
+				return {status: 'idle', isFlushed: false, isClosing: true};
 			}
 
 			default: {
 				const message = reply?.kind === 'unknown' ? reply.message : LOST_MESSAGE;
-				const inTransaction = statusBefore !== 'idle';
-				await port.sendUnknownOutcome(request.requestId, message, inTransaction);
+				const isInTransaction = statusBefore !== 'idle';
+				await port.sendUnknownOutcome(request.requestId, message, isInTransaction);
 				context.onOutcome(caller, request.requestId, {kind: 'unknown', code: 'outcomeUnknown', message});
-				if (!inTransaction) {
+				if (!isInTransaction) {
 					await port.sendReady('idle');
 				}
 
-				return {status: 'idle', flushed: false, isClosing: inTransaction};
+				return {status: 'idle', isFlushed: false, isClosing: isInTransaction};
 			}
 		}
 
@@ -143,8 +143,8 @@
 
 /** Serves a caller until it disconnects, or until its connection must be closed between two requests. */
 export const serveCaller = async (caller: CallerIdentity, port: CallerPort, context: CallerContext, control: CallerControl): Promise<void> => {
-	const served: ServedCaller = {caller, port, context};
-	let running: RunningRequest | undefined;
+	const servedCaller: ServedCaller = {caller, port, context};
+	let runningRequest: RunningRequest | undefined;
 	let status: TransactionStatus = 'idle';
 
 	const refuse = async (received: ReceivedChunk, {requestId, failure}: RequestFailure): Promise<boolean> => {
@@ -158,7 +158,7 @@
 
 	/** Starts a request, or sends the chunk to the running one; returns the first reply. */
 	const sendChunk = async (received: ReceivedChunk & Readonly<{kind: 'chunk'}>, signal: AbortSignal): Promise<Result<RunningRequest, RequestFailure> | PendingReply> => {
-		if (!running) {
+		if (!runningRequest) {
 			return context.startRequest(caller, {...received.chunk, mayCommit: true}, received.statementClass, signal);
 		}
 
@@ -167,8 +167,8 @@
 			return allowed;
 		}
 
-		await running.stream.send(received.chunk);
-		return {request: running, nextReply: await running.stream.receive(), statusBefore: status};
+		await runningRequest.stream.send(received.chunk);
+		return {request: runningRequest, nextReply: await runningRequest.stream.receive(), statusBefore: status};
 	};
 
 	const serveChunk = async (received: ReceivedChunk, signal: AbortSignal): Promise<boolean> => {
@@ -185,12 +185,12 @@
 		}
 
 		const pendingReply = 'request' in sent ? sent : {request: sent.val, nextReply: sent.val.firstReply, statusBefore: status};
-		running = pendingReply.request;
-		const outcome = await relayReplies(served, pendingReply);
+		runningRequest = pendingReply.request;
+		const outcome = await relayReplies(servedCaller, pendingReply);
 		status = outcome.status;
-		if (status === 'idle' && !outcome.flushed) {
-			await running[Symbol.asyncDispose]();
-			running = undefined;
+		if (status === 'idle' && !outcome.isFlushed) {
+			await runningRequest[Symbol.asyncDispose]();
+			runningRequest = undefined;
 		}
 
 		return !outcome.isClosing;
@@ -202,8 +202,8 @@
 	};
 
 	control.cancel = () => {
-		if (running) {
-			context.cancelRequest(running.requestId);
+		if (runningRequest) {
+			context.cancelRequest(runningRequest.requestId);
 		} else {
 			disconnect();
 		}
@@ -211,7 +211,7 @@
 
 	try {
 		while (true) {
-			control.isIdle = running === undefined && !port.hasPartialChunk();
+			control.isIdle = runningRequest === undefined && !port.hasPartialChunk();
 			const closeReason = control.isIdle ? context.getCloseReason(caller) : undefined;
 			if (closeReason) {
 				await port.sendCloseReason(closeReason);
@@ -235,6 +235,6 @@
 			throw error;
 		}
 	} finally {
-		await running?.[Symbol.asyncDispose]();
+		await runningRequest?.[Symbol.asyncDispose]();
 	}
 };
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -27,21 +27,21 @@
 /** Whether a write was confirmed durable before waiting for it ended. */
 export type DurabilityState = 'durable' | 'unproved';
 
-/** A write whose response is withheld until the write is durable. */
+/** A write whose response is withheld until the write is durable; `term` is the term in which it ran. */
 export type PendingWrite = Readonly<{database: DatabaseId; target: TargetId; term: number; deadline: Deadline; signal: AbortSignal}>;
 
-/** Dependencies of the owner of targets. */
+/** Dependencies of serving requests at an owner. */
 export type OwnerContext<Connection extends CancelableConnection> = Readonly<{
 	world: World;
 	/** Returns a target that this process owns; `undefined` if it does not own it. */
 	getTarget: (target: TargetId) => OwnedTarget<Connection> | undefined;
 	/** Sends a chunk to the target and forwards the response. */
 	runChunk: RunChunk<Connection>;
-	/** Checks that a request may be sent to the target now; returns the term. */
+	/** Checks that the owner's grant allows sending a request to the target now; returns the term of the grant. */
 	checkGrant: (header: RequestHeader) => Result<number, Refusal>;
 	/** Waits until a write is durable, so that its response may be sent. */
 	waitUntilDurable: (write: PendingWrite) => Promise<DurabilityState>;
-	/** Waits until the target may no longer answer a request or the deadline has passed; returns early when the signal aborts. */
+	/** Waits until the owner's grant no longer allows the target to answer a request, or until the deadline; returns early when the signal aborts. */
 	waitUntilUnanswerable: (header: RequestHeader, term: number, deadline: Deadline, signal: AbortSignal) => Promise<void>;
 	/** Called with the time for which a request occupied its slot, in milliseconds. */
 	onServed: (customer: CustomerId, mode: RequestMode, usedMs: number) => void;
@@ -61,9 +61,13 @@
 
 /** Result of running a chunk. */
 export type ChunkResult
+	/** The response is complete, and the target is ready for the next chunk. */
 	= | Readonly<{kind: 'ready'; status: TransactionStatus}>
+	/** The response to a chunk that ended with a Flush is complete; `isSkipping` as for `ChunkTask`. */
 		| Readonly<{kind: 'flushed'; isSkipping: boolean}>
+	/** The target refused the chunk because it writes; nothing was forwarded. */
 		| Readonly<{kind: 'readOnly'}>
+	/** The connection was lost, or the final completion message may not be forwarded. */
 		| Readonly<{kind: 'lost'}>;
 
 /** A chunk to run and the callbacks for its response. */
@@ -81,13 +85,13 @@
 	mayForwardCompletion: (status: TransactionStatus) => Promise<boolean>;
 }>;
 
-/** Sends a chunk over a connection and forwards the response, withholding its final completion message until `mayRelease` allows it. */
+/** Sends a chunk over a connection and forwards the response, withholding its final completion message until `mayForwardCompletion` allows it. */
 export type RunChunk<Connection> = (connection: Connection, task: ChunkTask) => Promise<ChunkResult>;
 
 /** State in which a connection is released to the pool. */
 type ConnectionState = 'clean' | 'dirty' | 'broken';
 
-/** First chunk of a transaction, with its slot and the term it runs in. */
+/** First chunk of a transaction, the permit for its slot and the term in which it runs. */
 type TransactionStart = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
 
 const RESPONSE_COMPLETE = 'the response is complete';
@@ -98,23 +102,25 @@
 /** Receives the next chunk of a transaction; `idle` if none arrives within the idle timeout, `undefined` if the stream has ended. */
 const receiveNextChunk = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
 	const {context, stream, header} = request;
-	const timer = new AbortController();
-	const idle = context.world.sleep(header.idleTransactionMs, timer.signal).then(() => 'idle' as const, () => undefined);
-	const nextChunk = await Promise.race([stream.receive(), idle]);
-	timer.abort();
+	const idleTimer = new AbortController();
+	const idleTimeout = context.world.sleep(header.idleTransactionMs, idleTimer.signal).then(() => 'idle' as const, () => undefined);
+	const nextChunk = await Promise.race([stream.receive(), idleTimeout]);
+	idleTimer.abort();
 	return nextChunk;
 };
 
 /** A response that is being waited for. */
-type PendingResponse = Readonly<{term: number; hasStarted: () => boolean; done: AbortSignal}>;
+type PendingResponse = Readonly<{term: number; hasStarted: () => boolean; doneSignal: AbortSignal}>;
 
 /** Cancels and closes a connection when its target cannot answer in time or its response may no longer be used; a read whose response has started continues. */
-const cancelIfUnanswerable = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, connection: Connection, {term, hasStarted, done}: PendingResponse): Promise<void> => {
+const cancelIfUnanswerable = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, connection: Connection, {
+	term, hasStarted, doneSignal,
+}: PendingResponse): Promise<void> => {
 	const {context, header} = request;
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
-	await context.waitUntilUnanswerable(header, term, deadline, done);
-	const isUsable = header.mode !== 'write' && hasStarted();
-	if (!done.aborted && !isUsable) {
+	await context.waitUntilUnanswerable(header, term, deadline, doneSignal);
+	const isReadUnderWay = header.mode !== 'write' && hasStarted();
+	if (!doneSignal.aborted && !isReadUnderWay) {
 		connection.cancel();
 		await connection[Symbol.asyncDispose]();
 	}
@@ -123,14 +129,14 @@
 /** Reports a lost connection: the outcome is unknown if a commit may have been sent, otherwise the transaction was rolled back. */
 const sendLostOutcome = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, status: TransactionStatus, mayCommit: boolean): Promise<void> => {
 	const {stream} = request;
-	const isUnknown = status === 'idle' || mayCommit;
-	await stream.send(isUnknown
+	const isOutcomeUnknown = status === 'idle' || mayCommit;
+	await stream.send(isOutcomeUnknown
 		? {kind: 'unknown', message: NOT_DURABLE_MESSAGE}
 		: {kind: 'rolledBack', message: 'The connection to the database was lost, or the primary was replaced; the transaction was rolled back'});
 };
 
 /** Runs chunks on a connection until the transaction has ended; returns the state of the connection. */
-const runTransaction = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, handle: ConnectionHandle<Connection>, first: TransactionStart): Promise<ConnectionState> => {
+const runTransaction = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>, handle: ConnectionHandle<Connection>, start: TransactionStart): Promise<ConnectionState> => {
 	const {context, header, stream, target} = request;
 	const {connection} = handle;
 	const cancel = () => {
@@ -139,21 +145,21 @@
 
 	using registration = context.registerCancel(header.requestId, cancel);
 	let isDirty = false;
-	let chunk = first.chunk as RequestChunk | 'idle' | undefined;
-	let permit = first.permit as Permit | undefined;
-	let skipping = false;
+	let chunk = start.chunk as RequestChunk | 'idle' | undefined;
+	let permit = start.permit as Permit | undefined;
+	let isSkipping = false;
 	let status: TransactionStatus = 'idle';
 
 	const send = async (bytes: Uint8Array) => {
 		await stream.send({kind: 'messages', bytes});
 	};
 
-	const mayRelease = async (statusAtTarget: TransactionStatus): Promise<boolean> => {
+	const mayForwardCompletion = async (statusAtTarget: TransactionStatus): Promise<boolean> => {
 		permit?.[Symbol.dispose]();
 		if (statusAtTarget === 'idle' && header.mode === 'write') {
 			const deadline = createDeadline(context.world.now(), header.remainingMs);
 			const state = await context.waitUntilDurable({
-				database: header.database, target: header.target, term: first.term, deadline, signal: stream.signal,
+				database: header.database, target: header.target, term: start.term, deadline, signal: stream.signal,
 			});
 			return state === 'durable';
 		}
@@ -164,7 +170,7 @@
 	while (chunk !== undefined && chunk !== 'idle') {
 		if (!permit) {
 			const entered = await target.queue.enter({
-				customer: header.customer, weight: header.weight, deadline: createDeadline(context.world.now(), header.idleTransactionMs), pinned: true,
+				customer: header.customer, weight: header.weight, deadline: createDeadline(context.world.now(), header.idleTransactionMs), isPinned: true,
 			}, stream.signal);
 			if (entered.err) {
 				return 'broken';
@@ -175,17 +181,17 @@
 
 		isDirty ||= chunk.leavesState;
 		stream.signal.addEventListener('abort', cancel, {once: true});
-		const done = new AbortController();
+		const responseDone = new AbortController();
 		let hasStarted = false;
 		const onResponseStarted = () => {
 			hasStarted = true;
 		};
 
-		void cancelIfUnanswerable(request, connection, {term: first.term, hasStarted: () => hasStarted, done: done.signal});
+		void cancelIfUnanswerable(request, connection, {term: start.term, hasStarted: () => hasStarted, doneSignal: responseDone.signal});
 		const result: ChunkResult = await context.runChunk(connection, {
-			chunk, isSkipping: skipping, isWrite: header.mode === 'write', onResponseStarted, send, mayForwardCompletion: mayRelease,
+			chunk, isSkipping, isWrite: header.mode === 'write', onResponseStarted, send, mayForwardCompletion,
 		});
-		done.abort(RESPONSE_COMPLETE);
+		responseDone.abort(RESPONSE_COMPLETE);
 		stream.signal.removeEventListener('abort', cancel);
 		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
 		permit[Symbol.dispose]();
@@ -200,7 +206,7 @@
 			return 'broken';
 		}
 
-		skipping = result.kind === 'flushed' && result.isSkipping;
+		isSkipping = result.kind === 'flushed' && result.isSkipping;
 		if (result.kind === 'ready') {
 			status = result.status;
 			await stream.send({kind: 'ready', status});
@@ -232,7 +238,7 @@
 	const deadline = createDeadline(context.world.now(), header.remainingMs);
 	const target = context.getTarget(header.target);
 	if (!target || context.isDraining()) {
-		await refuse(createRefusal('notHome', 'This vm does not own the target'));
+		await refuse(createRefusal('notHome', 'This vm does not own the target, or is shutting down'));
 		return;
 	}
 
@@ -248,7 +254,7 @@
 	}
 
 	const entered = await target.queue.enter({
-		customer: header.customer, weight: header.weight, deadline, pinned: false,
+		customer: header.customer, weight: header.weight, deadline, isPinned: false,
 	}, stream.signal);
 	if (entered.err) {
 		const {code, message, retryAfterMs} = entered.val;
@@ -264,9 +270,9 @@
 	}
 
 	const handle = acquired.val;
-	const first = await stream.receive();
+	const firstChunk = await stream.receive();
 	const grant = context.checkGrant(header);
-	if (grant.err || first === undefined) {
+	if (grant.err || firstChunk === undefined) {
 		handle.release('clean');
 		await refuse(grant.err ? grant.val : createRefusal('deadlinePassed', 'The caller has disconnected'));
 		return;
@@ -276,7 +282,7 @@
 	try {
 		state = await runTransaction({
 			context, header, stream, target,
-		}, handle, {chunk: first, permit, term: grant.val});
+		}, handle, {chunk: firstChunk, permit, term: grant.val});
 	} finally {
 		handle.release(state);
 	}
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -1,4 +1,4 @@
-/** Serving requests at the owner of a target, over a connection whose responses each test supplies. */
+/** Serves requests at the owner of a target, over a connection whose responses each test supplies. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -46,7 +46,7 @@
 
 const createFixture = (behaviour: Behaviour) => {
 	const {world, advance, settle} = createVirtualWorld();
-	let resets = 0;
+	let resetCount = 0;
 	const pool = createPool<Connection>({
 		maxOpen: 2,
 		minIdle: 0,
@@ -54,7 +54,7 @@
 			cancel: () => undefined,
 			isEnded: () => false,
 			async reset() {
-				resets++;
+				resetCount++;
 				return true;
 			},
 			[Symbol.asyncDispose]: async () => undefined,
@@ -81,7 +81,7 @@
 	};
 	const [entry, owner] = createStreamPair<RequestChunk, Reply>(() => 1);
 	return {
-		entry, advance, settle, queue, getResets: () => resets,
+		entry, advance, settle, queue, getResets: () => resetCount,
 		serve: async (header = HEADER) => serveRequest(context, header, owner as OwnerStream),
 	};
 };
@@ -122,7 +122,7 @@
 			assert.deepEqual(await collectKinds({durability: 'unproved'}, {...HEADER, mode: 'read'}), ['messages', 'ready']);
 		});
 
-		it('is returned to the entry when a replica refuses it as a write', async () => {
+		it('is returned to the entry when a replica refuses it because it writes', async () => {
 			assert.deepEqual(await collectKinds({respond: async () => ({kind: 'readOnly'})}, {...HEADER, mode: 'read'}), ['readOnly']);
 		});
 	});
--- a/packages/routing/src/retries.ts
+++ b/packages/routing/src/retries.ts
@@ -12,6 +12,7 @@
 	tryWithdraw: () => boolean;
 }>;
 
+/** Tokens that each first try adds to the budget; one token allows one retry. */
 const DEPOSIT_PER_FIRST_TRY = 0.2;
 const INITIAL_TOKENS = 100;
 const MAX_TOKENS = 1000;
@@ -36,13 +37,13 @@
 	};
 };
 
-/** Computes the pause before a retry, in milliseconds: exponential backoff, with jitter between half and all of it. */
+/** Computes the pause before a retry, in milliseconds: exponential backoff, with jitter between half and all of it. `attempt` is 0 before the first retry. */
 export const computeBackoffMs = (attempt: number, random: () => number): number => {
 	const ceilingMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * (2 ** attempt));
 	return ceilingMs * (0.5 + (random() / 2));
 };
 
-/** Waits before a retry; resolves to `false` without waiting if the deadline would pass meanwhile. */
+/** Waits before a retry; resolves to `false` without waiting if the deadline would pass meanwhile, and rejects if the signal aborts. */
 export const waitBeforeRetry = async (attempt: number, deadline: Deadline, world: World, signal: AbortSignal): Promise<boolean> => {
 	const backoffMs = computeBackoffMs(attempt, world.random);
 	if (isPast(deadline, world.now()) || createDeadline(world.now(), backoffMs) >= deadline) {
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -23,9 +23,9 @@
 /** A target and an owner that were already tried for the same request. */
 export type RouteAttempt = Readonly<{target: TargetId; owner: VmId}>;
 
-/** Chooses the request mode for a class of statement; `staleReadsMs` is the staleness that the service allows for reads, if any. */
-export const chooseRequestMode = (statement: StatementClass, staleReadsMs: number | undefined): RequestMode => match(statement)
-	.with('read', 'empty', (): RequestMode => staleReadsMs === undefined ? 'read' : 'stale')
+/** Chooses the request mode for a class of statement; `maxStalenessMs` is the staleness that the service allows for reads, `undefined` for none. */
+export const chooseRequestMode = (statementClass: StatementClass, maxStalenessMs: number | undefined): RequestMode => match(statementClass)
+	.with('read', 'empty', (): RequestMode => maxStalenessMs === undefined ? 'read' : 'stale')
 	.otherwise(() => 'write');
 
 const getReplicas = (database: Database, record: GroupRecord): readonly TargetId[] => database.targets
@@ -44,11 +44,11 @@
 };
 
 const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly RouteAttempt[]): RouteAttempt | undefined => {
-	const available = candidates
+	const availableReplicas = candidates
 		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
-		.map(target => ({target, order: view.getPendingCount(target) + view.random()}))
-		.toSorted((a, b) => a.order - b.order);
-	for (const {target} of available) {
+		.map(target => ({target, sortKey: view.getPendingCount(target) + view.random()}))
+		.toSorted((a, b) => a.sortKey - b.sortKey);
+	for (const {target} of availableReplicas) {
 		const owner = chooseOwner(view, target, tried);
 		if (owner) {
 			return {target, owner};
--- a/packages/routing/src/view.ts
+++ b/packages/routing/src/view.ts
@@ -1,4 +1,4 @@
-/** State of the fleet on which an entry bases its choice of a route. */
+/** View of the fleet from which an entry chooses the route of a request. */
 
 import type {
 	CustomerId, DatabaseId, TargetId, ServiceId, VmId,
@@ -8,7 +8,7 @@
 	Customer, Database, Inventory, Service,
 } from '@guavapitch/inventory';
 
-/** Dependencies of the choice of a route. */
+/** Configuration and state of the fleet, as known to one entry. */
 export type RoutingView = Readonly<{
 	inventory: Inventory;
 	/** Returns the last known replication group of a database. */
