--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -1,4 +1,4 @@
-/** Connections of a database owner to one target; each connection belongs to one customer. */
+/** Connection pool of a database owner for one target; each connection belongs to one customer. */
 
 import {
 	createDeadline, Err, Ok, type CustomerId, type Deadline, type Instant, type Result, type World,
@@ -9,13 +9,13 @@
 } from './targets.js';
 
 /** Session variables that a statement needs. */
-export type SessionValues = ReadonlyArray<readonly [name: string, value: string]>;
+export type SessionVariables = ReadonlyArray<readonly [name: string, value: string]>;
 
 /** Exclusive use of a connection, with the known state of its session on the target. */
 export type ConnectionHandle = Readonly<{
 	connection: TargetConnection;
 	/** Creates the commands that set the session variables and the prepared statement that a statement needs; records them as sent. */
-	createSetupCommands: (values: SessionValues, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
+	createSetupCommands: (variables: SessionVariables, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
 	/** Discards the prepared statements after the target reported one as unknown; the next setup resets the session. */
 	discardPrepared: () => void;
 	/** Releases the connection; closes it unless `isClean`. Further calls do nothing. */
@@ -27,7 +27,7 @@
 	/** Tells whether a customer could acquire a connection now. */
 	canAcquire: (customer: CustomerId) => boolean;
 	/** Acquires an idle connection of the customer, preferring one with matching session variables, or opens one. */
-	acquire: (customer: CustomerId, values: SessionValues, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
+	acquire: (customer: CustomerId, variables: SessionVariables, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Opens a connection even if others are idle, as an idle connection may have died without a TCP reset. */
 	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Tells whether any connection is idle. */
@@ -42,11 +42,14 @@
 	getOpenCount: () => number;
 }>;
 
+/** A connection and the state of its session on the target. */
 type Session = {
 	readonly connection: TargetConnection;
 	readonly customer: CustomerId;
-	values: Map<string, string>;
-	prepared: Map<string, string>;
+	variables: Map<string, string>;
+	/** Names of the prepared statements, by their access and shape. */
+	preparedNames: Map<string, string>;
+	/** Whether the session must be reset before the next statement. */
 	mustReset: boolean;
 	isBusy: boolean;
 	lastUsedAt: Instant;
@@ -56,31 +59,31 @@
 const DIAL_TIMEOUT_MS = 350;
 
 /** Counts the session variables that differ from those that a statement needs. */
-const countMismatches = (session: Session, values: SessionValues): number => {
-	let matching = 0;
-	for (const [name, value] of values) {
-		if (session.values.get(name) === value) {
-			matching++;
+const countMismatches = (session: Session, neededVariables: SessionVariables): number => {
+	let matchCount = 0;
+	for (const [name, value] of neededVariables) {
+		if (session.variables.get(name) === value) {
+			matchCount++;
 		}
 	}
 
-	return session.values.size + values.length - (2 * matching);
+	return session.variables.size + neededVariables.length - (2 * matchCount);
 };
 
-const createValueCommands = (session: Session, values: SessionValues): readonly Command[] => {
+const createVariableCommands = (session: Session, neededVariables: SessionVariables): readonly Command[] => {
 	const commands: Command[] = [];
-	const neededValues = new Map(values);
-	if (session.mustReset || [...session.values.keys()].some(name => !neededValues.has(name))) {
+	const neededByName = new Map(neededVariables);
+	if (session.mustReset || [...session.variables.keys()].some(name => !neededByName.has(name))) {
 		commands.push({kind: 'reset'});
 		session.mustReset = false;
-		session.values = new Map();
-		session.prepared = new Map();
+		session.variables = new Map();
+		session.preparedNames = new Map();
 	}
 
-	for (const [name, value] of values) {
-		if (session.values.get(name) !== value) {
+	for (const [name, value] of neededVariables) {
+		if (session.variables.get(name) !== value) {
 			commands.push({kind: 'set', name, value});
-			session.values.set(name, value);
+			session.variables.set(name, value);
 		}
 	}
 
@@ -88,33 +91,33 @@
 };
 
 const createHandle = (session: Session, onRelease: (isClean: boolean) => void): ConnectionHandle => {
-	let released = false;
+	let isReleased = false;
 	return {
 		connection: session.connection,
-		createSetupCommands(values, statement) {
-			const commands = [...createValueCommands(session, values)];
+		createSetupCommands(variables, statement) {
+			const commands = [...createVariableCommands(session, variables)];
 			if (statement.kind !== 'prepared') {
 				return {commands, preparedName: ''};
 			}
 
 			const {prepared} = statement;
 			const key = `${prepared.access} ${prepared.shape}`;
-			const existingName = session.prepared.get(key);
+			const existingName = session.preparedNames.get(key);
 			if (existingName) {
 				return {commands, preparedName: existingName};
 			}
 
-			const name = `p${session.prepared.size + 1}`;
-			session.prepared.set(key, name);
-			commands.push({kind: 'prepare', name, prepared});
-			return {commands, preparedName: name};
+			const newName = `p${session.preparedNames.size + 1}`;
+			session.preparedNames.set(key, newName);
+			commands.push({kind: 'prepare', name: newName, prepared});
+			return {commands, preparedName: newName};
 		},
 		discardPrepared() {
 			session.mustReset = true;
 		},
 		release(isClean) {
-			if (!released) {
-				released = true;
+			if (!isReleased) {
+				isReleased = true;
 				onRelease(isClean);
 			}
 		},
@@ -132,8 +135,8 @@
 		session.connection.close();
 	};
 
-	const findIdle = (customer: CustomerId, values: SessionValues): Session | undefined => {
-		let best: Session | undefined;
+	const findIdleSession = (customer: CustomerId, neededVariables: SessionVariables): Session | undefined => {
+		let bestSession: Session | undefined;
 		let fewestMismatches = Number.POSITIVE_INFINITY;
 		for (const session of sessions) {
 			if (session.isBusy || session.customer !== customer) {
@@ -145,14 +148,14 @@
 				continue;
 			}
 
-			const mismatches = countMismatches(session, values);
+			const mismatches = countMismatches(session, neededVariables);
 			if (mismatches < fewestMismatches) {
-				best = session;
+				bestSession = session;
 				fewestMismatches = mismatches;
 			}
 		}
 
-		return best;
+		return bestSession;
 	};
 
 	const findLeastRecentlyUsed = (): Session | undefined => {
@@ -188,7 +191,7 @@
 		}
 
 		const session: Session = {
-			connection: dialled.val, customer, values: new Map(), prepared: new Map(), mustReset: false, isBusy: true, lastUsedAt: world.now(),
+			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isBusy: true, lastUsedAt: world.now(),
 		};
 		sessions.add(session);
 		return Ok(checkOut(session));
@@ -209,10 +212,10 @@
 	};
 
 	return {
-		canAcquire: customer => sessions.size + diallingCount < getLimit() || findIdle(customer, []) !== undefined || findLeastRecentlyUsed() !== undefined,
-		async acquire(customer, values, deadline) {
-			const idle = findIdle(customer, values);
-			return idle ? Ok(checkOut(idle)) : openOrReplace(customer, deadline);
+		canAcquire: customer => sessions.size + diallingCount < getLimit() || findIdleSession(customer, []) !== undefined || findLeastRecentlyUsed() !== undefined,
+		async acquire(customer, variables, deadline) {
+			const idleSession = findIdleSession(customer, variables);
+			return idleSession ? Ok(checkOut(idleSession)) : openOrReplace(customer, deadline);
 		},
 		acquireNew: openOrReplace,
 		hasIdle: () => findLeastRecentlyUsed() !== undefined,
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -18,7 +18,7 @@
 	Command, DialFailure, DialTarget, ReadStatus, Target, TargetStatus,
 } from './targets.js';
 
-/** A decision of a database owner, for the logs and metrics. */
+/** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. */
 export type DatabaseOwnerDecision = Readonly<{
 	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
@@ -60,7 +60,7 @@
 	getConnections: (id: TargetId) => TargetConnections | undefined;
 	/** Registers a callback for the moment at which a target is considered down; returns a function that removes it. */
 	onTargetDown: (target: TargetId, callback: () => void) => (() => void);
-	/** Pings the leader to record a newly verified log position; resolves to `false` if no leader confirmed one. */
+	/** Records a log position that the leader confirms in reply to a ping sent after this call; resolves to `false` if no leader confirmed one. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
@@ -69,7 +69,7 @@
 /** All components of a database owner, which the failover coordinator uses too. */
 export type DatabaseOwnerComponents = SharedComponents & Readonly<{transactions: Transactions}>;
 
-/** Result of asking a target whether it leads; `undefined` if it did not respond. */
+/** Result of asking a target whether it leads: `follows` if it replied without proving that it leads, `refused` if no connection could be opened, `undefined` if it did not respond. */
 export type PingResult = 'leads' | 'follows' | 'refused' | undefined;
 
 /** Owner of one database: the vm through which its statements run. */
@@ -82,11 +82,11 @@
 	setTargets: (targets: readonly Target[]) => void;
 	/** Asks a target whether it leads; `undefined` if it does not respond before the deadline. */
 	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
-	/** Queries the status of a target, after running the command `before` if given; `undefined` if it does not respond or refuses that command. */
-	queryStatus: (target: TargetId, deadline: Deadline, before?: Command) => Promise<TargetStatus | undefined>;
+	/** Queries the status of a target, after running `precedingCommand` if given; `undefined` if it does not respond or refuses that command. */
+	queryStatus: (target: TargetId, deadline: Deadline, precedingCommand?: Command) => Promise<TargetStatus | undefined>;
 	/** Keeps new writes in the queue, or admits them again. */
 	pauseWrites: (areWritesPaused: boolean) => void;
-	/** Closes connections that have been idle for longer than `idleMs` milliseconds. */
+	/** Closes connections that have been idle for longer than `idleMs`. */
 	closeIdleConnections: (idleMs: number) => void;
 	components: DatabaseOwnerComponents;
 }>;
@@ -110,7 +110,7 @@
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const leaderTracker = createLeaderTracker(leader => {
 		context.onDecision({
-			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'chosen as the target that most recently became leader; none leads if the target is empty', ageMs: 0,
+			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'this target most recently became leader; an empty target means that none leads', ageMs: 0,
 		});
 		scheduler.admitWaiting();
 	});
@@ -137,25 +137,25 @@
 	let lastCustomer: StatementRequest['customer'] | undefined;
 
 	/** Acquires a connection for a ping or a status query. */
-	const acquireConnection = async (id: TargetId, deadline: Deadline, isNew = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
+	const acquireConnection = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
 		const targetConnections = connections.get(id);
 		if (!targetConnections) {
 			return undefined;
 		}
 
-		if (isNew) {
+		if (mustDial) {
 			return targetConnections.acquireNew(lastCustomer ?? context.getAnyCustomer(), deadline);
 		}
 
-		const idle = targetConnections.acquireIdle();
-		return idle ? Ok(idle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
+		const idleHandle = targetConnections.acquireIdle();
+		return idleHandle ? Ok(idleHandle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
 	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot; rolls it back at once. */
-	const ping = async (id: TargetId, deadline: Deadline, isNew = false): Promise<PingResult> => {
+	const ping = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<PingResult> => {
 		const pingDeadline = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
 		const sentAt = readClock();
-		const acquired = await acquireConnection(id, pingDeadline, isNew);
+		const acquired = await acquireConnection(id, pingDeadline, mustDial);
 		if (!acquired?.ok) {
 			return acquired && acquired.val.code !== 'silent' ? 'refused' : undefined;
 		}
@@ -244,8 +244,8 @@
 		serve,
 		rollBack: transactions.rollBack,
 		setTargets(newTargets) {
-			for (const [id, current] of targets) {
-				if (!newTargets.some(target => isSameRun(target, current))) {
+			for (const [id, currentTarget] of targets) {
+				if (!newTargets.some(target => isSameRun(target, currentTarget))) {
 					connections.get(id)?.close();
 					connections.delete(id);
 					targets.delete(id);
@@ -264,14 +264,14 @@
 			scheduler.setTargets(newTargets);
 		},
 		ping: async (id, deadline) => pingWithRedial(id, deadline - world.now()),
-		async queryStatus(id, deadline, before) {
+		async queryStatus(id, deadline, precedingCommand) {
 			const acquired = await acquireConnection(id, deadline);
 			if (!acquired?.ok) {
 				return undefined;
 			}
 
 			const handle = acquired.val;
-			const commands: readonly Command[] = before ? [before, {kind: 'status'}] : [{kind: 'status'}];
+			const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
 			const {replies, ended} = await handle.connection.execute(commands, deadline);
 			handle.release(ended === 'no');
 			const isRefused = replies[0]?.result.kind === 'error';
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -7,12 +7,13 @@
 import type {DatabaseOwner} from './database-owner.js';
 import type {Command, Target, TargetStatus} from './targets.js';
 
-/** Outcome of a promotion order. */
+/** Outcome of a request to promote a target. */
 export type PromotionOutcome
+	/** The request was carried out. */
 	= 'done'
-	/** Refused because of a newer fencing token, or because the target is not running. */
+	/** The request was refused because of a newer fencing token, or because the target is not running. */
 		| 'refused'
-	/** No response: the order may still be carried out. */
+	/** The request got no response; it may still be carried out. */
 		| 'unknown';
 
 /** A step in a change of primary, for the logs and metrics. */
@@ -20,6 +21,7 @@
 	kind: 'suspected' | 'started' | 'ordered' | 'finished' | 'failed';
 	target: string;
 	reason: string;
+	/** Time since the change of primary began or, for `started`, since the primary last responded, in milliseconds; 0 where neither applies. */
 	ageMs: number;
 }>;
 
@@ -32,7 +34,7 @@
 	isCoordinator: () => boolean;
 	/** Draws a fencing token higher than all before; `undefined` if the store does not respond or the role is lost. */
 	drawFencingToken: () => Promise<number | undefined>;
-	/** Orders a target to become primary. */
+	/** Requests the promotion of a target to primary. */
 	requestPromotion: (target: TargetId, fencingToken: number) => Promise<PromotionOutcome>;
 	/** Asks other vms whether any of them reaches a target that this vm does not reach. */
 	isReachableFromPeers: (target: TargetId) => Promise<boolean>;
@@ -53,7 +55,7 @@
 const LEADERLESS_GRACE_MS = 600;
 /** Timeout of the status queries before a promotion. */
 const STATUS_TIMEOUT_MS = 300;
-/** How long a target may take to prove that it leads after the order: several times the duration of a promotion. */
+/** How long a target may take to prove that it leads after the request: several times the duration of a promotion. */
 const PROMOTION_TIMEOUT_MS = 3000;
 /** How long writes are paused, at most, for a replica to catch up before a planned change of primary. */
 const SWITCHOVER_TIMEOUT_MS = 1500;
@@ -61,11 +63,11 @@
 
 type TargetReport = Readonly<{target: Target; status: TargetStatus}>;
 
-/** Queries the status of targets, after running the command `before` if given; omits those that do not respond. */
-const queryAll = async (context: FailoverCoordinatorContext, targets: readonly Target[], before?: Command): Promise<readonly TargetReport[]> => {
+/** Queries the status of targets, after running `precedingCommand` if given; omits those that do not respond or refuse that command. */
+const queryStatuses = async (context: FailoverCoordinatorContext, targets: readonly Target[], precedingCommand?: Command): Promise<readonly TargetReport[]> => {
 	const deadline = createDeadline(context.world.now(), STATUS_TIMEOUT_MS);
 	const reports = await Promise.all(targets.map(async target => {
-		const status = await context.owner.queryStatus(target.id, deadline, before);
+		const status = await context.owner.queryStatus(target.id, deadline, precedingCommand);
 		return status ? [{target, status}] : [];
 	}));
 	return reports.flat();
@@ -99,27 +101,27 @@
  */
 const queryReplicas = async (context: FailoverCoordinatorContext, replicas: readonly Target[]): Promise<readonly TargetReport[]> => {
 	if (!context.isSynchronouslyReplicated()) {
-		return rankReplicas(await queryAll(context, replicas));
+		return rankReplicas(await queryStatuses(context, replicas));
 	}
 
-	const initialReports = await queryAll(context, replicas);
+	const initialReports = await queryStatuses(context, replicas);
 	const term = Math.max(0, ...initialReports.map(({status}) => status.term), context.owner.components.positionHistory.getLatest()?.term ?? 0) + 1;
-	const pausedReports = await queryAll(context, replicas, {kind: 'pause', term});
+	const pausedReports = await queryStatuses(context, replicas, {kind: 'pause', term});
 	if (pausedReports.length === replicas.length) {
 		return rankReplicas(pausedReports);
 	}
 
-	await queryAll(context, replicas, {kind: 'resume'});
+	await queryStatuses(context, replicas, {kind: 'resume'});
 	return [];
 };
 
-/** Promotes the replicas one after the other until one leads; `false` if none does. */
+/** Promotes the replicas one after another until one leads; `false` if none does. With synchronous replication, only the first is tried. */
 const promoteBestReplica = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
 	const startedAt = context.world.now();
 	const reports = await queryReplicas(context, replicas);
 	if (reports.length === 0) {
 		context.onEvent({
-			kind: 'failed', target: '', reason: `${reason}; no replica promoted, as ${context.isSynchronouslyReplicated() ? 'at least one replica does' : 'the replicas do'} not respond`, ageMs: 0,
+			kind: 'failed', target: '', reason: `${reason}; no replica promoted because ${context.isSynchronouslyReplicated() ? 'at least one replica does' : 'the replicas do'} not respond`, ageMs: 0,
 		});
 		return false;
 	}
@@ -128,7 +130,7 @@
 		const fencingToken = await context.drawFencingToken();
 		if (fencingToken === undefined) {
 			context.onEvent({
-				kind: 'failed', target: target.id, reason: 'no fencing token from the store; no replica promoted', ageMs: context.world.now() - startedAt,
+				kind: 'failed', target: target.id, reason: 'no fencing token, because the store did not respond or the role was lost; no replica promoted', ageMs: context.world.now() - startedAt,
 			});
 			return false;
 		}
@@ -151,13 +153,13 @@
 	}
 
 	if (context.isSynchronouslyReplicated()) {
-		await queryAll(context, replicas, {kind: 'resume'});
+		await queryStatuses(context, replicas, {kind: 'resume'});
 	}
 
 	return false;
 };
 
-const listReplicas = (context: FailoverCoordinatorContext, except: TargetId | undefined): readonly Target[] => context.owner.components.listTargets().filter(({id}) => id !== except);
+const listReplicas = (context: FailoverCoordinatorContext, excludedId: TargetId | undefined): readonly Target[] => context.owner.components.listTargets().filter(({id}) => id !== excludedId);
 
 /** Replaces a primary that is about to leave: pauses writes until a replica has caught up, and promotes it. */
 const switchOver = async (context: FailoverCoordinatorContext, leader: Target): Promise<boolean> => {
@@ -175,10 +177,10 @@
 	owner.pauseWrites(true);
 	try {
 		while (!isPast(deadline, world.now())) {
-			const [leaderReport] = await queryAll(context, [leader]);
-			const reports = rankReplicas(await queryAll(context, replicas));
-			const best = reports[0];
-			if (leaderReport && best && comparePositions(best.status.received, leaderReport.status.received) >= 0 && owner.components.transactions.getWriterCount() === 0) {
+			const [leaderReport] = await queryStatuses(context, [leader]);
+			const reports = rankReplicas(await queryStatuses(context, replicas));
+			const bestReport = reports[0];
+			if (leaderReport && bestReport && comparePositions(bestReport.status.received, leaderReport.status.received) >= 0 && owner.components.transactions.getWriterCount() === 0) {
 				break;
 			}
 
@@ -191,7 +193,7 @@
 	}
 };
 
-/** What the checks of the primary have found so far. */
+/** State of the checks of the primary. */
 type PrimaryCheckState = {
 	/** Since when the primary has refused connections. */
 	refusingSince: Instant | undefined;
@@ -256,9 +258,9 @@
 			context.onEvent({
 				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
 			});
-			const all = listReplicas(context, leader);
-			const staying = all.filter(({isDraining}) => !isDraining);
-			await promoteBestReplica(context, staying.length > 0 && !context.isSynchronouslyReplicated() ? staying : all, reason);
+			const replicas = listReplicas(context, leader);
+			const stayingReplicas = replicas.filter(({isDraining}) => !isDraining);
+			await promoteBestReplica(context, stayingReplicas.length > 0 && !context.isSynchronouslyReplicated() ? stayingReplicas : replicas, reason);
 			state.refusingSince = undefined;
 			state.leaderlessSince = undefined;
 			state.watchedSince = undefined;
--- a/packages/database-owners/src/health-tracker.ts
+++ b/packages/database-owners/src/health-tracker.ts
@@ -39,10 +39,14 @@
 	lastResponseAt: Instant | undefined;
 	isDown: boolean;
 	isProbing: boolean;
+	/** Whether a check for silence is scheduled. */
 	isWatchScheduled: boolean;
 	runningCount: number;
+	/** Since when at least one statement has been running. */
 	runningSince: Instant;
+	/** Number of consecutive pauses in which the target lagged; the length of the next pause depends on it. */
 	lagCount: number;
+	/** Until when the target gets no reads because it lagged. */
 	laggingUntil: Deadline;
 };
 
@@ -57,10 +61,10 @@
 /** Creates a tracker that considers every target healthy. */
 export const createHealthTracker = (context: HealthTrackerContext): HealthTracker => {
 	const {world} = context;
-	const healths = new Map<TargetId, Health>();
+	const healthByTarget = new Map<TargetId, Health>();
 
 	const getHealth = (target: TargetId): Health => {
-		const existing = healths.get(target);
+		const existing = healthByTarget.get(target);
 		if (existing) {
 			return existing;
 		}
@@ -68,11 +72,11 @@
 		const created: Health = {
 			lastResponseAt: undefined, isDown: false, isProbing: false, isWatchScheduled: false, runningCount: 0, runningSince: world.now(), lagCount: 0, laggingUntil: PAST,
 		};
-		healths.set(target, created);
+		healthByTarget.set(target, created);
 		return created;
 	};
 
-	const isTracked = (target: TargetId, health: Health): boolean => healths.get(target) === health;
+	const isTracked = (target: TargetId, health: Health): boolean => healthByTarget.get(target) === health;
 
 	const recordResponse = (target: TargetId) => {
 		const health = getHealth(target);
@@ -159,11 +163,11 @@
 				health.lagCount++;
 			}
 		},
-		isUsable: target => healths.get(target)?.isDown !== true,
-		isCaughtUp: target => isPast(healths.get(target)?.laggingUntil ?? PAST, world.now()),
-		getLastResponseAt: target => healths.get(target)?.lastResponseAt,
+		isUsable: target => healthByTarget.get(target)?.isDown !== true,
+		isCaughtUp: target => isPast(healthByTarget.get(target)?.laggingUntil ?? PAST, world.now()),
+		getLastResponseAt: target => healthByTarget.get(target)?.lastResponseAt,
 		remove(target) {
-			healths.delete(target);
+			healthByTarget.delete(target);
 		},
 	};
 };
--- a/packages/database-owners/src/leader-tracker.ts
+++ b/packages/database-owners/src/leader-tracker.ts
@@ -3,7 +3,7 @@
 import type {Instant, TargetId} from '@guavapitch/core';
 import type {Target} from './targets.js';
 
-/** Leader of one database, as far as its owner knows. */
+/** Tracks the leader of one database. */
 export type LeaderTracker = Readonly<{
 	/** Applies the registry; an entry counts only if its role or its start time has changed, since replies are more recent than an unchanged entry. */
 	applyRegistry: (targets: readonly Target[], now: Instant) => void;
@@ -15,23 +15,24 @@
 	getLeader: () => TargetId | undefined;
 }>;
 
+/** Whether a target was last seen leading, and since when. */
 type Evidence = Readonly<{leads: boolean; since: Instant}>;
 
 type RegistryEntry = Readonly<{role: string; startedAtMs: number}>;
 
 /** Creates a tracker without a known leader. */
 export const createLeaderTracker = (onChange: (leader: TargetId | undefined) => void): LeaderTracker => {
-	const evidence = new Map<TargetId, Evidence>();
+	const evidenceByTarget = new Map<TargetId, Evidence>();
 	const registryEntries = new Map<TargetId, RegistryEntry>();
 	let leader: TargetId | undefined;
 
 	const chooseLeader = () => {
 		let chosen: TargetId | undefined;
-		let latest = Number.NEGATIVE_INFINITY;
-		for (const [id, {leads, since}] of evidence) {
-			if (leads && since > latest) {
+		let latestSince = Number.NEGATIVE_INFINITY;
+		for (const [id, {leads, since}] of evidenceByTarget) {
+			if (leads && since > latestSince) {
 				chosen = id;
-				latest = since;
+				latestSince = since;
 			}
 		}
 
@@ -42,19 +43,19 @@
 	};
 
 	const recordEvidence = (target: TargetId, leads: boolean, now: Instant) => {
-		if (evidence.get(target)?.leads !== leads) {
-			evidence.set(target, {leads, since: now});
+		if (evidenceByTarget.get(target)?.leads !== leads) {
+			evidenceByTarget.set(target, {leads, since: now});
 			chooseLeader();
 		}
 	};
 
 	return {
 		applyRegistry(targets, now) {
-			const present = new Set(targets.map(target => target.id));
+			const listedIds = new Set(targets.map(target => target.id));
 			for (const id of registryEntries.keys()) {
-				if (!present.has(id)) {
+				if (!listedIds.has(id)) {
 					registryEntries.delete(id);
-					evidence.delete(id);
+					evidenceByTarget.delete(id);
 				}
 			}
 
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -12,12 +12,12 @@
 
 /** Placement constraint of a statement or a transaction. */
 export type Plan
-	/** On the leader; if `isWrite`, a target that is not the leader refuses the statement by itself. */
+	/** On the leader. If `isWrite`, a target that is not the leader refuses the statement, so a proof that it leads is not needed. */
 	= | Readonly<{kind: 'leader'; isWrite: boolean}>
 	/** On any target whose log has reached a position. */
 		| Readonly<{kind: 'anywhere'; after: LogPosition}>;
 
-/** Margin for the time between computing the minimum position and running the read. The caller measures staleness from the first byte of its request, which is earlier still. */
+/** Margin for the time between computing the minimum position and running the read, in milliseconds. The caller measures staleness from the first byte of its request, which is earlier still. */
 const STALENESS_MARGIN_MS = 100;
 
 /** How long a request waits for a leader to appear: longer than reconnecting takes, shorter than a promotion. */
@@ -27,13 +27,13 @@
 const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
 	const {positionHistory, context} = components;
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
-	let verified = positionHistory.getMinimumPosition(allowedMs, context.readClock());
-	if (!verified) {
+	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readClock());
+	if (!verifiedPosition) {
 		await components.verifyPosition(deadline);
-		verified = positionHistory.getMinimumPosition(allowedMs, context.readClock());
+		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readClock());
 	}
 
-	const after = verified && chooseLaterPosition(verified, positionHistory.translateToLatestTerm(request.floor));
+	const after = verifiedPosition && chooseLaterPosition(verifiedPosition, positionHistory.translateToLatestTerm(request.floor));
 	return after && {kind: 'anywhere', after};
 };
 
@@ -47,24 +47,24 @@
 	return createBoundedStalenessPlan(components, request, request.consistency.maxStalenessMs, deadline);
 };
 
-/** Criteria for choosing a target; `tried` are the targets on which this request has failed already. */
-export type Search = Readonly<{plan: Plan; request: StatementRequest; tried: ReadonlySet<TargetId>}>;
+/** Criteria for choosing a target; `tried` are the targets on which this request has already failed. */
+export type TargetCriteria = Readonly<{plan: Plan; request: StatementRequest; tried: ReadonlySet<TargetId>}>;
 
 /** Chooses a target with a free slot for a plan; `undefined` if none can run it now. Targets in `tried` get no reads. */
-export const chooseTarget = (components: SharedComponents, {plan, request, tried}: Search, free: readonly TargetLoad[]): TargetId | undefined => {
+export const chooseTarget = (components: SharedComponents, {plan, request, tried}: TargetCriteria, freeTargets: readonly TargetLoad[]): TargetId | undefined => {
 	const {leaderTracker, healthTracker, getConnections, getTarget} = components;
 	const leader = leaderTracker.getLeader();
 	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
 		const canRun = leader !== undefined && !(plan.isWrite && components.areWritesPaused()) && canAcquire(leader);
-		return canRun ? free.find(load => load.id === leader)?.id : undefined;
+		return canRun ? freeTargets.find(load => load.id === leader)?.id : undefined;
 	}
 
 	const isEligible = (id: TargetId): boolean => canAcquire(id)
 		&& !tried.has(id)
 		&& (id === leader || healthTracker.isCaughtUp(id))
 		&& (getTarget(id)?.isDraining === false || id === leader);
-	return chooseReadTarget(free, {leader, isEligible, targetIds: components.listTargets().map(({id}) => id)});
+	return chooseReadTarget(freeTargets, {leader, isEligible, targetIds: components.listTargets().map(({id}) => id)});
 };
 
 /** Computes until when a request waits for a slot: without a usable leader, requests that need one are refused early. */
--- a/packages/database-owners/src/position-history.ts
+++ b/packages/database-owners/src/position-history.ts
@@ -11,7 +11,7 @@
 	getMinimumPosition: (maxStalenessMs: number, now: Instant) => LogPosition | undefined;
 	/** Replaces a session's minimum position of an older term by the first position of the latest term, as a failover may have dropped commits of the older term. */
 	translateToLatestTerm: (minimumPosition: LogPosition | undefined) => LogPosition | undefined;
-	/** Returns the highest verified position. */
+	/** Returns the highest verified position of the latest term; `undefined` if there is none. */
 	getLatest: () => LogPosition | undefined;
 	/** Removes all positions except the first of the term and the latest. */
 	clear: () => void;
@@ -44,21 +44,21 @@
 			}
 
 			latest = chooseLaterPosition(latest, position);
-			const last = history.at(-1);
-			if (last && sentAt - last.sentAt < MIN_SPACING_MS) {
+			const lastRecorded = history.at(-1);
+			if (lastRecorded && sentAt - lastRecorded.sentAt < MIN_SPACING_MS) {
 				return;
 			}
 
 			history.push({sentAt, position});
-			const oldest = createDeadline(sentAt, -RETENTION_MS);
-			const firstRetained = history.findIndex(verified => verified.sentAt >= oldest);
-			if (firstRetained > 0) {
-				history.splice(0, firstRetained);
+			const oldestRetainedAt = createDeadline(sentAt, -RETENTION_MS);
+			const firstRetainedIndex = history.findIndex(verified => verified.sentAt >= oldestRetainedAt);
+			if (firstRetainedIndex > 0) {
+				history.splice(0, firstRetainedIndex);
 			}
 		},
 		getMinimumPosition(maxStalenessMs, now) {
-			const oldest = now - maxStalenessMs;
-			return history.find(verified => verified.sentAt >= oldest)?.position;
+			const oldestSentAt = now - maxStalenessMs;
+			return history.find(verified => verified.sentAt >= oldestSentAt)?.position;
 		},
 		translateToLatestTerm(minimumPosition) {
 			return minimumPosition && termStart && minimumPosition.term < termStart.term ? termStart : minimumPosition;
@@ -70,5 +70,5 @@
 	};
 };
 
-/** Tells whether a log that has reached the position `held` includes the position `wanted`. */
-export const isReached = (held: LogPosition, wanted: LogPosition): boolean => comparePositions(held, wanted) >= 0;
+/** Tells whether a log that has reached the position `reached` includes the position `required`. */
+export const isReached = (reached: LogPosition, required: LogPosition): boolean => comparePositions(reached, required) >= 0;
--- a/packages/database-owners/src/read-targets.ts
+++ b/packages/database-owners/src/read-targets.ts
@@ -16,24 +16,24 @@
 const LEADER_FACTOR = 1.5;
 
 /** Estimates how long a statement would take on a target, in milliseconds. */
-const estimateMs = (load: TargetLoad): number => load.meanMs * (1 + (load.busy / load.slots));
+const estimateDurationMs = (load: TargetLoad): number => load.meanMs * (1 + (load.busyCount / load.slotCount));
 
 /**
  * Chooses the target with the shortest estimated time for a read; `undefined` if none of the free ones is eligible.
  * The last free slot of the leader is reserved for writes while another target can serve the read.
  */
-export const chooseReadTarget = (free: readonly TargetLoad[], context: ReadContext): TargetId | undefined => {
+export const chooseReadTarget = (freeTargets: readonly TargetLoad[], context: ReadContext): TargetId | undefined => {
 	const {leader, isEligible, targetIds} = context;
-	const hasFollower = targetIds.some(id => id !== leader && isEligible(id));
+	const hasEligibleReplica = targetIds.some(id => id !== leader && isEligible(id));
 	let chosen: TargetId | undefined;
 	let minMs = Number.POSITIVE_INFINITY;
-	for (const load of free) {
+	for (const load of freeTargets) {
 		const isLeader = load.id === leader;
-		if (!isEligible(load.id) || (isLeader && hasFollower && load.busy >= load.slots - 1)) {
+		if (!isEligible(load.id) || (isLeader && hasEligibleReplica && load.busyCount >= load.slotCount - 1)) {
 			continue;
 		}
 
-		const estimatedMs = estimateMs(load) * (isLeader ? LEADER_FACTOR : 1);
+		const estimatedMs = estimateDurationMs(load) * (isLeader ? LEADER_FACTOR : 1);
 		if (estimatedMs < minMs) {
 			chosen = load.id;
 			minMs = estimatedMs;
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -41,7 +41,7 @@
 	deadline: Deadline;
 }>;
 
-/** Runs a read that needs the latest state in a write transaction, which only a leader accepts. */
+/** Runs a read that needs the latest state, in a write transaction, which only a leader accepts. */
 const runVerifiedRead = async (components: DatabaseOwnerComponents, {
 	request, target, handle, deadline,
 }: Attempt): Promise<Verdict> => {
@@ -93,13 +93,13 @@
 	? LEADER_RETRY_AFTER_MS
 	: RETRY_PAUSE_MS * (1 + components.scheduler.getWaitingCount());
 
-/** Runs a statement outside a transaction, with retries while it has certainly not run. */
+/** Runs a statement outside a transaction; retries it only if it is certain that it has not run, or if it is a read. */
 export const serveSingleStatement = async (components: DatabaseOwnerComponents, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 	const {context, scheduler} = components;
 	const {world} = context;
 	const arrivedAt = world.now();
 	const latencyDeadline = createDeadline(arrivedAt, request.promptMs);
-	const tried = new Set<TargetId>();
+	const triedTargets = new Set<TargetId>();
 	let reason = 'no target can run the statement now';
 
 	for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
@@ -114,7 +114,7 @@
 			latencyDeadline,
 			deadline: computeSlotDeadline(components, plan, deadline),
 			isPinned: false,
-			chooseTarget: free => chooseTarget(components, {plan, request, tried}, free),
+			chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
 		});
 		if (slot.err) {
 			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfterMs(components, plan)), world.now() - arrivedAt);
@@ -126,7 +126,7 @@
 		if (!handle || handle.err) {
 			release();
 			recordDialFailure(components, target, handle?.err ? handle.val : undefined);
-			tried.add(target);
+			triedTargets.add(target);
 			reason = handle ? handle.val.message : 'the target is no longer registered';
 			context.onDecision({
 				kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
@@ -135,10 +135,10 @@
 		}
 
 		const startedAt = world.now();
-		const run = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
+		const runAttempt = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
-		const verdict = await run(components, {
+		const verdict = await runAttempt(components, {
 			request, plan, target, handle: handle.val, deadline,
 		});
 		unsubscribe?.();
@@ -159,7 +159,7 @@
 		if (verdict.code === 'busy') {
 			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
 		} else if (verdict.code !== 'noStatement') {
-			tried.add(target);
+			triedTargets.add(target);
 		}
 	}
 
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -10,10 +10,10 @@
 /** Load of a target, used to place requests. */
 export type TargetLoad = Readonly<{
 	id: TargetId;
-	/** Slots in use. */
-	busy: number;
-	/** Statements that the target runs concurrently. */
-	slots: number;
+	/** Number of slots in use. */
+	busyCount: number;
+	/** Number of statements that the target runs concurrently. */
+	slotCount: number;
 	/** Mean time of a statement, in milliseconds. */
 	meanMs: number;
 }>;
@@ -54,8 +54,8 @@
 
 type Load = {
 	id: TargetId;
-	busy: number;
-	slots: number;
+	busyCount: number;
+	slotCount: number;
 	meanMs: number;
 };
 
@@ -88,8 +88,8 @@
 export const createSlotScheduler = (world: World): SlotScheduler => {
 	let loads = new Map<TargetId, Load>();
 	const accounts = new Map<CustomerId, Account>();
-	let waiting: WaitingRequest[] = [];
-	let order = 0;
+	let waitingRequests: WaitingRequest[] = [];
+	let nextOrder = 0;
 
 	const getAccount = (customer: CustomerId): Account => {
 		const existing = accounts.get(customer);
@@ -116,25 +116,25 @@
 		}
 	};
 
-	const listFree = (): readonly Load[] => [...loads.values()].filter(load => load.busy < load.slots);
+	const listFreeLoads = (): readonly Load[] => [...loads.values()].filter(load => load.busyCount < load.slotCount);
 
 	const occupySlot = (request: SlotRequest, load: Load): Slot => {
 		const account = getAccount(request.customer);
 		const startedAt = world.now();
 		const chargedMs = load.meanMs;
-		let released = false;
-		load.busy++;
+		let isReleased = false;
+		load.busyCount++;
 		account.runningCount++;
 		account.virtualTimeMs += chargedMs;
 		return {
 			target: load.id,
 			release(servedMs) {
-				if (released) {
+				if (isReleased) {
 					return;
 				}
 
-				released = true;
-				load.busy--;
+				isReleased = true;
+				load.busyCount--;
 				account.runningCount--;
 				account.virtualTimeMs += (world.now() - startedAt) - chargedMs;
 				if (servedMs !== undefined) {
@@ -147,16 +147,16 @@
 	};
 
 	const tryOccupySlot = (request: SlotRequest): Slot | undefined => {
-		const free = listFree();
-		const chosen = free.length > 0 ? request.chooseTarget(free) : undefined;
+		const freeLoads = listFreeLoads();
+		const chosen = freeLoads.length > 0 ? request.chooseTarget(freeLoads) : undefined;
 		const load = chosen === undefined ? undefined : loads.get(chosen);
 		return load ? occupySlot(request, load) : undefined;
 	};
 
 	const refuseExpired = (now: Instant) => {
-		const expired = waiting.filter(({request}) => isPast(request.deadline, now));
+		const expired = waitingRequests.filter(({request}) => isPast(request.deadline, now));
 		if (expired.length > 0) {
-			waiting = waiting.filter(({request}) => !isPast(request.deadline, now));
+			waitingRequests = waitingRequests.filter(({request}) => !isPast(request.deadline, now));
 			for (const {settle} of expired) {
 				settle(Err({code: 'deadlinePassed', message: 'No slot became free before the deadline', retryAfterMs: 0}));
 			}
@@ -164,18 +164,18 @@
 	};
 
 	const admitWaiting = () => {
-		if (waiting.length === 0) {
+		if (waitingRequests.length === 0) {
 			return;
 		}
 
 		const now = world.now();
 		refuseExpired(now);
-		waiting.sort((a, b) => compareWaitingRequests(a, b, now, getVirtualTimeMs));
-		for (let index = 0; index < waiting.length && listFree().length > 0;) {
-			const candidate = waiting[index];
+		waitingRequests.sort((a, b) => compareWaitingRequests(a, b, now, getVirtualTimeMs));
+		for (let index = 0; index < waitingRequests.length && listFreeLoads().length > 0;) {
+			const candidate = waitingRequests[index];
 			const slot = candidate ? tryOccupySlot(candidate.request) : undefined;
 			if (candidate && slot) {
-				waiting.splice(index, 1);
+				waitingRequests.splice(index, 1);
 				candidate.settle(Ok(slot));
 			} else {
 				index++;
@@ -185,22 +185,22 @@
 
 	return {
 		async acquire(request) {
-			if (waiting.length >= MAX_WAITING) {
+			if (waitingRequests.length >= MAX_WAITING) {
 				return Err({code: 'queueFull', message: 'Too many requests are waiting for the database', retryAfterMs: 500});
 			}
 
 			capIdleCredit(getAccount(request.customer));
 			// A new request must not overtake those that are waiting, unless it continues a transaction.
-			const slot = waiting.length === 0 || request.isPinned ? tryOccupySlot(request) : undefined;
+			const slot = waitingRequests.length === 0 || request.isPinned ? tryOccupySlot(request) : undefined;
 			if (slot) {
 				return Ok(slot);
 			}
 
 			return new Promise(settle => {
-				const entry: WaitingRequest = {request, order: order++, settle};
-				waiting.push(entry);
+				const waitingRequest: WaitingRequest = {request, order: nextOrder++, settle};
+				waitingRequests.push(waitingRequest);
 				admitWaiting();
-				if (waiting.includes(entry)) {
+				if (waitingRequests.includes(waitingRequest)) {
 					world.schedule(request.deadline - world.now() + 1, admitWaiting);
 				}
 			});
@@ -210,11 +210,11 @@
 			for (const {id, slots} of targets) {
 				const existing = loads.get(id);
 				if (existing) {
-					existing.slots = slots;
+					existing.slotCount = slots;
 				}
 
 				newLoads.set(id, existing ?? {
-					id, busy: 0, slots, meanMs: INITIAL_MEAN_MS,
+					id, busyCount: 0, slotCount: slots, meanMs: INITIAL_MEAN_MS,
 				});
 			}
 
@@ -222,7 +222,7 @@
 			admitWaiting();
 		},
 		admitWaiting,
-		getWaitingCount: () => waiting.length,
+		getWaitingCount: () => waitingRequests.length,
 		getLoads: () => [...loads.values()],
 	};
 };
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -15,7 +15,7 @@
 	host: string;
 	port: number;
 	dataCentre: DataCentreId;
-	/** Statements that it runs concurrently. */
+	/** Number of statements that it runs concurrently. */
 	slots: number;
 	/** Whether it is about to be removed. */
 	isDraining: boolean;
@@ -40,7 +40,7 @@
 /** Why a target refused a command or failed to run it. */
 export type TargetErrorCode = 'busy' | 'noStatement' | 'lagging' | 'readOnly' | 'failed' | 'timeout' | 'misrouted' | 'tooMany' | 'malformed' | 'other';
 
-/** Reply to one command. */
+/** Reply to one command; `signature` is the target's proof that it ran the command. */
 export type Reply = Readonly<{
 	result:
 		| Readonly<{kind: 'done'; rows: readonly string[]; signature: string}>
@@ -50,16 +50,16 @@
 	position: LogPosition | undefined;
 }>;
 
-/** Replies to a list of commands; fewer than the commands if the connection ended early. */
+/** Replies to a list of commands; fewer than the commands if the connection ended early, as `ended` tells. */
 export type Execution = Readonly<{
 	replies: readonly Reply[];
 	ended: 'no' | 'lost' | 'timeout';
 }>;
 
-/** Status that a target reports; `received` is the log position up to which it has received the log. */
+/** Status that a target reports; `received` is the position up to which it has received the log, `lagMs` its replication lag. */
 export type TargetStatus = Readonly<{role: TargetRole; term: number; received: LogPosition; lagMs: number}>;
 
-/** A connection to a target. It ends after a timeout, since a late reply could be taken for the next one. */
+/** A connection to a target. It ends after a timeout, since a late reply could be mistaken for the reply to the next command. */
 export type TargetConnection = Readonly<{
 	/** Sends commands as one batch and collects their replies. */
 	execute: (commands: readonly Command[], deadline: Deadline) => Promise<Execution>;
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -20,12 +20,12 @@
 	/** Duration of a statement, in milliseconds. */
 	statementMs: number;
 	/** Statements that ran, with the log position and the session variables at that time. */
-	readonly executed: Array<Readonly<{id: string; text: string; inTransaction: boolean; position: LogPosition; values: string}>>;
-	dials: number;
-	pauses: number;
-	running: number;
+	readonly executed: Array<Readonly<{id: string; text: string; isInTransaction: boolean; position: LogPosition; values: string}>>;
+	dialCount: number;
+	pauseCount: number;
+	runningCount: number;
 	/** Highest number of statements that ran concurrently. */
-	maxRunning: number;
+	maxRunningCount: number;
 };
 
 /** Database of all fake targets. */
@@ -42,47 +42,47 @@
 	dropsReplies: false,
 	statementMs: 10,
 	executed: [],
-	dials: 0,
-	pauses: 0,
-	running: 0,
-	maxRunning: 0,
+	dialCount: 0,
+	pauseCount: 0,
+	runningCount: 0,
+	maxRunningCount: 0,
 });
 
-type Session = {inTransaction: boolean; readOnly: boolean; values: Map<string, string>; prepared: Set<string>};
+type Session = {isInTransaction: boolean; isReadOnly: boolean; values: Map<string, string>; prepared: Set<string>};
 
 const isBefore = (a: LogPosition, b: LogPosition) => a.term < b.term || (a.term === b.term && a.number < b.number);
 
 const createConnection = (target: FakeTarget, world: World): TargetConnection => {
 	const session: Session = {
-		inTransaction: false, readOnly: false, values: new Map(), prepared: new Set(),
+		isInTransaction: false, isReadOnly: false, values: new Map(), prepared: new Set(),
 	};
 	const closed = createConditionVariable();
-	let ended = false;
+	let hasEnded = false;
 
-	const reply = (result: Reply['result']): Reply => ({result, status: session.inTransaction ? 'open' : 'idle', position: target.position});
-	const done = (): Reply => reply({kind: 'done', rows: [], signature: `signed by ${target.description.id}`});
-	const fail = (code: TargetErrorCode): Reply => reply({kind: 'error', code, text: code});
+	const createReply = (result: Reply['result']): Reply => ({result, status: session.isInTransaction ? 'open' : 'idle', position: target.position});
+	const createDoneReply = (): Reply => createReply({kind: 'done', rows: [], signature: `signed by ${target.description.id}`});
+	const createErrorReply = (code: TargetErrorCode): Reply => createReply({kind: 'error', code, text: code});
 
 	const runStatement = async (command: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
 		const {statement} = command;
 		const isCommit = statement.kind === 'commit';
 		const isWrite = !isCommit && (statement.kind === 'text' ? statement.access : statement.prepared.access) === 'write';
 		if (command.after && isBefore(target.position, command.after)) {
-			return fail('lagging');
+			return createErrorReply('lagging');
 		}
 
-		if (target.role === 'replica' && (isWrite || (session.inTransaction && !session.readOnly))) {
-			return fail('readOnly');
+		if (target.role === 'replica' && (isWrite || (session.isInTransaction && !session.isReadOnly))) {
+			return createErrorReply('readOnly');
 		}
 
-		target.running++;
-		target.maxRunning = Math.max(target.maxRunning, target.running);
+		target.runningCount++;
+		target.maxRunningCount = Math.max(target.maxRunningCount, target.runningCount);
 		await world.sleep(target.statementMs);
-		target.running--;
+		target.runningCount--;
 		target.executed.push({
 			id: command.id,
 			text: statement.kind === 'prepared' ? command.preparedName : statement.text,
-			inTransaction: session.inTransaction,
+			isInTransaction: session.isInTransaction,
 			position: target.position,
 			values: JSON.stringify([...session.values]),
 		});
@@ -91,10 +91,10 @@
 		}
 
 		if (isCommit) {
-			session.inTransaction = false;
+			session.isInTransaction = false;
 		}
 
-		return done();
+		return createDoneReply();
 	};
 
 	const run = async (command: Command): Promise<Reply> => {
@@ -105,41 +105,41 @@
 
 			case 'begin': {
 				if (command.after && isBefore(target.position, command.after)) {
-					return fail('lagging');
+					return createErrorReply('lagging');
 				}
 
 				if (!command.readOnly && target.role === 'replica') {
-					return fail('readOnly');
+					return createErrorReply('readOnly');
 				}
 
-				session.inTransaction = true;
-				session.readOnly = command.readOnly;
-				return done();
+				session.isInTransaction = true;
+				session.isReadOnly = command.readOnly;
+				return createDoneReply();
 			}
 
 			case 'rollback': {
-				session.inTransaction = false;
-				return done();
+				session.isInTransaction = false;
+				return createDoneReply();
 			}
 
 			case 'reset': {
 				session.values.clear();
 				session.prepared.clear();
-				return done();
+				return createDoneReply();
 			}
 
 			case 'set': {
 				session.values.set(command.name, command.value);
-				return done();
+				return createDoneReply();
 			}
 
 			case 'pause': {
-				target.pauses++;
-				return done();
+				target.pauseCount++;
+				return createDoneReply();
 			}
 
 			default: {
-				return done();
+				return createDoneReply();
 			}
 		}
 	};
@@ -148,21 +148,21 @@
 		async execute(commands, deadline): Promise<Execution> {
 			const replies: Reply[] = [];
 			for (const command of commands) {
-				if (ended || target.fault === 'refuses') {
-					ended = true;
+				if (hasEnded || target.fault === 'refuses') {
+					hasEnded = true;
 					return {replies, ended: 'lost'};
 				}
 
 				if (target.fault === 'silent') {
 					await Promise.race([world.sleep(Math.max(0, deadline - world.now())), closed.wait()]);
-					const cause = ended ? 'lost' : 'timeout';
-					ended = true;
+					const cause = hasEnded ? 'lost' : 'timeout';
+					hasEnded = true;
 					return {replies, ended: cause};
 				}
 
 				const commandReply = await run(command);
 				if (target.dropsReplies && command.kind === 'statement') {
-					ended = true;
+					hasEnded = true;
 					return {replies, ended: 'lost'};
 				}
 
@@ -171,9 +171,9 @@
 
 			return {replies, ended: 'no'};
 		},
-		isEnded: () => ended,
+		isEnded: () => hasEnded,
 		close() {
-			ended = true;
+			hasEnded = true;
 			closed.notifyAll();
 		},
 	};
@@ -191,7 +191,7 @@
 		return Err({code: 'silent', message: 'silent'});
 	}
 
-	target.dials++;
+	target.dialCount++;
 	await world.sleep(1);
 	return Ok(createConnection(target, world));
 };
--- a/packages/database-owners/src/tests/slot-scheduler.test.ts
+++ b/packages/database-owners/src/tests/slot-scheduler.test.ts
@@ -10,8 +10,8 @@
 
 const SMALL = parseId<CustomerId>('small');
 const LARGE = parseId<CustomerId>('large');
-const ONE = parseId<TargetId>('one');
-const TWO = parseId<TargetId>('two');
+const REPLICA_1 = parseId<TargetId>('replica-1');
+const REPLICA_2 = parseId<TargetId>('replica-2');
 const LEADER = parseId<TargetId>('leader');
 
 const chooseFirst = (free: readonly TargetLoad[]) => free[0]?.id;
@@ -20,10 +20,10 @@
 	const measureSmallCustomerP99WaitMs = async (largeCallers: number) => {
 		const {world, advance} = createVirtualWorld(11);
 		const scheduler = createSlotScheduler(world);
-		scheduler.setTargets([{id: ONE, slots: 2}]);
+		scheduler.setTargets([{id: REPLICA_1, slots: 2}]);
 		const waits: number[] = [];
 		let isRunning = true;
-		const call = async (customer: CustomerId, pauseMs: number) => {
+		const sendRequests = async (customer: CustomerId, pauseMs: number) => {
 			while (isRunning) {
 				const requestedAt = world.now();
 				const slot = await scheduler.acquire({
@@ -43,7 +43,7 @@
 		};
 
 		for (const [customer, pauseMs] of [[SMALL, 60] as const, ...Array.from({length: largeCallers}, () => [LARGE, 1] as const)]) {
-			void call(customer, pauseMs);
+			void sendRequests(customer, pauseMs);
 		}
 
 		await advance(10_000);
@@ -59,9 +59,9 @@
 	it('serves requests within their latency objective before those past it', async () => {
 		const {world, advance} = createVirtualWorld(2);
 		const scheduler = createSlotScheduler(world);
-		scheduler.setTargets([{id: ONE, slots: 1}]);
+		scheduler.setTargets([{id: REPLICA_1, slots: 1}]);
 		const order: string[] = [];
-		const enter = async (name: string, latencyMs: number) => {
+		const runRequest = async (name: string, latencyMs: number) => {
 			const slot = await scheduler.acquire({
 				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), latencyMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
 			});
@@ -73,7 +73,7 @@
 		};
 
 		for (const [name, latencyMs] of [['first', 500], ['late', 10], ['prompt', 500]] as const) {
-			void enter(name, latencyMs);
+			void runRequest(name, latencyMs);
 		}
 
 		await advance(500);
@@ -83,7 +83,7 @@
 	it('refuses a request that got no slot before its deadline', async () => {
 		const {world, advance} = createVirtualWorld(2);
 		const scheduler = createSlotScheduler(world);
-		scheduler.setTargets([{id: ONE, slots: 1}]);
+		scheduler.setTargets([{id: REPLICA_1, slots: 1}]);
 		const request = {
 			customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), 100), deadline: createDeadline(world.now(), 100), isPinned: false, chooseTarget: () => undefined,
 		};
@@ -97,17 +97,17 @@
 });
 
 describe('chooseReadTarget', () => {
-	const createLoad = (id: TargetId, busy: number, meanMs: number): TargetLoad => ({
-		id, busy, slots: 3, meanMs,
+	const createLoad = (id: TargetId, busyCount: number, meanMs: number): TargetLoad => ({
+		id, busyCount, slotCount: 3, meanMs,
 	});
-	const context = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, ONE, TWO]};
+	const context = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, REPLICA_1, REPLICA_2]};
 
 	it('prefers a replica that is as fast as the leader', () => {
-		assert.equal(chooseReadTarget([createLoad(LEADER, 0, 20), createLoad(ONE, 0, 20)], context), ONE);
+		assert.equal(chooseReadTarget([createLoad(LEADER, 0, 20), createLoad(REPLICA_1, 0, 20)], context), REPLICA_1);
 	});
 
 	it('prefers a fast busy target to a slow idle one', () => {
-		assert.equal(chooseReadTarget([createLoad(ONE, 1, 20), createLoad(TWO, 0, 100)], context), ONE);
+		assert.equal(chooseReadTarget([createLoad(REPLICA_1, 1, 20), createLoad(REPLICA_2, 0, 100)], context), REPLICA_1);
 	});
 
 	it('reserves the last slot of the leader for writes while a replica can serve the read', () => {
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -21,7 +21,7 @@
 export type Transactions = Readonly<{
 	/** Runs a statement of a transaction; begins the transaction if it is the first one. */
 	serve: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
-	/** Rolls a transaction back; if one of its statements is running, as soon as that ends. */
+	/** Rolls a transaction back, after its running statement has ended if there is one; does nothing if it is not open. */
 	rollBack: (id: string) => void;
 	getOpenCount: () => number;
 	/** Counts the open transactions that may write. */
@@ -104,7 +104,7 @@
 	});
 
 	/** Runs a statement of an open transaction in an acquired slot; `again` if it has not run and can be retried. */
-	const run = async (transaction: OpenTransaction, slot: Slot, {request, deadline, arrivedAt}: TransactionStatement): Promise<StatementResponse | 'again'> => {
+	const runInTransaction = async (transaction: OpenTransaction, slot: Slot, {request, deadline, arrivedAt}: TransactionStatement): Promise<StatementResponse | 'again'> => {
 		const {handle, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
 		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
@@ -179,7 +179,7 @@
 				slot = acquired.val;
 			}
 
-			const response = await run(transaction, slot, {request, deadline, arrivedAt});
+			const response = await runInTransaction(transaction, slot, {request, deadline, arrivedAt});
 			slot = undefined;
 			if (response !== 'again') {
 				return finishStatement(id, transaction, response);
@@ -192,11 +192,12 @@
 	};
 
 	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
-	const begin = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
-		const readOnly = plan.kind === 'anywhere';
+	const beginTransaction = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
+		const isReadOnly = plan.kind === 'anywhere';
+		// A commit needs no prepared statement, so these commands set only the session variables.
 		const {commands} = handle.createSetupCommands(request.values, {kind: 'commit', text: ''});
 		const sentAt = context.readClock();
-		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly, after: readOnly ? plan.after : undefined}], deadline);
+		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
 		const reply = execution.replies[commands.length];
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
 			recordReply(components, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
@@ -204,18 +205,18 @@
 			return undefined;
 		}
 
-		if (!readOnly) {
+		if (!isReadOnly) {
 			recordVerifiedPosition(components, target, reply, sentAt);
 		}
 
 		return {
-			target, handle, isAtLeader: !readOnly, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
+			target, handle, isAtLeader: !isReadOnly, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
 		};
 	};
 
 	const startTransaction = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		const arrivedAt = world.now();
-		const tried = new Set<TargetId>();
+		const triedTargets = new Set<TargetId>();
 		for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
 			const plan = await createPlan(components, request, deadline);
 			if (!plan) {
@@ -228,7 +229,7 @@
 				latencyDeadline: createDeadline(arrivedAt, request.promptMs),
 				deadline: computeSlotDeadline(components, plan, deadline),
 				isPinned: false,
-				chooseTarget: free => chooseTarget(components, {plan, request, tried}, free),
+				chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
 			});
 			if (slot.err) {
 				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
@@ -236,7 +237,7 @@
 
 			const {target} = slot.val;
 			const handle = await components.getConnections(target)?.acquire(request.customer, request.values, deadline);
-			const transaction = handle?.ok ? await begin(plan, handle.val, {request, deadline, arrivedAt}, target) : undefined;
+			const transaction = handle?.ok ? await beginTransaction(plan, handle.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
 				openTransactions.set(id, transaction);
 				return continueTransaction(id, transaction, {request, deadline, arrivedAt}, slot.val);
@@ -247,7 +248,7 @@
 				recordDialFailure(components, target, handle?.val);
 			}
 
-			tried.add(target);
+			triedTargets.add(target);
 		}
 
 		return createResponse(createBusyRefusal('no target could begin the transaction', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
