Name waiting entries and the unknown outcome in pool and requests

Entries of the fair queue are called entries, and the interval of its check for passed deadlines has a comment. The message of an unknown outcome also fits reads, which can lose their connection too. The doc comment of verifyPosition says that a passed deadline fails at once.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -60,7 +60,7 @@
 	getConnections: (id: TargetId) => TargetConnections | undefined;
 	/** Registers a callback for the moment at which a target is considered down; returns a function that removes it. */
 	onTargetDown: (target: TargetId, callback: () => void) => (() => void);
-	/** Records a log position that the leader confirms in reply to a ping sent after this call; resolves to `false` if no leader confirmed one. */
+	/** Records a log position that the leader confirms in reply to a ping sent after this call; resolves to `false` if no leader confirmed one, or if the deadline has already passed. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -110,7 +110,7 @@
 			return;
 		}
 
-		const activeTimesMs = [...accounts.values()].filter(other => other.runningCount > 0).map(other => other.virtualTimeMs);
+		const activeTimesMs = [...accounts.values()].filter(candidate => candidate.runningCount > 0).map(candidate => candidate.virtualTimeMs);
 		if (activeTimesMs.length > 0) {
 			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...activeTimesMs) - MAX_IDLE_CREDIT_MS);
 		}
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -22,7 +22,7 @@
 
 /** Weighted fair queue. */
 export type FairQueue = Readonly<{
-	/** Waits for a slot. Refuses at once if the customer's queue is full or the deadline cannot be met. */
+	/** Waits for a slot; refuses at once if the customer's queue is full or the deadline cannot be met. */
 	enter: (entry: QueueEntry, signal?: AbortSignal) => Promise<Result<Permit, QueueFailure>>;
 	/** Checks again which waiting requests can run; called when a connection becomes available. */
 	admitWaiting: () => void;
@@ -43,7 +43,7 @@
 	/** Mean time of a request, in milliseconds. */
 	meanMs: number;
 	runningCount: number;
-	readonly waiting: WaitingEntry[];
+	readonly waitingEntries: WaitingEntry[];
 };
 
 /** Maximum lead in virtual time that a customer gains by being idle, so that a short burst goes ahead of a flood. */
@@ -53,6 +53,7 @@
 const INITIAL_MEAN_MS = 2;
 /** Weight of a new measurement in the moving average. */
 const MEAN_WEIGHT = 0.1;
+/** Interval between checks for waiting requests whose deadline has passed. */
 const SWEEP_INTERVAL_MS = 20;
 
 /** Creates an empty queue; `hasConnection` tells whether a connection could be acquired now. */
@@ -71,30 +72,30 @@
 		}
 
 		const created: Account = {
-			virtualTimeMs: 0, meanMs: INITIAL_MEAN_MS, runningCount: 0, waiting: [],
+			virtualTimeMs: 0, meanMs: INITIAL_MEAN_MS, runningCount: 0, waitingEntries: [],
 		};
 		accounts.set(customer, created);
 		return created;
 	};
 
-	const isActive = (account: Account): boolean => account.waiting.length > 0 || account.runningCount > 0;
+	const isActive = (account: Account): boolean => account.waitingEntries.length > 0 || account.runningCount > 0;
 
 	/** Moves the virtual time of a customer that was idle close to the lowest of the active customers: being idle earns one burst, not more. */
 	const capIdleCredit = (account: Account) => {
-		const active = [...accounts.values()].filter(other => other !== account && isActive(other));
-		if (!isActive(account) && active.length > 0) {
-			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...active.map(other => other.virtualTimeMs)) - MAX_IDLE_CREDIT_MS);
+		const activeAccounts = [...accounts.values()].filter(candidate => candidate !== account && isActive(candidate));
+		if (!isActive(account) && activeAccounts.length > 0) {
+			account.virtualTimeMs = Math.max(account.virtualTimeMs, Math.min(...activeAccounts.map(activeAccount => activeAccount.virtualTimeMs)) - MAX_IDLE_CREDIT_MS);
 		}
 	};
 
-	const issuePermit = (waiting: WaitingEntry): Permit => {
-		const account = getAccount(waiting.customer);
+	const issuePermit = (entry: WaitingEntry): Permit => {
+		const account = getAccount(entry.customer);
 		const startedAt = world.now();
 		const chargedMs = account.meanMs;
 		let isReleased = false;
 		busyCount++;
 		account.runningCount++;
-		account.virtualTimeMs += chargedMs / waiting.weight;
+		account.virtualTimeMs += chargedMs / entry.weight;
 		return {
 			startedAt,
 			[Symbol.dispose]() {
@@ -106,7 +107,7 @@
 				const usedMs = world.now() - startedAt;
 				busyCount--;
 				account.runningCount--;
-				account.virtualTimeMs += (usedMs - chargedMs) / waiting.weight;
+				account.virtualTimeMs += (usedMs - chargedMs) / entry.weight;
 				account.meanMs += (usedMs - account.meanMs) * MEAN_WEIGHT;
 				admitWaiting();
 			},
@@ -123,14 +124,14 @@
 			return undefined;
 		}
 
-		let chosen: Account | undefined;
+		let chosenAccount: Account | undefined;
 		for (const account of accounts.values()) {
-			if (account.waiting.length > 0 && (!chosen || account.virtualTimeMs < chosen.virtualTimeMs)) {
-				chosen = account;
+			if (account.waitingEntries.length > 0 && (!chosenAccount || account.virtualTimeMs < chosenAccount.virtualTimeMs)) {
+				chosenAccount = account;
 			}
 		}
 
-		return chosen?.waiting.shift();
+		return chosenAccount?.waitingEntries.shift();
 	};
 
 	const admitWaiting = () => {
@@ -149,21 +150,21 @@
 		}
 	};
 
-	const refuseInQueue = (queue: WaitingEntry[], predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
+	const refuseInQueue = (queue: WaitingEntry[], predicate: (entry: WaitingEntry) => boolean, failure: QueueFailure) => {
 		for (let index = queue.length - 1; index >= 0; index--) {
-			const waiting = queue[index];
-			if (waiting && predicate(waiting)) {
+			const entry = queue[index];
+			if (entry && predicate(entry)) {
 				queue.splice(index, 1);
 				waitingCount--;
-				waiting.settle(Err(failure));
+				entry.settle(Err(failure));
 			}
 		}
 	};
 
-	const refuseWaiting = (predicate: (waiting: WaitingEntry) => boolean, failure: QueueFailure) => {
+	const refuseWaiting = (predicate: (entry: WaitingEntry) => boolean, failure: QueueFailure) => {
 		refuseInQueue(pinnedEntries, predicate, failure);
 		for (const account of accounts.values()) {
-			refuseInQueue(account.waiting, predicate, failure);
+			refuseInQueue(account.waitingEntries, predicate, failure);
 		}
 	};
 
@@ -177,7 +178,7 @@
 		while (waitingCount > 0) {
 			await world.sleep(SWEEP_INTERVAL_MS);
 			const now = world.now();
-			refuseWaiting(waiting => isPast(waiting.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
+			refuseWaiting(entry => isPast(entry.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
 		}
 
 		isSweeping = false;
@@ -185,24 +186,24 @@
 
 	const estimateWaitMs = (account: Account): number => {
 		const activeCount = [...accounts.values()].filter(customerAccount => isActive(customerAccount)).length;
-		return account.waiting.length * account.meanMs * Math.max(1, activeCount) / slotCount;
+		return account.waitingEntries.length * account.meanMs * Math.max(1, activeCount) / slotCount;
 	};
 
 	return {
 		async enter(entry, signal) {
 			const account = getAccount(entry.customer);
 			const waitMs = estimateWaitMs(account);
-			if (!entry.isPinned && (account.waiting.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
+			if (!entry.isPinned && (account.waitingEntries.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
 				return Err({code: 'queueFull', message: 'Too many requests of this customer are waiting for the target', retryAfterMs: Math.ceil(waitMs)});
 			}
 
 			capIdleCredit(account);
 			return new Promise(settle => {
-				const waiting: WaitingEntry = {...entry, settle};
-				(entry.isPinned ? pinnedEntries : account.waiting).push(waiting);
+				const waitingEntry: WaitingEntry = {...entry, settle};
+				(entry.isPinned ? pinnedEntries : account.waitingEntries).push(waitingEntry);
 				waitingCount++;
 				signal?.addEventListener('abort', () => {
-					refuseWaiting(candidate => candidate === waiting, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
+					refuseWaiting(candidate => candidate === waitingEntry, {code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
 				}, {once: true});
 				admitWaiting();
 				if (waitingCount > 0) {
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -95,7 +95,7 @@
 type TransactionStart = Readonly<{chunk: RequestChunk; permit: Permit; term: number}>;
 
 const RESPONSE_COMPLETE = 'the response is complete';
-const NOT_DURABLE_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the write was confirmed durable';
+const OUTCOME_UNKNOWN_MESSAGE = 'The connection to the database was lost, or the primary was replaced, before the request was confirmed complete and durable';
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
@@ -131,7 +131,7 @@
 	const {stream} = request;
 	const isOutcomeUnknown = status === 'idle' || mayCommit;
 	await stream.send(isOutcomeUnknown
-		? {kind: 'unknown', message: NOT_DURABLE_MESSAGE}
+		? {kind: 'unknown', message: OUTCOME_UNKNOWN_MESSAGE}
 		: {kind: 'rolledBack', message: 'The connection to the database was lost, or the primary was replaced; the transaction was rolled back'});
 };
 
