--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -9,7 +9,7 @@
 } from './grant-issuer.js';
 import type {GrantResponse} from './grant-registry.js';
 import {createHealthMonitor, type HealthMonitor, type ProbeTarget} from './health-monitor.js';
-import {createSyncedSet, type FailoverSettings} from './synced-set.js';
+import {createSyncedSetManager, type FailoverSettings} from './synced-set.js';
 import {
 	createGroupRecord, formatGroupKey, formatGroupRecord, getAwaitedReplicas, parseGroupRecord, promoteRecord, type GroupRecord, type GroupView,
 } from './group-record.js';
@@ -40,6 +40,7 @@
 export type FailoverCoordinatorContext = Readonly<{
 	world: World;
 	store: Store;
+	/** Returns the settings of the database; `undefined` if it is not configured. */
 	getSettings: () => FailoverSettings | undefined;
 	commands: TargetCommands;
 	/** Returns the deadline of the authority over the database. */
@@ -53,7 +54,7 @@
 
 /** Failover coordinator of one database. */
 export type FailoverCoordinator = Readonly<{
-	/** Issues a grant to a holder that requests one; returns `undefined` if there is no group record or no authority. */
+	/** Issues a grant to a holder that requests one; returns `undefined` while the group record is not known or the coordinator has no authority. */
 	grant: (holder: GrantHolder) => GrantResponse | undefined;
 	/** Coordinates until the signal aborts or the authority expires. */
 	run: (signal: AbortSignal) => Promise<void>;
@@ -69,20 +70,21 @@
 export const createFailoverCoordinator = (context: FailoverCoordinatorContext, database: DatabaseId): FailoverCoordinator => {
 	const {world, store, commands, onEvent} = context;
 	const issuer = createGrantIssuer(world);
-	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, reachable) => {
-		onEvent({kind: 'target', target, isReachable: reachable});
+	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, isReachable) => {
+		onEvent({kind: 'target', target, isReachable});
 	});
 	let view: GroupView | undefined;
+	/** Permissions that new grants give. */
 	let permissions: Permissions = NO_PERMISSIONS;
 	let blockedReason = '';
 	let nextRepairAt = createDeadline(world.now(), 0);
 
 	const hasAuthority = () => !isPast(context.getAuthorityDeadline(), world.now());
 
-	const getAges = (): Readonly<Record<string, number>> => {
+	const getAgesMs = (): Readonly<Record<string, number>> => {
 		const targets = context.getSettings()?.targets ?? [];
-		const ages = targets.map(target => [target, health.getAgeMs(target)] as const);
-		return Object.fromEntries(ages.filter((entry): entry is readonly [TargetId, number] => entry[1] !== undefined));
+		const agesMs = targets.map(target => [target, health.getAgeMs(target)] as const);
+		return Object.fromEntries(agesMs.filter((entry): entry is readonly [TargetId, number] => entry[1] !== undefined));
 	};
 
 	/** Returns the replicas of the synced set that are reachable and have not lost data. */
@@ -118,7 +120,7 @@
 		return undefined;
 	};
 
-	/** Writes a group record by compare-and-swap. If the response is lost, the swap is repeated, and the entry then found shows whether it took effect. */
+	/** Writes a group record by compare-and-swap; returns `false` if the entry holds another record or the authority expires. If the response is lost, the swap is repeated, and the entry then found shows whether it took effect. */
 	const writeRecord = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
 		const text = formatGroupRecord(record);
 		while (hasAuthority() && !signal.aborted) {
@@ -145,9 +147,9 @@
 	};
 
 	const runWithRetries = async (run: () => Promise<Result<unknown, Failure>>, signal: AbortSignal): Promise<boolean> => {
-		for (let count = 0; count < MAX_COMMAND_ATTEMPTS && hasAuthority() && !signal.aborted; count++) {
-			const done = await run();
-			if (done.ok) {
+		for (let attempt = 0; attempt < MAX_COMMAND_ATTEMPTS && hasAuthority() && !signal.aborted; attempt++) {
+			const outcome = await run();
+			if (outcome.ok) {
 				return true;
 			}
 
@@ -166,7 +168,7 @@
 		await issuer.revokeAll(revoked, async holder => context.revoke(holder, database, revoked), signal);
 	};
 
-	const syncedSet = createSyncedSet({
+	const syncedSetManager = createSyncedSetManager({
 		world,
 		health,
 		issuer,
@@ -178,6 +180,7 @@
 		},
 	});
 
+	/** Writes the first group record. Its primary is the reachable one with the highest timeline, which was promoted last. */
 	const bootstrap = async (settings: FailoverSettings, signal: AbortSignal) => {
 		const primaries = settings.targets
 			.filter(target => health.isReachable(target) && health.get(target).report?.isReplica === false)
@@ -186,25 +189,25 @@
 		if (primary) {
 			await writeRecord(createGroupRecord(database, primary, health.get(primary).report?.position ?? 0, settings), signal);
 		} else {
-			reportBlocked('no reachable target is a primary');
+			reportBlocked('no reachable target is a primary; the group record is created once one is');
 		}
 	};
 
-	/** Stops replication from the old primary, then chooses the replica of the synced set with the highest position. Replicas that are not about to be removed come first. */
+	/** Stops replication from the old primary, then chooses the replica of the synced set with the highest position. Replicas that are not about to be removed are preferred. */
 	const chooseSuccessor = async (record: GroupRecord): Promise<TargetId | undefined> => {
-		const leaving = new Set(context.getSettings()?.leaving);
-		const reachable = record.synced.filter(target => health.isReachable(target) && !health.hasLostData(target));
-		await Promise.all(reachable.map(async target => commands.follow(target, undefined)));
-		await health.probeAll(reachable);
-		return reachable
+		const leavingTargets = new Set(context.getSettings()?.leaving);
+		const reachableReplicas = record.synced.filter(target => health.isReachable(target) && !health.hasLostData(target));
+		await Promise.all(reachableReplicas.map(async target => commands.follow(target, undefined)));
+		await health.probeAll(reachableReplicas);
+		return reachableReplicas
 			.filter(target => health.isReachable(target) && !health.hasLostData(target))
-			.toSorted((a, b) => Number(leaving.has(a)) - Number(leaving.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
+			.toSorted((a, b) => Number(leavingTargets.has(a)) - Number(leavingTargets.has(b)) || health.getPosition(b) - health.getPosition(a))[0];
 	};
 
 	/** Promotes the primary of the record, makes the replicas that acknowledgements wait for follow it, and only then marks the record as confirmed. */
 	const completePromotion = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
-		const leads = health.get(record.primary).report?.isReplica === false;
-		if (!leads && !await runWithRetries(async () => commands.promote(record.primary), signal)) {
+		const isPromoted = health.get(record.primary).report?.isReplica === false;
+		if (!isPromoted && !await runWithRetries(async () => commands.promote(record.primary), signal)) {
 			return false;
 		}
 
@@ -213,9 +216,10 @@
 		return writeRecord({...record, confirmed: true}, signal);
 	};
 
+	/** Replaces the primary. Before a replica is promoted, all permissions that need the old primary have ended; a planned failover lets writes in progress finish first. */
 	const failOver = async (record: GroupRecord, isPlanned: boolean, signal: AbortSignal) => {
 		if (!record.synced.some(target => health.isReachable(target))) {
-			reportBlocked('no replica of the synced set can be reached');
+			reportBlocked('no replica of the synced set can be reached; the failover is retried until one can');
 			return;
 		}
 
@@ -229,17 +233,17 @@
 		onEvent({kind: 'grantsEnded', term: record.term});
 		const successor = await chooseSuccessor(record);
 		if (!successor || !hasAuthority()) {
-			reportBlocked('no replica of the synced set can be reached');
+			reportBlocked('no replica of the synced set can be reached; the failover is retried until one can');
 			return;
 		}
 
-		const lost = record.synced.filter(target => !health.isReachable(target) || health.hasLostData(target));
-		if (lost.length > 0) {
+		const excludedReplicas = record.synced.filter(target => !health.isReachable(target) || health.hasLostData(target));
+		if (excludedReplicas.length > 0) {
 			await revokeGrants(ALL_PERMISSIONS, signal);
 		}
 
-		const remaining = {...record, synced: record.synced.filter(target => !lost.includes(target))};
-		if (!await writeRecord(promoteRecord(remaining, successor, health.getPosition(successor)), signal) || !view) {
+		const reducedRecord = {...record, synced: record.synced.filter(target => !excludedReplicas.includes(target))};
+		if (!await writeRecord(promoteRecord(reducedRecord, successor, health.getPosition(successor)), signal) || !view) {
 			return;
 		}
 
@@ -251,7 +255,7 @@
 	};
 
 	/** Tells whether the primary has come back without its data: it is a replica again after a confirmed promotion, or its position is lower than the start of its term. */
-	const hasLostData = (record: GroupRecord): boolean => {
+	const hasPrimaryLostData = (record: GroupRecord): boolean => {
 		const {report} = health.get(record.primary);
 		const start = record.starts.at(-1)?.position ?? 0;
 		return health.isReachable(record.primary) && report !== undefined && ((record.confirmed && report.isReplica) || report.position < start);
@@ -264,12 +268,12 @@
 		}
 
 		nextRepairAt = createDeadline(world.now(), REPAIR_INTERVAL_MS);
-		const following = health.get(record.primary).report?.replayedPositions ?? new Map<string, number>();
-		const misdirected = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !following.has(target));
-		await Promise.all(misdirected.map(async target => {
-			const leads = health.get(target).report?.isReplica === false;
+		const followers = health.get(record.primary).report?.replayedPositions ?? new Map<string, number>();
+		const nonFollowers = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !followers.has(target));
+		await Promise.all(nonFollowers.map(async target => {
+			const isPrimary = health.get(target).report?.isReplica === false;
 			const isBehind = (health.get(target).report?.timeline ?? 0) < (health.get(record.primary).report?.timeline ?? 0);
-			if (leads || (isBehind && health.getPosition(target) > (record.starts.at(-1)?.position ?? 0))) {
+			if (isPrimary || (isBehind && health.getPosition(target) > (record.starts.at(-1)?.position ?? 0))) {
 				await commands.rejoin(target, record.primary);
 				health.forgetHighestPosition(target);
 				onEvent({kind: 'rejoined', target, primary: record.primary});
@@ -279,6 +283,7 @@
 		}));
 	};
 
+	/** Completes a promotion that is not confirmed yet; otherwise adjusts the synced set, and repairs replication if nothing was adjusted. */
 	const maintain = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => {
 		if (!record.confirmed) {
 			permissions = READ_PERMISSION;
@@ -290,13 +295,14 @@
 			permissions = ALL_PERMISSIONS;
 		}
 
-		const wasAdjusted = await syncedSet.adjust(record, settings, signal);
+		const wasAdjusted = await syncedSetManager.adjust(record, settings, signal);
 		if (!wasAdjusted) {
 			await repair(record, settings);
 		}
 	};
 
-	const runOnce = async (settings: FailoverSettings, signal: AbortSignal) => {
+	/** Probes all targets, then fails over or maintains the group as they require. */
+	const runRound = async (settings: FailoverSettings, signal: AbortSignal) => {
 		const probedAt: Instant = world.now();
 		await health.probeAll(settings.targets);
 		if (!view) {
@@ -311,7 +317,7 @@
 		}
 
 		const isLeaving = settings.leaving.includes(record.primary) && record.synced.some(target => health.isReachable(target) && !settings.leaving.includes(target));
-		const hasFailed = health.hasFailed(record.primary) || hasLostData(record);
+		const hasFailed = health.hasFailed(record.primary) || hasPrimaryLostData(record);
 		if (hasFailed || isLeaving) {
 			await failOver(record, !hasFailed, signal);
 		} else if (health.isReachable(record.primary)) {
@@ -326,21 +332,21 @@
 			}
 
 			return issuer.grant(holder, {
-				view, permissions, agesMs: getAges(), readable: getReadable(view.record), authorityDeadline: context.getAuthorityDeadline(),
+				view, permissions, agesMs: getAgesMs(), readable: getReadable(view.record), authorityDeadline: context.getAuthorityDeadline(),
 			});
 		},
 		async run(signal) {
-			const initial = await readRecord(signal);
-			if (initial !== undefined && initial !== 'none') {
-				view = initial;
-				context.publish(initial);
+			const initialView = await readRecord(signal);
+			if (initialView !== undefined && initialView !== 'none') {
+				view = initialView;
+				context.publish(initialView);
 				permissions = READ_PERMISSION;
 			}
 
 			while (hasAuthority() && !signal.aborted) {
 				const settings = context.getSettings();
 				if (settings) {
-					await runOnce(settings, signal);
+					await runRound(settings, signal);
 				}
 
 				await world.sleep(PROBE_INTERVAL_MS, signal);
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -13,7 +13,7 @@
 	replayedPositions: ReadonlyMap<string, number>;
 }>;
 
-/** Reads the log positions of a primary. */
+/** Reads the log positions of a primary and its replicas. */
 export type ReadPositions = (target: TargetId) => Promise<Result<PrimaryPositions, Failure>>;
 
 /** Outcome of waiting until a write is durable. */
@@ -37,20 +37,20 @@
 const INITIAL_BACKOFF_MS = 1;
 const MAX_BACKOFF_MS = 10;
 
-/** Creates a function that waits until a write is durable. Waits for the same target at the same time share one read of its positions. */
+/** Creates a function that waits until a write is durable. Concurrent waits for the same target share one read of its positions. */
 export const createDurabilityWaiter = (grants: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
 	const sharedReads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
-	const readShared = async (target: TargetId) => {
+	const readSharedPositions = async (target: TargetId) => {
 		const read = sharedReads.get(target) ?? createSingleFlight(async () => readPositions(target));
 		sharedReads.set(target, read);
 		return read();
 	};
 
-	/** Tells whether every awaited replica has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
-	const isConfirmed = (request: DurabilityRequest, position: number, replayed: ReadonlyMap<string, number>): boolean => {
+	/** Tells whether every replica that acknowledgements wait for has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
+	const isConfirmed = (request: DurabilityRequest, position: number, replayedPositions: ReadonlyMap<string, number>): boolean => {
 		const record = grants.checkAcknowledgement(request.database, request.target);
-		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayed);
+		return record.ok && record.val.term === request.term && isReplicated(record.val, position, replayedPositions);
 	};
 
 	/** Tells whether acknowledgements of this database do not wait for replicas. */
@@ -63,8 +63,8 @@
 		let position: number | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!isPast(request.deadline, world.now()) && !request.signal.aborted) {
-			const state = await grants.waitForTerm(request.database, request.term, request.deadline, request.signal);
-			if (state !== 'valid') {
+			const grantState = await grants.waitForTerm(request.database, request.term, request.deadline, request.signal);
+			if (grantState !== 'valid') {
 				return 'unproved';
 			}
 
@@ -72,7 +72,7 @@
 				return 'durable';
 			}
 
-			const positions = await readShared(request.target);
+			const positions = await readSharedPositions(request.target);
 			if (positions.ok) {
 				position ??= positions.val.position;
 				if (isConfirmed(request, position, positions.val.replayedPositions)) {
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -76,7 +76,7 @@
 
 /** Creates an issuer without outstanding grants. */
 export const createGrantIssuer = (world: World): GrantIssuer => {
-	const outstanding = new Map<string, IssuedGrant>();
+	const outstandingGrants = new Map<string, IssuedGrant>();
 	const changed = createNotifier(world);
 
 	const hasExpired = (grant: IssuedGrant, permissions: Permissions): boolean => {
@@ -84,13 +84,13 @@
 		return PERMISSION_NAMES.every(name => !permissions[name] || isPast(grant.deadlines[name], now));
 	};
 
-	const expire = (grant: IssuedGrant, permissions: Permissions) => {
+	const expirePermissions = (grant: IssuedGrant, permissions: Permissions) => {
 		grant.deadlines = changeDeadlines(grant.deadlines, permissions, PAST);
 		changed.notify();
 	};
 
 	const getLatestDeadline = (permissions: Permissions): Deadline => {
-		const deadlines = [...outstanding.values()].flatMap(grant => PERMISSION_NAMES.map(name => permissions[name] ? grant.deadlines[name] : PAST));
+		const deadlines = [...outstandingGrants.values()].flatMap(grant => PERMISSION_NAMES.map(name => permissions[name] ? grant.deadlines[name] : PAST));
 		return Math.max(PAST, ...deadlines) as Deadline;
 	};
 
@@ -105,8 +105,8 @@
 
 			const key = formatHolder(holder);
 			const deadline = createDeadline(now, validMs + CLOCK_DRIFT_MS);
-			const previous = outstanding.get(key);
-			outstanding.set(key, {
+			const previous = outstandingGrants.get(key);
+			outstandingGrants.set(key, {
 				holder,
 				deadlines: changeDeadlines(previous?.deadlines ?? EXPIRED_DEADLINES, parameters.permissions, deadline),
 				revision: parameters.view.revision,
@@ -114,19 +114,19 @@
 			return {...contents, validMs};
 		},
 		async revokeAll(permissions, revoke, signal) {
-			const valid = [...outstanding.values()].filter(grant => !hasExpired(grant, permissions));
-			for (const grant of valid) {
+			const validGrants = [...outstandingGrants.values()].filter(grant => !hasExpired(grant, permissions));
+			for (const grant of validGrants) {
 				void revoke(grant.holder).then(response => {
 					if (response.ok) {
-						expire(grant, permissions);
+						expirePermissions(grant, permissions);
 					}
 				});
 			}
 
-			await changed.waitUntil(() => valid.every(grant => hasExpired(grant, permissions)), getLatestDeadline(permissions), signal);
+			await changed.waitUntil(() => validGrants.every(grant => hasExpired(grant, permissions)), getLatestDeadline(permissions), signal);
 		},
 		async waitForRevision(revision, deadline, signal) {
-			const areAllRenewed = () => [...outstanding.values()].every(grant => grant.revision >= revision || hasExpired(grant, ALL_PERMISSIONS));
+			const areAllRenewed = () => [...outstandingGrants.values()].every(grant => grant.revision >= revision || hasExpired(grant, ALL_PERMISSIONS));
 			while (!areAllRenewed()) {
 				if (isPast(deadline, world.now()) || signal.aborted) {
 					return false;
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -17,20 +17,19 @@
 	agesMs: Readonly<Record<string, number>>;
 	/** Replicas that held every acknowledged write, as known to the coordinator when it responded. */
 	readable: readonly TargetId[];
-	/** Permissions that the grant gives. */
 	permissions: Permissions;
 }>;
 
 /** Reason why a request may not run now. The request has not been run. */
 export type GrantFailure = Failure<'noGrant' | 'notPrimary' | 'tooOld'>;
 
-/** Outcome of waiting for a grant of a term. */
+/** Outcome of waiting for a grant of a term: `valid`, `replaced` if a later term has begun, or `none` if the deadline passed or the signal aborted first. */
 export type GrantState = 'valid' | 'replaced' | 'none';
 
 /** Grants that one process holds, at most one for each database. */
 export type GrantRegistry = Readonly<{
-	/** Stores a grant; `sentAt` is when the request for it was sent. A grant that is older than the one known, or was requested before a revocation, is ignored. */
-	accept: (reply: GrantResponse, sentAt: Instant) => void;
+	/** Stores a grant; `sentAt` is when the request for it was sent. A grant of an older record revision than the stored one, or requested before a revocation, is ignored. */
+	accept: (response: GrantResponse, sentAt: Instant) => void;
 	/** Ends permissions of a database before their deadline. Grants that were requested earlier are ignored from now on. */
 	revoke: (database: DatabaseId, permissions: Permissions) => void;
 	/** Counts a write as in progress until the returned object is disposed. */
@@ -43,7 +42,7 @@
 	checkWrite: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that the response of a write may be sent to the caller now. */
 	checkAcknowledgement: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that a target holds every acknowledged write now. */
+	/** Checks that a target holds every acknowledged write, so that it may be read now. */
 	checkRead: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that the data of a target are confirmed to be at most `maximumAgeMs` old. */
 	checkStaleness: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
@@ -62,7 +61,7 @@
 	mode: 'write' | 'read' | 'stale';
 }>;
 
-type HeldGrant = Readonly<{reply: GrantResponse; sentAt: Instant; deadlines: PermissionDeadlines}>;
+type HeldGrant = Readonly<{response: GrantResponse; sentAt: Instant; deadlines: PermissionDeadlines}>;
 
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant from the failover coordinator'};
 
@@ -73,11 +72,11 @@
 
 	const revokedAt = new Map<DatabaseId, Instant>();
 
-	const activeWrites = new Map<DatabaseId, number>();
+	const activeWriteCounts = new Map<DatabaseId, number>();
 
 	const getValidRecord = (database: DatabaseId, permission: keyof Permissions): GroupRecord | undefined => {
 		const grant = grants.get(database);
-		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.reply.view.record : undefined;
+		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.response.view.record : undefined;
 	};
 
 	const checkPrimary = (database: DatabaseId, target: TargetId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
@@ -90,19 +89,19 @@
 	};
 
 	return {
-		accept(reply, sentAt) {
-			const {database} = reply.view.record;
+		accept(response, sentAt) {
+			const {database} = response.view.record;
 			const previous = grants.get(database);
-			const isOutdated = previous !== undefined && previous.reply.view.revision > reply.view.revision;
+			const isOutdated = previous !== undefined && previous.response.view.revision > response.view.revision;
 			if (isOutdated || sentAt <= (revokedAt.get(database) ?? PAST)) {
 				return;
 			}
 
-			const deadline = createDeadline(sentAt, reply.validMs);
+			const deadline = createDeadline(sentAt, response.validMs);
 			grants.set(database, {
-				reply,
+				response,
 				sentAt,
-				deadlines: changeDeadlines(EXPIRED_DEADLINES, reply.permissions, deadline),
+				deadlines: changeDeadlines(EXPIRED_DEADLINES, response.permissions, deadline),
 			});
 			changed.notify();
 		},
@@ -113,18 +112,18 @@
 				grants.set(database, {...previous, deadlines: changeDeadlines(previous.deadlines, permissions, PAST)});
 			}
 		},
-		getView: database => grants.get(database)?.reply.view,
+		getView: database => grants.get(database)?.response.view,
 		trackWrite(database) {
-			activeWrites.set(database, (activeWrites.get(database) ?? 0) + 1);
+			activeWriteCounts.set(database, (activeWriteCounts.get(database) ?? 0) + 1);
 			return {
 				[Symbol.dispose]() {
-					activeWrites.set(database, (activeWrites.get(database) ?? 0) - 1);
+					activeWriteCounts.set(database, (activeWriteCounts.get(database) ?? 0) - 1);
 					changed.notify();
 				},
 			};
 		},
 		async waitUntilWritesEnd(database, deadline) {
-			await changed.waitUntil(() => (activeWrites.get(database) ?? 0) === 0, deadline);
+			await changed.waitUntil(() => (activeWriteCounts.get(database) ?? 0) === 0, deadline);
 		},
 		checkWrite: (database, target) => checkPrimary(database, target, 'writes'),
 		checkAcknowledgement: (database, target) => checkPrimary(database, target, 'acknowledgements'),
@@ -139,26 +138,26 @@
 				return checkPrimary(database, target, 'acknowledgements');
 			}
 
-			const isReadable = grants.get(database)?.reply.readable.includes(target) ?? false;
+			const isReadable = grants.get(database)?.response.readable.includes(target) ?? false;
 			return record.replicated && isReadable
 				? Ok(record)
 				: Err({code: 'tooOld', message: `Target ${target} may lack acknowledged writes`});
 		},
 		checkStaleness(database, target, maximumAgeMs) {
 			const grant = grants.get(database);
-			const ageMs = grant?.reply.agesMs[target];
+			const ageMs = grant?.response.agesMs[target];
 			if (!grant || ageMs === undefined) {
 				return Err(NO_GRANT);
 			}
 
 			const currentAgeMs = ageMs + (world.now() - grant.sentAt);
 			return currentAgeMs <= maximumAgeMs
-				? Ok(grant.reply.view.record)
+				? Ok(grant.response.view.record)
 				: Err({code: 'tooOld', message: `The data of target ${target} may be ${Math.round(currentAgeMs)} ms old`});
 		},
 		async waitUntilIneligible(request, deadline, signal) {
 			const isIneligible = () => {
-				const record = grants.get(request.database)?.reply.view.record;
+				const record = grants.get(request.database)?.response.view.record;
 				if (!record || request.mode === 'stale') {
 					return false;
 				}
@@ -172,7 +171,7 @@
 			return waited.ok;
 		},
 		async waitForTerm(database, term, deadline, signal) {
-			const hasTermEnded = () => (grants.get(database)?.reply.view.record.term ?? 0) > term;
+			const hasTermEnded = () => (grants.get(database)?.response.view.record.term ?? 0) > term;
 			await changed.waitUntil(() => hasTermEnded() || getValidRecord(database, 'acknowledgements')?.term === term, deadline, signal);
 			if (hasTermEnded()) {
 				return 'replaced';
@@ -184,7 +183,7 @@
 };
 
 /** Tells whether at least the required number of replicas are waited for and all of these have replayed a position. */
-export const isReplicated = (record: GroupRecord, position: number, replayed: ReadonlyMap<string, number>): boolean => {
+export const isReplicated = (record: GroupRecord, position: number, replayedPositions: ReadonlyMap<string, number>): boolean => {
 	const awaited = getAwaitedReplicas(record);
-	return awaited.length >= record.minimumSynced && awaited.every(target => (replayed.get(target) ?? -1) >= position);
+	return awaited.length >= record.minimumSynced && awaited.every(target => (replayedPositions.get(target) ?? -1) >= position);
 };
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -20,10 +20,11 @@
 
 /** Health of one target as its last probes showed it. */
 export type TargetHealth = Readonly<{
+	/** Last report; `undefined` until a probe has succeeded. */
 	report: TargetReport | undefined;
 	/** When the last successful probe was sent. */
 	lastSuccessAt: Instant | undefined;
-	/** When the first of the probes was sent that have failed since the last success. */
+	/** When the first probe that failed after the last success was sent; `undefined` if the last probe succeeded. */
 	failingSince: Instant | undefined;
 }>;
 
@@ -31,10 +32,11 @@
 export type HealthMonitor = Readonly<{
 	/** Probes every target once. */
 	probeAll: (targets: readonly TargetId[]) => Promise<void>;
+	/** Returns the health of a target, also of one that has not been probed yet. */
 	get: (target: TargetId) => TargetHealth;
 	/** Tells whether the last probe of a target succeeded. */
 	isReachable: (target: TargetId) => boolean;
-	/** Tells whether probes of a target have failed for so long that it counts as failed. */
+	/** Tells whether probes of a target have failed for at least `FAILURE_TIMEOUT_MS`. */
 	hasFailed: (target: TargetId) => boolean;
 	/** Returns the position in the last report of a target; -1 if there is no report. */
 	getPosition: (target: TargetId) => number;
@@ -48,7 +50,7 @@
 	recordPosition: (position: number, at: Instant) => void;
 }>;
 
-/** Time of failing probes after which a target counts as failed, in milliseconds. */
+/** Time for which probes must fail before a target counts as failed, in milliseconds. */
 export const FAILURE_TIMEOUT_MS = 500;
 
 /** Number of recent positions of the primary that are kept for computing ages; one is recorded with each round of probes that reaches the primary. */
@@ -57,15 +59,15 @@
 
 type PositionSample = Readonly<{position: number; at: Instant}>;
 
-/** Creates a monitor of targets that have not been probed yet. */
-export const createHealthMonitor = (probe: ProbeTarget, world: World, onChange: (target: TargetId, reachable: boolean) => void): HealthMonitor => {
+/** Creates a monitor of targets that have not been probed yet. Calls `onChange` after the first probe of a target and whenever it becomes reachable or unreachable. */
+export const createHealthMonitor = (probe: ProbeTarget, world: World, onChange: (target: TargetId, isReachable: boolean) => void): HealthMonitor => {
 	const healthByTarget = new Map<TargetId, TargetHealth>();
 	const primaryPositions: PositionSample[] = [];
 	const highestPositions = new Map<TargetId, number>();
 
 	const get = (target: TargetId): TargetHealth => healthByTarget.get(target) ?? UNKNOWN_HEALTH;
 
-	const probeOne = async (target: TargetId) => {
+	const probeTarget = async (target: TargetId) => {
 		const sentAt = world.now();
 		const report = await probe(target);
 		const previous = get(target);
@@ -76,16 +78,16 @@
 			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? sentAt});
 		}
 
-		const isFirst = previous === UNKNOWN_HEALTH;
+		const isFirstProbe = previous === UNKNOWN_HEALTH;
 		const wasReachable = previous.failingSince === undefined;
-		if (isFirst || wasReachable !== report.ok) {
+		if (isFirstProbe || wasReachable !== report.ok) {
 			onChange(target, report.ok);
 		}
 	};
 
 	return {
 		async probeAll(targets) {
-			await Promise.all(targets.map(async target => probeOne(target)));
+			await Promise.all(targets.map(async target => probeTarget(target)));
 		},
 		get,
 		isReachable(target) {
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -1,4 +1,4 @@
-/** Maintains the synced set: the replicas that acknowledgements wait for, and when replicas join or leave it. */
+/** Maintains the synced set, the replicas that acknowledgements wait for: decides when replicas join and leave it. */
 
 import {
 	createDeadline, isPast, type DatabaseId, type TargetId, type World,
@@ -19,35 +19,37 @@
 	replicated: boolean;
 }>;
 
-/** Dependencies of the synced set, provided by the failover coordinator. */
-export type SyncedSetContext = Readonly<{
+/** Dependencies of the manager of a synced set, provided by the failover coordinator. */
+export type SyncedSetManagerContext = Readonly<{
 	world: World;
 	health: HealthMonitor;
 	issuer: GrantIssuer;
 	/** Returns the current revision of the group record. */
 	getRevision: () => number;
+	/** Writes a changed group record; returns `false` if it was not written. */
 	writeRecord: (record: GroupRecord, signal: AbortSignal) => Promise<boolean>;
+	/** Revokes permissions of all holders; new grants no longer give them either. */
 	revokeGrants: (revoked: Permissions, signal: AbortSignal) => Promise<void>;
 	/** Allows new grants to give all permissions again. */
 	restorePermissions: () => void;
 }>;
 
-/** Maintenance of the synced set of one database. */
-export type SyncedSet = Readonly<{
+/** Manager of the synced set of one database. */
+export type SyncedSetManager = Readonly<{
 	/** Makes at most one change that is due; tells whether it made one. */
 	adjust: (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal) => Promise<boolean>;
 }>;
 
 /** Maximum replication lag for which a synced replica may delay acknowledgements, in milliseconds. */
 const MAX_LAG_MS = 1000;
-/** How long one attempt to complete a join may take; after it the replicas keep joining and the attempt is repeated. */
+/** Timeout of one attempt to complete a join; after it, the replicas are still joining and the attempt is repeated. */
 const JOIN_TIMEOUT_MS = 3000;
 /** Minimum time between two additions of joining replicas. */
 const JOIN_INTERVAL_MS = 1000;
 const JOIN_PROBE_INTERVAL_MS = 25;
 
-/** Creates the maintenance of the synced set of one database. */
-export const createSyncedSet = (context: SyncedSetContext): SyncedSet => {
+/** Creates the manager of the synced set of one database. */
+export const createSyncedSetManager = (context: SyncedSetManagerContext): SyncedSetManager => {
 	const {world, health, issuer} = context;
 	let nextJoinAt = createDeadline(world.now(), 0);
 
@@ -56,27 +58,27 @@
 			return true;
 		}
 
-		const age = health.getAgeMs(target);
-		return health.isReachable(primary) && (age === undefined || age > MAX_LAG_MS);
+		const ageMs = health.getAgeMs(target);
+		return health.isReachable(primary) && (ageMs === undefined || ageMs > MAX_LAG_MS);
 	};
 
-	/** Removes replicas from the set that delay acknowledgements or have lost data, after all grants that allow reads from them have ended. */
+	/** Removes replicas that have lost data, and, down to the minimum number, those that delay acknowledgements or are about to be removed. Grants that allow reads from them end first. */
 	const removeLagging = async (record: GroupRecord, settings: FailoverSettings, signal: AbortSignal): Promise<boolean> => {
 		const joining = record.joining.filter(target => !isLagging(target, record.primary));
-		const lost = record.synced.filter(target => health.hasLostData(target));
-		const intact = record.synced.filter(target => !lost.includes(target));
-		const lagging = intact.filter(target => isLagging(target, record.primary) || settings.leaving.includes(target));
-		const removableCount = Math.max(0, intact.length - settings.minimumSynced);
-		const removed = [...lost, ...lagging.slice(0, removableCount)];
-		if (removed.length === 0 && joining.length === record.joining.length) {
+		const replicasWithDataLoss = record.synced.filter(target => health.hasLostData(target));
+		const intactReplicas = record.synced.filter(target => !replicasWithDataLoss.includes(target));
+		const removalCandidates = intactReplicas.filter(target => isLagging(target, record.primary) || settings.leaving.includes(target));
+		const removableCount = Math.max(0, intactReplicas.length - settings.minimumSynced);
+		const removedReplicas = [...replicasWithDataLoss, ...removalCandidates.slice(0, removableCount)];
+		if (removedReplicas.length === 0 && joining.length === record.joining.length) {
 			return false;
 		}
 
-		if (removed.length > 0) {
+		if (removedReplicas.length > 0) {
 			await context.revokeGrants(ALL_PERMISSIONS, signal);
 		}
 
-		await context.writeRecord({...record, joining, synced: record.synced.filter(target => !removed.includes(target))}, signal);
+		await context.writeRecord({...record, joining, synced: record.synced.filter(target => !removedReplicas.includes(target))}, signal);
 		context.restorePermissions();
 		return true;
 	};
@@ -114,6 +116,10 @@
 		return context.writeRecord({...record, joining: [...record.joining, ...candidates]}, signal);
 	};
 
+	/**
+	 * Adds the joining replicas to the synced set. Once every outstanding grant is based on the current record, each new acknowledgement waits for them;
+	 * from then on they must reach the position of the primary to hold all acknowledged writes.
+	 */
 	const finishJoin = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
 		if (record.joining.length === 0) {
 			return false;
@@ -132,9 +138,9 @@
 
 		while (!isPast(deadline, world.now()) && !signal.aborted) {
 			await health.probeAll(record.joining);
-			const joined = record.joining.filter(target => health.isReachable(target) && health.get(target).report?.isReplica && health.getPosition(target) >= requiredPosition);
-			if (joined.length === record.joining.length) {
-				return context.writeRecord({...record, joining: [], synced: [...record.synced, ...joined]}, signal);
+			const joinedReplicas = record.joining.filter(target => health.isReachable(target) && health.get(target).report?.isReplica && health.getPosition(target) >= requiredPosition);
+			if (joinedReplicas.length === record.joining.length) {
+				return context.writeRecord({...record, joining: [], synced: [...record.synced, ...joinedReplicas]}, signal);
 			}
 
 			await world.sleep(JOIN_PROBE_INTERVAL_MS, signal);
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -16,8 +16,8 @@
 } from './fake-group.js';
 
 const DATABASE = parseId<DatabaseId>('orders');
-const NAMES = ['orders-1', 'orders-2', 'orders-3'].map(name => parseId<TargetId>(name));
-const OWNERS = 2;
+const TARGETS = ['orders-1', 'orders-2', 'orders-3'].map(name => parseId<TargetId>(name));
+const OWNER_COUNT = 2;
 const RUN_MS = 14_000;
 const FAULTS_MS = 8000;
 const STEP_MS = 50;
@@ -25,71 +25,71 @@
 
 /** One fault of a simulation. */
 type Fault
-	= | Readonly<{kind: 'cut'; target: number; partition: Partition; atMs: number; forMs: number}>
-		| Readonly<{kind: 'lag'; target: number; lagMs: number; atMs: number; forMs: number}>
-		| Readonly<{kind: 'destroy'; target: number; atMs: number; forMs: number}>
-		| Readonly<{kind: 'storeDown'; atMs: number; forMs: number}>
-		| Readonly<{kind: 'loseAnswers'; atMs: number; forMs: number}>
-		| Readonly<{kind: 'acknowledgeByPrimary'; atMs: number; forMs: number}>
-		| Readonly<{kind: 'newSteward'; gapMs: number; atMs: number; forMs: number}>
-		| Readonly<{kind: 'leaving'; target: number; atMs: number; forMs: number}>;
+	= | Readonly<{kind: 'cut'; target: number; partition: Partition; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'lag'; target: number; lagMs: number; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'destroy'; target: number; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'storeDown'; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'loseAnswers'; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'acknowledgeByPrimary'; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'newSteward'; gapMs: number; atMs: number; durationMs: number}>
+		| Readonly<{kind: 'leaving'; target: number; atMs: number; durationMs: number}>;
 
 const atMs = fc.integer({min: 1000, max: FAULTS_MS - 2500});
-const forMs = fc.integer({min: 50, max: 2500});
-const target = fc.nat({max: NAMES.length - 1});
+const durationMs = fc.integer({min: 50, max: 2500});
+const target = fc.nat({max: TARGETS.length - 1});
 const partition = fc.record({fromCoordinator: fc.boolean(), fromOwners: fc.boolean(), fromReplicas: fc.boolean()});
 const lagArbitrary: fc.Arbitrary<Fault> = fc.record({
-	kind: fc.constant('lag' as const), target, lagMs: fc.integer({min: 100, max: 2000}), atMs, forMs,
+	kind: fc.constant('lag' as const), target, lagMs: fc.integer({min: 100, max: 2000}), atMs, durationMs,
 });
 const faultArbitrary: fc.Arbitrary<Fault> = fc.oneof(
 	{
 		weight: 4, arbitrary: fc.record({
-			kind: fc.constant('cut' as const), target, partition, atMs, forMs,
+			kind: fc.constant('cut' as const), target, partition, atMs, durationMs,
 		}),
 	},
 	lagArbitrary,
 	fc.record({
-		kind: fc.constant('destroy' as const), target, atMs, forMs: fc.integer({min: 2000, max: 2500}),
+		kind: fc.constant('destroy' as const), target, atMs, durationMs: fc.integer({min: 2000, max: 2500}),
 	}),
-	fc.record({kind: fc.constant('storeDown' as const), atMs, forMs}),
-	fc.record({kind: fc.constant('loseAnswers' as const), atMs, forMs}),
+	fc.record({kind: fc.constant('storeDown' as const), atMs, durationMs}),
+	fc.record({kind: fc.constant('loseAnswers' as const), atMs, durationMs}),
 	fc.record({
-		kind: fc.constant('newSteward' as const), gapMs: fc.integer({min: 0, max: 500}), atMs, forMs,
+		kind: fc.constant('newSteward' as const), gapMs: fc.integer({min: 0, max: 500}), atMs, durationMs,
 	}),
 	fc.record({
-		kind: fc.constant('leaving' as const), target, atMs, forMs,
+		kind: fc.constant('leaving' as const), target, atMs, durationMs,
 	}),
 );
 
-/** Violations that a simulation found, and how many writes were acknowledged, the last one when. */
-type Outcome = Readonly<{violations: readonly string[]; lastAcknowledgedAt: number; acknowledged: number}>;
+/** Violations that a simulation found, the number of acknowledged writes, and the time of the last of them in milliseconds. */
+type Outcome = Readonly<{violations: readonly string[]; lastAcknowledgedAt: number; acknowledgedCount: number}>;
 
-/** Mechanisms that a simulation can switch off, to prove that the check then fails. */
+/** Mechanisms that a simulation can switch off, to show that the check then fails: waiting for replicas, and revocation before a promotion. */
 type DisabledMechanisms = Readonly<{replicas?: boolean; revocation?: boolean}>;
 
 type Simulation = Readonly<{world: World; group: FakeGroup; faults: readonly Fault[]; disabled: DisabledMechanisms; signal: AbortSignal}>;
 
-const isActive = (fault: Fault, now: number): boolean => now >= fault.atMs && now < fault.atMs + fault.forMs;
+const isActive = (fault: Fault, now: number): boolean => now >= fault.atMs && now < fault.atMs + fault.durationMs;
 
 /** Wraps a store with outages and lost responses. */
 const createFaultyStore = ({world, faults}: Simulation, store: Store): Store => {
-	const has = (kind: Fault['kind']) => faults.some(fault => fault.kind === kind && isActive(fault, world.now()));
+	const isFaultActive = (kind: Fault['kind']) => faults.some(fault => fault.kind === kind && isActive(fault, world.now()));
 	const noResponse = Err({code: 'storeUnknown' as const, message: 'no response'});
 	return {
 		...store,
 		async read(key) {
 			await world.sleep(world.random() * 20);
-			return has('storeDown') ? noResponse : store.read(key);
+			return isFaultActive('storeDown') ? noResponse : store.read(key);
 		},
 		async compareAndSwap(...args) {
 			await world.sleep(world.random() * 20);
-			if (has('storeDown')) {
+			if (isFaultActive('storeDown')) {
 				return noResponse;
 			}
 
 			const outcome = await store.compareAndSwap(...args);
 			await world.sleep(world.random() * 20);
-			return has('loseAnswers') && world.random() < 0.5 ? noResponse : outcome;
+			return isFaultActive('loseAnswers') && world.random() < 0.5 ? noResponse : outcome;
 		},
 	};
 };
@@ -98,22 +98,22 @@
 const runCoordinators = (simulation: Simulation, registries: readonly GrantRegistry[]): (() => FailoverCoordinator | undefined) => {
 	const {world, group, faults, signal, disabled} = simulation;
 	const store = createFaultyStore(simulation, createMemoryStore(world));
-	const changes = faults.filter(fault => fault.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
-	const starts = [0, ...changes.map(fault => fault.atMs + fault.gapMs)];
-	const ends = [...changes.map(fault => fault.atMs), RUN_MS * 2];
-	const getLeaving = () => NAMES.filter((_, index) => faults.some(fault => fault.kind === 'leaving' && fault.target === index && isActive(fault, world.now())));
+	const coordinatorChanges = faults.filter(fault => fault.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
+	const startTimesMs = [0, ...coordinatorChanges.map(fault => fault.atMs + fault.gapMs)];
+	const endTimesMs = [...coordinatorChanges.map(fault => fault.atMs), RUN_MS * 2];
+	const getLeavingTargets = () => TARGETS.filter((_, index) => faults.some(fault => fault.kind === 'leaving' && fault.target === index && isActive(fault, world.now())));
 	const isReplicated = () => !faults.some(fault => fault.kind === 'acknowledgeByPrimary' && isActive(fault, world.now()));
-	const coordinators = starts.map((startMs, index) => {
-		const deadline = createDeadline(world.now(), ends[index] ?? 0);
-		const getAuthority = (): Deadline => world.now() >= startMs ? deadline : PAST;
+	const coordinators = startTimesMs.map((startMs, index) => {
+		const deadline = createDeadline(world.now(), endTimesMs[index] ?? 0);
+		const getAuthorityDeadline = (): Deadline => world.now() >= startMs ? deadline : PAST;
 		const coordinator = createFailoverCoordinator({
 			world,
 			store,
 			commands: group.commands,
 			getSettings: () => ({
-				database: DATABASE, targets: NAMES, leaving: getLeaving(), minimumSynced: 1, replicated: isReplicated(),
+				database: DATABASE, targets: TARGETS, leaving: getLeavingTargets(), minimumSynced: 1, replicated: isReplicated(),
 			}),
-			getAuthorityDeadline: getAuthority,
+			getAuthorityDeadline,
 			async revoke(holder, _database, permissions) {
 				await world.sleep(world.random() * 50);
 				if (disabled.revocation) {
@@ -139,7 +139,7 @@
 		return coordinator;
 	});
 	return () => {
-		const index = starts.findLastIndex(startMs => startMs <= world.now());
+		const index = startTimesMs.findLastIndex(startMs => startMs <= world.now());
 		return coordinators[index];
 	};
 };
@@ -155,20 +155,20 @@
 		while (!signal.aborted) {
 			const sentAt = world.now();
 			await world.sleep(world.random() * 40);
-			const reply: GrantResponse | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
+			const response: GrantResponse | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
 			await world.sleep(world.random() * 200);
-			if (reply && world.random() < 0.9) {
-				registry.accept(reply, sentAt);
+			if (response && world.random() < 0.9) {
+				registry.accept(response, sentAt);
 			}
 
 			await world.sleep(100, signal).catch(() => undefined);
 		}
 	};
 
-	const writeOne = async (registry: GrantRegistry, id: string) => {
+	const runWrite = async (registry: GrantRegistry, id: string) => {
 		const primary = registry.getView(DATABASE)?.record.primary;
-		const allowed = primary ? registry.checkWrite(DATABASE, primary) : undefined;
-		if (!primary || !allowed?.ok) {
+		const writeCheck = primary ? registry.checkWrite(DATABASE, primary) : undefined;
+		if (!primary || !writeCheck?.ok) {
 			return;
 		}
 
@@ -182,35 +182,35 @@
 		fakeTarget.log = [...fakeTarget.log, id];
 		const waitUntilDurable = createDurabilityWaiter(registry, async name => {
 			await world.sleep(world.random() * 20);
-			const {log, replayed, partition, isDown} = group.get(name);
-			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayedPositions: new Map(replayed)});
+			const {log, replayedPositions, partition, isDown} = group.get(name);
+			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayedPositions: new Map(replayedPositions)});
 		}, world);
-		const state = await waitUntilDurable({
-			database: DATABASE, target: primary, term: allowed.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
+		const outcome = await waitUntilDurable({
+			database: DATABASE, target: primary, term: writeCheck.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
 		});
-		if (state === 'durable') {
+		if (outcome === 'durable') {
 			acknowledged.add(id);
 			lastAcknowledgedAt = world.now();
 		}
 	};
 
-	const write = async (registry: GrantRegistry, index: number) => {
+	const runWrites = async (registry: GrantRegistry, index: number) => {
 		for (let count = 0; !signal.aborted; count++) {
-			await writeOne(registry, `${index}.${count}`);
+			await runWrite(registry, `${index}.${count}`);
 			await world.sleep(20 + (world.random() * 40), signal).catch(() => undefined);
 		}
 	};
 
 	for (const [index, registry] of registries.entries()) {
 		void renewGrants(registry, index);
-		void write(registry, index);
-		void write(registry, index + OWNERS);
+		void runWrites(registry, index);
+		void runWrites(registry, index + OWNER_COUNT);
 	}
 
 	return {
 		/** Checks that every target that may be read holds all acknowledged writes. */
 		check() {
-			for (const name of NAMES.filter(target => !group.get(target).isDown)) {
+			for (const name of TARGETS.filter(target => !group.get(target).isDown)) {
 				const present = new Set(group.get(name).log);
 				const missing = [...acknowledged].filter(id => !present.has(id));
 				if (missing.length > 0 && registries.some(registry => registry.checkRead(DATABASE, name).ok)) {
@@ -218,12 +218,12 @@
 				}
 			}
 		},
-		getOutcome: (): Outcome => ({violations, lastAcknowledgedAt, acknowledged: acknowledged.size}),
+		getOutcome: (): Outcome => ({violations, lastAcknowledgedAt, acknowledgedCount: acknowledged.size}),
 	};
 };
 
 const applyFaults = ({world, group, faults}: Simulation) => {
-	for (const [index, name] of NAMES.entries()) {
+	for (const [index, name] of TARGETS.entries()) {
 		const partitions = faults.filter(fault => fault.kind === 'cut' && fault.target === index && isActive(fault, world.now())).map(fault => fault.kind === 'cut' ? fault.partition : NO_PARTITION);
 		const lag = faults.find(fault => fault.kind === 'lag' && fault.target === index && isActive(fault, world.now()));
 		const fakeTarget = group.get(name);
@@ -244,11 +244,11 @@
 	const {world, advance} = createVirtualWorld(seed);
 	const stop = new AbortController();
 	setMaxListeners(0, stop.signal);
-	const group = createFakeGroup(NAMES, world);
+	const group = createFakeGroup(TARGETS, world);
 	const simulation: Simulation = {
 		world, group, faults, disabled, signal: stop.signal,
 	};
-	const registries = Array.from({length: OWNERS}, () => createGrantRegistry(world));
+	const registries = Array.from({length: OWNER_COUNT}, () => createGrantRegistry(world));
 	const owners = runOwners(simulation, registries, runCoordinators(simulation, registries));
 	void group.replicate(stop.signal);
 	while (world.now() < RUN_MS) {
@@ -269,7 +269,7 @@
 };
 
 const sampleSchedules = (count: number, seed: number, faults = faultArbitrary) => {
-	const arbitrary = fc.array(faults, {minLength: 1, maxLength: 4}).filter(all => isSurvivable(all));
+	const arbitrary = fc.array(faults, {minLength: 1, maxLength: 4}).filter(schedule => isSurvivable(schedule));
 	return fc.sample(fc.record({seed: fc.nat(), faults: arbitrary}), {numRuns: count, seed});
 };
 
@@ -286,10 +286,10 @@
 	});
 
 	describe('changes of the acknowledgement policy', () => {
-		const harmless = fc.oneof(lagArbitrary, fc.record({kind: fc.constant('acknowledgeByPrimary' as const), atMs, forMs}));
+		const harmlessFaultArbitrary = fc.oneof(lagArbitrary, fc.record({kind: fc.constant('acknowledgeByPrimary' as const), atMs, durationMs}));
 
 		it('keep every acknowledged write on each target that may be read, as long as no primary is lost', async () => {
-			for (const {seed, faults} of sampleSchedules(12, 73, harmless)) {
+			for (const {seed, faults} of sampleSchedules(12, 73, harmlessFaultArbitrary)) {
 				const outcome = await runSchedule(seed, faults);
 				const details = JSON.stringify({seed, faults, outcome});
 				assert.deepEqual(outcome.violations, [], details);
@@ -299,7 +299,7 @@
 	});
 
 	describe('the check itself', () => {
-		const isBroken = async (disabled: DisabledMechanisms): Promise<boolean> => {
+		const hasViolations = async (disabled: DisabledMechanisms): Promise<boolean> => {
 			for (const {seed, faults} of sampleSchedules(15, 72)) {
 				const outcome = await runSchedule(seed, faults, disabled);
 				if (outcome.violations.length > 0) {
@@ -311,11 +311,11 @@
 		};
 
 		it('fails when acknowledgements do not wait for replicas', async () => {
-			assert.ok(await isBroken({replicas: true}));
+			assert.ok(await hasViolations({replicas: true}));
 		});
 
 		it('fails when grants are not revoked before a promotion', async () => {
-			assert.ok(await isBroken({revocation: true}));
+			assert.ok(await hasViolations({revocation: true}));
 		});
 	});
 });
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -16,8 +16,8 @@
 	isReplica: boolean;
 	timeline: number;
 	upstream: TargetId | undefined;
-	/** Position that each follower has confirmed. */
-	readonly replayed: Map<string, number>;
+	/** Position that each replica which follows this target has replayed. */
+	readonly replayedPositions: Map<string, number>;
 	partition: Partition;
 	isDown: boolean;
 	lagMs: number;
@@ -40,7 +40,7 @@
 	target.isReplica = true;
 	target.timeline = 1;
 	target.upstream = undefined;
-	target.replayed.clear();
+	target.replayedPositions.clear();
 };
 
 const DEFAULT_LAG_MS = 15;
@@ -53,22 +53,23 @@
 
 /** Creates a group; the first target is its primary. */
 export const createFakeGroup = (names: readonly TargetId[], world: World): FakeGroup => {
-	const [first] = names;
+	const [primary] = names;
 	const targets = new Map(names.map((name): [TargetId, FakeTarget] => [name, {
-		name, log: [], isReplica: name !== first, timeline: 1, upstream: name === first ? undefined : first, replayed: new Map(), partition: NO_PARTITION, isDown: false, lagMs: DEFAULT_LAG_MS,
+		name, log: [], isReplica: name !== primary, timeline: 1, upstream: name === primary ? undefined : primary,
+		replayedPositions: new Map(), partition: NO_PARTITION, isDown: false, lagMs: DEFAULT_LAG_MS,
 	}]));
 
 	const get = (name: TargetId): FakeTarget => {
-		const found = targets.get(name);
-		if (!found) {
+		const target = targets.get(name);
+		if (!target) {
 			throw new RangeError(`no target ${name}`);
 		}
 
-		return found;
+		return target;
 	};
 
 	/** Delivers a command and its response; either may be lost to a partition. */
-	const command = async <Value>(name: TargetId, run: (target: FakeTarget) => Value): Promise<Result<Value, Failure>> => {
+	const sendCommand = async <Value>(name: TargetId, run: (target: FakeTarget) => Value): Promise<Result<Value, Failure>> => {
 		const target = get(name);
 		await world.sleep(world.random() * MAX_LATENCY_MS);
 		if (target.partition.fromCoordinator || target.isDown) {
@@ -86,34 +87,34 @@
 		const isConnected = source && !source.partition.fromReplicas && !replica.partition.fromReplicas && !source.isDown && !replica.isDown && replica.isReplica;
 		for (const target of targets.values()) {
 			if (target !== source || !isConnected) {
-				target.replayed.delete(replica.name);
+				target.replayedPositions.delete(replica.name);
 			}
 		}
 
 		if (source && isConnected && isPrefix(replica.log, source.log)) {
 			replica.log = source.log;
 			replica.timeline = Math.max(replica.timeline, source.timeline);
-			source.replayed.set(replica.name, replica.log.length);
+			source.replayedPositions.set(replica.name, replica.log.length);
 		}
 	};
 
 	return {
 		get,
 		commands: {
-			probe: async name => command(name, ({isReplica, timeline, log, replayed}): TargetReport => ({
-				isReplica, timeline, position: log.length, replayedPositions: new Map(replayed),
+			probe: async name => sendCommand(name, ({isReplica, timeline, log, replayedPositions}): TargetReport => ({
+				isReplica, timeline, position: log.length, replayedPositions: new Map(replayedPositions),
 			})),
-			promote: async name => command(name, target => {
+			promote: async name => sendCommand(name, target => {
 				if (target.isReplica) {
 					target.isReplica = false;
 					target.timeline++;
 					target.upstream = undefined;
 				}
 			}),
-			follow: async (name, primary) => command(name, target => {
+			follow: async (name, primary) => sendCommand(name, target => {
 				target.upstream = primary;
 			}),
-			rejoin: async (name, primary) => command(name, target => {
+			rejoin: async (name, primary) => sendCommand(name, target => {
 				const upstream = get(primary);
 				const divergedAt = target.log.findIndex((entry, index) => entry !== upstream.log[index]);
 				target.log = divergedAt === -1 ? target.log.slice(0, upstream.log.length) : target.log.slice(0, divergedAt);
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -19,9 +19,9 @@
 
 describe('grants', () => {
 	describe('revokeAll', () => {
-		it('leaves no valid grant, even if messages are delayed, lost or paused', async () => {
+		it('leaves no valid grant, even if messages are delayed or lost', async () => {
 			const delaysArbitrary = fc.record({
-				askMs: fc.integer({min: 0, max: 800}), replyMs: fc.integer({min: 0, max: 1500}), revokeMs: fc.integer({min: 0, max: 600}), revokeLost: fc.boolean(),
+				requestMs: fc.integer({min: 0, max: 800}), responseMs: fc.integer({min: 0, max: 1500}), revocationMs: fc.integer({min: 0, max: 600}), isRevocationLost: fc.boolean(),
 			});
 			await fc.assert(fc.asyncProperty(fc.array(delaysArbitrary, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (delaysByHolder, revokeAtMs) => {
 				const {world, advance} = createVirtualWorld();
@@ -31,19 +31,19 @@
 				let isRevoked = false;
 				const registries = delaysByHolder.map(() => createGrantRegistry(world));
 				const holders = delaysByHolder.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
-				const runs = delaysByHolder.map(async (delays, index) => {
+				const requests = delaysByHolder.map(async (delays, index) => {
 					for (let count = 0; count < 4; count++) {
 						const sentAt = world.now();
-						await world.sleep(delays.askMs);
+						await world.sleep(delays.requestMs);
 						const holder = holders[index];
-						const reply = isIssuing && holder
+						const response = isIssuing && holder
 							? issuer.grant(holder, {
 								view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 							})
 							: undefined;
-						await world.sleep(delays.replyMs);
-						if (reply) {
-							registries[index]?.accept(reply, sentAt);
+						await world.sleep(delays.responseMs);
+						if (response) {
+							registries[index]?.accept(response, sentAt);
 						}
 					}
 				});
@@ -53,8 +53,8 @@
 					await issuer.revokeAll(ALL_PERMISSIONS, async holder => {
 						const index = holders.indexOf(holder);
 						const delays = delaysByHolder[index];
-						await world.sleep(delays?.revokeMs ?? 0);
-						if (delays?.revokeLost) {
+						await world.sleep(delays?.revocationMs ?? 0);
+						if (delays?.isRevocationLost) {
 							return Err({code: 'lost', message: 'lost'});
 						}
 
@@ -71,7 +71,7 @@
 					}
 				}
 
-				await Promise.all([...runs, revocation]);
+				await Promise.all([...requests, revocation]);
 			}), {seed: 51, numRuns: 25});
 		});
 
@@ -106,49 +106,49 @@
 	});
 
 	describe('durability', () => {
-		const createReply = (view: GroupView): GrantResponse => ({
+		const createResponse = (view: GroupView): GrantResponse => ({
 			view, validMs: MAX_GRANT_VALIDITY_MS, agesMs: {}, readable: [REPLICA], permissions: ALL_PERMISSIONS,
 		});
 
-		const run = async (replayedAt: number, change: (registry: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
+		const waitWithChange = async (replayedAt: number, change: (registry: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
 			const {world, advance} = createVirtualWorld();
 			const registry = createGrantRegistry(world);
-			registry.accept(createReply(createView(1)), world.now());
+			registry.accept(createResponse(createView(1)), world.now());
 			const wait = createDurabilityWaiter(registry, async () => {
 				await world.sleep(1);
 				return Ok({position: 100, replayedPositions: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
 			}, world);
-			const state = wait({
+			const outcome = wait({
 				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
 			});
 			await advance(50);
 			change(registry, world);
 			await advance(5000);
-			return state;
+			return outcome;
 		};
 
 		it('waits for every synced replica', async () => {
-			assert.equal(await run(200, () => undefined), 'durable');
+			assert.equal(await waitWithChange(200, () => undefined), 'durable');
 		});
 
 		it('does not acknowledge while fewer replicas than the minimum are waited for', async () => {
-			const state = await run(200, (registry, world) => {
+			const state = await waitWithChange(200, (registry, world) => {
 				const view = createView(2);
-				registry.accept(createReply({...view, record: {...view.record, synced: []}}), world.now());
+				registry.accept(createResponse({...view, record: {...view.record, synced: []}}), world.now());
 			});
 			assert.equal(state, 'unproved');
 		});
 
 		it('does not acknowledge a write of a term that has ended', async () => {
-			const state = await run(200, (registry, world) => {
+			const state = await waitWithChange(200, (registry, world) => {
 				const view = createView(2);
-				registry.accept(createReply({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
+				registry.accept(createResponse({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
 			});
 			assert.equal(state, 'unproved');
 		});
 
 		it('does not acknowledge a write after the grant has expired', async () => {
-			assert.equal(await run(1500, () => undefined), 'unproved');
+			assert.equal(await waitWithChange(1500, () => undefined), 'unproved');
 		});
 	});
 });
