Name what the roles package's locals hold, and document claims and promises

A local for the entry of a fencing token was called an epoch (`tokenEntry`, `fencingTokenKey`); `isSameRun`, `roleAbort`, `extensionSource`, `hasLeaseExpired`, `slotsBeingClaimed` and `sentAtBySuspensionClock` say what they compare or hold. Comments now say which processes may claim a slot and why, that a holder needs the promises of all candidates, what `epoch` counts, when the callbacks are called, what `renewLease` returns and when it fails. Constants name their unit. Tests: fixtures by their kind, two titles in plainer words.

--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -9,7 +9,7 @@
 export type ProcessLease = Readonly<{
 	/** Returns the current lease if it is still valid; requests a new one from the store otherwise. */
 	acquire: () => Promise<Result<Lease, StoreFailure>>;
-	/** Renews the lease; concurrent calls share one renewal. */
+	/** Renews the lease; concurrent calls share one renewal. Fails with `leaseLost` if there is no lease or it has expired in the store. */
 	renew: () => Promise<Result<Lease, StoreFailure>>;
 	/** Returns the deadline until which the lease is confirmed to be valid; in the past if there is no lease. */
 	getDeadline: () => Deadline;
--- a/packages/roles/src/records.ts
+++ b/packages/roles/src/records.ts
@@ -9,10 +9,10 @@
 
 /** Record of a slot. It is changed only by compare-and-swap. */
 export type SlotRecord = Readonly<{
-	/** Number of the holder; grows by one with each new holder. */
+	/** Number of the claim by which the slot is held; grows by one with each claim. */
 	epoch: number;
 	holder: Candidate;
-	/** Processes that the holder asks for a promise not to take over while it cannot reach the store. */
+	/** Processes that the holder asks for a promise not to take over while it cannot reach the store. Its authority is extended only if all of them promise. */
 	candidates: readonly Candidate[];
 }>;
 
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -8,7 +8,7 @@
 /** An entry of the store as the change feed last delivered it. */
 export type CachedEntry = Readonly<{value: string; revision: number}>;
 
-/** Record of the holder of a role. */
+/** Record of the holder of a role; `epoch` is the fencing token drawn with the claim. */
 export type HolderRecord = Readonly<{vm: string; run: string; epoch: number}>;
 
 /** Dependencies of role claims. */
@@ -22,6 +22,7 @@
 	/** Prefixes of the keys of holder records and of fencing tokens. */
 	holderPrefix: string;
 	fencingTokenPrefix: string;
+	/** Returns an entry of the store according to the change feed. */
 	getEntry: (key: string) => CachedEntry | undefined;
 	/** Lists all roles. */
 	listRoles: () => readonly string[];
@@ -31,6 +32,7 @@
 	hasRunEnded: (holder: HolderRecord) => boolean;
 	/** Called after this process has written an entry. */
 	onWritten: (key: string, value: string, revision: number) => void;
+	/** Called when this process has claimed a role. */
 	onClaimed: (role: string, epoch: number) => void;
 }>;
 
@@ -40,7 +42,7 @@
 	run: (signal: AbortSignal) => Promise<void>;
 	/** Tells whether this process is confirmed to hold a role at this moment. */
 	isHeld: (role: string) => boolean;
-	/** Returns the holder of a role according to the change feed. */
+	/** Returns the holder of a role according to the change feed; `undefined` if there is none. */
 	getHolder: (role: string) => HolderRecord | undefined;
 	/** Draws a fencing token that is higher than all earlier ones; returns `undefined` if the role is lost or the store does not answer. */
 	drawFencingToken: (role: string) => Promise<number | undefined>;
@@ -77,31 +79,31 @@
 
 	const isHeld = (role: string): boolean => getHolder(role)?.run === context.run && registration.getLease() !== undefined;
 
-	const getEpoch = (role: string): Readonly<{epoch: number; revision: number}> => {
+	const getTokenEntry = (role: string): Readonly<{token: number; revision: number}> => {
 		const entry = context.getEntry(`${context.fencingTokenPrefix}${role}`);
-		return {epoch: Number(entry?.value ?? 0), revision: entry?.revision ?? 0};
+		return {token: Number(entry?.value ?? 0), revision: entry?.revision ?? 0};
 	};
 
-	const claim = async (role: string): Promise<void> => {
+	const claimRole = async (role: string): Promise<void> => {
 		const leaseId = registration.getLease();
 		if (leaseId === undefined) {
 			return;
 		}
 
 		const holderKey = `${context.holderPrefix}${role}`;
-		const epochKey = `${context.fencingTokenPrefix}${role}`;
-		const previous = getEpoch(role);
+		const fencingTokenKey = `${context.fencingTokenPrefix}${role}`;
+		const tokenEntry = getTokenEntry(role);
 		const holderRevision = context.getEntry(holderKey)?.revision ?? 0;
-		const epoch = previous.epoch + 1;
+		const epoch = tokenEntry.token + 1;
 		const holder: HolderRecord = {vm: context.vm, run: context.run, epoch};
 		const value = JSON.stringify(holder);
 		const written = await store.transact({
-			conditions: [{key: holderKey, revision: holderRevision}, {key: epochKey, revision: previous.revision}],
-			puts: [{key: holderKey, value, leaseId}, {key: epochKey, value: String(epoch), leaseId: undefined}],
+			conditions: [{key: holderKey, revision: holderRevision}, {key: fencingTokenKey, revision: tokenEntry.revision}],
+			puts: [{key: holderKey, value, leaseId}, {key: fencingTokenKey, value: String(epoch), leaseId: undefined}],
 			removes: [],
 		});
 		if (written.ok && written.val.revision !== undefined) {
-			context.onWritten(epochKey, String(epoch), written.val.revision);
+			context.onWritten(fencingTokenKey, String(epoch), written.val.revision);
 			context.onWritten(holderKey, value, written.val.revision);
 			context.onClaimed(role, epoch);
 		}
@@ -120,7 +122,7 @@
 		claimableAt.set(role, claimAt);
 		if (registration.getLease() !== undefined && isPast(claimAt, world.now())) {
 			claimableAt.set(role, createDeadline(world.now(), RANK_DELAY_MS));
-			await claim(role);
+			await claimRole(role);
 		}
 	};
 
@@ -143,20 +145,20 @@
 				return undefined;
 			}
 
-			const epochKey = `${context.fencingTokenPrefix}${role}`;
-			const previous = getEpoch(role);
-			const value = String(previous.epoch + 1);
+			const fencingTokenKey = `${context.fencingTokenPrefix}${role}`;
+			const tokenEntry = getTokenEntry(role);
+			const value = String(tokenEntry.token + 1);
 			const written = await store.transact({
-				conditions: [{key: holderKey, revision: holder.revision}, {key: epochKey, revision: previous.revision}],
-				puts: [{key: epochKey, value, leaseId: undefined}],
+				conditions: [{key: holderKey, revision: holder.revision}, {key: fencingTokenKey, revision: tokenEntry.revision}],
+				puts: [{key: fencingTokenKey, value, leaseId: undefined}],
 				removes: [],
 			});
 			if (written.err || written.val.revision === undefined) {
 				return undefined;
 			}
 
-			context.onWritten(epochKey, value, written.val.revision);
-			return previous.epoch + 1;
+			context.onWritten(fencingTokenKey, value, written.val.revision);
+			return tokenEntry.token + 1;
 		},
 	};
 };
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -13,6 +13,7 @@
 /** Authority over a slot. It is valid until a deadline, which is extended while the slot is held. */
 export type Authority = Readonly<{
 	slot: string;
+	/** Epoch of the slot record with which the slot was claimed. */
 	epoch: number;
 	/** Returns the current deadline. Code that acts under the authority must check it after every wait. */
 	getDeadline: () => Deadline;
@@ -37,8 +38,11 @@
 	hasRunEnded: (candidate: Candidate) => boolean;
 	/** Performs the role until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
+	/** Called when this process has claimed the slot. */
 	onGained: (slot: string, epoch: number) => void;
+	/** Called when the role has stopped, because the authority has ended or the signal has aborted. */
 	onLost: (slot: string, epoch: number) => void;
+	/** Called when the authority is extended by another source than before. */
 	onExtended: (slot: string, source: ExtensionSource) => void;
 }>;
 
@@ -49,15 +53,15 @@
 const MAX_ELIGIBLE_VMS = 3;
 /** Number of candidates in the record of a slot. */
 const MAX_RECORDED_CANDIDATES = 2;
-/** Mean interval between attempts to claim a slot. */
+/** Mean interval between attempts to claim a slot, in milliseconds. */
 const CLAIM_INTERVAL_MS = 400;
 const RENEWAL_INTERVAL_MS = 400;
-/** Safety margin for clocks that run at different rates. */
+/** Safety margin for clocks that run at different rates, in milliseconds. */
 const CLOCK_DRIFT_MS = 100;
 
 type Claim = Readonly<{record: SlotRecord; revision: number}>;
 
-const isSame = (a: Candidate, b: Candidate): boolean => a.vm === b.vm && a.incarnation === b.incarnation;
+const isSameRun = (a: Candidate, b: Candidate): boolean => a.vm === b.vm && a.incarnation === b.incarnation;
 
 const formatHolder = (candidate: Candidate): string => `${candidate.vm}/${candidate.incarnation}`;
 
@@ -65,13 +69,17 @@
 	.filter(candidate => candidate.vm !== context.self.vm && candidate.incarnation !== '')
 	.slice(0, MAX_RECORDED_CANDIDATES);
 
+/**
+ * Tells whether this process may claim a slot that no other process holds in the store: the last holder and the recorded candidates may.
+ * Other eligible vms may only if the last holder cannot extend its authority by promises, because it recorded no candidates or one of them has ended.
+ */
 const mayClaim = (context: SlotContext, record: SlotRecord | undefined): boolean => {
 	const {self} = context;
-	if (!record || isSame(record.holder, self) || record.candidates.some(candidate => isSame(candidate, self))) {
+	if (!record || isSameRun(record.holder, self) || record.candidates.some(candidate => isSameRun(candidate, self))) {
 		return true;
 	}
 
-	const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, self));
+	const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSameRun(candidate, self));
 	return isEligible && (record.candidates.length === 0 || record.candidates.some(candidate => context.hasRunEnded(candidate)));
 };
 
@@ -95,17 +103,17 @@
 
 /** Writes the lease entry of a slot and then its record; returns `undefined` if another process holds the slot or the store does not answer. */
 const claimSlot = async (context: SlotContext): Promise<Claim | undefined> => {
-	const {store, slot, self, lease, takeoverPromises: promises} = context;
+	const {store, slot, self, lease, takeoverPromises} = context;
 	const state = await readSlotState(context);
 	const acquiredLease = state ? await lease.acquire() : undefined;
-	if (!state || !acquiredLease?.ok || !promises.beginClaim(slot)) {
+	if (!state || !acquiredLease?.ok || !takeoverPromises.beginClaim(slot)) {
 		return undefined;
 	}
 
 	// No promise is in effect, and from here on none is made.
 	using claiming = {
 		[Symbol.dispose]() {
-			promises.endClaim(slot);
+			takeoverPromises.endClaim(slot);
 		},
 	};
 	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, state.leaseEntryRevision, formatHolder(self), acquiredLease.val.id);
@@ -138,7 +146,7 @@
 const refreshCandidates = async (context: SlotContext, claim: Claim): Promise<Claim> => {
 	const candidates = chooseCandidates(context);
 	const isCurrent = candidates.length === claim.record.candidates.length
-		&& candidates.every(candidate => claim.record.candidates.some(recorded => isSame(recorded, candidate)));
+		&& candidates.every(candidate => claim.record.candidates.some(recorded => isSameRun(recorded, candidate)));
 	if (isCurrent) {
 		return claim;
 	}
@@ -165,42 +173,42 @@
 /** Holds a claimed slot until its authority has ended. */
 const holdSlot = async (context: SlotContext, initialClaim: Claim, signal: AbortSignal): Promise<void> => {
 	const {world, lease, slot} = context;
-	const lost = new AbortController();
+	const roleAbort = new AbortController();
 	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -CLOCK_DRIFT_MS);
 	let claim = initialClaim;
 	let deadline = createLeaseDeadline();
-	let extension: ExtensionSource = 'lease';
+	let extensionSource: ExtensionSource = 'lease';
 	const extendByPromises = async (): Promise<Deadline> => {
 		const promisedUntil = await collectPromises(context, claim.record);
 		deadline = Math.max(deadline, promisedUntil) as Deadline;
 		return promisedUntil;
 	};
 
-	const running = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, lost.signal]));
+	const running = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, roleAbort.signal]));
 	context.onGained(slot, initialClaim.record.epoch);
 	while (!signal.aborted && !isPast(deadline, world.now())) {
 		await world.sleep(RENEWAL_INTERVAL_MS, signal).catch(() => undefined);
 		// After a failed renewal, promises are requested in parallel with the next one and extend the deadline at once, because that renewal may take just as long to fail.
-		const pendingPromises: Promise<Deadline> | undefined = extension === 'promises' ? extendByPromises() : undefined;
+		const pendingPromises: Promise<Deadline> | undefined = extensionSource === 'promises' ? extendByPromises() : undefined;
 		const renewed = await lease.renew();
-		const hasExpired = renewed.err && renewed.val.code === 'leaseLost';
+		const hasLeaseExpired = renewed.err && renewed.val.code === 'leaseLost';
 		const promisedUntil: Deadline = renewed.ok ? PAST : await (pendingPromises ?? extendByPromises());
-		const isAttached: boolean = renewed.ok || (hasExpired && !isPast(promisedUntil, world.now()) && await reattachSlot(context, claim));
+		const isAttached: boolean = renewed.ok || (hasLeaseExpired && !isPast(promisedUntil, world.now()) && await reattachSlot(context, claim));
 		deadline = isAttached ? Math.max(deadline, createLeaseDeadline()) as Deadline : deadline;
-		const source: ExtensionSource = isAttached ? 'lease' : 'promises';
-		if (source !== extension) {
-			extension = source;
-			context.onExtended(slot, source);
+		const newSource: ExtensionSource = isAttached ? 'lease' : 'promises';
+		if (newSource !== extensionSource) {
+			extensionSource = newSource;
+			context.onExtended(slot, newSource);
 		}
 
 		if (isAttached) {
 			claim = await refreshCandidates(context, claim);
-		} else if (hasExpired && isPast(promisedUntil, world.now())) {
+		} else if (hasLeaseExpired && isPast(promisedUntil, world.now())) {
 			break;
 		}
 	}
 
-	lost.abort();
+	roleAbort.abort();
 	await running;
 	context.onLost(slot, initialClaim.record.epoch);
 	// Grants issued under this authority may be valid until its deadline.
@@ -209,11 +217,11 @@
 
 /** Claims a slot whenever this vm is eligible and the slot is free, and holds it until it is lost. */
 export const runSlot = async (context: SlotContext, signal: AbortSignal): Promise<void> => {
-	const {world, takeoverPromises: promises, slot} = context;
+	const {world, takeoverPromises, slot} = context;
 	while (!signal.aborted) {
 		await world.sleep(CLAIM_INTERVAL_MS * (0.5 + world.random()), signal);
-		const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSame(candidate, context.self));
-		if (!isEligible || promises.isGiven(slot)) {
+		const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSameRun(candidate, context.self));
+		if (!isEligible || takeoverPromises.isGiven(slot)) {
 			continue;
 		}
 
--- a/packages/roles/src/takeover-promises.ts
+++ b/packages/roles/src/takeover-promises.ts
@@ -19,16 +19,16 @@
 	endClaim: (slot: string) => void;
 }>;
 
-/** Creates the promises of a process; none is made yet. */
+/** Creates the promises of a process; none has been made yet. */
 export const createTakeoverPromises = (incarnation: string, world: World): TakeoverPromises => {
 	const deadlines = new Map<string, Deadline>();
-	const claiming = new Set<string>();
+	const slotsBeingClaimed = new Set<string>();
 	const isGiven = (slot: string) => !isPast(deadlines.get(slot) ?? PAST, world.now());
 
 	return {
 		isGiven,
 		give(request, knownEpoch) {
-			if (claiming.has(request.slot) || request.incarnation !== incarnation || request.epoch < knownEpoch) {
+			if (slotsBeingClaimed.has(request.slot) || request.incarnation !== incarnation || request.epoch < knownEpoch) {
 				return false;
 			}
 
@@ -41,11 +41,11 @@
 				return false;
 			}
 
-			claiming.add(slot);
+			slotsBeingClaimed.add(slot);
 			return true;
 		},
 		endClaim(slot) {
-			claiming.delete(slot);
+			slotsBeingClaimed.delete(slot);
 		},
 	};
 };
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -1,4 +1,4 @@
-/** Role claims: no role has two holders, after lost responses and suspensions too, and fencing tokens only grow. */
+/** Role claims: a role never has two holders, not even after lost responses or suspensions, and fencing tokens only grow. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -14,13 +14,13 @@
 const createFakeStore = (world: World) => {
 	const entries = new Map<string, Entry>();
 	const leases = new Map<string, number>();
-	const state = {isDown: false, losesResponses: false};
+	const faults = {isDown: false, losesResponses: false};
 	let revision = 0;
-	let lastLease = 0;
+	let lastLeaseId = 0;
 
-	const expire = () => {
-		for (const [id, until] of leases) {
-			if (world.now() >= until) {
+	const expireLeases = () => {
+		for (const [id, expiresAt] of leases) {
+			if (world.now() >= expiresAt) {
 				leases.delete(id);
 				for (const [key, entry] of entries) {
 					if (entry.leaseId === id) {
@@ -32,22 +32,22 @@
 		}
 	};
 
-	const unreachable = Err({code: 'storeUnreachable', message: 'down'} as const);
+	const storeUnreachable = Err({code: 'storeUnreachable', message: 'down'} as const);
 	const store: RoleStore = {
 		async grantLease(ttlMs) {
-			expire();
-			if (state.isDown) {
-				return unreachable;
+			expireLeases();
+			if (faults.isDown) {
+				return storeUnreachable;
 			}
 
-			const id = String(++lastLease);
+			const id = String(++lastLeaseId);
 			leases.set(id, world.now() + ttlMs);
 			return Ok({id, ttlMs});
 		},
 		async renewLease(id) {
-			expire();
-			if (state.isDown) {
-				return unreachable;
+			expireLeases();
+			if (faults.isDown) {
+				return storeUnreachable;
 			}
 
 			if (!leases.has(id)) {
@@ -59,13 +59,13 @@
 		},
 		async revokeLease(id) {
 			leases.set(id, 0);
-			expire();
+			expireLeases();
 			return Ok(undefined);
 		},
 		async transact({conditions, puts}) {
-			expire();
-			if (state.isDown) {
-				return unreachable;
+			expireLeases();
+			if (faults.isDown) {
+				return storeUnreachable;
 			}
 
 			if (conditions.some(({key, revision: expected}) => (entries.get(key)?.revision ?? 0) !== expected)) {
@@ -77,38 +77,38 @@
 				entries.set(key, {value, revision, leaseId});
 			}
 
-			return state.losesResponses ? Err({code: 'storeUnknown', message: 'lost'}) : Ok({revision});
+			return faults.losesResponses ? Err({code: 'storeUnknown', message: 'lost'}) : Ok({revision});
 		},
 	};
 	return {
-		store, entries, state, expire,
+		store, entries, faults, expireLeases,
 	};
 };
 
 const createSetup = () => {
 	const {world, advance} = createVirtualWorld(17);
-	const fake = createFakeStore(world);
+	const fakeStore = createFakeStore(world);
 	const stop = new AbortController();
-	const start = (vm: string, rank: number) => {
+	const startVm = (vm: string, rank: number) => {
 		const suspension = {suspendedMs: 0};
 		const stopVm = new AbortController();
 		stop.signal.addEventListener('abort', () => {
 			stopVm.abort();
 		});
 		const registration = createVmRegistration({
-			world, readClock: () => (world.now() + suspension.suspendedMs) as Instant, store: fake.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
+			world, readClock: () => (world.now() + suspension.suspendedMs) as Instant, store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
 		});
 		const roles = createRoleClaims({
 			world,
-			store: fake.store,
+			store: fakeStore.store,
 			registration,
 			vm,
 			run: `${vm}-1`,
 			holderPrefix: 'holders/',
 			fencingTokenPrefix: 'epochs/',
 			getEntry(key) {
-				fake.expire();
-				return fake.entries.get(key);
+				fakeStore.expireLeases();
+				return fakeStore.entries.get(key);
 			},
 			listRoles: () => ['ledger'],
 			getRank: () => rank,
@@ -129,29 +129,29 @@
 	};
 
 	return {
-		fake, start, advance, stop,
+		fakeStore, startVm, advance, stop,
 	};
 };
 
 describe('role', () => {
 	it('is held by the best-ranked vm, and by the next one after the first has stopped', async () => {
-		const {start, advance, stop} = createSetup();
-		const first = start('one', 0);
-		const second = start('two', 1);
+		const {startVm, advance, stop} = createSetup();
+		const firstVm = startVm('one', 0);
+		const secondVm = startVm('two', 1);
 		await advance(1500);
-		assert.ok(first.roles.isHeld('ledger'));
-		assert.ok(!second.roles.isHeld('ledger'));
-		first.kill();
+		assert.ok(firstVm.roles.isHeld('ledger'));
+		assert.ok(!secondVm.roles.isHeld('ledger'));
+		firstVm.kill();
 		await advance(6000);
-		assert.ok(second.roles.isHeld('ledger'));
+		assert.ok(secondVm.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
 	it('never has two holders at the same time, even if a holder cannot renew its lease', async () => {
-		const {fake, start, advance, stop} = createSetup();
-		const vms = [start('one', 0), start('two', 1), start('three', 2)];
+		const {fakeStore, startVm, advance, stop} = createSetup();
+		const vms = [startVm('one', 0), startVm('two', 1), startVm('three', 2)];
 		for (let step = 0; step < 400; step++) {
-			fake.state.isDown = step % 130 > 80;
+			fakeStore.faults.isDown = step % 130 > 80;
 			await advance(50);
 			assert.ok(vms.filter(({roles}) => roles.isHeld('ledger')).length <= 1);
 		}
@@ -160,37 +160,37 @@
 	});
 
 	it('is not held after a suspension that lasted longer than the lease', async () => {
-		const {start, advance, stop} = createSetup();
-		const first = start('one', 0);
+		const {startVm, advance, stop} = createSetup();
+		const firstVm = startVm('one', 0);
 		await advance(1000);
-		assert.ok(first.roles.isHeld('ledger'));
-		first.suspension.suspendedMs = 5000;
-		assert.ok(!first.roles.isHeld('ledger'));
+		assert.ok(firstVm.roles.isHeld('ledger'));
+		firstVm.suspension.suspendedMs = 5000;
+		assert.ok(!firstVm.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
-	it('is known to its holder although the response to the claim was lost', async () => {
-		const {fake, start, advance, stop} = createSetup();
-		const first = start('one', 0);
+	it('is known to its holder even if the response to the claim was lost', async () => {
+		const {fakeStore, startVm, advance, stop} = createSetup();
+		const firstVm = startVm('one', 0);
 		await advance(100);
-		fake.state.losesResponses = true;
+		fakeStore.faults.losesResponses = true;
 		await advance(300);
-		fake.state.losesResponses = false;
+		fakeStore.faults.losesResponses = false;
 		await advance(1500);
-		assert.ok(first.roles.isHeld('ledger'));
+		assert.ok(firstVm.roles.isHeld('ledger'));
 		stop.abort();
 	});
 
 	it('draws fencing tokens that only grow, across all holders', async () => {
-		const {start, advance, stop} = createSetup();
-		const first = start('one', 0);
-		const second = start('two', 1);
+		const {startVm, advance, stop} = createSetup();
+		const firstVm = startVm('one', 0);
+		const secondVm = startVm('two', 1);
 		await advance(1500);
-		const tokens = [await first.roles.drawFencingToken('ledger'), await first.roles.drawFencingToken('ledger')];
-		assert.equal(await second.roles.drawFencingToken('ledger'), undefined);
-		first.kill();
+		const tokens = [await firstVm.roles.drawFencingToken('ledger'), await firstVm.roles.drawFencingToken('ledger')];
+		assert.equal(await secondVm.roles.drawFencingToken('ledger'), undefined);
+		firstVm.kill();
 		await advance(6000);
-		tokens.push(await second.roles.drawFencingToken('ledger'));
+		tokens.push(await secondVm.roles.drawFencingToken('ledger'));
 		assert.deepEqual(tokens, tokens.toSorted((a, b) => (a ?? 0) - (b ?? 0)));
 		assert.equal(new Set(tokens).size, 3);
 		stop.abort();
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -15,13 +15,13 @@
 const VMS = ['a', 'b', 'c', 'd'].map(name => parseId<VmId>(name));
 const SLOT = 'steward/0';
 
-type Faults = {storeDown: boolean; readonly partitioned: Set<VmId>; order: readonly VmId[]};
+type Faults = {isStoreDown: boolean; readonly partitioned: Set<VmId>; ranking: readonly VmId[]};
 
 /** Wraps a store with outages, partitions and lost responses; a change whose response is lost may still take effect. */
-const createFaultyStore = (inner: Store, world: World, faults: Faults, vm: VmId): Store => {
+const createFaultyStore = (sharedStore: Store, world: World, faults: Faults, vm: VmId): Store => {
 	const callStore = async <Value>(call: () => Promise<Value>): Promise<Value | undefined> => {
 		await world.sleep(1 + (world.random() * 3));
-		if (faults.storeDown || faults.partitioned.has(vm)) {
+		if (faults.isStoreDown || faults.partitioned.has(vm)) {
 			await world.sleep(600);
 			return undefined;
 		}
@@ -31,17 +31,17 @@
 
 	const noResponse = Err({code: 'storeUnknown', message: 'no response'} as const);
 	return {
-		read: async key => await callStore(async () => inner.read(key)) ?? noResponse,
-		readAll: async prefix => await callStore(async () => inner.readAll(prefix)) ?? noResponse,
+		read: async key => await callStore(async () => sharedStore.read(key)) ?? noResponse,
+		readAll: async prefix => await callStore(async () => sharedStore.readAll(prefix)) ?? noResponse,
 		async compareAndSwap(...args) {
-			const outcome = await callStore(async () => inner.compareAndSwap(...args));
+			const outcome = await callStore(async () => sharedStore.compareAndSwap(...args));
 			return outcome && world.random() > 0.05 ? outcome : noResponse;
 		},
-		remove: async (...args) => await callStore(async () => inner.remove(...args)) ?? noResponse,
-		grantLease: async seconds => await callStore(async () => inner.grantLease(seconds)) ?? noResponse,
-		renewLease: async id => await callStore(async () => inner.renewLease(id)) ?? noResponse,
-		revokeLease: async id => await callStore(async () => inner.revokeLease(id)) ?? noResponse,
-		watch: inner.watch,
+		remove: async (...args) => await callStore(async () => sharedStore.remove(...args)) ?? noResponse,
+		grantLease: async seconds => await callStore(async () => sharedStore.grantLease(seconds)) ?? noResponse,
+		renewLease: async id => await callStore(async () => sharedStore.renewLease(id)) ?? noResponse,
+		revokeLease: async id => await callStore(async () => sharedStore.revokeLease(id)) ?? noResponse,
+		watch: sharedStore.watch,
 	};
 };
 
@@ -50,8 +50,8 @@
 /** Runs four vms that claim a slot through a list of steps; returns the maximum number of holders at a time and for how long the slot was held. */
 const runSteps = async (steps: readonly Step[], seed: number) => {
 	const {world, advance} = createVirtualWorld(seed);
-	const inner = createMemoryStore(world);
-	const faults: Faults = {storeDown: false, partitioned: new Set(), order: VMS};
+	const sharedStore = createMemoryStore(world);
+	const faults: Faults = {isStoreDown: false, partitioned: new Set(), ranking: VMS};
 	const candidates: readonly Candidate[] = VMS.map(vm => ({vm, incarnation: `${vm}1`}));
 	const promisesByVm = new Map(candidates.map(candidate => [candidate.vm, createTakeoverPromises(candidate.incarnation, world)]));
 	const authorities = new Map<VmId, Authority>();
@@ -59,7 +59,7 @@
 		throw error;
 	});
 	for (const self of candidates) {
-		const store = createFaultyStore(inner, world, faults, self.vm);
+		const store = createFaultyStore(sharedStore, world, faults, self.vm);
 		const context: SlotContext = {
 			world,
 			store,
@@ -67,7 +67,7 @@
 			takeoverPromises: promisesByVm.get(self.vm) ?? createTakeoverPromises('', world),
 			self,
 			slot: SLOT,
-			rankCandidates: () => faults.order.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
+			rankCandidates: () => faults.ranking.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
 			async requestPromise(candidate, request) {
 				await world.sleep(1 + world.random());
 				const isPartitioned = faults.partitioned.has(self.vm) || faults.partitioned.has(candidate.vm);
@@ -94,7 +94,7 @@
 	let heldMs = 0;
 	let totalMs = 0;
 	const advanceAndObserve = async (ms: number) => {
-		for (let passed = 0; passed < ms; passed += 20) {
+		for (let passedMs = 0; passedMs < ms; passedMs += 20) {
 			await advance(20);
 			const holders = [...authorities.values()].filter(authority => authority.getDeadline() > world.now()).length;
 			maxHolders = Math.max(maxHolders, holders);
@@ -106,11 +106,11 @@
 	await advanceAndObserve(1500);
 	for (const step of steps) {
 		const vm = VMS[step.vm] ?? parseId<VmId>('a');
-		faults.storeDown = step.kind === 'storeDown' || (step.kind !== 'storeUp' && faults.storeDown);
+		faults.isStoreDown = step.kind === 'storeDown' || (step.kind !== 'storeUp' && faults.isStoreDown);
 		if (step.kind === 'reorder') {
 			// The ranking changes: the holder stays first, and two other vms than before come next.
 			const holder = [...authorities.keys()][0] ?? vm;
-			faults.order = [holder, ...VMS.filter(name => name !== holder).toReversed()];
+			faults.ranking = [holder, ...VMS.filter(name => name !== holder).toReversed()];
 		}
 
 		if (step.kind === 'cut') {
@@ -140,7 +140,7 @@
 	});
 
 	describe('takeover', () => {
-		it('is done by the vms that are eligible now, although the ranking has changed since the claim', async () => {
+		it('is done by the vms that are eligible now, even if the ranking has changed since the claim', async () => {
 			const {heldMs, totalMs} = await runSteps([{kind: 'reorder', vm: 0, ms: 3000}, {kind: 'cut', vm: 0, ms: 10}, {kind: 'cut', vm: 1, ms: 12_000}], 9);
 			assert.ok(heldMs > 0.7 * totalMs, `held ${heldMs} of ${totalMs} ms`);
 		});
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -22,6 +22,7 @@
 /** Store operations that roles need. */
 export type RoleStore = Readonly<{
 	grantLease: (ttlMs: number) => Promise<Result<GrantedLease, StoreFailure>>;
+	/** Renews a lease; returns its lifetime from then on, in milliseconds. Fails with `leaseLost` if it has expired. */
 	renewLease: (id: string) => Promise<Result<number, StoreFailure>>;
 	revokeLease: (id: string) => Promise<Result<undefined, StoreFailure>>;
 	transact: (transaction: StoreTransaction) => Promise<Result<TransactionOutcome, StoreFailure>>;
@@ -38,6 +39,7 @@
 	value: string;
 	/** Called after each successful call to the store, with the time when the call was sent. */
 	onContact: (sentAt: Instant) => void;
+	/** Called after each failed call to the store. */
 	onFailure: (failure: StoreFailure) => void;
 }>;
 
@@ -45,7 +47,7 @@
 export type VmRegistration = Readonly<{
 	/** Acquires and renews the lease until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
-	/** Returns the identifier of the lease while it is confirmed to be valid. */
+	/** Returns the identifier of the lease; `undefined` unless the lease is confirmed to be valid at this moment. */
 	getLease: () => string | undefined;
 	/** Revokes the lease; the store removes its entries. */
 	deregister: () => Promise<void>;
@@ -76,7 +78,7 @@
 	};
 
 	const register = async (): Promise<boolean> => {
-		const suspensionClockAt = readClock();
+		const sentAtBySuspensionClock = readClock();
 		const sentAt = world.now();
 		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
@@ -92,12 +94,12 @@
 		}
 
 		leaseId = granted.val.id;
-		deadline = createDeadline(suspensionClockAt, granted.val.ttlMs - CLOCK_DRIFT_MS);
+		deadline = createDeadline(sentAtBySuspensionClock, granted.val.ttlMs - CLOCK_DRIFT_MS);
 		return true;
 	};
 
 	const renew = async (id: string): Promise<boolean> => {
-		const suspensionClockAt = readClock();
+		const sentAtBySuspensionClock = readClock();
 		const sentAt = world.now();
 		const renewed = await store.renewLease(id);
 		if (renewed.err) {
@@ -106,15 +108,15 @@
 		}
 
 		context.onContact(sentAt);
-		deadline = createDeadline(suspensionClockAt, renewed.val - CLOCK_DRIFT_MS);
+		deadline = createDeadline(sentAtBySuspensionClock, renewed.val - CLOCK_DRIFT_MS);
 		return true;
 	};
 
 	return {
 		async run(signal) {
 			while (!signal.aborted && !isDeregistered) {
-				const done = leaseId === undefined ? await register() : await renew(leaseId);
-				await world.sleep(done ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + world.random()), signal).catch(() => undefined);
+				const hasSucceeded = leaseId === undefined ? await register() : await renew(leaseId);
+				await world.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + world.random()), signal).catch(() => undefined);
 			}
 		},
 		getLease: () => leaseId !== undefined && !isPast(deadline, readClock()) ? leaseId : undefined,
@@ -124,9 +126,9 @@
 			leaseId = undefined;
 			deadline = PAST;
 			if (id !== undefined) {
-				const ended = await store.revokeLease(id);
-				if (ended.err) {
-					context.onFailure(ended.val);
+				const revoked = await store.revokeLease(id);
+				if (revoked.err) {
+					context.onFailure(revoked.val);
 				}
 			}
 		},
