Name the contents of locals in membership and feed, and document their callbacks

`previousEntries`, `relevantChanges`, `firstLoggedNumber`, `listEntriesAsChanges`, `hasFollowedRelay`, `pendingStates`, `isFirstContact` and `sortKey` say what they hold. The fields `run`, `after` and `waitMs` of a feed request each have their own line; callbacks say when they are called; `getLive` says that suspects are included, `get` and `getAll` what they contain. The head of the failure detector tells the order of direct and indirect pings.

--- a/packages/feed/src/entries.ts
+++ b/packages/feed/src/entries.ts
@@ -26,7 +26,7 @@
 	watch: (prefix: string, after: number, waitMs: number) => Promise<Result<Readonly<{changes: readonly StoreChange[]; revision: number}>, SourceFailure>>;
 }>;
 
-/** Entries that are known to a process. */
+/** Entries of the store that a process knows. */
 export type EntryTable = Readonly<{
 	get: (key: string) => StoreEntry | undefined;
 	/** Returns the entries under a prefix. */
@@ -43,8 +43,8 @@
 	const removedAt = new Map<string, number>();
 
 	const apply = ({key, revision, entry}: StoreChange): boolean => {
-		const knownRevision = Math.max(entries.get(key)?.revision ?? 0, removedAt.get(key) ?? 0);
-		if (revision <= knownRevision) {
+		const latestRevision = Math.max(entries.get(key)?.revision ?? 0, removedAt.get(key) ?? 0);
+		if (revision <= latestRevision) {
 			return false;
 		}
 
@@ -68,8 +68,8 @@
 		replace(prefix, newEntries, revision) {
 			const presentKeys = new Set(newEntries.map(({key}) => key));
 			const changes: StoreChange[] = newEntries.map(entry => ({key: entry.key, revision: entry.revision, entry}));
-			for (const {key, revision: knownRevision} of list(prefix)) {
-				if (!presentKeys.has(key) && knownRevision <= revision) {
+			for (const {key, revision: entryRevision} of list(prefix)) {
+				if (!presentKeys.has(key) && entryRevision <= revision) {
 					changes.push({key, revision, entry: undefined});
 				}
 			}
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -9,14 +9,17 @@
 
 /** Request of a follower to a relay. */
 export type FeedRequest = Readonly<{
-	/** Run of the relay that last responded to the follower, and the number of the last change that the follower received from it. */
+	/** Run of the relay that last responded to the follower. */
 	run: string;
+	/** Number of the last change that the follower received from that run. */
 	after: number;
+	/** Time that the relay may wait for a change, in milliseconds. */
 	waitMs: number;
 }>;
 
 /** Response of a relay to a follower. */
 export type FeedResponse = Readonly<{
+	/** Run of the relay, to which `number` refers. */
 	run: string;
 	/** Number of the newest change in the response. */
 	number: number;
@@ -47,15 +50,19 @@
 	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
 	/** Returns the vms to follow, the best first; none if this vm should read the store itself. */
 	listRelays: () => readonly string[];
+	/** Sends a request to a relay. */
 	callRelay: (relay: string, request: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
+	/** Called with changes that are relevant to followers, after they have been applied. */
 	onChange: (changes: readonly StoreChange[]) => void;
+	/** Called when the feed starts to read the store, or to follow the relay `name`. */
 	onSourceChange: (kind: 'store' | 'relay', name: string) => void;
+	/** Called after each read of the store; `reason` is empty unless the read failed. */
 	onStoreStatus: (isReachable: boolean, reason: string) => void;
 }>;
 
 /** Change feed of one process. */
 export type Feed = Readonly<{
-	/** Runs until the signal aborts. */
+	/** Keeps the entries up to date until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
 	get: (key: string) => StoreEntry | undefined;
 	list: (prefix: string) => readonly StoreEntry[];
@@ -89,10 +96,10 @@
 /** Creates a change feed without entries. */
 export const createFeed = (context: FeedContext): Feed => {
 	const {world, source} = context;
-	const table = createEntryTable();
+	const entryTable = createEntryTable();
 	const changed = createNotifier(world);
 	let changeLog: StoreChange[] = [];
-	let firstNumber = 1;
+	let firstLoggedNumber = 1;
 	let contactAt = PAST as number;
 	let storeContactAt = PAST as number;
 	let relayUntil: Deadline = PAST;
@@ -102,30 +109,30 @@
 
 	const getAgeMs = () => world.now() - contactAt;
 
-	const publish = (changes: readonly StoreChange[], previous: ReadonlyMap<string, StoreEntry | undefined>) => {
-		const relevant = changes.filter(change => context.isRelevantChange(change, previous.get(change.key)));
-		if (relevant.length === 0) {
+	const publish = (changes: readonly StoreChange[], previousEntries: ReadonlyMap<string, StoreEntry | undefined>) => {
+		const relevantChanges = changes.filter(change => context.isRelevantChange(change, previousEntries.get(change.key)));
+		if (relevantChanges.length === 0) {
 			return;
 		}
 
-		changeLog.push(...relevant);
+		changeLog.push(...relevantChanges);
 		if (changeLog.length > MAX_LOG_LENGTH) {
-			firstNumber += changeLog.length - MAX_LOG_LENGTH;
+			firstLoggedNumber += changeLog.length - MAX_LOG_LENGTH;
 			changeLog = changeLog.slice(-MAX_LOG_LENGTH);
 		}
 
-		context.onChange(relevant);
+		context.onChange(relevantChanges);
 		changed.notify();
 	};
 
 	const applyChanges = (changes: readonly StoreChange[]) => {
-		const previous = new Map(changes.map(({key}) => [key, table.get(key)]));
-		publish(changes.filter(change => table.apply(change)), previous);
+		const previousEntries = new Map(changes.map(({key}) => [key, entryTable.get(key)]));
+		publish(changes.filter(change => entryTable.apply(change)), previousEntries);
 	};
 
 	const replaceAll = (prefix: string, entries: readonly StoreEntry[], revision: number) => {
-		const previous = new Map(table.list(prefix).map(entry => [entry.key, entry]));
-		publish(table.replace(prefix, entries, revision), previous);
+		const previousEntries = new Map(entryTable.list(prefix).map(entry => [entry.key, entry]));
+		publish(entryTable.replace(prefix, entries, revision), previousEntries);
 	};
 
 	const recordContact = (sentAt: Instant) => {
@@ -180,6 +187,7 @@
 		return INITIAL_BACKOFF_MS;
 	};
 
+	/** Reads the store until a relay can be followed instead. */
 	const readStore = async (signal: AbortSignal): Promise<void> => {
 		const readerAbort = new AbortController();
 		const abort = () => {
@@ -189,7 +197,7 @@
 		signal.addEventListener('abort', abort, {once: true});
 		isReadingStore = true;
 		context.onSourceChange('store', '');
-		const readers = context.prefixes.map(async prefix => readPrefix(prefix, readerAbort.signal));
+		const readerTasks = context.prefixes.map(async prefix => readPrefix(prefix, readerAbort.signal));
 		await world.sleep(MIN_READING_MS, signal).catch(() => undefined);
 		while (!signal.aborted && (shouldReadStore() || getAgeMs() > STALENESS_LIMIT_MS)) {
 			await world.sleep(READING_CHECK_INTERVAL_MS, signal).catch(() => undefined);
@@ -199,7 +207,7 @@
 		isReadingStore = false;
 		signal.removeEventListener('abort', abort);
 		// Watches in progress end by themselves when their wait has ended.
-		void Promise.all(readers);
+		void Promise.all(readerTasks);
 	};
 
 	/** Follows a relay until it fails; returns `false` if it never responded with fresh data. */
@@ -234,7 +242,7 @@
 		return hasResponded;
 	};
 
-	const listAllChanges = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => table.list(prefix))
+	const listEntriesAsChanges = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => entryTable.list(prefix))
 		.map(entry => ({key: entry.key, revision: entry.revision, entry}));
 
 	return {
@@ -245,26 +253,26 @@
 					continue;
 				}
 
-				let wasFollowed = false;
+				let hasFollowedRelay = false;
 				for (const relay of context.listRelays().slice(0, MAX_RELAY_ATTEMPTS)) {
-					wasFollowed = await followRelay(relay, signal);
-					if (wasFollowed || signal.aborted || shouldReadStore()) {
+					hasFollowedRelay = await followRelay(relay, signal);
+					if (hasFollowedRelay || signal.aborted || shouldReadStore()) {
 						break;
 					}
 				}
 
-				if (!wasFollowed && !signal.aborted) {
+				if (!hasFollowedRelay && !signal.aborted) {
 					await readStore(signal);
 				}
 			}
 		},
-		get: table.get,
-		list: table.list,
+		get: entryTable.get,
+		list: entryTable.list,
 		async serve(request) {
 			relayUntil = createDeadline(world.now(), RELAY_TIMEOUT_MS);
 			const waitDeadline = createDeadline(world.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
-			const getNextNumber = () => firstNumber + changeLog.length;
-			const isInLog = request.run === context.run && request.after >= firstNumber - 1;
+			const getNextNumber = () => firstLoggedNumber + changeLog.length;
+			const isInLog = request.run === context.run && request.after >= firstLoggedNumber - 1;
 			if (isInLog) {
 				while (request.after + 1 >= getNextNumber() && !isPast(waitDeadline, world.now())) {
 					await changed.waitForChange(waitDeadline);
@@ -272,12 +280,12 @@
 			}
 
 			const ageMs = Math.max(0, world.now() - (isReadingStore ? storeContactAt : contactAt));
-			const isStillInLog = isInLog && request.after >= firstNumber - 1;
+			const isStillInLog = isInLog && request.after >= firstLoggedNumber - 1;
 			return {
 				run: context.run,
 				number: getNextNumber() - 1,
 				isWhole: !isStillInLog,
-				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstNumber) : listAllChanges(),
+				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstLoggedNumber) : listEntriesAsChanges(),
 				ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
 			};
 		},
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -13,7 +13,7 @@
 /** A store of a few entries with switchable faults. */
 const createStore = (world: World) => {
 	const changes: StoreChange[] = [];
-	const state = {isDown: false, historyFrom: 0, reads: 0};
+	const state = {isDown: false, historyFrom: 0, readCount: 0};
 	const getRevision = () => changes.length;
 	const put = (key: string, value: string) => {
 		const revision = getRevision() + 1;
@@ -26,14 +26,14 @@
 
 	const source: FeedSource = {
 		async readAll(prefix) {
-			state.reads++;
+			state.readCount++;
 			const latest = new Map(changes.map(change => [change.key, change.entry]));
 			return state.isDown
 				? Err({code: 'storeUnreachable', message: 'down'})
 				: Ok({entries: [...latest.values()].flatMap(entry => entry?.key.startsWith(prefix) ? [entry] : []), revision: getRevision()});
 		},
 		async watch(prefix, after, waitMs) {
-			for (let waited = 0; waited < waitMs && !state.isDown && after >= state.historyFrom; waited += 20) {
+			for (let waitedMs = 0; waitedMs < waitMs && !state.isDown && after >= state.historyFrom; waitedMs += 20) {
 				const newChanges = changes.filter(change => change.revision > after && change.key.startsWith(prefix));
 				if (newChanges.length > 0) {
 					return Ok({changes: newChanges, revision: getRevision()});
@@ -58,7 +58,7 @@
 	const {world, advance} = createVirtualWorld(9);
 	const store = createStore(world);
 	const stop = new AbortController();
-	const start = (name: string, source: FeedSource, relay?: Feed): Feed => {
+	const startFeed = (name: string, source: FeedSource, relay?: Feed): Feed => {
 		const feed = createFeed({
 			world,
 			run: name,
@@ -78,15 +78,15 @@
 	};
 
 	return {
-		world, advance, store, start, stop,
+		world, advance, store, startFeed, stop,
 	};
 };
 
 describe('change feed', () => {
 	it('reads the store and receives changes', async () => {
-		const {advance, store, start, stop} = createSetup();
+		const {advance, store, startFeed, stop} = createSetup();
 		store.put('a/x', '1');
-		const feed = start('one', store.source);
+		const feed = startFeed('one', store.source);
 		await advance(50);
 		store.put('a/x', '2');
 		await advance(100);
@@ -95,24 +95,24 @@
 	});
 
 	it('follows a relay without reading the store', async () => {
-		const {advance, store, start, stop} = createSetup();
-		const relay = start('one', store.source);
+		const {advance, store, startFeed, stop} = createSetup();
+		const relay = startFeed('one', store.source);
 		await advance(100);
-		const previousReads = store.state.reads;
-		const follower = start('two', {...store.source, readAll: async () => Err({code: 'storeUnreachable', message: 'unreachable'})}, relay);
+		const previousReadCount = store.state.readCount;
+		const follower = startFeed('two', {...store.source, readAll: async () => Err({code: 'storeUnreachable', message: 'unreachable'})}, relay);
 		store.put('a/y', '7');
 		await advance(1200);
 		assert.equal(follower.get('a/y')?.value, '7');
 		assert.ok(follower.getAgeMs() < 2100);
-		assert.equal(store.state.reads, previousReads);
+		assert.equal(store.state.readCount, previousReadCount);
 		stop.abort();
 	});
 
 	it('reports the age of data from a relay that cannot reach the store', async () => {
-		const {advance, store, start, stop} = createSetup();
-		const relay = start('one', store.source);
+		const {advance, store, startFeed, stop} = createSetup();
+		const relay = startFeed('one', store.source);
 		await advance(100);
-		const follower = start('two', store.source, relay);
+		const follower = startFeed('two', store.source, relay);
 		await advance(200);
 		store.state.isDown = true;
 		await advance(6000);
@@ -121,9 +121,9 @@
 	});
 
 	it('reads all entries again when the store has lost its history', async () => {
-		const {advance, store, start, stop} = createSetup();
+		const {advance, store, startFeed, stop} = createSetup();
 		store.put('a/x', '1');
-		const feed = start('one', store.source);
+		const feed = startFeed('one', store.source);
 		await advance(50);
 		store.put('a/x', '2');
 		store.state.historyFrom = store.getRevision();
--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -1,4 +1,4 @@
-/** Failure detector: pings one random member each period, and before suspecting it also through other vms. */
+/** Failure detector: pings one random member in each period. A member that does not respond is pinged through other vms before it is suspected. */
 
 import type {
 	Failure, Result, VmId, World,
@@ -16,8 +16,8 @@
 	world: World;
 	members: Members;
 	self: VmId;
-	/** Sends a ping to a vm. */
-	ping: (vm: VmId, ping: PingRequest, timeoutMs: number) => Promise<Result<PingResponse, Failure>>;
+	/** Sends a ping to a vm and waits at most `timeoutMs` for the response. */
+	ping: (vm: VmId, request: PingRequest, timeoutMs: number) => Promise<Result<PingResponse, Failure>>;
 }>;
 
 const PING_INTERVAL_MS = 200;
@@ -42,8 +42,8 @@
 	const {members, world, self} = context;
 	const intermediaries = members.getLive()
 		.filter(member => member.vm !== vm && member.vm !== self)
-		.map(member => ({member, order: world.random()}))
-		.toSorted((a, b) => a.order - b.order)
+		.map(member => ({member, sortKey: world.random()}))
+		.toSorted((a, b) => a.sortKey - b.sortKey)
 		.slice(0, MAX_INTERMEDIARIES);
 	const responses = await Promise.all(intermediaries.map(async ({member}) => context.ping(member.vm, {news: [], through: vm}, INDIRECT_PING_TIMEOUT_MS)));
 	return responses.some(response => handleResponse(context, vm, response));
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -1,4 +1,4 @@
-/** Membership of the fleet: which vms are alive, by direct pings, a suspicion time before a vm is declared dead, and gossip. */
+/** Membership of the fleet: tracks which vms are alive from pings, gossip, and a suspicion timeout before a vm is declared dead. */
 
 import {
 	createDeadline, isPast, NEVER, type DataCentreId, type Deadline, type VmId, type World,
@@ -41,14 +41,15 @@
 	recordResponse: (vm: VmId, incarnation: string) => void;
 	/** Records that a vm did not respond; if it counted as alive, it becomes a suspect. */
 	recordTimeout: (vm: VmId) => void;
-	/** Declares suspects dead whose suspicion time has passed. */
+	/** Declares suspects dead whose suspicion timeout has passed. */
 	expireSuspects: () => void;
-	/** Marks this vm as leaving. */
+	/** Marks this vm as leaving, which its peers learn by gossip. */
 	markLeaving: () => void;
+	/** Returns a member; `undefined` if the vm is not in the list. */
 	get: (vm: VmId) => Member | undefined;
-	/** Returns the vms that may be given work, including this one. */
+	/** Returns the vms that may be given work, including this one: those that the list shows as live and that are alive or suspected. */
 	getLive: (dataCentre?: DataCentreId) => readonly Member[];
-	/** Returns all vms of the list. */
+	/** Returns this vm and all others that the list has contained. */
 	getAll: () => readonly Member[];
 	/** Returns a number that grows whenever the result of `getLive` may have changed. */
 	getVersion: () => number;
@@ -67,26 +68,26 @@
 	remainingTransmissions: number;
 };
 
-/** How long a suspect may take to respond or to refute the suspicion before it is declared dead. */
+/** Time that a suspect has to respond or to refute the suspicion before it is declared dead, in milliseconds. */
 const SUSPICION_TIMEOUT_MS = 600;
 /** Number of messages that an update is sent with. */
 const MAX_TRANSMISSIONS = 8;
 const MAX_UPDATES_PER_MESSAGE = 12;
-/** Which of two updates of the same version wins: the one with the higher number. */
+/** Precedence of updates with the same version; the one with the higher number replaces the other. */
 const STATUS_PRECEDENCE: Readonly<Record<MemberStatus, number>> = {
 	alive: 0, suspect: 1, leaving: 2, dead: 3,
 };
 
 const isNewer = (update: MemberUpdate, current: MemberUpdate): boolean => {
 	if (update.incarnation !== current.incarnation && current.incarnation !== '') {
-		// The update is about another run of the process, which announced itself or was seen by another vm.
+		// The update is about another run of the process. That run counts as newer if it is alive: it announced itself or was seen by another vm.
 		return update.status === 'alive';
 	}
 
 	return update.version > current.version || (update.version === current.version && STATUS_PRECEDENCE[update.status] > STATUS_PRECEDENCE[current.status]);
 };
 
-/** Creates the members; this vm is the only one. */
+/** Creates the members, with only this vm. Calls `onChange` when the status of another vm changes and when its run is first known. */
 export const createMembers = (self: LocalMember, world: World, onChange: (member: Member, previousStatus: MemberStatus | undefined) => void): Members => {
 	const states = new Map<VmId, MemberState>();
 	let localUpdate: MemberUpdate = {
@@ -98,11 +99,11 @@
 	const applyUpdate = (state: MemberState, update: MemberUpdate) => {
 		changeCount++;
 		const previousStatus = state.update.status;
-		const isFirst = state.update.incarnation === '' && update.incarnation !== '';
+		const isFirstContact = state.update.incarnation === '' && update.incarnation !== '';
 		state.update = update;
 		state.remainingTransmissions = MAX_TRANSMISSIONS;
 		state.suspectUntil = update.status === 'suspect' ? createDeadline(world.now(), SUSPICION_TIMEOUT_MS) : NEVER;
-		if (previousStatus !== update.status || isFirst) {
+		if (previousStatus !== update.status || isFirstContact) {
 			onChange({...state.entry, ...update}, previousStatus);
 		}
 	};
@@ -194,11 +195,11 @@
 		getAll: () => [getLocal(), ...[...states.values()].map(state => getMember(state))],
 		chooseUpdates() {
 			const updates: MemberUpdate[] = [localUpdate];
-			const pending = [...states.values()]
+			const pendingStates = [...states.values()]
 				.filter(state => state.remainingTransmissions > 0)
 				.toSorted((a, b) => b.remainingTransmissions - a.remainingTransmissions)
 				.slice(0, MAX_UPDATES_PER_MESSAGE);
-			for (const state of pending) {
+			for (const state of pendingStates) {
 				state.remainingTransmissions--;
 				updates.push(state.update);
 			}
