Name what locals hold in configuration, callers and sessions, and document fields of messages

`refreshConfiguration`, `refreshAllEntries` and `refreshEntries` update the cache; one of them had the name of the exported `readConfiguration`, which does something else. `formattedDocument`, `progressByRelay`, `nextFullReadAt`, `newerEntries`, `currentAuthorization`, `firstWord`, `body` and `remainingText` replace words that did not say what is held. Comments now say what `sequence`, `entries`, `replies`, `weight`, `shape`, `rest` and `position` mean, when reads and changes of the configuration fail, and what the relays confirm about the store. Two test titles in plainer words.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -24,7 +24,7 @@
 	isPublic: boolean;
 }>;
 
-/** Service and customer for which a caller is authorized. */
+/** Service and customer for which a session is authorized. */
 export type Authorization = Readonly<{route: Route; customer: CustomerId}>;
 
 /** Dependencies of a session. */
@@ -42,6 +42,7 @@
 export type SessionResponse = Readonly<{
 	outcome: StatementOutcome;
 	status: TransactionStatus;
+	/** Log position of the target; `undefined` if no target ran the statement or none was reported. */
 	position: LogPosition | undefined;
 	/** Target that ran the statement, for logging. */
 	target: string | undefined;
@@ -133,10 +134,10 @@
 
 	/** Runs a statement under the authorization that the transaction began with; only a key that has been withdrawn since ends the transaction. */
 	const runInTransaction = async (id: string, statement: TargetStatement, openTransaction: Transaction): Promise<SessionResponse> => {
-		const current = context.authorize();
-		if (current.err && current.val.kind === 'refused' && current.val.code === 'noKey') {
+		const currentAuthorization = context.authorize();
+		if (currentAuthorization.err && currentAuthorization.val.kind === 'refused' && currentAuthorization.val.code === 'noKey') {
 			endTransaction('failed');
-			return createResponse(current.val);
+			return createResponse(currentAuthorization.val);
 		}
 
 		const request = createRequest(id, statement, openTransaction.authorization, openTransaction.latencyDeadline);
@@ -180,10 +181,10 @@
 			: runSingle(id, statement);
 	};
 
-	const execute = async (id: string, name: string, rest: string): Promise<SessionResponse> => {
+	const execute = async (id: string, name: string, parameters: string): Promise<SessionResponse> => {
 		const definition = preparedStatements.get(name);
 		return definition
-			? runAtTarget(id, {kind: 'prepared', prepared: definition, rest})
+			? runAtTarget(id, {kind: 'prepared', prepared: definition, rest: parameters})
 			: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
 	};
 
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -18,7 +18,7 @@
 const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
 	const {world} = createVirtualWorld();
 	const requests: StatementRequest[] = [];
-	const rolledBack: string[] = [];
+	const rolledBackTransactions: string[] = [];
 	const state = {isIssued: true};
 	const session = createSession({
 		world,
@@ -31,11 +31,11 @@
 			};
 		},
 		rollBack(_database, transaction) {
-			rolledBack.push(transaction);
+			rolledBackTransactions.push(transaction);
 		},
 	});
 	return {
-		session, requests, rolledBack, state,
+		session, requests, rolledBackTransactions, state,
 	};
 };
 
@@ -62,11 +62,11 @@
 		});
 
 		it('is rolled back when its caller disconnects', async () => {
-			const {session, rolledBack} = createSetup();
+			const {session, rolledBackTransactions} = createSetup();
 			await session.run('1', {kind: 'begin', readOnly: false});
 			await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
 			session.end();
-			assert.equal(rolledBack.length, 1);
+			assert.equal(rolledBackTransactions.length, 1);
 		});
 	});
 
@@ -86,8 +86,8 @@
 			await session.run('2', {kind: 'execute', name: 's1', rest: 'a b'});
 			assert.deepEqual(requests[0]?.statement, {kind: 'prepared', prepared: {access: 'write', shape: 'q2c'}, rest: 'a b'});
 			await session.run('3', {kind: 'deallocate', name: 's1'});
-			const afterDeallocate = await session.run('4', {kind: 'execute', name: 's1', rest: 'a b'});
-			assert.equal(afterDeallocate.outcome.kind === 'refused' && afterDeallocate.outcome.code, 'noStatement');
+			const responseAfterDeallocate = await session.run('4', {kind: 'execute', name: 's1', rest: 'a b'});
+			assert.equal(responseAfterDeallocate.outcome.kind === 'refused' && responseAfterDeallocate.outcome.code, 'noStatement');
 		});
 	});
 
@@ -96,8 +96,8 @@
 			const {session, requests, state} = createSetup();
 			await session.run('1', {kind: 'begin', readOnly: false});
 			state.isIssued = false;
-			const refused = await session.run('2', {kind: 'text', access: 'read', text: 'READ a'});
-			assert.equal(refused.outcome.kind === 'refused' && refused.outcome.code, 'noKey');
+			const response = await session.run('2', {kind: 'text', access: 'read', text: 'READ a'});
+			assert.equal(response.outcome.kind === 'refused' && response.outcome.code, 'noKey');
 			assert.equal(requests.length, 0);
 		});
 	});
--- a/packages/configuration/src/active-configuration.ts
+++ b/packages/configuration/src/active-configuration.ts
@@ -12,13 +12,13 @@
 /** Why a key may not be used: it was removed, or the configuration is too old to be certain of it. */
 export type KeyRefusal = 'keyWithdrawn' | 'keyUnconfirmed';
 
-/** Active configuration. */
+/** Active configuration of one process. */
 export type ActiveConfiguration = Readonly<{
 	/** Returns the inventory; `undefined` until the first configuration has been received. */
 	getInventory: () => Inventory | undefined;
 	/** Returns the revision; 0 until the first configuration has been received. */
 	getRevision: () => number;
-	/** Returns the whole document; `undefined` until the first configuration has been received. */
+	/** Returns the whole document, with its author and change identifier; `undefined` until the first configuration has been received. */
 	getDocument: () => ConfigurationDocument | undefined;
 	/** Checks that a key is issued to a customer and that the configuration was confirmed recently enough, unless the customer may also use unconfirmed keys. */
 	checkKey: (keyId: string, customer: CustomerId) => Result<Key, KeyRefusal>;
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -30,26 +30,26 @@
 	return parseConfigurationDocument(entry.value).map(document => ({document, revision: entry.revision}));
 };
 
-/** Reads the configuration from the store. */
+/** Reads the configuration from the store; fails if the store does not answer or the stored document is invalid. */
 export const readConfiguration = async (store: Store): Promise<Result<StoredConfiguration, StoreFailure | DocumentFailure>> => {
 	const entry = await store.read(CONFIGURATION_KEY);
 	return entry.ok ? parseEntry(entry.val) : entry;
 };
 
 /**
- * Replaces the configuration if it is still at the expected revision; returns the new revision.
+ * Replaces the configuration if it is still at the expected revision, where 0 stands for none; returns the new revision. Fails with the last error of the store if no attempt is answered.
  * When a response of the store is lost, the identifier of the change in the stored document tells whether the change took effect.
  */
 export const changeConfiguration = async (store: Store, world: World, change: Readonly<{expectedRevision: number; author: string; inventory: Inventory}>): Promise<Result<number, ChangeFailure>> => {
 	const changeId = world.createId();
-	const text = formatConfigurationDocument({changeId, author: change.author, inventory: change.inventory});
-	if (text.err) {
-		return text;
+	const formattedDocument = formatConfigurationDocument({changeId, author: change.author, inventory: change.inventory});
+	if (formattedDocument.err) {
+		return formattedDocument;
 	}
 
 	let lastFailure: StoreFailure = {code: 'storeUnreachable', message: 'No request was sent to the store'};
 	for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-		const outcome = await store.compareAndSwap(CONFIGURATION_KEY, change.expectedRevision, text.val);
+		const outcome = await store.compareAndSwap(CONFIGURATION_KEY, change.expectedRevision, formattedDocument.val);
 		if (outcome.ok) {
 			const {swapped, current} = outcome.val;
 			const stored = parseEntry(current);
--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -25,8 +25,11 @@
 
 /** Response of a relay. */
 export type SyncResponse = Readonly<{
+	/** Incarnation of the relay, to whose changes `sequence` refers. */
 	incarnation: string;
+	/** Sequence number of the last change that the relay knows. */
 	sequence: number;
+	/** Entries that have changed since the last sync; all entries on the first sync and after a restart of the relay. */
 	entries: readonly Entry[];
 	/** Time since the relay's cache was last confirmed to be up to date, in milliseconds; negative if never. */
 	confirmedAgeMs: number;
@@ -79,11 +82,12 @@
 	getRelays: () => readonly VmId[];
 	/** Sends a sync request to a vm. */
 	sendSync: (vm: VmId, request: SyncRequest) => Promise<Result<SyncResponse, Failure>>;
-	/** Asks the relays of every data centre; tells whether none of them can reach the store. */
+	/** Asks the relays of every data centre; tells whether each data centre has confirmed that the store is unreachable and no relay can reach it. */
 	isStoreDownForAll: () => Promise<boolean>;
+	/** Returns the revision of the configuration that is active in this process. */
 	getActiveRevision: () => number;
-	/** Called after each read of the store, with whether it succeeded. */
-	onStoreContact: (reachable: boolean) => void;
+	/** Called after each read of the store by this vm as a relay, with whether the store answered. */
+	onStoreContact: (isReachable: boolean) => void;
 }>;
 
 /** Interval at which a relay reads the configuration, which confirms that its cache is up to date, in milliseconds. */
@@ -92,7 +96,7 @@
 /** Interval at which a relay reads all entries, not only the configuration, in milliseconds. */
 const FULL_READ_INTERVAL_MS = 5000;
 
-const readAll = async (context: CacheSyncContext): Promise<boolean> => {
+const refreshAllEntries = async (context: CacheSyncContext): Promise<boolean> => {
 	for (const prefix of SHARED_PREFIXES) {
 		const entries = await context.store.readAll(prefix);
 		if (entries.err) {
@@ -105,7 +109,7 @@
 	return true;
 };
 
-const readChanged = async (context: CacheSyncContext, keys: readonly string[]) => {
+const refreshEntries = async (context: CacheSyncContext, keys: readonly string[]) => {
 	for (const key of keys) {
 		const entry = await context.store.read(key);
 		if (entry.ok && entry.val) {
@@ -117,7 +121,7 @@
 const watchPrefix = async (context: CacheSyncContext, prefix: string, signal: AbortSignal) => {
 	while (!signal.aborted) {
 		await context.store.watch(prefix, keys => {
-			void readChanged(context, keys);
+			void refreshEntries(context, keys);
 		}, signal);
 		await context.world.sleep(RETRY_PAUSE_MS, signal);
 	}
@@ -127,14 +131,14 @@
 export const runRelayWatches = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		if (context.isRelay()) {
-			const stop = new AbortController();
-			const watching = Promise.allSettled(SHARED_PREFIXES.map(async prefix => watchPrefix(context, prefix, AbortSignal.any([signal, stop.signal]))));
+			const watchAbort = new AbortController();
+			const watches = Promise.allSettled(SHARED_PREFIXES.map(async prefix => watchPrefix(context, prefix, AbortSignal.any([signal, watchAbort.signal]))));
 			while (context.isRelay() && !signal.aborted) {
 				await context.world.sleep(CONFIRM_INTERVAL_MS, signal).catch(() => undefined);
 			}
 
-			stop.abort();
-			await watching;
+			watchAbort.abort();
+			await watches;
 		}
 
 		await context.world.sleep(CONFIRM_INTERVAL_MS, signal);
@@ -147,7 +151,7 @@
  */
 const readAsRelay = async (context: CacheSyncContext, isFullReadDue: boolean): Promise<boolean> => {
 	const requestedAt = context.world.now();
-	const isReachable = isFullReadDue ? await readAll(context) : await readConfiguration(context);
+	const isReachable = isFullReadDue ? await refreshAllEntries(context) : await refreshConfiguration(context);
 	context.onStoreContact(isReachable);
 	if (isReachable || await context.isStoreDownForAll()) {
 		context.cache.markConfirmed(requestedAt);
@@ -156,7 +160,7 @@
 	return isReachable;
 };
 
-const readConfiguration = async (context: CacheSyncContext): Promise<boolean> => {
+const refreshConfiguration = async (context: CacheSyncContext): Promise<boolean> => {
 	const entry = await context.store.read(CONFIGURATION_KEY);
 	if (entry.ok && entry.val) {
 		context.cache.merge([entry.val]);
@@ -165,10 +169,10 @@
 	return entry.ok;
 };
 
-/** Last change received from a relay. */
-type Progress = {incarnation: string; after: number};
+/** Last change received from a relay, as sent with the next sync request. */
+type SyncProgress = {incarnation: string; after: number};
 
-const syncWithRelay = async (context: CacheSyncContext, relay: VmId, progress: Progress): Promise<boolean> => {
+const syncWithRelay = async (context: CacheSyncContext, relay: VmId, progress: SyncProgress): Promise<boolean> => {
 	const requestedAt = context.world.now();
 	const response = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
 	if (response.err) {
@@ -189,8 +193,8 @@
 /** Keeps the store cache up to date: a relay reads the store, and falls back to another relay if it cannot; every other process syncs with a relay. */
 export const runCacheSync = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
 	const {world} = context;
-	const progress = new Map<VmId, Progress>();
-	let fullReadAt = createDeadline(world.now(), 0);
+	const progressByRelay = new Map<VmId, SyncProgress>();
+	let nextFullReadAt = createDeadline(world.now(), 0);
 	let relayIndex = 0;
 
 	const syncWithAnyRelay = async (): Promise<boolean> => {
@@ -200,19 +204,19 @@
 			return false;
 		}
 
-		const relayProgress = progress.get(relay) ?? {incarnation: '', after: 0};
-		progress.set(relay, relayProgress);
-		const succeeded = await syncWithRelay(context, relay, relayProgress);
-		relayIndex = succeeded ? 0 : relayIndex + 1;
-		return succeeded;
+		const relayProgress = progressByRelay.get(relay) ?? {incarnation: '', after: 0};
+		progressByRelay.set(relay, relayProgress);
+		const hasSucceeded = await syncWithRelay(context, relay, relayProgress);
+		relayIndex = hasSucceeded ? 0 : relayIndex + 1;
+		return hasSucceeded;
 	};
 
 	while (!signal.aborted) {
 		if (context.isRelay()) {
-			const isFullReadDue = getRemainingMs(fullReadAt, world.now()) === 0;
+			const isFullReadDue = getRemainingMs(nextFullReadAt, world.now()) === 0;
 			const isReachable = await readAsRelay(context, isFullReadDue);
 			if (isReachable && isFullReadDue) {
-				fullReadAt = createDeadline(world.now(), FULL_READ_INTERVAL_MS);
+				nextFullReadAt = createDeadline(world.now(), FULL_READ_INTERVAL_MS);
 			}
 
 			if (!isReachable) {
--- a/packages/configuration/src/store-cache.ts
+++ b/packages/configuration/src/store-cache.ts
@@ -21,7 +21,7 @@
 	getConfirmedAt: () => Instant;
 	/** Waits until an entry changes after a sequence number, the deadline passes or the signal aborts. */
 	waitForChange: (sequence: number, deadline: Deadline, signal?: AbortSignal) => Promise<void>;
-	/** Calls a listener after each change, with the keys that changed. */
+	/** Registers a listener that is called after each change, with the keys that changed. */
 	subscribe: (listener: (keys: readonly string[]) => void) => void;
 }>;
 
@@ -38,14 +38,14 @@
 
 	return {
 		merge(entries) {
-			const newer = entries.filter(entry => entry.revision > (cachedByKey.get(entry.key)?.entry.revision ?? 0));
-			for (const entry of newer) {
+			const newerEntries = entries.filter(entry => entry.revision > (cachedByKey.get(entry.key)?.entry.revision ?? 0));
+			for (const entry of newerEntries) {
 				sequence++;
 				cachedByKey.set(entry.key, {entry, sequence});
 			}
 
-			if (newer.length > 0) {
-				const keys = newer.map(entry => entry.key);
+			if (newerEntries.length > 0) {
+				const keys = newerEntries.map(entry => entry.key);
 				for (const listener of listeners) {
 					listener(keys);
 				}
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -31,41 +31,41 @@
 	it('report the winning configuration to the loser of a race', async () => {
 		const {world} = createVirtualWorld();
 		const store = createMemoryStore(world);
-		const first = await changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
-		const second = await changeConfiguration(store, world, {expectedRevision: 0, author: 'bo', inventory: createInventory(2)});
-		assert.ok(first.ok);
-		assert.ok(second.err && second.val.code === 'configurationRaced' && second.val.current?.author === 'ana');
+		const winner = await changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
+		const loser = await changeConfiguration(store, world, {expectedRevision: 0, author: 'bo', inventory: createInventory(2)});
+		assert.ok(winner.ok);
+		assert.ok(loser.err && loser.val.code === 'configurationRaced' && loser.val.current?.author === 'ana');
 		assert.equal((await readConfiguration(store)).unwrap().document?.inventory.customers.klub?.rate, 1);
 	});
 
-	it('are recognized as done when the response of the store was lost', async () => {
+	it('are recognized as done when the response of the store is lost', async () => {
 		const {world, advance} = createVirtualWorld();
-		const inner = createMemoryStore(world);
-		let losses = 1;
+		const sharedStore = createMemoryStore(world);
+		let responsesToLose = 1;
 		const store: Store = {
-			...inner,
+			...sharedStore,
 			async compareAndSwap(...args) {
-				const outcome = await inner.compareAndSwap(...args);
-				return losses-- > 0 ? Err({code: 'storeUnknown', message: 'lost'}) : outcome;
+				const outcome = await sharedStore.compareAndSwap(...args);
+				return responsesToLose-- > 0 ? Err({code: 'storeUnknown', message: 'lost'}) : outcome;
 			},
 		};
-		const changing = changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
+		const change = changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
 		await advance(2000);
-		const changed = await changing;
-		assert.equal(changed.unwrap(), (await readConfiguration(inner)).unwrap().revision);
+		const changed = await change;
+		assert.equal(changed.unwrap(), (await readConfiguration(sharedStore)).unwrap().revision);
 	});
 });
 
 describe('store cache', () => {
-	it('only replaces entries by higher revisions, in whatever order they arrive', () => {
+	it('only replaces entries by higher revisions, in any order of arrival', () => {
 		fc.assert(fc.property(fc.array(fc.record({key: fc.constantFrom('a', 'b'), revision: fc.integer({min: 1, max: 20})}), {maxLength: 40}), entries => {
 			const {world} = createVirtualWorld();
 			const cache = createStoreCache(world);
-			const highest = new Map<string, number>();
+			const highestRevisions = new Map<string, number>();
 			for (const {key, revision} of entries) {
 				cache.merge([{key, revision, value: String(revision)}]);
-				highest.set(key, Math.max(revision, highest.get(key) ?? 0));
-				assert.equal(cache.get(key)?.revision, highest.get(key));
+				highestRevisions.set(key, Math.max(revision, highestRevisions.get(key) ?? 0));
+				assert.equal(cache.get(key)?.revision, highestRevisions.get(key));
 			}
 		}), {seed: 61});
 	});
@@ -74,9 +74,9 @@
 		const {world} = createVirtualWorld();
 		const cache = createStoreCache(world);
 		cache.merge([{key: 'a', revision: 1, value: '1'}]);
-		const seen = cache.getSequence();
+		const sequence = cache.getSequence();
 		cache.merge([{key: 'b', revision: 2, value: '2'}]);
-		assert.deepEqual(cache.getChangedAfter(seen).map(entry => entry.key), ['b']);
+		assert.deepEqual(cache.getChangedAfter(sequence).map(entry => entry.key), ['b']);
 	});
 });
 
--- a/packages/sessions/src/classification.ts
+++ b/packages/sessions/src/classification.ts
@@ -1,4 +1,4 @@
-/** Classification of SQL statements by their first word. A statement that is wrongly classified as a read is refused by the replica itself when it writes. */
+/** Classifies SQL statements, mostly by their first word. A statement that is wrongly classified as a read is refused by the replica itself when it writes. */
 
 /** How a statement must be run. */
 export type StatementClass
@@ -31,41 +31,41 @@
 const matchLeading = (text: string): string | undefined => LEADING_PATTERNS.map(pattern => pattern.exec(text)?.[0]).find(match => match !== undefined);
 
 const skipLeading = (text: string): string => {
-	let rest = text;
-	let leading = matchLeading(rest);
-	while (leading !== undefined) {
-		rest = rest.slice(leading.length);
-		leading = matchLeading(rest);
+	let remainingText = text;
+	let leadingText = matchLeading(remainingText);
+	while (leadingText !== undefined) {
+		remainingText = remainingText.slice(leadingText.length);
+		leadingText = matchLeading(remainingText);
 	}
 
-	return rest;
+	return remainingText;
 };
 
 /** Classifies the text of a simple query or of one prepared statement. Text with several statements, and text that takes advisory locks, is a write. */
 export const classifyStatement = (text: string): StatementClass => {
-	const start = skipLeading(text);
-	const word = FIRST_WORD_PATTERN.exec(start)?.[0].toLowerCase();
-	if (start.trim() === '') {
+	const body = skipLeading(text);
+	const firstWord = FIRST_WORD_PATTERN.exec(body)?.[0].toLowerCase();
+	if (body.trim() === '') {
 		return 'empty';
 	}
 
-	if (word === 'copy') {
+	if (firstWord === 'copy') {
 		return 'copy';
 	}
 
-	if (word !== undefined && BEGIN_WORDS.has(word)) {
+	if (firstWord !== undefined && BEGIN_WORDS.has(firstWord)) {
 		return 'begin';
 	}
 
-	if (word !== undefined && SESSION_WORDS.has(word)) {
-		return /^set\s+(?:local|transaction|constraints)\b/iv.test(start) ? 'write' : 'session';
+	if (firstWord !== undefined && SESSION_WORDS.has(firstWord)) {
+		return /^set\s+(?:local|transaction|constraints)\b/iv.test(body) ? 'write' : 'session';
 	}
 
-	if (LATER_STATEMENT_PATTERN.test(start) || LOCK_PATTERN.test(start)) {
+	if (LATER_STATEMENT_PATTERN.test(body) || LOCK_PATTERN.test(body)) {
 		return 'write';
 	}
 
-	return word !== undefined && READ_WORDS.has(word) ? 'read' : 'write';
+	return firstWord !== undefined && READ_WORDS.has(firstWord) ? 'read' : 'write';
 };
 
 /** Tells whether a statement may leave state on its connection; the connection must then be reset before reuse. */
--- a/packages/sessions/src/prepared-statements.ts
+++ b/packages/sessions/src/prepared-statements.ts
@@ -1,4 +1,4 @@
-/** Prepared statements of one caller. The caller names them; owners identify them by hash, whatever the name. */
+/** Prepared statements of one caller. The caller names them; owners identify them by hash, independent of the name. */
 
 import {createHash} from 'node:crypto';
 import type {PreparedStatement} from './requests.js';
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -20,6 +20,7 @@
 	database: DatabaseId;
 	target: TargetId;
 	customer: CustomerId;
+	/** Weight of the customer in the fair queue of the target. */
 	weight: number;
 	mode: RequestMode;
 	/** Maximum age of the data for mode `stale`, in milliseconds. */
@@ -35,7 +36,7 @@
 
 /** One part of a chunk; the parts are run in order. */
 export type RequestPart
-	/** Messages to forward unchanged. */
+	/** Messages to forward unchanged; `replies` counts the replies of the target to match with them, 0 for a simple query. */
 	= | Readonly<{kind: 'messages'; bytes: Uint8Array; replies: number}>
 	/** Statement that the caller prepares; the result is sent to the caller. */
 		| Readonly<{kind: 'prepare'; statement: PreparedStatement}>
@@ -45,7 +46,7 @@
 /** A chunk of a request: all parts up to a Sync, a Flush or the end of a simple query. */
 export type RequestChunk = Readonly<{
 	parts: readonly RequestPart[];
-	/** Whether the database answers the chunk with `ReadyForQuery`. */
+	/** Whether the target ends its reply to the chunk with `ReadyForQuery`. */
 	ends: boolean;
 	/** Whether the chunk may commit a transaction. */
 	mayCommit: boolean;
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -17,16 +17,16 @@
 /** Whether a statement may change data. */
 export type Access = 'read' | 'write';
 
-/** Definition of a statement that a caller has prepared: its access and its text. */
+/** Definition of a statement that a caller has prepared: its access, and in `shape` its text. */
 export type PreparedDefinition = Readonly<{access: Access; shape: string}>;
 
-/** A statement to run at a target. */
+/** A statement to run at a target; `rest` is the text that follows the name of a prepared statement. */
 export type TargetStatement
 	= | Readonly<{kind: 'text'; access: Access; text: string}>
 		| Readonly<{kind: 'prepared'; prepared: PreparedDefinition; rest: string}>
 		| Readonly<{kind: 'commit'; text: string}>;
 
-/** A statement as received from a caller. */
+/** A statement as received from a caller; `rest` is the text that follows the name of a prepared statement. */
 export type CallerStatement
 	= | Readonly<{kind: 'begin'; readOnly: boolean}>
 		| Readonly<{kind: 'commit'; text: string}>
@@ -44,7 +44,7 @@
 export type StatementOutcome
 	/** The statement ran; `signature` is the proof given by the target, empty if no target was needed. */
 	= | Readonly<{kind: 'done'; rows: readonly string[]; signature: string}>
-	/** The statement has no effect: it was not run or was rolled back. */
+	/** The statement has no effect: it was not run or was rolled back. The caller may try again after `retryAfterMs`; 0 if no time is known. */
 		| Readonly<{kind: 'refused'; code: StatementRefusalCode; reason: string; retryAfterMs: number}>
 	/** The statement ran at the target and failed there. */
 		| Readonly<{kind: 'failed'; reason: string}>
