Replace the last vague locals in failover, roles and configuration

`previousGrant`, `previousHealth`, `sharedRead`, `recordText`, `roleTask`; in tests `presentIds`, `missingIds`, `pendingChange` and `outcome`.

--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -49,10 +49,10 @@
 				return responsesToLose-- > 0 ? Err({code: 'storeUnknown', message: 'lost'}) : outcome;
 			},
 		};
-		const change = changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
+		const pendingChange = changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
 		await advance(2000);
-		const changed = await change;
-		assert.equal(changed.unwrap(), (await readConfiguration(sharedStore)).unwrap().revision);
+		const outcome = await pendingChange;
+		assert.equal(outcome.unwrap(), (await readConfiguration(sharedStore)).unwrap().revision);
 	});
 });
 
--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -122,12 +122,12 @@
 
 	/** Writes a group record by compare-and-swap; returns `false` if the entry holds another record or the authority expires. If the response is lost, the swap is repeated, and the entry then found shows whether it took effect. */
 	const writeRecord = async (record: GroupRecord, signal: AbortSignal): Promise<boolean> => {
-		const text = formatGroupRecord(record);
+		const recordText = formatGroupRecord(record);
 		while (hasAuthority() && !signal.aborted) {
-			const written = await store.compareAndSwap(formatGroupKey(database), view?.revision ?? 0, text);
+			const written = await store.compareAndSwap(formatGroupKey(database), view?.revision ?? 0, recordText);
 			if (written.ok) {
 				const {swapped, current} = written.val;
-				if (current && (swapped || current.value === text)) {
+				if (current && (swapped || current.value === recordText)) {
 					updateView({record, revision: current.revision});
 					return true;
 				}
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -42,9 +42,9 @@
 	const sharedReads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
 	const readSharedPositions = async (target: TargetId) => {
-		const read = sharedReads.get(target) ?? createSingleFlight(async () => readPositions(target));
-		sharedReads.set(target, read);
-		return read();
+		const sharedRead = sharedReads.get(target) ?? createSingleFlight(async () => readPositions(target));
+		sharedReads.set(target, sharedRead);
+		return sharedRead();
 	};
 
 	/** Tells whether every replica that acknowledgements wait for has replayed the position. The grant must be valid at this moment, which proves that the primary has not been replaced. */
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -105,10 +105,10 @@
 
 			const key = formatHolder(holder);
 			const deadline = createDeadline(now, validMs + CLOCK_DRIFT_MS);
-			const previous = outstandingGrants.get(key);
+			const previousGrant = outstandingGrants.get(key);
 			outstandingGrants.set(key, {
 				holder,
-				deadlines: changeDeadlines(previous?.deadlines ?? EXPIRED_DEADLINES, parameters.permissions, deadline),
+				deadlines: changeDeadlines(previousGrant?.deadlines ?? EXPIRED_DEADLINES, parameters.permissions, deadline),
 				revision: parameters.view.revision,
 			});
 			return {...contents, validMs};
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -91,8 +91,8 @@
 	return {
 		accept(response, sentAt) {
 			const {database} = response.view.record;
-			const previous = grants.get(database);
-			const isOutdated = previous !== undefined && previous.response.view.revision > response.view.revision;
+			const previousGrant = grants.get(database);
+			const isOutdated = previousGrant !== undefined && previousGrant.response.view.revision > response.view.revision;
 			if (isOutdated || sentAt <= (revokedAt.get(database) ?? PAST)) {
 				return;
 			}
@@ -107,9 +107,9 @@
 		},
 		revoke(database, permissions) {
 			revokedAt.set(database, world.now());
-			const previous = grants.get(database);
-			if (previous) {
-				grants.set(database, {...previous, deadlines: changeDeadlines(previous.deadlines, permissions, PAST)});
+			const previousGrant = grants.get(database);
+			if (previousGrant) {
+				grants.set(database, {...previousGrant, deadlines: changeDeadlines(previousGrant.deadlines, permissions, PAST)});
 			}
 		},
 		getView: database => grants.get(database)?.response.view,
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -70,16 +70,16 @@
 	const probeTarget = async (target: TargetId) => {
 		const sentAt = world.now();
 		const report = await probe(target);
-		const previous = get(target);
+		const previousHealth = get(target);
 		if (report.ok) {
 			healthByTarget.set(target, {report: report.val, lastSuccessAt: sentAt, failingSince: undefined});
 			highestPositions.set(target, Math.max(report.val.position, highestPositions.get(target) ?? 0));
 		} else {
-			healthByTarget.set(target, {...previous, failingSince: previous.failingSince ?? sentAt});
+			healthByTarget.set(target, {...previousHealth, failingSince: previousHealth.failingSince ?? sentAt});
 		}
 
-		const isFirstProbe = previous === UNKNOWN_HEALTH;
-		const wasReachable = previous.failingSince === undefined;
+		const isFirstProbe = previousHealth === UNKNOWN_HEALTH;
+		const wasReachable = previousHealth.failingSince === undefined;
 		if (isFirstProbe || wasReachable !== report.ok) {
 			onChange(target, report.ok);
 		}
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -211,10 +211,10 @@
 		/** Checks that every target that may be read holds all acknowledged writes. */
 		check() {
 			for (const name of TARGETS.filter(target => !group.get(target).isDown)) {
-				const present = new Set(group.get(name).log);
-				const missing = [...acknowledged].filter(id => !present.has(id));
-				if (missing.length > 0 && registries.some(registry => registry.checkRead(DATABASE, name).ok)) {
-					violations.push(`at ${world.now()} ms: ${name} may be read but lacks acknowledged write ${missing[0]}`);
+				const presentIds = new Set(group.get(name).log);
+				const missingIds = [...acknowledged].filter(id => !presentIds.has(id));
+				if (missingIds.length > 0 && registries.some(registry => registry.checkRead(DATABASE, name).ok)) {
+					violations.push(`at ${world.now()} ms: ${name} may be read but lacks acknowledged write ${missingIds[0]}`);
 				}
 			}
 		},
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -132,19 +132,19 @@
 		});
 
 		it('does not acknowledge while fewer replicas than the minimum are waited for', async () => {
-			const state = await waitWithChange(200, (registry, world) => {
+			const outcome = await waitWithChange(200, (registry, world) => {
 				const view = createView(2);
 				registry.accept(createResponse({...view, record: {...view.record, synced: []}}), world.now());
 			});
-			assert.equal(state, 'unproved');
+			assert.equal(outcome, 'unproved');
 		});
 
 		it('does not acknowledge a write of a term that has ended', async () => {
-			const state = await waitWithChange(200, (registry, world) => {
+			const outcome = await waitWithChange(200, (registry, world) => {
 				const view = createView(2);
 				registry.accept(createResponse({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
 			});
-			assert.equal(state, 'unproved');
+			assert.equal(outcome, 'unproved');
 		});
 
 		it('does not acknowledge a write after the grant has expired', async () => {
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -184,7 +184,7 @@
 		return promisedUntil;
 	};
 
-	const running = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, roleAbort.signal]));
+	const roleTask = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, roleAbort.signal]));
 	context.onGained(slot, initialClaim.record.epoch);
 	while (!signal.aborted && !isPast(deadline, world.now())) {
 		await world.sleep(RENEWAL_INTERVAL_MS, signal).catch(() => undefined);
@@ -209,7 +209,7 @@
 	}
 
 	roleAbort.abort();
-	await running;
+	await roleTask;
 	context.onLost(slot, initialClaim.record.epoch);
 	// Grants issued under this authority may be valid until its deadline.
 	await world.sleep(getRemainingMs(deadline, world.now()), signal).catch(() => undefined);
