--- a/packages/inventory/src/difference.ts
+++ b/packages/inventory/src/difference.ts
@@ -17,7 +17,7 @@
 	return values;
 };
 
-const maskVerifier = (path: string, text: string | undefined): string | undefined => path.endsWith('.verifier') && text !== undefined ? '(verifier)' : text;
+const maskVerifier = (path: string, value: string | undefined): string | undefined => path.endsWith('.verifier') && value !== undefined ? '(verifier)' : value;
 
 /** Compares two inventories value by value; returns the differences ordered by path, without the text of verifiers. */
 export const compareInventories = (before: Inventory | undefined, after: Inventory): readonly Difference[] => {
--- a/packages/inventory/src/schemas.ts
+++ b/packages/inventory/src/schemas.ts
@@ -4,7 +4,7 @@
 
 const name = z.string().regex(/^[a-z][\-a-z\d]{0,62}$/v, 'expected a name of lower-case letters, digits and hyphens');
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/v, 'expected host:port');
-const positive = z.number().int().positive();
+const positiveInteger = z.number().int().positive();
 
 /** Schema of a target, one server of a database. */
 export const targetSchema = z.strictObject({
@@ -12,9 +12,9 @@
 	dataCentre: name,
 	address,
 	/** Maximum number of statements that run on the target at the same time. */
-	slots: positive,
+	slots: positiveInteger,
 	/** Maximum number of connections that the target accepts. */
-	connections: positive.min(4, 'expected at least 4 connections'),
+	connections: positiveInteger.min(4, 'expected at least 4 connections'),
 	/** Whether the target is being removed and gets no new requests. */
 	leaving: z.boolean().default(false),
 }).readonly();
@@ -25,8 +25,8 @@
 		return database;
 	}
 
-	const {instances, ...others} = database;
-	return {...others, targets: instances};
+	const {instances, ...otherProperties} = database;
+	return {...otherProperties, targets: instances};
 };
 
 /** Schema of a database, a primary and its replicas. */
@@ -50,11 +50,11 @@
 	/** Whether callers may use the service without a key. */
 	open: z.boolean().default(false),
 	/** Maximum staleness of reads, in milliseconds; without it every read sees the caller's own writes. */
-	staleReadsMs: positive.optional(),
+	staleReadsMs: positiveInteger.optional(),
 	/** Timeout within which a request is answered or refused, in milliseconds. */
-	requestTimeoutMs: positive.default(10_000),
+	requestTimeoutMs: positiveInteger.default(10_000),
 	/** Maximum time that a transaction may be idle, in milliseconds. */
-	idleTransactionMs: positive.default(30_000),
+	idleTransactionMs: positiveInteger.default(30_000),
 }).readonly();
 
 /** Schema of a customer and its quota. */
@@ -62,7 +62,7 @@
 	/** Requests per second, over the whole fleet. */
 	rate: z.number().positive(),
 	/** Burst size, the number of requests that may arrive at once, over the whole fleet. */
-	burst: positive.min(2, 'expected at least 2'),
+	burst: positiveInteger.min(2, 'expected at least 2'),
 	/** Weight in the queue of a busy target, relative to the other customers. */
 	weight: z.number().positive().default(1),
 	/** Services the customer may use. */
@@ -80,11 +80,11 @@
 /** Schema of the settings for the whole fleet. */
 export const fleetSchema = z.strictObject({
 	/** Number of slots for failover coordinators, among which the databases are distributed. */
-	stewardSlots: positive.default(4),
+	stewardSlots: positiveInteger.default(4),
 	/** Number of slots for quota allocators, among which the customers are distributed. */
-	keeperSlots: positive.default(4),
+	keeperSlots: positiveInteger.default(4),
 	/** Time for which keys are accepted without confirmation that they are current, in milliseconds. */
-	keyGraceMs: positive.default(5000),
+	keyGraceMs: positiveInteger.default(5000),
 }).readonly();
 
 /** Schema of the complete inventory. */
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -20,7 +20,7 @@
 /** Requests from every listed vm the recent events that it holds in memory. */
 export const requestEvents = async (store: Store, client: FleetClient, query: EventQuery = {}): Promise<FleetEvents> => {
 	const vms = await readVms(store);
-	const responses = await Promise.all(vms.map(async vm => ({vm: vm.vm, events: await client.call<readonly EventRecord[]>(vm, 'events', query)})));
+	const responses = await Promise.all(vms.map(async listedVm => ({vm: listedVm.vm, events: await client.call<readonly EventRecord[]>(listedVm, 'events', query)})));
 	return {
 		eventLists: responses.filter(({events}) => events.ok).map(({events}) => events.unwrap()),
 		unresponsiveVms: responses.filter(({events}) => events.err).map(({vm}) => vm),
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -28,7 +28,7 @@
 
 /** Client that calls methods of proxies. */
 export type FleetClient = AsyncDisposable & Readonly<{
-	call: <Reply>(address: Address, method: string, body: unknown) => Promise<Result<Reply, Failure>>;
+	call: <ResponseBody>(address: Address, method: string, body: unknown) => Promise<Result<ResponseBody, Failure>>;
 }>;
 
 const CALL_TIMEOUT_MS = 2000;
@@ -45,9 +45,9 @@
 		onMalformedFrame: () => undefined,
 	}, createDial(tls));
 	return {
-		async call<Reply>(address: Address, method: string, body: unknown): Promise<Result<Reply, Failure>> {
-			const reply = await peers.call(address, method, body, CALL_TIMEOUT_MS);
-			return reply.map(answer => answer as Reply);
+		async call<ResponseBody>(address: Address, method: string, body: unknown): Promise<Result<ResponseBody, Failure>> {
+			const response = await peers.call(address, method, body, CALL_TIMEOUT_MS);
+			return response.map(responseBody => responseBody as ResponseBody);
 		},
 		[Symbol.asyncDispose]: async () => peers[Symbol.asyncDispose](),
 	};
@@ -69,13 +69,13 @@
 };
 
 /** Waits until a revision of the configuration is active at every vm or the timeout passes; returns the vms where it is not active. */
-export const waitForRevision = async (store: Store, client: FleetClient, world: World, wait: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
-	const giveUpAt = world.now() + wait.timeoutMs;
+export const waitForRevision = async (store: Store, client: FleetClient, world: World, options: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
+	const deadline = world.now() + options.timeoutMs;
 	while (true) {
 		const statuses = await readStatuses(store, client);
-		const behind = statuses.filter(({status}) => status.err || status.val.revision < wait.revision);
-		if (behind.length === 0 || world.now() >= giveUpAt) {
-			return behind;
+		const outdatedStatuses = statuses.filter(({status}) => status.err || status.val.revision < options.revision);
+		if (outdatedStatuses.length === 0 || world.now() >= deadline) {
+			return outdatedStatuses;
 		}
 
 		await world.sleep(POLL_MS);
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -88,13 +88,13 @@
 	}
 
 	await using client = openClient(flags);
-	const behind = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
-	if (behind.length === 0) {
+	const outdatedVms = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
+	if (outdatedVms.length === 0) {
 		print(`revision ${revision} is active at every vm`);
 		return;
 	}
 
-	const names = behind.map(({vm, status}) => `${vm.vm} (${status.ok ? `revision ${status.val.revision}` : status.val.message})`);
+	const names = outdatedVms.map(({vm, status}) => `${vm.vm} (${status.ok ? `revision ${status.val.revision}` : status.val.message})`);
 	fail(`revision ${revision} is accepted but not yet active at: ${names.join(', ')}`, EXIT_NOT_ACTIVE);
 };
 
@@ -181,15 +181,15 @@
 const explainRequest = async (flags: Flags, request: string) => {
 	await using store = openStore(flags.platform);
 	await using client = openClient(flags);
-	const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(store, client, {request});
-	const events = lists.flat();
+	const {eventLists, unresponsiveVms} = await requestEvents(store, client, {request});
+	const events = eventLists.flat();
 	for (const event of events) {
 		print(describeRequest(event));
 	}
 
 	if (events.length === 0) {
-		const unresponsive = missing.length > 0 ? `; no answer from ${missing.join(', ')}` : '';
-		fail(`no vm holds an event of the request ${request}: it succeeded, or its events are no longer in memory${unresponsive}`, EXIT_REFUSED);
+		const unresponsiveNote = unresponsiveVms.length > 0 ? `; no answer from ${unresponsiveVms.join(', ')}` : '';
+		fail(`no vm holds an event of the request ${request}: it succeeded, or its events are no longer in memory${unresponsiveNote}`, EXIT_REFUSED);
 	}
 };
 
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -36,7 +36,7 @@
 	/** Called when a frame is malformed or too large; the connection is then closed. */
 	onMalformedFrame: (failure: FrameFailure) => void;
 	/** Called with the number of bytes of each write and each read. */
-	onTransfer?: (direction: 'sent' | 'received', bytes: number) => void;
+	onTransfer?: (direction: 'sent' | 'received', byteCount: number) => void;
 }>;
 
 /** An open connection to a peer. */
@@ -50,7 +50,7 @@
 	/** Waits until the connection has ended. */
 	waitForEnd: () => Promise<void>;
 	/** Tells whether no new calls or streams can be opened, because the connection has ended or the peer is draining. */
-	isEnded: () => boolean;
+	isEndedOrDraining: () => boolean;
 	/** Accepts no new calls or streams, completes those already accepted, and closes the connection; stops waiting at the deadline. */
 	drain: (deadline: Deadline) => Promise<void>;
 }>;
@@ -65,7 +65,7 @@
 /** Method of the liveness probe, which every peer answers immediately; handlers cannot have this name. */
 export const LIVENESS_METHOD = 'protocol/alive';
 const CONNECTION_LOST: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
-const OTHER_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
+const OPPOSITE_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
 /** Starts the protocol on a connected socket; both ends use it in the same way. */
 export const openPeerConnection = (socket: Socket, context: PeerContext): PeerConnection => {
@@ -75,19 +75,19 @@
 	const streams = new Map<string, MultiplexedStream>();
 	const scope = createScope(() => undefined);
 	let peer: PeerIdentity | undefined;
-	let ended = false;
-	let lastId = 0;
+	let hasEnded = false;
+	let lastOpenedId = 0;
 	let lastServedId = 0;
-	let activeCount = 0;
+	let activeTaskCount = 0;
 	let isDraining = false;
 	let isPeerDraining = false;
 	let lastReceivedAt = world.now();
 	let isCheckScheduled = false;
-	let silentChecks = 0;
+	let silentCheckCount = 0;
 
 	/** Writes a frame without waiting; returns its size in bytes, or 0 if the connection has ended. */
 	const write = (frame: Frame): number => {
-		if (ended) {
+		if (hasEnded) {
 			return 0;
 		}
 
@@ -97,22 +97,22 @@
 		return bytes.length;
 	};
 
-	const waitForDrain = async (): Promise<void> => {
+	const waitUntilWritable = async (): Promise<void> => {
 		if (socket.writableNeedDrain) {
-			await stateChanged.waitUntil(() => ended || !socket.writableNeedDrain, NEVER);
+			await stateChanged.waitUntil(() => hasEnded || !socket.writableNeedDrain, NEVER);
 		}
 	};
 
 	const send = async (frame: Frame): Promise<void> => {
 		write(frame);
-		await waitForDrain();
+		await waitUntilWritable();
 	};
 
 	const createStreamEnd = (id: number, side: StreamSide): Stream<unknown, unknown> => {
 		const key = `${side}${id}`;
 		const multiplexedStream = createMultiplexedStream(id, side, {
 			write,
-			waitForDrain,
+			waitUntilWritable,
 			readTime: context.readTime,
 			remove() {
 				streams.delete(key);
@@ -151,12 +151,12 @@
 		}
 
 		lastServedId = id;
-		activeCount++;
+		activeTaskCount++;
 		scope.run(async () => {
 			try {
 				await task();
 			} finally {
-				activeCount--;
+				activeTaskCount--;
 				stateChanged.notify();
 			}
 		});
@@ -187,7 +187,7 @@
 		stateChanged.notify();
 	};
 
-	const handleFrame = (frame: Frame, bytes: number) => {
+	const handleFrame = (frame: Frame, sizeBytes: number) => {
 		context.observeTime(frame[1]);
 		if (!peer && frame[0] !== 'hello') {
 			context.onMalformedFrame({code: 'frameMalformed', message: 'The first frame is not a hello; the connection is closed'});
@@ -241,17 +241,17 @@
 			}
 
 			default: {
-				streams.get(`${OTHER_SIDE[frame[3]]}${frame[2]}`)?.accept(frame, bytes);
+				streams.get(`${OPPOSITE_SIDE[frame[3]]}${frame[2]}`)?.handleFrame(frame, sizeBytes);
 			}
 		}
 	};
 
 	const handleEnd = () => {
-		if (ended) {
+		if (hasEnded) {
 			return;
 		}
 
-		ended = true;
+		hasEnded = true;
 		for (const id of pendingCalls.keys()) {
 			settleCall(id, Err(CONNECTION_LOST));
 		}
@@ -273,15 +273,15 @@
 		const scheduledAt = world.now();
 		world.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
 			isCheckScheduled = false;
-			silentChecks = lastReceivedAt <= scheduledAt ? silentChecks + 1 : 0;
-			if (ended || pendingCalls.size === 0) {
-				silentChecks = 0;
-			} else if (silentChecks > MAX_SILENT_CHECKS) {
+			silentCheckCount = lastReceivedAt <= scheduledAt ? silentCheckCount + 1 : 0;
+			if (hasEnded || pendingCalls.size === 0) {
+				silentCheckCount = 0;
+			} else if (silentCheckCount > MAX_SILENT_CHECKS) {
 				socket.destroy();
 				handleEnd();
 			} else {
-				if (silentChecks > 0) {
-					write(['call', context.readTime(), ++lastId, LIVENESS_METHOD, undefined]);
+				if (silentCheckCount > 0) {
+					write(['call', context.readTime(), ++lastOpenedId, LIVENESS_METHOD, undefined]);
 				}
 
 				scheduleSilenceCheck();
@@ -306,7 +306,7 @@
 			return;
 		}
 
-		receivedBytes.putBack(split.val.rest, split.val.neededBytes);
+		receivedBytes.putBack(split.val.remainder, split.val.neededBytes);
 		for (const [index, frame] of split.val.frames.entries()) {
 			handleFrame(frame, split.val.sizes[index] ?? 0);
 		}
@@ -321,7 +321,7 @@
 
 	return {
 		async waitForHello() {
-			const hello = await stateChanged.waitUntil(() => ended || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
+			const hello = await stateChanged.waitUntil(() => hasEnded || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
 			if (hello.err) {
 				return Err({code: 'peerTimeout', message: 'The peer did not send its hello in time'});
 			}
@@ -329,11 +329,11 @@
 			return peer ? Ok(peer) : Err(CONNECTION_LOST);
 		},
 		async call(method, body, timeoutMs) {
-			if (ended) {
+			if (hasEnded) {
 				return Err(CONNECTION_LOST);
 			}
 
-			const id = ++lastId;
+			const id = ++lastOpenedId;
 			const cancelTimer = world.schedule(timeoutMs, () => {
 				settleCall(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
 			});
@@ -347,25 +347,25 @@
 			return result;
 		},
 		openStream(method, header) {
-			const id = ++lastId;
+			const id = ++lastOpenedId;
 			const stream = createStreamEnd(id, 'opener');
 			void send(['open', context.readTime(), id, method, header]);
-			if (ended || isPeerDraining) {
+			if (hasEnded || isPeerDraining) {
 				streams.get(`opener${id}`)?.abort(NOT_ACCEPTED);
 			}
 
 			return stream;
 		},
 		async waitForEnd() {
-			await stateChanged.waitUntil(() => ended, NEVER);
+			await stateChanged.waitUntil(() => hasEnded, NEVER);
 		},
-		isEnded: () => ended || isPeerDraining,
+		isEndedOrDraining: () => hasEnded || isPeerDraining,
 		async drain(deadline) {
 			isDraining = true;
 			await send(['goaway', context.readTime(), lastServedId]);
-			await stateChanged.waitUntil(() => ended || activeCount === 0, deadline);
+			await stateChanged.waitUntil(() => hasEnded || activeTaskCount === 0, deadline);
 			socket.end();
-			await stateChanged.waitUntil(() => ended, deadline);
+			await stateChanged.waitUntil(() => hasEnded, deadline);
 		},
 		async [Symbol.asyncDispose]() {
 			socket.destroy();
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -125,7 +125,7 @@
 };
 
 /** Complete frames at the start of a buffer with their sizes in bytes, the remaining bytes, and the number of bytes needed for the next frame. */
-export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; neededBytes: number}>;
+export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; remainder: Buffer; neededBytes: number}>;
 
 /** Decodes the complete frames at the start of a buffer; fails on the first frame that is too large or malformed. */
 export const splitFrames = (bytes: Buffer): Result<SplitFrames, FrameFailure> => {
@@ -156,6 +156,6 @@
 	}
 
 	return Ok({
-		frames, sizes, rest: bytes.subarray(offset), neededBytes,
+		frames, sizes, remainder: bytes.subarray(offset), neededBytes,
 	});
 };
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -54,9 +54,9 @@
 		server.once('error', reject);
 		server.listen(address.port, address.host, resolve);
 	});
-	const bound = server.address();
+	const boundAddress = server.address();
 	return {
-		address: {host: address.host, port: typeof bound === 'object' && bound ? bound.port : address.port},
+		address: {host: address.host, port: typeof boundAddress === 'object' && boundAddress ? boundAddress.port : address.port},
 		async drain(deadline) {
 			server.close();
 			await Promise.all([...openConnections].map(async connection => connection.drain(deadline)));
--- a/packages/peer-protocol/src/peer-connections.ts
+++ b/packages/peer-protocol/src/peer-connections.ts
@@ -19,11 +19,11 @@
 /** Creates the outgoing connections of a process, none of them open yet. */
 export const createPeerConnections = (context: PeerContext, dial: Dial): PeerConnections => {
 	const connections = new Map<string, PeerConnection>();
-	const dialing = new Map<string, Promise<Result<PeerConnection, PeerFailure>>>();
+	const pendingDials = new Map<string, Promise<Result<PeerConnection, PeerFailure>>>();
 
 	const dialOnce = async (key: string, address: Address): Promise<Result<PeerConnection, PeerFailure>> => {
 		const result = await dialPeer(address, context, dial);
-		dialing.delete(key);
+		pendingDials.delete(key);
 		if (result.ok) {
 			connections.set(key, result.val);
 		}
@@ -33,17 +33,17 @@
 
 	const getConnection = async (address: Address): Promise<Result<PeerConnection, PeerFailure>> => {
 		const key = `${address.host}:${address.port}`;
-		const open = connections.get(key);
-		if (open && !open.isEnded()) {
-			return Ok(open);
+		const existing = connections.get(key);
+		if (existing && !existing.isEndedOrDraining()) {
+			return Ok(existing);
 		}
 
-		const inFlight = dialing.get(key) ?? dialOnce(key, address);
-		if (dialing.get(key) !== inFlight) {
-			dialing.set(key, inFlight);
+		const pendingDial = pendingDials.get(key) ?? dialOnce(key, address);
+		if (pendingDials.get(key) !== pendingDial) {
+			pendingDials.set(key, pendingDial);
 		}
 
-		return inFlight;
+		return pendingDial;
 	};
 
 	return {
@@ -53,11 +53,11 @@
 		},
 		async openStream(address, method, header) {
 			const connection = await getConnection(address);
-			return connection.map(open => open.openStream(method, header));
+			return connection.map(openConnection => openConnection.openStream(method, header));
 		},
 		disconnect(address) {
-			const open = connections.get(`${address.host}:${address.port}`);
-			void open?.[Symbol.asyncDispose]();
+			const existing = connections.get(`${address.host}:${address.port}`);
+			void existing?.[Symbol.asyncDispose]();
 		},
 		getConnectionCount: () => connections.size,
 		async [Symbol.asyncDispose]() {
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -11,7 +11,7 @@
 	/** The stream as the task that reads and writes it sees it. */
 	stream: Stream<unknown, unknown>;
 	/** Handles a frame received for this stream. */
-	accept: (frame: Frame, bytes: number) => void;
+	handleFrame: (frame: Frame, sizeBytes: number) => void;
 	/** Ends the stream because the connection was lost or the other end was closed. */
 	abort: (reason?: string) => void;
 }>;
@@ -21,13 +21,13 @@
 	/** Writes a frame without waiting; returns its size in bytes. */
 	write: (frame: Frame) => number;
 	/** Waits while the connection's write buffer is full. */
-	waitForDrain: () => Promise<void>;
+	waitUntilWritable: () => Promise<void>;
 	readTime: () => FrameTime;
 	/** Removes the stream from the connection. */
 	remove: () => void;
 }>;
 
-type ReceivedItem = Readonly<{item: unknown; bytes: number}>;
+type ReceivedItem = Readonly<{item: unknown; sizeBytes: number}>;
 
 /** Creates one end of a stream. */
 export const createMultiplexedStream = (
@@ -39,12 +39,12 @@
 	const closedController = new AbortController();
 	let sendCreditBytes = WINDOW_BYTES;
 	let consumedBytes = 0;
-	let sentFinish = false;
-	let receivedFinish = false;
+	let hasSentFinish = false;
+	let hasReceivedFinish = false;
 	const creditAdded = createConditionVariable();
 
 	const abort = (reason?: string) => {
-		if (!receivedFinish) {
+		if (!hasReceivedFinish) {
 			closedController.abort(reason);
 		}
 
@@ -52,27 +52,27 @@
 		creditAdded.notifyAll();
 	};
 
-	const returnCredit = (bytes: number) => {
-		consumedBytes += bytes;
-		if (consumedBytes >= WINDOW_BYTES / 2 && !receivedFinish) {
+	const returnCredit = (sizeBytes: number) => {
+		consumedBytes += sizeBytes;
+		if (consumedBytes >= WINDOW_BYTES / 2 && !hasReceivedFinish) {
 			connection.write(['credit', connection.readTime(), id, side, consumedBytes]);
 			consumedBytes = 0;
 		}
 	};
 
 	const finish = () => {
-		if (!sentFinish) {
-			sentFinish = true;
+		if (!hasSentFinish) {
+			hasSentFinish = true;
 			connection.write(['finish', connection.readTime(), id, side]);
 		}
 	};
 
 	return {
 		abort,
-		accept(frame, bytes) {
+		handleFrame(frame, sizeBytes) {
 			switch (frame[0]) {
 				case 'item': {
-					incoming.push({item: frame[4], bytes});
+					incoming.push({item: frame[4], sizeBytes});
 
 					break;
 				}
@@ -85,7 +85,7 @@
 				}
 
 				case 'finish': {
-					receivedFinish = true;
+					hasReceivedFinish = true;
 					incoming.close();
 
 					break;
@@ -105,19 +105,19 @@
 				}
 
 				sendCreditBytes -= connection.write(['item', connection.readTime(), id, side, item]);
-				await connection.waitForDrain();
+				await connection.waitUntilWritable();
 			},
 			async receive() {
 				const received = await incoming.take();
 				if (received) {
-					returnCredit(received.bytes);
+					returnCredit(received.sizeBytes);
 				}
 
 				return received?.item;
 			},
 			finish,
 			async [Symbol.asyncDispose]() {
-				if (sentFinish && receivedFinish) {
+				if (hasSentFinish && hasReceivedFinish) {
 					connection.remove();
 					return;
 				}
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -30,16 +30,16 @@
 				const frames: Frame[] = calls.map(({id, body}) => ['call', [1, 2], id, 'method', body]);
 				const bytes = Buffer.concat(frames.map(frame => encodeFrame(frame)));
 				const splitAt = bytes.length === 0 ? 0 : splitSeed % (bytes.length + 1);
-				const first = splitFrames(bytes.subarray(0, splitAt)).unwrap();
-				const second = splitFrames(Buffer.concat([first.rest, bytes.subarray(splitAt)])).unwrap();
-				assert.equal(first.frames.length + second.frames.length, frames.length);
-				assert.equal(second.rest.length, 0);
+				const firstPart = splitFrames(bytes.subarray(0, splitAt)).unwrap();
+				const secondPart = splitFrames(Buffer.concat([firstPart.remainder, bytes.subarray(splitAt)])).unwrap();
+				assert.equal(firstPart.frames.length + secondPart.frames.length, frames.length);
+				assert.equal(secondPart.remainder.length, 0);
 			}), {seed: 11, numRuns: 300});
 		});
 
 		it('decodes fields encoded by number and fields encoded by name', () => {
 			const name = fc.constantFrom('id', 'kind', 'statement', 'values', 'changes', 'other', '1', '38', 'constructor');
-			const key = fc.oneof(name, fc.string({maxLength: 4}).filter(one => one !== '__proto__'));
+			const key = fc.oneof(name, fc.string({maxLength: 4}).filter(text => text !== '__proto__'));
 			const inner = fc.dictionary(key, fc.array(fc.integer()), {noNullPrototype: true});
 			const body = fc.dictionary(key, fc.oneof(fc.string(), fc.integer(), fc.boolean(), fc.constant(null), inner), {noNullPrototype: true});
 			fc.assert(fc.property(body, value => {
@@ -62,9 +62,9 @@
 				promptMs: 200,
 				priority: 1,
 			};
-			const named = JSON.stringify(statement).length;
-			const bytes = encodeFrame(['call', [1_796_400_192_760, 5], 1234, 'run', statement]).length;
-			assert.ok(bytes < named * 0.6, `${bytes} bytes, ${named} bytes with field names`);
+			const namedSizeBytes = JSON.stringify(statement).length;
+			const sizeBytes = encodeFrame(['call', [1_796_400_192_760, 5], 1234, 'run', statement]).length;
+			assert.ok(sizeBytes < namedSizeBytes * 0.6, `${sizeBytes} bytes, ${namedSizeBytes} bytes with field names`);
 		});
 
 		it('does not throw on arbitrary bytes', () => {
@@ -98,10 +98,10 @@
 
 		it('blocks a sender until the receiver consumes items', async () => {
 			const body = Buffer.alloc(WINDOW_BYTES / 16);
-			let sent = 0;
+			let sentCount = 0;
 			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
-				for (; sent < 500; sent++) {
-					await stream.send({sent, body});
+				for (; sentCount < 500; sentCount++) {
+					await stream.send({sent: sentCount, body});
 				}
 			};
 
@@ -111,7 +111,7 @@
 			await new Promise(resolve => {
 				setTimeout(resolve, 100);
 			});
-			assert.ok(sent <= 20, `${sent} items were sent although none was consumed`);
+			assert.ok(sentCount <= 20, `${sentCount} items were sent although none was consumed`);
 			const items: unknown[] = [];
 			for (let item = await stream.receive(); item !== undefined; item = await stream.receive()) {
 				items.push(item);
@@ -123,9 +123,9 @@
 		});
 
 		it('drains without losing a stream: each is answered or reported as not accepted', async () => {
-			let served = 0;
+			let servedCount = 0;
 			const serve = async (_header: unknown, stream: Stream<unknown, unknown>) => {
-				served++;
+				servedCount++;
 				await stream.receive();
 				await stream.send('answer');
 			};
@@ -148,13 +148,13 @@
 			};
 
 			await ask();
-			const before = Array.from({length: 50}, ask);
+			const asksBeforeDrain = Array.from({length: 50}, ask);
 			await Promise.resolve();
 			const draining = listener.drain(createDeadline(world.now(), 5000));
-			const after = Array.from({length: 50}, ask);
-			await Promise.all([...before, ...after, draining]);
+			const asksDuringDrain = Array.from({length: 50}, ask);
+			await Promise.all([...asksBeforeDrain, ...asksDuringDrain, draining]);
 			assert.equal(outcomes.length, 101);
-			assert.equal(outcomes.filter(outcome => outcome === 'answered').length, served);
+			assert.equal(outcomes.filter(outcome => outcome === 'answered').length, servedCount);
 			assert.deepEqual(outcomes.filter(outcome => !['answered', NOT_ACCEPTED, 'unreachable'].includes(outcome)), []);
 			assert.ok(outcomes.includes(NOT_ACCEPTED));
 			const late = await peers.openStream(listener.address, 'ask', null);
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -19,7 +19,7 @@
 /** Listener for callers, with the connections that are open in this process. */
 export type CallerListener = AsyncDisposable & Readonly<{
 	address: Address;
-	getOpenCount: () => number;
+	getConnectionCount: () => number;
 	/** Closes the idle connections that may not stay open: their key was withdrawn, or the process is draining. */
 	closeIdle: () => void;
 	/** Stops accepting connections, closes idle ones and waits until all have closed or the signal aborts. */
@@ -43,7 +43,7 @@
 
 type OpenCaller = Readonly<{caller: Caller; control: CallerControl; secret: number}>;
 
-const MAX_SECRET = 2_147_483_647;
+const MAX_CANCEL_SECRET = 2_147_483_647;
 const CONNECTION_NUMBER_BITS = 18;
 const LISTEN_BACKLOG = 4096;
 const DRAIN_POLL_MS = 20;
@@ -70,7 +70,7 @@
 	const tls: SecureContext | undefined = settings.callerTls ? createSecureContext(settings.callerTls) : undefined;
 	let lastConnectionNumber = randomInt(2 ** CONNECTION_NUMBER_BITS);
 
-	const startup: StartupContext = {
+	const startupContext: StartupContext = {
 		tls,
 		findService: service => clusterView.activeConfiguration.getInventory()?.services[service],
 		findKey(keyId) {
@@ -90,17 +90,17 @@
 	};
 
 	const cancel = (processId: number, secret: number) => {
-		const found = openCallers.get(processId);
-		if (found?.secret === secret) {
-			found.control.cancel();
-		} else if (!found && readVmNumber(processId) !== context.vmNumber) {
+		const openCaller = openCallers.get(processId);
+		if (openCaller?.secret === secret) {
+			openCaller.control.cancel();
+		} else if (!openCaller && readVmNumber(processId) !== context.vmNumber) {
 			context.forwardCancel(readVmNumber(processId), processId, secret);
 		}
 	};
 
-	const serveOpen = async (caller: Caller) => {
+	const serveAcceptedCaller = async (caller: Caller) => {
 		const processId = createProcessId();
-		const secret = randomInt(MAX_SECRET);
+		const secret = randomInt(MAX_CANCEL_SECRET);
 		const control: CallerControl = {cancel: () => undefined, isIdle: true};
 		openCallers.set(processId, {caller, control, secret});
 		metrics.gauge('entry.callers', openCallers.size);
@@ -118,7 +118,7 @@
 		socket.setTimeout(STARTUP_TIMEOUT_MS, () => {
 			socket.destroy();
 		});
-		const {wire, outcome} = await receiveStartup(socket, startup);
+		const {wire, outcome} = await receiveStartup(socket, startupContext);
 		await using ownedWire = wire;
 		socket.setTimeout(0);
 		if (outcome.err) {
@@ -136,7 +136,7 @@
 			return;
 		}
 
-		await serveOpen(outcome.val.caller);
+		await serveAcceptedCaller(outcome.val.caller);
 	};
 
 	const server = createServer(socket => {
@@ -149,7 +149,7 @@
 		server.once('error', reject);
 		server.listen({...settings.listen, backlog: LISTEN_BACKLOG}, resolve);
 	});
-	const bound = server.address();
+	const boundAddress = server.address();
 
 	const closeIdle = () => {
 		for (const {caller, control} of openCallers.values()) {
@@ -163,8 +163,8 @@
 	};
 
 	return {
-		address: {host: settings.listen.host, port: typeof bound === 'object' && bound ? bound.port : settings.listen.port},
-		getOpenCount: () => openCallers.size,
+		address: {host: settings.listen.host, port: typeof boundAddress === 'object' && boundAddress ? boundAddress.port : settings.listen.port},
+		getConnectionCount: () => openCallers.size,
 		closeIdle,
 		cancel,
 		async drain(signal) {
@@ -185,4 +185,4 @@
 };
 
 /** Finds the vm with a number; `undefined` if there is none. */
-export const findVmByNumber = (vms: readonly VmId[], number: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === number);
+export const findVmByNumber = (vms: readonly VmId[], vmNumber: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === vmNumber);
--- a/packages/proxy/src/cluster-view.ts
+++ b/packages/proxy/src/cluster-view.ts
@@ -67,14 +67,14 @@
 	const self = {
 		vm: settings.vm, dataCentre: settings.dataCentre, host: settings.peerListen.host, port: settings.peerListen.port, state: 'live' as const, incarnation,
 	};
-	const members = createMembers(self, world, (member, before) => {
+	const members = createMembers(self, world, (member, previousStatus) => {
 		const fields = {member: member.vm, status: member.status, memberIncarnation: member.incarnation};
 		if (member.status === 'suspect') {
 			emit(EVENTS.memberSuspected, fields);
 		} else if (member.status === 'dead') {
 			emit(EVENTS.memberDead, fields);
 			context.onMemberDead(member);
-		} else if (before !== 'suspect') {
+		} else if (previousStatus !== 'suspect') {
 			emit(EVENTS.memberJoined, fields);
 		}
 	});
@@ -96,7 +96,7 @@
 		members.applyVmList(entries.map(entry => JSON.parse(entry.value) as VmEntry));
 	});
 
-	const getVms = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
+	const getVmIds = (list: readonly Member[]): readonly VmId[] => list.map(member => member.vm);
 
 	const rankings = new Map<string, readonly VmId[]>();
 	let rankedMembersVersion = -1;
@@ -109,7 +109,7 @@
 		}
 
 		const cacheKey = `${dataCentre ?? ''}/${key}`;
-		const ranking = rankings.get(cacheKey) ?? rankCandidates(key, getVms(members.getLive(dataCentre)));
+		const ranking = rankings.get(cacheKey) ?? rankCandidates(key, getVmIds(members.getLive(dataCentre)));
 		rankings.set(cacheKey, ranking);
 		return ranking;
 	};
@@ -142,15 +142,18 @@
 };
 
 /** Calls a method of a vm by the name of the vm. */
-export type CallVm = <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<Reply, Failure>>;
+export type CallVm = <ResponseBody>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<ResponseBody, Failure>>;
 
 /** Creates the function that looks up the address of a vm and calls it over the connections to peers. */
-export const createCallVm = (members: Members, peers: PeerConnections): CallVm => async <Reply>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<Reply, Failure>> => {
+export const createCallVm = (
+	members: Members,
+	peers: PeerConnections,
+): CallVm => async <ResponseBody>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<ResponseBody, Failure>> => {
 	const member = members.get(vm);
 	if (!member) {
 		return Err({code: 'peerUnreachable', message: `The vm ${vm} is not in the platform's list`});
 	}
 
-	const reply = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
-	return reply.map(responseBody => responseBody as Reply);
+	const response = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
+	return response.map(responseBody => responseBody as ResponseBody);
 };
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -62,7 +62,7 @@
 	const {world, clusterView, emit, metrics} = context;
 	const pendingCounts = new Map<TargetId, number>();
 
-	const getView = (): RoutingView | undefined => {
+	const createRoutingView = (): RoutingView | undefined => {
 		const inventory = clusterView.activeConfiguration.getInventory();
 		return inventory && {
 			inventory,
@@ -155,17 +155,17 @@
 		return Ok(opened.val as RequestStream);
 	};
 
-	const addPending = (target: TargetId, change: number) => {
+	const changePendingCount = (target: TargetId, change: number) => {
 		pendingCounts.set(target, (pendingCounts.get(target) ?? 0) + change);
 	};
 
-	const createRunning = (request: RequestContext, route: Route, stream: RequestStream, first: Reply): RunningRequest => ({
+	const createRunningRequest = (request: RequestContext, route: Route, stream: RequestStream, firstReply: Reply): RunningRequest => ({
 		requestId: request.requestId,
 		mode: route.mode,
-		firstReply: first,
+		firstReply,
 		stream,
 		async [Symbol.asyncDispose]() {
-			addPending(route.target, -1);
+			changePendingCount(route.target, -1);
 			await stream[Symbol.asyncDispose]();
 		},
 	});
@@ -188,36 +188,36 @@
 			void stream[Symbol.asyncDispose]();
 		};
 
-		addPending(route.target, 1);
+		changePendingCount(route.target, 1);
 		signal.addEventListener('abort', closeStream, {once: true});
 		await stream.send(chunk);
-		const first = await stream.receive();
+		const firstReply = await stream.receive();
 		signal.removeEventListener('abort', closeStream);
-		const isRepeatable = first?.kind === 'unknown' && route.mode !== 'write';
-		if (first && first.kind !== 'refused' && first.kind !== 'readOnly' && !isRepeatable) {
-			return {kind: 'running', running: createRunning(request, route, stream, first)};
+		const isRetryable = firstReply?.kind === 'unknown' && route.mode !== 'write';
+		if (firstReply && firstReply.kind !== 'refused' && firstReply.kind !== 'readOnly' && !isRetryable) {
+			return {kind: 'running', running: createRunningRequest(request, route, stream, firstReply)};
 		}
 
-		addPending(route.target, -1);
+		changePendingCount(route.target, -1);
 		await stream[Symbol.asyncDispose]();
-		if (!first && stream.signal.reason === NOT_ACCEPTED) {
+		if (!firstReply && stream.signal.reason === NOT_ACCEPTED) {
 			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The owner ${route.owner} of the target is shutting down`)};
 		}
 
-		if (!first || isRepeatable) {
+		if (!firstReply || isRetryable) {
 			return {kind: 'lost'};
 		}
 
-		return first.kind === 'refused' ? first : {kind: 'readOnly'};
+		return firstReply.kind === 'refused' ? firstReply : {kind: 'readOnly'};
 	};
 
 	const isFinal = (refusal: Refusal): boolean => refusal.code === 'queueFull' || refusal.code === 'deadlinePassed' || refusal.code === 'limitExceeded';
 
 	const fail = (request: RequestContext, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: request.requestId, failure});
 
-	const runRequest = async (start: RequestStart, wanted: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
+	const runRequest = async (start: RequestStart, requestedMode: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
 		const {caller, request, signal} = start;
-		let mode = wanted;
+		let mode = requestedMode;
 		context.retryBudget.deposit();
 		let attempts: readonly RouteAttempt[] = [];
 		let lastRefusal: Refusal = createRefusal('noRoute', 'No route to a target was found before the deadline');
@@ -226,12 +226,12 @@
 				return fail(request, createRefusal('canceled', 'The request was canceled before it ran'));
 			}
 
-			const view = getView();
-			const route = view ? chooseRoute(view, request.database, mode, attempts) : Err(lastRefusal);
+			const routingView = createRoutingView();
+			const route = routingView ? chooseRoute(routingView, request.database, mode, attempts) : Err(lastRefusal);
 			if (route.ok) {
 				const outcome = await tryRoute(start, route.val);
 				if (outcome.kind === 'running') {
-					metrics.count('entry.requests', {service: caller.service, mode: route.val.mode, wanted});
+					metrics.count('entry.requests', {service: caller.service, mode: route.val.mode, wanted: requestedMode});
 					return Ok(outcome.running);
 				}
 
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -28,15 +28,15 @@
 	const {clusterView} = context;
 	const {customer, service, statement} = request as ExplainRequest;
 	const inventory = clusterView.activeConfiguration.getInventory();
-	const foundService = inventory && getService(inventory, service);
-	const entry = inventory && getCustomer(inventory, customer);
-	if (!inventory || !foundService) {
+	const configuredService = inventory && getService(inventory, service);
+	const configuredCustomer = inventory && getCustomer(inventory, customer);
+	if (!inventory || !configuredService) {
 		return {steps: [`There is no service ${service} in revision ${clusterView.activeConfiguration.getRevision()}`]};
 	}
 
 	const statementClass = classifyStatement(statement);
-	const mode = chooseRequestMode(statementClass, foundService.staleReadsMs);
-	const database = parseId<DatabaseId>(foundService.database);
+	const mode = chooseRequestMode(statementClass, configuredService.staleReadsMs);
+	const database = parseId<DatabaseId>(configuredService.database);
 	const routingView: RoutingView = {
 		inventory,
 		getGroup: context.getGroup,
@@ -50,12 +50,16 @@
 	return {
 		steps: [
 			`revision ${clusterView.activeConfiguration.getRevision()} of the configuration is active`,
-			foundService.open ? `service ${service} is open to all: no key and no quota` : `customer ${customer} ${entry?.services.includes(service) ? 'may' : 'may not'} use service ${service}`,
-			entry ? `quota: ${entry.rate} requests a second, burst ${entry.burst}, weight ${entry.weight}, over the whole fleet` : `customer ${customer} is not in the inventory`,
+			configuredService.open
+				? `service ${service} is open to all: no key and no quota`
+				: `customer ${customer} ${configuredCustomer?.services.includes(service) ? 'may' : 'may not'} use service ${service}`,
+			configuredCustomer
+				? `quota: ${configuredCustomer.rate} requests per second, burst ${configuredCustomer.burst}, weight ${configuredCustomer.weight}, over the whole fleet`
+				: `customer ${customer} is not in the inventory`,
 			`statement is classified as ${statementClass}, so it runs in mode ${mode}`,
 			record ? `database ${database}: term ${record.term}, primary ${record.primary}, synced ${record.synced.join(' ') || 'none'}` : `database ${database}: no record is known yet`,
 			route.ok ? `route: target ${route.val.target} through owner ${route.val.owner}, because ${route.val.reason}` : `no route: ${route.val.message}`,
-			`responses to writes wait for ${inventory.databases[foundService.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
+			`responses to writes wait for ${inventory.databases[configuredService.database]?.acknowledge === 'primary' ? 'the primary alone' : 'every synced replica'}`,
 		],
 	};
 };
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -108,8 +108,8 @@
 			return '';
 		}
 
-		const address = createTargetConnectionSettings(configured, context.vm);
-		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
+		const connectionSettings = createTargetConnectionSettings(configured, context.vm);
+		return `host=${connectionSettings.host} port=${connectionSettings.port} user=${connectionSettings.user} application_name=${follower}`;
 	};
 
 	const commands: TargetCommands = {
@@ -120,13 +120,13 @@
 	};
 
 	const getSettings = (database: DatabaseId): FailoverSettings | undefined => {
-		const configured = clusterView.activeConfiguration.getInventory()?.databases[database];
-		return configured && {
+		const configuredDatabase = clusterView.activeConfiguration.getInventory()?.databases[database];
+		return configuredDatabase && {
 			database,
-			minimumSynced: Math.min(configured.minimumSynced, configured.targets.length - 1),
-			replicated: configured.acknowledge === 'replicated',
-			targets: configured.targets.map(target => parseId<TargetId>(target.name)),
-			leaving: configured.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
+			minimumSynced: Math.min(configuredDatabase.minimumSynced, configuredDatabase.targets.length - 1),
+			replicated: configuredDatabase.acknowledge === 'replicated',
+			targets: configuredDatabase.targets.map(target => parseId<TargetId>(target.name)),
+			leaving: configuredDatabase.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
 		};
 	};
 
@@ -136,10 +136,10 @@
 		commands,
 		getSettings: () => getSettings(database),
 		getAuthorityDeadline: authority.getDeadline,
-		async revoke(holder, id, permissions) {
+		async revoke(holder, databaseId, permissions) {
 			// A holder that keeps the permission to acknowledge responds only when its running writes have ended, hence the longer timeout.
 			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
-			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
+			return context.callVm(holder.vm, 'revoke', {database: databaseId, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
 		publish: context.onGroupView,
 		onEvent(event) {
@@ -149,9 +149,9 @@
 
 	const getDatabases = (slot: string): readonly DatabaseId[] => {
 		const inventory = clusterView.activeConfiguration.getInventory();
-		const slots = inventory?.fleet.stewardSlots ?? 1;
+		const slotCount = inventory?.fleet.stewardSlots ?? 1;
 		return Object.keys(inventory?.databases ?? {})
-			.filter(name => chooseSlot('steward', slots, name) === slot)
+			.filter(name => chooseSlot('steward', slotCount, name) === slot)
 			.map(name => parseId<DatabaseId>(name));
 	};
 
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -30,7 +30,7 @@
 	coordinators: FailoverCoordinators;
 	allocators: QuotaAllocators;
 	grantRegistry: GrantRegistry;
-	promises: TakeoverPromises;
+	takeoverPromises: TakeoverPromises;
 	owner: OwnerContext<TargetConnection>;
 	/** Returns the latest epoch of a slot that this process knows. */
 	getEpoch: (slot: string) => number;
@@ -85,7 +85,7 @@
 			allot: async body => context.allocators.grantTokens(body as TokenRequest) ?? null,
 			async promise(body) {
 				const request = body as TakeoverPromiseRequest;
-				return context.promises.give(request, context.getEpoch(request.slot));
+				return context.takeoverPromises.give(request, context.getEpoch(request.slot));
 			},
 			vouch: async () => context.isStoreReachable(),
 			async cancel(body) {
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -11,9 +11,9 @@
 const SKIP_NODE_AND_SCRIPT = 2;
 
 const argv = process.argv.slice(SKIP_NODE_AND_SCRIPT);
-const isTextRequested = argv.includes('--help') || argv.includes('--version');
-const settings = await parseSettings(isTextRequested ? [...argv, '--vm', 'none', '--data-centre', 'none'] : argv);
-if (isTextRequested) {
+const isHelpOrVersionRequested = argv.includes('--help') || argv.includes('--version');
+const settings = await parseSettings(isHelpOrVersionRequested ? [...argv, '--vm', 'none', '--data-centre', 'none'] : argv);
+if (isHelpOrVersionRequested) {
 	process.exitCode = 0;
 } else if (settings.err) {
 	process.stderr.write(`guavapitch-proxy: ${settings.val.message}\n`);
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -47,7 +47,7 @@
 	onGroupView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{configured: ConfiguredTarget; address: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{configured: ConfiguredTarget; connectionSettings: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
 
 /** Connections of a target reserved for control queries of the failover coordinator and of the owners. */
 const RESERVED_CONNECTIONS = 4;
@@ -81,12 +81,12 @@
 
 	const openTarget = (configured: ConfiguredTarget): OpenTarget => {
 		const {target} = configured;
-		const address = createTargetConnectionSettings(configured, vm);
+		const connectionSettings = createTargetConnectionSettings(configured, vm);
 		const isPreferredOwner = clusterView.getOwners(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
 			maxOpen: computeOwnerConnectionLimit(target.connections),
 			minIdle: isPreferredOwner ? Math.min(MIN_IDLE_CONNECTIONS, target.slots) : 0,
-			dial: async () => openTargetConnection(address),
+			dial: async () => openTargetConnection(connectionSettings),
 			onAvailable() {
 				queue.admitWaiting();
 			},
@@ -97,7 +97,7 @@
 		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
 		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
-			configured, address, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
+			configured, connectionSettings, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
 		};
 	};
 
@@ -165,8 +165,8 @@
 	};
 
 	const getCoordinator = (database: DatabaseId): VmId | undefined => {
-		const slots = clusterView.activeConfiguration.getInventory()?.fleet.stewardSlots ?? 1;
-		const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
+		const slotCount = clusterView.activeConfiguration.getInventory()?.fleet.stewardSlots ?? 1;
+		const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slotCount, database)}`);
 		const record = entry ? parseSlotRecord(entry.value) : undefined;
 		return record?.ok ? record.val.holder.vm : undefined;
 	};
@@ -178,14 +178,14 @@
 		}
 
 		const requestedAt = world.now();
-		const reply = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
-		if (reply.err || !reply.val) {
+		const response = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
+		if (response.err || !response.val) {
 			return false;
 		}
 
-		grantRegistry.accept(reply.val, requestedAt);
-		context.onGroupView(reply.val.view);
-		return reply.val.permissions.writes;
+		grantRegistry.accept(response.val, requestedAt);
+		context.onGroupView(response.val.view);
+		return response.val.permissions.writes;
 	};
 
 	const getOwnedDatabases = (): ReadonlySet<DatabaseId> => new Set(clusterView.listTargets()
@@ -205,16 +205,16 @@
 		waitUntilDurable,
 		get: target => getOpenTarget(target)?.owned,
 		async runGrantRenewal(signal) {
-			const running = new Set<DatabaseId>();
+			const renewingDatabases = new Set<DatabaseId>();
 			while (!signal.aborted) {
 				for (const database of getOwnedDatabases()) {
-					if (!running.has(database)) {
-						running.add(database);
+					if (!renewingDatabases.has(database)) {
+						renewingDatabases.add(database);
 						scope.run(async () => {
 							try {
 								await renewGrant(database, signal);
 							} finally {
-								running.delete(database);
+								renewingDatabases.delete(database);
 							}
 						});
 					}
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -37,7 +37,7 @@
 import {createFailoverCoordinators} from './failover-coordinators.js';
 
 /** A running proxy. */
-export type Proxy = Readonly<{
+export type RunningProxy = Readonly<{
 	callerListener: CallerListener;
 	/** Shuts down gracefully: gives up roles, drains callers and running requests, then closes everything. */
 	stop: () => Promise<void>;
@@ -57,7 +57,7 @@
 const MAX_RECENT_EVENTS = 2000;
 
 /** Starts a proxy: listens for peers and callers and runs the background tasks. */
-export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
+export const startProxy = async (settings: Settings, world: World): Promise<Result<RunningProxy, StartFailure>> => {
 	const incarnation = world.createId().slice(0, INCARNATION_CHARACTERS);
 	const clock = createHybridLogicalClock(world.readWallClock);
 	const recentEvents = createEventRingBuffer(MAX_RECENT_EVENTS);
@@ -67,13 +67,13 @@
 		log(record);
 	});
 	const metrics = openMetrics(settings.statsd);
-	const onFailure = (task: string) => (thrown: unknown) => {
+	const createFailureHandler = (task: string) => (thrown: unknown) => {
 		emit(EVENTS.taskFailed, {task, reason: thrown instanceof Error ? thrown.stack : String(thrown)});
 	};
 
-	const control = createScope(onFailure('control'));
-	const roles = createScope(onFailure('role'));
-	const requests = createScope(onFailure('request'));
+	const controlScope = createScope(createFailureHandler('control'));
+	const roleScope = createScope(createFailureHandler('role'));
+	const requestScope = createScope(createFailureHandler('request'));
 	const store = openEtcdStore({
 		address: settings.platform,
 		clientName: settings.vm,
@@ -113,17 +113,17 @@
 			emit(EVENTS.frameRefused, {reason: failure.code});
 			metrics.count('peer.malformed');
 		},
-		onTransfer(direction, bytes) {
-			metrics.count('peer.bytes', {direction}, bytes);
+		onTransfer(direction, byteCount) {
+			metrics.count('peer.bytes', {direction}, byteCount);
 		},
 	};
 	const peers = createPeerConnections(peerContext, createDial(settings.peerTls));
 	const callVm = createCallVm(members, peers);
 
 	const groups = new Map<DatabaseId, GroupView>();
-	const acceptView = (view: GroupView) => {
-		const known = groups.get(view.record.database);
-		if (!known || known.revision < view.revision) {
+	const acceptGroupView = (view: GroupView) => {
+		const knownView = groups.get(view.record.database);
+		if (!knownView || knownView.revision < view.revision) {
 			groups.set(view.record.database, view);
 		}
 	};
@@ -133,13 +133,13 @@
 			const entry = storeCache.get(key);
 			const record = entry ? parseGroupRecord(entry.value) : undefined;
 			if (entry && record?.ok) {
-				acceptView({record: record.val, revision: entry.revision});
+				acceptGroupView({record: record.val, revision: entry.revision});
 			}
 		}
 	});
 
 	const ownedTargets = createOwnedTargets({
-		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptView,
+		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptGroupView,
 	});
 	const cancelCallbacks = new Map<RequestId, () => void>();
 	const owner: OwnerContext<TargetConnection> = {
@@ -173,10 +173,10 @@
 		},
 		trackRequest(header) {
 			runningRequestCount++;
-			const write = header.mode === 'write' ? ownedTargets.grantRegistry.trackWrite(header.database) : undefined;
+			const trackedWrite = header.mode === 'write' ? ownedTargets.grantRegistry.trackWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
-					write?.[Symbol.dispose]();
+					trackedWrite?.[Symbol.dispose]();
 					runningRequestCount--;
 				},
 			};
@@ -185,11 +185,11 @@
 	};
 
 	const coordinators = createFailoverCoordinators({
-		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptView,
+		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptGroupView,
 	});
 	const allocators = createQuotaAllocators(world, clusterView, callVm);
 	const lease = createProcessLease(store, world);
-	const promises = createTakeoverPromises(incarnation, world);
+	const takeoverPromises = createTakeoverPromises(incarnation, world);
 	const relayService = createRelayService(storeCache, incarnation, world);
 
 	const cancelLocally = (requestId: string) => {
@@ -221,7 +221,7 @@
 		quotaClient: createQuotaClient(allocators.requestTokens, world),
 		owner,
 		retryBudget: createRetryBudget(),
-		scope: requests,
+		scope: requestScope,
 		emit,
 		metrics,
 		getGroup: database => groups.get(database),
@@ -230,7 +230,7 @@
 	});
 
 	handlers = createHandlers({
-		world, incarnation, scope: requests, clusterView, callVm, relay: relayService, coordinators, allocators, grantRegistry: ownedTargets.grantRegistry, promises, owner,
+		world, incarnation, scope: requestScope, clusterView, callVm, relay: relayService, coordinators, allocators, grantRegistry: ownedTargets.grantRegistry, takeoverPromises, owner,
 		getEpoch(slot) {
 			const slotEntry = storeCache.get(`${ROLE_PREFIX}${slot}`);
 			return slotEntry ? parseSlotRecord(slotEntry.value).map(record => record.epoch).unwrapOr(0) : 0;
@@ -268,8 +268,8 @@
 		sendSync: async (vm, request) => callVm<SyncResponse>(vm, 'sync', request, SYNC_TIMEOUT_MS),
 		async isStoreDownForAll() {
 			const dataCentres = new Set(activeConfiguration.getInventory()?.dataCentres);
-			const others = clusterView.getRelays();
-			const responses = await Promise.all(others.map(async vm => ({
+			const otherRelays = clusterView.getRelays();
+			const responses = await Promise.all(otherRelays.map(async vm => ({
 				dataCentre: members.get(vm)?.dataCentre, response: await callVm<boolean>(vm, 'vouch', null, PEER_TIMEOUT_MS),
 			})));
 			if (responses.some(({response}) => response.ok && response.val)) {
@@ -294,7 +294,7 @@
 	};
 
 	const runRoleCandidates = createRoleCandidates({
-		world, vm: settings.vm, incarnation, clusterView, store, lease, promises, scope: roles, emit, isDraining: () => isDraining,
+		world, vm: settings.vm, incarnation, clusterView, store, lease, takeoverPromises, scope: roleScope, emit, isDraining: () => isDraining,
 		requestPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
 		runAsHolder: {steward: coordinators.runAsHolder, keeper: allocators.runAsHolder},
 	});
@@ -308,25 +308,28 @@
 	};
 
 	try {
-		const listener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
+		const peerListener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
 		callerListener = await startCallerListener({
 			settings, clusterView, entry, emit, metrics, vmNumber: getVmNumber(settings.vm), forwardCancel,
 		});
 		emit(EVENTS.processStarted, {
-			version: VERSION, dataCentre: settings.dataCentre, listen: `${callerListener.address.host}:${callerListener.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
+			version: VERSION,
+			dataCentre: settings.dataCentre,
+			listen: `${callerListener.address.host}:${callerListener.address.port}`,
+			peerListen: `${peerListener.address.host}:${peerListener.address.port}`,
 		});
-		control.run(async signal => runCacheSync(cacheSync, signal));
-		control.run(async signal => runRelayWatches(cacheSync, signal));
-		control.run(async signal => runFailureDetector({
+		controlScope.run(async signal => runCacheSync(cacheSync, signal));
+		controlScope.run(async signal => runRelayWatches(cacheSync, signal));
+		controlScope.run(async signal => runFailureDetector({
 			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
-		control.run(runRoleCandidates);
-		control.run(ownedTargets.runGrantRenewal);
-		control.run(ownedTargets.runOwnershipUpdates);
-		control.run(runPeriodicChecks);
-		const openListener = callerListener;
+		controlScope.run(runRoleCandidates);
+		controlScope.run(ownedTargets.runGrantRenewal);
+		controlScope.run(ownedTargets.runOwnershipUpdates);
+		controlScope.run(runPeriodicChecks);
+		const startedCallerListener = callerListener;
 		return Ok({
-			callerListener: openListener,
+			callerListener: startedCallerListener,
 			async stop() {
 				isDraining = true;
 				emit(EVENTS.processDraining);
@@ -335,22 +338,22 @@
 				const timer = setTimeout(() => {
 					drainTimeout.abort();
 				}, settings.drainMs);
-				await roles[Symbol.asyncDispose]();
+				await roleScope[Symbol.asyncDispose]();
 				await lease.revoke();
-				await openListener.drain(drainTimeout.signal);
+				await startedCallerListener.drain(drainTimeout.signal);
 				while (runningRequestCount > 0 && !drainTimeout.signal.aborted) {
 					await world.sleep(DRAIN_POLL_MS);
 				}
 
 				clearTimeout(timer);
-				await listener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
-				await openListener[Symbol.asyncDispose]();
-				await control[Symbol.asyncDispose]();
-				await requests[Symbol.asyncDispose]();
+				await peerListener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
+				await startedCallerListener[Symbol.asyncDispose]();
+				await controlScope[Symbol.asyncDispose]();
+				await requestScope[Symbol.asyncDispose]();
 				await ownedTargets[Symbol.asyncDispose]();
 				await coordinators[Symbol.asyncDispose]();
 				await peers[Symbol.asyncDispose]();
-				await listener[Symbol.asyncDispose]();
+				await peerListener[Symbol.asyncDispose]();
 				await store[Symbol.asyncDispose]();
 				emit(EVENTS.processStopped);
 				await metrics[Symbol.asyncDispose]();
--- a/packages/proxy/src/role-candidates.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -18,7 +18,7 @@
 	clusterView: ClusterView;
 	store: Store;
 	lease: ProcessLease;
-	promises: TakeoverPromises;
+	takeoverPromises: TakeoverPromises;
 	/** Scope that owns the task of each slot. */
 	scope: Scope;
 	emit: Emit;
@@ -40,7 +40,7 @@
 		world,
 		store: context.store,
 		lease: context.lease,
-		takeoverPromises: context.promises,
+		takeoverPromises: context.takeoverPromises,
 		self: {vm: context.vm, incarnation: context.incarnation},
 		slot,
 		rankCandidates: () => context.isDraining() ? [] : clusterView.rankLiveVms(`role/${slot}`),
@@ -64,7 +64,7 @@
 	const listSlots = (): ReadonlyArray<readonly [RoleName, string]> => {
 		const slotCounts = activeConfiguration.getInventory()?.fleet;
 		const roles: ReadonlyArray<readonly [RoleName, number]> = [['steward', slotCounts?.stewardSlots ?? 0], ['keeper', slotCounts?.keeperSlots ?? 0]];
-		return roles.flatMap(([role, count]) => Array.from({length: count}, (_, number) => [role, formatSlotName(role, number)] as const));
+		return roles.flatMap(([role, slotCount]) => Array.from({length: slotCount}, (_, slotNumber) => [role, formatSlotName(role, slotNumber)] as const));
 	};
 
 	return async signal => {
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -42,13 +42,13 @@
 }
 
 const parseAddress = (flag: string, text: string): Address => {
-	const [host, port] = text.split(':');
-	const number = Number(port);
-	if (!host || !Number.isInteger(number) || number < 0 || number > MAX_PORT) {
+	const [host, portText] = text.split(':');
+	const port = Number(portText);
+	if (!host || !Number.isInteger(port) || port < 0 || port > MAX_PORT) {
 		throw new SettingError(`--${flag}: expected host:port, got "${text}"`);
 	}
 
-	return {host, port: number};
+	return {host, port};
 };
 
 const parseName = <Id extends string>(flag: string, text: string): Id => {
@@ -67,12 +67,12 @@
 	return value;
 };
 
-const requireSetting = <Value>(read: Result<Value, Failure>): Value => {
-	if (read.err) {
-		throw new SettingError(read.val.message);
+const requireSetting = <Value>(result: Result<Value, Failure>): Value => {
+	if (result.err) {
+		throw new SettingError(result.val.message);
 	}
 
-	return read.val;
+	return result.val;
 };
 
 const readPem = (flag: string, file: string): string => {
--- a/packages/proxy/src/tests/failover-coordinators.test.ts
+++ b/packages/proxy/src/tests/failover-coordinators.test.ts
@@ -33,13 +33,13 @@
 	describe('of a slot that is lost during a wait and gained again', () => {
 		it('run for the databases of the slot again', async () => {
 			const world = createWorld();
-			const memory = createMemoryStore(world);
+			const memoryStore = createMemoryStore(world);
 			const record = createGroupRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
-			memory.put(formatGroupKey(DATABASE), formatGroupRecord(record));
+			memoryStore.put(formatGroupKey(DATABASE), formatGroupRecord(record));
 			let isStoreDown = true;
 			const store: Store = {
-				...memory,
-				read: async key => isStoreDown ? Err({code: 'storeUnreachable', message: 'down'}) : memory.read(key),
+				...memoryStore,
+				read: async key => isStoreDown ? Err({code: 'storeUnreachable', message: 'down'}) : memoryStore.read(key),
 			};
 			const inventory = createInventory() as Inventory;
 			const clusterView = {activeConfiguration: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as ClusterView;
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -36,9 +36,9 @@
 type EventLists = ReadonlyArray<readonly EventRecord[]>;
 
 const readFiles = (files: readonly string[]): Result<EventLists, TimelineFailure> => {
-	const lists = files.flatMap(fileOrFolder => listLogFiles(fileOrFolder)).map(file => parseEvents(readFileSync(file, 'utf8')));
-	const malformed = lists.find(list => list.err);
-	return malformed?.err ? Err(malformed.val) : Ok(lists.map(list => list.unwrap()));
+	const parsedFiles = files.flatMap(fileOrFolder => listLogFiles(fileOrFolder)).map(file => parseEvents(readFileSync(file, 'utf8')));
+	const malformed = parsedFiles.find(list => list.err);
+	return malformed?.err ? Err(malformed.val) : Ok(parsedFiles.map(list => list.unwrap()));
 };
 
 /** Requests the events of the running proxies; reports on standard error which proxies did not respond, since their events are missing. */
@@ -46,12 +46,12 @@
 	const world = createWorld();
 	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
 	await using client = openFleetClient(world, readPeerTls(files).unwrap());
-	const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(store, client);
-	if (missing.length > 0) {
-		process.stderr.write(`guavapitch-timeline: no answer from ${missing.join(', ')}; the time line lacks their events\n`);
+	const {eventLists, unresponsiveVms} = await requestEvents(store, client);
+	if (unresponsiveVms.length > 0) {
+		process.stderr.write(`guavapitch-timeline: no answer from ${unresponsiveVms.join(', ')}; the time line lacks their events\n`);
 	}
 
-	return lists;
+	return eventLists;
 };
 
 await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
@@ -92,12 +92,12 @@
 		const events = filterEvents(merged, {
 			customer: flags.customer, database: flags.database, request: flags.request, term: flags.term, vm: flags.vm, ids: flags.id,
 		});
-		const texts = {
+		const formatters = {
 			text: () => events.map(event => `${formatEvent(event)}\n`).join(''),
 			json: () => `${JSON.stringify(events, null, 2)}\n`,
 			svg: () => drawTimeline(events),
 		};
-		const text = texts[flags.format]();
+		const text = formatters[flags.format]();
 		if (flags.output) {
 			writeFileSync(flags.output, text);
 		} else {
--- a/packages/timeline/src/svg.ts
+++ b/packages/timeline/src/svg.ts
@@ -8,8 +8,8 @@
 const TOP_MARGIN = 46;
 const RIGHT_MARGIN = 30;
 const DOT_RADIUS = 5;
-const TICKS = 8;
-const LABEL_SPACING = 90;
+const TICK_INTERVALS = 8;
+const MIN_LABEL_SPACING = 90;
 const COLOURS: Readonly<Record<string, string>> = {info: '#1f6f8b', warn: '#d9822b', error: '#b3261e'};
 
 const escapeText = (text: string): string => text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;').replaceAll('"', '&quot;');
@@ -32,8 +32,8 @@
 		);
 	}
 
-	for (let tick = 0; tick <= TICKS; tick++) {
-		const ms = startMs + (durationMs * tick / TICKS);
+	for (let tick = 0; tick <= TICK_INTERVALS; tick++) {
+		const ms = startMs + (durationMs * tick / TICK_INTERVALS);
 		parts.push(`<text x="${computeX(ms)}" y="20" class="tick">+${Math.round(ms - startMs)} ms</text>`);
 	}
 
@@ -41,7 +41,7 @@
 	for (const record of records) {
 		const x = computeX(record.hlc[0]);
 		const y = computeY(record.vm);
-		const hasLabelSpace = x - (lastLabelX.get(record.vm) ?? Number.NEGATIVE_INFINITY) > LABEL_SPACING;
+		const hasLabelSpace = x - (lastLabelX.get(record.vm) ?? Number.NEGATIVE_INFINITY) > MIN_LABEL_SPACING;
 		parts.push(`<circle cx="${x.toFixed(1)}" cy="${y}" r="${DOT_RADIUS}" fill="${COLOURS[record.level] ?? '#555'}"><title>${escapeText(formatDetails(record))}</title></circle>`);
 		if (hasLabelSpace) {
 			lastLabelX.set(record.vm, x);
