Say what the parts of the proxy do, need and report

Adds a line where the name and type of a field or constant left its meaning open: units, limits, what `undefined` and 0 mean, when a call fails, why the entry backs off only after the primary, how a cancel key is built, why a revocation waits for running writes. Says that the type `Dial` connects a socket: no test replaces it any more.

Messages now say what was missing: the service that the active configuration lacks, that a peer without a response may have handled the call, that no vm could explain a request; help texts name the StatsD server, the JSON lines and the private keys. Titles of the time line's tests name what they check. No test or tool matches the changed texts.

`ownerContext` and `relayService` are contexts, not a vm or a role.

--- a/packages/inventory/src/parser.ts
+++ b/packages/inventory/src/parser.ts
@@ -21,7 +21,7 @@
 	return 1;
 };
 
-/** Parses an inventory in YAML and validates it; each error has its line number, its path and the expected value. */
+/** Parses an inventory in YAML and validates it; each error has its line number, its path and a message, such as the expected value. */
 export const parseInventory = (text: string): Result<Inventory, InventoryFailure> => {
 	const lineCounter = new LineCounter();
 	const document = parseDocument(text, {lineCounter, prettyErrors: false});
--- a/packages/inventory/src/references.ts
+++ b/packages/inventory/src/references.ts
@@ -16,7 +16,7 @@
 			}
 
 			if (!inventory.dataCentres.includes(target.dataCentre)) {
-				broken.push({path: [...path, 'dataCentre'], message: `expected one of ${inventory.dataCentres.join(', ')}`});
+				broken.push({path: [...path, 'dataCentre'], message: `expected one of the data centres ${inventory.dataCentres.join(', ')}`});
 			}
 
 			targetNames.add(target.name);
@@ -32,17 +32,17 @@
 
 const checkServices = (inventory: Inventory): readonly BrokenReference[] => Object.entries(inventory.services)
 	.filter(([, service]) => !Object.hasOwn(inventory.databases, service.database))
-	.map(([service]) => ({path: ['services', service, 'database'], message: 'expected the name of a database'}));
+	.map(([service]) => ({path: ['services', service, 'database'], message: 'expected the name of a database in this inventory'}));
 
 const checkCustomers = (inventory: Inventory): readonly BrokenReference[] => Object.entries(inventory.customers)
 	.flatMap(([customer, {services}]) => services
 		.map((service, index) => ({service, path: ['customers', customer, 'services', index]}))
 		.filter(({service}) => !Object.hasOwn(inventory.services, service))
-		.map(({path}) => ({path, message: 'expected the name of a service'})));
+		.map(({path}) => ({path, message: 'expected the name of a service in this inventory'})));
 
 const checkKeys = (inventory: Inventory): readonly BrokenReference[] => Object.entries(inventory.keys)
 	.filter(([, key]) => !Object.hasOwn(inventory.customers, key.customer))
-	.map(([key]) => ({path: ['keys', key, 'customer'], message: 'expected the name of a customer'}));
+	.map(([key]) => ({path: ['keys', key, 'customer'], message: 'expected the name of a customer in this inventory'}));
 
 /** Returns all broken references and contradictions in an inventory. */
 export const findBrokenReferences = (inventory: Inventory): readonly BrokenReference[] => [
--- a/packages/inventory/src/schemas.ts
+++ b/packages/inventory/src/schemas.ts
@@ -67,7 +67,7 @@
 	weight: z.number().positive().default(1),
 	/** Services the customer may use. */
 	services: z.array(name).min(1).readonly(),
-	/** Whether its keys are still accepted when it cannot be confirmed that they are current. */
+	/** Whether its keys are still accepted after `keyGraceMs`, while it cannot be confirmed that they are current. */
 	serveUnconfirmed: z.boolean().default(false),
 }).readonly();
 
--- a/packages/operator/src/events.ts
+++ b/packages/operator/src/events.ts
@@ -17,7 +17,7 @@
 /** Selects events by the identifier of their request; without one, all events. */
 export type EventQuery = Readonly<{request?: string | undefined}>;
 
-/** Requests from every listed vm the recent events that it holds in memory. */
+/** Requests the recent events that each listed vm holds in memory. */
 export const requestEvents = async (store: Store, client: FleetClient, query: EventQuery = {}): Promise<FleetEvents> => {
 	const vms = await readVms(store);
 	const responses = await Promise.all(vms.map(async listedVm => ({vm: listedVm.vm, events: await client.call<readonly EventRecord[]>(listedVm, 'events', query)})));
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -8,7 +8,7 @@
 } from '@guavapitch/peer-protocol';
 import type {Store} from '@guavapitch/store';
 
-/** A vm in the platform's list. */
+/** A vm in the platform's list; `state` is `live`, `leaving` or `gone`, `host` and `port` are the address for peers. */
 export type ListedVm = Readonly<{vm: VmId; dataCentre: string; host: string; port: number; state: string}>;
 
 /** Status that a proxy reports about itself. */
@@ -17,24 +17,31 @@
 	dataCentre: string;
 	incarnation: string;
 	version: string;
+	/** Revision of the active configuration; 0 if there is none. */
 	revision: number;
+	/** Time since the configuration was last confirmed to be the newest, in milliseconds. */
 	confirmedAgeMs: number;
 	draining: boolean;
+	/** Vms in the list, each with the status that this vm sees and its state in the list. */
 	members: ReadonlyArray<Readonly<{vm: string; status: string; state: string}>>;
+	/** Latest known group record of each database, with its revision in the store. */
 	groups: ReadonlyArray<Readonly<{revision: number; record: Readonly<{database: string; term: number; primary: string; synced: readonly string[]; joining: readonly string[]}>}>>;
+	/** Targets that the vm has open as an owner: queued and running requests, open and idle connections. */
 	homes: ReadonlyArray<Readonly<{target: string; queued: number; busy: number; open: number; idle: number}>>;
+	/** Value of every counter and gauge, by name and labels. */
 	metrics: Readonly<Record<string, number>>;
 }>;
 
 /** Client that calls methods of proxies. */
 export type FleetClient = AsyncDisposable & Readonly<{
+	/** Calls a method of the proxy at an address; the type of the response is not checked. */
 	call: <ResponseBody>(address: Address, method: string, body: unknown) => Promise<Result<ResponseBody, Failure>>;
 }>;
 
 const CALL_TIMEOUT_MS = 2000;
 const POLL_MS = 50;
 
-/** Opens a client for the fleet; it connects to a proxy at its first call. */
+/** Opens a client for the fleet; it connects to a proxy at the first call to it. */
 export const openFleetClient = (world: World, tls?: PeerTls): FleetClient => {
 	const peers = createPeerConnections({
 		world,
@@ -68,7 +75,7 @@
 	return Promise.all(vms.map(async vm => ({vm, status: await client.call<ProxyStatus>(vm, 'status', null)})));
 };
 
-/** Waits until a revision of the configuration is active at every vm or the timeout passes; returns the vms where it is not active. */
+/** Waits until a revision of the configuration, or a newer one, is active at every vm, or the timeout passes; returns the vms where it is not active. */
 export const waitForRevision = async (store: Store, client: FleetClient, world: World, options: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
 	const deadline = world.now() + options.timeoutMs;
 	while (true) {
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -56,7 +56,7 @@
 	return parsed.val;
 };
 
-/** Keys are issued and withdrawn by commands, so a file without keys keeps the active ones. */
+/** Keys are issued and withdrawn by commands, so a file without keys keeps the active ones, except those of customers that it does not contain. */
 const keepActiveKeys = (inventory: Inventory, current: Inventory | undefined): Inventory => Object.keys(inventory.keys).length === 0 && current
 	? {...inventory, keys: Object.fromEntries(Object.entries(current.keys).filter(([, key]) => Object.hasOwn(inventory.customers, key.customer)))}
 	: inventory;
@@ -175,7 +175,7 @@
 		}
 	}
 
-	fail('no vm responded', EXIT_REFUSED);
+	fail('no vm responded, so the request cannot be explained', EXIT_REFUSED);
 };
 
 const explainRequest = async (flags: Flags, request: string) => {
@@ -200,9 +200,9 @@
 	.strict()
 	.version('0.1.0')
 	.demandCommand(1)
-	.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
+	.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the platform\'s key-value service, host:port'})
 	.option('wait', {type: 'boolean', default: false, describe: 'wait until the change is active at every vm'})
-	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'maximum wait, in milliseconds'})
+	.option('wait-ms', {type: 'number', default: DEFAULT_WAIT_MS, describe: 'maximum time for which --wait waits, in milliseconds'})
 	.option('peer-tls-cert', {type: 'string', describe: 'client certificate for connections to the proxies, PEM file'})
 	.option('peer-tls-key', {type: 'string', describe: 'private key of the client certificate, PEM file'})
 	.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the proxies, PEM file'})
@@ -222,7 +222,7 @@
 			fail(current.val.message, EXIT_REFUSED);
 		}
 	})
-	.command('apply <file>', 'make an inventory active', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
+	.command('apply <file>', 'make an inventory file the active configuration', command => command.positional('file', {type: 'string', demandOption: true}), async flags => {
 		const inventory = readInventoryFile(flags.file);
 		if (inventory) {
 			await applyChange(flags, current => keepActiveKeys(inventory, current));
@@ -230,11 +230,11 @@
 	})
 	.command('key <action> <name>', 'issue or withdraw a key', command => command
 		.positional('action', {choices: ['issue', 'withdraw'] as const, demandOption: true})
-		.positional('name', {type: 'string', demandOption: true, describe: 'identifier of the key, which callers give as user'})
+		.positional('name', {type: 'string', demandOption: true, describe: 'identifier of the key, which callers give as user name'})
 		.option('customer', {type: 'string', describe: 'customer of a new key'}), async flags => {
 		await applyChange(flags, current => {
 			if (!current) {
-				fail('there is no configuration yet', EXIT_REFUSED);
+				fail('there is no configuration yet; apply an inventory first', EXIT_REFUSED);
 				return undefined;
 			}
 
@@ -257,7 +257,7 @@
 			return issued.val.inventory;
 		});
 	})
-	.command('status', 'show every vm and every database', command => command.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), async flags => {
+	.command('status', 'show the state of every vm and every database', command => command.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), async flags => {
 		await printStatus(flags);
 	})
 	.command('explain', 'show the access rule, quota and route of a request, or why a request was refused', command => command
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -335,7 +335,7 @@
 
 			const id = ++lastOpenedId;
 			const cancelTimer = world.schedule(timeoutMs, () => {
-				settleCall(id, Err({code: 'peerTimeout', message: `The peer did not answer ${method} in time`}));
+				settleCall(id, Err({code: 'peerTimeout', message: `The peer did not respond to ${method} in time; it may have handled the call`}));
 			});
 			const response = new Promise<Result<unknown, PeerFailure>>(resolve => {
 				pendingCalls.set(id, resolve);
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -31,9 +31,9 @@
 		| readonly [kind: 'credit', time: FrameTime, id: number, side: StreamSide, bytes: number]
 		| readonly [kind: 'finish', time: FrameTime, id: number, side: StreamSide]
 		| readonly [kind: 'reset', time: FrameTime, id: number, side: StreamSide]
-		| readonly [kind: 'goaway', time: FrameTime, lastId: number];
+		| readonly [kind: 'goaway', time: FrameTime, lastAcceptedId: number];
 
-/** End of a stream that sent a frame. */
+/** Side of a stream that sent a frame: the one that opened the stream, or the one that accepted it. */
 export type StreamSide = 'opener' | 'acceptor';
 
 /** Number of array items in each kind of frame. */
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -23,7 +23,7 @@
 	drain: (deadline: Deadline) => Promise<void>;
 }>;
 
-/** Connects a socket to a peer; replaced by tests that partition the network. */
+/** Connects a socket to the peer at an address; fails with `peerUnreachable`. */
 export type Dial = (address: Address) => Promise<Result<Socket, PeerFailure>>;
 
 const DIAL_TIMEOUT_MS = 1000;
@@ -70,6 +70,7 @@
 
 /** Creates a dial function for mutual TLS, or for plain TCP if no keys are given. */
 export const createDial = (tls?: PeerTls): Dial => async address => new Promise(resolve => {
+	// Any certificate of the authority is accepted, whatever host it names.
 	const socket = tls
 		? connectTls({...tls, ...address, checkServerIdentity: () => undefined})
 		: createConnection(address);
--- a/packages/peer-protocol/src/streams.ts
+++ b/packages/peer-protocol/src/streams.ts
@@ -8,9 +8,9 @@
 
 /** A stream, and the functions through which its connection controls it. */
 export type MultiplexedStream = Readonly<{
-	/** The stream as the task that reads and writes it sees it. */
+	/** The end of the stream that the local task reads and writes. */
 	stream: Stream<unknown, unknown>;
-	/** Handles a frame received for this stream. */
+	/** Handles a frame received for this stream; the size includes the length prefix. */
 	handleFrame: (frame: Frame, sizeBytes: number) => void;
 	/** Ends the stream because the connection was lost or the other end was closed. */
 	abort: (reason?: string) => void;
@@ -18,7 +18,7 @@
 
 /** Functions of the connection that a stream depends on. */
 export type StreamConnection = Readonly<{
-	/** Writes a frame without waiting; returns its size in bytes. */
+	/** Writes a frame without waiting; returns its size in bytes, or 0 if the connection has ended. */
 	write: (frame: Frame) => number;
 	/** Waits while the connection's write buffer is full. */
 	waitUntilWritable: () => Promise<void>;
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -18,13 +18,15 @@
 
 /** Listener for callers, with the connections that are open in this process. */
 export type CallerListener = AsyncDisposable & Readonly<{
+	/** Address with the port that was actually bound. */
 	address: Address;
+	/** Returns the number of open connections whose startup has succeeded. */
 	getConnectionCount: () => number;
-	/** Closes the idle connections that may not stay open: their key was withdrawn, or the process is draining. */
+	/** Closes the idle connections whose key was withdrawn, and all idle connections while the process is draining. */
 	closeIdle: () => void;
 	/** Stops accepting connections, closes idle ones and waits until all have closed or the signal aborts. */
 	drain: (signal: AbortSignal) => Promise<void>;
-	/** Cancels the running request of the caller that got this cancel key; forwards the request if another vm issued the key. */
+	/** Cancels the running request of the caller that received this cancel key; forwards a key that another vm issued to that vm. Ignores an unknown key or a wrong secret. */
 	cancel: (processId: number, secret: number) => void;
 }>;
 
@@ -32,6 +34,7 @@
 export type CallerListenerContext = Readonly<{
 	settings: Settings;
 	clusterView: ClusterView;
+	/** Operations of the entry, which serve the requests of callers. */
 	entry: CallerContext;
 	emit: Emit;
 	metrics: Metrics;
@@ -43,10 +46,13 @@
 
 type OpenCaller = Readonly<{caller: Caller; control: CallerControl; secret: number}>;
 
+/** Exclusive upper bound of the secret of a cancel key, which is sent as a signed 32-bit integer. */
 const MAX_CANCEL_SECRET = 2_147_483_647;
+/** A process identifier has 31 bits: the number of the vm, followed by the number of the connection in this many bits. */
 const CONNECTION_NUMBER_BITS = 18;
 const LISTEN_BACKLOG = 4096;
 const DRAIN_POLL_MS = 20;
+/** Maximum time without traffic on a connection during its startup, in milliseconds. */
 const STARTUP_TIMEOUT_MS = 10_000;
 
 const sendFatalError = async (wire: WireConnection, code: string, message: string): Promise<void> => {
@@ -54,10 +60,10 @@
 	await wire[Symbol.asyncDispose]();
 };
 
-/** Computes the number of a vm from the hash of its name; it fits in the bits of a process identifier that the connection number leaves. */
+/** Computes the number of a vm from the hash of its name. It fits in the upper bits of a process identifier; two vms may have the same number. */
 export const computeVmNumber = (hash: number): number => hash % (2 ** (31 - CONNECTION_NUMBER_BITS));
 
-/** Reads the number of the vm that issued a cancel key. */
+/** Reads the number of the vm that issued a cancel key from the process identifier of the key. */
 export const readVmNumber = (processId: number): number => processId >>> CONNECTION_NUMBER_BITS;
 
 /** Starts accepting callers; throws if the address cannot be bound. */
@@ -184,5 +190,5 @@
 	};
 };
 
-/** Finds the vm with a number; `undefined` if there is none. */
+/** Finds the first vm that has a number; `undefined` if there is none. */
 export const findVmByNumber = (vms: readonly VmId[], vmNumber: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === vmNumber);
--- a/packages/proxy/src/cluster-view.ts
+++ b/packages/proxy/src/cluster-view.ts
@@ -1,4 +1,4 @@
-/** View that this process has of the cluster: members, configuration and owners; and calls to peers by name. */
+/** This process's view of the cluster (members, configuration and owners of targets), and calls to vms by name. */
 
 import {
 	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type World,
@@ -27,22 +27,22 @@
 /** A target of the active inventory, with its database. */
 export type ConfiguredTarget = Readonly<{databaseName: string; database: Database; target: Target}>;
 
-/** View of the cluster at one process. */
+/** One process's view of the cluster. */
 export type ClusterView = Readonly<{
 	members: Members;
 	storeCache: StoreCache;
 	activeConfiguration: ActiveConfiguration;
-	/** Returns the vms that own a target, best first. */
+	/** Returns the vms that own a target, best first: live vms of its data centre, or of any data centre if none is live there. */
 	getOwners: (target: TargetId) => readonly VmId[];
-	/** Ranks the live vms for a key, such as that of a role slot, best first. */
+	/** Ranks the live vms for a key, such as that of a role slot, best first; if a data centre is given, only its vms. */
 	rankLiveVms: (key: string, dataCentre?: DataCentreId) => readonly Candidate[];
-	/** Finds a target in the active inventory. */
+	/** Finds a target in the active inventory; `undefined` if it is not configured. */
 	findTarget: (target: TargetId) => ConfiguredTarget | undefined;
 	/** Returns every target of the active inventory. */
 	listTargets: () => readonly ConfiguredTarget[];
 	/** Tells whether this vm is a relay of its data centre. */
 	isRelay: () => boolean;
-	/** Returns the relays to read from: those of this data centre, then those of the others. */
+	/** Returns the relays to read from, without this vm: those of this data centre, then those of the others. */
 	getRelays: () => readonly VmId[];
 }>;
 
@@ -52,7 +52,7 @@
 	settings: Settings;
 	incarnation: string;
 	emit: Emit;
-	/** Called when a vm was declared dead. */
+	/** Called when a vm is declared dead. */
 	onMemberDead: (member: Member) => void;
 	/** Called when a new inventory has become active. */
 	onInventoryApplied: (inventory: Inventory) => void;
@@ -141,7 +141,7 @@
 	};
 };
 
-/** Calls a method of a vm by the name of the vm. */
+/** Calls a method of a vm by the name of the vm; fails with `peerUnreachable` if the vm is not in the platform's list. The type of the response is not checked. */
 export type CallVm = <ResponseBody>(vm: VmId, method: string, body: unknown, timeoutMs: number) => Promise<Result<ResponseBody, Failure>>;
 
 /** Creates the function that looks up the address of a vm and calls it over the connections to peers. */
@@ -151,7 +151,7 @@
 ): CallVm => async <ResponseBody>(vm: VmId, method: string, body: unknown, timeoutMs: number): Promise<Result<ResponseBody, Failure>> => {
 	const member = members.get(vm);
 	if (!member) {
-		return Err({code: 'peerUnreachable', message: `The vm ${vm} is not in the platform's list`});
+		return Err({code: 'peerUnreachable', message: `The vm ${vm} is not in the platform's list of vms`});
 	}
 
 	const response = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -28,13 +28,16 @@
 	clusterView: ClusterView;
 	peers: PeerConnections;
 	quotaClient: QuotaClient;
-	owner: OwnerContext<TargetConnection>;
+	/** Context in which requests for targets of this process are served. */
+	ownerContext: OwnerContext<TargetConnection>;
 	retryBudget: RetryBudget;
 	/** Scope that owns the tasks serving requests for targets that this process owns. */
 	scope: Scope;
 	emit: Emit;
 	metrics: Metrics;
+	/** Returns the latest known group view of a database. */
 	getGroup: (database: DatabaseId) => GroupView | undefined;
+	/** Cancels a running request, at any vm. */
 	cancelRequest: (requestId: string) => void;
 	isDraining: () => boolean;
 }>;
@@ -48,8 +51,11 @@
 
 /** Scheduling weight of callers without a key, on services that are open to all. */
 const OPEN_SERVICE_WEIGHT = 1;
+/** Customer under which requests of callers without a key are scheduled. */
 const OPEN_SERVICE_CUSTOMER = parseId<CustomerId>('open');
+/** Maximum number of attempts to run one request. */
 const MAX_ATTEMPTS = 400;
+/** Estimated size of a stream item other than messages. */
 const SMALL_ITEM_BYTES = 256;
 
 /** Estimates the memory that a stream item occupies, in bytes. */
@@ -106,7 +112,7 @@
 		const inventory = clusterView.activeConfiguration.getInventory();
 		const service = inventory && getService(inventory, caller.service);
 		if (!inventory || !service) {
-			return Err(createRefusal('noRoute', `There is no service ${caller.service}`));
+			return Err(createRefusal('noRoute', `The service ${caller.service} is not in the active configuration`));
 		}
 
 		return Ok({
@@ -137,7 +143,7 @@
 			const [entryEnd, ownerEnd] = createStreamPair<RequestChunk, Reply>(estimateItemBytes);
 			context.scope.run(async () => {
 				await using stream = ownerEnd;
-				await serveRequest(context.owner, header, stream);
+				await serveRequest(context.ownerContext, header, stream);
 				stream.finish();
 			});
 			return Ok(entryEnd);
@@ -146,7 +152,7 @@
 		const member = clusterView.members.get(route.owner);
 		const opened = member
 			? await context.peers.openStream({host: member.host, port: member.port}, 'request', header)
-			: Err({code: 'peerUnreachable' as const, message: 'unknown vm'});
+			: Err({code: 'peerUnreachable' as const, message: 'The owner is not in the list of vms'});
 		if (opened.err) {
 			clusterView.members.recordTimeout(route.owner);
 			return Err(createRefusal('peerUnreachable', `The owner ${route.owner} of the target cannot be reached`));
@@ -172,9 +178,13 @@
 
 	/** Outcome of one attempt at a route. */
 	type AttemptOutcome
+	/** The owner has sent its first reply. */
 		= | Readonly<{kind: 'running'; running: RunningRequest}>
+		/** The request has not run. */
 			| Readonly<{kind: 'refused'; refusal: Refusal}>
+		/** The request has not run, because it writes and was sent to a replica. */
 			| Readonly<{kind: 'readOnly'}>
+		/** The connection to the owner was lost, or the outcome of a read is unknown. */
 			| Readonly<{kind: 'lost'}>;
 
 	const tryRoute = async ({caller, request, chunk, signal}: RequestStart, route: Route): Promise<AttemptOutcome> => {
@@ -211,9 +221,10 @@
 		return firstReply.kind === 'refused' ? firstReply : {kind: 'readOnly'};
 	};
 
+	/** Tells whether a refusal is passed to the caller without a retry. */
 	const isFinal = (refusal: Refusal): boolean => refusal.code === 'queueFull' || refusal.code === 'deadlinePassed' || refusal.code === 'limitExceeded';
 
-	const fail = (request: RequestContext, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: request.requestId, failure});
+	const createFailure = (request: RequestContext, failure: RequestFailure['failure']): Result<RunningRequest, RequestFailure> => Err({requestId: request.requestId, failure});
 
 	const runRequest = async (start: RequestStart, requestedMode: RequestMode): Promise<Result<RunningRequest, RequestFailure>> => {
 		const {caller, request, signal} = start;
@@ -223,7 +234,7 @@
 		let lastRefusal: Refusal = createRefusal('noRoute', 'No route to a target was found before the deadline');
 		for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 			if (signal.aborted) {
-				return fail(request, createRefusal('canceled', 'The request was canceled before it ran'));
+				return createFailure(request, createRefusal('canceled', 'The request was canceled before it ran'));
 			}
 
 			const routingView = createRoutingView();
@@ -242,17 +253,18 @@
 
 				if (outcome.kind === 'lost') {
 					if (route.val.mode === 'write') {
-						return fail(request, {code: 'outcomeUnknown', message: 'The connection to the vm that ran the request was lost'});
+						return createFailure(request, {code: 'outcomeUnknown', message: 'The connection to the vm that ran the request was lost'});
 					}
 
 					lastRefusal = createRefusal('peerUnreachable', `The connection to the owner ${route.val.owner} of the target was lost`);
 				} else {
 					lastRefusal = outcome.refusal;
 					if (isFinal(lastRefusal)) {
-						return fail(request, lastRefusal);
+						return createFailure(request, lastRefusal);
 					}
 				}
 
+				// After a replica, the next route is tried at once; after the primary, all routes are tried again, following a pause.
 				const isNewRound = route.val.mode === 'write';
 				attempts = isNewRound ? [] : [...attempts, {target: route.val.target, owner: route.val.owner}];
 				if (!isNewRound) {
@@ -271,7 +283,9 @@
 			}
 		}
 
-		return fail(request, isPast(request.deadline, world.now()) ? createRefusal('deadlinePassed', `The deadline passed before the request was served: ${lastRefusal.message}`) : lastRefusal);
+		return createFailure(request, isPast(request.deadline, world.now())
+			? createRefusal('deadlinePassed', `The deadline passed before the request was served: ${lastRefusal.message}`)
+			: lastRefusal);
 	};
 
 	return {
@@ -283,19 +297,19 @@
 			}
 
 			if (statement === 'session' || statement === 'copy') {
-				return fail(request.val, createRefusal('unsupported', statement === 'copy'
+				return createFailure(request.val, createRefusal('unsupported', statement === 'copy'
 					? 'COPY is not supported'
-					: 'Session state that outlives a transaction is not supported; use SET LOCAL, or parameters at connect'));
+					: 'Session state that outlives a transaction is not supported; use SET LOCAL, or set parameters when connecting'));
 			}
 
 			const keyCheck = checkKey(caller);
 			if (keyCheck.err) {
-				return fail(request.val, keyCheck.val);
+				return createFailure(request.val, keyCheck.val);
 			}
 
 			const acquired = await acquireToken(caller, request.val.deadline, signal);
 			if (acquired.err) {
-				return fail(request.val, acquired.val);
+				return createFailure(request.val, acquired.val);
 			}
 
 			const start: RequestStart = {
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -23,7 +23,7 @@
 	random: () => number;
 }>;
 
-/** Creates the function that explains how a request would be handled; the request comes unchecked from a peer. */
+/** Creates the function that explains how a request would be handled; the request comes from a peer and is not validated. */
 export const createExplain = (context: ExplainContext) => (request: unknown): Explanation => {
 	const {clusterView} = context;
 	const {customer, service, statement} = request as ExplainRequest;
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -17,7 +17,7 @@
 
 /** Failover coordinators of one process. */
 export type FailoverCoordinators = AsyncDisposable & Readonly<{
-	/** Runs the coordinators of the databases of a slot until the signal aborts. */
+	/** Runs a coordinator for each database of a slot until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Issues a grant to a holder; `undefined` if this process is not the coordinator of the database, or the coordinator issues none. */
 	grant: (database: DatabaseId, holder: GrantHolder) => GrantResponse | undefined;
@@ -36,6 +36,7 @@
 }>;
 
 const REVOKE_TIMEOUT_MS = 300;
+/** Interval between checks of the active inventory for new databases, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
 const emitEvent = (emit: Emit, database: DatabaseId, event: FailoverEvent): void => {
@@ -102,6 +103,7 @@
 		return command(connection, configured);
 	};
 
+	/** Formats the connection string with which a replica follows a primary; empty without a primary, which stops replication. */
 	const formatConninfo = (primary: TargetId | undefined, follower: TargetId): string => {
 		const configured = primary ? clusterView.findTarget(primary) : undefined;
 		if (!configured) {
@@ -137,7 +139,7 @@
 		getSettings: () => getSettings(database),
 		getAuthorityDeadline: authority.getDeadline,
 		async revoke(holder, databaseId, permissions) {
-			// A holder that keeps the permission to acknowledge responds only when its running writes have ended, hence the longer timeout.
+			// A holder that keeps the permission to acknowledge responds only after its running writes have ended, hence the longer timeout.
 			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
 			return context.callVm(holder.vm, 'revoke', {database: databaseId, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -26,19 +26,23 @@
 	scope: Scope;
 	clusterView: ClusterView;
 	callVm: CallVm;
-	relay: RelayService;
+	relayService: RelayService;
 	coordinators: FailoverCoordinators;
 	allocators: QuotaAllocators;
 	grantRegistry: GrantRegistry;
 	takeoverPromises: TakeoverPromises;
-	owner: OwnerContext<TargetConnection>;
-	/** Returns the latest epoch of a slot that this process knows. */
+	ownerContext: OwnerContext<TargetConnection>;
+	/** Returns the latest epoch of a slot that this process knows; 0 if it knows none. */
 	getEpoch: (slot: string) => number;
 	/** Tells whether this process has been in contact with the store recently. */
 	isStoreReachable: () => boolean;
+	/** Cancels a request that runs on a target of this process. */
 	cancelLocally: (requestId: string) => void;
+	/** Cancels the running request of a caller of this vm, identified by its cancel key. */
 	cancelCaller: (processId: number, secret: number) => void;
+	/** Returns the status for the operator. */
 	getStatus: () => unknown;
+	/** Explains how a request would be handled now. */
 	explain: (request: unknown) => unknown;
 	/** Lists the most recent events of this process. */
 	listEvents: () => readonly EventRecord[];
@@ -66,7 +70,7 @@
 				clusterView.members.recordResponse(from.vm as VmId, from.incarnation);
 				return handlePing(body as PingRequest);
 			},
-			sync: async body => context.relay.sync(body as SyncRequest),
+			sync: async body => context.relayService.sync(body as SyncRequest),
 			async grant(body) {
 				const {database, holder} = body as Readonly<{database: DatabaseId; holder: GrantHolder}>;
 				return context.coordinators.grant(database, holder) ?? null;
@@ -75,6 +79,7 @@
 				const {database, permissions, incarnation} = body as Readonly<{database: DatabaseId; permissions: Permissions; incarnation: string}>;
 				if (incarnation === context.incarnation) {
 					context.grantRegistry.revoke(database, permissions);
+					// Writes that are already running may still be acknowledged, so the response waits until they have ended.
 					if (permissions.writes && !permissions.acknowledgements) {
 						await context.grantRegistry.waitUntilWritesEnd(database, createDeadline(context.world.now(), MAX_GRANT_VALIDITY_MS));
 					}
@@ -106,7 +111,7 @@
 		},
 		streams: {
 			async request(header, stream: Stream<unknown, unknown>) {
-				await serveRequest(context.owner, header as RequestHeader, stream as OwnerStream);
+				await serveRequest(context.ownerContext, header as RequestHeader, stream as OwnerStream);
 			},
 		},
 	};
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -22,9 +22,11 @@
 
 /** Targets that one process owns. */
 export type OwnedTargets = AsyncDisposable & Readonly<{
+	/** Grants that this process holds. */
 	grantRegistry: GrantRegistry;
 	/** Returns a target that this process owns, opening it if needed; `undefined` if this process does not own it. */
 	get: (target: TargetId) => OwnedTarget<TargetConnection> | undefined;
+	/** Waits until a write is durable, so that its response may be sent. */
 	waitUntilDurable: ReturnType<typeof createDurabilityWaiter>;
 	/** Requests and renews the grants of the databases of owned targets until the signal aborts. */
 	runGrantRenewal: (signal: AbortSignal) => Promise<void>;
@@ -49,7 +51,7 @@
 
 type OpenTarget = Readonly<{configured: ConfiguredTarget; connectionSettings: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
 
-/** Connections of a target reserved for control queries of the failover coordinator and of the owners. */
+/** Number of connections of each target reserved for the control queries of the failover coordinator and the owners. */
 const RESERVED_CONNECTIONS = 4;
 const MIN_IDLE_CONNECTIONS = 2;
 const GRANT_RENEWAL_MS = 250;
@@ -57,7 +59,7 @@
 const GRANT_TIMEOUT_MS = 300;
 const OWNERSHIP_CHECK_MS = 250;
 
-/** Creates the address of a target, with the credentials of its database. */
+/** Creates the settings for connections to a target: its address, and the credentials of its database. */
 export const createTargetConnectionSettings = (configured: ConfiguredTarget, applicationName: string): TargetConnectionSettings => {
 	const [host, port] = configured.target.address.split(':');
 	const {user, passwordVariable, databaseName} = configured.database;
@@ -66,7 +68,7 @@
 	};
 };
 
-/** Computes how many connections one owner may open, so that two owners, chosen under different views of the cluster, together stay within the limit of the target. */
+/** Computes how many connections one owner may open. Two owners together stay within the limit of the target, even if they have different views of the cluster. */
 export const computeOwnerConnectionLimit = (connections: number): number => Math.max(1, Math.floor((connections - RESERVED_CONNECTIONS) / OWNERS_PER_TARGET));
 
 /** Creates the owned targets of a process; none is open at first. */
@@ -142,6 +144,7 @@
 
 	const hasSameConnectionSettings = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
+	/** Closes targets that are no longer configured, and unused ones that this process no longer owns or whose connection settings have changed; opens those of which it is the preferred owner. */
 	const updateOwnership = async () => {
 		for (const [id, opened] of openTargets) {
 			const configured = clusterView.findTarget(id);
@@ -196,6 +199,7 @@
 	const renewGrant = async (database: DatabaseId, signal: AbortSignal) => {
 		while (!signal.aborted && getOwnedDatabases().has(database)) {
 			const isWritable = await requestGrant(database);
+			// A jitter of ±25 % spreads the requests of all owners over time.
 			await world.sleep((isWritable ? GRANT_RENEWAL_MS : GRANT_RETRY_MS) * (0.75 + (world.random() / 2)), signal);
 		}
 	};
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -49,11 +49,14 @@
 const STORE_TIMEOUT_MS = 600;
 const PEER_TIMEOUT_MS = 300;
 const SYNC_TIMEOUT_MS = 1500;
+/** Interval between checks for idle connections that must be closed, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 const INCARNATION_CHARACTERS = 8;
 const DRAIN_POLL_MS = 20;
+/** Time after a contact with the store for which peers are told that the store is reachable, in milliseconds. */
 const MAX_STORE_CONTACT_AGE_MS = 2000;
 const GOAWAY_TIMEOUT_MS = 1000;
+/** Number of events kept in memory for operators to request. */
 const MAX_RECENT_EVENTS = 2000;
 
 /** Starts a proxy: listens for peers and callers and runs the background tasks. */
@@ -142,7 +145,7 @@
 		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptGroupView,
 	});
 	const cancelCallbacks = new Map<RequestId, () => void>();
-	const owner: OwnerContext<TargetConnection> = {
+	const ownerContext: OwnerContext<TargetConnection> = {
 		runChunk,
 		world,
 		getTarget: ownedTargets.get,
@@ -219,7 +222,7 @@
 		clusterView,
 		peers,
 		quotaClient: createQuotaClient(allocators.requestTokens, world),
-		owner,
+		ownerContext,
 		retryBudget: createRetryBudget(),
 		scope: requestScope,
 		emit,
@@ -230,7 +233,17 @@
 	});
 
 	handlers = createHandlers({
-		world, incarnation, scope: requestScope, clusterView, callVm, relay: relayService, coordinators, allocators, grantRegistry: ownedTargets.grantRegistry, takeoverPromises, owner,
+		world,
+		incarnation,
+		scope: requestScope,
+		clusterView,
+		callVm,
+		relayService,
+		coordinators,
+		allocators,
+		grantRegistry: ownedTargets.grantRegistry,
+		takeoverPromises,
+		ownerContext,
 		getEpoch(slot) {
 			const slotEntry = storeCache.get(`${ROLE_PREFIX}${slot}`);
 			return slotEntry ? parseSlotRecord(slotEntry.value).map(record => record.epoch).unwrapOr(0) : 0;
@@ -276,6 +289,7 @@
 				return false;
 			}
 
+			// The store counts as down only if a vm in each data centre confirms that it cannot reach it; this vm confirms it for its own.
 			const confirmingDataCentres = new Set<string | undefined>(responses.filter(({response}) => response.ok).map(({dataCentre}) => dataCentre));
 			confirmingDataCentres.add(settings.dataCentre);
 			return [...dataCentres].every(dataCentre => confirmingDataCentres.has(dataCentre));
--- a/packages/proxy/src/quota-allocators.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -1,4 +1,4 @@
-/** The quota allocators that run in this process, and requests of the entry for tokens from the allocator of a customer. */
+/** Runs the quota allocators of this process, and requests tokens for the entry from the allocator of a customer. */
 
 import {
 	Err, parseId, type CustomerId, type Failure, type Result, type World,
@@ -17,12 +17,12 @@
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Grants tokens to an entry; `undefined` if this process is not the customer's quota allocator. */
 	grantTokens: (request: TokenRequest) => TokenGrant | undefined;
-	/** Requests tokens from the quota allocator of a customer, at whichever vm it runs. */
+	/** Requests tokens from the quota allocator of a customer, which may run on another vm. */
 	requestTokens: RequestTokens;
 }>;
 
 const REQUEST_TIMEOUT_MS = 250;
-const NO_ALLOCATOR: Failure = {code: 'noKeeper', message: 'The customer has no quota allocator at present'};
+const NO_ALLOCATOR: Failure = {code: 'noKeeper', message: 'The customer has no active quota allocator'};
 
 /** Creates the quota allocators of a process; none is active until a slot is gained. */
 export const createQuotaAllocators = (world: World, clusterView: ClusterView, callVm: CallVm): QuotaAllocators => {
--- a/packages/proxy/src/role-candidates.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -29,6 +29,7 @@
 	runAsHolder: Readonly<Record<RoleName, (authority: Authority, signal: AbortSignal) => Promise<void>>>;
 }>;
 
+/** Interval between checks of the active inventory for new slots, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
 /** Creates the task that becomes a candidate for each slot as soon as the active inventory contains it. */
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -15,15 +15,17 @@
 	listen: Address;
 	/** Address on which peers connect. */
 	peerListen: Address;
-	/** Address of the platform's key-value service. */
+	/** Address of the platform's key-value service, as `host:port`. */
 	platform: string;
-	/** File for events; standard error if `undefined`. */
+	/** File for events, as JSON lines; standard error if `undefined`. */
 	logFile: string | undefined;
+	/** Address of the StatsD server for metrics; `undefined` if metrics are not sent. */
 	statsd: Address | undefined;
 	/** Time for requests to finish after SIGTERM, in milliseconds. */
 	drainMs: number;
-	/** Certificate and key for callers, in PEM. */
+	/** Certificate and private key for connections of callers, in PEM; callers cannot use TLS if `undefined`. */
 	callerTls: Readonly<{cert: string; key: string}> | undefined;
+	/** Private key, certificate and certificate authority for mutual TLS between peers; plain TCP if `undefined`. */
 	peerTls: PeerTls | undefined;
 }>;
 
@@ -61,7 +63,7 @@
 
 const parseMs = (flag: string, value: number): number => {
 	if (!Number.isFinite(value) || value < 0) {
-		throw new SettingError(`--${flag}: expected milliseconds, got "${value}"`);
+		throw new SettingError(`--${flag}: expected a number of milliseconds, 0 or more, got "${value}"`);
 	}
 
 	return value;
@@ -108,14 +110,14 @@
 			.option('data-centre', {type: 'string', demandOption: true, describe: 'data centre of this vm'})
 			.option('listen', {type: 'string', default: '127.0.0.1:6432', describe: 'address for callers, host:port'})
 			.option('peer-listen', {type: 'string', default: '127.0.0.1:6433', describe: 'address for peers, host:port'})
-			.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the key-value service, host:port'})
-			.option('log-file', {type: 'string', describe: 'file for the numbered events; standard error if absent'})
-			.option('statsd', {type: 'string', describe: 'address for metrics, host:port'})
+			.option('platform', {type: 'string', default: '127.0.0.1:2379', describe: 'address of the platform\'s key-value service, host:port'})
+			.option('log-file', {type: 'string', describe: 'file for events, as JSON lines; standard error if absent'})
+			.option('statsd', {type: 'string', describe: 'address of the StatsD server for metrics, host:port'})
 			.option('drain-ms', {type: 'number', default: DEFAULT_DRAIN_MS, describe: 'time for requests to finish after SIGTERM, in milliseconds'})
-			.option('tls-cert', {type: 'string', describe: 'certificate for callers, PEM file'})
-			.option('tls-key', {type: 'string', describe: 'key for callers, PEM file'})
-			.option('peer-tls-cert', {type: 'string', describe: 'certificate for peers, PEM file'})
-			.option('peer-tls-key', {type: 'string', describe: 'key for peers, PEM file'})
+			.option('tls-cert', {type: 'string', describe: 'certificate for connections of callers, PEM file'})
+			.option('tls-key', {type: 'string', describe: 'private key of the certificate for callers, PEM file'})
+			.option('peer-tls-cert', {type: 'string', describe: 'certificate for connections between peers, PEM file'})
+			.option('peer-tls-key', {type: 'string', describe: 'private key of the certificate for peers, PEM file'})
 			.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the peers, PEM file'})
 			.exitProcess(false)
 			.fail((message: string, error: unknown) => {
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -64,7 +64,7 @@
 		.positional('files', {
 			type: 'string', array: true, default: [], describe: 'log files, or folders of them',
 		})
-		.option('platform', {type: 'string', describe: 'address of the key-value service, host:port, to request the events of the running proxies'})
+		.option('platform', {type: 'string', describe: 'address of the platform\'s key-value service, host:port, to request the events of the running proxies'})
 		.option('peer-tls-cert', {type: 'string', describe: 'client certificate for connections to the proxies, PEM file'})
 		.option('peer-tls-key', {type: 'string', describe: 'private key of the client certificate, PEM file'})
 		.option('peer-tls-ca', {type: 'string', describe: 'certificate authority of the proxies, PEM file'})
--- a/packages/timeline/src/merge.ts
+++ b/packages/timeline/src/merge.ts
@@ -12,14 +12,14 @@
 	request?: string;
 	term?: number;
 	vm?: string;
-	/** Event numbers. */
+	/** Event numbers, the `id` of the records to keep. */
 	ids?: readonly number[];
 }>;
 
 /** Failure to parse a line as an event. */
 export type TimelineFailure = Failure<'lineMalformed'>;
 
-/** Parses events from JSON, one a line; empty lines are skipped. */
+/** Parses events from JSON lines; empty lines are skipped. Fails with `lineMalformed` at the first line that is not JSON. */
 export const parseEvents = (text: string): Result<readonly EventRecord[], TimelineFailure> => {
 	const records: EventRecord[] = [];
 	for (const [index, line] of text.split('\n').entries()) {
--- a/packages/timeline/src/svg.ts
+++ b/packages/timeline/src/svg.ts
@@ -2,13 +2,16 @@
 
 import type {EventRecord} from '@guavapitch/telemetry';
 
+// All lengths are in pixels of the image.
 const WIDTH = 1400;
 const LANE_HEIGHT = 46;
 const LEFT_MARGIN = 190;
 const TOP_MARGIN = 46;
 const RIGHT_MARGIN = 30;
 const DOT_RADIUS = 5;
+/** Number of intervals into which the ticks divide the time axis. */
 const TICK_INTERVALS = 8;
+/** Minimum distance between two labels in a lane; events in between get a tooltip only. */
 const MIN_LABEL_SPACING = 90;
 const COLOURS: Readonly<Record<string, string>> = {info: '#1f6f8b', warn: '#d9822b', error: '#b3261e'};
 
--- a/packages/timeline/src/tests/timeline.test.ts
+++ b/packages/timeline/src/tests/timeline.test.ts
@@ -1,4 +1,4 @@
-/** Merging, filtering and formatting of events. */
+/** Parsing, merging, filtering and formatting of events. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -32,14 +32,14 @@
 		});
 	});
 
-	describe('output formats', () => {
-		it('contain every event, with its fields escaped', () => {
+	describe('parsing and formatting', () => {
+		it('include every event with its fields, which are escaped in SVG', () => {
 			const event = createEvent('a', [1, 0], {reason: '<b>'});
 			assert.match(formatEvent(event), /1601 failover started reason=<b>/v);
 			assert.match(drawTimeline([event]), /&lt;b&gt;/v);
 		});
 
-		it('name the line that cannot be parsed', () => {
+		it('report the number of a line that cannot be parsed', () => {
 			const parsed = parseEvents('{}\nnot json\n');
 			assert.ok(parsed.err && parsed.val.message.startsWith('line 2'));
 		});
