Name a vm and two booleans of the proxy for what they are

`member` was the name of a vm and hid the parameter of its own callback; `reachable` is `isReachable`, as in the events of the coordinator. Says which relays must confirm that the store is down.

--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -92,8 +92,8 @@
 			onAvailable() {
 				queue.admitWaiting();
 			},
-			onReachabilityChange(reachable, message) {
-				emit(reachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
+			onReachabilityChange(isReachable, message) {
+				emit(isReachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
 			},
 		}, world);
 		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -210,9 +210,9 @@
 
 	const getVmNumber = (vm: string) => computeVmNumber(computeHash(vm));
 	const forwardCancel = (vmNumber: number, processId: number, secret: number) => {
-		const member = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, getVmNumber);
-		if (member) {
-			void callVm(member, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
+		const vm = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, getVmNumber);
+		if (vm) {
+			void callVm(vm, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
 		}
 	};
 
@@ -289,20 +289,20 @@
 				return false;
 			}
 
-			// The store counts as down only if a vm in each data centre confirms that it cannot reach it; this vm confirms it for its own.
+			// The store counts as down only if a relay in each other data centre confirms that it cannot reach the store; this vm confirms it for its own.
 			const confirmingDataCentres = new Set<string | undefined>(responses.filter(({response}) => response.ok).map(({dataCentre}) => dataCentre));
 			confirmingDataCentres.add(settings.dataCentre);
 			return [...dataCentres].every(dataCentre => confirmingDataCentres.has(dataCentre));
 		},
 		getActiveRevision: activeConfiguration.getRevision,
-		onStoreContact(reachable) {
-			if (reachable) {
+		onStoreContact(isReachable) {
+			if (isReachable) {
 				storeContactAt = world.now();
 			}
 
-			if (reachable !== isStoreReachable) {
-				isStoreReachable = reachable;
-				emit(reachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
+			if (isReachable !== isStoreReachable) {
+				isStoreReachable = isReachable;
+				emit(isReachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
 			}
 		},
 	};
