--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -31,9 +31,9 @@
 		| readonly [kind: 'credit', time: FrameTime, id: number, side: StreamSide, bytes: number]
 		| readonly [kind: 'finish', time: FrameTime, id: number, side: StreamSide]
 		| readonly [kind: 'reset', time: FrameTime, id: number, side: StreamSide]
-		| readonly [kind: 'goaway', time: FrameTime, lastId: number];
+		| readonly [kind: 'goaway', time: FrameTime, lastAcceptedId: number];
 
-/** End of a stream that sent a frame. */
+/** Side of a stream that sent a frame: the one that opened the stream, or the one that accepted it. */
 export type StreamSide = 'opener' | 'acceptor';
 
 /** Number of array items in each kind of frame. */
@@ -125,7 +125,7 @@
 };
 
 /** Complete frames at the start of a buffer with their sizes in bytes, the remaining bytes, and the number of bytes needed for the next frame. */
-export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; rest: Buffer; neededBytes: number}>;
+export type SplitFrames = Readonly<{frames: readonly Frame[]; sizes: readonly number[]; remainder: Buffer; neededBytes: number}>;
 
 /** Decodes the complete frames at the start of a buffer; fails on the first frame that is too large or malformed. */
 export const splitFrames = (bytes: Buffer): Result<SplitFrames, FrameFailure> => {
@@ -156,6 +156,6 @@
 	}
 
 	return Ok({
-		frames, sizes, rest: bytes.subarray(offset), neededBytes,
+		frames, sizes, remainder: bytes.subarray(offset), neededBytes,
 	});
 };
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -18,13 +18,15 @@
 
 /** Listener for callers, with the connections that are open in this process. */
 export type CallerListener = AsyncDisposable & Readonly<{
+	/** Address with the port that was actually bound. */
 	address: Address;
-	getOpenCount: () => number;
-	/** Closes the idle connections that may not stay open: their key was withdrawn, or the process is draining. */
+	/** Returns the number of open connections whose startup has succeeded. */
+	getConnectionCount: () => number;
+	/** Closes the idle connections whose key was withdrawn, and all idle connections while the process is draining. */
 	closeIdle: () => void;
 	/** Stops accepting connections, closes idle ones and waits until all have closed or the signal aborts. */
 	drain: (signal: AbortSignal) => Promise<void>;
-	/** Cancels the running request of the caller that got this cancel key; forwards the request if another vm issued the key. */
+	/** Cancels the running request of the caller that received this cancel key; forwards a key that another vm issued to that vm. Ignores an unknown key or a wrong secret. */
 	cancel: (processId: number, secret: number) => void;
 }>;
 
@@ -32,6 +34,7 @@
 export type CallerListenerContext = Readonly<{
 	settings: Settings;
 	clusterView: ClusterView;
+	/** Operations of the entry, which serve the requests of callers. */
 	entry: CallerContext;
 	emit: Emit;
 	metrics: Metrics;
@@ -43,10 +46,13 @@
 
 type OpenCaller = Readonly<{caller: Caller; control: CallerControl; secret: number}>;
 
-const MAX_SECRET = 2_147_483_647;
+/** Exclusive upper bound of the secret of a cancel key, which is sent as a signed 32-bit integer. */
+const MAX_CANCEL_SECRET = 2_147_483_647;
+/** A process identifier has 31 bits: the number of the vm, followed by the number of the connection in this many bits. */
 const CONNECTION_NUMBER_BITS = 18;
 const LISTEN_BACKLOG = 4096;
 const DRAIN_POLL_MS = 20;
+/** Maximum time without traffic on a connection during its startup, in milliseconds. */
 const STARTUP_TIMEOUT_MS = 10_000;
 
 const sendFatalError = async (wire: WireConnection, code: string, message: string): Promise<void> => {
@@ -54,10 +60,10 @@
 	await wire[Symbol.asyncDispose]();
 };
 
-/** Computes the number of a vm from the hash of its name; it fits in the bits of a process identifier that the connection number leaves. */
+/** Computes the number of a vm from the hash of its name. It fits in the upper bits of a process identifier; two vms may have the same number. */
 export const computeVmNumber = (hash: number): number => hash % (2 ** (31 - CONNECTION_NUMBER_BITS));
 
-/** Reads the number of the vm that issued a cancel key. */
+/** Reads the number of the vm that issued a cancel key from the process identifier of the key. */
 export const readVmNumber = (processId: number): number => processId >>> CONNECTION_NUMBER_BITS;
 
 /** Starts accepting callers; throws if the address cannot be bound. */
@@ -70,7 +76,7 @@
 	const tls: SecureContext | undefined = settings.callerTls ? createSecureContext(settings.callerTls) : undefined;
 	let lastConnectionNumber = randomInt(2 ** CONNECTION_NUMBER_BITS);
 
-	const startup: StartupContext = {
+	const startupContext: StartupContext = {
 		tls,
 		findService: service => clusterView.activeConfiguration.getInventory()?.services[service],
 		findKey(keyId) {
@@ -90,17 +96,17 @@
 	};
 
 	const cancel = (processId: number, secret: number) => {
-		const found = openCallers.get(processId);
-		if (found?.secret === secret) {
-			found.control.cancel();
-		} else if (!found && readVmNumber(processId) !== context.vmNumber) {
+		const openCaller = openCallers.get(processId);
+		if (openCaller?.secret === secret) {
+			openCaller.control.cancel();
+		} else if (!openCaller && readVmNumber(processId) !== context.vmNumber) {
 			context.forwardCancel(readVmNumber(processId), processId, secret);
 		}
 	};
 
-	const serveOpen = async (caller: Caller) => {
+	const serveAcceptedCaller = async (caller: Caller) => {
 		const processId = createProcessId();
-		const secret = randomInt(MAX_SECRET);
+		const secret = randomInt(MAX_CANCEL_SECRET);
 		const control: CallerControl = {cancel: () => undefined, isIdle: true};
 		openCallers.set(processId, {caller, control, secret});
 		metrics.gauge('entry.callers', openCallers.size);
@@ -118,7 +124,7 @@
 		socket.setTimeout(STARTUP_TIMEOUT_MS, () => {
 			socket.destroy();
 		});
-		const {wire, outcome} = await receiveStartup(socket, startup);
+		const {wire, outcome} = await receiveStartup(socket, startupContext);
 		await using ownedWire = wire;
 		socket.setTimeout(0);
 		if (outcome.err) {
@@ -136,7 +142,7 @@
 			return;
 		}
 
-		await serveOpen(outcome.val.caller);
+		await serveAcceptedCaller(outcome.val.caller);
 	};
 
 	const server = createServer(socket => {
@@ -149,7 +155,7 @@
 		server.once('error', reject);
 		server.listen({...settings.listen, backlog: LISTEN_BACKLOG}, resolve);
 	});
-	const bound = server.address();
+	const boundAddress = server.address();
 
 	const closeIdle = () => {
 		for (const {caller, control} of openCallers.values()) {
@@ -163,8 +169,8 @@
 	};
 
 	return {
-		address: {host: settings.listen.host, port: typeof bound === 'object' && bound ? bound.port : settings.listen.port},
-		getOpenCount: () => openCallers.size,
+		address: {host: settings.listen.host, port: typeof boundAddress === 'object' && boundAddress ? boundAddress.port : settings.listen.port},
+		getConnectionCount: () => openCallers.size,
 		closeIdle,
 		cancel,
 		async drain(signal) {
@@ -184,5 +190,5 @@
 	};
 };
 
-/** Finds the vm with a number; `undefined` if there is none. */
-export const findVmByNumber = (vms: readonly VmId[], number: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === number);
+/** Finds the first vm that has a number; `undefined` if there is none. */
+export const findVmByNumber = (vms: readonly VmId[], vmNumber: number, computeNumber: (vm: VmId) => number): VmId | undefined => vms.find(vm => computeNumber(vm) === vmNumber);
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -17,7 +17,7 @@
 
 /** Failover coordinators of one process. */
 export type FailoverCoordinators = AsyncDisposable & Readonly<{
-	/** Runs the coordinators of the databases of a slot until the signal aborts. */
+	/** Runs a coordinator for each database of a slot until the signal aborts. */
 	runAsHolder: (authority: Authority, signal: AbortSignal) => Promise<void>;
 	/** Issues a grant to a holder; `undefined` if this process is not the coordinator of the database, or the coordinator issues none. */
 	grant: (database: DatabaseId, holder: GrantHolder) => GrantResponse | undefined;
@@ -36,6 +36,7 @@
 }>;
 
 const REVOKE_TIMEOUT_MS = 300;
+/** Interval between checks of the active inventory for new databases, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
 const emitEvent = (emit: Emit, database: DatabaseId, event: FailoverEvent): void => {
@@ -102,14 +103,15 @@
 		return command(connection, configured);
 	};
 
+	/** Formats the connection string with which a replica follows a primary; empty without a primary, which stops replication. */
 	const formatConninfo = (primary: TargetId | undefined, follower: TargetId): string => {
 		const configured = primary ? clusterView.findTarget(primary) : undefined;
 		if (!configured) {
 			return '';
 		}
 
-		const address = createTargetConnectionSettings(configured, context.vm);
-		return `host=${address.host} port=${address.port} user=${address.user} application_name=${follower}`;
+		const connectionSettings = createTargetConnectionSettings(configured, context.vm);
+		return `host=${connectionSettings.host} port=${connectionSettings.port} user=${connectionSettings.user} application_name=${follower}`;
 	};
 
 	const commands: TargetCommands = {
@@ -120,13 +122,13 @@
 	};
 
 	const getSettings = (database: DatabaseId): FailoverSettings | undefined => {
-		const configured = clusterView.activeConfiguration.getInventory()?.databases[database];
-		return configured && {
+		const configuredDatabase = clusterView.activeConfiguration.getInventory()?.databases[database];
+		return configuredDatabase && {
 			database,
-			minimumSynced: Math.min(configured.minimumSynced, configured.targets.length - 1),
-			replicated: configured.acknowledge === 'replicated',
-			targets: configured.targets.map(target => parseId<TargetId>(target.name)),
-			leaving: configured.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
+			minimumSynced: Math.min(configuredDatabase.minimumSynced, configuredDatabase.targets.length - 1),
+			replicated: configuredDatabase.acknowledge === 'replicated',
+			targets: configuredDatabase.targets.map(target => parseId<TargetId>(target.name)),
+			leaving: configuredDatabase.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
 		};
 	};
 
@@ -136,10 +138,10 @@
 		commands,
 		getSettings: () => getSettings(database),
 		getAuthorityDeadline: authority.getDeadline,
-		async revoke(holder, id, permissions) {
-			// A holder that keeps the permission to acknowledge responds only when its running writes have ended, hence the longer timeout.
+		async revoke(holder, databaseId, permissions) {
+			// A holder that keeps the permission to acknowledge responds only after its running writes have ended, hence the longer timeout.
 			const timeoutMs = permissions.acknowledgements ? REVOKE_TIMEOUT_MS : MAX_GRANT_VALIDITY_MS;
-			return context.callVm(holder.vm, 'revoke', {database: id, permissions, incarnation: holder.incarnation}, timeoutMs);
+			return context.callVm(holder.vm, 'revoke', {database: databaseId, permissions, incarnation: holder.incarnation}, timeoutMs);
 		},
 		publish: context.onGroupView,
 		onEvent(event) {
@@ -149,9 +151,9 @@
 
 	const getDatabases = (slot: string): readonly DatabaseId[] => {
 		const inventory = clusterView.activeConfiguration.getInventory();
-		const slots = inventory?.fleet.stewardSlots ?? 1;
+		const slotCount = inventory?.fleet.stewardSlots ?? 1;
 		return Object.keys(inventory?.databases ?? {})
-			.filter(name => chooseSlot('steward', slots, name) === slot)
+			.filter(name => chooseSlot('steward', slotCount, name) === slot)
 			.map(name => parseId<DatabaseId>(name));
 	};
 
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -22,9 +22,11 @@
 
 /** Targets that one process owns. */
 export type OwnedTargets = AsyncDisposable & Readonly<{
+	/** Grants that this process holds. */
 	grantRegistry: GrantRegistry;
 	/** Returns a target that this process owns, opening it if needed; `undefined` if this process does not own it. */
 	get: (target: TargetId) => OwnedTarget<TargetConnection> | undefined;
+	/** Waits until a write is durable, so that its response may be sent. */
 	waitUntilDurable: ReturnType<typeof createDurabilityWaiter>;
 	/** Requests and renews the grants of the databases of owned targets until the signal aborts. */
 	runGrantRenewal: (signal: AbortSignal) => Promise<void>;
@@ -47,9 +49,9 @@
 	onGroupView: (view: GroupView) => void;
 }>;
 
-type OpenTarget = Readonly<{configured: ConfiguredTarget; address: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
+type OpenTarget = Readonly<{configured: ConfiguredTarget; connectionSettings: TargetConnectionSettings; pool: Pool<TargetConnection>; queue: FairQueue; owned: OwnedTarget<TargetConnection>}>;
 
-/** Connections of a target reserved for control queries of the failover coordinator and of the owners. */
+/** Number of connections of each target reserved for the control queries of the failover coordinator and the owners. */
 const RESERVED_CONNECTIONS = 4;
 const MIN_IDLE_CONNECTIONS = 2;
 const GRANT_RENEWAL_MS = 250;
@@ -57,7 +59,7 @@
 const GRANT_TIMEOUT_MS = 300;
 const OWNERSHIP_CHECK_MS = 250;
 
-/** Creates the address of a target, with the credentials of its database. */
+/** Creates the settings for connections to a target: its address, and the credentials of its database. */
 export const createTargetConnectionSettings = (configured: ConfiguredTarget, applicationName: string): TargetConnectionSettings => {
 	const [host, port] = configured.target.address.split(':');
 	const {user, passwordVariable, databaseName} = configured.database;
@@ -66,7 +68,7 @@
 	};
 };
 
-/** Computes how many connections one owner may open, so that two owners, chosen under different views of the cluster, together stay within the limit of the target. */
+/** Computes how many connections one owner may open. Two owners together stay within the limit of the target, even if they have different views of the cluster. */
 export const computeOwnerConnectionLimit = (connections: number): number => Math.max(1, Math.floor((connections - RESERVED_CONNECTIONS) / OWNERS_PER_TARGET));
 
 /** Creates the owned targets of a process; none is open at first. */
@@ -81,23 +83,23 @@
 
 	const openTarget = (configured: ConfiguredTarget): OpenTarget => {
 		const {target} = configured;
-		const address = createTargetConnectionSettings(configured, vm);
+		const connectionSettings = createTargetConnectionSettings(configured, vm);
 		const isPreferredOwner = clusterView.getOwners(parseId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
 			maxOpen: computeOwnerConnectionLimit(target.connections),
 			minIdle: isPreferredOwner ? Math.min(MIN_IDLE_CONNECTIONS, target.slots) : 0,
-			dial: async () => openTargetConnection(address),
+			dial: async () => openTargetConnection(connectionSettings),
 			onAvailable() {
 				queue.admitWaiting();
 			},
-			onReachabilityChange(reachable, message) {
-				emit(reachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
+			onReachabilityChange(isReachable, message) {
+				emit(isReachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
 			},
 		}, world);
 		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
 		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
-			configured, address, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
+			configured, connectionSettings, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
 		};
 	};
 
@@ -142,6 +144,7 @@
 
 	const hasSameConnectionSettings = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
+	/** Closes targets that are no longer configured, and unused ones that this process no longer owns or whose connection settings have changed; opens those of which it is the preferred owner. */
 	const updateOwnership = async () => {
 		for (const [id, opened] of openTargets) {
 			const configured = clusterView.findTarget(id);
@@ -165,8 +168,8 @@
 	};
 
 	const getCoordinator = (database: DatabaseId): VmId | undefined => {
-		const slots = clusterView.activeConfiguration.getInventory()?.fleet.stewardSlots ?? 1;
-		const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slots, database)}`);
+		const slotCount = clusterView.activeConfiguration.getInventory()?.fleet.stewardSlots ?? 1;
+		const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${chooseSlot('steward', slotCount, database)}`);
 		const record = entry ? parseSlotRecord(entry.value) : undefined;
 		return record?.ok ? record.val.holder.vm : undefined;
 	};
@@ -178,14 +181,14 @@
 		}
 
 		const requestedAt = world.now();
-		const reply = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
-		if (reply.err || !reply.val) {
+		const response = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
+		if (response.err || !response.val) {
 			return false;
 		}
 
-		grantRegistry.accept(reply.val, requestedAt);
-		context.onGroupView(reply.val.view);
-		return reply.val.permissions.writes;
+		grantRegistry.accept(response.val, requestedAt);
+		context.onGroupView(response.val.view);
+		return response.val.permissions.writes;
 	};
 
 	const getOwnedDatabases = (): ReadonlySet<DatabaseId> => new Set(clusterView.listTargets()
@@ -196,6 +199,7 @@
 	const renewGrant = async (database: DatabaseId, signal: AbortSignal) => {
 		while (!signal.aborted && getOwnedDatabases().has(database)) {
 			const isWritable = await requestGrant(database);
+			// A jitter of ±25 % spreads the requests of all owners over time.
 			await world.sleep((isWritable ? GRANT_RENEWAL_MS : GRANT_RETRY_MS) * (0.75 + (world.random() / 2)), signal);
 		}
 	};
@@ -205,16 +209,16 @@
 		waitUntilDurable,
 		get: target => getOpenTarget(target)?.owned,
 		async runGrantRenewal(signal) {
-			const running = new Set<DatabaseId>();
+			const renewingDatabases = new Set<DatabaseId>();
 			while (!signal.aborted) {
 				for (const database of getOwnedDatabases()) {
-					if (!running.has(database)) {
-						running.add(database);
+					if (!renewingDatabases.has(database)) {
+						renewingDatabases.add(database);
 						scope.run(async () => {
 							try {
 								await renewGrant(database, signal);
 							} finally {
-								running.delete(database);
+								renewingDatabases.delete(database);
 							}
 						});
 					}
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -37,7 +37,7 @@
 import {createFailoverCoordinators} from './failover-coordinators.js';
 
 /** A running proxy. */
-export type Proxy = Readonly<{
+export type RunningProxy = Readonly<{
 	callerListener: CallerListener;
 	/** Shuts down gracefully: gives up roles, drains callers and running requests, then closes everything. */
 	stop: () => Promise<void>;
@@ -49,15 +49,18 @@
 const STORE_TIMEOUT_MS = 600;
 const PEER_TIMEOUT_MS = 300;
 const SYNC_TIMEOUT_MS = 1500;
+/** Interval between checks for idle connections that must be closed, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 const INCARNATION_CHARACTERS = 8;
 const DRAIN_POLL_MS = 20;
+/** Time after a contact with the store for which peers are told that the store is reachable, in milliseconds. */
 const MAX_STORE_CONTACT_AGE_MS = 2000;
 const GOAWAY_TIMEOUT_MS = 1000;
+/** Number of events kept in memory for operators to request. */
 const MAX_RECENT_EVENTS = 2000;
 
 /** Starts a proxy: listens for peers and callers and runs the background tasks. */
-export const startProxy = async (settings: Settings, world: World): Promise<Result<Proxy, StartFailure>> => {
+export const startProxy = async (settings: Settings, world: World): Promise<Result<RunningProxy, StartFailure>> => {
 	const incarnation = world.createId().slice(0, INCARNATION_CHARACTERS);
 	const clock = createHybridLogicalClock(world.readWallClock);
 	const recentEvents = createEventRingBuffer(MAX_RECENT_EVENTS);
@@ -67,13 +70,13 @@
 		log(record);
 	});
 	const metrics = openMetrics(settings.statsd);
-	const onFailure = (task: string) => (thrown: unknown) => {
+	const createFailureHandler = (task: string) => (thrown: unknown) => {
 		emit(EVENTS.taskFailed, {task, reason: thrown instanceof Error ? thrown.stack : String(thrown)});
 	};
 
-	const control = createScope(onFailure('control'));
-	const roles = createScope(onFailure('role'));
-	const requests = createScope(onFailure('request'));
+	const controlScope = createScope(createFailureHandler('control'));
+	const roleScope = createScope(createFailureHandler('role'));
+	const requestScope = createScope(createFailureHandler('request'));
 	const store = openEtcdStore({
 		address: settings.platform,
 		clientName: settings.vm,
@@ -113,17 +116,17 @@
 			emit(EVENTS.frameRefused, {reason: failure.code});
 			metrics.count('peer.malformed');
 		},
-		onTransfer(direction, bytes) {
-			metrics.count('peer.bytes', {direction}, bytes);
+		onTransfer(direction, byteCount) {
+			metrics.count('peer.bytes', {direction}, byteCount);
 		},
 	};
 	const peers = createPeerConnections(peerContext, createDial(settings.peerTls));
 	const callVm = createCallVm(members, peers);
 
 	const groups = new Map<DatabaseId, GroupView>();
-	const acceptView = (view: GroupView) => {
-		const known = groups.get(view.record.database);
-		if (!known || known.revision < view.revision) {
+	const acceptGroupView = (view: GroupView) => {
+		const knownView = groups.get(view.record.database);
+		if (!knownView || knownView.revision < view.revision) {
 			groups.set(view.record.database, view);
 		}
 	};
@@ -133,16 +136,16 @@
 			const entry = storeCache.get(key);
 			const record = entry ? parseGroupRecord(entry.value) : undefined;
 			if (entry && record?.ok) {
-				acceptView({record: record.val, revision: entry.revision});
+				acceptGroupView({record: record.val, revision: entry.revision});
 			}
 		}
 	});
 
 	const ownedTargets = createOwnedTargets({
-		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptView,
+		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptGroupView,
 	});
 	const cancelCallbacks = new Map<RequestId, () => void>();
-	const owner: OwnerContext<TargetConnection> = {
+	const ownerContext: OwnerContext<TargetConnection> = {
 		runChunk,
 		world,
 		getTarget: ownedTargets.get,
@@ -173,10 +176,10 @@
 		},
 		trackRequest(header) {
 			runningRequestCount++;
-			const write = header.mode === 'write' ? ownedTargets.grantRegistry.trackWrite(header.database) : undefined;
+			const trackedWrite = header.mode === 'write' ? ownedTargets.grantRegistry.trackWrite(header.database) : undefined;
 			return {
 				[Symbol.dispose]() {
-					write?.[Symbol.dispose]();
+					trackedWrite?.[Symbol.dispose]();
 					runningRequestCount--;
 				},
 			};
@@ -185,11 +188,11 @@
 	};
 
 	const coordinators = createFailoverCoordinators({
-		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptView,
+		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptGroupView,
 	});
 	const allocators = createQuotaAllocators(world, clusterView, callVm);
 	const lease = createProcessLease(store, world);
-	const promises = createTakeoverPromises(incarnation, world);
+	const takeoverPromises = createTakeoverPromises(incarnation, world);
 	const relayService = createRelayService(storeCache, incarnation, world);
 
 	const cancelLocally = (requestId: string) => {
@@ -207,9 +210,9 @@
 
 	const getVmNumber = (vm: string) => computeVmNumber(computeHash(vm));
 	const forwardCancel = (vmNumber: number, processId: number, secret: number) => {
-		const member = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, getVmNumber);
-		if (member) {
-			void callVm(member, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
+		const vm = findVmByNumber(members.getAll().map(member => member.vm), vmNumber, getVmNumber);
+		if (vm) {
+			void callVm(vm, 'cancelCaller', {processId, secret}, PEER_TIMEOUT_MS);
 		}
 	};
 
@@ -219,9 +222,9 @@
 		clusterView,
 		peers,
 		quotaClient: createQuotaClient(allocators.requestTokens, world),
-		owner,
+		ownerContext,
 		retryBudget: createRetryBudget(),
-		scope: requests,
+		scope: requestScope,
 		emit,
 		metrics,
 		getGroup: database => groups.get(database),
@@ -230,7 +233,17 @@
 	});
 
 	handlers = createHandlers({
-		world, incarnation, scope: requests, clusterView, callVm, relay: relayService, coordinators, allocators, grantRegistry: ownedTargets.grantRegistry, promises, owner,
+		world,
+		incarnation,
+		scope: requestScope,
+		clusterView,
+		callVm,
+		relayService,
+		coordinators,
+		allocators,
+		grantRegistry: ownedTargets.grantRegistry,
+		takeoverPromises,
+		ownerContext,
 		getEpoch(slot) {
 			const slotEntry = storeCache.get(`${ROLE_PREFIX}${slot}`);
 			return slotEntry ? parseSlotRecord(slotEntry.value).map(record => record.epoch).unwrapOr(0) : 0;
@@ -268,33 +281,34 @@
 		sendSync: async (vm, request) => callVm<SyncResponse>(vm, 'sync', request, SYNC_TIMEOUT_MS),
 		async isStoreDownForAll() {
 			const dataCentres = new Set(activeConfiguration.getInventory()?.dataCentres);
-			const others = clusterView.getRelays();
-			const responses = await Promise.all(others.map(async vm => ({
+			const otherRelays = clusterView.getRelays();
+			const responses = await Promise.all(otherRelays.map(async vm => ({
 				dataCentre: members.get(vm)?.dataCentre, response: await callVm<boolean>(vm, 'vouch', null, PEER_TIMEOUT_MS),
 			})));
 			if (responses.some(({response}) => response.ok && response.val)) {
 				return false;
 			}
 
+			// The store counts as down only if a relay in each other data centre confirms that it cannot reach the store; this vm confirms it for its own.
 			const confirmingDataCentres = new Set<string | undefined>(responses.filter(({response}) => response.ok).map(({dataCentre}) => dataCentre));
 			confirmingDataCentres.add(settings.dataCentre);
 			return [...dataCentres].every(dataCentre => confirmingDataCentres.has(dataCentre));
 		},
 		getActiveRevision: activeConfiguration.getRevision,
-		onStoreContact(reachable) {
-			if (reachable) {
+		onStoreContact(isReachable) {
+			if (isReachable) {
 				storeContactAt = world.now();
 			}
 
-			if (reachable !== isStoreReachable) {
-				isStoreReachable = reachable;
-				emit(reachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
+			if (isReachable !== isStoreReachable) {
+				isStoreReachable = isReachable;
+				emit(isReachable ? EVENTS.storeReachable : EVENTS.storeUnreachable);
 			}
 		},
 	};
 
 	const runRoleCandidates = createRoleCandidates({
-		world, vm: settings.vm, incarnation, clusterView, store, lease, promises, scope: roles, emit, isDraining: () => isDraining,
+		world, vm: settings.vm, incarnation, clusterView, store, lease, takeoverPromises, scope: roleScope, emit, isDraining: () => isDraining,
 		requestPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
 		runAsHolder: {steward: coordinators.runAsHolder, keeper: allocators.runAsHolder},
 	});
@@ -308,25 +322,28 @@
 	};
 
 	try {
-		const listener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
+		const peerListener = await startPeerListener(settings.peerListen, peerContext, settings.peerTls);
 		callerListener = await startCallerListener({
 			settings, clusterView, entry, emit, metrics, vmNumber: getVmNumber(settings.vm), forwardCancel,
 		});
 		emit(EVENTS.processStarted, {
-			version: VERSION, dataCentre: settings.dataCentre, listen: `${callerListener.address.host}:${callerListener.address.port}`, peerListen: `${listener.address.host}:${listener.address.port}`,
+			version: VERSION,
+			dataCentre: settings.dataCentre,
+			listen: `${callerListener.address.host}:${callerListener.address.port}`,
+			peerListen: `${peerListener.address.host}:${peerListener.address.port}`,
 		});
-		control.run(async signal => runCacheSync(cacheSync, signal));
-		control.run(async signal => runRelayWatches(cacheSync, signal));
-		control.run(async signal => runFailureDetector({
+		controlScope.run(async signal => runCacheSync(cacheSync, signal));
+		controlScope.run(async signal => runRelayWatches(cacheSync, signal));
+		controlScope.run(async signal => runFailureDetector({
 			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
-		control.run(runRoleCandidates);
-		control.run(ownedTargets.runGrantRenewal);
-		control.run(ownedTargets.runOwnershipUpdates);
-		control.run(runPeriodicChecks);
-		const openListener = callerListener;
+		controlScope.run(runRoleCandidates);
+		controlScope.run(ownedTargets.runGrantRenewal);
+		controlScope.run(ownedTargets.runOwnershipUpdates);
+		controlScope.run(runPeriodicChecks);
+		const startedCallerListener = callerListener;
 		return Ok({
-			callerListener: openListener,
+			callerListener: startedCallerListener,
 			async stop() {
 				isDraining = true;
 				emit(EVENTS.processDraining);
@@ -335,22 +352,22 @@
 				const timer = setTimeout(() => {
 					drainTimeout.abort();
 				}, settings.drainMs);
-				await roles[Symbol.asyncDispose]();
+				await roleScope[Symbol.asyncDispose]();
 				await lease.revoke();
-				await openListener.drain(drainTimeout.signal);
+				await startedCallerListener.drain(drainTimeout.signal);
 				while (runningRequestCount > 0 && !drainTimeout.signal.aborted) {
 					await world.sleep(DRAIN_POLL_MS);
 				}
 
 				clearTimeout(timer);
-				await listener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
-				await openListener[Symbol.asyncDispose]();
-				await control[Symbol.asyncDispose]();
-				await requests[Symbol.asyncDispose]();
+				await peerListener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
+				await startedCallerListener[Symbol.asyncDispose]();
+				await controlScope[Symbol.asyncDispose]();
+				await requestScope[Symbol.asyncDispose]();
 				await ownedTargets[Symbol.asyncDispose]();
 				await coordinators[Symbol.asyncDispose]();
 				await peers[Symbol.asyncDispose]();
-				await listener[Symbol.asyncDispose]();
+				await peerListener[Symbol.asyncDispose]();
 				await store[Symbol.asyncDispose]();
 				emit(EVENTS.processStopped);
 				await metrics[Symbol.asyncDispose]();
