--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -22,15 +22,15 @@
 	server_version: '15.0 (guavapitch stand-in)', server_encoding: 'UTF8', client_encoding: 'UTF8', DateStyle: 'ISO, MDY', standard_conforming_strings: 'on',
 };
 
-const sendGreeting = async (wire: WireConnection, processId: number, secret: number) => {
+const sendStartupResponse = async (wire: WireConnection, processId: number, secret: number) => {
 	const parameters = Object.entries(PARAMETER_STATUS).map(([name, value]) => createParameterStatus(name, value).bytes);
-	const key = createMessage('K', encodeInt32(processId), encodeInt32(secret));
-	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, key.bytes, createReadyForQuery('idle').bytes);
+	const keyData = createMessage('K', encodeInt32(processId), encodeInt32(secret));
+	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, keyData.bytes, createReadyForQuery('idle').bytes);
 };
 
-type ServerContext = Readonly<{target: Target; world: World; cancels: CancelRegistry}>;
+type ServerContext = Readonly<{target: Target; world: World; cancelRegistry: CancelRegistry}>;
 
-const serveCaller = async ({target, world, cancels}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
+const serveCaller = async ({target, world, cancelRegistry}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
 	const isControlSession = parameters.get('database') === CONTROL_PEER;
 	const peer = isControlSession ? CONTROL_PEER : parameters.get('application_name') ?? '';
 	const isWithinLimit = isControlSession || target.addConnection();
@@ -44,15 +44,15 @@
 		}
 
 		await world.sleep(isControlSession ? 0 : target.settings.connectMs);
-		await sendGreeting(wire, processId, secret);
+		await sendStartupResponse(wire, processId, secret);
 		await serveSession({
 			target, world, wire, peer,
 			onCancel(cancel) {
-				cancels.set(processId, {secret, cancel});
+				cancelRegistry.set(processId, {secret, cancel});
 			},
 		});
 	} finally {
-		cancels.delete(processId);
+		cancelRegistry.delete(processId);
 		if (!isControlSession) {
 			target.removeConnection();
 		}
@@ -60,7 +60,7 @@
 };
 
 const serveSocket = async (context: ServerContext, socket: Socket) => {
-	const {target, cancels} = context;
+	const {target, cancelRegistry} = context;
 	socket.setNoDelay(true);
 	await using wire = openWireConnection(socket);
 	while (true) {
@@ -77,9 +77,9 @@
 
 		switch (startup.val.kind) {
 			case 'cancel': {
-				const running = cancels.get(startup.val.processId);
-				if (running?.secret === startup.val.secret) {
-					running.cancel();
+				const session = cancelRegistry.get(startup.val.processId);
+				if (session?.secret === startup.val.secret) {
+					session.cancel();
 				}
 
 				return;
@@ -100,17 +100,17 @@
 	}
 };
 
-/** Starts serving a target on the loopback interface. */
+/** Starts serving a target on the loopback interface; port 0 stands for any free port. */
 export const startDatabase = async (target: Target, world: World, port: number): Promise<DatabaseServer> => {
 	const scope = createScope(() => undefined);
-	const cancels: CancelRegistry = new Map();
+	const cancelRegistry: CancelRegistry = new Map();
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
-		scope.run(async () => serveSocket({target, world, cancels}, socket));
+		scope.run(async () => serveSocket({target, world, cancelRegistry}, socket));
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -38,6 +38,7 @@
 
 /** Storage engine of one target. */
 export type Engine = Readonly<{
+	/** Starts a transaction; on a replica it is always read-only. */
 	begin: (readOnly: boolean) => Transaction;
 	/** Commits a transaction; throws an `SqlError` if it has changes and the target is a replica. */
 	commit: (transaction: Transaction) => void;
@@ -47,6 +48,7 @@
 	/** Returns a table as the transaction sees it; throws an `SqlError` if it does not exist. */
 	getTable: (transaction: Transaction, name: string) => Readonly<{columns: readonly Column[]; rows: ReadonlyMap<string, Row>}>;
 	hasTable: (transaction: Transaction, name: string) => boolean;
+	/** Returns a unique identifier for a row of a table without a primary key. */
 	createRowId: () => string;
 	getPosition: () => number;
 	getTimeline: () => number;
@@ -70,21 +72,23 @@
 
 /** Number of bytes by which a change advances the log position. */
 const BYTES_PER_CHANGE = 64;
+/** Time after which waiting for a lock fails with a deadlock error, in milliseconds. */
 const LOCK_TIMEOUT_MS = 2000;
 const MAX_RECORD_WAIT_MS = 1000;
+/** Log position of an empty target, `0/1000000` in the format of PostgreSQL. */
 const FIRST_POSITION = 0x1_00_00_00;
 
 /** Creates an engine without tables. */
-export const createEngine = (world: World, options: Readonly<{replica: boolean}>): Engine => {
+export const createEngine = (world: World, options: Readonly<{isReplica: boolean}>): Engine => {
 	const tables = new Map<string, Table>();
 	const log: LogRecord[] = [];
-	const locks = new Map<string, Transaction>();
+	const lockHolders = new Map<string, Transaction>();
 	const locksReleased = createNotifier(world);
 	const logGrown = createNotifier(world);
 	let history: readonly TimelineStart[] = [{timeline: 1, position: FIRST_POSITION}];
-	let {replica} = options;
+	let {isReplica} = options;
 	let position = FIRST_POSITION;
-	let rowCount = 0;
+	let lastRowNumber = 0;
 
 	const getTimeline = () => history.at(-1)?.timeline ?? 1;
 
@@ -110,22 +114,22 @@
 
 	const releaseLocks = (transaction: Transaction) => {
 		for (const key of transaction.locks) {
-			locks.delete(key);
+			lockHolders.delete(key);
 		}
 
 		transaction.locks.clear();
 		locksReleased.notify();
 	};
 
-	const findCreated = (transaction: Transaction, name: string) => transaction.changes.find(change => change.kind === 'create' && change.table === name);
+	const findCreateChange = (transaction: Transaction, name: string) => transaction.changes.find(change => change.kind === 'create' && change.table === name);
 
 	return {
-		begin: readOnly => ({readOnly: readOnly || replica, changes: [], locks: new Set()}),
+		begin: readOnly => ({readOnly: readOnly || isReplica, changes: [], locks: new Set()}),
 		commit(transaction) {
 			if (transaction.changes.length > 0) {
-				if (replica) {
+				if (isReplica) {
 					releaseLocks(transaction);
-					throw new SqlError('25006', 'cannot commit a write in a read-only target');
+					throw new SqlError('25006', 'cannot commit changes on a read-only target');
 				}
 
 				append({position: position + (BYTES_PER_CHANGE * transaction.changes.length), timeline: getTimeline(), changes: [...transaction.changes]});
@@ -136,7 +140,7 @@
 		rollback: releaseLocks,
 		async lock(transaction, key) {
 			const deadline = createDeadline(world.now(), LOCK_TIMEOUT_MS);
-			while ((locks.get(key) ?? transaction) !== transaction) {
+			while ((lockHolders.get(key) ?? transaction) !== transaction) {
 				if (isPast(deadline, world.now())) {
 					throw new SqlError('40P01', 'deadlock detected');
 				}
@@ -144,14 +148,14 @@
 				await locksReleased.waitForChange(deadline);
 			}
 
-			locks.set(key, transaction);
+			lockHolders.set(key, transaction);
 			transaction.locks.add(key);
 		},
-		hasTable: (transaction, name) => tables.has(name) || findCreated(transaction, name) !== undefined,
+		hasTable: (transaction, name) => tables.has(name) || findCreateChange(transaction, name) !== undefined,
 		getTable(transaction, name) {
 			const storedTable = tables.get(name);
-			const created = findCreated(transaction, name);
-			const columns = storedTable?.columns ?? (created?.kind === 'create' ? created.columns : undefined);
+			const createChange = findCreateChange(transaction, name);
+			const columns = storedTable?.columns ?? (createChange?.kind === 'create' ? createChange.columns : undefined);
 			if (!columns) {
 				throw new SqlError('42P01', `relation "${name}" does not exist`);
 			}
@@ -172,17 +176,17 @@
 
 			return {columns, rows};
 		},
-		createRowId: () => `${getTimeline()}.${position}.${++rowCount}`,
+		createRowId: () => `${getTimeline()}.${position}.${++lastRowNumber}`,
 		getPosition: () => position,
 		getTimeline,
 		getTimelineHistory: () => history,
-		isReplica: () => replica,
-		getRecordsAfter(after) {
+		isReplica: () => isReplica,
+		getRecordsAfter(afterPosition) {
 			let low = 0;
 			let high = log.length;
 			while (low < high) {
 				const middle = (low + high) >> 1;
-				if ((log[middle]?.position ?? 0) > after) {
+				if ((log[middle]?.position ?? 0) > afterPosition) {
 					high = middle;
 				} else {
 					low = middle + 1;
@@ -192,12 +196,12 @@
 			return log.slice(low);
 		},
 		replay(record) {
-			if (replica && record.position > position) {
+			if (isReplica && record.position > position) {
 				append(record);
 			}
 		},
 		promote() {
-			replica = false;
+			isReplica = false;
 			history = [...history, {timeline: getTimeline() + 1, position}];
 			logGrown.notify();
 		},
@@ -206,10 +210,10 @@
 			log.length = 0;
 			position = FIRST_POSITION;
 			history = [{timeline: 1, position}];
-			replica = true;
+			isReplica = true;
 		},
-		setTimelineHistory(next) {
-			history = next;
+		setTimelineHistory(newHistory) {
+			history = newHistory;
 		},
 		async waitForRecords(signal) {
 			await logGrown.waitForChange(createDeadline(world.now(), MAX_RECORD_WAIT_MS), signal);
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -44,6 +44,7 @@
 
 const evaluateWithoutRow = (context: ExecutionContext, expression: Expression): Value => evaluateExpression(expression, createEvaluationContext(context, [], []));
 
+/** Returns the expression that the primary key must equal, if that is the whole condition; the row is then looked up instead of scanning the table. */
 const findKeyExpression = (columns: readonly Column[], where: Expression | undefined): Expression | undefined => {
 	if (where?.kind !== 'binary' || where.operator !== '=' || where.left.kind !== 'column' || where.right.kind === 'column') {
 		return undefined;
@@ -53,24 +54,24 @@
 	return columns.some(column => column.primaryKey && column.name === name) ? where.right : undefined;
 };
 
-const createKey = (value: Value): string => `k:${String(value)}`;
+const createRowIdFromKey = (value: Value): string => `k:${String(value)}`;
 
 const selectRows = (context: ExecutionContext, source: RowSet, where: Expression | undefined): ReadonlyArray<readonly [string, Row]> => {
 	const keyExpression = findKeyExpression(source.columns, where);
 	if (keyExpression) {
-		const key = createKey(evaluateWithoutRow(context, keyExpression));
-		const row = source.rows.get(key);
-		return row ? [[key, row]] : [];
+		const rowId = createRowIdFromKey(evaluateWithoutRow(context, keyExpression));
+		const row = source.rows.get(rowId);
+		return row ? [[rowId, row]] : [];
 	}
 
-	const found: Array<readonly [string, Row]> = [];
+	const selected: Array<readonly [string, Row]> = [];
 	for (const [id, row] of source.rows) {
 		if (!where || evaluateExpression(where, createEvaluationContext(context, source.columns, row)) === true) {
-			found.push([id, row]);
+			selected.push([id, row]);
 		}
 	}
 
-	return found;
+	return selected;
 };
 
 const inferType = (expression: Expression, columns: readonly Column[]): string => {
@@ -94,15 +95,15 @@
 	: [output]);
 
 const describeOutputs = (outputs: readonly OutputColumn[], columns: readonly Column[]): readonly ResultColumn[] => {
-	const expanded = expandOutputs(outputs, columns);
-	return expanded.map(({name, expression}) => ({name, type: inferType(expression, columns)}));
+	const expandedOutputs = expandOutputs(outputs, columns);
+	return expandedOutputs.map(({name, expression}) => ({name, type: inferType(expression, columns)}));
 };
 
 const projectRows = (context: ExecutionContext, outputs: readonly OutputColumn[], columns: readonly Column[], rows: readonly Row[]): readonly Row[] => {
-	const expanded = expandOutputs(outputs, columns);
+	const expandedOutputs = expandOutputs(outputs, columns);
 	return rows.map(row => {
 		const evaluationContext = createEvaluationContext(context, columns, row);
-		return expanded.map(({expression}) => evaluateExpression(expression, evaluationContext));
+		return expandedOutputs.map(({expression}) => evaluateExpression(expression, evaluationContext));
 	});
 };
 
@@ -162,9 +163,9 @@
 	});
 };
 
-const checkWritable = (context: ExecutionContext, verb: string) => {
+const checkWritable = (context: ExecutionContext, command: string) => {
 	if (context.transaction.readOnly) {
-		throw new SqlError('25006', `cannot execute ${verb} in a read-only transaction`);
+		throw new SqlError('25006', `cannot execute ${command} in a read-only transaction`);
 	}
 };
 
@@ -174,30 +175,30 @@
 	}
 
 	const source = getSource(context, statement);
-	const found = selectRows(context, source, statement.where);
+	const selected = selectRows(context, source, statement.where);
 	if (statement.forUpdate && statement.from) {
-		for (const [id] of found) {
+		for (const [id] of selected) {
 			await context.engine.lock(context.transaction, `${statement.from.name}/${id}`);
 		}
 	}
 
 	const columns = describeOutputs(statement.outputs, source.columns);
 	if (hasAggregate(statement.outputs)) {
-		const all = found.map(([, row]) => row);
-		const row = statement.outputs.map(output => output === '*' ? null : computeAggregate(context, output.expression, source.columns, all));
+		const selectedRows = selected.map(([, row]) => row);
+		const row = statement.outputs.map(output => output === '*' ? null : computeAggregate(context, output.expression, source.columns, selectedRows));
 		return {tag: 'SELECT 1', columns, rows: [row]};
 	}
 
 	const limit = statement.limit ? Number(evaluateWithoutRow(context, statement.limit)) : Number.POSITIVE_INFINITY;
-	const sorted = sortRows(source.columns, found.map(([, row]) => row), statement.orderBy, statement.descending);
-	const rows = projectRows(context, statement.outputs, source.columns, sorted.slice(0, limit));
+	const sortedRows = sortRows(source.columns, selected.map(([, row]) => row), statement.orderBy, statement.descending);
+	const rows = projectRows(context, statement.outputs, source.columns, sortedRows.slice(0, limit));
 	return {tag: `SELECT ${rows.length}`, columns, rows};
 };
 
-const createRow = (context: ExecutionContext, columns: readonly Column[], names: readonly string[], values: readonly Expression[]): Row => {
-	const order = names.length > 0 ? names : columns.map(column => column.name);
+const createRow = (context: ExecutionContext, columns: readonly Column[], columnNames: readonly string[], values: readonly Expression[]): Row => {
+	const columnOrder = columnNames.length > 0 ? columnNames : columns.map(column => column.name);
 	return columns.map(column => {
-		const index = order.indexOf(column.name);
+		const index = columnOrder.indexOf(column.name);
 		const expression = index === -1 ? undefined : values[index];
 		return expression ? evaluateWithoutRow(context, expression) : null;
 	});
@@ -208,10 +209,10 @@
 	const {engine, transaction} = context;
 	const {columns} = engine.getTable(transaction, statement.table);
 	const keyIndex = columns.findIndex(column => column.primaryKey);
-	const inserted: Row[] = [];
+	const insertedRows: Row[] = [];
 	for (const values of statement.rows) {
 		const row = createRow(context, columns, statement.columns, values);
-		const id = keyIndex === -1 ? engine.createRowId() : createKey(row[keyIndex] ?? null);
+		const id = keyIndex === -1 ? engine.createRowId() : createRowIdFromKey(row[keyIndex] ?? null);
 		await engine.lock(transaction, `${statement.table}/${id}`);
 		if (engine.getTable(transaction, statement.table).rows.has(id)) {
 			if (statement.ignoreConflict) {
@@ -224,33 +225,34 @@
 		transaction.changes.push({
 			kind: 'put', table: statement.table, id, row,
 		});
-		inserted.push(row);
+		insertedRows.push(row);
 	}
 
 	return {
-		tag: `INSERT 0 ${inserted.length}`,
+		tag: `INSERT 0 ${insertedRows.length}`,
 		columns: describeOutputs(statement.returning, columns),
-		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, inserted) : [],
+		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, insertedRows) : [],
 	};
 };
 
-type LockedRows = Readonly<{columns: readonly Column[]; found: ReadonlyArray<readonly [string, Row]>}>;
+type LockedRows = Readonly<{columns: readonly Column[]; rows: ReadonlyArray<readonly [string, Row]>}>;
 
+/** Locks the matching rows, then selects again, because rows may have changed while it waited for the locks. */
 const lockRows = async (context: ExecutionContext, table: string, where: Expression | undefined): Promise<LockedRows> => {
-	const first = context.engine.getTable(context.transaction, table);
-	for (const [id] of selectRows(context, first, where)) {
+	const initialTable = context.engine.getTable(context.transaction, table);
+	for (const [id] of selectRows(context, initialTable, where)) {
 		await context.engine.lock(context.transaction, `${table}/${id}`);
 	}
 
-	const current = context.engine.getTable(context.transaction, table);
-	return {columns: current.columns, found: selectRows(context, current, where)};
+	const currentTable = context.engine.getTable(context.transaction, table);
+	return {columns: currentTable.columns, rows: selectRows(context, currentTable, where)};
 };
 
 const runUpdate = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'update'}>): Promise<ResultSet> => {
 	checkWritable(context, 'UPDATE');
-	const {columns, found} = await lockRows(context, statement.table, statement.where);
+	const {columns, rows: lockedRows} = await lockRows(context, statement.table, statement.where);
 	const assignments = new Map(statement.assignments);
-	const updated = found.map(([id, row]) => {
+	const updatedRows = lockedRows.map(([id, row]) => {
 		const evaluationContext = createEvaluationContext(context, columns, row);
 		const updatedRow = columns.map((column, index) => {
 			const expression = assignments.get(column.name);
@@ -262,23 +264,23 @@
 		return updatedRow;
 	});
 	return {
-		tag: `UPDATE ${updated.length}`,
+		tag: `UPDATE ${updatedRows.length}`,
 		columns: describeOutputs(statement.returning, columns),
-		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, updated) : [],
+		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, updatedRows) : [],
 	};
 };
 
 const runDelete = async (context: ExecutionContext, statement: Extract<Statement, {kind: 'delete'}>): Promise<ResultSet> => {
 	checkWritable(context, 'DELETE');
-	const {columns, found} = await lockRows(context, statement.table, statement.where);
-	for (const [id] of found) {
+	const {columns, rows: lockedRows} = await lockRows(context, statement.table, statement.where);
+	for (const [id] of lockedRows) {
 		context.transaction.changes.push({kind: 'remove', table: statement.table, id});
 	}
 
 	return {
-		tag: `DELETE ${found.length}`,
+		tag: `DELETE ${lockedRows.length}`,
 		columns: describeOutputs(statement.returning, columns),
-		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, found.map(([, row]) => row)) : [],
+		rows: statement.returning.length > 0 ? projectRows(context, statement.returning, columns, lockedRows.map(([, row]) => row)) : [],
 	};
 };
 
@@ -318,7 +320,7 @@
 		}
 
 		default: {
-			throw new SqlError('0A000', `${statement.kind} is not supported here`);
+			throw new SqlError('0A000', `statements of kind ${statement.kind} are not supported`);
 		}
 	}
 };
--- a/packages/standin/src/expressions.ts
+++ b/packages/standin/src/expressions.ts
@@ -6,7 +6,7 @@
 /** Values and functions that an expression may refer to. */
 export type EvaluationContext = Readonly<{
 	parameters: readonly Value[];
-	/** Returns the value of a column of the current row. */
+	/** Returns the value of a column of the current row; throws an `SqlError` if it does not exist. */
 	getColumn: (name: string) => Value;
 	/** Calls a function of the target. */
 	callFunction: (name: string, args: readonly Value[]) => Value;
@@ -55,7 +55,7 @@
 	return compute ? compute(Number(left), Number(right)) : `${String(left)}${String(right)}`;
 };
 
-/** Evaluates an expression; throws an `SqlError` if a parameter is missing. */
+/** Evaluates an expression; throws an `SqlError` if a parameter, a column or a function does not exist. */
 export const evaluateExpression = (expression: Expression, context: EvaluationContext): Value => {
 	switch (expression.kind) {
 		case 'literal': {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -11,8 +11,8 @@
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_INVALID_SETTING = 2;
-const DEFAULT_SLOTS = 3;
-const DEFAULT_CONNECTIONS = 80;
+const DEFAULT_SLOT_COUNT = 3;
+const DEFAULT_CONNECTION_LIMIT = 80;
 const DEFAULT_CONNECT_MS = 10;
 const DEFAULT_LAG_MS = 5;
 
@@ -48,9 +48,9 @@
 	.command('database', 'stand-in of one database target', command => command
 		.option('port', {type: 'number', default: 5432, describe: 'port on the loopback interface; 0 for any free port'})
 		.option('name', {type: 'string', demandOption: true, describe: 'name of the target'})
-		.option('follow', {type: 'string', describe: 'primary to replicate from, host:port; if absent, the target is a primary'})
-		.option('slots', {type: 'number', default: DEFAULT_SLOTS, describe: 'maximum number of statements that run concurrently'})
-		.option('connections', {type: 'number', default: DEFAULT_CONNECTIONS, describe: 'maximum number of open connections'})
+		.option('follow', {type: 'string', describe: 'primary to replicate from, as host:port; without it, the target is a primary'})
+		.option('slots', {type: 'number', default: DEFAULT_SLOT_COUNT, describe: 'maximum number of statements that run concurrently'})
+		.option('connections', {type: 'number', default: DEFAULT_CONNECTION_LIMIT, describe: 'maximum number of open connections'})
 		.option('connect-ms', {type: 'number', default: DEFAULT_CONNECT_MS, describe: 'time to open a connection, in milliseconds'})
 		.option('statement-ms', {type: 'number', default: 0, describe: 'time for which a statement occupies a slot, in milliseconds'})
 		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay before received records are replayed, in milliseconds'})
@@ -58,8 +58,8 @@
 		const world = createWorld();
 		const target = createTarget({
 			name: flags.name,
-			replica: flags.follow !== undefined,
-			slots: flags.slots,
+			isReplica: flags.follow !== undefined,
+			slotCount: flags.slots,
 			connectionLimit: flags.connections,
 			connectMs: flags.connectMs,
 			statementMs: flags.statementMs,
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -30,10 +30,10 @@
 	/** Waits for the delay that the current faults add to a call of a client; for an hour if the client is partitioned, so that the call times out. */
 	delayCall: (client: string) => Promise<void>;
 	/** Counts a call; returns `false` if it exceeds the rate limit of its kind. */
-	acquireCall: (kind: CallKind) => boolean;
-	/** Returns whether the response to a change that was applied is dropped. */
+	admitCall: (kind: CallKind) => boolean;
+	/** Returns whether the response to a change that was applied is dropped, and counts it down. */
 	shouldDropResponse: () => boolean;
-	/** Returns whether a client is partitioned from the service. */
+	/** Returns whether a client is partitioned from the service; all clients are while the service is down. */
 	isPartitioned: (client: string) => boolean;
 }>;
 
@@ -51,10 +51,10 @@
 
 	return {
 		isPartitioned,
-		setFaults(next) {
-			faults = next;
-			responsesToDrop = next.loseAnswers ?? 0;
-			if (next.lapseLeases) {
+		setFaults(newFaults) {
+			faults = newFaults;
+			responsesToDrop = newFaults.loseAnswers ?? 0;
+			if (newFaults.lapseLeases) {
 				store.expireAllLeases();
 			}
 		},
@@ -67,7 +67,7 @@
 				await world.sleep(faults.slowMs);
 			}
 		},
-		acquireCall(kind) {
+		admitCall(kind) {
 			const now = Math.floor(world.now() / MS_PER_SECOND);
 			if (now !== currentSecond) {
 				currentSecond = now;
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -36,8 +36,9 @@
 const TOO_MANY_REQUESTS = {code: status.RESOURCE_EXHAUSTED, details: 'too many requests'};
 
 const createKeyValue = (entry: Entry) => ({key: Buffer.from(entry.key), value: Buffer.from(entry.value), mod_revision: entry.revision});
-const formatKey = (key: Uint8Array): string => Buffer.from(key).toString();
+const decodeKey = (key: Uint8Array): string => Buffer.from(key).toString();
 const createHeader = (revision: number) => ({revision});
+
 /** Returns the client name from the user agent of a call. */
 const readClientName = (metadata: Metadata): string => String(metadata.get('user-agent')[0] ?? '').split(' ')[0] ?? '';
 const formatLease = (lease: number): string | undefined => lease === 0 ? undefined : String(lease);
@@ -46,26 +47,26 @@
 const isControlRequest = (request: Request): boolean => {
 	const [compare] = (request.compare ?? []) as readonly Compare[];
 	const key = compare?.key ?? request.key as Uint8Array | undefined;
-	return key !== undefined && formatKey(key).startsWith('/standin/');
+	return key !== undefined && decodeKey(key).startsWith('/standin/');
 };
 
-/** Starts the service on the loopback interface. */
+/** Starts the service on the loopback interface; port 0 stands for any free port. */
 export const startPlatform = async (world: World, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
 	const store = createMemoryStore(world);
 	const services = loadServices();
 	const scope = createScope(() => undefined);
-	const calls = new Map<string, number>();
+	const callCounts = new Map<string, number>();
 	const faultController = createFaultController(world, store, rates, scope.signal);
 
-	const range = async (request: RangeRequest) => {
-		const key = formatKey(request.key);
+	const readRange = async (request: RangeRequest) => {
+		const key = decodeKey(request.key);
 		if (request.range_end.length > 0) {
-			const found = (await store.readAll(key)).unwrap();
-			return {header: createHeader(0), kvs: found.map(entry => createKeyValue(entry)), count: found.length};
+			const entries = (await store.readAll(key)).unwrap();
+			return {header: createHeader(0), kvs: entries.map(entry => createKeyValue(entry)), count: entries.length};
 		}
 
 		if (key === CALLS_KEY) {
-			return {header: createHeader(0), kvs: [createKeyValue({key, value: JSON.stringify(Object.fromEntries(calls)), revision: 1})], count: 1};
+			return {header: createHeader(0), kvs: [createKeyValue({key, value: JSON.stringify(Object.fromEntries(callCounts)), revision: 1})], count: 1};
 		}
 
 		const entry = (await store.read(key)).unwrap();
@@ -79,14 +80,14 @@
 	};
 
 	const compareAndPut = async (compare: Compare, put: PutRequest) => {
-		const key = formatKey(compare.key);
+		const key = decodeKey(compare.key);
 		const value = Buffer.from(put.value).toString();
-		const outcome = await store.compareAndSwap(key, compare.mod_revision, value, formatLease(put.lease));
-		if (outcome.err) {
-			throw Object.assign(new Error(outcome.val.message), {code: status.NOT_FOUND, details: outcome.val.message});
+		const swap = await store.compareAndSwap(key, compare.mod_revision, value, formatLease(put.lease));
+		if (swap.err) {
+			throw Object.assign(new Error(swap.val.message), {code: status.NOT_FOUND, details: swap.val.message});
 		}
 
-		const {swapped, current} = outcome.val;
+		const {swapped, current} = swap.val;
 		if (swapped) {
 			applyFaults(key, value);
 			return {header: createHeader(current?.revision ?? 0), succeeded: true, responses: []};
@@ -99,26 +100,26 @@
 		const [compare] = request.compare as readonly Compare[];
 		const [operation] = request.success as readonly Operation[];
 		if (!compare || !operation) {
-			throw Object.assign(new Error('one comparison and one operation expected'), {code: status.INVALID_ARGUMENT, details: 'one comparison and one operation expected'});
+			throw Object.assign(new Error('expected one comparison and one operation'), {code: status.INVALID_ARGUMENT, details: 'expected one comparison and one operation'});
 		}
 
 		if (operation.request_put) {
 			return compareAndPut(compare, operation.request_put);
 		}
 
-		const removed = (await store.remove(formatKey(compare.key), compare.mod_revision)).unwrap();
+		const removed = (await store.remove(decodeKey(compare.key), compare.mod_revision)).unwrap();
 		return {header: createHeader(0), succeeded: removed, responses: []};
 	};
 
-	const put = async (request: Request): Promise<Response> => {
+	const putEntry = async (request: Request): Promise<Response> => {
 		const {key, value, lease} = request as unknown as PutRequest;
-		const entry = store.put(formatKey(key), Buffer.from(value).toString(), formatLease(lease));
+		const entry = store.put(decodeKey(key), Buffer.from(value).toString(), formatLease(lease));
 		applyFaults(entry.key, entry.value);
 		return {header: createHeader(entry.revision)};
 	};
 
 	const countCall = (name: string) => {
-		calls.set(name, (calls.get(name) ?? 0) + 1);
+		callCounts.set(name, (callCounts.get(name) ?? 0) + 1);
 	};
 
 	const serveUnary = (name: string, kind: CallKind, handle: (request: Request) => Promise<Response>) => (call: ServerUnaryCall<Request, Response>, done: sendUnaryData<Response>) => {
@@ -127,7 +128,7 @@
 			const isControl = isControlRequest(call.request);
 			if (!isControl) {
 				await faultController.delayCall(readClientName(call.metadata));
-				if (!faultController.acquireCall(kind)) {
+				if (!faultController.admitCall(kind)) {
 					done(TOO_MANY_REQUESTS);
 					return;
 				}
@@ -149,14 +150,14 @@
 			countCall('LeaseKeepAlive');
 			scope.run(async () => {
 				await faultController.delayCall(readClientName(stream.metadata));
-				if (!faultController.acquireCall('writes')) {
+				if (!faultController.admitCall('writes')) {
 					stream.emit('error', TOO_MANY_REQUESTS);
 					return;
 				}
 
 				const renewed = await store.renewLease(String(request.ID));
-				const seconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
-				stream.write({header: createHeader(0), ID: request.ID, TTL: seconds});
+				const ttlSeconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
+				stream.write({header: createHeader(0), ID: request.ID, TTL: ttlSeconds});
 			});
 		});
 		stream.on('end', () => {
@@ -169,11 +170,11 @@
 		const watchEnded = new AbortController();
 		stream.on('data', (request: Request) => {
 			countCall('Watch');
-			const create = request.create_request as RangeRequest;
+			const createRequest = request.create_request as RangeRequest;
 			scope.run(async () => {
 				const client = readClientName(stream.metadata);
 				await faultController.delayCall(client);
-				await store.watch(formatKey(create.key), keys => {
+				await store.watch(decodeKey(createRequest.key), keys => {
 					if (!faultController.isPartitioned(client)) {
 						stream.write({
 							header: createHeader(0), created: keys.length === 0, events: keys.map(key => ({type: 'PUT', kv: {key: Buffer.from(key)}})),
@@ -197,8 +198,8 @@
 	};
 
 	implement('KV', {
-		Range: serveUnary('Range', 'reads', async request => range(request as unknown as RangeRequest)),
-		Put: serveUnary('Put', 'writes', put),
+		Range: serveUnary('Range', 'reads', async request => readRange(request as unknown as RangeRequest)),
+		Put: serveUnary('Put', 'writes', putEntry),
 		Txn: serveUnary('Txn', 'writes', transact),
 	});
 	implement('Lease', {
@@ -231,7 +232,7 @@
 	return {
 		port: boundPort,
 		store,
-		getCallCounts: () => Object.fromEntries(calls),
+		getCallCounts: () => Object.fromEntries(callCounts),
 		async [Symbol.asyncDispose]() {
 			server.forceShutdown();
 			await scope[Symbol.asyncDispose]();
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -29,7 +29,7 @@
 /** Sends the log to a connected replica and records the position that it has replayed, until it disconnects; a replica with a diverged log is rejected. */
 export const serveReplica = async (target: Target, wire: WireConnection, name: string): Promise<void> => {
 	const {engine} = target;
-	const state: ReplicaState = {name, replayedPosition: 0};
+	const replicaState: ReplicaState = {name, replayedPosition: 0};
 	const disconnected = new AbortController();
 	const firstMessages = await wire.readMessages();
 	if (firstMessages.err || !firstMessages.val[0]) {
@@ -42,8 +42,8 @@
 		return;
 	}
 
-	state.replayedPosition = hello.position;
-	target.replicas.add(state);
+	replicaState.replayedPosition = hello.position;
+	target.replicas.add(replicaState);
 	const readFeedback = async () => {
 		while (true) {
 			const messages = await wire.readMessages();
@@ -54,7 +54,7 @@
 
 			await target.waitWhilePartitioned(name);
 			for (const message of messages.val) {
-				state.replayedPosition = (JSON.parse(getBody(message).toString()) as Feedback).replayed;
+				replicaState.replayedPosition = (JSON.parse(getBody(message).toString()) as Feedback).replayed;
 			}
 		}
 	};
@@ -75,7 +75,7 @@
 		}
 	}
 
-	target.replicas.delete(state);
+	target.replicas.delete(replicaState);
 	await feedbackTask;
 };
 
@@ -84,6 +84,7 @@
 	return {host: fields.get('host') ?? '127.0.0.1', port: Number(fields.get('port'))};
 };
 
+/** Replicates from a primary until the connection ends, the upstream changes, the target is promoted or its log has diverged. */
 const followOnce = async (target: Target, conninfo: string, world: World): Promise<void> => {
 	const {engine, settings} = target;
 	const socket = createConnection(parseConninfo(conninfo));
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -16,6 +16,7 @@
 import {SqlError} from './sql-errors.js';
 import {parseSql} from './sql-parser.js';
 
+/** Statement with its parameter values; `undefined` stands for an empty query. */
 type Portal = Readonly<{statement: Statement | undefined; parameters: readonly Value[]}>;
 
 type SessionState = {
@@ -26,7 +27,7 @@
 	readonly settings: Map<string, string>;
 	/** Whether messages are skipped until the next Sync because an earlier message failed. */
 	isSkipping: boolean;
-	cancel: AbortController;
+	cancelController: AbortController;
 };
 
 /** Dependencies of a session. */
@@ -34,7 +35,7 @@
 	target: Target;
 	world: World;
 	wire: WireConnection;
-	/** Application name that the caller sent. */
+	/** Name by which faults select the session: the application name that the caller sent, or `CONTROL_PEER`. */
 	peer: string;
 	/** Called with the function that cancels the running statement. */
 	onCancel: (cancel: () => void) => void;
@@ -48,7 +49,7 @@
 	const {target, wire, world} = context;
 	const {engine} = target;
 	const state: SessionState = {
-		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), isSkipping: false, cancel: new AbortController(),
+		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), isSkipping: false, cancelController: new AbortController(),
 	};
 	let output: Buffer[] = [];
 	let outputBytes = 0;
@@ -71,7 +72,7 @@
 		}
 	};
 
-	const createContext = (transaction: Transaction, parameters: readonly Value[]): ExecutionContext => ({
+	const createExecutionContext = (transaction: Transaction, parameters: readonly Value[]): ExecutionContext => ({
 		engine, transaction, parameters, callFunction: target.callFunction, getVirtualTable: target.getVirtualTable,
 	});
 
@@ -80,7 +81,7 @@
 		return state.transaction;
 	};
 
-	const endTransaction = (commit: boolean) => {
+	const endTransaction = (shouldCommit: boolean) => {
 		const {transaction} = state;
 		state.transaction = undefined;
 		state.status = 'idle';
@@ -88,7 +89,7 @@
 			return;
 		}
 
-		if (commit) {
+		if (shouldCommit) {
 			engine.commit(transaction);
 		} else {
 			engine.rollback(transaction);
@@ -102,11 +103,12 @@
 			return {tag: 'BEGIN', columns: [], rows: []};
 		}
 
-		const commit = statement.action === 'commit' && state.status !== 'failed';
-		endTransaction(commit);
-		return {tag: commit ? 'COMMIT' : 'ROLLBACK', columns: [], rows: []};
+		const shouldCommit = statement.action === 'commit' && state.status !== 'failed';
+		endTransaction(shouldCommit);
+		return {tag: shouldCommit ? 'COMMIT' : 'ROLLBACK', columns: [], rows: []};
 	};
 
+	/** Sleeps if the first output of a query is a call of `pg_sleep`; fails if the query is canceled. */
 	const sleepIfRequested = async (statement: Statement, parameters: readonly Value[]) => {
 		const firstOutput = statement.kind === 'select' ? statement.outputs[0] : undefined;
 		if (firstOutput === undefined || firstOutput === '*' || firstOutput.expression.kind !== 'call' || firstOutput.expression.name !== 'pg_sleep') {
@@ -116,7 +118,7 @@
 		const [argument] = firstOutput.expression.args;
 		const seconds = argument?.kind === 'literal' ? Number(argument.value) : Number(parameters[0] ?? 0);
 		try {
-			await world.sleep(seconds * 1000, state.cancel.signal);
+			await world.sleep(seconds * 1000, state.cancelController.signal);
 		} catch {
 			throw new SqlError('57014', 'canceling statement due to user request');
 		}
@@ -159,14 +161,14 @@
 			default: {
 				return target.runInSlot(async () => {
 					await sleepIfRequested(statement, parameters);
-					return executeStatement(createContext(getOrBeginTransaction(), parameters), statement);
+					return executeStatement(createExecutionContext(getOrBeginTransaction(), parameters), statement);
 				});
 			}
 		}
 	};
 
-	const sendResult = async (result: ResultSet, describe: boolean) => {
-		if (describe && result.columns.length > 0) {
+	const sendResult = async (result: ResultSet, withDescription: boolean) => {
+		if (withDescription && result.columns.length > 0) {
 			await send(createRowDescription(result.columns));
 		}
 
@@ -201,7 +203,7 @@
 		}
 	};
 
-	const runSimple = async (text: string) => {
+	const runSimpleQuery = async (text: string) => {
 		try {
 			const parsed = parseSql(text);
 			if (parsed.err) {
@@ -260,7 +262,7 @@
 			await send(createMessage('t', encodeInt16(0)));
 		}
 
-		const columns = statement ? describeStatement(createContext(getOrBeginTransaction(), state.portals.get(name)?.parameters ?? []), statement) : [];
+		const columns = statement ? describeStatement(createExecutionContext(getOrBeginTransaction(), state.portals.get(name)?.parameters ?? []), statement) : [];
 		await send(columns.length > 0 ? createRowDescription(columns) : NO_DATA);
 	};
 
@@ -285,7 +287,7 @@
 		await send(createMessage('3'));
 	};
 
-	const runExtended = async (message: Message) => {
+	const handleExtendedMessage = async (message: Message) => {
 		const body = getBody(message);
 		switch (message.type) {
 			case 'P': {
@@ -321,10 +323,10 @@
 		}
 	};
 
-	const handle = async (message: Message) => {
+	const handleMessage = async (message: Message) => {
 		switch (message.type) {
 			case 'Q': {
-				await runSimple(readCString(getBody(message), 0)[0]);
+				await runSimpleQuery(readCString(getBody(message), 0)[0]);
 				await flush();
 
 				break;
@@ -348,7 +350,7 @@
 			default: {
 				if (!state.isSkipping) {
 					try {
-						await runExtended(message);
+						await handleExtendedMessage(message);
 					} catch (error) {
 						state.isSkipping = true;
 						await sendError(error);
@@ -359,8 +361,8 @@
 	};
 
 	context.onCancel(() => {
-		state.cancel.abort();
-		state.cancel = new AbortController();
+		state.cancelController.abort();
+		state.cancelController = new AbortController();
 	});
 	try {
 		while (true) {
@@ -376,7 +378,7 @@
 					return;
 				}
 
-				await handle(message);
+				await handleMessage(message);
 			}
 		}
 	} finally {
--- a/packages/standin/src/sql-ast.ts
+++ b/packages/standin/src/sql-ast.ts
@@ -1,6 +1,6 @@
 /** Syntax tree of the SQL subset that the database stand-in supports. */
 
-/** Stored value. */
+/** Value of a column, a parameter or an expression; `null` stands for NULL. */
 export type Value = string | number | boolean | null;
 
 /** Expression; the index of a parameter starts at 0. */
@@ -31,5 +31,5 @@
 		| Readonly<{kind: 'alterSystem'; name: string; value: string}>
 		| Readonly<{kind: 'empty'}>;
 
-/** Table or table function in the `FROM` clause of a query. */
+/** Table or table function in the `FROM` clause of a query; `args` is absent for a table. */
 export type TableSource = Readonly<{name: string; args?: readonly Expression[]}>;
--- a/packages/standin/src/sql-parser.ts
+++ b/packages/standin/src/sql-parser.ts
@@ -11,7 +11,9 @@
 
 /** Read position in a list of tokens. */
 type Cursor = Readonly<{
+	/** Returns the token at a distance from the read position, without consuming it. */
 	peek: (ahead?: number) => Token;
+	/** Consumes the next token. */
 	next: () => Token;
 	/** Consumes the given words or symbols if they come next, and returns whether they did. */
 	takeIf: (...values: readonly string[]) => boolean;
@@ -125,6 +127,7 @@
 	return args;
 };
 
+/** Parses an expression with casts, which are ignored. */
 const parseCast = (cursor: Cursor): Expression => {
 	const expression = parsePrimary(cursor);
 	while (cursor.takeIf('::')) {
@@ -178,6 +181,7 @@
 
 const parseWhere = (cursor: Cursor): Readonly<{where?: Expression}> => cursor.takeIf('where') ? {where: parseExpression(cursor)} : {};
 
+/** Parses a column definition; all constraints but `PRIMARY KEY` are ignored. */
 const parseColumn = (cursor: Cursor): Column => {
 	const name = cursor.takeName();
 	const type = cursor.takeName();
--- a/packages/standin/src/sql-tokens.ts
+++ b/packages/standin/src/sql-tokens.ts
@@ -46,7 +46,7 @@
 	return undefined;
 };
 
-/** Splits SQL text into tokens. */
+/** Splits SQL text into tokens, the last of kind `end`; comments are skipped. Fails with the SQLSTATE of a syntax error at a character that starts no token. */
 export const splitTokens = (text: string): Result<readonly Token[], SqlFailure> => {
 	const tokens: Token[] = [];
 	let offset = 0;
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -10,9 +10,9 @@
 /** Settings of a target. */
 export type TargetSettings = Readonly<{
 	name: string;
-	replica: boolean;
+	isReplica: boolean;
 	/** Maximum number of statements that run concurrently. */
-	slots: number;
+	slotCount: number;
 	/** Maximum number of open connections. */
 	connectionLimit: number;
 	/** Time to open a connection, in milliseconds. */
@@ -30,19 +30,21 @@
 export type Target = Readonly<{
 	settings: TargetSettings;
 	engine: Engine;
+	/** Replicas that are connected to this target. */
 	replicas: Set<ReplicaState>;
 	/** Returns the connection string of the primary to replicate from. */
 	getUpstream: () => string | undefined;
 	/** Sets the connection string of the primary; it takes effect when `pg_reload_conf` is called. */
 	setUpstream: (conninfo: string) => void;
+	/** Returns the current delay before received records are replayed, in milliseconds. */
 	getLagMs: () => number;
 	/** Runs a task in a slot, after waiting for a free slot and for the time of a statement. */
-	runInSlot: <Value_>(task: () => Promise<Value_>) => Promise<Value_>;
+	runInSlot: <Output>(task: () => Promise<Output>) => Promise<Output>;
 	/** Counts a new connection; returns whether the number of connections is within the limit. */
 	addConnection: () => boolean;
 	/** Counts a closed connection. */
 	removeConnection: () => void;
-	/** Waits while the named peer is partitioned from the target. */
+	/** Waits while the named peer is partitioned from the target; a fault can name one peer, or all with `*`. */
 	waitWhilePartitioned: (peer: string) => Promise<void>;
 	isPartitioned: (peer: string) => boolean;
 	/** Calls an SQL function; throws an `SqlError` if there is none of that name. */
@@ -70,7 +72,7 @@
 
 /** Creates a target with an empty database. */
 export const createTarget = (settings: TargetSettings, world: World, onBytesReceived: (bytes: Uint8Array) => void = () => undefined): Target => {
-	const engine = createEngine(world, {replica: settings.replica});
+	const engine = createEngine(world, {isReplica: settings.isReplica});
 	const replicas = new Set<ReplicaState>();
 	const partitionedPeers = new Set<string>();
 	const partitionChanged = createNotifier(world);
@@ -79,13 +81,13 @@
 	let upstream: string | undefined;
 	let pendingUpstream: string | undefined;
 	let {lagMs} = settings;
-	let connections = 0;
-	let maxConnections = 0;
+	let connectionCount = 0;
+	let peakConnectionCount = 0;
 	let busySlots = 0;
 
 	const isPartitioned = (peer: string) => peer !== CONTROL_PEER && (partitionedPeers.has('*') || partitionedPeers.has(peer));
 
-	const functions: Readonly<Record<string, (args: readonly Value[]) => Value>> = {
+	const sqlFunctions: Readonly<Record<string, (args: readonly Value[]) => Value>> = {
 		standin_cut(args) {
 			partitionedPeers.add(String(args[0]));
 			partitionChanged.notify();
@@ -101,7 +103,7 @@
 			return true;
 		},
 		repeat: args => String(args[0]).repeat(Number(args[1])),
-		standin_most_connections: () => maxConnections,
+		standin_most_connections: () => peakConnectionCount,
 		pg_current_wal_lsn() {
 			if (engine.isReplica()) {
 				throw new SqlError('55000', 'recovery is in progress');
@@ -146,7 +148,7 @@
 		},
 		getLagMs: () => lagMs,
 		async runInSlot(task) {
-			while (busySlots >= settings.slots) {
+			while (busySlots >= settings.slotCount) {
 				await slotFreed.wait();
 			}
 
@@ -163,18 +165,18 @@
 			}
 		},
 		addConnection() {
-			connections++;
-			maxConnections = Math.max(maxConnections, connections);
-			return connections <= settings.connectionLimit;
+			connectionCount++;
+			peakConnectionCount = Math.max(peakConnectionCount, connectionCount);
+			return connectionCount <= settings.connectionLimit;
 		},
 		removeConnection() {
-			connections--;
+			connectionCount--;
 		},
 		async waitWhilePartitioned(peer) {
 			await partitionChanged.waitUntil(() => !isPartitioned(peer), createDeadline(world.now(), Number.POSITIVE_INFINITY));
 		},
 		callFunction(name, args) {
-			const sqlFunction = functions[name];
+			const sqlFunction = sqlFunctions[name];
 			if (!sqlFunction) {
 				throw new SqlError('42883', `function ${name} does not exist`);
 			}
@@ -192,9 +194,9 @@
 			}
 
 			if (name === 'generate_series') {
-				const first = Number(args[0]);
-				const count = Math.min(Number(args[1]) - first + 1, MAX_SERIES_ROWS);
-				const rows = Array.from({length: count}, (_, index) => [String(index), [first + index]] as const);
+				const start = Number(args[0]);
+				const count = Math.min(Number(args[1]) - start + 1, MAX_SERIES_ROWS);
+				const rows = Array.from({length: count}, (_, index) => [String(index), [start + index]] as const);
 				return {columns: [createIntegerColumn('generate_series')], rows: new Map(rows)};
 			}
 
--- a/packages/standin/src/tests/platform.test.ts
+++ b/packages/standin/src/tests/platform.test.ts
@@ -56,11 +56,11 @@
 	describe('call counts', () => {
 		it('include every call, and an open watch as one call', async () => {
 			const store = connect('a');
-			const watching = new AbortController();
+			const watchController = new AbortController();
 			let notificationCount = 0;
-			const watched = store.watch('/k/', () => {
+			const watchTask = store.watch('/k/', () => {
 				notificationCount++;
-			}, watching.signal);
+			}, watchController.signal);
 			(await store.compareAndSwap('/k/1', 0, 'v')).unwrap();
 			(await store.compareAndSwap('/k/2', 0, 'v')).unwrap();
 			while (notificationCount < 2) {
@@ -70,21 +70,21 @@
 			const calls = await readCallCounts(store);
 			assert.equal(calls.Watch, 1);
 			assert.equal(calls.Txn, 2);
-			watching.abort();
-			await watched;
+			watchController.abort();
+			await watchTask;
 		});
 	});
 
 	describe('faults', () => {
 		it('partition only the named clients', async () => {
-			const connected = connect('near');
-			const partitioned = connect('far');
-			await setFaults(connected, {cut: ['far']});
-			assert.ok((await connected.read('/k/1')).ok);
-			const partitionedRead = await partitioned.read('/k/1');
+			const connectedClient = connect('near');
+			const partitionedClient = connect('far');
+			await setFaults(connectedClient, {cut: ['far']});
+			assert.ok((await connectedClient.read('/k/1')).ok);
+			const partitionedRead = await partitionedClient.read('/k/1');
 			assert.ok(partitionedRead.err && partitionedRead.val.code === 'storeUnknown');
-			await setFaults(connected, {});
-			assert.ok((await partitioned.read('/k/1')).ok);
+			await setFaults(connectedClient, {});
+			assert.ok((await partitionedClient.read('/k/1')).ok);
 		});
 
 		it('drop the response after the change was applied', async () => {
