--- a/packages/core/src/chunk-buffer.ts
+++ b/packages/core/src/chunk-buffer.ts
@@ -6,12 +6,12 @@
 export type ChunkBuffer = Readonly<{
 	/** Adds a chunk at the end. */
 	push: (chunk: Buffer) => void;
-	/** Takes all bytes if at least the needed number is present; returns `undefined` otherwise. */
+	/** Takes all bytes if at least the needed number is present; otherwise takes nothing and returns `undefined`. */
 	take: () => Buffer | undefined;
-	/** Takes all bytes, however few there are. */
+	/** Takes all bytes, regardless of the needed number. */
 	takeAll: () => Buffer;
 	/** Puts unconsumed bytes back at the front, and sets how many bytes the next `take` needs. */
-	putBack: (rest: Buffer, neededBytes: number) => void;
+	putBack: (unconsumed: Buffer, neededBytes: number) => void;
 }>;
 
 const EMPTY = Buffer.alloc(0);
@@ -37,10 +37,10 @@
 		},
 		take: () => sizeBytes >= minBytes ? takeAll() : undefined,
 		takeAll,
-		putBack(rest, neededBytes) {
-			if (rest.length > 0) {
-				chunks = [rest, ...chunks];
-				sizeBytes += rest.length;
+		putBack(unconsumed, neededBytes) {
+			if (unconsumed.length > 0) {
+				chunks = [unconsumed, ...chunks];
+				sizeBytes += unconsumed.length;
 			}
 
 			minBytes = Math.max(neededBytes, 1);
--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -9,13 +9,13 @@
 export type Notifier = Readonly<{
 	/** Wakes all waiting tasks. */
 	notify: () => void;
-	/** Waits for the next `notify`, at most until a deadline. */
+	/** Waits for the next `notify`; resolves also when the deadline passes or the signal aborts, and after an hour at the latest. */
 	waitForChange: (deadline: Deadline, signal?: AbortSignal) => Promise<void>;
 	/** Waits until a condition holds, checked at each `notify`; fails when the deadline passes or the signal aborts. */
 	waitUntil: (condition: () => boolean, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, WaitFailure>>;
 }>;
 
-/** Maximum duration of one sleep, in milliseconds; the time left before `NEVER` is infinite, and timers accept no such delay. */
+/** Maximum duration of one sleep, in milliseconds, because timers accept no infinite delay such as the time left before `NEVER`. */
 const MAX_SLEEP_MS = 3_600_000;
 
 /** Creates a notifier. */
--- a/packages/core/src/queue.ts
+++ b/packages/core/src/queue.ts
@@ -14,10 +14,10 @@
 export const createQueue = <Item>(): Queue<Item> => {
 	const items: Item[] = [];
 	const waitingTakers: Array<(item: Item | undefined) => void> = [];
-	let closed = false;
+	let isClosed = false;
 	return {
 		push(item) {
-			if (closed) {
+			if (isClosed) {
 				return;
 			}
 
@@ -33,7 +33,7 @@
 				return items.shift();
 			}
 
-			if (closed) {
+			if (isClosed) {
 				return undefined;
 			}
 
@@ -42,7 +42,7 @@
 			});
 		},
 		close() {
-			closed = true;
+			isClosed = true;
 			for (const taker of waitingTakers.splice(0)) {
 				taker(undefined);
 			}
--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -3,9 +3,9 @@
 /** Constants of the 32-bit FNV-1a hash. */
 const FNV_OFFSET = 0x81_1C_9D_C5;
 const FNV_PRIME = 0x01_00_01_93;
-/** Constants of the finalizer of MurmurHash3, which spreads each bit of the FNV hash over the whole result. */
-const MIX_FIRST = 0x85_EB_CA_6B;
-const MIX_SECOND = 0xC2_B2_AE_35;
+/** Multipliers of `fmix32`, the finalizer of MurmurHash3, which spreads each bit of the FNV hash over the whole result. */
+const FMIX_MULTIPLIER_1 = 0x85_EB_CA_6B;
+const FMIX_MULTIPLIER_2 = 0xC2_B2_AE_35;
 
 /** Computes a 32-bit hash of a text. */
 export const computeHash = (text: string): number => {
@@ -16,9 +16,9 @@
 	}
 
 	hash ^= hash >>> 16;
-	hash = Math.imul(hash, MIX_FIRST);
+	hash = Math.imul(hash, FMIX_MULTIPLIER_1);
 	hash ^= hash >>> 13;
-	hash = Math.imul(hash, MIX_SECOND);
+	hash = Math.imul(hash, FMIX_MULTIPLIER_2);
 	hash ^= hash >>> 16;
 	return hash >>> 0;
 };
--- a/packages/core/src/scope.ts
+++ b/packages/core/src/scope.ts
@@ -11,7 +11,7 @@
 	run: (task: (signal: AbortSignal) => Promise<void>) => void;
 }>;
 
-/** Creates a scope; `onFailure` is called with every exception of a task other than an abort. */
+/** Creates a scope. `onFailure` is called with every exception of a task other than an `AbortError`; an abort of `parent` aborts the tasks. */
 export const createScope = (onFailure: (thrown: unknown) => void, parent?: AbortSignal): Scope => {
 	const controller = new AbortController();
 	// Every task of the scope may listen to the signal at the same time, so the limit on listeners is lifted.
--- a/packages/core/src/single-flight.ts
+++ b/packages/core/src/single-flight.ts
@@ -1,4 +1,4 @@
-/** Shares the result of one call among concurrent requests for it. */
+/** Single flight: concurrent requests share one call and its result. */
 
 /** Creates a function whose concurrent invocations share one call; each gets the result of a call that started no earlier than its own invocation. */
 export const createSingleFlight = <Value>(call: () => Promise<Value>): (() => Promise<Value>) => {
--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -5,7 +5,7 @@
 
 /** One end of a bidirectional stream. */
 export type Stream<Out, In> = AsyncDisposable & Readonly<{
-	/** Sends an item; waits while more than the window of bytes is unread at the other end. */
+	/** Sends an item, then waits while the other end has more unread bytes than the window of the stream allows. */
 	send: (item: Out) => Promise<void>;
 	/** Waits for the next item; resolves to `undefined` when the other end has finished or is closed. */
 	receive: () => Promise<In | undefined>;
@@ -32,12 +32,12 @@
 	const items = createQueue<Item>();
 	let bufferedBytes = 0;
 	const itemTaken = createConditionVariable();
-	let finished = false;
+	let isFinished = false;
 	return {
 		async send(item) {
 			items.push(item);
 			bufferedBytes += measureBytes(item);
-			while (bufferedBytes > WINDOW_BYTES && !finished) {
+			while (bufferedBytes > WINDOW_BYTES && !isFinished) {
 				await itemTaken.wait();
 			}
 		},
@@ -48,7 +48,7 @@
 			return item;
 		},
 		finish() {
-			finished = true;
+			isFinished = true;
 			items.close();
 			itemTaken.notifyAll();
 		},
--- a/packages/core/src/time.ts
+++ b/packages/core/src/time.ts
@@ -11,7 +11,7 @@
 /** A deadline that never passes. */
 export const NEVER = Number.POSITIVE_INFINITY as Deadline;
 
-/** A deadline that has passed at any time. */
+/** A deadline that has already passed at every instant. */
 export const PAST = Number.NEGATIVE_INFINITY as Deadline;
 
 /** Creates the deadline `ms` milliseconds after an instant. */
--- a/packages/core/src/virtual-world.ts
+++ b/packages/core/src/virtual-world.ts
@@ -7,17 +7,18 @@
 /** A world that a test controls. */
 export type VirtualWorld = Readonly<{
 	world: World;
-	/** Advances the clock by some milliseconds, firing due timers in order. */
+	/** Advances the clock by `ms` milliseconds, firing due timers in order. */
 	advance: (ms: number) => Promise<void>;
 	/** Lets every task that does not wait for the clock continue. */
 	settle: () => Promise<void>;
 }>;
 
-type VirtualTimer = Readonly<{at: number; order: number; wake: () => void}>;
+/** A pending timer; timers that are due at the same time fire in the order of `sequence`. */
+type VirtualTimer = Readonly<{dueAtMs: number; sequence: number; fire: () => void}>;
 
 /** Turns of the event loop for which `settle` waits. */
 const EVENT_LOOP_TURNS = 3;
-/** Constants of the linear congruential generator of random numbers. */
+/** Constants of the linear congruential generator behind `random`. */
 const LCG_MULTIPLIER = 1_664_525;
 const LCG_INCREMENT = 1_013_904_223;
 const LCG_MODULUS = 4_294_967_296;
@@ -27,9 +28,9 @@
 /** Creates a virtual world; the seed determines its random numbers. */
 export const createVirtualWorld = (seed = 1): VirtualWorld => {
 	const timers = new Set<VirtualTimer>();
-	let now = 0;
-	let order = 0;
-	let state = seed >>> 0;
+	let nowMs = 0;
+	let timerCount = 0;
+	let randomState = seed >>> 0;
 	let idCount = 0;
 
 	const settle = async () => {
@@ -41,7 +42,7 @@
 	const findNextTimer = (untilMs: number): VirtualTimer | undefined => {
 		let nextTimer: VirtualTimer | undefined;
 		for (const timer of timers) {
-			if (timer.at <= untilMs && (!nextTimer || timer.at < nextTimer.at || (timer.at === nextTimer.at && timer.order < nextTimer.order))) {
+			if (timer.dueAtMs <= untilMs && (!nextTimer || timer.dueAtMs < nextTimer.dueAtMs || (timer.dueAtMs === nextTimer.dueAtMs && timer.sequence < nextTimer.sequence))) {
 				nextTimer = timer;
 			}
 		}
@@ -50,7 +51,7 @@
 	};
 
 	const advance = async (ms: number) => {
-		const untilMs = now + ms;
+		const untilMs = nowMs + ms;
 		await settle();
 		while (true) {
 			const nextTimer = findNextTimer(untilMs);
@@ -59,12 +60,12 @@
 			}
 
 			timers.delete(nextTimer);
-			now = Math.max(now, nextTimer.at);
-			nextTimer.wake();
+			nowMs = Math.max(nowMs, nextTimer.dueAtMs);
+			nextTimer.fire();
 			await settle();
 		}
 
-		now = untilMs;
+		nowMs = untilMs;
 		await settle();
 	};
 
@@ -72,15 +73,15 @@
 		advance,
 		settle,
 		world: {
-			now: () => now as Instant,
-			readWallClock: () => Math.floor(now),
+			now: () => nowMs as Instant,
+			readWallClock: () => Math.floor(nowMs),
 			async sleep(ms, signal) {
 				if (signal?.aborted) {
 					throw createAbortError();
 				}
 
 				await new Promise<void>((resolve, reject) => {
-					const timer: VirtualTimer = {at: now + Math.max(0, ms), order: order++, wake: resolve};
+					const timer: VirtualTimer = {dueAtMs: nowMs + Math.max(0, ms), sequence: timerCount++, fire: resolve};
 					timers.add(timer);
 					signal?.addEventListener('abort', () => {
 						timers.delete(timer);
@@ -89,15 +90,15 @@
 				});
 			},
 			schedule(ms, task) {
-				const timer: VirtualTimer = {at: now + Math.max(0, ms), order: order++, wake: task};
+				const timer: VirtualTimer = {dueAtMs: nowMs + Math.max(0, ms), sequence: timerCount++, fire: task};
 				timers.add(timer);
 				return () => {
 					timers.delete(timer);
 				};
 			},
 			random() {
-				state = (Math.imul(state, LCG_MULTIPLIER) + LCG_INCREMENT) >>> 0;
-				return state / LCG_MODULUS;
+				randomState = (Math.imul(randomState, LCG_MULTIPLIER) + LCG_INCREMENT) >>> 0;
+				return randomState / LCG_MODULUS;
 			},
 			createId: () => `id${++idCount}`,
 		},
--- a/packages/core/src/world.ts
+++ b/packages/core/src/world.ts
@@ -5,15 +5,15 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Instant} from './time.js';
 
-/** Functions through which tasks use clocks, timers, random numbers and fresh identifiers. */
+/** Functions through which tasks use clocks, timers, random numbers and unique identifiers. */
 export type World = Readonly<{
 	/** Reads the monotonic clock. */
 	now: () => Instant;
 	/** Reads the wall clock, in milliseconds since 1970. */
 	readWallClock: () => number;
-	/** Waits for some milliseconds; rejects with an `AbortError` when the signal aborts. */
+	/** Waits for `ms` milliseconds; rejects with an `AbortError` when the signal aborts. */
 	sleep: (ms: number, signal?: AbortSignal) => Promise<void>;
-	/** Runs a task once after some milliseconds, unless the returned function is called first. */
+	/** Runs a task once after `ms` milliseconds, unless the returned function is called first. */
 	schedule: (ms: number, task: () => void) => (() => void);
 	/** Draws a random number in [0, 1). */
 	random: () => number;
@@ -21,9 +21,10 @@
 	createId: () => string;
 }>;
 
+/** Number of random bytes in an identifier; nine bytes are twelve base64url characters without padding. */
 const ID_BYTES = 9;
 
-/** Creates the world of a process, over the clocks and timers of Node. */
+/** Creates the `World` of a real process, on the clocks and timers of Node. */
 export const createWorld = (): World => ({
 	now: () => performance.now() as Instant,
 	readWallClock: () => Date.now(),
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -1,4 +1,4 @@
-/** The store over the etcd v3 protocol. */
+/** The store as a client of an etcd server, over the gRPC protocol of etcd v3. */
 
 import {Buffer} from 'node:buffer';
 import {
@@ -16,10 +16,10 @@
 type RangeResponse = Readonly<{kvs: readonly KeyValue[]}>;
 type TxnResponse = Readonly<{succeeded: boolean; header: Readonly<{revision: number}>; responses: ReadonlyArray<Readonly<{response_range?: RangeResponse}>>}>;
 type WatchResponse = Readonly<{created: boolean; canceled: boolean; events: ReadonlyArray<Readonly<{kv: KeyValue}>>}>;
-type KeepAliveResponse = Readonly<{ID: string | number; TTL: number}>;
-type Unary = (request: unknown, options: Readonly<{deadline: number}>, done: (error: ServiceError | null, response: unknown) => void) => unknown;
-type Duplex = () => ClientDuplexStream<unknown, unknown>;
-type EtcdClient = Client & Readonly<Record<string, Unary & Duplex>>;
+type LeaseResponse = Readonly<{ID: string | number; TTL: number}>;
+type UnaryMethod = (request: unknown, options: Readonly<{deadline: number}>, callback: (error: ServiceError | null, response: unknown) => void) => unknown;
+type StreamingMethod = () => ClientDuplexStream<unknown, unknown>;
+type EtcdClient = Client & Readonly<Record<string, UnaryMethod & StreamingMethod>>;
 
 /** A store with open gRPC channels, which are closed when it is disposed. */
 export type EtcdStore = AsyncDisposable & Store;
@@ -36,7 +36,7 @@
 	onCall?: (method: string) => void;
 }>;
 
-/** Pause between attempts to reconnect; initial, minimum and maximum are equal, so that the pause does not grow. */
+/** Pause between attempts to reconnect, in milliseconds; the initial, minimum and maximum are equal, so that the pause does not grow. */
 const RECONNECT_BACKOFF_MS = 200;
 const MS_PER_SECOND = 1000;
 
@@ -59,7 +59,7 @@
 	? {code: 'storeUnreachable', message: error.details}
 	: {code: 'storeUnknown', message: `${error.details} (${error.code})`};
 
-/** Opens a store over etcd. */
+/** Opens a store on an etcd server; connections are established in the background. */
 export const openEtcdStore = (settings: EtcdSettings, world: World): EtcdStore => {
 	const services = loadServices();
 	const options = {
@@ -69,9 +69,9 @@
 		...(settings.clientName === undefined ? {} : {'grpc.primary_user_agent': settings.clientName}),
 	};
 	const openClient = (name: keyof typeof services) => new services[name](settings.address, credentials.createInsecure(), options) as unknown as EtcdClient;
-	const kv = openClient('KV');
-	const leases = openClient('Lease');
-	const watches = openClient('Watch');
+	const kvClient = openClient('KV');
+	const leaseClient = openClient('Lease');
+	const watchClient = openClient('Watch');
 
 	const call = async (client: EtcdClient, method: string, request: unknown): Promise<Result<unknown, StoreFailure>> => {
 		settings.onCall?.(method);
@@ -82,24 +82,24 @@
 		});
 	};
 
-	const keepAlive = async (id: string): Promise<Result<KeepAliveResponse, StoreFailure>> => {
+	const keepAlive = async (id: string): Promise<Result<LeaseResponse, StoreFailure>> => {
 		settings.onCall?.('LeaseKeepAlive');
 		const timer = new AbortController();
-		const stream = leases.LeaseKeepAlive?.();
+		const stream = leaseClient.LeaseKeepAlive?.();
 		if (!stream) {
 			return Err({code: 'storeUnreachable', message: 'The store has no method LeaseKeepAlive'});
 		}
 
-		const responded = new Promise<Result<KeepAliveResponse, StoreFailure>>(resolve => {
+		const responded = new Promise<Result<LeaseResponse, StoreFailure>>(resolve => {
 			stream.on('data', response => {
-				resolve(Ok(response as KeepAliveResponse));
+				resolve(Ok(response as LeaseResponse));
 			});
 			stream.on('error', error => {
 				resolve(Err({code: 'storeUnknown', message: error.message}));
 			});
 			stream.write({ID: id});
 		});
-		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The renewal of the lease timed out'} as const), () => undefined);
+		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The lease renewal timed out; outcome unknown'} as const), () => undefined);
 		const result = await Promise.race([responded, timedOut]);
 		timer.abort();
 		stream.cancel();
@@ -108,24 +108,24 @@
 
 	return {
 		async read(key) {
-			const response = await call(kv, 'Range', {key: Buffer.from(key)});
+			const response = await call(kvClient, 'Range', {key: Buffer.from(key)});
 			return response.map(range => {
 				const [pair] = (range as RangeResponse).kvs;
 				return pair ? createEntry(pair) : undefined;
 			});
 		},
 		async readAll(prefix) {
-			const response = await call(kv, 'Range', {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)});
+			const response = await call(kvClient, 'Range', {key: Buffer.from(prefix), range_end: createPrefixEnd(prefix)});
 			return response.map(range => (range as RangeResponse).kvs.map(pair => createEntry(pair)));
 		},
 		async compareAndSwap(key, expectedRevision, value, leaseId) {
-			const bytes = Buffer.from(key);
-			const response = await call(kv, 'Txn', {
+			const keyBytes = Buffer.from(key);
+			const response = await call(kvClient, 'Txn', {
 				compare: [{
-					result: 'EQUAL', target: 'MOD', key: bytes, mod_revision: expectedRevision,
+					result: 'EQUAL', target: 'MOD', key: keyBytes, mod_revision: expectedRevision,
 				}],
-				success: [{request_put: {key: bytes, value: Buffer.from(value), lease: leaseId ?? 0}}],
-				failure: [{request_range: {key: bytes}}],
+				success: [{request_put: {key: keyBytes, value: Buffer.from(value), lease: leaseId ?? 0}}],
+				failure: [{request_range: {key: keyBytes}}],
 			});
 			return response.map((body): SwapOutcome => {
 				const {succeeded, header, responses} = body as TxnResponse;
@@ -138,21 +138,21 @@
 			});
 		},
 		async remove(key, expectedRevision) {
-			const bytes = Buffer.from(key);
-			const response = await call(kv, 'Txn', {
+			const keyBytes = Buffer.from(key);
+			const response = await call(kvClient, 'Txn', {
 				compare: [{
-					result: 'EQUAL', target: 'MOD', key: bytes, mod_revision: expectedRevision,
+					result: 'EQUAL', target: 'MOD', key: keyBytes, mod_revision: expectedRevision,
 				}],
-				success: [{request_delete_range: {key: bytes}}],
+				success: [{request_delete_range: {key: keyBytes}}],
 				failure: [],
 			});
 			return response.map(body => (body as TxnResponse).succeeded);
 		},
 		async grantLease(seconds) {
 			const requestedAt = world.now();
-			const response = await call(leases, 'LeaseGrant', {TTL: seconds, ID: 0});
+			const response = await call(leaseClient, 'LeaseGrant', {TTL: seconds, ID: 0});
 			return response.map((body): Lease => ({
-				id: String((body as KeepAliveResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
+				id: String((body as LeaseResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
 			}));
 		},
 		async renewLease(id) {
@@ -167,12 +167,12 @@
 				: Err({code: 'leaseLost', message: 'The lease has expired'});
 		},
 		async revokeLease(id) {
-			const response = await call(leases, 'LeaseRevoke', {ID: id});
+			const response = await call(leaseClient, 'LeaseRevoke', {ID: id});
 			return response.map(() => undefined);
 		},
 		async watch(prefix, onChange, signal) {
 			settings.onCall?.('Watch');
-			const stream = watches.Watch?.();
+			const stream = watchClient.Watch?.();
 			if (!stream || signal.aborted) {
 				return Ok(undefined);
 			}
@@ -197,9 +197,9 @@
 			});
 		},
 		async [Symbol.asyncDispose]() {
-			kv.close();
-			leases.close();
-			watches.close();
+			kvClient.close();
+			leaseClient.close();
+			watchClient.close();
 		},
 	};
 };
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -5,7 +5,7 @@
 } from '@guavapitch/core';
 import type {Entry, Lease, Store} from './store.js';
 
-/** A store in memory; it reads the time from its `World`. */
+/** A store in memory; its leases expire by the monotonic clock of its `World`. */
 export type MemoryStore = Store & Readonly<{
 	/** Ends leases whose deadline has passed. */
 	expireDueLeases: () => void;
@@ -13,12 +13,12 @@
 	expireLease: (id: string) => void;
 	/** Ends every lease at once. */
 	expireAllLeases: () => void;
-	/** Writes an entry regardless of its revision. */
+	/** Writes an entry regardless of its revision, and attaches it to a lease if one is given. */
 	put: (key: string, value: string, leaseId?: string) => Entry;
 }>;
 
 type StoredEntry = Readonly<{entry: Entry; leaseId: string | undefined}>;
-type LeaseState = Readonly<{seconds: number; deadline: Deadline}>;
+type LeaseState = Readonly<{ttlSeconds: number; deadline: Deadline}>;
 
 const MS_PER_SECOND = 1000;
 
@@ -37,7 +37,7 @@
 		}
 	};
 
-	const write = (key: string, value: string, leaseId: string | undefined): Entry => {
+	const writeEntry = (key: string, value: string, leaseId: string | undefined): Entry => {
 		revision++;
 		const entry: Entry = {key, value, revision};
 		entries.set(key, {entry, leaseId});
@@ -60,7 +60,7 @@
 		}
 	};
 
-	const expireLeases = () => {
+	const expireDueLeases = () => {
 		for (const [id, {deadline}] of leases) {
 			if (isPast(deadline, world.now())) {
 				endLease(id);
@@ -68,31 +68,31 @@
 		}
 	};
 
-	const extend = (id: string, seconds: number): Lease => {
-		const deadline = createDeadline(world.now(), seconds * MS_PER_SECOND);
-		leases.set(id, {seconds, deadline});
+	const extendLease = (id: string, ttlSeconds: number): Lease => {
+		const deadline = createDeadline(world.now(), ttlSeconds * MS_PER_SECOND);
+		leases.set(id, {ttlSeconds, deadline});
 		return {id, deadline};
 	};
 
 	return {
-		expireDueLeases: expireLeases,
+		expireDueLeases,
 		expireLease: endLease,
 		expireAllLeases() {
 			for (const id of leases.keys()) {
 				endLease(id);
 			}
 		},
-		put: (key, value, leaseId) => write(key, value, leaseId),
+		put: (key, value, leaseId) => writeEntry(key, value, leaseId),
 		async read(key) {
-			expireLeases();
+			expireDueLeases();
 			return Ok(entries.get(key)?.entry);
 		},
 		async readAll(prefix) {
-			expireLeases();
+			expireDueLeases();
 			return Ok([...entries.values()].map(({entry}) => entry).filter(({key}) => key.startsWith(prefix)));
 		},
 		async compareAndSwap(key, expectedRevision, value, leaseId) {
-			expireLeases();
+			expireDueLeases();
 			const current = entries.get(key)?.entry;
 			if ((current?.revision ?? 0) !== expectedRevision) {
 				return Ok({swapped: false, current});
@@ -102,10 +102,10 @@
 				return Err({code: 'leaseLost', message: 'The lease has expired'});
 			}
 
-			return Ok({swapped: true, current: write(key, value, leaseId)});
+			return Ok({swapped: true, current: writeEntry(key, value, leaseId)});
 		},
 		async remove(key, expectedRevision) {
-			expireLeases();
+			expireDueLeases();
 			if (entries.get(key)?.entry.revision !== expectedRevision) {
 				return Ok(false);
 			}
@@ -115,12 +115,12 @@
 		},
 		async grantLease(seconds) {
 			leaseCount++;
-			return Ok(extend(String(leaseCount), seconds));
+			return Ok(extendLease(String(leaseCount), seconds));
 		},
 		async renewLease(id) {
-			expireLeases();
+			expireDueLeases();
 			const lease = leases.get(id);
-			return lease ? Ok(extend(id, lease.seconds)) : Err({code: 'leaseLost', message: 'The lease has expired'});
+			return lease ? Ok(extendLease(id, lease.ttlSeconds)) : Err({code: 'leaseLost', message: 'The lease has expired'});
 		},
 		async revokeLease(id) {
 			endLease(id);
--- a/packages/store/src/proto.ts
+++ b/packages/store/src/proto.ts
@@ -14,11 +14,11 @@
 	Watch: ServiceClientConstructor;
 }>;
 
-/** Loads the client constructors from the protocol definition. */
+/** Loads the client constructors from `etcd.proto`; throws if the file cannot be read or parsed. */
 export const loadServices = (): EtcdServices => {
 	const definition = loadSync(PROTO_PATH, {
 		keepCase: true, longs: Number, enums: String, defaults: true, oneofs: true,
 	});
-	const root = loadPackageDefinition(definition).etcdserverpb as GrpcObject;
-	return root as unknown as EtcdServices;
+	const etcdPackage = loadPackageDefinition(definition).etcdserverpb as GrpcObject;
+	return etcdPackage as unknown as EtcdServices;
 };
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -2,10 +2,10 @@
 
 import type {Deadline, Failure, Result} from '@guavapitch/core';
 
-/** Failure of a call to the store. After `storeUnknown` the change may have taken effect. */
+/** Failure of a call to the store: `storeUnreachable` was not executed, `storeUnknown` may have been, and after `leaseLost` the lease no longer exists. */
 export type StoreFailure = Failure<'storeUnreachable' | 'storeUnknown' | 'leaseLost'>;
 
-/** A stored value and the revision of its last change. */
+/** A stored value and the store revision of its last change. */
 export type Entry = Readonly<{key: string; value: string; revision: number}>;
 
 /** Outcome of a compare-and-swap. */
@@ -16,22 +16,22 @@
 	current: Entry | undefined;
 }>;
 
-/** A lease and the local deadline until which it is confirmed to be valid. */
+/** A lease and the local deadline until which it is confirmed to be valid; the deadline counts from before the request was sent. */
 export type Lease = Readonly<{id: string; deadline: Deadline}>;
 
 /** Functions of the key-value store. */
 export type Store = Readonly<{
-	/** Reads one entry. */
+	/** Reads one entry; resolves to `undefined` if there is none. */
 	read: (key: string) => Promise<Result<Entry | undefined, StoreFailure>>;
 	/** Reads all entries under a prefix. */
 	readAll: (prefix: string) => Promise<Result<readonly Entry[], StoreFailure>>;
-	/** Writes a value if the entry's revision is the expected one; revision 0 expects no entry. */
+	/** Writes a value if the entry's revision is the expected one; revision 0 expects no entry. With a lease, the entry is removed when the lease ends. */
 	compareAndSwap: (key: string, expectedRevision: number, value: string, leaseId?: string) => Promise<Result<SwapOutcome, StoreFailure>>;
 	/** Removes an entry if its revision is the expected one; returns whether it was removed. */
 	remove: (key: string, expectedRevision: number) => Promise<Result<boolean, StoreFailure>>;
-	/** Grants a lease of a whole number of seconds. */
+	/** Grants a lease; `seconds` must be a whole number. */
 	grantLease: (seconds: number) => Promise<Result<Lease, StoreFailure>>;
-	/** Renews a lease. */
+	/** Renews a lease for its whole duration; fails with `leaseLost` if it has expired. */
 	renewLease: (id: string) => Promise<Result<Lease, StoreFailure>>;
 	/** Ends a lease and removes its entries. */
 	revokeLease: (id: string) => Promise<Result<undefined, StoreFailure>>;
--- a/packages/telemetry/src/event-text.ts
+++ b/packages/telemetry/src/event-text.ts
@@ -1,4 +1,4 @@
-/** Events as lines of text. */
+/** Formats events as lines of text for a human reader. */
 
 import type {EventRecord} from './events.js';
 
@@ -11,5 +11,5 @@
 	.map(([name, value]) => `${name}=${Array.isArray(value) ? value.join(',') : String(value)}`)
 	.join(' ');
 
-/** Formats one event as a line. */
+/** Formats one event as a line: time of day and logical counter, vm, event number, title and fields. */
 export const formatEvent = (record: EventRecord): string => `${record.at.slice(TIME_START, TIME_END)}+${record.hlc[1]} ${record.vm} ${record.id} ${record.title} ${formatFields(record)}`.trimEnd();
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -1,4 +1,4 @@
-/** Numbered events of one process, written as JSON lines in causal order. */
+/** Numbered events of one process, written as JSON lines with timestamps that order them causally. */
 
 import winston from 'winston';
 import type {HybridLogicalClock, HybridTimestamp} from './hybrid-logical-clock.js';
@@ -17,7 +17,7 @@
 /** Details of one event. They never contain a customer's key or anything derived from one. */
 export type EventFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
 
-/** One event as it is written to the log; `hlc` orders the events of all processes, `at` is its wall time as text. */
+/** One event as it is written to the log. `id` is the event number, `hlc` orders the events of all processes, and `at` is its wall-clock time in ISO 8601. */
 export type EventRecord = EventOrigin & Readonly<{
 	id: number;
 	level: string;
@@ -44,7 +44,7 @@
 	});
 };
 
-/** Opens a writer of JSON lines to standard error or a file. */
+/** Opens a log and returns the function that writes events to it as JSON lines: to a file, or to standard error if none is given. */
 export const openLog = (file?: string): ((record: EventRecord) => void) => {
 	const transport = file
 		? new winston.transports.File({filename: file})
--- a/packages/telemetry/src/exposition.ts
+++ b/packages/telemetry/src/exposition.ts
@@ -1,6 +1,6 @@
 /** Metrics in the Prometheus text format. */
 
-import {BUCKETS_MS, type Histogram, type Metrics} from './metrics.js';
+import {BUCKET_BOUNDS_MS, type Histogram, type Metrics} from './metrics.js';
 
 const PREFIX = 'guavapitch_';
 
@@ -22,21 +22,21 @@
 	return {name, labels};
 };
 
-const formatHistogram = ({name, tags, counts, sumMs}: Histogram): readonly string[] => {
-	const labels = Object.entries(tags);
-	let total = 0;
-	const buckets = counts.map((count, index) => {
-		total += count;
-		return `${formatName(name)}_ms_bucket${formatLabels([...labels, ['le', String(BUCKETS_MS[index] ?? '+Inf')]])} ${total}`;
+const formatHistogram = ({name, labels, counts, sumMs}: Histogram): readonly string[] => {
+	const labelPairs = Object.entries(labels);
+	let cumulativeCount = 0;
+	const bucketLines = counts.map((count, index) => {
+		cumulativeCount += count;
+		return `${formatName(name)}_ms_bucket${formatLabels([...labelPairs, ['le', String(BUCKET_BOUNDS_MS[index] ?? '+Inf')]])} ${cumulativeCount}`;
 	});
-	return [...buckets, `${formatName(name)}_ms_sum${formatLabels(labels)} ${sumMs}`, `${formatName(name)}_ms_count${formatLabels(labels)} ${total}`];
+	return [...bucketLines, `${formatName(name)}_ms_sum${formatLabels(labelPairs)} ${sumMs}`, `${formatName(name)}_ms_count${formatLabels(labelPairs)} ${cumulativeCount}`];
 };
 
-/** Formats every counter, gauge and histogram of a process. */
+/** Formats every counter, gauge and histogram of a process, one sample a line. */
 export const formatMetrics = (metrics: Metrics): string => {
-	const values = Object.entries(metrics.snapshot()).map(([key, value]) => {
+	const valueLines = Object.entries(metrics.snapshot()).map(([key, value]) => {
 		const {name, labels} = splitKey(key);
 		return `${formatName(name)}${formatLabels(labels)} ${value}`;
 	});
-	return `${[...values, ...metrics.listHistograms().flatMap(histogram => formatHistogram(histogram))].join('\n')}\n`;
+	return `${[...valueLines, ...metrics.listHistograms().flatMap(histogram => formatHistogram(histogram))].join('\n')}\n`;
 };
--- a/packages/telemetry/src/hybrid-logical-clock.ts
+++ b/packages/telemetry/src/hybrid-logical-clock.ts
@@ -8,7 +8,7 @@
 	/** Returns a time later than every time read or observed before. */
 	read: () => HybridTimestamp;
 	/** Records a time received from another process. */
-	observe: (time: HybridTimestamp) => void;
+	observe: (timestamp: HybridTimestamp) => void;
 }>;
 
 /** Compares two hybrid logical times; negative if the first is earlier. */
@@ -16,16 +16,16 @@
 
 /** Creates a hybrid logical clock over a wall clock in milliseconds. */
 export const createHybridLogicalClock = (readWallClock: () => number): HybridLogicalClock => {
-	let last: HybridTimestamp = [0, 0];
+	let lastTimestamp: HybridTimestamp = [0, 0];
 	return {
 		read() {
 			const wallMs = readWallClock();
-			last = wallMs > last[0] ? [wallMs, 0] : [last[0], last[1] + 1];
-			return last;
+			lastTimestamp = wallMs > lastTimestamp[0] ? [wallMs, 0] : [lastTimestamp[0], lastTimestamp[1] + 1];
+			return lastTimestamp;
 		},
-		observe(time) {
-			if (compareHybridTimestamps(time, last) > 0) {
-				last = time;
+		observe(timestamp) {
+			if (compareHybridTimestamps(timestamp, lastTimestamp) > 0) {
+				lastTimestamp = timestamp;
 			}
 		},
 	};
