--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,4 +1,4 @@
-/** View that a vm has of the cluster through the change feed: configuration, targets and members. */
+/** The cluster as one vm sees it through the change feed: configuration, targets and members. */
 
 import type {DatabaseId, DataCentreId, TargetId} from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
@@ -19,6 +19,7 @@
 
 /** View of the cluster at one vm. */
 export type ClusterView = Readonly<{
+	/** Returns the active configuration; `undefined` until one has been received. */
 	getConfiguration: () => Configuration | undefined;
 	listMembers: () => readonly Member[];
 	listTargets: (database: DatabaseId) => readonly Target[];
@@ -26,24 +27,24 @@
 	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
-	applyChanges: (changes: readonly StoreChange[]) => Readonly<{configuration: boolean; targets: boolean; members: boolean}>;
+	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean}>;
 }>;
 
-/** Tells whether a change affects the cluster view. A target entry that parses to the same value as before is only a heartbeat and does not. */
-export const isRelevantChange = (context: VmContext, change: StoreChange, before: StoreEntry | undefined): boolean => {
-	if (!change.entry || !before || !change.key.startsWith(context.targetPrefix)) {
+/** Tells whether a change affects the cluster view. A new revision of a target entry with the same content is only a heartbeat and does not. */
+export const isRelevantChange = (context: VmContext, change: StoreChange, previous: StoreEntry | undefined): boolean => {
+	if (!change.entry || !previous || !change.key.startsWith(context.targetPrefix)) {
 		return true;
 	}
 
-	const parsedAfter = context.parseTarget(change.entry);
-	const parsedBefore = context.parseTarget(before);
-	return parsedAfter.err || parsedBefore.err || JSON.stringify(parsedAfter.val) !== JSON.stringify(parsedBefore.val);
+	const parsed = context.parseTarget(change.entry);
+	const parsedPrevious = context.parseTarget(previous);
+	return parsed.err || parsedPrevious.err || JSON.stringify(parsed.val) !== JSON.stringify(parsedPrevious.val);
 };
 
 /** Maximum number of changed quotas named in one log line. */
 const MAX_LOGGED_QUOTAS = 20;
 
-/** Lists the quotas that differ between two versions, for the log. */
+/** Lists the quotas that differ between two versions of the configuration, for the log; empty for the first version. */
 const listChangedQuotas = (before: Configuration | undefined, after: Configuration): readonly string[] => before
 	? [...after.quotas]
 		.filter(([customer, {rate, burst}]) => before.quotas.get(customer)?.rate !== rate || before.quotas.get(customer)?.burst !== burst)
@@ -81,17 +82,17 @@
 
 	const rebuildTargets = () => {
 		const targetsById = new Map<TargetId, Target>();
-		const grouped = new Map<DatabaseId, Target[]>();
+		const groupedTargets = new Map<DatabaseId, Target[]>();
 		for (const entry of getFeed().list(context.targetPrefix)) {
 			const parsed = context.parseTarget(entry);
 			if (parsed.ok) {
 				targetsById.set(parsed.val.id, parsed.val);
-				grouped.set(parsed.val.database, [...grouped.get(parsed.val.database) ?? [], parsed.val]);
+				groupedTargets.set(parsed.val.database, [...groupedTargets.get(parsed.val.database) ?? [], parsed.val]);
 			}
 		}
 
 		targets = targetsById;
-		targetsByDatabase = grouped;
+		targetsByDatabase = groupedTargets;
 		ownerRanks = new Map();
 	};
 
@@ -109,7 +110,7 @@
 		ownerRanks = new Map();
 	};
 
-	/** Returns the data centre of the primary as the store names it. What this vm observes itself is not used, so that owners do not move with every observation. */
+	/** Returns the data centre of the primary according to the store. What this vm observes itself is not used, so that owners do not move with every observation. */
 	const getPreferredDataCentre = (database: DatabaseId): DataCentreId | undefined => targetsByDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
 
 	return {
@@ -144,7 +145,7 @@
 				rebuildMembers();
 			}
 
-			return {configuration: hasConfigurationChange, targets: hasTargetChange, members: hasMemberChange};
+			return {hasConfigurationChange, hasTargetChange, hasMemberChange};
 		},
 	};
 };
--- a/packages/vm/src/configuration.ts
+++ b/packages/vm/src/configuration.ts
@@ -17,11 +17,14 @@
 
 /** One version of the operators' configuration. */
 export type Configuration = Readonly<{
+	/** Version set by the operators; a configuration becomes active only if its version is higher than that of the active one. */
 	version: number;
+	/** Routes by the name of their service. */
 	routes: ReadonlyMap<string, Route>;
 	databases: ReadonlyMap<DatabaseId, DatabaseConfiguration>;
 	/** Customers by the keys issued to them. */
 	customersByKey: ReadonlyMap<string, CustomerId>;
+	/** Quotas of customers; a customer without an entry is not limited. */
 	quotas: ReadonlyMap<CustomerId, Quota>;
 	/** Maximum time that a transaction may stay idle, in milliseconds. */
 	idleTransactionMs: number;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -22,7 +22,7 @@
 	/** Address at which other vms reach this one. */
 	host: string;
 	port: number;
-	/** Processor share; work is distributed in proportion to it. */
+	/** Processor capacity, in cores of standard speed; work is distributed in proportion to it. */
 	capacity: number;
 }>;
 
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -19,7 +19,7 @@
 	get: (database: DatabaseId) => DatabaseOwner;
 	/** Passes the current targets on to every owner. */
 	refreshTargets: () => void;
-	/** Tells whether this vm can reach a target. */
+	/** Probes a target; resolves to whether this vm can reach it. */
 	isReachable: (target: TargetId) => Promise<boolean>;
 	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
 	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
@@ -35,18 +35,18 @@
 }>;
 
 /** Method by which vms ask a peer to probe a target. */
-export const REACH_METHOD = 'reach';
+export const PROBE_TARGET_METHOD = 'reach';
 
 /** Fraction of a target's connections that one owner may open: two owners, chosen under different views, stay within the limit together. */
 const OWNER_CONNECTION_FRACTION = 0.5;
-/** Timeout of one probe of a target, made by this vm or by a peer. */
-const REACH_TIMEOUT_MS = 500;
-/** Maximum number of peers that probe a target. */
-const PROBING_PEERS = 3;
+/** Timeout of one probe of a target, made by this vm or by a peer, in milliseconds. */
+const TARGET_PROBE_TIMEOUT_MS = 500;
+/** Maximum number of peers that are asked to probe a target. */
+const MAX_PROBING_PEERS = 3;
 /** Idle time after which an owner that is no longer the preferred one closes a connection, in milliseconds. */
 const MAX_IDLE_CONNECTION_MS = 3000;
 const IDLE_CHECK_INTERVAL_MS = 1000;
-/** Idle timeout of transactions until the configuration is known. */
+/** Idle timeout of transactions until the configuration has been received. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000;
 /** Connection limit of the targets of a database that the configuration does not name. */
 const DEFAULT_CONNECTION_LIMIT = 8;
@@ -60,14 +60,16 @@
 	const {view} = dependencies;
 	const owners = new Map<DatabaseId, DatabaseOwner>();
 
+	/** Asks some randomly chosen peers to probe a target; resolves to whether any of them can reach it. */
 	const probeFromPeers = async (target: TargetId): Promise<boolean> => {
 		const usablePeers = view.listMembers().filter(({vm}) => vm !== settings.vm && dependencies.getPeerClient().isUsable(vm));
-		const start = Math.floor(world.random() * usablePeers.length);
-		const probingPeers = [...usablePeers.slice(start), ...usablePeers.slice(0, start)].slice(0, PROBING_PEERS);
-		const responses = await Promise.all(probingPeers.map(async member => dependencies.getPeerClient().call(member, REACH_METHOD, {target}, REACH_TIMEOUT_MS)));
+		const startIndex = Math.floor(world.random() * usablePeers.length);
+		const probingPeers = [...usablePeers.slice(startIndex), ...usablePeers.slice(0, startIndex)].slice(0, MAX_PROBING_PEERS);
+		const responses = await Promise.all(probingPeers.map(async member => dependencies.getPeerClient().call(member, PROBE_TARGET_METHOD, {target}, TARGET_PROBE_TIMEOUT_MS)));
 		return responses.some(response => response.ok && response.val === true);
 	};
 
+	/** Creates an owner and starts its failover coordinator. */
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
 			world,
@@ -98,8 +100,8 @@
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
 			drawFencingToken: async () => dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
 			async requestPromotion(target, fencingToken) {
-				const promoted = view.findTarget(target);
-				return promoted ? context.requestPromotion(promoted, settings.vm, fencingToken) : 'refused';
+				const promotedTarget = view.findTarget(target);
+				return promotedTarget ? context.requestPromotion(promotedTarget, settings.vm, fencingToken) : 'refused';
 			},
 			isReachableFromPeers: probeFromPeers,
 			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
@@ -133,15 +135,15 @@
 		},
 		async isReachable(id) {
 			const target = view.findTarget(id);
-			const pingResult = target && await get(target.database).ping(id, createDeadline(world.now(), REACH_TIMEOUT_MS));
+			const pingResult = target && await get(target.database).ping(id, createDeadline(world.now(), TARGET_PROBE_TIMEOUT_MS));
 			return pingResult === 'leads' || pingResult === 'follows';
 		},
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
 				await world.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 				for (const [database, owner] of owners) {
-					const preferred: VmId | undefined = view.rankOwners(database)[0]?.vm;
-					if (preferred !== settings.vm) {
+					const preferredVm: VmId | undefined = view.rankOwners(database)[0]?.vm;
+					if (preferredVm !== settings.vm) {
 						owner.closeIdleConnections(MAX_IDLE_CONNECTION_MS);
 					}
 				}
--- a/packages/vm/src/isolation-detector.ts
+++ b/packages/vm/src/isolation-detector.ts
@@ -1,4 +1,4 @@
-/** Detects that a vm can no longer reach any other data centre. */
+/** Detects that a vm can reach no vm of any other data centre. */
 
 import type {DataCentreId, VmId, World} from '@guavapitch/core';
 import type {Member} from './members.js';
@@ -17,7 +17,7 @@
 
 /** Detects whether the data centre of a vm is isolated from all others. */
 export type IsolationDetector = Readonly<{
-	/** Called when a vm could not be reached: checks whether any vm of another data centre can be. */
+	/** To be called when a vm could not be reached; a vm of another data centre starts a check unless one is in progress. */
 	handleUnreachable: (member: Member) => void;
 	isIsolated: () => boolean;
 }>;
@@ -37,42 +37,42 @@
 	}
 
 	return [...byDataCentre.values()].flatMap(members => {
-		const start = Math.floor(context.world.random() * members.length);
-		return [...members.slice(start), ...members.slice(0, start)].slice(0, PROBED_VMS_PER_DATA_CENTRE);
+		const startIndex = Math.floor(context.world.random() * members.length);
+		return [...members.slice(startIndex), ...members.slice(0, startIndex)].slice(0, PROBED_VMS_PER_DATA_CENTRE);
 	});
 };
 
 /** Creates a detector, which starts as not isolated. */
 export const createIsolationDetector = (context: IsolationDetectorContext): IsolationDetector => {
-	let isolated = false;
-	let checking = false;
+	let isDataCentreIsolated = false;
+	let isChecking = false;
 
-	/** Probes the other data centres, and repeats this until one of them answers. */
+	/** Probes vms of the other data centres, and repeats this until one of them answers. */
 	const checkIsolation = async (): Promise<void> => {
-		checking = true;
+		isChecking = true;
 		do {
-			const probed = chooseProbedVms(context);
-			const results = await Promise.all(probed.map(async member => context.ping(member)));
-			const isIsolatedNow = probed.length > 0 && !results.includes(true);
-			if (isIsolatedNow !== isolated) {
-				isolated = isIsolatedNow;
-				context.onChange(isolated);
+			const probedVms = chooseProbedVms(context);
+			const pingResults = await Promise.all(probedVms.map(async member => context.ping(member)));
+			const isIsolatedNow = probedVms.length > 0 && !pingResults.includes(true);
+			if (isIsolatedNow !== isDataCentreIsolated) {
+				isDataCentreIsolated = isIsolatedNow;
+				context.onChange(isDataCentreIsolated);
 			}
 
-			if (isolated) {
+			if (isDataCentreIsolated) {
 				await context.world.sleep(CHECK_INTERVAL_MS);
 			}
-		} while (isolated);
+		} while (isDataCentreIsolated);
 
-		checking = false;
+		isChecking = false;
 	};
 
 	return {
 		handleUnreachable(member) {
-			if (!checking && member.dataCentre !== context.dataCentre) {
+			if (!isChecking && member.dataCentre !== context.dataCentre) {
 				void checkIsolation();
 			}
 		},
-		isIsolated: () => isolated,
+		isIsolated: () => isDataCentreIsolated,
 	};
 };
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -1,4 +1,4 @@
-/** The live vms, and their ranking as database owners and as relays. */
+/** The live vms, and their ranking as database owners and as relays of the change feed. */
 
 import {
 	computeHash, type DataCentreId, type VmId,
@@ -13,14 +13,14 @@
 	dataCentre: DataCentreId;
 	host: string;
 	port: number;
-	/** Processor share; work is distributed in proportion to it. */
+	/** Processor capacity, in cores of standard speed; work is distributed in proportion to it. */
 	capacity: number;
 	/** Store revision at which its entry was created; the oldest vms relay the change feed to the others. */
-	since: number;
+	createdRevision: number;
 }>;
 
 /** Formats the store entry of a vm. */
-export const formatMember = (member: Omit<Member, 'since'>): string => JSON.stringify(member);
+export const formatMember = (member: Omit<Member, 'createdRevision'>): string => JSON.stringify(member);
 
 /** Parses the store entry of a vm; returns `undefined` if it is malformed. */
 export const parseMember = (entry: StoreEntry): Member | undefined => {
@@ -28,7 +28,7 @@
 		const value = JSON.parse(entry.value) as Partial<Member>;
 		const isComplete = typeof value.vm === 'string' && typeof value.run === 'string' && typeof value.dataCentre === 'string'
 			&& typeof value.host === 'string' && typeof value.port === 'number' && typeof value.capacity === 'number';
-		return isComplete ? {...value as Member, since: entry.createdRevision} : undefined;
+		return isComplete ? {...value as Member, createdRevision: entry.createdRevision} : undefined;
 	} catch {
 		return undefined;
 	}
@@ -44,23 +44,23 @@
  * Ranks vms as owners of a key by weighted rendezvous hashing: those of the preferred data centre first, and among these the ones with enough capacity.
  * In a fleet of unequal vms, a weak owner would be the bottleneck of its whole database.
  */
-export const rankOwners = (key: string, members: readonly Member[], preferred: DataCentreId | undefined): readonly Member[] => {
-	const preferredMembers = members.filter(member => member.dataCentre === preferred);
+export const rankOwners = (key: string, members: readonly Member[], preferredDataCentre: DataCentreId | undefined): readonly Member[] => {
+	const preferredMembers = members.filter(member => member.dataCentre === preferredDataCentre);
 	const minCapacity = MIN_CAPACITY_FRACTION * Math.max(0, ...(preferredMembers.length > 0 ? preferredMembers : members).map(({capacity}) => capacity));
 	return members
 		.map(member => {
-			const uniform = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
+			const uniformHash = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
 			return {
-				member, isPreferred: member.dataCentre === preferred, hasCapacity: member.capacity >= minCapacity, score: -member.capacity / Math.log(uniform),
+				member, isPreferred: member.dataCentre === preferredDataCentre, hasCapacity: member.capacity >= minCapacity, score: -member.capacity / Math.log(uniformHash),
 			};
 		})
 		.toSorted((a, b) => Number(b.isPreferred) - Number(a.isPreferred) || Number(b.hasCapacity) - Number(a.hasCapacity) || b.score - a.score || (a.member.vm < b.member.vm ? -1 : 1))
 		.map(({member}) => member);
 };
 
-/** Ranks the vms that may relay the change feed to a vm: the older ones of its data centre, oldest first. */
+/** Ranks the vms that may relay the change feed to a vm: the older ones of its data centre, oldest first. A vm that is not a member yet may follow any member of its data centre. */
 export const rankRelays = (self: VmId, dataCentre: DataCentreId, members: readonly Member[]): readonly Member[] => {
-	const localMembers = members.filter(member => member.dataCentre === dataCentre).toSorted((a, b) => a.since - b.since);
-	const index = localMembers.findIndex(member => member.vm === self);
-	return index === -1 ? localMembers : localMembers.slice(0, index);
+	const localMembers = members.filter(member => member.dataCentre === dataCentre).toSorted((a, b) => a.createdRevision - b.createdRevision);
+	const selfIndex = localMembers.findIndex(member => member.vm === self);
+	return selfIndex === -1 ? localMembers : localMembers.slice(0, selfIndex);
 };
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -10,15 +10,16 @@
 import type {VmContext} from './context.js';
 import type {Member} from './members.js';
 
-/** Failure of a call: with `notSent` the other vm did not act on it, with `lost` it may have. */
+/** Failure of a call: `notSent` did not reach the other vm, after `lost` the other vm may have executed it. */
 export type CallFailure = Failure<'notSent' | 'lost'>;
 
 /** Client for calls to other vms. */
 export type PeerClient = AsyncDisposable & Readonly<{
+	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A time-out or a refusal by the vm does not exclude it. */
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
 	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
-	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds. */
+	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds or the vm is no longer a member. */
 	isUsable: (vm: VmId) => boolean;
 	/** Starts to accept calls from other vms. */
 	listen: () => Promise<PeerListener>;
@@ -28,7 +29,7 @@
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 500;
 
-/** Membership functions of the peer client. */
+/** Functions with which the peer client checks membership and reports unreachable vms. */
 export type MembershipHooks = Readonly<{
 	/** Tells whether a vm is still a member. */
 	isMember: (member: Member) => boolean;
@@ -36,12 +37,12 @@
 	onUnreachable: (member: Member) => void;
 }>;
 
-/** Creates the peer client of a vm. */
+/** Creates the peer client of a vm; `handlers` serve the calls of other vms. */
 export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MembershipHooks): PeerClient => {
 	const {world, settings, emit} = context;
 	const clock = createHybridLogicalClock(world.readWallClock);
 	const excludedVms = new Set<VmId>();
-	let closed = false;
+	let isClosed = false;
 	const peerContext: PeerContext = {
 		world,
 		identity: {vm: settings.vm, incarnation: settings.run},
@@ -61,7 +62,7 @@
 	/** Probes a vm until it answers or is no longer a member, then includes it again; no request waits for this. */
 	const probe = async (member: Member): Promise<void> => {
 		const address = {host: member.host, port: member.port};
-		while (!closed && isMember(member)) {
+		while (!isClosed && isMember(member)) {
 			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
 			const response = await peers.call(address, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
 			if (response.ok) {
@@ -102,7 +103,7 @@
 		isUsable,
 		listen: async () => startPeerListener({host: settings.host, port: settings.port}, peerContext),
 		async [Symbol.asyncDispose]() {
-			closed = true;
+			isClosed = true;
 			await peers[Symbol.asyncDispose]();
 		},
 	};
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -14,13 +14,13 @@
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import {createDatabaseOwners, formatCoordinatorRole, REACH_METHOD} from './database-owners.js';
+import {createDatabaseOwners, formatCoordinatorRole, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createIsolationDetector} from './isolation-detector.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createStatementRouter} from './statement-router.js';
 import {
-	ALLOT_METHOD, createQuotas, ALLOCATOR_ROLE, type TokenGrantMessage,
+	GRANT_TOKENS_METHOD, createQuotas, ALLOCATOR_ROLE, type TokenRequestMessage,
 } from './quotas.js';
 import {
 	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX, STORE_PREFIX,
@@ -32,11 +32,12 @@
 	openSession: (service: string, key: string) => Result<Session, StatementOutcome>;
 	/** Tells whether new callers should be sent to this vm. */
 	isReady: () => boolean;
-	/** Stops accepting new work; the roles pass to other vms. */
-	leave: () => Promise<void>;
-	isLeaving: () => boolean;
+	/** Starts to drain the vm: it is no longer ready and its roles pass to other vms. Resolves once the vm is deregistered. */
+	drain: () => Promise<void>;
+	isDraining: () => boolean;
+	/** Tells whether a configuration has been received. */
 	hasConfiguration: () => boolean;
-	/** Tells whether idle sessions should move to another vm, and whether at once or only after the load balancer sends no more callers here. */
+	/** Tells whether idle sessions should be closed so that callers reconnect to another vm: `now`, or `afterBalancer` once the load balancer routes no new callers here. */
 	getSheddingMode: () => 'no' | 'afterBalancer' | 'now';
 }>;
 
@@ -44,7 +45,7 @@
 const ROLL_BACK_METHOD = 'rollBack';
 const FEED_METHOD = 'feed';
 
-/** Maximum duration of one watch of the configuration, in milliseconds: a connection that no longer answers must be noticed within the bound for configuration changes. */
+/** Maximum duration of one watch of the configuration, in milliseconds: an unresponsive connection must be noticed within the time allowed for configuration changes. */
 const CONFIGURATION_WATCH_MS = 2000;
 /** Maximum duration of one watch of members and roles, in milliseconds. */
 const MEMBER_WATCH_MS = 5000;
@@ -56,7 +57,7 @@
 const TARGET_PAUSE_MS = 1200;
 const FEED_TIMEOUT_MS = 1500;
 const ROLL_BACK_TIMEOUT_MS = 1000;
-/** Age of the change feed from which a vm no longer counts as connected, in milliseconds. */
+/** Age of the change feed from which a vm no longer counts as being in contact with the store, in milliseconds. */
 const STALE_FEED_MS = 2500;
 /** Largest number of data centres in which no side of a partition outnumbers the other. */
 const MAX_DATA_CENTRES_WITHOUT_MAJORITY = 2;
@@ -67,12 +68,12 @@
 	const scope = createScope(thrown => {
 		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
-	let leaving = false;
+	let isDraining = false;
 	let isStoreReachable = true;
 
 	const view = createClusterView(context, () => feed);
 	const getEntry = (key: string) => feed.get(key);
-	const self: Omit<Member, 'since'> = {
+	const self: Omit<Member, 'createdRevision'> = {
 		vm: settings.vm, run: settings.run, dataCentre: settings.dataCentre, host: settings.host, port: settings.port, capacity: settings.capacity,
 	};
 
@@ -89,8 +90,8 @@
 		store: context.store,
 		key: `${MEMBER_PREFIX}${settings.vm}`,
 		value: formatMember(self),
-		onContact(askedAt) {
-			feed.recordContact(askedAt);
+		onContact(requestedAt) {
+			feed.recordContact(requestedAt);
 		},
 		onFailure(failure) {
 			handleStoreStatus(false, failure.message);
@@ -125,8 +126,8 @@
 			return response.map(value => value as Awaited<ReturnType<Feed['serve']>>);
 		},
 		onChange(changes) {
-			const {targets} = view.applyChanges(changes);
-			if (targets) {
+			const {hasTargetChange} = view.applyChanges(changes);
+			if (hasTargetChange) {
 				databaseOwners.refreshTargets();
 			}
 		},
@@ -155,8 +156,8 @@
 				databaseOwners.get(database).rollBack(transaction);
 			},
 			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
-			[ALLOT_METHOD]: async body => quotas.grantTokens(body as TokenGrantMessage),
-			[REACH_METHOD]: async body => databaseOwners.isReachable((body as Readonly<{target: Parameters<typeof databaseOwners.isReachable>[0]}>).target),
+			[GRANT_TOKENS_METHOD]: async body => quotas.grantTokens(body as TokenRequestMessage),
+			[PROBE_TARGET_METHOD]: async body => databaseOwners.isReachable((body as Readonly<{target: Parameters<typeof databaseOwners.isReachable>[0]}>).target),
 		},
 		streams: {},
 	}, {
@@ -175,10 +176,10 @@
 		holderPrefix: HOLDER_PREFIX,
 		fencingTokenPrefix: FENCING_TOKEN_PREFIX,
 		getEntry,
-		listRoles: () => leaving ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
+		listRoles: () => isDraining ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
-			const name = role.slice(role.indexOf('/') + 1);
-			const rank = view.rankOwners(parseId<DatabaseId>(name)).findIndex(({vm}) => vm === settings.vm);
+			const rankingKey = role.slice(role.indexOf('/') + 1);
+			const rank = view.rankOwners(parseId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
 		hasRunEnded: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
@@ -214,18 +215,18 @@
 				databaseOwners.get(database).rollBack(transaction);
 			}
 		},
-		onRetried(request, owner, reason) {
+		onRetry(request, owner, reason) {
 			emit(EVENTS.requestRetried, {requestId: request.id, home: owner, reason});
 		},
 	});
 
 	const refusalCache = createRefusalCache(world, () => view.listMembers().length);
 
-	/** Runs a statement at the owner of its database, unless that owner has just refused the customer because of its quota. */
+	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		metrics.count('statements');
-		const isNew = !request.transaction || request.transaction.isFirst;
-		const retryAfterMs = isNew ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
+		const isNewOperation = !request.transaction || request.transaction.isFirst;
+		const retryAfterMs = isNewOperation ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
 		if (retryAfterMs !== undefined) {
 			metrics.count('held');
 			return {
@@ -249,7 +250,7 @@
 		const configuration = view.getConfiguration();
 		const route = configuration?.routes.get(service);
 		if (!configuration || !route) {
-			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no service has this name' : 'this vm has not received the configuration yet'));
+			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no route is configured for this service' : 'this vm has not received the configuration yet'));
 		}
 
 		const customer = configuration.customersByKey.get(key);
@@ -263,15 +264,15 @@
 	};
 
 	/**
-	 * Callers are better served by another data centre when this one is isolated. With two data centres, each finds the other unreachable;
-	 * the one that is still in contact with the store then continues.
+	 * Tells whether this vm should keep its callers. Another data centre serves them better when this one is isolated.
+	 * With two data centres, each finds the other unreachable; the one that is still in contact with the store then continues.
 	 */
 	const isConnected = (): boolean => !isolationDetector.isIsolated()
 		|| (settings.dataCentreCount <= MAX_DATA_CENTRES_WITHOUT_MAJORITY && feed.getAgeMs() < STALE_FEED_MS);
 
 	const listener = await peerClient.listen();
-	for (const run of [registration.run, feed.run, roleClaims.run, databaseOwners.closeIdleConnections]) {
-		scope.run(run);
+	for (const task of [registration.run, feed.run, roleClaims.run, databaseOwners.closeIdleConnections]) {
+		scope.run(task);
 	}
 
 	return {
@@ -288,19 +289,19 @@
 				rollBack: statementRouter.rollBack,
 			}));
 		},
-		isReady: () => !leaving && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
-		async leave() {
-			leaving = true;
+		isReady: () => !isDraining && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
+		async drain() {
+			isDraining = true;
 			await registration.deregister();
 		},
-		isLeaving: () => leaving,
+		isDraining: () => isDraining,
 		hasConfiguration: () => view.getConfiguration() !== undefined,
 		getSheddingMode() {
 			if (!isConnected()) {
 				return 'now';
 			}
 
-			return leaving ? 'afterBalancer' : 'no';
+			return isDraining ? 'afterBalancer' : 'no';
 		},
 		async [Symbol.asyncDispose]() {
 			await listener[Symbol.asyncDispose]();
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -1,4 +1,4 @@
-/** Customer quotas across the fleet: the quota client of a vm, and the quota allocator while the vm holds that role. */
+/** Customer quotas across the fleet: the quota client of a vm, and its quota allocator while the vm holds that role. */
 
 import {
 	createDeadline, Err, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
@@ -15,16 +15,16 @@
 /** Role of the quota allocator, which serves all customers. */
 export const ALLOCATOR_ROLE = 'shares';
 /** Method by which vms request tokens from the quota allocator. */
-export const ALLOT_METHOD = 'allot';
+export const GRANT_TOKENS_METHOD = 'allot';
 
 /** Request of a vm to the quota allocator, with the age of the vm's view of the store. */
-export type TokenGrantMessage = Readonly<{request: TokenRequest; feedAgeMs: number}>;
+export type TokenRequestMessage = Readonly<{request: TokenRequest; feedAgeMs: number}>;
 
 /** Quota client and quota allocator of one vm. */
 export type Quotas = Readonly<{
 	quotaClient: QuotaClient;
 	/** Grants tokens as the quota allocator; returns `undefined` if this vm does not hold that role. */
-	grantTokens: (message: TokenGrantMessage) => TokenGrant | undefined;
+	grantTokens: (message: TokenRequestMessage) => TokenGrant | undefined;
 }>;
 
 /** Dependencies of the quotas of a vm. */
@@ -37,7 +37,7 @@
 
 const TOKEN_REQUEST_TIMEOUT_MS = 300;
 /** Validity of the allocator's authority after each check, in milliseconds; every request checks it again. */
-const AUTHORITY_MS = 1000;
+const AUTHORITY_VALIDITY_MS = 1000;
 /** Age of a vm's view of the store above which the vm counts as out of contact with the store, so that it cannot have learned of another allocator, in milliseconds. */
 const STALE_CONTACT_MS = 1500;
 
@@ -50,7 +50,7 @@
 	const {view} = dependencies;
 	let allocator: QuotaAllocator | undefined;
 	let allocatorEpoch = -1;
-	/** When a vm in contact with the store last sent a request while this vm's lease was not confirmed. */
+	/** Time at which a vm in contact with the store last sent a request while this vm's lease was not confirmed. */
 	let lastFreshRequestAtMs = Number.NEGATIVE_INFINITY;
 
 	/**
@@ -60,7 +60,7 @@
 	const getAuthorityDeadline = (): Deadline => {
 		const isLeaseConfirmed = dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE);
 		const isStoreContactStale = dependencies.getFeedAgeMs() > STALE_CONTACT_MS && world.now() - lastFreshRequestAtMs > STALE_CONTACT_MS;
-		return isLeaseConfirmed || isStoreContactStale ? createDeadline(world.now(), AUTHORITY_MS) : PAST;
+		return isLeaseConfirmed || isStoreContactStale ? createDeadline(world.now(), AUTHORITY_VALIDITY_MS) : PAST;
 	};
 
 	const getAllocator = (): QuotaAllocator | undefined => {
@@ -80,7 +80,7 @@
 		return allocator;
 	};
 
-	const grantTokens = ({request, feedAgeMs}: TokenGrantMessage): TokenGrant | undefined => {
+	const grantTokens = ({request, feedAgeMs}: TokenRequestMessage): TokenGrant | undefined => {
 		if (feedAgeMs < STALE_CONTACT_MS && !dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE)) {
 			lastFreshRequestAtMs = world.now();
 		}
@@ -94,7 +94,7 @@
 	};
 
 	const requestTokens = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
-		const message: TokenGrantMessage = {request, feedAgeMs: Math.round(Math.min(dependencies.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
+		const message: TokenRequestMessage = {request, feedAgeMs: Math.round(Math.min(dependencies.getFeedAgeMs(), Number.MAX_SAFE_INTEGER))};
 		const member = findAllocator();
 		if (!member) {
 			return Err({code: 'noKeeper', message: 'No vm is known to hold the quota allocator role'});
@@ -105,7 +105,7 @@
 			return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'This vm no longer holds the quota allocator role'});
 		}
 
-		const response = await dependencies.getPeerClient().call(member, ALLOT_METHOD, message, TOKEN_REQUEST_TIMEOUT_MS);
+		const response = await dependencies.getPeerClient().call(member, GRANT_TOKENS_METHOD, message, TOKEN_REQUEST_TIMEOUT_MS);
 		if (response.err) {
 			return response;
 		}
@@ -113,7 +113,7 @@
 		return response.val ? Ok(response.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm that received the token request does not hold the quota allocator role'});
 	};
 
-	/** Returns the fallback quota of a customer at one database. Each database has one owner, so the equal fractions of all databases add up to the quota. */
+	/** Returns the fallback quota of a customer at one database; `undefined` if the customer has no quota. Each database has one owner, so the equal fractions of all databases add up to the quota. */
 	const getFallbackQuota = (customer: CustomerId): Quota | undefined => {
 		const configuration = view.getConfiguration();
 		const quota = configuration?.quotas.get(customer);
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -20,10 +20,10 @@
 	/** Rolls a transaction back at an owner; `undefined` stands for this vm itself. */
 	rollBackAt: (member: Member | undefined, database: DatabaseId, transaction: string) => void;
 	/** Called when an owner could not be reached, or was lost during a read; the next owner in the ranking is then tried. */
-	onRetried: (request: StatementRequest, owner: VmId, reason: string) => void;
+	onRetry: (request: StatementRequest, owner: VmId, reason: string) => void;
 }>;
 
-/** Routes the statements of one entry. */
+/** Routes the statements that arrive at one entry vm. */
 export type StatementRouter = Readonly<{
 	/** Runs a statement at the owner that holds its transaction, otherwise at the best-ranked owner that can be reached. */
 	run: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
@@ -33,8 +33,8 @@
 
 /** Time allowed for the transit of a response that an owner sends at the deadline, in milliseconds. */
 const RESPONSE_TRANSIT_MS = 100;
-/** Maximum number of owners tried for one statement. */
-const MAX_OWNERS = 4;
+/** Maximum number of owners at which one statement is tried. */
+const MAX_OWNERS_TRIED = 4;
 /** Time after which a caller should retry when no owner can be reached, in milliseconds. */
 const NO_OWNER_RETRY_MS = 300;
 
@@ -47,15 +47,15 @@
 	const access = getAccess(request.statement);
 	if (request.transaction && access !== 'commit') {
 		// The owner rolls back a transaction that gets no further statements, and no commit will be sent.
-		return createResponse(createRefusal('aborted', `the database owner that held the transaction was lost: ${reason}`), 'failed');
+		return createResponse(createRefusal('aborted', `the transaction is rolled back because its database owner was lost: ${reason}`), 'failed');
 	}
 
 	return access === 'read'
 		? undefined
-		: createResponse({kind: 'unknown', reason: `the database owner was lost during a ${access}: ${reason}`}, 'idle');
+		: createResponse({kind: 'unknown', reason: `the database owner was lost during a ${access}, which may have taken effect: ${reason}`}, 'idle');
 };
 
-/** Creates the statement router of an entry. */
+/** Creates the statement router of an entry vm. */
 export const createStatementRouter = (context: StatementRouterContext): StatementRouter => {
 	const {world, self} = context;
 	/** Owners of open transactions by transaction identifier; `undefined` stands for this vm itself. */
@@ -110,13 +110,13 @@
 		}
 
 		transactionOwners.delete(id);
-		return createResponse(createRefusal('aborted', 'the database owner that holds the transaction cannot be reached'), request.statement.kind === 'commit' ? 'idle' : 'failed');
+		return createResponse(createRefusal('aborted', 'the transaction is rolled back because its database owner cannot be reached'), request.statement.kind === 'commit' ? 'idle' : 'failed');
 	};
 
 	const runAtAnyOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		const ranked = context.rankOwners(request.database);
-		const usable = ranked.filter(({vm}) => vm === self || context.isUsable(vm));
-		for (const member of usable.slice(0, MAX_OWNERS)) {
+		const rankedOwners = context.rankOwners(request.database);
+		const usableOwners = rankedOwners.filter(({vm}) => vm === self || context.isUsable(vm));
+		for (const member of usableOwners.slice(0, MAX_OWNERS_TRIED)) {
 			if (isPast(deadline, world.now())) {
 				break;
 			}
@@ -126,7 +126,7 @@
 				return response;
 			}
 
-			context.onRetried(request, member.vm, 'the database owner cannot be reached');
+			context.onRetry(request, member.vm, 'the database owner cannot be reached');
 		}
 
 		return createResponse(createRefusal('busy', 'no owner of the database can be reached', NO_OWNER_RETRY_MS), request.transaction ? 'failed' : 'idle');
--- a/packages/vm/src/tests/isolation-detector.test.ts
+++ b/packages/vm/src/tests/isolation-detector.test.ts
@@ -1,4 +1,4 @@
-/** Guards against an isolated data centre that goes undetected, and against one lost vm that is taken for isolation. */
+/** Guards against an isolated data centre that goes undetected, and against reporting isolation when only one vm is lost. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -9,7 +9,7 @@
 import type {Member} from '../members.js';
 
 const createMember = (name: string, dataCentre: string): Member => ({
-	vm: parseId<VmId>(name), run: name, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity: 1, since: 1,
+	vm: parseId<VmId>(name), run: name, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity: 1, createdRevision: 1,
 });
 const MEMBERS = [createMember('a1', 'a'), createMember('a2', 'a'), createMember('b1', 'b'), createMember('b2', 'b'), createMember('c1', 'c')];
 
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -1,4 +1,4 @@
-/** Routing to database owners: which statements may be retried at another owner, and which outcome a lost call is given. */
+/** Guards against a write that runs twice because it was retried at another owner, a lost call reported with a wrong outcome, and databases that move between owners without need. */
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -10,8 +10,8 @@
 import type {CallFailure} from '../peer-client.js';
 import {createStatementRouter} from '../statement-router.js';
 
-const createMember = (name: string, dataCentre = 'here', capacity = 1, since = 1): Member => ({
-	vm: parseId<VmId>(name), run: `${name}-1`, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity, since,
+const createMember = (name: string, dataCentre = 'here', capacity = 1, createdRevision = 1): Member => ({
+	vm: parseId<VmId>(name), run: `${name}-1`, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity, createdRevision,
 });
 const MEMBERS = [createMember('one'), createMember('two')];
 const RESPONSE: StatementResponse = {
@@ -36,21 +36,21 @@
 
 const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
 	const {world} = createVirtualWorld();
-	const called: VmId[] = [];
+	const calledVms: VmId[] = [];
 	const router = createStatementRouter({
 		world,
 		self: parseId<VmId>('self'),
 		rankOwners: () => MEMBERS,
 		isUsable: () => true,
 		async callOwner({vm}) {
-			called.push(vm);
+			calledVms.push(vm);
 			return call(vm);
 		},
 		serveLocally: async () => RESPONSE,
 		rollBackAt: () => undefined,
-		onRetried: () => undefined,
+		onRetry: () => undefined,
 	});
-	return {called, run: async (request: StatementRequest) => router.run(request, createDeadline(world.now(), 1000))};
+	return {calledVms, run: async (request: StatementRequest) => router.run(request, createDeadline(world.now(), 1000))};
 };
 
 const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
@@ -59,16 +59,16 @@
 	it('retries a write at another owner only if it was not sent', async () => {
 		const notSent = createSetup(failAtFirstOwner('notSent'));
 		assert.equal((await notSent.run(createRequest(WRITE))).outcome.kind, 'done');
-		assert.deepEqual(notSent.called, ['one', 'two']);
+		assert.deepEqual(notSent.calledVms, ['one', 'two']);
 		const lost = createSetup(failAtFirstOwner('lost'));
 		assert.equal((await lost.run(createRequest(WRITE))).outcome.kind, 'unknown');
-		assert.deepEqual(lost.called, ['one']);
+		assert.deepEqual(lost.calledVms, ['one']);
 	});
 
-	it('retries a read at another owner in any case', async () => {
-		const {called, run} = createSetup(failAtFirstOwner('lost'));
+	it('retries a read at another owner even if it may have run', async () => {
+		const {calledVms, run} = createSetup(failAtFirstOwner('lost'));
 		assert.equal((await run(createRequest(READ))).outcome.kind, 'done');
-		assert.deepEqual(called, ['one', 'two']);
+		assert.deepEqual(calledVms, ['one', 'two']);
 	});
 
 	it('reports a transaction whose owner is lost as aborted before the commit, and as unknown during it', async () => {
@@ -79,14 +79,14 @@
 		assert.equal((await run(createRequest({kind: 'commit', text: 'COMMIT'}, transaction))).outcome.kind, 'unknown');
 	});
 
-	it('refuses a statement that no owner accepts', async () => {
+	it('refuses a statement if no owner can be reached', async () => {
 		const {run} = createSetup(() => Err({code: 'notSent', message: 'refused'}));
 		assert.equal((await run(createRequest(WRITE))).outcome.kind, 'refused');
 	});
 });
 
-describe('ranking of vms', () => {
-	it('puts weak vms behind the others of their data centre as owners', () => {
+describe('ranking of owners and relays', () => {
+	it('ranks vms with little capacity behind the others of their data centre', () => {
 		const members = [
 			...Array.from({length: 9}, (_, index) => createMember(`weak${index}`, 'here', 0.227)),
 			createMember('strong', 'here', 1.35),
@@ -100,24 +100,24 @@
 		}
 	});
 
-	it('puts vms of the primary\'s data centre first as owners, and distributes databases by capacity among those with enough of it', () => {
+	it('ranks vms of the preferred data centre first, and distributes databases among them in proportion to their capacity', () => {
 		const members = [...Array.from({length: 20}, (_, index) => createMember(`near${index}`, 'here', index < 10 ? 3 : 2)), createMember('far', 'there', 9)];
 		const counts = new Map<string, number>();
 		for (let key = 0; key < 2000; key++) {
-			const [first] = rankOwners(`db${key}`, members, parseId<DataCentreId>('here'));
-			counts.set(String(first?.capacity), (counts.get(String(first?.capacity)) ?? 0) + 1);
+			const [topOwner] = rankOwners(`db${key}`, members, parseId<DataCentreId>('here'));
+			counts.set(String(topOwner?.capacity), (counts.get(String(topOwner?.capacity)) ?? 0) + 1);
 		}
 
 		assert.equal(counts.get('9'), undefined);
-		const strong = counts.get('3') ?? 0;
-		assert.ok(strong > 2000 * 0.55 && strong < 2000 * 0.65, `${strong} of 2000 at the strong vms`);
+		const strongCount = counts.get('3') ?? 0;
+		assert.ok(strongCount > 2000 * 0.55 && strongCount < 2000 * 0.65, `${strongCount} of 2000 at the strong vms`);
 	});
 
-	it('moves only the databases of a vm that leaves', () => {
+	it('moves only the databases of a vm that leaves the fleet', () => {
 		const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
 		const keys = Array.from({length: 500}, (_, index) => `db${index}`);
-		const moved = keys.filter(key => rankOwners(key, members, undefined)[0] !== rankOwners(key, members.slice(1), undefined)[0]);
-		assert.ok(moved.every(key => rankOwners(key, members, undefined)[0] === members[0]));
+		const movedKeys = keys.filter(key => rankOwners(key, members, undefined)[0] !== rankOwners(key, members.slice(1), undefined)[0]);
+		assert.ok(movedKeys.every(key => rankOwners(key, members, undefined)[0] === members[0]));
 	});
 
 	it('lists the older vms of the data centre as relays, oldest first', () => {
