--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -23,7 +23,7 @@
 	const waiters = new Set<() => void>();
 
 	const waitForChange = async (deadline: Deadline, signal?: AbortSignal) => {
-		const timer = new AbortController();
+		const sleepController = new AbortController();
 		let wake: () => void;
 		const changed = new Promise<void>(resolve => {
 			wake = resolve;
@@ -35,9 +35,9 @@
 		waiters.add(wakeWaiter);
 		signal?.addEventListener('abort', wakeWaiter, {once: true});
 		const remainingMs = Math.min(getRemainingMs(deadline, world.now()), MAX_SLEEP_MS);
-		const sleeping = world.sleep(remainingMs, timer.signal).catch(() => undefined);
+		const sleeping = world.sleep(remainingMs, sleepController.signal).catch(() => undefined);
 		await Promise.race([changed, sleeping]);
-		timer.abort();
+		sleepController.abort();
 		waiters.delete(wakeWaiter);
 		signal?.removeEventListener('abort', wakeWaiter);
 	};
--- a/packages/core/src/scope.ts
+++ b/packages/core/src/scope.ts
@@ -5,7 +5,7 @@
 
 /** Owner of running tasks. */
 export type Scope = AsyncDisposable & Readonly<{
-	/** Aborts when the scope is disposed. */
+	/** Aborts when the scope is disposed or its parent signal aborts. */
 	signal: AbortSignal;
 	/** Starts a task that the scope owns. */
 	run: (task: (signal: AbortSignal) => Promise<void>) => void;
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -84,7 +84,7 @@
 
 	const keepAlive = async (id: string): Promise<Result<LeaseResponse, StoreFailure>> => {
 		settings.onCall?.('LeaseKeepAlive');
-		const timer = new AbortController();
+		const controller = new AbortController();
 		const stream = leaseClient.LeaseKeepAlive?.();
 		if (!stream) {
 			return Err({code: 'storeUnreachable', message: 'The store has no method LeaseKeepAlive'});
@@ -99,11 +99,11 @@
 			});
 			stream.write({ID: id});
 		});
-		const timedOut = world.sleep(settings.callTimeoutMs, timer.signal).then(() => Err({code: 'storeUnknown', message: 'The lease renewal timed out; outcome unknown'} as const), () => undefined);
+		const timedOut = world.sleep(settings.callTimeoutMs, controller.signal).then(() => Err({code: 'storeUnknown', message: 'Lease renewal timed out; outcome unknown'} as const), () => undefined);
 		const result = await Promise.race([responded, timedOut]);
-		timer.abort();
+		controller.abort();
 		stream.cancel();
-		return result ?? Err({code: 'storeUnknown', message: 'The lease renewal was aborted'});
+		return result ?? Err({code: 'storeUnknown', message: 'Lease renewal was aborted'});
 	};
 
 	return {
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -30,7 +30,7 @@
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean}>;
 }>;
 
-/** Tells whether a change affects the cluster view. A new revision of a target entry with the same content is only a heartbeat and does not. */
+/** Tells whether a change affects the cluster view. A target entry that decodes to the same target as before is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, previous: StoreEntry | undefined): boolean => {
 	if (!change.entry || !previous || !change.key.startsWith(context.targetPrefix)) {
 		return true;
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -15,7 +15,7 @@
 
 /** Client for calls to other vms. */
 export type PeerClient = AsyncDisposable & Readonly<{
-	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A time-out or a refusal by the vm does not exclude it. */
+	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A timeout or a refusal by the vm does not exclude it. */
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
 	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
