--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -9,13 +9,13 @@
 export type Notifier = Readonly<{
 	/** Wakes all waiting tasks. */
 	notify: () => void;
-	/** Waits for the next `notify`, at most until a deadline. */
+	/** Waits for the next `notify`; resolves also when the deadline passes or the signal aborts, and after an hour at the latest. */
 	waitForChange: (deadline: Deadline, signal?: AbortSignal) => Promise<void>;
 	/** Waits until a condition holds, checked at each `notify`; fails when the deadline passes or the signal aborts. */
 	waitUntil: (condition: () => boolean, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, WaitFailure>>;
 }>;
 
-/** Maximum duration of one sleep, in milliseconds; the time left before `NEVER` is infinite, and timers accept no such delay. */
+/** Maximum duration of one sleep, in milliseconds, because timers accept no infinite delay such as the time left before `NEVER`. */
 const MAX_SLEEP_MS = 3_600_000;
 
 /** Creates a notifier. */
@@ -23,7 +23,7 @@
 	const waiters = new Set<() => void>();
 
 	const waitForChange = async (deadline: Deadline, signal?: AbortSignal) => {
-		const timer = new AbortController();
+		const sleepController = new AbortController();
 		let wake: () => void;
 		const changed = new Promise<void>(resolve => {
 			wake = resolve;
@@ -35,9 +35,9 @@
 		waiters.add(wakeWaiter);
 		signal?.addEventListener('abort', wakeWaiter, {once: true});
 		const remainingMs = Math.min(getRemainingMs(deadline, world.now()), MAX_SLEEP_MS);
-		const sleeping = world.sleep(remainingMs, timer.signal).catch(() => undefined);
+		const sleeping = world.sleep(remainingMs, sleepController.signal).catch(() => undefined);
 		await Promise.race([changed, sleeping]);
-		timer.abort();
+		sleepController.abort();
 		waiters.delete(wakeWaiter);
 		signal?.removeEventListener('abort', wakeWaiter);
 	};
--- a/packages/core/src/scope.ts
+++ b/packages/core/src/scope.ts
@@ -5,13 +5,13 @@
 
 /** Owner of running tasks. */
 export type Scope = AsyncDisposable & Readonly<{
-	/** Aborts when the scope is disposed. */
+	/** Aborts when the scope is disposed or its parent signal aborts. */
 	signal: AbortSignal;
 	/** Starts a task that the scope owns. */
 	run: (task: (signal: AbortSignal) => Promise<void>) => void;
 }>;
 
-/** Creates a scope; `onFailure` is called with every exception of a task other than an abort. */
+/** Creates a scope. `onFailure` is called with every exception of a task other than an `AbortError`; an abort of `parent` aborts the tasks. */
 export const createScope = (onFailure: (thrown: unknown) => void, parent?: AbortSignal): Scope => {
 	const controller = new AbortController();
 	// Every task of the scope may listen to the signal at the same time, so the limit on listeners is lifted.
