--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -9,7 +9,7 @@
 import yargs from 'yargs';
 import type {Inventory} from '@guavapitch/inventory';
 import {
-	connectAll, runClosedLoop, runOpenLoop, wait, type LoginOptions, type EntryAddress, type TrafficResult,
+	connectClients, runClosedLoop, runOpenLoop, wait, type LoginOptions, type EntryAddress, type TrafficResult,
 } from '@guavapitch/load';
 import {createStartupPacket} from '@guavapitch/postgres-wire';
 import {readExample} from './examples.js';
@@ -23,6 +23,7 @@
 const UNLIMITED_RATE = 1_000_000;
 const ROW_COUNT = 100;
 const OPEN_LOOP_MS = 10_000;
+/** Multiple of `FAIRNESS_RATE_FRACTION` of its rate at which the large customer sends. */
 const LARGE_CUSTOMER_FACTOR = 8;
 const FAIRNESS_CONNECTIONS = 16;
 /** Fraction of their rates at which customers send, so that the targets are the bottleneck and not the machine. */
@@ -39,7 +40,7 @@
 /** Connects all customers before any traffic starts, so that logins do not count as latency. */
 const connectCustomers = async (stack: Stack, customers: readonly string[], connections: number): Promise<ReadonlyMap<string, readonly pg.Client[]>> => {
 	const connecting = customers.map(async (customer, index) => {
-		const clients = await connectAll(listEntries(stack), createLogin(stack, customer), connections, index);
+		const clients = await connectClients(listEntries(stack), createLogin(stack, customer), connections, index);
 		return [customer, clients] as const;
 	});
 	return new Map(await Promise.all(connecting));
@@ -71,13 +72,14 @@
 	}
 };
 
-const createSelectStatement = (number: number) => ({text: 'SELECT body FROM rows WHERE id = $1', values: [number % ROW_COUNT]});
+const createSelectStatement = (sequenceNumber: number) => ({text: 'SELECT body FROM rows WHERE id = $1', values: [sequenceNumber % ROW_COUNT]});
 
+/** Measures the same closed loops through a proxy and on direct connections to the target. */
 const measurePath = async (dataCentres: readonly string[], targetDataCentre: string, entryDataCentre: string) => {
 	await using stack = await startStack({
 		inventory: createSingleDatabaseInventory(dataCentres, targetDataCentre), proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
 	});
-	const proxy = [...stack.proxies.values()].find(one => one.dataCentre === entryDataCentre);
+	const proxy = [...stack.proxies.values()].find(candidate => candidate.dataCentre === entryDataCentre);
 	if (!proxy) {
 		throw new RangeError('The stack has no proxy in the data centre of the entry');
 	}
@@ -124,9 +126,9 @@
 const measureMemory = async () => {
 	const inventory = createSingleDatabaseInventory(['a'], 'a');
 	const service = getFirstService(inventory);
-	const openInventory = {...inventory, services: Object.fromEntries(Object.entries(inventory.services).map(([name, one]) => [name, {...one, open: true}]))};
+	const inventoryWithOpenServices = {...inventory, services: Object.fromEntries(Object.entries(inventory.services).map(([name, settings]) => [name, {...settings, open: true}]))};
 	await using stack = await startStack({
-		inventory: openInventory, proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
+		inventory: inventoryWithOpenServices, proxiesPerDataCentre: 1, connectMs: 10, statementMs: 0, lagMs: 5,
 	});
 	const [proxy] = stack.proxies.values();
 	if (!proxy) {
@@ -156,14 +158,15 @@
 
 const createLogin = (stack: Stack, customer: string): LoginOptions => ({keyId: `${customer}-key`, secret: stack.secrets.get(customer), service: 'motions'});
 
-const startFleet = async (proxies: number, statementMs: number, adjust: (inventory: Inventory) => Inventory = inventory => inventory) => {
-	const inventory = adjust(readExample('dvorak'));
+/** Starts a stack with exactly `proxyCount` proxies, distributed evenly over the data centres, and waits until it is ready. */
+const startFleet = async (proxyCount: number, statementMs: number, adjustInventory: (inventory: Inventory) => Inventory = inventory => inventory) => {
+	const inventory = adjustInventory(readExample('dvorak'));
 	const stack = await startStack({
-		inventory, proxiesPerDataCentre: Math.floor(proxies / inventory.dataCentres.length), connectMs: 10, statementMs, lagMs: 5,
+		inventory, proxiesPerDataCentre: Math.floor(proxyCount / inventory.dataCentres.length), connectMs: 10, statementMs, lagMs: 5,
 	});
-	for (let extra = stack.proxies.size; extra < proxies; extra++) {
-		const dataCentre = inventory.dataCentres[extra % inventory.dataCentres.length] ?? '';
-		await stack.startProxy(`${dataCentre}-x${extra}`, dataCentre);
+	for (let proxyIndex = stack.proxies.size; proxyIndex < proxyCount; proxyIndex++) {
+		const dataCentre = inventory.dataCentres[proxyIndex % inventory.dataCentres.length] ?? '';
+		await stack.startProxy(`${dataCentre}-x${proxyIndex}`, dataCentre);
 	}
 
 	await stack.waitUntilReady();
@@ -171,11 +174,11 @@
 	return stack;
 };
 
-const measureQuotas = async (proxies: number) => {
-	await using stack = await startFleet(proxies, 0);
+const measureQuotas = async (proxyCount: number) => {
+	await using stack = await startFleet(proxyCount, 0);
 	const customers = Object.entries(stack.inventory.customers);
-	const run = async (seed: number, onMidpoint?: () => Promise<void>) => {
-		const clients = await connectCustomers(stack, customers.map(([customer]) => customer), proxies);
+	const runTraffic = async (seed: number, onMidpoint?: () => Promise<void>) => {
+		const clients = await connectCustomers(stack, customers.map(([customer]) => customer), proxyCount);
 		const traffic = customers.map(async ([customer, {rate}], index) => runOpenLoop(clients.get(customer) ?? [], {
 			perSecond: rate * 0.8, durationMs: OPEN_LOOP_MS, seed: seed + index, statement: 'SELECT 1 AS one',
 		}));
@@ -184,18 +187,18 @@
 		return Promise.all(traffic);
 	};
 
-	const printResults = (name: string, results: Awaited<ReturnType<typeof run>>) => {
+	const printResults = (name: string, results: Awaited<ReturnType<typeof runTraffic>>) => {
 		const sent = results.reduce((sum, result) => sum + result.sent, 0);
 		const refused = results.reduce((sum, result) => sum + result.refused, 0);
 		const failed = results.reduce((sum, result) => sum + result.failed, 0);
-		const worst = Math.max(...results.map(result => result.refused / result.sent));
-		print(`${name}: ${proxies} proxies, 80% of every rate: sent ${sent}, refused within the quota ${refused} (${format(100 * refused / sent, 3)}%)`);
+		const worstRefusedFraction = Math.max(...results.map(result => result.refused / result.sent));
+		print(`${name}: ${proxyCount} proxies, 80% of every rate: sent ${sent}, refused within the quota ${refused} (${format(100 * refused / sent, 3)}%)`);
 		print(`  other failures ${JSON.stringify(results.map(result => result.failures))}`);
-		print(`  worst customer ${format(100 * worst, 2)}%, otherwise failed ${failed}, p99 ${format(Math.max(...results.map(result => result.p99)))} ms`);
+		print(`  worst customer ${format(100 * worstRefusedFraction, 2)}%, otherwise failed ${failed}, p99 ${format(Math.max(...results.map(result => result.p99)))} ms`);
 	};
 
-	printResults('steady', await run(1));
-	printResults('a quota allocator killed half way', await run(100, async () => {
+	printResults('steady', await runTraffic(1));
+	printResults('with a quota allocator killed at the midpoint', await runTraffic(100, async () => {
 		const statuses = await stack.getStatuses();
 		const busiest = statuses.toSorted((a, b) => countLeaseRenewals(b) - countLeaseRenewals(a))[0];
 		const proxy = stack.proxies.get(busiest?.vm ?? '');
@@ -204,10 +207,11 @@
 	}));
 };
 
+/** Returns the number of lease renewals that a vm has sent to the store. */
 const countLeaseRenewals = (status: Readonly<{metrics: Readonly<Record<string, number>>}>): number => status.metrics['store.calls{method=LeaseKeepAlive}'] ?? 0;
 
 /** Sends the load of one large customer from a separate process, so that it does not delay the timers of the other customers. */
-const floodFromOwnProcess = async (stack: Stack, customer: string, perSecond: number): Promise<TrafficResult> => {
+const floodFromChildProcess = async (stack: Stack, customer: string, perSecond: number): Promise<TrafficResult> => {
 	const output = path.join(stack.logFolder, 'flood.json');
 	const login = createLogin(stack, customer);
 	const child = startChild('flood', 'load', [
@@ -247,41 +251,45 @@
 	})));
 	// The first run is a warm-up and is not counted.
 	await runSmallCustomers(1);
-	const alone = await runSmallCustomers(1);
-	const [large] = customers;
-	const [together, flood] = await Promise.all([runSmallCustomers(1), floodFromOwnProcess(stack, large?.[0] ?? '', (large?.[1].rate ?? 0) * LARGE_CUSTOMER_FACTOR * FAIRNESS_RATE_FRACTION)]);
-	const ratios = alone.map((result, index) => (together[index]?.p99 ?? 0) / result.p99);
+	const aloneResults = await runSmallCustomers(1);
+	const [largeCustomer] = customers;
+	const [sharedResults, floodResult] = await Promise.all([
+		runSmallCustomers(1),
+		floodFromChildProcess(stack, largeCustomer?.[0] ?? '', (largeCustomer?.[1].rate ?? 0) * LARGE_CUSTOMER_FACTOR * FAIRNESS_RATE_FRACTION),
+	]);
+	const ratios = aloneResults.map((result, index) => (sharedResults[index]?.p99 ?? 0) / result.p99);
 	for (const [index, [customer]] of customers.slice(1).entries()) {
-		print(`${customer}: p99 alone ${format(alone[index]?.p99 ?? 0)} ms, beside the large one ${format(together[index]?.p99 ?? 0)} ms, ratio ${format(ratios[index] ?? 0)}`);
+		print(`${customer}: p99 alone ${format(aloneResults[index]?.p99 ?? 0)} ms, beside the large customer ${format(sharedResults[index]?.p99 ?? 0)} ms, ratio ${format(ratios[index] ?? 0)}`);
 	}
 
-	print(`large one: sent ${flood.sent} done ${flood.done} refused ${flood.refused} p99 ${format(flood.p99)} ms; worst ratio of the others ${format(Math.max(...ratios))}`);
+	print(`large customer: sent ${floodResult.sent} done ${floodResult.done} refused ${floodResult.refused} p99 ${format(floodResult.p99)} ms; worst ratio of others ${format(Math.max(...ratios))}`);
 };
 
-const measureConfigurationChanges = async (proxies: number) => {
-	await using stack = await startFleet(proxies, 0);
-	const changes: number[] = [];
-	const withdrawals: number[] = [];
+const measureConfigurationChanges = async (proxyCount: number) => {
+	await using stack = await startFleet(proxyCount, 0);
+	// Times from the withdrawal of a key until its connections are closed and until the change is active, at all proxies.
+	const activeMs: number[] = [];
+	const closedMs: number[] = [];
 	const customers = [...stack.secrets.keys()];
 	for (let round = 0; round < 6; round++) {
 		const customer = customers[round] ?? '';
 		const clients = await Promise.all([...stack.proxies.values()].map(async proxy => connectCustomer(stack, proxy, customer, 'motions')));
-		const ended = clients.map(async client => new Promise<void>(resolve => {
+		const connectionEnds = clients.map(async client => new Promise<void>(resolve => {
 			client.once('end', resolve);
 		}));
 		const startedAt = performance.now();
 		const revision = await stack.withdrawKey(`${customer}-key`);
-		await Promise.all(ended);
-		withdrawals.push(performance.now() - startedAt);
+		await Promise.all(connectionEnds);
+		closedMs.push(performance.now() - startedAt);
 		while ((await stack.getStatuses()).some(status => status.revision < revision)) {
 			await wait(5);
 		}
 
-		changes.push(performance.now() - startedAt);
+		activeMs.push(performance.now() - startedAt);
 	}
 
-	print(`${proxies} proxies, ${changes.length} withdrawals: open connections closed everywhere p50 ${format(computePercentile(withdrawals, 0.5), 0)} max ${format(Math.max(...withdrawals), 0)} ms`);
-	print(`  change active everywhere: p50 ${format(computePercentile(changes, 0.5), 0)} max ${format(Math.max(...changes), 0)} ms`);
+	print(`${proxyCount} proxies, ${activeMs.length} withdrawals: open connections closed everywhere p50 ${format(computePercentile(closedMs, 0.5), 0)} max ${format(Math.max(...closedMs), 0)} ms`);
+	print(`  change active everywhere: p50 ${format(computePercentile(activeMs, 0.5), 0)} max ${format(Math.max(...activeMs), 0)} ms`);
 };
 
 const sumMetrics = (statuses: ReadonlyArray<Readonly<{metrics: Readonly<Record<string, number>>}>>, name: string): number => statuses
@@ -290,30 +298,30 @@
 	.reduce((sum, [, value]) => sum + value, 0);
 
 const measureControlPlane = async (sizes: readonly number[]) => {
-	const calls: Array<readonly [number, number]> = [];
-	const cpus: Array<readonly [number, number]> = [];
-	const bytes: Array<readonly [number, number]> = [];
-	for (const proxies of sizes) {
-		await using stack = await startFleet(proxies, 0);
-		const before = await stack.getStatuses();
+	const storeCallPoints: Array<readonly [number, number]> = [];
+	const cpuPoints: Array<readonly [number, number]> = [];
+	const peerBytePoints: Array<readonly [number, number]> = [];
+	for (const proxyCount of sizes) {
+		await using stack = await startFleet(proxyCount, 0);
+		const statusesBefore = await stack.getStatuses();
 		const cpuBefore = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy).cpuMs);
 		await wait(OPEN_LOOP_MS);
 		const usages = [...stack.proxies.values()].map(proxy => readProcessUsage(proxy));
-		const after = await stack.getStatuses();
+		const statusesAfter = await stack.getStatuses();
 		const seconds = OPEN_LOOP_MS / 1000;
-		const cpu = usages.map((reading, index) => (reading.cpuMs - (cpuBefore[index] ?? 0)) / OPEN_LOOP_MS * 100);
-		const storeCalls = (sumMetrics(after, 'store.calls') - sumMetrics(before, 'store.calls')) / seconds;
-		const peerBytes = (sumMetrics(after, 'peer.bytes') - sumMetrics(before, 'peer.bytes')) / seconds / proxies;
-		const resident = usages.map(reading => reading.residentBytes / BYTES_PER_MEBIBYTE);
-		calls.push([proxies, storeCalls]);
-		cpus.push([proxies, computePercentile(cpu, 0.5)]);
-		bytes.push([proxies, peerBytes]);
-		print(`${proxies} proxies idle: processor median ${format(computePercentile(cpu, 0.5))}% max ${format(Math.max(...cpu))}% of a core; store calls ${format(storeCalls, 1)}/s`);
-		print(`  peer bytes in and out ${format(peerBytes / 1024)} KiB/s each; resident median ${format(computePercentile(resident, 0.5), 1)} MiB`);
+		const cpuPercents = usages.map((usage, index) => (usage.cpuMs - (cpuBefore[index] ?? 0)) / OPEN_LOOP_MS * 100);
+		const storeCallRate = (sumMetrics(statusesAfter, 'store.calls') - sumMetrics(statusesBefore, 'store.calls')) / seconds;
+		const peerByteRate = (sumMetrics(statusesAfter, 'peer.bytes') - sumMetrics(statusesBefore, 'peer.bytes')) / seconds / proxyCount;
+		const residentMib = usages.map(usage => usage.residentBytes / BYTES_PER_MEBIBYTE);
+		storeCallPoints.push([proxyCount, storeCallRate]);
+		cpuPoints.push([proxyCount, computePercentile(cpuPercents, 0.5)]);
+		peerBytePoints.push([proxyCount, peerByteRate]);
+		print(`${proxyCount} proxies idle: CPU median ${format(computePercentile(cpuPercents, 0.5))}% max ${format(Math.max(...cpuPercents))}% of a core; store calls ${format(storeCallRate, 1)}/s`);
+		print(`  peer bytes in and out ${format(peerByteRate / 1024)} KiB/s each; resident median ${format(computePercentile(residentMib, 0.5), 1)} MiB`);
 	}
 
-	print(`slopes for each further proxy: store calls ${format(computeSlope(calls))}/s`);
-	print(`  processor of each ${format(computeSlope(cpus), 4)}% of a core, peer bytes of each ${format(computeSlope(bytes))} B/s`);
+	print(`slopes for each further proxy: store calls ${format(computeSlope(storeCallPoints))}/s`);
+	print(`  CPU of each ${format(computeSlope(cpuPoints), 4)}% of a core, peer bytes of each ${format(computeSlope(peerBytePoints))} B/s`);
 };
 
 const flags = await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
--- a/packages/load/src/checker.ts
+++ b/packages/load/src/checker.ts
@@ -14,7 +14,7 @@
  */
 export type Guarantee = 'lostWrite' | 'doubledWrite' | 'ranThoughNotRun' | 'staleRead' | 'mixedTransaction' | 'foreignAnswer';
 
-/** Violation of a guarantee; the number of the operation is -1 if it was found in the final state. */
+/** Violation of the guarantee `promise`; the number of the operation is -1 if the violation was found in the final state. */
 export type Violation = Readonly<{promise: Guarantee; operation: number; detail: string}>;
 
 /** Contents of the databases after the run. */
@@ -36,14 +36,15 @@
 	return counts;
 };
 
+/** Checks that each inserted row is stored as often as its reported outcome allows. */
 const checkWrites = (history: readonly Operation[], final: FinalState): readonly Violation[] => {
 	const counts = countIds(final.storedIds);
 	const violations: Violation[] = [];
-	for (const operation of history.filter(one => one.kind === 'lodge')) {
+	for (const operation of history.filter(candidate => candidate.kind === 'lodge')) {
 		const count = counts.get(operation.id) ?? 0;
 		const {number} = operation;
 		if (operation.outcome === 'done' && count === 0) {
-			violations.push({promise: 'lostWrite', operation: number, detail: `${operation.id} was acknowledged and is not stored`});
+			violations.push({promise: 'lostWrite', operation: number, detail: `${operation.id} was acknowledged but is not stored`});
 		}
 
 		if (count > 1) {
@@ -51,7 +52,7 @@
 		}
 
 		if ((operation.outcome === 'notRun' || operation.outcome === 'rolledBack') && count > 0) {
-			violations.push({promise: 'ranThoughNotRun', operation: number, detail: `${operation.id} was reported as not run and is stored`});
+			violations.push({promise: 'ranThoughNotRun', operation: number, detail: `${operation.id} was reported as not run or rolled back but is stored`});
 		}
 	}
 
@@ -70,8 +71,8 @@
 		}
 
 		if (operation.kind === 'read' && operation.outcome === 'done') {
-			const found = new Set(operation.found);
-			const missing = sessionWrites.filter(id => !found.has(id));
+			const readIds = new Set(operation.found);
+			const missing = sessionWrites.filter(id => !readIds.has(id));
 			if (missing.length > 0) {
 				violations.push({promise: 'staleRead', operation: operation.number, detail: `session ${operation.session} does not see ${missing.slice(0, 3).join(', ')} through ${operation.vm}`});
 			}
@@ -81,6 +82,7 @@
 	return violations;
 };
 
+/** Checks that reads return only rows of their own session, whose identifiers begin with its name; reports at most one row of each read. */
 const checkForeignRows = (history: readonly Operation[]): readonly Violation[] => history
 	.filter(operation => operation.kind === 'read' && operation.outcome === 'done')
 	.flatMap(operation => (operation.found ?? [])
@@ -88,6 +90,7 @@
 		.slice(0, 1)
 		.map(id => ({promise: 'foreignAnswer', operation: operation.number, detail: `session ${operation.session} received ${id}`}) as const));
 
+/** Checks that every read of the sum of the balances, and the final sum, equals the sum before the run. */
 const checkSums = (history: readonly Operation[], final: FinalState): readonly Violation[] => {
 	const mixedReads = history
 		.filter(operation => operation.kind === 'stale' && operation.outcome === 'done' && operation.id === 'sum' && operation.found?.[0] !== String(final.expectedSum))
@@ -105,12 +108,12 @@
 	...checkSums(history, final),
 ];
 
-/** Computes the longest time without an acknowledged write between two instants, in milliseconds. */
-export const computeWriteGapMs = (history: readonly Operation[], from: number, to: number): number => {
-	const ends = history
-		.filter(operation => operation.kind === 'lodge' && operation.outcome === 'done' && operation.endedAt >= from && operation.endedAt <= to)
+/** Computes the longest time without an acknowledged write between two instants of wall-clock time, in milliseconds; the times before the first and after the last write count too. */
+export const computeWriteGapMs = (history: readonly Operation[], startMs: number, endMs: number): number => {
+	const acknowledgementTimes = history
+		.filter(operation => operation.kind === 'lodge' && operation.outcome === 'done' && operation.endedAt >= startMs && operation.endedAt <= endMs)
 		.map(operation => operation.endedAt)
 		.toSorted((a, b) => a - b);
-	const boundaries = [from, ...ends, to];
+	const boundaries = [startMs, ...acknowledgementTimes, endMs];
 	return Math.max(...boundaries.slice(1).map((boundary, index) => boundary - (boundaries[index] ?? boundary)));
 };
--- a/packages/load/src/entries.ts
+++ b/packages/load/src/entries.ts
@@ -16,7 +16,7 @@
 	setTimeout(resolve, ms);
 });
 
-/** Connects to a proxy with an unmodified PostgreSQL client. */
+/** Connects to a proxy with an unmodified PostgreSQL client; rejects if the proxy refuses the login or does not respond in time. */
 export const connectEntry = async (entry: EntryAddress, login: LoginOptions): Promise<pg.Client> => {
 	const client = new pg.Client({
 		host: entry.host,
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -8,7 +8,7 @@
 	compareTables, computeWorstWindowsWorth, createTable, findLoad, formatPlot, formatTable, LOADS, runReplay, type TableRow,
 } from '@guavapitch/emulator';
 import type {EntryAddress} from './entries.js';
-import {connectAll, runOpenLoop, type TrafficResult} from './traffic.js';
+import {connectClients, runOpenLoop, type TrafficResult} from './traffic.js';
 
 const SKIP_NODE_AND_SCRIPT = 2;
 const EXIT_INVALID_SETTING = 2;
@@ -50,7 +50,7 @@
 	.demandCommand(1)
 	.command('run', 'send statements at random times without waiting for responses', command => command
 		.option('target', {
-			type: 'string', array: true, demandOption: true, describe: 'proxies, host:port',
+			type: 'string', array: true, demandOption: true, describe: 'addresses of the proxies, as host:port',
 		})
 		.option('key', {type: 'string', demandOption: true, describe: 'identifier of the key'})
 		.option('secret', {type: 'string', describe: 'secret of the key; preferably set as GUAVAPITCH_SECRET'})
@@ -62,7 +62,7 @@
 		.option('seed', {type: 'number', default: 1, describe: 'seed of the random arrival times'})
 		.option('output', {type: 'string', describe: 'file to write the result to, as JSON'}), async flags => {
 		const login = {keyId: flags.key, secret: flags.secret, service: flags.service};
-		const clients = await connectAll(flags.target.map(text => parseEntry(text)), login, flags.connections);
+		const clients = await connectClients(flags.target.map(text => parseEntry(text)), login, flags.connections);
 		const result = await runOpenLoop(clients, {
 			perSecond: flags.perSecond,
 			durationMs: flags.durationMs,
@@ -91,7 +91,7 @@
 		.positional('load', {choices: LOADS.map(({name}) => name), demandOption: true})
 		.option('seed', {type: 'number', default: 1, describe: 'seed of all random numbers'})
 		.option('output', {type: 'string', describe: 'file to write the table to, as JSON'})
-		.option('compare', {type: 'string', describe: 'table of another version, as JSON, to print ratios to'})
+		.option('compare', {type: 'string', describe: 'table of another version, as JSON, to compare the result with'})
 		.option('plot', {type: 'string', describe: 'file to write a plot of the worth per time window to, as SVG'}), async flags => {
 		const load = findLoad(flags.load);
 		if (!load) {
--- a/packages/load/src/quota-check.ts
+++ b/packages/load/src/quota-check.ts
@@ -3,12 +3,12 @@
 /** Admitted request as seen by its caller; wall-clock times in milliseconds, read in one process for all requests. */
 export type AdmittedRequest = Readonly<{startedAt: number; endedAt: number}>;
 
-/** Time window in which more requests were admitted than the quota allows. */
+/** Time window, in milliseconds of wall-clock time, in which more requests were admitted (`count`) than the quota allows (`allowed`). */
 export type ExcessWindow = Readonly<{from: number; to: number; count: number; allowed: number}>;
 
 const MS_PER_SECOND = 1000;
 
-/** Finds the time window with the largest excess over rate × t + burst; `undefined` if there is none. A request counts only in windows that contain it from start to end. */
+/** Finds the time window with the largest excess over rate × t + burst, with the rate in requests per second; `undefined` if there is none. A request counts only in windows that contain it from start to end. */
 export const findExcessWindow = (requests: readonly AdmittedRequest[], quota: Readonly<{rate: number; burst: number}>): ExcessWindow | undefined => {
 	const byEnd = requests.toSorted((a, b) => a.endedAt - b.endedAt);
 	let worst: ExcessWindow | undefined;
--- a/packages/load/src/tests/checker.test.ts
+++ b/packages/load/src/tests/checker.test.ts
@@ -7,11 +7,11 @@
 
 const FINAL: FinalState = {storedIds: ['s0.1'], sum: 10, expectedSum: 10};
 
-const createOperation = (change: Partial<Operation>): Operation => ({
-	number: 1, session: 's0', customer: 'c', kind: 'lodge', id: 's0.1', startedAt: 0, endedAt: 1, outcome: 'done', vm: 'v', ...change,
+const createOperation = (overrides: Partial<Operation>): Operation => ({
+	number: 1, session: 's0', customer: 'c', kind: 'lodge', id: 's0.1', startedAt: 0, endedAt: 1, outcome: 'done', vm: 'v', ...overrides,
 });
 
-const listViolations = (history: readonly Operation[], final: FinalState) => checkHistory(history, final).map(violation => violation.promise);
+const listViolatedGuarantees = (history: readonly Operation[], final: FinalState) => checkHistory(history, final).map(violation => violation.promise);
 
 describe('checkHistory', () => {
 	describe('accepts', () => {
@@ -19,54 +19,54 @@
 			const read = createOperation({
 				number: 2, kind: 'read', id: 's0', startedAt: 2, endedAt: 3, found: ['s0.1'],
 			});
-			assert.deepEqual(listViolations([createOperation({}), read], FINAL), []);
+			assert.deepEqual(listViolatedGuarantees([createOperation({}), read], FINAL), []);
 		});
 
 		it('a write with an unknown outcome, whether it is stored or not', () => {
-			const unknown = createOperation({outcome: 'unknown'});
-			assert.deepEqual(listViolations([unknown], FINAL), []);
-			assert.deepEqual(listViolations([unknown], {...FINAL, storedIds: []}), []);
+			const unknownWrite = createOperation({outcome: 'unknown'});
+			assert.deepEqual(listViolatedGuarantees([unknownWrite], FINAL), []);
+			assert.deepEqual(listViolatedGuarantees([unknownWrite], {...FINAL, storedIds: []}), []);
 		});
 	});
 
 	describe('rejects', () => {
 		it('a lost acknowledged write', () => {
-			assert.deepEqual(listViolations([createOperation({})], {...FINAL, storedIds: []}), ['lostWrite']);
+			assert.deepEqual(listViolatedGuarantees([createOperation({})], {...FINAL, storedIds: []}), ['lostWrite']);
 		});
 
 		it('a write that is stored twice', () => {
-			assert.deepEqual(listViolations([createOperation({})], {...FINAL, storedIds: ['s0.1', 's0.1']}), ['doubledWrite']);
+			assert.deepEqual(listViolatedGuarantees([createOperation({})], {...FINAL, storedIds: ['s0.1', 's0.1']}), ['doubledWrite']);
 		});
 
 		it('a refused or rolled-back write that is stored', () => {
-			assert.deepEqual(listViolations([createOperation({outcome: 'notRun'})], FINAL), ['ranThoughNotRun']);
-			assert.deepEqual(listViolations([createOperation({outcome: 'rolledBack'})], FINAL), ['ranThoughNotRun']);
+			assert.deepEqual(listViolatedGuarantees([createOperation({outcome: 'notRun'})], FINAL), ['ranThoughNotRun']);
+			assert.deepEqual(listViolatedGuarantees([createOperation({outcome: 'rolledBack'})], FINAL), ['ranThoughNotRun']);
 		});
 
 		it('a read that does not see an earlier write of its session', () => {
 			const read = createOperation({
 				number: 2, kind: 'read', id: 's0', startedAt: 2, endedAt: 3, found: [],
 			});
-			assert.deepEqual(listViolations([createOperation({}), read], FINAL), ['staleRead']);
+			assert.deepEqual(listViolatedGuarantees([createOperation({}), read], FINAL), ['staleRead']);
 		});
 
 		it('a read that returns rows of another session', () => {
 			const read = createOperation({
 				number: 2, kind: 'read', id: 's0', startedAt: 0, endedAt: 0, found: ['s1.9'],
 			});
-			assert.deepEqual(listViolations([read], FINAL), ['foreignAnswer']);
+			assert.deepEqual(listViolatedGuarantees([read], FINAL), ['foreignAnswer']);
 		});
 
 		it('sums that show part of a transaction', () => {
 			const mixedRead = createOperation({kind: 'stale', id: 'sum', found: ['9']});
-			assert.deepEqual(listViolations([mixedRead], FINAL), ['mixedTransaction']);
-			assert.deepEqual(listViolations([], {...FINAL, sum: 11}), ['mixedTransaction']);
+			assert.deepEqual(listViolatedGuarantees([mixedRead], FINAL), ['mixedTransaction']);
+			assert.deepEqual(listViolatedGuarantees([], {...FINAL, sum: 11}), ['mixedTransaction']);
 		});
 	});
 });
 
 describe('classifyFailure', () => {
-	it('classifies a connection lost without an error as unknown', () => {
+	it('distinguishes unknown outcomes, including lost connections, from statements that did not run', () => {
 		assert.equal(classifyFailure(undefined, 'Connection terminated unexpectedly'), 'unknown');
 		assert.equal(classifyFailure('08007', 'outcome unknown: x'), 'unknown');
 		assert.equal(classifyFailure('53400', 'not run: x'), 'notRun');
--- a/packages/load/src/tests/quota-check.test.ts
+++ b/packages/load/src/tests/quota-check.test.ts
@@ -8,7 +8,7 @@
 
 const createBatch = (count: number, startedAt: number, endedAt: number): readonly AdmittedRequest[] => Array.from({length: count}, () => ({startedAt, endedAt}));
 
-describe('findExcess', () => {
+describe('findExcessWindow', () => {
 	describe('accepts', () => {
 		it('a burst followed by requests at the rate', () => {
 			const steady = Array.from({length: 20}, (_, index) => ({startedAt: (index + 1) * 100, endedAt: (index + 1) * 100}));
--- a/packages/load/src/traffic.ts
+++ b/packages/load/src/traffic.ts
@@ -20,6 +20,7 @@
 	p50: number;
 	p99: number;
 	max: number;
+	/** Number of completed statements per second. */
 	perSecond: number;
 	/** Histogram of the latencies in microseconds, in the compressed HDR format. */
 	histogram: string;
@@ -27,6 +28,7 @@
 
 /** Options of an open-loop run. */
 export type OpenLoopOptions = Readonly<{
+	/** Mean number of statements to send per second. */
 	perSecond: number;
 	durationMs: number;
 	seed: number;
@@ -53,12 +55,12 @@
 	histogram: encodeIntoCompressedBase64(histogram),
 });
 
-const recordMs = (histogram: Histogram, ms: number) => {
-	histogram.recordValue(Math.max(1, Math.round(ms * MICROSECONDS_PER_MS)));
+const recordLatency = (histogram: Histogram, latencyMs: number) => {
+	histogram.recordValue(Math.max(1, Math.round(latencyMs * MICROSECONDS_PER_MS)));
 };
 
-/** Runs statements in one closed loop per client; latencies of the warm-up are not recorded. */
-export const runClosedLoop = async (clients: readonly pg.Client[], durationMs: number, createStatement: (number: number) => LoopStatement): Promise<TrafficResult> => {
+/** Runs statements in one closed loop per client; latencies of the warm-up are not recorded. Rejects if a statement fails. */
+export const runClosedLoop = async (clients: readonly pg.Client[], durationMs: number, createStatement: (sequenceNumber: number) => LoopStatement): Promise<TrafficResult> => {
 	const histogram = build();
 	let isRecording = false;
 	let isRunning = true;
@@ -70,7 +72,7 @@
 			const startedAt = performance.now();
 			await client.query(text, [...values ?? []]);
 			if (isRecording) {
-				recordMs(histogram, performance.now() - startedAt);
+				recordLatency(histogram, performance.now() - startedAt);
 			}
 		}
 	});
@@ -85,10 +87,10 @@
 	}, histogram, durationMs);
 };
 
-/** Opens connections distributed evenly over the proxies, beginning with the proxy at index `first`. */
-export const connectAll = async (entries: readonly EntryAddress[], login: LoginOptions, connections: number, first = 0): Promise<readonly pg.Client[]> => {
-	const chosen = Array.from({length: connections}, (_, index) => entries[(index + first) % entries.length]);
-	return Promise.all(chosen.filter(entry => entry !== undefined).map(async entry => connectEntry(entry, login)));
+/** Opens connections distributed evenly over the proxies, beginning with the proxy at `firstIndex`. */
+export const connectClients = async (entries: readonly EntryAddress[], login: LoginOptions, connectionCount: number, firstIndex = 0): Promise<readonly pg.Client[]> => {
+	const assignedEntries = Array.from({length: connectionCount}, (_, index) => entries[(index + firstIndex) % entries.length]);
+	return Promise.all(assignedEntries.filter(entry => entry !== undefined).map(async entry => connectEntry(entry, login)));
 };
 
 /** Sends statements at random times without waiting for responses; a latency is measured from the time at which its statement was due. */
@@ -100,10 +102,10 @@
 	let refused = 0;
 	let failed = 0;
 	const failures: Record<string, number> = {};
-	const sendOne = async (client: pg.Client, dueAt: number) => {
+	const sendStatement = async (client: pg.Client, dueAt: number) => {
 		try {
 			await client.query(options.statement);
-			recordMs(histogram, performance.now() - dueAt);
+			recordLatency(histogram, performance.now() - dueAt);
 		} catch (error) {
 			const {code} = error as Readonly<{code?: string}>;
 			if (code === LIMIT_EXCEEDED_SQLSTATE) {
@@ -126,7 +128,7 @@
 		const client = clients[sent % clients.length];
 		sent++;
 		if (client) {
-			pending.push(sendOne(client, dueAt));
+			pending.push(sendStatement(client, dueAt));
 		}
 	}
 
