--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -7,7 +7,14 @@
 import type {Load, OperationClass, CustomerLoad} from './loads.js';
 import {EMULATED_DATABASE} from './targets.js';
 
-/** Outcome of an operation for its caller: within its latency objective, later, refused, or failed. */
+/**
+ * Outcome of an operation for its caller.
+ *
+ * - `prompt`: completed within its latency objective.
+ * - `late`: completed later, but before its timeout.
+ * - `refused`: not completed; its last attempt wrote nothing.
+ * - `failed`: not completed, and a write may have run, or completed after its timeout.
+ */
 export type OperationOutcome = 'prompt' | 'late' | 'refused' | 'failed';
 
 /** Result of one operation, including its retries. */
@@ -29,20 +36,20 @@
 /** Runs a statement at the database owner; resolves to `undefined` if the vm is down. */
 export type RunStatement = (request: StatementRequest) => Promise<StatementResponse | undefined>;
 
-/** Result of one attempt; an attempt is repeatable if repeating it cannot run a write twice. */
-type Attempt = Readonly<{ok: boolean; isRepeatable: boolean; retryAfterMs: number}>;
+/** Result of one attempt; an attempt is repeatable if repeating it cannot run a write twice. `retryAfterMs` is the pause before a retry that the response asks for. */
+type AttemptResult = Readonly<{isDone: boolean; isRepeatable: boolean; retryAfterMs: number}>;
 
 /** Longest pause of a caller between two statements of a transaction, in milliseconds. */
 const MAX_PAUSE_MS = 40;
 const STATEMENTS_PER_TRANSACTION = 3;
 /** Mean pause before a retry unless the response asks for a longer one, in milliseconds. */
-const MEAN_RETRY_MS = 100;
+const MEAN_RETRY_PAUSE_MS = 100;
 
 /** Dependencies of the emulated callers. */
-type CallContext = Readonly<{load: Load; world: World; run: RunStatement}>;
+type CallContext = Readonly<{load: Load; world: World; runStatement: RunStatement}>;
 
-/** Runs one operation, with retries. */
-const runOperation = async ({load, world, run}: CallContext, operationClass: OperationClass, customer: string): Promise<OperationResult> => {
+/** Runs one operation from a randomly chosen data centre, with its retries, and classifies its outcome. */
+const runOperation = async ({load, world, runStatement}: CallContext, operationClass: OperationClass, customer: string): Promise<OperationResult> => {
 	const startedAt = world.now();
 	const deadline = createDeadline(startedAt, operationClass.timeoutMs);
 	const dataCentre = load.dataCentres[Math.floor(world.random() * load.dataCentres.length)] ?? '';
@@ -63,22 +70,22 @@
 		priority: operationClass.priority,
 	});
 
-	const createTexts = (): readonly string[] => {
+	const createStatementTexts = (): readonly string[] => {
 		const text = `${isWrite ? 'WRITE' : 'READ'} ${operationClass.name}`;
 		return isTransaction ? [...Array.from({length: STATEMENTS_PER_TRANSACTION}, () => text), 'COMMIT'] : [text];
 	};
 
 	let pausedMs = 0;
-	const attempt = async (): Promise<Attempt> => {
+	const runAttempt = async (): Promise<AttemptResult> => {
 		const transaction = world.createId();
-		for (const [index, text] of createTexts().entries()) {
+		for (const [index, text] of createStatementTexts().entries()) {
 			await world.sleep(load.networkDelayMs);
-			const response = await run(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
+			const response = await runStatement(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
 			await world.sleep(load.networkDelayMs);
 			if (response?.outcome.kind !== 'done') {
 				const isRefused = response?.outcome.kind === 'refused';
 				const isRead = !isWrite || (isTransaction && text !== 'COMMIT');
-				return {ok: false, isRepeatable: isRefused || isRead, retryAfterMs: response?.outcome.kind === 'refused' ? response.outcome.retryAfterMs : 0};
+				return {isDone: false, isRepeatable: isRefused || isRead, retryAfterMs: response?.outcome.kind === 'refused' ? response.outcome.retryAfterMs : 0};
 			}
 
 			if (isTransaction && text !== 'COMMIT') {
@@ -88,21 +95,21 @@
 			}
 		}
 
-		return {ok: true, isRepeatable: false, retryAfterMs: 0};
+		return {isDone: true, isRepeatable: false, retryAfterMs: 0};
 	};
 
-	let lastAttempt = await attempt();
-	for (let retry = 0; retry < operationClass.retries && !lastAttempt.ok && lastAttempt.isRepeatable; retry++) {
-		await world.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_MS * (0.5 + world.random())));
+	let lastAttempt = await runAttempt();
+	for (let retry = 0; retry < operationClass.retries && !lastAttempt.isDone && lastAttempt.isRepeatable; retry++) {
+		await world.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_PAUSE_MS * (0.5 + world.random())));
 		if (isPast(deadline, world.now())) {
 			break;
 		}
 
-		lastAttempt = await attempt();
+		lastAttempt = await runAttempt();
 	}
 
 	const latencyMs = world.now() - startedAt - pausedMs;
-	const isBeforeTimeout = lastAttempt.ok && world.now() - pausedMs <= deadline;
+	const isBeforeTimeout = lastAttempt.isDone && world.now() - pausedMs <= deadline;
 	const meetsObjective = latencyMs <= operationClass.latencyObjectiveMs;
 	const outcome: OperationOutcome = isBeforeTimeout ? (meetsObjective ? 'prompt' : 'late') : (lastAttempt.isRepeatable ? 'refused' : 'failed');
 	return {
@@ -139,11 +146,11 @@
 };
 
 /** Runs all callers of a load and returns the results of their operations. */
-export const runCallers = async (load: Load, world: World, run: RunStatement): Promise<readonly OperationResult[]> => {
+export const runCallers = async (load: Load, world: World, runStatement: RunStatement): Promise<readonly OperationResult[]> => {
 	const endsAt = createDeadline(world.now(), load.durationMs);
 	const results: OperationResult[] = [];
-	const running: Array<Promise<void>> = [];
-	const context: CallContext = {load, world, run};
+	const pendingOperations: Array<Promise<void>> = [];
+	const context: CallContext = {load, world, runStatement};
 	const runAndRecord = async (operationClass: OperationClass, customer: CustomerLoad) => {
 		results.push(await runOperation(context, operationClass, customer.name));
 	};
@@ -153,9 +160,9 @@
 		customer,
 		endsAt,
 		onArrival() {
-			running.push(runAndRecord(operationClass, customer));
+			pendingOperations.push(runAndRecord(operationClass, customer));
 		},
 	}))));
-	await Promise.all(running);
+	await Promise.all(pendingOperations);
 	return results;
 };
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -28,10 +28,10 @@
 	retries: number;
 }>;
 
-/** Target of the emulated database; `lagMs` is its replication lag, in milliseconds. */
+/** Target of the emulated database; `slots` is the number of statements that it executes at a time, `lagMs` its replication lag in milliseconds. */
 export type TargetSpec = Readonly<{id: string; dataCentre: string; slots: number; lagMs: number}>;
 
-/** Customer, its fraction of the operations and its quota. */
+/** Customer, its fraction of the operations and its quota: rate in requests per second and burst in requests. */
 export type CustomerLoad = Readonly<{name: string; fraction: number; rate: number; burst: number}>;
 
 /** Change or fault during a load, with its start and end in milliseconds from the start of the load. */
@@ -69,7 +69,7 @@
 }>;
 
 /** Operations, targets and customers of one database in a small deployment. */
-const BASE: Omit<Load, 'name' | 'description' | 'events'> = {
+const BASE_LOAD: Omit<Load, 'name' | 'description' | 'events'> = {
 	durationMs: 20_000,
 	dialMs: 27,
 	networkDelayMs: 1,
@@ -146,35 +146,35 @@
 /** All named loads. */
 export const LOADS: readonly Load[] = [
 	{
-		...BASE, name: 'quiet', description: 'no faults', events: [],
+		...BASE_LOAD, name: 'quiet', description: 'no faults', events: [],
 	},
 	{
-		...BASE, name: 'burst', description: 'three times the request rate for six seconds', events: [{
+		...BASE_LOAD, name: 'burst', description: 'three times the request rate for six seconds', events: [{
 			kind: 'more', factor: 3, atMs: 6000, untilMs: 12_000,
 		}],
 	},
 	{
-		...BASE, name: 'hot-customer', description: 'one customer sends twelve times its usual request rate for eight seconds', events: [{
+		...BASE_LOAD, name: 'hot-customer', description: 'one customer sends twelve times its usual request rate for eight seconds', events: [{
 			kind: 'more', customer: 'small', factor: 12, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'slow-target', description: 'statements on one replica take eight times as long', events: [{
+		...BASE_LOAD, name: 'slow-target', description: 'statements on one replica take eight times as long', events: [{
 			kind: 'slow', target: 'target-2', factor: 8, atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'dark-target', description: 'one replica becomes unresponsive', events: [{
+		...BASE_LOAD, name: 'dark-target', description: 'one replica becomes unresponsive', events: [{
 			kind: 'dark', target: 'target-3', atMs: 6000, untilMs: 14_000,
 		}],
 	},
 	{
-		...BASE, name: 'failover', description: 'the leader becomes unresponsive and a replica is promoted two seconds later', events: [{
+		...BASE_LOAD, name: 'failover', description: 'the leader becomes unresponsive and a replica is promoted two seconds later', events: [{
 			kind: 'failover', target: 'target-1', atMs: 8000, untilMs: 10_000,
 		}],
 	},
 	{
-		...BASE, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
+		...BASE_LOAD, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
 	},
 ];
 
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -11,6 +11,7 @@
 
 /** Result of a replay. */
 export type ReplayResult = Readonly<{
+	/** Name of the load. */
 	load: string;
 	seed: number;
 	operations: readonly OperationResult[];
@@ -65,7 +66,7 @@
 	const {world, advance} = createVirtualWorld(seed);
 	const targets = createEmulatedTargets(load, world);
 	let owner: DatabaseOwner | undefined = createOwner(load, targets, world);
-	const schedule = (event: LoadEvent) => {
+	const scheduleEvent = (event: LoadEvent) => {
 		if (event.kind === 'restart') {
 			world.schedule(event.atMs, () => {
 				owner = undefined;
@@ -82,7 +83,7 @@
 	};
 
 	for (const event of load.events) {
-		schedule(event);
+		scheduleEvent(event);
 	}
 
 	let operations: readonly OperationResult[] | undefined;
--- a/packages/emulator/src/table.ts
+++ b/packages/emulator/src/table.ts
@@ -5,7 +5,9 @@
 
 /** Row of a table: counts, worth and latency percentiles of one group of operations. */
 export type TableRow = Readonly<{
+	/** Property by which the operations are grouped: `all`, `class`, `data centre`, `customer`, or `from ms` for a time window. */
 	group: string;
+	/** Value of the property, such as the name of the class or the start of the time window in milliseconds; empty for `all`. */
 	name: string;
 	/** Number of operations requested. */
 	asked: number;
@@ -35,7 +37,7 @@
 const computePercentile = (sorted: readonly number[], fraction: number): number => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
 
 const createRow = (group: string, name: string, operations: readonly OperationResult[]): TableRow => {
-	const count = (outcome: OperationResult['outcome']) => operations.filter(one => one.outcome === outcome).length;
+	const count = (outcome: OperationResult['outcome']) => operations.filter(operation => operation.outcome === outcome).length;
 	const latenciesMs = operations.filter(({outcome}) => outcome === 'prompt' || outcome === 'late').map(({latencyMs}) => latencyMs).toSorted((a, b) => a - b);
 	return {
 		group,
@@ -62,8 +64,8 @@
 	return [
 		createRow('all', '', operations),
 		...groups.flatMap(([group, getName]) => {
-			const names = [...new Set(operations.map(one => getName(one)))].toSorted((a, b) => a.localeCompare(b, 'en', {numeric: true}));
-			return names.map(name => createRow(group, name, operations.filter(one => getName(one) === name)));
+			const names = [...new Set(operations.map(operation => getName(operation)))].toSorted((a, b) => a.localeCompare(b, 'en', {numeric: true}));
+			return names.map(name => createRow(group, name, operations.filter(operation => getName(operation) === name)));
 		}),
 	];
 };
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -20,13 +20,14 @@
 	dial: (target: Target, customer: string, deadline: Deadline) => Promise<Result<TargetConnection, DialFailure>>;
 	/** Makes a target the leader of the next term. */
 	promote: (id: string) => void;
+	/** Returns the identifier of the leader. */
 	getLeader: () => string;
 	/** Returns the number of connections opened so far. */
 	getDialCount: () => number;
 }>;
 
 /** Target with its occupied slots and the callbacks of the statements that wait for one. */
-type EmulatedTarget = {readonly spec: TargetSpec; busySlots: number; readonly waiting: Array<() => void>};
+type EmulatedTarget = {readonly spec: TargetSpec; busySlots: number; readonly waiters: Array<() => void>};
 
 /** Standard deviation of the logarithm of the statement times. */
 const LOG_TIME_DEVIATION = 0.35;
@@ -38,14 +39,14 @@
 };
 
 /** Reads the access mode and the operation class from an emulated statement such as `READ swaps`. */
-const readStatement = (text: string): Readonly<{isWrite: boolean; className: string}> => {
-	const [word = '', className = ''] = text.split(' ');
-	return {isWrite: word === 'WRITE', className};
+const parseStatement = (text: string): Readonly<{isWrite: boolean; className: string}> => {
+	const [accessWord = '', className = ''] = text.split(' ');
+	return {isWrite: accessWord === 'WRITE', className};
 };
 
 /** Creates the emulated targets of a load. */
 export const createEmulatedTargets = (load: Load, world: World): EmulatedTargets => {
-	const targets = new Map(load.targets.map(spec => [spec.id, {spec, busySlots: 0, waiting: []}]));
+	const targets = new Map(load.targets.map(spec => [spec.id, {spec, busySlots: 0, waiters: []}]));
 	let leader = load.targets[0]?.id ?? '';
 	let term = 1;
 	/** Commit times of the records of the current term; their numbers follow `startNumber`. */
@@ -59,21 +60,21 @@
 
 	const getPosition = (id: string): LogPosition => {
 		const lagMs = id === leader ? 0 : targets.get(id)?.spec.lagMs ?? 0;
-		const replicated = commitTimes.findLastIndex(committedAt => committedAt <= world.now() - lagMs) + 1;
-		return {term, number: startNumber + replicated};
+		const replayedCount = commitTimes.findLastIndex(committedAt => committedAt <= world.now() - lagMs) + 1;
+		return {term, number: startNumber + replayedCount};
 	};
 
-	const occupySlot = async (target: EmulatedTarget, ms: number) => {
+	const occupySlot = async (target: EmulatedTarget, durationMs: number) => {
 		while (target.busySlots >= target.spec.slots) {
 			await new Promise<void>(resolve => {
-				target.waiting.push(resolve);
+				target.waiters.push(resolve);
 			});
 		}
 
 		target.busySlots++;
-		await world.sleep(ms);
+		await world.sleep(durationMs);
 		target.busySlots--;
-		target.waiting.shift()?.();
+		target.waiters.shift()?.();
 	};
 
 	const executeInSlot = async (target: EmulatedTarget, className: string) => {
@@ -85,23 +86,23 @@
 	const createConnection = (target: EmulatedTarget): TargetConnection => {
 		const {id} = target.spec;
 		let isConnectionEnded = false;
-		let inTransaction = false;
+		let isInTransaction = false;
 		let isReadOnly = false;
 		let beginTerm = 0;
 
-		const createReply = (result: Reply['result']): Reply => ({result, status: inTransaction ? 'open' : 'idle', position: getPosition(id)});
+		const createReply = (result: Reply['result']): Reply => ({result, status: isInTransaction ? 'open' : 'idle', position: getPosition(id)});
 		const createDoneReply = () => createReply({kind: 'done', rows: [], signature: `${id}.1`});
 		const createErrorReply = (code: TargetErrorCode) => createReply({kind: 'error', code, text: code});
 		const isBehind = (after: LogPosition | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
 
 		const runStatement = async ({statement, after}: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
-			const {isWrite, className} = readStatement(statement.kind === 'text' ? statement.text : '');
-			const requiresLeader = isWrite || (inTransaction && !isReadOnly);
+			const {isWrite, className} = parseStatement(statement.kind === 'text' ? statement.text : '');
+			const requiresLeader = isWrite || (isInTransaction && !isReadOnly);
 			if (isBehind(after)) {
 				return createErrorReply('lagging');
 			}
 
-			if (requiresLeader && (id !== leader || (inTransaction && beginTerm !== term))) {
+			if (requiresLeader && (id !== leader || (isInTransaction && beginTerm !== term))) {
 				return createErrorReply('readOnly');
 			}
 
@@ -110,7 +111,7 @@
 				commitTimes.push(world.now());
 			}
 
-			inTransaction &&= statement.kind !== 'commit';
+			isInTransaction &&= statement.kind !== 'commit';
 			return createDoneReply();
 		};
 
@@ -124,11 +125,11 @@
 					return createErrorReply(isBehind(command.after) ? 'lagging' : 'readOnly');
 				}
 
-				inTransaction = true;
+				isInTransaction = true;
 				isReadOnly = command.readOnly;
 				beginTerm = term;
 			} else if (command.kind === 'rollback') {
-				inTransaction = false;
+				isInTransaction = false;
 			}
 
 			return createDoneReply();
