--- a/packages/bench/src/consistency-check.ts
+++ b/packages/bench/src/consistency-check.ts
@@ -22,6 +22,7 @@
 	violations: readonly Violation[];
 	/** Longest time without an acknowledged write, in milliseconds. */
 	gapMs: number;
+	/** Number of operations by kind, outcome and SQLSTATE, such as `lodge.done` and `read.unknown.08007`; `lost` stands for a failure without an SQLSTATE. */
 	counts: Readonly<Record<string, number>>;
 	/** Why the check could not be completed, for example because the fleet did not recover. */
 	failure: string | undefined;
@@ -37,18 +38,22 @@
 export type ConsistencyCheckOptions = Readonly<{
 	seed: number;
 	example: ExampleName;
+	/** Duration of the fault schedule, in milliseconds. */
 	durationMs: number;
+	/** Injects a single fault of this kind. */
 	onlyFault?: FaultKind;
 	/** Mechanism that is switched off, to verify that the check fails without it. */
 	disabledMechanism?: 'replication';
 	proxiesPerDataCentre: number;
+	/** Replication lag of the replicas, in milliseconds. */
 	lagMs: number;
 }>;
 
 const SESSION_COUNT = 8;
-const PAUSE_MS = 30;
+const MAX_PAUSE_MS = 30;
 const ACCOUNT_COUNT = 6;
 const INITIAL_BALANCE = 100;
+/** Time for which the workload continues after all network partitions have been removed, in milliseconds. */
 const SETTLE_MS = 300;
 
 /** Creates the options of the stack and of the workload for the first database of the example. */
@@ -60,7 +65,7 @@
 	return {
 		database,
 		workload: {
-			service: service ?? '', browseService: browseService ?? '', sessions: SESSION_COUNT, accounts: ACCOUNT_COUNT, balance: INITIAL_BALANCE, pauseMs: PAUSE_MS,
+			service: service ?? '', browseService: browseService ?? '', sessionCount: SESSION_COUNT, accountCount: ACCOUNT_COUNT, initialBalance: INITIAL_BALANCE, maxPauseMs: MAX_PAUSE_MS,
 		},
 		stack: {
 			inventory: {...inventory, databases: {[database]: {...settings, acknowledge}}},
@@ -82,11 +87,11 @@
 
 	const client = await connectCustomer(stack, proxy, customer, options.service);
 	await client.query('BEGIN');
-	const lodged = await client.query<{id: string}>('SELECT id FROM lodged');
-	const sum = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
+	const idResult = await client.query<{id: string}>('SELECT id FROM lodged');
+	const sumResult = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
 	await client.query('COMMIT');
 	await client.end();
-	return {storedIds: lodged.rows.map(row => row.id), sum: Number(sum.rows[0]?.sum), expectedSum: ACCOUNT_COUNT * INITIAL_BALANCE};
+	return {storedIds: idResult.rows.map(row => row.id), sum: Number(sumResult.rows[0]?.sum), expectedSum: ACCOUNT_COUNT * INITIAL_BALANCE};
 };
 
 const countOutcomes = (history: readonly Operation[]): Readonly<Record<string, number>> => {
@@ -114,7 +119,7 @@
 	await using stack = await startStack(stackOptions);
 	try {
 		await createTables(stack, workloadOptions);
-		const workload = startWorkload(stack, workloadOptions, number => createRandom((options.seed * 1000) + number));
+		const workload = startWorkload(stack, workloadOptions, sessionIndex => createRandom((options.seed * 1000) + sessionIndex));
 		history = workload.history;
 		const startedAt = performance.now();
 		wallStartMs = Date.now();
@@ -134,7 +139,7 @@
 		await stack.waitUntilReady();
 		const statuses = await stack.getStatuses();
 		reads = computeReadCounts(statuses.map(status => status.metrics));
-		const failedFault = faultResults.find(one => one.status === 'rejected');
+		const failedFault = faultResults.find(faultResult => faultResult.status === 'rejected');
 		if (failedFault) {
 			failure = `a fault could not be injected: ${String(failedFault.reason)}`;
 		}
@@ -145,8 +150,8 @@
 	}
 
 	const events = stack.readEvents();
-	const [first] = faults.toSorted((a, b) => a.at - b.at);
-	const phases = first && computeFailoverPhases(events, history, wallStartMs + first.at);
+	const [firstFault] = faults.toSorted((a, b) => a.at - b.at);
+	const phases = firstFault && computeFailoverPhases(events, history, wallStartMs + firstFault.at);
 	return {
 		seed: options.seed, faults, violations, gapMs, counts: countOutcomes(history), failure, events, history, phases, reads,
 	};
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -42,10 +42,10 @@
 print(`  npx guavapitch-timeline ${stack.logFolder}`);
 print('\nstop with Ctrl-C');
 
-let stopping = false;
+let isStopping = false;
 const stop = () => {
-	if (!stopping) {
-		stopping = true;
+	if (!isStopping) {
+		isStopping = true;
 		void stack[Symbol.asyncDispose]();
 	}
 };
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -45,9 +45,9 @@
 
 /** Draws a schedule of one to three faults; some start at nearly the same time, some repeat the kind of the previous fault. With `onlyKind`, the schedule is one fault of that kind. */
 export const drawFaultSchedule = (random: Random, durationMs: number, onlyKind?: FaultKind): readonly Fault[] => {
-	const count = onlyKind ? 1 : 1 + Math.floor(random() * 3);
+	const faultCount = onlyKind ? 1 : 1 + Math.floor(random() * 3);
 	const faults: Fault[] = [];
-	for (let index = 0; index < count; index++) {
+	for (let index = 0; index < faultCount; index++) {
 		const previous = faults.at(-1);
 		const isSimultaneous = previous !== undefined && random() < 0.4;
 		const repeatsKind = previous !== undefined && random() < 0.25;
@@ -103,8 +103,8 @@
 /** Isolates vms from all other vms, from the targets of other data centres and, if requested, from the platform. */
 const partitionVms = async (stack: Stack, vms: ReadonlySet<string>, dataCentres: ReadonlySet<string>, includesPlatform: boolean) => {
 	const targets = Object.values(stack.inventory.databases).flatMap(database => database.targets);
-	const inside = targets.filter(target => dataCentres.has(target.dataCentre));
-	const outside = targets.filter(target => !dataCentres.has(target.dataCentre));
+	const insideTargets = targets.filter(target => dataCentres.has(target.dataCentre));
+	const outsideTargets = targets.filter(target => !dataCentres.has(target.dataCentre));
 	const otherVms = [...stack.proxies.keys()].filter(vm => !vms.has(vm));
 	stack.links.setPartition((from, to) => vms.has(from) !== vms.has(to));
 	if (includesPlatform) {
@@ -123,18 +123,19 @@
 	};
 
 	await Promise.all([
-		...inside.map(async target => partitionTarget(target.name, [...otherVms, ...outside.map(other => other.name)])),
-		...outside.map(async target => partitionTarget(target.name, [...vms, ...inside.map(other => other.name)])),
+		...insideTargets.map(async target => partitionTarget(target.name, [...otherVms, ...outsideTargets.map(peer => peer.name)])),
+		...outsideTargets.map(async target => partitionTarget(target.name, [...vms, ...insideTargets.map(peer => peer.name)])),
 	]);
 };
 
-/** Removes all network partitions. Also runs at the end of a schedule, because a frozen target may execute the command for a partition after the partition was removed. */
+/** Removes all network partitions. Also runs at the end of a schedule, because a target that was frozen may execute the statement that creates a partition only after the partition has been removed. */
 export const removePartitions = async (stack: Stack) => {
 	stack.links.setPartition(() => false);
 	await setPlatformFaults(stack, {});
 	await Promise.all([...stack.targets.values()].map(async target => runControlStatement(target, 'SELECT standin_heal()')));
 };
 
+/** Kills a target and restarts it after the downtime as a replica without a reachable upstream; does nothing if another fault has killed it already. */
 const restartTarget = async (stack: Stack, target: StackTarget, downtimeMs: number) => {
 	if (target.process.exitCode !== null || target.process.signalCode !== null) {
 		return;
@@ -209,8 +210,8 @@
 			await removePartitions(stack);
 		}],
 		cutDataCentre: [proxy.dataCentre, async () => {
-			const inside = proxies.filter(one => one.dataCentre === proxy.dataCentre);
-			await partitionVms(stack, new Set(inside.map(one => one.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
+			const isolatedProxies = proxies.filter(candidate => candidate.dataCentre === proxy.dataCentre);
+			await partitionVms(stack, new Set(isolatedProxies.map(isolatedProxy => isolatedProxy.vm)), new Set([proxy.dataCentre]), fault.choice < 0.5);
 			await wait(fault.forMs);
 			await removePartitions(stack);
 		}],
--- a/packages/bench/src/known-red.ts
+++ b/packages/bench/src/known-red.ts
@@ -5,12 +5,13 @@
 import {pathToFileURL} from 'node:url';
 
 /** Verdict on a test run. */
-export type Verdict = Readonly<{
+export type TestRunVerdict = Readonly<{
+	/** Whether CI accepts the run: every failed test is listed, and a run with a non-zero exit code has at least one. */
 	passes: boolean;
 	/** Failed tests that are listed as known failures. */
-	known: readonly string[];
+	listedFailures: readonly string[];
 	/** Failed tests that are not listed. */
-	unknown: readonly string[];
+	unlistedFailures: readonly string[];
 }>;
 
 const LINE_PATTERN = /^(?<indent> *)(?:# Subtest: (?<subtest>.+)|(?<failed>not )?ok \d+ - (?<name>.+))$/v;
@@ -40,19 +41,19 @@
 		}
 
 		const details = lines.slice(index + 1);
-		const isSuite = details.slice(0, details.findIndex(one => one.trim() === '...')).some(one => one.includes('failureType: \'subtestsFailed\''));
+		const isSuite = details.slice(0, details.findIndex(detail => detail.trim() === '...')).some(detail => detail.includes('failureType: \'subtestsFailed\''));
 		return groups.failed !== undefined && !isSuite ? [[...openSuites.slice(0, depth), groups.name ?? '']] : [];
 	});
 };
 
 /** Evaluates a test run by its exit code and TAP output. */
-export const evaluateTestRun = (exitCode: number, output: string, knownRed: string): Verdict => {
+export const evaluateTestRun = (exitCode: number, output: string, knownRed: string): TestRunVerdict => {
 	const knownNames = new Set(parseKnownFailures(knownRed));
 	const failures = findFailures(output).map(names => ({name: names.at(-1) ?? '', path: names.join(' > ')}));
-	const known = failures.filter(({name}) => knownNames.has(name)).map(one => one.path);
-	const unknown = failures.filter(({name}) => !knownNames.has(name)).map(one => one.path);
+	const listedFailures = failures.filter(({name}) => knownNames.has(name)).map(failure => failure.path);
+	const unlistedFailures = failures.filter(({name}) => !knownNames.has(name)).map(failure => failure.path);
 	// A non-zero exit code without a failed test means that the run ended before the tests, for example in the build.
-	return {passes: unknown.length === 0 && (exitCode === 0 || known.length > 0), known, unknown};
+	return {passes: unlistedFailures.length === 0 && (exitCode === 0 || listedFailures.length > 0), listedFailures, unlistedFailures};
 };
 
 if (process.argv[1] !== undefined && import.meta.url === pathToFileURL(process.argv[1]).href) {
@@ -60,7 +61,7 @@
 	const knownRed = readFileSync(knownRedFile, 'utf8');
 	const verdict = evaluateTestRun(Number(exitCode), readFileSync(outputFile, 'utf8'), knownRed);
 	const entries = knownRed.split('\n').filter(line => ENTRY_PATTERN.test(line));
-	process.stdout.write(`Known red, listed (${entries.length}):\n${entries.map(line => `  ${line}\n`).join('')}`);
-	process.stdout.write(`Failed in this run and listed: ${verdict.known.join('; ') || 'none'}\nFailed and not listed: ${verdict.unknown.join('; ') || 'none'}\n`);
+	process.stdout.write(`Known failures, listed (${entries.length}):\n${entries.map(line => `  ${line}\n`).join('')}`);
+	process.stdout.write(`Failed in this run and listed: ${verdict.listedFailures.join('; ') || 'none'}\nFailed and not listed: ${verdict.unlistedFailures.join('; ') || 'none'}\n`);
 	process.exitCode = verdict.passes ? 0 : 1;
 }
--- a/packages/bench/src/prove.ts
+++ b/packages/bench/src/prove.ts
@@ -24,8 +24,8 @@
 		return `RUN FAILED ${failure}`;
 	}
 
-	const broken = violations.map(one => `${one.promise}: ${one.detail}`).slice(0, MAX_SHOWN_VIOLATIONS);
-	return broken.length === 0 ? 'held' : `BROKEN ${broken.join('; ')}`;
+	const descriptions = violations.map(violation => `${violation.promise}: ${violation.detail}`).slice(0, MAX_SHOWN_VIOLATIONS);
+	return descriptions.length === 0 ? 'held' : `BROKEN ${descriptions.join('; ')}`;
 };
 
 const formatResult = (result: ConsistencyCheckResult): string => {
@@ -55,7 +55,7 @@
 	.option('seed', {type: 'number', default: 1, describe: 'first seed'})
 	.option('runs', {type: 'number', default: 1, describe: 'number of fault schedules to run'})
 	.option('parallel', {type: 'number', default: 3, describe: 'schedules to run in parallel'})
-	.option('example', {choices: ['dvorak', 'siphon'] as const, default: 'siphon' as const, describe: 'example inventory that gives the sizes'})
+	.option('example', {choices: ['dvorak', 'siphon'] as const, default: 'siphon' as const, describe: 'example inventory whose first database is checked'})
 	.option('duration-ms', {type: 'number', default: DEFAULT_DURATION_MS, describe: 'duration of a schedule, in milliseconds'})
 	.option('only', {type: 'string', describe: 'inject a single fault of this kind'})
 	.option('without', {choices: ['replication'] as const, describe: 'mechanism to switch off'})
@@ -91,13 +91,13 @@
 };
 
 await Promise.all(Array.from({length: Math.min(flags.parallel, flags.runs)}, runWorker));
-const broken = results.filter(result => result.violations.length > 0).length;
-const failed = results.filter(result => result.failure !== undefined).length;
-const gaps = results.filter(result => !result.failure).map(result => result.gapMs).toSorted((a, b) => a - b);
-print(`schedules ${results.length}  held ${results.length - broken - failed}  broken ${broken}  run failed ${failed}`);
-print(`write gap ms  ${PERCENTILES.map(fraction => `p${fraction * 100} ${Math.round(computePercentile(gaps, fraction))}`).join('  ')}  max ${Math.round(gaps.at(-1) ?? 0)}`);
+const brokenCount = results.filter(result => result.violations.length > 0).length;
+const failedCount = results.filter(result => result.failure !== undefined).length;
+const gapsMs = results.filter(result => !result.failure).map(result => result.gapMs).toSorted((a, b) => a - b);
+print(`schedules ${results.length}  held ${results.length - brokenCount - failedCount}  broken ${brokenCount}  run failed ${failedCount}`);
+print(`write gap ms  ${PERCENTILES.map(fraction => `p${fraction * 100} ${Math.round(computePercentile(gapsMs, fraction))}`).join('  ')}  max ${Math.round(gapsMs.at(-1) ?? 0)}`);
 printPhases(results);
-const replica = results.reduce((sum, result) => sum + result.reads.replica, 0);
-const reads = results.reduce((sum, result) => sum + result.reads.all, 0);
-print(`reads on replicas  ${replica} of ${reads}  ${(100 * replica / Math.max(1, reads)).toFixed(1)} %`);
-process.exitCode = broken + failed > 0 ? 1 : 0;
+const replicaReadCount = results.reduce((sum, result) => sum + result.reads.replica, 0);
+const readCount = results.reduce((sum, result) => sum + result.reads.all, 0);
+print(`reads on replicas  ${replicaReadCount} of ${readCount}  ${(100 * replicaReadCount / Math.max(1, readCount)).toFixed(1)} %`);
+process.exitCode = brokenCount + failedCount > 0 ? 1 : 0;
--- a/packages/bench/src/relays.ts
+++ b/packages/bench/src/relays.ts
@@ -15,8 +15,8 @@
 
 /** Reads the name of the dialling vm from its `hello` frame; returns an empty string if the first bytes are no such frame. */
 const readDiallingVm = (bytes: Buffer): string => {
-	const split = splitFrames(bytes);
-	const hello = split.ok ? split.val.frames[0] : undefined;
+	const splitResult = splitFrames(bytes);
+	const hello = splitResult.ok ? splitResult.val.frames[0] : undefined;
 	return hello?.[0] === 'hello' ? hello[3] : '';
 };
 
@@ -25,45 +25,45 @@
 	let isPartitioned: (from: string, to: string) => boolean = () => false;
 	const changed = createNotifier(world);
 
-	const forwardData = async (source: Socket, target: Socket, canForward: () => boolean) => {
+	const forwardData = async (source: Socket, destination: Socket, canForward: () => boolean) => {
 		for await (const chunk of source) {
 			await changed.waitUntil(canForward, NEVER);
-			if (!target.write(chunk as Buffer)) {
+			if (!destination.write(chunk as Buffer)) {
 				await new Promise(resolve => {
-					target.once('drain', resolve);
-					target.once('close', resolve);
+					destination.once('drain', resolve);
+					destination.once('close', resolve);
 				});
 			}
 		}
 
-		target.end();
+		destination.end();
 	};
 
 	const relayConnection = async (vm: string, socket: Socket, peerPort: number) => {
-		const target = createConnection(peerPort, '127.0.0.1');
+		const peerSocket = createConnection(peerPort, '127.0.0.1');
 		const destroy = () => {
 			socket.destroy();
-			target.destroy();
+			peerSocket.destroy();
 		};
 
 		socket.on('close', destroy);
-		target.on('close', destroy);
+		peerSocket.on('close', destroy);
 		socket.on('error', destroy);
-		target.on('error', destroy);
+		peerSocket.on('error', destroy);
 		socket.setNoDelay(true);
-		target.setNoDelay(true);
-		const first = await new Promise<Buffer>(resolve => {
+		peerSocket.setNoDelay(true);
+		const firstChunk = await new Promise<Buffer>(resolve => {
 			socket.once('data', resolve);
 			socket.once('close', () => {
 				resolve(Buffer.alloc(0));
 			});
 		});
 		socket.pause();
-		const diallingVm = readDiallingVm(first);
+		const diallingVm = readDiallingVm(firstChunk);
 		const canForward = () => socket.destroyed || !(isPartitioned(diallingVm, vm) || isPartitioned(vm, diallingVm));
 		await changed.waitUntil(canForward, NEVER);
-		target.write(first);
-		await Promise.allSettled([forwardData(socket, target, canForward), forwardData(target, socket, canForward)]);
+		peerSocket.write(firstChunk);
+		await Promise.allSettled([forwardData(socket, peerSocket, canForward), forwardData(peerSocket, socket, canForward)]);
 	};
 
 	return {
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -27,7 +27,7 @@
 	exited: Promise<void>;
 }>;
 
-/** A proxy process of the stack. */
+/** A proxy process of the stack, with its ports for callers and for peers. */
 export type StackProxy = ChildProgram & Readonly<{vm: string; dataCentre: string; port: number; peerPort: number}>;
 
 /** A target process of the stack. */
@@ -54,18 +54,22 @@
 	peerTls?: PeerTls;
 }>;
 
-/** A running stack. */
+/** A running stack; disposing of it kills all its processes. */
 export type Stack = AsyncDisposable & Readonly<{
+	/** Inventory from the options, without the addresses and keys that the stack adds to it. */
 	inventory: Inventory;
 	store: EtcdStore;
 	fleet: FleetClient;
 	platform: ChildProgram;
 	platformPort: number;
+	/** Proxies by vm. */
 	proxies: Map<string, StackProxy>;
+	/** Targets by name. */
 	targets: Map<string, StackTarget>;
 	/** Secret of each customer's key, by customer. */
 	secrets: ReadonlyMap<string, string>;
 	links: PeerLinks;
+	/** Folder with the log files of the proxies. */
 	logFolder: string;
 	/** Starts a proxy, or restarts one of the same name on its former ports. */
 	startProxy: (vm: string, dataCentre: string) => Promise<StackProxy>;
@@ -96,6 +100,7 @@
 
 const FIRST_PORT = 10_000;
 const PORT_RANGE = 20_000;
+/** Distance between the first ports of processes with consecutive identifiers, so that stacks in parallel processes rarely try the same ports. */
 const PORT_STEP = 97;
 let lastPort = FIRST_PORT + ((process.pid * PORT_STEP) % PORT_RANGE);
 
@@ -111,7 +116,7 @@
 	});
 });
 
-/** Finds a free port below the range of ephemeral ports. Does not return the same port again before all others of its range. */
+/** Finds a port that is free now, below the ephemeral ports that the system gives to outgoing connections. Does not return the same port again before all others of its range. */
 export const findFreePort = async (): Promise<number> => {
 	while (true) {
 		lastPort = FIRST_PORT + ((lastPort + 1 - FIRST_PORT) % PORT_RANGE);
@@ -129,17 +134,17 @@
 	}
 });
 
-/** Starts a program of the project as a child process, which is killed when this process exits. */
-export const startChild = (name: string, program: string, args: readonly string[], flags: readonly string[] = []): ChildProgram => {
-	const child = spawn(process.execPath, [...flags, getProgramPath(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
+/** Starts the program of a package as a child process, with command-line arguments and flags for Node; the child is killed when this process exits. */
+export const startChild = (name: string, program: string, args: readonly string[], nodeFlags: readonly string[] = []): ChildProgram => {
+	const child = spawn(process.execPath, [...nodeFlags, getProgramPath(program), ...args], {stdio: ['ignore', 'ignore', 'inherit']});
 	runningChildren.add(child);
-	const ended = new Promise<void>(resolve => {
+	const exited = new Promise<void>(resolve => {
 		child.once('exit', () => {
 			runningChildren.delete(child);
 			resolve();
 		});
 	});
-	return {name, process: child, exited: ended};
+	return {name, process: child, exited};
 };
 
 const stopChild = async (child: ChildProgram, signal: NodeJS.Signals): Promise<void> => {
@@ -162,6 +167,7 @@
 	}
 };
 
+/** Starts the stand-in of the platform; the targets and proxies are started by `start`. */
 const launchStack = async (options: StackOptions): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
 	const world = createWorld();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
@@ -189,7 +195,7 @@
 
 	const findTargetSettings = (name: string) => {
 		for (const [database, settings] of Object.entries(options.inventory.databases)) {
-			const target = settings.targets.find(one => one.name === name);
+			const target = settings.targets.find(candidate => candidate.name === name);
 			if (target) {
 				return {database, target};
 			}
@@ -198,9 +204,9 @@
 		throw new Error(`The inventory has no target ${name}`);
 	};
 
-	let stopped = false;
+	let isStopped = false;
 	const assertNotStopped = () => {
-		if (stopped) {
+		if (isStopped) {
 			throw new Error('The stack has been stopped');
 		}
 	};
@@ -236,7 +242,7 @@
 		return started;
 	};
 
-	/** Returns the port at which peers connect to a vm: that of its relay, if it has one. */
+	/** Returns the port at which peers connect to a vm: that of its relay, which is opened first if the stack uses relays, or else its own. */
 	const getAdvertisedPeerPort = async (vm: string, peerPort: number): Promise<number> => {
 		const existing = relays.get(vm);
 		if (existing) {
@@ -296,8 +302,8 @@
 	};
 
 	const isDatabaseReady = (statuses: readonly ProxyStatus[], name: string): boolean => {
-		const count = options.inventory.databases[name]?.targets.length ?? 0;
-		return statuses.some(status => status.groups.some(({record}) => record.database === name && record.synced.length === count - 1));
+		const targetCount = options.inventory.databases[name]?.targets.length ?? 0;
+		return statuses.some(status => status.groups.some(({record}) => record.database === name && record.synced.length === targetCount - 1));
 	};
 
 	const waitUntilReady = async () => {
@@ -311,11 +317,11 @@
 
 	const startTargets = async () => {
 		for (const database of Object.values(options.inventory.databases)) {
-			const [first, ...others] = database.targets;
-			if (first) {
-				await startTarget(first.name, undefined);
-				for (const other of others) {
-					await startTarget(other.name, first.name);
+			const [primary, ...replicas] = database.targets;
+			if (primary) {
+				await startTarget(primary.name, undefined);
+				for (const replica of replicas) {
+					await startTarget(replica.name, primary.name);
 				}
 			}
 		}
@@ -330,14 +336,14 @@
 	});
 
 	const addKeys = (inventory: Inventory): Inventory => {
-		let withKeys = inventory;
+		let inventoryWithKeys = inventory;
 		for (const customer of Object.keys(inventory.customers)) {
-			const issued = issueKey(withKeys, customer, `${customer}-key`).unwrap();
+			const issued = issueKey(inventoryWithKeys, customer, `${customer}-key`).unwrap();
 			secrets.set(customer, issued.secret);
-			withKeys = issued.inventory;
+			inventoryWithKeys = issued.inventory;
 		}
 
-		return withKeys;
+		return inventoryWithKeys;
 	};
 
 	const start = async () => {
@@ -346,8 +352,8 @@
 		const inventory = addKeys(addAddresses(options.inventory));
 		await updateConfiguration(() => inventory);
 		for (const dataCentre of inventory.dataCentres) {
-			for (let number = 1; number <= options.proxiesPerDataCentre; number++) {
-				await startProxy(`${dataCentre}-${number}`, dataCentre);
+			for (let proxyNumber = 1; proxyNumber <= options.proxiesPerDataCentre; proxyNumber++) {
+				await startProxy(`${dataCentre}-${proxyNumber}`, dataCentre);
 			}
 		}
 
@@ -375,7 +381,7 @@
 		readReceivedTraffic: () => trafficFolder === undefined ? '' : readdirSync(trafficFolder).map(file => readFileSync(path.join(trafficFolder, file), 'latin1')).join('\n'),
 		readEvents: () => readdirSync(logFolder).flatMap(file => readLog(path.join(logFolder, file))),
 		async [Symbol.asyncDispose]() {
-			stopped = true;
+			isStopped = true;
 			await Promise.all([...proxies.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await Promise.all([...targets.values()].map(async child => stopChild(child, 'SIGKILL')));
 			await stopChild(platform, 'SIGKILL');
--- a/packages/bench/src/statistics.ts
+++ b/packages/bench/src/statistics.ts
@@ -6,7 +6,9 @@
 /** Processor time in milliseconds and resident memory in bytes of a process. */
 export type ProcessUsage = Readonly<{cpuMs: number; residentBytes: number}>;
 
+/** Unit of the processor times in `/proc`, in milliseconds. */
 const CLOCK_TICK_MS = 10;
+/** Index of the user time among the fields of `/proc/PID/stat` after the program name; the system time follows it. */
 const USER_TIME_FIELD = 11;
 const BYTES_PER_KIBIBYTE = 1024;
 
@@ -15,8 +17,8 @@
 	const pid = String(child.process.pid);
 	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
 	const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-	const resident = Number(/VmRSS:\s+(?<kib>\d+)/v.exec(status)?.groups?.kib ?? 0);
-	return {cpuMs: (Number(fields[USER_TIME_FIELD]) + Number(fields[USER_TIME_FIELD + 1])) * CLOCK_TICK_MS, residentBytes: resident * BYTES_PER_KIBIBYTE};
+	const residentKibibytes = Number(/VmRSS:\s+(?<kib>\d+)/v.exec(status)?.groups?.kib ?? 0);
+	return {cpuMs: (Number(fields[USER_TIME_FIELD]) + Number(fields[USER_TIME_FIELD + 1])) * CLOCK_TICK_MS, residentBytes: residentKibibytes * BYTES_PER_KIBIBYTE};
 };
 
 /** Computes the percentile at a fraction between 0 and 1 (nearest rank); returns 0 if there are no values. */
--- a/packages/bench/src/tests/end-to-end.test.ts
+++ b/packages/bench/src/tests/end-to-end.test.ts
@@ -33,16 +33,16 @@
 	describe('statements', () => {
 		it('serves simple, extended and named statements', async () => {
 			const client = await connect(0);
-			const inserted = await client.query('INSERT INTO motions VALUES ($1, $2) RETURNING id', [1, 'This house']);
-			const named = {name: 'find', text: 'SELECT wording FROM motions WHERE id = $1', values: [1]};
-			const first = await client.query<{wording: string}>(named);
-			const second = await client.query<{wording: string}>(named);
-			const simple = await client.query('SELECT * FROM motions');
+			const insertResult = await client.query('INSERT INTO motions VALUES ($1, $2) RETURNING id', [1, 'This house']);
+			const namedStatement = {name: 'find', text: 'SELECT wording FROM motions WHERE id = $1', values: [1]};
+			const firstResult = await client.query<{wording: string}>(namedStatement);
+			const secondResult = await client.query<{wording: string}>(namedStatement);
+			const simpleResult = await client.query('SELECT * FROM motions');
 			await client.end();
-			assert.deepEqual(inserted.rows, [{id: 1}]);
-			assert.deepEqual(first.rows, [{wording: 'This house'}]);
-			assert.deepEqual(second.rows, first.rows);
-			assert.equal(simple.rowCount, 1);
+			assert.deepEqual(insertResult.rows, [{id: 1}]);
+			assert.deepEqual(firstResult.rows, [{wording: 'This house'}]);
+			assert.deepEqual(secondResult.rows, firstResult.rows);
+			assert.equal(simpleResult.rowCount, 1);
 		});
 
 		it('rolls a transaction back as a whole', async () => {
@@ -50,17 +50,17 @@
 			await client.query('BEGIN');
 			await client.query('INSERT INTO motions VALUES (2, \'never\')');
 			await client.query('ROLLBACK');
-			const found = await client.query('SELECT * FROM motions WHERE id = 2');
+			const result = await client.query('SELECT * FROM motions WHERE id = 2');
 			await client.end();
-			assert.equal(found.rowCount, 0);
+			assert.equal(result.rowCount, 0);
 		});
 
 		it('streams a large result completely', async () => {
 			const client = await connect(2);
-			const found = await client.query<{generate_series: number}>('SELECT * FROM generate_series(1, 50000)');
+			const result = await client.query<{generate_series: number}>('SELECT * FROM generate_series(1, 50000)');
 			await client.end();
-			assert.equal(found.rowCount, 50_000);
-			assert.equal(found.rows.at(-1)?.generate_series, 50_000);
+			assert.equal(result.rowCount, 50_000);
+			assert.equal(result.rows.at(-1)?.generate_series, 50_000);
 		});
 	});
 
@@ -70,23 +70,23 @@
 
 		it('do not fill the memory of the proxies, do not delay other callers, and receive their complete result', async () => {
 			const client = await connect(0);
-			const other = await connect(0);
+			const otherClient = await connect(0);
 			const pids = [...stack.proxies.values()].map(proxy => proxy.process.pid ?? 0);
-			const before = pids.map(pid => readResidentBytes(pid));
+			const residentBytesBefore = pids.map(pid => readResidentBytes(pid));
 			const {stream} = (client as unknown as Readonly<{connection: Readonly<{stream: Readonly<{pause: () => void; resume: () => void}>}>}>).connection;
 			const response = client.query<{body: string}>(`SELECT repeat('x', ${ROW_BYTES}) AS body FROM generate_series(1, ${ROW_COUNT})`);
 			await wait(20);
 			stream.pause();
 			await wait(1500);
-			const after = pids.map(pid => readResidentBytes(pid));
-			const found = await other.query('SELECT 1 AS one');
-			assert.equal(found.rowCount, 1);
+			const residentBytesAfter = pids.map(pid => readResidentBytes(pid));
+			const result = await otherClient.query('SELECT 1 AS one');
+			assert.equal(result.rowCount, 1);
 			stream.resume();
 			const {rows} = await response;
 			assert.equal(rows.reduce((sum, row) => sum + row.body.length, 0), ROW_COUNT * ROW_BYTES);
-			await Promise.all([client.end(), other.end()]);
-			for (const [index, bytes] of after.entries()) {
-				const growth = bytes - (before[index] ?? 0);
+			await Promise.all([client.end(), otherClient.end()]);
+			for (const [index, bytes] of residentBytesAfter.entries()) {
+				const growth = bytes - (residentBytesBefore[index] ?? 0);
 				assert.ok(growth < ROW_COUNT * ROW_BYTES / 2, `the resident memory of a proxy grew by ${growth} bytes`);
 			}
 		});
@@ -98,8 +98,8 @@
 			for (let id = 100; id < 130; id++) {
 				await clients[0]?.query('INSERT INTO motions VALUES ($1, $2)', [id, 'own']);
 				for (const client of clients) {
-					const found = await client.query('SELECT * FROM motions WHERE id = $1', [id]);
-					assert.equal(found.rowCount, 1);
+					const result = await client.query('SELECT * FROM motions WHERE id = $1', [id]);
+					assert.equal(result.rowCount, 1);
 				}
 			}
 
@@ -120,13 +120,13 @@
 			const client = await connect(0);
 			await assert.rejects(client.query('COPY motions FROM STDIN'), {code: '0A000', message: /^not run/v});
 			await assert.rejects(client.query('SET work_mem = 1'), {code: '0A000', message: /^not run/v});
-			const found = await client.query('SELECT 1 AS one');
+			const result = await client.query('SELECT 1 AS one');
 			await client.end();
-			assert.equal(found.rowCount, 1);
+			assert.equal(result.rowCount, 1);
 		});
 	});
 
-	describe('load', () => {
+	describe('guavapitch-load', () => {
 		it('completes against several proxies and prints its results', async () => {
 			const targets = [...stack.proxies.values()].flatMap(({port}) => ['--target', `127.0.0.1:${port}`]);
 			const login = ['--key', 'klub-brno-key', '--secret', stack.secrets.get('klub-brno') ?? '', '--service', 'motions'];
@@ -142,10 +142,10 @@
 			const error = await client.query('LISTEN news').then(() => undefined, (error_: unknown) => error_ as Readonly<{detail?: string}>);
 			await client.end();
 			const request = /request=(?<id>[\w\-]+)/v.exec(error?.detail ?? '')?.groups?.id ?? '';
-			const {eventLists: lists, unresponsiveVms: missing} = await requestEvents(stack.store, stack.fleet, {request});
-			const [event, ...others] = lists.flat();
+			const {eventLists, unresponsiveVms} = await requestEvents(stack.store, stack.fleet, {request});
+			const [event, ...otherEvents] = eventLists.flat();
 			assert.ok(event);
-			assert.deepEqual([others, missing], [[], []]);
+			assert.deepEqual([otherEvents, unresponsiveVms], [[], []]);
 			assert.match(describeRequest(event), /request of klub-brno for motions was refused and has not run \(unsupported: /v);
 		});
 	});
@@ -153,14 +153,14 @@
 	describe('cancel', () => {
 		it('cancels a running statement through a database owner on another vm', async () => {
 			const client = await connect(0);
-			const sleeping = assert.rejects(client.query('SELECT pg_sleep(20)'), {code: '57014'});
+			const cancelledStatement = assert.rejects(client.query('SELECT pg_sleep(20)'), {code: '57014'});
 			await new Promise(resolve => {
 				setTimeout(resolve, 300);
 			});
 			const {processID, secretKey} = client as unknown as Readonly<{processID: number; secretKey: number}>;
 			const socket = createConnection([...stack.proxies.values()][0]?.port ?? 0, '127.0.0.1');
 			socket.end(createCancelRequest(processID, secretKey));
-			await sleeping;
+			await cancelledStatement;
 			await client.end();
 		});
 	});
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -21,9 +21,9 @@
 
 	const getProxies = (): readonly StackProxy[] => [...stack.proxies.values()];
 
-	const waitFor = async (description: string, test: () => Promise<boolean>, timeoutMs = 15_000) => {
+	const waitFor = async (description: string, isSatisfied: () => Promise<boolean>, timeoutMs = 15_000) => {
 		const deadlineMs = Date.now() + timeoutMs;
-		while (!await test()) {
+		while (!await isSatisfied()) {
 			assert.ok(Date.now() < deadlineMs, `timed out waiting for ${description}`);
 			await wait(20);
 		}
@@ -76,8 +76,8 @@
 			const verifiers = Object.values(document?.inventory.keys ?? {}).flatMap(key => key.verifier.split(/[$:]/v).filter(part => part.length > 10));
 			assert.ok(verifiers.length > 0);
 			const outputs = [JSON.stringify(stack.readEvents()), JSON.stringify(await stack.getStatuses()), received];
-			for (const derived of [...stack.secrets.values(), ...verifiers, '-key']) {
-				assert.ok(outputs.every(text => !text.includes(derived)), 'a key or a value derived from one leaked');
+			for (const secretText of [...stack.secrets.values(), ...verifiers, '-key']) {
+				assert.ok(outputs.every(text => !text.includes(secretText)), 'a key or a value derived from one leaked');
 			}
 		});
 	});
@@ -87,7 +87,7 @@
 			const random = createRandom(5);
 			const [proxy] = getProxies();
 			assert.ok(proxy);
-			const closed = async (socket: Socket) => new Promise<void>(resolve => {
+			const waitUntilClosed = async (socket: Socket) => new Promise<void>(resolve => {
 				socket.resume();
 				socket.on('error', () => undefined);
 				socket.on('close', () => {
@@ -98,26 +98,26 @@
 				for (let count = 0; count < 5; count++) {
 					const socket = createConnection(port, '127.0.0.1');
 					socket.end(Uint8Array.from({length: 64}, () => 64 + Math.floor(random() * 190)));
-					await closed(socket);
+					await waitUntilClosed(socket);
 				}
 			}
 
 			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
-			const found = await client.query('SELECT 1 AS one');
+			const result = await client.query('SELECT 1 AS one');
 			await client.end();
-			assert.equal(found.rowCount, 1);
+			assert.equal(result.rowCount, 1);
 		});
 	});
 
 	describe('restarting proxies and removing targets', () => {
-		/** Inserts rows while `state.running` returns true; reconnects if the proxy closes the session between requests. */
-		const insertRows = (session: string, state: Readonly<{running: () => boolean}>) => {
+		/** Inserts rows while `state.isRunning` returns true; reconnects if the proxy closes the session between requests. */
+		const insertRows = (session: string, state: Readonly<{isRunning: () => boolean}>) => {
 			const done: string[] = [];
 			const failures: string[] = [];
 			const run = async () => {
 				let client: pg.Client | undefined;
 				const random = createRandom(session.length);
-				for (let count = 0; state.running(); count++) {
+				for (let rowNumber = 0; state.isRunning(); rowNumber++) {
 					const proxies = getProxies().filter(proxy => proxy.process.exitCode === null);
 					const proxy = proxies[Math.floor(random() * proxies.length)];
 					client ??= proxy ? await connectCustomer(stack, proxy, 'klub-brno', 'motions').catch(() => undefined) : undefined;
@@ -126,7 +126,7 @@
 						continue;
 					}
 
-					const id = `${session}.${count}`;
+					const id = `${session}.${rowNumber}`;
 					try {
 						await client.query('INSERT INTO lodged VALUES ($1, $2)', [id, session]);
 						done.push(id);
@@ -146,12 +146,12 @@
 				await client?.end().catch(() => undefined);
 			};
 
-			return {done, failures, running: run()};
+			return {done, failures, finished: run()};
 		};
 
 		it('replaces every proxy under load without cutting a request', async () => {
-			let running = true;
-			const sessions = Array.from({length: 6}, (_, index) => insertRows(`roll${index}`, {running: () => running}));
+			let isLoadRunning = true;
+			const sessions = Array.from({length: 6}, (_, index) => insertRows(`roll${index}`, {isRunning: () => isLoadRunning}));
 			await wait(300);
 			for (const proxy of getProxies()) {
 				proxy.process.kill('SIGTERM');
@@ -161,16 +161,16 @@
 				await stack.waitUntilReady();
 			}
 
-			running = false;
-			await Promise.all(sessions.map(async session => session.running));
+			isLoadRunning = false;
+			await Promise.all(sessions.map(async session => session.finished));
 			assert.deepEqual(sessions.flatMap(session => session.failures), []);
 			const [proxy] = getProxies();
 			assert.ok(proxy);
 			const client = await connectCustomer(stack, proxy, 'klub-brno', 'motions');
-			const found = await client.query<{id: string}>('SELECT id FROM lodged');
+			const result = await client.query<{id: string}>('SELECT id FROM lodged');
 			await client.end();
-			const ids = new Set(found.rows.map(row => row.id));
-			assert.equal(ids.size, found.rows.length, 'a write was applied twice');
+			const ids = new Set(result.rows.map(row => row.id));
+			assert.equal(ids.size, result.rows.length, 'a write was applied twice');
 			assert.deepEqual(sessions.flatMap(session => session.done).filter(id => !ids.has(id)), []);
 		});
 
@@ -183,26 +183,26 @@
 
 			const leaving = await findPrimary();
 			let isLoadRunning = true;
-			const loadSessions = Array.from({length: 6}, (_, index) => insertRows(`planned${index}`, {running: () => isLoadRunning}));
+			const loadSessions = Array.from({length: 6}, (_, index) => insertRows(`planned${index}`, {isRunning: () => isLoadRunning}));
 			await wait(300);
 			await stack.changeConfiguration(inventory => ({
 				...inventory,
-				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, one]) => [name, name === database
+				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, settings]) => [name, name === database
 					? {
-						...one, targets: one.targets.map(target => target.name === leaving ? {...target, leaving: true} : target),
+						...settings, targets: settings.targets.map(target => target.name === leaving ? {...target, leaving: true} : target),
 					}
-					: one])),
+					: settings])),
 			}));
 			await waitFor('another primary', async () => await findPrimary() !== leaving, PROPAGATION_TIMEOUT_MS);
 			await wait(300);
 			isLoadRunning = false;
-			await Promise.all(loadSessions.map(async one => one.running));
-			assert.deepEqual(loadSessions.flatMap(one => one.failures), [], 'requests failed during a planned change of primary');
-			let running = true;
-			const session = insertRows('leaving', {running: () => running});
+			await Promise.all(loadSessions.map(async loadSession => loadSession.finished));
+			assert.deepEqual(loadSessions.flatMap(loadSession => loadSession.failures), [], 'requests failed during a planned change of primary');
+			let isSessionRunning = true;
+			const session = insertRows('leaving', {isRunning: () => isSessionRunning});
 			await wait(1000);
-			running = false;
-			await session.running;
+			isSessionRunning = false;
+			await session.finished;
 			assert.deepEqual(session.failures, []);
 			assert.ok(session.done.length > 10);
 		});
--- a/packages/bench/src/tests/helpers.ts
+++ b/packages/bench/src/tests/helpers.ts
@@ -35,6 +35,6 @@
 
 /** Reads the resident memory of a process, in bytes. */
 export const readResidentBytes = (pid: number): number => {
-	const found = /^VmRSS:\s+(?<kib>\d+) kB$/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
-	return Number(found?.groups?.kib) * BYTES_PER_KIBIBYTE;
+	const match = /^VmRSS:\s+(?<kib>\d+) kB$/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
+	return Number(match?.groups?.kib) * BYTES_PER_KIBIBYTE;
 };
--- a/packages/bench/src/tests/known-red.test.ts
+++ b/packages/bench/src/tests/known-red.test.ts
@@ -34,7 +34,7 @@
 
 	describe('evaluateTestRun', () => {
 		it('accepts only failures that are listed', () => {
-			assert.deepEqual(evaluateTestRun(1, OUTPUT, LISTED), {passes: true, known: ['fleet > replaces every proxy'], unknown: []});
+			assert.deepEqual(evaluateTestRun(1, OUTPUT, LISTED), {passes: true, listedFailures: ['fleet > replaces every proxy'], unlistedFailures: []});
 			assert.equal(evaluateTestRun(1, OUTPUT, '# comment with "replaces every proxy"').passes, false);
 			assert.equal(evaluateTestRun(1, OUTPUT.replace('ok 2 - starts', 'not ok 2 - starts'), LISTED).passes, false);
 		});
--- a/packages/bench/src/tests/quotas.test.ts
+++ b/packages/bench/src/tests/quotas.test.ts
@@ -24,8 +24,8 @@
 
 	const findQuotaAllocator = async (): Promise<StackProxy | undefined> => {
 		const slot = chooseSlot('keeper', stack.inventory.fleet.keeperSlots, CUSTOMER);
-		const entry = (await stack.store.read(`${ROLE_PREFIX}${slot}`)).unwrap();
-		const record = entry ? parseSlotRecord(entry.value).unwrap() : undefined;
+		const storeEntry = (await stack.store.read(`${ROLE_PREFIX}${slot}`)).unwrap();
+		const record = storeEntry ? parseSlotRecord(storeEntry.value).unwrap() : undefined;
 		return stack.proxies.get(record?.holder.vm ?? '');
 	};
 
@@ -66,12 +66,12 @@
 	describe('of a customer that floods every proxy', () => {
 		const runFlood = async (onMidpoint: () => Promise<void>) => {
 			const admitted: AdmittedRequest[] = [];
-			let running = true;
-			const loops = [...stack.proxies.values()].flatMap(proxy => Array.from({length: LOOP_COUNT}, async () => flood(proxy, admitted, () => running)));
+			let isRunning = true;
+			const loops = [...stack.proxies.values()].flatMap(proxy => Array.from({length: LOOP_COUNT}, async () => flood(proxy, admitted, () => isRunning)));
 			await wait(FLOOD_MS / 2);
 			await onMidpoint();
 			await wait(FLOOD_MS / 2);
-			running = false;
+			isRunning = false;
 			await Promise.all(loops);
 			assert.equal(findExcessWindow(admitted, QUOTA), undefined);
 			assert.ok(admitted.length > QUOTA.rate * MIN_ADMITTED_FRACTION * FLOOD_MS / 1000, `only ${admitted.length} requests were admitted`);
--- a/packages/bench/src/tests/structure.test.ts
+++ b/packages/bench/src/tests/structure.test.ts
@@ -23,6 +23,7 @@
 ];
 /** Index of the layer of programs, which may also import each other's libraries. */
 const PROGRAM_LAYER = 6;
+/** Packages that make decisions, which must not depend on the encoding of messages. */
 const DECISION_PACKAGES: readonly string[] = [
 	'failover',
 	'routing',
@@ -38,6 +39,7 @@
 	'requests',
 	'emulator',
 ];
+/** Packages that encode and decode messages. */
 const CODEC_PACKAGES: ReadonlySet<string> = new Set(['peer-protocol', 'postgres-wire']);
 
 const listSources = (name: string): readonly string[] => readdirSync(path.join(ROOT, 'packages', name, 'src'))
@@ -100,7 +102,7 @@
 			}
 		});
 
-		it('keep decisions free of codecs', () => {
+		it('of decision packages include no codec', () => {
 			for (const name of DECISION_PACKAGES) {
 				const imports = listSources(name).flatMap(file => listImports(file));
 				assert.deepEqual(imports.filter(imported => CODEC_PACKAGES.has(imported)), [], name);
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -44,17 +44,17 @@
 		it('are served over TLS, with SCRAM and with a password', async () => {
 			for (const options of [{}, {options: '-c guavapitch.auth=password'}]) {
 				const client = await connect({...options, ssl: {ca: readPem('ca'), checkServerIdentity: () => undefined}});
-				const found = await client.query('SELECT 1 AS one');
+				const result = await client.query('SELECT 1 AS one');
 				await client.end();
-				assert.equal(found.rowCount, 1);
+				assert.equal(result.rowCount, 1);
 			}
 		});
 
 		it('are never asked for a cleartext password without TLS', async () => {
 			const client = await connect({options: '-c guavapitch.auth=password'});
-			const found = await client.query('SELECT 1 AS one');
+			const result = await client.query('SELECT 1 AS one');
 			await client.end();
-			assert.equal(found.rowCount, 1);
+			assert.equal(result.rowCount, 1);
 		});
 
 		it('are refused with a wrong password over TLS', async () => {
--- a/packages/bench/src/tests/transactions.test.ts
+++ b/packages/bench/src/tests/transactions.test.ts
@@ -35,9 +35,9 @@
 			await client.query('COMMIT');
 		}
 
-		const found = await client.query<{balance: number}>('SELECT balance FROM accounts ORDER BY id');
+		const result = await client.query<{balance: number}>('SELECT balance FROM accounts ORDER BY id');
 		await client.end();
-		assert.deepEqual(found.rows.map(row => row.balance), [TOTAL_BALANCE / 2, TOTAL_BALANCE / 2]);
+		assert.deepEqual(result.rows.map(row => row.balance), [TOTAL_BALANCE / 2, TOTAL_BALANCE / 2]);
 	};
 
 	/** Finds the vms that own the connections to the primary. */
@@ -74,11 +74,11 @@
 	describe('of a caller that disconnects', () => {
 		it('are rolled back', async () => {
 			const clients = await Promise.all(Array.from({length: 4}, async () => connectToProxy(stack, 0)));
-			const [first, ...others] = clients;
-			assert.ok(first);
-			await beginTransfer(first);
-			(first as unknown as Readonly<{connection: Readonly<{stream: Readonly<{destroy: () => void}>}>}>).connection.stream.destroy();
-			await Promise.all(others.map(async client => client.end()));
+			const [disconnectingClient, ...otherClients] = clients;
+			assert.ok(disconnectingClient);
+			await beginTransfer(disconnectingClient);
+			(disconnectingClient as unknown as Readonly<{connection: Readonly<{stream: Readonly<{destroy: () => void}>}>}>).connection.stream.destroy();
+			await Promise.all(otherClients.map(async client => client.end()));
 			await assertBalancesUnchanged();
 		});
 	});
@@ -103,7 +103,7 @@
 			const proxyIndex = getProxies().findIndex(proxy => !owners.includes(proxy.vm));
 			const client = await connectToProxy(stack, proxyIndex);
 			await beginTransfer(client);
-			for (const proxy of getProxies().filter(one => owners.includes(one.vm))) {
+			for (const proxy of getProxies().filter(candidate => owners.includes(candidate.vm))) {
 				await killAndRestart(proxy);
 			}
 
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -10,15 +10,17 @@
 export type WorkloadOptions = Readonly<{
 	service: string;
 	browseService: string;
-	sessions: number;
-	accounts: number;
-	balance: number;
+	sessionCount: number;
+	accountCount: number;
+	/** Balance of each account before the run. */
+	initialBalance: number;
 	/** Maximum pause between two operations of a session, in milliseconds. */
-	pauseMs: number;
+	maxPauseMs: number;
 }>;
 
 /** A running workload. */
 export type Workload = Readonly<{
+	/** Operations completed so far; grows while the workload runs. */
 	history: readonly Operation[];
 	/** Stops the sessions; resolves when each has completed its current operation. */
 	stop: () => Promise<void>;
@@ -44,8 +46,8 @@
 	const client = await connectCustomer(stack, proxy, customer, options.service);
 	await client.query('CREATE TABLE lodged (id text, session text)');
 	await client.query('CREATE TABLE accounts (id int PRIMARY KEY, balance int)');
-	for (let id = 0; id < options.accounts; id++) {
-		await client.query('INSERT INTO accounts VALUES ($1, $2)', [id, options.balance]);
+	for (let id = 0; id < options.accountCount; id++) {
+		await client.query('INSERT INTO accounts VALUES ($1, $2)', [id, options.initialBalance]);
 	}
 
 	await client.end();
@@ -55,8 +57,9 @@
 type Step = Readonly<{kind: Operation['kind']; id: string; run: (client: pg.Client) => Promise<readonly string[]>}>;
 
 const createTransfer = (session: Session, options: WorkloadOptions): Step => {
-	const from = Math.floor(session.random() * options.accounts);
-	const to = (from + 1 + Math.floor(session.random() * (options.accounts - 1))) % options.accounts;
+	const from = Math.floor(session.random() * options.accountCount);
+	const to = (from + 1 + Math.floor(session.random() * (options.accountCount - 1))) % options.accountCount;
+	// Accounts are locked in the order of their identifiers, so that transfers cannot deadlock.
 	const [low, high] = from < to ? [from, to] : [to, from];
 	return {
 		kind: 'transfer',
@@ -90,8 +93,8 @@
 			kind: 'read',
 			id: session.name,
 			async run(client) {
-				const found = await client.query<{id: string}>('SELECT id FROM lodged WHERE session = $1', [session.name]);
-				return found.rows.map(row => row.id);
+				const result = await client.query<{id: string}>('SELECT id FROM lodged WHERE session = $1', [session.name]);
+				return result.rows.map(row => row.id);
 			},
 		};
 	}
@@ -101,8 +104,8 @@
 			kind: 'stale',
 			id: 'sum',
 			async run(client) {
-				const found = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
-				return [String(found.rows[0]?.sum)];
+				const result = await client.query<{sum: string}>('SELECT sum(balance) FROM accounts');
+				return [String(result.rows[0]?.sum)];
 			},
 		};
 	}
@@ -111,15 +114,15 @@
 };
 
 /** Starts the sessions of a workload. */
-export const startWorkload = (stack: Stack, options: WorkloadOptions, createSessionRandom: (number: number) => Random): Workload => {
+export const startWorkload = (stack: Stack, options: WorkloadOptions, createSessionRandom: (sessionIndex: number) => Random): Workload => {
 	const history: Operation[] = [];
-	let running = true;
-	let count = 0;
+	let isRunning = true;
+	let operationCount = 0;
 
 	const runSession = async (session: Session) => {
 		let client: pg.Client | undefined;
 		let vm = '';
-		while (running) {
+		while (isRunning) {
 			if (!client) {
 				const proxy = chooseRandom([...stack.proxies.values()], session.random);
 				client = await connectCustomer(stack, proxy, session.customer, options.service).catch(() => undefined);
@@ -130,8 +133,8 @@
 				}
 			}
 
-			count++;
-			const number = count;
+			operationCount++;
+			const number = operationCount;
 			const step = createStep(session, options, number);
 			const base = {
 				number, session: session.name, customer: session.customer, kind: step.kind, id: step.id, vm, startedAt: Date.now(),
@@ -143,6 +146,7 @@
 				});
 			} catch (error) {
 				const {code, message} = error as Readonly<{code?: string; message: string}>;
+				// Codes of other lengths are not SQLSTATEs but error codes of Node, such as ECONNRESET.
 				const sqlState = code?.length === 5 ? code : undefined;
 				history.push({
 					...base, endedAt: Date.now(), outcome: classifyFailure(sqlState, message), ...(sqlState ? {sqlState} : {}),
@@ -156,20 +160,20 @@
 				client = undefined;
 			}
 
-			await wait(options.pauseMs * session.random());
+			await wait(options.maxPauseMs * session.random());
 		}
 
 		await client?.end().catch(() => undefined);
 	};
 
 	const customers = [...stack.secrets.keys()];
-	const sessions = Array.from({length: options.sessions}, async (_, index) => runSession({
+	const sessions = Array.from({length: options.sessionCount}, async (_, index) => runSession({
 		name: `s${index}`, customer: customers[index % customers.length] ?? '', random: createSessionRandom(index),
 	}));
 	return {
 		history,
 		async stop() {
-			running = false;
+			isRunning = false;
 			await Promise.all(sessions);
 		},
 	};
