--- a/packages/back-postgres/src/control-connection.ts
+++ b/packages/back-postgres/src/control-connection.ts
@@ -1,7 +1,7 @@
 /** Queries and commands that the proxy itself sends to a target, over a connection that is kept open. */
 
 import {
-	Err, Ok, type Failure, type Result, type World,
+	Err, Ok, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	openTargetConnection, type TargetConnectionSettings, type TargetConnection, type QueryRows,
@@ -26,7 +26,7 @@
 };
 
 /** Creates the control connection to a target, without opening it. */
-export const createControlConnection = (settings: TargetConnectionSettings, world: World): ControlConnection => {
+export const createControlConnection = (settings: TargetConnectionSettings, runtime: Runtime): ControlConnection => {
 	let connection: TargetConnection | undefined;
 	let previousQuery: Promise<unknown> = Promise.resolve();
 
@@ -51,7 +51,7 @@
 
 	const queryWithTimeout = async (text: string): Promise<Result<readonly QueryRows[], Failure>> => {
 		const timer = new AbortController();
-		const timeoutResult = world.sleep(RESPONSE_TIMEOUT_MS, timer.signal).then(
+		const timeoutResult = runtime.sleep(RESPONSE_TIMEOUT_MS, timer.signal).then(
 			() => Err({code: 'targetTimeout', message: 'The target did not answer a control query in time; the control connection was closed'} as const),
 			() => undefined,
 		);
--- a/packages/bench/src/relays.ts
+++ b/packages/bench/src/relays.ts
@@ -2,7 +2,7 @@
 
 import {createServer, createConnection, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
-import {createNotifier, NEVER, type World} from '@guavapitch/core';
+import {createNotifier, NEVER, type Runtime} from '@guavapitch/core';
 import {splitFrames} from '@guavapitch/peer-protocol';
 
 /** Network links between the vms of a stack. */
@@ -21,9 +21,9 @@
 };
 
 /** Creates links without any partition. */
-export const createPeerLinks = (world: World): PeerLinks => {
+export const createPeerLinks = (runtime: Runtime): PeerLinks => {
 	let isPartitioned: (from: string, to: string) => boolean = () => false;
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 
 	const forwardData = async (source: Socket, destination: Socket, canForward: () => boolean) => {
 		for await (const chunk of source) {
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -7,7 +7,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {changeConfiguration, readConfiguration} from '@guavapitch/configuration';
 import type {Inventory} from '@guavapitch/inventory';
 import {
@@ -169,27 +169,27 @@
 
 /** Starts the stand-in of the platform; the targets and proxies are started by `start`. */
 const launchStack = async (options: StackOptions): Promise<Stack & Readonly<{start: () => Promise<void>}>> => {
-	const world = createWorld();
+	const runtime = createRuntime();
 	const logFolder = mkdtempSync(path.join(os.tmpdir(), 'guavapitch-'));
 	const trafficFolder = options.recordsTraffic === true ? mkdtempSync(path.join(os.tmpdir(), 'guavapitch-')) : undefined;
 	const platformPort = await findFreePort();
 	const platform = startChild('platform', 'standin', ['platform', '--port', String(platformPort)]);
-	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, world);
-	const fleet = openFleetClient(world, options.peerTls);
+	const store = openEtcdStore({address: `127.0.0.1:${platformPort}`, callTimeoutMs: STORE_TIMEOUT_MS}, runtime);
+	const fleet = openFleetClient(runtime, options.peerTls);
 	const proxies = new Map<string, StackProxy>();
 	const targets = new Map<string, StackTarget>();
 	const secrets = new Map<string, string>();
-	const links = createPeerLinks(world);
+	const links = createPeerLinks(runtime);
 	const relays = new Map<string, Relay>();
 
 	const waitFor = async (description: string, isReady: () => Promise<boolean>) => {
-		const deadlineMs = world.now() + READY_TIMEOUT_MS;
+		const deadlineMs = runtime.now() + READY_TIMEOUT_MS;
 		while (!await isReady()) {
-			if (world.now() > deadlineMs) {
+			if (runtime.now() > deadlineMs) {
 				throw new Error(`Not ready in time: ${description}`);
 			}
 
-			await world.sleep(POLL_MS);
+			await runtime.sleep(POLL_MS);
 		}
 	};
 
@@ -280,7 +280,7 @@
 			'--platform',
 			`127.0.0.1:${platformPort}`,
 			'--log-file',
-			path.join(logFolder, `${vm}-${world.createId()}.log`),
+			path.join(logFolder, `${vm}-${runtime.createId()}.log`),
 			...options.extraProxyFlags ?? [],
 		]);
 		const started = {
@@ -298,7 +298,7 @@
 	const updateConfiguration = async (update: (inventory: Inventory) => Inventory): Promise<number> => {
 		const current = (await readConfiguration(store)).unwrap();
 		const inventory = update(current.document?.inventory ?? options.inventory);
-		return (await changeConfiguration(store, world, {expectedRevision: current.revision, author: 'stack', inventory})).unwrap();
+		return (await changeConfiguration(store, runtime, {expectedRevision: current.revision, author: 'stack', inventory})).unwrap();
 	};
 
 	const isDatabaseReady = (statuses: readonly ProxyStatus[], name: string): boolean => {
--- a/packages/bench/src/tests/tls.test.ts
+++ b/packages/bench/src/tests/tls.test.ts
@@ -7,7 +7,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {openFleetClient} from '@guavapitch/operator';
 import {takeFirstDatabase, readExample} from '../examples.js';
 import {startStack, type Stack} from '../stack.js';
@@ -84,7 +84,7 @@
 	describe('peers', () => {
 		it('without a certificate are not served', async () => {
 			const [proxy] = stack.proxies.values();
-			await using client = openFleetClient(createWorld());
+			await using client = openFleetClient(createRuntime());
 			const status = await client.call({host: '127.0.0.1', port: proxy?.peerPort ?? 0}, 'status', null);
 			assert.ok(status.err);
 		});
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,7 +1,7 @@
 /** Session of one caller: its variables, prepared statements and transaction. Independent of the wire encoding. */
 
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type World,
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type Runtime,
 } from '@guavapitch/core';
 import {
 	chooseLaterPosition, createRefusal, getAccess,
@@ -29,7 +29,7 @@
 
 /** Dependencies of a session. */
 export type SessionContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Checks the caller against the active configuration; fails with a refusal if its service or key has been removed. */
 	authorize: () => Result<Authorization, StatementOutcome>;
 	/** Runs a statement at the owner of the database. */
@@ -70,7 +70,7 @@
 
 /** Creates a session with no open transaction. */
 export const createSession = (context: SessionContext): Session => {
-	const {world} = context;
+	const {runtime} = context;
 	const variables = new Map<string, string>();
 	const preparedStatements = new Map<string, PreparedDefinition>();
 	let status: TransactionStatus = 'idle';
@@ -107,7 +107,7 @@
 		values: [...variables],
 		transaction: transaction && {id: transaction.id, readOnly: transaction.readOnly, isFirst: !isStarted},
 		remainingMs: route.timeoutMs,
-		promptMs: Math.max(0, latencyDeadline - world.now()),
+		promptMs: Math.max(0, latencyDeadline - runtime.now()),
 		priority: route.priority,
 	});
 
@@ -119,7 +119,7 @@
 	};
 
 	const runSingle = async (id: string, statement: TargetStatement): Promise<SessionResponse> => {
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		const authorization = context.authorize();
 		if (authorization.err) {
 			return createResponse(authorization.val);
@@ -127,7 +127,7 @@
 
 		const {route} = authorization.val;
 		const request = createRequest(id, statement, authorization.val, createDeadline(startedAt, route.latencyObjectiveMs));
-		const response = await context.runAtOwner(request, createDeadline(world.now(), route.timeoutMs));
+		const response = await context.runAtOwner(request, createDeadline(runtime.now(), route.timeoutMs));
 		recordResponse(request, response);
 		return createResponse(response.outcome, response);
 	};
@@ -142,7 +142,7 @@
 
 		const request = createRequest(id, statement, openTransaction.authorization, openTransaction.latencyDeadline);
 		isStarted = true;
-		const response = await context.runAtOwner(request, createDeadline(world.now(), openTransaction.authorization.route.timeoutMs));
+		const response = await context.runAtOwner(request, createDeadline(runtime.now(), openTransaction.authorization.route.timeoutMs));
 		recordResponse(request, response);
 		if (statement.kind === 'commit' || response.status !== 'open') {
 			isStarted = response.status === 'open';
@@ -157,14 +157,14 @@
 			return createResponse(createRefusal('malformed', 'a transaction is already open'));
 		}
 
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		const authorization = context.authorize();
 		if (authorization.err) {
 			return createResponse(authorization.val);
 		}
 
 		transaction = {
-			id: world.createId(), readOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
+			id: runtime.createId(), readOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
 		};
 		isStarted = false;
 		status = 'open';
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId,
+	createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -16,12 +16,12 @@
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
 const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
-	const {world} = createVirtualWorld();
+	const {runtime} = createVirtualRuntime();
 	const requests: StatementRequest[] = [];
 	const rolledBackTransactions: string[] = [];
 	const state = {isIssued: true};
 	const session = createSession({
-		world,
+		runtime,
 		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: parseId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
 		async runAtOwner(request) {
 			requests.push(request);
--- a/packages/configuration/src/active-configuration.ts
+++ b/packages/configuration/src/active-configuration.ts
@@ -1,7 +1,7 @@
 /** Active configuration of one process: the newest valid one that it has received. */
 
 import {
-	Err, Ok, type CustomerId, type Instant, type Result, type World,
+	Err, Ok, type CustomerId, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	parseConfigurationDocument, type ConfigurationDocument, type DocumentFailure, type Inventory, type Key,
@@ -33,7 +33,7 @@
 }>;
 
 /** Creates the active configuration, which follows the store cache; an invalid configuration is rejected and the previous one stays active. */
-export const createActiveConfiguration = (cache: StoreCache, world: World, listener: ConfigurationListener): ActiveConfiguration => {
+export const createActiveConfiguration = (cache: StoreCache, runtime: Runtime, listener: ConfigurationListener): ActiveConfiguration => {
 	let document: ConfigurationDocument | undefined;
 	let revision = 0;
 
@@ -73,7 +73,7 @@
 				return Err('keyWithdrawn');
 			}
 
-			const isFresh = world.now() - cache.getConfirmedAt() <= inventory.fleet.keyGraceMs;
+			const isFresh = runtime.now() - cache.getConfirmedAt() <= inventory.fleet.keyGraceMs;
 			return isFresh || inventory.customers[customer]?.serveUnconfirmed ? Ok(key) : Err('keyUnconfirmed');
 		},
 	};
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -1,7 +1,7 @@
 /** Reads and changes the configuration in the store. Changes use compare-and-swap and remain correct when responses of the store are lost. */
 
 import {
-	Err, Ok, type Failure, type Result, type World,
+	Err, Ok, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	formatConfigurationDocument, parseConfigurationDocument, type ConfigurationDocument, type DocumentFailure, type Inventory,
@@ -40,8 +40,12 @@
  * Replaces the configuration if it is still at the expected revision, where 0 stands for none; returns the new revision. Fails with the last error of the store if no attempt is answered.
  * When a response of the store is lost, the identifier of the change in the stored document tells whether the change took effect.
  */
-export const changeConfiguration = async (store: Store, world: World, change: Readonly<{expectedRevision: number; author: string; inventory: Inventory}>): Promise<Result<number, ChangeFailure>> => {
-	const changeId = world.createId();
+export const changeConfiguration = async (
+	store: Store,
+	runtime: Runtime,
+	change: Readonly<{expectedRevision: number; author: string; inventory: Inventory}>,
+): Promise<Result<number, ChangeFailure>> => {
+	const changeId = runtime.createId();
 	const formattedDocument = formatConfigurationDocument({changeId, author: change.author, inventory: change.inventory});
 	if (formattedDocument.err) {
 		return formattedDocument;
@@ -66,7 +70,7 @@
 		}
 
 		lastFailure = outcome.val;
-		await world.sleep(RETRY_PAUSE_MS);
+		await runtime.sleep(RETRY_PAUSE_MS);
 	}
 
 	return Err(lastFailure);
--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -1,7 +1,7 @@
 /** Distributes the entries of the store to all processes: a few relays in each data centre read the store, and all other processes sync with a relay. */
 
 import {
-	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type World,
+	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type Runtime,
 } from '@guavapitch/core';
 import type {Entry, Store} from '@guavapitch/store';
 import type {StoreCache} from './store-cache.js';
@@ -55,15 +55,15 @@
 };
 
 /** Creates the relay service of a process from its store cache. */
-export const createRelayService = (cache: StoreCache, incarnation: string, world: World): RelayService => {
+export const createRelayService = (cache: StoreCache, incarnation: string, runtime: Runtime): RelayService => {
 	const reports = new Map<VmId, ActiveRevisionReport>();
 	return {
 		async sync(request) {
 			const after = request.incarnation === incarnation ? request.after : 0;
-			reports.set(request.vm, {vm: request.vm, revision: request.inForce, at: world.now()});
-			await cache.waitForChange(after, createDeadline(world.now(), MAX_CHANGE_WAIT_MS));
+			reports.set(request.vm, {vm: request.vm, revision: request.inForce, at: runtime.now()});
+			await cache.waitForChange(after, createDeadline(runtime.now(), MAX_CHANGE_WAIT_MS));
 			return {
-				incarnation, sequence: cache.getSequence(), entries: cache.getChangedAfter(after), confirmedAgeMs: getConfirmedAgeMs(cache, world.now()),
+				incarnation, sequence: cache.getSequence(), entries: cache.getChangedAfter(after), confirmedAgeMs: getConfirmedAgeMs(cache, runtime.now()),
 			};
 		},
 		getReports: () => [...reports.values()],
@@ -72,7 +72,7 @@
 
 /** Dependencies of the tasks that keep the store cache up to date. */
 export type CacheSyncContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	cache: StoreCache;
 	store: Store;
 	vm: VmId;
@@ -123,7 +123,7 @@
 		await context.store.watch(prefix, keys => {
 			void refreshEntries(context, keys);
 		}, signal);
-		await context.world.sleep(RETRY_PAUSE_MS, signal);
+		await context.runtime.sleep(RETRY_PAUSE_MS, signal);
 	}
 };
 
@@ -134,14 +134,14 @@
 			const watchAbort = new AbortController();
 			const watches = Promise.allSettled(SHARED_PREFIXES.map(async prefix => watchPrefix(context, prefix, AbortSignal.any([signal, watchAbort.signal]))));
 			while (context.isRelay() && !signal.aborted) {
-				await context.world.sleep(CONFIRM_INTERVAL_MS, signal).catch(() => undefined);
+				await context.runtime.sleep(CONFIRM_INTERVAL_MS, signal).catch(() => undefined);
 			}
 
 			watchAbort.abort();
 			await watches;
 		}
 
-		await context.world.sleep(CONFIRM_INTERVAL_MS, signal);
+		await context.runtime.sleep(CONFIRM_INTERVAL_MS, signal);
 	}
 };
 
@@ -150,7 +150,7 @@
  * The cache is also confirmed while no relay can reach the store.
  */
 const readAsRelay = async (context: CacheSyncContext, isFullReadDue: boolean): Promise<boolean> => {
-	const requestedAt = context.world.now();
+	const requestedAt = context.runtime.now();
 	const isReachable = isFullReadDue ? await refreshAllEntries(context) : await refreshConfiguration(context);
 	context.onStoreContact(isReachable);
 	if (isReachable || await context.isStoreDownForAll()) {
@@ -173,7 +173,7 @@
 type SyncProgress = {incarnation: string; after: number};
 
 const syncWithRelay = async (context: CacheSyncContext, relay: VmId, progress: SyncProgress): Promise<boolean> => {
-	const requestedAt = context.world.now();
+	const requestedAt = context.runtime.now();
 	const response = await context.sendSync(relay, {vm: context.vm, ...progress, inForce: context.getActiveRevision()});
 	if (response.err) {
 		return false;
@@ -192,9 +192,9 @@
 
 /** Keeps the store cache up to date: a relay reads the store, and falls back to another relay if it cannot; every other process syncs with a relay. */
 export const runCacheSync = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => {
-	const {world} = context;
+	const {runtime} = context;
 	const progressByRelay = new Map<VmId, SyncProgress>();
-	let nextFullReadAt = createDeadline(world.now(), 0);
+	let nextFullReadAt = createDeadline(runtime.now(), 0);
 	let relayIndex = 0;
 
 	const syncWithAnyRelay = async (): Promise<boolean> => {
@@ -213,19 +213,19 @@
 
 	while (!signal.aborted) {
 		if (context.isRelay()) {
-			const isFullReadDue = getRemainingMs(nextFullReadAt, world.now()) === 0;
+			const isFullReadDue = getRemainingMs(nextFullReadAt, runtime.now()) === 0;
 			const isReachable = await readAsRelay(context, isFullReadDue);
 			if (isReachable && isFullReadDue) {
-				nextFullReadAt = createDeadline(world.now(), FULL_READ_INTERVAL_MS);
+				nextFullReadAt = createDeadline(runtime.now(), FULL_READ_INTERVAL_MS);
 			}
 
 			if (!isReachable) {
 				await syncWithAnyRelay();
 			}
 
-			await world.sleep(isReachable ? CONFIRM_INTERVAL_MS : RETRY_PAUSE_MS, signal);
+			await runtime.sleep(isReachable ? CONFIRM_INTERVAL_MS : RETRY_PAUSE_MS, signal);
 		} else if (!await syncWithAnyRelay()) {
-			await world.sleep(RETRY_PAUSE_MS, signal);
+			await runtime.sleep(RETRY_PAUSE_MS, signal);
 		}
 	}
 };
--- a/packages/configuration/src/store-cache.ts
+++ b/packages/configuration/src/store-cache.ts
@@ -1,7 +1,7 @@
 /** Local cache of the entries of the store; an entry is only ever replaced by a higher revision of it. */
 
 import {
-	createNotifier, isPast, PAST, type Deadline, type Instant, type World,
+	createNotifier, isPast, PAST, type Deadline, type Instant, type Runtime,
 } from '@guavapitch/core';
 import type {Entry} from '@guavapitch/store';
 
@@ -29,10 +29,10 @@
 type CachedEntry = Readonly<{entry: Entry; sequence: number}>;
 
 /** Creates an empty cache. */
-export const createStoreCache = (world: World): StoreCache => {
+export const createStoreCache = (runtime: Runtime): StoreCache => {
 	const cachedByKey = new Map<string, CachedEntry>();
 	const listeners: Array<(keys: readonly string[]) => void> = [];
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 	let sequence = 0;
 	let confirmedAt = PAST as number as Instant;
 
@@ -64,7 +64,7 @@
 		},
 		getConfirmedAt: () => confirmedAt,
 		async waitForChange(after, deadline, signal) {
-			while (sequence <= after && !isPast(deadline, world.now()) && !signal?.aborted) {
+			while (sequence <= after && !isPast(deadline, runtime.now()) && !signal?.aborted) {
 				await changed.waitForChange(deadline, signal);
 			}
 		},
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createVirtualWorld, Err, parseId, type CustomerId, type Instant,
+	createVirtualRuntime, Err, parseId, type CustomerId, type Instant,
 } from '@guavapitch/core';
 import {formatConfigurationDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
@@ -29,18 +29,18 @@
 
 describe('changes', () => {
 	it('report the winning configuration to the loser of a race', async () => {
-		const {world} = createVirtualWorld();
-		const store = createMemoryStore(world);
-		const winner = await changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
-		const loser = await changeConfiguration(store, world, {expectedRevision: 0, author: 'bo', inventory: createInventory(2)});
+		const {runtime} = createVirtualRuntime();
+		const store = createMemoryStore(runtime);
+		const winner = await changeConfiguration(store, runtime, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
+		const loser = await changeConfiguration(store, runtime, {expectedRevision: 0, author: 'bo', inventory: createInventory(2)});
 		assert.ok(winner.ok);
 		assert.ok(loser.err && loser.val.code === 'configurationRaced' && loser.val.current?.author === 'ana');
 		assert.equal((await readConfiguration(store)).unwrap().document?.inventory.customers.klub?.rate, 1);
 	});
 
 	it('are recognized as done when the response of the store is lost', async () => {
-		const {world, advance} = createVirtualWorld();
-		const sharedStore = createMemoryStore(world);
+		const {runtime, advance} = createVirtualRuntime();
+		const sharedStore = createMemoryStore(runtime);
 		let responsesToLose = 1;
 		const store: Store = {
 			...sharedStore,
@@ -49,7 +49,7 @@
 				return responsesToLose-- > 0 ? Err({code: 'storeUnknown', message: 'lost'}) : outcome;
 			},
 		};
-		const pendingChange = changeConfiguration(store, world, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
+		const pendingChange = changeConfiguration(store, runtime, {expectedRevision: 0, author: 'ana', inventory: createInventory(1)});
 		await advance(2000);
 		const outcome = await pendingChange;
 		assert.equal(outcome.unwrap(), (await readConfiguration(sharedStore)).unwrap().revision);
@@ -59,8 +59,8 @@
 describe('store cache', () => {
 	it('only replaces entries by higher revisions, in any order of arrival', () => {
 		fc.assert(fc.property(fc.array(fc.record({key: fc.constantFrom('a', 'b'), revision: fc.integer({min: 1, max: 20})}), {maxLength: 40}), entries => {
-			const {world} = createVirtualWorld();
-			const cache = createStoreCache(world);
+			const {runtime} = createVirtualRuntime();
+			const cache = createStoreCache(runtime);
 			const highestRevisions = new Map<string, number>();
 			for (const {key, revision} of entries) {
 				cache.merge([{key, revision, value: String(revision)}]);
@@ -71,8 +71,8 @@
 	});
 
 	it('returns every change after a sequence number', () => {
-		const {world} = createVirtualWorld();
-		const cache = createStoreCache(world);
+		const {runtime} = createVirtualRuntime();
+		const cache = createStoreCache(runtime);
 		cache.merge([{key: 'a', revision: 1, value: '1'}]);
 		const sequence = cache.getSequence();
 		cache.merge([{key: 'b', revision: 2, value: '2'}]);
@@ -84,20 +84,20 @@
 	const klub = parseId<CustomerId>('klub');
 
 	it('are accepted while the configuration is confirmed within the grace period, and never after their withdrawal', async () => {
-		const {world, advance} = createVirtualWorld();
-		const cache = createStoreCache(world);
-		const activeConfiguration = createActiveConfiguration(cache, world, {onApplied: () => undefined, onRejected: () => undefined});
+		const {runtime, advance} = createVirtualRuntime();
+		const cache = createStoreCache(runtime);
+		const activeConfiguration = createActiveConfiguration(cache, runtime, {onApplied: () => undefined, onRejected: () => undefined});
 		const put = (revision: number, inventory: Inventory) => {
 			cache.merge([{key: CONFIGURATION_KEY, revision, value: formatConfigurationDocument({changeId: String(revision), author: 'a', inventory}).unwrap()}]);
 		};
 
 		put(1, createInventory(1));
-		cache.markConfirmed(world.now());
+		cache.markConfirmed(runtime.now());
 		assert.ok(activeConfiguration.checkKey('k', klub).ok);
 		await advance(6000);
 		const stale = activeConfiguration.checkKey('k', klub);
 		assert.ok(stale.err && stale.val === 'keyUnconfirmed');
-		cache.markConfirmed(world.now());
+		cache.markConfirmed(runtime.now());
 		assert.ok(activeConfiguration.checkKey('k', klub).ok);
 		put(2, {...createInventory(1), keys: {}});
 		const withdrawn = activeConfiguration.checkKey('k', klub);
@@ -107,8 +107,8 @@
 	});
 
 	it('keep the latest confirmation when an older one arrives', () => {
-		const {world} = createVirtualWorld();
-		const cache = createStoreCache(world);
+		const {runtime} = createVirtualRuntime();
+		const cache = createStoreCache(runtime);
 		cache.markConfirmed(100 as Instant);
 		cache.markConfirmed(50 as Instant);
 		assert.equal(cache.getConfirmedAt(), 100);
--- a/packages/core/src/notifier.ts
+++ b/packages/core/src/notifier.ts
@@ -3,7 +3,7 @@
 import {Err, Ok, type Result} from './result.js';
 import type {WaitFailure} from './errors.js';
 import {getRemainingMs, isPast, type Deadline} from './time.js';
-import type {World} from './world.js';
+import type {Runtime} from './runtime.js';
 
 /** Wakes every waiting task after a change of state. */
 export type Notifier = Readonly<{
@@ -19,7 +19,7 @@
 const MAX_SLEEP_MS = 3_600_000;
 
 /** Creates a notifier. */
-export const createNotifier = (world: Pick<World, 'now' | 'sleep'>): Notifier => {
+export const createNotifier = (runtime: Pick<Runtime, 'now' | 'sleep'>): Notifier => {
 	const waiters = new Set<() => void>();
 
 	const waitForChange = async (deadline: Deadline, signal?: AbortSignal) => {
@@ -34,8 +34,8 @@
 
 		waiters.add(wakeWaiter);
 		signal?.addEventListener('abort', wakeWaiter, {once: true});
-		const remainingMs = Math.min(getRemainingMs(deadline, world.now()), MAX_SLEEP_MS);
-		const sleeping = world.sleep(remainingMs, sleepController.signal).catch(() => undefined);
+		const remainingMs = Math.min(getRemainingMs(deadline, runtime.now()), MAX_SLEEP_MS);
+		const sleeping = runtime.sleep(remainingMs, sleepController.signal).catch(() => undefined);
 		await Promise.race([changed, sleeping]);
 		sleepController.abort();
 		waiters.delete(wakeWaiter);
@@ -55,7 +55,7 @@
 					return Err({code: 'aborted', message: 'The wait was aborted'});
 				}
 
-				if (isPast(deadline, world.now())) {
+				if (isPast(deadline, runtime.now())) {
 					return Err({code: 'timeout', message: 'The deadline passed while waiting'});
 				}
 
--- a/packages/core/src/world.ts
+++ b/packages/core/src/runtime.ts
@@ -6,7 +6,7 @@
 import type {Instant} from './time.js';
 
 /** Functions through which tasks use clocks, timers, random numbers and unique identifiers. */
-export type World = Readonly<{
+export type Runtime = Readonly<{
 	/** Reads the monotonic clock. */
 	now: () => Instant;
 	/** Reads the wall clock, in milliseconds since 1970. */
@@ -24,8 +24,8 @@
 /** Number of random bytes in an identifier; nine bytes are twelve base64url characters without padding. */
 const ID_BYTES = 9;
 
-/** Creates the `World` of a real process, on the clocks and timers of Node. */
-export const createWorld = (): World => ({
+/** Creates the `Runtime` of a real process, on the clocks and timers of Node. */
+export const createRuntime = (): Runtime => ({
 	now: () => performance.now() as Instant,
 	readWallClock: () => Date.now(),
 	async sleep(ms, signal) {
--- a/packages/core/src/virtual-world.ts
+++ b/packages/core/src/virtual-runtime.ts
@@ -1,12 +1,12 @@
-/** A world whose clock moves only when a test advances it. */
+/** A runtime whose clock moves only when a test advances it. */
 
 import {setImmediate as yieldTurn} from 'node:timers/promises';
 import type {Instant} from './time.js';
-import type {World} from './world.js';
+import type {Runtime} from './runtime.js';
 
-/** A world that a test controls. */
-export type VirtualWorld = Readonly<{
-	world: World;
+/** A runtime that a test controls. */
+export type VirtualRuntime = Readonly<{
+	runtime: Runtime;
 	/** Advances the clock by `ms` milliseconds, firing due timers in order. */
 	advance: (ms: number) => Promise<void>;
 	/** Lets every task that does not wait for the clock continue. */
@@ -25,8 +25,8 @@
 
 const createAbortError = (): Error => Object.assign(new Error('The wait was aborted'), {name: 'AbortError'});
 
-/** Creates a virtual world; the seed determines its random numbers. */
-export const createVirtualWorld = (seed = 1): VirtualWorld => {
+/** Creates a virtual runtime; the seed determines its random numbers. */
+export const createVirtualRuntime = (seed = 1): VirtualRuntime => {
 	const timers = new Set<VirtualTimer>();
 	let nowMs = 0;
 	let timerCount = 0;
@@ -72,7 +72,7 @@
 	return {
 		advance,
 		settle,
-		world: {
+		runtime: {
 			now: () => nowMs as Instant,
 			readWallClock: () => Math.floor(nowMs),
 			async sleep(ms, signal) {
--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -1,7 +1,7 @@
 /** Connection pool of a database owner for one target; each connection belongs to one customer. */
 
 import {
-	createDeadline, Err, Ok, type CustomerId, type Deadline, type Instant, type Result, type World,
+	createDeadline, Err, Ok, type CustomerId, type Deadline, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {TargetStatement} from '@guavapitch/sessions';
 import type {
@@ -125,7 +125,7 @@
 };
 
 /** Creates an empty connection pool; `getLimit` returns the maximum number of open connections. */
-export const createTargetConnections = (target: Target, dial: DialTarget, getLimit: () => number, world: World): TargetConnections => {
+export const createTargetConnections = (target: Target, dial: DialTarget, getLimit: () => number, runtime: Runtime): TargetConnections => {
 	const sessions = new Set<Session>();
 	let diallingCount = 0;
 	let isClosed = false;
@@ -171,10 +171,10 @@
 
 	const checkOut = (session: Session): ConnectionHandle => {
 		session.isBusy = true;
-		session.lastUsedAt = world.now();
+		session.lastUsedAt = runtime.now();
 		return createHandle(session, isClean => {
 			session.isBusy = false;
-			session.lastUsedAt = world.now();
+			session.lastUsedAt = runtime.now();
 			if (isClosed || !isClean || session.connection.isEnded()) {
 				closeSession(session);
 			}
@@ -183,7 +183,7 @@
 
 	const openSession = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		diallingCount++;
-		const dialDeadline = Math.min(deadline, createDeadline(world.now(), DIAL_TIMEOUT_MS)) as Deadline;
+		const dialDeadline = Math.min(deadline, createDeadline(runtime.now(), DIAL_TIMEOUT_MS)) as Deadline;
 		const dialled = await dial(target, customer, dialDeadline);
 		diallingCount--;
 		if (dialled.err) {
@@ -191,7 +191,7 @@
 		}
 
 		const session: Session = {
-			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isBusy: true, lastUsedAt: world.now(),
+			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isBusy: true, lastUsedAt: runtime.now(),
 		};
 		sessions.add(session);
 		return Ok(checkOut(session));
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,7 +1,7 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
+	createDeadline, createSingleFlight, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
@@ -31,7 +31,7 @@
 
 /** Dependencies of a database owner. */
 export type DatabaseOwnerContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Reads a clock that keeps running while the process or its machine is suspended. */
 	readClock: () => Instant;
 	database: DatabaseId;
@@ -101,11 +101,11 @@
 
 /** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
-	const {world, readClock} = context;
+	const {runtime, readClock} = context;
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
-	const scheduler = createSlotScheduler(world);
+	const scheduler = createSlotScheduler(runtime);
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const leaderTracker = createLeaderTracker(leader => {
@@ -115,7 +115,7 @@
 		scheduler.admitWaiting();
 	});
 	const healthTracker = createHealthTracker({
-		world,
+		runtime,
 		async probe(id) {
 			const result = await pingWithRedial(id, PROBE_TIMEOUT_MS);
 			return result === 'leads' || result === 'follows';
@@ -153,7 +153,7 @@
 
 	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot; rolls it back at once. */
 	const ping = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<PingResult> => {
-		const pingDeadline = Math.min(deadline, createDeadline(world.now(), PING_TIMEOUT_MS)) as Deadline;
+		const pingDeadline = Math.min(deadline, createDeadline(runtime.now(), PING_TIMEOUT_MS)) as Deadline;
 		const sentAt = readClock();
 		const acquired = await acquireConnection(id, pingDeadline, mustDial);
 		if (!acquired?.ok) {
@@ -171,12 +171,12 @@
 		healthTracker.recordResponse(id);
 		if (beginReply.result.kind === 'done' && beginReply.position) {
 			positionHistory.record(sentAt, beginReply.position);
-			leaderTracker.markLeading(id, world.now());
+			leaderTracker.markLeading(id, runtime.now());
 			return 'leads';
 		}
 
 		if (beginReply.result.kind === 'error' && beginReply.result.code === 'readOnly') {
-			leaderTracker.markFollowing(id, world.now());
+			leaderTracker.markFollowing(id, runtime.now());
 		}
 
 		return 'follows';
@@ -184,13 +184,13 @@
 
 	/** Pings on an idle connection and then on a new one, as an idle connection may have died without a TCP reset. */
 	const pingWithRedial = async (id: TargetId, timeoutMs: number): Promise<PingResult> => {
-		const idleResult = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(world.now(), timeoutMs)) : undefined;
-		return idleResult ?? ping(id, createDeadline(world.now(), timeoutMs), true);
+		const idleResult = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(runtime.now(), timeoutMs)) : undefined;
+		return idleResult ?? ping(id, createDeadline(runtime.now(), timeoutMs), true);
 	};
 
 	const verifyLeader = createSingleFlight(async (): Promise<boolean> => {
 		const leader = leaderTracker.getLeader();
-		return leader !== undefined && await ping(leader, createDeadline(world.now(), PING_TIMEOUT_MS)) === 'leads';
+		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS)) === 'leads';
 	});
 
 	const shared: SharedComponents = {
@@ -211,7 +211,7 @@
 			};
 		},
 		async verifyPosition(deadline: Deadline) {
-			return !isPast(deadline, world.now()) && verifyLeader();
+			return !isPast(deadline, runtime.now()) && verifyLeader();
 		},
 		areWritesPaused: () => areWritesPaused,
 	};
@@ -220,9 +220,9 @@
 
 	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
-		const deadline = createDeadline(world.now(), request.remainingMs);
+		const deadline = createDeadline(runtime.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
-			const token = await context.acquireToken(request.customer, createDeadline(world.now(), Math.min(request.remainingMs, request.promptMs)));
+			const token = await context.acquireToken(request.customer, createDeadline(runtime.now(), Math.min(request.remainingMs, request.promptMs)));
 			if (token.err) {
 				context.onDecision({
 					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: token.val.message, ageMs: 0,
@@ -256,14 +256,14 @@
 			for (const target of newTargets) {
 				targets.set(target.id, target);
 				if (!connections.has(target.id)) {
-					connections.set(target.id, createTargetConnections(target, context.dial, context.getConnectionLimit, world));
+					connections.set(target.id, createTargetConnections(target, context.dial, context.getConnectionLimit, runtime));
 				}
 			}
 
-			leaderTracker.applyRegistry(newTargets, world.now());
+			leaderTracker.applyRegistry(newTargets, runtime.now());
 			scheduler.setTargets(newTargets);
 		},
-		ping: async (id, deadline) => pingWithRedial(id, deadline - world.now()),
+		ping: async (id, deadline) => pingWithRedial(id, deadline - runtime.now()),
 		async queryStatus(id, deadline, precedingCommand) {
 			const acquired = await acquireConnection(id, deadline);
 			if (!acquired?.ok) {
@@ -283,7 +283,7 @@
 			scheduler.admitWaiting();
 		},
 		closeIdleConnections(idleMs) {
-			const idleSince = createDeadline(world.now(), -idleMs) as number as Instant;
+			const idleSince = createDeadline(runtime.now(), -idleMs) as number as Instant;
 			for (const targetConnections of connections.values()) {
 				targetConnections.closeIdle(idleSince);
 			}
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -1,7 +1,7 @@
 /** Failover coordinator of a database: detects that its primary has failed or is leaving, and promotes a replica. */
 
 import {
-	createDeadline, isPast, type DatabaseId, type Instant, type TargetId, type World,
+	createDeadline, isPast, type DatabaseId, type Instant, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {comparePositions} from '@guavapitch/sessions';
 import type {DatabaseOwner} from './database-owner.js';
@@ -27,7 +27,7 @@
 
 /** Dependencies of a failover coordinator. */
 export type FailoverCoordinatorContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	database: DatabaseId;
 	owner: DatabaseOwner;
 	/** Tells whether this vm is confirmed to hold the coordinator role now. */
@@ -65,7 +65,7 @@
 
 /** Queries the status of targets, after running `precedingCommand` if given; omits those that do not respond or refuse that command. */
 const queryStatuses = async (context: FailoverCoordinatorContext, targets: readonly Target[], precedingCommand?: Command): Promise<readonly TargetReport[]> => {
-	const deadline = createDeadline(context.world.now(), STATUS_TIMEOUT_MS);
+	const deadline = createDeadline(context.runtime.now(), STATUS_TIMEOUT_MS);
 	const reports = await Promise.all(targets.map(async target => {
 		const status = await context.owner.queryStatus(target.id, deadline, precedingCommand);
 		return status ? [{target, status}] : [];
@@ -81,14 +81,14 @@
 
 /** Waits until a target proves that it leads; `false` if it does not in time. */
 const waitUntilLeading = async (context: FailoverCoordinatorContext, target: TargetId): Promise<boolean> => {
-	const {world, owner} = context;
-	const deadline = createDeadline(world.now(), PROMOTION_TIMEOUT_MS);
-	while (!isPast(deadline, world.now())) {
+	const {runtime, owner} = context;
+	const deadline = createDeadline(runtime.now(), PROMOTION_TIMEOUT_MS);
+	while (!isPast(deadline, runtime.now())) {
 		if (await owner.ping(target, deadline) === 'leads') {
 			return true;
 		}
 
-		await world.sleep(CHECK_INTERVAL_MS / 2);
+		await runtime.sleep(CHECK_INTERVAL_MS / 2);
 	}
 
 	return false;
@@ -117,7 +117,7 @@
 
 /** Promotes the replicas one after another until one leads; `false` if none does. With synchronous replication, only the first is tried. */
 const promoteBestReplica = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
-	const startedAt = context.world.now();
+	const startedAt = context.runtime.now();
 	const reports = await queryReplicas(context, replicas);
 	if (reports.length === 0) {
 		context.onEvent({
@@ -130,18 +130,18 @@
 		const fencingToken = await context.drawFencingToken();
 		if (fencingToken === undefined) {
 			context.onEvent({
-				kind: 'failed', target: target.id, reason: 'no fencing token, because the store did not respond or the role was lost; no replica promoted', ageMs: context.world.now() - startedAt,
+				kind: 'failed', target: target.id, reason: 'no fencing token, because the store did not respond or the role was lost; no replica promoted', ageMs: context.runtime.now() - startedAt,
 			});
 			return false;
 		}
 
 		context.onEvent({
-			kind: 'ordered', target: target.id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.world.now() - startedAt,
+			kind: 'ordered', target: target.id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.runtime.now() - startedAt,
 		});
 		const outcome = await context.requestPromotion(target.id, fencingToken);
 		if (outcome !== 'refused' && await waitUntilLeading(context, target.id)) {
 			context.onEvent({
-				kind: 'finished', target: target.id, reason, ageMs: context.world.now() - startedAt,
+				kind: 'finished', target: target.id, reason, ageMs: context.runtime.now() - startedAt,
 			});
 			return true;
 		}
@@ -163,20 +163,20 @@
 
 /** Replaces a primary that is about to leave: pauses writes until a replica has caught up, and promotes it. */
 const switchOver = async (context: FailoverCoordinatorContext, leader: Target): Promise<boolean> => {
-	const {world, owner} = context;
+	const {runtime, owner} = context;
 	const replicas = listReplicas(context, leader.id).filter(({isDraining}) => !isDraining);
 	if (replicas.length === 0) {
 		return false;
 	}
 
-	const startedAt = world.now();
+	const startedAt = runtime.now();
 	const deadline = createDeadline(startedAt, SWITCHOVER_TIMEOUT_MS);
 	context.onEvent({
 		kind: 'started', target: leader.id, reason: 'the primary is leaving', ageMs: 0,
 	});
 	owner.pauseWrites(true);
 	try {
-		while (!isPast(deadline, world.now())) {
+		while (!isPast(deadline, runtime.now())) {
 			const [leaderReport] = await queryStatuses(context, [leader]);
 			const reports = rankReplicas(await queryStatuses(context, replicas));
 			const bestReport = reports[0];
@@ -184,7 +184,7 @@
 				break;
 			}
 
-			await world.sleep(SWITCHOVER_CHECK_INTERVAL_MS);
+			await runtime.sleep(SWITCHOVER_CHECK_INTERVAL_MS);
 		}
 
 		return await promoteBestReplica(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
@@ -205,10 +205,10 @@
 
 /** Checks the primary once; returns the reason to replace it, or `undefined`. */
 const checkPrimary = async (context: FailoverCoordinatorContext, state: PrimaryCheckState): Promise<string | undefined> => {
-	const {world, owner} = context;
+	const {runtime, owner} = context;
 	const {leaderTracker, healthTracker} = owner.components;
 	const leader = leaderTracker.getLeader();
-	const now = world.now();
+	const now = runtime.now();
 	if (leader === undefined || !owner.components.getTarget(leader)) {
 		state.leaderlessSince ??= now;
 		return now - state.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
@@ -229,20 +229,20 @@
 	}
 
 	state.refusingSince = pingResult === 'refused' ? state.refusingSince ?? now : undefined;
-	if (state.refusingSince !== undefined && world.now() - state.refusingSince >= REFUSAL_GRACE_MS) {
+	if (state.refusingSince !== undefined && runtime.now() - state.refusingSince >= REFUSAL_GRACE_MS) {
 		return 'the primary refuses connections';
 	}
 
-	const isSilent = world.now() - lastResponseAt >= SILENCE_TIMEOUT_MS;
+	const isSilent = runtime.now() - lastResponseAt >= SILENCE_TIMEOUT_MS;
 	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary does not respond' : undefined;
 };
 
 /** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
-	const {world, owner} = context;
+	const {runtime, owner} = context;
 	const state: PrimaryCheckState = {refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined};
 	while (!signal.aborted) {
-		await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
+		await runtime.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 		if (signal.aborted || !context.isCoordinator() || owner.components.listTargets().length === 0) {
 			continue;
 		}
@@ -256,7 +256,7 @@
 		const reason = await checkPrimary(context, state);
 		if (reason !== undefined && context.isCoordinator()) {
 			context.onEvent({
-				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : world.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? world.now()),
+				kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : runtime.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? runtime.now()),
 			});
 			const replicas = listReplicas(context, leader);
 			const stayingReplicas = replicas.filter(({isDraining}) => !isDraining);
--- a/packages/database-owners/src/health-tracker.ts
+++ b/packages/database-owners/src/health-tracker.ts
@@ -1,12 +1,12 @@
 /** Tracks which targets respond and are caught up enough for reads. */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type Instant, type TargetId, type World,
+	createDeadline, isPast, PAST, type Deadline, type Instant, type TargetId, type Runtime,
 } from '@guavapitch/core';
 
 /** Dependencies of a health tracker. */
 export type HealthTrackerContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Sends a liveness probe, which needs no slot of the target; resolves to `false` if it gets no response. */
 	probe: (target: TargetId) => Promise<boolean>;
 	/** Called when a target is considered down, and when it is up again. */
@@ -60,7 +60,7 @@
 
 /** Creates a tracker that considers every target healthy. */
 export const createHealthTracker = (context: HealthTrackerContext): HealthTracker => {
-	const {world} = context;
+	const {runtime} = context;
 	const healthByTarget = new Map<TargetId, Health>();
 
 	const getHealth = (target: TargetId): Health => {
@@ -70,7 +70,7 @@
 		}
 
 		const created: Health = {
-			lastResponseAt: undefined, isDown: false, isProbing: false, isWatchScheduled: false, runningCount: 0, runningSince: world.now(), lagCount: 0, laggingUntil: PAST,
+			lastResponseAt: undefined, isDown: false, isProbing: false, isWatchScheduled: false, runningCount: 0, runningSince: runtime.now(), lagCount: 0, laggingUntil: PAST,
 		};
 		healthByTarget.set(target, created);
 		return created;
@@ -80,7 +80,7 @@
 
 	const recordResponse = (target: TargetId) => {
 		const health = getHealth(target);
-		health.lastResponseAt = world.now();
+		health.lastResponseAt = runtime.now();
 		if (health.isDown) {
 			health.isDown = false;
 			context.onChange(target, true, 'the target responds again');
@@ -106,7 +106,7 @@
 				context.onChange(target, false, reason);
 			}
 
-			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
+			await runtime.sleep(PROBE_INTERVAL_MS * (0.5 + runtime.random()));
 		}
 
 		health.isProbing = false;
@@ -119,14 +119,14 @@
 		}
 
 		health.isWatchScheduled = true;
-		world.schedule(SILENCE_TIMEOUT_MS, () => {
+		runtime.schedule(SILENCE_TIMEOUT_MS, () => {
 			health.isWatchScheduled = false;
 			if (health.runningCount === 0 || !isTracked(target, health)) {
 				return;
 			}
 
 			const lastActiveAt = Math.max(health.lastResponseAt ?? PAST, health.runningSince);
-			if (world.now() - lastActiveAt >= SILENCE_TIMEOUT_MS) {
+			if (runtime.now() - lastActiveAt >= SILENCE_TIMEOUT_MS) {
 				void probe(target, 'no response while statements are running');
 			}
 
@@ -138,7 +138,7 @@
 		recordStatementSent(target) {
 			const health = getHealth(target);
 			if (health.runningCount === 0) {
-				health.runningSince = world.now();
+				health.runningSince = runtime.now();
 			}
 
 			health.runningCount++;
@@ -154,7 +154,7 @@
 		},
 		markLagging(target) {
 			const health = getHealth(target);
-			const now = world.now();
+			const now = runtime.now();
 			recordResponse(target);
 			if (isPast(health.laggingUntil, now)) {
 				// After a while without lag, the backoff starts from the shortest pause again.
@@ -164,7 +164,7 @@
 			}
 		},
 		isUsable: target => healthByTarget.get(target)?.isDown !== true,
-		isCaughtUp: target => isPast(healthByTarget.get(target)?.laggingUntil ?? PAST, world.now()),
+		isCaughtUp: target => isPast(healthByTarget.get(target)?.laggingUntil ?? PAST, runtime.now()),
 		getLastResponseAt: target => healthByTarget.get(target)?.lastResponseAt,
 		remove(target) {
 			healthByTarget.delete(target);
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -71,7 +71,7 @@
 export const computeSlotDeadline = (components: SharedComponents, plan: Plan, deadline: Deadline): Deadline => {
 	const {leaderTracker, healthTracker, context} = components;
 	const leader = leaderTracker.getLeader();
-	const now = context.world.now();
+	const now = context.runtime.now();
 	const hasLeader = leader !== undefined && healthTracker.isUsable(leader);
 	return plan.kind === 'leader' && !hasLeader
 		? Math.min(deadline, createDeadline(now, MAX_LEADER_WAIT_MS)) as Deadline
--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -64,7 +64,7 @@
 	}
 
 	if (code === 'readOnly') {
-		components.leaderTracker.markFollowing(target, components.context.world.now());
+		components.leaderTracker.markFollowing(target, components.context.runtime.now());
 	}
 };
 
@@ -72,7 +72,7 @@
 export const recordVerifiedPosition = (components: SharedComponents, target: TargetId, reply: Reply, sentAt: Instant): void => {
 	if (reply.position) {
 		components.positionHistory.record(sentAt, reply.position);
-		components.leaderTracker.markLeading(target, components.context.world.now());
+		components.leaderTracker.markLeading(target, components.context.runtime.now());
 	}
 };
 
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -96,16 +96,16 @@
 /** Runs a statement outside a transaction; retries it only if it is certain that it has not run, or if it is a read. */
 export const serveSingleStatement = async (components: DatabaseOwnerComponents, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 	const {context, scheduler} = components;
-	const {world} = context;
-	const arrivedAt = world.now();
+	const {runtime} = context;
+	const arrivedAt = runtime.now();
 	const latencyDeadline = createDeadline(arrivedAt, request.promptMs);
 	const triedTargets = new Set<TargetId>();
 	let reason = 'no target can run the statement now';
 
-	for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
+	for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, runtime.now()); attempt++) {
 		const plan = await createPlan(components, request, deadline);
 		if (!plan) {
-			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), world.now() - arrivedAt);
+			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), runtime.now() - arrivedAt);
 		}
 
 		const slot = await scheduler.acquire({
@@ -117,7 +117,7 @@
 			chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
 		});
 		if (slot.err) {
-			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfterMs(components, plan)), world.now() - arrivedAt);
+			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfterMs(components, plan)), runtime.now() - arrivedAt);
 		}
 
 		const {target, release} = slot.val;
@@ -129,12 +129,12 @@
 			triedTargets.add(target);
 			reason = handle ? handle.val.message : 'the target is no longer registered';
 			context.onDecision({
-				kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
+				kind: 'retried', requestId: request.id, target, reason, ageMs: runtime.now() - arrivedAt,
 			});
 			continue;
 		}
 
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		const runAttempt = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
@@ -143,7 +143,7 @@
 		});
 		unsubscribe?.();
 		components.healthTracker.recordStatementEnded(target);
-		release(world.now() - startedAt);
+		release(runtime.now() - startedAt);
 		if (verdict.kind === 'final') {
 			recordReply(components, target, verdict.reply ? undefined : 'lost');
 			return {
@@ -154,14 +154,14 @@
 		recordReply(components, target, verdict.code);
 		reason = `the target did not run the statement: ${verdict.code}`;
 		context.onDecision({
-			kind: 'retried', requestId: request.id, target, reason, ageMs: world.now() - arrivedAt,
+			kind: 'retried', requestId: request.id, target, reason, ageMs: runtime.now() - arrivedAt,
 		});
 		if (verdict.code === 'busy') {
-			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
+			await runtime.sleep(RETRY_PAUSE_MS * (1 + runtime.random()));
 		} else if (verdict.code !== 'noStatement') {
 			triedTargets.add(target);
 		}
 	}
 
-	return createResponse(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + scheduler.getWaitingCount())), world.now() - arrivedAt);
+	return createResponse(createBusyRefusal(reason, RETRY_PAUSE_MS * (1 + scheduler.getWaitingCount())), runtime.now() - arrivedAt);
 };
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -1,7 +1,7 @@
 /** Schedules requests on the slots of a database's targets. */
 
 import {
-	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type TargetId, type World,
+	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 
 /** Failure to acquire a slot; nothing has run. */
@@ -85,7 +85,7 @@
 };
 
 /** Creates a scheduler without targets. */
-export const createSlotScheduler = (world: World): SlotScheduler => {
+export const createSlotScheduler = (runtime: Runtime): SlotScheduler => {
 	let loads = new Map<TargetId, Load>();
 	const accounts = new Map<CustomerId, Account>();
 	let waitingRequests: WaitingRequest[] = [];
@@ -120,7 +120,7 @@
 
 	const occupySlot = (request: SlotRequest, load: Load): Slot => {
 		const account = getAccount(request.customer);
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		const chargedMs = load.meanMs;
 		let isReleased = false;
 		load.busyCount++;
@@ -136,7 +136,7 @@
 				isReleased = true;
 				load.busyCount--;
 				account.runningCount--;
-				account.virtualTimeMs += (world.now() - startedAt) - chargedMs;
+				account.virtualTimeMs += (runtime.now() - startedAt) - chargedMs;
 				if (servedMs !== undefined) {
 					load.meanMs += (servedMs - load.meanMs) * MEAN_WEIGHT;
 				}
@@ -168,7 +168,7 @@
 			return;
 		}
 
-		const now = world.now();
+		const now = runtime.now();
 		refuseExpired(now);
 		waitingRequests.sort((a, b) => compareWaitingRequests(a, b, now, getVirtualTimeMs));
 		for (let index = 0; index < waitingRequests.length && listFreeLoads().length > 0;) {
@@ -201,7 +201,7 @@
 				waitingRequests.push(waitingRequest);
 				admitWaiting();
 				if (waitingRequests.includes(waitingRequest)) {
-					world.schedule(request.deadline - world.now() + 1, admitWaiting);
+					runtime.schedule(request.deadline - runtime.now() + 1, admitWaiting);
 				}
 			});
 		},
--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, parseId, type CustomerId,
+	createVirtualRuntime, parseId, type CustomerId,
 } from '@guavapitch/core';
 import type {
 	Consistency, StatementResponse, StatementRequest, TargetStatement,
@@ -35,8 +35,8 @@
 });
 
 const createSetup = (targets: readonly FakeTarget[]) => {
-	const {world, advance} = createVirtualWorld(3);
-	const owner = createFakeOwner(targets, world);
+	const {runtime, advance} = createVirtualRuntime(3);
+	const owner = createFakeOwner(targets, runtime);
 	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		let response: StatementResponse | undefined;
 		void owner.serve(request).then(value => {
@@ -51,7 +51,7 @@
 	};
 
 	return {
-		owner, run, advance, world,
+		owner, run, advance, runtime,
 	};
 };
 
@@ -128,15 +128,15 @@
 	describe('unresponsive targets', () => {
 		it('have their running reads retried elsewhere well before the deadline', async () => {
 			const [primary, replica1, replica2] = createGroup();
-			const {run, world} = createSetup([primary, replica1, replica2]);
+			const {run, runtime} = createSetup([primary, replica1, replica2]);
 			await run(createRequest(READ, BOUNDED));
 			replica1.fault = 'silent';
 			replica2.fault = 'silent';
-			const requestedAt = world.now();
+			const requestedAt = runtime.now();
 			const response = await run(createRequest(READ, BOUNDED));
 			assert.equal(response.outcome.kind, 'done');
 			assert.equal(response.target, 'primary');
-			assert.ok(world.now() - requestedAt < 1000);
+			assert.ok(runtime.now() - requestedAt < 1000);
 		});
 
 		it('get no reads until they respond to a probe', async () => {
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, type TargetId,
+	createVirtualRuntime, type TargetId,
 } from '@guavapitch/core';
 import {rankReplicas, runFailoverCoordinator, type PromotionOutcome} from '../failover-coordinator.js';
 import {createFakeOwner} from './fake-owner.js';
@@ -21,9 +21,9 @@
 }>;
 
 const createSetup = (options: Options = {}) => {
-	const {world, advance} = createVirtualWorld(5);
+	const {runtime, advance} = createVirtualRuntime(5);
 	const targets = [createFakeTarget('primary', 'primary'), createFakeTarget('replica-1', 'replica'), createFakeTarget('replica-2', 'replica')] as const;
-	const owner = createFakeOwner(targets, world);
+	const owner = createFakeOwner(targets, runtime);
 	const promotionRequests: PromotionRequest[] = [];
 	const stop = new AbortController();
 	let fencingToken = 0;
@@ -42,7 +42,7 @@
 	};
 
 	void runFailoverCoordinator({
-		world,
+		runtime,
 		database: DATABASE,
 		owner,
 		isCoordinator: options.isCoordinator ?? (() => true),
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -1,7 +1,7 @@
 /** A database owner with fake targets, for tests on a virtual clock. */
 
 import {
-	createSuspensionClock, Ok, parseId, type CustomerId, type World,
+	createSuspensionClock, Ok, parseId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
 import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
 import {
@@ -9,12 +9,12 @@
 } from './fake-targets.js';
 
 /** Creates a database owner whose registry lists the given targets. */
-export const createFakeOwner = (targets: readonly FakeTarget[], world: World): DatabaseOwner => {
+export const createFakeOwner = (targets: readonly FakeTarget[], runtime: Runtime): DatabaseOwner => {
 	const owner = createDatabaseOwner({
-		world,
-		readClock: createSuspensionClock(world),
+		runtime,
+		readClock: createSuspensionClock(runtime),
 		database: DATABASE,
-		dial: createFakeDial(targets, world),
+		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => parseId<CustomerId>('club'),
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
-	createConditionVariable, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
+	createConditionVariable, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -52,7 +52,7 @@
 
 const isBefore = (a: LogPosition, b: LogPosition) => a.term < b.term || (a.term === b.term && a.number < b.number);
 
-const createConnection = (target: FakeTarget, world: World): TargetConnection => {
+const createConnection = (target: FakeTarget, runtime: Runtime): TargetConnection => {
 	const session: Session = {
 		isInTransaction: false, isReadOnly: false, values: new Map(), prepared: new Set(),
 	};
@@ -77,7 +77,7 @@
 
 		target.runningCount++;
 		target.maxRunningCount = Math.max(target.maxRunningCount, target.runningCount);
-		await world.sleep(target.statementMs);
+		await runtime.sleep(target.statementMs);
 		target.runningCount--;
 		target.executed.push({
 			id: command.id,
@@ -154,7 +154,7 @@
 				}
 
 				if (target.fault === 'silent') {
-					await Promise.race([world.sleep(Math.max(0, deadline - world.now())), closed.wait()]);
+					await Promise.race([runtime.sleep(Math.max(0, deadline - runtime.now())), closed.wait()]);
 					const cause = hasEnded ? 'lost' : 'timeout';
 					hasEnded = true;
 					return {replies, ended: cause};
@@ -180,20 +180,24 @@
 };
 
 /** Creates the dial function for the given targets. */
-export const createFakeDial = (targets: readonly FakeTarget[], world: World) => async (description: Target, _customer: string, deadline: Deadline): Promise<Result<TargetConnection, DialFailure>> => {
+export const createFakeDial = (targets: readonly FakeTarget[], runtime: Runtime) => async (
+	description: Target,
+	_customer: string,
+	deadline: Deadline,
+): Promise<Result<TargetConnection, DialFailure>> => {
 	const target = targets.find(candidate => candidate.description.id === description.id);
 	if (!target || target.fault === 'refuses') {
 		return Err({code: 'refused', message: 'refused'});
 	}
 
 	if (target.fault === 'silent') {
-		await world.sleep(Math.max(0, deadline - world.now()));
+		await runtime.sleep(Math.max(0, deadline - runtime.now()));
 		return Err({code: 'silent', message: 'silent'});
 	}
 
 	target.dialCount++;
-	await world.sleep(1);
-	return Ok(createConnection(target, world));
+	await runtime.sleep(1);
+	return Ok(createConnection(target, runtime));
 };
 
 /** Creates a status reader that looks up the target by the signature of the reply. */
--- a/packages/database-owners/src/tests/slot-scheduler.test.ts
+++ b/packages/database-owners/src/tests/slot-scheduler.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualWorld, parseId, type CustomerId, type TargetId,
+	createDeadline, createVirtualRuntime, parseId, type CustomerId, type TargetId,
 } from '@guavapitch/core';
 import {chooseReadTarget} from '../read-targets.js';
 import {createSlotScheduler, type TargetLoad} from '../slot-scheduler.js';
@@ -18,27 +18,27 @@
 
 describe('slot scheduler', () => {
 	const measureSmallCustomerP99WaitMs = async (largeCallers: number) => {
-		const {world, advance} = createVirtualWorld(11);
-		const scheduler = createSlotScheduler(world);
+		const {runtime, advance} = createVirtualRuntime(11);
+		const scheduler = createSlotScheduler(runtime);
 		scheduler.setTargets([{id: REPLICA_1, slots: 2}]);
 		const waits: number[] = [];
 		let isRunning = true;
 		const sendRequests = async (customer: CustomerId, pauseMs: number) => {
 			while (isRunning) {
-				const requestedAt = world.now();
+				const requestedAt = runtime.now();
 				const slot = await scheduler.acquire({
 					customer, priority: 1, latencyDeadline: createDeadline(requestedAt, 5000), deadline: createDeadline(requestedAt, 5000), isPinned: false, chooseTarget: chooseFirst,
 				});
 				if (slot.ok) {
 					if (customer === SMALL) {
-						waits.push(world.now() - requestedAt);
+						waits.push(runtime.now() - requestedAt);
 					}
 
-					await world.sleep(10);
+					await runtime.sleep(10);
 					slot.val.release(10);
 				}
 
-				await world.sleep(pauseMs * world.random());
+				await runtime.sleep(pauseMs * runtime.random());
 			}
 		};
 
@@ -57,17 +57,17 @@
 	});
 
 	it('serves requests within their latency objective before those past it', async () => {
-		const {world, advance} = createVirtualWorld(2);
-		const scheduler = createSlotScheduler(world);
+		const {runtime, advance} = createVirtualRuntime(2);
+		const scheduler = createSlotScheduler(runtime);
 		scheduler.setTargets([{id: REPLICA_1, slots: 1}]);
 		const order: string[] = [];
 		const runRequest = async (name: string, latencyMs: number) => {
 			const slot = await scheduler.acquire({
-				customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), latencyMs), deadline: createDeadline(world.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
+				customer: SMALL, priority: 1, latencyDeadline: createDeadline(runtime.now(), latencyMs), deadline: createDeadline(runtime.now(), 1000), isPinned: false, chooseTarget: chooseFirst,
 			});
 			if (slot.ok) {
 				order.push(name);
-				await world.sleep(50);
+				await runtime.sleep(50);
 				slot.val.release(50);
 			}
 		};
@@ -81,11 +81,11 @@
 	});
 
 	it('refuses a request that got no slot before its deadline', async () => {
-		const {world, advance} = createVirtualWorld(2);
-		const scheduler = createSlotScheduler(world);
+		const {runtime, advance} = createVirtualRuntime(2);
+		const scheduler = createSlotScheduler(runtime);
 		scheduler.setTargets([{id: REPLICA_1, slots: 1}]);
 		const request = {
-			customer: SMALL, priority: 1, latencyDeadline: createDeadline(world.now(), 100), deadline: createDeadline(world.now(), 100), isPinned: false, chooseTarget: () => undefined,
+			customer: SMALL, priority: 1, latencyDeadline: createDeadline(runtime.now(), 100), deadline: createDeadline(runtime.now(), 100), isPinned: false, chooseTarget: () => undefined,
 		};
 		let code = '';
 		void scheduler.acquire(request).then(slot => {
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -58,7 +58,7 @@
 /** Creates an empty set of open transactions. */
 export const createTransactions = (components: SharedComponents): Transactions => {
 	const {context, scheduler} = components;
-	const {world} = context;
+	const {runtime} = context;
 	const openTransactions = new Map<string, OpenTransaction>();
 
 	const rollBackAndRelease = async (transaction: OpenTransaction) => {
@@ -67,7 +67,7 @@
 			return;
 		}
 
-		const {replies, ended} = await transaction.handle.connection.execute([{kind: 'rollback'}], createDeadline(world.now(), ROLLBACK_TIMEOUT_MS));
+		const {replies, ended} = await transaction.handle.connection.execute([{kind: 'rollback'}], createDeadline(runtime.now(), ROLLBACK_TIMEOUT_MS));
 		transaction.handle.release(ended === 'no' && replies[0]?.status === 'idle');
 	};
 
@@ -86,7 +86,7 @@
 		}
 	};
 
-	const startIdleTimer = (id: string): (() => void) => world.schedule(context.getIdleTransactionMs(), () => {
+	const startIdleTimer = (id: string): (() => void) => runtime.schedule(context.getIdleTransactionMs(), () => {
 		context.onDecision({
 			kind: 'transactionExpired', requestId: id, target: openTransactions.get(id)?.target ?? '', reason: 'the transaction exceeded its idle limit', ageMs: context.getIdleTransactionMs(),
 		});
@@ -97,7 +97,7 @@
 	const acquirePinnedSlot = async (request: StatementRequest, transaction: OpenTransaction, deadline: Deadline) => scheduler.acquire({
 		customer: request.customer,
 		priority: request.priority,
-		latencyDeadline: createDeadline(world.now(), request.promptMs),
+		latencyDeadline: createDeadline(runtime.now(), request.promptMs),
 		deadline,
 		isPinned: true,
 		chooseTarget: free => free.find(load => load.id === transaction.target)?.id,
@@ -109,11 +109,11 @@
 		const isCommit = request.statement.kind === 'commit';
 		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
 		const sentAt = context.readClock();
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		components.healthTracker.recordStatementSent(target);
 		const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
 		components.healthTracker.recordStatementEnded(target);
-		slot.release(world.now() - startedAt);
+		slot.release(runtime.now() - startedAt);
 		const reply = execution.replies[commands.length];
 		const verdict = evaluateReply(execution, commands.length, request);
 		recordReply(components, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
@@ -173,7 +173,7 @@
 			if (!slot) {
 				const acquired = await acquirePinnedSlot(request, transaction, deadline);
 				if (acquired.err) {
-					return finishStatement(id, transaction, createResponse(createAbortedRefusal(acquired.val.message), world.now() - arrivedAt, 'failed'));
+					return finishStatement(id, transaction, createResponse(createAbortedRefusal(acquired.val.message), runtime.now() - arrivedAt, 'failed'));
 				}
 
 				slot = acquired.val;
@@ -185,10 +185,10 @@
 				return finishStatement(id, transaction, response);
 			}
 
-			await world.sleep(RETRY_PAUSE_MS * (1 + world.random()));
+			await runtime.sleep(RETRY_PAUSE_MS * (1 + runtime.random()));
 		}
 
-		return finishStatement(id, transaction, createResponse(createAbortedRefusal('the target was busy on every attempt'), world.now() - arrivedAt, 'failed'));
+		return finishStatement(id, transaction, createResponse(createAbortedRefusal('the target was busy on every attempt'), runtime.now() - arrivedAt, 'failed'));
 	};
 
 	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
@@ -215,9 +215,9 @@
 	};
 
 	const startTransaction = async (id: string, request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		const arrivedAt = world.now();
+		const arrivedAt = runtime.now();
 		const triedTargets = new Set<TargetId>();
-		for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, world.now()); attempt++) {
+		for (let attempt = 0; attempt < MAX_ATTEMPTS && !isPast(deadline, runtime.now()); attempt++) {
 			const plan = await createPlan(components, request, deadline);
 			if (!plan) {
 				break;
@@ -232,7 +232,7 @@
 				chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
 			});
 			if (slot.err) {
-				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
+				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), runtime.now() - arrivedAt, 'failed');
 			}
 
 			const {target} = slot.val;
@@ -251,7 +251,7 @@
 			triedTargets.add(target);
 		}
 
-		return createResponse(createBusyRefusal('no target could begin the transaction', RETRY_PAUSE_MS), world.now() - arrivedAt, 'failed');
+		return createResponse(createBusyRefusal('no target could begin the transaction', RETRY_PAUSE_MS), runtime.now() - arrivedAt, 'failed');
 	};
 
 	return {
@@ -261,7 +261,7 @@
 			if (transaction) {
 				return transaction.isBusy
 					? createResponse(createAbortedRefusal('another statement of the transaction is still running'), 0, 'failed')
-					: continueTransaction(id, transaction, {request, deadline, arrivedAt: world.now()});
+					: continueTransaction(id, transaction, {request, deadline, arrivedAt: runtime.now()});
 			}
 
 			return request.transaction?.isFirst
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -1,7 +1,7 @@
 /** Emulated callers: operations arrive at random times and are retried after failures. */
 
 import {
-	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type World,
+	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest} from '@guavapitch/sessions';
 import type {Load, OperationClass, CustomerLoad} from './loads.js';
@@ -46,18 +46,18 @@
 const MEAN_RETRY_PAUSE_MS = 100;
 
 /** Dependencies of the emulated callers. */
-type CallContext = Readonly<{load: Load; world: World; runStatement: RunStatement}>;
+type CallContext = Readonly<{load: Load; runtime: Runtime; runStatement: RunStatement}>;
 
 /** Runs one operation from a randomly chosen data centre, with its retries, and classifies its outcome. */
-const runOperation = async ({load, world, runStatement}: CallContext, operationClass: OperationClass, customer: string): Promise<OperationResult> => {
-	const startedAt = world.now();
+const runOperation = async ({load, runtime, runStatement}: CallContext, operationClass: OperationClass, customer: string): Promise<OperationResult> => {
+	const startedAt = runtime.now();
 	const deadline = createDeadline(startedAt, operationClass.timeoutMs);
-	const dataCentre = load.dataCentres[Math.floor(world.random() * load.dataCentres.length)] ?? '';
-	const isTransaction = world.random() < operationClass.transactionFraction;
-	const isWrite = world.random() < operationClass.writeFraction;
+	const dataCentre = load.dataCentres[Math.floor(runtime.random() * load.dataCentres.length)] ?? '';
+	const isTransaction = runtime.random() < operationClass.transactionFraction;
+	const isWrite = runtime.random() < operationClass.writeFraction;
 
 	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
-		id: world.createId(),
+		id: runtime.createId(),
 		database: EMULATED_DATABASE,
 		customer: parseId<CustomerId>(customer),
 		statement: text === 'COMMIT' ? {kind: 'commit', text} : {kind: 'text', access: text.startsWith('WRITE') ? 'write' : 'read', text},
@@ -65,8 +65,8 @@
 		floor: undefined,
 		values: [],
 		transaction,
-		remainingMs: Math.max(0, getRemainingMs(deadline, world.now())),
-		promptMs: Math.max(0, operationClass.latencyObjectiveMs - (world.now() - startedAt)),
+		remainingMs: Math.max(0, getRemainingMs(deadline, runtime.now())),
+		promptMs: Math.max(0, operationClass.latencyObjectiveMs - (runtime.now() - startedAt)),
 		priority: operationClass.priority,
 	});
 
@@ -77,11 +77,11 @@
 
 	let pausedMs = 0;
 	const runAttempt = async (): Promise<AttemptResult> => {
-		const transaction = world.createId();
+		const transaction = runtime.createId();
 		for (const [index, text] of createStatementTexts().entries()) {
-			await world.sleep(load.networkDelayMs);
+			await runtime.sleep(load.networkDelayMs);
 			const response = await runStatement(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
-			await world.sleep(load.networkDelayMs);
+			await runtime.sleep(load.networkDelayMs);
 			if (response?.outcome.kind !== 'done') {
 				const isRefused = response?.outcome.kind === 'refused';
 				const isRead = !isWrite || (isTransaction && text !== 'COMMIT');
@@ -89,9 +89,9 @@
 			}
 
 			if (isTransaction && text !== 'COMMIT') {
-				const pauseMs = MAX_PAUSE_MS * world.random();
+				const pauseMs = MAX_PAUSE_MS * runtime.random();
 				pausedMs += pauseMs;
-				await world.sleep(pauseMs);
+				await runtime.sleep(pauseMs);
 			}
 		}
 
@@ -100,16 +100,16 @@
 
 	let lastAttempt = await runAttempt();
 	for (let retry = 0; retry < operationClass.retries && !lastAttempt.isDone && lastAttempt.isRepeatable; retry++) {
-		await world.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_PAUSE_MS * (0.5 + world.random())));
-		if (isPast(deadline, world.now())) {
+		await runtime.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_PAUSE_MS * (0.5 + runtime.random())));
+		if (isPast(deadline, runtime.now())) {
 			break;
 		}
 
 		lastAttempt = await runAttempt();
 	}
 
-	const latencyMs = world.now() - startedAt - pausedMs;
-	const isBeforeTimeout = lastAttempt.isDone && world.now() - pausedMs <= deadline;
+	const latencyMs = runtime.now() - startedAt - pausedMs;
+	const isBeforeTimeout = lastAttempt.isDone && runtime.now() - pausedMs <= deadline;
 	const meetsObjective = latencyMs <= operationClass.latencyObjectiveMs;
 	const outcome: OperationOutcome = isBeforeTimeout ? (meetsObjective ? 'prompt' : 'late') : (lastAttempt.isRepeatable ? 'refused' : 'failed');
 	return {
@@ -133,24 +133,24 @@
 type Arrivals = Readonly<{operationClass: OperationClass; customer: CustomerLoad; endsAt: Deadline; onArrival: () => void}>;
 
 /** Starts operations at random times until the load has ended. */
-const startOperations = async ({load, world}: CallContext, {operationClass, customer, endsAt, onArrival}: Arrivals): Promise<void> => {
+const startOperations = async ({load, runtime}: CallContext, {operationClass, customer, endsAt, onArrival}: Arrivals): Promise<void> => {
 	const maxFactor = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.factor : 1));
 	const maxRatePerMs = operationClass.operationsPerSecond * customer.fraction * maxFactor / 1000;
-	while (!isPast(endsAt, world.now())) {
-		await world.sleep(-Math.log(1 - world.random()) / maxRatePerMs);
+	while (!isPast(endsAt, runtime.now())) {
+		await runtime.sleep(-Math.log(1 - runtime.random()) / maxRatePerMs);
 		// Arrivals are drawn at the highest rate and then thinned, so that the rate may change at any time.
-		if (world.random() < computeRateFactor(load, customer.name, world.now()) / maxFactor) {
+		if (runtime.random() < computeRateFactor(load, customer.name, runtime.now()) / maxFactor) {
 			onArrival();
 		}
 	}
 };
 
 /** Runs all callers of a load and returns the results of their operations. */
-export const runCallers = async (load: Load, world: World, runStatement: RunStatement): Promise<readonly OperationResult[]> => {
-	const endsAt = createDeadline(world.now(), load.durationMs);
+export const runCallers = async (load: Load, runtime: Runtime, runStatement: RunStatement): Promise<readonly OperationResult[]> => {
+	const endsAt = createDeadline(runtime.now(), load.durationMs);
 	const results: OperationResult[] = [];
 	const pendingOperations: Array<Promise<void>> = [];
-	const context: CallContext = {load, world, runStatement};
+	const context: CallContext = {load, runtime, runStatement};
 	const runAndRecord = async (operationClass: OperationClass, customer: CustomerLoad) => {
 		results.push(await runOperation(context, operationClass, customer.name));
 	};
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -1,7 +1,7 @@
 /** Replays a load against a database owner on a virtual clock. */
 
 import {
-	createDeadline, createVirtualWorld, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type World,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type Runtime,
 } from '@guavapitch/core';
 import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/database-owners';
 import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
@@ -27,25 +27,25 @@
 /** Step of the virtual clock between checks whether all operations have ended, in milliseconds. */
 const CLOCK_STEP_MS = 500;
 
-const createQuotas = (load: Load, world: World): QuotaClient => {
+const createQuotas = (load: Load, runtime: Runtime): QuotaClient => {
 	const allocator = createQuotaAllocator({
-		world,
+		runtime,
 		epoch: 1,
 		getAuthorityDeadline: () => NEVER,
 		getQuota: customer => load.customers.find(({name}) => name === customer),
 	});
 	return createQuotaClient(async request => {
-		await world.sleep(ALLOCATOR_RESPONSE_MS);
+		await runtime.sleep(ALLOCATOR_RESPONSE_MS);
 		const grant = allocator.grantTokens(request);
 		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'The customer has no quota'});
-	}, world, () => ({rate: 0, burst: 0}));
+	}, runtime, () => ({rate: 0, burst: 0}));
 };
 
-const createOwner = (load: Load, targets: EmulatedTargets, world: World): DatabaseOwner => {
-	const quotaClient = createQuotas(load, world);
+const createOwner = (load: Load, targets: EmulatedTargets, runtime: Runtime): DatabaseOwner => {
+	const quotaClient = createQuotas(load, runtime);
 	const owner = createDatabaseOwner({
-		world,
-		readClock: world.now,
+		runtime,
+		readClock: runtime.now,
 		database: EMULATED_DATABASE,
 		dial: targets.dial,
 		readStatus: () => undefined,
@@ -63,19 +63,19 @@
 
 /** Replays a load; the seed determines all random choices. */
 export const runReplay = async (load: Load, seed: number): Promise<ReplayResult> => {
-	const {world, advance} = createVirtualWorld(seed);
-	const targets = createEmulatedTargets(load, world);
-	let owner: DatabaseOwner | undefined = createOwner(load, targets, world);
+	const {runtime, advance} = createVirtualRuntime(seed);
+	const targets = createEmulatedTargets(load, runtime);
+	let owner: DatabaseOwner | undefined = createOwner(load, targets, runtime);
 	const scheduleEvent = (event: LoadEvent) => {
 		if (event.kind === 'restart') {
-			world.schedule(event.atMs, () => {
+			runtime.schedule(event.atMs, () => {
 				owner = undefined;
 			});
-			world.schedule(event.untilMs, () => {
-				owner = createOwner(load, targets, world);
+			runtime.schedule(event.untilMs, () => {
+				owner = createOwner(load, targets, runtime);
 			});
 		} else if (event.kind === 'failover') {
-			world.schedule(event.untilMs, () => {
+			runtime.schedule(event.untilMs, () => {
 				targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
 				owner?.setTargets(targets.describeTargets());
 			});
@@ -87,7 +87,7 @@
 	}
 
 	let operations: readonly OperationResult[] | undefined;
-	const callersDone = runCallers(load, world, async request => {
+	const callersDone = runCallers(load, runtime, async request => {
 		const requestedOwner = owner;
 		const response = await requestedOwner?.serve(request);
 		// A vm that was stopped meanwhile sends no response.
@@ -95,8 +95,8 @@
 	}).then(results => {
 		operations = results;
 	});
-	const endsAt = createDeadline(world.now(), load.durationMs + COMPLETION_TIMEOUT_MS);
-	while (operations === undefined && world.now() < endsAt) {
+	const endsAt = createDeadline(runtime.now(), load.durationMs + COMPLETION_TIMEOUT_MS);
+	while (operations === undefined && runtime.now() < endsAt) {
 		await advance(CLOCK_STEP_MS);
 	}
 
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -1,7 +1,7 @@
 /** Emulated targets with limited slots, long-tailed statement times, connections that occupy a slot while they are opened, and replication lag. */
 
 import {
-	Err, getRemainingMs, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type World,
+	Err, getRemainingMs, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
@@ -45,7 +45,7 @@
 };
 
 /** Creates the emulated targets of a load. */
-export const createEmulatedTargets = (load: Load, world: World): EmulatedTargets => {
+export const createEmulatedTargets = (load: Load, runtime: Runtime): EmulatedTargets => {
 	const targets = new Map(load.targets.map(spec => [spec.id, {spec, busySlots: 0, waiters: []}]));
 	let leader = load.targets[0]?.id ?? '';
 	let term = 1;
@@ -54,13 +54,13 @@
 	let startNumber = 0;
 	let dialCount = 0;
 
-	const isActive = ({atMs, untilMs}: LoadEvent) => world.now() >= atMs && world.now() < untilMs;
+	const isActive = ({atMs, untilMs}: LoadEvent) => runtime.now() >= atMs && runtime.now() < untilMs;
 	const findActiveEvent = (kind: 'slow' | 'dark' | 'failover', id: string) => load.events.find(event => event.kind === kind && event.target === id && isActive(event));
 	const isUnresponsive = (id: string) => findActiveEvent('dark', id) !== undefined || findActiveEvent('failover', id) !== undefined;
 
 	const getPosition = (id: string): LogPosition => {
 		const lagMs = id === leader ? 0 : targets.get(id)?.spec.lagMs ?? 0;
-		const replayedCount = commitTimes.findLastIndex(committedAt => committedAt <= world.now() - lagMs) + 1;
+		const replayedCount = commitTimes.findLastIndex(committedAt => committedAt <= runtime.now() - lagMs) + 1;
 		return {term, number: startNumber + replayedCount};
 	};
 
@@ -72,7 +72,7 @@
 		}
 
 		target.busySlots++;
-		await world.sleep(durationMs);
+		await runtime.sleep(durationMs);
 		target.busySlots--;
 		target.waiters.shift()?.();
 	};
@@ -80,7 +80,7 @@
 	const executeInSlot = async (target: EmulatedTarget, className: string) => {
 		const meanMs = load.classes.find(({name}) => name === className)?.meanStatementMs ?? 1;
 		const slowdown = findActiveEvent('slow', target.spec.id);
-		await occupySlot(target, drawTimeMs(meanMs, world.random) * (slowdown?.kind === 'slow' ? slowdown.factor : 1));
+		await occupySlot(target, drawTimeMs(meanMs, runtime.random) * (slowdown?.kind === 'slow' ? slowdown.factor : 1));
 	};
 
 	const createConnection = (target: EmulatedTarget): TargetConnection => {
@@ -108,7 +108,7 @@
 
 			await executeInSlot(target, className);
 			if (isWrite || statement.kind === 'commit') {
-				commitTimes.push(world.now());
+				commitTimes.push(runtime.now());
 			}
 
 			isInTransaction &&= statement.kind !== 'commit';
@@ -144,7 +144,7 @@
 					}
 
 					if (isUnresponsive(id)) {
-						await world.sleep(Math.max(0, getRemainingMs(deadline, world.now())));
+						await runtime.sleep(Math.max(0, getRemainingMs(deadline, runtime.now())));
 						isConnectionEnded = true;
 						return {replies, ended: 'timeout'};
 					}
@@ -176,7 +176,7 @@
 		async dial({id}, _customer, deadline) {
 			const target = targets.get(id);
 			if (!target || isUnresponsive(id)) {
-				await world.sleep(Math.max(0, getRemainingMs(deadline, world.now())));
+				await runtime.sleep(Math.max(0, getRemainingMs(deadline, runtime.now())));
 				return Err({code: 'silent', message: 'the target did not respond before the deadline'});
 			}
 
--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -1,7 +1,7 @@
 /** Failover coordinator of one database: the only task in the fleet that may change its group record. */
 
 import {
-	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
+	createDeadline, isPast, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
@@ -38,7 +38,7 @@
 
 /** Dependencies of a failover coordinator. */
 export type FailoverCoordinatorContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	store: Store;
 	/** Returns the settings of the database; `undefined` if it is not configured. */
 	getSettings: () => FailoverSettings | undefined;
@@ -68,18 +68,18 @@
 
 /** Creates the failover coordinator of a database. */
 export const createFailoverCoordinator = (context: FailoverCoordinatorContext, database: DatabaseId): FailoverCoordinator => {
-	const {world, store, commands, onEvent} = context;
-	const issuer = createGrantIssuer(world);
-	const health: HealthMonitor = createHealthMonitor(commands.probe, world, (target, isReachable) => {
+	const {runtime, store, commands, onEvent} = context;
+	const issuer = createGrantIssuer(runtime);
+	const health: HealthMonitor = createHealthMonitor(commands.probe, runtime, (target, isReachable) => {
 		onEvent({kind: 'target', target, isReachable});
 	});
 	let view: GroupView | undefined;
 	/** Permissions that new grants give. */
 	let permissions: Permissions = NO_PERMISSIONS;
 	let blockedReason = '';
-	let nextRepairAt = createDeadline(world.now(), 0);
+	let nextRepairAt = createDeadline(runtime.now(), 0);
 
-	const hasAuthority = () => !isPast(context.getAuthorityDeadline(), world.now());
+	const hasAuthority = () => !isPast(context.getAuthorityDeadline(), runtime.now());
 
 	const getAgesMs = (): Readonly<Record<string, number>> => {
 		const targets = context.getSettings()?.targets ?? [];
@@ -114,7 +114,7 @@
 				return entry.val && record?.ok ? {record: record.val, revision: entry.val.revision} : 'none';
 			}
 
-			await world.sleep(STORE_RETRY_DELAY_MS, signal);
+			await runtime.sleep(STORE_RETRY_DELAY_MS, signal);
 		}
 
 		return undefined;
@@ -140,7 +140,7 @@
 				return false;
 			}
 
-			await world.sleep(STORE_RETRY_DELAY_MS, signal);
+			await runtime.sleep(STORE_RETRY_DELAY_MS, signal);
 		}
 
 		return false;
@@ -153,7 +153,7 @@
 				return true;
 			}
 
-			await world.sleep(COMMAND_RETRY_DELAY_MS, signal);
+			await runtime.sleep(COMMAND_RETRY_DELAY_MS, signal);
 		}
 
 		return false;
@@ -169,7 +169,7 @@
 	};
 
 	const syncedSetManager = createSyncedSetManager({
-		world,
+		runtime,
 		health,
 		issuer,
 		getRevision: () => view?.revision ?? 0,
@@ -263,11 +263,11 @@
 
 	/** Makes all other targets follow the primary; those that lead or whose log has diverged are rejoined. */
 	const repair = async (record: GroupRecord, settings: FailoverSettings) => {
-		if (!isPast(nextRepairAt, world.now()) || !hasAuthority()) {
+		if (!isPast(nextRepairAt, runtime.now()) || !hasAuthority()) {
 			return;
 		}
 
-		nextRepairAt = createDeadline(world.now(), REPAIR_INTERVAL_MS);
+		nextRepairAt = createDeadline(runtime.now(), REPAIR_INTERVAL_MS);
 		const followers = health.get(record.primary).report?.replayedPositions ?? new Map<string, number>();
 		const nonFollowers = settings.targets.filter(target => target !== record.primary && health.isReachable(target) && !followers.has(target));
 		await Promise.all(nonFollowers.map(async target => {
@@ -303,7 +303,7 @@
 
 	/** Probes all targets, then fails over or maintains the group as they require. */
 	const runRound = async (settings: FailoverSettings, signal: AbortSignal) => {
-		const probedAt: Instant = world.now();
+		const probedAt: Instant = runtime.now();
 		await health.probeAll(settings.targets);
 		if (!view) {
 			await bootstrap(settings, signal);
@@ -349,7 +349,7 @@
 					await runRound(settings, signal);
 				}
 
-				await world.sleep(PROBE_INTERVAL_MS, signal);
+				await runtime.sleep(PROBE_INTERVAL_MS, signal);
 			}
 
 			permissions = NO_PERMISSIONS;
--- a/packages/failover/src/durability.ts
+++ b/packages/failover/src/durability.ts
@@ -1,7 +1,7 @@
 /** Holds back the response to a write until every replica that acknowledgements wait for has replayed the write. */
 
 import {
-	createSingleFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type World,
+	createSingleFlight, isPast, type DatabaseId, type Deadline, type TargetId, type Result, type Failure, type Runtime,
 } from '@guavapitch/core';
 import {isReplicated, type GrantRegistry} from './grant-registry.js';
 
@@ -38,7 +38,7 @@
 const MAX_BACKOFF_MS = 10;
 
 /** Creates a function that waits until a write is durable. Concurrent waits for the same target share one read of its positions. */
-export const createDurabilityWaiter = (grants: GrantRegistry, readPositions: ReadPositions, world: World): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
+export const createDurabilityWaiter = (grants: GrantRegistry, readPositions: ReadPositions, runtime: Runtime): ((request: DurabilityRequest) => Promise<DurabilityOutcome>) => {
 	const sharedReads = new Map<TargetId, () => Promise<Result<PrimaryPositions, Failure>>>();
 
 	const readSharedPositions = async (target: TargetId) => {
@@ -62,7 +62,7 @@
 	return async request => {
 		let position: number | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
-		while (!isPast(request.deadline, world.now()) && !request.signal.aborted) {
+		while (!isPast(request.deadline, runtime.now()) && !request.signal.aborted) {
 			const grantState = await grants.waitForTerm(request.database, request.term, request.deadline, request.signal);
 			if (grantState !== 'valid') {
 				return 'unproved';
@@ -80,7 +80,7 @@
 				}
 			}
 
-			await world.sleep(backoffMs);
+			await runtime.sleep(backoffMs);
 			backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		}
 
--- a/packages/failover/src/grant-issuer.ts
+++ b/packages/failover/src/grant-issuer.ts
@@ -1,7 +1,7 @@
 /** Issues grants on the side of the failover coordinator: tracks those that may still be valid, and revokes them. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type World,
+	createDeadline, createNotifier, isPast, PAST, type Deadline, type Result, type Failure, type VmId, type Runtime,
 } from '@guavapitch/core';
 import type {GrantResponse} from './grant-registry.js';
 
@@ -75,12 +75,12 @@
 const formatHolder = (holder: GrantHolder): string => `${holder.vm}/${holder.incarnation}`;
 
 /** Creates an issuer without outstanding grants. */
-export const createGrantIssuer = (world: World): GrantIssuer => {
+export const createGrantIssuer = (runtime: Runtime): GrantIssuer => {
 	const outstandingGrants = new Map<string, IssuedGrant>();
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 
 	const hasExpired = (grant: IssuedGrant, permissions: Permissions): boolean => {
-		const now = world.now();
+		const now = runtime.now();
 		return PERMISSION_NAMES.every(name => !permissions[name] || isPast(grant.deadlines[name], now));
 	};
 
@@ -96,7 +96,7 @@
 
 	return {
 		grant(holder, parameters) {
-			const now = world.now();
+			const now = runtime.now();
 			const {authorityDeadline, ...contents} = parameters;
 			const validMs = Math.min(MAX_GRANT_VALIDITY_MS, authorityDeadline - now - CLOCK_DRIFT_MS);
 			if (validMs <= 0) {
@@ -128,11 +128,11 @@
 		async waitForRevision(revision, deadline, signal) {
 			const areAllRenewed = () => [...outstandingGrants.values()].every(grant => grant.revision >= revision || hasExpired(grant, ALL_PERMISSIONS));
 			while (!areAllRenewed()) {
-				if (isPast(deadline, world.now()) || signal.aborted) {
+				if (isPast(deadline, runtime.now()) || signal.aborted) {
 					return false;
 				}
 
-				await world.sleep(CLOCK_DRIFT_MS, signal).catch(() => undefined);
+				await runtime.sleep(CLOCK_DRIFT_MS, signal).catch(() => undefined);
 			}
 
 			return true;
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -1,7 +1,7 @@
 /** Registry of the grants that a process holds: short-lived permissions from the failover coordinator, each valid until a deadline of the local clock. */
 
 import {
-	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type World,
+	createDeadline, createNotifier, Err, isPast, Ok, PAST, type DatabaseId, type Deadline, type Failure, type TargetId, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	EXPIRED_DEADLINES, changeDeadlines, type PermissionDeadlines, type Permissions,
@@ -66,9 +66,9 @@
 const NO_GRANT: GrantFailure = {code: 'noGrant', message: 'There is no valid grant from the failover coordinator'};
 
 /** Creates a registry without grants. */
-export const createGrantRegistry = (world: World): GrantRegistry => {
+export const createGrantRegistry = (runtime: Runtime): GrantRegistry => {
 	const grants = new Map<DatabaseId, HeldGrant>();
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 
 	const revokedAt = new Map<DatabaseId, Instant>();
 
@@ -76,7 +76,7 @@
 
 	const getValidRecord = (database: DatabaseId, permission: keyof Permissions): GroupRecord | undefined => {
 		const grant = grants.get(database);
-		return grant && !isPast(grant.deadlines[permission], world.now()) ? grant.response.view.record : undefined;
+		return grant && !isPast(grant.deadlines[permission], runtime.now()) ? grant.response.view.record : undefined;
 	};
 
 	const checkPrimary = (database: DatabaseId, target: TargetId, permission: keyof Permissions): Result<GroupRecord, GrantFailure> => {
@@ -106,7 +106,7 @@
 			changed.notify();
 		},
 		revoke(database, permissions) {
-			revokedAt.set(database, world.now());
+			revokedAt.set(database, runtime.now());
 			const previousGrant = grants.get(database);
 			if (previousGrant) {
 				grants.set(database, {...previousGrant, deadlines: changeDeadlines(previousGrant.deadlines, permissions, PAST)});
@@ -150,7 +150,7 @@
 				return Err(NO_GRANT);
 			}
 
-			const currentAgeMs = ageMs + (world.now() - grant.sentAt);
+			const currentAgeMs = ageMs + (runtime.now() - grant.sentAt);
 			return currentAgeMs <= maximumAgeMs
 				? Ok(grant.response.view.record)
 				: Err({code: 'tooOld', message: `The data of target ${target} may be ${Math.round(currentAgeMs)} ms old`});
--- a/packages/failover/src/health-monitor.ts
+++ b/packages/failover/src/health-monitor.ts
@@ -1,7 +1,7 @@
 /** Monitors the health of the targets of a database for its failover coordinator. */
 
 import {
-	createDeadline, isPast, type Failure, type TargetId, type Instant, type Result, type World,
+	createDeadline, isPast, type Failure, type TargetId, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 
 /** State that a target reports of itself. */
@@ -60,7 +60,7 @@
 type PositionSample = Readonly<{position: number; at: Instant}>;
 
 /** Creates a monitor of targets that have not been probed yet. Calls `onChange` after the first probe of a target and whenever it becomes reachable or unreachable. */
-export const createHealthMonitor = (probe: ProbeTarget, world: World, onChange: (target: TargetId, isReachable: boolean) => void): HealthMonitor => {
+export const createHealthMonitor = (probe: ProbeTarget, runtime: Runtime, onChange: (target: TargetId, isReachable: boolean) => void): HealthMonitor => {
 	const healthByTarget = new Map<TargetId, TargetHealth>();
 	const primaryPositions: PositionSample[] = [];
 	const highestPositions = new Map<TargetId, number>();
@@ -68,7 +68,7 @@
 	const get = (target: TargetId): TargetHealth => healthByTarget.get(target) ?? UNKNOWN_HEALTH;
 
 	const probeTarget = async (target: TargetId) => {
-		const sentAt = world.now();
+		const sentAt = runtime.now();
 		const report = await probe(target);
 		const previousHealth = get(target);
 		if (report.ok) {
@@ -96,13 +96,13 @@
 		},
 		hasFailed(target) {
 			const {failingSince} = get(target);
-			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILURE_TIMEOUT_MS), world.now());
+			return failingSince !== undefined && isPast(createDeadline(failingSince, FAILURE_TIMEOUT_MS), runtime.now());
 		},
 		getPosition: target => get(target).report?.position ?? -1,
 		getAgeMs(target) {
 			const position = get(target).report?.position ?? -1;
 			const sample = primaryPositions.findLast(recorded => recorded.position <= position);
-			return sample ? world.now() - sample.at : undefined;
+			return sample ? runtime.now() - sample.at : undefined;
 		},
 		hasLostData: target => (get(target).report?.position ?? Number.POSITIVE_INFINITY) < (highestPositions.get(target) ?? 0),
 		forgetHighestPosition(target) {
--- a/packages/failover/src/synced-set.ts
+++ b/packages/failover/src/synced-set.ts
@@ -1,7 +1,7 @@
 /** Maintains the synced set, the replicas that acknowledgements wait for: decides when replicas join and leave it. */
 
 import {
-	createDeadline, isPast, type DatabaseId, type TargetId, type World,
+	createDeadline, isPast, type DatabaseId, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {ALL_PERMISSIONS, type GrantIssuer, type Permissions} from './grant-issuer.js';
 import type {HealthMonitor} from './health-monitor.js';
@@ -21,7 +21,7 @@
 
 /** Dependencies of the manager of a synced set, provided by the failover coordinator. */
 export type SyncedSetManagerContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	health: HealthMonitor;
 	issuer: GrantIssuer;
 	/** Returns the current revision of the group record. */
@@ -50,8 +50,8 @@
 
 /** Creates the manager of the synced set of one database. */
 export const createSyncedSetManager = (context: SyncedSetManagerContext): SyncedSetManager => {
-	const {world, health, issuer} = context;
-	let nextJoinAt = createDeadline(world.now(), 0);
+	const {runtime, health, issuer} = context;
+	let nextJoinAt = createDeadline(runtime.now(), 0);
 
 	const isLagging = (target: TargetId, primary: TargetId): boolean => {
 		if (health.hasFailed(target)) {
@@ -108,11 +108,11 @@
 			&& health.isReachable(target)
 			&& health.get(record.primary).report?.replayedPositions.has(target)
 			&& !isLagging(target, record.primary));
-		if (candidates.length === 0 || !isPast(nextJoinAt, world.now())) {
+		if (candidates.length === 0 || !isPast(nextJoinAt, runtime.now())) {
 			return false;
 		}
 
-		nextJoinAt = createDeadline(world.now(), JOIN_INTERVAL_MS);
+		nextJoinAt = createDeadline(runtime.now(), JOIN_INTERVAL_MS);
 		return context.writeRecord({...record, joining: [...record.joining, ...candidates]}, signal);
 	};
 
@@ -125,7 +125,7 @@
 			return false;
 		}
 
-		const deadline = createDeadline(world.now(), JOIN_TIMEOUT_MS);
+		const deadline = createDeadline(runtime.now(), JOIN_TIMEOUT_MS);
 		if (!await issuer.waitForRevision(context.getRevision(), deadline, signal)) {
 			return false;
 		}
@@ -136,14 +136,14 @@
 			return false;
 		}
 
-		while (!isPast(deadline, world.now()) && !signal.aborted) {
+		while (!isPast(deadline, runtime.now()) && !signal.aborted) {
 			await health.probeAll(record.joining);
 			const joinedReplicas = record.joining.filter(target => health.isReachable(target) && health.get(target).report?.isReplica && health.getPosition(target) >= requiredPosition);
 			if (joinedReplicas.length === record.joining.length) {
 				return context.writeRecord({...record, joining: [], synced: [...record.synced, ...joinedReplicas]}, signal);
 			}
 
-			await world.sleep(JOIN_PROBE_INTERVAL_MS, signal);
+			await runtime.sleep(JOIN_PROBE_INTERVAL_MS, signal);
 		}
 
 		return false;
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -5,7 +5,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualWorld, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type World,
+	createDeadline, createVirtualRuntime, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createDurabilityWaiter} from '../durability.js';
@@ -67,47 +67,47 @@
 /** Mechanisms that a simulation can switch off, to show that the check then fails: waiting for replicas, and revocation before a promotion. */
 type DisabledMechanisms = Readonly<{replicas?: boolean; revocation?: boolean}>;
 
-type Simulation = Readonly<{world: World; group: FakeGroup; faults: readonly Fault[]; disabled: DisabledMechanisms; signal: AbortSignal}>;
+type Simulation = Readonly<{runtime: Runtime; group: FakeGroup; faults: readonly Fault[]; disabled: DisabledMechanisms; signal: AbortSignal}>;
 
 const isActive = (fault: Fault, now: number): boolean => now >= fault.atMs && now < fault.atMs + fault.durationMs;
 
 /** Wraps a store with outages and lost responses. */
-const createFaultyStore = ({world, faults}: Simulation, store: Store): Store => {
-	const isFaultActive = (kind: Fault['kind']) => faults.some(fault => fault.kind === kind && isActive(fault, world.now()));
+const createFaultyStore = ({runtime, faults}: Simulation, store: Store): Store => {
+	const isFaultActive = (kind: Fault['kind']) => faults.some(fault => fault.kind === kind && isActive(fault, runtime.now()));
 	const noResponse = Err({code: 'storeUnknown' as const, message: 'no response'});
 	return {
 		...store,
 		async read(key) {
-			await world.sleep(world.random() * 20);
+			await runtime.sleep(runtime.random() * 20);
 			return isFaultActive('storeDown') ? noResponse : store.read(key);
 		},
 		async compareAndSwap(...args) {
-			await world.sleep(world.random() * 20);
+			await runtime.sleep(runtime.random() * 20);
 			if (isFaultActive('storeDown')) {
 				return noResponse;
 			}
 
 			const outcome = await store.compareAndSwap(...args);
-			await world.sleep(world.random() * 20);
-			return isFaultActive('loseAnswers') && world.random() < 0.5 ? noResponse : outcome;
+			await runtime.sleep(runtime.random() * 20);
+			return isFaultActive('loseAnswers') && runtime.random() < 0.5 ? noResponse : outcome;
 		},
 	};
 };
 
 /** Runs coordinators one after the other; no two of them have authority at the same time. */
 const runCoordinators = (simulation: Simulation, registries: readonly GrantRegistry[]): (() => FailoverCoordinator | undefined) => {
-	const {world, group, faults, signal, disabled} = simulation;
-	const store = createFaultyStore(simulation, createMemoryStore(world));
+	const {runtime, group, faults, signal, disabled} = simulation;
+	const store = createFaultyStore(simulation, createMemoryStore(runtime));
 	const coordinatorChanges = faults.filter(fault => fault.kind === 'newSteward').toSorted((a, b) => a.atMs - b.atMs);
 	const startTimesMs = [0, ...coordinatorChanges.map(fault => fault.atMs + fault.gapMs)];
 	const endTimesMs = [...coordinatorChanges.map(fault => fault.atMs), RUN_MS * 2];
-	const getLeavingTargets = () => TARGETS.filter((_, index) => faults.some(fault => fault.kind === 'leaving' && fault.target === index && isActive(fault, world.now())));
-	const isReplicated = () => !faults.some(fault => fault.kind === 'acknowledgeByPrimary' && isActive(fault, world.now()));
+	const getLeavingTargets = () => TARGETS.filter((_, index) => faults.some(fault => fault.kind === 'leaving' && fault.target === index && isActive(fault, runtime.now())));
+	const isReplicated = () => !faults.some(fault => fault.kind === 'acknowledgeByPrimary' && isActive(fault, runtime.now()));
 	const coordinators = startTimesMs.map((startMs, index) => {
-		const deadline = createDeadline(world.now(), endTimesMs[index] ?? 0);
-		const getAuthorityDeadline = (): Deadline => world.now() >= startMs ? deadline : PAST;
+		const deadline = createDeadline(runtime.now(), endTimesMs[index] ?? 0);
+		const getAuthorityDeadline = (): Deadline => runtime.now() >= startMs ? deadline : PAST;
 		const coordinator = createFailoverCoordinator({
-			world,
+			runtime,
 			store,
 			commands: group.commands,
 			getSettings: () => ({
@@ -115,19 +115,19 @@
 			}),
 			getAuthorityDeadline,
 			async revoke(holder, _database, permissions) {
-				await world.sleep(world.random() * 50);
+				await runtime.sleep(runtime.random() * 50);
 				if (disabled.revocation) {
 					return Ok(true);
 				}
 
-				if (world.random() < 0.3) {
+				if (runtime.random() < 0.3) {
 					return Err({code: 'lost', message: 'no response'});
 				}
 
 				const registry = registries[Number(holder.vm)];
 				registry?.revoke(DATABASE, permissions);
 				if (!permissions.acknowledgements) {
-					await registry?.waitUntilWritesEnd(DATABASE, createDeadline(world.now(), 1000));
+					await registry?.waitUntilWritesEnd(DATABASE, createDeadline(runtime.now(), 1000));
 				}
 
 				return Ok(true);
@@ -135,33 +135,33 @@
 			publish: () => undefined,
 			onEvent: () => undefined,
 		}, DATABASE);
-		void world.sleep(startMs).then(async () => coordinator.run(signal)).catch(() => undefined);
+		void runtime.sleep(startMs).then(async () => coordinator.run(signal)).catch(() => undefined);
 		return coordinator;
 	});
 	return () => {
-		const index = startTimesMs.findLastIndex(startMs => startMs <= world.now());
+		const index = startTimesMs.findLastIndex(startMs => startMs <= runtime.now());
 		return coordinators[index];
 	};
 };
 
 /** Runs the database owners: each writes, waits for durability, and checks what it may read. */
 const runOwners = (simulation: Simulation, registries: readonly GrantRegistry[], getCoordinator: () => FailoverCoordinator | undefined) => {
-	const {world, group, signal, disabled} = simulation;
+	const {runtime, group, signal, disabled} = simulation;
 	const acknowledged = new Set<string>();
 	const violations: string[] = [];
 	let lastAcknowledgedAt = 0;
 
 	const renewGrants = async (registry: GrantRegistry, index: number) => {
 		while (!signal.aborted) {
-			const sentAt = world.now();
-			await world.sleep(world.random() * 40);
+			const sentAt = runtime.now();
+			await runtime.sleep(runtime.random() * 40);
 			const response: GrantResponse | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
-			await world.sleep(world.random() * 200);
-			if (response && world.random() < 0.9) {
+			await runtime.sleep(runtime.random() * 200);
+			if (response && runtime.random() < 0.9) {
 				registry.accept(response, sentAt);
 			}
 
-			await world.sleep(100, signal).catch(() => undefined);
+			await runtime.sleep(100, signal).catch(() => undefined);
 		}
 	};
 
@@ -173,7 +173,7 @@
 		}
 
 		using trackedWrite = registry.trackWrite(DATABASE);
-		await world.sleep(world.random() * 60);
+		await runtime.sleep(runtime.random() * 60);
 		const fakeTarget = group.get(primary);
 		if (fakeTarget.isReplica || fakeTarget.isDown || fakeTarget.partition.fromOwners) {
 			return;
@@ -181,23 +181,23 @@
 
 		fakeTarget.log = [...fakeTarget.log, id];
 		const waitUntilDurable = createDurabilityWaiter(registry, async name => {
-			await world.sleep(world.random() * 20);
+			await runtime.sleep(runtime.random() * 20);
 			const {log, replayedPositions, partition, isDown} = group.get(name);
 			return partition.fromOwners || isDown ? Err({code: 'lost', message: 'no response'}) : Ok({position: disabled.replicas ? 0 : log.length, replayedPositions: new Map(replayedPositions)});
-		}, world);
+		}, runtime);
 		const outcome = await waitUntilDurable({
-			database: DATABASE, target: primary, term: writeCheck.val.term, deadline: createDeadline(world.now(), REQUEST_MS), signal,
+			database: DATABASE, target: primary, term: writeCheck.val.term, deadline: createDeadline(runtime.now(), REQUEST_MS), signal,
 		});
 		if (outcome === 'durable') {
 			acknowledged.add(id);
-			lastAcknowledgedAt = world.now();
+			lastAcknowledgedAt = runtime.now();
 		}
 	};
 
 	const runWrites = async (registry: GrantRegistry, index: number) => {
 		for (let count = 0; !signal.aborted; count++) {
 			await runWrite(registry, `${index}.${count}`);
-			await world.sleep(20 + (world.random() * 40), signal).catch(() => undefined);
+			await runtime.sleep(20 + (runtime.random() * 40), signal).catch(() => undefined);
 		}
 	};
 
@@ -214,7 +214,7 @@
 				const presentIds = new Set(group.get(name).log);
 				const missingIds = [...acknowledged].filter(id => !presentIds.has(id));
 				if (missingIds.length > 0 && registries.some(registry => registry.checkRead(DATABASE, name).ok)) {
-					violations.push(`at ${world.now()} ms: ${name} may be read but lacks acknowledged write ${missingIds[0]}`);
+					violations.push(`at ${runtime.now()} ms: ${name} may be read but lacks acknowledged write ${missingIds[0]}`);
 				}
 			}
 		},
@@ -222,16 +222,16 @@
 	};
 };
 
-const applyFaults = ({world, group, faults}: Simulation) => {
+const applyFaults = ({runtime, group, faults}: Simulation) => {
 	for (const [index, name] of TARGETS.entries()) {
-		const partitions = faults.filter(fault => fault.kind === 'cut' && fault.target === index && isActive(fault, world.now())).map(fault => fault.kind === 'cut' ? fault.partition : NO_PARTITION);
-		const lag = faults.find(fault => fault.kind === 'lag' && fault.target === index && isActive(fault, world.now()));
+		const partitions = faults.filter(fault => fault.kind === 'cut' && fault.target === index && isActive(fault, runtime.now())).map(fault => fault.kind === 'cut' ? fault.partition : NO_PARTITION);
+		const lag = faults.find(fault => fault.kind === 'lag' && fault.target === index && isActive(fault, runtime.now()));
 		const fakeTarget = group.get(name);
 		fakeTarget.partition = {
 			fromCoordinator: partitions.some(active => active.fromCoordinator), fromOwners: partitions.some(active => active.fromOwners), fromReplicas: partitions.some(active => active.fromReplicas),
 		};
 		fakeTarget.lagMs = lag?.kind === 'lag' ? lag.lagMs : 15;
-		const destroyed = faults.find(fault => fault.kind === 'destroy' && fault.target === index && isActive(fault, world.now()));
+		const destroyed = faults.find(fault => fault.kind === 'destroy' && fault.target === index && isActive(fault, runtime.now()));
 		fakeTarget.isDown = destroyed !== undefined;
 		if (destroyed) {
 			clearTarget(fakeTarget);
@@ -241,17 +241,17 @@
 
 /** Runs one schedule of faults to its end. */
 const runSchedule = async (seed: number, faults: readonly Fault[], disabled: DisabledMechanisms = {}): Promise<Outcome> => {
-	const {world, advance} = createVirtualWorld(seed);
+	const {runtime, advance} = createVirtualRuntime(seed);
 	const stop = new AbortController();
 	setMaxListeners(0, stop.signal);
-	const group = createFakeGroup(TARGETS, world);
+	const group = createFakeGroup(TARGETS, runtime);
 	const simulation: Simulation = {
-		world, group, faults, disabled, signal: stop.signal,
+		runtime, group, faults, disabled, signal: stop.signal,
 	};
-	const registries = Array.from({length: OWNER_COUNT}, () => createGrantRegistry(world));
+	const registries = Array.from({length: OWNER_COUNT}, () => createGrantRegistry(runtime));
 	const owners = runOwners(simulation, registries, runCoordinators(simulation, registries));
 	void group.replicate(stop.signal);
-	while (world.now() < RUN_MS) {
+	while (runtime.now() < RUN_MS) {
 		applyFaults(simulation);
 		await advance(STEP_MS);
 		owners.check();
--- a/packages/failover/src/tests/fake-group.ts
+++ b/packages/failover/src/tests/fake-group.ts
@@ -1,7 +1,7 @@
 /** Simulates a small group of replicated targets on a virtual clock, with network partitions, lag and data loss. */
 
 import {
-	Err, Ok, type Failure, type TargetId, type Result, type World,
+	Err, Ok, type Failure, type TargetId, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {TargetReport} from '../health-monitor.js';
 import type {TargetCommands} from '../coordinator.js';
@@ -52,7 +52,7 @@
 const isPrefix = (shorter: readonly string[], longer: readonly string[]): boolean => shorter.length <= longer.length && shorter.every((entry, index) => entry === longer[index]);
 
 /** Creates a group; the first target is its primary. */
-export const createFakeGroup = (names: readonly TargetId[], world: World): FakeGroup => {
+export const createFakeGroup = (names: readonly TargetId[], runtime: Runtime): FakeGroup => {
 	const [primary] = names;
 	const targets = new Map(names.map((name): [TargetId, FakeTarget] => [name, {
 		name, log: [], isReplica: name !== primary, timeline: 1, upstream: name === primary ? undefined : primary,
@@ -71,14 +71,14 @@
 	/** Delivers a command and its response; either may be lost to a partition. */
 	const sendCommand = async <Value>(name: TargetId, run: (target: FakeTarget) => Value): Promise<Result<Value, Failure>> => {
 		const target = get(name);
-		await world.sleep(world.random() * MAX_LATENCY_MS);
+		await runtime.sleep(runtime.random() * MAX_LATENCY_MS);
 		if (target.partition.fromCoordinator || target.isDown) {
-			await world.sleep(CALL_TIMEOUT_MS);
+			await runtime.sleep(CALL_TIMEOUT_MS);
 			return Err(NO_RESPONSE);
 		}
 
 		const value = run(target);
-		await world.sleep(world.random() * MAX_LATENCY_MS);
+		await runtime.sleep(runtime.random() * MAX_LATENCY_MS);
 		return target.partition.fromCoordinator || target.isDown ? Err(NO_RESPONSE) : Ok(value);
 	};
 
@@ -127,13 +127,13 @@
 			const nextCopyAt = new Map<TargetId, number>();
 			while (!signal.aborted) {
 				for (const replica of targets.values()) {
-					if (world.now() >= (nextCopyAt.get(replica.name) ?? 0)) {
-						nextCopyAt.set(replica.name, world.now() + replica.lagMs);
+					if (runtime.now() >= (nextCopyAt.get(replica.name) ?? 0)) {
+						nextCopyAt.set(replica.name, runtime.now() + replica.lagMs);
 						replicateOnce(replica);
 					}
 				}
 
-				await world.sleep(REPLICATION_INTERVAL_MS, signal).catch(() => undefined);
+				await runtime.sleep(REPLICATION_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
 	};
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {createDurabilityWaiter} from '../durability.js';
 import {ALL_PERMISSIONS, createGrantIssuer, MAX_GRANT_VALIDITY_MS} from '../grant-issuer.js';
@@ -24,36 +24,36 @@
 				requestMs: fc.integer({min: 0, max: 800}), responseMs: fc.integer({min: 0, max: 1500}), revocationMs: fc.integer({min: 0, max: 600}), isRevocationLost: fc.boolean(),
 			});
 			await fc.assert(fc.asyncProperty(fc.array(delaysArbitrary, {minLength: 1, maxLength: 5}), fc.integer({min: 0, max: 2000}), async (delaysByHolder, revokeAtMs) => {
-				const {world, advance} = createVirtualWorld();
-				const issuer = createGrantIssuer(world);
+				const {runtime, advance} = createVirtualRuntime();
+				const issuer = createGrantIssuer(runtime);
 				const stop = new AbortController();
 				let isIssuing = true;
 				let isRevoked = false;
-				const registries = delaysByHolder.map(() => createGrantRegistry(world));
+				const registries = delaysByHolder.map(() => createGrantRegistry(runtime));
 				const holders = delaysByHolder.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
 				const requests = delaysByHolder.map(async (delays, index) => {
 					for (let count = 0; count < 4; count++) {
-						const sentAt = world.now();
-						await world.sleep(delays.requestMs);
+						const sentAt = runtime.now();
+						await runtime.sleep(delays.requestMs);
 						const holder = holders[index];
 						const response = isIssuing && holder
 							? issuer.grant(holder, {
 								view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 							})
 							: undefined;
-						await world.sleep(delays.responseMs);
+						await runtime.sleep(delays.responseMs);
 						if (response) {
 							registries[index]?.accept(response, sentAt);
 						}
 					}
 				});
 				const revocation = (async () => {
-					await world.sleep(revokeAtMs);
+					await runtime.sleep(revokeAtMs);
 					isIssuing = false;
 					await issuer.revokeAll(ALL_PERMISSIONS, async holder => {
 						const index = holders.indexOf(holder);
 						const delays = delaysByHolder[index];
-						await world.sleep(delays?.revocationMs ?? 0);
+						await runtime.sleep(delays?.revocationMs ?? 0);
 						if (delays?.isRevocationLost) {
 							return Err({code: 'lost', message: 'lost'});
 						}
@@ -76,8 +76,8 @@
 		});
 
 		it('waits for the grant of a holder that does not respond to expire', async () => {
-			const {world, advance} = createVirtualWorld();
-			const issuer = createGrantIssuer(world);
+			const {runtime, advance} = createVirtualRuntime();
+			const issuer = createGrantIssuer(runtime);
 			issuer.grant({vm: parseId<VmId>('v'), incarnation: 'i'}, {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 			});
@@ -94,14 +94,14 @@
 
 	describe('grant', () => {
 		it('never outlives the authority of the coordinator', () => {
-			const {world} = createVirtualWorld();
-			const issuer = createGrantIssuer(world);
+			const {runtime} = createVirtualRuntime();
+			const issuer = createGrantIssuer(runtime);
 			const parameters = {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA],
 			};
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			assert.ok((issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(world.now(), 300)})?.validMs ?? 0) <= 300);
-			assert.equal(issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(world.now(), 10)}), undefined);
+			assert.ok((issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(runtime.now(), 300)})?.validMs ?? 0) <= 300);
+			assert.equal(issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(runtime.now(), 10)}), undefined);
 		});
 	});
 
@@ -110,19 +110,19 @@
 			view, validMs: MAX_GRANT_VALIDITY_MS, agesMs: {}, readable: [REPLICA], permissions: ALL_PERMISSIONS,
 		});
 
-		const waitWithChange = async (replayedAt: number, change: (registry: ReturnType<typeof createGrantRegistry>, world: ReturnType<typeof createVirtualWorld>['world']) => void) => {
-			const {world, advance} = createVirtualWorld();
-			const registry = createGrantRegistry(world);
-			registry.accept(createResponse(createView(1)), world.now());
+		const waitWithChange = async (replayedAt: number, change: (registry: ReturnType<typeof createGrantRegistry>, runtime: ReturnType<typeof createVirtualRuntime>['runtime']) => void) => {
+			const {runtime, advance} = createVirtualRuntime();
+			const registry = createGrantRegistry(runtime);
+			registry.accept(createResponse(createView(1)), runtime.now());
 			const wait = createDurabilityWaiter(registry, async () => {
-				await world.sleep(1);
-				return Ok({position: 100, replayedPositions: new Map([[REPLICA as string, world.now() >= replayedAt ? 100 : 50]])});
-			}, world);
+				await runtime.sleep(1);
+				return Ok({position: 100, replayedPositions: new Map([[REPLICA as string, runtime.now() >= replayedAt ? 100 : 50]])});
+			}, runtime);
 			const outcome = wait({
-				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(world.now(), 3000), signal: new AbortController().signal,
+				database: DATABASE, target: PRIMARY, term: 1, deadline: createDeadline(runtime.now(), 3000), signal: new AbortController().signal,
 			});
 			await advance(50);
-			change(registry, world);
+			change(registry, runtime);
 			await advance(5000);
 			return outcome;
 		};
@@ -132,17 +132,17 @@
 		});
 
 		it('does not acknowledge while fewer replicas than the minimum are waited for', async () => {
-			const outcome = await waitWithChange(200, (registry, world) => {
+			const outcome = await waitWithChange(200, (registry, runtime) => {
 				const view = createView(2);
-				registry.accept(createResponse({...view, record: {...view.record, synced: []}}), world.now());
+				registry.accept(createResponse({...view, record: {...view.record, synced: []}}), runtime.now());
 			});
 			assert.equal(outcome, 'unproved');
 		});
 
 		it('does not acknowledge a write of a term that has ended', async () => {
-			const outcome = await waitWithChange(200, (registry, world) => {
+			const outcome = await waitWithChange(200, (registry, runtime) => {
 				const view = createView(2);
-				registry.accept(createResponse({...view, record: promoteRecord(view.record, REPLICA, 100)}), world.now());
+				registry.accept(createResponse({...view, record: promoteRecord(view.record, REPLICA, 100)}), runtime.now());
 			});
 			assert.equal(outcome, 'unproved');
 		});
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -1,7 +1,7 @@
 /** Change feed of the store: reads entries from the store itself, or follows a relay that does. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Failure, type Instant, type Result, type World,
+	createDeadline, createNotifier, isPast, PAST, type Deadline, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	createEntryTable, type FeedSource, type StoreChange, type StoreEntry,
@@ -41,7 +41,7 @@
 
 /** Dependencies of a change feed. */
 export type FeedContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Identifier of this run of the process. */
 	run: string;
 	source: FeedSource;
@@ -95,9 +95,9 @@
 
 /** Creates a change feed without entries. */
 export const createFeed = (context: FeedContext): Feed => {
-	const {world, source} = context;
+	const {runtime, source} = context;
 	const entryTable = createEntryTable();
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 	let changeLog: StoreChange[] = [];
 	let firstLoggedNumber = 1;
 	let contactAt = PAST as number;
@@ -107,7 +107,7 @@
 	let followedRun = '';
 	let followedNumber = 0;
 
-	const getAgeMs = () => world.now() - contactAt;
+	const getAgeMs = () => runtime.now() - contactAt;
 
 	const publish = (changes: readonly StoreChange[], previousEntries: ReadonlyMap<string, StoreEntry | undefined>) => {
 		const relevantChanges = changes.filter(change => context.isRelevantChange(change, previousEntries.get(change.key)));
@@ -141,13 +141,13 @@
 	};
 
 	/** Tells whether this vm should read the store, because there is no relay to follow or because other vms follow this one. */
-	const shouldReadStore = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, world.now());
+	const shouldReadStore = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, runtime.now());
 
 	const readPrefix = async (prefix: FeedPrefix, signal: AbortSignal): Promise<void> => {
 		let revision: number | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!signal.aborted) {
-			const sentAt = world.now();
+			const sentAt = runtime.now();
 			if (revision === undefined) {
 				const read = await source.readAll(prefix.prefix);
 				if (read.ok) {
@@ -168,9 +168,9 @@
 				backoffMs = recordRead(watched.ok ? undefined : watched.val, sentAt, backoffMs);
 			}
 
-			const delayMs = backoffMs > INITIAL_BACKOFF_MS ? backoffMs * (0.5 + world.random()) : prefix.pauseMs;
+			const delayMs = backoffMs > INITIAL_BACKOFF_MS ? backoffMs * (0.5 + runtime.random()) : prefix.pauseMs;
 			if (delayMs > 0 && !signal.aborted) {
-				await world.sleep(delayMs, signal).catch(() => undefined);
+				await runtime.sleep(delayMs, signal).catch(() => undefined);
 			}
 		}
 	};
@@ -198,9 +198,9 @@
 		isReadingStore = true;
 		context.onSourceChange('store', '');
 		const readerTasks = context.prefixes.map(async prefix => readPrefix(prefix, readerAbort.signal));
-		await world.sleep(MIN_READING_MS, signal).catch(() => undefined);
+		await runtime.sleep(MIN_READING_MS, signal).catch(() => undefined);
 		while (!signal.aborted && (shouldReadStore() || getAgeMs() > STALENESS_LIMIT_MS)) {
-			await world.sleep(READING_CHECK_INTERVAL_MS, signal).catch(() => undefined);
+			await runtime.sleep(READING_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 		}
 
 		readerAbort.abort();
@@ -214,7 +214,7 @@
 	const followRelay = async (relay: string, signal: AbortSignal): Promise<boolean> => {
 		let hasResponded = false;
 		while (!signal.aborted && !shouldReadStore()) {
-			const sentAt = world.now();
+			const sentAt = runtime.now();
 			const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: hasResponded ? MAX_FOLLOWER_WAIT_MS : 0});
 			if (response.err || response.val.ageMs > STALENESS_LIMIT_MS) {
 				return hasResponded;
@@ -269,17 +269,17 @@
 		get: entryTable.get,
 		list: entryTable.list,
 		async serve(request) {
-			relayUntil = createDeadline(world.now(), RELAY_TIMEOUT_MS);
-			const waitDeadline = createDeadline(world.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
+			relayUntil = createDeadline(runtime.now(), RELAY_TIMEOUT_MS);
+			const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
 			const getNextNumber = () => firstLoggedNumber + changeLog.length;
 			const isInLog = request.run === context.run && request.after >= firstLoggedNumber - 1;
 			if (isInLog) {
-				while (request.after + 1 >= getNextNumber() && !isPast(waitDeadline, world.now())) {
+				while (request.after + 1 >= getNextNumber() && !isPast(waitDeadline, runtime.now())) {
 					await changed.waitForChange(waitDeadline);
 				}
 			}
 
-			const ageMs = Math.max(0, world.now() - (isReadingStore ? storeContactAt : contactAt));
+			const ageMs = Math.max(0, runtime.now() - (isReadingStore ? storeContactAt : contactAt));
 			const isStillInLog = isInLog && request.after >= firstLoggedNumber - 1;
 			return {
 				run: context.run,
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, Err, Ok, type Result, type World,
+	createVirtualRuntime, Err, Ok, type Result, type Runtime,
 } from '@guavapitch/core';
 import {createEntryTable, type FeedSource, type StoreChange} from '../entries.js';
 import {createFeed, type Feed} from '../feed.js';
@@ -11,7 +11,7 @@
 const PREFIXES = [{prefix: 'a/', waitMs: 1000, pauseMs: 0}];
 
 /** A store of a few entries with switchable faults. */
-const createStore = (world: World) => {
+const createStore = (runtime: Runtime) => {
 	const changes: StoreChange[] = [];
 	const state = {isDown: false, historyFrom: 0, readCount: 0};
 	const getRevision = () => changes.length;
@@ -39,7 +39,7 @@
 					return Ok({changes: newChanges, revision: getRevision()});
 				}
 
-				await world.sleep(20);
+				await runtime.sleep(20);
 			}
 
 			if (state.isDown) {
@@ -55,12 +55,12 @@
 };
 
 const createSetup = () => {
-	const {world, advance} = createVirtualWorld(9);
-	const store = createStore(world);
+	const {runtime, advance} = createVirtualRuntime(9);
+	const store = createStore(runtime);
 	const stop = new AbortController();
 	const startFeed = (name: string, source: FeedSource, relay?: Feed): Feed => {
 		const feed = createFeed({
-			world,
+			runtime,
 			run: name,
 			source,
 			prefixes: PREFIXES,
@@ -78,7 +78,7 @@
 	};
 
 	return {
-		world, advance, store, startFeed, stop,
+		runtime, advance, store, startFeed, stop,
 	};
 };
 
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -1,7 +1,7 @@
 /** Quota allocator: the only process that grants tokens of a customer to the entries. */
 
 import {
-	isPast, type CustomerId, type Deadline, type World,
+	isPast, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import {
 	createBucket, fillBucket, getNextTokenWaitMs, takeTokens, type Bucket, type Quota,
@@ -36,7 +36,7 @@
 
 /** Dependencies of a quota allocator. */
 export type QuotaAllocatorContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	epoch: number;
 	/** Returns the deadline of the allocator's authority; tokens are not valid beyond it. */
 	getAuthorityDeadline: () => Deadline;
@@ -61,14 +61,14 @@
 
 /** Creates a quota allocator whose buckets start empty. */
 export const createQuotaAllocator = (context: QuotaAllocatorContext): QuotaAllocator => {
-	const {world, epoch} = context;
-	const startedAt = world.now();
+	const {runtime, epoch} = context;
+	const startedAt = runtime.now();
 	const buckets = new Map<CustomerId, Bucket>();
 
 	return {
 		grantTokens(request) {
 			const quota = context.getQuota(request.customer);
-			const now = world.now();
+			const now = runtime.now();
 			const authorityDeadline = context.getAuthorityDeadline();
 			if (!quota || isPast(authorityDeadline, now)) {
 				return undefined;
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -2,7 +2,7 @@
 
 import {
 	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
-	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type World,
+	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	createBucket, fillBucket, takeTokens, type Bucket, type Quota,
@@ -96,11 +96,11 @@
 const MAX_RETRY_AFTER_MS = 2000;
 
 /** Creates the quota client of a process. */
-export const createQuotaClient = (requestTokens: RequestTokens, world: World, getFallbackQuota: GetFallbackQuota = () => undefined): QuotaClient => {
+export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getFallbackQuota: GetFallbackQuota = () => undefined): QuotaClient => {
 	const statesByCustomer = new Map<CustomerId, CustomerTokens>();
 
 	const recordDemand = (state: CustomerTokens) => {
-		const now = world.now();
+		const now = runtime.now();
 		const elapsedMs = Math.max(0.1, now - state.lastRequestAt);
 		const decay = Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
 		state.demandPerMs = (state.demandPerMs * decay) + ((1 - decay) / elapsedMs);
@@ -109,7 +109,7 @@
 
 	/** Sends one token request to the allocator and records its grant, or the pause before the next attempt. */
 	const refill = async (customer: CustomerId, state: CustomerTokens) => {
-		const requestedAt = world.now();
+		const requestedAt = runtime.now();
 		const areTokensValid = !isPast(state.deadline, requestedAt);
 		const returned = areTokensValid ? state.tokens : 0;
 		const expectedDemand = Math.floor(state.demandPerMs * MAX_TOKEN_VALIDITY_MS / 2);
@@ -119,25 +119,25 @@
 			customer, wanted, returned, epoch: state.epoch,
 		});
 		if (response.ok && !state.isAllocatorResponding) {
-			state.extendedWaitUntil = createDeadline(world.now(), EXTENDED_WAIT_PERIOD_MS);
+			state.extendedWaitUntil = createDeadline(runtime.now(), EXTENDED_WAIT_PERIOD_MS);
 		}
 
 		state.isAllocatorResponding = response.ok;
 		state.failureCount = response.ok ? 0 : state.failureCount + 1;
 		if (response.ok) {
 			const {tokens, validMs, retryAfterMs, epoch} = response.val;
-			const elapsedMs = Math.max(1, world.now() - state.grantedAt);
+			const elapsedMs = Math.max(1, runtime.now() - state.grantedAt);
 			const decay = Math.exp(-elapsedMs / GRANT_WINDOW_MS);
 			state.grantedPerMs = (state.grantedPerMs * decay) + ((1 - decay) * Math.max(0, tokens - returned) / elapsedMs);
-			state.grantedAt = world.now();
+			state.grantedAt = runtime.now();
 			state.isShort = tokens < wanted;
 			state.tokens = tokens;
 			state.epoch = epoch;
 			state.deadline = createDeadline(requestedAt, validMs);
-			state.retryAt = createDeadline(world.now(), state.isShort ? Math.max(SHORTAGE_PAUSE_MS, retryAfterMs) : 0);
+			state.retryAt = createDeadline(runtime.now(), state.isShort ? Math.max(SHORTAGE_PAUSE_MS, retryAfterMs) : 0);
 		} else {
 			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failureCount));
-			state.retryAt = createDeadline(world.now(), maxPauseMs * (0.5 + (world.random() / 2)));
+			state.retryAt = createDeadline(runtime.now(), maxPauseMs * (0.5 + (runtime.random() / 2)));
 		}
 	};
 
@@ -148,15 +148,15 @@
 		}
 
 		const state: CustomerTokens = {
-			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(world), isRefilling: false, acquiredCount: 0, demandPerMs: 0, lastRequestAt: world.now(), retryAt: PAST,
-			extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: world.now(), isShort: false, fallbackBucket: createBucket(world.now()),
+			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(runtime), isRefilling: false, acquiredCount: 0, demandPerMs: 0, lastRequestAt: runtime.now(), retryAt: PAST,
+			extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: runtime.now(), isShort: false, fallbackBucket: createBucket(runtime.now()),
 		};
 		statesByCustomer.set(customer, state);
 		return state;
 	};
 
 	const takeToken = (state: CustomerTokens): boolean => {
-		if (state.tokens < 1 || isPast(state.deadline, world.now())) {
+		if (state.tokens < 1 || isPast(state.deadline, runtime.now())) {
 			return false;
 		}
 
@@ -172,7 +172,7 @@
 			return false;
 		}
 
-		const [remainingBucket, takenCount] = takeTokens(fillBucket(state.fallbackBucket, quota, world.now()), 1);
+		const [remainingBucket, takenCount] = takeTokens(fillBucket(state.fallbackBucket, quota, runtime.now()), 1);
 		state.fallbackBucket = remainingBucket;
 		state.acquiredCount += takenCount;
 		return takenCount === 1;
@@ -180,14 +180,14 @@
 
 	/** Computes when a request that starts to wait now is refused. */
 	const computeWaitDeadline = (state: CustomerTokens, deadline: Deadline): Deadline => {
-		const now = world.now();
+		const now = runtime.now();
 		const waitMs = isPast(state.extendedWaitUntil, now) ? MAX_WAIT_MS : EXTENDED_MAX_WAIT_MS;
 		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
 	};
 
 	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens. */
 	const computeRetryAfterMs = (state: CustomerTokens): number => {
-		const nextRequestInMs = getRemainingMs(state.retryAt, world.now());
+		const nextRequestInMs = getRemainingMs(state.retryAt, runtime.now());
 		const msPerToken = state.grantedPerMs > 0 ? 1 / state.grantedPerMs : 0;
 		return Math.max(1, Math.ceil(Math.min(MAX_RETRY_AFTER_MS, nextRequestInMs + (state.waiters.length * msPerToken))));
 	};
@@ -201,7 +201,7 @@
 	/** Tells whether the waiting requests will take all tokens that can arrive before a new request would be refused. */
 	const isBacklogTooLong = (state: CustomerTokens): boolean => state.isAllocatorResponding
 		&& state.isShort
-		&& isPast(state.extendedWaitUntil, world.now())
+		&& isPast(state.extendedWaitUntil, runtime.now())
 		&& state.waiters.length > MIN_WAITERS + (state.grantedPerMs * MAX_WAIT_MS);
 
 	const getCurrentWaitDeadline = (state: CustomerTokens, waiter: Waiter): Deadline => state.isAllocatorResponding ? waiter.waitDeadline : waiter.allocatorWaitDeadline;
@@ -212,7 +212,7 @@
 			state.waiters.shift()?.settle(Ok(undefined));
 		}
 
-		const now = world.now();
+		const now = runtime.now();
 		const isExpired = (waiter: Waiter): boolean => {
 			const deadline = getCurrentWaitDeadline(state, waiter);
 			return isPast(deadline, now) || state.retryAt > deadline;
@@ -228,7 +228,7 @@
 	const runRefills = async (customer: CustomerId, state: CustomerTokens): Promise<void> => {
 		state.isRefilling = true;
 		while (state.waiters.length > 0) {
-			if (isPast(state.retryAt, world.now())) {
+			if (isPast(state.retryAt, runtime.now())) {
 				const wasResponding = state.isAllocatorResponding;
 				await refill(customer, state);
 				if (state.isAllocatorResponding && !wasResponding) {
@@ -252,7 +252,7 @@
 		const waiter: Waiter = {
 			deadline,
 			waitDeadline: computeWaitDeadline(state, deadline),
-			allocatorWaitDeadline: Math.min(deadline, createDeadline(world.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
+			allocatorWaitDeadline: Math.min(deadline, createDeadline(runtime.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
 			settle,
 		};
 		state.waiters.push(waiter);
--- a/packages/limits/src/refusal-cache.ts
+++ b/packages/limits/src/refusal-cache.ts
@@ -1,7 +1,7 @@
 /** Refusal cache: after an owner has refused a customer, the entry refuses that customer itself for a short time, so that a flood does not reach the owner. */
 
 import {
-	createDeadline, getRemainingMs, isPast, type CustomerId, type Deadline, type World,
+	createDeadline, getRemainingMs, isPast, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 
 /** Customers throttled at one entry, separately for each owner; `owner` is a name that identifies it, such as that of its database. */
@@ -16,17 +16,17 @@
 const THROTTLE_MS_PER_ENTRY = 6;
 
 /** Creates the refusal cache of an entry; `countEntries` returns the size of the fleet. */
-export const createRefusalCache = (world: Pick<World, 'now' | 'random'>, countEntries: () => number): RefusalCache => {
+export const createRefusalCache = (runtime: Pick<Runtime, 'now' | 'random'>, countEntries: () => number): RefusalCache => {
 	const refusals = new Map<string, Readonly<{throttledUntil: Deadline; retryAt: Deadline}>>();
 	const createKey = (owner: string, customer: CustomerId) => `${owner} ${customer}`;
 	return {
 		recordRefusal(owner, customer, retryAfterMs) {
-			const throttleMs = Math.min(retryAfterMs, THROTTLE_MS_PER_ENTRY * countEntries()) * (0.5 + world.random());
-			refusals.set(createKey(owner, customer), {throttledUntil: createDeadline(world.now(), throttleMs), retryAt: createDeadline(world.now(), Math.max(throttleMs, retryAfterMs))});
+			const throttleMs = Math.min(retryAfterMs, THROTTLE_MS_PER_ENTRY * countEntries()) * (0.5 + runtime.random());
+			refusals.set(createKey(owner, customer), {throttledUntil: createDeadline(runtime.now(), throttleMs), retryAt: createDeadline(runtime.now(), Math.max(throttleMs, retryAfterMs))});
 		},
 		getRetryAfterMs(owner, customer) {
 			const refusal = refusals.get(createKey(owner, customer));
-			return refusal && !isPast(refusal.throttledUntil, world.now()) ? getRemainingMs(refusal.retryAt, world.now()) : undefined;
+			return refusal && !isPast(refusal.throttledUntil, runtime.now()) ? getRemainingMs(refusal.retryAt, runtime.now()) : undefined;
 		},
 	};
 };
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type CustomerId, type Failure, type Result,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type CustomerId, type Failure, type Result,
 } from '@guavapitch/core';
 import {createQuotaClient} from '../quota-client.js';
 import {createRefusalCache} from '../refusal-cache.js';
@@ -13,24 +13,24 @@
 const QUOTA = {rate: 60, burst: 60};
 
 const createSetup = (isAllocatorUp: () => boolean = () => true) => {
-	const {world, advance} = createVirtualWorld(21);
+	const {runtime, advance} = createVirtualRuntime(21);
 	const allocator = createQuotaAllocator({
-		world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => QUOTA,
+		runtime, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => QUOTA,
 	});
 	const requests: TokenRequest[] = [];
 	const requestTokens = async (request: TokenRequest): Promise<Result<TokenGrant, Failure>> => {
 		requests.push(request);
-		await world.sleep(2);
+		await runtime.sleep(2);
 		const grant = isAllocatorUp() ? allocator.grantTokens(request) : undefined;
 		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator'});
 	};
 
-	const quotaClient = createQuotaClient(requestTokens, world, () => ({rate: QUOTA.rate / 3, burst: QUOTA.burst * 0.1}));
+	const quotaClient = createQuotaClient(requestTokens, runtime, () => ({rate: QUOTA.rate / 3, burst: QUOTA.burst * 0.1}));
 	const results: Array<Readonly<{ok: boolean; waitedMs: number; at: number}>> = [];
 	const send = async () => {
-		const sentAt = world.now();
+		const sentAt = runtime.now();
 		const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(sentAt, 400));
-		results.push({ok: acquired.ok, waitedMs: world.now() - sentAt, at: world.now()});
+		results.push({ok: acquired.ok, waitedMs: runtime.now() - sentAt, at: runtime.now()});
 	};
 
 	const flood = async (perSecond: number, seconds: number) => {
@@ -43,7 +43,7 @@
 	};
 
 	return {
-		world, advance, flood, results, requests,
+		runtime, advance, flood, results, requests,
 	};
 };
 
@@ -86,8 +86,8 @@
 
 describe('refusal cache', () => {
 	it('throttles a refused customer, and no other, for a time that grows with the fleet', async () => {
-		const {world, advance} = createVirtualWorld(1);
-		const refusalCache = createRefusalCache(world, () => 15);
+		const {runtime, advance} = createVirtualRuntime(1);
+		const refusalCache = createRefusalCache(runtime, () => 15);
 		refusalCache.recordRefusal('ledger', CUSTOMER, 2000);
 		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 2000, 'the cached refusal gives the retry time of the owner');
 		assert.equal(refusalCache.getRetryAfterMs('ledger', parseId<CustomerId>('other')), undefined);
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualWorld, Err, NEVER, Ok, parseId, type CustomerId, type Deadline, type Instant,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type CustomerId, type Deadline, type Instant,
 } from '@guavapitch/core';
 import {createQuotaClient, type RequestTokens} from '../quota-client.js';
 import {createQuotaAllocator, type QuotaAllocator} from '../quota-allocator.js';
@@ -29,7 +29,7 @@
 
 /** Runs entries that constantly acquire tokens; the allocator may be replaced when its lease ends, and a paused predecessor still responds to requests sent to it. */
 const runEntries = async (run: Run): Promise<Readonly<{times: readonly number[]; refusals: number}>> => {
-	const {world, advance} = createVirtualWorld(run.seed);
+	const {runtime, advance} = createVirtualRuntime(run.seed);
 	const times: number[] = [];
 	let refusals = 0;
 	let authorityDeadline: Deadline = NEVER;
@@ -37,40 +37,40 @@
 	let epoch = 0;
 	const takeOver = () => {
 		epoch++;
-		const deadline = run.hasTakeovers ? createDeadline(world.now(), LEASE_MS) : NEVER;
+		const deadline = run.hasTakeovers ? createDeadline(runtime.now(), LEASE_MS) : NEVER;
 		authorityDeadline = deadline;
 		allocator = createQuotaAllocator({
-			world, epoch, getAuthorityDeadline: () => deadline, getQuota: () => ({rate: run.rate, burst: run.burst}),
+			runtime, epoch, getAuthorityDeadline: () => deadline, getQuota: () => ({rate: run.rate, burst: run.burst}),
 		});
 	};
 
 	takeOver();
 	const requestTokens: RequestTokens = async request => {
 		const receiver = allocator;
-		await world.sleep(world.random() * 4);
-		if (world.random() < run.lossRate / 2) {
+		await runtime.sleep(runtime.random() * 4);
+		if (runtime.random() < run.lossRate / 2) {
 			return Err({code: 'lost', message: 'the request was lost'});
 		}
 
 		const grant = receiver.grantTokens(request);
-		await world.sleep(world.random() * 4);
-		return world.random() < run.lossRate / 2 || !grant ? Err({code: 'lost', message: 'the response was lost'}) : Ok(grant);
+		await runtime.sleep(runtime.random() * 4);
+		return runtime.random() < run.lossRate / 2 || !grant ? Err({code: 'lost', message: 'the response was lost'}) : Ok(grant);
 	};
 
 	let isRunning = true;
 	const entries = Array.from({length: run.entryCount}, async () => {
-		const quotaClient = createQuotaClient(requestTokens, world);
+		const quotaClient = createQuotaClient(requestTokens, runtime);
 		const work = async () => {
 			while (isRunning) {
-				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 1000));
+				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(runtime.now(), 1000));
 				if (acquired.ok) {
-					times.push(world.now());
+					times.push(runtime.now());
 				} else {
 					refusals++;
-					await world.sleep(5 + (world.random() * 20));
+					await runtime.sleep(5 + (runtime.random() * 20));
 				}
 
-				await world.sleep(run.pauseMs);
+				await runtime.sleep(run.pauseMs);
 			}
 		};
 
@@ -78,7 +78,7 @@
 	});
 	for (let step = 0; step < 12; step++) {
 		await advance(500);
-		if (world.now() >= authorityDeadline) {
+		if (runtime.now() >= authorityDeadline) {
 			takeOver();
 		}
 	}
@@ -123,17 +123,17 @@
 		});
 
 		it('waits for tokens of an allocator that starts late with empty buckets', async () => {
-			const {world, advance} = createVirtualWorld(8);
+			const {runtime, advance} = createVirtualRuntime(8);
 			const state: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
 			const quotaClient = createQuotaClient(async request => {
-				await world.sleep(2);
+				await runtime.sleep(2);
 				const grant = state.allocator?.grantTokens(request);
 				return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator yet'});
-			}, world);
-			const acquiring = quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
+			}, runtime);
+			const acquiring = quotaClient.acquire(CUSTOMER, createDeadline(runtime.now(), 10_000));
 			await advance(1500);
 			state.allocator = createQuotaAllocator({
-				world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 10, burst: 10}),
+				runtime, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 10, burst: 10}),
 			});
 			await advance(1000);
 			const acquired = await acquiring;
@@ -141,16 +141,16 @@
 		});
 
 		it('refuses no request of a customer within its rate while the backlog from a time without an allocator is worked off', async () => {
-			const {world, advance} = createVirtualWorld(9);
+			const {runtime, advance} = createVirtualRuntime(9);
 			const state: {allocator: QuotaAllocator | undefined} = {allocator: undefined};
 			const quotaClient = createQuotaClient(async request => {
-				await world.sleep(2);
+				await runtime.sleep(2);
 				const grant = state.allocator?.grantTokens(request);
 				return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator yet'});
-			}, world);
+			}, runtime);
 			let refused = 0;
 			const acquireOne = async () => {
-				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(world.now(), 10_000));
+				const acquired = await quotaClient.acquire(CUSTOMER, createDeadline(runtime.now(), 10_000));
 				refused += acquired.err ? 1 : 0;
 			};
 
@@ -158,7 +158,7 @@
 			for (let count = 0; count < 400; count++) {
 				if (count === 200) {
 					state.allocator = createQuotaAllocator({
-						world, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 100, burst: 100}),
+						runtime, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => ({rate: 100, burst: 100}),
 					});
 				}
 
--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -1,7 +1,7 @@
 /** Failure detector: pings one random member in each period. A member that does not respond is pinged through other vms before it is suspected. */
 
 import type {
-	Failure, Result, VmId, World,
+	Failure, Result, VmId, Runtime,
 } from '@guavapitch/core';
 import type {Member, MemberUpdate, Members} from './members.js';
 
@@ -13,7 +13,7 @@
 
 /** Dependencies of the failure detector. */
 export type FailureDetectorContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	members: Members;
 	self: VmId;
 	/** Sends a ping to a vm and waits at most `timeoutMs` for the response. */
@@ -39,10 +39,10 @@
 };
 
 const pingIndirectly = async (context: FailureDetectorContext, vm: VmId): Promise<boolean> => {
-	const {members, world, self} = context;
+	const {members, runtime, self} = context;
 	const intermediaries = members.getLive()
 		.filter(member => member.vm !== vm && member.vm !== self)
-		.map(member => ({member, sortKey: world.random()}))
+		.map(member => ({member, sortKey: runtime.random()}))
 		.toSorted((a, b) => a.sortKey - b.sortKey)
 		.slice(0, MAX_INTERMEDIARIES);
 	const responses = await Promise.all(intermediaries.map(async ({member}) => context.ping(member.vm, {news: [], through: vm}, INDIRECT_PING_TIMEOUT_MS)));
@@ -60,11 +60,11 @@
 
 /** Runs the failure detector until the signal aborts. */
 export const runFailureDetector = async (context: FailureDetectorContext, signal: AbortSignal): Promise<void> => {
-	const {members, world, self} = context;
+	const {members, runtime, self} = context;
 	while (!signal.aborted) {
-		await world.sleep(PING_INTERVAL_MS * (0.75 + (world.random() / 2)), signal);
+		await runtime.sleep(PING_INTERVAL_MS * (0.75 + (runtime.random() / 2)), signal);
 		const candidates = members.getAll().filter(member => member.vm !== self && member.state !== 'gone');
-		const member = chooseMember(candidates, world.random);
+		const member = chooseMember(candidates, runtime.random);
 		if (member) {
 			await pingMember(context, member.vm);
 		}
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -1,7 +1,7 @@
 /** Membership of the fleet: tracks which vms are alive from pings, gossip, and a suspicion timeout before a vm is declared dead. */
 
 import {
-	createDeadline, isPast, NEVER, type DataCentreId, type Deadline, type VmId, type World,
+	createDeadline, isPast, NEVER, type DataCentreId, type Deadline, type VmId, type Runtime,
 } from '@guavapitch/core';
 
 /** Address and data centre of a vm according to the platform's list. */
@@ -88,7 +88,7 @@
 };
 
 /** Creates the members, with only this vm. Calls `onChange` when the status of another vm changes and when its run is first known. */
-export const createMembers = (self: LocalMember, world: World, onChange: (member: Member, previousStatus: MemberStatus | undefined) => void): Members => {
+export const createMembers = (self: LocalMember, runtime: Runtime, onChange: (member: Member, previousStatus: MemberStatus | undefined) => void): Members => {
 	const states = new Map<VmId, MemberState>();
 	let localUpdate: MemberUpdate = {
 		vm: self.vm, incarnation: self.incarnation, version: 1, status: 'alive',
@@ -102,7 +102,7 @@
 		const isFirstContact = state.update.incarnation === '' && update.incarnation !== '';
 		state.update = update;
 		state.remainingTransmissions = MAX_TRANSMISSIONS;
-		state.suspectUntil = update.status === 'suspect' ? createDeadline(world.now(), SUSPICION_TIMEOUT_MS) : NEVER;
+		state.suspectUntil = update.status === 'suspect' ? createDeadline(runtime.now(), SUSPICION_TIMEOUT_MS) : NEVER;
 		if (previousStatus !== update.status || isFirstContact) {
 			onChange({...state.entry, ...update}, previousStatus);
 		}
@@ -177,7 +177,7 @@
 		},
 		expireSuspects() {
 			for (const state of states.values()) {
-				if (state.update.status === 'suspect' && isPast(state.suspectUntil, world.now())) {
+				if (state.update.status === 'suspect' && isPast(state.suspectUntil, runtime.now())) {
 					applyUpdate(state, {...state.update, status: 'dead'});
 				}
 			}
--- a/packages/operator/src/fleet.ts
+++ b/packages/operator/src/fleet.ts
@@ -1,7 +1,7 @@
 /** Client for the proxies of the fleet, over the peer protocol. */
 
 import type {
-	Failure, Result, VmId, World,
+	Failure, Result, VmId, Runtime,
 } from '@guavapitch/core';
 import {
 	createDial, createPeerConnections, type Address, type PeerTls,
@@ -42,12 +42,12 @@
 const POLL_MS = 50;
 
 /** Opens a client for the fleet; it connects to a proxy at the first call to it. */
-export const openFleetClient = (world: World, tls?: PeerTls): FleetClient => {
+export const openFleetClient = (runtime: Runtime, tls?: PeerTls): FleetClient => {
 	const peers = createPeerConnections({
-		world,
-		identity: {vm: 'operator', incarnation: world.createId()},
+		runtime,
+		identity: {vm: 'operator', incarnation: runtime.createId()},
 		handlers: {calls: {}, streams: {}},
-		readTime: () => [world.readWallClock(), 0],
+		readTime: () => [runtime.readWallClock(), 0],
 		observeTime: () => undefined,
 		onMalformedFrame: () => undefined,
 	}, createDial(tls));
@@ -76,15 +76,15 @@
 };
 
 /** Waits until a revision of the configuration, or a newer one, is active at every vm, or the timeout passes; returns the vms where it is not active. */
-export const waitForRevision = async (store: Store, client: FleetClient, world: World, options: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
-	const deadline = world.now() + options.timeoutMs;
+export const waitForRevision = async (store: Store, client: FleetClient, runtime: Runtime, options: Readonly<{revision: number; timeoutMs: number}>): Promise<readonly VmStatus[]> => {
+	const deadline = runtime.now() + options.timeoutMs;
 	while (true) {
 		const statuses = await readStatuses(store, client);
 		const outdatedStatuses = statuses.filter(({status}) => status.err || status.val.revision < options.revision);
-		if (outdatedStatuses.length === 0 || world.now() >= deadline) {
+		if (outdatedStatuses.length === 0 || runtime.now() >= deadline) {
 			return outdatedStatuses;
 		}
 
-		await world.sleep(POLL_MS);
+		await runtime.sleep(POLL_MS);
 	}
 };
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -5,7 +5,7 @@
 import os from 'node:os';
 import process from 'node:process';
 import yargs from 'yargs';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {changeConfiguration, readConfiguration, type ChangeFailure} from '@guavapitch/configuration';
 import {
 	compareInventories, parseInventory, type Difference, type Inventory,
@@ -25,7 +25,7 @@
 const STORE_TIMEOUT_MS = 2000;
 const DEFAULT_WAIT_MS = 10_000;
 
-const world = createWorld();
+const runtime = createRuntime();
 
 const print = (text: string) => {
 	process.stdout.write(`${text}\n`);
@@ -44,7 +44,7 @@
 	return after === undefined ? `- ${path}: ${before}` : `~ ${path}: ${before} -> ${after}`;
 };
 
-const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
+const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, runtime);
 
 const readInventoryFile = (file: string): Inventory | undefined => {
 	const parsed = parseInventory(readFileSync(file, 'utf8'));
@@ -80,7 +80,7 @@
 	peerTlsCa?: string | undefined;
 }>;
 
-const openClient = (flags: Flags): FleetClient => openFleetClient(world, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
+const openClient = (flags: Flags): FleetClient => openFleetClient(runtime, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
 
 const waitIfRequested = async (store: EtcdStore, flags: Flags, revision: number) => {
 	if (!flags.wait) {
@@ -88,7 +88,7 @@
 	}
 
 	await using client = openClient(flags);
-	const outdatedVms = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
+	const outdatedVms = await waitForRevision(store, client, runtime, {revision, timeoutMs: flags.waitMs});
 	if (outdatedVms.length === 0) {
 		print(`revision ${revision} is active at every vm`);
 		return;
@@ -112,7 +112,7 @@
 		return;
 	}
 
-	const changed = await changeConfiguration(store, world, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
+	const changed = await changeConfiguration(store, runtime, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
 	if (changed.err) {
 		fail(describeChangeFailure(changed.val, before), EXIT_REFUSED);
 		return;
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -3,7 +3,7 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getErrorMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type World,
+	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getErrorMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type Runtime,
 } from '@guavapitch/core';
 import {
 	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
@@ -26,7 +26,7 @@
 
 /** Dependencies of a peer connection. */
 export type PeerContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	identity: PeerIdentity;
 	handlers: PeerHandlers;
 	/** Reads the hybrid logical clock for a frame to be sent. */
@@ -69,8 +69,8 @@
 
 /** Starts the protocol on a connected socket; both ends use it in the same way. */
 export const openPeerConnection = (socket: Socket, context: PeerContext): PeerConnection => {
-	const {world, handlers} = context;
-	const stateChanged = createNotifier(world);
+	const {runtime, handlers} = context;
+	const stateChanged = createNotifier(runtime);
 	const pendingCalls = new Map<number, SettleCall>();
 	const streams = new Map<string, MultiplexedStream>();
 	const scope = createScope(() => undefined);
@@ -81,7 +81,7 @@
 	let activeTaskCount = 0;
 	let isDraining = false;
 	let isPeerDraining = false;
-	let lastReceivedAt = world.now();
+	let lastReceivedAt = runtime.now();
 	let isCheckScheduled = false;
 	let silentCheckCount = 0;
 
@@ -270,8 +270,8 @@
 		}
 
 		isCheckScheduled = true;
-		const scheduledAt = world.now();
-		world.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
+		const scheduledAt = runtime.now();
+		runtime.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
 			isCheckScheduled = false;
 			silentCheckCount = lastReceivedAt <= scheduledAt ? silentCheckCount + 1 : 0;
 			if (hasEnded || pendingCalls.size === 0) {
@@ -291,7 +291,7 @@
 
 	const receivedBytes = createChunkBuffer();
 	const handleData = (chunk: Buffer) => {
-		lastReceivedAt = world.now();
+		lastReceivedAt = runtime.now();
 		context.onTransfer?.('received', chunk.length);
 		receivedBytes.push(chunk);
 		const bytes = receivedBytes.take();
@@ -321,7 +321,7 @@
 
 	return {
 		async waitForHello() {
-			const hello = await stateChanged.waitUntil(() => hasEnded || peer !== undefined, createDeadline(world.now(), HELLO_TIMEOUT_MS));
+			const hello = await stateChanged.waitUntil(() => hasEnded || peer !== undefined, createDeadline(runtime.now(), HELLO_TIMEOUT_MS));
 			if (hello.err) {
 				return Err({code: 'peerTimeout', message: 'The peer did not send its hello in time'});
 			}
@@ -334,7 +334,7 @@
 			}
 
 			const id = ++lastOpenedId;
-			const cancelTimer = world.schedule(timeoutMs, () => {
+			const cancelTimer = runtime.schedule(timeoutMs, () => {
 				settleCall(id, Err({code: 'peerTimeout', message: `The peer did not respond to ${method} in time; it may have handled the call`}));
 			});
 			const response = new Promise<Result<unknown, PeerFailure>>(resolve => {
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -6,7 +6,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createWorld, NOT_ACCEPTED, type Stream,
+	createDeadline, createRuntime, NOT_ACCEPTED, type Stream,
 } from '@guavapitch/core';
 import type {PeerContext, PeerHandlers} from '../connection.js';
 import {
@@ -20,7 +20,7 @@
 const ANY_PORT = {host: '127.0.0.1', port: 0};
 
 const createContext = (vm: string, handlers: PeerHandlers, onMalformed: (failure: FrameFailure) => void = () => undefined): PeerContext => ({
-	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: onMalformed,
+	runtime: createRuntime(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: onMalformed,
 });
 
 describe('frames', () => {
@@ -130,7 +130,7 @@
 				await stream.send('answer');
 			};
 
-			const world = createWorld();
+			const runtime = createRuntime();
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {}, streams: {ask: serve}}));
 			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
 			const outcomes: string[] = [];
@@ -150,7 +150,7 @@
 			await ask();
 			const asksBeforeDrain = Array.from({length: 50}, ask);
 			await Promise.resolve();
-			const draining = listener.drain(createDeadline(world.now(), 5000));
+			const draining = listener.drain(createDeadline(runtime.now(), 5000));
 			const asksDuringDrain = Array.from({length: 50}, ask);
 			await Promise.all([...asksBeforeDrain, ...asksDuringDrain, draining]);
 			assert.equal(outcomes.length, 101);
--- a/packages/peer-protocol/src/tests/liveness.test.ts
+++ b/packages/peer-protocol/src/tests/liveness.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import type {PeerContext, PeerHandlers} from '../connection.js';
 import {encodeFrame} from '../frames.js';
 import {createDial, startPeerListener} from '../listener.js';
@@ -13,16 +13,16 @@
 const LONG_CALL_MS = 1500;
 
 const createContext = (vm: string, handlers: PeerHandlers): PeerContext => ({
-	world: createWorld(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: () => undefined,
+	runtime: createRuntime(), identity: {vm, incarnation: 'i'}, handlers, readTime: () => [1, 2], observeTime: () => undefined, onMalformedFrame: () => undefined,
 });
 
 describe('liveness', () => {
 	it('keeps the connection to a peer that is running a long call', async () => {
-		const {world} = createContext('w', NO_HANDLERS);
+		const {runtime} = createContext('w', NO_HANDLERS);
 		await using listener = await startPeerListener({host: '127.0.0.1', port: 0}, createContext('b', {
 			calls: {
 				async long() {
-					await world.sleep(LONG_CALL_MS);
+					await runtime.sleep(LONG_CALL_MS);
 					return 'done';
 				},
 			},
@@ -49,11 +49,11 @@
 		});
 		const {port} = server.address() as AddressInfo;
 		await using peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
-		const {world} = createContext('w', NO_HANDLERS);
-		const calledAt = world.now();
+		const {runtime} = createContext('w', NO_HANDLERS);
+		const calledAt = runtime.now();
 		const response = await peers.call({host: '127.0.0.1', port}, 'any', undefined, 5000);
 		assert.equal(response.err && response.val.code, 'peerGone');
-		assert.ok(world.now() - calledAt < 1000);
+		assert.ok(runtime.now() - calledAt < 1000);
 		server.close();
 	});
 });
--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -1,7 +1,7 @@
 /** Connection pool of one target: connections are limited, opened in advance and reused. */
 
 import {
-	createDeadline, createNotifier, createScope, Err, isPast, Ok, PAST, type Deadline, type Failure, type Result, type World,
+	createDeadline, createNotifier, createScope, Err, isPast, Ok, PAST, type Deadline, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 
 /** Failure to acquire a connection; nothing has run. */
@@ -50,9 +50,9 @@
 const MAX_BACKOFF_MS = 500;
 
 /** Creates a pool and starts to open `minIdle` connections. After a failed dial, the next one waits for a backoff with jitter. */
-export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, world: World): Pool<Connection> => {
+export const createPool = <Connection extends Poolable>(settings: PoolSettings<Connection>, runtime: Runtime): Pool<Connection> => {
 	const idleConnections: Connection[] = [];
-	const changed = createNotifier(world);
+	const changed = createNotifier(runtime);
 	const scope = createScope(() => undefined);
 	let openCount = 0;
 	let diallingCount = 0;
@@ -78,7 +78,7 @@
 	};
 
 	const recordDialFailure = (message: string) => {
-		nextDialAt = createDeadline(world.now(), backoffMs * (0.5 + world.random()));
+		nextDialAt = createDeadline(runtime.now(), backoffMs * (0.5 + runtime.random()));
 		backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		if (isReachable) {
 			isReachable = false;
@@ -110,7 +110,7 @@
 		notifyAvailable();
 	};
 
-	const canDial = () => openCount + diallingCount < settings.maxOpen && isPast(nextDialAt, world.now());
+	const canDial = () => openCount + diallingCount < settings.maxOpen && isPast(nextDialAt, runtime.now());
 
 	const dialAhead = () => {
 		const missingCount = waitingCount + settings.minIdle - idleConnections.length - diallingCount;
@@ -165,13 +165,13 @@
 	const waitForIdle = async (deadline: Deadline): Promise<Connection | undefined> => {
 		while (true) {
 			const connection = popIdle();
-			const mustStop = isPast(deadline, world.now()) || scope.signal.aborted;
+			const mustStop = isPast(deadline, runtime.now()) || scope.signal.aborted;
 			if (connection !== undefined || mustStop) {
 				return connection;
 			}
 
 			dialAhead();
-			const recheckAt = isPast(nextDialAt, world.now()) ? deadline : Math.min(deadline, nextDialAt) as Deadline;
+			const recheckAt = isPast(nextDialAt, runtime.now()) ? deadline : Math.min(deadline, nextDialAt) as Deadline;
 			await changed.waitForChange(recheckAt);
 			if (!isReachable) {
 				return popIdle();
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -1,7 +1,7 @@
 /** Weighted fair queue of one target: its slots are shared between customers by the time that they use, in proportion to their weights. */
 
 import {
-	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type World,
+	Err, isPast, Ok, type CustomerId, type Deadline, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 
 /** Failure to acquire a slot; the request has not run. */
@@ -57,7 +57,7 @@
 const SWEEP_INTERVAL_MS = 20;
 
 /** Creates an empty queue; `hasConnection` tells whether a connection could be acquired now. */
-export const createFairQueue = (world: World, initialSlotCount: number, hasConnection: () => boolean): FairQueue => {
+export const createFairQueue = (runtime: Runtime, initialSlotCount: number, hasConnection: () => boolean): FairQueue => {
 	const accounts = new Map<CustomerId, Account>();
 	const pinnedEntries: WaitingEntry[] = [];
 	let slotCount = initialSlotCount;
@@ -90,7 +90,7 @@
 
 	const issuePermit = (entry: WaitingEntry): Permit => {
 		const account = getAccount(entry.customer);
-		const startedAt = world.now();
+		const startedAt = runtime.now();
 		const chargedMs = account.meanMs;
 		let isReleased = false;
 		busyCount++;
@@ -104,7 +104,7 @@
 				}
 
 				isReleased = true;
-				const usedMs = world.now() - startedAt;
+				const usedMs = runtime.now() - startedAt;
 				busyCount--;
 				account.runningCount--;
 				account.virtualTimeMs += (usedMs - chargedMs) / entry.weight;
@@ -142,7 +142,7 @@
 			}
 
 			waitingCount--;
-			if (isPast(nextEntry.deadline, world.now())) {
+			if (isPast(nextEntry.deadline, runtime.now())) {
 				nextEntry.settle(Err({code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0}));
 			} else {
 				nextEntry.settle(Ok(issuePermit(nextEntry)));
@@ -176,8 +176,8 @@
 
 		isSweeping = true;
 		while (waitingCount > 0) {
-			await world.sleep(SWEEP_INTERVAL_MS);
-			const now = world.now();
+			await runtime.sleep(SWEEP_INTERVAL_MS);
+			const now = runtime.now();
 			refuseWaiting(entry => isPast(entry.deadline, now), {code: 'deadlinePassed', message: 'The deadline passed while the request was waiting in the queue', retryAfterMs: 0});
 		}
 
@@ -193,7 +193,7 @@
 		async enter(entry, signal) {
 			const account = getAccount(entry.customer);
 			const waitMs = estimateWaitMs(account);
-			if (!entry.isPinned && (account.waitingEntries.length >= MAX_WAITING_PER_CUSTOMER || world.now() + waitMs > entry.deadline)) {
+			if (!entry.isPinned && (account.waitingEntries.length >= MAX_WAITING_PER_CUSTOMER || runtime.now() + waitMs > entry.deadline)) {
 				return Err({code: 'queueFull', message: 'Too many requests of this customer are waiting for the target', retryAfterMs: Math.ceil(waitMs)});
 			}
 
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualWorld, Ok, parseId, type CustomerId,
+	createDeadline, createVirtualRuntime, Ok, parseId, type CustomerId,
 } from '@guavapitch/core';
 import {createPool, type Poolable} from '../connections.js';
 import {createFairQueue} from '../fair-queue.js';
@@ -13,27 +13,27 @@
 
 describe('fair queue', () => {
 	const measureWaits = async (largeWorkers: number, smallWeight = 1) => {
-		const {world, advance} = createVirtualWorld(7);
-		const queue = createFairQueue(world, 2, () => true);
+		const {runtime, advance} = createVirtualRuntime(7);
+		const queue = createFairQueue(runtime, 2, () => true);
 		const waits: number[] = [];
 		const servedCounts = new Map<CustomerId, number>();
 		let isRunning = true;
 		const work = async (customer: CustomerId, weight: number, pauseMs: number) => {
 			while (isRunning) {
-				const enteredAt = world.now();
+				const enteredAt = runtime.now();
 				const entered = await queue.enter({
-					customer, weight, deadline: createDeadline(world.now(), 5000), isPinned: false,
+					customer, weight, deadline: createDeadline(runtime.now(), 5000), isPinned: false,
 				});
 				if (entered.ok) {
 					using permit = entered.val;
-					await world.sleep(5);
+					await runtime.sleep(5);
 					servedCounts.set(customer, (servedCounts.get(customer) ?? 0) + 1);
 					if (customer === SMALL) {
 						waits.push(permit.startedAt - enteredAt);
 					}
 				}
 
-				await world.sleep(pauseMs * world.random());
+				await runtime.sleep(pauseMs * runtime.random());
 			}
 		};
 
@@ -52,17 +52,17 @@
 	});
 
 	it('serves a short burst of an idle customer before a flood, and alternates during a longer one', async () => {
-		const {world, advance} = createVirtualWorld(3);
-		const queue = createFairQueue(world, 1, () => true);
+		const {runtime, advance} = createVirtualRuntime(3);
+		const queue = createFairQueue(runtime, 1, () => true);
 		const order: CustomerId[] = [];
 		const run = async (customer: CustomerId) => {
 			const entered = await queue.enter({
-				customer, weight: 1, deadline: createDeadline(world.now(), 10_000), isPinned: false,
+				customer, weight: 1, deadline: createDeadline(runtime.now(), 10_000), isPinned: false,
 			});
 			if (entered.ok) {
 				using permit = entered.val;
 				order.push(customer);
-				await world.sleep(10);
+				await runtime.sleep(10);
 			}
 		};
 
@@ -81,10 +81,10 @@
 	});
 
 	it('refuses at once when the deadline cannot be met', async () => {
-		const {world, advance} = createVirtualWorld();
-		const queue = createFairQueue(world, 1, () => true);
+		const {runtime, advance} = createVirtualRuntime();
+		const queue = createFairQueue(runtime, 1, () => true);
 		const entry = {
-			customer: LARGE, weight: 1, deadline: createDeadline(world.now(), 5), isPinned: false,
+			customer: LARGE, weight: 1, deadline: createDeadline(runtime.now(), 5), isPinned: false,
 		};
 		const entering = Promise.all(Array.from({length: 30}, async () => queue.enter(entry)));
 		await advance(200);
@@ -94,9 +94,9 @@
 	});
 
 	it('gives the next slot to a pinned transaction', async () => {
-		const {world, advance} = createVirtualWorld();
-		const queue = createFairQueue(world, 1, () => true);
-		const deadline = createDeadline(world.now(), 1000);
+		const {runtime, advance} = createVirtualRuntime();
+		const queue = createFairQueue(runtime, 1, () => true);
+		const deadline = createDeadline(runtime.now(), 1000);
 		const order: string[] = [];
 		const enter = async (name: string, isPinned: boolean) => {
 			const entered = await queue.enter({
@@ -104,7 +104,7 @@
 			});
 			using _permit = entered.unwrap();
 			order.push(name);
-			await world.sleep(10);
+			await runtime.sleep(10);
 		};
 
 		const entries = [enter('first', false), enter('second', false), enter('pinned', true)];
@@ -116,7 +116,7 @@
 
 describe('pool', () => {
 	it('stays within its limit, reuses connections and resets dirty ones', async () => {
-		const {world, advance} = createVirtualWorld(3);
+		const {runtime, advance} = createVirtualRuntime(3);
 		let openCount = 0;
 		let maxOpenCount = 0;
 		let resetCount = 0;
@@ -128,7 +128,7 @@
 				dialCount++;
 				openCount++;
 				maxOpenCount = Math.max(maxOpenCount, openCount);
-				await world.sleep(30);
+				await runtime.sleep(30);
 				return Ok({
 					isEnded: () => false,
 					async reset() {
@@ -142,11 +142,11 @@
 			},
 			onAvailable: () => undefined,
 			onReachabilityChange: () => undefined,
-		}, world);
+		}, runtime);
 		const use = async (index: number) => {
-			const acquired = await pool.acquire(createDeadline(world.now(), 5000));
+			const acquired = await pool.acquire(createDeadline(runtime.now(), 5000));
 			const handle = acquired.unwrap();
-			await world.sleep(10);
+			await runtime.sleep(10);
 			handle.release(index % 3 === 0 ? 'dirty' : (index % 7 === 0 ? 'broken' : 'clean'));
 		};
 
--- a/packages/proxy/src/cluster-view.ts
+++ b/packages/proxy/src/cluster-view.ts
@@ -1,7 +1,7 @@
 /** This process's view of the cluster (members, configuration and owners of targets), and calls to vms by name. */
 
 import {
-	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type World,
+	Err, rankCandidates, type DataCentreId, type Failure, type TargetId, type Result, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createStoreCache, createActiveConfiguration, type StoreCache, type ActiveConfiguration,
@@ -48,7 +48,7 @@
 
 /** Dependencies of the cluster view. */
 export type ClusterViewContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	settings: Settings;
 	incarnation: string;
 	emit: Emit;
@@ -63,11 +63,11 @@
 
 /** Creates a cluster view that knows only this vm until entries arrive from the store. */
 export const createClusterView = (context: ClusterViewContext): ClusterView => {
-	const {world, settings, emit, incarnation} = context;
+	const {runtime, settings, emit, incarnation} = context;
 	const self = {
 		vm: settings.vm, dataCentre: settings.dataCentre, host: settings.peerListen.host, port: settings.peerListen.port, state: 'live' as const, incarnation,
 	};
-	const members = createMembers(self, world, (member, previousStatus) => {
+	const members = createMembers(self, runtime, (member, previousStatus) => {
 		const fields = {member: member.vm, status: member.status, memberIncarnation: member.incarnation};
 		if (member.status === 'suspect') {
 			emit(EVENTS.memberSuspected, fields);
@@ -78,9 +78,9 @@
 			emit(EVENTS.memberJoined, fields);
 		}
 	});
-	const storeCache = createStoreCache(world);
+	const storeCache = createStoreCache(runtime);
 	let configuredTargets: ReadonlyMap<string, ConfiguredTarget> = new Map();
-	const activeConfiguration = createActiveConfiguration(storeCache, world, {
+	const activeConfiguration = createActiveConfiguration(storeCache, runtime, {
 		onApplied(revision, inventory) {
 			configuredTargets = new Map(listConfiguredTargets(inventory).map(configured => [configured.target.name, configured]));
 			emit(EVENTS.configurationApplied, {revision});
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -2,7 +2,7 @@
 
 import {
 	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
-	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type World,
+	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type Runtime,
 } from '@guavapitch/core';
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {GroupView} from '@guavapitch/failover';
@@ -23,7 +23,7 @@
 
 /** Dependencies of the entry. */
 export type EntryContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: string;
 	clusterView: ClusterView;
 	peers: PeerConnections;
@@ -65,7 +65,7 @@
 
 /** Creates the operations of the entry that serve callers. */
 export const createEntry = (context: EntryContext): CallerContext => {
-	const {world, clusterView, emit, metrics} = context;
+	const {runtime, clusterView, emit, metrics} = context;
 	const pendingCounts = new Map<TargetId, number>();
 
 	const createRoutingView = (): RoutingView | undefined => {
@@ -76,7 +76,7 @@
 			getOwners: clusterView.getOwners,
 			isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
 			getPendingCount: target => pendingCounts.get(target) ?? 0,
-			random: world.random,
+			random: runtime.random,
 		};
 	};
 
@@ -119,8 +119,8 @@
 			service,
 			database: parseId<DatabaseId>(service.database),
 			customer: caller.customer,
-			requestId: parseId<RequestId>(world.createId()),
-			deadline: createDeadline(world.now(), service.requestTimeoutMs),
+			requestId: parseId<RequestId>(runtime.createId()),
+			deadline: createDeadline(runtime.now(), service.requestTimeoutMs),
 			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_SERVICE_WEIGHT : OPEN_SERVICE_WEIGHT,
 		});
 	};
@@ -134,7 +134,7 @@
 		weight: request.weight,
 		mode: route.mode,
 		maximumAgeMs: request.service.staleReadsMs ?? 0,
-		remainingMs: getRemainingMs(request.deadline, world.now()),
+		remainingMs: getRemainingMs(request.deadline, runtime.now()),
 		idleTransactionMs: request.service.idleTransactionMs,
 	});
 
@@ -278,12 +278,12 @@
 			metrics.count('entry.retries', {reason: lastRefusal.code});
 			// When the retry budget is exhausted, each retry waits for the maximum backoff, so that a failover causes no retry storm.
 			const backoffAttempt = context.retryBudget.tryWithdraw() ? attempt : MAX_ATTEMPTS;
-			if (!await waitBeforeRetry(backoffAttempt, request.deadline, world, signal)) {
+			if (!await waitBeforeRetry(backoffAttempt, request.deadline, runtime, signal)) {
 				break;
 			}
 		}
 
-		return createFailure(request, isPast(request.deadline, world.now())
+		return createFailure(request, isPast(request.deadline, runtime.now())
 			? createRefusal('deadlinePassed', `The deadline passed before the request was served: ${lastRefusal.message}`)
 			: lastRefusal);
 	};
@@ -318,9 +318,9 @@
 			return runRequest(start, chooseRequestMode(statement, request.val.service.staleReadsMs));
 		},
 		async continueRequest(caller, signal) {
-			const requestId = world.createId();
+			const requestId = runtime.createId();
 			const keyCheck = checkKey(caller);
-			const acquired = keyCheck.err ? keyCheck : await acquireToken(caller, createDeadline(world.now(), Number.POSITIVE_INFINITY), signal);
+			const acquired = keyCheck.err ? keyCheck : await acquireToken(caller, createDeadline(runtime.now(), Number.POSITIVE_INFINITY), signal);
 			return acquired.mapErr(failure => ({requestId, failure}));
 		},
 		cancelRequest: context.cancelRequest,
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -1,7 +1,7 @@
 /** The failover coordinators that run in this process, one for each database of the slots that it holds. */
 
 import {
-	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type World,
+	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type Runtime,
 } from '@guavapitch/core';
 import {
 	readTargetState, followPrimary, promoteReplica, rejoinReplica, createControlConnection, type ControlConnection,
@@ -25,7 +25,7 @@
 
 /** Dependencies of the failover coordinators. */
 export type FailoverCoordinatorsContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: string;
 	clusterView: ClusterView;
 	store: Store;
@@ -87,7 +87,7 @@
 
 /** Creates the failover coordinators of a process; none runs until a slot is gained. */
 export const createFailoverCoordinators = (context: FailoverCoordinatorsContext): FailoverCoordinators => {
-	const {world, clusterView, emit} = context;
+	const {runtime, clusterView, emit} = context;
 	const coordinators = new Map<DatabaseId, FailoverCoordinator>();
 	const controlConnections = new Map<string, ControlConnection>();
 
@@ -98,7 +98,7 @@
 		}
 
 		const existing = controlConnections.get(configured.target.address);
-		const connection = existing ?? createControlConnection(createTargetConnectionSettings(configured, context.vm), world);
+		const connection = existing ?? createControlConnection(createTargetConnectionSettings(configured, context.vm), runtime);
 		controlConnections.set(configured.target.address, connection);
 		return command(connection, configured);
 	};
@@ -133,7 +133,7 @@
 	};
 
 	const createCoordinator = (database: DatabaseId, authority: Authority): FailoverCoordinator => createFailoverCoordinator({
-		world,
+		runtime,
 		store: context.store,
 		commands,
 		getSettings: () => getSettings(database),
@@ -177,7 +177,7 @@
 					}
 				}
 
-				await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
+				await runtime.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
 		grant: (database, holder) => coordinators.get(database)?.grant(holder),
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -1,7 +1,7 @@
 /** Handlers of the methods that peers and operators call on this process. */
 
 import {
-	createDeadline, type DatabaseId, type Scope, type Stream, type VmId, type World,
+	createDeadline, type DatabaseId, type Scope, type Stream, type VmId, type Runtime,
 } from '@guavapitch/core';
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {RelayService, SyncRequest} from '@guavapitch/configuration';
@@ -21,7 +21,7 @@
 
 /** Dependencies of the handlers. */
 export type HandlersContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	incarnation: string;
 	scope: Scope;
 	clusterView: ClusterView;
@@ -81,7 +81,7 @@
 					context.grantRegistry.revoke(database, permissions);
 					// Writes that are already running may still be acknowledged, so the response waits until they have ended.
 					if (permissions.writes && !permissions.acknowledgements) {
-						await context.grantRegistry.waitUntilWritesEnd(database, createDeadline(context.world.now(), MAX_GRANT_VALIDITY_MS));
+						await context.grantRegistry.waitUntilWritesEnd(database, createDeadline(context.runtime.now(), MAX_GRANT_VALIDITY_MS));
 					}
 				}
 
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -2,7 +2,7 @@
 /** Program `guavapitch-proxy`. */
 
 import process from 'node:process';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {startProxy} from './process.js';
 import {parseSettings} from './settings.js';
 
@@ -19,7 +19,7 @@
 	process.stderr.write(`guavapitch-proxy: ${settings.val.message}\n`);
 	process.exitCode = EXIT_SETTING;
 } else {
-	const proxy = await startProxy(settings.val, createWorld());
+	const proxy = await startProxy(settings.val, createRuntime());
 	if (proxy.err) {
 		process.stderr.write(`guavapitch-proxy: ${proxy.val.message}\n`);
 		process.exitCode = EXIT_ADDRESS;
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -2,7 +2,7 @@
 
 import process from 'node:process';
 import {
-	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type World,
+	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	readPrimaryPositions, createControlConnection, openTargetConnection, type TargetConnectionSettings, type TargetConnection, type ControlConnection,
@@ -38,7 +38,7 @@
 
 /** Dependencies of the owned targets. */
 export type OwnedTargetsContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: VmId;
 	incarnation: string;
 	clusterView: ClusterView;
@@ -73,8 +73,8 @@
 
 /** Creates the owned targets of a process; none is open at first. */
 export const createOwnedTargets = (context: OwnedTargetsContext): OwnedTargets => {
-	const {world, vm, clusterView, emit, metrics} = context;
-	const grantRegistry = createGrantRegistry(world);
+	const {runtime, vm, clusterView, emit, metrics} = context;
+	const grantRegistry = createGrantRegistry(runtime);
 	const scope = createScope(() => undefined);
 	const openTargets = new Map<TargetId, OpenTarget>();
 	const controlConnections = new Map<TargetId, ControlConnection>();
@@ -95,8 +95,8 @@
 			onReachabilityChange(isReachable, message) {
 				emit(isReachable ? EVENTS.targetReachable : EVENTS.connectionDialFailed, {target: target.name, reason: message});
 			},
-		}, world);
-		const queue: FairQueue = createFairQueue(world, target.slots, pool.hasCapacity);
+		}, runtime);
+		const queue: FairQueue = createFairQueue(runtime, target.slots, pool.hasCapacity);
 		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
 			configured, connectionSettings, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
@@ -132,7 +132,7 @@
 			return existing;
 		}
 
-		const created = createControlConnection(createTargetConnectionSettings(configured, vm), world);
+		const created = createControlConnection(createTargetConnectionSettings(configured, vm), runtime);
 		controlConnections.set(id, created);
 		return created;
 	};
@@ -140,7 +140,7 @@
 	const waitUntilDurable = createDurabilityWaiter(grantRegistry, async target => {
 		const configured = clusterView.findTarget(target);
 		return configured ? readPrimaryPositions(getControlConnection(configured)) : Err({code: 'unknownTarget', message: `The target ${target} is not in the inventory`});
-	}, world);
+	}, runtime);
 
 	const hasSameConnectionSettings = (a: ConfiguredTarget, b: ConfiguredTarget): boolean => a.target.address === b.target.address && a.target.connections === b.target.connections;
 
@@ -180,7 +180,7 @@
 			return false;
 		}
 
-		const requestedAt = world.now();
+		const requestedAt = runtime.now();
 		const response = await context.callVm<GrantResponse | null>(coordinator, 'grant', {database, holder: {vm, incarnation: context.incarnation}}, GRANT_TIMEOUT_MS);
 		if (response.err || !response.val) {
 			return false;
@@ -200,7 +200,7 @@
 		while (!signal.aborted && getOwnedDatabases().has(database)) {
 			const isWritable = await requestGrant(database);
 			// A jitter of ±25 % spreads the requests of all owners over time.
-			await world.sleep((isWritable ? GRANT_RENEWAL_MS : GRANT_RETRY_MS) * (0.75 + (world.random() / 2)), signal);
+			await runtime.sleep((isWritable ? GRANT_RENEWAL_MS : GRANT_RETRY_MS) * (0.75 + (runtime.random() / 2)), signal);
 		}
 	};
 
@@ -224,13 +224,13 @@
 					}
 				}
 
-				await world.sleep(OWNERSHIP_CHECK_MS, signal);
+				await runtime.sleep(OWNERSHIP_CHECK_MS, signal);
 			}
 		},
 		async runOwnershipUpdates(signal) {
 			while (!signal.aborted) {
 				await updateOwnership();
-				await world.sleep(OWNERSHIP_CHECK_MS, signal);
+				await runtime.sleep(OWNERSHIP_CHECK_MS, signal);
 			}
 		},
 		getState: () => [...openTargets].map(([target, opened]) => ({
