--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -2,7 +2,7 @@
 
 import {
 	computeHash, createDeadline, createScope, Err, getErrorMessage, Ok, parseId,
-	type DatabaseId, type Failure, type RequestId, type Result, type World,
+	type DatabaseId, type Failure, type RequestId, type Result, type Runtime,
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
 import {
@@ -60,9 +60,9 @@
 const MAX_RECENT_EVENTS = 2000;
 
 /** Starts a proxy: listens for peers and callers and runs the background tasks. */
-export const startProxy = async (settings: Settings, world: World): Promise<Result<RunningProxy, StartFailure>> => {
-	const incarnation = world.createId().slice(0, INCARNATION_CHARACTERS);
-	const clock = createHybridLogicalClock(world.readWallClock);
+export const startProxy = async (settings: Settings, runtime: Runtime): Promise<Result<RunningProxy, StartFailure>> => {
+	const incarnation = runtime.createId().slice(0, INCARNATION_CHARACTERS);
+	const clock = createHybridLogicalClock(runtime.readWallClock);
 	const recentEvents = createEventRingBuffer(MAX_RECENT_EVENTS);
 	const log = openLog(settings.logFile);
 	const emit = createEmit({program: 'guavapitch-proxy', vm: settings.vm, incarnation}, clock, record => {
@@ -84,15 +84,15 @@
 		onCall(method) {
 			metrics.count('store.calls', {method});
 		},
-	}, world);
+	}, runtime);
 	let callerListener: CallerListener | undefined;
 	let isDraining = false;
 	let runningRequestCount = 0;
-	let storeContactAt = world.now();
+	let storeContactAt = runtime.now();
 	let isStoreReachable = true;
 
 	const clusterView = createClusterView({
-		world, settings, incarnation, emit,
+		runtime, settings, incarnation, emit,
 		onMemberDead(member) {
 			peers.disconnect({host: member.host, port: member.port});
 		},
@@ -105,7 +105,7 @@
 	// The handlers depend on components that depend on the peers, so they are set once all components exist; the peer listener starts after that.
 	let handlers: PeerHandlers = {calls: {}, streams: {}};
 	const peerContext: PeerContext = {
-		world,
+		runtime,
 		identity: {vm: settings.vm, incarnation},
 		get handlers() {
 			return handlers;
@@ -142,12 +142,12 @@
 	});
 
 	const ownedTargets = createOwnedTargets({
-		world, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptGroupView,
+		runtime, vm: settings.vm, incarnation, clusterView, callVm, emit, metrics, onGroupView: acceptGroupView,
 	});
 	const cancelCallbacks = new Map<RequestId, () => void>();
 	const ownerContext: OwnerContext<TargetConnection> = {
 		runChunk,
-		world,
+		runtime,
 		getTarget: ownedTargets.get,
 		checkGrant(header) {
 			const {grantRegistry} = ownedTargets;
@@ -188,12 +188,12 @@
 	};
 
 	const coordinators = createFailoverCoordinators({
-		world, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptGroupView,
+		runtime, vm: settings.vm, clusterView, store, callVm, emit, onGroupView: acceptGroupView,
 	});
-	const allocators = createQuotaAllocators(world, clusterView, callVm);
-	const lease = createProcessLease(store, world);
-	const takeoverPromises = createTakeoverPromises(incarnation, world);
-	const relayService = createRelayService(storeCache, incarnation, world);
+	const allocators = createQuotaAllocators(runtime, clusterView, callVm);
+	const lease = createProcessLease(store, runtime);
+	const takeoverPromises = createTakeoverPromises(incarnation, runtime);
+	const relayService = createRelayService(storeCache, incarnation, runtime);
 
 	const cancelLocally = (requestId: string) => {
 		cancelCallbacks.get(parseId<RequestId>(requestId))?.();
@@ -217,11 +217,11 @@
 	};
 
 	const entry = createEntry({
-		world,
+		runtime,
 		vm: settings.vm,
 		clusterView,
 		peers,
-		quotaClient: createQuotaClient(allocators.requestTokens, world),
+		quotaClient: createQuotaClient(allocators.requestTokens, runtime),
 		ownerContext,
 		retryBudget: createRetryBudget(),
 		scope: requestScope,
@@ -233,7 +233,7 @@
 	});
 
 	handlers = createHandlers({
-		world,
+		runtime,
 		incarnation,
 		scope: requestScope,
 		clusterView,
@@ -248,7 +248,7 @@
 			const slotEntry = storeCache.get(`${ROLE_PREFIX}${slot}`);
 			return slotEntry ? parseSlotRecord(slotEntry.value).map(record => record.epoch).unwrapOr(0) : 0;
 		},
-		isStoreReachable: () => isStoreReachable && world.now() - storeContactAt < MAX_STORE_CONTACT_AGE_MS,
+		isStoreReachable: () => isStoreReachable && runtime.now() - storeContactAt < MAX_STORE_CONTACT_AGE_MS,
 		cancelLocally,
 		cancelCaller(processId, secret) {
 			callerListener?.cancel(processId, secret);
@@ -259,20 +259,20 @@
 			incarnation,
 			version: VERSION,
 			revision: activeConfiguration.getRevision(),
-			confirmedAgeMs: Math.round(world.now() - activeConfiguration.getConfirmedAt()),
+			confirmedAgeMs: Math.round(runtime.now() - activeConfiguration.getConfirmedAt()),
 			draining: isDraining,
 			members: members.getAll().map(({vm, status, state}) => ({vm, status, state})),
 			groups: [...groups.values()],
 			homes: ownedTargets.getState(),
-			reports: relayService.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(world.now() - at)})),
+			reports: relayService.getReports().map(({vm, revision, at}) => ({vm, revision, ageMs: Math.round(runtime.now() - at)})),
 			metrics: metrics.snapshot(),
 		}),
 		listEvents: recentEvents.list,
-		explain: createExplain({clusterView, getGroup: database => groups.get(database), random: world.random}),
+		explain: createExplain({clusterView, getGroup: database => groups.get(database), random: runtime.random}),
 	});
 
 	const cacheSync: CacheSyncContext = {
-		world,
+		runtime,
 		cache: storeCache,
 		store,
 		vm: settings.vm,
@@ -297,7 +297,7 @@
 		getActiveRevision: activeConfiguration.getRevision,
 		onStoreContact(isReachable) {
 			if (isReachable) {
-				storeContactAt = world.now();
+				storeContactAt = runtime.now();
 			}
 
 			if (isReachable !== isStoreReachable) {
@@ -308,7 +308,7 @@
 	};
 
 	const runRoleCandidates = createRoleCandidates({
-		world, vm: settings.vm, incarnation, clusterView, store, lease, takeoverPromises, scope: roleScope, emit, isDraining: () => isDraining,
+		runtime, vm: settings.vm, incarnation, clusterView, store, lease, takeoverPromises, scope: roleScope, emit, isDraining: () => isDraining,
 		requestPromise: async (vm, request) => callVm<boolean>(vm, 'promise', request, PEER_TIMEOUT_MS),
 		runAsHolder: {steward: coordinators.runAsHolder, keeper: allocators.runAsHolder},
 	});
@@ -316,8 +316,8 @@
 	const runPeriodicChecks = async (signal: AbortSignal) => {
 		while (!signal.aborted) {
 			callerListener?.closeIdle();
-			metrics.gauge('entry.confirmedAgeMs', world.now() - activeConfiguration.getConfirmedAt());
-			await world.sleep(CHECK_INTERVAL_MS, signal);
+			metrics.gauge('entry.confirmedAgeMs', runtime.now() - activeConfiguration.getConfirmedAt());
+			await runtime.sleep(CHECK_INTERVAL_MS, signal);
 		}
 	};
 
@@ -335,7 +335,7 @@
 		controlScope.run(async signal => runCacheSync(cacheSync, signal));
 		controlScope.run(async signal => runRelayWatches(cacheSync, signal));
 		controlScope.run(async signal => runFailureDetector({
-			world, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
+			runtime, members, self: settings.vm, ping: async (vm, ping, timeoutMs) => callVm<PingResponse>(vm, 'ping', ping, timeoutMs),
 		}, signal));
 		controlScope.run(runRoleCandidates);
 		controlScope.run(ownedTargets.runGrantRenewal);
@@ -356,11 +356,11 @@
 				await lease.revoke();
 				await startedCallerListener.drain(drainTimeout.signal);
 				while (runningRequestCount > 0 && !drainTimeout.signal.aborted) {
-					await world.sleep(DRAIN_POLL_MS);
+					await runtime.sleep(DRAIN_POLL_MS);
 				}
 
 				clearTimeout(timer);
-				await peerListener.drain(createDeadline(world.now(), GOAWAY_TIMEOUT_MS));
+				await peerListener.drain(createDeadline(runtime.now(), GOAWAY_TIMEOUT_MS));
 				await startedCallerListener[Symbol.asyncDispose]();
 				await controlScope[Symbol.asyncDispose]();
 				await requestScope[Symbol.asyncDispose]();
--- a/packages/proxy/src/quota-allocators.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -1,7 +1,7 @@
 /** Runs the quota allocators of this process, and requests tokens for the entry from the allocator of a customer. */
 
 import {
-	Err, parseId, type CustomerId, type Failure, type Result, type World,
+	Err, parseId, type CustomerId, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	createQuotaAllocator, type TokenGrant, type TokenRequest, type RequestTokens, type QuotaAllocator,
@@ -25,7 +25,7 @@
 const NO_ALLOCATOR: Failure = {code: 'noKeeper', message: 'The customer has no active quota allocator'};
 
 /** Creates the quota allocators of a process; none is active until a slot is gained. */
-export const createQuotaAllocators = (world: World, clusterView: ClusterView, callVm: CallVm): QuotaAllocators => {
+export const createQuotaAllocators = (runtime: Runtime, clusterView: ClusterView, callVm: CallVm): QuotaAllocators => {
 	const allocators = new Map<string, QuotaAllocator>();
 
 	const getSlot = (customer: CustomerId): string => chooseSlot('keeper', clusterView.activeConfiguration.getInventory()?.fleet.keeperSlots ?? 1, customer);
@@ -35,7 +35,7 @@
 	return {
 		async runAsHolder(authority, signal) {
 			const allocator = createQuotaAllocator({
-				world, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota,
+				runtime, epoch: authority.epoch, getAuthorityDeadline: authority.getDeadline, getQuota,
 			});
 			allocators.set(authority.slot, allocator);
 			await new Promise<void>(resolve => {
--- a/packages/proxy/src/role-candidates.ts
+++ b/packages/proxy/src/role-candidates.ts
@@ -1,7 +1,7 @@
 /** Runs this process as a candidate for every role slot that the inventory configures. */
 
 import type {
-	Failure, Result, Scope, VmId, World,
+	Failure, Result, Scope, VmId, Runtime,
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import {
@@ -12,7 +12,7 @@
 
 /** Dependencies of the role candidates of a process. */
 export type RoleCandidatesContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: VmId;
 	incarnation: string;
 	clusterView: ClusterView;
@@ -34,11 +34,11 @@
 
 /** Creates the task that becomes a candidate for each slot as soon as the active inventory contains it. */
 export const createRoleCandidates = (context: RoleCandidatesContext): ((signal: AbortSignal) => Promise<void>) => {
-	const {world, clusterView, emit} = context;
+	const {runtime, clusterView, emit} = context;
 	const {members, activeConfiguration} = clusterView;
 
 	const createSlotContext = (role: RoleName, slot: string): SlotContext => ({
-		world,
+		runtime,
 		store: context.store,
 		lease: context.lease,
 		takeoverPromises: context.takeoverPromises,
@@ -78,7 +78,7 @@
 				}
 			}
 
-			await world.sleep(CHECK_INTERVAL_MS, signal);
+			await runtime.sleep(CHECK_INTERVAL_MS, signal);
 		}
 	};
 };
--- a/packages/proxy/src/tests/failover-coordinators.test.ts
+++ b/packages/proxy/src/tests/failover-coordinators.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createWorld, Err, NEVER, parseId, type DatabaseId, type VmId,
+	createDeadline, createRuntime, Err, NEVER, parseId, type DatabaseId, type VmId,
 } from '@guavapitch/core';
 import {createGroupRecord, formatGroupKey, formatGroupRecord} from '@guavapitch/failover';
 import type {Inventory} from '@guavapitch/inventory';
@@ -32,8 +32,8 @@
 describe('failover coordinators', () => {
 	describe('of a slot that is lost during a wait and gained again', () => {
 		it('run for the databases of the slot again', async () => {
-			const world = createWorld();
-			const memoryStore = createMemoryStore(world);
+			const runtime = createRuntime();
+			const memoryStore = createMemoryStore(runtime);
 			const record = createGroupRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
 			memoryStore.put(formatGroupKey(DATABASE), formatGroupRecord(record));
 			let isStoreDown = true;
@@ -44,23 +44,23 @@
 			const inventory = createInventory() as Inventory;
 			const clusterView = {activeConfiguration: {getInventory: () => inventory}, findTarget: () => undefined} as unknown as ClusterView;
 			await using coordinators = createFailoverCoordinators({
-				world, vm: 'v', clusterView, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onGroupView: () => undefined,
+				runtime, vm: 'v', clusterView, store, callVm: async () => Err({code: 'peerUnreachable', message: 'none'}), emit: () => undefined, onGroupView: () => undefined,
 			});
 			const authority: Authority = {slot: chooseSlot('steward', SLOT_COUNT, DATABASE), epoch: 1, getDeadline: () => NEVER};
 
 			const firstSlotLoss = new AbortController();
 			const firstRun = coordinators.runAsHolder(authority, firstSlotLoss.signal);
-			await world.sleep(100);
+			await runtime.sleep(100);
 			firstSlotLoss.abort();
 			await firstRun;
 
 			isStoreDown = false;
 			const secondSlotLoss = new AbortController();
 			const secondRun = coordinators.runAsHolder({...authority, epoch: 2}, secondSlotLoss.signal);
-			const deadline = createDeadline(world.now(), MAX_WAIT_MS);
+			const deadline = createDeadline(runtime.now(), MAX_WAIT_MS);
 			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
-			while (!coordinators.grant(DATABASE, holder) && world.now() < deadline) {
-				await world.sleep(POLL_MS);
+			while (!coordinators.grant(DATABASE, holder) && runtime.now() < deadline) {
+				await runtime.sleep(POLL_MS);
 			}
 
 			assert.ok(coordinators.grant(DATABASE, holder), 'no coordinator issues grants for the database');
--- a/packages/requests/src/owner.ts
+++ b/packages/requests/src/owner.ts
@@ -1,7 +1,7 @@
 /** Serves requests at the owner of a target: one task for each request, from its header to the end of its transaction. Independent of the wire encoding. */
 
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type World, type TransactionStatus,
+	createDeadline, type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Stream, type Runtime, type TransactionStatus,
 } from '@guavapitch/core';
 import type {
 	FairQueue, ConnectionHandle, Permit, Pool,
@@ -32,7 +32,7 @@
 
 /** Dependencies of serving requests at an owner. */
 export type OwnerContext<Connection extends CancelableConnection> = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Returns a target that this process owns; `undefined` if it does not own it. */
 	getTarget: (target: TargetId) => OwnedTarget<Connection> | undefined;
 	/** Sends a chunk to the target and forwards the response. */
@@ -103,7 +103,7 @@
 const receiveNextChunk = async <Connection extends CancelableConnection>(request: ActiveRequest<Connection>): Promise<RequestChunk | 'idle' | undefined> => {
 	const {context, stream, header} = request;
 	const idleTimer = new AbortController();
-	const idleTimeout = context.world.sleep(header.idleTransactionMs, idleTimer.signal).then(() => 'idle' as const, () => undefined);
+	const idleTimeout = context.runtime.sleep(header.idleTransactionMs, idleTimer.signal).then(() => 'idle' as const, () => undefined);
 	const nextChunk = await Promise.race([stream.receive(), idleTimeout]);
 	idleTimer.abort();
 	return nextChunk;
@@ -117,7 +117,7 @@
 	term, hasStarted, doneSignal,
 }: PendingResponse): Promise<void> => {
 	const {context, header} = request;
-	const deadline = createDeadline(context.world.now(), header.remainingMs);
+	const deadline = createDeadline(context.runtime.now(), header.remainingMs);
 	await context.waitUntilUnanswerable(header, term, deadline, doneSignal);
 	const isReadUnderWay = header.mode !== 'write' && hasStarted();
 	if (!doneSignal.aborted && !isReadUnderWay) {
@@ -157,7 +157,7 @@
 	const mayForwardCompletion = async (statusAtTarget: TransactionStatus): Promise<boolean> => {
 		permit?.[Symbol.dispose]();
 		if (statusAtTarget === 'idle' && header.mode === 'write') {
-			const deadline = createDeadline(context.world.now(), header.remainingMs);
+			const deadline = createDeadline(context.runtime.now(), header.remainingMs);
 			const state = await context.waitUntilDurable({
 				database: header.database, target: header.target, term: start.term, deadline, signal: stream.signal,
 			});
@@ -170,7 +170,7 @@
 	while (chunk !== undefined && chunk !== 'idle') {
 		if (!permit) {
 			const entered = await target.queue.enter({
-				customer: header.customer, weight: header.weight, deadline: createDeadline(context.world.now(), header.idleTransactionMs), isPinned: true,
+				customer: header.customer, weight: header.weight, deadline: createDeadline(context.runtime.now(), header.idleTransactionMs), isPinned: true,
 			}, stream.signal);
 			if (entered.err) {
 				return 'broken';
@@ -193,7 +193,7 @@
 		});
 		responseDone.abort(RESPONSE_COMPLETE);
 		stream.signal.removeEventListener('abort', cancel);
-		context.onServed(header.customer, header.mode, context.world.now() - permit.startedAt);
+		context.onServed(header.customer, header.mode, context.runtime.now() - permit.startedAt);
 		permit[Symbol.dispose]();
 		permit = undefined;
 		if (result.kind === 'readOnly') {
@@ -235,7 +235,7 @@
 	};
 
 	using tracked = context.trackRequest(header);
-	const deadline = createDeadline(context.world.now(), header.remainingMs);
+	const deadline = createDeadline(context.runtime.now(), header.remainingMs);
 	const target = context.getTarget(header.target);
 	if (!target || context.isDraining()) {
 		await refuse(createRefusal('notHome', 'This vm does not own the target, or is shutting down'));
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createStreamPair, createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
+	createStreamPair, createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
 } from '@guavapitch/core';
 import {createFairQueue, createPool} from '@guavapitch/pool';
 import type {Reply, RequestChunk, RequestHeader} from '@guavapitch/sessions';
@@ -45,7 +45,7 @@
 };
 
 const createFixture = (behaviour: Behaviour) => {
-	const {world, advance, settle} = createVirtualWorld();
+	const {runtime, advance, settle} = createVirtualRuntime();
 	let resetCount = 0;
 	const pool = createPool<Connection>({
 		maxOpen: 2,
@@ -61,10 +61,10 @@
 		}),
 		onAvailable: () => undefined,
 		onReachabilityChange: () => undefined,
-	}, world);
-	const queue = createFairQueue(world, 1, () => true);
+	}, runtime);
+	const queue = createFairQueue(runtime, 1, () => true);
 	const context: OwnerContext<Connection> = {
-		world,
+		runtime,
 		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
 		runChunk: async (_, task) => (behaviour.respond ?? respondImmediately)(task),
 		checkGrant: () => behaviour.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
--- a/packages/roles/src/lease.ts
+++ b/packages/roles/src/lease.ts
@@ -1,7 +1,7 @@
 /** The single store lease of a process, shared by all slots that it holds. */
 
 import {
-	createSingleFlight, Err, Ok, PAST, type Deadline, type Result, type World,
+	createSingleFlight, Err, Ok, PAST, type Deadline, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {Lease, Store, StoreFailure} from '@guavapitch/store';
 
@@ -21,10 +21,10 @@
 export const LEASE_TTL_SECONDS = 2;
 
 /** Creates the lease of a process; the store is not contacted yet. */
-export const createProcessLease = (store: Store, world: World): ProcessLease => {
+export const createProcessLease = (store: Store, runtime: Runtime): ProcessLease => {
 	let lease: Lease | undefined;
 
-	const isValid = () => lease !== undefined && world.now() < lease.deadline;
+	const isValid = () => lease !== undefined && runtime.now() < lease.deadline;
 
 	const acquire = createSingleFlight(async (): Promise<Result<Lease, StoreFailure>> => {
 		if (lease && isValid()) {
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -1,7 +1,7 @@
 /** Exclusive roles, each held by one vm at a time through an entry on the lease of the vm, with fencing tokens from the store. */
 
 import {
-	createDeadline, isPast, type Deadline, type World,
+	createDeadline, isPast, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import type {VmRegistration, RoleStore} from './vm-registration.js';
 
@@ -13,7 +13,7 @@
 
 /** Dependencies of role claims. */
 export type RoleClaimsContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	store: RoleStore;
 	registration: VmRegistration;
 	vm: string;
@@ -69,7 +69,7 @@
 
 /** Creates the role claims of a process; it holds no role yet. */
 export const createRoleClaims = (context: RoleClaimsContext): RoleClaims => {
-	const {world, store, registration} = context;
+	const {runtime, store, registration} = context;
 	const claimableAt = new Map<string, Deadline>();
 
 	const getHolder = (role: string): HolderRecord | undefined => {
@@ -118,10 +118,10 @@
 			return;
 		}
 
-		const claimAt = claimableAt.get(role) ?? createDeadline(world.now(), rank * RANK_DELAY_MS);
+		const claimAt = claimableAt.get(role) ?? createDeadline(runtime.now(), rank * RANK_DELAY_MS);
 		claimableAt.set(role, claimAt);
-		if (registration.getLease() !== undefined && isPast(claimAt, world.now())) {
-			claimableAt.set(role, createDeadline(world.now(), RANK_DELAY_MS));
+		if (registration.getLease() !== undefined && isPast(claimAt, runtime.now())) {
+			claimableAt.set(role, createDeadline(runtime.now(), RANK_DELAY_MS));
 			await claimRole(role);
 		}
 	};
@@ -133,7 +133,7 @@
 					await checkRole(role);
 				}
 
-				await world.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
+				await runtime.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
 			}
 		},
 		isHeld,
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -1,7 +1,7 @@
 /** Claims and holds a slot of a role: one task per slot, which claims the slot, extends its authority, and starts again after a loss. */
 
 import {
-	chooseEarliest, createDeadline, getRemainingMs, isPast, PAST, type Deadline, type Failure, type Result, type World,
+	chooseEarliest, createDeadline, getRemainingMs, isPast, PAST, type Deadline, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {Store} from '@guavapitch/store';
 import type {ProcessLease} from './lease.js';
@@ -24,7 +24,7 @@
 
 /** Dependencies of the task that claims and holds a slot. */
 export type SlotContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	store: Store;
 	lease: ProcessLease;
 	takeoverPromises: TakeoverPromises;
@@ -128,7 +128,7 @@
 
 /** Asks every candidate for a promise; returns the deadline until which no candidate takes over. */
 const collectPromises = async (context: SlotContext, record: SlotRecord): Promise<Deadline> => {
-	const sentAt = context.world.now();
+	const sentAt = context.runtime.now();
 	if (record.candidates.length === 0) {
 		return PAST;
 	}
@@ -172,9 +172,9 @@
 
 /** Holds a claimed slot until its authority has ended. */
 const holdSlot = async (context: SlotContext, initialClaim: Claim, signal: AbortSignal): Promise<void> => {
-	const {world, lease, slot} = context;
+	const {runtime, lease, slot} = context;
 	const roleAbort = new AbortController();
-	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof world.now>, -CLOCK_DRIFT_MS);
+	const createLeaseDeadline = () => createDeadline(lease.getDeadline() as number as ReturnType<typeof runtime.now>, -CLOCK_DRIFT_MS);
 	let claim = initialClaim;
 	let deadline = createLeaseDeadline();
 	let extensionSource: ExtensionSource = 'lease';
@@ -186,14 +186,14 @@
 
 	const roleTask = context.runAsHolder({slot, epoch: initialClaim.record.epoch, getDeadline: () => deadline}, AbortSignal.any([signal, roleAbort.signal]));
 	context.onGained(slot, initialClaim.record.epoch);
-	while (!signal.aborted && !isPast(deadline, world.now())) {
-		await world.sleep(RENEWAL_INTERVAL_MS, signal).catch(() => undefined);
+	while (!signal.aborted && !isPast(deadline, runtime.now())) {
+		await runtime.sleep(RENEWAL_INTERVAL_MS, signal).catch(() => undefined);
 		// After a failed renewal, promises are requested in parallel with the next one and extend the deadline at once, because that renewal may take just as long to fail.
 		const pendingPromises: Promise<Deadline> | undefined = extensionSource === 'promises' ? extendByPromises() : undefined;
 		const renewed = await lease.renew();
 		const hasLeaseExpired = renewed.err && renewed.val.code === 'leaseLost';
 		const promisedUntil: Deadline = renewed.ok ? PAST : await (pendingPromises ?? extendByPromises());
-		const isAttached: boolean = renewed.ok || (hasLeaseExpired && !isPast(promisedUntil, world.now()) && await reattachSlot(context, claim));
+		const isAttached: boolean = renewed.ok || (hasLeaseExpired && !isPast(promisedUntil, runtime.now()) && await reattachSlot(context, claim));
 		deadline = isAttached ? Math.max(deadline, createLeaseDeadline()) as Deadline : deadline;
 		const newSource: ExtensionSource = isAttached ? 'lease' : 'promises';
 		if (newSource !== extensionSource) {
@@ -203,7 +203,7 @@
 
 		if (isAttached) {
 			claim = await refreshCandidates(context, claim);
-		} else if (hasLeaseExpired && isPast(promisedUntil, world.now())) {
+		} else if (hasLeaseExpired && isPast(promisedUntil, runtime.now())) {
 			break;
 		}
 	}
@@ -212,14 +212,14 @@
 	await roleTask;
 	context.onLost(slot, initialClaim.record.epoch);
 	// Grants issued under this authority may be valid until its deadline.
-	await world.sleep(getRemainingMs(deadline, world.now()), signal).catch(() => undefined);
+	await runtime.sleep(getRemainingMs(deadline, runtime.now()), signal).catch(() => undefined);
 };
 
 /** Claims a slot whenever this vm is eligible and the slot is free, and holds it until it is lost. */
 export const runSlot = async (context: SlotContext, signal: AbortSignal): Promise<void> => {
-	const {world, takeoverPromises, slot} = context;
+	const {runtime, takeoverPromises, slot} = context;
 	while (!signal.aborted) {
-		await world.sleep(CLAIM_INTERVAL_MS * (0.5 + world.random()), signal);
+		await runtime.sleep(CLAIM_INTERVAL_MS * (0.5 + runtime.random()), signal);
 		const isEligible = context.rankCandidates().slice(0, MAX_ELIGIBLE_VMS).some(candidate => isSameRun(candidate, context.self));
 		if (!isEligible || takeoverPromises.isGiven(slot)) {
 			continue;
--- a/packages/roles/src/takeover-promises.ts
+++ b/packages/roles/src/takeover-promises.ts
@@ -1,7 +1,7 @@
 /** Promises of a candidate not to take over a slot before a deadline. They are kept in memory only and end with the process. */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type World,
+	createDeadline, isPast, PAST, type Deadline, type Runtime,
 } from '@guavapitch/core';
 
 /** Request of the holder of a slot to a candidate for a promise. */
@@ -20,10 +20,10 @@
 }>;
 
 /** Creates the promises of a process; none has been made yet. */
-export const createTakeoverPromises = (incarnation: string, world: World): TakeoverPromises => {
+export const createTakeoverPromises = (incarnation: string, runtime: Runtime): TakeoverPromises => {
 	const deadlines = new Map<string, Deadline>();
 	const slotsBeingClaimed = new Set<string>();
-	const isGiven = (slot: string) => !isPast(deadlines.get(slot) ?? PAST, world.now());
+	const isGiven = (slot: string) => !isPast(deadlines.get(slot) ?? PAST, runtime.now());
 
 	return {
 		isGiven,
@@ -32,7 +32,7 @@
 				return false;
 			}
 
-			const deadline = createDeadline(world.now(), request.validMs);
+			const deadline = createDeadline(runtime.now(), request.validMs);
 			deadlines.set(request.slot, Math.max(deadline, deadlines.get(request.slot) ?? PAST) as Deadline);
 			return true;
 		},
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, Err, Ok, type Instant, type World,
+	createVirtualRuntime, Err, Ok, type Instant, type Runtime,
 } from '@guavapitch/core';
 import {createVmRegistration, type RoleStore} from '../vm-registration.js';
 import {createRoleClaims} from '../role-claims.js';
@@ -11,7 +11,7 @@
 type Entry = Readonly<{value: string; revision: number; leaseId: string | undefined}>;
 
 /** A store with leases, atomic transactions and switchable faults. */
-const createFakeStore = (world: World) => {
+const createFakeStore = (runtime: Runtime) => {
 	const entries = new Map<string, Entry>();
 	const leases = new Map<string, number>();
 	const faults = {isDown: false, losesResponses: false};
@@ -20,7 +20,7 @@
 
 	const expireLeases = () => {
 		for (const [id, expiresAt] of leases) {
-			if (world.now() >= expiresAt) {
+			if (runtime.now() >= expiresAt) {
 				leases.delete(id);
 				for (const [key, entry] of entries) {
 					if (entry.leaseId === id) {
@@ -41,7 +41,7 @@
 			}
 
 			const id = String(++lastLeaseId);
-			leases.set(id, world.now() + ttlMs);
+			leases.set(id, runtime.now() + ttlMs);
 			return Ok({id, ttlMs});
 		},
 		async renewLease(id) {
@@ -54,7 +54,7 @@
 				return Err({code: 'leaseLost', message: 'lost'});
 			}
 
-			leases.set(id, world.now() + 4000);
+			leases.set(id, runtime.now() + 4000);
 			return Ok(4000);
 		},
 		async revokeLease(id) {
@@ -86,8 +86,8 @@
 };
 
 const createSetup = () => {
-	const {world, advance} = createVirtualWorld(17);
-	const fakeStore = createFakeStore(world);
+	const {runtime, advance} = createVirtualRuntime(17);
+	const fakeStore = createFakeStore(runtime);
 	const stop = new AbortController();
 	const startVm = (vm: string, rank: number) => {
 		const suspension = {suspendedMs: 0};
@@ -96,10 +96,10 @@
 			stopVm.abort();
 		});
 		const registration = createVmRegistration({
-			world, readClock: () => (world.now() + suspension.suspendedMs) as Instant, store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
+			runtime, readClock: () => (runtime.now() + suspension.suspendedMs) as Instant, store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
 		});
 		const roles = createRoleClaims({
-			world,
+			runtime,
 			store: fakeStore.store,
 			registration,
 			vm,
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createScope, createVirtualWorld, Err, Ok, parseId, type VmId, type World,
+	createScope, createVirtualRuntime, Err, Ok, parseId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createProcessLease} from '../lease.js';
@@ -18,11 +18,11 @@
 type Faults = {isStoreDown: boolean; readonly partitioned: Set<VmId>; ranking: readonly VmId[]};
 
 /** Wraps a store with outages, partitions and lost responses; a change whose response is lost may still take effect. */
-const createFaultyStore = (sharedStore: Store, world: World, faults: Faults, vm: VmId): Store => {
+const createFaultyStore = (sharedStore: Store, runtime: Runtime, faults: Faults, vm: VmId): Store => {
 	const callStore = async <Value>(call: () => Promise<Value>): Promise<Value | undefined> => {
-		await world.sleep(1 + (world.random() * 3));
+		await runtime.sleep(1 + (runtime.random() * 3));
 		if (faults.isStoreDown || faults.partitioned.has(vm)) {
-			await world.sleep(600);
+			await runtime.sleep(600);
 			return undefined;
 		}
 
@@ -35,7 +35,7 @@
 		readAll: async prefix => await callStore(async () => sharedStore.readAll(prefix)) ?? noResponse,
 		async compareAndSwap(...args) {
 			const outcome = await callStore(async () => sharedStore.compareAndSwap(...args));
-			return outcome && world.random() > 0.05 ? outcome : noResponse;
+			return outcome && runtime.random() > 0.05 ? outcome : noResponse;
 		},
 		remove: async (...args) => await callStore(async () => sharedStore.remove(...args)) ?? noResponse,
 		grantLease: async seconds => await callStore(async () => sharedStore.grantLease(seconds)) ?? noResponse,
@@ -49,27 +49,27 @@
 
 /** Runs four vms that claim a slot through a list of steps; returns the maximum number of holders at a time and for how long the slot was held. */
 const runSteps = async (steps: readonly Step[], seed: number) => {
-	const {world, advance} = createVirtualWorld(seed);
-	const sharedStore = createMemoryStore(world);
+	const {runtime, advance} = createVirtualRuntime(seed);
+	const sharedStore = createMemoryStore(runtime);
 	const faults: Faults = {isStoreDown: false, partitioned: new Set(), ranking: VMS};
 	const candidates: readonly Candidate[] = VMS.map(vm => ({vm, incarnation: `${vm}1`}));
-	const promisesByVm = new Map(candidates.map(candidate => [candidate.vm, createTakeoverPromises(candidate.incarnation, world)]));
+	const promisesByVm = new Map(candidates.map(candidate => [candidate.vm, createTakeoverPromises(candidate.incarnation, runtime)]));
 	const authorities = new Map<VmId, Authority>();
 	const scope = createScope(error => {
 		throw error;
 	});
 	for (const self of candidates) {
-		const store = createFaultyStore(sharedStore, world, faults, self.vm);
+		const store = createFaultyStore(sharedStore, runtime, faults, self.vm);
 		const context: SlotContext = {
-			world,
+			runtime,
 			store,
-			lease: createProcessLease(store, world),
-			takeoverPromises: promisesByVm.get(self.vm) ?? createTakeoverPromises('', world),
+			lease: createProcessLease(store, runtime),
+			takeoverPromises: promisesByVm.get(self.vm) ?? createTakeoverPromises('', runtime),
 			self,
 			slot: SLOT,
 			rankCandidates: () => faults.ranking.flatMap(vm => candidates.filter(candidate => candidate.vm === vm)),
 			async requestPromise(candidate, request) {
-				await world.sleep(1 + world.random());
+				await runtime.sleep(1 + runtime.random());
 				const isPartitioned = faults.partitioned.has(self.vm) || faults.partitioned.has(candidate.vm);
 				return isPartitioned ? Err({code: 'peerTimeout', message: 'no response'}) : Ok(promisesByVm.get(candidate.vm)?.give(request, 0) ?? false);
 			},
@@ -96,7 +96,7 @@
 	const advanceAndObserve = async (ms: number) => {
 		for (let passedMs = 0; passedMs < ms; passedMs += 20) {
 			await advance(20);
-			const holders = [...authorities.values()].filter(authority => authority.getDeadline() > world.now()).length;
+			const holders = [...authorities.values()].filter(authority => authority.getDeadline() > runtime.now()).length;
 			maxHolders = Math.max(maxHolders, holders);
 			heldMs += holders > 0 ? 20 : 0;
 			totalMs += 20;
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -1,7 +1,7 @@
 /** Registration of a vm in the store: a lease, and an entry by which other vms find this one. */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type Instant, type Result, type World,
+	createDeadline, isPast, PAST, type Deadline, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {StoreFailure} from '@guavapitch/store';
 
@@ -30,7 +30,7 @@
 
 /** Dependencies of a vm registration. */
 export type VmRegistrationContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Reads a clock that keeps running while the process or its machine is suspended. */
 	readClock: () => Instant;
 	store: RoleStore;
@@ -64,7 +64,7 @@
 
 /** Creates the registration of a vm; it has no lease yet. */
 export const createVmRegistration = (context: VmRegistrationContext): VmRegistration => {
-	const {world, readClock, store} = context;
+	const {runtime, readClock, store} = context;
 	let leaseId: string | undefined;
 	let deadline: Deadline = PAST;
 	let isDeregistered = false;
@@ -79,7 +79,7 @@
 
 	const register = async (): Promise<boolean> => {
 		const sentAtBySuspensionClock = readClock();
-		const sentAt = world.now();
+		const sentAt = runtime.now();
 		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
 			handleFailure(granted.val);
@@ -100,7 +100,7 @@
 
 	const renew = async (id: string): Promise<boolean> => {
 		const sentAtBySuspensionClock = readClock();
-		const sentAt = world.now();
+		const sentAt = runtime.now();
 		const renewed = await store.renewLease(id);
 		if (renewed.err) {
 			handleFailure(renewed.val);
@@ -116,7 +116,7 @@
 		async run(signal) {
 			while (!signal.aborted && !isDeregistered) {
 				const hasSucceeded = leaseId === undefined ? await register() : await renew(leaseId);
-				await world.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + world.random()), signal).catch(() => undefined);
+				await runtime.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + runtime.random()), signal).catch(() => undefined);
 			}
 		},
 		getLease: () => leaseId !== undefined && !isPast(deadline, readClock()) ? leaseId : undefined,
--- a/packages/routing/src/retries.ts
+++ b/packages/routing/src/retries.ts
@@ -1,7 +1,7 @@
 /** Retries of requests that have certainly not run: with backoff, jitter and a retry budget. */
 
 import {
-	createDeadline, isPast, type Deadline, type World,
+	createDeadline, isPast, type Deadline, type Runtime,
 } from '@guavapitch/core';
 
 /** Retry budget of a process: limits retries to a fraction of all requests. */
@@ -44,12 +44,12 @@
 };
 
 /** Waits before a retry; resolves to `false` without waiting if the deadline would pass meanwhile, and rejects if the signal aborts. */
-export const waitBeforeRetry = async (attempt: number, deadline: Deadline, world: World, signal: AbortSignal): Promise<boolean> => {
-	const backoffMs = computeBackoffMs(attempt, world.random);
-	if (isPast(deadline, world.now()) || createDeadline(world.now(), backoffMs) >= deadline) {
+export const waitBeforeRetry = async (attempt: number, deadline: Deadline, runtime: Runtime, signal: AbortSignal): Promise<boolean> => {
+	const backoffMs = computeBackoffMs(attempt, runtime.random);
+	if (isPast(deadline, runtime.now()) || createDeadline(runtime.now(), backoffMs) >= deadline) {
 		return false;
 	}
 
-	await world.sleep(backoffMs, signal);
+	await runtime.sleep(backoffMs, signal);
 	return true;
 };
--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -2,7 +2,7 @@
 
 import {randomInt} from 'node:crypto';
 import {createServer, type Socket} from 'node:net';
-import {createScope, type World} from '@guavapitch/core';
+import {createScope, type Runtime} from '@guavapitch/core';
 import {
 	createErrorResponse, createMessage, createParameterStatus, createReadyForQuery, encodeInt32, openWireConnection, parseStartupPacket, SQLSTATE, type WireConnection,
 } from '@guavapitch/postgres-wire';
@@ -28,9 +28,9 @@
 	await wire.write(AUTHENTICATION_OK.bytes, ...parameters, keyData.bytes, createReadyForQuery('idle').bytes);
 };
 
-type ServerContext = Readonly<{target: Target; world: World; cancelRegistry: CancelRegistry}>;
+type ServerContext = Readonly<{target: Target; runtime: Runtime; cancelRegistry: CancelRegistry}>;
 
-const serveCaller = async ({target, world, cancelRegistry}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
+const serveCaller = async ({target, runtime, cancelRegistry}: ServerContext, wire: WireConnection, parameters: ReadonlyMap<string, string>) => {
 	const isControlSession = parameters.get('database') === CONTROL_PEER;
 	const peer = isControlSession ? CONTROL_PEER : parameters.get('application_name') ?? '';
 	const isWithinLimit = isControlSession || target.addConnection();
@@ -43,10 +43,10 @@
 			return;
 		}
 
-		await world.sleep(isControlSession ? 0 : target.settings.connectMs);
+		await runtime.sleep(isControlSession ? 0 : target.settings.connectMs);
 		await sendStartupResponse(wire, processId, secret);
 		await serveSession({
-			target, world, wire, peer,
+			target, runtime, wire, peer,
 			onCancel(cancel) {
 				cancelRegistry.set(processId, {secret, cancel});
 			},
@@ -101,7 +101,7 @@
 };
 
 /** Starts serving a target on the loopback interface; port 0 stands for any free port. */
-export const startDatabase = async (target: Target, world: World, port: number): Promise<DatabaseServer> => {
+export const startDatabase = async (target: Target, runtime: Runtime, port: number): Promise<DatabaseServer> => {
 	const scope = createScope(() => undefined);
 	const cancelRegistry: CancelRegistry = new Map();
 	const sockets = new Set<Socket>();
@@ -110,13 +110,13 @@
 		socket.on('close', () => {
 			sockets.delete(socket);
 		});
-		scope.run(async () => serveSocket({target, world, cancelRegistry}, socket));
+		scope.run(async () => serveSocket({target, runtime, cancelRegistry}, socket));
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, '127.0.0.1', resolve);
 	});
-	scope.run(async signal => followUpstream(target, world, signal));
+	scope.run(async signal => followUpstream(target, runtime, signal));
 	const address = server.address();
 	return {
 		port: typeof address === 'object' && address ? address.port : port,
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -1,7 +1,7 @@
 /** Storage engine of one target of the database stand-in: tables, transactions, row locks and the log. */
 
 import {
-	createNotifier, createDeadline, isPast, type World,
+	createNotifier, createDeadline, isPast, type Runtime,
 } from '@guavapitch/core';
 import type {Column, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
@@ -79,12 +79,12 @@
 const FIRST_POSITION = 0x1_00_00_00;
 
 /** Creates an engine without tables. */
-export const createEngine = (world: World, options: Readonly<{isReplica: boolean}>): Engine => {
+export const createEngine = (runtime: Runtime, options: Readonly<{isReplica: boolean}>): Engine => {
 	const tables = new Map<string, Table>();
 	const log: LogRecord[] = [];
 	const lockHolders = new Map<string, Transaction>();
-	const locksReleased = createNotifier(world);
-	const logGrown = createNotifier(world);
+	const locksReleased = createNotifier(runtime);
+	const logGrown = createNotifier(runtime);
 	let history: readonly TimelineStart[] = [{timeline: 1, position: FIRST_POSITION}];
 	let {isReplica} = options;
 	let position = FIRST_POSITION;
@@ -139,9 +139,9 @@
 		},
 		rollback: releaseLocks,
 		async lock(transaction, key) {
-			const deadline = createDeadline(world.now(), LOCK_TIMEOUT_MS);
+			const deadline = createDeadline(runtime.now(), LOCK_TIMEOUT_MS);
 			while ((lockHolders.get(key) ?? transaction) !== transaction) {
-				if (isPast(deadline, world.now())) {
+				if (isPast(deadline, runtime.now())) {
 					throw new SqlError('40P01', 'deadlock detected');
 				}
 
@@ -216,7 +216,7 @@
 			history = newHistory;
 		},
 		async waitForRecords(signal) {
-			await logGrown.waitForChange(createDeadline(world.now(), MAX_RECORD_WAIT_MS), signal);
+			await logGrown.waitForChange(createDeadline(runtime.now(), MAX_RECORD_WAIT_MS), signal);
 		},
 		wakeWaiters: logGrown.notify,
 	};
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -4,7 +4,7 @@
 import {appendFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {startDatabase} from './database.js';
 import {createTarget} from './target.js';
 import {DEFAULT_RATES, startPlatform} from './platform.js';
@@ -43,7 +43,7 @@
 		.option('port', {type: 'number', default: 2379, describe: 'port on the loopback interface; 0 for any free port'})
 		.option('writes', {type: 'number', default: DEFAULT_RATES.writes, describe: 'maximum rate of changes per second; changes beyond it are refused'})
 		.option('reads', {type: 'number', default: DEFAULT_RATES.reads, describe: 'maximum rate of reads per second; reads beyond it are refused'}), async flags => {
-		serveUntilStopped('platform', await startPlatform(createWorld(), flags.port, {writes: flags.writes, reads: flags.reads}));
+		serveUntilStopped('platform', await startPlatform(createRuntime(), flags.port, {writes: flags.writes, reads: flags.reads}));
 	})
 	.command('database', 'stand-in of one database target', command => command
 		.option('port', {type: 'number', default: 5432, describe: 'port on the loopback interface; 0 for any free port'})
@@ -55,7 +55,7 @@
 		.option('statement-ms', {type: 'number', default: 0, describe: 'time for which a statement occupies a slot, in milliseconds'})
 		.option('lag-ms', {type: 'number', default: DEFAULT_LAG_MS, describe: 'delay before received records are replayed, in milliseconds'})
 		.option('record', {type: 'string', describe: 'file to append all bytes received from clients to'}), async flags => {
-		const world = createWorld();
+		const runtime = createRuntime();
 		const target = createTarget({
 			name: flags.name,
 			isReplica: flags.follow !== undefined,
@@ -64,14 +64,14 @@
 			connectMs: flags.connectMs,
 			statementMs: flags.statementMs,
 			lagMs: flags.lagMs,
-		}, world, createByteRecorder(flags.record));
+		}, runtime, createByteRecorder(flags.record));
 		if (flags.follow) {
 			const [host, port] = flags.follow.split(':');
 			target.setUpstream(`host=${host} port=${port}`);
 			target.callFunction('pg_reload_conf', []);
 		}
 
-		serveUntilStopped(flags.name, await startDatabase(target, world, flags.port));
+		serveUntilStopped(flags.name, await startDatabase(target, runtime, flags.port));
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-standin: ${error instanceof Error ? error.message : message}\n`);
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -1,6 +1,6 @@
 /** Injected faults and rate limits of the platform stand-in. */
 
-import type {World} from '@guavapitch/core';
+import type {Runtime} from '@guavapitch/core';
 import type {MemoryStore} from '@guavapitch/store';
 
 /** Faults of the service; set by writing them as JSON to the key `/standin/faults`. */
@@ -41,7 +41,7 @@
 const PARTITION_DELAY_MS = 3_600_000;
 
 /** Creates a fault controller without faults. */
-export const createFaultController = (world: World, store: MemoryStore, rates: PlatformRates, signal: AbortSignal): FaultController => {
+export const createFaultController = (runtime: Runtime, store: MemoryStore, rates: PlatformRates, signal: AbortSignal): FaultController => {
 	let faults: PlatformFaults = {};
 	let responsesToDrop = 0;
 	let currentSecond = 0;
@@ -60,15 +60,15 @@
 		},
 		async delayCall(client) {
 			if (isPartitioned(client)) {
-				await world.sleep(PARTITION_DELAY_MS, signal).catch(() => undefined);
+				await runtime.sleep(PARTITION_DELAY_MS, signal).catch(() => undefined);
 			}
 
 			if (faults.slowMs) {
-				await world.sleep(faults.slowMs);
+				await runtime.sleep(faults.slowMs);
 			}
 		},
 		admitCall(kind) {
-			const now = Math.floor(world.now() / MS_PER_SECOND);
+			const now = Math.floor(runtime.now() / MS_PER_SECOND);
 			if (now !== currentSecond) {
 				currentSecond = now;
 				callCounts = {writes: 0, reads: 0};
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -4,7 +4,7 @@
 import {
 	Server, ServerCredentials, status, type Metadata, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall, type ServiceError, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import {createScope, type World} from '@guavapitch/core';
+import {createScope, type Runtime} from '@guavapitch/core';
 import {
 	createMemoryStore, loadServices, type Entry, type MemoryStore,
 } from '@guavapitch/store';
@@ -51,12 +51,12 @@
 };
 
 /** Starts the service on the loopback interface; port 0 stands for any free port. */
-export const startPlatform = async (world: World, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
-	const store = createMemoryStore(world);
+export const startPlatform = async (runtime: Runtime, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
+	const store = createMemoryStore(runtime);
 	const services = loadServices();
 	const scope = createScope(() => undefined);
 	const callCounts = new Map<string, number>();
-	const faultController = createFaultController(world, store, rates, scope.signal);
+	const faultController = createFaultController(runtime, store, rates, scope.signal);
 
 	const readRange = async (request: RangeRequest) => {
 		const key = decodeKey(request.key);
@@ -156,7 +156,7 @@
 				}
 
 				const renewed = await store.renewLease(String(request.ID));
-				const ttlSeconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
+				const ttlSeconds = renewed.ok ? Math.round((renewed.val.deadline - runtime.now()) / 1000) : 0;
 				stream.write({header: createHeader(0), ID: request.ID, TTL: ttlSeconds});
 			});
 		});
@@ -226,7 +226,7 @@
 	scope.run(async signal => {
 		while (!signal.aborted) {
 			store.expireDueLeases();
-			await world.sleep(LEASE_CHECK_INTERVAL_MS, signal);
+			await runtime.sleep(LEASE_CHECK_INTERVAL_MS, signal);
 		}
 	});
 	return {
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -2,7 +2,7 @@
 
 import {Buffer} from 'node:buffer';
 import {createConnection} from 'node:net';
-import type {World} from '@guavapitch/core';
+import type {Runtime} from '@guavapitch/core';
 import {
 	createMessage, createStartupPacket, getBody, openWireConnection, type WireConnection,
 } from '@guavapitch/postgres-wire';
@@ -85,7 +85,7 @@
 };
 
 /** Replicates from a primary until the connection ends, the upstream changes, the target is promoted or its log has diverged. */
-const followOnce = async (target: Target, conninfo: string, world: World): Promise<void> => {
+const followOnce = async (target: Target, conninfo: string, runtime: Runtime): Promise<void> => {
 	const {engine, settings} = target;
 	const socket = createConnection(parseConninfo(conninfo));
 	await using wire = openWireConnection(socket);
@@ -108,11 +108,11 @@
 		}
 
 		await target.waitWhilePartitioned(UPSTREAM_PEER);
-		await world.sleep(target.getLagMs());
+		await runtime.sleep(target.getLagMs());
 		for (const message of messages.val) {
 			const batch = JSON.parse(getBody(message).toString()) as Batch;
 			if (batch.diverged) {
-				await world.sleep(RETRY_DELAY_MS);
+				await runtime.sleep(RETRY_DELAY_MS);
 				return;
 			}
 
@@ -130,13 +130,13 @@
 };
 
 /** Replicates from the configured upstream of the target while the target is a replica; reconnects after failures. */
-export const followUpstream = async (target: Target, world: World, signal: AbortSignal): Promise<void> => {
+export const followUpstream = async (target: Target, runtime: Runtime, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		const conninfo = target.getUpstream();
 		if (conninfo && target.engine.isReplica()) {
-			await followOnce(target, conninfo, world);
+			await followOnce(target, conninfo, runtime);
 		}
 
-		await world.sleep(RETRY_DELAY_MS, signal);
+		await runtime.sleep(RETRY_DELAY_MS, signal);
 	}
 };
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -1,7 +1,7 @@
 /** Session of the database stand-in: the task that serves one connection. */
 
 import {type Buffer} from 'node:buffer';
-import {getErrorMessage, type World, type TransactionStatus} from '@guavapitch/core';
+import {getErrorMessage, type Runtime, type TransactionStatus} from '@guavapitch/core';
 import {
 	createCommandComplete, createErrorResponse, createMessage, createReadyForQuery, encodeInt16, getBody, readCString, SQLSTATE,
 	type Message, type WireConnection,
@@ -33,7 +33,7 @@
 /** Dependencies of a session. */
 export type SessionContext = Readonly<{
 	target: Target;
-	world: World;
+	runtime: Runtime;
 	wire: WireConnection;
 	/** Name by which faults select the session: the application name that the caller sent, or `CONTROL_PEER`. */
 	peer: string;
@@ -46,7 +46,7 @@
 
 /** Serves a caller from the end of its startup until it disconnects. */
 export const serveSession = async (context: SessionContext): Promise<void> => {
-	const {target, wire, world} = context;
+	const {target, wire, runtime} = context;
 	const {engine} = target;
 	const state: SessionState = {
 		transaction: undefined, status: 'idle', statements: new Map(), portals: new Map(), settings: new Map(), isSkipping: false, cancelController: new AbortController(),
@@ -118,7 +118,7 @@
 		const [argument] = firstOutput.expression.args;
 		const seconds = argument?.kind === 'literal' ? Number(argument.value) : Number(parameters[0] ?? 0);
 		try {
-			await world.sleep(seconds * 1000, state.cancelController.signal);
+			await runtime.sleep(seconds * 1000, state.cancelController.signal);
 		} catch {
 			throw new SqlError('57014', 'canceling statement due to user request');
 		}
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -1,7 +1,7 @@
 /** Target of the database stand-in: engine, limits, injected faults and SQL functions. */
 
 import {
-	createDeadline, createConditionVariable, createNotifier, type World,
+	createDeadline, createConditionVariable, createNotifier, type Runtime,
 } from '@guavapitch/core';
 import {createEngine, type Engine, type Row} from './engine.js';
 import type {Column, Value} from './sql-ast.js';
@@ -71,11 +71,11 @@
 const createIntegerColumn = (name: string): Column => ({name, type: 'int', primaryKey: false});
 
 /** Creates a target with an empty database. */
-export const createTarget = (settings: TargetSettings, world: World, onBytesReceived: (bytes: Uint8Array) => void = () => undefined): Target => {
-	const engine = createEngine(world, {isReplica: settings.isReplica});
+export const createTarget = (settings: TargetSettings, runtime: Runtime, onBytesReceived: (bytes: Uint8Array) => void = () => undefined): Target => {
+	const engine = createEngine(runtime, {isReplica: settings.isReplica});
 	const replicas = new Set<ReplicaState>();
 	const partitionedPeers = new Set<string>();
-	const partitionChanged = createNotifier(world);
+	const partitionChanged = createNotifier(runtime);
 	const upstreamChanged = createConditionVariable();
 	const slotFreed = createConditionVariable();
 	let upstream: string | undefined;
@@ -133,7 +133,7 @@
 		},
 		pg_sleep: () => '',
 		set_config: args => args[1] ?? null,
-		now: () => new Date(world.readWallClock()).toISOString(),
+		now: () => new Date(runtime.readWallClock()).toISOString(),
 	};
 
 	return {
@@ -155,7 +155,7 @@
 			busySlots++;
 			try {
 				if (settings.statementMs > 0) {
-					await world.sleep(settings.statementMs);
+					await runtime.sleep(settings.statementMs);
 				}
 
 				return await task();
@@ -173,7 +173,7 @@
 			connectionCount--;
 		},
 		async waitWhilePartitioned(peer) {
-			await partitionChanged.waitUntil(() => !isPartitioned(peer), createDeadline(world.now(), Number.POSITIVE_INFINITY));
+			await partitionChanged.waitUntil(() => !isPartitioned(peer), createDeadline(runtime.now(), Number.POSITIVE_INFINITY));
 		},
 		callFunction(name, args) {
 			const sqlFunction = sqlFunctions[name];
--- a/packages/standin/src/tests/platform.test.ts
+++ b/packages/standin/src/tests/platform.test.ts
@@ -4,7 +4,7 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {openEtcdStore, type EtcdStore} from '@guavapitch/store';
 import {startPlatform, type PlatformServer} from '../platform.js';
 
@@ -12,13 +12,13 @@
 const FAULTS_KEY = '/standin/faults';
 
 describe('platform', () => {
-	const world = createWorld();
-	const startedAt = world.now();
+	const runtime = createRuntime();
+	const startedAt = runtime.now();
 	let server: PlatformServer;
 	let clients: EtcdStore[] = [];
 
 	const connect = (clientName: string): EtcdStore => {
-		const store = openEtcdStore({address: `127.0.0.1:${server.port}`, clientName, callTimeoutMs: CALL_TIMEOUT_MS}, world);
+		const store = openEtcdStore({address: `127.0.0.1:${server.port}`, clientName, callTimeoutMs: CALL_TIMEOUT_MS}, runtime);
 		clients.push(store);
 		return store;
 	};
@@ -32,7 +32,7 @@
 
 	beforeEach(async () => {
 		// The clock stands still, so that all calls fall into the same second and the rate limits are exact.
-		server = await startPlatform({...world, now: () => startedAt}, 0, {writes: 3, reads: 50});
+		server = await startPlatform({...runtime, now: () => startedAt}, 0, {writes: 3, reads: 50});
 	});
 
 	afterEach(async () => {
@@ -64,7 +64,7 @@
 			(await store.compareAndSwap('/k/1', 0, 'v')).unwrap();
 			(await store.compareAndSwap('/k/2', 0, 'v')).unwrap();
 			while (notificationCount < 2) {
-				await world.sleep(5);
+				await runtime.sleep(5);
 			}
 
 			const calls = await readCallCounts(store);
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -5,7 +5,7 @@
 	credentials, status, type Client, type ClientDuplexStream, type ServiceError,
 } from '@grpc/grpc-js';
 import {
-	createDeadline, Err, Ok, type Result, type World,
+	createDeadline, Err, Ok, type Result, type Runtime,
 } from '@guavapitch/core';
 import {loadServices} from './proto.js';
 import type {
@@ -60,7 +60,7 @@
 	: {code: 'storeUnknown', message: `${error.details} (${error.code})`};
 
 /** Opens a store on an etcd server; connections are established in the background. */
-export const openEtcdStore = (settings: EtcdSettings, world: World): EtcdStore => {
+export const openEtcdStore = (settings: EtcdSettings, runtime: Runtime): EtcdStore => {
 	const services = loadServices();
 	const options = {
 		'grpc.initial_reconnect_backoff_ms': RECONNECT_BACKOFF_MS,
@@ -99,7 +99,8 @@
 			});
 			stream.write({ID: id});
 		});
-		const timedOut = world.sleep(settings.callTimeoutMs, controller.signal).then(() => Err({code: 'storeUnknown', message: 'Lease renewal timed out; outcome unknown'} as const), () => undefined);
+		const timedOut = runtime.sleep(settings.callTimeoutMs, controller.signal)
+			.then(() => Err({code: 'storeUnknown', message: 'Lease renewal timed out; outcome unknown'} as const), () => undefined);
 		const result = await Promise.race([responded, timedOut]);
 		controller.abort();
 		stream.cancel();
@@ -149,14 +150,14 @@
 			return response.map(body => (body as TxnResponse).succeeded);
 		},
 		async grantLease(seconds) {
-			const requestedAt = world.now();
+			const requestedAt = runtime.now();
 			const response = await call(leaseClient, 'LeaseGrant', {TTL: seconds, ID: 0});
 			return response.map((body): Lease => ({
 				id: String((body as LeaseResponse).ID), deadline: createDeadline(requestedAt, seconds * MS_PER_SECOND),
 			}));
 		},
 		async renewLease(id) {
-			const requestedAt = world.now();
+			const requestedAt = runtime.now();
 			const response = await keepAlive(id);
 			if (response.err) {
 				return response;
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -1,11 +1,11 @@
 /** In-memory store, for the stand-in and for tests. */
 
 import {
-	createDeadline, createNotifier, Err, isPast, Ok, NEVER, type Deadline, type World,
+	createDeadline, createNotifier, Err, isPast, Ok, NEVER, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import type {Entry, Lease, Store} from './store.js';
 
-/** A store in memory; its leases expire by the monotonic clock of its `World`. */
+/** A store in memory; its leases expire by the monotonic clock of its `Runtime`. */
 export type MemoryStore = Store & Readonly<{
 	/** Ends leases whose deadline has passed. */
 	expireDueLeases: () => void;
@@ -23,11 +23,11 @@
 const MS_PER_SECOND = 1000;
 
 /** Creates an empty store. */
-export const createMemoryStore = (world: World): MemoryStore => {
+export const createMemoryStore = (runtime: Runtime): MemoryStore => {
 	const entries = new Map<string, StoredEntry>();
 	const leases = new Map<string, LeaseState>();
 	const watchers = new Set<(key: string) => void>();
-	const watchNotifier = createNotifier(world);
+	const watchNotifier = createNotifier(runtime);
 	let revision = 0;
 	let leaseCount = 0;
 
@@ -62,14 +62,14 @@
 
 	const expireDueLeases = () => {
 		for (const [id, {deadline}] of leases) {
-			if (isPast(deadline, world.now())) {
+			if (isPast(deadline, runtime.now())) {
 				endLease(id);
 			}
 		}
 	};
 
 	const extendLease = (id: string, ttlSeconds: number): Lease => {
-		const deadline = createDeadline(world.now(), ttlSeconds * MS_PER_SECOND);
+		const deadline = createDeadline(runtime.now(), ttlSeconds * MS_PER_SECOND);
 		leases.set(id, {ttlSeconds, deadline});
 		return {id, deadline};
 	};
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {
-	createWorld, Err, getErrorMessage, Ok, type Result,
+	createRuntime, Err, getErrorMessage, Ok, type Result,
 } from '@guavapitch/core';
 import {requestEvents, openFleetClient} from '@guavapitch/operator';
 import {readPeerTls, type TlsFiles} from '@guavapitch/peer-protocol';
@@ -43,9 +43,9 @@
 
 /** Requests the events of the running proxies; reports on standard error which proxies did not respond, since their events are missing. */
 const requestFleetEvents = async (platform: string, files: TlsFiles): Promise<EventLists> => {
-	const world = createWorld();
-	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
-	await using client = openFleetClient(world, readPeerTls(files).unwrap());
+	const runtime = createRuntime();
+	await using store = openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, runtime);
+	await using client = openFleetClient(runtime, readPeerTls(files).unwrap());
 	const {eventLists, unresponsiveVms} = await requestEvents(store, client);
 	if (unresponsiveVms.length > 0) {
 		process.stderr.write(`guavapitch-timeline: no answer from ${unresponsiveVms.join(', ')}; the time line lacks their events\n`);
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -1,7 +1,7 @@
 /** Dependencies of the process of an entry vm. */
 
 import type {
-	DataCentreId, Instant, Result, TargetId, VmId, World,
+	DataCentreId, Instant, Result, TargetId, VmId, Runtime,
 } from '@guavapitch/core';
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
 import type {
@@ -28,7 +28,7 @@
 
 /** Functions, store keys and settings that the process is given. */
 export type VmContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	/** Reads the suspension clock, which keeps counting while the process is suspended. */
 	readClock: () => Instant;
 	settings: VmSettings;
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -56,14 +56,14 @@
 
 /** Creates the database owners of a vm. */
 export const createDatabaseOwners = (context: VmContext, dependencies: DatabaseDependencies): DatabaseOwners => {
-	const {world, settings, emit, metrics} = context;
+	const {runtime, settings, emit, metrics} = context;
 	const {view} = dependencies;
 	const owners = new Map<DatabaseId, DatabaseOwner>();
 
 	/** Asks some randomly chosen peers to probe a target; resolves to whether any of them can reach it. */
 	const probeFromPeers = async (target: TargetId): Promise<boolean> => {
 		const usablePeers = view.listMembers().filter(({vm}) => vm !== settings.vm && dependencies.getPeerClient().isUsable(vm));
-		const startIndex = Math.floor(world.random() * usablePeers.length);
+		const startIndex = Math.floor(runtime.random() * usablePeers.length);
 		const probingPeers = [...usablePeers.slice(startIndex), ...usablePeers.slice(0, startIndex)].slice(0, MAX_PROBING_PEERS);
 		const responses = await Promise.all(probingPeers.map(async member => dependencies.getPeerClient().call(member, PROBE_TARGET_METHOD, {target}, TARGET_PROBE_TIMEOUT_MS)));
 		return responses.some(response => response.ok && response.val === true);
@@ -72,7 +72,7 @@
 	/** Creates an owner and starts its failover coordinator. */
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
-			world,
+			runtime,
 			readClock: context.readClock,
 			database,
 			dial: context.dialTarget,
@@ -94,7 +94,7 @@
 		});
 		owner.setTargets(view.listTargets(database));
 		void runFailoverCoordinator({
-			world,
+			runtime,
 			database,
 			owner,
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
@@ -135,12 +135,12 @@
 		},
 		async isReachable(id) {
 			const target = view.findTarget(id);
-			const pingResult = target && await get(target.database).ping(id, createDeadline(world.now(), TARGET_PROBE_TIMEOUT_MS));
+			const pingResult = target && await get(target.database).ping(id, createDeadline(runtime.now(), TARGET_PROBE_TIMEOUT_MS));
 			return pingResult === 'leads' || pingResult === 'follows';
 		},
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
-				await world.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
+				await runtime.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 				for (const [database, owner] of owners) {
 					const preferredVm: VmId | undefined = view.rankOwners(database)[0]?.vm;
 					if (preferredVm !== settings.vm) {
--- a/packages/vm/src/isolation-detector.ts
+++ b/packages/vm/src/isolation-detector.ts
@@ -1,11 +1,11 @@
 /** Detects that a vm can reach no vm of any other data centre. */
 
-import type {DataCentreId, VmId, World} from '@guavapitch/core';
+import type {DataCentreId, VmId, Runtime} from '@guavapitch/core';
 import type {Member} from './members.js';
 
 /** Dependencies of the isolation detector. */
 export type IsolationDetectorContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: VmId;
 	dataCentre: DataCentreId;
 	listMembers: () => readonly Member[];
@@ -37,7 +37,7 @@
 	}
 
 	return [...byDataCentre.values()].flatMap(members => {
-		const startIndex = Math.floor(context.world.random() * members.length);
+		const startIndex = Math.floor(context.runtime.random() * members.length);
 		return [...members.slice(startIndex), ...members.slice(0, startIndex)].slice(0, PROBED_VMS_PER_DATA_CENTRE);
 	});
 };
@@ -60,7 +60,7 @@
 			}
 
 			if (isDataCentreIsolated) {
-				await context.world.sleep(CHECK_INTERVAL_MS);
+				await context.runtime.sleep(CHECK_INTERVAL_MS);
 			}
 		} while (isDataCentreIsolated);
 
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -39,12 +39,12 @@
 
 /** Creates the peer client of a vm; `handlers` serve the calls of other vms. */
 export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MembershipHooks): PeerClient => {
-	const {world, settings, emit} = context;
-	const clock = createHybridLogicalClock(world.readWallClock);
+	const {runtime, settings, emit} = context;
+	const clock = createHybridLogicalClock(runtime.readWallClock);
 	const excludedVms = new Set<VmId>();
 	let isClosed = false;
 	const peerContext: PeerContext = {
-		world,
+		runtime,
 		identity: {vm: settings.vm, incarnation: settings.run},
 		handlers,
 		readTime: () => clock.read(),
@@ -63,7 +63,7 @@
 	const probe = async (member: Member): Promise<void> => {
 		const address = {host: member.host, port: member.port};
 		while (!isClosed && isMember(member)) {
-			await world.sleep(PROBE_INTERVAL_MS * (0.5 + world.random()));
+			await runtime.sleep(PROBE_INTERVAL_MS * (0.5 + runtime.random()));
 			const response = await peers.call(address, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
 			if (response.ok) {
 				break;
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -64,7 +64,7 @@
 
 /** Starts the process of an entry vm. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
-	const {world, settings, emit, metrics} = context;
+	const {runtime, settings, emit, metrics} = context;
 	const scope = createScope(thrown => {
 		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
@@ -85,7 +85,7 @@
 	};
 
 	const registration = createVmRegistration({
-		world,
+		runtime,
 		readClock: context.readClock,
 		store: context.store,
 		key: `${MEMBER_PREFIX}${settings.vm}`,
@@ -106,7 +106,7 @@
 	});
 
 	const feed: Feed = createFeed({
-		world,
+		runtime,
 		run: settings.run,
 		source: context.source,
 		prefixes: [
@@ -138,7 +138,7 @@
 	});
 
 	const isolationDetector = createIsolationDetector({
-		world,
+		runtime,
 		vm: settings.vm,
 		dataCentre: settings.dataCentre,
 		listMembers: view.listMembers,
@@ -168,7 +168,7 @@
 	});
 
 	const roleClaims: RoleClaims = createRoleClaims({
-		world,
+		runtime,
 		store: context.store,
 		registration,
 		vm: settings.vm,
@@ -199,7 +199,7 @@
 	});
 
 	const statementRouter = createStatementRouter({
-		world,
+		runtime,
 		self: settings.vm,
 		rankOwners: view.rankOwners,
 		isUsable: vm => peerClient.isUsable(vm),
@@ -220,7 +220,7 @@
 		},
 	});
 
-	const refusalCache = createRefusalCache(world, () => view.listMembers().length);
+	const refusalCache = createRefusalCache(runtime, () => view.listMembers().length);
 
 	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
@@ -283,7 +283,7 @@
 			}
 
 			return Ok(createSession({
-				world,
+				runtime,
 				authorize: () => authorize(service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -46,7 +46,7 @@
 
 /** Creates the quotas of a vm. */
 export const createQuotas = (context: VmContext, dependencies: QuotaDependencies): Quotas => {
-	const {world, settings} = context;
+	const {runtime, settings} = context;
 	const {view} = dependencies;
 	let allocator: QuotaAllocator | undefined;
 	let allocatorEpoch = -1;
@@ -59,8 +59,8 @@
 	 */
 	const getAuthorityDeadline = (): Deadline => {
 		const isLeaseConfirmed = dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE);
-		const isStoreContactStale = dependencies.getFeedAgeMs() > STALE_CONTACT_MS && world.now() - lastFreshRequestAtMs > STALE_CONTACT_MS;
-		return isLeaseConfirmed || isStoreContactStale ? createDeadline(world.now(), AUTHORITY_VALIDITY_MS) : PAST;
+		const isStoreContactStale = dependencies.getFeedAgeMs() > STALE_CONTACT_MS && runtime.now() - lastFreshRequestAtMs > STALE_CONTACT_MS;
+		return isLeaseConfirmed || isStoreContactStale ? createDeadline(runtime.now(), AUTHORITY_VALIDITY_MS) : PAST;
 	};
 
 	const getAllocator = (): QuotaAllocator | undefined => {
@@ -73,7 +73,7 @@
 		if (!allocator || allocatorEpoch !== holder.epoch) {
 			allocatorEpoch = holder.epoch;
 			allocator = createQuotaAllocator({
-				world, epoch: holder.epoch, getAuthorityDeadline, getQuota: customer => view.getConfiguration()?.quotas.get(customer),
+				runtime, epoch: holder.epoch, getAuthorityDeadline, getQuota: customer => view.getConfiguration()?.quotas.get(customer),
 			});
 		}
 
@@ -82,7 +82,7 @@
 
 	const grantTokens = ({request, feedAgeMs}: TokenRequestMessage): TokenGrant | undefined => {
 		if (feedAgeMs < STALE_CONTACT_MS && !dependencies.getRoleClaims().isHeld(ALLOCATOR_ROLE)) {
-			lastFreshRequestAtMs = world.now();
+			lastFreshRequestAtMs = runtime.now();
 		}
 
 		return getAllocator()?.grantTokens(request);
@@ -122,7 +122,7 @@
 	};
 
 	return {
-		quotaClient: createQuotaClient(requestTokens, world, getFallbackQuota),
+		quotaClient: createQuotaClient(requestTokens, runtime, getFallbackQuota),
 		grantTokens,
 	};
 };
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -1,7 +1,7 @@
 /** Routes statements to the owner of their database. */
 
 import {
-	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type World,
+	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -11,7 +11,7 @@
 
 /** Dependencies of the statement router. */
 export type StatementRouterContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	self: VmId;
 	rankOwners: (database: DatabaseId) => readonly Member[];
 	isUsable: (vm: VmId) => boolean;
@@ -57,12 +57,12 @@
 
 /** Creates the statement router of an entry vm. */
 export const createStatementRouter = (context: StatementRouterContext): StatementRouter => {
-	const {world, self} = context;
+	const {runtime, self} = context;
 	/** Owners of open transactions by transaction identifier; `undefined` stands for this vm itself. */
 	const transactionOwners = new Map<string, Member | undefined>();
 
 	const callAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<Result<StatementResponse, CallFailure> | StatementResponse> => {
-		const remainingMs = getRemainingMs(deadline, world.now());
+		const remainingMs = getRemainingMs(deadline, runtime.now());
 		const timedRequest = {...request, remainingMs};
 		return member ? context.callOwner(member, timedRequest, remainingMs + RESPONSE_TRANSIT_MS) : context.serveLocally(timedRequest);
 	};
@@ -117,7 +117,7 @@
 		const rankedOwners = context.rankOwners(request.database);
 		const usableOwners = rankedOwners.filter(({vm}) => vm === self || context.isUsable(vm));
 		for (const member of usableOwners.slice(0, MAX_OWNERS_TRIED)) {
-			if (isPast(deadline, world.now())) {
+			if (isPast(deadline, runtime.now())) {
 				break;
 			}
 
--- a/packages/vm/src/tests/isolation-detector.test.ts
+++ b/packages/vm/src/tests/isolation-detector.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, parseId, type DataCentreId, type VmId,
+	createVirtualRuntime, parseId, type DataCentreId, type VmId,
 } from '@guavapitch/core';
 import {createIsolationDetector} from '../isolation-detector.js';
 import type {Member} from '../members.js';
@@ -14,14 +14,14 @@
 const MEMBERS = [createMember('a1', 'a'), createMember('a2', 'a'), createMember('b1', 'b'), createMember('b2', 'b'), createMember('c1', 'c')];
 
 const createSetup = (isReachable: (member: Member) => boolean) => {
-	const {world, advance} = createVirtualWorld(4);
+	const {runtime, advance} = createVirtualRuntime(4);
 	const detector = createIsolationDetector({
-		world,
+		runtime,
 		vm: parseId<VmId>('a1'),
 		dataCentre: parseId<DataCentreId>('a'),
 		listMembers: () => MEMBERS,
 		async ping(member) {
-			await world.sleep(isReachable(member) ? 2 : 300);
+			await runtime.sleep(isReachable(member) ? 2 : 300);
 			return isReachable(member);
 		},
 		onChange: () => undefined,
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
+	createDeadline, createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
 import {rankOwners, rankRelays, type Member} from '../members.js';
@@ -35,10 +35,10 @@
 const WRITE: TargetStatement = {kind: 'text', access: 'write', text: 'WRITE a b'};
 
 const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
-	const {world} = createVirtualWorld();
+	const {runtime} = createVirtualRuntime();
 	const calledVms: VmId[] = [];
 	const router = createStatementRouter({
-		world,
+		runtime,
 		self: parseId<VmId>('self'),
 		rankOwners: () => MEMBERS,
 		isUsable: () => true,
@@ -50,7 +50,7 @@
 		rollBackAt: () => undefined,
 		onRetry: () => undefined,
 	});
-	return {calledVms, run: async (request: StatementRequest) => router.run(request, createDeadline(world.now(), 1000))};
+	return {calledVms, run: async (request: StatementRequest) => router.run(request, createDeadline(runtime.now(), 1000))};
 };
 
 const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
