--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId,
+	createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -11,7 +11,7 @@
 import {createSession, type Route} from '../session.js';
 
 const ROUTE: Route = {
-	service: 'club', database: parseId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
+	service: 'club', database: brandId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
 };
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
@@ -22,7 +22,7 @@
 	const state = {isIssued: true};
 	const session = createSession({
 		runtime,
-		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: parseId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
+		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: brandId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
 		async runAtOwner(request) {
 			requests.push(request);
 			const status = request.transaction && request.statement.kind !== 'commit' ? 'open' : 'idle';
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createVirtualRuntime, Err, parseId, type CustomerId, type Instant,
+	createVirtualRuntime, Err, brandId, type CustomerId, type Instant,
 } from '@guavapitch/core';
 import {formatConfigurationDocument, inventorySchema, type Inventory} from '@guavapitch/inventory';
 import {createMemoryStore, type Store} from '@guavapitch/store';
@@ -81,7 +81,7 @@
 });
 
 describe('keys', () => {
-	const klub = parseId<CustomerId>('klub');
+	const klub = brandId<CustomerId>('klub');
 
 	it('are accepted while the configuration is confirmed within the grace period, and never after their withdrawal', async () => {
 		const {runtime, advance} = createVirtualRuntime();
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -24,4 +24,4 @@
 export type RequestId = Brand<string, 'RequestId'>;
 
 /** Brands a string as an identifier, without a check: the string must have been validated. */
-export const parseId = <Id extends string>(text: string): Id => text as Id;
+export const brandId = <Id extends string>(text: string): Id => text as Id;
--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, parseId, type CustomerId,
+	createVirtualRuntime, brandId, type CustomerId,
 } from '@guavapitch/core';
 import type {
 	Consistency, StatementResponse, StatementRequest, TargetStatement,
@@ -22,7 +22,7 @@
 const createRequest = (statement: TargetStatement, consistency: Consistency, overrides: Partial<StatementRequest> = {}): StatementRequest => ({
 	id: 'q1',
 	database: DATABASE,
-	customer: parseId<CustomerId>('club'),
+	customer: brandId<CustomerId>('club'),
 	statement,
 	consistency,
 	floor: undefined,
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -1,7 +1,7 @@
 /** A database owner with fake targets, for tests on a virtual clock. */
 
 import {
-	createSuspensionClock, Ok, parseId, type CustomerId, type Runtime,
+	createSuspensionClock, Ok, brandId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
 import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
 import {
@@ -17,7 +17,7 @@
 		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
 		getConnectionLimit: () => 8,
-		getAnyCustomer: () => parseId<CustomerId>('club'),
+		getAnyCustomer: () => brandId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
 		acquireToken: async () => Ok(undefined),
 		onDecision: () => undefined,
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
-	createConditionVariable, Err, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
+	createConditionVariable, Err, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -29,12 +29,12 @@
 };
 
 /** Database of all fake targets. */
-export const DATABASE = parseId<DatabaseId>('ledger');
+export const DATABASE = brandId<DatabaseId>('ledger');
 
 /** Creates a fake target at position 100 of term 1. */
 export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2): FakeTarget => ({
 	description: {
-		id: parseId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: parseId<DataCentreId>('here'), slots, isDraining: false, role, startedAtMs: 1,
+		id: brandId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: brandId<DataCentreId>('here'), slots, isDraining: false, role, startedAtMs: 1,
 	},
 	role,
 	position: {term: 1, number: 100},
--- a/packages/database-owners/src/tests/slot-scheduler.test.ts
+++ b/packages/database-owners/src/tests/slot-scheduler.test.ts
@@ -3,16 +3,16 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, parseId, type CustomerId, type TargetId,
+	createDeadline, createVirtualRuntime, brandId, type CustomerId, type TargetId,
 } from '@guavapitch/core';
 import {chooseReadTarget} from '../read-targets.js';
 import {createSlotScheduler, type TargetLoad} from '../slot-scheduler.js';
 
-const SMALL = parseId<CustomerId>('small');
-const LARGE = parseId<CustomerId>('large');
-const REPLICA_1 = parseId<TargetId>('replica-1');
-const REPLICA_2 = parseId<TargetId>('replica-2');
-const LEADER = parseId<TargetId>('leader');
+const SMALL = brandId<CustomerId>('small');
+const LARGE = brandId<CustomerId>('large');
+const REPLICA_1 = brandId<TargetId>('replica-1');
+const REPLICA_2 = brandId<TargetId>('replica-2');
+const LEADER = brandId<TargetId>('leader');
 
 const chooseFirst = (free: readonly TargetLoad[]) => free[0]?.id;
 
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -1,7 +1,7 @@
 /** Emulated callers: operations arrive at random times and are retried after failures. */
 
 import {
-	createDeadline, getRemainingMs, isPast, parseId, type CustomerId, type Deadline, type Runtime,
+	createDeadline, getRemainingMs, isPast, brandId, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest} from '@guavapitch/sessions';
 import type {Load, OperationClass, CustomerLoad} from './loads.js';
@@ -59,7 +59,7 @@
 	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
 		id: runtime.createId(),
 		database: EMULATED_DATABASE,
-		customer: parseId<CustomerId>(customer),
+		customer: brandId<CustomerId>(customer),
 		statement: text === 'COMMIT' ? {kind: 'commit', text} : {kind: 'text', access: text.startsWith('WRITE') ? 'write' : 'read', text},
 		consistency: operationClass.consistency,
 		floor: undefined,
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -1,7 +1,7 @@
 /** Emulated targets with limited slots, long-tailed statement times, connections that occupy a slot while they are opened, and replication lag. */
 
 import {
-	Err, getRemainingMs, Ok, parseId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
+	Err, getRemainingMs, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
@@ -10,7 +10,7 @@
 import type {Load, LoadEvent, TargetSpec} from './loads.js';
 
 /** Identifier of the emulated database. */
-export const EMULATED_DATABASE = parseId<DatabaseId>('emulated');
+export const EMULATED_DATABASE = brandId<DatabaseId>('emulated');
 
 /** Emulated targets of one load. */
 export type EmulatedTargets = Readonly<{
@@ -163,11 +163,11 @@
 
 	return {
 		describeTargets: () => load.targets.map(({id, dataCentre, slots}) => ({
-			id: parseId<TargetId>(id),
+			id: brandId<TargetId>(id),
 			database: EMULATED_DATABASE,
 			host: id,
 			port: 1,
-			dataCentre: parseId<DataCentreId>(dataCentre),
+			dataCentre: brandId<DataCentreId>(dataCentre),
 			slots,
 			isDraining: false,
 			role: id === leader ? 'primary' : 'replica',
--- a/packages/failover/src/tests/coordinator.test.ts
+++ b/packages/failover/src/tests/coordinator.test.ts
@@ -5,7 +5,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualRuntime, Err, Ok, parseId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type Runtime,
+	createDeadline, createVirtualRuntime, Err, Ok, brandId, PAST, type DatabaseId, type Deadline, type TargetId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createDurabilityWaiter} from '../durability.js';
@@ -15,8 +15,8 @@
 	clearTarget, createFakeGroup, NO_PARTITION, type Partition, type FakeGroup,
 } from './fake-group.js';
 
-const DATABASE = parseId<DatabaseId>('orders');
-const TARGETS = ['orders-1', 'orders-2', 'orders-3'].map(name => parseId<TargetId>(name));
+const DATABASE = brandId<DatabaseId>('orders');
+const TARGETS = ['orders-1', 'orders-2', 'orders-3'].map(name => brandId<TargetId>(name));
 const OWNER_COUNT = 2;
 const RUN_MS = 14_000;
 const FAULTS_MS = 8000;
@@ -155,7 +155,7 @@
 		while (!signal.aborted) {
 			const sentAt = runtime.now();
 			await runtime.sleep(runtime.random() * 40);
-			const response: GrantResponse | undefined = getCoordinator()?.grant({vm: parseId<VmId>(String(index)), incarnation: 'i'});
+			const response: GrantResponse | undefined = getCoordinator()?.grant({vm: brandId<VmId>(String(index)), incarnation: 'i'});
 			await runtime.sleep(runtime.random() * 200);
 			if (response && runtime.random() < 0.9) {
 				registry.accept(response, sentAt);
--- a/packages/failover/src/tests/grants.test.ts
+++ b/packages/failover/src/tests/grants.test.ts
@@ -4,16 +4,16 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, brandId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {createDurabilityWaiter} from '../durability.js';
 import {ALL_PERMISSIONS, createGrantIssuer, MAX_GRANT_VALIDITY_MS} from '../grant-issuer.js';
 import {createGrantRegistry, type GrantResponse} from '../grant-registry.js';
 import {createGroupRecord, promoteRecord, type GroupView} from '../group-record.js';
 
-const DATABASE = parseId<DatabaseId>('orders');
-const PRIMARY = parseId<TargetId>('orders-1');
-const REPLICA = parseId<TargetId>('orders-2');
+const DATABASE = brandId<DatabaseId>('orders');
+const PRIMARY = brandId<TargetId>('orders-1');
+const REPLICA = brandId<TargetId>('orders-2');
 
 const createView = (revision: number): GroupView => ({revision, record: {...createGroupRecord(DATABASE, PRIMARY, 0, {replicated: true, minimumSynced: 1}), synced: [REPLICA]}});
 
@@ -30,7 +30,7 @@
 				let isIssuing = true;
 				let isRevoked = false;
 				const registries = delaysByHolder.map(() => createGrantRegistry(runtime));
-				const holders = delaysByHolder.map((_, index) => ({vm: parseId<VmId>(`v${index}`), incarnation: 'i'}));
+				const holders = delaysByHolder.map((_, index) => ({vm: brandId<VmId>(`v${index}`), incarnation: 'i'}));
 				const requests = delaysByHolder.map(async (delays, index) => {
 					for (let count = 0; count < 4; count++) {
 						const sentAt = runtime.now();
@@ -78,7 +78,7 @@
 		it('waits for the grant of a holder that does not respond to expire', async () => {
 			const {runtime, advance} = createVirtualRuntime();
 			const issuer = createGrantIssuer(runtime);
-			issuer.grant({vm: parseId<VmId>('v'), incarnation: 'i'}, {
+			issuer.grant({vm: brandId<VmId>('v'), incarnation: 'i'}, {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA], authorityDeadline: NEVER,
 			});
 			let isRevoked = false;
@@ -99,7 +99,7 @@
 			const parameters = {
 				view: createView(1), permissions: ALL_PERMISSIONS, agesMs: {}, readable: [REPLICA],
 			};
-			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
+			const holder = {vm: brandId<VmId>('v'), incarnation: 'i'};
 			assert.ok((issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(runtime.now(), 300)})?.validMs ?? 0) <= 300);
 			assert.equal(issuer.grant(holder, {...parameters, authorityDeadline: createDeadline(runtime.now(), 10)}), undefined);
 		});
--- a/packages/front-postgres/src/startup.ts
+++ b/packages/front-postgres/src/startup.ts
@@ -4,7 +4,7 @@
 import type {Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
 import {
-	Err, Ok, parseId, type CustomerId, type Failure, type Result, type ServiceId,
+	Err, Ok, brandId, type CustomerId, type Failure, type Result, type ServiceId,
 } from '@guavapitch/core';
 import {
 	checkPassword, createMessage, encodeInt32, getBody, openWireConnection, parseStartupPacket, parseVerifier, readCString, SQLSTATE, startScramServer,
@@ -103,7 +103,7 @@
 
 const authenticateCaller = async (wire: WireConnection, parameters: ReadonlyMap<string, string>, context: StartupContext): Promise<Result<Caller, StartupRefusal>> => {
 	const keyId = parameters.get('user') ?? '';
-	const service = parseId<ServiceId>(parameters.get('database') ?? keyId);
+	const service = brandId<ServiceId>(parameters.get('database') ?? keyId);
 	const applicationName = parameters.get('application_name') ?? '';
 	const serviceSettings = context.findService(service);
 	if (serviceSettings?.open) {
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -3,13 +3,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type CustomerId, type Failure, type Result,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, brandId, type CustomerId, type Failure, type Result,
 } from '@guavapitch/core';
 import {createQuotaClient} from '../quota-client.js';
 import {createRefusalCache} from '../refusal-cache.js';
 import {createQuotaAllocator, type TokenGrant, type TokenRequest} from '../quota-allocator.js';
 
-const CUSTOMER = parseId<CustomerId>('flood');
+const CUSTOMER = brandId<CustomerId>('flood');
 const QUOTA = {rate: 60, burst: 60};
 
 const createSetup = (isAllocatorUp: () => boolean = () => true) => {
@@ -90,7 +90,7 @@
 		const refusalCache = createRefusalCache(runtime, () => 15);
 		refusalCache.recordRefusal('ledger', CUSTOMER, 2000);
 		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 2000, 'the cached refusal gives the retry time of the owner');
-		assert.equal(refusalCache.getRetryAfterMs('ledger', parseId<CustomerId>('other')), undefined);
+		assert.equal(refusalCache.getRetryAfterMs('ledger', brandId<CustomerId>('other')), undefined);
 		assert.equal(refusalCache.getRetryAfterMs('archive', CUSTOMER), undefined);
 		await advance(40);
 		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 1960);
--- a/packages/limits/src/tests/limits.test.ts
+++ b/packages/limits/src/tests/limits.test.ts
@@ -4,12 +4,12 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createDeadline, createVirtualRuntime, Err, NEVER, Ok, parseId, type CustomerId, type Deadline, type Instant,
+	createDeadline, createVirtualRuntime, Err, NEVER, Ok, brandId, type CustomerId, type Deadline, type Instant,
 } from '@guavapitch/core';
 import {createQuotaClient, type RequestTokens} from '../quota-client.js';
 import {createQuotaAllocator, type QuotaAllocator} from '../quota-allocator.js';
 
-const CUSTOMER = parseId<CustomerId>('klub');
+const CUSTOMER = brandId<CustomerId>('klub');
 const LEASE_MS = 2000;
 
 /** Computes by how many tokens a list of acquisition times exceeds rate × t + burst in its worst window; negative if it stays below. */
--- a/packages/pool/src/tests/pool.test.ts
+++ b/packages/pool/src/tests/pool.test.ts
@@ -3,13 +3,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, Ok, parseId, type CustomerId,
+	createDeadline, createVirtualRuntime, Ok, brandId, type CustomerId,
 } from '@guavapitch/core';
 import {createPool, type Poolable} from '../connections.js';
 import {createFairQueue} from '../fair-queue.js';
 
-const SMALL = parseId<CustomerId>('small');
-const LARGE = parseId<CustomerId>('large');
+const SMALL = brandId<CustomerId>('small');
+const LARGE = brandId<CustomerId>('large');
 
 describe('fair queue', () => {
 	const measureWaits = async (largeWorkers: number, smallWeight = 1) => {
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -4,7 +4,7 @@
 import {createServer, type Socket} from 'node:net';
 import {createSecureContext, type SecureContext} from 'node:tls';
 import {
-	createScope, parseId, type CustomerId, type VmId,
+	createScope, brandId, type CustomerId, type VmId,
 } from '@guavapitch/core';
 import {
 	createCallerPort, sendStartupResponse, receiveStartup, type Caller, type StartupContext,
@@ -83,7 +83,7 @@
 			const inventory = clusterView.activeConfiguration.getInventory();
 			const key = inventory && Object.hasOwn(inventory.keys, keyId) ? inventory.keys[keyId] : undefined;
 			const customer = key && inventory?.customers[key.customer];
-			return key && customer ? {customer: parseId<CustomerId>(key.customer), verifier: key.verifier, services: customer.services} : undefined;
+			return key && customer ? {customer: brandId<CustomerId>(key.customer), verifier: key.verifier, services: customer.services} : undefined;
 		},
 	};
 
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -1,7 +1,7 @@
 /** Admits and routes requests at the entry: checks the key, acquires a quota token, chooses a route, and retries only requests that cannot have taken effect. */
 
 import {
-	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
+	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, brandId,
 	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type Runtime,
 } from '@guavapitch/core';
 import type {TargetConnection} from '@guavapitch/back-postgres';
@@ -52,7 +52,7 @@
 /** Scheduling weight of callers without a key, on services that are open to all. */
 const OPEN_SERVICE_WEIGHT = 1;
 /** Customer under which requests of callers without a key are scheduled. */
-const OPEN_SERVICE_CUSTOMER = parseId<CustomerId>('open');
+const OPEN_SERVICE_CUSTOMER = brandId<CustomerId>('open');
 /** Maximum number of attempts to run one request. */
 const MAX_ATTEMPTS = 400;
 /** Estimated size of a stream item other than messages. */
@@ -117,9 +117,9 @@
 
 		return Ok({
 			service,
-			database: parseId<DatabaseId>(service.database),
+			database: brandId<DatabaseId>(service.database),
 			customer: caller.customer,
-			requestId: parseId<RequestId>(runtime.createId()),
+			requestId: brandId<RequestId>(runtime.createId()),
 			deadline: createDeadline(runtime.now(), service.requestTimeoutMs),
 			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_SERVICE_WEIGHT : OPEN_SERVICE_WEIGHT,
 		});
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -1,7 +1,7 @@
 /** Explains how a request would be handled now, using the functions that handle requests. */
 
 import {
-	parseId, type CustomerId, type DatabaseId, type ServiceId,
+	brandId, type CustomerId, type DatabaseId, type ServiceId,
 } from '@guavapitch/core';
 import type {GroupView} from '@guavapitch/failover';
 import {
@@ -36,7 +36,7 @@
 
 	const statementClass = classifyStatement(statement);
 	const mode = chooseRequestMode(statementClass, configuredService.staleReadsMs);
-	const database = parseId<DatabaseId>(configuredService.database);
+	const database = brandId<DatabaseId>(configuredService.database);
 	const routingView: RoutingView = {
 		inventory,
 		getGroup: context.getGroup,
--- a/packages/proxy/src/failover-coordinators.ts
+++ b/packages/proxy/src/failover-coordinators.ts
@@ -1,7 +1,7 @@
 /** The failover coordinators that run in this process, one for each database of the slots that it holds. */
 
 import {
-	createScope, Err, parseId, type DatabaseId, type TargetId, type Result, type Failure, type Runtime,
+	createScope, Err, brandId, type DatabaseId, type TargetId, type Result, type Failure, type Runtime,
 } from '@guavapitch/core';
 import {
 	readTargetState, followPrimary, promoteReplica, rejoinReplica, createControlConnection, type ControlConnection,
@@ -127,8 +127,8 @@
 			database,
 			minimumSynced: Math.min(configuredDatabase.minimumSynced, configuredDatabase.targets.length - 1),
 			replicated: configuredDatabase.acknowledge === 'replicated',
-			targets: configuredDatabase.targets.map(target => parseId<TargetId>(target.name)),
-			leaving: configuredDatabase.targets.filter(target => target.leaving).map(target => parseId<TargetId>(target.name)),
+			targets: configuredDatabase.targets.map(target => brandId<TargetId>(target.name)),
+			leaving: configuredDatabase.targets.filter(target => target.leaving).map(target => brandId<TargetId>(target.name)),
 		};
 	};
 
@@ -154,7 +154,7 @@
 		const slotCount = inventory?.fleet.stewardSlots ?? 1;
 		return Object.keys(inventory?.databases ?? {})
 			.filter(name => chooseSlot('steward', slotCount, name) === slot)
-			.map(name => parseId<DatabaseId>(name));
+			.map(name => brandId<DatabaseId>(name));
 	};
 
 	return {
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -2,7 +2,7 @@
 
 import process from 'node:process';
 import {
-	createScope, Err, parseId, type DatabaseId, type TargetId, type VmId, type Runtime,
+	createScope, Err, brandId, type DatabaseId, type TargetId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	readPrimaryPositions, createControlConnection, openTargetConnection, type TargetConnectionSettings, type TargetConnection, type ControlConnection,
@@ -84,7 +84,7 @@
 	const openTarget = (configured: ConfiguredTarget): OpenTarget => {
 		const {target} = configured;
 		const connectionSettings = createTargetConnectionSettings(configured, vm);
-		const isPreferredOwner = clusterView.getOwners(parseId<TargetId>(target.name))[0] === vm;
+		const isPreferredOwner = clusterView.getOwners(brandId<TargetId>(target.name))[0] === vm;
 		const pool: Pool<TargetConnection> = createPool({
 			maxOpen: computeOwnerConnectionLimit(target.connections),
 			minIdle: isPreferredOwner ? Math.min(MIN_IDLE_CONNECTIONS, target.slots) : 0,
@@ -99,7 +99,7 @@
 		const queue: FairQueue = createFairQueue(runtime, target.slots, pool.hasCapacity);
 		emit(EVENTS.ownershipGained, {target: target.name});
 		return {
-			configured, connectionSettings, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(parseId<TargetId>(target.name))?.target.leaving ?? true},
+			configured, connectionSettings, pool, queue, owned: {pool, queue, isLeaving: () => clusterView.findTarget(brandId<TargetId>(target.name))?.target.leaving ?? true},
 		};
 	};
 
@@ -126,7 +126,7 @@
 	};
 
 	const getControlConnection = (configured: ConfiguredTarget): ControlConnection => {
-		const id = parseId<TargetId>(configured.target.name);
+		const id = brandId<TargetId>(configured.target.name);
 		const existing = controlConnections.get(id);
 		if (existing) {
 			return existing;
@@ -160,7 +160,7 @@
 		}
 
 		for (const {target} of clusterView.listTargets()) {
-			const id = parseId<TargetId>(target.name);
+			const id = brandId<TargetId>(target.name);
 			if (clusterView.getOwners(id)[0] === vm && !target.leaving) {
 				getOpenTarget(id);
 			}
@@ -192,8 +192,8 @@
 	};
 
 	const getOwnedDatabases = (): ReadonlySet<DatabaseId> => new Set(clusterView.listTargets()
-		.filter(({target}) => isOwner(parseId<TargetId>(target.name)) || openTargets.has(parseId<TargetId>(target.name)))
-		.map(({databaseName}) => parseId<DatabaseId>(databaseName)));
+		.filter(({target}) => isOwner(brandId<TargetId>(target.name)) || openTargets.has(brandId<TargetId>(target.name)))
+		.map(({databaseName}) => brandId<DatabaseId>(databaseName)));
 
 	/** Renews the grant of one database while this process owns one of its targets; requests it more often while writes are not permitted. */
 	const renewGrant = async (database: DatabaseId, signal: AbortSignal) => {
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -1,7 +1,7 @@
 /** One proxy process from start to stop: connects its components and owns their tasks. */
 
 import {
-	computeHash, createDeadline, createScope, Err, getErrorMessage, Ok, parseId,
+	computeHash, createDeadline, createScope, Err, getErrorMessage, Ok, brandId,
 	type DatabaseId, type Failure, type RequestId, type Result, type Runtime,
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
@@ -196,7 +196,7 @@
 	const relayService = createRelayService(storeCache, incarnation, runtime);
 
 	const cancelLocally = (requestId: string) => {
-		cancelCallbacks.get(parseId<RequestId>(requestId))?.();
+		cancelCallbacks.get(brandId<RequestId>(requestId))?.();
 	};
 
 	const cancelRequest = (requestId: string) => {
--- a/packages/proxy/src/quota-allocators.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -1,7 +1,7 @@
 /** Runs the quota allocators of this process, and requests tokens for the entry from the allocator of a customer. */
 
 import {
-	Err, parseId, type CustomerId, type Failure, type Result, type Runtime,
+	Err, brandId, type CustomerId, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	createQuotaAllocator, type TokenGrant, type TokenRequest, type RequestTokens, type QuotaAllocator,
@@ -49,7 +49,7 @@
 			});
 			allocators.delete(authority.slot);
 		},
-		grantTokens: request => allocators.get(getSlot(parseId<CustomerId>(request.customer)))?.grantTokens(request),
+		grantTokens: request => allocators.get(getSlot(brandId<CustomerId>(request.customer)))?.grantTokens(request),
 		async requestTokens(request): Promise<Result<TokenGrant, Failure>> {
 			const entry = clusterView.storeCache.get(`${ROLE_PREFIX}${getSlot(request.customer)}`);
 			const record = entry ? parseSlotRecord(entry.value) : undefined;
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -3,7 +3,7 @@
 import {readFileSync} from 'node:fs';
 import yargs from 'yargs';
 import {
-	Err, getErrorMessage, Ok, parseId, type DataCentreId, type Failure, type Result, type VmId,
+	Err, getErrorMessage, Ok, brandId, type DataCentreId, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {readPeerTls, type Address, type PeerTls} from '@guavapitch/peer-protocol';
 
@@ -58,7 +58,7 @@
 		throw new SettingError(`--${flag}: expected a name of lower-case letters, digits and hyphens, got "${text}"`);
 	}
 
-	return parseId<Id>(text);
+	return brandId<Id>(text);
 };
 
 const parseMs = (flag: string, value: number): number => {
--- a/packages/proxy/src/tests/failover-coordinators.test.ts
+++ b/packages/proxy/src/tests/failover-coordinators.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createRuntime, Err, NEVER, parseId, type DatabaseId, type VmId,
+	createDeadline, createRuntime, Err, NEVER, brandId, type DatabaseId, type VmId,
 } from '@guavapitch/core';
 import {createGroupRecord, formatGroupKey, formatGroupRecord} from '@guavapitch/failover';
 import type {Inventory} from '@guavapitch/inventory';
@@ -15,7 +15,7 @@
 import type {ClusterView} from '../cluster-view.js';
 import {createFailoverCoordinators} from '../failover-coordinators.js';
 
-const DATABASE = parseId<DatabaseId>('orders');
+const DATABASE = brandId<DatabaseId>('orders');
 const MAX_WAIT_MS = 10_000;
 const POLL_MS = 10;
 const SLOT_COUNT = 1;
@@ -34,7 +34,7 @@
 		it('run for the databases of the slot again', async () => {
 			const runtime = createRuntime();
 			const memoryStore = createMemoryStore(runtime);
-			const record = createGroupRecord(DATABASE, parseId('orders-1'), 0, {replicated: true, minimumSynced: 1});
+			const record = createGroupRecord(DATABASE, brandId('orders-1'), 0, {replicated: true, minimumSynced: 1});
 			memoryStore.put(formatGroupKey(DATABASE), formatGroupRecord(record));
 			let isStoreDown = true;
 			const store: Store = {
@@ -58,7 +58,7 @@
 			const secondSlotLoss = new AbortController();
 			const secondRun = coordinators.runAsHolder({...authority, epoch: 2}, secondSlotLoss.signal);
 			const deadline = createDeadline(runtime.now(), MAX_WAIT_MS);
-			const holder = {vm: parseId<VmId>('v'), incarnation: 'i'};
+			const holder = {vm: brandId<VmId>('v'), incarnation: 'i'};
 			while (!coordinators.grant(DATABASE, holder) && runtime.now() < deadline) {
 				await runtime.sleep(POLL_MS);
 			}
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createStreamPair, createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
+	createStreamPair, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
 } from '@guavapitch/core';
 import {createFairQueue, createPool} from '@guavapitch/pool';
 import type {Reply, RequestChunk, RequestHeader} from '@guavapitch/sessions';
@@ -11,17 +11,17 @@
 	serveRequest, type DurabilityState, type ChunkResult, type ChunkTask, type OwnerContext, type OwnerStream,
 } from '../owner.js';
 
-const TARGET = parseId<TargetId>('motions-1');
+const TARGET = brandId<TargetId>('motions-1');
 const CHUNK: RequestChunk = {
 	parts: [], ends: true, mayCommit: true, leavesState: false,
 };
 
 const HEADER: RequestHeader = {
-	requestId: parseId<RequestId>('r1'),
-	service: parseId<ServiceId>('motions'),
-	database: parseId<DatabaseId>('motions'),
+	requestId: brandId<RequestId>('r1'),
+	service: brandId<ServiceId>('motions'),
+	database: brandId<DatabaseId>('motions'),
 	target: TARGET,
-	customer: parseId<CustomerId>('klub'),
+	customer: brandId<CustomerId>('klub'),
 	weight: 1,
 	mode: 'write',
 	maximumAgeMs: 0,
@@ -132,7 +132,7 @@
 			const refuseToRun = async (): Promise<ChunkResult> => assert.fail('the chunk was sent');
 			assert.deepEqual(await collectKinds({respond: refuseToRun, isGranted: false}), ['noGrant']);
 			assert.deepEqual(await collectKinds({respond: refuseToRun, isDraining: true}), ['notHome']);
-			assert.deepEqual(await collectKinds({respond: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
+			assert.deepEqual(await collectKinds({respond: refuseToRun}, {...HEADER, target: brandId<TargetId>('other')}), ['notHome']);
 		});
 	});
 
--- a/packages/roles/src/tests/slots.test.ts
+++ b/packages/roles/src/tests/slots.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-	createScope, createVirtualRuntime, Err, Ok, parseId, type VmId, type Runtime,
+	createScope, createVirtualRuntime, Err, Ok, brandId, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {createMemoryStore, type Store} from '@guavapitch/store';
 import {createProcessLease} from '../lease.js';
@@ -12,7 +12,7 @@
 import type {Candidate} from '../records.js';
 import {runSlot, type Authority, type SlotContext} from '../slots.js';
 
-const VMS = ['a', 'b', 'c', 'd'].map(name => parseId<VmId>(name));
+const VMS = ['a', 'b', 'c', 'd'].map(name => brandId<VmId>(name));
 const SLOT = 'steward/0';
 
 type Faults = {isStoreDown: boolean; readonly partitioned: Set<VmId>; ranking: readonly VmId[]};
@@ -105,7 +105,7 @@
 
 	await advanceAndObserve(1500);
 	for (const step of steps) {
-		const vm = VMS[step.vm] ?? parseId<VmId>('a');
+		const vm = VMS[step.vm] ?? brandId<VmId>('a');
 		faults.isStoreDown = step.kind === 'storeDown' || (step.kind !== 'storeUp' && faults.isStoreDown);
 		if (step.kind === 'reorder') {
 			// The ranking changes: the holder stays first, and two other vms than before come next.
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -2,7 +2,7 @@
 
 import {match} from 'ts-pattern';
 import {
-	Err, Ok, parseId, type DatabaseId, type TargetId, type Result, type VmId,
+	Err, Ok, brandId, type DatabaseId, type TargetId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {GroupRecord} from '@guavapitch/failover';
 import type {Database} from '@guavapitch/inventory';
@@ -29,7 +29,7 @@
 	.otherwise(() => 'write');
 
 const getReplicas = (database: Database, record: GroupRecord): readonly TargetId[] => database.targets
-	.map(target => parseId<TargetId>(target.name))
+	.map(target => brandId<TargetId>(target.name))
 	.filter(target => target !== record.primary);
 
 const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly TargetId[] => match(mode)
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,7 +1,7 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, Ok, parseId, type CustomerId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, runFailoverCoordinator, type DatabaseOwner,
@@ -78,7 +78,7 @@
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
 			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT) * OWNER_CONNECTION_FRACTION)),
-			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? parseId<CustomerId>('-'),
+			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
 				? dependencies.quotas.quotaClient.acquire(customer, deadline)
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,7 +1,7 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
+	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
 } from '@guavapitch/core';
 import {
 	createSession, type Authorization, type Session,
@@ -179,7 +179,7 @@
 		listRoles: () => isDraining ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
 			const rankingKey = role.slice(role.indexOf('/') + 1);
-			const rank = view.rankOwners(parseId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
+			const rank = view.rankOwners(brandId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
 		hasRunEnded: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
@@ -193,7 +193,7 @@
 		onClaimed(role, epoch) {
 			emit(EVENTS.roleClaimed, {duty: role, epoch});
 			if (role !== ALLOCATOR_ROLE) {
-				databaseOwners.get(parseId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
+				databaseOwners.get(brandId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
 			}
 		},
 	});
@@ -259,7 +259,7 @@
 		}
 
 		return route.isPublic
-			? Ok({route, customer: parseId<CustomerId>('-')})
+			? Ok({route, customer: brandId<CustomerId>('-')})
 			: Err(createRefusal('noKey', 'the key is unknown'));
 	};
 
--- a/packages/vm/src/tests/isolation-detector.test.ts
+++ b/packages/vm/src/tests/isolation-detector.test.ts
@@ -3,13 +3,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, parseId, type DataCentreId, type VmId,
+	createVirtualRuntime, brandId, type DataCentreId, type VmId,
 } from '@guavapitch/core';
 import {createIsolationDetector} from '../isolation-detector.js';
 import type {Member} from '../members.js';
 
 const createMember = (name: string, dataCentre: string): Member => ({
-	vm: parseId<VmId>(name), run: name, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity: 1, createdRevision: 1,
+	vm: brandId<VmId>(name), run: name, dataCentre: brandId<DataCentreId>(dataCentre), host: name, port: 1, capacity: 1, createdRevision: 1,
 });
 const MEMBERS = [createMember('a1', 'a'), createMember('a2', 'a'), createMember('b1', 'b'), createMember('b2', 'b'), createMember('c1', 'c')];
 
@@ -17,8 +17,8 @@
 	const {runtime, advance} = createVirtualRuntime(4);
 	const detector = createIsolationDetector({
 		runtime,
-		vm: parseId<VmId>('a1'),
-		dataCentre: parseId<DataCentreId>('a'),
+		vm: brandId<VmId>('a1'),
+		dataCentre: brandId<DataCentreId>('a'),
 		listMembers: () => MEMBERS,
 		async ping(member) {
 			await runtime.sleep(isReachable(member) ? 2 : 300);
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, Err, Ok, parseId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
+	createDeadline, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
 import {rankOwners, rankRelays, type Member} from '../members.js';
@@ -11,7 +11,7 @@
 import {createStatementRouter} from '../statement-router.js';
 
 const createMember = (name: string, dataCentre = 'here', capacity = 1, createdRevision = 1): Member => ({
-	vm: parseId<VmId>(name), run: `${name}-1`, dataCentre: parseId<DataCentreId>(dataCentre), host: name, port: 1, capacity, createdRevision,
+	vm: brandId<VmId>(name), run: `${name}-1`, dataCentre: brandId<DataCentreId>(dataCentre), host: name, port: 1, capacity, createdRevision,
 });
 const MEMBERS = [createMember('one'), createMember('two')];
 const RESPONSE: StatementResponse = {
@@ -20,8 +20,8 @@
 
 const createRequest = (statement: TargetStatement, transaction?: StatementRequest['transaction']): StatementRequest => ({
 	id: 'q',
-	database: parseId<DatabaseId>('ledger'),
-	customer: parseId<CustomerId>('c'),
+	database: brandId<DatabaseId>('ledger'),
+	customer: brandId<CustomerId>('c'),
 	statement,
 	consistency: {kind: 'latest'},
 	floor: undefined,
@@ -39,7 +39,7 @@
 	const calledVms: VmId[] = [];
 	const router = createStatementRouter({
 		runtime,
-		self: parseId<VmId>('self'),
+		self: brandId<VmId>('self'),
 		rankOwners: () => MEMBERS,
 		isUsable: () => true,
 		async callOwner({vm}) {
@@ -94,7 +94,7 @@
 			createMember('far', 'there', 5),
 		];
 		for (let key = 0; key < 200; key++) {
-			const ranked = rankOwners(`db${key}`, members, parseId<DataCentreId>('here')).map(({vm}) => vm);
+			const ranked = rankOwners(`db${key}`, members, brandId<DataCentreId>('here')).map(({vm}) => vm);
 			assert.deepEqual(new Set(ranked.slice(0, 2)), new Set(['strong', 'able']));
 			assert.equal(ranked.at(-1), 'far');
 		}
@@ -104,7 +104,7 @@
 		const members = [...Array.from({length: 20}, (_, index) => createMember(`near${index}`, 'here', index < 10 ? 3 : 2)), createMember('far', 'there', 9)];
 		const counts = new Map<string, number>();
 		for (let key = 0; key < 2000; key++) {
-			const [topOwner] = rankOwners(`db${key}`, members, parseId<DataCentreId>('here'));
+			const [topOwner] = rankOwners(`db${key}`, members, brandId<DataCentreId>('here'));
 			counts.set(String(topOwner?.capacity), (counts.get(String(topOwner?.capacity)) ?? 0) + 1);
 		}
 
@@ -122,7 +122,7 @@
 
 	it('lists the older vms of the data centre as relays, oldest first', () => {
 		const members = [createMember('c', 'here', 1, 30), createMember('a', 'here', 1, 10), createMember('b', 'here', 1, 20), createMember('x', 'there', 1, 1)];
-		assert.deepEqual(rankRelays(parseId<VmId>('c'), parseId<DataCentreId>('here'), members).map(({vm}) => vm), ['a', 'b']);
-		assert.deepEqual(rankRelays(parseId<VmId>('a'), parseId<DataCentreId>('here'), members), []);
+		assert.deepEqual(rankRelays(brandId<VmId>('c'), brandId<DataCentreId>('here'), members).map(({vm}) => vm), ['a', 'b']);
+		assert.deepEqual(rankRelays(brandId<VmId>('a'), brandId<DataCentreId>('here'), members), []);
 	});
 });
