Rename readClock to readSuspensionClock

The contexts of a vm registration, a database owner and a vm have two clocks: the monotonic clock of the runtime and the one that keeps counting while the machine is suspended. The name now says which one it is. One line that became too long is wrapped.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -33,7 +33,7 @@
 export type DatabaseOwnerContext = Readonly<{
 	runtime: Runtime;
 	/** Reads a clock that keeps running while the process or its machine is suspended. */
-	readClock: () => Instant;
+	readSuspensionClock: () => Instant;
 	database: DatabaseId;
 	dial: DialTarget;
 	readStatus: ReadStatus;
@@ -101,7 +101,7 @@
 
 /** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
-	const {runtime, readClock} = context;
+	const {runtime, readSuspensionClock} = context;
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
@@ -154,7 +154,7 @@
 	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot; rolls it back at once. */
 	const ping = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<PingResult> => {
 		const pingDeadline = Math.min(deadline, createDeadline(runtime.now(), PING_TIMEOUT_MS)) as Deadline;
-		const sentAt = readClock();
+		const sentAt = readSuspensionClock();
 		const acquired = await acquireConnection(id, pingDeadline, mustDial);
 		if (!acquired?.ok) {
 			return acquired && acquired.val.code !== 'silent' ? 'refused' : undefined;
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -27,10 +27,10 @@
 const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
 	const {positionHistory, context} = components;
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
-	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readClock());
+	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
 	if (!verifiedPosition) {
 		await components.verifyPosition(deadline);
-		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readClock());
+		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
 	}
 
 	const after = verifiedPosition && chooseLaterPosition(verifiedPosition, positionHistory.translateToLatestTerm(request.floor));
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -54,7 +54,7 @@
 		return {kind: 'notRun', code};
 	}
 
-	const sentAt = components.context.readClock();
+	const sentAt = components.context.readSuspensionClock();
 	const execution = await handle.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
 	const verdict = evaluateReply(execution, 0, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply) {
@@ -74,7 +74,7 @@
 	request, plan, target, handle, deadline,
 }: Attempt): Promise<Verdict> => {
 	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
-	const sentAt = components.context.readClock();
+	const sentAt = components.context.readSuspensionClock();
 	const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
 	const verdict = evaluateReply(execution, commands.length, request);
 	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply && plan.kind === 'leader') {
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -12,7 +12,7 @@
 export const createFakeOwner = (targets: readonly FakeTarget[], runtime: Runtime): DatabaseOwner => {
 	const owner = createDatabaseOwner({
 		runtime,
-		readClock: createSuspensionClock(runtime),
+		readSuspensionClock: createSuspensionClock(runtime),
 		database: DATABASE,
 		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -108,7 +108,7 @@
 		const {handle, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
 		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
-		const sentAt = context.readClock();
+		const sentAt = context.readSuspensionClock();
 		const startedAt = runtime.now();
 		components.healthTracker.recordStatementSent(target);
 		const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
@@ -196,7 +196,7 @@
 		const isReadOnly = plan.kind === 'anywhere';
 		// A commit needs no prepared statement, so these commands set only the session variables.
 		const {commands} = handle.createSetupCommands(request.values, {kind: 'commit', text: ''});
-		const sentAt = context.readClock();
+		const sentAt = context.readSuspensionClock();
 		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
 		const reply = execution.replies[commands.length];
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -45,7 +45,7 @@
 	const quotaClient = createQuotas(load, runtime);
 	const owner = createDatabaseOwner({
 		runtime,
-		readClock: runtime.now,
+		readSuspensionClock: runtime.now,
 		database: EMULATED_DATABASE,
 		dial: targets.dial,
 		readStatus: () => undefined,
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -96,7 +96,9 @@
 			stopVm.abort();
 		});
 		const registration = createVmRegistration({
-			runtime, readClock: () => (runtime.now() + suspension.suspendedMs) as Instant, store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
+			runtime,
+			readSuspensionClock: () => (runtime.now() + suspension.suspendedMs) as Instant,
+			store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
 		});
 		const roles = createRoleClaims({
 			runtime,
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -32,7 +32,7 @@
 export type VmRegistrationContext = Readonly<{
 	runtime: Runtime;
 	/** Reads a clock that keeps running while the process or its machine is suspended. */
-	readClock: () => Instant;
+	readSuspensionClock: () => Instant;
 	store: RoleStore;
 	/** Key and value of the entry that is attached to the lease. */
 	key: string;
@@ -64,7 +64,7 @@
 
 /** Creates the registration of a vm; it has no lease yet. */
 export const createVmRegistration = (context: VmRegistrationContext): VmRegistration => {
-	const {runtime, readClock, store} = context;
+	const {runtime, readSuspensionClock, store} = context;
 	let leaseId: string | undefined;
 	let deadline: Deadline = PAST;
 	let isDeregistered = false;
@@ -78,7 +78,7 @@
 	};
 
 	const register = async (): Promise<boolean> => {
-		const sentAtBySuspensionClock = readClock();
+		const sentAtBySuspensionClock = readSuspensionClock();
 		const sentAt = runtime.now();
 		const granted = await store.grantLease(LEASE_TTL_MS);
 		if (granted.err) {
@@ -99,7 +99,7 @@
 	};
 
 	const renew = async (id: string): Promise<boolean> => {
-		const sentAtBySuspensionClock = readClock();
+		const sentAtBySuspensionClock = readSuspensionClock();
 		const sentAt = runtime.now();
 		const renewed = await store.renewLease(id);
 		if (renewed.err) {
@@ -119,7 +119,7 @@
 				await runtime.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + runtime.random()), signal).catch(() => undefined);
 			}
 		},
-		getLease: () => leaseId !== undefined && !isPast(deadline, readClock()) ? leaseId : undefined,
+		getLease: () => leaseId !== undefined && !isPast(deadline, readSuspensionClock()) ? leaseId : undefined,
 		async deregister() {
 			isDeregistered = true;
 			const id = leaseId;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -30,7 +30,7 @@
 export type VmContext = Readonly<{
 	runtime: Runtime;
 	/** Reads the suspension clock, which keeps counting while the process is suspended. */
-	readClock: () => Instant;
+	readSuspensionClock: () => Instant;
 	settings: VmSettings;
 	emit: Emit;
 	metrics: Metrics;
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -73,7 +73,7 @@
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
 			runtime,
-			readClock: context.readClock,
+			readSuspensionClock: context.readSuspensionClock,
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -86,7 +86,7 @@
 
 	const registration = createVmRegistration({
 		runtime,
-		readClock: context.readClock,
+		readSuspensionClock: context.readSuspensionClock,
 		store: context.store,
 		key: `${MEMBER_PREFIX}${settings.vm}`,
 		value: formatMember(self),
