Rename SwapOutcome.swapped to isSwapped

Booleans begin with is or has. The outcome of a compare-and-swap is made from the response of the store and stays in the process: the clients of the store and the stand-in's platform only read it, and answers on the wire carry `succeeded`.

--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -55,9 +55,9 @@
 	for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 		const outcome = await store.compareAndSwap(CONFIGURATION_KEY, change.expectedRevision, formattedDocument.val);
 		if (outcome.ok) {
-			const {swapped, current} = outcome.val;
+			const {isSwapped, current} = outcome.val;
 			const stored = parseEntry(current);
-			if (swapped || (stored.ok && stored.val.document?.changeId === changeId)) {
+			if (isSwapped || (stored.ok && stored.val.document?.changeId === changeId)) {
 				return Ok(current?.revision ?? 0);
 			}
 
--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -126,8 +126,8 @@
 		while (hasAuthority() && !signal.aborted) {
 			const written = await store.compareAndSwap(formatGroupKey(database), view?.revision ?? 0, recordText);
 			if (written.ok) {
-				const {swapped, current} = written.val;
-				if (current && (swapped || current.value === recordText)) {
+				const {isSwapped, current} = written.val;
+				if (current && (isSwapped || current.value === recordText)) {
 					updateView({record, revision: current.revision});
 					return true;
 				}
--- a/packages/roles/src/slots.ts
+++ b/packages/roles/src/slots.ts
@@ -117,13 +117,13 @@
 		},
 	};
 	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, state.leaseEntryRevision, formatHolder(self), acquiredLease.val.id);
-	if (attached.err || !attached.val.swapped) {
+	if (attached.err || !attached.val.isSwapped) {
 		return undefined;
 	}
 
 	const newRecord: SlotRecord = {epoch: (state.record?.epoch ?? 0) + 1, holder: self, candidates: chooseCandidates(context)};
 	const written = await store.compareAndSwap(`${ROLE_PREFIX}${slot}`, state.recordRevision, formatSlotRecord(newRecord));
-	return written.ok && written.val.swapped ? {record: newRecord, revision: written.val.current?.revision ?? 0} : undefined;
+	return written.ok && written.val.isSwapped ? {record: newRecord, revision: written.val.current?.revision ?? 0} : undefined;
 };
 
 /** Asks every candidate for a promise; returns the deadline until which no candidate takes over. */
@@ -153,7 +153,7 @@
 
 	const record: SlotRecord = {...claim.record, candidates};
 	const written = await context.store.compareAndSwap(`${ROLE_PREFIX}${context.slot}`, claim.revision, formatSlotRecord(record));
-	return written.ok && written.val.swapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
+	return written.ok && written.val.isSwapped ? {record, revision: written.val.current?.revision ?? 0} : claim;
 };
 
 /** Attaches a held slot to a new lease after the old one has expired, unless another process has claimed the slot in the meantime. */
@@ -167,7 +167,7 @@
 
 	const attached = await store.compareAndSwap(`${HOLDER_LEASE_PREFIX}${slot}`, leaseEntry.val?.revision ?? 0, formatHolder(self), acquiredLease.val.id);
 	const record = await store.read(`${ROLE_PREFIX}${slot}`);
-	return attached.ok && attached.val.swapped && record.ok && record.val?.revision === claim.revision;
+	return attached.ok && attached.val.isSwapped && record.ok && record.val?.revision === claim.revision;
 };
 
 /** Holds a claimed slot until its authority has ended. */
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -87,8 +87,8 @@
 			throw Object.assign(new Error(swap.val.message), {code: status.NOT_FOUND, details: swap.val.message});
 		}
 
-		const {swapped, current} = swap.val;
-		if (swapped) {
+		const {isSwapped, current} = swap.val;
+		if (isSwapped) {
 			applyFaults(key, value);
 			return {header: createHeader(current?.revision ?? 0), succeeded: true, responses: []};
 		}
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -131,11 +131,11 @@
 			return response.map((body): SwapOutcome => {
 				const {succeeded, header, responses} = body as TxnResponse;
 				if (succeeded) {
-					return {swapped: true, current: {key, value, revision: header.revision}};
+					return {isSwapped: true, current: {key, value, revision: header.revision}};
 				}
 
 				const pair = responses[0]?.response_range?.kvs[0];
-				return {swapped: false, current: pair ? createEntry(pair) : undefined};
+				return {isSwapped: false, current: pair ? createEntry(pair) : undefined};
 			});
 		},
 		async remove(key, expectedRevision) {
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -95,14 +95,14 @@
 			expireDueLeases();
 			const current = entries.get(key)?.entry;
 			if ((current?.revision ?? 0) !== expectedRevision) {
-				return Ok({swapped: false, current});
+				return Ok({isSwapped: false, current});
 			}
 
 			if (leaseId !== undefined && !leases.has(leaseId)) {
 				return Err({code: 'leaseLost', message: 'The lease has expired'});
 			}
 
-			return Ok({swapped: true, current: writeEntry(key, value, leaseId)});
+			return Ok({isSwapped: true, current: writeEntry(key, value, leaseId)});
 		},
 		async remove(key, expectedRevision) {
 			expireDueLeases();
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -11,7 +11,7 @@
 /** Outcome of a compare-and-swap. */
 export type SwapOutcome = Readonly<{
 	/** Whether the value was replaced. */
-	swapped: boolean;
+	isSwapped: boolean;
 	/** The entry after the call; `undefined` if there is none. */
 	current: Entry | undefined;
 }>;
