Rename RoutingView.getPendingCount to getRunningCount

It returns how many requests of an entry are running on a target, as its doc comment says. The map and the function of the entry behind it follow; the explanation of a route, which reports none, implements the same field.

--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -66,7 +66,7 @@
 /** Creates the operations of the entry that serve callers. */
 export const createEntry = (context: EntryContext): CallerContext => {
 	const {runtime, clusterView, emit, metrics} = context;
-	const pendingCounts = new Map<TargetId, number>();
+	const runningCounts = new Map<TargetId, number>();
 
 	const createRoutingView = (): RoutingView | undefined => {
 		const inventory = clusterView.activeConfiguration.getInventory();
@@ -75,7 +75,7 @@
 			getGroup: context.getGroup,
 			getOwners: clusterView.getOwners,
 			isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
-			getPendingCount: target => pendingCounts.get(target) ?? 0,
+			getRunningCount: target => runningCounts.get(target) ?? 0,
 			random: runtime.random,
 		};
 	};
@@ -161,8 +161,8 @@
 		return Ok(opened.val as RequestStream);
 	};
 
-	const changePendingCount = (target: TargetId, change: number) => {
-		pendingCounts.set(target, (pendingCounts.get(target) ?? 0) + change);
+	const changeRunningCount = (target: TargetId, change: number) => {
+		runningCounts.set(target, (runningCounts.get(target) ?? 0) + change);
 	};
 
 	const createRunningRequest = (request: RequestContext, route: Route, stream: RequestStream, firstReply: Reply): RunningRequest => ({
@@ -171,7 +171,7 @@
 		firstReply,
 		stream,
 		async [Symbol.asyncDispose]() {
-			changePendingCount(route.target, -1);
+			changeRunningCount(route.target, -1);
 			await stream[Symbol.asyncDispose]();
 		},
 	});
@@ -198,7 +198,7 @@
 			void stream[Symbol.asyncDispose]();
 		};
 
-		changePendingCount(route.target, 1);
+		changeRunningCount(route.target, 1);
 		signal.addEventListener('abort', closeStream, {once: true});
 		await stream.send(chunk);
 		const firstReply = await stream.receive();
@@ -208,7 +208,7 @@
 			return {kind: 'running', running: createRunningRequest(request, route, stream, firstReply)};
 		}
 
-		changePendingCount(route.target, -1);
+		changeRunningCount(route.target, -1);
 		await stream[Symbol.asyncDispose]();
 		if (!firstReply && stream.signal.reason === NOT_ACCEPTED) {
 			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The owner ${route.owner} of the target is shutting down`)};
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -42,7 +42,7 @@
 		getGroup: context.getGroup,
 		getOwners: clusterView.getOwners,
 		isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
-		getPendingCount: () => 0,
+		getRunningCount: () => 0,
 		random: context.random,
 	};
 	const route = chooseRoute(routingView, database, mode, []);
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -46,7 +46,7 @@
 const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly RouteAttempt[]): RouteAttempt | undefined => {
 	const availableReplicas = candidates
 		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
-		.map(target => ({target, sortKey: view.getPendingCount(target) + view.random()}))
+		.map(target => ({target, sortKey: view.getRunningCount(target) + view.random()}))
 		.toSorted((a, b) => a.sortKey - b.sortKey);
 	for (const {target} of availableReplicas) {
 		const owner = chooseOwner(view, target, tried);
--- a/packages/routing/src/view.ts
+++ b/packages/routing/src/view.ts
@@ -18,7 +18,7 @@
 	/** Tells whether a target is leaving according to the platform or the inventory. */
 	isLeaving: (target: TargetId) => boolean;
 	/** Returns the number of requests of this entry that are running on a target. */
-	getPendingCount: (target: TargetId) => number;
+	getRunningCount: (target: TargetId) => number;
 	/** Returns a random number from 0 up to, but not including, 1; breaks ties between targets. */
 	random: () => number;
 }>;
