Rename SKIP_NODE_AND_SCRIPT to FIRST_ARGUMENT_INDEX

The constant is the index of the first argument in `process.argv`, after the interpreter and the script; its name was that of an action.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -17,7 +17,7 @@
 import {startChild, startStack, type Stack} from './stack.js';
 import {connectCustomer} from './workload.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const CLIENT_COUNT = 16;
 const CLOSED_LOOP_MS = 4000;
 const UNLIMITED_RATE = 1_000_000;
@@ -324,7 +324,7 @@
 	print(`  CPU of each ${format(computeSlope(cpuPoints), 4)}% of a core, peer bytes of each ${format(computeSlope(peerBytePoints))} B/s`);
 };
 
-const flags = await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+const flags = await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('measure')
 	.strict()
 	.demandCommand(1)
--- a/packages/bench/src/prove.ts
+++ b/packages/bench/src/prove.ts
@@ -9,7 +9,7 @@
 import type {FaultKind} from './faults.js';
 import {computePercentile} from './statistics.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const DEFAULT_DURATION_MS = 7000;
 const MAX_SHOWN_VIOLATIONS = 3;
 const PHASE_WIDTH = 24;
@@ -49,7 +49,7 @@
 	}
 };
 
-const flags = await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+const flags = await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('prove')
 	.strict()
 	.option('seed', {type: 'number', default: 1, describe: 'first seed'})
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -10,7 +10,7 @@
 import type {EntryAddress} from './entries.js';
 import {connectClients, runOpenLoop, type TrafficResult} from './traffic.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const EXIT_INVALID_SETTING = 2;
 const DEFAULT_DURATION_MS = 10_000;
 const COMPARED_FIELDS = ['perSecond', 'p50', 'p99', 'max', 'refused', 'failed'] as const;
@@ -41,7 +41,7 @@
 
 const readResult = (file: string): TrafficResult => JSON.parse(readFileSync(file, 'utf8')) as TrafficResult;
 
-await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('guavapitch-load')
 	.usage('$0 <command>\n\nExit codes: 0 success, 2 invalid setting.')
 	.env('GUAVAPITCH')
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -18,7 +18,7 @@
 import {requestEvents, describeRequest} from './events.js';
 import {issueKey, withdrawKey} from './keys.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const EXIT_REFUSED = 1;
 const EXIT_SETTING = 2;
 const EXIT_NOT_ACTIVE = 4;
@@ -193,7 +193,7 @@
 	}
 };
 
-await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('guavapitch-operator')
 	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is invalid, 4 accepted but not yet active at every vm.')
 	.env('GUAVAPITCH')
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -8,9 +8,9 @@
 
 const EXIT_SETTING = 2;
 const EXIT_ADDRESS = 3;
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 
-const argv = process.argv.slice(SKIP_NODE_AND_SCRIPT);
+const argv = process.argv.slice(FIRST_ARGUMENT_INDEX);
 const isHelpOrVersionRequested = argv.includes('--help') || argv.includes('--version');
 const settings = await parseSettings(isHelpOrVersionRequested ? [...argv, '--vm', 'none', '--data-centre', 'none'] : argv);
 if (isHelpOrVersionRequested) {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -9,7 +9,7 @@
 import {createTarget} from './target.js';
 import {DEFAULT_RATES, startPlatform} from './platform.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const EXIT_INVALID_SETTING = 2;
 const DEFAULT_SLOT_COUNT = 3;
 const DEFAULT_CONNECTION_LIMIT = 80;
@@ -33,7 +33,7 @@
 	});
 };
 
-await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('guavapitch-standin')
 	.env('GUAVAPITCH')
 	.strict()
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -19,7 +19,7 @@
 } from './merge.js';
 import {drawTimeline} from './svg.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const EXIT_MALFORMED = 1;
 const EXIT_SETTING = 2;
 const STORE_TIMEOUT_MS = 2000;
@@ -54,7 +54,7 @@
 	return eventLists;
 };
 
-await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('guavapitch-timeline')
 	.usage('$0 [files..]\n\nExit codes: 0 done, 1 a line cannot be parsed, 2 a setting is invalid.')
 	.env('GUAVAPITCH')
