Rename EXIT_INVALID_SETTING to EXIT_FAILURE in load and stand-in

Both programs end with this exit code after any failure, not only after an invalid setting. The help texts are unchanged.

--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -11,7 +11,7 @@
 import {connectClients, runOpenLoop, type TrafficResult} from './traffic.js';
 
 const FIRST_ARGUMENT_INDEX = 2;
-const EXIT_INVALID_SETTING = 2;
+const EXIT_FAILURE = 2;
 const DEFAULT_DURATION_MS = 10_000;
 const COMPARED_FIELDS = ['perSecond', 'p50', 'p99', 'max', 'refused', 'failed'] as const;
 
@@ -115,7 +115,7 @@
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-load: ${error instanceof Error ? error.message : message}\n`);
-		process.exitCode = EXIT_INVALID_SETTING;
+		process.exitCode = EXIT_FAILURE;
 	})
 	.exitProcess(false)
 	.parse();
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -10,7 +10,7 @@
 import {DEFAULT_RATES, startPlatform} from './platform.js';
 
 const FIRST_ARGUMENT_INDEX = 2;
-const EXIT_INVALID_SETTING = 2;
+const EXIT_FAILURE = 2;
 const DEFAULT_SLOT_COUNT = 3;
 const DEFAULT_CONNECTION_LIMIT = 80;
 const DEFAULT_CONNECT_MS = 10;
@@ -75,7 +75,7 @@
 	})
 	.fail((message: string, error: unknown) => {
 		process.stderr.write(`guavapitch-standin: ${error instanceof Error ? error.message : message}\n`);
-		process.exitCode = EXIT_INVALID_SETTING;
+		process.exitCode = EXIT_FAILURE;
 	})
 	.exitProcess(false)
 	.parse();
