Begin private booleans with is or has

The field of the leader tracker's private Evidence type follows; every other field keeps its name, with the renamed local as its value. Locals that are verbs (`includesPlatform`, `endsConnection`) or are destructured from outer fields (`replicated`, `truncated`, `succeeded`) stay.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -152,7 +152,7 @@
 		return createResponse(response.outcome, response);
 	};
 
-	const begin = (readOnly: boolean): SessionResponse => {
+	const begin = (isReadOnly: boolean): SessionResponse => {
 		if (status === 'open') {
 			return createResponse(createRefusal('malformed', 'a transaction is already open'));
 		}
@@ -164,7 +164,7 @@
 		}
 
 		transaction = {
-			id: runtime.createId(), readOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
+			id: runtime.createId(), readOnly: isReadOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
 		};
 		isStarted = false;
 		status = 'open';
--- a/packages/database-owners/src/leader-tracker.ts
+++ b/packages/database-owners/src/leader-tracker.ts
@@ -16,7 +16,7 @@
 }>;
 
 /** Whether a target was last seen leading, and since when. */
-type Evidence = Readonly<{leads: boolean; since: Instant}>;
+type Evidence = Readonly<{isLeading: boolean; since: Instant}>;
 
 type RegistryEntry = Readonly<{role: string; startedAtMs: number}>;
 
@@ -29,8 +29,8 @@
 	const chooseLeader = () => {
 		let chosen: TargetId | undefined;
 		let latestSince = Number.NEGATIVE_INFINITY;
-		for (const [id, {leads, since}] of evidenceByTarget) {
-			if (leads && since > latestSince) {
+		for (const [id, {isLeading, since}] of evidenceByTarget) {
+			if (isLeading && since > latestSince) {
 				chosen = id;
 				latestSince = since;
 			}
@@ -42,9 +42,9 @@
 		}
 	};
 
-	const recordEvidence = (target: TargetId, leads: boolean, now: Instant) => {
-		if (evidenceByTarget.get(target)?.leads !== leads) {
-			evidenceByTarget.set(target, {leads, since: now});
+	const recordEvidence = (target: TargetId, isLeading: boolean, now: Instant) => {
+		if (evidenceByTarget.get(target)?.isLeading !== isLeading) {
+			evidenceByTarget.set(target, {isLeading, since: now});
 			chooseLeader();
 		}
 	};
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -31,9 +31,9 @@
 	/** Promotes a target on request, as the platform does. */
 	const promoteTarget = (request: PromotionRequest): PromotionOutcome => {
 		for (const target of targets) {
-			const leads = target.description.id === request.target;
-			target.role = leads ? 'primary' : 'replica';
-			if (leads) {
+			const isLeader = target.description.id === request.target;
+			target.role = isLeader ? 'primary' : 'replica';
+			if (isLeader) {
 				target.position = {term: target.position.term + 1, number: target.position.number};
 			}
 		}
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -39,7 +39,7 @@
 /** Storage engine of one target. */
 export type Engine = Readonly<{
 	/** Starts a transaction; on a replica it is always read-only. */
-	begin: (readOnly: boolean) => Transaction;
+	begin: (isReadOnly: boolean) => Transaction;
 	/** Commits a transaction; throws an `SqlError` if it has changes and the target is a replica. */
 	commit: (transaction: Transaction) => void;
 	rollback: (transaction: Transaction) => void;
@@ -124,7 +124,7 @@
 	const findCreateChange = (transaction: Transaction, name: string) => transaction.changes.find(change => change.kind === 'create' && change.table === name);
 
 	return {
-		begin: readOnly => ({readOnly: readOnly || isReplica, changes: [], locks: new Set()}),
+		begin: isReadOnly => ({readOnly: isReadOnly || isReplica, changes: [], locks: new Set()}),
 		commit(transaction) {
 			if (transaction.changes.length > 0) {
 				if (isReplica) {
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -145,13 +145,13 @@
 
 const hasAggregate = (outputs: readonly OutputColumn[]): boolean => outputs.some(output => output !== '*' && output.expression.kind === 'call' && AGGREGATES.has(output.expression.name));
 
-const sortRows = (columns: readonly Column[], rows: readonly Row[], orderBy: string | undefined, descending: boolean): readonly Row[] => {
+const sortRows = (columns: readonly Column[], rows: readonly Row[], orderBy: string | undefined, isDescending: boolean): readonly Row[] => {
 	const index = columns.findIndex(column => column.name === orderBy);
 	if (index === -1) {
 		return rows;
 	}
 
-	const sign = descending ? -1 : 1;
+	const sign = isDescending ? -1 : 1;
 	return rows.toSorted((a, b) => {
 		const left = a[index] ?? null;
 		const right = b[index] ?? null;
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -107,8 +107,8 @@
 			return compareAndPut(compare, operation.request_put);
 		}
 
-		const removed = (await store.remove(decodeKey(compare.key), compare.mod_revision)).unwrap();
-		return {header: createHeader(0), succeeded: removed, responses: []};
+		const isRemoved = (await store.remove(decodeKey(compare.key), compare.mod_revision)).unwrap();
+		return {header: createHeader(0), succeeded: isRemoved, responses: []};
 	};
 
 	const putEntry = async (request: Request): Promise<Response> => {
--- a/packages/standin/src/session.ts
+++ b/packages/standin/src/session.ts
@@ -167,8 +167,8 @@
 		}
 	};
 
-	const sendResult = async (result: ResultSet, withDescription: boolean) => {
-		if (withDescription && result.columns.length > 0) {
+	const sendResult = async (result: ResultSet, hasDescription: boolean) => {
+		if (hasDescription && result.columns.length > 0) {
 			await send(createRowDescription(result.columns));
 		}
 
--- a/packages/standin/src/sql-parser.ts
+++ b/packages/standin/src/sql-parser.ts
@@ -185,24 +185,24 @@
 const parseColumn = (cursor: Cursor): Column => {
 	const name = cursor.takeName();
 	const type = cursor.takeName();
-	let primaryKey = false;
+	let isPrimaryKey = false;
 	while (![',', ')'].includes(cursor.peek().value) && cursor.peek().kind !== 'end') {
-		primaryKey ||= cursor.peek().value === 'primary';
+		isPrimaryKey ||= cursor.peek().value === 'primary';
 		cursor.next();
 	}
 
-	return {name, type, primaryKey};
+	return {name, type, primaryKey: isPrimaryKey};
 };
 
 const parseCreate = (cursor: Cursor): Statement => {
 	cursor.expect('table');
-	const ifNotExists = cursor.takeIf('if', 'not', 'exists');
+	const hasIfNotExists = cursor.takeIf('if', 'not', 'exists');
 	const table = cursor.takeName();
 	cursor.expect('(');
 	const columns = parseList(cursor, () => parseColumn(cursor));
 	cursor.expect(')');
 	return {
-		kind: 'create', table, columns, ifNotExists,
+		kind: 'create', table, columns, ifNotExists: hasIfNotExists,
 	};
 };
 
@@ -219,9 +219,9 @@
 		cursor.expect('(');
 		return parseArguments(cursor);
 	});
-	const ignoreConflict = cursor.takeIf('on', 'conflict', 'do', 'nothing');
+	const isConflictIgnored = cursor.takeIf('on', 'conflict', 'do', 'nothing');
 	return {
-		kind: 'insert', table, columns, rows, ignoreConflict, returning: parseReturning(cursor),
+		kind: 'insert', table, columns, rows, ignoreConflict: isConflictIgnored, returning: parseReturning(cursor),
 	};
 };
 
@@ -256,12 +256,12 @@
 	const from = cursor.takeIf('from') ? {from: parseSource(cursor)} : {};
 	const where = parseWhere(cursor);
 	const order = cursor.takeIf('order', 'by') ? {orderBy: cursor.takeName()} : {};
-	const descending = cursor.takeIf('desc');
+	const isDescending = cursor.takeIf('desc');
 	cursor.takeIf('asc');
 	const limit = cursor.takeIf('limit') ? {limit: parseExpression(cursor)} : {};
-	const forUpdate = cursor.takeIf('for', 'update');
+	const isForUpdate = cursor.takeIf('for', 'update');
 	return {
-		kind: 'select', outputs, ...from, ...where, ...order, descending, ...limit, forUpdate,
+		kind: 'select', outputs, ...from, ...where, ...order, descending: isDescending, ...limit, forUpdate: isForUpdate,
 	};
 };
 
@@ -280,7 +280,7 @@
 };
 
 const parseSet = (cursor: Cursor): Statement => {
-	const local = cursor.takeIf('local');
+	const isLocal = cursor.takeIf('local');
 	cursor.takeIf('session');
 	const name = cursor.takeName();
 	if (!cursor.takeIf('=')) {
@@ -288,7 +288,7 @@
 	}
 
 	return {
-		kind: 'set', name, value: takeRestOfStatement(cursor).join(' '), local,
+		kind: 'set', name, value: takeRestOfStatement(cursor).join(' '), local: isLocal,
 	};
 };
 
