--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId,
+	createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -11,18 +11,18 @@
 import {createSession, type Route} from '../session.js';
 
 const ROUTE: Route = {
-	service: 'club', database: parseId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
+	service: 'club', database: brandId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
 };
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
 const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
-	const {world} = createVirtualWorld();
+	const {runtime} = createVirtualRuntime();
 	const requests: StatementRequest[] = [];
 	const rolledBackTransactions: string[] = [];
 	const state = {isIssued: true};
 	const session = createSession({
-		world,
-		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: parseId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
+		runtime,
+		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: brandId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
 		async runAtOwner(request) {
 			requests.push(request);
 			const status = request.transaction && request.statement.kind !== 'commit' ? 'open' : 'idle';
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualWorld, type TargetId,
+	createVirtualRuntime, type TargetId,
 } from '@guavapitch/core';
 import {rankReplicas, runFailoverCoordinator, type PromotionOutcome} from '../failover-coordinator.js';
 import {createFakeOwner} from './fake-owner.js';
@@ -21,9 +21,9 @@
 }>;
 
 const createSetup = (options: Options = {}) => {
-	const {world, advance} = createVirtualWorld(5);
+	const {runtime, advance} = createVirtualRuntime(5);
 	const targets = [createFakeTarget('primary', 'primary'), createFakeTarget('replica-1', 'replica'), createFakeTarget('replica-2', 'replica')] as const;
-	const owner = createFakeOwner(targets, world);
+	const owner = createFakeOwner(targets, runtime);
 	const promotionRequests: PromotionRequest[] = [];
 	const stop = new AbortController();
 	let fencingToken = 0;
@@ -31,9 +31,9 @@
 	/** Promotes a target on request, as the platform does. */
 	const promoteTarget = (request: PromotionRequest): PromotionOutcome => {
 		for (const target of targets) {
-			const leads = target.description.id === request.target;
-			target.role = leads ? 'primary' : 'replica';
-			if (leads) {
+			const isLeader = target.description.id === request.target;
+			target.role = isLeader ? 'primary' : 'replica';
+			if (isLeader) {
 				target.position = {term: target.position.term + 1, number: target.position.number};
 			}
 		}
@@ -42,7 +42,7 @@
 	};
 
 	void runFailoverCoordinator({
-		world,
+		runtime,
 		database: DATABASE,
 		owner,
 		isCoordinator: options.isCoordinator ?? (() => true),
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -5,7 +5,7 @@
 import os from 'node:os';
 import process from 'node:process';
 import yargs from 'yargs';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {changeConfiguration, readConfiguration, type ChangeFailure} from '@guavapitch/configuration';
 import {
 	compareInventories, parseInventory, type Difference, type Inventory,
@@ -18,14 +18,14 @@
 import {requestEvents, describeRequest} from './events.js';
 import {issueKey, withdrawKey} from './keys.js';
 
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 const EXIT_REFUSED = 1;
 const EXIT_SETTING = 2;
 const EXIT_NOT_ACTIVE = 4;
 const STORE_TIMEOUT_MS = 2000;
 const DEFAULT_WAIT_MS = 10_000;
 
-const world = createWorld();
+const runtime = createRuntime();
 
 const print = (text: string) => {
 	process.stdout.write(`${text}\n`);
@@ -44,7 +44,7 @@
 	return after === undefined ? `- ${path}: ${before}` : `~ ${path}: ${before} -> ${after}`;
 };
 
-const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, world);
+const openStore = (platform: string): EtcdStore => openEtcdStore({address: platform, callTimeoutMs: STORE_TIMEOUT_MS}, runtime);
 
 const readInventoryFile = (file: string): Inventory | undefined => {
 	const parsed = parseInventory(readFileSync(file, 'utf8'));
@@ -80,7 +80,7 @@
 	peerTlsCa?: string | undefined;
 }>;
 
-const openClient = (flags: Flags): FleetClient => openFleetClient(world, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
+const openClient = (flags: Flags): FleetClient => openFleetClient(runtime, readPeerTls({cert: flags.peerTlsCert, key: flags.peerTlsKey, ca: flags.peerTlsCa}).unwrap());
 
 const waitIfRequested = async (store: EtcdStore, flags: Flags, revision: number) => {
 	if (!flags.wait) {
@@ -88,7 +88,7 @@
 	}
 
 	await using client = openClient(flags);
-	const outdatedVms = await waitForRevision(store, client, world, {revision, timeoutMs: flags.waitMs});
+	const outdatedVms = await waitForRevision(store, client, runtime, {revision, timeoutMs: flags.waitMs});
 	if (outdatedVms.length === 0) {
 		print(`revision ${revision} is active at every vm`);
 		return;
@@ -112,7 +112,7 @@
 		return;
 	}
 
-	const changed = await changeConfiguration(store, world, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
+	const changed = await changeConfiguration(store, runtime, {expectedRevision: current.val.revision, author: os.userInfo().username, inventory});
 	if (changed.err) {
 		fail(describeChangeFailure(changed.val, before), EXIT_REFUSED);
 		return;
@@ -193,7 +193,7 @@
 	}
 };
 
-await yargs(process.argv.slice(SKIP_NODE_AND_SCRIPT))
+await yargs(process.argv.slice(FIRST_ARGUMENT_INDEX))
 	.scriptName('guavapitch-operator')
 	.usage('$0 <command>\n\nExit codes: 0 done, 1 refused, 2 a setting is invalid, 4 accepted but not yet active at every vm.')
 	.env('GUAVAPITCH')
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -1,8 +1,8 @@
 /** Admits and routes requests at the entry: checks the key, acquires a quota token, chooses a route, and retries only requests that cannot have taken effect. */
 
 import {
-	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, parseId,
-	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type World,
+	createDeadline, createStreamPair, Err, getRemainingMs, isPast, NOT_ACCEPTED, Ok, brandId,
+	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type Runtime,
 } from '@guavapitch/core';
 import type {TargetConnection} from '@guavapitch/back-postgres';
 import type {GroupView} from '@guavapitch/failover';
@@ -23,7 +23,7 @@
 
 /** Dependencies of the entry. */
 export type EntryContext = Readonly<{
-	world: World;
+	runtime: Runtime;
 	vm: string;
 	clusterView: ClusterView;
 	peers: PeerConnections;
@@ -52,7 +52,7 @@
 /** Scheduling weight of callers without a key, on services that are open to all. */
 const OPEN_SERVICE_WEIGHT = 1;
 /** Customer under which requests of callers without a key are scheduled. */
-const OPEN_SERVICE_CUSTOMER = parseId<CustomerId>('open');
+const OPEN_SERVICE_CUSTOMER = brandId<CustomerId>('open');
 /** Maximum number of attempts to run one request. */
 const MAX_ATTEMPTS = 400;
 /** Estimated size of a stream item other than messages. */
@@ -65,8 +65,8 @@
 
 /** Creates the operations of the entry that serve callers. */
 export const createEntry = (context: EntryContext): CallerContext => {
-	const {world, clusterView, emit, metrics} = context;
-	const pendingCounts = new Map<TargetId, number>();
+	const {runtime, clusterView, emit, metrics} = context;
+	const runningCounts = new Map<TargetId, number>();
 
 	const createRoutingView = (): RoutingView | undefined => {
 		const inventory = clusterView.activeConfiguration.getInventory();
@@ -75,8 +75,8 @@
 			getGroup: context.getGroup,
 			getOwners: clusterView.getOwners,
 			isLeaving: target => clusterView.findTarget(target)?.target.leaving ?? true,
-			getPendingCount: target => pendingCounts.get(target) ?? 0,
-			random: world.random,
+			getRunningCount: target => runningCounts.get(target) ?? 0,
+			random: runtime.random,
 		};
 	};
 
@@ -117,10 +117,10 @@
 
 		return Ok({
 			service,
-			database: parseId<DatabaseId>(service.database),
+			database: brandId<DatabaseId>(service.database),
 			customer: caller.customer,
-			requestId: parseId<RequestId>(world.createId()),
-			deadline: createDeadline(world.now(), service.requestTimeoutMs),
+			requestId: brandId<RequestId>(runtime.createId()),
+			deadline: createDeadline(runtime.now(), service.requestTimeoutMs),
 			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_SERVICE_WEIGHT : OPEN_SERVICE_WEIGHT,
 		});
 	};
@@ -134,7 +134,7 @@
 		weight: request.weight,
 		mode: route.mode,
 		maximumAgeMs: request.service.staleReadsMs ?? 0,
-		remainingMs: getRemainingMs(request.deadline, world.now()),
+		remainingMs: getRemainingMs(request.deadline, runtime.now()),
 		idleTransactionMs: request.service.idleTransactionMs,
 	});
 
@@ -161,8 +161,8 @@
 		return Ok(opened.val as RequestStream);
 	};
 
-	const changePendingCount = (target: TargetId, change: number) => {
-		pendingCounts.set(target, (pendingCounts.get(target) ?? 0) + change);
+	const changeRunningCount = (target: TargetId, change: number) => {
+		runningCounts.set(target, (runningCounts.get(target) ?? 0) + change);
 	};
 
 	const createRunningRequest = (request: RequestContext, route: Route, stream: RequestStream, firstReply: Reply): RunningRequest => ({
@@ -171,7 +171,7 @@
 		firstReply,
 		stream,
 		async [Symbol.asyncDispose]() {
-			changePendingCount(route.target, -1);
+			changeRunningCount(route.target, -1);
 			await stream[Symbol.asyncDispose]();
 		},
 	});
@@ -198,7 +198,7 @@
 			void stream[Symbol.asyncDispose]();
 		};
 
-		changePendingCount(route.target, 1);
+		changeRunningCount(route.target, 1);
 		signal.addEventListener('abort', closeStream, {once: true});
 		await stream.send(chunk);
 		const firstReply = await stream.receive();
@@ -208,7 +208,7 @@
 			return {kind: 'running', running: createRunningRequest(request, route, stream, firstReply)};
 		}
 
-		changePendingCount(route.target, -1);
+		changeRunningCount(route.target, -1);
 		await stream[Symbol.asyncDispose]();
 		if (!firstReply && stream.signal.reason === NOT_ACCEPTED) {
 			return {kind: 'refused', refusal: createRefusal('peerUnreachable', `The owner ${route.owner} of the target is shutting down`)};
@@ -278,12 +278,12 @@
 			metrics.count('entry.retries', {reason: lastRefusal.code});
 			// When the retry budget is exhausted, each retry waits for the maximum backoff, so that a failover causes no retry storm.
 			const backoffAttempt = context.retryBudget.tryWithdraw() ? attempt : MAX_ATTEMPTS;
-			if (!await waitBeforeRetry(backoffAttempt, request.deadline, world, signal)) {
+			if (!await waitBeforeRetry(backoffAttempt, request.deadline, runtime, signal)) {
 				break;
 			}
 		}
 
-		return createFailure(request, isPast(request.deadline, world.now())
+		return createFailure(request, isPast(request.deadline, runtime.now())
 			? createRefusal('deadlinePassed', `The deadline passed before the request was served: ${lastRefusal.message}`)
 			: lastRefusal);
 	};
@@ -318,9 +318,9 @@
 			return runRequest(start, chooseRequestMode(statement, request.val.service.staleReadsMs));
 		},
 		async continueRequest(caller, signal) {
-			const requestId = world.createId();
+			const requestId = runtime.createId();
 			const keyCheck = checkKey(caller);
-			const acquired = keyCheck.err ? keyCheck : await acquireToken(caller, createDeadline(world.now(), Number.POSITIVE_INFINITY), signal);
+			const acquired = keyCheck.err ? keyCheck : await acquireToken(caller, createDeadline(runtime.now(), Number.POSITIVE_INFINITY), signal);
 			return acquired.mapErr(failure => ({requestId, failure}));
 		},
 		cancelRequest: context.cancelRequest,
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -2,15 +2,15 @@
 /** Program `guavapitch-proxy`. */
 
 import process from 'node:process';
-import {createWorld} from '@guavapitch/core';
+import {createRuntime} from '@guavapitch/core';
 import {startProxy} from './process.js';
 import {parseSettings} from './settings.js';
 
 const EXIT_SETTING = 2;
 const EXIT_ADDRESS = 3;
-const SKIP_NODE_AND_SCRIPT = 2;
+const FIRST_ARGUMENT_INDEX = 2;
 
-const argv = process.argv.slice(SKIP_NODE_AND_SCRIPT);
+const argv = process.argv.slice(FIRST_ARGUMENT_INDEX);
 const isHelpOrVersionRequested = argv.includes('--help') || argv.includes('--version');
 const settings = await parseSettings(isHelpOrVersionRequested ? [...argv, '--vm', 'none', '--data-centre', 'none'] : argv);
 if (isHelpOrVersionRequested) {
@@ -19,7 +19,7 @@
 	process.stderr.write(`guavapitch-proxy: ${settings.val.message}\n`);
 	process.exitCode = EXIT_SETTING;
 } else {
-	const proxy = await startProxy(settings.val, createWorld());
+	const proxy = await startProxy(settings.val, createRuntime());
 	if (proxy.err) {
 		process.stderr.write(`guavapitch-proxy: ${proxy.val.message}\n`);
 		process.exitCode = EXIT_ADDRESS;
--- a/packages/requests/src/tests/owner.test.ts
+++ b/packages/requests/src/tests/owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createStreamPair, createVirtualWorld, Err, Ok, parseId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
+	createStreamPair, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type RequestId, type ServiceId, type TargetId,
 } from '@guavapitch/core';
 import {createFairQueue, createPool} from '@guavapitch/pool';
 import type {Reply, RequestChunk, RequestHeader} from '@guavapitch/sessions';
@@ -11,17 +11,17 @@
 	serveRequest, type DurabilityState, type ChunkResult, type ChunkTask, type OwnerContext, type OwnerStream,
 } from '../owner.js';
 
-const TARGET = parseId<TargetId>('motions-1');
+const TARGET = brandId<TargetId>('motions-1');
 const CHUNK: RequestChunk = {
 	parts: [], ends: true, mayCommit: true, leavesState: false,
 };
 
 const HEADER: RequestHeader = {
-	requestId: parseId<RequestId>('r1'),
-	service: parseId<ServiceId>('motions'),
-	database: parseId<DatabaseId>('motions'),
+	requestId: brandId<RequestId>('r1'),
+	service: brandId<ServiceId>('motions'),
+	database: brandId<DatabaseId>('motions'),
 	target: TARGET,
-	customer: parseId<CustomerId>('klub'),
+	customer: brandId<CustomerId>('klub'),
 	weight: 1,
 	mode: 'write',
 	maximumAgeMs: 0,
@@ -45,7 +45,7 @@
 };
 
 const createFixture = (behaviour: Behaviour) => {
-	const {world, advance, settle} = createVirtualWorld();
+	const {runtime, advance, settle} = createVirtualRuntime();
 	let resetCount = 0;
 	const pool = createPool<Connection>({
 		maxOpen: 2,
@@ -61,10 +61,10 @@
 		}),
 		onAvailable: () => undefined,
 		onReachabilityChange: () => undefined,
-	}, world);
-	const queue = createFairQueue(world, 1, () => true);
+	}, runtime);
+	const queue = createFairQueue(runtime, 1, () => true);
 	const context: OwnerContext<Connection> = {
-		world,
+		runtime,
 		getTarget: target => target === TARGET ? {queue, pool, isLeaving: () => false} : undefined,
 		runChunk: async (_, task) => (behaviour.respond ?? respondImmediately)(task),
 		checkGrant: () => behaviour.isGranted === false ? Err({code: 'noGrant', message: 'no grant'}) : Ok(1),
@@ -132,7 +132,7 @@
 			const refuseToRun = async (): Promise<ChunkResult> => assert.fail('the chunk was sent');
 			assert.deepEqual(await collectKinds({respond: refuseToRun, isGranted: false}), ['noGrant']);
 			assert.deepEqual(await collectKinds({respond: refuseToRun, isDraining: true}), ['notHome']);
-			assert.deepEqual(await collectKinds({respond: refuseToRun}, {...HEADER, target: parseId<TargetId>('other')}), ['notHome']);
+			assert.deepEqual(await collectKinds({respond: refuseToRun}, {...HEADER, target: brandId<TargetId>('other')}), ['notHome']);
 		});
 	});
 
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -2,7 +2,7 @@
 
 import {match} from 'ts-pattern';
 import {
-	Err, Ok, parseId, type DatabaseId, type TargetId, type Result, type VmId,
+	Err, Ok, brandId, type DatabaseId, type TargetId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {GroupRecord} from '@guavapitch/failover';
 import type {Database} from '@guavapitch/inventory';
@@ -29,7 +29,7 @@
 	.otherwise(() => 'write');
 
 const getReplicas = (database: Database, record: GroupRecord): readonly TargetId[] => database.targets
-	.map(target => parseId<TargetId>(target.name))
+	.map(target => brandId<TargetId>(target.name))
 	.filter(target => target !== record.primary);
 
 const getCandidates = (database: Database, record: GroupRecord, mode: RequestMode): readonly TargetId[] => match(mode)
@@ -46,7 +46,7 @@
 const chooseReplica = (view: RoutingView, candidates: readonly TargetId[], tried: readonly RouteAttempt[]): RouteAttempt | undefined => {
 	const availableReplicas = candidates
 		.filter(target => !view.isLeaving(target) && !tried.some(attempt => attempt.target === target))
-		.map(target => ({target, sortKey: view.getPendingCount(target) + view.random()}))
+		.map(target => ({target, sortKey: view.getRunningCount(target) + view.random()}))
 		.toSorted((a, b) => a.sortKey - b.sortKey);
 	for (const {target} of availableReplicas) {
 		const owner = chooseOwner(view, target, tried);
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -1,7 +1,7 @@
 /** Storage engine of one target of the database stand-in: tables, transactions, row locks and the log. */
 
 import {
-	createNotifier, createDeadline, isPast, type World,
+	createNotifier, createDeadline, isPast, type Runtime,
 } from '@guavapitch/core';
 import type {Column, Value} from './sql-ast.js';
 import {SqlError} from './sql-errors.js';
@@ -39,7 +39,7 @@
 /** Storage engine of one target. */
 export type Engine = Readonly<{
 	/** Starts a transaction; on a replica it is always read-only. */
-	begin: (readOnly: boolean) => Transaction;
+	begin: (isReadOnly: boolean) => Transaction;
 	/** Commits a transaction; throws an `SqlError` if it has changes and the target is a replica. */
 	commit: (transaction: Transaction) => void;
 	rollback: (transaction: Transaction) => void;
@@ -79,12 +79,12 @@
 const FIRST_POSITION = 0x1_00_00_00;
 
 /** Creates an engine without tables. */
-export const createEngine = (world: World, options: Readonly<{isReplica: boolean}>): Engine => {
+export const createEngine = (runtime: Runtime, options: Readonly<{isReplica: boolean}>): Engine => {
 	const tables = new Map<string, Table>();
 	const log: LogRecord[] = [];
 	const lockHolders = new Map<string, Transaction>();
-	const locksReleased = createNotifier(world);
-	const logGrown = createNotifier(world);
+	const locksReleased = createNotifier(runtime);
+	const logGrown = createNotifier(runtime);
 	let history: readonly TimelineStart[] = [{timeline: 1, position: FIRST_POSITION}];
 	let {isReplica} = options;
 	let position = FIRST_POSITION;
@@ -124,7 +124,7 @@
 	const findCreateChange = (transaction: Transaction, name: string) => transaction.changes.find(change => change.kind === 'create' && change.table === name);
 
 	return {
-		begin: readOnly => ({readOnly: readOnly || isReplica, changes: [], locks: new Set()}),
+		begin: isReadOnly => ({readOnly: isReadOnly || isReplica, changes: [], locks: new Set()}),
 		commit(transaction) {
 			if (transaction.changes.length > 0) {
 				if (isReplica) {
@@ -139,9 +139,9 @@
 		},
 		rollback: releaseLocks,
 		async lock(transaction, key) {
-			const deadline = createDeadline(world.now(), LOCK_TIMEOUT_MS);
+			const deadline = createDeadline(runtime.now(), LOCK_TIMEOUT_MS);
 			while ((lockHolders.get(key) ?? transaction) !== transaction) {
-				if (isPast(deadline, world.now())) {
+				if (isPast(deadline, runtime.now())) {
 					throw new SqlError('40P01', 'deadlock detected');
 				}
 
@@ -216,7 +216,7 @@
 			history = newHistory;
 		},
 		async waitForRecords(signal) {
-			await logGrown.waitForChange(createDeadline(world.now(), MAX_RECORD_WAIT_MS), signal);
+			await logGrown.waitForChange(createDeadline(runtime.now(), MAX_RECORD_WAIT_MS), signal);
 		},
 		wakeWaiters: logGrown.notify,
 	};
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -4,7 +4,7 @@
 import {
 	Server, ServerCredentials, status, type Metadata, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall, type ServiceError, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import {createScope, type World} from '@guavapitch/core';
+import {createScope, type Runtime} from '@guavapitch/core';
 import {
 	createMemoryStore, loadServices, type Entry, type MemoryStore,
 } from '@guavapitch/store';
@@ -51,12 +51,12 @@
 };
 
 /** Starts the service on the loopback interface; port 0 stands for any free port. */
-export const startPlatform = async (world: World, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
-	const store = createMemoryStore(world);
+export const startPlatform = async (runtime: Runtime, port: number, rates: PlatformRates = DEFAULT_RATES): Promise<PlatformServer> => {
+	const store = createMemoryStore(runtime);
 	const services = loadServices();
 	const scope = createScope(() => undefined);
 	const callCounts = new Map<string, number>();
-	const faultController = createFaultController(world, store, rates, scope.signal);
+	const faultController = createFaultController(runtime, store, rates, scope.signal);
 
 	const readRange = async (request: RangeRequest) => {
 		const key = decodeKey(request.key);
@@ -87,8 +87,8 @@
 			throw Object.assign(new Error(swap.val.message), {code: status.NOT_FOUND, details: swap.val.message});
 		}
 
-		const {swapped, current} = swap.val;
-		if (swapped) {
+		const {isSwapped, current} = swap.val;
+		if (isSwapped) {
 			applyFaults(key, value);
 			return {header: createHeader(current?.revision ?? 0), succeeded: true, responses: []};
 		}
@@ -107,8 +107,8 @@
 			return compareAndPut(compare, operation.request_put);
 		}
 
-		const removed = (await store.remove(decodeKey(compare.key), compare.mod_revision)).unwrap();
-		return {header: createHeader(0), succeeded: removed, responses: []};
+		const isRemoved = (await store.remove(decodeKey(compare.key), compare.mod_revision)).unwrap();
+		return {header: createHeader(0), succeeded: isRemoved, responses: []};
 	};
 
 	const putEntry = async (request: Request): Promise<Response> => {
@@ -156,7 +156,7 @@
 				}
 
 				const renewed = await store.renewLease(String(request.ID));
-				const ttlSeconds = renewed.ok ? Math.round((renewed.val.deadline - world.now()) / 1000) : 0;
+				const ttlSeconds = renewed.ok ? Math.round((renewed.val.deadline - runtime.now()) / 1000) : 0;
 				stream.write({header: createHeader(0), ID: request.ID, TTL: ttlSeconds});
 			});
 		});
@@ -226,7 +226,7 @@
 	scope.run(async signal => {
 		while (!signal.aborted) {
 			store.expireDueLeases();
-			await world.sleep(LEASE_CHECK_INTERVAL_MS, signal);
+			await runtime.sleep(LEASE_CHECK_INTERVAL_MS, signal);
 		}
 	});
 	return {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,7 +1,7 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, parseId,
+	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
 } from '@guavapitch/core';
 import {
 	createSession, type Authorization, type Session,
@@ -64,7 +64,7 @@
 
 /** Starts the process of an entry vm. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
-	const {world, settings, emit, metrics} = context;
+	const {runtime, settings, emit, metrics} = context;
 	const scope = createScope(thrown => {
 		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
@@ -85,8 +85,8 @@
 	};
 
 	const registration = createVmRegistration({
-		world,
-		readClock: context.readClock,
+		runtime,
+		readSuspensionClock: context.readSuspensionClock,
 		store: context.store,
 		key: `${MEMBER_PREFIX}${settings.vm}`,
 		value: formatMember(self),
@@ -106,7 +106,7 @@
 	});
 
 	const feed: Feed = createFeed({
-		world,
+		runtime,
 		run: settings.run,
 		source: context.source,
 		prefixes: [
@@ -138,7 +138,7 @@
 	});
 
 	const isolationDetector = createIsolationDetector({
-		world,
+		runtime,
 		vm: settings.vm,
 		dataCentre: settings.dataCentre,
 		listMembers: view.listMembers,
@@ -168,7 +168,7 @@
 	});
 
 	const roleClaims: RoleClaims = createRoleClaims({
-		world,
+		runtime,
 		store: context.store,
 		registration,
 		vm: settings.vm,
@@ -179,7 +179,7 @@
 		listRoles: () => isDraining ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
 			const rankingKey = role.slice(role.indexOf('/') + 1);
-			const rank = view.rankOwners(parseId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
+			const rank = view.rankOwners(brandId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
 		hasRunEnded: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
@@ -193,13 +193,13 @@
 		onClaimed(role, epoch) {
 			emit(EVENTS.roleClaimed, {duty: role, epoch});
 			if (role !== ALLOCATOR_ROLE) {
-				databaseOwners.get(parseId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
+				databaseOwners.get(brandId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
 			}
 		},
 	});
 
 	const statementRouter = createStatementRouter({
-		world,
+		runtime,
 		self: settings.vm,
 		rankOwners: view.rankOwners,
 		isUsable: vm => peerClient.isUsable(vm),
@@ -220,7 +220,7 @@
 		},
 	});
 
-	const refusalCache = createRefusalCache(world, () => view.listMembers().length);
+	const refusalCache = createRefusalCache(runtime, () => view.listMembers().length);
 
 	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
@@ -259,7 +259,7 @@
 		}
 
 		return route.isPublic
-			? Ok({route, customer: parseId<CustomerId>('-')})
+			? Ok({route, customer: brandId<CustomerId>('-')})
 			: Err(createRefusal('noKey', 'the key is unknown'));
 	};
 
@@ -283,7 +283,7 @@
 			}
 
 			return Ok(createSession({
-				world,
+				runtime,
 				authorize: () => authorize(service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
