State in doc comments what core, limits, pool and routing leave open

Read without the bodies, these left a reader guessing: what happens to an item sent to a closed stream, what `getErrorMessage` returns for a value that is no error, whether histogram bounds are inclusive, what the epoch of a token grant is for, when a quota waits longer, whether `hasCapacity` regards the pause after a failed dial, the unit of `retryAfterMs`, the deadline of a queue entry, and that an exhausted list of owners of the primary starts again. The limits of the retry budget and of a customer's queue say what they limit.

The doc of `Stream.send` said that it waits after sending; over the peer protocol it waits before.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -20,7 +20,7 @@
 	}
 }
 
-/** Returns the message of a thrown value. */
+/** Returns the message of a thrown error, or another thrown value as JSON text. */
 export const getErrorMessage = (thrown: unknown): string => thrown instanceof Error ? thrown.message : JSON.stringify(thrown) ?? 'unknown';
 
 /** Tells whether a thrown value is an `AbortError`. */
--- a/packages/core/src/stream.ts
+++ b/packages/core/src/stream.ts
@@ -5,7 +5,7 @@
 
 /** One end of a bidirectional stream. */
 export type Stream<Out, In> = AsyncDisposable & Readonly<{
-	/** Sends an item, then waits while the other end has more unread bytes than the window of the stream allows. */
+	/** Sends an item; waits while the other end has more unread bytes than the window of the stream allows. Does not fail if the other end is closed: the item is then discarded. */
 	send: (item: Out) => Promise<void>;
 	/** Waits for the next item; resolves to `undefined` when the other end has finished or is closed. */
 	receive: () => Promise<In | undefined>;
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -20,6 +20,7 @@
 
 /** Response of the allocator. */
 export type TokenGrant = Readonly<{
+	/** Epoch of the allocator, to be sent with the tokens that are returned. */
 	epoch: number;
 	tokens: number;
 	/** Time for which the tokens are valid, counted from when the entry sent its request, in milliseconds. */
@@ -37,6 +38,7 @@
 /** Dependencies of a quota allocator. */
 export type QuotaAllocatorContext = Readonly<{
 	runtime: Runtime;
+	/** Epoch of the claim under which the allocator runs; returned tokens of another epoch are not credited. */
 	epoch: number;
 	/** Returns the deadline of the allocator's authority; tokens are not valid beyond it. */
 	getAuthorityDeadline: () => Deadline;
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -14,7 +14,7 @@
 
 /** Acquires tokens for the requests of all customers at one entry. */
 export type QuotaClient = Readonly<{
-	/** Acquires a token, waiting a short time for one if necessary. */
+	/** Acquires a token, waiting a short time for one if necessary, and longer while no allocator responds. */
 	acquire: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, QuotaRefusal>>;
 	/** Returns the number of tokens acquired so far, by customer. */
 	getAcquiredCounts: () => ReadonlyMap<CustomerId, number>;
--- a/packages/pool/src/connections.ts
+++ b/packages/pool/src/connections.ts
@@ -40,7 +40,7 @@
 export type Pool<Connection> = AsyncDisposable & Readonly<{
 	/** Acquires a connection, waiting for one to be released or opened; fails at the deadline, or early if the target is unreachable. */
 	acquire: (deadline: Deadline) => Promise<Result<ConnectionHandle<Connection>, PoolFailure>>;
-	/** Tells whether a connection is idle or can be opened. */
+	/** Tells whether a connection is idle or the limit allows opening one, even if the pool pauses after a failed dial. */
 	hasCapacity: () => boolean;
 	getOpenCount: () => number;
 	getIdleCount: () => number;
--- a/packages/pool/src/fair-queue.ts
+++ b/packages/pool/src/fair-queue.ts
@@ -5,20 +5,27 @@
 } from '@guavapitch/core';
 
 /** Failure to acquire a slot; the request has not run. */
-export type QueueFailure = Failure<'queueFull' | 'deadlinePassed' | 'aborted'> & Readonly<{retryAfterMs: number}>;
+export type QueueFailure = Failure<'queueFull' | 'deadlinePassed' | 'aborted'> & Readonly<{
+	/** With `queueFull`, the time that the request would have to wait, in milliseconds; otherwise 0. */
+	retryAfterMs: number;
+}>;
 
 /** A request for a slot. */
 export type QueueEntry = Readonly<{
 	customer: CustomerId;
 	/** Weight of the customer: slot time is shared in proportion to the weights. */
 	weight: number;
+	/** Until when the request waits for a slot. */
 	deadline: Deadline;
 	/** Whether the request continues a transaction, which occupies a connection; such requests go first. */
 	isPinned: boolean;
 }>;
 
 /** Permission to use a slot; disposing of it releases the slot. */
-export type Permit = Disposable & Readonly<{startedAt: Instant}>;
+export type Permit = Disposable & Readonly<{
+	/** When the slot was assigned. */
+	startedAt: Instant;
+}>;
 
 /** Weighted fair queue. */
 export type FairQueue = Readonly<{
@@ -48,6 +55,7 @@
 
 /** Maximum lead in virtual time that a customer gains by being idle, so that a short burst goes ahead of a flood. */
 const MAX_IDLE_CREDIT_MS = 200;
+/** Maximum number of waiting requests of one customer; those that continue a transaction do not count. */
 const MAX_WAITING_PER_CUSTOMER = 128;
 /** Assumed mean time of a request before the first measurement. */
 const INITIAL_MEAN_MS = 2;
--- a/packages/routing/src/retries.ts
+++ b/packages/routing/src/retries.ts
@@ -14,7 +14,9 @@
 
 /** Tokens that each first try adds to the budget; one token allows one retry. */
 const DEPOSIT_PER_FIRST_TRY = 0.2;
+/** Retries that are allowed before any request has added to the budget. */
 const INITIAL_TOKENS = 100;
+/** Maximum number of retries that a time without failures saves up. */
 const MAX_TOKENS = 1000;
 const MIN_BACKOFF_MS = 5;
 const MAX_BACKOFF_MS = 100;
--- a/packages/routing/src/routes.ts
+++ b/packages/routing/src/routes.ts
@@ -60,7 +60,7 @@
 
 const createNoRouteRefusal = (message: string): Refusal => ({code: 'noRoute', message});
 
-/** Chooses a route; fails with `noRoute` if there is none. `tried` are the attempts that were refused without having run. */
+/** Chooses a route; fails with `noRoute` if there is none. `tried` are the attempts that were refused without having run; once all owners of the primary were tried, the preferred one is chosen again. */
 export const chooseRoute = (view: RoutingView, databaseId: DatabaseId, mode: RequestMode, tried: readonly RouteAttempt[]): Result<Route, Refusal> => {
 	const database = getDatabase(view.inventory, databaseId);
 	const record = view.getGroup(databaseId)?.record;
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -5,7 +5,7 @@
 /** Labels of a metric, by name; StatsD calls them tags. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
-/** Upper bounds of the histogram buckets, in milliseconds. */
+/** Inclusive upper bounds of the histogram buckets, in milliseconds. */
 export const BUCKET_BOUNDS_MS: readonly number[] = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000];
 
 /** Histogram of the times recorded under one name and one set of labels. */
