Explain refusal codes and results of database owners where names don't

The codes that keep older words (`notHome`, `overShare`, `ordered`) get their meaning, and so do the codes of a failed dial, the term of a pause, an empty `preparedName`, the identifier in `transactionExpired`, and what `acquire` does at the connection limit. The doc of `ping` said that it ends at the deadline; each of its two attempts gets the time left.

Locals: `free` is `freeTargets`, `shared` is `sharedComponents`.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -52,7 +52,7 @@
 
 /** Session of a caller. */
 export type Session = Readonly<{
-	/** Runs a statement; the previous one must have completed. */
+	/** Runs a statement; the previous one must have completed. `id` is the identifier that the caller gave it. */
 	run: (id: string, statement: CallerStatement) => Promise<SessionResponse>;
 	getStatus: () => TransactionStatus;
 	/** Ends the session and rolls back an open transaction. */
--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -14,7 +14,7 @@
 /** Exclusive use of a connection, with the known state of its session on the target. */
 export type ConnectionHandle = Readonly<{
 	connection: TargetConnection;
-	/** Creates the commands that set the session variables and the prepared statement that a statement needs; records them as sent. */
+	/** Creates the commands that set the session variables and the prepared statement that a statement needs; records them as sent. `preparedName` is empty if the statement is not a prepared one. */
 	createSetupCommands: (variables: SessionVariables, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
 	/** Discards the prepared statements after the target reported one as unknown; the next setup resets the session. */
 	discardPrepared: () => void;
@@ -26,7 +26,7 @@
 export type TargetConnections = Readonly<{
 	/** Tells whether a customer could acquire a connection now. */
 	canAcquire: (customer: CustomerId) => boolean;
-	/** Acquires an idle connection of the customer, preferring one with matching session variables, or opens one. */
+	/** Acquires an idle connection of the customer, preferring one with matching session variables, or opens one. At the limit, an idle one is closed first; fails with `tooMany` if all are in use. */
 	acquire: (customer: CustomerId, variables: SessionVariables, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Opens a connection even if others are idle, as an idle connection may have died without a TCP reset. */
 	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -18,7 +18,7 @@
 	Command, DialFailure, DialTarget, ReadStatus, Target, TargetStatus,
 } from './targets.js';
 
-/** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. */
+/** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
 export type DatabaseOwnerDecision = Readonly<{
 	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
@@ -80,7 +80,7 @@
 	rollBack: (transaction: string) => void;
 	/** Replaces the list of targets; connections to targets that left or restarted are closed. */
 	setTargets: (targets: readonly Target[]) => void;
-	/** Asks a target whether it leads; `undefined` if it does not respond before the deadline. */
+	/** Asks a target whether it leads, over an idle connection and, if that gets no response, over a new one; each attempt may take the time that is left now until the deadline. */
 	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
 	/** Queries the status of a target, after running `precedingCommand` if given; `undefined` if it does not respond or refuses that command. */
 	queryStatus: (target: TargetId, deadline: Deadline, precedingCommand?: Command) => Promise<TargetStatus | undefined>;
@@ -193,7 +193,7 @@
 		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS)) === 'leads';
 	});
 
-	const shared: SharedComponents = {
+	const sharedComponents: SharedComponents = {
 		context,
 		positionHistory,
 		leaderTracker,
@@ -215,8 +215,8 @@
 		},
 		areWritesPaused: () => areWritesPaused,
 	};
-	const transactions = createTransactions(shared);
-	const components: DatabaseOwnerComponents = {...shared, transactions};
+	const transactions = createTransactions(sharedComponents);
+	const components: DatabaseOwnerComponents = {...sharedComponents, transactions};
 
 	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -16,7 +16,7 @@
 	/** The request got no response; it may still be carried out. */
 		| 'unknown';
 
-/** A step in a change of primary, for the logs and metrics. */
+/** A step in a change of primary, for the logs and metrics; `ordered` tells that a promotion is requested. */
 export type FailoverCoordinatorEvent = Readonly<{
 	kind: 'suspected' | 'started' | 'ordered' | 'finished' | 'failed';
 	target: string;
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -114,7 +114,7 @@
 			latencyDeadline,
 			deadline: computeSlotDeadline(components, plan, deadline),
 			isPinned: false,
-			chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
+			chooseTarget: freeTargets => chooseTarget(components, {plan, request, tried: triedTargets}, freeTargets),
 		});
 		if (slot.err) {
 			return createResponse(createBusyRefusal(slot.val.message, computeRetryAfterMs(components, plan)), runtime.now() - arrivedAt);
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -5,7 +5,10 @@
 } from '@guavapitch/core';
 
 /** Failure to acquire a slot; nothing has run. */
-export type SlotRefusal = Failure<'queueFull' | 'deadlinePassed'> & Readonly<{retryAfterMs: number}>;
+export type SlotRefusal = Failure<'queueFull' | 'deadlinePassed'> & Readonly<{
+	/** Time after which the caller may try again, in milliseconds; 0 with `deadlinePassed`. */
+	retryAfterMs: number;
+}>;
 
 /** Load of a target, used to place requests. */
 export type TargetLoad = Readonly<{
@@ -30,7 +33,7 @@
 	/** Whether the request continues a transaction; such requests go first, as a transaction occupies a connection. */
 	isPinned: boolean;
 	/** Chooses one of the targets with a free slot; `undefined` to keep waiting. */
-	chooseTarget: (free: readonly TargetLoad[]) => TargetId | undefined;
+	chooseTarget: (freeTargets: readonly TargetLoad[]) => TargetId | undefined;
 }>;
 
 /** A slot of a target, in use until it is released. */
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -33,7 +33,7 @@
 		| Readonly<{kind: 'set'; name: string; value: string}>
 		| Readonly<{kind: 'prepare'; name: string; prepared: PreparedDefinition}>
 		| Readonly<{kind: 'status'}>
-		/** Stops a replica from receiving the log until it is promoted or resumed. */
+		/** Stops a replica from receiving the log until it is promoted or resumed; `term` is higher than every known one. */
 		| Readonly<{kind: 'pause'; term: number}>
 		| Readonly<{kind: 'resume'}>;
 
@@ -67,7 +67,7 @@
 	close: () => void;
 }>;
 
-/** Failure to open a connection; nothing has run. */
+/** Failure to open a connection; nothing has run. `refused`: no connection was established; `silent`: no response before the deadline; `rejected`: the target refused the session. */
 export type DialFailure = Failure<'refused' | 'silent' | 'misrouted' | 'tooMany' | 'rejected'>;
 
 /** Opens a connection to a target. */
--- a/packages/database-owners/src/tests/slot-scheduler.test.ts
+++ b/packages/database-owners/src/tests/slot-scheduler.test.ts
@@ -14,7 +14,7 @@
 const REPLICA_2 = brandId<TargetId>('replica-2');
 const LEADER = brandId<TargetId>('leader');
 
-const chooseFirst = (free: readonly TargetLoad[]) => free[0]?.id;
+const chooseFirst = (freeTargets: readonly TargetLoad[]) => freeTargets[0]?.id;
 
 describe('slot scheduler', () => {
 	const measureSmallCustomerP99WaitMs = async (largeCallers: number) => {
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -100,7 +100,7 @@
 		latencyDeadline: createDeadline(runtime.now(), request.promptMs),
 		deadline,
 		isPinned: true,
-		chooseTarget: free => free.find(load => load.id === transaction.target)?.id,
+		chooseTarget: freeTargets => freeTargets.find(load => load.id === transaction.target)?.id,
 	});
 
 	/** Runs a statement of an open transaction in an acquired slot; `again` if it has not run and can be retried. */
@@ -229,7 +229,7 @@
 				latencyDeadline: createDeadline(arrivedAt, request.promptMs),
 				deadline: computeSlotDeadline(components, plan, deadline),
 				isPinned: false,
-				chooseTarget: free => chooseTarget(components, {plan, request, tried: triedTargets}, free),
+				chooseTarget: freeTargets => chooseTarget(components, {plan, request, tried: triedTargets}, freeTargets),
 			});
 			if (slot.err) {
 				return createResponse(createBusyRefusal(slot.val.message, RETRY_PAUSE_MS), runtime.now() - arrivedAt, 'failed');
--- a/packages/sessions/src/requests.ts
+++ b/packages/sessions/src/requests.ts
@@ -54,7 +54,10 @@
 	leavesState: boolean;
 }>;
 
-/** Reason for refusing a request that has not run. */
+/**
+ * Reason for refusing a request that has not run. `notHome`: the vm does not own the target, or is shutting down; `draining`: the entry is shutting down;
+ * `tooOld`: the target may lack writes that the read must include.
+ */
 export type RefusalCode
 	= | 'notHome' | 'noGrant' | 'notPrimary' | 'tooOld' | 'targetUnreachable' | 'connectionsExhausted' | 'queueFull'
 		| 'deadlinePassed' | 'targetLeaving' | 'limitExceeded' | 'keyWithdrawn' | 'keyUnconfirmed' | 'peerUnreachable' | 'draining' | 'noRoute'
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -37,7 +37,7 @@
 		| Readonly<{kind: 'execute'; name: string; rest: string}>
 		| Readonly<{kind: 'deallocate'; name: string}>;
 
-/** Why a statement was not run, or was rolled back. */
+/** Why a statement was not run, or was rolled back. `overShare`: the customer has exceeded its quota; `aborted`: the transaction was rolled back. */
 export type StatementRefusalCode = 'busy' | 'overShare' | 'aborted' | 'lagging' | 'readOnly' | 'tooMany' | 'noKey' | 'noDatabase' | 'malformed' | 'noStatement';
 
 /** Outcome of a statement. */
@@ -65,7 +65,7 @@
 	floor: LogPosition | undefined;
 	/** Session variables to set at the target. */
 	values: ReadonlyArray<readonly [name: string, value: string]>;
-	/** Transaction to which the statement belongs. */
+	/** Transaction to which the statement belongs, if any; `isFirst` tells that the statement begins it at the owner. */
 	transaction: Readonly<{id: string; readOnly: boolean; isFirst: boolean}> | undefined;
 	/** Time left for the statement when it was sent, in milliseconds; a duration, because the clocks of vms are not synchronized. */
 	remainingMs: number;
