State limits and edge cases in failover, roles, membership, feed and configuration

Doc comments now say which term a failover event carries, that a parsed record has unchecked fields, that a staleness check needs no valid grant, that a vm missing from the platform's list stays a member, that `getLive` leaves out this vm once it is leaving, that serving a follower makes a vm read the store, what the age of data is before the first contact, that the store cache keeps removed entries, and that deregistering ends `run`. The constants for attempts, term starts and updates per message say what they limit. The local `awaited` is `awaitedReplicas`.

--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -19,6 +19,7 @@
 /** The configuration as read from the store; revision 0 and no document if there is none yet. */
 export type StoredConfiguration = Readonly<{document: ConfigurationDocument | undefined; revision: number}>;
 
+/** Number of calls to the store for one change; another one follows only if the last failed. */
 const MAX_ATTEMPTS = 8;
 const RETRY_PAUSE_MS = 250;
 
--- a/packages/configuration/src/store-cache.ts
+++ b/packages/configuration/src/store-cache.ts
@@ -1,4 +1,4 @@
-/** Local cache of the entries of the store; an entry is only ever replaced by a higher revision of it. */
+/** Local cache of the entries of the store; an entry is only ever replaced by a higher revision of it, and stays when it is removed from the store. */
 
 import {
 	createNotifier, isPast, PAST, type Deadline, type Instant, type Runtime,
--- a/packages/failover/src/coordinator.ts
+++ b/packages/failover/src/coordinator.ts
@@ -25,7 +25,7 @@
 	rejoin: (target: TargetId, primary: TargetId) => Promise<Result<unknown, Failure>>;
 }>;
 
-/** Events of a failover, for the log and its timeline. */
+/** Events of a failover, for the log and its timeline. `started` and `grantsEnded` give the term that ends, `promoted` and `finished` the new one. */
 export type FailoverEvent
 	= | Readonly<{kind: 'started'; primary: TargetId; term: number}>
 		| Readonly<{kind: 'grantsEnded'; term: number}>
@@ -63,6 +63,7 @@
 const PROBE_INTERVAL_MS = 100;
 const STORE_RETRY_DELAY_MS = 50;
 const COMMAND_RETRY_DELAY_MS = 50;
+/** Number of attempts to promote a target before all targets are probed again. */
 const MAX_COMMAND_ATTEMPTS = 20;
 const REPAIR_INTERVAL_MS = 1000;
 
--- a/packages/failover/src/grant-registry.ts
+++ b/packages/failover/src/grant-registry.ts
@@ -44,11 +44,11 @@
 	checkAcknowledgement: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
 	/** Checks that a target holds every acknowledged write, so that it may be read now. */
 	checkRead: (database: DatabaseId, target: TargetId) => Result<GroupRecord, GrantFailure>;
-	/** Checks that the data of a target are confirmed to be at most `maximumAgeMs` old. */
+	/** Checks that the data of a target are confirmed to be at most `maximumAgeMs` old; the grant may have expired. */
 	checkStaleness: (database: DatabaseId, target: TargetId, maximumAgeMs: number) => Result<GroupRecord, GrantFailure>;
 	/** Waits until a grant of the term is valid, or the term is known to have ended. */
 	waitForTerm: (database: DatabaseId, term: number, deadline: Deadline, signal?: AbortSignal) => Promise<GrantState>;
-	/** Waits until a target is known to be no longer eligible for a request; returns `false` if the deadline passes or the signal aborts first. */
+	/** Waits until a target is known to be no longer eligible for a request; returns `false` if the deadline passes or the signal aborts first, and always for mode `stale`. */
 	waitUntilIneligible: (request: EligibilityRequest, deadline: Deadline, signal: AbortSignal) => Promise<boolean>;
 }>;
 
@@ -184,6 +184,6 @@
 
 /** Tells whether at least the required number of replicas are waited for and all of these have replayed a position. */
 export const isReplicated = (record: GroupRecord, position: number, replayedPositions: ReadonlyMap<string, number>): boolean => {
-	const awaited = getAwaitedReplicas(record);
-	return awaited.length >= record.minimumSynced && awaited.every(target => (replayedPositions.get(target) ?? -1) >= position);
+	const awaitedReplicas = getAwaitedReplicas(record);
+	return awaitedReplicas.length >= record.minimumSynced && awaitedReplicas.every(target => (replayedPositions.get(target) ?? -1) >= position);
 };
--- a/packages/failover/src/group-record.ts
+++ b/packages/failover/src/group-record.ts
@@ -36,6 +36,7 @@
 /** Prefix of the keys of group records in the store. */
 export const GROUP_PREFIX = '/guavapitch/groups/';
 
+/** Number of term starts that a record keeps. */
 const MAX_TERM_STARTS = 8;
 
 /** Returns the key of the group record of a database. */
@@ -44,7 +45,7 @@
 /** Encodes a group record for the store. */
 export const formatGroupRecord = (record: GroupRecord): string => JSON.stringify(record);
 
-/** Parses a group record from the store. */
+/** Parses a group record from the store; fails if the text is not JSON, but does not check the fields. */
 export const parseGroupRecord = (text: string): Result<GroupRecord, GroupRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as GroupRecord);
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -9,7 +9,7 @@
 
 /** Request of a follower to a relay. */
 export type FeedRequest = Readonly<{
-	/** Run of the relay that last responded to the follower. */
+	/** Run of the relay that last responded to the follower; empty before the first response. */
 	run: string;
 	/** Number of the last change that the follower received from that run. */
 	after: number;
@@ -26,7 +26,7 @@
 	/** Whether `changes` holds all entries instead of only those that changed. */
 	isWhole: boolean;
 	changes: readonly StoreChange[];
-	/** Time since the relay's last contact with the store, in milliseconds. */
+	/** Time since the relay's last contact with the store, in milliseconds; `Number.MAX_SAFE_INTEGER` before the first contact. */
 	ageMs: number;
 }>;
 
@@ -66,9 +66,9 @@
 	run: (signal: AbortSignal) => Promise<void>;
 	get: (key: string) => StoreEntry | undefined;
 	list: (prefix: string) => readonly StoreEntry[];
-	/** Serves the request of a follower. */
+	/** Serves the request of a follower; for a while after it, this vm reads the store itself. */
 	serve: (request: FeedRequest) => Promise<FeedResponse>;
-	/** Returns the age of the known entries in milliseconds: the time since this vm, or the relay that it follows, had contact with the store. */
+	/** Returns the age of the known entries in milliseconds: the time since this vm, or the relay that it follows, had contact with the store; infinite before the first contact. */
 	getAgeMs: () => number;
 	/** Records another successful call to the store, such as the renewal of a lease. */
 	recordContact: (sentAt: Instant) => void;
--- a/packages/membership/src/members.ts
+++ b/packages/membership/src/members.ts
@@ -33,7 +33,7 @@
 
 /** Members of the fleet as one process sees them. */
 export type Members = Readonly<{
-	/** Applies the platform's list of vms. */
+	/** Applies the platform's list of vms; a vm that is missing from it keeps its last entry. */
 	applyVmList: (entries: readonly VmEntry[]) => void;
 	/** Applies updates that a peer sent. */
 	applyUpdates: (updates: readonly MemberUpdate[]) => void;
@@ -45,9 +45,9 @@
 	expireSuspects: () => void;
 	/** Marks this vm as leaving, which its peers learn by gossip. */
 	markLeaving: () => void;
-	/** Returns a member; `undefined` if the vm is not in the list. */
+	/** Returns a member; `undefined` if the vm has never been in the list. */
 	get: (vm: VmId) => Member | undefined;
-	/** Returns the vms that may be given work, including this one: those that the list shows as live and that are alive or suspected. */
+	/** Returns the vms that may be given work: those that the list shows as live and that are alive or suspected. Includes this one, unless it is leaving. */
 	getLive: (dataCentre?: DataCentreId) => readonly Member[];
 	/** Returns this vm and all others that the list has contained. */
 	getAll: () => readonly Member[];
@@ -72,6 +72,7 @@
 const SUSPICION_TIMEOUT_MS = 600;
 /** Number of messages that an update is sent with. */
 const MAX_TRANSMISSIONS = 8;
+/** Maximum number of updates about other vms in one message; the update about this vm is always sent. */
 const MAX_UPDATES_PER_MESSAGE = 12;
 /** Precedence of updates with the same version; the one with the higher number replaces the other. */
 const STATUS_PRECEDENCE: Readonly<Record<MemberStatus, number>> = {
--- a/packages/roles/src/records.ts
+++ b/packages/roles/src/records.ts
@@ -31,13 +31,13 @@
 /** Returns the name of a slot. */
 export const formatSlotName = (role: RoleName, number: number): string => `${role}/${number}`;
 
-/** Chooses the slot of a role that is responsible for a key, by a hash of the key. */
+/** Chooses the slot of a role that is responsible for a key, by a hash of the key; `slots` is the number of slots of the role. */
 export const chooseSlot = (role: RoleName, slots: number, key: string): string => formatSlotName(role, computeHash(key) % slots);
 
 /** Encodes a slot record for the store. */
 export const formatSlotRecord = (record: SlotRecord): string => JSON.stringify(record);
 
-/** Parses a slot record from the store. */
+/** Parses a slot record from the store; fails if the text is not JSON, but does not check the fields. */
 export const parseSlotRecord = (text: string): Result<SlotRecord, SlotRecordFailure> => {
 	try {
 		return Ok(JSON.parse(text) as SlotRecord);
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -49,7 +49,7 @@
 	run: (signal: AbortSignal) => Promise<void>;
 	/** Returns the identifier of the lease; `undefined` unless the lease is confirmed to be valid at this moment. */
 	getLease: () => string | undefined;
-	/** Revokes the lease; the store removes its entries. */
+	/** Revokes the lease, so that the store removes its entries, and makes `run` return. */
 	deregister: () => Promise<void>;
 }>;
 
