Say what a watch of the feed returns and what the text of a statement is

`watch` may return no changes, and its revision is where the next one continues; `text` is the whole statement, `rest` only its parameters.

--- a/packages/feed/src/entries.ts
+++ b/packages/feed/src/entries.ts
@@ -22,7 +22,7 @@
 export type FeedSource = Readonly<{
 	/** Reads all entries under a prefix. The revision is that of the store before the first page was read. */
 	readAll: (prefix: string) => Promise<Result<Readonly<{entries: readonly StoreEntry[]; revision: number}>, SourceFailure>>;
-	/** Waits at most `waitMs` for changes after a revision. */
+	/** Waits at most `waitMs` for changes after a revision, of which there may be none; the next watch continues after the returned revision. */
 	watch: (prefix: string, after: number, waitMs: number) => Promise<Result<Readonly<{changes: readonly StoreChange[]; revision: number}>, SourceFailure>>;
 }>;
 
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -20,13 +20,13 @@
 /** Definition of a statement that a caller has prepared: its access, and in `shape` its text. */
 export type PreparedDefinition = Readonly<{access: Access; shape: string}>;
 
-/** A statement to run at a target; `rest` is the text that follows the name of a prepared statement. */
+/** A statement to run at a target; `text` is the whole statement, `rest` the text that follows the name of a prepared one. */
 export type TargetStatement
 	= | Readonly<{kind: 'text'; access: Access; text: string}>
 		| Readonly<{kind: 'prepared'; prepared: PreparedDefinition; rest: string}>
 		| Readonly<{kind: 'commit'; text: string}>;
 
-/** A statement as received from a caller; `rest` is the text that follows the name of a prepared statement. */
+/** A statement as received from a caller; `text` is the whole statement, `rest` the text that follows the name of a prepared one. */
 export type CallerStatement
 	= | Readonly<{kind: 'begin'; readOnly: boolean}>
 		| Readonly<{kind: 'commit'; text: string}>
