--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -31,6 +31,7 @@
 	quotas: Quotas;
 	getPeerClient: () => PeerClient;
 	getRoleClaims: () => RoleClaims;
+	/** Returns the signal that stops the failover coordinators. */
 	getSignal: () => AbortSignal;
 }>;
 
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -21,7 +21,7 @@
 	ping: (member: Member) => Promise<boolean>;
 	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds or the vm is no longer a member. */
 	isUsable: (vm: VmId) => boolean;
-	/** Starts to accept calls from other vms. */
+	/** Starts to accept calls from other vms; rejects if the address of this vm cannot be bound. */
 	listen: () => Promise<PeerListener>;
 }>;
 
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -62,7 +62,7 @@
 /** Largest number of data centres in which no side of a partition outnumbers the other. */
 const MAX_DATA_CENTRES_WITHOUT_MAJORITY = 2;
 
-/** Starts the process of an entry vm. */
+/** Starts the process of an entry vm; rejects if its address for other vms cannot be bound. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
 	const {runtime, settings, emit, metrics} = context;
 	const scope = createScope(thrown => {
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -32,6 +32,7 @@
 	view: ClusterView;
 	getPeerClient: () => PeerClient;
 	getRoleClaims: () => RoleClaims;
+	/** Returns the age of this vm's view of the store, in milliseconds. */
 	getFeedAgeMs: () => number;
 }>;
 
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -43,7 +43,7 @@
 });
 
 /** Creates the response to a statement whose owner was lost; returns `undefined` if the statement may run again at another owner. */
-export const classifyLostStatement = (request: StatementRequest, reason: string): StatementResponse | undefined => {
+export const createLossResponse = (request: StatementRequest, reason: string): StatementResponse | undefined => {
 	const access = getAccess(request.statement);
 	if (request.transaction && access !== 'commit') {
 		// The owner rolls back a transaction that gets no further statements, and no commit will be sent.
@@ -94,7 +94,7 @@
 			return 'elsewhere';
 		}
 
-		const lossResponse = classifyLostStatement(request, result.val.message);
+		const lossResponse = createLossResponse(request, result.val.message);
 		if (lossResponse) {
 			recordTransaction(request, member, lossResponse);
 		}
