Say what constants limit and what programs do in proxy, wire and tools

Reasons of a few words for LISTEN_BACKLOG, MIN_IDLE_CONNECTIONS, INCARNATION_CHARACTERS and DEFAULT_ITERATIONS. The heads of the proxy, the operator and the time line say what the program does. The doc comments of dialPeer, TargetState and ExplainContext say how the call fails, which log position a replica reports and what the random number decides.

--- a/packages/back-postgres/src/control-connection.ts
+++ b/packages/back-postgres/src/control-connection.ts
@@ -74,7 +74,7 @@
 	};
 };
 
-/** State that a target reports: its role, timeline and log position, and on a primary the replayed log positions of its replicas by name. */
+/** State that a target reports: its role, timeline and log position, which on a replica is the replayed one, and on a primary the replayed log positions of its replicas by name. */
 export type TargetState = Readonly<{isReplica: boolean; timeline: number; position: number; replayedPositions: ReadonlyMap<string, number>}>;
 
 const STATE_QUERY = 'SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint(); SELECT pg_last_wal_replay_lsn()';
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `guavapitch-operator`. */
+/** Command-line program `guavapitch-operator`: applies inventories, issues and withdraws keys, and shows the status of the fleet. */
 
 import {readFileSync} from 'node:fs';
 import os from 'node:os';
--- a/packages/peer-protocol/src/listener.ts
+++ b/packages/peer-protocol/src/listener.ts
@@ -91,7 +91,7 @@
 	});
 });
 
-/** Connects to a peer and waits for its hello. */
+/** Connects to a peer and waits for its hello; fails as `dial` or `waitForHello` does. */
 export const dialPeer = async (address: Address, context: PeerContext, dial: Dial): Promise<Result<PeerConnection, PeerFailure>> => {
 	const socket = await dial(address);
 	if (socket.err) {
--- a/packages/postgres-wire/src/scram.ts
+++ b/packages/postgres-wire/src/scram.ts
@@ -20,6 +20,7 @@
 /** Failure of a SCRAM exchange. */
 export type ScramFailure = Failure<'scramMalformed' | 'scramRejected'>;
 
+/** Minimum number of iterations that RFC 7677 recommends. */
 const DEFAULT_ITERATIONS = 4096;
 const SALT_BYTES = 16;
 const NONCE_BYTES = 18;
--- a/packages/proxy/src/caller-listener.ts
+++ b/packages/proxy/src/caller-listener.ts
@@ -50,6 +50,7 @@
 const MAX_CANCEL_SECRET = 2_147_483_647;
 /** A process identifier has 31 bits: the number of the vm, followed by the number of the connection in this many bits. */
 const CONNECTION_NUMBER_BITS = 18;
+/** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 4096;
 const DRAIN_POLL_MS = 20;
 /** Maximum time without traffic on a connection during its startup, in milliseconds. */
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -20,6 +20,7 @@
 export type ExplainContext = Readonly<{
 	clusterView: ClusterView;
 	getGroup: (database: DatabaseId) => GroupView | undefined;
+	/** Returns a random number in [0, 1); breaks ties between targets. */
 	random: () => number;
 }>;
 
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `guavapitch-proxy`. */
+/** Command-line program `guavapitch-proxy`: runs a proxy until SIGTERM or SIGINT. */
 
 import process from 'node:process';
 import {createRuntime} from '@guavapitch/core';
--- a/packages/proxy/src/owned-targets.ts
+++ b/packages/proxy/src/owned-targets.ts
@@ -53,6 +53,7 @@
 
 /** Number of connections of each target reserved for the control queries of the failover coordinator and the owners. */
 const RESERVED_CONNECTIONS = 4;
+/** Number of idle connections that the preferred owner of a target keeps ready. */
 const MIN_IDLE_CONNECTIONS = 2;
 const GRANT_RENEWAL_MS = 250;
 const GRANT_RETRY_MS = 40;
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -51,6 +51,7 @@
 const SYNC_TIMEOUT_MS = 1500;
 /** Interval between checks for idle connections that must be closed, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
+/** Length of an incarnation, which is the beginning of a unique identifier. */
 const INCARNATION_CHARACTERS = 8;
 const DRAIN_POLL_MS = 20;
 /** Time after a contact with the store for which peers are told that the store is reachable, in milliseconds. */
--- a/packages/timeline/src/main.ts
+++ b/packages/timeline/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Program `guavapitch-timeline`. */
+/** Command-line program `guavapitch-timeline`: merges the events of log files or running proxies into one time line. */
 
 import {
 	readdirSync, readFileSync, statSync, writeFileSync,
