Say what faults affect and what constants limit in stand-ins and bench

The target of an injected fault may also be a vm, a data centre or the platform, and removePartitions also removes the faults of the platform's stand-in: the doc comments said neither. Constants of the stand-ins, the emulator and the bench say what they limit. Locals: now -> second where it holds a number of seconds, leaving -> leavingTarget.

--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -10,10 +10,10 @@
 		| 'killProxy' | 'freezeProxy' | 'platformDown' | 'loseAnswers' | 'freezePlatform'
 		| 'slowPlatform' | 'lapseLeases' | 'cutProxy' | 'cutDataCentre';
 
-/** A fault of a schedule: start and duration in milliseconds, and a random number in [0, 1) that decides its target and variant. */
+/** A fault of a schedule: start and duration in milliseconds, and a random number in [0, 1) that decides what it affects and its variant. */
 export type Fault = Readonly<{kind: FaultKind; atMs: number; forMs: number; choice: number}>;
 
-/** A fault that was injected, its target, and its time in milliseconds since the start of the schedule. */
+/** A fault that was injected, the name of the target, vm or data centre that it affects, or `platform`, and its time in milliseconds since the start of the schedule. */
 export type AppliedFault = Readonly<{fault: Fault; target: string; at: number}>;
 
 const FAULT_KINDS: readonly FaultKind[] = [
@@ -128,7 +128,7 @@
 	]);
 };
 
-/** Removes all network partitions. Also runs at the end of a schedule, because a target that was frozen may execute the statement that creates a partition only after the partition has been removed. */
+/** Removes all network partitions and all faults that the stand-in of the platform simulates. Also runs at the end of a schedule, because a target that was frozen may execute the statement that creates a partition only after the partition has been removed. */
 export const removePartitions = async (stack: Stack) => {
 	stack.links.setPartition(() => false);
 	await setPlatformFaults(stack, {});
@@ -153,7 +153,7 @@
 	child.process.kill('SIGCONT');
 };
 
-/** Injects a fault and removes it after its duration. `onStart` is called with the name of its target before the injection. */
+/** Injects a fault and removes it after its duration. `onStart` is called before the injection with the name of what the fault affects. */
 export const applyFault = async (stack: Stack, fault: Fault, database: string, onStart: (target: string) => void): Promise<void> => {
 	const targets = [...stack.targets.values()].filter(target => target.database === database);
 	const primaryName = await findPrimary(stack, database);
--- a/packages/bench/src/known-red.ts
+++ b/packages/bench/src/known-red.ts
@@ -16,6 +16,7 @@
 
 const LINE_PATTERN = /^(?<indent> *)(?:# Subtest: (?<subtest>.+)|(?<failed>not )?ok \d+ - (?<name>.+))$/v;
 const ENTRY_PATTERN = /^(?<suite>[^#"]*)"(?<name>[^"]+)"/v;
+/** Number of spaces by which TAP output indents each level of subtests. */
 const INDENT_WIDTH = 4;
 
 /** Parses a list of known failures and returns the names of its tests; lines that begin with # are comments. */
@@ -46,7 +47,7 @@
 	});
 };
 
-/** Evaluates a test run by its exit code and TAP output. */
+/** Evaluates a test run by its exit code, its TAP output and the text of KNOWN-RED.txt. */
 export const evaluateTestRun = (exitCode: number, output: string, knownRed: string): TestRunVerdict => {
 	const knownNames = new Set(parseKnownFailures(knownRed));
 	const failures = findFailures(output).map(names => ({name: names.at(-1) ?? '', path: names.join(' > ')}));
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -20,11 +20,13 @@
 const FIRST_ARGUMENT_INDEX = 2;
 const CLIENT_COUNT = 16;
 const CLOSED_LOOP_MS = 4000;
+/** Rate in requests per second, and burst, of customers that a measurement must not limit. */
 const UNLIMITED_RATE = 1_000_000;
 const ROW_COUNT = 100;
 const OPEN_LOOP_MS = 10_000;
 /** Multiple of `FAIRNESS_RATE_FRACTION` of its rate at which the large customer sends. */
 const LARGE_CUSTOMER_FACTOR = 8;
+/** Number of connections of each customer. */
 const FAIRNESS_CONNECTIONS = 16;
 /** Fraction of their rates at which customers send, so that the targets are the bottleneck and not the machine. */
 const FAIRNESS_RATE_FRACTION = 0.1;
--- a/packages/bench/src/prove.ts
+++ b/packages/bench/src/prove.ts
@@ -12,6 +12,7 @@
 const FIRST_ARGUMENT_INDEX = 2;
 const DEFAULT_DURATION_MS = 7000;
 const MAX_SHOWN_VIOLATIONS = 3;
+/** Width of the column with the names of the failover phases, in characters. */
 const PHASE_WIDTH = 24;
 const PERCENTILES = [0.5, 0.9, 0.99] as const;
 
--- a/packages/bench/src/stack.ts
+++ b/packages/bench/src/stack.ts
@@ -98,6 +98,7 @@
 
 const getProgramPath = (name: string): string => path.join(path.dirname(require.resolve(`@guavapitch/${name}`)), 'main.js');
 
+/** First port, and number of ports, among which free ports are looked for. */
 const FIRST_PORT = 10_000;
 const PORT_RANGE = 20_000;
 /** Distance between the first ports of processes with consecutive identifiers, so that stacks in parallel processes rarely try the same ports. */
--- a/packages/bench/src/tests/fleet.test.ts
+++ b/packages/bench/src/tests/fleet.test.ts
@@ -181,7 +181,7 @@
 				return views[0]?.record.primary ?? '';
 			};
 
-			const leaving = await findPrimary();
+			const leavingTarget = await findPrimary();
 			let isLoadRunning = true;
 			const loadSessions = Array.from({length: 6}, (_, index) => insertRows(`planned${index}`, {isRunning: () => isLoadRunning}));
 			await wait(300);
@@ -189,11 +189,11 @@
 				...inventory,
 				databases: Object.fromEntries(Object.entries(inventory.databases).map(([name, settings]) => [name, name === database
 					? {
-						...settings, targets: settings.targets.map(target => target.name === leaving ? {...target, leaving: true} : target),
+						...settings, targets: settings.targets.map(target => target.name === leavingTarget ? {...target, leaving: true} : target),
 					}
 					: settings])),
 			}));
-			await waitFor('another primary', async () => await findPrimary() !== leaving, PROPAGATION_TIMEOUT_MS);
+			await waitFor('another primary', async () => await findPrimary() !== leavingTarget, PROPAGATION_TIMEOUT_MS);
 			await wait(300);
 			isLoadRunning = false;
 			await Promise.all(loadSessions.map(async loadSession => loadSession.finished));
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -9,6 +9,7 @@
 /** Options of a workload. */
 export type WorkloadOptions = Readonly<{
 	service: string;
+	/** Second service of the database; no operation uses it. */
 	browseService: string;
 	sessionCount: number;
 	accountCount: number;
@@ -27,6 +28,7 @@
 }>;
 
 const RECONNECT_DELAY_MS = 50;
+/** Probability that a session switches to another proxy after an operation. */
 const PROXY_SWITCH_PROBABILITY = 0.1;
 
 /** Connects to a proxy with the key of a customer. */
--- a/packages/emulator/src/table.ts
+++ b/packages/emulator/src/table.ts
@@ -27,6 +27,7 @@
 
 /** Length of a time window, in milliseconds; a load is judged by its worst two seconds. */
 export const WINDOW_MS = 2000;
+/** Widths of the columns, in characters. */
 const CELL_WIDTH = 9;
 const LABEL_WIDTH = 26;
 /** Smallest latency by which a ratio is divided, in milliseconds; avoids a division by zero. */
--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -17,6 +17,7 @@
 type CancelRegistry = Map<number, Readonly<{secret: number; cancel: () => void}>>;
 
 const AUTHENTICATION_OK = createMessage('R', encodeInt32(0));
+/** Exclusive upper bound of the process identifier and the secret of a session, which are sent as signed 32-bit integers. */
 const MAX_SECRET = 2_147_483_647;
 const PARAMETER_STATUS: Readonly<Record<string, string>> = {
 	server_version: '15.0 (guavapitch stand-in)', server_encoding: 'UTF8', client_encoding: 'UTF8', DateStyle: 'ISO, MDY', standard_conforming_strings: 'on',
--- a/packages/standin/src/engine.ts
+++ b/packages/standin/src/engine.ts
@@ -23,7 +23,7 @@
 	changes: readonly Change[];
 }>;
 
-/** Stored table. */
+/** Stored table, with its rows by identifier. */
 export type Table = Readonly<{columns: readonly Column[]; rows: Map<string, Row>}>;
 
 /** Transaction in progress, with its changes and the keys that it has locked. */
--- a/packages/standin/src/platform-faults.ts
+++ b/packages/standin/src/platform-faults.ts
@@ -68,9 +68,9 @@
 			}
 		},
 		admitCall(kind) {
-			const now = Math.floor(runtime.now() / MS_PER_SECOND);
-			if (now !== currentSecond) {
-				currentSecond = now;
+			const second = Math.floor(runtime.now() / MS_PER_SECOND);
+			if (second !== currentSecond) {
+				currentSecond = second;
 				callCounts = {writes: 0, reads: 0};
 			}
 
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -19,6 +19,7 @@
 /** Peer name with which a fault partitions a replica from its primary. */
 const UPSTREAM_PEER = 'upstream';
 const RETRY_DELAY_MS = 100;
+/** Maximum number of log records in one message to a replica. */
 const MAX_BATCH_RECORDS = 500;
 
 const encodeJson = (value: unknown): Buffer => createMessage('d', Buffer.from(JSON.stringify(value))).bytes;
--- a/packages/standin/src/target.ts
+++ b/packages/standin/src/target.ts
@@ -62,6 +62,7 @@
 
 const HEX_RADIX = 16;
 const UINT32_RANGE = 4_294_967_296;
+/** Maximum number of rows of `generate_series`; further rows are left out. */
 const MAX_SERIES_ROWS = 10_000_000;
 
 /** Formats a log position in the format of PostgreSQL, such as `0/1000000`. */
