--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -6,6 +6,7 @@
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
+import type {Appointments} from './appointments.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
@@ -20,7 +21,7 @@
 
 /** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
 export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
+	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
 	target: string;
@@ -37,6 +38,7 @@
 	database: DatabaseId;
 	dial: DialTarget;
 	readStatus: ReadStatus;
+	appointments: Appointments;
 	/** Returns how many connections this owner may open to each target. */
 	getConnectionLimit: () => number;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
@@ -71,8 +73,11 @@
 /** All components of a database owner, which the failover coordinator uses too. */
 export type DatabaseOwnerComponents = SharedComponents & Readonly<{transactions: Transactions}>;
 
-/** Result of asking a target whether it leads: `follows` if it replied without proving that it leads, `refused` if no connection could be opened, `undefined` if it did not respond. */
-export type PingResult = 'leads' | 'follows' | 'refused' | undefined;
+/** Result of asking a target whether it leads: `follows` if it replied that it does not, `unclear` if its reply tells neither, `refused` if no connection could be opened, `undefined` if it did not respond. */
+export type PingResult = 'leads' | 'follows' | 'unclear' | 'refused' | undefined;
+
+/** Tells whether a ping got a reply, whatever it says. */
+export const isPingAnswered = (result: PingResult): boolean => result !== undefined && result !== 'refused';
 
 /** Owner of one database: the vm through which its statements run. */
 export type DatabaseOwner = Readonly<{
@@ -82,6 +87,8 @@
 	rollBack: (transaction: string) => void;
 	/** Replaces the list of targets; connections to targets that left or restarted are closed. */
 	setTargets: (targets: readonly Target[]) => void;
+	/** Applies a changed appointment. */
+	refreshLeader: () => void;
 	/** Asks a target whether it leads, over an idle connection and, if that gets no response, over a new one; each attempt may take the time that is left now until the deadline. */
 	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
 	/** Queries the status of a target, after running `precedingCommand` if given; `undefined` if it does not respond or refuses that command. */
@@ -93,6 +100,9 @@
 	components: DatabaseOwnerComponents;
 }>;
 
+/** How a ping is sent: over a new connection, and with a proof confirmed by the store if this vm has no authority of its own. */
+type PingOptions = Readonly<{mustDial: boolean; mustConfirm: boolean}>;
+
 /** Timeout of a ping; short, as a ping occupies no slot of the target. */
 const PING_TIMEOUT_MS = 400;
 /** Time before the end of a leaving target's drain time from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
@@ -112,7 +122,8 @@
 	const scheduler = createSlotScheduler(runtime);
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
-	const leaderTracker = createLeaderTracker(leader => {
+	const {appointments} = context;
+	const leaderTracker = createLeaderTracker(appointments.getAppointed, leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'this target most recently became leader; an empty target means that none leads', ageMs: 0,
 		});
@@ -121,8 +132,7 @@
 	const healthTracker = createHealthTracker({
 		runtime,
 		async probe(id) {
-			const result = await pingWithRedial(id, PROBE_TIMEOUT_MS);
-			return result === 'leads' || result === 'follows';
+			return isPingAnswered(await pingWithRedial(id, PROBE_TIMEOUT_MS));
 		},
 		onChange(target, isUp, reason) {
 			context.onDecision({
@@ -155,10 +165,11 @@
 		return idleHandle ? Ok(idleHandle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
-	/** Asks a target whether it leads by beginning a write transaction, which only a leader accepts and which needs no slot; rolls it back at once. */
-	const ping = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<PingResult> => {
+	/** Asks a target whether it leads by beginning a write transaction, which a replica refuses and which needs no slot; rolls it back at once. Its position is recorded if the proof that it leads is certain, or confirmed when `mustConfirm` is set. */
+	const ping = async (id: TargetId, deadline: Deadline, {mustDial, mustConfirm}: PingOptions): Promise<PingResult> => {
 		const pingDeadline = Math.min(deadline, createDeadline(runtime.now(), PING_TIMEOUT_MS)) as Deadline;
 		const sentAt = readSuspensionClock();
+		const proof = appointments.startProof(id);
 		const acquired = await acquireConnection(id, pingDeadline, mustDial);
 		if (!acquired?.ok) {
 			return acquired && acquired.val.code !== 'silent' ? 'refused' : undefined;
@@ -174,27 +185,31 @@
 
 		healthTracker.recordResponse(id);
 		if (beginReply.result.kind === 'done' && beginReply.position) {
-			positionHistory.record(sentAt, beginReply.position);
 			leaderTracker.markLeading(id, runtime.now());
+			if (mustConfirm ? await proof.confirm() : proof.isCertain()) {
+				positionHistory.record(sentAt, beginReply.position);
+			}
+
 			return 'leads';
 		}
 
 		if (beginReply.result.kind === 'error' && beginReply.result.code === 'readOnly') {
 			leaderTracker.markFollowing(id, runtime.now());
+			return 'follows';
 		}
 
-		return 'follows';
+		return 'unclear';
 	};
 
 	/** Pings on an idle connection and then on a new one, as an idle connection may have died without a TCP reset. */
 	const pingWithRedial = async (id: TargetId, timeoutMs: number): Promise<PingResult> => {
-		const idleResult = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(runtime.now(), timeoutMs)) : undefined;
-		return idleResult ?? ping(id, createDeadline(runtime.now(), timeoutMs), true);
+		const idleResult = connections.get(id)?.hasIdle() ? await ping(id, createDeadline(runtime.now(), timeoutMs), {mustDial: false, mustConfirm: false}) : undefined;
+		return idleResult ?? ping(id, createDeadline(runtime.now(), timeoutMs), {mustDial: true, mustConfirm: false});
 	};
 
 	const verifyLeader = createSingleFlight(async (): Promise<boolean> => {
-		const leader = leaderTracker.getLeader();
-		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS)) === 'leads';
+		const leader = leaderTracker.getLeader() ?? appointments.getAppointed();
+		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS), {mustDial: false, mustConfirm: true}) === 'leads';
 	});
 
 	const sharedComponents: SharedComponents = {
@@ -271,6 +286,7 @@
 			leaderTracker.applyRegistry(newTargets, runtime.now());
 			scheduler.setTargets(newTargets);
 		},
+		refreshLeader: leaderTracker.refresh,
 		ping: async (id, deadline) => pingWithRedial(id, deadline - runtime.now()),
 		async queryStatus(id, deadline, precedingCommand) {
 			const acquired = await acquireConnection(id, deadline);
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -4,7 +4,7 @@
 	createDeadline, isPast, type DatabaseId, type Instant, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {comparePositions} from '@guavapitch/sessions';
-import type {DatabaseOwner} from './database-owner.js';
+import {isPingAnswered, type DatabaseOwner} from './database-owner.js';
 import type {Command, Target, TargetStatus} from './targets.js';
 
 /** Outcome of a request to promote a target. */
@@ -16,9 +16,9 @@
 	/** The request got no response; it may still be carried out. */
 		| 'unknown';
 
-/** A step in a change of primary, for the logs and metrics; `ordered` tells that a promotion is requested. */
+/** A step in a change of primary, for the logs and metrics; `appointed` tells that the present primary was recorded, `ordered` that a promotion is requested. */
 export type FailoverCoordinatorEvent = Readonly<{
-	kind: 'suspected' | 'started' | 'ordered' | 'finished' | 'failed';
+	kind: 'started' | 'appointed' | 'ordered' | 'finished' | 'failed';
 	target: string;
 	reason: string;
 	/** Time since the change of primary began or, for `started`, since the primary last responded, in milliseconds; 0 where neither applies. */
@@ -32,8 +32,8 @@
 	owner: DatabaseOwner;
 	/** Tells whether this vm is confirmed to hold the coordinator role now. */
 	isCoordinator: () => boolean;
-	/** Draws a fencing token higher than all before; `undefined` if the store does not respond or the role is lost. */
-	drawFencingToken: () => Promise<number | undefined>;
+	/** Draws a fencing token higher than all before, and records in the store that the target is appointed primary under it; `undefined` if the store does not respond or the role is lost. */
+	drawFencingToken: (appointed: TargetId) => Promise<number | undefined>;
 	/** Requests the promotion of a target to primary. */
 	requestPromotion: (target: TargetId, fencingToken: number) => Promise<PromotionOutcome>;
 	/** Asks other vms whether any of them reaches a target that this vm does not reach. */
@@ -57,6 +57,8 @@
 const STATUS_TIMEOUT_MS = 300;
 /** How long a target may take to prove that it leads after the request: several times the duration of a promotion. */
 const PROMOTION_TIMEOUT_MS = 3000;
+/** Number of orders to one target, where late orders are not fenced, before another one is tried. */
+const MAX_UNFENCED_ORDERS = 3;
 /** How long writes are paused, at most, for a replica to catch up before a planned change of primary. */
 const SWITCHOVER_TIMEOUT_MS = 1500;
 const SWITCHOVER_CHECK_INTERVAL_MS = 20;
@@ -79,7 +81,7 @@
 	|| Number(a.target.isDraining) - Number(b.target.isDraining)
 	|| (a.target.id < b.target.id ? -1 : 1));
 
-/** Waits until a target proves that it leads; `false` if it does not in time. */
+/** Waits until a target says that it leads; `false` if it does not in time. */
 const waitUntilLeading = async (context: FailoverCoordinatorContext, target: TargetId): Promise<boolean> => {
 	const {runtime, owner} = context;
 	const deadline = createDeadline(runtime.now(), PROMOTION_TIMEOUT_MS);
@@ -115,10 +117,64 @@
 	return [];
 };
 
+/** Appoints a target and orders its promotion; `undefined` if the order could not be sent, as this vm may have lost its role. */
+const orderPromotion = async (context: FailoverCoordinatorContext, {id}: Target, reason: string, startedAt: Instant): Promise<PromotionOutcome | undefined> => {
+	const fencingToken = await context.drawFencingToken(id);
+	// Drawing the token may have taken until after the end of the authority under which it was drawn.
+	if (fencingToken === undefined || !context.isCoordinator()) {
+		context.onEvent({
+			kind: 'failed', target: id, reason: 'no fencing token, because the store did not respond or the role was lost; no replica promoted', ageMs: context.runtime.now() - startedAt,
+		});
+		return undefined;
+	}
+
+	context.onEvent({
+		kind: 'ordered', target: id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.runtime.now() - startedAt,
+	});
+	return context.requestPromotion(id, fencingToken);
+};
+
+/**
+ * Orders the promotion of a target until it leads or the order is refused; `undefined` if an order could not be sent.
+ * Where nothing checks the token of an order that is executed late, an order without a response is sent again to the same target,
+ * as another target would be replaced by the late one.
+ */
+const promoteTarget = async (context: FailoverCoordinatorContext, target: Target, reason: string, startedAt: Instant): Promise<boolean | undefined> => {
+	const maxOrders = context.owner.components.context.appointments.isDecisive ? MAX_UNFENCED_ORDERS : 1;
+	for (let order = 0; order < maxOrders; order++) {
+		const outcome = await orderPromotion(context, target, reason, startedAt);
+		if (outcome === undefined) {
+			return undefined;
+		}
+
+		if (outcome === 'refused') {
+			return false;
+		}
+
+		if (await waitUntilLeading(context, target.id)) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
+/** Makes a replaced primary a replica if it can be reached, where it would otherwise go on leading for a while. */
+const stepDown = async (context: FailoverCoordinatorContext, replaced: Target): Promise<void> => {
+	const {owner} = context;
+	const term = owner.components.positionHistory.getLatest()?.term;
+	if (owner.components.context.appointments.isDecisive && term !== undefined && owner.components.leaderTracker.getLeader() !== replaced.id) {
+		await queryStatuses(context, [replaced], {kind: 'stepDown', term});
+	}
+};
+
 /** Promotes the replicas one after another until one leads; `false` if none does. With synchronous replication, only the first is tried. */
 const promoteBestReplica = async (context: FailoverCoordinatorContext, replicas: readonly Target[], reason: string): Promise<boolean> => {
 	const startedAt = context.runtime.now();
-	const reports = await queryReplicas(context, replicas);
+	const appointed = context.owner.components.context.appointments.getAppointed();
+	const ranked = await queryReplicas(context, replicas);
+	// An earlier order for the appointed target may still be executed, so that target goes first.
+	const reports = context.owner.components.leaderTracker.getLeader() === undefined ? ranked.toSorted((a, b) => Number(b.target.id === appointed) - Number(a.target.id === appointed)) : ranked;
 	if (reports.length === 0) {
 		context.onEvent({
 			kind: 'failed', target: '', reason: `${reason}; no replica promoted because ${context.isSynchronouslyReplicated() ? 'at least one replica does' : 'the replicas do'} not respond`, ageMs: 0,
@@ -127,19 +183,12 @@
 	}
 
 	for (const {target} of reports) {
-		const fencingToken = await context.drawFencingToken();
-		if (fencingToken === undefined) {
-			context.onEvent({
-				kind: 'failed', target: target.id, reason: 'no fencing token, because the store did not respond or the role was lost; no replica promoted', ageMs: context.runtime.now() - startedAt,
-			});
+		const isPromoted = await promoteTarget(context, target, reason, startedAt);
+		if (isPromoted === undefined) {
 			return false;
 		}
 
-		context.onEvent({
-			kind: 'ordered', target: target.id, reason: `${reason}; fencing token ${fencingToken}`, ageMs: context.runtime.now() - startedAt,
-		});
-		const outcome = await context.requestPromotion(target.id, fencingToken);
-		if (outcome !== 'refused' && await waitUntilLeading(context, target.id)) {
+		if (isPromoted) {
 			context.onEvent({
 				kind: 'finished', target: target.id, reason, ageMs: context.runtime.now() - startedAt,
 			});
@@ -206,7 +255,12 @@
 			await runtime.sleep(SWITCHOVER_CHECK_INTERVAL_MS);
 		}
 
-		return await promoteBestReplica(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
+		const isReplaced = await promoteBestReplica(context, context.isSynchronouslyReplicated() ? listReplicas(context, leader.id) : replicas, 'the primary is leaving');
+		if (isReplaced) {
+			await stepDown(context, leader);
+		}
+
+		return isReplaced;
 	} finally {
 		owner.pauseWrites(false);
 	}
@@ -220,7 +274,12 @@
 	const now = runtime.now();
 	if (leader === undefined || !owner.components.getTarget(leader)) {
 		state.leaderlessSince ??= now;
-		return now - state.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
+		const appointed = owner.components.context.appointments.getAppointed();
+		if (appointed !== undefined && owner.components.getTarget(appointed) && await owner.ping(appointed, createDeadline(now, PING_AFTER_MS)) === 'leads') {
+			return undefined;
+		}
+
+		return runtime.now() - state.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
 	}
 
 	state.leaderlessSince = undefined;
@@ -232,7 +291,7 @@
 	}
 
 	const pingResult = await owner.ping(leader, createDeadline(now, PING_AFTER_MS));
-	if (pingResult === 'leads' || pingResult === 'follows') {
+	if (isPingAnswered(pingResult)) {
 		state.refusingSince = undefined;
 		return undefined;
 	}
@@ -246,6 +305,18 @@
 	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary does not respond' : undefined;
 };
 
+/** Records which target leads if no appointment is known, as at the first start of a fleet: the primary of the highest term. */
+const appointPresentLeader = async (context: FailoverCoordinatorContext): Promise<void> => {
+	const reports = await queryStatuses(context, context.owner.components.listTargets());
+	const [leader] = reports.filter(({status}) => status.role === 'primary').toSorted((a, b) => b.status.term - a.status.term);
+	if (leader && context.isCoordinator()) {
+		const fencingToken = await context.drawFencingToken(leader.target.id);
+		context.onEvent({
+			kind: fencingToken === undefined ? 'failed' : 'appointed', target: leader.target.id, reason: 'no appointment was recorded', ageMs: 0,
+		});
+	}
+};
+
 /** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
 	const {runtime, owner} = context;
@@ -258,6 +329,11 @@
 			continue;
 		}
 
+		const {appointments} = owner.components.context;
+		if (appointments.isDecisive && appointments.getAppointed() === undefined) {
+			await appointPresentLeader(context);
+		}
+
 		const leader = owner.components.leaderTracker.getLeader();
 		const leaderTarget = leader === undefined ? undefined : owner.components.getTarget(leader);
 		if (leaderTarget?.isDraining && await switchOver(context, leaderTarget, state)) {
@@ -271,7 +347,11 @@
 			});
 			const replicas = listReplicas(context, leader);
 			const stayingReplicas = replicas.filter(({isDraining}) => !isDraining);
-			await promoteBestReplica(context, stayingReplicas.length > 0 && !context.isSynchronouslyReplicated() ? stayingReplicas : replicas, reason);
+			const isReplaced = await promoteBestReplica(context, stayingReplicas.length > 0 && !context.isSynchronouslyReplicated() ? stayingReplicas : replicas, reason);
+			if (isReplaced && leaderTarget) {
+				await stepDown(context, leaderTarget);
+			}
+
 			state.refusingSince = undefined;
 			state.leaderlessSince = undefined;
 			state.watchedSince = undefined;
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -1,4 +1,5 @@
 export type * from './targets.js';
+export * from './appointments.js';
 export * from './position-history.js';
 export * from './connections.js';
 export * from './slot-scheduler.js';
--- a/packages/database-owners/src/leader-tracker.ts
+++ b/packages/database-owners/src/leader-tracker.ts
@@ -11,7 +11,9 @@
 	markLeading: (target: TargetId, now: Instant) => void;
 	/** Records that a target has reported that it does not lead. */
 	markFollowing: (target: TargetId, now: Instant) => void;
-	/** Returns the target that leads: if several appear to, the one that was first seen leading most recently. */
+	/** Applies a changed appointment. */
+	refresh: () => void;
+	/** Returns the target that leads: the appointed one if it was seen leading, and without an appointment the one that was first seen leading most recently. */
 	getLeader: () => TargetId | undefined;
 }>;
 
@@ -20,22 +22,29 @@
 
 type RegistryEntry = Readonly<{role: string; startedAtMs: number}>;
 
-/** Creates a tracker without a known leader. */
-export const createLeaderTracker = (onChange: (leader: TargetId | undefined) => void): LeaderTracker => {
+/** Creates a tracker without a known leader. If `getAppointed` returns a target, no other one can lead. */
+export const createLeaderTracker = (getAppointed: () => TargetId | undefined, onChange: (leader: TargetId | undefined) => void): LeaderTracker => {
 	const evidenceByTarget = new Map<TargetId, Evidence>();
 	const registryEntries = new Map<TargetId, RegistryEntry>();
 	let leader: TargetId | undefined;
 
-	const chooseLeader = () => {
-		let chosen: TargetId | undefined;
+	const findLatestLeading = (): TargetId | undefined => {
+		let latest: TargetId | undefined;
 		let latestSince = Number.NEGATIVE_INFINITY;
 		for (const [id, {isLeading, since}] of evidenceByTarget) {
 			if (isLeading && since > latestSince) {
-				chosen = id;
+				latest = id;
 				latestSince = since;
 			}
 		}
 
+		return latest;
+	};
+
+	const chooseLeader = () => {
+		const appointed = getAppointed();
+		const leadingAppointed = appointed !== undefined && evidenceByTarget.get(appointed)?.isLeading ? appointed : undefined;
+		const chosen = appointed === undefined ? findLatestLeading() : leadingAppointed;
 		if (chosen !== leader) {
 			leader = chosen;
 			onChange(leader);
@@ -75,6 +84,7 @@
 		markFollowing(target, now) {
 			recordEvidence(target, false, now);
 		},
+		refresh: chooseLeader,
 		getLeader: () => leader,
 	};
 };
--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -14,12 +14,15 @@
 	outcome, status, position: undefined, target: undefined, waitedMs,
 });
 
+/** Why a statement has not run, or is a read that must run again: an error code of the target, a lost reply, or a target that may have been replaced before it replied. */
+export type NotRunCode = TargetErrorCode | 'lost' | 'replaced';
+
 /** What the execution of a statement means for its request. */
 export type Verdict
 	/** The outcome is final. */
 	= | Readonly<{kind: 'final'; outcome: StatementOutcome; reply: Reply | undefined}>
 	/** The statement has not run, or is a read: it may be retried on another target or later. */
-		| Readonly<{kind: 'notRun'; code: TargetErrorCode | 'lost'}>;
+		| Readonly<{kind: 'notRun'; code: NotRunCode}>;
 
 /** Error codes of targets that guarantee that the statement has not run. */
 const NOT_RUN_CODES: ReadonlySet<TargetErrorCode> = new Set(['busy', 'noStatement', 'lagging', 'readOnly', 'misrouted', 'tooMany']);
@@ -54,7 +57,7 @@
 };
 
 /** Updates the health and the role of a target after a reply; `code` is `lost` if there was none. */
-export const recordReply = (components: SharedComponents, target: TargetId, code: TargetErrorCode | 'lost' | undefined): void => {
+export const recordReply = (components: SharedComponents, target: TargetId, code: NotRunCode | undefined): void => {
 	if (code === 'lost') {
 		components.healthTracker.markSuspect(target, 'a statement got no reply');
 	} else if (code === 'lagging') {
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -1,7 +1,7 @@
 /** Runs statements outside a transaction. */
 
 import {
-	createDeadline, Err, isPast, type Deadline, type Failure, type Result, type TargetId,
+	createDeadline, Err, isPast, type Deadline, type Failure, type Instant, type Result, type TargetId,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementOutcome, type StatementResponse, type StatementRequest,
@@ -9,6 +9,7 @@
 import {
 	createResponse, createBusyRefusal, evaluateReply, recordDialFailure, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
+import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
 import type {DatabaseOwnerComponents, SharedComponents} from './database-owner.js';
 import {
@@ -36,57 +37,75 @@
 type Attempt = Readonly<{
 	request: StatementRequest;
 	plan: Plan;
-	target: TargetId;
 	handle: ConnectionHandle;
 	deadline: Deadline;
 }>;
 
+/** Result of an attempt; `sentAt` is when the statement was sent. */
+type AttemptResult = Readonly<{verdict: Verdict; sentAt: Instant}>;
+
 /** Runs a read that needs the latest state, in a write transaction, which only a leader accepts. */
-const runVerifiedRead = async (components: DatabaseOwnerComponents, {
-	request, target, handle, deadline,
-}: Attempt): Promise<Verdict> => {
+const runVerifiedRead = async (components: DatabaseOwnerComponents, {request, handle, deadline}: Attempt): Promise<AttemptResult> => {
 	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
+	const begunAt = components.context.readSuspensionClock();
 	const beginExecution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
 	const beginReply = beginExecution.replies[commands.length];
 	if (!beginReply || beginReply.result.kind === 'error') {
 		handle.release(beginExecution.ended === 'no' && beginReply?.status === 'idle');
 		const code = beginReply?.result.kind === 'error' ? beginReply.result.code : 'lost';
-		return {kind: 'notRun', code};
+		return {verdict: {kind: 'notRun', code}, sentAt: begunAt};
 	}
 
 	const sentAt = components.context.readSuspensionClock();
 	const execution = await handle.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
 	const verdict = evaluateReply(execution, 0, request);
-	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply) {
-		recordVerifiedPosition(components, target, verdict.reply, sentAt);
-	}
-
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
 		handle.discardPrepared();
 	}
 
 	handle.release(execution.ended === 'no' && execution.replies[1]?.status === 'idle');
-	return verdict;
+	return {verdict, sentAt};
 };
 
 /** Runs a statement without a transaction. */
 const runStatement = async (components: DatabaseOwnerComponents, {
-	request, plan, target, handle, deadline,
-}: Attempt): Promise<Verdict> => {
+	request, plan, handle, deadline,
+}: Attempt): Promise<AttemptResult> => {
 	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
 	const sentAt = components.context.readSuspensionClock();
 	const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
 	const verdict = evaluateReply(execution, commands.length, request);
-	if (verdict.kind === 'final' && verdict.outcome.kind === 'done' && verdict.reply && plan.kind === 'leader') {
-		recordVerifiedPosition(components, target, verdict.reply, sentAt);
-	}
-
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
 		handle.discardPrepared();
 	}
 
 	handle.release(execution.ended === 'no' && execution.replies.at(-1)?.status === 'idle');
-	return verdict;
+	return {verdict, sentAt};
+};
+
+/** A statement that has run on a target, with the proof that the target led; `undefined` if it may run anywhere. */
+type ProvableAttempt = AttemptResult & Readonly<{request: StatementRequest; target: TargetId; proof: LeadProof | undefined}>;
+
+/** Withholds success from a statement whose target may have been replaced before it replied: a write may be lost with that target's log, a read may lack acknowledged writes. */
+const checkProof = async (components: SharedComponents, {
+	verdict, sentAt, request, target, proof,
+}: ProvableAttempt): Promise<Verdict> => {
+	if (!proof || verdict.kind !== 'final' || verdict.outcome.kind !== 'done' || !verdict.reply) {
+		return verdict;
+	}
+
+	if (await proof.confirm()) {
+		recordVerifiedPosition(components, target, verdict.reply, sentAt);
+		return verdict;
+	}
+
+	const reason = 'the target may have been replaced before it replied';
+	components.context.onDecision({
+		kind: 'unproven', requestId: request.id, customer: request.customer, target, reason, ageMs: components.context.readSuspensionClock() - sentAt,
+	});
+	return getAccess(request.statement) === 'read'
+		? {kind: 'notRun', code: 'replaced'}
+		: {kind: 'final', outcome: {kind: 'unknown', reason}, reply: undefined};
 };
 
 const hasNoLeader = (components: SharedComponents, plan: Plan): boolean => plan.kind === 'leader' && components.leaderTracker.getLeader() === undefined;
@@ -100,11 +119,19 @@
 	);
 };
 
-/** Failure to take a connection to a target: it could not be opened, or the target has left or accepts no new work. */
-export type TakeFailure = DialFailure | Failure<'notRegistered' | 'leaving'>;
+/** Creates the refusal of a statement that needs the leader while its success could not be proved; `undefined` if the plan may be carried out. */
+export const createUnprovableRefusal = (components: SharedComponents, plan: Plan): StatementOutcome | undefined => plan.kind === 'leader' && !components.context.appointments.canConfirm()
+	? createBusyRefusal('the store does not confirm which target leads', LEADER_RETRY_AFTER_MS)
+	: undefined;
+
+/** Failure to take a connection to a target: it could not be opened, or the target has left, accepts no new work, or no longer leads although the plan needs the leader. */
+export type TakeFailure = DialFailure | Failure<'notRegistered' | 'leaving' | 'notLeading'>;
+
+/** A request that was placed on a target. */
+export type Placement = Readonly<{plan: Plan; target: TargetId; request: StatementRequest; deadline: Deadline}>;
 
 /** Takes a connection on which a statement or a transaction may begin. Nothing has run if that fails. */
-export const takeConnection = async (components: SharedComponents, target: TargetId, request: StatementRequest, deadline: Deadline): Promise<Result<ConnectionHandle, TakeFailure>> => {
+export const takeConnection = async (components: SharedComponents, {plan, target, request, deadline}: Placement): Promise<Result<ConnectionHandle, TakeFailure>> => {
 	const handle = await components.getConnections(target)?.acquire(request.customer, request.values, deadline);
 	if (!handle) {
 		return Err({code: 'notRegistered', message: 'the target is no longer registered'});
@@ -121,6 +148,11 @@
 		return Err({code: 'leaving', message: 'the target is leaving and accepts no new work'});
 	}
 
+	if (plan.kind === 'leader' && components.leaderTracker.getLeader() !== target) {
+		handle.val.release(true);
+		return Err({code: 'notLeading', message: 'the target no longer leads'});
+	}
+
 	return handle;
 };
 
@@ -139,6 +171,11 @@
 			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), runtime.now() - arrivedAt);
 		}
 
+		const refusal = createUnprovableRefusal(components, plan);
+		if (refusal) {
+			return createResponse(refusal, runtime.now() - arrivedAt);
+		}
+
 		const slot = await scheduler.acquire({
 			customer: request.customer,
 			priority: request.priority,
@@ -152,7 +189,9 @@
 		}
 
 		const {target, release} = slot.val;
-		const handle = await takeConnection(components, target, request, deadline);
+		const handle = await takeConnection(components, {
+			plan, target, request, deadline,
+		});
 		if (handle.err) {
 			release();
 			triedTargets.add(target);
@@ -167,12 +206,16 @@
 		const runAttempt = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
-		const verdict = await runAttempt(components, {
-			request, plan, target, handle: handle.val, deadline,
+		const proof = plan.kind === 'leader' ? context.appointments.startProof(target) : undefined;
+		const result = await runAttempt(components, {
+			request, plan, handle: handle.val, deadline,
 		});
 		unsubscribe?.();
 		components.healthTracker.recordStatementEnded(target);
 		release(runtime.now() - startedAt);
+		const verdict = await checkProof(components, {
+			...result, request, target, proof,
+		});
 		if (verdict.kind === 'final') {
 			recordReply(components, target, verdict.reply ? undefined : 'lost');
 			return {
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -41,7 +41,9 @@
 		| Readonly<{kind: 'status'}>
 		/** Stops a replica from receiving the log until it is promoted or resumed; `term` is higher than every known one. */
 		| Readonly<{kind: 'pause'; term: number}>
-		| Readonly<{kind: 'resume'}>;
+		| Readonly<{kind: 'resume'}>
+		/** Makes a primary of a term below `term` a replica. */
+		| Readonly<{kind: 'stepDown'; term: number}>;
 
 /** Why a target refused a command or failed to run it. */
 export type TargetErrorCode = 'busy' | 'noStatement' | 'lagging' | 'readOnly' | 'failed' | 'timeout' | 'misrouted' | 'tooMany' | 'malformed' | 'other';
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -3,19 +3,21 @@
 import {
 	createSuspensionClock, Ok, brandId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
+import {SELF_FENCING_APPOINTMENTS, type Appointments} from '../appointments.js';
 import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
 import {
 	createFakeDial, DATABASE, readFakeStatus, type FakeTarget,
 } from './fake-targets.js';
 
 /** Creates a database owner whose registry lists the given targets. */
-export const createFakeOwner = (targets: readonly FakeTarget[], runtime: Runtime): DatabaseOwner => {
+export const createFakeOwner = (targets: readonly FakeTarget[], runtime: Runtime, appointments: Appointments = SELF_FENCING_APPOINTMENTS): DatabaseOwner => {
 	const owner = createDatabaseOwner({
 		runtime,
 		readSuspensionClock: createSuspensionClock(runtime),
 		database: DATABASE,
 		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
+		appointments,
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => brandId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -141,6 +141,14 @@
 				return createDoneReply();
 			}
 
+			case 'stepDown': {
+				if (target.position.term < command.term) {
+					target.role = 'replica';
+				}
+
+				return createDoneReply();
+			}
+
 			default: {
 				return createDoneReply();
 			}
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -1,20 +1,23 @@
 /** Open transactions of a database owner, each on a connection of its own. */
 
 import {
-	createDeadline, isPast, type Deadline, type TargetId,
+	createDeadline, isPast, type Deadline, type Instant, type TargetId,
 } from '@guavapitch/core';
 import {
-	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
+	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, recordReply, recordVerifiedPosition,
+	createResponse, createBusyRefusal, evaluateReply, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
+import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
 import type {SharedComponents} from './database-owner.js';
 import {
 	chooseTarget, computeSlotDeadline, createPlan, type Plan,
 } from './plans.js';
-import {createSlotRefusal, createStatementCommand, takeConnection} from './single-statements.js';
+import {
+	createSlotRefusal, createStatementCommand, createUnprovableRefusal, takeConnection,
+} from './single-statements.js';
 import type {Slot} from './slot-scheduler.js';
 
 /** Open transactions of a database owner. */
@@ -31,8 +34,10 @@
 type OpenTransaction = {
 	readonly target: TargetId;
 	readonly handle: ConnectionHandle;
-	/** Whether it was begun on the leader and may therefore write. */
-	readonly isAtLeader: boolean;
+	/** Proof that its target has led since it was begun; `undefined` if it is read-only and may run anywhere. */
+	readonly leadProof: LeadProof | undefined;
+	/** Whether a write was sent in it. */
+	hasWritten: boolean;
 	/** Cancels the timer that enforces the idle limit. */
 	cancelIdleTimer: () => void;
 	isBusy: boolean;
@@ -55,6 +60,20 @@
 
 const createAbortedRefusal = (reason: string): StatementOutcome => createRefusal('aborted', reason);
 
+/** Describes the outcome of a statement that did not succeed, and the status of its transaction. Unless a commit may have run, the transaction has no effect: its connection is rolled back or closed. */
+const describeUnfinished = (verdict: Verdict, isCommit: boolean): readonly [outcome: StatementOutcome, status: StatementResponse['status']] => {
+	if (verdict.kind === 'notRun') {
+		return [createAbortedRefusal(`the target did not run the statement: ${verdict.code}`), 'failed'];
+	}
+
+	const {outcome} = verdict;
+	if (!isCommit) {
+		return [createAbortedRefusal('reason' in outcome ? outcome.reason : ''), 'failed'];
+	}
+
+	return [outcome.kind === 'timeout' ? {kind: 'unknown', reason: outcome.reason} : outcome, 'idle'];
+};
+
 /** Creates an empty set of open transactions. */
 export const createTransactions = (components: SharedComponents): Transactions => {
 	const {context, scheduler} = components;
@@ -93,6 +112,12 @@
 		rollBack(id);
 	});
 
+	const reportUnproven = (request: StatementRequest, target: TargetId, ageMs: number) => {
+		context.onDecision({
+			kind: 'unproven', requestId: request.id, customer: request.customer, target, reason: 'the target may have been replaced before it replied', ageMs,
+		});
+	};
+
 	/** Acquires a slot on the target of a transaction. */
 	const acquirePinnedSlot = async (request: StatementRequest, transaction: OpenTransaction, deadline: Deadline) => scheduler.acquire({
 		customer: request.customer,
@@ -103,6 +128,16 @@
 		chooseTarget: freeTargets => freeTargets.find(load => load.id === transaction.target)?.id,
 	});
 
+	/** Resolves to whether a commit that a target confirmed may be acknowledged: it wrote nothing, or the target has led all along. */
+	const isCommitProven = async (transaction: OpenTransaction, request: StatementRequest, startedAt: Instant): Promise<boolean> => {
+		if (!transaction.hasWritten || !transaction.leadProof || await transaction.leadProof.confirm()) {
+			return true;
+		}
+
+		reportUnproven(request, transaction.target, runtime.now() - startedAt);
+		return false;
+	};
+
 	/** Runs a statement of an open transaction in an acquired slot; `again` if it has not run and can be retried. */
 	const runInTransaction = async (transaction: OpenTransaction, slot: Slot, {request, deadline, arrivedAt}: TransactionStatement): Promise<StatementResponse | 'again'> => {
 		const {handle, target} = transaction;
@@ -110,6 +145,7 @@
 		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
 		const sentAt = context.readSuspensionClock();
 		const startedAt = runtime.now();
+		transaction.hasWritten ||= getAccess(request.statement) === 'write';
 		components.healthTracker.recordStatementSent(target);
 		const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
 		components.healthTracker.recordStatementEnded(target);
@@ -123,7 +159,11 @@
 		});
 
 		if (verdict.kind === 'final' && verdict.outcome.kind === 'done') {
-			if (transaction.isAtLeader && reply) {
+			if (isCommit && !await isCommitProven(transaction, request, startedAt)) {
+				return respond({kind: 'unknown', reason: 'the target may have been replaced before it replied to the commit'}, 'idle');
+			}
+
+			if (transaction.leadProof?.isCertain() && reply) {
 				recordVerifiedPosition(components, target, reply, sentAt);
 			}
 
@@ -138,13 +178,7 @@
 			return 'again';
 		}
 
-		// Unless a commit may have run, the transaction has no effect: its connection is rolled back or closed.
-		if (!isCommit || verdict.kind === 'notRun') {
-			const reason = verdict.kind === 'notRun' ? `the target did not run the statement: ${verdict.code}` : ('reason' in verdict.outcome ? verdict.outcome.reason : '');
-			return respond(createAbortedRefusal(reason), 'failed');
-		}
-
-		return respond(verdict.outcome.kind === 'timeout' ? {kind: 'unknown', reason: verdict.outcome.reason} : verdict.outcome, 'idle');
+		return respond(...describeUnfinished(verdict, isCommit));
 	};
 
 	/** Starts the idle timer of a transaction that stays open, or ends it. */
@@ -168,6 +202,11 @@
 	const continueTransaction = async (id: string, transaction: OpenTransaction, {request, deadline, arrivedAt}: TransactionStatement, firstSlot?: Slot): Promise<StatementResponse> => {
 		transaction.cancelIdleTimer();
 		transaction.isBusy = true;
+		if (transaction.leadProof && context.appointments.isDecisive && context.appointments.getAppointed() !== transaction.target) {
+			firstSlot?.release();
+			return finishStatement(id, transaction, createResponse(createAbortedRefusal('another target was appointed primary'), runtime.now() - arrivedAt, 'failed'));
+		}
+
 		let slot = firstSlot;
 		for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 			if (!slot) {
@@ -197,6 +236,7 @@
 		// A commit needs no prepared statement, so these commands set only the session variables.
 		const {commands} = handle.createSetupCommands(request.values, {kind: 'commit', text: ''});
 		const sentAt = context.readSuspensionClock();
+		const leadProof = isReadOnly ? undefined : context.appointments.startProof(target);
 		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
 		const reply = execution.replies[commands.length];
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
@@ -205,12 +245,18 @@
 			return undefined;
 		}
 
-		if (!isReadOnly) {
+		if (leadProof) {
+			if (!await leadProof.confirm()) {
+				reportUnproven(request, target, context.readSuspensionClock() - sentAt);
+				handle.release(false);
+				return undefined;
+			}
+
 			recordVerifiedPosition(components, target, reply, sentAt);
 		}
 
 		return {
-			target, handle, isAtLeader: !isReadOnly, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
+			target, handle, leadProof, hasWritten: false, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
 		};
 	};
 
@@ -223,6 +269,11 @@
 				break;
 			}
 
+			const refusal = createUnprovableRefusal(components, plan);
+			if (refusal) {
+				return createResponse(refusal, runtime.now() - arrivedAt, 'failed');
+			}
+
 			const slot = await scheduler.acquire({
 				customer: request.customer,
 				priority: request.priority,
@@ -236,7 +287,9 @@
 			}
 
 			const {target} = slot.val;
-			const handle = await takeConnection(components, target, request, deadline);
+			const handle = await takeConnection(components, {
+				plan, target, request, deadline,
+			});
 			const transaction = handle.ok ? await beginTransaction(plan, handle.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
 				openTransactions.set(id, transaction);
@@ -266,6 +319,6 @@
 		},
 		rollBack,
 		getOpenCount: () => openTransactions.size,
-		getWriterCount: () => [...openTransactions.values()].filter(({isAtLeader}) => isAtLeader).length,
+		getWriterCount: () => [...openTransactions.values()].filter(({leadProof}) => leadProof !== undefined).length,
 	};
 };
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -3,7 +3,7 @@
 import {
 	createDeadline, createVirtualRuntime, Err, NEVER, Ok, type CustomerId, type Deadline, type Result, type Runtime,
 } from '@guavapitch/core';
-import {createDatabaseOwner, type DatabaseOwner} from '@guavapitch/database-owners';
+import {createDatabaseOwner, SELF_FENCING_APPOINTMENTS, type DatabaseOwner} from '@guavapitch/database-owners';
 import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
 import {runCallers, type OperationResult} from './callers.js';
 import type {Load, LoadEvent} from './loads.js';
@@ -49,6 +49,7 @@
 		database: EMULATED_DATABASE,
 		dial: targets.dial,
 		readStatus: () => undefined,
+		appointments: SELF_FENCING_APPOINTMENTS,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -38,6 +38,9 @@
 	onClaimed: (role: string, epoch: number) => void;
 }>;
 
+/** An entry of the store that records what a fencing token is used for; it outlives the lease of the holder. */
+export type TokenRecord = Readonly<{key: string; value: string}>;
+
 /** Roles that one process holds and claims. */
 export type RoleClaims = Readonly<{
 	/** Claims roles without a holder until the signal aborts. */
@@ -48,8 +51,8 @@
 	getHolder: (role: string) => HolderRecord | undefined;
 	/** Must be called when a new era of the store begins, while the entries of the era before are still known. */
 	handleRestore: () => void;
-	/** Draws a fencing token that is higher than all earlier ones; returns `undefined` if the role is lost or the store does not answer. */
-	drawFencingToken: (role: string) => Promise<number | undefined>;
+	/** Draws a fencing token that is higher than all earlier ones and writes the record of its use in the same transaction; returns `undefined` if the role is lost or the store does not answer. */
+	drawFencingToken: (role: string, createRecord: (token: number) => TokenRecord) => Promise<number | undefined>;
 }>;
 
 /** Interval at which roles are checked, in milliseconds. */
@@ -169,7 +172,7 @@
 			holdersUntil = createDeadline(runtime.now(), LEASE_TTL_MS);
 			claimableAt.clear();
 		},
-		async drawFencingToken(role) {
+		async drawFencingToken(role, createRecord) {
 			const holderKey = `${context.holderPrefix}${role}`;
 			const holder = context.getEntry(holderKey);
 			if (!holder || !isHeld(role)) {
@@ -180,16 +183,19 @@
 			const {era} = holder;
 			const {token, revision: tokenRevision} = getNextToken(role);
 			const value = String(token);
+			const record = createRecord(token);
 			const written = await store.transact({
 				conditions: [{key: holderKey, revision: holder.revision}, {key: fencingTokenKey, revision: tokenRevision}],
-				puts: [{key: fencingTokenKey, value, leaseId: undefined}],
+				puts: [{key: fencingTokenKey, value, leaseId: undefined}, {...record, leaseId: undefined}],
 				removes: [],
 			});
 			if (written.err || written.val.revision === undefined || written.val.era !== era) {
 				return undefined;
 			}
 
-			context.onWritten(fencingTokenKey, value, {era, revision: written.val.revision});
+			const version = {era, revision: written.val.revision};
+			context.onWritten(fencingTokenKey, value, version);
+			context.onWritten(record.key, record.value, version);
 			return token;
 		},
 	};
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -10,6 +10,8 @@
 
 type Entry = Readonly<{value: string; era: number; revision: number; leaseId: string | undefined}>;
 
+const createRecord = (token: number) => ({key: 'records/ledger', value: `for ${token}`});
+
 /** A store with leases, atomic transactions and switchable faults. */
 const createFakeStore = (runtime: Runtime) => {
 	const entries = new Map<string, Entry>();
@@ -63,6 +65,10 @@
 			expireLeases();
 			return Ok(undefined);
 		},
+		async read(key) {
+			expireLeases();
+			return faults.isDown ? storeUnreachable : Ok({value: entries.get(key)?.value, era: state.era});
+		},
 		async transact({conditions, puts}) {
 			expireLeases();
 			if (faults.isDown) {
@@ -232,16 +238,28 @@
 		stop.abort();
 	});
 
+	it('records what each fencing token is for, beyond the lease of the holder', async () => {
+		const {startVm, advance, stop, fakeStore} = createSetup();
+		const firstVm = startVm('one', 0);
+		await advance(1500);
+		const token = await firstVm.roles.drawFencingToken('ledger', createRecord);
+		firstVm.kill();
+		await advance(6000);
+		const read = await fakeStore.store.read('records/ledger');
+		assert.equal(read.ok && read.val.value, `for ${token}`);
+		stop.abort();
+	});
+
 	it('draws fencing tokens that only grow, across all holders', async () => {
 		const {startVm, advance, stop} = createSetup();
 		const firstVm = startVm('one', 0);
 		const secondVm = startVm('two', 1);
 		await advance(1500);
-		const tokens = [await firstVm.roles.drawFencingToken('ledger'), await firstVm.roles.drawFencingToken('ledger')];
-		assert.equal(await secondVm.roles.drawFencingToken('ledger'), undefined);
+		const tokens = [await firstVm.roles.drawFencingToken('ledger', createRecord), await firstVm.roles.drawFencingToken('ledger', createRecord)];
+		assert.equal(await secondVm.roles.drawFencingToken('ledger', createRecord), undefined);
 		firstVm.kill();
 		await advance(6000);
-		tokens.push(await secondVm.roles.drawFencingToken('ledger'));
+		tokens.push(await secondVm.roles.drawFencingToken('ledger', createRecord));
 		assert.deepEqual(tokens, tokens.toSorted((a, b) => (a ?? 0) - (b ?? 0)));
 		assert.equal(new Set(tokens).size, 3);
 		stop.abort();
@@ -311,13 +329,13 @@
 			const firstVm = setup.startVm('one', 0);
 			await setup.advance(1500);
 			const copy = setup.fakeStore.takeCopy();
-			const tokensBefore = [await firstVm.roles.drawFencingToken('ledger'), await firstVm.roles.drawFencingToken('ledger')];
+			const tokensBefore = [await firstVm.roles.drawFencingToken('ledger', createRecord), await firstVm.roles.drawFencingToken('ledger', createRecord)];
 			firstVm.freezeFeed();
 			setup.fakeStore.restore(copy);
-			assert.equal(await firstVm.roles.drawFencingToken('ledger'), undefined);
+			assert.equal(await firstVm.roles.drawFencingToken('ledger', createRecord), undefined);
 			firstVm.learnRestore();
 			await setup.advance(2200);
-			const tokenAfter = await firstVm.roles.drawFencingToken('ledger');
+			const tokenAfter = await firstVm.roles.drawFencingToken('ledger', createRecord);
 			assert.ok(tokenAfter !== undefined && tokenAfter > Math.max(...tokensBefore.map(Number)), `${tokenAfter} after ${tokensBefore.join(', ')}`);
 			setup.stop.abort();
 		});
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -25,6 +25,9 @@
 /** Outcome of a transaction: its revision, or `undefined` if a condition was not met. */
 export type TransactionOutcome = EraStamped & Readonly<{revision: number | undefined}>;
 
+/** Value of an entry as the store held it when it responded; `undefined` if there was none. */
+export type ReadValue = EraStamped & Readonly<{value: string | undefined}>;
+
 /** Store operations that roles need. */
 export type RoleStore = Readonly<{
 	grantLease: (ttlMs: number) => Promise<Result<GrantedLease, StoreFailure>>;
@@ -32,6 +35,8 @@
 	renewLease: (id: string) => Promise<Result<LeaseRenewal, StoreFailure>>;
 	revokeLease: (id: string) => Promise<Result<undefined, StoreFailure>>;
 	transact: (transaction: StoreTransaction) => Promise<Result<TransactionOutcome, StoreFailure>>;
+	/** Reads an entry with every change that was completed before the call. */
+	read: (key: string) => Promise<Result<ReadValue, StoreFailure>>;
 }>;
 
 /** Dependencies of a vm registration. */
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -19,6 +19,9 @@
 /** Key prefix of the entries from which the fencing tokens of each role are drawn. */
 export const FENCING_TOKEN_PREFIX = `${STORE_PREFIX}epochs/`;
 
+/** Key prefix of the records of appointed primaries. */
+export const APPOINTMENT_PREFIX = `${STORE_PREFIX}primaries/`;
+
 /** View of the cluster at one vm. */
 export type ClusterView = Readonly<{
 	/** Returns the active configuration; `undefined` until one has been received. */
@@ -29,7 +32,7 @@
 	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
-	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean}>;
+	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean; hasAppointmentChange: boolean}>;
 }>;
 
 /** Tells whether a change affects the cluster view. A target entry that decodes to the same target as before is only a heartbeat and does not. */
@@ -196,6 +199,7 @@
 			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
 			const hasTargetChange = changes.some(({key}) => key.startsWith(context.targetPrefix));
 			const hasMemberChange = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
+			const hasAppointmentChange = changes.some(({key}) => key.startsWith(APPOINTMENT_PREFIX));
 			if (hasConfigurationChange) {
 				applyConfiguration(getFeed().get(context.configurationKey));
 			}
@@ -209,7 +213,9 @@
 				rebuildMembers();
 			}
 
-			return {hasConfigurationChange, hasTargetChange, hasMemberChange};
+			return {
+				hasConfigurationChange, hasTargetChange, hasMemberChange, hasAppointmentChange,
+			};
 		},
 	};
 };
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -44,6 +44,8 @@
 	parseTarget: (entry: StoreEntry) => Result<RegisteredTarget, DocumentFailure>;
 	/** Returns for how long a target accepts new work after it has announced that it leaves, in milliseconds. */
 	getTargetDrainMs: () => number;
+	/** Whether a target that was replaced as primary refuses work at once; otherwise the appointment recorded in the store decides which target leads. */
+	areTargetsSelfFencing: boolean;
 	dialTarget: DialTarget;
 	readStatus: ReadStatus;
 	/** Asks a target to become the primary of its database, for the holder of the coordinator role and under its fencing token. */
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -4,7 +4,7 @@
 	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
-	createDatabaseOwner, runFailoverCoordinator, type DatabaseOwner,
+	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner,
 } from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
@@ -12,6 +12,8 @@
 import type {PeerClient} from './peer-client.js';
 import type {Quotas} from './quotas.js';
 import type {ClusterView} from './cluster-view.js';
+import type {PrimaryAppointments} from './primary-appointments.js';
+import {formatCoordinatorRole} from './role-names.js';
 
 /** Database owners at one vm. */
 export type DatabaseOwners = Readonly<{
@@ -19,6 +21,8 @@
 	get: (database: DatabaseId) => DatabaseOwner;
 	/** Passes the current targets on to every owner. */
 	refreshTargets: () => void;
+	/** Lets every owner apply changed appointments. */
+	refreshLeaders: () => void;
 	/** Probes a target; resolves to whether this vm can reach it. */
 	isReachable: (target: TargetId) => Promise<boolean>;
 	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
@@ -31,6 +35,7 @@
 	quotas: Quotas;
 	getPeerClient: () => PeerClient;
 	getRoleClaims: () => RoleClaims;
+	appointments: PrimaryAppointments;
 	/** Returns the signal that stops the failover coordinators. */
 	getSignal: () => AbortSignal;
 }>;
@@ -52,9 +57,6 @@
 /** Connection limit of the targets of a database that the configuration does not name. */
 const DEFAULT_CONNECTION_LIMIT = 8;
 
-/** Formats the name of the failover coordinator's role for a database. */
-export const formatCoordinatorRole = (database: DatabaseId): string => `database/${database}`;
-
 /** Creates the database owners of a vm. */
 export const createDatabaseOwners = (context: VmContext, dependencies: DatabaseDependencies): DatabaseOwners => {
 	const {runtime, settings, emit, metrics} = context;
@@ -78,6 +80,7 @@
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
+			appointments: dependencies.appointments.get(database),
 			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT) * OWNER_CONNECTION_FRACTION)),
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
@@ -99,7 +102,7 @@
 			database,
 			owner,
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
-			drawFencingToken: async () => dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database)),
+			drawFencingToken: async appointed => dependencies.appointments.drawFencingToken(database, appointed),
 			async requestPromotion(target, fencingToken) {
 				const promotedTarget = view.findTarget(target);
 				return promotedTarget ? context.requestPromotion(promotedTarget, settings.vm, fencingToken) : 'refused';
@@ -134,10 +137,14 @@
 				owner.setTargets(view.listTargets(database));
 			}
 		},
+		refreshLeaders() {
+			for (const owner of owners.values()) {
+				owner.refreshLeader();
+			}
+		},
 		async isReachable(id) {
 			const target = view.findTarget(id);
-			const pingResult = target && await get(target.database).ping(id, createDeadline(runtime.now(), TARGET_PROBE_TIMEOUT_MS));
-			return pingResult === 'leads' || pingResult === 'follows';
+			return target !== undefined && isPingAnswered(await get(target.database).ping(id, createDeadline(runtime.now(), TARGET_PROBE_TIMEOUT_MS)));
 		},
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
--- /dev/null
+++ b/packages/vm/src/primary-appointments.ts
@@ -0,0 +1,93 @@
+/** Appointments of primaries as a vm knows them: records in the store, written by the failover coordinator of each database. */
+
+import {
+	Err, Ok, brandId, type DatabaseId, type TargetId,
+} from '@guavapitch/core';
+import {
+	createAppointments, SELF_FENCING_APPOINTMENTS, type Appointment, type Appointments,
+} from '@guavapitch/database-owners';
+import type {Feed} from '@guavapitch/feed';
+import type {RoleClaims, TokenRecord} from '@guavapitch/roles';
+import type {VmContext} from './context.js';
+import {APPOINTMENT_PREFIX} from './cluster-view.js';
+import {formatCoordinatorRole} from './role-names.js';
+
+/** Appointments of all databases at one vm. */
+export type PrimaryAppointments = Readonly<{
+	/** Returns the appointments of a database. */
+	get: (database: DatabaseId) => Appointments;
+	/** Draws a fencing token for an order that makes a target the primary and records the appointment; `undefined` if the store does not respond or this vm is not the coordinator. */
+	drawFencingToken: (database: DatabaseId, target: TargetId) => Promise<number | undefined>;
+}>;
+
+/** Dependencies of the appointments. */
+export type PrimaryAppointmentDependencies = Readonly<{
+	getFeed: () => Feed;
+	getRoleClaims: () => RoleClaims;
+}>;
+
+const formatKey = (database: DatabaseId): string => `${APPOINTMENT_PREFIX}${database}`;
+
+const formatRecord = (database: DatabaseId, {target, fencingToken}: Appointment): TokenRecord => ({
+	key: formatKey(database), value: JSON.stringify({target, token: fencingToken}),
+});
+
+/** Parses the record of an appointment; returns `undefined` if it is malformed. */
+export const parseAppointment = (text: string): Appointment | undefined => {
+	try {
+		const {target, token} = JSON.parse(text) as Readonly<{target?: unknown; token?: unknown}>;
+		return typeof target === 'string' && typeof token === 'number' ? {target: brandId<TargetId>(target), fencingToken: token} : undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+/** Creates the appointments of a vm. */
+export const createPrimaryAppointments = (context: VmContext, dependencies: PrimaryAppointmentDependencies): PrimaryAppointments => {
+	const appointmentsByDatabase = new Map<DatabaseId, Appointments>();
+	/** Databases for which a token is being drawn: the record may already have changed in the store. */
+	const drawingDatabases = new Set<DatabaseId>();
+
+	const createForDatabase = (database: DatabaseId): Appointments => context.areTargetsSelfFencing
+		? SELF_FENCING_APPOINTMENTS
+		: createAppointments({
+			runtime: context.runtime,
+			getRecord() {
+				const entry = dependencies.getFeed().get(formatKey(database));
+				return entry && parseAppointment(entry.value);
+			},
+			async readRecord() {
+				const read = await context.store.read(formatKey(database));
+				if (read.err) {
+					return read;
+				}
+
+				const {value, era} = read.val;
+				return era === dependencies.getFeed().getEra()
+					? Ok(value === undefined ? undefined : parseAppointment(value))
+					: Err({code: 'otherEra', message: 'The store was restored, and this vm has not read it since'});
+			},
+			isAuthorized: () => !drawingDatabases.has(database) && dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
+		});
+
+	return {
+		get(database) {
+			const existing = appointmentsByDatabase.get(database);
+			if (existing) {
+				return existing;
+			}
+
+			const created = createForDatabase(database);
+			appointmentsByDatabase.set(database, created);
+			return created;
+		},
+		async drawFencingToken(database, target) {
+			drawingDatabases.add(database);
+			try {
+				return await dependencies.getRoleClaims().drawFencingToken(formatCoordinatorRole(database), fencingToken => formatRecord(database, {target, fencingToken}));
+			} finally {
+				drawingDatabases.delete(database);
+			}
+		},
+	};
+};
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -16,13 +16,15 @@
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import {createDatabaseOwners, formatCoordinatorRole, PROBE_TARGET_METHOD} from './database-owners.js';
+import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createIsolationDetector} from './isolation-detector.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
+import {createPrimaryAppointments} from './primary-appointments.js';
+import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {createStatementRouter} from './statement-router.js';
 import {
-	GRANT_TOKENS_METHOD, createQuotas, ALLOCATOR_ROLE, type TokenRequestMessage,
+	GRANT_TOKENS_METHOD, createQuotas, type TokenRequestMessage,
 } from './quotas.js';
 import {
 	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX, STORE_PREFIX,
@@ -103,8 +105,9 @@
 	const quotas = createQuotas(context, {
 		view, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getFeedAgeMs: () => feed.getAgeMs(),
 	});
+	const appointments = createPrimaryAppointments(context, {getFeed: () => feed, getRoleClaims: () => roleClaims});
 	const databaseOwners = createDatabaseOwners(context, {
-		view, quotas, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
+		view, quotas, appointments, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
 	});
 
 	const feed: Feed = createFeed({
@@ -129,10 +132,14 @@
 			return response.map(value => value as Awaited<ReturnType<Feed['serve']>>);
 		},
 		onChange(changes) {
-			const {hasTargetChange} = view.applyChanges(changes);
+			const {hasTargetChange, hasAppointmentChange} = view.applyChanges(changes);
 			if (hasTargetChange) {
 				databaseOwners.refreshTargets();
 			}
+
+			if (hasAppointmentChange) {
+				databaseOwners.refreshLeaders();
+			}
 		},
 		onSourceChange(kind, name) {
 			emit(EVENTS.feedSourceChanged, {kind, name, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
@@ -198,16 +205,25 @@
 		},
 		onClaimed(role, epoch) {
 			emit(EVENTS.roleClaimed, {duty: role, epoch});
-			if (role !== ALLOCATOR_ROLE) {
-				databaseOwners.get(brandId<DatabaseId>(role.slice(role.indexOf('/') + 1)));
+			const database = parseCoordinatorRole(role);
+			if (database !== undefined) {
+				databaseOwners.get(database);
 			}
 		},
 	});
 
+	/** Ranks the owners of a database. Where the appointment decides which target leads, the failover coordinator comes first, as it needs no confirmation by the store. */
+	const rankStatementOwners = (database: DatabaseId): readonly Member[] => {
+		const ranked = view.rankOwners(database);
+		const holder = context.areTargetsSelfFencing ? undefined : roleClaims.getHolder(formatCoordinatorRole(database));
+		const coordinator = holder && ranked.find(({run}) => run === holder.run);
+		return coordinator && coordinator !== ranked[0] ? [coordinator, ...ranked.filter(member => member !== coordinator)] : ranked;
+	};
+
 	const statementRouter = createStatementRouter({
 		runtime,
 		self: settings.vm,
-		rankOwners: view.rankOwners,
+		rankOwners: rankStatementOwners,
 		isUsable: vm => peerClient.isUsable(vm),
 		async callOwner(member, request, timeoutMs) {
 			const response = await peerClient.call(member, RUN_METHOD, request, timeoutMs);
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -11,9 +11,8 @@
 import type {Member} from './members.js';
 import type {PeerClient} from './peer-client.js';
 import type {ClusterView} from './cluster-view.js';
+import {ALLOCATOR_ROLE} from './role-names.js';
 
-/** Role of the quota allocator, which serves all customers. */
-export const ALLOCATOR_ROLE = 'shares';
 /** Method by which vms request tokens from the quota allocator. */
 export const GRANT_TOKENS_METHOD = 'allot';
 
