--- a/packages/database-owners/src/appointments.ts
+++ b/packages/database-owners/src/appointments.ts
@@ -87,6 +87,10 @@
 			};
 		},
 		canConfirm() {
+			if (getRecord() === undefined) {
+				return false;
+			}
+
 			if (isAuthorized() || pausedUntil === PAST) {
 				return true;
 			}
