Let one vm of the fleet read the store, and the others follow it

Cause: the oldest vm of each data centre watched the store, since a vm with followers had to read the store itself, and a vm that started read all entries and watched for 1.5 s before it found a relay. So the load grew with the number of data centres and with each start.

Change: the oldest vm of a data centre follows the oldest vm of the fleet, or the next one if that one does not respond, and reads the store itself only without either. As each vm follows older ones only, none follows itself; the age that a relay reports is now the time since the store confirmed its entries, not since any contact, so data that only went round would be seen as stale. A vm that starts is registered first, reads the list of members, and follows. While a vm reads the store in place of a relay, it goes on until the relay responds.

Test of ranking replaced: it asked that the oldest vm of a data centre has no relay; now each vm's relays are listed, and that none follows itself is checked. New replays over 5 and 40 feeds: the watches in 10 s are the same number, 40 feeds that start at once read all entries at most twice more than one, and a change arrives within 3 s while the reader or a relay is silent.

--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -1,40 +1,12 @@
 /** Change feed of the store: reads entries from the store itself, or follows a relay that does. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Failure, type Instant, type Result, type Runtime,
+	createDeadline, createNotifier, isPast, PAST, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
-
-/** Request of a follower to a relay. */
-export type FeedRequest = Readonly<{
-	/** Run of the relay that last responded to the follower; empty before the first response. */
-	run: string;
-	/** Number of the last change that the follower received from that run. */
-	after: number;
-	/** Time that the relay may wait for a change, in milliseconds. */
-	waitMs: number;
-}>;
-
-/** Response of a relay to a follower. */
-export type FeedResponse = Readonly<{
-	/** Run of the relay, to which `number` refers. */
-	run: string;
-	/** Number of the newest change in the response. */
-	number: number;
-	/** Latest era of the store that the relay knows; absent from relays of earlier versions. */
-	era?: number;
-	/** Whether `changes` holds all entries instead of only those that changed. */
-	isWhole: boolean;
-	changes: readonly StoreChange[];
-	/** Time since the relay's last contact with the store, in milliseconds; `Number.MAX_SAFE_INTEGER` before the first contact. */
-	ageMs: number;
-	/** Time that the relay waited for a change, in milliseconds; absent from relays of earlier versions. */
-	heldMs?: number;
-	/** Time since the relay's entries under each prefix were complete, in milliseconds; without prefixes that it has not read; absent from relays of earlier versions. */
-	prefixAgesMs?: Readonly<Record<string, number>>;
-}>;
+import {addMissingEras, type FeedRequest, type FeedResponse} from './relay-messages.js';
 
 /** A key prefix that the feed covers. */
 export type FeedPrefix = Readonly<{
@@ -56,8 +28,12 @@
 	prefixes: readonly FeedPrefix[];
 	/** Tells whether a change is relevant to followers. */
 	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
-	/** Returns the vms to follow, the best first; none if this vm should read the store itself. */
+	/** Returns the vms to follow, the best first; none if this vm should read the store itself. As seen by each vm, they must all come before it in one order of the fleet, so that no vm follows itself through others. */
 	listRelays: () => readonly string[];
+	/** Prefix of the entries from which `listRelays` is derived. */
+	relayPrefix: string;
+	/** Resolves when this vm is listed under `relayPrefix`, or does not expect to be soon. */
+	waitUntilListed: () => Promise<void>;
 	/** Sends a request to a relay. */
 	callRelay: (relay: string, request: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
 	/** Called with changes that are relevant to followers, after they have been applied. */
@@ -76,7 +52,7 @@
 	run: (signal: AbortSignal) => Promise<void>;
 	get: (key: string) => StoreEntry | undefined;
 	list: (prefix: string) => readonly StoreEntry[];
-	/** Serves the request of a follower; for a while after it, this vm reads the store itself. */
+	/** Serves the request of a follower. */
 	serve: (request: FeedRequest) => Promise<FeedResponse>;
 	/** Returns the age of the known entries in milliseconds: the time since this vm, or the relay that it follows, had contact with the store; infinite before the first contact. */
 	getAgeMs: () => number;
@@ -97,10 +73,10 @@
 const MAX_LOG_LENGTH = 2000;
 /** Maximum wait of a follower's request, in milliseconds; also the resolution of ages. */
 const MAX_FOLLOWER_WAIT_MS = 800;
-/** Age above which data counts as stale, in milliseconds. A relay whose data is stale is not followed. */
+/** Age above which data from the store counts as stale, in milliseconds; each relay between adds the longest wait of a follower. A relay whose data is stale is not followed. */
 const STALENESS_LIMIT_MS = 1800;
-/** Time for which a vm keeps reading the store after the last request of a follower, in milliseconds. */
-const RELAY_TIMEOUT_MS = 5000;
+/** Maximum number of relays between a vm that is followed and the store. */
+const MAX_RELAY_LEVEL = 2;
 /** Minimum time of reading the store, in milliseconds, so that a relay that fails repeatedly is not tried continuously. */
 const MIN_READING_MS = 1500;
 /** Interval at which a vm that reads the store checks whether it can follow a relay instead, in milliseconds. */
@@ -120,9 +96,10 @@
 	let changeLog: StoreChange[] = [];
 	let firstLoggedNumber = 1;
 	let contactAt = PAST as number;
-	let storeContactAt = PAST as number;
-	let relayUntil: Deadline = PAST;
-	let isReadingStore = false;
+	/** When the entries were last confirmed by the store, directly or through relays. */
+	let confirmedAt = PAST as number;
+	/** Number of relays between this vm and the store. */
+	let level = 0;
 	let latestEra: number | undefined;
 	let followedRun = '';
 	let followedNumber = 0;
@@ -186,13 +163,9 @@
 
 	const recordContact = (sentAt: Instant, era: number) => {
 		contactAt = Math.max(contactAt, sentAt);
-		storeContactAt = Math.max(storeContactAt, sentAt);
 		recordEra(era);
 	};
 
-	/** Tells whether this vm should read the store, because there is no relay to follow or because other vms follow this one. */
-	const shouldReadStore = (): boolean => context.listRelays().length === 0 || !isPast(relayUntil, runtime.now());
-
 	const readPrefix = async (prefix: FeedPrefix, signal: AbortSignal): Promise<void> => {
 		let version: StoreVersion | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
@@ -242,6 +215,10 @@
 			return Math.min(MAX_BACKOFF_MS, backoffMs * 2);
 		}
 
+		if (outcome.ok) {
+			confirmedAt = Math.max(confirmedAt, sentAt);
+		}
+
 		recordContact(sentAt, outcome.ok ? outcome.val.version.era : getEra());
 		context.onStoreStatus(true, '');
 		return INITIAL_BACKOFF_MS;
@@ -255,35 +232,75 @@
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
-		isReadingStore = true;
+		level = 0;
 		context.onSourceChange('store', '');
 		const readerTasks = context.prefixes.map(async prefix => readPrefix(prefix, readerAbort.signal));
 		await runtime.sleep(MIN_READING_MS, signal).catch(() => undefined);
-		while (!signal.aborted && (shouldReadStore() || getAgeMs() > STALENESS_LIMIT_MS)) {
+		while (!signal.aborted && !await canFollowRelay()) {
 			await runtime.sleep(READING_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 		}
 
 		readerAbort.abort();
-		isReadingStore = false;
 		signal.removeEventListener('abort', abort);
 		// Watches in progress end by themselves when their wait has ended.
 		void Promise.all(readerTasks);
 	};
 
-	/** Adds the present era to changes from a relay of an earlier version, which does not tell eras apart. */
-	const completeChanges = (changes: ReadonlyArray<Omit<StoreChange, 'era'> & Readonly<{era?: number}>>): readonly StoreChange[] => changes.map(change => {
-		const era = change.era ?? getEra();
-		return {...change, era, entry: change.entry && {...change.entry, era}};
-	});
+	/** Requests changes from a relay and applies them; resolves to `false` if it does not respond with fresh data. */
+	const pollRelay = async (relay: string, waitMs: number): Promise<boolean> => {
+		const sentAt = runtime.now();
+		const askedAt = context.readSuspensionClock();
+		const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs});
+		if (response.err) {
+			return false;
+		}
+
+		const {
+			run, number, isWhole, ageMs, era, heldMs = 0, prefixAgesMs = {}, level: relayLevel = 0,
+		} = response.val;
+		if (relayLevel > MAX_RELAY_LEVEL || ageMs > STALENESS_LIMIT_MS + (relayLevel * MAX_FOLLOWER_WAIT_MS)) {
+			return false;
+		}
+
+		recordEra(era ?? getEra());
+		const changes = addMissingEras(response.val.changes, getEra());
+		followedRun = run;
+		followedNumber = number;
+		level = relayLevel + 1;
+		confirmedAt = Math.max(confirmedAt, sentAt + heldMs - ageMs);
+		contactAt = Math.max(contactAt, confirmedAt);
+		if (isWhole) {
+			for (const {prefix} of context.prefixes) {
+				const entries = changes.flatMap(({entry}) => entry?.key.startsWith(prefix) ? [entry] : []);
+				replaceAll(prefix, entries, entries.toSorted(compareVersions).at(-1) ?? {era: 0, revision: 0});
+			}
+		} else {
+			applyChanges(changes);
+		}
+
+		for (const [prefix, prefixAgeMs] of Object.entries(prefixAgesMs)) {
+			recordComplete(prefix, (askedAt + heldMs - prefixAgeMs) as Instant);
+		}
+
+		return true;
+	};
+
+	/** Tells whether the best relay has fresh data, so that this vm need not read the store any longer. */
+	const canFollowRelay = async (): Promise<boolean> => {
+		const [relay] = context.listRelays();
+		const levelBefore = level;
+		const isFresh = relay !== undefined && await pollRelay(relay, 0);
+		// Until the reading of the store has ended, this vm is still next to it.
+		level = levelBefore;
+		return isFresh;
+	};
 
-	/** Follows a relay until it fails; returns `false` if it never responded with fresh data. */
+	/** Follows a relay until it fails or must not be followed any longer; returns `false` if it never responded with fresh data. */
 	const followRelay = async (relay: string, signal: AbortSignal): Promise<boolean> => {
 		let hasResponded = false;
-		while (!signal.aborted && !shouldReadStore()) {
-			const sentAt = runtime.now();
-			const askedAt = context.readSuspensionClock();
-			const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs: hasResponded ? MAX_FOLLOWER_WAIT_MS : 0});
-			if (response.err || response.val.ageMs > STALENESS_LIMIT_MS) {
+		while (!signal.aborted && context.listRelays().includes(relay)) {
+			const mayWait = hasResponded || !Number.isFinite(confirmedAt);
+			if (!await pollRelay(relay, mayWait ? MAX_FOLLOWER_WAIT_MS : 0)) {
 				return hasResponded;
 			}
 
@@ -292,46 +309,33 @@
 			}
 
 			hasResponded = true;
-			const {
-				run, number, isWhole, ageMs, era, heldMs = 0, prefixAgesMs = {},
-			} = response.val;
-			recordEra(era ?? getEra());
-			const changes = completeChanges(response.val.changes);
-			followedRun = run;
-			followedNumber = number;
-			contactAt = Math.max(contactAt, sentAt - ageMs);
-			if (isWhole) {
-				for (const {prefix} of context.prefixes) {
-					const entries = changes.flatMap(({entry}) => entry?.key.startsWith(prefix) ? [entry] : []);
-					replaceAll(prefix, entries, entries.toSorted(compareVersions).at(-1) ?? {era: 0, revision: 0});
-				}
-			} else {
-				applyChanges(changes);
-			}
-
-			for (const [prefix, prefixAgeMs] of Object.entries(prefixAgesMs)) {
-				recordComplete(prefix, (askedAt + heldMs - prefixAgeMs) as Instant);
-			}
 		}
 
 		return hasResponded;
 	};
 
+	/** Reads which relays there are, so that a vm that starts need not read all entries from the store. */
+	const findRelays = async (): Promise<void> => {
+		await context.waitUntilListed();
+		const sentAt = runtime.now();
+		const read = await source.readAll(context.relayPrefix);
+		if (read.ok) {
+			recordContact(sentAt, read.val.version.era);
+			replaceAll(context.relayPrefix, read.val.entries, read.val.version);
+		}
+	};
+
 	const listEntriesAsChanges = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => entryTable.list(prefix))
 		.map(entry => createChange(entry));
 
 	return {
 		async run(signal) {
+			await findRelays();
 			while (!signal.aborted) {
-				if (shouldReadStore()) {
-					await readStore(signal);
-					continue;
-				}
-
 				let hasFollowedRelay = false;
 				for (const relay of context.listRelays().slice(0, MAX_RELAY_ATTEMPTS)) {
 					hasFollowedRelay = await followRelay(relay, signal);
-					if (hasFollowedRelay || signal.aborted || shouldReadStore()) {
+					if (hasFollowedRelay || signal.aborted) {
 						break;
 					}
 				}
@@ -344,18 +348,16 @@
 		get: entryTable.get,
 		list: entryTable.list,
 		async serve(request) {
-			relayUntil = createDeadline(runtime.now(), RELAY_TIMEOUT_MS);
 			const receivedAt = context.readSuspensionClock();
 			const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
 			const getNextNumber = () => firstLoggedNumber + changeLog.length;
 			const isInLog = request.run === context.run && request.after >= firstLoggedNumber - 1;
-			if (isInLog) {
-				while (request.after + 1 >= getNextNumber() && !isPast(waitDeadline, runtime.now())) {
-					await changed.waitForChange(waitDeadline);
-				}
+			const mustWait = () => isInLog ? request.after + 1 >= getNextNumber() : !Number.isFinite(confirmedAt);
+			while (mustWait() && !isPast(waitDeadline, runtime.now())) {
+				await changed.waitForChange(waitDeadline);
 			}
 
-			const ageMs = Math.max(0, runtime.now() - (isReadingStore ? storeContactAt : contactAt));
+			const ageMs = Math.max(0, runtime.now() - confirmedAt);
 			const respondedAt = context.readSuspensionClock();
 			const isStillInLog = isInLog && request.after >= firstLoggedNumber - 1;
 			return {
@@ -365,6 +367,7 @@
 				isWhole: !isStillInLog,
 				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstLoggedNumber) : listEntriesAsChanges(),
 				ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
+				level,
 				heldMs: respondedAt - receivedAt,
 				prefixAgesMs: Object.fromEntries([...completeAtByPrefix].map(([prefix, completeAt]) => [prefix, respondedAt - completeAt])),
 			};
--- a/packages/feed/src/index.ts
+++ b/packages/feed/src/index.ts
@@ -1,2 +1,3 @@
 export * from './entries.js';
 export * from './feed.js';
+export * from './relay-messages.js';
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -10,13 +10,13 @@
 } from '../entries.js';
 import {createFeed, type Feed} from '../feed.js';
 
-const PREFIXES = [{prefix: 'a/', waitMs: 1000, pauseMs: 0}];
+const PREFIXES = [{prefix: 'a/', waitMs: 800, pauseMs: 0}];
 
 /** A store of a few entries with switchable faults. */
 const createStore = (runtime: Runtime) => {
 	let changes: StoreChange[] = [];
 	const state = {
-		isDown: false, historyFrom: 0, readCount: 0, era: 1,
+		isDown: false, historyFrom: 0, readCount: 0, watchCount: 0, era: 1,
 	};
 	const getRevision = () => changes.length;
 	const getVersion = () => ({era: state.era, revision: getRevision()});
@@ -42,6 +42,7 @@
 				: Ok({entries: [...latest.values()].flatMap(entry => entry?.key.startsWith(prefix) ? [entry] : []), version: getVersion()});
 		},
 		async watch(prefix, after, waitMs) {
+			state.watchCount++;
 			for (let waitedMs = 0; waitedMs < waitMs && !state.isDown && after >= state.historyFrom; waitedMs += 20) {
 				const newChanges = changes.filter(change => change.revision > after && change.key.startsWith(prefix));
 				if (newChanges.length > 0) {
@@ -75,6 +76,8 @@
 			source,
 			prefixes: PREFIXES,
 			isRelevantChange: () => true,
+			relayPrefix: 'a/',
+			waitUntilListed: async () => undefined,
 			listRelays: () => relay ? ['relay'] : [],
 			callRelay: async (_relay, request): Promise<Result<Awaited<ReturnType<Feed['serve']>>, {code: string; message: string}>> => relay
 				? Ok(await relay.serve(request))
@@ -131,6 +134,107 @@
 		stop.abort();
 	});
 
+	describe('in a fleet', () => {
+		/** Starts feeds that are listed in the store in the order of their start, each following the one of `getRelay`; a relay can be stopped from responding. */
+		const startFleet = async (size: number, getRelay: (index: number) => number | undefined) => {
+			const setup = createSetup();
+			const {runtime, store} = setup;
+			const feeds: Feed[] = [];
+			const silent = new Set<number>();
+			for (let index = 0; index < size; index++) {
+				const listFollowed = () => [getRelay(index), ...index > 0 ? [0] : []].filter((relay, position, all): relay is number => relay !== undefined && all.indexOf(relay) === position);
+				const feed = createFeed({
+					runtime,
+					readSuspensionClock: createSuspensionClock(runtime),
+					run: `run-${index}`,
+					source: store.source,
+					prefixes: PREFIXES,
+					isRelevantChange: () => true,
+					relayPrefix: 'a/vms/',
+					async waitUntilListed() {
+						store.put(`a/vms/${index}`, '');
+						await runtime.sleep(10);
+					},
+					listRelays: () => listFollowed().filter(relay => feeds[index]?.get(`a/vms/${relay}`) !== undefined).map(String),
+					async callRelay(relay, request) {
+						if (silent.has(Number(relay))) {
+							await runtime.sleep(1500);
+							return Err({code: 'peerTimeout', message: 'silent'});
+						}
+
+						await runtime.sleep(1);
+						const response = await feeds[Number(relay)]?.serve(request);
+						return response ? Ok(response) : Err({code: 'gone', message: 'gone'});
+					},
+					onChange: () => undefined,
+					onSourceChange: () => undefined,
+					onEraChange: () => undefined,
+					onStoreStatus: () => undefined,
+				});
+				feeds.push(feed);
+			}
+
+			for (const feed of feeds) {
+				void feed.run(setup.stop.signal);
+			}
+
+			await setup.advance(3000);
+			return {...setup, feeds, silent};
+		};
+
+		/** Two levels: vm 0 reads the store, 1 and 2 follow it, all others follow one of these. */
+		const getTreeRelay = (index: number): number | undefined => {
+			if (index === 0) {
+				return undefined;
+			}
+
+			return index <= 2 ? 0 : 1 + (index % 2);
+		};
+
+		it('puts a load on the store that does not depend on the number of vms, also when all of them start at once', async () => {
+			const counts: number[] = [];
+			for (const size of [5, 40]) {
+				const {store, advance, stop, feeds} = await startFleet(size, getTreeRelay);
+				const startReads = store.state.readCount - size;
+				assert.ok(startReads <= 2, `${startReads} reads of all entries by ${size} vms`);
+				const before = store.state.watchCount;
+				await advance(10_000);
+				counts.push(store.state.watchCount - before);
+				store.put('a/x', 'new');
+				await advance(100);
+				assert.ok(feeds.every(feed => feed.get('a/x')?.value === 'new'));
+				stop.abort();
+			}
+
+			assert.equal(counts[0], counts[1]);
+		});
+
+		for (const [name, relay] of [['the vm that reads the store', 0], ['a relay between', 1]] as const) {
+			it(`delivers a change within three seconds although ${name} stops responding`, async () => {
+				const {store, advance, stop, feeds, silent} = await startFleet(9, getTreeRelay);
+				for (let round = 0; round < 5; round++) {
+					silent.add(relay);
+					store.put('a/x', `value ${round}`);
+					await advance(3000);
+					assert.deepEqual(feeds.map(feed => feed.get('a/x')?.value), feeds.map(() => `value ${round}`));
+					silent.delete(relay);
+					await advance(2300 + (round * 170));
+				}
+
+				stop.abort();
+			});
+		}
+
+		it('takes data that has only gone round between vms for stale', async () => {
+			const {store, advance, stop, feeds} = await startFleet(3, index => (index + 1) % 3);
+			await advance(6000);
+			store.put('a/x', 'new');
+			await advance(5000);
+			assert.ok(feeds.every(feed => feed.get('a/x')?.value === 'new'));
+			stop.abort();
+		});
+	});
+
 	describe('the moment at which its entries were complete', () => {
 		/** Records for each change when the store received it, and the moment that a feed gives during `onChange`. */
 		const follow = (hasRelay: boolean) => {
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -1,7 +1,7 @@
 /** Registration of a vm in the store: a lease, and an entry by which other vms find this one. */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type Instant, type Result, type Runtime,
+	createDeadline, createNotifier, isPast, PAST, type Deadline, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {StoreFailure} from '@guavapitch/store';
 
@@ -58,6 +58,8 @@
 export type VmRegistration = Readonly<{
 	/** Acquires and renews the lease until the signal aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
+	/** Waits until the entry has been written for the first time, or until the deadline. */
+	waitUntilRegistered: (deadline: Deadline) => Promise<void>;
 	/** Returns the identifier of the lease; `undefined` unless the lease is confirmed to be valid at this moment. */
 	getLease: () => string | undefined;
 	/** Revokes the lease, so that the store removes its entries, and makes `run` return. */
@@ -81,6 +83,7 @@
 	/** Era of the store in which the entry was written. */
 	let registeredEra: number | undefined;
 	let isDeregistered = false;
+	const registered = createNotifier(runtime);
 
 	const handleFailure = (failure: StoreFailure) => {
 		context.onFailure(failure);
@@ -98,6 +101,7 @@
 		}
 
 		registeredEra = written.val.era;
+		registered.notify();
 		return true;
 	};
 
@@ -142,6 +146,9 @@
 				await runtime.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + runtime.random()), signal).catch(() => undefined);
 			}
 		},
+		async waitUntilRegistered(deadline) {
+			await registered.waitUntil(() => registeredEra !== undefined, deadline);
+		},
 		getLease: () => leaseId !== undefined && !isPast(deadline, readSuspensionClock()) ? leaseId : undefined,
 		async deregister() {
 			isDeregistered = true;
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -58,9 +58,16 @@
 		.map(({member}) => member);
 };
 
-/** Ranks the vms that may relay the change feed to a vm: the older ones of its data centre, oldest first. A vm that is not a member yet may follow any member of its data centre. */
+/** Number of vms of other data centres that the oldest vm of a data centre tries to follow before it reads the store itself. */
+const MAX_REMOTE_RELAYS = 2;
+
+/**
+ * Ranks the vms that may relay the change feed to a vm: the older ones of its data centre, oldest first; for the oldest one, the oldest of the other data centres.
+ * Only the oldest vm of the fleet has none, so that the load on the store does not depend on the number of vms. A vm that is not a member yet may follow any member.
+ */
 export const rankRelays = (self: VmId, dataCentre: DataCentreId, members: readonly Member[]): readonly Member[] => {
-	const localMembers = members.filter(member => member.dataCentre === dataCentre).toSorted((a, b) => a.createdRevision - b.createdRevision);
-	const selfIndex = localMembers.findIndex(member => member.vm === self);
-	return selfIndex === -1 ? localMembers : localMembers.slice(0, selfIndex);
+	const selfRevision = members.find(member => member.vm === self)?.createdRevision ?? Number.POSITIVE_INFINITY;
+	const olderMembers = members.filter(member => member.vm !== self && member.createdRevision < selfRevision).toSorted((a, b) => a.createdRevision - b.createdRevision);
+	const localMembers = olderMembers.filter(member => member.dataCentre === dataCentre);
+	return localMembers.length > 0 ? localMembers : olderMembers.slice(0, MAX_REMOTE_RELAYS);
 };
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,7 +1,7 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
+	createDeadline, createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
 } from '@guavapitch/core';
 import {
 	createSession, type Authorization, type Session,
@@ -49,8 +49,8 @@
 const ROLL_BACK_METHOD = 'rollBack';
 const FEED_METHOD = 'feed';
 
-/** Maximum duration of one watch of the configuration, in milliseconds: an unresponsive connection must be noticed within the time allowed for configuration changes. */
-const CONFIGURATION_WATCH_MS = 2000;
+/** Maximum duration of one watch of the configuration, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
+const CONFIGURATION_WATCH_MS = 850;
 /** Maximum duration of one watch of members and roles, in milliseconds. */
 const MEMBER_WATCH_MS = 5000;
 /** Pause between watches of members and roles, in milliseconds: when a whole fleet starts, each joining vm would otherwise end every watch. */
@@ -60,6 +60,8 @@
 /** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
 const TARGET_PAUSE_MS = 1200;
 const FEED_TIMEOUT_MS = 1500;
+/** Time for which a vm that starts waits for its registration before it looks for relays, in milliseconds; several times the usual duration of two calls to the store. */
+const REGISTRATION_WAIT_MS = 300;
 const ROLL_BACK_TIMEOUT_MS = 1000;
 /** Age of the change feed from which a vm no longer counts as being in contact with the store, in milliseconds. */
 const STALE_FEED_MS = 2500;
@@ -121,6 +123,8 @@
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
+		relayPrefix: MEMBER_PREFIX,
+		waitUntilListed: async () => registration.waitUntilRegistered(createDeadline(runtime.now(), REGISTRATION_WAIT_MS)),
 		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(({vm}) => peerClient.isUsable(vm)).map(({vm}) => vm),
 		async callRelay(relay, request) {
 			const member = view.listMembers().find(({vm}) => vm === relay);
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -120,9 +120,41 @@
 		assert.ok(movedKeys.every(key => rankOwners(key, members, undefined)[0] === members[0]));
 	});
 
-	it('lists the older vms of the data centre as relays, oldest first', () => {
-		const members = [createMember('c', 'here', 1, 30), createMember('a', 'here', 1, 10), createMember('b', 'here', 1, 20), createMember('x', 'there', 1, 1)];
-		assert.deepEqual(rankRelays(brandId<VmId>('c'), brandId<DataCentreId>('here'), members).map(({vm}) => vm), ['a', 'b']);
-		assert.deepEqual(rankRelays(brandId<VmId>('a'), brandId<DataCentreId>('here'), members), []);
+	describe('of relays', () => {
+		const members = [createMember('c', 'here', 1, 30), createMember('a', 'here', 1, 10), createMember('b', 'here', 1, 20), createMember('x', 'there', 1, 1), createMember('y', 'there', 1, 40)];
+		const listRelays = (name: string, dataCentre: string) => rankRelays(brandId<VmId>(name), brandId<DataCentreId>(dataCentre), members).map(({vm}) => vm);
+
+		it('lists the older vms of the data centre, oldest first', () => {
+			assert.deepEqual(listRelays('c', 'here'), ['a', 'b']);
+			assert.deepEqual(listRelays('y', 'there'), ['x']);
+		});
+
+		it('lists older vms of other data centres for the oldest one of a data centre, and none for the oldest one of all', () => {
+			assert.deepEqual(listRelays('a', 'here'), ['x']);
+			assert.deepEqual(listRelays('x', 'there'), []);
+		});
+
+		it('lists vms of the data centre, or else the oldest ones, for a vm that is not a member yet', () => {
+			assert.deepEqual(listRelays('new', 'here'), ['a', 'b', 'c']);
+			assert.deepEqual(listRelays('new', 'elsewhere'), ['x', 'a']);
+		});
+
+		it('never lets a vm follow itself through others', () => {
+			for (const {vm, dataCentre} of members) {
+				const reached = new Set<string>();
+				const pending: string[] = [vm];
+				while (pending.length > 0) {
+					const name = pending.pop() ?? '';
+					for (const relay of listRelays(name, members.find(member => member.vm === name)?.dataCentre ?? dataCentre)) {
+						if (!reached.has(relay)) {
+							reached.add(relay);
+							pending.push(relay);
+						}
+					}
+				}
+
+				assert.ok(!reached.has(vm), vm);
+			}
+		});
 	});
 });
