Place reads where the customer has a connection, and keep more connections

An owner also kept half of a target's connections for an owner under another view, which is rarely there.

An owner opens 0.7 of a target's connections; once the target refuses one, it shares: it opens no more, gives up those above half, and replaces its least recently used one instead of failing.

The emulator's callers ended late, or not at all, for customers that send rarely; they end with the load now.

--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -1,7 +1,7 @@
 /** Connection pool of a database owner for one target; each connection belongs to one customer. */
 
 import {
-	createDeadline, Err, Ok, type CustomerId, type Deadline, type Instant, type Result, type Runtime,
+	computeHash, createDeadline, Err, isPast, Ok, PAST, type CustomerId, type Deadline, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {TargetStatement} from '@guavapitch/sessions';
 import type {
@@ -32,6 +32,8 @@
 	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Tells whether any connection is idle. */
 	hasIdle: () => boolean;
+	/** Estimates the time until a connection of the customer is available, in milliseconds; 0 if one is idle. */
+	estimateConnectMs: (customer: CustomerId) => number;
 	/** Acquires an idle connection of any customer, for pings and status queries. */
 	acquireIdle: () => ConnectionHandle | undefined;
 	/** Closes connections that have been idle since before an instant. */
@@ -58,6 +60,22 @@
 /** Timeout for opening a connection: several times the handshake with a loaded target. */
 const DIAL_TIMEOUT_MS = 350;
 
+/** Fraction of a target's connections that an owner opens; the rest lets another owner, chosen under a different view, begin to work. */
+const MAX_CONNECTION_FRACTION = 0.7;
+/** Largest fraction that an owner keeps after a target refused a connection because too many were open, so that two owners stay within the limit together. */
+const SHARED_CONNECTION_FRACTION = 0.5;
+/** Time for which an owner opens no further connections to such a target, in milliseconds: longer than another owner keeps connections that it no longer needs. */
+const SHARING_MS = 5000;
+
+/** Assumed time for opening a connection before the first measurement. */
+const INITIAL_DIAL_MS = 15;
+/** Weight of a new measurement in the moving average. */
+const DIAL_WEIGHT = 0.1;
+/** Range of the differences in the estimates, in milliseconds, by which customers without connections are distributed over equal targets. */
+const SPREAD_MS = 1;
+/** Number of different hash values. */
+const HASH_RANGE = 4_294_967_296;
+
 /** Counts the session variables that differ from those that a statement needs. */
 const countMismatches = (session: Session, neededVariables: SessionVariables): number => {
 	let matchCount = 0;
@@ -124,11 +142,17 @@
 	};
 };
 
-/** Creates an empty connection pool; `getLimit` returns the maximum number of open connections. */
-export const createTargetConnections = (target: Target, dial: DialTarget, getLimit: () => number, runtime: Runtime): TargetConnections => {
+/** Creates an empty connection pool; `getTargetLimit` returns the maximum number of connections that the target accepts from all owners together. */
+export const createTargetConnections = (target: Target, dial: DialTarget, getTargetLimit: () => number, runtime: Runtime): TargetConnections => {
 	const sessions = new Set<Session>();
 	let diallingCount = 0;
 	let isClosed = false;
+	let meanDialMs = INITIAL_DIAL_MS;
+	let sharesUntil: Deadline = PAST;
+	/** Number of connections that this owner may have while it shares the target with others. */
+	let sharedLimit = 0;
+
+	const getLimit = (): number => Math.max(1, isPast(sharesUntil, runtime.now()) ? Math.floor(getTargetLimit() * MAX_CONNECTION_FRACTION) : sharedLimit);
 
 	const closeSession = (session: Session) => {
 		sessions.delete(session);
@@ -169,6 +193,20 @@
 		return leastRecentlyUsed;
 	};
 
+	/** Leaves connections to another owner: opens no more than there are, and closes idle ones above the shared fraction, the least recently used first. */
+	const shareTarget = () => {
+		sharedLimit = Math.min(sessions.size, Math.floor(getTargetLimit() * SHARED_CONNECTION_FRACTION));
+		sharesUntil = createDeadline(runtime.now(), SHARING_MS);
+		while (sessions.size + diallingCount > getLimit()) {
+			const leastRecentlyUsed = findLeastRecentlyUsed();
+			if (!leastRecentlyUsed) {
+				return;
+			}
+
+			closeSession(leastRecentlyUsed);
+		}
+	};
+
 	const checkOut = (session: Session): ConnectionHandle => {
 		session.isBusy = true;
 		session.lastUsedAt = runtime.now();
@@ -183,13 +221,20 @@
 
 	const openSession = async (customer: CustomerId, deadline: Deadline): Promise<Result<ConnectionHandle, DialFailure>> => {
 		diallingCount++;
-		const dialDeadline = Math.min(deadline, createDeadline(runtime.now(), DIAL_TIMEOUT_MS)) as Deadline;
+		const startedAt = runtime.now();
+		const dialDeadline = Math.min(deadline, createDeadline(startedAt, DIAL_TIMEOUT_MS)) as Deadline;
 		const dialled = await dial(target, customer, dialDeadline);
 		diallingCount--;
 		if (dialled.err) {
+			if (dialled.val.code === 'tooMany') {
+				shareTarget();
+			}
+
 			return dialled;
 		}
 
+		meanDialMs += (runtime.now() - startedAt - meanDialMs) * DIAL_WEIGHT;
+
 		const session: Session = {
 			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isBusy: true, lastUsedAt: runtime.now(),
 		};
@@ -208,6 +253,13 @@
 			closeSession(leastRecentlyUsed);
 		}
 
+		const opened = await openSession(customer, deadline);
+		const leastRecentlyUsed = opened.err && opened.val.code === 'tooMany' ? findLeastRecentlyUsed() : undefined;
+		if (!leastRecentlyUsed) {
+			return opened;
+		}
+
+		closeSession(leastRecentlyUsed);
 		return openSession(customer, deadline);
 	};
 
@@ -219,6 +271,9 @@
 		},
 		acquireNew: openOrReplace,
 		hasIdle: () => findLeastRecentlyUsed() !== undefined,
+		estimateConnectMs: customer => findIdleSession(customer, [])
+			? 0
+			: meanDialMs + (SPREAD_MS * computeHash(`${customer}\u0000${target.id}`) / HASH_RANGE),
 		acquireIdle() {
 			for (const session of sessions) {
 				if (!session.isBusy && !session.connection.isEnded()) {
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -39,7 +39,7 @@
 	dial: DialTarget;
 	readStatus: ReadStatus;
 	appointments: Appointments;
-	/** Returns how many connections this owner may open to each target. */
+	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
 	getAnyCustomer: () => CustomerId;
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -64,7 +64,12 @@
 		&& !tried.has(id)
 		&& (id === leader || healthTracker.isCaughtUp(id))
 		&& (getTarget(id)?.isDraining === false || (id === leader && components.getAcceptingMs(id) > 0));
-	return chooseReadTarget(freeTargets, {leader, isEligible, targetIds: components.listTargets().map(({id}) => id)});
+	return chooseReadTarget(freeTargets, {
+		leader,
+		isEligible,
+		targetIds: components.listTargets().map(({id}) => id),
+		estimateConnectMs: id => getConnections(id)?.estimateConnectMs(request.customer) ?? 0,
+	});
 };
 
 /** Returns how long a request with this plan may still begin on any known target, in milliseconds; infinite unless all that could run it are leaving, or none is known. */
--- a/packages/database-owners/src/tests/slot-scheduler.test.ts
+++ b/packages/database-owners/src/tests/slot-scheduler.test.ts
@@ -100,7 +100,9 @@
 	const createLoad = (id: TargetId, busyCount: number, meanMs: number): TargetLoad => ({
 		id, busyCount, slotCount: 3, meanMs,
 	});
-	const context = {leader: LEADER, isEligible: () => true, targetIds: [LEADER, REPLICA_1, REPLICA_2]};
+	const context = {
+		leader: LEADER, isEligible: () => true, targetIds: [LEADER, REPLICA_1, REPLICA_2], estimateConnectMs: () => 0,
+	};
 
 	it('prefers a replica that is as fast as the leader', () => {
 		assert.equal(chooseReadTarget([createLoad(LEADER, 0, 20), createLoad(REPLICA_1, 0, 20)], context), REPLICA_1);
@@ -110,6 +112,12 @@
 		assert.equal(chooseReadTarget([createLoad(REPLICA_1, 1, 20), createLoad(REPLICA_2, 0, 100)], context), REPLICA_1);
 	});
 
+	it('prefers a target with an idle connection of the customer, unless it is much busier', () => {
+		const connected = {...context, estimateConnectMs: (id: TargetId) => id === REPLICA_2 ? 0 : 15};
+		assert.equal(chooseReadTarget([createLoad(REPLICA_1, 0, 10), createLoad(REPLICA_2, 1, 10)], connected), REPLICA_2);
+		assert.equal(chooseReadTarget([createLoad(REPLICA_1, 0, 10), createLoad(REPLICA_2, 0, 40)], connected), REPLICA_1);
+	});
+
 	it('reserves the last slot of the leader for writes while a replica can serve the read', () => {
 		assert.equal(chooseReadTarget([createLoad(LEADER, 2, 20)], context), undefined);
 		assert.equal(chooseReadTarget([createLoad(LEADER, 2, 20)], {...context, isEligible: id => id === LEADER}), LEADER);
--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -137,9 +137,10 @@
 	const maxFactor = Math.max(1, ...load.events.map(event => event.kind === 'more' ? event.factor : 1));
 	const maxRatePerMs = operationClass.operationsPerSecond * customer.fraction * maxFactor / 1000;
 	while (!isPast(endsAt, runtime.now())) {
-		await runtime.sleep(-Math.log(1 - runtime.random()) / maxRatePerMs);
+		// A customer that sends rarely may have no further arrival before the end.
+		await runtime.sleep(Math.min(getRemainingMs(endsAt, runtime.now()), -Math.log(1 - runtime.random()) / maxRatePerMs));
 		// Arrivals are drawn at the highest rate and then thinned, so that the rate may change at any time.
-		if (runtime.random() < computeRateFactor(load, customer.name, runtime.now()) / maxFactor) {
+		if (!isPast(endsAt, runtime.now()) && runtime.random() < computeRateFactor(load, customer.name, runtime.now()) / maxFactor) {
 			onArrival();
 		}
 	}
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -58,7 +58,7 @@
 	dialMs: number;
 	/** One-way network delay between two data centres, in milliseconds. */
 	networkDelayMs: number;
-	/** Maximum number of connections to each target. */
+	/** Maximum number of connections that each target accepts. */
 	connections: number;
 	dataCentres: readonly string[];
 	/** Targets of the database; the first one is the leader at the start. */
@@ -73,7 +73,7 @@
 	durationMs: 20_000,
 	dialMs: 27,
 	networkDelayMs: 1,
-	connections: 38,
+	connections: 77,
 	dataCentres: ['east', 'middle', 'west'],
 	targets: [
 		{
@@ -143,6 +143,18 @@
 	],
 };
 
+/** Number of customers of the load with many customers: more than an owner has connections to a target. */
+const MANY_CUSTOMERS = 140;
+
+/** Customers whose fractions fall with their number, as those of a large deployment do. */
+const createManyCustomers = (): readonly CustomerLoad[] => {
+	const weights = Array.from({length: MANY_CUSTOMERS}, (_, index) => 1 / (index + 3));
+	const sum = weights.reduce((total, weight) => total + weight, 0);
+	return weights.map((weight, index) => ({
+		name: `customer-${index + 1}`, fraction: weight / sum, rate: 80, burst: 80,
+	}));
+};
+
 /** All named loads. */
 export const LOADS: readonly Load[] = [
 	{
@@ -173,6 +185,23 @@
 			kind: 'failover', target: 'target-1', atMs: 8000, untilMs: 10_000,
 		}],
 	},
+	{
+		...BASE_LOAD,
+		name: 'many-customers',
+		description: 'more customers than an owner has connections to a target',
+		durationMs: 40_000,
+		dialMs: 12,
+		connections: 90,
+		targets: BASE_LOAD.targets.map(target => ({...target, slots: 2, lagMs: Math.min(target.lagMs, 20)})),
+		classes: BASE_LOAD.classes.map(operationClass => ({
+			...operationClass,
+			meanStatementMs: operationClass.meanStatementMs * 0.375,
+			latencyObjectiveMs: operationClass.latencyObjectiveMs / 2,
+			operationsPerSecond: operationClass.operationsPerSecond * 0.7,
+		})),
+		customers: createManyCustomers(),
+		events: [],
+	},
 	{
 		...BASE_LOAD, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
 	},
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -55,6 +55,19 @@
 		});
 	});
 
+	describe('more customers than an owner has connections to a target', () => {
+		it('open a new connection for at most one operation in five', async () => {
+			const load = findLoad('many-customers');
+			assert.ok(load);
+			for (const seed of [1, 2]) {
+				const result = await runReplay(load, seed);
+				const dialsPerOperation = result.dialCount / result.operations.length;
+				assert.ok(dialsPerOperation <= 0.2, `${dialsPerOperation} connections opened for each operation`);
+				assert.ok(findWorth(createTable(result), 'all', '') >= 0.99);
+			}
+		});
+	});
+
 	describe('a restart of all vms', () => {
 		it('recovers within two windows', async () => {
 			assert.ok(findWorth(await replay('restart'), 'from ms', '12000') >= 0.98);
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -43,8 +43,6 @@
 /** Method by which vms ask a peer to probe a target. */
 export const PROBE_TARGET_METHOD = 'reach';
 
-/** Fraction of a target's connections that one owner may open: two owners, chosen under different views, stay within the limit together. */
-const OWNER_CONNECTION_FRACTION = 0.5;
 /** Timeout of one probe of a target, made by this vm or by a peer, in milliseconds. */
 const TARGET_PROBE_TIMEOUT_MS = 500;
 /** Maximum number of peers that are asked to probe a target. */
@@ -81,7 +79,7 @@
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
 			appointments: dependencies.appointments.get(database),
-			getConnectionLimit: () => Math.max(1, Math.floor((view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT) * OWNER_CONNECTION_FRACTION)),
+			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
