Choose failover coordinators outside the primary's data centre, and let owners ask them for proof

Cause: the coordinator of a database sat in the data centre of its primary, as its owner does. When that data centre was cut off, nobody could promote before the coordinator's lease had ended, 4 s later, about when the cut ended. Without fencing, the coordinator also came first as an owner, to prove that its target leads without the store, so statements left the primary's data centre with it.

Change: vms of other data centres come first as coordinators; owners are ranked as before. An owner asks the coordinator for the record of the appointment, which it gives only under its own authority, and the store only without an answer. An answer that is no record is treated as none.

--- a/packages/database-owners/src/appointments.ts
+++ b/packages/database-owners/src/appointments.ts
@@ -32,7 +32,7 @@
 	runtime: Runtime;
 	/** Returns the record as this vm knows it. */
 	getRecord: () => Appointment | undefined;
-	/** Reads the record from the store, with every change that was completed before the call. */
+	/** Reads the record with every change that was completed before the call, from the failover coordinator or from the store. */
 	readRecord: () => Promise<Result<Appointment | undefined, Failure>>;
 	/** Tells whether this vm alone may change the record now, and is not changing it; `getRecord` is then up to date. */
 	isAuthorized: () => boolean;
@@ -56,7 +56,7 @@
 /**
  * Creates the appointments of a database whose targets go on leading after they were replaced.
  * The failover coordinator proves that a target leads by its own authority; any other vm reads the record again
- * after the target has replied, as no order is sent before the record names its target.
+ * after the target has replied, from the coordinator or the store, as no order is sent before the record names its target.
  */
 export const createAppointments = (context: AppointmentsContext): Appointments => {
 	const {runtime, getRecord, isAuthorized} = context;
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -7,7 +7,9 @@
 import type {RegisteredTarget, Target} from '@guavapitch/database-owners';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
-import {parseMember, rankOwners, type Member} from './members.js';
+import {
+	parseMember, rankCoordinators, rankOwners, type Member,
+} from './members.js';
 import type {Configuration} from './configuration.js';
 
 /** Prefix of all keys that this product writes to the store. */
@@ -31,6 +33,8 @@
 	findTarget: (id: TargetId) => Target | undefined;
 	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Ranks the vms as failover coordinators of a database, best first. */
+	rankCoordinators: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean; hasAppointmentChange: boolean}>;
 }>;
@@ -180,21 +184,24 @@
 	/** Returns the data centre of the primary according to the store. What this vm observes itself is not used, so that owners do not move with every observation. */
 	const getPreferredDataCentre = (database: DatabaseId): DataCentreId | undefined => targetsByDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
 
+	const rankDatabaseOwners = (database: DatabaseId): readonly Member[] => {
+		const cached = ownerRanks.get(database);
+		if (cached) {
+			return cached;
+		}
+
+		const ranked = rankOwners(database, members, getPreferredDataCentre(database));
+		ownerRanks.set(database, ranked);
+		return ranked;
+	};
+
 	return {
 		getConfiguration: () => configuration,
 		listMembers: () => members,
 		listTargets: database => targetsByDatabase.get(database) ?? [],
 		findTarget: id => targets.get(id),
-		rankOwners(database) {
-			const cached = ownerRanks.get(database);
-			if (cached) {
-				return cached;
-			}
-
-			const ranked = rankOwners(database, members, getPreferredDataCentre(database));
-			ownerRanks.set(database, ranked);
-			return ranked;
-		},
+		rankOwners: rankDatabaseOwners,
+		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
 		applyChanges(changes) {
 			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
 			const hasTargetChange = changes.some(({key}) => key.startsWith(context.targetPrefix));
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -58,6 +58,15 @@
 		.map(({member}) => member);
 };
 
+/**
+ * Ranks vms as failover coordinators, given their ranking as owners and the data centre of the primary: those of other data centres first.
+ * When the primary's data centre is cut off, the coordinator then notices at once, and no lease has to expire before a replica is promoted.
+ */
+export const rankCoordinators = (rankedOwners: readonly Member[], primaryDataCentre: DataCentreId | undefined): readonly Member[] => [
+	...rankedOwners.filter(({dataCentre}) => dataCentre !== primaryDataCentre),
+	...rankedOwners.filter(({dataCentre}) => dataCentre === primaryDataCentre),
+];
+
 /** Number of vms of other data centres that the oldest vm of a data centre tries to follow before it reads the store itself. */
 const MAX_REMOTE_RELAYS = 2;
 
--- a/packages/vm/src/primary-appointments.ts
+++ b/packages/vm/src/primary-appointments.ts
@@ -16,6 +16,8 @@
 export type PrimaryAppointments = Readonly<{
 	/** Returns the appointments of a database. */
 	get: (database: DatabaseId) => Appointments;
+	/** Returns the record of a database for another vm; `undefined` unless this vm is its coordinator and is not changing it. */
+	confirm: (database: DatabaseId) => Appointment | undefined;
 	/** Draws a fencing token for an order that makes a target the primary and records the appointment; `undefined` if the store does not respond or this vm is not the coordinator. */
 	drawFencingToken: (database: DatabaseId, target: TargetId) => Promise<number | undefined>;
 }>;
@@ -24,6 +26,8 @@
 export type PrimaryAppointmentDependencies = Readonly<{
 	getFeed: () => Feed;
 	getRoleClaims: () => RoleClaims;
+	/** Asks the failover coordinator of a database for its record; `undefined` if it does not respond, or is not the coordinator. */
+	askCoordinator: (database: DatabaseId) => Promise<unknown>;
 }>;
 
 const formatKey = (database: DatabaseId): string => `${APPOINTMENT_PREFIX}${database}`;
@@ -35,28 +39,47 @@
 /** Parses the record of an appointment; returns `undefined` if it is malformed. */
 export const parseAppointment = (text: string): Appointment | undefined => {
 	try {
-		const {target, token} = JSON.parse(text) as Readonly<{target?: unknown; token?: unknown}>;
-		return typeof target === 'string' && typeof token === 'number' ? {target: brandId<TargetId>(target), fencingToken: token} : undefined;
+		const record = JSON.parse(text) as Readonly<{target?: unknown; token?: unknown}> | null;
+		return typeof record?.target === 'string' && Number.isSafeInteger(record.token)
+			? {target: brandId<TargetId>(record.target), fencingToken: record.token as number}
+			: undefined;
 	} catch {
 		return undefined;
 	}
 };
 
+/** Checks the response of a coordinator; returns `undefined` if it is malformed, as that of another version might be. */
+const checkAppointment = (value: unknown): Appointment | undefined => {
+	const record = value as Partial<Appointment> | null | undefined;
+	return typeof record?.target === 'string' && Number.isSafeInteger(record.fencingToken)
+		? {target: record.target, fencingToken: record.fencingToken ?? 0}
+		: undefined;
+};
+
 /** Creates the appointments of a vm. */
 export const createPrimaryAppointments = (context: VmContext, dependencies: PrimaryAppointmentDependencies): PrimaryAppointments => {
 	const appointmentsByDatabase = new Map<DatabaseId, Appointments>();
 	/** Databases for which a token is being drawn: the record may already have changed in the store. */
 	const drawingDatabases = new Set<DatabaseId>();
 
+	const getRecord = (database: DatabaseId): Appointment | undefined => {
+		const entry = dependencies.getFeed().get(formatKey(database));
+		return entry && parseAppointment(entry.value);
+	};
+
+	const isAuthorized = (database: DatabaseId): boolean => !drawingDatabases.has(database) && dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database));
+
 	const createForDatabase = (database: DatabaseId): Appointments => context.areTargetsSelfFencing
 		? SELF_FENCING_APPOINTMENTS
 		: createAppointments({
 			runtime: context.runtime,
-			getRecord() {
-				const entry = dependencies.getFeed().get(formatKey(database));
-				return entry && parseAppointment(entry.value);
-			},
+			getRecord: () => getRecord(database),
 			async readRecord() {
+				const confirmed = checkAppointment(await dependencies.askCoordinator(database));
+				if (confirmed) {
+					return Ok(confirmed);
+				}
+
 				const read = await context.store.read(formatKey(database));
 				if (read.err) {
 					return read;
@@ -67,7 +90,7 @@
 					? Ok(value === undefined ? undefined : parseAppointment(value))
 					: Err({code: 'otherEra', message: 'The store was restored, and this vm has not read it since'});
 			},
-			isAuthorized: () => !drawingDatabases.has(database) && dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
+			isAuthorized: () => isAuthorized(database),
 		});
 
 	return {
@@ -81,6 +104,7 @@
 			appointmentsByDatabase.set(database, created);
 			return created;
 		},
+		confirm: database => isAuthorized(database) ? getRecord(database) : undefined,
 		async drawFencingToken(database, target) {
 			drawingDatabases.add(database);
 			try {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -48,6 +48,7 @@
 const RUN_METHOD = 'run';
 const ROLL_BACK_METHOD = 'rollBack';
 const FEED_METHOD = 'feed';
+const CONFIRM_APPOINTMENT_METHOD = 'confirm';
 
 /** Maximum duration of one watch of the configuration, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
 const CONFIGURATION_WATCH_MS = 850;
@@ -59,6 +60,8 @@
 const TARGET_WATCH_MS = 5000;
 /** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
 const TARGET_PAUSE_MS = 1200;
+/** Timeout of asking a coordinator which target is appointed, in milliseconds: many times the usual duration, and short enough that the store can be asked next. */
+const CONFIRMATION_TIMEOUT_MS = 150;
 const FEED_TIMEOUT_MS = 1500;
 /** Time for which a vm that starts waits for its registration before it looks for relays, in milliseconds; several times the usual duration of two calls to the store. */
 const REGISTRATION_WAIT_MS = 300;
@@ -107,7 +110,20 @@
 	const quotas = createQuotas(context, {
 		view, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getFeedAgeMs: () => feed.getAgeMs(),
 	});
-	const appointments = createPrimaryAppointments(context, {getFeed: () => feed, getRoleClaims: () => roleClaims});
+	const appointments = createPrimaryAppointments(context, {
+		getFeed: () => feed,
+		getRoleClaims: () => roleClaims,
+		async askCoordinator(database) {
+			const holder = roleClaims.getHolder(formatCoordinatorRole(database));
+			const coordinator = holder && view.listMembers().find(({run}) => run === holder.run);
+			if (!coordinator || !peerClient.isUsable(coordinator.vm)) {
+				return undefined;
+			}
+
+			const response = await peerClient.call(coordinator, CONFIRM_APPOINTMENT_METHOD, {database}, CONFIRMATION_TIMEOUT_MS);
+			return response.ok ? response.val : undefined;
+		},
+	});
 	const databaseOwners = createDatabaseOwners(context, {
 		view, quotas, appointments, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
 	});
@@ -173,6 +189,7 @@
 				const {database, transaction} = body as Readonly<{database: DatabaseId; transaction: string}>;
 				databaseOwners.get(database).rollBack(transaction);
 			},
+			[CONFIRM_APPOINTMENT_METHOD]: async body => appointments.confirm((body as Readonly<{database: DatabaseId}>).database),
 			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
 			[GRANT_TOKENS_METHOD]: async body => quotas.grantTokens(body as TokenRequestMessage),
 			[PROBE_TARGET_METHOD]: async body => databaseOwners.isReachable((body as Readonly<{target: Parameters<typeof databaseOwners.isReachable>[0]}>).target),
@@ -197,8 +214,9 @@
 		getEra: feed.getEra,
 		listRoles: () => isDraining ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
-			const rankingKey = role.slice(role.indexOf('/') + 1);
-			const rank = view.rankOwners(brandId<DatabaseId>(rankingKey)).findIndex(({vm}) => vm === settings.vm);
+			const database = parseCoordinatorRole(role);
+			const ranked = database === undefined ? view.rankOwners(brandId<DatabaseId>(role)) : view.rankCoordinators(database);
+			const rank = ranked.findIndex(({vm}) => vm === settings.vm);
 			return rank === -1 ? undefined : rank;
 		},
 		hasRunEnded: ({vm, run}) => view.listMembers().some(member => member.vm === vm && member.run !== run),
@@ -216,18 +234,10 @@
 		},
 	});
 
-	/** Ranks the owners of a database. Where the appointment decides which target leads, the failover coordinator comes first, as it needs no confirmation by the store. */
-	const rankStatementOwners = (database: DatabaseId): readonly Member[] => {
-		const ranked = view.rankOwners(database);
-		const holder = context.areTargetsSelfFencing ? undefined : roleClaims.getHolder(formatCoordinatorRole(database));
-		const coordinator = holder && ranked.find(({run}) => run === holder.run);
-		return coordinator && coordinator !== ranked[0] ? [coordinator, ...ranked.filter(member => member !== coordinator)] : ranked;
-	};
-
 	const statementRouter = createStatementRouter({
 		runtime,
 		self: settings.vm,
-		rankOwners: rankStatementOwners,
+		rankOwners: view.rankOwners,
 		isUsable: vm => peerClient.isUsable(vm),
 		async callOwner(member, request, timeoutMs) {
 			const response = await peerClient.call(member, RUN_METHOD, request, timeoutMs);
