--- a/packages/vm/src/primary-appointments.ts
+++ b/packages/vm/src/primary-appointments.ts
@@ -24,8 +24,8 @@
 
 /** Dependencies of the appointments. */
 export type PrimaryAppointmentDependencies = Readonly<{
-	getFeed: () => Feed;
-	getRoleClaims: () => RoleClaims;
+	getFeed: () => Pick<Feed, 'get' | 'getEra'>;
+	getRoleClaims: () => Pick<RoleClaims, 'isHeld' | 'drawFencingToken'>;
 	/** Asks the failover coordinator of a database for its record; `undefined` if it does not respond, or is not the coordinator. */
 	askCoordinator: (database: DatabaseId) => Promise<unknown>;
 }>;
@@ -57,7 +57,7 @@
 };
 
 /** Creates the appointments of a vm. */
-export const createPrimaryAppointments = (context: VmContext, dependencies: PrimaryAppointmentDependencies): PrimaryAppointments => {
+export const createPrimaryAppointments = (context: Pick<VmContext, 'runtime' | 'store' | 'areTargetsSelfFencing'>, dependencies: PrimaryAppointmentDependencies): PrimaryAppointments => {
 	const appointmentsByDatabase = new Map<DatabaseId, Appointments>();
 	/** Databases for which a token is being drawn: the record may already have changed in the store. */
 	const drawingDatabases = new Set<DatabaseId>();
