--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -55,6 +55,8 @@
 	/** Runs a statement; the previous one must have completed. `id` is the identifier that the caller gave it. */
 	run: (id: string, statement: CallerStatement) => Promise<SessionResponse>;
 	getStatus: () => TransactionStatus;
+	/** Returns the customer as which the caller is authorized, for logging; `undefined` if it no longer is. */
+	getCustomer: () => CustomerId | undefined;
 	/** Ends the session and rolls back an open transaction. */
 	end: () => void;
 }>;
@@ -241,6 +243,10 @@
 				: runStatement(id, statement);
 		},
 		getStatus: () => status,
+		getCustomer() {
+			const authorization = context.authorize();
+			return authorization.ok ? authorization.val.customer : undefined;
+		},
 		end() {
 			endTransaction('idle');
 		},
