--- a/packages/vm/src/index.ts
+++ b/packages/vm/src/index.ts
@@ -7,3 +7,5 @@
 export * from './quotas.js';
 export * from './database-owners.js';
 export * from './process.js';
+export * from './primary-appointments.js';
+export * from './role-names.js';
