Follow no vm that has not read the entries under every prefix

Cause: a vm that had just started and read only the list of members, or the first of its prefixes, gave this to followers as all entries of the store. They removed everything else, and took the entries for older than the removal when they came later. Ruled out: an exception in a task (no event 1004), a failing store (1105 in all).

Change: a vm answers followers with an unlimited age until it has read every prefix. The new test drops the known entry at once without the change, and keeps it with the change.

--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -117,6 +117,9 @@
 
 	const getAgeMs = () => runtime.now() - contactAt;
 
+	/** Tells whether the entries under every prefix have been read. Followers drop what a whole table lacks, so this vm must not be followed before. */
+	const isComplete = (): boolean => context.prefixes.every(({prefix}) => completeAtByPrefix.has(prefix));
+
 	const publish = (changes: readonly StoreChange[], previousEntries: ReadonlyMap<string, StoreEntry | undefined>) => {
 		const relevantChanges = changes.filter(change => context.isRelevantChange(change, previousEntries.get(change.key)));
 		if (relevantChanges.length === 0) {
@@ -352,12 +355,12 @@
 			const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
 			const getNextNumber = () => firstLoggedNumber + changeLog.length;
 			const isInLog = request.run === context.run && request.after >= firstLoggedNumber - 1;
-			const mustWait = () => isInLog ? request.after + 1 >= getNextNumber() : !Number.isFinite(confirmedAt);
+			const mustWait = () => isInLog ? request.after + 1 >= getNextNumber() : !isComplete();
 			while (mustWait() && !isPast(waitDeadline, runtime.now())) {
 				await changed.waitForChange(waitDeadline);
 			}
 
-			const ageMs = Math.max(0, runtime.now() - confirmedAt);
+			const ageMs = isComplete() ? Math.max(0, runtime.now() - confirmedAt) : Number.MAX_SAFE_INTEGER;
 			const respondedAt = context.readSuspensionClock();
 			const isStillInLog = isInLog && request.after >= firstLoggedNumber - 1;
 			return {
@@ -366,7 +369,7 @@
 				era: getEra(),
 				isWhole: !isStillInLog,
 				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstLoggedNumber) : listEntriesAsChanges(),
-				ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
+				ageMs,
 				level,
 				heldMs: respondedAt - receivedAt,
 				prefixAgesMs: Object.fromEntries([...completeAtByPrefix].map(([prefix, completeAt]) => [prefix, respondedAt - completeAt])),
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -134,6 +134,54 @@
 		stop.abort();
 	});
 
+	describe('of a vm that has read only some of its prefixes', () => {
+		it('is not taken for whole by a follower, which would drop what is missing for good', async () => {
+			const {runtime, advance, store, stop} = createSetup();
+			const prefixes = [...PREFIXES, {prefix: 'b/', waitMs: 800, pauseMs: 0}];
+			const startPart = (name: string, readDelayMs: number, relay?: Feed): Feed => {
+				const feed = createFeed({
+					runtime,
+					readSuspensionClock: createSuspensionClock(runtime),
+					run: name,
+					source: {
+						...store.source,
+						async readAll(prefix) {
+							await runtime.sleep(prefix === 'a/' ? readDelayMs : 1);
+							return store.source.readAll(prefix);
+						},
+					},
+					prefixes,
+					isRelevantChange: () => true,
+					relayPrefix: 'a/vms/',
+					waitUntilListed: async () => undefined,
+					listRelays: () => relay && runtime.now() > 2000 ? ['relay'] : [],
+					callRelay: async (_relay, request) => relay ? Ok(await relay.serve(request)) : Err({code: 'gone', message: 'gone'}),
+					onChange: () => undefined,
+					onSourceChange: () => undefined,
+					onEraChange: () => undefined,
+					onStoreStatus: () => undefined,
+				});
+				void feed.run(stop.signal);
+				return feed;
+			};
+
+			store.put('a/x', 'kept');
+			store.put('a/vms/relay', 'later than the entry that the relay lacks');
+			const relay = startPart('relay', 4000);
+			const follower = startPart('follower', 1, relay);
+			await advance(1900);
+			assert.equal(follower.get('a/x')?.value, 'kept');
+			for (let elapsedMs = 0; elapsedMs < 6000; elapsedMs += 100) {
+				await advance(100);
+				assert.equal(follower.get('a/x')?.value, 'kept', `${elapsedMs} ms`);
+			}
+
+			const response = await relay.serve({run: '', after: 0, waitMs: 0});
+			assert.ok(response.isWhole && response.ageMs < 2000);
+			stop.abort();
+		});
+	});
+
 	describe('in a fleet', () => {
 		/** Starts feeds that are listed in the store in the order of their start, each following the one of `getRelay`; a relay can be stopped from responding. */
 		const startFleet = async (size: number, getRelay: (index: number) => number | undefined) => {
