Count an appointment from before the store was restored as none

Cause: a restored store may have forgotten the last appointment, and named the target of an earlier one. The class: a record believed across a change of the store's era, as revisions were before. Change: fencing tokens of an era are above those of the era before, so the token of a record tells its era. A record of an earlier era is none: nothing is proved by it, writes are refused before they are sent, and the coordinator records the primary that it finds.

--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -61,6 +61,9 @@
 const RANK_DELAY_MS = 400;
 /** Number of fencing tokens of each era. A restored store may have forgotten the last tokens, so those of a new era begin above all that the era before could draw. */
 const TOKENS_PER_ERA = 1_000_000_000;
+/** Tells whether a fencing token was drawn in an era, rather than in one before it. */
+export const isTokenOfEra = (token: number, era: number): boolean => token > era * TOKENS_PER_ERA;
+
 /** Number of best-ranked vms that may claim a role. */
 const MAX_RANKS = 4;
 
--- a/packages/vm/src/primary-appointments.ts
+++ b/packages/vm/src/primary-appointments.ts
@@ -7,7 +7,7 @@
 	createAppointments, SELF_FENCING_APPOINTMENTS, type Appointment, type Appointments,
 } from '@guavapitch/database-owners';
 import type {Feed} from '@guavapitch/feed';
-import type {RoleClaims, TokenRecord} from '@guavapitch/roles';
+import {isTokenOfEra, type RoleClaims, type TokenRecord} from '@guavapitch/roles';
 import type {VmContext} from './context.js';
 import {APPOINTMENT_PREFIX} from './cluster-view.js';
 import {formatCoordinatorRole} from './role-names.js';
@@ -62,11 +62,14 @@
 	/** Databases for which a token is being drawn: the record may already have changed in the store. */
 	const drawingDatabases = new Set<DatabaseId>();
 
-	const getRecord = (database: DatabaseId): Appointment | undefined => {
-		const entry = dependencies.getFeed().get(formatKey(database));
-		return entry && parseAppointment(entry.value);
+	/** Parses a record; one that was written before the store was restored may have been followed by another that the store has lost, so it counts as none. */
+	const parseRecord = (text: string | undefined): Appointment | undefined => {
+		const record = text === undefined ? undefined : parseAppointment(text);
+		return record && isTokenOfEra(record.fencingToken, dependencies.getFeed().getEra()) ? record : undefined;
 	};
 
+	const getRecord = (database: DatabaseId): Appointment | undefined => parseRecord(dependencies.getFeed().get(formatKey(database))?.value);
+
 	const isAuthorized = (database: DatabaseId): boolean => !drawingDatabases.has(database) && dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database));
 
 	const createForDatabase = (database: DatabaseId): Appointments => context.areTargetsSelfFencing
@@ -87,7 +90,7 @@
 
 				const {value, era} = read.val;
 				return era === dependencies.getFeed().getEra()
-					? Ok(value === undefined ? undefined : parseAppointment(value))
+					? Ok(parseRecord(value))
 					: Err({code: 'otherEra', message: 'The store was restored, and this vm has not read it since'});
 			},
 			isAuthorized: () => isAuthorized(database),
