Give the older feed tests their watch of 1,000 ms back

Only the new fleet tests need it: data count from when a watch was sent, and must not become stale before the next one ends. Change: the fleet tests have prefixes of their own.

--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -10,7 +10,9 @@
 } from '../entries.js';
 import {createFeed, type Feed} from '../feed.js';
 
-const PREFIXES = [{prefix: 'a/', waitMs: 800, pauseMs: 0}];
+const PREFIXES = [{prefix: 'a/', waitMs: 1000, pauseMs: 0}];
+/** Prefixes of a fleet in which vms follow each other: data count from when a watch was sent, so two watches must end before data become stale. */
+const FLEET_PREFIXES = [{prefix: 'a/', waitMs: 800, pauseMs: 0}];
 
 /** A store of a few entries with switchable faults. */
 const createStore = (runtime: Runtime) => {
@@ -196,7 +198,7 @@
 					readSuspensionClock: createSuspensionClock(runtime),
 					run: `run-${index}`,
 					source: store.source,
-					prefixes: PREFIXES,
+					prefixes: FLEET_PREFIXES,
 					isRelevantChange: () => true,
 					relayPrefix: 'a/vms/',
 					async waitUntilListed() {
