--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,7 +18,7 @@
 const THINK_MS = 25;
 const WARM_UP_MS = 3000;
 /** Outages of the store, each longer than the entries of instances last, and the time between them. */
-const OUTAGES = 9;
+const OUTAGES = 8;
 const OUTAGE_MS = 4500;
 const CALM_MS = 6000;
 /** Variant: `outage` for outages of the store, `cut` for a replica that is cut off from the store before the primary is replaced as planned. */
