Keep a target whose entry lapsed until it had time to come back

Cause: a missing entry was taken for a target that is gone. The view of the cluster dropped the target at once, the owner closed its connections, and the failover coordinator took the primary for dead after a grace that is shorter than the two seconds within which entries come back. A coordinator that had just taken the role, or taken it again, counted the same way.

Change: a target whose entry lapsed counts as present for 4 s, or until another target has its address; it gets no more work than a leaving one. A coordinator that has not seen a leader yet waits as long before it promotes, and what it saw before it lost the role no longer counts.

--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -53,6 +53,8 @@
 const SILENCE_TIMEOUT_MS = 800;
 /** How long no target may lead before one is promoted: the registry lags behind a promotion. */
 const LEADERLESS_GRACE_MS = 600;
+/** The same for a coordinator that has not seen a leader yet: its entry may have lapsed with the store, and is back about two seconds after the store's return. */
+const UNSEEN_LEADER_GRACE_MS = 4000;
 /** Timeout of the status queries before a promotion. */
 const STATUS_TIMEOUT_MS = 300;
 /** How long a target may take to prove that it leads after the request: several times the duration of a promotion. */
@@ -220,8 +222,14 @@
 	watchedSince: Instant | undefined;
 	/** Leaving primary for which it was reported that no target can replace it. */
 	irreplaceableLeader: TargetId | undefined;
+	/** Whether a target has led since this vm became the coordinator. */
+	hasSeenLeader: boolean;
 };
 
+const createPrimaryCheckState = (): PrimaryCheckState => ({
+	refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined, irreplaceableLeader: undefined, hasSeenLeader: false,
+});
+
 /** Replaces a primary that is about to leave: pauses writes until a replica has caught up, and promotes it. */
 const switchOver = async (context: FailoverCoordinatorContext, leader: Target, state: PrimaryCheckState): Promise<boolean> => {
 	const {runtime, owner} = context;
@@ -279,10 +287,11 @@
 			return undefined;
 		}
 
-		return runtime.now() - state.leaderlessSince >= LEADERLESS_GRACE_MS ? 'no target acts as primary' : undefined;
+		return runtime.now() - state.leaderlessSince >= (state.hasSeenLeader ? LEADERLESS_GRACE_MS : UNSEEN_LEADER_GRACE_MS) ? 'no target acts as primary' : undefined;
 	}
 
 	state.leaderlessSince = undefined;
+	state.hasSeenLeader = true;
 	const lastResponseAt = healthTracker.getLastResponseAt(leader) ?? state.watchedSince ?? now;
 	state.watchedSince ??= now;
 	if (now - lastResponseAt < PING_AFTER_MS && healthTracker.isUsable(leader)) {
@@ -320,11 +329,14 @@
 /** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
 	const {runtime, owner} = context;
-	const state: PrimaryCheckState = {
-		refusingSince: undefined, leaderlessSince: undefined, watchedSince: undefined, irreplaceableLeader: undefined,
-	};
+	let state = createPrimaryCheckState();
 	while (!signal.aborted) {
 		await runtime.sleep(CHECK_INTERVAL_MS, signal).catch(() => undefined);
+		if (!context.isCoordinator()) {
+			// What was seen before this vm lost the role says nothing about the primary when it has the role again.
+			state = createPrimaryCheckState();
+		}
+
 		if (signal.aborted || !context.isCoordinator() || owner.components.listTargets().length === 0) {
 			continue;
 		}
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -18,6 +18,8 @@
 type Options = Readonly<{
 	isCoordinator?: () => boolean;
 	isReachableFromPeers?: boolean;
+	/** Whether the registry lists the targets from the start. */
+	isAlreadyRegistered?: boolean;
 	isSynchronouslyReplicated?: boolean;
 	requestPromotion?: (request: PromotionRequest, targets: readonly FakeTarget[]) => PromotionOutcome;
 }>;
@@ -26,6 +28,10 @@
 	const {runtime, advance} = createVirtualRuntime(5);
 	const targets = [createFakeTarget('primary', 'primary'), createFakeTarget('replica-1', 'replica'), createFakeTarget('replica-2', 'replica')] as const;
 	const owner = createFakeOwner(targets, runtime);
+	if (options.isAlreadyRegistered === false) {
+		owner.setTargets([]);
+	}
+
 	const promotionRequests: PromotionRequest[] = [];
 	const events: FailoverCoordinatorEvent[] = [];
 	const stop = new AbortController();
@@ -122,6 +128,45 @@
 		});
 	});
 
+	describe('with a primary whose entry is missing', () => {
+		// After an outage of the store, a vm that has just become the coordinator must not replace a primary whose entry is not back yet.
+		it('promotes nothing before the entry had time to come back', async () => {
+			const {targets: [primary, replica1, replica2], promotionRequests, advance, owner, stop} = createSetup({isAlreadyRegistered: false});
+			owner.setTargets([replica1.description, replica2.description]);
+			await advance(3500);
+			assert.deepEqual(promotionRequests, []);
+			owner.setTargets([primary.description, replica1.description, replica2.description]);
+			await advance(3000);
+			assert.deepEqual(promotionRequests, []);
+			stop.abort();
+		});
+
+		it('promotes nothing because of what it saw before it lost the role', async () => {
+			let isCoordinator = true;
+			const {targets: [primary, replica1, replica2], promotionRequests, advance, owner, stop} = createSetup({isCoordinator: () => isCoordinator});
+			await advance(500);
+			owner.setTargets([replica1.description, replica2.description]);
+			await advance(400);
+			isCoordinator = false;
+			await advance(5000);
+			isCoordinator = true;
+			await advance(2000);
+			assert.deepEqual(promotionRequests, []);
+			owner.setTargets([primary.description, replica1.description, replica2.description]);
+			await advance(1000);
+			assert.deepEqual(promotionRequests, []);
+			stop.abort();
+		});
+
+		it('promotes a replica once the entry had time to come back', async () => {
+			const {targets: [, replica1, replica2], promotionRequests, advance, owner, stop} = createSetup({isAlreadyRegistered: false});
+			owner.setTargets([replica1.description, replica2.description]);
+			await advance(5000);
+			assert.equal(promotionRequests.length, 1);
+			stop.abort();
+		});
+	});
+
 	describe('with synchronous replication', () => {
 		it('promotes nothing while a replica is unresponsive, as it may be the only one with an acknowledged commit', async () => {
 			const {targets: [primary, , replica2], promotionRequests, advance, stop} = createSetup({isSynchronouslyReplicated: true});
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,7 +1,7 @@
 /** The cluster as one vm sees it through the change feed: configuration, targets and members. */
 
 import {
-	createDeadline, NEVER, type DatabaseId, type DataCentreId, type Deadline, type TargetId,
+	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, type DatabaseId, type DataCentreId, type Deadline, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
 import type {RegisteredTarget, Target} from '@guavapitch/database-owners';
@@ -64,6 +64,10 @@
 		return 'draining';
 	}
 
+	if (before.acceptsUntil !== after.acceptsUntil) {
+		return after.acceptsUntil === NEVER ? 'listedAgain' : 'lapsed';
+	}
+
 	return before.role === after.role ? undefined : 'roleChanged';
 };
 
@@ -81,8 +85,21 @@
 /** Maximum number of runs of leaving targets that are remembered. */
 const MAX_REMEMBERED_RUNS = 1000;
 
+/**
+ * Time for which a target counts as present after its entry lapsed, in milliseconds: the entry of a target that lives is back within two seconds
+ * of the store's return, a watch of targets pauses for 1.2 s, and a relay may hold the change for 0.8 s.
+ */
+const LAPSED_GRACE_MS = 4000;
+
+/** Functions by which a cluster view reaches the rest of its vm. */
+export type ClusterViewHooks = Readonly<{
+	getFeed: () => Feed;
+	/** Called when targets are dropped without a change of the feed, because their entries have been missing for too long. */
+	onTargetsDropped: () => void;
+}>;
+
 /** Creates an empty cluster view. */
-export const createClusterView = (context: VmContext, getFeed: () => Feed): ClusterView => {
+export const createClusterView = (context: VmContext, {getFeed, onTargetsDropped}: ClusterViewHooks): ClusterView => {
 	let configuration: Configuration | undefined;
 	let members: readonly Member[] = [];
 	let targets = new Map<TargetId, Target>();
@@ -91,6 +108,9 @@
 	/** Until when leaving targets accept new work, by run of the target; kept when an entry is missing for a while, as the drain time goes on. */
 	const acceptsUntilByRun = new Map<string, Deadline>();
 
+	/** Until when targets without an entry count as present. */
+	const lapsedUntil = new Map<TargetId, Deadline>();
+
 	/** Returns the age of the change feed as a finite number, for the log. */
 	const getLoggedAgeMs = () => Math.round(Math.min(getFeed().getAgeMs(), Number.MAX_SAFE_INTEGER));
 
@@ -148,6 +168,30 @@
 		return acceptsUntil;
 	};
 
+	/**
+	 * Returns a target whose entry is missing, as long as it counts as present; entries also lapse while the store is away, and with it a sound primary.
+	 * A target that had announced that it leaves, or whose address another one has, is gone. The others get no more work than if they had announced it when the entry lapsed.
+	 */
+	const keepLapsed = (target: Target, listed: readonly Target[]): Target | undefined => {
+		if (target.isDraining || listed.some(({host, port}) => host === target.host && port === target.port)) {
+			return undefined;
+		}
+
+		const now = context.readSuspensionClock();
+		const until = lapsedUntil.get(target.id);
+		if (until !== undefined) {
+			return isPast(until, now) ? undefined : target;
+		}
+
+		const presentUntil = createDeadline(now, LAPSED_GRACE_MS);
+		lapsedUntil.set(target.id, presentUntil);
+		context.runtime.schedule(getRemainingMs(presentUntil, now), () => {
+			rebuildTargets();
+			onTargetsDropped();
+		});
+		return {...target, acceptsUntil: chooseEarliest([presentUntil, createDeadline(getFeed().getCompleteAt(context.targetPrefix), context.getTargetDrainMs())])};
+	};
+
 	const rebuildTargets = () => {
 		const targetsById = new Map<TargetId, Target>();
 		const groupedTargets = new Map<DatabaseId, Target[]>();
@@ -158,6 +202,18 @@
 				const target: Target = {...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
+				lapsedUntil.delete(target.id);
+			}
+		}
+
+		const listedTargets = [...targetsById.values()];
+		for (const known of targets.values()) {
+			const target = targetsById.has(known.id) ? undefined : keepLapsed(known, listedTargets);
+			if (target) {
+				targetsById.set(target.id, target);
+				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
+			} else {
+				lapsedUntil.delete(known.id);
 			}
 		}
 
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -80,7 +80,12 @@
 	let isDraining = false;
 	let isStoreReachable = true;
 
-	const view = createClusterView(context, () => feed);
+	const view = createClusterView(context, {
+		getFeed: () => feed,
+		onTargetsDropped() {
+			databaseOwners.refreshTargets();
+		},
+	});
 	const getEntry = (key: string) => feed.get(key);
 	const self: Omit<Member, 'createdRevision'> = {
 		vm: settings.vm, run: settings.run, dataCentre: settings.dataCentre, host: settings.host, port: settings.port, capacity: settings.capacity,
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	brandId, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type TargetId,
+	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
 import {createClusterView} from '../cluster-view.js';
@@ -17,11 +17,15 @@
 
 /** Creates a view over entries that a test replaces as a whole. */
 const createSetup = () => {
+	const {runtime, advance} = createVirtualRuntime(1);
+	let droppedCount = 0;
 	const events: Array<Readonly<Record<string, unknown>>> = [];
 	let entries: readonly StoreEntry[] = [];
 	let revision = 0;
 	let completeAt = 0 as Instant;
 	const context: Partial<VmContext> = {
+		runtime,
+		readSuspensionClock: runtime.now,
 		targetPrefix: TARGET_PREFIX,
 		configurationKey: 'op/config',
 		getTargetDrainMs: () => DRAIN_MS,
@@ -45,7 +49,12 @@
 		getAgeMs: () => 7,
 		getCompleteAt: () => completeAt,
 	};
-	const view = createClusterView(context as VmContext, () => feed as Feed);
+	const view = createClusterView(context as VmContext, {
+		getFeed: () => feed as Feed,
+		onTargetsDropped() {
+			droppedCount++;
+		},
+	});
 	const setTargets = (targets: readonly TargetEntry[]) => {
 		revision++;
 		entries = targets.map(target => ({
@@ -60,7 +69,8 @@
 	const getAcceptsUntil = (id: string) => view.findTarget(brandId<TargetId>(id))?.acceptsUntil;
 
 	return {
-		view, events, setTargets, getAcceptsUntil,
+		view, events, setTargets, getAcceptsUntil, advance,
+		getDroppedCount: () => droppedCount,
 		setCompleteAt(ms: number) {
 			completeAt = ms as Instant;
 		},
@@ -112,6 +122,48 @@
 		});
 	});
 
+	describe('a target whose entry is missing', () => {
+		// Entries lapse while the store is away: a sound primary must not be taken for one that is gone.
+		it('counts as present until its entry had time to come back after an outage of the store', async () => {
+			const {view, setTargets, advance, getDroppedCount} = createSetup();
+			setTargets([{id: 'a'}, {id: 'b'}]);
+			setTargets([{id: 'b'}]);
+			await advance(3900);
+			assert.deepEqual(view.listTargets(DATABASE).map(({id}) => id).toSorted(), ['a', 'b']);
+			await advance(200);
+			assert.deepEqual(view.listTargets(DATABASE).map(({id}) => id), ['b']);
+			assert.equal(getDroppedCount(), 1);
+		});
+
+		it('accepts work no longer than one that announced that it leaves', () => {
+			const {setTargets, setCompleteAt, getAcceptsUntil} = createSetup();
+			setCompleteAt(-5000);
+			setTargets([{id: 'a'}]);
+			setTargets([]);
+			assert.equal(getAcceptsUntil('a'), 2000);
+		});
+
+		it('is kept as it is listed again', async () => {
+			const {view, setTargets, advance, getAcceptsUntil} = createSetup();
+			setTargets([{id: 'a'}]);
+			setTargets([]);
+			await advance(1000);
+			setTargets([{id: 'a'}]);
+			await advance(10_000);
+			assert.equal(getAcceptsUntil('a'), NEVER);
+			setTargets([]);
+			await advance(3900);
+			assert.equal(view.listTargets(DATABASE).length, 1);
+		});
+
+		it('is gone at once if it had announced that it leaves', () => {
+			const {view, setTargets} = createSetup();
+			setTargets([{id: 'a', isDraining: true}]);
+			setTargets([]);
+			assert.deepEqual(view.listTargets(DATABASE), []);
+		});
+	});
+
 	describe('events about targets', () => {
 		it('name the target, what has changed, and how many targets of its database stay', () => {
 			const {events, setTargets} = createSetup();
