Promote in a synchronously replicated group only after every member was compared

Cause: the replicas that the registry listed were taken for all that may have confirmed commits. Replicas were paused and resumed by one process only, so a lost token or an ended coordinator left them paused; and they were resumed although an order without a response might still be executed.

Change: the coordinator records the members of each group in the store (`guavapitch/groups/DATABASE`), a run of a target each, from when it first sees it until it is shown that no commit is on it alone. A change of primary reads record, appointment and registry from the store, pauses every member at its last address, compares all, and checks them again after the token is drawn. While an order may be executed the replicas stay paused, and whoever holds the role orders the same target. Each second the coordinator resumes replicas that were left paused. `TargetStatus` has the term of a pause that holds, which the adapter took for a position. The asynchronous path is unchanged but for files.

The PostgreSQL path decides by a recorded synced set; none of this was found.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,7 +1,7 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, isPast, Ok, PAST, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
@@ -15,8 +15,9 @@
 import {createHealthTracker, type HealthTracker} from './health-tracker.js';
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
+import {isSameRun} from './replication-groups.js';
 import type {
-	Command, DialFailure, DialTarget, ReadStatus, Target, TargetStatus,
+	Command, DialFailure, DialTarget, ReadStatus, RegisteredTarget, Target, TargetStatus,
 } from './targets.js';
 
 /** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
@@ -76,6 +77,9 @@
 /** Result of asking a target whether it leads: `follows` if it replied that it does not, `unclear` if its reply tells neither, `refused` if no connection could be opened, `undefined` if it did not respond. */
 export type PingResult = 'leads' | 'follows' | 'unclear' | 'refused' | undefined;
 
+/** Failure to get the status of a target: no connection could be opened, or, with `noStatus`, no reply came, or one without a status or after a refused command. */
+export type StatusFailure = DialFailure | Failure<'noStatus'>;
+
 /** Tells whether a ping got a reply, whatever it says. */
 export const isPingAnswered = (result: PingResult): boolean => result !== undefined && result !== 'refused';
 
@@ -91,8 +95,8 @@
 	refreshLeader: () => void;
 	/** Asks a target whether it leads, over an idle connection and, if that gets no response, over a new one; each attempt may take the time that is left now until the deadline. */
 	ping: (target: TargetId, deadline: Deadline) => Promise<PingResult>;
-	/** Queries the status of a target, after running `precedingCommand` if given; `undefined` if it does not respond or refuses that command. */
-	queryStatus: (target: TargetId, deadline: Deadline, precedingCommand?: Command) => Promise<TargetStatus | undefined>;
+	/** Queries the status of a target, after running `precedingCommand` if given. It need not be registered: it is then reached where it was last. */
+	queryStatus: (target: RegisteredTarget, deadline: Deadline, precedingCommand?: Command) => Promise<Result<TargetStatus, StatusFailure>>;
 	/** Keeps new writes in the queue, or admits them again. */
 	pauseWrites: (areWritesPaused: boolean) => void;
 	/** Closes connections that have been idle for longer than `idleMs`. */
@@ -110,9 +114,6 @@
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
-/** Tells whether two descriptions denote the same target without a restart in between. */
-const isSameRun = (a: Target, b: Target): boolean => a.id === b.id && a.startedAtMs === b.startedAtMs && a.host === b.host && a.port === b.port;
-
 /** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
 	const {runtime, readSuspensionClock} = context;
@@ -165,6 +166,12 @@
 		return idleHandle ? Ok(idleHandle) : targetConnections.acquire(lastCustomer ?? context.getAnyCustomer(), [], deadline);
 	};
 
+	/** Opens a connection that is closed when it is released. */
+	const dialOnce = async (target: RegisteredTarget, deadline: Deadline): Promise<Result<Pick<ConnectionHandle, 'connection' | 'release'>, DialFailure>> => {
+		const dialled = await context.dial({...target, acceptsUntil: PAST}, lastCustomer ?? context.getAnyCustomer(), deadline);
+		return dialled.map(connection => ({connection, release: connection.close}));
+	};
+
 	/** Asks a target whether it leads by beginning a write transaction, which a replica refuses and which needs no slot; rolls it back at once. Its position is recorded if the proof that it leads is certain, or confirmed when `mustConfirm` is set. */
 	const ping = async (id: TargetId, deadline: Deadline, {mustDial, mustConfirm}: PingOptions): Promise<PingResult> => {
 		const pingDeadline = Math.min(deadline, createDeadline(runtime.now(), PING_TIMEOUT_MS)) as Deadline;
@@ -288,19 +295,21 @@
 		},
 		refreshLeader: leaderTracker.refresh,
 		ping: async (id, deadline) => pingWithRedial(id, deadline - runtime.now()),
-		async queryStatus(id, deadline, precedingCommand) {
-			const acquired = await acquireConnection(id, deadline);
-			if (!acquired?.ok) {
-				return undefined;
+		async queryStatus(target, deadline, precedingCommand) {
+			const registered = targets.get(target.id);
+			const acquired = registered && isSameRun(registered, target) ? await acquireConnection(target.id, deadline) : undefined;
+			const dialled = acquired ?? await dialOnce(target, deadline);
+			if (dialled.err) {
+				return dialled;
 			}
 
-			const handle = acquired.val;
+			const handle = dialled.val;
 			const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
 			const {replies, ended} = await handle.connection.execute(commands, deadline);
 			handle.release(ended === 'no');
-			const isRefused = replies[0]?.result.kind === 'error';
 			const reply = replies[commands.length - 1];
-			return reply && !isRefused ? context.readStatus(reply) : undefined;
+			const status = reply && replies.every(({result}) => result.kind === 'done') ? context.readStatus(reply) : undefined;
+			return status ? Ok(status) : Err({code: 'noStatus', message: reply ? 'the target refused the command or its reply contains no status' : 'the target did not reply'});
 		},
 		pauseWrites(isPaused) {
 			areWritesPaused = isPaused;
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -7,4 +7,7 @@
 export * from './leader-tracker.js';
 export * from './health-tracker.js';
 export * from './database-owner.js';
+export * from './replication-groups.js';
+export * from './promotions.js';
+export * from './synced-groups.js';
 export * from './failover-coordinator.js';
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -64,8 +64,8 @@
 	ended: 'no' | 'lost' | 'timeout';
 }>;
 
-/** Status that a target reports; `received` is the position up to which it has received the log, `lagMs` its replication lag. */
-export type TargetStatus = Readonly<{role: TargetRole; term: number; received: LogPosition; lagMs: number}>;
+/** Status that a target reports; `received` is the position up to which it has received the log, `heldTerm` the term of a pause that holds, `lagMs` its replication lag. A replica is paused if `heldTerm` is above `term`. */
+export type TargetStatus = Readonly<{role: TargetRole; term: number; received: LogPosition; heldTerm: number; lagMs: number}>;
 
 /** A connection to a target. It ends after a timeout, since a late reply could be mistaken for the reply to the next command. */
 export type TargetConnection = Readonly<{
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -5,9 +5,9 @@
 import {
 	createVirtualRuntime, type TargetId,
 } from '@guavapitch/core';
-import {
-	rankReplicas, runFailoverCoordinator, type FailoverCoordinatorEvent, type PromotionOutcome,
-} from '../failover-coordinator.js';
+import {runFailoverCoordinator} from '../failover-coordinator.js';
+import {rankReplicas, type FailoverCoordinatorEvent, type PromotionOutcome} from '../promotions.js';
+import {NO_GROUP_STORE} from '../replication-groups.js';
 import {createFakeOwner} from './fake-owner.js';
 import {
 	createFakeTarget, DATABASE, type FakeTarget,
@@ -56,12 +56,13 @@
 		owner,
 		isCoordinator: options.isCoordinator ?? (() => true),
 		drawFencingToken: async () => ++fencingToken,
-		async requestPromotion(target, token) {
+		async requestPromotion({id: target}, token) {
 			promotionRequests.push({target, fencingToken: token});
 			return options.requestPromotion ? options.requestPromotion({target, fencingToken: token}, targets) : promoteTarget({target, fencingToken: token});
 		},
 		isReachableFromPeers: async () => options.isReachableFromPeers ?? false,
 		isSynchronouslyReplicated: () => options.isSynchronouslyReplicated ?? false,
+		groupStore: NO_GROUP_STORE,
 		onEvent(event) {
 			events.push(event);
 		},
@@ -220,12 +221,12 @@
 			const ranked = rankReplicas([
 				{
 					target: replica1.description, status: {
-						role: 'replica', term: 1, received: {term: 1, number: 200}, lagMs: 0,
+						role: 'replica', term: 1, received: {term: 1, number: 200}, heldTerm: 0, lagMs: 0,
 					},
 				},
 				{
 					target: replica2.description, status: {
-						role: 'replica', term: 2, received: {term: 2, number: 150}, lagMs: 0,
+						role: 'replica', term: 2, received: {term: 2, number: 150}, heldTerm: 0, lagMs: 0,
 					},
 				},
 			]);
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -25,6 +25,8 @@
 	dialMs: number;
 	dialCount: number;
 	pauseCount: number;
+	/** Term of the pause that holds; 0 if none does. */
+	heldTerm: number;
 	runningCount: number;
 	/** Highest number of statements that ran concurrently. */
 	maxRunningCount: number;
@@ -47,6 +49,7 @@
 	dialMs: 1,
 	dialCount: 0,
 	pauseCount: 0,
+	heldTerm: 0,
 	runningCount: 0,
 	maxRunningCount: 0,
 });
@@ -138,6 +141,12 @@
 
 			case 'pause': {
 				target.pauseCount++;
+				target.heldTerm = command.term;
+				return createDoneReply();
+			}
+
+			case 'resume': {
+				target.heldTerm = 0;
 				return createDoneReply();
 			}
 
@@ -216,6 +225,6 @@
 	const name = reply.result.kind === 'done' ? reply.result.signature.replace('signed by ', '') : '';
 	const target = targets.find(candidate => candidate.description.id === name);
 	return target && {
-		role: target.role, term: target.position.term, received: target.position, lagMs: 0,
+		role: target.role, term: target.position.term, received: target.position, heldTerm: target.heldTerm, lagMs: 0,
 	};
 };
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -67,7 +67,7 @@
 		},
 		async read(key) {
 			expireLeases();
-			return faults.isDown ? storeUnreachable : Ok({value: entries.get(key)?.value, era: state.era});
+			return faults.isDown ? storeUnreachable : Ok({value: entries.get(key)?.value, revision: entries.get(key)?.revision ?? 0, era: state.era});
 		},
 		async transact({conditions, puts}) {
 			expireLeases();
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -25,8 +25,8 @@
 /** Outcome of a transaction: its revision, or `undefined` if a condition was not met. */
 export type TransactionOutcome = EraStamped & Readonly<{revision: number | undefined}>;
 
-/** Value of an entry as the store held it when it responded; `undefined` if there was none. */
-export type ReadValue = EraStamped & Readonly<{value: string | undefined}>;
+/** Value of an entry as the store held it when it responded, and the revision of its last change; `undefined` and 0 if there was none. */
+export type ReadValue = EraStamped & Readonly<{value: string | undefined; revision: number}>;
 
 /** Store operations that roles need. */
 export type RoleStore = Readonly<{
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -49,7 +49,7 @@
 	dialTarget: DialTarget;
 	readStatus: ReadStatus;
 	/** Asks a target to become the primary of its database, for the holder of the coordinator role and under its fencing token. */
-	requestPromotion: (target: Target, holder: VmId, fencingToken: number) => Promise<PromotionOutcome>;
+	requestPromotion: (target: RegisteredTarget, holder: VmId, fencingToken: number) => Promise<PromotionOutcome>;
 }>;
 
 /** Finds a target of any database; returns `undefined` if it is unknown. */
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -13,6 +13,7 @@
 import type {Quotas} from './quotas.js';
 import type {ClusterView} from './cluster-view.js';
 import type {PrimaryAppointments} from './primary-appointments.js';
+import {createGroupStore} from './replication-groups.js';
 import {formatCoordinatorRole} from './role-names.js';
 
 /** Database owners at one vm. */
@@ -101,12 +102,10 @@
 			owner,
 			isCoordinator: () => dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database)),
 			drawFencingToken: async appointed => dependencies.appointments.drawFencingToken(database, appointed),
-			async requestPromotion(target, fencingToken) {
-				const promotedTarget = view.findTarget(target);
-				return promotedTarget ? context.requestPromotion(promotedTarget, settings.vm, fencingToken) : 'refused';
-			},
+			requestPromotion: async (target, fencingToken) => context.requestPromotion(target, settings.vm, fencingToken),
 			isReachableFromPeers: probeFromPeers,
 			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
+			groupStore: createGroupStore(context, database),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
 				emit(EVENTS.coordinatorDecision, {
--- a/packages/vm/src/primary-appointments.ts
+++ b/packages/vm/src/primary-appointments.ts
@@ -30,10 +30,11 @@
 	askCoordinator: (database: DatabaseId) => Promise<unknown>;
 }>;
 
-const formatKey = (database: DatabaseId): string => `${APPOINTMENT_PREFIX}${database}`;
+/** Formats the key of the record of an appointment. */
+export const formatAppointmentKey = (database: DatabaseId): string => `${APPOINTMENT_PREFIX}${database}`;
 
 const formatRecord = (database: DatabaseId, {target, fencingToken}: Appointment): TokenRecord => ({
-	key: formatKey(database), value: JSON.stringify({target, token: fencingToken}),
+	key: formatAppointmentKey(database), value: JSON.stringify({target, token: fencingToken}),
 });
 
 /** Parses the record of an appointment; returns `undefined` if it is malformed. */
@@ -68,7 +69,7 @@
 		return record && isTokenOfEra(record.fencingToken, dependencies.getFeed().getEra()) ? record : undefined;
 	};
 
-	const getRecord = (database: DatabaseId): Appointment | undefined => parseRecord(dependencies.getFeed().get(formatKey(database))?.value);
+	const getRecord = (database: DatabaseId): Appointment | undefined => parseRecord(dependencies.getFeed().get(formatAppointmentKey(database))?.value);
 
 	const isAuthorized = (database: DatabaseId): boolean => !drawingDatabases.has(database) && dependencies.getRoleClaims().isHeld(formatCoordinatorRole(database));
 
@@ -83,7 +84,7 @@
 					return Ok(confirmed);
 				}
 
-				const read = await context.store.read(formatKey(database));
+				const read = await context.store.read(formatAppointmentKey(database));
 				if (read.err) {
 					return read;
 				}
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -9,7 +9,7 @@
 	createVirtualRuntime, Ok, brandId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
 import {
-	createDatabaseOwner, runFailoverCoordinator, SELF_FENCING_APPOINTMENTS, type DatabaseOwner,
+	createDatabaseOwner, NO_GROUP_STORE, runFailoverCoordinator, SELF_FENCING_APPOINTMENTS, type DatabaseOwner,
 } from '@guavapitch/database-owners';
 import {createRoleClaims, createVmRegistration} from '@guavapitch/roles';
 import type {StatementRequest} from '@guavapitch/sessions';
@@ -132,9 +132,10 @@
 			owner,
 			isCoordinator: () => roleClaims.isHeld(ROLE),
 			drawFencingToken: async target => appointments.drawFencingToken(MODEL_DATABASE, target),
-			requestPromotion: async (target, fencingToken) => sendOrder({target, fencingToken}),
+			requestPromotion: async ({id}, fencingToken) => sendOrder({target: id, fencingToken}),
 			isReachableFromPeers: async () => false,
 			isSynchronouslyReplicated: () => false,
+			groupStore: NO_GROUP_STORE,
 			onEvent: () => undefined,
 		}, signal);
 		vms.push({
--- a/packages/vm/src/tests/model-store.ts
+++ b/packages/vm/src/tests/model-store.ts
@@ -99,7 +99,7 @@
 
 				return Ok({revision, era: ERA});
 			}),
-			read: async key => call(link, () => Ok({value: entries.get(key)?.value, era: ERA})),
+			read: async key => call(link, () => Ok({value: entries.get(key)?.value, revision: entries.get(key)?.revision ?? 0, era: ERA})),
 		}),
 		getEntries() {
 			expireLeases();
--- a/packages/vm/src/tests/model-targets.ts
+++ b/packages/vm/src/tests/model-targets.ts
@@ -205,7 +205,7 @@
 		readStatus(reply) {
 			const target = targets.find(({description}) => reply.result.kind === 'done' && description.id === reply.result.signature);
 			return target && {
-				role: target.role, term: target.term, received: {term: target.term, number: target.log.length}, lagMs: 0,
+				role: target.role, term: target.term, received: {term: target.term, number: target.log.length}, heldTerm: 0, lagMs: 0,
 			};
 		},
 		promote(id) {
--- a/packages/vm/src/tests/primary-appointments.test.ts
+++ b/packages/vm/src/tests/primary-appointments.test.ts
@@ -20,7 +20,7 @@
 	const appointments = createPrimaryAppointments({
 		runtime,
 		store: {
-			grantLease: async () => failure, renewLease: async () => failure, revokeLease: async () => failure, transact: async () => failure, read: async () => Ok({value, era: ERA}),
+			grantLease: async () => failure, renewLease: async () => failure, revokeLease: async () => failure, transact: async () => failure, read: async () => Ok({value, revision: 5, era: ERA}),
 		},
 		areTargetsSelfFencing: false,
 	}, {
