Answer every request before a stopping process ends

Cause: sessions were closed only if they were idle at a check each 100 ms, and were taken to be so before the process ends. Those of callers without pauses, or in a transaction, had statements passed on until process.exit, without a deadline before it. An owner ended although other vms' transactions were open there; calls that a stopping vm ignored counted as lost; the PostgreSQL front passed on requests until its drain time was over.

Change: a stop has one order, in callers/stop-plan, which both fronts use: statements are refused as not run after half of the grace period, those passed on have a deadline that leaves time for their answers, and the process waits for deliveries and for the work of other vms. A vm that stops tells its peers which calls it has not accepted.

--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,1 +1,2 @@
 export * from './session.js';
+export * from './stop-plan.js';
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,12 +1,13 @@
 /** Session of one caller: its variables, prepared statements and transaction. Independent of the wire encoding. */
 
 import {
-	createDeadline, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type Runtime,
+	createDeadline, getRemainingMs, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type Runtime,
 } from '@guavapitch/core';
 import {
 	chooseLaterPosition, createRefusal, getAccess,
 	type CallerStatement, type Consistency, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
 } from '@guavapitch/sessions';
+import {computeStatementDeadline, isPassedOn, type StopPlan} from './stop-plan.js';
 
 /** Configuration of the service that a session uses. */
 export type Route = Readonly<{
@@ -36,6 +37,8 @@
 	runAtOwner: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	/** Rolls a transaction back at the owner of its database. */
 	rollBack: (database: DatabaseId, transaction: string) => void;
+	/** Returns the plan of the stop that is in progress; `undefined` if there is none. */
+	getStopPlan: () => StopPlan | undefined;
 }>;
 
 /** Response to a statement of the caller. */
@@ -50,11 +53,15 @@
 	waitedMs: number;
 }>;
 
+type RequestDeadlines = Readonly<{deadline: Deadline; latencyDeadline: Deadline}>;
+
 /** Session of a caller. */
 export type Session = Readonly<{
 	/** Runs a statement; the previous one must have completed. `id` is the identifier that the caller gave it. */
 	run: (id: string, statement: CallerStatement) => Promise<SessionResponse>;
 	getStatus: () => TransactionStatus;
+	/** Tells whether a statement was refused because this vm is stopping, so that the caller knows that it must connect again. */
+	isTurnedAway: () => boolean;
 	/** Returns the customer as which the caller is authorized, for logging; `undefined` if it no longer is. */
 	getCustomer: () => CustomerId | undefined;
 	/** Ends the session and rolls back an open transaction. */
@@ -82,10 +89,17 @@
 	/** Log position of the last acknowledged write. */
 	let minimumPosition: LogPosition | undefined;
 
+	let isTurnedAway = false;
+
 	const createResponse = (outcome: StatementOutcome, response?: StatementResponse): SessionResponse => ({
 		outcome, status, position: response?.position, target: response?.target, waitedMs: response?.waitedMs ?? 0,
 	});
 
+	const turnAway = (code: 'busy' | 'aborted'): SessionResponse => {
+		isTurnedAway = true;
+		return createResponse(createRefusal(code, 'this vm is stopping; connect again'));
+	};
+
 	/** Sets the status; unless it is `open`, ends the transaction and rolls it back at the owner if it has started there. */
 	const endTransaction = (newStatus: TransactionStatus) => {
 		status = newStatus;
@@ -99,7 +113,7 @@
 		}
 	};
 
-	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, latencyDeadline: Deadline): StatementRequest => ({
+	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, {deadline, latencyDeadline}: RequestDeadlines): StatementRequest => ({
 		id,
 		database: route.database,
 		customer,
@@ -108,7 +122,7 @@
 		floor: route.consistency.kind === 'ownWrites' ? minimumPosition : undefined,
 		values: [...variables],
 		transaction: transaction && {id: transaction.id, readOnly: transaction.readOnly, isFirst: !isStarted},
-		remainingMs: route.timeoutMs,
+		remainingMs: getRemainingMs(deadline, runtime.now()),
 		promptMs: Math.max(0, latencyDeadline - runtime.now()),
 		priority: route.priority,
 	});
@@ -128,8 +142,14 @@
 		}
 
 		const {route} = authorization.val;
-		const request = createRequest(id, statement, authorization.val, createDeadline(startedAt, route.latencyObjectiveMs));
-		const response = await context.runAtOwner(request, createDeadline(runtime.now(), route.timeoutMs));
+		const timeoutDeadline = createDeadline(startedAt, route.timeoutMs);
+		if (!isPassedOn(context.getStopPlan(), {isCommit: false, deadline: timeoutDeadline}, startedAt)) {
+			return turnAway('busy');
+		}
+
+		const deadline = computeStatementDeadline(context.getStopPlan(), timeoutDeadline);
+		const request = createRequest(id, statement, authorization.val, {deadline, latencyDeadline: createDeadline(startedAt, route.latencyObjectiveMs)});
+		const response = await context.runAtOwner(request, deadline);
 		recordResponse(request, response);
 		return createResponse(response.outcome, response);
 	};
@@ -142,13 +162,22 @@
 			return createResponse(currentAuthorization.val);
 		}
 
-		const request = createRequest(id, statement, openTransaction.authorization, openTransaction.latencyDeadline);
+		const isCommit = statement.kind === 'commit';
+		const startedAt = runtime.now();
+		const timeoutDeadline = createDeadline(startedAt, openTransaction.authorization.route.timeoutMs);
+		if (!isPassedOn(context.getStopPlan(), {isCommit, deadline: timeoutDeadline}, startedAt)) {
+			endTransaction(isCommit ? 'idle' : 'failed');
+			return turnAway('aborted');
+		}
+
+		const deadline = computeStatementDeadline(context.getStopPlan(), timeoutDeadline);
+		const request = createRequest(id, statement, openTransaction.authorization, {deadline, latencyDeadline: openTransaction.latencyDeadline});
 		isStarted = true;
-		const response = await context.runAtOwner(request, createDeadline(runtime.now(), openTransaction.authorization.route.timeoutMs));
+		const response = await context.runAtOwner(request, deadline);
 		recordResponse(request, response);
-		if (statement.kind === 'commit' || response.status !== 'open') {
+		if (isCommit || response.status !== 'open') {
 			isStarted = response.status === 'open';
-			endTransaction(statement.kind === 'commit' ? 'idle' : 'failed');
+			endTransaction(isCommit ? 'idle' : 'failed');
 		}
 
 		return createResponse(response.outcome, response);
@@ -165,6 +194,10 @@
 			return createResponse(authorization.val);
 		}
 
+		if (!isPassedOn(context.getStopPlan(), {isCommit: false, deadline: createDeadline(startedAt, authorization.val.route.timeoutMs)}, startedAt)) {
+			return turnAway('busy');
+		}
+
 		transaction = {
 			id: runtime.createId(), readOnly: isReadOnly, authorization: authorization.val, latencyDeadline: createDeadline(startedAt, authorization.val.route.latencyObjectiveMs),
 		};
@@ -243,6 +276,7 @@
 				: runStatement(id, statement);
 		},
 		getStatus: () => status,
+		isTurnedAway: () => isTurnedAway,
 		getCustomer() {
 			const authorization = context.authorize();
 			return authorization.ok ? authorization.val.customer : undefined;
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -9,6 +9,7 @@
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {createSession, type Route} from '../session.js';
+import {createStopPlan, type StopPlan} from '../stop-plan.js';
 
 const ROUTE: Route = {
 	service: 'club', database: brandId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
@@ -16,10 +17,10 @@
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
 const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
-	const {runtime} = createVirtualRuntime();
+	const {runtime, advance} = createVirtualRuntime();
 	const requests: StatementRequest[] = [];
 	const rolledBackTransactions: string[] = [];
-	const state = {isIssued: true};
+	const state: {isIssued: boolean; stopPlan: StopPlan | undefined} = {isIssued: true, stopPlan: undefined};
 	const session = createSession({
 		runtime,
 		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: brandId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
@@ -33,13 +34,67 @@
 		rollBack(_database, transaction) {
 			rolledBackTransactions.push(transaction);
 		},
+		getStopPlan: () => state.stopPlan,
 	});
 	return {
-		session, requests, rolledBackTransactions, state,
+		session, requests, rolledBackTransactions, state, runtime, advance,
 	};
 };
 
 describe('session', () => {
+	describe('while its vm stops', () => {
+		// A process that passed on statements until it ended cut them off without an answer.
+		it('passes on statements in the first half of the grace period, with a deadline before its end', async () => {
+			const {session, requests, state, runtime, advance} = createSetup();
+			state.stopPlan = createStopPlan(runtime.now(), 2000);
+			await advance(900);
+			assert.equal((await session.run('1', {kind: 'text', access: 'read', text: 'READ a'})).outcome.kind, 'done');
+			assert.equal(requests[0]?.remainingMs, 500);
+			assert.equal(session.isTurnedAway(), false);
+		});
+
+		it('refuses single statements and new transactions as not run afterwards', async () => {
+			const {session, requests, state, runtime, advance} = createSetup();
+			state.stopPlan = createStopPlan(runtime.now(), 2000);
+			await advance(1000);
+			for (const statement of [{kind: 'text', access: 'write', text: 'WRITE a b'}, {kind: 'begin', readOnly: false}] as const) {
+				const {outcome, status} = await session.run('1', statement);
+				assert.equal(outcome.kind === 'refused' && outcome.code, 'busy');
+				assert.equal(status, 'idle');
+			}
+
+			assert.equal(requests.length, 0);
+			assert.equal(session.isTurnedAway(), true);
+		});
+
+		it('aborts an open transaction afterwards, and rolls it back', async () => {
+			const {session, requests, rolledBackTransactions, state, runtime, advance} = createSetup();
+			state.stopPlan = createStopPlan(runtime.now(), 2000);
+			await session.run('1', {kind: 'begin', readOnly: false});
+			await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+			await advance(1000);
+			const {outcome, status} = await session.run('3', {kind: 'text', access: 'write', text: 'WRITE a c'});
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+			assert.equal(status, 'failed');
+			assert.equal(requests.length, 1);
+			assert.equal(rolledBackTransactions.length, 1);
+		});
+
+		it('passes on a commit only if it ends in time', async () => {
+			for (const {graceMs, isPassedOn} of [{graceMs: 6000, isPassedOn: true}, {graceMs: 2000, isPassedOn: false}]) {
+				const {session, requests, state, runtime, advance} = createSetup();
+				state.stopPlan = createStopPlan(runtime.now(), graceMs);
+				await session.run('1', {kind: 'begin', readOnly: false});
+				await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+				await advance(graceMs / 2);
+				const {outcome, status} = await session.run('3', {kind: 'commit', text: 'COMMIT'});
+				assert.equal(outcome.kind, isPassedOn ? 'done' : 'refused');
+				assert.equal(status, 'idle');
+				assert.equal(requests.length, isPassedOn ? 2 : 1);
+			}
+		});
+	});
+
 	describe('transaction', () => {
 		it('reaches the owner only with its first statement', async () => {
 			const {session, requests} = createSetup();
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -65,6 +65,7 @@
 /** Method of the liveness probe, which every peer answers immediately; handlers cannot have this name. */
 export const LIVENESS_METHOD = 'protocol/alive';
 const CONNECTION_LOST: PeerFailure = {code: 'peerGone', message: 'The connection to the peer was lost'};
+const NOT_CALLED: PeerFailure = {code: 'peerUnreachable', message: 'The peer is stopping and has not accepted the call'};
 const OPPOSITE_SIDE: Readonly<Record<StreamSide, StreamSide>> = {opener: 'acceptor', acceptor: 'opener'};
 
 /** Starts the protocol on a connected socket; both ends use it in the same way. */
@@ -169,6 +170,10 @@
 				stream.abort(NOT_ACCEPTED);
 			}
 		}
+
+		for (const id of [...pendingCalls.keys()].filter(callId => callId > lastAcceptedId)) {
+			settleCall(id, Err(NOT_CALLED));
+		}
 	};
 
 	const settleCall = (id: number, result: Result<unknown, PeerFailure>) => {
@@ -329,8 +334,8 @@
 			return peer ? Ok(peer) : Err(CONNECTION_LOST);
 		},
 		async call(method, body, timeoutMs) {
-			if (hasEnded) {
-				return Err(CONNECTION_LOST);
+			if (hasEnded || isPeerDraining) {
+				return Err(hasEnded ? CONNECTION_LOST : NOT_CALLED);
 			}
 
 			const id = ++lastOpenedId;
--- a/packages/peer-protocol/src/tests/frames.test.ts
+++ b/packages/peer-protocol/src/tests/frames.test.ts
@@ -163,6 +163,36 @@
 			await listener[Symbol.asyncDispose]();
 		});
 
+		// A call that a stopping peer ignored was reported as lost, although it had not run.
+		it('drains without losing a call: each is answered or known not to have been made', async () => {
+			let servedCount = 0;
+			const echo = async (body: unknown) => {
+				servedCount++;
+				return body;
+			};
+
+			const runtime = createRuntime();
+			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo}, streams: {}}));
+			const peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
+			await peers.call(listener.address, 'echo', 0, 1000);
+			const call = async () => {
+				const response = await peers.call(listener.address, 'echo', 1, 1000);
+				return response.ok ? 'answered' : response.val.code;
+			};
+
+			const callsBefore = Array.from({length: 50}, call);
+			await Promise.resolve();
+			const draining = listener.drain(createDeadline(runtime.now(), 5000));
+			const callsDuring = Array.from({length: 50}, call);
+			const outcomes = await Promise.all([...callsBefore, ...callsDuring]);
+			await draining;
+			assert.equal(outcomes.filter(outcome => outcome === 'answered').length, servedCount - 1);
+			assert.deepEqual(outcomes.filter(outcome => !['answered', 'peerUnreachable'].includes(outcome)), []);
+			assert.ok(outcomes.includes('peerUnreachable'));
+			await peers[Symbol.asyncDispose]();
+			await listener[Symbol.asyncDispose]();
+		});
+
 		it('reports arbitrary bytes on its port and continues to serve', async () => {
 			const failures: FrameFailure[] = [];
 			const listener = await startPeerListener(ANY_PORT, createContext('b', {calls: {echo: async body => body}, streams: {}}, failure => {
--- a/packages/proxy/src/entry.ts
+++ b/packages/proxy/src/entry.ts
@@ -5,6 +5,7 @@
 	type CustomerId, type DatabaseId, type Deadline, type TargetId, type RequestId, type Result, type Scope, type Stream, type Runtime,
 } from '@guavapitch/core';
 import type {TargetConnection} from '@guavapitch/back-postgres';
+import {computeStatementDeadline, isPassedOn, type StopPlan} from '@guavapitch/callers';
 import type {GroupView} from '@guavapitch/failover';
 import type {Service} from '@guavapitch/inventory';
 import type {QuotaClient} from '@guavapitch/limits';
@@ -39,7 +40,8 @@
 	getGroup: (database: DatabaseId) => GroupView | undefined;
 	/** Cancels a running request, at any vm. */
 	cancelRequest: (requestId: string) => void;
-	isDraining: () => boolean;
+	/** Returns the plan of the stop that is in progress; `undefined` if there is none. */
+	getStopPlan: () => StopPlan | undefined;
 }>;
 
 type RequestContext = Readonly<{service: Service; database: DatabaseId; customer: CustomerId | undefined; requestId: RequestId; deadline: Deadline; weight: number}>;
@@ -63,6 +65,8 @@
 
 const createRefusal = (code: Refusal['code'], message: string, retryAfterMs?: number): Refusal => ({code, message, ...(retryAfterMs === undefined ? {} : {retryAfterMs})});
 
+const DRAINING = createRefusal('draining', 'The proxy is shutting down; connect again');
+
 /** Creates the operations of the entry that serve callers. */
 export const createEntry = (context: EntryContext): CallerContext => {
 	const {runtime, clusterView, emit, metrics} = context;
@@ -120,7 +124,7 @@
 			database: brandId<DatabaseId>(service.database),
 			customer: caller.customer,
 			requestId: brandId<RequestId>(runtime.createId()),
-			deadline: createDeadline(runtime.now(), service.requestTimeoutMs),
+			deadline: computeStatementDeadline(context.getStopPlan(), createDeadline(runtime.now(), service.requestTimeoutMs)),
 			weight: caller.customer ? getCustomer(inventory, caller.customer)?.weight ?? OPEN_SERVICE_WEIGHT : OPEN_SERVICE_WEIGHT,
 		});
 	};
@@ -302,6 +306,11 @@
 					: 'Session state that outlives a transaction is not supported; use SET LOCAL, or set parameters when connecting'));
 			}
 
+			// Nothing is passed on that the process would cut off when it ends.
+			if (!isPassedOn(context.getStopPlan(), {isCommit: false, deadline: request.val.deadline}, runtime.now())) {
+				return createFailure(request.val, DRAINING);
+			}
+
 			const keyCheck = checkKey(caller);
 			if (keyCheck.err) {
 				return createFailure(request.val, keyCheck.val);
@@ -325,8 +334,8 @@
 		},
 		cancelRequest: context.cancelRequest,
 		getCloseReason(caller) {
-			if (context.isDraining()) {
-				return createRefusal('draining', 'The proxy is shutting down; connect again');
+			if (context.getStopPlan()) {
+				return DRAINING;
 			}
 
 			const keyCheck = checkKey(caller);
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -5,6 +5,7 @@
 	type DatabaseId, type Failure, type RequestId, type Result, type Runtime,
 } from '@guavapitch/core';
 import {runChunk, type TargetConnection} from '@guavapitch/back-postgres';
+import {createStopPlan, type StopPlan} from '@guavapitch/callers';
 import {
 	createRelayService, runCacheSync, runRelayWatches, type CacheSyncContext, type SyncResponse,
 } from '@guavapitch/configuration';
@@ -88,6 +89,7 @@
 	}, runtime);
 	let callerListener: CallerListener | undefined;
 	let isDraining = false;
+	let stopPlan: StopPlan | undefined;
 	let runningRequestCount = 0;
 	let storeContactAt = runtime.now();
 	let isStoreReachable = true;
@@ -230,7 +232,7 @@
 		metrics,
 		getGroup: database => groups.get(database),
 		cancelRequest,
-		isDraining: () => isDraining,
+		getStopPlan: () => stopPlan,
 	});
 
 	handlers = createHandlers({
@@ -347,6 +349,7 @@
 			callerListener: startedCallerListener,
 			async stop() {
 				isDraining = true;
+				stopPlan = createStopPlan(runtime.now(), settings.drainMs);
 				emit(EVENTS.processDraining);
 				members.markLeaving();
 				const drainTimeout = new AbortController();
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -26,6 +26,8 @@
 	refreshLeaders: () => void;
 	/** Probes a target; resolves to whether this vm can reach it. */
 	isReachable: (target: TargetId) => Promise<boolean>;
+	/** Counts the transactions that are open here. */
+	countOpenTransactions: () => number;
 	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
 	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
 }>;
@@ -143,6 +145,7 @@
 			const target = view.findTarget(id);
 			return target !== undefined && isPingAnswered(await get(target.database).ping(id, createDeadline(runtime.now(), TARGET_PROBE_TIMEOUT_MS)));
 		},
+		countOpenTransactions: () => [...owners.values()].reduce((count, owner) => count + owner.components.transactions.getOpenCount(), 0),
 		async closeIdleConnections(signal) {
 			while (!signal.aborted) {
 				await runtime.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,10 +1,10 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createDeadline, createScope, Err, getErrorMessage, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
+	createDeadline, createScope, Err, getErrorMessage, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
 } from '@guavapitch/core';
 import {
-	createSession, type Authorization, type Session,
+	chooseSessionClosing, createSession, type Authorization, type Session, type SessionClosing, type StopPlan,
 } from '@guavapitch/callers';
 import {
 	createChange, createFeed, type Feed, type FeedRequest,
@@ -36,13 +36,17 @@
 	openSession: (service: string, key: string) => Result<Session, StatementOutcome>;
 	/** Tells whether new callers should be sent to this vm. */
 	isReady: () => boolean;
-	/** Starts to drain the vm: it is no longer ready and its roles pass to other vms. Resolves once the vm is deregistered. */
-	drain: () => Promise<void>;
+	/** Starts to stop the vm in the order of a plan: it is no longer ready and its roles pass to other vms. Resolves once the vm is deregistered. */
+	drain: (plan: StopPlan) => Promise<void>;
 	isDraining: () => boolean;
+	/** Tells whether a statement or a transaction of another vm's caller is in progress here. */
+	hasPeerWork: () => boolean;
+	/** Accepts no more calls of other vms, which then use another one, and completes those in progress; stops waiting at the deadline. */
+	stopServingPeers: (deadline: Deadline) => Promise<void>;
 	/** Tells whether a configuration has been received. */
 	hasConfiguration: () => boolean;
-	/** Tells whether idle sessions should be closed so that callers reconnect to another vm: `now`, or `afterBalancer` once the load balancer routes no new callers here. */
-	getSheddingMode: () => 'no' | 'afterBalancer' | 'now';
+	/** Tells which sessions should be closed so that callers reconnect to another vm. */
+	getSessionClosing: () => SessionClosing;
 }>;
 
 const RUN_METHOD = 'run';
@@ -77,7 +81,8 @@
 	const scope = createScope(thrown => {
 		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
-	let isDraining = false;
+	let stopPlan: StopPlan | undefined;
+	let peerStatementCount = 0;
 	let isStoreReachable = true;
 
 	const view = createClusterView(context, {
@@ -189,7 +194,14 @@
 
 	const peerClient: PeerClient = createPeerClient(context, {
 		calls: {
-			[RUN_METHOD]: async body => databaseOwners.get((body as StatementRequest).database).serve(body as StatementRequest),
+			async [RUN_METHOD](body) {
+				peerStatementCount++;
+				try {
+					return await databaseOwners.get((body as StatementRequest).database).serve(body as StatementRequest);
+				} finally {
+					peerStatementCount--;
+				}
+			},
 			async [ROLL_BACK_METHOD](body) {
 				const {database, transaction} = body as Readonly<{database: DatabaseId; transaction: string}>;
 				databaseOwners.get(database).rollBack(transaction);
@@ -217,7 +229,7 @@
 		fencingTokenPrefix: FENCING_TOKEN_PREFIX,
 		getEntry,
 		getEra: feed.getEra,
-		listRoles: () => isDraining ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
+		listRoles: () => stopPlan ? [] : [ALLOCATOR_ROLE, ...[...view.getConfiguration()?.databases.keys() ?? []].map(database => formatCoordinatorRole(database))],
 		getRank(role) {
 			const database = parseCoordinatorRole(role);
 			const ranked = database === undefined ? view.rankOwners(brandId<DatabaseId>(role)) : view.rankCoordinators(database);
@@ -318,6 +330,10 @@
 
 	return {
 		openSession(service, key) {
+			if (stopPlan && isPast(stopPlan.callersUntil, runtime.now())) {
+				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
+			}
+
 			const authorization = authorize(service, key);
 			if (authorization.err) {
 				return authorization;
@@ -328,21 +344,21 @@
 				authorize: () => authorize(service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
+				getStopPlan: () => stopPlan,
 			}));
 		},
-		isReady: () => !isDraining && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
-		async drain() {
-			isDraining = true;
+		isReady: () => !stopPlan && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
+		async drain(plan) {
+			stopPlan = plan;
 			await registration.deregister();
 		},
-		isDraining: () => isDraining,
+		isDraining: () => stopPlan !== undefined,
+		hasPeerWork: () => peerStatementCount > 0 || databaseOwners.countOpenTransactions() > 0,
+		stopServingPeers: listener.drain,
 		hasConfiguration: () => view.getConfiguration() !== undefined,
-		getSheddingMode() {
-			if (!isConnected()) {
-				return 'now';
-			}
-
-			return isDraining ? 'afterBalancer' : 'no';
+		getSessionClosing() {
+			const closing = chooseSessionClosing(stopPlan, runtime.now());
+			return closing === 'none' && !isConnected() ? 'idle' : closing;
 		},
 		async [Symbol.asyncDispose]() {
 			await listener[Symbol.asyncDispose]();
