Send a statement only after its session was confirmed to be set up

Cause: RESET, SET and PREPARE were sent in one batch with the statement or BEGIN, and recorded as done when they were created; only the last reply was read. A target that refused one of them and was free for the next ran the statement all the same.

Change: ConnectionHandle.setUp sends these commands alone and records the state of the session once all were confirmed; otherwise the statement is not sent, it is tried again elsewhere, and the connection is closed on its release. Statements that need no setup are sent as before; the others take one more round trip to the target.

--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -1,21 +1,28 @@
 /** Connection pool of a database owner for one target; each connection belongs to one customer. */
 
 import {
-	computeHash, createDeadline, Err, isPast, Ok, PAST, type CustomerId, type Deadline, type Instant, type Result, type Runtime,
+	computeHash, createDeadline, Err, isPast, Ok, PAST, type CustomerId, type Deadline, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {TargetStatement} from '@guavapitch/sessions';
 import type {
-	Command, DialFailure, DialTarget, Target, TargetConnection,
+	Command, DialFailure, DialTarget, Target, TargetConnection, TargetErrorCode,
 } from './targets.js';
 
 /** Session variables that a statement needs. */
 export type SessionVariables = ReadonlyArray<readonly [name: string, value: string]>;
 
+/** Failure to set up a session; nothing was run for a statement. `lost` if the target did not reply to every command. */
+export type SetupFailure = Failure<TargetErrorCode | 'lost'>;
+
 /** Exclusive use of a connection, with the known state of its session on the target. */
 export type ConnectionHandle = Readonly<{
 	connection: TargetConnection;
-	/** Creates the commands that set the session variables and the prepared statement that a statement needs; records them as sent. `preparedName` is empty if the statement is not a prepared one. */
-	createSetupCommands: (variables: SessionVariables, statement: TargetStatement) => Readonly<{commands: readonly Command[]; preparedName: string}>;
+	/**
+	 * Sets the session variables and the prepared statement that a statement needs; resolves to the name of the latter, empty if the statement is not a prepared one.
+	 * Resolves only after the target has confirmed all of them, since a statement sent behind a refused one would run with the values of another caller.
+	 * After a failure the state of the session is unknown, and the connection is closed when it is released.
+	 */
+	setUp: (variables: SessionVariables, statement: TargetStatement, deadline: Deadline) => Promise<Result<string, SetupFailure>>;
 	/** Discards the prepared statements after the target reported one as unknown; the next setup resets the session. */
 	discardPrepared: () => void;
 	/** Releases the connection; closes it unless `isClean`. Further calls do nothing. */
@@ -48,11 +55,13 @@
 type Session = {
 	readonly connection: TargetConnection;
 	readonly customer: CustomerId;
-	variables: Map<string, string>;
+	variables: ReadonlyMap<string, string>;
 	/** Names of the prepared statements, by their access and shape. */
-	preparedNames: Map<string, string>;
+	preparedNames: ReadonlyMap<string, string>;
 	/** Whether the session must be reset before the next statement. */
 	mustReset: boolean;
+	/** Whether the target has confirmed everything that changed the session. */
+	isConfirmed: boolean;
 	isBusy: boolean;
 	lastUsedAt: Instant;
 };
@@ -88,47 +97,73 @@
 	return session.variables.size + neededVariables.length - (2 * matchCount);
 };
 
-const createVariableCommands = (session: Session, neededVariables: SessionVariables): readonly Command[] => {
+/** Commands that bring a session to the state that a statement needs, and that state. */
+type SetupPlan = Readonly<{commands: readonly Command[]; variables: ReadonlyMap<string, string>; preparedNames: ReadonlyMap<string, string>; preparedName: string}>;
+
+const createSetupPlan = (session: Session, neededVariables: SessionVariables, statement: TargetStatement): SetupPlan => {
 	const commands: Command[] = [];
 	const neededByName = new Map(neededVariables);
-	if (session.mustReset || [...session.variables.keys()].some(name => !neededByName.has(name))) {
+	const mustReset = session.mustReset || [...session.variables.keys()].some(name => !neededByName.has(name));
+	const variables = new Map(mustReset ? [] : session.variables);
+	const preparedNames = new Map(mustReset ? [] : session.preparedNames);
+	if (mustReset) {
 		commands.push({kind: 'reset'});
-		session.mustReset = false;
-		session.variables = new Map();
-		session.preparedNames = new Map();
 	}
 
 	for (const [name, value] of neededVariables) {
-		if (session.variables.get(name) !== value) {
+		if (variables.get(name) !== value) {
 			commands.push({kind: 'set', name, value});
-			session.variables.set(name, value);
+			variables.set(name, value);
 		}
 	}
 
-	return commands;
+	if (statement.kind !== 'prepared') {
+		return {
+			commands, variables, preparedNames, preparedName: '',
+		};
+	}
+
+	const {prepared} = statement;
+	const key = `${prepared.access} ${prepared.shape}`;
+	const existingName = preparedNames.get(key);
+	const preparedName = existingName ?? `p${preparedNames.size + 1}`;
+	if (existingName === undefined) {
+		commands.push({kind: 'prepare', name: preparedName, prepared});
+		preparedNames.set(key, preparedName);
+	}
+
+	return {
+		commands, variables, preparedNames, preparedName,
+	};
 };
 
 const createHandle = (session: Session, onRelease: (isClean: boolean) => void): ConnectionHandle => {
 	let isReleased = false;
 	return {
 		connection: session.connection,
-		createSetupCommands(variables, statement) {
-			const commands = [...createVariableCommands(session, variables)];
-			if (statement.kind !== 'prepared') {
-				return {commands, preparedName: ''};
+		async setUp(neededVariables, statement, deadline) {
+			const {commands, variables, preparedNames, preparedName} = createSetupPlan(session, neededVariables, statement);
+			if (commands.length === 0) {
+				return Ok(preparedName);
+			}
+
+			session.isConfirmed = false;
+			const {replies} = await session.connection.execute(commands, deadline);
+			for (const {result} of replies) {
+				if (result.kind === 'error') {
+					return Err({code: result.code, message: `the target refused to set up the session: ${result.text}`});
+				}
 			}
 
-			const {prepared} = statement;
-			const key = `${prepared.access} ${prepared.shape}`;
-			const existingName = session.preparedNames.get(key);
-			if (existingName) {
-				return {commands, preparedName: existingName};
+			if (replies.length < commands.length) {
+				return Err({code: 'lost', message: 'the target did not confirm the setup of the session'});
 			}
 
-			const newName = `p${session.preparedNames.size + 1}`;
-			session.preparedNames.set(key, newName);
-			commands.push({kind: 'prepare', name: newName, prepared});
-			return {commands, preparedName: newName};
+			session.isConfirmed = true;
+			session.mustReset = false;
+			session.variables = variables;
+			session.preparedNames = preparedNames;
+			return Ok(preparedName);
 		},
 		discardPrepared() {
 			session.mustReset = true;
@@ -213,7 +248,7 @@
 		return createHandle(session, isClean => {
 			session.isBusy = false;
 			session.lastUsedAt = runtime.now();
-			if (isClosed || !isClean || session.connection.isEnded()) {
+			if (isClosed || !isClean || !session.isConfirmed || session.connection.isEnded()) {
 				closeSession(session);
 			}
 		});
@@ -236,7 +271,7 @@
 		meanDialMs += (runtime.now() - startedAt - meanDialMs) * DIAL_WEIGHT;
 
 		const session: Session = {
-			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isBusy: true, lastUsedAt: runtime.now(),
+			connection: dialled.val, customer, variables: new Map(), preparedNames: new Map(), mustReset: false, isConfirmed: true, isBusy: true, lastUsedAt: runtime.now(),
 		};
 		sessions.add(session);
 		return Ok(checkOut(session));
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -46,10 +46,15 @@
 
 /** Runs a read that needs the latest state, in a write transaction, which only a leader accepts. */
 const runVerifiedRead = async (components: DatabaseOwnerComponents, {request, handle, deadline}: Attempt): Promise<AttemptResult> => {
-	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
 	const begunAt = components.context.readSuspensionClock();
-	const beginExecution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: false, after: undefined}], deadline);
-	const beginReply = beginExecution.replies[commands.length];
+	const setup = await handle.setUp(request.values, request.statement, deadline);
+	if (setup.err) {
+		handle.release(false);
+		return {verdict: {kind: 'notRun', code: setup.val.code}, sentAt: begunAt};
+	}
+
+	const beginExecution = await handle.connection.execute([{kind: 'begin', readOnly: false, after: undefined}], deadline);
+	const [beginReply] = beginExecution.replies;
 	if (!beginReply || beginReply.result.kind === 'error') {
 		handle.release(beginExecution.ended === 'no' && beginReply?.status === 'idle');
 		const code = beginReply?.result.kind === 'error' ? beginReply.result.code : 'lost';
@@ -57,7 +62,7 @@
 	}
 
 	const sentAt = components.context.readSuspensionClock();
-	const execution = await handle.connection.execute([createStatementCommand(request, preparedName, undefined), {kind: 'rollback'}], deadline);
+	const execution = await handle.connection.execute([createStatementCommand(request, setup.val, undefined), {kind: 'rollback'}], deadline);
 	const verdict = evaluateReply(execution, 0, request);
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
 		handle.discardPrepared();
@@ -71,10 +76,15 @@
 const runStatement = async (components: DatabaseOwnerComponents, {
 	request, plan, handle, deadline,
 }: Attempt): Promise<AttemptResult> => {
-	const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
+	const setup = await handle.setUp(request.values, request.statement, deadline);
 	const sentAt = components.context.readSuspensionClock();
-	const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, plan)], deadline);
-	const verdict = evaluateReply(execution, commands.length, request);
+	if (setup.err) {
+		handle.release(false);
+		return {verdict: {kind: 'notRun', code: setup.val.code}, sentAt};
+	}
+
+	const execution = await handle.connection.execute([createStatementCommand(request, setup.val, plan)], deadline);
+	const verdict = evaluateReply(execution, 0, request);
 	if (verdict.kind === 'notRun' && verdict.code === 'noStatement') {
 		handle.discardPrepared();
 	}
--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -329,5 +329,48 @@
 
 			assert.deepEqual(primary.executed.map(({values}) => values), ['[["x","1"]]', '[["y","2"]]', '[]', '[["x","3"]]']);
 		});
+
+		// A statement was sent behind the commands that set its session up, and ran with another caller's values if the target refused one of these.
+		for (const kind of ['set', 'reset', 'prepare'] as const) {
+			for (const {name, statement, consistency, isInTransaction} of [
+				{
+					name: 'a write', statement: WRITE, consistency: LATEST, isInTransaction: false,
+				},
+				{
+					name: 'a latest read', statement: READ, consistency: LATEST, isInTransaction: false,
+				},
+				{
+					name: 'a bounded read', statement: READ, consistency: BOUNDED, isInTransaction: false,
+				},
+				{
+					name: 'a transaction', statement: WRITE, consistency: LATEST, isInTransaction: true,
+				},
+			]) {
+				it(`of another caller are not used by ${name} when the target refuses ${kind}`, async () => {
+					const [primary] = createGroup();
+					const {run, advance} = createSetup([primary]);
+					const prepared = (id: string): TargetStatement => ({kind: 'prepared', prepared: {access: 'write', shape: id}, rest: 'a b'});
+					const createOwnRequest = (id: string, values: StatementRequest['values']) => createRequest(kind === 'prepare' ? prepared(id) : statement, consistency, {
+						id, values, transaction: isInTransaction ? {id: `t-${id}`, readOnly: false, isFirst: true} : undefined,
+					});
+					await run(createOwnRequest('before', [['x', '1'], ['y', '1']]));
+					if (isInTransaction) {
+						await run(createRequest(COMMIT, consistency, {id: 'commit', values: [['x', '1'], ['y', '1']], transaction: {id: 't-before', readOnly: false, isFirst: false}}));
+					}
+
+					primary.refusedKinds.add(kind);
+					const response = await run(createOwnRequest('refused', [['x', '2']]));
+					await advance(100);
+					primary.refusedKinds.clear();
+					const isDone = response.outcome.kind === 'done';
+					assert.equal(primary.executed.some(({id}) => id === 'refused'), isDone);
+					const after = await run(createOwnRequest('after', [['x', '2']]));
+					assert.equal(after.outcome.kind, 'done');
+					for (const {id, values} of primary.executed) {
+						assert.equal(values, id === 'before' || id === 'commit' ? '[["x","1"],["y","1"]]' : '[["x","2"]]', id);
+					}
+				});
+			}
+		}
 	});
 });
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -17,6 +17,8 @@
 	fault: 'none' | 'refuses' | 'silent';
 	/** Whether the target runs statements but loses their replies. */
 	dropsReplies: boolean;
+	/** Kinds of commands that the target refuses as busy. */
+	readonly refusedKinds: Set<Command['kind']>;
 	/** Duration of a statement, in milliseconds. */
 	statementMs: number;
 	/** Statements that ran, with the log position and the session variables at that time. */
@@ -44,6 +46,7 @@
 	position: {term: 1, number: 100},
 	fault: 'none',
 	dropsReplies: false,
+	refusedKinds: new Set(),
 	statementMs: 10,
 	executed: [],
 	dialMs: 1,
@@ -104,6 +107,10 @@
 	};
 
 	const run = async (command: Command): Promise<Reply> => {
+		if (target.refusedKinds.has(command.kind)) {
+			return createErrorReply('busy');
+		}
+
 		switch (command.kind) {
 			case 'statement': {
 				return runStatement(command);
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -142,16 +142,23 @@
 	const runInTransaction = async (transaction: OpenTransaction, slot: Slot, {request, deadline, arrivedAt}: TransactionStatement): Promise<StatementResponse | 'again'> => {
 		const {handle, target} = transaction;
 		const isCommit = request.statement.kind === 'commit';
-		const {commands, preparedName} = handle.createSetupCommands(request.values, request.statement);
-		const sentAt = context.readSuspensionClock();
 		const startedAt = runtime.now();
-		transaction.hasWritten ||= getAccess(request.statement) === 'write';
 		components.healthTracker.recordStatementSent(target);
-		const execution = await handle.connection.execute([...commands, createStatementCommand(request, preparedName, undefined)], deadline);
+		const setup = await handle.setUp(request.values, request.statement, deadline);
+		if (setup.err) {
+			components.healthTracker.recordStatementEnded(target);
+			slot.release(runtime.now() - startedAt);
+			recordReply(components, target, setup.val.code);
+			return createResponse(createAbortedRefusal(setup.val.message), startedAt - arrivedAt, 'failed');
+		}
+
+		const sentAt = context.readSuspensionClock();
+		transaction.hasWritten ||= getAccess(request.statement) === 'write';
+		const execution = await handle.connection.execute([createStatementCommand(request, setup.val, undefined)], deadline);
 		components.healthTracker.recordStatementEnded(target);
 		slot.release(runtime.now() - startedAt);
-		const reply = execution.replies[commands.length];
-		const verdict = evaluateReply(execution, commands.length, request);
+		const [reply] = execution.replies;
+		const verdict = evaluateReply(execution, 0, request);
 		recordReply(components, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
 		const waitedMs = startedAt - arrivedAt;
 		const respond = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
@@ -233,12 +240,18 @@
 	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
 	const beginTransaction = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
 		const isReadOnly = plan.kind === 'anywhere';
-		// A commit needs no prepared statement, so these commands set only the session variables.
-		const {commands} = handle.createSetupCommands(request.values, {kind: 'commit', text: ''});
+		// A commit needs no prepared statement, so this sets only the session variables.
+		const setup = await handle.setUp(request.values, {kind: 'commit', text: ''}, deadline);
+		if (setup.err) {
+			recordReply(components, target, setup.val.code);
+			handle.release(false);
+			return undefined;
+		}
+
 		const sentAt = context.readSuspensionClock();
 		const leadProof = isReadOnly ? undefined : context.appointments.startProof(target);
-		const execution = await handle.connection.execute([...commands, {kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
-		const reply = execution.replies[commands.length];
+		const execution = await handle.connection.execute([{kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
+		const [reply] = execution.replies;
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
 			recordReply(components, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
 			handle.release(execution.ended === 'no' && reply?.status === 'idle');
