Keep only the last change of each key for followers of the feed

Cause: the log of changes for followers was bounded by their number, 2,000, and not by what they hold: every version of the configuration was kept, at every vm.

Change: the log holds the last change of each key. A follower that lags behind gets the last version of an entry only, where several went into one message before. Log and bound are a module of their own.

--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -3,6 +3,7 @@
 import {
 	createDeadline, createNotifier, isPast, PAST, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
+import {createChangeLog} from './change-log.js';
 import {
 	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
@@ -69,8 +70,8 @@
 	applyLocalWrite: (change: StoreChange) => void;
 }>;
 
-/** Maximum number of changes kept for followers that lag behind. */
-const MAX_LOG_LENGTH = 2000;
+/** Maximum number of keys whose last change is kept for followers that lag behind. */
+const MAX_LOGGED_KEYS = 2000;
 /** Maximum wait of a follower's request, in milliseconds; also the resolution of ages. */
 const MAX_FOLLOWER_WAIT_MS = 800;
 /** Age above which data from the store counts as stale, in milliseconds; each relay between adds the longest wait of a follower. A relay whose data is stale is not followed. */
@@ -93,8 +94,7 @@
 	const {runtime, source} = context;
 	const entryTable = createEntryTable();
 	const changed = createNotifier(runtime);
-	let changeLog: StoreChange[] = [];
-	let firstLoggedNumber = 1;
+	const changeLog = createChangeLog(MAX_LOGGED_KEYS);
 	let contactAt = PAST as number;
 	/** When the entries were last confirmed by the store, directly or through relays. */
 	let confirmedAt = PAST as number;
@@ -126,12 +126,7 @@
 			return;
 		}
 
-		changeLog.push(...relevantChanges);
-		if (changeLog.length > MAX_LOG_LENGTH) {
-			firstLoggedNumber += changeLog.length - MAX_LOG_LENGTH;
-			changeLog = changeLog.slice(-MAX_LOG_LENGTH);
-		}
-
+		changeLog.add(relevantChanges);
 		context.onChange(relevantChanges);
 		changed.notify();
 	};
@@ -353,22 +348,22 @@
 		async serve(request) {
 			const receivedAt = context.readSuspensionClock();
 			const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
-			const getNextNumber = () => firstLoggedNumber + changeLog.length;
-			const isInLog = request.run === context.run && request.after >= firstLoggedNumber - 1;
-			const mustWait = () => isInLog ? request.after + 1 >= getNextNumber() : !isComplete();
+			const isInLog = () => request.run === context.run && changeLog.isCompleteAfter(request.after);
+			const wasInLog = isInLog();
+			const mustWait = () => wasInLog ? request.after >= changeLog.getLastNumber() : !isComplete();
 			while (mustWait() && !isPast(waitDeadline, runtime.now())) {
 				await changed.waitForChange(waitDeadline);
 			}
 
 			const ageMs = isComplete() ? Math.max(0, runtime.now() - confirmedAt) : Number.MAX_SAFE_INTEGER;
 			const respondedAt = context.readSuspensionClock();
-			const isStillInLog = isInLog && request.after >= firstLoggedNumber - 1;
+			const isStillInLog = isInLog();
 			return {
 				run: context.run,
-				number: getNextNumber() - 1,
+				number: changeLog.getLastNumber(),
 				era: getEra(),
 				isWhole: !isStillInLog,
-				changes: isStillInLog ? changeLog.slice(request.after + 1 - firstLoggedNumber) : listEntriesAsChanges(),
+				changes: isStillInLog ? changeLog.listAfter(request.after) : listEntriesAsChanges(),
 				ageMs,
 				level,
 				heldMs: respondedAt - receivedAt,
