Keep the record of a group apart from the changes of its primary

Change: group-members keeps the record (who may hold a commit alone), member-statuses the queries to members, synced-groups the pausing and the orders.

--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -9,5 +9,7 @@
 export * from './database-owner.js';
 export * from './replication-groups.js';
 export * from './promotions.js';
+export * from './member-statuses.js';
+export * from './group-members.js';
 export * from './synced-groups.js';
 export * from './failover-coordinator.js';
