Pass over a data centre that cannot be reached as a whole

Cause: when a data centre was cut off, entries tried each of its vms until that vm counted as lost (0.75 s each, four for a statement) as long as their registrations lasted, a coordinator asked other vms about a silent primary one after the other, and a promotion became known only through the registry. A new owner served no reads before it had asked a leader that was out of reach. Change: a vm that finds a peer silent probes three vms of its data centre and passes over all of it if none answers; calls whose effect is known to be none end at once; owners report the position that they verified last, and entries pass it on to another owner; completed promotions are announced to every vm; what needs a leader out of reach is refused at once with a time to return. Ruled out: shorter timeouts for each vm, since busy vms are silent for hundreds of milliseconds.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,7 +1,7 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
@@ -40,6 +40,8 @@
 	dial: DialTarget;
 	readStatus: ReadStatus;
 	appointments: Appointments;
+	/** Tells whether the vms of a data centre can be reached from here. */
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
@@ -67,6 +69,8 @@
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving, negative if none may. */
 	getAcceptingMs: (target: TargetId) => number;
+	/** Tells whether a target can be expected to respond: its data centre can be reached, or it responded a moment ago. */
+	isReachable: (target: TargetId) => boolean;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
 }>;
@@ -111,6 +115,8 @@
 const PING_TIMEOUT_MS = 400;
 /** Time before the end of a leaving target's drain time from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
 const START_MARGIN_MS = 250;
+/** Time since its last response within which a target counts as reachable although the vms of its data centre do not answer, in milliseconds: about as long as these take to count as unreachable. */
+const RECENT_RESPONSE_MS = 500;
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
@@ -243,12 +249,17 @@
 			const acceptsUntil = targets.get(id)?.acceptsUntil ?? PAST;
 			return acceptsUntil - START_MARGIN_MS - readSuspensionClock();
 		},
+		isReachable(id) {
+			const target = targets.get(id);
+			return !target || context.isDataCentreReachable(target.dataCentre)
+				|| runtime.now() - (healthTracker.getLastResponseAt(id) ?? PAST) < RECENT_RESPONSE_MS;
+		},
 		areWritesPaused: () => areWritesPaused,
 	};
 	const transactions = createTransactions(sharedComponents);
 	const components: DatabaseOwnerComponents = {...sharedComponents, transactions};
 
-	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
+	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(runtime.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
@@ -271,7 +282,10 @@
 	};
 
 	return {
-		serve,
+		async serve(request) {
+			const response = await run(request);
+			return {...response, verified: positionHistory.getLastVerified(readSuspensionClock())};
+		},
 		rollBack: transactions.rollBack,
 		setTargets(newTargets) {
 			for (const [id, currentTarget] of targets) {
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -15,6 +15,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** Silence after which the primary is pinged; also the timeout of that ping. */
 const PING_AFTER_MS = 300;
+/** Time without an answer to a ping after which peers are asked whether they reach the primary, in milliseconds; several times the usual duration of a ping. */
+const ASK_PEERS_AFTER_MS = 60;
 /** How long a primary may refuse connections before it is replaced: a restart of its listener is not a crash. */
 const REFUSAL_GRACE_MS = 150;
 /** Silence after which the primary counts as failed: long enough for several pings. */
@@ -149,7 +151,13 @@
 		return undefined;
 	}
 
+	// Peers are asked while an unanswered ping goes on, as they need as long to find that the primary does not respond.
+	let reachableFromPeers: Promise<boolean> | undefined;
+	const cancelAsking = runtime.schedule(ASK_PEERS_AFTER_MS, () => {
+		reachableFromPeers = context.isReachableFromPeers(leader);
+	});
 	const pingResult = await owner.ping(leader, createDeadline(now, PING_AFTER_MS));
+	cancelAsking();
 	if (isPingAnswered(pingResult)) {
 		state.refusingSince = undefined;
 		return undefined;
@@ -161,7 +169,7 @@
 	}
 
 	const isSilent = runtime.now() - lastResponseAt >= SILENCE_TIMEOUT_MS;
-	return isSilent && !await context.isReachableFromPeers(leader) ? 'the primary does not respond' : undefined;
+	return isSilent && !await (reachableFromPeers ?? context.isReachableFromPeers(leader)) ? 'the primary does not respond' : undefined;
 };
 
 /** Records which target leads if no appointment is known, as at the first start of a fleet: the primary of the highest term. */
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -27,7 +27,8 @@
 const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
 	const {positionHistory, context} = components;
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
-	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
+	const known = request.verified && request.verified.ageMs <= allowedMs ? positionHistory.translateToLatestTerm(request.verified.position) : undefined;
+	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock()) ?? known;
 	if (!verifiedPosition) {
 		await components.verifyPosition(deadline);
 		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
@@ -54,7 +55,7 @@
 export const chooseTarget = (components: SharedComponents, {plan, request, tried}: TargetCriteria, freeTargets: readonly TargetLoad[]): TargetId | undefined => {
 	const {leaderTracker, healthTracker, getConnections, getTarget} = components;
 	const leader = leaderTracker.getLeader();
-	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
+	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && components.isReachable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
 		const canRun = leader !== undefined && components.getAcceptingMs(leader) > 0 && !(plan.isWrite && components.areWritesPaused()) && canAcquire(leader);
 		return canRun ? freeTargets.find(load => load.id === leader)?.id : undefined;
@@ -89,7 +90,7 @@
 	const {leaderTracker, healthTracker, context} = components;
 	const leader = leaderTracker.getLeader();
 	const now = context.runtime.now();
-	const hasTarget = plan.kind === 'leader' ? leader !== undefined && healthTracker.isUsable(leader) : components.listTargets().length > 0;
+	const hasTarget = plan.kind === 'leader' ? leader !== undefined && healthTracker.isUsable(leader) : components.listTargets().some(({id}) => components.isReachable(id));
 	return chooseEarliest([
 		deadline,
 		createDeadline(now, getPlanAcceptingMs(components, plan)),
--- a/packages/database-owners/src/position-history.ts
+++ b/packages/database-owners/src/position-history.ts
@@ -1,7 +1,9 @@
 /** Verified log positions of a database, and the minimum positions that they imply for reads. */
 
 import {createDeadline, type Instant} from '@guavapitch/core';
-import {chooseLaterPosition, comparePositions, type LogPosition} from '@guavapitch/sessions';
+import {
+	chooseLaterPosition, comparePositions, type LogPosition, type VerifiedPosition,
+} from '@guavapitch/sessions';
 
 /** Log positions of one database that its owner has verified with the leader. */
 export type PositionHistory = Readonly<{
@@ -11,6 +13,8 @@
 	getMinimumPosition: (maxStalenessMs: number, now: Instant) => LogPosition | undefined;
 	/** Replaces a session's minimum position of an older term by the first position of the latest term, as a failover may have dropped commits of the older term. */
 	translateToLatestTerm: (minimumPosition: LogPosition | undefined) => LogPosition | undefined;
+	/** Returns the position that was verified last, with the time since its command was sent; `undefined` if there is none. */
+	getLastVerified: (now: Instant) => VerifiedPosition | undefined;
 	/** Returns the highest verified position of the latest term; `undefined` if there is none. */
 	getLatest: () => LogPosition | undefined;
 	/** Removes all positions except the first of the term and the latest. */
@@ -23,11 +27,11 @@
 /** Minimum time between two stored positions; bounds the length of the history. */
 const MIN_SPACING_MS = 10;
 
-type VerifiedPosition = Readonly<{sentAt: Instant; position: LogPosition}>;
+type RecordedPosition = Readonly<{sentAt: Instant; position: LogPosition}>;
 
 /** Creates an empty history. Its instants are those of the clock that keeps running during suspensions. */
 export const createPositionHistory = (): PositionHistory => {
-	let history: VerifiedPosition[] = [];
+	let history: RecordedPosition[] = [];
 	let termStart: LogPosition | undefined;
 	let latest: LogPosition | undefined;
 
@@ -63,6 +67,10 @@
 		translateToLatestTerm(minimumPosition) {
 			return minimumPosition && termStart && minimumPosition.term < termStart.term ? termStart : minimumPosition;
 		},
+		getLastVerified(now) {
+			const last = history.at(-1);
+			return last && {position: last.position, ageMs: now - last.sentAt};
+		},
 		getLatest: () => latest,
 		clear() {
 			history = [];
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -129,10 +129,19 @@
 	);
 };
 
-/** Creates the refusal of a statement that needs the leader while its success could not be proved; `undefined` if the plan may be carried out. */
-export const createUnprovableRefusal = (components: SharedComponents, plan: Plan): StatementOutcome | undefined => plan.kind === 'leader' && !components.context.appointments.canConfirm()
-	? createBusyRefusal('the store does not confirm which target leads', LEADER_RETRY_AFTER_MS)
-	: undefined;
+/** Creates the refusal of a statement that needs the leader while that cannot be reached, or while its success could not be proved; `undefined` if the plan may be carried out. */
+export const createLeaderRefusal = (components: SharedComponents, plan: Plan): StatementOutcome | undefined => {
+	if (plan.kind !== 'leader') {
+		return undefined;
+	}
+
+	const leader = components.leaderTracker.getLeader();
+	if (leader !== undefined && !components.isReachable(leader)) {
+		return createBusyRefusal('the data centre of the target that leads cannot be reached', LEADER_RETRY_AFTER_MS);
+	}
+
+	return components.context.appointments.canConfirm() ? undefined : createBusyRefusal('the store does not confirm which target leads', LEADER_RETRY_AFTER_MS);
+};
 
 /** Failure to take a connection to a target: it could not be opened, or the target has left, accepts no new work, or no longer leads although the plan needs the leader. */
 export type TakeFailure = DialFailure | Failure<'notRegistered' | 'leaving' | 'notLeading'>;
@@ -181,7 +190,7 @@
 			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), runtime.now() - arrivedAt);
 		}
 
-		const refusal = createUnprovableRefusal(components, plan);
+		const refusal = createLeaderRefusal(components, plan);
 		if (refusal) {
 			return createResponse(refusal, runtime.now() - arrivedAt);
 		}
--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, brandId, type CustomerId, type Instant,
+	createDeadline, createVirtualRuntime, brandId, type CustomerId, type DataCentreId, type Instant,
 } from '@guavapitch/core';
 import type {
 	Consistency, StatementResponse, StatementRequest, TargetStatement,
@@ -35,9 +35,9 @@
 	...overrides,
 });
 
-const createSetup = (targets: readonly FakeTarget[]) => {
+const createSetup = (targets: readonly FakeTarget[], isDataCentreReachable?: (dataCentre: DataCentreId) => boolean) => {
 	const {runtime, advance} = createVirtualRuntime(3);
-	const owner = createFakeOwner(targets, runtime);
+	const owner = createFakeOwner(targets, runtime, undefined, isDataCentreReachable);
 	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		let response: StatementResponse | undefined;
 		void owner.serve(request).then(value => {
@@ -126,6 +126,46 @@
 		});
 	});
 
+	describe('a leader in an unreachable data centre', () => {
+		/** An owner that has just started, with the primary out of reach. */
+		const createCutSetup = () => {
+			const [primary, replica1, replica2] = createGroup();
+			primary.fault = 'silent';
+			const cut = primary.description.dataCentre;
+			const elsewhere = brandId<DataCentreId>('elsewhere');
+			const replicas = [replica1, replica2].map(replica => Object.assign(replica, {description: {...replica.description, dataCentre: elsewhere}}));
+			return {...createSetup([primary, ...replicas], dataCentre => dataCentre !== cut), replicas};
+		};
+
+		it('has what needs it refused at once with a time to come back', async () => {
+			const {run, runtime} = createCutSetup();
+			const requestedAt = runtime.now();
+			for (const request of [createRequest(WRITE, LATEST), createRequest(READ, LATEST)]) {
+				const {outcome} = await run(request);
+				assert.ok(outcome.kind === 'refused' && outcome.code === 'busy' && outcome.retryAfterMs > 0);
+			}
+
+			assert.ok(runtime.now() - requestedAt <= 20);
+		});
+
+		it('has reads served by a replica as long as another owner verified a position recently enough', async () => {
+			const {run, replicas} = createCutSetup();
+			const position = {term: 1, number: 100};
+			const recent = await run(createRequest(READ, BOUNDED, {verified: {position, ageMs: 1200}}));
+			assert.equal(recent.outcome.kind, 'done');
+			const old = await run(createRequest(READ, BOUNDED, {verified: {position, ageMs: 1450}}));
+			assert.equal(old.outcome.kind, 'refused');
+			assert.equal(replicas.flatMap(({executed}) => executed).length, 1);
+		});
+
+		it('has no read served by a replica that lacks the verified position', async () => {
+			const {run, replicas} = createCutSetup();
+			const {outcome} = await run(createRequest(READ, BOUNDED, {verified: {position: {term: 1, number: 101}, ageMs: 100}}));
+			assert.equal(outcome.kind, 'refused');
+			assert.deepEqual(replicas.flatMap(({executed}) => executed), []);
+		});
+	});
+
 	describe('unresponsive targets', () => {
 		it('have their running reads retried elsewhere well before the deadline', async () => {
 			const [primary, replica1, replica2] = createGroup();
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -17,6 +17,8 @@
 
 type Options = Readonly<{
 	isCoordinator?: () => boolean;
+	/** Time that other vms take to tell whether they reach the primary, in milliseconds. */
+	peerResponseMs?: number;
 	isReachableFromPeers?: boolean;
 	/** Whether the registry lists the targets from the start. */
 	isAlreadyRegistered?: boolean;
@@ -60,7 +62,10 @@
 			promotionRequests.push({target, fencingToken: token});
 			return options.requestPromotion ? options.requestPromotion({target, fencingToken: token}, targets) : promoteTarget({target, fencingToken: token});
 		},
-		isReachableFromPeers: async () => options.isReachableFromPeers ?? false,
+		async isReachableFromPeers() {
+			await runtime.sleep(options.peerResponseMs ?? 0);
+			return options.isReachableFromPeers ?? false;
+		},
 		isSynchronouslyReplicated: () => options.isSynchronouslyReplicated ?? false,
 		groupStore: NO_GROUP_STORE,
 		onEvent(event) {
@@ -98,6 +103,15 @@
 			stop.abort();
 		});
 
+		it('asks other vms while its own ping goes on, so that their timeout does not delay the promotion', async () => {
+			const {targets: [primary], promotionRequests, advance, stop} = createSetup({peerResponseMs: 500});
+			await advance(500);
+			primary.fault = 'silent';
+			await advance(1400);
+			assert.equal(promotionRequests.length, 1);
+			stop.abort();
+		});
+
 		it('promotes nothing while another vm reaches the primary', async () => {
 			const {targets: [primary], promotionRequests, advance, stop} = createSetup({isReachableFromPeers: true});
 			await advance(500);
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -1,7 +1,7 @@
 /** A database owner with fake targets, for tests on a virtual clock. */
 
 import {
-	createSuspensionClock, Ok, brandId, type CustomerId, type Runtime,
+	createSuspensionClock, Ok, brandId, type CustomerId, type DataCentreId, type Runtime,
 } from '@guavapitch/core';
 import {SELF_FENCING_APPOINTMENTS, type Appointments} from '../appointments.js';
 import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
@@ -10,7 +10,12 @@
 } from './fake-targets.js';
 
 /** Creates a database owner whose registry lists the given targets. */
-export const createFakeOwner = (targets: readonly FakeTarget[], runtime: Runtime, appointments: Appointments = SELF_FENCING_APPOINTMENTS): DatabaseOwner => {
+export const createFakeOwner = (
+	targets: readonly FakeTarget[],
+	runtime: Runtime,
+	appointments: Appointments = SELF_FENCING_APPOINTMENTS,
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean = () => true,
+): DatabaseOwner => {
 	const owner = createDatabaseOwner({
 		runtime,
 		readSuspensionClock: createSuspensionClock(runtime),
@@ -18,6 +23,7 @@
 		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
 		appointments,
+		isDataCentreReachable,
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => brandId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -16,7 +16,7 @@
 	chooseTarget, computeSlotDeadline, createPlan, type Plan,
 } from './plans.js';
 import {
-	createSlotRefusal, createStatementCommand, createUnprovableRefusal, takeConnection,
+	createLeaderRefusal, createSlotRefusal, createStatementCommand, takeConnection,
 } from './single-statements.js';
 import type {Slot} from './slot-scheduler.js';
 
@@ -282,7 +282,7 @@
 				break;
 			}
 
-			const refusal = createUnprovableRefusal(components, plan);
+			const refusal = createLeaderRefusal(components, plan);
 			if (refusal) {
 				return createResponse(refusal, runtime.now() - arrivedAt, 'failed');
 			}
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -35,6 +35,8 @@
 	observeTime: (time: FrameTime) => void;
 	/** Called when a frame is malformed or too large; the connection is then closed. */
 	onMalformedFrame: (failure: FrameFailure) => void;
+	/** Called when a peer has been silent for a while although a reply from it is pending. */
+	onSilence?: (peer: PeerIdentity) => void;
 	/** Called with the number of bytes of each write and each read. */
 	onTransfer?: (direction: 'sent' | 'received', byteCount: number) => void;
 }>;
@@ -286,6 +288,7 @@
 				handleEnd();
 			} else {
 				if (silentCheckCount > 0) {
+					context.onSilence?.(peer ?? {vm: '', incarnation: ''});
 					write(['call', context.readTime(), ++lastOpenedId, LIVENESS_METHOD, undefined]);
 				}
 
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -53,6 +53,9 @@
 	/** The outcome is unknown: the statement may have run. */
 		| Readonly<{kind: 'unknown'; reason: string}>;
 
+/** Log position that includes every write acknowledged more than `ageMs` milliseconds ago. */
+export type VerifiedPosition = Readonly<{position: LogPosition; ageMs: number}>;
+
 /** Request of an entry to the owner of a database to run a statement. */
 export type StatementRequest = Readonly<{
 	/** Identifier given by the caller. */
@@ -73,6 +76,8 @@
 	promptMs: number;
 	/** Statements with a smaller number run first. */
 	priority: number;
+	/** Position reported by another owner of the database, as of when the request was sent. */
+	verified?: VerifiedPosition | undefined;
 }>;
 
 /** Response of the owner of a database. */
@@ -86,6 +91,8 @@
 	target: string | undefined;
 	/** Time from the arrival of the request at the owner until it was sent to a target, in milliseconds. */
 	waitedMs: number;
+	/** Position that the owner verified last, as of when the response was sent. */
+	verified?: VerifiedPosition | undefined;
 }>;
 
 /** Compares two log positions, as for `Array.sort`. */
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -31,6 +31,10 @@
 	listMembers: () => readonly Member[];
 	listTargets: (database: DatabaseId) => readonly Target[];
 	findTarget: (id: TargetId) => Target | undefined;
+	/** Records that a target was announced as promoted; owners are ranked by its data centre until the registry has had time to follow. */
+	recordLeader: (database: DatabaseId, target: TargetId) => void;
+	/** Returns the target that was last announced as promoted; `undefined` if none was lately. */
+	getAnnouncedLeader: (database: DatabaseId) => Target | undefined;
 	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
 	/** Ranks the vms as failover coordinators of a database, best first. */
@@ -91,6 +95,9 @@
  */
 const LAPSED_GRACE_MS = 4000;
 
+/** Time for which an announced promotion counts more than the registry, in milliseconds: a watch of targets pauses for 1.2 s, and two relays may each hold the change for 0.8 s and be replaced after 1.5 s. */
+const ANNOUNCEMENT_VALIDITY_MS = 6000;
+
 /** Functions by which a cluster view reaches the rest of its vm. */
 export type ClusterViewHooks = Readonly<{
 	getFeed: () => Feed;
@@ -108,6 +115,9 @@
 	/** Until when leaving targets accept new work, by run of the target; kept when an entry is missing for a while, as the drain time goes on. */
 	const acceptsUntilByRun = new Map<string, Deadline>();
 
+	/** Targets that were announced as promoted, and until when this counts more than the registry. */
+	const announcedLeaders = new Map<DatabaseId, Readonly<{target: TargetId; until: Deadline}>>();
+
 	/** Until when targets without an entry count as present. */
 	const lapsedUntil = new Map<TargetId, Deadline>();
 
@@ -237,8 +247,16 @@
 		ownerRanks = new Map();
 	};
 
-	/** Returns the data centre of the primary according to the store. What this vm observes itself is not used, so that owners do not move with every observation. */
-	const getPreferredDataCentre = (database: DatabaseId): DataCentreId | undefined => targetsByDatabase.get(database)?.find(({role}) => role === 'primary')?.dataCentre;
+	const getAnnouncedLeader = (database: DatabaseId): Target | undefined => {
+		const announced = announcedLeaders.get(database);
+		return announced && !isPast(announced.until, context.readSuspensionClock()) ? targets.get(announced.target) : undefined;
+	};
+
+	/** Returns the data centre of the primary according to its promotion or to the store. What this vm observes itself is not used, so that owners do not move with every observation. */
+	const getPreferredDataCentre = (database: DatabaseId): DataCentreId | undefined => {
+		const primary = getAnnouncedLeader(database) ?? targetsByDatabase.get(database)?.find(({role}) => role === 'primary');
+		return primary?.dataCentre;
+	};
 
 	const rankDatabaseOwners = (database: DatabaseId): readonly Member[] => {
 		const cached = ownerRanks.get(database);
@@ -256,6 +274,11 @@
 		listMembers: () => members,
 		listTargets: database => targetsByDatabase.get(database) ?? [],
 		findTarget: id => targets.get(id),
+		recordLeader(database, target) {
+			announcedLeaders.set(database, {target, until: createDeadline(context.readSuspensionClock(), ANNOUNCEMENT_VALIDITY_MS)});
+			ownerRanks.delete(database);
+		},
+		getAnnouncedLeader,
 		rankOwners: rankDatabaseOwners,
 		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
 		applyChanges(changes) {
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,7 +1,7 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner,
@@ -22,6 +22,8 @@
 	get: (database: DatabaseId) => DatabaseOwner;
 	/** Passes the current targets on to every owner. */
 	refreshTargets: () => void;
+	/** Lets the owner of a database, if there is one, use the target that was announced as promoted. */
+	refreshAnnouncedLeader: (database: DatabaseId) => void;
 	/** Lets every owner apply changed appointments. */
 	refreshLeaders: () => void;
 	/** Probes a target; resolves to whether this vm can reach it. */
@@ -39,6 +41,10 @@
 	getPeerClient: () => PeerClient;
 	getRoleClaims: () => RoleClaims;
 	appointments: PrimaryAppointments;
+	/** Tells whether the vms of a data centre can be reached. */
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
+	/** Called when a coordinator of this vm has promoted a target. */
+	onPromoted: (database: DatabaseId, target: TargetId) => void;
 	/** Returns the signal that stops the failover coordinators. */
 	getSignal: () => AbortSignal;
 }>;
@@ -73,6 +79,14 @@
 		return responses.some(response => response.ok && response.val === true);
 	};
 
+	/** Routes what needs the leader to a target that was announced as promoted; without fencing the appointment decides instead. */
+	const applyAnnouncedLeader = (database: DatabaseId, owner: DatabaseOwner) => {
+		const announced = context.areTargetsSelfFencing ? view.getAnnouncedLeader(database) : undefined;
+		if (announced) {
+			owner.components.leaderTracker.markLeading(announced.id, runtime.now());
+		}
+	};
+
 	/** Creates an owner and starts its failover coordinator. */
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
@@ -81,6 +95,7 @@
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
+			isDataCentreReachable: dependencies.isDataCentreReachable,
 			appointments: dependencies.appointments.get(database),
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
@@ -98,6 +113,7 @@
 			},
 		});
 		owner.setTargets(view.listTargets(database));
+		applyAnnouncedLeader(database, owner);
 		void runFailoverCoordinator({
 			runtime,
 			database,
@@ -110,6 +126,10 @@
 			groupStore: createGroupStore(context, database),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
+				if (kind === 'finished') {
+					dependencies.onPromoted(database, brandId<TargetId>(target));
+				}
+
 				emit(EVENTS.coordinatorDecision, {
 					kind, database, target, reason, ageMs: Math.round(ageMs),
 				});
@@ -136,6 +156,12 @@
 				owner.setTargets(view.listTargets(database));
 			}
 		},
+		refreshAnnouncedLeader(database) {
+			const owner = owners.get(database);
+			if (owner) {
+				applyAnnouncedLeader(database, owner);
+			}
+		},
 		refreshLeaders() {
 			for (const owner of owners.values()) {
 				owner.refreshLeader();
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -17,8 +17,8 @@
 export type PeerClient = AsyncDisposable & Readonly<{
 	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A timeout or a refusal by the vm does not exclude it. */
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
-	/** Sends a liveness probe to a vm; resolves to whether it answered. */
-	ping: (member: Member) => Promise<boolean>;
+	/** Sends a liveness probe to a vm; resolves to whether it answered in time. */
+	ping: (member: Member, timeoutMs: number) => Promise<boolean>;
 	/** Tells whether a vm may be called. A vm that could not be reached is excluded until a probe succeeds or the vm is no longer a member. */
 	isUsable: (vm: VmId) => boolean;
 	/** Starts to accept calls from other vms; rejects if the address of this vm cannot be bound. */
@@ -35,10 +35,12 @@
 	isMember: (member: Member) => boolean;
 	/** Called when a vm could not be reached. */
 	onUnreachable: (member: Member) => void;
+	/** Called when a vm has been silent for a while although a reply from it is pending. */
+	onSilence: (vm: string) => void;
 }>;
 
 /** Creates the peer client of a vm; `handlers` serve the calls of other vms. */
-export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable}: MembershipHooks): PeerClient => {
+export const createPeerClient = (context: VmContext, handlers: PeerHandlers, {isMember, onUnreachable, onSilence}: MembershipHooks): PeerClient => {
 	const {runtime, settings, emit} = context;
 	const clock = createHybridLogicalClock(runtime.readWallClock);
 	const excludedVms = new Set<VmId>();
@@ -51,6 +53,9 @@
 		observeTime(time) {
 			clock.observe(time);
 		},
+		onSilence({vm}) {
+			onSilence(vm);
+		},
 		onMalformedFrame(failure) {
 			emit(EVENTS.frameRefused, {message: failure.message});
 		},
@@ -96,8 +101,8 @@
 
 			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
 		},
-		async ping({host, port}) {
-			const response = await peers.call({host, port}, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
+		async ping({host, port}, timeoutMs) {
+			const response = await peers.call({host, port}, LIVENESS_METHOD, undefined, timeoutMs);
 			return response.ok;
 		},
 		isUsable,
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,10 +1,10 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createDeadline, createScope, Err, getErrorMessage, isPast, Ok, type CustomerId, type DatabaseId, type Deadline, type Result, brandId,
+	createDeadline, createScope, Err, getErrorMessage, isPast, Ok, type DatabaseId, type Deadline, type Result, brandId,
 } from '@guavapitch/core';
 import {
-	chooseSessionClosing, createSession, type Authorization, type Session, type SessionClosing, type StopPlan,
+	chooseSessionClosing, createSession, type Session, type SessionClosing, type StopPlan,
 } from '@guavapitch/callers';
 import {
 	createChange, createFeed, type Feed, type FeedRequest,
@@ -15,9 +15,12 @@
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
+import {checkCaller} from './authorization.js';
 import type {VmContext} from './context.js';
 import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
-import {createIsolationDetector} from './isolation-detector.js';
+import {createDataCentreMonitor} from './data-centre-monitor.js';
+import {createKnownPositions} from './known-positions.js';
+import {createLeaderAnnouncements, LEADER_METHOD} from './leader-announcements.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
@@ -136,6 +139,10 @@
 	});
 	const databaseOwners = createDatabaseOwners(context, {
 		view, quotas, appointments, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
+		isDataCentreReachable: dataCentre => dataCentreMonitor.isReachable(dataCentre),
+		onPromoted(database, target) {
+			leaderAnnouncements.announce(database, target);
+		},
 	});
 
 	const feed: Feed = createFeed({
@@ -151,7 +158,9 @@
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
 		relayPrefix: MEMBER_PREFIX,
 		waitUntilListed: async () => registration.waitUntilRegistered(createDeadline(runtime.now(), REGISTRATION_WAIT_MS)),
-		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(({vm}) => peerClient.isUsable(vm)).map(({vm}) => vm),
+		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers())
+			.filter(({vm, dataCentre}) => peerClient.isUsable(vm) && dataCentreMonitor.isReachable(dataCentre))
+			.map(({vm}) => vm),
 		async callRelay(relay, request) {
 			const member = view.listMembers().find(({vm}) => vm === relay);
 			if (!member) {
@@ -181,14 +190,27 @@
 		onStoreStatus: handleStoreStatus,
 	});
 
-	const isolationDetector = createIsolationDetector({
+	const dataCentreMonitor = createDataCentreMonitor({
 		runtime,
 		vm: settings.vm,
 		dataCentre: settings.dataCentre,
 		listMembers: view.listMembers,
-		ping: async member => peerClient.ping(member),
-		onChange(isIsolated) {
-			emit(EVENTS.readinessChanged, {isIsolated, feedAgeMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
+		ping: async (member, timeoutMs) => peerClient.ping(member, timeoutMs),
+		onChange(dataCentre, isReachable) {
+			emit(EVENTS.readinessChanged, {
+				dataCentre, isReachable, isIsolated: dataCentreMonitor.isIsolated(), feedAgeMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER)),
+			});
+		},
+	});
+
+	const leaderAnnouncements = createLeaderAnnouncements({
+		listMembers: () => view.listMembers().filter(({vm, dataCentre}) => vm !== settings.vm && peerClient.isUsable(vm) && dataCentreMonitor.isReachable(dataCentre)),
+		async send(member, body, timeoutMs) {
+			await peerClient.call(member, LEADER_METHOD, body, timeoutMs);
+		},
+		onLeader(database, target) {
+			view.recordLeader(database, target);
+			databaseOwners.refreshAnnouncedLeader(database);
 		},
 	});
 
@@ -209,13 +231,20 @@
 			[CONFIRM_APPOINTMENT_METHOD]: async body => appointments.confirm((body as Readonly<{database: DatabaseId}>).database),
 			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
 			[GRANT_TOKENS_METHOD]: async body => quotas.grantTokens(body as TokenRequestMessage),
+			async [LEADER_METHOD](body) {
+				leaderAnnouncements.receive(body);
+			},
 			[PROBE_TARGET_METHOD]: async body => databaseOwners.isReachable((body as Readonly<{target: Parameters<typeof databaseOwners.isReachable>[0]}>).target),
 		},
 		streams: {},
 	}, {
 		isMember: member => view.listMembers().some(({run}) => run === member.run),
-		onUnreachable(member) {
-			isolationDetector.handleUnreachable(member);
+		onUnreachable: dataCentreMonitor.handleSilence,
+		onSilence(vm) {
+			const silentMember = view.listMembers().find(member => member.vm === vm);
+			if (silentMember) {
+				dataCentreMonitor.handleSilence(silentMember);
+			}
 		},
 	});
 
@@ -253,9 +282,13 @@
 
 	const statementRouter = createStatementRouter({
 		runtime,
+		readSuspensionClock: context.readSuspensionClock,
 		self: settings.vm,
+		knownPositions: createKnownPositions(context.readSuspensionClock),
 		rankOwners: view.rankOwners,
 		isUsable: vm => peerClient.isUsable(vm),
+		isReachable: dataCentreMonitor.isReachable,
+		onUnreachable: dataCentreMonitor.onUnreachable,
 		async callOwner(member, request, timeoutMs) {
 			const response = await peerClient.call(member, RUN_METHOD, request, timeoutMs);
 			return response.map(value => value as StatementResponse);
@@ -299,28 +332,11 @@
 		return response;
 	};
 
-	const authorize = (service: string, key: string): Result<Authorization, StatementOutcome> => {
-		const configuration = view.getConfiguration();
-		const route = configuration?.routes.get(service);
-		if (!configuration || !route) {
-			return Err(createRefusal(configuration ? 'noDatabase' : 'busy', configuration ? 'no route is configured for this service' : 'this vm has not received the configuration yet'));
-		}
-
-		const customer = configuration.customersByKey.get(key);
-		if (customer) {
-			return Ok({route, customer});
-		}
-
-		return route.isPublic
-			? Ok({route, customer: brandId<CustomerId>('-')})
-			: Err(createRefusal('noKey', 'the key is unknown'));
-	};
-
 	/**
 	 * Tells whether this vm should keep its callers. Another data centre serves them better when this one is isolated.
 	 * With two data centres, each finds the other unreachable; the one that is still in contact with the store then continues.
 	 */
-	const isConnected = (): boolean => !isolationDetector.isIsolated()
+	const isConnected = (): boolean => !dataCentreMonitor.isIsolated()
 		|| (settings.dataCentreCount <= MAX_DATA_CENTRES_WITHOUT_MAJORITY && feed.getAgeMs() < STALE_FEED_MS);
 
 	const listener = await peerClient.listen();
@@ -334,14 +350,14 @@
 				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
 			}
 
-			const authorization = authorize(service, key);
+			const authorization = checkCaller(view.getConfiguration(), service, key);
 			if (authorization.err) {
 				return authorization;
 			}
 
 			return Ok(createSession({
 				runtime,
-				authorize: () => authorize(service, key),
+				authorize: () => checkCaller(view.getConfiguration(), service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
 				getStopPlan: () => stopPlan,
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -1,20 +1,29 @@
 /** Routes statements to the owner of their database. */
 
 import {
-	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type Runtime,
+	Err, getRemainingMs, isPast, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
+import type {KnownPositions} from './known-positions.js';
 import type {Member} from './members.js';
 import type {CallFailure} from './peer-client.js';
 
 /** Dependencies of the statement router. */
 export type StatementRouterContext = Readonly<{
 	runtime: Runtime;
+	/** Reads the clock that keeps running while the process is suspended. */
+	readSuspensionClock: () => Instant;
 	self: VmId;
+	/** Positions that owners reported; another owner can serve reads with them before it has asked the leader. */
+	knownPositions: KnownPositions;
 	rankOwners: (database: DatabaseId) => readonly Member[];
 	isUsable: (vm: VmId) => boolean;
+	/** Tells whether vms of a data centre should be called. */
+	isReachable: (dataCentre: DataCentreId) => boolean;
+	/** Registers a callback for the moment at which a data centre becomes unreachable; returns a function that removes it. */
+	onUnreachable: (dataCentre: DataCentreId, callback: () => void) => (() => void);
 	callOwner: (member: Member, request: StatementRequest, timeoutMs: number) => Promise<Result<StatementResponse, CallFailure>>;
 	serveLocally: (request: StatementRequest) => Promise<StatementResponse>;
 	/** Rolls a transaction back at an owner; `undefined` stands for this vm itself. */
@@ -55,6 +64,12 @@
 		: createResponse({kind: 'unknown', reason: `the database owner was lost during a ${access}, which may have taken effect: ${reason}`}, 'idle');
 };
 
+/** Tells whether it is known without the owner's response that nothing of a statement is kept. */
+const isWithoutEffect = (request: StatementRequest): boolean => {
+	const access = getAccess(request.statement);
+	return request.transaction ? access !== 'commit' : access === 'read';
+};
+
 /** Creates the statement router of an entry vm. */
 export const createStatementRouter = (context: StatementRouterContext): StatementRouter => {
 	const {runtime, self} = context;
@@ -63,8 +78,28 @@
 
 	const callAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<Result<StatementResponse, CallFailure> | StatementResponse> => {
 		const remainingMs = getRemainingMs(deadline, runtime.now());
-		const timedRequest = {...request, remainingMs};
-		return member ? context.callOwner(member, timedRequest, remainingMs + RESPONSE_TRANSIT_MS) : context.serveLocally(timedRequest);
+		const timedRequest = {...request, remainingMs, verified: context.knownPositions.get(request.database, member?.vm ?? self)};
+		if (!member) {
+			return context.serveLocally(timedRequest);
+		}
+
+		const response = context.callOwner(member, timedRequest, remainingMs + RESPONSE_TRANSIT_MS);
+		return isWithoutEffect(request) ? abandonIfUnreachable(member, response) : response;
+	};
+
+	/** Ends a call as lost when the data centre of the owner becomes unreachable; its response is then ignored. */
+	const abandonIfUnreachable = async (member: Member, response: Promise<Result<StatementResponse, CallFailure>>): Promise<Result<StatementResponse, CallFailure>> => {
+		let unsubscribe: (() => void) | undefined;
+		const abandoned = new Promise<Result<StatementResponse, CallFailure>>(resolve => {
+			unsubscribe = context.onUnreachable(member.dataCentre, () => {
+				resolve(Err({code: 'lost', message: 'the data centre of the database owner is unreachable'}));
+			});
+		});
+		try {
+			return await Promise.race([response, abandoned]);
+		} finally {
+			unsubscribe?.();
+		}
 	};
 
 	const recordTransaction = (request: StatementRequest, member: Member | undefined, response: StatementResponse) => {
@@ -79,7 +114,13 @@
 	};
 
 	const runAt = async (member: Member | undefined, request: StatementRequest, deadline: Deadline): Promise<StatementResponse | 'elsewhere'> => {
+		const sentAt = context.readSuspensionClock();
 		const result = await callAt(member, request, deadline);
+		const response = 'ok' in result ? (result.ok ? result.val : undefined) : result;
+		if (response?.verified) {
+			context.knownPositions.record(request.database, member?.vm ?? self, sentAt, response.verified);
+		}
+
 		if (!('ok' in result)) {
 			recordTransaction(request, member, result);
 			return result;
@@ -114,13 +155,16 @@
 	};
 
 	const runAtAnyOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		const rankedOwners = context.rankOwners(request.database);
-		const usableOwners = rankedOwners.filter(({vm}) => vm === self || context.isUsable(vm));
-		for (const member of usableOwners.slice(0, MAX_OWNERS_TRIED)) {
-			if (isPast(deadline, runtime.now())) {
+		// Every vm of an unreachable data centre would be tried in vain until it counts as lost itself.
+		const isCallable = ({vm, dataCentre}: Member) => vm === self || (context.isUsable(vm) && context.isReachable(dataCentre));
+		const triedVms = new Set<VmId>();
+		while (triedVms.size < MAX_OWNERS_TRIED && !isPast(deadline, runtime.now())) {
+			const member = context.rankOwners(request.database).find(candidate => !triedVms.has(candidate.vm) && isCallable(candidate));
+			if (!member) {
 				break;
 			}
 
+			triedVms.add(member.vm);
 			const response = await runAt(member.vm === self ? undefined : member, request, deadline);
 			if (response !== 'elsewhere') {
 				return response;
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -6,14 +6,25 @@
 	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
-import {createClusterView} from '../cluster-view.js';
+import {createClusterView, MEMBER_PREFIX} from '../cluster-view.js';
 import type {VmContext} from '../context.js';
 
 const TARGET_PREFIX = 'servers/';
 const DRAIN_MS = 7000;
 const DATABASE = brandId<DatabaseId>('ledger');
 
-type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number}>;
+type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; dataCentre?: string}>;
+
+/** Entries of two vms in two data centres. */
+const MEMBERS: readonly StoreEntry[] = ['here', 'there'].map(dataCentre => ({
+	key: `${MEMBER_PREFIX}${dataCentre}`,
+	value: JSON.stringify({
+		vm: `vm-${dataCentre}`, run: '1', dataCentre, host: dataCentre, port: 1, capacity: 1,
+	}),
+	era: 1,
+	revision: 1,
+	createdRevision: 1,
+}));
 
 /** Creates a view over entries that a test replaces as a whole. */
 const createSetup = () => {
@@ -34,9 +45,9 @@
 		},
 		parseTarget(entry) {
 			try {
-				const {id, isDraining = false, startedAtMs = 1} = JSON.parse(entry.value) as TargetEntry;
+				const {id, isDraining = false, startedAtMs = 1, dataCentre = 'here'} = JSON.parse(entry.value) as TargetEntry;
 				return Ok({
-					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: brandId<DataCentreId>('here'), slots: 2, isDraining, role: 'replica', startedAtMs,
+					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: brandId<DataCentreId>(dataCentre), slots: 2, isDraining, role: 'replica', startedAtMs,
 				});
 			} catch {
 				return Err({code: 'documentMalformed', message: 'not JSON'});
@@ -45,7 +56,7 @@
 	};
 	const feed: Partial<Feed> = {
 		get: key => entries.find(entry => entry.key === key),
-		list: prefix => entries.filter(({key}) => key.startsWith(prefix)),
+		list: prefix => [...entries, ...MEMBERS].filter(({key}) => key.startsWith(prefix)),
 		getAgeMs: () => 7,
 		getCompleteAt: () => completeAt,
 	};
@@ -164,6 +175,32 @@
 		});
 	});
 
+	describe('a target that was announced as promoted', () => {
+		it('decides where owners are ranked until the registry had time to follow', async () => {
+			const {view, advance, setTargets} = createSetup();
+			setTargets([{id: 'a'}, {id: 'b', dataCentre: 'there'}]);
+			view.applyChanges([{
+				key: MEMBER_PREFIX, era: 1, revision: 1, entry: undefined,
+			}]);
+			const getFirst = () => view.rankOwners(DATABASE)[0]?.dataCentre;
+			const before = getFirst();
+			view.recordLeader(DATABASE, brandId<TargetId>('b'));
+			assert.equal(getFirst(), 'there');
+			assert.equal(view.getAnnouncedLeader(DATABASE)?.id, 'b');
+			await advance(6001);
+			setTargets([{id: 'a'}, {id: 'b', dataCentre: 'there'}]);
+			assert.equal(getFirst(), before);
+			assert.equal(view.getAnnouncedLeader(DATABASE), undefined);
+		});
+
+		it('is ignored if it is not registered', () => {
+			const {view, setTargets} = createSetup();
+			setTargets([{id: 'a'}]);
+			view.recordLeader(DATABASE, brandId<TargetId>('gone'));
+			assert.equal(view.getAnnouncedLeader(DATABASE), undefined);
+		});
+	});
+
 	describe('events about targets', () => {
 		it('name the target, what has changed, and how many targets of its database stay', () => {
 			const {events, setTargets} = createSetup();
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -6,6 +6,7 @@
 	createDeadline, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
+import {createKnownPositions} from '../known-positions.js';
 import {rankOwners, rankRelays, type Member} from '../members.js';
 import type {CallFailure} from '../peer-client.js';
 import {createStatementRouter} from '../statement-router.js';
@@ -34,23 +35,45 @@
 const READ: TargetStatement = {kind: 'text', access: 'read', text: 'READ a'};
 const WRITE: TargetStatement = {kind: 'text', access: 'write', text: 'WRITE a b'};
 
-const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
-	const {runtime} = createVirtualRuntime();
+const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure> | Promise<Result<StatementResponse, CallFailure>>, members: readonly Member[] = MEMBERS) => {
+	const {runtime, advance} = createVirtualRuntime();
 	const calledVms: VmId[] = [];
+	const requests: StatementRequest[] = [];
+	const unreachable = new Set<DataCentreId>();
+	const callbacks = new Set<() => void>();
 	const router = createStatementRouter({
 		runtime,
+		readSuspensionClock: runtime.now,
 		self: brandId<VmId>('self'),
-		rankOwners: () => MEMBERS,
+		knownPositions: createKnownPositions(runtime.now),
+		rankOwners: () => members,
 		isUsable: () => true,
-		async callOwner({vm}) {
+		isReachable: dataCentre => !unreachable.has(dataCentre),
+		onUnreachable(_dataCentre, callback) {
+			callbacks.add(callback);
+			return () => {
+				callbacks.delete(callback);
+			};
+		},
+		async callOwner({vm}, request) {
 			calledVms.push(vm);
+			requests.push(request);
 			return call(vm);
 		},
 		serveLocally: async () => RESPONSE,
 		rollBackAt: () => undefined,
 		onRetry: () => undefined,
 	});
-	return {calledVms, run: async (request: StatementRequest) => router.run(request, createDeadline(runtime.now(), 1000))};
+	const loseDataCentre = (dataCentre: DataCentreId) => {
+		unreachable.add(dataCentre);
+		for (const callback of callbacks) {
+			callback();
+		}
+	};
+
+	return {
+		calledVms, requests, advance, loseDataCentre, run: async (request: StatementRequest) => router.run(request, createDeadline(runtime.now(), 1000)),
+	};
 };
 
 const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
@@ -85,6 +108,58 @@
 	});
 });
 
+describe('statement router with an unreachable data centre', () => {
+	const far = brandId<DataCentreId>('far');
+	const members = [createMember('far1', 'far'), createMember('far2', 'far'), createMember('near', 'near')];
+	const neverAnswered = new Promise<never>(() => {
+		// Stays pending.
+	});
+	const answerNear = (vm: VmId): Result<StatementResponse, CallFailure> | Promise<never> => vm === 'near' ? Ok(RESPONSE) : neverAnswered;
+
+	describe('when it becomes unreachable during a call', () => {
+		it('runs a read elsewhere at once instead of waiting until each of its vms counts as lost', async () => {
+			const {calledVms, advance, loseDataCentre, run} = createSetup(answerNear, members);
+			const response = run(createRequest(READ));
+			await advance(10);
+			loseDataCentre(far);
+			assert.equal((await response).outcome.kind, 'done');
+			assert.deepEqual(calledVms, ['far1', 'near']);
+		});
+
+		it('aborts a transaction, and goes on waiting for a write that may have been sent', async () => {
+			const {advance, loseDataCentre, run} = createSetup(answerNear, members);
+			const inTransaction = run(createRequest(READ, {id: 't', readOnly: false, isFirst: true}));
+			let isWriteAnswered = false;
+			void run(createRequest(WRITE)).then(() => {
+				isWriteAnswered = true;
+			});
+			await advance(10);
+			loseDataCentre(far);
+			const {outcome} = await inTransaction;
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+			assert.ok(!isWriteAnswered);
+		});
+	});
+
+	it('passes over its vms afterwards', async () => {
+		const {calledVms, loseDataCentre, run} = createSetup(answerNear, members);
+		loseDataCentre(far);
+		assert.equal((await run(createRequest(WRITE))).outcome.kind, 'done');
+		assert.deepEqual(calledVms, ['near']);
+	});
+
+	it('tells another owner the last verified position, counted from when the first owner was asked', async () => {
+		const verified = {position: {term: 3, number: 9}, ageMs: 40};
+		const {requests, advance, loseDataCentre, run} = createSetup(vm => Ok(vm === 'far1' ? {...RESPONSE, verified} : RESPONSE), members);
+		await run(createRequest(READ));
+		await run(createRequest(READ));
+		await advance(500);
+		loseDataCentre(far);
+		await run(createRequest(READ));
+		assert.deepEqual(requests.map(request => request.verified), [undefined, undefined, {position: verified.position, ageMs: 540}]);
+	});
+});
+
 describe('ranking of owners and relays', () => {
 	it('ranks vms with little capacity behind the others of their data centre', () => {
 		const members = [
