Divide the databases of a data centre evenly over its vms with enough capacity

Cause: owners are chosen by hashing among the vms of the primary's data centre that have at least half of its largest capacity. On a fleet of unequal vms these are two in each data centre, and one of them owned four of six databases; its processor was the bottleneck while connections opened. Change: a vm that already has its part of the data centre's databases is passed over. Ruled out: slots of the targets and connections being opened, which were far from full; the data centre monitor, which reported nothing.

--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -8,7 +8,7 @@
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
 import {
-	parseMember, rankCoordinators, rankOwners, type Member,
+	parseMember, rankBalancedOwners, rankCoordinators, rankOwners, type Member,
 } from './members.js';
 import type {Configuration} from './configuration.js';
 
@@ -259,12 +259,12 @@
 	};
 
 	const rankDatabaseOwners = (database: DatabaseId): readonly Member[] => {
-		const cached = ownerRanks.get(database);
-		if (cached) {
-			return cached;
+		if (ownerRanks.size === 0) {
+			const databases = [...new Set([...configuration?.databases.keys() ?? [], ...targetsByDatabase.keys()])];
+			ownerRanks = new Map(rankBalancedOwners(databases.map(id => ({id, preferredDataCentre: getPreferredDataCentre(id)})), members));
 		}
 
-		const ranked = rankOwners(database, members, getPreferredDataCentre(database));
+		const ranked = ownerRanks.get(database) ?? rankOwners(database, members, getPreferredDataCentre(database));
 		ownerRanks.set(database, ranked);
 		return ranked;
 	};
@@ -276,7 +276,7 @@
 		findTarget: id => targets.get(id),
 		recordLeader(database, target) {
 			announcedLeaders.set(database, {target, until: createDeadline(context.readSuspensionClock(), ANNOUNCEMENT_VALIDITY_MS)});
-			ownerRanks.delete(database);
+			ownerRanks = new Map();
 		},
 		getAnnouncedLeader,
 		rankOwners: rankDatabaseOwners,
@@ -288,6 +288,7 @@
 			const hasAppointmentChange = changes.some(({key}) => key.startsWith(APPOINTMENT_PREFIX));
 			if (hasConfigurationChange) {
 				applyConfiguration(getFeed().get(context.configurationKey));
+				ownerRanks = new Map();
 			}
 
 			if (hasTargetChange) {
--- a/packages/vm/src/members.ts
+++ b/packages/vm/src/members.ts
@@ -1,7 +1,7 @@
 /** The live vms, and their ranking as database owners and as relays of the change feed. */
 
 import {
-	computeHash, type DataCentreId, type VmId,
+	computeHash, type DatabaseId, type DataCentreId, type VmId,
 } from '@guavapitch/core';
 import type {StoreEntry} from '@guavapitch/feed';
 
@@ -40,13 +40,23 @@
 /** Fraction of the largest capacity below which a vm ranks behind the others as an owner: all statements of a database go through its owner. */
 const MIN_CAPACITY_FRACTION = 0.5;
 
+/** Lists the vms of the preferred data centre, or all if it has none. */
+const listPreferred = (members: readonly Member[], preferredDataCentre: DataCentreId | undefined): readonly Member[] => {
+	const preferredMembers = members.filter(member => member.dataCentre === preferredDataCentre);
+	return preferredMembers.length > 0 ? preferredMembers : members;
+};
+
+const computeMinCapacity = (members: readonly Member[], preferredDataCentre: DataCentreId | undefined): number => {
+	const capacities = listPreferred(members, preferredDataCentre).map(({capacity}) => capacity);
+	return MIN_CAPACITY_FRACTION * Math.max(0, ...capacities);
+};
+
 /**
  * Ranks vms as owners of a key by weighted rendezvous hashing: those of the preferred data centre first, and among these the ones with enough capacity.
  * In a fleet of unequal vms, a weak owner would be the bottleneck of its whole database.
  */
 export const rankOwners = (key: string, members: readonly Member[], preferredDataCentre: DataCentreId | undefined): readonly Member[] => {
-	const preferredMembers = members.filter(member => member.dataCentre === preferredDataCentre);
-	const minCapacity = MIN_CAPACITY_FRACTION * Math.max(0, ...(preferredMembers.length > 0 ? preferredMembers : members).map(({capacity}) => capacity));
+	const minCapacity = computeMinCapacity(members, preferredDataCentre);
 	return members
 		.map(member => {
 			const uniformHash = (computeHash(`${key}\u0000${member.vm}`) + 1) / (HASH_RANGE + 1);
@@ -58,6 +68,40 @@
 		.map(({member}) => member);
 };
 
+/** A database whose owner is to be ranked, and the data centre of its primary. */
+export type OwnedDatabase = Readonly<{id: DatabaseId; preferredDataCentre: DataCentreId | undefined}>;
+
+/**
+ * Ranks vms as owners of all databases, as `rankOwners` does, but puts another vm with enough capacity first where the best one already
+ * has its part of the data centre's databases: few vms of a data centre have enough capacity, and by hashing alone one of them often gets most databases.
+ */
+export const rankBalancedOwners = (databases: readonly OwnedDatabase[], members: readonly Member[]): ReadonlyMap<DatabaseId, readonly Member[]> => {
+	const databaseCounts = new Map<DataCentreId | undefined, number>();
+	for (const {preferredDataCentre} of databases) {
+		databaseCounts.set(preferredDataCentre, (databaseCounts.get(preferredDataCentre) ?? 0) + 1);
+	}
+
+	const ownedCounts = new Map<string, number>();
+	const ranks = new Map<DatabaseId, readonly Member[]>();
+	// Every vm visits the databases in the same order and so assigns them alike.
+	for (const {id, preferredDataCentre} of databases.toSorted((a, b) => computeHash(a.id) - computeHash(b.id) || (a.id < b.id ? -1 : 1))) {
+		const ranked = rankOwners(id, members, preferredDataCentre);
+		const minCapacity = computeMinCapacity(members, preferredDataCentre);
+		const candidates = listPreferred(members, preferredDataCentre).filter(({capacity}) => capacity >= minCapacity);
+		const totalCapacity = candidates.reduce((total, {capacity}) => total + capacity, 0);
+		const databaseCount = databaseCounts.get(preferredDataCentre) ?? 0;
+		const countKey = ({vm}: Member) => `${preferredDataCentre ?? ''}\u0000${vm}`;
+		const owner = ranked.find(member => candidates.includes(member) && (ownedCounts.get(countKey(member)) ?? 0) < Math.ceil(databaseCount * member.capacity / totalCapacity));
+		if (owner) {
+			ownedCounts.set(countKey(owner), (ownedCounts.get(countKey(owner)) ?? 0) + 1);
+		}
+
+		ranks.set(id, owner ? [owner, ...ranked.filter(member => member !== owner)] : ranked);
+	}
+
+	return ranks;
+};
+
 /**
  * Ranks vms as failover coordinators, given their ranking as owners and the data centre of the primary: those of other data centres first.
  * When the primary's data centre is cut off, the coordinator then notices at once, and no lease has to expire before a replica is promoted.
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -7,7 +7,9 @@
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
 import {createKnownPositions} from '../known-positions.js';
-import {rankOwners, rankRelays, type Member} from '../members.js';
+import {
+	rankBalancedOwners, rankOwners, rankRelays, type Member,
+} from '../members.js';
 import type {CallFailure} from '../peer-client.js';
 import {createStatementRouter} from '../statement-router.js';
 
@@ -188,6 +190,39 @@
 		assert.ok(strongCount > 2000 * 0.55 && strongCount < 2000 * 0.65, `${strongCount} of 2000 at the strong vms`);
 	});
 
+	describe('with few vms of enough capacity', () => {
+		const here = brandId<DataCentreId>('here');
+		const listDatabases = (count: number, start = 0) => Array.from({length: count}, (_, index) => ({id: brandId<DatabaseId>(`db${start + index}`), preferredDataCentre: here}));
+		const unequalMembers = [
+			...Array.from({length: 9}, (_, index) => createMember(`weak${index}`, 'here', 0.3)),
+			createMember('strong1', 'here', 1.35),
+			createMember('strong2', 'here', 1.35),
+			createMember('far', 'there', 5),
+		];
+
+		it('gives each of them its part of the databases, where hashing alone would give one of them most', () => {
+			for (let start = 0; start < 400; start += 4) {
+				const owners = [...rankBalancedOwners(listDatabases(4, start), unequalMembers).values()].map(([owner]) => owner?.vm);
+				assert.deepEqual(['strong1', 'strong2'].map(name => owners.filter(vm => vm === name).length), [2, 2]);
+			}
+		});
+
+		it('assigns databases alike whatever the order in which a vm knows them', () => {
+			const databases = listDatabases(7);
+			const [ranks, otherRanks] = [rankBalancedOwners(databases, unequalMembers), rankBalancedOwners(databases.toReversed(), unequalMembers.toReversed())];
+			assert.ok(databases.every(({id}) => ranks.get(id)?.[0] === otherRanks.get(id)?.[0]));
+		});
+
+		it('keeps the databases of the other vms of equal capacity mostly where they are when one leaves', () => {
+			const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
+			const databases = listDatabases(200);
+			const before = rankBalancedOwners(databases, members);
+			const after = rankBalancedOwners(databases, members.slice(1));
+			const moved = databases.filter(({id}) => before.get(id)?.[0] !== members[0] && before.get(id)?.[0] !== after.get(id)?.[0]);
+			assert.ok(moved.length < 40, `${moved.length} of 190`);
+		});
+	});
+
 	it('moves only the databases of a vm that leaves the fleet', () => {
 		const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
 		const keys = Array.from({length: 500}, (_, index) => `db${index}`);
