Merge the proofs of commits in synchronously replicated groups

Cause: with sync_replicas 1, a target that joins or starts again while an order is executed confirmed commits that the promoted target lacks. The fake owner of the tests takes overrides of its context.

--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -35,9 +35,9 @@
 	...overrides,
 });
 
-const createSetup = (targets: readonly FakeTarget[], isDataCentreReachable?: (dataCentre: DataCentreId) => boolean) => {
+const createSetup = (targets: readonly FakeTarget[], isDataCentreReachable: (dataCentre: DataCentreId) => boolean = () => true) => {
 	const {runtime, advance} = createVirtualRuntime(3);
-	const owner = createFakeOwner(targets, runtime, undefined, isDataCentreReachable);
+	const owner = createFakeOwner(targets, runtime, {isDataCentreReachable});
 	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		let response: StatementResponse | undefined;
 		void owner.serve(request).then(value => {
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -51,6 +51,7 @@
 		readStatus: () => undefined,
 		appointments: SELF_FENCING_APPOINTMENTS,
 		isDataCentreReachable: () => true,
+		getKnownGroup: () => undefined,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -4,7 +4,7 @@
 	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
-	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner,
+	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner, type GroupRecord,
 } from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
@@ -45,6 +45,8 @@
 	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
 	/** Called when a coordinator of this vm has promoted a target. */
 	onPromoted: (database: DatabaseId, target: TargetId) => void;
+	/** Returns the record of a synchronously replicated group as this vm knows it; `undefined` if it knows none. */
+	getGroupRecord: (database: DatabaseId) => GroupRecord | undefined;
 	/** Returns the signal that stops the failover coordinators. */
 	getSignal: () => AbortSignal;
 }>;
@@ -87,6 +89,8 @@
 		}
 	};
 
+	const isReplicated = (database: DatabaseId): boolean => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false;
+
 	/** Creates an owner and starts its failover coordinator. */
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
@@ -97,6 +101,9 @@
 			readStatus: context.readStatus,
 			isDataCentreReachable: dependencies.isDataCentreReachable,
 			appointments: dependencies.appointments.get(database),
+			getKnownGroup: () => context.areTargetsSelfFencing && isReplicated(database)
+				? {appointments: dependencies.appointments.getRecorded(database), members: dependencies.getGroupRecord(database)?.members ?? []}
+				: undefined,
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
@@ -122,7 +129,7 @@
 			drawFencingToken: async appointed => dependencies.appointments.drawFencingToken(database, appointed),
 			requestPromotion: async (target, fencingToken) => context.requestPromotion(target, settings.vm, fencingToken),
 			isReachableFromPeers: probeFromPeers,
-			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
+			isSynchronouslyReplicated: () => isReplicated(database),
 			groupStore: createGroupStore(context, database),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -24,6 +24,7 @@
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
+import {formatGroupKey, parseGroupRecord} from './replication-groups.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {createStatementRouter} from './statement-router.js';
 import {
@@ -138,11 +139,20 @@
 		},
 	});
 	const databaseOwners = createDatabaseOwners(context, {
-		view, quotas, appointments, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
 		isDataCentreReachable: dataCentre => dataCentreMonitor.isReachable(dataCentre),
 		onPromoted(database, target) {
 			leaderAnnouncements.announce(database, target);
 		},
+		view,
+		quotas,
+		appointments,
+		getGroupRecord(database) {
+			const entry = feed.get(formatGroupKey(database));
+			return entry && parseGroupRecord(entry.value);
+		},
+		getPeerClient: () => peerClient,
+		getRoleClaims: () => roleClaims,
+		getSignal: () => scope.signal,
 	});
 
 	const feed: Feed = createFeed({
