Read the store once when no relay has sent its entries to a vm that starts

Cause: after all vms of a fleet lost power, the processes were back within 0.6 s, but received the configuration 1 to 3 s later: each follower is sent the whole table by one of a few relays, whose links carry as little as 7 Mbit/s. Callers were refused or waited until then. Reads that needed a leader out of reach waited 250 ms for a confirmation that could not come. Change: a vm that has no entries 300 ms after it listed the relays reads every prefix once from the store; such reads are refused at once.

--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -29,7 +29,8 @@
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
 	const known = request.verified && request.verified.ageMs <= allowedMs ? positionHistory.translateToLatestTerm(request.verified.position) : undefined;
 	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock()) ?? known;
-	if (!verifiedPosition) {
+	const leader = components.leaderTracker.getLeader();
+	if (!verifiedPosition && (leader === undefined || components.isReachable(leader))) {
 		await components.verifyPosition(deadline);
 		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
 	}
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -86,6 +86,8 @@
 const MAX_RELAY_ATTEMPTS = 3;
 /** Time for which entries that a restored store no longer holds are kept, in milliseconds: writers that live write theirs again within about two seconds. */
 const RESTORED_GRACE_MS = 2000;
+/** Time after which a vm that starts and has no entries from a relay reads them from the store, in milliseconds; a relay that is not busy sends them within tens of milliseconds. */
+const FIRST_ENTRIES_TIMEOUT_MS = 300;
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1000;
 
@@ -164,6 +166,30 @@
 		recordEra(era);
 	};
 
+	/** Reads all entries under a prefix from the store. */
+	const readWhole = async (prefix: string): ReturnType<FeedSource['readAll']> => {
+		const askedAt = context.readSuspensionClock();
+		const read = await source.readAll(prefix);
+		if (read.ok) {
+			recordEra(read.val.version.era);
+			replaceAll(prefix, read.val.entries, read.val.version);
+			recordComplete(prefix, askedAt);
+		}
+
+		return read;
+	};
+
+	/** Reads every prefix once if no relay has sent its entries yet; after a restart of the whole fleet, few relays send them to all vms at the same time. */
+	const readOnceUnlessComplete = async (): Promise<void> => {
+		await runtime.sleep(FIRST_ENTRIES_TIMEOUT_MS);
+		if (!isComplete()) {
+			await Promise.all(context.prefixes.map(async ({prefix}) => {
+				const sentAt = runtime.now();
+				recordRead(await readWhole(prefix), sentAt, INITIAL_BACKOFF_MS);
+			}));
+		}
+	};
+
 	const readPrefix = async (prefix: FeedPrefix, signal: AbortSignal): Promise<void> => {
 		let version: StoreVersion | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
@@ -172,14 +198,8 @@
 			const askedAt = context.readSuspensionClock();
 			let isRestored = false;
 			if (version === undefined) {
-				const read = await source.readAll(prefix.prefix);
-				if (read.ok) {
-					version = read.val.version;
-					recordEra(version.era);
-					replaceAll(prefix.prefix, read.val.entries, version);
-					recordComplete(prefix.prefix, askedAt);
-				}
-
+				const read = await readWhole(prefix.prefix);
+				version = read.ok ? read.val.version : undefined;
 				backoffMs = recordRead(read, sentAt, backoffMs);
 			} else {
 				const watched = await source.watch(prefix.prefix, version.revision, prefix.waitMs);
@@ -329,6 +349,7 @@
 	return {
 		async run(signal) {
 			await findRelays();
+			void readOnceUnlessComplete();
 			while (!signal.aborted) {
 				let hasFollowedRelay = false;
 				for (const relay of context.listRelays().slice(0, MAX_RELAY_ATTEMPTS)) {
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -124,6 +124,27 @@
 		stop.abort();
 	});
 
+	it('reads the store once when the relay is too busy to send its entries, as after a restart of the whole fleet', async () => {
+		const {runtime, advance, store, startFeed, stop} = createSetup();
+		const relay = startFeed('one', store.source);
+		store.put('a/y', '7');
+		await advance(100);
+		const previousReadCount = store.state.readCount;
+		const busyRelay: Feed = {
+			...relay,
+			async serve(request) {
+				await runtime.sleep(3000);
+				return relay.serve(request);
+			},
+		};
+		const follower = startFeed('two', store.source, busyRelay);
+		await advance(400);
+		assert.equal(follower.get('a/y')?.value, '7');
+		await advance(4000);
+		assert.equal(store.state.readCount - previousReadCount, 2, 'the list of relays, and the entries');
+		stop.abort();
+	});
+
 	it('reports the age of data from a relay that cannot reach the store', async () => {
 		const {advance, store, startFeed, stop} = createSetup();
 		const relay = startFeed('one', store.source);
