Replay recoveries of a target

No load had a target that comes back: only faults that end with the target as fast as before. Six loads with many customers, each of which needs connections of its own, add a replica that restarts at a quarter of its speed or fast at once, a slow promoted replica, one that flaps, one that answers pings but loses half of its statements, and a restart of all vms. Targets record the statements that they receive, and operations the identifiers of their requests, so that a test can tell what was sent to a target and missed its objective.

--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -20,6 +20,8 @@
 /** Result of one operation, including its retries. */
 export type OperationResult = Readonly<{
 	className: string;
+	/** Identifiers of its requests, one for each statement of each attempt. */
+	requestIds: readonly string[];
 	customer: string;
 	dataCentre: string;
 	/** Milliseconds from the start of the load. */
@@ -56,8 +58,9 @@
 	const isTransaction = runtime.random() < operationClass.transactionFraction;
 	const isWrite = runtime.random() < operationClass.writeFraction;
 
-	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
-		id: runtime.createId(),
+	const requestIds: string[] = [];
+	const createRequest = (id: string, text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
+		id,
 		database: EMULATED_DATABASE,
 		customer: brandId<CustomerId>(customer),
 		statement: text === 'COMMIT' ? {kind: 'commit', text} : {kind: 'text', access: text.startsWith('WRITE') ? 'write' : 'read', text},
@@ -80,7 +83,9 @@
 		const transaction = runtime.createId();
 		for (const [index, text] of createStatementTexts().entries()) {
 			await runtime.sleep(load.networkDelayMs);
-			const response = await runStatement(createRequest(text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
+			const requestId = runtime.createId();
+			requestIds.push(requestId);
+			const response = await runStatement(createRequest(requestId, text, isTransaction ? {id: transaction, readOnly: !isWrite, isFirst: index === 0} : undefined));
 			await runtime.sleep(load.networkDelayMs);
 			if (response?.outcome.kind !== 'done') {
 				const isRefused = response?.outcome.kind === 'refused';
@@ -114,6 +119,7 @@
 	const outcome: OperationOutcome = isBeforeTimeout ? (meetsObjective ? 'prompt' : 'late') : (lastAttempt.isRepeatable ? 'refused' : 'failed');
 	return {
 		className: operationClass.name,
+		requestIds,
 		customer,
 		dataCentre,
 		startedAtMs: startedAt,
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -38,8 +38,12 @@
 export type LoadEvent = Readonly<{atMs: number; untilMs: number}> & (
 	/** The request rate of all callers, or of those of one customer, is multiplied by a factor. */
 	| Readonly<{kind: 'more'; factor: number; customer?: string}>
-	/** The time of a statement on a target is multiplied by a factor. */
-	| Readonly<{kind: 'slow'; target: string; factor: number}>
+	/** The time of a statement on a target is multiplied by a factor, and that of opening a connection by `dialFactor`. */
+	| Readonly<{kind: 'slow'; target: string; factor: number; dialFactor?: number}>
+	/** A target is stopped and started again: its connections end, and at the end of the event it is registered as a new run. */
+	| Readonly<{kind: 'stopped'; target: string}>
+	/** A target loses the connection of a fraction of the statements instead of replying, and replies to everything else. */
+	| Readonly<{kind: 'failing'; target: string; fraction: number}>
 	/** A target is unresponsive: it neither responds nor refuses. */
 	| Readonly<{kind: 'dark'; target: string}>
 	/** The leader is unresponsive; another target is promoted at the end of the event. */
@@ -155,6 +159,32 @@
 	}));
 };
 
+/** A small deployment with many customers, each of which needs connections of its own. */
+const MANY_CUSTOMERS_LOAD: Omit<Load, 'name' | 'description' | 'events'> = {
+	...BASE_LOAD,
+	dialMs: 12,
+	connections: 90,
+	targets: BASE_LOAD.targets.map(target => ({...target, slots: 2, lagMs: Math.min(target.lagMs, 20)})),
+	classes: BASE_LOAD.classes.map(operationClass => ({
+		...operationClass,
+		meanStatementMs: operationClass.meanStatementMs * 0.375,
+		latencyObjectiveMs: operationClass.latencyObjectiveMs / 2,
+		operationsPerSecond: operationClass.operationsPerSecond * 0.7,
+	})),
+	customers: createManyCustomers(),
+};
+
+/** Many customers whose latency objectives are close to the time of their statements, at a rate that two of the targets can serve. */
+const TIGHT_LOAD: Omit<Load, 'name' | 'description' | 'events'> = {
+	...BASE_LOAD,
+	classes: BASE_LOAD.classes.map(operationClass => ({
+		...operationClass,
+		latencyObjectiveMs: operationClass.name === 'swaps' ? 200 : operationClass.latencyObjectiveMs,
+		operationsPerSecond: operationClass.operationsPerSecond * 1.25,
+	})),
+	customers: createManyCustomers(),
+};
+
 /** All named loads. */
 export const LOADS: readonly Load[] = [
 	{
@@ -186,25 +216,49 @@
 		}],
 	},
 	{
-		...BASE_LOAD,
-		name: 'many-customers',
-		description: 'more customers than an owner has connections to a target',
-		durationMs: 40_000,
-		dialMs: 12,
-		connections: 90,
-		targets: BASE_LOAD.targets.map(target => ({...target, slots: 2, lagMs: Math.min(target.lagMs, 20)})),
-		classes: BASE_LOAD.classes.map(operationClass => ({
-			...operationClass,
-			meanStatementMs: operationClass.meanStatementMs * 0.375,
-			latencyObjectiveMs: operationClass.latencyObjectiveMs / 2,
-			operationsPerSecond: operationClass.operationsPerSecond * 0.7,
-		})),
-		customers: createManyCustomers(),
-		events: [],
+		...MANY_CUSTOMERS_LOAD, name: 'many-customers', description: 'more customers than an owner has connections to a target', durationMs: 40_000, events: [],
 	},
 	{
 		...BASE_LOAD, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
 	},
+	{
+		...TIGHT_LOAD, name: 'restart-many-customers', description: 'all vms are down for a second, and each of many customers needs new connections', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
+	},
+	{
+		...TIGHT_LOAD, name: 'slow-return', description: 'a replica restarts and runs at a quarter of its speed for six seconds', events: [
+			{
+				kind: 'stopped', target: 'target-2', atMs: 5000, untilMs: 7000,
+			},
+			{
+				kind: 'slow', target: 'target-2', factor: 4, dialFactor: 4, atMs: 7000, untilMs: 13_000,
+			},
+		],
+	},
+	{
+		...TIGHT_LOAD, name: 'fast-return', description: 'a replica restarts and is fast at once', events: [{
+			kind: 'stopped', target: 'target-2', atMs: 5000, untilMs: 7000,
+		}],
+	},
+	{
+		...TIGHT_LOAD, name: 'slow-promotion', description: 'the promoted replica runs at a quarter of its speed for four seconds', events: [
+			{
+				kind: 'failover', target: 'target-1', atMs: 8000, untilMs: 10_000,
+			},
+			{
+				kind: 'slow', target: 'target-2', factor: 4, dialFactor: 4, atMs: 10_000, untilMs: 14_000,
+			},
+		],
+	},
+	{
+		...TIGHT_LOAD, name: 'flapping-target', description: 'a replica is unresponsive for half of each second and a half', events: Array.from({length: 6}, (_, index) => ({
+			kind: 'dark', target: 'target-2', atMs: 5000 + (index * 1500), untilMs: 5750 + (index * 1500),
+		})),
+	},
+	{
+		...TIGHT_LOAD, name: 'failing-target', description: 'a replica responds to pings but loses the connections of half of its statements', events: [{
+			kind: 'failing', target: 'target-2', fraction: 0.5, atMs: 6000, untilMs: 12_000,
+		}],
+	},
 ];
 
 /** Returns the load with the given name; `undefined` if there is none. */
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -7,7 +7,9 @@
 import {createQuotaClient, createQuotaAllocator, type QuotaClient} from '@guavapitch/limits';
 import {runCallers, type OperationResult} from './callers.js';
 import type {Load, LoadEvent} from './loads.js';
-import {createEmulatedTargets, EMULATED_DATABASE, type EmulatedTargets} from './targets.js';
+import {
+	createEmulatedTargets, EMULATED_DATABASE, type EmulatedTargets, type SentStatement,
+} from './targets.js';
 
 /** Result of a replay. */
 export type ReplayResult = Readonly<{
@@ -17,6 +19,8 @@
 	operations: readonly OperationResult[];
 	/** Number of connections opened to the targets. */
 	dialCount: number;
+	/** Statements that the targets received, in order. */
+	sentStatements: readonly SentStatement[];
 }>;
 
 /** Response time of the quota allocator, in milliseconds. */
@@ -67,6 +71,10 @@
 	const {runtime, advance} = createVirtualRuntime(seed);
 	const targets = createEmulatedTargets(load, runtime);
 	let owner: DatabaseOwner | undefined = createOwner(load, targets, runtime);
+	const publishTargets = () => {
+		owner?.setTargets(targets.describeTargets());
+	};
+
 	const scheduleEvent = (event: LoadEvent) => {
 		if (event.kind === 'restart') {
 			runtime.schedule(event.atMs, () => {
@@ -78,8 +86,10 @@
 		} else if (event.kind === 'failover') {
 			runtime.schedule(event.untilMs, () => {
 				targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
-				owner?.setTargets(targets.describeTargets());
+				publishTargets();
 			});
+		} else if (event.kind === 'stopped') {
+			runtime.schedule(event.untilMs, publishTargets);
 		}
 	};
 
@@ -103,6 +113,6 @@
 
 	await Promise.race([callersDone, advance(CLOCK_STEP_MS)]);
 	return {
-		load: load.name, seed, operations: operations ?? [], dialCount: targets.getDialCount(),
+		load: load.name, seed, operations: operations ?? [], dialCount: targets.getDialCount(), sentStatements: targets.listSentStatements(),
 	};
 };
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -12,6 +12,9 @@
 /** Identifier of the emulated database. */
 export const EMULATED_DATABASE = brandId<DatabaseId>('emulated');
 
+/** A statement that a target received, with the identifier of its request and its time in milliseconds. */
+export type SentStatement = Readonly<{requestId: string; target: string; atMs: number}>;
+
 /** Emulated targets of one load. */
 export type EmulatedTargets = Readonly<{
 	/** Returns the targets in the form that the database owner gets in production. */
@@ -24,6 +27,8 @@
 	getLeader: () => string;
 	/** Returns the number of connections opened so far. */
 	getDialCount: () => number;
+	/** Returns the statements that the targets have received, in order. */
+	listSentStatements: () => readonly SentStatement[];
 }>;
 
 /** Target with its occupied slots and the callbacks of the statements that wait for one. */
@@ -53,10 +58,13 @@
 	let commitTimes: number[] = [];
 	let startNumber = 0;
 	let dialCount = 0;
+	const sentStatements: SentStatement[] = [];
 
 	const isActive = ({atMs, untilMs}: LoadEvent) => runtime.now() >= atMs && runtime.now() < untilMs;
-	const findActiveEvent = (kind: 'slow' | 'dark' | 'failover', id: string) => load.events.find(event => event.kind === kind && event.target === id && isActive(event));
+	const findActiveEvent = <Kind extends 'slow' | 'dark' | 'failover' | 'stopped' | 'failing'>(kind: Kind, id: string) => load.events.find((event): event is Extract<LoadEvent, {kind: Kind}> => event.kind === kind && event.target === id && isActive(event));
 	const isUnresponsive = (id: string) => findActiveEvent('dark', id) !== undefined || findActiveEvent('failover', id) !== undefined;
+	/** Returns when the current run of a target was started; each stop ends a run. */
+	const getStartedAtMs = (id: string): number => Math.max(1, ...load.events.filter(event => event.kind === 'stopped' && event.target === id && runtime.now() >= event.atMs).map(({untilMs}) => untilMs));
 
 	const getPosition = (id: string): LogPosition => {
 		const lagMs = id === leader ? 0 : targets.get(id)?.spec.lagMs ?? 0;
@@ -80,22 +88,27 @@
 	const executeInSlot = async (target: EmulatedTarget, className: string) => {
 		const meanMs = load.classes.find(({name}) => name === className)?.meanStatementMs ?? 1;
 		const slowdown = findActiveEvent('slow', target.spec.id);
-		await occupySlot(target, drawTimeMs(meanMs, runtime.random) * (slowdown?.kind === 'slow' ? slowdown.factor : 1));
+		await occupySlot(target, drawTimeMs(meanMs, runtime.random) * (slowdown?.factor ?? 1));
 	};
 
 	const createConnection = (target: EmulatedTarget): TargetConnection => {
 		const {id} = target.spec;
+		const startedAtMs = getStartedAtMs(id);
 		let isConnectionEnded = false;
 		let isInTransaction = false;
 		let isReadOnly = false;
 		let beginTerm = 0;
 
+		/** Tells whether the connection has ended, with the run of its target or before. */
+		const isEnded = () => isConnectionEnded || getStartedAtMs(id) !== startedAtMs;
+
 		const createReply = (result: Reply['result']): Reply => ({result, status: isInTransaction ? 'open' : 'idle', position: getPosition(id)});
 		const createDoneReply = () => createReply({kind: 'done', rows: [], signature: `${id}.1`});
 		const createErrorReply = (code: TargetErrorCode) => createReply({kind: 'error', code, text: code});
 		const isBehind = (after: LogPosition | undefined) => after !== undefined && comparePositions(getPosition(id), after) < 0;
 
-		const runStatement = async ({statement, after}: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
+		const runStatement = async ({id: requestId, statement, after}: Extract<Command, {kind: 'statement'}>): Promise<Reply> => {
+			sentStatements.push({requestId, target: id, atMs: runtime.now()});
 			const {isWrite, className} = parseStatement(statement.kind === 'text' ? statement.text : '');
 			const requiresLeader = isWrite || (isInTransaction && !isReadOnly);
 			if (isBehind(after)) {
@@ -107,6 +120,8 @@
 			}
 
 			await executeInSlot(target, className);
+			const failure = findActiveEvent('failing', id);
+			isConnectionEnded ||= failure !== undefined && runtime.random() < failure.fraction;
 			if (isWrite || statement.kind === 'commit') {
 				commitTimes.push(runtime.now());
 			}
@@ -139,7 +154,7 @@
 			async execute(commands, deadline): Promise<Execution> {
 				const replies: Reply[] = [];
 				for (const command of commands) {
-					if (isConnectionEnded) {
+					if (isEnded()) {
 						return {replies, ended: 'lost'};
 					}
 
@@ -149,12 +164,17 @@
 						return {replies, ended: 'timeout'};
 					}
 
-					replies.push(await run(command));
+					const reply = await run(command);
+					if (isEnded()) {
+						return {replies, ended: 'lost'};
+					}
+
+					replies.push(reply);
 				}
 
 				return {replies, ended: 'no'};
 			},
-			isEnded: () => isConnectionEnded,
+			isEnded,
 			close() {
 				isConnectionEnded = true;
 			},
@@ -172,7 +192,7 @@
 			isDraining: false,
 			acceptsUntil: NEVER,
 			role: id === leader ? 'primary' : 'replica',
-			startedAtMs: 1,
+			startedAtMs: getStartedAtMs(id),
 		})),
 		async dial({id}, _customer, deadline) {
 			const target = targets.get(id);
@@ -181,8 +201,12 @@
 				return Err({code: 'silent', message: 'the target did not respond before the deadline'});
 			}
 
+			if (findActiveEvent('stopped', id)) {
+				return Err({code: 'refused', message: 'the target is stopped'});
+			}
+
 			dialCount++;
-			await occupySlot(target, load.dialMs);
+			await occupySlot(target, load.dialMs * (findActiveEvent('slow', id)?.dialFactor ?? 1));
 			return Ok(createConnection(target));
 		},
 		promote(id) {
@@ -193,5 +217,6 @@
 		},
 		getLeader: () => leader,
 		getDialCount: () => dialCount,
+		listSentStatements: () => sentStatements,
 	};
 };
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -77,12 +77,13 @@
 
 describe('tables of results', () => {
 	const operation = {
-		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2,
+		className: 'orders', requestIds: [], customer: 'large', dataCentre: 'east', maxWorth: 2,
 	};
 	const result: ReplayResult = {
 		load: 'made',
 		seed: 1,
 		dialCount: 0,
+		sentStatements: [],
 		operations: [
 			{
 				...operation, startedAtMs: 100, outcome: 'prompt', latencyMs: 10, earnedWorth: 2,
