--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -222,7 +222,9 @@
 		...BASE_LOAD, name: 'restart', description: 'all vms are down for a second', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
 	},
 	{
-		...TIGHT_LOAD, name: 'restart-many-customers', description: 'all vms are down for a second, and each of many customers needs new connections', events: [{kind: 'restart', atMs: 8000, untilMs: 9000}],
+		...TIGHT_LOAD, name: 'restart-many-customers', description: 'all vms are down for a second, and each of many customers needs new connections', events: [{
+			kind: 'restart', atMs: 8000, untilMs: 9000,
+		}],
 	},
 	{
 		...TIGHT_LOAD, name: 'slow-return', description: 'a replica restarts and runs at a quarter of its speed for six seconds', events: [
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -76,20 +76,33 @@
 	};
 
 	const scheduleEvent = (event: LoadEvent) => {
-		if (event.kind === 'restart') {
-			runtime.schedule(event.atMs, () => {
-				owner = undefined;
-			});
-			runtime.schedule(event.untilMs, () => {
-				owner = createOwner(load, targets, runtime);
-			});
-		} else if (event.kind === 'failover') {
-			runtime.schedule(event.untilMs, () => {
-				targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
-				publishTargets();
-			});
-		} else if (event.kind === 'stopped') {
-			runtime.schedule(event.untilMs, publishTargets);
+		switch (event.kind) {
+			case 'restart': {
+				runtime.schedule(event.atMs, () => {
+					owner = undefined;
+				});
+				runtime.schedule(event.untilMs, () => {
+					owner = createOwner(load, targets, runtime);
+				});
+				break;
+			}
+
+			case 'failover': {
+				runtime.schedule(event.untilMs, () => {
+					targets.promote(load.targets.find(({id}) => id !== event.target)?.id ?? event.target);
+					publishTargets();
+				});
+				break;
+			}
+
+			case 'stopped': {
+				runtime.schedule(event.untilMs, publishTargets);
+				break;
+			}
+
+			default: {
+				break;
+			}
 		}
 	};
 
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -61,10 +61,13 @@
 	const sentStatements: SentStatement[] = [];
 
 	const isActive = ({atMs, untilMs}: LoadEvent) => runtime.now() >= atMs && runtime.now() < untilMs;
-	const findActiveEvent = <Kind extends 'slow' | 'dark' | 'failover' | 'stopped' | 'failing'>(kind: Kind, id: string) => load.events.find((event): event is Extract<LoadEvent, {kind: Kind}> => event.kind === kind && event.target === id && isActive(event));
+	const findActiveEvent = <Kind extends 'slow' | 'dark' | 'failover' | 'stopped' | 'failing'>(kind: Kind, id: string) => load.events
+		.find((event): event is Extract<LoadEvent, {kind: Kind}> => event.kind === kind && event.target === id && isActive(event));
 	const isUnresponsive = (id: string) => findActiveEvent('dark', id) !== undefined || findActiveEvent('failover', id) !== undefined;
 	/** Returns when the current run of a target was started; each stop ends a run. */
-	const getStartedAtMs = (id: string): number => Math.max(1, ...load.events.filter(event => event.kind === 'stopped' && event.target === id && runtime.now() >= event.atMs).map(({untilMs}) => untilMs));
+	const getStartedAtMs = (id: string): number => Math.max(1, ...load.events
+		.filter(event => event.kind === 'stopped' && event.target === id && runtime.now() >= event.atMs)
+		.map(({untilMs}) => untilMs));
 
 	const getPosition = (id: string): LogPosition => {
 		const lagMs = id === leader ? 0 : targets.get(id)?.spec.lagMs ?? 0;
--- a/packages/emulator/src/tests/recovery.test.ts
+++ b/packages/emulator/src/tests/recovery.test.ts
@@ -18,13 +18,16 @@
 	return Promise.all(SEEDS.map(async seed => runReplay(load, seed)));
 };
 
-const listStatements = (results: readonly ReplayResult[], fromMs: number, untilMs: number) => results.flatMap(({sentStatements}) => sentStatements.filter(({target, atMs}) => target === RECOVERING_TARGET && atMs >= fromMs && atMs < untilMs));
+const listStatements = (results: readonly ReplayResult[], fromMs: number, untilMs: number) => results
+	.flatMap(({sentStatements}) => sentStatements.filter(({target, atMs}) => target === RECOVERING_TARGET && atMs >= fromMs && atMs < untilMs));
 
 /** Computes the rate of statements that the recovering target gets in a period, relative to its rate before the fault. */
 const computeShare = (results: readonly ReplayResult[], fromMs: number, untilMs: number): number => (listStatements(results, fromMs, untilMs).length / (untilMs - fromMs))
 	/ (listStatements(results, USUAL_FROM_MS, FAULT_AT_MS).length / (FAULT_AT_MS - USUAL_FROM_MS));
 
-const computeMeanWorth = (results: readonly ReplayResult[], group: string, name: string): number => results.map(result => createTable(result).find(row => row.group === group && row.name === name)?.worth ?? 0).reduce((sum, worth) => sum + worth, 0) / results.length;
+const computeMeanWorth = (results: readonly ReplayResult[], group: string, name: string): number => results
+	.map(result => createTable(result).find(row => row.group === group && row.name === name)?.worth ?? 0)
+	.reduce((sum, worth) => sum + worth, 0) / results.length;
 
 describe('a target that recovers', () => {
 	describe('at a quarter of its speed', () => {
