Limit a target that has started or recovered by how it answers

A target that came back got all its slots at once. If it was still slow, what was sent to it missed its objective, above all requests that had to open a connection first; afterwards its mean time, raised by requests that ran into their timeouts, kept reads away for seconds.

Each target now has a window of slots (target-pace.ts). It is one slot after a start, a recovery or a promotion and at a new owner, grows by answers in time, and shrinks by late ones and by requests without an answer. A target in steady service keeps all its slots unless requests get no answer. Reads whose objective leaves no room for the speed of a limited replica go to one in steady service (paced-targets.ts). The scheduler takes the limit as option getSlotLimit. A request without a reply no longer counts in the mean time of its target.

The new gauge home.window and the decisions paceLimited and paceRestored show the windows.

--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -41,6 +41,8 @@
 	hasIdle: () => boolean;
 	/** Estimates the time until a connection of the customer is available, in milliseconds; 0 if one is idle. */
 	estimateConnectMs: (customer: CustomerId) => number;
+	/** Returns the mean time for opening a connection, in milliseconds. */
+	getDialMs: () => number;
 	/** Acquires an idle connection of any customer, for pings and status queries. */
 	acquireIdle: () => ConnectionHandle | undefined;
 	/** Closes connections that have been idle since before an instant. */
@@ -309,6 +311,7 @@
 		estimateConnectMs: customer => findIdleSession(customer, [])
 			? 0
 			: meanDialMs + (SPREAD_MS * computeHash(`${customer}\u0000${target.id}`) / HASH_RANGE),
+		getDialMs: () => meanDialMs,
 		acquireIdle() {
 			for (const session of sessions) {
 				if (!session.isBusy && !session.connection.isEnded()) {
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -13,6 +13,7 @@
 import {createLeaderTracker, type LeaderTracker} from './leader-tracker.js';
 import {createSlotScheduler, type SlotScheduler} from './slot-scheduler.js';
 import {createHealthTracker, type HealthTracker} from './health-tracker.js';
+import {createTargetPaces, type TargetPaces} from './paced-targets.js';
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
 import {isSameRun} from './replication-groups.js';
@@ -22,7 +23,7 @@
 
 /** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
 export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
+	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'paceLimited' | 'paceRestored' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
 	target: string;
@@ -58,6 +59,7 @@
 	leaderTracker: LeaderTracker;
 	scheduler: SlotScheduler;
 	healthTracker: HealthTracker;
+	targetPaces: TargetPaces;
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
@@ -120,16 +122,36 @@
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
-	const scheduler = createSlotScheduler(runtime);
+	const scheduler = createSlotScheduler(runtime, {getSlotLimit: id => targetPaces.getLimit(id)});
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const {appointments} = context;
+	let lastLeader: TargetId | undefined;
 	const leaderTracker = createLeaderTracker(appointments.getAppointed, leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'this target most recently became leader; an empty target means that none leads', ageMs: 0,
 		});
+		if (leader !== undefined && leader !== lastLeader) {
+			lastLeader = leader;
+			targetPaces.recordPromotion(leader);
+		}
+
 		scheduler.admitWaiting();
 	});
+	const targetPaces = createTargetPaces({
+		runtime,
+		getLeader: leaderTracker.getLeader,
+		getSlots: id => targets.get(id)?.slots ?? 1,
+		listTargets: () => [...targets.keys()],
+		getBusyCount: id => scheduler.getLoads().find(load => load.id === id)?.busyCount ?? 0,
+		getDialMs: id => connections.get(id)?.getDialMs() ?? 0,
+		onRoom: scheduler.admitWaiting,
+		onChange(target, isLimited, reason) {
+			context.onDecision({
+				kind: isLimited ? 'paceLimited' : 'paceRestored', requestId: '', target, reason, ageMs: 0,
+			});
+		},
+	});
 	const healthTracker = createHealthTracker({
 		runtime,
 		async probe(id) {
@@ -139,7 +161,9 @@
 			context.onDecision({
 				kind: isUp ? 'targetBack' : 'targetFailing', requestId: '', target, reason, ageMs: 0,
 			});
-			if (!isUp) {
+			if (isUp) {
+				targetPaces.recordRecovery(target);
+			} else {
 				for (const callback of targetDownCallbacks.get(target) ?? []) {
 					callback();
 				}
@@ -225,6 +249,7 @@
 		leaderTracker,
 		scheduler,
 		healthTracker,
+		targetPaces,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
@@ -280,6 +305,7 @@
 					connections.delete(id);
 					targets.delete(id);
 					healthTracker.remove(id);
+					targetPaces.remove(id);
 				}
 			}
 
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -6,6 +6,8 @@
 export * from './read-targets.js';
 export * from './leader-tracker.js';
 export * from './health-tracker.js';
+export * from './target-pace.js';
+export * from './paced-targets.js';
 export * from './database-owner.js';
 export * from './replication-groups.js';
 export * from './promotions.js';
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -64,11 +64,12 @@
 		&& !tried.has(id)
 		&& (id === leader || healthTracker.isCaughtUp(id))
 		&& (getTarget(id)?.isDraining === false || (id === leader && components.getAcceptingMs(id) > 0));
-	return chooseReadTarget(freeTargets, {
+	const estimateConnectMs = (id: TargetId): number => getConnections(id)?.estimateConnectMs(request.customer) ?? 0;
+	return chooseReadTarget(components.targetPaces.filterReadTargets(freeTargets, {request, isEligible, estimateConnectMs}), {
 		leader,
 		isEligible,
 		targetIds: components.listTargets().map(({id}) => id),
-		estimateConnectMs: id => getConnections(id)?.estimateConnectMs(request.customer) ?? 0,
+		estimateConnectMs,
 	});
 };
 
--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -56,6 +56,12 @@
 	return {kind: 'final', outcome, reply};
 };
 
+/** Returns why a statement has not run, and `lost` if the target did not reply; `undefined` after any other reply. */
+export const getNotRunCode = (verdict: Verdict): NotRunCode | undefined => verdict.kind === 'notRun' ? verdict.code : (verdict.reply ? undefined : 'lost');
+
+/** Tells whether the target replied to a statement. */
+export const isAnswered = (verdict: Verdict): boolean => getNotRunCode(verdict) !== 'lost';
+
 /** Updates the health and the role of a target after a reply; `code` is `lost` if there was none. */
 export const recordReply = (components: SharedComponents, target: TargetId, code: NotRunCode | undefined): void => {
 	if (code === 'lost') {
@@ -71,6 +77,24 @@
 	}
 };
 
+/** A statement or a dial that ended `ms` milliseconds after it was sent. */
+export type TimedRequest = Readonly<{ms: number; request: StatementRequest}>;
+
+/** Updates the pace of a target after a statement. Refusals and failed statements tell nothing about the speed of a target, and neither does a timeout that left it less than half of the caller's time. */
+export const recordPace = ({targetPaces}: SharedComponents, target: TargetId, verdict: Verdict, {ms, request}: TimedRequest): void => {
+	if (verdict.kind === 'notRun') {
+		if (verdict.code === 'lost') {
+			targetPaces.recordFailure(target, ms);
+		}
+	} else if (!verdict.reply) {
+		if (verdict.outcome.kind !== 'timeout' || ms >= request.remainingMs / 2) {
+			targetPaces.recordFailure(target, ms);
+		}
+	} else if (verdict.outcome.kind === 'done' || verdict.outcome.kind === 'timeout') {
+		targetPaces.recordAnswer(target, ms, request);
+	}
+};
+
 /** Records the log position of a reply that only a leader could give; `sentAt` is when its statement was sent. */
 export const recordVerifiedPosition = (components: SharedComponents, target: TargetId, reply: Reply, sentAt: Instant): void => {
 	if (reply.position) {
@@ -82,9 +106,15 @@
 /** Creates the refusal for a statement that no target could run. */
 export const createBusyRefusal = (reason: string, retryAfterMs: number): StatementOutcome => createRefusal('busy', reason, retryAfterMs);
 
-/** Records that no connection could be opened; a target that has reached its connection limit is not considered down. */
-export const recordDialFailure = (components: SharedComponents, target: TargetId, failure: DialFailure | undefined): void => {
-	if (failure && failure.code !== 'tooMany') {
-		components.healthTracker.markSuspect(target, failure.message);
+/** Records that no connection could be opened within `ms` milliseconds; a target that has reached its connection limit is not considered down. */
+export const recordDialFailure = (components: SharedComponents, target: TargetId, failure: DialFailure, ms: number): void => {
+	if (failure.code === 'tooMany') {
+		return;
+	}
+
+	components.healthTracker.markSuspect(target, failure.message);
+	// A dial that was cut short by the caller's deadline tells nothing about the speed of the target.
+	if (failure.code !== 'silent' || ms > 2 * (components.getConnections(target)?.getDialMs() ?? 0)) {
+		components.targetPaces.recordFailure(target, ms);
 	}
 };
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -7,7 +7,7 @@
 	createRefusal, getAccess, type StatementOutcome, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, recordDialFailure, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, isAnswered, recordDialFailure, recordPace, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
 import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
@@ -142,16 +142,24 @@
 
 /** Takes a connection on which a statement or a transaction may begin. Nothing has run if that fails. */
 export const takeConnection = async (components: SharedComponents, {plan, target, request, deadline}: Placement): Promise<Result<ConnectionHandle, TakeFailure>> => {
+	const startedAt = components.context.runtime.now();
+	components.targetPaces.recordSent(target);
+	const mustDial = (components.getConnections(target)?.estimateConnectMs(request.customer) ?? 0) > 0;
 	const handle = await components.getConnections(target)?.acquire(request.customer, request.values, deadline);
 	if (!handle) {
 		return Err({code: 'notRegistered', message: 'the target is no longer registered'});
 	}
 
+	const tookMs = components.context.runtime.now() - startedAt;
 	if (handle.err) {
-		recordDialFailure(components, target, handle.val);
+		recordDialFailure(components, target, handle.val, tookMs);
 		return handle;
 	}
 
+	if (mustDial) {
+		components.targetPaces.recordDial(target, tookMs, request);
+	}
+
 	// Opening the connection may have taken until after the drain time of a leaving target.
 	if (components.getAcceptingMs(target) <= 0) {
 		handle.val.release(true);
@@ -222,7 +230,9 @@
 		});
 		unsubscribe?.();
 		components.healthTracker.recordStatementEnded(target);
-		release(runtime.now() - startedAt);
+		const tookMs = runtime.now() - startedAt;
+		recordPace(components, target, result.verdict, {ms: tookMs, request});
+		release(isAnswered(result.verdict) ? tookMs : undefined);
 		const verdict = await checkProof(components, {
 			...result, request, target, proof,
 		});
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -87,8 +87,14 @@
 		|| a.order - b.order;
 };
 
+/** Options of a scheduler. */
+export type SlotSchedulerOptions = Readonly<{
+	/** Returns how many slots of a target may be in use now; by default all. Below 1 but above 0, one statement runs at a time; at 0, none starts. */
+	getSlotLimit?: (target: TargetId) => number;
+}>;
+
 /** Creates a scheduler without targets. */
-export const createSlotScheduler = (runtime: Runtime): SlotScheduler => {
+export const createSlotScheduler = (runtime: Runtime, {getSlotLimit = () => Number.POSITIVE_INFINITY}: SlotSchedulerOptions = {}): SlotScheduler => {
 	let loads = new Map<TargetId, Load>();
 	const accounts = new Map<CustomerId, Account>();
 	let waitingRequests: WaitingRequest[] = [];
@@ -119,7 +125,14 @@
 		}
 	};
 
-	const listFreeLoads = (): readonly Load[] => [...loads.values()].filter(load => load.busyCount < load.slotCount);
+	const getUsableSlots = ({id, slotCount}: Load): number => {
+		const limit = Math.min(slotCount, getSlotLimit(id));
+		return limit > 0 ? Math.max(1, Math.floor(limit)) : 0;
+	};
+
+	const listFreeLoads = (): readonly TargetLoad[] => [...loads.values()]
+		.map(load => ({...load, slotCount: getUsableSlots(load)}))
+		.filter(load => load.busyCount < load.slotCount);
 
 	const occupySlot = (request: SlotRequest, load: Load): Slot => {
 		const account = getAccount(request.customer);
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -7,7 +7,7 @@
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, getNotRunCode, isAnswered, recordPace, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
 import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
@@ -147,7 +147,8 @@
 		const setup = await handle.setUp(request.values, request.statement, deadline);
 		if (setup.err) {
 			components.healthTracker.recordStatementEnded(target);
-			slot.release(runtime.now() - startedAt);
+			recordPace(components, target, {kind: 'notRun', code: setup.val.code}, {ms: runtime.now() - startedAt, request});
+			slot.release();
 			recordReply(components, target, setup.val.code);
 			return createResponse(createAbortedRefusal(setup.val.message), startedAt - arrivedAt, 'failed');
 		}
@@ -156,10 +157,12 @@
 		transaction.hasWritten ||= getAccess(request.statement) === 'write';
 		const execution = await handle.connection.execute([createStatementCommand(request, setup.val, undefined)], deadline);
 		components.healthTracker.recordStatementEnded(target);
-		slot.release(runtime.now() - startedAt);
 		const [reply] = execution.replies;
 		const verdict = evaluateReply(execution, 0, request);
-		recordReply(components, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
+		const tookMs = runtime.now() - startedAt;
+		recordPace(components, target, verdict, {ms: tookMs, request});
+		slot.release(isAnswered(verdict) ? tookMs : undefined);
+		recordReply(components, target, getNotRunCode(verdict));
 		const waitedMs = startedAt - arrivedAt;
 		const respond = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 			outcome, status, position: reply?.position, target, waitedMs,
@@ -240,10 +243,12 @@
 	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
 	const beginTransaction = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
 		const isReadOnly = plan.kind === 'anywhere';
+		const startedAt = runtime.now();
 		// A commit needs no prepared statement, so this sets only the session variables.
 		const setup = await handle.setUp(request.values, {kind: 'commit', text: ''}, deadline);
 		if (setup.err) {
 			recordReply(components, target, setup.val.code);
+			recordPace(components, target, {kind: 'notRun', code: setup.val.code}, {ms: runtime.now() - startedAt, request});
 			handle.release(false);
 			return undefined;
 		}
@@ -253,7 +258,9 @@
 		const execution = await handle.connection.execute([{kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
 		const [reply] = execution.replies;
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
-			recordReply(components, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
+			const code = reply?.result.kind === 'error' ? reply.result.code : 'lost';
+			recordReply(components, target, code);
+			recordPace(components, target, {kind: 'notRun', code}, {ms: runtime.now() - startedAt, request});
 			handle.release(execution.ended === 'no' && reply?.status === 'idle');
 			return undefined;
 		}
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -28,7 +28,7 @@
 	isReachable: (target: TargetId) => Promise<boolean>;
 	/** Counts the transactions that are open here. */
 	countOpenTransactions: () => number;
-	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
+	/** Closes idle connections to databases whose preferred owner is another vm, and reports the windows of the targets, until the signal aborts. */
 	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
 }>;
 
@@ -150,6 +150,10 @@
 			while (!signal.aborted) {
 				await runtime.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 				for (const [database, owner] of owners) {
+					for (const {id} of owner.components.listTargets()) {
+						metrics.gauge('home.window', owner.components.targetPaces.getWindow(id), {target: id});
+					}
+
 					const preferredVm: VmId | undefined = view.rankOwners(database)[0]?.vm;
 					if (preferredVm !== settings.vm) {
 						owner.closeIdleConnections(MAX_IDLE_CONNECTION_MS);
