--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -1,52 +1,15 @@
 /** Change feed of the store: reads entries from the store itself, or follows a relay that does. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Failure, type Instant, type Result, type Runtime,
+	createDeadline, createNotifier, isPast, PAST, type Instant, type Result,
 } from '@guavapitch/core';
 import {createChangeLog} from './change-log.js';
+import type {FeedContext, FeedPrefix} from './context.js';
 import {
 	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
 import {addMissingEras, type FeedRequest, type FeedResponse} from './relay-messages.js';
 
-/** A key prefix that the feed covers. */
-export type FeedPrefix = Readonly<{
-	prefix: string;
-	/** Maximum wait of one watch, in milliseconds; an unresponsive connection is noticed after this time. */
-	waitMs: number;
-	/** Pause between two watches, in milliseconds; it limits the load of entries that change continuously. */
-	pauseMs: number;
-}>;
-
-/** Dependencies of a change feed. */
-export type FeedContext = Readonly<{
-	runtime: Runtime;
-	/** Reads a clock that keeps running while the process or its machine is suspended. */
-	readSuspensionClock: () => Instant;
-	/** Identifier of this run of the process. */
-	run: string;
-	source: FeedSource;
-	prefixes: readonly FeedPrefix[];
-	/** Tells whether a change is relevant to followers. */
-	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
-	/** Returns the vms to follow, the best first; none if this vm should read the store itself. As seen by each vm, they must all come before it in one order of the fleet, so that no vm follows itself through others. */
-	listRelays: () => readonly string[];
-	/** Prefix of the entries from which `listRelays` is derived. */
-	relayPrefix: string;
-	/** Resolves when this vm is listed under `relayPrefix`, or does not expect to be soon. */
-	waitUntilListed: () => Promise<void>;
-	/** Sends a request to a relay. */
-	callRelay: (relay: string, request: FeedRequest) => Promise<Result<FeedResponse, Failure>>;
-	/** Called with changes that are relevant to followers, after they have been applied. */
-	onChange: (changes: readonly StoreChange[]) => void;
-	/** Called when the feed starts to read the store, or to follow the relay `name`. */
-	onSourceChange: (kind: 'store' | 'relay', name: string) => void;
-	/** Called when the store is found to have been restored from an older copy since the era before; the entries are then still those of the era before. */
-	onEraChange: (era: number, previousEra: number) => void;
-	/** Called after each read of the store; `reason` is empty unless the read failed. */
-	onStoreStatus: (isReachable: boolean, reason: string) => void;
-}>;
-
 /** Change feed of one process. */
 export type Feed = Readonly<{
 	/** Keeps the entries up to date until the signal aborts. */
--- a/packages/feed/src/index.ts
+++ b/packages/feed/src/index.ts
@@ -1,3 +1,4 @@
+export type * from './context.js';
 export * from './entries.js';
 export * from './feed.js';
 export * from './relay-messages.js';
