Bound what callers can make a process hold

Callers with a key ended processes: each connection could hold whole messages of 1 MiB, answers that it did not read, and prepared statements and values without a limit; a waiting task also kept the statement that it had run last (60 idle connections kept 60 MB).

A budget of bytes is derived from the vm's memory and the heap. A connection may hold 16 KiB freely and needs a reservation for more; while there is none, its socket is paused. One customer has at most half of the reservations, and the largest holder is closed if all together are over the budget. A second budget counts statements in progress, answers of targets and long frames between vms: a connection between vms pauses before a long frame for which there is no memory, sends liveness probes meanwhile, and a statement for which there is no memory is refused before it runs.

--- /dev/null
+++ b/packages/callers/src/byte-budget.ts
@@ -0,0 +1,227 @@
+/** Budget of the bytes that callers can make a process hold. Decides who may hold more, who waits and who is closed; those who read and write act on it. */
+
+/** What one connection, or one statement in progress, holds. */
+export type ByteAccount = Readonly<{
+	/** Names the customer whose share the account counts against. */
+	setCustomer: (customer: string) => void;
+	/** Counts bytes that are held already, or with a negative number no longer held; closes the largest holders if all together are over the budget. */
+	add: (bytes: number) => void;
+	/** Counts bytes if they are within the budget and the customer's share; returns `false` and counts nothing otherwise. */
+	tryAdd: (bytes: number) => boolean;
+	/** Tells whether the account holds no more than it may without a reservation. */
+	isWithinFreeShare: () => boolean;
+	/** Tells whether more may be read: the account is within its free share, or has a reservation. */
+	mayRead: () => boolean;
+	/** Requests a reservation of a number of bytes, held until `endReservation`; `onGranted` is called once there is room, which may be at once. Does nothing while one is requested or held. */
+	reserve: (bytes: number, onGranted: () => void) => void;
+	/** Ends the reservation, or withdraws the request. */
+	endReservation: () => void;
+	/** Counts what a session keeps until it ends; returns `false` and counts nothing if that is over the part of the budget for it. */
+	tryKeep: (bytes: number) => boolean;
+	getBytes: () => number;
+	/** Ends the account, with all that it holds. */
+	close: () => void;
+}>;
+
+/** Budget of a process, or of one part of its work. */
+export type ByteBudget = Readonly<{
+	/** Opens an account; `onEvicted` is called when it must be closed because all accounts together hold too much. */
+	openAccount: (onEvicted?: () => void) => ByteAccount;
+	/** Returns the bytes that are held, without reservations. */
+	getHeldBytes: () => number;
+	getTotalBytes: () => number;
+}>;
+
+/** Memory of a process, in bytes; infinite if it has no limit. */
+export type MemoryLimits = Readonly<{memoryBytes: number; heapBytes: number}>;
+
+type Reservation = {readonly bytes: number; readonly onGranted: () => void; isGranted: boolean};
+
+type Holder = {
+	customer: string | undefined;
+	bytes: number;
+	keptBytes: number;
+	reservation: Reservation | undefined;
+	isEvicted: boolean;
+	readonly onEvicted: () => void;
+};
+
+const BYTES_PER_MB = 1_048_576;
+/** Memory of a process outside its heap and without callers, with a margin for the kernel and the platform, in bytes: 65 to 70 MB were resident while idle. */
+const PROCESS_BYTES = 96 * BYTES_PER_MB;
+/** Part of the heap that a process uses without callers, and that the collector needs to work, in bytes. */
+const HEAP_BASE_BYTES = 32 * BYTES_PER_MB;
+/** Number of times that a message is in memory on its way through a process: received bytes, text, command for the target or frame, bytes to send. */
+const COPIES = 4;
+/** Smallest budget, in bytes: one message of 1 MiB for each part of the work, and small ones beside it. */
+const MIN_BUDGET_BYTES = 4 * BYTES_PER_MB;
+/** Bytes that an account may hold without a reservation: ten statements of the longest usual kind. */
+const FREE_BYTES = 16_384;
+/** Fraction of the budget for reservations; the rest is for accounts within their free share. */
+const RESERVED_FRACTION = 0.75;
+/** Fraction of the budget for prepared texts and values of sessions. */
+const KEPT_FRACTION = 0.25;
+/** Fraction of each part of the budget that one customer may have. */
+const CUSTOMER_FRACTION = 0.5;
+
+/** Computes the budget of a process from its memory, in bytes. */
+export const computeBudgetBytes = ({memoryBytes, heapBytes}: MemoryLimits): number => Math.max(
+	MIN_BUDGET_BYTES,
+	Math.floor(Math.min(heapBytes - HEAP_BASE_BYTES, memoryBytes - PROCESS_BYTES) / COPIES),
+);
+
+/** Finds the account that holds most and has not been evicted. */
+const findLargest = (holders: Iterable<Holder>): Holder | undefined => {
+	let largest: Holder | undefined;
+	for (const holder of holders) {
+		if (!holder.isEvicted && holder.bytes > (largest?.bytes ?? 0)) {
+			largest = holder;
+		}
+	}
+
+	return largest;
+};
+
+/** Creates a budget without accounts. */
+export const createByteBudget = (totalBytes: number): ByteBudget => {
+	const reservedLimit = totalBytes * RESERVED_FRACTION;
+	const keptLimit = totalBytes * KEPT_FRACTION;
+	const holders = new Set<Holder>();
+	/** Accounts with a reservation, granted or requested, in the order of their requests. */
+	const reserving = new Set<Holder>();
+	let heldBytes = 0;
+	let keptBytes = 0;
+	/** Bytes of accounts that were evicted and have not been closed yet. */
+	let leavingBytes = 0;
+
+	const sumOf = (values: Iterable<Holder>, customer: string | undefined, measure: (holder: Holder) => number): number => {
+		let sum = 0;
+		for (const holder of values) {
+			sum += customer === undefined || holder.customer === customer ? measure(holder) : 0;
+		}
+
+		return sum;
+	};
+
+	const getUnusedReservation = ({reservation, bytes}: Holder): number => reservation?.isGranted ? Math.max(0, reservation.bytes - bytes) : 0;
+
+	const getGranted = ({reservation}: Holder): number => reservation?.isGranted ? reservation.bytes : 0;
+
+	/** Tells whether a reservation fits; the first of a customer always fits its share, and the first of all always fits, so that a single message is served. */
+	const canGrant = (holder: Holder, bytes: number): boolean => {
+		const allGranted = sumOf(reserving, undefined, getGranted);
+		if (allGranted === 0) {
+			return true;
+		}
+
+		const ofCustomer = holder.customer === undefined ? 0 : sumOf(reserving, holder.customer, getGranted);
+		const promised = heldBytes - leavingBytes + sumOf(reserving, undefined, getUnusedReservation);
+		return promised + Math.max(0, bytes - holder.bytes) <= reservedLimit && (ofCustomer === 0 || ofCustomer + bytes <= reservedLimit * CUSTOMER_FRACTION);
+	};
+
+	const grantWaiting = () => {
+		for (const holder of reserving) {
+			const {reservation} = holder;
+			if (reservation && !reservation.isGranted && canGrant(holder, reservation.bytes)) {
+				reservation.isGranted = true;
+				reservation.onGranted();
+			}
+		}
+	};
+
+	const evictLargest = () => {
+		while (heldBytes - leavingBytes > totalBytes) {
+			const largest = findLargest(holders);
+			if (!largest) {
+				return;
+			}
+
+			largest.isEvicted = true;
+			leavingBytes += largest.bytes;
+			largest.onEvicted();
+		}
+	};
+
+	const change = (holder: Holder, bytes: number) => {
+		holder.bytes += bytes;
+		heldBytes += bytes;
+		leavingBytes += holder.isEvicted ? bytes : 0;
+	};
+
+	return {
+		openAccount(onEvicted = () => undefined) {
+			const holder: Holder = {
+				customer: undefined, bytes: 0, keptBytes: 0, reservation: undefined, isEvicted: false, onEvicted,
+			};
+			holders.add(holder);
+
+			const endReservation = () => {
+				if (holder.reservation) {
+					holder.reservation = undefined;
+					reserving.delete(holder);
+					grantWaiting();
+				}
+			};
+
+			return {
+				setCustomer(customer) {
+					holder.customer = customer;
+				},
+				add(bytes) {
+					if (!holders.has(holder)) {
+						return;
+					}
+
+					change(holder, bytes);
+					if (bytes > 0) {
+						evictLargest();
+					} else if (reserving.size > 0) {
+						grantWaiting();
+					}
+				},
+				tryAdd(bytes) {
+					const ofCustomer = holder.customer === undefined ? 0 : sumOf(holders, holder.customer, other => other.bytes);
+					const isInShare = ofCustomer === holder.bytes || ofCustomer + bytes <= totalBytes * CUSTOMER_FRACTION;
+					if (!isInShare || (heldBytes + bytes > totalBytes && heldBytes > holder.bytes)) {
+						return false;
+					}
+
+					change(holder, bytes);
+					return true;
+				},
+				isWithinFreeShare: () => holder.bytes <= FREE_BYTES,
+				mayRead: () => holder.bytes <= FREE_BYTES || holder.reservation?.isGranted === true,
+				reserve(bytes, onGranted) {
+					if (!holder.reservation && holders.has(holder)) {
+						holder.reservation = {bytes, onGranted, isGranted: false};
+						reserving.add(holder);
+						grantWaiting();
+					}
+				},
+				endReservation,
+				tryKeep(bytes) {
+					const ofCustomer = holder.customer === undefined ? 0 : sumOf(holders, holder.customer, other => other.keptBytes);
+					const isKept = bytes <= 0 || (keptBytes + bytes <= keptLimit && (ofCustomer === holder.keptBytes || ofCustomer + bytes <= keptLimit * CUSTOMER_FRACTION));
+					if (isKept) {
+						holder.keptBytes += bytes;
+						keptBytes += bytes;
+					}
+
+					return isKept;
+				},
+				getBytes: () => holder.bytes + holder.keptBytes,
+				close() {
+					if (holders.delete(holder)) {
+						heldBytes -= holder.bytes;
+						leavingBytes -= holder.isEvicted ? holder.bytes : 0;
+						keptBytes -= holder.keptBytes;
+						endReservation();
+						grantWaiting();
+					}
+				},
+			};
+		},
+		getHeldBytes: () => heldBytes + keptBytes,
+		getTotalBytes: () => totalBytes,
+	};
+};
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,2 +1,3 @@
+export * from './byte-budget.js';
 export * from './session.js';
 export * from './stop-plan.js';
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -39,6 +39,8 @@
 	rollBack: (database: DatabaseId, transaction: string) => void;
 	/** Returns the plan of the stop that is in progress; `undefined` if there is none. */
 	getStopPlan: () => StopPlan | undefined;
+	/** Counts bytes of variables and prepared statements that the session keeps, or with a negative number gives up; returns `false` if it may not keep them. */
+	tryKeep: (bytes: number) => boolean;
 }>;
 
 /** Response to a statement of the caller. */
@@ -75,6 +77,11 @@
 	latencyDeadline: Deadline;
 }>;
 
+/** Memory of a kept variable or prepared statement beside its text, in bytes, so that many short ones count too. */
+const KEPT_OVERHEAD_BYTES = 100;
+
+const measureKept = (name: string, text: string | undefined): number => text === undefined ? 0 : KEPT_OVERHEAD_BYTES + name.length + text.length;
+
 const DONE: StatementOutcome = {kind: 'done', rows: [], signature: ''};
 
 /** Creates a session with no open transaction. */
@@ -223,6 +230,27 @@
 			: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
 	};
 
+	/** Stores a variable or prepared statement in place of the one of the same name, if the session may keep it. */
+	const keep = (name: string, text: string, previousText: string | undefined, store: () => void): SessionResponse => {
+		if (!context.tryKeep(measureKept(name, text) - measureKept(name, previousText))) {
+			return createResponse(createRefusal('busy', 'the variables and prepared statements of the session, or of all sessions, take too much memory'));
+		}
+
+		store();
+		return createResponse(DONE);
+	};
+
+	const deallocate = (name: string): SessionResponse => {
+		const definition = preparedStatements.get(name);
+		if (!definition) {
+			return createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
+		}
+
+		context.tryKeep(-measureKept(name, definition.shape));
+		preparedStatements.delete(name);
+		return createResponse(DONE);
+	};
+
 	const runStatement = async (id: string, statement: CallerStatement): Promise<SessionResponse> => {
 		switch (statement.kind) {
 			case 'begin': {
@@ -244,19 +272,19 @@
 			}
 
 			case 'set': {
-				variables.set(statement.name, statement.value);
-				return createResponse(DONE);
+				return keep(statement.name, statement.value, variables.get(statement.name), () => {
+					variables.set(statement.name, statement.value);
+				});
 			}
 
 			case 'prepare': {
-				preparedStatements.set(statement.name, statement.prepared);
-				return createResponse(DONE);
+				return keep(statement.name, statement.prepared.shape, preparedStatements.get(statement.name)?.shape, () => {
+					preparedStatements.set(statement.name, statement.prepared);
+				});
 			}
 
 			case 'deallocate': {
-				return preparedStatements.delete(statement.name)
-					? createResponse(DONE)
-					: createResponse(createRefusal('noStatement', 'no prepared statement has this name'));
+				return deallocate(statement.name);
 			}
 
 			case 'execute': {
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -16,11 +16,13 @@
 };
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
+const MAX_KEPT_BYTES = 1000;
+
 const createSetup = (respond: (request: StatementRequest) => Partial<StatementResponse> = () => ({})) => {
 	const {runtime, advance} = createVirtualRuntime();
 	const requests: StatementRequest[] = [];
 	const rolledBackTransactions: string[] = [];
-	const state: {isIssued: boolean; stopPlan: StopPlan | undefined} = {isIssued: true, stopPlan: undefined};
+	const state: {isIssued: boolean; stopPlan: StopPlan | undefined; keptBytes: number} = {isIssued: true, stopPlan: undefined, keptBytes: 0};
 	const session = createSession({
 		runtime,
 		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: brandId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
@@ -35,6 +37,10 @@
 			rolledBackTransactions.push(transaction);
 		},
 		getStopPlan: () => state.stopPlan,
+		tryKeep(bytes) {
+			state.keptBytes += bytes;
+			return state.keptBytes <= MAX_KEPT_BYTES;
+		},
 	});
 	return {
 		session, requests, rolledBackTransactions, state, runtime, advance,
@@ -42,6 +48,22 @@
 };
 
 describe('session', () => {
+	describe('that keeps variables and prepared statements', () => {
+		// Sessions kept prepared statements of 1 MB under new names until the process ended.
+		it('refuses one that it may not keep, counts a replaced one once, and runs without the refused one', async () => {
+			const {session, requests, state} = createSetup();
+			for (let round = 0; round < 3; round++) {
+				assert.equal((await session.run('1', {kind: 'set', name: 'v', value: 'x'.repeat(600)})).outcome.kind, 'done');
+			}
+
+			const refused = await session.run('2', {kind: 'prepare', name: 's', prepared: {access: 'read', shape: 'x'.repeat(600)}});
+			assert.equal(refused.outcome.kind === 'refused' && refused.outcome.code, 'busy');
+			state.keptBytes = 0;
+			await session.run('3', {kind: 'text', access: 'read', text: 'READ a'});
+			assert.deepEqual(requests.map(({values}) => values.length), [1]);
+		});
+	});
+
 	describe('while its vm stops', () => {
 		// A process that passed on statements until it ended cut them off without an answer.
 		it('passes on statements in the first half of the grace period, with a deadline before its end', async () => {
--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -31,6 +31,15 @@
 	? {kind: 'timeout', reason: 'the target did not respond before the deadline'}
 	: {kind: 'unknown', reason: `the connection to the target was lost while it ran a ${getAccess(request.statement)}`};
 
+/** Creates the outcome of a statement that the target may have run; a write whose answer was too long took effect, but its answer is lost. */
+const createErrorOutcome = (code: TargetErrorCode, reason: string, request: StatementRequest): StatementOutcome => {
+	if (code === 'timeout') {
+		return {kind: 'timeout', reason};
+	}
+
+	return {kind: code === 'tooLong' && getAccess(request.statement) !== 'read' ? 'unknown' : 'failed', reason};
+};
+
 /** Evaluates the reply to a statement, which is at `index` in the list of commands. */
 export const evaluateReply = (execution: Execution, index: number, request: StatementRequest): Verdict => {
 	const reply = execution.replies[index];
@@ -50,10 +59,7 @@
 		return {kind: 'notRun', code: result.code};
 	}
 
-	const outcome: StatementOutcome = result.code === 'timeout'
-		? {kind: 'timeout', reason: result.text}
-		: {kind: 'failed', reason: result.text};
-	return {kind: 'final', outcome, reply};
+	return {kind: 'final', outcome: createErrorOutcome(result.code, result.text, request), reply};
 };
 
 /** Updates the health and the role of a target after a reply; `code` is `lost` if there was none. */
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -45,8 +45,8 @@
 		/** Makes a primary of a term below `term` a replica. */
 		| Readonly<{kind: 'stepDown'; term: number}>;
 
-/** Why a target refused a command or failed to run it. */
-export type TargetErrorCode = 'busy' | 'noStatement' | 'lagging' | 'readOnly' | 'failed' | 'timeout' | 'misrouted' | 'tooMany' | 'malformed' | 'other';
+/** Why a target refused a command or failed to run it; `tooLong` if it ran it, but the answer was too long to be kept. */
+export type TargetErrorCode = 'busy' | 'noStatement' | 'lagging' | 'readOnly' | 'failed' | 'timeout' | 'misrouted' | 'tooMany' | 'malformed' | 'tooLong' | 'other';
 
 /** Reply to one command; `signature` is the target's proof that it ran the command. */
 export type Reply = Readonly<{
--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -1,17 +1,17 @@
 /** One connection between two processes: exchanges hellos, then carries calls and streams in both directions. */
 
-import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import {
-	createChunkBuffer, createDeadline, createNotifier, createScope, Err, getErrorMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type Runtime,
+	createDeadline, createNotifier, createScope, Err, getErrorMessage, NEVER, NOT_ACCEPTED, Ok, type Deadline, type Failure, type Result, type Stream, type Runtime,
 } from '@guavapitch/core';
+import {createFrameReader, LONG_FRAME_BYTES, type PeerMemory} from './frame-reader.js';
 import {
-	encodeFrame, PROTOCOL_VERSION, splitFrames, type Frame, type FrameFailure, type FrameTime, type StreamSide,
+	encodeFrame, isFrameTooLarge, MAX_FRAME_BYTES, PROTOCOL_VERSION, type Frame, type FrameFailure, type FrameTime, type StreamSide,
 } from './frames.js';
 import {createMultiplexedStream, type MultiplexedStream} from './streams.js';
 
-/** Failure of a call to a peer: with `peerUnreachable` it was not sent, otherwise the peer may have handled it. */
-export type PeerFailure = Failure<'peerUnreachable' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
+/** Failure of a call to a peer: with `peerUnreachable` and `frameTooLarge` it was not sent, otherwise the peer may have handled it. */
+export type PeerFailure = Failure<'peerUnreachable' | 'frameTooLarge' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
 
 /** Identity of a process, sent to its peers in the hello. */
 export type PeerIdentity = Readonly<{vm: string; incarnation: string}>;
@@ -37,6 +37,8 @@
 	onMalformedFrame: (failure: FrameFailure) => void;
 	/** Called with the number of bytes of each write and each read. */
 	onTransfer?: (direction: 'sent' | 'received', byteCount: number) => void;
+	/** Memory for long frames; without it, each connection reads and writes them at any time. */
+	memory?: PeerMemory;
 }>;
 
 /** An open connection to a peer. */
@@ -86,20 +88,25 @@
 	let isCheckScheduled = false;
 	let silentCheckCount = 0;
 
-	/** Writes a frame without waiting; returns its size in bytes, or 0 if the connection has ended. */
+	/** Writes a frame without waiting; returns its size in bytes, or 0 if the connection has ended, or if a call or reply is too large for the peer. */
 	const write = (frame: Frame): number => {
 		if (hasEnded) {
 			return 0;
 		}
 
 		const bytes = encodeFrame(frame);
+		if (isFrameTooLarge(bytes) && (frame[0] === 'call' || frame[0] === 'reply')) {
+			return 0;
+		}
+
 		context.onTransfer?.('sent', bytes.length);
-		socket.write(bytes);
+		socket.write(bytes, bytes.length > LONG_FRAME_BYTES ? context.memory?.hold(bytes.length) : undefined);
 		return bytes.length;
 	};
 
-	const waitUntilWritable = async (): Promise<void> => {
-		if (socket.writableNeedDrain) {
+	/** Waits until the write buffer has been emptied, if it is full and holds more than a number of bytes. */
+	const waitUntilWritable = async (maxUnsentBytes = 0): Promise<void> => {
+		if (socket.writableNeedDrain && socket.writableLength > maxUnsentBytes) {
 			await stateChanged.waitUntil(() => hasEnded || !socket.writableNeedDrain, NEVER);
 		}
 	};
@@ -132,7 +139,11 @@
 
 		try {
 			const reply = await handler(body, from);
-			await send(['reply', context.readTime(), id, reply]);
+			if (write(['reply', context.readTime(), id, reply]) === 0) {
+				write(['refuse', context.readTime(), id, 'handlerFailed', 'The reply is too large']);
+			}
+
+			await waitUntilWritable();
 		} catch (error) {
 			await send(['refuse', context.readTime(), id, 'handlerFailed', getErrorMessage(error)]);
 		}
@@ -257,6 +268,7 @@
 		}
 
 		hasEnded = true;
+		reader.close();
 		for (const id of pendingCalls.keys()) {
 			settleCall(id, Err(CONNECTION_LOST));
 		}
@@ -268,6 +280,10 @@
 		stateChanged.notify();
 	};
 
+	const sendProbe = () => {
+		write(['call', context.readTime(), ++lastOpenedId, LIVENESS_METHOD, undefined]);
+	};
+
 	/** Checks at intervals, while replies are pending, whether the peer is silent: sends liveness probes first, then ends the connection. */
 	const scheduleSilenceCheck = () => {
 		if (isCheckScheduled || pendingCalls.size === 0) {
@@ -278,7 +294,7 @@
 		const scheduledAt = runtime.now();
 		runtime.schedule(SILENCE_CHECK_INTERVAL_MS, () => {
 			isCheckScheduled = false;
-			silentCheckCount = lastReceivedAt <= scheduledAt ? silentCheckCount + 1 : 0;
+			silentCheckCount = lastReceivedAt <= scheduledAt && !reader.isPaused() ? silentCheckCount + 1 : 0;
 			if (hasEnded || pendingCalls.size === 0) {
 				silentCheckCount = 0;
 			} else if (silentCheckCount > MAX_SILENT_CHECKS) {
@@ -286,7 +302,7 @@
 				handleEnd();
 			} else {
 				if (silentCheckCount > 0) {
-					write(['call', context.readTime(), ++lastOpenedId, LIVENESS_METHOD, undefined]);
+					sendProbe();
 				}
 
 				scheduleSilenceCheck();
@@ -294,31 +310,23 @@
 		});
 	};
 
-	const receivedBytes = createChunkBuffer();
-	const handleData = (chunk: Buffer) => {
-		lastReceivedAt = runtime.now();
-		context.onTransfer?.('received', chunk.length);
-		receivedBytes.push(chunk);
-		const bytes = receivedBytes.take();
-		if (!bytes) {
-			return;
-		}
-
-		const split = splitFrames(bytes);
-		if (split.err) {
-			context.onMalformedFrame(split.val);
+	const reader = createFrameReader(socket, {
+		runtime,
+		memory: context.memory,
+		onFrame: handleFrame,
+		onFailure(failure) {
+			context.onMalformedFrame(failure);
 			socket.destroy();
-			return;
-		}
-
-		receivedBytes.putBack(split.val.remainder, split.val.neededBytes);
-		for (const [index, frame] of split.val.frames.entries()) {
-			handleFrame(frame, split.val.sizes[index] ?? 0);
-		}
-	};
+		},
+		keepAlive: sendProbe,
+	});
 
 	socket.setNoDelay(true);
-	socket.on('data', handleData);
+	socket.on('data', chunk => {
+		lastReceivedAt = runtime.now();
+		context.onTransfer?.('received', chunk.length);
+		reader.handleData(chunk);
+	});
 	socket.on('drain', stateChanged.notify);
 	socket.on('close', handleEnd);
 	socket.on('error', handleEnd);
@@ -346,7 +354,11 @@
 				pendingCalls.set(id, resolve);
 			});
 			scheduleSilenceCheck();
-			await send(['call', context.readTime(), id, method, body]);
+			await Promise.race([waitUntilWritable(MAX_FRAME_BYTES), response]);
+			if (pendingCalls.has(id) && write(['call', context.readTime(), id, method, body]) === 0) {
+				settleCall(id, Err({code: 'frameTooLarge', message: `The body of ${method} is too large for a frame`}));
+			}
+
 			const result = await response;
 			cancelTimer();
 			return result;
--- a/packages/peer-protocol/src/frames.ts
+++ b/packages/peer-protocol/src/frames.ts
@@ -99,6 +99,9 @@
 	return bytes;
 };
 
+/** Tells whether an encoded frame is larger than a peer accepts. */
+export const isFrameTooLarge = (bytes: Buffer): boolean => bytes.length - LENGTH_BYTES > MAX_FRAME_BYTES;
+
 const isFrameTime = (value: unknown): boolean => Array.isArray(value) && value.length === 2 && value.every(part => typeof part === 'number');
 
 const isFrame = (value: unknown): value is Frame => {
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './frames.js';
+export * from './frame-reader.js';
 export * from './connection.js';
 export * from './listener.js';
 export * from './peer-connections.js';
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -113,3 +113,13 @@
 
 	return statement.kind === 'text' ? statement.access : statement.prepared.access;
 };
+
+/** Computes how many bytes the texts of a request have. */
+export const computeRequestBytes = ({id, statement, values}: StatementRequest): number => {
+	let bytes = id.length + (statement.kind === 'prepared' ? statement.prepared.shape.length + statement.rest.length : statement.text.length);
+	for (const [name, value] of values) {
+		bytes += name.length + value.length;
+	}
+
+	return bytes;
+};
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -66,5 +66,6 @@
 	settingsReloaded: createEventKind(1808, 'info', 'settings reloaded'),
 	linesDropped: createEventKind(1809, 'warn', 'log lines dropped'),
 	settingsRejected: createEventKind(1810, 'warn', 'settings rejected'),
+	callerLimited: createEventKind(1811, 'warn', 'caller closed because of a limit'),
 	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -3,6 +3,7 @@
 import type {
 	DataCentreId, Instant, Result, TargetId, VmId, Runtime,
 } from '@guavapitch/core';
+import type {ByteBudget} from '@guavapitch/callers';
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
 import type {
 	DialTarget, PromotionOutcome, ReadStatus, RegisteredTarget, Target,
@@ -47,6 +48,8 @@
 	/** Whether a target that was replaced as primary refuses work at once; otherwise the appointment recorded in the store decides which target leads. */
 	areTargetsSelfFencing: boolean;
 	dialTarget: DialTarget;
+	/** Budget of statements in progress and frames between vms. */
+	workBudget: ByteBudget;
 	readStatus: ReadStatus;
 	/** Asks a target to become the primary of its database, for the holder of the coordinator role and under its fencing token. */
 	requestPromotion: (target: RegisteredTarget, holder: VmId, fencingToken: number) => Promise<PromotionOutcome>;
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -9,13 +9,14 @@
 import {createHybridLogicalClock, EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
 import type {Member} from './members.js';
+import {createPeerMemory} from './work-memory.js';
 
 /** Failure of a call: `notSent` did not reach the other vm, after `lost` the other vm may have executed it. */
 export type CallFailure = Failure<'notSent' | 'lost'>;
 
 /** Client for calls to other vms. */
 export type PeerClient = AsyncDisposable & Readonly<{
-	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A timeout or a refusal by the vm does not exclude it. */
+	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A timeout, a refusal by the vm or a body that is too large does not exclude it. */
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
 	/** Sends a liveness probe to a vm; resolves to whether it answered. */
 	ping: (member: Member) => Promise<boolean>;
@@ -54,6 +55,7 @@
 		onMalformedFrame(failure) {
 			emit(EVENTS.frameRefused, {message: failure.message});
 		},
+		memory: createPeerMemory(context.workBudget),
 	};
 	const peers: PeerConnections = createPeerConnections(peerContext, createDial());
 
@@ -90,11 +92,11 @@
 			}
 
 			const {code, message} = response.val;
-			if (code !== 'peerTimeout' && code !== 'peerRefused') {
+			if (code !== 'peerTimeout' && code !== 'peerRefused' && code !== 'frameTooLarge') {
 				exclude(member, message);
 			}
 
-			return Err({code: code === 'peerUnreachable' ? 'notSent' : 'lost', message});
+			return Err({code: code === 'peerUnreachable' || code === 'frameTooLarge' ? 'notSent' : 'lost', message});
 		},
 		async ping({host, port}) {
 			const response = await peers.call({host, port}, LIVENESS_METHOD, undefined, PROBE_TIMEOUT_MS);
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -22,6 +22,7 @@
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
+import {runWithinBudget} from './work-memory.js';
 import {createStatementRouter} from './statement-router.js';
 import {
 	GRANT_TOKENS_METHOD, createQuotas, type TokenRequestMessage,
@@ -32,8 +33,8 @@
 
 /** A running entry vm. */
 export type Vm = AsyncDisposable & Readonly<{
-	/** Opens the session of a caller; refuses it if its service or key is unknown. */
-	openSession: (service: string, key: string) => Result<Session, StatementOutcome>;
+	/** Opens the session of a caller; refuses it if its service or key is unknown. `tryKeep` counts the bytes that the session keeps, and tells whether it may. */
+	openSession: (service: string, key: string, tryKeep: (bytes: number) => boolean) => Result<Session, StatementOutcome>;
 	/** Tells whether new callers should be sent to this vm. */
 	isReady: () => boolean;
 	/** Starts to stop the vm in the order of a plan: it is no longer ready and its roles pass to other vms. Resolves once the vm is deregistered. */
@@ -192,12 +193,14 @@
 		},
 	});
 
+	const serveAsOwner = async (request: StatementRequest): Promise<StatementResponse> => databaseOwners.get(request.database).serve(request);
+
 	const peerClient: PeerClient = createPeerClient(context, {
 		calls: {
 			async [RUN_METHOD](body) {
 				peerStatementCount++;
 				try {
-					return await databaseOwners.get((body as StatementRequest).database).serve(body as StatementRequest);
+					return await runWithinBudget(context.workBudget, body as StatementRequest, serveAsOwner);
 				} finally {
 					peerStatementCount--;
 				}
@@ -260,7 +263,7 @@
 			const response = await peerClient.call(member, RUN_METHOD, request, timeoutMs);
 			return response.map(value => value as StatementResponse);
 		},
-		serveLocally: async request => databaseOwners.get(request.database).serve(request),
+		serveLocally: serveAsOwner,
 		rollBackAt(member, database, transaction) {
 			if (member) {
 				void peerClient.call(member, ROLL_BACK_METHOD, {database, transaction}, ROLL_BACK_TIMEOUT_MS);
@@ -291,7 +294,7 @@
 			};
 		}
 
-		const response = await statementRouter.run(request, deadline);
+		const response = await runWithinBudget(context.workBudget, request, async affordable => statementRouter.run(affordable, deadline));
 		if (response.outcome.kind === 'refused' && response.outcome.code === 'overShare') {
 			refusalCache.recordRefusal(request.database, request.customer, response.outcome.retryAfterMs);
 		}
@@ -329,7 +332,7 @@
 	}
 
 	return {
-		openSession(service, key) {
+		openSession(service, key, tryKeep) {
 			if (stopPlan && isPast(stopPlan.callersUntil, runtime.now())) {
 				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
 			}
@@ -345,6 +348,7 @@
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
 				getStopPlan: () => stopPlan,
+				tryKeep,
 			}));
 		},
 		isReady: () => !stopPlan && view.getConfiguration() !== undefined && view.listMembers().length > 0 && isConnected(),
