--- a/packages/callers/src/byte-budget.ts
+++ b/packages/callers/src/byte-budget.ts
@@ -25,7 +25,7 @@
 
 /** Budget of a process, or of one part of its work. */
 export type ByteBudget = Readonly<{
-	/** Opens an account; `onEvicted` is called when it must be closed because all accounts together hold too much. */
+	/** Opens an account; `onEvicted` is called when it must be closed because all accounts together hold too much. Without it, the account is not closed early. */
 	openAccount: (onEvicted?: () => void) => ByteAccount;
 	/** Returns the bytes that are held, without reservations. */
 	getHeldBytes: () => number;
@@ -43,7 +43,7 @@
 	keptBytes: number;
 	reservation: Reservation | undefined;
 	isEvicted: boolean;
-	readonly onEvicted: () => void;
+	readonly onEvicted: (() => void) | undefined;
 };
 
 const BYTES_PER_MB = 1_048_576;
@@ -70,11 +70,11 @@
 	Math.floor(Math.min(heapBytes - HEAP_BASE_BYTES, memoryBytes - PROCESS_BYTES) / COPIES),
 );
 
-/** Finds the account that holds most and has not been evicted. */
+/** Finds the account that holds most, of those that may be closed early and have not been. */
 const findLargest = (holders: Iterable<Holder>): Holder | undefined => {
 	let largest: Holder | undefined;
 	for (const holder of holders) {
-		if (!holder.isEvicted && holder.bytes > (largest?.bytes ?? 0)) {
+		if (holder.onEvicted && !holder.isEvicted && holder.bytes > (largest?.bytes ?? 0)) {
 			largest = holder;
 		}
 	}
@@ -89,6 +89,8 @@
 	const holders = new Set<Holder>();
 	/** Accounts with a reservation, granted or requested, in the order of their requests. */
 	const reserving = new Set<Holder>();
+	/** Bytes held by the accounts of each customer, without reservations. */
+	const customerBytes = new Map<string, number>();
 	let heldBytes = 0;
 	let keptBytes = 0;
 	/** Bytes of accounts that were evicted and have not been closed yet. */
@@ -138,18 +140,30 @@
 
 			largest.isEvicted = true;
 			leavingBytes += largest.bytes;
-			largest.onEvicted();
+			largest.onEvicted?.();
+		}
+	};
+
+	const getCustomerBytes = (customer: string | undefined): number => customer === undefined ? 0 : customerBytes.get(customer) ?? 0;
+
+	const changeCustomer = (customer: string | undefined, bytes: number) => {
+		const newBytes = getCustomerBytes(customer) + bytes;
+		if (customer !== undefined && newBytes > 0) {
+			customerBytes.set(customer, newBytes);
+		} else if (customer !== undefined) {
+			customerBytes.delete(customer);
 		}
 	};
 
 	const change = (holder: Holder, bytes: number) => {
 		holder.bytes += bytes;
 		heldBytes += bytes;
+		changeCustomer(holder.customer, bytes);
 		leavingBytes += holder.isEvicted ? bytes : 0;
 	};
 
 	return {
-		openAccount(onEvicted = () => undefined) {
+		openAccount(onEvicted) {
 			const holder: Holder = {
 				customer: undefined, bytes: 0, keptBytes: 0, reservation: undefined, isEvicted: false, onEvicted,
 			};
@@ -165,7 +179,9 @@
 
 			return {
 				setCustomer(customer) {
+					changeCustomer(holder.customer, -holder.bytes);
 					holder.customer = customer;
+					changeCustomer(customer, holder.bytes);
 				},
 				add(bytes) {
 					if (!holders.has(holder)) {
@@ -180,9 +196,11 @@
 					}
 				},
 				tryAdd(bytes) {
-					const ofCustomer = holder.customer === undefined ? 0 : sumOf(holders, holder.customer, other => other.bytes);
-					const isInShare = ofCustomer === holder.bytes || ofCustomer + bytes <= totalBytes * CUSTOMER_FRACTION;
-					if (!isInShare || (heldBytes + bytes > totalBytes && heldBytes > holder.bytes)) {
+					const ofCustomer = getCustomerBytes(holder.customer);
+					const isInShare = ofCustomer <= holder.bytes || ofCustomer + bytes <= totalBytes * CUSTOMER_FRACTION;
+					// What is left above the limit of long messages is for short ones.
+					const limit = holder.bytes + bytes <= FREE_BYTES ? totalBytes : reservedLimit;
+					if (!isInShare || (heldBytes + bytes > limit && heldBytes > holder.bytes)) {
 						return false;
 					}
 
@@ -212,8 +230,7 @@
 				getBytes: () => holder.bytes + holder.keptBytes,
 				close() {
 					if (holders.delete(holder)) {
-						heldBytes -= holder.bytes;
-						leavingBytes -= holder.isEvicted ? holder.bytes : 0;
+						change(holder, -holder.bytes);
 						keptBytes -= holder.keptBytes;
 						endReservation();
 						grantWaiting();
--- a/packages/vm/src/work-memory.ts
+++ b/packages/vm/src/work-memory.ts
@@ -9,15 +9,17 @@
 /** Time after which a caller should retry a statement for which there was no memory, in milliseconds: several times the usual duration of a statement. */
 const NO_MEMORY_RETRY_MS = 300;
 
-/** Runs a statement if there is memory for it while it is in progress; otherwise refuses it, and it has not run. */
+/** Runs a statement if there is memory for it while it is in progress; otherwise refuses it, and it has not run. A statement of a transaction that has begun always runs: their number is bounded by the connections to the targets. */
 export const runWithinBudget = async (budget: ByteBudget, request: StatementRequest, run: (request: StatementRequest) => Promise<StatementResponse>): Promise<StatementResponse> => {
 	const account = budget.openAccount();
 	account.setCustomer(request.customer);
-	if (!account.tryAdd(computeRequestBytes(request))) {
+	const bytes = computeRequestBytes(request);
+	if (request.transaction?.isFirst === false) {
+		account.add(bytes);
+	} else if (!account.tryAdd(bytes)) {
 		account.close();
-		const isOpen = request.transaction?.isFirst === false;
 		return {
-			outcome: createRefusal(isOpen ? 'aborted' : 'busy', 'this vm has no memory for the statement now', NO_MEMORY_RETRY_MS),
+			outcome: createRefusal('busy', 'this vm has no memory for the statement now', NO_MEMORY_RETRY_MS),
 			status: request.transaction ? 'failed' : 'idle',
 			position: undefined,
 			target: undefined,
