--- a/packages/callers/src/byte-budget.ts
+++ b/packages/callers/src/byte-budget.ts
@@ -35,7 +35,7 @@
 /** Memory of a process, in bytes; infinite if it has no limit. */
 export type MemoryLimits = Readonly<{memoryBytes: number; heapBytes: number}>;
 
-type Reservation = {readonly bytes: number; readonly onGranted: () => void; isGranted: boolean};
+type Reservation = Readonly<{bytes: number; onGranted: () => void}>;
 
 type Holder = {
 	customer: string | undefined;
@@ -87,8 +87,10 @@
 	const reservedLimit = totalBytes * RESERVED_FRACTION;
 	const keptLimit = totalBytes * KEPT_FRACTION;
 	const holders = new Set<Holder>();
-	/** Accounts with a reservation, granted or requested, in the order of their requests. */
-	const reserving = new Set<Holder>();
+	/** Accounts whose reservation has been granted; few, as each is long. */
+	const granted = new Set<Holder>();
+	/** Accounts that have requested a reservation, in the order of their requests. */
+	const waiting = new Set<Holder>();
 	/** Bytes held by the accounts of each customer, without reservations. */
 	const customerBytes = new Map<string, number>();
 	let heldBytes = 0;
@@ -105,34 +107,33 @@
 		return sum;
 	};
 
-	const getUnusedReservation = ({reservation, bytes}: Holder): number => reservation?.isGranted ? Math.max(0, reservation.bytes - bytes) : 0;
+	const getReservedBytes = ({reservation}: Holder): number => reservation?.bytes ?? 0;
 
-	const getGranted = ({reservation}: Holder): number => reservation?.isGranted ? reservation.bytes : 0;
+	const getUnusedBytes = (holder: Holder): number => Math.max(0, getReservedBytes(holder) - holder.bytes);
 
 	/** Tells whether a reservation fits; the first of a customer always fits its share, and the first of all always fits, so that a single message is served. */
-	const canGrant = (holder: Holder, bytes: number): boolean => {
-		const allGranted = sumOf(reserving, undefined, getGranted);
-		if (allGranted === 0) {
+	const canGrant = (holder: Holder): boolean => {
+		if (granted.size === 0) {
 			return true;
 		}
 
-		const ofCustomer = holder.customer === undefined ? 0 : sumOf(reserving, holder.customer, getGranted);
-		const promised = heldBytes - leavingBytes + sumOf(reserving, undefined, getUnusedReservation);
-		return promised + Math.max(0, bytes - holder.bytes) <= reservedLimit && (ofCustomer === 0 || ofCustomer + bytes <= reservedLimit * CUSTOMER_FRACTION);
+		const ofCustomer = holder.customer === undefined ? 0 : sumOf(granted, holder.customer, getReservedBytes);
+		const promised = heldBytes + keptBytes - leavingBytes + sumOf(granted, undefined, getUnusedBytes) + getUnusedBytes(holder);
+		return promised <= reservedLimit && (ofCustomer === 0 || ofCustomer + getReservedBytes(holder) <= reservedLimit * CUSTOMER_FRACTION);
 	};
 
 	const grantWaiting = () => {
-		for (const holder of reserving) {
-			const {reservation} = holder;
-			if (reservation && !reservation.isGranted && canGrant(holder, reservation.bytes)) {
-				reservation.isGranted = true;
-				reservation.onGranted();
+		for (const holder of waiting) {
+			if (canGrant(holder)) {
+				waiting.delete(holder);
+				granted.add(holder);
+				holder.reservation?.onGranted();
 			}
 		}
 	};
 
 	const evictLargest = () => {
-		while (heldBytes - leavingBytes > totalBytes) {
+		while (heldBytes + keptBytes - leavingBytes > totalBytes) {
 			const largest = findLargest(holders);
 			if (!largest) {
 				return;
@@ -172,7 +173,8 @@
 			const endReservation = () => {
 				if (holder.reservation) {
 					holder.reservation = undefined;
-					reserving.delete(holder);
+					waiting.delete(holder);
+					granted.delete(holder);
 					grantWaiting();
 				}
 			};
@@ -191,7 +193,7 @@
 					change(holder, bytes);
 					if (bytes > 0) {
 						evictLargest();
-					} else if (reserving.size > 0) {
+					} else {
 						grantWaiting();
 					}
 				},
@@ -208,11 +210,11 @@
 					return true;
 				},
 				isWithinFreeShare: () => holder.bytes <= FREE_BYTES,
-				mayRead: () => holder.bytes <= FREE_BYTES || holder.reservation?.isGranted === true,
+				mayRead: () => holder.bytes <= FREE_BYTES || granted.has(holder),
 				reserve(bytes, onGranted) {
 					if (!holder.reservation && holders.has(holder)) {
-						holder.reservation = {bytes, onGranted, isGranted: false};
-						reserving.add(holder);
+						holder.reservation = {bytes, onGranted};
+						waiting.add(holder);
 						grantWaiting();
 					}
 				},
