Evacuate data centres that operators name in the store

Operators had no means to take the work away from a data centre. While a key op/evacuate/ZONE exists, no statement, begin, ping or status query is sent to the targets there after four fifths of bounds.evacuation_ms (the rest is for what is on its way), counted from the last read of the store without the key; a vm that reads the key first applies it at once. The feed now watches the common prefix op/ in place of op/config, with the same number of calls.

- An evacuated primary is replaced by a planned change; writes wait for it at the owners.
Promotions choose no target of an evacuated data centre.
If only such targets are left, statements are refused at once as busy with a retry time, and the coordinator reports it once.
- Transactions are ended before the bound by closing their connection.
- Events 1107 (evacuation begun or ended) and 1108 (unknown data centre, once).

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -8,6 +8,9 @@
 /** Name of a data centre. */
 export type DataCentreId = Brand<string, 'DataCentreId'>;
 
+/** Name of a region, which holds one or more data centres. */
+export type RegionId = Brand<string, 'RegionId'>;
+
 /** Name of a customer. */
 export type CustomerId = Brand<string, 'CustomerId'>;
 
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,7 +1,7 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
@@ -40,6 +40,8 @@
 	dial: DialTarget;
 	readStatus: ReadStatus;
 	appointments: Appointments;
+	/** Returns the deadline of the suspension clock after which nothing more may reach the targets of a data centre; `NEVER` unless it is evacuated. */
+	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
@@ -65,8 +67,10 @@
 	onTargetDown: (target: TargetId, callback: () => void) => (() => void);
 	/** Records a log position that the leader confirms in reply to a ping sent after this call; resolves to `false` if no leader confirmed one, or if the deadline has already passed. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
-	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving, negative if none may. */
+	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving or evacuated, 0 or negative if none may. */
 	getAcceptingMs: (target: TargetId) => number;
+	/** Returns how long anything may still be sent to the targets of a data centre, in milliseconds; infinite unless it is evacuated, 0 or negative if nothing may. */
+	getSendingMs: (dataCentre: DataCentreId) => number;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
 }>;
@@ -109,7 +113,7 @@
 
 /** Timeout of a ping; short, as a ping occupies no slot of the target. */
 const PING_TIMEOUT_MS = 400;
-/** Time before the end of a leaving target's drain time from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
+/** Time before the end of a leaving target's drain time, or of the time left for an evacuation, from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
 const START_MARGIN_MS = 250;
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
@@ -151,10 +155,16 @@
 	let areWritesPaused = false;
 	let lastCustomer: StatementRequest['customer'] | undefined;
 
+	const getSendingMs = (dataCentre: DataCentreId): number => context.getEvacuationDeadline(dataCentre) - START_MARGIN_MS - readSuspensionClock();
+
+	/** Tells whether a target elsewhere can take over the work of evacuated ones; without one, nothing more begins on them. */
+	const hasStayingDataCentre = (): boolean => [...targets.values()].some(({isEvacuated}) => !isEvacuated);
+
 	/** Acquires a connection for a ping or a status query. */
 	const acquireConnection = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
 		const targetConnections = connections.get(id);
-		if (!targetConnections) {
+		const target = targets.get(id);
+		if (!targetConnections || !target || getSendingMs(target.dataCentre) <= 0) {
 			return undefined;
 		}
 
@@ -168,7 +178,11 @@
 
 	/** Opens a connection that is closed when it is released. */
 	const dialOnce = async (target: RegisteredTarget, deadline: Deadline): Promise<Result<Pick<ConnectionHandle, 'connection' | 'release'>, DialFailure>> => {
-		const dialled = await context.dial({...target, acceptsUntil: PAST}, lastCustomer ?? context.getAnyCustomer(), deadline);
+		if (getSendingMs(target.dataCentre) <= 0) {
+			return Err({code: 'silent', message: 'its data centre is evacuated'});
+		}
+
+		const dialled = await context.dial({...target, acceptsUntil: PAST, isEvacuated: false}, lastCustomer ?? context.getAnyCustomer(), deadline);
 		return dialled.map(connection => ({connection, release: connection.close}));
 	};
 
@@ -240,9 +254,14 @@
 			return !isPast(deadline, runtime.now()) && verifyLeader();
 		},
 		getAcceptingMs(id) {
-			const acceptsUntil = targets.get(id)?.acceptsUntil ?? PAST;
-			return acceptsUntil - START_MARGIN_MS - readSuspensionClock();
+			const target = targets.get(id);
+			if (!target || (target.isEvacuated && !hasStayingDataCentre())) {
+				return 0;
+			}
+
+			return Math.min(target.acceptsUntil - START_MARGIN_MS - readSuspensionClock(), getSendingMs(target.dataCentre));
 		},
+		getSendingMs,
 		areWritesPaused: () => areWritesPaused,
 	};
 	const transactions = createTransactions(sharedComponents);
@@ -291,6 +310,7 @@
 			}
 
 			leaderTracker.applyRegistry(newTargets, runtime.now());
+			transactions.limitToEvacuations();
 			scheduler.setTargets(newTargets);
 		},
 		refreshLeader: leaderTracker.refresh,
--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -40,6 +40,16 @@
 
 const listReplicas = (context: FailoverCoordinatorContext, excludedId: TargetId | undefined): readonly Target[] => context.owner.components.listTargets().filter(({id}) => id !== excludedId);
 
+/** Lists the replicas that may be promoted: none of an evacuated data centre, and those that stay if there are any. */
+const listCandidates = (context: FailoverCoordinatorContext, excludedId: TargetId | undefined): readonly Target[] => {
+	const replicas = listReplicas(context, excludedId).filter(({isEvacuated}) => !isEvacuated);
+	const stayingReplicas = replicas.filter(({isDraining}) => !isDraining);
+	return stayingReplicas.length > 0 ? stayingReplicas : replicas;
+};
+
+/** Tells whether a database has only targets in evacuated data centres, so that no promotion would help. */
+const isWhollyEvacuated = ({owner}: FailoverCoordinatorContext): boolean => owner.components.listTargets().every(({isEvacuated}) => isEvacuated);
+
 /** State of the checks of the primary. */
 type PrimaryCheckState = {
 	/** Since when the primary has refused connections. */
@@ -48,8 +58,8 @@
 	leaderlessSince: Instant | undefined;
 	/** When this vm first checked the primary; stands in for the last response until there is one. */
 	watchedSince: Instant | undefined;
-	/** Leaving primary for which it was reported that no target can replace it. */
-	irreplaceableLeader: TargetId | undefined;
+	/** Leaving or evacuated primary, or an empty name without a primary, for which it was reported that no target can replace it. */
+	irreplaceableLeader: TargetId | '' | undefined;
 	/** Whether a target has led since this vm became the coordinator. */
 	hasSeenLeader: boolean;
 };
@@ -66,29 +76,34 @@
 	&& listReplicas(context, leader.id).some(({isDraining}) => isDraining)
 	&& context.owner.components.getAcceptingMs(leader.id) > LATEST_SWITCHOVER_MS;
 
-/** Replaces a primary that is about to leave: pauses writes until a replica has caught up, and promotes it. */
+/** Reports once that no target can replace a primary. */
+const reportIrreplaceable = (context: FailoverCoordinatorContext, state: PrimaryCheckState, leader: TargetId | '', reason: string): void => {
+	if (state.irreplaceableLeader !== leader) {
+		state.irreplaceableLeader = leader;
+		context.onEvent({
+			kind: 'failed', target: leader, reason, ageMs: 0,
+		});
+	}
+};
+
+/** Replaces a primary that is about to leave, or whose data centre is evacuated: pauses writes until a replica has caught up, and promotes it. */
 const switchOver = async (context: FailoverCoordinatorContext, group: SyncedGroup, leader: Target, state: PrimaryCheckState): Promise<boolean> => {
 	const {runtime, owner} = context;
-	const replicas = listReplicas(context, leader.id).filter(({isDraining}) => !isDraining);
+	const reason = leader.isEvacuated ? 'the data centre of the primary is evacuated' : 'the primary is leaving';
+	const replicas = listCandidates(context, leader.id).filter(({isDraining}) => leader.isEvacuated || !isDraining);
 	if (mustAwaitSuccessor(context, leader)) {
 		return false;
 	}
 
 	if (replicas.length === 0) {
-		if (state.irreplaceableLeader !== leader.id) {
-			state.irreplaceableLeader = leader.id;
-			context.onEvent({
-				kind: 'failed', target: leader.id, reason: 'the primary is leaving; no replica promoted because no target that stays is registered', ageMs: 0,
-			});
-		}
-
+		reportIrreplaceable(context, state, leader.id, `${reason}; no replica promoted because no target that stays is registered`);
 		return false;
 	}
 
 	const startedAt = runtime.now();
 	const deadline = createDeadline(startedAt, SWITCHOVER_TIMEOUT_MS);
 	context.onEvent({
-		kind: 'started', target: leader.id, reason: 'the primary is leaving', ageMs: 0,
+		kind: 'started', target: leader.id, reason, ageMs: 0,
 	});
 	owner.pauseWrites(true);
 	try {
@@ -103,7 +118,6 @@
 			await runtime.sleep(SWITCHOVER_CHECK_INTERVAL_MS);
 		}
 
-		const reason = 'the primary is leaving';
 		const isReplaced = context.isSynchronouslyReplicated()
 			? await group.promote({primary: leader.id, reason, isPlanned: true})
 			: await promoteBestReplica(context, replicas, reason);
@@ -184,16 +198,49 @@
 	context.onEvent({
 		kind: 'started', target: leader ?? '', reason, ageMs: leader === undefined ? 0 : runtime.now() - (owner.components.healthTracker.getLastResponseAt(leader) ?? runtime.now()),
 	});
-	const replicas = listReplicas(context, leader);
-	const stayingReplicas = replicas.filter(({isDraining}) => !isDraining);
 	const isReplaced = context.isSynchronouslyReplicated()
 		? await group.promote({primary: leader, reason, isPlanned: false})
-		: await promoteBestReplica(context, stayingReplicas.length > 0 ? stayingReplicas : replicas, reason);
+		: await promoteBestReplica(context, listCandidates(context, leader), reason);
 	if (isReplaced && leaderTarget) {
 		await stepDown(context, leaderTarget);
 	}
 };
 
+/** Checks a database once, and replaces its primary if that is needed; resolves to the state for the next check. */
+const checkDatabase = async (context: FailoverCoordinatorContext, group: SyncedGroup, state: PrimaryCheckState): Promise<PrimaryCheckState> => {
+	const {owner} = context;
+	const {appointments} = owner.components.context;
+	if (appointments.isDecisive && appointments.getAppointed() === undefined) {
+		await appointPresentLeader(context);
+	}
+
+	const leader = owner.components.leaderTracker.getLeader();
+	const leaderTarget = leader === undefined ? undefined : owner.components.getTarget(leader);
+	const mustReplace = leaderTarget !== undefined && (leaderTarget.isDraining || leaderTarget.isEvacuated);
+	if (mustReplace && await switchOver(context, group, leaderTarget, state)) {
+		return state;
+	}
+
+	if (context.isSynchronouslyReplicated() && await group.check()) {
+		await group.promote({primary: leader, reason: 'an earlier order to promote a replica may still be executed', isPlanned: true});
+		return state;
+	}
+
+	if (isWhollyEvacuated(context)) {
+		reportIrreplaceable(context, state, leader ?? '', 'no replica promoted because the data centres of all targets are evacuated');
+		return state;
+	}
+
+	// An evacuated primary is replaced by a planned change, whether or not it responds.
+	const reason = leaderTarget?.isEvacuated ? undefined : await checkPrimary(context, state);
+	if (reason === undefined || !context.isCoordinator()) {
+		return state;
+	}
+
+	await replacePrimary(context, group, reason);
+	return {...createPrimaryCheckState(), hasSeenLeader: state.hasSeenLeader, irreplaceableLeader: state.irreplaceableLeader};
+};
+
 /** Monitors the primary of a database until the signal aborts; acts only while this vm holds the coordinator role. */
 export const runFailoverCoordinator = async (context: FailoverCoordinatorContext, signal: AbortSignal): Promise<void> => {
 	const {runtime, owner} = context;
@@ -207,30 +254,8 @@
 			group = createSyncedGroup(context);
 		}
 
-		if (signal.aborted || !context.isCoordinator() || owner.components.listTargets().length === 0) {
-			continue;
-		}
-
-		const {appointments} = owner.components.context;
-		if (appointments.isDecisive && appointments.getAppointed() === undefined) {
-			await appointPresentLeader(context);
-		}
-
-		const leader = owner.components.leaderTracker.getLeader();
-		const leaderTarget = leader === undefined ? undefined : owner.components.getTarget(leader);
-		if (leaderTarget?.isDraining && await switchOver(context, group, leaderTarget, state)) {
-			continue;
-		}
-
-		if (context.isSynchronouslyReplicated() && await group.check()) {
-			await group.promote({primary: leader, reason: 'an earlier order to promote a replica may still be executed', isPlanned: true});
-			continue;
-		}
-
-		const reason = await checkPrimary(context, state);
-		if (reason !== undefined && context.isCoordinator()) {
-			await replacePrimary(context, group, reason);
-			state = {...createPrimaryCheckState(), hasSeenLeader: state.hasSeenLeader, irreplaceableLeader: state.irreplaceableLeader};
+		if (!signal.aborted && context.isCoordinator() && owner.components.listTargets().length > 0) {
+			state = await checkDatabase(context, group, state);
 		}
 	}
 };
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -9,6 +9,7 @@
 import {chooseReadTarget} from './read-targets.js';
 import type {SharedComponents} from './database-owner.js';
 import type {TargetLoad} from './slot-scheduler.js';
+import type {Target} from './targets.js';
 
 /** Placement constraint of a statement or a transaction. */
 export type Plan
@@ -47,6 +48,9 @@
 	return createBoundedStalenessPlan(components, request, request.consistency.maxStalenessMs, deadline);
 };
 
+/** Tells whether a target is known and neither leaving nor evacuated. */
+const isStaying = (target: Target | undefined): boolean => target !== undefined && !target.isDraining && !target.isEvacuated;
+
 /** Criteria for choosing a target; `tried` are the targets on which this request has already failed. */
 export type TargetCriteria = Readonly<{plan: Plan; request: StatementRequest; tried: ReadonlySet<TargetId>}>;
 
@@ -56,14 +60,16 @@
 	const leader = leaderTracker.getLeader();
 	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
-		const canRun = leader !== undefined && components.getAcceptingMs(leader) > 0 && !(plan.isWrite && components.areWritesPaused()) && canAcquire(leader);
+		// Writes wait for the planned change of an evacuated primary, so that none is lost with what its successor has not received.
+		const areWritesPaused = components.areWritesPaused() || (leader !== undefined && getTarget(leader)?.isEvacuated);
+		const canRun = leader !== undefined && components.getAcceptingMs(leader) > 0 && !(plan.isWrite && areWritesPaused) && canAcquire(leader);
 		return canRun ? freeTargets.find(load => load.id === leader)?.id : undefined;
 	}
 
 	const isEligible = (id: TargetId): boolean => canAcquire(id)
 		&& !tried.has(id)
 		&& (id === leader || healthTracker.isCaughtUp(id))
-		&& (getTarget(id)?.isDraining === false || (id === leader && components.getAcceptingMs(id) > 0));
+		&& (isStaying(getTarget(id)) || (id === leader && components.getAcceptingMs(id) > 0));
 	return chooseReadTarget(freeTargets, {
 		leader,
 		isEligible,
@@ -72,19 +78,19 @@
 	});
 };
 
-/** Returns how long a request with this plan may still begin on any known target, in milliseconds; infinite unless all that could run it are leaving, or none is known. */
+/** Returns how long a request with this plan may still begin on any known target, in milliseconds; infinite unless all that could run it are leaving or evacuated, or none is known. */
 export const getPlanAcceptingMs = (components: SharedComponents, plan: Plan): number => {
 	const leader = components.leaderTracker.getLeader();
 	const targets = components.listTargets();
-	if (targets.length === 0 || (plan.kind === 'leader' && leader === undefined)) {
+	if (targets.length === 0 || (plan.kind === 'leader' && leader === undefined && targets.some(({isEvacuated}) => !isEvacuated))) {
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const candidates = targets.filter(({id, isDraining}) => id === leader || (plan.kind === 'anywhere' && !isDraining));
+	const candidates = targets.filter(target => target.id === leader || (plan.kind === 'anywhere' && isStaying(target)));
 	return Math.max(0, ...candidates.map(({id}) => components.getAcceptingMs(id)));
 };
 
-/** Computes until when a request waits for a slot: it is refused early if no target is registered or it needs a leader and none is usable, and once all targets that could run it are leaving and accept no new work. */
+/** Computes until when a request waits for a slot: it is refused early if no target is registered or it needs a leader and none is usable, and once all targets that could run it are leaving or evacuated and accept no new work. */
 export const computeSlotDeadline = (components: SharedComponents, plan: Plan, deadline: Deadline): Deadline => {
 	const {leaderTracker, healthTracker, context} = components;
 	const leader = leaderTracker.getLeader();
--- a/packages/database-owners/src/promotions.ts
+++ b/packages/database-owners/src/promotions.ts
@@ -154,6 +154,11 @@
 	}
 
 	for (const {target} of reports) {
+		// The data centre may have been evacuated since the first attempt.
+		if (context.owner.components.getTarget(target.id)?.isEvacuated) {
+			continue;
+		}
+
 		const isPromoted = await promoteTarget(context, {target, reason, startedAt});
 		if (isPromoted === undefined) {
 			return false;
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -120,11 +120,11 @@
 
 const hasNoLeader = (components: SharedComponents, plan: Plan): boolean => plan.kind === 'leader' && components.leaderTracker.getLeader() === undefined;
 
-/** Creates the refusal of a statement that got no slot, with the reason if it is that all targets that could run it are leaving. */
+/** Creates the refusal of a statement that got no slot, with the reason if it is that all targets that could run it are leaving or evacuated. */
 export const createSlotRefusal = (components: SharedComponents, plan: Plan, message: string): StatementOutcome => {
 	const isDrained = getPlanAcceptingMs(components, plan) <= 0;
 	return createBusyRefusal(
-		isDrained ? 'every target that could run the statement is leaving' : message,
+		isDrained ? 'every target that could run the statement is leaving or in an evacuated data centre' : message,
 		isDrained || hasNoLeader(components, plan) ? LEADER_RETRY_AFTER_MS : RETRY_PAUSE_MS * (1 + components.scheduler.getWaitingCount()),
 	);
 };
@@ -152,10 +152,10 @@
 		return handle;
 	}
 
-	// Opening the connection may have taken until after the drain time of a leaving target.
+	// Opening the connection may have taken until after the drain time of a leaving target, or the time left for an evacuation.
 	if (components.getAcceptingMs(target) <= 0) {
 		handle.val.release(true);
-		return Err({code: 'leaving', message: 'the target is leaving and accepts no new work'});
+		return Err({code: 'leaving', message: 'the target is leaving or evacuated and accepts no new work'});
 	}
 
 	if (plan.kind === 'leader' && components.leaderTracker.getLeader() !== target) {
--- a/packages/database-owners/src/synced-groups.ts
+++ b/packages/database-owners/src/synced-groups.ts
@@ -215,8 +215,9 @@
 		const {stored, reports} = paused.ok ? paused.val : {stored: undefined, reports: []};
 		const [best] = stored ? rankMembers(reports, stored) : [];
 		const pausable = members.getRecord()?.members ?? listTargets();
-		if (!best || !stored || (isPlanned && mayResume() && !isPreferred(best.target, stored.registered))) {
-			const cause = paused.err ? paused.val.message : (best ? `${best.target.id} has the longest log and is leaving or not registered` : 'there is no replica');
+		const mustStay = isPlanned || (best !== undefined && owner.components.getSendingMs(best.target.dataCentre) !== Number.POSITIVE_INFINITY);
+		if (!best || !stored || (mustStay && mayResume() && !isPreferred(best.target, stored.registered))) {
+			const cause = paused.err ? paused.val.message : (best ? `${best.target.id} has the longest log and is leaving, evacuated or not registered` : 'there is no replica');
 			reportFailure(`${reason}; no replica promoted because ${cause}`);
 			await resume(pausable, 'no replica was promoted');
 			return false;
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -28,6 +28,8 @@
 export type Target = RegisteredTarget & Readonly<{
 	/** Deadline of the suspension clock after which no statement outside a transaction, and no transaction, may begin on the target; `NEVER` unless it is leaving. */
 	acceptsUntil: Deadline;
+	/** Whether its data centre is evacuated: it must be replaced as primary, and gets no reads. */
+	isEvacuated: boolean;
 }>;
 
 /** A command on a connection to a target. `after` is the minimum log position that the target must have reached. */
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
-	createConditionVariable, Err, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
+	createConditionVariable, Err, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -32,15 +32,27 @@
 	runningCount: number;
 	/** Highest number of statements that ran concurrently. */
 	maxRunningCount: number;
+	/** When the target last received a command or a new connection. */
+	lastReachedAt: Instant;
 };
 
 /** Database of all fake targets. */
 export const DATABASE = brandId<DatabaseId>('ledger');
 
 /** Creates a fake target at position 100 of term 1. */
-export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2): FakeTarget => ({
+export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2, dataCentre = 'here'): FakeTarget => ({
 	description: {
-		id: brandId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: brandId<DataCentreId>('here'), slots, isDraining: false, acceptsUntil: NEVER, role, startedAtMs: 1,
+		id: brandId<TargetId>(name),
+		database: DATABASE,
+		host: name,
+		port: 1,
+		dataCentre: brandId<DataCentreId>(dataCentre),
+		slots,
+		isDraining: false,
+		acceptsUntil: NEVER,
+		isEvacuated: false,
+		role,
+		startedAtMs: 1,
 	},
 	role,
 	position: {term: 1, number: 100},
@@ -55,6 +67,7 @@
 	heldTerm: 0,
 	runningCount: 0,
 	maxRunningCount: 0,
+	lastReachedAt: 0 as Instant,
 });
 
 type Session = {isInTransaction: boolean; isReadOnly: boolean; values: Map<string, string>; prepared: Set<string>};
@@ -107,6 +120,7 @@
 	};
 
 	const run = async (command: Command): Promise<Reply> => {
+		target.lastReachedAt = runtime.now();
 		if (target.refusedKinds.has(command.kind)) {
 			return createErrorReply('busy');
 		}
@@ -223,6 +237,7 @@
 	}
 
 	target.dialCount++;
+	target.lastReachedAt = runtime.now();
 	await runtime.sleep(target.dialMs);
 	return Ok(createConnection(target, runtime));
 };
--- a/packages/database-owners/src/tests/synced-groups.test.ts
+++ b/packages/database-owners/src/tests/synced-groups.test.ts
@@ -71,6 +71,7 @@
 			dial: group.dial,
 			readStatus: group.readStatus,
 			appointments: SELF_FENCING_APPOINTMENTS,
+			getEvacuationDeadline: () => NEVER,
 			getConnectionLimit: () => 8,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -1,7 +1,7 @@
 /** Open transactions of a database owner, each on a connection of its own. */
 
 import {
-	createDeadline, isPast, type Deadline, type Instant, type TargetId,
+	chooseEarliest, createDeadline, isPast, type DataCentreId, type Deadline, type Instant, type TargetId,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -29,10 +29,13 @@
 	getOpenCount: () => number;
 	/** Counts the open transactions that may write. */
 	getWriterCount: () => number;
+	/** Ends the transactions on targets of evacuated data centres before nothing may be sent there any longer; called when the targets have changed. */
+	limitToEvacuations: () => void;
 }>;
 
 type OpenTransaction = {
 	readonly target: TargetId;
+	readonly dataCentre: DataCentreId | undefined;
 	readonly handle: ConnectionHandle;
 	/** Proof that its target has led since it was begun; `undefined` if it is read-only and may run anywhere. */
 	readonly leadProof: LeadProof | undefined;
@@ -41,6 +44,8 @@
 	/** Cancels the timer that enforces the idle limit. */
 	cancelIdleTimer: () => void;
 	isBusy: boolean;
+	/** Whether a timer will end it because the data centre of its target is evacuated. */
+	isLimited: boolean;
 	/** Whether it was ended while a statement was running: it is rolled back when that statement ends. */
 	isRollbackPending: boolean;
 };
@@ -55,6 +60,9 @@
 /** Timeout of a rollback; after it the connection is closed. */
 const ROLLBACK_TIMEOUT_MS = 1000;
 
+/** Reason for ending a transaction on a target of an evacuated data centre. */
+const EVACUATED_REASON = 'the data centre of its target is evacuated';
+
 /** Placeholder for `cancelIdleTimer` while no timer is running. */
 const doNothing = () => undefined;
 
@@ -80,8 +88,12 @@
 	const {runtime} = context;
 	const openTransactions = new Map<string, OpenTransaction>();
 
+	/** Returns how long statements may still be sent in a transaction, in milliseconds; infinite unless the data centre of its target is evacuated. */
+	const getSendingMs = ({dataCentre}: OpenTransaction): number => dataCentre === undefined ? Number.POSITIVE_INFINITY : components.getSendingMs(dataCentre);
+
 	const rollBackAndRelease = async (transaction: OpenTransaction) => {
-		if (transaction.handle.connection.isEnded()) {
+		// A target rolls back the transaction of a connection that ends.
+		if (transaction.handle.connection.isEnded() || getSendingMs(transaction) <= 0) {
 			transaction.handle.release(false);
 			return;
 		}
@@ -105,6 +117,32 @@
 		}
 	};
 
+	/** Ends a transaction when nothing may be sent to its target any longer, if that is in an evacuated data centre. */
+	const limitToEvacuation = (id: string, transaction: OpenTransaction) => {
+		const sendingMs = getSendingMs(transaction);
+		if (transaction.isLimited || sendingMs === Number.POSITIVE_INFINITY) {
+			return;
+		}
+
+		transaction.isLimited = true;
+		runtime.schedule(Math.max(0, sendingMs), () => {
+			transaction.isLimited = false;
+			if (openTransactions.get(id) !== transaction) {
+				return;
+			}
+
+			if (getSendingMs(transaction) > 0) {
+				limitToEvacuation(id, transaction);
+				return;
+			}
+
+			context.onDecision({
+				kind: 'transactionExpired', requestId: id, target: transaction.target, reason: EVACUATED_REASON, ageMs: 0,
+			});
+			rollBack(id);
+		});
+	};
+
 	const startIdleTimer = (id: string): (() => void) => runtime.schedule(context.getIdleTransactionMs(), () => {
 		context.onDecision({
 			kind: 'transactionExpired', requestId: id, target: openTransactions.get(id)?.target ?? '', reason: 'the transaction exceeded its idle limit', ageMs: context.getIdleTransactionMs(),
@@ -123,7 +161,7 @@
 		customer: request.customer,
 		priority: request.priority,
 		latencyDeadline: createDeadline(runtime.now(), request.promptMs),
-		deadline,
+		deadline: chooseEarliest([deadline, createDeadline(runtime.now(), getSendingMs(transaction))]),
 		isPinned: true,
 		chooseTarget: freeTargets => freeTargets.find(load => load.id === transaction.target)?.id,
 	});
@@ -225,6 +263,11 @@
 				slot = acquired.val;
 			}
 
+			if (getSendingMs(transaction) <= 0) {
+				slot.release();
+				return finishStatement(id, transaction, createResponse(createAbortedRefusal(EVACUATED_REASON), runtime.now() - arrivedAt, 'failed'));
+			}
+
 			const response = await runInTransaction(transaction, slot, {request, deadline, arrivedAt});
 			slot = undefined;
 			if (response !== 'again') {
@@ -269,7 +312,7 @@
 		}
 
 		return {
-			target, handle, leadProof, hasWritten: false, cancelIdleTimer: doNothing, isBusy: true, isRollbackPending: false,
+			target, dataCentre: components.getTarget(target)?.dataCentre, handle, leadProof, hasWritten: false, cancelIdleTimer: doNothing, isBusy: true, isLimited: false, isRollbackPending: false,
 		};
 	};
 
@@ -306,6 +349,7 @@
 			const transaction = handle.ok ? await beginTransaction(plan, handle.val, {request, deadline, arrivedAt}, target) : undefined;
 			if (transaction) {
 				openTransactions.set(id, transaction);
+				limitToEvacuation(id, transaction);
 				return continueTransaction(id, transaction, {request, deadline, arrivedAt}, slot.val);
 			}
 
@@ -331,6 +375,11 @@
 				: createResponse(createAbortedRefusal('the transaction has ended'), 0, 'failed');
 		},
 		rollBack,
+		limitToEvacuations() {
+			for (const [id, transaction] of openTransactions) {
+				limitToEvacuation(id, transaction);
+			}
+		},
 		getOpenCount: () => openTransactions.size,
 		getWriterCount: () => [...openTransactions.values()].filter(({leadProof}) => leadProof !== undefined).length,
 	};
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -50,6 +50,7 @@
 		dial: targets.dial,
 		readStatus: () => undefined,
 		appointments: SELF_FENCING_APPOINTMENTS,
+		getEvacuationDeadline: () => NEVER,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -170,7 +170,7 @@
 			dataCentre: brandId<DataCentreId>(dataCentre),
 			slots,
 			isDraining: false,
-			acceptsUntil: NEVER,
+			acceptsUntil: NEVER, isEvacuated: false,
 			role: id === leader ? 'primary' : 'replica',
 			startedAtMs: 1,
 		})),
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -27,6 +27,8 @@
 	storeUnreachable: createEventKind(1104, 'warn', 'store unreachable'),
 	storeReachable: createEventKind(1105, 'info', 'store reachable again'),
 	storeRestored: createEventKind(1106, 'warn', 'store restored from an older copy'),
+	evacuationChanged: createEventKind(1107, 'info', 'evacuation of a data centre begun or ended'),
+	unknownName: createEventKind(1108, 'warn', 'operators named an unknown data centre or region'),
 	callerRefused: createEventKind(1201, 'warn', 'caller refused at startup'),
 	callerClosed: createEventKind(1202, 'info', 'caller closed by the proxy'),
 	keyWithdrawn: createEventKind(1203, 'info', 'open connection closed, key withdrawn'),
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -11,6 +11,8 @@
 	parseMember, rankCoordinators, rankOwners, type Member,
 } from './members.js';
 import type {Configuration} from './configuration.js';
+import {createEvacuations} from './evacuations.js';
+import {createNameReporter} from './unknown-names.js';
 
 /** Prefix of all keys that this product writes to the store. */
 export const STORE_PREFIX = 'guavapitch/';
@@ -33,14 +35,20 @@
 	findTarget: (id: TargetId) => Target | undefined;
 	/** Ranks the vms as owners of a database, best first. */
 	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Returns the deadline of the suspension clock after which nothing more may be sent to the targets of a data centre; `NEVER` unless it is evacuated. */
+	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
 	/** Ranks the vms as failover coordinators of a database, best first. */
 	rankCoordinators: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean; hasAppointmentChange: boolean}>;
 }>;
 
-/** Tells whether a change affects the cluster view. A target entry that decodes to the same target as before is only a heartbeat and does not. */
+/** Tells whether a change affects the cluster view. Other entries of operators do not, and a target entry that decodes to the same target as before is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, previous: StoreEntry | undefined): boolean => {
+	if (change.key.startsWith(context.operatorPrefix)) {
+		return change.key === context.configurationKey || context.parseEvacuation(change.key) !== undefined;
+	}
+
 	if (!change.entry || !previous || !change.key.startsWith(context.targetPrefix)) {
 		return true;
 	}
@@ -105,6 +113,8 @@
 	let targets = new Map<TargetId, Target>();
 	let targetsByDatabase = new Map<DatabaseId, Target[]>();
 	let ownerRanks = new Map<DatabaseId, readonly Member[]>();
+	const evacuations = createEvacuations({...context, getFeed});
+	const reportUnknownNames = createNameReporter(context);
 	/** Until when leaving targets accept new work, by run of the target; kept when an entry is missing for a while, as the drain time goes on. */
 	const acceptsUntilByRun = new Map<string, Deadline>();
 
@@ -192,6 +202,8 @@
 		return {...target, acceptsUntil: chooseEarliest([presentUntil, createDeadline(getFeed().getCompleteAt(context.targetPrefix), context.getTargetDrainMs())])};
 	};
 
+	const isEvacuated = ({dataCentre}: RegisteredTarget): boolean => evacuations.getDeadline(dataCentre) !== NEVER;
+
 	const rebuildTargets = () => {
 		const targetsById = new Map<TargetId, Target>();
 		const groupedTargets = new Map<DatabaseId, Target[]>();
@@ -199,7 +211,9 @@
 			const parsed = context.parseTarget(entry);
 			if (parsed.ok) {
 				const acceptsUntil = getAcceptsUntil(parsed.val);
-				const target: Target = {...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil};
+				const target: Target = {
+					...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil, isEvacuated: isEvacuated(parsed.val),
+				};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
 				lapsedUntil.delete(target.id);
@@ -208,8 +222,9 @@
 
 		const listedTargets = [...targetsById.values()];
 		for (const known of targets.values()) {
-			const target = targetsById.has(known.id) ? undefined : keepLapsed(known, listedTargets);
-			if (target) {
+			const kept = targetsById.has(known.id) ? undefined : keepLapsed(known, listedTargets);
+			if (kept) {
+				const target: Target = {...kept, isEvacuated: isEvacuated(kept)};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
 			} else {
@@ -258,15 +273,21 @@
 		findTarget: id => targets.get(id),
 		rankOwners: rankDatabaseOwners,
 		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
+		getEvacuationDeadline: evacuations.getDeadline,
 		applyChanges(changes) {
 			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
-			const hasTargetChange = changes.some(({key}) => key.startsWith(context.targetPrefix));
+			const hasEvacuationChange = changes.some(({key}) => context.parseEvacuation(key) !== undefined);
+			const hasTargetChange = hasEvacuationChange || changes.some(({key}) => key.startsWith(context.targetPrefix));
 			const hasMemberChange = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
 			const hasAppointmentChange = changes.some(({key}) => key.startsWith(APPOINTMENT_PREFIX));
 			if (hasConfigurationChange) {
 				applyConfiguration(getFeed().get(context.configurationKey));
 			}
 
+			if (hasEvacuationChange) {
+				evacuations.refresh();
+			}
+
 			if (hasTargetChange) {
 				rebuildTargets();
 				reportMalformed(changes);
@@ -276,6 +297,9 @@
 				rebuildMembers();
 			}
 
+			reportUnknownNames({
+				evacuated: evacuations.list(), members, targets: [...targets.values()],
+			});
 			return {
 				hasConfigurationChange, hasTargetChange, hasMemberChange, hasAppointmentChange,
 			};
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -1,7 +1,7 @@
 /** Dependencies of the process of an entry vm. */
 
 import type {
-	DataCentreId, Instant, Result, TargetId, VmId, Runtime,
+	DataCentreId, Instant, RegionId, Result, TargetId, VmId, Runtime,
 } from '@guavapitch/core';
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
 import type {
@@ -19,6 +19,8 @@
 	dataCentre: DataCentreId;
 	/** Number of data centres in the fleet. */
 	dataCentreCount: number;
+	/** Regions of the data centres of the fleet. */
+	regions: ReadonlyMap<DataCentreId, RegionId>;
 	/** Address at which other vms reach this one. */
 	host: string;
 	port: number;
@@ -36,12 +38,18 @@
 	metrics: Metrics;
 	source: FeedSource;
 	store: RoleStore;
-	/** Store key of the operators' configuration. */
+	/** Key prefix of the store entries that operators write: the configuration and the evacuations. */
+	operatorPrefix: string;
+	/** Store key of the operators' configuration, under `operatorPrefix`. */
 	configurationKey: string;
 	/** Key prefix of the store entries of targets. */
 	targetPrefix: string;
 	parseConfiguration: ParseConfiguration;
 	parseTarget: (entry: StoreEntry) => Result<RegisteredTarget, DocumentFailure>;
+	/** Parses the key of an entry that operators write; returns the data centre that it evacuates, or `undefined` if it evacuates none. */
+	parseEvacuation: (key: string) => DataCentreId | undefined;
+	/** Returns the time after which nothing reaches the targets of an evacuated data centre any longer, in milliseconds. */
+	getEvacuationMs: () => number;
 	/** Returns for how long a target accepts new work after it has announced that it leaves, in milliseconds. */
 	getTargetDrainMs: () => number;
 	/** Whether a target that was replaced as primary refuses work at once; otherwise the appointment recorded in the store decides which target leads. */
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,7 +1,7 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, NEVER, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner,
@@ -82,6 +82,7 @@
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
 			appointments: dependencies.appointments.get(database),
+			getEvacuationDeadline: view.getEvacuationDeadline,
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
@@ -107,7 +108,7 @@
 			requestPromotion: async (target, fencingToken) => context.requestPromotion(target, settings.vm, fencingToken),
 			isReachableFromPeers: probeFromPeers,
 			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
-			groupStore: createGroupStore(context, database),
+			groupStore: createGroupStore(context, database, ({dataCentre}) => view.getEvacuationDeadline(dataCentre) !== NEVER),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
 				emit(EVENTS.coordinatorDecision, {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -54,8 +54,8 @@
 const FEED_METHOD = 'feed';
 const CONFIRM_APPOINTMENT_METHOD = 'confirm';
 
-/** Maximum duration of one watch of the configuration, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
-const CONFIGURATION_WATCH_MS = 850;
+/** Maximum duration of one watch of the configuration and the evacuations, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
+const OPERATOR_WATCH_MS = 850;
 /** Maximum duration of one watch of members and roles, in milliseconds. */
 const MEMBER_WATCH_MS = 5000;
 /** Pause between watches of members and roles, in milliseconds: when a whole fleet starts, each joining vm would otherwise end every watch. */
@@ -144,7 +144,7 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: [
-			{prefix: context.configurationKey, waitMs: CONFIGURATION_WATCH_MS, pauseMs: 0},
+			{prefix: context.operatorPrefix, waitMs: OPERATOR_WATCH_MS, pauseMs: 0},
 			{prefix: STORE_PREFIX, waitMs: MEMBER_WATCH_MS, pauseMs: MEMBER_PAUSE_MS},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
--- a/packages/vm/src/replication-groups.ts
+++ b/packages/vm/src/replication-groups.ts
@@ -34,8 +34,15 @@
 	}
 };
 
-/** Creates the group store of a database. A record that cannot be read fails, as members would be missing without it. */
-export const createGroupStore = ({store, source, targetPrefix, parseTarget}: Pick<VmContext, 'store' | 'source' | 'targetPrefix' | 'parseTarget'>, database: DatabaseId): GroupStore => {
+/**
+ * Creates the group store of a database. A record that cannot be read fails, as members would be missing without it.
+ * Targets of evacuated data centres are returned as leaving: they belong to the group but should not lead it.
+ */
+export const createGroupStore = (
+	{store, source, targetPrefix, parseTarget}: Pick<VmContext, 'store' | 'source' | 'targetPrefix' | 'parseTarget'>,
+	database: DatabaseId,
+	isEvacuated: (target: RegisteredTarget) => boolean = () => false,
+): GroupStore => {
 	const key = `${GROUP_PREFIX}${database}`;
 	return {
 		async read() {
@@ -66,7 +73,7 @@
 				record,
 				revision: group.val.revision,
 				appointed: appointed && isTokenOfEra(appointed.fencingToken, appointment.val.era) ? appointed.target : undefined,
-				registered: registered.filter(target => target.database === database),
+				registered: registered.filter(target => target.database === database).map(target => isEvacuated(target) ? {...target, isDraining: true} : target),
 				unrelated: registered.filter(target => target.database !== database),
 			});
 		},
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, Ok, brandId, type CustomerId, type Runtime,
+	createVirtualRuntime, Ok, brandId, type CustomerId, type Runtime, NEVER,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, NO_GROUP_STORE, runFailoverCoordinator, SELF_FENCING_APPOINTMENTS, type DatabaseOwner,
@@ -116,6 +116,7 @@
 			dial: targets.createDial(name),
 			readStatus: targets.readStatus,
 			appointments: isProtected ? appointments.get(MODEL_DATABASE) : SELF_FENCING_APPOINTMENTS,
+			getEvacuationDeadline: () => NEVER,
 			getConnectionLimit: () => 20,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -3,14 +3,17 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type TargetId,
+	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type RegionId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
-import {createClusterView} from '../cluster-view.js';
+import {createClusterView, isRelevantChange} from '../cluster-view.js';
 import type {VmContext} from '../context.js';
 
 const TARGET_PREFIX = 'servers/';
 const DRAIN_MS = 7000;
+const HERE = brandId<DataCentreId>('here');
+const EVACUATION_PREFIX = 'op/evacuate/';
+const EVACUATION_MS = 5000;
 const DATABASE = brandId<DatabaseId>('ledger');
 
 type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number}>;
@@ -24,6 +27,12 @@
 	let revision = 0;
 	let completeAt = 0 as Instant;
 	const context: Partial<VmContext> = {
+		settings: {
+			vm: brandId<VmId>('v'), run: 'r', dataCentre: HERE, dataCentreCount: 1, regions: new Map([[HERE, brandId<RegionId>('home')]]), host: 'h', port: 1, capacity: 1,
+		},
+		operatorPrefix: 'op/',
+		parseEvacuation: key => key.startsWith(EVACUATION_PREFIX) ? brandId<DataCentreId>(key.slice(EVACUATION_PREFIX.length)) : undefined,
+		getEvacuationMs: () => EVACUATION_MS,
 		runtime,
 		readSuspensionClock: runtime.now,
 		targetPrefix: TARGET_PREFIX,
@@ -36,7 +45,7 @@
 			try {
 				const {id, isDraining = false, startedAtMs = 1} = JSON.parse(entry.value) as TargetEntry;
 				return Ok({
-					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: brandId<DataCentreId>('here'), slots: 2, isDraining, role: 'replica', startedAtMs,
+					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: HERE, slots: 2, isDraining, role: 'replica', startedAtMs,
 				});
 			} catch {
 				return Err({code: 'documentMalformed', message: 'not JSON'});
@@ -55,21 +64,42 @@
 			droppedCount++;
 		},
 	});
+	const createEntry = (key: string, value: string): StoreEntry => ({
+		key, value, era: 1, revision, createdRevision: revision,
+	});
 	const setTargets = (targets: readonly TargetEntry[]) => {
 		revision++;
-		entries = targets.map(target => ({
-			key: `${TARGET_PREFIX}${target.id}`, value: JSON.stringify(target), era: 1, revision, createdRevision: revision,
-		}));
+		entries = [...entries.filter(({key}) => !key.startsWith(TARGET_PREFIX)), ...targets.map(target => createEntry(`${TARGET_PREFIX}${target.id}`, JSON.stringify(target)))];
 		view.applyChanges([{
 			key: TARGET_PREFIX, era: 1, revision, entry: undefined,
 		}]);
 	};
 
+	/** Replaces the operators' evacuations. */
+	const setEvacuations = (dataCentres: readonly string[]) => {
+		revision++;
+		entries = [...entries.filter(({key}) => !key.startsWith('op/')), ...dataCentres.map(name => createEntry(`${EVACUATION_PREFIX}${name}`, '{}'))];
+		view.applyChanges([{
+			key: `${EVACUATION_PREFIX}here`, era: 1, revision, entry: undefined,
+		}]);
+	};
+
+	/** Lists a vm in the data centre of the targets. */
+	const addMember = () => {
+		revision++;
+		entries = [...entries, createEntry('guavapitch/vms/v', JSON.stringify({
+			vm: 'v', run: 'r', dataCentre: 'here', host: 'h', port: 1, capacity: 1,
+		}))];
+		view.applyChanges([{
+			key: 'guavapitch/vms/v', era: 1, revision, entry: undefined,
+		}]);
+	};
+
 	/** Returns until when a target accepts new work. */
 	const getAcceptsUntil = (id: string) => view.findTarget(brandId<TargetId>(id))?.acceptsUntil;
 
 	return {
-		view, events, setTargets, getAcceptsUntil, advance,
+		view, events, setTargets, setEvacuations, addMember, getAcceptsUntil, advance, context,
 		getDroppedCount: () => droppedCount,
 		setCompleteAt(ms: number) {
 			completeAt = ms as Instant;
@@ -122,6 +152,51 @@
 		});
 	});
 
+	describe('an evacuation', () => {
+		it('marks the targets of its data centre until the key is removed, and counts from the last moment at which there was no key', () => {
+			const {view, events, setTargets, setEvacuations, setCompleteAt} = createSetup();
+			setTargets([{id: 'a'}]);
+			setCompleteAt(100);
+			setEvacuations(['here']);
+			setCompleteAt(900);
+			setEvacuations(['here', 'there']);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, true);
+			assert.equal(view.getEvacuationDeadline(HERE), 100 + (0.8 * EVACUATION_MS));
+			setEvacuations([]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, false);
+			assert.equal(view.getEvacuationDeadline(HERE), NEVER);
+			assert.deepEqual(events.filter(({id}) => id === 1107).map(({dataCentre, isEvacuated}) => [dataCentre, isEvacuated]), [['here', true], ['there', true], ['here', false], ['there', false]]);
+		});
+
+		it('is in force at once for a vm that reads it first, as one that starts', () => {
+			const {view, setTargets, setEvacuations, setCompleteAt} = createSetup();
+			setCompleteAt(Number.NEGATIVE_INFINITY);
+			setEvacuations(['here']);
+			setTargets([{id: 'a'}]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, true);
+			assert.equal(view.getEvacuationDeadline(HERE), Number.NEGATIVE_INFINITY);
+		});
+
+		it('of a data centre that nothing in the fleet has is reported once, as soon as the fleet is known, and marks no target', () => {
+			const {view, events, setTargets, setEvacuations, addMember} = createSetup();
+			setEvacuations(['nowhere', 'here']);
+			setTargets([{id: 'a'}]);
+			assert.deepEqual(events.filter(({id}) => id === 1108), []);
+			addMember();
+			setEvacuations(['nowhere']);
+			assert.deepEqual(events.filter(({id}) => id === 1108), [{id: 1108, field: 'evacuation', name: 'nowhere'}]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, false);
+		});
+
+		it('is passed on to followers, unlike other entries of operators', () => {
+			const {context} = createSetup();
+			const isRelevant = (key: string) => isRelevantChange(context as VmContext, {
+				key, era: 1, revision: 1, entry: undefined,
+			}, undefined);
+			assert.deepEqual(['op/config', 'op/evacuate/here', 'op/notes'].map(key => isRelevant(key)), [true, true, false]);
+		});
+	});
+
 	describe('a target whose entry is missing', () => {
 		// Entries lapse while the store is away: a sound primary must not be taken for one that is gone.
 		it('counts as present until its entry had time to come back after an outage of the store', async () => {
--- a/packages/vm/src/tests/model-targets.ts
+++ b/packages/vm/src/tests/model-targets.ts
@@ -57,7 +57,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER,
+			acceptsUntil: NEVER, isEvacuated: false,
 			role: index === 0 ? 'primary' : 'replica',
 			startedAtMs: 1,
 		},
