Restrict requests to the regions that their route and customer allow

A customer's data could reach any region, as owners and targets were chosen by load alone. allowed_regions of routes and tenants now restricts both: a request runs only at targets of these regions, and its body is sent only to vms in them or in the region of the vm that the caller is connected to, and to that vm. Where both name regions, both apply. What no target of these regions can run is refused at once as busy with a retry time. If a named region belongs to no data centre, event 1108 names the field, and the requests concerned are refused at once.

Requests without restrictions are sent as before; the field allowedRegions is then absent.

--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,7 +1,7 @@
 /** Session of one caller: its variables, prepared statements and transaction. Independent of the wire encoding. */
 
 import {
-	createDeadline, getRemainingMs, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type Runtime,
+	createDeadline, getRemainingMs, type CustomerId, type DatabaseId, type Deadline, type RegionId, type Result, type TransactionStatus, type Runtime,
 } from '@guavapitch/core';
 import {
 	chooseLaterPosition, createRefusal, getAccess,
@@ -23,10 +23,17 @@
 	priority: number;
 	/** Whether callers need no key. */
 	isPublic: boolean;
+	/** Regions at whose targets requests may run; `undefined` if they may run at any. */
+	allowedRegions: ReadonlySet<RegionId> | undefined;
 }>;
 
 /** Service and customer for which a session is authorized. */
-export type Authorization = Readonly<{route: Route; customer: CustomerId}>;
+export type Authorization = Readonly<{
+	route: Route;
+	customer: CustomerId;
+	/** Regions at whose targets requests may run, according to the route and the customer; `undefined` if they may run at any. */
+	allowedRegions?: readonly RegionId[] | undefined;
+}>;
 
 /** Dependencies of a session. */
 export type SessionContext = Readonly<{
@@ -113,7 +120,7 @@
 		}
 	};
 
-	const createRequest = (id: string, statement: TargetStatement, {route, customer}: Authorization, {deadline, latencyDeadline}: RequestDeadlines): StatementRequest => ({
+	const createRequest = (id: string, statement: TargetStatement, {route, customer, allowedRegions}: Authorization, {deadline, latencyDeadline}: RequestDeadlines): StatementRequest => ({
 		id,
 		database: route.database,
 		customer,
@@ -125,6 +132,7 @@
 		remainingMs: getRemainingMs(deadline, runtime.now()),
 		promptMs: Math.max(0, latencyDeadline - runtime.now()),
 		priority: route.priority,
+		...(allowedRegions && {allowedRegions}),
 	});
 
 	const recordResponse = (request: StatementRequest, {outcome, position}: StatementResponse) => {
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -12,7 +12,14 @@
 import {createStopPlan, type StopPlan} from '../stop-plan.js';
 
 const ROUTE: Route = {
-	service: 'club', database: brandId<DatabaseId>('ledger'), consistency: {kind: 'ownWrites', maxStalenessMs: 1000}, timeoutMs: 800, latencyObjectiveMs: 200, priority: 1, isPublic: false,
+	service: 'club',
+	database: brandId<DatabaseId>('ledger'),
+	consistency: {kind: 'ownWrites', maxStalenessMs: 1000},
+	timeoutMs: 800,
+	latencyObjectiveMs: 200,
+	priority: 1,
+	isPublic: false,
+	allowedRegions: undefined,
 };
 const DONE: StatementOutcome = {kind: 'done', rows: ['row'], signature: 's'};
 
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -118,6 +118,11 @@
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
+/** Describes a target that is reached although it need not be listed; no work begins on it. */
+const createUnlistedTarget = (target: RegisteredTarget): Target => ({
+	...target, acceptsUntil: PAST, region: undefined, isEvacuated: false,
+});
+
 /** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
 	const {runtime, readSuspensionClock} = context;
@@ -182,7 +187,7 @@
 			return Err({code: 'silent', message: 'its data centre is evacuated'});
 		}
 
-		const dialled = await context.dial({...target, acceptsUntil: PAST, isEvacuated: false}, lastCustomer ?? context.getAnyCustomer(), deadline);
+		const dialled = await context.dial(createUnlistedTarget(target), lastCustomer ?? context.getAnyCustomer(), deadline);
 		return dialled.map(connection => ({connection, release: connection.close}));
 	};
 
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -1,7 +1,7 @@
 /** Plans where a statement may run and which log position it must see there. */
 
 import {
-	chooseEarliest, createDeadline, NEVER, type Deadline, type TargetId,
+	chooseEarliest, createDeadline, NEVER, type Deadline, type RegionId, type TargetId,
 } from '@guavapitch/core';
 import {
 	chooseLaterPosition, getAccess, type StatementRequest, type LogPosition,
@@ -11,12 +11,13 @@
 import type {TargetLoad} from './slot-scheduler.js';
 import type {Target} from './targets.js';
 
-/** Placement constraint of a statement or a transaction. */
-export type Plan
+/** Placement constraint of a statement or a transaction: its allowed regions, absent if they are not restricted, and what it needs of a target. */
+export type Plan = Readonly<{allowedRegions?: readonly RegionId[]}> & (
 	/** On the leader. If `isWrite`, a target that is not the leader refuses the statement, so a proof that it leads is not needed. */
-	= | Readonly<{kind: 'leader'; isWrite: boolean}>
+	| Readonly<{kind: 'leader'; isWrite: boolean}>
 	/** On any target whose log has reached a position. */
-		| Readonly<{kind: 'anywhere'; after: LogPosition}>;
+	| Readonly<{kind: 'anywhere'; after: LogPosition}>
+);
 
 /** Margin for the time between computing the minimum position and running the read, in milliseconds. The caller measures staleness from the first byte of its request, which is earlier still. */
 const STALENESS_MARGIN_MS = 100;
@@ -24,6 +25,11 @@
 /** How long a request waits for a leader, or for any target, to appear: longer than reconnecting takes, shorter than a promotion. */
 const MAX_TARGET_WAIT_MS = 250;
 
+const getRegionConstraint = ({allowedRegions}: StatementRequest): Pick<Plan, 'allowedRegions'> => allowedRegions ? {allowedRegions} : {};
+
+/** Tells whether a plan allows the region of a target. */
+const isRegionAllowed = ({allowedRegions}: Plan, target: Target | undefined): boolean => allowedRegions === undefined || (target?.region !== undefined && allowedRegions.includes(target.region));
+
 /** Creates the plan of a read that may run on any target once its minimum position is known; `undefined` if no leader confirms a position in time. */
 const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
 	const {positionHistory, context} = components;
@@ -35,14 +41,14 @@
 	}
 
 	const after = verifiedPosition && chooseLaterPosition(verifiedPosition, positionHistory.translateToLatestTerm(request.floor));
-	return after && {kind: 'anywhere', after};
+	return after && {...getRegionConstraint(request), kind: 'anywhere', after};
 };
 
 /** Creates the plan of a statement outside a transaction, or of the begin of a transaction; `undefined` if no leader confirms a position in time. */
 export const createPlan = async (components: SharedComponents, request: StatementRequest, deadline: Deadline): Promise<Plan | undefined> => {
 	const isReadOnly = request.transaction ? request.transaction.readOnly : getAccess(request.statement) === 'read';
 	if (!isReadOnly || request.consistency.kind === 'latest') {
-		return {kind: 'leader', isWrite: !isReadOnly};
+		return {...getRegionConstraint(request), kind: 'leader', isWrite: !isReadOnly};
 	}
 
 	return createBoundedStalenessPlan(components, request, request.consistency.maxStalenessMs, deadline);
@@ -58,7 +64,7 @@
 export const chooseTarget = (components: SharedComponents, {plan, request, tried}: TargetCriteria, freeTargets: readonly TargetLoad[]): TargetId | undefined => {
 	const {leaderTracker, healthTracker, getConnections, getTarget} = components;
 	const leader = leaderTracker.getLeader();
-	const canAcquire = (id: TargetId): boolean => healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
+	const canAcquire = (id: TargetId): boolean => isRegionAllowed(plan, getTarget(id)) && healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
 		// Writes wait for the planned change of an evacuated primary, so that none is lost with what its successor has not received.
 		const areWritesPaused = components.areWritesPaused() || (leader !== undefined && getTarget(leader)?.isEvacuated);
@@ -78,7 +84,7 @@
 	});
 };
 
-/** Returns how long a request with this plan may still begin on any known target, in milliseconds; infinite unless all that could run it are leaving or evacuated, or none is known. */
+/** Returns how long a request with this plan may still begin on any known target, in milliseconds; infinite unless all that could run it are leaving, evacuated or outside its regions, or none is known. */
 export const getPlanAcceptingMs = (components: SharedComponents, plan: Plan): number => {
 	const leader = components.leaderTracker.getLeader();
 	const targets = components.listTargets();
@@ -86,11 +92,11 @@
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const candidates = targets.filter(target => target.id === leader || (plan.kind === 'anywhere' && isStaying(target)));
+	const candidates = targets.filter(target => isRegionAllowed(plan, target) && (target.id === leader || (plan.kind === 'anywhere' && isStaying(target))));
 	return Math.max(0, ...candidates.map(({id}) => components.getAcceptingMs(id)));
 };
 
-/** Computes until when a request waits for a slot: it is refused early if no target is registered or it needs a leader and none is usable, and once all targets that could run it are leaving or evacuated and accept no new work. */
+/** Computes until when a request waits for a slot: it is refused early if no target is registered or it needs a leader and none is usable, and once all targets that could run it are leaving, evacuated or outside its regions. */
 export const computeSlotDeadline = (components: SharedComponents, plan: Plan, deadline: Deadline): Deadline => {
 	const {leaderTracker, healthTracker, context} = components;
 	const leader = leaderTracker.getLeader();
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -120,11 +120,11 @@
 
 const hasNoLeader = (components: SharedComponents, plan: Plan): boolean => plan.kind === 'leader' && components.leaderTracker.getLeader() === undefined;
 
-/** Creates the refusal of a statement that got no slot, with the reason if it is that all targets that could run it are leaving or evacuated. */
+/** Creates the refusal of a statement that got no slot, with the reason if it is that no target that could run it accepts it. */
 export const createSlotRefusal = (components: SharedComponents, plan: Plan, message: string): StatementOutcome => {
 	const isDrained = getPlanAcceptingMs(components, plan) <= 0;
 	return createBusyRefusal(
-		isDrained ? 'every target that could run the statement is leaving or in an evacuated data centre' : message,
+		isDrained ? 'every target that could run the statement is leaving, in an evacuated data centre or outside the allowed regions' : message,
 		isDrained || hasNoLeader(components, plan) ? LEADER_RETRY_AFTER_MS : RETRY_PAUSE_MS * (1 + components.scheduler.getWaitingCount()),
 	);
 };
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -1,7 +1,7 @@
 /** Targets of a database and the interface through which a database owner talks to them, independent of any encoding. */
 
 import type {
-	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, Result, TargetId, TransactionStatus,
+	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, RegionId, Result, TargetId, TransactionStatus,
 } from '@guavapitch/core';
 import type {LogPosition, PreparedDefinition, TargetStatement} from '@guavapitch/sessions';
 
@@ -28,6 +28,8 @@
 export type Target = RegisteredTarget & Readonly<{
 	/** Deadline of the suspension clock after which no statement outside a transaction, and no transaction, may begin on the target; `NEVER` unless it is leaving. */
 	acceptsUntil: Deadline;
+	/** Region of its data centre; `undefined` if it is not known. */
+	region: RegionId | undefined;
 	/** Whether its data centre is evacuated: it must be replaced as primary, and gets no reads. */
 	isEvacuated: boolean;
 }>;
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -51,6 +51,7 @@
 		isDraining: false,
 		acceptsUntil: NEVER,
 		isEvacuated: false,
+		region: undefined,
 		role,
 		startedAtMs: 1,
 	},
--- a/packages/database-owners/src/tests/model-group.ts
+++ b/packages/database-owners/src/tests/model-group.ts
@@ -74,7 +74,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
 			role,
 			startedAtMs: ++runCount,
 		},
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -170,7 +170,7 @@
 			dataCentre: brandId<DataCentreId>(dataCentre),
 			slots,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
 			role: id === leader ? 'primary' : 'replica',
 			startedAtMs: 1,
 		})),
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -1,6 +1,8 @@
 /** Statements of callers and their outcomes, independent of the wire encoding. */
 
-import type {CustomerId, DatabaseId, TransactionStatus} from '@guavapitch/core';
+import type {
+	CustomerId, DatabaseId, RegionId, TransactionStatus,
+} from '@guavapitch/core';
 
 /** Position in the log of a database: positions of a later term follow all positions of an earlier one. */
 export type LogPosition = Readonly<{term: number; number: number}>;
@@ -73,6 +75,8 @@
 	promptMs: number;
 	/** Statements with a smaller number run first. */
 	priority: number;
+	/** Regions at whose targets the request may run; absent if it may run at any. */
+	allowedRegions?: readonly RegionId[];
 }>;
 
 /** Response of the owner of a database. */
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,7 +1,7 @@
 /** The cluster as one vm sees it through the change feed: configuration, targets and members. */
 
 import {
-	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, type DatabaseId, type DataCentreId, type Deadline, type TargetId,
+	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, type DatabaseId, type DataCentreId, type Deadline, type RegionId, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
 import type {RegisteredTarget, Target} from '@guavapitch/database-owners';
@@ -11,6 +11,7 @@
 	parseMember, rankCoordinators, rankOwners, type Member,
 } from './members.js';
 import type {Configuration} from './configuration.js';
+import {filterPermitted} from './regions.js';
 import {createEvacuations} from './evacuations.js';
 import {createNameReporter} from './unknown-names.js';
 
@@ -33,8 +34,8 @@
 	listMembers: () => readonly Member[];
 	listTargets: (database: DatabaseId) => readonly Target[];
 	findTarget: (id: TargetId) => Target | undefined;
-	/** Ranks the vms as owners of a database, best first. */
-	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Ranks the vms as owners of a database, best first; without those that may not see the body of a request if it may run only in the given regions. */
+	rankOwners: (database: DatabaseId, allowedRegions?: readonly RegionId[]) => readonly Member[];
 	/** Returns the deadline of the suspension clock after which nothing more may be sent to the targets of a data centre; `NEVER` unless it is evacuated. */
 	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
 	/** Ranks the vms as failover coordinators of a database, best first. */
@@ -212,7 +213,7 @@
 			if (parsed.ok) {
 				const acceptsUntil = getAcceptsUntil(parsed.val);
 				const target: Target = {
-					...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil, isEvacuated: isEvacuated(parsed.val),
+					...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil, region: context.settings.regions.get(parsed.val.dataCentre), isEvacuated: isEvacuated(parsed.val),
 				};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
@@ -271,7 +272,7 @@
 		listMembers: () => members,
 		listTargets: database => targetsByDatabase.get(database) ?? [],
 		findTarget: id => targets.get(id),
-		rankOwners: rankDatabaseOwners,
+		rankOwners: (database, allowedRegions) => filterPermitted(rankDatabaseOwners(database), allowedRegions, context.settings),
 		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
 		getEvacuationDeadline: evacuations.getDeadline,
 		applyChanges(changes) {
@@ -298,7 +299,7 @@
 			}
 
 			reportUnknownNames({
-				evacuated: evacuations.list(), members, targets: [...targets.values()],
+				evacuated: evacuations.list(), regionFields: configuration?.regionFields ?? [], members, targets: [...targets.values()],
 			});
 			return {
 				hasConfigurationChange, hasTargetChange, hasMemberChange, hasAppointmentChange,
--- a/packages/vm/src/configuration.ts
+++ b/packages/vm/src/configuration.ts
@@ -1,7 +1,7 @@
 /** The active configuration, as every vm knows it. */
 
 import type {
-	CustomerId, DatabaseId, Failure, Result,
+	CustomerId, DatabaseId, Failure, RegionId, Result,
 } from '@guavapitch/core';
 import type {Route} from '@guavapitch/callers';
 import type {Quota} from '@guavapitch/limits';
@@ -13,6 +13,10 @@
 	connectionLimit: number;
 	/** Whether a commit is acknowledged only after a replica has received it. */
 	isReplicated: boolean;
+	/** How long a target counts as cold after its start, in milliseconds; 0 if it never does. */
+	coldStartMs: number;
+	/** Requests per second that a cold target receives from all vms together; 0 if it is not limited. */
+	coldPerSecond: number;
 }>;
 
 /** One version of the operators' configuration. */
@@ -26,6 +30,10 @@
 	customersByKey: ReadonlyMap<string, CustomerId>;
 	/** Quotas of customers; a customer without an entry is not limited. */
 	quotas: ReadonlyMap<CustomerId, Quota>;
+	/** Regions at whose targets the requests of a customer may run; a customer without an entry is not restricted. */
+	allowedRegions: ReadonlyMap<CustomerId, ReadonlySet<RegionId>>;
+	/** Every list of regions with its path in the document, for reports of unknown regions. */
+	regionFields: ReadonlyArray<Readonly<{path: string; regions: readonly RegionId[]}>>;
 	/** Maximum time that a transaction may stay idle, in milliseconds. */
 	idleTransactionMs: number;
 }>;
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -19,6 +19,8 @@
 	dataCentre: DataCentreId;
 	/** Number of data centres in the fleet. */
 	dataCentreCount: number;
+	/** Region of this vm; `undefined` if it is that of its data centre. */
+	region: RegionId | undefined;
 	/** Regions of the data centres of the fleet. */
 	regions: ReadonlyMap<DataCentreId, RegionId>;
 	/** Address at which other vms reach this one. */
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -12,7 +12,7 @@
 import {createRefusalCache} from '@guavapitch/limits';
 import {createVmRegistration, createRoleClaims, type RoleClaims} from '@guavapitch/roles';
 import {
-	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
+	createRefusal, type StatementRefusalCode, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
@@ -21,6 +21,7 @@
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
+import {computeAllowedRegions} from './regions.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {createStatementRouter} from './statement-router.js';
 import {
@@ -75,6 +76,14 @@
 /** Largest number of data centres in which no side of a partition outnumbers the other. */
 const MAX_DATA_CENTRES_WITHOUT_MAJORITY = 2;
 
+/** Retry time of a request whose configuration allows no region, in milliseconds: operators have to change it. */
+const REGION_RETRY_MS = 5000;
+
+/** Creates the response to a statement that is refused at its entry. */
+const createLocalRefusal = ({transaction}: StatementRequest, code: StatementRefusalCode, reason: string, retryAfterMs: number): StatementResponse => ({
+	outcome: createRefusal(code, reason, retryAfterMs), status: transaction ? 'failed' : 'idle', position: undefined, target: undefined, waitedMs: 0,
+});
+
 /** Starts the process of an entry vm; rejects if its address for other vms cannot be bound. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
 	const {runtime, settings, emit, metrics} = context;
@@ -278,17 +287,15 @@
 	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		metrics.count('statements');
+		if (request.allowedRegions?.length === 0) {
+			return createLocalRefusal(request, 'busy', 'no region is allowed for the route and the customer, or one of those named is unknown', REGION_RETRY_MS);
+		}
+
 		const isNewOperation = !request.transaction || request.transaction.isFirst;
 		const retryAfterMs = isNewOperation ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
 		if (retryAfterMs !== undefined) {
 			metrics.count('held');
-			return {
-				outcome: createRefusal('overShare', 'The customer has used its rate and burst', retryAfterMs),
-				status: request.transaction ? 'failed' : 'idle',
-				position: undefined,
-				target: undefined,
-				waitedMs: 0,
-			};
+			return createLocalRefusal(request, 'overShare', 'The customer has used its rate and burst', retryAfterMs);
 		}
 
 		const response = await statementRouter.run(request, deadline);
@@ -308,11 +315,12 @@
 
 		const customer = configuration.customersByKey.get(key);
 		if (customer) {
-			return Ok({route, customer});
+			return Ok({route, customer, allowedRegions: computeAllowedRegions(configuration, settings, route, customer)});
 		}
 
+		const anyCustomer = brandId<CustomerId>('-');
 		return route.isPublic
-			? Ok({route, customer: brandId<CustomerId>('-')})
+			? Ok({route, customer: anyCustomer, allowedRegions: computeAllowedRegions(configuration, settings, route, anyCustomer)})
 			: Err(createRefusal('noKey', 'the key is unknown'));
 	};
 
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -1,7 +1,7 @@
 /** Routes statements to the owner of their database. */
 
 import {
-	getRemainingMs, isPast, type DatabaseId, type Deadline, type Result, type VmId, type Runtime,
+	getRemainingMs, isPast, type DatabaseId, type Deadline, type RegionId, type Result, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -13,7 +13,8 @@
 export type StatementRouterContext = Readonly<{
 	runtime: Runtime;
 	self: VmId;
-	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Ranks the vms as owners of a database, without those that may not see the body of a request that may run only in the given regions. */
+	rankOwners: (database: DatabaseId, allowedRegions?: readonly RegionId[]) => readonly Member[];
 	isUsable: (vm: VmId) => boolean;
 	callOwner: (member: Member, request: StatementRequest, timeoutMs: number) => Promise<Result<StatementResponse, CallFailure>>;
 	serveLocally: (request: StatementRequest) => Promise<StatementResponse>;
@@ -114,7 +115,7 @@
 	};
 
 	const runAtAnyOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		const rankedOwners = context.rankOwners(request.database);
+		const rankedOwners = context.rankOwners(request.database, request.allowedRegions);
 		const usableOwners = rankedOwners.filter(({vm}) => vm === self || context.isUsable(vm));
 		for (const member of usableOwners.slice(0, MAX_OWNERS_TRIED)) {
 			if (isPast(deadline, runtime.now())) {
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -28,7 +28,7 @@
 	let completeAt = 0 as Instant;
 	const context: Partial<VmContext> = {
 		settings: {
-			vm: brandId<VmId>('v'), run: 'r', dataCentre: HERE, dataCentreCount: 1, regions: new Map([[HERE, brandId<RegionId>('home')]]), host: 'h', port: 1, capacity: 1,
+			vm: brandId<VmId>('v'), run: 'r', dataCentre: HERE, dataCentreCount: 1, region: undefined, regions: new Map([[HERE, brandId<RegionId>('home')]]), host: 'h', port: 1, capacity: 1,
 		},
 		operatorPrefix: 'op/',
 		parseEvacuation: key => key.startsWith(EVACUATION_PREFIX) ? brandId<DataCentreId>(key.slice(EVACUATION_PREFIX.length)) : undefined,
@@ -38,6 +38,19 @@
 		targetPrefix: TARGET_PREFIX,
 		configurationKey: 'op/config',
 		getTargetDrainMs: () => DRAIN_MS,
+		parseConfiguration(value) {
+			const {version, regions} = JSON.parse(value) as Readonly<{version: number; regions: readonly RegionId[]}>;
+			return Ok({
+				version,
+				routes: new Map(),
+				databases: new Map(),
+				customersByKey: new Map(),
+				quotas: new Map(),
+				allowedRegions: new Map(),
+				regionFields: [{path: 'routes.0.allowed_regions', regions}],
+				idleTransactionMs: 1,
+			});
+		},
 		emit(kind, fields) {
 			events.push({id: kind.id, ...fields});
 		},
@@ -84,6 +97,15 @@
 		}]);
 	};
 
+	/** Writes a version of the configuration with one route that is restricted to regions. */
+	const setConfiguration = (version: number, regions: readonly string[]) => {
+		revision++;
+		entries = [...entries.filter(({key}) => key !== 'op/config'), createEntry('op/config', JSON.stringify({version, regions}))];
+		view.applyChanges([{
+			key: 'op/config', era: 1, revision, entry: undefined,
+		}]);
+	};
+
 	/** Lists a vm in the data centre of the targets. */
 	const addMember = () => {
 		revision++;
@@ -99,7 +121,7 @@
 	const getAcceptsUntil = (id: string) => view.findTarget(brandId<TargetId>(id))?.acceptsUntil;
 
 	return {
-		view, events, setTargets, setEvacuations, addMember, getAcceptsUntil, advance, context,
+		view, events, setTargets, setEvacuations, setConfiguration, addMember, getAcceptsUntil, advance, context,
 		getDroppedCount: () => droppedCount,
 		setCompleteAt(ms: number) {
 			completeAt = ms as Instant;
@@ -188,6 +210,16 @@
 			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, false);
 		});
 
+		it('has its counterpart in a region that belongs to no data centre: the configuration is used, and the event names the field once', () => {
+			const {view, events, setTargets, setConfiguration, addMember} = createSetup();
+			setTargets([{id: 'a'}]);
+			addMember();
+			setConfiguration(1, ['home', 'hmoe']);
+			setConfiguration(2, ['home', 'hmoe']);
+			assert.equal(view.getConfiguration()?.version, 2);
+			assert.deepEqual(events.filter(({id}) => id === 1108), [{id: 1108, field: 'routes.0.allowed_regions', name: 'hmoe'}]);
+		});
+
 		it('is passed on to followers, unlike other entries of operators', () => {
 			const {context} = createSetup();
 			const isRelevant = (key: string) => isRelevantChange(context as VmContext, {
--- a/packages/vm/src/tests/model-targets.ts
+++ b/packages/vm/src/tests/model-targets.ts
@@ -57,7 +57,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
 			role: index === 0 ? 'primary' : 'replica',
 			startedAtMs: 1,
 		},
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createDeadline, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
+	createDeadline, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type RegionId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
 import {rankOwners, rankRelays, type Member} from '../members.js';
@@ -40,7 +40,7 @@
 	const router = createStatementRouter({
 		runtime,
 		self: brandId<VmId>('self'),
-		rankOwners: () => MEMBERS,
+		rankOwners: (_database, allowedRegions) => allowedRegions ? MEMBERS.filter(({vm}) => vm === 'two') : MEMBERS,
 		isUsable: () => true,
 		async callOwner({vm}) {
 			calledVms.push(vm);
@@ -56,6 +56,12 @@
 const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
 
 describe('statement router', () => {
+	it('never sends a request that is restricted to regions to an owner that may not see it, also when others are lost', async () => {
+		const {calledVms, run} = createSetup(() => Err({code: 'notSent', message: 'lost'}));
+		await run({...createRequest(READ), allowedRegions: [brandId<RegionId>('west')]});
+		assert.deepEqual(calledVms, ['two']);
+	});
+
 	it('retries a write at another owner only if it was not sent', async () => {
 		const notSent = createSetup(failAtFirstOwner('notSent'));
 		assert.equal((await notSent.run(createRequest(WRITE))).outcome.kind, 'done');
