Limit the requests to targets that have just started

A target whose caches are cold was given as much work as any other, and answered late for as long as it was cold. With cold_start_s and cold_per_s of its database, each owner now sends it at most half of cold_per_s x cold_tolerance + cold_slack requests in any second, as up to two vms may own a database; begins, statements and commits count. A target is cold for cold_remaining_ms of its entry, or, if the entry does not say, for cold_start_s after its start by the wall clocks. When all connections to a target are lost it may have started again, so it counts as cold until its entry was read.

Without the fields nothing is limited. Changes of cold_remaining_ms are heartbeats: only the change to or from 0 is passed on.

--- a/packages/database-owners/src/connections.ts
+++ b/packages/database-owners/src/connections.ts
@@ -37,6 +37,10 @@
 	acquire: (customer: CustomerId, variables: SessionVariables, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
 	/** Opens a connection even if others are idle, as an idle connection may have died without a TCP reset. */
 	acquireNew: (customer: CustomerId, deadline: Deadline) => Promise<Result<ConnectionHandle, DialFailure>>;
+	/** Tells whether any connection is open that has not ended. */
+	hasLive: () => boolean;
+	/** Tells whether there were connections, all of which have ended since they were last looked for. */
+	areAllLost: () => boolean;
 	/** Tells whether any connection is idle. */
 	hasIdle: () => boolean;
 	/** Estimates the time until a connection of the customer is available, in milliseconds; 0 if one is idle. */
@@ -305,6 +309,8 @@
 			return idleSession ? Ok(checkOut(idleSession)) : openOrReplace(customer, deadline);
 		},
 		acquireNew: openOrReplace,
+		hasLive: () => [...sessions].some(({connection}) => !connection.isEnded()),
+		areAllLost: () => sessions.size > 0 && [...sessions].every(({connection}) => connection.isEnded()),
 		hasIdle: () => findLeastRecentlyUsed() !== undefined,
 		estimateConnectMs: customer => findIdleSession(customer, [])
 			? 0
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -7,6 +7,7 @@
 	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import type {Appointments} from './appointments.js';
+import {createColdTargets, type ColdTargets} from './cold-targets.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
@@ -44,6 +45,10 @@
 	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
+	/** Returns the requests per second that this owner may send to a target whose caches are cold; `undefined` if they are not limited. */
+	getColdLimit: () => number | undefined;
+	/** Returns an instant of the suspension clock at which the known entries of the targets were certainly complete. */
+	getTargetsCompleteAt: () => Instant;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
 	getAnyCustomer: () => CustomerId;
 	/** Returns how long a transaction may stay idle, in milliseconds. */
@@ -59,6 +64,7 @@
 	positionHistory: PositionHistory;
 	leaderTracker: LeaderTracker;
 	scheduler: SlotScheduler;
+	coldTargets: ColdTargets;
 	healthTracker: HealthTracker;
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
@@ -120,7 +126,7 @@
 
 /** Describes a target that is reached although it need not be listed; no work begins on it. */
 const createUnlistedTarget = (target: RegisteredTarget): Target => ({
-	...target, acceptsUntil: PAST, region: undefined, isEvacuated: false,
+	...target, acceptsUntil: PAST, coldUntil: PAST, region: undefined, isEvacuated: false,
 });
 
 /** Creates the owner of a database, without targets. */
@@ -130,6 +136,15 @@
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
 	const scheduler = createSlotScheduler(runtime);
+	const coldTargets = createColdTargets({
+		runtime,
+		readSuspensionClock,
+		getLimit: context.getColdLimit,
+		getColdUntil: id => targets.get(id)?.coldUntil ?? PAST,
+		areConnectionsLost: id => connections.get(id)?.areAllLost() ?? false,
+		getTargetsCompleteAt: context.getTargetsCompleteAt,
+		onAvailable: scheduler.admitWaiting,
+	});
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const {appointments} = context;
@@ -160,6 +175,13 @@
 	let areWritesPaused = false;
 	let lastCustomer: StatementRequest['customer'] | undefined;
 
+	/** Records that a connection to a target was lost or refused. A target that has started again has ended them all. */
+	const recordLoss = (id: TargetId) => {
+		if (!connections.get(id)?.hasLive()) {
+			coldTargets.recordGap(id);
+		}
+	};
+
 	const getSendingMs = (dataCentre: DataCentreId): number => context.getEvacuationDeadline(dataCentre) - START_MARGIN_MS - readSuspensionClock();
 
 	/** Tells whether a target elsewhere can take over the work of evacuated ones; without one, nothing more begins on them. */
@@ -243,7 +265,14 @@
 		positionHistory,
 		leaderTracker,
 		scheduler,
-		healthTracker,
+		coldTargets,
+		healthTracker: {
+			...healthTracker,
+			markSuspect(id, reason) {
+				recordLoss(id);
+				healthTracker.markSuspect(id, reason);
+			},
+		},
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
@@ -304,6 +333,7 @@
 					connections.delete(id);
 					targets.delete(id);
 					healthTracker.remove(id);
+					coldTargets.remove(id);
 				}
 			}
 
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -9,6 +9,7 @@
 import {
 	createResponse, createBusyRefusal, evaluateReply, recordDialFailure, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
+import {takePacedSlot} from './cold-targets.js';
 import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
 import type {DatabaseOwnerComponents, SharedComponents} from './database-owner.js';
@@ -44,6 +45,9 @@
 /** Result of an attempt; `sentAt` is when the statement was sent. */
 type AttemptResult = Readonly<{verdict: Verdict; sentAt: Instant}>;
 
+/** Tells whether a statement is a read that needs the latest state; it takes two requests to the target, the first of which begins a transaction. */
+const isVerifiedRead = (plan: Plan): boolean => plan.kind === 'leader' && !plan.isWrite;
+
 /** Runs a read that needs the latest state, in a write transaction, which only a leader accepts. */
 const runVerifiedRead = async (components: DatabaseOwnerComponents, {request, handle, deadline}: Attempt): Promise<AttemptResult> => {
 	const begunAt = components.context.readSuspensionClock();
@@ -186,14 +190,14 @@
 			return createResponse(refusal, runtime.now() - arrivedAt);
 		}
 
-		const slot = await scheduler.acquire({
+		const slot = await takePacedSlot(components, {
 			customer: request.customer,
 			priority: request.priority,
 			latencyDeadline,
 			deadline: computeSlotDeadline(components, plan, deadline),
 			isPinned: false,
 			chooseTarget: freeTargets => chooseTarget(components, {plan, request, tried: triedTargets}, freeTargets),
-		});
+		}, isVerifiedRead(plan) ? 2 : 1);
 		if (slot.err) {
 			return createResponse(createSlotRefusal(components, plan, slot.val.message), runtime.now() - arrivedAt);
 		}
@@ -213,7 +217,7 @@
 		}
 
 		const startedAt = runtime.now();
-		const runAttempt = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
+		const runAttempt = isVerifiedRead(plan) ? runVerifiedRead : runStatement;
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
 		const proof = plan.kind === 'leader' ? context.appointments.startProof(target) : undefined;
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -22,12 +22,16 @@
 	role: TargetRole;
 	/** When the target process was started, in milliseconds since 1970 by its own clock. */
 	startedAtMs: number;
+	/** How much longer its caches are cold, as of the time of its entry, in milliseconds; absent if the entry does not say. */
+	coldRemainingMs?: number;
 }>;
 
 /** A registered target, and until when it accepts new work. */
 export type Target = RegisteredTarget & Readonly<{
 	/** Deadline of the suspension clock after which no statement outside a transaction, and no transaction, may begin on the target; `NEVER` unless it is leaving. */
 	acceptsUntil: Deadline;
+	/** Deadline of the suspension clock until which its caches count as cold, because it has started a short time ago; `PAST` if they do not. */
+	coldUntil: Deadline;
 	/** Region of its data centre; `undefined` if it is not known. */
 	region: RegionId | undefined;
 	/** Whether its data centre is evacuated: it must be replaced as primary, and gets no reads. */
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -24,6 +24,8 @@
 		readStatus: readFakeStatus(targets),
 		appointments,
 		getEvacuationDeadline: () => NEVER,
+		getColdLimit: () => undefined,
+		getTargetsCompleteAt: runtime.now,
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => brandId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
-	createConditionVariable, Err, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type TargetId, type Runtime,
+	createConditionVariable, Err, NEVER, PAST, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -21,8 +21,8 @@
 	readonly refusedKinds: Set<Command['kind']>;
 	/** Duration of a statement, in milliseconds. */
 	statementMs: number;
-	/** Statements that ran, with the log position and the session variables at that time. */
-	readonly executed: Array<Readonly<{id: string; text: string; isInTransaction: boolean; position: LogPosition; values: string}>>;
+	/** Statements that ran, with the log position and the session variables at that time, and when they arrived. */
+	readonly executed: Array<Readonly<{at: Instant; id: string; text: string; isInTransaction: boolean; position: LogPosition; values: string}>>;
 	/** Duration of opening a connection, in milliseconds. */
 	dialMs: number;
 	dialCount: number;
@@ -52,6 +52,7 @@
 		acceptsUntil: NEVER,
 		isEvacuated: false,
 		region: undefined,
+		coldUntil: PAST,
 		role,
 		startedAtMs: 1,
 	},
@@ -98,11 +99,13 @@
 			return createErrorReply('readOnly');
 		}
 
+		const at = runtime.now();
 		target.runningCount++;
 		target.maxRunningCount = Math.max(target.maxRunningCount, target.runningCount);
 		await runtime.sleep(target.statementMs);
 		target.runningCount--;
 		target.executed.push({
+			at,
 			id: command.id,
 			text: statement.kind === 'prepared' ? command.preparedName : statement.text,
 			isInTransaction: session.isInTransaction,
--- a/packages/database-owners/src/tests/model-group.ts
+++ b/packages/database-owners/src/tests/model-group.ts
@@ -1,7 +1,7 @@
 /** Model of a group with synchronous replication on a virtual clock: a commit is acknowledged once one replica has received it. Tests cause the faults. */
 
 import {
-	Err, getRemainingMs, NEVER, Ok, brandId, type DataCentreId, type Result, type Runtime, type TargetId,
+	Err, getRemainingMs, NEVER, PAST, Ok, brandId, type DataCentreId, type Result, type Runtime, type TargetId,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -74,7 +74,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined, coldUntil: PAST,
 			role,
 			startedAtMs: ++runCount,
 		},
--- a/packages/database-owners/src/tests/synced-groups.test.ts
+++ b/packages/database-owners/src/tests/synced-groups.test.ts
@@ -72,6 +72,8 @@
 			readStatus: group.readStatus,
 			appointments: SELF_FENCING_APPOINTMENTS,
 			getEvacuationDeadline: () => NEVER,
+			getColdLimit: () => undefined,
+			getTargetsCompleteAt: runtime.now,
 			getConnectionLimit: () => 8,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -9,6 +9,7 @@
 import {
 	createResponse, createBusyRefusal, evaluateReply, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
+import {takePacedSlot} from './cold-targets.js';
 import type {LeadProof} from './appointments.js';
 import type {ConnectionHandle} from './connections.js';
 import type {SharedComponents} from './database-owner.js';
@@ -60,6 +61,8 @@
 /** Timeout of a rollback; after it the connection is closed. */
 const ROLLBACK_TIMEOUT_MS = 1000;
 
+/** Number of requests with which a transaction begins: its begin, and its first statement. */
+const BEGINNING_REQUESTS = 2;
 /** Reason for ending a transaction on a target of an evacuated data centre. */
 const EVACUATED_REASON = 'the data centre of its target is evacuated';
 
@@ -84,7 +87,7 @@
 
 /** Creates an empty set of open transactions. */
 export const createTransactions = (components: SharedComponents): Transactions => {
-	const {context, scheduler} = components;
+	const {context} = components;
 	const {runtime} = context;
 	const openTransactions = new Map<string, OpenTransaction>();
 
@@ -157,14 +160,14 @@
 	};
 
 	/** Acquires a slot on the target of a transaction. */
-	const acquirePinnedSlot = async (request: StatementRequest, transaction: OpenTransaction, deadline: Deadline) => scheduler.acquire({
+	const acquirePinnedSlot = async (request: StatementRequest, transaction: OpenTransaction, deadline: Deadline) => takePacedSlot(components, {
 		customer: request.customer,
 		priority: request.priority,
 		latencyDeadline: createDeadline(runtime.now(), request.promptMs),
 		deadline: chooseEarliest([deadline, createDeadline(runtime.now(), getSendingMs(transaction))]),
 		isPinned: true,
 		chooseTarget: freeTargets => freeTargets.find(load => load.id === transaction.target)?.id,
-	});
+	}, 1);
 
 	/** Resolves to whether a commit that a target confirmed may be acknowledged: it wrote nothing, or the target has led all along. */
 	const isCommitProven = async (transaction: OpenTransaction, request: StatementRequest, startedAt: Instant): Promise<boolean> => {
@@ -330,14 +333,14 @@
 				return createResponse(refusal, runtime.now() - arrivedAt, 'failed');
 			}
 
-			const slot = await scheduler.acquire({
+			const slot = await takePacedSlot(components, {
 				customer: request.customer,
 				priority: request.priority,
 				latencyDeadline: createDeadline(arrivedAt, request.promptMs),
 				deadline: computeSlotDeadline(components, plan, deadline),
 				isPinned: false,
 				chooseTarget: freeTargets => chooseTarget(components, {plan, request, tried: triedTargets}, freeTargets),
-			});
+			}, BEGINNING_REQUESTS);
 			if (slot.err) {
 				return createResponse(createSlotRefusal(components, plan, slot.val.message), runtime.now() - arrivedAt, 'failed');
 			}
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -51,6 +51,8 @@
 		readStatus: () => undefined,
 		appointments: SELF_FENCING_APPOINTMENTS,
 		getEvacuationDeadline: () => NEVER,
+		getColdLimit: () => undefined,
+		getTargetsCompleteAt: runtime.now,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/emulator/src/targets.ts
+++ b/packages/emulator/src/targets.ts
@@ -1,7 +1,7 @@
 /** Emulated targets with limited slots, long-tailed statement times, connections that occupy a slot while they are opened, and replication lag. */
 
 import {
-	Err, getRemainingMs, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
+	Err, getRemainingMs, NEVER, PAST, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {
 	Command, DialFailure, Execution, Reply, Target, TargetConnection, TargetErrorCode,
@@ -170,7 +170,7 @@
 			dataCentre: brandId<DataCentreId>(dataCentre),
 			slots,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined, coldUntil: PAST,
 			role: id === leader ? 'primary' : 'replica',
 			startedAtMs: 1,
 		})),
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,7 +1,7 @@
 /** The cluster as one vm sees it through the change feed: configuration, targets and members. */
 
 import {
-	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, type DatabaseId, type DataCentreId, type Deadline, type RegionId, type TargetId,
+	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, PAST, type DatabaseId, type DataCentreId, type Deadline, type Instant, type RegionId, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
 import type {RegisteredTarget, Target} from '@guavapitch/database-owners';
@@ -38,12 +38,17 @@
 	rankOwners: (database: DatabaseId, allowedRegions?: readonly RegionId[]) => readonly Member[];
 	/** Returns the deadline of the suspension clock after which nothing more may be sent to the targets of a data centre; `NEVER` unless it is evacuated. */
 	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
+	/** Returns an instant of the suspension clock at which the known entries of the targets were certainly complete. */
+	getTargetsCompleteAt: () => Instant;
 	/** Ranks the vms as failover coordinators of a database, best first. */
 	rankCoordinators: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean; hasAppointmentChange: boolean}>;
 }>;
 
+/** Formats what heartbeats do not change: of the time for which a target is still cold, only whether there is any. */
+const formatComparable = ({coldRemainingMs = 0, ...rest}: RegisteredTarget): string => JSON.stringify([rest, coldRemainingMs > 0]);
+
 /** Tells whether a change affects the cluster view. Other entries of operators do not, and a target entry that decodes to the same target as before is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, previous: StoreEntry | undefined): boolean => {
 	if (change.key.startsWith(context.operatorPrefix)) {
@@ -56,7 +61,7 @@
 
 	const parsed = context.parseTarget(change.entry);
 	const parsedPrevious = context.parseTarget(previous);
-	return parsed.err || parsedPrevious.err || JSON.stringify(parsed.val) !== JSON.stringify(parsedPrevious.val);
+	return parsed.err || parsedPrevious.err || formatComparable(parsed.val) !== formatComparable(parsedPrevious.val);
 };
 
 /** Describes how the registered entry of a target has changed; `undefined` if nothing that matters for placing statements has. */
@@ -205,6 +210,22 @@
 
 	const isEvacuated = ({dataCentre}: RegisteredTarget): boolean => evacuations.getDeadline(dataCentre) !== NEVER;
 
+	/**
+	 * Returns until when a target is cold. Its entry was written before now, so the time left that it states is not exceeded by counting from now;
+	 * of several such deadlines of one run the earliest holds. An entry that states none is measured by the wall clocks of the target and of this vm.
+	 */
+	const getColdUntil = ({id, database, startedAtMs, coldRemainingMs}: RegisteredTarget): Deadline => {
+		const coldStartMs = configuration?.databases.get(database)?.coldStartMs ?? 0;
+		const remainingMs = coldRemainingMs ?? Math.min(coldStartMs, startedAtMs + coldStartMs - context.runtime.readWallClock());
+		if (remainingMs <= 0) {
+			return PAST;
+		}
+
+		const coldUntil = createDeadline(context.readSuspensionClock(), remainingMs);
+		const known = targets.get(id);
+		return known?.startedAtMs === startedAtMs && known.coldUntil !== PAST ? chooseEarliest([known.coldUntil, coldUntil]) : coldUntil;
+	};
+
 	const rebuildTargets = () => {
 		const targetsById = new Map<TargetId, Target>();
 		const groupedTargets = new Map<DatabaseId, Target[]>();
@@ -213,7 +234,12 @@
 			if (parsed.ok) {
 				const acceptsUntil = getAcceptsUntil(parsed.val);
 				const target: Target = {
-					...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil, region: context.settings.regions.get(parsed.val.dataCentre), isEvacuated: isEvacuated(parsed.val),
+					...parsed.val,
+					isDraining: acceptsUntil !== NEVER,
+					acceptsUntil,
+					coldUntil: getColdUntil(parsed.val),
+					region: context.settings.regions.get(parsed.val.dataCentre),
+					isEvacuated: isEvacuated(parsed.val),
 				};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
@@ -275,10 +301,12 @@
 		rankOwners: (database, allowedRegions) => filterPermitted(rankDatabaseOwners(database), allowedRegions, context.settings),
 		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
 		getEvacuationDeadline: evacuations.getDeadline,
+		getTargetsCompleteAt: () => getFeed().getCompleteAt(context.targetPrefix),
 		applyChanges(changes) {
 			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
 			const hasEvacuationChange = changes.some(({key}) => context.parseEvacuation(key) !== undefined);
-			const hasTargetChange = hasEvacuationChange || changes.some(({key}) => key.startsWith(context.targetPrefix));
+			// How long a target is cold may depend on the configuration.
+			const hasTargetChange = hasEvacuationChange || (hasConfigurationChange && targets.size > 0) || changes.some(({key}) => key.startsWith(context.targetPrefix));
 			const hasMemberChange = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
 			const hasAppointmentChange = changes.some(({key}) => key.startsWith(APPOINTMENT_PREFIX));
 			if (hasConfigurationChange) {
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -52,6 +52,8 @@
 	parseEvacuation: (key: string) => DataCentreId | undefined;
 	/** Returns the time after which nothing reaches the targets of an evacuated data centre any longer, in milliseconds. */
 	getEvacuationMs: () => number;
+	/** Returns what a cold target may receive in any second beyond its configured requests: the factor `tolerance`, and `slack` requests more. */
+	getColdBounds: () => Readonly<{tolerance: number; slack: number}>;
 	/** Returns for how long a target accepts new work after it has announced that it leaves, in milliseconds. */
 	getTargetDrainMs: () => number;
 	/** Whether a target that was replaced as primary refuses work at once; otherwise the appointment recorded in the store decides which target leads. */
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -8,6 +8,7 @@
 } from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
+import type {DatabaseConfiguration} from './configuration.js';
 import type {VmContext} from './context.js';
 import type {PeerClient} from './peer-client.js';
 import type {Quotas} from './quotas.js';
@@ -58,6 +59,18 @@
 /** Connection limit of the targets of a database that the configuration does not name. */
 const DEFAULT_CONNECTION_LIMIT = 8;
 
+/** Configuration of a database that the operators' configuration does not name. */
+const UNCONFIGURED = {coldStartMs: 0, coldPerSecond: 0};
+
+/** Number of vms that may own a database at a time, as they see the fleet differently; each may send its part of what a cold target receives. */
+const MAX_OWNERS = 2;
+
+/** Computes the requests per second that one owner may send to a cold target; `undefined` if they are not limited. */
+export const computeColdLimit = (
+	{coldStartMs, coldPerSecond}: Pick<DatabaseConfiguration, 'coldStartMs' | 'coldPerSecond'>,
+	{tolerance, slack}: ReturnType<VmContext['getColdBounds']>,
+): number | undefined => coldStartMs > 0 && coldPerSecond > 0 ? ((coldPerSecond * tolerance) + slack) / MAX_OWNERS : undefined;
+
 /** Creates the database owners of a vm. */
 export const createDatabaseOwners = (context: VmContext, dependencies: DatabaseDependencies): DatabaseOwners => {
 	const {runtime, settings, emit, metrics} = context;
@@ -83,6 +96,8 @@
 			readStatus: context.readStatus,
 			appointments: dependencies.appointments.get(database),
 			getEvacuationDeadline: view.getEvacuationDeadline,
+			getColdLimit: () => computeColdLimit(view.getConfiguration()?.databases.get(database) ?? UNCONFIGURED, context.getColdBounds()),
+			getTargetsCompleteAt: view.getTargetsCompleteAt,
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -117,6 +117,8 @@
 			readStatus: targets.readStatus,
 			appointments: isProtected ? appointments.get(MODEL_DATABASE) : SELF_FENCING_APPOINTMENTS,
 			getEvacuationDeadline: () => NEVER,
+			getColdLimit: () => undefined,
+			getTargetsCompleteAt: runtime.now,
 			getConnectionLimit: () => 20,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type RegionId, type TargetId, type VmId,
+	brandId, createVirtualRuntime, Err, NEVER, Ok, PAST, type DatabaseId, type DataCentreId, type Instant, type RegionId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
 import {createClusterView, isRelevantChange} from '../cluster-view.js';
@@ -14,9 +14,10 @@
 const HERE = brandId<DataCentreId>('here');
 const EVACUATION_PREFIX = 'op/evacuate/';
 const EVACUATION_MS = 5000;
+const COLD_START_MS = 10_000;
 const DATABASE = brandId<DatabaseId>('ledger');
 
-type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number}>;
+type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; coldRemainingMs?: number}>;
 
 /** Creates a view over entries that a test replaces as a whole. */
 const createSetup = () => {
@@ -43,7 +44,9 @@
 			return Ok({
 				version,
 				routes: new Map(),
-				databases: new Map(),
+				databases: new Map([[DATABASE, {
+					id: DATABASE, connectionLimit: 8, isReplicated: false, coldStartMs: COLD_START_MS, coldPerSecond: 4,
+				}]]),
 				customersByKey: new Map(),
 				quotas: new Map(),
 				allowedRegions: new Map(),
@@ -56,9 +59,20 @@
 		},
 		parseTarget(entry) {
 			try {
-				const {id, isDraining = false, startedAtMs = 1} = JSON.parse(entry.value) as TargetEntry;
+				const {
+					id, isDraining = false, startedAtMs = 1, coldRemainingMs,
+				} = JSON.parse(entry.value) as TargetEntry;
 				return Ok({
-					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: HERE, slots: 2, isDraining, role: 'replica', startedAtMs,
+					id: brandId<TargetId>(id),
+					database: DATABASE,
+					host: id,
+					port: 1,
+					dataCentre: HERE,
+					slots: 2,
+					isDraining,
+					role: 'replica',
+					startedAtMs,
+					...(coldRemainingMs !== undefined && {coldRemainingMs}),
 				});
 			} catch {
 				return Err({code: 'documentMalformed', message: 'not JSON'});
@@ -121,7 +135,7 @@
 	const getAcceptsUntil = (id: string) => view.findTarget(brandId<TargetId>(id))?.acceptsUntil;
 
 	return {
-		view, events, setTargets, setEvacuations, setConfiguration, addMember, getAcceptsUntil, advance, context,
+		view, events, setTargets, setEvacuations, setConfiguration, addMember, getAcceptsUntil, advance, context, readWallClock: runtime.readWallClock,
 		getDroppedCount: () => droppedCount,
 		setCompleteAt(ms: number) {
 			completeAt = ms as Instant;
@@ -229,6 +243,45 @@
 		});
 	});
 
+	describe('a cold target', () => {
+		const getColdUntil = ({view}: ReturnType<typeof createSetup>) => view.findTarget(brandId<TargetId>('a'))?.coldUntil;
+
+		it('is cold for as long as its entry states, counted from the first one that was read', async () => {
+			const setup = createSetup();
+			setup.setTargets([{id: 'a', coldRemainingMs: 30_000}]);
+			assert.equal(getColdUntil(setup), 30_000);
+			await setup.advance(1000);
+			setup.setTargets([{id: 'a', coldRemainingMs: 29_900}]);
+			assert.equal(getColdUntil(setup), 30_000);
+			setup.setTargets([{id: 'a', coldRemainingMs: 0}]);
+			assert.equal(getColdUntil(setup), PAST);
+			setup.setTargets([{id: 'a', startedAtMs: 2, coldRemainingMs: 30_000}]);
+			assert.equal(getColdUntil(setup), 31_000);
+		});
+
+		it('is measured by the wall clock if its entry does not say, from the configuration on', () => {
+			const setup = createSetup();
+			setup.setTargets([{id: 'a', startedAtMs: setup.readWallClock() - 4000}]);
+			assert.equal(getColdUntil(setup), PAST);
+			setup.setConfiguration(1, []);
+			assert.equal(getColdUntil(setup), COLD_START_MS - 4000);
+		});
+
+		it('does not change with each heartbeat', () => {
+			const {context} = createSetup();
+			const isRelevant = (...remainingMs: readonly number[]) => {
+				const [before, after] = remainingMs.map(coldRemainingMs => ({
+					key: `${TARGET_PREFIX}a`, value: JSON.stringify({id: 'a', coldRemainingMs}), era: 1, revision: 1, createdRevision: 1,
+				}));
+				return isRelevantChange(context as VmContext, {
+					key: `${TARGET_PREFIX}a`, era: 1, revision: 1, entry: after,
+				}, before);
+			};
+
+			assert.deepEqual([isRelevant(30_000, 29_000), isRelevant(100, 0), isRelevant(0, 30_000)], [false, true, true]);
+		});
+	});
+
 	describe('a target whose entry is missing', () => {
 		// Entries lapse while the store is away: a sound primary must not be taken for one that is gone.
 		it('counts as present until its entry had time to come back after an outage of the store', async () => {
--- a/packages/vm/src/tests/model-targets.ts
+++ b/packages/vm/src/tests/model-targets.ts
@@ -1,7 +1,7 @@
 /** Targets of one database for models of a fleet on a virtual clock: a replaced primary goes on leading until it is told to step down, or has been able to reach its successor for a second. */
 
 import {
-	Err, getRemainingMs, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Result, type Runtime, type TargetId,
+	Err, getRemainingMs, NEVER, PAST, Ok, brandId, type DatabaseId, type DataCentreId, type Result, type Runtime, type TargetId,
 } from '@guavapitch/core';
 import type {
 	Command, DialFailure, DialTarget, Reply, Target, TargetConnection, TargetErrorCode, TargetStatus,
@@ -57,7 +57,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER, isEvacuated: false, region: undefined,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined, coldUntil: PAST,
 			role: index === 0 ? 'primary' : 'replica',
 			startedAtMs: 1,
 		},
