--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -43,6 +43,8 @@
 	appointments: Appointments;
 	/** Returns the deadline of the suspension clock after which nothing more may reach the targets of a data centre; `NEVER` unless it is evacuated. */
 	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
+	/** Tells whether the vms of a data centre can be reached from here. */
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns the requests per second that this owner may send to a target whose caches are cold; `undefined` if they are not limited. */
@@ -77,6 +79,8 @@
 	getAcceptingMs: (target: TargetId) => number;
 	/** Returns how long anything may still be sent to the targets of a data centre, in milliseconds; infinite unless it is evacuated, 0 or negative if nothing may. */
 	getSendingMs: (dataCentre: DataCentreId) => number;
+	/** Tells whether a target can be expected to respond: its data centre can be reached, or it responded a moment ago. */
+	isReachable: (target: TargetId) => boolean;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
 }>;
@@ -121,6 +125,8 @@
 const PING_TIMEOUT_MS = 400;
 /** Time before the end of a leaving target's drain time, or of the time left for an evacuation, from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
 const START_MARGIN_MS = 250;
+/** Time since its last response within which a target counts as reachable although the vms of its data centre do not answer, in milliseconds: about as long as these take to count as unreachable. */
+const RECENT_RESPONSE_MS = 500;
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
@@ -296,12 +302,17 @@
 			return Math.min(target.acceptsUntil - START_MARGIN_MS - readSuspensionClock(), getSendingMs(target.dataCentre));
 		},
 		getSendingMs,
+		isReachable(id) {
+			const target = targets.get(id);
+			return !target || context.isDataCentreReachable(target.dataCentre)
+				|| runtime.now() - (healthTracker.getLastResponseAt(id) ?? PAST) < RECENT_RESPONSE_MS;
+		},
 		areWritesPaused: () => areWritesPaused,
 	};
 	const transactions = createTransactions(sharedComponents);
 	const components: DatabaseOwnerComponents = {...sharedComponents, transactions};
 
-	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
+	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(runtime.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
@@ -324,7 +335,10 @@
 	};
 
 	return {
-		serve,
+		async serve(request) {
+			const response = await run(request);
+			return {...response, verified: positionHistory.getLastVerified(readSuspensionClock())};
+		},
 		rollBack: transactions.rollBack,
 		setTargets(newTargets) {
 			for (const [id, currentTarget] of targets) {
--- a/packages/database-owners/src/plans.ts
+++ b/packages/database-owners/src/plans.ts
@@ -34,7 +34,8 @@
 const createBoundedStalenessPlan = async (components: SharedComponents, request: StatementRequest, maxStalenessMs: number, deadline: Deadline): Promise<Plan | undefined> => {
 	const {positionHistory, context} = components;
 	const allowedMs = Math.max(0, maxStalenessMs - STALENESS_MARGIN_MS);
-	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
+	const known = request.verified && request.verified.ageMs <= allowedMs ? positionHistory.translateToLatestTerm(request.verified.position) : undefined;
+	let verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock()) ?? known;
 	if (!verifiedPosition) {
 		await components.verifyPosition(deadline);
 		verifiedPosition = positionHistory.getMinimumPosition(allowedMs, context.readSuspensionClock());
@@ -64,7 +65,10 @@
 export const chooseTarget = (components: SharedComponents, {plan, request, tried}: TargetCriteria, freeTargets: readonly TargetLoad[]): TargetId | undefined => {
 	const {leaderTracker, healthTracker, getConnections, getTarget} = components;
 	const leader = leaderTracker.getLeader();
-	const canAcquire = (id: TargetId): boolean => isRegionAllowed(plan, getTarget(id)) && healthTracker.isUsable(id) && (getConnections(id)?.canAcquire(request.customer) ?? false);
+	const canAcquire = (id: TargetId): boolean => isRegionAllowed(plan, getTarget(id))
+		&& healthTracker.isUsable(id)
+		&& components.isReachable(id)
+		&& (getConnections(id)?.canAcquire(request.customer) ?? false);
 	if (plan.kind === 'leader') {
 		// Writes wait for the planned change of an evacuated primary, so that none is lost with what its successor has not received.
 		const areWritesPaused = components.areWritesPaused() || (leader !== undefined && getTarget(leader)?.isEvacuated);
@@ -101,7 +105,7 @@
 	const {leaderTracker, healthTracker, context} = components;
 	const leader = leaderTracker.getLeader();
 	const now = context.runtime.now();
-	const hasTarget = plan.kind === 'leader' ? leader !== undefined && healthTracker.isUsable(leader) : components.listTargets().length > 0;
+	const hasTarget = plan.kind === 'leader' ? leader !== undefined && healthTracker.isUsable(leader) : components.listTargets().some(({id}) => components.isReachable(id));
 	return chooseEarliest([
 		deadline,
 		createDeadline(now, getPlanAcceptingMs(components, plan)),
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -26,6 +26,7 @@
 		getEvacuationDeadline: () => NEVER,
 		getColdLimit: () => undefined,
 		getTargetsCompleteAt: runtime.now,
+		isDataCentreReachable: () => true,
 		getConnectionLimit: () => 8,
 		getAnyCustomer: () => brandId<CustomerId>('club'),
 		getIdleTransactionMs: () => 3000,
--- a/packages/database-owners/src/tests/synced-groups.test.ts
+++ b/packages/database-owners/src/tests/synced-groups.test.ts
@@ -74,6 +74,7 @@
 			getEvacuationDeadline: () => NEVER,
 			getColdLimit: () => undefined,
 			getTargetsCompleteAt: runtime.now,
+			isDataCentreReachable: () => true,
 			getConnectionLimit: () => 8,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -53,6 +53,7 @@
 		getEvacuationDeadline: () => NEVER,
 		getColdLimit: () => undefined,
 		getTargetsCompleteAt: runtime.now,
+		isDataCentreReachable: () => true,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -119,6 +119,7 @@
 			getEvacuationDeadline: () => NEVER,
 			getColdLimit: () => undefined,
 			getTargetsCompleteAt: runtime.now,
+			isDataCentreReachable: () => true,
 			getConnectionLimit: () => 20,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -6,7 +6,7 @@
 	brandId, createVirtualRuntime, Err, NEVER, Ok, PAST, type DatabaseId, type DataCentreId, type Instant, type RegionId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
-import {createClusterView, isRelevantChange} from '../cluster-view.js';
+import {createClusterView, isRelevantChange, MEMBER_PREFIX} from '../cluster-view.js';
 import type {VmContext} from '../context.js';
 
 const TARGET_PREFIX = 'servers/';
@@ -17,7 +17,18 @@
 const COLD_START_MS = 10_000;
 const DATABASE = brandId<DatabaseId>('ledger');
 
-type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; coldRemainingMs?: number}>;
+type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; coldRemainingMs?: number; dataCentre?: string}>;
+
+/** Entries of two vms in two data centres. */
+const MEMBERS: readonly StoreEntry[] = ['here', 'there'].map(dataCentre => ({
+	key: `${MEMBER_PREFIX}${dataCentre}`,
+	value: JSON.stringify({
+		vm: `vm-${dataCentre}`, run: '1', dataCentre, host: dataCentre, port: 1, capacity: 1,
+	}),
+	era: 1,
+	revision: 1,
+	createdRevision: 1,
+}));
 
 /** Creates a view over entries that a test replaces as a whole. */
 const createSetup = () => {
@@ -60,14 +71,14 @@
 		parseTarget(entry) {
 			try {
 				const {
-					id, isDraining = false, startedAtMs = 1, coldRemainingMs,
+					id, isDraining = false, startedAtMs = 1, coldRemainingMs, dataCentre = 'here',
 				} = JSON.parse(entry.value) as TargetEntry;
 				return Ok({
 					id: brandId<TargetId>(id),
 					database: DATABASE,
 					host: id,
 					port: 1,
-					dataCentre: HERE,
+					dataCentre: brandId<DataCentreId>(dataCentre),
 					slots: 2,
 					isDraining,
 					role: 'replica',
@@ -81,7 +92,7 @@
 	};
 	const feed: Partial<Feed> = {
 		get: key => entries.find(entry => entry.key === key),
-		list: prefix => entries.filter(({key}) => key.startsWith(prefix)),
+		list: prefix => [...entries, ...MEMBERS].filter(({key}) => key.startsWith(prefix)),
 		getAgeMs: () => 7,
 		getCompleteAt: () => completeAt,
 	};
@@ -324,6 +335,32 @@
 		});
 	});
 
+	describe('a target that was announced as promoted', () => {
+		it('decides where owners are ranked until the registry had time to follow', async () => {
+			const {view, advance, setTargets} = createSetup();
+			setTargets([{id: 'a'}, {id: 'b', dataCentre: 'there'}]);
+			view.applyChanges([{
+				key: MEMBER_PREFIX, era: 1, revision: 1, entry: undefined,
+			}]);
+			const getFirst = () => view.rankOwners(DATABASE)[0]?.dataCentre;
+			const before = getFirst();
+			view.recordLeader(DATABASE, brandId<TargetId>('b'));
+			assert.equal(getFirst(), 'there');
+			assert.equal(view.getAnnouncedLeader(DATABASE)?.id, 'b');
+			await advance(6001);
+			setTargets([{id: 'a'}, {id: 'b', dataCentre: 'there'}]);
+			assert.equal(getFirst(), before);
+			assert.equal(view.getAnnouncedLeader(DATABASE), undefined);
+		});
+
+		it('is ignored if it is not registered', () => {
+			const {view, setTargets} = createSetup();
+			setTargets([{id: 'a'}]);
+			view.recordLeader(DATABASE, brandId<TargetId>('gone'));
+			assert.equal(view.getAnnouncedLeader(DATABASE), undefined);
+		});
+	});
+
 	describe('events about targets', () => {
 		it('name the target, what has changed, and how many targets of its database stay', () => {
 			const {events, setTargets} = createSetup();
