--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -8,6 +8,8 @@
 } from '@guavapitch/sessions';
 import type {Appointments} from './appointments.js';
 import {createColdTargets, type ColdTargets} from './cold-targets.js';
+import {createCommitProofs, type CommitProofs, type KnownGroup} from './commit-proofs.js';
+import type {DatabaseOwnerDecision} from './decisions.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
@@ -17,21 +19,10 @@
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
 import {isSameRun} from './replication-groups.js';
-import type {
-	Command, DialFailure, DialTarget, ReadStatus, RegisteredTarget, Target, TargetStatus,
+import {
+	createUnlistedTarget, type Command, type DialFailure, type DialTarget, type ReadStatus, type RegisteredTarget, type Target, type TargetStatus,
 } from './targets.js';
 
-/** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
-export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
-	requestId: string;
-	customer?: string;
-	target: string;
-	reason: string;
-	/** Age or waiting time that led to the decision, in milliseconds. */
-	ageMs: number;
-}>;
-
 /** Dependencies of a database owner. */
 export type DatabaseOwnerContext = Readonly<{
 	runtime: Runtime;
@@ -45,6 +36,8 @@
 	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
 	/** Tells whether the vms of a data centre can be reached from here. */
 	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
+	/** Returns the group of the database if a replica may hold an acknowledged commit alone and the appointments above do not decide; otherwise `undefined`. */
+	getKnownGroup: () => KnownGroup | undefined;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns the requests per second that this owner may send to a target whose caches are cold; `undefined` if they are not limited. */
@@ -65,6 +58,7 @@
 	context: DatabaseOwnerContext;
 	positionHistory: PositionHistory;
 	leaderTracker: LeaderTracker;
+	commitProofs: CommitProofs;
 	scheduler: SlotScheduler;
 	coldTargets: ColdTargets;
 	healthTracker: HealthTracker;
@@ -130,11 +124,6 @@
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
-/** Describes a target that is reached although it need not be listed; no work begins on it. */
-const createUnlistedTarget = (target: RegisteredTarget): Target => ({
-	...target, acceptsUntil: PAST, coldUntil: PAST, region: undefined, isEvacuated: false,
-});
-
 /** Creates the owner of a database, without targets. */
 export const createDatabaseOwner = (context: DatabaseOwnerContext): DatabaseOwner => {
 	const {runtime, readSuspensionClock} = context;
@@ -266,10 +255,33 @@
 		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS), {mustDial: false, mustConfirm: true}) === 'leads';
 	});
 
+	const queryStatus: DatabaseOwner['queryStatus'] = async (target, deadline, precedingCommand) => {
+		const registered = targets.get(target.id);
+		const acquired = registered && isSameRun(registered, target) ? await acquireConnection(target.id, deadline) : undefined;
+		const dialled = acquired ?? await dialOnce(target, deadline);
+		if (dialled.err) {
+			return dialled;
+		}
+
+		const handle = dialled.val;
+		const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
+		const {replies, ended} = await handle.connection.execute(commands, deadline);
+		handle.release(ended === 'no');
+		const reply = replies[commands.length - 1];
+		const status = reply && replies.every(({result}) => result.kind === 'done') ? context.readStatus(reply) : undefined;
+		return status ? Ok(status) : Err({code: 'noStatus', message: reply ? 'the target refused the command or its reply contains no status' : 'the target did not reply'});
+	};
+
 	const sharedComponents: SharedComponents = {
 		context,
 		positionHistory,
 		leaderTracker,
+		commitProofs: createCommitProofs({
+			runtime,
+			getKnownGroup: context.getKnownGroup,
+			listTargets: () => [...targets.values()],
+			queryStatus: async target => queryStatus(target, createDeadline(runtime.now(), PING_TIMEOUT_MS)),
+		}),
 		scheduler,
 		coldTargets,
 		healthTracker: {
@@ -364,22 +376,7 @@
 		},
 		refreshLeader: leaderTracker.refresh,
 		ping: async (id, deadline) => pingWithRedial(id, deadline - runtime.now()),
-		async queryStatus(target, deadline, precedingCommand) {
-			const registered = targets.get(target.id);
-			const acquired = registered && isSameRun(registered, target) ? await acquireConnection(target.id, deadline) : undefined;
-			const dialled = acquired ?? await dialOnce(target, deadline);
-			if (dialled.err) {
-				return dialled;
-			}
-
-			const handle = dialled.val;
-			const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
-			const {replies, ended} = await handle.connection.execute(commands, deadline);
-			handle.release(ended === 'no');
-			const reply = replies[commands.length - 1];
-			const status = reply && replies.every(({result}) => result.kind === 'done') ? context.readStatus(reply) : undefined;
-			return status ? Ok(status) : Err({code: 'noStatus', message: reply ? 'the target refused the command or its reply contains no status' : 'the target did not reply'});
-		},
+		queryStatus,
 		pauseWrites(isPaused) {
 			areWritesPaused = isPaused;
 			scheduler.admitWaiting();
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -1,5 +1,7 @@
-export type * from './targets.js';
+export * from './targets.js';
+export type * from './decisions.js';
 export * from './appointments.js';
+export * from './commit-proofs.js';
 export * from './position-history.js';
 export * from './connections.js';
 export * from './slot-scheduler.js';
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -1,7 +1,7 @@
 /** Targets of a database and the interface through which a database owner talks to them, independent of any encoding. */
 
-import type {
-	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, RegionId, Result, TargetId, TransactionStatus,
+import {
+	PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type RegionId, type Result, type TargetId, type TransactionStatus,
 } from '@guavapitch/core';
 import type {LogPosition, PreparedDefinition, TargetStatement} from '@guavapitch/sessions';
 
@@ -38,6 +38,11 @@
 	isEvacuated: boolean;
 }>;
 
+/** Describes a target that is reached although it need not be listed; no work begins on it. */
+export const createUnlistedTarget = (target: RegisteredTarget): Target => ({
+	...target, acceptsUntil: PAST, coldUntil: PAST, region: undefined, isEvacuated: false,
+});
+
 /** A command on a connection to a target. `after` is the minimum log position that the target must have reached. */
 export type Command
 	= | Readonly<{kind: 'statement'; id: string; statement: TargetStatement; preparedName: string; after: LogPosition | undefined}>
--- a/packages/database-owners/src/tests/cold-targets.test.ts
+++ b/packages/database-owners/src/tests/cold-targets.test.ts
@@ -108,7 +108,7 @@
 			const {runtime, advance} = createVirtualRuntime(9);
 			const targets = [createFakeTarget('primary', 'primary', 3), createFakeTarget('replica-1', 'replica', 3)] as const;
 			const createOwner = () => {
-				const owner = createFakeOwner(targets, runtime, undefined, {getColdLimit: () => 5});
+				const owner = createFakeOwner(targets, runtime, {getColdLimit: () => 5});
 				owner.setTargets(targets.map(({description}) => description.role === 'primary' ? {...description, coldUntil: 6000 as Deadline} : description));
 				return owner;
 			};
@@ -167,7 +167,7 @@
 
 		it('are limited after the primary may have started again, before its entry says so', async () => {
 			const {targets: [primary], createRequest, advance, runtime} = createSetup();
-			const owner = createFakeOwner([primary], runtime, undefined, {getColdLimit: () => 5, getTargetsCompleteAt: () => 0 as Instant});
+			const owner = createFakeOwner([primary], runtime, {getColdLimit: () => 5, getTargetsCompleteAt: () => 0 as Instant});
 			const runWrites = async (count: number) => {
 				void Promise.all(Array.from({length: count}, async () => owner.serve(createRequest(WRITE, {}))));
 				await advance(900);
--- a/packages/database-owners/src/tests/database-owner.test.ts
+++ b/packages/database-owners/src/tests/database-owner.test.ts
@@ -37,7 +37,7 @@
 
 const createSetup = (targets: readonly FakeTarget[], isDataCentreReachable: (dataCentre: DataCentreId) => boolean = () => true) => {
 	const {runtime, advance} = createVirtualRuntime(3);
-	const owner = createFakeOwner(targets, runtime, undefined, {isDataCentreReachable});
+	const owner = createFakeOwner(targets, runtime, {isDataCentreReachable});
 	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		let response: StatementResponse | undefined;
 		void owner.serve(request).then(value => {
--- a/packages/database-owners/src/tests/evacuation.test.ts
+++ b/packages/database-owners/src/tests/evacuation.test.ts
@@ -26,7 +26,7 @@
 	const {runtime, advance} = createVirtualRuntime(4);
 	const targets = [createFakeTarget('primary', 'primary', 2, 'north'), createFakeTarget('replica-1', 'replica', 2, 'south'), createFakeTarget('replica-2', 'replica', 2, 'west')] as const;
 	const deadlines = new Map<string, Deadline>();
-	const owner = createFakeOwner(targets, runtime, undefined, {
+	const owner = createFakeOwner(targets, runtime, {
 		getEvacuationDeadline: dataCentre => deadlines.get(dataCentre) ?? NEVER,
 	});
 	const promoted: TargetId[] = [];
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -54,6 +54,7 @@
 		getColdLimit: () => undefined,
 		getTargetsCompleteAt: runtime.now,
 		isDataCentreReachable: () => true,
+		getKnownGroup: () => undefined,
 		getConnectionLimit: () => load.connections,
 		getAnyCustomer: () => 'emulated' as CustomerId,
 		getIdleTransactionMs: () => IDLE_TRANSACTION_MS,
--- a/packages/vm/src/authorization.ts
+++ b/packages/vm/src/authorization.ts
@@ -4,11 +4,21 @@
 	brandId, Err, Ok, type CustomerId, type Result,
 } from '@guavapitch/core';
 import type {Authorization} from '@guavapitch/callers';
-import {createRefusal, type StatementOutcome} from '@guavapitch/sessions';
+import {
+	createRefusal, type StatementOutcome, type StatementRefusalCode, type StatementRequest, type StatementResponse,
+} from '@guavapitch/sessions';
 import type {Configuration} from './configuration.js';
 import type {VmSettings} from './context.js';
 import {computeAllowedRegions} from './regions.js';
 
+/** Retry time of a request whose configuration allows no region, in milliseconds: operators have to change it. */
+export const REGION_RETRY_MS = 5000;
+
+/** Creates the response to a statement that is refused at its entry. */
+export const createLocalRefusal = ({transaction}: StatementRequest, code: StatementRefusalCode, reason: string, retryAfterMs: number): StatementResponse => ({
+	outcome: createRefusal(code, reason, retryAfterMs), status: transaction ? 'failed' : 'idle', position: undefined, target: undefined, waitedMs: 0,
+});
+
 /** Checks that a service exists and that a key may use it; fails with the refusal for the caller. */
 export const checkCaller = (
 	configuration: Configuration | undefined,
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -12,10 +12,10 @@
 import {createRefusalCache} from '@guavapitch/limits';
 import {createVmRegistration, createRoleClaims, type RoleClaims} from '@guavapitch/roles';
 import {
-	createRefusal, type StatementRefusalCode, type StatementResponse, type StatementRequest, type StatementOutcome,
+	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
-import {checkCaller} from './authorization.js';
+import {checkCaller, createLocalRefusal, REGION_RETRY_MS} from './authorization.js';
 import type {VmContext} from './context.js';
 import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createDataCentreMonitor} from './data-centre-monitor.js';
@@ -24,6 +24,7 @@
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
+import {formatGroupKey, parseGroupRecord} from './replication-groups.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {createStatementRouter} from './statement-router.js';
 import {
@@ -78,14 +79,6 @@
 /** Largest number of data centres in which no side of a partition outnumbers the other. */
 const MAX_DATA_CENTRES_WITHOUT_MAJORITY = 2;
 
-/** Retry time of a request whose configuration allows no region, in milliseconds: operators have to change it. */
-const REGION_RETRY_MS = 5000;
-
-/** Creates the response to a statement that is refused at its entry. */
-const createLocalRefusal = ({transaction}: StatementRequest, code: StatementRefusalCode, reason: string, retryAfterMs: number): StatementResponse => ({
-	outcome: createRefusal(code, reason, retryAfterMs), status: transaction ? 'failed' : 'idle', position: undefined, target: undefined, waitedMs: 0,
-});
-
 /** Starts the process of an entry vm; rejects if its address for other vms cannot be bound. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
 	const {runtime, settings, emit, metrics} = context;
@@ -146,11 +139,20 @@
 		},
 	});
 	const databaseOwners = createDatabaseOwners(context, {
-		view, quotas, appointments, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getSignal: () => scope.signal,
 		isDataCentreReachable: dataCentre => dataCentreMonitor.isReachable(dataCentre),
 		onPromoted(database, target) {
 			leaderAnnouncements.announce(database, target);
 		},
+		view,
+		quotas,
+		appointments,
+		getGroupRecord(database) {
+			const entry = feed.get(formatGroupKey(database));
+			return entry && parseGroupRecord(entry.value);
+		},
+		getPeerClient: () => peerClient,
+		getRoleClaims: () => roleClaims,
+		getSignal: () => scope.signal,
 	});
 
 	const feed: Feed = createFeed({
--- a/packages/vm/src/replication-groups.ts
+++ b/packages/vm/src/replication-groups.ts
@@ -14,6 +14,9 @@
 /** Key prefix of the records of groups. */
 const GROUP_PREFIX = `${STORE_PREFIX}groups/`;
 
+/** Formats the key of the record of a group. */
+export const formatGroupKey = (database: DatabaseId): string => `${GROUP_PREFIX}${database}`;
+
 const isMember = (value: unknown): value is RegisteredTarget => {
 	const member = value as Partial<RegisteredTarget> | null | undefined;
 	return typeof member?.id === 'string' && typeof member.host === 'string' && typeof member.port === 'number' && typeof member.startedAtMs === 'number';
@@ -43,7 +46,7 @@
 	database: DatabaseId,
 	isEvacuated: (target: RegisteredTarget) => boolean = () => false,
 ): GroupStore => {
-	const key = `${GROUP_PREFIX}${database}`;
+	const key = formatGroupKey(database);
 	return {
 		async read() {
 			const [group, appointment, targets] = await Promise.all([store.read(key), store.read(formatAppointmentKey(database)), source.readAll(targetPrefix)]);
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -120,6 +120,7 @@
 			getColdLimit: () => undefined,
 			getTargetsCompleteAt: runtime.now,
 			isDataCentreReachable: () => true,
+			getKnownGroup: () => undefined,
 			getConnectionLimit: () => 20,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
