--- a/packages/database-owners/src/cold-targets.ts
+++ b/packages/database-owners/src/cold-targets.ts
@@ -35,6 +35,8 @@
 	remove: (target: TargetId) => void;
 }>;
 
+/** Number of requests with which a transaction begins: its begin, and its first statement. */
+export const BEGINNING_REQUESTS = 2;
 /** Period in which the requests are counted, in milliseconds: a second, and a margin for requests that reach the target closer together than they were sent. */
 const WINDOW_MS = 1100;
 /** Time after the start of a target by which its entry is certainly written, in milliseconds; targets write it when they start and several times a second. */
--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,58 +1,28 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
-import type {Appointments} from './appointments.js';
 import {createColdTargets, type ColdTargets} from './cold-targets.js';
-import {createCommitProofs, type CommitProofs, type KnownGroup} from './commit-proofs.js';
-import type {DatabaseOwnerDecision} from './decisions.js';
+import {createCommitProofs, type CommitProofs} from './commit-proofs.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
 import {createLeaderTracker, type LeaderTracker} from './leader-tracker.js';
 import {createSlotScheduler, type SlotScheduler} from './slot-scheduler.js';
 import {createHealthTracker, type HealthTracker} from './health-tracker.js';
+import {createTargetPaces, type TargetPaces} from './paced-targets.js';
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
+import type {DatabaseOwnerContext} from './owner-context.js';
 import {isSameRun} from './replication-groups.js';
 import {
-	createUnlistedTarget, type Command, type DialFailure, type DialTarget, type ReadStatus, type RegisteredTarget, type Target, type TargetStatus,
+	createUnlistedTarget, type Command, type DialFailure, type RegisteredTarget, type Target, type TargetStatus,
 } from './targets.js';
 
-/** Dependencies of a database owner. */
-export type DatabaseOwnerContext = Readonly<{
-	runtime: Runtime;
-	/** Reads a clock that keeps running while the process or its machine is suspended. */
-	readSuspensionClock: () => Instant;
-	database: DatabaseId;
-	dial: DialTarget;
-	readStatus: ReadStatus;
-	appointments: Appointments;
-	/** Returns the deadline of the suspension clock after which nothing more may reach the targets of a data centre; `NEVER` unless it is evacuated. */
-	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
-	/** Tells whether the vms of a data centre can be reached from here. */
-	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
-	/** Returns the group of the database if a replica may hold an acknowledged commit alone and the appointments above do not decide; otherwise `undefined`. */
-	getKnownGroup: () => KnownGroup | undefined;
-	/** Returns how many connections each target accepts from all owners together. */
-	getConnectionLimit: () => number;
-	/** Returns the requests per second that this owner may send to a target whose caches are cold; `undefined` if they are not limited. */
-	getColdLimit: () => number | undefined;
-	/** Returns an instant of the suspension clock at which the known entries of the targets were certainly complete. */
-	getTargetsCompleteAt: () => Instant;
-	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
-	getAnyCustomer: () => CustomerId;
-	/** Returns how long a transaction may stay idle, in milliseconds. */
-	getIdleTransactionMs: () => number;
-	/** Acquires one token of the customer's quota; fails with the time to wait if the customer has exceeded it. */
-	acquireToken: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, Failure & Readonly<{retryAfterMs: number}>>>;
-	onDecision: (decision: DatabaseOwnerDecision) => void;
-}>;
-
 /** Components of a database owner that the modules of this package share. */
 export type SharedComponents = Readonly<{
 	context: DatabaseOwnerContext;
@@ -62,6 +32,7 @@
 	scheduler: SlotScheduler;
 	coldTargets: ColdTargets;
 	healthTracker: HealthTracker;
+	targetPaces: TargetPaces;
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
@@ -130,7 +101,7 @@
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
-	const scheduler = createSlotScheduler(runtime);
+	const scheduler = createSlotScheduler(runtime, {getSlotLimit: id => targetPaces.getLimit(id)});
 	const coldTargets = createColdTargets({
 		runtime,
 		readSuspensionClock,
@@ -143,12 +114,32 @@
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const {appointments} = context;
+	let lastLeader: TargetId | undefined;
 	const leaderTracker = createLeaderTracker(appointments.getAppointed, leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'this target most recently became leader; an empty target means that none leads', ageMs: 0,
 		});
+		if (leader !== undefined && leader !== lastLeader) {
+			lastLeader = leader;
+			targetPaces.recordPromotion(leader);
+		}
+
 		scheduler.admitWaiting();
 	});
+	const targetPaces = createTargetPaces({
+		runtime,
+		getLeader: leaderTracker.getLeader,
+		getSlots: id => targets.get(id)?.slots ?? 1,
+		listTargets: () => [...targets.keys()],
+		getBusyCount: id => scheduler.getLoads().find(load => load.id === id)?.busyCount ?? 0,
+		getDialMs: id => connections.get(id)?.getDialMs() ?? 0,
+		onRoom: scheduler.admitWaiting,
+		onChange(target, isLimited, reason) {
+			context.onDecision({
+				kind: isLimited ? 'paceLimited' : 'paceRestored', requestId: '', target, reason, ageMs: 0,
+			});
+		},
+	});
 	const healthTracker = createHealthTracker({
 		runtime,
 		async probe(id) {
@@ -158,7 +149,9 @@
 			context.onDecision({
 				kind: isUp ? 'targetBack' : 'targetFailing', requestId: '', target, reason, ageMs: 0,
 			});
-			if (!isUp) {
+			if (isUp) {
+				targetPaces.recordRecovery(target);
+			} else {
 				for (const callback of targetDownCallbacks.get(target) ?? []) {
 					callback();
 				}
@@ -291,6 +284,7 @@
 				healthTracker.markSuspect(id, reason);
 			},
 		},
+		targetPaces,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
@@ -360,6 +354,7 @@
 					targets.delete(id);
 					healthTracker.remove(id);
 					coldTargets.remove(id);
+					targetPaces.remove(id);
 				}
 			}
 
--- a/packages/database-owners/src/decisions.ts
+++ b/packages/database-owners/src/decisions.ts
@@ -2,7 +2,7 @@
 
 /** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
 export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
+	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'paceLimited' | 'paceRestored' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
 	target: string;
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -1,5 +1,6 @@
 export * from './targets.js';
 export type * from './decisions.js';
+export type * from './owner-context.js';
 export * from './appointments.js';
 export * from './commit-proofs.js';
 export * from './position-history.js';
@@ -8,6 +9,8 @@
 export * from './read-targets.js';
 export * from './leader-tracker.js';
 export * from './health-tracker.js';
+export * from './target-pace.js';
+export * from './paced-targets.js';
 export * from './database-owner.js';
 export * from './replication-groups.js';
 export * from './promotions.js';
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -4,7 +4,8 @@
 	createSuspensionClock, NEVER, Ok, brandId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
 import {SELF_FENCING_APPOINTMENTS} from '../appointments.js';
-import {createDatabaseOwner, type DatabaseOwner, type DatabaseOwnerContext} from '../database-owner.js';
+import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
+import type {DatabaseOwnerContext} from '../owner-context.js';
 import {
 	createFakeDial, DATABASE, readFakeStatus, type FakeTarget,
 } from './fake-targets.js';
