Merge evacuations, allowed regions and the pace of cold targets

Cause: nothing read the operators' evacuation of a data centre, the regions of routes and customers, or the pace of cold targets.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,13 +1,13 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
-import type {Appointments} from './appointments.js';
-import {createCommitProofs, type CommitProofs, type KnownGroup} from './commit-proofs.js';
+import {createColdTargets, type ColdTargets} from './cold-targets.js';
+import {createCommitProofs, type CommitProofs} from './commit-proofs.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
@@ -17,46 +17,12 @@
 import {createTargetPaces, type TargetPaces} from './paced-targets.js';
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
+import type {DatabaseOwnerContext} from './owner-context.js';
 import {isSameRun} from './replication-groups.js';
-import type {
-	Command, DialFailure, DialTarget, ReadStatus, RegisteredTarget, Target, TargetStatus,
+import {
+	createUnlistedTarget, type Command, type DialFailure, type RegisteredTarget, type Target, type TargetStatus,
 } from './targets.js';
 
-/** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
-export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'paceLimited' | 'paceRestored' | 'transactionExpired';
-	requestId: string;
-	customer?: string;
-	target: string;
-	reason: string;
-	/** Age or waiting time that led to the decision, in milliseconds. */
-	ageMs: number;
-}>;
-
-/** Dependencies of a database owner. */
-export type DatabaseOwnerContext = Readonly<{
-	runtime: Runtime;
-	/** Reads a clock that keeps running while the process or its machine is suspended. */
-	readSuspensionClock: () => Instant;
-	database: DatabaseId;
-	dial: DialTarget;
-	readStatus: ReadStatus;
-	appointments: Appointments;
-	/** Tells whether the vms of a data centre can be reached from here. */
-	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
-	/** Returns the group of the database if a replica may hold an acknowledged commit alone and the appointments above do not decide; otherwise `undefined`. */
-	getKnownGroup: () => KnownGroup | undefined;
-	/** Returns how many connections each target accepts from all owners together. */
-	getConnectionLimit: () => number;
-	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
-	getAnyCustomer: () => CustomerId;
-	/** Returns how long a transaction may stay idle, in milliseconds. */
-	getIdleTransactionMs: () => number;
-	/** Acquires one token of the customer's quota; fails with the time to wait if the customer has exceeded it. */
-	acquireToken: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, Failure & Readonly<{retryAfterMs: number}>>>;
-	onDecision: (decision: DatabaseOwnerDecision) => void;
-}>;
-
 /** Components of a database owner that the modules of this package share. */
 export type SharedComponents = Readonly<{
 	context: DatabaseOwnerContext;
@@ -64,6 +30,7 @@
 	leaderTracker: LeaderTracker;
 	commitProofs: CommitProofs;
 	scheduler: SlotScheduler;
+	coldTargets: ColdTargets;
 	healthTracker: HealthTracker;
 	targetPaces: TargetPaces;
 	getTarget: (id: TargetId) => Target | undefined;
@@ -73,8 +40,10 @@
 	onTargetDown: (target: TargetId, callback: () => void) => (() => void);
 	/** Records a log position that the leader confirms in reply to a ping sent after this call; resolves to `false` if no leader confirmed one, or if the deadline has already passed. */
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
-	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving, negative if none may. */
+	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving or evacuated, 0 or negative if none may. */
 	getAcceptingMs: (target: TargetId) => number;
+	/** Returns how long anything may still be sent to the targets of a data centre, in milliseconds; infinite unless it is evacuated, 0 or negative if nothing may. */
+	getSendingMs: (dataCentre: DataCentreId) => number;
 	/** Tells whether a target can be expected to respond: its data centre can be reached, or it responded a moment ago. */
 	isReachable: (target: TargetId) => boolean;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
@@ -119,7 +88,7 @@
 
 /** Timeout of a ping; short, as a ping occupies no slot of the target. */
 const PING_TIMEOUT_MS = 400;
-/** Time before the end of a leaving target's drain time from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
+/** Time before the end of a leaving target's drain time, or of the time left for an evacuation, from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
 const START_MARGIN_MS = 250;
 /** Time since its last response within which a target counts as reachable although the vms of its data centre do not answer, in milliseconds: about as long as these take to count as unreachable. */
 const RECENT_RESPONSE_MS = 500;
@@ -133,6 +102,15 @@
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
 	const scheduler = createSlotScheduler(runtime, {getSlotLimit: id => targetPaces.getLimit(id)});
+	const coldTargets = createColdTargets({
+		runtime,
+		readSuspensionClock,
+		getLimit: context.getColdLimit,
+		getColdUntil: id => targets.get(id)?.coldUntil ?? PAST,
+		areConnectionsLost: id => connections.get(id)?.areAllLost() ?? false,
+		getTargetsCompleteAt: context.getTargetsCompleteAt,
+		onAvailable: scheduler.admitWaiting,
+	});
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const {appointments} = context;
@@ -185,10 +163,23 @@
 	let areWritesPaused = false;
 	let lastCustomer: StatementRequest['customer'] | undefined;
 
+	/** Records that a connection to a target was lost or refused. A target that has started again has ended them all. */
+	const recordLoss = (id: TargetId) => {
+		if (!connections.get(id)?.hasLive()) {
+			coldTargets.recordGap(id);
+		}
+	};
+
+	const getSendingMs = (dataCentre: DataCentreId): number => context.getEvacuationDeadline(dataCentre) - START_MARGIN_MS - readSuspensionClock();
+
+	/** Tells whether a target elsewhere can take over the work of evacuated ones; without one, nothing more begins on them. */
+	const hasStayingDataCentre = (): boolean => [...targets.values()].some(({isEvacuated}) => !isEvacuated);
+
 	/** Acquires a connection for a ping or a status query. */
 	const acquireConnection = async (id: TargetId, deadline: Deadline, mustDial = false): Promise<Result<ConnectionHandle, DialFailure> | undefined> => {
 		const targetConnections = connections.get(id);
-		if (!targetConnections) {
+		const target = targets.get(id);
+		if (!targetConnections || !target || getSendingMs(target.dataCentre) <= 0) {
 			return undefined;
 		}
 
@@ -202,7 +193,11 @@
 
 	/** Opens a connection that is closed when it is released. */
 	const dialOnce = async (target: RegisteredTarget, deadline: Deadline): Promise<Result<Pick<ConnectionHandle, 'connection' | 'release'>, DialFailure>> => {
-		const dialled = await context.dial({...target, acceptsUntil: PAST}, lastCustomer ?? context.getAnyCustomer(), deadline);
+		if (getSendingMs(target.dataCentre) <= 0) {
+			return Err({code: 'silent', message: 'its data centre is evacuated'});
+		}
+
+		const dialled = await context.dial(createUnlistedTarget(target), lastCustomer ?? context.getAnyCustomer(), deadline);
 		return dialled.map(connection => ({connection, release: connection.close}));
 	};
 
@@ -281,7 +276,14 @@
 			queryStatus: async target => queryStatus(target, createDeadline(runtime.now(), PING_TIMEOUT_MS)),
 		}),
 		scheduler,
-		healthTracker,
+		coldTargets,
+		healthTracker: {
+			...healthTracker,
+			markSuspect(id, reason) {
+				recordLoss(id);
+				healthTracker.markSuspect(id, reason);
+			},
+		},
 		targetPaces,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
@@ -298,9 +300,14 @@
 			return !isPast(deadline, runtime.now()) && verifyLeader();
 		},
 		getAcceptingMs(id) {
-			const acceptsUntil = targets.get(id)?.acceptsUntil ?? PAST;
-			return acceptsUntil - START_MARGIN_MS - readSuspensionClock();
+			const target = targets.get(id);
+			if (!target || (target.isEvacuated && !hasStayingDataCentre())) {
+				return 0;
+			}
+
+			return Math.min(target.acceptsUntil - START_MARGIN_MS - readSuspensionClock(), getSendingMs(target.dataCentre));
 		},
+		getSendingMs,
 		isReachable(id) {
 			const target = targets.get(id);
 			return !target || context.isDataCentreReachable(target.dataCentre)
@@ -346,6 +353,7 @@
 					connections.delete(id);
 					targets.delete(id);
 					healthTracker.remove(id);
+					coldTargets.remove(id);
 					targetPaces.remove(id);
 				}
 			}
@@ -358,6 +366,7 @@
 			}
 
 			leaderTracker.applyRegistry(newTargets, runtime.now());
+			transactions.limitToEvacuations();
 			scheduler.setTargets(newTargets);
 		},
 		refreshLeader: leaderTracker.refresh,
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -1,4 +1,6 @@
-export type * from './targets.js';
+export * from './targets.js';
+export type * from './decisions.js';
+export type * from './owner-context.js';
 export * from './appointments.js';
 export * from './commit-proofs.js';
 export * from './position-history.js';
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -9,6 +9,7 @@
 import {
 	createResponse, createBusyRefusal, evaluateReply, isAnswered, recordDialFailure, recordPace, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
+import {takePacedSlot} from './cold-targets.js';
 import type {LeadProof} from './appointments.js';
 import type {CommitProof} from './commit-proofs.js';
 import type {ConnectionHandle} from './connections.js';
@@ -45,6 +46,9 @@
 /** Result of an attempt; `sentAt` is when the statement was sent. */
 type AttemptResult = Readonly<{verdict: Verdict; sentAt: Instant}>;
 
+/** Tells whether a statement is a read that needs the latest state; it takes two requests to the target, the first of which begins a transaction. */
+const isVerifiedRead = (plan: Plan): boolean => plan.kind === 'leader' && !plan.isWrite;
+
 /** Runs a read that needs the latest state, in a write transaction, which only a leader accepts. */
 const runVerifiedRead = async (components: DatabaseOwnerComponents, {request, handle, deadline}: Attempt): Promise<AttemptResult> => {
 	const begunAt = components.context.readSuspensionClock();
@@ -121,11 +125,11 @@
 
 const hasNoLeader = (components: SharedComponents, plan: Plan): boolean => plan.kind === 'leader' && components.leaderTracker.getLeader() === undefined;
 
-/** Creates the refusal of a statement that got no slot, with the reason if it is that all targets that could run it are leaving. */
+/** Creates the refusal of a statement that got no slot, with the reason if it is that no target that could run it accepts it. */
 export const createSlotRefusal = (components: SharedComponents, plan: Plan, message: string): StatementOutcome => {
 	const isDrained = getPlanAcceptingMs(components, plan) <= 0;
 	return createBusyRefusal(
-		isDrained ? 'every target that could run the statement is leaving' : message,
+		isDrained ? 'every target that could run the statement is leaving, in an evacuated data centre or outside the allowed regions' : message,
 		isDrained || hasNoLeader(components, plan) ? LEADER_RETRY_AFTER_MS : RETRY_PAUSE_MS * (1 + components.scheduler.getWaitingCount()),
 	);
 };
@@ -170,10 +174,10 @@
 		components.targetPaces.recordDial(target, tookMs, request);
 	}
 
-	// Opening the connection may have taken until after the drain time of a leaving target.
+	// Opening the connection may have taken until after the drain time of a leaving target, or the time left for an evacuation.
 	if (components.getAcceptingMs(target) <= 0) {
 		handle.val.release(true);
-		return Err({code: 'leaving', message: 'the target is leaving and accepts no new work'});
+		return Err({code: 'leaving', message: 'the target is leaving or evacuated and accepts no new work'});
 	}
 
 	if (plan.kind === 'leader' && components.leaderTracker.getLeader() !== target) {
@@ -204,14 +208,14 @@
 			return createResponse(refusal, runtime.now() - arrivedAt);
 		}
 
-		const slot = await scheduler.acquire({
+		const slot = await takePacedSlot(components, {
 			customer: request.customer,
 			priority: request.priority,
 			latencyDeadline,
 			deadline: computeSlotDeadline(components, plan, deadline),
 			isPinned: false,
 			chooseTarget: freeTargets => chooseTarget(components, {plan, request, tried: triedTargets}, freeTargets),
-		});
+		}, isVerifiedRead(plan) ? 2 : 1);
 		if (slot.err) {
 			return createResponse(createSlotRefusal(components, plan, slot.val.message), runtime.now() - arrivedAt);
 		}
@@ -231,7 +235,7 @@
 		}
 
 		const startedAt = runtime.now();
-		const runAttempt = plan.kind === 'leader' && !plan.isWrite ? runVerifiedRead : runStatement;
+		const runAttempt = isVerifiedRead(plan) ? runVerifiedRead : runStatement;
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
 		const proof = plan.kind === 'leader' ? context.appointments.startProof(target) : undefined;
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -1,7 +1,7 @@
 /** Targets of a database and the interface through which a database owner talks to them, independent of any encoding. */
 
-import type {
-	CustomerId, DatabaseId, DataCentreId, Deadline, Failure, Result, TargetId, TransactionStatus,
+import {
+	PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type RegionId, type Result, type TargetId, type TransactionStatus,
 } from '@guavapitch/core';
 import type {LogPosition, PreparedDefinition, TargetStatement} from '@guavapitch/sessions';
 
@@ -22,14 +22,27 @@
 	role: TargetRole;
 	/** When the target process was started, in milliseconds since 1970 by its own clock. */
 	startedAtMs: number;
+	/** How much longer its caches are cold, as of the time of its entry, in milliseconds; absent if the entry does not say. */
+	coldRemainingMs?: number;
 }>;
 
 /** A registered target, and until when it accepts new work. */
 export type Target = RegisteredTarget & Readonly<{
 	/** Deadline of the suspension clock after which no statement outside a transaction, and no transaction, may begin on the target; `NEVER` unless it is leaving. */
 	acceptsUntil: Deadline;
+	/** Deadline of the suspension clock until which its caches count as cold, because it has started a short time ago; `PAST` if they do not. */
+	coldUntil: Deadline;
+	/** Region of its data centre; `undefined` if it is not known. */
+	region: RegionId | undefined;
+	/** Whether its data centre is evacuated: it must be replaced as primary, and gets no reads. */
+	isEvacuated: boolean;
 }>;
 
+/** Describes a target that is reached although it need not be listed; no work begins on it. */
+export const createUnlistedTarget = (target: RegisteredTarget): Target => ({
+	...target, acceptsUntil: PAST, coldUntil: PAST, region: undefined, isEvacuated: false,
+});
+
 /** A command on a connection to a target. `after` is the minimum log position that the target must have reached. */
 export type Command
 	= | Readonly<{kind: 'statement'; id: string; statement: TargetStatement; preparedName: string; after: LogPosition | undefined}>
--- a/packages/database-owners/src/tests/fake-owner.ts
+++ b/packages/database-owners/src/tests/fake-owner.ts
@@ -1,10 +1,11 @@
 /** A database owner with fake targets, for tests on a virtual clock. */
 
 import {
-	createSuspensionClock, Ok, brandId, type CustomerId, type Runtime,
+	createSuspensionClock, NEVER, Ok, brandId, type CustomerId, type Runtime,
 } from '@guavapitch/core';
 import {SELF_FENCING_APPOINTMENTS} from '../appointments.js';
-import {createDatabaseOwner, type DatabaseOwner, type DatabaseOwnerContext} from '../database-owner.js';
+import {createDatabaseOwner, type DatabaseOwner} from '../database-owner.js';
+import type {DatabaseOwnerContext} from '../owner-context.js';
 import {
 	createFakeDial, DATABASE, readFakeStatus, type FakeTarget,
 } from './fake-targets.js';
@@ -18,6 +19,9 @@
 		dial: createFakeDial(targets, runtime),
 		readStatus: readFakeStatus(targets),
 		appointments: SELF_FENCING_APPOINTMENTS,
+		getEvacuationDeadline: () => NEVER,
+		getColdLimit: () => undefined,
+		getTargetsCompleteAt: runtime.now,
 		isDataCentreReachable: () => true,
 		getKnownGroup: () => undefined,
 		getConnectionLimit: () => 8,
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -1,7 +1,7 @@
 /** In-memory targets of one database with terms, log positions, lag and faults, for tests on a virtual clock. */
 
 import {
-	createConditionVariable, Err, NEVER, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Result, type TargetId, type Runtime,
+	createConditionVariable, Err, NEVER, PAST, Ok, brandId, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {
@@ -21,8 +21,8 @@
 	readonly refusedKinds: Set<Command['kind']>;
 	/** Duration of a statement, in milliseconds. */
 	statementMs: number;
-	/** Statements that ran, with the log position and the session variables at that time. */
-	readonly executed: Array<Readonly<{id: string; text: string; isInTransaction: boolean; position: LogPosition; values: string}>>;
+	/** Statements that ran, with the log position and the session variables at that time, and when they arrived. */
+	readonly executed: Array<Readonly<{at: Instant; id: string; text: string; isInTransaction: boolean; position: LogPosition; values: string}>>;
 	/** Duration of opening a connection, in milliseconds. */
 	dialMs: number;
 	dialCount: number;
@@ -32,15 +32,29 @@
 	runningCount: number;
 	/** Highest number of statements that ran concurrently. */
 	maxRunningCount: number;
+	/** When the target last received a command or a new connection. */
+	lastReachedAt: Instant;
 };
 
 /** Database of all fake targets. */
 export const DATABASE = brandId<DatabaseId>('ledger');
 
 /** Creates a fake target at position 100 of term 1. */
-export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2): FakeTarget => ({
+export const createFakeTarget = (name: string, role: 'primary' | 'replica', slots = 2, dataCentre = 'here'): FakeTarget => ({
 	description: {
-		id: brandId<TargetId>(name), database: DATABASE, host: name, port: 1, dataCentre: brandId<DataCentreId>('here'), slots, isDraining: false, acceptsUntil: NEVER, role, startedAtMs: 1,
+		id: brandId<TargetId>(name),
+		database: DATABASE,
+		host: name,
+		port: 1,
+		dataCentre: brandId<DataCentreId>(dataCentre),
+		slots,
+		isDraining: false,
+		acceptsUntil: NEVER,
+		isEvacuated: false,
+		region: undefined,
+		coldUntil: PAST,
+		role,
+		startedAtMs: 1,
 	},
 	role,
 	position: {term: 1, number: 100},
@@ -55,6 +69,7 @@
 	heldTerm: 0,
 	runningCount: 0,
 	maxRunningCount: 0,
+	lastReachedAt: 0 as Instant,
 });
 
 type Session = {isInTransaction: boolean; isReadOnly: boolean; values: Map<string, string>; prepared: Set<string>};
@@ -84,11 +99,13 @@
 			return createErrorReply('readOnly');
 		}
 
+		const at = runtime.now();
 		target.runningCount++;
 		target.maxRunningCount = Math.max(target.maxRunningCount, target.runningCount);
 		await runtime.sleep(target.statementMs);
 		target.runningCount--;
 		target.executed.push({
+			at,
 			id: command.id,
 			text: statement.kind === 'prepared' ? command.preparedName : statement.text,
 			isInTransaction: session.isInTransaction,
@@ -107,6 +124,7 @@
 	};
 
 	const run = async (command: Command): Promise<Reply> => {
+		target.lastReachedAt = runtime.now();
 		if (target.refusedKinds.has(command.kind)) {
 			return createErrorReply('busy');
 		}
@@ -223,6 +241,7 @@
 	}
 
 	target.dialCount++;
+	target.lastReachedAt = runtime.now();
 	await runtime.sleep(target.dialMs);
 	return Ok(createConnection(target, runtime));
 };
--- a/packages/database-owners/src/tests/model-group.ts
+++ b/packages/database-owners/src/tests/model-group.ts
@@ -1,7 +1,7 @@
 /** Model of a group with synchronous replication on a virtual clock: a commit is confirmed once one replica has received it, and acknowledged if the owner passes that on. Tests cause the faults. */
 
 import {
-	createDeadline, Err, getRemainingMs, NEVER, Ok, brandId, type DataCentreId, type Result, type Runtime, type TargetId,
+	createDeadline, Err, getRemainingMs, NEVER, PAST, Ok, brandId, type DataCentreId, type Result, type Runtime, type TargetId,
 } from '@guavapitch/core';
 import type {LogPosition} from '@guavapitch/sessions';
 import type {CommitProof} from '../commit-proofs.js';
@@ -78,7 +78,7 @@
 			dataCentre: brandId<DataCentreId>('here'),
 			slots: 3,
 			isDraining: false,
-			acceptsUntil: NEVER,
+			acceptsUntil: NEVER, isEvacuated: false, region: undefined, coldUntil: PAST,
 			role,
 			startedAtMs: ++runCount,
 		},
--- a/packages/vm/src/cluster-view.ts
+++ b/packages/vm/src/cluster-view.ts
@@ -1,7 +1,7 @@
 /** The cluster as one vm sees it through the change feed: configuration, targets and members. */
 
 import {
-	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, type DatabaseId, type DataCentreId, type Deadline, type TargetId,
+	chooseEarliest, createDeadline, getRemainingMs, isPast, NEVER, PAST, type DatabaseId, type DataCentreId, type Deadline, type Instant, type RegionId, type TargetId,
 } from '@guavapitch/core';
 import type {Feed, StoreChange, StoreEntry} from '@guavapitch/feed';
 import type {RegisteredTarget, Target} from '@guavapitch/database-owners';
@@ -11,6 +11,9 @@
 	parseMember, rankBalancedOwners, rankCoordinators, rankOwners, type Member,
 } from './members.js';
 import type {Configuration} from './configuration.js';
+import {filterPermitted} from './regions.js';
+import {createEvacuations} from './evacuations.js';
+import {createNameReporter} from './unknown-names.js';
 
 /** Prefix of all keys that this product writes to the store. */
 export const STORE_PREFIX = 'guavapitch/';
@@ -35,23 +38,34 @@
 	recordLeader: (database: DatabaseId, target: TargetId) => void;
 	/** Returns the target that was last announced as promoted; `undefined` if none was lately. */
 	getAnnouncedLeader: (database: DatabaseId) => Target | undefined;
-	/** Ranks the vms as owners of a database, best first. */
-	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Ranks the vms as owners of a database, best first; without those that may not see the body of a request if it may run only in the given regions. */
+	rankOwners: (database: DatabaseId, allowedRegions?: readonly RegionId[]) => readonly Member[];
+	/** Returns the deadline of the suspension clock after which nothing more may be sent to the targets of a data centre; `NEVER` unless it is evacuated. */
+	getEvacuationDeadline: (dataCentre: DataCentreId) => Deadline;
+	/** Returns an instant of the suspension clock at which the known entries of the targets were certainly complete. */
+	getTargetsCompleteAt: () => Instant;
 	/** Ranks the vms as failover coordinators of a database, best first. */
 	rankCoordinators: (database: DatabaseId) => readonly Member[];
 	/** Applies changes of the feed; returns which kinds of entries they touch. */
 	applyChanges: (changes: readonly StoreChange[]) => Readonly<{hasConfigurationChange: boolean; hasTargetChange: boolean; hasMemberChange: boolean; hasAppointmentChange: boolean}>;
 }>;
 
-/** Tells whether a change affects the cluster view. A target entry that decodes to the same target as before is only a heartbeat and does not. */
+/** Formats what heartbeats do not change: of the time for which a target is still cold, only whether there is any. */
+const formatComparable = ({coldRemainingMs = 0, ...rest}: RegisteredTarget): string => JSON.stringify([rest, coldRemainingMs > 0]);
+
+/** Tells whether a change affects the cluster view. Other entries of operators do not, and a target entry that decodes to the same target as before is only a heartbeat and does not. */
 export const isRelevantChange = (context: VmContext, change: StoreChange, previous: StoreEntry | undefined): boolean => {
+	if (change.key.startsWith(context.operatorPrefix)) {
+		return change.key === context.configurationKey || context.parseEvacuation(change.key) !== undefined;
+	}
+
 	if (!change.entry || !previous || !change.key.startsWith(context.targetPrefix)) {
 		return true;
 	}
 
 	const parsed = context.parseTarget(change.entry);
 	const parsedPrevious = context.parseTarget(previous);
-	return parsed.err || parsedPrevious.err || JSON.stringify(parsed.val) !== JSON.stringify(parsedPrevious.val);
+	return parsed.err || parsedPrevious.err || formatComparable(parsed.val) !== formatComparable(parsedPrevious.val);
 };
 
 /** Describes how the registered entry of a target has changed; `undefined` if nothing that matters for placing statements has. */
@@ -112,6 +126,8 @@
 	let targets = new Map<TargetId, Target>();
 	let targetsByDatabase = new Map<DatabaseId, Target[]>();
 	let ownerRanks = new Map<DatabaseId, readonly Member[]>();
+	const evacuations = createEvacuations({...context, getFeed});
+	const reportUnknownNames = createNameReporter(context);
 	/** Until when leaving targets accept new work, by run of the target; kept when an entry is missing for a while, as the drain time goes on. */
 	const acceptsUntilByRun = new Map<string, Deadline>();
 
@@ -202,6 +218,24 @@
 		return {...target, acceptsUntil: chooseEarliest([presentUntil, createDeadline(getFeed().getCompleteAt(context.targetPrefix), context.getTargetDrainMs())])};
 	};
 
+	const isEvacuated = ({dataCentre}: RegisteredTarget): boolean => evacuations.getDeadline(dataCentre) !== NEVER;
+
+	/**
+	 * Returns until when a target is cold. Its entry was written before now, so the time left that it states is not exceeded by counting from now;
+	 * of several such deadlines of one run the earliest holds. An entry that states none is measured by the wall clocks of the target and of this vm.
+	 */
+	const getColdUntil = ({id, database, startedAtMs, coldRemainingMs}: RegisteredTarget): Deadline => {
+		const coldStartMs = configuration?.databases.get(database)?.coldStartMs ?? 0;
+		const remainingMs = coldRemainingMs ?? Math.min(coldStartMs, startedAtMs + coldStartMs - context.runtime.readWallClock());
+		if (remainingMs <= 0) {
+			return PAST;
+		}
+
+		const coldUntil = createDeadline(context.readSuspensionClock(), remainingMs);
+		const known = targets.get(id);
+		return known?.startedAtMs === startedAtMs && known.coldUntil !== PAST ? chooseEarliest([known.coldUntil, coldUntil]) : coldUntil;
+	};
+
 	const rebuildTargets = () => {
 		const targetsById = new Map<TargetId, Target>();
 		const groupedTargets = new Map<DatabaseId, Target[]>();
@@ -209,7 +243,14 @@
 			const parsed = context.parseTarget(entry);
 			if (parsed.ok) {
 				const acceptsUntil = getAcceptsUntil(parsed.val);
-				const target: Target = {...parsed.val, isDraining: acceptsUntil !== NEVER, acceptsUntil};
+				const target: Target = {
+					...parsed.val,
+					isDraining: acceptsUntil !== NEVER,
+					acceptsUntil,
+					coldUntil: getColdUntil(parsed.val),
+					region: context.settings.regions.get(parsed.val.dataCentre),
+					isEvacuated: isEvacuated(parsed.val),
+				};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
 				lapsedUntil.delete(target.id);
@@ -218,8 +259,9 @@
 
 		const listedTargets = [...targetsById.values()];
 		for (const known of targets.values()) {
-			const target = targetsById.has(known.id) ? undefined : keepLapsed(known, listedTargets);
-			if (target) {
+			const kept = targetsById.has(known.id) ? undefined : keepLapsed(known, listedTargets);
+			if (kept) {
+				const target: Target = {...kept, isEvacuated: isEvacuated(kept)};
 				targetsById.set(target.id, target);
 				groupedTargets.set(target.database, [...groupedTargets.get(target.database) ?? [], target]);
 			} else {
@@ -279,11 +321,15 @@
 			ownerRanks = new Map();
 		},
 		getAnnouncedLeader,
-		rankOwners: rankDatabaseOwners,
+		rankOwners: (database, allowedRegions) => filterPermitted(rankDatabaseOwners(database), allowedRegions, context.settings),
 		rankCoordinators: database => rankCoordinators(rankDatabaseOwners(database), getPreferredDataCentre(database)),
+		getEvacuationDeadline: evacuations.getDeadline,
+		getTargetsCompleteAt: () => getFeed().getCompleteAt(context.targetPrefix),
 		applyChanges(changes) {
 			const hasConfigurationChange = changes.some(({key}) => key === context.configurationKey);
-			const hasTargetChange = changes.some(({key}) => key.startsWith(context.targetPrefix));
+			const hasEvacuationChange = changes.some(({key}) => context.parseEvacuation(key) !== undefined);
+			// How long a target is cold may depend on the configuration.
+			const hasTargetChange = hasEvacuationChange || (hasConfigurationChange && targets.size > 0) || changes.some(({key}) => key.startsWith(context.targetPrefix));
 			const hasMemberChange = changes.some(({key}) => key.startsWith(MEMBER_PREFIX));
 			const hasAppointmentChange = changes.some(({key}) => key.startsWith(APPOINTMENT_PREFIX));
 			if (hasConfigurationChange) {
@@ -291,6 +337,10 @@
 				ownerRanks = new Map();
 			}
 
+			if (hasEvacuationChange) {
+				evacuations.refresh();
+			}
+
 			if (hasTargetChange) {
 				rebuildTargets();
 				reportMalformed(changes);
@@ -300,6 +350,9 @@
 				rebuildMembers();
 			}
 
+			reportUnknownNames({
+				evacuated: evacuations.list(), regionFields: configuration?.regionFields ?? [], members, targets: [...targets.values()],
+			});
 			return {
 				hasConfigurationChange, hasTargetChange, hasMemberChange, hasAppointmentChange,
 			};
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,13 +1,14 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
+	createDeadline, NEVER, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner, type GroupRecord,
 } from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
+import type {DatabaseConfiguration} from './configuration.js';
 import type {VmContext} from './context.js';
 import type {PeerClient} from './peer-client.js';
 import type {Quotas} from './quotas.js';
@@ -66,6 +67,18 @@
 /** Connection limit of the targets of a database that the configuration does not name. */
 const DEFAULT_CONNECTION_LIMIT = 8;
 
+/** Configuration of a database that the operators' configuration does not name. */
+const UNCONFIGURED = {coldStartMs: 0, coldPerSecond: 0};
+
+/** Number of vms that may own a database at a time, as they see the fleet differently; each may send its part of what a cold target receives. */
+const MAX_OWNERS = 2;
+
+/** Computes the requests per second that one owner may send to a cold target; `undefined` if they are not limited. */
+export const computeColdLimit = (
+	{coldStartMs, coldPerSecond}: Pick<DatabaseConfiguration, 'coldStartMs' | 'coldPerSecond'>,
+	{tolerance, slack}: ReturnType<VmContext['getColdBounds']>,
+): number | undefined => coldStartMs > 0 && coldPerSecond > 0 ? ((coldPerSecond * tolerance) + slack) / MAX_OWNERS : undefined;
+
 /** Creates the database owners of a vm. */
 export const createDatabaseOwners = (context: VmContext, dependencies: DatabaseDependencies): DatabaseOwners => {
 	const {runtime, settings, emit, metrics} = context;
@@ -101,6 +114,9 @@
 			readStatus: context.readStatus,
 			isDataCentreReachable: dependencies.isDataCentreReachable,
 			appointments: dependencies.appointments.get(database),
+			getEvacuationDeadline: view.getEvacuationDeadline,
+			getColdLimit: () => computeColdLimit(view.getConfiguration()?.databases.get(database) ?? UNCONFIGURED, context.getColdBounds()),
+			getTargetsCompleteAt: view.getTargetsCompleteAt,
 			getKnownGroup: () => context.areTargetsSelfFencing && isReplicated(database)
 				? {appointments: dependencies.appointments.getRecorded(database), members: dependencies.getGroupRecord(database)?.members ?? []}
 				: undefined,
@@ -130,7 +146,7 @@
 			requestPromotion: async (target, fencingToken) => context.requestPromotion(target, settings.vm, fencingToken),
 			isReachableFromPeers: probeFromPeers,
 			isSynchronouslyReplicated: () => isReplicated(database),
-			groupStore: createGroupStore(context, database),
+			groupStore: createGroupStore(context, database, ({dataCentre}) => view.getEvacuationDeadline(dataCentre) !== NEVER),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
 				if (kind === 'finished') {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -15,7 +15,7 @@
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
-import {checkCaller} from './authorization.js';
+import {checkCaller, createLocalRefusal, REGION_RETRY_MS} from './authorization.js';
 import type {VmContext} from './context.js';
 import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createDataCentreMonitor} from './data-centre-monitor.js';
@@ -59,8 +59,8 @@
 const FEED_METHOD = 'feed';
 const CONFIRM_APPOINTMENT_METHOD = 'confirm';
 
-/** Maximum duration of one watch of the configuration, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
-const CONFIGURATION_WATCH_MS = 850;
+/** Maximum duration of one watch of the configuration and the evacuations, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
+const OPERATOR_WATCH_MS = 850;
 /** Maximum duration of one watch of members and roles, in milliseconds. */
 const MEMBER_WATCH_MS = 5000;
 /** Pause between watches of members and roles, in milliseconds: when a whole fleet starts, each joining vm would otherwise end every watch. */
@@ -162,7 +162,7 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: [
-			{prefix: context.configurationKey, waitMs: CONFIGURATION_WATCH_MS, pauseMs: 0},
+			{prefix: context.operatorPrefix, waitMs: OPERATOR_WATCH_MS, pauseMs: 0},
 			{prefix: STORE_PREFIX, waitMs: MEMBER_WATCH_MS, pauseMs: MEMBER_PAUSE_MS},
 			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 		],
@@ -324,17 +324,15 @@
 	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
 		metrics.count('statements');
+		if (request.allowedRegions?.length === 0) {
+			return createLocalRefusal(request, 'busy', 'no region is allowed for the route and the customer, or one of those named is unknown', REGION_RETRY_MS);
+		}
+
 		const isNewOperation = !request.transaction || request.transaction.isFirst;
 		const retryAfterMs = isNewOperation ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
 		if (retryAfterMs !== undefined) {
 			metrics.count('held');
-			return {
-				outcome: createRefusal('overShare', 'The customer has used its rate and burst', retryAfterMs),
-				status: request.transaction ? 'failed' : 'idle',
-				position: undefined,
-				target: undefined,
-				waitedMs: 0,
-			};
+			return createLocalRefusal(request, 'overShare', 'The customer has used its rate and burst', retryAfterMs);
 		}
 
 		const response = await runWithinBudget(context.workBudget, request, async affordable => statementRouter.run(affordable, deadline));
@@ -363,14 +361,14 @@
 				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
 			}
 
-			const authorization = checkCaller(view.getConfiguration(), service, key);
+			const authorization = checkCaller(view.getConfiguration(), settings, service, key);
 			if (authorization.err) {
 				return authorization;
 			}
 
 			return Ok(createSession({
 				runtime,
-				authorize: () => checkCaller(view.getConfiguration(), service, key),
+				authorize: () => checkCaller(view.getConfiguration(), settings, service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
 				getStopPlan: () => stopPlan,
--- a/packages/vm/src/statement-router.ts
+++ b/packages/vm/src/statement-router.ts
@@ -1,7 +1,7 @@
 /** Routes statements to the owner of their database. */
 
 import {
-	Err, getRemainingMs, isPast, type DatabaseId, type DataCentreId, type Deadline, type Instant, type Result, type VmId, type Runtime,
+	Err, getRemainingMs, isPast, type DatabaseId, type DataCentreId, type Deadline, type Instant, type RegionId, type Result, type VmId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
@@ -18,7 +18,8 @@
 	self: VmId;
 	/** Positions that owners reported; another owner can serve reads with them before it has asked the leader. */
 	knownPositions: KnownPositions;
-	rankOwners: (database: DatabaseId) => readonly Member[];
+	/** Ranks the vms as owners of a database, without those that may not see the body of a request that may run only in the given regions. */
+	rankOwners: (database: DatabaseId, allowedRegions?: readonly RegionId[]) => readonly Member[];
 	isUsable: (vm: VmId) => boolean;
 	/** Tells whether vms of a data centre should be called. */
 	isReachable: (dataCentre: DataCentreId) => boolean;
@@ -159,7 +160,7 @@
 		const isCallable = ({vm, dataCentre}: Member) => vm === self || (context.isUsable(vm) && context.isReachable(dataCentre));
 		const triedVms = new Set<VmId>();
 		while (triedVms.size < MAX_OWNERS_TRIED && !isPast(deadline, runtime.now())) {
-			const member = context.rankOwners(request.database).find(candidate => !triedVms.has(candidate.vm) && isCallable(candidate));
+			const member = context.rankOwners(request.database, request.allowedRegions).find(candidate => !triedVms.has(candidate.vm) && isCallable(candidate));
 			if (!member) {
 				break;
 			}
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -3,17 +3,21 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	brandId, createVirtualRuntime, Err, NEVER, Ok, type DatabaseId, type DataCentreId, type Instant, type TargetId,
+	brandId, createVirtualRuntime, Err, NEVER, Ok, PAST, type DatabaseId, type DataCentreId, type Instant, type RegionId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import type {Feed, StoreEntry} from '@guavapitch/feed';
-import {createClusterView, MEMBER_PREFIX} from '../cluster-view.js';
+import {createClusterView, isRelevantChange, MEMBER_PREFIX} from '../cluster-view.js';
 import type {VmContext} from '../context.js';
 
 const TARGET_PREFIX = 'servers/';
 const DRAIN_MS = 7000;
+const HERE = brandId<DataCentreId>('here');
+const EVACUATION_PREFIX = 'op/evacuate/';
+const EVACUATION_MS = 5000;
+const COLD_START_MS = 10_000;
 const DATABASE = brandId<DatabaseId>('ledger');
 
-type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; dataCentre?: string}>;
+type TargetEntry = Readonly<{id: string; isDraining?: boolean; startedAtMs?: number; coldRemainingMs?: number; dataCentre?: string}>;
 
 /** Entries of two vms in two data centres. */
 const MEMBERS: readonly StoreEntry[] = ['here', 'there'].map(dataCentre => ({
@@ -35,19 +39,51 @@
 	let revision = 0;
 	let completeAt = 0 as Instant;
 	const context: Partial<VmContext> = {
+		settings: {
+			vm: brandId<VmId>('v'), run: 'r', dataCentre: HERE, dataCentreCount: 1, region: undefined, regions: new Map([[HERE, brandId<RegionId>('home')]]), host: 'h', port: 1, capacity: 1,
+		},
+		operatorPrefix: 'op/',
+		parseEvacuation: key => key.startsWith(EVACUATION_PREFIX) ? brandId<DataCentreId>(key.slice(EVACUATION_PREFIX.length)) : undefined,
+		getEvacuationMs: () => EVACUATION_MS,
 		runtime,
 		readSuspensionClock: runtime.now,
 		targetPrefix: TARGET_PREFIX,
 		configurationKey: 'op/config',
 		getTargetDrainMs: () => DRAIN_MS,
+		parseConfiguration(value) {
+			const {version, regions} = JSON.parse(value) as Readonly<{version: number; regions: readonly RegionId[]}>;
+			return Ok({
+				version,
+				routes: new Map(),
+				databases: new Map([[DATABASE, {
+					id: DATABASE, connectionLimit: 8, isReplicated: false, coldStartMs: COLD_START_MS, coldPerSecond: 4,
+				}]]),
+				customersByKey: new Map(),
+				quotas: new Map(),
+				allowedRegions: new Map(),
+				regionFields: [{path: 'routes.0.allowed_regions', regions}],
+				idleTransactionMs: 1,
+			});
+		},
 		emit(kind, fields) {
 			events.push({id: kind.id, ...fields});
 		},
 		parseTarget(entry) {
 			try {
-				const {id, isDraining = false, startedAtMs = 1, dataCentre = 'here'} = JSON.parse(entry.value) as TargetEntry;
+				const {
+					id, isDraining = false, startedAtMs = 1, coldRemainingMs, dataCentre = 'here',
+				} = JSON.parse(entry.value) as TargetEntry;
 				return Ok({
-					id: brandId<TargetId>(id), database: DATABASE, host: id, port: 1, dataCentre: brandId<DataCentreId>(dataCentre), slots: 2, isDraining, role: 'replica', startedAtMs,
+					id: brandId<TargetId>(id),
+					database: DATABASE,
+					host: id,
+					port: 1,
+					dataCentre: brandId<DataCentreId>(dataCentre),
+					slots: 2,
+					isDraining,
+					role: 'replica',
+					startedAtMs,
+					...(coldRemainingMs !== undefined && {coldRemainingMs}),
 				});
 			} catch {
 				return Err({code: 'documentMalformed', message: 'not JSON'});
@@ -66,21 +102,51 @@
 			droppedCount++;
 		},
 	});
+	const createEntry = (key: string, value: string): StoreEntry => ({
+		key, value, era: 1, revision, createdRevision: revision,
+	});
 	const setTargets = (targets: readonly TargetEntry[]) => {
 		revision++;
-		entries = targets.map(target => ({
-			key: `${TARGET_PREFIX}${target.id}`, value: JSON.stringify(target), era: 1, revision, createdRevision: revision,
-		}));
+		entries = [...entries.filter(({key}) => !key.startsWith(TARGET_PREFIX)), ...targets.map(target => createEntry(`${TARGET_PREFIX}${target.id}`, JSON.stringify(target)))];
 		view.applyChanges([{
 			key: TARGET_PREFIX, era: 1, revision, entry: undefined,
 		}]);
 	};
 
+	/** Replaces the operators' evacuations. */
+	const setEvacuations = (dataCentres: readonly string[]) => {
+		revision++;
+		entries = [...entries.filter(({key}) => !key.startsWith('op/')), ...dataCentres.map(name => createEntry(`${EVACUATION_PREFIX}${name}`, '{}'))];
+		view.applyChanges([{
+			key: `${EVACUATION_PREFIX}here`, era: 1, revision, entry: undefined,
+		}]);
+	};
+
+	/** Writes a version of the configuration with one route that is restricted to regions. */
+	const setConfiguration = (version: number, regions: readonly string[]) => {
+		revision++;
+		entries = [...entries.filter(({key}) => key !== 'op/config'), createEntry('op/config', JSON.stringify({version, regions}))];
+		view.applyChanges([{
+			key: 'op/config', era: 1, revision, entry: undefined,
+		}]);
+	};
+
+	/** Lists a vm in the data centre of the targets. */
+	const addMember = () => {
+		revision++;
+		entries = [...entries, createEntry('guavapitch/vms/v', JSON.stringify({
+			vm: 'v', run: 'r', dataCentre: 'here', host: 'h', port: 1, capacity: 1,
+		}))];
+		view.applyChanges([{
+			key: 'guavapitch/vms/v', era: 1, revision, entry: undefined,
+		}]);
+	};
+
 	/** Returns until when a target accepts new work. */
 	const getAcceptsUntil = (id: string) => view.findTarget(brandId<TargetId>(id))?.acceptsUntil;
 
 	return {
-		view, events, setTargets, getAcceptsUntil, advance,
+		view, events, setTargets, setEvacuations, setConfiguration, addMember, getAcceptsUntil, advance, context, readWallClock: runtime.readWallClock,
 		getDroppedCount: () => droppedCount,
 		setCompleteAt(ms: number) {
 			completeAt = ms as Instant;
@@ -133,6 +199,100 @@
 		});
 	});
 
+	describe('an evacuation', () => {
+		it('marks the targets of its data centre until the key is removed, and counts from the last moment at which there was no key', () => {
+			const {view, events, setTargets, setEvacuations, setCompleteAt} = createSetup();
+			setTargets([{id: 'a'}]);
+			setCompleteAt(100);
+			setEvacuations(['here']);
+			setCompleteAt(900);
+			setEvacuations(['here', 'there']);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, true);
+			assert.equal(view.getEvacuationDeadline(HERE), 100 + (0.8 * EVACUATION_MS));
+			setEvacuations([]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, false);
+			assert.equal(view.getEvacuationDeadline(HERE), NEVER);
+			assert.deepEqual(events.filter(({id}) => id === 1107).map(({dataCentre, isEvacuated}) => [dataCentre, isEvacuated]), [['here', true], ['there', true], ['here', false], ['there', false]]);
+		});
+
+		it('is in force at once for a vm that reads it first, as one that starts', () => {
+			const {view, setTargets, setEvacuations, setCompleteAt} = createSetup();
+			setCompleteAt(Number.NEGATIVE_INFINITY);
+			setEvacuations(['here']);
+			setTargets([{id: 'a'}]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, true);
+			assert.equal(view.getEvacuationDeadline(HERE), Number.NEGATIVE_INFINITY);
+		});
+
+		it('of a data centre that nothing in the fleet has is reported once, as soon as the fleet is known, and marks no target', () => {
+			const {view, events, setTargets, setEvacuations, addMember} = createSetup();
+			setEvacuations(['nowhere', 'here']);
+			setTargets([{id: 'a'}]);
+			assert.deepEqual(events.filter(({id}) => id === 1108), []);
+			addMember();
+			setEvacuations(['nowhere']);
+			assert.deepEqual(events.filter(({id}) => id === 1108), [{id: 1108, field: 'evacuation', name: 'nowhere'}]);
+			assert.equal(view.findTarget(brandId<TargetId>('a'))?.isEvacuated, false);
+		});
+
+		it('has its counterpart in a region that belongs to no data centre: the configuration is used, and the event names the field once', () => {
+			const {view, events, setTargets, setConfiguration, addMember} = createSetup();
+			setTargets([{id: 'a'}]);
+			addMember();
+			setConfiguration(1, ['home', 'hmoe']);
+			setConfiguration(2, ['home', 'hmoe']);
+			assert.equal(view.getConfiguration()?.version, 2);
+			assert.deepEqual(events.filter(({id}) => id === 1108), [{id: 1108, field: 'routes.0.allowed_regions', name: 'hmoe'}]);
+		});
+
+		it('is passed on to followers, unlike other entries of operators', () => {
+			const {context} = createSetup();
+			const isRelevant = (key: string) => isRelevantChange(context as VmContext, {
+				key, era: 1, revision: 1, entry: undefined,
+			}, undefined);
+			assert.deepEqual(['op/config', 'op/evacuate/here', 'op/notes'].map(key => isRelevant(key)), [true, true, false]);
+		});
+	});
+
+	describe('a cold target', () => {
+		const getColdUntil = ({view}: ReturnType<typeof createSetup>) => view.findTarget(brandId<TargetId>('a'))?.coldUntil;
+
+		it('is cold for as long as its entry states, counted from the first one that was read', async () => {
+			const setup = createSetup();
+			setup.setTargets([{id: 'a', coldRemainingMs: 30_000}]);
+			assert.equal(getColdUntil(setup), 30_000);
+			await setup.advance(1000);
+			setup.setTargets([{id: 'a', coldRemainingMs: 29_900}]);
+			assert.equal(getColdUntil(setup), 30_000);
+			setup.setTargets([{id: 'a', coldRemainingMs: 0}]);
+			assert.equal(getColdUntil(setup), PAST);
+			setup.setTargets([{id: 'a', startedAtMs: 2, coldRemainingMs: 30_000}]);
+			assert.equal(getColdUntil(setup), 31_000);
+		});
+
+		it('is measured by the wall clock if its entry does not say, from the configuration on', () => {
+			const setup = createSetup();
+			setup.setTargets([{id: 'a', startedAtMs: setup.readWallClock() - 4000}]);
+			assert.equal(getColdUntil(setup), PAST);
+			setup.setConfiguration(1, []);
+			assert.equal(getColdUntil(setup), COLD_START_MS - 4000);
+		});
+
+		it('does not change with each heartbeat', () => {
+			const {context} = createSetup();
+			const isRelevant = (...remainingMs: readonly number[]) => {
+				const [before, after] = remainingMs.map(coldRemainingMs => ({
+					key: `${TARGET_PREFIX}a`, value: JSON.stringify({id: 'a', coldRemainingMs}), era: 1, revision: 1, createdRevision: 1,
+				}));
+				return isRelevantChange(context as VmContext, {
+					key: `${TARGET_PREFIX}a`, era: 1, revision: 1, entry: after,
+				}, before);
+			};
+
+			assert.deepEqual([isRelevant(30_000, 29_000), isRelevant(100, 0), isRelevant(0, 30_000)], [false, true, true]);
+		});
+	});
+
 	describe('a target whose entry is missing', () => {
 		// Entries lapse while the store is away: a sound primary must not be taken for one that is gone.
 		it('counts as present until its entry had time to come back after an outage of the store', async () => {
