Replay twice the capacity of a database for ten seconds

An overload was replayed only behind the customers' quotas, which refuse most of it before the owner's queue. Two loads without quotas reach the queue: all customers together, and one customer alone, at about twice the capacity for ten seconds. Callers record each attempt, so that tests can tell how soon a refusal comes and whether a caller that returns when told is refused again.

--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -31,13 +31,17 @@
 	earnedWorth: number;
 	/** Worth of the operation if it meets its latency objective. */
 	maxWorth: number;
+	attempts: readonly OperationAttempt[];
 }>;
 
+/** One attempt of an operation; `isRefused` if the owner refused it, and `isReturn` if it was made at the time that the refusal of the previous attempt told. */
+export type OperationAttempt = Readonly<{isDone: boolean; isRefused: boolean; isReturn: boolean; durationMs: number}>;
+
 /** Runs a statement at the database owner; resolves to `undefined` if the vm is down. */
 export type RunStatement = (request: StatementRequest) => Promise<StatementResponse | undefined>;
 
 /** Result of one attempt; an attempt is repeatable if repeating it cannot run a write twice. `retryAfterMs` is the pause before a retry that the response asks for. */
-type AttemptResult = Readonly<{isDone: boolean; isRepeatable: boolean; retryAfterMs: number}>;
+type AttemptResult = Readonly<{isDone: boolean; isRefused: boolean; isRepeatable: boolean; retryAfterMs: number}>;
 
 /** Longest pause of a caller between two statements of a transaction, in milliseconds. */
 const MAX_PAUSE_MS = 40;
@@ -85,7 +89,9 @@
 			if (response?.outcome.kind !== 'done') {
 				const isRefused = response?.outcome.kind === 'refused';
 				const isRead = !isWrite || (isTransaction && text !== 'COMMIT');
-				return {isDone: false, isRepeatable: isRefused || isRead, retryAfterMs: response?.outcome.kind === 'refused' ? response.outcome.retryAfterMs : 0};
+				return {
+					isDone: false, isRefused, isRepeatable: isRefused || isRead, retryAfterMs: response?.outcome.kind === 'refused' ? response.outcome.retryAfterMs : 0,
+				};
 			}
 
 			if (isTransaction && text !== 'COMMIT') {
@@ -95,17 +101,30 @@
 			}
 		}
 
-		return {isDone: true, isRepeatable: false, retryAfterMs: 0};
+		return {
+			isDone: true, isRefused: false, isRepeatable: false, retryAfterMs: 0,
+		};
+	};
+
+	const attempts: OperationAttempt[] = [];
+	const runAndRecordAttempt = async (isReturn: boolean): Promise<AttemptResult> => {
+		const attemptedAt = runtime.now();
+		const attempt = await runAttempt();
+		attempts.push({
+			isDone: attempt.isDone, isRefused: attempt.isRefused, isReturn, durationMs: runtime.now() - attemptedAt,
+		});
+		return attempt;
 	};
 
-	let lastAttempt = await runAttempt();
+	let lastAttempt = await runAndRecordAttempt(false);
 	for (let retry = 0; retry < operationClass.retries && !lastAttempt.isDone && lastAttempt.isRepeatable; retry++) {
-		await runtime.sleep(Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_PAUSE_MS * (0.5 + runtime.random())));
+		const pauseMs = Math.max(lastAttempt.retryAfterMs, MEAN_RETRY_PAUSE_MS * (0.5 + runtime.random()));
+		await runtime.sleep(pauseMs);
 		if (isPast(deadline, runtime.now())) {
 			break;
 		}
 
-		lastAttempt = await runAttempt();
+		lastAttempt = await runAndRecordAttempt(lastAttempt.retryAfterMs === pauseMs);
 	}
 
 	const latencyMs = runtime.now() - startedAt - pausedMs;
@@ -121,6 +140,7 @@
 		latencyMs,
 		maxWorth: operationClass.worth,
 		earnedWorth: isBeforeTimeout ? (meetsObjective ? operationClass.worth : operationClass.lateWorth) : 0,
+		attempts,
 	};
 };
 
--- a/packages/emulator/src/loads.ts
+++ b/packages/emulator/src/loads.ts
@@ -155,6 +155,9 @@
 	}));
 };
 
+/** Customers without an effective quota, so that all excess reaches the owner's queue. */
+const UNLIMITED_CUSTOMERS: readonly CustomerLoad[] = BASE_LOAD.customers.map(customer => ({...customer, rate: 10_000, burst: 10_000}));
+
 /** All named loads. */
 export const LOADS: readonly Load[] = [
 	{
@@ -170,6 +173,16 @@
 			kind: 'more', customer: 'small', factor: 12, atMs: 6000, untilMs: 14_000,
 		}],
 	},
+	{
+		...BASE_LOAD, name: 'overload', description: 'twice the capacity for ten seconds, without quotas', customers: UNLIMITED_CUSTOMERS, events: [{
+			kind: 'more', factor: 7, atMs: 4000, untilMs: 14_000,
+		}],
+	},
+	{
+		...BASE_LOAD, name: 'customer-overload', description: 'one customer alone sends twice the capacity for ten seconds, without quotas', customers: UNLIMITED_CUSTOMERS, events: [{
+			kind: 'more', customer: 'small', factor: 35, atMs: 4000, untilMs: 14_000,
+		}],
+	},
 	{
 		...BASE_LOAD, name: 'slow-target', description: 'statements on one replica take eight times as long', events: [{
 			kind: 'slow', target: 'target-2', factor: 8, atMs: 6000, untilMs: 14_000,
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -4,11 +4,17 @@
 import {describe, it} from 'node:test';
 import {findLoad, LOADS} from '../loads.js';
 import {formatPlot} from '../plot.js';
+import type {OperationAttempt} from '../callers.js';
 import {runReplay, type ReplayResult} from '../replay.js';
 import {
 	compareTables, computeWorstWindowsWorth, createTable, formatTable, type TableRow,
 } from '../table.js';
 
+/** Network delay of the loads, one way. */
+const NETWORK_DELAY_MS = 1;
+/** Worth of the load `overload` with seed 1 without admission control and with a queue of a million requests. */
+const UNLIMITED_QUEUE_WORTH = 0.537;
+
 const replay = async (name: string, seed = 1): Promise<readonly TableRow[]> => {
 	const load = findLoad(name);
 	assert.ok(load, name);
@@ -68,6 +74,50 @@
 		});
 	});
 
+	describe('twice the capacity for ten seconds', () => {
+		const replayLoad = async (name: string): Promise<ReplayResult> => {
+			const load = findLoad(name);
+			assert.ok(load, name);
+			return runReplay(load, 1);
+		};
+
+		let overloadResult: Promise<ReplayResult> | undefined;
+		const overload = async (): Promise<ReplayResult> => {
+			overloadResult ??= replayLoad('overload');
+			return overloadResult;
+		};
+
+		const isRefusedEarly = ({isRefused, durationMs}: OperationAttempt, className: string): boolean => {
+			const objectiveMs = findLoad('overload')?.classes.find(({name}) => name === className)?.latencyObjectiveMs ?? 0;
+			return isRefused && durationMs <= (objectiveMs * 0.05) + (2 * NETWORK_DELAY_MS);
+		};
+
+		it('refuses 95% of what is not served within 5% of its objective, and refuses at most one in ten again that return when told', async () => {
+			const {operations} = await overload();
+			const unserved = operations.flatMap(({className, attempts}) => attempts.filter(({isDone}) => !isDone).map(attempt => ({className, attempt})));
+			const early = unserved.filter(({className, attempt}) => isRefusedEarly(attempt, className));
+			assert.ok(early.length >= unserved.length * 0.95, `${early.length} of ${unserved.length} refused early`);
+			const returns = operations.flatMap(({attempts}) => attempts).filter(({isReturn}) => isReturn);
+			const refusedAgain = returns.filter(({isDone}) => !isDone);
+			assert.ok(refusedAgain.length <= returns.length * 0.1, `${refusedAgain.length} of ${returns.length} returns refused again`);
+		});
+
+		it('serves no less than a queue that refuses nothing', async () => {
+			const rows = createTable(await overload());
+			assert.ok(findWorth(rows, 'all', '') >= UNLIMITED_QUEUE_WORTH, `worth ${findWorth(rows, 'all', '')}`);
+		});
+
+		it('leaves the 99th percentile of customers inside their share within 1.2 times that without the load of the others', async () => {
+			const quietRows = await replay('quiet');
+			const rows = createTable(await replayLoad('customer-overload'));
+			for (const customer of ['large', 'middle']) {
+				const [quiet, overloaded] = [quietRows, rows].map(table => table.find(({group, name}) => group === 'customer' && name === customer)?.p99 ?? 0);
+				assert.ok((overloaded ?? 0) <= (quiet ?? 0) * 1.2, `${customer}: ${quiet} ms without, ${overloaded} ms with the other customer's load`);
+				assert.ok(findWorth(rows, 'customer', customer) >= 0.99, customer);
+			}
+		});
+	});
+
 	describe('a restart of all vms', () => {
 		it('recovers within two windows', async () => {
 			assert.ok(findWorth(await replay('restart'), 'from ms', '12000') >= 0.98);
@@ -77,7 +127,7 @@
 
 describe('tables of results', () => {
 	const operation = {
-		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2,
+		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2, attempts: [],
 	};
 	const result: ReplayResult = {
 		load: 'made',
