Count the objective of a retry from its own start in the emulator

Emulated callers sent what was left of their operation's objective with each retry. An entry doesn't know that a caller tries again and counts from the attempt, so retries were refused by the quota at once and yielded to all other work, which no deployment shows.

Callers still count their latency from the first attempt.

--- a/packages/emulator/src/callers.ts
+++ b/packages/emulator/src/callers.ts
@@ -60,6 +60,8 @@
 	const isTransaction = runtime.random() < operationClass.transactionFraction;
 	const isWrite = runtime.random() < operationClass.writeFraction;
 
+	/** When the attempt in progress began: entries count the objective from there, since they don't know that a caller tries again. */
+	let attemptedAt = startedAt;
 	const createRequest = (text: string, transaction: StatementRequest['transaction']): StatementRequest => ({
 		id: runtime.createId(),
 		database: EMULATED_DATABASE,
@@ -70,7 +72,7 @@
 		values: [],
 		transaction,
 		remainingMs: Math.max(0, getRemainingMs(deadline, runtime.now())),
-		promptMs: Math.max(0, operationClass.latencyObjectiveMs - (runtime.now() - startedAt)),
+		promptMs: Math.max(0, operationClass.latencyObjectiveMs - (runtime.now() - attemptedAt)),
 		priority: operationClass.priority,
 	});
 
@@ -108,7 +110,7 @@
 
 	const attempts: OperationAttempt[] = [];
 	const runAndRecordAttempt = async (isReturn: boolean): Promise<AttemptResult> => {
-		const attemptedAt = runtime.now();
+		attemptedAt = runtime.now();
 		const attempt = await runAttempt();
 		attempts.push({
 			isDone: attempt.isDone, isRefused: attempt.isRefused, isReturn, durationMs: runtime.now() - attemptedAt,
