--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -1,18 +1,20 @@
 /** The owner of a database: runs its statements on targets and guarantees the consistency of their results. */
 
 import {
-	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
+	createDeadline, createSingleFlight, Err, isPast, Ok, PAST, type CustomerId, type DatabaseId, type DataCentreId, type Deadline, type Failure, type Instant, type Result, type TargetId, type Runtime,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import type {Appointments} from './appointments.js';
+import {createCommitProofs, type CommitProofs, type KnownGroup} from './commit-proofs.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
 import {createLeaderTracker, type LeaderTracker} from './leader-tracker.js';
 import {createSlotScheduler, type SlotScheduler} from './slot-scheduler.js';
 import {createHealthTracker, type HealthTracker} from './health-tracker.js';
+import {createTargetPaces, type TargetPaces} from './paced-targets.js';
 import {serveSingleStatement} from './single-statements.js';
 import {createTransactions, type Transactions} from './transactions.js';
 import {isSameRun} from './replication-groups.js';
@@ -22,7 +24,7 @@
 
 /** A decision of a database owner, for the logs and metrics; `requestId` and `target` are empty if it concerns none. For `transactionExpired`, `requestId` is the identifier of the transaction. */
 export type DatabaseOwnerDecision = Readonly<{
-	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'transactionExpired';
+	kind: 'placed' | 'retried' | 'refused' | 'lost' | 'unproven' | 'leaderChanged' | 'targetFailing' | 'targetBack' | 'paceLimited' | 'paceRestored' | 'transactionExpired';
 	requestId: string;
 	customer?: string;
 	target: string;
@@ -45,6 +47,10 @@
 	dial: DialTarget;
 	readStatus: ReadStatus;
 	appointments: Appointments;
+	/** Tells whether the vms of a data centre can be reached from here. */
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
+	/** Returns the group of the database if a replica may hold an acknowledged commit alone and the appointments above do not decide; otherwise `undefined`. */
+	getKnownGroup: () => KnownGroup | undefined;
 	/** Returns how many connections each target accepts from all owners together. */
 	getConnectionLimit: () => number;
 	/** Returns a customer on whose connections the owner may send its own pings and status queries. */
@@ -56,7 +62,7 @@
 	onDecision: (decision: DatabaseOwnerDecision) => void;
 	/** Called for each request that admission control refuses. */
 	onAdmission?: (outcome: AdmissionOutcome) => void;
-	/** Returns how many slots of a target may be in use now; by default all. */
+	/** Returns how many slots of a target may be in use now; the pace of the target applies as well, and alone by default. */
 	getSlotLimit?: (target: TargetId) => number;
 }>;
 
@@ -65,8 +71,10 @@
 	context: DatabaseOwnerContext;
 	positionHistory: PositionHistory;
 	leaderTracker: LeaderTracker;
+	commitProofs: CommitProofs;
 	scheduler: SlotScheduler;
 	healthTracker: HealthTracker;
+	targetPaces: TargetPaces;
 	getTarget: (id: TargetId) => Target | undefined;
 	listTargets: () => readonly Target[];
 	getConnections: (id: TargetId) => TargetConnections | undefined;
@@ -76,6 +84,8 @@
 	verifyPosition: (deadline: Deadline) => Promise<boolean>;
 	/** Returns how long statements and transactions may still begin on a target, in milliseconds; infinite unless it is leaving, negative if none may. */
 	getAcceptingMs: (target: TargetId) => number;
+	/** Tells whether a target can be expected to respond: its data centre can be reached, or it responded a moment ago. */
+	isReachable: (target: TargetId) => boolean;
 	/** Tells whether writes wait in the queue because of a planned change of the leader. */
 	areWritesPaused: () => boolean;
 }>;
@@ -120,6 +130,8 @@
 const PING_TIMEOUT_MS = 400;
 /** Time before the end of a leaving target's drain time from which nothing more begins on it, in milliseconds: what is sent must also arrive in time. */
 const START_MARGIN_MS = 250;
+/** Time since its last response within which a target counts as reachable although the vms of its data centre do not answer, in milliseconds: about as long as these take to count as unreachable. */
+const RECENT_RESPONSE_MS = 500;
 /** Timeout of a health probe on one connection; an idle connection is tried first, then a new one. */
 const PROBE_TIMEOUT_MS = 200;
 
@@ -129,16 +141,38 @@
 	const targets = new Map<TargetId, Target>();
 	const connections = new Map<TargetId, TargetConnections>();
 	const positionHistory = createPositionHistory();
-	const scheduler = createSlotScheduler(runtime, context.getSlotLimit ? {getSlotLimit: context.getSlotLimit} : {});
+	const scheduler = createSlotScheduler(runtime, {
+		getSlotLimit: id => Math.min(targetPaces.getLimit(id), context.getSlotLimit?.(id) ?? Number.POSITIVE_INFINITY),
+	});
 	/** Callbacks of the reads that are running on each target; called when the target is considered down. */
 	const targetDownCallbacks = new Map<TargetId, Set<() => void>>();
 	const {appointments} = context;
+	let lastLeader: TargetId | undefined;
 	const leaderTracker = createLeaderTracker(appointments.getAppointed, leader => {
 		context.onDecision({
 			kind: 'leaderChanged', requestId: '', target: leader ?? '', reason: 'this target most recently became leader; an empty target means that none leads', ageMs: 0,
 		});
+		if (leader !== undefined && leader !== lastLeader) {
+			lastLeader = leader;
+			targetPaces.recordPromotion(leader);
+		}
+
 		scheduler.admitWaiting();
 	});
+	const targetPaces = createTargetPaces({
+		runtime,
+		getLeader: leaderTracker.getLeader,
+		getSlots: id => targets.get(id)?.slots ?? 1,
+		listTargets: () => [...targets.keys()],
+		getBusyCount: scheduler.getRunningCount,
+		getDialMs: id => connections.get(id)?.getDialMs() ?? 0,
+		onRoom: scheduler.admitWaiting,
+		onChange(target, isLimited, reason) {
+			context.onDecision({
+				kind: isLimited ? 'paceLimited' : 'paceRestored', requestId: '', target, reason, ageMs: 0,
+			});
+		},
+	});
 	const healthTracker = createHealthTracker({
 		runtime,
 		async probe(id) {
@@ -148,7 +182,9 @@
 			context.onDecision({
 				kind: isUp ? 'targetBack' : 'targetFailing', requestId: '', target, reason, ageMs: 0,
 			});
-			if (!isUp) {
+			if (isUp) {
+				targetPaces.recordRecovery(target);
+			} else {
 				for (const callback of targetDownCallbacks.get(target) ?? []) {
 					callback();
 				}
@@ -228,12 +264,36 @@
 		return leader !== undefined && await ping(leader, createDeadline(runtime.now(), PING_TIMEOUT_MS), {mustDial: false, mustConfirm: true}) === 'leads';
 	});
 
+	const queryStatus: DatabaseOwner['queryStatus'] = async (target, deadline, precedingCommand) => {
+		const registered = targets.get(target.id);
+		const acquired = registered && isSameRun(registered, target) ? await acquireConnection(target.id, deadline) : undefined;
+		const dialled = acquired ?? await dialOnce(target, deadline);
+		if (dialled.err) {
+			return dialled;
+		}
+
+		const handle = dialled.val;
+		const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
+		const {replies, ended} = await handle.connection.execute(commands, deadline);
+		handle.release(ended === 'no');
+		const reply = replies[commands.length - 1];
+		const status = reply && replies.every(({result}) => result.kind === 'done') ? context.readStatus(reply) : undefined;
+		return status ? Ok(status) : Err({code: 'noStatus', message: reply ? 'the target refused the command or its reply contains no status' : 'the target did not reply'});
+	};
+
 	const sharedComponents: SharedComponents = {
 		context,
 		positionHistory,
 		leaderTracker,
+		commitProofs: createCommitProofs({
+			runtime,
+			getKnownGroup: context.getKnownGroup,
+			listTargets: () => [...targets.values()],
+			queryStatus: async target => queryStatus(target, createDeadline(runtime.now(), PING_TIMEOUT_MS)),
+		}),
 		scheduler,
 		healthTracker,
+		targetPaces,
 		getTarget: (id: TargetId) => targets.get(id),
 		listTargets: () => [...targets.values()],
 		getConnections: (id: TargetId) => connections.get(id),
@@ -252,12 +312,17 @@
 			const acceptsUntil = targets.get(id)?.acceptsUntil ?? PAST;
 			return acceptsUntil - START_MARGIN_MS - readSuspensionClock();
 		},
+		isReachable(id) {
+			const target = targets.get(id);
+			return !target || context.isDataCentreReachable(target.dataCentre)
+				|| runtime.now() - (healthTracker.getLastResponseAt(id) ?? PAST) < RECENT_RESPONSE_MS;
+		},
 		areWritesPaused: () => areWritesPaused,
 	};
 	const transactions = createTransactions(sharedComponents);
 	const components: DatabaseOwnerComponents = {...sharedComponents, transactions};
 
-	const serve = async (request: StatementRequest): Promise<StatementResponse> => {
+	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(runtime.now(), request.remainingMs);
 		if (!request.transaction || request.transaction.isFirst) {
@@ -280,7 +345,10 @@
 	};
 
 	return {
-		serve,
+		async serve(request) {
+			const response = await run(request);
+			return {...response, verified: positionHistory.getLastVerified(readSuspensionClock())};
+		},
 		rollBack: transactions.rollBack,
 		setTargets(newTargets) {
 			for (const [id, currentTarget] of targets) {
@@ -289,6 +357,7 @@
 					connections.delete(id);
 					targets.delete(id);
 					healthTracker.remove(id);
+					targetPaces.remove(id);
 				}
 			}
 
@@ -304,22 +373,7 @@
 		},
 		refreshLeader: leaderTracker.refresh,
 		ping: async (id, deadline) => pingWithRedial(id, deadline - runtime.now()),
-		async queryStatus(target, deadline, precedingCommand) {
-			const registered = targets.get(target.id);
-			const acquired = registered && isSameRun(registered, target) ? await acquireConnection(target.id, deadline) : undefined;
-			const dialled = acquired ?? await dialOnce(target, deadline);
-			if (dialled.err) {
-				return dialled;
-			}
-
-			const handle = dialled.val;
-			const commands: readonly Command[] = precedingCommand ? [precedingCommand, {kind: 'status'}] : [{kind: 'status'}];
-			const {replies, ended} = await handle.connection.execute(commands, deadline);
-			handle.release(ended === 'no');
-			const reply = replies[commands.length - 1];
-			const status = reply && replies.every(({result}) => result.kind === 'done') ? context.readStatus(reply) : undefined;
-			return status ? Ok(status) : Err({code: 'noStatus', message: reply ? 'the target refused the command or its reply contains no status' : 'the target did not reply'});
-		},
+		queryStatus,
 		pauseWrites(isPaused) {
 			areWritesPaused = isPaused;
 			scheduler.admitWaiting();
--- a/packages/database-owners/src/index.ts
+++ b/packages/database-owners/src/index.ts
@@ -1,5 +1,6 @@
 export type * from './targets.js';
 export * from './appointments.js';
+export * from './commit-proofs.js';
 export * from './position-history.js';
 export * from './connections.js';
 export * from './slot-scheduler.js';
@@ -8,6 +9,8 @@
 export * from './read-targets.js';
 export * from './leader-tracker.js';
 export * from './health-tracker.js';
+export * from './target-pace.js';
+export * from './paced-targets.js';
 export * from './database-owner.js';
 export * from './replication-groups.js';
 export * from './promotions.js';
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -7,9 +7,10 @@
 	createRefusal, getAccess, type StatementOutcome, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, getServedMs, recordDialFailure, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, getServedMs, recordDialFailure, recordPace, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
 import type {LeadProof} from './appointments.js';
+import type {CommitProof} from './commit-proofs.js';
 import type {ConnectionHandle} from './connections.js';
 import type {DatabaseOwnerComponents, SharedComponents} from './database-owner.js';
 import {
@@ -95,18 +96,18 @@
 	return {verdict, sentAt};
 };
 
-/** A statement that has run on a target, with the proof that the target led; `undefined` if it may run anywhere. */
-type ProvableAttempt = AttemptResult & Readonly<{request: StatementRequest; target: TargetId; proof: LeadProof | undefined}>;
+/** A statement that has run on a target, with the proofs that the target led and that a write is kept; a proof is `undefined` if the statement needs none. */
+type ProvableAttempt = AttemptResult & Readonly<{request: StatementRequest; target: TargetId; deadline: Deadline; proof: LeadProof | undefined; commitProof: CommitProof | undefined}>;
 
-/** Withholds success from a statement whose target may have been replaced before it replied: a write may be lost with that target's log, a read may lack acknowledged writes. */
+/** Withholds success from a statement whose target may have been replaced before it replied, or is being replaced: a write may be lost with that target's log, a read may lack acknowledged writes. */
 const checkProof = async (components: SharedComponents, {
-	verdict, sentAt, request, target, proof,
+	verdict, sentAt, request, target, deadline, proof, commitProof,
 }: ProvableAttempt): Promise<Verdict> => {
 	if (!proof || verdict.kind !== 'final' || verdict.outcome.kind !== 'done' || !verdict.reply) {
 		return verdict;
 	}
 
-	if (await proof.confirm()) {
+	if (await proof.confirm() && (!commitProof || await commitProof.confirm(verdict.reply.position, deadline))) {
 		recordVerifiedPosition(components, target, verdict.reply, sentAt);
 		return verdict;
 	}
@@ -140,10 +141,19 @@
 	);
 };
 
-/** Creates the refusal of a statement that needs the leader while its success could not be proved; `undefined` if the plan may be carried out. */
-export const createUnprovableRefusal = (components: SharedComponents, plan: Plan): StatementOutcome | undefined => plan.kind === 'leader' && !components.context.appointments.canConfirm()
-	? createBusyRefusal('the store does not confirm which target leads', LEADER_RETRY_AFTER_MS)
-	: undefined;
+/** Creates the refusal of a statement that needs the leader while that cannot be reached, or while its success could not be proved; `undefined` if the plan may be carried out. */
+export const createLeaderRefusal = (components: SharedComponents, plan: Plan): StatementOutcome | undefined => {
+	if (plan.kind !== 'leader') {
+		return undefined;
+	}
+
+	const leader = components.leaderTracker.getLeader();
+	if (leader !== undefined && !components.isReachable(leader)) {
+		return createBusyRefusal('the data centre of the target that leads cannot be reached', LEADER_RETRY_AFTER_MS);
+	}
+
+	return components.context.appointments.canConfirm() ? undefined : createBusyRefusal('the store does not confirm which target leads', LEADER_RETRY_AFTER_MS);
+};
 
 /** Failure to take a connection to a target: it could not be opened, or the target has left, accepts no new work, or no longer leads although the plan needs the leader. */
 export type TakeFailure = DialFailure | Failure<'notRegistered' | 'leaving' | 'notLeading'>;
@@ -153,16 +163,24 @@
 
 /** Takes a connection on which a statement or a transaction may begin. Nothing has run if that fails. */
 export const takeConnection = async (components: SharedComponents, {plan, target, request, deadline}: Placement): Promise<Result<ConnectionHandle, TakeFailure>> => {
+	const startedAt = components.context.runtime.now();
+	components.targetPaces.recordSent(target);
+	const mustDial = (components.getConnections(target)?.estimateConnectMs(request.customer) ?? 0) > 0;
 	const handle = await components.getConnections(target)?.acquire(request.customer, request.values, deadline);
 	if (!handle) {
 		return Err({code: 'notRegistered', message: 'the target is no longer registered'});
 	}
 
+	const tookMs = components.context.runtime.now() - startedAt;
 	if (handle.err) {
-		recordDialFailure(components, target, handle.val);
+		recordDialFailure(components, target, handle.val, tookMs);
 		return handle;
 	}
 
+	if (mustDial) {
+		components.targetPaces.recordDial(target, tookMs, request);
+	}
+
 	// Opening the connection may have taken until after the drain time of a leaving target.
 	if (components.getAcceptingMs(target) <= 0) {
 		handle.val.release(true);
@@ -193,7 +211,7 @@
 			return createResponse(createRefusal('busy', 'no leader confirmed its log position in time', LEADER_RETRY_AFTER_MS), runtime.now() - arrivedAt);
 		}
 
-		const refusal = createUnprovableRefusal(components, plan);
+		const refusal = createLeaderRefusal(components, plan);
 		if (refusal) {
 			return createResponse(refusal, runtime.now() - arrivedAt);
 		}
@@ -231,14 +249,17 @@
 		components.healthTracker.recordStatementSent(target);
 		const unsubscribe = getAccess(request.statement) === 'read' ? components.onTargetDown(target, handle.val.connection.close) : undefined;
 		const proof = plan.kind === 'leader' ? context.appointments.startProof(target) : undefined;
+		const commitProof = plan.kind === 'leader' && plan.isWrite ? components.commitProofs.start(target) : undefined;
 		const result = await runAttempt(components, {
 			request, plan, handle: handle.val, deadline,
 		});
 		unsubscribe?.();
 		components.healthTracker.recordStatementEnded(target);
-		release(getServedMs(result.verdict, runtime.now() - startedAt));
+		const tookMs = runtime.now() - startedAt;
+		recordPace(components, target, result.verdict, {ms: tookMs, request});
+		release(getServedMs(result.verdict, tookMs));
 		const verdict = await checkProof(components, {
-			...result, request, target, proof,
+			...result, request, target, deadline, proof, commitProof,
 		});
 		if (verdict.kind === 'final') {
 			recordReply(components, target, verdict.reply ? undefined : 'lost');
--- a/packages/database-owners/src/slot-scheduler.ts
+++ b/packages/database-owners/src/slot-scheduler.ts
@@ -67,6 +67,8 @@
 	/** Checks again which waiting requests can run; called when a target or a connection becomes usable. */
 	admitWaiting: () => void;
 	getWaitingCount: () => number;
+	/** Returns the number of a target's slots that are in use; 0 for an unknown target. */
+	getRunningCount: (target: TargetId) => number;
 }>;
 
 /** Options of a scheduler. */
@@ -357,5 +359,6 @@
 			admitWaiting(true);
 		},
 		getWaitingCount: () => waiters.length,
+		getRunningCount: target => loads.find(({id}) => id === target)?.usage.getRunningCount() ?? 0,
 	};
 };
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -1,25 +1,27 @@
 /** Open transactions of a database owner, each on a connection of its own. */
 
 import {
-	createDeadline, isPast, type Deadline, type Instant, type TargetId,
+	createDeadline, isPast, type Deadline, type TargetId,
 } from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, getServedMs, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, getNotRunCode, getServedMs, recordPace, recordReply, recordVerifiedPosition, type Verdict,
 } from './replies.js';
 import type {LeadProof} from './appointments.js';
+import type {CommitProof} from './commit-proofs.js';
 import type {ConnectionHandle} from './connections.js';
 import type {SharedComponents} from './database-owner.js';
 import {
 	chooseTarget, computeSlotDeadline, createPlan, type Plan,
 } from './plans.js';
 import {
-	createSlotRefusal, createStatementCommand, createUnprovableRefusal, takeConnection,
+	createLeaderRefusal, createSlotRefusal, createStatementCommand, takeConnection,
 } from './single-statements.js';
 import {createStatementKind, type StatementKind} from './service-times.js';
 import type {Slot} from './slot-scheduler.js';
+import type {Reply} from './targets.js';
 
 /** Open transactions of a database owner. */
 export type Transactions = Readonly<{
@@ -133,14 +135,14 @@
 		chooseTarget: freeTargets => freeTargets.find(load => load.id === transaction.target)?.id,
 	});
 
-	/** Resolves to whether a commit that a target confirmed may be acknowledged: it wrote nothing, or the target has led all along. */
-	const isCommitProven = async (transaction: OpenTransaction, request: StatementRequest, startedAt: Instant): Promise<boolean> => {
-		if (!transaction.hasWritten || !transaction.leadProof || await transaction.leadProof.confirm()) {
+	/** Resolves to whether a commit that a target confirmed may be acknowledged: it wrote nothing, or the target has led all along and the commit is kept. */
+	const isCommitProven = async ({hasWritten, leadProof}: OpenTransaction, commitProof: CommitProof, reply: Reply | undefined, deadline: Deadline): Promise<boolean> => {
+		if (!hasWritten || !leadProof) {
 			return true;
 		}
 
-		reportUnproven(request, transaction.target, runtime.now() - startedAt);
-		return false;
+		const hasLed = await leadProof.confirm();
+		return hasLed && commitProof.confirm(reply?.position, deadline);
 	};
 
 	/** Runs a statement of an open transaction in an acquired slot; `again` if it has not run and can be retried. */
@@ -152,26 +154,31 @@
 		const setup = await handle.setUp(request.values, request.statement, deadline);
 		if (setup.err) {
 			components.healthTracker.recordStatementEnded(target);
+			recordPace(components, target, {kind: 'notRun', code: setup.val.code}, {ms: runtime.now() - startedAt, request});
 			slot.release();
 			recordReply(components, target, setup.val.code);
 			return createResponse(createAbortedRefusal(setup.val.message), startedAt - arrivedAt, 'failed');
 		}
 
 		const sentAt = context.readSuspensionClock();
+		const commitProof = components.commitProofs.start(target);
 		transaction.hasWritten ||= getAccess(request.statement) === 'write';
 		const execution = await handle.connection.execute([createStatementCommand(request, setup.val, undefined)], deadline);
 		components.healthTracker.recordStatementEnded(target);
 		const [reply] = execution.replies;
 		const verdict = evaluateReply(execution, 0, request);
-		slot.release(getServedMs(verdict, runtime.now() - startedAt));
-		recordReply(components, target, verdict.kind === 'notRun' ? verdict.code : (reply ? undefined : 'lost'));
+		const tookMs = runtime.now() - startedAt;
+		recordPace(components, target, verdict, {ms: tookMs, request});
+		slot.release(getServedMs(verdict, tookMs));
+		recordReply(components, target, getNotRunCode(verdict));
 		const waitedMs = startedAt - arrivedAt;
 		const respond = (outcome: StatementOutcome, status: StatementResponse['status']): StatementResponse => ({
 			outcome, status, position: reply?.position, target, waitedMs,
 		});
 
 		if (verdict.kind === 'final' && verdict.outcome.kind === 'done') {
-			if (isCommit && !await isCommitProven(transaction, request, startedAt)) {
+			if (isCommit && !await isCommitProven(transaction, commitProof, reply, deadline)) {
+				reportUnproven(request, target, runtime.now() - startedAt);
 				return respond({kind: 'unknown', reason: 'the target may have been replaced before it replied to the commit'}, 'idle');
 			}
 
@@ -245,10 +252,12 @@
 	/** Begins a transaction on a connection; `undefined` if the target refused or did not reply. */
 	const beginTransaction = async (plan: Plan, handle: ConnectionHandle, {request, deadline}: TransactionStatement, target: TargetId): Promise<OpenTransaction | undefined> => {
 		const isReadOnly = plan.kind === 'anywhere';
+		const startedAt = runtime.now();
 		// A commit needs no prepared statement, so this sets only the session variables.
 		const setup = await handle.setUp(request.values, {kind: 'commit', text: ''}, deadline);
 		if (setup.err) {
 			recordReply(components, target, setup.val.code);
+			recordPace(components, target, {kind: 'notRun', code: setup.val.code}, {ms: runtime.now() - startedAt, request});
 			handle.release(false);
 			return undefined;
 		}
@@ -258,7 +267,9 @@
 		const execution = await handle.connection.execute([{kind: 'begin', readOnly: isReadOnly, after: isReadOnly ? plan.after : undefined}], deadline);
 		const [reply] = execution.replies;
 		if (reply?.result.kind !== 'done' || reply.status !== 'open') {
-			recordReply(components, target, reply?.result.kind === 'error' ? reply.result.code : 'lost');
+			const code = reply?.result.kind === 'error' ? reply.result.code : 'lost';
+			recordReply(components, target, code);
+			recordPace(components, target, {kind: 'notRun', code}, {ms: runtime.now() - startedAt, request});
 			handle.release(execution.ended === 'no' && reply?.status === 'idle');
 			return undefined;
 		}
@@ -288,7 +299,7 @@
 				break;
 			}
 
-			const refusal = createUnprovableRefusal(components, plan);
+			const refusal = createLeaderRefusal(components, plan);
 			if (refusal) {
 				return createResponse(refusal, runtime.now() - arrivedAt, 'failed');
 			}
--- a/packages/emulator/src/tests/replay.test.ts
+++ b/packages/emulator/src/tests/replay.test.ts
@@ -131,12 +131,13 @@
 
 describe('tables of results', () => {
 	const operation = {
-		className: 'orders', customer: 'large', dataCentre: 'east', maxWorth: 2, attempts: [],
+		className: 'orders', requestIds: [], customer: 'large', dataCentre: 'east', maxWorth: 2, attempts: [],
 	};
 	const result: ReplayResult = {
 		load: 'made',
 		seed: 1,
 		dialCount: 0,
+		sentStatements: [],
 		operations: [
 			{
 				...operation, startedAtMs: 100, outcome: 'prompt', latencyMs: 10, earnedWorth: 2,
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,10 +1,10 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type TargetId, type VmId,
+	createDeadline, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
-	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner, type DatabaseOwnerDecision,
+	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner, type DatabaseOwnerDecision, type GroupRecord,
 } from '@guavapitch/database-owners';
 import type {RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
@@ -22,13 +22,15 @@
 	get: (database: DatabaseId) => DatabaseOwner;
 	/** Passes the current targets on to every owner. */
 	refreshTargets: () => void;
+	/** Lets the owner of a database, if there is one, use the target that was announced as promoted. */
+	refreshAnnouncedLeader: (database: DatabaseId) => void;
 	/** Lets every owner apply changed appointments. */
 	refreshLeaders: () => void;
 	/** Probes a target; resolves to whether this vm can reach it. */
 	isReachable: (target: TargetId) => Promise<boolean>;
 	/** Counts the transactions that are open here. */
 	countOpenTransactions: () => number;
-	/** Closes idle connections to databases whose preferred owner is another vm, until the signal aborts. */
+	/** Closes idle connections to databases whose preferred owner is another vm, and reports the windows of the targets, until the signal aborts. */
 	closeIdleConnections: (signal: AbortSignal) => Promise<void>;
 }>;
 
@@ -39,6 +41,12 @@
 	getPeerClient: () => PeerClient;
 	getRoleClaims: () => RoleClaims;
 	appointments: PrimaryAppointments;
+	/** Tells whether the vms of a data centre can be reached. */
+	isDataCentreReachable: (dataCentre: DataCentreId) => boolean;
+	/** Called when a coordinator of this vm has promoted a target. */
+	onPromoted: (database: DatabaseId, target: TargetId) => void;
+	/** Returns the record of a synchronously replicated group as this vm knows it; `undefined` if it knows none. */
+	getGroupRecord: (database: DatabaseId) => GroupRecord | undefined;
 	/** Returns the signal that stops the failover coordinators. */
 	getSignal: () => AbortSignal;
 }>;
@@ -78,6 +86,16 @@
 		return responses.some(response => response.ok && response.val === true);
 	};
 
+	/** Routes what needs the leader to a target that was announced as promoted; without fencing the appointment decides instead. */
+	const applyAnnouncedLeader = (database: DatabaseId, owner: DatabaseOwner) => {
+		const announced = context.areTargetsSelfFencing ? view.getAnnouncedLeader(database) : undefined;
+		if (announced) {
+			owner.components.leaderTracker.markLeading(announced.id, runtime.now());
+		}
+	};
+
+	const isReplicated = (database: DatabaseId): boolean => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false;
+
 	/** Creates an owner and starts its failover coordinator. */
 	const createOwner = (database: DatabaseId): DatabaseOwner => {
 		const owner = createDatabaseOwner({
@@ -86,7 +104,11 @@
 			database,
 			dial: context.dialTarget,
 			readStatus: context.readStatus,
+			isDataCentreReachable: dependencies.isDataCentreReachable,
 			appointments: dependencies.appointments.get(database),
+			getKnownGroup: () => context.areTargetsSelfFencing && isReplicated(database)
+				? {appointments: dependencies.appointments.getRecorded(database), members: dependencies.getGroupRecord(database)?.members ?? []}
+				: undefined,
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
@@ -106,6 +128,7 @@
 			},
 		});
 		owner.setTargets(view.listTargets(database));
+		applyAnnouncedLeader(database, owner);
 		void runFailoverCoordinator({
 			runtime,
 			database,
@@ -114,10 +137,14 @@
 			drawFencingToken: async appointed => dependencies.appointments.drawFencingToken(database, appointed),
 			requestPromotion: async (target, fencingToken) => context.requestPromotion(target, settings.vm, fencingToken),
 			isReachableFromPeers: probeFromPeers,
-			isSynchronouslyReplicated: () => view.getConfiguration()?.databases.get(database)?.isReplicated ?? false,
+			isSynchronouslyReplicated: () => isReplicated(database),
 			groupStore: createGroupStore(context, database),
 			onEvent({kind, target, reason, ageMs}) {
 				metrics.count(`steward.${kind}`, {database});
+				if (kind === 'finished') {
+					dependencies.onPromoted(database, brandId<TargetId>(target));
+				}
+
 				emit(EVENTS.coordinatorDecision, {
 					kind, database, target, reason, ageMs: Math.round(ageMs),
 				});
@@ -144,6 +171,12 @@
 				owner.setTargets(view.listTargets(database));
 			}
 		},
+		refreshAnnouncedLeader(database) {
+			const owner = owners.get(database);
+			if (owner) {
+				applyAnnouncedLeader(database, owner);
+			}
+		},
 		refreshLeaders() {
 			for (const owner of owners.values()) {
 				owner.refreshLeader();
@@ -158,6 +191,10 @@
 			while (!signal.aborted) {
 				await runtime.sleep(IDLE_CHECK_INTERVAL_MS, signal).catch(() => undefined);
 				for (const [database, owner] of owners) {
+					for (const {id} of owner.components.listTargets()) {
+						metrics.gauge('home.window', owner.components.targetPaces.getWindow(id), {target: id});
+					}
+
 					const preferredVm: VmId | undefined = view.rankOwners(database)[0]?.vm;
 					if (preferredVm !== settings.vm) {
 						owner.closeIdleConnections(MAX_IDLE_CONNECTION_MS);
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -116,6 +116,8 @@
 			dial: targets.createDial(name),
 			readStatus: targets.readStatus,
 			appointments: isProtected ? appointments.get(MODEL_DATABASE) : SELF_FENCING_APPOINTMENTS,
+			isDataCentreReachable: () => true,
+			getKnownGroup: () => undefined,
 			getConnectionLimit: () => 20,
 			getAnyCustomer: () => brandId<CustomerId>('club'),
 			getIdleTransactionMs: () => 3000,
--- a/packages/vm/src/tests/statement-router.test.ts
+++ b/packages/vm/src/tests/statement-router.test.ts
@@ -6,7 +6,10 @@
 	createDeadline, createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type Result, type VmId,
 } from '@guavapitch/core';
 import type {StatementResponse, StatementRequest, TargetStatement} from '@guavapitch/sessions';
-import {rankOwners, rankRelays, type Member} from '../members.js';
+import {createKnownPositions} from '../known-positions.js';
+import {
+	rankBalancedOwners, rankOwners, rankRelays, type Member,
+} from '../members.js';
 import type {CallFailure} from '../peer-client.js';
 import {createStatementRouter} from '../statement-router.js';
 
@@ -34,23 +37,45 @@
 const READ: TargetStatement = {kind: 'text', access: 'read', text: 'READ a'};
 const WRITE: TargetStatement = {kind: 'text', access: 'write', text: 'WRITE a b'};
 
-const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure>) => {
-	const {runtime} = createVirtualRuntime();
+const createSetup = (call: (vm: VmId) => Result<StatementResponse, CallFailure> | Promise<Result<StatementResponse, CallFailure>>, members: readonly Member[] = MEMBERS) => {
+	const {runtime, advance} = createVirtualRuntime();
 	const calledVms: VmId[] = [];
+	const requests: StatementRequest[] = [];
+	const unreachable = new Set<DataCentreId>();
+	const callbacks = new Set<() => void>();
 	const router = createStatementRouter({
 		runtime,
+		readSuspensionClock: runtime.now,
 		self: brandId<VmId>('self'),
-		rankOwners: () => MEMBERS,
+		knownPositions: createKnownPositions(runtime.now),
+		rankOwners: () => members,
 		isUsable: () => true,
-		async callOwner({vm}) {
+		isReachable: dataCentre => !unreachable.has(dataCentre),
+		onUnreachable(_dataCentre, callback) {
+			callbacks.add(callback);
+			return () => {
+				callbacks.delete(callback);
+			};
+		},
+		async callOwner({vm}, request) {
 			calledVms.push(vm);
+			requests.push(request);
 			return call(vm);
 		},
 		serveLocally: async () => RESPONSE,
 		rollBackAt: () => undefined,
 		onRetry: () => undefined,
 	});
-	return {calledVms, run: async (request: StatementRequest) => router.run(request, createDeadline(runtime.now(), 1000))};
+	const loseDataCentre = (dataCentre: DataCentreId) => {
+		unreachable.add(dataCentre);
+		for (const callback of callbacks) {
+			callback();
+		}
+	};
+
+	return {
+		calledVms, requests, advance, loseDataCentre, run: async (request: StatementRequest) => router.run(request, createDeadline(runtime.now(), 1000)),
+	};
 };
 
 const failAtFirstOwner = (code: CallFailure['code']) => (vm: VmId): Result<StatementResponse, CallFailure> => vm === 'one' ? Err({code, message: code}) : Ok(RESPONSE);
@@ -85,6 +110,58 @@
 	});
 });
 
+describe('statement router with an unreachable data centre', () => {
+	const far = brandId<DataCentreId>('far');
+	const members = [createMember('far1', 'far'), createMember('far2', 'far'), createMember('near', 'near')];
+	const neverAnswered = new Promise<never>(() => {
+		// Stays pending.
+	});
+	const answerNear = (vm: VmId): Result<StatementResponse, CallFailure> | Promise<never> => vm === 'near' ? Ok(RESPONSE) : neverAnswered;
+
+	describe('when it becomes unreachable during a call', () => {
+		it('runs a read elsewhere at once instead of waiting until each of its vms counts as lost', async () => {
+			const {calledVms, advance, loseDataCentre, run} = createSetup(answerNear, members);
+			const response = run(createRequest(READ));
+			await advance(10);
+			loseDataCentre(far);
+			assert.equal((await response).outcome.kind, 'done');
+			assert.deepEqual(calledVms, ['far1', 'near']);
+		});
+
+		it('aborts a transaction, and goes on waiting for a write that may have been sent', async () => {
+			const {advance, loseDataCentre, run} = createSetup(answerNear, members);
+			const inTransaction = run(createRequest(READ, {id: 't', readOnly: false, isFirst: true}));
+			let isWriteAnswered = false;
+			void run(createRequest(WRITE)).then(() => {
+				isWriteAnswered = true;
+			});
+			await advance(10);
+			loseDataCentre(far);
+			const {outcome} = await inTransaction;
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+			assert.ok(!isWriteAnswered);
+		});
+	});
+
+	it('passes over its vms afterwards', async () => {
+		const {calledVms, loseDataCentre, run} = createSetup(answerNear, members);
+		loseDataCentre(far);
+		assert.equal((await run(createRequest(WRITE))).outcome.kind, 'done');
+		assert.deepEqual(calledVms, ['near']);
+	});
+
+	it('tells another owner the last verified position, counted from when the first owner was asked', async () => {
+		const verified = {position: {term: 3, number: 9}, ageMs: 40};
+		const {requests, advance, loseDataCentre, run} = createSetup(vm => Ok(vm === 'far1' ? {...RESPONSE, verified} : RESPONSE), members);
+		await run(createRequest(READ));
+		await run(createRequest(READ));
+		await advance(500);
+		loseDataCentre(far);
+		await run(createRequest(READ));
+		assert.deepEqual(requests.map(request => request.verified), [undefined, undefined, {position: verified.position, ageMs: 540}]);
+	});
+});
+
 describe('ranking of owners and relays', () => {
 	it('ranks vms with little capacity behind the others of their data centre', () => {
 		const members = [
@@ -113,6 +190,39 @@
 		assert.ok(strongCount > 2000 * 0.55 && strongCount < 2000 * 0.65, `${strongCount} of 2000 at the strong vms`);
 	});
 
+	describe('with few vms of enough capacity', () => {
+		const here = brandId<DataCentreId>('here');
+		const listDatabases = (count: number, start = 0) => Array.from({length: count}, (_, index) => ({id: brandId<DatabaseId>(`db${start + index}`), preferredDataCentre: here}));
+		const unequalMembers = [
+			...Array.from({length: 9}, (_, index) => createMember(`weak${index}`, 'here', 0.3)),
+			createMember('strong1', 'here', 1.35),
+			createMember('strong2', 'here', 1.35),
+			createMember('far', 'there', 5),
+		];
+
+		it('gives each of them its part of the databases, where hashing alone would give one of them most', () => {
+			for (let start = 0; start < 400; start += 4) {
+				const owners = [...rankBalancedOwners(listDatabases(4, start), unequalMembers).values()].map(([owner]) => owner?.vm);
+				assert.deepEqual(['strong1', 'strong2'].map(name => owners.filter(vm => vm === name).length), [2, 2]);
+			}
+		});
+
+		it('assigns databases alike whatever the order in which a vm knows them', () => {
+			const databases = listDatabases(7);
+			const [ranks, otherRanks] = [rankBalancedOwners(databases, unequalMembers), rankBalancedOwners(databases.toReversed(), unequalMembers.toReversed())];
+			assert.ok(databases.every(({id}) => ranks.get(id)?.[0] === otherRanks.get(id)?.[0]));
+		});
+
+		it('keeps the databases of the other vms of equal capacity mostly where they are when one leaves', () => {
+			const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
+			const databases = listDatabases(200);
+			const before = rankBalancedOwners(databases, members);
+			const after = rankBalancedOwners(databases, members.slice(1));
+			const moved = databases.filter(({id}) => before.get(id)?.[0] !== members[0] && before.get(id)?.[0] !== after.get(id)?.[0]);
+			assert.ok(moved.length < 40, `${moved.length} of 190`);
+		});
+	});
+
 	it('moves only the databases of a vm that leaves the fleet', () => {
 		const members = Array.from({length: 20}, (_, index) => createMember(`vm${index}`));
 		const keys = Array.from({length: 500}, (_, index) => `db${index}`);
