Log the attempts to follow a relay, and by which configuration a caller is refused

A refusal at the start of a session (1806) named neither the version that decided nor the age of the operators' entries, and between the loss of a relay (1704) and the next source (1707) nothing was written. The hypotheses on configurations that are in force too late could not be told apart.

Event 1708 names each relay that is not followed, why, and how long the attempt took; 1812 names the version and the age of the operators' entries at each refusal.

--- a/packages/feed/src/context.ts
+++ b/packages/feed/src/context.ts
@@ -15,6 +15,9 @@
 	pauseMs: number;
 }>;
 
+/** Why a relay is not followed: it did not respond, its entries are stale, or too many relays are between it and the store. */
+export type RelayRejection = 'noResponse' | 'stale' | 'tooFar';
+
 /** Dependencies of a change feed. */
 export type FeedContext = Readonly<{
 	runtime: Runtime;
@@ -38,6 +41,8 @@
 	onChange: (changes: readonly StoreChange[]) => void;
 	/** Called when the feed starts to read the store, or to follow the relay `name`. */
 	onSourceChange: (kind: 'store' | 'relay', name: string) => void;
+	/** Called when a relay that was to be followed is not, or no longer, with the time that the attempt took and the age of the relay's entries, in milliseconds. */
+	onRelayRejected: (relay: string, rejection: RelayRejection, tookMs: number, ageMs: number) => void;
 	/** Called when the store is found to have been restored from an older copy since the era before; the entries are then still those of the era before. */
 	onEraChange: (era: number, previousEra: number) => void;
 	/** Called after each read of the store; `reason` is empty unless the read failed. */
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -4,7 +4,7 @@
 	createDeadline, createNotifier, isPast, PAST, type Instant, type Result,
 } from '@guavapitch/core';
 import {createChangeLog} from './change-log.js';
-import type {FeedContext, FeedPrefix} from './context.js';
+import type {FeedContext, FeedPrefix, RelayRejection} from './context.js';
 import {
 	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
@@ -227,20 +227,24 @@
 		void Promise.all(readerTasks);
 	};
 
-	/** Requests changes from a relay and applies them; resolves to `false` if it does not respond with fresh data. */
-	const pollRelay = async (relay: string, waitMs: number): Promise<boolean> => {
+	/** Requests changes from a relay and applies them; resolves to why it cannot be followed, or `undefined` if it responds with fresh data. */
+	const pollRelay = async (relay: string, waitMs: number): Promise<Readonly<{rejection: RelayRejection; ageMs: number}> | undefined> => {
 		const sentAt = runtime.now();
 		const askedAt = context.readSuspensionClock();
 		const response = await context.callRelay(relay, {run: followedRun, after: followedNumber, waitMs});
 		if (response.err) {
-			return false;
+			return {rejection: 'noResponse', ageMs: Number.MAX_SAFE_INTEGER};
 		}
 
 		const {
 			run, number, isWhole, ageMs, era, heldMs = 0, prefixAgesMs = {}, level: relayLevel = 0,
 		} = response.val;
-		if (relayLevel > MAX_RELAY_LEVEL || ageMs > STALENESS_LIMIT_MS + (relayLevel * MAX_FOLLOWER_WAIT_MS)) {
-			return false;
+		if (relayLevel > MAX_RELAY_LEVEL) {
+			return {rejection: 'tooFar', ageMs};
+		}
+
+		if (ageMs > STALENESS_LIMIT_MS + (relayLevel * MAX_FOLLOWER_WAIT_MS)) {
+			return {rejection: 'stale', ageMs};
 		}
 
 		recordEra(era ?? getEra());
@@ -263,14 +267,14 @@
 			recordComplete(prefix, (askedAt + heldMs - prefixAgeMs) as Instant);
 		}
 
-		return true;
+		return undefined;
 	};
 
 	/** Tells whether the best relay has fresh data, so that this vm need not read the store any longer. */
 	const canFollowRelay = async (): Promise<boolean> => {
 		const [relay] = context.listRelays();
 		const levelBefore = level;
-		const isFresh = relay !== undefined && await pollRelay(relay, 0);
+		const isFresh = relay !== undefined && await pollRelay(relay, 0) === undefined;
 		// Until the reading of the store has ended, this vm is still next to it.
 		level = levelBefore;
 		return isFresh;
@@ -281,7 +285,10 @@
 		let hasResponded = false;
 		while (!signal.aborted && context.listRelays().includes(relay)) {
 			const mayWait = hasResponded || !Number.isFinite(confirmedAt);
-			if (!await pollRelay(relay, mayWait ? MAX_FOLLOWER_WAIT_MS : 0)) {
+			const sentAt = runtime.now();
+			const rejected = await pollRelay(relay, mayWait ? MAX_FOLLOWER_WAIT_MS : 0);
+			if (rejected) {
+				context.onRelayRejected(relay, rejected.rejection, runtime.now() - sentAt, rejected.ageMs);
 				return hasResponded;
 			}
 
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -86,6 +86,7 @@
 				: Err({code: 'gone', message: 'gone'}),
 			onChange,
 			onSourceChange: () => undefined,
+			onRelayRejected: () => undefined,
 			onEraChange: () => undefined,
 			onStoreStatus: () => undefined,
 		});
@@ -181,6 +182,7 @@
 					callRelay: async (_relay, request) => relay ? Ok(await relay.serve(request)) : Err({code: 'gone', message: 'gone'}),
 					onChange: () => undefined,
 					onSourceChange: () => undefined,
+					onRelayRejected: () => undefined,
 					onEraChange: () => undefined,
 					onStoreStatus: () => undefined,
 				});
@@ -239,6 +241,7 @@
 					},
 					onChange: () => undefined,
 					onSourceChange: () => undefined,
+					onRelayRejected: () => undefined,
 					onEraChange: () => undefined,
 					onStoreStatus: () => undefined,
 				});
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -58,6 +58,7 @@
 	frameRefused: createEventKind(1705, 'warn', 'malformed frame refused'),
 	targetMalformed: createEventKind(1706, 'warn', 'target entry malformed'),
 	feedSourceChanged: createEventKind(1707, 'info', 'change feed source changed'),
+	relayRejected: createEventKind(1708, 'info', 'relay of the change feed not followed'),
 	ownerDecision: createEventKind(1801, 'info', 'database owner decision'),
 	coordinatorDecision: createEventKind(1802, 'info', 'failover coordinator decision'),
 	roleClaimed: createEventKind(1803, 'info', 'role claimed'),
@@ -69,5 +70,6 @@
 	linesDropped: createEventKind(1809, 'warn', 'log lines dropped'),
 	settingsRejected: createEventKind(1810, 'warn', 'settings rejected'),
 	callerLimited: createEventKind(1811, 'warn', 'caller closed because of a limit'),
+	callerNotAuthorized: createEventKind(1812, 'info', 'caller not authorized by the active configuration'),
 	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/authorization.ts
+++ b/packages/vm/src/authorization.ts
@@ -7,8 +7,9 @@
 import {
 	createRefusal, type StatementOutcome, type StatementRefusalCode, type StatementRequest, type StatementResponse,
 } from '@guavapitch/sessions';
+import {EVENTS} from '@guavapitch/telemetry';
 import type {Configuration} from './configuration.js';
-import type {VmSettings} from './context.js';
+import type {VmContext, VmSettings} from './context.js';
 import {computeAllowedRegions} from './regions.js';
 
 /** Retry time of a request whose configuration allows no region, in milliseconds: operators have to change it. */
@@ -36,3 +37,20 @@
 		? Err(createRefusal('noKey', 'the key is unknown'))
 		: Ok({route, customer, allowedRegions: computeAllowedRegions(configuration, settings, route, customer)});
 };
+
+/** What the authorization of a caller is decided by, and how old the operators' entries are that this vm knows, in milliseconds. */
+export type AuthorizationSource = Readonly<{getConfiguration: () => Configuration | undefined; getEntriesAgeMs: () => number}>;
+
+/** Creates the function that authorizes callers by the active configuration and logs by which version a caller was refused. */
+export const createAuthorizer = (
+	{settings, emit}: Pick<VmContext, 'settings' | 'emit'>,
+	{getConfiguration, getEntriesAgeMs}: AuthorizationSource,
+) => (service: string, key: string): Result<Authorization, StatementOutcome> => {
+	const configuration = getConfiguration();
+	const authorization = checkCaller(configuration, settings, service, key);
+	if (authorization.err && authorization.val.kind === 'refused') {
+		emit(EVENTS.callerNotAuthorized, {code: authorization.val.code, version: configuration?.version, entriesAgeMs: Math.round(Math.min(getEntriesAgeMs(), Number.MAX_SAFE_INTEGER))});
+	}
+
+	return authorization;
+};
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -15,12 +15,13 @@
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
-import {checkCaller, createLocalRefusal, REGION_RETRY_MS} from './authorization.js';
+import {createAuthorizer, createLocalRefusal, REGION_RETRY_MS} from './authorization.js';
 import type {VmContext} from './context.js';
 import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createDataCentreMonitor} from './data-centre-monitor.js';
 import {createKnownPositions} from './known-positions.js';
 import {createLeaderAnnouncements, LEADER_METHOD} from './leader-announcements.js';
+import {createFeedPrefixes} from './feed-prefixes.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
@@ -32,7 +33,7 @@
 	GRANT_TOKENS_METHOD, createQuotas, type TokenRequestMessage,
 } from './quotas.js';
 import {
-	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX, STORE_PREFIX,
+	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX,
 } from './cluster-view.js';
 
 /** A running entry vm. */
@@ -59,16 +60,6 @@
 const FEED_METHOD = 'feed';
 const CONFIRM_APPOINTMENT_METHOD = 'confirm';
 
-/** Maximum duration of one watch of the configuration and the evacuations, in milliseconds: data count from when the watch was sent, and must not become stale before the next one ends. */
-const OPERATOR_WATCH_MS = 850;
-/** Maximum duration of one watch of members and roles, in milliseconds. */
-const MEMBER_WATCH_MS = 5000;
-/** Pause between watches of members and roles, in milliseconds: when a whole fleet starts, each joining vm would otherwise end every watch. */
-const MEMBER_PAUSE_MS = 100;
-/** Maximum duration of one watch of targets, in milliseconds. */
-const TARGET_WATCH_MS = 5000;
-/** Pause between watches of targets, in milliseconds: their heartbeats change the entries many times a second. */
-const TARGET_PAUSE_MS = 1200;
 /** Timeout of asking a coordinator which target is appointed, in milliseconds: many times the usual duration, and short enough that the store can be asked next. */
 const CONFIRMATION_TIMEOUT_MS = 150;
 const FEED_TIMEOUT_MS = 1500;
@@ -161,11 +152,7 @@
 		readSuspensionClock: context.readSuspensionClock,
 		run: settings.run,
 		source: context.source,
-		prefixes: [
-			{prefix: context.operatorPrefix, waitMs: OPERATOR_WATCH_MS, pauseMs: 0},
-			{prefix: STORE_PREFIX, waitMs: MEMBER_WATCH_MS, pauseMs: MEMBER_PAUSE_MS},
-			{prefix: context.targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
-		],
+		prefixes: createFeedPrefixes(context),
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
 		relayPrefix: MEMBER_PREFIX,
 		waitUntilListed: async () => registration.waitUntilRegistered(createDeadline(runtime.now(), REGISTRATION_WAIT_MS)),
@@ -194,6 +181,11 @@
 		onSourceChange(kind, name) {
 			emit(EVENTS.feedSourceChanged, {kind, name, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
 		},
+		onRelayRejected(relay, rejection, tookMs, ageMs) {
+			emit(EVENTS.relayRejected, {
+				relay, rejection, tookMs: Math.round(tookMs), ageMs: Math.round(ageMs),
+			});
+		},
 		onEraChange(era, previousEra) {
 			roleClaims.handleRestore();
 			emit(EVENTS.storeRestored, {era, previousEra, ageMs: Math.round(Math.min(feed.getAgeMs(), Number.MAX_SAFE_INTEGER))});
@@ -350,6 +342,10 @@
 	const isConnected = (): boolean => !dataCentreMonitor.isIsolated()
 		|| (settings.dataCentreCount <= MAX_DATA_CENTRES_WITHOUT_MAJORITY && feed.getAgeMs() < STALE_FEED_MS);
 
+	const authorize = createAuthorizer(context, {
+		getConfiguration: view.getConfiguration,
+		getEntriesAgeMs: () => context.readSuspensionClock() - feed.getCompleteAt(context.operatorPrefix),
+	});
 	const listener = await peerClient.listen();
 	for (const task of [registration.run, feed.run, roleClaims.run, databaseOwners.closeIdleConnections]) {
 		scope.run(task);
@@ -361,14 +357,14 @@
 				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
 			}
 
-			const authorization = checkCaller(view.getConfiguration(), settings, service, key);
+			const authorization = authorize(service, key);
 			if (authorization.err) {
 				return authorization;
 			}
 
 			return Ok(createSession({
 				runtime,
-				authorize: () => checkCaller(view.getConfiguration(), settings, service, key),
+				authorize: () => authorize(service, key),
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
 				getStopPlan: () => stopPlan,
