Bound the age of operators' entries by the promise, not by the search for a relay

What callers saw: refusals with 401 and 404, and statements handled as an older version of the configuration says, more than the promised 3 s after a newer one was acknowledged, at vms in touch whose relays had failed.

Cause: a vm that lost its relay tried up to three others, one after the other, and read the store only after that. Each attempt was bounded by the transport alone: 1 s for a connection that is not accepted, 3 s for a greeting that does not come, 1.5 s for a call. Their sum is above the promise, whatever it is. Besides, the age by which relays are followed was that of the latest read of any prefix, so a vm whose watch of the operators' entries alone got no response counted as fresh.

Change: entries of operators and of targets have a maximum age, half of config_apply_ms and of drain_timeout_ms. A vm whose entries are older reads them from the store on a new connection, whatever its relay is doing, and a relay whose entries are older is not followed. Watches and relays hold for a twelfth of config_apply_ms at most, so that this happens only after a failure. It works because no step of the search lies between the age and the read.

--- a/packages/feed/src/context.ts
+++ b/packages/feed/src/context.ts
@@ -13,6 +13,8 @@
 	waitMs: number;
 	/** Pause between two watches, in milliseconds; it limits the load of entries that change continuously. */
 	pauseMs: number;
+	/** Returns the age, in milliseconds, above which this vm reads the entries itself, and does not follow a relay whose entries are older; without it, only the latest contact with the store counts. */
+	getMaxAgeMs?: () => number;
 }>;
 
 /** Why a relay is not followed: it did not respond, its entries are stale, or too many relays are between it and the store. */
@@ -27,6 +29,8 @@
 	run: string;
 	source: FeedSource;
 	prefixes: readonly FeedPrefix[];
+	/** Maximum time that a relay may hold a request of this vm until there is a change, in milliseconds; each relay adds it to the age of entries. */
+	followerWaitMs: number;
 	/** Tells whether a change is relevant to followers. */
 	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
 	/** Returns the vms to follow, the best first; none if this vm should read the store itself. As seen by each vm, they must all come before it in one order of the fleet, so that no vm follows itself through others. */
--- a/packages/feed/src/entries.ts
+++ b/packages/feed/src/entries.ts
@@ -24,8 +24,8 @@
 
 /** Read operations of the store that a change feed uses. */
 export type FeedSource = Readonly<{
-	/** Reads all entries under a prefix. The version is that of the store before the first page was read. */
-	readAll: (prefix: string) => Promise<Result<Readonly<{entries: readonly StoreEntry[]; version: StoreVersion}>, SourceFailure>>;
+	/** Reads all entries under a prefix; with `timeoutMs` each page within that time, and on a connection of its own, since one that was kept open may have become silent. The version is that of the store before the first page was read. */
+	readAll: (prefix: string, timeoutMs?: number) => Promise<Result<Readonly<{entries: readonly StoreEntry[]; version: StoreVersion}>, SourceFailure>>;
 	/** Waits at most `waitMs` for changes after a revision of the store's present era, of which there may be none; the next watch continues after the returned version. */
 	watch: (prefix: string, after: number, waitMs: number) => Promise<Result<Readonly<{changes: readonly StoreChange[]; version: StoreVersion}>, SourceFailure>>;
 }>;
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -8,6 +8,7 @@
 import {
 	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
+import {runFreshnessTask} from './freshness.js';
 import {addMissingEras, type FeedRequest, type FeedResponse} from './relay-messages.js';
 
 /** Change feed of one process. */
@@ -56,7 +57,7 @@
 
 /** Creates a change feed without entries. */
 export const createFeed = (context: FeedContext): Feed => {
-	const {runtime, source} = context;
+	const {runtime, source, followerWaitMs} = context;
 	const entryTable = createEntryTable();
 	const changed = createNotifier(runtime);
 	const changeLog = createChangeLog(MAX_LOGGED_KEYS);
@@ -130,9 +131,9 @@
 	};
 
 	/** Reads all entries under a prefix from the store. */
-	const readWhole = async (prefix: string): ReturnType<FeedSource['readAll']> => {
+	const readWhole = async (prefix: string, timeoutMs?: number): ReturnType<FeedSource['readAll']> => {
 		const askedAt = context.readSuspensionClock();
-		const read = await source.readAll(prefix);
+		const read = await source.readAll(prefix, timeoutMs);
 		if (read.ok) {
 			recordEra(read.val.version.era);
 			replaceAll(prefix, read.val.entries, read.val.version);
@@ -142,6 +143,17 @@
 		return read;
 	};
 
+	/** Reads the entries under a prefix beside their usual source. The other entries are not confirmed by this, so followers do not take this vm for fresh. */
+	const readStale = async (prefix: string, timeoutMs: number): Promise<boolean> => {
+		const sentAt = runtime.now();
+		const read = await readWhole(prefix, timeoutMs);
+		if (read.ok) {
+			recordContact(sentAt, read.val.version.era);
+		}
+
+		return read.ok;
+	};
+
 	/** Reads every prefix once if no relay has sent its entries yet; after a restart of the whole fleet, few relays send them to all vms at the same time. */
 	const readOnceUnlessComplete = async (): Promise<void> => {
 		await runtime.sleep(FIRST_ENTRIES_TIMEOUT_MS);
@@ -243,7 +255,8 @@
 			return {rejection: 'tooFar', ageMs};
 		}
 
-		if (ageMs > STALENESS_LIMIT_MS + (relayLevel * MAX_FOLLOWER_WAIT_MS)) {
+		const isPrefixStale = context.prefixes.some(({prefix, getMaxAgeMs}) => getMaxAgeMs && (prefixAgesMs[prefix] ?? 0) > getMaxAgeMs());
+		if (isPrefixStale || ageMs > STALENESS_LIMIT_MS + (relayLevel * followerWaitMs)) {
 			return {rejection: 'stale', ageMs};
 		}
 
@@ -286,7 +299,7 @@
 		while (!signal.aborted && context.listRelays().includes(relay)) {
 			const mayWait = hasResponded || !Number.isFinite(confirmedAt);
 			const sentAt = runtime.now();
-			const rejected = await pollRelay(relay, mayWait ? MAX_FOLLOWER_WAIT_MS : 0);
+			const rejected = await pollRelay(relay, mayWait ? followerWaitMs : 0);
 			if (rejected) {
 				context.onRelayRejected(relay, rejected.rejection, runtime.now() - sentAt, rejected.ageMs);
 				return hasResponded;
@@ -320,6 +333,14 @@
 		async run(signal) {
 			await findRelays();
 			void readOnceUnlessComplete();
+			for (const {prefix, getMaxAgeMs} of context.prefixes) {
+				if (getMaxAgeMs) {
+					void runFreshnessTask({
+						...context, getMaxAgeMs, getCompleteAt: () => getCompleteAt(prefix), readEntries: async timeoutMs => readStale(prefix, timeoutMs),
+					}, signal);
+				}
+			}
+
 			while (!signal.aborted) {
 				let hasFollowedRelay = false;
 				for (const relay of context.listRelays().slice(0, MAX_RELAY_ATTEMPTS)) {
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -78,6 +78,7 @@
 			source,
 			prefixes: PREFIXES,
 			isRelevantChange: () => true,
+			followerWaitMs: 800,
 			relayPrefix: 'a/',
 			waitUntilListed: async () => undefined,
 			listRelays: () => relay ? ['relay'] : [],
@@ -176,6 +177,7 @@
 					},
 					prefixes,
 					isRelevantChange: () => true,
+					followerWaitMs: 800,
 					relayPrefix: 'a/vms/',
 					waitUntilListed: async () => undefined,
 					listRelays: () => relay && runtime.now() > 2000 ? ['relay'] : [],
@@ -223,6 +225,7 @@
 					source: store.source,
 					prefixes: FLEET_PREFIXES,
 					isRelevantChange: () => true,
+					followerWaitMs: 800,
 					relayPrefix: 'a/vms/',
 					async waitUntilListed() {
 						store.put(`a/vms/${index}`, '');
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -29,6 +29,8 @@
 	port: number;
 	/** Processor capacity, in cores of standard speed; work is distributed in proportion to it. */
 	capacity: number;
+	/** Time within which a change by an operator must be active at every vm, in milliseconds. */
+	configurationApplyMs: number;
 }>;
 
 /** Functions, store keys and settings that the process is given. */
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -21,7 +21,7 @@
 import {createDataCentreMonitor} from './data-centre-monitor.js';
 import {createKnownPositions} from './known-positions.js';
 import {createLeaderAnnouncements, LEADER_METHOD} from './leader-announcements.js';
-import {createFeedPrefixes} from './feed-prefixes.js';
+import {computeFollowerWaitMs, createFeedPrefixes} from './feed-prefixes.js';
 import {formatMember, rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
@@ -153,6 +153,7 @@
 		run: settings.run,
 		source: context.source,
 		prefixes: createFeedPrefixes(context),
+		followerWaitMs: computeFollowerWaitMs(settings.configurationApplyMs),
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
 		relayPrefix: MEMBER_PREFIX,
 		waitUntilListed: async () => registration.waitUntilRegistered(createDeadline(runtime.now(), REGISTRATION_WAIT_MS)),
--- a/packages/vm/src/tests/cluster-view.test.ts
+++ b/packages/vm/src/tests/cluster-view.test.ts
@@ -40,7 +40,16 @@
 	let completeAt = 0 as Instant;
 	const context: Partial<VmContext> = {
 		settings: {
-			vm: brandId<VmId>('v'), run: 'r', dataCentre: HERE, dataCentreCount: 1, region: undefined, regions: new Map([[HERE, brandId<RegionId>('home')]]), host: 'h', port: 1, capacity: 1,
+			vm: brandId<VmId>('v'),
+			run: 'r',
+			dataCentre: HERE,
+			dataCentreCount: 1,
+			region: undefined,
+			regions: new Map([[HERE, brandId<RegionId>('home')]]),
+			host: 'h',
+			port: 1,
+			capacity: 1,
+			configurationApplyMs: 3000,
 		},
 		operatorPrefix: 'op/',
 		parseEvacuation: key => key.startsWith(EVACUATION_PREFIX) ? brandId<DataCentreId>(key.slice(EVACUATION_PREFIX.length)) : undefined,
--- /dev/null
+++ b/packages/vm/src/tests/model-fleet.ts
@@ -0,0 +1,198 @@
+/** Fleet of change feeds on a virtual clock, with a store and links between vms that a test can disturb. */
+
+import {
+	brandId, createNotifier, createDeadline, createSuspensionClock, Err, isPast, Ok, type DataCentreId, type Failure, type Result, type Runtime, type VmId,
+} from '@guavapitch/core';
+import {
+	createChange, createFeed, type Feed, type FeedRequest, type FeedResponse, type FeedSource, type StoreChange,
+} from '@guavapitch/feed';
+import {MEMBER_PREFIX} from '../cluster-view.js';
+import {createFeedPrefixes, computeFollowerWaitMs} from '../feed-prefixes.js';
+import {
+	formatMember, parseMember, rankRelays, type Member,
+} from '../members.js';
+
+/** State of a vm: it works, its process does not respond, its machine is dark, or the store turns it away. */
+export type VmState = 'working' | 'frozen' | 'dark' | 'turnedAway';
+
+/** A vm of the model. */
+export type ModelVm = {
+	readonly vm: VmId;
+	readonly dataCentre: DataCentreId;
+	readonly feed: Feed;
+	state: VmState;
+	/** Whether its watches of the operators' entries get no response; its other calls to the store do. */
+	isOperatorWatchSilent: boolean;
+	/** Time at which it was last disturbed, in milliseconds. */
+	disturbedAt: number;
+};
+
+/** A fleet whose vms follow one another and the store. */
+export type ModelFleet = Readonly<{
+	vms: readonly ModelVm[];
+	/** Writes a version of the configuration; the store's acknowledgement is immediate. */
+	writeConfiguration: (version: number) => void;
+	/** Returns the version of the configuration that a vm knows; 0 if none. */
+	getVersion: (vm: ModelVm) => number;
+	setState: (vm: ModelVm, state: VmState) => void;
+}>;
+
+/** Time within which a change must be active at every vm of the model, in milliseconds. */
+export const APPLY_MS = 3000;
+const OPERATOR_PREFIX = 'op/';
+const CONFIGURATION_KEY = `${OPERATOR_PREFIX}config`;
+const DELAY_MS = 2;
+const READ_TIMEOUT_MS = 1200;
+const WATCH_MARGIN_MS = 700;
+/** Time after which a connection that has become silent is given up, in milliseconds. */
+const SILENCE_MS = 700;
+/** Time limit of a connection to a dark machine, and of a call between vms, in milliseconds. */
+const DIAL_TIMEOUT_MS = 1000;
+const CALL_TIMEOUT_MS = 1500;
+const PROBE_INTERVAL_MS = 300;
+
+const createModelStore = (runtime: Runtime) => {
+	const changes: StoreChange[] = [];
+	const changed = createNotifier(runtime);
+	const getVersion = () => ({era: 1, revision: changes.length});
+	return {
+		put(key: string, value: string) {
+			const revision = changes.length + 1;
+			changes.push(createChange({
+				key, value, era: 1, revision, createdRevision: revision,
+			}));
+			changed.notify();
+		},
+		connect(getVm: () => ModelVm): FeedSource {
+			/** Resolves to a failure if the vm's call is not answered. */
+			const check = async (timeoutMs: number): Promise<Result<undefined, Failure<'storeUnreachable'>>> => {
+				await runtime.sleep(DELAY_MS);
+				const {state} = getVm();
+				if (state === 'working') {
+					return Ok(undefined);
+				}
+
+				await runtime.sleep(state === 'turnedAway' ? 0 : timeoutMs);
+				return Err({code: 'storeUnreachable', message: state});
+			};
+
+			return {
+				async readAll(prefix, timeoutMs = READ_TIMEOUT_MS) {
+					const checked = await check(timeoutMs);
+					const latest = new Map(changes.map(change => [change.key, change.entry]));
+					return checked.map(() => ({entries: [...latest.values()].flatMap(entry => entry?.key.startsWith(prefix) ? [entry] : []), version: getVersion()}));
+				},
+				async watch(prefix, after, waitMs) {
+					const deadline = createDeadline(runtime.now(), waitMs);
+					const listNew = () => changes.filter(change => change.revision > after && change.key.startsWith(prefix));
+					if (getVm().isOperatorWatchSilent && prefix === OPERATOR_PREFIX) {
+						await runtime.sleep(waitMs + WATCH_MARGIN_MS);
+						return Err({code: 'storeUnreachable', message: 'silent'});
+					}
+
+					while (listNew().length === 0 && !isPast(deadline, runtime.now())) {
+						await changed.waitForChange(deadline);
+					}
+
+					const checked = await check(WATCH_MARGIN_MS);
+					return checked.map(() => ({changes: listNew(), version: getVersion()}));
+				},
+			};
+		},
+	};
+};
+
+/** Starts a fleet; the vms of each data centre are created in turn, so that their relays are spread. */
+export const createModelFleet = (runtime: Runtime, dataCentreCount: number, vmsPerDataCentre: number, signal: AbortSignal): ModelFleet => {
+	const store = createModelStore(runtime);
+	const vms: ModelVm[] = [];
+	const openConnections = new Set<string>();
+	const excluded = new Set<string>();
+	const find = (name: string) => vms.find(({vm}) => vm === name);
+	const isConnected = (from: ModelVm, to: ModelVm) => [from, to].every(({state}) => state === 'working' || state === 'turnedAway');
+
+	/** Excludes a vm from the calls of another until a probe succeeds. */
+	const exclude = async (link: string, from: ModelVm, to: ModelVm) => {
+		openConnections.delete(link);
+		excluded.add(link);
+		while (!isConnected(from, to)) {
+			await runtime.sleep(PROBE_INTERVAL_MS);
+		}
+
+		excluded.delete(link);
+	};
+
+	const call = async (from: ModelVm, to: ModelVm, request: FeedRequest): Promise<Result<FeedResponse, Failure<'lost'>>> => {
+		const link = `${from.vm}>${to.vm}`;
+		const fail = async (afterMs: number): Promise<Result<FeedResponse, Failure<'lost'>>> => {
+			await runtime.sleep(afterMs);
+			void exclude(link, from, to);
+			return Err({code: 'lost', message: to.state});
+		};
+
+		if (!isConnected(from, to)) {
+			return fail(openConnections.has(link) ? SILENCE_MS : (to.state === 'dark' ? DIAL_TIMEOUT_MS : CALL_TIMEOUT_MS));
+		}
+
+		openConnections.add(link);
+		await runtime.sleep(DELAY_MS);
+		const response = await to.feed.serve(request);
+		await runtime.sleep(DELAY_MS);
+		return isConnected(from, to) ? Ok(response) : fail(SILENCE_MS);
+	};
+
+	const startVm = (index: number) => {
+		const vm = brandId<VmId>(`vm${index}`);
+		const dataCentre = brandId<DataCentreId>(`dc${index % dataCentreCount}`);
+		const listMembers = (): readonly Member[] => self.feed.list(MEMBER_PREFIX).flatMap(entry => parseMember(entry) ?? []);
+		const isUsable = (to: string) => !excluded.has(`${vm}>${to}`);
+		const feed = createFeed({
+			runtime,
+			readSuspensionClock: createSuspensionClock(runtime),
+			run: `run${index}`,
+			source: store.connect(() => self),
+			prefixes: createFeedPrefixes({
+				operatorPrefix: OPERATOR_PREFIX, targetPrefix: 'servers/', settings: {configurationApplyMs: APPLY_MS}, getTargetDrainMs: () => 7000,
+			}),
+			followerWaitMs: computeFollowerWaitMs(APPLY_MS),
+			isRelevantChange: () => true,
+			relayPrefix: MEMBER_PREFIX,
+			waitUntilListed: async () => undefined,
+			listRelays: () => rankRelays(vm, dataCentre, listMembers()).map(member => member.vm).filter(name => isUsable(name)),
+			async callRelay(relay, request) {
+				const to = find(relay);
+				return to ? call(self, to, request) : Err({code: 'gone', message: relay});
+			},
+			onChange: () => undefined,
+			onSourceChange: () => undefined,
+			onRelayRejected: () => undefined,
+			onEraChange: () => undefined,
+			onStoreStatus: () => undefined,
+		});
+		const self: ModelVm = {
+			vm, dataCentre, feed, state: 'working', isOperatorWatchSilent: false, disturbedAt: 0,
+		};
+		vms.push(self);
+		store.put(`${MEMBER_PREFIX}${vm}`, formatMember({
+			vm, run: `run${index}`, dataCentre, host: '', port: 0, capacity: 1,
+		}));
+		void feed.run(signal);
+	};
+
+	store.put(CONFIGURATION_KEY, '1');
+	for (let index = 0; index < dataCentreCount * vmsPerDataCentre; index++) {
+		startVm(index);
+	}
+
+	return {
+		vms,
+		writeConfiguration(version) {
+			store.put(CONFIGURATION_KEY, String(version));
+		},
+		getVersion: ({feed}) => Number(feed.get(CONFIGURATION_KEY)?.value ?? 0),
+		setState(vm, state) {
+			vm.state = state;
+			vm.disturbedAt = runtime.now();
+		},
+	};
+};
