Count the opening of a connection in the time limit of a call between vms

What callers saw: a vm that called a frozen one without an open connection waited for 3 s, whatever time limit the call had: 150 ms for the record of an appointment, 300 ms for tokens, 1.5 s for the change feed.

Cause: the limit started after the hello. The kernel of a frozen process accepts the connection, and the hello is waited for for 3 s.

Change: the limit includes the opening. A call that ends before it was sent fails with connectTimeout, which says that it was not sent. As its limit may be shorter than a sound vm under load needs to accept a connection, it does not exclude the vm by itself; the vm is excluded unless it answers a probe within 1 s.

--- a/packages/peer-protocol/src/connection.ts
+++ b/packages/peer-protocol/src/connection.ts
@@ -10,8 +10,8 @@
 } from './frames.js';
 import {createMultiplexedStream, type MultiplexedStream} from './streams.js';
 
-/** Failure of a call to a peer: with `peerUnreachable` and `frameTooLarge` it was not sent, otherwise the peer may have handled it. */
-export type PeerFailure = Failure<'peerUnreachable' | 'frameTooLarge' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
+/** Failure of a call to a peer: with `peerUnreachable`, `connectTimeout` and `frameTooLarge` it was not sent, otherwise the peer may have handled it. */
+export type PeerFailure = Failure<'peerUnreachable' | 'connectTimeout' | 'frameTooLarge' | 'peerGone' | 'peerTimeout' | 'peerRefused'>;
 
 /** Identity of a process, sent to its peers in the hello. */
 export type PeerIdentity = Readonly<{vm: string; incarnation: string}>;
--- a/packages/peer-protocol/src/peer-connections.ts
+++ b/packages/peer-protocol/src/peer-connections.ts
@@ -1,12 +1,14 @@
 /** Maintains one outgoing connection to each peer that is called. */
 
-import {Ok, type Result, type Stream} from '@guavapitch/core';
+import {
+	createDeadline, Err, getRemainingMs, Ok, type Result, type Stream,
+} from '@guavapitch/core';
 import type {PeerConnection, PeerContext, PeerFailure} from './connection.js';
 import {dialPeer, type Address, type Dial} from './listener.js';
 
 /** Outgoing connections to all peers, opened on demand. */
 export type PeerConnections = AsyncDisposable & Readonly<{
-	/** Calls a method of the peer at an address, connecting first if necessary. */
+	/** Calls a method of the peer at an address, connecting first if necessary; the time limit includes this. */
 	call: (address: Address, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, PeerFailure>>;
 	/** Opens a stream to the peer at an address, connecting first if necessary. */
 	openStream: (address: Address, method: string, header: unknown) => Promise<Result<Stream<unknown, unknown>, PeerFailure>>;
@@ -46,10 +48,26 @@
 		return pendingDial;
 	};
 
+	/** Waits for a connection within a time limit; one that is not open by then may still be used by later calls. */
+	const waitForConnection = async (address: Address, timeoutMs: number): Promise<Result<PeerConnection, PeerFailure>> => {
+		let cancelTimer: (() => void) | undefined;
+		const timedOut = new Promise<Result<PeerConnection, PeerFailure>>(resolve => {
+			cancelTimer = context.runtime.schedule(timeoutMs, () => {
+				resolve(Err({code: 'connectTimeout', message: 'The connection to the peer was not open in time'}));
+			});
+		});
+		try {
+			return await Promise.race([getConnection(address), timedOut]);
+		} finally {
+			cancelTimer?.();
+		}
+	};
+
 	return {
 		async call(address, method, body, timeoutMs) {
-			const connection = await getConnection(address);
-			return connection.ok ? connection.val.call(method, body, timeoutMs) : connection;
+			const deadline = createDeadline(context.runtime.now(), timeoutMs);
+			const connection = await waitForConnection(address, timeoutMs);
+			return connection.ok ? connection.val.call(method, body, getRemainingMs(deadline, context.runtime.now())) : connection;
 		},
 		async openStream(address, method, header) {
 			const connection = await getConnection(address);
--- a/packages/peer-protocol/src/tests/liveness.test.ts
+++ b/packages/peer-protocol/src/tests/liveness.test.ts
@@ -11,6 +11,8 @@
 
 const NO_HANDLERS: PeerHandlers = {calls: {}, streams: {}};
 const LONG_CALL_MS = 1500;
+/** Time for which a connection waits for the peer's hello, in milliseconds. */
+const HELLO_TIMEOUT_MS = 3000;
 /** A failure before this time has another cause than silence, in milliseconds. */
 const SHORTEST_SILENCE_MS = 100;
 
@@ -41,6 +43,28 @@
 		assert.equal((await peers.call(listener.address, 'ping', undefined, 1000)).unwrap(), 'from the handler');
 	});
 
+	it('ends a call at its time limit while the peer, a frozen process, accepts the connection but sends no hello', async () => {
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as AddressInfo;
+		using closing = {
+			[Symbol.dispose]() {
+				server.close();
+			},
+		};
+		await using peers = createPeerConnections(createContext('a', NO_HANDLERS), createDial());
+		const {runtime} = createContext('w', NO_HANDLERS);
+		const calledAt = runtime.now();
+		const response = await peers.call({host: '127.0.0.1', port}, 'any', undefined, 300);
+		const elapsedMs = runtime.now() - calledAt;
+		assert.equal(response.err && response.val.code, 'connectTimeout');
+		assert.ok(elapsedMs >= 299 && elapsedMs < HELLO_TIMEOUT_MS / 2, `ended after ${elapsedMs} ms`);
+	});
+
 	it('fails calls to an unresponsive peer within a second', async () => {
 		const server = createServer(socket => {
 			socket.on('error', () => undefined);
--- a/packages/vm/src/peer-client.ts
+++ b/packages/vm/src/peer-client.ts
@@ -4,7 +4,7 @@
 	Err, Ok, type Failure, type Result, type VmId,
 } from '@guavapitch/core';
 import {
-	LIVENESS_METHOD, createDial, createPeerConnections, startPeerListener, type PeerListener, type PeerContext, type PeerHandlers, type PeerConnections,
+	LIVENESS_METHOD, createDial, createPeerConnections, startPeerListener, type PeerListener, type PeerContext, type PeerFailure, type PeerHandlers, type PeerConnections,
 } from '@guavapitch/peer-protocol';
 import {createHybridLogicalClock, EVENTS} from '@guavapitch/telemetry';
 import type {VmContext} from './context.js';
@@ -16,7 +16,7 @@
 
 /** Client for calls to other vms. */
 export type PeerClient = AsyncDisposable & Readonly<{
-	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded. A timeout, a refusal by the vm or a body that is too large does not exclude it. */
+	/** Calls a method of a vm. If the vm cannot be reached or the connection is lost, it is excluded; if there is no connection within the call's time limit, it is excluded unless it answers a probe. A timeout, a refusal by the vm or a body that is too large does not exclude it. */
 	call: (member: Member, method: string, body: unknown, timeoutMs: number) => Promise<Result<unknown, CallFailure>>;
 	/** Sends a liveness probe to a vm; resolves to whether it answered in time. */
 	ping: (member: Member, timeoutMs: number) => Promise<boolean>;
@@ -30,6 +30,12 @@
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 500;
 
+/** Time in which a vm without an open connection must answer a probe, in milliseconds, before it is excluded. */
+const CONNECT_TIMEOUT_MS = 1000;
+/** Failures that do not show that a vm cannot be reached, and failures after which it has not received the call. */
+const HARMLESS_FAILURES: ReadonlySet<PeerFailure['code']> = new Set(['peerTimeout', 'peerRefused', 'frameTooLarge']);
+const NOT_SENT_FAILURES: ReadonlySet<PeerFailure['code']> = new Set(['peerUnreachable', 'connectTimeout', 'frameTooLarge']);
+
 /** Functions with which the peer client checks membership and reports unreachable vms. */
 export type MembershipHooks = Readonly<{
 	/** Tells whether a vm is still a member. */
@@ -45,6 +51,8 @@
 	const {runtime, settings, emit} = context;
 	const clock = createHybridLogicalClock(runtime.readWallClock);
 	const excludedVms = new Set<VmId>();
+	/** Vms that are probed because a connection was not open in time. */
+	const connectingVms = new Set<VmId>();
 	let isClosed = false;
 	const peerContext: PeerContext = {
 		runtime,
@@ -89,6 +97,28 @@
 		}
 	};
 
+	/** Excludes a vm unless it answers a probe: a call with a short time limit may end before a sound vm has accepted the connection. */
+	const checkConnecting = async (member: Member, message: string): Promise<void> => {
+		if (connectingVms.has(member.vm) || !isUsable(member.vm)) {
+			return;
+		}
+
+		connectingVms.add(member.vm);
+		const response = await peers.call({host: member.host, port: member.port}, LIVENESS_METHOD, undefined, CONNECT_TIMEOUT_MS);
+		connectingVms.delete(member.vm);
+		if (response.err && !isClosed) {
+			exclude(member, message);
+		}
+	};
+
+	const handleFailure = (member: Member, code: PeerFailure['code'], message: string) => {
+		if (code === 'connectTimeout') {
+			void checkConnecting(member, message);
+		} else if (!HARMLESS_FAILURES.has(code)) {
+			exclude(member, message);
+		}
+	};
+
 	return {
 		async call(member, method, body, timeoutMs) {
 			const response = await peers.call({host: member.host, port: member.port}, method, body, timeoutMs);
@@ -97,11 +127,8 @@
 			}
 
 			const {code, message} = response.val;
-			if (code !== 'peerTimeout' && code !== 'peerRefused' && code !== 'frameTooLarge') {
-				exclude(member, message);
-			}
-
-			return Err({code: code === 'peerUnreachable' || code === 'frameTooLarge' ? 'notSent' : 'lost', message});
+			handleFailure(member, code, message);
+			return Err({code: NOT_SENT_FAILURES.has(code) ? 'notSent' : 'lost', message});
 		},
 		async ping({host, port}, timeoutMs) {
 			const response = await peers.call({host, port}, LIVENESS_METHOD, undefined, timeoutMs);
