Ask other vms for operators' entries when the store turns a vm away

Cause: vms follow older ones only, so that none follows itself through others. The oldest one has none, and where the older ones are turned away too, there is none that is fresh.

Change: a vm whose entries have passed their maximum age, and whose read of the store fails, asks other vms, whatever their order, one more at a time until one sends fresh enough entries. A vm whose own entries are too old responds with their age only, so that an outage of the store for all costs little. No circle can come of it: ages count from the read of the store. The serving of other vms moves to a file of its own.

--- a/packages/feed/src/context.ts
+++ b/packages/feed/src/context.ts
@@ -35,6 +35,8 @@
 	isRelevantChange: (change: StoreChange, previous: StoreEntry | undefined) => boolean;
 	/** Returns the vms to follow, the best first; none if this vm should read the store itself. As seen by each vm, they must all come before it in one order of the fleet, so that no vm follows itself through others. */
 	listRelays: () => readonly string[];
+	/** Returns all vms that can be called, in any order; they are asked for entries when neither a relay nor the store gives them to this vm. */
+	listVms: () => readonly string[];
 	/** Prefix of the entries from which `listRelays` is derived. */
 	relayPrefix: string;
 	/** Resolves when this vm is listed under `relayPrefix`, or does not expect to be soon. */
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -1,15 +1,17 @@
 /** Change feed of the store: reads entries from the store itself, or follows a relay that does. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Instant, type Result,
+	createNotifier, PAST, type Instant, type Result,
 } from '@guavapitch/core';
 import {createChangeLog} from './change-log.js';
 import type {FeedContext, FeedPrefix, RelayRejection} from './context.js';
 import {
-	compareVersions, createChange, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
+	compareVersions, createEntryTable, type FeedSource, type SourceFailure, type StoreChange, type StoreEntry, type StoreVersion,
 } from './entries.js';
 import {runFreshnessTask} from './freshness.js';
+import {requestPeerEntries} from './peer-entries.js';
 import {addMissingEras, type FeedRequest, type FeedResponse} from './relay-messages.js';
+import {createRelayService} from './relay-service.js';
 
 /** Change feed of one process. */
 export type Feed = Readonly<{
@@ -36,8 +38,6 @@
 
 /** Maximum number of keys whose last change is kept for followers that lag behind. */
 const MAX_LOGGED_KEYS = 2000;
-/** Maximum wait of a follower's request, in milliseconds; also the resolution of ages. */
-const MAX_FOLLOWER_WAIT_MS = 800;
 /** Age above which data from the store counts as stale, in milliseconds; each relay between adds the longest wait of a follower. A relay whose data is stale is not followed. */
 const STALENESS_LIMIT_MS = 1800;
 /** Maximum number of relays between a vm that is followed and the store. */
@@ -143,15 +143,32 @@
 		return read;
 	};
 
-	/** Reads the entries under a prefix beside their usual source. The other entries are not confirmed by this, so followers do not take this vm for fresh. */
-	const readStale = async (prefix: string, timeoutMs: number): Promise<boolean> => {
+	/** Replaces the entries under a prefix with those of a vm that has all of them. */
+	const replaceByRelay = (prefix: string, changes: readonly StoreChange[]) => {
+		const entries = changes.flatMap(({entry}) => entry?.key.startsWith(prefix) ? [entry] : []);
+		replaceAll(prefix, entries, entries.toSorted(compareVersions).at(-1) ?? {era: 0, revision: 0});
+	};
+
+	/** Reads the entries under a prefix beside their usual source, from other vms if the store turns this one away. The other entries are not confirmed by this, so followers do not take this vm for fresh. */
+	const readStale = async (prefix: string, maxAgeMs: number, timeoutMs: number): Promise<void> => {
 		const sentAt = runtime.now();
 		const read = await readWhole(prefix, timeoutMs);
 		if (read.ok) {
 			recordContact(sentAt, read.val.version.era);
+			return;
 		}
 
-		return read.ok;
+		await requestPeerEntries({
+			...context,
+			prefix,
+			maxAgeMs,
+			timeoutMs,
+			onEntries({changes, era = getEra()}, completeAt) {
+				recordEra(era);
+				replaceByRelay(prefix, addMissingEras(changes, era));
+				recordComplete(prefix, completeAt);
+			},
+		});
 	};
 
 	/** Reads every prefix once if no relay has sent its entries yet; after a restart of the whole fleet, few relays send them to all vms at the same time. */
@@ -269,8 +286,7 @@
 		contactAt = Math.max(contactAt, confirmedAt);
 		if (isWhole) {
 			for (const {prefix} of context.prefixes) {
-				const entries = changes.flatMap(({entry}) => entry?.key.startsWith(prefix) ? [entry] : []);
-				replaceAll(prefix, entries, entries.toSorted(compareVersions).at(-1) ?? {era: 0, revision: 0});
+				replaceByRelay(prefix, changes);
 			}
 		} else {
 			applyChanges(changes);
@@ -326,8 +342,18 @@
 		}
 	};
 
-	const listEntriesAsChanges = (): readonly StoreChange[] => context.prefixes.flatMap(({prefix}) => entryTable.list(prefix))
-		.map(entry => createChange(entry));
+	const serve = createRelayService({
+		...context,
+		entryTable,
+		changeLog,
+		changed,
+		isComplete,
+		getCompleteAt,
+		listCompleteAt: () => [...completeAtByPrefix],
+		getConfirmedAt: () => confirmedAt,
+		getLevel: () => level,
+		getEra,
+	});
 
 	return {
 		async run(signal) {
@@ -336,7 +362,7 @@
 			for (const {prefix, getMaxAgeMs} of context.prefixes) {
 				if (getMaxAgeMs) {
 					void runFreshnessTask({
-						...context, getMaxAgeMs, getCompleteAt: () => getCompleteAt(prefix), readEntries: async timeoutMs => readStale(prefix, timeoutMs),
+						...context, getMaxAgeMs, getCompleteAt: () => getCompleteAt(prefix), readEntries: async timeoutMs => readStale(prefix, getMaxAgeMs(), timeoutMs),
 					}, signal);
 				}
 			}
@@ -357,31 +383,7 @@
 		},
 		get: entryTable.get,
 		list: entryTable.list,
-		async serve(request) {
-			const receivedAt = context.readSuspensionClock();
-			const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
-			const isInLog = () => request.run === context.run && changeLog.isCompleteAfter(request.after);
-			const wasInLog = isInLog();
-			const mustWait = () => wasInLog ? request.after >= changeLog.getLastNumber() : !isComplete();
-			while (mustWait() && !isPast(waitDeadline, runtime.now())) {
-				await changed.waitForChange(waitDeadline);
-			}
-
-			const ageMs = isComplete() ? Math.max(0, runtime.now() - confirmedAt) : Number.MAX_SAFE_INTEGER;
-			const respondedAt = context.readSuspensionClock();
-			const isStillInLog = isInLog();
-			return {
-				run: context.run,
-				number: changeLog.getLastNumber(),
-				era: getEra(),
-				isWhole: !isStillInLog,
-				changes: isStillInLog ? changeLog.listAfter(request.after) : listEntriesAsChanges(),
-				ageMs,
-				level,
-				heldMs: respondedAt - receivedAt,
-				prefixAgesMs: Object.fromEntries([...completeAtByPrefix].map(([prefix, completeAt]) => [prefix, respondedAt - completeAt])),
-			};
-		},
+		serve,
 		getAgeMs,
 		getCompleteAt,
 		recordContact,
--- a/packages/feed/src/freshness.ts
+++ b/packages/feed/src/freshness.ts
@@ -12,14 +12,15 @@
 	getCompleteAt: () => Instant;
 	/** Returns the age above which the entries are read again, in milliseconds. */
 	getMaxAgeMs: () => number;
-	/** Reads the entries within a time limit, in milliseconds; resolves to whether they were read. */
-	readEntries: (timeoutMs: number) => Promise<boolean>;
+	/** Reads the entries within a time limit, in milliseconds; has no effect on `getCompleteAt` if that fails. */
+	readEntries: (timeoutMs: number) => Promise<void>;
 }>;
 
 /** Fraction of the maximum age within which one read must end, so that a second one is possible in the same time again. */
 const READ_TIMEOUT_FRACTION = 0.4;
-/** Fraction of the maximum age that is paused after the first failed read; the pause doubles up to the maximum age. */
-const RETRY_FRACTION = 0.1;
+/** Fractions of the maximum age that are paused after the first failed read, and at most; the pause doubles between them. */
+const FIRST_RETRY_FRACTION = 0.1;
+const MAX_RETRY_FRACTION = 0.5;
 
 /** Reads the entries each time that they become too old, until the signal aborts. */
 export const runFreshnessTask = async (context: FreshnessContext, signal: AbortSignal): Promise<void> => {
@@ -36,11 +37,12 @@
 			continue;
 		}
 
-		const hasSucceeded = await context.readEntries(maxAgeMs * READ_TIMEOUT_FRACTION);
-		failureCount = hasSucceeded ? 0 : failureCount + 1;
-		if (!hasSucceeded) {
-			const retryMs = Math.min(maxAgeMs, maxAgeMs * RETRY_FRACTION * (2 ** (failureCount - 1)));
-			await runtime.sleep(retryMs * (0.5 + runtime.random()), signal).catch(() => undefined);
+		await context.readEntries(maxAgeMs * READ_TIMEOUT_FRACTION);
+		const isFresh = !isPast(createDeadline(context.getCompleteAt(), maxAgeMs), readSuspensionClock());
+		failureCount = isFresh ? 0 : failureCount + 1;
+		if (!isFresh) {
+			const retryFraction = Math.min(MAX_RETRY_FRACTION, FIRST_RETRY_FRACTION * (2 ** (failureCount - 1)));
+			await runtime.sleep(maxAgeMs * retryFraction * (0.5 + runtime.random()), signal).catch(() => undefined);
 		}
 	}
 };
--- a/packages/feed/src/relay-messages.ts
+++ b/packages/feed/src/relay-messages.ts
@@ -10,6 +10,8 @@
 	after: number;
 	/** Time that the relay may wait for a change, in milliseconds. */
 	waitMs: number;
+	/** Restricts the response to the entries under a prefix, sent at once and only if they are at most so old, in milliseconds; relays of earlier versions send all entries. */
+	only?: Readonly<{prefix: string; maxAgeMs: number}>;
 }>;
 
 /** Response of a relay to a follower. */
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -79,6 +79,7 @@
 			prefixes: PREFIXES,
 			isRelevantChange: () => true,
 			followerWaitMs: 800,
+			listVms: () => [],
 			relayPrefix: 'a/',
 			waitUntilListed: async () => undefined,
 			listRelays: () => relay ? ['relay'] : [],
@@ -178,6 +179,7 @@
 					prefixes,
 					isRelevantChange: () => true,
 					followerWaitMs: 800,
+					listVms: () => [],
 					relayPrefix: 'a/vms/',
 					waitUntilListed: async () => undefined,
 					listRelays: () => relay && runtime.now() > 2000 ? ['relay'] : [],
@@ -226,6 +228,7 @@
 					prefixes: FLEET_PREFIXES,
 					isRelevantChange: () => true,
 					followerWaitMs: 800,
+					listVms: () => [],
 					relayPrefix: 'a/vms/',
 					async waitUntilListed() {
 						store.put(`a/vms/${index}`, '');
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -147,6 +147,9 @@
 		getSignal: () => scope.signal,
 	});
 
+	/** Tells whether a vm is another one than this and can be called as far as is known. */
+	const isCallable = ({vm, dataCentre}: Member): boolean => vm !== settings.vm && peerClient.isUsable(vm) && dataCentreMonitor.isReachable(dataCentre);
+
 	const feed: Feed = createFeed({
 		runtime,
 		readSuspensionClock: context.readSuspensionClock,
@@ -157,9 +160,8 @@
 		isRelevantChange: (change, before) => isRelevantChange(context, change, before),
 		relayPrefix: MEMBER_PREFIX,
 		waitUntilListed: async () => registration.waitUntilRegistered(createDeadline(runtime.now(), REGISTRATION_WAIT_MS)),
-		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers())
-			.filter(({vm, dataCentre}) => peerClient.isUsable(vm) && dataCentreMonitor.isReachable(dataCentre))
-			.map(({vm}) => vm),
+		listRelays: () => rankRelays(settings.vm, settings.dataCentre, view.listMembers()).filter(member => isCallable(member)).map(({vm}) => vm),
+		listVms: () => view.listMembers().filter(member => isCallable(member)).map(({vm}) => vm),
 		async callRelay(relay, request) {
 			const member = view.listMembers().find(({vm}) => vm === relay);
 			if (!member) {
@@ -208,7 +210,7 @@
 	});
 
 	const leaderAnnouncements = createLeaderAnnouncements({
-		listMembers: () => view.listMembers().filter(({vm, dataCentre}) => vm !== settings.vm && peerClient.isUsable(vm) && dataCentreMonitor.isReachable(dataCentre)),
+		listMembers: () => view.listMembers().filter(member => isCallable(member)),
 		async send(member, body, timeoutMs) {
 			await peerClient.call(member, LEADER_METHOD, body, timeoutMs);
 		},
--- a/packages/vm/src/tests/configuration-model.test.ts
+++ b/packages/vm/src/tests/configuration-model.test.ts
@@ -16,6 +16,18 @@
 const DATA_CENTRES = 3;
 const VMS_PER_DATA_CENTRE = 7;
 
+/** Share of the fleet that must be in touch with the store for a vm that it turns away to count as in touch: such a vm can only learn changes from others. */
+const MIN_SOURCE_SHARE = 1 / 3;
+
+const isStable = ({disturbedAt}: ModelVm, nowMs: number) => disturbedAt <= nowMs - STABILITY_MS;
+
+/** Lists the vms for which the promise holds. */
+const listInTouch = ({vms}: ModelFleet, nowMs: number): readonly ModelVm[] => {
+	const sources = vms.filter(vm => vm.state === 'working' && isStable(vm, nowMs));
+	const turnedAway = vms.filter(vm => vm.state === 'turnedAway' && isStable(vm, nowMs));
+	return sources.length >= vms.length * MIN_SOURCE_SHARE ? [...sources, ...turnedAway] : sources;
+};
+
 /** Runs a fleet and checks the promise at every step; `disturb` is called before each of them. */
 const runChecked = async (seed: number, durationMs: number, disturb: (fleet: ModelFleet, nowMs: number, random: () => number) => void) => {
 	const {runtime, advance} = createVirtualRuntime(seed);
@@ -36,6 +48,7 @@
 		disturb(fleet, now, runtime.random);
 		await advance(STEP_MS);
 		const required = writes.findLast(({at}) => at <= runtime.now() - APPLY_MS)?.version ?? 1;
+		const inTouch = new Set(listInTouch(fleet, runtime.now()));
 		for (const vm of fleet.vms) {
 			const version = fleet.getVersion(vm);
 			if (version < (newest.get(vm) ?? 0)) {
@@ -43,8 +56,7 @@
 			}
 
 			newest.set(vm, version);
-			const isInTouch = (vm.state === 'working' || vm.state === 'turnedAway') && vm.disturbedAt <= runtime.now() - STABILITY_MS;
-			if (isInTouch && version < required) {
+			if (inTouch.has(vm) && version < required) {
 				failures.push(`${vm.vm} knows ${version} instead of ${required} at ${runtime.now()}`);
 			}
 		}
@@ -107,9 +119,13 @@
 			}), []);
 		});
 
+		it('when the store turns away a vm and every older one that it may follow, while younger ones read it', async () => {
+			assert.deepEqual(await runChecked(3, 20_000, createOutage('turnedAway', 0.5, 6000, 16_000)), []);
+		});
+
 		for (let seed = 1; seed <= Number(process.env.MODEL_SEEDS ?? 5); seed++) {
 			it(`under outages drawn from seed ${seed}`, async () => {
-				assert.deepEqual(await runChecked(seed, 40_000, createDrawnOutages(['frozen', 'dark'])), []);
+				assert.deepEqual(await runChecked(seed, 40_000, createDrawnOutages(['frozen', 'dark', 'turnedAway'])), []);
 			});
 		}
 	});
--- a/packages/vm/src/tests/model-fleet.ts
+++ b/packages/vm/src/tests/model-fleet.ts
@@ -159,6 +159,7 @@
 			relayPrefix: MEMBER_PREFIX,
 			waitUntilListed: async () => undefined,
 			listRelays: () => rankRelays(vm, dataCentre, listMembers()).map(member => member.vm).filter(name => isUsable(name)),
+			listVms: () => listMembers().map(member => member.vm).filter(name => name !== vm && isUsable(name)),
 			async callRelay(relay, request) {
 				const to = find(relay);
 				return to ? call(self, to, request) : Err({code: 'gone', message: relay});
