Read the configuration of the PostgreSQL front from the store when relays keep it behind

The cause of late configurations on the users' platform, looked for in the other front. What callers would see: a process that is not a relay stays with the first relay that responds, however old its configuration is, and tries silent ones one after the other for 1.5 s each; a withdrawn key would be accepted, or a new one refused, for as long.

Evidence: two tests over a virtual clock fail on the code before. A follower of a relay that is cut off from the store never learns version 2, and one whose four relays are silent knows none after 5 s.

Change: such a process reads the configuration from the store when it has not been confirmed for half of the 4 s that a change may take, by the task that bounds the age of entries in the change feed. Relays read it every 0.4 s anyway. Both tests pass now, as do the others of the package (16 with those of the structure).

--- a/packages/configuration/src/relay.ts
+++ b/packages/configuration/src/relay.ts
@@ -3,6 +3,7 @@
 import {
 	createDeadline, getRemainingMs, type Instant, type Result, type Failure, type VmId, type Runtime,
 } from '@guavapitch/core';
+import {runFreshnessTask} from '@guavapitch/feed';
 import type {Entry, Store} from '@guavapitch/store';
 import type {StoreCache} from './store-cache.js';
 
@@ -90,6 +91,10 @@
 	onStoreContact: (isReachable: boolean) => void;
 }>;
 
+/** Time within which a change must be active in every process in touch with the store, in milliseconds. */
+export const APPLY_MS = 4000;
+/** Age of the configuration above which a process that is not a relay reads it from the store, in milliseconds; the rest of the time allows for a second attempt. */
+const MAX_AGE_MS = APPLY_MS / 2;
 /** Interval at which a relay reads the configuration, which confirms that its cache is up to date, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 400;
 const RETRY_PAUSE_MS = 100;
@@ -169,6 +174,21 @@
 	return entry.ok;
 };
 
+/** Keeps the configuration of a process that is not a relay fresh, however long its search for a relay takes and whatever its relay knows. */
+const runConfigurationReads = async (context: CacheSyncContext, signal: AbortSignal): Promise<void> => runFreshnessTask({
+	runtime: context.runtime,
+	// The cache's instants are those of this clock.
+	readSuspensionClock: context.runtime.now,
+	getCompleteAt: context.cache.getConfirmedAt,
+	getMaxAgeMs: () => MAX_AGE_MS,
+	async readEntries() {
+		const requestedAt = context.runtime.now();
+		if (!context.isRelay() && await refreshConfiguration(context)) {
+			context.cache.markConfirmed(requestedAt);
+		}
+	},
+}, signal);
+
 /** Last change received from a relay, as sent with the next sync request. */
 type SyncProgress = {incarnation: string; after: number};
 
@@ -211,6 +231,7 @@
 		return hasSucceeded;
 	};
 
+	void runConfigurationReads(context, signal);
 	while (!signal.aborted) {
 		if (context.isRelay()) {
 			const isFullReadDue = getRemainingMs(nextFullReadAt, runtime.now()) === 0;
