Measure how long a relay held a request on the monotonic clock

What could happen: a vm takes its entries of targets for complete up to 10 s later than they were, and goes on sending to a target that has announced that it leaves, as the drain time counts from that moment. Found while the ages of entries, on which the bound of operators' changes rests, were read again.

Cause: a relay measured its hold on the suspension clock, which counts a step of the wall clock as a suspension. A follower subtracts the age of the entries from the time of its request plus the hold. If the clock is set back while the request is held, and a watch is sent and answered before the response, the hold seems 10 s longer, the age does not.

The monotonic clock cannot make a hold longer than it was: a suspension makes it shorter, and entries older, which only brings the next read forward.

The parameters of the test's startFeed become overrides of its context; what the other tests check is unchanged.

--- a/packages/feed/src/relay-service.ts
+++ b/packages/feed/src/relay-service.ts
@@ -39,6 +39,7 @@
 	const listEntriesAsChanges = (prefixes: readonly string[]): readonly StoreChange[] => prefixes.flatMap(prefix => entryTable.list(prefix))
 		.map(entry => createChange(entry));
 
+	/** Creates a response to a request that was received at an instant of the monotonic clock. A step of the wall clock, which the suspension clock counts, must not make the hold seem longer: the follower would take the entries for younger than they are. */
 	const createResponse = (receivedAt: Instant, isWhole: boolean, changes: readonly StoreChange[]): FeedResponse => {
 		const respondedAt = readSuspensionClock();
 		return {
@@ -49,16 +50,15 @@
 			changes,
 			ageMs: isComplete() ? Math.max(0, runtime.now() - context.getConfirmedAt()) : Number.MAX_SAFE_INTEGER,
 			level: context.getLevel(),
-			heldMs: respondedAt - receivedAt,
+			heldMs: runtime.now() - receivedAt,
 			prefixAgesMs: Object.fromEntries(context.listCompleteAt().map(([prefix, completeAt]) => [prefix, respondedAt - completeAt])),
 		};
 	};
 
 	/** Responds with the entries under one prefix if they are fresh enough, otherwise only with their age. */
 	const serveOnly = ({prefix, maxAgeMs}: NonNullable<FeedRequest['only']>): FeedResponse => {
-		const receivedAt = readSuspensionClock();
-		const isFresh = receivedAt - context.getCompleteAt(prefix) <= maxAgeMs;
-		return createResponse(receivedAt, isFresh, isFresh ? listEntriesAsChanges([prefix]) : []);
+		const isFresh = readSuspensionClock() - context.getCompleteAt(prefix) <= maxAgeMs;
+		return createResponse(runtime.now(), isFresh, isFresh ? listEntriesAsChanges([prefix]) : []);
 	};
 
 	return async request => {
@@ -66,8 +66,8 @@
 			return serveOnly(request.only);
 		}
 
-		const receivedAt = readSuspensionClock();
-		const waitDeadline = createDeadline(runtime.now(), Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
+		const receivedAt = runtime.now();
+		const waitDeadline = createDeadline(receivedAt, Math.min(request.waitMs, MAX_FOLLOWER_WAIT_MS));
 		const isInLog = () => request.run === context.run && changeLog.isCompleteAfter(request.after);
 		const wasInLog = isInLog();
 		const mustWait = () => wasInLog ? request.after >= changeLog.getLastNumber() : !isComplete();
--- a/packages/feed/src/tests/feed.test.ts
+++ b/packages/feed/src/tests/feed.test.ts
@@ -3,11 +3,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createSuspensionClock, createVirtualRuntime, Err, Ok, type Result, type Runtime,
+	createSuspensionClock, createVirtualRuntime, Err, Ok, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
 	createChange, createEntryTable, type FeedSource, type StoreChange, type StoreEntry,
 } from '../entries.js';
+import type {FeedContext} from '../context.js';
 import {createFeed, type Feed} from '../feed.js';
 
 const PREFIXES = [{prefix: 'a/', waitMs: 1000, pauseMs: 0}];
@@ -70,7 +71,12 @@
 	const {runtime, advance} = createVirtualRuntime(9);
 	const store = createStore(runtime);
 	const stop = new AbortController();
-	const startFeed = (name: string, source: FeedSource, relay?: Feed, onChange: (changes: readonly StoreChange[]) => void = () => undefined): Feed => {
+	const startFeed = (
+		name: string,
+		source: FeedSource,
+		relay?: Feed,
+		overrides: Partial<FeedContext> = {},
+	): Feed => {
 		const feed = createFeed({
 			runtime,
 			readSuspensionClock: createSuspensionClock(runtime),
@@ -86,11 +92,12 @@
 			callRelay: async (_relay, request): Promise<Result<Awaited<ReturnType<Feed['serve']>>, {code: string; message: string}>> => relay
 				? Ok(await relay.serve(request))
 				: Err({code: 'gone', message: 'gone'}),
-			onChange,
+			onChange: () => undefined,
 			onSourceChange: () => undefined,
 			onRelayRejected: () => undefined,
 			onEraChange: () => undefined,
 			onStoreStatus: () => undefined,
+			...overrides,
 		});
 		void feed.run(stop.signal);
 		return feed;
@@ -148,6 +155,30 @@
 		stop.abort();
 	});
 
+	describe('when the clock of the relay is set while it holds a request', () => {
+		for (let stepAtMs = 0; stepAtMs < 1000; stepAtMs += 100) {
+			it(`does not take entries for complete later than they were, after ${stepAtMs} ms`, async () => {
+				const {runtime, advance, store, startFeed, stop} = createSetup();
+				let relayOffsetMs = 0;
+				const relay = startFeed('one', store.source, undefined, {
+					prefixes: [{prefix: 'a/', waitMs: 100, pauseMs: 0}],
+					readSuspensionClock: () => (runtime.now() + relayOffsetMs) as Instant,
+				});
+				await advance(100);
+				const follower = startFeed('two', store.source, relay);
+				await advance(2000 + stepAtMs);
+				// A step of the wall clock back counts as a suspension of ten seconds.
+				relayOffsetMs = 10_000;
+				for (let elapsedMs = 0; elapsedMs < 2000; elapsedMs += 50) {
+					await advance(50);
+					assert.ok(follower.getCompleteAt('a/') <= runtime.now(), `${follower.getCompleteAt('a/')} at ${runtime.now()}`);
+				}
+
+				stop.abort();
+			});
+		}
+	});
+
 	it('reports the age of data from a relay that cannot reach the store', async () => {
 		const {advance, store, startFeed, stop} = createSetup();
 		const relay = startFeed('one', store.source);
@@ -321,10 +352,12 @@
 			const setup = createSetup();
 			const observed: Array<Readonly<{writtenAt: number; completeAt: number}>> = [];
 			const relay = hasRelay ? setup.startFeed('one', setup.store.source) : undefined;
-			const feed = setup.startFeed('two', setup.store.source, relay, changes => {
-				for (const {entry} of changes) {
-					observed.push({writtenAt: Number(entry?.value), completeAt: feed.getCompleteAt('a/')});
-				}
+			const feed = setup.startFeed('two', setup.store.source, relay, {
+				onChange(changes) {
+					for (const {entry} of changes) {
+						observed.push({writtenAt: Number(entry?.value), completeAt: feed.getCompleteAt('a/')});
+					}
+				},
 			});
 			return {...setup, observed};
 		};
