Follow a relay whose operators' entries have passed their maximum age

The check was a second decision by the same age. The promise does not need it, as a vm reads entries that are too old beside its relay, and one step of a relay's clock, which makes its entries seem 10 s old, would have sent all of its followers to the store.

--- a/packages/feed/src/context.ts
+++ b/packages/feed/src/context.ts
@@ -13,7 +13,7 @@
 	waitMs: number;
 	/** Pause between two watches, in milliseconds; it limits the load of entries that change continuously. */
 	pauseMs: number;
-	/** Returns the age, in milliseconds, above which this vm reads the entries itself, and does not follow a relay whose entries are older; without it, only the latest contact with the store counts. */
+	/** Returns the age, in milliseconds, above which this vm reads the entries beside its usual source; without it, they are only as fresh as that source. */
 	getMaxAgeMs?: () => number;
 }>;
 
--- a/packages/feed/src/feed.ts
+++ b/packages/feed/src/feed.ts
@@ -272,8 +272,7 @@
 			return {rejection: 'tooFar', ageMs};
 		}
 
-		const isPrefixStale = context.prefixes.some(({prefix, getMaxAgeMs}) => getMaxAgeMs && (prefixAgesMs[prefix] ?? 0) > getMaxAgeMs());
-		if (isPrefixStale || ageMs > STALENESS_LIMIT_MS + (relayLevel * followerWaitMs)) {
+		if (ageMs > STALENESS_LIMIT_MS + (relayLevel * followerWaitMs)) {
 			return {rejection: 'stale', ageMs};
 		}
 
