Refuse no route or key for good by a configuration that is not confirmed

What callers saw: 401 or 404, after which they do not try again, from a vm whose configuration was behind, although another vm would have served them.

Cause: the refusal was decided by whatever configuration the vm had, however long ago the store had confirmed it.

Change: if that is longer ago than config_apply_ms, a caller whose route or key this vm does not know gets BUSY with a retry time of 0.3 s; its next attempt reaches another vm, or this one once it has read the configuration. Callers that it knows are served as before. The refusal is true in both cases: nothing has run.

--- a/packages/vm/src/authorization.ts
+++ b/packages/vm/src/authorization.ts
@@ -15,6 +15,12 @@
 /** Retry time of a request whose configuration allows no region, in milliseconds: operators have to change it. */
 export const REGION_RETRY_MS = 5000;
 
+/** Retry time of a caller whom this vm does not know while its configuration is not confirmed, in milliseconds: the next attempt reaches another vm, and this one reads the configuration within about as long. */
+const UNCONFIRMED_RETRY_MS = 300;
+
+/** Refusals that say that a route or a key does not exist. */
+const FINAL_REFUSALS: ReadonlySet<StatementRefusalCode> = new Set(['noDatabase', 'noKey']);
+
 /** Creates the response to a statement that is refused at its entry. */
 export const createLocalRefusal = ({transaction}: StatementRequest, code: StatementRefusalCode, reason: string, retryAfterMs: number): StatementResponse => ({
 	outcome: createRefusal(code, reason, retryAfterMs), status: transaction ? 'failed' : 'idle', position: undefined, target: undefined, waitedMs: 0,
@@ -41,16 +47,25 @@
 /** What the authorization of a caller is decided by, and how old the operators' entries are that this vm knows, in milliseconds. */
 export type AuthorizationSource = Readonly<{getConfiguration: () => Configuration | undefined; getEntriesAgeMs: () => number}>;
 
-/** Creates the function that authorizes callers by the active configuration and logs by which version a caller was refused. */
+/**
+ * Creates the function that authorizes callers by the active configuration and logs by which version a caller was refused.
+ * A vm whose configuration was not confirmed within the time for changes does not say that a route or key does not exist: a newer version may have added it.
+ */
 export const createAuthorizer = (
 	{settings, emit}: Pick<VmContext, 'settings' | 'emit'>,
 	{getConfiguration, getEntriesAgeMs}: AuthorizationSource,
 ) => (service: string, key: string): Result<Authorization, StatementOutcome> => {
 	const configuration = getConfiguration();
 	const authorization = checkCaller(configuration, settings, service, key);
-	if (authorization.err && authorization.val.kind === 'refused') {
-		emit(EVENTS.callerNotAuthorized, {code: authorization.val.code, version: configuration?.version, entriesAgeMs: Math.round(Math.min(getEntriesAgeMs(), Number.MAX_SAFE_INTEGER))});
+	if (authorization.ok || authorization.val.kind !== 'refused') {
+		return authorization;
 	}
 
-	return authorization;
+	const entriesAgeMs = Math.round(Math.min(getEntriesAgeMs(), Number.MAX_SAFE_INTEGER));
+	const isUnconfirmed = FINAL_REFUSALS.has(authorization.val.code) && entriesAgeMs > settings.configurationApplyMs;
+	const refusal = isUnconfirmed
+		? createRefusal('busy', 'this vm does not know the route or key, and its configuration has not been confirmed lately', UNCONFIRMED_RETRY_MS)
+		: authorization.val;
+	emit(EVENTS.callerNotAuthorized, {code: isUnconfirmed ? 'busy' : authorization.val.code, version: configuration?.version, entriesAgeMs});
+	return Err(refusal);
 };
