Keep the vms of the fleet model read-only

The model's vms were changed by the tests that hold them. Their states now lie in the fleet, which offers functions for it, as the shape of the code asks.

--- a/packages/vm/src/tests/configuration-model.test.ts
+++ b/packages/vm/src/tests/configuration-model.test.ts
@@ -19,12 +19,12 @@
 /** Share of the fleet that must be in touch with the store for a vm that it turns away to count as in touch: such a vm can only learn changes from others. */
 const MIN_SOURCE_SHARE = 1 / 3;
 
-const isStable = ({disturbedAt}: ModelVm, nowMs: number) => disturbedAt <= nowMs - STABILITY_MS;
+const isStable = ({getDisturbedAt}: ModelVm, nowMs: number) => getDisturbedAt() <= nowMs - STABILITY_MS;
 
 /** Lists the vms for which the promise holds. */
 const listInTouch = ({vms}: ModelFleet, nowMs: number): readonly ModelVm[] => {
-	const sources = vms.filter(vm => vm.state === 'working' && isStable(vm, nowMs));
-	const turnedAway = vms.filter(vm => vm.state === 'turnedAway' && isStable(vm, nowMs));
+	const sources = vms.filter(vm => vm.getState() === 'working' && isStable(vm, nowMs));
+	const turnedAway = vms.filter(vm => vm.getState() === 'turnedAway' && isStable(vm, nowMs));
 	return sources.length >= vms.length * MIN_SOURCE_SHARE ? [...sources, ...turnedAway] : sources;
 };
 
@@ -71,7 +71,7 @@
 const createOutage = (state: VmState, share: number, from: number, until: number) => (fleet: ModelFleet, nowMs: number) => {
 	for (const vm of fleet.vms.slice(0, Math.round(fleet.vms.length * share))) {
 		const wanted = nowMs >= from && nowMs < until ? state : 'working';
-		if (vm.state !== wanted) {
+		if (vm.getState() !== wanted) {
 			fleet.setState(vm, wanted);
 		}
 	}
@@ -113,8 +113,8 @@
 		it('when the reader\'s watch of the operators\' entries stays silent while its other calls succeed', async () => {
 			assert.deepEqual(await runChecked(2, 16_000, (fleet, nowMs) => {
 				const [reader] = fleet.vms;
-				if (reader) {
-					reader.isOperatorWatchSilent = nowMs >= 6000;
+				if (reader && nowMs >= 6000) {
+					fleet.silenceOperatorWatch(reader);
 				}
 			}), []);
 		});
--- a/packages/vm/src/tests/model-fleet.ts
+++ b/packages/vm/src/tests/model-fleet.ts
@@ -1,7 +1,7 @@
 /** Fleet of change feeds on a virtual clock, with a store and links between vms that a test can disturb. */
 
 import {
-	brandId, createNotifier, createDeadline, createSuspensionClock, Err, isPast, Ok, type DataCentreId, type Failure, type Result, type Runtime, type VmId,
+	brandId, createNotifier, createDeadline, createSuspensionClock, Err, isPast, Ok, type DataCentreId, type Failure, type Instant, type Result, type Runtime, type VmId,
 } from '@guavapitch/core';
 import {
 	createChange, createFeed, type Feed, type FeedRequest, type FeedResponse, type FeedSource, type StoreChange,
@@ -16,16 +16,13 @@
 export type VmState = 'working' | 'frozen' | 'dark' | 'turnedAway';
 
 /** A vm of the model. */
-export type ModelVm = {
-	readonly vm: VmId;
-	readonly dataCentre: DataCentreId;
-	readonly feed: Feed;
-	state: VmState;
-	/** Whether its watches of the operators' entries get no response; its other calls to the store do. */
-	isOperatorWatchSilent: boolean;
-	/** Time at which it was last disturbed, in milliseconds. */
-	disturbedAt: number;
-};
+export type ModelVm = Readonly<{
+	vm: VmId;
+	feed: Feed;
+	getState: () => VmState;
+	/** Returns the instant at which its state last changed. */
+	getDisturbedAt: () => Instant;
+}>;
 
 /** A fleet whose vms follow one another and the store. */
 export type ModelFleet = Readonly<{
@@ -35,6 +32,8 @@
 	/** Returns the version of the configuration that a vm knows; 0 if none. */
 	getVersion: (vm: ModelVm) => number;
 	setState: (vm: ModelVm, state: VmState) => void;
+	/** Leaves all further watches of the operators' entries by a vm without a response; its other calls to the store get theirs. */
+	silenceOperatorWatch: (vm: ModelVm) => void;
 }>;
 
 /** Time within which a change must be active at every vm of the model, in milliseconds. */
@@ -63,11 +62,12 @@
 			}));
 			changed.notify();
 		},
-		connect(getVm: () => ModelVm): FeedSource {
+		/** Returns the store as a vm sees it. */
+		connect(getState: () => VmState, isOperatorWatchSilent: () => boolean): FeedSource {
 			/** Resolves to a failure if the vm's call is not answered. */
 			const check = async (timeoutMs: number): Promise<Result<undefined, Failure<'storeUnreachable'>>> => {
 				await runtime.sleep(DELAY_MS);
-				const {state} = getVm();
+				const state = getState();
 				if (state === 'working') {
 					return Ok(undefined);
 				}
@@ -85,7 +85,7 @@
 				async watch(prefix, after, waitMs) {
 					const deadline = createDeadline(runtime.now(), waitMs);
 					const listNew = () => changes.filter(change => change.revision > after && change.key.startsWith(prefix));
-					if (getVm().isOperatorWatchSilent && prefix === OPERATOR_PREFIX) {
+					if (isOperatorWatchSilent() && prefix === OPERATOR_PREFIX) {
 						await runtime.sleep(waitMs + WATCH_MARGIN_MS);
 						return Err({code: 'storeUnreachable', message: 'silent'});
 					}
@@ -102,14 +102,18 @@
 	};
 };
 
-/** Starts a fleet; the vms of each data centre are created in turn, so that their relays are spread. */
+/** Starts a fleet; vms are numbered by age, and neighbours in age are of different data centres. */
 export const createModelFleet = (runtime: Runtime, dataCentreCount: number, vmsPerDataCentre: number, signal: AbortSignal): ModelFleet => {
 	const store = createModelStore(runtime);
+	const startedAt = runtime.now();
 	const vms: ModelVm[] = [];
 	const openConnections = new Set<string>();
 	const excluded = new Set<string>();
+	const states = new Map<VmId, Readonly<{state: VmState; since: Instant}>>();
+	const silentWatches = new Set<VmId>();
+	const getState = (vm: VmId): VmState => states.get(vm)?.state ?? 'working';
 	const find = (name: string) => vms.find(({vm}) => vm === name);
-	const isConnected = (from: ModelVm, to: ModelVm) => [from, to].every(({state}) => state === 'working' || state === 'turnedAway');
+	const isConnected = (from: ModelVm, to: ModelVm) => [from, to].every(({vm}) => getState(vm) === 'working' || getState(vm) === 'turnedAway');
 
 	/** Excludes a vm from the calls of another until a probe succeeds. */
 	const exclude = async (link: string, from: ModelVm, to: ModelVm) => {
@@ -127,11 +131,11 @@
 		const fail = async (afterMs: number): Promise<Result<FeedResponse, Failure<'lost'>>> => {
 			await runtime.sleep(afterMs);
 			void exclude(link, from, to);
-			return Err({code: 'lost', message: to.state});
+			return Err({code: 'lost', message: to.getState()});
 		};
 
 		if (!isConnected(from, to)) {
-			return fail(openConnections.has(link) ? SILENCE_MS : (to.state === 'dark' ? DIAL_TIMEOUT_MS : CALL_TIMEOUT_MS));
+			return fail(openConnections.has(link) ? SILENCE_MS : (to.getState() === 'dark' ? DIAL_TIMEOUT_MS : CALL_TIMEOUT_MS));
 		}
 
 		openConnections.add(link);
@@ -150,7 +154,7 @@
 			runtime,
 			readSuspensionClock: createSuspensionClock(runtime),
 			run: `run${index}`,
-			source: store.connect(() => self),
+			source: store.connect(() => getState(vm), () => silentWatches.has(vm)),
 			prefixes: createFeedPrefixes({
 				operatorPrefix: OPERATOR_PREFIX, targetPrefix: 'servers/', settings: {configurationApplyMs: APPLY_MS}, getTargetDrainMs: () => 7000,
 			}),
@@ -171,7 +175,7 @@
 			onStoreStatus: () => undefined,
 		});
 		const self: ModelVm = {
-			vm, dataCentre, feed, state: 'working', isOperatorWatchSilent: false, disturbedAt: 0,
+			vm, feed, getState: () => getState(vm), getDisturbedAt: () => states.get(vm)?.since ?? startedAt,
 		};
 		vms.push(self);
 		store.put(`${MEMBER_PREFIX}${vm}`, formatMember({
@@ -191,9 +195,11 @@
 			store.put(CONFIGURATION_KEY, String(version));
 		},
 		getVersion: ({feed}) => Number(feed.get(CONFIGURATION_KEY)?.value ?? 0),
-		setState(vm, state) {
-			vm.state = state;
-			vm.disturbedAt = runtime.now();
+		setState({vm}, state) {
+			states.set(vm, {state, since: runtime.now()});
+		},
+		silenceOperatorWatch({vm}) {
+			silentWatches.add(vm);
 		},
 	};
 };
