Read targets from the store no more often than before

Cause: the bound of the age of entries gave targets a maximum age as well, half of their drain time. The heartbeats of targets do not end a watch, so without changes the one vm that watches them confirms them every five seconds only. Each of the others found them too old and read the store, so that calls grew with the number of vms.

Change: targets have no maximum age, as before the incident. Operators' entries are confirmed every twelfth of the time for a change, and keep theirs.

Evidence: the new test counts whole reads of a fleet in which nothing fails: 105 in 20 s with a maximum age of 3.5 s for targets, 0 now.

--- a/packages/vm/src/feed-prefixes.ts
+++ b/packages/vm/src/feed-prefixes.ts
@@ -18,23 +18,20 @@
 
 /** Fraction of the time for a change that one watch, and each of two relays, may add: entries then are usually at most a third of that time old, two watches and two relays. */
 const HOP_FRACTION = 1 / 12;
-/** Fraction of the time for a change, or of the drain time of targets, after which a vm reads the entries itself; the rest of the time allows for two attempts. */
+/** Fraction of the time for a change after which a vm reads the entries itself; the rest of the time allows for two attempts. */
 const MAX_AGE_FRACTION = 0.5;
-/** Minimum age at which targets are read again, in milliseconds: twice the pause between watches, and a relay's hold. */
-const MIN_TARGET_AGE_MS = 3000;
 
 /** Computes how long a relay may hold a follower's request, in milliseconds, from the time within which changes must be active. */
 export const computeFollowerWaitMs = (configurationApplyMs: number): number => Math.min(MAX_FOLLOWER_WAIT_MS, configurationApplyMs * HOP_FRACTION);
 
 /** Creates the prefixes of a vm's change feed. */
 export const createFeedPrefixes = ({
-	operatorPrefix, targetPrefix, settings: {configurationApplyMs}, getTargetDrainMs,
-}: Pick<VmContext, 'operatorPrefix' | 'targetPrefix' | 'getTargetDrainMs'> & Readonly<{settings: Pick<VmSettings, 'configurationApplyMs'>}>): readonly FeedPrefix[] => [
+	operatorPrefix, targetPrefix, settings: {configurationApplyMs},
+}: Pick<VmContext, 'operatorPrefix' | 'targetPrefix'> & Readonly<{settings: Pick<VmSettings, 'configurationApplyMs'>}>): readonly FeedPrefix[] => [
 	{
 		prefix: operatorPrefix, waitMs: Math.min(MAX_OPERATOR_WATCH_MS, configurationApplyMs * HOP_FRACTION), pauseMs: 0, getMaxAgeMs: () => configurationApplyMs * MAX_AGE_FRACTION,
 	},
 	{prefix: STORE_PREFIX, waitMs: MEMBER_WATCH_MS, pauseMs: MEMBER_PAUSE_MS},
-	{
-		prefix: targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS, getMaxAgeMs: () => Math.max(MIN_TARGET_AGE_MS, getTargetDrainMs() * MAX_AGE_FRACTION),
-	},
+	// Without changes, a watch of targets confirms them every few seconds only, so a maximum age would send every vm to the store.
+	{prefix: targetPrefix, waitMs: TARGET_WATCH_MS, pauseMs: TARGET_PAUSE_MS},
 ];
--- a/packages/vm/src/tests/configuration-model.test.ts
+++ b/packages/vm/src/tests/configuration-model.test.ts
@@ -103,6 +103,17 @@
 };
 
 describe('propagation of the configuration', () => {
+	it('costs the store no more reads the more vms there are, as long as nothing fails', async () => {
+		const {runtime, advance} = createVirtualRuntime(4);
+		const stop = new AbortController();
+		const fleet = createModelFleet(runtime, DATA_CENTRES, VMS_PER_DATA_CENTRE, stop.signal);
+		await advance(STABILITY_MS);
+		const countBefore = fleet.getReadCount();
+		await advance(20_000);
+		assert.equal(fleet.getReadCount() - countBefore, 0, 'whole reads; one vm watches for all');
+		stop.abort();
+	});
+
 	describe('is not late at vms in touch', () => {
 		for (const state of ['frozen', 'dark'] as const) {
 			it(`when the vms that they would follow are ${state}, one after the other`, async () => {
--- a/packages/vm/src/tests/model-fleet.ts
+++ b/packages/vm/src/tests/model-fleet.ts
@@ -29,6 +29,8 @@
 	vms: readonly ModelVm[];
 	/** Writes a version of the configuration; the store's acknowledgement is immediate. */
 	writeConfiguration: (version: number) => void;
+	/** Returns how often the vms have read all entries under a prefix from the store. */
+	getReadCount: () => number;
 	/** Returns the version of the configuration that a vm knows; 0 if none. */
 	getVersion: (vm: ModelVm) => number;
 	setState: (vm: ModelVm, state: VmState) => void;
@@ -54,7 +56,9 @@
 	const changes: StoreChange[] = [];
 	const changed = createNotifier(runtime);
 	const getVersion = () => ({era: 1, revision: changes.length});
+	let readCount = 0;
 	return {
+		getReadCount: () => readCount,
 		put(key: string, value: string) {
 			const revision = changes.length + 1;
 			changes.push(createChange({
@@ -78,6 +82,7 @@
 
 			return {
 				async readAll(prefix, timeoutMs = READ_TIMEOUT_MS) {
+					readCount++;
 					const checked = await check(timeoutMs);
 					const latest = new Map(changes.map(change => [change.key, change.entry]));
 					return checked.map(() => ({entries: [...latest.values()].flatMap(entry => entry?.key.startsWith(prefix) ? [entry] : []), version: getVersion()}));
@@ -156,7 +161,7 @@
 			run: `run${index}`,
 			source: store.connect(() => getState(vm), () => silentWatches.has(vm)),
 			prefixes: createFeedPrefixes({
-				operatorPrefix: OPERATOR_PREFIX, targetPrefix: 'servers/', settings: {configurationApplyMs: APPLY_MS}, getTargetDrainMs: () => 7000,
+				operatorPrefix: OPERATOR_PREFIX, targetPrefix: 'servers/', settings: {configurationApplyMs: APPLY_MS},
 			}),
 			followerWaitMs: computeFollowerWaitMs(APPLY_MS),
 			isRelevantChange: () => true,
@@ -191,6 +196,7 @@
 
 	return {
 		vms,
+		getReadCount: store.getReadCount,
 		writeConfiguration(version) {
 			store.put(CONFIGURATION_KEY, String(version));
 		},
