--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,5 @@
 /* eslint-disable no-await-in-loop -- a caller sends one message after the other */
-/** All processes are killed, and while they start again, a third of the writes to the store is executed late and not answered; afterwards the fleet must serve again. */
+/** All processes are killed, and while they start again, a third of the writes to the store is executed late and not answered; then the fleet must serve again. */
 
 import {Buffer} from 'node:buffer';
 import {createServer, request} from 'node:http';
@@ -17,7 +17,7 @@
 const LOST_EVERY = 3;
 const FIRST_LOST = 2;
 /** Delay after which a lost write is executed, and time for which writes are lost, in milliseconds. */
-const LATE_MS = 2000;
+const LATE_MS = 3000;
 const LOSING_MS = 4500;
 /** Time for which the processes are down, in milliseconds. */
 const DOWN_MS = 1400;
@@ -60,7 +60,7 @@
 	outgoing.end(body);
 });
 
-/** Opens a port of the store for a vm that loses answers while `losses` is on; resolves to its address. */
+/** Opens a port of the store for a vm that loses answers while `losses` is on; nothing further comes on a connection on which one was lost. Resolves to its address. */
 const openLosingPort = async (vm, storeAddress) => {
 	let writes = 0;
 	const server = createServer(async (incoming, outgoing) => {
@@ -73,7 +73,6 @@
 
 		if (isCounted && writes % LOST_EVERY === FIRST_LOST) {
 			losses.lost++;
-			incoming.socket.destroy();
 			await sleep(LATE_MS);
 			const response = await forward(storeAddress, incoming, body);
 			record(`STORE write ${writes} of ${vm} to ${incoming.url}: not answered, executed after ${LATE_MS} ms with ${response?.status}`);
