--- a/review/harness-2/system.mjs
+++ b/review/harness-2/system.mjs
@@ -102,6 +102,11 @@
 export const runCase = async (record, options, play) => {
 	let status = NOT_RUN_STATUS;
 	let system;
+	// The time limit of a run: the processes must not outlive it.
+	process.once('SIGTERM', async () => {
+		await system?.[Symbol.asyncDispose]();
+		process.exit(NOT_RUN_STATUS);
+	});
 	try {
 		system = await startSystem(options);
 		const isBroken = await play(system);
