--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,5 @@
 /* eslint-disable no-await-in-loop -- a caller sends one message after the other */
-/** All processes are killed, and while they start again, a third of the writes to the store is executed late and not answered; then the fleet must serve again. */
+/** All processes are killed, and while they start again, a quarter of the writes to the store is executed late and not answered; then the fleet must serve again. */
 
 import {Buffer} from 'node:buffer';
 import {createServer, request} from 'node:http';
@@ -13,8 +13,8 @@
 const DATABASE = 'motions';
 const ROUTES = getRouteNames(DATABASE);
 const KEY = 'key-klub';
-/** Of the writes of a vm, every third is lost, from the second on. */
-const LOST_EVERY = 3;
+/** Of the writes of a vm, every fourth is lost, from the second on. */
+const LOST_EVERY = 4;
 const FIRST_LOST = 2;
 /** Delay after which a lost write is executed, and time for which writes are lost, in milliseconds. */
 const LATE_MS = 3000;
