Write the entry of a vm on one lease and on the condition of its revision

Cause: a write without an answer was taken for one that was not executed. The vm drew another lease and wrote its entry again. The first write, executed seconds later, attached the entry to the first lease, which nobody renewed, and the store removed the entry with it. The vm renewed the second lease for ever and never looked whether it was listed.

Change: a vm uses one lease until the store no longer knows it, and writes its entry on the condition of the last revision; the refusal of a write tells the present one. It compares what the feed shows with what it wrote and writes the entry again if it is missing or another's, unless the feed has not read the store since. A vm that leaves uses no lease granted after that. A late write now fails its condition or names a lease that has ended.

Found beside it, same cause: a late write of a run that was killed replaced the entry of the next run, whose roles other vms then took; and an entry came back after its vm had left.

A restart within the life of the old lease costs one write more, a lost write one less.

The fakes of two test files now tell the revisions that they found and refuse unknown leases, as the store does; what their tests check is unchanged.

--- a/packages/roles/src/role-claims.ts
+++ b/packages/roles/src/role-claims.ts
@@ -3,10 +3,9 @@
 import {
 	createDeadline, isPast, PAST, type Deadline, type Instant, type Runtime,
 } from '@guavapitch/core';
-import {LEASE_TTL_MS, type VmRegistration, type RoleStore} from './vm-registration.js';
-
-/** An entry of the store as the change feed last delivered it. */
-export type CachedEntry = Readonly<{value: string; era: number; revision: number}>;
+import {
+	LEASE_TTL_MS, type CachedEntry, type VmRegistration, type RoleStore,
+} from './vm-registration.js';
 
 /** Record of the holder of a role; `epoch` is the fencing token drawn with the claim. */
 export type HolderRecord = Readonly<{vm: string; run: string; epoch: number}>;
--- a/packages/roles/src/tests/role-claims.test.ts
+++ b/packages/roles/src/tests/role-claims.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, Err, Ok, type Instant, type Runtime,
+	createVirtualRuntime, Err, Ok, PAST, type Instant, type Runtime,
 } from '@guavapitch/core';
 import {createVmRegistration, type RoleStore} from '../vm-registration.js';
 import {createRoleClaims} from '../role-claims.js';
@@ -76,7 +76,7 @@
 			}
 
 			if (conditions.some(({key, revision: expected}) => (entries.get(key)?.revision ?? 0) !== expected)) {
-				return Ok({revision: undefined, era: state.era});
+				return Ok({revision: undefined, foundRevisions: new Map([...entries].map(([key, entry]) => [key, entry.revision])), era: state.era});
 			}
 
 			revision++;
@@ -127,7 +127,13 @@
 		const registration = createVmRegistration({
 			runtime,
 			readSuspensionClock: () => (runtime.now() + suspension.suspendedMs) as Instant,
-			store: fakeStore.store, key: `vms/${vm}`, value: vm, onContact: () => undefined, onFailure: () => undefined,
+			store: fakeStore.store,
+			key: `vms/${vm}`,
+			value: vm,
+			getKnownEntry: () => ({entry: (frozen ?? fakeStore).entries.get(`vms/${vm}`), completeAt: PAST as number as Instant}),
+			onStateChange: () => undefined,
+			onContact: () => undefined,
+			onFailure: () => undefined,
 		});
 		const roles = createRoleClaims({
 			runtime,
--- a/packages/roles/src/vm-registration.ts
+++ b/packages/roles/src/vm-registration.ts
@@ -1,7 +1,7 @@
 /** Registration of a vm in the store: a lease, and an entry by which other vms find this one. */
 
 import {
-	createDeadline, createNotifier, isPast, PAST, type Deadline, type Instant, type Result, type Runtime,
+	createDeadline, createNotifier, isPast, type Deadline, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import type {StoreFailure} from '@guavapitch/store';
 
@@ -22,8 +22,8 @@
 	removes: readonly string[];
 }>;
 
-/** Outcome of a transaction: its revision, or `undefined` if a condition was not met. */
-export type TransactionOutcome = EraStamped & Readonly<{revision: number | undefined}>;
+/** Outcome of a transaction: its revision, or `undefined` if a condition was not met; `foundRevisions` are then the revisions of the entries that the conditions name, without those that do not exist. */
+export type TransactionOutcome = EraStamped & Readonly<{revision: number | undefined; foundRevisions?: ReadonlyMap<string, number>}>;
 
 /** Value of an entry as the store held it when it responded, and the revision of its last change; `undefined` and 0 if there was none. */
 export type ReadValue = EraStamped & Readonly<{value: string | undefined; revision: number}>;
@@ -39,6 +39,20 @@
 	read: (key: string) => Promise<Result<ReadValue, StoreFailure>>;
 }>;
 
+/** An entry of the store as the change feed last delivered it. */
+export type CachedEntry = Readonly<{value: string; era: number; revision: number}>;
+
+/** What the change feed knows of one entry. */
+export type KnownEntry = Readonly<{
+	/** The entry; `undefined` if it does not exist. */
+	entry: CachedEntry | undefined;
+	/** Instant of the suspension clock at which an entry that does not exist was certainly missing in the store. */
+	completeAt: Instant;
+}>;
+
+/** State of a registration: `missing` if the store no longer holds the entry, `replaced` if it holds one of another writer. */
+export type RegistrationState = 'registered' | 'leaseLost' | 'missing' | 'replaced';
+
 /** Dependencies of a vm registration. */
 export type VmRegistrationContext = Readonly<{
 	runtime: Runtime;
@@ -48,6 +62,10 @@
 	/** Key and value of the entry that is attached to the lease. */
 	key: string;
 	value: string;
+	/** Returns what the change feed knows of the entry. */
+	getKnownEntry: () => KnownEntry;
+	/** Called when the entry was written, and when it is found to be no longer in force. */
+	onStateChange: (state: RegistrationState) => void;
 	/** Called after each successful call to the store, with the time when the call was sent and the era of the response. */
 	onContact: (sentAt: Instant, era: number) => void;
 	/** Called after each failed call to the store. */
@@ -74,87 +92,147 @@
 const RETRY_DELAY_MS = 400;
 /** Safety margin for clocks that run at different rates, in milliseconds. */
 const CLOCK_DRIFT_MS = 150;
-
-/** Creates the registration of a vm; it has no lease yet. */
+/** Maximum number of writes of an entry in a row, each on the revision that the one before has found. */
+const MAX_WRITE_ATTEMPTS = 2;
+
+/** Lease of a vm, valid until a deadline of the suspension clock. */
+type HeldLease = Readonly<{id: string; deadline: Deadline}>;
+
+/** The entry of a vm as it was last written; the store certainly held it at `confirmedAt`, an instant of the suspension clock. */
+type WrittenEntry = Readonly<{era: number; revision: number; confirmedAt: Instant}>;
+
+/**
+ * Creates the registration of a vm; it has no lease yet.
+ *
+ * A write without an answer may be executed seconds later. A lease is therefore used until the store no longer knows it, and the entry is
+ * written on the condition of its last revision, so that no earlier write replaces a later one, nor attaches the entry to another lease.
+ * If the entry is lost nevertheless, the change feed shows it and it is written again.
+ */
 export const createVmRegistration = (context: VmRegistrationContext): VmRegistration => {
 	const {runtime, readSuspensionClock, store} = context;
-	let leaseId: string | undefined;
-	let deadline: Deadline = PAST;
-	/** Era of the store in which the entry was written. */
-	let registeredEra: number | undefined;
+	let lease: HeldLease | undefined;
+	let writtenEntry: WrittenEntry | undefined;
+	/** Revision on which the next write of the entry is conditional. */
+	let expectedRevision = 0;
 	let isDeregistered = false;
 	const registered = createNotifier(runtime);
 
 	const handleFailure = (failure: StoreFailure) => {
 		context.onFailure(failure);
 		if (failure.code === 'leaseLost') {
-			leaseId = undefined;
-			deadline = PAST;
+			if (writtenEntry && !isDeregistered) {
+				context.onStateChange('leaseLost');
+			}
+
+			lease = undefined;
+			writtenEntry = undefined;
+			expectedRevision = 0;
 		}
 	};
 
-	const writeEntry = async (id: string): Promise<boolean> => {
-		const written = await store.transact({conditions: [], puts: [{key: context.key, value: context.value, leaseId: id}], removes: []});
-		if (written.err) {
-			handleFailure(written.val);
-			return false;
+	/** Writes the entry; resolves to whether it was written. */
+	const writeEntry = async (leaseId: string): Promise<boolean> => {
+		for (let attempt = 0; attempt < MAX_WRITE_ATTEMPTS; attempt++) {
+			const written = await store.transact({
+				conditions: [{key: context.key, revision: expectedRevision}],
+				puts: [{key: context.key, value: context.value, leaseId}],
+				removes: [],
+			});
+			if (written.err) {
+				handleFailure(written.val);
+				return false;
+			}
+
+			const {era, revision, foundRevisions} = written.val;
+			if (revision !== undefined) {
+				expectedRevision = revision;
+				writtenEntry = {era, revision, confirmedAt: readSuspensionClock()};
+				context.onStateChange('registered');
+				registered.notify();
+				return true;
+			}
+
+			expectedRevision = foundRevisions?.get(context.key) ?? 0;
 		}
 
-		registeredEra = written.val.era;
-		registered.notify();
-		return true;
+		return false;
 	};
 
-	const register = async (): Promise<boolean> => {
-		const sentAtBySuspensionClock = readSuspensionClock();
-		const sentAt = runtime.now();
-		const granted = await store.grantLease(LEASE_TTL_MS);
-		if (granted.err) {
-			handleFailure(granted.val);
-			return false;
+	/** Returns how the written entry was lost according to the change feed; `undefined` if it was not, or if the feed is older than the write. */
+	const findLoss = (): 'missing' | 'replaced' | undefined => {
+		if (!writtenEntry) {
+			return undefined;
 		}
 
-		context.onContact(sentAt, granted.val.era);
-		if (!await writeEntry(granted.val.id)) {
-			return false;
+		const {entry, completeAt} = context.getKnownEntry();
+		if (!entry) {
+			return completeAt > writtenEntry.confirmedAt ? 'missing' : undefined;
 		}
 
-		leaseId = granted.val.id;
-		deadline = createDeadline(sentAtBySuspensionClock, granted.val.ttlMs - CLOCK_DRIFT_MS);
-		return true;
+		const isLater = entry.era === writtenEntry.era && entry.revision > writtenEntry.revision;
+		return isLater && entry.value !== context.value ? 'replaced' : undefined;
 	};
 
-	const renew = async (id: string): Promise<boolean> => {
+	const createLeaseDeadline = (sentAt: Instant, ttlMs: number): Deadline => createDeadline(sentAt, ttlMs - CLOCK_DRIFT_MS);
+
+	/** Acquires a lease, or renews the one that this vm has; resolves to the era in which the store answered, `undefined` if it did not. */
+	const extendLease = async (): Promise<number | undefined> => {
 		const sentAtBySuspensionClock = readSuspensionClock();
 		const sentAt = runtime.now();
-		const renewed = await store.renewLease(id);
-		if (renewed.err) {
-			handleFailure(renewed.val);
+		const leaseId = lease?.id;
+		const extended = leaseId === undefined
+			? await store.grantLease(LEASE_TTL_MS)
+			: (await store.renewLease(leaseId)).map(renewal => ({...renewal, id: leaseId}));
+		if (extended.err) {
+			handleFailure(extended.val);
+			return undefined;
+		}
+
+		const {id, era, ttlMs} = extended.val;
+		context.onContact(sentAt, era);
+		if (!isDeregistered) {
+			lease = {id, deadline: createLeaseDeadline(sentAtBySuspensionClock, ttlMs)};
+		}
+
+		return era;
+	};
+
+	/** Extends the lease, and writes the entry if the store does not hold it; resolves to whether the vm is registered. */
+	const refresh = async (): Promise<boolean> => {
+		const era = await extendLease();
+		if (era === undefined || !lease || isDeregistered) {
 			return false;
 		}
 
-		context.onContact(sentAt, renewed.val.era);
-		deadline = createDeadline(sentAtBySuspensionClock, renewed.val.ttlMs - CLOCK_DRIFT_MS);
+		const loss = findLoss();
+		if (loss) {
+			expectedRevision = context.getKnownEntry().entry?.revision ?? 0;
+			context.onStateChange(loss);
+		}
+
 		// A store restored from an older copy may hold the lease but not the entry.
-		return renewed.val.era === registeredEra || writeEntry(id);
+		return writtenEntry?.era === era && !loss ? true : writeEntry(lease.id);
 	};
 
 	return {
 		async run(signal) {
 			while (!signal.aborted && !isDeregistered) {
-				const hasSucceeded = leaseId === undefined ? await register() : await renew(leaseId);
-				await runtime.sleep(hasSucceeded ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + runtime.random()), signal).catch(() => undefined);
+				const isRegistered = await refresh();
+				await runtime.sleep(isRegistered ? RENEWAL_INTERVAL_MS : RETRY_DELAY_MS * (0.5 + runtime.random()), signal).catch(() => undefined);
 			}
 		},
 		async waitUntilRegistered(deadline) {
-			await registered.waitUntil(() => registeredEra !== undefined, deadline);
+			await registered.waitUntil(() => writtenEntry !== undefined, deadline);
+		},
+		getLease() {
+			const isConfirmed = lease && writtenEntry && !isPast(lease.deadline, readSuspensionClock());
+			// Other vms take the roles of a run whose entry another run has replaced.
+			return isConfirmed && findLoss() !== 'replaced' ? lease?.id : undefined;
 		},
-		getLease: () => leaseId !== undefined && !isPast(deadline, readSuspensionClock()) ? leaseId : undefined,
 		async deregister() {
 			isDeregistered = true;
-			const id = leaseId;
-			leaseId = undefined;
-			deadline = PAST;
+			const id = lease?.id;
+			lease = undefined;
 			if (id !== undefined) {
 				const revoked = await store.revokeLease(id);
 				if (revoked.err) {
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -71,5 +71,7 @@
 	settingsRejected: createEventKind(1810, 'warn', 'settings rejected'),
 	callerLimited: createEventKind(1811, 'warn', 'caller closed because of a limit'),
 	callerNotAuthorized: createEventKind(1812, 'info', 'caller not authorized by the active configuration'),
+	vmRegistered: createEventKind(1813, 'info', 'vm registered in the store'),
+	registrationLost: createEventKind(1814, 'warn', 'registration of this vm lost'),
 	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -10,7 +10,7 @@
 	createChange, createFeed, type Feed, type FeedRequest,
 } from '@guavapitch/feed';
 import {createRefusalCache} from '@guavapitch/limits';
-import {createVmRegistration, createRoleClaims, type RoleClaims} from '@guavapitch/roles';
+import {createRoleClaims, type RoleClaims} from '@guavapitch/roles';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
@@ -22,9 +22,10 @@
 import {createKnownPositions} from './known-positions.js';
 import {createLeaderAnnouncements, LEADER_METHOD} from './leader-announcements.js';
 import {computeFollowerWaitMs, createFeedPrefixes} from './feed-prefixes.js';
-import {formatMember, rankRelays, type Member} from './members.js';
+import {rankRelays, type Member} from './members.js';
 import {createPeerClient, type PeerClient} from './peer-client.js';
 import {createPrimaryAppointments} from './primary-appointments.js';
+import {createRegistration} from './registration.js';
 import {formatGroupKey, parseGroupRecord} from './replication-groups.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {runWithinBudget} from './work-memory.js';
@@ -88,9 +89,6 @@
 		},
 	});
 	const getEntry = (key: string) => feed.get(key);
-	const self: Omit<Member, 'createdRevision'> = {
-		vm: settings.vm, run: settings.run, dataCentre: settings.dataCentre, host: settings.host, port: settings.port, capacity: settings.capacity,
-	};
 
 	const handleStoreStatus = (isReachable: boolean, reason: string) => {
 		if (isReachable !== isStoreReachable) {
@@ -99,15 +97,8 @@
 		}
 	};
 
-	const registration = createVmRegistration({
-		runtime,
-		readSuspensionClock: context.readSuspensionClock,
-		store: context.store,
-		key: `${MEMBER_PREFIX}${settings.vm}`,
-		value: formatMember(self),
-		onContact(requestedAt, era) {
-			feed.recordContact(requestedAt, era);
-		},
+	const registration = createRegistration(context, {
+		getFeed: () => feed,
 		onFailure(failure) {
 			handleStoreStatus(false, failure.message);
 		},
--- a/packages/vm/src/tests/appointments-model.test.ts
+++ b/packages/vm/src/tests/appointments-model.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, Ok, brandId, type CustomerId, type Runtime, NEVER,
+	createVirtualRuntime, Ok, brandId, PAST, type CustomerId, type Instant, type Runtime, NEVER,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, NO_GROUP_STORE, runFailoverCoordinator, SELF_FENCING_APPOINTMENTS, type DatabaseOwner,
@@ -78,7 +78,15 @@
 
 		const roleStore = store.connect(storeLink);
 		const registration = createVmRegistration({
-			runtime, readSuspensionClock: runtime.now, store: roleStore, key: `vms/${name}`, value: name, onContact: () => undefined, onFailure: () => undefined,
+			runtime,
+			readSuspensionClock: runtime.now,
+			store: roleStore,
+			key: `vms/${name}`,
+			value: name,
+			getKnownEntry: () => ({entry: getEntry(`vms/${name}`), completeAt: PAST as number as Instant}),
+			onStateChange: () => undefined,
+			onContact: () => undefined,
+			onFailure: () => undefined,
 		});
 		const roleClaims = createRoleClaims({
 			runtime,
--- a/packages/vm/src/tests/model-store.ts
+++ b/packages/vm/src/tests/model-store.ts
@@ -88,8 +88,12 @@
 			}),
 			transact: async ({conditions, puts}) => call<TransactionOutcome>(link, () => {
 				const isMet = conditions.every(({key, revision: expected}) => (entries.get(key)?.revision ?? 0) === expected);
-				if (!isMet || puts.some(({leaseId}) => leaseId !== undefined && !leases.has(leaseId))) {
-					return Ok({revision: undefined, era: ERA});
+				if (!isMet) {
+					return Ok({revision: undefined, foundRevisions: new Map([...entries].map(([key, entry]) => [key, entry.revision])), era: ERA});
+				}
+
+				if (puts.some(({leaseId}) => leaseId !== undefined && !leases.has(leaseId))) {
+					return Err({code: 'leaseLost', message: 'lost'});
 				}
 
 				revision++;
