Take only what a replaced primary refuses for a proof that a target leads

Cause: every success in a transaction that may write was recorded as a verified position of the leader, and marked its target as leading. A replaced primary accepts the commit of a transaction that wrote nothing. Its old position, the one sent most recently, became the minimum position of bounded reads once those before it had aged out, and lagging replicas satisfied it.

No other kind of work gave such a position, so neither another owner's position nor the margin of the bound is the cause.

The fake target refused every commit at a replica and moved the position with an empty one; it follows the protocol now. Calls of `record` in the tests of the history name when the reply was received; what they check is unchanged.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -9,6 +9,7 @@
 import {createColdTargets, type ColdTargets} from './cold-targets.js';
 import {createCommitProofs, type CommitProofs} from './commit-proofs.js';
 import {createTargetConnections, type ConnectionHandle, type TargetConnections} from './connections.js';
+import {recordLeadEvidence} from './lead-evidence.js';
 import {createPositionHistory, type PositionHistory} from './position-history.js';
 import {createResponse} from './replies.js';
 import {createLeaderTracker, type LeaderTracker} from './leader-tracker.js';
@@ -221,9 +222,10 @@
 
 		healthTracker.recordResponse(id);
 		if (beginReply.result.kind === 'done' && beginReply.position) {
-			leaderTracker.markLeading(id, runtime.now());
 			if (mustConfirm ? await proof.confirm() : proof.isCertain()) {
-				positionHistory.record(sentAt, beginReply.position);
+				recordLeadEvidence({context, positionHistory, leaderTracker}, id, {work: 'beginForWriting', reply: beginReply, sentAt});
+			} else {
+				leaderTracker.markLeading(id, runtime.now());
 			}
 
 			return 'leads';
--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -1,6 +1,6 @@
 /** Interprets the replies of targets. */
 
-import type {Instant, TargetId, TransactionStatus} from '@guavapitch/core';
+import type {TargetId, TransactionStatus} from '@guavapitch/core';
 import {
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
@@ -101,14 +101,6 @@
 	}
 };
 
-/** Records the log position of a reply that only a leader could give; `sentAt` is when its statement was sent. */
-export const recordVerifiedPosition = (components: SharedComponents, target: TargetId, reply: Reply, sentAt: Instant): void => {
-	if (reply.position) {
-		components.positionHistory.record(sentAt, reply.position);
-		components.leaderTracker.markLeading(target, components.context.runtime.now());
-	}
-};
-
 /** Creates the refusal for a statement that no target could run. */
 export const createBusyRefusal = (reason: string, retryAfterMs: number): StatementOutcome => createRefusal('busy', reason, retryAfterMs);
 
--- a/packages/database-owners/src/single-statements.ts
+++ b/packages/database-owners/src/single-statements.ts
@@ -7,10 +7,11 @@
 	createRefusal, getAccess, type StatementOutcome, type StatementResponse, type StatementRequest,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, isAnswered, recordDialFailure, recordPace, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, isAnswered, recordDialFailure, recordPace, recordReply, type Verdict,
 } from './replies.js';
 import {takePacedSlot} from './cold-targets.js';
 import type {LeadProof} from './appointments.js';
+import {classifyWork, recordLeadEvidence} from './lead-evidence.js';
 import type {CommitProof} from './commit-proofs.js';
 import type {ConnectionHandle} from './connections.js';
 import type {DatabaseOwnerComponents, SharedComponents} from './database-owner.js';
@@ -110,7 +111,9 @@
 	}
 
 	if (await proof.confirm() && (!commitProof || await commitProof.confirm(verdict.reply.position, deadline))) {
-		recordVerifiedPosition(components, target, verdict.reply, sentAt);
+		// A read that needs a proof runs in a transaction that may write.
+		const work = classifyWork(request.statement, {mayWrite: true, hasWritten: false});
+		recordLeadEvidence(components, target, {work, reply: verdict.reply, sentAt});
 		return verdict;
 	}
 
--- a/packages/database-owners/src/tests/fake-targets.ts
+++ b/packages/database-owners/src/tests/fake-targets.ts
@@ -72,13 +72,13 @@
 	lastReachedAt: 0 as Instant,
 });
 
-type Session = {isInTransaction: boolean; isReadOnly: boolean; values: Map<string, string>; prepared: Set<string>};
+type Session = {isInTransaction: boolean; isReadOnly: boolean; hasWritten: boolean; values: Map<string, string>; prepared: Set<string>};
 
 const isBefore = (a: LogPosition, b: LogPosition) => a.term < b.term || (a.term === b.term && a.number < b.number);
 
 const createConnection = (target: FakeTarget, runtime: Runtime): TargetConnection => {
 	const session: Session = {
-		isInTransaction: false, isReadOnly: false, values: new Map(), prepared: new Set(),
+		isInTransaction: false, isReadOnly: false, hasWritten: false, values: new Map(), prepared: new Set(),
 	};
 	const closed = createConditionVariable();
 	let hasEnded = false;
@@ -95,7 +95,8 @@
 			return createErrorReply('lagging');
 		}
 
-		if (target.role === 'replica' && (isWrite || (session.isInTransaction && !session.isReadOnly))) {
+		const isEmptyCommit = isCommit && !session.hasWritten;
+		if (target.role === 'replica' && (isWrite || (session.isInTransaction && !session.isReadOnly && !isEmptyCommit))) {
 			return createErrorReply('readOnly');
 		}
 
@@ -112,7 +113,8 @@
 			position: target.position,
 			values: JSON.stringify([...session.values]),
 		});
-		if (isWrite || isCommit) {
+		session.hasWritten ||= isWrite && session.isInTransaction;
+		if ((isWrite && !session.isInTransaction) || (isCommit && !isEmptyCommit)) {
 			target.position = {term: target.position.term, number: target.position.number + 1};
 		}
 
@@ -144,6 +146,7 @@
 				}
 
 				session.isInTransaction = true;
+				session.hasWritten = false;
 				session.isReadOnly = command.readOnly;
 				return createDoneReply();
 			}
--- a/packages/database-owners/src/tests/position-history.test.ts
+++ b/packages/database-owners/src/tests/position-history.test.ts
@@ -14,9 +14,9 @@
 	describe('minimum position for a staleness bound', () => {
 		it('is the oldest verified position within the bound', () => {
 			const history = createPositionHistory();
-			history.record(at(0), position(10));
-			history.record(at(1000), position(20));
-			history.record(at(2000), position(30));
+			history.record(at(0), position(10), at(0));
+			history.record(at(1000), position(20), at(1000));
+			history.record(at(2000), position(30), at(2000));
 			assert.deepEqual(history.getMinimumPosition(1500, at(2000)), position(20));
 			assert.equal(history.getMinimumPosition(100, at(2500)), undefined);
 		});
@@ -35,7 +35,7 @@
 						number += commits;
 						acknowledged.push({at: now, number});
 						if (isVerified) {
-							history.record(at(now), position(number));
+							history.record(at(now), position(number), at(now));
 						}
 
 						const minimumPosition = history.getMinimumPosition(ageMs, at(now));
@@ -49,7 +49,7 @@
 
 		it('expires during a suspension of the process', () => {
 			const history = createPositionHistory();
-			history.record(at(100), position(10));
+			history.record(at(100), position(10), at(100));
 			assert.equal(history.getMinimumPosition(1500, at(100 + 4000)), undefined);
 		});
 	});
@@ -57,8 +57,8 @@
 	describe('minimum position of a session', () => {
 		it('is the first verified position of the latest term if it is of an older term', () => {
 			const history = createPositionHistory();
-			history.record(at(0), position(50, 3));
-			history.record(at(500), position(40, 4));
+			history.record(at(0), position(50, 3), at(0));
+			history.record(at(500), position(40, 4), at(500));
 			assert.deepEqual(history.translateToLatestTerm(position(50, 3)), position(40, 4));
 			assert.deepEqual(history.translateToLatestTerm(position(45, 4)), position(45, 4));
 		});
@@ -67,9 +67,33 @@
 	describe('positions of a replaced primary', () => {
 		it('are ignored', () => {
 			const history = createPositionHistory();
-			history.record(at(0), position(40, 4));
-			history.record(at(500), position(60, 3));
+			history.record(at(0), position(40, 4), at(0));
+			history.record(at(500), position(60, 3), at(500));
 			assert.ok(comparePositions(history.getLatest() ?? position(0), position(40, 4)) === 0);
 		});
+
+		it('are refused and name what they contradict', () => {
+			const history = createPositionHistory();
+			history.record(at(0), position(40, 4), at(10));
+			assert.deepEqual(history.record(at(500), position(60, 3), at(510)), position(40, 4));
+		});
+
+		it('are refused if they are behind what was verified before the command was sent (bounded reads were too stale after an empty commit at a replaced primary)', () => {
+			const history = createPositionHistory();
+			history.record(at(0), position(40, 4), at(10));
+			history.record(at(500), position(60, 4), at(520));
+			assert.deepEqual(history.record(at(1000), position(41, 4), at(1010)), position(60, 4));
+			assert.deepEqual(history.getMinimumPosition(100, at(550)), position(60, 4));
+			assert.equal(history.getMinimumPosition(100, at(1050)), undefined);
+		});
+	});
+
+	describe('positions of a leader', () => {
+		it('are recorded when replies overtake each other', () => {
+			const history = createPositionHistory();
+			history.record(at(100), position(60, 4), at(120));
+			assert.equal(history.record(at(110), position(50, 4), at(300)), undefined);
+			assert.deepEqual(history.getMinimumPosition(200, at(305)), position(50, 4));
+		});
 	});
 });
--- a/packages/database-owners/src/transactions.ts
+++ b/packages/database-owners/src/transactions.ts
@@ -7,10 +7,11 @@
 	createRefusal, getAccess, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {
-	createResponse, createBusyRefusal, evaluateReply, getNotRunCode, isAnswered, recordPace, recordReply, recordVerifiedPosition, type Verdict,
+	createResponse, createBusyRefusal, evaluateReply, getNotRunCode, isAnswered, recordPace, recordReply, type Verdict,
 } from './replies.js';
 import {BEGINNING_REQUESTS, takePacedSlot} from './cold-targets.js';
 import type {LeadProof} from './appointments.js';
+import {classifyWork, recordLeadEvidence} from './lead-evidence.js';
 import type {CommitProof} from './commit-proofs.js';
 import type {ConnectionHandle} from './connections.js';
 import type {SharedComponents} from './database-owner.js';
@@ -217,7 +218,7 @@
 			}
 
 			if (transaction.leadProof?.isCertain() && reply) {
-				recordVerifiedPosition(components, target, reply, sentAt);
+				recordLeadEvidence(components, target, {work: classifyWork(request.statement, {mayWrite: true, hasWritten: transaction.hasWritten}), reply, sentAt});
 			}
 
 			return respond(verdict.outcome, reply?.status ?? 'failed');
@@ -320,7 +321,7 @@
 				return undefined;
 			}
 
-			recordVerifiedPosition(components, target, reply, sentAt);
+			recordLeadEvidence(components, target, {work: 'beginForWriting', reply, sentAt});
 		}
 
 		return {
