Order no planned change from a primary that was replaced before

Cause: a planned change did not compare its order with what holds. While a replaced primary that is leaving counts as leader, it paused writes, ordered the best replica, which was the present primary, found that it leads, and began again at the next check: leading already, it gave no new evidence.

Evidence: by test, with a replaced primary that is marked as leading: 29 orders in 3 s before, none after.

Change: the status that the change reads anyway tells whether the supposed primary is a replica; if so it counts as following, and nothing is ordered. No call is added.

--- a/packages/database-owners/src/failover-coordinator.ts
+++ b/packages/database-owners/src/failover-coordinator.ts
@@ -111,6 +111,14 @@
 	try {
 		while (!isPast(deadline, runtime.now())) {
 			const [leaderReport] = await requestStatuses(context, [leader]);
+			if (leaderReport?.status.role === 'replica') {
+				owner.components.leaderTracker.markFollowing(leader.id, runtime.now());
+				context.onEvent({
+					kind: 'failed', target: leader.id, reason: `${reason}; no order was sent: it was replaced before`, ageMs: runtime.now() - startedAt,
+				});
+				return false;
+			}
+
 			const reports = rankReplicas(await requestStatuses(context, replicas));
 			const bestReport = reports[0];
 			if (leaderReport && bestReport && comparePositions(bestReport.status.received, leaderReport.status.received) >= 0 && owner.components.transactions.getWriterCount() === 0) {
--- a/packages/database-owners/src/tests/failover-coordinator.test.ts
+++ b/packages/database-owners/src/tests/failover-coordinator.test.ts
@@ -143,6 +143,24 @@
 		});
 	});
 
+	describe('with a replaced primary that counts as leader and is leaving', () => {
+		it('orders no promotion of the present primary (it was ordered again and again while writes were paused)', async () => {
+			const {targets: [oldPrimary, newPrimary, replica], promotionRequests, events, advance, owner, stop} = createSetup();
+			await advance(500);
+			Object.assign(oldPrimary, {role: 'replica'});
+			Object.assign(newPrimary, {role: 'primary', position: {term: 2, number: 100}});
+			owner.setTargets([{...oldPrimary.description, isDraining: true, role: 'replica'}, {...newPrimary.description, role: 'primary'}, replica.description]);
+			await advance(1);
+			owner.components.leaderTracker.markLeading(oldPrimary.description.id, owner.components.context.runtime.now());
+			assert.equal(owner.components.leaderTracker.getLeader(), oldPrimary.description.id);
+			await advance(3000);
+			assert.deepEqual(promotionRequests, []);
+			assert.equal(owner.components.leaderTracker.getLeader(), newPrimary.description.id);
+			assert.deepEqual(events.map(({kind}) => kind), ['started', 'failed']);
+			stop.abort();
+		});
+	});
+
 	describe('with a primary whose entry is missing', () => {
 		// After an outage of the store, a vm that has just become the coordinator must not replace a primary whose entry is not back yet.
 		it('promotes nothing before the entry had time to come back', async () => {
