--- a/packages/database-owners/src/replies.ts
+++ b/packages/database-owners/src/replies.ts
@@ -104,9 +104,9 @@
 /** Creates the refusal for a statement that no target could run. */
 export const createBusyRefusal = (reason: string, retryAfterMs: number): StatementOutcome => createRefusal('busy', reason, retryAfterMs);
 
-/** Records that no connection could be opened within `ms` milliseconds; a target that has reached its connection limit is not considered down. */
+/** Records that no connection could be opened within `ms` milliseconds; a target that has reached its connection limit, or that nothing was sent to, is not considered down. */
 export const recordDialFailure = (components: SharedComponents, target: TargetId, failure: DialFailure, ms: number): void => {
-	if (failure.code === 'tooMany') {
+	if (failure.code === 'tooMany' || failure.code === 'unsendable') {
 		return;
 	}
 
--- a/packages/database-owners/src/targets.ts
+++ b/packages/database-owners/src/targets.ts
@@ -88,8 +88,8 @@
 	close: () => void;
 }>;
 
-/** Failure to open a connection; nothing has run. `refused`: no connection was established; `silent`: no response before the deadline; `rejected`: the target refused the session. */
-export type DialFailure = Failure<'refused' | 'silent' | 'misrouted' | 'tooMany' | 'rejected'>;
+/** Failure to open a connection; nothing has run. `refused`: no connection was established; `silent`: no response before the deadline; `rejected`: the target refused the session; `unsendable`: it cannot be told a name, so nothing was sent. */
+export type DialFailure = Failure<'refused' | 'silent' | 'misrouted' | 'tooMany' | 'rejected' | 'unsendable'>;
 
 /** Opens a connection to a target. */
 export type DialTarget = (target: Target, customer: CustomerId, deadline: Deadline) => Promise<Result<TargetConnection, DialFailure>>;
