Refuse callers whose customer or database targets cannot be told

What callers saw: a customer whose name holds a space or a control character was accepted, and every one of its statements then failed at each target, after several attempts, with a refusal that asks to come back.

Cause: whether a name can be one field of a message was not asked before a connection to a target was opened. Pings use the name of a customer too: a ping that gets no connection counts as refused, so such a customer could make a primary seem down for all others (by reading).

Pings use the name of a customer that can be told.

The setup of that test passes `checkName`; what the other tests check is unchanged.

--- a/packages/vm/src/authorization.ts
+++ b/packages/vm/src/authorization.ts
@@ -44,6 +44,12 @@
 		: Ok({route, customer, allowedRegions: computeAllowedRegions(configuration, settings, route, customer)});
 };
 
+/** Refuses a caller whose customer or database has a name that targets cannot be told: every statement would fail, and only operators can change that. */
+const checkNames = (authorization: Authorization, checkName: VmContext['checkName']): Result<Authorization, StatementOutcome> => {
+	const checked = checkName(authorization.route.database).andThen(() => checkName(authorization.customer));
+	return checked.ok ? Ok(authorization) : Err(createRefusal('malformed', checked.val.message));
+};
+
 /** What the authorization of a caller is decided by, and how old the operators' entries are that this vm knows, in milliseconds. */
 export type AuthorizationSource = Readonly<{getConfiguration: () => Configuration | undefined; getEntriesAgeMs: () => number}>;
 
@@ -52,11 +58,11 @@
  * A vm whose configuration was not confirmed within the time for changes does not say that a route or key does not exist: a newer version may have added it.
  */
 export const createAuthorizer = (
-	{settings, emit}: Pick<VmContext, 'settings' | 'emit'>,
+	{settings, emit, checkName}: Pick<VmContext, 'settings' | 'emit' | 'checkName'>,
 	{getConfiguration, getEntriesAgeMs}: AuthorizationSource,
 ) => (service: string, key: string): Result<Authorization, StatementOutcome> => {
 	const configuration = getConfiguration();
-	const authorization = checkCaller(configuration, settings, service, key);
+	const authorization = checkCaller(configuration, settings, service, key).andThen(authorized => checkNames(authorized, checkName));
 	if (authorization.ok || authorization.val.kind !== 'refused') {
 		return authorization;
 	}
@@ -66,6 +72,8 @@
 	const refusal = isUnconfirmed
 		? createRefusal('busy', 'this vm does not know the route or key, and its configuration has not been confirmed lately', UNCONFIRMED_RETRY_MS)
 		: authorization.val;
-	emit(EVENTS.callerNotAuthorized, {code: isUnconfirmed ? 'busy' : authorization.val.code, version: configuration?.version, entriesAgeMs});
+	emit(EVENTS.callerNotAuthorized, {
+		code: isUnconfirmed ? 'busy' : authorization.val.code, reason: authorization.val.reason, version: configuration?.version, entriesAgeMs,
+	});
 	return Err(refusal);
 };
--- a/packages/vm/src/context.ts
+++ b/packages/vm/src/context.ts
@@ -1,7 +1,7 @@
 /** Dependencies of the process of an entry vm. */
 
 import type {
-	DataCentreId, Instant, RegionId, Result, TargetId, VmId, Runtime,
+	DataCentreId, Failure, Instant, RegionId, Result, TargetId, VmId, Runtime,
 } from '@guavapitch/core';
 import type {ByteBudget} from '@guavapitch/callers';
 import type {FeedSource, StoreEntry} from '@guavapitch/feed';
@@ -62,6 +62,8 @@
 	/** Whether a target that was replaced as primary refuses work at once; otherwise the appointment recorded in the store decides which target leads. */
 	areTargetsSelfFencing: boolean;
 	dialTarget: DialTarget;
+	/** Checks that targets can be told a name. */
+	checkName: (name: string) => Result<unknown, Failure>;
 	/** Budget of statements in progress and frames between vms. */
 	workBudget: ByteBudget;
 	readStatus: ReadStatus;
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -121,7 +121,7 @@
 				? {appointments: dependencies.appointments.getRecorded(database), members: dependencies.getGroupRecord(database)?.members ?? []}
 				: undefined,
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
-			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []][0] ?? brandId<CustomerId>('-'),
+			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []].find(customer => context.checkName(customer).ok) ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
 				? dependencies.quotas.quotaClient.acquire(customer, deadline)
--- a/packages/vm/src/tests/authorization.test.ts
+++ b/packages/vm/src/tests/authorization.test.ts
@@ -2,7 +2,9 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {brandId, type CustomerId, type DatabaseId} from '@guavapitch/core';
+import {
+	brandId, Err, Ok, type CustomerId, type DatabaseId,
+} from '@guavapitch/core';
 import type {Route} from '@guavapitch/callers';
 import type {EventFields} from '@guavapitch/telemetry';
 import {createAuthorizer} from '../authorization.js';
@@ -15,7 +17,7 @@
 const CONFIGURATION: Partial<Configuration> = {
 	version: 7,
 	routes: new Map([['svc', ROUTE as Route]]),
-	customersByKey: new Map([['known', brandId<CustomerId>('klub')]]),
+	customersByKey: new Map([['known', brandId<CustomerId>('klub')], ['spaced', brandId<CustomerId>('klub dom')]]),
 	allowedRegions: new Map(),
 };
 
@@ -24,6 +26,7 @@
 	const settings: Partial<VmContext['settings']> = {configurationApplyMs: APPLY_MS, regions: new Map()};
 	const authorize = createAuthorizer({
 		settings: settings as VmContext['settings'],
+		checkName: name => name.includes(' ') ? Err({code: 'nameUnsendable', message: `the name ${JSON.stringify(name)} holds a space`}) : Ok(undefined),
 		emit(_kind, fields = {}) {
 			events.push(fields);
 		},
@@ -46,6 +49,15 @@
 		});
 	});
 
+	describe('of a customer whose name targets cannot be told', () => {
+		it('is refused at once with the name (each of its statements failed at every target instead)', () => {
+			const {getRefusal, events} = createSetup(APPLY_MS);
+			const refusal = getRefusal('svc', 'spaced');
+			assert.deepEqual([refusal.code, refusal.reason], ['malformed', 'the name "klub dom" holds a space']);
+			assert.deepEqual(events.map(({code, reason}) => [code, reason]), [['malformed', 'the name "klub dom" holds a space']]);
+		});
+	});
+
 	describe('by a configuration that may be behind', () => {
 		for (const ageMs of [APPLY_MS + 1, Number.POSITIVE_INFINITY]) {
 			it(`does not say that a route or key which a newer version has added does not exist, ${ageMs} ms after its confirmation`, () => {
