End a transaction whose caller's key belongs to another customer

Cause: a transaction kept the authorization of its BEGIN. Every statement asked for the current one but compared a single refusal code, noKey; the customer was not compared. Besides: a public route refuses no key; a route removed in the same version was reported first and hid the withdrawn key; a vm that was not confirmed lately refuses with busy; smaller regions of a customer were ignored.

Change: checkContinuation compares the authorization that the transaction began with to the current one on the same route: customer and regions must hold, a change to the route applies from the next transaction on, as the platform's pages say. A transaction that may not go on is rolled back, and its caller gets ABORTED (NOAUTH for a withdrawn key), for the commit too. It works for every kind of change since the caller is looked up anew by its key on the route of the transaction, not by what its service is today.

Existing tests keep their checks; the setups pass the new functions.

--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,3 +1,4 @@
 export * from './byte-budget.js';
+export * from './authorization.js';
 export * from './session.js';
 export * from './stop-plan.js';
--- a/packages/callers/src/session.ts
+++ b/packages/callers/src/session.ts
@@ -1,45 +1,24 @@
 /** Session of one caller: its variables, prepared statements and transaction. Independent of the wire encoding. */
 
 import {
-	createDeadline, getRemainingMs, type CustomerId, type DatabaseId, type Deadline, type RegionId, type Result, type TransactionStatus, type Runtime,
+	createDeadline, getRemainingMs, type CustomerId, type DatabaseId, type Deadline, type Result, type TransactionStatus, type Runtime,
 } from '@guavapitch/core';
 import {
 	chooseLaterPosition, createRefusal, getAccess,
-	type CallerStatement, type Consistency, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
+	type CallerStatement, type StatementResponse, type StatementRequest, type StatementOutcome, type LogPosition, type PreparedDefinition, type TargetStatement,
 } from '@guavapitch/sessions';
+import {checkContinuation, type Authorization, type Route} from './authorization.js';
 import {computeStatementDeadline, isPassedOn, type StopPlan} from './stop-plan.js';
 
-/** Configuration of the service that a session uses. */
-export type Route = Readonly<{
-	/** Name by which callers request the service. */
-	service: string;
-	database: DatabaseId;
-	consistency: Consistency;
-	/** Timeout of one statement, in milliseconds. */
-	timeoutMs: number;
-	/** Time within which a whole operation, a single statement or a transaction, should complete, in milliseconds. */
-	latencyObjectiveMs: number;
-	/** Statements with a smaller number run first. */
-	priority: number;
-	/** Whether callers need no key. */
-	isPublic: boolean;
-	/** Regions at whose targets requests may run; `undefined` if they may run at any. */
-	allowedRegions: ReadonlySet<RegionId> | undefined;
-}>;
-
-/** Service and customer for which a session is authorized. */
-export type Authorization = Readonly<{
-	route: Route;
-	customer: CustomerId;
-	/** Regions at whose targets requests may run, according to the route and the customer; `undefined` if they may run at any. */
-	allowedRegions?: readonly RegionId[] | undefined;
-}>;
-
 /** Dependencies of a session. */
 export type SessionContext = Readonly<{
 	runtime: Runtime;
 	/** Checks the caller against the active configuration; fails with a refusal if its service or key has been removed. */
 	authorize: () => Result<Authorization, StatementOutcome>;
+	/** Checks the caller against the active configuration as if its service still had the given route; fails with a refusal if its key has been removed. */
+	authorizeOn: (route: Route) => Result<Authorization, StatementOutcome>;
+	/** Called when a transaction is ended because its caller is no longer authorized as when it began. */
+	onAuthorizationChanged: (begun: Authorization, current: Authorization | undefined, outcome: StatementOutcome) => void;
 	/** Runs a statement at the owner of the database. */
 	runAtOwner: (request: StatementRequest, deadline: Deadline) => Promise<StatementResponse>;
 	/** Rolls a transaction back at the owner of its database. */
@@ -169,15 +148,26 @@
 		return createResponse(response.outcome, response);
 	};
 
-	/** Runs a statement under the authorization that the transaction began with; only a key that has been withdrawn since ends the transaction. */
-	const runInTransaction = async (id: string, statement: TargetStatement, openTransaction: Transaction): Promise<SessionResponse> => {
-		const currentAuthorization = context.authorize();
-		if (currentAuthorization.err && currentAuthorization.val.kind === 'refused' && currentAuthorization.val.code === 'noKey') {
-			endTransaction('failed');
-			return createResponse(currentAuthorization.val);
+	/** Checks whether the caller is still authorized for its open transaction, and ends the transaction otherwise. */
+	const checkAuthorization = ({authorization}: Transaction, isCommit: boolean): Result<undefined, StatementOutcome> => {
+		const current = context.authorizeOn(authorization.route);
+		const checked = checkContinuation(authorization, current);
+		if (checked.err) {
+			context.onAuthorizationChanged(authorization, current.ok ? current.val : undefined, checked.val);
+			endTransaction(isCommit ? 'idle' : 'failed');
 		}
 
+		return checked;
+	};
+
+	/** Runs a statement under the authorization that the transaction began with, as long as the caller's key belongs to the same customer. */
+	const runInTransaction = async (id: string, statement: TargetStatement, openTransaction: Transaction): Promise<SessionResponse> => {
 		const isCommit = statement.kind === 'commit';
+		const checked = checkAuthorization(openTransaction, isCommit);
+		if (checked.err) {
+			return createResponse(checked.val);
+		}
+
 		const startedAt = runtime.now();
 		const timeoutDeadline = createDeadline(startedAt, openTransaction.authorization.route.timeoutMs);
 		if (!isPassedOn(context.getStopPlan(), {isCommit, deadline: timeoutDeadline}, startedAt)) {
--- a/packages/callers/src/tests/session.test.ts
+++ b/packages/callers/src/tests/session.test.ts
@@ -3,12 +3,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
-	createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId,
+	createVirtualRuntime, Err, Ok, brandId, type CustomerId, type DatabaseId, type RegionId,
 } from '@guavapitch/core';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
-import {createSession, type Route} from '../session.js';
+import type {Authorization, Route} from '../authorization.js';
+import {createSession} from '../session.js';
 import {createStopPlan, type StopPlan} from '../stop-plan.js';
 
 const ROUTE: Route = {
@@ -29,10 +30,18 @@
 	const {runtime, advance} = createVirtualRuntime();
 	const requests: StatementRequest[] = [];
 	const rolledBackTransactions: string[] = [];
-	const state: {isIssued: boolean; stopPlan: StopPlan | undefined; keptBytes: number} = {isIssued: true, stopPlan: undefined, keptBytes: 0};
+	const state: {isIssued: boolean; isConfirmed: boolean; isRouted: boolean; authorized: Omit<Authorization, 'route'>; stopPlan: StopPlan | undefined; keptBytes: number} = {
+		isIssued: true, isConfirmed: true, isRouted: true, authorized: {customer: brandId<CustomerId>('c'), version: 1}, stopPlan: undefined, keptBytes: 0,
+	};
+	const changes: Array<readonly [begun: CustomerId, current: CustomerId | undefined]> = [];
+	const authorizeOn = (route: Route) => state.isIssued ? Ok({...state.authorized, route}) : Err(createRefusal(state.isConfirmed ? 'noKey' : 'busy', 'withdrawn'));
 	const session = createSession({
 		runtime,
-		authorize: () => state.isIssued ? Ok({route: ROUTE, customer: brandId<CustomerId>('c')}) : Err(createRefusal('noKey', 'withdrawn')),
+		authorize: () => state.isRouted ? authorizeOn(ROUTE) : Err(createRefusal('noDatabase', 'no route')),
+		authorizeOn,
+		onAuthorizationChanged(begun, current) {
+			changes.push([begun.customer, current?.customer]);
+		},
 		async runAtOwner(request) {
 			requests.push(request);
 			const status = request.transaction && request.statement.kind !== 'commit' ? 'open' : 'idle';
@@ -50,7 +59,7 @@
 		},
 	});
 	return {
-		session, requests, rolledBackTransactions, state, runtime, advance,
+		session, requests, rolledBackTransactions, changes, state, runtime, advance,
 	};
 };
 
@@ -184,5 +193,95 @@
 			assert.equal(response.outcome.kind === 'refused' && response.outcome.code, 'noKey');
 			assert.equal(requests.length, 0);
 		});
+
+		it('that is withdrawn ends the transaction also while the service has no route', async () => {
+			const {session, requests, rolledBackTransactions, state} = createSetup();
+			await session.run('1', {kind: 'begin', readOnly: false});
+			await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+			state.isIssued = false;
+			state.isRouted = false;
+			const {outcome, status} = await session.run('3', {kind: 'commit', text: 'COMMIT'});
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'noKey');
+			assert.equal(status, 'idle');
+			assert.deepEqual([requests.length, rolledBackTransactions.length], [1, 1]);
+		});
+	});
+
+	describe('key that a vm with an unconfirmed configuration does not know', () => {
+		// Such a vm refuses with `busy`, since a newer version may have added the key, and the transaction went on.
+		it('ends the transaction as aborted', async () => {
+			const {session, requests, rolledBackTransactions, state} = createSetup();
+			await session.run('1', {kind: 'begin', readOnly: false});
+			await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+			state.isIssued = false;
+			state.isConfirmed = false;
+			const {outcome} = await session.run('3', {kind: 'text', access: 'write', text: 'WRITE a c'});
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+			assert.deepEqual([requests.length, rolledBackTransactions.length], [1, 1]);
+		});
+	});
+
+	describe('authorization that changes while a transaction is open', () => {
+		const OTHER: Omit<Authorization, 'route'> = {customer: brandId<CustomerId>('other'), version: 2};
+		const [NORTH, SOUTH] = [brandId<RegionId>('north'), brandId<RegionId>('south')];
+
+		// A transaction went on, and its commit took effect, under the customer that no longer held the key of its caller.
+		for (const statement of [{kind: 'text', access: 'write', text: 'WRITE a c'}, {kind: 'text', access: 'read', text: 'READ a'}, {kind: 'commit', text: 'COMMIT'}] as const) {
+			it(`to another customer rolls the transaction back at its next statement: ${statement.text}`, async () => {
+				const {session, requests, rolledBackTransactions, changes, state} = createSetup();
+				await session.run('1', {kind: 'begin', readOnly: false});
+				await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+				state.authorized = OTHER;
+				const {outcome, status} = await session.run('3', statement);
+				assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+				assert.equal(status, statement.kind === 'commit' ? 'idle' : 'failed');
+				assert.deepEqual([requests.length, rolledBackTransactions.length], [1, 1]);
+				assert.deepEqual(changes, [['c', 'other']]);
+			});
+		}
+
+		it('to another customer ends a transaction whose first statement has not been sent', async () => {
+			const {session, requests, rolledBackTransactions, state} = createSetup();
+			await session.run('1', {kind: 'begin', readOnly: false});
+			state.authorized = OTHER;
+			const {outcome} = await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+			assert.equal(outcome.kind === 'refused' && outcome.code, 'aborted');
+			assert.deepEqual([requests.length, rolledBackTransactions.length], [0, 0]);
+		});
+
+		it('to another customer leaves the session usable under the new one', async () => {
+			const {session, requests, state} = createSetup();
+			await session.run('1', {kind: 'set', name: 'v', value: 'x'});
+			await session.run('2', {kind: 'begin', readOnly: false});
+			state.authorized = OTHER;
+			await session.run('3', {kind: 'text', access: 'write', text: 'WRITE a b'});
+			assert.equal((await session.run('4', {kind: 'rollback'})).status, 'idle');
+			assert.equal((await session.run('5', {kind: 'text', access: 'write', text: 'WRITE a b'})).outcome.kind, 'done');
+			assert.deepEqual(requests.map(({customer, values}) => [customer, values]), [['other', [['v', 'x']]]]);
+		});
+
+		it('to fewer regions ends the transaction, to more regions does not', async () => {
+			for (const {begun, current, isEnded} of [
+				{begun: undefined, current: [NORTH], isEnded: true},
+				{begun: [NORTH, SOUTH], current: [NORTH], isEnded: true},
+				{begun: [NORTH], current: [NORTH, SOUTH], isEnded: false},
+				{begun: [NORTH], current: undefined, isEnded: false},
+			]) {
+				const {session, state} = createSetup();
+				state.authorized = {...state.authorized, allowedRegions: begun};
+				await session.run('1', {kind: 'begin', readOnly: false});
+				state.authorized = {...state.authorized, allowedRegions: current};
+				const {outcome} = await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'});
+				assert.equal(outcome.kind, isEnded ? 'refused' : 'done');
+			}
+		});
+
+		it('only in its route lets the transaction go on', async () => {
+			const {session, state} = createSetup();
+			await session.run('1', {kind: 'begin', readOnly: false});
+			state.isRouted = false;
+			assert.equal((await session.run('2', {kind: 'text', access: 'write', text: 'WRITE a b'})).outcome.kind, 'done');
+			assert.equal((await session.run('3', {kind: 'commit', text: 'COMMIT'})).outcome.kind, 'done');
+		});
 	});
 });
--- a/packages/configuration/src/tests/configuration.test.ts
+++ b/packages/configuration/src/tests/configuration.test.ts
@@ -106,6 +106,23 @@
 		assert.ok(activeConfiguration.checkKey('k', klub).err, 'an older revision must not become active again');
 	});
 
+	// On the other front, a transaction went on under the customer that no longer held the key of its caller.
+	it('that pass to another customer count as withdrawn for logins of the former one', () => {
+		const {runtime} = createVirtualRuntime();
+		const cache = createStoreCache(runtime);
+		const activeConfiguration = createActiveConfiguration(cache, runtime, {onApplied: () => undefined, onRejected: () => undefined});
+		const inventory = createInventory(1);
+		const [formerCustomer] = Object.values(inventory.customers);
+		const [formerKey] = Object.values(inventory.keys);
+		assert.ok(formerCustomer && formerKey);
+		const moved: Inventory = {...inventory, customers: {...inventory.customers, dum: formerCustomer}, keys: {...inventory.keys, k: {...formerKey, customer: 'dum'}}};
+		cache.merge([{key: CONFIGURATION_KEY, revision: 1, value: formatConfigurationDocument({changeId: '1', author: 'a', inventory: moved}).unwrap()}]);
+		cache.markConfirmed(runtime.now());
+		const checked = activeConfiguration.checkKey('k', klub);
+		assert.equal(checked.err && checked.val, 'keyWithdrawn');
+		assert.ok(activeConfiguration.checkKey('k', brandId<CustomerId>('dum')).ok);
+	});
+
 	it('keep the latest confirmation when an older one arrives', () => {
 		const {runtime} = createVirtualRuntime();
 		const cache = createStoreCache(runtime);
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -73,5 +73,6 @@
 	callerNotAuthorized: createEventKind(1812, 'info', 'caller not authorized by the active configuration'),
 	vmRegistered: createEventKind(1813, 'info', 'vm registered in the store'),
 	registrationLost: createEventKind(1814, 'warn', 'registration of this vm lost'),
+	transactionNotAuthorized: createEventKind(1815, 'info', 'transaction ended because its caller is authorized differently'),
 	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -336,7 +336,7 @@
 	const isConnected = (): boolean => !dataCentreMonitor.isIsolated()
 		|| (settings.dataCentreCount <= MAX_DATA_CENTRES_WITHOUT_MAJORITY && feed.getAgeMs() < STALE_FEED_MS);
 
-	const authorize = createAuthorizer(context, {
+	const authorizer = createAuthorizer(context, {
 		getConfiguration: view.getConfiguration,
 		getEntriesAgeMs: () => context.readSuspensionClock() - feed.getCompleteAt(context.operatorPrefix),
 	});
@@ -351,14 +351,24 @@
 				return Err(createRefusal('busy', 'this vm is stopping; connect again'));
 			}
 
-			const authorization = authorize(service, key);
+			const authorization = authorizer.authorize(service, key);
 			if (authorization.err) {
 				return authorization;
 			}
 
 			return Ok(createSession({
 				runtime,
-				authorize: () => authorize(service, key),
+				authorize: () => authorizer.authorize(service, key),
+				authorizeOn: route => authorizer.authorizeOn(route, key),
+				onAuthorizationChanged(begun, current, outcome) {
+					emit(EVENTS.transactionNotAuthorized, {
+						customer: begun.customer,
+						version: begun.version,
+						currentCustomer: current?.customer,
+						currentVersion: view.getConfiguration()?.version,
+						reason: 'reason' in outcome ? outcome.reason : '',
+					});
+				},
 				runAtOwner,
 				rollBack: statementRouter.rollBack,
 				getStopPlan: () => stopPlan,
--- a/packages/vm/src/tests/authorization.test.ts
+++ b/packages/vm/src/tests/authorization.test.ts
@@ -24,7 +24,7 @@
 const createSetup = (entriesAgeMs: number) => {
 	const events: EventFields[] = [];
 	const settings: Partial<VmContext['settings']> = {configurationApplyMs: APPLY_MS, regions: new Map()};
-	const authorize = createAuthorizer({
+	const {authorize, authorizeOn} = createAuthorizer({
 		settings: settings as VmContext['settings'],
 		checkName: name => name.includes(' ') ? Err({code: 'nameUnsendable', message: `the name ${JSON.stringify(name)} holds a space`}) : Ok(undefined),
 		emit(_kind, fields = {}) {
@@ -37,7 +37,9 @@
 		return authorized.val;
 	};
 
-	return {authorize, getRefusal, events};
+	return {
+		authorize, authorizeOn, getRefusal, events,
+	};
 };
 
 describe('authorization', () => {
@@ -76,4 +78,23 @@
 			assert.ok(createSetup(Number.POSITIVE_INFINITY).authorize('svc', 'known').ok);
 		});
 	});
+
+	describe('on the route of an open transaction', () => {
+		it('is by the key alone, also once the service has no route', () => {
+			const {authorizeOn} = createSetup(APPLY_MS);
+			const formerRoute: Partial<Route> = {...ROUTE, service: 'former'};
+			const authorized = authorizeOn(formerRoute as Route, 'known');
+			assert.deepEqual(authorized.ok && [authorized.val.customer, authorized.val.version], ['klub', 7]);
+			const refused = authorizeOn(formerRoute as Route, 'withdrawn');
+			assert.equal(refused.err && refused.val.kind === 'refused' && refused.val.code, 'noKey');
+		});
+
+		// A transaction went on under the customer whose key was withdrawn, as a public route refuses no key.
+		it('that is public is that of the customer without a name once the key is withdrawn', () => {
+			const {authorizeOn} = createSetup(APPLY_MS);
+			const publicRoute: Partial<Route> = {...ROUTE, isPublic: true};
+			const authorized = authorizeOn(publicRoute as Route, 'withdrawn');
+			assert.equal(authorized.ok && authorized.val.customer, '-');
+		});
+	});
 });
