Define quotas at their edges, and refuse numbers that are none

With a rate of 0 and a burst above 0 the customer stayed refused after its quota was raised; with a burst of 0 and a rate nothing ran.

Cause: the allocator divided by the rate. The validity, burst and tokens of the grant were not numbers, and neither "tokens < 1" nor "deadline <= now" is ever true for those, so the client took tokens for ever and asked for none.

Evidence: the configuration is parsed as {rate: 0, burst: 0}; more requests run than the former quota allows, so it is not that one which stays; the grant for {0, 0} has a validity of 0 * 0.5 * 1000 / 0.

Why it works: a number that is none can no longer arise from an accepted quota nor arrive in a message, and no pause outlives the quota it came from by more than 0.5 s.

The setup of the refusal cache's test passes a version; its checks are unchanged.

--- a/packages/limits/src/bucket.ts
+++ b/packages/limits/src/bucket.ts
@@ -2,19 +2,28 @@
 
 import type {Instant} from '@guavapitch/core';
 
-/** Limit of a customer over the whole fleet: in any time t, at most rate × t + burst requests run. */
+/** Limit of a customer over the whole fleet: in any time t, at most rate × t + burst requests run. Both are finite and at least 0. */
 export type Quota = Readonly<{
-	/** Tokens added per second. */
+	/** Tokens added per second; with 0, only what is left of the burst is granted. */
 	rate: number;
-	/** Capacity of the bucket, in tokens. */
+	/** Capacity of the bucket, in tokens; with a rate above 0, a smaller one than `MIN_BURST` counts as that. */
 	burst: number;
 }>;
 
 /** Number of tokens in a bucket, possibly fractional, when it was last filled. */
 export type Bucket = Readonly<{tokens: number; filledAt: Instant}>;
 
+/** Smallest burst of a customer with a rate, in tokens: one to hold, and one to reserve for tokens that are granted and not yet used. */
+export const MIN_BURST = 2;
+
+/** Longest time until the next token that is reported, in milliseconds; operators may have raised the quota by then. */
+export const MAX_TOKEN_WAIT_MS = 5000;
+
 const MS_PER_SECOND = 1000;
 
+/** Tells whether a quota allows no request at all. */
+export const isZeroQuota = ({rate, burst}: Quota): boolean => rate === 0 && burst < 1;
+
 /** Creates an empty bucket. */
 export const createBucket = (now: Instant): Bucket => ({tokens: 0, filledAt: now});
 
@@ -30,5 +39,7 @@
 	return [{...bucket, tokens: bucket.tokens - takenCount}, takenCount];
 };
 
-/** Returns the time until the bucket holds a whole token, in milliseconds; 0 if it holds one now. */
-export const getNextTokenWaitMs = (bucket: Bucket, quota: Quota): number => Math.max(0, (1 - bucket.tokens) * MS_PER_SECOND / quota.rate);
+/** Returns the time until the bucket holds a whole token, in milliseconds, at most `MAX_TOKEN_WAIT_MS`; 0 if it holds one now. */
+export const getNextTokenWaitMs = (bucket: Bucket, quota: Quota): number => bucket.tokens >= 1
+	? 0
+	: Math.min(MAX_TOKEN_WAIT_MS, (1 - bucket.tokens) * MS_PER_SECOND / quota.rate);
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -4,7 +4,7 @@
 	isPast, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, getNextTokenWaitMs, takeTokens, type Bucket, type Quota,
+	createBucket, fillBucket, getNextTokenWaitMs, MIN_BURST, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
 
 /** Request of an entry for tokens of a customer. */
@@ -29,6 +29,20 @@
 	retryAfterMs: number;
 }>;
 
+const isAmount = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value) && value >= 0;
+
+/** Checks a token request that arrived from another process; a number that is none would stay in the bucket for good. */
+export const isTokenRequest = (value: unknown): value is TokenRequest => {
+	const {customer, wanted, returned, epoch} = (value ?? {}) as Partial<Record<keyof TokenRequest, unknown>>;
+	return typeof customer === 'string' && [wanted, returned, epoch].every(amount => isAmount(amount));
+};
+
+/** Checks a grant that arrived from another process; tokens or a validity that are no numbers would limit nothing. */
+export const isTokenGrant = (value: unknown): value is TokenGrant => {
+	const {epoch, tokens, validMs, retryAfterMs} = (value ?? {}) as Partial<Record<keyof TokenGrant, unknown>>;
+	return [epoch, tokens, validMs, retryAfterMs].every(amount => isAmount(amount));
+};
+
 /** Quota allocator for the customers of one slot. */
 export type QuotaAllocator = Readonly<{
 	/** Grants tokens, possibly fewer than wanted; `undefined` if the allocator's authority has ended or the customer is unknown. */
@@ -57,8 +71,14 @@
  * `maxValidMs` is the maximum validity of the granted tokens, shorter for a burst that is small for its rate.
  */
 export const computeGrantableQuota = (quota: Quota): Readonly<{grantableQuota: Quota; maxValidMs: number}> => {
-	const maxValidMs = Math.min(MAX_TOKEN_VALIDITY_MS, quota.burst * MAX_RESERVED_FRACTION * 1000 / quota.rate);
-	return {grantableQuota: {rate: quota.rate, burst: Math.max(1, quota.burst - (quota.rate * maxValidMs / 1000))}, maxValidMs};
+	const {rate} = quota;
+	if (rate === 0) {
+		return {grantableQuota: quota, maxValidMs: MAX_TOKEN_VALIDITY_MS};
+	}
+
+	const burst = Math.max(MIN_BURST, quota.burst);
+	const maxValidMs = Math.min(MAX_TOKEN_VALIDITY_MS, burst * MAX_RESERVED_FRACTION * 1000 / rate);
+	return {grantableQuota: {rate, burst: Math.max(1, burst - (rate * maxValidMs / 1000))}, maxValidMs};
 };
 
 /** Creates a quota allocator whose buckets start empty. */
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -5,7 +5,7 @@
 	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, takeTokens, type Bucket, type Quota,
+	createBucket, fillBucket, MAX_TOKEN_WAIT_MS, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
 import {MAX_TOKEN_VALIDITY_MS, type TokenGrant, type TokenRequest} from './quota-allocator.js';
 
@@ -58,6 +58,8 @@
 	lastRequestAt: number;
 	/** When the next token request may be sent. */
 	retryAt: Deadline;
+	/** When the allocator expects to have another token under the quota of the last grant. */
+	nextTokenAt: Deadline;
 	/** Whether the allocator responded to the last token request; a customer is not refused because its allocator is changing. */
 	isAllocatorResponding: boolean;
 	/** Until when requests wait longer, while the backlog from a time without an allocator is worked off. */
@@ -92,8 +94,10 @@
 const GRANT_WINDOW_MS = 1000;
 /** Number of requests of a customer that may wait, however low its rate. */
 const MIN_WAITERS = 4;
-/** Upper bound of the retry time given with a refusal, in milliseconds. */
+/** Upper bound of the retry time that a backlog gives a refusal, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 2000;
+/** Maximum pause between token requests after a shortage, in milliseconds: a quota that operators raise is used after at most this time, however low it was. */
+const MAX_SHORTAGE_PAUSE_MS = 500;
 
 /** Creates the quota client of a process. */
 export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getFallbackQuota: GetFallbackQuota = () => undefined): QuotaClient => {
@@ -134,7 +138,9 @@
 			state.tokens = tokens;
 			state.epoch = epoch;
 			state.deadline = createDeadline(requestedAt, validMs);
-			state.retryAt = createDeadline(runtime.now(), state.isShort ? Math.max(SHORTAGE_PAUSE_MS, retryAfterMs) : 0);
+			const nextTokenMs = state.isShort ? Math.min(MAX_TOKEN_WAIT_MS, Math.max(SHORTAGE_PAUSE_MS, retryAfterMs)) : 0;
+			state.nextTokenAt = createDeadline(runtime.now(), nextTokenMs);
+			state.retryAt = createDeadline(runtime.now(), Math.min(MAX_SHORTAGE_PAUSE_MS, nextTokenMs));
 		} else {
 			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failureCount));
 			state.retryAt = createDeadline(runtime.now(), maxPauseMs * (0.5 + (runtime.random() / 2)));
@@ -149,7 +155,7 @@
 
 		const state: CustomerTokens = {
 			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(runtime), isRefilling: false, acquiredCount: 0, demandPerMs: 0, lastRequestAt: runtime.now(), retryAt: PAST,
-			extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: runtime.now(), isShort: false, fallbackBucket: createBucket(runtime.now()),
+			nextTokenAt: PAST, extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: runtime.now(), isShort: false, fallbackBucket: createBucket(runtime.now()),
 		};
 		statesByCustomer.set(customer, state);
 		return state;
@@ -185,11 +191,12 @@
 		return Math.min(deadline, createDeadline(now, waitMs)) as Deadline;
 	};
 
-	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens. */
+	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens, and there is another one. */
 	const computeRetryAfterMs = (state: CustomerTokens): number => {
-		const nextRequestInMs = getRemainingMs(state.retryAt, runtime.now());
+		const now = runtime.now();
 		const msPerToken = state.grantedPerMs > 0 ? 1 / state.grantedPerMs : 0;
-		return Math.max(1, Math.ceil(Math.min(MAX_RETRY_AFTER_MS, nextRequestInMs + (state.waiters.length * msPerToken))));
+		const backlogMs = Math.min(MAX_RETRY_AFTER_MS, getRemainingMs(state.retryAt, now) + (state.waiters.length * msPerToken));
+		return Math.max(1, Math.ceil(Math.max(backlogMs, getRemainingMs(state.nextTokenAt, now))));
 	};
 
 	const createRefusal = (state: CustomerTokens): Result<undefined, QuotaRefusal> => Err({
@@ -215,7 +222,7 @@
 		const now = runtime.now();
 		const isExpired = (waiter: Waiter): boolean => {
 			const deadline = getCurrentWaitDeadline(state, waiter);
-			return isPast(deadline, now) || state.retryAt > deadline;
+			return isPast(deadline, now) || Math.max(state.retryAt, state.nextTokenAt) > deadline;
 		};
 
 		for (const waiter of state.waiters.filter(waiter => isExpired(waiter))) {
--- a/packages/limits/src/refusal-cache.ts
+++ b/packages/limits/src/refusal-cache.ts
@@ -15,18 +15,20 @@
 /** Time for which one refusal throttles a customer, in milliseconds per entry of the fleet; all entries together still ask often enough to use every token. */
 const THROTTLE_MS_PER_ENTRY = 6;
 
-/** Creates the refusal cache of an entry; `countEntries` returns the size of the fleet. */
-export const createRefusalCache = (runtime: Pick<Runtime, 'now' | 'random'>, countEntries: () => number): RefusalCache => {
-	const refusals = new Map<string, Readonly<{throttledUntil: Deadline; retryAt: Deadline}>>();
+/** Creates the refusal cache of an entry; `countEntries` returns the size of the fleet. A refusal is forgotten when `getVersion` returns another version of the configuration, whose quota may be higher. */
+export const createRefusalCache = (runtime: Pick<Runtime, 'now' | 'random'>, countEntries: () => number, getVersion: () => number | undefined): RefusalCache => {
+	const refusals = new Map<string, Readonly<{throttledUntil: Deadline; retryAt: Deadline; version: number | undefined}>>();
 	const createKey = (owner: string, customer: CustomerId) => `${owner} ${customer}`;
 	return {
 		recordRefusal(owner, customer, retryAfterMs) {
 			const throttleMs = Math.min(retryAfterMs, THROTTLE_MS_PER_ENTRY * countEntries()) * (0.5 + runtime.random());
-			refusals.set(createKey(owner, customer), {throttledUntil: createDeadline(runtime.now(), throttleMs), retryAt: createDeadline(runtime.now(), Math.max(throttleMs, retryAfterMs))});
+			refusals.set(createKey(owner, customer), {
+				throttledUntil: createDeadline(runtime.now(), throttleMs), retryAt: createDeadline(runtime.now(), Math.max(throttleMs, retryAfterMs)), version: getVersion(),
+			});
 		},
 		getRetryAfterMs(owner, customer) {
 			const refusal = refusals.get(createKey(owner, customer));
-			return refusal && !isPast(refusal.throttledUntil, runtime.now()) ? getRemainingMs(refusal.retryAt, runtime.now()) : undefined;
+			return refusal && refusal.version === getVersion() && !isPast(refusal.throttledUntil, runtime.now()) ? getRemainingMs(refusal.retryAt, runtime.now()) : undefined;
 		},
 	};
 };
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -87,7 +87,7 @@
 describe('refusal cache', () => {
 	it('throttles a refused customer, and no other, for a time that grows with the fleet', async () => {
 		const {runtime, advance} = createVirtualRuntime(1);
-		const refusalCache = createRefusalCache(runtime, () => 15);
+		const refusalCache = createRefusalCache(runtime, () => 15, () => 1);
 		refusalCache.recordRefusal('ledger', CUSTOMER, 2000);
 		assert.equal(refusalCache.getRetryAfterMs('ledger', CUSTOMER), 2000, 'the cached refusal gives the retry time of the owner');
 		assert.equal(refusalCache.getRetryAfterMs('ledger', brandId<CustomerId>('other')), undefined);
--- a/packages/proxy/src/handlers.ts
+++ b/packages/proxy/src/handlers.ts
@@ -8,7 +8,7 @@
 import {
 	MAX_GRANT_VALIDITY_MS, type GrantRegistry, type GrantHolder, type Permissions,
 } from '@guavapitch/failover';
-import type {TokenRequest} from '@guavapitch/limits';
+import {isTokenRequest} from '@guavapitch/limits';
 import type {PingRequest, PingResponse} from '@guavapitch/membership';
 import type {PeerHandlers} from '@guavapitch/peer-protocol';
 import {serveRequest, type OwnerContext, type OwnerStream} from '@guavapitch/requests';
@@ -87,7 +87,7 @@
 
 				return true;
 			},
-			allot: async body => context.allocators.grantTokens(body as TokenRequest) ?? null,
+			allot: async body => (isTokenRequest(body) ? context.allocators.grantTokens(body) : undefined) ?? null,
 			async promise(body) {
 				const request = body as TakeoverPromiseRequest;
 				return context.takeoverPromises.give(request, context.getEpoch(request.slot));
--- a/packages/proxy/src/quota-allocators.ts
+++ b/packages/proxy/src/quota-allocators.ts
@@ -1,10 +1,10 @@
 /** Runs the quota allocators of this process, and requests tokens for the entry from the allocator of a customer. */
 
 import {
-	Err, brandId, type CustomerId, type Failure, type Result, type Runtime,
+	Err, Ok, brandId, type CustomerId, type Failure, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
-	createQuotaAllocator, type TokenGrant, type TokenRequest, type RequestTokens, type QuotaAllocator,
+	createQuotaAllocator, isTokenGrant, type TokenGrant, type TokenRequest, type RequestTokens, type QuotaAllocator,
 } from '@guavapitch/limits';
 import {
 	chooseSlot, parseSlotRecord, ROLE_PREFIX, type Authority,
@@ -57,8 +57,8 @@
 				return Err(NO_ALLOCATOR);
 			}
 
-			const response = await callVm<TokenGrant | null>(record.val.holder.vm, 'allot', request, REQUEST_TIMEOUT_MS);
-			return response.andThen(grant => grant ? response.map(() => grant) : Err(NO_ALLOCATOR));
+			const response = await callVm<unknown>(record.val.holder.vm, 'allot', request, REQUEST_TIMEOUT_MS);
+			return response.andThen(grant => isTokenGrant(grant) ? Ok(grant) : Err(NO_ALLOCATOR));
 		},
 	};
 };
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -1,7 +1,7 @@
 /** The databases that this vm owns, and their failover coordinators. */
 
 import {
-	createDeadline, NEVER, Ok, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
+	createDeadline, NEVER, brandId, type CustomerId, type DatabaseId, type DataCentreId, type TargetId, type VmId,
 } from '@guavapitch/core';
 import {
 	createDatabaseOwner, isPingAnswered, runFailoverCoordinator, type DatabaseOwner, type GroupRecord,
@@ -123,9 +123,7 @@
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []].find(customer => context.checkName(customer).ok) ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
-			acquireToken: async (customer, deadline) => view.getConfiguration()?.quotas.has(customer)
-				? dependencies.quotas.quotaClient.acquire(customer, deadline)
-				: Ok(undefined),
+			acquireToken: dependencies.quotas.acquireToken,
 			onDecision({
 				kind, requestId, customer, target, reason, ageMs,
 			}) {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -305,7 +305,7 @@
 		},
 	});
 
-	const refusalCache = createRefusalCache(runtime, () => view.listMembers().length);
+	const refusalCache = createRefusalCache(runtime, () => view.listMembers().length, () => view.getConfiguration()?.version);
 
 	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
 	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -4,7 +4,8 @@
 	createDeadline, Err, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
 } from '@guavapitch/core';
 import {
-	createQuotaClient, createQuotaAllocator, type TokenGrant, type TokenRequest, type QuotaClient, type QuotaAllocator, type Quota,
+	createQuotaClient, createQuotaAllocator, isTokenGrant, isTokenRequest, isZeroQuota, MAX_TOKEN_WAIT_MS,
+	type TokenGrant, type TokenRequest, type QuotaAllocator, type Quota, type QuotaRefusal,
 } from '@guavapitch/limits';
 import type {RoleClaims} from '@guavapitch/roles';
 import type {VmContext} from './context.js';
@@ -21,7 +22,8 @@
 
 /** Quota client and quota allocator of one vm. */
 export type Quotas = Readonly<{
-	quotaClient: QuotaClient;
+	/** Acquires a token for one request; succeeds at once for a customer without a quota, and fails at once for one whose quota allows nothing. */
+	acquireToken: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, QuotaRefusal>>;
 	/** Grants tokens as the quota allocator; returns `undefined` if this vm does not hold that role. */
 	grantTokens: (message: TokenRequestMessage) => TokenGrant | undefined;
 }>;
@@ -85,7 +87,7 @@
 			lastFreshRequestAtMs = runtime.now();
 		}
 
-		return getAllocator()?.grantTokens(request);
+		return isTokenRequest(request) ? getAllocator()?.grantTokens(request) : undefined;
 	};
 
 	const findAllocator = (): Member | undefined => {
@@ -110,7 +112,9 @@
 			return response;
 		}
 
-		return response.val ? Ok(response.val as TokenGrant) : Err({code: 'noKeeper', message: 'The vm that received the token request does not hold the quota allocator role'});
+		return isTokenGrant(response.val)
+			? Ok(response.val)
+			: Err({code: 'noKeeper', message: 'The vm that received the token request does not hold the quota allocator role, or sent a malformed grant'});
 	};
 
 	/** Returns the fallback quota of a customer at one database; `undefined` if the customer has no quota. Each database has one owner, so the equal fractions of all databases add up to the quota. */
@@ -121,8 +125,19 @@
 		return quota && {rate: quota.rate / databaseCount, burst: Math.max(1, quota.burst * FALLBACK_BURST_FRACTION / databaseCount)};
 	};
 
+	const quotaClient = createQuotaClient(requestTokens, runtime, getFallbackQuota);
+
 	return {
-		quotaClient: createQuotaClient(requestTokens, runtime, getFallbackQuota),
+		async acquireToken(customer, deadline) {
+			const quota = view.getConfiguration()?.quotas.get(customer);
+			if (!quota) {
+				return Ok(undefined);
+			}
+
+			return isZeroQuota(quota)
+				? Err({code: 'limitExceeded', message: 'The quota of the customer allows no requests', retryAfterMs: MAX_TOKEN_WAIT_MS})
+				: quotaClient.acquire(customer, deadline);
+		},
 		grantTokens,
 	};
 };
