Keep timers within the longest delay that Node can hold

What callers saw: with an idle limit of transactions of more than 24.8 days each transaction was ended at its first pause, and a timeout of that length passed at once (by the behaviour of Node's timers; shown by test for the runtime, not with a whole fleet).

Cause: Node sets a delay above 2^31 - 1 ms to 1 ms. Limits come from the operators' configuration, which sets no upper bound.

Change: the runtime, through which all timers go, cuts delays to that length. Why it works: no caller relies on a delay of weeks; deadlines are stored and checked again when a timer fires.

--- a/packages/core/src/runtime.ts
+++ b/packages/core/src/runtime.ts
@@ -23,16 +23,18 @@
 
 /** Number of random bytes in an identifier; nine bytes are twelve base64url characters without padding. */
 const ID_BYTES = 9;
+/** Longest delay of a timer of Node, in milliseconds; one with a longer delay fires at once. */
+const MAX_TIMER_MS = (2 ** 31) - 1;
 
 /** Creates the `Runtime` of a real process, on the clocks and timers of Node. */
 export const createRuntime = (): Runtime => ({
 	now: () => performance.now() as Instant,
 	readWallClock: () => Date.now(),
 	async sleep(ms, signal) {
-		await delay(ms, undefined, signal ? {signal} : {});
+		await delay(Math.min(MAX_TIMER_MS, ms), undefined, signal ? {signal} : {});
 	},
 	schedule(ms, task) {
-		const timer = setTimeout(task, Math.max(0, ms));
+		const timer = setTimeout(task, Math.min(MAX_TIMER_MS, Math.max(0, ms)));
 		return () => {
 			clearTimeout(timer);
 		};
