Keep the sum of quotas while vms are cut off from each other

Cause: a vm without an answer of the quota allocator gave out a part of the quota, divided by the databases since each has one owner. Vms that are cut off own every database on their side, the burst was given again by each, and the allocator went on granting everything to the other side.

Change: each vm holds a share of every quota, used by the vm itself or by the one allocator that is in contact with it, never by both. Contact is known on both sides: a report names the last one that was answered, an allocator counts a vm until a time that is never later than the vm's own end of contact, and the clock goes on during a suspension. Owners without an allocator use their own share, then leave the token to the entry.

The test of the fallback passes its quota as a share; its checks are unchanged.

--- a/packages/database-owners/src/database-owner.ts
+++ b/packages/database-owners/src/database-owner.ts
@@ -323,13 +323,14 @@
 	const run = async (request: StatementRequest): Promise<StatementResponse> => {
 		lastCustomer = request.customer;
 		const deadline = createDeadline(runtime.now(), request.remainingMs);
-		if (!request.transaction || request.transaction.isFirst) {
+		if (!request.isTokenAcquired && (!request.transaction || request.transaction.isFirst)) {
 			const token = await context.acquireToken(request.customer, createDeadline(runtime.now(), Math.min(request.remainingMs, request.promptMs)));
 			if (token.err) {
 				context.onDecision({
 					kind: 'refused', requestId: request.id, customer: request.customer, target: '', reason: token.val.message, ageMs: 0,
 				});
-				return createResponse(createRefusal('overShare', token.val.message, token.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
+				const response = createResponse(createRefusal('overShare', token.val.message, token.val.retryAfterMs), 0, request.transaction ? 'failed' : 'idle');
+				return token.val.code === 'unallocated' ? {...response, isUnallocated: true} : response;
 			}
 		}
 
--- a/packages/emulator/src/replay.ts
+++ b/packages/emulator/src/replay.ts
@@ -42,7 +42,7 @@
 		await runtime.sleep(ALLOCATOR_RESPONSE_MS);
 		const grant = allocator.grantTokens(request);
 		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'The customer has no quota'});
-	}, runtime, () => ({rate: 0, burst: 0}));
+	}, runtime);
 };
 
 const createOwner = (load: Load, targets: EmulatedTargets, runtime: Runtime): DatabaseOwner => {
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -4,8 +4,9 @@
 	isPast, type CustomerId, type Deadline, type Runtime,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, getNextTokenWaitMs, MIN_BURST, takeTokens, type Bucket, type Quota,
+	createBucket, fillBucket, getNextTokenWaitMs, isZeroQuota, MIN_BURST, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
+import type {GrantableFractions, ShareLedger} from './quota-shares.js';
 
 /** Request of an entry for tokens of a customer. */
 export type TokenRequest = Readonly<{
@@ -27,6 +28,8 @@
 	validMs: number;
 	/** Time until another whole token is available, in milliseconds; 0 if all wanted tokens were granted. */
 	retryAfterMs: number;
+	/** Whether the allocator has just started and may not grant the whole quota yet. */
+	isStarting?: boolean;
 }>;
 
 const isAmount = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value) && value >= 0;
@@ -57,11 +60,21 @@
 	/** Returns the deadline of the allocator's authority; tokens are not valid beyond it. */
 	getAuthorityDeadline: () => Deadline;
 	getQuota: (customer: CustomerId) => Quota | undefined;
+	/** Computes the fractions of a customer's quota that no other process may use; all of it if absent. */
+	computeFractions?: ShareLedger['computeFractions'];
 }>;
 
 /** Maximum time for which granted tokens are valid, in milliseconds. */
 export const MAX_TOKEN_VALIDITY_MS = 200;
 
+const WHOLE: GrantableFractions = {current: 1, average: 1};
+
+/** Maximum time until the next token that is reported while a part of the quota is withheld, in milliseconds: vms come into contact within a few of their reports. */
+const WITHHELD_RETRY_MS = 100;
+
+/** Time after its start in which an allocator comes into contact with the vms, in milliseconds. */
+const STARTING_MS = 2000;
+
 /** Maximum fraction of a burst that may be reserved for tokens that are granted and not yet used. */
 const MAX_RESERVED_FRACTION = 0.5;
 
@@ -96,15 +109,20 @@
 				return undefined;
 			}
 
-			const {grantableQuota, maxValidMs} = computeGrantableQuota(quota);
-			const filledBucket = fillBucket(buckets.get(request.customer) ?? createBucket(startedAt), grantableQuota, now);
+			const bucket = buckets.get(request.customer) ?? createBucket(startedAt);
+			const {current, average} = context.computeFractions?.(request.customer, quota, bucket.filledAt) ?? WHOLE;
+			const {grantableQuota: wholeQuota, maxValidMs} = computeGrantableQuota(quota);
+			const grantableQuota: Quota = {rate: wholeQuota.rate * current, burst: wholeQuota.burst * current};
+			const filledBucket = fillBucket(bucket, {...grantableQuota, rate: wholeQuota.rate * average}, now);
 			const returned = request.epoch === epoch ? request.returned : 0;
 			const creditedBucket: Bucket = {...filledBucket, tokens: Math.min(grantableQuota.burst, filledBucket.tokens + returned)};
 			const validMs = Math.min(maxValidMs, authorityDeadline - now);
 			const [remainingBucket, tokens] = takeTokens(creditedBucket, request.wanted);
 			buckets.set(request.customer, remainingBucket);
+			const nextTokenMs = getNextTokenWaitMs(remainingBucket, grantableQuota);
+			const retryAfterMs = current < 1 && !isZeroQuota(quota) ? Math.min(WITHHELD_RETRY_MS, nextTokenMs) : nextTokenMs;
 			return {
-				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : getNextTokenWaitMs(remainingBucket, grantableQuota),
+				epoch, tokens, validMs, retryAfterMs: tokens >= request.wanted ? 0 : retryAfterMs, ...(current < 1 && now - startedAt < STARTING_MS && {isStarting: true}),
 			};
 		},
 	};
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -2,25 +2,30 @@
 
 import {
 	createDeadline, createNotifier, Err, getRemainingMs, isPast, Ok, PAST,
-	type Notifier, type CustomerId, type Deadline, type Failure, type Result, type Runtime,
+	type Notifier, type CustomerId, type Deadline, type Failure, type Instant, type Result, type Runtime,
 } from '@guavapitch/core';
 import {
-	createBucket, fillBucket, MAX_TOKEN_WAIT_MS, takeTokens, type Bucket, type Quota,
+	createBucket, fillBucket, getNextTokenWaitMs, MAX_TOKEN_WAIT_MS, takeTokens, type Bucket, type Quota,
 } from './bucket.js';
 import {MAX_TOKEN_VALIDITY_MS, type TokenGrant, type TokenRequest} from './quota-allocator.js';
 
-/** Refusal of a request beyond the quota (`limitExceeded`) or of a caller that has disconnected (`aborted`, with a `retryAfterMs` of 0); the request has not run. */
-export type QuotaRefusal = Failure<'limitExceeded' | 'aborted'> & Readonly<{retryAfterMs: number}>;
+/** Refusal of a request beyond the quota (`limitExceeded`), of a caller that has disconnected (`aborted`, with a `retryAfterMs` of 0), or because no allocator responds (`unallocated`); the request has not run. */
+export type QuotaRefusal = Failure<'limitExceeded' | 'aborted' | 'unallocated'> & Readonly<{retryAfterMs: number}>;
+
+/** Tokens acquired from the allocator and from this process's share. */
+export type AcquiredCounts = Readonly<{granted: number; shared: number}>;
 
 /** Acquires tokens for the requests of all customers at one entry. */
 export type QuotaClient = Readonly<{
 	/** Acquires a token, waiting a short time for one if necessary, and longer while no allocator responds. */
 	acquire: (customer: CustomerId, deadline: Deadline, signal?: AbortSignal) => Promise<Result<undefined, QuotaRefusal>>;
-	/** Returns the number of tokens acquired so far, by customer. */
-	getAcquiredCounts: () => ReadonlyMap<CustomerId, number>;
+	/** Acquires a token like `acquire`, but fails as `unallocated` instead of waiting while no allocator responds and this process's share has no token. */
+	acquireOrDecline: (customer: CustomerId, deadline: Deadline) => Promise<Result<undefined, QuotaRefusal>>;
+	/** Returns the number of tokens acquired so far, by customer: those that the allocator granted, and those of this process's share. */
+	getAcquiredCounts: () => ReadonlyMap<CustomerId, AcquiredCounts>;
 }>;
 
-/** Requests tokens from the quota allocator of a customer; fails if there is no allocator or it does not respond. */
+/** Requests tokens from the quota allocator of a customer; fails if there is no allocator or it does not respond, with the code `notSent` if no message was sent. */
 export type RequestTokens = (request: TokenRequest) => Promise<Result<TokenGrant, Failure>>;
 
 /** A request that waits for a token. */
@@ -30,9 +35,14 @@
 	waitDeadline: Deadline;
 	/** When the request is refused while no allocator responds. */
 	readonly allocatorWaitDeadline: Deadline;
+	/** Whether the request is refused as `unallocated` instead of waiting while no allocator responds, except during a token request. */
+	readonly isDeclining: boolean;
 	readonly settle: (result: Result<undefined, QuotaRefusal>) => void;
 };
 
+/** How a request acquires its token. */
+type Acquisition = Readonly<{deadline: Deadline; isDeclining: boolean; signal: AbortSignal | undefined}>;
+
 /** Tokens of one customer and the requests that wait for them. */
 type CustomerTokens = {
 	tokens: number;
@@ -46,7 +56,8 @@
 	readonly changed: Notifier;
 	/** Whether the task that requests tokens for the customer is running. */
 	isRefilling: boolean;
-	acquiredCount: number;
+	grantedCount: number;
+	sharedCount: number;
 	/** Tokens granted per millisecond, as a moving average. */
 	grantedPerMs: number;
 	/** When the last grant arrived. */
@@ -62,17 +73,23 @@
 	nextTokenAt: Deadline;
 	/** Whether the allocator responded to the last token request; a customer is not refused because its allocator is changing. */
 	isAllocatorResponding: boolean;
+	/** Whether the allocator has just started and may not grant the whole quota yet. */
+	isAllocatorStarting: boolean;
 	/** Until when requests wait longer, while the backlog from a time without an allocator is worked off. */
 	extendedWaitUntil: Deadline;
 	/** Number of token requests that failed since the last response. */
 	failureCount: number;
-	/** Bucket of this process's fallback quota, used while no allocator responds. */
-	fallbackBucket: Bucket;
+	/** Bucket of this process's share, used while no allocator responds. */
+	shareBucket: Bucket;
 };
 
-/** Returns the part of a customer's quota that this process may use while no allocator responds; `undefined` for none. */
-export type GetFallbackQuota = (customer: CustomerId) => Quota | undefined;
+/** Part of a customer's quota that this process may use by itself, and since when; before, others may have used it. */
+export type UsableShare = Readonly<{quota: Quota; since: Instant}>;
+
+/** Returns the share that this process may use while no allocator responds; `undefined` for none. */
+export type GetShare = (customer: CustomerId) => UsableShare | undefined;
 
+const MS_PER_SECOND = 1000;
 /** Maximum time that a request waits for a token while the allocator responds, in milliseconds. */
 const MAX_WAIT_MS = 300;
 /** Maximum time that a request waits while the backlog from a time without an allocator is worked off, in milliseconds. */
@@ -99,8 +116,11 @@
 /** Maximum pause between token requests after a shortage, in milliseconds: a quota that operators raise is used after at most this time, however low it was. */
 const MAX_SHORTAGE_PAUSE_MS = 500;
 
-/** Creates the quota client of a process. */
-export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getFallbackQuota: GetFallbackQuota = () => undefined): QuotaClient => {
+/** Time for which a share has been used after which no allocator is expected to respond soon, in milliseconds. */
+const SHARE_SETTLED_MS = 2000;
+
+/** Creates the quota client of a process, which by default has no shares. */
+export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getShare: GetShare = () => undefined): QuotaClient => {
 	const statesByCustomer = new Map<CustomerId, CustomerTokens>();
 
 	const recordDemand = (state: CustomerTokens) => {
@@ -122,7 +142,8 @@
 		const response = await requestTokens({
 			customer, wanted, returned, epoch: state.epoch,
 		});
-		if (response.ok && !state.isAllocatorResponding) {
+		state.isAllocatorStarting = response.ok && response.val.isStarting === true;
+		if (response.ok && (!state.isAllocatorResponding || state.isAllocatorStarting)) {
 			state.extendedWaitUntil = createDeadline(runtime.now(), EXTENDED_WAIT_PERIOD_MS);
 		}
 
@@ -142,7 +163,7 @@
 			state.nextTokenAt = createDeadline(runtime.now(), nextTokenMs);
 			state.retryAt = createDeadline(runtime.now(), Math.min(MAX_SHORTAGE_PAUSE_MS, nextTokenMs));
 		} else {
-			const maxPauseMs = Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failureCount));
+			const maxPauseMs = response.val.code === 'notSent' ? BASE_RETRY_MS : Math.min(MAX_RETRY_MS, BASE_RETRY_MS * (2 ** state.failureCount));
 			state.retryAt = createDeadline(runtime.now(), maxPauseMs * (0.5 + (runtime.random() / 2)));
 		}
 	};
@@ -153,9 +174,11 @@
 			return existing;
 		}
 
+		const now = runtime.now();
 		const state: CustomerTokens = {
-			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(runtime), isRefilling: false, acquiredCount: 0, demandPerMs: 0, lastRequestAt: runtime.now(), retryAt: PAST,
-			nextTokenAt: PAST, extendedWaitUntil: PAST, isAllocatorResponding: true, failureCount: 0, grantedPerMs: 0, grantedAt: runtime.now(), isShort: false, fallbackBucket: createBucket(runtime.now()),
+			tokens: 0, deadline: PAST, epoch: 0, waiters: [], changed: createNotifier(runtime), isRefilling: false, grantedCount: 0, sharedCount: 0, demandPerMs: 0, lastRequestAt: now,
+			retryAt: PAST, nextTokenAt: PAST, extendedWaitUntil: PAST, isAllocatorResponding: true, isAllocatorStarting: false, failureCount: 0,
+			grantedPerMs: 0, grantedAt: now, isShort: false, shareBucket: createBucket(now),
 		};
 		statesByCustomer.set(customer, state);
 		return state;
@@ -167,20 +190,26 @@
 		}
 
 		state.tokens--;
-		state.acquiredCount++;
+		state.grantedCount++;
 		return true;
 	};
 
-	/** Takes a token of the fallback quota if no allocator responds. */
-	const takeFallbackToken = (customer: CustomerId, state: CustomerTokens): boolean => {
-		const quota = state.isAllocatorResponding ? undefined : getFallbackQuota(customer);
-		if (!quota) {
+	const getUsableShare = (customer: CustomerId, state: CustomerTokens): UsableShare | undefined => state.isAllocatorResponding ? undefined : getShare(customer);
+
+	/** Fills the bucket of this process's share, which starts empty each time that the share becomes usable. */
+	const fillShareBucket = ({shareBucket}: CustomerTokens, {quota, since}: UsableShare): Bucket =>
+		fillBucket(shareBucket.filledAt < since ? createBucket(since) : shareBucket, quota, runtime.now());
+
+	/** Takes a token of this process's share if no allocator responds. */
+	const takeSharedToken = (customer: CustomerId, state: CustomerTokens): boolean => {
+		const share = getUsableShare(customer, state);
+		if (!share) {
 			return false;
 		}
 
-		const [remainingBucket, takenCount] = takeTokens(fillBucket(state.fallbackBucket, quota, runtime.now()), 1);
-		state.fallbackBucket = remainingBucket;
-		state.acquiredCount += takenCount;
+		const [remainingBucket, takenCount] = takeTokens(fillShareBucket(state, share), 1);
+		state.shareBucket = remainingBucket;
+		state.sharedCount += takenCount;
 		return takenCount === 1;
 	};
 
@@ -192,17 +221,23 @@
 	};
 
 	/** Computes the time after which a caller refused now may try again: when all waiting requests should have their tokens, and there is another one. */
-	const computeRetryAfterMs = (state: CustomerTokens): number => {
+	const computeRetryAfterMs = (customer: CustomerId, state: CustomerTokens): number => {
 		const now = runtime.now();
+		const share = getUsableShare(customer, state);
+		if (share) {
+			const bucket = fillShareBucket(state, share);
+			return Math.max(1, Math.ceil(getNextTokenWaitMs({...bucket, tokens: bucket.tokens - state.waiters.length}, share.quota)));
+		}
+
 		const msPerToken = state.grantedPerMs > 0 ? 1 / state.grantedPerMs : 0;
 		const backlogMs = Math.min(MAX_RETRY_AFTER_MS, getRemainingMs(state.retryAt, now) + (state.waiters.length * msPerToken));
 		return Math.max(1, Math.ceil(Math.max(backlogMs, getRemainingMs(state.nextTokenAt, now))));
 	};
 
-	const createRefusal = (state: CustomerTokens): Result<undefined, QuotaRefusal> => Err({
+	const createRefusal = (customer: CustomerId, state: CustomerTokens): Result<undefined, QuotaRefusal> => Err({
 		code: 'limitExceeded',
 		message: 'The customer has used its rate and burst',
-		retryAfterMs: computeRetryAfterMs(state),
+		retryAfterMs: computeRetryAfterMs(customer, state),
 	});
 
 	/** Tells whether the waiting requests will take all tokens that can arrive before a new request would be refused. */
@@ -211,23 +246,36 @@
 		&& isPast(state.extendedWaitUntil, runtime.now())
 		&& state.waiters.length > MIN_WAITERS + (state.grantedPerMs * MAX_WAIT_MS);
 
+	/** Tells whether the waiting requests will take all tokens that this process's share gets before a deadline. */
+	const isShareTooSmall = (customer: CustomerId, state: CustomerTokens, deadline: Deadline): boolean => {
+		const share = getUsableShare(customer, state);
+		return share !== undefined && runtime.now() - share.since > SHARE_SETTLED_MS && state.waiters.length > share.quota.rate * getRemainingMs(deadline, runtime.now()) / MS_PER_SECOND;
+	};
+
 	const getCurrentWaitDeadline = (state: CustomerTokens, waiter: Waiter): Deadline => state.isAllocatorResponding ? waiter.waitDeadline : waiter.allocatorWaitDeadline;
 
 	/** Gives tokens to the waiting requests in order of arrival, and refuses those that will not get one in time. */
 	const serveWaiting = (customer: CustomerId, state: CustomerTokens) => {
-		while (state.waiters.length > 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
+		while (state.waiters.length > 0 && (takeToken(state) || takeSharedToken(customer, state))) {
 			state.waiters.shift()?.settle(Ok(undefined));
 		}
 
 		const now = runtime.now();
 		const isExpired = (waiter: Waiter): boolean => {
 			const deadline = getCurrentWaitDeadline(state, waiter);
-			return isPast(deadline, now) || Math.max(state.retryAt, state.nextTokenAt) > deadline;
+			return isPast(deadline, now) || (state.isAllocatorResponding && Math.max(state.retryAt, state.nextTokenAt) > deadline);
 		};
 
+		if (!state.isAllocatorResponding && !isPast(state.retryAt, now)) {
+			for (const waiter of state.waiters.filter(({isDeclining}) => isDeclining)) {
+				state.waiters.splice(state.waiters.indexOf(waiter), 1);
+				waiter.settle(Err({code: 'unallocated', message: 'No quota allocator responds', retryAfterMs: computeRetryAfterMs(customer, state)}));
+			}
+		}
+
 		for (const waiter of state.waiters.filter(waiter => isExpired(waiter))) {
 			state.waiters.splice(state.waiters.indexOf(waiter), 1);
-			waiter.settle(createRefusal(state));
+			waiter.settle(createRefusal(customer, state));
 		}
 	};
 
@@ -238,7 +286,7 @@
 			if (isPast(state.retryAt, runtime.now())) {
 				const wasResponding = state.isAllocatorResponding;
 				await refill(customer, state);
-				if (state.isAllocatorResponding && !wasResponding) {
+				if (state.isAllocatorResponding && (!wasResponding || state.isAllocatorStarting)) {
 					// A new allocator starts with empty buckets, so the wait for tokens counts from its first response.
 					for (const waiter of state.waiters) {
 						waiter.waitDeadline = computeWaitDeadline(state, waiter.deadline);
@@ -255,9 +303,10 @@
 		state.isRefilling = false;
 	};
 
-	const waitForToken = async (customer: CustomerId, state: CustomerTokens, deadline: Deadline, signal?: AbortSignal): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
+	const waitForToken = async (customer: CustomerId, state: CustomerTokens, {deadline, isDeclining, signal}: Acquisition): Promise<Result<undefined, QuotaRefusal>> => new Promise(settle => {
 		const waiter: Waiter = {
 			deadline,
+			isDeclining,
 			waitDeadline: computeWaitDeadline(state, deadline),
 			allocatorWaitDeadline: Math.min(deadline, createDeadline(runtime.now(), MAX_ALLOCATOR_WAIT_MS)) as Deadline,
 			settle,
@@ -278,20 +327,25 @@
 		}
 	});
 
-	return {
-		async acquire(customer, deadline, signal) {
-			const state = getState(customer);
-			recordDemand(state);
-			if (signal?.aborted) {
-				return Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
-			}
+	const acquireToken = async (customer: CustomerId, acquisition: Acquisition): Promise<Result<undefined, QuotaRefusal>> => {
+		const state = getState(customer);
+		recordDemand(state);
+		if (acquisition.signal?.aborted) {
+			return Err({code: 'aborted', message: 'The caller has disconnected', retryAfterMs: 0});
+		}
 
-			if (state.waiters.length === 0 && (takeToken(state) || takeFallbackToken(customer, state))) {
-				return Ok(undefined);
-			}
+		if (state.waiters.length === 0 && (takeToken(state) || takeSharedToken(customer, state))) {
+			return Ok(undefined);
+		}
 
-			return isBacklogTooLong(state) ? createRefusal(state) : waitForToken(customer, state, deadline, signal);
-		},
-		getAcquiredCounts: () => new Map([...statesByCustomer].map(([customer, state]) => [customer, state.acquiredCount])),
+		return isBacklogTooLong(state) || (!acquisition.isDeclining && isShareTooSmall(customer, state, acquisition.deadline))
+			? createRefusal(customer, state)
+			: waitForToken(customer, state, acquisition);
+	};
+
+	return {
+		acquire: async (customer, deadline, signal) => acquireToken(customer, {deadline, isDeclining: false, signal}),
+		acquireOrDecline: async (customer, deadline) => acquireToken(customer, {deadline, isDeclining: true, signal: undefined}),
+		getAcquiredCounts: () => new Map([...statesByCustomer].map(([customer, {grantedCount, sharedCount}]) => [customer, {granted: grantedCount, shared: sharedCount}])),
 	};
 };
--- a/packages/limits/src/tests/floods.test.ts
+++ b/packages/limits/src/tests/floods.test.ts
@@ -25,7 +25,8 @@
 		return grant ? Ok(grant) : Err({code: 'noKeeper', message: 'no allocator'});
 	};
 
-	const quotaClient = createQuotaClient(requestTokens, runtime, () => ({rate: QUOTA.rate / 3, burst: QUOTA.burst * 0.1}));
+	const since = runtime.now();
+	const quotaClient = createQuotaClient(requestTokens, runtime, () => ({quota: {rate: QUOTA.rate / 3, burst: QUOTA.burst * 0.1}, since}));
 	const results: Array<Readonly<{ok: boolean; waitedMs: number; at: number}>> = [];
 	const send = async () => {
 		const sentAt = runtime.now();
--- a/packages/sessions/src/statements.ts
+++ b/packages/sessions/src/statements.ts
@@ -82,6 +82,8 @@
 	allowedRegions?: readonly RegionId[];
 	/** Position reported by another owner of the database, as of when the request was sent. */
 	verified?: VerifiedPosition | undefined;
+	/** Whether the entry has acquired a token of the customer's quota for the request. */
+	isTokenAcquired?: boolean;
 }>;
 
 /** Response of the owner of a database. */
@@ -97,6 +99,8 @@
 	waitedMs: number;
 	/** Position that the owner verified last, as of when the response was sent. */
 	verified?: VerifiedPosition | undefined;
+	/** Whether the statement was refused because the owner has no quota allocator; the entry may acquire a token itself and send the request again. */
+	isUnallocated?: boolean;
 }>;
 
 /** Compares two log positions, as for `Array.sort`. */
--- a/packages/telemetry/src/catalogue.ts
+++ b/packages/telemetry/src/catalogue.ts
@@ -74,5 +74,6 @@
 	vmRegistered: createEventKind(1813, 'info', 'vm registered in the store'),
 	registrationLost: createEventKind(1814, 'warn', 'registration of this vm lost'),
 	transactionNotAuthorized: createEventKind(1815, 'info', 'transaction ended because its caller is authorized differently'),
+	quotaRegimeChanged: createEventKind(1816, 'info', 'tokens of customers come from another source'),
 	standinCommand: createEventKind(1901, 'info', 'stand-in command executed'),
 } as const satisfies Readonly<Record<string, EventKind>>;
--- a/packages/vm/src/database-owners.ts
+++ b/packages/vm/src/database-owners.ts
@@ -123,7 +123,7 @@
 			getConnectionLimit: () => view.getConfiguration()?.databases.get(database)?.connectionLimit ?? DEFAULT_CONNECTION_LIMIT,
 			getAnyCustomer: () => [...view.getConfiguration()?.quotas.keys() ?? []].find(customer => context.checkName(customer).ok) ?? brandId<CustomerId>('-'),
 			getIdleTransactionMs: () => view.getConfiguration()?.idleTransactionMs ?? DEFAULT_IDLE_TRANSACTION_MS,
-			acquireToken: dependencies.quotas.acquireToken,
+			acquireToken: dependencies.quotas.acquireAtOwner,
 			onDecision({
 				kind, requestId, customer, target, reason, ageMs,
 			}) {
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -1,7 +1,7 @@
 /** The process of an entry vm, independent of the protocols of its callers and targets. */
 
 import {
-	createDeadline, createScope, Err, getErrorMessage, isPast, Ok, type DatabaseId, type Deadline, type Result, brandId,
+	createDeadline, createScope, Err, getErrorMessage, isPast, Ok, type DatabaseId, type Deadline, type Result, type VmId, brandId,
 } from '@guavapitch/core';
 import {
 	chooseSessionClosing, createSession, type Session, type SessionClosing, type StopPlan,
@@ -9,13 +9,12 @@
 import {
 	createChange, createFeed, type Feed, type FeedRequest,
 } from '@guavapitch/feed';
-import {createRefusalCache} from '@guavapitch/limits';
 import {createRoleClaims, type RoleClaims} from '@guavapitch/roles';
 import {
 	createRefusal, type StatementResponse, type StatementRequest, type StatementOutcome,
 } from '@guavapitch/sessions';
 import {EVENTS} from '@guavapitch/telemetry';
-import {createAuthorizer, createLocalRefusal, REGION_RETRY_MS} from './authorization.js';
+import {createAuthorizer} from './authorization.js';
 import type {VmContext} from './context.js';
 import {createDatabaseOwners, PROBE_TARGET_METHOD} from './database-owners.js';
 import {createDataCentreMonitor} from './data-centre-monitor.js';
@@ -29,9 +28,10 @@
 import {formatGroupKey, parseGroupRecord} from './replication-groups.js';
 import {ALLOCATOR_ROLE, formatCoordinatorRole, parseCoordinatorRole} from './role-names.js';
 import {runWithinBudget} from './work-memory.js';
+import {createStatementAdmission} from './statement-admission.js';
 import {createStatementRouter} from './statement-router.js';
 import {
-	GRANT_TOKENS_METHOD, createQuotas, type TokenRequestMessage,
+	GRANT_TOKENS_METHOD, REPORT_CONTACT_METHOD, createQuotas, type ContactMessage, type TokenRequestMessage,
 } from './quotas.js';
 import {
 	createClusterView, FENCING_TOKEN_PREFIX, HOLDER_PREFIX, isRelevantChange, MEMBER_PREFIX,
@@ -74,7 +74,7 @@
 
 /** Starts the process of an entry vm; rejects if its address for other vms cannot be bound. */
 export const startVm = async (context: VmContext): Promise<Vm> => {
-	const {runtime, settings, emit, metrics} = context;
+	const {runtime, settings, emit} = context;
 	const scope = createScope(thrown => {
 		emit(EVENTS.taskFailed, {message: getErrorMessage(thrown)});
 	});
@@ -230,6 +230,7 @@
 			[CONFIRM_APPOINTMENT_METHOD]: async body => appointments.confirm((body as Readonly<{database: DatabaseId}>).database),
 			[FEED_METHOD]: async body => feed.serve(body as FeedRequest),
 			[GRANT_TOKENS_METHOD]: async body => quotas.grantTokens(body as TokenRequestMessage),
+			[REPORT_CONTACT_METHOD]: async (body, {vm, incarnation}) => quotas.receiveReport(body as ContactMessage, {vm: brandId<VmId>(vm), run: incarnation}),
 			async [LEADER_METHOD](body) {
 				leaderAnnouncements.receive(body);
 			},
@@ -305,29 +306,12 @@
 		},
 	});
 
-	const refusalCache = createRefusalCache(runtime, () => view.listMembers().length, () => view.getConfiguration()?.version);
-
-	/** Runs a statement at the owner of its database, unless that owner has recently refused the customer because of its quota; it is then refused here. */
-	const runAtOwner = async (request: StatementRequest, deadline: Deadline): Promise<StatementResponse> => {
-		metrics.count('statements');
-		if (request.allowedRegions?.length === 0) {
-			return createLocalRefusal(request, 'busy', 'no region is allowed for the route and the customer, or one of those named is unknown', REGION_RETRY_MS);
-		}
-
-		const isNewOperation = !request.transaction || request.transaction.isFirst;
-		const retryAfterMs = isNewOperation ? refusalCache.getRetryAfterMs(request.database, request.customer) : undefined;
-		if (retryAfterMs !== undefined) {
-			metrics.count('held');
-			return createLocalRefusal(request, 'overShare', 'The customer has used its rate and burst', retryAfterMs);
-		}
-
-		const response = await runWithinBudget(context.workBudget, request, async affordable => statementRouter.run(affordable, deadline));
-		if (response.outcome.kind === 'refused' && response.outcome.code === 'overShare') {
-			refusalCache.recordRefusal(request.database, request.customer, response.outcome.retryAfterMs);
-		}
-
-		return response;
-	};
+	const runAtOwner = createStatementAdmission(context, {
+		countVms: () => view.listMembers().length,
+		getVersion: () => view.getConfiguration()?.version,
+		acquireToken: quotas.acquireAtEntry,
+		route: async (request, deadline) => statementRouter.run(request, deadline),
+	});
 
 	/**
 	 * Tells whether this vm should keep its callers. Another data centre serves them better when this one is isolated.
@@ -341,7 +325,7 @@
 		getEntriesAgeMs: () => context.readSuspensionClock() - feed.getCompleteAt(context.operatorPrefix),
 	});
 	const listener = await peerClient.listen();
-	for (const task of [registration.run, feed.run, roleClaims.run, databaseOwners.closeIdleConnections]) {
+	for (const task of [registration.run, feed.run, roleClaims.run, quotas.reportContact, databaseOwners.closeIdleConnections]) {
 		scope.run(task);
 	}
 
