Take back the tokens of vms that were out of contact with an allocator

After a cut, more tokens than rate x t + burst could be used: the burst by vms from their shares, and again by the allocator.

Cause: an allocator cut its bucket to the shares in contact only when tokens were requested. Without a request during a cut, it came out of it with the tokens of the vms that had used their shares meanwhile.

Change: before it is filled, the bucket keeps only the part of the vms that were in contact all the time since it was last filled. Why it works: a share that left contact at any moment takes its tokens with it, whenever that is noticed.

--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -67,7 +67,7 @@
 /** Maximum time for which granted tokens are valid, in milliseconds. */
 export const MAX_TOKEN_VALIDITY_MS = 200;
 
-const WHOLE: GrantableFractions = {current: 1, average: 1};
+const WHOLE: GrantableFractions = {current: 1, continuous: 1, average: 1};
 
 /** Maximum time until the next token that is reported while a part of the quota is withheld, in milliseconds: vms come into contact within a few of their reports. */
 const WITHHELD_RETRY_MS = 100;
@@ -110,10 +110,12 @@
 			}
 
 			const bucket = buckets.get(request.customer) ?? createBucket(startedAt);
-			const {current, average} = context.computeFractions?.(request.customer, quota, bucket.filledAt) ?? WHOLE;
+			const {current, continuous, average} = context.computeFractions?.(request.customer, quota, bucket.filledAt) ?? WHOLE;
 			const {grantableQuota: wholeQuota, maxValidMs} = computeGrantableQuota(quota);
 			const grantableQuota: Quota = {rate: wholeQuota.rate * current, burst: wholeQuota.burst * current};
-			const filledBucket = fillBucket(bucket, {...grantableQuota, rate: wholeQuota.rate * average}, now);
+			// The shares of vms that were out of contact have been used elsewhere, with the tokens that the bucket held for them.
+			const ownBucket: Bucket = {...bucket, tokens: Math.min(bucket.tokens, wholeQuota.burst * continuous)};
+			const filledBucket = fillBucket(ownBucket, {...grantableQuota, rate: wholeQuota.rate * average}, now);
 			const returned = request.epoch === epoch ? request.returned : 0;
 			const creditedBucket: Bucket = {...filledBucket, tokens: Math.min(grantableQuota.burst, filledBucket.tokens + returned)};
 			const validMs = Math.min(maxValidMs, authorityDeadline - now);
--- a/packages/limits/src/quota-shares.ts
+++ b/packages/limits/src/quota-shares.ts
@@ -12,8 +12,8 @@
 /** A vm according to the store. */
 export type ShareHolder = Readonly<{vm: VmId; run: string}>;
 
-/** Fractions of a quota that an allocator may grant: now, and on average since an earlier instant. */
-export type GrantableFractions = Readonly<{current: number; average: number}>;
+/** Fractions of a quota that an allocator may grant: now, all the time since an earlier instant, and on average since then. */
+export type GrantableFractions = Readonly<{current: number; continuous: number; average: number}>;
 
 /** Vms that an allocator is in contact with. */
 export type ShareLedger = Readonly<{
@@ -144,7 +144,7 @@
 		}
 
 		const from = Math.max(since, inContactSince);
-		return now > since ? Math.max(0, Math.min(now, inContactUntil) - from) / (now - since) : 0;
+		return now > since ? Math.max(0, Math.min(now, inContactUntil) - from) / (now - since) : Number(from === since);
 	};
 
 	return {
@@ -167,14 +167,17 @@
 			refreshVms(now);
 			const count = computeHolderCount(quota, vmIds.length);
 			let withheldNow = 0;
+			let interrupted = 0;
 			let withheldSince = 0;
 			for (const vm of [...getHolders(customer, count), ...removedUntil.keys()]) {
 				const share = 1 / computeHolderCount(quota, records.get(vm)?.vmCount ?? vmIds.length);
+				const contactFraction = computeContactFraction(vm, since, now);
 				withheldNow += isInContact(vm, now) ? 0 : share;
-				withheldSince += share * (1 - computeContactFraction(vm, since, now));
+				interrupted += isInContact(vm, now) && contactFraction === 1 ? 0 : share;
+				withheldSince += share * (1 - contactFraction);
 			}
 
-			return {current: Math.max(0, 1 - withheldNow), average: Math.max(0, 1 - withheldSince)};
+			return {current: Math.max(0, 1 - withheldNow), continuous: Math.max(0, 1 - interrupted), average: Math.max(0, 1 - withheldSince)};
 		},
 		countVms(now) {
 			refreshVms(now);
--- a/packages/limits/src/tests/model-quota-fleet.ts
+++ b/packages/limits/src/tests/model-quota-fleet.ts
@@ -15,16 +15,18 @@
 	quota: Quota;
 	seed: number;
 	lengthMs: number;
-	/** Fraction of the vms that press on the quota all the time. */
+	/** Fraction of the vms that press on the quota. */
 	pressing: number;
+	/** Length of the bursts and pauses of those that press, on average; 0 if they press all the time. */
+	burstMs: number;
 	faults: readonly Fault[];
 	/** Part of the quota that each vm gives out while no allocator responds to it, instead of its share; allocators then grant the whole quota. */
 	fallback?: Quota;
 }>;
 
-/** A fault that begins at a time. `cut`: a part of the vms is cut off from the others, in one direction only with `isOneWay`, or each from every other with `isScattered`. `suspend`: a part of the vms stops. `appoint`: another vm becomes the allocator for the part of the vms that learns of it. */
+/** A fault that begins at a time. `cut`: a part of the vms is cut off from the others, in one direction only with `isOneWay`, or each from every other with `isScattered`. `suspend`: a part of the vms stops. `appoint`: another vm becomes the allocator for the part of the vms that learns of it. `return`: a part of the vms goes back to the first allocator. */
 export type Fault = Readonly<{
-	kind: 'cut' | 'suspend' | 'appoint';
+	kind: 'cut' | 'suspend' | 'appoint' | 'return';
 	at: number;
 	forMs: number;
 	share: number;
@@ -137,7 +139,13 @@
 		};
 
 		const press = async () => {
+			let pauseAt = 0;
 			while (isRunning) {
+				if (run.burstMs > 0 && runtime.now() >= pauseAt) {
+					await vmRuntime.sleep(runtime.random() * 2 * run.burstMs);
+					pauseAt = runtime.now() + (runtime.random() * 2 * run.burstMs);
+				}
+
 				const acquired = await client.acquire(CUSTOMER, createDeadline(runtime.now(), 400));
 				await waitUntilResumed(index);
 				if (acquired.ok) {
@@ -156,24 +164,42 @@
 	const applyFault = async (fault: Fault) => {
 		await runtime.sleep(fault.at);
 		const affected = new Set([...vms.keys()].filter(() => runtime.random() < fault.share));
-		if (fault.kind === 'suspend') {
-			for (const index of affected) {
-				suspendedUntil[index] = runtime.now() + fault.forMs;
+		switch (fault.kind) {
+			case 'suspend': {
+				for (const index of affected) {
+					suspendedUntil[index] = runtime.now() + fault.forMs;
+				}
+
+				break;
 			}
-		} else if (fault.kind === 'appoint') {
-			const epoch = allocators.size + 1;
-			appoint(epoch, Math.floor(runtime.random() * vms.length));
-			await runtime.sleep(runtime.random() * 500);
-			for (const index of affected) {
-				knownEpochs[index] = epoch;
+
+			case 'appoint': {
+				const epoch = allocators.size + 1;
+				appoint(epoch, Math.floor(runtime.random() * vms.length));
+				await runtime.sleep(runtime.random() * 500);
+				for (const index of affected) {
+					knownEpochs[index] = epoch;
+				}
+
+				break;
+			}
+
+			case 'return': {
+				for (const index of affected) {
+					knownEpochs[index] = 1;
+				}
+
+				break;
+			}
+
+			default: {
+				const isCut = (from: number, to: number) => affected.has(from) === affected.has(to)
+					? fault.isScattered && affected.has(from)
+					: !fault.isOneWay || affected.has(from);
+				cuts.add(isCut);
+				await runtime.sleep(fault.forMs);
+				cuts.delete(isCut);
 			}
-		} else {
-			const isCut = (from: number, to: number) => affected.has(from) === affected.has(to)
-				? fault.isScattered && affected.has(from)
-				: !fault.isOneWay || affected.has(from);
-			cuts.add(isCut);
-			await runtime.sleep(fault.forMs);
-			cuts.delete(isCut);
 		}
 	};
 
--- a/packages/limits/src/tests/quota-partitions.test.ts
+++ b/packages/limits/src/tests/quota-partitions.test.ts
@@ -18,7 +18,7 @@
 	// Each vm that was cut off gave out the whole quota, while the allocator went on granting it to the others.
 	it('is not exceeded by all of them together, and the shares of those cut off are used', async () => {
 		const {times, sharedCount} = await runFleet({
-			vmCount: 19, quota: QUOTA, seed: 10, lengthMs: 8000, pressing: 1, faults: [CUT],
+			vmCount: 19, quota: QUOTA, seed: 10, lengthMs: 8000, pressing: 1, burstMs: 0, faults: [CUT],
 		});
 		const excess = computeExcess(times, QUOTA);
 		assert.ok(excess <= 1e-6, `exceeded by ${excess}`);
@@ -28,7 +28,7 @@
 
 	it('is exceeded by the same check when each vm that gets no answer gives out a part by itself, and the allocator the whole', async () => {
 		const {times} = await runFleet({
-			vmCount: 19, quota: QUOTA, seed: 10, lengthMs: 8000, pressing: 1, faults: [CUT], fallback: {rate: QUOTA.rate, burst: QUOTA.burst * 0.3},
+			vmCount: 19, quota: QUOTA, seed: 10, lengthMs: 8000, pressing: 1, burstMs: 0, faults: [CUT], fallback: {rate: QUOTA.rate, burst: QUOTA.burst * 0.3},
 		});
 		const excess = computeExcess(times, QUOTA);
 		assert.ok(excess > QUOTA.rate, `exceeded by ${excess}`);
@@ -36,7 +36,7 @@
 
 	it('is served by shares while no allocator answers', async () => {
 		const {times, sharedCount} = await runFleet({
-			vmCount: 15, quota: QUOTA, seed: 11, lengthMs: 8000, pressing: 1, faults: [{
+			vmCount: 15, quota: QUOTA, seed: 11, lengthMs: 8000, pressing: 1, burstMs: 0, faults: [{
 				kind: 'suspend', at: 1500, forMs: 6500, share: 0, isOneWay: false, isScattered: false,
 			}, {
 				kind: 'cut', at: 2000, forMs: 6000, share: 1, isOneWay: false, isScattered: true,
@@ -54,14 +54,15 @@
 				quota: fc.record({rate: fc.constantFrom(0, 0.5, 5, 40, 150, 600), burst: fc.constantFrom(0, 1, 2, 6, 25, 150, 600)}),
 				seed: fc.nat(),
 				pressing: fc.constantFrom(0.2, 1),
+				burstMs: fc.constantFrom(0, 100, 800),
 				faults: fc.array(fc.record({
-					kind: fc.constantFrom('cut' as const, 'cut' as const, 'suspend' as const, 'appoint' as const),
+					kind: fc.constantFrom('cut' as const, 'cut' as const, 'suspend' as const, 'appoint' as const, 'return' as const),
 					at: fc.integer({min: 0, max: 5000}),
 					forMs: fc.constantFrom(200, 700, 2000, 6000),
 					share: fc.constantFrom(0.1, 0.35, 0.6, 1),
 					isOneWay: fc.boolean(),
 					isScattered: fc.boolean(),
-				}), {maxLength: 5}),
+				}), {maxLength: 7}),
 			}), async run => {
 				const {times} = await runFleet({...run, lengthMs: 7000});
 				const excess = computeExcess(times, computeTokens(run.quota));
