--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -128,7 +128,7 @@
 			return false;
 		}
 
-		if (isLeaving || getAuthorityDeadline() === PAST) {
+		if (isLeaving === true || getAuthorityDeadline() === PAST) {
 			current.ledger.forget(from.vm);
 			return false;
 		}
