Let no step of the time of day give a quota out twice

Cause: contact, shares and buckets were all counted on that clock. It may run ahead, which is safe where a right ends. Where one begins it is not: a step freed a vm while an allocator still counted it, and filled buckets for time that had not passed.

Change: the end of a vm's own contact, the filling of buckets and the shares of vms that are no longer registered are counted on the steady clock, which may only fall behind; contact at the allocator, the answer to a report and granted tokens on the suspension clock. Why it works: on either side the clock errs towards nobody having the right. Shares end by the age of the list of vms on the suspension clock. The allocator remembers itself when it computed the fractions of a customer last, on the clock that contact is counted by.

--- a/packages/limits/src/allocator-contact.ts
+++ b/packages/limits/src/allocator-contact.ts
@@ -4,7 +4,7 @@
  */
 
 import {
-	createDeadline, isPast, PAST, type Deadline, type Instant, type Runtime, type VmId,
+	createDeadline, isPast, PAST, type Deadline, type Instant, type VmId,
 } from '@guavapitch/core';
 
 /** Report of a vm to the quota allocator. */
@@ -23,8 +23,11 @@
 /** How often a vm reports, also until the allocator counts it as in contact, and when it counts as out of contact, in milliseconds. */
 export type ContactTiming = Readonly<{intervalMs: number; firstIntervalMs: number; silenceMs: number}>;
 
-/** A report that was sent, to be recorded when its answer arrives. */
-export type SentReport = Readonly<{report: ContactReport; epoch: number; sentAt: Instant}>;
+/** A report that was sent, to be recorded when its answer arrives. `suspensionSentAt` is the same instant on the suspension clock. */
+export type SentReport = Readonly<{report: ContactReport; epoch: number; sentAt: Instant; suspensionSentAt: Instant}>;
+
+/** Clocks of a process. One that stands still during a suspension is used where a right begins, and one that may only run ahead where a right ends, so that neither a suspension nor a step of the time of day lets two processes have the same right. */
+export type Clocks = Readonly<{now: () => Instant; readSuspensionClock: () => Instant}>;
 
 /** Contact of a vm with the quota allocator. */
 export type AllocatorContact = Readonly<{
@@ -64,12 +67,12 @@
 	return {intervalMs, firstIntervalMs: Math.max(MIN_FIRST_INTERVAL_MS, FIRST_INTERVAL_MS_PER_VM * vmCount), silenceMs: REPORT_TIMEOUT_MS + (SILENT_INTERVALS * intervalMs)};
 };
 
-/** Creates the contact of a vm that has reported to no allocator yet. The clock of `runtime` must go on while the process is suspended. */
-export const createAllocatorContact = (runtime: Pick<Runtime, 'now'>, vm: VmId, run: string): AllocatorContact => {
+/** Creates the contact of a vm that has reported to no allocator yet. */
+export const createAllocatorContact = (clocks: Clocks, vm: VmId, run: string): AllocatorContact => {
 	let sequence = 0;
 	/** Epoch of the allocator that may count this vm as in contact until `boundUntil`. */
 	let boundEpoch: number | undefined;
-	let boundUntil = createDeadline(runtime.now(), 0);
+	let boundUntil = createDeadline(clocks.now(), 0);
 	let answered: number | undefined;
 	let answeringEpoch: number | undefined;
 	let answeringUntil: Deadline = PAST;
@@ -77,7 +80,7 @@
 	/** Largest number of vms in a report since the last answered one. */
 	let largestVmCount = 0;
 
-	const isFree = (): boolean => isPast(boundUntil, runtime.now());
+	const isFree = (): boolean => isPast(boundUntil, clocks.now());
 
 	return {
 		createReport(epoch, vmCount) {
@@ -93,11 +96,12 @@
 					vm, run, sequence, answered: boundEpoch === epoch ? answered : undefined, vmCount,
 				},
 				epoch,
-				sentAt: runtime.now(),
+				sentAt: clocks.now(),
+				suspensionSentAt: clocks.readSuspensionClock(),
 			};
 		},
-		recordAnswer({report, epoch, sentAt}) {
-			if (runtime.now() - sentAt > REPORT_TIMEOUT_MS) {
+		recordAnswer({report, epoch, sentAt, suspensionSentAt}) {
+			if (clocks.readSuspensionClock() - suspensionSentAt > REPORT_TIMEOUT_MS) {
 				return;
 			}
 
@@ -115,10 +119,10 @@
 			answeringUntil = epoch === answeringEpoch ? PAST : answeringUntil;
 			if (epoch === boundEpoch) {
 				boundEpoch = undefined;
-				boundUntil = createDeadline(runtime.now(), 0);
+				boundUntil = createDeadline(clocks.now(), 0);
 			}
 		},
-		isAnswering: epoch => epoch !== undefined && epoch === answeringEpoch && !isPast(answeringUntil, runtime.now()),
+		isAnswering: epoch => epoch !== undefined && epoch === answeringEpoch && !isPast(answeringUntil, clocks.now()),
 		isEstablished: epoch => epoch !== undefined && epoch === establishedEpoch && epoch === boundEpoch && !isFree(),
 		getFreeSince: () => isFree() ? boundUntil as number as Instant : undefined,
 		getBoundEpoch: () => isFree() ? undefined : boundEpoch,
--- a/packages/limits/src/quota-allocator.ts
+++ b/packages/limits/src/quota-allocator.ts
@@ -110,7 +110,7 @@
 			}
 
 			const bucket = buckets.get(request.customer) ?? createBucket(startedAt);
-			const {current, continuous, average} = context.computeFractions?.(request.customer, quota, bucket.filledAt) ?? WHOLE;
+			const {current, continuous, average} = context.computeFractions?.(request.customer, quota) ?? WHOLE;
 			const {grantableQuota: wholeQuota, maxValidMs} = computeGrantableQuota(quota);
 			const grantableQuota: Quota = {rate: wholeQuota.rate * current, burst: wholeQuota.burst * current};
 			// The shares of vms that were out of contact have been used elsewhere, with the tokens that the bucket held for them.
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -46,7 +46,7 @@
 /** Tokens of one customer and the requests that wait for them. */
 type CustomerTokens = {
 	tokens: number;
-	/** Until when the tokens may be used. */
+	/** Until when the tokens may be used, on the suspension clock. */
 	deadline: Deadline;
 	/** Epoch of the allocator that granted the tokens. */
 	epoch: number;
@@ -119,8 +119,8 @@
 /** Time for which a share has been used after which no allocator is expected to respond soon, in milliseconds. */
 const SHARE_SETTLED_MS = 2000;
 
-/** Creates the quota client of a process, which by default has no shares. */
-export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getShare: GetShare = () => undefined): QuotaClient => {
+/** Creates the quota client of a process, which by default has no shares. Granted tokens expire by `readSuspensionClock`, so that they do not outlive a suspension. */
+export const createQuotaClient = (requestTokens: RequestTokens, runtime: Runtime, getShare: GetShare = () => undefined, readSuspensionClock: () => Instant = runtime.now): QuotaClient => {
 	const statesByCustomer = new Map<CustomerId, CustomerTokens>();
 
 	const recordDemand = (state: CustomerTokens) => {
@@ -133,7 +133,7 @@
 
 	/** Sends one token request to the allocator and records its grant, or the pause before the next attempt. */
 	const refill = async (customer: CustomerId, state: CustomerTokens) => {
-		const requestedAt = runtime.now();
+		const requestedAt = readSuspensionClock();
 		const areTokensValid = !isPast(state.deadline, requestedAt);
 		const returned = areTokensValid ? state.tokens : 0;
 		const expectedDemand = Math.floor(state.demandPerMs * MAX_TOKEN_VALIDITY_MS / 2);
@@ -185,7 +185,7 @@
 	};
 
 	const takeToken = (state: CustomerTokens): boolean => {
-		if (state.tokens < 1 || isPast(state.deadline, runtime.now())) {
+		if (state.tokens < 1 || isPast(state.deadline, readSuspensionClock())) {
 			return false;
 		}
 
--- a/packages/limits/src/quota-shares.ts
+++ b/packages/limits/src/quota-shares.ts
@@ -6,25 +6,27 @@
 import {
 	createDeadline, isPast, PAST, rankCandidates, type CustomerId, type Deadline, type Instant, type VmId,
 } from '@guavapitch/core';
-import {computeContactTiming, REPORT_TIMEOUT_MS, type ContactReport} from './allocator-contact.js';
+import {
+	computeContactTiming, REPORT_TIMEOUT_MS, type Clocks, type ContactReport,
+} from './allocator-contact.js';
 import type {Quota} from './bucket.js';
 
 /** A vm according to the store. */
 export type ShareHolder = Readonly<{vm: VmId; run: string}>;
 
-/** Fractions of a quota that an allocator may grant: now, all the time since an earlier instant, and on average since then. */
+/** Fractions of a quota that an allocator may grant: now, all the time since they were computed last, and on average since then. */
 export type GrantableFractions = Readonly<{current: number; continuous: number; average: number}>;
 
 /** Vms that an allocator is in contact with. */
 export type ShareLedger = Readonly<{
 	/** Records a report of a vm. */
-	record: (report: ContactReport, now: Instant) => void;
+	record: (report: ContactReport) => void;
 	/** Forgets a vm whose report was refused. */
 	forget: (vm: VmId) => void;
 	/** Computes the fractions of a customer's quota that the allocator may grant: the shares of the vms that are in contact. */
-	computeFractions: (customer: CustomerId, quota: Quota, since: Instant) => GrantableFractions;
+	computeFractions: (customer: CustomerId, quota: Quota) => GrantableFractions;
 	/** Counts the vms that are in contact, and those whose shares are withheld, for logging. */
-	countVms: (now: Instant) => Readonly<{inContact: number; withheld: number}>;
+	countVms: () => Readonly<{inContact: number; withheld: number}>;
 }>;
 
 /** Maximum age of a vm's view of the store with which it uses shares, in milliseconds. */
@@ -83,22 +85,26 @@
 };
 
 /** Creates the ledger of an allocator that is in contact with no vm yet; `listVms` returns a new list whenever the registered vms change. */
-export const createShareLedger = (listVms: () => readonly ShareHolder[], readClock: () => Instant): ShareLedger => {
+export const createShareLedger = (listVms: () => readonly ShareHolder[], clocks: Clocks): ShareLedger => {
+	const createdAt = clocks.readSuspensionClock();
 	const records = new Map<VmId, VmRecord>();
-	/** Vms that are no longer registered, with the time until which they keep their share. */
+	/** Vms that are no longer registered, with the time until which they keep their share, on the clock that stands still during a suspension. */
 	const removedUntil = new Map<VmId, Deadline>();
+	/** When the fractions of each customer were computed last. */
+	const computedAt = new Map<CustomerId, Instant>();
 	const holdersByCustomer = new Map<CustomerId, Readonly<{count: number; holders: ReadonlySet<VmId>}>>();
 	let knownVms: readonly ShareHolder[] = [];
 	let vmIds: readonly VmId[] = [];
 
 	/** Applies changes of the registered vms. */
-	const refreshVms = (now: Instant) => {
+	const refreshVms = () => {
+		const now = clocks.now();
 		const vms = listVms();
 		if (vms !== knownVms) {
 			const registered = new Set(vms.map(({vm}) => vm));
 			for (const {vm} of knownVms) {
 				if (!registered.has(vm)) {
-					removedUntil.set(vm, (now + REMOVED_SHARE_MS) as Deadline);
+					removedUntil.set(vm, createDeadline(now, REMOVED_SHARE_MS));
 				}
 			}
 
@@ -148,12 +154,13 @@
 	};
 
 	return {
-		record(report, now) {
-			refreshVms(now);
+		record(report) {
+			refreshVms();
+			const now = clocks.readSuspensionClock();
 			const known = records.get(report.vm);
 			records.set(report.vm, applyReport(known?.run === report.run ? known : createRecord(report.run), report, now));
 			if (!vmIds.includes(report.vm) && !removedUntil.has(report.vm)) {
-				removedUntil.set(report.vm, (now + REMOVED_SHARE_MS) as Deadline);
+				removedUntil.set(report.vm, createDeadline(clocks.now(), REMOVED_SHARE_MS));
 			}
 		},
 		forget(vm) {
@@ -162,9 +169,11 @@
 				records.set(vm, createRecord(known.run));
 			}
 		},
-		computeFractions(customer, quota, since) {
-			const now = readClock();
-			refreshVms(now);
+		computeFractions(customer, quota) {
+			refreshVms();
+			const now = clocks.readSuspensionClock();
+			const since = computedAt.get(customer) ?? createdAt;
+			computedAt.set(customer, now);
 			const count = computeHolderCount(quota, vmIds.length);
 			let withheldNow = 0;
 			let interrupted = 0;
@@ -179,8 +188,9 @@
 
 			return {current: Math.max(0, 1 - withheldNow), continuous: Math.max(0, 1 - interrupted), average: Math.max(0, 1 - withheldSince)};
 		},
-		countVms(now) {
-			refreshVms(now);
+		countVms() {
+			refreshVms();
+			const now = clocks.readSuspensionClock();
 			const vms = [...vmIds, ...removedUntil.keys()];
 			const inContact = vms.filter(vm => isInContact(vm, now)).length;
 			return {inContact, withheld: vms.length - inContact};
--- a/packages/limits/src/tests/model-quota-fleet.ts
+++ b/packages/limits/src/tests/model-quota-fleet.ts
@@ -24,9 +24,9 @@
 	fallback?: Quota;
 }>;
 
-/** A fault that begins at a time. `cut`: a part of the vms is cut off from the others, in one direction only with `isOneWay`, or each from every other with `isScattered`. `suspend`: a part of the vms stops. `appoint`: another vm becomes the allocator for the part of the vms that learns of it. `return`: a part of the vms goes back to the first allocator. */
+/** A fault that begins at a time. `cut`: a part of the vms is cut off from the others, in one direction only with `isOneWay`, or each from every other with `isScattered`. `suspend`: a part of the vms stops. `appoint`: another vm becomes the allocator for the part of the vms that learns of it. `return`: a part of the vms goes back to the first allocator. `step`: the time of day of a part of the vms jumps ahead by `forMs`, which their suspension clock takes for a suspension. */
 export type Fault = Readonly<{
-	kind: 'cut' | 'suspend' | 'appoint' | 'return';
+	kind: 'cut' | 'suspend' | 'appoint' | 'return' | 'step';
 	at: number;
 	forMs: number;
 	share: number;
@@ -39,6 +39,8 @@
 
 const CUSTOMER = brandId<CustomerId>('klub');
 const MAX_DELAY_MS = 10;
+/** Shortest sleep, in milliseconds: a rounding error of two clocks must not let a task wait for no time again and again. */
+const MIN_SLEEP_MS = 0.001;
 
 /** Plays a run. */
 export const runFleet = async (run: FleetRun): Promise<FleetResult> => {
@@ -46,6 +48,15 @@
 	const times: number[] = [];
 	const vms = Array.from({length: run.vmCount}, (_, index) => ({vm: brandId<VmId>(`vm-${index}`), run: `run-${index}`}));
 	const suspendedUntil = vms.map(() => 0);
+	/** Time that each vm has been suspended so far, up to the suspension in progress. */
+	const suspendedMs = vms.map(() => 0);
+	/** Time by which the suspension clock of each vm is ahead. */
+	const aheadMs = vms.map(() => 0);
+	const createClocks = (index: number) => ({
+		/** The clock that stands still during a suspension; no code of the vm reads it meanwhile. */
+		now: () => runtime.now() - (suspendedMs[index] ?? 0) as Instant,
+		readSuspensionClock: () => runtime.now() + (aheadMs[index] ?? 0) as Instant,
+	});
 	/** Cuts in force: tells whether messages from one vm to another are lost. */
 	const cuts = new Set<(from: number, to: number) => boolean>();
 	/** Allocator that each vm knows. */
@@ -54,19 +65,20 @@
 	let isRunning = true;
 
 	const appoint = (epoch: number, at: number) => {
-		const ledger = createShareLedger(() => vms, runtime.now);
+		const clocks = createClocks(at);
+		const ledger = createShareLedger(() => vms, clocks);
 		allocators.set(epoch, {
 			at,
 			ledger,
 			allocator: createQuotaAllocator({
-				runtime, epoch, getAuthorityDeadline: () => NEVER, getQuota: () => run.quota, ...(!run.fallback && {computeFractions: ledger.computeFractions}),
+				runtime: {...runtime, now: clocks.now}, epoch, getAuthorityDeadline: () => NEVER, getQuota: () => run.quota, ...(!run.fallback && {computeFractions: ledger.computeFractions}),
 			}),
 		});
 	};
 
 	const waitUntilResumed = async (index: number) => {
 		while (runtime.now() < (suspendedUntil[index] ?? 0)) {
-			await runtime.sleep((suspendedUntil[index] ?? 0) - runtime.now());
+			await runtime.sleep(Math.max(MIN_SLEEP_MS, (suspendedUntil[index] ?? 0) - runtime.now()));
 		}
 	};
 
@@ -98,14 +110,16 @@
 
 	const runVm = async (index: number) => {
 		const self = vms[index] ?? {vm: brandId<VmId>(''), run: ''};
+		const clocks = createClocks(index);
 		const vmRuntime: Runtime = {
 			...runtime,
+			now: clocks.now,
 			async sleep(ms, signal) {
-				await runtime.sleep(ms, signal);
+				await runtime.sleep(Math.max(MIN_SLEEP_MS, ms), signal);
 				await waitUntilResumed(index);
 			},
 		};
-		const contact = createAllocatorContact(runtime, self.vm, self.run);
+		const contact = createAllocatorContact(clocks, self.vm, self.run);
 		const client = createQuotaClient(async request => {
 			if (run.fallback === undefined && !contact.isAnswering(knownEpochs[index])) {
 				return Err({code: 'notSent', message: 'no allocator answers'});
@@ -121,12 +135,12 @@
 			const since = contact.getFreeSince();
 			const quota = computeShare(CUSTOMER, run.quota, self.vm, {vms: vms.map(({vm}) => vm), vmCount: contact.getVmCount(vms.length)});
 			return since === undefined || !quota ? undefined : {quota, since};
-		});
+		}, clocks.readSuspensionClock);
 		const report = async () => {
 			while (isRunning) {
 				const sent = contact.createReport(knownEpochs[index] ?? 1, vms.length);
 				const isCounted = await call(index, REPORT_TIMEOUT_MS, epoch => {
-					allocators.get(epoch)?.ledger.record(sent.report, runtime.now());
+					allocators.get(epoch)?.ledger.record(sent.report);
 					return true;
 				});
 				if (isCounted) {
@@ -146,7 +160,7 @@
 					pauseAt = runtime.now() + (runtime.random() * 2 * run.burstMs);
 				}
 
-				const acquired = await client.acquire(CUSTOMER, createDeadline(runtime.now(), 400));
+				const acquired = await client.acquire(CUSTOMER, createDeadline(vmRuntime.now(), 400));
 				await waitUntilResumed(index);
 				if (acquired.ok) {
 					times.push(runtime.now());
@@ -167,7 +181,9 @@
 		switch (fault.kind) {
 			case 'suspend': {
 				for (const index of affected) {
-					suspendedUntil[index] = runtime.now() + fault.forMs;
+					const until = Math.max(suspendedUntil[index] ?? 0, runtime.now() + fault.forMs);
+					suspendedMs[index] = (suspendedMs[index] ?? 0) + until - Math.max(runtime.now(), suspendedUntil[index] ?? 0);
+					suspendedUntil[index] = until;
 				}
 
 				break;
@@ -184,6 +200,14 @@
 				break;
 			}
 
+			case 'step': {
+				for (const index of affected) {
+					aheadMs[index] = (aheadMs[index] ?? 0) + fault.forMs;
+				}
+
+				break;
+			}
+
 			case 'return': {
 				for (const index of affected) {
 					knownEpochs[index] = 1;
--- a/packages/limits/src/tests/quota-partitions.test.ts
+++ b/packages/limits/src/tests/quota-partitions.test.ts
@@ -46,6 +46,18 @@
 		assert.ok(sharedCount >= QUOTA.rate * 5 * 0.8, `${sharedCount} from shares`);
 	});
 
+	// The clock that counts suspensions takes a step of the time of day for one: buckets were filled for time that had not passed, and vms used their shares while an allocator counted them.
+	it('is not exceeded when the time of day jumps ahead', async () => {
+		const steps = Array.from({length: 12}, (_, count): Fault => ({
+			kind: 'step', at: 1500 + (500 * count), forMs: 2000, share: 0.5, isOneWay: false, isScattered: false,
+		}));
+		const {times} = await runFleet({
+			vmCount: 19, quota: QUOTA, seed: 12, lengthMs: 8000, pressing: 1, burstMs: 0, faults: steps,
+		});
+		const excess = computeExcess(times, QUOTA);
+		assert.ok(excess <= 1e-6, `exceeded by ${excess}`);
+	});
+
 	describe('drawn', () => {
 		it('is never exceeded for any cut, suspension or change of allocator, in fleets and quotas of every size', async () => {
 			const runs = Number(process.env.QUOTA_RUNS ?? 25);
@@ -56,7 +68,7 @@
 				pressing: fc.constantFrom(0.2, 1),
 				burstMs: fc.constantFrom(0, 100, 800),
 				faults: fc.array(fc.record({
-					kind: fc.constantFrom('cut' as const, 'cut' as const, 'suspend' as const, 'appoint' as const, 'return' as const),
+					kind: fc.constantFrom('cut' as const, 'cut' as const, 'suspend' as const, 'appoint' as const, 'return' as const, 'step' as const),
 					at: fc.integer({min: 0, max: 5000}),
 					forMs: fc.constantFrom(200, 700, 2000, 6000),
 					share: fc.constantFrom(0.1, 0.35, 0.6, 1),
--- a/packages/limits/src/tests/quota-shares.test.ts
+++ b/packages/limits/src/tests/quota-shares.test.ts
@@ -15,7 +15,7 @@
 
 const createSetup = () => {
 	const {runtime, advance} = createVirtualRuntime(1);
-	const ledger = createShareLedger(() => VMS, runtime.now);
+	const ledger = createShareLedger(() => VMS, {now: runtime.now, readSuspensionClock: runtime.now});
 	const allocator = createQuotaAllocator({
 		runtime, epoch: 1, getAuthorityDeadline: () => NEVER, getQuota: () => QUOTA, computeFractions: ledger.computeFractions,
 	});
@@ -27,7 +27,7 @@
 			for (const {vm, run} of vms) {
 				ledger.record({
 					vm, run, sequence, answered: sequence - 1, vmCount: VMS.length,
-				}, runtime.now());
+				});
 			}
 
 			await advance(REPORT_INTERVAL_MS);
--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -105,7 +105,11 @@
 	});
 
 	const quotas = createQuotas(context, {
-		view, getPeerClient: () => peerClient, getRoleClaims: () => roleClaims, getFeedAgeMs: () => feed.getAgeMs(),
+		view,
+		getPeerClient: () => peerClient,
+		getRoleClaims: () => roleClaims,
+		getFeedAgeMs: () => feed.getAgeMs(),
+		getMembersAgeMs: () => context.readSuspensionClock() - feed.getCompleteAt(MEMBER_PREFIX),
 	});
 	const appointments = createPrimaryAppointments(context, {
 		getFeed: () => feed,
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -1,12 +1,12 @@
 /** Customer quotas across the fleet: the quota clients of a vm, its contact with the quota allocator, and the allocator while the vm holds that role. */
 
 import {
-	createDeadline, Err, getRemainingMs, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result, type Runtime,
+	createDeadline, Err, getRemainingMs, Ok, PAST, type CustomerId, type Deadline, type Failure, type Result,
 } from '@guavapitch/core';
 import {
 	computeContactTiming, computeShare, createAllocatorContact, createQuotaClient, createQuotaAllocator, createShareLedger, isTokenGrant, isTokenRequest, isZeroQuota,
 	MAX_TOKEN_WAIT_MS, REPORT_TIMEOUT_MS, SHARE_MAX_AGE_MS,
-	type ContactReport, type QuotaAllocator, type QuotaClient, type QuotaRefusal, type ShareHolder, type ShareLedger, type TokenGrant, type TokenRequest, type UsableShare,
+	type Clocks, type ContactReport, type QuotaAllocator, type QuotaClient, type QuotaRefusal, type ShareHolder, type ShareLedger, type TokenGrant, type TokenRequest, type UsableShare,
 } from '@guavapitch/limits';
 import type {HolderRecord, RoleClaims} from '@guavapitch/roles';
 import {EVENTS} from '@guavapitch/telemetry';
@@ -48,6 +48,8 @@
 	getRoleClaims: () => RoleClaims;
 	/** Returns the age of this vm's view of the store, in milliseconds. */
 	getFeedAgeMs: () => number;
+	/** Returns the age of its list of vms, in milliseconds, at least the true one also after a suspension. */
+	getMembersAgeMs: () => number;
 }>;
 
 /** The allocator of one epoch, and the vms that it is in contact with. */
@@ -61,11 +63,12 @@
 
 /** Creates the quotas of a vm. */
 export const createQuotas = (context: VmContext, dependencies: QuotaDependencies): Quotas => {
-	const {settings, emit, metrics} = context;
+	const {
+		runtime, settings, emit, metrics, readSuspensionClock,
+	} = context;
 	const {view} = dependencies;
-	/** Tokens, shares and contact must not outlive a suspension of the process. */
-	const runtime: Runtime = {...context.runtime, now: context.readSuspensionClock};
-	const contact = createAllocatorContact(runtime, settings.vm, settings.run);
+	const clocks: Clocks = {now: runtime.now, readSuspensionClock};
+	const contact = createAllocatorContact(clocks, settings.vm, settings.run);
 	let active: ActiveAllocator | undefined;
 	/** Time at which a vm in contact with the store last sent a request while this vm's lease was not confirmed. */
 	let lastFreshRequestAtMs = Number.NEGATIVE_INFINITY;
@@ -93,7 +96,7 @@
 		}
 
 		if (active?.epoch !== holder.epoch) {
-			const ledger = createShareLedger(view.listMembers, runtime.now);
+			const ledger = createShareLedger(view.listMembers, clocks);
 			active = {
 				epoch: holder.epoch,
 				ledger,
@@ -133,7 +136,7 @@
 			return false;
 		}
 
-		current.ledger.record({...report, vm: from.vm, run: from.run}, runtime.now());
+		current.ledger.record({...report, vm: from.vm, run: from.run});
 		return true;
 	};
 
@@ -167,7 +170,7 @@
 		const quota = view.getConfiguration()?.quotas.get(customer);
 		const since = contact.getFreeSince();
 		const members = view.listMembers();
-		if (!quota || since === undefined || getFeedAgeMs() > SHARE_MAX_AGE_MS || !members.some(({run}) => run === settings.run)) {
+		if (!quota || since === undefined || dependencies.getMembersAgeMs() > SHARE_MAX_AGE_MS || !members.some(({run}) => run === settings.run)) {
 			return undefined;
 		}
 
@@ -175,7 +178,7 @@
 		return share && {quota: share, since};
 	};
 
-	const quotaClient = createQuotaClient(requestTokens, runtime, getShare);
+	const quotaClient = createQuotaClient(requestTokens, runtime, getShare, readSuspensionClock);
 
 	const acquire = async (customer: CustomerId, deadline: Deadline, acquireToken: QuotaClient['acquireOrDecline']): Promise<Result<undefined, QuotaRefusal>> => {
 		const quota = view.getConfiguration()?.quotas.get(customer);
@@ -185,7 +188,7 @@
 
 		return isZeroQuota(quota)
 			? Err({code: 'limitExceeded', message: 'The quota of the customer allows no requests', retryAfterMs: MAX_TOKEN_WAIT_MS})
-			: acquireToken(customer, createDeadline(runtime.now(), getRemainingMs(deadline, context.runtime.now())));
+			: acquireToken(customer, deadline);
 	};
 
 	/** Sends a report to a holder of the role; resolves to its answer, `undefined` if there is none. */
@@ -237,7 +240,7 @@
 		const isFree = contact.getFreeSince() !== undefined;
 		metrics.gauge('quota.free', isFree ? 1 : 0);
 		if (active) {
-			const {inContact, withheld} = active.ledger.countVms(runtime.now());
+			const {inContact, withheld} = active.ledger.countVms();
 			metrics.gauge('quota.inContact', inContact);
 			metrics.gauge('quota.withheld', withheld);
 		}
