--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -204,8 +204,8 @@
 		return response.ok && typeof response.val === 'boolean' ? response.val : undefined;
 	};
 
-	/** Reports to the holder of the role, and asks a former one to forget this vm. */
-	const reportOnce = async () => {
+	/** Reports to the holder of the role, and asks a former one to forget this vm; resolves to whether the holder answered. */
+	const reportOnce = async (): Promise<boolean> => {
 		const holder = getHolder();
 		const boundEpoch = contact.getBoundEpoch();
 		if (boundHolder && boundEpoch === boundHolder.holder.epoch && holder?.epoch !== boundEpoch) {
@@ -217,7 +217,7 @@
 
 		const member = holder && findMember(holder);
 		if (!member) {
-			return;
+			return false;
 		}
 
 		if (contact.getBoundEpoch() === undefined) {
@@ -231,6 +231,8 @@
 		} else if (isCounted === false) {
 			contact.recordRelease(holder.epoch);
 		}
+
+		return isCounted === true;
 	};
 
 	let wasFree = true;
@@ -265,13 +267,11 @@
 		async reportContact(signal) {
 			while (!signal.aborted) {
 				const startedAt = runtime.now();
-				if (view.getConfiguration()?.quotas.size) {
-					await reportOnce();
-					recordRegime();
-				}
+				const isAnswered = Boolean(view.getConfiguration()?.quotas.size) && await reportOnce();
+				recordRegime();
 
 				const epoch = getHolder()?.epoch;
-				if (contact.isAnswering(epoch) && contact.getBoundEpoch() === epoch && !contact.isEstablished(epoch)) {
+				if (isAnswered && contact.isAnswering(epoch) && contact.getBoundEpoch() === epoch && !contact.isEstablished(epoch)) {
 					// The allocator counts this vm from the next report on, which names the answered one.
 					continue;
 				}
