Let vms use their shares while their view of the store is fresh

Cause: the age of a vm's view was taken from the last reading of the whole list of vms. A list in which nothing changes is not read again, so after 30 s no vm held a share.

Change: the age counts from the last confirmation of the view, as before, and adds the time by which the suspension clock has run ahead since then, sampled with each report. Why it works: without a suspension both clocks go alike; with one, the sample before the confirmation is used, so the age is never below the true one.

--- a/packages/vm/src/process.ts
+++ b/packages/vm/src/process.ts
@@ -109,7 +109,6 @@
 		getPeerClient: () => peerClient,
 		getRoleClaims: () => roleClaims,
 		getFeedAgeMs: () => feed.getAgeMs(),
-		getMembersAgeMs: () => context.readSuspensionClock() - feed.getCompleteAt(MEMBER_PREFIX),
 	});
 	const appointments = createPrimaryAppointments(context, {
 		getFeed: () => feed,
--- a/packages/vm/src/quotas.ts
+++ b/packages/vm/src/quotas.ts
@@ -15,6 +15,7 @@
 import type {PeerClient} from './peer-client.js';
 import type {ClusterView} from './cluster-view.js';
 import {ALLOCATOR_ROLE} from './role-names.js';
+import {createViewAge} from './view-age.js';
 
 /** Method by which vms request tokens from the quota allocator. */
 export const GRANT_TOKENS_METHOD = 'allot';
@@ -48,8 +49,6 @@
 	getRoleClaims: () => RoleClaims;
 	/** Returns the age of this vm's view of the store, in milliseconds. */
 	getFeedAgeMs: () => number;
-	/** Returns the age of its list of vms, in milliseconds, at least the true one also after a suspension. */
-	getMembersAgeMs: () => number;
 }>;
 
 /** The allocator of one epoch, and the vms that it is in contact with. */
@@ -68,6 +67,7 @@
 	} = context;
 	const {view} = dependencies;
 	const clocks: Clocks = {now: runtime.now, readSuspensionClock};
+	const viewAge = createViewAge(clocks, dependencies.getFeedAgeMs);
 	const contact = createAllocatorContact(clocks, settings.vm, settings.run);
 	let active: ActiveAllocator | undefined;
 	/** Time at which a vm in contact with the store last sent a request while this vm's lease was not confirmed. */
@@ -170,7 +170,7 @@
 		const quota = view.getConfiguration()?.quotas.get(customer);
 		const since = contact.getFreeSince();
 		const members = view.listMembers();
-		if (!quota || since === undefined || dependencies.getMembersAgeMs() > SHARE_MAX_AGE_MS || !members.some(({run}) => run === settings.run)) {
+		if (!quota || since === undefined || viewAge.getAgeMs() > SHARE_MAX_AGE_MS || !members.some(({run}) => run === settings.run)) {
 			return undefined;
 		}
 
@@ -267,6 +267,7 @@
 		async reportContact(signal) {
 			while (!signal.aborted) {
 				const startedAt = runtime.now();
+				viewAge.sample();
 				const isAnswered = Boolean(view.getConfiguration()?.quotas.size) && await reportOnce();
 				recordRegime();
 
